--- /dev/null
+++ b/crates/ctl/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder.
--- /dev/null
+++ b/crates/model/src/lib.rs
@@ -0,0 +1,42 @@
+//! Domain types and declarations of redwinglb.
+//!
+//! A [`FleetDeclaration`] states the targets that an operator sets: the
+//! queues with their capacity and deadlines, the pools with their
+//! availability budgets, and the teams with their shares and limits. It is
+//! written in TOML, kept in version control, and checked as a whole before
+//! anything of it is put in force.
+//!
+//! # Examples
+//!
+//! ```
+//! let text = r#"
+//!     [teams.inspections]
+//!     limit = 40
+//!
+//!     [pools.reports]
+//!     vms = 10
+//!     max-unavailable = 2
+//!
+//!     [queues.certificates]
+//!     pool = "reports"
+//!     shares = { inspections = 1.0 }
+//! "#;
+//! let fleet = redwing_model::from_toml(text)?;
+//! assert_eq!(fleet.pools.len(), 1);
+//! # Ok::<(), redwing_model::Error>(())
+//! ```
+
+pub mod access;
+pub mod declaration;
+pub mod error;
+pub mod name;
+pub mod outcome;
+pub mod vm;
+
+pub use access::{AccessKey, KeyHash};
+pub use declaration::{FleetDeclaration, from_toml, to_toml};
+pub use error::{Category, Error, Result};
+pub use name::{
+    ClassName, DataCentre, NodeId, NodeIncarnation, PoolName, QueueName, RackName, TeamName, VmId,
+};
+pub use outcome::RunOutcome;
--- /dev/null
+++ b/crates/node/src/event.rs
@@ -0,0 +1,40 @@
+//! Numbered events, the only form in which the process writes logs.
+//!
+//! `docs/EVENTS.md` lists each number with its meaning. Numbers are grouped:
+//! 100 to 199 process and request path, 200 to 299 configuration, keys and
+//! audit, 300 to 399 membership, peers and holdings, 400 to 499 maintenance.
+
+use std::fmt;
+
+/// Number and name of an event.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct EventCode {
+    /// Number, unique and never used again.
+    pub number: u16,
+    /// Name in kebab case.
+    pub name: &'static str,
+}
+
+impl fmt::Display for EventCode {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "E{:03} {}", self.number, self.name)
+    }
+}
+
+macro_rules! event_codes {
+    ($($(#[$doc:meta])* $constant:ident = $number:literal $name:literal;)*) => {
+        $($(#[$doc])* pub const $constant: EventCode = EventCode { number: $number, name: $name };)*
+
+        /// All events, in the order of their numbers.
+        pub const ALL_EVENTS: &[EventCode] = &[$($constant),*];
+    };
+}
+
+event_codes! {
+    /// The process accepts requests.
+    PROCESS_READY = 100 "process-ready";
+    /// The process was asked to stop and is finishing what it holds.
+    PROCESS_STOPPING = 101 "process-stopping";
+    /// The process has finished everything and ends.
+    PROCESS_STOPPED = 102 "process-stopped";
+}
--- /dev/null
+++ b/crates/node/src/lib.rs
@@ -0,0 +1,10 @@
+//! The `redwinglb` entry process.
+//!
+//! One thread holds all control state and makes every decision; others carry
+//! traffic. The control thread publishes a [`NodeSnapshot`] that the traffic
+//! threads read on each request, and answers their submissions.
+
+pub mod event;
+pub mod snapshot;
+
+pub use snapshot::{KeyGrant, NodeSnapshot};
--- /dev/null
+++ b/crates/node/src/main.rs
@@ -0,0 +1,2 @@
+//! Placeholder.
+fn main() {}
--- /dev/null
+++ b/crates/platform/src/lib.rs
@@ -0,0 +1,47 @@
+//! Interfaces to the platform's services and their clients.
+//!
+//! Everything that knows a platform protocol implements the traits of this
+//! package: [`TableStore`], [`ObjectStore`], [`VmDirectory`] and
+//! [`VmControl`]. Decisions never see an adapter.
+//!
+//! # Examples
+//!
+//! ```
+//! use redwing_platform::table;
+//!
+//! let key = table::RowKey::new("config/head");
+//! let change = table::TableTransaction::default()
+//!     .require_absent(key.clone())
+//!     .put(key, "{}");
+//! assert_eq!(change.writes().len(), 1);
+//! ```
+
+pub mod directory;
+pub mod error;
+pub mod object;
+pub mod table;
+
+pub use directory::{ListedStatus, ListedVm, VmControl, VmDirectory, VmRole};
+pub use error::{Category, Error, Result};
+pub use object::ObjectStore;
+pub use table::{CommitOutcome, RowKey, TableRow, TableStore, TableTransaction};
+
+use std::future;
+use std::pin;
+use std::rc;
+
+/// Future of a platform call, bound to the thread that made it.
+pub type LocalFuture<'a, T> = pin::Pin<Box<dyn future::Future<Output = T> + 'a>>;
+
+/// All services of the platform, as one process meets them.
+#[derive(Clone)]
+pub struct PlatformServices {
+    /// Transactional table.
+    pub table: rc::Rc<dyn TableStore>,
+    /// Object store.
+    pub objects: rc::Rc<dyn ObjectStore>,
+    /// List of VMs.
+    pub directory: rc::Rc<dyn VmDirectory>,
+    /// Control of VMs.
+    pub control: rc::Rc<dyn VmControl>,
+}
--- /dev/null
+++ b/crates/platform/src/table.rs
@@ -0,0 +1,149 @@
+//! The platform's transactional table.
+
+use serde::{Deserialize, Serialize};
+
+use crate::LocalFuture;
+use crate::error::Result;
+
+/// Key of a row; its parts are separated by `/`.
+#[derive(Clone, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+#[serde(transparent)]
+pub struct RowKey(String);
+
+impl RowKey {
+    /// Creates a key from its text.
+    pub fn new(text: impl Into<String>) -> Self {
+        Self(text.into())
+    }
+
+    /// Returns the key as text.
+    pub fn as_str(&self) -> &str {
+        &self.0
+    }
+}
+
+/// One row of the table.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct TableRow {
+    /// Key of the row.
+    pub key: RowKey,
+    /// Number of the commit that last wrote the row; grows over the table.
+    pub version: u64,
+    /// Content, JSON by convention; `None` once the row is deleted.
+    pub value: Option<String>,
+}
+
+/// What a transaction expects of one row.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct RowCondition {
+    /// Key of the row.
+    pub key: RowKey,
+    /// Version that the row must have; `None` if it must not exist.
+    pub version: Option<u64>,
+}
+
+/// What a transaction does to one row.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct RowWrite {
+    /// Key of the row.
+    pub key: RowKey,
+    /// New content; `None` deletes the row.
+    pub value: Option<String>,
+}
+
+/// Conditions and writes that take effect together or not at all.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct TableTransaction {
+    conditions: Vec<RowCondition>,
+    writes: Vec<RowWrite>,
+}
+
+impl TableTransaction {
+    /// Returns what the transaction expects.
+    pub fn conditions(&self) -> &[RowCondition] {
+        &self.conditions
+    }
+
+    /// Returns what the transaction writes.
+    pub fn writes(&self) -> &[RowWrite] {
+        &self.writes
+    }
+
+    /// Adds the condition that the row does not exist.
+    pub fn require_absent(mut self, key: RowKey) -> Self {
+        self.conditions.push(RowCondition { key, version: None });
+        self
+    }
+
+    /// Adds the condition that the row was last written by commit `version`.
+    pub fn require_version(mut self, key: RowKey, version: u64) -> Self {
+        let version = Some(version);
+        self.conditions.push(RowCondition { key, version });
+        self
+    }
+
+    /// Adds a write of the row.
+    pub fn put(mut self, key: RowKey, value: impl Into<String>) -> Self {
+        let value = Some(value.into());
+        self.writes.push(RowWrite { key, value });
+        self
+    }
+
+    /// Adds a deletion of the row.
+    pub fn delete(mut self, key: RowKey) -> Self {
+        self.writes.push(RowWrite { key, value: None });
+        self
+    }
+}
+
+/// How the table answered a transaction.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum CommitOutcome {
+    /// All writes took effect as the commit of this number.
+    Committed(u64),
+    /// A condition did not hold; the rows whose conditions failed, as they are.
+    Conflict(Vec<TableRow>),
+}
+
+/// Rows read together with the number of the latest commit they reflect.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct TableView {
+    /// The rows, in key order.
+    pub rows: Vec<TableRow>,
+    /// Number of the latest commit that the rows reflect.
+    pub cursor: u64,
+}
+
+/// Transactional table of the platform.
+pub trait TableStore {
+    /// Applies a transaction.
+    ///
+    /// # Errors
+    ///
+    /// Fails with category `Unknown` if the transaction may have been applied.
+    fn commit<'a>(
+        &'a self,
+        transaction: &'a TableTransaction,
+    ) -> LocalFuture<'a, Result<CommitOutcome>>;
+
+    /// Reads the rows whose keys start with `prefix`.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the table does not answer in time.
+    fn scan<'a>(&'a self, prefix: &'a str) -> LocalFuture<'a, Result<TableView>>;
+
+    /// Reads the rows under `prefix` that commits after `cursor` wrote,
+    /// deleted rows included.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the table does not answer in time.
+    fn changes<'a>(&'a self, prefix: &'a str, cursor: u64) -> LocalFuture<'a, Result<TableView>>;
+}
