--- a/crates/model/src/access.rs
+++ b/crates/model/src/access.rs
@@ -1,6 +1,7 @@
 //! Access keys of teams and operators.
 
 use std::fmt;
+use std::hash;
 
 use serde::{Deserialize, Serialize};
 use sha2::Digest;
@@ -46,7 +47,7 @@
 /// SHA-256 digest of an access key, the only form in which keys are kept.
 ///
 /// Equality takes the same time wherever the digests differ.
-#[derive(Clone, Copy, Deserialize, Eq, Hash, Ord, PartialOrd, Serialize)]
+#[derive(Clone, Copy, Deserialize, Eq, Ord, PartialOrd, Serialize)]
 #[serde(try_from = "String", into = "String")]
 pub struct KeyHash([u8; HASH_BYTES]);
 
@@ -94,6 +95,12 @@
     }
 }
 
+impl hash::Hash for KeyHash {
+    fn hash<H: hash::Hasher>(&self, state: &mut H) {
+        self.0.hash(state);
+    }
+}
+
 impl PartialEq for KeyHash {
     fn eq(&self, other: &Self) -> bool {
         self.0.ct_eq(&other.0).into()
