Add the command table and the open-loop load tool

Cause: nothing measured the request path from outside or held its answers against what the backend servers saw. Change: redwingctl has a table of subcommands, exit statuses and one error type; `load` draws a seeded Poisson schedule with rotating demand, sends it open-loop over several threads, checks every answer and every start counted by the stand-in backend servers, and reports latency from the scheduled time. Figures: none yet; the tool has not met an entry process.

--- /dev/null
+++ b/crates/ctl/src/command.rs
@@ -0,0 +1,114 @@
+//! Table of subcommands and exit statuses.
+
+use std::ffi;
+use std::process;
+
+use crate::error::{Category, Error, Result};
+use crate::load;
+
+/// Subcommands in the order in which the help lists them.
+pub const COMMANDS: &[CommandEntry] = &[load::COMMAND];
+
+/// One subcommand.
+#[derive(Clone, Copy, Debug)]
+pub struct CommandEntry {
+    /// Name, as typed.
+    pub name: &'static str,
+    /// Returns the flags and help text.
+    pub define: fn() -> clap::Command,
+    /// Runs the subcommand with its parsed flags.
+    pub run: fn(&clap::ArgMatches) -> Result<ExitStatus>,
+}
+
+/// How a subcommand ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum ExitStatus {
+    /// Done; a change is in the table and a majority of entry VMs has it.
+    Success,
+    /// Failed, refused, or a promise was broken.
+    Failure,
+    /// A flag or a declaration is wrong; nothing was sent.
+    Usage,
+    /// Another operator changed the configuration first.
+    Conflict,
+    /// The change may be in the table, but is not yet known to be in force.
+    Pending,
+}
+
+impl ExitStatus {
+    /// Returns the exit code of the process.
+    pub fn code(self) -> u8 {
+        match self {
+            Self::Success => 0,
+            Self::Failure => 1,
+            Self::Usage => 2,
+            Self::Conflict => 3,
+            Self::Pending => 4,
+        }
+    }
+}
+
+impl From<ExitStatus> for process::ExitCode {
+    fn from(status: ExitStatus) -> Self {
+        Self::from(status.code())
+    }
+}
+
+impl From<&Error> for ExitStatus {
+    fn from(error: &Error) -> Self {
+        match error.classify() {
+            Category::Usage | Category::Declaration => Self::Usage,
+            Category::Conflict => Self::Conflict,
+            Category::Unknown => Self::Pending,
+            Category::Refused | Category::Unavailable => Self::Failure,
+        }
+    }
+}
+
+/// Returns the command line with all subcommands.
+pub fn define() -> clap::Command {
+    clap::Command::new("redwingctl")
+        .about("Operates redwinglb entry VMs")
+        .version(env!("CARGO_PKG_VERSION"))
+        .subcommand_required(true)
+        .arg_required_else_help(true)
+        .subcommands(COMMANDS.iter().map(|entry| (entry.define)()))
+}
+
+/// Parses `arguments`, the program's name first, and runs the subcommand.
+///
+/// Errors go to standard error and into the returned status.
+pub fn run<I, T>(arguments: I) -> ExitStatus
+where
+    I: IntoIterator<Item = T>,
+    T: Into<ffi::OsString> + Clone,
+{
+    let matches = match define().try_get_matches_from(arguments) {
+        Ok(matches) => matches,
+        Err(error) => return report_usage(&error),
+    };
+    let Some((name, flags)) = matches.subcommand() else {
+        return ExitStatus::Usage;
+    };
+    let Some(entry) = COMMANDS.iter().find(|entry| entry.name == name) else {
+        return ExitStatus::Usage;
+    };
+    match (entry.run)(flags) {
+        Ok(status) => status,
+        Err(error) => {
+            eprintln!("redwingctl {name}: {error}");
+            ExitStatus::from(&error)
+        }
+    }
+}
+
+/// Prints a parse error, or the help that was asked for.
+fn report_usage(error: &clap::Error) -> ExitStatus {
+    // A closed standard stream leaves nobody to tell.
+    let _ = error.print();
+    if error.use_stderr() {
+        ExitStatus::Usage
+    } else {
+        ExitStatus::Success
+    }
+}
--- /dev/null
+++ b/crates/ctl/src/load/report.rs
@@ -0,0 +1,293 @@
+//! Figures of one experiment, as a table and as JSON.
+
+use std::fmt;
+use std::fmt::Write;
+use std::time;
+
+use hdrhistogram::Histogram;
+use redwing_model::RunOutcome;
+use serde::Serialize;
+
+use super::check::PromiseBreach;
+use super::experiment::LoadExperiment;
+use super::record::{RequestEnd, RequestRecord};
+use super::share::ShareWindow;
+
+/// Longest latency that the histograms hold, in microseconds.
+const MAX_LATENCY_MICROS: u64 = 3_600_000_000;
+
+/// Significant decimal digits of the histograms.
+const LATENCY_DIGITS: u8 = 3;
+
+/// Result of one experiment.
+#[derive(Clone, Debug, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct LoadReport {
+    /// Seed of the schedule.
+    pub seed: u64,
+    /// Time during which requests were sent, in seconds.
+    pub seconds: f64,
+    /// All streams together.
+    pub total: StreamReport,
+    /// One line for each stream.
+    pub streams: Vec<StreamReport>,
+    /// Requests straight to the backend servers.
+    pub direct: Option<StreamReport>,
+    /// Added delay against the direct series, in milliseconds.
+    pub added_p50_ms: Option<f64>,
+    /// Added delay against the direct series, in milliseconds.
+    pub added_p99_ms: Option<f64>,
+    /// Delay of the tool itself between scheduled time and sending, in milliseconds.
+    pub send_lag_p99_ms: f64,
+    /// Windows in which shares were compared.
+    pub windows: Vec<ShareWindow>,
+    /// Largest distance from the entitled share among contended windows.
+    pub share_error: Option<f64>,
+    /// Whether the counts of the backend servers were compared.
+    pub executions_checked: bool,
+    /// Whether the bound on the number of requests cut the schedule short.
+    pub truncated: bool,
+    /// Promises that were broken.
+    pub breaches: Vec<PromiseBreach>,
+}
+
+/// Figures of one stream.
+#[derive(Clone, Debug, Default, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct StreamReport {
+    /// Team and queue.
+    pub name: String,
+    /// Requests scheduled.
+    pub scheduled: usize,
+    /// Answers that say `ran`.
+    pub ran: usize,
+    /// Answers that say `not-run`.
+    pub not_run: usize,
+    /// Answers that say `unknown`.
+    pub unknown: usize,
+    /// Requests whose caller gave up.
+    pub cancelled: usize,
+    /// Requests without a whole answer.
+    pub broken: usize,
+    /// Requests that were not sent because too many were in flight.
+    pub not_sent: usize,
+    /// Answers that say `ran`, for each second of sending.
+    pub ran_per_second: f64,
+    /// Latency of answers that say `ran`, in milliseconds.
+    pub p50_ms: f64,
+    /// Latency of answers that say `ran`, in milliseconds.
+    pub p90_ms: f64,
+    /// Latency of answers that say `ran`, in milliseconds.
+    pub p99_ms: f64,
+    /// Latency of answers that say `ran`, in milliseconds.
+    pub p999_ms: f64,
+    /// Latency of answers that say `ran`, in milliseconds.
+    pub max_ms: f64,
+    /// Latency of answers that say `not-run`, in milliseconds.
+    pub refusal_p99_ms: f64,
+}
+
+impl LoadReport {
+    /// Puts the report of an experiment together.
+    pub(super) fn new(
+        experiment: &LoadExperiment,
+        records: &[RequestRecord],
+        direct: &[RequestRecord],
+        windows: Vec<ShareWindow>,
+        breaches: Vec<PromiseBreach>,
+    ) -> Self {
+        let seconds = experiment.seconds;
+        let total = StreamReport::new("all".to_owned(), seconds, records.iter());
+        let streams = experiment.streams.iter().enumerate();
+        let streams = streams
+            .map(|(index, stream)| {
+                let name = format!("{}/{}", stream.team, stream.queue);
+                let part = records.iter().filter(|record| record.stream == index);
+                StreamReport::new(name, seconds, part)
+            })
+            .collect();
+        let direct = (!direct.is_empty())
+            .then(|| StreamReport::of_direct("direct".to_owned(), seconds, direct));
+        let lag = latencies(records.iter().map(|r| r.sent.saturating_sub(r.scheduled)));
+        let contended = windows.iter().filter(|window| window.is_contended());
+        Self {
+            seed: experiment.seed,
+            seconds,
+            added_p50_ms: direct.as_ref().map(|direct| total.p50_ms - direct.p50_ms),
+            added_p99_ms: direct.as_ref().map(|direct| total.p99_ms - direct.p99_ms),
+            total,
+            streams,
+            direct,
+            send_lag_p99_ms: quantile_ms(&lag, 0.99),
+            share_error: contended.map(|window| window.error).reduce(f64::max),
+            windows,
+            executions_checked: false,
+            truncated: false,
+            breaches,
+        }
+    }
+
+    /// Returns whether every promise was kept.
+    pub fn is_clean(&self) -> bool {
+        self.breaches.is_empty()
+    }
+}
+
+impl StreamReport {
+    fn new<'a>(
+        name: String,
+        seconds: f64,
+        records: impl Iterator<Item = &'a RequestRecord> + Clone,
+    ) -> Self {
+        let with = |outcome| {
+            records
+                .clone()
+                .filter(move |r| r.outcome() == Some(outcome))
+        };
+        let ended = |is: fn(&RequestEnd) -> bool| records.clone().filter(|r| is(&r.end)).count();
+        let ran = latencies(with(RunOutcome::Ran).map(RequestRecord::latency));
+        let refused = latencies(with(RunOutcome::NotRun).map(RequestRecord::latency));
+        Self {
+            scheduled: records.clone().count(),
+            ran: with(RunOutcome::Ran).count(),
+            not_run: with(RunOutcome::NotRun).count(),
+            unknown: with(RunOutcome::Unknown).count(),
+            cancelled: ended(|end| *end == RequestEnd::Cancelled),
+            broken: ended(|end| matches!(end, RequestEnd::Broken { .. })),
+            not_sent: ended(|end| *end == RequestEnd::NotSent),
+            ran_per_second: with(RunOutcome::Ran).count() as f64 / seconds,
+            refusal_p99_ms: quantile_ms(&refused, 0.99),
+            name,
+            ..Self::default()
+        }
+        .with_latencies(&ran)
+    }
+
+    /// Counts the answers of backend servers, which state no outcome.
+    fn of_direct(name: String, seconds: f64, records: &[RequestRecord]) -> Self {
+        let is_ok = |record: &&RequestRecord| {
+            matches!(record.end, RequestEnd::Answered { status: 200, .. })
+        };
+        let ran: Vec<&RequestRecord> = records.iter().filter(is_ok).collect();
+        let latency = latencies(ran.iter().map(|record| record.latency()));
+        Self {
+            scheduled: records.len(),
+            ran: ran.len(),
+            broken: records.len() - ran.len(),
+            ran_per_second: ran.len() as f64 / seconds,
+            name,
+            ..Self::default()
+        }
+        .with_latencies(&latency)
+    }
+
+    fn with_latencies(self, histogram: &Histogram<u64>) -> Self {
+        Self {
+            p50_ms: quantile_ms(histogram, 0.5),
+            p90_ms: quantile_ms(histogram, 0.9),
+            p99_ms: quantile_ms(histogram, 0.99),
+            p999_ms: quantile_ms(histogram, 0.999),
+            max_ms: histogram.max() as f64 / 1_000.0,
+            ..self
+        }
+    }
+}
+
+impl fmt::Display for LoadReport {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        writeln!(
+            formatter,
+            "{:<28} {:>8} {:>8} {:>8} {:>7} {:>9} {:>7} {:>8} {:>9} {:>9} {:>9}",
+            "stream",
+            "sched",
+            "ran",
+            "not-run",
+            "unknown",
+            "cancelled",
+            "broken",
+            "ran/s",
+            "p50 ms",
+            "p99 ms",
+            "max ms"
+        )?;
+        let direct = self.direct.iter();
+        for stream in self.streams.iter().chain([&self.total]).chain(direct) {
+            writeln!(formatter, "{stream}")?;
+        }
+        self.write_summary(formatter)?;
+        for breach in &self.breaches {
+            writeln!(
+                formatter,
+                "BROKEN {} times: {}",
+                breach.count, breach.promise
+            )?;
+            for example in &breach.examples {
+                writeln!(formatter, "    {example}")?;
+            }
+        }
+        let verdict = if self.is_clean() { "kept" } else { "BROKEN" };
+        write!(formatter, "promises: {verdict}")
+    }
+}
+
+impl LoadReport {
+    fn write_summary(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let mut line = format!(
+            "seed {}, {} s, tool's own lag p99 {:.3} ms",
+            self.seed, self.seconds, self.send_lag_p99_ms
+        );
+        if let (Some(p50), Some(p99)) = (self.added_p50_ms, self.added_p99_ms) {
+            write!(line, ", added delay p50 {p50:.3} ms p99 {p99:.3} ms")?;
+        }
+        if let Some(error) = self.share_error {
+            write!(line, ", share error {:.1} %", error * 100.0)?;
+        }
+        if !self.executions_checked {
+            line.push_str(", starts on backend servers NOT compared");
+        }
+        if self.truncated {
+            line.push_str(", schedule cut short by max-requests");
+        }
+        if self.total.not_sent > 0 {
+            write!(line, ", {} not sent", self.total.not_sent)?;
+        }
+        writeln!(formatter, "{line}")
+    }
+}
+
+impl fmt::Display for StreamReport {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(
+            formatter,
+            "{:<28} {:>8} {:>8} {:>8} {:>7} {:>9} {:>7} {:>8.1} {:>9.3} {:>9.3} {:>9.3}",
+            self.name,
+            self.scheduled,
+            self.ran,
+            self.not_run,
+            self.unknown,
+            self.cancelled,
+            self.broken,
+            self.ran_per_second,
+            self.p50_ms,
+            self.p99_ms,
+            self.max_ms
+        )
+    }
+}
+
+/// Returns a histogram of `times` in microseconds.
+fn latencies(times: impl Iterator<Item = time::Duration>) -> Histogram<u64> {
+    let histogram = Histogram::new_with_max(MAX_LATENCY_MICROS, LATENCY_DIGITS);
+    let mut histogram = match histogram {
+        Ok(histogram) => histogram,
+        Err(error) => unreachable!("bounds of the histogram are constants: {error}"),
+    };
+    for time in times {
+        histogram.saturating_record(time.as_micros() as u64);
+    }
+    histogram
+}
+
+fn quantile_ms(histogram: &Histogram<u64>, quantile: f64) -> f64 {
+    histogram.value_at_quantile(quantile) as f64 / 1_000.0
+}
--- /dev/null
+++ b/crates/ctl/src/load/share.rs
@@ -0,0 +1,150 @@
+//! Distance of what each team received from weighted max-min fairness.
+
+use std::collections::BTreeMap;
+
+use redwing_model::{QueueName, RunOutcome, TeamName};
+use serde::Serialize;
+
+use super::experiment::LoadExperiment;
+use super::record::{RequestEnd, RequestRecord};
+
+/// Entitlements below this part of what was delivered are not compared.
+const MIN_PART: f64 = 0.02;
+
+/// One queue in one window of time.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct ShareWindow {
+    /// Queue that the teams shared.
+    pub queue: QueueName,
+    /// Start of the window, in seconds.
+    pub from_seconds: f64,
+    /// Slot time delivered to all teams, in seconds.
+    pub delivered: f64,
+    /// Slot time that was wanted, in seconds.
+    pub wanted: f64,
+    /// Largest relative distance of a team from its entitlement.
+    pub error: f64,
+}
+
+impl ShareWindow {
+    /// Returns whether more was wanted than delivered, so that shares decide.
+    pub fn is_contended(&self) -> bool {
+        self.wanted > self.delivered * 1.05
+    }
+}
+
+/// What one team wanted and received of one queue in one window.
+#[derive(Clone, Copy, Debug, Default)]
+struct TeamDemand {
+    weight: f64,
+    wanted: f64,
+    received: f64,
+}
+
+/// Splits `capacity` by weighted max-min fairness.
+///
+/// No entry receives more than its demand; what one leaves goes to the others
+/// in proportion to their weights.
+pub fn max_min_entitlements(capacity: f64, demands: &[f64], weights: &[f64]) -> Vec<f64> {
+    let mut entitled = vec![0.0; demands.len()];
+    let mut open: Vec<usize> = (0..demands.len())
+        .filter(|index| demands[*index] > 0.0 && weights[*index] > 0.0)
+        .collect();
+    let mut rest = capacity;
+    while !open.is_empty() && rest > 0.0 {
+        let total: f64 = open.iter().map(|index| weights[*index]).sum();
+        let level = rest / total;
+        let is_met = |index: &usize| demands[*index] <= level * weights[*index];
+        let (met, unmet): (Vec<usize>, Vec<usize>) = open.iter().partition(|index| is_met(index));
+        if met.is_empty() {
+            for index in unmet {
+                entitled[index] = level * weights[index];
+            }
+            return entitled;
+        }
+        for index in met {
+            entitled[index] = demands[index];
+            rest -= demands[index];
+        }
+        open = unmet;
+    }
+    entitled
+}
+
+/// Compares each whole window of the experiment with weighted max-min fairness.
+///
+/// A request is wanted in each window in which it was outstanding, up to its
+/// running time; it counts as running for its running time before its end.
+pub fn share_windows(experiment: &LoadExperiment, records: &[RequestRecord]) -> Vec<ShareWindow> {
+    let length = experiment.window_seconds;
+    let count = (experiment.seconds / length) as usize;
+    let mut windows = Vec::new();
+    for index in 0..count {
+        let from = index as f64 * length;
+        for queue in experiment.queue_names() {
+            let teams = demands_of(experiment, records, queue, from, from + length);
+            if let Some(window) = compare(queue, from, &teams) {
+                windows.push(window);
+            }
+        }
+    }
+    windows
+}
+
+fn demands_of(
+    experiment: &LoadExperiment,
+    records: &[RequestRecord],
+    queue: &QueueName,
+    from: f64,
+    to: f64,
+) -> BTreeMap<TeamName, TeamDemand> {
+    let mut teams: BTreeMap<TeamName, TeamDemand> = BTreeMap::new();
+    for record in records {
+        let stream = &experiment.streams[record.stream];
+        if stream.queue != *queue || record.end == RequestEnd::Cancelled {
+            continue;
+        }
+        let arrived = record.scheduled.as_secs_f64();
+        let ended = record.ended.as_secs_f64();
+        if arrived >= to || ended <= from {
+            continue;
+        }
+        let demand = teams.entry(stream.team.clone()).or_default();
+        demand.weight = stream.share;
+        let outstanding = ended.min(to) - arrived.max(from);
+        demand.wanted += outstanding.min(stream.run_seconds);
+        if record.outcome() == Some(RunOutcome::Ran) {
+            let started = (ended - stream.run_seconds).max(from);
+            demand.received += (ended.min(to) - started).max(0.0);
+        }
+    }
+    teams
+}
+
+fn compare(
+    queue: &QueueName,
+    from: f64,
+    teams: &BTreeMap<TeamName, TeamDemand>,
+) -> Option<ShareWindow> {
+    let wanted: Vec<f64> = teams.values().map(|team| team.wanted).collect();
+    let weights: Vec<f64> = teams.values().map(|team| team.weight).collect();
+    let delivered: f64 = teams.values().map(|team| team.received).sum();
+    if delivered <= 0.0 {
+        return None;
+    }
+    let entitled = max_min_entitlements(delivered, &wanted, &weights);
+    let error = teams
+        .values()
+        .zip(&entitled)
+        .filter(|(_, entitled)| **entitled > delivered * MIN_PART)
+        .map(|(team, entitled)| (team.received - entitled).abs() / entitled)
+        .fold(0.0, f64::max);
+    Some(ShareWindow {
+        queue: queue.clone(),
+        from_seconds: from,
+        delivered,
+        wanted: wanted.iter().sum(),
+        error,
+    })
+}
--- /dev/null
+++ b/crates/ctl/tests/usage.rs
@@ -0,0 +1,35 @@
+//! Wrong flags are refused before anything is sent.
+
+use redwing_ctl::ExitStatus;
+use rstest::rstest;
+
+#[rstest]
+#[case::no_subcommand(&[])]
+#[case::unknown_subcommand(&["launch"])]
+#[case::unknown_flag(&["load", "--frobnicate"])]
+#[case::seconds_too_long(&["load", "--seconds", "90000"])]
+#[case::not_a_number(&["load", "--rate", "fast"])]
+#[case::no_target(&["load", "--stream", "a/q"])]
+#[case::target_with_name(&["load", "--target", "http://example.org:80", "--stream", "a/q"])]
+#[case::target_not_on_loopback(&["load", "--target", "http://192.0.2.1:80", "--stream", "a/q"])]
+#[case::stream_without_queue(&["load", "--target", "http://127.0.0.1:1", "--stream", "a"])]
+#[case::weights_for_other_targets(&[
+    "load", "--target", "http://127.0.0.1:1", "--stream", "a/q", "--target-weights", "1,2",
+])]
+#[case::duplicates_without_key(&[
+    "load", "--target", "http://127.0.0.1:1", "--stream", "a/q", "--duplicates", "0.5",
+])]
+fn wrong_flags_end_with_status_2(#[case] arguments: &[&str]) {
+    let mut line = vec!["redwingctl"];
+    line.extend(arguments);
+    assert_eq!(redwing_ctl::run(line), ExitStatus::Usage);
+    assert_eq!(ExitStatus::Usage.code(), 2);
+}
+
+#[test]
+fn help_is_no_error() {
+    assert_eq!(
+        redwing_ctl::run(["redwingctl", "load", "--help"]),
+        ExitStatus::Success
+    );
+}
