Add messages of the operator API and differences of declarations

Cause: redwingctl and the entry process have to speak the same JSON. Change: model::admin with routes, replies and filters; model::diff.

--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -27,7 +27,9 @@
 //! ```
 
 pub mod access;
+pub mod admin;
 pub mod declaration;
+pub mod diff;
 pub mod error;
 pub mod name;
 pub mod outcome;
