Add the subcommands of the operator API

Cause: the operator API had messages but no command line. Change: apply, diff, rollback, show, history, status, key, operator and audit, over a client that tries each listener in turn and repeats a change with the same id until it is accepted, refused, or the waiting time is over. A peer that hangs up after the request is outcome unknown: awc reports it as a connect error, found by a_lost_reply_is_never_told_as_a_failure before this commit. Conclusion: exit statuses hold against a listener that answers, refuses, stalls and hangs up; the entry process's own listener is still to come.

--- a/crates/ctl/src/command.rs
+++ b/crates/ctl/src/command.rs
@@ -4,10 +4,21 @@
 use std::process;
 
 use crate::error::{Category, Error, Result};
-use crate::load;
+use crate::{apply, audit, grant, inspect, load};
 
 /// Subcommands in the order in which the help lists them.
-pub const COMMANDS: &[CommandEntry] = &[load::COMMAND];
+pub const COMMANDS: &[CommandEntry] = &[
+    apply::APPLY,
+    apply::DIFF,
+    apply::ROLLBACK,
+    inspect::SHOW,
+    inspect::HISTORY,
+    inspect::STATUS,
+    grant::KEY,
+    grant::OPERATOR,
+    audit::COMMAND,
+    load::COMMAND,
+];
 
 /// One subcommand.
 #[derive(Clone, Copy, Debug)]
--- a/crates/ctl/src/lib.rs
+++ b/crates/ctl/src/lib.rs
@@ -11,10 +11,17 @@
 //! assert_eq!(status, redwing_ctl::ExitStatus::Usage);
 //! ```
 
+mod apply;
+mod audit;
+mod client;
 pub mod command;
 pub mod error;
+mod grant;
+mod inspect;
 pub mod load;
 pub mod option;
+pub mod output;
+mod transport;
 
 pub use command::{CommandEntry, ExitStatus, run};
 pub use error::{Category, Error, Result};
--- a/crates/ctl/src/load/sender.rs
+++ b/crates/ctl/src/load/sender.rs
@@ -15,6 +15,7 @@
 use super::record::{self, BodyCheck, ExecutionCounts, RequestEnd, RequestRecord};
 use super::schedule::{LoadArrival, LoadSchedule};
 use crate::error::{Error, Result};
+use crate::transport;
 
 /// Outcome of a request, in every answer.
 const OUTCOME_HEADER: &str = "redwing-outcome";
@@ -328,7 +329,7 @@
         let request = context.request(&context.bases[target], stream, &identifier);
         match request.send_body(body.clone()).await {
             Ok(response) => return read_answer(response, &body).await,
-            Err(awc::error::SendRequestError::Connect(error)) => {
+            Err(error) if transport::was_never_sent(&error) => {
                 context.ready[target].set(false);
                 message = format!("cannot connect: {error}");
             }
--- a/crates/ctl/src/option.rs
+++ b/crates/ctl/src/option.rs
@@ -4,11 +4,16 @@
 use std::net;
 use std::ops;
 
+use redwing_model::admin;
+
 use crate::error::{Error, Result};
 
 /// Scheme of every address that the command line speaks to.
 const SCHEME: &str = "http://";
 
+/// Longest time to wait for a change, in seconds.
+const MAX_WAIT_SECONDS: f64 = 600.0;
+
 /// Returns a parser of decimal numbers inside `range`.
 pub fn decimal_in(
     range: ops::RangeInclusive<f64>,
@@ -51,3 +56,66 @@
 pub fn read_text(path: &str) -> Result<String> {
     fs::read_to_string(path).map_err(|error| Error::file("read", path, error))
 }
+
+/// Returns the flags that every subcommand of the operator API takes.
+pub fn admin_arguments() -> Vec<clap::Arg> {
+    vec![
+        clap::Arg::new("admin")
+            .long("admin")
+            .env("REDWING_ADMIN")
+            .value_name("URL")
+            .required(true)
+            .value_delimiter(',')
+            .value_parser(parse_base)
+            .help("Admin listeners of entry processes, http://IP:PORT[,...]"),
+        clap::Arg::new("token")
+            .long("token")
+            .env("REDWING_ADMIN_TOKEN")
+            .hide_env_values(true)
+            .value_name("TOKEN")
+            .required(true)
+            .value_parser(parse_token)
+            .help("Token of the operator"),
+        clap::Arg::new("json")
+            .long("json")
+            .action(clap::ArgAction::SetTrue)
+            .help("Write the answer as JSON"),
+    ]
+}
+
+/// Returns the flags that every change takes.
+pub fn change_arguments() -> Vec<clap::Arg> {
+    vec![
+        clap::Arg::new("change-id")
+            .long("change-id")
+            .value_name("ID")
+            .value_parser(parse_change_id)
+            .help("Identifier of the change; repeating it with the same one is safe"),
+        clap::Arg::new("wait")
+            .long("wait")
+            .value_name("SECONDS")
+            .default_value("10")
+            .value_parser(decimal_in(0.0..=MAX_WAIT_SECONDS))
+            .help("Time to wait until the change is in force"),
+    ]
+}
+
+/// Parses a token, which travels in a header.
+fn parse_token(text: &str) -> std::result::Result<String, String> {
+    if !text.is_empty() && text.bytes().all(|byte| byte.is_ascii_graphic()) {
+        return Ok(text.to_owned());
+    }
+    Err("use 1 or more visible ASCII characters".to_owned())
+}
+
+/// Parses the identifier of a change, which travels in a header.
+fn parse_change_id(text: &str) -> std::result::Result<String, String> {
+    let allowed = text.bytes().all(|byte| byte.is_ascii_graphic());
+    if (1..=admin::MAX_CHANGE_ID_BYTES).contains(&text.len()) && allowed {
+        return Ok(text.to_owned());
+    }
+    Err(format!(
+        "use 1 to {} visible ASCII characters",
+        admin::MAX_CHANGE_ID_BYTES
+    ))
+}
