Add the inner protocol and the membership decisions

Cause: entry processes must pass tokens and configuration to each other and agree, through the table alone, whose tokens may be given to others. Change: peer.capnp with committed generated code and checked conversions; a package that gives tokens homes by rendezvous hashing and decides when an ended incarnation's tokens are reclaimable. Ruled out: time-outs as the end of a holding, since a paused holder wakes and nobody can renew in an outage.

--- /dev/null
+++ b/crates/membership/src/lib.rs
@@ -0,0 +1,34 @@
+//! Pure decisions over membership of entry processes and homes of tokens.
+//!
+//! Each token has a home: the incarnation that may use it or lend it. Homes
+//! are rows of the platform's table, so that they outlast every process.
+//! [`HomeAssignment`] gives homes to tokens that have none, and
+//! [`EndedTracker`] decides when the tokens of an ended incarnation may be
+//! given to others.
+//!
+//! # Examples
+//!
+//! ```
+//! use redwing_membership::HomeAssignment;
+//! use redwing_model::{NodeIncarnation, VmId};
+//! use redwing_policy::TokenPool;
+//!
+//! let member: NodeIncarnation = "entry-1.1".parse()?;
+//! let members = [member.clone()];
+//! let assignment = HomeAssignment::new(&members, |_| false);
+//! let pool = TokenPool::Slot(VmId::new("vm-1")?);
+//! let record = assignment.assign(&pool, None, 8).expect("eight slots lack a home");
+//! assert_eq!(record.home(7), Some(&member));
+//! # Ok::<(), redwing_model::Error>(())
+//! ```
+
+pub mod assign;
+pub mod ended;
+pub mod holding;
+pub mod member;
+pub mod rendezvous;
+
+pub use assign::HomeAssignment;
+pub use ended::{EndedTracker, MemberEvidence};
+pub use holding::HoldingRecord;
+pub use member::MemberRecord;
--- /dev/null
+++ b/crates/protocol/src/convert.rs
@@ -0,0 +1,317 @@
+//! Conversions between wire forms and the types of the decisions.
+
+use capnp::{primitive_list, struct_list, text};
+use redwing_model::{NodeId, NodeIncarnation, QueueName, TeamName, VmId};
+use redwing_platform::{RowKey, TableRow};
+use redwing_policy::PeerMessage;
+use redwing_policy::exchange::{IdleSlots, PermitWant, TeamDemand, TokenTransfer};
+use redwing_policy::token::{TokenId, TokenPool};
+
+use crate::error::{Error, Result};
+use crate::peer_capnp;
+
+/// Largest number of entries accepted in one list of a message.
+pub const MAX_LIST_ENTRIES: u32 = 100_000;
+
+/// Writes an incarnation.
+pub fn write_incarnation(
+    incarnation: &NodeIncarnation,
+    mut builder: peer_capnp::incarnation::Builder<'_>,
+) {
+    builder.set_node(incarnation.node.as_str());
+    builder.set_epoch(incarnation.epoch);
+}
+
+/// Reads an incarnation.
+///
+/// # Errors
+///
+/// Fails if the name is not valid.
+pub fn read_incarnation(reader: peer_capnp::incarnation::Reader<'_>) -> Result<NodeIncarnation> {
+    const STEP: &str = "read incarnation";
+    let node = read_name(STEP, reader.get_node(), NodeId::new)?;
+    let epoch = reader.get_epoch();
+    Ok(NodeIncarnation { node, epoch })
+}
+
+/// Writes a scheduler message.
+pub fn write_message(message: &PeerMessage, mut builder: peer_capnp::peer_message::Builder<'_>) {
+    builder.set_sequence(message.sequence);
+    write_demand(&message.demand, builder.reborrow());
+    write_idle(&message.idle, builder.reborrow());
+    write_wants(&message.wants, builder.reborrow());
+    write_transfers(&message.transfers, builder.reborrow());
+    let mut received = builder
+        .reborrow()
+        .init_received(list_length(message.received.len()));
+    for (index, id) in message.received.iter().enumerate() {
+        received.set(list_length(index), *id);
+    }
+    let mut recalls = builder.init_recalls(list_length(message.recalls.len()));
+    for (index, pool) in message.recalls.iter().enumerate() {
+        write_pool(pool, recalls.reborrow().get(list_length(index)));
+    }
+}
+
+/// Reads a scheduler message.
+///
+/// # Errors
+///
+/// Fails if the message is malformed, a name is not valid, or a list is
+/// longer than [`MAX_LIST_ENTRIES`].
+pub fn read_message(reader: peer_capnp::peer_message::Reader<'_>) -> Result<PeerMessage> {
+    const STEP: &str = "read peer message";
+    let recalls = checked(STEP, reader.get_recalls())?;
+    check_length(STEP, recalls.len())?;
+    Ok(PeerMessage {
+        sequence: reader.get_sequence(),
+        demand: read_demand(checked(STEP, reader.get_demand())?)?,
+        idle: read_idle(checked(STEP, reader.get_idle())?)?,
+        wants: read_wants(checked(STEP, reader.get_wants())?)?,
+        transfers: read_transfers(checked(STEP, reader.get_transfers())?)?,
+        received: read_numbers(checked(STEP, reader.get_received())?)?,
+        recalls: recalls.iter().map(read_pool).collect::<Result<_>>()?,
+    })
+}
+
+/// Writes configuration rows.
+pub fn write_rows(
+    rows: &[TableRow],
+    mut builder: struct_list::Builder<'_, peer_capnp::config_row::Owned>,
+) {
+    for (index, row) in rows.iter().enumerate() {
+        let mut entry = builder.reborrow().get(list_length(index));
+        entry.set_key(row.key.as_str());
+        entry.set_version(row.version);
+        entry.set_present(row.value.is_some());
+        entry.set_value(row.value.as_deref().unwrap_or_default());
+    }
+}
+
+/// Reads configuration rows.
+///
+/// # Errors
+///
+/// Fails if a text is not valid UTF-8 or the list is longer than
+/// [`MAX_LIST_ENTRIES`].
+pub fn read_rows(
+    reader: struct_list::Reader<'_, peer_capnp::config_row::Owned>,
+) -> Result<Vec<TableRow>> {
+    const STEP: &str = "read configuration rows";
+    check_length(STEP, reader.len())?;
+    let mut rows = Vec::with_capacity(reader.len() as usize);
+    for entry in reader.iter() {
+        let value = read_text(STEP, entry.get_value())?;
+        rows.push(TableRow {
+            key: RowKey::new(read_text(STEP, entry.get_key())?),
+            version: entry.get_version(),
+            value: entry.get_present().then(|| value.to_owned()),
+        });
+    }
+    Ok(rows)
+}
+
+/// Returns a length or index as the wire has it.
+///
+/// Lists of a process stay far below the largest length of the wire.
+pub fn list_length(length: usize) -> u32 {
+    u32::try_from(length).unwrap_or(u32::MAX)
+}
+
+fn write_demand(demand: &[TeamDemand], builder: peer_capnp::peer_message::Builder<'_>) {
+    let mut list = builder.init_demand(list_length(demand.len()));
+    for (index, entry) in demand.iter().enumerate() {
+        let mut item = list.reborrow().get(list_length(index));
+        item.set_class(entry.class.as_str());
+        item.set_team(entry.team.as_ref().map_or("", TeamName::as_str));
+        item.set_waiting(entry.waiting);
+        item.set_service_micros(entry.service_micros);
+    }
+}
+
+fn read_demand(
+    list: struct_list::Reader<'_, peer_capnp::team_demand::Owned>,
+) -> Result<Vec<TeamDemand>> {
+    const STEP: &str = "read demand";
+    check_length(STEP, list.len())?;
+    let mut demand = Vec::with_capacity(list.len() as usize);
+    for item in list.iter() {
+        demand.push(TeamDemand {
+            class: read_name(STEP, item.get_class(), QueueName::new)?,
+            team: read_team(STEP, item.get_team())?,
+            waiting: item.get_waiting(),
+            service_micros: item.get_service_micros(),
+        });
+    }
+    Ok(demand)
+}
+
+fn write_idle(idle: &[IdleSlots], builder: peer_capnp::peer_message::Builder<'_>) {
+    let mut list = builder.init_idle(list_length(idle.len()));
+    for (index, entry) in idle.iter().enumerate() {
+        let mut item = list.reborrow().get(list_length(index));
+        item.set_class(entry.class.as_str());
+        item.set_slots(entry.slots);
+    }
+}
+
+fn read_idle(
+    list: struct_list::Reader<'_, peer_capnp::idle_slots::Owned>,
+) -> Result<Vec<IdleSlots>> {
+    const STEP: &str = "read idle slots";
+    check_length(STEP, list.len())?;
+    let mut idle = Vec::with_capacity(list.len() as usize);
+    for item in list.iter() {
+        let class = read_name(STEP, item.get_class(), QueueName::new)?;
+        let slots = item.get_slots();
+        idle.push(IdleSlots { class, slots });
+    }
+    Ok(idle)
+}
+
+fn write_wants(wants: &[PermitWant], builder: peer_capnp::peer_message::Builder<'_>) {
+    let mut list = builder.init_wants(list_length(wants.len()));
+    for (index, entry) in wants.iter().enumerate() {
+        let mut item = list.reborrow().get(list_length(index));
+        item.set_team(entry.team.as_str());
+        item.set_permits(entry.permits);
+    }
+}
+
+fn read_wants(
+    list: struct_list::Reader<'_, peer_capnp::permit_want::Owned>,
+) -> Result<Vec<PermitWant>> {
+    const STEP: &str = "read permit wants";
+    check_length(STEP, list.len())?;
+    let mut wants = Vec::with_capacity(list.len() as usize);
+    for item in list.iter() {
+        let team = read_name(STEP, item.get_team(), TeamName::new)?;
+        let permits = item.get_permits();
+        wants.push(PermitWant { team, permits });
+    }
+    Ok(wants)
+}
+
+/// Tokens of one pool within a transfer, written as one group.
+struct TokenGroup<'a> {
+    pool: &'a TokenPool,
+    numbers: Vec<u32>,
+}
+
+/// Groups neighbouring tokens of the same pool; the order of tokens stays.
+fn group_tokens(tokens: &[TokenId]) -> Vec<TokenGroup<'_>> {
+    let mut groups: Vec<TokenGroup<'_>> = Vec::new();
+    for token in tokens {
+        match groups.last_mut() {
+            Some(group) if *group.pool == token.pool => group.numbers.push(token.number),
+            _ => groups.push(TokenGroup {
+                pool: &token.pool,
+                numbers: vec![token.number],
+            }),
+        }
+    }
+    groups
+}
+
+fn write_transfers(transfers: &[TokenTransfer], builder: peer_capnp::peer_message::Builder<'_>) {
+    let mut list = builder.init_transfers(list_length(transfers.len()));
+    for (index, transfer) in transfers.iter().enumerate() {
+        let mut item = list.reborrow().get(list_length(index));
+        item.set_id(transfer.id);
+        let groups = group_tokens(&transfer.tokens);
+        let mut parts = item.init_groups(list_length(groups.len()));
+        for (part, group) in groups.iter().enumerate() {
+            let mut entry = parts.reborrow().get(list_length(part));
+            write_pool(group.pool, entry.reborrow().init_pool());
+            let mut numbers = entry.init_numbers(list_length(group.numbers.len()));
+            for (place, number) in group.numbers.iter().enumerate() {
+                numbers.set(list_length(place), *number);
+            }
+        }
+    }
+}
+
+fn read_transfers(
+    list: struct_list::Reader<'_, peer_capnp::token_transfer::Owned>,
+) -> Result<Vec<TokenTransfer>> {
+    const STEP: &str = "read token transfers";
+    check_length(STEP, list.len())?;
+    let mut transfers = Vec::with_capacity(list.len() as usize);
+    for item in list.iter() {
+        let mut tokens = Vec::new();
+        for group in checked(STEP, item.get_groups())?.iter() {
+            let pool = read_pool(checked(STEP, group.get_pool())?)?;
+            let numbers = checked(STEP, group.get_numbers())?;
+            check_length(STEP, numbers.len())?;
+            for number in numbers.iter() {
+                let pool = pool.clone();
+                tokens.push(TokenId { pool, number });
+            }
+        }
+        let id = item.get_id();
+        transfers.push(TokenTransfer { id, tokens });
+    }
+    Ok(transfers)
+}
+
+fn read_numbers(list: primitive_list::Reader<'_, u64>) -> Result<Vec<u64>> {
+    check_length("read received transfers", list.len())?;
+    Ok(list.iter().collect())
+}
+
+fn write_pool(pool: &TokenPool, mut builder: peer_capnp::token_pool::Builder<'_>) {
+    match pool {
+        TokenPool::Permit(team) => builder.set_permit(team.as_str()),
+        TokenPool::Slot(vm) => builder.set_slot(vm.as_str()),
+    }
+}
+
+fn read_pool(reader: peer_capnp::token_pool::Reader<'_>) -> Result<TokenPool> {
+    use peer_capnp::token_pool::Which;
+
+    const STEP: &str = "read token pool";
+    match reader.which() {
+        Ok(Which::Permit(team)) => read_name(STEP, team, TeamName::new).map(TokenPool::Permit),
+        Ok(Which::Slot(vm)) => read_name(STEP, vm, VmId::new).map(TokenPool::Slot),
+        Err(error) => Err(Error::invalid(STEP, error)),
+    }
+}
+
+fn read_team(
+    step: &'static str,
+    field: capnp::Result<text::Reader<'_>>,
+) -> Result<Option<TeamName>> {
+    let text = read_text(step, field)?;
+    if text.is_empty() {
+        return Ok(None);
+    }
+    TeamName::new(text)
+        .map(Some)
+        .map_err(|error| Error::invalid(step, error))
+}
+
+fn read_name<T>(
+    step: &'static str,
+    field: capnp::Result<text::Reader<'_>>,
+    create: impl FnOnce(&str) -> redwing_model::Result<T>,
+) -> Result<T> {
+    let text = read_text(step, field)?;
+    create(text).map_err(|error| Error::invalid(step, error))
+}
+
+fn read_text<'a>(step: &'static str, field: capnp::Result<text::Reader<'a>>) -> Result<&'a str> {
+    let reader = checked(step, field)?;
+    reader.to_str().map_err(|error| Error::invalid(step, error))
+}
+
+fn checked<T>(step: &'static str, field: capnp::Result<T>) -> Result<T> {
+    field.map_err(|error| Error::malformed(step, &error))
+}
+
+fn check_length(step: &'static str, length: u32) -> Result<()> {
+    if length <= MAX_LIST_ENTRIES {
+        return Ok(());
+    }
+    let message = format!("a list has {length} entries, {MAX_LIST_ENTRIES} at most are accepted");
+    Err(Error::invalid(step, message))
+}
