--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -5,6 +5,10 @@
 //! threads read on each request, and answers their submissions.
 
 pub mod event;
+pub mod fleet;
+pub mod link;
+pub mod mirror;
+pub mod peer;
 pub mod snapshot;
 
 pub use snapshot::{KeyGrant, NodeSnapshot};
