Register members and keep the homes of tokens

Cause: which incarnation may use or lend a token must outlast every process. Ruled out: epochs from the member's own row, which would repeat after the row is deleted; trusting a write whose reply was lost before the row was written again.

--- a/crates/membership/src/ended.rs
+++ b/crates/membership/src/ended.rs
@@ -38,6 +38,7 @@
     own: NodeIncarnation,
     task_lease: time::Duration,
     missing: BTreeMap<NodeId, u32>,
+    known: BTreeSet<NodeIncarnation>,
     ended: BTreeSet<NodeIncarnation>,
     settled_since: BTreeMap<NodeIncarnation, NodeTime>,
 }
@@ -49,6 +50,7 @@
             own,
             task_lease,
             missing: BTreeMap::new(),
+            known: BTreeSet::new(),
             ended: BTreeSet::new(),
             settled_since: BTreeMap::new(),
         }
@@ -113,15 +115,19 @@
                 self.ended.insert(incarnation.clone());
             }
         }
-        for home in evidence.homes {
-            let replaced = match evidence.members.get(&home.node) {
-                Some(record) => record.incarnation.epoch > home.epoch,
-                None => true,
-            };
-            if replaced && *home != self.own {
-                self.ended.insert(home.clone());
+        // A replaced incarnation may have borrowed tokens without being the
+        // home of any, so those seen earlier count too.
+        let members = evidence.members.values();
+        let present: BTreeSet<NodeIncarnation> =
+            members.map(|record| record.incarnation.clone()).collect();
+        self.known.extend(present.iter().cloned());
+        self.known.extend(evidence.homes.iter().cloned());
+        for gone in self.known.difference(&present) {
+            if *gone != self.own {
+                self.ended.insert(gone.clone());
             }
         }
+        self.known = present;
     }
 
     fn find_settled(&mut self, now: NodeTime, evidence: MemberEvidence<'_>) {
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -6,9 +6,12 @@
 
 pub mod event;
 pub mod fleet;
+pub mod homes;
 pub mod link;
+pub mod membership;
 pub mod mirror;
 pub mod peer;
+pub mod register;
 pub mod snapshot;
 
 pub use snapshot::{KeyGrant, NodeSnapshot};
--- /dev/null
+++ b/crates/protocol/tests/convert.rs
@@ -0,0 +1,164 @@
+//! Conversions of the inner protocol: round trips and hostile input.
+
+#![expect(clippy::unwrap_used, reason = "a test fails by panicking")]
+
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use redwing_model::{QueueName, TeamName, VmId};
+use redwing_platform::{RowKey, TableRow};
+use redwing_policy::PeerMessage;
+use redwing_policy::exchange::{IdleSlots, PermitWant, TeamDemand, TokenTransfer};
+use redwing_policy::token::{TokenId, TokenPool};
+use redwing_protocol::{Category, convert, peer_capnp};
+
+fn config() -> ProptestConfig {
+    ProptestConfig {
+        cases: 256,
+        failure_persistence: None,
+        rng_seed: RngSeed::Fixed(31),
+        ..ProptestConfig::default()
+    }
+}
+
+fn label() -> impl Strategy<Value = String> {
+    "[a-z]([a-z0-9-]{0,20}[a-z0-9])?"
+}
+
+fn queue() -> impl Strategy<Value = QueueName> {
+    label().prop_map(|text| QueueName::new(&text).unwrap())
+}
+
+fn team() -> impl Strategy<Value = TeamName> {
+    label().prop_map(|text| TeamName::new(&text).unwrap())
+}
+
+fn pool() -> impl Strategy<Value = TokenPool> {
+    prop_oneof![
+        team().prop_map(TokenPool::Permit),
+        label().prop_map(|text| TokenPool::Slot(VmId::new(&text).unwrap())),
+    ]
+}
+
+fn token() -> impl Strategy<Value = TokenId> {
+    (pool(), any::<u32>()).prop_map(|(pool, number)| TokenId { pool, number })
+}
+
+fn demand() -> impl Strategy<Value = TeamDemand> {
+    let parts = (
+        queue(),
+        proptest::option::of(team()),
+        any::<u32>(),
+        any::<u64>(),
+    );
+    parts.prop_map(|(class, team, waiting, service_micros)| TeamDemand {
+        class,
+        team,
+        waiting,
+        service_micros,
+    })
+}
+
+fn transfer() -> impl Strategy<Value = TokenTransfer> {
+    let parts = (any::<u64>(), prop::collection::vec(token(), 0..6));
+    parts.prop_map(|(id, tokens)| TokenTransfer { id, tokens })
+}
+
+fn message() -> impl Strategy<Value = PeerMessage> {
+    let idle = (queue(), any::<u32>()).prop_map(|(class, slots)| IdleSlots { class, slots });
+    let want = (team(), any::<u32>()).prop_map(|(team, permits)| PermitWant { team, permits });
+    let parts = (
+        any::<u64>(),
+        prop::collection::vec(demand(), 0..5),
+        prop::collection::vec(idle, 0..5),
+        prop::collection::vec(want, 0..5),
+        prop::collection::vec(transfer(), 0..5),
+        prop::collection::vec(any::<u64>(), 0..5),
+        prop::collection::vec(pool(), 0..5),
+    );
+    parts.prop_map(
+        |(sequence, demand, idle, wants, transfers, received, recalls)| PeerMessage {
+            sequence,
+            demand,
+            idle,
+            wants,
+            transfers,
+            received,
+            recalls,
+        },
+    )
+}
+
+/// Writes `message` as the bytes that cross the network.
+fn encode(message: &PeerMessage) -> Vec<u8> {
+    let mut frame = capnp::message::Builder::new_default();
+    convert::write_message(message, frame.init_root());
+    capnp::serialize::write_message_to_words(&frame)
+}
+
+/// Reads what [`encode`] wrote; `None` if the bytes are refused.
+fn decode(bytes: &[u8]) -> Option<PeerMessage> {
+    let options = capnp::message::ReaderOptions::new();
+    let frame = capnp::serialize::read_message(bytes, options).ok()?;
+    let root = frame
+        .get_root::<peer_capnp::peer_message::Reader<'_>>()
+        .ok()?;
+    convert::read_message(root).ok()
+}
+
+proptest! {
+    #![proptest_config(config())]
+
+    #[test]
+    fn every_message_survives_the_wire(message in message()) {
+        prop_assert_eq!(decode(&encode(&message)), Some(message));
+    }
+
+    #[test]
+    fn damaged_bytes_are_refused_or_read_as_valid_names(
+        message in message(),
+        place in any::<prop::sample::Index>(),
+        value in any::<u8>(),
+    ) {
+        let mut bytes = encode(&message);
+        let place = place.index(bytes.len());
+        bytes[place] = value;
+        if let Some(read) = decode(&bytes) {
+            prop_assert_eq!(decode(&encode(&read)), Some(read));
+        }
+    }
+
+    #[test]
+    fn random_bytes_never_panic(bytes in prop::collection::vec(any::<u8>(), 0..512)) {
+        let _ = decode(&bytes);
+    }
+}
+
+#[test]
+fn deleted_rows_stay_apart_from_empty_ones() {
+    let row = |key: &str, version, value: Option<&str>| TableRow {
+        key: RowKey::new(key),
+        version,
+        value: value.map(str::to_owned),
+    };
+    let rows = vec![
+        row("config/key/a", 3, None),
+        row("config/key/b", 4, Some("")),
+    ];
+    let mut frame = capnp::message::Builder::new_default();
+    let root = frame.init_root::<peer_capnp::peer::announce_params::Builder<'_>>();
+    convert::write_rows(&rows, root.init_rows(2));
+    let root = frame
+        .get_root_as_reader::<peer_capnp::peer::announce_params::Reader<'_>>()
+        .unwrap();
+    assert_eq!(convert::read_rows(root.get_rows().unwrap()).unwrap(), rows);
+}
+
+#[test]
+fn an_invalid_name_is_a_data_error() {
+    let mut frame = capnp::message::Builder::new_default();
+    let mut root = frame.init_root::<peer_capnp::incarnation::Builder<'_>>();
+    root.set_node("Not A Name");
+    let reader = frame.get_root_as_reader::<peer_capnp::incarnation::Reader<'_>>();
+    let error = convert::read_incarnation(reader.unwrap()).unwrap_err();
+    assert_eq!(error.classify(), Category::Data);
+}
