--- a/crates/node/tests/peer.rs
+++ b/crates/node/tests/peer.rs
@@ -192,7 +192,7 @@
         address: served.address.address,
     };
     let mesh = PeerMesh::new("entry-a.1".parse().unwrap());
-    mesh.set_peers(&[earlier.clone()]);
+    mesh.set_peers(std::slice::from_ref(&earlier));
     mesh.send(&earlier.incarnation, message(1));
     let probe = self::mesh("entry-c.1", &[&served]);
     connected(&probe, 1).await;
