--- /dev/null
+++ b/crates/policy/src/choose.rs
@@ -0,0 +1,207 @@
+//! Choice of the backend server for a request.
+//!
+//! Slot tokens already bound what runs on a backend server, so the choice
+//! only spreads the work: the least busy one as seen from here comes first,
+//! and among equals the one used longest ago.
+
+use std::collections::{BTreeSet, HashMap};
+
+use redwing_model::{ClassName, VmId};
+
+use crate::eject::WorkerStanding;
+use crate::scheduler::WorkerView;
+
+/// Connections that all entry processes together may open to one backend server.
+const WORKER_CONNECTIONS: usize = 64;
+
+/// Returns how many connections one of `nodes` entry processes may open to a
+/// backend server, so that all together stay within its bound.
+pub fn connections_per_node(nodes: usize) -> usize {
+    (WORKER_CONNECTIONS / nodes.max(1)).max(1)
+}
+
+/// Place of a backend server in the order of choice.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+struct ChoiceKey {
+    busy: u32,
+    last_use: u64,
+    worker: usize,
+}
+
+/// One backend server as the choice sees it.
+#[derive(Debug)]
+struct WorkerEntry {
+    view: WorkerView,
+    running: u32,
+    free: u32,
+    last_use: u64,
+    standing: WorkerStanding,
+}
+
+/// Backend servers with free slots, in the order of choice, by class.
+#[derive(Debug, Default)]
+pub struct WorkerIndex {
+    workers: Vec<WorkerEntry>,
+    by_vm: HashMap<VmId, usize>,
+    by_class: HashMap<ClassName, ClassWorkers>,
+    uses: u64,
+}
+
+/// Backend servers of one class.
+#[derive(Debug, Default)]
+struct ClassWorkers {
+    order: BTreeSet<ChoiceKey>,
+    known: usize,
+    serving: usize,
+}
+
+impl WorkerIndex {
+    /// Creates an index of `workers`; `running`, `free` and `standing` tell of
+    /// each VM what runs there from here, its free slot tokens and its standing.
+    pub fn new(
+        workers: &[WorkerView],
+        running: impl Fn(&VmId) -> u32,
+        free: impl Fn(&VmId) -> u32,
+        standing: impl Fn(&VmId) -> WorkerStanding,
+    ) -> Self {
+        let mut index = Self::default();
+        for view in workers {
+            index.by_vm.insert(view.vm.clone(), index.workers.len());
+            for class in &view.classes {
+                let class_workers = index.by_class.entry(class.clone()).or_default();
+                class_workers.known += 1;
+                class_workers.serving += usize::from(view.serving);
+            }
+            index.workers.push(WorkerEntry {
+                view: view.clone(),
+                running: running(&view.vm),
+                free: free(&view.vm),
+                last_use: 0,
+                standing: standing(&view.vm),
+            });
+            index.insert(index.workers.len() - 1);
+        }
+        index
+    }
+
+    /// Returns the backend server on `vm`.
+    pub fn get(&self, vm: &VmId) -> Option<&WorkerView> {
+        let worker = *self.by_vm.get(vm)?;
+        Some(&self.workers[worker].view)
+    }
+
+    /// Returns the number of serving backend servers of `class`.
+    pub fn serving(&self, class: &ClassName) -> usize {
+        self.by_class
+            .get(class)
+            .map_or(0, |class_workers| class_workers.serving)
+    }
+
+    /// Returns the number of backend servers of `class`, serving or not.
+    pub fn known(&self, class: &ClassName) -> usize {
+        self.by_class
+            .get(class)
+            .map_or(0, |class_workers| class_workers.known)
+    }
+
+    /// Returns whether a backend server of `class` has a free slot here.
+    pub fn has_free(&self, class: &ClassName) -> bool {
+        self.by_class
+            .get(class)
+            .is_some_and(|class_workers| !class_workers.order.is_empty())
+    }
+
+    /// Returns the VMs of `class` with a free slot here, best choice first.
+    pub fn candidates(&self, class: &ClassName) -> impl Iterator<Item = &VmId> {
+        self.by_class
+            .get(class)
+            .into_iter()
+            .flat_map(|class_workers| &class_workers.order)
+            .map(|key| &self.workers[key.worker].view.vm)
+    }
+
+    /// Returns the best VM for a request of `class` that was tried on `tried`.
+    ///
+    /// A VM that was tried is chosen only if the class has no others.
+    pub fn choose(&self, class: &ClassName, tried: &[VmId]) -> Option<&VmId> {
+        let untried = self.candidates(class).find(|vm| !tried.contains(vm));
+        if untried.is_some() || tried.len() < self.serving(class) {
+            return untried;
+        }
+        self.candidates(class).next()
+    }
+
+    /// Notes that an attempt started on `vm`.
+    pub fn start(&mut self, vm: &VmId) {
+        self.uses += 1;
+        let uses = self.uses;
+        self.update(vm, |entry| {
+            entry.running += 1;
+            entry.last_use = uses;
+        });
+    }
+
+    /// Notes that an attempt on `vm` ended.
+    pub fn stop(&mut self, vm: &VmId) {
+        self.update(vm, |entry| entry.running = entry.running.saturating_sub(1));
+    }
+
+    /// Sets the number of free slot tokens of `vm` that are here.
+    pub fn set_free(&mut self, vm: &VmId, free: u32) {
+        self.update(vm, |entry| entry.free = free);
+    }
+
+    /// Sets the standing of the backend server on `vm`.
+    pub fn set_standing(&mut self, vm: &VmId, standing: WorkerStanding) {
+        self.update(vm, |entry| entry.standing = standing);
+    }
+
+    fn update(&mut self, vm: &VmId, change: impl FnOnce(&mut WorkerEntry)) {
+        let Some(&worker) = self.by_vm.get(vm) else {
+            return;
+        };
+        let entry = &self.workers[worker];
+        if entry.is_eligible() {
+            let key = entry.key(worker);
+            for class in &entry.view.classes {
+                if let Some(class_workers) = self.by_class.get_mut(class) {
+                    class_workers.order.remove(&key);
+                }
+            }
+        }
+        change(&mut self.workers[worker]);
+        self.insert(worker);
+    }
+
+    fn insert(&mut self, worker: usize) {
+        let entry = &self.workers[worker];
+        if !entry.is_eligible() {
+            return;
+        }
+        let key = entry.key(worker);
+        for class in &entry.view.classes {
+            if let Some(class_workers) = self.by_class.get_mut(class) {
+                class_workers.order.insert(key);
+            }
+        }
+    }
+}
+
+impl WorkerEntry {
+    fn is_eligible(&self) -> bool {
+        let allowed = match self.standing {
+            WorkerStanding::Good => true,
+            WorkerStanding::Probing => self.running == 0,
+            WorkerStanding::Ejected(_) => false,
+        };
+        allowed && self.free > 0 && self.view.serving
+    }
+
+    fn key(&self, worker: usize) -> ChoiceKey {
+        ChoiceKey {
+            busy: self.running,
+            last_use: self.last_use,
+            worker,
+        }
+    }
+}
--- a/crates/policy/src/exchange.rs
+++ b/crates/policy/src/exchange.rs
@@ -25,6 +25,14 @@
     pub recalls: Vec<TokenPool>,
 }
 
+impl PeerMessage {
+    /// Returns whether the message says nothing.
+    pub fn is_empty(&self) -> bool {
+        let demand = self.demand.is_empty() && self.idle.is_empty() && self.wants.is_empty();
+        demand && self.transfers.is_empty() && self.received.is_empty() && self.recalls.is_empty()
+    }
+}
+
 /// Waiting requests of a team in a class at the sender, and service received.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(rename_all = "kebab-case", deny_unknown_fields)]
--- /dev/null
+++ b/crates/policy/src/fair.rs
@@ -0,0 +1,330 @@
+//! Weighted max-min queue of one class.
+//!
+//! Every team has a virtual time: the slot time charged to it, by all entry
+//! processes together, divided by its share of the class's slots. The waiting
+//! team with the lowest virtual time is served next. A team that becomes
+//! active starts no lower than the team served last, so that time spent idle
+//! earns no credit.
+
+use std::cmp;
+use std::collections::{BTreeSet, BinaryHeap, HashMap};
+use std::time;
+
+use redwing_model::TeamName;
+
+use crate::clock::NodeTime;
+use crate::ticket::TicketId;
+
+/// Share of a team that the class does not declare.
+pub const UNDECLARED_SHARE: f64 = 0.01;
+
+/// How far a team held up by its limit may fall behind the others.
+const MAX_CREDIT: VirtualTime = VirtualTime(500_000_000);
+
+/// How far a team that becomes active may start before the lowest active one.
+const MAX_LEAD: VirtualTime = VirtualTime(50_000_000);
+
+/// Entries of cancelled requests tolerated in a heap before it is rebuilt.
+const MIN_STALE_ENTRIES: usize = 64;
+
+/// Slot time charged to a team divided by its share of the slots, in
+/// nanoseconds.
+#[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd)]
+pub struct VirtualTime(pub i64);
+
+/// Number of a team within one queue.
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct TeamIndex(usize);
+
+/// Place of a waiting request within its team.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+struct QueueEntry {
+    deadline: NodeTime,
+    id: TicketId,
+}
+
+/// Waiting requests and virtual time of one team.
+#[derive(Debug)]
+struct TeamQueue {
+    team: Option<TeamName>,
+    share: f64,
+    clock: VirtualTime,
+    waiting: usize,
+    running: usize,
+    remote: u32,
+    blocked: bool,
+    entries: BinaryHeap<cmp::Reverse<QueueEntry>>,
+}
+
+/// Waiting requests of one class, by team.
+#[derive(Debug)]
+pub struct FairQueue {
+    teams: Vec<TeamQueue>,
+    index: HashMap<Option<TeamName>, TeamIndex>,
+    ready: BTreeSet<(VirtualTime, TeamIndex)>,
+    remote: BTreeSet<(VirtualTime, TeamIndex)>,
+    clock: VirtualTime,
+    slots: u32,
+    waiting: usize,
+    active_share: f64,
+}
+
+impl FairQueue {
+    /// Creates an empty queue of a class without slots.
+    pub fn new() -> Self {
+        Self {
+            teams: Vec::new(),
+            index: HashMap::new(),
+            ready: BTreeSet::new(),
+            remote: BTreeSet::new(),
+            clock: VirtualTime::default(),
+            slots: 1,
+            waiting: 0,
+            active_share: 0.0,
+        }
+    }
+
+    /// Returns the number of waiting requests of all teams.
+    pub fn waiting(&self) -> usize {
+        self.waiting
+    }
+
+    /// Returns the number of slots that all teams share.
+    pub fn slots(&self) -> u32 {
+        self.slots
+    }
+
+    /// Returns the number of waiting requests of `team` here.
+    pub fn waiting_of(&self, team: TeamIndex) -> usize {
+        self.teams[team.0].waiting
+    }
+
+    /// Returns the number of waiting requests of `team` at other processes.
+    pub fn remote_of(&self, team: TeamIndex) -> u32 {
+        self.teams[team.0].remote
+    }
+
+    /// Returns the name of `team`.
+    pub fn name(&self, team: TeamIndex) -> Option<&TeamName> {
+        self.teams[team.0].team.as_ref()
+    }
+
+    /// Returns the number of `team`, if the queue has seen it.
+    pub fn find(&self, team: Option<&TeamName>) -> Option<TeamIndex> {
+        self.index.get(&team.cloned()).copied()
+    }
+
+    /// Returns all teams that the queue has seen.
+    pub fn teams(&self) -> impl Iterator<Item = TeamIndex> + use<> {
+        (0..self.teams.len()).map(TeamIndex)
+    }
+
+    /// Returns the slots that `team` can count on while the teams that are
+    /// active now stay active.
+    pub fn fair_slots(&self, team: TeamIndex) -> f64 {
+        let share = self.teams[team.0].share;
+        let others = match self.teams[team.0].is_active() {
+            true => self.active_share - share,
+            false => self.active_share,
+        };
+        f64::from(self.slots) * share / (others.max(0.0) + share)
+    }
+
+    /// Returns slot time of `team` in microseconds as virtual time.
+    pub fn scale(&self, team: TeamIndex, micros: i64) -> VirtualTime {
+        let slots = f64::from(self.slots) * self.teams[team.0].share;
+        VirtualTime((micros as f64 * 1_000.0 / slots) as i64)
+    }
+
+    /// Returns the virtual time and number of the ready team to serve next.
+    pub fn next_ready(&self) -> Option<(VirtualTime, TeamIndex)> {
+        self.ready.first().copied()
+    }
+
+    /// Returns ready teams, the one to serve next first.
+    pub fn ready_teams(&self) -> impl Iterator<Item = TeamIndex> + '_ {
+        self.ready.iter().map(|(_, team)| *team)
+    }
+
+    /// Returns the team that other processes should serve next.
+    pub fn next_remote(&self) -> Option<(VirtualTime, TeamIndex)> {
+        self.remote.first().copied()
+    }
+
+    /// Sets the number of slots that all teams share.
+    pub fn set_slots(&mut self, slots: u32) {
+        self.slots = slots.max(1);
+    }
+
+    /// Returns the number of `team`, adding it if it is new.
+    pub fn intern(&mut self, team: Option<&TeamName>, share: f64) -> TeamIndex {
+        if let Some(index) = self.find(team) {
+            return index;
+        }
+        let index = TeamIndex(self.teams.len());
+        self.teams.push(TeamQueue {
+            team: team.cloned(),
+            share,
+            clock: self.clock,
+            waiting: 0,
+            running: 0,
+            remote: 0,
+            blocked: false,
+            entries: BinaryHeap::new(),
+        });
+        self.index.insert(team.cloned(), index);
+        index
+    }
+
+    /// Sets the share of `team`; what it was charged so far stays.
+    pub fn set_share(&mut self, team: TeamIndex, share: f64) {
+        self.update(team, |queue| queue.share = share);
+    }
+
+    /// Adds a waiting request.
+    pub fn push(&mut self, team: TeamIndex, deadline: NodeTime, id: TicketId) {
+        self.waiting += 1;
+        self.update(team, |queue| {
+            queue.waiting += 1;
+            let entry = QueueEntry { deadline, id };
+            queue.entries.push(cmp::Reverse(entry));
+        });
+    }
+
+    /// Forgets one waiting request of `team`, in constant time but for the
+    /// occasional removal of its stale entry.
+    ///
+    /// `live` tells of each entry whether its request still waits.
+    pub fn forget(&mut self, team: TeamIndex, live: impl Fn(TicketId) -> bool) {
+        self.waiting -= 1;
+        self.update(team, |queue| queue.waiting -= 1);
+        let queue = &mut self.teams[team.0];
+        if queue.entries.len() > 2 * queue.waiting + MIN_STALE_ENTRIES {
+            queue.entries.retain(|entry| live(entry.0.id));
+        }
+    }
+
+    /// Returns the request of `team` with the earliest deadline.
+    ///
+    /// `live` tells of each entry whether its request still waits.
+    pub fn peek(&mut self, team: TeamIndex, live: impl Fn(TicketId) -> bool) -> Option<TicketId> {
+        let queue = &mut self.teams[team.0];
+        while let Some(cmp::Reverse(entry)) = queue.entries.peek() {
+            if live(entry.id) {
+                return Some(entry.id);
+            }
+            queue.entries.pop();
+        }
+        None
+    }
+
+    /// Marks `team` as held up by its limit, or no longer so.
+    pub fn set_blocked(&mut self, team: TeamIndex, blocked: bool) {
+        if self.teams[team.0].blocked == blocked {
+            return;
+        }
+        let floor = VirtualTime(self.clock.0 - MAX_CREDIT.0);
+        self.update(team, |queue| {
+            queue.blocked = blocked;
+            queue.clock = queue.clock.max(floor);
+        });
+    }
+
+    /// Sets how many requests of `team` wait at other processes.
+    pub fn set_remote(&mut self, team: TeamIndex, waiting: u32) {
+        if self.teams[team.0].remote != waiting {
+            self.update(team, |queue| queue.remote = waiting);
+        }
+    }
+
+    /// Notes that an attempt of `team` started, and charges it `estimate`.
+    pub fn start(&mut self, team: TeamIndex, estimate: time::Duration) {
+        self.clock = self.clock.max(self.teams[team.0].clock);
+        self.update(team, |queue| queue.running += 1);
+        self.charge(team, duration_micros(estimate));
+    }
+
+    /// Notes that an attempt of `team` ended.
+    pub fn stop(&mut self, team: TeamIndex) {
+        self.update(team, |queue| {
+            queue.running = queue.running.saturating_sub(1);
+        });
+    }
+
+    /// Charges `team` slot time in microseconds; a negative amount is a refund.
+    pub fn charge(&mut self, team: TeamIndex, micros: i64) {
+        let scaled = self.scale(team, micros);
+        self.update(team, |queue| {
+            queue.clock.0 = queue.clock.0.saturating_add(scaled.0);
+        });
+    }
+
+    /// Changes a team and keeps every index in step.
+    fn update(&mut self, team: TeamIndex, change: impl FnOnce(&mut TeamQueue)) {
+        let lift = self.active_clock();
+        let queue = &mut self.teams[team.0];
+        let was_active = queue.is_active();
+        let key = (queue.clock, team);
+        if queue.is_ready() {
+            self.ready.remove(&key);
+        }
+        if queue.remote > 0 {
+            self.remote.remove(&key);
+        }
+        if was_active {
+            self.active_share -= queue.share;
+        }
+        change(queue);
+        if queue.is_active() {
+            self.active_share += queue.share;
+            if !was_active {
+                queue.clock = queue.clock.max(lift);
+            }
+        }
+        let key = (queue.clock, team);
+        if queue.is_ready() {
+            self.ready.insert(key);
+        }
+        if queue.remote > 0 {
+            self.remote.insert(key);
+        }
+    }
+
+    /// Returns the virtual time at which a team that becomes active starts.
+    fn active_clock(&self) -> VirtualTime {
+        let ready = self.ready.first().map(|(clock, _)| *clock);
+        let remote = self.remote.first().map(|(clock, _)| *clock);
+        let lowest = match (ready, remote) {
+            (Some(ready), Some(remote)) => Some(ready.min(remote)),
+            (one, other) => one.or(other),
+        };
+        match lowest {
+            Some(lowest) => {
+                let floor = VirtualTime(lowest.0 - MAX_LEAD.0);
+                self.clock.clamp(floor, lowest)
+            }
+            None => self.clock,
+        }
+    }
+}
+
+impl Default for FairQueue {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl TeamQueue {
+    fn is_active(&self) -> bool {
+        self.waiting > 0 || self.running > 0 || self.remote > 0
+    }
+
+    fn is_ready(&self) -> bool {
+        self.waiting > 0 && !self.blocked
+    }
+}
+
+/// Returns a duration in whole microseconds.
+pub fn duration_micros(duration: time::Duration) -> i64 {
+    i64::try_from(duration.as_micros()).unwrap_or(i64::MAX)
+}
--- /dev/null
+++ b/crates/policy/src/ledger.rs
@@ -0,0 +1,467 @@
+//! Tokens that this process knows of, and what each of them is doing.
+//!
+//! A token is lent by its home to another process and comes back to its home;
+//! a borrower never passes it on. The home therefore always knows who may be
+//! using each of its tokens, and can take back those of an ended incarnation.
+
+use std::cmp;
+use std::collections::{BTreeSet, BinaryHeap, HashMap, HashSet};
+
+use redwing_model::NodeIncarnation;
+use serde::{Deserialize, Serialize};
+
+use crate::clock::NodeTime;
+use crate::ticket::TicketId;
+use crate::token::{TokenId, TokenPool};
+
+/// Where the home of a token is.
+#[derive(Clone, Debug, Eq, PartialEq)]
+enum TokenHome {
+    /// This process.
+    Own,
+    /// This process, which held the token when its home ended; the table may
+    /// not say so yet.
+    Adopted,
+    /// This process, but the table no longer lists the token: it is never
+    /// used again and goes once it has come back.
+    Void,
+    /// Another process, which lent the token to this one.
+    Foreign(NodeIncarnation),
+}
+
+/// What a token is doing.
+#[derive(Clone, Debug, Eq, PartialEq)]
+enum TokenState {
+    /// Ready for use since the given time.
+    Free(NodeTime),
+    /// Held by a running attempt.
+    Used(TicketId),
+    /// Lent to another process.
+    Lent(NodeIncarnation),
+    /// Held until the attempt that used it can no longer be running.
+    Quarantined(NodeTime),
+}
+
+/// One token with its home and state.
+#[derive(Clone, Debug)]
+struct TokenEntry {
+    home: TokenHome,
+    state: TokenState,
+}
+
+/// Free tokens of one pool.
+#[derive(Clone, Debug, Default)]
+struct FreeTokens {
+    own: BTreeSet<u32>,
+    foreign: BTreeSet<u32>,
+}
+
+/// Number of tokens by what they are doing.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "kebab-case", deny_unknown_fields)]
+pub struct TokenCounts {
+    /// Ready for use.
+    pub free: usize,
+    /// Held by running attempts.
+    pub used: usize,
+    /// Lent to other processes.
+    pub lent: usize,
+    /// Waiting until a lost attempt can no longer be running.
+    pub quarantined: usize,
+}
+
+/// All tokens that a process knows of.
+#[derive(Debug, Default)]
+pub struct TokenLedger {
+    tokens: HashMap<TokenId, TokenEntry>,
+    free: HashMap<TokenPool, FreeTokens>,
+    quarantine: BinaryHeap<cmp::Reverse<(NodeTime, TokenId)>>,
+    counts: TokenCounts,
+    foreign: usize,
+}
+
+impl TokenLedger {
+    /// Returns how many tokens are in each state.
+    pub fn counts(&self) -> TokenCounts {
+        self.counts
+    }
+
+    /// Returns the number of free tokens of `pool` numbered below `bound`.
+    pub fn available(&self, pool: &TokenPool, bound: u32) -> u32 {
+        let Some(free) = self.free.get(pool) else {
+            return 0;
+        };
+        let count = free.own.range(..bound).count() + free.foreign.range(..bound).count();
+        u32::try_from(count).unwrap_or(u32::MAX)
+    }
+
+    /// Returns whether a free token of `pool` numbered below `bound` exists.
+    pub fn has_available(&self, pool: &TokenPool, bound: u32) -> bool {
+        self.free.get(pool).is_some_and(|free| {
+            let own = free.own.first().is_some_and(|number| *number < bound);
+            own || free.foreign.first().is_some_and(|number| *number < bound)
+        })
+    }
+
+    /// Returns a free token of `pool` below `bound` whose home is here.
+    pub fn free_own(&self, pool: &TokenPool, bound: u32) -> Option<TokenId> {
+        let number = *self.free.get(pool)?.own.first()?;
+        (number < bound).then(|| TokenId {
+            pool: pool.clone(),
+            number,
+        })
+    }
+
+    /// Returns a free borrowed token of `pool` and the home that lent it.
+    pub fn free_foreign(&self, pool: &TokenPool) -> Option<(TokenId, NodeIncarnation)> {
+        let number = *self.free.get(pool)?.foreign.last()?;
+        let token = TokenId {
+            pool: pool.clone(),
+            number,
+        };
+        let home = self.home_of(&token)?.clone();
+        Some((token, home))
+    }
+
+    /// Returns the free borrowed tokens that have been idle since before `since`.
+    pub fn idle_foreign(&self, since: NodeTime) -> Vec<(TokenId, NodeIncarnation)> {
+        let mut idle = Vec::new();
+        for (pool, free) in &self.free {
+            for number in &free.foreign {
+                let token = TokenId {
+                    pool: pool.clone(),
+                    number: *number,
+                };
+                if let Some(TokenEntry {
+                    home: TokenHome::Foreign(home),
+                    state: TokenState::Free(at),
+                }) = self.tokens.get(&token)
+                    && *at <= since
+                {
+                    idle.push((token, home.clone()));
+                }
+            }
+        }
+        idle.sort();
+        idle
+    }
+
+    /// Returns all free tokens whose home is here.
+    pub fn all_free_own(&self) -> Vec<TokenId> {
+        let mut tokens = Vec::new();
+        for (pool, free) in &self.free {
+            for number in &free.own {
+                tokens.push(TokenId {
+                    pool: pool.clone(),
+                    number: *number,
+                });
+            }
+        }
+        tokens.sort();
+        tokens
+    }
+
+    /// Returns whether a token lent by another process is here and can go back.
+    pub fn holds_foreign(&self) -> bool {
+        self.foreign > 0
+    }
+
+    /// Returns the tokens that this process may use now or later, with the
+    /// process that lent each, if any.
+    pub fn holdings(&self) -> Vec<(TokenId, Option<NodeIncarnation>)> {
+        let mut holdings = Vec::new();
+        for (token, entry) in &self.tokens {
+            if matches!(entry.state, TokenState::Lent(_)) {
+                continue;
+            }
+            let home = match &entry.home {
+                TokenHome::Foreign(home) => Some(home.clone()),
+                TokenHome::Own | TokenHome::Adopted | TokenHome::Void => None,
+            };
+            holdings.push((token.clone(), home));
+        }
+        holdings.sort();
+        holdings
+    }
+
+    /// Makes the tokens in `homes` those whose home is here.
+    ///
+    /// Tokens that are new here become free. Tokens that are no longer listed
+    /// are not used again, and are forgotten as soon as nobody can use them.
+    pub fn install_homes(&mut self, now: NodeTime, homes: &[TokenId]) {
+        let listed: HashSet<&TokenId> = homes.iter().collect();
+        for token in homes {
+            match self.tokens.get_mut(token) {
+                Some(entry) => {
+                    if entry.home != TokenHome::Own {
+                        self.set_home(token, TokenHome::Own);
+                    }
+                }
+                None => self.insert(token, TokenHome::Own, TokenState::Free(now)),
+            }
+        }
+        let unlisted: Vec<TokenId> = self
+            .tokens
+            .iter()
+            .filter(|(token, entry)| entry.home == TokenHome::Own && !listed.contains(token))
+            .map(|(token, _)| token.clone())
+            .collect();
+        for token in unlisted {
+            match self.tokens.get(&token).map(|entry| &entry.state) {
+                Some(TokenState::Free(_)) => self.remove(&token),
+                _ => self.set_home(&token, TokenHome::Void),
+            }
+        }
+    }
+
+    /// Takes the free token of `pool` with the lowest number for an attempt.
+    ///
+    /// Own tokens come first, so that borrowed ones become idle and go back.
+    pub fn take(&mut self, pool: &TokenPool, bound: u32, ticket: TicketId) -> Option<TokenId> {
+        let free = self.free.get(pool)?;
+        let own = free.own.first().filter(|number| **number < bound);
+        let number = *own.or_else(|| free.foreign.first().filter(|number| **number < bound))?;
+        let token = TokenId {
+            pool: pool.clone(),
+            number,
+        };
+        self.set_state(&token, TokenState::Used(ticket));
+        Some(token)
+    }
+
+    /// Undoes [`take`](Self::take) before the token was used.
+    pub fn untake(&mut self, token: &TokenId) {
+        self.finish_use(token, TokenState::Free(NodeTime::default()));
+    }
+
+    /// Makes a used token free again.
+    pub fn release(&mut self, now: NodeTime, token: &TokenId) {
+        self.finish_use(token, TokenState::Free(now));
+    }
+
+    /// Holds a used token back until `until`, since its attempt may be running.
+    pub fn quarantine(&mut self, until: NodeTime, token: &TokenId) {
+        self.finish_use(token, TokenState::Quarantined(until));
+        self.quarantine.push(cmp::Reverse((until, token.clone())));
+    }
+
+    /// Frees the tokens whose quarantine is over and returns them.
+    pub fn end_quarantines(&mut self, now: NodeTime) -> Vec<TokenId> {
+        let mut ended = Vec::new();
+        while let Some(cmp::Reverse((until, token))) = self.quarantine.peek() {
+            if *until > now {
+                break;
+            }
+            let (until, token) = (*until, token.clone());
+            self.quarantine.pop();
+            let entry = self.tokens.get(&token);
+            if entry.is_some_and(|entry| entry.state == TokenState::Quarantined(until)) {
+                self.finish_use(&token, TokenState::Free(now));
+                ended.push(token);
+            }
+        }
+        ended
+    }
+
+    /// Lets go of a free token whose home is here, in favour of `borrower`.
+    ///
+    /// Returns false, and changes nothing, if the token is not free here.
+    pub fn lend(&mut self, token: &TokenId, borrower: &NodeIncarnation) -> bool {
+        let Some(entry) = self.tokens.get(token) else {
+            return false;
+        };
+        let free = matches!(entry.state, TokenState::Free(_));
+        if !entry.is_own() || !free {
+            return false;
+        }
+        self.set_state(token, TokenState::Lent(borrower.clone()));
+        true
+    }
+
+    /// Lets go of a free borrowed token; returns the home that it goes back to.
+    pub fn give_back(&mut self, token: &TokenId) -> Option<NodeIncarnation> {
+        let entry = self.tokens.get(token)?;
+        let home = self.home_of(token)?.clone();
+        if !matches!(entry.state, TokenState::Free(_)) {
+            return None;
+        }
+        self.remove(token);
+        Some(home)
+    }
+
+    /// Takes a token that `sender` let go of; returns whether it is free here.
+    ///
+    /// A token whose home is here comes back from its borrower; any other is
+    /// lent by its home.
+    pub fn accept(&mut self, now: NodeTime, token: &TokenId, sender: &NodeIncarnation) -> bool {
+        let Some(entry) = self.tokens.get(token) else {
+            let home = TokenHome::Foreign(sender.clone());
+            self.insert(token, home, TokenState::Free(now));
+            return true;
+        };
+        if entry.state != TokenState::Lent(sender.clone()) {
+            return false;
+        }
+        if entry.home == TokenHome::Void {
+            self.remove(token);
+            return false;
+        }
+        self.set_state(token, TokenState::Free(now));
+        true
+    }
+
+    /// Forgets a free token whose home is here, so that the table can give it
+    /// another home; returns false, and changes nothing, if it is not free.
+    pub fn release_home(&mut self, token: &TokenId) -> bool {
+        let free = self
+            .tokens
+            .get(token)
+            .is_some_and(|entry| entry.is_own() && matches!(entry.state, TokenState::Free(_)));
+        if free {
+            self.remove(token);
+        }
+        free
+    }
+
+    /// Ends all dealings with the ended incarnation `ended`.
+    ///
+    /// Its tokens that are held here get their home here, and are returned so
+    /// that the table can be told; so do those in `returning`, which were on
+    /// their way to it. What it may have used stays out of use until `until`,
+    /// when nothing that it started can be running.
+    pub fn settle(
+        &mut self,
+        until: NodeTime,
+        ended: &NodeIncarnation,
+        returning: &[TokenId],
+    ) -> Vec<TokenId> {
+        let mut adopted = Vec::new();
+        let mut lent = Vec::new();
+        for (token, entry) in &self.tokens {
+            if entry.home == TokenHome::Foreign(ended.clone()) {
+                adopted.push(token.clone());
+            } else if entry.state == TokenState::Lent(ended.clone()) {
+                lent.push(token.clone());
+            }
+        }
+        lent.sort();
+        for token in &adopted {
+            self.set_home(token, TokenHome::Adopted);
+        }
+        for token in lent {
+            self.set_state(&token, TokenState::Quarantined(until));
+            self.quarantine.push(cmp::Reverse((until, token)));
+        }
+        for token in returning {
+            // A token that is known here was lent to `ended` and handled above.
+            if !self.tokens.contains_key(token) {
+                let state = TokenState::Quarantined(until);
+                self.insert(token, TokenHome::Adopted, state);
+                self.quarantine.push(cmp::Reverse((until, token.clone())));
+                adopted.push(token.clone());
+            }
+        }
+        adopted.sort();
+        adopted
+    }
+
+    fn home_of(&self, token: &TokenId) -> Option<&NodeIncarnation> {
+        match &self.tokens.get(token)?.home {
+            TokenHome::Foreign(home) => Some(home),
+            TokenHome::Own | TokenHome::Adopted | TokenHome::Void => None,
+        }
+    }
+
+    fn finish_use(&mut self, token: &TokenId, state: TokenState) {
+        let Some(entry) = self.tokens.get(token) else {
+            return;
+        };
+        let free = matches!(state, TokenState::Free(_));
+        if entry.home == TokenHome::Void && free {
+            self.remove(token);
+            return;
+        }
+        self.set_state(token, state);
+    }
+
+    fn insert(&mut self, token: &TokenId, home: TokenHome, state: TokenState) {
+        self.link(token.clone(), TokenEntry { home, state });
+    }
+
+    fn remove(&mut self, token: &TokenId) {
+        self.unlink(token);
+    }
+
+    fn set_home(&mut self, token: &TokenId, home: TokenHome) {
+        if let Some(mut entry) = self.unlink(token) {
+            entry.home = home;
+            self.link(token.clone(), entry);
+        }
+    }
+
+    fn set_state(&mut self, token: &TokenId, state: TokenState) {
+        if let Some(mut entry) = self.unlink(token) {
+            entry.state = state;
+            self.link(token.clone(), entry);
+        }
+    }
+
+    /// Adds an entry to the table and to the index of free tokens.
+    fn link(&mut self, token: TokenId, entry: TokenEntry) {
+        *self.counts.counter(&entry.state) += 1;
+        self.foreign += usize::from(entry.is_foreign());
+        if matches!(entry.state, TokenState::Free(_)) {
+            let free = self.free.entry(token.pool.clone()).or_default();
+            free.numbers(&entry.home).insert(token.number);
+        }
+        self.tokens.insert(token, entry);
+    }
+
+    /// Takes an entry out of the table and of the index of free tokens.
+    fn unlink(&mut self, token: &TokenId) -> Option<TokenEntry> {
+        let entry = self.tokens.remove(token)?;
+        *self.counts.counter(&entry.state) -= 1;
+        self.foreign -= usize::from(entry.is_foreign());
+        if let Some(free) = self.free.get_mut(&token.pool) {
+            free.numbers(&entry.home).remove(&token.number);
+            if free.own.is_empty() && free.foreign.is_empty() {
+                self.free.remove(&token.pool);
+            }
+        }
+        Some(entry)
+    }
+}
+
+impl TokenEntry {
+    /// Returns whether the home is here and the token may be used.
+    fn is_own(&self) -> bool {
+        matches!(self.home, TokenHome::Own | TokenHome::Adopted)
+    }
+
+    /// Returns whether the token is borrowed and can still go back. One in
+    /// quarantine cannot; its home waits as long once this process has ended.
+    fn is_foreign(&self) -> bool {
+        let quarantined = matches!(self.state, TokenState::Quarantined(_));
+        matches!(self.home, TokenHome::Foreign(_)) && !quarantined
+    }
+}
+
+impl FreeTokens {
+    fn numbers(&mut self, home: &TokenHome) -> &mut BTreeSet<u32> {
+        match home {
+            TokenHome::Own | TokenHome::Adopted | TokenHome::Void => &mut self.own,
+            TokenHome::Foreign(_) => &mut self.foreign,
+        }
+    }
+}
+
+impl TokenCounts {
+    fn counter(&mut self, state: &TokenState) -> &mut usize {
+        match state {
+            TokenState::Free(_) => &mut self.free,
+            TokenState::Used(_) => &mut self.used,
+            TokenState::Lent(_) => &mut self.lent,
+            TokenState::Quarantined(_) => &mut self.quarantined,
+        }
+    }
+}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -8,14 +8,23 @@
 //! for each slot of a worker and one for each unit of a team's limit. A
 //! request is dispatched only by a process that holds one token of each kind.
 
+pub mod choose;
 pub mod clock;
+pub mod eject;
+pub mod estimate;
 pub mod exchange;
+pub mod fair;
+pub mod ledger;
+pub mod retry;
 pub mod scheduler;
+pub mod share;
 pub mod ticket;
 pub mod token;
+pub mod transfer;
 
 pub use clock::NodeTime;
 pub use exchange::PeerMessage;
+pub use ledger::TokenCounts;
 pub use scheduler::{FleetView, NodeScheduler, SchedulerAction, SchedulerSettings};
-pub use ticket::{AttemptReport, RefusalReason, RequestTicket, TicketId};
+pub use ticket::{AttemptReport, AttemptVerdict, RefusalReason, RequestTicket, TicketId};
 pub use token::{TokenId, TokenPool};
--- /dev/null
+++ b/crates/policy/src/scheduler/dispatch.rs
@@ -0,0 +1,527 @@
+//! The way of one request: admission, dispatch, report and refusal.
+
+use std::cmp;
+use std::time;
+
+use redwing_model::{ClassName, RunOutcome, TeamName, VmId};
+
+use crate::clock::NodeTime;
+use crate::fair::{TeamIndex, UNDECLARED_SHARE, duration_micros};
+use crate::scheduler::request::{RequestState, RunningAttempt};
+use crate::scheduler::{NodeScheduler, SchedulerAction, share_of};
+use crate::ticket::{
+    AttemptReport, AttemptVerdict, RefusalReason, RequestRefusal, RequestTicket, TicketId,
+};
+use crate::token::{TokenId, TokenPool};
+
+/// Shortest time after which a refused caller is asked to come back.
+const MIN_RETRY_AFTER: time::Duration = time::Duration::from_secs(1);
+
+/// Longest time after which a refused caller is asked to come back.
+const MAX_RETRY_AFTER: time::Duration = time::Duration::from_secs(60);
+
+/// Part of the time to its deadline that a request may be expected to need.
+const ADMIT_FRACTION: f64 = 0.9;
+
+/// Shortest charge for an attempt, so that every attempt counts.
+const MIN_CHARGE: time::Duration = time::Duration::from_millis(1);
+
+impl NodeScheduler {
+    /// Takes a new request; a dispatch or refusal follows sooner or later.
+    pub fn submit(&mut self, now: NodeTime, ticket: RequestTicket) {
+        let class = ticket.class.clone();
+        let id = ticket.id;
+        match self.admit(now, ticket) {
+            Ok(()) => {
+                self.pump_class(now, &class);
+                self.flush(now);
+            }
+            Err(reason) => self.refuse_new(id, &class, reason),
+        }
+    }
+
+    /// Forgets a request whose caller has gone. A running attempt still
+    /// reports its end through [`finish`](Self::finish).
+    pub fn cancel(&mut self, now: NodeTime, id: TicketId) {
+        match self.requests.get_mut(&id) {
+            Some(request) if request.is_waiting() => {
+                self.remove_waiting(id);
+            }
+            Some(request) => request.cancelled = true,
+            None => {}
+        }
+        self.flush(now);
+    }
+
+    /// Takes the report of an attempt that ended, and tells whether another
+    /// action for the request follows.
+    pub fn finish(
+        &mut self,
+        now: NodeTime,
+        id: TicketId,
+        report: &AttemptReport,
+    ) -> AttemptVerdict {
+        let Some(attempt) = self.end_attempt(now, id, report) else {
+            return AttemptVerdict::Final;
+        };
+        let verdict = self.decide_next(now, id, report);
+        self.pump_worker(now, &attempt.vm);
+        if let Some(permit) = &attempt.permit {
+            self.pump_team(now, &permit.pool);
+        }
+        self.flush(now);
+        verdict
+    }
+
+    /// Checks a new request and queues it.
+    fn admit(&mut self, now: NodeTime, ticket: RequestTicket) -> Result<(), RefusalReason> {
+        if self.leaving {
+            return Err(RefusalReason::Stopping);
+        }
+        let Some(target) = self.view.declaration.queues.get(&ticket.class) else {
+            return Err(RefusalReason::NoCapacity);
+        };
+        if self.workers.known(&ticket.class) == 0 {
+            return Err(RefusalReason::NoCapacity);
+        }
+        if ticket.deadline <= now {
+            return Err(RefusalReason::DeadlineUnmet);
+        }
+        let depth = target.max_waiting_per_team as usize;
+        let share = share_of(&target.shares, ticket.team.as_ref());
+        let team = self.intern_team(&ticket.class, ticket.team.as_ref(), share);
+        let Some(state) = self.classes.get(&ticket.class) else {
+            return Err(RefusalReason::NoCapacity);
+        };
+        if state.queue.waiting_of(team) >= depth {
+            return Err(RefusalReason::QueueFull);
+        }
+        let remaining = ticket.deadline.saturating_since(now);
+        if self.expects_miss(&ticket.class, team, remaining) {
+            return Err(RefusalReason::DeadlineUnmet);
+        }
+        self.enqueue(RequestState::new(ticket, team));
+        Ok(())
+    }
+
+    fn intern_team(&mut self, class: &ClassName, team: Option<&TeamName>, share: f64) -> TeamIndex {
+        let state = self.classes.entry(class.clone()).or_default();
+        if let Some(index) = state.queue.find(team) {
+            return index;
+        }
+        let index = state.queue.intern(team, share);
+        if let Some(team) = team {
+            let classes = self.team_classes.entry(team.clone()).or_default();
+            classes.push(class.clone());
+            self.refresh_team(team);
+        }
+        index
+    }
+
+    /// Returns the number of `team` in `class`, with its declared share.
+    pub(super) fn team_index(&mut self, class: &ClassName, team: Option<&TeamName>) -> TeamIndex {
+        let target = self.view.declaration.queues.get(class);
+        let share = target.map_or(UNDECLARED_SHARE, |target| share_of(&target.shares, team));
+        self.intern_team(class, team, share)
+    }
+
+    /// Puts a request into its queue.
+    fn enqueue(&mut self, request: RequestState) {
+        let id = request.ticket.id;
+        let deadline = request.ticket.deadline;
+        if let Some(state) = self.classes.get_mut(&request.ticket.class) {
+            state.queue.push(request.team, deadline, id);
+        }
+        self.report.mark(&request.ticket.class, request.team);
+        self.deadlines.push(cmp::Reverse((deadline, id)));
+        self.requests.insert(id, request);
+    }
+
+    /// Returns whether learned run times say that a new request of `team`
+    /// would not be answered within `remaining`.
+    fn expects_miss(&self, class: &ClassName, team: TeamIndex, remaining: time::Duration) -> bool {
+        let Some(state) = self.classes.get(class) else {
+            return false;
+        };
+        if !state.estimate.is_learned() || state.queue.waiting_of(team) == 0 {
+            return false;
+        }
+        let run = state.estimate.expect(state.queue.name(team));
+        let needed = self.expected_wait(class, team) + run;
+        needed > remaining.mul_f64(ADMIT_FRACTION)
+    }
+
+    /// Returns how long a new request of `team` is expected to wait.
+    fn expected_wait(&self, class: &ClassName, team: TeamIndex) -> time::Duration {
+        let Some(state) = self.classes.get(class) else {
+            return time::Duration::ZERO;
+        };
+        let name = state.queue.name(team);
+        let limit = name.and_then(|name| self.limit_of(name));
+        let fair = state.queue.fair_slots(team);
+        let slots = limit.map_or(fair, |limit| fair.min(f64::from(limit)));
+        let ahead = state.queue.waiting_of(team) as f64 + f64::from(state.queue.remote_of(team));
+        let run = state.estimate.expect(name);
+        run.mul_f64((ahead / slots.max(1.0)).min(1e6))
+    }
+
+    /// Takes the tokens of an ended attempt back and corrects its charge.
+    fn end_attempt(
+        &mut self,
+        now: NodeTime,
+        id: TicketId,
+        report: &AttemptReport,
+    ) -> Option<RunningAttempt> {
+        let request = self.requests.get_mut(&id)?;
+        let attempt = request.attempt.take()?;
+        let class = request.ticket.class.clone();
+        let (team, tried) = (request.team, request.tried.clone());
+        self.running -= 1;
+        let used = now.saturating_since(attempt.started);
+        if let Some(state) = self.classes.get_mut(&class) {
+            let name = state.queue.name(team).cloned();
+            if report.outcome == RunOutcome::Ran && !report.faulty {
+                state.estimate.learn(name.as_ref(), used);
+            }
+            state.queue.stop(team);
+            let correction = duration_micros(used) - attempt.charged;
+            state.queue.charge(team, correction);
+            self.report.charge(&class, team, correction);
+            let fleet = self.workers.known(&class);
+            let failed = report.faulty;
+            let vm = &attempt.vm;
+            if failed {
+                for earlier in tried.iter().filter(|earlier| *earlier != vm) {
+                    self.detector.absolve(earlier);
+                }
+            }
+            if self
+                .detector
+                .record(now, vm, &class, name.as_ref(), failed, fleet)
+            {
+                self.workers.set_standing(vm, self.detector.standing(vm));
+            }
+        }
+        self.workers.stop(&attempt.vm);
+        self.put_back(now, &attempt, report.ended);
+        Some(attempt)
+    }
+
+    fn put_back(&mut self, now: NodeTime, attempt: &RunningAttempt, ended: bool) {
+        let until = now + self.settings.task_lease;
+        for token in [Some(&attempt.slot), attempt.permit.as_ref()]
+            .into_iter()
+            .flatten()
+        {
+            match ended {
+                true => self.ledger.release(now, token),
+                false => self.ledger.quarantine(until, token),
+            }
+            self.refresh_pool(&token.pool);
+        }
+    }
+
+    /// Decides whether the request gets another attempt.
+    fn decide_next(
+        &mut self,
+        now: NodeTime,
+        id: TicketId,
+        report: &AttemptReport,
+    ) -> AttemptVerdict {
+        let Some(mut request) = self.requests.remove(&id) else {
+            return AttemptVerdict::Final;
+        };
+        request.maybe_ran |= report.outcome != RunOutcome::NotRun;
+        let failed = report.faulty || report.outcome != RunOutcome::Ran;
+        let allowed = !request.maybe_ran || request.ticket.repeatable;
+        if request.cancelled || report.answered || !failed || !allowed {
+            return AttemptVerdict::Final;
+        }
+        let in_time = request.ticket.deadline > now;
+        let exhausted = request.attempts >= self.settings.max_attempts;
+        if in_time && !exhausted && self.budget.spend() {
+            self.enqueue(request);
+            return AttemptVerdict::Pending;
+        }
+        if report.outcome != RunOutcome::NotRun {
+            return AttemptVerdict::Final;
+        }
+        let reason = match in_time {
+            true => RefusalReason::AttemptsExhausted,
+            false => RefusalReason::DeadlineUnmet,
+        };
+        self.refuse(&request, reason);
+        AttemptVerdict::Pending
+    }
+
+    /// Dispatches waiting requests of `class` while slots and permits last.
+    pub(super) fn pump_class(&mut self, now: NodeTime, class: &ClassName) {
+        while self.pump_once(now, class) {}
+    }
+
+    /// Dispatches for all classes, in turns.
+    pub(super) fn pump_all(&mut self, now: NodeTime) {
+        let mut classes: Vec<(u64, ClassName)> = self
+            .classes
+            .iter()
+            .map(|(class, state)| (state.last_serve, class.clone()))
+            .collect();
+        classes.sort();
+        while !classes.is_empty() {
+            classes.retain(|(_, class)| self.pump_once(now, class));
+        }
+    }
+
+    /// Dispatches to the backend server on `vm` after a slot became free.
+    fn pump_worker(&mut self, now: NodeTime, vm: &VmId) {
+        let Some(worker) = self.workers.get(vm) else {
+            return;
+        };
+        let mut classes: Vec<(u64, ClassName)> = worker
+            .classes
+            .iter()
+            .map(|class| (self.last_serve(class), class.clone()))
+            .collect();
+        classes.sort();
+        for (_, class) in classes {
+            self.pump_class(now, &class);
+        }
+    }
+
+    fn last_serve(&self, class: &ClassName) -> u64 {
+        self.classes.get(class).map_or(0, |state| state.last_serve)
+    }
+
+    /// Dispatches for the classes of a team after a permit became free.
+    pub(super) fn pump_team(&mut self, now: NodeTime, pool: &TokenPool) {
+        let TokenPool::Permit(team) = pool else {
+            return;
+        };
+        let classes = self.team_classes.get(team).cloned().unwrap_or_default();
+        for class in classes {
+            self.pump_class(now, &class);
+        }
+    }
+
+    /// Makes one decision about a free slot of `class`; returns false once
+    /// nothing is left to decide.
+    fn pump_once(&mut self, now: NodeTime, class: &ClassName) -> bool {
+        if self.suspended || !self.workers.has_free(class) {
+            return false;
+        }
+        if self.yields_slot(class) {
+            return self.give_slot(class);
+        }
+        let Some((id, vm)) = self.next_match(class) else {
+            return self.give_slot(class);
+        };
+        if self.is_hopeless(now, class, id) {
+            self.drop_waiting(id, RefusalReason::DeadlineUnmet);
+            return true;
+        }
+        self.dispatch(now, class, id, &vm)
+    }
+
+    /// Returns the request of the most under-served team that some free
+    /// backend server may take.
+    fn next_match(&mut self, class: &ClassName) -> Option<(TicketId, VmId)> {
+        let state = self.classes.get_mut(class)?;
+        let requests = &self.requests;
+        let live = |id| requests.get(&id).is_some_and(RequestState::is_waiting);
+        let first = state.queue.next_ready().map(|(_, team)| team)?;
+        let id = state.queue.peek(first, live)?;
+        let tried = &requests.get(&id)?.tried;
+        if let Some(vm) = self.workers.choose(class, tried) {
+            return Some((id, vm.clone()));
+        }
+        // Only a request that was tried on every free backend server gets
+        // here; the other teams need not wait for it.
+        let teams: Vec<TeamIndex> = state.queue.ready_teams().skip(1).collect();
+        for team in teams {
+            let id = state.queue.peek(team, live)?;
+            let tried = &requests.get(&id)?.tried;
+            if let Some(vm) = self.workers.choose(class, tried) {
+                return Some((id, vm.clone()));
+            }
+        }
+        None
+    }
+
+    /// Returns whether a request would end too late while others wait that
+    /// could use the slot.
+    fn is_hopeless(&self, now: NodeTime, class: &ClassName, id: TicketId) -> bool {
+        let (Some(state), Some(request)) = (self.classes.get(class), self.requests.get(&id)) else {
+            return false;
+        };
+        if request.ticket.deadline <= now {
+            return true;
+        }
+        let run = state.estimate.expect(request.ticket.team.as_ref());
+        let learned = state.estimate.is_learned();
+        learned && state.queue.waiting() > 1 && now + run > request.ticket.deadline
+    }
+
+    fn dispatch(&mut self, now: NodeTime, class: &ClassName, id: TicketId, vm: &VmId) -> bool {
+        let Some((slot, permit)) = self.take_tokens(id, vm) else {
+            return false;
+        };
+        self.serves += 1;
+        let (Some(state), Some(request)) =
+            (self.classes.get_mut(class), self.requests.get_mut(&id))
+        else {
+            return false;
+        };
+        let Some(worker) = self.workers.get(vm) else {
+            return false;
+        };
+        let address = worker.address;
+        let name = request.ticket.team.as_ref();
+        let estimate = state.estimate.expect(name).max(MIN_CHARGE);
+        let charged = duration_micros(estimate);
+        request.attempts += 1;
+        request.tried.push(vm.clone());
+        request.attempt = Some(RunningAttempt {
+            vm: vm.clone(),
+            slot: slot.clone(),
+            permit: permit.clone(),
+            started: now,
+            charged,
+        });
+        let (team, attempt) = (request.team, request.attempts);
+        state.last_serve = self.serves;
+        state.queue.start(team, estimate);
+        let requests = &self.requests;
+        let live = |id| requests.get(&id).is_some_and(RequestState::is_waiting);
+        state.queue.forget(team, live);
+        self.report.charge(class, team, charged);
+        self.running += 1;
+        if attempt == 1 {
+            self.budget.earn();
+        }
+        self.overruns.push(cmp::Reverse((now + estimate * 2, id)));
+        self.workers.start(vm);
+        self.refresh_pool(&slot.pool);
+        if let Some(permit) = &permit {
+            self.refresh_pool(&permit.pool);
+        }
+        self.actions.push(SchedulerAction::Dispatch {
+            id,
+            vm: vm.clone(),
+            address,
+            attempt,
+        });
+        true
+    }
+
+    /// Takes a slot of `vm` and, if the team has a limit, a permit.
+    fn take_tokens(&mut self, id: TicketId, vm: &VmId) -> Option<(TokenId, Option<TokenId>)> {
+        let team = self.requests.get(&id)?.ticket.team.clone();
+        let mut permit = None;
+        if let Some(team) = team
+            && let Some(limit) = self.limit_of(&team)
+        {
+            permit = Some(self.ledger.take(&TokenPool::Permit(team), limit, id)?);
+        }
+        let pool = TokenPool::Slot(vm.clone());
+        let slot = self.ledger.take(&pool, self.settings.slots_per_worker, id);
+        if slot.is_none()
+            && let Some(permit) = &permit
+        {
+            self.ledger.untake(permit);
+        }
+        Some((slot?, permit))
+    }
+
+    /// Charges attempts that run longer than expected for the time used.
+    pub(super) fn charge_overruns(&mut self, now: NodeTime) {
+        while let Some(cmp::Reverse((due, id))) = self.overruns.peek().copied() {
+            if due > now {
+                break;
+            }
+            self.overruns.pop();
+            let Some(request) = self.requests.get_mut(&id) else {
+                continue;
+            };
+            let Some(attempt) = &mut request.attempt else {
+                continue;
+            };
+            let used = now.saturating_since(attempt.started);
+            let extra = duration_micros(used) - attempt.charged;
+            if extra <= 0 {
+                continue;
+            }
+            attempt.charged += extra;
+            let class = &request.ticket.class;
+            if let Some(state) = self.classes.get_mut(class) {
+                state.queue.charge(request.team, extra);
+                self.report.charge(class, request.team, extra);
+            }
+            self.overruns.push(cmp::Reverse((now + used, id)));
+        }
+    }
+
+    /// Refuses every waiting request whose deadline has passed.
+    pub(super) fn refuse_overdue(&mut self, now: NodeTime) {
+        while let Some(cmp::Reverse((deadline, id))) = self.deadlines.peek().copied() {
+            if deadline > now {
+                break;
+            }
+            self.deadlines.pop();
+            let request = self.requests.get(&id);
+            if request.is_some_and(RequestState::is_waiting) {
+                self.drop_waiting(id, RefusalReason::DeadlineUnmet);
+            }
+        }
+    }
+
+    /// Takes a waiting request out of its queue.
+    fn remove_waiting(&mut self, id: TicketId) -> Option<RequestState> {
+        let request = self.requests.remove(&id)?;
+        let requests = &self.requests;
+        let live = |id| requests.get(&id).is_some_and(RequestState::is_waiting);
+        if let Some(state) = self.classes.get_mut(&request.ticket.class) {
+            state.queue.forget(request.team, live);
+        }
+        self.report.mark(&request.ticket.class, request.team);
+        Some(request)
+    }
+
+    fn drop_waiting(&mut self, id: TicketId, reason: RefusalReason) {
+        if let Some(request) = self.remove_waiting(id) {
+            self.refuse(&request, reason);
+        }
+    }
+
+    fn refuse(&mut self, request: &RequestState, reason: RefusalReason) {
+        let outcome = match request.maybe_ran {
+            true => RunOutcome::Unknown,
+            false => RunOutcome::NotRun,
+        };
+        let wait = self.expected_wait(&request.ticket.class, request.team);
+        self.push_refusal(request.ticket.id, reason, wait, outcome);
+    }
+
+    fn refuse_new(&mut self, id: TicketId, class: &ClassName, reason: RefusalReason) {
+        let wait = self.classes.get(class).map(|state| {
+            let slots = f64::from(state.queue.slots());
+            let ahead = state.queue.waiting() as f64;
+            state.estimate.class_mean().mul_f64(ahead / slots)
+        });
+        self.push_refusal(id, reason, wait.unwrap_or_default(), RunOutcome::NotRun);
+    }
+
+    fn push_refusal(
+        &mut self,
+        id: TicketId,
+        reason: RefusalReason,
+        wait: time::Duration,
+        outcome: RunOutcome,
+    ) {
+        let refusal = RequestRefusal {
+            reason,
+            retry_after: wait.clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER),
+            outcome,
+        };
+        self.actions.push(SchedulerAction::Refuse { id, refusal });
+    }
+}
--- /dev/null
+++ b/crates/policy/src/scheduler/mod.rs
@@ -0,0 +1,438 @@
+//! Decisions of one entry process over its waiting requests.
+
+mod dispatch;
+mod peers;
+mod request;
+
+use std::cmp;
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap, HashMap};
+use std::net;
+use std::time;
+
+use redwing_model::{ClassName, FleetDeclaration, NodeIncarnation, TeamName, VmId};
+
+use crate::choose::WorkerIndex;
+use crate::clock::NodeTime;
+use crate::eject::OutlierDetector;
+use crate::exchange::PeerMessage;
+use crate::fair::UNDECLARED_SHARE;
+use crate::ledger::{TokenCounts, TokenLedger};
+use crate::retry::RetryBudget;
+use crate::scheduler::request::{ClassState, RequestState};
+use crate::share::DemandReport;
+use crate::ticket::{RequestRefusal, TicketId};
+use crate::token::{TokenId, TokenPool};
+use crate::transfer::PeerLink;
+
+/// Settings of a scheduler.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct SchedulerSettings {
+    /// Slots of each backend server.
+    pub slots_per_worker: u32,
+    /// How long a request may go on running after its attempt was lost.
+    pub task_lease: time::Duration,
+    /// Largest number of attempts at one request.
+    pub max_attempts: u32,
+    /// Shortest time between two reports of demand to peers.
+    pub report_interval: time::Duration,
+    /// Shortest time between two messages with tokens to the same peer.
+    pub transfer_interval: time::Duration,
+    /// Time after which an unacknowledged transfer is sent again.
+    pub resend_interval: time::Duration,
+    /// Time after which an idle borrowed token goes back to its home.
+    pub idle_return: time::Duration,
+    /// Lead in virtual time that a team here may have over a team waiting at
+    /// a peer before a free slot goes to that peer.
+    pub tolerance: time::Duration,
+    /// Whether slots and permits may pass to peers.
+    pub exchange_tokens: bool,
+}
+
+impl Default for SchedulerSettings {
+    fn default() -> Self {
+        Self {
+            slots_per_worker: 8,
+            task_lease: time::Duration::from_secs(60),
+            max_attempts: 3,
+            report_interval: time::Duration::from_millis(50),
+            transfer_interval: time::Duration::from_millis(5),
+            resend_interval: time::Duration::from_millis(500),
+            idle_return: time::Duration::from_millis(200),
+            tolerance: time::Duration::from_millis(50),
+            exchange_tokens: true,
+        }
+    }
+}
+
+/// A backend server that requests may be sent to.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct WorkerView {
+    /// VM that runs it.
+    pub vm: VmId,
+    /// Address of the backend server.
+    pub address: net::SocketAddr,
+    /// Classes that it serves.
+    pub classes: Vec<ClassName>,
+    /// Whether it takes new requests.
+    pub serving: bool,
+}
+
+/// Everything that the scheduler knows from outside, replaced as a whole.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct FleetView {
+    /// Declaration in force.
+    pub declaration: FleetDeclaration,
+    /// Backend servers.
+    pub workers: Vec<WorkerView>,
+    /// Other entry processes that are live and not leaving.
+    pub peers: Vec<NodeIncarnation>,
+    /// Tokens whose home is this process, as the table records them.
+    ///
+    /// A token must leave the list of a live process only after
+    /// [`NodeScheduler::release_home`] let go of it, or when nobody may use it
+    /// any more.
+    pub homes: Vec<TokenId>,
+}
+
+/// What the surroundings must do for the scheduler.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum SchedulerAction {
+    /// Send the request to the backend server at `address`.
+    Dispatch {
+        /// Number of the request.
+        id: TicketId,
+        /// VM of the backend server.
+        vm: VmId,
+        /// Address of the backend server.
+        address: net::SocketAddr,
+        /// Number of the attempt, from 1.
+        attempt: u32,
+    },
+    /// Answer the request with a refusal.
+    Refuse {
+        /// Number of the request.
+        id: TicketId,
+        /// Why, what is known of its execution, and when to ask again.
+        refusal: RequestRefusal,
+    },
+    /// Send a message to another entry process.
+    Send {
+        /// The receiver; no other incarnation may get the message.
+        to: NodeIncarnation,
+        /// The message.
+        message: PeerMessage,
+    },
+}
+
+/// A token that this process may use, for the table.
+#[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub struct TokenHolding {
+    /// The token.
+    pub token: TokenId,
+    /// Process that lent it; `None` if its home is here.
+    pub lender: Option<NodeIncarnation>,
+}
+
+/// Decides which waiting request runs next, and where.
+#[derive(Debug)]
+pub struct NodeScheduler {
+    settings: SchedulerSettings,
+    node: NodeIncarnation,
+    view: FleetView,
+    suspended: bool,
+    leaving: bool,
+    classes: BTreeMap<ClassName, ClassState>,
+    team_classes: HashMap<TeamName, Vec<ClassName>>,
+    requests: HashMap<TicketId, RequestState>,
+    running: usize,
+    serves: u64,
+    deadlines: BinaryHeap<cmp::Reverse<(NodeTime, TicketId)>>,
+    overruns: BinaryHeap<cmp::Reverse<(NodeTime, TicketId)>>,
+    ledger: TokenLedger,
+    workers: WorkerIndex,
+    detector: OutlierDetector,
+    budget: RetryBudget,
+    links: BTreeMap<NodeIncarnation, PeerLink>,
+    settled: BTreeSet<NodeIncarnation>,
+    report: DemandReport,
+    /// Teams whose free permits or wanting peers may have changed.
+    dirty_teams: BTreeSet<TeamName>,
+    sent_wants: HashMap<TeamName, u32>,
+    last_report: Option<NodeTime>,
+    last_sweep: NodeTime,
+    last_expiry: NodeTime,
+    handed_over: BTreeSet<TokenId>,
+    actions: Vec<SchedulerAction>,
+}
+
+impl NodeScheduler {
+    /// Creates a scheduler that holds nothing yet.
+    pub fn new(settings: SchedulerSettings, node: NodeIncarnation) -> Self {
+        Self {
+            settings,
+            node,
+            view: FleetView::default(),
+            suspended: false,
+            leaving: false,
+            classes: BTreeMap::new(),
+            team_classes: HashMap::new(),
+            requests: HashMap::new(),
+            running: 0,
+            serves: 0,
+            deadlines: BinaryHeap::new(),
+            overruns: BinaryHeap::new(),
+            ledger: TokenLedger::default(),
+            workers: WorkerIndex::default(),
+            detector: OutlierDetector::default(),
+            budget: RetryBudget::new(),
+            links: BTreeMap::new(),
+            settled: BTreeSet::new(),
+            report: DemandReport::default(),
+            dirty_teams: BTreeSet::new(),
+            sent_wants: HashMap::new(),
+            last_report: None,
+            last_sweep: NodeTime::default(),
+            last_expiry: NodeTime::default(),
+            handed_over: BTreeSet::new(),
+            actions: Vec::new(),
+        }
+    }
+
+    /// Returns the settings.
+    pub fn settings(&self) -> &SchedulerSettings {
+        &self.settings
+    }
+
+    /// Returns the incarnation that the scheduler decides for.
+    pub fn node(&self) -> &NodeIncarnation {
+        &self.node
+    }
+
+    /// Returns the number of requests that wait here.
+    pub fn waiting(&self) -> usize {
+        self.requests.len() - self.running
+    }
+
+    /// Returns the number of attempts that run from here.
+    pub fn running(&self) -> usize {
+        self.running
+    }
+
+    /// Returns how many tokens are in each state.
+    pub fn token_counts(&self) -> TokenCounts {
+        self.ledger.counts()
+    }
+
+    /// Returns the backend servers that are ejected now.
+    pub fn ejected(&self) -> impl Iterator<Item = &VmId> {
+        self.detector.ejected()
+    }
+
+    /// Returns the tokens that this process may use, for the table.
+    pub fn holdings(&self) -> Vec<TokenHolding> {
+        self.ledger
+            .holdings()
+            .into_iter()
+            .map(|(token, lender)| TokenHolding { token, lender })
+            .collect()
+    }
+
+    /// Returns whether the process may end: nothing waits or runs, and all
+    /// borrowed tokens went back and arrived.
+    pub fn is_drained(&self) -> bool {
+        let sent = self.links.values().all(PeerLink::is_settled);
+        self.leaving && self.requests.is_empty() && sent && !self.ledger.holds_foreign()
+    }
+
+    /// Replaces the view of the fleet.
+    pub fn install(&mut self, now: NodeTime, view: FleetView) {
+        self.ledger.install_homes(now, &view.homes);
+        self.view = view;
+        self.install_classes();
+        self.install_workers();
+        self.install_peers(now);
+        for class in self.class_names() {
+            self.refresh_class(&class);
+        }
+        self.pump_all(now);
+        self.flush(now);
+    }
+
+    /// Lets time pass: refuses what is overdue and sends what is due to peers.
+    pub fn tick(&mut self, now: NodeTime) {
+        self.refuse_overdue(now);
+        self.charge_overruns(now);
+        for vm in self.detector.end_ejections(now) {
+            let standing = self.detector.standing(&vm);
+            self.workers.set_standing(&vm, standing);
+        }
+        for token in self.ledger.end_quarantines(now) {
+            self.refresh_pool(&token.pool);
+        }
+        self.expire_demand(now);
+        self.pump_all(now);
+        self.flush(now);
+    }
+
+    /// Stops dispatches and transfers until [`resume`](Self::resume), because
+    /// the process may have been replaced while it was paused.
+    pub fn suspend(&mut self, _now: NodeTime) {
+        self.suspended = true;
+    }
+
+    /// Goes on after [`suspend`](Self::suspend).
+    pub fn resume(&mut self, now: NodeTime) {
+        self.suspended = false;
+        self.tick(now);
+    }
+
+    /// Refuses new requests from now on, and passes the tokens to live peers
+    /// once the waiting requests no longer need them.
+    pub fn leave(&mut self, now: NodeTime) {
+        self.leaving = true;
+        self.pump_all(now);
+        self.flush(now);
+    }
+
+    /// Ends all dealings with an incarnation that can dispatch no more, and
+    /// returns its tokens that are held here, so that the table can record
+    /// this process as their home.
+    ///
+    /// Tokens that it may have used come back into use after the task lease.
+    pub fn settle(&mut self, now: NodeTime, ended: &NodeIncarnation) -> Vec<TokenId> {
+        if !self.settled.insert(ended.clone()) {
+            return Vec::new();
+        }
+        let returning = self.links.remove(ended).map(|link| link.unsettled());
+        for state in self.classes.values_mut() {
+            state.remote.forget(&mut state.queue, ended);
+        }
+        let until = now + self.settings.task_lease;
+        self.ledger
+            .settle(until, ended, &returning.unwrap_or_default())
+    }
+
+    /// Lets go of an idle token whose home is here, so that the table can give
+    /// it another home; returns false if the token is not idle here.
+    ///
+    /// A token that [`FleetView::homes`] still lists at the next
+    /// [`install`](Self::install) is acquired again.
+    pub fn release_home(&mut self, token: &TokenId) -> bool {
+        let released = self.ledger.release_home(token);
+        if released {
+            self.refresh_pool(&token.pool);
+        }
+        released
+    }
+
+    /// Returns the actions decided since the last call.
+    pub fn take_actions(&mut self) -> Vec<SchedulerAction> {
+        std::mem::take(&mut self.actions)
+    }
+
+    fn class_names(&self) -> Vec<ClassName> {
+        self.classes.keys().cloned().collect()
+    }
+
+    /// Brings the queues in line with the declaration.
+    fn install_classes(&mut self) {
+        for (class, target) in &self.view.declaration.queues {
+            let state = self.classes.entry(class.clone()).or_default();
+            let teams: Vec<_> = state.queue.teams().collect();
+            for team in teams {
+                let share = share_of(&target.shares, state.queue.name(team));
+                state.queue.set_share(team, share);
+            }
+        }
+    }
+
+    fn install_workers(&mut self) {
+        let mut running: HashMap<&VmId, u32> = HashMap::new();
+        for request in self.requests.values() {
+            if let Some(attempt) = &request.attempt {
+                *running.entry(&attempt.vm).or_default() += 1;
+            }
+        }
+        let bound = self.settings.slots_per_worker;
+        let ledger = &self.ledger;
+        let detector = &self.detector;
+        self.workers = WorkerIndex::new(
+            &self.view.workers,
+            |vm| running.get(vm).copied().unwrap_or(0),
+            |vm| ledger.available(&TokenPool::Slot(vm.clone()), bound),
+            |vm| detector.standing(vm),
+        );
+        let workers = &self.workers;
+        self.detector.retain(|vm| workers.get(vm).is_some());
+        for (class, state) in &mut self.classes {
+            let serving = u32::try_from(workers.serving(class)).unwrap_or(u32::MAX);
+            state.queue.set_slots(serving.saturating_mul(bound));
+        }
+    }
+
+    /// Returns the number below which permits of `team` count.
+    fn limit_of(&self, team: &TeamName) -> Option<u32> {
+        let target = self.view.declaration.teams.get(team)?;
+        Some(target.limit)
+    }
+
+    /// Brings the indices in line after the free tokens of `pool` changed.
+    fn refresh_pool(&mut self, pool: &TokenPool) {
+        match pool {
+            TokenPool::Slot(vm) => {
+                let bound = self.settings.slots_per_worker;
+                let free = self.ledger.available(pool, bound);
+                self.workers.set_free(vm, free);
+            }
+            TokenPool::Permit(team) => {
+                self.dirty_teams.insert(team.clone());
+                self.refresh_team(team);
+            }
+        }
+    }
+
+    /// Marks `team` as held up by its limit or not, in every class.
+    fn refresh_team(&mut self, team: &TeamName) {
+        let blocked = self.is_blocked(team);
+        let Some(classes) = self.team_classes.get(team) else {
+            return;
+        };
+        for class in classes {
+            if let Some(state) = self.classes.get_mut(class)
+                && let Some(index) = state.queue.find(Some(team))
+            {
+                state.queue.set_blocked(index, blocked);
+                self.report.mark(class, index);
+            }
+        }
+    }
+
+    fn refresh_class(&mut self, class: &ClassName) {
+        let Some(state) = self.classes.get(class) else {
+            return;
+        };
+        let teams: Vec<TeamName> = state
+            .queue
+            .teams()
+            .filter_map(|team| state.queue.name(team).cloned())
+            .collect();
+        for team in teams {
+            self.refresh_team(&team);
+        }
+    }
+
+    fn is_blocked(&self, team: &TeamName) -> bool {
+        let pool = TokenPool::Permit(team.clone());
+        match self.limit_of(team) {
+            Some(limit) => !self.ledger.has_available(&pool, limit),
+            None => false,
+        }
+    }
+}
+
+/// Returns the declared share of `team`, or a small one.
+fn share_of(shares: &BTreeMap<TeamName, f64>, team: Option<&TeamName>) -> f64 {
+    team.and_then(|team| shares.get(team))
+        .copied()
+        .unwrap_or(UNDECLARED_SHARE)
+}
--- /dev/null
+++ b/crates/policy/src/scheduler/peers.rs
@@ -0,0 +1,415 @@
+//! Exchange of demand and tokens with the schedulers of other processes.
+
+use std::collections::BTreeSet;
+use std::time;
+
+use redwing_model::{ClassName, NodeIncarnation, TeamName};
+
+use crate::clock::NodeTime;
+use crate::exchange::{PeerMessage, PermitWant, TeamDemand};
+use crate::fair::duration_micros;
+use crate::scheduler::{NodeScheduler, SchedulerAction};
+use crate::share::{ReportKey, ReportedDemand, is_significant};
+use crate::token::{TokenId, TokenPool};
+use crate::transfer::PeerLink;
+
+/// Age after which demand that a peer reported no longer counts.
+const DEMAND_LIFETIME: time::Duration = time::Duration::from_secs(5);
+
+/// Time after a peer was first seen in which its service counts as history.
+const BASELINE_TIME: time::Duration = time::Duration::from_secs(1);
+
+/// Shortest time between two searches for idle borrowed tokens.
+const SWEEP_INTERVAL: time::Duration = time::Duration::from_millis(50);
+
+impl NodeScheduler {
+    /// Takes a message from another entry process.
+    ///
+    /// Messages to another incarnation than [`node`](Self::node) must not be
+    /// passed in. While suspended, messages are dropped; the peer sends again
+    /// what matters.
+    pub fn receive(&mut self, now: NodeTime, from: &NodeIncarnation, message: PeerMessage) {
+        if self.suspended || self.settled.contains(from) || *from == self.node {
+            return;
+        }
+        let link = self
+            .links
+            .entry(from.clone())
+            .or_insert_with(|| PeerLink::new(now));
+        let newest = link.take_sequence(message.sequence);
+        link.acknowledge(&message.received);
+        let mut arrived = Vec::new();
+        for transfer in message.transfers {
+            if link.take_transfer(transfer.id) {
+                arrived.extend(transfer.tokens);
+            }
+        }
+        let baseline = now.saturating_since(link.since()) < BASELINE_TIME;
+        if newest {
+            for pool in message.recalls {
+                link.recall(pool);
+            }
+            for want in &message.wants {
+                link.set_wanted(&want.team, want.permits);
+                self.dirty_teams.insert(want.team.clone());
+            }
+            self.take_demand(now, from, &message.demand, baseline);
+        }
+        for token in arrived {
+            if self.ledger.accept(now, &token, from) {
+                self.refresh_pool(&token.pool);
+            }
+        }
+        self.pump_all(now);
+        self.flush(now);
+    }
+
+    /// Takes reported demand and service.
+    fn take_demand(
+        &mut self,
+        now: NodeTime,
+        from: &NodeIncarnation,
+        demand: &[TeamDemand],
+        baseline: bool,
+    ) {
+        for entry in demand {
+            let team = self.team_index(&entry.class, entry.team.as_ref());
+            let Some(state) = self.classes.get_mut(&entry.class) else {
+                continue;
+            };
+            let report = ReportedDemand {
+                waiting: entry.waiting,
+                service: entry.service_micros,
+                baseline,
+            };
+            let queue = &mut state.queue;
+            state.remote.update(queue, now, team, from, report);
+        }
+    }
+
+    /// Keeps a link to every peer.
+    pub(super) fn install_peers(&mut self, now: NodeTime) {
+        let mut added = false;
+        for peer in &self.view.peers {
+            if *peer != self.node && !self.settled.contains(peer) && !self.links.contains_key(peer)
+            {
+                self.links.insert(peer.clone(), PeerLink::new(now));
+                added = true;
+            }
+        }
+        if added {
+            self.report.mark_all();
+            self.last_report = None;
+        }
+    }
+
+    /// Forgets demand of peers that have been silent for long.
+    pub(super) fn expire_demand(&mut self, now: NodeTime) {
+        if now.saturating_since(self.last_expiry) < DEMAND_LIFETIME / 5 {
+            return;
+        }
+        self.last_expiry = now;
+        let before = now.since_start().saturating_sub(DEMAND_LIFETIME);
+        for state in self.classes.values_mut() {
+            state.remote.expire(&mut state.queue, before.into());
+        }
+    }
+
+    /// Returns whether a waiting team at a peer is served so much less than
+    /// the teams here that it should get the next free slot of `class`.
+    pub(super) fn yields_slot(&self, class: &ClassName) -> bool {
+        let Some(state) = self.classes.get(class) else {
+            return false;
+        };
+        let (Some((here, _)), Some((there, _))) =
+            (state.queue.next_ready(), state.queue.next_remote())
+        else {
+            return false;
+        };
+        let tolerance = duration_micros(self.settings.tolerance).saturating_mul(1_000);
+        self.settings.exchange_tokens && there.0.saturating_add(tolerance) < here.0
+    }
+
+    /// Gives a free slot of `class` to the peer that should have it; returns
+    /// false if there is none.
+    pub(super) fn give_slot(&mut self, class: &ClassName) -> bool {
+        if !self.settings.exchange_tokens {
+            return false;
+        }
+        let Some(state) = self.classes.get(class) else {
+            return false;
+        };
+        let Some((_, team)) = state.queue.next_remote() else {
+            return false;
+        };
+        let Some(peer) = state.remote.most_waiting(team).cloned() else {
+            return false;
+        };
+        let Some(token) = self.let_go(class, &peer) else {
+            return false;
+        };
+        let nodes = i64::try_from(self.links.len() + 1).unwrap_or(i64::MAX);
+        if let Some(state) = self.classes.get_mut(class) {
+            let run = state.estimate.expect(state.queue.name(team));
+            // The other processes see the same need and answer it as well.
+            let micros = duration_micros(run).saturating_mul(nodes);
+            state.remote.give(&mut state.queue, team, &peer, micros);
+        }
+        self.refresh_pool(&token.pool);
+        true
+    }
+
+    /// Lets go of a free slot: an own one in favour of `peer`, or else a
+    /// borrowed one in favour of its home.
+    fn let_go(&mut self, class: &ClassName, peer: &NodeIncarnation) -> Option<TokenId> {
+        let bound = self.settings.slots_per_worker;
+        for vm in self.workers.candidates(class) {
+            let pool = TokenPool::Slot(vm.clone());
+            if let Some(token) = self.ledger.free_own(&pool, bound)
+                && let Some(link) = self.links.get_mut(peer)
+                && self.ledger.lend(&token, peer)
+            {
+                link.queue(token.clone());
+                return Some(token);
+            }
+            if let Some((token, home)) = self.ledger.free_foreign(&pool)
+                && let Some(link) = self.links.get_mut(&home)
+            {
+                self.ledger.give_back(&token)?;
+                link.queue(token.clone());
+                return Some(token);
+            }
+        }
+        None
+    }
+
+    /// Gives a borrowed token back to its home.
+    fn give_back(&mut self, token: &TokenId, home: &NodeIncarnation) {
+        let Some(link) = self.links.get_mut(home) else {
+            return;
+        };
+        if self.ledger.give_back(token).is_some() {
+            link.queue(token.clone());
+            self.refresh_pool(&token.pool);
+        }
+    }
+
+    /// Sends what is due to peers.
+    pub(super) fn flush(&mut self, now: NodeTime) {
+        if self.suspended {
+            return;
+        }
+        self.sweep_idle(now);
+        self.hand_over();
+        self.share_permits();
+        let report = self.next_report(now);
+        let resend = self.settings.resend_interval;
+        for (peer, link) in &mut self.links {
+            let due = link.is_due(now, self.settings.transfer_interval, resend);
+            let news = match &report {
+                Some(news) => !news.is_empty() || link.owes_receipt(),
+                None => false,
+            };
+            if !due && !news {
+                continue;
+            }
+            let message = report.clone().unwrap_or_default();
+            let message = link.compose(now, resend, message);
+            let to = peer.clone();
+            self.actions.push(SchedulerAction::Send { to, message });
+        }
+    }
+
+    /// Gives borrowed tokens back that nobody here has used for a while.
+    fn sweep_idle(&mut self, now: NodeTime) {
+        let due = now.saturating_since(self.last_sweep) >= SWEEP_INTERVAL;
+        if !due && !self.leaving {
+            return;
+        }
+        self.last_sweep = now;
+        let idle = match self.leaving && self.waiting() == 0 {
+            true => time::Duration::ZERO,
+            false => self.settings.idle_return,
+        };
+        if !self.ledger.holds_foreign() {
+            return;
+        }
+        let since = now.since_start().saturating_sub(idle);
+        for (token, home) in self.ledger.idle_foreign(since.into()) {
+            self.give_back(&token, &home);
+        }
+    }
+
+    /// Passes own tokens to live peers while leaving, each token once.
+    fn hand_over(&mut self) {
+        if !self.leaving || self.waiting() > 0 || !self.settings.exchange_tokens {
+            return;
+        }
+        let peers: Vec<NodeIncarnation> = self
+            .view
+            .peers
+            .iter()
+            .filter(|peer| self.links.contains_key(peer))
+            .cloned()
+            .collect();
+        if peers.is_empty() {
+            return;
+        }
+        for token in self.ledger.all_free_own() {
+            if !self.handed_over.insert(token.clone()) {
+                continue;
+            }
+            let peer = &peers[self.handed_over.len() % peers.len()];
+            if let Some(link) = self.links.get_mut(peer)
+                && self.ledger.lend(&token, peer)
+            {
+                link.queue(token.clone());
+                self.refresh_pool(&token.pool);
+            }
+        }
+    }
+
+    /// Gives spare permits to peers that want them.
+    fn share_permits(&mut self) {
+        if !self.settings.exchange_tokens {
+            return;
+        }
+        for team in std::mem::take(&mut self.dirty_teams) {
+            let mut spare = self.spare_permits(&team);
+            while spare > 0
+                && let Some(peer) = self.next_wanting(&team)
+                && self.give_permit(&team, &peer)
+            {
+                spare -= 1;
+            }
+        }
+    }
+
+    /// Returns how many free permits of `team` nothing here waits for.
+    fn spare_permits(&self, team: &TeamName) -> u32 {
+        let Some(limit) = self.limit_of(team) else {
+            return 0;
+        };
+        let pool = TokenPool::Permit(team.clone());
+        let free = self.ledger.available(&pool, limit);
+        free.saturating_sub(self.waiting_of_team(team))
+    }
+
+    /// Returns how many requests of `team` wait here, in all classes.
+    fn waiting_of_team(&self, team: &TeamName) -> u32 {
+        let classes = self.team_classes.get(team).into_iter().flatten();
+        let mut waiting = 0;
+        for class in classes {
+            if let Some(state) = self.classes.get(class)
+                && let Some(index) = state.queue.find(Some(team))
+            {
+                waiting += state.queue.waiting_of(index);
+            }
+        }
+        u32::try_from(waiting).unwrap_or(u32::MAX)
+    }
+
+    fn next_wanting(&self, team: &TeamName) -> Option<NodeIncarnation> {
+        self.links
+            .iter()
+            .filter(|(_, link)| link.wanted(team) > 0)
+            .max_by_key(|(_, link)| link.wanted(team))
+            .map(|(peer, _)| peer.clone())
+    }
+
+    /// Gives one free permit to `peer`, or back to its home.
+    fn give_permit(&mut self, team: &TeamName, peer: &NodeIncarnation) -> bool {
+        let pool = TokenPool::Permit(team.clone());
+        let Some(limit) = self.limit_of(team) else {
+            return false;
+        };
+        if let Some(token) = self.ledger.free_own(&pool, limit)
+            && let Some(link) = self.links.get_mut(peer)
+            && self.ledger.lend(&token, peer)
+        {
+            link.set_wanted(team, link.wanted(team) - 1);
+            link.queue(token);
+            self.refresh_team(team);
+            return true;
+        }
+        if let Some((token, home)) = self.ledger.free_foreign(&pool) {
+            self.give_back(&token, &home);
+            if let Some(link) = self.links.get_mut(peer) {
+                link.set_wanted(team, link.wanted(team) - 1);
+            }
+            return true;
+        }
+        false
+    }
+
+    /// Returns the next report of demand, or `None` if it is not due.
+    fn next_report(&mut self, now: NodeTime) -> Option<PeerMessage> {
+        let interval = self.settings.report_interval;
+        let due = self
+            .last_report
+            .is_none_or(|last| now.saturating_since(last) >= interval);
+        if !due || self.links.is_empty() {
+            return None;
+        }
+        self.last_report = Some(now);
+        self.report.mark_stale(now);
+        let mut message = PeerMessage::default();
+        let changed = self.report.take_changed();
+        let mut teams = BTreeSet::new();
+        for key in &changed {
+            if let Some(entry) = self.next_demand(now, key) {
+                message.demand.push(entry);
+            }
+            if let Some(state) = self.classes.get(&key.class)
+                && let Some(name) = state.queue.name(key.team)
+            {
+                teams.insert(name.clone());
+            }
+        }
+        for team in teams {
+            message.wants.extend(self.next_want(&team));
+        }
+        Some(message)
+    }
+
+    /// Returns what to report of one team, if it changed enough.
+    fn next_demand(&mut self, now: NodeTime, key: &ReportKey) -> Option<TeamDemand> {
+        let state = self.classes.get(&key.class)?;
+        let team = state.queue.name(key.team).cloned();
+        let waiting = u32::try_from(state.queue.waiting_of(key.team)).unwrap_or(u32::MAX);
+        let usable = match team
+            .as_ref()
+            .and_then(|team| Some((team, self.limit_of(team)?)))
+        {
+            Some((team, limit)) => {
+                let pool = TokenPool::Permit(team.clone());
+                waiting.min(self.ledger.available(&pool, limit))
+            }
+            None => waiting,
+        };
+        let service = self.report.next_service(now, key, usable, &state.queue)?;
+        Some(TeamDemand {
+            class: key.class.clone(),
+            team,
+            waiting: usable,
+            service_micros: service,
+        })
+    }
+
+    /// Returns the permits of `team` to ask for, if that changed enough.
+    fn next_want(&mut self, team: &TeamName) -> Option<PermitWant> {
+        let limit = self.limit_of(team)?;
+        let pool = TokenPool::Permit(team.clone());
+        let free = self.ledger.available(&pool, limit);
+        let permits = self.waiting_of_team(team).saturating_sub(free).min(limit);
+        let sent = self.sent_wants.get(team).copied().unwrap_or(0);
+        if !is_significant(sent, permits) {
+            return None;
+        }
+        self.sent_wants.insert(team.clone(), permits);
+        Some(PermitWant {
+            team: team.clone(),
+            permits,
+        })
+    }
+}
--- /dev/null
+++ b/crates/policy/src/scheduler/request.rs
@@ -0,0 +1,62 @@
+//! Requests on their way through the scheduler.
+
+use redwing_model::VmId;
+
+use crate::clock::NodeTime;
+use crate::estimate::RunEstimate;
+use crate::fair::{FairQueue, TeamIndex};
+use crate::share::RemoteDemand;
+use crate::ticket::RequestTicket;
+use crate::token::TokenId;
+
+/// State of one class.
+#[derive(Debug, Default)]
+pub(super) struct ClassState {
+    pub(super) queue: FairQueue,
+    pub(super) estimate: RunEstimate,
+    pub(super) remote: RemoteDemand,
+    /// Number of the last dispatch, for taking turns among classes.
+    pub(super) last_serve: u64,
+}
+
+/// State of one request that waits or runs.
+#[derive(Debug)]
+pub(super) struct RequestState {
+    pub(super) ticket: RequestTicket,
+    pub(super) team: TeamIndex,
+    pub(super) attempts: u32,
+    pub(super) tried: Vec<VmId>,
+    /// Whether an earlier attempt may have run.
+    pub(super) maybe_ran: bool,
+    pub(super) cancelled: bool,
+    pub(super) attempt: Option<RunningAttempt>,
+}
+
+/// An attempt that has not reported its end.
+#[derive(Debug)]
+pub(super) struct RunningAttempt {
+    pub(super) vm: VmId,
+    pub(super) slot: TokenId,
+    pub(super) permit: Option<TokenId>,
+    pub(super) started: NodeTime,
+    /// Slot time charged so far, in microseconds.
+    pub(super) charged: i64,
+}
+
+impl RequestState {
+    pub(super) fn new(ticket: RequestTicket, team: TeamIndex) -> Self {
+        Self {
+            ticket,
+            team,
+            attempts: 0,
+            tried: Vec::new(),
+            maybe_ran: false,
+            cancelled: false,
+            attempt: None,
+        }
+    }
+
+    pub(super) fn is_waiting(&self) -> bool {
+        self.attempt.is_none()
+    }
+}
--- /dev/null
+++ b/crates/policy/src/share.rs
@@ -0,0 +1,252 @@
+//! Demand and service of teams across entry processes.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::time;
+
+use redwing_model::{ClassName, NodeIncarnation};
+
+use crate::clock::NodeTime;
+use crate::fair::{FairQueue, TeamIndex, VirtualTime};
+
+/// Smallest change of service that is worth a report, in virtual time.
+const MIN_SERVICE_CHANGE: VirtualTime = VirtualTime(25_000_000);
+
+/// Part of the reported number by which waiting requests must change.
+const MIN_WAITING_FRACTION: f64 = 0.25;
+
+/// Smallest change of a number of waiting requests that is worth a report.
+const MIN_WAITING_CHANGE: u32 = 2;
+
+/// Age at which reported demand is reported again, in case it was lost.
+const REFRESH_INTERVAL: time::Duration = time::Duration::from_secs(2);
+
+/// What one peer last reported of a team.
+#[derive(Clone, Debug, Default)]
+struct PeerDemand {
+    waiting: u32,
+    service: u64,
+    /// Service charged in advance for slots given to the peer, in microseconds.
+    advance: i64,
+    at: NodeTime,
+}
+
+/// Demand of one class at other processes.
+#[derive(Debug, Default)]
+pub struct RemoteDemand {
+    teams: BTreeMap<TeamIndex, BTreeMap<NodeIncarnation, PeerDemand>>,
+}
+
+/// A peer's report of one team.
+#[derive(Clone, Copy, Debug)]
+pub struct ReportedDemand {
+    /// Requests waiting at the peer.
+    pub waiting: u32,
+    /// Slot time used through the peer since it started, in microseconds.
+    pub service: u64,
+    /// Whether a first report only sets the starting point of the service.
+    pub baseline: bool,
+}
+
+impl RemoteDemand {
+    /// Returns the peer with the most waiting requests of `team`.
+    pub fn most_waiting(&self, team: TeamIndex) -> Option<&NodeIncarnation> {
+        self.teams
+            .get(&team)?
+            .iter()
+            .filter(|(_, demand)| demand.waiting > 0)
+            .max_by_key(|(_, demand)| demand.waiting)
+            .map(|(peer, _)| peer)
+    }
+
+    /// Takes a report of `peer` and charges the team for the new service.
+    pub fn update(
+        &mut self,
+        queue: &mut FairQueue,
+        now: NodeTime,
+        team: TeamIndex,
+        peer: &NodeIncarnation,
+        report: ReportedDemand,
+    ) {
+        let peers = self.teams.entry(team).or_default();
+        let first = !peers.contains_key(peer);
+        let demand = peers.entry(peer.clone()).or_default();
+        if !(first && report.baseline) {
+            let used = report.service.wrapping_sub(demand.service).cast_signed();
+            let covered = used.clamp(0, demand.advance);
+            demand.advance -= covered;
+            queue.charge(team, used - covered);
+        }
+        demand.service = report.service;
+        demand.waiting = report.waiting;
+        demand.at = now;
+        self.sum(queue, team);
+    }
+
+    /// Notes that a slot was given to `peer` for `team`, and charges the
+    /// service expected of it in advance.
+    pub fn give(
+        &mut self,
+        queue: &mut FairQueue,
+        team: TeamIndex,
+        peer: &NodeIncarnation,
+        micros: i64,
+    ) {
+        let demand = self
+            .teams
+            .get_mut(&team)
+            .and_then(|peers| peers.get_mut(peer));
+        if let Some(demand) = demand {
+            demand.waiting = demand.waiting.saturating_sub(1);
+            demand.advance += micros;
+            queue.charge(team, micros);
+            self.sum(queue, team);
+        }
+    }
+
+    /// Forgets the demand reported before `before`, and takes back what was
+    /// charged in advance and never reported.
+    pub fn expire(&mut self, queue: &mut FairQueue, before: NodeTime) {
+        let teams: Vec<TeamIndex> = self.teams.keys().copied().collect();
+        for team in teams {
+            let Some(peers) = self.teams.get_mut(&team) else {
+                continue;
+            };
+            for demand in peers.values_mut() {
+                if demand.at < before {
+                    demand.waiting = 0;
+                    queue.charge(team, -demand.advance);
+                    demand.advance = 0;
+                }
+            }
+            self.sum(queue, team);
+        }
+    }
+
+    /// Forgets everything about the ended incarnation `ended`.
+    pub fn forget(&mut self, queue: &mut FairQueue, ended: &NodeIncarnation) {
+        let teams: Vec<TeamIndex> = self.teams.keys().copied().collect();
+        for team in teams {
+            if let Some(peers) = self.teams.get_mut(&team) {
+                peers.remove(ended);
+            }
+            self.sum(queue, team);
+        }
+    }
+
+    fn sum(&self, queue: &mut FairQueue, team: TeamIndex) {
+        let peers = self.teams.get(&team).into_iter().flat_map(BTreeMap::values);
+        let waiting = peers.fold(0u32, |sum, demand| sum.saturating_add(demand.waiting));
+        queue.set_remote(team, waiting);
+    }
+}
+
+/// A team within a class.
+#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct ReportKey {
+    /// Class of work.
+    pub class: ClassName,
+    /// Team within the class.
+    pub team: TeamIndex,
+}
+
+/// What this process reported of a team, and what it should.
+#[derive(Clone, Copy, Debug, Default)]
+struct OwnDemand {
+    service: i64,
+    sent_service: i64,
+    sent_waiting: u32,
+    sent_at: NodeTime,
+}
+
+/// Demand and service of this process, with what peers know of it.
+#[derive(Debug, Default)]
+pub struct DemandReport {
+    entries: HashMap<ReportKey, OwnDemand>,
+    changed: BTreeSet<ReportKey>,
+    /// Entries that told peers of waiting requests.
+    waiting: BTreeSet<ReportKey>,
+}
+
+impl DemandReport {
+    /// Returns whether anything may have to be reported.
+    pub fn is_changed(&self) -> bool {
+        !self.changed.is_empty()
+    }
+
+    /// Notes that the demand of a team may have changed.
+    pub fn mark(&mut self, class: &ClassName, team: TeamIndex) {
+        self.changed.insert(ReportKey {
+            class: class.clone(),
+            team,
+        });
+    }
+
+    /// Adds slot time used by a team here, in microseconds.
+    pub fn charge(&mut self, class: &ClassName, team: TeamIndex, micros: i64) {
+        let key = ReportKey {
+            class: class.clone(),
+            team,
+        };
+        self.entries.entry(key.clone()).or_default().service += micros;
+        self.changed.insert(key);
+    }
+
+    /// Marks everything for a report, because a peer is new.
+    pub fn mark_all(&mut self) {
+        for (key, entry) in &mut self.entries {
+            entry.sent_at = NodeTime::default();
+            self.changed.insert(key.clone());
+        }
+    }
+
+    /// Marks the demand that was reported too long ago.
+    pub fn mark_stale(&mut self, now: NodeTime) {
+        for key in &self.waiting {
+            let entry = self.entries.get(key);
+            if entry.is_some_and(|entry| now.saturating_since(entry.sent_at) >= REFRESH_INTERVAL) {
+                self.changed.insert(key.clone());
+            }
+        }
+    }
+
+    /// Takes the teams whose demand may have changed.
+    pub fn take_changed(&mut self) -> BTreeSet<ReportKey> {
+        std::mem::take(&mut self.changed)
+    }
+
+    /// Returns the service to report of a team with `waiting` requests, or
+    /// `None` if the change is too small; `queue` scales the service.
+    pub fn next_service(
+        &mut self,
+        now: NodeTime,
+        key: &ReportKey,
+        waiting: u32,
+        queue: &FairQueue,
+    ) -> Option<u64> {
+        let entry = self.entries.entry(key.clone()).or_default();
+        let change = queue.scale(key.team, entry.service - entry.sent_service);
+        let service_due = change.0.abs() >= MIN_SERVICE_CHANGE.0;
+        let stale = now.saturating_since(entry.sent_at) >= REFRESH_INTERVAL;
+        let stale_due = stale && (waiting > 0 || change.0 != 0);
+        if !service_due && !stale_due && !is_significant(entry.sent_waiting, waiting) {
+            return None;
+        }
+        entry.sent_service = entry.service;
+        entry.sent_waiting = waiting;
+        entry.sent_at = now;
+        match waiting {
+            0 => self.waiting.remove(key),
+            _ => self.waiting.insert(key.clone()),
+        };
+        Some(entry.service.max(0).cast_unsigned())
+    }
+}
+
+/// Returns whether a number of waiting requests changed enough for a report.
+pub fn is_significant(sent: u32, waiting: u32) -> bool {
+    if (sent == 0) != (waiting == 0) {
+        return true;
+    }
+    let change = sent.abs_diff(waiting);
+    change >= MIN_WAITING_CHANGE && f64::from(change) >= f64::from(sent) * MIN_WAITING_FRACTION
+}
--- a/crates/policy/src/ticket.rs
+++ b/crates/policy/src/ticket.rs
@@ -42,6 +42,15 @@
     Stopping,
 }
 
+/// What follows the report of an attempt.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum AttemptVerdict {
+    /// Nothing: the attempt's own result is the answer.
+    Final,
+    /// A dispatch or a refusal of the same request.
+    Pending,
+}
+
 /// A refusal, with the time after which the caller may ask again.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct RequestRefusal {
@@ -49,6 +58,8 @@
     pub reason: RefusalReason,
     /// When asking again makes sense, from now.
     pub retry_after: time::Duration,
+    /// `NotRun`, unless an earlier attempt of the request may have run.
+    pub outcome: RunOutcome,
 }
 
 /// How one attempt at a backend server ended.
--- /dev/null
+++ b/crates/policy/src/transfer.rs
@@ -0,0 +1,191 @@
+//! Reliable passing of tokens between two processes.
+//!
+//! Each transfer carries a number and is sent until it is acknowledged; the
+//! receiver takes each number once. Nothing else is needed for a token to
+//! arrive exactly once over messages that are lost, repeated or reordered.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time;
+
+use redwing_model::TeamName;
+
+use crate::clock::NodeTime;
+use crate::exchange::{PeerMessage, TokenTransfer};
+use crate::token::{TokenId, TokenPool};
+
+/// A transfer that was not acknowledged yet.
+#[derive(Clone, Debug)]
+struct PendingTransfer {
+    tokens: Vec<TokenId>,
+    sent_at: NodeTime,
+}
+
+/// Everything that one process knows of its exchange with another.
+#[derive(Debug)]
+pub struct PeerLink {
+    since: NodeTime,
+    outgoing: Vec<TokenId>,
+    pending: BTreeMap<u64, PendingTransfer>,
+    next_id: u64,
+    seen_below: u64,
+    seen: BTreeSet<u64>,
+    received: Vec<u64>,
+    sequence: u64,
+    last_sequence: u64,
+    last_transfer: Option<NodeTime>,
+    wants: BTreeMap<TeamName, u32>,
+    recalls: BTreeSet<TokenPool>,
+}
+
+impl PeerLink {
+    /// Creates the link to a peer seen first at `now`.
+    pub fn new(now: NodeTime) -> Self {
+        Self {
+            since: now,
+            outgoing: Vec::new(),
+            pending: BTreeMap::new(),
+            next_id: 1,
+            seen_below: 1,
+            seen: BTreeSet::new(),
+            received: Vec::new(),
+            sequence: 0,
+            last_sequence: 0,
+            last_transfer: None,
+            wants: BTreeMap::new(),
+            recalls: BTreeSet::new(),
+        }
+    }
+
+    /// Returns when the peer was seen first.
+    pub fn since(&self) -> NodeTime {
+        self.since
+    }
+
+    /// Returns whether every token that was let go of has arrived.
+    pub fn is_settled(&self) -> bool {
+        self.outgoing.is_empty() && self.pending.is_empty()
+    }
+
+    /// Returns the number of tokens on their way to the peer.
+    pub fn in_transit(&self) -> usize {
+        let pending: usize = self
+            .pending
+            .values()
+            .map(|transfer| transfer.tokens.len())
+            .sum();
+        pending + self.outgoing.len()
+    }
+
+    /// Returns the tokens on their way to the peer, as far as is known here.
+    pub fn unsettled(&self) -> Vec<TokenId> {
+        let pending = self.pending.values().flat_map(|transfer| &transfer.tokens);
+        pending.chain(&self.outgoing).cloned().collect()
+    }
+
+    /// Returns whether acknowledgements wait to be sent.
+    pub fn owes_receipt(&self) -> bool {
+        !self.received.is_empty()
+    }
+
+    /// Returns the permits of `team` that the peer could use.
+    pub fn wanted(&self, team: &TeamName) -> u32 {
+        self.wants.get(team).copied().unwrap_or(0)
+    }
+
+    /// Returns whether the peer asked for its tokens of `pool`.
+    pub fn is_recalled(&self, pool: &TokenPool) -> bool {
+        self.recalls.contains(pool)
+    }
+
+    /// Sets the permits of `team` that the peer could use.
+    pub fn set_wanted(&mut self, team: &TeamName, permits: u32) {
+        match permits {
+            0 => self.wants.remove(team),
+            _ => self.wants.insert(team.clone(), permits),
+        };
+    }
+
+    /// Lets go of `token` in favour of the peer.
+    pub fn queue(&mut self, token: TokenId) {
+        self.outgoing.push(token);
+    }
+
+    /// Returns whether tokens should be sent now.
+    pub fn is_due(&self, now: NodeTime, interval: time::Duration, resend: time::Duration) -> bool {
+        let rested = self
+            .last_transfer
+            .is_none_or(|last| now.saturating_since(last) >= interval);
+        let overdue = |transfer: &PendingTransfer| now.saturating_since(transfer.sent_at) >= resend;
+        (rested && !self.outgoing.is_empty()) || self.pending.values().any(overdue)
+    }
+
+    /// Returns the next message, with what is due added to `message`.
+    pub fn compose(
+        &mut self,
+        now: NodeTime,
+        resend: time::Duration,
+        mut message: PeerMessage,
+    ) -> PeerMessage {
+        self.sequence += 1;
+        message.sequence = self.sequence;
+        message.received = std::mem::take(&mut self.received);
+        if !self.outgoing.is_empty() {
+            let tokens = std::mem::take(&mut self.outgoing);
+            let id = self.next_id;
+            self.next_id += 1;
+            self.last_transfer = Some(now);
+            message.transfers.push(TokenTransfer {
+                id,
+                tokens: tokens.clone(),
+            });
+            let sent_at = now;
+            self.pending.insert(id, PendingTransfer { tokens, sent_at });
+        }
+        for (id, transfer) in &mut self.pending {
+            if now.saturating_since(transfer.sent_at) >= resend {
+                transfer.sent_at = now;
+                message.transfers.push(TokenTransfer {
+                    id: *id,
+                    tokens: transfer.tokens.clone(),
+                });
+            }
+        }
+        message
+    }
+
+    /// Takes acknowledgements.
+    pub fn acknowledge(&mut self, ids: &[u64]) {
+        for id in ids {
+            self.pending.remove(id);
+        }
+    }
+
+    /// Takes the number of a transfer; returns whether it is new.
+    pub fn take_transfer(&mut self, id: u64) -> bool {
+        self.received.push(id);
+        if id < self.seen_below || !self.seen.insert(id) {
+            return false;
+        }
+        while self.seen.remove(&self.seen_below) {
+            self.seen_below += 1;
+        }
+        true
+    }
+
+    /// Takes the number of a message; returns whether none later came before.
+    pub fn take_sequence(&mut self, sequence: u64) -> bool {
+        let newer = sequence > self.last_sequence;
+        self.last_sequence = self.last_sequence.max(sequence);
+        newer
+    }
+
+    /// Takes a request for tokens of `pool`.
+    pub fn recall(&mut self, pool: TokenPool) {
+        self.recalls.insert(pool);
+    }
+
+    /// Forgets a request for tokens of `pool`.
+    pub fn end_recall(&mut self, pool: &TokenPool) {
+        self.recalls.remove(pool);
+    }
+}
--- /dev/null
+++ b/crates/policy/tests/local.rs
@@ -0,0 +1,440 @@
+//! Decisions of a single scheduler.
+
+mod support;
+
+use redwing_model::RunOutcome;
+use redwing_policy::{
+    AttemptReport, AttemptVerdict, NodeScheduler, RefusalReason, SchedulerAction,
+    SchedulerSettings, TicketId,
+};
+
+use support::{
+    FleetShape, at, dispatched, lost, millis, node, refusals, refused, success, team, ticket, vm,
+};
+
+fn alone(shape: &FleetShape) -> NodeScheduler {
+    let mut scheduler = NodeScheduler::new(SchedulerSettings::default(), node(0));
+    scheduler.install(at(0), shape.view(0, 1));
+    scheduler
+}
+
+#[test]
+fn a_request_is_dispatched_at_once_when_a_slot_is_free() {
+    let shape = FleetShape::default();
+    let mut scheduler = alone(&shape);
+    scheduler.submit(at(1), ticket(1, &shape.class(0), Some(&team("a"))));
+    assert_eq!(dispatched(&scheduler.take_actions()).len(), 1);
+}
+
+#[test]
+fn the_limit_of_a_team_bounds_what_runs() {
+    let shape = FleetShape {
+        teams: vec![(team("a"), 1.0, 3)],
+        ..FleetShape::default()
+    };
+    let mut scheduler = alone(&shape);
+    for id in 0..10 {
+        scheduler.submit(at(1), ticket(id, &shape.class(0), Some(&team("a"))));
+    }
+    assert_eq!(dispatched(&scheduler.take_actions()).len(), 3);
+    scheduler.finish(at(2), TicketId(0), &success(&vm(0)));
+    assert_eq!(dispatched(&scheduler.take_actions()).len(), 1);
+}
+
+#[test]
+fn a_lowered_limit_holds_at_once() {
+    let mut shape = FleetShape {
+        teams: vec![(team("a"), 1.0, 5)],
+        ..FleetShape::default()
+    };
+    let mut scheduler = alone(&shape);
+    for id in 0..10 {
+        scheduler.submit(at(1), ticket(id, &shape.class(0), Some(&team("a"))));
+    }
+    let started = dispatched(&scheduler.take_actions());
+    assert_eq!(started.len(), 5);
+    shape.teams[0].2 = 2;
+    scheduler.install(at(2), shape.view(0, 1));
+    for (id, vm) in &started[..3] {
+        scheduler.finish(at(3), *id, &success(vm));
+    }
+    // Two permits remain in use at most, whichever attempts ended.
+    assert!(scheduler.running() <= 5 - 3 + 2);
+    for (id, vm) in &started[3..] {
+        scheduler.finish(at(4), *id, &success(vm));
+    }
+    assert_eq!(scheduler.running(), 2);
+}
+
+#[test]
+fn slots_are_shared_by_weight_under_overload() {
+    let shape = FleetShape {
+        teams: vec![(team("a"), 0.75, 100), (team("b"), 0.25, 100)],
+        ..FleetShape::default()
+    };
+    let mut scheduler = alone(&shape);
+    for id in 0..4_000 {
+        let name = if id % 2 == 0 { team("a") } else { team("b") };
+        scheduler.submit(at(1), ticket(id, &shape.class(0), Some(&name)));
+    }
+    let mut served = [0u32; 2];
+    let mut now = 1;
+    let mut running = dispatched(&scheduler.take_actions());
+    while served[0] + served[1] < 1_600 {
+        now += 10;
+        for (id, vm) in std::mem::take(&mut running) {
+            served[(id.0 % 2) as usize] += 1;
+            scheduler.finish(at(now), id, &success(&vm));
+        }
+        running = dispatched(&scheduler.take_actions());
+    }
+    let part = f64::from(served[0]) / f64::from(served[0] + served[1]);
+    assert!((part - 0.75).abs() < 0.02, "team a got {part}");
+}
+
+#[test]
+fn service_is_charged_on_time_used_and_not_on_requests() {
+    let shape = FleetShape {
+        workers: 1,
+        ..FleetShape::default()
+    };
+    let mut scheduler = alone(&shape);
+    for id in 0..4_000 {
+        let name = if id % 2 == 0 { team("a") } else { team("b") };
+        scheduler.submit(at(1), ticket(id, &shape.class(0), Some(&name)));
+    }
+    // Requests of team a run ten times longer than those of team b.
+    let mut used = [0u64; 2];
+    let mut ends = std::collections::BTreeSet::new();
+    let mut now = 1;
+    while now < 4_000 {
+        for (id, vm) in dispatched(&scheduler.take_actions()) {
+            let run = if id.0 % 2 == 0 { 100 } else { 10 };
+            used[(id.0 % 2) as usize] += run;
+            ends.insert((now + run, id, vm));
+        }
+        let (end, id, vm) = ends.pop_first().unwrap();
+        now = end;
+        scheduler.finish(at(now), id, &success(&vm));
+    }
+    let part = used[0] as f64 / (used[0] + used[1]) as f64;
+    assert!((part - 0.5).abs() < 0.03, "team a used {part}");
+}
+
+#[test]
+fn an_idle_team_earns_no_credit() {
+    let shape = FleetShape {
+        workers: 1,
+        ..FleetShape::default()
+    };
+    let mut scheduler = alone(&shape);
+    let mut next = 0;
+    let mut running = Vec::new();
+    let mut counts = [0u32; 2];
+    for step in 0..400u64 {
+        let now = 1 + step * 10;
+        let names = if step < 200 {
+            vec!["a"]
+        } else {
+            vec!["a", "b"]
+        };
+        for name in names {
+            for _ in 0..8 {
+                let id = next * 2 + u64::from(name == "b");
+                next += 1;
+                scheduler.submit(at(now), ticket(id, &shape.class(0), Some(&team(name))));
+            }
+        }
+        running.extend(dispatched(&scheduler.take_actions()));
+        for (id, vm) in std::mem::take(&mut running) {
+            if (200..220).contains(&step) {
+                counts[(id.0 % 2) as usize] += 1;
+            }
+            scheduler.finish(at(now + 9), id, &success(&vm));
+        }
+        running.extend(dispatched(&scheduler.take_actions()));
+    }
+    // After 2 s alone, team a still gets half as soon as team b arrives.
+    let part = f64::from(counts[0]) / f64::from(counts[0] + counts[1]);
+    assert!(part > 0.4, "team a got {part}");
+}
+
+#[test]
+fn the_earliest_deadline_of_a_team_goes_first() {
+    let shape = FleetShape {
+        workers: 1,
+        slots: 1,
+        ..FleetShape::default()
+    };
+    let mut scheduler = alone(&shape);
+    let class = shape.class(0);
+    scheduler.submit(at(1), ticket(1, &class, Some(&team("a"))));
+    let mut late = ticket(2, &class, Some(&team("a")));
+    late.deadline = at(9_000);
+    let mut early = ticket(3, &class, Some(&team("a")));
+    early.deadline = at(5_000);
+    scheduler.submit(at(1), late);
+    scheduler.submit(at(1), early);
+    scheduler.take_actions();
+    scheduler.finish(at(2), TicketId(1), &success(&vm(0)));
+    assert_eq!(
+        dispatched(&scheduler.take_actions()),
+        [(TicketId(3), vm(0))]
+    );
+}
+
+#[test]
+fn an_overdue_request_is_refused_as_not_run() {
+    let shape = FleetShape {
+        workers: 1,
+        slots: 1,
+        ..FleetShape::default()
+    };
+    let mut scheduler = alone(&shape);
+    scheduler.submit(at(1), ticket(1, &shape.class(0), Some(&team("a"))));
+    let mut short = ticket(2, &shape.class(0), Some(&team("a")));
+    short.deadline = at(500);
+    scheduler.submit(at(1), short);
+    scheduler.take_actions();
+    scheduler.tick(at(500));
+    let actions = scheduler.take_actions();
+    let Some(SchedulerAction::Refuse { id, refusal }) = actions.first() else {
+        panic!("no refusal in {actions:?}");
+    };
+    assert_eq!(*id, TicketId(2));
+    assert_eq!(refusal.reason, RefusalReason::DeadlineUnmet);
+    assert_eq!(refusal.outcome, RunOutcome::NotRun);
+    assert!(refusal.retry_after >= millis(1_000));
+}
+
+#[test]
+fn work_that_cannot_be_met_is_refused_on_arrival() {
+    let shape = FleetShape {
+        workers: 1,
+        ..FleetShape::default()
+    };
+    let mut scheduler = alone(&shape);
+    let class = shape.class(0);
+    for id in 0..16 {
+        scheduler.submit(at(1), ticket(id, &class, Some(&team("a"))));
+    }
+    for (id, vm) in dispatched(&scheduler.take_actions()) {
+        scheduler.finish(at(1_001), id, &success(&vm));
+    }
+    // Eight run and none wait; the next 40 need 6 s at 8 slots and 1 s each.
+    for id in 100..140 {
+        scheduler.submit(at(1_001), ticket(id, &class, Some(&team("a"))));
+    }
+    scheduler.take_actions();
+    let mut hurried = ticket(500, &class, Some(&team("a")));
+    hurried.deadline = at(4_000);
+    scheduler.submit(at(1_001), hurried);
+    assert_eq!(refusals(&scheduler.take_actions()), [TicketId(500)]);
+    scheduler.submit(at(1_001), ticket(501, &class, Some(&team("a"))));
+    assert!(refusals(&scheduler.take_actions()).is_empty());
+}
+
+#[test]
+fn a_full_queue_of_one_team_leaves_others_alone() {
+    let shape = FleetShape {
+        workers: 1,
+        depth: 2,
+        ..FleetShape::default()
+    };
+    let mut scheduler = alone(&shape);
+    let class = shape.class(0);
+    for id in 0..12 {
+        scheduler.submit(at(1), ticket(id, &class, Some(&team("a"))));
+    }
+    assert_eq!(
+        refusals(&scheduler.take_actions()),
+        [TicketId(10), TicketId(11)]
+    );
+    scheduler.submit(at(1), ticket(20, &class, Some(&team("b"))));
+    assert!(refusals(&scheduler.take_actions()).is_empty());
+}
+
+#[test]
+fn an_undeclared_class_has_no_capacity() {
+    let shape = FleetShape::default();
+    let mut scheduler = alone(&shape);
+    scheduler.submit(at(1), ticket(1, &support::class("other"), None));
+    let actions = scheduler.take_actions();
+    let [SchedulerAction::Refuse { refusal, .. }] = &actions[..] else {
+        panic!("no single refusal in {actions:?}");
+    };
+    assert_eq!(refusal.reason, RefusalReason::NoCapacity);
+}
+
+#[test]
+fn a_caller_without_a_team_needs_no_permit() {
+    let shape = FleetShape {
+        teams: Vec::new(),
+        ..FleetShape::default()
+    };
+    let mut scheduler = alone(&shape);
+    for id in 0..20 {
+        scheduler.submit(at(1), ticket(id, &shape.class(0), None));
+    }
+    assert_eq!(dispatched(&scheduler.take_actions()).len(), 16);
+}
+
+#[test]
+fn a_refused_attempt_is_retried_on_another_worker() {
+    let shape = FleetShape::default();
+    let mut scheduler = alone(&shape);
+    let mut single = ticket(1, &shape.class(0), Some(&team("a")));
+    single.repeatable = false;
+    scheduler.submit(at(1), single);
+    let [(id, first)] = &dispatched(&scheduler.take_actions())[..] else {
+        panic!("no single dispatch");
+    };
+    let verdict = scheduler.finish(at(2), *id, &refused(first));
+    assert_eq!(verdict, AttemptVerdict::Pending);
+    let [(_, second)] = &dispatched(&scheduler.take_actions())[..] else {
+        panic!("no single retry");
+    };
+    assert_ne!(first, second);
+}
+
+#[test]
+fn a_request_that_may_run_once_is_not_sent_again_after_an_unknown_end() {
+    let shape = FleetShape::default();
+    let mut scheduler = alone(&shape);
+    let mut single = ticket(1, &shape.class(0), Some(&team("a")));
+    single.repeatable = false;
+    scheduler.submit(at(1), single);
+    let started = dispatched(&scheduler.take_actions());
+    let verdict = scheduler.finish(at(2), TicketId(1), &lost(&started[0].1));
+    assert_eq!(verdict, AttemptVerdict::Final);
+    scheduler.tick(at(70_000));
+    let actions = scheduler.take_actions();
+    assert!(dispatched(&actions).is_empty() && refusals(&actions).is_empty());
+}
+
+#[test]
+fn an_answer_that_has_begun_is_not_followed_by_an_attempt() {
+    let shape = FleetShape::default();
+    let mut scheduler = alone(&shape);
+    scheduler.submit(at(1), ticket(1, &shape.class(0), Some(&team("a"))));
+    let started = dispatched(&scheduler.take_actions());
+    let report = AttemptReport {
+        answered: true,
+        ..lost(&started[0].1)
+    };
+    let verdict = scheduler.finish(at(2), TicketId(1), &report);
+    assert_eq!(verdict, AttemptVerdict::Final);
+    assert!(dispatched(&scheduler.take_actions()).is_empty());
+}
+
+#[test]
+fn a_refusal_after_an_attempt_that_may_have_run_says_so() {
+    let shape = FleetShape {
+        workers: 1,
+        slots: 1,
+        ..FleetShape::default()
+    };
+    let mut scheduler = alone(&shape);
+    let mut short = ticket(1, &shape.class(0), Some(&team("a")));
+    short.deadline = at(1_000);
+    scheduler.submit(at(1), short);
+    scheduler.take_actions();
+    // The only slot is held back, so that the retry waits until its deadline.
+    let verdict = scheduler.finish(at(2), TicketId(1), &lost(&vm(0)));
+    assert_eq!(verdict, AttemptVerdict::Pending);
+    scheduler.tick(at(1_000));
+    let actions = scheduler.take_actions();
+    let [SchedulerAction::Refuse { refusal, .. }] = &actions[..] else {
+        panic!("no single refusal in {actions:?}");
+    };
+    assert_eq!(refusal.outcome, RunOutcome::Unknown);
+}
+
+#[test]
+fn tokens_of_a_lost_attempt_stay_out_of_use_for_the_task_lease() {
+    let shape = FleetShape {
+        workers: 1,
+        slots: 1,
+        ..FleetShape::default()
+    };
+    let mut scheduler = alone(&shape);
+    let mut single = ticket(1, &shape.class(0), Some(&team("a")));
+    single.repeatable = false;
+    scheduler.submit(at(1), single);
+    scheduler.take_actions();
+    scheduler.finish(at(10), TicketId(1), &lost(&vm(0)));
+    let mut next = ticket(2, &shape.class(0), Some(&team("a")));
+    next.deadline = at(200_000);
+    scheduler.submit(at(11), next);
+    scheduler.tick(at(60_009));
+    assert!(dispatched(&scheduler.take_actions()).is_empty());
+    scheduler.tick(at(60_010));
+    assert_eq!(dispatched(&scheduler.take_actions()).len(), 1);
+}
+
+#[test]
+fn a_cancelled_wave_is_never_dispatched() {
+    let shape = FleetShape {
+        workers: 1,
+        ..FleetShape::default()
+    };
+    let mut scheduler = alone(&shape);
+    for id in 0..1_000 {
+        scheduler.submit(at(1), ticket(id, &shape.class(0), Some(&team("a"))));
+    }
+    let mut running = dispatched(&scheduler.take_actions());
+    for id in (8..1_000).filter(|id| id % 5 != 0) {
+        scheduler.cancel(at(2), TicketId(id));
+    }
+    assert_eq!(scheduler.waiting(), 198);
+    let mut served = 0;
+    let mut now = 3;
+    while !running.is_empty() {
+        now += 1;
+        for (id, vm) in std::mem::take(&mut running) {
+            assert!(id.0 < 8 || id.0 % 5 == 0);
+            served += 1;
+            scheduler.finish(at(now), id, &success(&vm));
+        }
+        running = dispatched(&scheduler.take_actions());
+    }
+    assert_eq!(served, 206);
+}
+
+#[test]
+fn retries_stay_within_the_budget() {
+    let shape = FleetShape {
+        workers: 10,
+        ..FleetShape::default()
+    };
+    let mut scheduler = alone(&shape);
+    let mut attempts = 0;
+    for id in 0..1_000 {
+        scheduler.submit(at(id), ticket(id, &shape.class(0), Some(&team("a"))));
+        let mut started = dispatched(&scheduler.take_actions());
+        while let Some((id, vm)) = started.pop() {
+            attempts += 1;
+            scheduler.finish(at(id.0), id, &refused(&vm));
+            started.extend(dispatched(&scheduler.take_actions()));
+        }
+    }
+    assert!(attempts <= 1_000 + 100 + 20, "{attempts} attempts");
+}
+
+#[test]
+fn a_released_home_is_not_used_until_it_is_listed_again() {
+    let shape = FleetShape {
+        workers: 1,
+        slots: 1,
+        ..FleetShape::default()
+    };
+    let mut scheduler = alone(&shape);
+    let slot = shape.tokens()[0].clone();
+    assert!(scheduler.release_home(&slot));
+    assert!(!scheduler.release_home(&slot));
+    scheduler.submit(at(1), ticket(1, &shape.class(0), Some(&team("a"))));
+    assert!(dispatched(&scheduler.take_actions()).is_empty());
+    scheduler.install(at(2), shape.view(0, 1));
+    assert_eq!(dispatched(&scheduler.take_actions()).len(), 1);
+    assert!(!scheduler.release_home(&slot));
+}
--- /dev/null
+++ b/crates/policy/tests/support/mod.rs
@@ -0,0 +1,204 @@
+//! Views, names and tickets for tests of the scheduler.
+
+#![allow(dead_code, reason = "each test file uses a part")]
+#![allow(clippy::unwrap_used, reason = "constant names of tests are valid")]
+
+use std::time;
+
+use redwing_model::declaration::{QueueTarget, TeamTarget};
+use redwing_model::{
+    ClassName, FleetDeclaration, NodeId, NodeIncarnation, PoolName, RunOutcome, TeamName, VmId,
+};
+use redwing_policy::scheduler::WorkerView;
+use redwing_policy::{
+    AttemptReport, FleetView, NodeTime, RequestTicket, SchedulerAction, TicketId, TokenId,
+    TokenPool,
+};
+
+pub(crate) fn class(name: &str) -> ClassName {
+    ClassName::new(name).unwrap()
+}
+
+pub(crate) fn team(name: &str) -> TeamName {
+    TeamName::new(name).unwrap()
+}
+
+pub(crate) fn vm(number: usize) -> VmId {
+    VmId::new(&format!("vm-{number}")).unwrap()
+}
+
+pub(crate) fn node(number: usize) -> NodeIncarnation {
+    let node = NodeId::new(&format!("node-{number}")).unwrap();
+    NodeIncarnation { node, epoch: 1 }
+}
+
+pub(crate) fn at(millis: u64) -> NodeTime {
+    NodeTime::from_millis(millis)
+}
+
+/// Shape of a fleet with one class, for tests.
+#[derive(Clone, Debug)]
+pub(crate) struct FleetShape {
+    pub(crate) workers: usize,
+    pub(crate) slots: u32,
+    pub(crate) classes: usize,
+    /// Name, share and limit of each team.
+    pub(crate) teams: Vec<(TeamName, f64, u32)>,
+    pub(crate) depth: u32,
+}
+
+impl Default for FleetShape {
+    fn default() -> Self {
+        Self {
+            workers: 2,
+            slots: 8,
+            classes: 1,
+            teams: vec![(team("a"), 0.5, 100), (team("b"), 0.5, 100)],
+            depth: 100_000,
+        }
+    }
+}
+
+impl FleetShape {
+    pub(crate) fn class(&self, number: usize) -> ClassName {
+        class(&format!("class-{number}"))
+    }
+
+    pub(crate) fn declaration(&self) -> FleetDeclaration {
+        let mut fleet = FleetDeclaration::default();
+        for (name, _, limit) in &self.teams {
+            fleet
+                .teams
+                .insert(name.clone(), TeamTarget { limit: *limit });
+        }
+        for number in 0..self.classes {
+            let target = QueueTarget {
+                pool: PoolName::new(&format!("pool-{number}")).unwrap(),
+                open: false,
+                max_timeout_seconds: 60,
+                max_body_bytes: 1_000,
+                max_waiting_per_team: self.depth,
+                shares: self
+                    .teams
+                    .iter()
+                    .map(|(name, share, _)| (name.clone(), *share))
+                    .collect(),
+            };
+            fleet.queues.insert(self.class(number), target);
+        }
+        fleet
+    }
+
+    /// Workers take turns among the classes.
+    pub(crate) fn worker_views(&self) -> Vec<WorkerView> {
+        (0..self.workers)
+            .map(|number| WorkerView {
+                vm: vm(number),
+                address: ([127, 0, 0, 1], 1_000).into(),
+                classes: vec![self.class(number % self.classes)],
+                serving: true,
+            })
+            .collect()
+    }
+
+    /// Every token, in an order that spreads each pool over the nodes.
+    pub(crate) fn tokens(&self) -> Vec<TokenId> {
+        let mut tokens = Vec::new();
+        for worker in 0..self.workers {
+            for number in 0..self.slots {
+                let pool = TokenPool::Slot(vm(worker));
+                tokens.push(TokenId { pool, number });
+            }
+        }
+        for (name, _, limit) in &self.teams {
+            for number in 0..*limit {
+                let pool = TokenPool::Permit(name.clone());
+                tokens.push(TokenId { pool, number });
+            }
+        }
+        tokens
+    }
+
+    /// View of node `own` of `nodes`, with an even part of the tokens.
+    pub(crate) fn view(&self, own: usize, nodes: usize) -> FleetView {
+        let homes = self
+            .tokens()
+            .into_iter()
+            .enumerate()
+            .filter(|(place, _)| place % nodes == own)
+            .map(|(_, token)| token)
+            .collect();
+        FleetView {
+            declaration: self.declaration(),
+            workers: self.worker_views(),
+            peers: (0..nodes).filter(|peer| *peer != own).map(node).collect(),
+            homes,
+        }
+    }
+}
+
+pub(crate) fn ticket(id: u64, class: &ClassName, team: Option<&TeamName>) -> RequestTicket {
+    RequestTicket {
+        id: TicketId(id),
+        class: class.clone(),
+        team: team.cloned(),
+        deadline: at(60_000),
+        repeatable: true,
+    }
+}
+
+pub(crate) fn success(vm: &VmId) -> AttemptReport {
+    AttemptReport {
+        vm: vm.clone(),
+        outcome: RunOutcome::Ran,
+        faulty: false,
+        ended: true,
+        answered: true,
+    }
+}
+
+pub(crate) fn refused(vm: &VmId) -> AttemptReport {
+    AttemptReport {
+        vm: vm.clone(),
+        outcome: RunOutcome::NotRun,
+        faulty: true,
+        ended: true,
+        answered: false,
+    }
+}
+
+pub(crate) fn lost(vm: &VmId) -> AttemptReport {
+    AttemptReport {
+        vm: vm.clone(),
+        outcome: RunOutcome::Unknown,
+        faulty: true,
+        ended: false,
+        answered: false,
+    }
+}
+
+/// Returns the requests dispatched by `actions`, with their VMs.
+pub(crate) fn dispatched(actions: &[SchedulerAction]) -> Vec<(TicketId, VmId)> {
+    actions
+        .iter()
+        .filter_map(|action| match action {
+            SchedulerAction::Dispatch { id, vm, .. } => Some((*id, vm.clone())),
+            _ => None,
+        })
+        .collect()
+}
+
+/// Returns the requests refused by `actions`.
+pub(crate) fn refusals(actions: &[SchedulerAction]) -> Vec<TicketId> {
+    actions
+        .iter()
+        .filter_map(|action| match action {
+            SchedulerAction::Refuse { id, .. } => Some(*id),
+            _ => None,
+        })
+        .collect()
+}
+
+pub(crate) fn millis(millis: u64) -> time::Duration {
+    time::Duration::from_millis(millis)
+}
