Leave tokens on their way to an ended home to the table

Cause: `settle` adopted a token that was on its way back to its ended home. The home may have got it and lent it to a third process before its acknowledgement was lost; then two processes adopt the same token, and a quarantine of one task lease does not help, since the third uses it on. Change: only tokens that were never sent are adopted; the others stay with the ended home until the table gives them away, when all have settled and the task lease has lapsed. Conclusion: adoption is safe only for what a process holds itself.

--- a/crates/policy/src/exchange.rs
+++ b/crates/policy/src/exchange.rs
@@ -25,7 +25,36 @@
     pub recalls: Vec<TokenPool>,
 }
 
+/// Bytes of a number in a message, with its share of the framing.
+const NUMBER_BYTES: u64 = 8;
+
 impl PeerMessage {
+    /// Returns an estimate of the size of the message on the wire, in bytes:
+    /// the text of each name and eight bytes for each number and list.
+    pub fn wire_bytes(&self) -> u64 {
+        let demand = self.demand.iter().map(|entry| {
+            let team = entry
+                .team
+                .as_ref()
+                .map_or(0, |team| text_bytes(team.as_str()));
+            text_bytes(entry.class.as_str()) + team + 2 * NUMBER_BYTES
+        });
+        let idle = self.idle.iter();
+        let idle = idle.map(|entry| text_bytes(entry.class.as_str()) + NUMBER_BYTES);
+        let wants = self.wants.iter();
+        let wants = wants.map(|entry| text_bytes(entry.team.as_str()) + NUMBER_BYTES);
+        let transfers = self.transfers.iter().map(|transfer| {
+            let tokens = transfer.tokens.iter();
+            let tokens = tokens.map(|token| pool_bytes(&token.pool) + NUMBER_BYTES);
+            tokens.sum::<u64>() + 2 * NUMBER_BYTES
+        });
+        let received = NUMBER_BYTES * self.received.len() as u64;
+        let recalls = self.recalls.iter().map(pool_bytes);
+        let lists = demand.sum::<u64>() + idle.sum::<u64>() + wants.sum::<u64>();
+        let frame = 7 * NUMBER_BYTES;
+        frame + lists + transfers.sum::<u64>() + received + recalls.sum::<u64>()
+    }
+
     /// Returns whether the message says nothing.
     pub fn is_empty(&self) -> bool {
         let demand = self.demand.is_empty() && self.idle.is_empty() && self.wants.is_empty();
@@ -76,3 +105,15 @@
     /// The tokens.
     pub tokens: Vec<TokenId>,
 }
+
+/// Returns the bytes of a text with its length, in whole words.
+fn text_bytes(text: &str) -> u64 {
+    NUMBER_BYTES + (text.len() as u64 + 1).next_multiple_of(NUMBER_BYTES)
+}
+
+fn pool_bytes(pool: &TokenPool) -> u64 {
+    match pool {
+        TokenPool::Permit(team) => text_bytes(team.as_str()),
+        TokenPool::Slot(vm) => text_bytes(vm.as_str()),
+    }
+}
--- a/crates/policy/src/ledger.rs
+++ b/crates/policy/src/ledger.rs
@@ -326,15 +326,9 @@
     /// Ends all dealings with the ended incarnation `ended`.
     ///
     /// Its tokens that are held here get their home here, and are returned so
-    /// that the table can be told; so do those in `returning`, which were on
-    /// their way to it. What it may have used stays out of use until `until`,
-    /// when nothing that it started can be running.
-    pub fn settle(
-        &mut self,
-        until: NodeTime,
-        ended: &NodeIncarnation,
-        returning: &[TokenId],
-    ) -> Vec<TokenId> {
+    /// that the table can be told. Tokens that were lent to it stay out of use
+    /// until `until`, when nothing that it started can be running.
+    pub fn settle(&mut self, until: NodeTime, ended: &NodeIncarnation) -> Vec<TokenId> {
         let mut adopted = Vec::new();
         let mut lent = Vec::new();
         for (token, entry) in &self.tokens {
@@ -352,19 +346,20 @@
             self.set_state(&token, TokenState::Quarantined(until));
             self.quarantine.push(cmp::Reverse((until, token)));
         }
-        for token in returning {
-            // A token that is known here was lent to `ended` and handled above.
-            if !self.tokens.contains_key(token) {
-                let state = TokenState::Quarantined(until);
-                self.insert(token, TokenHome::Adopted, state);
-                self.quarantine.push(cmp::Reverse((until, token.clone())));
-                adopted.push(token.clone());
-            }
-        }
         adopted.sort();
         adopted
     }
 
+    /// Takes a token of an ended home that was here last; returns whether it
+    /// was not known here.
+    pub fn adopt(&mut self, now: NodeTime, token: &TokenId) -> bool {
+        let unknown = !self.tokens.contains_key(token);
+        if unknown {
+            self.insert(token, TokenHome::Adopted, TokenState::Free(now));
+        }
+        unknown
+    }
+
     fn home_of(&self, token: &TokenId) -> Option<&NodeIncarnation> {
         match &self.tokens.get(token)?.home {
             TokenHome::Foreign(home) => Some(home),
--- a/crates/policy/src/scheduler/mod.rs
+++ b/crates/policy/src/scheduler/mod.rs
@@ -298,18 +298,26 @@
     /// returns its tokens that are held here, so that the table can record
     /// this process as their home.
     ///
-    /// Tokens that it may have used come back into use after the task lease.
+    /// Own tokens that were lent to it come back into use after the task
+    /// lease. Its tokens that were on their way back to it belong to nobody
+    /// here: it may have got them and lent them to a third process, even if it
+    /// never acknowledged them. They are left to the table.
     pub fn settle(&mut self, now: NodeTime, ended: &NodeIncarnation) -> Vec<TokenId> {
         if !self.settled.insert(ended.clone()) {
             return Vec::new();
         }
-        let returning = self.links.remove(ended).map(|link| link.unsettled());
+        let link = self.links.remove(ended);
         for state in self.classes.values_mut() {
             state.remote.forget(&mut state.queue, ended);
         }
         let until = now + self.settings.task_lease;
-        self.ledger
-            .settle(until, ended, &returning.unwrap_or_default())
+        let mut adopted = self.ledger.settle(until, ended);
+        for token in link.iter().flat_map(PeerLink::unsent) {
+            if self.ledger.adopt(now, token) {
+                adopted.push(token.clone());
+            }
+        }
+        adopted
     }
 
     /// Lets go of an idle token whose home is here, so that the table can give
--- a/crates/policy/src/transfer.rs
+++ b/crates/policy/src/transfer.rs
@@ -76,10 +76,9 @@
         pending + self.outgoing.len()
     }
 
-    /// Returns the tokens on their way to the peer, as far as is known here.
-    pub fn unsettled(&self) -> Vec<TokenId> {
-        let pending = self.pending.values().flat_map(|transfer| &transfer.tokens);
-        pending.chain(&self.outgoing).cloned().collect()
+    /// Returns the tokens that were let go of but never sent.
+    pub fn unsent(&self) -> &[TokenId] {
+        &self.outgoing
     }
 
     /// Returns whether acknowledgements wait to be sent.
--- /dev/null
+++ b/crates/policy/tests/support/cluster.rs
@@ -0,0 +1,770 @@
+//! Several schedulers with a lossy network and fake workers between them.
+
+#![allow(dead_code, reason = "each test file uses a part")]
+#![allow(clippy::unwrap_used, reason = "constant names of tests are valid")]
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use redwing_model::{ClassName, NodeIncarnation, RunOutcome, TeamName, VmId};
+use redwing_policy::{
+    AttemptReport, AttemptVerdict, FleetView, NodeScheduler, PeerMessage, RequestTicket,
+    SchedulerAction, SchedulerSettings, TicketId, TokenId,
+};
+
+use super::{FleetShape, at, node};
+
+/// Time between two installs of the view at a node, in milliseconds.
+const INSTALL_INTERVAL: u64 = 500;
+
+/// Small generator of numbers, the same for each seed.
+#[derive(Clone, Debug)]
+pub(crate) struct Numbers(u64);
+
+impl Numbers {
+    pub(crate) fn new(seed: u64) -> Self {
+        Self(seed.wrapping_mul(2).wrapping_add(0x9e37_79b9_7f4a_7c15))
+    }
+
+    pub(crate) fn next(&mut self) -> u64 {
+        self.0 = self.0.wrapping_add(0x9e37_79b9_7f4a_7c15);
+        let mut mixed = self.0;
+        mixed = (mixed ^ (mixed >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+        mixed = (mixed ^ (mixed >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+        mixed ^ (mixed >> 31)
+    }
+
+    pub(crate) fn below(&mut self, bound: u64) -> u64 {
+        self.next() % bound.max(1)
+    }
+
+    pub(crate) fn unit(&mut self) -> f64 {
+        (self.next() >> 11) as f64 / (1u64 << 53) as f64
+    }
+
+    pub(crate) fn percent(&mut self, percent: u64) -> bool {
+        self.below(100) < percent
+    }
+}
+
+/// How a task ends.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum TaskEnd {
+    /// Runs and answers.
+    Success,
+    /// Was refused by the worker before it ran.
+    Refused,
+    /// Ran and failed.
+    Failed,
+    /// Runs on, but the connection breaks at once.
+    Lost,
+}
+
+#[derive(Clone, Debug)]
+pub(crate) struct Task {
+    pub(crate) id: TicketId,
+    pub(crate) node: NodeIncarnation,
+    pub(crate) class: ClassName,
+    pub(crate) team: Option<TeamName>,
+    pub(crate) vm: VmId,
+    pub(crate) start: u64,
+    pub(crate) end: u64,
+    pub(crate) result: TaskEnd,
+    reported: bool,
+}
+
+#[derive(Clone, Debug)]
+pub(crate) struct Request {
+    pub(crate) node: usize,
+    pub(crate) class: ClassName,
+    pub(crate) team: Option<TeamName>,
+    pub(crate) repeatable: bool,
+    pub(crate) run: u64,
+    pub(crate) arrived: u64,
+    pub(crate) deadline: u64,
+    pub(crate) executions: u32,
+    pub(crate) ends: Vec<RequestEnd>,
+}
+
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum RequestEnd {
+    Answered { at: u64, good: bool },
+    Refused { at: u64, outcome: RunOutcome },
+    Cancelled,
+    NodeEnded,
+}
+
+#[derive(Debug)]
+struct Envelope {
+    to: NodeIncarnation,
+    from: NodeIncarnation,
+    message: PeerMessage,
+}
+
+/// One entry process.
+#[derive(Debug)]
+struct Process {
+    scheduler: NodeScheduler,
+    paused_until: Option<u64>,
+    leaving: bool,
+    installed_at: u64,
+    /// When the process hears of the end of each incarnation.
+    news: BTreeMap<NodeIncarnation, u64>,
+    settled: BTreeSet<NodeIncarnation>,
+    /// Processes that this one cannot reach, in either direction.
+    cut_until: u64,
+}
+
+/// What the network does to messages, in percent.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct NetworkFaults {
+    pub(crate) lost: u64,
+    pub(crate) repeated: u64,
+    /// Largest extra delay in milliseconds.
+    pub(crate) delay: u64,
+}
+
+/// What workers do to tasks, in percent.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct WorkerFaults {
+    pub(crate) refused: u64,
+    pub(crate) failed: u64,
+    pub(crate) lost: u64,
+}
+
+/// Schedulers, workers, table and network, moved on step by step.
+#[derive(Debug)]
+pub(crate) struct Cluster {
+    pub(crate) now: u64,
+    pub(crate) shape: FleetShape,
+    pub(crate) requests: BTreeMap<TicketId, Request>,
+    pub(crate) finished: Vec<Task>,
+    pub(crate) network: NetworkFaults,
+    pub(crate) faults: WorkerFaults,
+    pub(crate) black_hole: Option<VmId>,
+    pub(crate) bytes: u64,
+    pub(crate) messages: u64,
+    pub(crate) violations: Vec<String>,
+    pub(crate) check_tokens: bool,
+    settings: SchedulerSettings,
+    processes: Vec<Option<Process>>,
+    incarnations: Vec<NodeIncarnation>,
+    homes: BTreeMap<TokenId, NodeIncarnation>,
+    ended: BTreeMap<NodeIncarnation, Option<u64>>,
+    mail: BTreeMap<(u64, u64), Envelope>,
+    mailed: u64,
+    tasks: BTreeMap<(u64, u64), Task>,
+    late: Vec<Task>,
+    running_team: BTreeMap<TeamName, u32>,
+    running_vm: BTreeMap<VmId, u32>,
+    next_task: u64,
+    next_ticket: u64,
+    numbers: Numbers,
+}
+
+impl Cluster {
+    pub(crate) fn new(
+        shape: FleetShape,
+        nodes: usize,
+        settings: SchedulerSettings,
+        seed: u64,
+    ) -> Self {
+        let mut cluster = Self {
+            now: 1,
+            requests: BTreeMap::new(),
+            finished: Vec::new(),
+            network: NetworkFaults::default(),
+            faults: WorkerFaults::default(),
+            black_hole: None,
+            bytes: 0,
+            messages: 0,
+            violations: Vec::new(),
+            check_tokens: true,
+            settings,
+            processes: Vec::new(),
+            incarnations: Vec::new(),
+            homes: BTreeMap::new(),
+            ended: BTreeMap::new(),
+            mail: BTreeMap::new(),
+            mailed: 0,
+            tasks: BTreeMap::new(),
+            late: Vec::new(),
+            running_team: BTreeMap::new(),
+            running_vm: BTreeMap::new(),
+            next_task: 0,
+            next_ticket: 0,
+            numbers: Numbers::new(seed),
+            shape,
+        };
+        for _ in 0..nodes {
+            cluster.add_process();
+        }
+        for (place, token) in cluster.shape.tokens().into_iter().enumerate() {
+            let home = cluster.incarnations[place % nodes].clone();
+            cluster.homes.insert(token, home);
+        }
+        for place in 0..nodes {
+            cluster.install(place);
+        }
+        cluster
+    }
+
+    pub(crate) fn nodes(&self) -> usize {
+        self.processes.len()
+    }
+
+    /// Returns the nodes that run and are not leaving.
+    pub(crate) fn serving(&self) -> Vec<usize> {
+        let serving = |place: &usize| {
+            let process = self.processes[*place].as_ref();
+            process.is_some_and(|process| !process.leaving)
+        };
+        (0..self.processes.len()).filter(serving).collect()
+    }
+
+    pub(crate) fn scheduler(&self, place: usize) -> Option<&NodeScheduler> {
+        self.processes[place]
+            .as_ref()
+            .map(|process| &process.scheduler)
+    }
+
+    pub(crate) fn running(&self) -> usize {
+        self.tasks.len()
+    }
+
+    pub(crate) fn running_of(&self, team: &TeamName) -> u32 {
+        self.running_team.get(team).copied().unwrap_or(0)
+    }
+
+    /// Submits a request at a node; returns `None` if the node cannot take it.
+    pub(crate) fn submit(
+        &mut self,
+        place: usize,
+        class: &ClassName,
+        team: Option<&TeamName>,
+        repeatable: bool,
+        run: u64,
+        timeout: u64,
+    ) -> Option<TicketId> {
+        let now = self.now;
+        let process = self.processes.get_mut(place)?.as_mut()?;
+        if process.paused_until.is_some() {
+            return None;
+        }
+        let id = TicketId(self.next_ticket);
+        self.next_ticket += 1;
+        let request = Request {
+            node: place,
+            class: class.clone(),
+            team: team.cloned(),
+            repeatable,
+            run,
+            arrived: now,
+            deadline: now + timeout,
+            executions: 0,
+            ends: Vec::new(),
+        };
+        self.requests.insert(id, request);
+        let ticket = RequestTicket {
+            id,
+            class: class.clone(),
+            team: team.cloned(),
+            deadline: at(now + timeout),
+            repeatable,
+        };
+        process.scheduler.submit(at(now), ticket);
+        self.act(place);
+        Some(id)
+    }
+
+    /// Cancels a request whose caller has gone.
+    pub(crate) fn cancel(&mut self, id: TicketId) {
+        let Some(request) = self.requests.get_mut(&id) else {
+            return;
+        };
+        let place = request.node;
+        let Some(process) = &mut self.processes[place] else {
+            return;
+        };
+        if process.paused_until.is_some() || !request.ends.is_empty() {
+            return;
+        }
+        request.ends.push(RequestEnd::Cancelled);
+        process.scheduler.cancel(at(self.now), id);
+        self.act(place);
+    }
+
+    /// Ends a process at once; its tasks go on running.
+    pub(crate) fn kill(&mut self, place: usize) {
+        if self.processes[place].take().is_none() {
+            return;
+        }
+        self.note_end(place);
+    }
+
+    /// Stops a process for `millis`.
+    pub(crate) fn pause(&mut self, place: usize, millis: u64) {
+        if let Some(process) = &mut self.processes[place] {
+            process.paused_until = Some(self.now + millis);
+        }
+    }
+
+    /// Cuts a process off from all others for `millis`.
+    pub(crate) fn cut(&mut self, place: usize, millis: u64) {
+        if let Some(process) = &mut self.processes[place] {
+            process.cut_until = self.now + millis;
+        }
+    }
+
+    pub(crate) fn leave(&mut self, place: usize) {
+        let now = at(self.now);
+        let Some(process) = &mut self.processes[place] else {
+            return;
+        };
+        if process.paused_until.is_none() {
+            process.leaving = true;
+            process.scheduler.leave(now);
+            self.act(place);
+        }
+    }
+
+    /// Starts a new process, which gets some idle homes of the others.
+    pub(crate) fn join(&mut self) -> usize {
+        let place = self.add_process();
+        let mut moved = 0;
+        for (token, home) in self.homes.clone() {
+            let owner = self.incarnations.iter().position(|other| *other == home);
+            let Some(process) = owner.and_then(|owner| self.processes[owner].as_mut()) else {
+                continue;
+            };
+            if process.paused_until.is_none() && moved < 8 && process.scheduler.release_home(&token)
+            {
+                self.homes.insert(token, self.incarnations[place].clone());
+                moved += 1;
+            }
+        }
+        self.install(place);
+        place
+    }
+
+    /// Lets time pass in steps of `step` milliseconds.
+    pub(crate) fn run(&mut self, millis: u64, step: u64) {
+        let end = self.now + millis;
+        while self.now < end && self.violations.is_empty() {
+            self.now += step;
+            self.wake();
+            self.spread_news();
+            self.deliver();
+            self.end_tasks();
+            for place in 0..self.processes.len() {
+                self.tick(place);
+            }
+            if self.check_tokens {
+                self.check_single_use();
+            }
+        }
+    }
+
+    /// Returns the number of tokens that are ready for use somewhere.
+    pub(crate) fn free_tokens(&self) -> usize {
+        self.processes
+            .iter()
+            .flatten()
+            .map(|process| process.scheduler.token_counts().free)
+            .sum()
+    }
+
+    fn add_process(&mut self) -> usize {
+        let place = self.processes.len();
+        let incarnation = node(place);
+        let settled: BTreeSet<_> = self.ended.keys().cloned().collect();
+        let mut scheduler = NodeScheduler::new(self.settings.clone(), incarnation.clone());
+        for ended in &settled {
+            scheduler.settle(at(self.now), ended);
+        }
+        self.processes.push(Some(Process {
+            scheduler,
+            paused_until: None,
+            leaving: false,
+            installed_at: 0,
+            news: BTreeMap::new(),
+            settled,
+            cut_until: 0,
+        }));
+        self.incarnations.push(incarnation);
+        place
+    }
+
+    fn note_end(&mut self, place: usize) {
+        let ended = self.incarnations[place].clone();
+        for request in self.requests.values_mut() {
+            if request.node == place && request.ends.is_empty() {
+                request.ends.push(RequestEnd::NodeEnded);
+            }
+        }
+        for process in self.processes.iter_mut().flatten() {
+            let heard = self.now + 200 + self.numbers.below(2_000);
+            process.news.insert(ended.clone(), heard);
+        }
+        self.ended.insert(ended, None);
+    }
+
+    fn install(&mut self, place: usize) {
+        let own = &self.incarnations[place];
+        let homes = self.homes.iter().filter(|(_, home)| *home == own);
+        let peers = self.serving().into_iter().filter(|peer| *peer != place);
+        let view = FleetView {
+            declaration: self.shape.declaration(),
+            workers: self.shape.worker_views(),
+            peers: peers.map(|peer| self.incarnations[peer].clone()).collect(),
+            homes: homes.map(|(token, _)| token.clone()).collect(),
+        };
+        if let Some(process) = &mut self.processes[place] {
+            process.installed_at = self.now;
+            process.scheduler.install(at(self.now), view);
+            self.act(place);
+        }
+    }
+
+    /// Wakes processes whose pause is over; one that was ended meanwhile exits.
+    fn wake(&mut self) {
+        for place in 0..self.processes.len() {
+            let Some(process) = &mut self.processes[place] else {
+                continue;
+            };
+            if process.paused_until.is_some_and(|until| until <= self.now) {
+                process.paused_until = None;
+                process.scheduler.suspend(at(self.now));
+                process.scheduler.resume(at(self.now));
+                self.act(place);
+            }
+        }
+    }
+
+    /// Tells processes of ended ones, and gives the remaining tokens of an
+    /// ended one a new home once everybody has settled and the lease is over.
+    fn spread_news(&mut self) {
+        for place in 0..self.processes.len() {
+            let Some(process) = &mut self.processes[place] else {
+                continue;
+            };
+            if process.paused_until.is_some() {
+                continue;
+            }
+            let due = process.news.iter().filter(|(_, heard)| **heard <= self.now);
+            let due: Vec<_> = due.map(|(ended, _)| ended.clone()).collect();
+            for ended in due {
+                process.news.remove(&ended);
+                for token in process.scheduler.settle(at(self.now), &ended) {
+                    self.homes.insert(token, self.incarnations[place].clone());
+                }
+                process.settled.insert(ended);
+            }
+        }
+        for (ended, settled_at) in &mut self.ended {
+            let all = |process: &Process| process.settled.contains(ended);
+            if settled_at.is_none() && self.processes.iter().flatten().all(all) {
+                *settled_at = Some(self.now);
+            }
+        }
+        self.rehome();
+    }
+
+    fn rehome(&mut self) {
+        let lease = u64::try_from(self.settings.task_lease.as_millis()).unwrap();
+        let serving = self.serving();
+        for (ended, settled_at) in &self.ended {
+            let lapsed = settled_at.is_some_and(|settled_at| settled_at + lease <= self.now);
+            if !lapsed || serving.is_empty() {
+                continue;
+            }
+            for home in self.homes.values_mut() {
+                if home == ended {
+                    let heir = serving[self.numbers.below(serving.len() as u64) as usize];
+                    *home = self.incarnations[heir].clone();
+                }
+            }
+        }
+    }
+
+    fn deliver(&mut self) {
+        while let Some(entry) = self.mail.first_entry() {
+            if entry.key().0 > self.now {
+                break;
+            }
+            let envelope = entry.remove();
+            let place = self
+                .incarnations
+                .iter()
+                .position(|other| *other == envelope.to);
+            let Some(place) = place else {
+                continue;
+            };
+            if let Some(process) = &mut self.processes[place]
+                && process.paused_until.is_none()
+                && process.cut_until <= self.now
+            {
+                let now = at(self.now);
+                process
+                    .scheduler
+                    .receive(now, &envelope.from, envelope.message);
+                self.act(place);
+            }
+        }
+    }
+
+    fn tick(&mut self, place: usize) {
+        let Some(process) = &mut self.processes[place] else {
+            return;
+        };
+        if process.paused_until.is_some() {
+            return;
+        }
+        process.scheduler.tick(at(self.now));
+        let stale = self.now >= process.installed_at + INSTALL_INTERVAL;
+        let drained = process.scheduler.is_drained();
+        self.act(place);
+        if stale {
+            self.install(place);
+        }
+        if drained {
+            self.processes[place] = None;
+            self.note_end(place);
+        }
+    }
+
+    /// Does what the scheduler of a process decided.
+    fn act(&mut self, place: usize) {
+        let Some(process) = &mut self.processes[place] else {
+            return;
+        };
+        let from = self.incarnations[place].clone();
+        let cut = process.cut_until > self.now;
+        for action in process.scheduler.take_actions() {
+            match action {
+                SchedulerAction::Dispatch { id, vm, .. } => self.start_task(&from, id, &vm),
+                SchedulerAction::Refuse { id, refusal } => {
+                    let outcome = refusal.outcome;
+                    let end = RequestEnd::Refused {
+                        at: self.now,
+                        outcome,
+                    };
+                    self.end_request(id, end);
+                }
+                SchedulerAction::Send { to, message } => {
+                    self.messages += 1;
+                    self.bytes += message.wire_bytes();
+                    if !cut {
+                        self.post(&from, &to, message);
+                    }
+                }
+            }
+        }
+    }
+
+    fn post(&mut self, from: &NodeIncarnation, to: &NodeIncarnation, message: PeerMessage) {
+        let copies = match self.numbers.percent(self.network.lost) {
+            true => 0,
+            false => 1 + u64::from(self.numbers.percent(self.network.repeated)),
+        };
+        for _ in 0..copies {
+            let delay = 1 + self.numbers.below(self.network.delay + 1);
+            self.mailed += 1;
+            let key = (self.now + delay, self.mailed);
+            let envelope = Envelope {
+                to: to.clone(),
+                from: from.clone(),
+                message: message.clone(),
+            };
+            self.mail.insert(key, envelope);
+        }
+    }
+
+    fn start_task(&mut self, from: &NodeIncarnation, id: TicketId, vm: &VmId) {
+        let result = self.draw_result(vm);
+        let Some(request) = self.requests.get_mut(&id) else {
+            self.violations.push(format!("dispatch of unknown {id:?}"));
+            return;
+        };
+        if !request.ends.is_empty() {
+            self.violations
+                .push(format!("dispatch of {id:?} after its end"));
+        }
+        let run = match result {
+            TaskEnd::Refused => 0,
+            TaskEnd::Failed => 1,
+            TaskEnd::Success | TaskEnd::Lost => request.run,
+        };
+        if result != TaskEnd::Refused {
+            request.executions += 1;
+            if request.executions > 1 && !request.repeatable {
+                self.violations.push(format!("{id:?} ran twice"));
+            }
+        }
+        let (class, team) = (request.class.clone(), request.team.clone());
+        let task = Task {
+            id,
+            node: from.clone(),
+            class,
+            team,
+            vm: vm.clone(),
+            start: self.now,
+            end: self.now + run,
+            result,
+            reported: false,
+        };
+        self.count_start(&task);
+        self.next_task += 1;
+        // A lost connection is reported at once, while the task runs on.
+        let due = match result {
+            TaskEnd::Lost => self.now,
+            _ => task.end,
+        };
+        self.tasks.insert((due, self.next_task), task);
+    }
+
+    fn draw_result(&mut self, vm: &VmId) -> TaskEnd {
+        if self.black_hole.as_ref() == Some(vm) {
+            return TaskEnd::Failed;
+        }
+        let draw = self.numbers.below(100);
+        let faults = self.faults;
+        match draw {
+            _ if draw < faults.refused => TaskEnd::Refused,
+            _ if draw < faults.refused + faults.failed => TaskEnd::Failed,
+            _ if draw < faults.refused + faults.failed + faults.lost => TaskEnd::Lost,
+            _ => TaskEnd::Success,
+        }
+    }
+
+    fn count_start(&mut self, task: &Task) {
+        let on_vm = self.running_vm.entry(task.vm.clone()).or_default();
+        *on_vm += 1;
+        if *on_vm > self.shape.slots {
+            let excess = format!("{} runs {on_vm} tasks at {}", task.vm, self.now);
+            self.violations.push(excess);
+        }
+        let Some(team) = &task.team else {
+            return;
+        };
+        let of_team = self.running_team.entry(team.clone()).or_default();
+        *of_team += 1;
+        let limit = self.shape.teams.iter().find(|(name, ..)| name == team);
+        if limit.is_some_and(|(_, _, limit)| *of_team > *limit) {
+            let excess = format!("{team} runs {of_team} tasks at {}", self.now);
+            self.violations.push(excess);
+        }
+    }
+
+    fn count_end(&mut self, task: &Task) {
+        if let Some(running) = self.running_vm.get_mut(&task.vm) {
+            *running -= 1;
+        }
+        let team = task.team.as_ref();
+        if let Some(running) = team.and_then(|team| self.running_team.get_mut(team)) {
+            *running -= 1;
+        }
+    }
+
+    fn end_tasks(&mut self) {
+        while let Some(entry) = self.tasks.first_entry() {
+            if entry.key().0 > self.now {
+                break;
+            }
+            let mut task = entry.remove();
+            let over = task.end <= self.now;
+            if over {
+                self.count_end(&task);
+                self.finished.push(task.clone());
+            }
+            if !task.reported && !self.report(&task) {
+                // The process is paused and hears of the end when it wakes.
+                if over {
+                    self.late.push(task);
+                    continue;
+                }
+            }
+            task.reported = true;
+            if !over {
+                self.next_task += 1;
+                self.tasks.insert((task.end, self.next_task), task);
+            }
+        }
+        for task in std::mem::take(&mut self.late) {
+            if !self.report(&task) {
+                self.late.push(task);
+            }
+        }
+    }
+
+    /// Reports the end of an attempt; returns false while its process is paused.
+    fn report(&mut self, task: &Task) -> bool {
+        let place = self
+            .incarnations
+            .iter()
+            .position(|other| *other == task.node)
+            .unwrap();
+        let Some(process) = &mut self.processes[place] else {
+            return true;
+        };
+        if process.paused_until.is_some() {
+            return false;
+        }
+        let report = AttemptReport {
+            vm: task.vm.clone(),
+            outcome: match task.result {
+                TaskEnd::Success | TaskEnd::Failed => RunOutcome::Ran,
+                TaskEnd::Refused => RunOutcome::NotRun,
+                TaskEnd::Lost => RunOutcome::Unknown,
+            },
+            faulty: task.result != TaskEnd::Success,
+            ended: task.result != TaskEnd::Lost,
+            answered: task.result == TaskEnd::Success,
+        };
+        let verdict = process.scheduler.finish(at(self.now), task.id, &report);
+        if verdict == AttemptVerdict::Final {
+            let good = task.result == TaskEnd::Success;
+            let end = RequestEnd::Answered { at: self.now, good };
+            self.end_request(task.id, end);
+        }
+        self.act(place);
+        true
+    }
+
+    fn end_request(&mut self, id: TicketId, end: RequestEnd) {
+        let Some(request) = self.requests.get_mut(&id) else {
+            return;
+        };
+        if let RequestEnd::Refused { outcome, .. } = end
+            && outcome == RunOutcome::NotRun
+            && request.executions > 0
+        {
+            self.violations
+                .push(format!("{id:?} ran, but was refused as not run"));
+        }
+        if request.ends == [RequestEnd::Cancelled] && matches!(end, RequestEnd::Answered { .. }) {
+            return;
+        }
+        request.ends.push(end);
+        if request.ends.len() > 1 {
+            self.violations
+                .push(format!("{id:?} ended twice: {:?}", request.ends));
+        }
+    }
+
+    /// Checks that no token may be used by two processes.
+    fn check_single_use(&mut self) {
+        let mut holders: BTreeMap<TokenId, usize> = BTreeMap::new();
+        for (place, process) in self.processes.iter().enumerate() {
+            let Some(process) = process else {
+                continue;
+            };
+            for holding in process.scheduler.holdings() {
+                if let Some(other) = holders.insert(holding.token.clone(), place) {
+                    let token = holding.token;
+                    let text = format!("{token} held by {other} and {place} at {}", self.now);
+                    self.violations.push(text);
+                }
+            }
+        }
+    }
+}
--- a/crates/policy/tests/support/mod.rs
+++ b/crates/policy/tests/support/mod.rs
@@ -3,6 +3,8 @@
 #![allow(dead_code, reason = "each test file uses a part")]
 #![allow(clippy::unwrap_used, reason = "constant names of tests are valid")]
 
+pub(crate) mod cluster;
+
 use std::time;
 
 use redwing_model::declaration::{QueueTarget, TeamTarget};
