Admit by the measured rate of a backlog and report demand when it matters

Cause: the wait of a new request was guessed from fleet-wide slots, eight times too short with eight processes, so that queues grew until requests started too late to be answered. Reports went out every 50 ms whatever they said, and permits went back to their home before the report that would have brought slots for them. Change: the wait follows from the dispatches per second since the team began to wait here, and leaves room for a long run (mean and three standard deviations). Reports go every 250 ms, or after 50 ms when a team begins to wait or gets its permits. A team keeps its permits while it waits for slots. What is charged in advance for a given slot follows from the slots held here. A leaving process hands its tokens over again if they come back.

--- /dev/null
+++ b/crates/policy/examples/share.rs
@@ -0,0 +1,402 @@
+//! Measures shares, limits and goodput of several schedulers together.
+//!
+//! `cargo run --release -p redwing-policy --example share -- [SEED]` prints
+//! each figure twice: with tokens passing between the processes, and with the
+//! fixed split of tokens that each process starts with.
+
+#[path = "../tests/support/mod.rs"]
+mod support;
+
+use std::collections::BTreeMap;
+use std::env;
+
+use redwing_model::TeamName;
+use redwing_policy::SchedulerSettings;
+
+use support::cluster::{Cluster, Numbers, RequestEnd};
+use support::{FleetShape, team, vm};
+
+/// Entry processes.
+const NODES: usize = 8;
+
+/// Mean run time of a request, in milliseconds.
+const MEAN_RUN: f64 = 300.0;
+
+/// Time step, in milliseconds.
+const STEP: u64 = 2;
+
+/// Length of a window of share errors, in milliseconds.
+const WINDOW: u64 = 10_000;
+
+/// Draws arrivals and run times of one stream of requests.
+struct Arrivals {
+    numbers: Numbers,
+}
+
+impl Arrivals {
+    /// Returns how many requests arrive within one step at `rate` a second.
+    fn count(&mut self, rate: f64) -> u64 {
+        let mean = rate * STEP as f64 / 1_000.0;
+        let whole = mean.floor();
+        whole as u64 + u64::from(self.numbers.unit() < mean - whole)
+    }
+
+    /// Returns a run time with an exponential distribution, in milliseconds.
+    fn run(&mut self, mean: f64) -> u64 {
+        let drawn = -mean * (1.0 - self.numbers.unit()).ln();
+        (drawn as u64).clamp(1, 10_000)
+    }
+}
+
+fn settings(exchange: bool) -> SchedulerSettings {
+    SchedulerSettings {
+        exchange_tokens: exchange,
+        ..SchedulerSettings::default()
+    }
+}
+
+fn cluster(shape: FleetShape, exchange: bool, seed: u64) -> Cluster {
+    let mut cluster = Cluster::new(shape, NODES, settings(exchange), seed);
+    cluster.check_tokens = false;
+    cluster.network.delay = 2;
+    cluster
+}
+
+/// Splits `slots` by weighted max-min; teams are (weight, demand).
+fn max_min(slots: f64, teams: &[(f64, f64)]) -> Vec<f64> {
+    let mut given = vec![0.0; teams.len()];
+    let mut open: Vec<usize> = (0..teams.len()).collect();
+    let mut left = slots;
+    loop {
+        let weights: f64 = open.iter().map(|place| teams[*place].0).sum();
+        let level = left / weights;
+        let met = |place: &usize| teams[*place].1 <= level * teams[*place].0;
+        let (met, unmet): (Vec<_>, Vec<_>) = open.iter().copied().partition(met);
+        for place in &met {
+            given[*place] = teams[*place].1;
+            left -= teams[*place].1;
+        }
+        if met.is_empty() || unmet.is_empty() {
+            for place in unmet {
+                given[place] = level * teams[place].0;
+            }
+            return given;
+        }
+        open = unmet;
+    }
+}
+
+/// Figures of the run with rotating demand.
+struct ShareFigures {
+    /// Largest error where demand exceeds supply in most of the window.
+    worst: f64,
+    mean: f64,
+    /// Largest error in any window, the run-down after a peak included.
+    worst_any: f64,
+    bytes_per_node: f64,
+    messages_per_node: f64,
+    use_of_slots: f64,
+}
+
+/// Nodes that each team's requests arrive through.
+fn arrival_nodes(place: usize) -> std::ops::Range<usize> {
+    match place {
+        0 => 0..1,
+        1 => 0..2,
+        2 => 4..8,
+        _ => 0..NODES,
+    }
+}
+
+/// Each class in turn asks for five times its mean, and for a twentieth of it
+/// in between; teams arrive through one, two, four or all processes.
+fn rotating_demand(exchange: bool, seed: u64) -> ShareFigures {
+    const CLASSES: usize = 5;
+    const TURN: u64 = 10_000;
+    const TURNS: u64 = 10;
+    let shares = [0.3, 0.25, 0.2, 0.1, 0.1, 0.05];
+    let shape = FleetShape {
+        workers: 50,
+        classes: CLASSES,
+        teams: shares
+            .iter()
+            .enumerate()
+            .map(|(place, share)| (team(&format!("team-{place}")), *share, 400))
+            .collect(),
+        ..FleetShape::default()
+    };
+    let slots = 80.0;
+    let mut cluster = cluster(shape.clone(), exchange, seed);
+    let mut arrivals = Arrivals {
+        numbers: Numbers::new(seed),
+    };
+    // The peak is twice what the pool holds.
+    let mean_rate = 2.0 * slots / (MEAN_RUN / 1_000.0) / 5.0;
+    let mut used: BTreeMap<(u64, usize, usize), f64> = BTreeMap::new();
+    let mut ideal = used.clone();
+    let mut contended: BTreeMap<(u64, usize), f64> = BTreeMap::new();
+    let mut busy = 0.0;
+    let mut possible = 0.0;
+    let end = TURN * TURNS;
+    while cluster.now < end {
+        let peak = (cluster.now / TURN) as usize % CLASSES;
+        for class in 0..CLASSES {
+            let factor = if class == peak { 5.0 } else { 0.05 };
+            for (place, (name, ..)) in shape.teams.iter().enumerate() {
+                let rate = mean_rate * factor / shape.teams.len() as f64;
+                for _ in 0..arrivals.count(rate) {
+                    let nodes = arrival_nodes(place);
+                    let node = nodes.start + arrivals.numbers.below(nodes.len() as u64) as usize;
+                    let run = arrivals.run(MEAN_RUN);
+                    cluster.submit(node, &shape.class(class), Some(name), true, run, 5_000);
+                }
+            }
+        }
+        cluster.run(STEP, STEP);
+        for class in 0..CLASSES {
+            let loads: Vec<_> = shape
+                .teams
+                .iter()
+                .map(|(name, ..)| cluster.load(&shape.class(class), name))
+                .collect();
+            let demand: Vec<(f64, f64)> = loads
+                .iter()
+                .zip(&shares)
+                .map(|(load, share)| (*share, f64::from(load.open)))
+                .collect();
+            let fair = max_min(slots, &demand);
+            let open: f64 = demand.iter().map(|(_, demand)| demand).sum();
+            possible += open.min(slots);
+            if open > slots {
+                *contended.entry((cluster.now / WINDOW, class)).or_default() += STEP as f64;
+            }
+            for (place, load) in loads.iter().enumerate() {
+                let key = (cluster.now / WINDOW, class, place);
+                *used.entry(key).or_default() += f64::from(load.running);
+                *ideal.entry(key).or_default() += fair[place];
+                busy += f64::from(load.running);
+            }
+        }
+    }
+    let mut errors = Vec::new();
+    let mut worst_any: f64 = 0.0;
+    for (key, ideal) in &ideal {
+        let error = (used[key] - ideal).abs() / ideal;
+        let time = contended.get(&(key.0, key.1)).copied().unwrap_or(0.0);
+        if time >= WINDOW as f64 / 2.0 {
+            errors.push(error);
+        }
+        // Windows in which a team could use less than a slot say nothing.
+        if *ideal >= WINDOW as f64 / STEP as f64 {
+            worst_any = worst_any.max(error);
+        }
+    }
+    let seconds = end as f64 / 1_000.0;
+    ShareFigures {
+        worst: errors.iter().copied().fold(0.0, f64::max),
+        worst_any,
+        mean: errors.iter().sum::<f64>() / errors.len() as f64,
+        bytes_per_node: cluster.bytes as f64 / seconds / NODES as f64,
+        messages_per_node: cluster.messages as f64 / seconds / NODES as f64,
+        use_of_slots: busy / possible,
+    }
+}
+
+/// Returns how long the slots of two equal teams need to even out after the
+/// second one starts to ask, through other processes than the first.
+fn convergence(exchange: bool, seed: u64) -> Option<u64> {
+    const START: u64 = 5_000;
+    let shape = FleetShape {
+        workers: 10,
+        ..FleetShape::default()
+    };
+    let mut cluster = cluster(shape.clone(), exchange, seed);
+    let mut arrivals = Arrivals {
+        numbers: Numbers::new(seed),
+    };
+    let class = shape.class(0);
+    let (first, second) = (team("a"), team("b"));
+    let mut recent = std::collections::VecDeque::new();
+    while cluster.now < START + 10_000 {
+        let mut ask = |cluster: &mut Cluster, node, name: &TeamName| {
+            for _ in 0..arrivals.count(500.0) {
+                let run = arrivals.run(MEAN_RUN);
+                cluster.submit(node, &class, Some(name), true, run, 5_000);
+            }
+        };
+        ask(&mut cluster, 0, &first);
+        if cluster.now >= START {
+            ask(&mut cluster, 7, &second);
+        }
+        cluster.run(STEP, STEP);
+        recent.push_back(f64::from(cluster.load(&class, &second).running));
+        if recent.len() > 100 {
+            recent.pop_front();
+        }
+        let mean = recent.iter().sum::<f64>() / recent.len() as f64;
+        if cluster.now > START && (mean - 40.0).abs() < 2.0 {
+            return Some(cluster.now - START);
+        }
+    }
+    None
+}
+
+/// Returns how long permits stay behind after the demand of a team with a
+/// limit moves from one process to another, in milliseconds.
+fn stranded_permits(exchange: bool, seed: u64) -> Option<u64> {
+    const START: u64 = 5_000;
+    const LIMIT: u32 = 24;
+    let shape = FleetShape {
+        workers: 10,
+        teams: vec![(team("a"), 1.0, LIMIT)],
+        ..FleetShape::default()
+    };
+    let mut cluster = cluster(shape.clone(), exchange, seed);
+    let mut arrivals = Arrivals {
+        numbers: Numbers::new(seed),
+    };
+    let class = shape.class(0);
+    let name = team("a");
+    while cluster.now < START + 10_000 {
+        let node = if cluster.now < START { 0 } else { 7 };
+        for _ in 0..arrivals.count(300.0) {
+            let run = arrivals.run(MEAN_RUN);
+            cluster.submit(node, &class, Some(&name), true, run, 400);
+        }
+        cluster.run(STEP, STEP);
+        let here = cluster.scheduler(7).map_or(0, |node| node.running());
+        if cluster.now > START && here as f64 >= 0.95 * f64::from(LIMIT) {
+            return Some(cluster.now - START);
+        }
+    }
+    None
+}
+
+/// Figures at three times the capacity.
+struct OverloadFigures {
+    /// Answers in time, as a part of what the slots could answer.
+    answers: f64,
+    /// Slot time of answers in time, as a part of all slot time.
+    slot_time: f64,
+}
+
+fn overload(exchange: bool, seed: u64) -> OverloadFigures {
+    const END: u64 = 40_000;
+    const START: u64 = 10_000;
+    let shape = FleetShape {
+        workers: 10,
+        ..FleetShape::default()
+    };
+    let mut cluster = cluster(shape.clone(), exchange, seed);
+    let mut arrivals = Arrivals {
+        numbers: Numbers::new(seed),
+    };
+    let class = shape.class(0);
+    let capacity = 80.0 / (MEAN_RUN / 1_000.0);
+    while cluster.now < END {
+        for (name, ..) in &shape.teams {
+            for _ in 0..arrivals.count(3.0 * capacity / 2.0) {
+                let node = arrivals.numbers.below(NODES as u64) as usize;
+                let run = arrivals.run(MEAN_RUN);
+                cluster.submit(node, &class, Some(name), true, run, 2_000);
+            }
+        }
+        cluster.run(STEP, STEP);
+    }
+    let in_time = cluster
+        .requests
+        .values()
+        .filter(|request| match request.ends[..] {
+            [RequestEnd::Answered { at, good: true }] => at <= request.deadline && at > START,
+            _ => false,
+        });
+    let (mut answers, mut used) = (0.0, 0.0);
+    for request in in_time {
+        answers += 1.0;
+        used += request.run as f64;
+    }
+    let millis = (END - START) as f64;
+    OverloadFigures {
+        answers: answers / (capacity * millis / 1_000.0),
+        slot_time: used / (80.0 * millis),
+    }
+}
+
+/// Returns the part of the work that is lost to one backend server in ten
+/// that fails everything at once, for repeatable requests and for the others.
+fn black_hole(exchange: bool, seed: u64) -> (f64, f64) {
+    let shape = FleetShape {
+        workers: 10,
+        ..FleetShape::default()
+    };
+    let mut cluster = cluster(shape.clone(), exchange, seed);
+    cluster.black_hole = Some(vm(3));
+    let mut arrivals = Arrivals {
+        numbers: Numbers::new(seed),
+    };
+    let class = shape.class(0);
+    let rate = 0.7 * 80.0 / (MEAN_RUN / 1_000.0) / 2.0;
+    while cluster.now < 60_000 {
+        for (name, ..) in &shape.teams {
+            for _ in 0..arrivals.count(rate) {
+                let node = arrivals.numbers.below(NODES as u64) as usize;
+                let run = arrivals.run(MEAN_RUN);
+                let repeatable = arrivals.numbers.percent(50);
+                cluster.submit(node, &class, Some(name), repeatable, run, 5_000);
+            }
+        }
+        cluster.run(STEP, STEP);
+    }
+    let lost = |repeatable: bool| {
+        let of_kind = cluster
+            .requests
+            .values()
+            .filter(|request| request.repeatable == repeatable && !request.ends.is_empty());
+        let (mut lost, mut all) = (0.0, 0.0);
+        for request in of_kind {
+            all += 1.0;
+            if !matches!(request.ends[0], RequestEnd::Answered { good: true, .. }) {
+                lost += 1.0;
+            }
+        }
+        lost / all
+    };
+    (lost(true), lost(false))
+}
+
+fn show_time(time: Option<u64>) -> String {
+    time.map_or("never within 10 s".to_owned(), |time| format!("{time} ms"))
+}
+
+fn main() {
+    let seed = env::args().nth(1).and_then(|text| text.parse().ok());
+    let seed: u64 = seed.unwrap_or(1);
+    println!("seed {seed}, {NODES} entry processes, mean run {MEAN_RUN} ms");
+    for (name, exchange) in [("tokens pass", true), ("fixed split", false)] {
+        println!("{name}:");
+        let figures = rotating_demand(exchange, seed);
+        println!("  share error, worst    {:.1} %", figures.worst * 100.0);
+        println!("  share error, mean     {:.1} %", figures.mean * 100.0);
+        println!("  share error, any      {:.1} %", figures.worst_any * 100.0);
+        println!(
+            "  use of wanted slots   {:.1} %",
+            figures.use_of_slots * 100.0
+        );
+        println!("  bytes/s a node        {:.0}", figures.bytes_per_node);
+        println!("  messages/s a node     {:.0}", figures.messages_per_node);
+        println!(
+            "  convergence           {}",
+            show_time(convergence(exchange, seed))
+        );
+        println!(
+            "  permits stranded      {}",
+            show_time(stranded_permits(exchange, seed))
+        );
+        let figures = overload(exchange, seed);
+        println!("  goodput at 3x         {:.1} %", figures.answers * 100.0);
+        println!("  slot time at 3x       {:.1} %", figures.slot_time * 100.0);
+        let (repeatable, single) = black_hole(exchange, seed);
+        println!("  lost, repeatable      {:.2} %", repeatable * 100.0);
+        println!("  lost, run at most once {:.2} %", single * 100.0);
+    }
+}
--- a/crates/policy/src/estimate.rs
+++ b/crates/policy/src/estimate.rs
@@ -5,6 +5,8 @@
 
 use redwing_model::TeamName;
 
+use crate::clock::NodeTime;
+
 /// Run time assumed before any attempt of a class has ended.
 const INITIAL_RUN: time::Duration = time::Duration::from_millis(100);
 
@@ -14,11 +16,16 @@
 /// Ended attempts after which a team's own mean is used.
 const MIN_TEAM_RUNS: u32 = 5;
 
+/// Standard deviations above the mean within which nearly all run times are.
+const SPREAD_FACTOR: f64 = 3.0;
+
 /// Mean run time with the number of attempts behind it.
 #[derive(Clone, Copy, Debug, Default)]
 struct RunMean {
     runs: u32,
     seconds: f64,
+    /// Mean of the squared distance from the mean.
+    variance: f64,
 }
 
 /// Learned run times of one class.
@@ -45,6 +52,16 @@
         }
     }
 
+    /// Returns a run time that nearly all requests of `team` stay within.
+    pub fn expect_longest(&self, team: Option<&TeamName>) -> time::Duration {
+        let mean = match self.teams.get(&team.cloned()) {
+            Some(mean) if mean.runs >= MIN_TEAM_RUNS => mean,
+            _ => &self.class,
+        };
+        let seconds = mean.seconds + SPREAD_FACTOR * mean.variance.sqrt();
+        time::Duration::from_secs_f64(seconds)
+    }
+
     /// Returns whether enough attempts ended to refuse work on this evidence.
     pub fn is_learned(&self) -> bool {
         self.class.runs >= MIN_TEAM_RUNS
@@ -72,6 +89,50 @@
     fn learn(&mut self, run: time::Duration) {
         self.runs = self.runs.saturating_add(1);
         let gain = MEAN_GAIN.max(1.0 / f64::from(self.runs));
-        self.seconds += gain * (run.as_secs_f64() - self.seconds);
+        let distance = run.as_secs_f64() - self.seconds;
+        self.seconds += gain * distance;
+        self.variance = (1.0 - gain) * (self.variance + gain * distance * distance);
+    }
+}
+
+/// Time of backlog that a guess of the rate stands for.
+const GUESS_TIME: time::Duration = time::Duration::from_millis(20);
+
+/// Time of backlog after which older dispatches count half.
+const HALF_LIFE: time::Duration = time::Duration::from_secs(1);
+
+/// Rate at which requests of one team leave their queue while some wait.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct BacklogRate {
+    since: NodeTime,
+    dispatches: f64,
+    seconds: f64,
+}
+
+impl BacklogRate {
+    /// Starts a backlog; what was measured in an earlier one is forgotten.
+    pub fn start(&mut self, now: NodeTime) {
+        *self = Self {
+            since: now,
+            ..Self::default()
+        };
+    }
+
+    /// Notes that a request was dispatched.
+    pub fn dispatch(&mut self, now: NodeTime) {
+        self.dispatches += 1.0;
+        let elapsed = now.saturating_since(self.since);
+        if elapsed >= HALF_LIFE {
+            self.dispatches /= 2.0;
+            self.seconds = (self.seconds + elapsed.as_secs_f64()) / 2.0;
+            self.since = now;
+        }
+    }
+
+    /// Returns the dispatches a second, given a guess for a new backlog.
+    pub fn per_second(&self, now: NodeTime, guess: f64) -> f64 {
+        let weight = GUESS_TIME.as_secs_f64();
+        let seconds = self.seconds + now.saturating_since(self.since).as_secs_f64();
+        (self.dispatches + guess * weight) / (seconds + weight)
     }
 }
--- a/crates/policy/src/fair.rs
+++ b/crates/policy/src/fair.rs
@@ -66,6 +66,7 @@
     clock: VirtualTime,
     slots: u32,
     waiting: usize,
+    running: u32,
     active_share: f64,
 }
 
@@ -80,6 +81,7 @@
             clock: VirtualTime::default(),
             slots: 1,
             waiting: 0,
+            running: 0,
             active_share: 0.0,
         }
     }
@@ -89,6 +91,11 @@
         self.waiting
     }
 
+    /// Returns the number of attempts that run from here.
+    pub fn running(&self) -> u32 {
+        self.running
+    }
+
     /// Returns the number of slots that all teams share.
     pub fn slots(&self) -> u32 {
         self.slots
@@ -218,16 +225,18 @@
         None
     }
 
-    /// Marks `team` as held up by its limit, or no longer so.
-    pub fn set_blocked(&mut self, team: TeamIndex, blocked: bool) {
+    /// Marks `team` as held up by its limit, or no longer so; returns whether
+    /// requests that wait can go on.
+    pub fn set_blocked(&mut self, team: TeamIndex, blocked: bool) -> bool {
         if self.teams[team.0].blocked == blocked {
-            return;
+            return false;
         }
         let floor = VirtualTime(self.clock.0 - MAX_CREDIT.0);
         self.update(team, |queue| {
             queue.blocked = blocked;
             queue.clock = queue.clock.max(floor);
         });
+        !blocked && self.teams[team.0].waiting > 0
     }
 
     /// Sets how many requests of `team` wait at other processes.
@@ -240,12 +249,14 @@
     /// Notes that an attempt of `team` started, and charges it `estimate`.
     pub fn start(&mut self, team: TeamIndex, estimate: time::Duration) {
         self.clock = self.clock.max(self.teams[team.0].clock);
+        self.running += 1;
         self.update(team, |queue| queue.running += 1);
         self.charge(team, duration_micros(estimate));
     }
 
     /// Notes that an attempt of `team` ended.
     pub fn stop(&mut self, team: TeamIndex) {
+        self.running = self.running.saturating_sub(1);
         self.update(team, |queue| {
             queue.running = queue.running.saturating_sub(1);
         });
--- a/crates/policy/src/ledger.rs
+++ b/crates/policy/src/ledger.rs
@@ -146,6 +146,11 @@
         idle
     }
 
+    /// Returns whether a free token whose home is here exists.
+    pub fn has_free_own(&self) -> bool {
+        self.free.values().any(|free| !free.own.is_empty())
+    }
+
     /// Returns all free tokens whose home is here.
     pub fn all_free_own(&self) -> Vec<TokenId> {
         let mut tokens = Vec::new();
--- a/crates/policy/src/scheduler/dispatch.rs
+++ b/crates/policy/src/scheduler/dispatch.rs
@@ -23,6 +23,12 @@
 /// Part of the time to its deadline that a request may be expected to need.
 const ADMIT_FRACTION: f64 = 0.9;
 
+/// Lowest rate of dispatches that is told apart from none, per second.
+const MIN_RATE: f64 = 1e-3;
+
+/// Shortest run time that a rate is derived from, in seconds.
+const MIN_RUN_SECONDS: f64 = 1e-3;
+
 /// Shortest charge for an attempt, so that every attempt counts.
 const MIN_CHARGE: time::Duration = time::Duration::from_millis(1);
 
@@ -97,10 +103,10 @@
             return Err(RefusalReason::QueueFull);
         }
         let remaining = ticket.deadline.saturating_since(now);
-        if self.expects_miss(&ticket.class, team, remaining) {
+        if self.expects_miss(now, &ticket.class, team, remaining) {
             return Err(RefusalReason::DeadlineUnmet);
         }
-        self.enqueue(RequestState::new(ticket, team));
+        self.enqueue(now, RequestState::new(ticket, team));
         Ok(())
     }
 
@@ -126,10 +132,14 @@
     }
 
     /// Puts a request into its queue.
-    fn enqueue(&mut self, request: RequestState) {
+    fn enqueue(&mut self, now: NodeTime, request: RequestState) {
         let id = request.ticket.id;
         let deadline = request.ticket.deadline;
         if let Some(state) = self.classes.get_mut(&request.ticket.class) {
+            if state.queue.waiting_of(request.team) == 0 {
+                self.report.mark_urgent();
+                state.rates.entry(request.team).or_default().start(now);
+            }
             state.queue.push(request.team, deadline, id);
         }
         self.report.mark(&request.ticket.class, request.team);
@@ -139,20 +149,26 @@
 
     /// Returns whether learned run times say that a new request of `team`
     /// would not be answered within `remaining`.
-    fn expects_miss(&self, class: &ClassName, team: TeamIndex, remaining: time::Duration) -> bool {
+    fn expects_miss(
+        &self,
+        now: NodeTime,
+        class: &ClassName,
+        team: TeamIndex,
+        remaining: time::Duration,
+    ) -> bool {
         let Some(state) = self.classes.get(class) else {
             return false;
         };
         if !state.estimate.is_learned() || state.queue.waiting_of(team) == 0 {
             return false;
         }
-        let run = state.estimate.expect(state.queue.name(team));
-        let needed = self.expected_wait(class, team) + run;
+        let run = state.estimate.expect_longest(state.queue.name(team));
+        let needed = self.expected_wait(now, class, team) + run;
         needed > remaining.mul_f64(ADMIT_FRACTION)
     }
 
-    /// Returns how long a new request of `team` is expected to wait.
-    fn expected_wait(&self, class: &ClassName, team: TeamIndex) -> time::Duration {
+    /// Returns how long a new request of `team` is expected to wait here.
+    fn expected_wait(&self, now: NodeTime, class: &ClassName, team: TeamIndex) -> time::Duration {
         let Some(state) = self.classes.get(class) else {
             return time::Duration::ZERO;
         };
@@ -160,9 +176,15 @@
         let limit = name.and_then(|name| self.limit_of(name));
         let fair = state.queue.fair_slots(team);
         let slots = limit.map_or(fair, |limit| fair.min(f64::from(limit)));
-        let ahead = state.queue.waiting_of(team) as f64 + f64::from(state.queue.remote_of(team));
-        let run = state.estimate.expect(name);
-        run.mul_f64((ahead / slots.max(1.0)).min(1e6))
+        let guess = slots
+            / state
+                .estimate
+                .expect(name)
+                .as_secs_f64()
+                .max(MIN_RUN_SECONDS);
+        let rate = state.rates.get(&team).copied().unwrap_or_default();
+        let rate = rate.per_second(now, guess).max(MIN_RATE);
+        time::Duration::from_secs_f64(state.queue.waiting_of(team) as f64 / rate)
     }
 
     /// Takes the tokens of an ended attempt back and corrects its charge.
@@ -240,7 +262,7 @@
         let in_time = request.ticket.deadline > now;
         let exhausted = request.attempts >= self.settings.max_attempts;
         if in_time && !exhausted && self.budget.spend() {
-            self.enqueue(request);
+            self.enqueue(now, request);
             return AttemptVerdict::Pending;
         }
         if report.outcome != RunOutcome::NotRun {
@@ -250,7 +272,7 @@
             true => RefusalReason::AttemptsExhausted,
             false => RefusalReason::DeadlineUnmet,
         };
-        self.refuse(&request, reason);
+        self.refuse(now, &request, reason);
         AttemptVerdict::Pending
     }
 
@@ -316,7 +338,7 @@
             return self.give_slot(class);
         };
         if self.is_hopeless(now, class, id) {
-            self.drop_waiting(id, RefusalReason::DeadlineUnmet);
+            self.drop_waiting(now, id, RefusalReason::DeadlineUnmet);
             return true;
         }
         self.dispatch(now, class, id, &vm)
@@ -390,6 +412,7 @@
         let (team, attempt) = (request.team, request.attempts);
         state.last_serve = self.serves;
         state.queue.start(team, estimate);
+        state.rates.entry(team).or_default().dispatch(now);
         let requests = &self.requests;
         let live = |id| requests.get(&id).is_some_and(RequestState::is_waiting);
         state.queue.forget(team, live);
@@ -469,7 +492,7 @@
             self.deadlines.pop();
             let request = self.requests.get(&id);
             if request.is_some_and(RequestState::is_waiting) {
-                self.drop_waiting(id, RefusalReason::DeadlineUnmet);
+                self.drop_waiting(now, id, RefusalReason::DeadlineUnmet);
             }
         }
     }
@@ -486,18 +509,18 @@
         Some(request)
     }
 
-    fn drop_waiting(&mut self, id: TicketId, reason: RefusalReason) {
+    fn drop_waiting(&mut self, now: NodeTime, id: TicketId, reason: RefusalReason) {
         if let Some(request) = self.remove_waiting(id) {
-            self.refuse(&request, reason);
+            self.refuse(now, &request, reason);
         }
     }
 
-    fn refuse(&mut self, request: &RequestState, reason: RefusalReason) {
+    fn refuse(&mut self, now: NodeTime, request: &RequestState, reason: RefusalReason) {
         let outcome = match request.maybe_ran {
             true => RunOutcome::Unknown,
             false => RunOutcome::NotRun,
         };
-        let wait = self.expected_wait(&request.ticket.class, request.team);
+        let wait = self.expected_wait(now, &request.ticket.class, request.team);
         self.push_refusal(request.ticket.id, reason, wait, outcome);
     }
 
--- a/crates/policy/src/scheduler/mod.rs
+++ b/crates/policy/src/scheduler/mod.rs
@@ -33,8 +33,10 @@
     pub task_lease: time::Duration,
     /// Largest number of attempts at one request.
     pub max_attempts: u32,
-    /// Shortest time between two reports of demand to peers.
+    /// Time between two reports of demand and service to peers.
     pub report_interval: time::Duration,
+    /// Shortest time between two reports when a team begins to wait.
+    pub urgent_interval: time::Duration,
     /// Shortest time between two messages with tokens to the same peer.
     pub transfer_interval: time::Duration,
     /// Time after which an unacknowledged transfer is sent again.
@@ -54,9 +56,10 @@
             slots_per_worker: 8,
             task_lease: time::Duration::from_secs(60),
             max_attempts: 3,
-            report_interval: time::Duration::from_millis(50),
+            report_interval: time::Duration::from_millis(250),
+            urgent_interval: time::Duration::from_millis(50),
             transfer_interval: time::Duration::from_millis(5),
-            resend_interval: time::Duration::from_millis(500),
+            resend_interval: time::Duration::from_millis(1_000),
             idle_return: time::Duration::from_millis(200),
             tolerance: time::Duration::from_millis(50),
             exchange_tokens: true,
@@ -161,7 +164,8 @@
     last_report: Option<NodeTime>,
     last_sweep: NodeTime,
     last_expiry: NodeTime,
-    handed_over: BTreeSet<TokenId>,
+    last_hand_over: Option<NodeTime>,
+    hand_overs: u32,
     actions: Vec<SchedulerAction>,
 }
 
@@ -193,7 +197,8 @@
             last_report: None,
             last_sweep: NodeTime::default(),
             last_expiry: NodeTime::default(),
-            handed_over: BTreeSet::new(),
+            last_hand_over: None,
+            hand_overs: 0,
             actions: Vec::new(),
         }
     }
@@ -237,11 +242,12 @@
             .collect()
     }
 
-    /// Returns whether the process may end: nothing waits or runs, and all
-    /// borrowed tokens went back and arrived.
+    /// Returns whether the process may end: nothing waits or runs, borrowed
+    /// tokens went back, and own ones went to peers if there are any.
     pub fn is_drained(&self) -> bool {
         let sent = self.links.values().all(PeerLink::is_settled);
-        self.leaving && self.requests.is_empty() && sent && !self.ledger.holds_foreign()
+        let given = !self.ledger.holds_foreign() && !self.has_to_hand_over();
+        self.leaving && self.requests.is_empty() && sent && given
     }
 
     /// Replaces the view of the fleet.
@@ -288,6 +294,8 @@
 
     /// Refuses new requests from now on, and passes the tokens to live peers
     /// once the waiting requests no longer need them.
+    ///
+    /// It is over soonest if the peers' views no longer list this process.
     pub fn leave(&mut self, now: NodeTime) {
         self.leaving = true;
         self.pump_all(now);
@@ -409,7 +417,9 @@
             if let Some(state) = self.classes.get_mut(class)
                 && let Some(index) = state.queue.find(Some(team))
             {
-                state.queue.set_blocked(index, blocked);
+                if state.queue.set_blocked(index, blocked) {
+                    self.report.mark_urgent();
+                }
                 self.report.mark(class, index);
             }
         }
--- a/crates/policy/src/scheduler/peers.rs
+++ b/crates/policy/src/scheduler/peers.rs
@@ -19,6 +19,12 @@
 /// Time after a peer was first seen in which its service counts as history.
 const BASELINE_TIME: time::Duration = time::Duration::from_secs(1);
 
+/// Time between two attempts to pass own tokens on while leaving.
+const HAND_OVER_INTERVAL: time::Duration = time::Duration::from_millis(500);
+
+/// Largest number of attempts to pass own tokens on while leaving.
+const MAX_HAND_OVERS: u32 = 6;
+
 /// Shortest time between two searches for idle borrowed tokens.
 const SWEEP_INTERVAL: time::Duration = time::Duration::from_millis(50);
 
@@ -148,11 +154,15 @@
         let Some(token) = self.let_go(class, &peer) else {
             return false;
         };
-        let nodes = i64::try_from(self.links.len() + 1).unwrap_or(i64::MAX);
         if let Some(state) = self.classes.get_mut(class) {
             let run = state.estimate.expect(state.queue.name(team));
-            // The other processes see the same need and answer it as well.
-            let micros = duration_micros(run).saturating_mul(nodes);
+            // The other processes see the same need and answer it as well,
+            // each with the slots that it has.
+            let others = match state.queue.next_ready() {
+                Some(_) => i64::from(state.queue.slots() / state.queue.running().max(1)),
+                None => 1,
+            };
+            let micros = duration_micros(run).saturating_mul(others.max(1));
             state.remote.give(&mut state.queue, team, &peer, micros);
         }
         self.refresh_pool(&token.pool);
@@ -173,6 +183,7 @@
                 return Some(token);
             }
             if let Some((token, home)) = self.ledger.free_foreign(&pool)
+                && self.view.peers.contains(&home)
                 && let Some(link) = self.links.get_mut(&home)
             {
                 self.ledger.give_back(&token)?;
@@ -200,7 +211,7 @@
             return;
         }
         self.sweep_idle(now);
-        self.hand_over();
+        self.hand_over(now);
         self.share_permits();
         let report = self.next_report(now);
         let resend = self.settings.resend_interval;
@@ -236,30 +247,40 @@
         }
         let since = now.since_start().saturating_sub(idle);
         for (token, home) in self.ledger.idle_foreign(since.into()) {
-            self.give_back(&token, &home);
+            // A home that is leaving would only have to pass the token on.
+            let wanted = self.leaving || self.view.peers.contains(&home);
+            if wanted && !self.may_need(&token.pool) {
+                self.give_back(&token, &home);
+            }
+        }
+    }
+
+    /// Returns whether waiting requests may soon use a token of `pool`: a team
+    /// keeps its permits while it waits for slots.
+    fn may_need(&self, pool: &TokenPool) -> bool {
+        match pool {
+            TokenPool::Permit(team) => self.waiting_of_team(team) > 0,
+            TokenPool::Slot(_) => false,
         }
     }
 
-    /// Passes own tokens to live peers while leaving, each token once.
-    fn hand_over(&mut self) {
-        if !self.leaving || self.waiting() > 0 || !self.settings.exchange_tokens {
+    /// Passes own tokens to live peers while leaving.
+    ///
+    /// Peers that have not heard of it yet send them back, so this is tried
+    /// a few times.
+    fn hand_over(&mut self, now: NodeTime) {
+        if !self.has_to_hand_over() || self.waiting() > 0 {
             return;
         }
-        let peers: Vec<NodeIncarnation> = self
-            .view
-            .peers
-            .iter()
-            .filter(|peer| self.links.contains_key(peer))
-            .cloned()
-            .collect();
-        if peers.is_empty() {
+        let last = self.last_hand_over;
+        if last.is_some_and(|last| now.saturating_since(last) < HAND_OVER_INTERVAL) {
             return;
         }
-        for token in self.ledger.all_free_own() {
-            if !self.handed_over.insert(token.clone()) {
-                continue;
-            }
-            let peer = &peers[self.handed_over.len() % peers.len()];
+        self.last_hand_over = Some(now);
+        self.hand_overs += 1;
+        let peers: Vec<NodeIncarnation> = self.view.peers.clone();
+        for (place, token) in self.ledger.all_free_own().into_iter().enumerate() {
+            let peer = &peers[place % peers.len()];
             if let Some(link) = self.links.get_mut(peer)
                 && self.ledger.lend(&token, peer)
             {
@@ -269,6 +290,13 @@
         }
     }
 
+    /// Returns whether own tokens should go to peers before this process ends.
+    pub(super) fn has_to_hand_over(&self) -> bool {
+        let possible = self.settings.exchange_tokens && !self.view.peers.is_empty();
+        let done = self.hand_overs >= MAX_HAND_OVERS;
+        self.leaving && possible && !done && self.ledger.has_free_own()
+    }
+
     /// Gives spare permits to peers that want them.
     fn share_permits(&mut self) {
         if !self.settings.exchange_tokens {
@@ -332,7 +360,9 @@
             self.refresh_team(team);
             return true;
         }
-        if let Some((token, home)) = self.ledger.free_foreign(&pool) {
+        if let Some((token, home)) = self.ledger.free_foreign(&pool)
+            && self.view.peers.contains(&home)
+        {
             self.give_back(&token, &home);
             if let Some(link) = self.links.get_mut(peer) {
                 link.set_wanted(team, link.wanted(team) - 1);
@@ -344,7 +374,10 @@
 
     /// Returns the next report of demand, or `None` if it is not due.
     fn next_report(&mut self, now: NodeTime) -> Option<PeerMessage> {
-        let interval = self.settings.report_interval;
+        let interval = match self.report.is_urgent() {
+            true => self.settings.urgent_interval,
+            false => self.settings.report_interval,
+        };
         let due = self
             .last_report
             .is_none_or(|last| now.saturating_since(last) >= interval);
--- a/crates/policy/src/scheduler/request.rs
+++ b/crates/policy/src/scheduler/request.rs
@@ -1,9 +1,11 @@
 //! Requests on their way through the scheduler.
 
+use std::collections::HashMap;
+
 use redwing_model::VmId;
 
 use crate::clock::NodeTime;
-use crate::estimate::RunEstimate;
+use crate::estimate::{BacklogRate, RunEstimate};
 use crate::fair::{FairQueue, TeamIndex};
 use crate::share::RemoteDemand;
 use crate::ticket::RequestTicket;
@@ -15,6 +17,7 @@
     pub(super) queue: FairQueue,
     pub(super) estimate: RunEstimate,
     pub(super) remote: RemoteDemand,
+    pub(super) rates: HashMap<TeamIndex, BacklogRate>,
     /// Number of the last dispatch, for taking turns among classes.
     pub(super) last_serve: u64,
 }
--- a/crates/policy/src/share.rs
+++ b/crates/policy/src/share.rs
@@ -165,12 +165,18 @@
     changed: BTreeSet<ReportKey>,
     /// Entries that told peers of waiting requests.
     waiting: BTreeSet<ReportKey>,
+    urgent: bool,
 }
 
 impl DemandReport {
-    /// Returns whether anything may have to be reported.
-    pub fn is_changed(&self) -> bool {
-        !self.changed.is_empty()
+    /// Returns whether a team began to wait since the last report.
+    pub fn is_urgent(&self) -> bool {
+        self.urgent
+    }
+
+    /// Notes that a team began to wait.
+    pub fn mark_urgent(&mut self) {
+        self.urgent = true;
     }
 
     /// Notes that the demand of a team may have changed.
@@ -211,6 +217,7 @@
 
     /// Takes the teams whose demand may have changed.
     pub fn take_changed(&mut self) -> BTreeSet<ReportKey> {
+        self.urgent = false;
         std::mem::take(&mut self.changed)
     }
 
--- a/crates/policy/tests/support/cluster.rs
+++ b/crates/policy/tests/support/cluster.rs
@@ -114,6 +114,15 @@
     cut_until: u64,
 }
 
+/// Requests of one team in one class.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct TeamLoad {
+    /// Requests that have no end yet.
+    pub(crate) open: u32,
+    /// Tasks on workers.
+    pub(crate) running: u32,
+}
+
 /// What the network does to messages, in percent.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct NetworkFaults {
@@ -156,6 +165,7 @@
     late: Vec<Task>,
     running_team: BTreeMap<TeamName, u32>,
     running_vm: BTreeMap<VmId, u32>,
+    loads: BTreeMap<(ClassName, Option<TeamName>), TeamLoad>,
     next_task: u64,
     next_ticket: u64,
     numbers: Numbers,
@@ -190,6 +200,7 @@
             late: Vec::new(),
             running_team: BTreeMap::new(),
             running_vm: BTreeMap::new(),
+            loads: BTreeMap::new(),
             next_task: 0,
             next_ticket: 0,
             numbers: Numbers::new(seed),
@@ -235,6 +246,11 @@
         self.running_team.get(team).copied().unwrap_or(0)
     }
 
+    pub(crate) fn load(&self, class: &ClassName, team: &TeamName) -> TeamLoad {
+        let key = (class.clone(), Some(team.clone()));
+        self.loads.get(&key).copied().unwrap_or_default()
+    }
+
     /// Submits a request at a node; returns `None` if the node cannot take it.
     pub(crate) fn submit(
         &mut self,
@@ -264,6 +280,10 @@
             ends: Vec::new(),
         };
         self.requests.insert(id, request);
+        self.loads
+            .entry((class.clone(), team.cloned()))
+            .or_default()
+            .open += 1;
         let ticket = RequestTicket {
             id,
             class: class.clone(),
@@ -637,6 +657,8 @@
     }
 
     fn count_start(&mut self, task: &Task) {
+        let key = (task.class.clone(), task.team.clone());
+        self.loads.entry(key).or_default().running += 1;
         let on_vm = self.running_vm.entry(task.vm.clone()).or_default();
         *on_vm += 1;
         if *on_vm > self.shape.slots {
@@ -656,6 +678,8 @@
     }
 
     fn count_end(&mut self, task: &Task) {
+        let key = (task.class.clone(), task.team.clone());
+        self.loads.entry(key).or_default().running -= 1;
         if let Some(running) = self.running_vm.get_mut(&task.vm) {
             *running -= 1;
         }
@@ -676,18 +700,16 @@
                 self.count_end(&task);
                 self.finished.push(task.clone());
             }
-            if !task.reported && !self.report(&task) {
-                // The process is paused and hears of the end when it wakes.
-                if over {
-                    self.late.push(task);
-                    continue;
+            // A paused process hears of the end when it wakes.
+            task.reported = task.reported || self.report(&task);
+            match (over, task.reported) {
+                (true, true) => {}
+                (true, false) => self.late.push(task),
+                (false, _) => {
+                    self.next_task += 1;
+                    self.tasks.insert((task.end, self.next_task), task);
                 }
             }
-            task.reported = true;
-            if !over {
-                self.next_task += 1;
-                self.tasks.insert((task.end, self.next_task), task);
-            }
         }
         for task in std::mem::take(&mut self.late) {
             if !self.report(&task) {
@@ -745,6 +767,10 @@
             return;
         }
         request.ends.push(end);
+        if request.ends.len() == 1 {
+            let key = (request.class.clone(), request.team.clone());
+            self.loads.entry(key).or_default().open -= 1;
+        }
         if request.ends.len() > 1 {
             self.violations
                 .push(format!("{id:?} ended twice: {:?}", request.ends));
