--- a/crates/membership/src/ended.rs
+++ b/crates/membership/src/ended.rs
@@ -1,8 +1,9 @@
 //! Decision when the tokens of an ended incarnation may be given to others.
 //!
 //! An incarnation has ended when a newer one runs on the same entry VM, when
-//! its row is gone, or when the platform no longer lists its VM. A time-out
-//! alone ends nothing: a paused process may wake, and in an outage of the
+//! its row is gone, or when the platform no longer lists its VM. Since the
+//! list lags, it says nothing of an incarnation whose row is younger than the
+//! lag. A time-out alone ends nothing: a paused process may wake, and in an outage of the
 //! table nobody can renew anything.
 //!
 //! Its tokens may be given to others once every present member has settled
@@ -32,25 +33,43 @@
     pub homes: &'a BTreeSet<NodeIncarnation>,
 }
 
+/// Bounds that the platform keeps.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct EndedSettings {
+    /// How long a request may go on running after its sender has ended.
+    pub task_lease: time::Duration,
+    /// Largest age of the platform's list.
+    pub list_lag: time::Duration,
+}
+
+impl Default for EndedSettings {
+    fn default() -> Self {
+        Self {
+            task_lease: time::Duration::from_secs(60),
+            list_lag: time::Duration::from_secs(30),
+        }
+    }
+}
+
 /// Tracks ended incarnations at one process.
 #[derive(Debug)]
 pub struct EndedTracker {
     own: NodeIncarnation,
-    task_lease: time::Duration,
-    missing: BTreeMap<NodeId, u32>,
-    known: BTreeSet<NodeIncarnation>,
+    settings: EndedSettings,
+    missing: BTreeMap<NodeIncarnation, u32>,
+    first_seen: BTreeMap<NodeIncarnation, NodeTime>,
     ended: BTreeSet<NodeIncarnation>,
     settled_since: BTreeMap<NodeIncarnation, NodeTime>,
 }
 
 impl EndedTracker {
     /// Creates a tracker for the process `own`.
-    pub fn new(own: NodeIncarnation, task_lease: time::Duration) -> Self {
+    pub fn new(own: NodeIncarnation, settings: EndedSettings) -> Self {
         Self {
             own,
-            task_lease,
+            settings,
             missing: BTreeMap::new(),
-            known: BTreeSet::new(),
+            first_seen: BTreeMap::new(),
             ended: BTreeSet::new(),
             settled_since: BTreeMap::new(),
         }
@@ -70,7 +89,7 @@
     pub fn is_reclaimable(&self, now: NodeTime, incarnation: &NodeIncarnation) -> bool {
         self.settled_since
             .get(incarnation)
-            .is_some_and(|since| now.saturating_since(*since) >= self.task_lease)
+            .is_some_and(|since| now.saturating_since(*since) >= self.settings.task_lease)
     }
 
     /// Returns the present members: those with a row that have not ended.
@@ -85,49 +104,52 @@
 
     /// Takes what one round of reading showed.
     pub fn observe(&mut self, now: NodeTime, evidence: MemberEvidence<'_>) {
-        self.count_missing(evidence);
-        self.find_ended(evidence);
+        self.find_gone(now, evidence);
+        self.find_missing(now, evidence);
         self.find_settled(now, evidence);
     }
 
-    fn count_missing(&mut self, evidence: MemberEvidence<'_>) {
+    /// Finds incarnations that were replaced or whose row was removed.
+    ///
+    /// A replaced incarnation may have borrowed tokens without being the home
+    /// of any, so those seen in earlier rounds count too.
+    fn find_gone(&mut self, now: NodeTime, evidence: MemberEvidence<'_>) {
+        let members = evidence.members.values();
+        let present: BTreeSet<&NodeIncarnation> =
+            members.map(|record| &record.incarnation).collect();
+        let known = self.first_seen.keys().chain(evidence.homes);
+        let gone = known.filter(|incarnation| !present.contains(incarnation));
+        let ended = gone.filter(|incarnation| **incarnation != self.own);
+        self.ended.extend(ended.cloned());
+        self.first_seen
+            .retain(|incarnation, _| present.contains(incarnation));
+        for incarnation in present {
+            self.first_seen.entry(incarnation.clone()).or_insert(now);
+        }
+    }
+
+    /// Finds incarnations whose VM successive lists lack.
+    fn find_missing(&mut self, now: NodeTime, evidence: MemberEvidence<'_>) {
         let Some(listed) = evidence.listed else {
             return;
         };
-        // A list that lacks this very process is stale or wrong.
+        // A list that lacks this very process is too old or wrong.
         if !listed.contains(&self.own.node) {
             self.missing.clear();
             return;
         }
-        self.missing.retain(|node, _| !listed.contains(node));
-        for node in evidence.members.keys() {
-            if !listed.contains(node) {
-                *self.missing.entry(node.clone()).or_default() += 1;
+        for (incarnation, seen) in &self.first_seen {
+            let too_young = now.saturating_since(*seen) < self.settings.list_lag;
+            if too_young || listed.contains(&incarnation.node) {
+                self.missing.remove(incarnation);
+                continue;
             }
-        }
-    }
-
-    fn find_ended(&mut self, evidence: MemberEvidence<'_>) {
-        for record in evidence.members.values() {
-            let incarnation = &record.incarnation;
-            let rounds = self.missing.get(&incarnation.node).copied();
-            if rounds.unwrap_or_default() >= MISSING_LISTS {
+            let rounds = self.missing.entry(incarnation.clone()).or_default();
+            *rounds += 1;
+            if *rounds >= MISSING_LISTS {
                 self.ended.insert(incarnation.clone());
             }
         }
-        // A replaced incarnation may have borrowed tokens without being the
-        // home of any, so those seen earlier count too.
-        let members = evidence.members.values();
-        let present: BTreeSet<NodeIncarnation> =
-            members.map(|record| record.incarnation.clone()).collect();
-        self.known.extend(present.iter().cloned());
-        self.known.extend(evidence.homes.iter().cloned());
-        for gone in self.known.difference(&present) {
-            if *gone != self.own {
-                self.ended.insert(gone.clone());
-            }
-        }
-        self.known = present;
     }
 
     fn find_settled(&mut self, now: NodeTime, evidence: MemberEvidence<'_>) {
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -29,6 +29,6 @@
 pub mod rendezvous;
 
 pub use assign::HomeAssignment;
-pub use ended::{EndedTracker, MemberEvidence};
+pub use ended::{EndedSettings, EndedTracker, MemberEvidence};
 pub use holding::HoldingRecord;
 pub use member::MemberRecord;
--- a/crates/node/src/membership.rs
+++ b/crates/node/src/membership.rs
@@ -9,10 +9,10 @@
 use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc;
-use std::time;
 
 use redwing_membership::{
-    EndedTracker, HoldingRecord, HomeAssignment, MemberEvidence, MemberRecord, member,
+    EndedSettings, EndedTracker, HoldingRecord, HomeAssignment, MemberEvidence, MemberRecord,
+    member,
 };
 use redwing_model::{FleetDeclaration, NodeId, NodeIncarnation};
 use redwing_platform::table::CommitOutcome;
@@ -38,15 +38,15 @@
 pub struct MembershipSettings {
     /// Slots of each backend server.
     pub slots_per_worker: u32,
-    /// How long a request may go on running after its sender has ended.
-    pub task_lease: time::Duration,
+    /// Bounds that the platform keeps.
+    pub ended: EndedSettings,
 }
 
 impl Default for MembershipSettings {
     fn default() -> Self {
         Self {
             slots_per_worker: 8,
-            task_lease: time::Duration::from_secs(60),
+            ended: EndedSettings::default(),
         }
     }
 }
@@ -116,7 +116,7 @@
         own: NodeIncarnation,
     ) -> Self {
         Self {
-            tracker: EndedTracker::new(own.clone(), settings.task_lease),
+            tracker: EndedTracker::new(own.clone(), settings.ended),
             homes: HomeTable::new(own.clone()),
             settings,
             services,
