Add the table client with grouping, pacing and a circuit breaker

Cause: the table takes several hundred writes a second, has outages and loses replies; calls made directly amplify an outage. Change: TableClient over any TableStore, a view of it for each cause.

--- /dev/null
+++ b/crates/platform/src/backoff.rs
@@ -0,0 +1,58 @@
+//! Delays between retries, exponential with full jitter.
+
+use std::time;
+
+/// How the delay between retries grows.
+#[derive(Clone, Debug)]
+pub struct BackoffSettings {
+    /// Upper bound of the first delay.
+    pub first: time::Duration,
+    /// Upper bound of every delay.
+    pub longest: time::Duration,
+}
+
+impl Default for BackoffSettings {
+    fn default() -> Self {
+        Self {
+            first: time::Duration::from_millis(100),
+            longest: time::Duration::from_secs(5),
+        }
+    }
+}
+
+/// Delays of one sequence of retries.
+///
+/// # Examples
+///
+/// ```
+/// use redwing_platform::backoff::{BackoffSettings, RetryBackoff};
+///
+/// let mut backoff = RetryBackoff::new(BackoffSettings::default());
+/// assert_eq!(backoff.next_delay(0.5).as_millis(), 50);
+/// assert_eq!(backoff.next_delay(0.5).as_millis(), 100);
+/// ```
+#[derive(Clone, Debug)]
+pub struct RetryBackoff {
+    settings: BackoffSettings,
+    bound: time::Duration,
+}
+
+impl RetryBackoff {
+    /// Creates a sequence that has not failed yet.
+    pub fn new(settings: BackoffSettings) -> Self {
+        let bound = settings.first;
+        Self { settings, bound }
+    }
+
+    /// Returns the next delay; `jitter` is a random number from 0 to 1.
+    pub fn next_delay(&mut self, jitter: f64) -> time::Duration {
+        let delay = self.bound.mul_f64(jitter.clamp(0.0, 1.0));
+        self.bound = (self.bound * 2).min(self.settings.longest);
+        delay
+    }
+
+    /// Starts again with the first delay.
+    pub fn reset(&mut self) {
+        self.bound = self.settings.first;
+    }
+}
--- a/crates/platform/src/error.rs
+++ b/crates/platform/src/error.rs
@@ -6,7 +6,7 @@
 use quick_error::quick_error;
 
 quick_error! {
-    #[derive(Debug)]
+    #[derive(Clone, Debug)]
     enum ErrorKind {
         Refused(step: &'static str, peer: String, message: String) {
             display("{step} at {peer}: refused: {message}")
@@ -66,6 +66,11 @@
         )))
     }
 
+    /// Returns the same error for another caller of the same call.
+    pub(crate) fn duplicate(&self) -> Self {
+        Self(self.0.clone())
+    }
+
     /// Returns what the error says about the effect of the call.
     pub fn classify(&self) -> Category {
         match *self.0 {
--- a/crates/platform/src/table.rs
+++ b/crates/platform/src/table.rs
@@ -73,6 +73,19 @@
         &self.writes
     }
 
+    /// Returns the keys of all rows concerned; a key may come twice.
+    pub fn keys(&self) -> impl Iterator<Item = &RowKey> {
+        let conditions = self.conditions.iter().map(|condition| &condition.key);
+        conditions.chain(self.writes.iter().map(|write| &write.key))
+    }
+
+    /// Adds the conditions and writes of another transaction.
+    pub fn and(mut self, other: &Self) -> Self {
+        self.conditions.extend_from_slice(&other.conditions);
+        self.writes.extend_from_slice(&other.writes);
+        self
+    }
+
     /// Adds the condition that the row does not exist.
     pub fn require_absent(mut self, key: RowKey) -> Self {
         self.conditions.push(RowCondition { key, version: None });
--- /dev/null
+++ b/crates/platform/src/tally.rs
@@ -0,0 +1,103 @@
+//! Number of table calls by cause.
+
+use crate::error::Category;
+
+/// Why the table is called.
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub enum CallCause {
+    /// Claims of requests that may run at most once.
+    Claim,
+    /// Declarations, keys and operators' tokens.
+    Configuration,
+    /// Slot and permit tokens.
+    Holding,
+    /// VMs, pools and roll-outs.
+    Maintenance,
+    /// Entry VMs.
+    Membership,
+}
+
+impl CallCause {
+    /// All causes.
+    pub const ALL: [Self; 5] = [
+        Self::Claim,
+        Self::Configuration,
+        Self::Holding,
+        Self::Maintenance,
+        Self::Membership,
+    ];
+
+    /// Returns the name used in metrics.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Claim => "claim",
+            Self::Configuration => "configuration",
+            Self::Holding => "holding",
+            Self::Maintenance => "maintenance",
+            Self::Membership => "membership",
+        }
+    }
+}
+
+/// Number of calls with one cause.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct CauseCount {
+    /// Why the table was called.
+    pub cause: CallCause,
+    /// Commits sent; a group counts once, for the cause of its first member.
+    pub commits: u64,
+    /// Reads sent.
+    pub reads: u64,
+    /// Calls that failed without effect.
+    pub failed: u64,
+    /// Commits whose outcome stayed unknown.
+    pub unknown: u64,
+}
+
+impl CauseCount {
+    fn new(cause: CallCause) -> Self {
+        Self {
+            cause,
+            commits: 0,
+            reads: 0,
+            failed: 0,
+            unknown: 0,
+        }
+    }
+}
+
+/// Counts of all causes.
+#[derive(Clone, Debug)]
+pub(crate) struct CallTally([CauseCount; CallCause::ALL.len()]);
+
+impl Default for CallTally {
+    fn default() -> Self {
+        Self(CallCause::ALL.map(CauseCount::new))
+    }
+}
+
+impl CallTally {
+    pub(crate) fn counts(&self) -> Vec<CauseCount> {
+        self.0.to_vec()
+    }
+
+    pub(crate) fn count_commit(&mut self, cause: CallCause) {
+        self.entry(cause).commits += 1;
+    }
+
+    pub(crate) fn count_read(&mut self, cause: CallCause) {
+        self.entry(cause).reads += 1;
+    }
+
+    pub(crate) fn count_answer(&mut self, cause: CallCause, category: Option<Category>) {
+        match category {
+            None => {}
+            Some(Category::Unknown) => self.entry(cause).unknown += 1,
+            Some(Category::Refused | Category::Unavailable) => self.entry(cause).failed += 1,
+        }
+    }
+
+    fn entry(&mut self, cause: CallCause) -> &mut CauseCount {
+        &mut self.0[cause as usize]
+    }
+}
--- /dev/null
+++ b/crates/platform/tests/client.rs
@@ -0,0 +1,309 @@
+//! Table client over the stand-in platform with faults.
+
+use std::rc;
+use std::time;
+
+use futures_util::future;
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use redwing_platform::backoff::BackoffSettings;
+use redwing_platform::{
+    CallCause, Category, ClientSettings, CommitOutcome, RowKey, TableClient, TableStore,
+    TableTransaction,
+};
+use redwing_standin::MemoryPlatform;
+
+const CAUSE: CallCause = CallCause::Configuration;
+
+fn config(seed: u64) -> ProptestConfig {
+    ProptestConfig {
+        cases: 64,
+        failure_persistence: None,
+        rng_seed: RngSeed::Fixed(seed),
+        ..ProptestConfig::default()
+    }
+}
+
+fn fast_settings() -> ClientSettings {
+    let pause = time::Duration::from_micros(100);
+    let mut settings = ClientSettings {
+        commit_interval: pause,
+        read_interval: pause,
+        backoff: BackoffSettings {
+            first: pause,
+            longest: pause,
+        },
+        ..ClientSettings::default()
+    };
+    settings.breaker.failures = u32::MAX;
+    settings
+}
+
+fn block_on<F: Future>(future: F) -> F::Output {
+    actix_rt::System::new().block_on(future)
+}
+
+fn client_of(platform: &MemoryPlatform, settings: ClientSettings) -> TableClient {
+    TableClient::new(rc::Rc::new(platform.clone()), settings)
+}
+
+fn key(text: &str) -> RowKey {
+    RowKey::new(text)
+}
+
+/// Creates the row of this name with content that nobody else writes.
+fn creation(name: &str, content: &str) -> TableTransaction {
+    TableTransaction::default()
+        .require_absent(key(name))
+        .put(key(name), content)
+}
+
+#[test]
+fn waiting_transactions_are_committed_as_one() {
+    block_on(async {
+        let platform = MemoryPlatform::default();
+        let client = client_of(&platform, ClientSettings::default());
+        let names: Vec<String> = (0..20).map(|number| format!("row/{number}")).collect();
+        let commits = names
+            .iter()
+            .map(|name| client.commit(CAUSE, creation(name, "1")));
+        for outcome in future::join_all(commits).await {
+            assert_eq!(outcome.unwrap(), CommitOutcome::Committed(1));
+        }
+        let sent: u64 = client.counts().iter().map(|count| count.commits).sum();
+        assert_eq!(sent, 1);
+    });
+}
+
+#[test]
+fn conflict_of_one_member_spares_the_others() {
+    block_on(async {
+        let platform = MemoryPlatform::default();
+        platform
+            .commit(&creation("row/3", "earlier"))
+            .await
+            .unwrap();
+        let client = client_of(&platform, fast_settings());
+        let names: Vec<String> = (0..6).map(|number| format!("row/{number}")).collect();
+        let commits = names
+            .iter()
+            .map(|name| client.commit(CAUSE, creation(name, "1")));
+        for (number, outcome) in future::join_all(commits).await.into_iter().enumerate() {
+            match outcome.unwrap() {
+                CommitOutcome::Committed(_) => assert_ne!(number, 3),
+                CommitOutcome::Conflict(rows) => {
+                    assert_eq!(number, 3);
+                    assert_eq!(rows[0].value.as_deref(), Some("earlier"));
+                }
+            }
+        }
+    });
+}
+
+#[test]
+fn open_breaker_rejects_at_once() {
+    block_on(async {
+        let platform = MemoryPlatform::default();
+        platform.set_faults(|faults| faults.table_down = true);
+        let mut settings = fast_settings();
+        settings.breaker.failures = 3;
+        settings.breaker.shortest_open = time::Duration::from_secs(3_600);
+        let client = client_of(&platform, settings);
+        for _ in 0..50 {
+            assert!(client.scan(CAUSE, "a").await.is_err());
+        }
+        let reads: u64 = client.counts().iter().map(|count| count.reads).sum();
+        assert_eq!(reads, 3);
+        assert!(!client.is_reachable());
+    });
+}
+
+#[test]
+fn probe_closes_the_breaker_once_the_table_is_back() {
+    block_on(async {
+        let platform = MemoryPlatform::default();
+        platform.set_faults(|faults| faults.table_down = true);
+        let mut settings = fast_settings();
+        settings.breaker.failures = 1;
+        settings.breaker.shortest_open = time::Duration::from_millis(1);
+        settings.breaker.backoff = settings.backoff.clone();
+        let client = client_of(&platform, settings);
+        assert!(client.scan(CAUSE, "a").await.is_err());
+        platform.set_faults(|faults| faults.table_down = false);
+        while client.scan(CAUSE, "a").await.is_err() {}
+        assert!(client.is_reachable());
+    });
+}
+
+#[test]
+fn slow_table_leaves_the_commit_unknown() {
+    block_on(async {
+        let platform = MemoryPlatform::default();
+        platform.set_faults(|faults| faults.table_delay_millis = 10_000);
+        let settings = ClientSettings {
+            call_timeout: time::Duration::from_millis(20),
+            ..fast_settings()
+        };
+        let client = client_of(&platform, settings);
+        let error = client.commit(CAUSE, creation("a", "1")).await.unwrap_err();
+        assert_eq!(error.classify(), Category::Unknown);
+        let error = client.scan(CAUSE, "a").await.unwrap_err();
+        assert_eq!(error.classify(), Category::Unavailable);
+    });
+}
+
+#[test]
+fn full_queue_rejects_without_effect() {
+    block_on(async {
+        let platform = MemoryPlatform::default();
+        let settings = ClientSettings {
+            waiting_limit: 2,
+            ..fast_settings()
+        };
+        let client = client_of(&platform, settings);
+        let names: Vec<String> = (0..5).map(|number| format!("row/{number}")).collect();
+        let commits = names
+            .iter()
+            .map(|name| client.commit(CAUSE, creation(name, "1")));
+        let outcomes = future::join_all(commits).await;
+        let rejected = outcomes.iter().filter_map(|outcome| outcome.as_ref().err());
+        assert!(
+            rejected
+                .clone()
+                .all(|error| error.classify() == Category::Unavailable)
+        );
+        let rejected = rejected.count();
+        let rows = platform.scan("row/").await.unwrap().rows.len();
+        assert_eq!((rejected, rows), (3, 2));
+    });
+}
+
+#[test]
+fn refusal_after_a_lost_reply_stays_unknown() {
+    struct RefusingTable(std::cell::Cell<u32>);
+    impl TableStore for RefusingTable {
+        fn commit<'a>(
+            &'a self,
+            _: &'a TableTransaction,
+        ) -> redwing_platform::LocalFuture<'a, redwing_platform::Result<CommitOutcome>> {
+            self.0.set(self.0.get() + 1);
+            let first = self.0.get() == 1;
+            Box::pin(async move {
+                Err(match first {
+                    true => redwing_platform::Error::unknown("commit", "fake", "cut"),
+                    false => redwing_platform::Error::refused("commit", "fake", "no right"),
+                })
+            })
+        }
+        fn scan<'a>(
+            &'a self,
+            _: &'a str,
+        ) -> redwing_platform::LocalFuture<
+            'a,
+            redwing_platform::Result<redwing_platform::table::TableView>,
+        > {
+            Box::pin(async { Ok(Default::default()) })
+        }
+        fn changes<'a>(
+            &'a self,
+            prefix: &'a str,
+            _: u64,
+        ) -> redwing_platform::LocalFuture<
+            'a,
+            redwing_platform::Result<redwing_platform::table::TableView>,
+        > {
+            self.scan(prefix)
+        }
+    }
+    block_on(async {
+        let table = rc::Rc::new(RefusingTable(std::cell::Cell::new(0)));
+        let client = TableClient::new(table, fast_settings());
+        let outcome = client
+            .commit_resolved(CAUSE, &creation("a", "1"), &key("a"))
+            .await;
+        assert_eq!(outcome.unwrap_err().classify(), Category::Unknown);
+    });
+}
+
+proptest! {
+    #![proptest_config(config(501))]
+
+    /// Clients race to create the same rows while requests and replies are
+    /// lost: exactly one is told that it made each row, and it did.
+    #[test]
+    fn resolved_commits_are_true(
+        steps in prop::collection::vec((0usize..3, 0u32..4, 0u32..3, 0u32..3), 1..40),
+    ) {
+        block_on(async {
+            let platform = MemoryPlatform::default();
+            let clients: Vec<TableClient> =
+                (0..3).map(|_| client_of(&platform, fast_settings())).collect();
+            for (number, (writer, row, lost_replies, lost_requests)) in steps.iter().enumerate() {
+                platform.set_faults(|faults| {
+                    faults.lost_replies = *lost_replies;
+                    faults.lost_requests = *lost_requests;
+                });
+                let name = format!("row/{row}");
+                let content = format!("{writer}-{number}");
+                let existed = !platform.scan(&name).await.unwrap().rows.is_empty();
+                let change = creation(&name, &content);
+                let outcome = clients[*writer].commit_resolved(CAUSE, &change, &key(&name)).await;
+                let rows = platform.scan(&name).await.unwrap().rows;
+                let made = rows.first().and_then(|row| row.value.clone()) == Some(content);
+                match outcome {
+                    Ok(CommitOutcome::Committed(version)) => {
+                        assert!(made && !existed);
+                        assert_eq!(rows[0].version, version);
+                    }
+                    Ok(CommitOutcome::Conflict(_)) => assert!(!made && existed),
+                    Err(error) => assert_eq!(error.classify(), Category::Unknown),
+                }
+            }
+        });
+    }
+
+    /// A group has the same result as its members one after the other.
+    #[test]
+    fn groups_equal_single_commits(
+        rows in prop::collection::vec((0u32..12, any::<bool>()), 1..30),
+    ) {
+        block_on(async {
+            let grouped = MemoryPlatform::default();
+            let single = MemoryPlatform::default();
+            for platform in [&grouped, &single] {
+                platform.commit(&creation("row/1", "earlier")).await.unwrap();
+                platform.commit(&creation("row/2", "earlier")).await.unwrap();
+            }
+            let changes: Vec<TableTransaction> = rows
+                .iter()
+                .enumerate()
+                .map(|(number, (row, creates))| {
+                    let name = format!("row/{row}");
+                    match creates {
+                        true => creation(&name, &number.to_string()),
+                        false => TableTransaction::default()
+                            .require_version(key(&name), 1)
+                            .put(key(&name), number.to_string()),
+                    }
+                })
+                .collect();
+            let client = client_of(&grouped, fast_settings());
+            let commits = changes.iter().map(|change| client.commit(CAUSE, change.clone()));
+            let answers = future::join_all(commits).await;
+            for (change, answer) in changes.iter().zip(answers) {
+                let expected = single.commit(change).await.unwrap();
+                let same = matches!(
+                    (&expected, &answer.unwrap()),
+                    (CommitOutcome::Committed(_), CommitOutcome::Committed(_))
+                        | (CommitOutcome::Conflict(_), CommitOutcome::Conflict(_))
+                );
+                assert!(same);
+            }
+            let values = |view: redwing_platform::table::TableView| -> Vec<_> {
+                view.rows.into_iter().map(|row| (row.key, row.value)).collect()
+            };
+            let left = values(grouped.scan("").await.unwrap());
+            assert_eq!(left, values(single.scan("").await.unwrap()));
+        });
+    }
+}
--- /dev/null
+++ b/crates/platform/tests/pure.rs
@@ -0,0 +1,103 @@
+//! Decisions of the client: pace, backoff and circuit breaker.
+
+use std::time;
+
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use redwing_platform::backoff::{BackoffSettings, RetryBackoff};
+use redwing_platform::breaker::{BreakerDecision, BreakerSettings, CircuitBreaker};
+use redwing_platform::pace::CallPacer;
+
+fn config(seed: u64) -> ProptestConfig {
+    ProptestConfig {
+        failure_persistence: None,
+        rng_seed: RngSeed::Fixed(seed),
+        ..ProptestConfig::default()
+    }
+}
+
+proptest! {
+    #![proptest_config(config(502))]
+
+    #[test]
+    fn starts_are_never_closer_than_the_interval(
+        gaps in prop::collection::vec(0u64..200, 1..100),
+    ) {
+        let interval = time::Duration::from_millis(40);
+        let mut pacer = CallPacer::new(interval);
+        let mut now = time::Instant::now();
+        let mut previous: Option<time::Instant> = None;
+        for gap in gaps {
+            now += time::Duration::from_millis(gap);
+            let start = now + pacer.reserve(now);
+            if let Some(previous) = previous {
+                prop_assert!(start - previous >= interval);
+            }
+            previous = Some(start);
+        }
+    }
+
+    #[test]
+    fn delays_stay_within_bounds(jitters in prop::collection::vec(0.0f64..1.0, 1..40)) {
+        let settings = BackoffSettings::default();
+        let mut backoff = RetryBackoff::new(settings.clone());
+        for (attempt, jitter) in jitters.into_iter().enumerate() {
+            let growth = 2u32.saturating_pow(u32::try_from(attempt).unwrap_or(u32::MAX));
+            let bound = settings.first.saturating_mul(growth).min(settings.longest);
+            prop_assert!(backoff.next_delay(jitter) <= bound);
+        }
+    }
+
+    /// While the service is down, calls start no more often than the shortest
+    /// open time allows; a success closes the breaker whatever came before.
+    #[test]
+    fn open_breaker_lets_single_probes_pass(
+        steps in prop::collection::vec((1u64..100, any::<bool>(), 0.0f64..1.0), 1..200),
+    ) {
+        let settings = BreakerSettings::default();
+        let probe_timeout = time::Duration::from_secs(1);
+        let mut breaker = CircuitBreaker::new(settings.clone());
+        let mut now = time::Instant::now();
+        let mut last_probe: Option<time::Instant> = None;
+        let mut failures = 0;
+        for (gap, succeeds, jitter) in steps {
+            now += time::Duration::from_millis(gap);
+            if breaker.admit(now, probe_timeout) != BreakerDecision::Allow {
+                prop_assert!(failures >= settings.failures);
+                continue;
+            }
+            if failures > settings.failures
+                && let Some(last) = last_probe
+            {
+                prop_assert!(now - last >= settings.shortest_open);
+            }
+            last_probe = Some(now);
+            if succeeds && gap < 10 {
+                breaker.record_success();
+                failures = 0;
+                prop_assert!(breaker.is_closed());
+            } else {
+                breaker.record_failure(now, jitter);
+                failures += 1;
+            }
+        }
+    }
+}
+
+#[test]
+fn forgotten_probe_does_not_keep_the_breaker_open() {
+    let settings = BreakerSettings {
+        failures: 1,
+        ..BreakerSettings::default()
+    };
+    let probe_timeout = time::Duration::from_secs(1);
+    let mut breaker = CircuitBreaker::new(settings.clone());
+    let start = time::Instant::now();
+    breaker.record_failure(start, 0.0);
+    let probe = start + settings.shortest_open;
+    assert_eq!(breaker.admit(probe, probe_timeout), BreakerDecision::Allow);
+    let rejected = breaker.admit(probe, probe_timeout);
+    assert_eq!(rejected, BreakerDecision::Reject(probe_timeout));
+    let later = probe + probe_timeout;
+    assert_eq!(breaker.admit(later, probe_timeout), BreakerDecision::Allow);
+}
