--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -21,6 +21,16 @@
     }
 }
 
+/// Logs an event: level, code, then a message as for `format!`.
+macro_rules! log_event {
+    ($level:ident, $code:expr, $($message:tt)+) => {
+        ::log::$level!(
+            event = $code.number;
+            "{} {}", $code, ::std::format_args!($($message)+)
+        )
+    };
+}
+
 macro_rules! event_codes {
     ($($(#[$doc:meta])* $constant:ident = $number:literal $name:literal;)*) => {
         $($(#[$doc])* pub const $constant: EventCode = EventCode { number: $number, name: $name };)*
@@ -37,4 +47,12 @@
     PROCESS_STOPPING = 101 "process-stopping";
     /// The process has finished everything and ends.
     PROCESS_STOPPED = 102 "process-stopped";
+    /// The process ends although something had not finished in time.
+    STOP_INCOMPLETE = 103 "stop-incomplete";
+    /// An attempt at a backend server failed.
+    ATTEMPT_FAILED = 110 "attempt-failed";
+    /// An answer of a backend server broke off; the caller's connection is aborted.
+    ANSWER_TRUNCATED = 111 "answer-truncated";
+    /// A message to another entry process could not be handed to its sender.
+    OUTBOX_CLOSED = 120 "outbox-closed";
 }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -3,8 +3,31 @@
 //! One thread holds all control state and makes every decision; others carry
 //! traffic. The control thread publishes a [`NodeSnapshot`] that the traffic
 //! threads read on each request, and answers their submissions.
+//!
+//! A request passes these modules in turn: [`ingress`] accepts it, [`gate`]
+//! checks it, [`relay`] holds its body, [`control`] asks the scheduler,
+//! [`dispatch`] sends it over an [`exchange`] on a connection of [`connect`],
+//! and [`answer`] says what the process itself has to say.
 
+#[macro_use]
 pub mod event;
+
+pub mod answer;
+pub mod connect;
+pub mod control;
+pub mod dispatch;
+pub mod embedded;
+pub mod error;
+pub mod exchange;
+pub mod gate;
+pub mod ingress;
+pub mod log;
+pub mod metrics;
+pub mod relay;
+pub mod serve;
+pub mod settings;
 pub mod snapshot;
+pub mod stop;
 
+pub use error::{Category, Error, Result};
 pub use snapshot::{KeyGrant, NodeSnapshot};
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -1,2 +1,32 @@
-//! Placeholder.
-fn main() {}
+//! The `redwinglb` program.
+
+use std::process;
+
+use redwing_node::error::Result;
+use redwing_node::settings::{self, CommandChoice};
+use redwing_node::{log, serve};
+
+fn main() -> process::ExitCode {
+    let matches = settings::command().get_matches();
+    let Some(choice) = settings::choose(&matches) else {
+        return process::ExitCode::from(2);
+    };
+    match run(choice) {
+        Ok(()) => process::ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("redwinglb: {error}");
+            process::ExitCode::FAILURE
+        }
+    }
+}
+
+fn run(choice: CommandChoice) -> Result<()> {
+    let system = actix_rt::System::new();
+    match choice {
+        CommandChoice::Serve(settings) => {
+            log::init(settings.log_format, settings.log_level)?;
+            system.block_on(serve::serve(*settings))
+        }
+        CommandChoice::StandinBackend(settings) => system.block_on(serve::serve_backends(settings)),
+    }
+}
--- /dev/null
+++ b/crates/node/src/settings.rs
@@ -0,0 +1,447 @@
+//! Settings of the process, from flags and environment variables.
+//!
+//! Each flag has an environment variable beside it, `REDWING_` and its name
+//! in upper case; the flag goes first. `docs/operations/flags.md` lists them.
+
+use std::fmt;
+use std::net;
+use std::ops;
+use std::str;
+use std::time;
+
+use clap::{Arg, ArgMatches, Command, value_parser};
+use log::LevelFilter;
+use redwing_model::{DataCentre, NodeId};
+use redwing_standin::backend;
+
+use crate::log::LogFormat;
+
+/// Where the platform's services are.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub enum PlatformAddress {
+    /// A stand-in platform and stand-in backend servers in this process.
+    #[default]
+    Embedded,
+    /// A platform that speaks HTTP at this address.
+    Http(net::SocketAddr),
+}
+
+impl str::FromStr for PlatformAddress {
+    type Err = String;
+
+    fn from_str(text: &str) -> Result<Self, String> {
+        if text == "embedded" {
+            return Ok(Self::Embedded);
+        }
+        let address = text
+            .strip_prefix("http://")
+            .and_then(|rest| rest.trim_end_matches('/').parse().ok());
+        address
+            .map(Self::Http)
+            .ok_or_else(|| "use embedded or http://IP:PORT".to_owned())
+    }
+}
+
+/// Bounds of the request path.
+#[derive(Clone, Debug, PartialEq)]
+pub struct PathLimits {
+    /// Largest total size of the names and values of request headers, in bytes.
+    pub header_bytes: usize,
+    /// Body bytes kept in memory so that a request can be sent again.
+    pub buffer_bytes: usize,
+    /// Longest time for the first request head of a connection.
+    pub head_timeout: time::Duration,
+    /// Longest time that a connection of a caller may be idle.
+    pub idle_timeout: time::Duration,
+    /// Longest time between two pieces of a request body.
+    pub body_timeout: time::Duration,
+    /// Longest time between two pieces of an answer body.
+    pub answer_timeout: time::Duration,
+    /// Longest time to connect to a backend server.
+    pub connect_timeout: time::Duration,
+    /// Longest time that a connection to a backend server may be idle.
+    pub backend_idle_timeout: time::Duration,
+    /// Connections to one backend server that are kept open for reuse.
+    pub backend_connections: usize,
+    /// Largest number of connections of callers.
+    pub max_connections: usize,
+    /// How long a request may go on running after its attempt was lost.
+    pub task_lease: time::Duration,
+}
+
+impl Default for PathLimits {
+    fn default() -> Self {
+        Self {
+            header_bytes: 16 * 1024,
+            buffer_bytes: 64 * 1024,
+            head_timeout: time::Duration::from_secs(5),
+            idle_timeout: time::Duration::from_secs(60),
+            body_timeout: time::Duration::from_secs(10),
+            answer_timeout: time::Duration::from_secs(60),
+            connect_timeout: time::Duration::from_secs(1),
+            backend_idle_timeout: time::Duration::from_secs(15),
+            backend_connections: 7,
+            max_connections: 10_000,
+            task_lease: time::Duration::from_secs(60),
+        }
+    }
+}
+
+/// Settings of an entry process.
+#[derive(Clone, Debug, PartialEq)]
+pub struct NodeSettings {
+    /// Where the platform's services are.
+    pub platform: PlatformAddress,
+    /// Name of the entry VM.
+    pub node: NodeId,
+    /// Data centre that holds the entry VM.
+    pub data_centre: DataCentre,
+    /// Address on which callers are served.
+    pub listen: net::SocketAddr,
+    /// Address on which operators are served.
+    pub admin_listen: net::SocketAddr,
+    /// Address on which other entry processes are served.
+    pub peer_listen: net::SocketAddr,
+    /// Number of threads that carry traffic.
+    pub traffic_threads: usize,
+    /// Stand-in backend servers of the embedded platform.
+    pub embedded_workers: u32,
+    /// Bounds of the request path.
+    pub limits: PathLimits,
+    /// How long requests are still accepted after the process was told to stop.
+    pub leave_delay: time::Duration,
+    /// Longest time to finish what runs when the process stops.
+    pub stop_timeout: time::Duration,
+    /// Form of log lines.
+    pub log_format: LogFormat,
+    /// Least severe level that is logged.
+    pub log_level: LevelFilter,
+}
+
+/// Settings of stand-in backend servers.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct BackendSettings {
+    /// Addresses to listen on, one for each backend server.
+    pub listen: Vec<net::SocketAddr>,
+    /// What goes wrong with all requests.
+    pub fault: backend::BackendFault,
+}
+
+/// What the command line asks for.
+#[derive(Clone, Debug, PartialEq)]
+pub enum CommandChoice {
+    /// Run an entry process.
+    Serve(Box<NodeSettings>),
+    /// Run stand-in backend servers.
+    StandinBackend(BackendSettings),
+}
+
+/// Returns the command line, with all flags of all subcommands.
+pub fn command() -> Command {
+    let standin = Command::new("standin")
+        .about("Runs stand-ins for what surrounds an entry process")
+        .subcommand_required(true)
+        .arg_required_else_help(true)
+        .subcommand(backend_command());
+    Command::new("redwinglb")
+        .about("Serves queues on a fleet of VMs")
+        .version(env!("CARGO_PKG_VERSION"))
+        .subcommand_required(true)
+        .arg_required_else_help(true)
+        .subcommand(serve_command())
+        .subcommand(standin)
+}
+
+/// Reads the settings from parsed flags and variables.
+pub fn choose(matches: &ArgMatches) -> Option<CommandChoice> {
+    match matches.subcommand()? {
+        ("serve", flags) => Some(CommandChoice::Serve(Box::new(node_settings(flags)?))),
+        ("standin", nested) => {
+            let ("backend", flags) = nested.subcommand()? else {
+                return None;
+            };
+            Some(CommandChoice::StandinBackend(BackendSettings {
+                listen: flags.get_many("listen")?.copied().collect(),
+                fault: read(flags, "fault")?,
+            }))
+        }
+        _ => None,
+    }
+}
+
+fn serve_command() -> Command {
+    let mut command = Command::new("serve").about("Runs an entry process");
+    let groups = [
+        process_flags(),
+        address_flags(),
+        limit_flags(),
+        backend_flags(),
+        stop_flags(),
+        log_flags(),
+    ];
+    for group in groups {
+        command = command.args(group);
+    }
+    command
+}
+
+fn backend_command() -> Command {
+    let listen = flag("listen", "Address to listen on; repeat it for more servers")
+        .required(true)
+        .action(clap::ArgAction::Append)
+        .value_name("IP:PORT")
+        .value_parser(value_parser!(net::SocketAddr));
+    let fault = flag("fault", "What goes wrong with all requests")
+        .default_value("none")
+        .value_name("KIND")
+        .value_parser(str::parse::<backend::BackendFault>);
+    Command::new("backend")
+        .about("Runs stand-in backend servers")
+        .arg(listen)
+        .arg(fault)
+}
+
+fn process_flags() -> Vec<Arg> {
+    vec![
+        flag("platform", "Where the platform's services are")
+            .required(true)
+            .value_name("embedded|http://IP:PORT")
+            .value_parser(str::parse::<PlatformAddress>),
+        flag("node", "Name of this entry VM")
+            .default_value("entry-1")
+            .value_name("NAME")
+            .value_parser(str::parse::<NodeId>),
+        flag("data-centre", "Data centre of this entry VM")
+            .default_value("local")
+            .value_name("NAME")
+            .value_parser(str::parse::<DataCentre>),
+        count_flag("traffic-threads", "Threads that carry traffic", "2", 1..=64),
+        count_flag(
+            "embedded-workers",
+            "Stand-in backend servers of the embedded platform",
+            "4",
+            1..=64,
+        ),
+    ]
+}
+
+fn address_flags() -> Vec<Arg> {
+    vec![
+        address_flag("listen", "Address for callers; port 0 takes any free port"),
+        address_flag("admin-listen", "Address for operators"),
+        address_flag("peer-listen", "Address for other entry processes"),
+    ]
+}
+
+fn limit_flags() -> Vec<Arg> {
+    vec![
+        count_flag(
+            "header-bytes",
+            "Largest size of all request headers together, in bytes",
+            "16384",
+            1_024..=65_536,
+        ),
+        count_flag(
+            "buffer-bytes",
+            "Body bytes kept so that a request can be sent again",
+            "65536",
+            0..=1_048_576,
+        ),
+        count_flag(
+            "max-connections",
+            "Most connections of callers",
+            "10000",
+            1..=100_000,
+        ),
+        seconds_flag(
+            "head-timeout",
+            "Time for the first request head",
+            "5",
+            0.1..=300.0,
+        ),
+        seconds_flag(
+            "idle-timeout",
+            "Time that a caller's connection may idle",
+            "60",
+            0.1..=3_600.0,
+        ),
+        seconds_flag(
+            "body-timeout",
+            "Time between pieces of a request body",
+            "10",
+            0.1..=600.0,
+        ),
+        seconds_flag(
+            "answer-timeout",
+            "Time between pieces of an answer body",
+            "60",
+            0.1..=3_600.0,
+        ),
+    ]
+}
+
+fn backend_flags() -> Vec<Arg> {
+    vec![
+        seconds_flag(
+            "connect-timeout",
+            "Time to connect to a backend server",
+            "1",
+            0.01..=60.0,
+        ),
+        seconds_flag(
+            "backend-idle-timeout",
+            "Time that a connection to a backend server may idle",
+            "15",
+            0.1..=3_600.0,
+        ),
+        count_flag(
+            "backend-connections",
+            "Connections to one backend server kept open for reuse",
+            "7",
+            0..=64,
+        ),
+        seconds_flag(
+            "task-lease",
+            "Time that a request may run on after its attempt was lost",
+            "60",
+            0.1..=86_400.0,
+        ),
+    ]
+}
+
+fn stop_flags() -> Vec<Arg> {
+    vec![
+        seconds_flag(
+            "leave-delay",
+            "Time to go on accepting requests after SIGTERM",
+            "5",
+            0.0..=300.0,
+        ),
+        seconds_flag(
+            "stop-timeout",
+            "Longest time to finish what runs when stopping",
+            "120",
+            0.1..=86_400.0,
+        ),
+    ]
+}
+
+fn log_flags() -> Vec<Arg> {
+    vec![
+        flag("log-format", "Form of log lines on standard error")
+            .default_value("text")
+            .value_name("text|json")
+            .value_parser(str::parse::<LogFormat>),
+        flag("log-level", "Least severe level that is logged")
+            .default_value("info")
+            .value_name("LEVEL")
+            .value_parser(parse_level),
+    ]
+}
+
+/// Creates a flag with its environment variable.
+fn flag(name: &'static str, help: &'static str) -> Arg {
+    let variable = format!("REDWING_{}", name.replace('-', "_").to_uppercase());
+    Arg::new(name).long(name).env(variable).help(help)
+}
+
+fn address_flag(name: &'static str, help: &'static str) -> Arg {
+    flag(name, help)
+        .default_value("127.0.0.1:0")
+        .value_name("IP:PORT")
+        .value_parser(value_parser!(net::SocketAddr))
+}
+
+fn count_flag(
+    name: &'static str,
+    help: &'static str,
+    default: &'static str,
+    range: ops::RangeInclusive<u32>,
+) -> Arg {
+    let bounds = i64::from(*range.start())..=i64::from(*range.end());
+    flag(name, help)
+        .default_value(default)
+        .value_name(format!("{}..={}", range.start(), range.end()))
+        .value_parser(value_parser!(u32).range(bounds))
+}
+
+fn seconds_flag(
+    name: &'static str,
+    help: &'static str,
+    default: &'static str,
+    range: ops::RangeInclusive<f64>,
+) -> Arg {
+    let value_name = format!("{}..={} SECONDS", range.start(), range.end());
+    flag(name, help)
+        .default_value(default)
+        .value_name(value_name)
+        .value_parser(move |text: &str| parse_seconds(text, &range))
+}
+
+fn parse_seconds(text: &str, range: &ops::RangeInclusive<f64>) -> Result<time::Duration, String> {
+    let allowed = format!(
+        "use a number of seconds from {} to {}",
+        range.start(),
+        range.end()
+    );
+    match text.parse::<f64>() {
+        Ok(seconds) if range.contains(&seconds) => Ok(time::Duration::from_secs_f64(seconds)),
+        _ => Err(allowed),
+    }
+}
+
+fn parse_level(text: &str) -> Result<LevelFilter, String> {
+    match text {
+        "error" => Ok(LevelFilter::Error),
+        "warn" => Ok(LevelFilter::Warn),
+        "info" => Ok(LevelFilter::Info),
+        "debug" => Ok(LevelFilter::Debug),
+        _ => Err("use error, warn, info or debug".to_owned()),
+    }
+}
+
+/// Returns the value of a flag that has a default or is required.
+fn read<T>(flags: &ArgMatches, name: &str) -> Option<T>
+where
+    T: Clone + fmt::Debug + Send + Sync + 'static,
+{
+    flags.get_one::<T>(name).cloned()
+}
+
+fn count(flags: &ArgMatches, name: &str) -> Option<usize> {
+    usize::try_from(read::<u32>(flags, name)?).ok()
+}
+
+fn node_settings(flags: &ArgMatches) -> Option<NodeSettings> {
+    Some(NodeSettings {
+        platform: read(flags, "platform")?,
+        node: read(flags, "node")?,
+        data_centre: read(flags, "data-centre")?,
+        listen: read(flags, "listen")?,
+        admin_listen: read(flags, "admin-listen")?,
+        peer_listen: read(flags, "peer-listen")?,
+        traffic_threads: count(flags, "traffic-threads")?,
+        embedded_workers: read(flags, "embedded-workers")?,
+        limits: path_limits(flags)?,
+        leave_delay: read(flags, "leave-delay")?,
+        stop_timeout: read(flags, "stop-timeout")?,
+        log_format: read(flags, "log-format")?,
+        log_level: read(flags, "log-level")?,
+    })
+}
+
+fn path_limits(flags: &ArgMatches) -> Option<PathLimits> {
+    Some(PathLimits {
+        header_bytes: count(flags, "header-bytes")?,
+        buffer_bytes: count(flags, "buffer-bytes")?,
+        head_timeout: read(flags, "head-timeout")?,
+        idle_timeout: read(flags, "idle-timeout")?,
+        body_timeout: read(flags, "body-timeout")?,
+        answer_timeout: read(flags, "answer-timeout")?,
+        connect_timeout: read(flags, "connect-timeout")?,
+        backend_idle_timeout: read(flags, "backend-idle-timeout")?,
+        backend_connections: count(flags, "backend-connections")?,
+        max_connections: count(flags, "max-connections")?,
+        task_lease: read(flags, "task-lease")?,
+    })
+}
