Tell every fault of a declaration at once, with its line

Cause: an unknown field ended the reading at the first fault, and faults of content had no place; a limit of 4,000,000,000 was let through, though limits become numbered permits. Change: unknown fields are collected with those that are allowed, faults of content carry line and column, and every number has bounds.

--- a/crates/model/src/admin.rs
+++ b/crates/model/src/admin.rs
@@ -119,8 +119,9 @@
 }
 
 impl FaultReport {
-    /// Creates a report of a fault at `place`.
+    /// Creates a report of a fault, at `place` if the fault has no place of its own.
     pub fn new(place: Option<Place>, fault: &DeclarationFault) -> Self {
+        let place = fault.place.or(place);
         Self {
             line: place.map(|place| place.line),
             column: place.map(|place| place.column),
--- a/crates/model/src/declaration.rs
+++ b/crates/model/src/declaration.rs
@@ -1,10 +1,13 @@
 //! Declarations of a fleet: the targets that operators set.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 
 use serde::{Deserialize, Serialize};
+use toml::Spanned;
+use toml::de::DeTable;
 
-use crate::error::{DeclarationFault, Error, Place, Result};
+use crate::error::{DeclarationFault, Error, Result};
+use crate::field::{self, FieldTree};
 use crate::name::{PoolName, QueueName, TeamName};
 
 /// Sum of the shares of a queue must stay at or below this.
@@ -13,6 +16,21 @@
 /// Tolerance when shares are added up.
 const SHARE_EPSILON: f64 = 1e-9;
 
+/// Largest number of VMs in a pool.
+const MAX_POOL_VMS: u32 = 100_000;
+
+/// Largest limit of a team, which bounds the number of permits.
+const MAX_TEAM_LIMIT: u32 = 100_000;
+
+/// Longest drain and longest request timeout, in seconds.
+const MAX_SECONDS: u32 = 24 * 60 * 60;
+
+/// Largest request body that a queue may allow, in bytes.
+const MAX_BODY_BYTES: u64 = 1024 * 1024 * 1024;
+
+/// Largest number of waiting requests of one team at one entry VM.
+const MAX_QUEUE_DEPTH: u32 = 1_000_000;
+
 /// Targets of a whole fleet.
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
 #[serde(rename_all = "kebab-case", deny_unknown_fields, default)]
@@ -118,15 +136,39 @@
 ///
 /// # Errors
 ///
-/// Fails with a place if the text is not well-formed or names an unknown
-/// field, and with the whole list of faults if its content cannot hold.
+/// Fails with a place if the text is not well-formed, and with the whole list
+/// of faults if it names unknown fields or its content cannot hold.
 pub fn from_toml(text: &str) -> Result<FleetDeclaration> {
-    let fleet: FleetDeclaration = toml::from_str(text).map_err(|error| {
-        let offset = error.span().map_or(0, |span| span.start);
-        Error::syntax(place_of(text, offset), error.message().to_owned())
-    })?;
-    fleet.check()?;
-    Ok(fleet)
+    let root = DeTable::parse(text).map_err(|error| syntax_error(text, &error))?;
+    let root_span = root.span();
+    let mut tree = FieldTree::new(text, root.into_inner());
+    let mut faults = tree.remove_unknown();
+    let root = Spanned::new(root_span, tree.clone().into_root());
+    let fleet = match FleetDeclaration::deserialize(toml::Deserializer::from(root)) {
+        Ok(fleet) => fleet,
+        Err(error) if faults.is_empty() => return Err(syntax_error(text, &error)),
+        Err(error) => {
+            faults.push(DeclarationFault {
+                place: error.span().map(|span| field::place_of(text, span.start)),
+                field: String::new(),
+                message: error.message().to_owned(),
+            });
+            return Err(Error::faults(faults));
+        }
+    };
+    for mut fault in fleet.faults() {
+        fault.place = tree.place(&fault.field);
+        faults.push(fault);
+    }
+    if faults.is_empty() {
+        return Ok(fleet);
+    }
+    Err(Error::faults(faults))
+}
+
+fn syntax_error(text: &str, error: &toml::de::Error) -> Error {
+    let offset = error.span().map_or(0, |span| span.start);
+    Error::syntax(field::place_of(text, offset), error.message().to_owned())
 }
 
 /// Writes a declaration in TOML.
@@ -145,24 +187,39 @@
     ///
     /// Fails with the list of all faults found.
     pub fn check(&self) -> Result<()> {
-        let mut faults = Vec::new();
-        self.check_pools(&mut faults);
-        self.check_queues(&mut faults);
-        self.check_teams(&mut faults);
+        let faults = self.faults();
         if faults.is_empty() {
             return Ok(());
         }
         Err(Error::faults(faults))
     }
 
+    fn faults(&self) -> Vec<DeclarationFault> {
+        let mut faults = Vec::new();
+        self.check_pools(&mut faults);
+        self.check_queues(&mut faults);
+        self.check_teams(&mut faults);
+        faults
+    }
+
     fn check_pools(&self, faults: &mut Vec<DeclarationFault>) {
         for (name, pool) in &self.pools {
+            let field = |name_of_field| format!("pools.{name}.{name_of_field}");
+            check_count(
+                field("vms"),
+                pool.vms.into(),
+                0,
+                MAX_POOL_VMS.into(),
+                faults,
+            );
+            let drain = pool.drain_seconds.into();
+            check_count(field("drain-seconds"), drain, 1, MAX_SECONDS.into(), faults);
             if pool.max_unavailable > pool.vms {
                 let message = format!(
                     "{} is larger than the pool's {} VMs; lower it",
                     pool.max_unavailable, pool.vms
                 );
-                faults.push(fault(format!("pools.{name}.max-unavailable"), message));
+                faults.push(fault(field("max-unavailable"), message));
             }
         }
         if let Some(spare) = &self.spare_pool
@@ -179,6 +236,7 @@
                 let message = format!("pool {0} is not declared; add [pools.{0}]", queue.pool);
                 faults.push(fault(format!("queues.{name}.pool"), message));
             }
+            check_queue_bounds(name, queue, faults);
             self.check_shares(name, queue, faults);
         }
     }
@@ -208,28 +266,51 @@
     }
 
     fn check_teams(&self, faults: &mut Vec<DeclarationFault>) {
-        let mut unlimited = BTreeSet::new();
         for (name, team) in &self.teams {
-            if team.limit == 0 {
-                unlimited.insert(name);
-            }
-        }
-        for name in unlimited {
-            let message = "a limit of 0 lets the team run nothing; use 1 or more".to_owned();
-            faults.push(fault(format!("teams.{name}.limit"), message));
+            let field = format!("teams.{name}.limit");
+            check_count(field, team.limit.into(), 1, MAX_TEAM_LIMIT.into(), faults);
         }
     }
 }
 
-fn fault(field: String, message: String) -> DeclarationFault {
-    DeclarationFault { field, message }
+fn check_queue_bounds(name: &QueueName, queue: &QueueTarget, faults: &mut Vec<DeclarationFault>) {
+    let field = |name_of_field| format!("queues.{name}.{name_of_field}");
+    let timeout = queue.max_timeout_seconds.into();
+    check_count(
+        field("max-timeout-seconds"),
+        timeout,
+        1,
+        MAX_SECONDS.into(),
+        faults,
+    );
+    check_count(
+        field("max-body-bytes"),
+        queue.max_body_bytes,
+        1,
+        MAX_BODY_BYTES,
+        faults,
+    );
+    let waiting = queue.max_waiting_per_team.into();
+    check_count(
+        field("max-waiting-per-team"),
+        waiting,
+        1,
+        MAX_QUEUE_DEPTH.into(),
+        faults,
+    );
 }
 
-/// Returns the line and column of the byte at `offset`.
-fn place_of(text: &str, offset: usize) -> Place {
-    let before = &text[..offset.min(text.len())];
-    let line = before.matches('\n').count() + 1;
-    let line_start = before.rfind('\n').map_or(0, |index| index + 1);
-    let column = before[line_start..].chars().count() + 1;
-    Place { line, column }
+fn check_count(field: String, value: u64, low: u64, high: u64, faults: &mut Vec<DeclarationFault>) {
+    if !(low..=high).contains(&value) {
+        let message = format!("{value} is out of range; use {low} to {high}");
+        faults.push(fault(field, message));
+    }
+}
+
+fn fault(field: String, message: String) -> DeclarationFault {
+    DeclarationFault {
+        place: None,
+        field,
+        message,
+    }
 }
--- a/crates/model/src/error.rs
+++ b/crates/model/src/error.rs
@@ -13,7 +13,7 @@
             display("invalid {kind} name {text:?}: use 1 to 63 lower-case letters, digits and inner hyphens")
         }
         Syntax(place: Place, message: String) {
-            display("line {}, column {}: {message}", place.line, place.column)
+            display("{place}: {message}")
         }
         Faults(faults: Vec<DeclarationFault>) {
             display("{}", join_faults(faults))
@@ -33,9 +33,17 @@
     pub column: usize,
 }
 
+impl fmt::Display for Place {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "line {}, column {}", self.line, self.column)
+    }
+}
+
 /// One fault of a declaration that is well-formed but cannot hold.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct DeclarationFault {
+    /// Where the field, or the table that lacks it, stands in the text.
+    pub place: Option<Place>,
     /// Path of the field, for example `queues.certificates.pool`.
     pub field: String,
     /// What is wrong and what would mend it.
@@ -44,7 +52,13 @@
 
 impl fmt::Display for DeclarationFault {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(formatter, "{}: {}", self.field, self.message)
+        if let Some(place) = self.place {
+            write!(formatter, "{place}: ")?;
+        }
+        if !self.field.is_empty() {
+            write!(formatter, "{}: ", self.field)?;
+        }
+        formatter.write_str(&self.message)
     }
 }
 
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -31,6 +31,7 @@
 pub mod declaration;
 pub mod diff;
 pub mod error;
+mod field;
 pub mod name;
 pub mod outcome;
 pub mod vm;
--- /dev/null
+++ b/crates/model/tests/name.rs
@@ -0,0 +1,104 @@
+//! Names, incarnations and keys.
+
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use redwing_model::{AccessKey, KeyHash, NodeIncarnation, TeamName};
+use rstest::rstest;
+
+#[rstest]
+#[case::one_letter("a", true)]
+#[case::digits("42", true)]
+#[case::inner_hyphen("housing-authority", true)]
+#[case::longest(&"a".repeat(63), true)]
+#[case::too_long(&"a".repeat(64), false)]
+#[case::empty("", false)]
+#[case::capital("Housing", false)]
+#[case::leading_hyphen("-a", false)]
+#[case::trailing_hyphen("a-", false)]
+#[case::space("a b", false)]
+#[case::slash("a/b", false)]
+#[case::dot("a.b", false)]
+#[case::accent("qu\u{e9}bec", false)]
+#[case::control("a\n", false)]
+fn a_name_is_a_lower_case_label(#[case] text: &str, #[case] allowed: bool) {
+    let name = TeamName::new(text);
+    assert_eq!(name.is_ok(), allowed);
+    if let Err(error) = name {
+        assert!(error.to_string().contains("team"), "{error}");
+    }
+    let json = serde_json::json!(text);
+    assert_eq!(
+        serde_json::from_value::<TeamName>(json).is_ok(),
+        allowed,
+        "serde lets through what `new` does not"
+    );
+}
+
+#[rstest]
+#[case("entry-1.3", true)]
+#[case("entry-1.", false)]
+#[case("entry-1", false)]
+#[case(".3", false)]
+#[case("entry.1.3", false)]
+#[case("entry-1.-3", false)]
+fn an_incarnation_is_a_node_and_an_epoch(#[case] text: &str, #[case] allowed: bool) {
+    let parsed = text.parse::<NodeIncarnation>();
+    assert_eq!(parsed.is_ok(), allowed);
+    if let Ok(incarnation) = parsed {
+        assert_eq!(incarnation.to_string(), text);
+    }
+}
+
+#[test]
+fn keys_differ_and_hide_themselves() {
+    let first = AccessKey::generate();
+    let second = AccessKey::generate();
+    assert_ne!(first.expose(), second.expose());
+    assert_eq!(first.expose().len(), 64);
+    assert!(!format!("{first:?}").contains(first.expose()));
+    assert_eq!(first.hash(), KeyHash::of(first.expose()));
+    assert_ne!(first.hash(), second.hash());
+}
+
+#[test]
+fn a_digest_is_that_of_the_standard() {
+    // FIPS 180-4, the digest of "abc".
+    let expected = "ba7816bf8f01cfea414140de5dae2223b00361a396177a9cb410ff61f20015ad";
+    assert_eq!(KeyHash::of("abc").to_hex(), expected);
+    assert_eq!(KeyHash::from_hex(expected).unwrap(), KeyHash::of("abc"));
+}
+
+#[rstest]
+#[case::short("ba78")]
+#[case::capitals("BA7816BF8F01CFEA414140DE5DAE2223B00361A396177A9CB410FF61F20015AD")]
+#[case::not_hexadecimal("za7816bf8f01cfea414140de5dae2223b00361a396177a9cb410ff61f20015ad")]
+#[case::wide_characters(
+    "\u{e9}\u{e9}\u{e9}\u{e9}\u{e9}\u{e9}\u{e9}\u{e9}\u{e9}\u{e9}\u{e9}\u{e9}\u{e9}\u{e9}\u{e9}\u{e9}\u{e9}\u{e9}\u{e9}\u{e9}\u{e9}\u{e9}\u{e9}\u{e9}\u{e9}\u{e9}\u{e9}\u{e9}\u{e9}\u{e9}\u{e9}\u{e9}"
+)]
+fn a_digest_of_another_form_is_refused(#[case] text: &str) {
+    assert!(KeyHash::from_hex(text).is_err());
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 400,
+        failure_persistence: None,
+        rng_seed: RngSeed::Fixed(12),
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn parsing_any_text_never_panics(text in "\\PC{0,80}") {
+        let _ = TeamName::new(&text);
+        let _ = text.parse::<NodeIncarnation>();
+        let _ = KeyHash::from_hex(&text);
+    }
+
+    #[test]
+    fn a_digest_reads_back_as_it_was(secret in "\\PC{0,80}") {
+        let hash = KeyHash::of(&secret);
+        prop_assert_eq!(KeyHash::from_hex(&hash.to_hex()).unwrap(), hash);
+        let json = serde_json::to_string(&hash).unwrap();
+        prop_assert_eq!(serde_json::from_str::<KeyHash>(&json).unwrap(), hash);
+    }
+}
