--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -18,6 +18,7 @@
 //! # }).unwrap();
 //! ```
 
+pub mod backend;
 pub mod client;
 pub mod fault;
 pub mod memory;
