Leave windows without shares out of the share error

Cause: streams from start-up lines have no shares, and the tool told a share error of 0.0 % for them. Conclusion: the report says nothing about shares it can't know.

--- a/crates/ctl/src/load/command.rs
+++ b/crates/ctl/src/load/command.rs
@@ -237,6 +237,11 @@
     let many = |name| flags.get_many::<String>(name).into_iter().flatten();
     experiment.targets.extend(many("target").cloned());
     experiment.backends.extend(many("backend").cloned());
+    if let Some(path) = flags.get_one::<String>("declaration") {
+        let fleet = redwing_model::from_toml(&option::read_text(path)?);
+        let fleet = fleet.map_err(|error| Error::declaration(path, error.to_string()))?;
+        experiment.take_targets(&fleet);
+    }
     apply_rates(flags, &mut experiment);
     for stream in &mut experiment.streams {
         apply_stream(flags, stream);
--- a/crates/ctl/src/load/experiment.rs
+++ b/crates/ctl/src/load/experiment.rs
@@ -1,6 +1,6 @@
 //! What a load experiment sends, and where to.
 
-use redwing_model::{QueueName, TeamName};
+use redwing_model::{FleetDeclaration, QueueName, TeamName};
 use serde::{Deserialize, Serialize};
 
 use crate::error::{Error, Result};
@@ -207,6 +207,19 @@
         Ok(())
     }
 
+    /// Takes the shares and limits of the streams' teams from `fleet`.
+    pub fn take_targets(&mut self, fleet: &FleetDeclaration) {
+        for stream in &mut self.streams {
+            let queue = fleet.queues.get(&stream.queue);
+            if let Some(share) = queue.and_then(|queue| queue.shares.get(&stream.team)) {
+                stream.share = *share;
+            }
+            if let Some(team) = fleet.teams.get(&stream.team) {
+                stream.limit = team.limit;
+            }
+        }
+    }
+
     /// Returns the names of the queues, each once, in the order of the streams.
     pub fn queue_names(&self) -> Vec<&QueueName> {
         let mut names = Vec::new();
--- a/crates/ctl/src/load/share.rs
+++ b/crates/ctl/src/load/share.rs
@@ -11,6 +11,9 @@
 /// Entitlements below this part of what was delivered are not compared.
 const MIN_PART: f64 = 0.02;
 
+/// Teams below which a window says nothing about shares.
+const MIN_TEAMS: usize = 2;
+
 /// One queue in one window of time.
 #[derive(Clone, Debug, PartialEq, Serialize)]
 #[serde(rename_all = "kebab-case")]
@@ -134,17 +137,20 @@
         return None;
     }
     let entitled = max_min_entitlements(delivered, &wanted, &weights);
-    let error = teams
+    let errors: Vec<f64> = teams
         .values()
         .zip(&entitled)
         .filter(|(_, entitled)| **entitled > delivered * MIN_PART)
         .map(|(team, entitled)| (team.received - entitled).abs() / entitled)
-        .fold(0.0, f64::max);
+        .collect();
+    if errors.len() < MIN_TEAMS {
+        return None;
+    }
     Some(ShareWindow {
         queue: queue.clone(),
         from_seconds: from,
         delivered,
         wanted: wanted.iter().sum(),
-        error,
+        error: errors.into_iter().fold(0.0, f64::max),
     })
 }
--- a/crates/ctl/tests/load.rs
+++ b/crates/ctl/tests/load.rs
@@ -196,6 +196,28 @@
     assert!((windows[0].error - 0.5).abs() < 1e-9);
 }
 
+#[test]
+fn a_window_without_shares_is_not_compared() {
+    let mut contended = experiment();
+    contended.streams = vec![stream("a", "q"), stream("b", "q")];
+    contended.streams[1].share = 0.0;
+    let ran = |request, stream| record(request, stream, 0.0, 5.0, answered(RunOutcome::Ran));
+    let windows = load::share_windows(&contended, &[ran(0, 0), ran(1, 1)]);
+    assert_eq!(windows, []);
+}
+
+#[test]
+fn a_declaration_gives_shares_and_limits() {
+    let text = "[pools.p]\nvms = 1\nmax-unavailable = 0\n[queues.q]\npool = \"p\"\n\
+        shares = { a = 0.25 }\n[teams.a]\nlimit = 7\n";
+    let fleet = redwing_model::from_toml(text).expect("a declaration");
+    let mut experiment = experiment();
+    experiment.take_targets(&fleet);
+    assert_eq!(experiment.streams[0].share, 0.25);
+    assert_eq!(experiment.streams[0].limit, 7);
+    assert_eq!(experiment.streams[1].limit, 0);
+}
+
 #[test]
 fn start_up_lines_complete_an_experiment() {
     let text = "listen http://127.0.0.1:8080\nadmin http://127.0.0.1:9\nadmin-token t\n\
