--- a/crates/ctl/src/load/command.rs
+++ b/crates/ctl/src/load/command.rs
@@ -40,6 +40,11 @@
             "FILE",
             "Start-up lines of an embedded entry process",
         ),
+        text(
+            "declaration",
+            "FILE",
+            "Declaration that gives the streams' shares and limits",
+        ),
         text(
             "target",
             "URL",
