Write the experiments of the request path as one script

Cause: the figures of the request path had no command that brings them all. Change: scripts/measure.sh starts the release binaries on loopback, keeps their ids, runs the load tool and writes docs/measurements/load.md with the figure of the run before. `redwingctl value` prints one value of a report. Goodput counts only what was answered while requests were sent; a team's entitlement is bounded by its limit.

--- a/crates/ctl/src/command.rs
+++ b/crates/ctl/src/command.rs
@@ -4,7 +4,7 @@
 use std::process;
 
 use crate::error::{Category, Error, Result};
-use crate::{apply, audit, grant, inspect, load};
+use crate::{apply, audit, grant, inspect, load, value};
 
 /// Subcommands in the order in which the help lists them.
 pub const COMMANDS: &[CommandEntry] = &[
@@ -18,6 +18,7 @@
     grant::OPERATOR,
     audit::COMMAND,
     load::COMMAND,
+    value::COMMAND,
 ];
 
 /// One subcommand.
--- a/crates/ctl/src/lib.rs
+++ b/crates/ctl/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod option;
 pub mod output;
 mod transport;
+mod value;
 
 pub use command::{CommandEntry, ExitStatus, run};
 pub use error::{Category, Error, Result};
--- a/crates/ctl/src/load/report.rs
+++ b/crates/ctl/src/load/report.rs
@@ -71,7 +71,7 @@
     pub broken: usize,
     /// Requests that were not sent because too many were in flight.
     pub not_sent: usize,
-    /// Answers that say `ran`, for each second of sending.
+    /// Answers that say `ran` and came while requests were sent, for each second.
     pub ran_per_second: f64,
     /// Latency of answers that say `ran`, in milliseconds.
     pub p50_ms: f64,
@@ -84,6 +84,8 @@
     /// Latency of answers that say `ran`, in milliseconds.
     pub max_ms: f64,
     /// Latency of answers that say `not-run`, in milliseconds.
+    pub refusal_p50_ms: f64,
+    /// Latency of answers that say `not-run`, in milliseconds.
     pub refusal_p99_ms: f64,
 }
 
@@ -155,7 +157,8 @@
             cancelled: ended(|end| *end == RequestEnd::Cancelled),
             broken: ended(|end| matches!(end, RequestEnd::Broken { .. })),
             not_sent: ended(|end| *end == RequestEnd::NotSent),
-            ran_per_second: with(RunOutcome::Ran).count() as f64 / seconds,
+            ran_per_second: rate_within(seconds, with(RunOutcome::Ran)),
+            refusal_p50_ms: quantile_ms(&refused, 0.5),
             refusal_p99_ms: quantile_ms(&refused, 0.99),
             name,
             ..Self::default()
@@ -174,7 +177,7 @@
             scheduled: records.len(),
             ran: ran.len(),
             broken: records.len() - ran.len(),
-            ran_per_second: ran.len() as f64 / seconds,
+            ran_per_second: rate_within(seconds, ran.iter().copied()),
             name,
             ..Self::default()
         }
@@ -275,6 +278,15 @@
     }
 }
 
+/// Returns how many of `records` ended in each of the first `seconds`.
+///
+/// What was answered later does not count, so that a queue which is worked off
+/// after the sending does not look like throughput.
+fn rate_within<'a>(seconds: f64, records: impl Iterator<Item = &'a RequestRecord>) -> f64 {
+    let in_time = records.filter(|record| record.ended.as_secs_f64() <= seconds);
+    in_time.count() as f64 / seconds
+}
+
 /// Returns a histogram of `times` in microseconds.
 fn latencies(times: impl Iterator<Item = time::Duration>) -> Histogram<u64> {
     let histogram = Histogram::new_with_max(MAX_LATENCY_MICROS, LATENCY_DIGITS);
--- a/crates/ctl/src/load/share.rs
+++ b/crates/ctl/src/load/share.rs
@@ -41,6 +41,7 @@
 #[derive(Clone, Copy, Debug, Default)]
 struct TeamDemand {
     weight: f64,
+    limit: u32,
     wanted: f64,
     received: f64,
 }
@@ -78,7 +79,8 @@
 /// Compares each whole window of the experiment with weighted max-min fairness.
 ///
 /// A request is wanted in each window in which it was outstanding, up to its
-/// running time; it counts as running for its running time before its end.
+/// running time; it counts as running for its running time before its end. No
+/// team wants more than its limit lets it run.
 pub fn share_windows(experiment: &LoadExperiment, records: &[RequestRecord]) -> Vec<ShareWindow> {
     let length = experiment.window_seconds;
     let count = (experiment.seconds / length) as usize;
@@ -115,6 +117,7 @@
         }
         let demand = teams.entry(stream.team.clone()).or_default();
         demand.weight = stream.share;
+        demand.limit = stream.limit;
         let outstanding = ended.min(to) - arrived.max(from);
         demand.wanted += outstanding.min(stream.run_seconds);
         if record.outcome() == Some(RunOutcome::Ran) {
@@ -122,6 +125,11 @@
             demand.received += (ended.min(to) - started).max(0.0);
         }
     }
+    for demand in teams.values_mut() {
+        if demand.limit > 0 {
+            demand.wanted = demand.wanted.min(f64::from(demand.limit) * (to - from));
+        }
+    }
     teams
 }
 
--- a/crates/ctl/tests/load.rs
+++ b/crates/ctl/tests/load.rs
@@ -196,6 +196,28 @@
     assert!((windows[0].error - 0.5).abs() < 1e-9);
 }
 
+#[test]
+fn a_limit_bounds_what_a_team_is_entitled_to() {
+    let mut contended = experiment();
+    contended.streams = vec![stream("a", "q"), stream("b", "q")];
+    contended.streams[0].limit = 1;
+    contended.streams[0].run_seconds = 5.0;
+    contended.streams[1].run_seconds = 5.0;
+    // 20 slot seconds were delivered: team a may have 10 of them in 10 s.
+    let mut records = Vec::new();
+    for (request, from) in [(0, 0.0), (1, 5.0)] {
+        let ran = answered(RunOutcome::Ran);
+        records.push(record(request, 0, from, from + 5.0, ran.clone()));
+        records.push(record(10 + request, 1, from, from + 5.0, ran));
+    }
+    for request in 20..30 {
+        let refused = answered(RunOutcome::NotRun);
+        records.push(record(request, 0, 0.0, 5.0, refused));
+    }
+    let windows = load::share_windows(&contended, &records);
+    assert!(windows[0].error < 1e-9, "{windows:?}");
+}
+
 #[test]
 fn a_window_without_shares_is_not_compared() {
     let mut contended = experiment();
--- /dev/null
+++ b/scripts/measure.sh
@@ -0,0 +1,209 @@
+#!/usr/bin/env bash
+# Runs the experiments on release binaries over loopback and writes
+# docs/measurements/load.md. Takes a few minutes; CI does not run it.
+# It ends only the processes that it started.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+
+readonly SEED="${SEED:-1}"
+readonly OUT="target/measure"
+readonly PAGE="docs/measurements/load.md"
+readonly LB="target/release/redwinglb"
+readonly CTL="target/release/redwingctl"
+# Running time of a request, in seconds, and slots of the embedded fleet.
+readonly RUN=0.05
+readonly SLOTS=32
+
+pids=()
+rows=()
+failures=0
+
+stop_all() {
+    for pid in "${pids[@]}"; do
+        kill "$pid" 2>/dev/null || true
+    done
+    pids=()
+}
+trap stop_all EXIT
+
+# Starts a program in the background; its standard output goes to $1.
+start() {
+    local lines="$1"
+    shift
+    "$@" >"$lines" 2>"$lines.log" &
+    pids+=("$!")
+    last_pid=$!
+    local tries=0
+    until grep -q '^ready$' "$lines"; do
+        sleep 0.1
+        tries=$((tries + 1))
+        if [ "$tries" -gt 100 ]; then
+            echo "measure: $* did not become ready" >&2
+            exit 1
+        fi
+    done
+}
+
+start_embedded() {
+    start "$OUT/embedded.out" "$LB" serve --platform embedded --leave-delay 3 "$@"
+    entry_pid=$last_pid
+    backend=$(find_backend "$entry_pid")
+}
+
+# Prints the address of a stand-in backend server inside process $1.
+find_backend() {
+    local port
+    for port in $(ss -ltnpH | grep "pid=$1," | awk '{print $4}' | sed 's/.*://'); do
+        if curl -sf -m 1 "http://127.0.0.1:$port/standin/executions" >/dev/null; then
+            echo "http://127.0.0.1:$port"
+            return
+        fi
+    done
+}
+
+stop_one() {
+    kill "$1" 2>/dev/null || true
+    wait "$1" 2>/dev/null || true
+}
+
+# Runs a load experiment named $1; the other arguments go to the tool.
+load() {
+    local name="$1"
+    shift
+    echo "== $name: redwingctl load $*"
+    if ! "$CTL" load --seed "$SEED" --json "$OUT/$name.json" "$@"; then
+        failures=$((failures + 1))
+    fi
+}
+
+value() {
+    "$CTL" value "$OUT/$1.json" "$2"
+}
+
+# Prints what an earlier run of this script wrote for figure $1.
+earlier() {
+    [ -f "$PAGE" ] || { echo "-"; return; }
+    awk -F' [|] ' -v figure="| $1" '$1 == figure { sub(/ [|]$/, "", $6); print $6; found = 1 }
+        END { if (!found) print "-" }' "$PAGE"
+}
+
+# Adds a row: figure, target, command, value now.
+row() {
+    rows+=("| $1 | $2 | \`$3\` | $SEED | $(earlier "$1") | $4 |")
+}
+
+# Prints fraction $1 in percent, or a dash if it was not measured.
+percent() {
+    if [ "$1" = null ]; then echo "-"; else awk -v part="$1" 'BEGIN { printf "%.1f", 100 * part }'; fi
+}
+
+measure_memory() {
+    local kb
+    kb=$(awk '/^VmRSS/ { print $2 }' "/proc/$entry_pid/status")
+    row "memory of an idle entry process, MB" "< 64" "serve --platform embedded" "$((kb / 1024))"
+}
+
+measure_delay() {
+    local flags="--rate $((SLOTS * 10)) --run $RUN --direct-rate 100 --seconds 20"
+    # shellcheck disable=SC2086
+    load half-load --startup "$OUT/embedded.out" --backend "$backend" $flags
+    row "added delay at half load, p50 ms" "0.3" "load $flags" "$(value half-load added-p50-ms)"
+    row "added delay at half load, p99 ms" "2" "load $flags" "$(value half-load added-p99-ms)"
+    row "delay of the tool itself, p99 ms" "-" "load $flags" "$(value half-load send-lag-p99-ms)"
+    flags="--rate 1000 --direct-rate 1000 --seconds 10"
+    # shellcheck disable=SC2086
+    load no-work --startup "$OUT/embedded.out" --backend "$backend" $flags
+    row "added delay, requests without work, p50 ms" "0.3" "load $flags" "$(value no-work added-p50-ms)"
+    row "added delay, requests without work, p99 ms" "2" "load $flags" "$(value no-work added-p99-ms)"
+}
+
+measure_overload() {
+    local capacity=$((SLOTS * 20))
+    local flags="--rate $((capacity * 3)) --run $RUN --timeout 2 --seconds 20 --threads 2"
+    # shellcheck disable=SC2086
+    load overload --startup "$OUT/embedded.out" --backend "$backend" $flags
+    local ran
+    ran=$(value overload total.ran-per-second)
+    row "goodput at 3 times the capacity, %" ">= 95" "load $flags" \
+        "$(awk -v ran="$ran" -v capacity="$capacity" 'BEGIN { printf "%.1f", 100 * ran / capacity }')"
+    row "refusals at 3 times the capacity, p50 ms" "-" "load $flags" "$(value overload total.refusal-p50-ms)"
+    row "refusals at 3 times the capacity, p99 ms" "-" "load $flags" "$(value overload total.refusal-p99-ms)"
+}
+
+measure_shares() {
+    local flags="--rate $((SLOTS * 40)) --run $RUN --timeout 2 --rotation 5 --seconds 40 --threads 2"
+    # shellcheck disable=SC2086
+    load rotating --startup "$OUT/embedded.out" --declaration "$OUT/embedded.toml" \
+        --backend "$backend" $flags
+    row "share error, rotating 5x demand, 10 s windows, %" "< 5" "load $flags" \
+        "$(percent "$(value rotating share-error)")"
+}
+
+measure_outcomes() {
+    local flags="--rate 300 --run $RUN --once --idempotent --duplicates 0.3 --seconds 10"
+    # shellcheck disable=SC2086
+    load duplicates --startup "$OUT/embedded.out" --backend "$backend" $flags
+    row "promises broken, 30 % sent twice" "0" "load $flags" "$(breaches duplicates)"
+    flags="--rate 600 --run $RUN --cancellations 0.8 --cancel-after 0.02 --seconds 10"
+    # shellcheck disable=SC2086
+    load cancelled --startup "$OUT/embedded.out" --backend "$backend" $flags
+    row "promises broken, 80 % given up" "0" "load $flags" "$(breaches cancelled)"
+}
+
+# Prints the number of breaches of all promises.
+breaches() {
+    grep -c '"promise"' "$OUT/$1.json" || true
+}
+
+measure_stop() {
+    local flags="--rate 300 --run $RUN --seconds 3 --once"
+    echo "== stop: SIGTERM at half of the load"
+    # shellcheck disable=SC2086
+    "$CTL" load --seed "$SEED" --json "$OUT/stop.json" --startup "$OUT/embedded.out" \
+        $flags >"$OUT/stop.txt" &
+    local tool=$!
+    sleep 2
+    kill "$entry_pid"
+    local status=0
+    wait "$entry_pid" || status=$?
+    wait "$tool" || failures=$((failures + 1))
+    cat "$OUT/stop.txt"
+    row "exit status after SIGTERM under load" "0" "load $flags; kill" "$status"
+    row "answers broken by SIGTERM under load" "0" "load $flags; kill" "$(value stop total.broken)"
+}
+
+write_page() {
+    mkdir -p "$(dirname "$PAGE")"
+    {
+        echo "# Request path, measured from outside"
+        echo
+        echo "Written by \`scripts/measure.sh\`, which starts the release binaries on"
+        echo "loopback. All on one machine: $(nproc) cores, load average at the start"
+        echo "$load_average, commit $(git rev-parse --short HEAD)."
+        echo
+        echo "| figure | target | command | seed | earlier figure | now |"
+        echo "| --- | --- | --- | --- | --- | --- |"
+        printf '%s\n' "${rows[@]}"
+    } >"$OUT/load.md"
+    mv "$OUT/load.md" "$PAGE"
+}
+
+cargo build --release --locked --bins
+mkdir -p "$OUT"
+load_average=$(cut -d' ' -f1 /proc/loadavg)
+
+start_embedded
+sleep 1
+measure_memory
+admin=$(awk '/^admin / { print $2 }' "$OUT/embedded.out")
+token=$(awk '/^admin-token / { print $2 }' "$OUT/embedded.out")
+"$CTL" show --admin "$admin" --token "$token" >"$OUT/embedded.toml"
+measure_delay
+measure_overload
+measure_shares
+measure_outcomes
+measure_stop
+write_page
+cat "$PAGE"
+echo "experiments with a broken promise: $failures"
+[ "$failures" -eq 0 ]
