--- a/crates/node/tests/fault.rs
+++ b/crates/node/tests/fault.rs
@@ -1,4 +1,5 @@
 //! Faults of backend servers and callers, against a real process.
+#![allow(clippy::unwrap_used, reason = "a panic fails the test")]
 
 mod common;
 
--- a/crates/node/tests/pages.rs
+++ b/crates/node/tests/pages.rs
@@ -1,4 +1,5 @@
 //! Events, metrics, flags and problem types against their pages.
+#![allow(clippy::unwrap_used, reason = "a panic fails the test")]
 
 use std::collections::BTreeSet;
 use std::fs;
--- a/crates/node/tests/path.rs
+++ b/crates/node/tests/path.rs
@@ -1,4 +1,5 @@
 //! Answers of a real process to well-formed and malformed requests.
+#![allow(clippy::unwrap_used, reason = "a panic fails the test")]
 
 mod common;
 
--- a/crates/node/tests/settings.rs
+++ b/crates/node/tests/settings.rs
@@ -1,4 +1,5 @@
 //! Settings from the command line and the environment.
+#![allow(clippy::unwrap_used, reason = "a panic fails the test")]
 
 use std::process;
 
--- a/crates/node/tests/stop.rs
+++ b/crates/node/tests/stop.rs
@@ -1,4 +1,5 @@
 //! Graceful stop of a real process.
+#![allow(clippy::unwrap_used, reason = "a panic fails the test")]
 
 mod common;
 
