Run membership rounds beside the scheduler

Cause: a process must register before it dispatches, notice pauses and give its tokens back when it leaves.

--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -21,7 +21,7 @@
 use tokio::sync::{mpsc, oneshot, watch};
 
 use crate::event;
-use crate::settings::NodeSettings;
+use crate::settings::{self, NodeSettings};
 use crate::snapshot::SnapshotSender;
 use crate::stop::StopPhase;
 
@@ -246,13 +246,16 @@
     pub fn start(
         self,
         node: NodeIncarnation,
-        settings: SchedulerSettings,
+        scheduler: SchedulerSettings,
         outbox: mpsc::UnboundedSender<PeerEnvelope>,
     ) -> ControlHandle {
         let handle = self.handle;
         let owner = SchedulerOwner {
-            scheduler: NodeScheduler::new(settings, node),
+            pause_limit: scheduler.task_lease / settings::PAUSE_LIMITS_PER_LEASE,
+            scheduler: NodeScheduler::new(scheduler, node),
             clock: handle.clock,
+            awake: handle.clock.now(),
+            awake_wall: time::SystemTime::now(),
             replies: HashMap::new(),
             running: 0,
             leaving: Vec::new(),
@@ -269,6 +272,9 @@
     clock: NodeClock,
     replies: HashMap<TicketId, VerdictSender>,
     running: usize,
+    pause_limit: time::Duration,
+    awake: NodeTime,
+    awake_wall: time::SystemTime,
     leaving: Vec<oneshot::Sender<()>>,
     outbox: mpsc::UnboundedSender<PeerEnvelope>,
 }
@@ -285,12 +291,14 @@
                     let Some(command) = command else {
                         return;
                     };
+                    self.check_pause(self.clock.now());
                     self.handle(command);
                     self.handle_more(&mut commands);
                 }
                 () = tokio::time::sleep_until(due.into()) => {}
             }
             let now = self.clock.now();
+            self.check_pause(now);
             if now.saturating_since(ticked) >= period {
                 self.scheduler.tick(now);
                 ticked = now;
@@ -300,6 +308,25 @@
         }
     }
 
+    /// Suspends the scheduler if the process stood still for so long that its
+    /// place may be taken; the next membership round that finds its row
+    /// unchanged resumes it.
+    ///
+    /// The clock of the process may not count the time that the VM was
+    /// suspended, so the wall clock is looked at too.
+    fn check_pause(&mut self, now: NodeTime) {
+        let wall = time::SystemTime::now();
+        let by_clock = now.saturating_since(self.awake);
+        let by_wall = wall.duration_since(self.awake_wall).unwrap_or_default();
+        let gap = by_clock.max(by_wall);
+        if gap > self.pause_limit {
+            self.scheduler.suspend(now);
+            log_event!(warn, event::PAUSE_NOTICED, "for {} s", gap.as_secs_f64());
+        }
+        self.awake = now;
+        self.awake_wall = wall;
+    }
+
     fn tick_period(&self) -> time::Duration {
         if self.is_idle() { IDLE_TICK } else { BUSY_TICK }
     }
--- a/crates/node/src/error.rs
+++ b/crates/node/src/error.rs
@@ -19,6 +19,9 @@
         Stop(step: &'static str, message: String) {
             display("{step}: {message}")
         }
+        Replaced(step: &'static str, own: String) {
+            display("{step}: a newer process runs in place of {own}")
+        }
     }
 }
 
@@ -29,6 +32,8 @@
     Start,
     /// The process could not finish everything before it ended.
     Stop,
+    /// Another process runs in place of this one.
+    Replaced,
 }
 
 /// Error of the entry process, with the step and the peer.
@@ -54,11 +59,17 @@
         Self(Box::new(ErrorKind::Stop(step, message.to_string())))
     }
 
+    /// Creates an error for a process whose place was taken.
+    pub fn replaced(step: &'static str, own: impl fmt::Display) -> Self {
+        Self(Box::new(ErrorKind::Replaced(step, own.to_string())))
+    }
+
     /// Returns the stage of the process's life in which the error arose.
     pub fn classify(&self) -> Category {
         match *self.0 {
             ErrorKind::Bind(..) | ErrorKind::Start(..) => Category::Start,
             ErrorKind::Stop(..) => Category::Stop,
+            ErrorKind::Replaced(..) => Category::Replaced,
         }
     }
 }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod event;
 
 pub mod answer;
+pub mod cluster;
 pub mod connect;
 pub mod control;
 pub mod dispatch;
--- a/crates/node/src/membership.rs
+++ b/crates/node/src/membership.rs
@@ -105,6 +105,8 @@
     finished: BTreeSet<NodeIncarnation>,
     /// Own tokens let go in favour of another member, until the table shows it.
     released: BTreeSet<TokenId>,
+    /// View that the scheduler was given last, unless it must get it again.
+    installed: RefCell<Option<FleetView>>,
 }
 
 impl MembershipRunner {
@@ -130,6 +132,7 @@
             adopted: BTreeMap::new(),
             finished: BTreeSet::new(),
             released: BTreeSet::new(),
+            installed: RefCell::new(None),
         }
     }
 
@@ -247,12 +250,16 @@
             }
         }
         let records = fleet::vm_records(&self.vms);
-        self.scheduler.install(FleetView {
+        let view = FleetView {
             declaration: declaration.clone(),
             workers: fleet::workers(&records, &self.listing, declaration),
             peers: peers.iter().map(|peer| peer.incarnation.clone()).collect(),
             homes: self.usable_homes(),
-        });
+        };
+        if self.installed.borrow().as_ref() != Some(&view) {
+            self.scheduler.install(view.clone());
+            *self.installed.borrow_mut() = Some(view);
+        }
         *self.view.borrow_mut() = MembershipView {
             ended: self.tracker.ended().clone(),
             peers,
@@ -450,6 +457,7 @@
         self.read_holdings().await?;
         // A write that answered has either taken effect or never will.
         self.released.clear();
+        self.installed.replace(None);
         Ok(())
     }
 
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -16,6 +16,9 @@
 
 use crate::log::LogFormat;
 
+/// Pauses that fit in one task lease.
+pub(crate) const PAUSE_LIMITS_PER_LEASE: u32 = 4;
+
 /// Where the platform's services are.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub enum PlatformAddress {
@@ -69,6 +72,14 @@
     pub task_lease: time::Duration,
 }
 
+impl PathLimits {
+    /// Returns how long the process may stand still before it must check
+    /// that its place was not taken.
+    pub fn pause_limit(&self) -> time::Duration {
+        self.task_lease / PAUSE_LIMITS_PER_LEASE
+    }
+}
+
 impl Default for PathLimits {
     fn default() -> Self {
         Self {
@@ -102,6 +113,11 @@
     pub admin_listen: net::SocketAddr,
     /// Address on which other entry processes are served.
     pub peer_listen: net::SocketAddr,
+    /// Address at which other entry processes reach this one; that of the
+    /// listener if it is not set.
+    pub peer_advertise: Option<net::SocketAddr>,
+    /// Largest age of the platform's VM list.
+    pub list_lag: time::Duration,
     /// Number of threads that carry traffic.
     pub traffic_threads: usize,
     /// Stand-in backend servers of the embedded platform.
@@ -174,6 +190,7 @@
     let groups = [
         process_flags(),
         address_flags(),
+        platform_flags(),
         limit_flags(),
         backend_flags(),
         stop_flags(),
@@ -230,9 +247,24 @@
         address_flag("listen", "Address for callers; port 0 takes any free port"),
         address_flag("admin-listen", "Address for operators"),
         address_flag("peer-listen", "Address for other entry processes"),
+        flag(
+            "peer-advertise",
+            "Address told to other entry processes, if it is not the one listened on",
+        )
+        .value_name("IP:PORT")
+        .value_parser(value_parser!(net::SocketAddr)),
     ]
 }
 
+fn platform_flags() -> Vec<Arg> {
+    vec![seconds_flag(
+        "list-lag",
+        "Largest age of the platform's VM list",
+        "30",
+        0.1..=3_600.0,
+    )]
+}
+
 fn limit_flags() -> Vec<Arg> {
     vec![
         count_flag(
@@ -420,6 +452,8 @@
         listen: read(flags, "listen")?,
         admin_listen: read(flags, "admin-listen")?,
         peer_listen: read(flags, "peer-listen")?,
+        peer_advertise: read(flags, "peer-advertise"),
+        list_lag: read(flags, "list-lag")?,
         traffic_threads: count(flags, "traffic-threads")?,
         embedded_workers: read(flags, "embedded-workers")?,
         limits: path_limits(flags)?,
