--- a/crates/node/src/link.rs
+++ b/crates/node/src/link.rs
@@ -113,6 +113,25 @@
             .collect()
     }
 
+    /// Returns the highest version of the configuration that a peer was heard
+    /// to have in force.
+    pub fn highest_version(&self) -> u64 {
+        let links = self.links.borrow();
+        let versions = links.values().map(|link| link.state.version.get());
+        versions.max().unwrap_or_default()
+    }
+
+    /// Asks every peer for the configuration that it has in force.
+    pub async fn fetch_copies(&self) -> Vec<ConfigCopy> {
+        let addresses: Vec<net::SocketAddr> = {
+            let links = self.links.borrow();
+            links.values().map(|link| link.peer.address).collect()
+        };
+        let calls = addresses.into_iter().map(fetch_config);
+        let answers = future::join_all(calls).await;
+        answers.into_iter().filter_map(Result::ok).collect()
+    }
+
     /// Returns the bytes of all calls sent so far, without framing.
     pub fn bytes_sent(&self) -> u64 {
         let links = self.links.borrow();
