Work out entitlements in slices of a second

Cause: over a 10 s window in which a queue surged for 5 s, a limit of 16 counted for 10 s, and requests refused at once counted as hardly wanted. Change: entitlements are worked out for slices of a second with the demand and limits of that slice, and added up over the window; a refused request is wanted in full.

--- a/crates/ctl/src/load/share.rs
+++ b/crates/ctl/src/load/share.rs
@@ -11,6 +11,9 @@
 /// Entitlements below this part of what was delivered are not compared.
 const MIN_PART: f64 = 0.02;
 
+/// Length of the slices in which entitlements are worked out, in seconds.
+const SLICE_SECONDS: f64 = 1.0;
+
 /// Teams below which a window says nothing about shares.
 const MIN_TEAMS: usize = 2;
 
@@ -37,13 +40,14 @@
     }
 }
 
-/// What one team wanted and received of one queue in one window.
+/// What one team wanted and received of one queue in some time.
 #[derive(Clone, Copy, Debug, Default)]
 struct TeamDemand {
     weight: f64,
     limit: u32,
     wanted: f64,
     received: f64,
+    entitled: f64,
 }
 
 /// Splits `capacity` by weighted max-min fairness.
@@ -78,78 +82,103 @@
 
 /// Compares each whole window of the experiment with weighted max-min fairness.
 ///
-/// A request is wanted in each window in which it was outstanding, up to its
-/// running time; it counts as running for its running time before its end. No
-/// team wants more than its limit lets it run.
+/// Entitlements are worked out for slices of a second, in which demand and
+/// limits hold as they are, and added up over the window. A request is wanted
+/// in each slice in which it was outstanding, up to its running time; one that
+/// was refused is wanted in full when it arrives. It counts as running for its
+/// running time before its end. No team wants more than its limit lets it run.
 pub fn share_windows(experiment: &LoadExperiment, records: &[RequestRecord]) -> Vec<ShareWindow> {
     let length = experiment.window_seconds;
     let count = (experiment.seconds / length) as usize;
     let mut windows = Vec::new();
-    for index in 0..count {
-        let from = index as f64 * length;
-        for queue in experiment.queue_names() {
-            let teams = demands_of(experiment, records, queue, from, from + length);
-            if let Some(window) = compare(queue, from, &teams) {
-                windows.push(window);
-            }
+    for queue in experiment.queue_names() {
+        let of_queue = |record: &&RequestRecord| {
+            experiment.streams[record.stream].queue == *queue && record.end != RequestEnd::Cancelled
+        };
+        let records: Vec<&RequestRecord> = records.iter().filter(of_queue).collect();
+        for index in 0..count {
+            let from = index as f64 * length;
+            let teams = window_of(experiment, &records, from, from + length);
+            windows.extend(compare(queue, from, &teams));
         }
     }
     windows
 }
 
-fn demands_of(
+/// Adds up the slices of one window.
+fn window_of(
     experiment: &LoadExperiment,
-    records: &[RequestRecord],
-    queue: &QueueName,
+    records: &[&RequestRecord],
+    from: f64,
+    to: f64,
+) -> BTreeMap<TeamName, TeamDemand> {
+    let mut window: BTreeMap<TeamName, TeamDemand> = BTreeMap::new();
+    let slices = ((to - from) / SLICE_SECONDS).ceil() as usize;
+    for index in 0..slices {
+        let start = from + index as f64 * SLICE_SECONDS;
+        let slice = slice_of(experiment, records, start, (start + SLICE_SECONDS).min(to));
+        let wanted: Vec<f64> = slice.values().map(|team| team.wanted).collect();
+        let weights: Vec<f64> = slice.values().map(|team| team.weight).collect();
+        let delivered: f64 = slice.values().map(|team| team.received).sum();
+        let entitled = max_min_entitlements(delivered, &wanted, &weights);
+        for ((name, part), entitled) in slice.into_iter().zip(entitled) {
+            let team = window.entry(name).or_default();
+            team.wanted += part.wanted;
+            team.received += part.received;
+            team.entitled += entitled;
+        }
+    }
+    window
+}
+
+/// Returns what each team wanted and received in one slice.
+fn slice_of(
+    experiment: &LoadExperiment,
+    records: &[&RequestRecord],
     from: f64,
     to: f64,
 ) -> BTreeMap<TeamName, TeamDemand> {
     let mut teams: BTreeMap<TeamName, TeamDemand> = BTreeMap::new();
     for record in records {
         let stream = &experiment.streams[record.stream];
-        if stream.queue != *queue || record.end == RequestEnd::Cancelled {
-            continue;
-        }
         let arrived = record.scheduled.as_secs_f64();
         let ended = record.ended.as_secs_f64();
         if arrived >= to || ended <= from {
             continue;
         }
-        let demand = teams.entry(stream.team.clone()).or_default();
-        demand.weight = stream.share;
-        demand.limit = stream.limit;
-        let outstanding = ended.min(to) - arrived.max(from);
-        demand.wanted += outstanding.min(stream.run_seconds);
+        let team = teams.entry(stream.team.clone()).or_default();
+        team.weight = stream.share;
+        team.limit = stream.limit;
         if record.outcome() == Some(RunOutcome::Ran) {
             let started = (ended - stream.run_seconds).max(from);
-            demand.received += (ended.min(to) - started).max(0.0);
+            team.received += (ended.min(to) - started).max(0.0);
         }
+        let outstanding = ended.min(to) - arrived.max(from);
+        team.wanted += if record.outcome() == Some(RunOutcome::NotRun) && arrived >= from {
+            stream.run_seconds
+        } else {
+            outstanding.min(stream.run_seconds)
+        };
     }
-    for demand in teams.values_mut() {
-        if demand.limit > 0 {
-            demand.wanted = demand.wanted.min(f64::from(demand.limit) * (to - from));
+    for team in teams.values_mut() {
+        if team.limit > 0 {
+            team.wanted = team.wanted.min(f64::from(team.limit) * (to - from));
         }
     }
     teams
 }
 
+/// Returns the largest distance of a team from what it was entitled to.
 fn compare(
     queue: &QueueName,
     from: f64,
     teams: &BTreeMap<TeamName, TeamDemand>,
 ) -> Option<ShareWindow> {
-    let wanted: Vec<f64> = teams.values().map(|team| team.wanted).collect();
-    let weights: Vec<f64> = teams.values().map(|team| team.weight).collect();
     let delivered: f64 = teams.values().map(|team| team.received).sum();
-    if delivered <= 0.0 {
-        return None;
-    }
-    let entitled = max_min_entitlements(delivered, &wanted, &weights);
     let errors: Vec<f64> = teams
         .values()
-        .zip(&entitled)
-        .filter(|(_, entitled)| **entitled > delivered * MIN_PART)
-        .map(|(team, entitled)| (team.received - entitled).abs() / entitled)
+        .filter(|team| team.entitled > delivered * MIN_PART)
+        .map(|team| (team.received - team.entitled).abs() / team.entitled)
         .collect();
     if errors.len() < MIN_TEAMS {
         return None;
@@ -158,7 +187,7 @@
         queue: queue.clone(),
         from_seconds: from,
         delivered,
-        wanted: wanted.iter().sum(),
+        wanted: teams.values().map(|team| team.wanted).sum(),
         error: errors.into_iter().fold(0.0, f64::max),
     })
 }
