Add configuration, audit trail and claims of the entry process

Cause: what operators accept must be in force everywhere and never revert. Change: ConfigState installs only higher, contiguous versions; ConfigDesk makes changes by compare-and-set on config/head with an id; AuditLog writes batches of objects; claims precede requests that may run at most once.

--- /dev/null
+++ b/crates/node/src/config/reply.rs
@@ -0,0 +1,166 @@
+//! Answers to changes of the configuration.
+
+use redwing_model::admin::{
+    ChangeKind, ChangeReply, ChangeStatus, ConflictReport, FaultReport, RefusalCause,
+};
+use redwing_model::diff::{self, FieldDifference};
+use redwing_model::{FleetDeclaration, declaration};
+
+use crate::config::change::ChangeDraft;
+use crate::config::state::ConfigView;
+
+/// Returns the name of a status in the audit trail.
+pub(crate) fn status_name(status: ChangeStatus) -> &'static str {
+    match status {
+        ChangeStatus::Accepted => "accepted",
+        ChangeStatus::Refused => "refused",
+        ChangeStatus::Pending => "pending",
+    }
+}
+
+/// Answers a change that the table has; `spread` tells whether a majority of
+/// members has it too.
+pub(crate) fn made(draft: &ChangeDraft, version: u64, spread: bool) -> ChangeReply {
+    if !spread {
+        let detail = "the table has it, but too few entry VMs acknowledged it yet";
+        return pending(draft, Some(version), detail);
+    }
+    let detail = format!("in force as version {version}");
+    empty(draft, ChangeStatus::Accepted, Some(version), detail)
+}
+
+pub(crate) fn pending(draft: &ChangeDraft, version: Option<u64>, detail: &str) -> ChangeReply {
+    let detail = format!("{detail}; repeat the request with the same id");
+    empty(draft, ChangeStatus::Pending, version, detail)
+}
+
+pub(crate) fn refused(
+    draft: &ChangeDraft,
+    cause: RefusalCause,
+    detail: impl Into<String>,
+) -> ChangeReply {
+    ChangeReply {
+        cause: Some(cause),
+        ..empty(draft, ChangeStatus::Refused, None, detail.into())
+    }
+}
+
+/// Answers a dry run of a change that would be made.
+pub(crate) fn dry_run(draft: &ChangeDraft, view: &ConfigView) -> ChangeReply {
+    let detail = "dry run: nothing was changed".to_owned();
+    ChangeReply {
+        differences: differences(view, draft),
+        ..empty(draft, ChangeStatus::Accepted, None, detail)
+    }
+}
+
+/// Answers a change that met another version than its base.
+pub(crate) fn conflict(
+    draft: &ChangeDraft,
+    base_version: u64,
+    base_text: Option<&str>,
+    view: &ConfigView,
+) -> ChangeReply {
+    let base = base_text.and_then(|text| declaration::from_toml(text).ok());
+    let head = &view.head;
+    let report = ConflictReport {
+        base_version,
+        head_version: head.version,
+        head_change: head.change.clone(),
+        head_operator: head.operator.clone(),
+        changed_since_base: base.map_or_else(Vec::new, |base| between(&base, &view.declaration)),
+        proposed: differences(view, draft),
+    };
+    let detail = format!(
+        "version {} by {} is in force, not {base_version}; look at what differs and apply again",
+        head.version, head.operator
+    );
+    ChangeReply {
+        conflict: Some(report),
+        ..refused(draft, RefusalCause::Conflict, detail)
+    }
+}
+
+/// Returns the refusal of a change that cannot hold on what is in force.
+pub(crate) fn check(draft: &ChangeDraft, view: &ConfigView) -> Option<ChangeReply> {
+    let fleet = &view.declaration;
+    match &draft.kind {
+        ChangeKind::Apply | ChangeKind::Rollback { .. } => check_declaration(draft),
+        ChangeKind::GrantKey { team, queue, .. } => {
+            if !fleet.teams.contains_key(team) {
+                return Some(not_found(draft, &format!("team {team} is not declared")));
+            }
+            let queue = queue.as_ref()?;
+            let declared = fleet.queues.contains_key(queue);
+            (!declared).then(|| not_found(draft, &format!("queue {queue} is not declared")))
+        }
+        ChangeKind::WithdrawKey { hash } => {
+            let granted = view.keys.contains_key(hash);
+            (!granted).then(|| not_found(draft, "no key with this digest is in force"))
+        }
+        ChangeKind::WithdrawOperator { hash } => {
+            let granted = view.operators.contains_key(hash);
+            (!granted).then(|| not_found(draft, "no token with this digest is in force"))
+        }
+        ChangeKind::GrantOperator { .. } => None,
+    }
+}
+
+/// Returns the refusal of a declaration with all its faults.
+pub(crate) fn check_declaration(draft: &ChangeDraft) -> Option<ChangeReply> {
+    let text = draft.declaration.as_deref().unwrap_or_default();
+    let error = declaration::from_toml(text).err()?;
+    let place = error.place();
+    let mut faults: Vec<FaultReport> = error
+        .fault_list()
+        .iter()
+        .map(|fault| FaultReport::new(place, fault))
+        .collect();
+    if faults.is_empty() {
+        faults.push(FaultReport {
+            line: place.map(|place| place.line),
+            column: place.map(|place| place.column),
+            field: String::new(),
+            message: error.to_string(),
+        });
+    }
+    Some(ChangeReply {
+        faults,
+        ..refused(draft, RefusalCause::Faulty, "the declaration cannot hold")
+    })
+}
+
+/// Returns what the change makes of the declaration in force.
+pub(crate) fn differences(view: &ConfigView, draft: &ChangeDraft) -> Vec<FieldDifference> {
+    let text = draft.declaration.as_deref();
+    let proposed = text.and_then(|text| declaration::from_toml(text).ok());
+    proposed.map_or_else(Vec::new, |proposed| between(&view.declaration, &proposed))
+}
+
+fn between(before: &FleetDeclaration, after: &FleetDeclaration) -> Vec<FieldDifference> {
+    diff::differences(before, after).unwrap_or_default()
+}
+
+fn not_found(draft: &ChangeDraft, detail: &str) -> ChangeReply {
+    refused(draft, RefusalCause::NotFound, detail)
+}
+
+fn empty(
+    draft: &ChangeDraft,
+    status: ChangeStatus,
+    version: Option<u64>,
+    detail: String,
+) -> ChangeReply {
+    ChangeReply {
+        status,
+        change: draft.id.as_str().to_owned(),
+        version,
+        cause: None,
+        detail,
+        differences: Vec::new(),
+        faults: Vec::new(),
+        conflict: None,
+        secret: None,
+        hash: draft.hash(),
+    }
+}
--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -57,4 +57,20 @@
     ANSWER_TRUNCATED = 111 "answer-truncated";
     /// A message to another entry process could not be handed to its sender.
     OUTBOX_CLOSED = 120 "outbox-closed";
+    /// A version of the configuration was put in force.
+    CONFIG_INSTALLED = 200 "config-installed";
+    /// Rows of the configuration could not be read; what was in force stays.
+    CONFIG_MALFORMED = 201 "config-malformed";
+    /// The table did not tell what changed in the configuration.
+    CONFIG_UNREAD = 202 "config-unread";
+    /// Whether requests with keys are accepted has changed.
+    KEYED_WORK_CHANGED = 203 "keyed-work-changed";
+    /// Entries of the audit trail could not be written yet.
+    AUDIT_DELAYED = 210 "audit-delayed";
+    /// Entries of the audit trail were dropped because the buffer is full.
+    AUDIT_DROPPED = 211 "audit-dropped";
+    /// The listener for operators failed.
+    ADMIN_FAILED = 220 "admin-failed";
+    /// A claim could not be released or completed yet.
+    CLAIM_DELAYED = 230 "claim-delayed";
 }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -13,6 +13,9 @@
 pub mod event;
 
 pub mod answer;
+pub mod audit;
+pub mod claim;
+pub mod config;
 pub mod connect;
 pub mod control;
 pub mod dispatch;
--- a/crates/platform/src/client.rs
+++ b/crates/platform/src/client.rs
@@ -2,11 +2,12 @@
 
 use std::cell;
 use std::rc;
+use std::sync;
 use std::time;
 
 use futures_util::future::Either;
-use tokio::sync::{mpsc, oneshot};
-use tokio::{sync, task, time as timer};
+use tokio::sync::{Semaphore, mpsc, oneshot};
+use tokio::{task, time as timer};
 
 use crate::LocalFuture;
 use crate::backoff::{BackoffSettings, RetryBackoff};
@@ -79,7 +80,7 @@
     settings: ClientSettings,
     breaker: cell::RefCell<CircuitBreaker>,
     read_pacer: cell::RefCell<CallPacer>,
-    read_slots: sync::Semaphore,
+    read_slots: Semaphore,
     tally: cell::RefCell<CallTally>,
     last_success: cell::Cell<Option<time::Instant>>,
 }
@@ -99,7 +100,7 @@
             table,
             breaker: cell::RefCell::new(CircuitBreaker::new(settings.breaker.clone())),
             read_pacer: cell::RefCell::new(CallPacer::new(settings.read_interval)),
-            read_slots: sync::Semaphore::new(settings.reads_in_flight),
+            read_slots: Semaphore::new(settings.reads_in_flight),
             tally: cell::RefCell::default(),
             last_success: cell::Cell::new(None),
             settings,
@@ -285,7 +286,7 @@
 
 /// Commits what waits, in groups, until all clients are dropped.
 async fn run_writer(shared: rc::Rc<SharedState>, mut waiting: mpsc::Receiver<QueuedCommit>) {
-    let slots = rc::Rc::new(sync::Semaphore::new(shared.settings.commits_in_flight));
+    let slots = sync::Arc::new(Semaphore::new(shared.settings.commits_in_flight));
     let mut pacer = CallPacer::new(shared.settings.commit_interval);
     let mut held_back = None;
     loop {
@@ -296,7 +297,7 @@
                 None => return,
             },
         };
-        let Ok(slot) = acquire(&slots).await else {
+        let Ok(slot) = slots.clone().acquire_owned().await else {
             return;
         };
         timer::sleep(pacer.reserve(time::Instant::now())).await;
@@ -310,22 +311,6 @@
     }
 }
 
-async fn acquire(
-    slots: &rc::Rc<sync::Semaphore>,
-) -> std::result::Result<CommitSlot, sync::AcquireError> {
-    slots.acquire().await?.forget();
-    Ok(CommitSlot(slots.clone()))
-}
-
-/// Right to have one commit in flight; given back when dropped.
-struct CommitSlot(rc::Rc<sync::Semaphore>);
-
-impl Drop for CommitSlot {
-    fn drop(&mut self) {
-        self.0.add_permits(1);
-    }
-}
-
 /// Transactions that are committed as one, with those who wait for them.
 #[derive(Default)]
 struct CommitBatch {
