--- a/crates/node/tests/support/fleet.rs
+++ b/crates/node/tests/support/fleet.rs
@@ -20,28 +20,28 @@
 const PAUSE: time::Duration = time::Duration::from_micros(100);
 
 /// Message that was delayed on its way.
-pub type DelayedMessage = (usize, Vec<TableRow>);
+pub(crate) type DelayedMessage = (usize, Vec<TableRow>);
 
 /// Processes of one fleet.
-pub struct TestFleet {
-    pub platform: MemoryPlatform,
-    pub nodes: Vec<TestNode>,
-    pub links: rc::Rc<cell::RefCell<LinkTable>>,
+pub(crate) struct TestFleet {
+    pub(crate) platform: MemoryPlatform,
+    pub(crate) nodes: Vec<TestNode>,
+    pub(crate) links: rc::Rc<cell::RefCell<LinkTable>>,
 }
 
 /// One process of the fleet.
-pub struct TestNode {
-    pub platform: MemoryPlatform,
-    pub desk: rc::Rc<ConfigDesk>,
+pub(crate) struct TestNode {
+    pub(crate) platform: MemoryPlatform,
+    pub(crate) desk: rc::Rc<ConfigDesk>,
 }
 
 /// Who reaches whom, and what was delayed.
 #[derive(Default)]
-pub struct LinkTable {
-    pub desks: Vec<rc::Weak<ConfigDesk>>,
-    pub cut: Vec<bool>,
-    pub delays: bool,
-    pub delayed: Vec<DelayedMessage>,
+pub(crate) struct LinkTable {
+    pub(crate) desks: Vec<rc::Weak<ConfigDesk>>,
+    pub(crate) cut: Vec<bool>,
+    pub(crate) delays: bool,
+    pub(crate) delayed: Vec<DelayedMessage>,
 }
 
 /// Spreads by calling the other desks directly.
@@ -98,7 +98,7 @@
 }
 
 impl TestFleet {
-    pub fn new(size: usize) -> Self {
+    pub(crate) fn new(size: usize) -> Self {
         let links = rc::Rc::new(cell::RefCell::new(LinkTable {
             cut: vec![false; size],
             ..LinkTable::default()
@@ -118,7 +118,7 @@
     }
 
     /// Replaces a process by a new one, which knows nothing.
-    pub fn restart(&mut self, number: usize) {
+    pub(crate) fn restart(&mut self, number: usize) {
         let node = self.start(number, 2);
         let faults = self.nodes[number].platform.faults();
         node.platform.set_faults(|plan| *plan = faults);
@@ -155,7 +155,7 @@
 }
 
 /// Settings of a client that neither waits long nor gives up early.
-pub fn fast_client() -> ClientSettings {
+pub(crate) fn fast_client() -> ClientSettings {
     let mut settings = ClientSettings {
         commit_interval: PAUSE,
         read_interval: PAUSE,
@@ -170,14 +170,14 @@
 }
 
 /// Returns a declaration in which the team `sales` has this limit.
-pub fn declaration(limit: u32) -> String {
+pub(crate) fn declaration(limit: u32) -> String {
     format!(
         "[pools.a]\nvms = 4\nmax-unavailable = 1\n\
          [queues.q]\npool = \"a\"\n[teams.sales]\nlimit = {limit}\n"
     )
 }
 
-pub fn draft(id: &str, kind: ChangeKind) -> ChangeDraft {
+pub(crate) fn draft(id: &str, kind: ChangeKind) -> ChangeDraft {
     ChangeDraft {
         id: id.parse::<ChangeId>().unwrap(),
         id_chosen: true,
@@ -189,7 +189,7 @@
     }
 }
 
-pub fn apply_draft(id: &str, limit: u32, base: Option<u64>) -> ChangeDraft {
+pub(crate) fn apply_draft(id: &str, limit: u32, base: Option<u64>) -> ChangeDraft {
     ChangeDraft {
         base_version: base,
         declaration: Some(declaration(limit)),
@@ -197,7 +197,7 @@
     }
 }
 
-pub fn grant_draft(id: &str, key: &AccessKey) -> ChangeDraft {
+pub(crate) fn grant_draft(id: &str, key: &AccessKey) -> ChangeDraft {
     let kind = ChangeKind::GrantKey {
         hash: key.hash(),
         team: TeamName::new("sales").unwrap(),
@@ -207,12 +207,12 @@
 }
 
 impl TestNode {
-    pub async fn apply(&self, id: &str, limit: u32, base: Option<u64>) -> ChangeReply {
+    pub(crate) async fn apply(&self, id: &str, limit: u32, base: Option<u64>) -> ChangeReply {
         self.desk.change(&apply_draft(id, limit, base)).await
     }
 
     /// Returns the limit of the team `sales` in force here.
-    pub fn limit(&self) -> Option<u32> {
+    pub(crate) fn limit(&self) -> Option<u32> {
         let view = self.desk.view();
         let team = view.declaration.teams.values().next()?;
         Some(team.limit)
