Add the maintenance planner as a pure function

Cause: VMs must be drained, rebooted and moved without a pool's availability budget ever being exceeded by decision, whoever plans. Change: typestates of a VM, budgets, roll-outs, demand, capacity, moves and explanations; a plan is a list of transactions with row versions. A step-by-step trial drives it against two baselines.

--- /dev/null
+++ b/crates/planner/src/draft.rs
@@ -0,0 +1,410 @@
+//! A transaction on one pool while it is being put together.
+
+use std::collections::BTreeMap;
+
+use redwing_model::vm::{VmIdentity, VmRecord};
+use redwing_model::{DataCentre, PoolName, VmId};
+
+use crate::budget::PoolBudget;
+use crate::error::{Error, Result};
+use crate::lifecycle::{
+    AnyVm, Draining, Failed, PhaseMarker, Returning, Serving, Silent, TrackedVm,
+};
+use crate::record::{OutageCause, PoolRecord, RebootOperation, RebootProgress, VmOutage};
+use crate::rollout::{RolloutRecord, RolloutState, pinned_data_centre};
+use crate::step::{
+    PlanStep, RowContent, RowExpectation, RowReference, RowUpdate, StepChange, StepCommit,
+};
+use crate::time::PlanTime;
+use crate::view::PlannerView;
+
+/// Collects the changes of one pool; each is checked against the budget.
+pub(crate) struct PoolDraft<'a> {
+    now: PlanTime,
+    view: &'a PlannerView<'a>,
+    name: &'a PoolName,
+    budget: PoolBudget,
+    suspects: u32,
+    record: PoolRecord,
+    rollout: Option<RolloutRecord>,
+    data_centre: Option<DataCentre>,
+    writes: BTreeMap<RowReference, Option<RowContent>>,
+    uses_rollout: bool,
+    changes: Vec<StepChange>,
+}
+
+impl<'a> PoolDraft<'a> {
+    pub(crate) fn new(
+        now: PlanTime,
+        view: &'a PlannerView<'a>,
+        name: &'a PoolName,
+        suspects: u32,
+    ) -> Self {
+        let target = view.declaration.pools.get(name);
+        let declared = target.map_or(0, |target| target.vms);
+        // A pool that is not declared any more gives up all its VMs.
+        let max_unavailable = target.map_or(u32::MAX, |target| target.max_unavailable);
+        let row = view.rows.pools.get(name);
+        let record = row.map_or_else(|| PoolRecord::new(declared), |row| row.value.clone());
+        let rollout = view.rows.rollouts.get(name).map(|row| row.value.clone());
+        let mut draft = Self {
+            now,
+            view,
+            name,
+            budget: PoolBudget::new(max_unavailable),
+            suspects,
+            data_centre: pinned_data_centre(view, &record),
+            record,
+            rollout,
+            writes: BTreeMap::new(),
+            uses_rollout: false,
+            changes: Vec::new(),
+        };
+        draft.follow_declaration(declared, max_unavailable, row.is_none());
+        draft
+    }
+
+    pub(crate) fn record(&self) -> &PoolRecord {
+        &self.record
+    }
+
+    pub(crate) fn rollout(&self) -> Option<&RolloutRecord> {
+        self.rollout.as_ref()
+    }
+
+    pub(crate) fn outage(&self, vm: &VmId) -> Option<&VmOutage> {
+        self.record.out.get(vm)
+    }
+
+    pub(crate) fn headroom(&self) -> u32 {
+        self.budget.headroom(&self.record, self.suspects)
+    }
+
+    pub(crate) fn overdraft(&self) -> u32 {
+        self.budget.overdraft(&self.record, self.suspects)
+    }
+
+    /// Returns the data centre in which planned outages are allowed, if bound.
+    pub(crate) fn data_centre(&self) -> Option<&DataCentre> {
+        self.data_centre.as_ref()
+    }
+
+    pub(crate) fn changes(&self) -> usize {
+        self.changes.len()
+    }
+
+    /// Returns whether the draft has already changed the VM.
+    pub(crate) fn touches(&self, vm: &VmId) -> bool {
+        self.writes.contains_key(&RowReference::Vm(vm.clone()))
+    }
+
+    pub(crate) fn adopt(&mut self, identity: &VmIdentity) {
+        let vm = TrackedVm::adopt(identity.clone(), self.name.clone());
+        self.join(vm.into_record());
+        let vm = identity.vm.clone();
+        self.changes.push(StepChange::Adopt { vm });
+    }
+
+    /// Counts a VM that serves in this pool from now on.
+    pub(crate) fn join(&mut self, record: VmRecord) {
+        self.record.members += 1;
+        let absent = |outage: &&VmOutage| !outage.cause.is_planned();
+        let absent = self.record.out.values().filter(absent).count() as u32;
+        let present = self.record.members.saturating_sub(absent);
+        self.record.assigned = self.record.assigned.max(present);
+        self.put(record);
+    }
+
+    /// Stops counting a VM that serves in another pool from now on.
+    pub(crate) fn part(&mut self, vm: &VmId, to: &PoolName) {
+        self.close_outage(vm);
+        self.record.members = self.record.members.saturating_sub(1);
+        self.record.assigned = self.record.assigned.saturating_sub(1);
+        let (vm, to) = (vm.clone(), to.clone());
+        self.changes.push(StepChange::Move { vm, to });
+    }
+
+    /// Takes a VM out of service if the budget and data centre rules allow it.
+    pub(crate) fn drain(
+        &mut self,
+        vm: TrackedVm<Serving>,
+        cause: OutageCause,
+        move_to: Option<PoolName>,
+    ) -> Result<()> {
+        let identity = vm.record().identity.clone();
+        let bound = self.data_centre.get_or_insert(identity.data_centre.clone());
+        if *bound != identity.data_centre || self.headroom() == 0 {
+            return Err(Error::budget_spent("drain", self.name));
+        }
+        self.uses_rollout |= matches!(cause, OutageCause::Rollout(_));
+        self.open_outage(&identity.vm, cause, move_to.clone());
+        let record = match cause {
+            OutageCause::Move => vm.drain_to_move().into_record(),
+            _ => vm.drain().into_record(),
+        };
+        self.put(record);
+        let vm = identity.vm;
+        self.changes.push(StepChange::Drain { vm, cause, move_to });
+        Ok(())
+    }
+
+    /// Drains a VM that the platform takes away; the budget cannot refuse it.
+    pub(crate) fn leave(&mut self, vm: TrackedVm<Serving>) {
+        let id = vm.record().identity.vm.clone();
+        self.suspects = self.suspects.saturating_sub(1);
+        let cause = OutageCause::Leaving;
+        self.open_outage(&id, cause, None);
+        self.put(vm.drain().into_record());
+        self.changes.push(StepChange::Drain {
+            vm: id,
+            cause,
+            move_to: None,
+        });
+    }
+
+    pub(crate) fn cancel(&mut self, record: VmRecord) {
+        let vm = record.identity.vm.clone();
+        self.record.out.remove(&vm);
+        self.drop_acknowledgements(&vm);
+        self.put(record);
+        self.changes.push(StepChange::CancelDrain { vm });
+    }
+
+    pub(crate) fn reboot(&mut self, vm: TrackedVm<Draining>) {
+        let rebooting = vm.reboot();
+        let (id, revision) = key_of(&rebooting);
+        let operation = RebootOperation {
+            id: format!("reboot-{id}-{revision}"),
+            progress: RebootProgress::Requested,
+        };
+        let now = self.now;
+        if let Some(outage) = self.record.out.get_mut(&id) {
+            outage.since = now;
+            outage.reboot = Some(operation);
+        }
+        self.drop_acknowledgements(&id);
+        self.put(rebooting.into_record());
+        self.changes.push(StepChange::Reboot { vm: id });
+    }
+
+    pub(crate) fn progress(&mut self, vm: &VmId, progress: RebootProgress) {
+        let outage = self.record.out.get_mut(vm);
+        let Some(reboot) = outage.and_then(|outage| outage.reboot.as_mut()) else {
+            return;
+        };
+        reboot.progress = progress;
+        // The row of the VM stays as it is; the pool's row guards the change.
+        let vm = vm.clone();
+        self.changes.push(StepChange::RebootProgress { vm });
+    }
+
+    pub(crate) fn check(&mut self, vm: TrackedVm<Returning>) {
+        let (id, _) = key_of(&vm);
+        self.restart_phase(&id);
+        self.put(vm.into_record());
+        self.changes.push(StepChange::Check { vm: id });
+    }
+
+    pub(crate) fn serve(&mut self, vm: TrackedVm<Serving>) {
+        let (id, _) = key_of(&vm);
+        self.close_outage(&id);
+        self.put(vm.into_record());
+        self.changes.push(StepChange::Return { vm: id });
+    }
+
+    pub(crate) fn fail(&mut self, vm: TrackedVm<Failed>) {
+        let (id, _) = key_of(&vm);
+        let cause = self.outage(&id).map(|outage| outage.cause);
+        if let (Some(OutageCause::Rollout(number)), Some(rollout)) = (cause, &mut self.rollout)
+            && rollout.id == number
+        {
+            rollout.record_failure(&id);
+            self.uses_rollout = true;
+            if rollout.state == RolloutState::Running && rollout.is_failing() {
+                rollout.state = RolloutState::Stopped;
+                self.changes.push(StepChange::StopRollout);
+            }
+        }
+        self.lose(&id);
+        self.put(vm.into_record());
+        self.changes.push(StepChange::Fail { vm: id });
+    }
+
+    pub(crate) fn silence(&mut self, vm: TrackedVm<Silent>) {
+        let (id, _) = key_of(&vm);
+        self.lose(&id);
+        self.put(vm.into_record());
+        self.changes.push(StepChange::Silence { vm: id });
+    }
+
+    pub(crate) fn forget(&mut self, vm: &VmId) {
+        self.record.out.remove(vm);
+        self.record.members = self.record.members.saturating_sub(1);
+        if let Some(rollout) = &mut self.rollout
+            && rollout.remaining.remove(vm)
+        {
+            self.uses_rollout = true;
+        }
+        self.drop_acknowledgements(vm);
+        self.writes.insert(RowReference::Vm(vm.clone()), None);
+        self.changes.push(StepChange::Forget { vm: vm.clone() });
+    }
+
+    pub(crate) fn finish_rollout(&mut self) {
+        let now = self.now;
+        if let Some(rollout) = &mut self.rollout {
+            rollout.remaining.clear();
+            rollout.state = RolloutState::Done;
+            rollout.ended = Some(now);
+            self.uses_rollout = true;
+            self.changes.push(StepChange::FinishRollout);
+        }
+    }
+
+    /// Returns the transaction, or `None` if nothing changes.
+    pub(crate) fn finish(self) -> Option<PlanStep> {
+        if self.changes.is_empty() {
+            return None;
+        }
+        let (name, changes) = (self.name.clone(), self.changes.clone());
+        let commit = self.into_commit();
+        Some(PlanStep {
+            pool: name,
+            changes,
+            commit,
+        })
+    }
+
+    /// Returns one transaction for this pool and the pool that a VM joins.
+    pub(crate) fn finish_with(self, other: Self) -> Option<PlanStep> {
+        let mut step = self.finish()?;
+        let joined = other.into_commit();
+        step.commit.updates.extend(joined.updates);
+        for expectation in joined.expectations {
+            if !step.commit.expectations.contains(&expectation) {
+                step.commit.expectations.push(expectation);
+            }
+        }
+        Some(step)
+    }
+
+    fn into_commit(mut self) -> StepCommit {
+        let rows = self.view.rows;
+        self.record.revision += 1;
+        let pool = RowReference::Pool(self.name.clone());
+        let content = RowContent::Pool(self.record);
+        self.writes.insert(pool, Some(content));
+        let reference = RowReference::Rollout(self.name.clone());
+        let mut expected: Vec<RowReference> = self.writes.keys().cloned().collect();
+        expected.retain(|row| !matches!(row, RowReference::DrainAck { .. }));
+        if self.uses_rollout {
+            expected.push(reference.clone());
+            let before = rows.rollouts.get(self.name).map(|row| &row.value);
+            if self.rollout.as_ref() != before {
+                let content = self.rollout.map(RowContent::Rollout);
+                self.writes.insert(reference, content);
+            }
+        }
+        let expectation = |row: RowReference| RowExpectation {
+            version: rows.version(&row),
+            row,
+        };
+        let update = |(row, content)| RowUpdate { row, content };
+        StepCommit {
+            expectations: expected.into_iter().map(expectation).collect(),
+            updates: self.writes.into_iter().map(update).collect(),
+        }
+    }
+
+    fn follow_declaration(&mut self, declared: u32, max_unavailable: u32, is_new: bool) {
+        let before = self.record.declared;
+        let same = declared == before && max_unavailable == self.record.max_unavailable;
+        if same && !is_new {
+            return;
+        }
+        let assigned = self.record.assigned + declared;
+        self.record.assigned = assigned.saturating_sub(before);
+        self.record.declared = declared;
+        self.record.max_unavailable = max_unavailable;
+        self.record.config_version = self.view.config_version;
+        let assigned = self.record.assigned;
+        self.changes.push(StepChange::Resize { assigned });
+    }
+
+    fn open_outage(&mut self, vm: &VmId, cause: OutageCause, move_to: Option<PoolName>) {
+        let outage = VmOutage {
+            cause,
+            started: self.now,
+            since: self.now,
+            move_to,
+            reboot: None,
+        };
+        self.record.out.insert(vm.clone(), outage);
+    }
+
+    fn close_outage(&mut self, vm: &VmId) {
+        let Some(outage) = self.record.out.remove(vm) else {
+            return;
+        };
+        let elapsed = self.now.saturating_since(outage.started);
+        if let (OutageCause::Rollout(id), Some(rollout)) = (outage.cause, &mut self.rollout)
+            && rollout.id == id
+        {
+            rollout.record_return(vm, elapsed);
+            self.uses_rollout = true;
+        }
+    }
+
+    /// Counts a VM as out of service without a decision of the planner.
+    fn lose(&mut self, vm: &VmId) {
+        let now = self.now;
+        match self.record.out.get_mut(vm) {
+            Some(outage) => {
+                outage.cause = OutageCause::Failure;
+                outage.move_to = None;
+                outage.since = now;
+            }
+            None => {
+                self.suspects = self.suspects.saturating_sub(1);
+                self.open_outage(vm, OutageCause::Failure, None);
+            }
+        }
+    }
+
+    fn restart_phase(&mut self, vm: &VmId) {
+        let now = self.now;
+        if let Some(outage) = self.record.out.get_mut(vm) {
+            outage.since = now;
+        }
+    }
+
+    fn put(&mut self, record: VmRecord) {
+        let row = RowReference::Vm(record.identity.vm.clone());
+        self.writes.insert(row, Some(RowContent::Vm(record)));
+    }
+
+    fn drop_acknowledgements(&mut self, vm: &VmId) {
+        let Some(observation) = self.view.observations.get(vm) else {
+            return;
+        };
+        for node in &observation.acknowledged_by {
+            let (vm, node) = (vm.clone(), node.clone());
+            self.writes
+                .insert(RowReference::DrainAck { vm, node }, None);
+        }
+    }
+}
+
+fn key_of<P: PhaseMarker>(vm: &TrackedVm<P>) -> (VmId, u64) {
+    let record = vm.record();
+    (record.identity.vm.clone(), record.revision)
+}
+
+/// Returns the record of a draining VM that is put back into service.
+pub(crate) fn cancelled(record: &VmRecord) -> Option<VmRecord> {
+    match AnyVm::from(record.clone()) {
+        AnyVm::Draining(vm) => Some(vm.cancel().into_record()),
+        AnyVm::Moving(vm) => Some(vm.cancel().into_record()),
+        _ => None,
+    }
+}
--- /dev/null
+++ b/crates/planner/src/explain.rs
@@ -0,0 +1,274 @@
+//! Reasons for what the planner does and does not do.
+
+use redwing_model::vm::VmPhase;
+use redwing_model::{ClassName, PoolName, VmId};
+use serde::{Deserialize, Serialize};
+
+use crate::budget::PoolBudget;
+use crate::capacity::{FleetIndex, pool_need};
+use crate::plan::PlannerSettings;
+use crate::profile::ProfileTargets;
+use crate::record::{OutageCause, PoolRecord, VmOutage};
+use crate::rollout::{HoldUp, status};
+use crate::time::PlanTime;
+use crate::view::PlannerView;
+
+/// What an explanation is about.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "kebab-case", tag = "kind", content = "name")]
+pub enum Subject {
+    /// A VM.
+    Vm(VmId),
+    /// A pool.
+    Pool(PoolName),
+    /// A class of work.
+    Class(ClassName),
+}
+
+/// One input of a decision.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct ExplainedInput {
+    /// What it is.
+    pub name: String,
+    /// Its value, with the unit.
+    pub value: String,
+}
+
+/// Why something is as it is.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct Explanation {
+    /// What it is about.
+    pub subject: Subject,
+    /// The decision in one sentence.
+    pub decision: String,
+    /// From which inputs it follows.
+    pub inputs: Vec<ExplainedInput>,
+    /// What would change it.
+    pub would_change: Vec<String>,
+}
+
+impl Explanation {
+    fn new(subject: Subject, decision: String) -> Self {
+        Self {
+            subject,
+            decision,
+            inputs: Vec::new(),
+            would_change: Vec::new(),
+        }
+    }
+
+    fn input(mut self, name: &str, value: impl ToString) -> Self {
+        let (name, value) = (name.to_owned(), value.to_string());
+        self.inputs.push(ExplainedInput { name, value });
+        self
+    }
+
+    fn change(mut self, text: impl Into<String>) -> Self {
+        self.would_change.push(text.into());
+        self
+    }
+}
+
+/// Explains `subject`, or returns `None` if nothing is known of it.
+pub fn explain(
+    now: PlanTime,
+    settings: &PlannerSettings,
+    view: &PlannerView<'_>,
+    subject: &Subject,
+) -> Option<Explanation> {
+    match subject {
+        Subject::Vm(vm) => explain_vm(now, settings, view, vm),
+        Subject::Pool(pool) => explain_pool(now, settings, view, pool),
+        Subject::Class(class) => explain_class(settings, view, class),
+    }
+}
+
+fn explain_vm(
+    now: PlanTime,
+    settings: &PlannerSettings,
+    view: &PlannerView<'_>,
+    vm: &VmId,
+) -> Option<Explanation> {
+    let record = &view.rows.vms.get(vm)?.value;
+    let pool = view.rows.pools.get(&record.pool)?;
+    let subject = Subject::Vm(vm.clone());
+    let outage = pool.value.out.get(vm);
+    let decision = match outage {
+        None if view.is_suspect(vm) => {
+            format!("{vm} is counted as out of service: it is ejected or not listed as live")
+        }
+        None => format!("{vm} serves pool {}", record.pool),
+        Some(outage) => outage_sentence(vm, record.phase, outage),
+    };
+    let explanation = Explanation::new(subject, decision)
+        .input("pool", &record.pool)
+        .input("phase", phase_name(record.phase))
+        .input("rack", &record.identity.rack)
+        .input("data centre", &record.identity.data_centre);
+    let Some(outage) = outage else {
+        let text = format!("a roll-out of pool {}, a move, or a failure", record.pool);
+        return Some(explanation.change(text));
+    };
+    let seconds = now.saturating_since(outage.since).as_secs();
+    let explanation = explanation.input("in this phase for", format!("{seconds} s"));
+    Some(explanation.change(next_phase(settings, view, vm, record.phase)))
+}
+
+fn outage_sentence(vm: &VmId, phase: VmPhase, outage: &VmOutage) -> String {
+    let cause = match outage.cause {
+        OutageCause::Rollout(id) => format!("roll-out {id} reboots it"),
+        OutageCause::Move => "it changes its pool".to_owned(),
+        OutageCause::Leaving => "the platform takes it away".to_owned(),
+        OutageCause::Failure => "it failed or is not seen any more".to_owned(),
+    };
+    let target = outage.move_to.as_ref();
+    let target = target.map_or_else(String::new, |pool| format!("; it will join pool {pool}"));
+    format!("{vm} is {} because {cause}{target}", phase_name(phase))
+}
+
+fn next_phase(
+    settings: &PlannerSettings,
+    view: &PlannerView<'_>,
+    vm: &VmId,
+    phase: VmPhase,
+) -> String {
+    let seen = view.observations.get(vm).cloned().unwrap_or_default();
+    match phase {
+        VmPhase::Serving => "a drain".to_owned(),
+        VmPhase::Draining | VmPhase::Moving if seen.quiet => {
+            format!("the end of the {:?} notice", settings.drain_notice)
+        }
+        VmPhase::Draining | VmPhase::Moving => {
+            let count = seen.acknowledged_by.len();
+            format!("the end of all requests on it; {count} entry VMs have confirmed theirs")
+        }
+        VmPhase::Rebooting => {
+            format!("its answer, or failure after {:?}", settings.reboot_limit)
+        }
+        VmPhase::Returning => format!("answers for {:?}", settings.return_check),
+        VmPhase::Failed | VmPhase::Silent => {
+            let seconds = settings.forget_after.as_secs();
+            format!("its answer; it is forgotten once unlisted for {seconds} s")
+        }
+    }
+}
+
+fn explain_pool(
+    now: PlanTime,
+    settings: &PlannerSettings,
+    view: &PlannerView<'_>,
+    pool: &PoolName,
+) -> Option<Explanation> {
+    let record = &view.rows.pools.get(pool)?.value;
+    let target = view.declaration.pools.get(pool)?;
+    let suspects = FleetIndex::new(view).suspects(pool);
+    let budget = PoolBudget::new(target.max_unavailable);
+    let headroom = budget.headroom(record, suspects);
+    let decision = format!("{headroom} more VMs of pool {pool} may be taken out of service now");
+    let mut explanation = Explanation::new(Subject::Pool(pool.clone()), decision)
+        .input("declared VMs", target.vms)
+        .input("assigned VMs", record.assigned)
+        .input("members", record.members)
+        .input("serving", record.serving())
+        .input("out by plan", record.planned())
+        .input("out otherwise", record.unavailable() - record.planned())
+        .input("ejected or unseen", suspects)
+        .input("max-unavailable", target.max_unavailable);
+    explanation = explain_need(settings, view, pool, record, explanation);
+    let default_outage = time_out(settings, target.drain_seconds);
+    if let Some(status) = status(now, default_outage, view, pool) {
+        let progress = format!("{}, {} of {} VMs", status.state, status.done, status.total);
+        explanation = explanation.input("roll-out", progress);
+        for hold_up in &status.held_up_by {
+            explanation = explanation.change(hold_up_sentence(hold_up));
+        }
+    }
+    if headroom == 0 {
+        explanation = explanation.change("the return of a VM, or a larger max-unavailable");
+    }
+    Some(explanation)
+}
+
+/// Returns how long a reboot with its drain usually takes.
+pub fn time_out(settings: &PlannerSettings, drain_seconds: u32) -> std::time::Duration {
+    let drain = std::time::Duration::from_secs(drain_seconds.into());
+    drain + settings.reboot_settle + settings.return_check
+}
+
+fn explain_need(
+    settings: &PlannerSettings,
+    view: &PlannerView<'_>,
+    pool: &PoolName,
+    record: &PoolRecord,
+    explanation: Explanation,
+) -> Explanation {
+    let Some(need) = pool_need(view, settings.slots_per_vm, pool) else {
+        return explanation
+            .input("sustained demand", "not known yet")
+            .change("one whole demand window of observation");
+    };
+    let more = format!(
+        "a sustained demand above that of {} VMs brings VMs from the spare pool",
+        record.assigned
+    );
+    explanation
+        .input("sustained demand", format!("{:.1} slots", need.slots))
+        .input("VMs needed", need.vms)
+        .input("VMs kept until demand falls further", need.release_vms)
+        .change(more)
+}
+
+fn hold_up_sentence(hold_up: &HoldUp) -> String {
+    match hold_up {
+        HoldUp::State { state } => format!("resuming the roll-out, which is {state}"),
+        HoldUp::BudgetSpent { planned, unplanned } => {
+            format!("the return of one of {planned} planned and {unplanned} other outages")
+        }
+        HoldUp::DataCentre { data_centre } => {
+            format!("the return of the VMs that are out in data centre {data_centre}")
+        }
+        HoldUp::StaleList => "a recent VM list from the platform".to_owned(),
+        HoldUp::LongDrains { vms } => {
+            format!("the end of long requests on {} draining VMs", vms.len())
+        }
+    }
+}
+
+fn explain_class(
+    settings: &PlannerSettings,
+    view: &PlannerView<'_>,
+    class: &ClassName,
+) -> Option<Explanation> {
+    let queue = view.declaration.queues.get(class)?;
+    let pool = &queue.pool;
+    let record = &view.rows.pools.get(pool)?.value;
+    let targets = ProfileTargets::of(view.declaration.profile);
+    let slots = record.serving() * settings.slots_per_vm;
+    let decision = format!("class {class} runs on {slots} slots of pool {pool}");
+    let demand = view.demand.get(class);
+    let demand = demand.map_or_else(
+        || "not known yet".to_owned(),
+        |slots| format!("{slots:.1} slots"),
+    );
+    let window = targets.demand_window.as_secs();
+    let explanation = Explanation::new(Subject::Class(class.clone()), decision)
+        .input("sustained demand", demand)
+        .input("demand window", format!("{window} s"))
+        .input("targeted utilisation", targets.utilisation)
+        .change("surges much shorter than the demand window change nothing");
+    Some(explain_need(settings, view, pool, record, explanation))
+}
+
+fn phase_name(phase: VmPhase) -> &'static str {
+    match phase {
+        VmPhase::Serving => "serving",
+        VmPhase::Draining => "draining",
+        VmPhase::Rebooting => "rebooting",
+        VmPhase::Returning => "returning",
+        VmPhase::Moving => "moving",
+        VmPhase::Failed => "failed",
+        VmPhase::Silent => "silent",
+    }
+}
--- /dev/null
+++ b/crates/planner/src/trial/baseline.rs
@@ -0,0 +1,81 @@
+//! Baselines that the planner is compared with.
+//!
+//! Both drive the same rows under the same budgets and data centre rule, so
+//! that only the decision under comparison differs.
+
+use redwing_model::PoolName;
+
+use crate::capacity::FleetIndex;
+use crate::draft::PoolDraft;
+use crate::lifecycle::AnyVm;
+use crate::record::OutageCause;
+use crate::rollout::RolloutState;
+use crate::step::PlanStep;
+use crate::time::PlanTime;
+use crate::view::{FleetRows, PlannerView};
+
+/// Load below which a pool gives a VM to one that surges.
+const DONOR_LOAD: f64 = 0.5;
+
+/// Returns rows in which roll-outs take the next VMs only when all VMs of the
+/// wave before are back.
+pub fn lock_step(rows: &FleetRows) -> FleetRows {
+    let mut rows = rows.clone();
+    for (pool, rollout) in &mut rows.rollouts {
+        let out = rows
+            .pools
+            .get(pool)
+            .is_some_and(|row| row.value.planned() > 0);
+        if out && rollout.value.state == RolloutState::Running {
+            rollout.value.state = RolloutState::Paused;
+        }
+    }
+    rows
+}
+
+/// Returns the reserve of a fleet whose pools each hold their budget and the
+/// largest number of their own VMs in one rack.
+pub fn reserve_per_pool(view: &PlannerView<'_>) -> u32 {
+    let index = FleetIndex::new(view);
+    let mut reserve = 0;
+    for (pool, target) in &view.declaration.pools {
+        let mut racks = std::collections::BTreeMap::new();
+        for row in index.members(pool) {
+            *racks.entry(&row.value.identity.rack).or_insert(0) += 1;
+        }
+        let largest: u32 = racks.into_values().max().unwrap_or(0);
+        reserve += target.max_unavailable + largest;
+    }
+    reserve
+}
+
+/// Returns a move of one VM to the pool whose surge has just begun.
+pub fn follow_surge(
+    now: PlanTime,
+    view: &PlannerView<'_>,
+    slots_per_vm: u32,
+    loads: &[(PoolName, f64)],
+) -> Option<PlanStep> {
+    let capacity = |pool: &PoolName| {
+        let row = view.rows.pools.get(pool);
+        f64::from(row.map_or(0, |row| row.value.serving()) * slots_per_vm)
+    };
+    let mut pools = loads.iter();
+    let (taker, _) = pools.find(|(pool, load)| *load > capacity(pool))?;
+    let idle = loads
+        .iter()
+        .filter(|(pool, load)| *load < DONOR_LOAD * capacity(pool));
+    let (donor, _) = idle.max_by(|one, other| capacity(&one.0).total_cmp(&capacity(&other.0)))?;
+    let mut draft = PoolDraft::new(now, view, donor, 0);
+    let index = FleetIndex::new(view);
+    for row in index.members(donor) {
+        if let AnyVm::Serving(vm) = AnyVm::from(row.value.clone())
+            && draft
+                .drain(vm, OutageCause::Move, Some(taker.clone()))
+                .is_ok()
+        {
+            break;
+        }
+    }
+    draft.finish()
+}
