--- /dev/null
+++ b/crates/planner/benches/plan.rs
@@ -0,0 +1,78 @@
+//! Cost of one plan against the number of VMs, with roll-outs under way.
+
+use std::collections::BTreeMap;
+use std::hint;
+
+use criterion::{BenchmarkId, Criterion, criterion_group, criterion_main};
+use redwing_model::{ClassName, VmId};
+use redwing_planner::plan::plan;
+use redwing_planner::rollout::{self, RolloutCommand};
+use redwing_planner::trial::{TrialFleet, TrialLayout};
+use redwing_planner::{PlanTime, PlannerSettings, PlannerView, VmObservation};
+
+/// Fleet sizes: pools and VMs in each.
+const SIZES: [(usize, u32); 4] = [(5, 10), (10, 100), (25, 166), (50, 166)];
+
+/// Seconds of roll-out before the measured plan.
+const WARM_UP_SECONDS: u64 = 30;
+
+fn fleet_under_way(pools: usize, vms: u32) -> TrialFleet {
+    let layout = TrialLayout {
+        pool_sizes: vec![vms; pools],
+        max_unavailable: vms / 10,
+        ..TrialLayout::default()
+    };
+    let mut fleet = TrialFleet::new(&layout).expect("the generated names are valid");
+    for pool in fleet.declaration.pools.clone().into_keys() {
+        let start = rollout::command(time(0), &fleet.rows, &pool, RolloutCommand::Start);
+        fleet.commit(0, &start.expect("no roll-out is open"));
+    }
+    for second in 0..WARM_UP_SECONDS {
+        let observations = fleet.observe(second);
+        let view = view(&fleet, &observations);
+        let plan = plan(time(second), &PlannerSettings::default(), &view);
+        for step in &plan.steps {
+            fleet.commit(second, &step.commit);
+        }
+        for call in &plan.calls {
+            fleet.call(second, call);
+        }
+    }
+    fleet
+}
+
+fn time(second: u64) -> PlanTime {
+    PlanTime::from_secs(second)
+}
+
+fn view<'a>(
+    fleet: &'a TrialFleet,
+    observations: &'a BTreeMap<VmId, VmObservation>,
+) -> PlannerView<'a> {
+    PlannerView {
+        observations,
+        ..PlannerView::new(&fleet.declaration, &fleet.rows)
+    }
+}
+
+fn bench_plan(criterion: &mut Criterion) {
+    let mut group = criterion.benchmark_group("plan");
+    for (pools, vms) in SIZES {
+        let fleet = fleet_under_way(pools, vms);
+        let observations = fleet.observe(WARM_UP_SECONDS);
+        let demand: BTreeMap<ClassName, f64> = BTreeMap::new();
+        let view = PlannerView {
+            demand: &demand,
+            ..view(&fleet, &observations)
+        };
+        let settings = PlannerSettings::default();
+        let size = pools as u32 * vms;
+        group.bench_function(BenchmarkId::from_parameter(size), |bencher| {
+            bencher.iter(|| plan(time(WARM_UP_SECONDS), &settings, hint::black_box(&view)));
+        });
+    }
+    group.finish();
+}
+
+criterion_group!(benches, bench_plan);
+criterion_main!(benches);
--- a/crates/planner/src/trial/mod.rs
+++ b/crates/planner/src/trial/mod.rs
@@ -11,4 +11,4 @@
 
 pub use demand::RotatingDemand;
 pub use fleet::{BrokenRule, TrialFleet, TrialLayout};
-pub use run::{TrialPolicy, TrialResult, TrialSettings, run};
+pub use run::{TrialPoint, TrialPolicy, TrialResult, TrialSettings, run};
--- a/crates/planner/tests/safety.rs
+++ b/crates/planner/tests/safety.rs
@@ -1,4 +1,5 @@
 //! Properties that hold through any mixture of faults, races and operators.
+#![expect(clippy::unwrap_used, reason = "a test fails by panicking")]
 
 use std::collections::{BTreeMap, VecDeque};
 
