--- /dev/null
+++ b/crates/membership/src/ended.rs
@@ -0,0 +1,169 @@
+//! Decision when the tokens of an ended incarnation may be given to others.
+//!
+//! An incarnation has ended when a newer one runs on the same entry VM, when
+//! its row is gone, or when the platform no longer lists its VM. Since the
+//! list lags, it says nothing of an incarnation whose row is younger than the
+//! lag. A time-out alone ends nothing: a paused process may wake, and in an outage of the
+//! table nobody can renew anything.
+//!
+//! Its tokens may be given to others once every present member has settled
+//! it (holds none of its tokens and takes none from it) or has itself ended,
+//! and a full task lease has passed since then. The lease covers requests
+//! that still run on backend servers for a sender that is gone.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time;
+
+use redwing_model::{NodeId, NodeIncarnation};
+use redwing_policy::NodeTime;
+
+use crate::member::MemberRecord;
+
+/// Successive lists without a VM before its process counts as ended.
+const MISSING_LISTS: u32 = 3;
+
+/// What one round of reading showed.
+#[derive(Clone, Copy, Debug)]
+pub struct MemberEvidence<'a> {
+    /// Rows of the members, as the table has them.
+    pub members: &'a BTreeMap<NodeId, MemberRecord>,
+    /// Entry VMs that the platform lists; `None` if the list was not read.
+    pub listed: Option<&'a BTreeSet<NodeId>>,
+    /// Incarnations that are home to some token.
+    pub homes: &'a BTreeSet<NodeIncarnation>,
+}
+
+/// Bounds that the platform keeps.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct EndedSettings {
+    /// How long a request may go on running after its sender has ended.
+    pub task_lease: time::Duration,
+    /// Largest age of the platform's list.
+    pub list_lag: time::Duration,
+}
+
+impl Default for EndedSettings {
+    fn default() -> Self {
+        Self {
+            task_lease: time::Duration::from_secs(60),
+            list_lag: time::Duration::from_secs(30),
+        }
+    }
+}
+
+/// Tracks ended incarnations at one process.
+#[derive(Debug)]
+pub struct EndedTracker {
+    own: NodeIncarnation,
+    settings: EndedSettings,
+    missing: BTreeMap<NodeIncarnation, u32>,
+    first_seen: BTreeMap<NodeIncarnation, NodeTime>,
+    ended: BTreeSet<NodeIncarnation>,
+    settled_since: BTreeMap<NodeIncarnation, NodeTime>,
+}
+
+impl EndedTracker {
+    /// Creates a tracker for the process `own`.
+    pub fn new(own: NodeIncarnation, settings: EndedSettings) -> Self {
+        Self {
+            own,
+            settings,
+            missing: BTreeMap::new(),
+            first_seen: BTreeMap::new(),
+            ended: BTreeSet::new(),
+            settled_since: BTreeMap::new(),
+        }
+    }
+
+    /// Returns whether `incarnation` is known to have ended.
+    pub fn is_ended(&self, incarnation: &NodeIncarnation) -> bool {
+        self.ended.contains(incarnation)
+    }
+
+    /// Returns the incarnations that are known to have ended.
+    pub fn ended(&self) -> &BTreeSet<NodeIncarnation> {
+        &self.ended
+    }
+
+    /// Returns whether the tokens of `incarnation` may be given to others.
+    pub fn is_reclaimable(&self, now: NodeTime, incarnation: &NodeIncarnation) -> bool {
+        self.settled_since
+            .get(incarnation)
+            .is_some_and(|since| now.saturating_since(*since) >= self.settings.task_lease)
+    }
+
+    /// Returns the present members: those with a row that have not ended.
+    pub fn present(&self, members: &BTreeMap<NodeId, MemberRecord>) -> Vec<NodeIncarnation> {
+        members
+            .values()
+            .map(|record| &record.incarnation)
+            .filter(|incarnation| !self.is_ended(incarnation))
+            .cloned()
+            .collect()
+    }
+
+    /// Takes what one round of reading showed.
+    pub fn observe(&mut self, now: NodeTime, evidence: MemberEvidence<'_>) {
+        self.find_gone(now, evidence);
+        self.find_missing(now, evidence);
+        self.find_settled(now, evidence);
+    }
+
+    /// Finds incarnations that were replaced or whose row was removed.
+    ///
+    /// A replaced incarnation may have borrowed tokens without being the home
+    /// of any, so those seen in earlier rounds count too.
+    fn find_gone(&mut self, now: NodeTime, evidence: MemberEvidence<'_>) {
+        let members = evidence.members.values();
+        let present: BTreeSet<&NodeIncarnation> =
+            members.map(|record| &record.incarnation).collect();
+        let known = self.first_seen.keys().chain(evidence.homes);
+        let gone = known.filter(|incarnation| !present.contains(incarnation));
+        let ended = gone.filter(|incarnation| **incarnation != self.own);
+        self.ended.extend(ended.cloned());
+        self.first_seen
+            .retain(|incarnation, _| present.contains(incarnation));
+        for incarnation in present {
+            self.first_seen.entry(incarnation.clone()).or_insert(now);
+        }
+    }
+
+    /// Finds incarnations whose VM successive lists lack.
+    fn find_missing(&mut self, now: NodeTime, evidence: MemberEvidence<'_>) {
+        let Some(listed) = evidence.listed else {
+            return;
+        };
+        // A list that lacks this very process is too old or wrong.
+        if !listed.contains(&self.own.node) {
+            self.missing.clear();
+            return;
+        }
+        for (incarnation, seen) in &self.first_seen {
+            let too_young = now.saturating_since(*seen) < self.settings.list_lag;
+            if too_young || listed.contains(&incarnation.node) {
+                self.missing.remove(incarnation);
+                continue;
+            }
+            let rounds = self.missing.entry(incarnation.clone()).or_default();
+            *rounds += 1;
+            if *rounds >= MISSING_LISTS {
+                self.ended.insert(incarnation.clone());
+            }
+        }
+    }
+
+    fn find_settled(&mut self, now: NodeTime, evidence: MemberEvidence<'_>) {
+        for incarnation in &self.ended {
+            let settled = evidence.members.values().all(|record| {
+                record.incarnation == *incarnation
+                    || record.settled.contains(incarnation)
+                    || self.ended.contains(&record.incarnation)
+            });
+            if settled {
+                self.settled_since.entry(incarnation.clone()).or_insert(now);
+            } else {
+                self.settled_since.remove(incarnation);
+            }
+        }
+    }
+}
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -27,8 +27,11 @@
 //! ```
 
 pub mod access;
+pub mod admin;
 pub mod declaration;
+pub mod diff;
 pub mod error;
+mod field;
 pub mod name;
 pub mod outcome;
 pub mod vm;
