Keep a pool from going back to an older configuration

Cause: a planner that has not heard of a lowered budget could plan with the old one; the property test did not cover it. Change: the trial has planners with fresh rows and an old declaration, and checks that the configuration of a pool never goes back; a VM that the platform keeps after listing it as leaving serves again. Conclusion: the version in the pool's row stops such planners.

--- a/crates/planner/src/plan.rs
+++ b/crates/planner/src/plan.rs
@@ -276,9 +276,12 @@
             AnyVm::Serving(vm) if seen.listing == Listing::Leaving => draft.leave(vm),
             AnyVm::Serving(vm) if silent => draft.silence(vm.silence()),
             AnyVm::Serving(_) => {}
-            AnyVm::Draining(_) if leaving => {
+            // The platform may also keep a VM that it had listed as leaving.
+            AnyVm::Draining(vm) if leaving => {
                 if silent {
                     draft.forget(id);
+                } else if seen.listing == Listing::Live && seen.answering {
+                    draft.cancel(vm.cancel().into_record());
                 }
             }
             AnyVm::Draining(vm) if silent => draft.silence(vm.silence()),
--- a/crates/planner/src/trial/fleet.rs
+++ b/crates/planner/src/trial/fleet.rs
@@ -82,6 +82,8 @@
     CutOff(VmId),
     /// A VM out of service is not counted in its pool, or the reverse.
     Outage(VmId),
+    /// A pool went back to an older configuration.
+    Configuration(PoolName),
     /// A drain began although the operator had paused or ended the roll-out.
     Paused(PoolName),
 }
@@ -185,9 +187,18 @@
 
     /// Applies a step of a plan and checks every rule on the result.
     pub fn commit_step(&mut self, second: u64, step: &PlanStep) -> bool {
+        let version = |rows: &FleetRows| {
+            let row = rows.pools.get(&step.pool);
+            row.map_or(0, |row| row.value.config_version)
+        };
+        let before = version(&self.rows);
         if !self.commit(second, &step.commit) {
             return false;
         }
+        if version(&self.rows) < before {
+            self.broken
+                .push(BrokenRule::Configuration(step.pool.clone()));
+        }
         self.check_step(step);
         self.check_rows();
         true
--- a/crates/planner/tests/safety.rs
+++ b/crates/planner/tests/safety.rs
@@ -27,6 +27,8 @@
     LostReplies,
     /// A planner that was paused for some steps commits what it had planned.
     WakePaused(usize),
+    /// A planner reads the table, but has not heard of later configurations.
+    OldConfig(usize),
     /// A rack fails, or comes back.
     Rack(usize, bool),
     /// A VM will not boot any more, or will again.
@@ -51,6 +53,7 @@
         4 => Just(Event::Race),
         2 => Just(Event::LostReplies),
         4 => (1_usize..40).prop_map(Event::WakePaused),
+        2 => (1_usize..40).prop_map(Event::OldConfig),
         1 => (0_usize..14, any::<bool>()).prop_map(|(rack, dead)| Event::Rack(rack, dead)),
         1 => (0_usize..50, any::<bool>()).prop_map(|(vm, refused)| Event::Boot(vm, refused)),
         1 => (0_usize..50, any::<bool>()).prop_map(|(vm, ejected)| Event::Eject(vm, ejected)),
@@ -144,6 +147,15 @@
                 let plan = old.plan(&self.settings);
                 self.carry_out(&plan, 1);
             }
+            Event::OldConfig(age) => {
+                let old = self.memories.iter().rev().nth(*age).unwrap_or(&memory);
+                let outdated = Memory {
+                    declaration: old.declaration.clone(),
+                    config_version: old.config_version,
+                    ..memory.clone()
+                };
+                self.carry_out(&outdated.plan(&self.settings), 1);
+            }
             other => self.disturb(other),
         }
         self.memories.push_back(memory);
