--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod answer;
 pub mod audit;
 pub mod claim;
+pub mod cluster;
 pub mod config;
 pub mod connect;
 pub mod control;
