--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -13,7 +13,10 @@
 pub mod event;
 
 pub mod answer;
+pub mod audit;
+pub mod claim;
 pub mod cluster;
+pub mod config;
 pub mod connect;
 pub mod control;
 pub mod dispatch;
