--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -21,6 +21,16 @@
     }
 }
 
+/// Logs an event: level, code, then a message as for `format!`.
+macro_rules! log_event {
+    ($level:ident, $code:expr, $($message:tt)+) => {
+        ::log::$level!(
+            event = $code.number;
+            "{} {}", $code, ::std::format_args!($($message)+)
+        )
+    };
+}
+
 macro_rules! event_codes {
     ($($(#[$doc:meta])* $constant:ident = $number:literal $name:literal;)*) => {
         $($(#[$doc])* pub const $constant: EventCode = EventCode { number: $number, name: $name };)*
@@ -37,4 +47,44 @@
     PROCESS_STOPPING = 101 "process-stopping";
     /// The process has finished everything and ends.
     PROCESS_STOPPED = 102 "process-stopped";
+    /// The process ends although something had not finished in time.
+    STOP_INCOMPLETE = 103 "stop-incomplete";
+    /// A stand-in backend server runs in this process.
+    STANDIN_BACKEND = 104 "standin-backend";
+    /// An attempt at a backend server failed.
+    ATTEMPT_FAILED = 110 "attempt-failed";
+    /// An answer of a backend server broke off; the caller's connection is aborted.
+    ANSWER_TRUNCATED = 111 "answer-truncated";
+    /// A message to another entry process could not be handed to its sender.
+    OUTBOX_CLOSED = 120 "outbox-closed";
+    /// A version of the configuration was put in force.
+    CONFIG_INSTALLED = 200 "config-installed";
+    /// Rows of the configuration could not be read; what was in force stays.
+    CONFIG_MALFORMED = 201 "config-malformed";
+    /// The table did not tell what changed in the configuration.
+    CONFIG_UNREAD = 202 "config-unread";
+    /// Whether requests with keys are accepted has changed.
+    KEYED_WORK_CHANGED = 203 "keyed-work-changed";
+    /// Entries of the audit trail could not be written yet.
+    AUDIT_DELAYED = 210 "audit-delayed";
+    /// Entries of the audit trail were dropped because the buffer is full.
+    AUDIT_DROPPED = 211 "audit-dropped";
+    /// The listener for operators failed.
+    ADMIN_FAILED = 220 "admin-failed";
+    /// A claim could not be released or completed yet.
+    CLAIM_DELAYED = 230 "claim-delayed";
+    /// The process has registered in the table.
+    MEMBER_REGISTERED = 300 "member-registered";
+    /// The table did not take the registration yet; it is tried again.
+    MEMBER_UNREGISTERED = 301 "member-unregistered";
+    /// A newer process runs on the VM; this one stops.
+    MEMBER_REPLACED = 302 "member-replaced";
+    /// The process has given its tokens to the others and removed its row.
+    MEMBER_LEFT = 303 "member-left";
+    /// The process ends without having given its tokens back.
+    LEAVE_FAILED = 304 "leave-failed";
+    /// A membership round failed; it is tried again.
+    ROUND_FAILED = 305 "round-failed";
+    /// The process stood still for so long that its place may be taken.
+    PAUSE_NOTICED = 306 "pause-noticed";
 }
--- a/crates/node/src/membership.rs
+++ b/crates/node/src/membership.rs
@@ -9,10 +9,10 @@
 use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc;
-use std::time;
 
 use redwing_membership::{
-    EndedTracker, HoldingRecord, HomeAssignment, MemberEvidence, MemberRecord, member,
+    EndedSettings, EndedTracker, HoldingRecord, HomeAssignment, MemberEvidence, MemberRecord,
+    member,
 };
 use redwing_model::{FleetDeclaration, NodeId, NodeIncarnation};
 use redwing_platform::table::CommitOutcome;
@@ -38,15 +38,15 @@
 pub struct MembershipSettings {
     /// Slots of each backend server.
     pub slots_per_worker: u32,
-    /// How long a request may go on running after its sender has ended.
-    pub task_lease: time::Duration,
+    /// Bounds that the platform keeps.
+    pub ended: EndedSettings,
 }
 
 impl Default for MembershipSettings {
     fn default() -> Self {
         Self {
             slots_per_worker: 8,
-            task_lease: time::Duration::from_secs(60),
+            ended: EndedSettings::default(),
         }
     }
 }
@@ -105,6 +105,8 @@
     finished: BTreeSet<NodeIncarnation>,
     /// Own tokens let go in favour of another member, until the table shows it.
     released: BTreeSet<TokenId>,
+    /// View that the scheduler was given last, unless it must get it again.
+    installed: RefCell<Option<FleetView>>,
 }
 
 impl MembershipRunner {
@@ -116,7 +118,7 @@
         own: NodeIncarnation,
     ) -> Self {
         Self {
-            tracker: EndedTracker::new(own.clone(), settings.task_lease),
+            tracker: EndedTracker::new(own.clone(), settings.ended),
             homes: HomeTable::new(own.clone()),
             settings,
             services,
@@ -130,6 +132,7 @@
             adopted: BTreeMap::new(),
             finished: BTreeSet::new(),
             released: BTreeSet::new(),
+            installed: RefCell::new(None),
         }
     }
 
@@ -247,12 +250,16 @@
             }
         }
         let records = fleet::vm_records(&self.vms);
-        self.scheduler.install(FleetView {
+        let view = FleetView {
             declaration: declaration.clone(),
             workers: fleet::workers(&records, &self.listing, declaration),
             peers: peers.iter().map(|peer| peer.incarnation.clone()).collect(),
             homes: self.usable_homes(),
-        });
+        };
+        if self.installed.borrow().as_ref() != Some(&view) {
+            self.scheduler.install(view.clone());
+            *self.installed.borrow_mut() = Some(view);
+        }
         *self.view.borrow_mut() = MembershipView {
             ended: self.tracker.ended().clone(),
             peers,
@@ -450,6 +457,7 @@
         self.read_holdings().await?;
         // A write that answered has either taken effect or never will.
         self.released.clear();
+        self.installed.replace(None);
         Ok(())
     }
 
