Judge teams only on what they use while somebody waits

Cause: small teams got 5 to 8 % less than their share in windows of 10 s. Two causes were found. Service used while slots were free still counted once slots became scarce: at the start of a peak all teams fill the idle slots evenly, and the small ones then waited until the others had caught up. And a slot given to a peer was charged up to eight times in advance, which for a small share is more than half a second of its virtual time. Change: a team that begins to wait starts at the virtual time of the team served last, whether or not it has attempts running; refunds for attempts from before the contention do not lead below its start; the advance for a given slot is bounded by the tolerance.

--- a/crates/policy/src/fair.rs
+++ b/crates/policy/src/fair.rs
@@ -64,6 +64,9 @@
     ready: BTreeSet<(VirtualTime, TeamIndex)>,
     remote: BTreeSet<(VirtualTime, TeamIndex)>,
     clock: VirtualTime,
+    /// Virtual time at which some team began to wait while no other did;
+    /// refunds for attempts that started earlier do not lead below it.
+    floor: VirtualTime,
     slots: u32,
     waiting: usize,
     running: u32,
@@ -79,6 +82,7 @@
             ready: BTreeSet::new(),
             remote: BTreeSet::new(),
             clock: VirtualTime::default(),
+            floor: VirtualTime::default(),
             slots: 1,
             waiting: 0,
             running: 0,
@@ -265,8 +269,11 @@
     /// Charges `team` slot time in microseconds; a negative amount is a refund.
     pub fn charge(&mut self, team: TeamIndex, micros: i64) {
         let scaled = self.scale(team, micros);
+        let floor = self.floor;
         self.update(team, |queue| {
-            queue.clock.0 = queue.clock.0.saturating_add(scaled.0);
+            let lowest = queue.clock.min(floor);
+            let charged = VirtualTime(queue.clock.0.saturating_add(scaled.0));
+            queue.clock = charged.max(lowest);
         });
     }
 
@@ -275,6 +282,7 @@
         let lift = self.active_clock();
         let queue = &mut self.teams[team.0];
         let was_active = queue.is_active();
+        let was_waiting = queue.is_waiting();
         let key = (queue.clock, team);
         if queue.is_ready() {
             self.ready.remove(&key);
@@ -288,8 +296,13 @@
         change(queue);
         if queue.is_active() {
             self.active_share += queue.share;
-            if !was_active {
-                queue.clock = queue.clock.max(lift);
+        }
+        // A team that did not have to wait is not held to what the others
+        // used in the meantime, nor they to what it used.
+        if queue.is_waiting() && !was_waiting {
+            queue.clock = queue.clock.max(lift);
+            if self.ready.is_empty() && self.remote.is_empty() {
+                self.floor = lift;
             }
         }
         let key = (queue.clock, team);
@@ -327,7 +340,12 @@
 
 impl TeamQueue {
     fn is_active(&self) -> bool {
-        self.waiting > 0 || self.running > 0 || self.remote > 0
+        self.is_waiting() || self.running > 0
+    }
+
+    /// Returns whether requests wait here or at another process.
+    fn is_waiting(&self) -> bool {
+        self.waiting > 0 || self.remote > 0
     }
 
     fn is_ready(&self) -> bool {
--- a/crates/policy/src/scheduler/peers.rs
+++ b/crates/policy/src/scheduler/peers.rs
@@ -8,7 +8,7 @@
 use crate::clock::NodeTime;
 use crate::exchange::{PeerMessage, PermitWant, TeamDemand};
 use crate::fair::duration_micros;
-use crate::scheduler::{NodeScheduler, SchedulerAction};
+use crate::scheduler::{NodeScheduler, SchedulerAction, SchedulerSettings};
 use crate::share::{ReportKey, ReportedDemand, is_significant};
 use crate::token::{TokenId, TokenPool};
 use crate::transfer::PeerLink;
@@ -132,7 +132,7 @@
         else {
             return false;
         };
-        let tolerance = duration_micros(self.settings.tolerance).saturating_mul(1_000);
+        let tolerance = tolerance_nanos(&self.settings);
         self.settings.exchange_tokens && there.0.saturating_add(tolerance) < here.0
     }
 
@@ -155,14 +155,17 @@
             return false;
         };
         if let Some(state) = self.classes.get_mut(class) {
-            let run = state.estimate.expect(state.queue.name(team));
+            let run = duration_micros(state.estimate.expect(state.queue.name(team)));
             // The other processes see the same need and answer it as well,
-            // each with the slots that it has.
+            // each with the slots that it has. The bound keeps a team with a
+            // small share from paying far ahead for one slot.
             let others = match state.queue.next_ready() {
                 Some(_) => i64::from(state.queue.slots() / state.queue.running().max(1)),
                 None => 1,
             };
-            let micros = duration_micros(run).saturating_mul(others.max(1));
+            let one = state.queue.scale(team, run).0.max(1);
+            let bound = tolerance_nanos(&self.settings) / one;
+            let micros = run.saturating_mul(others.min(bound).max(1));
             state.remote.give(&mut state.queue, team, &peer, micros);
         }
         self.refresh_pool(&token.pool);
@@ -449,3 +452,8 @@
         })
     }
 }
+
+/// Returns the tolerance in the unit of virtual time.
+fn tolerance_nanos(settings: &SchedulerSettings) -> i64 {
+    duration_micros(settings.tolerance).saturating_mul(1_000)
+}
