Give the slot back when a caller stops reading its answer

Cause: an answer that its caller does not read kept the backend server's slot for ever; the connection's task is not polled while its buffers are full, so a timer in the body alone cannot help (ruled out).

--- a/crates/node/src/dispatch.rs
+++ b/crates/node/src/dispatch.rs
@@ -6,24 +6,19 @@
 //! only its end tells that the backend server's slot is free again.
 
 use std::future::Future;
-use std::pin;
 use std::rc;
-use std::task;
 use std::time;
 
-use actix_http::body::{self, BodySize, BoxBody, MessageBody};
-use actix_http::header::HeaderMap;
-use actix_http::{RequestHead, Response, StatusCode};
-use bytes::Bytes;
-use redwing_model::{RunOutcome, VmId};
+use actix_http::RequestHead;
+use redwing_model::RunOutcome;
 use redwing_policy::ticket::RequestRefusal;
-use redwing_policy::{AttemptReport, NodeTime, RequestTicket, TicketId};
+use redwing_policy::{NodeTime, RequestTicket, TicketId};
 use tokio::sync::oneshot;
 
-use crate::answer::{self, EntryResponse, ProblemAnswer, ProblemKind};
+use crate::answer::{EntryResponse, ProblemAnswer, ProblemKind};
+use crate::attempt::RunningAttempt;
 use crate::control::{self, ControlCommand, ControlHandle, DispatchOrder, RequestVerdict};
-use crate::event;
-use crate::exchange::{AnswerHead, BackendClient, BackendExchange, ExchangeFailure, ExchangeFault};
+use crate::exchange::{AnswerHead, BackendClient, ExchangeFailure, ExchangeFault};
 use crate::gate::AdmittedRequest;
 use crate::metrics::PathMetrics;
 use crate::relay::{BodyFault, CallerBody};
@@ -108,10 +103,13 @@
             deadline: self.deadline,
             repeatable: self.request.repeatable,
         };
-        let control = &self.dispatcher.control;
+        self.pending(self.dispatcher.control.submit(ticket))
+    }
+
+    fn pending(&self, receiver: oneshot::Receiver<RequestVerdict>) -> PendingVerdict {
         PendingVerdict {
-            receiver: Some(control.submit(ticket)),
-            control: control.clone(),
+            receiver: Some(receiver),
+            control: self.dispatcher.control.clone(),
             id: self.id,
         }
     }
@@ -131,19 +129,11 @@
     }
 
     fn begin(&self, order: DispatchOrder) -> RunningAttempt {
-        let client = &self.dispatcher.client;
-        let exchange = client.begin(order.address, self.head, self.body.attempt());
-        RunningAttempt {
-            exchange: Some(exchange),
-            control: self.dispatcher.control.clone(),
-            metrics: self.dispatcher.metrics.clone(),
-            limits: rc::Rc::clone(&self.dispatcher.limits),
-            id: self.id,
-            vm: order.vm,
-            attempt: order.attempt,
-            server_error: false,
-            unseen: false,
-        }
+        let dispatcher = self.dispatcher;
+        let exchange = dispatcher
+            .client
+            .begin(order.address, self.head, self.body.attempt());
+        RunningAttempt::new(dispatcher, self.id, order, exchange)
     }
 
     async fn head_in_time(
@@ -172,7 +162,7 @@
         let may_repeat = self.request.repeatable || self.outcome == RunOutcome::NotRun;
         let caller_fault = failure.fault == ExchangeFault::CallerBody;
         if may_repeat && !caller_fault && self.body.is_replayable() {
-            return Ok(attempt.retry(failure));
+            return Ok(self.pending(attempt.retry(failure)));
         }
         attempt.give_up(failure);
         Err(self.failed(failure))
@@ -249,269 +239,3 @@
         self.control.send(ControlCommand::Cancel(self.id));
     }
 }
-
-/// Attempt at a backend server. If it is dropped before its end, its request
-/// is cancelled and the exchange goes on unseen.
-struct RunningAttempt {
-    exchange: Option<BackendExchange>,
-    control: ControlHandle,
-    metrics: PathMetrics,
-    limits: rc::Rc<PathLimits>,
-    id: TicketId,
-    vm: VmId,
-    attempt: u32,
-    server_error: bool,
-    unseen: bool,
-}
-
-impl RunningAttempt {
-    fn has_written(&self) -> bool {
-        self.exchange
-            .as_ref()
-            .is_some_and(BackendExchange::has_written)
-    }
-
-    async fn head(&mut self) -> Result<AnswerHead, ExchangeFailure> {
-        match &mut self.exchange {
-            Some(exchange) => exchange.head().await,
-            None => Err(ExchangeFailure {
-                fault: ExchangeFault::Broken,
-                outcome: RunOutcome::Unknown,
-            }),
-        }
-    }
-
-    /// Returns the response whose body is the rest of this attempt.
-    fn into_response(mut self, head: AnswerHead) -> EntryResponse {
-        self.server_error = head.status.is_server_error();
-        if matches!(head.size, BodySize::None | BodySize::Sized(0)) {
-            return self.into_empty_response(head);
-        }
-        let body = AnswerBody {
-            size: head.size,
-            limits: rc::Rc::clone(&self.limits),
-            timer: None,
-            attempt: self,
-        };
-        ran(head.status, head.headers, BoxBody::new(body))
-    }
-
-    /// Returns a response without a body, which nobody would read to its end.
-    fn into_empty_response(mut self, head: AnswerHead) -> EntryResponse {
-        if let Some(exchange) = self.exchange.take() {
-            self.follow_unseen(exchange);
-        }
-        let body = match head.size {
-            BodySize::None => BoxBody::new(body::None::new()),
-            _ => BoxBody::new(()),
-        };
-        ran(head.status, head.headers, body)
-    }
-
-    /// Reports the failure and waits for another attempt.
-    fn retry(mut self, failure: ExchangeFailure) -> PendingVerdict {
-        self.note_failure(failure);
-        self.exchange = None;
-        let report = self.report(failure, false);
-        PendingVerdict {
-            receiver: Some(self.control.retry(self.id, report)),
-            control: self.control.clone(),
-            id: self.id,
-        }
-    }
-
-    /// Reports the failure; no other attempt follows.
-    fn give_up(mut self, failure: ExchangeFailure) {
-        self.end_failed(failure);
-    }
-
-    fn end_failed(&mut self, failure: ExchangeFailure) {
-        self.note_failure(failure);
-        self.exchange = None;
-        let report = self.report(failure, true);
-        self.control.finish(self.id, report);
-    }
-
-    fn end_complete(&mut self) {
-        self.metrics.count_attempt("complete");
-        self.exchange = None;
-        let report = AttemptReport {
-            vm: self.vm.clone(),
-            outcome: RunOutcome::Ran,
-            faulty: self.server_error,
-            ended: true,
-            answered: true,
-        };
-        self.control.finish(self.id, report);
-    }
-
-    fn report(&self, failure: ExchangeFailure, answered: bool) -> AttemptReport {
-        AttemptReport {
-            vm: self.vm.clone(),
-            outcome: failure.outcome,
-            faulty: failure.fault.is_faulty(),
-            ended: failure.outcome == RunOutcome::NotRun,
-            answered,
-        }
-    }
-
-    fn note_failure(&self, failure: ExchangeFailure) {
-        self.metrics.count_attempt(failure.fault.as_str());
-        log_event!(
-            debug,
-            event::ATTEMPT_FAILED,
-            "request {} attempt {} at {}: {}, outcome {}",
-            self.id.0,
-            self.attempt,
-            self.vm,
-            failure.fault,
-            failure.outcome
-        );
-    }
-
-    /// Lets the exchange go on without the caller.
-    fn follow_unseen(&self, exchange: BackendExchange) {
-        let attempt = Self {
-            exchange: Some(exchange),
-            control: self.control.clone(),
-            metrics: self.metrics.clone(),
-            limits: rc::Rc::clone(&self.limits),
-            vm: self.vm.clone(),
-            unseen: true,
-            ..*self
-        };
-        actix_rt::spawn(attempt.follow());
-    }
-
-    /// Follows the exchange to its end, for as long as it may run on.
-    async fn follow(mut self) {
-        let lease = self.limits.task_lease;
-        let Some(exchange) = self.exchange.as_mut() else {
-            return;
-        };
-        let result = tokio::time::timeout(lease, exchange.discard()).await;
-        match result {
-            Ok(Ok(())) => self.end_complete(),
-            Ok(Err(failure)) => self.end_failed(failure),
-            Err(_) => self.end_failed(ExchangeFailure {
-                fault: ExchangeFault::Broken,
-                outcome: RunOutcome::Unknown,
-            }),
-        }
-    }
-}
-
-impl Drop for RunningAttempt {
-    fn drop(&mut self) {
-        let Some(exchange) = self.exchange.take() else {
-            return;
-        };
-        self.control.send(ControlCommand::Cancel(self.id));
-        if self.unseen || !exchange.has_written() {
-            let failure = ExchangeFailure {
-                fault: ExchangeFault::Unreachable,
-                outcome: match exchange.has_written() {
-                    true => RunOutcome::Unknown,
-                    false => RunOutcome::NotRun,
-                },
-            };
-            drop(exchange);
-            let mut report = self.report(failure, true);
-            report.faulty = false;
-            self.control.finish(self.id, report);
-            return;
-        }
-        self.metrics.count_attempt("abandoned");
-        self.follow_unseen(exchange);
-    }
-}
-
-fn ran(status: StatusCode, headers: HeaderMap, body: BoxBody) -> EntryResponse {
-    let mut response = Response::with_body(status, body);
-    *response.headers_mut() = headers;
-    answer::mark_outcome(&mut response, RunOutcome::Ran);
-    response
-}
-
-/// Body of an answer, passed on as it comes from the backend server.
-struct AnswerBody {
-    attempt: RunningAttempt,
-    limits: rc::Rc<PathLimits>,
-    size: BodySize,
-    timer: Option<pin::Pin<Box<tokio::time::Sleep>>>,
-}
-
-impl AnswerBody {
-    /// Returns whether the backend server has been silent for too long.
-    fn poll_silence(&mut self, context: &mut task::Context<'_>) -> task::Poll<()> {
-        let limit = self.limits.answer_timeout;
-        let timer = self
-            .timer
-            .get_or_insert_with(|| Box::pin(tokio::time::sleep(limit)));
-        timer.as_mut().poll(context)
-    }
-
-    fn truncate(&mut self, failure: ExchangeFailure) -> AnswerTruncated {
-        log_event!(
-            warn,
-            event::ANSWER_TRUNCATED,
-            "request {} at {}: {}",
-            self.attempt.id.0,
-            self.attempt.vm,
-            failure.fault
-        );
-        self.attempt.end_failed(failure);
-        AnswerTruncated
-    }
-}
-
-/// Aborts the caller's connection, so that no truncated answer looks whole.
-#[derive(Debug)]
-struct AnswerTruncated;
-
-impl std::fmt::Display for AnswerTruncated {
-    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        formatter.write_str("the answer of the backend server broke off")
-    }
-}
-
-impl std::error::Error for AnswerTruncated {}
-
-impl MessageBody for AnswerBody {
-    type Error = AnswerTruncated;
-
-    fn size(&self) -> BodySize {
-        self.size
-    }
-
-    fn poll_next(
-        mut self: pin::Pin<&mut Self>,
-        context: &mut task::Context<'_>,
-    ) -> task::Poll<Option<Result<Bytes, AnswerTruncated>>> {
-        let Some(exchange) = self.attempt.exchange.as_mut() else {
-            return task::Poll::Ready(None);
-        };
-        match exchange.poll_chunk(context) {
-            task::Poll::Ready(Some(Ok(chunk))) => {
-                self.timer = None;
-                task::Poll::Ready(Some(Ok(chunk)))
-            }
-            task::Poll::Ready(Some(Err(failure))) => {
-                let error = self.truncate(failure);
-                task::Poll::Ready(Some(Err(error)))
-            }
-            task::Poll::Ready(None) => {
-                self.attempt.end_complete();
-                task::Poll::Ready(None)
-            }
-            task::Poll::Pending => {
-                task::ready!(self.poll_silence(context));
-                let error = self.truncate(ExchangeFailure {
-                    fault: ExchangeFault::Truncated,
-                    outcome: RunOutcome::Unknown,
-                });
-                task::Poll::Ready(Some(Err(error)))
-            }
-        }
-    }
-}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -6,13 +6,14 @@
 //!
 //! A request passes these modules in turn: [`ingress`] accepts it, [`gate`]
 //! checks it, [`relay`] holds its body, [`control`] asks the scheduler,
-//! [`dispatch`] sends it over an [`exchange`] on a connection of [`connect`],
-//! and [`answer`] says what the process itself has to say.
+//! [`dispatch`] makes an [`attempt`] as an [`exchange`] on a connection of
+//! [`connect`], [`stream`] passes the answer on, and [`answer`] says what the process itself has to say.
 
 #[macro_use]
 pub mod event;
 
 pub mod answer;
+pub mod attempt;
 pub mod connect;
 pub mod control;
 pub mod dispatch;
@@ -35,6 +36,7 @@
 pub mod settings;
 pub mod snapshot;
 pub mod stop;
+pub mod stream;
 
 pub use error::{Category, Error, Result};
 pub use snapshot::{KeyGrant, NodeSnapshot};
--- /dev/null
+++ b/crates/node/tests/common/fleet.rs
@@ -0,0 +1,145 @@
+//! An entry listener over a fleet that the test makes up.
+
+use std::collections::HashMap;
+use std::net;
+use std::sync;
+use std::thread;
+
+use redwing_model::{FleetDeclaration, NodeId, NodeIncarnation, VmId, declaration};
+use redwing_node::connect::ConnectionSeats;
+use redwing_node::control::{ControlChannel, ControlCommand, NodeClock};
+use redwing_node::ingress::{self, IngressContext};
+use redwing_node::metrics::{MetricsRegistry, PathMetrics};
+use redwing_node::settings::{self, CommandChoice, NodeSettings};
+use redwing_node::{KeyGrant, NodeSnapshot};
+use redwing_policy::scheduler::WorkerView;
+use redwing_policy::{FleetView, SchedulerSettings, TokenId, TokenPool};
+use redwing_standin::backend::{self, BackendState};
+use tokio::sync::{mpsc, watch};
+
+/// Slots of each backend server.
+const SLOTS: u32 = 8;
+
+/// Which backend servers the fleet has, and its declaration.
+#[derive(Default)]
+pub(crate) struct FleetPlan {
+    pub(crate) declaration: &'static str,
+    /// Stand-in backend servers that run.
+    pub(crate) live: usize,
+    /// Addresses at which nothing listens.
+    pub(crate) dead: usize,
+    /// Flags of the entry process.
+    pub(crate) flags: &'static [&'static str],
+}
+
+/// A fleet with its entry listener, on threads of this process.
+pub(crate) struct TestFleet {
+    pub(crate) listen: net::SocketAddr,
+    pub(crate) state: sync::Arc<BackendState>,
+    _stop: tokio::sync::oneshot::Sender<()>,
+}
+
+impl TestFleet {
+    pub(crate) fn start(plan: FleetPlan) -> Self {
+        let listener = bind();
+        let listen = listener.local_addr().unwrap();
+        let state = sync::Arc::new(BackendState::default());
+        let (stop, stopped) = tokio::sync::oneshot::channel();
+        let (ready, started) = std::sync::mpsc::channel();
+        let shared = sync::Arc::clone(&state);
+        thread::spawn(move || {
+            actix_rt::System::new().block_on(async move {
+                run(plan, listener, shared);
+                ready.send(()).unwrap();
+                let _ = stopped.await;
+            });
+        });
+        started.recv().unwrap();
+        Self {
+            listen,
+            state,
+            _stop: stop,
+        }
+    }
+}
+
+fn bind() -> net::TcpListener {
+    net::TcpListener::bind("127.0.0.1:0").unwrap()
+}
+
+fn run(plan: FleetPlan, listener: net::TcpListener, state: sync::Arc<BackendState>) {
+    let settings = node_settings(plan.flags);
+    let declaration = declaration::from_toml(plan.declaration).unwrap();
+    let backends: Vec<net::TcpListener> = (0..plan.live).map(|_| bind()).collect();
+    let mut addresses: Vec<net::SocketAddr> = (0..plan.dead)
+        .map(|_| bind().local_addr().unwrap())
+        .collect();
+    addresses.extend(backends.iter().map(|backend| backend.local_addr().unwrap()));
+    if !backends.is_empty() {
+        let (server, _) = backend::start(backends, state).unwrap();
+        actix_rt::spawn(server);
+    }
+    let view = fleet_view(&declaration, &addresses);
+    let snapshot = NodeSnapshot {
+        version: 1,
+        declaration: sync::Arc::new(declaration),
+        keys: sync::Arc::new(HashMap::<_, KeyGrant>::new()),
+        accepts_keyed: true,
+        ready: true,
+    };
+    let (sender, snapshots) = watch::channel(sync::Arc::new(snapshot));
+    let (outbox, _) = mpsc::unbounded_channel();
+    let node = NodeIncarnation {
+        node: NodeId::new("entry-1").unwrap(),
+        epoch: 1,
+    };
+    let channel = ControlChannel::open(NodeClock::start());
+    let control = channel.start(node, SchedulerSettings::default(), outbox);
+    control.send(ControlCommand::Install(Box::new(view)));
+    let registry = MetricsRegistry::default();
+    let context = IngressContext {
+        snapshots,
+        control,
+        seats: ConnectionSeats::new(settings.limits.backend_connections),
+        limits: sync::Arc::new(settings.limits.clone()),
+        metrics: PathMetrics::register(&registry).unwrap(),
+        registry,
+    };
+    let server = ingress::start(listener, &settings, context).unwrap();
+    actix_rt::spawn(async move {
+        let _sender = sender;
+        server.await
+    });
+}
+
+fn node_settings(flags: &[&'static str]) -> NodeSettings {
+    let line = ["redwinglb", "serve", "--platform", "embedded"];
+    let line = line.iter().chain(flags);
+    let matches = settings::command().try_get_matches_from(line).unwrap();
+    match settings::choose(&matches) {
+        Some(CommandChoice::Serve(settings)) => *settings,
+        other => panic!("{other:?}"),
+    }
+}
+
+fn fleet_view(declaration: &FleetDeclaration, addresses: &[net::SocketAddr]) -> FleetView {
+    let mut view = FleetView {
+        declaration: declaration.clone(),
+        ..FleetView::default()
+    };
+    for (number, address) in addresses.iter().enumerate() {
+        let vm = VmId::new(&format!("vm-{number}")).unwrap();
+        let pool = TokenPool::Slot(vm.clone());
+        view.homes.extend((0..SLOTS).map(|number| TokenId {
+            pool: pool.clone(),
+            number,
+        }));
+        view.workers.push(WorkerView {
+            vm,
+            address: *address,
+            classes: declaration.queues.keys().cloned().collect(),
+            serving: true,
+        });
+    }
+    view
+}
