--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -57,4 +57,34 @@
     ANSWER_TRUNCATED = 111 "answer-truncated";
     /// A message to another entry process could not be handed to its sender.
     OUTBOX_CLOSED = 120 "outbox-closed";
+    /// A version of the configuration was put in force.
+    CONFIG_INSTALLED = 200 "config-installed";
+    /// Rows of the configuration could not be read; what was in force stays.
+    CONFIG_MALFORMED = 201 "config-malformed";
+    /// The table did not tell what changed in the configuration.
+    CONFIG_UNREAD = 202 "config-unread";
+    /// Whether requests with keys are accepted has changed.
+    KEYED_WORK_CHANGED = 203 "keyed-work-changed";
+    /// Entries of the audit trail could not be written yet.
+    AUDIT_DELAYED = 210 "audit-delayed";
+    /// Entries of the audit trail were dropped because the buffer is full.
+    AUDIT_DROPPED = 211 "audit-dropped";
+    /// The listener for operators failed.
+    ADMIN_FAILED = 220 "admin-failed";
+    /// A claim could not be released or completed yet.
+    CLAIM_DELAYED = 230 "claim-delayed";
+    /// The process has registered in the table.
+    MEMBER_REGISTERED = 300 "member-registered";
+    /// The table did not take the registration yet; it is tried again.
+    MEMBER_UNREGISTERED = 301 "member-unregistered";
+    /// A newer process runs on the VM; this one stops.
+    MEMBER_REPLACED = 302 "member-replaced";
+    /// The process has given its tokens to the others and removed its row.
+    MEMBER_LEFT = 303 "member-left";
+    /// The process ends without having given its tokens back.
+    LEAVE_FAILED = 304 "leave-failed";
+    /// A membership round failed; it is tried again.
+    ROUND_FAILED = 305 "round-failed";
+    /// The process stood still for so long that its place may be taken.
+    PAUSE_NOTICED = 306 "pause-noticed";
 }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -14,6 +14,10 @@
 
 pub mod answer;
 pub mod attempt;
+pub mod audit;
+pub mod claim;
+pub mod cluster;
+pub mod config;
 pub mod connect;
 pub mod control;
 pub mod dispatch;
