Add the operator API and its tests

Cause: operators need one place to change and read the configuration. Change: admin::AdminRouter on the control thread, open to further handlers; one test binary for all of control; a peer that hangs up after the request is of unknown outcome in the stand-in client.

--- /dev/null
+++ b/crates/node/src/admin/change.rs
@@ -0,0 +1,174 @@
+//! Routes that change the configuration.
+
+use std::rc;
+
+use actix_http::Method;
+use redwing_model::admin::{
+    BASE_VERSION_HEADER, CHANGE_ID_HEADER, ChangeKind, ChangeReply, ChangeStatus, KeyRequest,
+    OperatorRequest, RollbackRequest,
+};
+use redwing_model::{AccessKey, KeyHash};
+use redwing_platform::LocalFuture;
+use serde::Deserialize;
+
+use crate::admin::{AdminHandler, AdminProblem, AdminRequest, AdminResponse, now_millis};
+use crate::config::{ChangeDraft, ChangeId, ConfigDesk};
+
+/// Longest name of an operator, in bytes.
+const MAX_OPERATOR_BYTES: usize = 63;
+
+/// Routes that change the configuration.
+pub(crate) struct ChangeRoutes {
+    desk: rc::Rc<ConfigDesk>,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(rename_all = "kebab-case", deny_unknown_fields)]
+struct ApplyQuery {
+    dry_run: Option<String>,
+}
+
+impl AdminHandler for ChangeRoutes {
+    fn handle<'a>(&'a self, request: &'a AdminRequest) -> Option<LocalFuture<'a, AdminResponse>> {
+        let (path, rest) = match request.path.split_once('/') {
+            Some((path, rest)) => (path, Some(rest)),
+            None => (request.path.as_str(), None),
+        };
+        let answer: LocalFuture<'a, Result<AdminResponse, AdminResponse>> =
+            match (&request.method, path, rest) {
+                (&Method::PUT, "declaration", None) => Box::pin(self.apply(request)),
+                (&Method::POST, "rollback", None) => Box::pin(self.roll_back(request)),
+                (&Method::POST, "keys", None) => Box::pin(self.grant_key(request)),
+                (&Method::DELETE, "keys", Some(hash)) => {
+                    Box::pin(self.withdraw(request, hash, |hash| ChangeKind::WithdrawKey { hash }))
+                }
+                (&Method::POST, "operators", None) => Box::pin(self.grant_operator(request)),
+                (&Method::DELETE, "operators", Some(hash)) => {
+                    Box::pin(
+                        self.withdraw(request, hash, |hash| ChangeKind::WithdrawOperator { hash }),
+                    )
+                }
+                _ => return None,
+            };
+        Some(Box::pin(async {
+            answer.await.unwrap_or_else(|problem| problem)
+        }))
+    }
+}
+
+impl ChangeRoutes {
+    pub(crate) fn new(desk: rc::Rc<ConfigDesk>) -> Self {
+        Self { desk }
+    }
+
+    async fn apply(&self, request: &AdminRequest) -> Result<AdminResponse, AdminResponse> {
+        let query: ApplyQuery = request.query()?;
+        let text = String::from_utf8(request.body.clone());
+        let text = text.map_err(|_| AdminProblem::Malformed.response("body: not UTF-8"))?;
+        let mut draft = draft(request, ChangeKind::Apply)?;
+        draft.declaration = Some(text);
+        let reply = match query.dry_run {
+            Some(_) => self.desk.dry_run(&draft).await,
+            None => self.desk.change(&draft).await,
+        };
+        Ok(AdminResponse::change(&reply))
+    }
+
+    async fn roll_back(&self, request: &AdminRequest) -> Result<AdminResponse, AdminResponse> {
+        let RollbackRequest { version } = request.json()?;
+        let text = self.desk.declaration_at(version).await;
+        let text = text.map_err(|error| AdminResponse::platform(&error))?;
+        let missing = || AdminProblem::NoSuchPath.response(&format!("no version {version}"));
+        let kind = ChangeKind::Rollback {
+            to_version: version,
+        };
+        let mut draft = draft(request, kind)?;
+        draft.declaration = Some(text.ok_or_else(missing)?);
+        let reply = self.desk.change(&draft).await;
+        Ok(AdminResponse::change(&reply))
+    }
+
+    async fn grant_key(&self, request: &AdminRequest) -> Result<AdminResponse, AdminResponse> {
+        let KeyRequest { team, queue } = request.json()?;
+        let secret = AccessKey::generate();
+        let hash = secret.hash();
+        let kind = ChangeKind::GrantKey { hash, team, queue };
+        self.grant(request, kind, &secret).await
+    }
+
+    async fn grant_operator(&self, request: &AdminRequest) -> Result<AdminResponse, AdminResponse> {
+        let OperatorRequest { name } = request.json()?;
+        let visible = name.bytes().all(|byte| byte.is_ascii_graphic());
+        if name.is_empty() || name.len() > MAX_OPERATOR_BYTES || !visible {
+            let detail = format!("name: use 1 to {MAX_OPERATOR_BYTES} visible ASCII characters");
+            return Err(AdminProblem::Malformed.response(&detail));
+        }
+        let secret = AccessKey::generate();
+        let hash = secret.hash();
+        self.grant(request, ChangeKind::GrantOperator { hash, name }, &secret)
+            .await
+    }
+
+    /// Grants `secret` and shows it, unless the change was made earlier with
+    /// another one.
+    async fn grant(
+        &self,
+        request: &AdminRequest,
+        kind: ChangeKind,
+        secret: &AccessKey,
+    ) -> Result<AdminResponse, AdminResponse> {
+        let draft = draft(request, kind)?;
+        let mut reply = self.desk.change(&draft).await;
+        if shows_secret(&reply, secret) {
+            reply.secret = Some(secret.expose().to_owned());
+        }
+        Ok(AdminResponse::change(&reply))
+    }
+
+    async fn withdraw(
+        &self,
+        request: &AdminRequest,
+        hash: &str,
+        kind: impl FnOnce(KeyHash) -> ChangeKind,
+    ) -> Result<AdminResponse, AdminResponse> {
+        let hash = KeyHash::from_hex(hash)
+            .map_err(|error| AdminProblem::Malformed.response(&error.to_string()))?;
+        let reply = self.desk.change(&draft(request, kind(hash))?).await;
+        Ok(AdminResponse::change(&reply))
+    }
+}
+
+/// Returns whether the secret is, or may be, the one in force.
+fn shows_secret(reply: &ChangeReply, secret: &AccessKey) -> bool {
+    reply.status != ChangeStatus::Refused && reply.hash == Some(secret.hash())
+}
+
+/// Returns the change that the request asks for, without its content.
+fn draft(request: &AdminRequest, kind: ChangeKind) -> Result<ChangeDraft, AdminResponse> {
+    let malformed = |detail: &str| AdminProblem::Malformed.response(detail);
+    let chosen = request.headers.get(CHANGE_ID_HEADER);
+    let id = match chosen {
+        Some(id) => id.to_str().unwrap_or_default().parse(),
+        None => Ok(ChangeId::generate()),
+    };
+    let base_version = match request.headers.get(BASE_VERSION_HEADER) {
+        Some(version) => {
+            let version = version
+                .to_str()
+                .ok()
+                .and_then(|version| version.parse().ok());
+            let wanted = || malformed("Redwing-Base-Version: use a version number");
+            Some(version.ok_or_else(wanted)?)
+        }
+        None => None,
+    };
+    Ok(ChangeDraft {
+        id: id.map_err(|error| malformed(&error))?,
+        id_chosen: chosen.is_some(),
+        operator: request.operator.clone(),
+        base_version,
+        kind,
+        declaration: None,
+        at_millis: now_millis(),
+    })
+}
--- /dev/null
+++ b/crates/node/src/admin/read.rs
@@ -0,0 +1,147 @@
+//! Routes that read the configuration, the status and the audit trail.
+
+use std::rc;
+
+use actix_http::Method;
+use redwing_model::admin::{AuditFilter, DeclarationView, KeyView, NodeStatus, OperatorView};
+use redwing_platform::LocalFuture;
+use serde::Deserialize;
+
+use crate::admin::{AdminHandler, AdminProblem, AdminRequest, AdminResponse, OK};
+use crate::config::{ConfigDesk, spread};
+
+/// Entries of the history without a limit in the query.
+const DEFAULT_HISTORY: usize = 50;
+
+/// Paths that are known, so that another method is told apart from another path.
+const PATHS: &[&str] = &[
+    "audit",
+    "declaration",
+    "history",
+    "keys",
+    "operators",
+    "rollback",
+    "status",
+];
+
+/// Routes that read.
+pub(crate) struct ReadRoutes {
+    desk: rc::Rc<ConfigDesk>,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct VersionQuery {
+    version: Option<u64>,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct HistoryQuery {
+    limit: Option<usize>,
+}
+
+impl AdminHandler for ReadRoutes {
+    fn handle<'a>(&'a self, request: &'a AdminRequest) -> Option<LocalFuture<'a, AdminResponse>> {
+        if request.method != Method::GET {
+            let known = PATHS.contains(&request.path.as_str());
+            let answer = AdminProblem::WrongMethod.response(request.method.as_str());
+            return known.then(|| Box::pin(async { answer }) as LocalFuture<'a, AdminResponse>);
+        }
+        let answer: LocalFuture<'a, Result<AdminResponse, AdminResponse>> =
+            match request.path.as_str() {
+                "audit" => Box::pin(self.audit(request)),
+                "declaration" => Box::pin(self.declaration(request)),
+                "history" => Box::pin(self.history(request)),
+                "keys" => Box::pin(async { Ok(self.keys()) }),
+                "operators" => Box::pin(async { Ok(self.operators()) }),
+                "status" => Box::pin(async { Ok(self.status()) }),
+                _ => return None,
+            };
+        Some(Box::pin(async {
+            answer.await.unwrap_or_else(|problem| problem)
+        }))
+    }
+}
+
+impl ReadRoutes {
+    pub(crate) fn new(desk: rc::Rc<ConfigDesk>) -> Self {
+        Self { desk }
+    }
+
+    async fn audit(&self, request: &AdminRequest) -> Result<AdminResponse, AdminResponse> {
+        let filter: AuditFilter = request.query()?;
+        let entries = self.desk.audit().query(&filter).await;
+        let entries = entries.map_err(|error| AdminResponse::platform(&error))?;
+        Ok(AdminResponse::json_lines(&entries))
+    }
+
+    async fn declaration(&self, request: &AdminRequest) -> Result<AdminResponse, AdminResponse> {
+        let VersionQuery { version } = request.query()?;
+        let view = self.desk.view();
+        let (version, text) = match version {
+            Some(version) if version != view.head.version => {
+                let text = self.desk.declaration_at(version).await;
+                let text = text.map_err(|error| AdminResponse::platform(&error))?;
+                let missing =
+                    || AdminProblem::NoSuchPath.response(&format!("no version {version}"));
+                (version, text.ok_or_else(missing)?)
+            }
+            _ => (view.head.version, view.text.to_string()),
+        };
+        Ok(AdminResponse::json(OK, &DeclarationView { version, text }))
+    }
+
+    async fn history(&self, request: &AdminRequest) -> Result<AdminResponse, AdminResponse> {
+        let HistoryQuery { limit } = request.query()?;
+        let entries = self.desk.history(limit.unwrap_or(DEFAULT_HISTORY)).await;
+        let entries = entries.map_err(|error| AdminResponse::platform(&error))?;
+        Ok(AdminResponse::json(OK, &entries))
+    }
+
+    fn keys(&self) -> AdminResponse {
+        let view = self.desk.view();
+        let mut keys: Vec<KeyView> = view
+            .keys
+            .iter()
+            .map(|(hash, grant)| KeyView {
+                hash: *hash,
+                team: grant.team.clone(),
+                queue: grant.queue.clone(),
+            })
+            .collect();
+        keys.sort_by(|left, right| (&left.team, left.hash).cmp(&(&right.team, right.hash)));
+        AdminResponse::json(OK, &keys)
+    }
+
+    fn operators(&self) -> AdminResponse {
+        let view = self.desk.view();
+        let mut operators: Vec<OperatorView> = view
+            .operators
+            .iter()
+            .map(|(hash, name)| OperatorView {
+                hash: *hash,
+                name: name.clone(),
+            })
+            .collect();
+        operators.sort_by(|left, right| (&left.name, left.hash).cmp(&(&right.name, right.hash)));
+        AdminResponse::json(OK, &operators)
+    }
+
+    fn status(&self) -> AdminResponse {
+        let desk = &self.desk;
+        let snapshot = desk.snapshot();
+        let peers = desk.peers();
+        let heard = peers.reachable(desk.trust_limit());
+        let status = NodeStatus {
+            node: desk.audit().node().clone(),
+            version: desk.version(),
+            accepts_keyed: snapshot.accepts_keyed,
+            ready: snapshot.ready,
+            table_reachable: desk.table_reachable(),
+            majority_reachable: spread::is_majority(heard + 1, peers.peer_count()),
+            members: peers.members(),
+        };
+        AdminResponse::json(OK, &status)
+    }
+}
--- a/crates/node/src/config/desk.rs
+++ b/crates/node/src/config/desk.rs
@@ -124,6 +124,11 @@
         &*self.spread
     }
 
+    /// Returns how long keys are trusted without news.
+    pub fn trust_limit(&self) -> time::Duration {
+        self.settings.trust_limit
+    }
+
     /// Returns whether the table answered its latest calls.
     pub fn table_reachable(&self) -> bool {
         self.client.is_reachable()
--- a/crates/node/src/config/spread.rs
+++ b/crates/node/src/config/spread.rs
@@ -2,6 +2,7 @@
 
 use std::time;
 
+use redwing_model::admin::MemberStatus;
 use redwing_platform::{LocalFuture, TableRow};
 
 use crate::peer::ConfigCopy;
@@ -21,6 +22,9 @@
     /// Returns the highest version that a peer was heard to have in force.
     fn highest_version(&self) -> u64;
 
+    /// Returns what is known of each member, this process included.
+    fn members(&self) -> Vec<MemberStatus>;
+
     /// Returns the configuration of every peer that answers.
     fn fetch_copies(&self) -> LocalFuture<'_, Vec<ConfigCopy>>;
 }
@@ -67,6 +71,10 @@
         0
     }
 
+    fn members(&self) -> Vec<MemberStatus> {
+        Vec::new()
+    }
+
     fn fetch_copies(&self) -> LocalFuture<'_, Vec<ConfigCopy>> {
         Box::pin(async { Vec::new() })
     }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -12,6 +12,7 @@
 #[macro_use]
 pub mod event;
 
+pub mod admin;
 pub mod answer;
 pub mod audit;
 pub mod claim;
--- a/crates/node/tests/config.rs
+++ b/crates/node/tests/control/config.rs
@@ -1,13 +1,8 @@
 //! Configuration of several processes over the stand-in platform.
 
-#![expect(clippy::unwrap_used, reason = "a failed step fails the test")]
-
-#[path = "support/fleet.rs"]
-mod fleet;
-
 use std::time;
 
-use fleet::{TestFleet, apply_draft, declaration, draft, grant_draft};
+use crate::fleet::{TestFleet, apply_draft, declaration, draft, grant_draft};
 use redwing_model::AccessKey;
 use redwing_model::admin::{AuditFilter, ChangeKind, ChangeStatus, RefusalCause};
 
--- a/crates/node/tests/support/fleet.rs
+++ b/crates/node/tests/control/fleet.rs
@@ -5,7 +5,7 @@
 use std::sync;
 use std::time;
 
-use redwing_model::admin::{ChangeKind, ChangeReply};
+use redwing_model::admin::{ChangeKind, ChangeReply, MemberStatus};
 use redwing_model::{AccessKey, KeyHash, NodeId, NodeIncarnation, TeamName};
 use redwing_node::NodeSnapshot;
 use redwing_node::audit::{AuditLog, AuditSettings};
@@ -92,6 +92,10 @@
         versions.max().unwrap_or(0)
     }
 
+    fn members(&self) -> Vec<MemberStatus> {
+        Vec::new()
+    }
+
     fn fetch_copies(&self) -> LocalFuture<'_, Vec<ConfigCopy>> {
         Box::pin(async { self.reached().iter().map(|(_, desk)| desk.copy()).collect() })
     }
--- /dev/null
+++ b/crates/node/tests/control/main.rs
@@ -0,0 +1,7 @@
+//! Configuration, operator API, audit trail and claims.
+
+#![expect(clippy::unwrap_used, reason = "a failed step fails the test")]
+
+mod admin;
+mod config;
+mod fleet;
--- a/crates/standin/src/client.rs
+++ b/crates/standin/src/client.rs
@@ -2,7 +2,7 @@
 
 use std::time;
 
-use awc::error::SendRequestError;
+use awc::error::{ConnectError, SendRequestError};
 use redwing_model::VmId;
 use redwing_platform::table::{CommitOutcome, TableTransaction, TableView};
 use redwing_platform::{
@@ -89,6 +89,10 @@
     fn send_error(&self, step: &'static str, error: &SendRequestError) -> Error {
         match error {
             SendRequestError::Url(_) => Error::refused(step, &self.url, error.to_string()),
+            // The HTTP client reports a peer that hangs up after the request so.
+            SendRequestError::Connect(ConnectError::Disconnected) => {
+                Error::unknown(step, &self.url, error.to_string())
+            }
             SendRequestError::Connect(_) => Error::unavailable(step, &self.url, error.to_string()),
             _ => Error::unknown(step, &self.url, error.to_string()),
         }
--- a/crates/standin/tests/memory.rs
+++ b/crates/standin/tests/memory.rs
@@ -170,3 +170,22 @@
         assert_eq!(error.classify(), Category::Unavailable);
     });
 }
+
+/// Regression: a peer that hangs up after the request may have acted on it.
+#[test]
+fn hang_up_after_the_request_is_unknown() {
+    actix_rt::System::new().block_on(async {
+        let listener = net::TcpListener::bind("127.0.0.1:0").unwrap();
+        let url = format!("http://{}", listener.local_addr().unwrap());
+        let peer = std::thread::spawn(move || {
+            let (mut stream, _) = listener.accept().unwrap();
+            let mut bytes = [0; 4_096];
+            std::io::Read::read(&mut stream, &mut bytes).unwrap();
+        });
+        let client = HttpPlatform::new(&url, "node-1");
+        let change = TableTransaction::default().put(key("a"), "1");
+        let error = client.services().table.commit(&change).await.unwrap_err();
+        assert_eq!(error.classify(), Category::Unknown);
+        peer.join().unwrap();
+    });
+}
