--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -57,22 +57,6 @@
     ANSWER_TRUNCATED = 111 "answer-truncated";
     /// A message to another entry process could not be handed to its sender.
     OUTBOX_CLOSED = 120 "outbox-closed";
-<<<<<<< HEAD
-    /// The process has registered in the table.
-    MEMBER_REGISTERED = 300 "member-registered";
-    /// The table did not take the registration yet; it is tried again.
-    MEMBER_UNREGISTERED = 301 "member-unregistered";
-    /// A newer process runs on the VM; this one stops.
-    MEMBER_REPLACED = 302 "member-replaced";
-    /// The process has given its tokens to the others and removed its row.
-    MEMBER_LEFT = 303 "member-left";
-    /// The process ends without having given its tokens back.
-    LEAVE_FAILED = 304 "leave-failed";
-    /// A membership round failed; it is tried again.
-    ROUND_FAILED = 305 "round-failed";
-    /// The process stood still for so long that its place may be taken.
-    PAUSE_NOTICED = 306 "pause-noticed";
-=======
     /// A version of the configuration was put in force.
     CONFIG_INSTALLED = 200 "config-installed";
     /// Rows of the configuration could not be read; what was in force stays.
@@ -89,5 +73,18 @@
     ADMIN_FAILED = 220 "admin-failed";
     /// A claim could not be released or completed yet.
     CLAIM_DELAYED = 230 "claim-delayed";
->>>>>>> control
+    /// The process has registered in the table.
+    MEMBER_REGISTERED = 300 "member-registered";
+    /// The table did not take the registration yet; it is tried again.
+    MEMBER_UNREGISTERED = 301 "member-unregistered";
+    /// A newer process runs on the VM; this one stops.
+    MEMBER_REPLACED = 302 "member-replaced";
+    /// The process has given its tokens to the others and removed its row.
+    MEMBER_LEFT = 303 "member-left";
+    /// The process ends without having given its tokens back.
+    LEAVE_FAILED = 304 "leave-failed";
+    /// A membership round failed; it is tried again.
+    ROUND_FAILED = 305 "round-failed";
+    /// The process stood still for so long that its place may be taken.
+    PAUSE_NOTICED = 306 "pause-noticed";
 }
