--- a/crates/node/src/cluster.rs
+++ b/crates/node/src/cluster.rs
@@ -13,6 +13,7 @@
 use redwing_policy::{FleetView, PeerMessage, TokenId};
 use tokio::sync::{mpsc, watch};
 
+use crate::config::{ConfigDesk, PeerSpread};
 use crate::control::{ControlCommand, ControlHandle, NodeServices, PeerEnvelope};
 use crate::error::{Error, Result};
 use crate::event;
@@ -43,7 +44,43 @@
     fn version(&self) -> u64;
 
     /// Takes rows that the table has accepted, from a peer.
-    fn announce(&self, rows: Vec<TableRow>);
+    fn announce(&self, rows: &[TableRow]);
+}
+
+impl ConfigPort for ConfigDesk {
+    fn copy(&self) -> ConfigCopy {
+        ConfigDesk::copy(self)
+    }
+
+    fn version(&self) -> u64 {
+        ConfigDesk::version(self)
+    }
+
+    fn announce(&self, rows: &[TableRow]) {
+        ConfigDesk::announce(self, rows);
+    }
+}
+
+impl PeerSpread for PeerMesh {
+    fn announce<'a>(&'a self, rows: &'a [TableRow], version: u64) -> LocalFuture<'a, usize> {
+        Box::pin(PeerMesh::announce(self, rows, version))
+    }
+
+    fn peer_count(&self) -> Option<usize> {
+        PeerMesh::peer_count(self)
+    }
+
+    fn reachable(&self, limit: time::Duration) -> usize {
+        PeerMesh::reachable(self, limit).len()
+    }
+
+    fn highest_version(&self) -> u64 {
+        PeerMesh::highest_version(self)
+    }
+
+    fn fetch_copies(&self) -> LocalFuture<'_, Vec<ConfigCopy>> {
+        Box::pin(PeerMesh::fetch_copies(self))
+    }
 }
 
 /// Registers this process, trying again until the table answers.
@@ -97,9 +134,9 @@
         own: NodeIncarnation,
         listener: tokio::net::TcpListener,
         outbox: mpsc::UnboundedReceiver<PeerEnvelope>,
+        mesh: rc::Rc<PeerMesh>,
         config: rc::Rc<dyn ConfigPort>,
     ) -> Self {
-        let mesh = rc::Rc::new(PeerMesh::new(own.clone()));
         let runner = start_membership(&services, own.clone());
         let handler = ClusterHandler {
             own: own.clone(),
@@ -119,11 +156,6 @@
         }
     }
 
-    /// Returns the links to the peers.
-    pub fn mesh(&self) -> rc::Rc<PeerMesh> {
-        rc::Rc::clone(&self.mesh)
-    }
-
     /// Returns the membership view that other tasks read.
     pub fn view(&self) -> SharedView {
         self.runner.view()
@@ -157,7 +189,9 @@
             std::sync::Arc::clone(&snapshot.declaration)
         };
         let standing = self.runner.round(started, &declaration).await;
-        self.mesh.set_peers(&self.runner.view().borrow().peers);
+        if standing.is_ok() {
+            self.mesh.set_peers(&self.runner.view().borrow().peers);
+        }
         match standing {
             Ok(MemberStanding::Current) => {
                 // A process that was paused during the round has read its row
@@ -294,7 +328,7 @@
     }
 
     fn announce(&self, rows: Vec<TableRow>) {
-        self.config.announce(rows);
+        self.config.announce(&rows);
     }
 }
 
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -98,8 +98,7 @@
     },
     /// Run `work` with the scheduler, between two other commands.
     Visit(SchedulerVisit),
-    /// Refuse new requests, and tell when nothing waits or runs and all
-    /// borrowed tokens went back.
+    /// Refuse new requests, and tell when nothing waits or runs.
     Leave(oneshot::Sender<()>),
 }
 
@@ -196,8 +195,7 @@
         result.await.ok()
     }
 
-    /// Refuses new requests and waits until nothing waits or runs any more and
-    /// all borrowed tokens went back.
+    /// Refuses new requests and waits until nothing waits or runs any more.
     pub async fn leave(&self) {
         let (sender, done) = oneshot::channel();
         self.send(ControlCommand::Leave(sender));
--- a/crates/node/src/embedded.rs
+++ b/crates/node/src/embedded.rs
@@ -1,24 +1,27 @@
 //! The stand-in fleet of `--platform embedded`.
 
-use std::collections::HashMap;
 use std::fmt;
 use std::io;
 use std::net;
 use std::sync;
 
 use actix_server::ServerHandle;
-use redwing_model::{AccessKey, FleetDeclaration, KeyHash, QueueName, TeamName, VmId, declaration};
-use redwing_policy::scheduler::WorkerView;
-use redwing_policy::{FleetView, TokenId, TokenPool};
-use redwing_standin::backend;
+use redwing_model::admin::{ChangeKind, ChangeStatus};
+use redwing_model::vm::{VmIdentity, VmPhase, VmRecord};
+use redwing_model::{
+    AccessKey, FleetDeclaration, NodeId, PoolName, QueueName, TeamName, declaration,
+};
+use redwing_platform::{
+    ListedStatus, ListedVm, PlatformServices, RowKey, TableStore, TableTransaction, VmRole,
+};
+use redwing_standin::{MemoryPlatform, backend};
 
+use crate::audit;
+use crate::config::{ChangeDraft, ChangeId, ConfigDesk, desk};
 use crate::error::{Error, Result};
-use crate::snapshot::KeyGrant;
+use crate::fleet;
 
-/// Slots of each stand-in backend server.
-const SLOTS: u32 = 8;
-
-/// Targets of the stand-in fleet.
+/// Targets of the stand-in fleet; the number of VMs is that of the settings.
 const DECLARATION: &str = r#"
 spare-pool = "general"
 
@@ -45,10 +48,13 @@
 limit = 16
 "#;
 
+/// Pool that the stand-in backend servers belong to.
+const POOL: &str = "workers";
+
 /// Key that the stand-in fleet has granted.
 #[derive(Debug)]
 pub struct GrantedKey {
-    /// What the key gives a right to.
+    /// Team that the key belongs to.
     pub team: TeamName,
     /// Queue that it is good for.
     pub queue: QueueName,
@@ -56,63 +62,95 @@
     pub key: AccessKey,
 }
 
-/// Stand-in fleet of one process.
+/// Stand-in platform and backend servers in this process.
 pub struct EmbeddedFleet {
-    /// Targets in force.
-    pub declaration: FleetDeclaration,
-    /// Keys in force.
-    pub keys: Vec<GrantedKey>,
-    /// Backend servers with their slots.
-    pub view: FleetView,
-    /// Key of the operator.
-    pub operator: AccessKey,
+    /// Stand-in platform.
+    pub platform: MemoryPlatform,
     /// Stops the stand-in backend servers.
     pub backends: ServerHandle,
+    declaration: FleetDeclaration,
 }
 
 impl EmbeddedFleet {
-    /// Starts `workers` stand-in backend servers.
+    /// Starts `workers` stand-in backend servers beside the entry VM `node`.
     ///
     /// # Errors
     ///
     /// Fails if a backend server cannot listen.
-    pub fn start(workers: u32) -> Result<Self> {
-        let step = "start stand-in backend servers";
-        let declaration = declaration::from_toml(DECLARATION)
+    pub async fn start(workers: u32, node: &NodeId) -> Result<Self> {
+        const STEP: &str = "start stand-in backend servers";
+        let mut declaration = declaration::from_toml(DECLARATION)
             .map_err(|error| Error::start("read the embedded declaration", error))?;
-        let keys = grant_keys(&declaration);
-        let listeners = bind(workers).map_err(|error| Error::start(step, error))?;
-        let view = fleet_view(&declaration, &listeners)?;
+        let pool = PoolName::new(POOL).map_err(|error| Error::start(STEP, error))?;
+        if let Some(target) = declaration.pools.get_mut(&pool) {
+            target.vms = workers;
+        }
+        let platform = MemoryPlatform::default();
+        let listeners = bind(workers).map_err(|error| Error::start(STEP, error))?;
+        for (index, listener) in listeners.iter().enumerate() {
+            let address = listener
+                .local_addr()
+                .map_err(|error| Error::start(STEP, error))?;
+            let identity = identity(&format!("vm-{}", index + 1), address)?;
+            put_worker(&platform, identity, &pool).await?;
+        }
+        let entry = identity(node.as_str(), (net::Ipv4Addr::LOCALHOST, 0).into())?;
+        put_vm(&platform, entry, VmRole::Entry(node.clone()));
+        platform.skip_list_lag();
         let state = sync::Arc::new(backend::BackendState::default());
         let (server, backends) =
-            backend::start(listeners, state).map_err(|error| Error::start(step, error))?;
+            backend::start(listeners, state).map_err(|error| Error::start(STEP, error))?;
         actix_rt::spawn(server);
         Ok(Self {
-            declaration,
-            keys,
-            view,
-            operator: AccessKey::generate(),
+            platform,
             backends,
+            declaration,
         })
     }
 
-    /// Returns the keys as traffic threads look them up.
-    pub fn grants(&self) -> HashMap<KeyHash, KeyGrant> {
-        let grant = |granted: &GrantedKey| KeyGrant {
-            team: granted.team.clone(),
-            queue: Some(granted.queue.clone()),
-        };
-        self.keys
-            .iter()
-            .map(|granted| (granted.key.hash(), grant(granted)))
-            .collect()
+    /// Returns the platform as the services that the process uses.
+    pub fn services(&self) -> PlatformServices {
+        self.platform.services()
+    }
+
+    /// Puts the declaration in force and grants a key for each share.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a change is not accepted.
+    pub async fn provision(&self, desk: &ConfigDesk) -> Result<Vec<GrantedKey>> {
+        let text = redwing_model::to_toml(&self.declaration)
+            .map_err(|error| Error::start("write the embedded declaration", error))?;
+        change(desk, ChangeKind::Apply, Some(text)).await?;
+        let mut keys = Vec::new();
+        for (queue, target) in &self.declaration.queues {
+            for team in target.shares.keys() {
+                let key = AccessKey::generate();
+                let kind = ChangeKind::GrantKey {
+                    hash: key.hash(),
+                    team: team.clone(),
+                    queue: Some(queue.clone()),
+                };
+                change(desk, kind, None).await?;
+                keys.push(GrantedKey {
+                    team: team.clone(),
+                    queue: queue.clone(),
+                    key,
+                });
+            }
+        }
+        Ok(keys)
     }
 }
 
 /// Addresses and keys of a started process, for scripts and persons.
 pub struct EmbeddedBanner<'a> {
-    /// The fleet.
-    pub fleet: &'a EmbeddedFleet,
+    /// Targets in force.
+    pub declaration: &'a FleetDeclaration,
+    /// Keys in force.
+    pub keys: &'a [GrantedKey],
+    /// Token of the operator.
+    pub operator: &'a AccessKey,
     /// Address for callers.
     pub listen: net::SocketAddr,
     /// Address for operators.
@@ -121,15 +159,14 @@
 
 impl fmt::Display for EmbeddedBanner<'_> {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let fleet = self.fleet;
         writeln!(formatter, "listen http://{}", self.listen)?;
         writeln!(formatter, "admin http://{}", self.admin)?;
-        writeln!(formatter, "admin-token {}", fleet.operator.expose())?;
-        for (name, target) in &fleet.declaration.queues {
+        writeln!(formatter, "admin-token {}", self.operator.expose())?;
+        for (name, target) in &self.declaration.queues {
             let access = if target.open { "open" } else { "keyed" };
             writeln!(formatter, "queue {name} {access}")?;
         }
-        for granted in &fleet.keys {
+        for granted in self.keys {
             let (team, queue) = (&granted.team, &granted.queue);
             writeln!(formatter, "key {team} {queue} {}", granted.key.expose())?;
         }
@@ -140,7 +177,7 @@
 
 impl EmbeddedBanner<'_> {
     fn fmt_example(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let Some(granted) = self.fleet.keys.first() else {
+        let Some(granted) = self.keys.first() else {
             return Ok(());
         };
         writeln!(
@@ -153,19 +190,23 @@
     }
 }
 
-/// Grants one key for each team with a share in a queue.
-fn grant_keys(declaration: &FleetDeclaration) -> Vec<GrantedKey> {
-    let mut keys = Vec::new();
-    for (queue, target) in &declaration.queues {
-        for team in target.shares.keys() {
-            keys.push(GrantedKey {
-                team: team.clone(),
-                queue: queue.clone(),
-                key: AccessKey::generate(),
-            });
-        }
+/// Makes a change as the operator of the process does.
+async fn change(desk: &ConfigDesk, kind: ChangeKind, declaration: Option<String>) -> Result<()> {
+    let draft = ChangeDraft {
+        id: ChangeId::generate(),
+        id_chosen: false,
+        operator: desk::BOOTSTRAP_OPERATOR.to_owned(),
+        base_version: None,
+        kind,
+        declaration,
+        at_millis: audit::now_millis(),
+    };
+    let reply = desk.change(&draft).await;
+    if reply.status == ChangeStatus::Accepted {
+        return Ok(());
     }
-    keys
+    let detail = format!("{:?}", reply.status);
+    Err(Error::start("configure the embedded fleet", detail))
 }
 
 fn bind(workers: u32) -> io::Result<Vec<net::TcpListener>> {
@@ -174,35 +215,43 @@
         .collect()
 }
 
-fn fleet_view(declaration: &FleetDeclaration, listeners: &[net::TcpListener]) -> Result<FleetView> {
-    let mut view = FleetView {
-        declaration: declaration.clone(),
-        ..FleetView::default()
+fn identity(vm: &str, address: net::SocketAddr) -> Result<VmIdentity> {
+    let named = |error| Error::start("name a VM", error);
+    Ok(VmIdentity {
+        vm: vm.parse().map_err(named)?,
+        address,
+        rack: "rack-1".parse().map_err(named)?,
+        data_centre: "local".parse().map_err(named)?,
+    })
+}
+
+fn put_vm(platform: &MemoryPlatform, identity: VmIdentity, role: VmRole) {
+    platform.put_vm(ListedVm {
+        identity,
+        role,
+        status: ListedStatus::Live,
+    });
+}
+
+/// Lists a backend server and places its VM in the pool.
+async fn put_worker(
+    platform: &MemoryPlatform,
+    identity: VmIdentity,
+    pool: &PoolName,
+) -> Result<()> {
+    const STEP: &str = "place a stand-in VM";
+    put_vm(platform, identity.clone(), VmRole::BackendServer);
+    let key = RowKey::new(format!("{}{}", fleet::VM_PREFIX, identity.vm));
+    let record = VmRecord {
+        identity,
+        pool: pool.clone(),
+        phase: VmPhase::Serving,
+        revision: 1,
     };
-    for (number, listener) in listeners.iter().enumerate() {
-        let name = format!("vm-{}", number + 1);
-        let vm = VmId::new(&name).map_err(|error| Error::start("name a VM", error))?;
-        let address = listener
-            .local_addr()
-            .map_err(|error| Error::bind("read the address", &name, error))?;
-        let pool = TokenPool::Slot(vm.clone());
-        view.homes.extend((0..SLOTS).map(|number| TokenId {
-            pool: pool.clone(),
-            number,
-        }));
-        view.workers.push(WorkerView {
-            vm,
-            address,
-            classes: declaration.queues.keys().cloned().collect(),
-            serving: true,
-        });
-    }
-    for (team, target) in &declaration.teams {
-        let pool = TokenPool::Permit(team.clone());
-        view.homes.extend((0..target.limit).map(|number| TokenId {
-            pool: pool.clone(),
-            number,
-        }));
-    }
-    Ok(view)
+    let value = serde_json::to_string(&record).map_err(|error| Error::start(STEP, error))?;
+    let transaction = TableTransaction::default().put(key, value);
+    let outcome = platform.commit(&transaction).await;
+    outcome
+        .map(|_| ())
+        .map_err(|error| Error::start(STEP, error))
 }
--- a/crates/node/src/ingress.rs
+++ b/crates/node/src/ingress.rs
@@ -21,6 +21,7 @@
 use crate::exchange::BackendClient;
 use crate::gate;
 use crate::metrics::{MetricsRegistry, PathMetrics};
+use crate::plane::ClaimSlot;
 use crate::relay::{BodyFault, BodyLimits, CallerBody};
 use crate::settings::{NodeSettings, PathLimits};
 use crate::snapshot::{NodeSnapshot, SnapshotReceiver};
@@ -39,6 +40,8 @@
     pub snapshots: SnapshotReceiver,
     /// Way to the scheduler.
     pub control: ControlHandle,
+    /// Claims of requests that may run at most once.
+    pub claims: ClaimSlot,
     /// Kept connections to backend servers.
     pub seats: ConnectionSeats,
     /// Bounds of the request path.
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -33,6 +33,7 @@
 pub mod metrics;
 pub mod mirror;
 pub mod peer;
+pub mod plane;
 pub mod register;
 pub mod relay;
 pub mod serve;
--- a/crates/node/src/link.rs
+++ b/crates/node/src/link.rs
@@ -81,6 +81,7 @@
 pub struct PeerMesh {
     own: NodeIncarnation,
     links: RefCell<BTreeMap<NodeIncarnation, PeerLink>>,
+    is_known: Cell<bool>,
     bytes_of_closed: Cell<u64>,
 }
 
@@ -90,13 +91,15 @@
         Self {
             own,
             links: RefCell::new(BTreeMap::new()),
+            is_known: Cell::new(false),
             bytes_of_closed: Cell::new(0),
         }
     }
 
-    /// Returns how many peers there are, reachable or not.
-    pub fn peer_count(&self) -> usize {
-        self.links.borrow().len()
+    /// Returns how many peers there are, reachable or not; `None` before they
+    /// were first set.
+    pub fn peer_count(&self) -> Option<usize> {
+        self.is_known.get().then(|| self.links.borrow().len())
     }
 
     /// Returns the peers that answered within `limit`.
@@ -141,6 +144,7 @@
 
     /// Opens links to new peers and closes those to peers that are gone.
     pub fn set_peers(&self, peers: &[PeerAddress]) {
+        self.is_known.set(true);
         let mut links = self.links.borrow_mut();
         let mut closed = 0;
         links.retain(|_, link| {
--- a/crates/node/src/serve.rs
+++ b/crates/node/src/serve.rs
@@ -2,78 +2,201 @@
 
 use std::io::{self, Write};
 use std::net;
+use std::rc;
 use std::sync;
+use std::time;
 
 use actix_server::ServerHandle;
-use redwing_model::NodeIncarnation;
-use redwing_policy::SchedulerSettings;
-use redwing_standin::backend;
-use tokio::sync::{mpsc, watch};
+use redwing_model::AccessKey;
+use redwing_platform::PlatformServices;
+use redwing_standin::{HttpPlatform, backend};
+use tokio::sync::watch;
+use tokio::task;
 
 use crate::connect::ConnectionSeats;
-use crate::control::{ControlChannel, ControlCommand, ControlHandle, NodeClock};
+use crate::control::{ControlChannel, ControlHandle, NodeClock, NodeServices};
 use crate::embedded::{EmbeddedBanner, EmbeddedFleet};
 use crate::error::{Error, Result};
 use crate::event;
 use crate::ingress::{self, IngressContext};
 use crate::metrics::{MetricsRegistry, PathMetrics};
-use crate::settings::{BackendSettings, NodeSettings};
-use crate::snapshot::{NodeSnapshot, SnapshotSender};
-use crate::stop::{SignalListener, StopSignal};
+use crate::plane::{ClaimSlot, ControlPlane, PlaneParts};
+use crate::settings::{BackendSettings, NodeSettings, PlatformAddress};
+use crate::snapshot::SnapshotSender;
+use crate::stop::{SignalListener, StopPhase, StopSignal};
 
-/// Epoch of a process that no table has numbered.
-const FIRST_EPOCH: u64 = 1;
+/// Longest time to give borrowed tokens back to reachable peers.
+const RETURN_TIMEOUT: time::Duration = time::Duration::from_secs(3);
+
+/// Time between two looks at whether they arrived.
+const RETURN_INTERVAL: time::Duration = time::Duration::from_millis(20);
 
 /// Runs an entry process until it is told to stop.
 ///
 /// # Errors
 ///
-/// Fails if the process cannot start, or cannot finish in time what runs.
+/// Fails if the process cannot start, cannot finish in time what runs, or is
+/// replaced by a newer one on its VM.
 pub async fn serve(settings: NodeSettings) -> Result<()> {
     let mut signals = SignalListener::open().map_err(signal_error)?;
-    let entry_listener = bind("listen for callers", settings.listen)?;
-    let admin_listener = bind("listen for operators", settings.admin_listen)?;
-    let fleet = EmbeddedFleet::start(settings.embedded_workers)?;
-    let (snapshots, receiver) = watch::channel(sync::Arc::new(first_snapshot(&fleet)));
-    let control = start_control(&settings);
-    control.send(ControlCommand::Install(Box::new(fleet.view.clone())));
+    let listeners = EntryListeners::bind(&settings)?;
+    let source = PlatformSource::open(&settings).await?;
+    let settings = rc::Rc::new(settings);
+    let (stop, stopped) = watch::channel(StopPhase::Running);
+    let (snapshots, receiver) = watch::channel(sync::Arc::default());
+    let channel = ControlChannel::open(NodeClock::start());
+    let services = NodeServices {
+        settings: rc::Rc::clone(&settings),
+        platform: source.services(),
+        snapshots: rc::Rc::new(snapshots),
+        control: channel.handle.clone(),
+        stop: stopped,
+    };
+    let claims = ClaimSlot::default();
     let registry = MetricsRegistry::default();
     let context = IngressContext {
         snapshots: receiver,
-        control: control.clone(),
+        control: channel.handle.clone(),
+        claims: sync::Arc::clone(&claims),
         seats: ConnectionSeats::new(settings.limits.backend_connections),
         limits: sync::Arc::new(settings.limits.clone()),
         metrics: PathMetrics::register(&registry)?,
         registry,
     };
-    let banner = EmbeddedBanner {
-        fleet: &fleet,
-        listen: local_address(&entry_listener)?,
-        admin: local_address(&admin_listener)?,
-    };
-    let server = ingress::start(entry_listener, &settings, context)?;
+    let listen = local_address(&listeners.entry)?;
+    let admin = local_address(&listeners.admin)?;
+    let server = ingress::start(listeners.entry, &settings, context)?;
     let entry = server.handle();
     let serving = actix_rt::spawn(server);
-    print(&banner.to_string())?;
-    for worker in &fleet.view.workers {
-        let (vm, address) = (&worker.vm, worker.address);
-        log_event!(info, event::STANDIN_BACKEND, "{vm} at {address}");
+    let operator = AccessKey::generate();
+    let bootstrap = source.fleet().map(|_| operator.hash());
+    let parts = PlaneParts {
+        services: services.clone(),
+        channel,
+        peer_listener: listeners.peer,
+        claims,
+        bootstrap,
+    };
+    let started = tokio::select! {
+        started = ControlPlane::start(parts) => started?,
+        _ = signals.next() => return Err(Error::stop("start", "told to stop before it was ready")),
+    };
+    let mut plane = started;
+    if let Some(fleet) = source.fleet() {
+        let keys = fleet.provision(&plane.desk).await?;
+        wait_ready(&services, &mut plane).await?;
+        let banner = EmbeddedBanner {
+            declaration: &services.snapshots.borrow().declaration.clone(),
+            keys: &keys,
+            operator: &operator,
+            listen,
+            admin,
+        };
+        print(&banner.to_string())?;
+    } else {
+        print(&format!("listen http://{listen}\nadmin http://{admin}\n"))?;
+        let waited = tokio::select! {
+            waited = wait_ready(&services, &mut plane) => waited,
+            _ = signals.next() => Err(Error::stop("start", "told to stop before it was ready")),
+        };
+        waited?;
+        print("ready\n")?;
     }
-    log_event!(info, event::PROCESS_READY, "callers at {}", banner.listen);
+    log_event!(info, event::PROCESS_READY, "callers at {listen}");
     let leaving = LeavingProcess {
         settings: &settings,
-        snapshots: &snapshots,
+        snapshots: &services.snapshots,
+        stop: &stop,
         entry,
-        control,
+        control: services.control.clone(),
+    };
+    let signal = tokio::select! {
+        signal = signals.next() => signal,
+        ended = &mut plane.cluster => return Err(replaced(ended)),
     };
-    let signal = signals.next().await;
-    leaving.finish(signal, &mut signals).await?;
+    leaving.finish(signal, &mut signals, plane).await?;
     let _ = serving.await;
-    fleet.backends.stop(false).await;
+    if let Some(fleet) = source.fleet() {
+        fleet.backends.stop(false).await;
+    }
     log_event!(info, event::PROCESS_STOPPED, "everything is finished");
     Ok(())
 }
 
+/// Listeners of an entry process.
+struct EntryListeners {
+    entry: net::TcpListener,
+    admin: net::TcpListener,
+    peer: net::TcpListener,
+}
+
+impl EntryListeners {
+    fn bind(settings: &NodeSettings) -> Result<Self> {
+        Ok(Self {
+            entry: bind("listen for callers", settings.listen)?,
+            admin: bind("listen for operators", settings.admin_listen)?,
+            peer: bind("listen for peers", settings.peer_listen)?,
+        })
+    }
+}
+
+/// Where the platform's services come from.
+enum PlatformSource {
+    Embedded(EmbeddedFleet),
+    Http(PlatformServices),
+}
+
+impl PlatformSource {
+    async fn open(settings: &NodeSettings) -> Result<Self> {
+        match settings.platform {
+            PlatformAddress::Embedded => {
+                let fleet = EmbeddedFleet::start(settings.embedded_workers, &settings.node);
+                fleet.await.map(Self::Embedded)
+            }
+            PlatformAddress::Http(address) => {
+                let url = format!("http://{address}");
+                let platform = HttpPlatform::new(&url, settings.node.as_str());
+                Ok(Self::Http(platform.services()))
+            }
+        }
+    }
+
+    fn services(&self) -> PlatformServices {
+        match self {
+            Self::Embedded(fleet) => fleet.services(),
+            Self::Http(services) => services.clone(),
+        }
+    }
+
+    fn fleet(&self) -> Option<&EmbeddedFleet> {
+        match self {
+            Self::Embedded(fleet) => Some(fleet),
+            Self::Http(_) => None,
+        }
+    }
+}
+
+/// Waits until the balancer may send callers.
+async fn wait_ready(services: &NodeServices, plane: &mut ControlPlane) -> Result<()> {
+    let mut snapshots = services.snapshots.subscribe();
+    tokio::select! {
+        ready = snapshots.wait_for(|snapshot| snapshot.ready) => {
+            ready.map(|_| ()).map_err(|error| Error::start("wait until ready", error))
+        }
+        ended = &mut plane.cluster => Err(replaced(ended)),
+    }
+}
+
+/// Returns why the membership rounds ended before the process left.
+fn replaced(ended: std::result::Result<Result<()>, task::JoinError>) -> Error {
+    const STEP: &str = "run membership rounds";
+    match ended {
+        Ok(Err(error)) => error,
+        Ok(Ok(())) => Error::stop(STEP, "the rounds ended early"),
+        Err(error) => Error::stop(STEP, error),
+    }
+}
+
 /// Runs stand-in backend servers until the process is told to stop.
 ///
 /// # Errors
@@ -105,22 +228,24 @@
 struct LeavingProcess<'a> {
     settings: &'a NodeSettings,
     snapshots: &'a SnapshotSender,
+    stop: &'a watch::Sender<StopPhase>,
     entry: ServerHandle,
     control: ControlHandle,
 }
 
 impl LeavingProcess<'_> {
-    /// Tells the balancer, goes on accepting for a while, then finishes what
-    /// is queued or runs.
-    async fn finish(&self, signal: StopSignal, signals: &mut SignalListener) -> Result<()> {
+    /// Tells the balancer, goes on accepting for a while, finishes what is
+    /// queued or runs, and gives all tokens back.
+    async fn finish(
+        &self,
+        signal: StopSignal,
+        signals: &mut SignalListener,
+        plane: ControlPlane,
+    ) -> Result<()> {
         log_event!(info, event::PROCESS_STOPPING, "the balancer is told");
-        self.snapshots.send_modify(|snapshot| {
-            let leaving = NodeSnapshot {
-                ready: false,
-                ..NodeSnapshot::clone(snapshot)
-            };
-            *snapshot = sync::Arc::new(leaving);
-        });
+        self.stop.send_replace(StopPhase::Leaving);
+        self.snapshots
+            .send_modify(|snapshot| sync::Arc::make_mut(snapshot).ready = false);
         if signal == StopSignal::Terminate {
             let delay = tokio::time::sleep(self.settings.leave_delay);
             tokio::select! {
@@ -128,17 +253,41 @@
                 _ = signals.next() => {}
             }
         }
+        self.stop.send_replace(StopPhase::Draining);
         self.entry.stop(true).await;
-        let drained = self.control.leave();
-        if tokio::time::timeout(self.settings.stop_timeout, drained)
+        let drained = tokio::time::timeout(self.settings.stop_timeout, self.control.leave());
+        let drained = drained.await.is_ok();
+        if drained {
+            self.return_tokens().await;
+        }
+        self.stop.send_replace(StopPhase::Ended);
+        let left = plane.finish().await;
+        if !drained {
+            let detail = "requests still run on backend servers";
+            log_event!(warn, event::STOP_INCOMPLETE, "{detail}");
+            return Err(Error::stop("finish requests", detail));
+        }
+        left
+    }
+
+    /// Waits until borrowed tokens are back at their homes, for a bounded time.
+    async fn return_tokens(&self) {
+        let returned = async {
+            loop {
+                let drained = self.control.visit(|scheduler, _| scheduler.is_drained());
+                if drained.await.unwrap_or(true) {
+                    return;
+                }
+                tokio::time::sleep(RETURN_INTERVAL).await;
+            }
+        };
+        if tokio::time::timeout(RETURN_TIMEOUT, returned)
             .await
             .is_err()
         {
-            let detail = "requests still run on backend servers";
+            let detail = "peers did not take borrowed tokens back";
             log_event!(warn, event::STOP_INCOMPLETE, "{detail}");
-            return Err(Error::stop("finish requests", detail));
         }
-        Ok(())
     }
 }
 
@@ -156,29 +305,6 @@
         .map_err(|error| Error::start("read a listener's address", error))
 }
 
-fn first_snapshot(fleet: &EmbeddedFleet) -> NodeSnapshot {
-    NodeSnapshot {
-        version: 1,
-        declaration: sync::Arc::new(fleet.declaration.clone()),
-        keys: sync::Arc::new(fleet.grants()),
-        accepts_keyed: true,
-        ready: true,
-    }
-}
-
-fn start_control(settings: &NodeSettings) -> ControlHandle {
-    let node = NodeIncarnation {
-        node: settings.node.clone(),
-        epoch: FIRST_EPOCH,
-    };
-    let scheduler = SchedulerSettings {
-        task_lease: settings.limits.task_lease,
-        ..SchedulerSettings::default()
-    };
-    let (outbox, _) = mpsc::unbounded_channel();
-    ControlChannel::open(NodeClock::start()).start(node, scheduler, outbox)
-}
-
 /// Writes to standard output at once.
 fn print(text: &str) -> Result<()> {
     let mut output = io::stdout().lock();
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -20,7 +20,7 @@
 pub(crate) const PAUSE_LIMITS_PER_LEASE: u32 = 4;
 
 /// Where the platform's services are.
-#[derive(Clone, Debug, Default, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub enum PlatformAddress {
     /// A stand-in platform and stand-in backend servers in this process.
     #[default]
--- a/crates/node/tests/peer.rs
+++ b/crates/node/tests/peer.rs
@@ -252,6 +252,6 @@
     connected(&mesh, 1).await;
     mesh.set_peers(&[]);
     mesh.send(&served.handler.own, message(1));
-    assert_eq!(mesh.peer_count(), 0);
+    assert_eq!(mesh.peer_count(), Some(0));
     assert!(mesh.reachable(PATIENCE).is_empty());
 }
