Log the stand-in backend servers again

Cause: the rewritten start dropped event 104, for which tests of faults wait. Change: the embedded fleet logs it.

--- a/crates/node/src/embedded.rs
+++ b/crates/node/src/embedded.rs
@@ -19,6 +19,7 @@
 use crate::audit;
 use crate::config::{ChangeDraft, ChangeId, ConfigDesk, desk};
 use crate::error::{Error, Result};
+use crate::event;
 use crate::fleet;
 
 /// Targets of the stand-in fleet; the number of VMs is that of the settings.
@@ -92,6 +93,7 @@
                 .local_addr()
                 .map_err(|error| Error::start(STEP, error))?;
             let identity = identity(&format!("vm-{}", index + 1), address)?;
+            log_event!(info, event::STANDIN_BACKEND, "{} at {address}", identity.vm);
             put_worker(&platform, identity, &pool).await?;
         }
         let entry = identity(node.as_str(), (net::Ipv4Addr::LOCALHOST, 0).into())?;
