--- a/crates/ctl/src/load/startup.rs
+++ b/crates/ctl/src/load/startup.rs
@@ -6,17 +6,22 @@
 
 /// Completes `experiment` with the addresses and keys in `text`.
 ///
-/// Each `listen` line adds a target, each `backend` line a backend server,
-/// each `key` line a stream, and each `queue NAME open` line a stream without
-/// a key. Other lines are passed over. Streams that the experiment already
+/// Each `listen` line adds a target, each `key` line a stream, and each
+/// `queue NAME open` line a stream without a key. The first `backend` line adds
+/// a backend server; the others of that process tell the same counts. Other
+/// lines are passed over. Streams that the experiment already
 /// names take their key from here and are not added again.
 pub fn parse_startup(text: &str, experiment: &mut LoadExperiment) {
+    let mut has_backend = false;
     let named = !experiment.streams.is_empty();
     for line in text.lines() {
         let words: Vec<&str> = line.split_whitespace().collect();
         match words.as_slice() {
             ["listen", base] => experiment.targets.push((*base).to_owned()),
-            ["backend", .., base] => experiment.backends.push((*base).to_owned()),
+            ["backend", base] if !has_backend => {
+                experiment.backends.push((*base).to_owned());
+                has_backend = true;
+            }
             ["key", team, queue, key] => add_key(experiment, named, team, queue, key),
             ["queue", queue, "open"] if !named => add_open(experiment, queue),
             _ => {}
