Prove configuration and claims under random faults

Cause: accepted must stay in force and a claimed request must run once, whatever is lost, late, cut off or restarted. Change: property tests over the stand-in platform, which now also holds commits up and delivers them late; rows with two heads are refused (found by the test of arbitrary rows).

--- a/crates/node/src/config/state.rs
+++ b/crates/node/src/config/state.rs
@@ -162,6 +162,10 @@
     fn replace(&mut self, rows: BTreeMap<RowKey, TableRow>) -> InstallOutcome {
         match read_view(&rows, &self.view) {
             Err(message) => InstallOutcome::Malformed(message),
+            // Rows from elsewhere may hold one key twice.
+            Ok(view) if view.head.version <= self.version() => {
+                InstallOutcome::Malformed("the heads disagree".to_owned())
+            }
             Ok(view) => {
                 let commits = rows.values().map(|row| row.version);
                 self.cursor = self.cursor.max(commits.max().unwrap_or(0));
--- /dev/null
+++ b/crates/node/tests/control/claim.rs
@@ -0,0 +1,313 @@
+//! Claims of requests that may run at most once.
+
+use std::cell;
+use std::collections::BTreeSet;
+use std::rc;
+use std::time;
+
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use redwing_model::{NodeId, NodeIncarnation, QueueName, RunOutcome, TeamName};
+use redwing_node::claim::{
+    self, ClaimAnswer, ClaimHandle, ClaimKey, ClaimSettings, CommitAges, HeldClaim,
+};
+use redwing_node::stop::StopPhase;
+use redwing_platform::backoff::BackoffSettings;
+use redwing_platform::{TableClient, TableStore};
+use redwing_standin::MemoryPlatform;
+use tokio::sync::watch;
+
+use crate::fleet::fast_client;
+
+const PAUSE: time::Duration = time::Duration::from_micros(200);
+
+type EndedNodes = rc::Rc<cell::RefCell<BTreeSet<NodeIncarnation>>>;
+
+/// One process that claims requests.
+struct Claimant {
+    platform: MemoryPlatform,
+    node: NodeIncarnation,
+    handle: ClaimHandle,
+    stop: watch::Sender<StopPhase>,
+}
+
+fn start(platform: &MemoryPlatform, number: usize, epoch: u64, ended: &EndedNodes) -> Claimant {
+    let platform = platform.view();
+    let name = NodeId::new(&format!("node-{number}")).unwrap();
+    let node = NodeIncarnation { node: name, epoch };
+    let backoff = BackoffSettings {
+        first: PAUSE,
+        longest: PAUSE,
+    };
+    let settings = ClaimSettings {
+        backoff,
+        doubt_interval: PAUSE,
+        ..ClaimSettings::default()
+    };
+    let (stop, stopped) = watch::channel(StopPhase::Running);
+    let client = TableClient::new(platform.services().table, fast_client());
+    let ended = ended.clone();
+    let is_ended = rc::Rc::new(move |node: &NodeIncarnation| ended.borrow().contains(node));
+    let handle = claim::start(client, node.clone(), is_ended, settings, stopped);
+    Claimant {
+        platform,
+        node,
+        handle,
+        stop,
+    }
+}
+
+fn key(number: u32) -> ClaimKey {
+    ClaimKey {
+        team: Some(TeamName::new("sales").unwrap()),
+        queue: QueueName::new("q").unwrap(),
+        key: number.to_string(),
+    }
+}
+
+async fn pause() {
+    actix_rt::time::sleep(time::Duration::from_millis(5)).await;
+}
+
+fn claimed(answer: ClaimAnswer) -> HeldClaim {
+    match answer {
+        ClaimAnswer::Claimed(claim) => claim,
+        other => panic!("{other:?}"),
+    }
+}
+
+fn block_on<F: Future>(future: F) -> F::Output {
+    actix_rt::System::new().block_on(future)
+}
+
+/// Waits until the claim answers as wanted; a wrong answer fails the test.
+async fn until(node: &Claimant, number: u32, wanted: impl Fn(&ClaimAnswer) -> bool) -> ClaimAnswer {
+    loop {
+        let answer = node.handle.claim(key(number)).await;
+        if wanted(&answer) {
+            return answer;
+        }
+        assert!(matches!(answer, ClaimAnswer::InProgress), "{answer:?}");
+        pause().await;
+    }
+}
+
+#[test]
+fn request_is_claimed_once_and_its_outcome_kept() {
+    block_on(async {
+        let (platform, ended) = (MemoryPlatform::default(), EndedNodes::default());
+        let nodes = [0, 1].map(|number| start(&platform, number, 1, &ended));
+        let claim = claimed(nodes[0].handle.claim(key(1)).await);
+        assert!(matches!(
+            nodes[1].handle.claim(key(1)).await,
+            ClaimAnswer::InProgress
+        ));
+        claim.complete(RunOutcome::Ran);
+        until(&nodes[1], 1, |answer| {
+            matches!(answer, ClaimAnswer::Done(RunOutcome::Ran))
+        })
+        .await;
+    });
+}
+
+#[test]
+fn released_request_may_be_claimed_again() {
+    block_on(async {
+        let (platform, ended) = (MemoryPlatform::default(), EndedNodes::default());
+        let nodes = [0, 1].map(|number| start(&platform, number, 1, &ended));
+        claimed(nodes[0].handle.claim(key(1)).await).release();
+        until(&nodes[1], 1, |answer| {
+            matches!(answer, ClaimAnswer::Claimed(_))
+        })
+        .await;
+    });
+}
+
+#[test]
+fn outage_claims_nothing_and_ends_later() {
+    block_on(async {
+        let (platform, ended) = (MemoryPlatform::default(), EndedNodes::default());
+        let node = start(&platform, 0, 1, &ended);
+        let claim = claimed(node.handle.claim(key(1)).await);
+        node.platform.set_faults(|faults| faults.table_down = true);
+        assert!(matches!(
+            node.handle.claim(key(2)).await,
+            ClaimAnswer::Unavailable
+        ));
+        claim.complete(RunOutcome::Ran);
+        pause().await;
+        node.platform.set_faults(|faults| faults.table_down = false);
+        until(&node, 1, |answer| {
+            matches!(answer, ClaimAnswer::Done(RunOutcome::Ran))
+        })
+        .await;
+    });
+}
+
+#[test]
+fn outcome_is_unknown_after_the_owner_died() {
+    block_on(async {
+        let (platform, ended) = (MemoryPlatform::default(), EndedNodes::default());
+        let nodes = [0, 1].map(|number| start(&platform, number, 1, &ended));
+        let claim = claimed(nodes[0].handle.claim(key(1)).await);
+        nodes[0].stop.send(StopPhase::Ended).unwrap();
+        pause().await;
+        drop(claim);
+        assert!(matches!(
+            nodes[1].handle.claim(key(1)).await,
+            ClaimAnswer::InProgress
+        ));
+        ended.borrow_mut().insert(nodes[0].node.clone());
+        let answer = nodes[1].handle.claim(key(1)).await;
+        assert!(matches!(answer, ClaimAnswer::Done(RunOutcome::Unknown)));
+    });
+}
+
+#[test]
+fn doubtful_claim_is_withdrawn() {
+    block_on(async {
+        let (platform, ended) = (MemoryPlatform::default(), EndedNodes::default());
+        let node = start(&platform, 0, 1, &ended);
+        node.platform.set_faults(|faults| faults.lost_replies = 4);
+        assert!(matches!(
+            node.handle.claim(key(1)).await,
+            ClaimAnswer::Unavailable
+        ));
+        until(&node, 1, |answer| matches!(answer, ClaimAnswer::Claimed(_))).await;
+    });
+}
+
+#[test]
+fn only_commits_seen_long_ago_expire() {
+    let retention = time::Duration::from_secs(60);
+    let start = time::Instant::now();
+    let at = |seconds| start + time::Duration::from_secs(seconds);
+    let mut ages = CommitAges::new(retention);
+    assert_eq!(ages.horizon(start), None);
+    ages.note(at(0), 10);
+    ages.note(at(30), 20);
+    assert_eq!(ages.horizon(at(59)), None);
+    assert_eq!(ages.horizon(at(60)), Some(10));
+    assert_eq!(ages.horizon(at(89)), Some(10));
+    assert_eq!(ages.horizon(at(95)), Some(20));
+}
+
+#[derive(Clone, Debug)]
+enum Step {
+    Claim(usize, u32),
+    Release(usize),
+    Complete(usize),
+    Drop(usize),
+    TableDown(usize, bool),
+    LoseReplies(usize, u32),
+    HoldRequests(usize, u32),
+    DeliverRequests,
+    Kill(usize),
+    Pause,
+}
+
+fn any_step() -> impl Strategy<Value = Step> {
+    let node = 0..3usize;
+    prop_oneof![
+        8 => (node.clone(), 0..4u32).prop_map(|(node, key)| Step::Claim(node, key)),
+        2 => (0..4usize).prop_map(Step::Release),
+        2 => (0..4usize).prop_map(Step::Complete),
+        1 => (0..4usize).prop_map(Step::Drop),
+        1 => (node.clone(), any::<bool>()).prop_map(|(node, down)| Step::TableDown(node, down)),
+        2 => (node.clone(), 0..8u32).prop_map(|(node, count)| Step::LoseReplies(node, count)),
+        2 => (node.clone(), 0..8u32).prop_map(|(node, count)| Step::HoldRequests(node, count)),
+        1 => Just(Step::DeliverRequests),
+        1 => node.prop_map(Step::Kill),
+        2 => Just(Step::Pause),
+    ]
+}
+
+/// Processes, the claims they hold, and the requests that may have run.
+struct ClaimRace {
+    platform: MemoryPlatform,
+    ended: EndedNodes,
+    nodes: Vec<Claimant>,
+    held: Vec<(u32, HeldClaim)>,
+    ran: BTreeSet<u32>,
+}
+
+impl ClaimRace {
+    async fn take(&mut self, step: Step) {
+        match step {
+            Step::Claim(node, number) => match self.nodes[node].handle.claim(key(number)).await {
+                ClaimAnswer::Claimed(claim) => {
+                    assert!(self.ran.insert(number), "request {number} would run twice");
+                    self.held.push((number, claim));
+                }
+                // A claim in doubt whose process died is unknown, though it never ran.
+                ClaimAnswer::Done(RunOutcome::Unknown) => {}
+                ClaimAnswer::Done(_) => assert!(self.ran.contains(&number)),
+                ClaimAnswer::InProgress | ClaimAnswer::Unavailable => {}
+            },
+            Step::Release(place) if place < self.held.len() => {
+                let (number, claim) = self.held.swap_remove(place);
+                self.ran.remove(&number);
+                claim.release();
+            }
+            Step::Complete(place) if place < self.held.len() => {
+                self.held.swap_remove(place).1.complete(RunOutcome::Ran);
+            }
+            Step::Drop(place) if place < self.held.len() => drop(self.held.swap_remove(place)),
+            Step::Release(_) | Step::Complete(_) | Step::Drop(_) => {}
+            Step::TableDown(node, down) => {
+                self.nodes[node]
+                    .platform
+                    .set_faults(|faults| faults.table_down = down);
+            }
+            Step::LoseReplies(node, count) => {
+                self.nodes[node]
+                    .platform
+                    .set_faults(|faults| faults.lost_replies = count);
+            }
+            Step::HoldRequests(node, count) => {
+                self.nodes[node]
+                    .platform
+                    .set_faults(|faults| faults.late_requests = count);
+            }
+            Step::DeliverRequests => self.platform.deliver_late_requests(),
+            Step::Kill(node) => {
+                let dead = &self.nodes[node];
+                dead.stop.send(StopPhase::Ended).unwrap();
+                pause().await;
+                self.ended.borrow_mut().insert(dead.node.clone());
+                let epoch = dead.node.epoch + 1;
+                self.nodes[node] = start(&self.platform, node, epoch, &self.ended);
+            }
+            Step::Pause => pause().await,
+        }
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 64,
+        failure_persistence: None,
+        rng_seed: RngSeed::Fixed(505),
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn no_request_is_claimed_twice(steps in prop::collection::vec(any_step(), 1..50)) {
+        block_on(async {
+            let (platform, ended) = (MemoryPlatform::default(), EndedNodes::default());
+            let nodes = (0..3).map(|number| start(&platform, number, 1, &ended)).collect();
+            let mut race = ClaimRace {
+                platform,
+                ended,
+                nodes,
+                held: Vec::new(),
+                ran: BTreeSet::new(),
+            };
+            for step in steps {
+                race.take(step).await;
+            }
+            let rows = race.platform.scan("claim/").await.unwrap().rows.len();
+            assert!(rows <= 4);
+        });
+    }
+}
--- a/crates/node/tests/control/config.rs
+++ b/crates/node/tests/control/config.rs
@@ -342,3 +342,22 @@
         }
     });
 }
+
+/// Regression: of two heads in one message, the lower must not be installed.
+#[test]
+fn rows_with_two_heads_are_refused() {
+    use redwing_node::config::{ConfigState, InstallOutcome};
+    use redwing_platform::{RowKey, TableRow};
+
+    let head = |version: u64| TableRow {
+        key: RowKey::new("config/head"),
+        version: 1,
+        value: Some(format!(
+            r#"{{"version":{version},"change":"c","operator":"o","at-millis":1,"rows":2}}"#
+        )),
+    };
+    let mut state = ConfigState::default();
+    let outcome = state.install_change(&[head(1), head(0)]);
+    assert!(matches!(outcome, InstallOutcome::Malformed(_)));
+    assert_eq!(state.version(), 0);
+}
--- a/crates/standin/src/fault.rs
+++ b/crates/standin/src/fault.rs
@@ -19,6 +19,9 @@
     /// Number of commits to come that are lost before they take effect, in a
     /// way that the client cannot tell from a lost reply.
     pub lost_requests: u32,
+    /// Number of commits to come that are held up on their way; the client
+    /// sees a broken connection, and they reach the table later.
+    pub late_requests: u32,
 }
 
 impl FaultPlan {
@@ -27,6 +30,11 @@
         take_one(&mut self.lost_replies)
     }
 
+    /// Returns whether the next commit is held up, and counts it.
+    pub(crate) fn take_late_request(&mut self) -> bool {
+        take_one(&mut self.late_requests)
+    }
+
     /// Returns whether the next commit is lost, and counts it.
     pub(crate) fn take_lost_request(&mut self) -> bool {
         take_one(&mut self.lost_requests)
--- a/crates/standin/src/memory.rs
+++ b/crates/standin/src/memory.rs
@@ -62,6 +62,7 @@
     settings: MemorySettings,
     rows: BTreeMap<RowKey, TableRow>,
     commits: u64,
+    late: Vec<TableTransaction>,
     objects: BTreeMap<String, Vec<u8>>,
     vms: BTreeMap<VmId, VmHistory>,
     operations: HashSet<String>,
@@ -178,6 +179,14 @@
         }
     }
 
+    /// Lets all commits that were held up reach the table.
+    pub fn deliver_late_requests(&self) {
+        let content = &mut *self.lock();
+        for transaction in std::mem::take(&mut content.late) {
+            content.apply(&transaction);
+        }
+    }
+
     /// Makes a change of the VM list visible at once, whatever the lag.
     pub fn skip_list_lag(&self) {
         let lag = self.lock().settings.list_lag;
@@ -308,6 +317,10 @@
             if self.lock_faults().take_lost_request() {
                 return Err(Error::unknown("commit", PEER, "connection broken"));
             }
+            if self.lock_faults().take_late_request() {
+                self.lock().late.push(transaction.clone());
+                return Err(Error::unknown("commit", PEER, "connection broken"));
+            }
             let outcome = self.lock().apply(transaction);
             self.pass_half_delay().await;
             if self.lock_faults().take_lost_reply() {
