--- a/crates/node/src/config/desk.rs
+++ b/crates/node/src/config/desk.rs
@@ -20,7 +20,7 @@
 use crate::config::state::{ConfigState, ConfigView, InstallOutcome};
 use crate::event;
 use crate::peer::ConfigCopy;
-use crate::snapshot::{NodeSnapshot, SnapshotSender};
+use crate::snapshot::{NodeSnapshot, SnapshotSender, TrustDeadline};
 
 /// Cause of all calls of the table made here.
 pub(crate) const CAUSE: CallCause = CallCause::Configuration;
@@ -66,7 +66,7 @@
     pub(crate) settings: DeskSettings,
     pub(crate) state: cell::RefCell<ConfigState>,
     pub(crate) wake: channel::Notify,
-    pub(crate) fresh_at: cell::Cell<Option<time::Instant>>,
+    pub(crate) trust: sync::Arc<TrustDeadline>,
     snapshots: rc::Rc<SnapshotSender>,
     audit: AuditLog,
     changing: channel::Mutex<()>,
@@ -87,7 +87,7 @@
             settings,
             state: cell::RefCell::default(),
             wake: channel::Notify::new(),
-            fresh_at: cell::Cell::new(None),
+            trust: sync::Arc::default(),
             snapshots,
             audit,
             changing: channel::Mutex::new(()),
@@ -169,6 +169,7 @@
                 declaration: view.declaration,
                 keys: view.keys,
                 accepts_keyed,
+                keyed_until: Some(self.trust.clone()),
                 ..NodeSnapshot::clone(snapshot)
             };
             *snapshot = sync::Arc::new(next);
@@ -179,8 +180,7 @@
     /// Returns whether the process lately made sure that it has the latest
     /// accepted version.
     pub fn is_trusted(&self) -> bool {
-        let fresh_at = self.fresh_at.get();
-        fresh_at.is_some_and(|fresh_at| fresh_at.elapsed() < self.settings.trust_limit)
+        self.trust.holds(time::Instant::now())
     }
 
     pub(crate) fn after_install(&self, outcome: &InstallOutcome, source: &str) {
--- a/crates/node/src/config/refresh.rs
+++ b/crates/node/src/config/refresh.rs
@@ -118,9 +118,7 @@
     }
 
     fn note_fresh(&self, at: time::Instant) {
-        let fresh_at = self.fresh_at.get();
-        self.fresh_at
-            .set(Some(fresh_at.map_or(at, |earlier| earlier.max(at))));
+        self.trust.extend(at + self.settings.trust_limit);
         self.publish();
     }
 }
--- a/crates/node/src/gate.rs
+++ b/crates/node/src/gate.rs
@@ -136,7 +136,7 @@
         }
         return Err(ProblemAnswer::not_run(ProblemKind::BadKey));
     };
-    if !snapshot.accepts_keyed {
+    if !snapshot.trusts_keys(time::Instant::now()) {
         return Err(not_ready("it cannot tell whether the key was withdrawn"));
     }
     let Some(grant) = snapshot.keys.get(&KeyHash::of(secret)) else {
--- a/crates/node/tests/common/fleet.rs
+++ b/crates/node/tests/common/fleet.rs
@@ -85,6 +85,7 @@
         declaration: sync::Arc::new(declaration),
         keys: sync::Arc::new(HashMap::<_, KeyGrant>::new()),
         accepts_keyed: true,
+        keyed_until: None,
         ready: true,
     };
     let (sender, snapshots) = watch::channel(sync::Arc::new(snapshot));
--- a/crates/node/tests/control/config.rs
+++ b/crates/node/tests/control/config.rs
@@ -191,7 +191,10 @@
             .platform
             .set_faults(|faults| faults.table_down = true);
         assert!(desk.refresh().await.is_err());
-        actix_rt::time::sleep(time::Duration::from_millis(120)).await;
+        actix_rt::time::sleep(time::Duration::from_millis(520)).await;
+        // Traffic threads see it before the control thread has decided.
+        assert!(desk.snapshot().accepts_keyed);
+        assert!(!desk.snapshot().trusts_keys(time::Instant::now()));
         desk.check_trust();
         assert!(!desk.snapshot().accepts_keyed);
 
@@ -201,7 +204,7 @@
         assert!(desk.snapshot().accepts_keyed);
         fleet.links.borrow_mut().delays = true;
         fleet.nodes[0].apply("c2", 6, None).await;
-        actix_rt::time::sleep(time::Duration::from_millis(120)).await;
+        actix_rt::time::sleep(time::Duration::from_millis(520)).await;
         desk.check_trust();
         assert!(!desk.snapshot().accepts_keyed);
         desk.refresh_from_peers().await;
--- a/crates/node/tests/control/fleet.rs
+++ b/crates/node/tests/control/fleet.rs
@@ -147,7 +147,7 @@
         let settings = DeskSettings {
             spread_limit: PAUSE * 2,
             spread_interval: PAUSE,
-            trust_limit: time::Duration::from_millis(100),
+            trust_limit: time::Duration::from_millis(500),
             bootstrap: Some(KeyHash::of("bootstrap-token")),
             ..DeskSettings::default()
         };
