--- a/crates/node/src/cluster.rs
+++ b/crates/node/src/cluster.rs
@@ -13,7 +13,7 @@
 use redwing_policy::{FleetView, PeerMessage, TokenId};
 use tokio::sync::{mpsc, watch};
 
-use crate::config::{ConfigDesk, PeerSpread};
+use crate::config::ConfigDesk;
 use crate::control::{ControlCommand, ControlHandle, NodeServices, PeerEnvelope};
 use crate::error::{Error, Result};
 use crate::event;
@@ -61,28 +61,6 @@
     }
 }
 
-impl PeerSpread for PeerMesh {
-    fn announce<'a>(&'a self, rows: &'a [TableRow], version: u64) -> LocalFuture<'a, usize> {
-        Box::pin(PeerMesh::announce(self, rows, version))
-    }
-
-    fn peer_count(&self) -> Option<usize> {
-        PeerMesh::peer_count(self)
-    }
-
-    fn reachable(&self, limit: time::Duration) -> usize {
-        PeerMesh::reachable(self, limit).len()
-    }
-
-    fn highest_version(&self) -> u64 {
-        PeerMesh::highest_version(self)
-    }
-
-    fn fetch_copies(&self) -> LocalFuture<'_, Vec<ConfigCopy>> {
-        Box::pin(PeerMesh::fetch_copies(self))
-    }
-}
-
 /// Registers this process, trying again until the table answers.
 ///
 /// # Errors
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -41,6 +41,8 @@
 pub mod serve;
 pub mod settings;
 pub mod snapshot;
+pub mod spread;
+pub mod standin;
 pub mod stop;
 pub mod stream;
 
--- a/crates/node/src/link.rs
+++ b/crates/node/src/link.rs
@@ -41,6 +41,17 @@
     pub address: net::SocketAddr,
 }
 
+/// What is known of a peer.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct PeerStanding {
+    /// The process.
+    pub incarnation: NodeIncarnation,
+    /// Highest version of the configuration that it told.
+    pub version: u64,
+    /// Whether it answered lately.
+    pub reachable: bool,
+}
+
 /// What a link is asked to do.
 enum LinkCommand {
     Exchange(PeerMessage),
@@ -102,17 +113,32 @@
         self.is_known.get().then(|| self.links.borrow().len())
     }
 
-    /// Returns the peers that answered within `limit`.
-    pub fn reachable(&self, limit: time::Duration) -> Vec<NodeIncarnation> {
+    /// Returns the name of this process.
+    pub fn own(&self) -> &NodeIncarnation {
+        &self.own
+    }
+
+    /// Returns what is known of each peer; one counts as reachable if it
+    /// answered within `limit`.
+    pub fn peers(&self, limit: time::Duration) -> Vec<PeerStanding> {
         let links = self.links.borrow();
-        let answered = |link: &&PeerLink| {
+        let standing = |link: &PeerLink| {
             let last = link.state.last_answer.get();
-            last.is_some_and(|instant| instant.elapsed() <= limit)
+            PeerStanding {
+                incarnation: link.peer.incarnation.clone(),
+                version: link.state.version.get(),
+                reachable: last.is_some_and(|instant| instant.elapsed() <= limit),
+            }
         };
-        links
-            .values()
-            .filter(answered)
-            .map(|link| link.peer.incarnation.clone())
+        links.values().map(standing).collect()
+    }
+
+    /// Returns the peers that answered within `limit`.
+    pub fn reachable(&self, limit: time::Duration) -> Vec<NodeIncarnation> {
+        let peers = self.peers(limit).into_iter();
+        peers
+            .filter(|peer| peer.reachable)
+            .map(|peer| peer.incarnation)
             .collect()
     }
 
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -4,7 +4,7 @@
 
 use redwing_node::error::Result;
 use redwing_node::settings::{self, CommandChoice};
-use redwing_node::{log, serve};
+use redwing_node::{log, serve, standin};
 
 fn main() -> process::ExitCode {
     let matches = settings::command().get_matches();
@@ -27,6 +27,6 @@
             log::init(settings.log_format, settings.log_level)?;
             system.block_on(serve::serve(*settings))
         }
-        CommandChoice::StandinBackend(settings) => system.block_on(serve::serve_backends(settings)),
+        CommandChoice::Standin(choice) => system.block_on(standin::run(choice)),
     }
 }
--- a/crates/node/src/plane.rs
+++ b/crates/node/src/plane.rs
@@ -11,13 +11,17 @@
 use tokio::sync::mpsc;
 use tokio::task;
 
+use crate::admin::{self, AdminRouter};
 use crate::audit::{self, AuditLog, AuditSettings};
 use crate::claim::{self, ClaimHandle, ClaimSettings};
 use crate::cluster::{self, ClusterNode};
-use crate::config::{self, ConfigDesk, DeskSettings, PeerSpread};
+use crate::config::{self, ConfigDesk, DeskSettings};
 use crate::control::{ControlChannel, NodeServices};
 use crate::error::{Error, Result};
+use crate::event;
 use crate::link::PeerMesh;
+use crate::spread::MeshSpread;
+use crate::stop::StopReceiver;
 
 /// Claims, set once the process has registered.
 pub type ClaimSlot = sync::Arc<sync::OnceLock<ClaimHandle>>;
@@ -30,6 +34,8 @@
     pub channel: ControlChannel,
     /// Listener for other entry processes.
     pub peer_listener: net::TcpListener,
+    /// Listener for operators.
+    pub admin_listener: net::TcpListener,
     /// Where the claims are put for the traffic threads.
     pub claims: ClaimSlot,
     /// Digest of the operator's token from the settings, if any.
@@ -72,10 +78,10 @@
         let mesh = rc::Rc::new(PeerMesh::new(own.clone()));
         let objects = rc::Rc::clone(&services.platform.objects);
         let audit = AuditLog::new(own.clone(), objects, AuditSettings::default());
-        let spread: rc::Rc<dyn PeerSpread> = rc::Rc::clone(&mesh) as _;
+        let spread = MeshSpread::new(rc::Rc::clone(&mesh), rc::Rc::clone(&services.snapshots));
         let desk = rc::Rc::new(ConfigDesk::new(
             client.clone(),
-            spread,
+            rc::Rc::new(spread),
             rc::Rc::clone(&services.snapshots),
             audit.clone(),
             DeskSettings {
@@ -98,6 +104,8 @@
         // The slot is empty: a process registers once.
         let _ = parts.claims.set(claims);
         task::spawn_local(config::run(rc::Rc::clone(&desk), stop.clone()));
+        let router = AdminRouter::new(rc::Rc::clone(&desk));
+        task::spawn_local(serve_operators(parts.admin_listener, router, stop.clone()));
         Ok(Self {
             desk,
             audit_task: task::spawn_local(audit::run(audit.clone(), stop)),
@@ -130,6 +138,13 @@
     }
 }
 
+/// Serves operators; callers are served on even if that fails.
+async fn serve_operators(listener: net::TcpListener, router: AdminRouter, stop: StopReceiver) {
+    if let Err(error) = admin::serve(listener, router, stop).await {
+        log_event!(error, event::ADMIN_FAILED, "{error}");
+    }
+}
+
 fn async_listener(listener: net::TcpListener) -> Result<tokio::net::TcpListener> {
     const STEP: &str = "listen for peers";
     listener
--- a/crates/node/src/serve.rs
+++ b/crates/node/src/serve.rs
@@ -9,7 +9,7 @@
 use actix_server::ServerHandle;
 use redwing_model::AccessKey;
 use redwing_platform::PlatformServices;
-use redwing_standin::{HttpPlatform, backend};
+use redwing_standin::HttpPlatform;
 use tokio::sync::watch;
 use tokio::task;
 
@@ -21,7 +21,7 @@
 use crate::ingress::{self, IngressContext};
 use crate::metrics::{MetricsRegistry, PathMetrics};
 use crate::plane::{ClaimSlot, ControlPlane, PlaneParts};
-use crate::settings::{BackendSettings, NodeSettings, PlatformAddress};
+use crate::settings::{NodeSettings, PlatformAddress};
 use crate::snapshot::SnapshotSender;
 use crate::stop::{SignalListener, StopPhase, StopSignal};
 
@@ -69,13 +69,14 @@
     let entry = server.handle();
     let serving = actix_rt::spawn(server);
     let operator = AccessKey::generate();
-    let bootstrap = source.fleet().map(|_| operator.hash());
+    let generated = source.fleet().map(|_| operator.hash());
     let parts = PlaneParts {
         services: services.clone(),
         channel,
         peer_listener: listeners.peer,
+        admin_listener: listeners.admin,
         claims,
-        bootstrap,
+        bootstrap: settings.bootstrap_hash.or(generated),
     };
     let started = tokio::select! {
         started = ControlPlane::start(parts) => started?,
@@ -197,33 +198,6 @@
     }
 }
 
-/// Runs stand-in backend servers until the process is told to stop.
-///
-/// # Errors
-///
-/// Fails if an address cannot be used.
-pub async fn serve_backends(settings: BackendSettings) -> Result<()> {
-    let mut signals = SignalListener::open().map_err(signal_error)?;
-    let step = "listen as a backend server";
-    let mut listeners = Vec::new();
-    let mut addresses = String::new();
-    for address in settings.listen {
-        let listener = bind(step, address)?;
-        addresses.push_str(&format!("backend http://{}\n", local_address(&listener)?));
-        listeners.push(listener);
-    }
-    let state = sync::Arc::new(backend::BackendState::default());
-    state.set_fault(settings.fault);
-    let (server, handle) =
-        backend::start(listeners, state).map_err(|error| Error::start(step, error))?;
-    let serving = actix_rt::spawn(server);
-    print(&format!("{addresses}ready\n"))?;
-    signals.next().await;
-    handle.stop(true).await;
-    let _ = serving.await;
-    Ok(())
-}
-
 /// Process that was told to stop.
 struct LeavingProcess<'a> {
     settings: &'a NodeSettings,
@@ -291,22 +265,22 @@
     }
 }
 
-fn signal_error(error: io::Error) -> Error {
+pub(crate) fn signal_error(error: io::Error) -> Error {
     Error::start("listen for signals", error)
 }
 
-fn bind(step: &'static str, address: net::SocketAddr) -> Result<net::TcpListener> {
+pub(crate) fn bind(step: &'static str, address: net::SocketAddr) -> Result<net::TcpListener> {
     net::TcpListener::bind(address).map_err(|error| Error::bind(step, address, error))
 }
 
-fn local_address(listener: &net::TcpListener) -> Result<net::SocketAddr> {
+pub(crate) fn local_address(listener: &net::TcpListener) -> Result<net::SocketAddr> {
     listener
         .local_addr()
         .map_err(|error| Error::start("read a listener's address", error))
 }
 
 /// Writes to standard output at once.
-fn print(text: &str) -> Result<()> {
+pub(crate) fn print(text: &str) -> Result<()> {
     let mut output = io::stdout().lock();
     output
         .write_all(text.as_bytes())
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -11,10 +11,10 @@
 
 use clap::{Arg, ArgMatches, Command, value_parser};
 use log::LevelFilter;
-use redwing_model::{DataCentre, NodeId};
-use redwing_standin::backend;
+use redwing_model::{DataCentre, KeyHash, NodeId};
 
 use crate::log::LogFormat;
+use crate::standin::{self, StandinChoice};
 
 /// Pauses that fit in one task lease.
 pub(crate) const PAUSE_LIMITS_PER_LEASE: u32 = 4;
@@ -111,6 +111,8 @@
     pub listen: net::SocketAddr,
     /// Address on which operators are served.
     pub admin_listen: net::SocketAddr,
+    /// Digest of an operator's token that is valid without being granted.
+    pub bootstrap_hash: Option<KeyHash>,
     /// Address on which other entry processes are served.
     pub peer_listen: net::SocketAddr,
     /// Address at which other entry processes reach this one; that of the
@@ -134,53 +136,31 @@
     pub log_level: LevelFilter,
 }
 
-/// Settings of stand-in backend servers.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub struct BackendSettings {
-    /// Addresses to listen on, one for each backend server.
-    pub listen: Vec<net::SocketAddr>,
-    /// What goes wrong with all requests.
-    pub fault: backend::BackendFault,
-}
-
 /// What the command line asks for.
 #[derive(Clone, Debug, PartialEq)]
 pub enum CommandChoice {
     /// Run an entry process.
     Serve(Box<NodeSettings>),
-    /// Run stand-in backend servers.
-    StandinBackend(BackendSettings),
+    /// Run stand-ins for what surrounds an entry process.
+    Standin(StandinChoice),
 }
 
 /// Returns the command line, with all flags of all subcommands.
 pub fn command() -> Command {
-    let standin = Command::new("standin")
-        .about("Runs stand-ins for what surrounds an entry process")
-        .subcommand_required(true)
-        .arg_required_else_help(true)
-        .subcommand(backend_command());
     Command::new("redwinglb")
         .about("Serves queues on a fleet of VMs")
         .version(env!("CARGO_PKG_VERSION"))
         .subcommand_required(true)
         .arg_required_else_help(true)
         .subcommand(serve_command())
-        .subcommand(standin)
+        .subcommand(standin::command())
 }
 
 /// Reads the settings from parsed flags and variables.
 pub fn choose(matches: &ArgMatches) -> Option<CommandChoice> {
     match matches.subcommand()? {
         ("serve", flags) => Some(CommandChoice::Serve(Box::new(node_settings(flags)?))),
-        ("standin", nested) => {
-            let ("backend", flags) = nested.subcommand()? else {
-                return None;
-            };
-            Some(CommandChoice::StandinBackend(BackendSettings {
-                listen: flags.get_many("listen")?.copied().collect(),
-                fault: read(flags, "fault")?,
-            }))
-        }
+        ("standin", nested) => standin::choose(nested).map(CommandChoice::Standin),
         _ => None,
     }
 }
@@ -202,22 +182,6 @@
     command
 }
 
-fn backend_command() -> Command {
-    let listen = flag("listen", "Address to listen on; repeat it for more servers")
-        .required(true)
-        .action(clap::ArgAction::Append)
-        .value_name("IP:PORT")
-        .value_parser(value_parser!(net::SocketAddr));
-    let fault = flag("fault", "What goes wrong with all requests")
-        .default_value("none")
-        .value_name("KIND")
-        .value_parser(str::parse::<backend::BackendFault>);
-    Command::new("backend")
-        .about("Runs stand-in backend servers")
-        .arg(listen)
-        .arg(fault)
-}
-
 fn process_flags() -> Vec<Arg> {
     vec![
         flag("platform", "Where the platform's services are")
@@ -246,6 +210,12 @@
     vec![
         address_flag("listen", "Address for callers; port 0 takes any free port"),
         address_flag("admin-listen", "Address for operators"),
+        flag(
+            "bootstrap-hash",
+            "SHA-256 digest of a first operator's token, in hexadecimal",
+        )
+        .value_name("DIGEST")
+        .value_parser(KeyHash::from_hex),
         address_flag("peer-listen", "Address for other entry processes"),
         flag(
             "peer-advertise",
@@ -372,12 +342,12 @@
 }
 
 /// Creates a flag with its environment variable.
-fn flag(name: &'static str, help: &'static str) -> Arg {
+pub(crate) fn flag(name: &'static str, help: &'static str) -> Arg {
     let variable = format!("REDWING_{}", name.replace('-', "_").to_uppercase());
     Arg::new(name).long(name).env(variable).help(help)
 }
 
-fn address_flag(name: &'static str, help: &'static str) -> Arg {
+pub(crate) fn address_flag(name: &'static str, help: &'static str) -> Arg {
     flag(name, help)
         .default_value("127.0.0.1:0")
         .value_name("IP:PORT")
@@ -397,7 +367,7 @@
         .value_parser(value_parser!(u32).range(bounds))
 }
 
-fn seconds_flag(
+pub(crate) fn seconds_flag(
     name: &'static str,
     help: &'static str,
     default: &'static str,
@@ -433,7 +403,7 @@
 }
 
 /// Returns the value of a flag that has a default or is required.
-fn read<T>(flags: &ArgMatches, name: &str) -> Option<T>
+pub(crate) fn read<T>(flags: &ArgMatches, name: &str) -> Option<T>
 where
     T: Clone + fmt::Debug + Send + Sync + 'static,
 {
@@ -451,6 +421,7 @@
         data_centre: read(flags, "data-centre")?,
         listen: read(flags, "listen")?,
         admin_listen: read(flags, "admin-listen")?,
+        bootstrap_hash: read(flags, "bootstrap-hash"),
         peer_listen: read(flags, "peer-listen")?,
         peer_advertise: read(flags, "peer-advertise"),
         list_lag: read(flags, "list-lag")?,
--- /dev/null
+++ b/crates/node/src/standin.rs
@@ -0,0 +1,202 @@
+//! Stand-ins for what surrounds an entry process, as subcommands.
+
+use std::net;
+use std::str;
+use std::sync;
+use std::time;
+
+use clap::{ArgAction, ArgMatches, Command, value_parser};
+use redwing_model::NodeId;
+use redwing_model::vm::VmIdentity;
+use redwing_platform::{ListedStatus, ListedVm, VmRole};
+use redwing_standin::{MemoryPlatform, MemorySettings, backend, server};
+
+use crate::error::{Error, Result};
+use crate::serve;
+use crate::settings;
+use crate::stop::SignalListener;
+
+/// Settings of stand-in backend servers.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct BackendSettings {
+    /// Addresses to listen on, one for each backend server.
+    pub listen: Vec<net::SocketAddr>,
+    /// What goes wrong with all requests.
+    pub fault: backend::BackendFault,
+}
+
+/// Settings of a stand-in platform.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct PlatformSettings {
+    /// Address to listen on.
+    pub listen: net::SocketAddr,
+    /// Age of the VM list that clients see.
+    pub lag: time::Duration,
+    /// VMs that are listed from the start.
+    pub vms: Vec<StandinVm>,
+}
+
+/// VM of a stand-in platform, written `NAME,IP:PORT,RACK,DATA-CENTRE`.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct StandinVm(VmIdentity);
+
+impl str::FromStr for StandinVm {
+    type Err = String;
+
+    fn from_str(text: &str) -> std::result::Result<Self, String> {
+        let parts: Vec<&str> = text.split(',').collect();
+        let [vm, address, rack, data_centre] = parts[..] else {
+            return Err("use NAME,IP:PORT,RACK,DATA-CENTRE".to_owned());
+        };
+        let named = |error: redwing_model::Error| error.to_string();
+        Ok(Self(VmIdentity {
+            vm: vm.parse().map_err(named)?,
+            address: address
+                .parse()
+                .map_err(|_| format!("{address} is not IP:PORT"))?,
+            rack: rack.parse().map_err(named)?,
+            data_centre: data_centre.parse().map_err(named)?,
+        }))
+    }
+}
+
+/// Which stand-in to run.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum StandinChoice {
+    /// Backend servers.
+    Backend(BackendSettings),
+    /// A platform.
+    Platform(PlatformSettings),
+}
+
+/// Returns the command line of the stand-ins.
+pub fn command() -> Command {
+    Command::new("standin")
+        .about("Runs stand-ins for what surrounds an entry process")
+        .subcommand_required(true)
+        .arg_required_else_help(true)
+        .subcommand(backend_command())
+        .subcommand(platform_command())
+}
+
+/// Reads the settings of a stand-in from parsed flags and variables.
+pub fn choose(matches: &ArgMatches) -> Option<StandinChoice> {
+    match matches.subcommand()? {
+        ("backend", flags) => Some(StandinChoice::Backend(BackendSettings {
+            listen: flags.get_many("listen")?.copied().collect(),
+            fault: settings::read(flags, "fault")?,
+        })),
+        ("platform", flags) => {
+            let vms = flags.get_many::<StandinVm>("vm");
+            Some(StandinChoice::Platform(PlatformSettings {
+                listen: settings::read(flags, "listen")?,
+                lag: settings::read(flags, "lag")?,
+                vms: vms.unwrap_or_default().cloned().collect(),
+            }))
+        }
+        _ => None,
+    }
+}
+
+/// Runs a stand-in until the process is told to stop.
+///
+/// # Errors
+///
+/// Fails if an address cannot be used.
+pub async fn run(choice: StandinChoice) -> Result<()> {
+    match choice {
+        StandinChoice::Backend(settings) => run_backends(settings).await,
+        StandinChoice::Platform(settings) => run_platform(settings).await,
+    }
+}
+
+fn backend_command() -> Command {
+    let listen = settings::flag("listen", "Address to listen on; repeat it for more servers")
+        .required(true)
+        .action(ArgAction::Append)
+        .value_name("IP:PORT")
+        .value_parser(value_parser!(net::SocketAddr));
+    let fault = settings::flag("fault", "What goes wrong with all requests")
+        .default_value("none")
+        .value_name("KIND")
+        .value_parser(str::parse::<backend::BackendFault>);
+    Command::new("backend")
+        .about("Runs stand-in backend servers")
+        .arg(listen)
+        .arg(fault)
+}
+
+fn platform_command() -> Command {
+    let vm = settings::flag("vm", "VM listed from the start; repeat it for more VMs")
+        .action(ArgAction::Append)
+        .value_name("NAME,IP:PORT,RACK,DATA-CENTRE")
+        .value_parser(str::parse::<StandinVm>);
+    let lag = settings::seconds_flag("lag", "Age of the VM list", "2", 0.0..=600.0);
+    Command::new("platform")
+        .about("Runs a stand-in platform; a VM whose name starts with entry- is an entry VM")
+        .arg(settings::address_flag("listen", "Address to listen on"))
+        .arg(lag)
+        .arg(vm)
+}
+
+async fn run_backends(settings: BackendSettings) -> Result<()> {
+    const STEP: &str = "listen as a backend server";
+    let mut signals = SignalListener::open().map_err(serve::signal_error)?;
+    let mut listeners = Vec::new();
+    let mut addresses = String::new();
+    for address in settings.listen {
+        let listener = serve::bind(STEP, address)?;
+        let address = serve::local_address(&listener)?;
+        addresses.push_str(&format!("backend http://{address}\n"));
+        listeners.push(listener);
+    }
+    let state = sync::Arc::new(backend::BackendState::default());
+    state.set_fault(settings.fault);
+    let (server, handle) =
+        backend::start(listeners, state).map_err(|error| Error::start(STEP, error))?;
+    let serving = actix_rt::spawn(server);
+    serve::print(&format!("{addresses}ready\n"))?;
+    signals.next().await;
+    handle.stop(true).await;
+    let _ = serving.await;
+    Ok(())
+}
+
+async fn run_platform(settings: PlatformSettings) -> Result<()> {
+    const STEP: &str = "listen as a platform";
+    let mut signals = SignalListener::open().map_err(serve::signal_error)?;
+    let listener = serve::bind(STEP, settings.listen)?;
+    let address = serve::local_address(&listener)?;
+    let platform = MemoryPlatform::new(MemorySettings {
+        list_lag: settings.lag,
+        ..MemorySettings::default()
+    });
+    for StandinVm(identity) in settings.vms {
+        let role = role_of(&identity)?;
+        let status = ListedStatus::Live;
+        platform.put_vm(ListedVm {
+            identity,
+            role,
+            status,
+        });
+    }
+    platform.skip_list_lag();
+    let server = server::serve(listener, platform).map_err(|error| Error::start(STEP, error))?;
+    let handle = server.handle();
+    let serving = actix_rt::spawn(server);
+    serve::print(&format!("platform http://{address}\nready\n"))?;
+    signals.next().await;
+    handle.stop(true).await;
+    let _ = serving.await;
+    Ok(())
+}
+
+/// Returns the role that the name of a VM tells.
+fn role_of(identity: &VmIdentity) -> Result<VmRole> {
+    let name = identity.vm.as_str();
+    if !name.starts_with("entry-") {
+        return Ok(VmRole::BackendServer);
+    }
+    let node = NodeId::new(name).map_err(|error| Error::start("name an entry VM", error))?;
+    Ok(VmRole::Entry(node))
+}
