Claim requests that may run at most once before they are sent

Cause: a request with an Idempotency-Key that a caller sent again, to the same or another entry VM, ran again; the claims in the table were not asked. Change: an unrepeatable request with a key is claimed before it is queued. The claim follows the request through its attempts and ends with what is known: given up when nothing was sent, else kept as ran or unknown. A second request gets 409 with the outcome of the first; without the table, 503 not-run.

--- a/crates/node/src/attempt.rs
+++ b/crates/node/src/attempt.rs
@@ -16,6 +16,7 @@
 use crate::event;
 use crate::exchange::{AnswerHead, BackendExchange, ExchangeFailure, ExchangeFault};
 use crate::metrics::PathMetrics;
+use crate::once::RequestClaim;
 use crate::settings::PathLimits;
 use crate::stream::AnswerBody;
 
@@ -23,6 +24,7 @@
 /// is cancelled and the exchange goes on unseen.
 pub struct RunningAttempt {
     exchange: Option<BackendExchange>,
+    claim: RequestClaim,
     control: ControlHandle,
     metrics: PathMetrics,
     limits: rc::Rc<PathLimits>,
@@ -40,9 +42,11 @@
         id: TicketId,
         order: DispatchOrder,
         exchange: BackendExchange,
+        claim: RequestClaim,
     ) -> Self {
         Self {
             exchange: Some(exchange),
+            claim,
             control: dispatcher.control.clone(),
             metrics: dispatcher.metrics.clone(),
             limits: rc::Rc::clone(&dispatcher.limits),
@@ -151,11 +155,13 @@
     fn end_failed(&mut self, failure: ExchangeFailure) {
         self.note_failure(failure);
         self.exchange = None;
+        self.claim.end(failure.outcome);
         let report = self.report(failure, true);
         self.control.finish(self.id, report);
     }
 
     fn end_complete(&mut self) {
+        self.claim.end(RunOutcome::Ran);
         self.metrics.count_attempt("complete");
         self.exchange = None;
         let report = AttemptReport {
@@ -200,6 +206,7 @@
             metrics: self.metrics.clone(),
             limits: rc::Rc::clone(&self.limits),
             vm: self.vm.clone(),
+            claim: self.claim.clone(),
             unseen: true,
             ..*self
         };
@@ -239,6 +246,7 @@
                 },
             };
             drop(exchange);
+            self.claim.end(failure.outcome);
             let mut report = self.report(failure, true);
             report.faulty = false;
             self.control.finish(self.id, report);
--- a/crates/node/src/dispatch.rs
+++ b/crates/node/src/dispatch.rs
@@ -21,6 +21,8 @@
 use crate::exchange::{AnswerHead, BackendClient, ExchangeFailure, ExchangeFault};
 use crate::gate::AdmittedRequest;
 use crate::metrics::PathMetrics;
+use crate::once::RequestClaim;
+use crate::plane::ClaimSlot;
 use crate::relay::{BodyFault, CallerBody};
 use crate::settings::PathLimits;
 
@@ -34,6 +36,8 @@
     pub control: ControlHandle,
     /// Client for backend servers.
     pub client: BackendClient,
+    /// Claims of requests that may run at most once.
+    pub claims: ClaimSlot,
     /// Bounds of the request path.
     pub limits: rc::Rc<PathLimits>,
     /// Counters of the request path.
@@ -80,6 +84,11 @@
 
 impl RequestRun<'_> {
     async fn answer(mut self) -> Result<EntryResponse, ProblemAnswer> {
+        let claiming = RequestClaim::take(&self.dispatcher.claims, self.request);
+        let Some(claim) = self.in_time(claiming).await else {
+            return Err(self.problem(ProblemKind::StoreUnavailable));
+        };
+        let claim = claim?;
         let mut pending = self.submit();
         loop {
             let order = match self.verdict(&mut pending).await? {
@@ -87,7 +96,7 @@
                 RequestVerdict::Refuse(refusal) => return Err(self.refused(&refusal)),
             };
             self.attempts = order.attempt;
-            let mut attempt = self.begin(order);
+            let mut attempt = self.begin(order, &claim);
             match self.head_in_time(&mut attempt).await? {
                 Ok(head) => return Ok(attempt.into_response(head)),
                 Err(failure) => pending = self.after_failure(attempt, failure)?,
@@ -128,12 +137,12 @@
         tokio::time::timeout_at(deadline.into(), future).await.ok()
     }
 
-    fn begin(&self, order: DispatchOrder) -> RunningAttempt {
+    fn begin(&self, order: DispatchOrder, claim: &RequestClaim) -> RunningAttempt {
         let dispatcher = self.dispatcher;
         let exchange = dispatcher
             .client
             .begin(order.address, self.head, self.body.attempt());
-        RunningAttempt::new(dispatcher, self.id, order, exchange)
+        RunningAttempt::new(dispatcher, self.id, order, exchange, claim.clone())
     }
 
     async fn head_in_time(
--- a/crates/node/src/ingress.rs
+++ b/crates/node/src/ingress.rs
@@ -127,6 +127,7 @@
             dispatcher: RequestDispatcher {
                 control: context.control.clone(),
                 client: BackendClient::new(&limits, context.seats.clone()),
+                claims: sync::Arc::clone(&context.claims),
                 limits,
                 metrics: context.metrics.clone(),
             },
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -33,6 +33,7 @@
 pub mod membership;
 pub mod metrics;
 pub mod mirror;
+pub mod once;
 pub mod peer;
 pub mod plane;
 pub mod register;
--- a/crates/node/tests/common/fleet.rs
+++ b/crates/node/tests/common/fleet.rs
@@ -100,6 +100,7 @@
     let context = IngressContext {
         snapshots,
         control,
+        claims: redwing_node::plane::ClaimSlot::default(),
         seats: ConnectionSeats::new(settings.limits.backend_connections),
         limits: sync::Arc::new(settings.limits.clone()),
         metrics: PathMetrics::register(&registry).unwrap(),
