--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -34,6 +34,7 @@
 pub mod membership;
 pub mod metrics;
 pub mod mirror;
+pub mod once;
 pub mod peer;
 pub mod plane;
 pub mod register;
@@ -41,6 +42,8 @@
 pub mod serve;
 pub mod settings;
 pub mod snapshot;
+pub mod spread;
+pub mod standin;
 pub mod stop;
 pub mod stream;
 
--- a/crates/node/tests/common/fleet.rs
+++ b/crates/node/tests/common/fleet.rs
@@ -85,6 +85,7 @@
         declaration: sync::Arc::new(declaration),
         keys: sync::Arc::new(HashMap::<_, KeyGrant>::new()),
         accepts_keyed: true,
+        keyed_until: None,
         ready: true,
     };
     let (sender, snapshots) = watch::channel(sync::Arc::new(snapshot));
@@ -100,6 +101,7 @@
     let context = IngressContext {
         snapshots,
         control,
+        claims: redwing_node::plane::ClaimSlot::default(),
         seats: ConnectionSeats::new(settings.limits.backend_connections),
         limits: sync::Arc::new(settings.limits.clone()),
         metrics: PathMetrics::register(&registry).unwrap(),
