--- a/crates/node/tests/common/fleet.rs
+++ b/crates/node/tests/common/fleet.rs
@@ -95,7 +95,11 @@
         epoch: 1,
     };
     let channel = ControlChannel::open(NodeClock::start());
-    let control = channel.start(node, SchedulerSettings::default(), outbox);
+    let scheduler = SchedulerSettings {
+        task_lease: settings.limits.task_lease,
+        ..SchedulerSettings::default()
+    };
+    let control = channel.start(node, scheduler, outbox);
     control.send(ControlCommand::Install(Box::new(view)));
     let registry = MetricsRegistry::default();
     let context = IngressContext {
--- /dev/null
+++ b/crates/node/tests/mixture.rs
@@ -0,0 +1,152 @@
+//! Faults, hang-ups and deadlines all mixed, against one backend server.
+#![allow(clippy::unwrap_used, reason = "a panic fails the test")]
+
+mod common;
+
+use std::net;
+use std::thread;
+
+use common::client::{self, Request};
+use common::fleet::{FleetPlan, TestFleet};
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+use rstest::rstest;
+
+/// Callers that send requests side by side.
+const CALLERS: u64 = 12;
+
+/// Requests of each caller.
+const REQUESTS: usize = 40;
+
+/// Slots of the backend server.
+const SLOTS: usize = 8;
+
+const DECLARATION: &str = r#"
+[pools.workers]
+vms = 1
+max-unavailable = 0
+[queues.notices]
+pool = "workers"
+open = true
+"#;
+
+/// Faults that a request may meet; most meet none.
+const FAULTS: &[&str] = &[
+    "none",
+    "none",
+    "none",
+    "fail",
+    "cut-off",
+    "cut-off-chunked",
+    "break",
+    "refuse",
+    "not-started",
+];
+
+/// What became of the requests of one caller.
+#[derive(Default)]
+struct CallerLog {
+    not_run: Vec<String>,
+    ran: Vec<String>,
+}
+
+/// Sends requests with random faults and deadlines and hangs up on some.
+fn call(listen: net::SocketAddr, seed: u64) -> CallerLog {
+    let mut random = StdRng::seed_from_u64(seed);
+    let mut log = CallerLog::default();
+    for number in 0..REQUESTS {
+        let id = format!("{seed}-{number}");
+        let request = Request::post("notices", id.clone())
+            .header("Redwing-Repeatable", "false")
+            .header("Redwing-Standin-Request", &id)
+            .header(
+                "Redwing-Standin-Fault",
+                FAULTS[random.random_range(0..FAULTS.len())],
+            )
+            .header(
+                "Redwing-Standin-Delay",
+                &format!("0.0{}", random.random_range(0..4)),
+            )
+            .header(
+                "Redwing-Timeout",
+                if random.random_bool(0.2) {
+                    "0.02"
+                } else {
+                    "20"
+                },
+            );
+        if random.random_bool(0.2) {
+            let mut stream = client::connect(listen).unwrap();
+            request.write(&mut stream).unwrap();
+            thread::sleep(std::time::Duration::from_millis(random.random_range(0..30)));
+            continue;
+        }
+        let Ok(answer) = request.send(listen) else {
+            continue;
+        };
+        match (answer.outcome(), answer.complete) {
+            ("not-run", true) => log.not_run.push(id),
+            ("ran", true) => {
+                if answer.status == 200 {
+                    assert_eq!(answer.text(), id, "the answer to another request");
+                }
+                log.ran.push(id);
+            }
+            _ => {}
+        }
+    }
+    log
+}
+
+#[rstest]
+fn outcomes_are_true_and_no_slot_is_lost(#[values(1, 2, 3)] round: u64) {
+    let fleet = TestFleet::start(FleetPlan {
+        declaration: DECLARATION,
+        live: 1,
+        flags: &["--task-lease", "0.3"],
+        ..FleetPlan::default()
+    });
+    let listen = fleet.listen;
+    let callers: Vec<_> = (0..CALLERS)
+        .map(|caller| thread::spawn(move || call(listen, round * 1_000 + caller)))
+        .collect();
+    let logs: Vec<CallerLog> = callers
+        .into_iter()
+        .map(|caller| caller.join().unwrap())
+        .collect();
+    let counts = fleet.state.counts();
+    for log in &logs {
+        for id in &log.not_run {
+            assert_eq!(counts.executions.get(id), None, "{id} ran");
+        }
+        for id in &log.ran {
+            assert_eq!(counts.executions.get(id), Some(&1), "{id}");
+        }
+    }
+    assert!(counts.executions.values().all(|count| *count == 1));
+    assert!(
+        counts.most_running <= SLOTS as u64,
+        "{}",
+        counts.most_running
+    );
+    assert!(logs.iter().any(|log| !log.ran.is_empty()));
+    every_slot_is_free(&fleet);
+}
+
+/// Runs as many requests at once as there are slots.
+fn every_slot_is_free(fleet: &TestFleet) {
+    let listen = fleet.listen;
+    let quiet = || (fleet.state.counts().running == 0).then_some(());
+    common::wait_for(quiet).expect("executions never ended");
+    let callers: Vec<_> = (0..SLOTS)
+        .map(|_| {
+            let request = Request::post("notices", "x").header("Redwing-Standin-Delay", "2");
+            thread::spawn(move || request.send(listen).unwrap().status)
+        })
+        .collect();
+    let all_run = || (fleet.state.counts().running == SLOTS as u64).then_some(());
+    common::wait_for(all_run).expect("a slot was lost");
+    for caller in callers {
+        assert_eq!(caller.join().unwrap(), 200);
+    }
+}
