--- a/crates/node/src/cluster.rs
+++ b/crates/node/src/cluster.rs
@@ -162,11 +162,8 @@
     async fn round(&mut self) -> Result<()> {
         let clock = self.services.control.clock();
         let started = clock.now();
-        let declaration = {
-            let snapshot = self.services.snapshots.borrow();
-            std::sync::Arc::clone(&snapshot.declaration)
-        };
-        let standing = self.runner.round(started, &declaration).await;
+        let snapshot = std::sync::Arc::clone(&self.services.snapshots.borrow());
+        let standing = self.runner.round(started, &snapshot.declaration).await;
         if standing.is_ok() {
             self.mesh.set_peers(&self.runner.view().borrow().peers);
         }
@@ -176,7 +173,7 @@
                 // before the pause, so it stays suspended until the next one.
                 let taken = clock.now().saturating_since(started);
                 if taken < self.services.settings.limits.pause_limit() {
-                    self.confirm().await;
+                    self.confirm(snapshot.version).await;
                 }
                 Ok(())
             }
@@ -188,13 +185,15 @@
         }
     }
 
-    /// Lets the scheduler go on and the balancer send callers.
-    async fn confirm(&self) {
+    /// Lets the scheduler go on and, once it knows the configuration in force
+    /// and keys can be trusted, the balancer send callers.
+    async fn confirm(&self, version: u64) {
         let control = &self.services.control;
         control.visit(|scheduler, now| scheduler.resume(now)).await;
         let running = *self.services.stop.borrow() == StopPhase::Running;
         self.services.snapshots.send_if_modified(|snapshot| {
-            let becomes_ready = running && !snapshot.ready && snapshot.version > 0;
+            let is_known = version > 0 && version == snapshot.version;
+            let becomes_ready = running && is_known && snapshot.accepts_keyed && !snapshot.ready;
             if becomes_ready {
                 std::sync::Arc::make_mut(snapshot).ready = true;
             }
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -428,7 +428,7 @@
     }
 
     fn tell_leaving(&mut self) {
-        if !self.leaving.is_empty() && self.is_idle() && self.scheduler.is_drained() {
+        if !self.leaving.is_empty() && self.is_idle() {
             for done in self.leaving.drain(..) {
                 let _ = done.send(());
             }
--- a/crates/node/src/serve.rs
+++ b/crates/node/src/serve.rs
@@ -70,6 +70,9 @@
     let serving = actix_rt::spawn(server);
     let operator = AccessKey::generate();
     let generated = source.fleet().map(|_| operator.hash());
+    if source.fleet().is_none() {
+        print(&format!("listen http://{listen}\nadmin http://{admin}\n"))?;
+    }
     let parts = PlaneParts {
         services: services.clone(),
         channel,
@@ -95,7 +98,6 @@
         };
         print(&banner.to_string())?;
     } else {
-        print(&format!("listen http://{listen}\nadmin http://{admin}\n"))?;
         let waited = tokio::select! {
             waited = wait_ready(&services, &mut plane) => waited,
             _ = signals.next() => Err(Error::stop("start", "told to stop before it was ready")),
--- a/crates/node/tests/common/mod.rs
+++ b/crates/node/tests/common/mod.rs
@@ -31,6 +31,11 @@
 impl Process {
     /// Starts `redwinglb` and waits for its line `ready`.
     pub(crate) fn start(arguments: &[&str]) -> Self {
+        Self::start_until(arguments, "ready")
+    }
+
+    /// Starts `redwinglb` and waits for a line that starts with `last`.
+    pub(crate) fn start_until(arguments: &[&str], last: &str) -> Self {
         let mut child = process::Command::new(env!("CARGO_BIN_EXE_redwinglb"))
             .args(arguments)
             .stdin(process::Stdio::null())
@@ -48,7 +53,10 @@
         });
         let mut output = BufReader::new(child.stdout.take().unwrap()).lines();
         let mut stdout = Vec::new();
-        while stdout.last().is_none_or(|line| line != "ready") {
+        while stdout
+            .last()
+            .is_none_or(|line: &String| !line.starts_with(last))
+        {
             let line = output
                 .next()
                 .expect("the process ended before it was ready");
