Show the scheduler's state and the configuration's version as metrics

Cause: an operator could not see waiting requests, tokens or ejected backend servers, nor whether an entry VM had the newest configuration. Change: gauges, set by the control thread at its ticks and by the scrape; the page test now compares both ways.

--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -21,6 +21,7 @@
 use tokio::sync::{mpsc, oneshot, watch};
 
 use crate::event;
+use crate::metrics::ControlMetrics;
 use crate::settings::{self, NodeSettings};
 use crate::snapshot::SnapshotSender;
 use crate::stop::StopPhase;
@@ -226,6 +227,8 @@
 pub struct ControlChannel {
     /// Way to the owner of the scheduler.
     pub handle: ControlHandle,
+    /// Gauges that show the scheduler's state.
+    pub metrics: Option<ControlMetrics>,
     commands: mpsc::UnboundedReceiver<ControlCommand>,
 }
 
@@ -238,7 +241,11 @@
             next_ticket: sync::Arc::new(atomic::AtomicU64::new(1)),
             clock,
         };
-        Self { handle, commands }
+        Self {
+            handle,
+            metrics: None,
+            commands,
+        }
     }
 
     /// Starts the owner of the scheduler as a local task; messages to other
@@ -256,6 +263,7 @@
             clock: handle.clock,
             awake: handle.clock.now(),
             awake_wall: time::SystemTime::now(),
+            metrics: self.metrics,
             replies: HashMap::new(),
             running: 0,
             leaving: Vec::new(),
@@ -270,6 +278,7 @@
 struct SchedulerOwner {
     scheduler: NodeScheduler,
     clock: NodeClock,
+    metrics: Option<ControlMetrics>,
     replies: HashMap<TicketId, VerdictSender>,
     running: usize,
     pause_limit: time::Duration,
@@ -302,6 +311,7 @@
             if now.saturating_since(ticked) >= period {
                 self.scheduler.tick(now);
                 ticked = now;
+                self.show();
             }
             self.execute();
             self.tell_leaving();
@@ -327,6 +337,12 @@
         self.awake_wall = wall;
     }
 
+    fn show(&self) {
+        if let Some(metrics) = &self.metrics {
+            metrics.show(&self.scheduler);
+        }
+    }
+
     fn tick_period(&self) -> time::Duration {
         if self.is_idle() { IDLE_TICK } else { BUSY_TICK }
     }
--- a/crates/node/src/ingress.rs
+++ b/crates/node/src/ingress.rs
@@ -155,6 +155,7 @@
     }
 
     fn metrics(&self) -> EntryResponse {
+        self.dispatcher.metrics.show_snapshot(&self.snapshot());
         let Ok(text) = self.registry.text() else {
             return Response::internal_server_error();
         };
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -3,11 +3,14 @@
 use std::time;
 
 use prometheus::{
-    Encoder, Histogram, HistogramOpts, IntCounterVec, IntGauge, Opts, Registry, TextEncoder,
+    Encoder, Histogram, HistogramOpts, IntCounterVec, IntGauge, IntGaugeVec, Opts, Registry,
+    TextEncoder,
 };
 use redwing_model::RunOutcome;
+use redwing_policy::NodeScheduler;
 
 use crate::error::{Error, Result};
+use crate::snapshot::NodeSnapshot;
 
 /// Upper bounds of the buckets of request times, in seconds.
 const TIME_BUCKETS: &[f64] = &[
@@ -54,6 +57,8 @@
     attempts: IntCounterVec,
     answer_time: Histogram,
     open_requests: IntGauge,
+    ready: IntGauge,
+    config_version: IntGauge,
 }
 
 impl PathMetrics {
@@ -84,15 +89,29 @@
                 "redwing_open_requests",
                 "Requests whose answer has not begun.",
             )?,
+            ready: IntGauge::new("redwing_ready", "Whether the balancer may send callers.")?,
+            config_version: IntGauge::new(
+                "redwing_config_version",
+                "Version of the configuration in force.",
+            )?,
         };
         let registry = registry.inner();
         registry.register(Box::new(metrics.requests.clone()))?;
         registry.register(Box::new(metrics.attempts.clone()))?;
         registry.register(Box::new(metrics.answer_time.clone()))?;
         registry.register(Box::new(metrics.open_requests.clone()))?;
+        registry.register(Box::new(metrics.ready.clone()))?;
+        registry.register(Box::new(metrics.config_version.clone()))?;
         Ok(metrics)
     }
 
+    /// Shows the state that the traffic threads read.
+    pub fn show_snapshot(&self, snapshot: &NodeSnapshot) {
+        self.ready.set(i64::from(snapshot.ready));
+        let version = i64::try_from(snapshot.version);
+        self.config_version.set(version.unwrap_or(i64::MAX));
+    }
+
     /// Counts a request whose head has arrived.
     pub fn open_request(&self) -> OpenRequest {
         self.open_requests.inc();
@@ -123,3 +142,66 @@
         self.0.dec();
     }
 }
+
+/// Gauges of the scheduler.
+#[derive(Clone, Debug)]
+pub struct ControlMetrics {
+    requests: IntGaugeVec,
+    tokens: IntGaugeVec,
+    ejected: IntGauge,
+}
+
+impl ControlMetrics {
+    /// Creates the gauges and adds them to `registry`.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the registry has gauges of the same names.
+    pub fn register(registry: &MetricsRegistry) -> Result<Self> {
+        Self::create(registry).map_err(|error| Error::start("register metrics", error))
+    }
+
+    fn create(registry: &MetricsRegistry) -> prometheus::Result<Self> {
+        let requests = Opts::new(
+            "redwing_scheduled_requests",
+            "Requests that wait or run, abandoned ones included.",
+        );
+        let tokens = Opts::new(
+            "redwing_tokens",
+            "Slot and permit tokens that the process knows of, by state.",
+        );
+        let metrics = Self {
+            requests: IntGaugeVec::new(requests, &["state"])?,
+            tokens: IntGaugeVec::new(tokens, &["state"])?,
+            ejected: IntGauge::new(
+                "redwing_ejected_workers",
+                "Backend servers that get no requests because they failed.",
+            )?,
+        };
+        let registry = registry.inner();
+        registry.register(Box::new(metrics.requests.clone()))?;
+        registry.register(Box::new(metrics.tokens.clone()))?;
+        registry.register(Box::new(metrics.ejected.clone()))?;
+        Ok(metrics)
+    }
+
+    /// Shows the state of the scheduler.
+    pub fn show(&self, scheduler: &NodeScheduler) {
+        let counts = scheduler.token_counts();
+        set(&self.requests, "waiting", scheduler.waiting());
+        set(&self.requests, "running", scheduler.running());
+        set(&self.tokens, "free", counts.free);
+        set(&self.tokens, "used", counts.used);
+        set(&self.tokens, "lent", counts.lent);
+        set(&self.tokens, "quarantined", counts.quarantined);
+        self.ejected.set(gauge_value(scheduler.ejected().count()));
+    }
+}
+
+fn set(gauges: &IntGaugeVec, state: &str, count: usize) {
+    gauges.with_label_values(&[state]).set(gauge_value(count));
+}
+
+fn gauge_value(count: usize) -> i64 {
+    i64::try_from(count).unwrap_or(i64::MAX)
+}
--- a/crates/node/src/serve.rs
+++ b/crates/node/src/serve.rs
@@ -19,7 +19,7 @@
 use crate::error::{Error, Result};
 use crate::event;
 use crate::ingress::{self, IngressContext};
-use crate::metrics::{MetricsRegistry, PathMetrics};
+use crate::metrics::{ControlMetrics, MetricsRegistry, PathMetrics};
 use crate::plane::{ClaimSlot, ControlPlane, PlaneParts};
 use crate::settings::{NodeSettings, PlatformAddress};
 use crate::snapshot::SnapshotSender;
@@ -44,7 +44,9 @@
     let settings = rc::Rc::new(settings);
     let (stop, stopped) = watch::channel(StopPhase::Running);
     let (snapshots, receiver) = watch::channel(sync::Arc::default());
-    let channel = ControlChannel::open(NodeClock::start());
+    let registry = MetricsRegistry::default();
+    let mut channel = ControlChannel::open(NodeClock::start());
+    channel.metrics = Some(ControlMetrics::register(&registry)?);
     let services = NodeServices {
         settings: rc::Rc::clone(&settings),
         platform: source.services(),
@@ -53,7 +55,6 @@
         stop: stopped,
     };
     let claims = ClaimSlot::default();
-    let registry = MetricsRegistry::default();
     let context = IngressContext {
         snapshots: receiver,
         control: channel.handle.clone(),
--- a/crates/node/tests/pages.rs
+++ b/crates/node/tests/pages.rs
@@ -4,9 +4,11 @@
 use std::collections::BTreeSet;
 use std::fs;
 
+use redwing_model::{NodeId, NodeIncarnation};
 use redwing_node::answer::ProblemKind;
-use redwing_node::metrics::{MetricsRegistry, PathMetrics};
+use redwing_node::metrics::{ControlMetrics, MetricsRegistry, PathMetrics};
 use redwing_node::{event, settings};
+use redwing_policy::{NodeScheduler, SchedulerSettings};
 
 /// Returns the first cells, without their code marks, of the table rows of a page.
 fn first_cells(page: &str) -> BTreeSet<String> {
@@ -31,7 +33,7 @@
 }
 
 #[test]
-fn metrics_of_the_request_path_are_on_their_page() {
+fn metrics_and_their_page_agree() {
     let registry = MetricsRegistry::default();
     let metrics = PathMetrics::register(&registry).unwrap();
     metrics.count_attempt("complete");
@@ -40,10 +42,16 @@
         200,
         std::time::Duration::ZERO,
     );
-    let listed = first_cells("METRICS.md");
-    for name in registry.names() {
-        assert!(listed.contains(&name), "{name} is not on the page");
-    }
+    let node = NodeIncarnation {
+        node: NodeId::new("entry-1").unwrap(),
+        epoch: 1,
+    };
+    let scheduler = NodeScheduler::new(SchedulerSettings::default(), node);
+    ControlMetrics::register(&registry)
+        .unwrap()
+        .show(&scheduler);
+    let known: BTreeSet<String> = registry.names().into_iter().collect();
+    assert_eq!(first_cells("METRICS.md"), known);
 }
 
 #[test]
--- a/crates/node/tests/path.rs
+++ b/crates/node/tests/path.rs
@@ -211,4 +211,12 @@
     Request::post("notices", "x").send(listen).unwrap();
     let metrics = Request::get("/metrics").send(listen).unwrap().text();
     assert!(metrics.contains("redwing_requests_total{outcome=\"ran\",status=\"200\"} 1"));
+    assert!(metrics.contains("redwing_ready 1"));
+    let tokens = || {
+        let metrics = Request::get("/metrics").send(listen).unwrap().text();
+        metrics
+            .contains("redwing_tokens{state=\"used\"} 0")
+            .then_some(())
+    };
+    common::wait_for(tokens).expect("a token was still in use");
 }
