Go on counting an ejected VM when it returns

Cause: a VM that was ejected while it was out of service was counted as serving in the step that put it back, so that one more VM could be drained in the same step than the budget allows. Change: a VM that returns, joins or has its drain called off counts as suspect if it is; the property test checks it after each plan. Conclusion: regression test ejected_vm_goes_on_counting_when_it_returns.

--- a/crates/planner/src/draft.rs
+++ b/crates/planner/src/draft.rs
@@ -107,6 +107,7 @@
 
     /// Counts a VM that serves in this pool from now on.
     pub(crate) fn join(&mut self, record: VmRecord) {
+        self.count_if_suspect(&record.identity.vm);
         self.record.members += 1;
         let absent = |outage: &&VmOutage| !outage.cause.is_planned();
         let absent = self.record.out.values().filter(absent).count() as u32;
@@ -165,6 +166,7 @@
     pub(crate) fn cancel(&mut self, record: VmRecord) {
         let vm = record.identity.vm.clone();
         self.record.out.remove(&vm);
+        self.count_if_suspect(&vm);
         self.drop_acknowledgements(&vm);
         self.put(record);
         self.changes.push(StepChange::CancelDrain { vm });
@@ -208,6 +210,7 @@
     pub(crate) fn serve(&mut self, vm: TrackedVm<Serving>) {
         let (id, _) = key_of(&vm);
         self.close_outage(&id);
+        self.count_if_suspect(&id);
         self.put(vm.into_record());
         self.changes.push(StepChange::Return { vm: id });
     }
@@ -355,6 +358,13 @@
         }
     }
 
+    /// Goes on counting a VM that serves again but is ejected or unseen.
+    fn count_if_suspect(&mut self, vm: &VmId) {
+        if self.view.is_suspect(vm) {
+            self.suspects += 1;
+        }
+    }
+
     /// Counts a VM as out of service without a decision of the planner.
     fn lose(&mut self, vm: &VmId) {
         let now = self.now;
--- a/crates/planner/tests/rollout.rs
+++ b/crates/planner/tests/rollout.rs
@@ -147,3 +147,17 @@
     assert_eq!(later.out.len(), 1);
     assert_eq!(later.held_up_by, [HoldUp::DataCentre { data_centre }]);
 }
+
+#[test]
+fn ejected_vm_goes_on_counting_when_it_returns() {
+    let mut bench = Bench::new();
+    bench.command(0, RolloutCommand::Start);
+    bench.run(1);
+    let ejected = bench.out(0).remove(0);
+    bench.fleet.set_ejected(&ejected, true);
+    while bench.phase(&ejected) != VmPhase::Serving {
+        bench.run(1);
+    }
+    // The ejected VM and one other spend the budget of 2.
+    assert!(bench.out(0).len() < 2, "{:?}", bench.out(0));
+}
--- a/crates/planner/tests/safety.rs
+++ b/crates/planner/tests/safety.rs
@@ -5,11 +5,12 @@
 
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
+use redwing_model::vm::VmPhase;
 use redwing_model::{FleetDeclaration, PoolName, VmId};
 use redwing_planner::plan::{FleetPlan, plan};
 use redwing_planner::rollout::{self, RolloutCommand, RolloutState};
 use redwing_planner::trial::{TrialFleet, TrialLayout};
-use redwing_planner::{FleetRows, PlanTime, PlannerSettings, PlannerView, VmObservation};
+use redwing_planner::{FleetRows, PlanTime, PlannerSettings, PlannerView, VmObservation, VmOutage};
 
 /// Seconds between two events.
 const STEP_SECONDS: u64 = 5;
@@ -131,11 +132,41 @@
         }
     }
 
+    /// Checks that VMs known to be ejected or unseen were counted as out
+    /// wherever the planner has just begun a drain.
+    fn check_suspects(&self, memory: &Memory) {
+        let view = PlannerView {
+            observations: &memory.observations,
+            ..PlannerView::new(&memory.declaration, &self.fleet.rows)
+        };
+        for (pool, row) in &self.fleet.rows.pools {
+            let now = PlanTime::from_secs(self.second);
+            let begun = |outage: &&VmOutage| outage.started == now && outage.cause.is_planned();
+            if !row.value.out.values().any(|outage| begun(&outage)) {
+                continue;
+            }
+            let members = self
+                .fleet
+                .rows
+                .vms
+                .values()
+                .filter(|row| row.value.pool == *pool);
+            let serving = members.filter(|row| row.value.phase == VmPhase::Serving);
+            let names = serving.map(|row| &row.value.identity.vm);
+            let suspects = names.filter(|vm| view.is_suspect(vm)).count() as u32;
+            let out = row.value.unavailable() + suspects;
+            assert!(out <= row.value.max_unavailable, "pool {pool}: {out} out");
+        }
+    }
+
     fn step(&mut self, event: &Event) {
         self.second += STEP_SECONDS;
         let memory = self.read();
         match event {
-            Event::Plan => self.carry_out(&memory.plan(&self.settings), 1),
+            Event::Plan => {
+                self.carry_out(&memory.plan(&self.settings), 1);
+                self.check_suspects(&memory);
+            }
             Event::Race => {
                 let plans = [memory.plan(&self.settings), memory.plan(&self.settings)];
                 self.carry_out(&plans[0], 1);
