Carry out maintenance at every entry process

Cause: the plan needs a process that reads, commits and calls. Change: rounds that any process may run; the members act in turn, drains are confirmed by every member in the table, reboots carry idempotent operations; a desk answers operators. Starting a roll-out reads the VMs from the table, since a desk with an old state began an empty one.

--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -71,4 +71,16 @@
     ROUND_FAILED = 305 "round-failed";
     /// The process stood still for so long that its place may be taken.
     PAUSE_NOTICED = 306 "pause-noticed";
+    /// A step of maintenance took effect.
+    MAINTENANCE_STEP = 400 "maintenance-step";
+    /// A step of maintenance could not be committed; the next round plans anew.
+    MAINTENANCE_STEP_FAILED = 401 "maintenance-step-failed";
+    /// The platform did not confirm a reboot or checkpoint; it is asked again.
+    MAINTENANCE_CALL_FAILED = 402 "maintenance-call-failed";
+    /// A row of maintenance is malformed and left alone.
+    MAINTENANCE_ROW_MALFORMED = 403 "maintenance-row-malformed";
+    /// A round of maintenance could not read the table.
+    MAINTENANCE_ROUND_FAILED = 404 "maintenance-round-failed";
+    /// An operator's command on a roll-out took effect.
+    ROLLOUT_COMMANDED = 410 "rollout-commanded";
 }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod ingress;
 pub mod link;
 pub mod log;
+pub mod maintenance;
 pub mod membership;
 pub mod metrics;
 pub mod mirror;
--- /dev/null
+++ b/crates/node/src/maintenance/desk.rs
@@ -0,0 +1,128 @@
+//! Roll-outs and explanations for operators.
+
+use std::rc;
+
+use redwing_model::PoolName;
+use redwing_planner::explain::{self, Explanation, Subject};
+use redwing_planner::rollout::{self, RolloutCommand, RolloutStatus};
+use redwing_planner::step::{RowContent, RowReference};
+use redwing_planner::{FleetRows, PlanTime, StepCommit};
+use redwing_platform::table::CommitOutcome;
+use redwing_platform::{Category, Error, Result, RowKey, TableStore};
+
+use crate::event;
+use crate::maintenance::SharedState;
+use crate::maintenance::rows;
+
+/// Name of the table in errors.
+const TABLE: &str = "table";
+
+/// Answers operators from the state of one process.
+#[derive(Clone)]
+pub struct MaintenanceDesk {
+    state: SharedState,
+    table: rc::Rc<dyn TableStore>,
+}
+
+impl MaintenanceDesk {
+    /// Creates a desk on the state of a runner.
+    pub fn new(state: SharedState, table: rc::Rc<dyn TableStore>) -> Self {
+        Self { state, table }
+    }
+
+    /// Returns the progress of the pool's roll-out, if it ever had one.
+    pub fn status(&self, now: PlanTime, pool: &PoolName) -> Option<RolloutStatus> {
+        let state = self.state.borrow();
+        let drain = state.declaration.pools.get(pool)?.drain_seconds;
+        let outage = explain::time_out(&state.settings, drain);
+        rollout::status(now, outage, &state.view(), pool)
+    }
+
+    /// Explains what is done with a VM, pool or class.
+    pub fn explain(&self, now: PlanTime, subject: &Subject) -> Option<Explanation> {
+        let state = self.state.borrow();
+        explain::explain(now, &state.settings, &state.view(), subject)
+    }
+
+    /// Carries out an operator's command on the pool's roll-out.
+    ///
+    /// # Errors
+    ///
+    /// Fails with category `Refused` if the pool or the state of its roll-out
+    /// does not allow it or another operator acted at the same time, and with
+    /// `Unknown` if it may have taken effect and the table cannot tell.
+    pub async fn command(
+        &self,
+        now: PlanTime,
+        pool: &PoolName,
+        command: RolloutCommand,
+    ) -> Result<()> {
+        const STEP: &str = "command a roll-out";
+        if !self.state.borrow().declaration.pools.contains_key(pool) {
+            let message = format!("pool {pool} is not declared");
+            return Err(Error::refused(STEP, TABLE, message));
+        }
+        let mut known = FleetRows::default();
+        self.read_rollout(&mut known, pool).await?;
+        if command == RolloutCommand::Start {
+            // The last round may not have seen the newest members.
+            self.read_vms(&mut known).await?;
+        }
+        let commit = rollout::command(now, &known, pool, command)
+            .map_err(|error| Error::refused(STEP, TABLE, error.to_string()))?;
+        let transaction = rows::transaction(&commit)?;
+        match self.table.commit(&transaction).await {
+            Ok(CommitOutcome::Committed(_)) => {}
+            Ok(CommitOutcome::Conflict(_)) => {
+                let message = format!("the roll-out of pool {pool} was changed by somebody else");
+                return Err(Error::refused(STEP, TABLE, message));
+            }
+            Err(error) if error.classify() == Category::Unknown => {
+                self.settle_unknown(pool, &commit, error).await?;
+            }
+            Err(error) => return Err(error),
+        }
+        log_event!(info, event::ROLLOUT_COMMANDED, "pool {pool}: {command:?}");
+        Ok(())
+    }
+
+    /// Reads whether a transaction whose reply was lost took effect.
+    async fn settle_unknown(
+        &self,
+        pool: &PoolName,
+        commit: &StepCommit,
+        error: Error,
+    ) -> Result<()> {
+        let mut rows = FleetRows::default();
+        self.read_rollout(&mut rows, pool).await?;
+        let present = rows.rollouts.get(pool).map(|row| &row.value);
+        let wanted = commit
+            .updates
+            .iter()
+            .find_map(|update| match &update.content {
+                Some(RowContent::Rollout(record)) => Some(record),
+                _ => None,
+            });
+        if present.is_some() && present == wanted {
+            return Ok(());
+        }
+        Err(error)
+    }
+
+    async fn read_vms(&self, rows: &mut FleetRows) -> Result<()> {
+        let view = self.table.scan(rows::VM_PREFIX).await?;
+        for row in &view.rows {
+            rows::install(rows, row);
+        }
+        Ok(())
+    }
+
+    async fn read_rollout(&self, rows: &mut FleetRows, pool: &PoolName) -> Result<()> {
+        let key = RowKey::new(RowReference::Rollout(pool.clone()).key());
+        let view = self.table.scan(key.as_str()).await?;
+        for row in view.rows.iter().filter(|row| row.key == key) {
+            rows::install(rows, row);
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/node/src/maintenance/observe.rs
@@ -0,0 +1,212 @@
+//! What a process observes of the VMs.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net;
+use std::time;
+
+use futures_util::future;
+use redwing_model::vm::{VmIdentity, VmPhase, VmRecord};
+use redwing_model::{ClassName, VmId};
+use redwing_planner::view::Listing;
+use redwing_planner::{DemandTracker, FleetRows, PlanTime, VmObservation};
+use redwing_platform::{ListedStatus, ListedVm, LocalFuture, VmRole};
+use redwing_policy::scheduler::ClassUsage;
+use tokio::net::TcpStream;
+
+use crate::control::ControlHandle;
+
+/// Largest number of VMs probed at once.
+const MAX_PROBES: usize = 64;
+
+/// What the scheduler of this process knows of VMs and classes.
+#[derive(Clone, Debug, Default)]
+pub struct UsageReport {
+    /// VMs that get nothing new from here and run nothing from here.
+    pub quiet: BTreeSet<VmId>,
+    /// VMs that are ejected here.
+    pub ejected: BTreeSet<VmId>,
+    /// Demand of the classes.
+    pub classes: Vec<ClassUsage>,
+}
+
+/// Scheduler as maintenance sees it.
+pub trait SchedulerUsage {
+    /// Returns what the scheduler knows now, or `None` if it has ended.
+    fn usage(&self) -> LocalFuture<'_, Option<UsageReport>>;
+}
+
+impl SchedulerUsage for ControlHandle {
+    fn usage(&self) -> LocalFuture<'_, Option<UsageReport>> {
+        Box::pin(self.visit(|scheduler, _| UsageReport {
+            quiet: scheduler.quiet_vms(),
+            ejected: scheduler.ejected().cloned().collect(),
+            classes: scheduler.class_usage(),
+        }))
+    }
+}
+
+/// The platform's VM list over time.
+#[derive(Clone, Debug, Default)]
+pub struct ListWatch {
+    listed: BTreeMap<VmId, (VmIdentity, ListedStatus)>,
+    absent_since: BTreeMap<VmId, PlanTime>,
+    read_at: Option<PlanTime>,
+}
+
+impl ListWatch {
+    /// Takes a list that was just read.
+    pub fn take(&mut self, now: PlanTime, list: &[ListedVm], rows: &FleetRows) {
+        let backends = list.iter().filter(|vm| vm.role == VmRole::BackendServer);
+        let entry = |vm: &ListedVm| {
+            let name = vm.identity.vm.clone();
+            (name, (vm.identity.clone(), vm.status))
+        };
+        self.listed = backends.map(entry).collect();
+        self.read_at = Some(now);
+        let absent = rows.vms.keys().filter(|vm| !self.listed.contains_key(*vm));
+        let absent: BTreeSet<&VmId> = absent.collect();
+        self.absent_since.retain(|vm, _| absent.contains(vm));
+        for vm in absent {
+            self.absent_since.entry(vm.clone()).or_insert(now);
+        }
+    }
+
+    /// Returns whether a list was read within `age`.
+    pub fn is_recent(&self, now: PlanTime, age: time::Duration) -> bool {
+        let recent = |at| now.saturating_since(at) <= age;
+        self.read_at.is_some_and(recent)
+    }
+
+    /// Returns the live VMs that have no row.
+    pub fn unassigned(&self, rows: &FleetRows) -> Vec<VmIdentity> {
+        let live = self.listed.values();
+        let live = live.filter(|(_, status)| *status == ListedStatus::Live);
+        let unknown = live.filter(|(identity, _)| !rows.vms.contains_key(&identity.vm));
+        unknown.map(|(identity, _)| identity.clone()).collect()
+    }
+
+    fn listing(&self, vm: &VmId) -> Listing {
+        match self.listed.get(vm) {
+            Some((_, ListedStatus::Live)) => Listing::Live,
+            Some((_, ListedStatus::Leaving)) => Listing::Leaving,
+            None => Listing::Absent,
+        }
+    }
+
+    fn absent_for(&self, now: PlanTime, vm: &VmId) -> time::Duration {
+        let since = self.absent_since.get(vm);
+        since.map_or(time::Duration::ZERO, |since| now.saturating_since(*since))
+    }
+}
+
+/// Everything that observations of VMs are made from.
+#[derive(Debug)]
+pub(crate) struct ObservationInputs<'a> {
+    pub(crate) now: PlanTime,
+    pub(crate) rows: &'a FleetRows,
+    pub(crate) watch: &'a ListWatch,
+    pub(crate) usage: &'a UsageReport,
+    pub(crate) answering: &'a BTreeSet<VmId>,
+    pub(crate) accepted: &'a BTreeSet<String>,
+}
+
+impl ObservationInputs<'_> {
+    /// Returns the VMs out of the ordinary; confirmations are added later.
+    pub(crate) fn observe(&self) -> BTreeMap<VmId, VmObservation> {
+        let mut observations = BTreeMap::new();
+        for (vm, row) in &self.rows.vms {
+            let listing = self.watch.listing(vm);
+            let ejected = self.usage.ejected.contains(vm);
+            let serving = row.value.phase == VmPhase::Serving;
+            if serving && listing == Listing::Live && !ejected {
+                continue;
+            }
+            let observation = VmObservation {
+                listing,
+                absent_for: self.watch.absent_for(self.now, vm),
+                ejected,
+                answering: listing == Listing::Live && self.answering.contains(vm),
+                reboot_accepted: self.is_accepted(&row.value),
+                ..VmObservation::default()
+            };
+            observations.insert(vm.clone(), observation);
+        }
+        observations
+    }
+
+    fn is_accepted(&self, record: &VmRecord) -> bool {
+        let pool = self.rows.pools.get(&record.pool);
+        let outage = pool.and_then(|row| row.value.out.get(&record.identity.vm));
+        let reboot = outage.and_then(|outage| outage.reboot.as_ref());
+        reboot.is_some_and(|reboot| self.accepted.contains(&reboot.id))
+    }
+}
+
+/// Returns those VMs out of service whose backend server takes connections.
+pub(crate) async fn probe(rows: &FleetRows, timeout: time::Duration) -> BTreeSet<VmId> {
+    let records = rows.vms.values().map(|row| &row.value);
+    let out = records.filter(|record| is_probed(record.phase));
+    let probes = out.take(MAX_PROBES).map(|record| async move {
+        let address = record.identity.address;
+        let vm = record.identity.vm.clone();
+        answers(address, timeout).await.then_some(vm)
+    });
+    let answers = future::join_all(probes).await;
+    answers.into_iter().flatten().collect()
+}
+
+fn is_probed(phase: VmPhase) -> bool {
+    matches!(
+        phase,
+        VmPhase::Draining
+            | VmPhase::Rebooting
+            | VmPhase::Returning
+            | VmPhase::Failed
+            | VmPhase::Silent
+    )
+}
+
+async fn answers(address: net::SocketAddr, timeout: time::Duration) -> bool {
+    let connection = tokio::time::timeout(timeout, TcpStream::connect(address));
+    matches!(connection.await, Ok(Ok(_)))
+}
+
+/// Turns what the scheduler counts into sustained demand.
+#[derive(Debug)]
+pub(crate) struct DemandMeter {
+    tracker: DemandTracker,
+    peer_service: BTreeMap<ClassName, u64>,
+    sampled_at: Option<PlanTime>,
+}
+
+impl DemandMeter {
+    pub(crate) fn new(window: time::Duration) -> Self {
+        Self {
+            tracker: DemandTracker::new(window),
+            peer_service: BTreeMap::new(),
+            sampled_at: None,
+        }
+    }
+
+    pub(crate) fn sustained(&self) -> BTreeMap<ClassName, f64> {
+        self.tracker.sustained()
+    }
+
+    pub(crate) fn sample(&mut self, now: PlanTime, classes: &[ClassUsage]) {
+        let elapsed = self.sampled_at.map(|at| now.saturating_since(at));
+        self.sampled_at = Some(now);
+        for usage in classes {
+            let service = usage.peer_service_micros;
+            let before = self.peer_service.insert(usage.class.clone(), service);
+            let Some(elapsed) = elapsed.filter(|elapsed| !elapsed.is_zero()) else {
+                continue;
+            };
+            let used = service.saturating_sub(before.unwrap_or(service));
+            let peers = used as f64 / elapsed.as_micros() as f64;
+            let slots = f64::from(usage.running) + f64::from(usage.waiting) + peers;
+            self.tracker.observe(&usage.class, slots, elapsed);
+        }
+        let declared = |class: &ClassName| classes.iter().any(|usage| usage.class == *class);
+        self.tracker.retain(declared);
+    }
+}
--- /dev/null
+++ b/crates/node/src/maintenance/rows.rs
@@ -0,0 +1,103 @@
+//! Rows of maintenance in the platform's table.
+
+use redwing_model::{NodeIncarnation, VmId};
+use redwing_planner::step::{RowContent, RowReference};
+use redwing_planner::{FleetRows, StepCommit};
+use redwing_platform::{Error, Result, RowKey, TableRow, TableTransaction};
+use serde::{Deserialize, Serialize};
+
+/// Prefix of the rows of VMs.
+pub const VM_PREFIX: &str = "vm/";
+
+/// Prefix of the rows of pools.
+pub const POOL_PREFIX: &str = "pool/";
+
+/// Prefix of the rows of roll-outs.
+pub const ROLLOUT_PREFIX: &str = "rollout/";
+
+/// Prefix of the confirmations of drains.
+pub const DRAIN_PREFIX: &str = "drain/";
+
+/// Confirmation of an entry process that it is done with a draining VM.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "kebab-case", deny_unknown_fields)]
+pub struct DrainAck {
+    /// The process; a later one on the same VM must confirm anew.
+    pub incarnation: NodeIncarnation,
+    /// Revision of the VM's row that it has seen.
+    pub revision: u64,
+}
+
+/// Returns the table's form of a step.
+///
+/// # Errors
+///
+/// Fails if a row has no JSON form.
+pub fn transaction(commit: &StepCommit) -> Result<TableTransaction> {
+    let mut transaction = TableTransaction::default();
+    for expectation in &commit.expectations {
+        let key = RowKey::new(expectation.row.key());
+        transaction = match expectation.version {
+            Some(version) => transaction.require_version(key, version),
+            None => transaction.require_absent(key),
+        };
+    }
+    for update in &commit.updates {
+        let key = RowKey::new(update.row.key());
+        transaction = match &update.content {
+            Some(content) => transaction.put(key, encode(content)?),
+            None => transaction.delete(key),
+        };
+    }
+    Ok(transaction)
+}
+
+/// Takes a row of the table into `rows`; returns false if it is malformed.
+///
+/// A malformed row keeps its last good content, with its old version, so that
+/// no step that depends on it can take effect.
+pub fn install(rows: &mut FleetRows, row: &TableRow) -> bool {
+    let Some(reference) = reference(row.key.as_str()) else {
+        return false;
+    };
+    let Some(text) = &row.value else {
+        rows.put(&reference, None, row.version);
+        return true;
+    };
+    let content = match &reference {
+        RowReference::Vm(_) => serde_json::from_str(text).map(RowContent::Vm),
+        RowReference::Pool(_) => serde_json::from_str(text).map(RowContent::Pool),
+        RowReference::Rollout(_) => serde_json::from_str(text).map(RowContent::Rollout),
+        RowReference::DrainAck { .. } => return false,
+    };
+    let Ok(content) = content else {
+        return false;
+    };
+    rows.put(&reference, Some(content), row.version);
+    true
+}
+
+/// Returns the VM that a confirmation's key names.
+pub fn acknowledged_vm(key: &RowKey) -> Option<VmId> {
+    let (vm, _) = key.as_str().strip_prefix(DRAIN_PREFIX)?.split_once('/')?;
+    vm.parse().ok()
+}
+
+fn reference(key: &str) -> Option<RowReference> {
+    let (prefix, name) = key.split_once('/')?;
+    match prefix {
+        "vm" => name.parse().ok().map(RowReference::Vm),
+        "pool" => name.parse().ok().map(RowReference::Pool),
+        "rollout" => name.parse().ok().map(RowReference::Rollout),
+        _ => None,
+    }
+}
+
+fn encode(content: &RowContent) -> Result<String> {
+    let text = match content {
+        RowContent::Vm(record) => serde_json::to_string(record),
+        RowContent::Pool(record) => serde_json::to_string(record),
+        RowContent::Rollout(record) => serde_json::to_string(record),
+    };
+    text.map_err(|error| Error::refused("encode a row", "table", error.to_string()))
+}
--- a/crates/policy/src/ledger.rs
+++ b/crates/policy/src/ledger.rs
@@ -7,7 +7,7 @@
 use std::cmp;
 use std::collections::{BTreeSet, BinaryHeap, HashMap, HashSet};
 
-use redwing_model::NodeIncarnation;
+use redwing_model::{NodeIncarnation, VmId};
 use serde::{Deserialize, Serialize};
 
 use crate::clock::NodeTime;
@@ -166,6 +166,23 @@
         self.foreign > 0
     }
 
+    /// Returns the VMs of which a slot is used, or may still be used by an
+    /// attempt whose end is unknown.
+    pub fn busy_vms(&self) -> BTreeSet<VmId> {
+        let mut busy = BTreeSet::new();
+        for (token, entry) in &self.tokens {
+            if let TokenPool::Slot(vm) = &token.pool
+                && matches!(
+                    entry.state,
+                    TokenState::Used(_) | TokenState::Quarantined(_)
+                )
+            {
+                busy.insert(vm.clone());
+            }
+        }
+        busy
+    }
+
     /// Returns the tokens that this process may use now or later, with the
     /// process that lent each, if any.
     pub fn holdings(&self) -> Vec<(TokenId, Option<NodeIncarnation>)> {
--- a/crates/policy/src/scheduler/mod.rs
+++ b/crates/policy/src/scheduler/mod.rs
@@ -3,6 +3,9 @@
 mod dispatch;
 mod peers;
 mod request;
+mod usage;
+
+pub use usage::ClassUsage;
 
 use std::cmp;
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap, HashMap};
--- /dev/null
+++ b/crates/policy/src/scheduler/usage.rs
@@ -0,0 +1,57 @@
+//! What the scheduler knows of the use of VMs and classes, for maintenance.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use redwing_model::{ClassName, VmId};
+
+use crate::scheduler::NodeScheduler;
+
+/// Demand of one class, as far as this process knows it.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct ClassUsage {
+    /// The class.
+    pub class: ClassName,
+    /// Attempts that run from here.
+    pub running: u32,
+    /// Requests that wait here and at other processes.
+    pub waiting: u32,
+    /// Slot time used through other processes, in microseconds; it grows, but
+    /// falls when a process ends.
+    pub peer_service_micros: u64,
+}
+
+impl NodeScheduler {
+    /// Returns the VMs that take no new requests from here and on which
+    /// nothing that was sent from here can be running any more.
+    ///
+    /// An attempt whose end is unknown counts as running for the task lease.
+    pub fn quiet_vms(&self) -> BTreeSet<VmId> {
+        let busy = self.ledger.busy_vms();
+        let closed = self.view.workers.iter().filter(|worker| !worker.serving);
+        let quiet = closed.filter(|worker| !busy.contains(&worker.vm));
+        quiet.map(|worker| worker.vm.clone()).collect()
+    }
+
+    /// Returns the demand of each class.
+    pub fn class_usage(&self) -> Vec<ClassUsage> {
+        let mut running: BTreeMap<&ClassName, u32> = BTreeMap::new();
+        for request in self.requests.values() {
+            if request.attempt.is_some() {
+                *running.entry(&request.ticket.class).or_default() += 1;
+            }
+        }
+        let mut usages = Vec::with_capacity(self.classes.len());
+        for (class, state) in &self.classes {
+            let teams = state.queue.teams();
+            let remote: u32 = teams.map(|team| state.queue.remote_of(team)).sum();
+            let here = u32::try_from(state.queue.waiting()).unwrap_or(u32::MAX);
+            usages.push(ClassUsage {
+                class: class.clone(),
+                running: running.get(class).copied().unwrap_or(0),
+                waiting: here.saturating_add(remote),
+                peer_service_micros: state.remote.service_micros(),
+            });
+        }
+        usages
+    }
+}
--- a/crates/policy/src/share.rs
+++ b/crates/policy/src/share.rs
@@ -58,6 +58,12 @@
             .map(|(peer, _)| peer)
     }
 
+    /// Returns the slot time used through all peers, in microseconds.
+    pub fn service_micros(&self) -> u64 {
+        let peers = self.teams.values().flat_map(BTreeMap::values);
+        peers.fold(0, |sum, demand| sum.saturating_add(demand.service))
+    }
+
     /// Takes a report of `peer` and charges the team for the new service.
     pub fn update(
         &mut self,
