--- /dev/null
+++ b/crates/node/tests/control/main.rs
@@ -0,0 +1,9 @@
+//! Configuration, operator API, audit trail and claims.
+
+#![expect(clippy::unwrap_used, reason = "a failed step fails the test")]
+
+mod admin;
+mod claim;
+mod config;
+mod fleet;
+mod property;
