Start roll-outs and explain decisions from redwingctl

Cause: operators had no way to the planner. Change: routes for roll-outs and explanations, the runner in the control plane with its audit entries, and the subcommands rollout, explain and report. A pool without a row counts the VMs that already name it.

--- a/crates/ctl/src/command.rs
+++ b/crates/ctl/src/command.rs
@@ -4,7 +4,7 @@
 use std::process;
 
 use crate::error::{Category, Error, Result};
-use crate::{apply, audit, grant, inspect, load, value};
+use crate::{apply, audit, explain, grant, inspect, load, report, rollout, value};
 
 /// Subcommands in the order in which the help lists them.
 pub const COMMANDS: &[CommandEntry] = &[
@@ -17,6 +17,9 @@
     grant::KEY,
     grant::OPERATOR,
     audit::COMMAND,
+    rollout::COMMAND,
+    explain::COMMAND,
+    report::COMMAND,
     load::COMMAND,
     value::COMMAND,
 ];
--- /dev/null
+++ b/crates/ctl/src/explain.rs
@@ -0,0 +1,66 @@
+//! Subcommand that says why a VM, pool or class is as it is.
+
+use std::fmt;
+
+use redwing_planner::Explanation;
+use serde::Serialize;
+
+use crate::client::{AdminClient, AdminRequest};
+use crate::command::{CommandEntry, ExitStatus};
+use crate::error::Result;
+use crate::option;
+use crate::output;
+
+/// Explains decisions of maintenance.
+pub(crate) const COMMAND: CommandEntry = CommandEntry {
+    name: "explain",
+    define,
+    run,
+};
+
+fn define() -> clap::Command {
+    clap::Command::new("explain")
+        .about("Says why a VM, pool or class is as it is, and what would change it")
+        .arg(
+            clap::Arg::new("kind")
+                .value_name("KIND")
+                .required(true)
+                .value_parser(["vm", "pool", "class"])
+                .help("What is to be explained"),
+        )
+        .arg(
+            clap::Arg::new("name")
+                .value_name("NAME")
+                .required(true)
+                .value_parser(option::parse_name)
+                .help("Its name"),
+        )
+        .args(option::admin_arguments())
+}
+
+fn run(flags: &clap::ArgMatches) -> Result<ExitStatus> {
+    let text = |name| flags.get_one::<String>(name).map_or("", String::as_str);
+    let path = format!("/v1/admin/explain/{}/{}", text("kind"), text("name"));
+    let request = AdminRequest::get("explain", path);
+    let explanation: Explanation = AdminClient::new(flags).read(&request)?;
+    output::print(&ExplanationText(&explanation), flags.get_flag("json"))?;
+    Ok(ExitStatus::Success)
+}
+
+/// An explanation in lines.
+#[derive(Debug, Serialize)]
+#[serde(transparent)]
+pub struct ExplanationText<'a>(pub &'a Explanation);
+
+impl fmt::Display for ExplanationText<'_> {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        writeln!(formatter, "{}", self.0.decision)?;
+        for input in &self.0.inputs {
+            writeln!(formatter, "  {}: {}", input.name, input.value)?;
+        }
+        for change in &self.0.would_change {
+            writeln!(formatter, "would be changed by {change}")?;
+        }
+        Ok(())
+    }
+}
--- a/crates/ctl/src/lib.rs
+++ b/crates/ctl/src/lib.rs
@@ -16,11 +16,14 @@
 mod client;
 pub mod command;
 pub mod error;
+pub mod explain;
 mod grant;
 mod inspect;
 pub mod load;
 pub mod option;
 pub mod output;
+pub mod report;
+pub mod rollout;
 mod transport;
 mod value;
 
--- a/crates/ctl/src/option.rs
+++ b/crates/ctl/src/option.rs
@@ -40,6 +40,16 @@
         .ok_or_else(|| "use http://IP:PORT".to_owned())
 }
 
+/// Parses the name of a VM, pool or class.
+///
+/// # Errors
+///
+/// Fails if the text is not a lower-case label.
+pub fn parse_name(text: &str) -> std::result::Result<String, String> {
+    let name = redwing_model::VmId::new(text);
+    name.map(String::from).map_err(|error| error.to_string())
+}
+
 /// Returns the socket address inside `http://IP:PORT`.
 pub fn socket_of(base: &str) -> Option<net::SocketAddr> {
     base.strip_prefix(SCHEME)?
--- /dev/null
+++ b/crates/ctl/src/report.rs
@@ -0,0 +1,83 @@
+//! Subcommand that draws trials of the planner and its baselines.
+
+use std::fs;
+
+use redwing_model::declaration::PolicyProfile;
+use redwing_planner::report;
+use redwing_planner::trial::{self, TrialPolicy, TrialSettings};
+
+use crate::command::{CommandEntry, ExitStatus};
+use crate::error::{Error, Result};
+
+/// Second at which a rack fails, if asked for.
+const RACK_FAILS_AT: u64 = 1_950;
+
+/// Policies in the order of the picture.
+const POLICIES: [TrialPolicy; 4] = [
+    TrialPolicy::Planner(PolicyProfile::ShareFirst),
+    TrialPolicy::Planner(PolicyProfile::BufferFirst),
+    TrialPolicy::LockStep,
+    TrialPolicy::SurgeMoves,
+];
+
+/// Draws trials.
+pub(crate) const COMMAND: CommandEntry = CommandEntry {
+    name: "report",
+    define,
+    run,
+};
+
+fn define() -> clap::Command {
+    clap::Command::new("report")
+        .about("Runs the planner and two baselines on the same inputs and draws them as SVG")
+        .arg(
+            clap::Arg::new("output")
+                .long("output")
+                .short('o')
+                .value_name("FILE")
+                .required(true)
+                .help("File to write the picture to"),
+        )
+        .arg(
+            clap::Arg::new("seed")
+                .long("seed")
+                .value_name("N")
+                .default_value("1")
+                .value_parser(clap::value_parser!(u64))
+                .help("Seed of demand and drain times"),
+        )
+        .arg(
+            clap::Arg::new("rack-fails")
+                .long("rack-fails")
+                .action(clap::ArgAction::SetTrue)
+                .help("Lets a rack of 4 fail for good during the roll-out"),
+        )
+}
+
+fn run(flags: &clap::ArgMatches) -> Result<ExitStatus> {
+    let rack_fails = flags.get_flag("rack-fails");
+    let settings = TrialSettings {
+        seed: flags.get_one::<u64>("seed").copied().unwrap_or(1),
+        rack_fails_at: rack_fails.then_some(RACK_FAILS_AT),
+        ..TrialSettings::default()
+    };
+    let path = flags.get_one::<String>("output").map_or("", String::as_str);
+    let mut results = Vec::new();
+    for policy in POLICIES {
+        let result = trial::run(&settings, policy)
+            .map_err(|error| Error::flag("--seed", "", error.to_string()))?;
+        let ratio = result.rollout_ratio();
+        let ratio = ratio.map_or_else(|| "-".to_owned(), |ratio| format!("{ratio:.3}"));
+        println!(
+            "{}: roll-out {ratio} of the bound, buffer {}, moves {}, share error {:.5}",
+            policy.name(),
+            result.buffer,
+            result.moves,
+            result.share_error
+        );
+        results.push(result);
+    }
+    let picture = report::draw(&settings, &results);
+    fs::write(path, picture).map_err(|error| Error::file("write", path, error))?;
+    Ok(ExitStatus::Success)
+}
--- a/crates/node/src/admin/message.rs
+++ b/crates/node/src/admin/message.rs
@@ -157,6 +157,8 @@
     WrongMethod,
     /// The body is too large.
     BodyTooLarge,
+    /// The present state does not allow it.
+    Conflict,
     /// The platform did not answer.
     StoreUnavailable,
     /// The process could not make the answer.
@@ -203,6 +205,11 @@
                 "body-too-large",
                 "The body is too large",
             ),
+            Self::Conflict => (
+                StatusCode::CONFLICT,
+                "conflict",
+                "The present state does not allow it",
+            ),
             Self::StoreUnavailable => (
                 StatusCode::SERVICE_UNAVAILABLE,
                 "store-unavailable",
--- a/crates/node/src/maintenance/desk.rs
+++ b/crates/node/src/maintenance/desk.rs
@@ -11,8 +11,8 @@
 use redwing_platform::{Category, Error, Result, RowKey, TableStore};
 
 use crate::event;
-use crate::maintenance::SharedState;
 use crate::maintenance::rows;
+use crate::maintenance::{MaintenanceState, SharedState};
 
 /// Name of the table in errors.
 const TABLE: &str = "table";
@@ -32,10 +32,24 @@
 
     /// Returns the progress of the pool's roll-out, if it ever had one.
     pub fn status(&self, now: PlanTime, pool: &PoolName) -> Option<RolloutStatus> {
-        let state = self.state.borrow();
-        let drain = state.declaration.pools.get(pool)?.drain_seconds;
-        let outage = explain::time_out(&state.settings, drain);
-        rollout::status(now, outage, &state.view(), pool)
+        status(&self.state.borrow(), now, pool)
+    }
+
+    /// Returns the progress as the table has it now.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the table does not answer.
+    pub async fn read_status(
+        &self,
+        now: PlanTime,
+        pool: &PoolName,
+    ) -> Result<Option<RolloutStatus>> {
+        let mut state = MaintenanceState::clone(&self.state.borrow());
+        let known = rc::Rc::make_mut(&mut state.rows);
+        known.rollouts.remove(pool);
+        self.read_rollout(known, pool).await?;
+        Ok(status(&state, now, pool))
     }
 
     /// Explains what is done with a VM, pool or class.
@@ -126,3 +140,9 @@
         Ok(())
     }
 }
+
+fn status(state: &MaintenanceState, now: PlanTime, pool: &PoolName) -> Option<RolloutStatus> {
+    let drain = state.declaration.pools.get(pool)?.drain_seconds;
+    let outage = explain::time_out(&state.settings, drain);
+    rollout::status(now, outage, &state.view(), pool)
+}
--- a/crates/node/src/maintenance/mod.rs
+++ b/crates/node/src/maintenance/mod.rs
@@ -9,11 +9,13 @@
 pub mod desk;
 pub mod observe;
 pub mod pace;
+pub mod route;
 pub mod rows;
 pub mod run;
 
 pub use desk::MaintenanceDesk;
 pub use observe::{SchedulerUsage, UsageReport};
+pub use route::MaintenanceRoutes;
 pub use run::{MaintenanceRunner, MaintenanceSettings, RoundReport};
 
 use std::cell::RefCell;
--- a/crates/node/src/maintenance/run.rs
+++ b/crates/node/src/maintenance/run.rs
@@ -17,6 +17,7 @@
 use redwing_platform::{Category, PlatformServices, Result, RowKey, TableRow, TableTransaction};
 use tokio::sync::watch;
 
+use crate::audit::{AuditDraft, AuditLog};
 use crate::event;
 use crate::maintenance::observe::{
     DemandMeter, ListWatch, ObservationInputs, SchedulerUsage, UsageReport, probe,
@@ -90,6 +91,7 @@
     accepted: BTreeSet<String>,
     quiet_since: BTreeMap<VmId, (u64, PlanTime)>,
     pacer: TurnPacer,
+    audit: Option<AuditLog>,
 }
 
 impl MaintenanceRunner {
@@ -120,9 +122,16 @@
             accepted: BTreeSet::new(),
             quiet_since: BTreeMap::new(),
             pacer: TurnPacer::default(),
+            audit: None,
         }
     }
 
+    /// Notes each change in the audit trail.
+    pub fn with_audit(mut self, audit: AuditLog) -> Self {
+        self.audit = Some(audit);
+        self
+    }
+
     /// Returns the state that the operator API reads.
     pub fn state(&self) -> SharedState {
         rc::Rc::clone(&self.state)
@@ -243,7 +252,11 @@
         report
     }
 
-    fn adopt_configuration(&self, version: u64, declaration: &sync::Arc<FleetDeclaration>) {
+    fn adopt_configuration(&mut self, version: u64, declaration: &sync::Arc<FleetDeclaration>) {
+        if declaration.profile != self.state.borrow().declaration.profile {
+            // Another window asks for another estimate, begun anew.
+            self.meter = DemandMeter::new(ProfileTargets::of(declaration.profile).demand_window);
+        }
         let state = &mut *self.state.borrow_mut();
         state.config_version = version;
         state.declaration = sync::Arc::clone(declaration);
@@ -268,10 +281,7 @@
         };
         match self.services.table.commit(&transaction).await {
             Ok(CommitOutcome::Committed(_)) => {
-                for change in &step.changes {
-                    let pool = &step.pool;
-                    log_event!(info, event::MAINTENANCE_STEP, "pool {pool}: {change:?}");
-                }
+                self.note(&step);
                 report.committed.push(step);
             }
             Ok(CommitOutcome::Conflict(_)) => report.conflicts += 1,
@@ -283,6 +293,19 @@
         }
     }
 
+    /// Logs the changes of a step and notes them in the audit trail.
+    fn note(&self, step: &PlanStep) {
+        let pool = &step.pool;
+        for change in &step.changes {
+            log_event!(info, event::MAINTENANCE_STEP, "pool {pool}: {change:?}");
+            if let Some(audit) = &self.audit {
+                let reason = format!("{change:?}");
+                let subject = format!("pool/{pool}");
+                audit.record(AuditDraft::decision("maintenance", subject, reason));
+            }
+        }
+    }
+
     async fn call(&mut self, calls: &[&PlatformCall]) -> usize {
         let control = &self.services.control;
         let results = calls.iter().map(|call| async move {
--- a/crates/node/src/plane.rs
+++ b/crates/node/src/plane.rs
@@ -4,7 +4,7 @@
 use std::rc;
 use std::sync;
 
-use redwing_model::KeyHash;
+use redwing_model::{KeyHash, NodeIncarnation};
 use redwing_platform::client::ClientSettings;
 use redwing_platform::{CallCause, PlatformServices, TableClient};
 use redwing_policy::SchedulerSettings;
@@ -20,6 +20,9 @@
 use crate::error::{Error, Result};
 use crate::event;
 use crate::link::PeerMesh;
+use crate::maintenance::{
+    MaintenanceDesk, MaintenanceRoutes, MaintenanceRunner, MaintenanceSettings,
+};
 use crate::spread::MeshSpread;
 use crate::stop::StopReceiver;
 
@@ -75,6 +78,7 @@
             ..SchedulerSettings::default()
         };
         parts.channel.start(own.clone(), scheduler, outbox_sender);
+        let maintained = with_cause(&services, &client, CallCause::Maintenance);
         let mesh = rc::Rc::new(PeerMesh::new(own.clone()));
         let objects = rc::Rc::clone(&services.platform.objects);
         let audit = AuditLog::new(own.clone(), objects, AuditSettings::default());
@@ -89,6 +93,7 @@
                 ..DeskSettings::default()
             },
         ));
+        let maintenance = start_maintenance(&maintained, own.clone(), &audit);
         let stop = services.stop.clone();
         let port = rc::Rc::clone(&desk) as _;
         let cluster = ClusterNode::start(services, own.clone(), listener, outbox, mesh, port);
@@ -104,7 +109,7 @@
         // The slot is empty: a process registers once.
         let _ = parts.claims.set(claims);
         task::spawn_local(config::run(rc::Rc::clone(&desk), stop.clone()));
-        let router = AdminRouter::new(rc::Rc::clone(&desk));
+        let router = AdminRouter::new(rc::Rc::clone(&desk)).with(maintenance);
         task::spawn_local(serve_operators(parts.admin_listener, router, stop.clone()));
         Ok(Self {
             desk,
@@ -138,6 +143,26 @@
     }
 }
 
+/// Starts the rounds of maintenance and returns their routes for operators.
+fn start_maintenance(
+    services: &NodeServices,
+    own: NodeIncarnation,
+    audit: &AuditLog,
+) -> rc::Rc<MaintenanceRoutes> {
+    let runner = MaintenanceRunner::new(
+        MaintenanceSettings::default(),
+        services.platform.clone(),
+        rc::Rc::new(services.control.clone()),
+        own,
+    );
+    let runner = runner.with_audit(audit.clone());
+    let table = rc::Rc::clone(&services.platform.table);
+    let desk = MaintenanceDesk::new(runner.state(), table);
+    let snapshots = services.snapshots.subscribe();
+    task::spawn_local(runner.run(snapshots, services.stop.clone()));
+    rc::Rc::new(MaintenanceRoutes::new(desk, audit.clone()))
+}
+
 /// Serves operators; callers are served on even if that fails.
 async fn serve_operators(listener: net::TcpListener, router: AdminRouter, stop: StopReceiver) {
     if let Err(error) = admin::serve(listener, router, stop).await {
--- a/crates/planner/src/draft.rs
+++ b/crates/planner/src/draft.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use redwing_model::vm::{VmIdentity, VmRecord};
+use redwing_model::vm::{VmIdentity, VmPhase, VmRecord};
 use redwing_model::{DataCentre, PoolName, VmId};
 
 use crate::budget::PoolBudget;
@@ -45,7 +45,7 @@
         // A pool that is not declared any more gives up all its VMs.
         let max_unavailable = target.map_or(u32::MAX, |target| target.max_unavailable);
         let row = view.rows.pools.get(name);
-        let record = row.map_or_else(|| PoolRecord::new(declared), |row| row.value.clone());
+        let record = row.map_or_else(|| first_record(now, view, name), |row| row.value.clone());
         let rollout = view.rows.rollouts.get(name).map(|row| row.value.clone());
         let mut draft = Self {
             now,
@@ -410,6 +410,28 @@
     (record.identity.vm.clone(), record.revision)
 }
 
+/// Returns the row of a pool that has none, with the VMs that name it.
+fn first_record(now: PlanTime, view: &PlannerView<'_>, name: &PoolName) -> PoolRecord {
+    let declared = view.declaration.pools.get(name);
+    let mut record = PoolRecord::new(declared.map_or(0, |target| target.vms));
+    let rows = view.rows.vms.values().map(|row| &row.value);
+    for member in rows.filter(|row| row.pool == *name) {
+        record.members += 1;
+        if member.phase != VmPhase::Serving {
+            let outage = VmOutage {
+                cause: OutageCause::Failure,
+                started: now,
+                since: now,
+                move_to: None,
+                reboot: None,
+            };
+            record.out.insert(member.identity.vm.clone(), outage);
+        }
+    }
+    record.assigned = record.assigned.max(record.members);
+    record
+}
+
 /// Returns the record of a draining VM that is put back into service.
 pub(crate) fn cancelled(record: &VmRecord) -> Option<VmRecord> {
     match AnyVm::from(record.clone()) {
--- a/crates/planner/src/plan.rs
+++ b/crates/planner/src/plan.rs
@@ -102,7 +102,11 @@
         let assigned = row.map_or(target.vms, |record| {
             (record.assigned + target.vms).saturating_sub(record.declared)
         });
-        let present = row.map_or(0, |record| record.members.saturating_sub(lost(record)));
+        let named = || view.rows.vms.values().filter(|row| row.value.pool == *pool);
+        let present = row.map_or_else(
+            || named().count() as u32,
+            |record| record.members.saturating_sub(lost(record)),
+        );
         lacking.insert(pool, assigned.saturating_sub(present));
     }
     let mut adoptions: BTreeMap<&PoolName, Vec<&VmIdentity>> = BTreeMap::new();
--- a/crates/planner/src/rollout.rs
+++ b/crates/planner/src/rollout.rs
@@ -135,6 +135,14 @@
     Abort,
 }
 
+/// Request of an operator.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "kebab-case", deny_unknown_fields)]
+pub struct RolloutRequest {
+    /// What is asked.
+    pub command: RolloutCommand,
+}
+
 /// Returns the transaction that carries out `command` on the pool's roll-out.
 ///
 /// It requires the version of the row that was read, so that of two operators
--- a/crates/planner/tests/capacity.rs
+++ b/crates/planner/tests/capacity.rs
@@ -174,3 +174,12 @@
     let unknown = explain::Subject::Vm("vm-none".parse().unwrap());
     assert!(explain::explain(now, &bench.settings, &view, &unknown).is_none());
 }
+
+#[test]
+fn pool_without_a_row_counts_the_vms_that_name_it() {
+    let mut bench = Bench::new();
+    bench.fleet.rows.pools.remove(&pool(0));
+    bench.run(1);
+    assert_eq!(bench.fleet.rows.pools[&pool(0)].value.members, 8);
+    assert_eq!(bench.fleet.broken(), &[]);
+}
