Count the running round in the expected end of a roll-out

Cause: the expected end moved on with the clock while VMs were out. Change: the time that the present VMs have been out is subtracted. Conclusion: the end stands still while nothing is late.

--- a/crates/planner/src/rollout.rs
+++ b/crates/planner/src/rollout.rs
@@ -326,7 +326,13 @@
     }
     let outage = rollout.mean_outage().unwrap_or(default_outage);
     let rounds = (rollout.remaining.len() as u32).div_ceil(width);
-    Some(now.after(outage * rounds))
+    let cause = OutageCause::Rollout(rollout.id);
+    let outages = view.rows.pools.get(pool).map(|row| row.value.out.values());
+    let mine = outages.into_iter().flatten().filter(|it| it.cause == cause);
+    let elapsed = mine.map(|it| now.saturating_since(it.started)).max();
+    // The round in progress has passed in part.
+    let passed = elapsed.unwrap_or_default().min(outage);
+    Some(now.after((outage * rounds).saturating_sub(passed)))
 }
 
 fn hold_ups(
--- a/crates/planner/tests/rollout.rs
+++ b/crates/planner/tests/rollout.rs
@@ -138,6 +138,8 @@
     assert_eq!((early.total, early.done), (8, 0));
     assert_eq!(early.held_up_by, [spent]);
     assert!(early.expected_end.unwrap() > PlanTime::from_secs(bench.second));
+    bench.run(10);
+    assert_eq!(status(&bench).expected_end, early.expected_end);
     while bench.rollout(0).done < 2 {
         bench.run(1);
     }
