--- a/crates/node/src/ingress.rs
+++ b/crates/node/src/ingress.rs
@@ -21,6 +21,7 @@
 use crate::exchange::BackendClient;
 use crate::gate;
 use crate::metrics::{MetricsRegistry, PathMetrics};
+use crate::plane::ClaimSlot;
 use crate::relay::{BodyFault, BodyLimits, CallerBody};
 use crate::settings::{NodeSettings, PathLimits};
 use crate::snapshot::{NodeSnapshot, SnapshotReceiver};
@@ -39,6 +40,8 @@
     pub snapshots: SnapshotReceiver,
     /// Way to the scheduler.
     pub control: ControlHandle,
+    /// Claims of requests that may run at most once.
+    pub claims: ClaimSlot,
     /// Kept connections to backend servers.
     pub seats: ConnectionSeats,
     /// Bounds of the request path.
@@ -124,6 +127,7 @@
             dispatcher: RequestDispatcher {
                 control: context.control.clone(),
                 client: BackendClient::new(&limits, context.seats.clone()),
+                claims: sync::Arc::clone(&context.claims),
                 limits,
                 metrics: context.metrics.clone(),
             },
@@ -151,6 +155,7 @@
     }
 
     fn metrics(&self) -> EntryResponse {
+        self.dispatcher.metrics.show_snapshot(&self.snapshot());
         let Ok(text) = self.registry.text() else {
             return Response::internal_server_error();
         };
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -6,13 +6,15 @@
 //!
 //! A request passes these modules in turn: [`ingress`] accepts it, [`gate`]
 //! checks it, [`relay`] holds its body, [`control`] asks the scheduler,
-//! [`dispatch`] sends it over an [`exchange`] on a connection of [`connect`],
-//! and [`answer`] says what the process itself has to say.
+//! [`dispatch`] makes an [`attempt`] as an [`exchange`] on a connection of
+//! [`connect`], [`stream`] passes the answer on, and [`answer`] says what the process itself has to say.
 
 #[macro_use]
 pub mod event;
 
+pub mod admin;
 pub mod answer;
+pub mod attempt;
 pub mod audit;
 pub mod claim;
 pub mod cluster;
@@ -29,16 +31,22 @@
 pub mod ingress;
 pub mod link;
 pub mod log;
+pub mod maintenance;
 pub mod membership;
 pub mod metrics;
 pub mod mirror;
+pub mod once;
 pub mod peer;
+pub mod plane;
 pub mod register;
 pub mod relay;
 pub mod serve;
 pub mod settings;
 pub mod snapshot;
+pub mod spread;
+pub mod standin;
 pub mod stop;
+pub mod stream;
 
 pub use error::{Category, Error, Result};
 pub use snapshot::{KeyGrant, NodeSnapshot};
