Try claims over three processes, with a kill and with the table down

Cause: claims were tried in one process only. Change: two tests with real processes: a claiming process is killed while its request runs, and the table is down before the claim.

--- a/crates/node/tests/cluster.rs
+++ b/crates/node/tests/cluster.rs
@@ -456,6 +456,53 @@
     cluster.wait_ready(2);
 }
 
+#[test]
+fn a_request_whose_process_died_is_not_run_again_elsewhere() {
+    let mut cluster = TestCluster::start();
+    let request = Request::post("notices", "x")
+        .header("Redwing-Repeatable", "false")
+        .header("Idempotency-Key", "lorry-12")
+        .header("Redwing-Standin-Request", "lorry-12");
+    let running = request.clone().header("Redwing-Standin-Delay", "2");
+    let first = cluster.listen(0);
+    let caller = thread::spawn(move || running.send(first));
+    wait_for(|| (cluster.counts().running == 1).then_some(())).unwrap();
+    // Dropping the process kills it.
+    drop(cluster.entries[0].take());
+    assert!(caller.join().unwrap().is_err());
+    for node in [1, 2] {
+        let answer = request.send(cluster.listen(node)).unwrap();
+        assert_eq!((answer.status, answer.outcome()), (409, "unknown"));
+        assert_eq!(answer.problem(), "conflict");
+    }
+    assert_eq!(cluster.counts().executions["lorry-12"], 1);
+}
+
+#[test]
+fn an_unrepeatable_request_waits_for_the_table() {
+    let cluster = TestCluster::start();
+    let request = Request::post("notices", "x")
+        .header("Redwing-Repeatable", "false")
+        .header("Idempotency-Key", "invoice-3")
+        .header("Redwing-Standin-Request", "invoice-3");
+    let down = FaultPlan {
+        table_down: true,
+        ..FaultPlan::default()
+    };
+    cluster.set_faults(None, down);
+    let refused = request.send(cluster.listen(0)).unwrap();
+    assert_eq!((refused.status, refused.outcome()), (503, "not-run"));
+    assert_eq!(refused.problem(), "store-unavailable");
+    assert!(refused.header("retry-after").is_some());
+    // Requests without a claim go on.
+    assert_eq!(cluster.send_open(0).status, 200);
+    assert_eq!(cluster.counts().executions.get("invoice-3"), None);
+    cluster.set_faults(None, FaultPlan::default());
+    let ran = || (request.send(cluster.listen(0)).ok()?.status == 200).then_some(());
+    assert!(wait_for(ran).is_some(), "it never ran");
+    assert_eq!(cluster.counts().executions["invoice-3"], 1);
+}
+
 #[test]
 fn two_processes_leave_at_once_with_the_table_down() {
     let mut cluster = TestCluster::start();
