Keep flags in a module of their own

Change: flag.rs makes and reads flags; settings.rs says which there are. Conclusion: no change in behaviour.

--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod embedded;
 pub mod error;
 pub mod exchange;
+mod flag;
 pub mod fleet;
 pub mod gate;
 pub mod homes;
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -3,9 +3,7 @@
 //! Each flag has an environment variable beside it, `REDWING_` and its name
 //! in upper case; the flag goes first. `docs/operations/flags.md` lists them.
 
-use std::fmt;
 use std::net;
-use std::ops;
 use std::str;
 use std::time;
 
@@ -13,6 +11,7 @@
 use log::LevelFilter;
 use redwing_model::{DataCentre, KeyHash, NodeId};
 
+use crate::flag;
 use crate::log::LogFormat;
 use crate::standin::{self, StandinChoice};
 
@@ -184,20 +183,20 @@
 
 fn process_flags() -> Vec<Arg> {
     vec![
-        flag("platform", "Where the platform's services are")
+        flag::named("platform", "Where the platform's services are")
             .required(true)
             .value_name("embedded|http://IP:PORT")
             .value_parser(str::parse::<PlatformAddress>),
-        flag("node", "Name of this entry VM")
+        flag::named("node", "Name of this entry VM")
             .default_value("entry-1")
             .value_name("NAME")
             .value_parser(str::parse::<NodeId>),
-        flag("data-centre", "Data centre of this entry VM")
+        flag::named("data-centre", "Data centre of this entry VM")
             .default_value("local")
             .value_name("NAME")
             .value_parser(str::parse::<DataCentre>),
-        count_flag("traffic-threads", "Threads that carry traffic", "2", 1..=64),
-        count_flag(
+        flag::count("traffic-threads", "Threads that carry traffic", "2", 1..=64),
+        flag::count(
             "embedded-workers",
             "Stand-in backend servers of the embedded platform",
             "4",
@@ -208,16 +207,16 @@
 
 fn address_flags() -> Vec<Arg> {
     vec![
-        address_flag("listen", "Address for callers; port 0 takes any free port"),
-        address_flag("admin-listen", "Address for operators"),
-        flag(
+        flag::address("listen", "Address for callers; port 0 takes any free port"),
+        flag::address("admin-listen", "Address for operators"),
+        flag::named(
             "bootstrap-hash",
             "SHA-256 digest of a first operator's token, in hexadecimal",
         )
         .value_name("DIGEST")
         .value_parser(KeyHash::from_hex),
-        address_flag("peer-listen", "Address for other entry processes"),
-        flag(
+        flag::address("peer-listen", "Address for other entry processes"),
+        flag::named(
             "peer-advertise",
             "Address told to other entry processes, if it is not the one listened on",
         )
@@ -227,7 +226,7 @@
 }
 
 fn platform_flags() -> Vec<Arg> {
-    vec![seconds_flag(
+    vec![flag::seconds(
         "list-lag",
         "Largest age of the platform's VM list",
         "30",
@@ -237,43 +236,43 @@
 
 fn limit_flags() -> Vec<Arg> {
     vec![
-        count_flag(
+        flag::count(
             "header-bytes",
             "Largest size of all request headers together, in bytes",
             "16384",
             1_024..=65_536,
         ),
-        count_flag(
+        flag::count(
             "buffer-bytes",
             "Body bytes kept so that a request can be sent again",
             "65536",
             0..=1_048_576,
         ),
-        count_flag(
+        flag::count(
             "max-connections",
             "Most connections of callers",
             "10000",
             1..=100_000,
         ),
-        seconds_flag(
+        flag::seconds(
             "head-timeout",
             "Time for the first request head",
             "5",
             0.1..=300.0,
         ),
-        seconds_flag(
+        flag::seconds(
             "idle-timeout",
             "Time that a caller's connection may idle",
             "60",
             0.1..=3_600.0,
         ),
-        seconds_flag(
+        flag::seconds(
             "body-timeout",
             "Time between pieces of a request body",
             "10",
             0.1..=600.0,
         ),
-        seconds_flag(
+        flag::seconds(
             "answer-timeout",
             "Time between pieces of an answer body",
             "60",
@@ -284,25 +283,25 @@
 
 fn backend_flags() -> Vec<Arg> {
     vec![
-        seconds_flag(
+        flag::seconds(
             "connect-timeout",
             "Time to connect to a backend server",
             "1",
             0.01..=60.0,
         ),
-        seconds_flag(
+        flag::seconds(
             "backend-idle-timeout",
             "Time that a connection to a backend server may idle",
             "15",
             0.1..=3_600.0,
         ),
-        count_flag(
+        flag::count(
             "backend-connections",
             "Connections to one backend server kept open for reuse",
             "7",
             0..=64,
         ),
-        seconds_flag(
+        flag::seconds(
             "task-lease",
             "Time that a request may run on after its attempt was lost",
             "60",
@@ -313,13 +312,13 @@
 
 fn stop_flags() -> Vec<Arg> {
     vec![
-        seconds_flag(
+        flag::seconds(
             "leave-delay",
             "Time to go on accepting requests after SIGTERM",
             "5",
             0.0..=300.0,
         ),
-        seconds_flag(
+        flag::seconds(
             "stop-timeout",
             "Longest time to finish what runs when stopping",
             "120",
@@ -330,68 +329,17 @@
 
 fn log_flags() -> Vec<Arg> {
     vec![
-        flag("log-format", "Form of log lines on standard error")
+        flag::named("log-format", "Form of log lines on standard error")
             .default_value("text")
             .value_name("text|json")
             .value_parser(str::parse::<LogFormat>),
-        flag("log-level", "Least severe level that is logged")
+        flag::named("log-level", "Least severe level that is logged")
             .default_value("info")
             .value_name("LEVEL")
             .value_parser(parse_level),
     ]
 }
 
-/// Creates a flag with its environment variable.
-pub(crate) fn flag(name: &'static str, help: &'static str) -> Arg {
-    let variable = format!("REDWING_{}", name.replace('-', "_").to_uppercase());
-    Arg::new(name).long(name).env(variable).help(help)
-}
-
-pub(crate) fn address_flag(name: &'static str, help: &'static str) -> Arg {
-    flag(name, help)
-        .default_value("127.0.0.1:0")
-        .value_name("IP:PORT")
-        .value_parser(value_parser!(net::SocketAddr))
-}
-
-fn count_flag(
-    name: &'static str,
-    help: &'static str,
-    default: &'static str,
-    range: ops::RangeInclusive<u32>,
-) -> Arg {
-    let bounds = i64::from(*range.start())..=i64::from(*range.end());
-    flag(name, help)
-        .default_value(default)
-        .value_name(format!("{}..={}", range.start(), range.end()))
-        .value_parser(value_parser!(u32).range(bounds))
-}
-
-pub(crate) fn seconds_flag(
-    name: &'static str,
-    help: &'static str,
-    default: &'static str,
-    range: ops::RangeInclusive<f64>,
-) -> Arg {
-    let value_name = format!("{}..={} SECONDS", range.start(), range.end());
-    flag(name, help)
-        .default_value(default)
-        .value_name(value_name)
-        .value_parser(move |text: &str| parse_seconds(text, &range))
-}
-
-fn parse_seconds(text: &str, range: &ops::RangeInclusive<f64>) -> Result<time::Duration, String> {
-    let allowed = format!(
-        "use a number of seconds from {} to {}",
-        range.start(),
-        range.end()
-    );
-    match text.parse::<f64>() {
-        Ok(seconds) if range.contains(&seconds) => Ok(time::Duration::from_secs_f64(seconds)),
-        _ => Err(allowed),
-    }
-}
-
 fn parse_level(text: &str) -> Result<LevelFilter, String> {
     match text {
         "error" => Ok(LevelFilter::Error),
@@ -402,51 +350,39 @@
     }
 }
 
-/// Returns the value of a flag that has a default or is required.
-pub(crate) fn read<T>(flags: &ArgMatches, name: &str) -> Option<T>
-where
-    T: Clone + fmt::Debug + Send + Sync + 'static,
-{
-    flags.get_one::<T>(name).cloned()
-}
-
-fn count(flags: &ArgMatches, name: &str) -> Option<usize> {
-    usize::try_from(read::<u32>(flags, name)?).ok()
-}
-
 fn node_settings(flags: &ArgMatches) -> Option<NodeSettings> {
     Some(NodeSettings {
-        platform: read(flags, "platform")?,
-        node: read(flags, "node")?,
-        data_centre: read(flags, "data-centre")?,
-        listen: read(flags, "listen")?,
-        admin_listen: read(flags, "admin-listen")?,
-        bootstrap_hash: read(flags, "bootstrap-hash"),
-        peer_listen: read(flags, "peer-listen")?,
-        peer_advertise: read(flags, "peer-advertise"),
-        list_lag: read(flags, "list-lag")?,
-        traffic_threads: count(flags, "traffic-threads")?,
-        embedded_workers: read(flags, "embedded-workers")?,
+        platform: flag::read(flags, "platform")?,
+        node: flag::read(flags, "node")?,
+        data_centre: flag::read(flags, "data-centre")?,
+        listen: flag::read(flags, "listen")?,
+        admin_listen: flag::read(flags, "admin-listen")?,
+        bootstrap_hash: flag::read(flags, "bootstrap-hash"),
+        peer_listen: flag::read(flags, "peer-listen")?,
+        peer_advertise: flag::read(flags, "peer-advertise"),
+        list_lag: flag::read(flags, "list-lag")?,
+        traffic_threads: flag::read_count(flags, "traffic-threads")?,
+        embedded_workers: flag::read(flags, "embedded-workers")?,
         limits: path_limits(flags)?,
-        leave_delay: read(flags, "leave-delay")?,
-        stop_timeout: read(flags, "stop-timeout")?,
-        log_format: read(flags, "log-format")?,
-        log_level: read(flags, "log-level")?,
+        leave_delay: flag::read(flags, "leave-delay")?,
+        stop_timeout: flag::read(flags, "stop-timeout")?,
+        log_format: flag::read(flags, "log-format")?,
+        log_level: flag::read(flags, "log-level")?,
     })
 }
 
 fn path_limits(flags: &ArgMatches) -> Option<PathLimits> {
     Some(PathLimits {
-        header_bytes: count(flags, "header-bytes")?,
-        buffer_bytes: count(flags, "buffer-bytes")?,
-        head_timeout: read(flags, "head-timeout")?,
-        idle_timeout: read(flags, "idle-timeout")?,
-        body_timeout: read(flags, "body-timeout")?,
-        answer_timeout: read(flags, "answer-timeout")?,
-        connect_timeout: read(flags, "connect-timeout")?,
-        backend_idle_timeout: read(flags, "backend-idle-timeout")?,
-        backend_connections: count(flags, "backend-connections")?,
-        max_connections: count(flags, "max-connections")?,
-        task_lease: read(flags, "task-lease")?,
+        header_bytes: flag::read_count(flags, "header-bytes")?,
+        buffer_bytes: flag::read_count(flags, "buffer-bytes")?,
+        head_timeout: flag::read(flags, "head-timeout")?,
+        idle_timeout: flag::read(flags, "idle-timeout")?,
+        body_timeout: flag::read(flags, "body-timeout")?,
+        answer_timeout: flag::read(flags, "answer-timeout")?,
+        connect_timeout: flag::read(flags, "connect-timeout")?,
+        backend_idle_timeout: flag::read(flags, "backend-idle-timeout")?,
+        backend_connections: flag::read_count(flags, "backend-connections")?,
+        max_connections: flag::read_count(flags, "max-connections")?,
+        task_lease: flag::read(flags, "task-lease")?,
     })
 }
--- a/crates/node/src/standin.rs
+++ b/crates/node/src/standin.rs
@@ -12,8 +12,8 @@
 use redwing_standin::{MemoryPlatform, MemorySettings, backend, server};
 
 use crate::error::{Error, Result};
+use crate::flag;
 use crate::serve;
-use crate::settings;
 use crate::stop::SignalListener;
 
 /// Settings of stand-in backend servers.
@@ -84,13 +84,13 @@
     match matches.subcommand()? {
         ("backend", flags) => Some(StandinChoice::Backend(BackendSettings {
             listen: flags.get_many("listen")?.copied().collect(),
-            fault: settings::read(flags, "fault")?,
+            fault: flag::read(flags, "fault")?,
         })),
         ("platform", flags) => {
             let vms = flags.get_many::<StandinVm>("vm");
             Some(StandinChoice::Platform(PlatformSettings {
-                listen: settings::read(flags, "listen")?,
-                lag: settings::read(flags, "lag")?,
+                listen: flag::read(flags, "listen")?,
+                lag: flag::read(flags, "lag")?,
                 vms: vms.unwrap_or_default().cloned().collect(),
             }))
         }
@@ -111,12 +111,12 @@
 }
 
 fn backend_command() -> Command {
-    let listen = settings::flag("listen", "Address to listen on; repeat it for more servers")
+    let listen = flag::named("listen", "Address to listen on; repeat it for more servers")
         .required(true)
         .action(ArgAction::Append)
         .value_name("IP:PORT")
         .value_parser(value_parser!(net::SocketAddr));
-    let fault = settings::flag("fault", "What goes wrong with all requests")
+    let fault = flag::named("fault", "What goes wrong with all requests")
         .default_value("none")
         .value_name("KIND")
         .value_parser(str::parse::<backend::BackendFault>);
@@ -127,14 +127,14 @@
 }
 
 fn platform_command() -> Command {
-    let vm = settings::flag("vm", "VM listed from the start; repeat it for more VMs")
+    let vm = flag::named("vm", "VM listed from the start; repeat it for more VMs")
         .action(ArgAction::Append)
         .value_name("NAME,IP:PORT,RACK,DATA-CENTRE")
         .value_parser(str::parse::<StandinVm>);
-    let lag = settings::seconds_flag("lag", "Age of the VM list", "2", 0.0..=600.0);
+    let lag = flag::seconds("lag", "Age of the VM list", "2", 0.0..=600.0);
     Command::new("platform")
         .about("Runs a stand-in platform; a VM whose name starts with entry- is an entry VM")
-        .arg(settings::address_flag("listen", "Address to listen on"))
+        .arg(flag::address("listen", "Address to listen on"))
         .arg(lag)
         .arg(vm)
 }
