Try a roll-out with real processes under load

Cause: maintenance had not been tried with real entry processes. Change: the harness is shared; a test that reboots every VM under load while the asked process dies.

--- a/crates/node/tests/common/mod.rs
+++ b/crates/node/tests/common/mod.rs
@@ -2,6 +2,7 @@
 #![allow(dead_code, reason = "each test file uses a part of the harness")]
 
 pub(crate) mod client;
+pub(crate) mod cluster;
 pub(crate) mod fleet;
 
 use std::io::{BufRead, BufReader};
--- /dev/null
+++ b/crates/node/tests/rollout.rs
@@ -0,0 +1,80 @@
+//! A roll-out by real processes, under load and the loss of a planner.
+#![allow(clippy::unwrap_used, reason = "a panic fails the test")]
+
+mod common;
+
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::thread;
+
+use common::cluster::{TestCluster, send};
+use common::wait_for;
+use redwing_planner::rollout::{RolloutState, RolloutStatus};
+
+/// Path of the pool's roll-out in the operator API.
+const ROLLOUT: &str = "/v1/admin/rollouts/reports";
+
+/// What one caller saw.
+#[derive(Debug, Default)]
+struct CallerLog {
+    answered: usize,
+    failed: Vec<String>,
+}
+
+fn call_until(listen: SocketAddr, stop: &AtomicBool) -> CallerLog {
+    let mut log = CallerLog::default();
+    while !stop.load(Ordering::Relaxed) {
+        let answer = send(listen, "notices", "", "0.05");
+        if answer.status == 200 && answer.complete {
+            log.answered += 1;
+        } else {
+            log.failed
+                .push(format!("{} {}", answer.status, answer.text()));
+        }
+    }
+    log
+}
+
+fn status(cluster: &TestCluster, node: usize) -> Option<RolloutStatus> {
+    let answer = cluster.ask(node, "GET", ROLLOUT, "");
+    serde_json::from_slice(&answer.body).ok()
+}
+
+#[test]
+fn a_rollout_reboots_every_vm_within_the_budget_and_costs_no_answer() {
+    let mut cluster = TestCluster::start();
+    let stop = AtomicBool::new(false);
+    let listens = [cluster.listen(0), cluster.listen(1)];
+    let logs: Vec<CallerLog> = thread::scope(|scope| {
+        let callers: Vec<_> = listens
+            .iter()
+            .cycle()
+            .take(6)
+            .map(|listen| scope.spawn(|| call_until(*listen, &stop)))
+            .collect();
+        let answer = cluster.ask(2, "POST", ROLLOUT, r#"{"command": "start"}"#);
+        assert_eq!(answer.status, 200, "{}", answer.text());
+        let started = || status(&cluster, 0).filter(|status| !status.out.is_empty());
+        wait_for(started).expect("no VM was taken out of service");
+        // The process that was asked dies; the others go on.
+        cluster.kill(2);
+        let mut most_out = 0;
+        let done = wait_for(|| {
+            let status = status(&cluster, 0)?;
+            most_out = most_out.max(status.out.len());
+            (status.state == RolloutState::Done).then_some(status)
+        });
+        stop.store(true, Ordering::Relaxed);
+        let done = done.expect("the roll-out did not end");
+        assert_eq!((done.done, done.failed.len()), (2, 0), "{done:?}");
+        assert_eq!(most_out, 1);
+        callers
+            .into_iter()
+            .map(|caller| caller.join().unwrap())
+            .collect()
+    });
+    for log in logs {
+        assert!(log.answered > 0);
+        assert_eq!(log.failed, Vec::<String>::new());
+    }
+}
