Visit only VMs out of the ordinary in a plan

Change: phases are advanced for VMs that are out of service or observed; roll-outs are copied only when they change.

--- a/crates/planner/src/capacity.rs
+++ b/crates/planner/src/capacity.rs
@@ -16,6 +16,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct FleetIndex<'a> {
     by_pool: BTreeMap<&'a PoolName, Vec<&'a Versioned<VmRecord>>>,
+    /// Members that are out of service or of which something was observed.
+    notable: BTreeMap<&'a PoolName, Vec<&'a VmRecord>>,
     suspects: BTreeMap<&'a PoolName, u32>,
     largest_rack: u32,
 }
@@ -25,14 +27,24 @@
         let mut index = Self::default();
         let mut racks: HashMap<&RackName, u32> = HashMap::new();
         for row in view.rows.vms.values() {
-            index.by_pool.entry(&row.value.pool).or_default().push(row);
+            let record = &row.value;
+            index.by_pool.entry(&record.pool).or_default().push(row);
+            if record.phase != VmPhase::Serving {
+                index.notable.entry(&record.pool).or_default().push(record);
+            }
             *racks.entry(&row.value.identity.rack).or_default() += 1;
         }
-        for vm in view.observations.keys().filter(|vm| view.is_suspect(vm)) {
-            if let Some(row) = view.rows.vms.get(vm)
-                && row.value.phase == VmPhase::Serving
-            {
-                *index.suspects.entry(&row.value.pool).or_default() += 1;
+        for vm in view.observations.keys() {
+            let Some(row) = view.rows.vms.get(vm) else {
+                continue;
+            };
+            let record = &row.value;
+            if record.phase != VmPhase::Serving {
+                continue;
+            }
+            index.notable.entry(&record.pool).or_default().push(record);
+            if view.is_suspect(vm) {
+                *index.suspects.entry(&record.pool).or_default() += 1;
             }
         }
         index.largest_rack = racks.into_values().max().unwrap_or(0);
@@ -43,6 +55,10 @@
         self.by_pool.get(pool).map_or(&[], Vec::as_slice)
     }
 
+    pub(crate) fn notable(&self, pool: &PoolName) -> &[&'a VmRecord] {
+        self.notable.get(pool).map_or(&[], Vec::as_slice)
+    }
+
     /// Returns how many members are in doubt although their rows say serving.
     pub(crate) fn suspects(&self, pool: &PoolName) -> u32 {
         self.suspects.get(pool).copied().unwrap_or(0)
--- a/crates/planner/src/draft.rs
+++ b/crates/planner/src/draft.rs
@@ -1,5 +1,6 @@
 //! A transaction on one pool while it is being put together.
 
+use std::borrow;
 use std::collections::BTreeMap;
 
 use redwing_model::vm::{VmIdentity, VmPhase, VmRecord};
@@ -26,7 +27,7 @@
     budget: PoolBudget,
     suspects: u32,
     record: PoolRecord,
-    rollout: Option<RolloutRecord>,
+    rollout: Option<borrow::Cow<'a, RolloutRecord>>,
     data_centre: Option<DataCentre>,
     writes: BTreeMap<RowReference, Option<RowContent>>,
     uses_rollout: bool,
@@ -46,7 +47,8 @@
         let max_unavailable = target.map_or(u32::MAX, |target| target.max_unavailable);
         let row = view.rows.pools.get(name);
         let record = row.map_or_else(|| first_record(now, view, name), |row| row.value.clone());
-        let rollout = view.rows.rollouts.get(name).map(|row| row.value.clone());
+        let rollout = view.rows.rollouts.get(name);
+        let rollout = rollout.map(|row| borrow::Cow::Borrowed(&row.value));
         let mut draft = Self {
             now,
             view,
@@ -69,7 +71,7 @@
     }
 
     pub(crate) fn rollout(&self) -> Option<&RolloutRecord> {
-        self.rollout.as_ref()
+        self.rollout.as_deref()
     }
 
     pub(crate) fn outage(&self, vm: &VmId) -> Option<&VmOutage> {
@@ -221,6 +223,7 @@
         if let (Some(OutageCause::Rollout(number)), Some(rollout)) = (cause, &mut self.rollout)
             && rollout.id == number
         {
+            let rollout = rollout.to_mut();
             rollout.record_failure(&id);
             self.uses_rollout = true;
             if rollout.state == RolloutState::Running && rollout.is_failing() {
@@ -244,8 +247,9 @@
         self.record.out.remove(vm);
         self.record.members = self.record.members.saturating_sub(1);
         if let Some(rollout) = &mut self.rollout
-            && rollout.remaining.remove(vm)
+            && rollout.remaining.contains(vm)
         {
+            rollout.to_mut().remaining.remove(vm);
             self.uses_rollout = true;
         }
         self.drop_acknowledgements(vm);
@@ -256,6 +260,7 @@
     pub(crate) fn finish_rollout(&mut self) {
         let now = self.now;
         if let Some(rollout) = &mut self.rollout {
+            let rollout = rollout.to_mut();
             rollout.remaining.clear();
             rollout.state = RolloutState::Done;
             rollout.ended = Some(now);
@@ -302,9 +307,8 @@
         expected.retain(|row| !matches!(row, RowReference::DrainAck { .. }));
         if self.uses_rollout {
             expected.push(reference.clone());
-            let before = rows.rollouts.get(self.name).map(|row| &row.value);
-            if self.rollout.as_ref() != before {
-                let content = self.rollout.map(RowContent::Rollout);
+            if let Some(borrow::Cow::Owned(rollout)) = self.rollout {
+                let content = Some(RowContent::Rollout(rollout));
                 self.writes.insert(reference, content);
             }
         }
@@ -353,7 +357,7 @@
         if let (OutageCause::Rollout(id), Some(rollout)) = (outage.cause, &mut self.rollout)
             && rollout.id == id
         {
-            rollout.record_return(vm, elapsed);
+            rollout.to_mut().record_return(vm, elapsed);
             self.uses_rollout = true;
         }
     }
--- a/crates/planner/src/plan.rs
+++ b/crates/planner/src/plan.rs
@@ -256,16 +256,12 @@
 
     /// Takes each member on to the phase that its observation calls for.
     fn advance_members(&self, draft: &mut PoolDraft<'_>, pool: &PoolName) {
-        for row in self.index.members(pool) {
+        for record in self.index.notable(pool) {
             if draft.changes() >= self.settings.changes_per_step {
                 return;
             }
-            let vm = &row.value.identity.vm;
-            let ordinary = !self.view.observations.contains_key(vm);
-            if ordinary && row.value.phase == VmPhase::Serving {
-                continue;
-            }
-            self.advance(draft, &row.value, &self.observation(vm));
+            let seen = self.observation(&record.identity.vm);
+            self.advance(draft, record, &seen);
         }
     }
 
@@ -366,8 +362,8 @@
             .rollout()
             .filter(|it| it.state == RolloutState::Aborted);
         let aborted = aborted.map(|rollout| OutageCause::Rollout(rollout.id));
-        for row in self.index.members(pool) {
-            let vm = &row.value.identity.vm;
+        for record in self.index.notable(pool) {
+            let vm = &record.identity.vm;
             let Some(outage) = draft.outage(vm) else {
                 continue;
             };
@@ -376,7 +372,7 @@
             if !called_off || draft.touches(vm) || self.view.is_suspect(vm) {
                 continue;
             }
-            if let Some(record) = cancelled(&row.value) {
+            if let Some(record) = cancelled(record) {
                 draft.cancel(record);
             }
         }
