--- a/crates/node/src/link.rs
+++ b/crates/node/src/link.rs
@@ -52,6 +52,12 @@
     pub reachable: bool,
 }
 
+/// Size of a heartbeat: its empty parameters in one word.
+const HEARTBEAT_SIZE: capnp::MessageSize = capnp::MessageSize {
+    word_count: 1,
+    cap_count: 0,
+};
+
 /// What a link is asked to do.
 enum LinkCommand {
     Exchange(PeerMessage),
@@ -371,6 +377,7 @@
 
     fn beat(&self, client: &peer_capnp::peer::Client, failure: &rc::Rc<tokio::sync::Notify>) {
         let request = client.heartbeat_request();
+        self.state.record_sent(HEARTBEAT_SIZE);
         let state = rc::Rc::clone(&self.state);
         let failure = rc::Rc::clone(failure);
         actix_rt::spawn(async move {
--- a/crates/node/src/serve.rs
+++ b/crates/node/src/serve.rs
@@ -19,8 +19,9 @@
 use crate::error::{Error, Result};
 use crate::event;
 use crate::ingress::{self, IngressContext};
-use crate::metrics::{MetricsRegistry, PathMetrics};
+use crate::metrics::{ControlMetrics, MetricsRegistry, PathMetrics};
 use crate::plane::{ClaimSlot, ControlPlane, PlaneParts};
+use crate::sample::ClusterMetrics;
 use crate::settings::{NodeSettings, PlatformAddress};
 use crate::snapshot::SnapshotSender;
 use crate::stop::{SignalListener, StopPhase, StopSignal};
@@ -44,7 +45,9 @@
     let settings = rc::Rc::new(settings);
     let (stop, stopped) = watch::channel(StopPhase::Running);
     let (snapshots, receiver) = watch::channel(sync::Arc::default());
-    let channel = ControlChannel::open(NodeClock::start());
+    let registry = MetricsRegistry::default();
+    let mut channel = ControlChannel::open(NodeClock::start());
+    channel.metrics = Some(ControlMetrics::register(&registry)?);
     let services = NodeServices {
         settings: rc::Rc::clone(&settings),
         platform: source.services(),
@@ -53,7 +56,7 @@
         stop: stopped,
     };
     let claims = ClaimSlot::default();
-    let registry = MetricsRegistry::default();
+    let cluster_metrics = ClusterMetrics::register(&registry)?;
     let context = IngressContext {
         snapshots: receiver,
         control: channel.handle.clone(),
@@ -79,6 +82,7 @@
         peer_listener: listeners.peer,
         admin_listener: listeners.admin,
         claims,
+        metrics: cluster_metrics,
         bootstrap: settings.bootstrap_hash.or(generated),
     };
     let started = tokio::select! {
