Name items of the planner through their modules

Cause: a few items were written with their whole path, and a state was compared as text. Change: imports as elsewhere; the state is compared as a value. Conclusion: no change of behaviour.

--- a/crates/planner/src/explain.rs
+++ b/crates/planner/src/explain.rs
@@ -1,5 +1,7 @@
 //! Reasons for what the planner does and does not do.
 
+use std::time;
+
 use redwing_model::vm::VmPhase;
 use redwing_model::{ClassName, PoolName, VmId};
 use serde::{Deserialize, Serialize};
@@ -192,8 +194,8 @@
 }
 
 /// Returns how long a reboot with its drain usually takes.
-pub fn time_out(settings: &PlannerSettings, drain_seconds: u32) -> std::time::Duration {
-    let drain = std::time::Duration::from_secs(drain_seconds.into());
+pub fn time_out(settings: &PlannerSettings, drain_seconds: u32) -> time::Duration {
+    let drain = time::Duration::from_secs(drain_seconds.into());
     drain + settings.reboot_settle + settings.return_check
 }
 
--- a/crates/planner/src/trial/baseline.rs
+++ b/crates/planner/src/trial/baseline.rs
@@ -3,6 +3,8 @@
 //! Both drive the same rows under the same budgets and data centre rule, so
 //! that only the decision under comparison differs.
 
+use std::collections::BTreeMap;
+
 use redwing_model::PoolName;
 
 use crate::capacity::FleetIndex;
@@ -39,7 +41,7 @@
     let index = FleetIndex::new(view);
     let mut reserve = 0;
     for (pool, target) in &view.declaration.pools {
-        let mut racks = std::collections::BTreeMap::new();
+        let mut racks = BTreeMap::new();
         for row in index.members(pool) {
             *racks.entry(&row.value.identity.rack).or_insert(0) += 1;
         }
--- a/crates/planner/src/trial/fleet.rs
+++ b/crates/planner/src/trial/fleet.rs
@@ -11,6 +11,7 @@
 use redwing_model::{DataCentre, FleetDeclaration, PoolName, RackName, Result, VmId};
 
 use crate::record::{OutageCause, PoolRecord};
+use crate::rollout::RolloutState;
 use crate::step::{PlanStep, PlatformCall, StepChange, StepCommit};
 use crate::time::PlanTime;
 use crate::view::{FleetRows, Listing, Versioned, VmObservation};
@@ -381,7 +382,7 @@
         }
         let rollout = self.rows.rollouts.get(&step.pool).map(|row| &row.value);
         if let OutageCause::Rollout(id) = cause
-            && rollout.is_none_or(|it| it.id != id || it.state.to_string() != "running")
+            && rollout.is_none_or(|it| it.id != id || it.state != RolloutState::Running)
         {
             self.broken.push(BrokenRule::Paused(step.pool.clone()));
         }
--- a/crates/planner/src/trial/run.rs
+++ b/crates/planner/src/trial/run.rs
@@ -11,7 +11,7 @@
 use crate::plan::{PlannerSettings, plan};
 use crate::profile::ProfileTargets;
 use crate::rollout::{self, RolloutCommand, RolloutState};
-use crate::step::StepChange;
+use crate::step::{PlanStep, RowContent, StepChange};
 use crate::trial::baseline;
 use crate::trial::demand::RotatingDemand;
 use crate::trial::fleet::{TrialFleet, TrialLayout, trial_time};
@@ -441,9 +441,9 @@
 }
 
 /// Writes back the state that the lock-step baseline hid from the planner.
-fn restore_running(step: &mut crate::step::PlanStep) {
+fn restore_running(step: &mut PlanStep) {
     for update in &mut step.commit.updates {
-        if let Some(crate::step::RowContent::Rollout(rollout)) = &mut update.content
+        if let Some(RowContent::Rollout(rollout)) = &mut update.content
             && rollout.state == RolloutState::Paused
         {
             rollout.state = RolloutState::Running;
