Name drains, moves and reboots in the audit trail

Cause: every change of maintenance was noted under one action and pool. Change: the action is that of the change, the subject the VM. Conclusion: a VM's history can be asked for by its name.

--- a/crates/node/src/maintenance/run.rs
+++ b/crates/node/src/maintenance/run.rs
@@ -299,9 +299,12 @@
         for change in &step.changes {
             log_event!(info, event::MAINTENANCE_STEP, "pool {pool}: {change:?}");
             if let Some(audit) = &self.audit {
-                let reason = format!("{change:?}");
-                let subject = format!("pool/{pool}");
-                audit.record(AuditDraft::decision("maintenance", subject, reason));
+                let subject = match change.vm() {
+                    Some(vm) => format!("vm/{vm}"),
+                    None => format!("pool/{pool}"),
+                };
+                let reason = format!("pool {pool}: {change:?}");
+                audit.record(AuditDraft::decision(change.action(), subject, reason));
             }
         }
     }
--- a/crates/planner/src/step.rs
+++ b/crates/planner/src/step.rs
@@ -151,6 +151,46 @@
     FinishRollout,
 }
 
+impl StepChange {
+    /// Returns the name of the change in the audit trail.
+    pub fn action(&self) -> &'static str {
+        match self {
+            Self::Adopt { .. } => "adopt",
+            Self::Drain { .. } => "drain",
+            Self::CancelDrain { .. } => "cancel-drain",
+            Self::Reboot { .. } => "reboot",
+            Self::RebootProgress { .. } => "reboot-progress",
+            Self::Check { .. } => "check",
+            Self::Return { .. } => "return",
+            Self::Move { .. } => "move",
+            Self::Fail { .. } => "fail",
+            Self::Silence { .. } => "silence",
+            Self::Forget { .. } => "forget",
+            Self::Resize { .. } => "resize",
+            Self::StopRollout => "stop-roll-out",
+            Self::FinishRollout => "finish-roll-out",
+        }
+    }
+
+    /// Returns the VM that is changed, if it is one.
+    pub fn vm(&self) -> Option<&VmId> {
+        match self {
+            Self::Adopt { vm }
+            | Self::Drain { vm, .. }
+            | Self::CancelDrain { vm }
+            | Self::Reboot { vm }
+            | Self::RebootProgress { vm }
+            | Self::Check { vm }
+            | Self::Return { vm }
+            | Self::Move { vm, .. }
+            | Self::Fail { vm }
+            | Self::Silence { vm }
+            | Self::Forget { vm } => Some(vm),
+            Self::Resize { .. } | Self::StopRollout | Self::FinishRollout => None,
+        }
+    }
+}
+
 /// One transaction of a plan.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct PlanStep {
