Report less often to peers

Cause: a process sent 63 to 66 messages and an estimated 11 KB a second to its seven peers, above the 7 KB that control may take.

--- a/crates/policy/src/share.rs
+++ b/crates/policy/src/share.rs
@@ -9,10 +9,10 @@
 use crate::fair::{FairQueue, TeamIndex, VirtualTime};
 
 /// Smallest change of service that is worth a report, in virtual time.
-const MIN_SERVICE_CHANGE: VirtualTime = VirtualTime(25_000_000);
+const MIN_SERVICE_CHANGE: VirtualTime = VirtualTime(50_000_000);
 
 /// Part of the reported number by which waiting requests must change.
-const MIN_WAITING_FRACTION: f64 = 0.25;
+const MIN_WAITING_FRACTION: f64 = 0.5;
 
 /// Smallest change of a number of waiting requests that is worth a report.
 const MIN_WAITING_CHANGE: u32 = 2;
