--- a/crates/node/src/plane.rs
+++ b/crates/node/src/plane.rs
@@ -23,6 +23,7 @@
 use crate::maintenance::{
     MaintenanceDesk, MaintenanceRoutes, MaintenanceRunner, MaintenanceSettings,
 };
+use crate::sample::{self, ClusterMetrics, SampleSources};
 use crate::spread::MeshSpread;
 use crate::stop::StopReceiver;
 
@@ -41,6 +42,8 @@
     pub admin_listener: net::TcpListener,
     /// Where the claims are put for the traffic threads.
     pub claims: ClaimSlot,
+    /// Metrics of what surrounds the control thread.
+    pub metrics: ClusterMetrics,
     /// Digest of the operator's token from the settings, if any.
     pub bootstrap: Option<KeyHash>,
 }
@@ -95,6 +98,11 @@
         ));
         let maintenance = start_maintenance(&maintained, own.clone(), &audit);
         let stop = services.stop.clone();
+        let sources = SampleSources {
+            client: client.clone(),
+            mesh: rc::Rc::clone(&mesh),
+        };
+        task::spawn_local(sample::run(parts.metrics, sources, stop.clone()));
         let port = rc::Rc::clone(&desk) as _;
         let cluster = ClusterNode::start(services, own.clone(), listener, outbox, mesh, port);
         let view = cluster.view();
