Make a change in one call of the table where the process is current

Cause: with a table that takes 2 s a call, a change took three calls in a row, 6.0 s until it was in force (example in_force, three processes). Change: changes with a base, grants and withdrawals are tried at once, and the conditions of the transaction tell if the state lags; reads needed before a second try run together; a commit in doubt is pursued for 3 s.

--- a/crates/node/src/config/desk.rs
+++ b/crates/node/src/config/desk.rs
@@ -5,6 +5,7 @@
 use std::sync;
 use std::time;
 
+use futures_util::future;
 use redwing_model::KeyHash;
 use redwing_model::admin::{ChangeReply, RefusalCause};
 use redwing_platform::{
@@ -231,8 +232,11 @@
     }
 
     async fn change_alone(&self, draft: &ChangeDraft) -> ChangeReply {
+        let mut fresh = !self.may_try_at_once(draft);
         for _ in 0..MAX_ATTEMPTS {
-            match self.attempt(draft).await {
+            let attempt = self.attempt(draft, fresh).await;
+            fresh = true;
+            match attempt {
                 Ok(Some(reply)) => return reply,
                 Ok(None) => {}
                 Err(error) if draft.id_chosen || error.classify() == Category::Unknown => {
@@ -250,17 +254,27 @@
         )
     }
 
-    /// Tries once; `None` if another change came between and the change
-    /// commutes with it.
-    async fn attempt(&self, draft: &ChangeDraft) -> Result<Option<ChangeReply>> {
-        self.refresh().await?;
+    /// Returns whether the change may be tried without reading the table first.
+    ///
+    /// A condition of the transaction then tells if the state was not current.
+    /// A declaration without a base is compared with what the table has.
+    fn may_try_at_once(&self, draft: &ChangeDraft) -> bool {
+        let has_base = draft.base_version.is_some() || !draft.replaces_declaration();
+        has_base && self.version() > 0
+    }
+
+    /// Tries once; `None` if it has to be tried again with what the table has.
+    async fn attempt(&self, draft: &ChangeDraft, fresh: bool) -> Result<Option<ChangeReply>> {
         let change_key = row::change_key(draft.id.as_str());
-        let known = self.client.scan(CAUSE, change_key.as_str()).await?;
-        if let Some(known) = known.rows.first() {
-            return Ok(Some(self.answer_known(draft, known).await));
+        if fresh {
+            let known = self.client.scan(CAUSE, change_key.as_str());
+            let ((), known) = future::try_join(self.refresh(), known).await?;
+            if let Some(known) = known.rows.first() {
+                return Ok(Some(self.answer_known(draft, known).await));
+            }
         }
         if let Some(refusal) = self.check(draft).await? {
-            return Ok(Some(refusal));
+            return Ok(fresh.then_some(refusal));
         }
         let base = self.state.borrow().clone();
         let transaction = draft.transaction(&base);
@@ -279,7 +293,8 @@
                 self.answer_committed(draft, &transaction, commit).await,
             )),
             Ok(CommitOutcome::Conflict(rows)) => {
-                self.answer_conflict(draft, base.view(), &rows).await
+                let base = fresh.then_some(base.view());
+                self.answer_conflict(draft, base, &rows).await
             }
             Err(error) if error.classify() == Category::Refused => {
                 let refusal = reply::refused(draft, RefusalCause::Faulty, error.to_string());
@@ -312,7 +327,7 @@
     async fn answer_conflict(
         &self,
         draft: &ChangeDraft,
-        base: &ConfigView,
+        base: Option<&ConfigView>,
         rows: &[TableRow],
     ) -> Result<Option<ChangeReply>> {
         let change_key = row::change_key(draft.id.as_str());
@@ -320,9 +335,9 @@
         if let Some(known) = known.filter(|known| known.value.is_some()) {
             return Ok(Some(self.answer_known(draft, known).await));
         }
-        if !draft.replaces_declaration() {
+        let Some(base) = base.filter(|_| draft.replaces_declaration()) else {
             return Ok(None);
-        }
+        };
         self.refresh().await?;
         let text = Some(&*base.text);
         let reply = reply::conflict(draft, base.head.version, text, &self.view());
--- a/crates/platform/src/client.rs
+++ b/crates/platform/src/client.rs
@@ -42,8 +42,10 @@
     pub breaker: BreakerSettings,
     /// Delays between attempts to learn what became of a commit.
     pub backoff: BackoffSettings,
-    /// Number of attempts to learn what became of a commit.
+    /// Smallest number of attempts to learn what became of a commit.
     pub resolve_attempts: u32,
+    /// Time after which no further attempt is made, beyond that number.
+    pub resolve_limit: time::Duration,
 }
 
 impl Default for ClientSettings {
@@ -59,6 +61,7 @@
             breaker: BreakerSettings::default(),
             backoff: BackoffSettings::default(),
             resolve_attempts: 4,
+            resolve_limit: time::Duration::from_secs(3),
         }
     }
 }
@@ -173,6 +176,7 @@
     ) -> Result<CommitOutcome> {
         let mut backoff = RetryBackoff::new(self.shared.settings.backoff.clone());
         let mut sent_before = false;
+        let start = time::Instant::now();
         let mut attempt = 0;
         loop {
             attempt += 1;
@@ -188,7 +192,9 @@
                 Err(error) => error,
             };
             sent_before = true;
-            if attempt >= self.shared.settings.resolve_attempts {
+            let settings = &self.shared.settings;
+            let is_late = start.elapsed() >= settings.resolve_limit;
+            if is_late && attempt >= settings.resolve_attempts {
                 return Err(Error::unknown("resolve commit", PEER, error.to_string()));
             }
             timer::sleep(backoff.next_delay(rand::random())).await;
--- a/crates/platform/tests/client.rs
+++ b/crates/platform/tests/client.rs
@@ -29,6 +29,7 @@
     let mut settings = ClientSettings {
         commit_interval: pause,
         read_interval: pause,
+        resolve_limit: time::Duration::ZERO,
         backoff: BackoffSettings {
             first: pause,
             longest: pause,
