--- a/crates/node/tests/pages.rs
+++ b/crates/node/tests/pages.rs
@@ -7,6 +7,7 @@
 use redwing_model::{NodeId, NodeIncarnation};
 use redwing_node::answer::ProblemKind;
 use redwing_node::metrics::{ControlMetrics, MetricsRegistry, PathMetrics};
+use redwing_node::sample::ClusterMetrics;
 use redwing_node::{event, settings};
 use redwing_policy::{NodeScheduler, SchedulerSettings};
 
@@ -50,6 +51,7 @@
     ControlMetrics::register(&registry)
         .unwrap()
         .show(&scheduler);
+    ClusterMetrics::register(&registry).unwrap();
     let known: BTreeSet<String> = registry.names().into_iter().collect();
     assert_eq!(first_cells("METRICS.md"), known);
 }
--- a/crates/planner/src/rollout.rs
+++ b/crates/planner/src/rollout.rs
@@ -135,6 +135,14 @@
     Abort,
 }
 
+/// Request of an operator.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "kebab-case", deny_unknown_fields)]
+pub struct RolloutRequest {
+    /// What is asked.
+    pub command: RolloutCommand,
+}
+
 /// Returns the transaction that carries out `command` on the pool's roll-out.
 ///
 /// It requires the version of the row that was read, so that of two operators
@@ -318,7 +326,13 @@
     }
     let outage = rollout.mean_outage().unwrap_or(default_outage);
     let rounds = (rollout.remaining.len() as u32).div_ceil(width);
-    Some(now.after(outage * rounds))
+    let cause = OutageCause::Rollout(rollout.id);
+    let outages = view.rows.pools.get(pool).map(|row| row.value.out.values());
+    let mine = outages.into_iter().flatten().filter(|it| it.cause == cause);
+    let elapsed = mine.map(|it| now.saturating_since(it.started)).max();
+    // The round in progress has passed in part.
+    let passed = elapsed.unwrap_or_default().min(outage);
+    Some(now.after((outage * rounds).saturating_sub(passed)))
 }
 
 fn hold_ups(
--- a/crates/policy/src/share.rs
+++ b/crates/policy/src/share.rs
@@ -9,10 +9,10 @@
 use crate::fair::{FairQueue, TeamIndex, VirtualTime};
 
 /// Smallest change of service that is worth a report, in virtual time.
-const MIN_SERVICE_CHANGE: VirtualTime = VirtualTime(25_000_000);
+const MIN_SERVICE_CHANGE: VirtualTime = VirtualTime(50_000_000);
 
 /// Part of the reported number by which waiting requests must change.
-const MIN_WAITING_FRACTION: f64 = 0.25;
+const MIN_WAITING_FRACTION: f64 = 0.5;
 
 /// Smallest change of a number of waiting requests that is worth a report.
 const MIN_WAITING_CHANGE: u32 = 2;
@@ -58,6 +58,12 @@
             .map(|(peer, _)| peer)
     }
 
+    /// Returns the slot time used through all peers, in microseconds.
+    pub fn service_micros(&self) -> u64 {
+        let peers = self.teams.values().flat_map(BTreeMap::values);
+        peers.fold(0, |sum, demand| sum.saturating_add(demand.service))
+    }
+
     /// Takes a report of `peer` and charges the team for the new service.
     pub fn update(
         &mut self,
