Carry traffic on four threads by default

Cause: with two threads a request waits for the other one's work on a busy machine; startup, key check and memory were ruled out (idle memory the same).

--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -195,7 +195,7 @@
             .default_value("local")
             .value_name("NAME")
             .value_parser(str::parse::<DataCentre>),
-        flag::count("traffic-threads", "Threads that carry traffic", "2", 1..=64),
+        flag::count("traffic-threads", "Threads that carry traffic", "4", 1..=64),
         flag::count(
             "embedded-workers",
             "Stand-in backend servers of the embedded platform",
