Refuse a waiting request as soon as it can no longer end in time

Cause: a waiting request that could not end in time was refused at its turn or at its deadline, although this was known one mean run earlier. Change: it is refused once less than the mean run is left while others wait. The regression test fails without the change and passes with it.

--- a/crates/policy/src/scheduler/dispatch.rs
+++ b/crates/policy/src/scheduler/dispatch.rs
@@ -155,6 +155,9 @@
         }
         self.report.mark(&request.ticket.class, request.team);
         self.deadlines.push(cmp::Reverse((deadline, id)));
+        if let Some(last_start) = self.last_start(&request) {
+            self.deadlines.push(cmp::Reverse((last_start, id)));
+        }
         self.requests.insert(id, request);
     }
 
@@ -494,15 +497,32 @@
         }
     }
 
-    /// Refuses every waiting request whose deadline has passed.
+    /// Returns when a request has to start so that it ends in time.
+    fn last_start(&self, request: &RequestState) -> Option<NodeTime> {
+        let state = self.classes.get(&request.ticket.class)?;
+        let run = state.estimate.expect(request.ticket.team.as_ref());
+        let deadline = request.ticket.deadline.since_start();
+        let learned = state.estimate.is_learned();
+        learned.then(|| deadline.saturating_sub(run).into())
+    }
+
+    /// Refuses every waiting request whose deadline has passed, or will pass
+    /// before it could end while others need the slots.
     pub(super) fn refuse_overdue(&mut self, now: NodeTime) {
         while let Some(cmp::Reverse((deadline, id))) = self.deadlines.peek().copied() {
             if deadline > now {
                 break;
             }
             self.deadlines.pop();
-            let request = self.requests.get(&id);
-            if request.is_some_and(RequestState::is_waiting) {
+            let Some(request) = self
+                .requests
+                .get(&id)
+                .filter(|request| request.is_waiting())
+            else {
+                continue;
+            };
+            let class = request.ticket.class.clone();
+            if self.is_hopeless(now, &class, id) {
                 self.drop_waiting(now, id, RefusalReason::DeadlineUnmet);
             }
         }
--- a/crates/policy/tests/local.rs
+++ b/crates/policy/tests/local.rs
@@ -438,3 +438,29 @@
     assert_eq!(dispatched(&scheduler.take_actions()).len(), 1);
     assert!(!scheduler.release_home(&slot));
 }
+
+#[test]
+fn a_request_that_can_no_longer_end_in_time_is_refused_before_its_deadline() {
+    let shape = FleetShape {
+        workers: 1,
+        ..FleetShape::default()
+    };
+    let mut scheduler = alone(&shape);
+    let class = shape.class(0);
+    for id in 0..16 {
+        scheduler.submit(at(1), ticket(id, &class, Some(&team("a"))));
+    }
+    // Every run takes 1 s; the eight that follow take the slots for longer.
+    for (id, vm) in dispatched(&scheduler.take_actions()) {
+        scheduler.finish(at(1_001), id, &success(&vm));
+    }
+    scheduler.take_actions();
+    let mut short = ticket(100, &class, Some(&team("a")));
+    short.deadline = at(6_001);
+    scheduler.submit(at(1_001), short);
+    scheduler.submit(at(1_001), ticket(101, &class, Some(&team("a"))));
+    scheduler.tick(at(4_990));
+    assert!(refusals(&scheduler.take_actions()).is_empty());
+    scheduler.tick(at(5_010));
+    assert_eq!(refusals(&scheduler.take_actions()), [TicketId(100)]);
+}
