--- a/crates/ctl/src/load/report.rs
+++ b/crates/ctl/src/load/report.rs
@@ -61,6 +61,8 @@
     pub scheduled: usize,
     /// Answers that say `ran`.
     pub ran: usize,
+    /// Answers that say `ran`, with a status of 500 or above.
+    pub server_errors: usize,
     /// Answers that say `not-run`.
     pub not_run: usize,
     /// Answers that say `unknown`.
@@ -152,6 +154,7 @@
         Self {
             scheduled: records.clone().count(),
             ran: with(RunOutcome::Ran).count(),
+            server_errors: with(RunOutcome::Ran).filter(is_server_error).count(),
             not_run: with(RunOutcome::NotRun).count(),
             unknown: with(RunOutcome::Unknown).count(),
             cancelled: ended(|end| *end == RequestEnd::Cancelled),
@@ -278,6 +281,10 @@
     }
 }
 
+fn is_server_error(record: &&RequestRecord) -> bool {
+    matches!(record.end, RequestEnd::Answered { status: 500.., .. })
+}
+
 /// Returns how many of `records` ended in each of the first `seconds`.
 ///
 /// What was answered later does not count, so that a queue which is worked off
