Compare shares only where a request is a hundredth or less

Cause: with 18 slot seconds of demand among six teams, one request of 0.2 s is 7 % of a team's entitlement; such a window gave the share error of 17.7 %. Change: a team is compared from 100 entitled requests a window on.

--- a/crates/ctl/src/load/experiment.rs
+++ b/crates/ctl/src/load/experiment.rs
@@ -47,6 +47,9 @@
     pub rotation: Option<DemandRotation>,
     /// Length of the windows in which shares are compared, in seconds.
     pub window_seconds: f64,
+    /// Entitlement of a team below which its share is not compared, in
+    /// requests; one request is a hundredth of the default.
+    pub min_compared_requests: f64,
     /// Streams of requests, one for each team and queue.
     pub streams: Vec<LoadStream>,
 }
@@ -114,6 +117,7 @@
             direct_rate: 0.0,
             rotation: None,
             window_seconds: 10.0,
+            min_compared_requests: 100.0,
             streams: Vec::new(),
         }
     }
@@ -173,6 +177,12 @@
         check_range("rate", self.rate, 0.01, MAX_RATE)?;
         check_range("direct-rate", self.direct_rate, 0.0, MAX_RATE)?;
         check_range("window-seconds", self.window_seconds, 0.1, MAX_SECONDS)?;
+        check_range(
+            "min-compared-requests",
+            self.min_compared_requests,
+            0.0,
+            1e9,
+        )?;
         check_count("max-requests", self.max_requests, 1, MAX_REQUESTS)?;
         check_count("max-in-flight", self.max_in_flight, 1, 50_000)?;
         check_count("threads", self.threads, 1, 16)?;
--- a/crates/ctl/src/load/share.rs
+++ b/crates/ctl/src/load/share.rs
@@ -8,9 +8,6 @@
 use super::experiment::LoadExperiment;
 use super::record::{RequestEnd, RequestRecord};
 
-/// Entitlements below this part of what was delivered are not compared.
-const MIN_PART: f64 = 0.02;
-
 /// Length of the slices in which entitlements are worked out, in seconds.
 const SLICE_SECONDS: f64 = 1.0;
 
@@ -44,6 +41,7 @@
 #[derive(Clone, Copy, Debug, Default)]
 struct TeamDemand {
     weight: f64,
+    run_seconds: f64,
     limit: u32,
     wanted: f64,
     received: f64,
@@ -99,7 +97,12 @@
         for index in 0..count {
             let from = index as f64 * length;
             let teams = window_of(experiment, &records, from, from + length);
-            windows.extend(compare(queue, from, &teams));
+            windows.extend(compare(
+                experiment.min_compared_requests,
+                queue,
+                from,
+                &teams,
+            ));
         }
     }
     windows
@@ -123,6 +126,7 @@
         let entitled = max_min_entitlements(delivered, &wanted, &weights);
         for ((name, part), entitled) in slice.into_iter().zip(entitled) {
             let team = window.entry(name).or_default();
+            team.run_seconds = part.run_seconds;
             team.wanted += part.wanted;
             team.received += part.received;
             team.entitled += entitled;
@@ -148,6 +152,7 @@
         }
         let team = teams.entry(stream.team.clone()).or_default();
         team.weight = stream.share;
+        team.run_seconds = stream.run_seconds;
         team.limit = stream.limit;
         if record.outcome() == Some(RunOutcome::Ran) {
             let started = (ended - stream.run_seconds).max(from);
@@ -169,7 +174,10 @@
 }
 
 /// Returns the largest distance of a team from what it was entitled to.
+///
+/// A team that is entitled to fewer than `min_requests` is left out.
 fn compare(
+    min_requests: f64,
     queue: &QueueName,
     from: f64,
     teams: &BTreeMap<TeamName, TeamDemand>,
@@ -177,7 +185,8 @@
     let delivered: f64 = teams.values().map(|team| team.received).sum();
     let errors: Vec<f64> = teams
         .values()
-        .filter(|team| team.entitled > delivered * MIN_PART)
+        .filter(|team| team.entitled >= min_requests * team.run_seconds)
+        .filter(|team| team.entitled > 0.0)
         .map(|team| (team.received - team.entitled).abs() / team.entitled)
         .collect();
     if errors.len() < MIN_TEAMS {
--- a/crates/ctl/tests/load.rs
+++ b/crates/ctl/tests/load.rs
@@ -25,6 +25,7 @@
     LoadExperiment {
         targets: vec!["http://127.0.0.1:1".into(), "http://127.0.0.1:2".into()],
         streams: vec![stream("a", "q"), stream("b", "r")],
+        min_compared_requests: 1.0,
         ..LoadExperiment::default()
     }
 }
@@ -218,6 +219,17 @@
     assert!(windows[0].error < 1e-9, "{windows:?}");
 }
 
+#[test]
+fn a_window_with_few_requests_is_not_compared() {
+    let mut contended = experiment();
+    contended.streams = vec![stream("a", "q"), stream("b", "q")];
+    let ran = |request, stream| record(request, stream, 0.0, 5.0, answered(RunOutcome::Ran));
+    let records = [ran(0, 0), ran(1, 1)];
+    assert_eq!(load::share_windows(&contended, &records).len(), 1);
+    contended.min_compared_requests = 2.0;
+    assert_eq!(load::share_windows(&contended, &records), []);
+}
+
 #[test]
 fn a_window_without_shares_is_not_compared() {
     let mut contended = experiment();
