--- a/crates/ctl/src/apply.rs
+++ b/crates/ctl/src/apply.rs
@@ -1,7 +1,7 @@
 //! Subcommands that change or compare the declaration in force.
 
 use actix_http::Method;
-use redwing_model::admin::RollbackRequest;
+use redwing_model::admin::{ChangeStatus, RollbackRequest};
 
 use crate::client::{AdminClient, AdminRequest};
 use crate::command::{CommandEntry, ExitStatus};
@@ -125,3 +125,19 @@
     output::print(&output::ChangeText(&reply), flags.get_flag("json"))?;
     Ok(output::status_of(&reply))
 }
+
+/// Sends a change that grants something and prints its secret.
+///
+/// # Errors
+///
+/// Fails also if the grant is in force, but its secret went with a lost reply.
+pub(crate) fn finish_grant(flags: &clap::ArgMatches, request: &AdminRequest) -> Result<ExitStatus> {
+    let reply = AdminClient::new(flags).change(request)?;
+    output::print(&output::ChangeText(&reply), flags.get_flag("json"))?;
+    let is_lost = reply.status == ChangeStatus::Accepted && reply.secret.is_none();
+    if is_lost {
+        let message = "the secret went with a lost reply; withdraw the hash and grant again";
+        return Err(Error::refused(request.step, "entry process", message));
+    }
+    Ok(output::status_of(&reply))
+}
--- a/crates/ctl/src/grant.rs
+++ b/crates/ctl/src/grant.rs
@@ -117,7 +117,7 @@
             let queue = flags.get_one::<QueueName>("queue").cloned();
             let request = KeyRequest { team, queue };
             let request = AdminRequest::post("grant key", KEYS_PATH, &request)?;
-            apply::finish(flags, &request)
+            apply::finish_grant(flags, &request)
         }
         Some(("withdraw", flags)) => withdraw(flags, "withdraw key", KEYS_PATH),
         Some((_, flags)) => list::<KeyView>(flags, "list keys", KEYS_PATH, |key| {
@@ -136,7 +136,7 @@
                 name: name.unwrap_or_default(),
             };
             let request = AdminRequest::post("grant operator", OPERATORS_PATH, &request)?;
-            apply::finish(flags, &request)
+            apply::finish_grant(flags, &request)
         }
         Some(("withdraw", flags)) => withdraw(flags, "withdraw operator", OPERATORS_PATH),
         Some((_, flags)) => {
--- a/crates/ctl/src/load/mod.rs
+++ b/crates/ctl/src/load/mod.rs
@@ -4,6 +4,7 @@
 //! ones were answered, and latency is counted from the scheduled time. That
 //! corrects for coordinated omission: a slow server cannot slow its load down.
 
+mod answer;
 mod check;
 mod command;
 mod experiment;
--- a/crates/ctl/src/load/sender.rs
+++ b/crates/ctl/src/load/sender.rs
@@ -8,18 +8,14 @@
 
 use actix_rt::task;
 use bytes::Bytes;
-use redwing_model::RunOutcome;
-use sha2::Digest;
 
+use super::answer;
 use super::experiment::{LoadExperiment, LoadStream};
-use super::record::{self, BodyCheck, ExecutionCounts, RequestEnd, RequestRecord};
+use super::record::{self, ExecutionCounts, RequestEnd, RequestRecord};
 use super::schedule::{LoadArrival, LoadSchedule};
 use crate::error::{Error, Result};
 use crate::transport;
 
-/// Outcome of a request, in every answer.
-const OUTCOME_HEADER: &str = "redwing-outcome";
-
 /// Whether a request may run more than once.
 const REPEATABLE_HEADER: &str = "redwing-repeatable";
 
@@ -32,18 +28,12 @@
 /// Identifier under which the stand-in backend server counts starts.
 const REQUEST_HEADER: &str = "redwing-standin-request";
 
-/// SHA-256 digest of the body that the stand-in backend server read.
-const DIGEST_HEADER: &str = "redwing-standin-digest";
-
 /// Path of the stand-in backend server's counts.
 const EXECUTIONS_PATH: &str = "/standin/executions";
 
 /// Largest list of counts that is read, in bytes.
 const MAX_COUNTS_BYTES: usize = 256 * 1024 * 1024;
 
-/// Bytes read beyond those expected, to notice a body that is too long.
-const BODY_SLACK_BYTES: usize = 64 * 1024;
-
 /// Time before a scheduled time at which waiting becomes polling.
 const SPIN_TIME: time::Duration = time::Duration::from_micros(1_500);
 
@@ -328,7 +318,7 @@
         let target = context.target_of(arrival, attempt);
         let request = context.request(&context.bases[target], stream, &identifier);
         match request.send_body(body.clone()).await {
-            Ok(response) => return read_answer(response, &body).await,
+            Ok(response) => return answer::read(response, &body).await,
             Err(error) if transport::was_never_sent(&error) => {
                 context.ready[target].set(false);
                 message = format!("cannot connect: {error}");
@@ -345,66 +335,6 @@
     }
 }
 
-/// Reads an answer to its end and compares its body with `sent`.
-async fn read_answer<S>(mut response: awc::ClientResponse<S>, sent: &Bytes) -> RequestEnd
-where
-    S: futures_util::Stream<Item = std::result::Result<Bytes, awc::error::PayloadError>> + Unpin,
-{
-    let header = |name: &str| {
-        let value = response.headers().get(name)?;
-        Some(value.to_str().ok()?.to_owned())
-    };
-    let status = response.status().as_u16();
-    let outcome = header(OUTCOME_HEADER).as_deref().and_then(parse_outcome);
-    let retry_after = header("retry-after").is_some();
-    let digest = header(DIGEST_HEADER);
-    let body = response.body().limit(sent.len() + BODY_SLACK_BYTES);
-    let received = match body.await {
-        Ok(received) => received,
-        Err(error) => {
-            return RequestEnd::Broken {
-                after_head: true,
-                message: error.to_string(),
-            };
-        }
-    };
-    let echoed = status == 200 && digest.is_some();
-    RequestEnd::Answered {
-        status,
-        outcome,
-        retry_after,
-        body: echoed.then(|| check_body(&received, sent, digest.as_deref())),
-    }
-}
-
-fn parse_outcome(text: &str) -> Option<RunOutcome> {
-    [RunOutcome::Ran, RunOutcome::NotRun, RunOutcome::Unknown]
-        .into_iter()
-        .find(|outcome| outcome.as_str() == text)
-}
-
-/// Compares an echoed body and its digest with what was sent.
-fn check_body(received: &[u8], sent: &[u8], digest: Option<&str>) -> BodyCheck {
-    if received != sent {
-        let start = received.len().min(16);
-        let foreign = received.len() == sent.len() && received[..start] != sent[..start];
-        return if foreign {
-            BodyCheck::Foreign
-        } else {
-            BodyCheck::Damaged
-        };
-    }
-    let expected: String = sha2::Sha256::digest(sent)
-        .iter()
-        .map(|byte| format!("{byte:02x}"))
-        .collect();
-    if digest.is_some_and(|digest| digest.eq_ignore_ascii_case(&expected)) {
-        BodyCheck::Own
-    } else {
-        BodyCheck::DigestMismatch
-    }
-}
-
 /// Follows the readiness of the targets, as the platform's balancer does.
 async fn watch_ready(context: rc::Rc<SendContext>) {
     loop {
--- a/crates/ctl/tests/admin.rs
+++ b/crates/ctl/tests/admin.rs
@@ -184,3 +184,32 @@
         heads[0]
     );
 }
+
+#[rstest]
+#[case::told(
+    r#"{"status":"accepted","change":"c1","detail":"d","secret":"s"}"#,
+    ExitStatus::Success
+)]
+#[case::lost(
+    r#"{"status":"accepted","change":"c1","detail":"d"}"#,
+    ExitStatus::Failure
+)]
+fn a_grant_whose_secret_was_lost_is_no_success(
+    #[case] body: &'static str,
+    #[case] expected: ExitStatus,
+) {
+    let (base, thread) = listen(vec![Reply::Answer(200, body)]);
+    let status = redwing_ctl::run([
+        "redwingctl",
+        "key",
+        "grant",
+        "--team",
+        "a",
+        "--admin",
+        &base,
+        "--token",
+        "t",
+    ]);
+    assert_eq!(status, expected);
+    thread.join().expect("the listener");
+}
--- a/scripts/common.sh
+++ b/scripts/common.sh
@@ -23,7 +23,9 @@
 start_until() {
     local lines="$1" expected="$2" tries=0
     shift 2
-    "$@" >"$lines" 2>"$lines.log" &
+    # The lines of an earlier run must not count.
+    : >"$lines"
+    "$@" >>"$lines" 2>"$lines.log" &
     last_pid=$!
     pids+=("$last_pid")
     until grep -q "$expected" "$lines"; do
@@ -70,16 +72,16 @@
         END { print sum + 0 }' "$OUT/$1.json"
 }
 
-# Prints what an earlier run wrote on page $PAGE for figure $1.
+# Prints what an earlier run of command $2 wrote on page $PAGE for figure $1.
 earlier() {
     [ -f "$PAGE" ] || { echo "-"; return; }
-    awk -F' [|] ' -v figure="| $1" '$1 == figure { sub(/ [|]$/, "", $6); print $6; found = 1 }
+    awk -F' [|] ' -v figure="| $1" -v command="\`$2\`" '$1 == figure && $3 == command { sub(/ [|]$/, "", $6); print $6; found = 1 }
         END { if (!found) print "-" }' "$PAGE"
 }
 
 # Adds a row: figure, target, command, value now.
 row() {
-    rows+=("| $1 | $2 | \`$3\` | $SEED | $(earlier "$1") | $4 |")
+    rows+=("| $1 | $2 | \`$3\` | $SEED | $(earlier "$1" "$3") | $4 |")
 }
 
 # Writes page $PAGE with title $1 and what standard input says of the set-up.
--- a/scripts/measure-fleet.sh
+++ b/scripts/measure-fleet.sh
@@ -14,6 +14,9 @@
 readonly RUN=0.2
 # The pool in which one VM in ten fails everything.
 readonly BAD_POOL="inspections"
+# Entry process N listens for its peers on this port plus N.
+readonly PEER_PORT=19100
+readonly CONTROL_SECONDS=10
 readonly TOKEN="token-of-the-measuring-operator"
 
 # Prints each pool with its number of VMs.
@@ -75,7 +78,7 @@
     local digest
     digest=$(printf %s "$TOKEN" | sha256sum | cut -d' ' -f1)
     start_until "$OUT/entry-$1.out" '^admin ' "$LB" serve --platform "$platform" --node "entry-$1" \
-        --bootstrap-hash "$digest" --task-lease 5 --list-lag 1 --leave-delay 3
+        --peer-listen "127.0.0.1:$((PEER_PORT + $1))" --bootstrap-hash "$digest" --task-lease 5 --list-lag 1 --leave-delay 3
     entry_pids[$1]=$last_pid
 }
 
@@ -134,6 +137,40 @@
         "$(($(date +%s%3N) - from))"
 }
 
+# Prints the bytes that the first entry process sent and received so far on
+# connections with a port like $1.
+bytes_of() {
+    ss -tinpH | awk -v pid="pid=${entry_pids[1]}," -v port=":($1)$" '
+        /^[A-Z]/ { wanted = index($0, pid) && ($4 ~ port || $5 ~ port) }
+        wanted { for (i = 1; i <= NF; i++) if ($i ~ /^bytes_(sent|received):/) {
+            split($i, part, ":"); sum += part[2] } }
+        END { print sum + 0 }'
+}
+
+# Prints the processor time of the first entry process so far, in ms.
+processor_time() {
+    awk '{ print ($14 + $15) * 10 }' "/proc/${entry_pids[1]}/stat"
+}
+
+# Adds rows on what control costs the first entry process in state $1.
+measure_control() {
+    local peers="1910[0-9]" store="${platform##*:}" peer_bytes store_bytes time
+    peer_bytes=$(bytes_of "$peers")
+    store_bytes=$(bytes_of "$store")
+    time=$(processor_time)
+    sleep "$CONTROL_SECONDS"
+    peer_bytes=$((($(bytes_of "$peers") - peer_bytes) / CONTROL_SECONDS))
+    store_bytes=$((($(bytes_of "$store") - store_bytes) / CONTROL_SECONDS))
+    time=$(($(processor_time) - time))
+    row "bytes a second with two peers, $1" "< 7000" "ss -ti" "$peer_bytes"
+    row "bytes a second with the table, $1" "-" "ss -ti" "$store_bytes"
+    [ "$1" = idle ] || return 0
+    row "processor time of the whole process, idle, % of a core" "< 2.7" "/proc/PID/stat" \
+        "$(awk -v ms="$time" -v s="$CONTROL_SECONDS" 'BEGIN { printf "%.2f", ms / s / 10 }')"
+    row "memory of the process, 50 workers, MB" "< 128" "/proc/PID/status" \
+        "$(awk '/^VmRSS/ { printf "%.1f", $2 / 1024 }' "/proc/${entry_pids[1]}/status")"
+}
+
 set_table() {
     curl -sf -m 5 "$platform/control" -d "{\"all-faults\":{\"table-down\":$1}}" >/dev/null
 }
@@ -156,6 +193,13 @@
 write_experiment
 sleep 3
 
+measure_control idle
+"$CTL" load -f "$OUT/fleet.toml" --rate 800 --rotation 5 --timeout 3 --seconds 14 >/dev/null &
+tool=$!
+sleep 2
+measure_control "800 requests a second"
+wait "$tool" || failures=$((failures + 1))
+
 flags="--rate 800 --rotation 5 --timeout 3 --seconds 40 --threads 2"
 # shellcheck disable=SC2086
 load fleet-rotating -f "$OUT/fleet.toml" --declaration "$FLEET" $flags
