--- a/crates/policy/src/ledger.rs
+++ b/crates/policy/src/ledger.rs
@@ -7,7 +7,7 @@
 use std::cmp;
 use std::collections::{BTreeSet, BinaryHeap, HashMap, HashSet};
 
-use redwing_model::NodeIncarnation;
+use redwing_model::{NodeIncarnation, VmId};
 use serde::{Deserialize, Serialize};
 
 use crate::clock::NodeTime;
@@ -91,7 +91,7 @@
         let Some(free) = self.free.get(pool) else {
             return 0;
         };
-        let count = free.own.range(..bound).count() + free.foreign.range(..bound).count();
+        let count = count_below(&free.own, bound) + count_below(&free.foreign, bound);
         u32::try_from(count).unwrap_or(u32::MAX)
     }
 
@@ -171,6 +171,23 @@
         self.foreign > 0
     }
 
+    /// Returns the VMs of which a slot is used, or may still be used by an
+    /// attempt whose end is unknown.
+    pub fn busy_vms(&self) -> BTreeSet<VmId> {
+        let mut busy = BTreeSet::new();
+        for (token, entry) in &self.tokens {
+            if let TokenPool::Slot(vm) = &token.pool
+                && matches!(
+                    entry.state,
+                    TokenState::Used(_) | TokenState::Quarantined(_)
+                )
+            {
+                busy.insert(vm.clone());
+            }
+        }
+        busy
+    }
+
     /// Returns the tokens that this process may use now or later, with the
     /// process that lent each, if any.
     pub fn holdings(&self) -> Vec<(TokenId, Option<NodeIncarnation>)> {
@@ -465,3 +482,12 @@
         }
     }
 }
+
+/// Returns how many numbers are below `bound`; constant time but while a limit
+/// is being lowered.
+fn count_below(numbers: &BTreeSet<u32>, bound: u32) -> usize {
+    match numbers.last() {
+        Some(last) if *last >= bound => numbers.range(..bound).count(),
+        _ => numbers.len(),
+    }
+}
