--- a/crates/node/src/serve.rs
+++ b/crates/node/src/serve.rs
@@ -21,6 +21,7 @@
 use crate::ingress::{self, IngressContext};
 use crate::metrics::{ControlMetrics, MetricsRegistry, PathMetrics};
 use crate::plane::{ClaimSlot, ControlPlane, PlaneParts};
+use crate::sample::ClusterMetrics;
 use crate::settings::{NodeSettings, PlatformAddress};
 use crate::snapshot::SnapshotSender;
 use crate::stop::{SignalListener, StopPhase, StopSignal};
@@ -55,6 +56,7 @@
         stop: stopped,
     };
     let claims = ClaimSlot::default();
+    let cluster_metrics = ClusterMetrics::register(&registry)?;
     let context = IngressContext {
         snapshots: receiver,
         control: channel.handle.clone(),
@@ -80,6 +82,7 @@
         peer_listener: listeners.peer,
         admin_listener: listeners.admin,
         claims,
+        metrics: cluster_metrics,
         bootstrap: settings.bootstrap_hash.or(generated),
     };
     let started = tokio::select! {
