--- a/crates/node/tests/control/main.rs
+++ b/crates/node/tests/control/main.rs
@@ -3,6 +3,7 @@
 #![expect(clippy::unwrap_used, reason = "a failed step fails the test")]
 
 mod admin;
+mod audit;
 mod claim;
 mod config;
 mod fleet;
