--- a/crates/node/tests/rollout.rs
+++ b/crates/node/tests/rollout.rs
@@ -6,6 +6,7 @@
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread;
+use std::time::Duration;
 
 use common::cluster::{TestCluster, send};
 use common::wait_for;
@@ -60,6 +61,8 @@
         cluster.kill(2);
         let mut most_out = 0;
         let done = wait_for(|| {
+            // Each status reads the table.
+            thread::sleep(Duration::from_millis(100));
             let status = status(&cluster, 0)?;
             most_out = most_out.max(status.out.len());
             (status.state == RolloutState::Done).then_some(status)
