Hold that a leaving backend server gets nothing new

Cause: no test held the promise for a VM that the platform lists as leaving; the operator API's table lacked roll-outs and explanations. Change: a test with three real processes: the VM gets requests, is listed as leaving, and after 3 s none of 300 requests reaches it; membership rounds come once a second instead of twice, since the bound allows it.

--- a/crates/model/src/admin.rs
+++ b/crates/model/src/admin.rs
@@ -18,6 +18,9 @@
 //! | `DELETE /v1/admin/operators/HASH` | [`ChangeReply`] |
 //! | `GET /v1/admin/status` | [`NodeStatus`] |
 //! | `GET /v1/admin/audit[?FILTERS]` | [`AuditEntry`] a line |
+//! | `GET /v1/admin/rollouts/POOL` | status of the pool's roll-out |
+//! | `POST /v1/admin/rollouts/POOL`, command | the status after it |
+//! | `GET /v1/admin/explain/vm\|pool\|class/NAME` | the decision with its inputs |
 //!
 //! The status of a [`ChangeReply`] is 200 for `accepted`, 202 for `pending`,
 //! 409 for a conflict, 422 for a faulty declaration, 503 if the table could
--- a/crates/node/src/cluster.rs
+++ b/crates/node/src/cluster.rs
@@ -26,7 +26,7 @@
 use crate::stop::StopPhase;
 
 /// Time between two membership rounds.
-const ROUND_INTERVAL: time::Duration = time::Duration::from_millis(500);
+const ROUND_INTERVAL: time::Duration = time::Duration::from_secs(1);
 
 /// Shortest and longest time between attempts to register.
 const REGISTER_DELAY_MIN: time::Duration = time::Duration::from_millis(100);
--- a/crates/node/tests/rollout.rs
+++ b/crates/node/tests/rollout.rs
@@ -8,9 +8,14 @@
 use std::thread;
 use std::time::Duration;
 
+use common::client::Request;
 use common::cluster::{TestCluster, send};
-use common::wait_for;
+use common::{Process, wait_for};
+use redwing_model::vm::VmIdentity;
 use redwing_planner::rollout::{RolloutState, RolloutStatus};
+use redwing_platform::{ListedStatus, ListedVm, VmRole};
+use redwing_standin::backend::ExecutionCounts;
+use redwing_standin::server::ControlCall;
 
 /// Path of the pool's roll-out in the operator API.
 const ROLLOUT: &str = "/v1/admin/rollouts/reports";
@@ -81,3 +86,60 @@
         assert_eq!(log.failed, Vec::<String>::new());
     }
 }
+
+/// Time after which a leaving backend server may get no new request.
+const LEAVING_LIMIT: Duration = Duration::from_secs(3);
+
+/// Returns how many requests the backend server of `process` has begun.
+fn executions(process: &Process) -> usize {
+    let address = process.stdout[0].strip_prefix("backend http://").unwrap();
+    let answer = Request::get("/standin/executions")
+        .send(address.parse().unwrap())
+        .unwrap();
+    let counts: ExecutionCounts = serde_json::from_slice(&answer.body).unwrap();
+    counts.executions.len()
+}
+
+#[test]
+fn a_leaving_backend_server_gets_nothing_new_after_a_few_seconds() {
+    let cluster = TestCluster::start();
+    let leaving = Process::start(&["standin", "backend", "--listen", "127.0.0.1:0"]);
+    let address = leaving.stdout[0].strip_prefix("backend http://").unwrap();
+    let list = |status| {
+        cluster.control(&ControlCall::PutVm(ListedVm {
+            identity: VmIdentity {
+                vm: "vm-7".parse().unwrap(),
+                address: address.parse().unwrap(),
+                rack: "rack-2".parse().unwrap(),
+                data_centre: "dc-2".parse().unwrap(),
+            },
+            role: VmRole::BackendServer,
+            status,
+        }));
+    };
+    let mut sent = 0;
+    let mut send_some = || {
+        for node in 0..30 {
+            sent += 1;
+            let id = format!("request-{sent}");
+            let answer = Request::post("notices", "body")
+                .header("Redwing-Standin-Request", &id)
+                .send(cluster.listen(node % 3))
+                .unwrap();
+            assert_eq!(answer.status, 200, "{}", answer.text());
+        }
+    };
+    list(ListedStatus::Live);
+    let used = wait_for(|| {
+        send_some();
+        (executions(&leaving) > 0).then_some(())
+    });
+    assert!(used.is_some(), "the new backend server never got a request");
+    list(ListedStatus::Leaving);
+    thread::sleep(LEAVING_LIMIT);
+    let before = executions(&leaving);
+    for _ in 0..10 {
+        send_some();
+    }
+    assert_eq!(executions(&leaving), before);
+}
