Split the harnesses of the scheduler's and the membership's tests

Change: start, recovery and tasks of the scheduler's test cluster, and model, world and tests of the membership, in files of their own; no test changed.

--- a/crates/node/tests/membership.rs
+++ b/crates/node/tests/membership/world.rs
@@ -1,147 +1,31 @@
-//! Homes of tokens under kills, restarts, outages and lost replies.
-//!
-//! Each process runs the real membership over the stand-in platform. Its
-//! scheduler is a small model that lends, borrows and uses tokens at random;
-//! the model of the backend servers notices when a token is used twice.
+//! Entry processes, their messages, and requests on one backend server.
 
-#![expect(clippy::unwrap_used, reason = "a test fails by panicking")]
-
-use std::cell::RefCell;
-use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 use std::time::Duration;
 
-use proptest::prelude::*;
-use proptest::test_runner::RngSeed;
 use redwing_membership::{EndedSettings, HoldingRecord, holding};
 use redwing_model::vm::{VmIdentity, VmPhase, VmRecord};
 use redwing_model::{FleetDeclaration, NodeId, NodeIncarnation, VmId};
-use redwing_node::membership::{
-    MemberStanding, MembershipRunner, MembershipSettings, SchedulerPort,
-};
+use redwing_node::membership::{MemberStanding, MembershipRunner, MembershipSettings};
 use redwing_node::register::{self, MemberIdentity};
-use redwing_platform::{
-    ListedStatus, ListedVm, LocalFuture, RowKey, TableStore, TableTransaction, VmRole,
-};
-use redwing_policy::{FleetView, NodeTime, TokenId};
+use redwing_platform::{ListedStatus, ListedVm, RowKey, TableStore, TableTransaction, VmRole};
+use redwing_policy::{NodeTime, TokenId};
 use redwing_standin::MemoryPlatform;
 use redwing_standin::memory::MemorySettings;
 
-/// Time that a request may run after its sender has ended.
-const TASK_LEASE: Duration = Duration::from_secs(60);
-
-/// Entry VMs of the test.
-const NODES: usize = 3;
-
-/// Slots of the one backend server.
-const SLOTS: u32 = 4;
-
-/// Tokens as one process sees them.
-#[derive(Debug, Default)]
-struct TokenModel {
-    now: NodeTime,
-    peers: Vec<NodeIncarnation>,
-    own: BTreeSet<TokenId>,
-    lent: BTreeMap<TokenId, NodeIncarnation>,
-    borrowed: BTreeMap<TokenId, NodeIncarnation>,
-    returning: BTreeMap<TokenId, NodeIncarnation>,
-    busy: BTreeSet<TokenId>,
-    held_until: BTreeMap<TokenId, NodeTime>,
-    settled: BTreeSet<NodeIncarnation>,
-}
-
-impl TokenModel {
-    fn is_idle(&self, token: &TokenId) -> bool {
-        let held = self
-            .held_until
-            .get(token)
-            .is_some_and(|until| *until > self.now);
-        let here = self.own.contains(token) && !self.lent.contains_key(token);
-        (here || self.borrowed.contains_key(token)) && !held && !self.busy.contains(token)
-    }
-
-    fn idle_own(&self) -> Vec<TokenId> {
-        self.own
-            .iter()
-            .filter(|token| self.is_idle(token))
-            .cloned()
-            .collect()
-    }
-
-    fn idle(&self) -> Vec<TokenId> {
-        let borrowed = self.borrowed.keys().filter(|token| self.is_idle(token));
-        self.idle_own()
-            .into_iter()
-            .chain(borrowed.cloned())
-            .collect()
-    }
-
-    fn settle(&mut self, ended: &NodeIncarnation) -> Vec<TokenId> {
-        self.settled.insert(ended.clone());
-        let until = self.now + TASK_LEASE;
-        let lent: Vec<TokenId> = keys_of(&self.lent, ended);
-        for token in lent {
-            self.lent.remove(&token);
-            self.held_until.insert(token, until);
-        }
-        let adopted: Vec<TokenId> = keys_of(&self.borrowed, ended);
-        for token in &adopted {
-            self.borrowed.remove(token);
-        }
-        // It may have arrived there before the end, and been lent again: the
-        // table alone gives it a new home.
-        self.returning.retain(|_, home| home != ended);
-        self.own.extend(adopted.iter().cloned());
-        adopted
-    }
-}
-
-fn keys_of(tokens: &BTreeMap<TokenId, NodeIncarnation>, peer: &NodeIncarnation) -> Vec<TokenId> {
-    let matching = tokens.iter().filter(|entry| entry.1 == peer);
-    matching.map(|entry| entry.0.clone()).collect()
-}
-
-#[derive(Default)]
-struct ModelPort(RefCell<TokenModel>);
-
-impl SchedulerPort for ModelPort {
-    fn install(&self, view: FleetView) {
-        let mut model = self.0.borrow_mut();
-        let lent: BTreeSet<TokenId> = model.lent.keys().cloned().collect();
-        let listed: BTreeSet<TokenId> = view.homes.into_iter().collect();
-        let kept = model
-            .own
-            .intersection(&lent)
-            .cloned()
-            .collect::<BTreeSet<_>>();
-        model.own = listed.union(&kept).cloned().collect();
-        model.peers = view.peers;
-    }
-
-    fn settle<'a>(&'a self, ended: &'a NodeIncarnation) -> LocalFuture<'a, Vec<TokenId>> {
-        Box::pin(async move { self.0.borrow_mut().settle(ended) })
-    }
-
-    fn release_home<'a>(&'a self, token: &'a TokenId) -> LocalFuture<'a, bool> {
-        Box::pin(async move {
-            let mut model = self.0.borrow_mut();
-            let idle = model.own.contains(token) && model.is_idle(token);
-            idle && model.own.remove(token)
-        })
-    }
-}
+use crate::model::{ModelPort, NODES, SLOTS, TASK_LEASE};
 
 /// One running entry process.
-struct Process {
-    incarnation: NodeIncarnation,
+pub(crate) struct Process {
+    pub(crate) incarnation: NodeIncarnation,
     platform: MemoryPlatform,
-    port: Rc<ModelPort>,
+    pub(crate) port: Rc<ModelPort>,
     runner: MembershipRunner,
 }
 
 /// Token on its way between two processes.
 #[derive(Clone, Debug)]
-struct Transfer {
+pub(crate) struct Transfer {
     from: NodeIncarnation,
     to: NodeIncarnation,
     token: TokenId,
@@ -149,7 +33,7 @@
 
 /// Request running on the backend server.
 #[derive(Debug)]
-struct RunningTask {
+pub(crate) struct RunningTask {
     sender: NodeIncarnation,
     token: TokenId,
     ends: Option<NodeTime>,
@@ -157,7 +41,7 @@
 
 /// One step of the test.
 #[derive(Clone, Debug)]
-enum Step {
+pub(crate) enum Step {
     Round(usize),
     /// Rounds of two processes, whose table calls alternate.
     RoundPair(usize, usize),
@@ -178,9 +62,9 @@
     Advance(u64),
 }
 
-struct World {
+pub(crate) struct World {
     platform: MemoryPlatform,
-    processes: Vec<Option<Process>>,
+    pub(crate) processes: Vec<Option<Process>>,
     transfers: Vec<Transfer>,
     tasks: Vec<RunningTask>,
     declaration: FleetDeclaration,
@@ -188,7 +72,7 @@
 }
 
 impl World {
-    async fn new() -> Self {
+    pub(crate) async fn new() -> Self {
         let platform = MemoryPlatform::new(MemorySettings::default());
         let mut world = Self {
             platform,
@@ -210,7 +94,7 @@
         world
     }
 
-    async fn add_worker(&self) {
+    pub(crate) async fn add_worker(&self) {
         let identity = identity("vm-1", 9_000);
         let record = VmRecord {
             identity: identity.clone(),
@@ -228,7 +112,7 @@
         });
     }
 
-    async fn start_process(&mut self, index: usize) {
+    pub(crate) async fn start_process(&mut self, index: usize) {
         let node: NodeId = format!("entry-{index}").parse().unwrap();
         self.platform.put_vm(ListedVm {
             identity: identity(node.as_str(), 7_000),
@@ -264,7 +148,7 @@
         });
     }
 
-    async fn round(&mut self, index: usize) {
+    pub(crate) async fn round(&mut self, index: usize) {
         let now = self.now;
         let Some(process) = &mut self.processes[index] else {
             return;
@@ -274,7 +158,7 @@
         assert_ne!(standing.ok(), Some(MemberStanding::Replaced));
     }
 
-    async fn round_pair(&mut self, first: usize, second: usize) {
+    pub(crate) async fn round_pair(&mut self, first: usize, second: usize) {
         let (Some(mut first), Some(mut second)) =
             (self.processes[first].take(), self.processes[second].take())
         else {
@@ -299,7 +183,7 @@
         }
     }
 
-    fn advance(&mut self, millis: u64) {
+    pub(crate) fn advance(&mut self, millis: u64) {
         let step = Duration::from_millis(millis);
         self.platform.advance(step);
         self.now = self.now + step;
@@ -311,7 +195,7 @@
             .retain(|task| task.ends.is_none_or(|ends| ends > now));
     }
 
-    fn start(&mut self, index: usize) {
+    pub(crate) fn start(&mut self, index: usize) {
         let Some(process) = &self.processes[index] else {
             return;
         };
@@ -333,7 +217,7 @@
         });
     }
 
-    fn finish(&mut self, choice: usize) {
+    pub(crate) fn finish(&mut self, choice: usize) {
         if self.tasks.is_empty() {
             return;
         }
@@ -343,7 +227,7 @@
         }
     }
 
-    fn lend(&mut self, from: usize, to: usize) {
+    pub(crate) fn lend(&mut self, from: usize, to: usize) {
         let (Some(giver), Some(receiver)) = (&self.processes[from], &self.processes[to]) else {
             return;
         };
@@ -365,7 +249,7 @@
         });
     }
 
-    fn give_back(&mut self, index: usize) {
+    pub(crate) fn give_back(&mut self, index: usize) {
         let Some(process) = &self.processes[index] else {
             return;
         };
@@ -388,7 +272,7 @@
     }
 
     /// Delivers a transfer; `acknowledged` tells whether the sender hears of it.
-    fn deliver(&mut self, choice: usize, acknowledged: bool) {
+    pub(crate) fn deliver(&mut self, choice: usize, acknowledged: bool) {
         if self.transfers.is_empty() {
             return;
         }
@@ -416,7 +300,7 @@
     }
 
     /// Ends a process; what it sent goes on running for the task lease.
-    fn kill(&mut self, index: usize) {
+    pub(crate) fn kill(&mut self, index: usize) {
         let Some(process) = self.processes[index].take() else {
             return;
         };
@@ -430,7 +314,7 @@
         }
     }
 
-    async fn leave(&mut self, index: usize) {
+    pub(crate) async fn leave(&mut self, index: usize) {
         let Some(process) = &mut self.processes[index] else {
             return;
         };
@@ -445,18 +329,18 @@
         self.kill(index);
     }
 
-    fn process(&self, incarnation: &NodeIncarnation) -> Option<&Process> {
+    pub(crate) fn process(&self, incarnation: &NodeIncarnation) -> Option<&Process> {
         let mut running = self.processes.iter().flatten();
         running.find(|process| process.incarnation == *incarnation)
     }
 
-    fn set_table(&self, index: usize, down: bool) {
+    pub(crate) fn set_table(&self, index: usize, down: bool) {
         if let Some(process) = &self.processes[index] {
             process.platform.set_faults(|plan| plan.table_down = down);
         }
     }
 
-    fn lose(&self, index: usize, replies: u32, requests: u32) {
+    pub(crate) fn lose(&self, index: usize, replies: u32, requests: u32) {
         if let Some(process) = &self.processes[index] {
             process.platform.set_faults(|plan| {
                 plan.lost_replies = replies;
@@ -465,7 +349,7 @@
         }
     }
 
-    async fn apply(&mut self, step: &Step) {
+    pub(crate) async fn apply(&mut self, step: &Step) {
         match *step {
             Step::Round(index) => self.round(index).await,
             Step::RoundPair(first, second) => self.round_pair(first, second).await,
@@ -495,7 +379,7 @@
     }
 
     /// Ends all faults and lets the processes recover everything.
-    async fn heal(&mut self) {
+    pub(crate) async fn heal(&mut self) {
         for index in 0..NODES {
             self.set_table(index, false);
             self.lose(index, 0, 0);
@@ -523,7 +407,7 @@
 
     /// Checks that each token is idle at exactly one process, which the table
     /// names as its home.
-    async fn check_recovered(&self) {
+    pub(crate) async fn check_recovered(&self) {
         let view = self.platform.scan(holding::HOLDING_PREFIX).await.unwrap();
         let row = view.rows.first().expect("the slots have a row");
         let record: HoldingRecord = serde_json::from_str(row.value.as_deref().unwrap()).unwrap();
@@ -545,12 +429,12 @@
     }
 }
 
-fn index_of(incarnation: &NodeIncarnation) -> usize {
+pub(crate) fn index_of(incarnation: &NodeIncarnation) -> usize {
     let (_, index) = incarnation.node.as_str().rsplit_once('-').unwrap();
     index.parse().unwrap()
 }
 
-fn identity(vm: &str, port: u16) -> VmIdentity {
+pub(crate) fn identity(vm: &str, port: u16) -> VmIdentity {
     VmIdentity {
         vm: vm.parse().unwrap(),
         address: ([127, 0, 0, 1], port).into(),
@@ -558,143 +442,3 @@
         data_centre: "dc-1".parse().unwrap(),
     }
 }
-
-fn step() -> impl Strategy<Value = Step> {
-    let node = 0..NODES;
-    prop_oneof![
-        6 => node.clone().prop_map(Step::Round),
-        4 => node.clone().prop_map(Step::Rounds),
-        4 => (0..NODES, 1..NODES).prop_map(|(first, step)| {
-            Step::RoundPair(first, (first + step) % NODES)
-        }),
-        8 => node.clone().prop_map(Step::Start),
-        3 => any::<usize>().prop_map(Step::Finish),
-        5 => (node.clone(), node.clone()).prop_map(|(from, to)| Step::Lend(from, to)),
-        3 => node.clone().prop_map(Step::Return),
-        5 => any::<usize>().prop_map(Step::Deliver),
-        2 => any::<usize>().prop_map(Step::LoseAck),
-        2 => node.clone().prop_map(Step::Kill),
-        3 => node.clone().prop_map(Step::Restart),
-        1 => node.clone().prop_map(Step::Leave),
-        1 => (node.clone(), any::<bool>()).prop_map(|(index, down)| Step::TableDown(index, down)),
-        3 => node.clone().prop_map(Step::LoseReply),
-        3 => node.prop_map(Step::LoseRequest),
-        3 => (100_u64..5_000).prop_map(Step::Advance),
-        4 => (30_000_u64..70_000).prop_map(Step::Advance),
-    ]
-}
-
-/// Runs `steps`, then checks that everything is recovered.
-fn run(steps: &[Step]) {
-    let system = actix_rt::System::new();
-    system.block_on(async {
-        // Delays of the table pass at once.
-        tokio::time::pause();
-        let mut world = World::new().await;
-        for step in steps {
-            world.apply(step).await;
-        }
-        world.heal().await;
-        world.check_recovered().await;
-    });
-}
-
-proptest! {
-    #![proptest_config(ProptestConfig {
-        cases: 400,
-        failure_persistence: None,
-        rng_seed: RngSeed::Fixed(41),
-        ..ProptestConfig::default()
-    })]
-
-    #[test]
-    fn no_token_is_used_twice_and_none_is_lost(
-        steps in prop::collection::vec(step(), 20..160),
-    ) {
-        run(&steps);
-    }
-}
-
-/// A write whose reply was lost may have given a token away: it must not be
-/// used here again while the table cannot be read.
-#[test]
-fn a_token_given_away_stays_out_of_use_when_the_reply_is_lost() {
-    let system = actix_rt::System::new();
-    system.block_on(async {
-        let mut world = World::new().await;
-        // Alone, one process becomes the home of every token.
-        for index in 1..NODES {
-            world.leave(index).await;
-        }
-        for _ in 0..8 {
-            world.round(0).await;
-            world.advance(TASK_LEASE.as_millis() as u64 / 2);
-        }
-        for index in 1..NODES {
-            world.start_process(index).await;
-        }
-        world.lose(0, 1, 0);
-        world.round(0).await;
-        world.set_table(0, true);
-        for index in [1, 2, 0, 1, 2, 0] {
-            world.round(index).await;
-        }
-        for index in (0..NODES).cycle().take(NODES * SLOTS as usize) {
-            world.start(index);
-        }
-        world.heal().await;
-        world.check_recovered().await;
-    });
-}
-
-/// Two members that take over tokens of one row at once: the one whose write
-/// loses may not count as settled before its tokens are at home with it.
-#[test]
-fn a_member_settles_only_once_the_table_names_it_as_home() {
-    let system = actix_rt::System::new();
-    system.block_on(async {
-        tokio::time::pause();
-        let mut world = World::new().await;
-        for index in 1..NODES {
-            world.leave(index).await;
-        }
-        for _ in 0..8 {
-            world.round(0).await;
-            world.advance(TASK_LEASE.as_millis() as u64 / 2);
-        }
-        // The new members know the first one, but have no home tokens.
-        for index in 1..NODES {
-            world.start_process(index).await;
-        }
-        world.processes[0]
-            .as_mut()
-            .unwrap()
-            .port
-            .0
-            .borrow_mut()
-            .peers = world.processes[1..]
-            .iter()
-            .flatten()
-            .map(|peer| peer.incarnation.clone())
-            .collect();
-        for index in 1..NODES {
-            world.lend(0, index);
-            world.deliver(0, true);
-        }
-        world.round_pair(1, 2).await;
-        world.kill(0);
-        for _ in 0..4 {
-            world.advance(30_000);
-            world.round_pair(1, 2).await;
-        }
-        for _ in 0..4 {
-            world.advance(TASK_LEASE.as_millis() as u64);
-            world.round_pair(1, 2).await;
-            for index in (1..NODES).cycle().take(NODES * SLOTS as usize) {
-                world.start(index);
-            }
-        }
-        world.heal().await;
-        world.check_recovered().await;
-    });
-}
--- /dev/null
+++ b/crates/policy/tests/support/cluster/task.rs
@@ -0,0 +1,183 @@
+//! Requests that run on the fake workers.
+
+use super::*;
+
+impl Cluster {
+    pub(super) fn start_task(&mut self, from: &NodeIncarnation, id: TicketId, vm: &VmId) {
+        let result = self.draw_result(vm);
+        let Some(request) = self.requests.get_mut(&id) else {
+            self.violations.push(format!("dispatch of unknown {id:?}"));
+            return;
+        };
+        if !request.ends.is_empty() {
+            self.violations
+                .push(format!("dispatch of {id:?} after its end"));
+        }
+        let run = match result {
+            TaskEnd::Refused => 0,
+            TaskEnd::Failed => 1,
+            TaskEnd::Success | TaskEnd::Lost => request.run,
+        };
+        if result != TaskEnd::Refused {
+            request.executions += 1;
+            if request.executions > 1 && !request.repeatable {
+                self.violations.push(format!("{id:?} ran twice"));
+            }
+        }
+        let (class, team) = (request.class.clone(), request.team.clone());
+        let task = Task {
+            id,
+            node: from.clone(),
+            class,
+            team,
+            vm: vm.clone(),
+            start: self.now,
+            end: self.now + run,
+            result,
+            reported: false,
+        };
+        self.count_start(&task);
+        self.next_task += 1;
+        // A lost connection is reported at once, while the task runs on.
+        let due = match result {
+            TaskEnd::Lost => self.now,
+            _ => task.end,
+        };
+        self.tasks.insert((due, self.next_task), task);
+    }
+
+    pub(super) fn draw_result(&mut self, vm: &VmId) -> TaskEnd {
+        if self.black_hole.as_ref() == Some(vm) {
+            return TaskEnd::Failed;
+        }
+        let draw = self.numbers.below(100);
+        let faults = self.faults;
+        match draw {
+            _ if draw < faults.refused => TaskEnd::Refused,
+            _ if draw < faults.refused + faults.failed => TaskEnd::Failed,
+            _ if draw < faults.refused + faults.failed + faults.lost => TaskEnd::Lost,
+            _ => TaskEnd::Success,
+        }
+    }
+
+    pub(super) fn count_start(&mut self, task: &Task) {
+        let key = (task.class.clone(), task.team.clone());
+        self.loads.entry(key).or_default().running += 1;
+        let on_vm = self.running_vm.entry(task.vm.clone()).or_default();
+        *on_vm += 1;
+        if *on_vm > self.shape.slots {
+            let excess = format!("{} runs {on_vm} tasks at {}", task.vm, self.now);
+            self.violations.push(excess);
+        }
+        let Some(team) = &task.team else {
+            return;
+        };
+        let of_team = self.running_team.entry(team.clone()).or_default();
+        *of_team += 1;
+        let limit = self.shape.teams.iter().find(|(name, ..)| name == team);
+        if limit.is_some_and(|(_, _, limit)| *of_team > *limit) {
+            let excess = format!("{team} runs {of_team} tasks at {}", self.now);
+            self.violations.push(excess);
+        }
+    }
+
+    pub(super) fn count_end(&mut self, task: &Task) {
+        let key = (task.class.clone(), task.team.clone());
+        self.loads.entry(key).or_default().running -= 1;
+        if let Some(running) = self.running_vm.get_mut(&task.vm) {
+            *running -= 1;
+        }
+        let team = task.team.as_ref();
+        if let Some(running) = team.and_then(|team| self.running_team.get_mut(team)) {
+            *running -= 1;
+        }
+    }
+
+    pub(super) fn end_tasks(&mut self) {
+        while let Some(entry) = self.tasks.first_entry() {
+            if entry.key().0 > self.now {
+                break;
+            }
+            let mut task = entry.remove();
+            let over = task.end <= self.now;
+            if over {
+                self.count_end(&task);
+                self.finished.push(task.clone());
+            }
+            // A paused process hears of the end when it wakes.
+            task.reported = task.reported || self.report(&task);
+            match (over, task.reported) {
+                (true, true) => {}
+                (true, false) => self.late.push(task),
+                (false, _) => {
+                    self.next_task += 1;
+                    self.tasks.insert((task.end, self.next_task), task);
+                }
+            }
+        }
+        for task in std::mem::take(&mut self.late) {
+            if !self.report(&task) {
+                self.late.push(task);
+            }
+        }
+    }
+
+    /// Reports the end of an attempt; returns false while its process is paused.
+    pub(super) fn report(&mut self, task: &Task) -> bool {
+        let place = self
+            .incarnations
+            .iter()
+            .position(|other| *other == task.node)
+            .unwrap();
+        let Some(process) = &mut self.processes[place] else {
+            return true;
+        };
+        if process.paused_until.is_some() {
+            return false;
+        }
+        let report = AttemptReport {
+            vm: task.vm.clone(),
+            outcome: match task.result {
+                TaskEnd::Success | TaskEnd::Failed => RunOutcome::Ran,
+                TaskEnd::Refused => RunOutcome::NotRun,
+                TaskEnd::Lost => RunOutcome::Unknown,
+            },
+            faulty: task.result != TaskEnd::Success,
+            ended: task.result != TaskEnd::Lost,
+            answered: task.result == TaskEnd::Success,
+        };
+        let verdict = process.scheduler.finish(at(self.now), task.id, &report);
+        if verdict == AttemptVerdict::Final {
+            let good = task.result == TaskEnd::Success;
+            let end = RequestEnd::Answered { at: self.now, good };
+            self.end_request(task.id, end);
+        }
+        self.act(place);
+        true
+    }
+
+    pub(super) fn end_request(&mut self, id: TicketId, end: RequestEnd) {
+        let Some(request) = self.requests.get_mut(&id) else {
+            return;
+        };
+        if let RequestEnd::Refused { outcome, .. } = end
+            && outcome == RunOutcome::NotRun
+            && request.executions > 0
+        {
+            self.violations
+                .push(format!("{id:?} ran, but was refused as not run"));
+        }
+        if request.ends == [RequestEnd::Cancelled] && matches!(end, RequestEnd::Answered { .. }) {
+            return;
+        }
+        request.ends.push(end);
+        if request.ends.len() == 1 {
+            let key = (request.class.clone(), request.team.clone());
+            self.loads.entry(key).or_default().open -= 1;
+        }
+        if request.ends.len() > 1 {
+            self.violations
+                .push(format!("{id:?} ended twice: {:?}", request.ends));
+        }
+    }
+}
