Split the start of an entry process into steps

Cause: one function of a hundred lines opened, announced and ended it. Change: EntryProcess with open, announce and finish; behaviour as before, except that a signal is heeded while an embedded fleet is configured.

--- a/crates/node/src/serve.rs
+++ b/crates/node/src/serve.rs
@@ -40,94 +40,143 @@
 /// replaced by a newer one on its VM.
 pub async fn serve(settings: NodeSettings) -> Result<()> {
     let mut signals = SignalListener::open().map_err(signal_error)?;
-    let listeners = EntryListeners::bind(&settings)?;
-    let source = PlatformSource::open(&settings).await?;
-    let settings = rc::Rc::new(settings);
-    let (stop, stopped) = watch::channel(StopPhase::Running);
-    let (snapshots, receiver) = watch::channel(sync::Arc::default());
-    let registry = MetricsRegistry::default();
-    let mut channel = ControlChannel::open(NodeClock::start());
-    channel.metrics = Some(ControlMetrics::register(&registry)?);
-    let services = NodeServices {
-        settings: rc::Rc::clone(&settings),
-        platform: source.services(),
-        snapshots: rc::Rc::new(snapshots),
-        control: channel.handle.clone(),
-        stop: stopped,
-    };
-    let claims = ClaimSlot::default();
-    let cluster_metrics = ClusterMetrics::register(&registry)?;
-    let context = IngressContext {
-        snapshots: receiver,
-        control: channel.handle.clone(),
-        claims: sync::Arc::clone(&claims),
-        seats: ConnectionSeats::new(settings.limits.backend_connections),
-        limits: sync::Arc::new(settings.limits.clone()),
-        metrics: PathMetrics::register(&registry)?,
-        registry,
+    let (process, parts) = EntryProcess::open(settings).await?;
+    let mut plane = tokio::select! {
+        started = ControlPlane::start(parts) => started?,
+        _ = signals.next() => return Err(stopped_early()),
     };
-    let listen = local_address(&listeners.entry)?;
-    let admin = local_address(&listeners.admin)?;
-    let server = ingress::start(listeners.entry, &settings, context)?;
-    let entry = server.handle();
-    let serving = actix_rt::spawn(server);
-    let operator = AccessKey::generate();
-    let generated = source.fleet().map(|_| operator.hash());
-    if source.fleet().is_none() {
-        print(&format!("listen http://{listen}\nadmin http://{admin}\n"))?;
+    tokio::select! {
+        announced = process.announce(&mut plane) => announced?,
+        _ = signals.next() => return Err(stopped_early()),
     }
-    let parts = PlaneParts {
-        services: services.clone(),
-        channel,
-        peer_listener: listeners.peer,
-        admin_listener: listeners.admin,
-        claims,
-        metrics: cluster_metrics,
-        bootstrap: settings.bootstrap_hash.or(generated),
-    };
-    let started = tokio::select! {
-        started = ControlPlane::start(parts) => started?,
-        _ = signals.next() => return Err(Error::stop("start", "told to stop before it was ready")),
+    log_event!(info, event::PROCESS_READY, "callers at {}", process.listen);
+    let signal = tokio::select! {
+        signal = signals.next() => signal,
+        ended = &mut plane.cluster => return Err(replaced(ended)),
     };
-    let mut plane = started;
-    if let Some(fleet) = source.fleet() {
-        let keys = fleet.provision(&plane.desk).await?;
-        wait_ready(&services, &mut plane).await?;
-        let banner = EmbeddedBanner {
-            declaration: &services.snapshots.borrow().declaration.clone(),
-            keys: &keys,
-            operator: &operator,
+    process.finish(signal, &mut signals, plane).await
+}
+
+/// Entry process whose listeners are open.
+struct EntryProcess {
+    services: NodeServices,
+    source: PlatformSource,
+    stop: watch::Sender<StopPhase>,
+    entry: ServerHandle,
+    serving: task::JoinHandle<io::Result<()>>,
+    listen: net::SocketAddr,
+    admin: net::SocketAddr,
+    /// Token of the operator of an embedded platform.
+    operator: AccessKey,
+}
+
+impl EntryProcess {
+    /// Opens the listeners and starts the traffic threads; requests are
+    /// refused until the control plane has started.
+    async fn open(settings: NodeSettings) -> Result<(Self, PlaneParts)> {
+        let listeners = EntryListeners::bind(&settings)?;
+        let listen = local_address(&listeners.entry)?;
+        let admin = local_address(&listeners.admin)?;
+        let source = PlatformSource::open(&settings).await?;
+        let (stop, stopped) = watch::channel(StopPhase::Running);
+        let (snapshots, receiver) = watch::channel(sync::Arc::default());
+        let registry = MetricsRegistry::default();
+        let mut channel = ControlChannel::open(NodeClock::start());
+        channel.metrics = Some(ControlMetrics::register(&registry)?);
+        let cluster_metrics = ClusterMetrics::register(&registry)?;
+        let claims = ClaimSlot::default();
+        let context = IngressContext {
+            snapshots: receiver,
+            control: channel.handle.clone(),
+            claims: sync::Arc::clone(&claims),
+            seats: ConnectionSeats::new(settings.limits.backend_connections),
+            limits: sync::Arc::new(settings.limits.clone()),
+            metrics: PathMetrics::register(&registry)?,
+            registry,
+        };
+        let server = ingress::start(listeners.entry, &settings, context)?;
+        let operator = AccessKey::generate();
+        let generated = source.fleet().map(|_| operator.hash());
+        let bootstrap = settings.bootstrap_hash.or(generated);
+        let services = NodeServices {
+            settings: rc::Rc::new(settings),
+            platform: source.services(),
+            snapshots: rc::Rc::new(snapshots),
+            control: channel.handle.clone(),
+            stop: stopped,
+        };
+        let parts = PlaneParts {
+            services: services.clone(),
+            channel,
+            peer_listener: listeners.peer,
+            admin_listener: listeners.admin,
+            claims,
+            metrics: cluster_metrics,
+            bootstrap,
+        };
+        if source.fleet().is_none() {
+            print(&format!("listen http://{listen}\nadmin http://{admin}\n"))?;
+        }
+        let process = Self {
+            services,
+            source,
+            stop,
+            entry: server.handle(),
+            serving: actix_rt::spawn(server),
             listen,
             admin,
+            operator,
         };
-        print(&banner.to_string())?;
-    } else {
-        let waited = tokio::select! {
-            waited = wait_ready(&services, &mut plane) => waited,
-            _ = signals.next() => Err(Error::stop("start", "told to stop before it was ready")),
+        Ok((process, parts))
+    }
+
+    /// Waits until the balancer may send callers, then says so on standard
+    /// output; an embedded platform is configured first.
+    async fn announce(&self, plane: &mut ControlPlane) -> Result<()> {
+        let Some(fleet) = self.source.fleet() else {
+            wait_ready(&self.services, plane).await?;
+            return print("ready\n");
+        };
+        let keys = fleet.provision(&plane.desk).await?;
+        wait_ready(&self.services, plane).await?;
+        let snapshot = sync::Arc::clone(&self.services.snapshots.borrow());
+        let banner = EmbeddedBanner {
+            declaration: &snapshot.declaration,
+            keys: &keys,
+            operator: &self.operator,
+            listen: self.listen,
+            admin: self.admin,
         };
-        waited?;
-        print("ready\n")?;
+        print(&banner.to_string())
     }
-    log_event!(info, event::PROCESS_READY, "callers at {listen}");
-    let leaving = LeavingProcess {
-        settings: &settings,
-        snapshots: &services.snapshots,
-        stop: &stop,
-        entry,
-        control: services.control.clone(),
-    };
-    let signal = tokio::select! {
-        signal = signals.next() => signal,
-        ended = &mut plane.cluster => return Err(replaced(ended)),
-    };
-    leaving.finish(signal, &mut signals, plane).await?;
-    let _ = serving.await;
-    if let Some(fleet) = source.fleet() {
-        fleet.backends.stop(false).await;
+
+    /// Finishes everything and ends the stand-ins of an embedded platform.
+    async fn finish(
+        self,
+        signal: StopSignal,
+        signals: &mut SignalListener,
+        plane: ControlPlane,
+    ) -> Result<()> {
+        let leaving = LeavingProcess {
+            settings: &self.services.settings,
+            snapshots: &self.services.snapshots,
+            stop: &self.stop,
+            entry: self.entry,
+            control: self.services.control.clone(),
+        };
+        leaving.finish(signal, signals, plane).await?;
+        // The server has stopped; how its threads ended changes nothing.
+        let _ = self.serving.await;
+        if let Some(fleet) = self.source.fleet() {
+            fleet.backends.stop(false).await;
+        }
+        log_event!(info, event::PROCESS_STOPPED, "everything is finished");
+        Ok(())
     }
-    log_event!(info, event::PROCESS_STOPPED, "everything is finished");
-    Ok(())
+}
+
+fn stopped_early() -> Error {
+    Error::stop("start", "told to stop before it was ready")
 }
 
 /// Listeners of an entry process.
