Share the jitter of delays and drop an unused check

Cause: reading the whole change again showed the same jitter in cluster.rs and link.rs, and a function of membership.rs that nothing called. Change: cluster.rs calls the one in link.rs; the unused function is gone; behaviour is as before.

--- a/crates/node/src/cluster.rs
+++ b/crates/node/src/cluster.rs
@@ -17,7 +17,7 @@
 use crate::control::{ControlCommand, ControlHandle, NodeServices, PeerEnvelope};
 use crate::error::{Error, Result};
 use crate::event;
-use crate::link::PeerMesh;
+use crate::link::{self, PeerMesh};
 use crate::membership::{
     MemberStanding, MembershipRunner, MembershipSettings, SchedulerPort, SharedView,
 };
@@ -87,7 +87,7 @@
         };
         log_event!(warn, event::MEMBER_UNREGISTERED, "{error}");
         tokio::select! {
-            () = tokio::time::sleep(jittered(delay)) => {}
+            () = tokio::time::sleep(link::jittered(delay)) => {}
             _ = stop.wait_for(|phase| *phase != StopPhase::Running) => {
                 return Err(Error::start("register", "told to stop before the table answered"));
             }
@@ -150,7 +150,7 @@
         while *stop.borrow_and_update() < StopPhase::Ended {
             self.round().await?;
             tokio::select! {
-                () = tokio::time::sleep(jittered(ROUND_INTERVAL)) => {}
+                () = tokio::time::sleep(link::jittered(ROUND_INTERVAL)) => {}
                 _ = snapshots.changed() => {}
                 _ = stop.changed() => {}
             }
@@ -308,8 +308,3 @@
         self.config.announce(&rows);
     }
 }
-
-/// Returns a random time between half of `delay` and all of it.
-fn jittered(delay: time::Duration) -> time::Duration {
-    delay.mul_f64(rand::random_range(0.5..=1.0))
-}
--- a/crates/node/src/link.rs
+++ b/crates/node/src/link.rs
@@ -451,6 +451,6 @@
 }
 
 /// Returns a random time between half of `delay` and all of it.
-fn jittered(delay: time::Duration) -> time::Duration {
+pub(crate) fn jittered(delay: time::Duration) -> time::Duration {
     delay.mul_f64(rand::random_range(0.5..=1.0))
 }
--- a/crates/node/src/membership.rs
+++ b/crates/node/src/membership.rs
@@ -17,7 +17,7 @@
 use redwing_model::{FleetDeclaration, NodeId, NodeIncarnation};
 use redwing_platform::table::CommitOutcome;
 use redwing_platform::{
-    Category, Error, LocalFuture, PlatformServices, Result, RowKey, TableRow, TableTransaction,
+    Error, LocalFuture, PlatformServices, Result, RowKey, TableRow, TableTransaction,
 };
 use redwing_policy::{FleetView, NodeTime, TokenId, TokenPool};
 
@@ -506,11 +506,6 @@
     }
 }
 
-/// Returns whether repeating the round later can help.
-pub fn is_transient(error: &Error) -> bool {
-    error.classify() != Category::Refused
-}
-
 fn encode<T: serde::Serialize>(step: &'static str, value: &T) -> Result<String> {
     serde_json::to_string(value).map_err(|error| Error::refused(step, "table", error.to_string()))
 }
