Call the package of interfaces provider

Cause: the users' platform gets an adapter in platform/ at the root; two things called platform confuse. Change: crates/platform is crates/provider, redwing-platform is redwing-provider; nothing else changes.

--- a/crates/node/examples/cluster.rs
+++ b/crates/node/examples/cluster.rs
@@ -20,7 +20,7 @@
 use redwing_model::AccessKey;
 use redwing_model::admin::{ChangeReply, ChangeStatus, NodeStatus};
 use redwing_model::vm::{VmIdentity, VmPhase, VmRecord};
-use redwing_platform::{RowKey, TableStore, TableTransaction};
+use redwing_provider::{RowKey, TableStore, TableTransaction};
 use redwing_standin::HttpPlatform;
 use redwing_standin::backend::ExecutionCounts;
 use redwing_standin::server::ControlCall;
--- a/crates/node/src/admin/change.rs
+++ b/crates/node/src/admin/change.rs
@@ -8,7 +8,7 @@
     OperatorRequest, RollbackRequest,
 };
 use redwing_model::{AccessKey, KeyHash};
-use redwing_platform::LocalFuture;
+use redwing_provider::LocalFuture;
 use serde::Deserialize;
 
 use crate::admin::{AdminHandler, AdminProblem, AdminRequest, AdminResponse, now_millis};
--- a/crates/node/src/admin/message.rs
+++ b/crates/node/src/admin/message.rs
@@ -4,7 +4,7 @@
 use actix_http::header::{self, HeaderMap, HeaderValue};
 use actix_http::{Method, Response, StatusCode};
 use redwing_model::admin::{ChangeReply, ChangeStatus, ProblemReport, RefusalCause};
-use redwing_platform::{Category, Error};
+use redwing_provider::{Category, Error};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
--- a/crates/node/src/admin/mod.rs
+++ b/crates/node/src/admin/mod.rs
@@ -18,7 +18,7 @@
 use actix_http::{HttpMessage, HttpService, Payload, Request, StatusCode};
 use actix_service::{Service, ServiceFactory};
 use futures_util::StreamExt;
-use redwing_platform::LocalFuture;
+use redwing_provider::LocalFuture;
 use tokio::sync::Semaphore;
 use tokio::{task, time as timer};
 
--- a/crates/node/src/admin/read.rs
+++ b/crates/node/src/admin/read.rs
@@ -4,7 +4,7 @@
 
 use actix_http::Method;
 use redwing_model::admin::{AuditFilter, DeclarationView, KeyView, NodeStatus, OperatorView};
-use redwing_platform::LocalFuture;
+use redwing_provider::LocalFuture;
 use serde::Deserialize;
 
 use crate::admin::{AdminHandler, AdminProblem, AdminRequest, AdminResponse, OK};
--- a/crates/node/src/audit.rs
+++ b/crates/node/src/audit.rs
@@ -11,8 +11,8 @@
 
 use redwing_model::NodeIncarnation;
 use redwing_model::admin::{AuditEntry, AuditFilter};
-use redwing_platform::backoff::{BackoffSettings, RetryBackoff};
-use redwing_platform::{Error, ObjectStore, Result};
+use redwing_provider::backoff::{BackoffSettings, RetryBackoff};
+use redwing_provider::{Error, ObjectStore, Result};
 use tokio::{sync as channel, time as timer};
 
 use crate::event;
--- a/crates/node/src/claim.rs
+++ b/crates/node/src/claim.rs
@@ -12,8 +12,8 @@
 use std::time;
 
 use redwing_model::{KeyHash, NodeIncarnation, QueueName, RunOutcome, TeamName};
-use redwing_platform::backoff::{BackoffSettings, RetryBackoff};
-use redwing_platform::{
+use redwing_provider::backoff::{BackoffSettings, RetryBackoff};
+use redwing_provider::{
     CallCause, Category, CommitOutcome, Result, RowKey, TableClient, TableRow, TableTransaction,
 };
 use serde::{Deserialize, Serialize};
--- a/crates/node/src/cluster.rs
+++ b/crates/node/src/cluster.rs
@@ -9,8 +9,8 @@
 
 use redwing_membership::EndedSettings;
 use redwing_model::NodeIncarnation;
-use redwing_platform::{LocalFuture, TableRow};
 use redwing_policy::{FleetView, PeerMessage, TokenId};
+use redwing_provider::{LocalFuture, TableRow};
 use tokio::sync::{mpsc, watch};
 
 use crate::config::ConfigDesk;
--- a/crates/node/src/config/change.rs
+++ b/crates/node/src/config/change.rs
@@ -4,7 +4,7 @@
 
 use redwing_model::admin::{ChangeKind, HistoryEntry, MAX_CHANGE_ID_BYTES};
 use redwing_model::{AccessKey, KeyHash};
-use redwing_platform::{RowKey, TableTransaction};
+use redwing_provider::{RowKey, TableTransaction};
 use serde::Serialize;
 
 use crate::config::row::{self, ChangeRecord, DeclarationRecord, HeadRecord, HistoryRecord};
--- a/crates/node/src/config/desk.rs
+++ b/crates/node/src/config/desk.rs
@@ -8,7 +8,7 @@
 use futures_util::future;
 use redwing_model::KeyHash;
 use redwing_model::admin::{ChangeReply, RefusalCause};
-use redwing_platform::{
+use redwing_provider::{
     CallCause, Category, CommitOutcome, Result, RowKey, TableClient, TableRow, TableTransaction,
 };
 use tokio::{sync as channel, time as timer};
--- a/crates/node/src/config/history.rs
+++ b/crates/node/src/config/history.rs
@@ -1,7 +1,7 @@
 //! Reads of earlier versions.
 
 use redwing_model::admin::HistoryEntry;
-use redwing_platform::{Error, Result};
+use redwing_provider::{Error, Result};
 
 use crate::config::desk::{CAUSE, ConfigDesk};
 use crate::config::row::{self, HistoryRecord};
--- a/crates/node/src/config/refresh.rs
+++ b/crates/node/src/config/refresh.rs
@@ -3,7 +3,7 @@
 use std::rc;
 use std::time;
 
-use redwing_platform::Result;
+use redwing_provider::Result;
 use tokio::time as timer;
 
 use crate::config::desk::{CAUSE, ConfigDesk};
--- a/crates/node/src/config/row.rs
+++ b/crates/node/src/config/row.rs
@@ -2,7 +2,7 @@
 
 use redwing_model::admin::HistoryEntry;
 use redwing_model::{KeyHash, QueueName, TeamName};
-use redwing_platform::RowKey;
+use redwing_provider::RowKey;
 use serde::{Deserialize, Serialize};
 
 /// Start of the keys of all rows in force.
--- a/crates/node/src/config/spread.rs
+++ b/crates/node/src/config/spread.rs
@@ -3,7 +3,7 @@
 use std::time;
 
 use redwing_model::admin::MemberStatus;
-use redwing_platform::{LocalFuture, TableRow};
+use redwing_provider::{LocalFuture, TableRow};
 
 use crate::peer::ConfigCopy;
 
--- a/crates/node/src/config/state.rs
+++ b/crates/node/src/config/state.rs
@@ -4,8 +4,8 @@
 use std::sync;
 
 use redwing_model::{FleetDeclaration, KeyHash, declaration};
-use redwing_platform::table::TableView;
-use redwing_platform::{RowKey, TableRow};
+use redwing_provider::table::TableView;
+use redwing_provider::{RowKey, TableRow};
 use serde::Deserialize;
 
 use crate::config::row::{
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -12,12 +12,12 @@
 use std::time;
 
 use redwing_model::{NodeIncarnation, RunOutcome, VmId};
-use redwing_platform::PlatformServices;
 use redwing_policy::ticket::RequestRefusal;
 use redwing_policy::{
     AttemptReport, AttemptVerdict, FleetView, NodeScheduler, NodeTime, PeerMessage, RequestTicket,
     SchedulerAction, SchedulerSettings, TicketId,
 };
+use redwing_provider::PlatformServices;
 use tokio::sync::{mpsc, oneshot, watch};
 
 use crate::event;
--- a/crates/node/src/embedded.rs
+++ b/crates/node/src/embedded.rs
@@ -11,7 +11,7 @@
 use redwing_model::{
     AccessKey, FleetDeclaration, NodeId, PoolName, QueueName, TeamName, declaration,
 };
-use redwing_platform::{
+use redwing_provider::{
     ListedStatus, ListedVm, PlatformServices, RowKey, TableStore, TableTransaction, VmRole,
 };
 use redwing_standin::{MemoryPlatform, backend};
--- a/crates/node/src/fleet.rs
+++ b/crates/node/src/fleet.rs
@@ -5,8 +5,8 @@
 use redwing_model::vm::VmPhase;
 use redwing_model::vm::VmRecord;
 use redwing_model::{ClassName, FleetDeclaration, NodeId, PoolName, VmId};
-use redwing_platform::{ListedStatus, ListedVm, VmRole};
 use redwing_policy::scheduler::WorkerView;
+use redwing_provider::{ListedStatus, ListedVm, VmRole};
 
 use crate::mirror::TableMirror;
 
--- a/crates/node/src/homes.rs
+++ b/crates/node/src/homes.rs
@@ -4,8 +4,8 @@
 
 use redwing_membership::{HoldingRecord, holding};
 use redwing_model::NodeIncarnation;
-use redwing_platform::{RowKey, TableRow, TableTransaction};
 use redwing_policy::{TokenId, TokenPool};
+use redwing_provider::{RowKey, TableRow, TableTransaction};
 
 /// One row, with the version that a change of it must name.
 #[derive(Debug)]
--- a/crates/node/src/link.rs
+++ b/crates/node/src/link.rs
@@ -10,9 +10,9 @@
 use capnp_rpc::{RpcSystem, rpc_twoparty_capnp};
 use futures_util::{AsyncReadExt, future};
 use redwing_model::NodeIncarnation;
-use redwing_platform::TableRow;
 use redwing_policy::PeerMessage;
 use redwing_protocol::{PROTOCOL_VERSION, convert, peer_capnp};
+use redwing_provider::TableRow;
 use tokio::sync::{mpsc, oneshot};
 use tokio_util::compat::TokioAsyncReadCompatExt;
 
--- a/crates/node/src/maintenance/desk.rs
+++ b/crates/node/src/maintenance/desk.rs
@@ -7,8 +7,8 @@
 use redwing_planner::rollout::{self, RolloutCommand, RolloutStatus};
 use redwing_planner::step::{RowContent, RowReference};
 use redwing_planner::{FleetRows, PlanTime, StepCommit};
-use redwing_platform::table::CommitOutcome;
-use redwing_platform::{Category, Error, Result, RowKey, TableStore};
+use redwing_provider::table::CommitOutcome;
+use redwing_provider::{Category, Error, Result, RowKey, TableStore};
 
 use crate::event;
 use crate::maintenance::rows;
--- a/crates/node/src/maintenance/observe.rs
+++ b/crates/node/src/maintenance/observe.rs
@@ -9,8 +9,8 @@
 use redwing_model::{ClassName, VmId};
 use redwing_planner::view::Listing;
 use redwing_planner::{DemandTracker, FleetRows, PlanTime, VmObservation};
-use redwing_platform::{ListedStatus, ListedVm, LocalFuture, VmRole};
 use redwing_policy::scheduler::ClassUsage;
+use redwing_provider::{ListedStatus, ListedVm, LocalFuture, VmRole};
 use tokio::net::TcpStream;
 
 use crate::control::ControlHandle;
--- a/crates/node/src/maintenance/route.rs
+++ b/crates/node/src/maintenance/route.rs
@@ -4,7 +4,7 @@
 use redwing_model::PoolName;
 use redwing_planner::explain::Subject;
 use redwing_planner::rollout::RolloutRequest;
-use redwing_platform::{Category, LocalFuture};
+use redwing_provider::{Category, LocalFuture};
 
 use crate::admin::{AdminHandler, AdminProblem, AdminRequest, AdminResponse};
 use crate::audit::{AuditDraft, AuditLog};
--- a/crates/node/src/maintenance/rows.rs
+++ b/crates/node/src/maintenance/rows.rs
@@ -3,7 +3,7 @@
 use redwing_model::{NodeIncarnation, VmId};
 use redwing_planner::step::{RowContent, RowReference};
 use redwing_planner::{FleetRows, StepCommit};
-use redwing_platform::{Error, Result, RowKey, TableRow, TableTransaction};
+use redwing_provider::{Error, Result, RowKey, TableRow, TableTransaction};
 use serde::{Deserialize, Serialize};
 
 /// Prefix of the rows of VMs.
--- a/crates/node/src/maintenance/run.rs
+++ b/crates/node/src/maintenance/run.rs
@@ -13,8 +13,8 @@
 use redwing_planner::plan::{FleetPlan, plan};
 use redwing_planner::step::{PlanStep, PlatformCall, RowReference};
 use redwing_planner::{FleetRows, PlanTime, PlannerSettings, ProfileTargets};
-use redwing_platform::table::CommitOutcome;
-use redwing_platform::{Category, PlatformServices, Result, RowKey, TableRow, TableTransaction};
+use redwing_provider::table::CommitOutcome;
+use redwing_provider::{Category, PlatformServices, Result, RowKey, TableRow, TableTransaction};
 use tokio::sync::watch;
 
 use crate::audit::{AuditDraft, AuditLog};
--- a/crates/node/src/membership.rs
+++ b/crates/node/src/membership.rs
@@ -15,11 +15,11 @@
     member,
 };
 use redwing_model::{FleetDeclaration, NodeId, NodeIncarnation};
-use redwing_platform::table::CommitOutcome;
-use redwing_platform::{
+use redwing_policy::{FleetView, NodeTime, TokenId, TokenPool};
+use redwing_provider::table::CommitOutcome;
+use redwing_provider::{
     Error, LocalFuture, PlatformServices, Result, RowKey, TableRow, TableTransaction,
 };
-use redwing_policy::{FleetView, NodeTime, TokenId, TokenPool};
 
 use crate::fleet::{self, VmListing};
 use crate::homes::HomeTable;
--- a/crates/node/src/mirror.rs
+++ b/crates/node/src/mirror.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use redwing_platform::{Result, RowKey, TableRow, TableStore};
+use redwing_provider::{Result, RowKey, TableRow, TableStore};
 
 /// Rows under one prefix, kept up to date by reading what changed.
 #[derive(Debug)]
--- a/crates/node/src/plane.rs
+++ b/crates/node/src/plane.rs
@@ -5,9 +5,9 @@
 use std::sync;
 
 use redwing_model::{KeyHash, NodeIncarnation};
-use redwing_platform::client::ClientSettings;
-use redwing_platform::{CallCause, PlatformServices, TableClient};
 use redwing_policy::SchedulerSettings;
+use redwing_provider::client::ClientSettings;
+use redwing_provider::{CallCause, PlatformServices, TableClient};
 use tokio::sync::mpsc;
 use tokio::task;
 
--- a/crates/node/src/register.rs
+++ b/crates/node/src/register.rs
@@ -5,8 +5,8 @@
 
 use redwing_membership::{MemberRecord, member};
 use redwing_model::{DataCentre, NodeId, NodeIncarnation};
-use redwing_platform::table::CommitOutcome;
-use redwing_platform::{Error, Result, RowKey, TableRow, TableStore, TableTransaction};
+use redwing_provider::table::CommitOutcome;
+use redwing_provider::{Error, Result, RowKey, TableRow, TableStore, TableTransaction};
 
 /// Key of the row that holds the last epoch given out.
 const EPOCH_KEY: &str = "epoch";
--- a/crates/node/src/sample.rs
+++ b/crates/node/src/sample.rs
@@ -4,7 +4,7 @@
 use std::time;
 
 use prometheus::{IntCounter, IntCounterVec, IntGaugeVec, Opts};
-use redwing_platform::{CallCause, TableClient};
+use redwing_provider::{CallCause, TableClient};
 use tokio::sync::watch;
 
 use crate::error::{Error, Result};
--- a/crates/node/src/serve.rs
+++ b/crates/node/src/serve.rs
@@ -8,7 +8,7 @@
 
 use actix_server::ServerHandle;
 use redwing_model::AccessKey;
-use redwing_platform::PlatformServices;
+use redwing_provider::PlatformServices;
 use redwing_standin::HttpPlatform;
 use tokio::sync::watch;
 use tokio::task;
--- a/crates/node/src/spread.rs
+++ b/crates/node/src/spread.rs
@@ -4,7 +4,7 @@
 use std::time;
 
 use redwing_model::admin::MemberStatus;
-use redwing_platform::{LocalFuture, TableRow};
+use redwing_provider::{LocalFuture, TableRow};
 
 use crate::config::PeerSpread;
 use crate::link::PeerMesh;
--- a/crates/node/src/standin.rs
+++ b/crates/node/src/standin.rs
@@ -8,7 +8,7 @@
 use clap::{ArgAction, ArgMatches, Command, value_parser};
 use redwing_model::NodeId;
 use redwing_model::vm::VmIdentity;
-use redwing_platform::{ListedStatus, ListedVm, VmRole};
+use redwing_provider::{ListedStatus, ListedVm, VmRole};
 use redwing_standin::{MemoryPlatform, MemorySettings, backend, server};
 
 use crate::error::{Error, Result};
--- a/crates/node/tests/control/claim.rs
+++ b/crates/node/tests/control/claim.rs
@@ -12,8 +12,8 @@
     self, ClaimAnswer, ClaimHandle, ClaimKey, ClaimSettings, CommitAges, HeldClaim,
 };
 use redwing_node::stop::StopPhase;
-use redwing_platform::backoff::BackoffSettings;
-use redwing_platform::{TableClient, TableStore};
+use redwing_provider::backoff::BackoffSettings;
+use redwing_provider::{TableClient, TableStore};
 use redwing_standin::MemoryPlatform;
 use tokio::sync::watch;
 
--- a/crates/node/tests/control/config.rs
+++ b/crates/node/tests/control/config.rs
@@ -350,7 +350,7 @@
 #[test]
 fn rows_with_two_heads_are_refused() {
     use redwing_node::config::{ConfigState, InstallOutcome};
-    use redwing_platform::{RowKey, TableRow};
+    use redwing_provider::{RowKey, TableRow};
 
     let head = |version: u64| TableRow {
         key: RowKey::new("config/head"),
--- a/crates/node/tests/control/fleet.rs
+++ b/crates/node/tests/control/fleet.rs
@@ -11,8 +11,8 @@
 use redwing_node::audit::{AuditLog, AuditSettings};
 use redwing_node::config::{ChangeDraft, ChangeId, ConfigDesk, DeskSettings, PeerSpread};
 use redwing_node::peer::ConfigCopy;
-use redwing_platform::backoff::BackoffSettings;
-use redwing_platform::{ClientSettings, LocalFuture, TableClient, TableRow};
+use redwing_provider::backoff::BackoffSettings;
+use redwing_provider::{ClientSettings, LocalFuture, TableClient, TableRow};
 use redwing_standin::MemoryPlatform;
 use tokio::sync::watch;
 
--- a/crates/node/tests/control/property.rs
+++ b/crates/node/tests/control/property.rs
@@ -9,7 +9,7 @@
 use redwing_model::admin::{ChangeKind, ChangeReply, ChangeStatus, RefusalCause};
 use redwing_node::config::ChangeDraft;
 use redwing_node::config::row::{HISTORY_PREFIX, HistoryRecord};
-use redwing_platform::TableStore;
+use redwing_provider::TableStore;
 
 use crate::fleet::{TestFleet, apply_draft, draft};
 
@@ -153,7 +153,7 @@
 
 async fn history(fleet: &TestFleet) -> Vec<HistoryRecord> {
     let view = fleet.platform.scan(HISTORY_PREFIX).await.unwrap();
-    let parse = |row: redwing_platform::TableRow| serde_json::from_str(&row.value.unwrap());
+    let parse = |row: redwing_provider::TableRow| serde_json::from_str(&row.value.unwrap());
     view.rows
         .into_iter()
         .map(|row| parse(row).unwrap())
@@ -268,7 +268,7 @@
             0..6,
         ),
     ) {
-        use redwing_platform::{RowKey, TableRow, table::TableView};
+        use redwing_provider::{RowKey, TableRow, table::TableView};
         use redwing_node::config::{ConfigState, InstallOutcome};
 
         let rows: Vec<TableRow> = rows
--- a/crates/node/tests/maintenance.rs
+++ b/crates/node/tests/maintenance.rs
@@ -17,7 +17,7 @@
 };
 use redwing_planner::rollout::{RolloutCommand, RolloutState};
 use redwing_planner::{PlanTime, PlannerSettings, PoolRecord};
-use redwing_platform::{
+use redwing_provider::{
     Category, ListedStatus, ListedVm, LocalFuture, RowKey, TableStore, TableTransaction, VmRole,
 };
 use redwing_standin::MemoryPlatform;
--- a/crates/node/tests/membership/model.rs
+++ b/crates/node/tests/membership/model.rs
@@ -6,8 +6,8 @@
 
 use redwing_model::NodeIncarnation;
 use redwing_node::membership::SchedulerPort;
-use redwing_platform::LocalFuture;
 use redwing_policy::{FleetView, NodeTime, TokenId};
+use redwing_provider::LocalFuture;
 
 /// Time that a request may run after its sender has ended.
 pub(crate) const TASK_LEASE: Duration = Duration::from_secs(60);
--- a/crates/node/tests/membership/world.rs
+++ b/crates/node/tests/membership/world.rs
@@ -8,8 +8,8 @@
 use redwing_model::{FleetDeclaration, NodeId, NodeIncarnation, VmId};
 use redwing_node::membership::{MemberStanding, MembershipRunner, MembershipSettings};
 use redwing_node::register::{self, MemberIdentity};
-use redwing_platform::{ListedStatus, ListedVm, RowKey, TableStore, TableTransaction, VmRole};
 use redwing_policy::{NodeTime, TokenId};
+use redwing_provider::{ListedStatus, ListedVm, RowKey, TableStore, TableTransaction, VmRole};
 use redwing_standin::MemoryPlatform;
 use redwing_standin::memory::MemorySettings;
 
--- a/crates/node/tests/peer.rs
+++ b/crates/node/tests/peer.rs
@@ -10,8 +10,8 @@
 use redwing_model::NodeIncarnation;
 use redwing_node::link::{self, PeerAddress, PeerMesh};
 use redwing_node::peer::{self, ConfigCopy, PeerHandler};
-use redwing_platform::{RowKey, TableRow};
 use redwing_policy::PeerMessage;
+use redwing_provider::{RowKey, TableRow};
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 
--- a/crates/node/tests/rollout.rs
+++ b/crates/node/tests/rollout.rs
@@ -13,7 +13,7 @@
 use common::{Process, wait_for, wait_within};
 use redwing_model::vm::VmIdentity;
 use redwing_planner::rollout::{RolloutState, RolloutStatus};
-use redwing_platform::{ListedStatus, ListedVm, VmRole};
+use redwing_provider::{ListedStatus, ListedVm, VmRole};
 use redwing_standin::backend::ExecutionCounts;
 use redwing_standin::server::ControlCall;
 
--- a/crates/protocol/src/convert.rs
+++ b/crates/protocol/src/convert.rs
@@ -2,10 +2,10 @@
 
 use capnp::{primitive_list, struct_list, text};
 use redwing_model::{NodeId, NodeIncarnation, QueueName, TeamName, VmId};
-use redwing_platform::{RowKey, TableRow};
 use redwing_policy::PeerMessage;
 use redwing_policy::exchange::{IdleSlots, PermitWant, TeamDemand, TokenTransfer};
 use redwing_policy::token::{TokenId, TokenPool};
+use redwing_provider::{RowKey, TableRow};
 
 use crate::error::{Error, Result};
 use crate::peer_capnp;
--- a/crates/protocol/tests/convert.rs
+++ b/crates/protocol/tests/convert.rs
@@ -5,11 +5,11 @@
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
 use redwing_model::{QueueName, TeamName, VmId};
-use redwing_platform::{RowKey, TableRow};
 use redwing_policy::PeerMessage;
 use redwing_policy::exchange::{IdleSlots, PermitWant, TeamDemand, TokenTransfer};
 use redwing_policy::token::{TokenId, TokenPool};
 use redwing_protocol::{Category, convert, peer_capnp};
+use redwing_provider::{RowKey, TableRow};
 
 fn config() -> ProptestConfig {
     ProptestConfig {
--- a/crates/platform/examples/recovery.rs
+++ b/crates/provider/examples/recovery.rs
@@ -1,7 +1,7 @@
 //! Peak load on the table when it returns after an outage, with eight clients.
 //!
 //! ```text
-//! cargo run --release -p redwing-platform --example recovery -- [OUTAGE SECONDS]
+//! cargo run --release -p redwing-provider --example recovery -- [OUTAGE SECONDS]
 //! ```
 
 use std::cell;
@@ -9,8 +9,8 @@
 use std::rc;
 use std::time;
 
-use redwing_platform::table::TableView;
-use redwing_platform::{
+use redwing_provider::table::TableView;
+use redwing_provider::{
     CallCause, ClientSettings, CommitOutcome, LocalFuture, Result, RowKey, TableClient, TableStore,
     TableTransaction,
 };
--- a/crates/platform/src/backoff.rs
+++ b/crates/provider/src/backoff.rs
@@ -25,7 +25,7 @@
 /// # Examples
 ///
 /// ```
-/// use redwing_platform::backoff::{BackoffSettings, RetryBackoff};
+/// use redwing_provider::backoff::{BackoffSettings, RetryBackoff};
 ///
 /// let mut backoff = RetryBackoff::new(BackoffSettings::default());
 /// assert_eq!(backoff.next_delay(0.5).as_millis(), 50);
--- a/crates/platform/src/lib.rs
+++ b/crates/provider/src/lib.rs
@@ -7,7 +7,7 @@
 //! # Examples
 //!
 //! ```
-//! use redwing_platform::table;
+//! use redwing_provider::table;
 //!
 //! let key = table::RowKey::new("config/head");
 //! let change = table::TableTransaction::default()
--- a/crates/platform/src/pace.rs
+++ b/crates/provider/src/pace.rs
@@ -9,7 +9,7 @@
 /// ```
 /// use std::time;
 ///
-/// use redwing_platform::pace::CallPacer;
+/// use redwing_provider::pace::CallPacer;
 ///
 /// let now = time::Instant::now();
 /// let mut pacer = CallPacer::new(time::Duration::from_millis(40));
--- a/crates/platform/tests/client.rs
+++ b/crates/provider/tests/client.rs
@@ -6,8 +6,8 @@
 use futures_util::future;
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
-use redwing_platform::backoff::BackoffSettings;
-use redwing_platform::{
+use redwing_provider::backoff::BackoffSettings;
+use redwing_provider::{
     CallCause, Category, ClientSettings, CommitOutcome, RowKey, TableClient, TableStore,
     TableTransaction,
 };
@@ -186,22 +186,22 @@
         fn commit<'a>(
             &'a self,
             _: &'a TableTransaction,
-        ) -> redwing_platform::LocalFuture<'a, redwing_platform::Result<CommitOutcome>> {
+        ) -> redwing_provider::LocalFuture<'a, redwing_provider::Result<CommitOutcome>> {
             self.0.set(self.0.get() + 1);
             let first = self.0.get() == 1;
             Box::pin(async move {
                 Err(match first {
-                    true => redwing_platform::Error::unknown("commit", "fake", "cut"),
-                    false => redwing_platform::Error::refused("commit", "fake", "no right"),
+                    true => redwing_provider::Error::unknown("commit", "fake", "cut"),
+                    false => redwing_provider::Error::refused("commit", "fake", "no right"),
                 })
             })
         }
         fn scan<'a>(
             &'a self,
             _: &'a str,
-        ) -> redwing_platform::LocalFuture<
+        ) -> redwing_provider::LocalFuture<
             'a,
-            redwing_platform::Result<redwing_platform::table::TableView>,
+            redwing_provider::Result<redwing_provider::table::TableView>,
         > {
             Box::pin(async { Ok(Default::default()) })
         }
@@ -209,9 +209,9 @@
             &'a self,
             prefix: &'a str,
             _: u64,
-        ) -> redwing_platform::LocalFuture<
+        ) -> redwing_provider::LocalFuture<
             'a,
-            redwing_platform::Result<redwing_platform::table::TableView>,
+            redwing_provider::Result<redwing_provider::table::TableView>,
         > {
             self.scan(prefix)
         }
@@ -300,7 +300,7 @@
                 );
                 assert!(same);
             }
-            let values = |view: redwing_platform::table::TableView| -> Vec<_> {
+            let values = |view: redwing_provider::table::TableView| -> Vec<_> {
                 view.rows.into_iter().map(|row| (row.key, row.value)).collect()
             };
             let left = values(grouped.scan("").await.unwrap());
--- a/crates/platform/tests/pure.rs
+++ b/crates/provider/tests/pure.rs
@@ -4,9 +4,9 @@
 
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
-use redwing_platform::backoff::{BackoffSettings, RetryBackoff};
-use redwing_platform::breaker::{BreakerDecision, BreakerSettings, CircuitBreaker};
-use redwing_platform::pace::CallPacer;
+use redwing_provider::backoff::{BackoffSettings, RetryBackoff};
+use redwing_provider::breaker::{BreakerDecision, BreakerSettings, CircuitBreaker};
+use redwing_provider::pace::CallPacer;
 
 fn config(seed: u64) -> ProptestConfig {
     ProptestConfig {
--- a/crates/standin/src/client.rs
+++ b/crates/standin/src/client.rs
@@ -4,8 +4,8 @@
 
 use awc::error::{ConnectError, SendRequestError};
 use redwing_model::VmId;
-use redwing_platform::table::{CommitOutcome, TableTransaction, TableView};
-use redwing_platform::{
+use redwing_provider::table::{CommitOutcome, TableTransaction, TableView};
+use redwing_provider::{
     Error, ListedVm, LocalFuture, ObjectStore, PlatformServices, Result, TableStore, VmControl,
     VmDirectory,
 };
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -7,14 +7,14 @@
 //! # Examples
 //!
 //! ```
-//! use redwing_platform::{RowKey, TableStore, TableTransaction};
+//! use redwing_provider::{RowKey, TableStore, TableTransaction};
 //!
 //! # actix_rt::System::new().block_on(async {
 //! let platform = redwing_standin::MemoryPlatform::default();
 //! let change = TableTransaction::default().put(RowKey::new("a/1"), "{}");
 //! platform.commit(&change).await?;
 //! assert_eq!(platform.scan("a/").await?.rows.len(), 1);
-//! # Ok::<(), redwing_platform::Error>(())
+//! # Ok::<(), redwing_provider::Error>(())
 //! # }).unwrap();
 //! ```
 
--- a/crates/standin/src/memory.rs
+++ b/crates/standin/src/memory.rs
@@ -5,8 +5,8 @@
 use std::time;
 
 use redwing_model::VmId;
-use redwing_platform::table::{CommitOutcome, TableRow, TableTransaction, TableView};
-use redwing_platform::{
+use redwing_provider::table::{CommitOutcome, TableRow, TableTransaction, TableView};
+use redwing_provider::{
     Error, ListedStatus, ListedVm, LocalFuture, ObjectStore, PlatformServices, Result, RowKey,
     TableStore, VmControl, VmDirectory,
 };
--- a/crates/standin/src/server.rs
+++ b/crates/standin/src/server.rs
@@ -15,9 +15,9 @@
 use bytes::BytesMut;
 use futures_util::StreamExt;
 use redwing_model::VmId;
-use redwing_platform::table::TableTransaction;
-use redwing_platform::{Category, Error, ListedVm, ObjectStore, Result};
-use redwing_platform::{TableStore, VmControl, VmDirectory};
+use redwing_provider::table::TableTransaction;
+use redwing_provider::{Category, Error, ListedVm, ObjectStore, Result};
+use redwing_provider::{TableStore, VmControl, VmDirectory};
 use serde::{Deserialize, Serialize};
 
 use crate::fault::FaultPlan;
--- a/crates/standin/tests/memory.rs
+++ b/crates/standin/tests/memory.rs
@@ -7,7 +7,7 @@
 
 use redwing_model::vm::VmIdentity;
 use redwing_model::{DataCentre, RackName, VmId};
-use redwing_platform::{
+use redwing_provider::{
     Category, CommitOutcome, ListedStatus, ListedVm, PlatformServices, RowKey, TableTransaction,
     VmRole,
 };
