--- /dev/null
+++ b/crates/engine/src/error.rs
@@ -0,0 +1,41 @@
+//! Errors of the engine.
+
+use std::result;
+
+use quick_error::quick_error;
+
+quick_error! {
+    /// Error of the engine, with the step and the peer.
+    #[derive(Debug)]
+    pub enum Error {
+        /// The process could not start.
+        Start(step: &'static str, peer: String, message: String) {
+            display("{step} at {peer}: {message}")
+        }
+        /// A row of the table could not be read.
+        Row(key: String, message: String) {
+            display("read row {key}: {message}")
+        }
+        /// A call to the table failed.
+        Table(error: redwing_provider::Error) {
+            display("{error}")
+            source(error)
+            from()
+        }
+    }
+}
+
+/// Result of a step of the engine.
+pub type Result<T> = result::Result<T, Error>;
+
+impl Error {
+    /// Creates an error of a step at the start of the process.
+    pub fn start(step: &'static str, peer: impl ToString, message: impl ToString) -> Self {
+        Self::Start(step, peer.to_string(), message.to_string())
+    }
+
+    /// Creates an error of a row that cannot be read.
+    pub fn row(key: &redwing_provider::RowKey, message: impl ToString) -> Self {
+        Self::Row(key.as_str().to_owned(), message.to_string())
+    }
+}
--- /dev/null
+++ b/crates/engine/src/lib.rs
@@ -0,0 +1,24 @@
+//! Runs jobs on a fleet of workers.
+//!
+//! Every entry process runs the same [`run::serve`]. It accepts jobs of
+//! callers and stores them in the table ([`caller`]); one process at a time
+//! owns the scheduling ([`owner`]) and drives the workers. What surrounds
+//! the process is met through the traits of [`services`], and the formats of
+//! a deployment through its [`codec::DeploymentCodec`].
+
+pub mod caller;
+pub mod clock;
+pub mod codec;
+pub mod error;
+pub mod event;
+pub mod follow;
+pub mod manifest;
+pub mod owner;
+pub mod row;
+pub mod run;
+pub mod services;
+
+pub use codec::DeploymentCodec;
+pub use error::{Error, Result};
+pub use run::EngineSettings;
+pub use services::{DeploymentServices, ServicesFactory};
--- /dev/null
+++ b/crates/engine/src/manifest.rs
@@ -0,0 +1,101 @@
+//! The manifest in force, and how fresh it is.
+
+use std::sync;
+use std::time;
+
+use redwing_jobs::JobManifest;
+use redwing_jobs::time::BootTime;
+use redwing_jobs::upkeep::WaveRequest;
+use redwing_provider::{CallCause, TableClient};
+use tokio::sync::watch;
+
+use crate::clock;
+use crate::codec::{DeploymentCodec, OperatorRow};
+use crate::event;
+use crate::follow;
+use crate::log_job_event;
+
+/// What operators declared, as this process knows it.
+#[derive(Clone, Debug, Default)]
+pub struct OperatorView {
+    /// Latest version of the manifest; none before the first was read.
+    pub manifest: Option<sync::Arc<JobManifest>>,
+    /// All waves of upkeep.
+    pub waves: sync::Arc<Vec<WaveRequest>>,
+    /// When the latest read that confirmed this was sent.
+    pub confirmed_at: BootTime,
+}
+
+impl OperatorView {
+    /// Returns how long ago this was confirmed by the table.
+    pub fn age(&self) -> time::Duration {
+        clock::boot_now().saturating_since(self.confirmed_at)
+    }
+
+    /// Takes in rows; returns whether the manifest changed.
+    ///
+    /// A version never replaces a higher one.
+    fn apply(&mut self, codec: &dyn DeploymentCodec, update: &follow::TableUpdate) -> bool {
+        let mut has_changed = false;
+        for row in &update.rows {
+            if row.value.is_none() {
+                continue;
+            }
+            match codec.operator_row(row) {
+                Ok(OperatorRow::Manifest(manifest)) => {
+                    has_changed |= self.install(*manifest);
+                }
+                Ok(OperatorRow::Wave(wave)) => self.add_wave(wave),
+                Ok(OperatorRow::Other) => {}
+                Err(error) => follow::log_malformed(&row.key, &error),
+            }
+        }
+        self.confirmed_at = update.asked_at;
+        has_changed
+    }
+
+    fn install(&mut self, manifest: JobManifest) -> bool {
+        let version = manifest.version();
+        let is_newer = self
+            .manifest
+            .as_ref()
+            .is_none_or(|known| version > known.version());
+        if is_newer {
+            log_job_event!(info, event::MANIFEST_INSTALLED, version = version);
+            self.manifest = Some(sync::Arc::new(manifest));
+        }
+        is_newer
+    }
+
+    fn add_wave(&mut self, wave: WaveRequest) {
+        let waves = sync::Arc::make_mut(&mut self.waves);
+        waves.retain(|known| known.number != wave.number);
+        waves.push(wave);
+    }
+}
+
+/// Starts to follow what operators declare; ends once all receivers are closed.
+pub fn follow_operators(
+    client: &TableClient,
+    codec: sync::Arc<dyn DeploymentCodec>,
+) -> watch::Receiver<OperatorView> {
+    let (sender, receiver) = watch::channel(OperatorView::default());
+    let mut updates = follow::follow(
+        client,
+        CallCause::Configuration,
+        codec.operator_prefix(),
+        None,
+    );
+    tokio::task::spawn_local(async move {
+        while let Some(update) = updates.recv().await {
+            if sender.is_closed() {
+                return;
+            }
+            sender.send_if_modified(|view| {
+                view.apply(codec.as_ref(), &update);
+                true
+            });
+        }
+    });
+    receiver
+}
--- /dev/null
+++ b/crates/engine/src/run.rs
@@ -0,0 +1,158 @@
+//! Life of an entry process that runs jobs.
+
+use std::net;
+use std::rc;
+use std::sync;
+use std::time;
+
+use redwing_provider::backoff::BackoffSettings;
+use redwing_provider::breaker::BreakerSettings;
+use redwing_provider::{ClientSettings, TableClient};
+use tokio::signal::unix;
+use tokio::sync::watch;
+use tokio::time as timer;
+
+use crate::caller::CallerSettings;
+use crate::caller::listener::{self, ListenerParts};
+use crate::error::{Error, Result};
+use crate::event;
+use crate::log_job_event;
+use crate::manifest;
+use crate::owner::{self, OwnerParts, OwnerSettings};
+use crate::services::ServicesFactory;
+
+/// Settings of an entry process.
+#[derive(Clone, Debug)]
+pub struct EngineSettings {
+    /// Name of the VM.
+    pub node: String,
+    /// Address for callers.
+    pub callers: net::SocketAddr,
+    /// Address for the balancer.
+    pub balancer: net::SocketAddr,
+    /// How long the process still serves after it was told to stop.
+    pub leave_delay: time::Duration,
+    /// Bounds of the answers to callers.
+    pub caller: CallerSettings,
+    /// Bounds of ownership.
+    pub owner: OwnerSettings,
+    /// Bounds of the table's client.
+    pub client: ClientSettings,
+}
+
+impl Default for EngineSettings {
+    fn default() -> Self {
+        Self {
+            node: "entry-1".to_owned(),
+            callers: net::SocketAddr::from(([127, 0, 0, 1], 0)),
+            balancer: net::SocketAddr::from(([127, 0, 0, 1], 0)),
+            leave_delay: time::Duration::from_millis(3_500),
+            caller: CallerSettings::default(),
+            owner: OwnerSettings::default(),
+            client: client_settings(),
+        }
+    }
+}
+
+/// Returns the bounds of a client whose callers wait for each answer.
+fn client_settings() -> ClientSettings {
+    ClientSettings {
+        call_timeout: time::Duration::from_millis(900),
+        commits_in_flight: 8,
+        reads_in_flight: 32,
+        commit_interval: time::Duration::from_millis(1),
+        read_interval: time::Duration::ZERO,
+        breaker: BreakerSettings {
+            failures: 5,
+            shortest_open: time::Duration::from_millis(100),
+            backoff: BackoffSettings {
+                first: time::Duration::from_millis(50),
+                longest: time::Duration::from_millis(300),
+            },
+        },
+        ..ClientSettings::default()
+    }
+}
+
+/// Signals that an entry process answers to.
+struct ProcessSignals {
+    terminate: unix::Signal,
+    interrupt: unix::Signal,
+    reload: unix::Signal,
+}
+
+impl ProcessSignals {
+    fn open() -> Result<Self> {
+        let open = |kind| {
+            let signal = unix::signal(kind);
+            signal.map_err(|error| Error::start("listen for signals", "system", error))
+        };
+        Ok(Self {
+            terminate: open(unix::SignalKind::terminate())?,
+            interrupt: open(unix::SignalKind::interrupt())?,
+            reload: open(unix::SignalKind::hangup())?,
+        })
+    }
+
+    /// Waits until the process is to stop.
+    async fn stop(&mut self) {
+        loop {
+            tokio::select! {
+                _ = self.terminate.recv() => return,
+                _ = self.interrupt.recv() => return,
+                _ = self.reload.recv() => {
+                    // Addresses and bounds are those of the start; the next start reads them anew.
+                    log_job_event!(info, event::SETTINGS_RELOADED, changed = "nothing");
+                }
+            }
+        }
+    }
+}
+
+/// Serves callers and takes part in the ownership until told to stop.
+///
+/// # Errors
+///
+/// Fails if the process cannot listen on its addresses.
+pub async fn serve(
+    settings: EngineSettings,
+    factory: sync::Arc<dyn ServicesFactory>,
+) -> Result<()> {
+    let mut signals = ProcessSignals::open()?;
+    let (stop, stopping) = watch::channel(false);
+    let services = factory.services();
+    let client = TableClient::new(rc::Rc::clone(&services.table), settings.client.clone());
+    let operators = manifest::follow_operators(&client, factory.codec());
+    let server = listener::start(&ListenerParts {
+        callers: settings.callers,
+        balancer: settings.balancer,
+        settings: settings.caller.clone(),
+        client: settings.client.clone(),
+        factory: sync::Arc::clone(&factory),
+        operators: operators.clone(),
+        stopping: stopping.clone(),
+    })?;
+    let handle = server.handle();
+    let serving = actix_rt::spawn(server);
+    let owner = tokio::task::spawn_local(owner::run(OwnerParts {
+        node: settings.node.clone(),
+        life: rand::random(),
+        settings: rc::Rc::new(settings.owner.clone()),
+        client,
+        services,
+        codec: factory.codec(),
+        operators,
+        stopping,
+    }));
+    log_job_event!(info, event::ENGINE_STARTED, node = settings.node);
+    signals.stop().await;
+    log_job_event!(info, event::ENGINE_STOPPING, node = settings.node);
+    stop.send_replace(true);
+    timer::sleep(settings.leave_delay).await;
+    handle.stop(true).await;
+    // How the tasks ended changes nothing any more.
+    let _ = serving.await;
+    let _ = owner.await;
+    log_job_event!(info, event::ENGINE_STOPPED, node = settings.node);
+    Ok(())
+}
--- /dev/null
+++ b/crates/engine/src/services.rs
@@ -0,0 +1,135 @@
+//! What surrounds an entry process, as traits.
+
+use std::rc;
+use std::sync;
+
+use redwing_jobs::name::{MachineName, PoolName, WorkerId};
+use redwing_jobs::worker::{HoldReport, OrderAnswer, OrderOutcome, WorkerOrder};
+use redwing_provider::{LocalFuture, Result, TableStore};
+
+use crate::codec::DeploymentCodec;
+
+/// Answer of a worker to an order.
+#[derive(Clone, Debug, PartialEq)]
+pub enum WorkerReply {
+    /// Answer to a start, a stop or a limit.
+    Order(OrderAnswer),
+    /// Lists in answer to a hold.
+    Report(HoldReport),
+    /// The hold was not answered with lists.
+    NoReport(OrderOutcome),
+}
+
+/// Sends orders to workers; each call ends within its own timeout.
+pub trait WorkerClient {
+    /// Sends one order and waits for its answer.
+    fn send<'a>(&'a self, order: &'a WorkerOrder) -> LocalFuture<'a, WorkerReply>;
+}
+
+/// What the platform is doing with a machine.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum MachineState {
+    /// It runs its worker.
+    Up,
+    /// It is on the way to another pool.
+    Moving,
+    /// It is in upkeep.
+    Upkeep,
+    /// It is down.
+    Down,
+}
+
+/// Machine as the platform lists it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ListedMachine {
+    /// Name of the machine.
+    pub name: MachineName,
+    /// Pool that it belongs to.
+    pub pool: PoolName,
+    /// What the platform is doing with it.
+    pub state: MachineState,
+    /// Worker that runs on it.
+    pub worker: Option<WorkerId>,
+    /// Processor of the machine, in thousandths of a core.
+    pub cpu_millis: u64,
+}
+
+/// What became of an order for a machine.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum MachineOutcome {
+    /// It is done, or was done before.
+    Accepted,
+    /// A newer owner gave an order for the machine.
+    Fenced,
+    /// The machine is not up or is about to leave.
+    Busy,
+    /// The machine does not belong to the wave.
+    NotInWave,
+    /// There is no such machine, or it cannot join the pool.
+    Invalid,
+    /// Too many calls; nothing was done.
+    Throttled,
+}
+
+/// Who gives an order for a machine.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct MachineHolder<'a> {
+    /// Name of this process.
+    pub name: &'a str,
+    /// Fencing token of the owner.
+    pub fence: u64,
+}
+
+/// Lists, moves and maintains machines.
+pub trait MachineClient {
+    /// Lists all machines.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the platform does not answer in time.
+    fn list(&self) -> LocalFuture<'_, Result<Vec<ListedMachine>>>;
+
+    /// Moves a machine to another pool; what runs on it ends.
+    ///
+    /// # Errors
+    ///
+    /// Fails with category `Unknown` if it may have been moved.
+    fn change_pool<'a>(
+        &'a self,
+        holder: MachineHolder<'a>,
+        machine: &'a MachineName,
+        pool: &'a PoolName,
+    ) -> LocalFuture<'a, Result<MachineOutcome>>;
+
+    /// Takes a machine down for the upkeep of a wave; what runs on it ends.
+    ///
+    /// # Errors
+    ///
+    /// Fails with category `Unknown` if the upkeep may have begun.
+    fn begin_upkeep<'a>(
+        &'a self,
+        holder: MachineHolder<'a>,
+        machine: &'a MachineName,
+        wave: u64,
+    ) -> LocalFuture<'a, Result<MachineOutcome>>;
+}
+
+/// Services of one thread.
+#[derive(Clone)]
+pub struct DeploymentServices {
+    /// Transactional table.
+    pub table: rc::Rc<dyn TableStore>,
+    /// Orders to workers.
+    pub workers: rc::Rc<dyn WorkerClient>,
+    /// Orders for machines.
+    pub machines: rc::Rc<dyn MachineClient>,
+}
+
+/// Creates the services of a thread, and the formats of the deployment.
+pub trait ServicesFactory: Send + Sync {
+    /// Creates the services for the calling thread.
+    fn services(&self) -> DeploymentServices;
+
+    /// Returns the formats of the deployment.
+    fn codec(&self) -> sync::Arc<dyn DeploymentCodec>;
+}
--- /dev/null
+++ b/crates/jobs/src/error.rs
@@ -0,0 +1,30 @@
+//! Errors of job specifications and stored rows.
+
+use std::result;
+
+use quick_error::quick_error;
+
+quick_error! {
+    /// Error of a job specification or a stored row.
+    #[derive(Clone, Debug, Eq, PartialEq)]
+    pub enum Error {
+        /// A field of a specification has a value that cannot be served.
+        Field(field: String, problem: String) {
+            display("read job: field {field}: {problem}")
+        }
+        /// A text is not the name of a task.
+        TaskName(text: String) {
+            display("read task name: {text:?} is not JOB.OCCURRENCE.STEP.INDEX")
+        }
+    }
+}
+
+/// Result of reading a specification or row.
+pub type Result<T> = result::Result<T, Error>;
+
+impl Error {
+    /// Creates an error that names a field and what is wrong with it.
+    pub fn field(field: impl Into<String>, problem: impl Into<String>) -> Self {
+        Self::Field(field.into(), problem.into())
+    }
+}
--- /dev/null
+++ b/crates/jobs/src/record.rs
@@ -0,0 +1,105 @@
+//! Rows of the table that keep jobs and their progress.
+//!
+//! `jobs/ID` is written once by the process that accepts the job;
+//! `jobs/ID.cancel` once by the process that cancels it; `progress/ID` only
+//! by the owner of the scheduling.
+
+use serde::{Deserialize, Serialize};
+
+use crate::name::{CustomerName, PoolName, QueueName, WorkerId};
+use crate::spec::JobSpec;
+use crate::time::WallTime;
+
+/// What was accepted from a caller.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct JobRecord {
+    /// Queue of the job.
+    pub queue: QueueName,
+    /// Pool of the queue when the job was accepted.
+    pub pool: PoolName,
+    /// Customer whose key came with it; none on a public queue.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub customer: Option<CustomerName>,
+    /// When it was accepted, by the clock of the accepting VM.
+    pub accepted: WallTime,
+    /// What the caller asks for.
+    pub spec: JobSpec,
+}
+
+/// State of a job as callers see it.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum JobState {
+    /// No task has started.
+    #[default]
+    Queued,
+    /// At least one task has started.
+    Running,
+    /// All tasks of all occurrences are done.
+    Completed,
+    /// A task failed too often.
+    Failed,
+    /// The caller cancelled it.
+    Cancelled,
+}
+
+impl JobState {
+    /// Returns whether nothing of the job runs any more.
+    pub fn is_final(self) -> bool {
+        matches!(self, Self::Completed | Self::Failed | Self::Cancelled)
+    }
+}
+
+/// What is kept of one task. The names are short because rows are paid for
+/// by the byte.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(default)]
+pub struct TaskRecord {
+    /// Number of the latest run; 0 if there was none.
+    #[serde(rename = "r", skip_serializing_if = "is_default")]
+    pub run: u32,
+    /// Number of runs that failed.
+    #[serde(rename = "f", skip_serializing_if = "is_default")]
+    pub failed: u32,
+    /// Whether the task is done.
+    #[serde(rename = "d", skip_serializing_if = "is_default")]
+    pub done: bool,
+    /// Worker on which the latest run may be running.
+    #[serde(rename = "w", skip_serializing_if = "Option::is_none")]
+    pub worker: Option<WorkerId>,
+    /// Start of that worker's life, in milliseconds since the Unix epoch.
+    #[serde(rename = "b", skip_serializing_if = "is_default")]
+    pub born: u64,
+    /// Latest progress that the task saved.
+    #[serde(rename = "c", skip_serializing_if = "Option::is_none")]
+    pub checkpoint: Option<String>,
+}
+
+fn is_default<T: Default + PartialEq>(value: &T) -> bool {
+    *value == T::default()
+}
+
+/// What is kept of one occurrence that has begun.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct OccurrenceRecord {
+    /// Number of the occurrence.
+    pub number: u32,
+    /// Tasks of each step.
+    pub steps: Vec<Vec<TaskRecord>>,
+}
+
+/// How far a job has come.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct ProgressRecord {
+    /// State as callers see it.
+    pub state: JobState,
+    /// Occurrences below this number have begun or are finished.
+    #[serde(default, skip_serializing_if = "is_default")]
+    pub begun: u32,
+    /// Occurrences that have begun and are not finished.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub occurrences: Vec<OccurrenceRecord>,
+}
--- /dev/null
+++ b/crates/jobs/src/scheduler/entry.rs
@@ -0,0 +1,316 @@
+//! Jobs, steps and tasks in memory.
+
+use std::sync;
+
+use crate::name::WorkerId;
+use crate::record::{JobRecord, JobState, OccurrenceRecord, ProgressRecord, TaskRecord};
+use crate::spec::{JobSpec, StepSpec};
+use crate::time::BootTime;
+
+/// Where a run of a task is, or may be.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub(super) struct RunPlace {
+    /// Worker of the run.
+    pub(super) worker: WorkerId,
+    /// Start of that worker's life.
+    pub(super) born: u64,
+}
+
+/// Where a task stands.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub(super) enum TaskPhase {
+    /// It runs nowhere.
+    #[default]
+    Idle,
+    /// It has room on a worker; the row that says so is not stored yet.
+    Reserved(RunPlace),
+    /// The order to start it was sent and is not answered.
+    Ordered(RunPlace),
+    /// It runs, or ran when an earlier owner stored its row.
+    Running(RunPlace, RunProgress),
+    /// It is to be stopped.
+    Stopping(RunPlace, StopProgress),
+    /// It is done.
+    Done,
+}
+
+/// How far a run has come.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub(super) struct RunProgress {
+    /// When the run was first known to run.
+    pub(super) since: BootTime,
+    /// Latest progress, from 0 to 100.
+    pub(super) percent: u32,
+    /// When the progress last changed.
+    pub(super) advanced_at: BootTime,
+}
+
+/// How far the stop of a run has come.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub(super) struct StopProgress {
+    /// When the latest order to stop was given.
+    pub(super) ordered_at: BootTime,
+    /// When the worker accepted one.
+    pub(super) accepted_at: Option<BootTime>,
+}
+
+impl TaskPhase {
+    /// Returns where the task occupies room.
+    pub(super) fn place(&self) -> Option<&RunPlace> {
+        match self {
+            Self::Idle | Self::Done => None,
+            Self::Reserved(place)
+            | Self::Ordered(place)
+            | Self::Running(place, _)
+            | Self::Stopping(place, _) => Some(place),
+        }
+    }
+}
+
+/// One task.
+#[derive(Clone, Debug, Default)]
+pub(super) struct TaskEntry {
+    pub(super) phase: TaskPhase,
+    /// Number of the latest run; 0 if there was none.
+    pub(super) run: u32,
+    /// Number of runs that failed.
+    pub(super) failed: u32,
+    /// Latest progress that the task saved.
+    pub(super) checkpoint: Option<String>,
+}
+
+impl TaskEntry {
+    fn restore(record: &TaskRecord, now: BootTime) -> Self {
+        let progress = RunProgress {
+            since: now,
+            percent: 0,
+            advanced_at: now,
+        };
+        let phase = match &record.worker {
+            _ if record.done => TaskPhase::Done,
+            Some(worker) => TaskPhase::Running(
+                RunPlace {
+                    worker: worker.clone(),
+                    born: record.born,
+                },
+                progress,
+            ),
+            None => TaskPhase::Idle,
+        };
+        Self {
+            phase,
+            run: record.run,
+            failed: record.failed,
+            checkpoint: record.checkpoint.clone(),
+        }
+    }
+
+    fn record(&self) -> TaskRecord {
+        if self.phase == TaskPhase::Done {
+            return TaskRecord {
+                done: true,
+                ..TaskRecord::default()
+            };
+        }
+        let place = self.phase.place();
+        TaskRecord {
+            run: self.run,
+            failed: self.failed,
+            done: false,
+            worker: place.map(|place| place.worker.clone()),
+            born: place.map_or(0, |place| place.born),
+            checkpoint: self.checkpoint.clone(),
+        }
+    }
+}
+
+/// One step of one occurrence.
+#[derive(Clone, Debug, Default)]
+pub(super) struct StepEntry {
+    pub(super) tasks: Vec<TaskEntry>,
+}
+
+impl StepEntry {
+    /// Returns whether all tasks are done.
+    pub(super) fn is_done(&self) -> bool {
+        self.tasks.iter().all(|task| task.phase == TaskPhase::Done)
+    }
+
+    /// Returns whether a task runs nowhere.
+    pub(super) fn has_idle(&self) -> bool {
+        self.tasks.iter().any(|task| task.phase == TaskPhase::Idle)
+    }
+}
+
+/// One occurrence that has begun and is not finished.
+#[derive(Clone, Debug)]
+pub(super) struct OccurrenceEntry {
+    pub(super) number: u32,
+    pub(super) steps: Vec<StepEntry>,
+}
+
+impl OccurrenceEntry {
+    pub(super) fn new(number: u32, spec: &JobSpec) -> Self {
+        let steps = spec.steps.iter().map(|step| StepEntry {
+            tasks: vec![TaskEntry::default(); step.count as usize],
+        });
+        Self {
+            number,
+            steps: steps.collect(),
+        }
+    }
+
+    /// Returns whether the turn of step `number` has come.
+    pub(super) fn is_ready(&self, step: &StepSpec) -> bool {
+        let mut earlier = step.after.iter();
+        earlier.all(|&number| {
+            let entry = self.steps.get(number as usize);
+            entry.is_some_and(StepEntry::is_done)
+        })
+    }
+
+    /// Returns whether all tasks are done.
+    pub(super) fn is_done(&self) -> bool {
+        self.steps.iter().all(StepEntry::is_done)
+    }
+
+    fn record(&self) -> OccurrenceRecord {
+        let steps = self.steps.iter();
+        OccurrenceRecord {
+            number: self.number,
+            steps: steps
+                .map(|step| step.tasks.iter().map(TaskEntry::record).collect())
+                .collect(),
+        }
+    }
+}
+
+/// One job that is not finished, or whose end is not stored.
+#[derive(Clone, Debug)]
+pub(super) struct JobEntry {
+    pub(super) record: JobRecord,
+    pub(super) payload: sync::Arc<str>,
+    pub(super) state: JobState,
+    /// Occurrences below this number have begun.
+    pub(super) begun: u32,
+    pub(super) occurrences: Vec<OccurrenceEntry>,
+    /// Longest chain of estimated work, in milliseconds.
+    pub(super) chain_ms: u64,
+    /// Number of tasks that occupy room somewhere.
+    pub(super) active: u32,
+}
+
+impl JobEntry {
+    pub(super) fn new(record: JobRecord) -> Self {
+        let mut entry = Self {
+            payload: record.spec.payload.as_str().into(),
+            chain_ms: chain_ms(&record.spec),
+            state: JobState::Queued,
+            begun: 0,
+            occurrences: Vec::new(),
+            active: 0,
+            record,
+        };
+        if entry.record.spec.schedule.is_none() {
+            entry.begin_next();
+        }
+        entry
+    }
+
+    pub(super) fn restore(record: JobRecord, progress: &ProgressRecord, now: BootTime) -> Self {
+        let mut entry = Self::new(record);
+        entry.state = progress.state;
+        entry.begun = progress.begun.max(entry.begun);
+        if entry.record.spec.schedule.is_some() {
+            entry.occurrences.clear();
+        }
+        for stored in &progress.occurrences {
+            let mut occurrence = OccurrenceEntry::new(stored.number, &entry.record.spec);
+            let steps = occurrence.steps.iter_mut().zip(&stored.steps);
+            for (step, records) in steps {
+                for (task, record) in step.tasks.iter_mut().zip(records) {
+                    *task = TaskEntry::restore(record, now);
+                }
+            }
+            entry
+                .occurrences
+                .retain(|known| known.number != stored.number);
+            entry.occurrences.push(occurrence);
+        }
+        entry
+    }
+
+    /// Begins the next occurrence.
+    pub(super) fn begin_next(&mut self) {
+        let occurrence = OccurrenceEntry::new(self.begun, &self.record.spec);
+        self.occurrences.push(occurrence);
+        self.begun += 1;
+    }
+
+    /// Returns whether an occurrence has not begun.
+    pub(super) fn has_unbegun(&self) -> bool {
+        self.begun < self.record.spec.occurrences()
+    }
+
+    /// Returns whether a task whose turn has come runs nowhere.
+    pub(super) fn has_waiting(&self) -> bool {
+        if self.state.is_final() {
+            return false;
+        }
+        self.occurrences.iter().any(|occurrence| {
+            let steps = occurrence.steps.iter().zip(&self.record.spec.steps);
+            steps
+                .into_iter()
+                .any(|(step, spec)| step.has_idle() && occurrence.is_ready(spec))
+        })
+    }
+
+    pub(super) fn step(&self, occurrence: u32, step: u32) -> Option<&StepEntry> {
+        let mut occurrences = self.occurrences.iter();
+        let entry = occurrences.find(|entry| entry.number == occurrence)?;
+        entry.steps.get(step as usize)
+    }
+
+    pub(super) fn step_mut(&mut self, occurrence: u32, step: u32) -> Option<&mut StepEntry> {
+        let mut occurrences = self.occurrences.iter_mut();
+        let entry = occurrences.find(|entry| entry.number == occurrence)?;
+        entry.steps.get_mut(step as usize)
+    }
+
+    /// Returns the row to store.
+    pub(super) fn progress(&self) -> ProgressRecord {
+        let occurrences = self.occurrences.iter().map(OccurrenceEntry::record);
+        ProgressRecord {
+            state: self.state,
+            begun: self.begun,
+            occurrences: if self.state.is_final() {
+                Vec::new()
+            } else {
+                occurrences.collect()
+            },
+        }
+    }
+
+    /// Returns the number of runs that failed.
+    pub(super) fn failed_runs(&self) -> u32 {
+        let occurrences = self.occurrences.iter();
+        let tasks = occurrences
+            .flat_map(|entry| &entry.steps)
+            .flat_map(|step| &step.tasks);
+        tasks.map(|task| task.failed).sum()
+    }
+}
+
+/// Returns the longest chain of estimated work, in milliseconds.
+fn chain_ms(spec: &JobSpec) -> u64 {
+    let mut finished: Vec<u64> = Vec::with_capacity(spec.steps.len());
+    for step in &spec.steps {
+        let earlier = step
+            .after
+            .iter()
+            .filter_map(|&number| finished.get(number as usize));
+        let start = earlier.copied().max().unwrap_or(0);
+        finished.push(start + step.estimate_ms);
+    }
+    finished.into_iter().max().unwrap_or(0)
+}
--- /dev/null
+++ b/crates/jobs/src/scheduler/intake.rs
@@ -0,0 +1,195 @@
+//! New jobs, cancelled jobs, and rows of an earlier owner.
+
+use crate::name::{JobId, TaskId, WorkerId};
+use crate::record::{JobRecord, JobState, ProgressRecord};
+use crate::time::{BootTime, WallTime};
+
+use super::entry::{JobEntry, StopProgress, TaskPhase};
+use super::fleet::{Occupant, WorkerEntry};
+use super::{JobScheduler, SchedulerNote};
+
+impl JobScheduler {
+    /// Takes in a job that was accepted; one that is known or finished is left
+    /// as it is.
+    pub fn submit(&mut self, id: &JobId, record: JobRecord) {
+        if self.jobs.contains_key(id) || self.finished.contains(id) {
+            return;
+        }
+        self.insert(id, JobEntry::new(record));
+    }
+
+    /// Takes in a job with what an earlier owner stored of it.
+    pub fn restore(
+        &mut self,
+        id: &JobId,
+        record: JobRecord,
+        progress: &ProgressRecord,
+        now: BootTime,
+    ) {
+        if progress.state.is_final() {
+            self.finished.insert(id);
+        }
+        if self.finished.contains(id) || self.jobs.contains_key(id) {
+            return;
+        }
+        let entry = JobEntry::restore(record, progress, now);
+        self.insert(id, entry);
+        for (task, run, worker, born) in self.placed_runs(id) {
+            self.restore_run(&task, run, &worker, born, now);
+        }
+    }
+
+    fn insert(&mut self, id: &JobId, entry: JobEntry) {
+        if entry.has_unbegun() {
+            self.timed.insert(id.clone());
+        }
+        self.jobs.insert(id.clone(), entry);
+        self.refresh_waiting(id);
+    }
+
+    /// Returns all runs of a job that have a place.
+    pub(super) fn placed_runs(&self, id: &JobId) -> Vec<(TaskId, u32, WorkerId, u64)> {
+        let Some(job) = self.jobs.get(id) else {
+            return Vec::new();
+        };
+        let mut runs = Vec::new();
+        for occurrence in &job.occurrences {
+            for (step, entry) in occurrence.steps.iter().enumerate() {
+                for (index, task) in entry.tasks.iter().enumerate() {
+                    let Some(place) = task.phase.place() else {
+                        continue;
+                    };
+                    let name = TaskId {
+                        job: id.clone(),
+                        occurrence: occurrence.number,
+                        step: step as u32,
+                        index: index as u32,
+                    };
+                    runs.push((name, task.run, place.worker.clone(), place.born));
+                }
+            }
+        }
+        runs
+    }
+
+    /// Counts the room of a run that an earlier owner started.
+    fn restore_run(
+        &mut self,
+        task: &TaskId,
+        run: u32,
+        worker: &WorkerId,
+        born: u64,
+        now: BootTime,
+    ) {
+        let inherited = now + self.settings.inherited_lease;
+        let known = self.fleet.get(worker).map(|entry| entry.born);
+        if known.is_some_and(|known| known != born) {
+            // That life of the worker is over.
+            self.set_phase(task, TaskPhase::Idle);
+            return;
+        }
+        if known.is_none() {
+            let entry = WorkerEntry {
+                born,
+                filler_percent: 100,
+                ..WorkerEntry::default()
+            };
+            self.fleet.insert(worker.clone(), entry);
+        }
+        let reserved = self.reserved(task);
+        if let Some(entry) = self.fleet.get_mut(worker) {
+            entry.lease_until = entry.lease_until.max(inherited);
+            let occupant = Occupant {
+                run,
+                reserved,
+                orphan_stop: None,
+            };
+            entry.occupy(task.clone(), occupant);
+        }
+        self.count_active(task);
+    }
+
+    /// Notes that a job was cancelled; its runs are stopped.
+    pub fn cancel(&mut self, id: &JobId, now: BootTime) {
+        self.finish(id, JobState::Cancelled, now);
+    }
+
+    /// Ends a job: what runs of it is stopped, and its end is stored.
+    pub(super) fn finish(&mut self, id: &JobId, state: JobState, now: BootTime) {
+        let Some(job) = self.jobs.get_mut(id) else {
+            return;
+        };
+        if job.state.is_final() {
+            return;
+        }
+        job.state = state;
+        let failed = job.failed_runs();
+        self.notes.push(SchedulerNote::JobEnded {
+            job: id.clone(),
+            state,
+            failed,
+        });
+        self.timed.remove(id);
+        self.waiting.remove(id);
+        self.journal.mark(id);
+        for (task, _, _, _) in self.placed_runs(id) {
+            self.stop_task(&task, now);
+        }
+    }
+
+    /// Begins the occurrences that are due.
+    pub(super) fn begin_due(&mut self, wall: WallTime) {
+        let mut begun = Vec::new();
+        for id in &self.timed {
+            let Some(job) = self.jobs.get_mut(id) else {
+                begun.push(id.clone());
+                continue;
+            };
+            let schedule = job.record.spec.schedule.unwrap_or_default();
+            while job.has_unbegun() {
+                let delay = u64::from(job.begun) * schedule.interval_ms;
+                if schedule.first_run_ms + delay > wall.as_millis() {
+                    break;
+                }
+                job.begin_next();
+                begun.push(id.clone());
+            }
+        }
+        for id in begun {
+            let has_unbegun = self.jobs.get(&id).is_some_and(JobEntry::has_unbegun);
+            if !has_unbegun {
+                self.timed.remove(&id);
+            }
+            if self.jobs.contains_key(&id) {
+                self.journal.mark(&id);
+                self.refresh_waiting(&id);
+            }
+        }
+    }
+
+    /// Orders the stop of a task that has a place.
+    pub(super) fn stop_task(&mut self, task: &TaskId, now: BootTime) {
+        let Some(entry) = self.task(task) else {
+            return;
+        };
+        let (place, run) = match &entry.phase {
+            TaskPhase::Idle | TaskPhase::Done | TaskPhase::Stopping(..) => return,
+            TaskPhase::Reserved(_) => {
+                self.free_task(task);
+                return;
+            }
+            TaskPhase::Ordered(place) | TaskPhase::Running(place, _) => (place.clone(), entry.run),
+        };
+        let worker = place.worker.clone();
+        let progress = StopProgress {
+            ordered_at: now,
+            accepted_at: None,
+        };
+        self.set_phase(task, TaskPhase::Stopping(place, progress));
+        let action = crate::worker::OrderAction::Stop {
+            task: task.clone(),
+            run,
+        };
+        self.push_order(&worker, action, now);
+    }
+}
--- /dev/null
+++ b/crates/jobs/src/scheduler/place.rs
@@ -0,0 +1,370 @@
+//! Which task goes where, and in which order.
+//!
+//! Load pattern: demand that exceeds a pool's room for seconds. Jobs that
+//! can still meet their objective go first, by the time that is left;
+//! long-running tasks, which earn as long as they run, go before those.
+
+use std::collections::BTreeMap;
+
+use crate::name::{JobId, PoolName, TaskId, WorkerId};
+use crate::record::JobState;
+use crate::spec::{ResourceAmount, StepSpec};
+use crate::time::{BootTime, WallTime};
+
+use super::entry::{JobEntry, RunPlace, TaskPhase};
+use super::fleet::{Occupant, WorkerEntry};
+use super::{JobScheduler, SchedulerNote};
+
+/// Rank of a job among those that wait for the same pool; lower goes first.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+struct JobRank {
+    is_short: bool,
+    is_late: bool,
+    priority: u32,
+    due_ms: u64,
+}
+
+/// Job that waits for room.
+#[derive(Clone, Debug)]
+struct WaitingJob {
+    rank: JobRank,
+    id: JobId,
+}
+
+/// Worker that may get tasks, with the room that is left.
+#[derive(Clone, Debug)]
+struct PlaceOption {
+    worker: WorkerId,
+    born: u64,
+    room: ResourceAmount,
+}
+
+impl JobScheduler {
+    /// Gives room to the tasks whose turn has come.
+    pub fn place(&mut self, now: BootTime, wall: WallTime) {
+        self.begin_due(wall);
+        if !self.may_place {
+            return;
+        }
+        self.may_place = false;
+        for (pool, mut jobs) in self.waiting_by_pool(wall) {
+            jobs.sort_by(|one, other| (one.rank, &one.id).cmp(&(other.rank, &other.id)));
+            let mut options = self.options(&pool, now);
+            for job in jobs {
+                if options.iter().all(|option| option.room.cpu_millis == 0) {
+                    break;
+                }
+                self.place_job(&job.id, &mut options);
+            }
+        }
+    }
+
+    fn waiting_by_pool(&self, wall: WallTime) -> BTreeMap<PoolName, Vec<WaitingJob>> {
+        let mut pools: BTreeMap<PoolName, Vec<WaitingJob>> = BTreeMap::new();
+        for id in &self.waiting {
+            let Some(job) = self.jobs.get(id) else {
+                continue;
+            };
+            let queue = self.manifest.queue(&job.record.queue);
+            let pool = queue.map_or(&job.record.pool, |queue| &queue.pool);
+            let waiting = WaitingJob {
+                rank: self.rank(job, wall),
+                id: id.clone(),
+            };
+            pools.entry(pool.clone()).or_default().push(waiting);
+        }
+        pools
+    }
+
+    fn rank(&self, job: &JobEntry, wall: WallTime) -> JobRank {
+        let queue = self.manifest.queue(&job.record.queue);
+        let (stretch, objective_ms) =
+            queue.map_or((1.0, 0), |queue| (queue.stretch, queue.objective_ms));
+        let accepted = job.record.accepted.as_millis();
+        let due_ms = accepted + objective_ms + (stretch * job.chain_ms as f64) as u64;
+        JobRank {
+            is_short: !job.record.spec.is_long_running(),
+            is_late: wall.as_millis() > due_ms,
+            priority: queue.map_or(0, |queue| queue.priority),
+            due_ms,
+        }
+    }
+
+    fn options(&self, pool: &PoolName, now: BootTime) -> Vec<PlaceOption> {
+        let workers = self.fleet.iter();
+        let usable = workers.filter(|(_, entry)| {
+            let view = entry.view.as_ref();
+            view.is_some_and(|view| view.pool == *pool) && entry.is_usable(now)
+        });
+        let mut options: Vec<PlaceOption> = usable
+            .map(|(id, entry)| PlaceOption {
+                worker: id.clone(),
+                born: entry.born,
+                room: entry.room(),
+            })
+            .collect();
+        options.sort_by(|one, other| one.worker.cmp(&other.worker));
+        options
+    }
+
+    /// Gives room to as many tasks of a job as find it.
+    fn place_job(&mut self, id: &JobId, options: &mut [PlaceOption]) {
+        let Some(job) = self.jobs.get(id) else {
+            return;
+        };
+        let mut ready = Vec::new();
+        for occurrence in &job.occurrences {
+            for (number, spec) in job.record.spec.steps.iter().enumerate() {
+                if occurrence.is_ready(spec) && occurrence.steps[number].has_idle() {
+                    ready.push((occurrence.number, number as u32));
+                }
+            }
+        }
+        let mut placed = 0;
+        let mut left = 0;
+        for (occurrence, step) in ready {
+            let outcome = self.place_step(id, occurrence, step, options);
+            placed += outcome.placed;
+            left += outcome.left;
+        }
+        if placed > 0 {
+            self.note_placed(id, placed, left);
+        }
+    }
+
+    fn note_placed(&mut self, id: &JobId, count: u32, left: u32) {
+        if let Some(job) = self.jobs.get_mut(id)
+            && job.state == JobState::Queued
+        {
+            job.state = JobState::Running;
+        }
+        self.journal.mark(id);
+        self.refresh_waiting(id);
+        // What is left waits for room, not for another look at the same room.
+        self.may_place = false;
+        self.notes.push(SchedulerNote::TasksPlaced {
+            job: id.clone(),
+            count,
+            left,
+        });
+    }
+
+    fn place_step(
+        &mut self,
+        id: &JobId,
+        occurrence: u32,
+        step: u32,
+        options: &mut [PlaceOption],
+    ) -> StepOutcome {
+        let mut outcome = StepOutcome::default();
+        let Some(job) = self.jobs.get(id) else {
+            return outcome;
+        };
+        let Some(spec) = job.record.spec.steps.get(step as usize).cloned() else {
+            return outcome;
+        };
+        let Some(entry) = job.step(occurrence, step) else {
+            return outcome;
+        };
+        let tasks = entry.tasks.iter().enumerate();
+        let idle: Vec<TaskId> = tasks
+            .filter(|(_, task)| task.phase == TaskPhase::Idle)
+            .map(|(index, _)| TaskId {
+                job: id.clone(),
+                occurrence,
+                step,
+                index: index as u32,
+            })
+            .collect();
+        if spec.gang {
+            return self.place_gang(&idle, &spec, options);
+        }
+        for task in &idle {
+            match self.choose(task, &spec, options) {
+                Some(position) if self.within_limit(task, &spec, 1) => {
+                    self.reserve(task, &spec, &mut options[position], None);
+                    outcome.placed += 1;
+                }
+                _ => outcome.left += 1,
+            }
+        }
+        outcome
+    }
+
+    /// Gives room to all members of a gang, or to none.
+    fn place_gang(
+        &mut self,
+        members: &[TaskId],
+        spec: &StepSpec,
+        options: &mut [PlaceOption],
+    ) -> StepOutcome {
+        let count = members.len() as u32;
+        let none = StepOutcome {
+            placed: 0,
+            left: count,
+        };
+        if count != spec.count || !self.within_limit_of_first(members, spec, count) {
+            return none;
+        }
+        let mut trial = options.to_vec();
+        let mut chosen: Vec<usize> = Vec::with_capacity(members.len());
+        for task in members {
+            let taken = |position: usize| chosen.iter().filter(|&&other| other == position).count();
+            let Some(position) = self.choose_beside(task, spec, &trial, taken) else {
+                return none;
+            };
+            trial[position].room -= spec.reserved();
+            chosen.push(position);
+        }
+        let runs = members.iter().filter_map(|task| self.task(task));
+        let run = runs.map(|task| task.run).max().unwrap_or(0) + 1;
+        for (task, position) in members.iter().zip(chosen) {
+            self.reserve(task, spec, &mut options[position], Some(run));
+        }
+        StepOutcome {
+            placed: count,
+            left: 0,
+        }
+    }
+
+    fn within_limit_of_first(&self, members: &[TaskId], spec: &StepSpec, count: u32) -> bool {
+        members
+            .first()
+            .is_some_and(|first| self.within_limit(first, spec, count))
+    }
+
+    /// Returns whether `count` more tasks of the step keep the customer
+    /// within its limit.
+    fn within_limit(&self, task: &TaskId, spec: &StepSpec, count: u32) -> bool {
+        let job = self.jobs.get(&task.job);
+        let Some(customer) = job.and_then(|job| job.record.customer.as_ref()) else {
+            return true;
+        };
+        let Some(policy) = self.manifest.customer(customer) else {
+            return true;
+        };
+        let used = self.usage.get(customer).copied().unwrap_or_default();
+        let needs = spec.needs;
+        let fits = |limit: u64, used: u64, need: u64| {
+            limit == 0 || used + need * u64::from(count) <= limit
+        };
+        fits(policy.limit.cpu_millis, used.cpu_millis, needs.cpu_millis)
+            && fits(policy.limit.memory_mb, used.memory_mb, needs.memory_mb)
+            && fits(
+                policy.limit.accelerators,
+                used.accelerators,
+                needs.accelerators,
+            )
+    }
+
+    fn choose(&self, task: &TaskId, spec: &StepSpec, options: &[PlaceOption]) -> Option<usize> {
+        self.choose_beside(task, spec, options, |_| 0)
+    }
+
+    /// Returns the best worker for a task; `taken` tells how many tasks of
+    /// the step are about to go to each.
+    fn choose_beside(
+        &self,
+        task: &TaskId,
+        spec: &StepSpec,
+        options: &[PlaceOption],
+        taken: impl Fn(usize) -> usize,
+    ) -> Option<usize> {
+        let reserved = spec.reserved();
+        let mut best: Option<(PlaceScore, usize)> = None;
+        for (position, option) in options.iter().enumerate() {
+            if !reserved.fits_in(&option.room) {
+                continue;
+            }
+            let Some(entry) = self.fleet.get(&option.worker) else {
+                continue;
+            };
+            if !is_permitted(task, spec, entry, taken(position)) {
+                continue;
+            }
+            let score = PlaceScore::of(spec, entry, &option.room);
+            if best.is_none_or(|(other, _)| score > other) {
+                best = Some((score, position));
+            }
+        }
+        best.map(|(_, position)| position)
+    }
+
+    /// Takes room for a task; its start waits until the row is stored.
+    fn reserve(
+        &mut self,
+        task: &TaskId,
+        spec: &StepSpec,
+        option: &mut PlaceOption,
+        run: Option<u32>,
+    ) {
+        let reserved = spec.reserved();
+        option.room -= reserved;
+        let place = RunPlace {
+            worker: option.worker.clone(),
+            born: option.born,
+        };
+        let Some(entry) = self.task_mut(task) else {
+            return;
+        };
+        entry.run = run.unwrap_or(entry.run + 1);
+        entry.phase = TaskPhase::Reserved(place);
+        let occupant = Occupant {
+            run: entry.run,
+            reserved,
+            orphan_stop: None,
+        };
+        if let Some(worker) = self.fleet.get_mut(&option.worker) {
+            worker.occupy(task.clone(), occupant);
+        }
+        self.count_active(task);
+    }
+}
+
+/// How many tasks of a step found room.
+#[derive(Clone, Copy, Debug, Default)]
+struct StepOutcome {
+    placed: u32,
+    left: u32,
+}
+
+/// How well a worker suits a task; higher is better.
+#[derive(Clone, Copy, Debug, PartialEq, PartialOrd)]
+struct PlaceScore {
+    is_near: bool,
+    free_share: f64,
+}
+
+impl PlaceScore {
+    fn of(spec: &StepSpec, entry: &WorkerEntry, room: &ResourceAmount) -> Self {
+        let view = entry.view.as_ref();
+        let is_near = spec
+            .affinity
+            .as_ref()
+            .is_none_or(|rack| view.is_some_and(|view| view.labels.contains(rack)));
+        let capacity = view.map_or(1, |view| view.capacity.cpu_millis.max(1));
+        Self {
+            is_near,
+            free_share: room.cpu_millis as f64 / capacity as f64,
+        }
+    }
+}
+
+/// Returns whether the step's rules allow one more of its tasks on a worker.
+fn is_permitted(task: &TaskId, spec: &StepSpec, entry: &WorkerEntry, taken: usize) -> bool {
+    let labels = entry.view.as_ref().map(|view| &view.labels);
+    let has_label = spec
+        .requires
+        .as_ref()
+        .is_none_or(|label| labels.is_some_and(|labels| labels.contains(label)));
+    if !has_label || entry.occupants.contains_key(task) {
+        return false;
+    }
+    if spec.max_per_worker == 0 {
+        return true;
+    }
+    let beside = entry.occupants.keys().filter(|other| {
+        other.job == task.job && other.occurrence == task.occurrence && other.step == task.step
+    });
+    beside.count() + taken < spec.max_per_worker as usize
+}
--- /dev/null
+++ b/crates/jobs/src/scheduler/upkeep.rs
@@ -0,0 +1,80 @@
+//! What upkeep asks of the scheduler.
+
+use crate::name::{TaskId, WorkerId};
+use crate::time::BootTime;
+use crate::upkeep::WorkerLoad;
+
+use super::JobScheduler;
+use super::entry::{TaskEntry, TaskPhase};
+
+/// Progress of a long-running task that is at work.
+const AT_WORK_PERCENT: u32 = 100;
+
+impl JobScheduler {
+    /// Returns what a worker runs.
+    pub fn worker_load(&self, worker: &WorkerId) -> WorkerLoad {
+        let mut load = WorkerLoad::default();
+        let Some(entry) = self.fleet.get(worker) else {
+            return load;
+        };
+        for task in entry.occupants.keys() {
+            if self.is_long_running(task) {
+                load.long_running += 1;
+            } else {
+                load.finite += 1;
+            }
+        }
+        load
+    }
+
+    /// Lets a worker have new work, or keeps it away.
+    pub fn block_worker(&mut self, worker: &WorkerId, is_blocked: bool) {
+        if let Some(entry) = self.fleet.get_mut(worker) {
+            entry.is_blocked = is_blocked;
+            self.may_place = true;
+        }
+    }
+
+    /// Stops the long-running tasks on a worker, as far as the budget of
+    /// their step allows; they start again elsewhere.
+    pub fn evict_long_running(&mut self, worker: &WorkerId, now: BootTime) {
+        let Some(entry) = self.fleet.get(worker) else {
+            return;
+        };
+        let tasks: Vec<TaskId> = entry.occupants.keys().cloned().collect();
+        for task in tasks {
+            if self.is_long_running(&task) && self.may_interrupt(&task) {
+                self.stop_task(&task, now);
+            }
+        }
+    }
+
+    /// Returns whether the step's budget allows to make the task unavailable.
+    fn may_interrupt(&self, task: &TaskId) -> bool {
+        let Some(job) = self.jobs.get(&task.job) else {
+            return true;
+        };
+        if job.state.is_final() {
+            return true;
+        }
+        let spec = job.record.spec.steps.get(task.step as usize);
+        let Some(budget) = spec.and_then(|spec| spec.max_unavailable) else {
+            return true;
+        };
+        let Some(step) = job.step(task.occurrence, task.step) else {
+            return true;
+        };
+        let others = step.tasks.iter().enumerate();
+        let away = others
+            .filter(|(index, other)| *index != task.index as usize && !is_at_work(other))
+            .count();
+        away < budget as usize
+    }
+}
+
+fn is_at_work(task: &TaskEntry) -> bool {
+    match &task.phase {
+        TaskPhase::Running(_, progress) => progress.percent >= AT_WORK_PERCENT,
+        _ => false,
+    }
+}
--- /dev/null
+++ b/crates/jobs/src/spec.rs
@@ -0,0 +1,204 @@
+//! What a caller asks for: a job with its steps.
+
+use std::ops;
+
+use serde::{Deserialize, Serialize};
+
+use crate::error::{Error, Result};
+use crate::name::WorkerLabel;
+
+/// Largest number of steps of a job.
+pub const MAX_STEPS: usize = 64;
+
+/// Largest number of tasks of a step.
+pub const MAX_TASKS: u32 = 4_096;
+
+/// Largest payload of a job, in bytes.
+pub const MAX_PAYLOAD_BYTES: usize = 4_000;
+
+/// Amounts of what a worker offers and a task needs.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "kebab-case", default)]
+pub struct ResourceAmount {
+    /// Processor, in thousandths of a core.
+    #[serde(skip_serializing_if = "is_zero")]
+    pub cpu_millis: u64,
+    /// Memory, in megabytes.
+    #[serde(skip_serializing_if = "is_zero")]
+    pub memory_mb: u64,
+    /// Whole accelerators.
+    #[serde(skip_serializing_if = "is_zero")]
+    pub accelerators: u64,
+}
+
+fn is_zero<T: Default + PartialEq>(value: &T) -> bool {
+    *value == T::default()
+}
+
+impl ResourceAmount {
+    /// Returns whether this amount fits into `room`.
+    pub fn fits_in(&self, room: &Self) -> bool {
+        self.cpu_millis <= room.cpu_millis
+            && self.memory_mb <= room.memory_mb
+            && self.accelerators <= room.accelerators
+    }
+
+    /// Returns what is left of this amount, at least zero, without `other`.
+    pub fn saturating_sub(&self, other: &Self) -> Self {
+        Self {
+            cpu_millis: self.cpu_millis.saturating_sub(other.cpu_millis),
+            memory_mb: self.memory_mb.saturating_sub(other.memory_mb),
+            accelerators: self.accelerators.saturating_sub(other.accelerators),
+        }
+    }
+}
+
+impl ops::AddAssign for ResourceAmount {
+    fn add_assign(&mut self, other: Self) {
+        self.cpu_millis += other.cpu_millis;
+        self.memory_mb += other.memory_mb;
+        self.accelerators += other.accelerators;
+    }
+}
+
+impl ops::SubAssign for ResourceAmount {
+    fn sub_assign(&mut self, other: Self) {
+        *self = self.saturating_sub(&other);
+    }
+}
+
+/// One step of a job: a number of equal tasks.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "kebab-case", default)]
+pub struct StepSpec {
+    /// Number of tasks.
+    pub count: u32,
+    /// What each task needs.
+    pub needs: ResourceAmount,
+    /// Rough duration of a task, in milliseconds; 0 if it is not known.
+    #[serde(skip_serializing_if = "is_zero")]
+    pub estimate_ms: u64,
+    /// Earlier steps whose tasks must all be done before.
+    #[serde(skip_serializing_if = "Vec::is_empty")]
+    pub after: Vec<u32>,
+    /// Whether tasks save their progress.
+    #[serde(skip_serializing_if = "is_zero")]
+    pub checkpointing: bool,
+    /// Whether the tasks work only while all of them run.
+    #[serde(skip_serializing_if = "is_zero")]
+    pub gang: bool,
+    /// Whether the tasks are slower on more than one rack.
+    #[serde(skip_serializing_if = "is_zero")]
+    pub same_rack: bool,
+    /// Label that a worker must have.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub requires: Option<WorkerLabel>,
+    /// Rack on which the tasks are fast, as a label of its workers.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub affinity: Option<WorkerLabel>,
+    /// Largest number of the step's tasks on one worker; 0 for no limit.
+    #[serde(skip_serializing_if = "is_zero")]
+    pub max_per_worker: u32,
+    /// Whether copies of a task may run at the same time.
+    #[serde(skip_serializing_if = "is_zero")]
+    pub speculative: bool,
+    /// Whether the tasks run until the job is cancelled.
+    #[serde(skip_serializing_if = "is_zero")]
+    pub long_running: bool,
+    /// Image that the tasks run; tasks of one image behave alike.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub image: Option<String>,
+    /// Objective for the tail latency of the users of a long-running task, in
+    /// milliseconds; 0 if it has none.
+    #[serde(skip_serializing_if = "is_zero")]
+    pub target_ms: u64,
+    /// Whether the tasks only use processor time that others leave.
+    #[serde(skip_serializing_if = "is_zero")]
+    pub filler: bool,
+    /// Largest number of long-running tasks that maintenance may make
+    /// unavailable at a time, if it is bounded.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub max_unavailable: Option<u32>,
+}
+
+impl StepSpec {
+    /// Returns what a task takes from its worker's room.
+    pub fn reserved(&self) -> ResourceAmount {
+        if self.filler {
+            return ResourceAmount {
+                cpu_millis: 0,
+                ..self.needs
+            };
+        }
+        self.needs
+    }
+}
+
+/// When a job runs more than once.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct JobSchedule {
+    /// Number of occurrences.
+    pub times: u32,
+    /// Time of the first, in milliseconds since the Unix epoch.
+    pub first_run_ms: u64,
+    /// Time between two, in milliseconds.
+    pub interval_ms: u64,
+}
+
+/// What a caller asks for.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "kebab-case", default)]
+pub struct JobSpec {
+    /// Text that is handed to each task.
+    pub payload: String,
+    /// The steps, in order.
+    pub steps: Vec<StepSpec>,
+    /// When the job runs, if more than once or later.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub schedule: Option<JobSchedule>,
+}
+
+impl JobSpec {
+    /// Returns how many times the steps run.
+    pub fn occurrences(&self) -> u32 {
+        self.schedule.map_or(1, |schedule| schedule.times.max(1))
+    }
+
+    /// Returns whether the job has tasks that run until it is cancelled.
+    pub fn is_long_running(&self) -> bool {
+        self.steps.iter().any(|step| step.long_running)
+    }
+
+    /// Checks that the job can be run at all.
+    ///
+    /// # Errors
+    ///
+    /// Fails with the first field that cannot be served.
+    pub fn check(&self) -> Result<()> {
+        if self.payload.len() > MAX_PAYLOAD_BYTES {
+            let problem = format!("more than {MAX_PAYLOAD_BYTES} bytes");
+            return Err(Error::field("payload", problem));
+        }
+        if self.steps.is_empty() || self.steps.len() > MAX_STEPS {
+            let problem = format!("use 1 to {MAX_STEPS} steps");
+            return Err(Error::field("steps", problem));
+        }
+        for (number, step) in self.steps.iter().enumerate() {
+            check_step(number, step)?;
+        }
+        Ok(())
+    }
+}
+
+fn check_step(number: usize, step: &StepSpec) -> Result<()> {
+    if step.count == 0 || step.count > MAX_TASKS {
+        let problem = format!("use 1 to {MAX_TASKS} tasks");
+        return Err(Error::field(format!("steps[{number}].count"), problem));
+    }
+    if step.after.iter().any(|&earlier| earlier as usize >= number) {
+        let problem = "name earlier steps only";
+        return Err(Error::field(format!("steps[{number}].after"), problem));
+    }
+    Ok(())
+}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -30,6 +30,7 @@
 pub mod gate;
 pub mod homes;
 pub mod ingress;
+pub mod jobs;
 pub mod link;
 pub mod log;
 pub mod maintenance;
--- a/crates/node/src/log.rs
+++ b/crates/node/src/log.rs
@@ -1,4 +1,4 @@
-//! Log output on standard error.
+//! Log output.
 
 use std::fmt;
 use std::str;
@@ -45,23 +45,44 @@
     }
 }
 
-/// Directs log events of `level` and above to standard error.
+/// Stream that log lines go to.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum LogStream {
+    /// Standard error, beside output that a person reads.
+    Error,
+    /// Standard output.
+    Output,
+}
+
+/// Directs log events of `level` and above to a stream.
 ///
 /// # Errors
 ///
 /// Fails if the process already has a logger.
-pub fn init(format: LogFormat, level: LevelFilter) -> Result<()> {
-    let output = match format {
-        LogFormat::Text => {
-            append::Stderr::default().with_layout(layout::TextLayout::default().no_color())
-        }
-        LogFormat::Json => append::Stderr::default().with_layout(layout::JsonLayout::default()),
-    };
+pub fn init(stream: LogStream, format: LogFormat, level: LevelFilter) -> Result<()> {
     // Libraries report only what needs attention.
-    let filter =
-        rustlog::RustLogFilterBuilder::from_spec(format!("warn,redwing_node={level}")).build();
+    let spec = format!("warn,redwing_node={level},redwing_engine={level},redwing_adapter={level}");
+    let filter = rustlog::RustLogFilterBuilder::from_spec(spec).build();
+    let text = layout::TextLayout::default().no_color();
+    let json = layout::JsonLayout::default();
     let logger = logforth::core::builder()
-        .dispatch(|dispatch| dispatch.filter(filter).append(output))
+        .dispatch(|dispatch| {
+            let dispatch = dispatch.filter(filter);
+            match (stream, format) {
+                (LogStream::Error, LogFormat::Text) => {
+                    dispatch.append(append::Stderr::default().with_layout(text))
+                }
+                (LogStream::Error, LogFormat::Json) => {
+                    dispatch.append(append::Stderr::default().with_layout(json))
+                }
+                (LogStream::Output, LogFormat::Text) => {
+                    dispatch.append(append::Stdout::default().with_layout(text))
+                }
+                (LogStream::Output, LogFormat::Json) => {
+                    dispatch.append(append::Stdout::default().with_layout(json))
+                }
+            }
+        })
         .build();
     log::set_boxed_logger(Box::new(bridge::log::LogBridge::new(logger)))
         .map_err(|error| Error::start("start logging", error))?;
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -135,11 +135,23 @@
     pub log_level: LevelFilter,
 }
 
+/// Settings of an entry process that schedules jobs; the platform's own file
+/// names addresses and bounds.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct JobSettings {
+    /// Form of log lines.
+    pub log_format: LogFormat,
+    /// Least severe level that is logged.
+    pub log_level: LevelFilter,
+}
+
 /// What the command line asks for.
 #[derive(Clone, Debug, PartialEq)]
 pub enum CommandChoice {
     /// Run an entry process.
     Serve(Box<NodeSettings>),
+    /// Run an entry process that schedules jobs.
+    Jobs(JobSettings),
     /// Run stand-ins for what surrounds an entry process.
     Standin(StandinChoice),
 }
@@ -152,6 +164,7 @@
         .subcommand_required(true)
         .arg_required_else_help(true)
         .subcommand(serve_command())
+        .subcommand(jobs_command())
         .subcommand(standin::command())
 }
 
@@ -159,6 +172,7 @@
 pub fn choose(matches: &ArgMatches) -> Option<CommandChoice> {
     match matches.subcommand()? {
         ("serve", flags) => Some(CommandChoice::Serve(Box::new(node_settings(flags)?))),
+        ("jobs", flags) => job_settings(flags).map(CommandChoice::Jobs),
         ("standin", nested) => standin::choose(nested).map(CommandChoice::Standin),
         _ => None,
     }
@@ -181,6 +195,20 @@
     command
 }
 
+fn jobs_command() -> Command {
+    let command = Command::new("jobs");
+    command
+        .about("Runs an entry process that schedules jobs on the users' platform")
+        .args(log_flags())
+}
+
+fn job_settings(flags: &ArgMatches) -> Option<JobSettings> {
+    Some(JobSettings {
+        log_format: *flags.get_one("log-format")?,
+        log_level: *flags.get_one("log-level")?,
+    })
+}
+
 fn process_flags() -> Vec<Arg> {
     vec![
         flag::named("platform", "Where the platform's services are")
--- a/crates/provider/src/client.rs
+++ b/crates/provider/src/client.rs
@@ -5,7 +5,6 @@
 use std::sync;
 use std::time;
 
-use futures_util::future::Either;
 use tokio::sync::{Semaphore, mpsc, oneshot};
 use tokio::{task, time as timer};
 
@@ -207,7 +206,7 @@
     ///
     /// Fails if the table does not answer in time or is known to be down.
     pub async fn scan(&self, cause: CallCause, prefix: &str) -> Result<TableView> {
-        self.shared.read(cause, "scan", prefix, None).await
+        self.shared.read(cause, prefix, TableRead::Scan).await
     }
 
     /// Reads the rows under `prefix` that commits after `cursor` wrote.
@@ -217,19 +216,58 @@
     /// Fails if the table does not answer in time or is known to be down.
     pub async fn changes(&self, cause: CallCause, prefix: &str, cursor: u64) -> Result<TableView> {
         self.shared
-            .read(cause, "changes", prefix, Some(cursor))
+            .read(cause, prefix, TableRead::Changes(cursor))
             .await
     }
-}
 
-impl SharedState {
-    async fn read(
+    /// Reads as [`TableClient::changes`] does, but may wait for a change.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the table does not answer in time or is known to be down,
+    /// and with category `Refused` if the history is not kept any more.
+    pub async fn watch(
         &self,
         cause: CallCause,
-        step: &'static str,
         prefix: &str,
-        cursor: Option<u64>,
+        cursor: u64,
+        wait: time::Duration,
     ) -> Result<TableView> {
+        self.shared
+            .read(cause, prefix, TableRead::Watch(cursor, wait))
+            .await
+    }
+}
+
+/// Kind of a read, with the commit after which changes are asked for.
+#[derive(Clone, Copy, Debug)]
+enum TableRead {
+    Scan,
+    Changes(u64),
+    Watch(u64, time::Duration),
+}
+
+impl TableRead {
+    fn step(self) -> &'static str {
+        match self {
+            Self::Scan => "scan",
+            Self::Changes(_) => "changes",
+            Self::Watch(..) => "watch",
+        }
+    }
+
+    /// Returns the time by which the answer may be late on purpose.
+    fn wait(self) -> time::Duration {
+        match self {
+            Self::Scan | Self::Changes(_) => time::Duration::ZERO,
+            Self::Watch(_, wait) => wait,
+        }
+    }
+}
+
+impl SharedState {
+    async fn read(&self, cause: CallCause, prefix: &str, read: TableRead) -> Result<TableView> {
+        let step = read.step();
         let unavailable = |message: &str| Error::unavailable(step, PEER, message);
         let slot = self.read_slots.acquire().await;
         let _slot = slot.map_err(|_| unavailable("the client is closed"))?;
@@ -237,11 +275,12 @@
         timer::sleep(pause).await;
         self.admit(step)?;
         self.tally.borrow_mut().count_read(cause);
-        let call = match cursor {
-            Some(cursor) => Either::Left(self.table.changes(prefix, cursor)),
-            None => Either::Right(self.table.scan(prefix)),
+        let call = match read {
+            TableRead::Scan => self.table.scan(prefix),
+            TableRead::Changes(cursor) => self.table.changes(prefix, cursor),
+            TableRead::Watch(cursor, wait) => self.table.watch(prefix, cursor, wait),
         };
-        let answer = timer::timeout(self.settings.call_timeout, call).await;
+        let answer = timer::timeout(self.settings.call_timeout + read.wait(), call).await;
         let answer = answer.unwrap_or_else(|_| Err(unavailable("timed out")));
         self.record(cause, &answer);
         answer
--- a/crates/provider/src/table.rs
+++ b/crates/provider/src/table.rs
@@ -1,5 +1,7 @@
 //! The platform's transactional table.
 
+use std::time;
+
 use serde::{Deserialize, Serialize};
 
 use crate::LocalFuture;
@@ -159,4 +161,20 @@
     ///
     /// Fails if the table does not answer in time.
     fn changes<'a>(&'a self, prefix: &'a str, cursor: u64) -> LocalFuture<'a, Result<TableView>>;
+
+    /// Reads as [`TableStore::changes`] does, but may wait up to `wait` for
+    /// the first change; a table that cannot wait answers at once.
+    ///
+    /// # Errors
+    ///
+    /// Fails with category `Refused` if the history after `cursor` is not
+    /// kept any more: the rows must be scanned anew.
+    fn watch<'a>(
+        &'a self,
+        prefix: &'a str,
+        cursor: u64,
+        _wait: time::Duration,
+    ) -> LocalFuture<'a, Result<TableView>> {
+        self.changes(prefix, cursor)
+    }
 }
--- a/crates/provider/src/tally.rs
+++ b/crates/provider/src/tally.rs
@@ -11,6 +11,8 @@
     Configuration,
     /// Slot and permit tokens.
     Holding,
+    /// Jobs of callers and their progress.
+    Job,
     /// VMs, pools and roll-outs.
     Maintenance,
     /// Entry VMs.
@@ -19,10 +21,11 @@
 
 impl CallCause {
     /// All causes.
-    pub const ALL: [Self; 5] = [
+    pub const ALL: [Self; 6] = [
         Self::Claim,
         Self::Configuration,
         Self::Holding,
+        Self::Job,
         Self::Maintenance,
         Self::Membership,
     ];
@@ -33,6 +36,7 @@
             Self::Claim => "claim",
             Self::Configuration => "configuration",
             Self::Holding => "holding",
+            Self::Job => "job",
             Self::Maintenance => "maintenance",
             Self::Membership => "membership",
         }
