--- a/crates/engine/src/caller/answer.rs
+++ b/crates/engine/src/caller/answer.rs
@@ -1,5 +1,6 @@
 //! What a caller's request leads to.
 
+use std::fmt;
 use std::sync;
 use std::time;
 
@@ -189,6 +190,7 @@
 
     /// Stores a row that is written once; a row that is there already is as good.
     async fn store(&self, key: RowKey, value: String, deadline: timer::Instant) -> CallerAnswer {
+        let name = key.as_str().to_owned();
         let transaction = TableTransaction::default()
             .require_absent(key.clone())
             .put(key, value);
@@ -200,7 +202,11 @@
                 Ok(Ok(CommitOutcome::Committed(_) | CommitOutcome::Conflict(_))) => {
                     return CallerAnswer::Accepted;
                 }
-                Ok(Err(error)) => may_be_stored |= error.classify() == Category::Unknown,
+                Ok(Err(error)) => {
+                    may_be_stored |= error.classify() == Category::Unknown;
+                    log_job_event!(info, event::ROW_UNSTORED, row = name, error = error);
+                }
+                // Whoever waits for the table is logged at the end.
                 Err(_) => may_be_stored = true,
             }
             let pause = backoff.next_delay(rand::random());
@@ -221,7 +227,7 @@
         let key = row::progress_key(id);
         let progress = match self.client.scan(CallCause::Job, key.as_str()).await {
             Ok(view) => view.rows,
-            Err(_) => return self.unavailable(),
+            Err(error) => return self.unreadable(&key, &error),
         };
         let known = progress.iter().find(|entry| entry.key == key);
         if let Some(record) = known.and_then(|entry| row::read::<ProgressRecord>(entry).ok()) {
@@ -239,7 +245,7 @@
     async fn job_rows(&self, id: &JobId) -> Result<Vec<TableRow>, CallerAnswer> {
         let key = row::job_key(id);
         let view = self.client.scan(CallCause::Job, key.as_str()).await;
-        let view = view.map_err(|_| self.unavailable())?;
+        let view = view.map_err(|error| self.unreadable(&key, &error))?;
         let rows = view.rows.into_iter();
         let cancel = row::cancel_key(id);
         let own = rows.filter(|entry| entry.key == key || entry.key == cancel);
@@ -275,21 +281,24 @@
     }
 
     async fn count(&self, call: &AdmittedCall) -> CallerAnswer {
-        let view = match self.client.scan(CallCause::Job, row::BOARD_KEY).await {
+        let key = RowKey::new(row::BOARD_KEY);
+        let view = match self.client.scan(CallCause::Job, key.as_str()).await {
             Ok(view) => view,
-            Err(_) => return self.unavailable(),
+            Err(error) => return self.unreadable(&key, &error),
         };
         let board = view.rows.first().map(row::read::<PendingBoard>);
         let board = match board {
             Some(Ok(board)) => board,
-            Some(Err(_)) => return self.unavailable(),
+            Some(Err(error)) => return self.unreadable(&key, &error),
             None => PendingBoard::default(),
         };
         let count = board.pending.get(&call.queue.name);
         CallerAnswer::Pending(count.copied().unwrap_or(0))
     }
 
-    fn unavailable(&self) -> CallerAnswer {
+    /// Answers that a row cannot be read now, and logs why.
+    fn unreadable(&self, key: &RowKey, error: &impl fmt::Display) -> CallerAnswer {
+        log_job_event!(info, event::ROW_UNREAD, row = key.as_str(), error = error);
         CallerAnswer::Unavailable {
             retry_after: self.settings.retry_after,
         }
--- a/crates/engine/src/event.rs
+++ b/crates/engine/src/event.rs
@@ -64,6 +64,10 @@
     TABLE_LOST = 522 "table-lost";
     /// The table answers again.
     TABLE_BACK = 523 "table-back";
+    /// A row that a caller asked for could not be read.
+    ROW_UNREAD = 524 "row-unread";
+    /// A row could not be stored for a caller yet.
+    ROW_UNSTORED = 525 "row-unstored";
     /// The process owns the scheduling.
     OWNER_BEGUN = 530 "owner-begun";
     /// The process does not own the scheduling any more.
--- a/crates/engine/src/follow.rs
+++ b/crates/engine/src/follow.rs
@@ -14,7 +14,7 @@
 use crate::log_job_event;
 
 /// Longest time that the table may wait for a change.
-const WATCH_WAIT: time::Duration = time::Duration::from_millis(1_000);
+pub const WATCH_WAIT: time::Duration = time::Duration::from_millis(1_000);
 
 /// Shortest time between two reads that brought nothing.
 const LEAST_INTERVAL: time::Duration = time::Duration::from_millis(50);
@@ -42,11 +42,14 @@
 /// Starts to follow the rows under `prefix`; ends once the receiver is closed.
 ///
 /// With a `start` the rows up to it are known, and only later changes come.
+/// The table may wait up to `wait` for a change: then the rows are known to
+/// be no older than twice that time.
 pub fn follow(
     client: &TableClient,
     cause: CallCause,
     prefix: &str,
     start: Option<u64>,
+    wait: time::Duration,
 ) -> mpsc::Receiver<TableUpdate> {
     let (sender, receiver) = mpsc::channel(CHANNEL_CAPACITY);
     let follower = RowFollower {
@@ -54,6 +57,7 @@
         cause,
         prefix: prefix.to_owned(),
         cursor: start,
+        wait,
         sender,
     };
     tokio::task::spawn_local(follower.run());
@@ -66,6 +70,7 @@
     prefix: String,
     /// Latest commit that was taken in; none before the first scan.
     cursor: Option<u64>,
+    wait: time::Duration,
     sender: mpsc::Sender<TableUpdate>,
 }
 
@@ -112,7 +117,7 @@
             Some(cursor) => {
                 let watch = self
                     .client
-                    .watch(self.cause, &self.prefix, cursor, WATCH_WAIT);
+                    .watch(self.cause, &self.prefix, cursor, self.wait);
                 watch.await
             }
         }
--- a/crates/engine/src/manifest.rs
+++ b/crates/engine/src/manifest.rs
@@ -15,6 +15,10 @@
 use crate::follow;
 use crate::log_job_event;
 
+/// Longest time that the table may wait for a change of what operators
+/// declare; requests are judged only by a view that was just confirmed.
+const WATCH_WAIT: time::Duration = time::Duration::from_millis(500);
+
 /// What operators declared, as this process knows it.
 #[derive(Clone, Debug, Default)]
 pub struct OperatorView {
@@ -85,6 +89,7 @@
         CallCause::Configuration,
         codec.operator_prefix(),
         None,
+        WATCH_WAIT,
     );
     tokio::task::spawn_local(async move {
         while let Some(update) = updates.recv().await {
