--- a/crates/jobs/src/scheduler/order.rs
+++ b/crates/jobs/src/scheduler/order.rs
@@ -13,7 +13,7 @@
 
 impl JobScheduler {
     /// Returns how long after an order its lease may go on, by our clock.
-    fn lease_bound(&self) -> time::Duration {
+    pub(super) fn lease_bound(&self) -> time::Duration {
         let settings = &self.settings;
         settings.lease.mul_f64(1.0 + settings.clock_drift) + settings.lease_margin
     }
@@ -265,12 +265,18 @@
     }
 
     fn give_hold(&mut self, worker: &WorkerId, now: BootTime) {
-        let lease_end_ms = self.grant_lease(worker, now);
         let longest = self.settings.hold_wait.as_millis() as u64;
+        let contact = self.fleet.get(worker).map(|entry| entry.contact);
+        let is_heard = contact == Some(WorkerContact::Heard);
+        // A worker that does not answer must come to the end of its lease.
+        let lease_end_ms = if is_heard {
+            self.grant_lease(worker, now)
+        } else {
+            None
+        };
         let Some(entry) = self.fleet.get_mut(worker) else {
             return;
         };
-        let is_heard = entry.contact == WorkerContact::Heard;
         let may_wait = is_heard && entry.unstored.is_empty();
         entry.hold_given = Some(now);
         let action = OrderAction::Hold {
--- a/crates/jobs/src/scheduler/report.rs
+++ b/crates/jobs/src/scheduler/report.rs
@@ -46,12 +46,17 @@
         now: BootTime,
     ) {
         let pause = self.settings.hold_pause;
+        let bound = self.lease_bound();
         let Some(entry) = self.fleet.get_mut(worker) else {
             return;
         };
         if entry.hold_given == Some(given_at) {
             entry.hold_given = None;
         }
+        if entry.contact == WorkerContact::Unheard {
+            // From now on it refuses the orders of an earlier owner.
+            entry.lease_until = now + bound;
+        }
         let was_silent = entry.contact != WorkerContact::Heard;
         entry.contact = WorkerContact::Heard;
         entry.clock = Some(ClockSample {
--- a/crates/jobs/src/scheduler/upkeep.rs
+++ b/crates/jobs/src/scheduler/upkeep.rs
@@ -6,6 +6,7 @@
 
 use super::JobScheduler;
 use super::entry::{TaskEntry, TaskPhase};
+use super::fleet::WorkerContact;
 
 /// Progress of a long-running task that is at work.
 const AT_WORK_PERCENT: u32 = 100;
@@ -66,15 +67,18 @@
         };
         let others = step.tasks.iter().enumerate();
         let away = others
-            .filter(|(index, other)| *index != task.index as usize && !is_at_work(other))
+            .filter(|(index, other)| *index != task.index as usize && !self.is_at_work(other))
             .count();
         away < budget as usize
     }
-}
 
-fn is_at_work(task: &TaskEntry) -> bool {
-    match &task.phase {
-        TaskPhase::Running(_, progress) => progress.percent >= AT_WORK_PERCENT,
-        _ => false,
+    /// Returns whether a long-running task is at work on a worker that answers.
+    fn is_at_work(&self, task: &TaskEntry) -> bool {
+        let TaskPhase::Running(place, progress) = &task.phase else {
+            return false;
+        };
+        let worker = self.fleet.get(&place.worker);
+        let answers = worker.is_some_and(|entry| entry.contact == WorkerContact::Heard);
+        answers && progress.percent >= AT_WORK_PERCENT
     }
 }
