Spread the rows of jobs over parts; give orders only with a confirmed row

Change: jobs lie in 16 parts; an owner without a confirmed row for 3 s gives no orders and leases, so inherited leases end after 6.5 s; each tick looks at waiting work. Tests: recovery.rs.

--- a/crates/engine/src/owner/mod.rs
+++ b/crates/engine/src/owner/mod.rs
@@ -35,6 +35,9 @@
     pub renewal: time::Duration,
     /// Time between two looks at the row of another owner.
     pub poll: time::Duration,
+    /// Time without a successful change after which the owner gives no more
+    /// orders and leases until a change succeeds.
+    pub order_limit: time::Duration,
     /// Time without a successful change after which the owner gives up.
     pub give_up: time::Duration,
     /// Pause after which the process looks at its row before it goes on.
@@ -57,7 +60,8 @@
             lease: time::Duration::from_millis(2_000),
             renewal: time::Duration::from_millis(600),
             poll: time::Duration::from_millis(600),
-            give_up: time::Duration::from_secs(10),
+            order_limit: time::Duration::from_secs(3),
+            give_up: time::Duration::from_secs(20),
             pause_limit: time::Duration::from_millis(1_000),
             tick: time::Duration::from_millis(50),
             board_interval: time::Duration::from_millis(700),
--- a/crates/engine/src/owner/session.rs
+++ b/crates/engine/src/owner/session.rs
@@ -59,13 +59,16 @@
     machine_answers: mpsc::UnboundedReceiver<MachineAnswer>,
     waves: BTreeMap<u64, UpkeepRecord>,
     pending: Option<PendingChange>,
-    /// When the latest change that was stored was sent.
+    /// When the latest change was sent.
     renewed_at: BootTime,
     board: PendingBoard,
     board_at: BootTime,
     /// Orders that wait until the row is known to be ours.
     held_orders: Vec<WorkerOrder>,
-    /// Whether the process stood still and has not looked at its row since.
+    /// When the latest change that was stored was sent.
+    confirmed_at: BootTime,
+    /// Whether the row must be confirmed before orders are given: the process
+    /// stood still, or no change succeeded for too long.
     must_confirm: bool,
 }
 
@@ -112,6 +115,7 @@
             board: PendingBoard::default(),
             board_at: BootTime::default(),
             held_orders: Vec::new(),
+            confirmed_at: renewed_at,
             must_confirm: false,
             lease,
         };
@@ -215,6 +219,8 @@
         self.scheduler.place(now, clock::wall_now());
         self.begin_change(now);
         self.log_notes();
+        let unconfirmed = now.saturating_since(self.confirmed_at);
+        self.must_confirm |= unconfirmed > self.parts.settings.order_limit;
         let orders = self.scheduler.take_orders();
         if self.must_confirm {
             self.held_orders.extend(orders);
@@ -290,6 +296,7 @@
         if let Some(board) = pending.board {
             self.board = board;
         }
+        self.confirmed_at = self.renewed_at;
         self.must_confirm = false;
         for order in std::mem::take(&mut self.held_orders) {
             self.lanes.send(order);
--- a/crates/engine/src/row.rs
+++ b/crates/engine/src/row.rs
@@ -2,12 +2,16 @@
 //!
 //! | row | written by | content |
 //! | --- | --- | --- |
-//! | `jobs/ID` | the accepting process, once | [`JobRecord`](redwing_jobs::JobRecord) |
-//! | `jobs/ID.cancel` | the cancelling process, once | [`CancelRecord`] |
+//! | `jobs@PART/ID` | the accepting process, once | [`JobRecord`](redwing_jobs::JobRecord) |
+//! | `jobs@PART/ID.cancel` | the cancelling process, once | [`CancelRecord`] |
 //! | `progress/ID` | the owner | [`ProgressRecord`](redwing_jobs::ProgressRecord) |
 //! | `owner/jobs` | whoever owns the scheduling | [`OwnerRecord`] |
 //! | `board/pending` | the owner | [`PendingBoard`] |
 //! | `upkeep/N` | the owner | [`UpkeepRecord`](redwing_jobs::upkeep::UpkeepRecord) |
+//!
+//! Jobs lie in several parts by their ids: a slow table accepts as many at a
+//! time. All rows of the owner lie in one part, since each change of them is
+//! one transaction with the owner's row.
 
 use std::collections::BTreeMap;
 
@@ -17,11 +21,18 @@
 use redwing_provider::{RowKey, TableRow};
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3;
 
 use crate::error::{Error, Result};
 
-/// Prefix of the rows of jobs.
-pub const JOB_PREFIX: &str = "jobs/";
+/// Prefix of the rows of jobs, in all parts.
+pub const JOB_PREFIX: &str = "jobs@*/";
+
+/// Table of the rows of jobs.
+const JOB_TABLE: &str = "jobs";
+
+/// Parts over which the rows of jobs are spread.
+const JOB_PARTS: u64 = 16;
 
 /// Prefix of the rows of progress.
 pub const PROGRESS_PREFIX: &str = "progress/";
@@ -72,12 +83,13 @@
 
 /// Returns the key of a job's row.
 pub fn job_key(id: &JobId) -> RowKey {
-    RowKey::new(format!("{JOB_PREFIX}{id}"))
+    let part = xxh3::xxh3_64(id.as_str().as_bytes()) % JOB_PARTS;
+    RowKey::new(format!("{JOB_TABLE}@{part}/{id}"))
 }
 
 /// Returns the key of a job's cancel mark.
 pub fn cancel_key(id: &JobId) -> RowKey {
-    RowKey::new(format!("{JOB_PREFIX}{id}{CANCEL_SUFFIX}"))
+    RowKey::new(format!("{}{CANCEL_SUFFIX}", job_key(id).as_str()))
 }
 
 /// Returns the key of a job's progress.
@@ -101,10 +113,13 @@
 
 /// Reads the key of a row under [`JOB_PREFIX`].
 pub fn read_job_key(key: &RowKey) -> Option<JobKey> {
-    let rest = key.as_str().strip_prefix(JOB_PREFIX)?;
-    Some(match rest.strip_suffix(CANCEL_SUFFIX) {
+    let place = key.place();
+    if place.table != JOB_TABLE {
+        return None;
+    }
+    Some(match place.name.strip_suffix(CANCEL_SUFFIX) {
         Some(id) => JobKey::Cancel(JobId::new(id)),
-        None => JobKey::Job(JobId::new(rest)),
+        None => JobKey::Job(JobId::new(place.name)),
     })
 }
 
--- a/crates/engine/src/run.rs
+++ b/crates/engine/src/run.rs
@@ -62,6 +62,8 @@
         reads_in_flight: 32,
         commit_interval: time::Duration::from_millis(1),
         read_interval: time::Duration::ZERO,
+        // Rows of several parts in one transaction take twice as long.
+        group_limit: 1,
         breaker: BreakerSettings {
             failures: 5,
             shortest_open: time::Duration::from_millis(100),
--- a/crates/jobs/src/scheduler/mod.rs
+++ b/crates/jobs/src/scheduler/mod.rs
@@ -49,7 +49,9 @@
 pub struct SchedulerSettings {
     /// Length of the lease that each order and hold gives.
     pub lease: time::Duration,
-    /// Longest time for which leases that an earlier owner gave may go on.
+    /// Longest time for which leases that an earlier owner gave may go on: the
+    /// time for which it gives orders without a confirmed row, and one lease,
+    /// less the time after which another may take over.
     pub inherited_lease: time::Duration,
     /// Largest share by which a worker's clock may be slow.
     pub clock_drift: f64,
@@ -79,8 +81,8 @@
 impl Default for SchedulerSettings {
     fn default() -> Self {
         Self {
-            lease: time::Duration::from_millis(5_500),
-            inherited_lease: time::Duration::from_secs(12),
+            lease: time::Duration::from_millis(5_000),
+            inherited_lease: time::Duration::from_millis(6_500),
             clock_drift: 0.02,
             lease_margin: time::Duration::from_millis(300),
             hold_wait: time::Duration::from_millis(1_000),
@@ -315,5 +317,7 @@
         self.repeat_stops(now);
         self.stop_stalled(now);
         self.give_holds(now);
+        // A worker may have become usable again just by the passing of time.
+        self.may_place |= !self.waiting.is_empty();
     }
 }
--- a/crates/jobs/tests/common/mod.rs
+++ b/crates/jobs/tests/common/mod.rs
@@ -104,7 +104,11 @@
             .map(|(task, _)| task.clone())
             .collect();
         for task in due {
-            let kind = if is_failing { EndKind::Failed } else { EndKind::Done };
+            let kind = if is_failing {
+                EndKind::Failed
+            } else {
+                EndKind::Done
+            };
             self.end(&task, kind);
         }
         if self.lease_end < now.as_millis() {
@@ -238,7 +242,9 @@
         let workers = workers.into_iter();
         Self {
             scheduler,
-            workers: workers.map(|worker| (worker.view.id.clone(), worker)).collect(),
+            workers: workers
+                .map(|worker| (worker.view.id.clone(), worker))
+                .collect(),
             now,
             durations: BTreeMap::new(),
             rows: BTreeMap::new(),
@@ -325,7 +331,10 @@
     }
 
     fn send(&mut self, order: &WorkerOrder) {
-        let is_dark = self.workers.get(&order.worker).is_none_or(|worker| worker.is_dark);
+        let is_dark = self
+            .workers
+            .get(&order.worker)
+            .is_none_or(|worker| worker.is_dark);
         if is_dark {
             self.answer(order, OrderOutcome::Unknown, None);
             return;
@@ -348,10 +357,12 @@
         };
         match &order.action {
             OrderAction::Start { task, run, .. } => {
-                self.scheduler.start_answered(&order.worker, task, *run, &answer, now);
+                self.scheduler
+                    .start_answered(&order.worker, task, *run, &answer, now);
             }
             OrderAction::Stop { task, run } => {
-                self.scheduler.stop_answered(&order.worker, task, *run, &answer, now);
+                self.scheduler
+                    .stop_answered(&order.worker, task, *run, &answer, now);
             }
             OrderAction::Hold { .. } => match report {
                 Some(report) => {
@@ -385,7 +396,10 @@
                 lease_end_ms,
                 ..
             } => {
-                let is_old = worker.ended.iter().any(|end| end.task == *task && end.run >= *run);
+                let is_old = worker
+                    .ended
+                    .iter()
+                    .any(|end| end.task == *task && end.run >= *run);
                 if is_old {
                     return (OrderOutcome::Stale, None);
                 }
@@ -399,7 +413,9 @@
                     FakeRun {
                         run: *run,
                         begun: now,
-                        ends: duration.filter(|length| !length.is_zero()).map(|length| now + *length),
+                        ends: duration
+                            .filter(|length| !length.is_zero())
+                            .map(|length| now + *length),
                         percent: 100,
                         figure: 0,
                     },
@@ -409,7 +425,11 @@
                 (OrderOutcome::Accepted, None)
             }
             OrderAction::Stop { task, run } => {
-                if worker.running.get(task).is_some_and(|known| known.run == *run) {
+                if worker
+                    .running
+                    .get(task)
+                    .is_some_and(|known| known.run == *run)
+                {
                     worker.end(task, EndKind::Stopped);
                     self.stops.push((task.clone(), *run, now));
                 }
@@ -455,7 +475,9 @@
     /// Returns how many runs of a task go on at this moment.
     pub fn runs_of(&self, task: &TaskId) -> usize {
         let workers = self.workers.values();
-        workers.filter(|worker| worker.running.contains_key(task)).count()
+        workers
+            .filter(|worker| worker.running.contains_key(task))
+            .count()
     }
 
     /// Panics if a task runs twice at the same moment.
--- a/crates/jobs/tests/recovery.rs
+++ b/crates/jobs/tests/recovery.rs
@@ -9,7 +9,8 @@
 use redwing_jobs::{JobState, SchedulerSettings, WorkerId};
 
 fn fleet_of(count: usize) -> FakeFleet {
-    let workers = (0..count).map(|number| FakeWorker::new(&format!("w{number}"), "builders", 8_000));
+    let workers =
+        (0..count).map(|number| FakeWorker::new(&format!("w{number}"), "builders", 8_000));
     FakeFleet::new(SchedulerSettings::default(), workers.collect())
 }
 
@@ -59,7 +60,7 @@
     fleet.run(300);
     let first = fleet.starts[0].2.clone();
     fleet.worker(first.as_str()).is_dark = true;
-    fleet.run(4_000);
+    fleet.run(3_500);
     assert_eq!(fleet.starts.len(), 1, "the lease has not expired");
     fleet.run(4_000);
     assert_eq!(fleet.starts.len(), 2);
@@ -77,7 +78,9 @@
     fleet.worker("w0").is_dark = true;
     fleet.run(2_500);
     let now = fleet.now;
-    fleet.scheduler.evict_long_running(&WorkerId::new("w1"), now);
+    fleet
+        .scheduler
+        .evict_long_running(&WorkerId::new("w1"), now);
     fleet.run(100);
     assert!(fleet.stops.is_empty());
 }
@@ -102,9 +105,9 @@
     let first = fleet.starts[0].2.clone();
     fleet.worker(first.as_str()).is_dark = true;
     fleet.take_over(SchedulerSettings::default());
-    fleet.run(11_000);
+    fleet.run(6_400);
     assert_eq!(fleet.starts.len(), 1);
-    fleet.run(4_000);
+    fleet.run(700);
     assert_eq!(fleet.starts.len(), 2);
     fleet.assert_no_double_run();
 }
@@ -144,7 +147,10 @@
     }
     let job = fleet.submit("j", vec![step(2, 5_000)], 20_000);
     fleet.run(8_000);
-    let elsewhere = fleet.starts.iter().filter(|(.., worker, _)| worker.as_str() == "w1");
+    let elsewhere = fleet
+        .starts
+        .iter()
+        .filter(|(.., worker, _)| worker.as_str() == "w1");
     assert!(elsewhere.count() >= 1);
     assert!(fleet.stops.iter().any(|(stopped, ..)| stopped.job == job));
     fleet.assert_no_double_run();
@@ -162,3 +168,16 @@
     assert_eq!(fleet.runs_of(&task(&job, 0, 0)), 0);
     assert_eq!(fleet.scheduler.job_count(), 0);
 }
+
+/// Work that waits only for the end of a worker's pause starts although
+/// nothing else happens.
+#[test]
+fn work_starts_once_the_only_worker_is_healthy_again() {
+    let mut fleet = fleet_of(1);
+    fleet.worker("w0").is_failing = true;
+    let job = fleet.submit("j", vec![step(2, 1_000)], 300);
+    fleet.run(60);
+    fleet.worker("w0").is_failing = false;
+    fleet.run(8_000);
+    assert_eq!(fleet.state(&job), JobState::Completed);
+}
--- a/crates/provider/src/table.rs
+++ b/crates/provider/src/table.rs
@@ -7,7 +7,12 @@
 use crate::LocalFuture;
 use crate::error::Result;
 
-/// Key of a row; its parts are separated by `/`.
+/// Key of a row, written `TABLE/NAME` or `TABLE@PART/NAME`.
+///
+/// A table serialises the transactions of one part. Rows that are written
+/// often and independently lie in different parts; a row that names no part
+/// lies in the one that all such rows share. The prefix `TABLE@*/` stands
+/// for the rows of all parts.
 #[derive(Clone, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
 #[serde(transparent)]
 pub struct RowKey(String);
@@ -22,6 +27,44 @@
     pub fn as_str(&self) -> &str {
         &self.0
     }
+
+    /// Returns table, part and name.
+    pub fn place(&self) -> RowPlace<'_> {
+        RowPlace::of(&self.0)
+    }
+
+    /// Returns whether the key lies under `prefix`.
+    pub fn is_under(&self, prefix: &str) -> bool {
+        let wanted = RowPlace::of(prefix);
+        if wanted.part != ALL_PARTS {
+            return self.0.starts_with(prefix);
+        }
+        let place = self.place();
+        place.table == wanted.table && place.name.starts_with(wanted.name)
+    }
+}
+
+/// Part that stands for all parts in a prefix.
+pub const ALL_PARTS: &str = "*";
+
+/// Where a row lies.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct RowPlace<'a> {
+    /// Table.
+    pub table: &'a str,
+    /// Part of the table; empty for the one that unnamed parts share.
+    pub part: &'a str,
+    /// Name within the part.
+    pub name: &'a str,
+}
+
+impl<'a> RowPlace<'a> {
+    /// Reads a key or a prefix.
+    pub fn of(text: &'a str) -> Self {
+        let (front, name) = text.split_once('/').unwrap_or((text, ""));
+        let (table, part) = front.split_once('@').unwrap_or((front, ""));
+        Self { table, part, name }
+    }
 }
 
 /// One row of the table.
--- a/crates/standin/src/memory.rs
+++ b/crates/standin/src/memory.rs
@@ -238,11 +238,13 @@
 
 impl Content {
     fn read(&self, prefix: &str, wanted: impl Fn(&TableRow) -> bool) -> TableView {
-        let from_prefix = self.rows.range(RowKey::new(prefix)..);
+        // Up to the part, which may stand for all, keys are in order.
+        let start = prefix.split('@').next().unwrap_or(prefix);
+        let from_prefix = self.rows.range(RowKey::new(start)..);
         let rows = from_prefix
             .map(|(_, row)| row)
-            .take_while(|row| row.key.as_str().starts_with(prefix))
-            .filter(|row| wanted(row))
+            .take_while(|row| row.key.as_str().starts_with(start))
+            .filter(|row| row.key.is_under(prefix) && wanted(row))
             .cloned()
             .collect();
         let cursor = self.commits;
