Let machines follow the demand between pools

Load pattern: each queue in its turn asks for five times its mean, more than its pool holds; half of door-check and label-print was late. Change: jobs::capacity sizes pools by what runs, waits and grows, moves machines with nothing to do, and parks those that no pool needs; long-running tasks are packed on few machines.

--- a/crates/engine/src/owner/machines.rs
+++ b/crates/engine/src/owner/machines.rs
@@ -1,9 +1,10 @@
-//! Drives the upkeep of machines.
+//! Drives the upkeep of machines and their moves between pools.
 
 use std::collections::BTreeMap;
 use std::rc;
 
-use redwing_jobs::name::MachineName;
+use redwing_jobs::capacity::{CapacityAction, CapacityPlanner, PoolFact, PoolMachine};
+use redwing_jobs::name::{MachineName, PoolName, WorkerId};
 use redwing_jobs::upkeep::{MachineFact, UpkeepAction, UpkeepRecord, WavePlanner, WaveState};
 use redwing_jobs::{BootTime, JobScheduler};
 use redwing_provider::Category;
@@ -24,6 +25,13 @@
 pub(super) enum MachineAnswer {
     /// The list, or nothing if there was no answer.
     Listed(Option<Vec<ListedMachine>>),
+    /// What became of an order to move; nothing if that is not known.
+    Moved {
+        machine: MachineName,
+        worker: Option<WorkerId>,
+        pool: PoolName,
+        outcome: Option<MachineOutcome>,
+    },
     /// What became of an order for upkeep; nothing if that is not known.
     Upkeep {
         wave: u64,
@@ -37,6 +45,8 @@
     client: rc::Rc<dyn MachineClient>,
     answers: mpsc::UnboundedSender<MachineAnswer>,
     planner: WavePlanner,
+    capacity: CapacityPlanner,
+    next_capacity: BootTime,
     node: String,
     fence: u64,
     machines: Vec<ListedMachine>,
@@ -57,6 +67,8 @@
             client: rc::Rc::clone(&parts.services.machines),
             answers,
             planner: WavePlanner::new(parts.settings.upkeep.clone()),
+            capacity: CapacityPlanner::new(parts.settings.capacity.clone()),
+            next_capacity: BootTime::default(),
             node: parts.node.clone(),
             fence,
             machines: Vec::new(),
@@ -95,9 +107,6 @@
 
     /// Lists the machines and gives the orders that are due.
     pub(super) fn tick(&mut self, parts: &OwnerParts, scheduler: &mut JobScheduler, now: BootTime) {
-        if !self.planner.is_active() {
-            return;
-        }
         self.list_if_due(&parts.settings, now);
         if self.machines.is_empty() {
             return;
@@ -106,6 +115,77 @@
         for action in self.planner.plan(&facts, now) {
             self.act(parts, scheduler, action, now);
         }
+        if now >= self.next_capacity {
+            self.next_capacity = now + parts.settings.capacity_interval;
+            self.size_pools(parts, scheduler, now);
+        }
+    }
+
+    /// Moves machines to where the demand is.
+    fn size_pools(&mut self, parts: &OwnerParts, scheduler: &mut JobScheduler, now: BootTime) {
+        let Some(manifest) = parts.operators.borrow().manifest.clone() else {
+            return;
+        };
+        let demands = scheduler.pool_demands();
+        let pools = manifest.pools().map(|pool| {
+            let fact = PoolFact {
+                is_standby: pool.is_standby,
+                demand: demands.get(&pool.name).copied().unwrap_or_default(),
+            };
+            (pool.name.clone(), fact)
+        });
+        let pools: BTreeMap<PoolName, PoolFact> = pools.collect();
+        let machines = self.pool_machines(scheduler);
+        for action in self.capacity.plan(&pools, &machines, now) {
+            match action {
+                CapacityAction::Prepare(worker) => scheduler.block_worker(&worker, true),
+                CapacityAction::Release(worker) => scheduler.block_worker(&worker, false),
+                CapacityAction::Move {
+                    machine,
+                    worker,
+                    pool,
+                } => self.order_move(machine, worker, pool),
+            }
+        }
+    }
+
+    fn pool_machines(&self, scheduler: &JobScheduler) -> BTreeMap<MachineName, PoolMachine> {
+        let machines = self.machines.iter().map(|machine| {
+            let load = machine
+                .worker
+                .as_ref()
+                .map(|worker| scheduler.worker_load(worker));
+            let is_busy = self.planner.is_taken(&machine.name);
+            let entry = PoolMachine {
+                pool: machine.pool.clone(),
+                is_sound: matches!(machine.state, MachineState::Up | MachineState::Moving),
+                is_movable: machine.state == MachineState::Up && !is_busy,
+                worker: machine.worker.clone(),
+                load: load.unwrap_or_default(),
+                cpu_millis: machine.cpu_millis,
+            };
+            (machine.name.clone(), entry)
+        });
+        machines.collect()
+    }
+
+    fn order_move(&self, machine: MachineName, worker: Option<WorkerId>, pool: PoolName) {
+        let client = rc::Rc::clone(&self.client);
+        let answers = self.answers.clone();
+        let node = self.node.clone();
+        let fence = self.fence;
+        tokio::task::spawn_local(async move {
+            let holder = MachineHolder { name: &node, fence };
+            let answer = client.change_pool(holder, &machine, &pool).await;
+            let outcome = known_outcome(&machine, &format!("move to {pool}"), answer);
+            // The session may have ended in the meantime.
+            let _ = answers.send(MachineAnswer::Moved {
+                machine,
+                worker,
+                pool,
+                outcome,
+            });
+        });
     }
 
     fn list_if_due(&mut self, settings: &OwnerSettings, now: BootTime) {
@@ -188,28 +268,8 @@
         let fence = self.fence;
         tokio::task::spawn_local(async move {
             let holder = MachineHolder { name: &node, fence };
-            let outcome = match client.begin_upkeep(holder, &machine, wave).await {
-                Ok(outcome) => {
-                    log_job_event!(
-                        info,
-                        event::MACHINE_ORDERED,
-                        machine = machine,
-                        wave = wave,
-                        outcome = format!("{outcome:?}"),
-                    );
-                    Some(outcome)
-                }
-                Err(error) => {
-                    log_job_event!(
-                        warn,
-                        event::MACHINE_CALL_FAILED,
-                        machine = machine,
-                        error = error
-                    );
-                    let is_void = error.classify() != Category::Unknown;
-                    is_void.then_some(MachineOutcome::Throttled)
-                }
-            };
+            let answer = client.begin_upkeep(holder, &machine, wave).await;
+            let outcome = known_outcome(&machine, &format!("upkeep of wave {wave}"), answer);
             // The session may have ended in the meantime.
             let _ = answers.send(MachineAnswer::Upkeep {
                 wave,
@@ -220,12 +280,26 @@
     }
 
     /// Takes in what came of a call.
-    pub(super) fn answered(&mut self, answer: MachineAnswer, now: BootTime) {
+    pub(super) fn answered(
+        &mut self,
+        scheduler: &mut JobScheduler,
+        answer: MachineAnswer,
+        now: BootTime,
+    ) {
         match answer {
             MachineAnswer::Listed(machines) => {
                 self.is_listing = false;
                 self.machines = machines.unwrap_or_else(|| std::mem::take(&mut self.machines));
             }
+            MachineAnswer::Moved {
+                machine,
+                worker,
+                pool,
+                outcome,
+            } => {
+                self.capacity.move_answered(&machine);
+                self.move_answered(scheduler, &machine, worker.as_ref(), &pool, outcome);
+            }
             MachineAnswer::Upkeep {
                 wave,
                 machine,
@@ -234,6 +308,40 @@
         }
     }
 
+    fn move_answered(
+        &mut self,
+        scheduler: &mut JobScheduler,
+        machine: &MachineName,
+        worker: Option<&WorkerId>,
+        pool: &PoolName,
+        outcome: Option<MachineOutcome>,
+    ) {
+        match outcome {
+            Some(MachineOutcome::Accepted) => {
+                let known = self
+                    .machines
+                    .iter_mut()
+                    .find(|known| known.name == *machine);
+                if let Some(known) = known {
+                    known.pool = pool.clone();
+                    known.state = MachineState::Moving;
+                    known.worker = None;
+                }
+                if let Some(worker) = worker {
+                    scheduler.worker_removed(worker);
+                }
+            }
+            Some(MachineOutcome::Fenced) => self.is_fenced = true,
+            // It may have moved: the next list tells.
+            None => {}
+            Some(_) => {
+                if let Some(worker) = worker {
+                    scheduler.block_worker(worker, false);
+                }
+            }
+        }
+    }
+
     fn upkeep_answered(
         &mut self,
         wave: u64,
@@ -255,3 +363,34 @@
         }
     }
 }
+
+/// Returns what became of an order; nothing if it may still be carried out.
+fn known_outcome(
+    machine: &MachineName,
+    order: &str,
+    answer: redwing_provider::Result<MachineOutcome>,
+) -> Option<MachineOutcome> {
+    match answer {
+        Ok(outcome) => {
+            log_job_event!(
+                info,
+                event::MACHINE_ORDERED,
+                machine = machine,
+                order = order,
+                outcome = format!("{outcome:?}"),
+            );
+            Some(outcome)
+        }
+        Err(error) => {
+            log_job_event!(
+                warn,
+                event::MACHINE_CALL_FAILED,
+                machine = machine,
+                order = order,
+                error = error,
+            );
+            let is_void = error.classify() != Category::Unknown;
+            is_void.then_some(MachineOutcome::Throttled)
+        }
+    }
+}
--- a/crates/engine/src/owner/mod.rs
+++ b/crates/engine/src/owner/mod.rs
@@ -46,10 +46,14 @@
     pub tick: time::Duration,
     /// Least time between two changes of the row of counts.
     pub board_interval: time::Duration,
-    /// Time between two lists of machines while upkeep is under way.
+    /// Time between two lists of machines.
     pub machine_interval: time::Duration,
+    /// Time between two looks at the sizes of pools.
+    pub capacity_interval: time::Duration,
     /// Bounds of the scheduler.
     pub scheduler: redwing_jobs::SchedulerSettings,
+    /// Bounds of the sizes of pools.
+    pub capacity: redwing_jobs::capacity::CapacitySettings,
     /// Bounds of upkeep.
     pub upkeep: redwing_jobs::upkeep::UpkeepSettings,
 }
@@ -66,7 +70,9 @@
             tick: time::Duration::from_millis(50),
             board_interval: time::Duration::from_millis(700),
             machine_interval: time::Duration::from_millis(600),
+            capacity_interval: time::Duration::from_millis(200),
             scheduler: redwing_jobs::SchedulerSettings::default(),
+            capacity: redwing_jobs::capacity::CapacitySettings::default(),
             upkeep: redwing_jobs::upkeep::UpkeepSettings::default(),
         }
     }
--- a/crates/engine/src/owner/session.rs
+++ b/crates/engine/src/owner/session.rs
@@ -173,7 +173,7 @@
                     self.take_workers(&update.rows, update.is_complete);
                 }
                 Some(answer) = self.machine_answers.recv() => {
-                    self.desk.answered(answer, clock::boot_now());
+                    self.desk.answered(&mut self.scheduler, answer, clock::boot_now());
                 }
                 outcome = wait_stored(&mut self.pending) => {
                     if let Some(reason) = self.change_ended(outcome) {
--- /dev/null
+++ b/crates/jobs/src/capacity.rs
@@ -0,0 +1,451 @@
+//! Capacity of pools: machines follow the demand.
+//!
+//! Load pattern: demand goes round between the queues; each in its turn asks
+//! for several times its mean for some seconds, more than its pool holds, and
+//! for almost nothing in between. [`CapacityPlanner`] sizes each pool by what
+//! runs and waits there and by how that grows, takes machines that have
+//! nothing to do from pools that hold too many, and parks those that no pool
+//! needs in a pool that costs nothing.
+//!
+//! A machine with long-running tasks is never moved, and one with other
+//! tasks only after they have finished.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::time;
+
+use crate::name::{MachineName, PoolName, WorkerId};
+use crate::time::BootTime;
+use crate::upkeep::WorkerLoad;
+
+/// Bounds of the planner.
+#[derive(Clone, Debug)]
+pub struct CapacitySettings {
+    /// Room kept above what runs and waits, as a share of it.
+    pub headroom: f64,
+    /// Time for which the growth of the demand is carried on: that of a move.
+    pub lead_time: time::Duration,
+    /// Time over which the growth of the demand is measured.
+    pub growth_window: time::Duration,
+    /// Time for which a pool keeps the room of its highest demand.
+    pub hold_time: time::Duration,
+    /// Time for which a machine must be of no use before it is parked.
+    pub park_delay: time::Duration,
+    /// Machines of a pool that are kept beyond those with long-running tasks.
+    pub least_free: u32,
+    /// Time after which a move that was not answered is given up.
+    pub move_timeout: time::Duration,
+}
+
+impl Default for CapacitySettings {
+    fn default() -> Self {
+        Self {
+            headroom: 0.25,
+            lead_time: time::Duration::from_millis(1_500),
+            growth_window: time::Duration::from_millis(1_000),
+            hold_time: time::Duration::from_millis(2_000),
+            park_delay: time::Duration::from_millis(2_500),
+            least_free: 1,
+            move_timeout: time::Duration::from_secs(4),
+        }
+    }
+}
+
+/// Demand of one pool.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct PoolDemand {
+    /// Processor of tasks that end by themselves and run, in thousandths of a core.
+    pub running: u64,
+    /// Processor of tasks that wait for room.
+    pub waiting: u64,
+    /// Processor of long-running tasks.
+    pub long_running: u64,
+}
+
+/// Machine as the planner sees it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct PoolMachine {
+    /// Pool that it belongs to, or is on the way to.
+    pub pool: PoolName,
+    /// Whether it runs its worker, or will without further orders.
+    pub is_sound: bool,
+    /// Whether it may be moved now: up, and not part of upkeep.
+    pub is_movable: bool,
+    /// Worker on it.
+    pub worker: Option<WorkerId>,
+    /// What the worker runs.
+    pub load: WorkerLoad,
+    /// Its processor, in thousandths of a core.
+    pub cpu_millis: u64,
+}
+
+/// Pool as the planner sees it.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct PoolFact {
+    /// Whether its machines are off and cost nothing.
+    pub is_standby: bool,
+    /// What is asked of it.
+    pub demand: PoolDemand,
+}
+
+/// What the planner wants done.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum CapacityAction {
+    /// Keep new work away from a worker, so that its machine can be moved.
+    Prepare(WorkerId),
+    /// Let a worker have new work again.
+    Release(WorkerId),
+    /// Move a machine to a pool.
+    Move {
+        /// The machine.
+        machine: MachineName,
+        /// Worker that runs on it.
+        worker: Option<WorkerId>,
+        /// The pool.
+        pool: PoolName,
+    },
+}
+
+/// Demand of a pool over the last seconds.
+#[derive(Clone, Debug, Default)]
+struct DemandHistory {
+    samples: VecDeque<DemandSample>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct DemandSample {
+    at: BootTime,
+    /// Processor of tasks that end by themselves, running or waiting.
+    cpu_millis: u64,
+}
+
+impl DemandHistory {
+    fn record(&mut self, at: BootTime, cpu_millis: u64, keep: time::Duration) {
+        self.samples.push_back(DemandSample { at, cpu_millis });
+        while let Some(oldest) = self.samples.front() {
+            if at.saturating_since(oldest.at) <= keep {
+                break;
+            }
+            self.samples.pop_front();
+        }
+    }
+
+    /// Returns the growth in thousandths of a core a second; never negative.
+    fn growth(&self, now: BootTime, window: time::Duration) -> f64 {
+        let recent = self
+            .samples
+            .iter()
+            .find(|sample| now.saturating_since(sample.at) <= window);
+        let (Some(first), Some(last)) = (recent, self.samples.back()) else {
+            return 0.0;
+        };
+        let seconds = last.at.saturating_since(first.at).as_secs_f64();
+        if seconds <= 0.0 {
+            return 0.0;
+        }
+        let rise = last.cpu_millis.saturating_sub(first.cpu_millis);
+        rise as f64 / seconds
+    }
+
+    /// Returns the highest demand of the samples that are kept.
+    fn highest(&self) -> u64 {
+        let cpu = self.samples.iter().map(|sample| sample.cpu_millis);
+        cpu.max().unwrap_or(0)
+    }
+}
+
+/// How a pool stands against its demand, in thousandths of a core.
+#[derive(Clone, Copy, Debug, Default)]
+struct PoolBalance {
+    is_standby: bool,
+    /// What it needs now and in the near future.
+    wanted: u64,
+    /// What it keeps before it gives machines away.
+    kept: u64,
+    /// What it has, machines on the way to it included.
+    held: u64,
+}
+
+/// Machine that is being emptied for a move.
+#[derive(Clone, Debug)]
+struct EmptyingMachine {
+    worker: WorkerId,
+    pool: PoolName,
+}
+
+/// Sizes pools by their demand.
+#[derive(Debug, Default)]
+pub struct CapacityPlanner {
+    settings: CapacitySettings,
+    history: BTreeMap<PoolName, DemandHistory>,
+    /// Since when machines have been of no use where they are.
+    idle_since: BTreeMap<MachineName, BootTime>,
+    emptying: BTreeMap<MachineName, EmptyingMachine>,
+    /// Moves that were ordered and are not answered.
+    ordered: BTreeMap<MachineName, BootTime>,
+}
+
+impl CapacityPlanner {
+    /// Creates a planner without a past.
+    pub fn new(settings: CapacitySettings) -> Self {
+        Self {
+            settings,
+            ..Self::default()
+        }
+    }
+
+    /// Notes that a move was answered.
+    pub fn move_answered(&mut self, machine: &MachineName) {
+        self.ordered.remove(machine);
+    }
+
+    /// Decides which machines to move.
+    pub fn plan(
+        &mut self,
+        pools: &BTreeMap<PoolName, PoolFact>,
+        machines: &BTreeMap<MachineName, PoolMachine>,
+        now: BootTime,
+    ) -> Vec<CapacityAction> {
+        let timeout = self.settings.move_timeout;
+        self.ordered
+            .retain(|_, since| now.saturating_since(*since) < timeout);
+        let mut balances = self.balances(pools, machines, now);
+        let mut actions = Vec::new();
+        self.move_emptied(machines, &balances, now, &mut actions);
+        self.fill_deficits(machines, &mut balances, now, &mut actions);
+        self.park_idle(machines, &mut balances, now, &mut actions);
+        actions
+    }
+
+    fn balances(
+        &mut self,
+        pools: &BTreeMap<PoolName, PoolFact>,
+        machines: &BTreeMap<MachineName, PoolMachine>,
+        now: BootTime,
+    ) -> BTreeMap<PoolName, PoolBalance> {
+        let settings = self.settings.clone();
+        let mut balances = BTreeMap::new();
+        for (name, fact) in pools {
+            let demand = fact.demand;
+            let finite = demand.running + demand.waiting;
+            let history = self.history.entry(name.clone()).or_default();
+            history.record(now, finite, settings.hold_time);
+            let growth = history.growth(now, settings.growth_window);
+            let ahead = growth * settings.lead_time.as_secs_f64();
+            let scale = 1.0 + settings.headroom;
+            let wanted = ((finite as f64 + ahead) * scale) as u64 + demand.long_running;
+            let highest = (history.highest() as f64 * scale) as u64 + demand.long_running;
+            let balance = PoolBalance {
+                is_standby: fact.is_standby,
+                wanted,
+                kept: highest.max(wanted),
+                held: 0,
+            };
+            balances.insert(name.clone(), balance);
+        }
+        for (name, machine) in machines {
+            let leaves = self.emptying.contains_key(name);
+            if let Some(balance) = balances.get_mut(&machine.pool)
+                && machine.is_sound
+                && !leaves
+            {
+                balance.held += machine.cpu_millis;
+            }
+        }
+        for emptying in self.emptying.values() {
+            let cpu = machines.values().map(|machine| machine.cpu_millis).max();
+            if let Some(balance) = balances.get_mut(&emptying.pool) {
+                balance.held += cpu.unwrap_or(0);
+            }
+        }
+        self.keep_least(machines, &mut balances);
+        balances
+    }
+
+    /// Raises what pools keep to the machines with long-running tasks and a few more.
+    fn keep_least(
+        &self,
+        machines: &BTreeMap<MachineName, PoolMachine>,
+        balances: &mut BTreeMap<PoolName, PoolBalance>,
+    ) {
+        let mut least: BTreeMap<&PoolName, u64> = BTreeMap::new();
+        let mut size = 0;
+        for machine in machines.values() {
+            size = size.max(machine.cpu_millis);
+            if machine.load.long_running > 0 {
+                *least.entry(&machine.pool).or_default() += machine.cpu_millis;
+            }
+        }
+        for (name, balance) in balances {
+            let held = least.get(name).copied().unwrap_or(0);
+            let free = u64::from(self.settings.least_free) * size;
+            balance.kept = balance.kept.max(held + free);
+        }
+    }
+
+    /// Moves the machines that have become empty, and releases those that are
+    /// not wanted any more.
+    fn move_emptied(
+        &mut self,
+        machines: &BTreeMap<MachineName, PoolMachine>,
+        balances: &BTreeMap<PoolName, PoolBalance>,
+        now: BootTime,
+        actions: &mut Vec<CapacityAction>,
+    ) {
+        let mut left = BTreeMap::new();
+        for (name, emptying) in std::mem::take(&mut self.emptying) {
+            let machine = machines.get(&name);
+            let worker = machine.and_then(|machine| machine.worker.as_ref());
+            let Some(machine) = machine.filter(|_| worker == Some(&emptying.worker)) else {
+                actions.push(CapacityAction::Release(emptying.worker));
+                continue;
+            };
+            let target = balances.get(&emptying.pool).copied().unwrap_or_default();
+            let is_wanted = target.wanted + machine.cpu_millis > target.held;
+            if !is_wanted || !machine.is_movable || machine.load.long_running > 0 {
+                actions.push(CapacityAction::Release(emptying.worker));
+                continue;
+            }
+            if machine.load.finite > 0 {
+                left.insert(name, emptying);
+                continue;
+            }
+            self.order(&name, machine, &emptying.pool, now, actions);
+        }
+        self.emptying = left;
+    }
+
+    fn order(
+        &mut self,
+        name: &MachineName,
+        machine: &PoolMachine,
+        pool: &PoolName,
+        now: BootTime,
+        actions: &mut Vec<CapacityAction>,
+    ) {
+        self.ordered.insert(name.clone(), now);
+        self.idle_since.remove(name);
+        actions.extend(machine.worker.clone().map(CapacityAction::Prepare));
+        actions.push(CapacityAction::Move {
+            machine: name.clone(),
+            worker: machine.worker.clone(),
+            pool: pool.clone(),
+        });
+    }
+
+    /// Takes machines from pools that hold too many to those that need them.
+    fn fill_deficits(
+        &mut self,
+        machines: &BTreeMap<MachineName, PoolMachine>,
+        balances: &mut BTreeMap<PoolName, PoolBalance>,
+        now: BootTime,
+        actions: &mut Vec<CapacityAction>,
+    ) {
+        let mut short: Vec<(u64, PoolName)> = balances
+            .iter()
+            .filter(|(_, balance)| !balance.is_standby && balance.wanted > balance.held)
+            .map(|(name, balance)| (balance.wanted - balance.held, name.clone()))
+            .collect();
+        short.sort_by(|one, other| other.cmp(one));
+        for (deficit, pool) in short {
+            let mut missing = deficit;
+            while missing > 0 {
+                let Some(name) = self.best_donor(machines, balances, &pool) else {
+                    break;
+                };
+                let machine = &machines[&name];
+                missing = missing.saturating_sub(machine.cpu_millis);
+                take(balances, &machine.pool, &pool, machine.cpu_millis);
+                match &machine.worker {
+                    Some(worker) if machine.load.finite > 0 => {
+                        actions.push(CapacityAction::Prepare(worker.clone()));
+                        let emptying = EmptyingMachine {
+                            worker: worker.clone(),
+                            pool: pool.clone(),
+                        };
+                        self.emptying.insert(name, emptying);
+                    }
+                    _ => self.order(&name, machine, &pool, now, actions),
+                }
+            }
+        }
+    }
+
+    /// Returns the machine that is missed least where it is.
+    fn best_donor(
+        &self,
+        machines: &BTreeMap<MachineName, PoolMachine>,
+        balances: &BTreeMap<PoolName, PoolBalance>,
+        pool: &PoolName,
+    ) -> Option<MachineName> {
+        let candidates = machines.iter().filter(|(name, machine)| {
+            let Some(balance) = balances.get(&machine.pool) else {
+                return false;
+            };
+            let has_surplus = balance.is_standby
+                || balance.held.saturating_sub(balance.kept) >= machine.cpu_millis;
+            machine.pool != *pool && has_surplus && self.is_free(name, machine)
+        });
+        let best = candidates.min_by_key(|(name, machine)| {
+            let is_parked = balances
+                .get(&machine.pool)
+                .is_some_and(|balance| balance.is_standby);
+            // One that is paid for anyway goes before one that is parked.
+            (machine.load.finite, is_parked, (*name).clone())
+        });
+        best.map(|(name, _)| name.clone())
+    }
+
+    fn is_free(&self, name: &MachineName, machine: &PoolMachine) -> bool {
+        machine.is_movable
+            && machine.load.long_running == 0
+            && !self.ordered.contains_key(name)
+            && !self.emptying.contains_key(name)
+    }
+
+    /// Parks machines that no pool has needed for a while.
+    fn park_idle(
+        &mut self,
+        machines: &BTreeMap<MachineName, PoolMachine>,
+        balances: &mut BTreeMap<PoolName, PoolBalance>,
+        now: BootTime,
+        actions: &mut Vec<CapacityAction>,
+    ) {
+        let standby = balances.iter().find(|(_, balance)| balance.is_standby);
+        let Some(standby) = standby.map(|(name, _)| name.clone()) else {
+            return;
+        };
+        for (name, machine) in machines {
+            let Some(balance) = balances.get(&machine.pool).copied() else {
+                continue;
+            };
+            let is_spare = !balance.is_standby
+                && balance.held.saturating_sub(balance.kept) >= machine.cpu_millis
+                && machine.load.finite == 0
+                && self.is_free(name, machine);
+            if !is_spare {
+                self.idle_since.remove(name);
+                continue;
+            }
+            let since = *self.idle_since.entry(name.clone()).or_insert(now);
+            if now.saturating_since(since) < self.settings.park_delay {
+                continue;
+            }
+            take(balances, &machine.pool, &standby, machine.cpu_millis);
+            self.order(name, machine, &standby, now, actions);
+        }
+    }
+}
+
+fn take(
+    balances: &mut BTreeMap<PoolName, PoolBalance>,
+    from: &PoolName,
+    to: &PoolName,
+    cpu_millis: u64,
+) {
+    if let Some(balance) = balances.get_mut(from) {
+        balance.held = balance.held.saturating_sub(cpu_millis);
+    }
+    if let Some(balance) = balances.get_mut(to) {
+        balance.held += cpu_millis;
+    }
+}
--- a/crates/jobs/src/scheduler/entry.rs
+++ b/crates/jobs/src/scheduler/entry.rs
@@ -265,6 +265,23 @@
         })
     }
 
+    /// Returns the processor that waiting tasks ask for, in thousandths of a core.
+    pub(super) fn waiting_cpu(&self) -> u64 {
+        let mut cpu = 0;
+        for occurrence in &self.occurrences {
+            for (step, spec) in occurrence.steps.iter().zip(&self.record.spec.steps) {
+                if occurrence.is_ready(spec) {
+                    let idle = step
+                        .tasks
+                        .iter()
+                        .filter(|task| task.phase == TaskPhase::Idle);
+                    cpu += idle.count() as u64 * spec.reserved().cpu_millis;
+                }
+            }
+        }
+        cpu
+    }
+
     pub(super) fn step(&self, occurrence: u32, step: u32) -> Option<&StepEntry> {
         let mut occurrences = self.occurrences.iter();
         let entry = occurrences.find(|entry| entry.number == occurrence)?;
--- a/crates/jobs/src/scheduler/place.rs
+++ b/crates/jobs/src/scheduler/place.rs
@@ -65,8 +65,7 @@
             let Some(job) = self.jobs.get(id) else {
                 continue;
             };
-            let queue = self.manifest.queue(&job.record.queue);
-            let pool = queue.map_or(&job.record.pool, |queue| &queue.pool);
+            let pool = self.pool_of(job);
             let waiting = WaitingJob {
                 rank: self.rank(job, wall),
                 id: id.clone(),
@@ -76,6 +75,12 @@
         pools
     }
 
+    /// Returns the pool whose workers run the tasks of a job.
+    pub(super) fn pool_of<'a>(&'a self, job: &'a JobEntry) -> &'a PoolName {
+        let queue = self.manifest.queue(&job.record.queue);
+        queue.map_or(&job.record.pool, |queue| &queue.pool)
+    }
+
     fn rank(&self, job: &JobEntry, wall: WallTime) -> JobRank {
         let queue = self.manifest.queue(&job.record.queue);
         let (stretch, objective_ms) =
@@ -282,7 +287,10 @@
             if !is_permitted(task, spec, entry, taken(position)) {
                 continue;
             }
-            let score = PlaceScore::of(spec, entry, &option.room);
+            let score = PlaceScore {
+                is_packed: spec.long_running && self.has_long_running(entry),
+                ..PlaceScore::of(spec, entry, &option.room)
+            };
             if best.is_none_or(|(other, _)| score > other) {
                 best = Some((score, position));
             }
@@ -290,6 +298,13 @@
         best.map(|(_, position)| position)
     }
 
+    fn has_long_running(&self, entry: &WorkerEntry) -> bool {
+        entry
+            .occupants
+            .keys()
+            .any(|task| self.is_long_running(task))
+    }
+
     /// Takes room for a task; its start waits until the row is stored.
     fn reserve(
         &mut self,
@@ -332,6 +347,9 @@
 #[derive(Clone, Copy, Debug, PartialEq, PartialOrd)]
 struct PlaceScore {
     is_near: bool,
+    /// Whether a long-running task joins others, so that few machines are
+    /// bound by them.
+    is_packed: bool,
     free_share: f64,
 }
 
@@ -345,6 +363,7 @@
         let capacity = view.map_or(1, |view| view.capacity.cpu_millis.max(1));
         Self {
             is_near,
+            is_packed: false,
             free_share: room.cpu_millis as f64 / capacity as f64,
         }
     }
--- a/crates/jobs/src/scheduler/upkeep.rs
+++ b/crates/jobs/src/scheduler/upkeep.rs
@@ -1,6 +1,9 @@
-//! What upkeep asks of the scheduler.
+//! What upkeep and capacity ask of the scheduler.
 
-use crate::name::{TaskId, WorkerId};
+use std::collections::BTreeMap;
+
+use crate::capacity::PoolDemand;
+use crate::name::{PoolName, TaskId, WorkerId};
 use crate::time::BootTime;
 use crate::upkeep::WorkerLoad;
 
@@ -28,6 +31,40 @@
         load
     }
 
+    /// Returns what is asked of each pool.
+    pub fn pool_demands(&self) -> BTreeMap<PoolName, PoolDemand> {
+        let mut demands: BTreeMap<PoolName, PoolDemand> = BTreeMap::new();
+        for (_, worker) in self.fleet.iter() {
+            let Some(view) = &worker.view else {
+                continue;
+            };
+            let demand = demands.entry(view.pool.clone()).or_default();
+            for (task, occupant) in &worker.occupants {
+                if self.is_long_running(task) {
+                    demand.long_running += occupant.reserved.cpu_millis;
+                } else {
+                    demand.running += occupant.reserved.cpu_millis;
+                }
+            }
+        }
+        for id in &self.waiting {
+            if let Some(job) = self.jobs.get(id) {
+                let pool = self.pool_of(job);
+                let demand = demands.entry(pool.clone()).or_default();
+                demand.waiting += job.waiting_cpu();
+            }
+        }
+        demands
+    }
+
+    /// Notes that a worker's machine was ordered away: nothing of it is left.
+    pub fn worker_removed(&mut self, worker: &WorkerId) {
+        if let Some(entry) = self.fleet.get_mut(worker) {
+            entry.is_listed = false;
+            entry.is_blocked = true;
+        }
+    }
+
     /// Lets a worker have new work, or keeps it away.
     pub fn block_worker(&mut self, worker: &WorkerId, is_blocked: bool) {
         if let Some(entry) = self.fleet.get_mut(worker) {
--- a/crates/jobs/src/upkeep.rs
+++ b/crates/jobs/src/upkeep.rs
@@ -232,6 +232,17 @@
             .any(|wave| !wave.stages.is_empty() || !wave.is_announced)
     }
 
+    /// Returns whether a machine is being prepared for upkeep or in it.
+    pub fn is_taken(&self, machine: &MachineName) -> bool {
+        let stages = self
+            .waves
+            .values()
+            .filter_map(|wave| wave.stages.get(machine));
+        stages
+            .into_iter()
+            .any(|stage| *stage != MachineStage::Waiting)
+    }
+
     /// Returns what is kept of a wave.
     pub fn record(&self, wave: u64) -> Option<&UpkeepRecord> {
         self.waves.get(&wave).map(|entry| &entry.record)
