Pack work, size pools by arrivals, move long-running tasks only to a place that is there

Change: the fullest worker that fits goes first; expected arrivals times mean work size a pool; machines in upkeep do not count; eviction waits for a place.

--- a/crates/engine/src/owner/lanes.rs
+++ b/crates/engine/src/owner/lanes.rs
@@ -13,7 +13,7 @@
 use crate::services::{WorkerClient, WorkerReply};
 
 /// Orders to one worker that wait for their answers at a time, holds aside.
-const ORDERS_IN_FLIGHT: usize = 2;
+const ORDERS_IN_FLIGHT: usize = 3;
 
 /// Age at which an order to start is not sent any more: its worker answers
 /// too slowly.
--- a/crates/engine/src/owner/machines.rs
+++ b/crates/engine/src/owner/machines.rs
@@ -158,7 +158,8 @@
             let is_busy = self.planner.is_taken(&machine.name);
             let entry = PoolMachine {
                 pool: machine.pool.clone(),
-                is_sound: matches!(machine.state, MachineState::Up | MachineState::Moving),
+                is_sound: matches!(machine.state, MachineState::Up | MachineState::Moving)
+                    && !is_busy,
                 is_movable: machine.state == MachineState::Up && !is_busy,
                 worker: machine.worker.clone(),
                 load: load.unwrap_or_default(),
--- a/crates/jobs/src/capacity.rs
+++ b/crates/jobs/src/capacity.rs
@@ -20,12 +20,14 @@
 /// Bounds of the planner.
 #[derive(Clone, Debug)]
 pub struct CapacitySettings {
-    /// Room kept above what runs and waits, as a share of it.
+    /// Room kept above the work that arrives, as a share of it.
     pub headroom: f64,
-    /// Time for which the growth of the demand is carried on: that of a move.
+    /// Time for which the growth of the arrivals is carried on: that of a move.
     pub lead_time: time::Duration,
-    /// Time over which the growth of the demand is measured.
-    pub growth_window: time::Duration,
+    /// Time over which arrivals are counted.
+    pub rate_window: time::Duration,
+    /// Standard deviations by which arrivals must rise to count as growing.
+    pub growth_confidence: f64,
     /// Time for which a pool keeps the room of its highest demand.
     pub hold_time: time::Duration,
     /// Time for which a machine must be of no use before it is parked.
@@ -41,9 +43,10 @@
         Self {
             headroom: 0.25,
             lead_time: time::Duration::from_millis(1_500),
-            growth_window: time::Duration::from_millis(1_000),
-            hold_time: time::Duration::from_millis(2_000),
-            park_delay: time::Duration::from_millis(2_500),
+            rate_window: time::Duration::from_millis(1_000),
+            growth_confidence: 1.5,
+            hold_time: time::Duration::from_millis(1_200),
+            park_delay: time::Duration::from_millis(1_200),
             least_free: 1,
             move_timeout: time::Duration::from_secs(4),
         }
@@ -59,6 +62,13 @@
     pub waiting: u64,
     /// Processor of long-running tasks.
     pub long_running: u64,
+    /// Long-running tasks that wait for room; each may need a machine of its own.
+    pub waiting_long_running: u64,
+    /// Jobs that arrived since the scheduler began, long-running ones aside.
+    pub arrived_jobs: u64,
+    /// Work of these jobs by its estimate, in thousandths of a core times
+    /// milliseconds.
+    pub arrived_work: u64,
 }
 
 /// Machine as the planner sees it.
@@ -66,7 +76,7 @@
 pub struct PoolMachine {
     /// Pool that it belongs to, or is on the way to.
     pub pool: PoolName,
-    /// Whether it runs its worker, or will without further orders.
+    /// Whether its worker takes work, or will without further orders.
     pub is_sound: bool,
     /// Whether it may be moved now: up, and not part of upkeep.
     pub is_movable: bool,
@@ -109,18 +119,27 @@
 #[derive(Clone, Debug, Default)]
 struct DemandHistory {
     samples: VecDeque<DemandSample>,
+    /// What was wanted lately.
+    wanted: VecDeque<WantedSample>,
 }
 
 #[derive(Clone, Copy, Debug)]
 struct DemandSample {
     at: BootTime,
-    /// Processor of tasks that end by themselves, running or waiting.
+    arrived_jobs: u64,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct WantedSample {
+    at: BootTime,
+    /// In thousandths of a core.
     cpu_millis: u64,
 }
 
 impl DemandHistory {
-    fn record(&mut self, at: BootTime, cpu_millis: u64, keep: time::Duration) {
-        self.samples.push_back(DemandSample { at, cpu_millis });
+    fn record(&mut self, at: BootTime, arrived_jobs: u64, settings: &CapacitySettings) {
+        self.samples.push_back(DemandSample { at, arrived_jobs });
+        let keep = settings.rate_window * 2;
         while let Some(oldest) = self.samples.front() {
             if at.saturating_since(oldest.at) <= keep {
                 break;
@@ -129,28 +148,56 @@
         }
     }
 
-    /// Returns the growth in thousandths of a core a second; never negative.
-    fn growth(&self, now: BootTime, window: time::Duration) -> f64 {
-        let recent = self
-            .samples
-            .iter()
-            .find(|sample| now.saturating_since(sample.at) <= window);
-        let (Some(first), Some(last)) = (recent, self.samples.back()) else {
+    fn arrived_at(&self, now: BootTime, age: time::Duration) -> Option<u64> {
+        let mut samples = self.samples.iter();
+        let sample = samples.find(|sample| now.saturating_since(sample.at) <= age);
+        sample.map(|sample| sample.arrived_jobs)
+    }
+
+    /// Returns the jobs a second that are expected when a move that begins
+    /// now is over.
+    ///
+    /// Few arrivals scatter; only a rise that scatter does not explain is
+    /// carried on.
+    fn expected_rate(&self, now: BootTime, settings: &CapacitySettings) -> f64 {
+        let window = settings.rate_window;
+        let (Some(before), Some(middle), Some(last)) = (
+            self.arrived_at(now, window * 2),
+            self.arrived_at(now, window),
+            self.samples.back().map(|sample| sample.arrived_jobs),
+        ) else {
             return 0.0;
         };
-        let seconds = last.at.saturating_since(first.at).as_secs_f64();
-        if seconds <= 0.0 {
-            return 0.0;
+        let former = middle.saturating_sub(before) as f64;
+        let latest = last.saturating_sub(middle) as f64;
+        let seconds = window.as_secs_f64();
+        let rise = latest - former;
+        let scatter = settings.growth_confidence * (latest + former).sqrt();
+        let growth = if rise > scatter { rise / seconds } else { 0.0 };
+        let ahead = growth / seconds * settings.lead_time.as_secs_f64();
+        latest / seconds + ahead
+    }
+
+    /// Notes what is wanted now; returns the most that was wanted lately.
+    fn hold(&mut self, at: BootTime, cpu_millis: u64, keep: time::Duration) -> u64 {
+        self.wanted.push_back(WantedSample { at, cpu_millis });
+        while let Some(oldest) = self.wanted.front() {
+            if at.saturating_since(oldest.at) <= keep {
+                break;
+            }
+            self.wanted.pop_front();
         }
-        let rise = last.cpu_millis.saturating_sub(first.cpu_millis);
-        rise as f64 / seconds
+        let wanted = self.wanted.iter().map(|sample| sample.cpu_millis);
+        wanted.max().unwrap_or(0)
     }
+}
 
-    /// Returns the highest demand of the samples that are kept.
-    fn highest(&self) -> u64 {
-        let cpu = self.samples.iter().map(|sample| sample.cpu_millis);
-        cpu.max().unwrap_or(0)
+/// Returns the mean work of a job, in thousandths of a core times seconds.
+fn mean_work(demand: &PoolDemand) -> f64 {
+    if demand.arrived_jobs == 0 {
+        return 0.0;
     }
+    demand.arrived_work as f64 / demand.arrived_jobs as f64 / 1_000.0
 }
 
 /// How a pool stands against its demand, in thousandths of a core.
@@ -226,18 +273,16 @@
         let mut balances = BTreeMap::new();
         for (name, fact) in pools {
             let demand = fact.demand;
-            let finite = demand.running + demand.waiting;
             let history = self.history.entry(name.clone()).or_default();
-            history.record(now, finite, settings.hold_time);
-            let growth = history.growth(now, settings.growth_window);
-            let ahead = growth * settings.lead_time.as_secs_f64();
-            let scale = 1.0 + settings.headroom;
-            let wanted = ((finite as f64 + ahead) * scale) as u64 + demand.long_running;
-            let highest = (history.highest() as f64 * scale) as u64 + demand.long_running;
+            history.record(now, demand.arrived_jobs, &settings);
+            let rate = history.expected_rate(now, &settings);
+            let arriving = rate * mean_work(&demand) * (1.0 + settings.headroom);
+            let present = demand.running + demand.waiting;
+            let wanted = present.max(arriving as u64) + demand.long_running;
             let balance = PoolBalance {
                 is_standby: fact.is_standby,
                 wanted,
-                kept: highest.max(wanted),
+                kept: history.hold(now, wanted, settings.hold_time),
                 held: 0,
             };
             balances.insert(name.clone(), balance);
@@ -257,13 +302,15 @@
                 balance.held += cpu.unwrap_or(0);
             }
         }
-        self.keep_least(machines, &mut balances);
+        self.keep_least(pools, machines, &mut balances);
         balances
     }
 
-    /// Raises what pools keep to the machines with long-running tasks and a few more.
+    /// Raises what pools want to the machines with long-running tasks, one for
+    /// each such task that waits, and a few more.
     fn keep_least(
         &self,
+        pools: &BTreeMap<PoolName, PoolFact>,
         machines: &BTreeMap<MachineName, PoolMachine>,
         balances: &mut BTreeMap<PoolName, PoolBalance>,
     ) {
@@ -276,9 +323,16 @@
             }
         }
         for (name, balance) in balances {
-            let held = least.get(name).copied().unwrap_or(0);
-            let free = u64::from(self.settings.least_free) * size;
-            balance.kept = balance.kept.max(held + free);
+            if balance.is_standby {
+                continue;
+            }
+            let bound = least.get(name).copied().unwrap_or(0);
+            let waiting = pools
+                .get(name)
+                .map_or(0, |fact| fact.demand.waiting_long_running);
+            let free = (u64::from(self.settings.least_free) + waiting) * size;
+            balance.wanted = balance.wanted.max(bound + free);
+            balance.kept = balance.kept.max(bound + free);
         }
     }
 
--- a/crates/jobs/src/scheduler/entry.rs
+++ b/crates/jobs/src/scheduler/entry.rs
@@ -267,19 +267,29 @@
 
     /// Returns the processor that waiting tasks ask for, in thousandths of a core.
     pub(super) fn waiting_cpu(&self) -> u64 {
-        let mut cpu = 0;
-        for occurrence in &self.occurrences {
-            for (step, spec) in occurrence.steps.iter().zip(&self.record.spec.steps) {
-                if occurrence.is_ready(spec) {
-                    let idle = step
-                        .tasks
-                        .iter()
-                        .filter(|task| task.phase == TaskPhase::Idle);
-                    cpu += idle.count() as u64 * spec.reserved().cpu_millis;
-                }
-            }
-        }
-        cpu
+        let steps = self.waiting_steps();
+        steps
+            .map(|(count, spec)| count * spec.reserved().cpu_millis)
+            .sum()
+    }
+
+    /// Returns the number of tasks whose turn has come and that run nowhere.
+    pub(super) fn waiting_tasks(&self) -> u64 {
+        self.waiting_steps().map(|(count, _)| count).sum()
+    }
+
+    /// Returns the steps whose turn has come, with the number of their tasks
+    /// that run nowhere.
+    fn waiting_steps(&self) -> impl Iterator<Item = (u64, &StepSpec)> {
+        self.occurrences.iter().flat_map(|occurrence| {
+            let steps = occurrence.steps.iter().zip(&self.record.spec.steps);
+            let ready = steps.filter(|(_, spec)| occurrence.is_ready(spec));
+            ready.map(|(step, spec)| {
+                let tasks = step.tasks.iter();
+                let idle = tasks.filter(|task| task.phase == TaskPhase::Idle);
+                (idle.count() as u64, spec)
+            })
+        })
     }
 
     pub(super) fn step(&self, occurrence: u32, step: u32) -> Option<&StepEntry> {
--- a/crates/jobs/src/scheduler/intake.rs
+++ b/crates/jobs/src/scheduler/intake.rs
@@ -15,9 +15,19 @@
         if self.jobs.contains_key(id) || self.finished.contains(id) {
             return;
         }
+        self.count_arrival(&record);
         self.insert(id, JobEntry::new(record));
     }
 
+    fn count_arrival(&mut self, record: &JobRecord) {
+        if record.spec.is_long_running() {
+            return;
+        }
+        let arrivals = self.arrivals.entry(record.pool.clone()).or_default();
+        arrivals.jobs += 1;
+        arrivals.work += record.spec.estimated_work();
+    }
+
     /// Takes in a job with what an earlier owner stored of it.
     pub fn restore(
         &mut self,
--- a/crates/jobs/src/scheduler/mod.rs
+++ b/crates/jobs/src/scheduler/mod.rs
@@ -32,7 +32,7 @@
 use std::time;
 
 use crate::manifest::JobManifest;
-use crate::name::{CustomerName, JobId, QueueName, TaskId, WorkerId};
+use crate::name::{CustomerName, JobId, PoolName, QueueName, TaskId, WorkerId};
 use crate::record::JobState;
 use crate::spec::ResourceAmount;
 use crate::time::BootTime;
@@ -175,6 +175,14 @@
     Unhealthy,
 }
 
+/// Jobs that arrived for a pool, long-running ones aside.
+#[derive(Clone, Copy, Debug, Default)]
+struct PoolArrivals {
+    jobs: u64,
+    /// Work by its estimate, in thousandths of a core times milliseconds.
+    work: u64,
+}
+
 /// Largest number of finished jobs that are remembered.
 const MAX_FINISHED: usize = 50_000;
 
@@ -219,6 +227,7 @@
     timed: BTreeSet<JobId>,
     fleet: WorkerFleet,
     usage: HashMap<CustomerName, ResourceAmount>,
+    arrivals: HashMap<PoolName, PoolArrivals>,
     journal: ChangeJournal,
     orders: Vec<WorkerOrder>,
     notes: Vec<SchedulerNote>,
@@ -240,6 +249,7 @@
             timed: BTreeSet::new(),
             fleet: WorkerFleet::default(),
             usage: HashMap::new(),
+            arrivals: HashMap::new(),
             journal: ChangeJournal::default(),
             orders: Vec::new(),
             notes: Vec::new(),
--- a/crates/jobs/src/scheduler/place.rs
+++ b/crates/jobs/src/scheduler/place.rs
@@ -33,7 +33,7 @@
 
 /// Worker that may get tasks, with the room that is left.
 #[derive(Clone, Debug)]
-struct PlaceOption {
+pub(super) struct PlaceOption {
     worker: WorkerId,
     born: u64,
     room: ResourceAmount,
@@ -95,7 +95,7 @@
         }
     }
 
-    fn options(&self, pool: &PoolName, now: BootTime) -> Vec<PlaceOption> {
+    pub(super) fn options(&self, pool: &PoolName, now: BootTime) -> Vec<PlaceOption> {
         let workers = self.fleet.iter();
         let usable = workers.filter(|(_, entry)| {
             let view = entry.view.as_ref();
@@ -262,7 +262,12 @@
             )
     }
 
-    fn choose(&self, task: &TaskId, spec: &StepSpec, options: &[PlaceOption]) -> Option<usize> {
+    pub(super) fn choose(
+        &self,
+        task: &TaskId,
+        spec: &StepSpec,
+        options: &[PlaceOption],
+    ) -> Option<usize> {
         self.choose_beside(task, spec, options, |_| 0)
     }
 
@@ -288,7 +293,7 @@
                 continue;
             }
             let score = PlaceScore {
-                is_packed: spec.long_running && self.has_long_running(entry),
+                is_packed: self.has_long_running(entry),
                 ..PlaceScore::of(spec, entry, &option.room)
             };
             if best.is_none_or(|(other, _)| score > other) {
@@ -347,10 +352,12 @@
 #[derive(Clone, Copy, Debug, PartialEq, PartialOrd)]
 struct PlaceScore {
     is_near: bool,
-    /// Whether a long-running task joins others, so that few machines are
-    /// bound by them.
+    /// Whether the task joins long-running ones, so that few machines are
+    /// bound and the others can be moved.
     is_packed: bool,
-    free_share: f64,
+    /// Share of the worker that is in use: the fullest goes first, so that
+    /// others become empty.
+    used_share: f64,
 }
 
 impl PlaceScore {
@@ -364,7 +371,7 @@
         Self {
             is_near,
             is_packed: false,
-            free_share: room.cpu_millis as f64 / capacity as f64,
+            used_share: 1.0 - room.cpu_millis as f64 / capacity as f64,
         }
     }
 }
--- a/crates/jobs/src/scheduler/upkeep.rs
+++ b/crates/jobs/src/scheduler/upkeep.rs
@@ -51,9 +51,18 @@
             if let Some(job) = self.jobs.get(id) {
                 let pool = self.pool_of(job);
                 let demand = demands.entry(pool.clone()).or_default();
-                demand.waiting += job.waiting_cpu();
+                if job.record.spec.is_long_running() {
+                    demand.waiting_long_running += job.waiting_tasks();
+                } else {
+                    demand.waiting += job.waiting_cpu();
+                }
             }
         }
+        for (pool, arrivals) in &self.arrivals {
+            let demand = demands.entry(pool.clone()).or_default();
+            demand.arrived_jobs = arrivals.jobs;
+            demand.arrived_work = arrivals.work;
+        }
         demands
     }
 
@@ -81,12 +90,28 @@
         };
         let tasks: Vec<TaskId> = entry.occupants.keys().cloned().collect();
         for task in tasks {
-            if self.is_long_running(&task) && self.may_interrupt(&task) {
+            let may_leave = self.is_long_running(&task)
+                && self.may_interrupt(&task)
+                && self.has_place_for(&task, now);
+            if may_leave {
                 self.stop_task(&task, now);
             }
         }
     }
 
+    /// Returns whether a worker has room for another run of the task.
+    fn has_place_for(&self, task: &TaskId, now: BootTime) -> bool {
+        let Some(job) = self.jobs.get(&task.job) else {
+            return true;
+        };
+        if job.state.is_final() {
+            return true;
+        }
+        let options = self.options(self.pool_of(job), now);
+        let spec = job.record.spec.steps.get(task.step as usize);
+        spec.is_some_and(|spec| self.choose(task, spec, &options).is_some())
+    }
+
     /// Returns whether the step's budget allows to make the task unavailable.
     fn may_interrupt(&self, task: &TaskId) -> bool {
         let Some(job) = self.jobs.get(&task.job) else {
--- a/crates/jobs/src/spec.rs
+++ b/crates/jobs/src/spec.rs
@@ -170,6 +170,15 @@
         self.steps.iter().any(|step| step.long_running)
     }
 
+    /// Returns the processor work of one occurrence by its estimate, in
+    /// thousandths of a core times milliseconds.
+    pub fn estimated_work(&self) -> u64 {
+        let steps = self.steps.iter();
+        let work =
+            steps.map(|step| u64::from(step.count) * step.reserved().cpu_millis * step.estimate_ms);
+        work.sum()
+    }
+
     /// Checks that the job can be run at all.
     ///
     /// # Errors
