Count each failed run once, whoever hears of it

Change: rows keep the numbers of the runs that failed. Test: recovery.rs::a_failure_that_is_listed_again_counts_once, which failed first.

--- a/crates/jobs/src/record.rs
+++ b/crates/jobs/src/record.rs
@@ -59,9 +59,10 @@
     /// Number of the latest run; 0 if there was none.
     #[serde(rename = "r", skip_serializing_if = "is_default")]
     pub run: u32,
-    /// Number of runs that failed.
-    #[serde(rename = "f", skip_serializing_if = "is_default")]
-    pub failed: u32,
+    /// Numbers of the runs that failed; a worker may list the same end to
+    /// several owners.
+    #[serde(rename = "f", skip_serializing_if = "Vec::is_empty")]
+    pub failed: Vec<u32>,
     /// Whether the task is done.
     #[serde(rename = "d", skip_serializing_if = "is_default")]
     pub done: bool,
--- a/crates/jobs/src/scheduler/entry.rs
+++ b/crates/jobs/src/scheduler/entry.rs
@@ -73,13 +73,22 @@
     pub(super) phase: TaskPhase,
     /// Number of the latest run; 0 if there was none.
     pub(super) run: u32,
-    /// Number of runs that failed.
-    pub(super) failed: u32,
+    /// Numbers of the runs that failed.
+    pub(super) failed: Vec<u32>,
     /// Latest progress that the task saved.
     pub(super) checkpoint: Option<String>,
 }
 
 impl TaskEntry {
+    /// Notes that a run failed; returns whether that was not known.
+    pub(super) fn note_failed(&mut self, run: u32) -> bool {
+        let is_new = !self.failed.contains(&run);
+        if is_new {
+            self.failed.push(run);
+        }
+        is_new
+    }
+
     fn restore(record: &TaskRecord, now: BootTime) -> Self {
         let progress = RunProgress {
             since: now,
@@ -100,7 +109,7 @@
         Self {
             phase,
             run: record.run,
-            failed: record.failed,
+            failed: record.failed.clone(),
             checkpoint: record.checkpoint.clone(),
         }
     }
@@ -115,7 +124,7 @@
         let place = self.phase.place();
         TaskRecord {
             run: self.run,
-            failed: self.failed,
+            failed: self.failed.clone(),
             done: false,
             worker: place.map(|place| place.worker.clone()),
             born: place.map_or(0, |place| place.born),
@@ -324,7 +333,7 @@
         let tasks = occurrences
             .flat_map(|entry| &entry.steps)
             .flat_map(|step| &step.tasks);
-        tasks.map(|task| task.failed).sum()
+        tasks.map(|task| task.failed.len() as u32).sum()
     }
 }
 
--- a/crates/jobs/src/scheduler/report.rs
+++ b/crates/jobs/src/scheduler/report.rs
@@ -133,7 +133,7 @@
         }
         match end.kind {
             EndKind::Done => self.finish_task(&end.task, now),
-            EndKind::Failed => self.fail_run(&end.task, is_current, now),
+            EndKind::Failed => self.fail_run(&end.task, end.run, is_current, now),
             _ if is_current => self.free_task(&end.task),
             _ => {}
         }
@@ -175,20 +175,26 @@
         }
     }
 
-    fn fail_run(&mut self, task: &TaskId, is_current: bool, now: BootTime) {
-        if let Some(entry) = self.task_mut(task) {
-            entry.failed += 1;
-        }
+    fn fail_run(&mut self, task: &TaskId, run: u32, is_current: bool, now: BootTime) {
         if is_current {
             self.free_task(task);
         }
+        if self.is_long_running(task) {
+            return;
+        }
+        let is_new = self
+            .task_mut(task)
+            .is_some_and(|entry| entry.note_failed(run));
+        if !is_new {
+            return;
+        }
         let members = self.gang_members(task);
         let failed: u32 = members
             .iter()
             .filter_map(|member| self.task(member))
-            .map(|entry| entry.failed)
+            .map(|entry| entry.failed.len() as u32)
             .sum();
-        if failed >= self.max_attempts(task) && !self.is_long_running(task) {
+        if failed >= self.max_attempts(task) {
             self.finish(&task.job, JobState::Failed, now);
         }
     }
--- a/crates/jobs/tests/common/mod.rs
+++ b/crates/jobs/tests/common/mod.rs
@@ -50,6 +50,8 @@
     pub is_failing: bool,
     /// Whether what it runs makes no progress.
     pub is_hanging: bool,
+    /// Whether acknowledged ends are forgotten; acknowledgements are lost otherwise.
+    pub is_forgetful: bool,
 }
 
 impl FakeWorker {
@@ -77,6 +79,7 @@
             is_dark: false,
             is_failing: false,
             is_hanging: false,
+            is_forgetful: true,
         }
     }
 
@@ -440,7 +443,9 @@
                 lease_end_ms,
                 ..
             } => {
-                worker.ended.retain(|end| end.number > *last_seen);
+                if worker.is_forgetful {
+                    worker.ended.retain(|end| end.number > *last_seen);
+                }
                 worker.lease_end = worker.lease_end.max(lease_end_ms.unwrap_or(0));
                 (OrderOutcome::Accepted, Some(worker.report(now)))
             }
--- a/crates/jobs/tests/recovery.rs
+++ b/crates/jobs/tests/recovery.rs
@@ -181,3 +181,31 @@
     fleet.run(8_000);
     assert_eq!(fleet.state(&job), JobState::Completed);
 }
+
+/// A worker lists an end until it is acknowledged, so each new owner may hear
+/// of a failure that an earlier one has stored.
+#[test]
+fn a_failure_that_is_listed_again_counts_once() {
+    let mut fleet = fleet_of(1);
+    fleet.run(100);
+    fleet.worker("w0").is_failing = true;
+    let job = fleet.submit("j", vec![step(1, 1_000)], 300);
+    while fleet.workers.values().all(|worker| worker.ended.is_empty()) {
+        fleet.run(10);
+    }
+    fleet.worker("w0").is_failing = false;
+    for _ in 0..4 {
+        fleet.run(10);
+        fleet.take_over(SchedulerSettings::default());
+        // The new owner hears of the failure, but does not live to acknowledge it.
+        for worker in fleet.workers.values_mut() {
+            worker.is_forgetful = false;
+        }
+        fleet.run(20);
+    }
+    for worker in fleet.workers.values_mut() {
+        worker.is_forgetful = true;
+    }
+    fleet.run(8_000);
+    assert_eq!(fleet.state(&job), JobState::Completed);
+}
