--- a/crates/engine/src/row.rs
+++ b/crates/engine/src/row.rs
@@ -32,7 +32,7 @@
 const JOB_TABLE: &str = "jobs";
 
 /// Parts over which the rows of jobs are spread.
-const JOB_PARTS: u64 = 16;
+const JOB_PARTS: u64 = 64;
 
 /// Prefix of the rows of progress.
 pub const PROGRESS_PREFIX: &str = "progress/";
--- a/crates/engine/src/run.rs
+++ b/crates/engine/src/run.rs
@@ -57,7 +57,8 @@
 /// Returns the bounds of a client whose callers wait for each answer.
 fn client_settings() -> ClientSettings {
     ClientSettings {
-        call_timeout: time::Duration::from_millis(900),
+        call_timeout: time::Duration::from_millis(1_200),
+        scan_timeout: time::Duration::from_millis(2_500),
         commits_in_flight: 8,
         reads_in_flight: 32,
         commit_interval: time::Duration::from_millis(1),
--- a/crates/provider/src/client.rs
+++ b/crates/provider/src/client.rs
@@ -25,6 +25,8 @@
 pub struct ClientSettings {
     /// Longest time that a call may take.
     pub call_timeout: time::Duration,
+    /// Longest time that a scan may take; it may be many reads.
+    pub scan_timeout: time::Duration,
     /// Largest number of commits in flight.
     pub commits_in_flight: usize,
     /// Largest number of reads in flight.
@@ -51,6 +53,7 @@
     fn default() -> Self {
         Self {
             call_timeout: time::Duration::from_secs(5),
+            scan_timeout: time::Duration::from_secs(5),
             commits_in_flight: 4,
             reads_in_flight: 8,
             commit_interval: time::Duration::from_millis(40),
@@ -256,11 +259,13 @@
         }
     }
 
-    /// Returns the time by which the answer may be late on purpose.
-    fn wait(self) -> time::Duration {
+    /// Returns how long the answer may take.
+    fn timeout(self, settings: &ClientSettings) -> time::Duration {
         match self {
-            Self::Scan | Self::Changes(_) => time::Duration::ZERO,
-            Self::Watch(_, wait) => wait,
+            Self::Scan => settings.scan_timeout,
+            Self::Changes(_) => settings.call_timeout,
+            // The answer may be late on purpose.
+            Self::Watch(_, wait) => settings.call_timeout + wait,
         }
     }
 }
@@ -280,7 +285,7 @@
             TableRead::Changes(cursor) => self.table.changes(prefix, cursor),
             TableRead::Watch(cursor, wait) => self.table.watch(prefix, cursor, wait),
         };
-        let answer = timer::timeout(self.settings.call_timeout + read.wait(), call).await;
+        let answer = timer::timeout(read.timeout(&self.settings), call).await;
         let answer = answer.unwrap_or_else(|_| Err(unavailable("timed out")));
         self.record(cause, &answer);
         answer
