--- a/crates/jobs/src/upkeep.rs
+++ b/crates/jobs/src/upkeep.rs
@@ -329,14 +329,14 @@
                     done.push(machine.clone());
                 }
             }
-            MachineStage::Ordered(since) => {
-                if now.saturating_since(*since) >= settings.order_retry {
-                    *since = now;
-                    actions.push(UpkeepAction::Order {
-                        wave: entry.request.number,
-                        machine: machine.clone(),
-                    });
-                }
+            MachineStage::Ordered(since)
+                if now.saturating_since(*since) >= settings.order_retry =>
+            {
+                *since = now;
+                actions.push(UpkeepAction::Order {
+                    wave: entry.request.number,
+                    machine: machine.clone(),
+                });
             }
             _ => {}
         }
@@ -356,7 +356,8 @@
     actions: &mut Vec<UpkeepAction>,
 ) {
     let wanted = entry.request.max_down + settings.prepared_ahead;
-    let mut under_way = entry.down_count() + entry.prepared_count();
+    let under_way = entry.down_count() + entry.prepared_count();
+    let missing = wanted.saturating_sub(under_way) as usize;
     let waiting = entry
         .stages
         .iter()
@@ -368,11 +369,7 @@
         })
         .collect();
     next.sort_by_key(|(load, machine)| (load.long_running, load.finite, machine.clone()));
-    for (_, machine) in next {
-        if under_way >= wanted {
-            return;
-        }
-        under_way += 1;
+    for (_, machine) in next.into_iter().take(missing) {
         let worker = facts.get(&machine).and_then(|fact| fact.worker.clone());
         if let Some(worker) = &worker {
             actions.push(UpkeepAction::Prepare(worker.clone()));
--- a/crates/jobs/tests/common/mod.rs
+++ b/crates/jobs/tests/common/mod.rs
@@ -23,44 +23,44 @@
 };
 
 /// Length of a step of simulated time.
-pub const STEP: time::Duration = time::Duration::from_millis(10);
+pub(crate) const STEP: time::Duration = time::Duration::from_millis(10);
 
 /// Run on a fake worker.
 #[derive(Clone, Debug)]
-pub struct FakeRun {
-    pub run: u32,
-    pub begun: BootTime,
-    pub ends: Option<BootTime>,
-    pub percent: u32,
-    pub figure: u64,
+pub(crate) struct FakeRun {
+    pub(crate) run: u32,
+    pub(crate) begun: BootTime,
+    pub(crate) ends: Option<BootTime>,
+    pub(crate) percent: u32,
+    pub(crate) figure: u64,
 }
 
 /// Worker in memory.
 #[derive(Clone, Debug)]
-pub struct FakeWorker {
-    pub view: WorkerView,
-    pub fence: u64,
-    pub running: BTreeMap<TaskId, FakeRun>,
-    pub ended: Vec<ListedEnd>,
-    pub next_end: u64,
-    pub lease_end: u64,
+pub(crate) struct FakeWorker {
+    pub(crate) view: WorkerView,
+    pub(crate) fence: u64,
+    pub(crate) running: BTreeMap<TaskId, FakeRun>,
+    pub(crate) ended: Vec<ListedEnd>,
+    pub(crate) next_end: u64,
+    pub(crate) lease_end: u64,
     /// Whether it answers.
-    pub is_dark: bool,
+    pub(crate) is_dark: bool,
     /// Whether all that it runs fails at once.
-    pub is_failing: bool,
+    pub(crate) is_failing: bool,
     /// Whether what it runs makes no progress.
-    pub is_hanging: bool,
+    pub(crate) is_hanging: bool,
     /// Whether acknowledged ends are forgotten; acknowledgements are lost otherwise.
-    pub is_forgetful: bool,
+    pub(crate) is_forgetful: bool,
 }
 
 impl FakeWorker {
-    pub fn new(id: &str, pool: &str, cpu_millis: u64) -> Self {
+    pub(crate) fn new(id: &str, pool: &str, cpu_millis: u64) -> Self {
         Self {
             view: WorkerView {
                 id: WorkerId::new(id),
                 pool: PoolName::new(pool),
-                address: "127.0.0.1:1".parse().unwrap(),
+                address: std::net::SocketAddr::from(([127, 0, 0, 1], 1)),
                 born: 1,
                 capacity: ResourceAmount {
                     cpu_millis,
@@ -98,7 +98,7 @@
     }
 
     /// Lets time pass: runs end, and all end when the lease does.
-    pub fn step(&mut self, now: BootTime) {
+    pub(crate) fn step(&mut self, now: BootTime) {
         let is_failing = self.is_failing;
         let due: Vec<TaskId> = self
             .running
@@ -155,35 +155,35 @@
 }
 
 /// Scheduler with its fleet, in simulated time.
-pub struct FakeFleet {
-    pub scheduler: JobScheduler,
-    pub workers: BTreeMap<WorkerId, FakeWorker>,
-    pub now: BootTime,
+pub(crate) struct FakeFleet {
+    pub(crate) scheduler: JobScheduler,
+    pub(crate) workers: BTreeMap<WorkerId, FakeWorker>,
+    pub(crate) now: BootTime,
     /// Duration of each task of a job.
-    pub durations: BTreeMap<JobId, time::Duration>,
+    pub(crate) durations: BTreeMap<JobId, time::Duration>,
     /// What is stored.
-    pub rows: BTreeMap<JobId, ProgressRecord>,
+    pub(crate) rows: BTreeMap<JobId, ProgressRecord>,
     /// Whether changes are stored.
-    pub is_table_up: bool,
+    pub(crate) is_table_up: bool,
     /// Every start that a worker carried out.
-    pub starts: Vec<(TaskId, u32, WorkerId, BootTime)>,
+    pub(crate) starts: Vec<(TaskId, u32, WorkerId, BootTime)>,
     /// Every stop that a worker carried out.
-    pub stops: Vec<(TaskId, u32, BootTime)>,
+    pub(crate) stops: Vec<(TaskId, u32, BootTime)>,
     /// Every share that fillers were limited to.
-    pub paces: Vec<(TaskId, u32, BootTime)>,
-    pub jobs: BTreeMap<JobId, JobRecord>,
-    pub fence: u64,
+    pub(crate) paces: Vec<(TaskId, u32, BootTime)>,
+    pub(crate) jobs: BTreeMap<JobId, JobRecord>,
+    pub(crate) fence: u64,
     /// Orders that get no answer and are carried out later.
-    pub late_orders: Vec<(BootTime, WorkerOrder)>,
+    pub(crate) late_orders: Vec<(BootTime, WorkerOrder)>,
     /// How late orders are carried out, if they are lost.
-    pub lose_orders: Option<time::Duration>,
+    pub(crate) lose_orders: Option<time::Duration>,
 }
 
-pub fn manifest() -> JobManifest {
+pub(crate) fn manifest() -> JobManifest {
     manifest_with_limit(0)
 }
 
-pub fn manifest_with_limit(cpu_millis: u64) -> JobManifest {
+pub(crate) fn manifest_with_limit(cpu_millis: u64) -> JobManifest {
     let queue = |name: &str, pool: &str| QueuePolicy {
         name: QueueName::new(name),
         address: CallerAddress {
@@ -221,7 +221,7 @@
 }
 
 /// Returns a step of `count` tasks that take `cpu_millis` each.
-pub fn step(count: u32, cpu_millis: u64) -> StepSpec {
+pub(crate) fn step(count: u32, cpu_millis: u64) -> StepSpec {
     StepSpec {
         count,
         needs: ResourceAmount {
@@ -235,7 +235,7 @@
 }
 
 impl FakeFleet {
-    pub fn new(settings: SchedulerSettings, workers: Vec<FakeWorker>) -> Self {
+    pub(crate) fn new(settings: SchedulerSettings, workers: Vec<FakeWorker>) -> Self {
         let mut scheduler = JobScheduler::new(settings, 1);
         scheduler.set_manifest(sync::Arc::new(manifest()));
         let now = BootTime::from_millis(10_000);
@@ -262,12 +262,12 @@
         }
     }
 
-    pub fn wall(&self) -> WallTime {
+    pub(crate) fn wall(&self) -> WallTime {
         WallTime::from_millis(self.now.as_millis())
     }
 
     /// Hands a job in to the queue `reports`.
-    pub fn submit(&mut self, id: &str, steps: Vec<StepSpec>, duration_ms: u64) -> JobId {
+    pub(crate) fn submit(&mut self, id: &str, steps: Vec<StepSpec>, duration_ms: u64) -> JobId {
         let id = JobId::new(id);
         let record = JobRecord {
             queue: QueueName::new("reports"),
@@ -286,12 +286,14 @@
         id
     }
 
-    pub fn worker(&mut self, id: &str) -> &mut FakeWorker {
-        self.workers.get_mut(&WorkerId::new(id)).unwrap()
+    pub(crate) fn worker(&mut self, id: &str) -> &mut FakeWorker {
+        self.workers
+            .get_mut(&WorkerId::new(id))
+            .expect("the worker exists")
     }
 
     /// Lets `millis` of simulated time pass.
-    pub fn run(&mut self, millis: u64) {
+    pub(crate) fn run(&mut self, millis: u64) {
         let end = self.now + time::Duration::from_millis(millis);
         while self.now < end {
             self.step();
@@ -458,7 +460,7 @@
 
     /// Replaces the scheduler by that of a new owner, which knows only rows
     /// and the list of workers.
-    pub fn take_over(&mut self, settings: SchedulerSettings) {
+    pub(crate) fn take_over(&mut self, settings: SchedulerSettings) {
         self.fence += 1;
         let mut scheduler = JobScheduler::new(settings, self.fence);
         scheduler.set_manifest(sync::Arc::new(manifest()));
@@ -473,12 +475,12 @@
         self.scheduler = scheduler;
     }
 
-    pub fn state(&self, id: &JobId) -> JobState {
+    pub(crate) fn state(&self, id: &JobId) -> JobState {
         self.rows.get(id).map_or(JobState::Queued, |row| row.state)
     }
 
     /// Returns how many runs of a task go on at this moment.
-    pub fn runs_of(&self, task: &TaskId) -> usize {
+    pub(crate) fn runs_of(&self, task: &TaskId) -> usize {
         let workers = self.workers.values();
         workers
             .filter(|worker| worker.running.contains_key(task))
@@ -486,7 +488,7 @@
     }
 
     /// Panics if a task runs twice at the same moment.
-    pub fn assert_no_double_run(&self) {
+    pub(crate) fn assert_no_double_run(&self) {
         let mut seen = HashSet::new();
         for worker in self.workers.values() {
             for task in worker.running.keys() {
@@ -496,7 +498,7 @@
     }
 }
 
-pub fn task(job: &JobId, step: u32, index: u32) -> TaskId {
+pub(crate) fn task(job: &JobId, step: u32, index: u32) -> TaskId {
     TaskId {
         job: job.clone(),
         occurrence: 0,
--- /dev/null
+++ b/crates/jobs/tests/placement.rs
@@ -0,0 +1,206 @@
+//! Which task goes where, and in which order.
+
+mod common;
+
+use std::sync;
+
+use common::{FakeFleet, FakeWorker, manifest_with_limit, step, task};
+use redwing_jobs::name::WorkerLabel;
+use redwing_jobs::spec::StepSpec;
+use redwing_jobs::{JobState, SchedulerSettings};
+use rstest::rstest;
+
+fn fleet_of(count: usize, cpu_millis: u64) -> FakeFleet {
+    let workers =
+        (0..count).map(|number| FakeWorker::new(&format!("w{number}"), "builders", cpu_millis));
+    let mut fleet = FakeFleet::new(SchedulerSettings::default(), workers.collect());
+    fleet.run(100);
+    fleet
+}
+
+/// Returns the processor in use on each worker.
+fn used(fleet: &FakeFleet, cpu_millis: u64) -> Vec<u64> {
+    let workers = fleet.workers.values();
+    workers
+        .map(|worker| worker.running.len() as u64 * cpu_millis)
+        .collect()
+}
+
+#[test]
+fn no_worker_gets_more_than_its_room() {
+    let mut fleet = fleet_of(3, 4_000);
+    fleet.submit("j", vec![step(20, 1_500)], 1_000);
+    fleet.run(200);
+    assert_eq!(used(&fleet, 1_500), [3_000; 3]);
+}
+
+#[test]
+fn work_of_another_pool_stays_away() {
+    let mut fleet = fleet_of(1, 1_000);
+    let other = FakeWorker::new("p0", "printers", 8_000);
+    fleet.scheduler.worker_listed(other.view.clone(), fleet.now);
+    fleet.workers.insert(other.view.id.clone(), other);
+    fleet.submit("j", vec![step(4, 1_000)], 500);
+    fleet.run(300);
+    assert!(
+        fleet
+            .starts
+            .iter()
+            .all(|(.., worker, _)| worker.as_str() == "w0")
+    );
+}
+
+#[test]
+fn a_step_is_spread_as_it_asks() {
+    let mut fleet = fleet_of(3, 8_000);
+    let spread = StepSpec {
+        max_per_worker: 1,
+        ..step(5, 1_000)
+    };
+    fleet.submit("j", vec![spread], 5_000);
+    fleet.run(300);
+    assert_eq!(used(&fleet, 1), [1, 1, 1]);
+}
+
+#[test]
+fn a_label_that_a_step_requires_is_found() {
+    let mut fleet = fleet_of(2, 8_000);
+    let labelled = {
+        let worker = fleet.worker("w1");
+        worker.view.labels.push(WorkerLabel::new("gpu"));
+        worker.view.clone()
+    };
+    fleet.scheduler.worker_listed(labelled, fleet.now);
+    let picky = StepSpec {
+        requires: Some(WorkerLabel::new("gpu")),
+        ..step(3, 1_000)
+    };
+    fleet.submit("j", vec![picky], 500);
+    fleet.run(300);
+    assert!(
+        fleet
+            .starts
+            .iter()
+            .all(|(.., worker, _)| worker.as_str() == "w1")
+    );
+    assert_eq!(fleet.starts.len(), 3);
+}
+
+#[test]
+fn a_draining_worker_gets_nothing_new_and_long_running_tasks_leave_it() {
+    let mut fleet = fleet_of(2, 8_000);
+    let service = StepSpec {
+        long_running: true,
+        ..step(1, 1_000)
+    };
+    fleet.submit("s", vec![service], 0);
+    fleet.run(200);
+    let first = fleet.starts[0].2.clone();
+    let view = {
+        let worker = fleet.worker(first.as_str());
+        worker.view.is_draining = true;
+        worker.view.clone()
+    };
+    let now = fleet.now;
+    fleet.scheduler.worker_listed(view, now);
+    fleet.submit("j", vec![step(4, 1_000)], 500);
+    fleet.run(500);
+    assert!(
+        fleet.starts[1..]
+            .iter()
+            .all(|(.., worker, _)| *worker != first)
+    );
+    assert_eq!(fleet.stops.len(), 1);
+    fleet.assert_no_double_run();
+}
+
+/// Six tasks of one core each, with limits of one, three and no cores.
+#[rstest]
+#[case(1_000, 1)]
+#[case(3_500, 3)]
+#[case(0, 6)]
+fn a_customer_stays_below_its_limit(#[case] limit: u64, #[case] running: usize) {
+    let mut fleet = fleet_of(2, 8_000);
+    let manifest = sync::Arc::new(manifest_with_limit(limit));
+    fleet.scheduler.set_manifest(manifest);
+    fleet.submit("j", vec![step(6, 1_000)], 5_000);
+    fleet.run(500);
+    assert_eq!(fleet.starts.len(), running);
+}
+
+/// At the peak, a job that has missed its objective waits for those that
+/// can still meet theirs.
+#[test]
+fn jobs_that_can_meet_their_objective_go_first() {
+    let mut fleet = fleet_of(1, 1_000);
+    fleet.submit("a", vec![step(1, 1_000)], 3_000);
+    fleet.run(100);
+    let late = fleet.submit("b", vec![step(1, 1_000)], 100);
+    fleet.run(2_500);
+    let fresh = fleet.submit("c", vec![step(1, 1_000)], 100);
+    fleet.run(520);
+    assert_eq!(fleet.starts.len(), 2);
+    assert_eq!(fleet.starts[1].0, task(&fresh, 0, 0));
+    fleet.run(500);
+    assert_eq!(fleet.state(&late), JobState::Completed);
+}
+
+/// Machines can only be moved when they are empty, so work is packed.
+#[test]
+fn work_is_packed_on_few_workers() {
+    let mut fleet = fleet_of(4, 8_000);
+    fleet.submit("j", vec![step(4, 1_000)], 5_000);
+    fleet.run(300);
+    let busy = used(&fleet, 1).into_iter().filter(|count| *count > 0);
+    assert_eq!(busy.count(), 1);
+}
+
+#[test]
+fn a_gang_starts_together_or_not_at_all() {
+    let mut fleet = fleet_of(2, 2_000);
+    let gang = |count| StepSpec {
+        gang: true,
+        ..step(count, 1_000)
+    };
+    fleet.submit("big", vec![gang(5)], 500);
+    fleet.run(300);
+    assert!(fleet.starts.is_empty());
+    let small = fleet.submit("small", vec![gang(4)], 500);
+    fleet.run(1_500);
+    assert_eq!(fleet.starts.len(), 4);
+    assert!(fleet.starts.iter().all(|(_, run, ..)| *run == 1));
+    assert_eq!(fleet.state(&small), JobState::Completed);
+}
+
+/// Fillers give way fast when the tail of a serving task nears its
+/// objective, and come back slowly.
+#[test]
+fn fillers_give_way_to_tasks_that_serve() {
+    let mut fleet = fleet_of(1, 8_000);
+    let serving = StepSpec {
+        long_running: true,
+        target_ms: 100,
+        ..step(1, 1_000)
+    };
+    let filler = StepSpec {
+        filler: true,
+        ..step(1, 4_000)
+    };
+    let service = fleet.submit("s", vec![serving], 0);
+    fleet.submit("f", vec![filler], 60_000);
+    fleet.run(500);
+    let tail = |fleet: &mut FakeFleet, figure: u64| {
+        let run = fleet.worker("w0").running.get_mut(&task(&service, 0, 0));
+        run.expect("the service runs").figure = figure;
+    };
+    tail(&mut fleet, 95);
+    fleet.run(3_000);
+    assert_eq!(fleet.paces.last().map(|(_, percent, _)| *percent), Some(0));
+    tail(&mut fleet, 20);
+    fleet.run(2_000);
+    let after = fleet.paces.last().map(|(_, percent, _)| *percent);
+    assert!(
+        after.is_some_and(|percent| (15..=45).contains(&percent)),
+        "{after:?}"
+    );
+}
