--- a/crates/engine/src/caller/listener.rs
+++ b/crates/engine/src/caller/listener.rs
@@ -31,19 +31,56 @@
 /// Longest time that a connection may be idle.
 const IDLE_TIMEOUT: time::Duration = time::Duration::from_secs(60);
 
+/// Scheme that may stand before a key.
+const KEY_SCHEME: &str = "Bearer ";
+
 /// Largest number of connections of callers.
 const MAX_CONNECTIONS: usize = 3_000;
 
 /// Age of the operators' view above which the process takes no callers.
 const READY_AGE: time::Duration = time::Duration::from_millis(2_500);
 
+/// Listeners of an entry process.
+#[derive(Debug)]
+pub struct EngineListeners {
+    /// For callers.
+    pub callers: net::TcpListener,
+    /// For the balancer; none if it uses that for callers.
+    pub balancer: Option<net::TcpListener>,
+}
+
+impl EngineListeners {
+    /// Listens on the addresses for callers and for the balancer.
+    ///
+    /// # Errors
+    ///
+    /// Fails if an address cannot be listened on.
+    pub fn bind(callers: net::SocketAddr, balancer: net::SocketAddr) -> Result<Self> {
+        let listen = |address: net::SocketAddr| {
+            let bound = net::TcpListener::bind(address);
+            bound.map_err(|error| Error::start("listen", address, error))
+        };
+        let balancer = (balancer != callers).then(|| listen(balancer));
+        Ok(Self {
+            callers: listen(callers)?,
+            balancer: balancer.transpose()?,
+        })
+    }
+
+    /// Returns the address for callers.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the system does not tell it.
+    pub fn address(&self) -> Result<net::SocketAddr> {
+        let address = self.callers.local_addr();
+        address.map_err(|error| Error::start("listen", "callers", error))
+    }
+}
+
 /// What the traffic thread needs.
 #[derive(Clone)]
 pub struct ListenerParts {
-    /// Address for callers.
-    pub callers: net::SocketAddr,
-    /// Address for the balancer.
-    pub balancer: net::SocketAddr,
     /// Bounds of the answers.
     pub settings: CallerSettings,
     /// Bounds of the table's client.
@@ -60,27 +97,26 @@
 ///
 /// # Errors
 ///
-/// Fails if an address cannot be listened on.
-pub fn start(parts: &ListenerParts) -> Result<Server> {
+/// Fails if a listener cannot be used.
+pub fn start(listeners: EngineListeners, parts: &ListenerParts) -> Result<Server> {
     let builder = ServerBuilder::new()
         .workers(1)
         .worker_max_blocking_threads(1)
         .max_concurrent_connections(MAX_CONNECTIONS)
         .shutdown_timeout(1)
         .disable_signals();
-    let builder = bind(builder, "callers", parts.callers, parts)?;
-    let builder = if parts.balancer == parts.callers {
-        builder
-    } else {
-        bind(builder, "balancer", parts.balancer, parts)?
+    let builder = listen(builder, "callers", listeners.callers, parts)?;
+    let builder = match listeners.balancer {
+        Some(balancer) => listen(builder, "balancer", balancer, parts)?,
+        None => builder,
     };
     Ok(builder.run())
 }
 
-fn bind(
+fn listen(
     builder: ServerBuilder,
     name: &'static str,
-    address: net::SocketAddr,
+    listener: net::TcpListener,
     parts: &ListenerParts,
 ) -> Result<ServerBuilder> {
     let parts = parts.clone();
@@ -100,8 +136,8 @@
             }))
             .tcp()
     };
-    let bound = builder.bind(name, address, factory);
-    bound.map_err(|error| Error::start("listen", address, error))
+    let listening = builder.listen(name, listener, factory);
+    listening.map_err(|error| Error::start("listen", name, error))
 }
 
 async fn serve(
@@ -187,7 +223,7 @@
         CallerHead {
             host: host.unwrap_or_default(),
             path: request.path().to_owned(),
-            key: header_text(headers, self.codec.key_header()),
+            key: header_text(headers, self.codec.key_header()).map(|text| bare_key(&text)),
             patience: patience.map(time::Duration::from_millis),
         }
     }
@@ -210,6 +246,11 @@
     }
 }
 
+/// Returns a key without the scheme that may stand before it.
+fn bare_key(text: &str) -> String {
+    text.strip_prefix(KEY_SCHEME).unwrap_or(text).to_owned()
+}
+
 fn header_text(headers: &HeaderMap, name: &str) -> Option<String> {
     let name = HeaderName::try_from(name).ok()?;
     let value = headers.get(name)?;
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod follow;
 pub mod manifest;
 pub mod owner;
+pub mod product;
 pub mod row;
 pub mod run;
 pub mod services;
--- /dev/null
+++ b/crates/engine/src/product.rs
@@ -0,0 +1,173 @@
+//! The product's own formats: what is kept in the table, and the interface
+//! that callers use, where no platform brings its own.
+//!
+//! `docs/INTERFACE.md` describes the interface. Rows hold the JSON form of
+//! the domain types: `manifest/head`, `manifest/wave/N` and `workers/ID`.
+
+use redwing_jobs::manifest::JobManifest;
+use redwing_jobs::name::WorkerId;
+use redwing_jobs::upkeep::{WaveRequest, WaveState};
+use redwing_jobs::worker::WorkerView;
+use redwing_jobs::{JobSpec, JobState};
+use redwing_provider::{RowKey, TableRow};
+use serde::Serialize;
+
+use crate::codec::{CallerAnswer, DeploymentCodec, EncodedAnswer, OperatorRow};
+use crate::error::Result;
+use crate::row;
+
+/// Prefix of the rows that operators write.
+const OPERATOR_PREFIX: &str = "manifest/";
+
+/// Start of the keys of waves.
+const WAVE_PREFIX: &str = "manifest/wave/";
+
+/// Row that holds the newest manifest.
+pub const MANIFEST_KEY: &str = "manifest/head";
+
+/// Prefix of the rows in which workers register.
+const WORKER_PREFIX: &str = "workers/";
+
+/// Start of the keys of the rows that tell the state of waves.
+const STATUS_PREFIX: &str = "wave-status/";
+
+/// Largest length of a job's id, in bytes.
+const MAX_ID_BYTES: usize = 64;
+
+/// Returns the key of the row in which a worker registers.
+pub fn worker_key(id: &WorkerId) -> RowKey {
+    RowKey::new(format!("{WORKER_PREFIX}{id}"))
+}
+
+/// State of a job, as callers read it.
+#[derive(Clone, Copy, Debug, Serialize)]
+#[serde(rename_all = "kebab-case")]
+struct StateBody {
+    state: JobState,
+}
+
+/// Count of a queue, as callers read it.
+#[derive(Clone, Copy, Debug, Serialize)]
+#[serde(rename_all = "kebab-case")]
+struct PendingBody {
+    pending: u64,
+}
+
+/// What is wrong with a request, and whether the job may run all the same.
+#[derive(Clone, Copy, Debug, Serialize)]
+#[serde(rename_all = "kebab-case")]
+struct ProblemBody<'a> {
+    problem: &'a str,
+    outcome: &'a str,
+}
+
+/// The product's own formats.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct ProductCodec;
+
+impl DeploymentCodec for ProductCodec {
+    fn operator_prefix(&self) -> &str {
+        OPERATOR_PREFIX
+    }
+
+    fn operator_row(&self, entry: &TableRow) -> Result<OperatorRow> {
+        let key = entry.key.as_str();
+        if key == MANIFEST_KEY {
+            let manifest: JobManifest = row::read(entry)?;
+            return Ok(OperatorRow::Manifest(Box::new(manifest)));
+        }
+        if key.starts_with(WAVE_PREFIX) {
+            let wave: WaveRequest = row::read(entry)?;
+            return Ok(OperatorRow::Wave(wave));
+        }
+        Ok(OperatorRow::Other)
+    }
+
+    fn worker_prefix(&self) -> &str {
+        WORKER_PREFIX
+    }
+
+    fn worker_id(&self, key: &RowKey) -> WorkerId {
+        let text = key.as_str();
+        WorkerId::new(text.strip_prefix(WORKER_PREFIX).unwrap_or(text))
+    }
+
+    fn worker(&self, entry: &TableRow) -> Result<WorkerView> {
+        row::read(entry)
+    }
+
+    fn wave_status(&self, wave: u64, state: WaveState) -> (RowKey, String) {
+        let key = RowKey::new(format!("{STATUS_PREFIX}{wave}"));
+        // A word can always be written.
+        (key, serde_json::to_string(&state).unwrap_or_default())
+    }
+
+    fn key_header(&self) -> &str {
+        "authorization"
+    }
+
+    fn patience_header(&self) -> &str {
+        "redwing-timeout-ms"
+    }
+
+    fn readiness_path(&self) -> &str {
+        "/readyz"
+    }
+
+    fn job(&self, body: &[u8]) -> redwing_jobs::Result<JobSpec> {
+        let job = serde_json::from_slice(body);
+        job.map_err(|error| redwing_jobs::Error::field("body", error.to_string()))
+    }
+
+    fn is_job_id(&self, text: &str) -> bool {
+        let allowed = |byte: u8| byte.is_ascii_alphanumeric() || byte == b'-';
+        !text.is_empty() && text.len() <= MAX_ID_BYTES && text.bytes().all(allowed)
+    }
+
+    fn answer(&self, answer: &CallerAnswer) -> EncodedAnswer {
+        match answer {
+            CallerAnswer::Accepted => encode(
+                201,
+                &StateBody {
+                    state: JobState::Queued,
+                },
+            ),
+            CallerAnswer::State(state) => encode(200, &StateBody { state: *state }),
+            CallerAnswer::Cancelled => encode(
+                200,
+                &StateBody {
+                    state: JobState::Cancelled,
+                },
+            ),
+            CallerAnswer::Pending(pending) => encode(200, &PendingBody { pending: *pending }),
+            CallerAnswer::NoSuchJob => not_run(404, "there is no such job"),
+            CallerAnswer::NoSuchQueue => not_run(404, "no queue has this path"),
+            CallerAnswer::KeyRefused => not_run(401, "the key is not good for this queue"),
+            CallerAnswer::NotAllowed => not_run(405, "this method means nothing here"),
+            CallerAnswer::Malformed(message) => not_run(400, message),
+            CallerAnswer::Overloaded { .. } => not_run(429, "too much to do; come back later"),
+            CallerAnswer::Unavailable { .. } => not_run(503, "the table does not answer"),
+            CallerAnswer::OutcomeUnknown => {
+                let body = ProblemBody {
+                    problem: "the table did not answer; send the same id again",
+                    outcome: "unknown",
+                };
+                encode(504, &body)
+            }
+        }
+    }
+}
+
+fn not_run(status: u16, problem: &str) -> EncodedAnswer {
+    let body = ProblemBody {
+        problem,
+        outcome: "not-run",
+    };
+    encode(status, &body)
+}
+
+fn encode(status: u16, body: &impl Serialize) -> EncodedAnswer {
+    // Words and numbers can always be written.
+    let body = serde_json::to_string(body).unwrap_or_default();
+    EncodedAnswer { status, body }
+}
--- a/crates/engine/src/run.rs
+++ b/crates/engine/src/run.rs
@@ -1,6 +1,5 @@
 //! Life of an entry process that runs jobs.
 
-use std::net;
 use std::rc;
 use std::sync;
 use std::time;
@@ -13,7 +12,7 @@
 use tokio::time as timer;
 
 use crate::caller::CallerSettings;
-use crate::caller::listener::{self, ListenerParts};
+use crate::caller::listener::{self, EngineListeners, ListenerParts};
 use crate::error::{Error, Result};
 use crate::event;
 use crate::log_job_event;
@@ -26,10 +25,6 @@
 pub struct EngineSettings {
     /// Name of the VM.
     pub node: String,
-    /// Address for callers.
-    pub callers: net::SocketAddr,
-    /// Address for the balancer.
-    pub balancer: net::SocketAddr,
     /// How long the process still serves after it was told to stop.
     pub leave_delay: time::Duration,
     /// Bounds of the answers to callers.
@@ -44,8 +39,6 @@
     fn default() -> Self {
         Self {
             node: "entry-1".to_owned(),
-            callers: net::SocketAddr::from(([127, 0, 0, 1], 0)),
-            balancer: net::SocketAddr::from(([127, 0, 0, 1], 0)),
             leave_delay: time::Duration::from_millis(3_500),
             caller: CallerSettings::default(),
             owner: OwnerSettings::default(),
@@ -55,7 +48,7 @@
 }
 
 /// Returns the bounds of a client whose callers wait for each answer.
-fn client_settings() -> ClientSettings {
+pub fn client_settings() -> ClientSettings {
     ClientSettings {
         call_timeout: time::Duration::from_millis(1_200),
         scan_timeout: time::Duration::from_millis(2_500),
@@ -116,9 +109,10 @@
 ///
 /// # Errors
 ///
-/// Fails if the process cannot listen on its addresses.
+/// Fails if a listener or the signals of the process cannot be used.
 pub async fn serve(
     settings: EngineSettings,
+    listeners: EngineListeners,
     factory: sync::Arc<dyn ServicesFactory>,
 ) -> Result<()> {
     let mut signals = ProcessSignals::open()?;
@@ -126,15 +120,14 @@
     let services = factory.services();
     let client = TableClient::new(rc::Rc::clone(&services.table), settings.client.clone());
     let operators = manifest::follow_operators(&client, factory.codec());
-    let server = listener::start(&ListenerParts {
-        callers: settings.callers,
-        balancer: settings.balancer,
+    let parts = ListenerParts {
         settings: settings.caller.clone(),
         client: settings.client.clone(),
         factory: sync::Arc::clone(&factory),
         operators: operators.clone(),
         stopping: stopping.clone(),
-    })?;
+    };
+    let server = listener::start(listeners, &parts)?;
     let handle = server.handle();
     let serving = actix_rt::spawn(server);
     let owner = tokio::task::spawn_local(owner::run(OwnerParts {
--- a/crates/jobs/src/manifest.rs
+++ b/crates/jobs/src/manifest.rs
@@ -11,7 +11,7 @@
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(rename_all = "kebab-case", default)]
 pub struct CallerAddress {
-    /// Host name in the requests.
+    /// Host name in the requests; any if it is empty.
     pub host: String,
     /// Start of the path; the job's id follows it.
     pub path_prefix: String,
@@ -168,7 +168,8 @@
     /// follows the queue's prefix in the path; the longest prefix wins.
     pub fn resolve<'a, 'b>(&'a self, host: &str, path: &'b str) -> Option<ResolvedPath<'a, 'b>> {
         let matching = self.queues.values().filter(|queue| {
-            queue.address.host.eq_ignore_ascii_case(host)
+            let wanted = &queue.address.host;
+            (wanted.is_empty() || wanted.eq_ignore_ascii_case(host))
                 && path.starts_with(&queue.address.path_prefix)
         });
         let queue = matching.max_by_key(|queue| queue.address.path_prefix.len())?;
--- a/crates/node/src/jobs.rs
+++ b/crates/node/src/jobs.rs
@@ -1,23 +1,116 @@
 //! The entry process that schedules jobs.
 
+use std::io::{self, Write};
+use std::rc;
 use std::sync;
+use std::time;
 
 use redwing_adapter::PlatformFactory;
+use redwing_engine::caller::listener::EngineListeners;
+use redwing_engine::product::{self, ProductCodec};
+use redwing_engine::run::{self, EngineSettings};
+use redwing_engine::{DeploymentCodec, DeploymentServices, ServicesFactory};
+use redwing_provider::{RowKey, TableStore, TableTransaction};
+use redwing_standin::worker::FixedMachines;
+use redwing_standin::{MemoryPlatform, MemoryWorkers};
 
 use crate::error::{Error, Result};
-use crate::settings::JobSettings;
+use crate::settings::{JobPlatform, JobSettings};
 
-/// Runs an entry process on the users' platform until it is told to stop.
+/// Targets of the stand-in deployment.
+const MANIFEST: &str = include_str!("embedded_jobs.json");
+
+/// Key that the stand-in deployment grants.
+const KEY: &str = "inspectors-key";
+
+/// Pool of the stand-in workers.
+const POOL: &str = "workers";
+
+/// Number of stand-in workers.
+const WORKERS: u32 = 4;
+
+/// Time that a stand-in worker takes for each task.
+const TASK_TIME: time::Duration = time::Duration::from_millis(300);
+
+/// Runs an entry process until it is told to stop.
 ///
 /// # Errors
 ///
-/// Fails if the platform's settings cannot be read, or the process cannot
-/// listen on its addresses.
-pub async fn serve(_settings: &JobSettings) -> Result<()> {
+/// Fails if the settings cannot be read, or the process cannot listen on its
+/// addresses.
+pub async fn serve(settings: &JobSettings) -> Result<()> {
+    let served = match settings.platform {
+        JobPlatform::Deployed => serve_deployed().await?,
+        JobPlatform::Embedded => serve_embedded(settings).await?,
+    };
+    served.map_err(|error| Error::start("run jobs", error))
+}
+
+async fn serve_deployed() -> Result<redwing_engine::Result<()>> {
     let settings = redwing_adapter::read_settings();
     let settings = settings.map_err(|error| Error::start("read settings", error))?;
+    let listeners = EngineListeners::bind(settings.callers, settings.balancer);
+    let listeners = listeners.map_err(|error| Error::start("listen", error))?;
     let engine = settings.engine.clone();
     let factory = sync::Arc::new(PlatformFactory::new(settings));
-    let served = redwing_engine::run::serve(engine, factory).await;
-    served.map_err(|error| Error::start("run jobs", error))
+    Ok(run::serve(engine, listeners, factory).await)
+}
+
+async fn serve_embedded(settings: &JobSettings) -> Result<redwing_engine::Result<()>> {
+    let factory = EmbeddedFactory::provision().await?;
+    let listeners = EngineListeners::bind(settings.listen, settings.listen);
+    let listeners = listeners.map_err(|error| Error::start("listen", error))?;
+    let address = listeners
+        .address()
+        .map_err(|error| Error::start("listen", error))?;
+    let engine = EngineSettings {
+        leave_delay: time::Duration::from_millis(200),
+        ..EngineSettings::default()
+    };
+    let text = format!(
+        "listen http://{address}\n\n\
+         curl -X POST -H 'authorization: Bearer {KEY}' http://{address}/v1/queues/certificates/jobs/first \\\n\
+         \x20 -d '{{\"steps\":[{{\"count\":6,\"needs\":{{\"cpu-millis\":1000}}}}]}}'\n\
+         curl -H 'authorization: Bearer {KEY}' http://{address}/v1/queues/certificates/jobs/first\n"
+    );
+    let mut output = io::stdout().lock();
+    let written = output
+        .write_all(text.as_bytes())
+        .and_then(|()| output.flush());
+    written.map_err(|error| Error::start("print the addresses", error))?;
+    drop(output);
+    Ok(run::serve(engine, listeners, sync::Arc::new(factory)).await)
+}
+
+/// Table and workers in this process.
+struct EmbeddedFactory {
+    platform: MemoryPlatform,
+    workers: MemoryWorkers,
+}
+
+impl EmbeddedFactory {
+    async fn provision() -> Result<Self> {
+        let platform = MemoryPlatform::default();
+        let workers = MemoryWorkers::new(POOL, WORKERS, TASK_TIME);
+        let failed = |error| Error::start("prepare the embedded platform", error);
+        workers.register(&platform).await.map_err(failed)?;
+        let manifest = RowKey::new(product::MANIFEST_KEY);
+        let row = TableTransaction::default().put(manifest, MANIFEST);
+        platform.commit(&row).await.map_err(failed)?;
+        Ok(Self { platform, workers })
+    }
+}
+
+impl ServicesFactory for EmbeddedFactory {
+    fn services(&self) -> DeploymentServices {
+        DeploymentServices {
+            table: rc::Rc::new(self.platform.clone()),
+            workers: rc::Rc::new(self.workers.clone()),
+            machines: rc::Rc::new(FixedMachines),
+        }
+    }
+
+    fn codec(&self) -> sync::Arc<dyn DeploymentCodec> {
+        sync::Arc::new(ProductCodec)
+    }
 }
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -135,10 +135,35 @@
     pub log_level: LevelFilter,
 }
 
-/// Settings of an entry process that schedules jobs; the platform's own file
-/// names addresses and bounds.
+/// Where an entry process that schedules jobs runs.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum JobPlatform {
+    /// Table and workers in this process.
+    #[default]
+    Embedded,
+    /// The users' platform; its own file names addresses and bounds.
+    Deployed,
+}
+
+impl str::FromStr for JobPlatform {
+    type Err = String;
+
+    fn from_str(text: &str) -> Result<Self, String> {
+        match text {
+            "embedded" => Ok(Self::Embedded),
+            "deployed" => Ok(Self::Deployed),
+            _ => Err("use embedded or deployed".to_owned()),
+        }
+    }
+}
+
+/// Settings of an entry process that schedules jobs.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct JobSettings {
+    /// Where it runs.
+    pub platform: JobPlatform,
+    /// Address for callers, where the platform names none.
+    pub listen: net::SocketAddr,
     /// Form of log lines.
     pub log_format: LogFormat,
     /// Least severe level that is logged.
@@ -198,12 +223,24 @@
 fn jobs_command() -> Command {
     let command = Command::new("jobs");
     command
-        .about("Runs an entry process that schedules jobs on the users' platform")
+        .about("Runs an entry process that schedules jobs")
+        .arg(
+            flag::named("job-platform", "Where table and workers are")
+                .default_value("embedded")
+                .value_name("embedded|deployed")
+                .value_parser(str::parse::<JobPlatform>),
+        )
+        .arg(flag::address(
+            "listen",
+            "Address for callers; port 0 takes any free port",
+        ))
         .args(log_flags())
 }
 
 fn job_settings(flags: &ArgMatches) -> Option<JobSettings> {
     Some(JobSettings {
+        platform: *flags.get_one("job-platform")?,
+        listen: *flags.get_one("listen")?,
         log_format: *flags.get_one("log-format")?,
         log_level: *flags.get_one("log-level")?,
     })
@@ -357,7 +394,7 @@
 
 fn log_flags() -> Vec<Arg> {
     vec![
-        flag::named("log-format", "Form of log lines on standard error")
+        flag::named("log-format", "Form of log lines")
             .default_value("text")
             .value_name("text|json")
             .value_parser(str::parse::<LogFormat>),
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -23,7 +23,9 @@
 pub mod fault;
 pub mod memory;
 pub mod server;
+pub mod worker;
 
 pub use client::HttpPlatform;
 pub use fault::FaultPlan;
 pub use memory::{MemoryPlatform, MemorySettings};
+pub use worker::{MemoryWorkers, WorkerFault};
