Test ownership and recovery with several processes and one table

Change: tests with stand-ins: a cut owner, a stopping owner, crashed workers, late orders, lost and late commits, refusals without a table.

--- /dev/null
+++ b/crates/engine/tests/owner.rs
@@ -0,0 +1,389 @@
+//! Several processes against one table: who owns the scheduling, and what
+//! becomes of jobs when the owner, the table or workers fail.
+
+use std::rc;
+use std::sync;
+use std::time;
+
+use redwing_engine::DeploymentServices;
+use redwing_engine::caller::answer::{CallerDesk, CallerSettings, CallerVerb};
+use redwing_engine::codec::{CallerAnswer, CallerHead};
+use redwing_engine::manifest;
+use redwing_engine::owner::{self, OwnerParts, OwnerSettings};
+use redwing_engine::product::{self, ProductCodec};
+use redwing_engine::row::{self, OwnerRecord};
+use redwing_engine::run;
+use redwing_jobs::{JobState, WorkerId};
+use redwing_provider::{RowKey, TableClient, TableStore, TableTransaction};
+use redwing_standin::worker::FixedMachines;
+use redwing_standin::{MemoryPlatform, MemoryWorkers, WorkerFault};
+use tokio::sync::watch;
+use tokio::task;
+use tokio::time as timer;
+
+const MANIFEST: &str = r#"{"version":1,
+    "queues":[{"name":"certificates","address":{"path-prefix":"/q/"},"pool":"workers","priority":0,
+      "max-attempts":3,"stretch":1.6,"objective-ms":600,"is-public":false,"is-advised":false}],
+    "customers":[{"name":"inspectors","keys":["good"],"weight":1.0,"limit":{}}],
+    "pools":[{"name":"workers","is-standby":false,"enforces-capacity":false}]}"#;
+
+/// A process of the cluster.
+struct TestProcess {
+    platform: MemoryPlatform,
+    desk: CallerDesk,
+    stop: watch::Sender<bool>,
+    owner: task::JoinHandle<()>,
+}
+
+/// Processes with one table and the same workers.
+struct TestCluster {
+    platform: MemoryPlatform,
+    workers: MemoryWorkers,
+    processes: Vec<TestProcess>,
+}
+
+impl TestCluster {
+    async fn start(processes: usize, task_time: time::Duration) -> Self {
+        let platform = MemoryPlatform::default();
+        let workers = MemoryWorkers::new("workers", 3, task_time);
+        workers.register(&platform).await.expect("the table is up");
+        let row = TableTransaction::default().put(RowKey::new(product::MANIFEST_KEY), MANIFEST);
+        platform.commit(&row).await.expect("the table is up");
+        let mut cluster = Self {
+            platform,
+            workers,
+            processes: Vec::new(),
+        };
+        for number in 0..processes {
+            cluster.add(number).await;
+        }
+        cluster
+    }
+
+    async fn add(&mut self, number: usize) {
+        let platform = self.platform.view();
+        let services = DeploymentServices {
+            table: rc::Rc::new(platform.clone()),
+            workers: rc::Rc::new(self.workers.clone()),
+            machines: rc::Rc::new(FixedMachines),
+        };
+        let client = TableClient::new(rc::Rc::clone(&services.table), run::client_settings());
+        let codec = sync::Arc::new(ProductCodec);
+        let mut operators = manifest::follow_operators(&client, codec.clone());
+        let known = operators.wait_for(|view| view.manifest.is_some()).await;
+        known.expect("the manifest is followed");
+        let (stop, stopping) = watch::channel(false);
+        let desk = CallerDesk::new(
+            CallerSettings::default(),
+            client.clone(),
+            codec.clone(),
+            operators.clone(),
+        );
+        let owner = task::spawn_local(owner::run(OwnerParts {
+            node: format!("entry-{number}"),
+            life: number as u64,
+            settings: rc::Rc::new(OwnerSettings::default()),
+            client,
+            services,
+            codec,
+            operators,
+            stopping,
+        }));
+        self.processes.push(TestProcess {
+            platform,
+            desk,
+            stop,
+            owner,
+        });
+    }
+
+    /// Returns the row of the owner once it names one.
+    async fn owner(&self) -> OwnerRecord {
+        self.owner_after(0).await
+    }
+
+    /// Returns the row of the owner once its fencing token is above `fence`.
+    async fn owner_after(&self, fence: u64) -> OwnerRecord {
+        loop {
+            let view = self
+                .platform
+                .scan(row::OWNER_KEY)
+                .await
+                .expect("the table is up");
+            let record = view
+                .rows
+                .first()
+                .and_then(|row| row::read::<OwnerRecord>(row).ok());
+            if let Some(record) = record.filter(|record| record.fence > fence && !record.released) {
+                return record;
+            }
+            timer::sleep(time::Duration::from_millis(20)).await;
+        }
+    }
+
+    fn position(&self, record: &OwnerRecord) -> usize {
+        record.life as usize
+    }
+
+    async fn submit(&self, process: usize, id: &str, tasks: u32) -> CallerAnswer {
+        let body = format!(r#"{{"steps":[{{"count":{tasks},"needs":{{"cpu-millis":500}}}}]}}"#);
+        let desk = &self.processes[process].desk;
+        desk.answer(CallerVerb::Submit, &head(id, "good"), body.as_bytes())
+            .await
+    }
+
+    async fn state(&self, process: usize, id: &str) -> CallerAnswer {
+        let desk = &self.processes[process].desk;
+        desk.answer(CallerVerb::Read, &head(id, "good"), b"").await
+    }
+
+    /// Waits until a job has the state; the test's own limit ends the wait.
+    async fn wait_state(&self, process: usize, id: &str, state: JobState) {
+        while self.state(process, id).await != CallerAnswer::State(state) {
+            timer::sleep(time::Duration::from_millis(20)).await;
+        }
+    }
+
+    async fn wait_starts(&self, count: usize) {
+        while self.workers.starts().len() < count {
+            timer::sleep(time::Duration::from_millis(10)).await;
+        }
+    }
+
+    fn assert_no_double_run(&self) {
+        let running = self.workers.running();
+        assert!(running.values().all(|count| *count == 1), "{running:?}");
+    }
+}
+
+fn head(id: &str, key: &str) -> CallerHead {
+    CallerHead {
+        host: "any".to_owned(),
+        path: format!("/q/{id}"),
+        key: Some(key.to_owned()),
+        patience: Some(time::Duration::from_secs(3)),
+    }
+}
+
+/// Runs a test on one thread with local tasks, a minute at most.
+fn run_test(test: impl Future<Output = ()>) {
+    let limit = time::Duration::from_secs(60);
+    let limited = async { timer::timeout(limit, test).await };
+    let finished = actix_rt::System::new().block_on(limited);
+    finished.expect("the test ends within a minute");
+}
+
+#[test]
+fn a_job_is_accepted_and_completed() {
+    run_test(async {
+        let cluster = TestCluster::start(2, time::Duration::from_millis(100)).await;
+        assert_eq!(cluster.submit(0, "a", 5).await, CallerAnswer::Accepted);
+        cluster.wait_state(1, "a", JobState::Completed).await;
+        assert_eq!(cluster.workers.starts().len(), 5);
+    });
+}
+
+#[test]
+fn the_same_id_at_two_processes_is_one_job() {
+    run_test(async {
+        let cluster = TestCluster::start(2, time::Duration::from_millis(50)).await;
+        let (first, second) =
+            futures_util::join!(cluster.submit(0, "a", 3), cluster.submit(1, "a", 3));
+        assert_eq!(
+            (first, second),
+            (CallerAnswer::Accepted, CallerAnswer::Accepted)
+        );
+        cluster.wait_state(0, "a", JobState::Completed).await;
+        assert_eq!(cluster.submit(1, "a", 3).await, CallerAnswer::Accepted);
+        timer::sleep(time::Duration::from_millis(300)).await;
+        assert_eq!(cluster.workers.starts().len(), 3);
+    });
+}
+
+#[test]
+fn a_key_that_is_not_good_is_refused_and_an_unknown_path_too() {
+    run_test(async {
+        let cluster = TestCluster::start(1, time::Duration::from_millis(50)).await;
+        let desk = &cluster.processes[0].desk;
+        let refused = desk
+            .answer(CallerVerb::Submit, &head("a", "bad"), b"{}")
+            .await;
+        assert_eq!(refused, CallerAnswer::KeyRefused);
+        let elsewhere = CallerHead {
+            path: "/else/a".to_owned(),
+            ..head("a", "good")
+        };
+        let lost = desk.answer(CallerVerb::Read, &elsewhere, b"").await;
+        assert_eq!(lost, CallerAnswer::NoSuchQueue);
+        assert_eq!(cluster.state(0, "a").await, CallerAnswer::NoSuchJob);
+        let malformed = desk
+            .answer(CallerVerb::Submit, &head("a", "good"), b"{}")
+            .await;
+        assert!(matches!(malformed, CallerAnswer::Malformed(message) if message.contains("steps")));
+    });
+}
+
+/// The owner loses the table; another takes over, and what runs goes on.
+#[test]
+fn work_outlives_an_owner_that_is_cut_from_the_table() {
+    run_test(async {
+        let cluster = TestCluster::start(3, time::Duration::from_secs(6)).await;
+        let first = cluster.owner().await;
+        assert_eq!(cluster.submit(0, "a", 4).await, CallerAnswer::Accepted);
+        cluster.wait_starts(4).await;
+        let position = cluster.position(&first);
+        cluster.processes[position]
+            .platform
+            .set_faults(|plan| plan.table_down = true);
+        let second = cluster.owner_after(first.fence).await;
+        assert_ne!(second.life, first.life);
+        let witness = cluster.position(&second);
+        cluster.wait_state(witness, "a", JobState::Completed).await;
+        assert_eq!(
+            cluster.workers.starts().len(),
+            4,
+            "nothing was started again"
+        );
+    });
+}
+
+/// A process that stops hands the scheduling over at once.
+#[test]
+fn a_stopping_owner_hands_over_at_once() {
+    run_test(async {
+        let mut cluster = TestCluster::start(2, time::Duration::from_secs(3)).await;
+        let first = cluster.owner().await;
+        assert_eq!(cluster.submit(0, "a", 2).await, CallerAnswer::Accepted);
+        cluster.wait_starts(2).await;
+        let position = cluster.position(&first);
+        let stopped = timer::Instant::now();
+        cluster.processes[position].stop.send_replace(true);
+        let second = cluster.owner_after(first.fence).await;
+        assert!(stopped.elapsed() < OwnerSettings::default().lease);
+        let process = cluster.processes.remove(position);
+        process.owner.await.expect("the owner's task ends");
+        assert_ne!(second.life, first.life);
+        cluster.wait_state(0, "a", JobState::Completed).await;
+        assert_eq!(cluster.workers.starts().len(), 2);
+    });
+}
+
+#[test]
+fn tasks_of_a_crashed_worker_start_again() {
+    run_test(async {
+        let cluster = TestCluster::start(1, time::Duration::from_secs(2)).await;
+        assert_eq!(cluster.submit(0, "a", 3).await, CallerAnswer::Accepted);
+        cluster.wait_starts(3).await;
+        let lost = cluster.workers.starts()[0].worker.clone();
+        cluster.workers.crash(&lost);
+        cluster.wait_state(0, "a", JobState::Completed).await;
+        assert!(cluster.workers.starts().len() > 3);
+        cluster.assert_no_double_run();
+    });
+}
+
+/// Orders that a worker carries out after others have been given.
+#[test]
+fn late_orders_run_nothing_twice() {
+    run_test(async {
+        let cluster = TestCluster::start(1, time::Duration::from_millis(800)).await;
+        let worker = WorkerId::new("worker-1");
+        cluster.owner().await;
+        timer::sleep(time::Duration::from_millis(300)).await;
+        let late = WorkerFault {
+            late: Some(time::Duration::from_millis(1_500)),
+            ..WorkerFault::default()
+        };
+        cluster.workers.set_fault(&worker, late);
+        assert_eq!(cluster.submit(0, "a", 6).await, CallerAnswer::Accepted);
+        timer::sleep(time::Duration::from_millis(200)).await;
+        cluster.workers.set_fault(&worker, WorkerFault::default());
+        while cluster.state(0, "a").await != CallerAnswer::State(JobState::Completed) {
+            cluster.assert_no_double_run();
+            timer::sleep(time::Duration::from_millis(10)).await;
+        }
+        timer::sleep(time::Duration::from_millis(2_000)).await;
+        cluster.assert_no_double_run();
+    });
+}
+
+/// Nothing was written, so the refusal is true.
+#[test]
+fn a_submit_without_a_table_is_refused_and_never_runs() {
+    run_test(async {
+        let cluster = TestCluster::start(2, time::Duration::from_millis(50)).await;
+        cluster.owner().await;
+        cluster.processes[1]
+            .platform
+            .set_faults(|plan| plan.table_down = true);
+        timer::sleep(time::Duration::from_millis(2_500)).await;
+        let answer = cluster.submit(1, "a", 1).await;
+        assert!(
+            matches!(answer, CallerAnswer::Unavailable { .. }),
+            "{answer:?}"
+        );
+        cluster.processes[1]
+            .platform
+            .set_faults(|plan| plan.table_down = false);
+        timer::sleep(time::Duration::from_millis(1_000)).await;
+        assert!(cluster.workers.starts().is_empty());
+        assert_eq!(cluster.state(0, "a").await, CallerAnswer::NoSuchJob);
+    });
+}
+
+/// The job is stored although the reply was lost; the caller is told so.
+#[test]
+fn a_lost_reply_is_resolved_by_writing_again() {
+    run_test(async {
+        let cluster = TestCluster::start(2, time::Duration::from_millis(50)).await;
+        let owner = cluster.owner().await;
+        let other = 1 - cluster.position(&owner);
+        cluster.processes[other]
+            .platform
+            .set_faults(|plan| plan.lost_replies = 1);
+        assert_eq!(cluster.submit(other, "a", 2).await, CallerAnswer::Accepted);
+        cluster.wait_state(0, "a", JobState::Completed).await;
+        assert_eq!(cluster.workers.starts().len(), 2);
+    });
+}
+
+/// The owner's changes survive lost replies and commits that arrive late.
+#[test]
+fn the_owner_goes_on_after_lost_and_late_commits() {
+    run_test(async {
+        let cluster = TestCluster::start(1, time::Duration::from_millis(100)).await;
+        cluster.owner().await;
+        for round in 0..6 {
+            cluster.processes[0]
+                .platform
+                .set_faults(|plan| match round % 3 {
+                    0 => plan.lost_replies = 2,
+                    1 => plan.lost_requests = 2,
+                    _ => plan.late_requests = 1,
+                });
+            let id = format!("job-{round}");
+            let answer = cluster.submit(0, &id, 3).await;
+            assert_eq!(answer, CallerAnswer::Accepted);
+            cluster.wait_state(0, &id, JobState::Completed).await;
+        }
+        assert_eq!(cluster.workers.starts().len(), 18);
+    });
+}
+
+#[test]
+fn a_cancelled_job_does_not_run_on() {
+    run_test(async {
+        let cluster = TestCluster::start(2, time::Duration::from_secs(30)).await;
+        assert_eq!(cluster.submit(0, "a", 3).await, CallerAnswer::Accepted);
+        cluster.wait_starts(3).await;
+        let desk = &cluster.processes[1].desk;
+        let answer = desk
+            .answer(CallerVerb::Cancel, &head("a", "good"), b"")
+            .await;
+        assert_eq!(answer, CallerAnswer::Cancelled);
+        while !cluster.workers.running().is_empty() {
+            timer::sleep(time::Duration::from_millis(10)).await;
+        }
+        cluster.wait_state(0, "a", JobState::Cancelled).await;
+    });
+}
