Leave the ownership to VMs that are large enough

A change went on being tried after its session had ended. Change: a small VM waits for larger ones before it claims, and a larger one takes over from a small one; attempts end with their session. Test: owner.rs::a_larger_vm_takes_over_from_a_small_one.

--- a/crates/engine/src/owner/campaign.rs
+++ b/crates/engine/src/owner/campaign.rs
@@ -74,8 +74,7 @@
             let version = current.map(|row| row.version);
             let unchanged = sighting.observe(version, asked_at, parts.settings.poll * 3);
             let known = current.and_then(|row| row::read::<OwnerRecord>(row).ok());
-            let is_free = known.as_ref().is_none_or(|record| record.released);
-            if is_free || unchanged >= parts.settings.lease {
+            if may_claim(parts, known.as_ref(), unchanged) {
                 let fence = known.map_or(0, |record| record.fence) + 1;
                 match claim(parts, &key, version, fence).await {
                     Ok(lease) => return lease,
@@ -88,6 +87,23 @@
     }
 }
 
+/// Returns whether this process may try to own the scheduling, by the row and
+/// the time for which it is known to be unchanged.
+fn may_claim(parts: &OwnerParts, known: Option<&OwnerRecord>, unchanged: time::Duration) -> bool {
+    let settings = &parts.settings;
+    let delay = if settings.is_small {
+        settings.small_delay
+    } else {
+        time::Duration::ZERO
+    };
+    match known {
+        None => unchanged >= delay,
+        Some(owner) if owner.released => unchanged >= delay,
+        Some(owner) if owner.is_small && !settings.is_small => true,
+        Some(_) => unchanged >= settings.lease + delay,
+    }
+}
+
 fn find_row<'a>(view: &'a TableView, key: &RowKey) -> Option<&'a TableRow> {
     view.rows
         .iter()
@@ -120,6 +136,7 @@
         fence,
         change: 0,
         released: false,
+        is_small: parts.settings.is_small,
     };
     let value = row::write(key, &record).map_err(|_| None)?;
     let transaction = TableTransaction::default();
--- a/crates/engine/src/owner/mod.rs
+++ b/crates/engine/src/owner/mod.rs
@@ -33,6 +33,10 @@
     pub lease: time::Duration,
     /// Longest time between two changes of the owner's row.
     pub renewal: time::Duration,
+    /// Whether the VM is small: it takes over only if no larger one does.
+    pub is_small: bool,
+    /// Time for which a small VM leaves a free row to larger ones.
+    pub small_delay: time::Duration,
     /// Time between two looks at the row of another owner.
     pub poll: time::Duration,
     /// Time without a successful change after which the owner gives no more
@@ -63,6 +67,8 @@
         Self {
             lease: time::Duration::from_millis(2_000),
             renewal: time::Duration::from_millis(600),
+            is_small: false,
+            small_delay: time::Duration::from_millis(2_000),
             poll: time::Duration::from_millis(600),
             order_limit: time::Duration::from_secs(3),
             give_up: time::Duration::from_secs(20),
--- a/crates/engine/src/owner/session.rs
+++ b/crates/engine/src/owner/session.rs
@@ -269,11 +269,14 @@
                 return;
             }
         };
-        let (sender, outcome) = oneshot::channel();
+        let (mut sender, outcome) = oneshot::channel();
         let client = self.parts.client.clone();
         let give_up = self.parts.settings.give_up;
         tokio::task::spawn_local(async move {
-            let stored = change::store(&client, &transaction, &record, give_up).await;
+            let stored = tokio::select! {
+                stored = change::store(&client, &transaction, &record, give_up) => stored,
+                () = sender.closed() => return,
+            };
             // The session may have ended in the meantime.
             let _ = sender.send(stored);
         });
--- a/crates/engine/src/row.rs
+++ b/crates/engine/src/row.rs
@@ -63,6 +63,9 @@
     pub change: u64,
     /// Whether the owner has given the scheduling up.
     pub released: bool,
+    /// Whether the VM is small, so that a larger one takes over at once.
+    #[serde(default)]
+    pub is_small: bool,
 }
 
 /// Mark that a job was cancelled.
--- a/crates/engine/tests/owner.rs
+++ b/crates/engine/tests/owner.rs
@@ -61,6 +61,10 @@
     }
 
     async fn add(&mut self, number: usize) {
+        self.add_sized(number, false).await;
+    }
+
+    async fn add_sized(&mut self, number: usize, is_small: bool) {
         let platform = self.platform.view();
         let services = DeploymentServices {
             table: rc::Rc::new(platform.clone()),
@@ -82,7 +86,10 @@
         let owner = task::spawn_local(owner::run(OwnerParts {
             node: format!("entry-{number}"),
             life: number as u64,
-            settings: rc::Rc::new(OwnerSettings::default()),
+            settings: rc::Rc::new(OwnerSettings {
+                is_small,
+                ..OwnerSettings::default()
+            }),
             client,
             services,
             codec,
@@ -387,3 +394,27 @@
         cluster.wait_state(0, "a", JobState::Cancelled).await;
     });
 }
+
+/// Small VMs own the scheduling only while no larger one does.
+#[test]
+fn a_larger_vm_takes_over_from_a_small_one() {
+    run_test(async {
+        let mut cluster = TestCluster::start(0, time::Duration::from_secs(2)).await;
+        cluster.add_sized(0, true).await;
+        let first = cluster.owner().await;
+        assert_eq!(first.life, 0);
+        assert_eq!(cluster.submit(0, "a", 2).await, CallerAnswer::Accepted);
+        cluster.wait_starts(2).await;
+        cluster.add_sized(1, false).await;
+        let second = cluster.owner_after(first.fence).await;
+        assert_eq!(second.life, 1);
+        cluster.wait_state(0, "a", JobState::Completed).await;
+        assert_eq!(cluster.workers.starts().len(), 2);
+        timer::sleep(time::Duration::from_millis(1_500)).await;
+        assert_eq!(
+            cluster.owner().await.fence,
+            second.fence,
+            "they do not take turns"
+        );
+    });
+}
