--- a/crates/node/tests/pages.rs
+++ b/crates/node/tests/pages.rs
@@ -4,6 +4,7 @@
 use std::collections::BTreeSet;
 use std::fs;
 
+use redwing_engine::event as job_event;
 use redwing_model::{NodeId, NodeIncarnation};
 use redwing_node::answer::ProblemKind;
 use redwing_node::metrics::{ControlMetrics, MetricsRegistry, PathMetrics};
@@ -23,7 +24,10 @@
 #[test]
 fn events_and_their_page_agree() {
     let listed = first_cells("EVENTS.md");
-    let known: BTreeSet<String> = event::ALL_EVENTS.iter().map(ToString::to_string).collect();
+    let path_events = event::ALL_EVENTS.iter().map(ToString::to_string);
+    let job_events = job_event::ALL_JOB_EVENTS.iter();
+    let job_events = job_events.map(|event| format!("E{:03} {}", event.number, event.name));
+    let known: BTreeSet<String> = path_events.chain(job_events).collect();
     assert_eq!(listed, known);
     let numbers: BTreeSet<u16> = event::ALL_EVENTS.iter().map(|code| code.number).collect();
     assert_eq!(
@@ -59,8 +63,9 @@
 #[test]
 fn flags_and_their_page_agree() {
     let command = settings::command();
-    let serve = command.find_subcommand("serve").unwrap();
-    let flags = serve.get_arguments().filter_map(|flag| flag.get_long());
+    let commands = ["serve", "jobs"].map(|name| command.find_subcommand(name).unwrap());
+    let flags = commands.into_iter().flat_map(clap::Command::get_arguments);
+    let flags = flags.filter_map(|flag| flag.get_long());
     let known: BTreeSet<String> = flags
         .filter(|name| *name != "help")
         .map(|name| format!("--{name}"))
