Take the ownership over after 1.6 s

Change: lease of the owner's row 2.0 to 1.6 s, renewal and poll 0.6 to 0.45 s, orders without a confirmed row 3.0 to 2.5 s, inherited leases 6.5 to 6.4 s.

--- a/crates/engine/src/owner/mod.rs
+++ b/crates/engine/src/owner/mod.rs
@@ -65,12 +65,12 @@
 impl Default for OwnerSettings {
     fn default() -> Self {
         Self {
-            lease: time::Duration::from_millis(2_000),
-            renewal: time::Duration::from_millis(600),
+            lease: time::Duration::from_millis(1_600),
+            renewal: time::Duration::from_millis(450),
             is_small: false,
             small_delay: time::Duration::from_millis(2_000),
-            poll: time::Duration::from_millis(600),
-            order_limit: time::Duration::from_secs(3),
+            poll: time::Duration::from_millis(450),
+            order_limit: time::Duration::from_millis(2_500),
             give_up: time::Duration::from_secs(20),
             pause_limit: time::Duration::from_millis(1_000),
             tick: time::Duration::from_millis(50),
--- a/crates/jobs/src/scheduler/mod.rs
+++ b/crates/jobs/src/scheduler/mod.rs
@@ -82,7 +82,7 @@
     fn default() -> Self {
         Self {
             lease: time::Duration::from_millis(5_000),
-            inherited_lease: time::Duration::from_millis(6_500),
+            inherited_lease: time::Duration::from_millis(6_400),
             clock_drift: 0.02,
             lease_margin: time::Duration::from_millis(300),
             hold_wait: time::Duration::from_millis(1_000),
