Late work gives way to work that can meet its objective

Change: a job is late once what is left of its chain does not fit before its objective; late work wants machines only while no pool is short. Tests: capacity.rs::late_work_gives_way_..., late_work_gets_machines_....

--- a/crates/engine/src/owner/machines.rs
+++ b/crates/engine/src/owner/machines.rs
@@ -126,7 +126,7 @@
         let Some(manifest) = parts.operators.borrow().manifest.clone() else {
             return;
         };
-        let demands = scheduler.pool_demands();
+        let demands = scheduler.pool_demands(clock::wall_now());
         let pools = manifest.pools().map(|pool| {
             let fact = PoolFact {
                 is_standby: pool.is_standby,
--- a/crates/jobs/src/capacity.rs
+++ b/crates/jobs/src/capacity.rs
@@ -7,6 +7,9 @@
 //! nothing to do from pools that hold too many, and parks those that no pool
 //! needs in a pool that costs nothing.
 //!
+//! Work that cannot meet its objective any more gets machines only while no
+//! pool is short of room for work that can.
+//!
 //! A machine with long-running tasks is never moved, and one with other
 //! tasks only after they have finished.
 
@@ -58,8 +61,10 @@
 pub struct PoolDemand {
     /// Processor of tasks that end by themselves and run, in thousandths of a core.
     pub running: u64,
-    /// Processor of tasks that wait for room.
+    /// Processor of tasks that wait for room and can meet their objective.
     pub waiting: u64,
+    /// Processor of tasks that wait although they cannot meet it any more.
+    pub waiting_late: u64,
     /// Processor of long-running tasks.
     pub long_running: u64,
     /// Long-running tasks that wait for room; each may need a machine of its own.
@@ -206,6 +211,8 @@
     is_standby: bool,
     /// What it needs now and in the near future.
     wanted: u64,
+    /// What its late work needs besides, if no other pool is short.
+    late: u64,
     /// What it keeps before it gives machines away.
     kept: u64,
     /// What it has, machines on the way to it included.
@@ -259,6 +266,16 @@
         let mut actions = Vec::new();
         self.move_emptied(machines, &balances, now, &mut actions);
         self.fill_deficits(machines, &mut balances, now, &mut actions);
+        let is_any_short = balances
+            .values()
+            .any(|balance| !balance.is_standby && balance.wanted > balance.held);
+        if !is_any_short {
+            for balance in balances.values_mut() {
+                balance.wanted += balance.late;
+                balance.kept += balance.late;
+            }
+            self.fill_deficits(machines, &mut balances, now, &mut actions);
+        }
         self.park_idle(machines, &mut balances, now, &mut actions);
         actions
     }
@@ -282,6 +299,7 @@
             let balance = PoolBalance {
                 is_standby: fact.is_standby,
                 wanted,
+                late: demand.waiting_late,
                 kept: history.hold(now, wanted, settings.hold_time),
                 held: 0,
             };
--- a/crates/jobs/src/scheduler/entry.rs
+++ b/crates/jobs/src/scheduler/entry.rs
@@ -213,7 +213,7 @@
     pub(super) fn new(record: JobRecord) -> Self {
         let mut entry = Self {
             payload: record.spec.payload.as_str().into(),
-            chain_ms: chain_ms(&record.spec),
+            chain_ms: longest_chain(&record.spec, |_| true),
             state: JobState::Queued,
             begun: 0,
             occurrences: Vec::new(),
@@ -327,6 +327,18 @@
         }
     }
 
+    /// Returns the longest chain of estimated work that is left, in
+    /// milliseconds; a step that has begun counts as a whole.
+    pub(super) fn remaining_ms(&self) -> u64 {
+        let chains = self.occurrences.iter().map(|occurrence| {
+            longest_chain(&self.record.spec, |number| {
+                let step = occurrence.steps.get(number);
+                !step.is_some_and(StepEntry::is_done)
+            })
+        });
+        chains.max().unwrap_or(0)
+    }
+
     /// Returns the number of runs that failed.
     pub(super) fn failed_runs(&self) -> u32 {
         let occurrences = self.occurrences.iter();
@@ -337,16 +349,16 @@
     }
 }
 
-/// Returns the longest chain of estimated work, in milliseconds.
-fn chain_ms(spec: &JobSpec) -> u64 {
+/// Returns the longest chain of estimated work over the steps that count, in
+/// milliseconds.
+fn longest_chain(spec: &JobSpec, counts: impl Fn(usize) -> bool) -> u64 {
     let mut finished: Vec<u64> = Vec::with_capacity(spec.steps.len());
-    for step in &spec.steps {
-        let earlier = step
-            .after
-            .iter()
-            .filter_map(|&number| finished.get(number as usize));
+    for (number, step) in spec.steps.iter().enumerate() {
+        let earlier = step.after.iter();
+        let earlier = earlier.filter_map(|&number| finished.get(number as usize));
         let start = earlier.copied().max().unwrap_or(0);
-        finished.push(start + step.estimate_ms);
+        let length = if counts(number) { step.estimate_ms } else { 0 };
+        finished.push(start + length);
     }
     finished.into_iter().max().unwrap_or(0)
 }
--- a/crates/jobs/src/scheduler/place.rs
+++ b/crates/jobs/src/scheduler/place.rs
@@ -15,6 +15,10 @@
 use super::fleet::{Occupant, WorkerEntry};
 use super::{JobScheduler, SchedulerNote};
 
+/// Time by which estimates may be wrong before a job counts as late, in
+/// milliseconds.
+const ESTIMATE_GRACE_MS: u64 = 150;
+
 /// Rank of a job among those that wait for the same pool; lower goes first.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 struct JobRank {
@@ -83,18 +87,29 @@
 
     fn rank(&self, job: &JobEntry, wall: WallTime) -> JobRank {
         let queue = self.manifest.queue(&job.record.queue);
-        let (stretch, objective_ms) =
-            queue.map_or((1.0, 0), |queue| (queue.stretch, queue.objective_ms));
-        let accepted = job.record.accepted.as_millis();
-        let due_ms = accepted + objective_ms + (stretch * job.chain_ms as f64) as u64;
         JobRank {
             is_short: !job.record.spec.is_long_running(),
-            is_late: wall.as_millis() > due_ms,
+            is_late: self.is_late(job, wall),
             priority: queue.map_or(0, |queue| queue.priority),
-            due_ms,
+            due_ms: self.due_ms(job),
         }
     }
 
+    /// Returns when a job should be finished, in milliseconds since the epoch.
+    fn due_ms(&self, job: &JobEntry) -> u64 {
+        let queue = self.manifest.queue(&job.record.queue);
+        let (stretch, objective_ms) =
+            queue.map_or((1.0, 0), |queue| (queue.stretch, queue.objective_ms));
+        let accepted = job.record.accepted.as_millis();
+        accepted + objective_ms + (stretch * job.chain_ms as f64) as u64
+    }
+
+    /// Returns whether a job cannot meet its objective any more, by its estimates.
+    pub(super) fn is_late(&self, job: &JobEntry, wall: WallTime) -> bool {
+        let finished = wall.as_millis() + job.remaining_ms();
+        finished > self.due_ms(job) + ESTIMATE_GRACE_MS
+    }
+
     pub(super) fn options(&self, pool: &PoolName, now: BootTime) -> Vec<PlaceOption> {
         let workers = self.fleet.iter();
         let usable = workers.filter(|(_, entry)| {
--- a/crates/jobs/src/scheduler/upkeep.rs
+++ b/crates/jobs/src/scheduler/upkeep.rs
@@ -4,7 +4,7 @@
 
 use crate::capacity::PoolDemand;
 use crate::name::{PoolName, TaskId, WorkerId};
-use crate::time::BootTime;
+use crate::time::{BootTime, WallTime};
 use crate::upkeep::WorkerLoad;
 
 use super::JobScheduler;
@@ -32,7 +32,7 @@
     }
 
     /// Returns what is asked of each pool.
-    pub fn pool_demands(&self) -> BTreeMap<PoolName, PoolDemand> {
+    pub fn pool_demands(&self, wall: WallTime) -> BTreeMap<PoolName, PoolDemand> {
         let mut demands: BTreeMap<PoolName, PoolDemand> = BTreeMap::new();
         for (_, worker) in self.fleet.iter() {
             let Some(view) = &worker.view else {
@@ -53,6 +53,8 @@
                 let demand = demands.entry(pool.clone()).or_default();
                 if job.record.spec.is_long_running() {
                     demand.waiting_long_running += job.waiting_tasks();
+                } else if self.is_late(job, wall) {
+                    demand.waiting_late += job.waiting_cpu();
                 } else {
                     demand.waiting += job.waiting_cpu();
                 }
--- a/crates/jobs/tests/capacity.rs
+++ b/crates/jobs/tests/capacity.rs
@@ -238,3 +238,24 @@
     assert!(without > 0.4, "{without}");
     assert!(with < 0.1, "{with}");
 }
+
+/// After a gap in the service much work is late; it must not hold the room
+/// that the next queue's turn needs.
+#[test]
+fn late_work_gives_way_to_work_that_can_meet_its_objective() {
+    let mut pools = FakePools::new(&[("builders", 8), ("printers", 1)]);
+    pools.demand("builders").waiting_late = 40 * MACHINE_CPU;
+    pools.run(time::Duration::from_secs(2));
+    assert_eq!(pools.size("builders"), 8);
+    pools.demand("printers").waiting = 6 * MACHINE_CPU;
+    pools.run(time::Duration::from_secs(1));
+    assert_eq!(pools.size("printers"), 6);
+}
+
+#[test]
+fn late_work_gets_machines_that_nobody_needs() {
+    let mut pools = FakePools::new(&[("builders", 2), ("spare", 6)]);
+    pools.demand("builders").waiting_late = 5 * MACHINE_CPU;
+    pools.run(time::Duration::from_secs(1));
+    assert!(pools.size("builders") >= 5, "{}", pools.size("builders"));
+}
