Ask the advisor where a queue needs its permits

Cause: queues with an advisor ran nothing. Change: jobs::scheduler::advice asks about a few workers of a step, one question at a time, and uses permits until they expire; orders carry the ticket.

--- a/crates/engine/src/event.rs
+++ b/crates/engine/src/event.rs
@@ -84,4 +84,6 @@
     MACHINE_CALL_FAILED = 542 "machine-call-failed";
     /// The state of a wave of upkeep changed.
     WAVE_CHANGED = 543 "wave-changed";
+    /// The advisor did not answer; it is asked again.
+    ADVICE_FAILED = 544 "advice-failed";
 }
--- /dev/null
+++ b/crates/engine/src/owner/advice.rs
@@ -0,0 +1,44 @@
+//! Asks the advisor, one question at a time.
+
+use std::rc;
+
+use redwing_jobs::scheduler::{AdviceAnswer, AdviceQuestion};
+use tokio::sync::mpsc;
+
+use crate::event;
+use crate::log_job_event;
+use crate::services::AdvisorClient;
+
+/// Question with its answer; none if there was none.
+pub(super) type AnsweredQuestion = (AdviceQuestion, Option<AdviceAnswer>);
+
+/// Starts a task that asks what it is sent; it ends once the sender is closed.
+pub(super) fn start(
+    advisor: rc::Rc<dyn AdvisorClient>,
+) -> (
+    mpsc::UnboundedSender<AdviceQuestion>,
+    mpsc::UnboundedReceiver<AnsweredQuestion>,
+) {
+    let (questions, mut waiting) = mpsc::unbounded_channel::<AdviceQuestion>();
+    let (answers, answered) = mpsc::unbounded_channel();
+    tokio::task::spawn_local(async move {
+        while let Some(question) = waiting.recv().await {
+            let answer = match advisor.advise(&question).await {
+                Ok(answer) => Some(answer),
+                Err(error) => {
+                    log_job_event!(
+                        warn,
+                        event::ADVICE_FAILED,
+                        step = question.step,
+                        error = error,
+                    );
+                    None
+                }
+            };
+            if answers.send((question, answer)).is_err() {
+                return;
+            }
+        }
+    });
+    (questions, answered)
+}
--- a/crates/engine/src/owner/mod.rs
+++ b/crates/engine/src/owner/mod.rs
@@ -6,6 +6,7 @@
 //! not change for longer than the owner's lease, one of them takes it over
 //! with a higher fencing token. Workers refuse orders with a lower one.
 
+mod advice;
 mod campaign;
 mod change;
 mod lanes;
--- a/crates/engine/src/owner/session.rs
+++ b/crates/engine/src/owner/session.rs
@@ -4,7 +4,7 @@
 use std::collections::HashMap;
 
 use redwing_jobs::record::ProgressRecord;
-use redwing_jobs::scheduler::{ChangeSet, SchedulerNote};
+use redwing_jobs::scheduler::{AdviceQuestion, ChangeSet, SchedulerNote};
 use redwing_jobs::upkeep::UpkeepRecord;
 use redwing_jobs::worker::{OrderAction, OrderAnswer, OrderOutcome, WorkerOrder, WorkerView};
 use redwing_jobs::{BootTime, JobRecord, JobScheduler};
@@ -21,6 +21,7 @@
 use crate::services::WorkerReply;
 
 use super::OwnerParts;
+use super::advice::{self, AnsweredQuestion};
 use super::campaign::OwnerLease;
 use super::change::{self, ChangeOutcome, ExtraRows};
 use super::lanes::{AnsweredOrder, OrderLanes};
@@ -56,6 +57,8 @@
     jobs: mpsc::Receiver<TableUpdate>,
     workers: mpsc::Receiver<TableUpdate>,
     answers: mpsc::UnboundedReceiver<AnsweredOrder>,
+    questions: mpsc::UnboundedSender<AdviceQuestion>,
+    advice: mpsc::UnboundedReceiver<AnsweredQuestion>,
     machine_answers: mpsc::UnboundedReceiver<MachineAnswer>,
     waves: BTreeMap<u64, UpkeepRecord>,
     pending: Option<PendingChange>,
@@ -87,6 +90,7 @@
             .await?;
         let (answer_sender, answers) = mpsc::unbounded_channel();
         let (machine_sender, machine_answers) = mpsc::unbounded_channel();
+        let (questions, advice) = advice::start(parts.services.advisor.clone());
         let fence = lease.record.fence;
         let mut session = Self {
             parts,
@@ -108,6 +112,8 @@
                 follow::WATCH_WAIT,
             ),
             answers,
+            questions,
+            advice,
             machine_answers,
             waves: read_waves(&kept.rows),
             pending: None,
@@ -168,6 +174,10 @@
         loop {
             tokio::select! {
                 Some(answer) = self.answers.recv() => self.take_answer(answer),
+                Some((question, answer)) = self.advice.recv() => {
+                    let now = clock::boot_now();
+                    self.scheduler.advice_answered(&question, answer.as_ref(), now);
+                }
                 Some(update) = self.jobs.recv() => self.take_jobs(&update),
                 Some(update) = self.workers.recv() => {
                     self.take_workers(&update.rows, update.is_complete);
@@ -217,6 +227,10 @@
 
     fn decide(&mut self, now: BootTime) {
         self.scheduler.place(now, clock::wall_now());
+        for question in self.scheduler.take_questions() {
+            // The task that asks lives as long as the session.
+            let _ = self.questions.send(question);
+        }
         self.begin_change(now);
         self.log_notes();
         let unconfirmed = now.saturating_since(self.confirmed_at);
--- a/crates/engine/src/services.rs
+++ b/crates/engine/src/services.rs
@@ -4,6 +4,7 @@
 use std::sync;
 
 use redwing_jobs::name::{MachineName, PoolName, WorkerId};
+use redwing_jobs::scheduler::{AdviceAnswer, AdviceQuestion};
 use redwing_jobs::worker::{HoldReport, OrderAnswer, OrderOutcome, WorkerOrder};
 use redwing_provider::{LocalFuture, Result, TableStore};
 
@@ -26,6 +27,16 @@
     fn send<'a>(&'a self, order: &'a WorkerOrder) -> LocalFuture<'a, WorkerReply>;
 }
 
+/// Knows which workers may run a step, on queues that ask for it.
+pub trait AdvisorClient {
+    /// Asks one question; the advisor takes one at a time.
+    ///
+    /// # Errors
+    ///
+    /// Fails if there is no advisor, or it does not answer in time.
+    fn advise<'a>(&'a self, question: &'a AdviceQuestion) -> LocalFuture<'a, Result<AdviceAnswer>>;
+}
+
 /// What the platform is doing with a machine.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum MachineState {
@@ -121,6 +132,8 @@
     pub table: rc::Rc<dyn TableStore>,
     /// Orders to workers.
     pub workers: rc::Rc<dyn WorkerClient>,
+    /// Permits for workers.
+    pub advisor: rc::Rc<dyn AdvisorClient>,
     /// Orders for machines.
     pub machines: rc::Rc<dyn MachineClient>,
 }
--- a/crates/engine/tests/owner.rs
+++ b/crates/engine/tests/owner.rs
@@ -15,7 +15,7 @@
 use redwing_engine::run;
 use redwing_jobs::{JobState, WorkerId};
 use redwing_provider::{RowKey, TableClient, TableStore, TableTransaction};
-use redwing_standin::worker::FixedMachines;
+use redwing_standin::worker::{FixedMachines, NoAdvisor};
 use redwing_standin::{MemoryPlatform, MemoryWorkers, WorkerFault};
 use tokio::sync::watch;
 use tokio::task;
@@ -69,6 +69,7 @@
         let services = DeploymentServices {
             table: rc::Rc::new(platform.clone()),
             workers: rc::Rc::new(self.workers.clone()),
+            advisor: rc::Rc::new(NoAdvisor),
             machines: rc::Rc::new(FixedMachines),
         };
         let client = TableClient::new(rc::Rc::clone(&services.table), run::client_settings());
--- a/crates/jobs/src/scheduler/journal.rs
+++ b/crates/jobs/src/scheduler/journal.rs
@@ -147,6 +147,7 @@
             .is_some_and(|job| job.state.is_final() && job.active == 0);
         if is_over && self.journal.is_stored(id) {
             self.jobs.remove(id);
+            self.advice.forget(id);
             self.finished.insert(id);
         }
     }
--- a/crates/jobs/src/scheduler/mod.rs
+++ b/crates/jobs/src/scheduler/mod.rs
@@ -4,6 +4,7 @@
 //! workers with what occupies them. It is fed with what is heard, and it
 //! returns rows to store and orders to send. Its parts:
 //!
+//! - `advice`: permits of an advisor
 //! - `entry`: jobs, steps and tasks in memory
 //! - `fleet`: workers, their room and their leases
 //! - `intake`: new jobs, cancelled jobs, rows of an earlier owner
@@ -15,6 +16,7 @@
 //! - `pacing`: the share of fillers beside tasks that serve users
 //! - `upkeep`: what upkeep asks of the scheduler
 
+mod advice;
 mod entry;
 mod fleet;
 mod intake;
@@ -38,10 +40,12 @@
 use crate::time::BootTime;
 use crate::worker::{OrderAction, WorkerOrder};
 
+use advice::AdviceBook;
 use entry::JobEntry;
 use fleet::WorkerFleet;
 use journal::ChangeJournal;
 
+pub use advice::{AdviceAnswer, AdviceQuestion, StepId, WorkerPermit};
 pub use journal::{ChangeSet, ProgressRow};
 
 /// Bounds of the scheduler.
@@ -228,6 +232,7 @@
     fleet: WorkerFleet,
     usage: HashMap<CustomerName, ResourceAmount>,
     arrivals: HashMap<PoolName, PoolArrivals>,
+    advice: AdviceBook,
     journal: ChangeJournal,
     orders: Vec<WorkerOrder>,
     notes: Vec<SchedulerNote>,
@@ -250,6 +255,7 @@
             fleet: WorkerFleet::default(),
             usage: HashMap::new(),
             arrivals: HashMap::new(),
+            advice: AdviceBook::default(),
             journal: ChangeJournal::default(),
             orders: Vec::new(),
             notes: Vec::new(),
--- a/crates/jobs/src/scheduler/order.rs
+++ b/crates/jobs/src/scheduler/order.rs
@@ -7,6 +7,7 @@
 use crate::time::BootTime;
 use crate::worker::{OrderAction, OrderAnswer, OrderOutcome};
 
+use super::advice::StepId;
 use super::entry::{RunPlace, RunProgress, StopProgress, TaskPhase};
 use super::fleet::{ClockSample, WorkerContact};
 use super::{JobScheduler, RunEndReason, WorkerBelief};
@@ -42,11 +43,13 @@
         }
         let place = place.clone();
         let checkpoint = self.resume_point(task);
+        let ticket = self.ticket(task, &place, now);
+        let is_permitted = ticket.is_some() || !self.is_advised(&task.job);
         let is_usable = self
             .fleet
             .get(&place.worker)
             .is_some_and(|worker| worker.born == place.born && worker.is_usable(now));
-        if !is_usable {
+        if !is_usable || !is_permitted {
             self.free_task(task);
             return;
         }
@@ -63,12 +66,19 @@
             payload: job.payload.clone(),
             lease_end_ms,
             checkpoint,
+            ticket,
         };
         let worker = place.worker.clone();
         self.set_phase(task, TaskPhase::Ordered(place));
         self.push_order(&worker, action, now);
     }
 
+    /// Returns the advisor's permit to run a task at a place.
+    fn ticket(&self, task: &TaskId, place: &RunPlace, now: BootTime) -> Option<String> {
+        let step = step_of(task);
+        self.advice.ticket(&step, &place.worker, place.born, now)
+    }
+
     /// Returns the progress that the next run of a task resumes from; all
     /// members of a gang resume from the same.
     fn resume_point(&self, task: &TaskId) -> Option<String> {
@@ -150,6 +160,7 @@
                 }
             }
             OrderOutcome::Unhealthy | OrderOutcome::Full => self.rest_worker(worker, now),
+            OrderOutcome::Unpermitted => self.advice.drop_permit(&step_of(task), worker),
             // No worker will ever take it.
             OrderOutcome::Invalid => self.finish(&task.job, JobState::Failed, now),
             _ => {}
@@ -335,3 +346,12 @@
         self.push_order(worker, action, now);
     }
 }
+
+/// Returns the step of a task.
+pub(super) fn step_of(task: &TaskId) -> StepId {
+    StepId {
+        job: task.job.clone(),
+        occurrence: task.occurrence,
+        step: task.step,
+    }
+}
--- a/crates/jobs/src/scheduler/place.rs
+++ b/crates/jobs/src/scheduler/place.rs
@@ -11,6 +11,7 @@
 use crate::spec::{ResourceAmount, StepSpec};
 use crate::time::{BootTime, WallTime};
 
+use super::advice::StepId;
 use super::entry::{JobEntry, RunPlace, TaskPhase};
 use super::fleet::{Occupant, WorkerEntry};
 use super::{JobScheduler, SchedulerNote};
@@ -38,8 +39,8 @@
 /// Worker that may get tasks, with the room that is left.
 #[derive(Clone, Debug)]
 pub(super) struct PlaceOption {
-    worker: WorkerId,
-    born: u64,
+    pub(super) worker: WorkerId,
+    pub(super) born: u64,
     room: ResourceAmount,
 }
 
@@ -58,7 +59,7 @@
                 if options.iter().all(|option| option.room.cpu_millis == 0) {
                     break;
                 }
-                self.place_job(&job.id, &mut options);
+                self.place_job(&job.id, &mut options, now);
             }
         }
     }
@@ -128,7 +129,7 @@
     }
 
     /// Gives room to as many tasks of a job as find it.
-    fn place_job(&mut self, id: &JobId, options: &mut [PlaceOption]) {
+    fn place_job(&mut self, id: &JobId, options: &mut [PlaceOption], now: BootTime) {
         let Some(job) = self.jobs.get(id) else {
             return;
         };
@@ -143,7 +144,16 @@
         let mut placed = 0;
         let mut left = 0;
         for (occurrence, step) in ready {
-            let outcome = self.place_step(id, occurrence, step, options);
+            let step = StepId {
+                job: id.clone(),
+                occurrence,
+                step,
+            };
+            let outcome = if self.is_advised(id) {
+                self.place_advised(&step, options, now)
+            } else {
+                self.place_step(&step, options)
+            };
             placed += outcome.placed;
             left += outcome.left;
         }
@@ -169,30 +179,56 @@
         });
     }
 
-    fn place_step(
+    /// Gives room on the workers that the advisor permits, and asks about
+    /// others if that is not enough.
+    fn place_advised(
         &mut self,
-        id: &JobId,
-        occurrence: u32,
-        step: u32,
+        step: &StepId,
         options: &mut [PlaceOption],
+        now: BootTime,
     ) -> StepOutcome {
+        let is_permitted = |option: &PlaceOption| {
+            let ticket = self.advice.ticket(step, &option.worker, option.born, now);
+            ticket.is_some()
+        };
+        let positions: Vec<usize> = options
+            .iter()
+            .enumerate()
+            .filter(|(_, option)| is_permitted(option))
+            .map(|(position, _)| position)
+            .collect();
+        let mut permitted: Vec<PlaceOption> = positions
+            .iter()
+            .map(|&position| options[position].clone())
+            .collect();
+        let outcome = self.place_step(step, &mut permitted);
+        for (position, option) in positions.into_iter().zip(permitted) {
+            options[position] = option;
+        }
+        if outcome.left > 0 {
+            self.ask_advice(step, options, now);
+        }
+        outcome
+    }
+
+    fn place_step(&mut self, step: &StepId, options: &mut [PlaceOption]) -> StepOutcome {
         let mut outcome = StepOutcome::default();
-        let Some(job) = self.jobs.get(id) else {
+        let Some(job) = self.jobs.get(&step.job) else {
             return outcome;
         };
-        let Some(spec) = job.record.spec.steps.get(step as usize).cloned() else {
+        let Some(spec) = job.record.spec.steps.get(step.step as usize).cloned() else {
             return outcome;
         };
-        let Some(entry) = job.step(occurrence, step) else {
+        let Some(entry) = job.step(step.occurrence, step.step) else {
             return outcome;
         };
         let tasks = entry.tasks.iter().enumerate();
         let idle: Vec<TaskId> = tasks
             .filter(|(_, task)| task.phase == TaskPhase::Idle)
             .map(|(index, _)| TaskId {
-                job: id.clone(),
-                occurrence,
-                step,
+                job: step.job.clone(),
+                occurrence: step.occurrence,
+                step: step.step,
                 index: index as u32,
             })
             .collect();
--- a/crates/jobs/src/worker.rs
+++ b/crates/jobs/src/worker.rs
@@ -107,6 +107,8 @@
     Expired,
     /// The worker has no room; not carried out.
     Full,
+    /// The advisor's permit is missing or expired; not carried out.
+    Unpermitted,
     /// The worker rejected the order as invalid; not carried out.
     Invalid,
     /// Another life of the worker answered; not carried out.
@@ -156,6 +158,8 @@
         lease_end_ms: u64,
         /// Progress to resume from.
         checkpoint: Option<String>,
+        /// Permit of the advisor, where the queue has one.
+        ticket: Option<String>,
     },
     /// Stop a run of a task.
     Stop {
--- a/crates/jobs/tests/common/mod.rs
+++ b/crates/jobs/tests/common/mod.rs
@@ -10,7 +10,7 @@
     CallerAddress, CustomerPolicy, JobManifest, ManifestParts, PoolPolicy, QueuePolicy,
 };
 use redwing_jobs::name::{CustomerName, PoolName, QueueName, WorkerLabel};
-use redwing_jobs::scheduler::ProgressRow;
+use redwing_jobs::scheduler::{AdviceAnswer, AdviceQuestion, ProgressRow, WorkerPermit};
 use redwing_jobs::spec::{ResourceAmount, StepSpec};
 use redwing_jobs::time::WallTime;
 use redwing_jobs::worker::{
@@ -177,6 +177,10 @@
     pub(crate) late_orders: Vec<(BootTime, WorkerOrder)>,
     /// How late orders are carried out, if they are lost.
     pub(crate) lose_orders: Option<time::Duration>,
+    /// The only worker that the advisor permits.
+    pub(crate) permitted: Option<WorkerId>,
+    /// Every question to the advisor.
+    pub(crate) questions: Vec<AdviceQuestion>,
 }
 
 pub(crate) fn manifest() -> JobManifest {
@@ -184,6 +188,10 @@
 }
 
 pub(crate) fn manifest_with_limit(cpu_millis: u64) -> JobManifest {
+    JobManifest::from(parts_with_limit(cpu_millis))
+}
+
+pub(crate) fn parts_with_limit(cpu_millis: u64) -> ManifestParts {
     let queue = |name: &str, pool: &str| QueuePolicy {
         name: QueueName::new(name),
         address: CallerAddress {
@@ -198,7 +206,7 @@
         is_public: false,
         is_advised: false,
     };
-    JobManifest::from(ManifestParts {
+    ManifestParts {
         version: 1,
         queues: vec![queue("reports", "builders"), queue("labels", "printers")],
         customers: vec![CustomerPolicy {
@@ -217,7 +225,7 @@
                 enforces_capacity: false,
             })
             .to_vec(),
-    })
+    }
 }
 
 /// Returns a step of `count` tasks that take `cpu_millis` each.
@@ -259,6 +267,8 @@
             fence: 1,
             late_orders: Vec::new(),
             lose_orders: None,
+            permitted: None,
+            questions: Vec::new(),
         }
     }
 
@@ -308,12 +318,32 @@
         self.carry_out_late();
         self.scheduler.tick(self.now);
         self.scheduler.place(self.now, self.wall());
+        self.advise();
         self.store();
         for order in self.scheduler.take_orders() {
             self.send(&order);
         }
     }
 
+    fn advise(&mut self) {
+        for question in self.scheduler.take_questions() {
+            let permits = question.workers.iter();
+            let permits = permits.filter(|worker| Some(*worker) == self.permitted.as_ref());
+            let answer = AdviceAnswer {
+                permits: permits
+                    .map(|worker| WorkerPermit {
+                        worker: worker.clone(),
+                        ticket: "ticket".to_owned(),
+                    })
+                    .collect(),
+                valid_for: time::Duration::from_secs(3),
+            };
+            self.scheduler
+                .advice_answered(&question, Some(&answer), self.now);
+            self.questions.push(question);
+        }
+    }
+
     fn store(&mut self) {
         if !self.is_table_up || !self.scheduler.has_changes() {
             return;
--- a/crates/jobs/tests/placement.rs
+++ b/crates/jobs/tests/placement.rs
@@ -4,10 +4,11 @@
 
 use std::sync;
 
-use common::{FakeFleet, FakeWorker, manifest_with_limit, step, task};
+use common::{FakeFleet, FakeWorker, manifest_with_limit, parts_with_limit, step, task};
+use redwing_jobs::JobManifest;
 use redwing_jobs::name::WorkerLabel;
 use redwing_jobs::spec::StepSpec;
-use redwing_jobs::{JobState, SchedulerSettings};
+use redwing_jobs::{JobState, SchedulerSettings, WorkerId};
 use rstest::rstest;
 
 fn fleet_of(count: usize, cpu_millis: u64) -> FakeFleet {
@@ -204,3 +205,27 @@
         "{after:?}"
     );
 }
+
+/// Only the advisor knows which workers may run a step.
+#[test]
+fn an_advised_step_runs_where_the_advisor_permits_it() {
+    let mut fleet = fleet_of(3, 8_000);
+    let mut parts = parts_with_limit(0);
+    for queue in &mut parts.queues {
+        queue.is_advised = true;
+    }
+    parts.version = 2;
+    let manifest = sync::Arc::new(JobManifest::from(parts));
+    fleet.scheduler.set_manifest(manifest);
+    fleet.permitted = Some(WorkerId::new("w1"));
+    let job = fleet.submit("j", vec![step(4, 1_000)], 300);
+    fleet.run(1_000);
+    assert_eq!(fleet.state(&job), JobState::Completed);
+    assert!(
+        fleet
+            .starts
+            .iter()
+            .all(|(.., worker, _)| worker.as_str() == "w1")
+    );
+    assert_eq!(fleet.questions.len(), 1, "permits are used again");
+}
--- a/crates/standin/src/worker.rs
+++ b/crates/standin/src/worker.rs
@@ -10,10 +10,12 @@
 
 use redwing_engine::product;
 use redwing_engine::services::{
-    ListedMachine, MachineClient, MachineHolder, MachineOutcome, WorkerClient, WorkerReply,
+    AdvisorClient, ListedMachine, MachineClient, MachineHolder, MachineOutcome, WorkerClient,
+    WorkerReply,
 };
 use redwing_jobs::TaskId;
 use redwing_jobs::name::{MachineName, PoolName, WorkerId};
+use redwing_jobs::scheduler::{AdviceAnswer, AdviceQuestion};
 use redwing_jobs::spec::ResourceAmount;
 use redwing_jobs::worker::{
     EndKind, HoldReport, ListedEnd, ListedRun, OrderAction, OrderAnswer, OrderOutcome, WorkerOrder,
@@ -392,6 +394,20 @@
     }
 }
 
+/// Advisor of a deployment that has none.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct NoAdvisor;
+
+impl AdvisorClient for NoAdvisor {
+    fn advise<'a>(
+        &'a self,
+        _question: &'a AdviceQuestion,
+    ) -> LocalFuture<'a, Result<AdviceAnswer>> {
+        let missing = || Error::unavailable("advise", "advisor", "there is none");
+        Box::pin(async move { Err(missing()) })
+    }
+}
+
 /// Machines of a deployment whose platform controls none.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct FixedMachines;
