--- a/crates/engine/src/caller/answer.rs
+++ b/crates/engine/src/caller/answer.rs
@@ -62,6 +62,17 @@
     Cancel,
 }
 
+impl CallerVerb {
+    /// Returns the name that metrics and logs use.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Submit => "submit",
+            Self::Read => "read",
+            Self::Cancel => "cancel",
+        }
+    }
+}
+
 /// Answers callers on one thread.
 pub struct CallerDesk {
     settings: CallerSettings,
@@ -327,7 +338,7 @@
         log_job_event!(
             info,
             event::CALL_REFUSED,
-            verb = format!("{verb:?}"),
+            verb = verb.name(),
             path = head.path,
             answer = format!("{answer:?}"),
         );
--- a/crates/engine/src/caller/listener.rs
+++ b/crates/engine/src/caller/listener.rs
@@ -18,6 +18,7 @@
 use crate::codec::{CallerAnswer, CallerHead, DeploymentCodec};
 use crate::error::{Error, Result};
 use crate::manifest::OperatorView;
+use crate::metrics::JobMetrics;
 use crate::services::ServicesFactory;
 
 use super::answer::{CallerDesk, CallerSettings, CallerVerb};
@@ -31,6 +32,9 @@
 /// Longest time that a connection may be idle.
 const IDLE_TIMEOUT: time::Duration = time::Duration::from_secs(60);
 
+/// Path at which metrics are read.
+const METRICS_PATH: &str = "/metrics";
+
 /// Scheme that may stand before a key.
 const KEY_SCHEME: &str = "Bearer ";
 
@@ -89,6 +93,8 @@
     pub factory: sync::Arc<dyn ServicesFactory>,
     /// What operators declared.
     pub operators: watch::Receiver<OperatorView>,
+    /// Metrics of the process.
+    pub metrics: JobMetrics,
     /// Becomes true once the process is to stop.
     pub stopping: watch::Receiver<bool>,
 }
@@ -151,6 +157,7 @@
     desk: CallerDesk,
     codec: sync::Arc<dyn DeploymentCodec>,
     operators: watch::Receiver<OperatorView>,
+    metrics: JobMetrics,
     stopping: watch::Receiver<bool>,
 }
 
@@ -168,6 +175,7 @@
             ),
             codec,
             operators: parts.operators.clone(),
+            metrics: parts.metrics.clone(),
             stopping: parts.stopping.clone(),
         }
     }
@@ -176,6 +184,9 @@
         if request.method() == Method::GET && request.path() == self.codec.readiness_path() {
             return self.readiness();
         }
+        if request.method() == Method::GET && request.path() == METRICS_PATH {
+            return self.metrics();
+        }
         let mut response = self.serve_caller(request).await;
         if *self.stopping.borrow() {
             // Moves callers away from a process that is about to stop.
@@ -198,6 +209,16 @@
         Response::new(status)
     }
 
+    fn metrics(&self) -> Response<BoxBody> {
+        match self.metrics.text() {
+            Ok(text) => Response::with_body(StatusCode::OK, text.boxed()),
+            Err(error) => {
+                log::error!("{error}");
+                Response::internal_server_error()
+            }
+        }
+    }
+
     async fn serve_caller(&self, mut request: Request) -> Response<BoxBody> {
         let verb = match *request.method() {
             Method::POST | Method::PUT => CallerVerb::Submit,
@@ -208,7 +229,10 @@
         let head = self.head(&request);
         match read_body(&mut request).await {
             Ok(body) => {
+                let begun = time::Instant::now();
                 let answer = self.desk.answer(verb, &head, &body).await;
+                self.metrics
+                    .count_call(verb.name(), answer.name(), begun.elapsed());
                 self.encode(&answer)
             }
             Err(problem) => self.encode(&CallerAnswer::Malformed(problem)),
--- a/crates/engine/src/codec.rs
+++ b/crates/engine/src/codec.rs
@@ -72,6 +72,26 @@
     OutcomeUnknown,
 }
 
+impl CallerAnswer {
+    /// Returns the name that metrics use.
+    pub fn name(&self) -> &'static str {
+        match self {
+            Self::Accepted => "accepted",
+            Self::State(_) => "state",
+            Self::Cancelled => "cancelled",
+            Self::Pending(_) => "pending",
+            Self::NoSuchJob => "no-such-job",
+            Self::NoSuchQueue => "no-such-queue",
+            Self::KeyRefused => "key-refused",
+            Self::NotAllowed => "not-allowed",
+            Self::Malformed(_) => "malformed",
+            Self::Overloaded { .. } => "overloaded",
+            Self::Unavailable { .. } => "unavailable",
+            Self::OutcomeUnknown => "unknown",
+        }
+    }
+}
+
 /// Answer in the form in which it is sent.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct EncodedAnswer {
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod event;
 pub mod follow;
 pub mod manifest;
+pub mod metrics;
 pub mod owner;
 pub mod product;
 pub mod row;
--- a/crates/engine/src/manifest.rs
+++ b/crates/engine/src/manifest.rs
@@ -14,6 +14,7 @@
 use crate::event;
 use crate::follow;
 use crate::log_job_event;
+use crate::metrics::JobMetrics;
 
 /// Longest time that the table may wait for a change of what operators
 /// declare; requests are judged only by a view that was just confirmed.
@@ -36,29 +37,23 @@
         clock::boot_now().saturating_since(self.confirmed_at)
     }
 
-    /// Takes in rows; returns whether the manifest changed.
-    ///
-    /// A version never replaces a higher one.
-    fn apply(&mut self, codec: &dyn DeploymentCodec, update: &follow::TableUpdate) -> bool {
-        let mut has_changed = false;
+    /// Takes in rows; a version never replaces a higher one.
+    fn apply(&mut self, codec: &dyn DeploymentCodec, update: &follow::TableUpdate) {
         for row in &update.rows {
             if row.value.is_none() {
                 continue;
             }
             match codec.operator_row(row) {
-                Ok(OperatorRow::Manifest(manifest)) => {
-                    has_changed |= self.install(*manifest);
-                }
+                Ok(OperatorRow::Manifest(manifest)) => self.install(*manifest),
                 Ok(OperatorRow::Wave(wave)) => self.add_wave(wave),
                 Ok(OperatorRow::Other) => {}
                 Err(error) => follow::log_malformed(&row.key, &error),
             }
         }
         self.confirmed_at = update.asked_at;
-        has_changed
     }
 
-    fn install(&mut self, manifest: JobManifest) -> bool {
+    fn install(&mut self, manifest: JobManifest) {
         let version = manifest.version();
         let is_newer = self
             .manifest
@@ -68,7 +63,6 @@
             log_job_event!(info, event::MANIFEST_INSTALLED, version = version);
             self.manifest = Some(sync::Arc::new(manifest));
         }
-        is_newer
     }
 
     fn add_wave(&mut self, wave: WaveRequest) {
@@ -82,6 +76,7 @@
 pub fn follow_operators(
     client: &TableClient,
     codec: sync::Arc<dyn DeploymentCodec>,
+    metrics: JobMetrics,
 ) -> watch::Receiver<OperatorView> {
     let (sender, receiver) = watch::channel(OperatorView::default());
     let mut updates = follow::follow(
@@ -96,9 +91,11 @@
             if sender.is_closed() {
                 return;
             }
-            sender.send_if_modified(|view| {
+            sender.send_modify(|view| {
                 view.apply(codec.as_ref(), &update);
-                true
+                if let Some(manifest) = &view.manifest {
+                    metrics.show_manifest(manifest.version());
+                }
             });
         }
     });
--- a/crates/engine/src/owner/machines.rs
+++ b/crates/engine/src/owner/machines.rs
@@ -14,6 +14,7 @@
 use crate::event;
 use crate::log_job_event;
 use crate::manifest::OperatorView;
+use crate::metrics::JobMetrics;
 use crate::row;
 use crate::services::{ListedMachine, MachineClient, MachineHolder, MachineOutcome, MachineState};
 
@@ -44,6 +45,7 @@
 pub(super) struct MachineDesk {
     client: rc::Rc<dyn MachineClient>,
     answers: mpsc::UnboundedSender<MachineAnswer>,
+    metrics: JobMetrics,
     planner: WavePlanner,
     capacity: CapacityPlanner,
     next_capacity: BootTime,
@@ -66,6 +68,7 @@
         Self {
             client: rc::Rc::clone(&parts.services.machines),
             answers,
+            metrics: parts.metrics.clone(),
             planner: WavePlanner::new(parts.settings.upkeep.clone()),
             capacity: CapacityPlanner::new(parts.settings.capacity.clone()),
             next_capacity: BootTime::default(),
@@ -319,6 +322,7 @@
     ) {
         match outcome {
             Some(MachineOutcome::Accepted) => {
+                self.metrics.count_machine("move");
                 let known = self
                     .machines
                     .iter_mut()
@@ -351,7 +355,10 @@
         now: BootTime,
     ) {
         match outcome {
-            Some(MachineOutcome::Accepted) => self.planner.order_accepted(wave, machine, now),
+            Some(MachineOutcome::Accepted) => {
+                self.metrics.count_machine("upkeep");
+                self.planner.order_accepted(wave, machine, now);
+            }
             Some(MachineOutcome::Fenced) => self.is_fenced = true,
             Some(MachineOutcome::Busy | MachineOutcome::Throttled) => {
                 self.planner.order_rejected(wave, machine);
--- a/crates/engine/src/owner/mod.rs
+++ b/crates/engine/src/owner/mod.rs
@@ -22,6 +22,7 @@
 
 use crate::codec::DeploymentCodec;
 use crate::manifest::OperatorView;
+use crate::metrics::JobMetrics;
 use crate::services::DeploymentServices;
 
 pub use campaign::OwnerLease;
@@ -102,6 +103,8 @@
     pub codec: sync::Arc<dyn DeploymentCodec>,
     /// What operators declared.
     pub operators: watch::Receiver<OperatorView>,
+    /// Metrics of the process.
+    pub metrics: JobMetrics,
     /// Becomes true once the process is to stop.
     pub stopping: watch::Receiver<bool>,
 }
--- a/crates/engine/src/owner/session.rs
+++ b/crates/engine/src/owner/session.rs
@@ -17,6 +17,7 @@
 use crate::event;
 use crate::follow::{self, TableUpdate};
 use crate::log_job_event;
+use crate::metrics::JobMetrics;
 use crate::row::{self, JobKey, PendingBoard};
 use crate::services::WorkerReply;
 
@@ -31,6 +32,7 @@
 pub(super) async fn exercise(parts: &OwnerParts, lease: OwnerLease) {
     let fence = lease.record.fence;
     log_job_event!(info, event::OWNER_BEGUN, fence = fence);
+    parts.metrics.show_owner(fence);
     let reason = match OwnerSession::open(parts, lease).await {
         Ok(mut session) => session.run().await,
         Err(error) => {
@@ -38,6 +40,7 @@
             "the rows could not be read"
         }
     };
+    parts.metrics.show_owner(0);
     log_job_event!(info, event::OWNER_ENDED, fence = fence, reason = reason);
 }
 
@@ -241,6 +244,7 @@
             return;
         }
         for order in orders {
+            self.parts.metrics.count_order(order.action.kind());
             self.lanes.send(order);
         }
     }
@@ -310,6 +314,9 @@
             ChangeOutcome::Stored(lease) => self.lease = lease,
         }
         let now = clock::boot_now();
+        let metrics = &self.parts.metrics;
+        metrics.count_change(now.saturating_since(self.renewed_at));
+        metrics.show_jobs(self.scheduler.job_count());
         if let Some(board) = pending.board {
             self.board = board;
         }
@@ -427,6 +434,7 @@
     fn log_notes(&mut self) {
         for note in self.scheduler.take_notes() {
             log_note(&note);
+            count_note(&self.parts.metrics, &note);
         }
     }
 
@@ -525,6 +533,15 @@
     }
 }
 
+fn count_note(metrics: &JobMetrics, note: &SchedulerNote) {
+    match note {
+        SchedulerNote::JobEnded { state, .. } => metrics.count_job(&format!("{state:?}")),
+        SchedulerNote::TasksPlaced { count, .. } => metrics.count_placed(*count),
+        SchedulerNote::RunEnded { reason, .. } => metrics.count_run(&format!("{reason:?}")),
+        SchedulerNote::WorkerChanged { .. } => {}
+    }
+}
+
 fn log_note(note: &SchedulerNote) {
     match note {
         SchedulerNote::JobEnded { job, state, failed } => log_job_event!(
--- a/crates/engine/src/run.rs
+++ b/crates/engine/src/run.rs
@@ -17,6 +17,7 @@
 use crate::event;
 use crate::log_job_event;
 use crate::manifest;
+use crate::metrics::JobMetrics;
 use crate::owner::{self, OwnerParts, OwnerSettings};
 use crate::services::ServicesFactory;
 
@@ -119,13 +120,15 @@
     let (stop, stopping) = watch::channel(false);
     let services = factory.services();
     let client = TableClient::new(rc::Rc::clone(&services.table), settings.client.clone());
-    let operators = manifest::follow_operators(&client, factory.codec());
+    let metrics = JobMetrics::new()?;
+    let operators = manifest::follow_operators(&client, factory.codec(), metrics.clone());
     let parts = ListenerParts {
         settings: settings.caller.clone(),
         client: settings.client.clone(),
         factory: sync::Arc::clone(&factory),
         operators: operators.clone(),
         stopping: stopping.clone(),
+        metrics: metrics.clone(),
     };
     let server = listener::start(listeners, &parts)?;
     let handle = server.handle();
@@ -139,6 +142,7 @@
         codec: factory.codec(),
         operators,
         stopping,
+        metrics,
     }));
     log_job_event!(info, event::ENGINE_STARTED, node = settings.node);
     signals.stop().await;
--- a/crates/engine/tests/owner.rs
+++ b/crates/engine/tests/owner.rs
@@ -9,6 +9,7 @@
 use redwing_engine::caller::answer::{CallerDesk, CallerSettings, CallerVerb};
 use redwing_engine::codec::{CallerAnswer, CallerHead};
 use redwing_engine::manifest;
+use redwing_engine::metrics::JobMetrics;
 use redwing_engine::owner::{self, OwnerParts, OwnerSettings};
 use redwing_engine::product::{self, ProductCodec};
 use redwing_engine::row::{self, OwnerRecord};
@@ -31,6 +32,7 @@
 struct TestProcess {
     platform: MemoryPlatform,
     desk: CallerDesk,
+    metrics: JobMetrics,
     stop: watch::Sender<bool>,
     owner: task::JoinHandle<()>,
 }
@@ -74,7 +76,8 @@
         };
         let client = TableClient::new(rc::Rc::clone(&services.table), run::client_settings());
         let codec = sync::Arc::new(ProductCodec);
-        let mut operators = manifest::follow_operators(&client, codec.clone());
+        let metrics = JobMetrics::new().expect("the names differ");
+        let mut operators = manifest::follow_operators(&client, codec.clone(), metrics.clone());
         let known = operators.wait_for(|view| view.manifest.is_some()).await;
         known.expect("the manifest is followed");
         let (stop, stopping) = watch::channel(false);
@@ -95,11 +98,13 @@
             services,
             codec,
             operators,
+            metrics: metrics.clone(),
             stopping,
         }));
         self.processes.push(TestProcess {
             platform,
             desk,
+            metrics,
             stop,
             owner,
         });
@@ -188,6 +193,15 @@
         assert_eq!(cluster.submit(0, "a", 5).await, CallerAnswer::Accepted);
         cluster.wait_state(1, "a", JobState::Completed).await;
         assert_eq!(cluster.workers.starts().len(), 5);
+        let owner = cluster.owner().await;
+        let metrics = &cluster.processes[cluster.position(&owner)].metrics;
+        let text = String::from_utf8(metrics.text().expect("it is written")).expect("it is text");
+        assert!(
+            text.contains("redwing_jobs_ended_total{state=\"Completed\"} 1"),
+            "{text}"
+        );
+        assert!(text.contains("redwing_tasks_placed_total 5"), "{text}");
+        assert!(text.contains("redwing_owner_fence 1"), "{text}");
     });
 }
 
--- a/crates/jobs/src/worker.rs
+++ b/crates/jobs/src/worker.rs
@@ -143,6 +143,18 @@
     pub action: OrderAction,
 }
 
+impl OrderAction {
+    /// Returns the kind of the order, as metrics name it.
+    pub fn kind(&self) -> &'static str {
+        match self {
+            Self::Start { .. } => "start",
+            Self::Stop { .. } => "stop",
+            Self::Hold { .. } => "hold",
+            Self::Pace { .. } => "pace",
+        }
+    }
+}
+
 /// What an order asks for.
 #[derive(Clone, Debug, PartialEq)]
 pub enum OrderAction {
--- a/crates/node/tests/pages.rs
+++ b/crates/node/tests/pages.rs
@@ -5,6 +5,7 @@
 use std::fs;
 
 use redwing_engine::event as job_event;
+use redwing_engine::metrics::JobMetrics;
 use redwing_model::{NodeId, NodeIncarnation};
 use redwing_node::answer::ProblemKind;
 use redwing_node::metrics::{ControlMetrics, MetricsRegistry, PathMetrics};
@@ -56,7 +57,14 @@
         .unwrap()
         .show(&scheduler);
     ClusterMetrics::register(&registry).unwrap();
-    let known: BTreeSet<String> = registry.names().into_iter().collect();
+    let jobs = JobMetrics::new().unwrap();
+    jobs.count_call("submit", "accepted", std::time::Duration::ZERO);
+    jobs.count_job("Completed");
+    jobs.count_run("Vanished");
+    jobs.count_order("start");
+    jobs.count_machine("move");
+    let names = registry.names().into_iter().chain(jobs.names());
+    let known: BTreeSet<String> = names.collect();
     assert_eq!(first_cells("METRICS.md"), known);
 }
 
