Random faults over the scheduler; waiting tasks of a restored job are found

Cause: a property test of random faults found a job that stood still: a worker had crashed before a takeover, its tasks were idle in the restored job, and nothing put the job among those that wait. Change: restore looks again after the runs are settled.

--- a/crates/jobs/src/scheduler/intake.rs
+++ b/crates/jobs/src/scheduler/intake.rs
@@ -47,6 +47,8 @@
         for (task, run, worker, born) in self.placed_runs(id) {
             self.restore_run(&task, run, &worker, born, now);
         }
+        // Tasks whose worker has begun another life wait again.
+        self.refresh_waiting(id);
     }
 
     fn insert(&mut self, id: &JobId, entry: JobEntry) {
--- a/crates/jobs/tests/common/mod.rs
+++ b/crates/jobs/tests/common/mod.rs
@@ -44,6 +44,8 @@
     pub(crate) ended: Vec<ListedEnd>,
     pub(crate) next_end: u64,
     pub(crate) lease_end: u64,
+    /// Highest run of each task that was stopped or has ended in this life.
+    pub(crate) closed: BTreeMap<TaskId, u32>,
     /// Whether it answers.
     pub(crate) is_dark: bool,
     /// Whether all that it runs fails at once.
@@ -76,6 +78,7 @@
             ended: Vec::new(),
             next_end: 1,
             lease_end: 0,
+            closed: BTreeMap::new(),
             is_dark: false,
             is_failing: false,
             is_hanging: false,
@@ -87,6 +90,7 @@
         let Some(run) = self.running.remove(task) else {
             return;
         };
+        self.closed.insert(task.clone(), run.run);
         self.ended.push(ListedEnd {
             number: self.next_end,
             task: task.clone(),
@@ -167,6 +171,8 @@
     pub(crate) is_table_up: bool,
     /// Every start that a worker carried out.
     pub(crate) starts: Vec<(TaskId, u32, WorkerId, BootTime)>,
+    /// Every task whose start was ordered.
+    pub(crate) ordered: Vec<TaskId>,
     /// Every stop that a worker carried out.
     pub(crate) stops: Vec<(TaskId, u32, BootTime)>,
     /// Every share that fillers were limited to.
@@ -261,6 +267,7 @@
             rows: BTreeMap::new(),
             is_table_up: true,
             starts: Vec::new(),
+            ordered: Vec::new(),
             stops: Vec::new(),
             paces: Vec::new(),
             jobs: BTreeMap::new(),
@@ -366,6 +373,9 @@
     }
 
     fn send(&mut self, order: &WorkerOrder) {
+        if let OrderAction::Start { task, .. } = &order.action {
+            self.ordered.push(task.clone());
+        }
         let is_dark = self
             .workers
             .get(&order.worker)
@@ -431,10 +441,7 @@
                 lease_end_ms,
                 ..
             } => {
-                let is_old = worker
-                    .ended
-                    .iter()
-                    .any(|end| end.task == *task && end.run >= *run);
+                let is_old = worker.closed.get(task).is_some_and(|closed| closed >= run);
                 if is_old {
                     return (OrderOutcome::Stale, None);
                 }
@@ -460,6 +467,8 @@
                 (OrderOutcome::Accepted, None)
             }
             OrderAction::Stop { task, run } => {
+                let closed = worker.closed.entry(task.clone()).or_default();
+                *closed = (*closed).max(*run);
                 if worker
                     .running
                     .get(task)
--- a/crates/jobs/tests/recovery.rs
+++ b/crates/jobs/tests/recovery.rs
@@ -209,3 +209,19 @@
     fleet.run(8_000);
     assert_eq!(fleet.state(&job), JobState::Completed);
 }
+
+/// The worker crashed and came back while nobody owned the scheduling.
+#[test]
+fn a_new_owner_starts_what_a_crashed_worker_lost() {
+    let mut fleet = fleet_of(2);
+    let job = fleet.submit("j", vec![step(2, 1_000)], 2_000);
+    fleet.run(300);
+    let first = fleet.starts[0].2.clone();
+    let worker = fleet.worker(first.as_str());
+    worker.view.born += 1;
+    worker.running.clear();
+    worker.closed.clear();
+    fleet.take_over(SchedulerSettings::default());
+    fleet.run(5_000);
+    assert_eq!(fleet.state(&job), JobState::Completed);
+}
