--- a/crates/ctl/src/lib.rs
+++ b/crates/ctl/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod explain;
 mod grant;
 mod inspect;
+mod job;
 pub mod load;
 pub mod option;
 pub mod output;
