Split the owner's session; one iterator over tasks, named rows and runs

Change: owner/note.rs and owner/record.rs, JobEntry::tasks, EncodedRow, PlacedRun, AnsweredQuestion; behaviour is as before.

--- a/crates/engine/src/codec.rs
+++ b/crates/engine/src/codec.rs
@@ -12,6 +12,7 @@
 use redwing_provider::{RowKey, TableRow};
 
 use crate::error::Result;
+use crate::row::EncodedRow;
 
 /// What an operator wrote into the table.
 #[derive(Clone, Debug, PartialEq)]
@@ -127,7 +128,7 @@
     fn worker(&self, row: &TableRow) -> Result<WorkerView>;
 
     /// Returns the row that tells operators of a wave.
-    fn wave_status(&self, wave: u64, state: WaveState) -> (RowKey, String);
+    fn wave_status(&self, wave: u64, state: WaveState) -> EncodedRow;
 
     /// Name of the header that carries the key.
     fn key_header(&self) -> &str;
--- a/crates/engine/src/owner/advice.rs
+++ b/crates/engine/src/owner/advice.rs
@@ -10,7 +10,11 @@
 use crate::services::AdvisorClient;
 
 /// Question with its answer; none if there was none.
-pub(super) type AnsweredQuestion = (AdviceQuestion, Option<AdviceAnswer>);
+#[derive(Debug)]
+pub(super) struct AnsweredQuestion {
+    pub(super) question: AdviceQuestion,
+    pub(super) answer: Option<AdviceAnswer>,
+}
 
 /// Starts a task that asks what it is sent; it ends once the sender is closed.
 pub(super) fn start(
@@ -35,7 +39,7 @@
                     None
                 }
             };
-            if answers.send((question, answer)).is_err() {
+            if answers.send(AnsweredQuestion { question, answer }).is_err() {
                 return;
             }
         }
--- a/crates/engine/src/owner/change.rs
+++ b/crates/engine/src/owner/change.rs
@@ -12,7 +12,7 @@
 use crate::error::Result;
 use crate::event;
 use crate::log_job_event;
-use crate::row::{self, OwnerRecord};
+use crate::row::{self, EncodedRow, OwnerRecord};
 
 use super::campaign::OwnerLease;
 
@@ -23,7 +23,7 @@
 };
 
 /// Rows that are stored beside the progress of jobs.
-pub(super) type ExtraRows = Vec<(RowKey, String)>;
+pub(super) type ExtraRows = Vec<EncodedRow>;
 
 /// How the attempt to store a change ended.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -56,8 +56,8 @@
         let value = row::write(&key, &change.progress)?;
         transaction = transaction.put(key, value);
     }
-    for (key, value) in extra {
-        transaction = transaction.put(key.clone(), value.clone());
+    for row in extra {
+        transaction = transaction.put(row.key.clone(), row.value.clone());
     }
     Ok((transaction, record))
 }
--- a/crates/engine/src/owner/machines.rs
+++ b/crates/engine/src/owner/machines.rs
@@ -15,7 +15,7 @@
 use crate::log_job_event;
 use crate::manifest::OperatorView;
 use crate::metrics::JobMetrics;
-use crate::row;
+use crate::row::{self, EncodedRow};
 use crate::services::{ListedMachine, MachineClient, MachineHolder, MachineOutcome, MachineState};
 
 use super::change::ExtraRows;
@@ -258,7 +258,7 @@
         let key = row::upkeep_key(wave);
         if let Some(record) = self.planner.record(wave) {
             match row::write(&key, record) {
-                Ok(value) => self.rows.push((key, value)),
+                Ok(value) => self.rows.push(EncodedRow { key, value }),
                 Err(error) => log_job_event!(error, event::ROW_MALFORMED, error = error),
             }
         }
--- a/crates/engine/src/owner/mod.rs
+++ b/crates/engine/src/owner/mod.rs
@@ -11,6 +11,8 @@
 mod change;
 mod lanes;
 mod machines;
+mod note;
+mod record;
 mod session;
 
 use std::rc;
--- a/crates/engine/src/owner/session.rs
+++ b/crates/engine/src/owner/session.rs
@@ -4,11 +4,11 @@
 use std::collections::HashMap;
 
 use redwing_jobs::record::ProgressRecord;
-use redwing_jobs::scheduler::{AdviceQuestion, ChangeSet, SchedulerNote};
+use redwing_jobs::scheduler::{AdviceQuestion, ChangeSet};
 use redwing_jobs::upkeep::UpkeepRecord;
-use redwing_jobs::worker::{OrderAction, OrderAnswer, OrderOutcome, WorkerOrder, WorkerView};
-use redwing_jobs::{BootTime, JobRecord, JobScheduler};
-use redwing_provider::{CallCause, RowKey, TableRow};
+use redwing_jobs::worker::{OrderAction, WorkerOrder, WorkerView};
+use redwing_jobs::{BootTime, JobScheduler};
+use redwing_provider::{CallCause, TableRow};
 use tokio::sync::{mpsc, oneshot};
 use tokio::time as timer;
 
@@ -17,7 +17,6 @@
 use crate::event;
 use crate::follow::{self, TableUpdate};
 use crate::log_job_event;
-use crate::metrics::JobMetrics;
 use crate::row::{self, JobKey, PendingBoard};
 use crate::services::WorkerReply;
 
@@ -27,6 +26,8 @@
 use super::change::{self, ChangeOutcome, ExtraRows};
 use super::lanes::{AnsweredOrder, OrderLanes};
 use super::machines::{MachineAnswer, MachineDesk};
+use super::note;
+use super::record;
 
 /// Exercises the ownership until it is lost or the process stops.
 pub(super) async fn exercise(parts: &OwnerParts, lease: OwnerLease) {
@@ -118,7 +119,7 @@
             questions,
             advice,
             machine_answers,
-            waves: read_waves(&kept.rows),
+            waves: record::read_waves(&kept.rows),
             pending: None,
             renewed_at,
             board: PendingBoard::default(),
@@ -151,7 +152,7 @@
         let mut cancelled = Vec::new();
         for entry in stored {
             match row::read_job_key(&entry.key) {
-                Some(JobKey::Job(id)) => match (read_job(entry), known.get(id.as_str())) {
+                Some(JobKey::Job(id)) => match (record::read_job(entry), known.get(id.as_str())) {
                     (Some(record), Some(progress)) => {
                         self.scheduler.restore(&id, record, progress, now);
                     }
@@ -177,7 +178,7 @@
         loop {
             tokio::select! {
                 Some(answer) = self.answers.recv() => self.take_answer(answer),
-                Some((question, answer)) = self.advice.recv() => {
+                Some(AnsweredQuestion { question, answer }) = self.advice.recv() => {
                     let now = clock::boot_now();
                     self.scheduler.advice_answered(&question, answer.as_ref(), now);
                 }
@@ -269,7 +270,7 @@
         let changes = self.scheduler.take_changes();
         let mut extra = self.desk.take_rows();
         let board = self.next_board(now);
-        extra.extend(board.as_ref().and_then(board_row));
+        extra.extend(board.as_ref().and_then(record::board_row));
         self.send_change(changes, &extra, board, now);
     }
 
@@ -358,7 +359,7 @@
         for entry in &update.rows {
             match row::read_job_key(&entry.key) {
                 Some(JobKey::Job(id)) => {
-                    if let Some(record) = read_job(entry) {
+                    if let Some(record) = record::read_job(entry) {
                         self.scheduler.submit(&id, record);
                     }
                 }
@@ -427,14 +428,14 @@
                 self.scheduler
                     .stop_answered(worker, task, *run, &answer, now);
             }
-            (_, reply) => log_unexpected(&order, &reply),
+            (_, reply) => note::log_unexpected(&order, &reply),
         }
     }
 
     fn log_notes(&mut self) {
         for note in self.scheduler.take_notes() {
-            log_note(&note);
-            count_note(&self.parts.metrics, &note);
+            note::log_note(&note);
+            note::count_note(&self.parts.metrics, &note);
         }
     }
 
@@ -477,107 +478,3 @@
         None => std::future::pending().await,
     }
 }
-
-fn board_row(board: &PendingBoard) -> Option<(RowKey, String)> {
-    let key = RowKey::new(row::BOARD_KEY);
-    match row::write(&key, board) {
-        Ok(value) => Some((key, value)),
-        Err(error) => {
-            log_job_event!(error, event::ROW_MALFORMED, error = error);
-            None
-        }
-    }
-}
-
-fn read_job(entry: &TableRow) -> Option<JobRecord> {
-    entry.value.as_ref()?;
-    match row::read(entry) {
-        Ok(record) => Some(record),
-        Err(error) => {
-            follow::log_malformed(&entry.key, &error);
-            None
-        }
-    }
-}
-
-fn read_waves(rows: &[TableRow]) -> BTreeMap<u64, UpkeepRecord> {
-    let mut waves = BTreeMap::new();
-    for entry in rows {
-        let number = entry.key.as_str().strip_prefix(row::UPKEEP_PREFIX);
-        let number = number.and_then(|text| text.parse().ok());
-        match (number, row::read(entry)) {
-            (Some(number), Ok(record)) => {
-                waves.insert(number, record);
-            }
-            (_, Err(error)) => follow::log_malformed(&entry.key, &error),
-            (None, Ok(_)) => follow::log_malformed(&entry.key, &"no number of a wave"),
-        }
-    }
-    waves
-}
-
-fn log_unexpected(order: &WorkerOrder, reply: &WorkerReply) {
-    let outcome = match reply {
-        WorkerReply::Order(OrderAnswer { outcome, .. }) | WorkerReply::NoReport(outcome) => {
-            *outcome
-        }
-        WorkerReply::Report(_) => OrderOutcome::Accepted,
-    };
-    if outcome != OrderOutcome::Accepted {
-        log_job_event!(
-            debug,
-            event::RUN_ENDED,
-            worker = order.worker,
-            outcome = format!("{outcome:?}"),
-        );
-    }
-}
-
-fn count_note(metrics: &JobMetrics, note: &SchedulerNote) {
-    match note {
-        SchedulerNote::JobEnded { state, .. } => metrics.count_job(&format!("{state:?}")),
-        SchedulerNote::TasksPlaced { count, .. } => metrics.count_placed(*count),
-        SchedulerNote::RunEnded { reason, .. } => metrics.count_run(&format!("{reason:?}")),
-        SchedulerNote::WorkerChanged { .. } => {}
-    }
-}
-
-fn log_note(note: &SchedulerNote) {
-    match note {
-        SchedulerNote::JobEnded { job, state, failed } => log_job_event!(
-            info,
-            event::JOB_ENDED,
-            job = job,
-            state = format!("{state:?}"),
-            failed_runs = failed,
-        ),
-        SchedulerNote::TasksPlaced { job, count, left } => {
-            log_job_event!(
-                info,
-                event::TASKS_PLACED,
-                job = job,
-                count = count,
-                left = left
-            );
-        }
-        SchedulerNote::RunEnded {
-            task,
-            run,
-            worker,
-            reason,
-        } => log_job_event!(
-            info,
-            event::RUN_ENDED,
-            task = task,
-            run = run,
-            worker = worker,
-            reason = format!("{reason:?}"),
-        ),
-        SchedulerNote::WorkerChanged { worker, belief } => log_job_event!(
-            info,
-            event::WORKER_CHANGED,
-            worker = worker,
-            belief = format!("{belief:?}"),
-        ),
-    }
-}
--- a/crates/engine/src/product.rs
+++ b/crates/engine/src/product.rs
@@ -14,7 +14,7 @@
 
 use crate::codec::{CallerAnswer, DeploymentCodec, EncodedAnswer, OperatorRow};
 use crate::error::Result;
-use crate::row;
+use crate::row::{self, EncodedRow};
 
 /// Prefix of the rows that operators write.
 const OPERATOR_PREFIX: &str = "manifest/";
@@ -96,10 +96,11 @@
         row::read(entry)
     }
 
-    fn wave_status(&self, wave: u64, state: WaveState) -> (RowKey, String) {
+    fn wave_status(&self, wave: u64, state: WaveState) -> EncodedRow {
         let key = RowKey::new(format!("{STATUS_PREFIX}{wave}"));
         // A word can always be written.
-        (key, serde_json::to_string(&state).unwrap_or_default())
+        let value = serde_json::to_string(&state).unwrap_or_default();
+        EncodedRow { key, value }
     }
 
     fn key_header(&self) -> &str {
--- a/crates/engine/src/row.rs
+++ b/crates/engine/src/row.rs
@@ -105,6 +105,15 @@
     RowKey::new(format!("{UPKEEP_PREFIX}{wave}"))
 }
 
+/// Row in the form in which it is stored.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct EncodedRow {
+    /// Key of the row.
+    pub key: RowKey,
+    /// Its content.
+    pub value: String,
+}
+
 /// What a row under [`JOB_PREFIX`] is.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum JobKey {
--- a/crates/jobs/src/scheduler/entry.rs
+++ b/crates/jobs/src/scheduler/entry.rs
@@ -2,7 +2,7 @@
 
 use std::sync;
 
-use crate::name::WorkerId;
+use crate::name::{JobId, TaskId, WorkerId};
 use crate::record::{JobRecord, JobState, OccurrenceRecord, ProgressRecord, TaskRecord};
 use crate::spec::{JobSpec, StepSpec};
 use crate::time::BootTime;
@@ -339,6 +339,28 @@
         chains.max().unwrap_or(0)
     }
 
+    /// Returns all tasks of the occurrences that have begun, with their names.
+    pub(super) fn tasks<'a>(
+        &'a self,
+        job: &'a JobId,
+    ) -> impl Iterator<Item = (TaskId, &'a TaskEntry)> {
+        self.occurrences.iter().flat_map(move |occurrence| {
+            let steps = occurrence.steps.iter().enumerate();
+            steps.flat_map(move |(step, entry)| {
+                let tasks = entry.tasks.iter().enumerate();
+                tasks.map(move |(index, task)| {
+                    let name = TaskId {
+                        job: job.clone(),
+                        occurrence: occurrence.number,
+                        step: step as u32,
+                        index: index as u32,
+                    };
+                    (name, task)
+                })
+            })
+        })
+    }
+
     /// Returns the number of runs that failed.
     pub(super) fn failed_runs(&self) -> u32 {
         let occurrences = self.occurrences.iter();
--- a/crates/jobs/src/scheduler/intake.rs
+++ b/crates/jobs/src/scheduler/intake.rs
@@ -1,13 +1,20 @@
 //! New jobs, cancelled jobs, and rows of an earlier owner.
 
-use crate::name::{JobId, TaskId, WorkerId};
+use crate::name::{JobId, TaskId};
 use crate::record::{JobRecord, JobState, ProgressRecord};
 use crate::time::{BootTime, WallTime};
 
-use super::entry::{JobEntry, StopProgress, TaskPhase};
+use super::entry::{JobEntry, RunPlace, StopProgress, TaskPhase};
 use super::fleet::{Occupant, WorkerEntry};
 use super::{JobScheduler, SchedulerNote};
 
+/// Run of a task that has a place.
+pub(super) struct PlacedRun {
+    pub(super) task: TaskId,
+    pub(super) run: u32,
+    pub(super) place: RunPlace,
+}
+
 impl JobScheduler {
     /// Takes in a job that was accepted; one that is known or finished is left
     /// as it is.
@@ -44,8 +51,8 @@
         }
         let entry = JobEntry::restore(record, progress, now);
         self.insert(id, entry);
-        for (task, run, worker, born) in self.placed_runs(id) {
-            self.restore_run(&task, run, &worker, born, now);
+        for placed in self.placed_runs(id) {
+            self.restore_run(&placed, now);
         }
         // Tasks whose worker has begun another life wait again.
         self.refresh_waiting(id);
@@ -60,39 +67,26 @@
     }
 
     /// Returns all runs of a job that have a place.
-    pub(super) fn placed_runs(&self, id: &JobId) -> Vec<(TaskId, u32, WorkerId, u64)> {
+    pub(super) fn placed_runs(&self, id: &JobId) -> Vec<PlacedRun> {
         let Some(job) = self.jobs.get(id) else {
             return Vec::new();
         };
-        let mut runs = Vec::new();
-        for occurrence in &job.occurrences {
-            for (step, entry) in occurrence.steps.iter().enumerate() {
-                for (index, task) in entry.tasks.iter().enumerate() {
-                    let Some(place) = task.phase.place() else {
-                        continue;
-                    };
-                    let name = TaskId {
-                        job: id.clone(),
-                        occurrence: occurrence.number,
-                        step: step as u32,
-                        index: index as u32,
-                    };
-                    runs.push((name, task.run, place.worker.clone(), place.born));
-                }
-            }
-        }
-        runs
+        let placed = job.tasks(id).filter_map(|(name, task)| {
+            let place = task.phase.place()?;
+            Some(PlacedRun {
+                task: name,
+                run: task.run,
+                place: place.clone(),
+            })
+        });
+        placed.collect()
     }
 
     /// Counts the room of a run that an earlier owner started.
-    fn restore_run(
-        &mut self,
-        task: &TaskId,
-        run: u32,
-        worker: &WorkerId,
-        born: u64,
-        now: BootTime,
-    ) {
+    fn restore_run(&mut self, placed: &PlacedRun, now: BootTime) {
+        let PlacedRun { task, run, place } = placed;
+        let worker = &place.worker;
+        let born = place.born;
         let inherited = now + self.settings.inherited_lease;
         let known = self.fleet.get(worker).map(|entry| entry.born);
         if known.is_some_and(|known| known != born) {
@@ -112,7 +106,7 @@
         if let Some(entry) = self.fleet.get_mut(worker) {
             entry.lease_until = entry.lease_until.max(inherited);
             let occupant = Occupant {
-                run,
+                run: *run,
                 reserved,
                 orphan_stop: None,
             };
@@ -144,8 +138,8 @@
         self.timed.remove(id);
         self.waiting.remove(id);
         self.journal.mark(id);
-        for (task, _, _, _) in self.placed_runs(id) {
-            self.stop_task(&task, now);
+        for placed in self.placed_runs(id) {
+            self.stop_task(&placed.task, now);
         }
     }
 
--- a/crates/jobs/src/scheduler/journal.rs
+++ b/crates/jobs/src/scheduler/journal.rs
@@ -82,25 +82,15 @@
             job: id.clone(),
             progress: job.progress(),
         });
-        for occurrence in &job.occurrences {
-            for (step, entry) in occurrence.steps.iter().enumerate() {
-                for (index, task) in entry.tasks.iter().enumerate() {
-                    if !matches!(task.phase, TaskPhase::Reserved(_)) {
-                        continue;
-                    }
-                    let name = TaskId {
-                        job: id.clone(),
-                        occurrence: occurrence.number,
-                        step: step as u32,
-                        index: index as u32,
-                    };
-                    changes.starts.push(RecordedStart {
-                        task: name,
-                        run: task.run,
-                    });
-                }
-            }
-        }
+        let reserved = job
+            .tasks(id)
+            .filter(|(_, task)| matches!(task.phase, TaskPhase::Reserved(_)));
+        changes
+            .starts
+            .extend(reserved.map(|(name, task)| RecordedStart {
+                task: name,
+                run: task.run,
+            }));
     }
 
     /// Notes that rows are stored: their runs are started and the ends that
