Delete the rows of jobs that finished five minutes ago

Cause: rows of finished jobs were never deleted; a new owner would read ever more of them. Change: the job's own row is deleted first, then its progress with a change of the owner; a new owner finishes what was begun. Test: owner.rs::rows_of_finished_jobs_are_deleted.

--- a/crates/engine/src/event.rs
+++ b/crates/engine/src/event.rs
@@ -68,6 +68,8 @@
     ROW_UNREAD = 524 "row-unread";
     /// A row could not be stored for a caller yet.
     ROW_UNSTORED = 525 "row-unstored";
+    /// The rows of a job that finished long ago could not be deleted yet.
+    CLEANUP_FAILED = 526 "cleanup-failed";
     /// The process owns the scheduling.
     OWNER_BEGUN = 530 "owner-begun";
     /// The process does not own the scheduling any more.
--- a/crates/engine/src/owner/change.rs
+++ b/crates/engine/src/owner/change.rs
@@ -22,8 +22,12 @@
     longest: time::Duration::from_millis(400),
 };
 
-/// Rows that are stored beside the progress of jobs.
-pub(super) type ExtraRows = Vec<EncodedRow>;
+/// Rows that are written and deleted beside the progress of jobs.
+#[derive(Clone, Debug, Default)]
+pub(super) struct ExtraRows {
+    pub(super) written: Vec<EncodedRow>,
+    pub(super) deleted: Vec<RowKey>,
+}
 
 /// How the attempt to store a change ended.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -56,9 +60,12 @@
         let value = row::write(&key, &change.progress)?;
         transaction = transaction.put(key, value);
     }
-    for row in extra {
+    for row in &extra.written {
         transaction = transaction.put(row.key.clone(), row.value.clone());
     }
+    for key in &extra.deleted {
+        transaction = transaction.delete(key.clone());
+    }
     Ok((transaction, record))
 }
 
--- /dev/null
+++ b/crates/engine/src/owner/cleanup.rs
@@ -0,0 +1,46 @@
+//! Deletes the rows of jobs that finished long ago.
+//!
+//! The job's own row goes first, in a task; only then its progress, with a
+//! change of the owner. If the owner is lost in between, the next one finds
+//! progress without a job and deletes it.
+
+use redwing_jobs::JobId;
+use redwing_provider::{CallCause, RowKey, TableClient, TableTransaction};
+use tokio::sync::mpsc;
+
+use crate::event;
+use crate::log_job_event;
+use crate::row;
+
+/// Jobs whose rows are deleted in one round.
+pub(super) const JOBS_PER_ROUND: usize = 80;
+
+/// Deletes the rows of `jobs`, and passes on those for which that is done.
+pub(super) fn start(
+    client: &TableClient,
+    jobs: Vec<JobId>,
+    deleted: &mpsc::UnboundedSender<JobId>,
+) {
+    let client = client.clone();
+    let deleted = deleted.clone();
+    tokio::task::spawn_local(async move {
+        for job in jobs {
+            let rows = TableTransaction::default()
+                .delete(row::job_key(&job))
+                .delete(row::cancel_key(&job));
+            if let Err(error) = client.commit(CallCause::Job, rows).await {
+                // The next owner finds the job finished and tries again.
+                log_job_event!(warn, event::CLEANUP_FAILED, job = job, error = error);
+                continue;
+            }
+            if deleted.send(job).is_err() {
+                return;
+            }
+        }
+    });
+}
+
+/// Returns the keys of the progress of `jobs`.
+pub(super) fn progress_keys(jobs: &[JobId]) -> Vec<RowKey> {
+    jobs.iter().map(row::progress_key).collect()
+}
--- a/crates/engine/src/owner/machines.rs
+++ b/crates/engine/src/owner/machines.rs
@@ -18,7 +18,6 @@
 use crate::row::{self, EncodedRow};
 use crate::services::{ListedMachine, MachineClient, MachineHolder, MachineOutcome, MachineState};
 
-use super::change::ExtraRows;
 use super::{OwnerParts, OwnerSettings};
 
 /// What came of a call about machines.
@@ -55,7 +54,7 @@
     is_listing: bool,
     next_list: BootTime,
     /// Rows to store with the next change.
-    rows: ExtraRows,
+    rows: Vec<EncodedRow>,
     is_fenced: bool,
 }
 
@@ -91,7 +90,7 @@
         !self.rows.is_empty()
     }
 
-    pub(super) fn take_rows(&mut self) -> ExtraRows {
+    pub(super) fn take_rows(&mut self) -> Vec<EncodedRow> {
         std::mem::take(&mut self.rows)
     }
 
--- a/crates/engine/src/owner/mod.rs
+++ b/crates/engine/src/owner/mod.rs
@@ -9,6 +9,7 @@
 mod advice;
 mod campaign;
 mod change;
+mod cleanup;
 mod lanes;
 mod machines;
 mod note;
@@ -54,6 +55,8 @@
     pub tick: time::Duration,
     /// Least time between two changes of the row of counts.
     pub board_interval: time::Duration,
+    /// Time between two rounds of deleting the rows of finished jobs.
+    pub cleanup_interval: time::Duration,
     /// Time between two lists of machines.
     pub machine_interval: time::Duration,
     /// Time between two looks at the sizes of pools.
@@ -79,6 +82,7 @@
             pause_limit: time::Duration::from_millis(1_000),
             tick: time::Duration::from_millis(50),
             board_interval: time::Duration::from_millis(700),
+            cleanup_interval: time::Duration::from_secs(1),
             machine_interval: time::Duration::from_millis(600),
             capacity_interval: time::Duration::from_millis(200),
             scheduler: redwing_jobs::SchedulerSettings::default(),
--- a/crates/engine/src/owner/session.rs
+++ b/crates/engine/src/owner/session.rs
@@ -7,7 +7,7 @@
 use redwing_jobs::scheduler::{AdviceQuestion, ChangeSet};
 use redwing_jobs::upkeep::UpkeepRecord;
 use redwing_jobs::worker::{OrderAction, WorkerOrder, WorkerView};
-use redwing_jobs::{BootTime, JobScheduler};
+use redwing_jobs::{BootTime, JobId, JobScheduler};
 use redwing_provider::{CallCause, TableRow};
 use tokio::sync::{mpsc, oneshot};
 use tokio::time as timer;
@@ -24,6 +24,7 @@
 use super::advice::{self, AnsweredQuestion};
 use super::campaign::OwnerLease;
 use super::change::{self, ChangeOutcome, ExtraRows};
+use super::cleanup;
 use super::lanes::{AnsweredOrder, OrderLanes};
 use super::machines::{MachineAnswer, MachineDesk};
 use super::note;
@@ -63,6 +64,12 @@
     answers: mpsc::UnboundedReceiver<AnsweredOrder>,
     questions: mpsc::UnboundedSender<AdviceQuestion>,
     advice: mpsc::UnboundedReceiver<AnsweredQuestion>,
+    /// Jobs whose own rows are deleted.
+    deleted: mpsc::UnboundedReceiver<JobId>,
+    deleted_sender: mpsc::UnboundedSender<JobId>,
+    /// Those whose progress is to be deleted with the next change.
+    obsolete: Vec<JobId>,
+    cleanup_at: BootTime,
     machine_answers: mpsc::UnboundedReceiver<MachineAnswer>,
     waves: BTreeMap<u64, UpkeepRecord>,
     pending: Option<PendingChange>,
@@ -94,6 +101,7 @@
             .await?;
         let (answer_sender, answers) = mpsc::unbounded_channel();
         let (machine_sender, machine_answers) = mpsc::unbounded_channel();
+        let (deleted_sender, deleted) = mpsc::unbounded_channel();
         let (questions, advice) = advice::start(parts.services.advisor.clone());
         let fence = lease.record.fence;
         let mut session = Self {
@@ -118,6 +126,10 @@
             answers,
             questions,
             advice,
+            deleted,
+            deleted_sender,
+            obsolete: Vec::new(),
+            cleanup_at: renewed_at,
             machine_answers,
             waves: record::read_waves(&kept.rows),
             pending: None,
@@ -149,6 +161,12 @@
                 Err(error) => follow::log_malformed(&entry.key, &error),
             }
         }
+        for (id, record) in &known {
+            // Its own row may be deleted already; then the rest follows.
+            if record.state.is_final() {
+                self.scheduler.note_finished(&JobId::new(id), now);
+            }
+        }
         let mut cancelled = Vec::new();
         for entry in stored {
             match row::read_job_key(&entry.key) {
@@ -186,6 +204,7 @@
                 Some(update) = self.workers.recv() => {
                     self.take_workers(&update.rows, update.is_complete);
                 }
+                Some(job) = self.deleted.recv() => self.obsolete.push(job),
                 Some(answer) = self.machine_answers.recv() => {
                     self.desk.answered(&mut self.scheduler, answer, clock::boot_now());
                 }
@@ -253,6 +272,7 @@
     fn tick(&mut self) {
         let now = clock::boot_now();
         self.scheduler.tick(now);
+        self.clean_up(now);
         self.desk.tick(self.parts, &mut self.scheduler, now);
     }
 
@@ -268,12 +288,38 @@
             return;
         }
         let changes = self.scheduler.take_changes();
-        let mut extra = self.desk.take_rows();
+        let mut extra = self.take_extra();
         let board = self.next_board(now);
-        extra.extend(board.as_ref().and_then(record::board_row));
+        extra
+            .written
+            .extend(board.as_ref().and_then(record::board_row));
         self.send_change(changes, &extra, board, now);
     }
 
+    /// Takes the rows to write and delete beside the progress of jobs.
+    fn take_extra(&mut self) -> ExtraRows {
+        let obsolete = std::mem::take(&mut self.obsolete);
+        for job in &obsolete {
+            self.scheduler.forget_expired(job);
+        }
+        ExtraRows {
+            written: self.desk.take_rows(),
+            deleted: cleanup::progress_keys(&obsolete),
+        }
+    }
+
+    /// Begins to delete the rows of jobs that finished long ago.
+    fn clean_up(&mut self, now: BootTime) {
+        if now.saturating_since(self.cleanup_at) < self.parts.settings.cleanup_interval {
+            return;
+        }
+        self.cleanup_at = now;
+        let expired = self.scheduler.take_expired(cleanup::JOBS_PER_ROUND, now);
+        if !expired.is_empty() {
+            cleanup::start(&self.parts.client, expired, &self.deleted_sender);
+        }
+    }
+
     fn send_change(
         &mut self,
         changes: ChangeSet,
@@ -453,7 +499,7 @@
             self.lanes.send(order);
         }
         let changes = self.scheduler.take_changes();
-        let extra = self.desk.take_rows();
+        let extra = self.take_extra();
         match change::transaction(&self.lease, &changes, &extra, true) {
             Ok((transaction, record)) => {
                 let give_up = self.parts.settings.lease;
--- a/crates/engine/tests/owner.rs
+++ b/crates/engine/tests/owner.rs
@@ -67,6 +67,14 @@
     }
 
     async fn add_sized(&mut self, number: usize, is_small: bool) {
+        let settings = OwnerSettings {
+            is_small,
+            ..OwnerSettings::default()
+        };
+        self.add_with(number, settings).await;
+    }
+
+    async fn add_with(&mut self, number: usize, settings: OwnerSettings) {
         let platform = self.platform.view();
         let services = DeploymentServices {
             table: rc::Rc::new(platform.clone()),
@@ -90,10 +98,7 @@
         let owner = task::spawn_local(owner::run(OwnerParts {
             node: format!("entry-{number}"),
             life: number as u64,
-            settings: rc::Rc::new(OwnerSettings {
-                is_small,
-                ..OwnerSettings::default()
-            }),
+            settings: rc::Rc::new(settings),
             client,
             services,
             codec,
@@ -433,3 +438,37 @@
         );
     });
 }
+
+/// Rows of finished jobs go once their state need not be readable any more,
+/// and no job runs again for it.
+#[test]
+fn rows_of_finished_jobs_are_deleted() {
+    run_test(async {
+        let mut cluster = TestCluster::start(0, time::Duration::from_millis(50)).await;
+        let mut settings = OwnerSettings {
+            cleanup_interval: time::Duration::from_millis(100),
+            ..OwnerSettings::default()
+        };
+        settings.scheduler.retention = time::Duration::from_millis(600);
+        cluster.add_with(0, settings).await;
+        for number in 0..5 {
+            let id = format!("job-{number}");
+            assert_eq!(cluster.submit(0, &id, 2).await, CallerAnswer::Accepted);
+            cluster.wait_state(0, &id, JobState::Completed).await;
+        }
+        for prefix in [row::JOB_PREFIX, row::PROGRESS_PREFIX] {
+            while !cluster
+                .platform
+                .scan(prefix)
+                .await
+                .expect("the table is up")
+                .rows
+                .is_empty()
+            {
+                timer::sleep(time::Duration::from_millis(20)).await;
+            }
+        }
+        assert_eq!(cluster.workers.starts().len(), 10);
+        assert_eq!(cluster.state(0, "job-0").await, CallerAnswer::NoSuchJob);
+    });
+}
--- /dev/null
+++ b/crates/jobs/src/scheduler/finished.rs
@@ -0,0 +1,70 @@
+//! Jobs whose end is stored.
+//!
+//! They are remembered, so that a row that is read again starts nothing, and
+//! given up once their state need not be readable any more.
+
+use std::collections::{HashSet, VecDeque};
+
+use crate::name::JobId;
+use crate::time::BootTime;
+
+use super::JobScheduler;
+
+/// Finished job.
+#[derive(Clone, Debug)]
+struct FinishedJob {
+    id: JobId,
+    since: BootTime,
+}
+
+/// Finished jobs, the oldest first.
+#[derive(Debug, Default)]
+pub(super) struct FinishedJobs {
+    ids: HashSet<JobId>,
+    order: VecDeque<FinishedJob>,
+}
+
+impl FinishedJobs {
+    pub(super) fn insert(&mut self, id: &JobId, now: BootTime) {
+        if self.ids.insert(id.clone()) {
+            self.order.push_back(FinishedJob {
+                id: id.clone(),
+                since: now,
+            });
+        }
+    }
+
+    pub(super) fn contains(&self, id: &JobId) -> bool {
+        self.ids.contains(id)
+    }
+}
+
+impl JobScheduler {
+    /// Notes a job whose end an earlier owner has stored.
+    pub fn note_finished(&mut self, id: &JobId, now: BootTime) {
+        self.finished.insert(id, now);
+    }
+
+    /// Returns up to `limit` finished jobs whose rows are to be deleted, that
+    /// of the job before that of its progress: the latter keeps the job from
+    /// running again.
+    pub fn take_expired(&mut self, limit: usize, now: BootTime) -> Vec<JobId> {
+        let retention = self.settings.retention;
+        let mut expired = Vec::new();
+        while expired.len() < limit {
+            let oldest = self.finished.order.front();
+            if oldest.is_none_or(|job| now.saturating_since(job.since) < retention) {
+                break;
+            }
+            if let Some(job) = self.finished.order.pop_front() {
+                expired.push(job.id);
+            }
+        }
+        expired
+    }
+
+    /// Forgets a finished job whose rows are deleted.
+    pub fn forget_expired(&mut self, id: &JobId) {
+        self.finished.ids.remove(id);
+    }
+}
--- a/crates/jobs/src/scheduler/intake.rs
+++ b/crates/jobs/src/scheduler/intake.rs
@@ -44,7 +44,7 @@
         now: BootTime,
     ) {
         if progress.state.is_final() {
-            self.finished.insert(id);
+            self.finished.insert(id, now);
         }
         if self.finished.contains(id) || self.jobs.contains_key(id) {
             return;
--- a/crates/jobs/src/scheduler/journal.rs
+++ b/crates/jobs/src/scheduler/journal.rs
@@ -102,7 +102,7 @@
         }
         self.acknowledge_ends(now);
         for row in &changes.rows {
-            self.forget_finished(&row.job);
+            self.forget_finished(&row.job, now);
         }
     }
 
@@ -130,7 +130,7 @@
         }
     }
 
-    fn forget_finished(&mut self, id: &JobId) {
+    fn forget_finished(&mut self, id: &JobId, now: BootTime) {
         let is_over = self
             .jobs
             .get(id)
@@ -138,7 +138,7 @@
         if is_over && self.journal.is_stored(id) {
             self.jobs.remove(id);
             self.advice.forget(id);
-            self.finished.insert(id);
+            self.finished.insert(id, now);
         }
     }
 }
--- a/crates/jobs/src/scheduler/mod.rs
+++ b/crates/jobs/src/scheduler/mod.rs
@@ -6,6 +6,7 @@
 //!
 //! - `advice`: permits of an advisor
 //! - `entry`: jobs, steps and tasks in memory
+//! - `finished`: jobs whose end is stored, until their rows are deleted
 //! - `fleet`: workers, their room and their leases
 //! - `intake`: new jobs, cancelled jobs, rows of an earlier owner
 //! - `listing`: the platform's list of workers
@@ -18,6 +19,7 @@
 
 mod advice;
 mod entry;
+mod finished;
 mod fleet;
 mod intake;
 mod journal;
@@ -28,7 +30,7 @@
 mod report;
 mod upkeep;
 
-use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::mem;
 use std::sync;
 use std::time;
@@ -42,6 +44,7 @@
 
 use advice::AdviceBook;
 use entry::JobEntry;
+use finished::FinishedJobs;
 use fleet::WorkerFleet;
 use journal::ChangeJournal;
 
@@ -78,6 +81,8 @@
     pub strike_pause: time::Duration,
     /// Time without progress after which a run is stopped.
     pub stall_limit: time::Duration,
+    /// How long the state of a finished job can be read.
+    pub retention: time::Duration,
     /// Largest number of progress rows stored together.
     pub rows_per_change: usize,
 }
@@ -97,6 +102,7 @@
             strike_limit: 4,
             strike_pause: time::Duration::from_secs(3),
             stall_limit: time::Duration::from_millis(2_500),
+            retention: time::Duration::from_secs(300),
             rows_per_change: 90,
         }
     }
@@ -187,35 +193,6 @@
     work: u64,
 }
 
-/// Largest number of finished jobs that are remembered.
-const MAX_FINISHED: usize = 50_000;
-
-/// Ids of jobs whose end is stored, so that a row that is read again starts
-/// nothing; the oldest are forgotten first.
-#[derive(Debug, Default)]
-struct FinishedJobs {
-    ids: HashSet<JobId>,
-    order: VecDeque<JobId>,
-}
-
-impl FinishedJobs {
-    fn insert(&mut self, id: &JobId) {
-        if !self.ids.insert(id.clone()) {
-            return;
-        }
-        self.order.push_back(id.clone());
-        if self.order.len() > MAX_FINISHED
-            && let Some(oldest) = self.order.pop_front()
-        {
-            self.ids.remove(&oldest);
-        }
-    }
-
-    fn contains(&self, id: &JobId) -> bool {
-        self.ids.contains(id)
-    }
-}
-
 /// What the owner of the scheduling knows and decides.
 #[derive(Debug)]
 pub struct JobScheduler {
