--- a/crates/engine/src/owner/session.rs
+++ b/crates/engine/src/owner/session.rs
@@ -91,14 +91,13 @@
     async fn open(parts: &'a OwnerParts, lease: OwnerLease) -> Result<Self> {
         let client = &parts.client;
         let renewed_at = clock::boot_now();
-        let stored = client.scan(CallCause::Job, row::JOB_PREFIX).await?;
-        let progress = client.scan(CallCause::Job, row::PROGRESS_PREFIX).await?;
-        let kept = client
-            .scan(CallCause::Maintenance, row::UPKEEP_PREFIX)
-            .await?;
-        let workers = client
-            .scan(CallCause::Membership, parts.codec.worker_prefix())
-            .await?;
+        // Side by side: the lease must not run out while a slow table answers.
+        let (stored, progress, kept, workers) = futures_util::try_join!(
+            client.scan(CallCause::Job, row::JOB_PREFIX),
+            client.scan(CallCause::Job, row::PROGRESS_PREFIX),
+            client.scan(CallCause::Maintenance, row::UPKEEP_PREFIX),
+            client.scan(CallCause::Membership, parts.codec.worker_prefix()),
+        )?;
         let (answer_sender, answers) = mpsc::unbounded_channel();
         let (machine_sender, machine_answers) = mpsc::unbounded_channel();
         let (deleted_sender, deleted) = mpsc::unbounded_channel();
