Keep changes within what a table takes

Cause: reading the owner's changes: 90 rows and 80 deletions could exceed the 100 entries of a transaction, and a job of thousands of tasks the size of a row; the table would refuse, and the owner lose its place again and again. Change: 80 rows and 4,000 tasks a change, 10 deletions, 600 tasks a job (a 400 that names the field beyond that).

--- a/crates/engine/src/owner/cleanup.rs
+++ b/crates/engine/src/owner/cleanup.rs
@@ -15,6 +15,9 @@
 /// Jobs whose rows are deleted in one round.
 pub(super) const JOBS_PER_ROUND: usize = 80;
 
+/// Rows of progress that one change deletes, beside those that it writes.
+pub(super) const ROWS_PER_CHANGE: usize = 10;
+
 /// Deletes the rows of `jobs`, and passes on those for which that is done.
 pub(super) fn start(
     client: &TableClient,
--- a/crates/engine/src/owner/session.rs
+++ b/crates/engine/src/owner/session.rs
@@ -297,7 +297,8 @@
 
     /// Takes the rows to write and delete beside the progress of jobs.
     fn take_extra(&mut self) -> ExtraRows {
-        let obsolete = std::mem::take(&mut self.obsolete);
+        let count = self.obsolete.len().min(cleanup::ROWS_PER_CHANGE);
+        let obsolete: Vec<JobId> = self.obsolete.drain(..count).collect();
         for job in &obsolete {
             self.scheduler.forget_expired(job);
         }
--- a/crates/jobs/src/scheduler/entry.rs
+++ b/crates/jobs/src/scheduler/entry.rs
@@ -339,6 +339,12 @@
         chains.max().unwrap_or(0)
     }
 
+    /// Returns the number of tasks of the occurrences that have begun.
+    pub(super) fn task_count(&self) -> usize {
+        let steps = self.occurrences.iter().flat_map(|entry| &entry.steps);
+        steps.map(|step| step.tasks.len()).sum()
+    }
+
     /// Returns all tasks of the occurrences that have begun, with their names.
     pub(super) fn tasks<'a>(
         &'a self,
--- a/crates/jobs/src/scheduler/journal.rs
+++ b/crates/jobs/src/scheduler/journal.rs
@@ -11,7 +11,7 @@
 use crate::time::BootTime;
 
 use super::JobScheduler;
-use super::entry::TaskPhase;
+use super::entry::{JobEntry, TaskPhase};
 
 /// Progress of one job, to be stored.
 #[derive(Clone, Debug, PartialEq)]
@@ -64,11 +64,13 @@
     pub fn take_changes(&mut self) -> ChangeSet {
         let limit = self.settings.rows_per_change;
         let mut changes = ChangeSet::default();
-        while changes.rows.len() < limit {
+        let mut tasks = 0;
+        while changes.rows.len() < limit && tasks < self.settings.tasks_per_change {
             let Some(id) = self.journal.changed.pop_first() else {
                 break;
             };
             self.add_row(&mut changes, &id);
+            tasks += self.jobs.get(&id).map_or(0, JobEntry::task_count);
             self.journal.in_flight.insert(id);
         }
         changes
--- a/crates/jobs/src/scheduler/mod.rs
+++ b/crates/jobs/src/scheduler/mod.rs
@@ -85,6 +85,9 @@
     pub retention: time::Duration,
     /// Largest number of progress rows stored together.
     pub rows_per_change: usize,
+    /// Largest number of tasks in rows that are stored together, which bounds
+    /// their size.
+    pub tasks_per_change: usize,
 }
 
 impl Default for SchedulerSettings {
@@ -103,7 +106,8 @@
             strike_pause: time::Duration::from_secs(3),
             stall_limit: time::Duration::from_millis(2_500),
             retention: time::Duration::from_secs(300),
-            rows_per_change: 90,
+            rows_per_change: 80,
+            tasks_per_change: 4_000,
         }
     }
 }
--- a/crates/jobs/src/spec.rs
+++ b/crates/jobs/src/spec.rs
@@ -10,8 +10,9 @@
 /// Largest number of steps of a job.
 pub const MAX_STEPS: usize = 64;
 
-/// Largest number of tasks of a step.
-pub const MAX_TASKS: u32 = 4_096;
+/// Largest number of tasks of a job: the row of its progress must fit into
+/// the 64 KiB that tables take for one row.
+pub const MAX_TASKS: u32 = 600;
 
 /// Largest payload of a job, in bytes.
 pub const MAX_PAYLOAD_BYTES: usize = 4_000;
@@ -196,6 +197,11 @@
         for (number, step) in self.steps.iter().enumerate() {
             check_step(number, step)?;
         }
+        let tasks: u32 = self.steps.iter().map(|step| step.count).sum();
+        if tasks > MAX_TASKS {
+            let problem = format!("{tasks} tasks; use at most {MAX_TASKS} in all steps");
+            return Err(Error::field("steps", problem));
+        }
         Ok(())
     }
 }
--- a/crates/jobs/tests/recovery.rs
+++ b/crates/jobs/tests/recovery.rs
@@ -225,3 +225,33 @@
     fleet.run(5_000);
     assert_eq!(fleet.state(&job), JobState::Completed);
 }
+
+/// A table takes rows and transactions of a bounded size only; a change that
+/// it refuses would cost the owner its place.
+#[test]
+fn changes_stay_within_what_a_table_takes() {
+    let mut fleet = fleet_of(40);
+    fleet.run(100);
+    fleet.is_table_up = false;
+    for number in 0..120 {
+        let count = if number < 20 { 600 } else { 2 };
+        fleet.submit(&format!("j{number}"), vec![step(count, 10)], 50_000);
+    }
+    fleet.run(50);
+    let mut seen = 0;
+    while fleet.scheduler.has_changes() {
+        let changes = fleet.scheduler.take_changes();
+        let rows = changes.rows.iter().map(|row| {
+            let text = serde_json::to_string(&row.progress).expect("a row can be written");
+            assert!(text.len() < 49_000, "{} bytes", text.len());
+            text.len()
+        });
+        let bytes: usize = rows.sum();
+        assert!(bytes < 500_000, "{bytes} bytes");
+        assert!(changes.rows.len() <= 80);
+        seen += changes.rows.len();
+        let now = fleet.now;
+        fleet.scheduler.changes_stored(&changes, now);
+    }
+    assert!(seen >= 100, "{seen}");
+}
