Name items through their modules; a numbered event for metrics

Cause: reading the diff as a newcomer: paths spelled out inline, an unnumbered log line, the load of a machine looked up twice. Change: imports, E504, load_of; behaviour is as before.

--- a/crates/engine/src/caller/listener.rs
+++ b/crates/engine/src/caller/listener.rs
@@ -17,6 +17,8 @@
 
 use crate::codec::{CallerAnswer, CallerHead, DeploymentCodec};
 use crate::error::{Error, Result};
+use crate::event;
+use crate::log_job_event;
 use crate::manifest::OperatorView;
 use crate::metrics::JobMetrics;
 use crate::services::ServicesFactory;
@@ -213,7 +215,7 @@
         match self.metrics.text() {
             Ok(text) => Response::with_body(StatusCode::OK, text.boxed()),
             Err(error) => {
-                log::error!("{error}");
+                log_job_event!(error, event::METRICS_UNWRITTEN, error = error);
                 Response::internal_server_error()
             }
         }
--- a/crates/engine/src/event.rs
+++ b/crates/engine/src/event.rs
@@ -44,6 +44,8 @@
     ENGINE_STOPPED = 502 "engine-stopped";
     /// The process was told that its settings changed.
     SETTINGS_RELOADED = 503 "settings-reloaded";
+    /// The metrics could not be written for their reader.
+    METRICS_UNWRITTEN = 504 "metrics-unwritten";
     /// A job was accepted and is stored.
     JOB_ACCEPTED = 510 "job-accepted";
     /// A call of a caller was refused or could not be answered.
--- a/crates/engine/src/owner/machines.rs
+++ b/crates/engine/src/owner/machines.rs
@@ -5,7 +5,9 @@
 
 use redwing_jobs::capacity::{CapacityAction, CapacityPlanner, PoolFact, PoolMachine};
 use redwing_jobs::name::{MachineName, PoolName, WorkerId};
-use redwing_jobs::upkeep::{MachineFact, UpkeepAction, UpkeepRecord, WavePlanner, WaveState};
+use redwing_jobs::upkeep::{
+    MachineFact, UpkeepAction, UpkeepRecord, WavePlanner, WaveState, WorkerLoad,
+};
 use redwing_jobs::{BootTime, JobScheduler};
 use redwing_provider::Category;
 use tokio::sync::mpsc;
@@ -153,10 +155,6 @@
 
     fn pool_machines(&self, scheduler: &JobScheduler) -> BTreeMap<MachineName, PoolMachine> {
         let machines = self.machines.iter().map(|machine| {
-            let load = machine
-                .worker
-                .as_ref()
-                .map(|worker| scheduler.worker_load(worker));
             let is_busy = self.planner.is_taken(&machine.name);
             let entry = PoolMachine {
                 pool: machine.pool.clone(),
@@ -164,7 +162,7 @@
                     && !is_busy,
                 is_movable: machine.state == MachineState::Up && !is_busy,
                 worker: machine.worker.clone(),
-                load: load.unwrap_or_default(),
+                load: load_of(machine, scheduler),
                 cpu_millis: machine.cpu_millis,
             };
             (machine.name.clone(), entry)
@@ -214,15 +212,11 @@
 
     fn facts(&self, scheduler: &JobScheduler) -> BTreeMap<MachineName, MachineFact> {
         let facts = self.machines.iter().map(|machine| {
-            let load = machine
-                .worker
-                .as_ref()
-                .map(|worker| scheduler.worker_load(worker));
             let fact = MachineFact {
                 is_up: machine.state == MachineState::Up,
                 is_in_upkeep: machine.state == MachineState::Upkeep,
                 worker: machine.worker.clone(),
-                load: load.unwrap_or_default(),
+                load: load_of(machine, scheduler),
             };
             (machine.name.clone(), fact)
         });
@@ -401,3 +395,10 @@
         }
     }
 }
+
+/// Returns what the worker on a machine runs.
+fn load_of(machine: &ListedMachine, scheduler: &JobScheduler) -> WorkerLoad {
+    let worker = machine.worker.as_ref();
+    let load = worker.map(|worker| scheduler.worker_load(worker));
+    load.unwrap_or_default()
+}
--- a/crates/jobs/src/scheduler/advice.rs
+++ b/crates/jobs/src/scheduler/advice.rs
@@ -5,6 +5,7 @@
 //! named, so few workers are named, and permits are used until they expire.
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::fmt;
 use std::time;
 
 use crate::name::{JobId, WorkerId};
@@ -33,8 +34,8 @@
     pub step: u32,
 }
 
-impl std::fmt::Display for StepId {
-    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+impl fmt::Display for StepId {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(formatter, "{}.{}.{}", self.job, self.occurrence, self.step)
     }
 }
--- a/crates/jobs/src/scheduler/intake.rs
+++ b/crates/jobs/src/scheduler/intake.rs
@@ -3,6 +3,7 @@
 use crate::name::{JobId, TaskId};
 use crate::record::{JobRecord, JobState, ProgressRecord};
 use crate::time::{BootTime, WallTime};
+use crate::worker::OrderAction;
 
 use super::entry::{JobEntry, RunPlace, StopProgress, TaskPhase};
 use super::fleet::{Occupant, WorkerEntry};
@@ -192,7 +193,7 @@
             accepted_at: None,
         };
         self.set_phase(task, TaskPhase::Stopping(place, progress));
-        let action = crate::worker::OrderAction::Stop {
+        let action = OrderAction::Stop {
             task: task.clone(),
             run,
         };
--- a/crates/jobs/src/scheduler/mod.rs
+++ b/crates/jobs/src/scheduler/mod.rs
@@ -40,7 +40,7 @@
 use crate::record::JobState;
 use crate::spec::ResourceAmount;
 use crate::time::BootTime;
-use crate::worker::{OrderAction, WorkerOrder};
+use crate::worker::{EndKind, OrderAction, OrderOutcome, WorkerOrder};
 
 use advice::AdviceBook;
 use entry::JobEntry;
@@ -157,7 +157,7 @@
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum RunEndReason {
     /// The worker listed it as ended this way.
-    Listed(crate::worker::EndKind),
+    Listed(EndKind),
     /// The worker does not list it any more.
     Vanished,
     /// The worker did not answer until the lease had expired.
@@ -165,7 +165,7 @@
     /// Another life of the worker has begun.
     WorkerReplaced,
     /// The order to start it was rejected.
-    Rejected(crate::worker::OrderOutcome),
+    Rejected(OrderOutcome),
     /// It made no progress.
     Stalled,
 }
--- a/crates/jobs/src/scheduler/report.rs
+++ b/crates/jobs/src/scheduler/report.rs
@@ -1,6 +1,7 @@
 //! What workers say they run.
 
 use std::collections::HashMap;
+use std::time;
 
 use crate::name::{JobId, TaskId, WorkerId};
 use crate::record::JobState;
@@ -363,7 +364,7 @@
         }
     }
 
-    fn has_stalled(&self, task: &TaskId, now: BootTime, limit: std::time::Duration) -> bool {
+    fn has_stalled(&self, task: &TaskId, now: BootTime, limit: time::Duration) -> bool {
         let job = self.jobs.get(&task.job);
         let step = job.and_then(|job| job.record.spec.steps.get(task.step as usize));
         if step.is_none_or(|step| step.filler || step.gang || step.long_running) {
--- a/crates/jobs/src/worker.rs
+++ b/crates/jobs/src/worker.rs
@@ -1,6 +1,7 @@
 //! What workers say of themselves and answer to orders.
 
 use std::net;
+use std::sync;
 
 use serde::{Deserialize, Serialize};
 
@@ -165,7 +166,7 @@
         /// Number of the run.
         run: u32,
         /// Payload of the job.
-        payload: std::sync::Arc<str>,
+        payload: sync::Arc<str>,
         /// End of the lease on the worker's clock, in milliseconds.
         lease_end_ms: u64,
         /// Progress to resume from.
