Look up the step of a task in one place

Cause: reading the whole change again: the walk from a task to its job and the spec of its step stood nine times in four modules. Change: JobScheduler::step_spec serves them; behaviour is as before.

--- a/crates/jobs/src/scheduler/listing.rs
+++ b/crates/jobs/src/scheduler/listing.rs
@@ -165,8 +165,7 @@
 
     /// Returns whether a task runs until its job is cancelled.
     pub(super) fn is_long_running(&self, task: &TaskId) -> bool {
-        let job = self.jobs.get(&task.job);
-        let step = job.and_then(|job| job.record.spec.steps.get(task.step as usize));
+        let step = self.step_spec(task);
         step.is_some_and(|step| step.long_running)
     }
 
--- a/crates/jobs/src/scheduler/pacing.rs
+++ b/crates/jobs/src/scheduler/pacing.rs
@@ -101,14 +101,12 @@
 
     /// Returns the objective for the tail of a task that serves users.
     fn target_ms(&self, task: &TaskId) -> Option<u64> {
-        let job = self.jobs.get(&task.job)?;
-        let step = job.record.spec.steps.get(task.step as usize)?;
+        let step = self.step_spec(task)?;
         (step.target_ms > 0).then_some(step.target_ms)
     }
 
     fn is_filler(&self, task: &TaskId) -> bool {
-        let job = self.jobs.get(&task.job);
-        let step = job.and_then(|job| job.record.spec.steps.get(task.step as usize));
+        let step = self.step_spec(task);
         step.is_some_and(|step| step.filler)
     }
 }
--- a/crates/jobs/src/scheduler/report.rs
+++ b/crates/jobs/src/scheduler/report.rs
@@ -5,7 +5,7 @@
 
 use crate::name::{JobId, TaskId, WorkerId};
 use crate::record::JobState;
-use crate::spec::ResourceAmount;
+use crate::spec::{ResourceAmount, StepSpec};
 use crate::time::BootTime;
 use crate::worker::{EndKind, HoldReport, ListedEnd, ListedRun, OrderAction};
 
@@ -217,8 +217,7 @@
     }
 
     fn is_gang(&self, task: &TaskId) -> bool {
-        let job = self.jobs.get(&task.job);
-        let step = job.and_then(|job| job.record.spec.steps.get(task.step as usize));
+        let step = self.step_spec(task);
         step.is_some_and(|step| step.gang)
     }
 
@@ -365,8 +364,7 @@
     }
 
     fn has_stalled(&self, task: &TaskId, now: BootTime, limit: time::Duration) -> bool {
-        let job = self.jobs.get(&task.job);
-        let step = job.and_then(|job| job.record.spec.steps.get(task.step as usize));
+        let step = self.step_spec(task);
         if step.is_none_or(|step| step.filler || step.gang || step.long_running) {
             return false;
         }
@@ -390,6 +388,12 @@
         step.tasks.get_mut(task.index as usize)
     }
 
+    /// Returns what the job asks for the step of a task.
+    pub(super) fn step_spec(&self, task: &TaskId) -> Option<&StepSpec> {
+        let job = self.jobs.get(&task.job)?;
+        job.record.spec.steps.get(task.step as usize)
+    }
+
     pub(super) fn set_phase(&mut self, task: &TaskId, phase: TaskPhase) {
         if let Some(entry) = self.task_mut(task) {
             entry.phase = phase;
@@ -398,15 +402,13 @@
 
     /// Returns the room that a run of the task takes.
     pub(super) fn reserved(&self, task: &TaskId) -> ResourceAmount {
-        let job = self.jobs.get(&task.job);
-        let step = job.and_then(|job| job.record.spec.steps.get(task.step as usize));
-        step.map_or_else(ResourceAmount::default, crate::spec::StepSpec::reserved)
+        let step = self.step_spec(task);
+        step.map_or_else(ResourceAmount::default, StepSpec::reserved)
     }
 
     /// Returns what a task counts against its customer's limit.
     fn needs(&self, task: &TaskId) -> ResourceAmount {
-        let job = self.jobs.get(&task.job);
-        let step = job.and_then(|job| job.record.spec.steps.get(task.step as usize));
+        let step = self.step_spec(task);
         step.map_or_else(ResourceAmount::default, |step| step.needs)
     }
 
--- a/crates/jobs/src/scheduler/upkeep.rs
+++ b/crates/jobs/src/scheduler/upkeep.rs
@@ -110,7 +110,7 @@
             return true;
         }
         let options = self.options(self.pool_of(job), now);
-        let spec = job.record.spec.steps.get(task.step as usize);
+        let spec = self.step_spec(task);
         spec.is_some_and(|spec| self.choose(task, spec, &options).is_some())
     }
 
@@ -122,7 +122,7 @@
         if job.state.is_final() {
             return true;
         }
-        let spec = job.record.spec.steps.get(task.step as usize);
+        let spec = self.step_spec(task);
         let Some(budget) = spec.and_then(|spec| spec.max_unavailable) else {
             return true;
         };
