Wake a caller's connection so that its timeouts are seen

Cause: the listener's HTTP library sets a connection's timeouts by a clock that it refreshes twice a second, and drops the result when a timeout that it sets has passed already.

Change: the byte stream of a caller wakes its task each time the shorter of the two timeouts has passed while no bytes come; the library then sees what has lapsed.

Test: closes_connections_whenever_they_were_opened opens ten connections 70 ms apart.

--- a/crates/node/src/ingress.rs
+++ b/crates/node/src/ingress.rs
@@ -7,10 +7,12 @@
 use std::time;
 
 use actix_http::body::BoxBody;
+use actix_http::error::DispatchError;
 use actix_http::header::{self, HeaderValue};
 use actix_http::{ConnectionType, HttpService, Method, Request, Response, StatusCode};
+use actix_rt::net::TcpStream;
 use actix_server::{Server, ServerBuilder};
-use actix_service::fn_factory;
+use actix_service::{ServiceFactoryExt, fn_factory};
 use redwing_model::RunOutcome;
 
 use crate::answer::{EntryResponse, OUTCOME_HEADER, ProblemAnswer, ProblemKind};
@@ -20,6 +22,7 @@
 use crate::error::{Error, Result};
 use crate::exchange::BackendClient;
 use crate::gate;
+use crate::inbound::CallerStream;
 use crate::metrics::{MetricsRegistry, PathMetrics};
 use crate::plane::ClaimSlot;
 use crate::relay::{BodyFault, BodyLimits, CallerBody};
@@ -82,12 +85,12 @@
     let factory = move || {
         let context = context.clone();
         let draining = draining.clone();
-        HttpService::build()
+        let wake = limits.idle_timeout.min(limits.head_timeout);
+        let http = HttpService::build()
             .keep_alive(limits.idle_timeout)
             .client_request_timeout(limits.head_timeout)
             .client_disconnect_timeout(limits.head_timeout)
             .h1_allow_half_closed(false)
-            .tcp_nodelay(true)
             .graceful_shutdown_signal(move || {
                 let draining = draining.clone();
                 async move {
@@ -102,8 +105,13 @@
                         serve(rc::Rc::clone(&thread), request)
                     }))
                 }
-            }))
-            .tcp()
+            }));
+        actix_service::fn_service(move |stream: TcpStream| async move {
+            let peer = stream.peer_addr().ok();
+            stream.set_nodelay(true)?;
+            Ok::<_, DispatchError>((CallerStream::new(stream, wake), peer))
+        })
+        .and_then(http)
     };
     let server = builder
         .listen("entry", listener, factory)
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod fleet;
 pub mod gate;
 pub mod homes;
+pub mod inbound;
 pub mod ingress;
 pub mod jobs;
 pub mod link;
--- a/crates/node/tests/bound.rs
+++ b/crates/node/tests/bound.rs
@@ -5,6 +5,7 @@
 
 use std::io::{Read, Write};
 use std::thread;
+use std::time;
 
 use common::client::{self, Request};
 use common::fleet::{FleetPlan, TestFleet};
@@ -140,6 +141,29 @@
         .expect("the connection was not closed");
 }
 
+/// The listener reads a clock of its own that is up to half a second behind:
+/// a timeout that is shorter may lie in the past when it is set.
+#[rstest]
+#[case::slow_head(&["--head-timeout", "0.2"], "POST /v1/queues/notices/requests HTTP/1.1\r\nHo")]
+#[case::idle(&["--idle-timeout", "0.2"], "GET /healthz HTTP/1.1\r\nHost: t\r\n\r\n")]
+fn closes_connections_whenever_they_were_opened(
+    #[case] flags: &'static [&'static str],
+    #[case] sent: &str,
+) {
+    let fleet = TestFleet::start(FleetPlan { flags, ..plan() });
+    let mut streams = Vec::new();
+    for _ in 0..10 {
+        let mut stream = client::connect(fleet.listen).unwrap();
+        stream.write_all(sent.as_bytes()).unwrap();
+        streams.push(stream);
+        thread::sleep(time::Duration::from_millis(70));
+    }
+    for mut stream in streams {
+        let closed = stream.read_to_end(&mut Vec::new());
+        closed.expect("the connection was not closed");
+    }
+}
+
 #[test]
 fn a_caller_who_stops_reading_gives_the_slot_back() {
     let fleet = TestFleet::start(FleetPlan {
