--- a/crates/ctl/src/grant.rs
+++ b/crates/ctl/src/grant.rs
@@ -1,10 +1,10 @@
-//! Subcommands that grant and withdraw keys of teams and tokens of operators.
+//! Subcommands that grant and withdraw keys of customers and tokens of operators.
 
 use std::fmt;
 
 use actix_http::Method;
 use redwing_model::admin::{KeyRequest, KeyView, OperatorRequest, OperatorView};
-use redwing_model::{KeyHash, QueueName, TeamName};
+use redwing_model::{CustomerName, KeyHash, QueueName};
 use serde::Serialize;
 
 use crate::apply;
@@ -14,13 +14,13 @@
 use crate::option;
 use crate::output;
 
-/// Path of the keys of teams.
+/// Path of the keys of customers.
 const KEYS_PATH: &str = "/v1/admin/keys";
 
 /// Path of the tokens of operators.
 const OPERATORS_PATH: &str = "/v1/admin/operators";
 
-/// Keys of teams.
+/// Keys of customers.
 pub(crate) const KEY: CommandEntry = CommandEntry {
     name: "key",
     define: define_key,
@@ -40,10 +40,10 @@
         .arg(
             clap::Arg::new("team")
                 .long("team")
-                .value_name("TEAM")
+                .value_name("CUSTOMER")
                 .required(true)
-                .value_parser(parse_name::<TeamName>)
-                .help("Team that the key belongs to"),
+                .value_parser(parse_name::<CustomerName>)
+                .help("Customer that the key belongs to"),
         )
         .arg(
             clap::Arg::new("queue")
@@ -52,7 +52,11 @@
                 .value_parser(parse_name::<QueueName>)
                 .help("Queue that it is good for; every queue if left out"),
         );
-    define_group("key", "Grants, withdraws and lists keys of teams", grant)
+    define_group(
+        "key",
+        "Grants, withdraws and lists keys of customers",
+        grant,
+    )
 }
 
 fn define_operator() -> clap::Command {
@@ -111,18 +115,18 @@
 fn run_key(flags: &clap::ArgMatches) -> Result<ExitStatus> {
     match flags.subcommand() {
         Some(("grant", flags)) => {
-            let Some(team) = flags.get_one::<TeamName>("team").cloned() else {
-                return Err(Error::flag("--team", "", "give a team"));
+            let Some(customer) = flags.get_one::<CustomerName>("team").cloned() else {
+                return Err(Error::flag("--team", "", "give a customer"));
             };
             let queue = flags.get_one::<QueueName>("queue").cloned();
-            let request = KeyRequest { team, queue };
+            let request = KeyRequest { customer, queue };
             let request = AdminRequest::post("grant key", KEYS_PATH, &request)?;
             apply::finish_grant(flags, &request)
         }
         Some(("withdraw", flags)) => withdraw(flags, "withdraw key", KEYS_PATH),
         Some((_, flags)) => list::<KeyView>(flags, "list keys", KEYS_PATH, |key| {
             let queue = key.queue.as_ref().map_or("*", |queue| queue.as_str());
-            format!("{} {} {}", key.hash.to_hex(), key.team, queue)
+            format!("{} {} {}", key.hash.to_hex(), key.customer, queue)
         }),
         None => Ok(ExitStatus::Usage),
     }
--- a/crates/ctl/src/load/command.rs
+++ b/crates/ctl/src/load/command.rs
@@ -112,7 +112,7 @@
     vec![
         text(
             "stream",
-            "TEAM/QUEUE[/KEY[/WEIGHT[/SHARE]]]",
+            "CUSTOMER/QUEUE[/KEY[/WEIGHT[/SHARE]]]",
             "One stream of requests",
         )
         .action(clap::ArgAction::Append),
@@ -301,12 +301,12 @@
     }
 }
 
-/// Reads `TEAM/QUEUE[/KEY[/WEIGHT[/SHARE]]]`.
+/// Reads `CUSTOMER/QUEUE[/KEY[/WEIGHT[/SHARE]]]`.
 fn parse_stream(text: &str) -> Result<LoadStream> {
     let wrong = |allowed: String| Error::flag("--stream", text, allowed);
-    let form = || wrong("use TEAM/QUEUE[/KEY[/WEIGHT[/SHARE]]]".to_owned());
+    let form = || wrong("use CUSTOMER/QUEUE[/KEY[/WEIGHT[/SHARE]]]".to_owned());
     let parts: Vec<&str> = text.split('/').collect();
-    let [team, queue, rest @ ..] = parts.as_slice() else {
+    let [customer, queue, rest @ ..] = parts.as_slice() else {
         return Err(form());
     };
     let number = |index: usize, default: f64| match rest.get(index) {
@@ -314,7 +314,7 @@
         None => Ok(default),
     };
     Ok(LoadStream {
-        team: team.parse().map_err(|e| wrong(format!("{e}")))?,
+        customer: customer.parse().map_err(|e| wrong(format!("{e}")))?,
         queue: queue.parse().map_err(|e| wrong(format!("{e}")))?,
         key: rest
             .first()
--- a/crates/ctl/src/load/experiment.rs
+++ b/crates/ctl/src/load/experiment.rs
@@ -1,6 +1,6 @@
 //! What a load experiment sends, and where to.
 
-use redwing_model::{FleetDeclaration, QueueName, TeamName};
+use redwing_model::{CustomerName, FleetDeclaration, QueueName};
 use serde::{Deserialize, Serialize};
 
 use crate::error::{Error, Result};
@@ -47,10 +47,10 @@
     pub rotation: Option<DemandRotation>,
     /// Length of the windows in which shares are compared, in seconds.
     pub window_seconds: f64,
-    /// Entitlement of a team below which its share is not compared, in
+    /// Entitlement of a customer below which its share is not compared, in
     /// requests; one request is a hundredth of the default.
     pub min_compared_requests: f64,
-    /// Streams of requests, one for each team and queue.
+    /// Streams of requests, one for each customer and queue.
     pub streams: Vec<LoadStream>,
 }
 
@@ -66,21 +66,22 @@
     pub lull: f64,
 }
 
-/// Requests of one team to one queue.
+/// Requests of one customer to one queue.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 #[serde(rename_all = "kebab-case", deny_unknown_fields, default)]
 pub struct LoadStream {
-    /// Team that sends; only a label when the queue is open.
-    pub team: TeamName,
+    /// Customer that sends; only a label when the queue is open.
+    #[serde(rename = "team")]
+    pub customer: CustomerName,
     /// Queue that it sends to.
     pub queue: QueueName,
     /// Access key; empty for none.
     pub key: String,
     /// Part of the total rate, relative to the other streams.
     pub weight: f64,
-    /// Share of the queue that the declaration gives to the team.
+    /// Share of the queue that the declaration gives to the customer.
     pub share: f64,
-    /// Limit of the team across the fleet; 0 for none.
+    /// Limit of the customer across the fleet; 0 for none.
     pub limit: u32,
     /// Size of each body, in bytes.
     pub body_bytes: usize,
@@ -136,7 +137,7 @@
 impl Default for LoadStream {
     fn default() -> Self {
         Self {
-            team: label("team"),
+            customer: label("team"),
             queue: label("queue"),
             key: String::new(),
             weight: 1.0,
@@ -217,15 +218,15 @@
         Ok(())
     }
 
-    /// Takes the shares and limits of the streams' teams from `fleet`.
+    /// Takes the shares and limits of the streams' customers from `fleet`.
     pub fn take_targets(&mut self, fleet: &FleetDeclaration) {
         for stream in &mut self.streams {
             let queue = fleet.queues.get(&stream.queue);
-            if let Some(share) = queue.and_then(|queue| queue.shares.get(&stream.team)) {
+            if let Some(share) = queue.and_then(|queue| queue.shares.get(&stream.customer)) {
                 stream.share = *share;
             }
-            if let Some(team) = fleet.teams.get(&stream.team) {
-                stream.limit = team.limit;
+            if let Some(customer) = fleet.customers.get(&stream.customer) {
+                stream.limit = customer.limit;
             }
         }
     }
--- a/crates/ctl/src/load/report.rs
+++ b/crates/ctl/src/load/report.rs
@@ -55,7 +55,7 @@
 #[derive(Clone, Debug, Default, Serialize)]
 #[serde(rename_all = "kebab-case")]
 pub struct StreamReport {
-    /// Team and queue.
+    /// Customer and queue.
     pub name: String,
     /// Requests scheduled.
     pub scheduled: usize,
@@ -105,7 +105,7 @@
         let streams = experiment.streams.iter().enumerate();
         let streams = streams
             .map(|(index, stream)| {
-                let name = format!("{}/{}", stream.team, stream.queue);
+                let name = format!("{}/{}", stream.customer, stream.queue);
                 let part = records.iter().filter(|record| record.stream == index);
                 StreamReport::new(name, seconds, part)
             })
--- a/crates/ctl/src/load/share.rs
+++ b/crates/ctl/src/load/share.rs
@@ -1,8 +1,8 @@
-//! Distance of what each team received from weighted max-min fairness.
+//! Distance of what each customer received from weighted max-min fairness.
 
 use std::collections::BTreeMap;
 
-use redwing_model::{QueueName, RunOutcome, TeamName};
+use redwing_model::{CustomerName, QueueName, RunOutcome};
 use serde::Serialize;
 
 use super::experiment::LoadExperiment;
@@ -11,22 +11,22 @@
 /// Length of the slices in which entitlements are worked out, in seconds.
 const SLICE_SECONDS: f64 = 1.0;
 
-/// Teams below which a window says nothing about shares.
-const MIN_TEAMS: usize = 2;
+/// Customers below which a window says nothing about shares.
+const MIN_CUSTOMERS: usize = 2;
 
 /// One queue in one window of time.
 #[derive(Clone, Debug, PartialEq, Serialize)]
 #[serde(rename_all = "kebab-case")]
 pub struct ShareWindow {
-    /// Queue that the teams shared.
+    /// Queue that the customers shared.
     pub queue: QueueName,
     /// Start of the window, in seconds.
     pub from_seconds: f64,
-    /// Slot time delivered to all teams, in seconds.
+    /// Slot time delivered to all customers, in seconds.
     pub delivered: f64,
     /// Slot time that was wanted, in seconds.
     pub wanted: f64,
-    /// Largest relative distance of a team from its entitlement.
+    /// Largest relative distance of a customer from its entitlement.
     pub error: f64,
 }
 
@@ -37,9 +37,9 @@
     }
 }
 
-/// What one team wanted and received of one queue in some time.
+/// What one customer wanted and received of one queue in some time.
 #[derive(Clone, Copy, Debug, Default)]
-struct TeamDemand {
+struct CustomerDemand {
     weight: f64,
     run_seconds: f64,
     limit: u32,
@@ -84,7 +84,7 @@
 /// limits hold as they are, and added up over the window. A request is wanted
 /// in each slice in which it was outstanding, up to its running time; one that
 /// was refused is wanted in full when it arrives. It counts as running for its
-/// running time before its end. No team wants more than its limit lets it run.
+/// running time before its end. No customer wants more than its limit lets it run.
 pub fn share_windows(experiment: &LoadExperiment, records: &[RequestRecord]) -> Vec<ShareWindow> {
     let length = experiment.window_seconds;
     let count = (experiment.seconds / length) as usize;
@@ -96,12 +96,12 @@
         let records: Vec<&RequestRecord> = records.iter().filter(of_queue).collect();
         for index in 0..count {
             let from = index as f64 * length;
-            let teams = window_of(experiment, &records, from, from + length);
+            let customers = window_of(experiment, &records, from, from + length);
             windows.extend(compare(
                 experiment.min_compared_requests,
                 queue,
                 from,
-                &teams,
+                &customers,
             ));
         }
     }
@@ -114,35 +114,35 @@
     records: &[&RequestRecord],
     from: f64,
     to: f64,
-) -> BTreeMap<TeamName, TeamDemand> {
-    let mut window: BTreeMap<TeamName, TeamDemand> = BTreeMap::new();
+) -> BTreeMap<CustomerName, CustomerDemand> {
+    let mut window: BTreeMap<CustomerName, CustomerDemand> = BTreeMap::new();
     let slices = ((to - from) / SLICE_SECONDS).ceil() as usize;
     for index in 0..slices {
         let start = from + index as f64 * SLICE_SECONDS;
         let slice = slice_of(experiment, records, start, (start + SLICE_SECONDS).min(to));
-        let wanted: Vec<f64> = slice.values().map(|team| team.wanted).collect();
-        let weights: Vec<f64> = slice.values().map(|team| team.weight).collect();
-        let delivered: f64 = slice.values().map(|team| team.received).sum();
+        let wanted: Vec<f64> = slice.values().map(|customer| customer.wanted).collect();
+        let weights: Vec<f64> = slice.values().map(|customer| customer.weight).collect();
+        let delivered: f64 = slice.values().map(|customer| customer.received).sum();
         let entitled = max_min_entitlements(delivered, &wanted, &weights);
         for ((name, part), entitled) in slice.into_iter().zip(entitled) {
-            let team = window.entry(name).or_default();
-            team.run_seconds = part.run_seconds;
-            team.wanted += part.wanted;
-            team.received += part.received;
-            team.entitled += entitled;
+            let customer = window.entry(name).or_default();
+            customer.run_seconds = part.run_seconds;
+            customer.wanted += part.wanted;
+            customer.received += part.received;
+            customer.entitled += entitled;
         }
     }
     window
 }
 
-/// Returns what each team wanted and received in one slice.
+/// Returns what each customer wanted and received in one slice.
 fn slice_of(
     experiment: &LoadExperiment,
     records: &[&RequestRecord],
     from: f64,
     to: f64,
-) -> BTreeMap<TeamName, TeamDemand> {
-    let mut teams: BTreeMap<TeamName, TeamDemand> = BTreeMap::new();
+) -> BTreeMap<CustomerName, CustomerDemand> {
+    let mut customers: BTreeMap<CustomerName, CustomerDemand> = BTreeMap::new();
     for record in records {
         let stream = &experiment.streams[record.stream];
         let arrived = record.scheduled.as_secs_f64();
@@ -150,53 +150,53 @@
         if arrived >= to || ended <= from {
             continue;
         }
-        let team = teams.entry(stream.team.clone()).or_default();
-        team.weight = stream.share;
-        team.run_seconds = stream.run_seconds;
-        team.limit = stream.limit;
+        let customer = customers.entry(stream.customer.clone()).or_default();
+        customer.weight = stream.share;
+        customer.run_seconds = stream.run_seconds;
+        customer.limit = stream.limit;
         if record.outcome() == Some(RunOutcome::Ran) {
             let started = (ended - stream.run_seconds).max(from);
-            team.received += (ended.min(to) - started).max(0.0);
+            customer.received += (ended.min(to) - started).max(0.0);
         }
         let outstanding = ended.min(to) - arrived.max(from);
-        team.wanted += if record.outcome() == Some(RunOutcome::NotRun) && arrived >= from {
+        customer.wanted += if record.outcome() == Some(RunOutcome::NotRun) && arrived >= from {
             stream.run_seconds
         } else {
             outstanding.min(stream.run_seconds)
         };
     }
-    for team in teams.values_mut() {
-        if team.limit > 0 {
-            team.wanted = team.wanted.min(f64::from(team.limit) * (to - from));
+    for customer in customers.values_mut() {
+        if customer.limit > 0 {
+            customer.wanted = customer.wanted.min(f64::from(customer.limit) * (to - from));
         }
     }
-    teams
+    customers
 }
 
-/// Returns the largest distance of a team from what it was entitled to.
+/// Returns the largest distance of a customer from what it was entitled to.
 ///
-/// A team that is entitled to fewer than `min_requests` is left out.
+/// A customer that is entitled to fewer than `min_requests` is left out.
 fn compare(
     min_requests: f64,
     queue: &QueueName,
     from: f64,
-    teams: &BTreeMap<TeamName, TeamDemand>,
+    customers: &BTreeMap<CustomerName, CustomerDemand>,
 ) -> Option<ShareWindow> {
-    let delivered: f64 = teams.values().map(|team| team.received).sum();
-    let errors: Vec<f64> = teams
+    let delivered: f64 = customers.values().map(|customer| customer.received).sum();
+    let errors: Vec<f64> = customers
         .values()
-        .filter(|team| team.entitled >= min_requests * team.run_seconds)
-        .filter(|team| team.entitled > 0.0)
-        .map(|team| (team.received - team.entitled).abs() / team.entitled)
+        .filter(|customer| customer.entitled >= min_requests * customer.run_seconds)
+        .filter(|customer| customer.entitled > 0.0)
+        .map(|customer| (customer.received - customer.entitled).abs() / customer.entitled)
         .collect();
-    if errors.len() < MIN_TEAMS {
+    if errors.len() < MIN_CUSTOMERS {
         return None;
     }
     Some(ShareWindow {
         queue: queue.clone(),
         from_seconds: from,
         delivered,
-        wanted: teams.values().map(|team| team.wanted).sum(),
+        wanted: customers.values().map(|customer| customer.wanted).sum(),
         error: errors.into_iter().fold(0.0, f64::max),
     })
 }
--- a/crates/ctl/src/load/startup.rs
+++ b/crates/ctl/src/load/startup.rs
@@ -1,6 +1,6 @@
 //! Lines that an entry process with the embedded platform prints when it starts.
 
-use redwing_model::{QueueName, TeamName};
+use redwing_model::{CustomerName, QueueName};
 
 use super::experiment::{LoadExperiment, LoadStream};
 
@@ -22,20 +22,20 @@
                 experiment.backends.push((*base).to_owned());
                 has_backend = true;
             }
-            ["key", team, queue, key] => add_key(experiment, named, team, queue, key),
+            ["key", customer, queue, key] => add_key(experiment, named, customer, queue, key),
             ["queue", queue, "open"] if !named => add_open(experiment, queue),
             _ => {}
         }
     }
 }
 
-fn add_key(experiment: &mut LoadExperiment, named: bool, team: &str, queue: &str, key: &str) {
-    let (Ok(team), Ok(queue)) = (TeamName::new(team), QueueName::new(queue)) else {
+fn add_key(experiment: &mut LoadExperiment, named: bool, customer: &str, queue: &str, key: &str) {
+    let (Ok(customer), Ok(queue)) = (CustomerName::new(customer), QueueName::new(queue)) else {
         return;
     };
     if !named {
         experiment.streams.push(LoadStream {
-            team,
+            customer,
             queue,
             key: key.to_owned(),
             ..LoadStream::default()
@@ -43,7 +43,7 @@
         return;
     }
     for stream in &mut experiment.streams {
-        if stream.team == team && stream.queue == queue && stream.key.is_empty() {
+        if stream.customer == customer && stream.queue == queue && stream.key.is_empty() {
             stream.key = key.to_owned();
         }
     }
--- a/crates/ctl/src/output.rs
+++ b/crates/ctl/src/output.rs
@@ -167,9 +167,11 @@
     match kind {
         ChangeKind::Apply => "apply".to_owned(),
         ChangeKind::Rollback { to_version } => format!("rollback to {to_version}"),
-        ChangeKind::GrantKey { team, queue, .. } => {
+        ChangeKind::GrantKey {
+            customer, queue, ..
+        } => {
             let queue = queue.as_ref().map_or("every queue", |queue| queue.as_str());
-            format!("grant key of {team} for {queue}")
+            format!("grant key of {customer} for {queue}")
         }
         ChangeKind::WithdrawKey { hash } => format!("withdraw key {}", hash.to_hex()),
         ChangeKind::GrantOperator { name, .. } => format!("grant operator {name}"),
--- a/crates/ctl/tests/load.rs
+++ b/crates/ctl/tests/load.rs
@@ -6,14 +6,14 @@
 use proptest::test_runner::RngSeed;
 use redwing_ctl::load::{self, DemandRotation, LoadExperiment, LoadSchedule, LoadStream};
 use redwing_ctl::load::{BodyCheck, ExecutionCounts, RequestEnd, RequestRecord};
-use redwing_model::{QueueName, RunOutcome, TeamName};
+use redwing_model::{CustomerName, QueueName, RunOutcome};
 use rstest::rstest;
 
 const RUN: u32 = 7;
 
-fn stream(team: &str, queue: &str) -> LoadStream {
+fn stream(customer: &str, queue: &str) -> LoadStream {
     LoadStream {
-        team: TeamName::new(team).expect("a valid name"),
+        customer: CustomerName::new(customer).expect("a valid name"),
         queue: QueueName::new(queue).expect("a valid name"),
         share: 0.5,
         run_seconds: 1.0,
@@ -177,7 +177,7 @@
 }
 
 #[test]
-fn the_share_error_is_the_largest_distance_of_a_team() {
+fn the_share_error_is_the_largest_distance_of_a_customer() {
     let mut contended = experiment();
     contended.streams = vec![stream("a", "q"), stream("b", "q")];
     let mut records = Vec::new();
@@ -193,18 +193,18 @@
     let windows = load::share_windows(&contended, &records);
     assert_eq!(windows.len(), 1);
     assert!(windows[0].is_contended());
-    // 8 slot seconds were delivered, 4 to each by right; the teams got 6 and 2.
+    // 8 slot seconds were delivered, 4 to each by right; the customers got 6 and 2.
     assert!((windows[0].error - 0.5).abs() < 1e-9);
 }
 
 #[test]
-fn a_limit_bounds_what_a_team_is_entitled_to() {
+fn a_limit_bounds_what_a_customer_is_entitled_to() {
     let mut contended = experiment();
     contended.streams = vec![stream("a", "q"), stream("b", "q")];
     contended.streams[0].limit = 1;
     contended.streams[0].run_seconds = 5.0;
     contended.streams[1].run_seconds = 5.0;
-    // 20 slot seconds were delivered: team a may have 10 of them in 10 s.
+    // 20 slot seconds were delivered: customer a may have 10 of them in 10 s.
     let mut records = Vec::new();
     for (request, from) in [(0, 0.0), (1, 5.0)] {
         let ran = answered(RunOutcome::Ran);
@@ -282,9 +282,9 @@
     #[test]
     fn entitlements_never_exceed_demand_or_capacity(
         capacity in 0.0..100.0_f64,
-        teams in prop::collection::vec((0.0..50.0_f64, 0.01..1.0_f64), 1..12),
+        customers in prop::collection::vec((0.0..50.0_f64, 0.01..1.0_f64), 1..12),
     ) {
-        let (demands, weights): (Vec<f64>, Vec<f64>) = teams.into_iter().unzip();
+        let (demands, weights): (Vec<f64>, Vec<f64>) = customers.into_iter().unzip();
         let entitled = load::max_min_entitlements(capacity, &demands, &weights);
         let total: f64 = entitled.iter().sum();
         let wanted: f64 = demands.iter().sum();
--- a/crates/ctl/tests/usage.rs
+++ b/crates/ctl/tests/usage.rs
@@ -40,7 +40,7 @@
 #[case::wait_too_long(&["rollback", "--to", "1", "--wait", "9000"])]
 #[case::change_id_with_space(&["rollback", "--to", "1", "--change-id", "a b"])]
 #[case::hash_too_short(&["key", "withdraw", "--hash", "abc"])]
-#[case::team_in_capitals(&["key", "grant", "--team", "Housing"])]
+#[case::customer_in_capitals(&["key", "grant", "--team", "Housing"])]
 #[case::age_without_unit(&["audit", "--since", "15"])]
 #[case::file_that_is_missing(&["apply", "-f", "/nonexistent/fleet.toml"])]
 fn wrong_flags_of_changes_end_with_status_2(#[case] arguments: &[&str]) {
--- a/crates/membership/src/assign.rs
+++ b/crates/membership/src/assign.rs
@@ -33,7 +33,7 @@
 
     /// Returns where token `number` of `pool` should be at home.
     ///
-    /// All slots of a worker have one home; permits of a team are spread.
+    /// All slots of a worker have one home; permits of a customer are spread.
     pub fn preferred(&self, pool: &TokenPool, number: u32) -> Option<&'a NodeIncarnation> {
         let key = holding::holding_key(pool);
         match pool {
--- a/crates/membership/src/holding.rs
+++ b/crates/membership/src/holding.rs
@@ -1,6 +1,6 @@
 //! Rows that record the homes of tokens.
 
-use redwing_model::{NodeIncarnation, TeamName, VmId};
+use redwing_model::{CustomerName, NodeIncarnation, VmId};
 use redwing_policy::TokenPool;
 use serde::{Deserialize, Serialize};
 
@@ -54,15 +54,15 @@
 /// Returns the key of the row of `pool`.
 pub fn holding_key(pool: &TokenPool) -> String {
     match pool {
-        TokenPool::Permit(team) => format!("{PERMIT_PREFIX}{team}"),
+        TokenPool::Permit(customer) => format!("{PERMIT_PREFIX}{customer}"),
         TokenPool::Slot(vm) => format!("{SLOT_PREFIX}{vm}"),
     }
 }
 
 /// Returns the pool whose row has this key, or `None` for another key.
 pub fn pool_of_key(key: &str) -> Option<TokenPool> {
-    if let Some(team) = key.strip_prefix(PERMIT_PREFIX) {
-        return TeamName::new(team).ok().map(TokenPool::Permit);
+    if let Some(customer) = key.strip_prefix(PERMIT_PREFIX) {
+        return CustomerName::new(customer).ok().map(TokenPool::Permit);
     }
     let vm = key.strip_prefix(SLOT_PREFIX)?;
     VmId::new(vm).ok().map(TokenPool::Slot)
--- a/crates/model/src/access.rs
+++ b/crates/model/src/access.rs
@@ -1,4 +1,4 @@
-//! Access keys of teams and operators.
+//! Access keys of customers and operators.
 
 use std::fmt;
 use std::hash;
--- a/crates/model/src/admin.rs
+++ b/crates/model/src/admin.rs
@@ -31,7 +31,7 @@
 use crate::access::KeyHash;
 use crate::diff::FieldDifference;
 use crate::error::{DeclarationFault, Place};
-use crate::name::{NodeId, NodeIncarnation, QueueName, TeamName};
+use crate::name::{CustomerName, NodeId, NodeIncarnation, QueueName};
 
 /// Header with the id of a change.
 pub const CHANGE_ID_HEADER: &str = "redwing-change-id";
@@ -179,8 +179,9 @@
     GrantKey {
         /// Digest of the key.
         hash: KeyHash,
-        /// Team that the key belongs to.
-        team: TeamName,
+        /// Customer that the key belongs to.
+        #[serde(rename = "team")]
+        customer: CustomerName,
         /// Queue that it is good for; `None` for every queue.
         queue: Option<QueueName>,
     },
@@ -239,8 +240,9 @@
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(rename_all = "kebab-case", deny_unknown_fields)]
 pub struct KeyRequest {
-    /// Team that the key belongs to.
-    pub team: TeamName,
+    /// Customer that the key belongs to.
+    #[serde(rename = "team")]
+    pub customer: CustomerName,
     /// Queue that it is good for; `None` for every queue.
     #[serde(default)]
     pub queue: Option<QueueName>,
@@ -252,8 +254,9 @@
 pub struct KeyView {
     /// Digest of the key.
     pub hash: KeyHash,
-    /// Team that the key belongs to.
-    pub team: TeamName,
+    /// Customer that the key belongs to.
+    #[serde(rename = "team")]
+    pub customer: CustomerName,
     /// Queue that it is good for; `None` for every queue.
     pub queue: Option<QueueName>,
 }
--- a/crates/model/src/declaration.rs
+++ b/crates/model/src/declaration.rs
@@ -8,7 +8,7 @@
 
 use crate::error::{DeclarationFault, Error, Result};
 use crate::field::{self, FieldTree};
-use crate::name::{PoolName, QueueName, TeamName};
+use crate::name::{CustomerName, PoolName, QueueName};
 
 /// Sum of the shares of a queue must stay at or below this.
 const MAX_SHARE_SUM: f64 = 1.0;
@@ -19,8 +19,8 @@
 /// Largest number of VMs in a pool.
 const MAX_POOL_VMS: u32 = 100_000;
 
-/// Largest limit of a team, which bounds the number of permits.
-const MAX_TEAM_LIMIT: u32 = 100_000;
+/// Largest limit of a customer, which bounds the number of permits.
+const MAX_CUSTOMER_LIMIT: u32 = 100_000;
 
 /// Longest drain and longest request timeout, in seconds.
 const MAX_SECONDS: u32 = 24 * 60 * 60;
@@ -28,7 +28,7 @@
 /// Largest request body that a queue may allow, in bytes.
 const MAX_BODY_BYTES: u64 = 1024 * 1024 * 1024;
 
-/// Largest number of waiting requests of one team at one entry VM.
+/// Largest number of waiting requests of one customer at one entry VM.
 const MAX_QUEUE_DEPTH: u32 = 1_000_000;
 
 /// Targets of a whole fleet.
@@ -43,8 +43,9 @@
     pub pools: BTreeMap<PoolName, PoolTarget>,
     /// Queues by name.
     pub queues: BTreeMap<QueueName, QueueTarget>,
-    /// Teams by name.
-    pub teams: BTreeMap<TeamName, TeamTarget>,
+    /// Customers by name.
+    #[serde(rename = "teams")]
+    pub customers: BTreeMap<CustomerName, CustomerTarget>,
 }
 
 /// Which costs the planner keeps lowest.
@@ -100,18 +101,18 @@
     /// Largest request body, in bytes.
     #[serde(default = "default_body_bytes")]
     pub max_body_bytes: u64,
-    /// Largest number of waiting requests of one team at one entry VM.
-    #[serde(default = "default_queue_depth")]
-    pub max_waiting_per_team: u32,
-    /// Share of each team when demand exceeds capacity, as fractions of one.
+    /// Largest number of waiting requests of one customer at one entry VM.
+    #[serde(default = "default_queue_depth", rename = "max-waiting-per-team")]
+    pub max_waiting_per_customer: u32,
+    /// Share of each customer when demand exceeds capacity, as fractions of one.
     #[serde(default)]
-    pub shares: BTreeMap<TeamName, f64>,
+    pub shares: BTreeMap<CustomerName, f64>,
 }
 
-/// Targets of one team.
+/// Targets of one customer.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(rename_all = "kebab-case", deny_unknown_fields)]
-pub struct TeamTarget {
+pub struct CustomerTarget {
     /// Largest number of requests running at once across the fleet.
     pub limit: u32,
 }
@@ -198,7 +199,7 @@
         let mut faults = Vec::new();
         self.check_pools(&mut faults);
         self.check_queues(&mut faults);
-        self.check_teams(&mut faults);
+        self.check_customers(&mut faults);
         faults
     }
 
@@ -248,14 +249,16 @@
         faults: &mut Vec<DeclarationFault>,
     ) {
         let field = format!("queues.{name}.shares");
-        for (team, share) in &queue.shares {
-            if !self.teams.contains_key(team) {
-                let message = format!("team {team} has no limit; add [teams.{team}] with a limit");
-                faults.push(fault(format!("{field}.{team}"), message));
+        for (customer, share) in &queue.shares {
+            if !self.customers.contains_key(customer) {
+                let message = format!(
+                    "customer {customer} has no limit; add [teams.{customer}] with a limit"
+                );
+                faults.push(fault(format!("{field}.{customer}"), message));
             }
             if !(share.is_finite() && *share > 0.0) {
                 let message = format!("{share} is not a share; use a number above 0, up to 1");
-                faults.push(fault(format!("{field}.{team}"), message));
+                faults.push(fault(format!("{field}.{customer}"), message));
             }
         }
         let sum: f64 = queue.shares.values().sum();
@@ -265,10 +268,16 @@
         }
     }
 
-    fn check_teams(&self, faults: &mut Vec<DeclarationFault>) {
-        for (name, team) in &self.teams {
+    fn check_customers(&self, faults: &mut Vec<DeclarationFault>) {
+        for (name, customer) in &self.customers {
             let field = format!("teams.{name}.limit");
-            check_count(field, team.limit.into(), 1, MAX_TEAM_LIMIT.into(), faults);
+            check_count(
+                field,
+                customer.limit.into(),
+                1,
+                MAX_CUSTOMER_LIMIT.into(),
+                faults,
+            );
         }
     }
 }
@@ -290,7 +299,7 @@
         MAX_BODY_BYTES,
         faults,
     );
-    let waiting = queue.max_waiting_per_team.into();
+    let waiting = queue.max_waiting_per_customer.into();
     check_count(
         field("max-waiting-per-team"),
         waiting,
--- a/crates/model/src/field.rs
+++ b/crates/model/src/field.rs
@@ -20,8 +20,8 @@
     "shares",
 ];
 
-/// Fields of one team.
-const TEAM_FIELDS: &[&str] = &["limit"];
+/// Fields of one customer.
+const CUSTOMER_FIELDS: &[&str] = &["limit"];
 
 /// Text of a declaration, parsed, with the place of each field.
 #[derive(Clone, Debug)]
@@ -62,7 +62,7 @@
         for (group, fields) in [
             ("pools", POOL_FIELDS),
             ("queues", QUEUE_FIELDS),
-            ("teams", TEAM_FIELDS),
+            ("teams", CUSTOMER_FIELDS),
         ] {
             let Some(DeValue::Table(group_table)) =
                 self.root.get_mut(group).map(|value| value.get_mut())
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -2,7 +2,7 @@
 //!
 //! A [`FleetDeclaration`] states the targets that an operator sets: the
 //! queues with their capacity and deadlines, the pools with their
-//! availability budgets, and the teams with their shares and limits. It is
+//! availability budgets, and the customers with their shares and limits. It is
 //! written in TOML, kept in version control, and checked as a whole before
 //! anything of it is put in force.
 //!
@@ -40,6 +40,7 @@
 pub use declaration::{FleetDeclaration, from_toml, to_toml};
 pub use error::{Category, Error, Result};
 pub use name::{
-    ClassName, DataCentre, NodeId, NodeIncarnation, PoolName, QueueName, RackName, TeamName, VmId,
+    ClassName, CustomerName, DataCentre, NodeId, NodeIncarnation, PoolName, QueueName, RackName,
+    VmId,
 };
 pub use outcome::RunOutcome;
--- a/crates/model/src/name.rs
+++ b/crates/model/src/name.rs
@@ -103,9 +103,9 @@
     "rack"
 );
 name_type!(
-    /// Name of a team that submits work.
-    TeamName,
-    "team"
+    /// Name of a customer that submits work.
+    CustomerName,
+    "customer"
 );
 name_type!(
     /// Name of a VM that runs a backend server.
--- a/crates/model/tests/declaration.rs
+++ b/crates/model/tests/declaration.rs
@@ -5,9 +5,11 @@
 
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
-use redwing_model::declaration::{LongJobs, PolicyProfile, PoolTarget, QueueTarget, TeamTarget};
+use redwing_model::declaration::{
+    CustomerTarget, LongJobs, PolicyProfile, PoolTarget, QueueTarget,
+};
 use redwing_model::error::Place;
-use redwing_model::{Category, FleetDeclaration, PoolName, QueueName, TeamName};
+use redwing_model::{Category, CustomerName, FleetDeclaration, PoolName, QueueName};
 use rstest::rstest;
 
 /// A declaration without a fault.
@@ -29,7 +31,7 @@
     let fleet = redwing_model::from_toml(&example(name)).expect("a declaration");
     assert_eq!(fleet.profile, profile);
     assert_eq!(fleet.pools.len(), 5);
-    assert_eq!(fleet.teams.len(), 6);
+    assert_eq!(fleet.customers.len(), 6);
     assert_eq!(fleet.pools.values().map(|pool| pool.vms).sum::<u32>(), 50);
     assert!(
         fleet
@@ -175,24 +177,24 @@
 prop_compose! {
     fn fleets()(
         pools in pools(),
-        teams in prop::collection::btree_map(names(), 1..500_u32, 0..5),
+        customers in prop::collection::btree_map(names(), 1..500_u32, 0..5),
         queues in prop::collection::btree_map(names(), (any::<bool>(), 1..900_u32, any::<prop::sample::Index>()), 0..5),
         with_spare in any::<bool>(),
         buffer_first in any::<bool>(),
     ) -> FleetDeclaration {
-        let teams: BTreeMap<TeamName, TeamTarget> = teams
+        let customers: BTreeMap<CustomerName, CustomerTarget> = customers
             .into_iter()
-            .map(|(name, limit)| (TeamName::new(&name).expect("a name"), TeamTarget { limit }))
+            .map(|(name, limit)| (CustomerName::new(&name).expect("a name"), CustomerTarget { limit }))
             .collect();
         let pool_names: Vec<PoolName> = pools.keys().cloned().collect();
-        let shares: BTreeMap<TeamName, f64> =
-            teams.keys().map(|team| (team.clone(), 1.0 / 8.0)).collect();
+        let shares: BTreeMap<CustomerName, f64> =
+            customers.keys().map(|customer| (customer.clone(), 1.0 / 8.0)).collect();
         let queue = |(open, seconds, pool): (bool, u32, prop::sample::Index)| QueueTarget {
             pool: pool.get(&pool_names).clone(),
             open,
             max_timeout_seconds: seconds,
             max_body_bytes: 1_024,
-            max_waiting_per_team: 10,
+            max_waiting_per_customer: 10,
             shares: shares.clone(),
         };
         let queues = queues
@@ -204,7 +206,7 @@
             spare_pool: with_spare.then(|| pool_names[0].clone()),
             pools,
             queues,
-            teams,
+            customers,
         }
     }
 }
--- a/crates/model/tests/name.rs
+++ b/crates/model/tests/name.rs
@@ -2,7 +2,7 @@
 
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
-use redwing_model::{AccessKey, KeyHash, NodeIncarnation, TeamName};
+use redwing_model::{AccessKey, CustomerName, KeyHash, NodeIncarnation};
 use rstest::rstest;
 
 #[rstest]
@@ -21,14 +21,14 @@
 #[case::accent("qu\u{e9}bec", false)]
 #[case::control("a\n", false)]
 fn a_name_is_a_lower_case_label(#[case] text: &str, #[case] allowed: bool) {
-    let name = TeamName::new(text);
+    let name = CustomerName::new(text);
     assert_eq!(name.is_ok(), allowed);
     if let Err(error) = name {
-        assert!(error.to_string().contains("team"), "{error}");
+        assert!(error.to_string().contains("customer"), "{error}");
     }
     let json = serde_json::json!(text);
     assert_eq!(
-        serde_json::from_value::<TeamName>(json).is_ok(),
+        serde_json::from_value::<CustomerName>(json).is_ok(),
         allowed,
         "serde lets through what `new` does not"
     );
@@ -89,7 +89,7 @@
 
     #[test]
     fn parsing_any_text_never_panics(text in "\\PC{0,80}") {
-        let _ = TeamName::new(&text);
+        let _ = CustomerName::new(&text);
         let _ = text.parse::<NodeIncarnation>();
         let _ = KeyHash::from_hex(&text);
     }
--- a/crates/node/examples/cluster.rs
+++ b/crates/node/examples/cluster.rs
@@ -178,8 +178,8 @@
 fn declaration(limit: u32) -> String {
     let mut text = format!("[pools.all]\nvms = {WORKERS}\nmax-unavailable = 4\n");
     text.push_str("[queues.notices]\npool = \"all\"\nopen = true\n");
-    for team in 0..6 {
-        text.push_str(&format!("[teams.team-{team}]\nlimit = {limit}\n"));
+    for customer in 0..6 {
+        text.push_str(&format!("[teams.team-{customer}]\nlimit = {limit}\n"));
     }
     text
 }
--- a/crates/node/src/admin/change.rs
+++ b/crates/node/src/admin/change.rs
@@ -89,10 +89,14 @@
     }
 
     async fn grant_key(&self, request: &AdminRequest) -> Result<AdminResponse, AdminResponse> {
-        let KeyRequest { team, queue } = request.json()?;
+        let KeyRequest { customer, queue } = request.json()?;
         let secret = AccessKey::generate();
         let hash = secret.hash();
-        let kind = ChangeKind::GrantKey { hash, team, queue };
+        let kind = ChangeKind::GrantKey {
+            hash,
+            customer,
+            queue,
+        };
         self.grant(request, kind, &secret).await
     }
 
--- a/crates/node/src/admin/read.rs
+++ b/crates/node/src/admin/read.rs
@@ -106,11 +106,11 @@
             .iter()
             .map(|(hash, grant)| KeyView {
                 hash: *hash,
-                team: grant.team.clone(),
+                customer: grant.customer.clone(),
                 queue: grant.queue.clone(),
             })
             .collect();
-        keys.sort_by(|left, right| (&left.team, left.hash).cmp(&(&right.team, right.hash)));
+        keys.sort_by(|left, right| (&left.customer, left.hash).cmp(&(&right.customer, right.hash)));
         AdminResponse::json(OK, &keys)
     }
 
--- a/crates/node/src/answer.rs
+++ b/crates/node/src/answer.rs
@@ -46,7 +46,7 @@
     HeadersTooLarge,
     /// The protocol version cannot carry a streamed answer safely.
     OldVersion,
-    /// Too many requests of the team are waiting.
+    /// Too many requests of the customer are waiting.
     QueueFull,
     /// The request did not get its turn in time.
     DeadlineUnmet,
@@ -155,7 +155,7 @@
             Self::BodyTooLarge => "The request body is too large.",
             Self::HeadersTooLarge => "The request headers are too large.",
             Self::OldVersion => "HTTP/1.1 is needed.",
-            Self::QueueFull => "Too many requests of the team are waiting.",
+            Self::QueueFull => "Too many requests of the customer are waiting.",
             Self::DeadlineUnmet => "The request did not get its turn in time.",
             Self::NoCapacity => "The queue has no backend server.",
             Self::NotStarted => "No backend server started the request.",
--- a/crates/node/src/claim.rs
+++ b/crates/node/src/claim.rs
@@ -11,7 +11,7 @@
 use std::sync;
 use std::time;
 
-use redwing_model::{KeyHash, NodeIncarnation, QueueName, RunOutcome, TeamName};
+use redwing_model::{CustomerName, KeyHash, NodeIncarnation, QueueName, RunOutcome};
 use redwing_provider::backoff::{BackoffSettings, RetryBackoff};
 use redwing_provider::{
     CallCause, Category, CommitOutcome, Result, RowKey, TableClient, TableRow, TableTransaction,
@@ -39,8 +39,8 @@
 /// Request that may run at most once.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct ClaimKey {
-    /// Team that sent it; `None` on a queue open to all.
-    pub team: Option<TeamName>,
+    /// Customer that sent it; `None` on a queue open to all.
+    pub customer: Option<CustomerName>,
     /// Queue that it was sent to.
     pub queue: QueueName,
     /// The caller's idempotency key.
@@ -50,8 +50,11 @@
 impl ClaimKey {
     /// Returns the key of the claim's row.
     pub fn row_key(&self) -> RowKey {
-        let team = self.team.as_ref().map_or("", |team| team.as_str());
-        let identity = format!("{team}/{}/{}", self.queue, self.key);
+        let customer = self
+            .customer
+            .as_ref()
+            .map_or("", |customer| customer.as_str());
+        let identity = format!("{customer}/{}/{}", self.queue, self.key);
         RowKey::new(format!("{PREFIX}{}", KeyHash::of(&identity).to_hex()))
     }
 }
--- a/crates/node/src/config/change.rs
+++ b/crates/node/src/config/change.rs
@@ -94,7 +94,9 @@
         let short = |hash: &KeyHash| hash.to_hex().chars().take(SHORT_HASH).collect::<String>();
         match &self.kind {
             ChangeKind::Apply | ChangeKind::Rollback { .. } => "declaration".to_owned(),
-            ChangeKind::GrantKey { hash, team, .. } => format!("key/{team}/{}", short(hash)),
+            ChangeKind::GrantKey { hash, customer, .. } => {
+                format!("key/{customer}/{}", short(hash))
+            }
             ChangeKind::WithdrawKey { hash } => format!("key/{}", short(hash)),
             ChangeKind::GrantOperator { hash, name } => format!("operator/{name}/{}", short(hash)),
             ChangeKind::WithdrawOperator { hash } => format!("operator/{}", short(hash)),
@@ -106,9 +108,11 @@
         let asked = match &self.kind {
             ChangeKind::Apply => format!("apply {}", self.declaration.as_deref().unwrap_or("")),
             ChangeKind::Rollback { to_version } => format!("rollback {to_version}"),
-            ChangeKind::GrantKey { team, queue, .. } => {
+            ChangeKind::GrantKey {
+                customer, queue, ..
+            } => {
                 let queue = queue.as_ref().map_or("", |queue| queue.as_str());
-                format!("grant-key {team} {queue}")
+                format!("grant-key {customer} {queue}")
             }
             ChangeKind::GrantOperator { name, .. } => format!("grant-operator {name}"),
             ChangeKind::WithdrawKey { hash } => format!("withdraw-key {}", hash.to_hex()),
@@ -189,9 +193,13 @@
                 let record = DeclarationRecord { version, text };
                 put(transaction, RowKey::new(row::DECLARATION), &record)
             }
-            ChangeKind::GrantKey { hash, team, queue } => {
+            ChangeKind::GrantKey {
+                hash,
+                customer,
+                queue,
+            } => {
                 let record = KeyRecord {
-                    team: team.clone(),
+                    customer: customer.clone(),
                     queue: queue.clone(),
                     version,
                 };
--- a/crates/node/src/config/reply.rs
+++ b/crates/node/src/config/reply.rs
@@ -86,9 +86,14 @@
     let fleet = &view.declaration;
     match &draft.kind {
         ChangeKind::Apply | ChangeKind::Rollback { .. } => check_declaration(draft),
-        ChangeKind::GrantKey { team, queue, .. } => {
-            if !fleet.teams.contains_key(team) {
-                return Some(not_found(draft, &format!("team {team} is not declared")));
+        ChangeKind::GrantKey {
+            customer, queue, ..
+        } => {
+            if !fleet.customers.contains_key(customer) {
+                return Some(not_found(
+                    draft,
+                    &format!("customer {customer} is not declared"),
+                ));
             }
             let queue = queue.as_ref()?;
             let declared = fleet.queues.contains_key(queue);
--- a/crates/node/src/config/row.rs
+++ b/crates/node/src/config/row.rs
@@ -1,7 +1,7 @@
 //! Rows of the configuration in the platform's table.
 
 use redwing_model::admin::HistoryEntry;
-use redwing_model::{KeyHash, QueueName, TeamName};
+use redwing_model::{CustomerName, KeyHash, QueueName};
 use redwing_provider::RowKey;
 use serde::{Deserialize, Serialize};
 
@@ -59,8 +59,9 @@
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(rename_all = "kebab-case")]
 pub struct KeyRecord {
-    /// Team that the key belongs to.
-    pub team: TeamName,
+    /// Customer that the key belongs to.
+    #[serde(rename = "team")]
+    pub customer: CustomerName,
     /// Queue that it is good for; `None` for every queue.
     pub queue: Option<QueueName>,
     /// Version that granted it.
--- a/crates/node/src/config/state.rs
+++ b/crates/node/src/config/state.rs
@@ -222,8 +222,10 @@
             RowKind::Head => view.head = parse(row)?,
             RowKind::Declaration => read_declaration(row, before, &mut view)?,
             RowKind::Key(hash) => {
-                let KeyRecord { team, queue, .. } = parse(row)?;
-                keys.insert(hash, KeyGrant { team, queue });
+                let KeyRecord {
+                    customer, queue, ..
+                } = parse(row)?;
+                keys.insert(hash, KeyGrant { customer, queue });
             }
             RowKind::Operator(hash) => {
                 let record: OperatorRecord = parse(row)?;
--- a/crates/node/src/dispatch.rs
+++ b/crates/node/src/dispatch.rs
@@ -108,7 +108,7 @@
         let ticket = RequestTicket {
             id: self.id,
             class: self.request.queue.clone(),
-            team: self.request.team.clone(),
+            customer: self.request.customer.clone(),
             deadline: self.deadline,
             repeatable: self.request.repeatable,
         };
--- a/crates/node/src/embedded.rs
+++ b/crates/node/src/embedded.rs
@@ -9,7 +9,7 @@
 use redwing_model::admin::{ChangeKind, ChangeStatus};
 use redwing_model::vm::{VmIdentity, VmPhase, VmRecord};
 use redwing_model::{
-    AccessKey, FleetDeclaration, NodeId, PoolName, QueueName, TeamName, declaration,
+    AccessKey, CustomerName, FleetDeclaration, NodeId, PoolName, QueueName, declaration,
 };
 use redwing_provider::{
     ListedStatus, ListedVm, PlatformServices, RowKey, TableStore, TableTransaction, VmRole,
@@ -55,8 +55,8 @@
 /// Key that the stand-in fleet has granted.
 #[derive(Debug)]
 pub struct GrantedKey {
-    /// Team that the key belongs to.
-    pub team: TeamName,
+    /// Customer that the key belongs to.
+    pub customer: CustomerName,
     /// Queue that it is good for.
     pub queue: QueueName,
     /// The key itself.
@@ -126,16 +126,16 @@
         change(desk, ChangeKind::Apply, Some(text)).await?;
         let mut keys = Vec::new();
         for (queue, target) in &self.declaration.queues {
-            for team in target.shares.keys() {
+            for customer in target.shares.keys() {
                 let key = AccessKey::generate();
                 let kind = ChangeKind::GrantKey {
                     hash: key.hash(),
-                    team: team.clone(),
+                    customer: customer.clone(),
                     queue: Some(queue.clone()),
                 };
                 change(desk, kind, None).await?;
                 keys.push(GrantedKey {
-                    team: team.clone(),
+                    customer: customer.clone(),
                     queue: queue.clone(),
                     key,
                 });
@@ -169,8 +169,8 @@
             writeln!(formatter, "queue {name} {access}")?;
         }
         for granted in self.keys {
-            let (team, queue) = (&granted.team, &granted.queue);
-            writeln!(formatter, "key {team} {queue} {}", granted.key.expose())?;
+            let (customer, queue) = (&granted.customer, &granted.queue);
+            writeln!(formatter, "key {customer} {queue} {}", granted.key.expose())?;
         }
         writeln!(formatter, "ready")?;
         self.fmt_example(formatter)
--- a/crates/node/src/gate.rs
+++ b/crates/node/src/gate.rs
@@ -6,7 +6,7 @@
 use actix_http::header::{self, HeaderMap};
 use actix_http::{Method, RequestHead, Version};
 use redwing_model::declaration::QueueTarget;
-use redwing_model::{KeyHash, QueueName, TeamName};
+use redwing_model::{CustomerName, KeyHash, QueueName};
 
 use crate::answer::{ProblemAnswer, ProblemKind};
 use crate::settings::PathLimits;
@@ -36,8 +36,8 @@
 pub struct AdmittedRequest {
     /// Queue that it is for.
     pub queue: QueueName,
-    /// Team that submitted it; `None` without a key.
-    pub team: Option<TeamName>,
+    /// Customer that submitted it; `None` without a key.
+    pub customer: Option<CustomerName>,
     /// Whether it may run more than once.
     pub repeatable: bool,
     /// How long the caller waits for the answer to begin.
@@ -78,13 +78,13 @@
     let Some(target) = snapshot.declaration.queues.get(&queue) else {
         return Err(ProblemAnswer::not_run(ProblemKind::NoSuchQueue));
     };
-    let team = team_of(&head.headers, snapshot, &queue, target)?;
+    let customer = customer_of(&head.headers, snapshot, &queue, target)?;
     let declared_bytes = declared_bytes(&head.headers)?;
     if declared_bytes.is_some_and(|bytes| bytes > target.max_body_bytes) {
         return Err(ProblemAnswer::not_run(ProblemKind::BodyTooLarge));
     }
     Ok(AdmittedRequest {
-        team,
+        customer,
         repeatable: repeatable(&head.headers)?,
         timeout: timeout(&head.headers, target)?,
         idempotency_key: idempotency_key(&head.headers)?,
@@ -124,12 +124,12 @@
     Ok(())
 }
 
-fn team_of(
+fn customer_of(
     headers: &HeaderMap,
     snapshot: &NodeSnapshot,
     queue: &QueueName,
     target: &QueueTarget,
-) -> GateResult<Option<TeamName>> {
+) -> GateResult<Option<CustomerName>> {
     let Some(secret) = bearer_key(headers)? else {
         if target.open {
             return Ok(None);
@@ -145,7 +145,7 @@
     if grant.queue.as_ref().is_some_and(|granted| granted != queue) {
         return Err(ProblemAnswer::not_run(ProblemKind::WrongKey));
     }
-    Ok(Some(grant.team.clone()))
+    Ok(Some(grant.customer.clone()))
 }
 
 /// Returns the presented key; a repeated or malformed header is refused.
--- a/crates/node/src/membership.rs
+++ b/crates/node/src/membership.rs
@@ -405,8 +405,8 @@
             let pool = TokenPool::Slot(record.identity.vm);
             (pool, self.settings.slots_per_worker)
         });
-        let permits = declaration.teams.iter().map(|(team, target)| {
-            let pool = TokenPool::Permit(team.clone());
+        let permits = declaration.customers.iter().map(|(customer, target)| {
+            let pool = TokenPool::Permit(customer.clone());
             (pool, target.limit)
         });
         slots.chain(permits).collect()
--- a/crates/node/src/once.rs
+++ b/crates/node/src/once.rs
@@ -48,7 +48,7 @@
             return Err(unavailable());
         };
         let key = ClaimKey {
-            team: request.team.clone(),
+            customer: request.customer.clone(),
             queue: request.queue.clone(),
             key: key.clone(),
         };
--- a/crates/node/src/snapshot.rs
+++ b/crates/node/src/snapshot.rs
@@ -5,14 +5,14 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time;
 
-use redwing_model::{FleetDeclaration, KeyHash, QueueName, TeamName};
+use redwing_model::{CustomerName, FleetDeclaration, KeyHash, QueueName};
 use tokio::sync::watch;
 
 /// What one access key gives a right to.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct KeyGrant {
-    /// Team that the key belongs to.
-    pub team: TeamName,
+    /// Customer that the key belongs to.
+    pub customer: CustomerName,
     /// Queue that it is good for; `None` for every queue.
     pub queue: Option<QueueName>,
 }
--- a/crates/node/tests/bound.rs
+++ b/crates/node/tests/bound.rs
@@ -12,7 +12,7 @@
 use redwing_node::connect::ConnectionSeats;
 use rstest::rstest;
 
-/// One open queue in which few requests of a team may wait.
+/// One open queue in which few requests of a customer may wait.
 const OPEN_QUEUE: &str = r#"
 [pools.workers]
 vms = 2
--- a/crates/node/tests/cluster.rs
+++ b/crates/node/tests/cluster.rs
@@ -7,13 +7,13 @@
 use std::time::Duration;
 
 use common::client::Request;
-use common::cluster::{DECLARATION, NODES, SLOTS, TEAM_LIMIT, TestCluster, send};
+use common::cluster::{CUSTOMER_LIMIT, DECLARATION, NODES, SLOTS, TestCluster, send};
 use common::wait_for;
 use redwing_model::admin::ChangeStatus;
 use redwing_standin::FaultPlan;
 
 #[test]
-fn a_team_stays_below_its_limit_through_all_processes() {
+fn a_customer_stays_below_its_limit_through_all_processes() {
     let cluster = TestCluster::start();
     let callers: Vec<_> = (0..NODES * 6)
         .map(|number| {
@@ -30,7 +30,7 @@
         assert_eq!(caller.join().unwrap(), [200; 6]);
     }
     let counts = cluster.counts();
-    assert_eq!(counts.most_running, TEAM_LIMIT);
+    assert_eq!(counts.most_running, CUSTOMER_LIMIT);
 }
 
 #[test]
--- a/crates/node/tests/common/cluster.rs
+++ b/crates/node/tests/common/cluster.rs
@@ -16,8 +16,8 @@
 /// Entry processes of the test.
 pub(crate) const NODES: usize = 3;
 
-/// Upper limit of the team, fewer than there are slots.
-pub(crate) const TEAM_LIMIT: u64 = 5;
+/// Upper limit of the customer, fewer than there are slots.
+pub(crate) const CUSTOMER_LIMIT: u64 = 5;
 
 /// Slots of the two backend servers.
 pub(crate) const SLOTS: u64 = 16;
--- a/crates/node/tests/common/mod.rs
+++ b/crates/node/tests/common/mod.rs
@@ -17,7 +17,7 @@
 
 /// Key of the stand-in fleet.
 pub(crate) struct Key {
-    pub(crate) team: String,
+    pub(crate) customer: String,
     pub(crate) queue: String,
     pub(crate) secret: String,
 }
@@ -121,7 +121,7 @@
             .map(|line| {
                 let words: Vec<&str> = line.split(' ').collect();
                 Key {
-                    team: words[1].to_owned(),
+                    customer: words[1].to_owned(),
                     queue: words[2].to_owned(),
                     secret: words[3].to_owned(),
                 }
--- a/crates/node/tests/control/admin.rs
+++ b/crates/node/tests/control/admin.rs
@@ -250,7 +250,7 @@
         query in prop_oneof!["", "(version|limit|since-millis|node|dry-run)=[ -~]{0,20}", "[ -~]{0,30}"],
         body in prop_oneof![
             prop::collection::vec(any::<u8>(), 0..200),
-            r#"\{"(team|version|name|queue)":("[a-z]{0,9}"|[0-9]{1,25}|null|\[\])\}"#
+            r#"\{"(customer|version|name|queue)":("[a-z]{0,9}"|[0-9]{1,25}|null|\[\])\}"#
                 .prop_map(String::into_bytes),
         ],
     ) {
--- a/crates/node/tests/control/claim.rs
+++ b/crates/node/tests/control/claim.rs
@@ -7,7 +7,7 @@
 
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
-use redwing_model::{NodeId, NodeIncarnation, QueueName, RunOutcome, TeamName};
+use redwing_model::{CustomerName, NodeId, NodeIncarnation, QueueName, RunOutcome};
 use redwing_node::claim::{
     self, ClaimAnswer, ClaimHandle, ClaimKey, ClaimSettings, CommitAges, HeldClaim,
 };
@@ -59,7 +59,7 @@
 
 fn key(number: u32) -> ClaimKey {
     ClaimKey {
-        team: Some(TeamName::new("sales").unwrap()),
+        customer: Some(CustomerName::new("sales").unwrap()),
         queue: QueueName::new("q").unwrap(),
         key: number.to_string(),
     }
--- a/crates/node/tests/control/fleet.rs
+++ b/crates/node/tests/control/fleet.rs
@@ -6,7 +6,7 @@
 use std::time;
 
 use redwing_model::admin::{ChangeKind, ChangeReply, MemberStatus};
-use redwing_model::{AccessKey, KeyHash, NodeId, NodeIncarnation, TeamName};
+use redwing_model::{AccessKey, CustomerName, KeyHash, NodeId, NodeIncarnation};
 use redwing_node::NodeSnapshot;
 use redwing_node::audit::{AuditLog, AuditSettings};
 use redwing_node::config::{ChangeDraft, ChangeId, ConfigDesk, DeskSettings, PeerSpread};
@@ -179,7 +179,7 @@
     settings
 }
 
-/// Returns a declaration in which the team `sales` has this limit.
+/// Returns a declaration in which the customer `sales` has this limit.
 pub(crate) fn declaration(limit: u32) -> String {
     format!(
         "[pools.a]\nvms = 4\nmax-unavailable = 1\n\
@@ -210,7 +210,7 @@
 pub(crate) fn grant_draft(id: &str, key: &AccessKey) -> ChangeDraft {
     let kind = ChangeKind::GrantKey {
         hash: key.hash(),
-        team: TeamName::new("sales").unwrap(),
+        customer: CustomerName::new("sales").unwrap(),
         queue: None,
     };
     draft(id, kind)
@@ -227,10 +227,10 @@
         counts.map(|count| count.commits + count.reads).sum()
     }
 
-    /// Returns the limit of the team `sales` in force here.
+    /// Returns the limit of the customer `sales` in force here.
     pub(crate) fn limit(&self) -> Option<u32> {
         let view = self.desk.view();
-        let team = view.declaration.teams.values().next()?;
-        Some(team.limit)
+        let customer = view.declaration.customers.values().next()?;
+        Some(customer.limit)
     }
 }
--- a/crates/node/tests/gate.rs
+++ b/crates/node/tests/gate.rs
@@ -9,7 +9,7 @@
 use actix_http::{Method, RequestHead, Version};
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
-use redwing_model::{AccessKey, QueueName, RunOutcome, TeamName, declaration};
+use redwing_model::{AccessKey, CustomerName, QueueName, RunOutcome, declaration};
 use redwing_node::gate::{self, AdmittedRequest, GateResult};
 use redwing_node::settings::PathLimits;
 use redwing_node::{KeyGrant, NodeSnapshot};
@@ -25,8 +25,8 @@
 max-body-bytes = 1000
 [queues.keyed]
 pool = "workers"
-shares = { team = 1.0 }
-[teams.team]
+shares = { customer = 1.0 }
+[teams.customer]
 limit = 1
 "#;
 
@@ -41,7 +41,7 @@
 
 fn snapshot(key: &AccessKey) -> NodeSnapshot {
     let grant = KeyGrant {
-        team: TeamName::new("team").unwrap(),
+        customer: CustomerName::new("customer").unwrap(),
         queue: Some(QueueName::new("keyed").unwrap()),
     };
     NodeSnapshot {
@@ -100,7 +100,7 @@
                 prop_assert!(request.timeout > time::Duration::ZERO);
                 prop_assert!(request.timeout <= time::Duration::from_secs(30));
                 prop_assert!(request.declared_bytes.is_none_or(|bytes| bytes <= 1_000));
-                prop_assert_eq!(request.team, None);
+                prop_assert_eq!(request.customer, None);
             }
             Err(problem) => prop_assert_eq!(problem.outcome, RunOutcome::NotRun),
         }
@@ -124,12 +124,12 @@
 }
 
 #[test]
-fn a_granted_key_gives_its_team() {
+fn a_granted_key_gives_its_customer() {
     let key = AccessKey::generate();
     let value = format!("bearer {}", key.expose());
     let headers = [(header::AUTHORIZATION.as_str(), value.as_bytes())];
     let request = admit(KEYED, &headers, &key).unwrap();
-    assert_eq!(request.team, TeamName::new("team").ok());
+    assert_eq!(request.customer, CustomerName::new("customer").ok());
     assert!(request.repeatable);
 }
 
--- a/crates/planner/src/trial/run.rs
+++ b/crates/planner/src/trial/run.rs
@@ -476,7 +476,7 @@
         open: false,
         max_timeout_seconds: 60,
         max_body_bytes: 1,
-        max_waiting_per_team: 1,
+        max_waiting_per_customer: 1,
         shares: BTreeMap::new(),
     }
 }
--- a/crates/planner/tests/capacity.rs
+++ b/crates/planner/tests/capacity.rs
@@ -32,7 +32,7 @@
             open: true,
             max_timeout_seconds: 60,
             max_body_bytes: 1,
-            max_waiting_per_team: 1,
+            max_waiting_per_customer: 1,
             shares: BTreeMap::new(),
         };
         bench.fleet.declaration.queues.insert(class(number), queue);
--- a/crates/policy/benches/decide.rs
+++ b/crates/policy/benches/decide.rs
@@ -1,4 +1,4 @@
-//! Cost of one decision as the fleet and the number of teams grow.
+//! Cost of one decision as the fleet and the number of customers grow.
 
 #[path = "../tests/support/mod.rs"]
 mod support;
@@ -11,9 +11,9 @@
 use redwing_model::VmId;
 use redwing_policy::{NodeScheduler, SchedulerSettings, TicketId};
 
-use support::{FleetShape, at, dispatched, node, success, team, ticket};
+use support::{FleetShape, at, customer, dispatched, node, success, ticket};
 
-/// Fleets of today and of the largest size planned: workers, classes, teams.
+/// Fleets of today and of the largest size planned: workers, classes, customers.
 const FLEETS: [(usize, usize, usize); 4] =
     [(50, 5, 6), (50, 5, 290), (8_300, 50, 6), (8_300, 50, 290)];
 
@@ -29,14 +29,14 @@
 }
 
 impl BusyScheduler {
-    fn new(workers: usize, classes: usize, teams: usize) -> Self {
-        let share = 1.0 / teams as f64;
-        let limit = (workers * 8 / teams * 2 + 8) as u32;
+    fn new(workers: usize, classes: usize, customers: usize) -> Self {
+        let share = 1.0 / customers as f64;
+        let limit = (workers * 8 / customers * 2 + 8) as u32;
         let shape = FleetShape {
             workers,
             classes,
-            teams: (0..teams)
-                .map(|number| (team(&format!("team-{number}")), share, limit))
+            customers: (0..customers)
+                .map(|number| (customer(&format!("team-{number}")), share, limit))
                 .collect(),
             ..FleetShape::default()
         };
@@ -57,8 +57,8 @@
 
     fn submit(&mut self) {
         let class = self.shape.class(self.next as usize % self.shape.classes);
-        let place = (self.next as usize / self.shape.classes) % self.shape.teams.len();
-        let name = self.shape.teams[place].0.clone();
+        let place = (self.next as usize / self.shape.classes) % self.shape.customers.len();
+        let name = self.shape.customers[place].0.clone();
         let request = ticket(self.next, &class, Some(&name));
         self.next += 1;
         self.scheduler.submit(at(1_000), request);
@@ -83,9 +83,9 @@
     group.sample_size(20);
     group.warm_up_time(time::Duration::from_millis(300));
     group.measurement_time(time::Duration::from_secs(1));
-    for (workers, classes, teams) in FLEETS {
-        let mut busy = BusyScheduler::new(workers, classes, teams);
-        let name = format!("{workers} workers, {teams} teams");
+    for (workers, classes, customers) in FLEETS {
+        let mut busy = BusyScheduler::new(workers, classes, customers);
+        let name = format!("{workers} workers, {customers} customers");
         // One request arrives and one ends, which starts another.
         group.bench_function(BenchmarkId::new("submit and finish", &name), |bencher| {
             bencher.iter(|| {
--- a/crates/policy/examples/share.rs
+++ b/crates/policy/examples/share.rs
@@ -10,11 +10,11 @@
 use std::collections::BTreeMap;
 use std::env;
 
-use redwing_model::TeamName;
+use redwing_model::CustomerName;
 use redwing_policy::SchedulerSettings;
 
 use support::cluster::{Cluster, Numbers, RequestEnd};
-use support::{FleetShape, team, vm};
+use support::{FleetShape, customer, vm};
 
 /// Entry processes.
 const NODES: usize = 8;
@@ -62,23 +62,23 @@
     cluster
 }
 
-/// Splits `slots` by weighted max-min; teams are (weight, demand).
-fn max_min(slots: f64, teams: &[(f64, f64)]) -> Vec<f64> {
-    let mut given = vec![0.0; teams.len()];
-    let mut open: Vec<usize> = (0..teams.len()).collect();
+/// Splits `slots` by weighted max-min; customers are (weight, demand).
+fn max_min(slots: f64, customers: &[(f64, f64)]) -> Vec<f64> {
+    let mut given = vec![0.0; customers.len()];
+    let mut open: Vec<usize> = (0..customers.len()).collect();
     let mut left = slots;
     loop {
-        let weights: f64 = open.iter().map(|place| teams[*place].0).sum();
+        let weights: f64 = open.iter().map(|place| customers[*place].0).sum();
         let level = left / weights;
-        let met = |place: &usize| teams[*place].1 <= level * teams[*place].0;
+        let met = |place: &usize| customers[*place].1 <= level * customers[*place].0;
         let (met, unmet): (Vec<_>, Vec<_>) = open.iter().copied().partition(met);
         for place in &met {
-            given[*place] = teams[*place].1;
-            left -= teams[*place].1;
+            given[*place] = customers[*place].1;
+            left -= customers[*place].1;
         }
         if met.is_empty() || unmet.is_empty() {
             for place in unmet {
-                given[place] = level * teams[place].0;
+                given[place] = level * customers[place].0;
             }
             return given;
         }
@@ -98,7 +98,7 @@
     use_of_slots: f64,
 }
 
-/// Nodes that each team's requests arrive through.
+/// Nodes that each customer's requests arrive through.
 fn arrival_nodes(place: usize) -> std::ops::Range<usize> {
     match place {
         0 => 0..1,
@@ -109,7 +109,7 @@
 }
 
 /// Each class in turn asks for five times its mean, and for a twentieth of it
-/// in between; teams arrive through one, two, four or all processes.
+/// in between; customers arrive through one, two, four or all processes.
 fn rotating_demand(exchange: bool, seed: u64) -> ShareFigures {
     const CLASSES: usize = 5;
     const TURN: u64 = 10_000;
@@ -118,10 +118,10 @@
     let shape = FleetShape {
         workers: 50,
         classes: CLASSES,
-        teams: shares
+        customers: shares
             .iter()
             .enumerate()
-            .map(|(place, share)| (team(&format!("team-{place}")), *share, 400))
+            .map(|(place, share)| (customer(&format!("team-{place}")), *share, 400))
             .collect(),
         ..FleetShape::default()
     };
@@ -142,8 +142,8 @@
         let peak = (cluster.now / TURN) as usize % CLASSES;
         for class in 0..CLASSES {
             let factor = if class == peak { 5.0 } else { 0.05 };
-            for (place, (name, ..)) in shape.teams.iter().enumerate() {
-                let rate = mean_rate * factor / shape.teams.len() as f64;
+            for (place, (name, ..)) in shape.customers.iter().enumerate() {
+                let rate = mean_rate * factor / shape.customers.len() as f64;
                 for _ in 0..arrivals.count(rate) {
                     let nodes = arrival_nodes(place);
                     let node = nodes.start + arrivals.numbers.below(nodes.len() as u64) as usize;
@@ -155,7 +155,7 @@
         cluster.run(STEP, STEP);
         for class in 0..CLASSES {
             let loads: Vec<_> = shape
-                .teams
+                .customers
                 .iter()
                 .map(|(name, ..)| cluster.load(&shape.class(class), name))
                 .collect();
@@ -186,7 +186,7 @@
         if time >= WINDOW as f64 / 2.0 {
             errors.push(error);
         }
-        // Windows in which a team could use less than a slot say nothing.
+        // Windows in which a customer could use less than a slot say nothing.
         if *ideal >= WINDOW as f64 / STEP as f64 {
             worst_any = worst_any.max(error);
         }
@@ -202,7 +202,7 @@
     }
 }
 
-/// Returns how long the slots of two equal teams need to even out after the
+/// Returns how long the slots of two equal customers need to even out after the
 /// second one starts to ask, through other processes than the first.
 fn convergence(exchange: bool, seed: u64) -> Option<u64> {
     const START: u64 = 5_000;
@@ -215,10 +215,10 @@
         numbers: Numbers::new(seed),
     };
     let class = shape.class(0);
-    let (first, second) = (team("a"), team("b"));
+    let (first, second) = (customer("a"), customer("b"));
     let mut recent = std::collections::VecDeque::new();
     while cluster.now < START + 10_000 {
-        let mut ask = |cluster: &mut Cluster, node, name: &TeamName| {
+        let mut ask = |cluster: &mut Cluster, node, name: &CustomerName| {
             for _ in 0..arrivals.count(500.0) {
                 let run = arrivals.run(MEAN_RUN);
                 cluster.submit(node, &class, Some(name), true, run, 5_000);
@@ -241,14 +241,14 @@
     None
 }
 
-/// Returns how long permits stay behind after the demand of a team with a
+/// Returns how long permits stay behind after the demand of a customer with a
 /// limit moves from one process to another, in milliseconds.
 fn stranded_permits(exchange: bool, seed: u64) -> Option<u64> {
     const START: u64 = 5_000;
     const LIMIT: u32 = 24;
     let shape = FleetShape {
         workers: 10,
-        teams: vec![(team("a"), 1.0, LIMIT)],
+        customers: vec![(customer("a"), 1.0, LIMIT)],
         ..FleetShape::default()
     };
     let mut cluster = cluster(shape.clone(), exchange, seed);
@@ -256,7 +256,7 @@
         numbers: Numbers::new(seed),
     };
     let class = shape.class(0);
-    let name = team("a");
+    let name = customer("a");
     while cluster.now < START + 10_000 {
         let node = if cluster.now < START { 0 } else { 7 };
         for _ in 0..arrivals.count(300.0) {
@@ -294,7 +294,7 @@
     let class = shape.class(0);
     let capacity = 80.0 / (MEAN_RUN / 1_000.0);
     while cluster.now < END {
-        for (name, ..) in &shape.teams {
+        for (name, ..) in &shape.customers {
             for _ in 0..arrivals.count(3.0 * capacity / 2.0) {
                 let node = arrivals.numbers.below(NODES as u64) as usize;
                 let run = arrivals.run(MEAN_RUN);
@@ -337,7 +337,7 @@
     let class = shape.class(0);
     let rate = 0.7 * 80.0 / (MEAN_RUN / 1_000.0) / 2.0;
     while cluster.now < 60_000 {
-        for (name, ..) in &shape.teams {
+        for (name, ..) in &shape.customers {
             for _ in 0..arrivals.count(rate) {
                 let node = arrivals.numbers.below(NODES as u64) as usize;
                 let run = arrivals.run(MEAN_RUN);
--- a/crates/policy/src/eject.rs
+++ b/crates/policy/src/eject.rs
@@ -1,12 +1,12 @@
 //! Ejection of backend servers that fail more than the work explains.
 //!
-//! A failure counts against a backend server only as far as the same team's
+//! A failure counts against a backend server only as far as the same customer's
 //! work does not fail elsewhere too: work that always fails ejects nobody.
 
 use std::collections::{BTreeSet, HashMap};
 use std::time;
 
-use redwing_model::{ClassName, TeamName, VmId};
+use redwing_model::{ClassName, CustomerName, VmId};
 
 use crate::clock::NodeTime;
 
@@ -16,7 +16,7 @@
 /// Factor that a success applies to the evidence.
 const SUCCESS_FACTOR: f64 = 0.5;
 
-/// Weight of a new result in the failure rate of a team's work.
+/// Weight of a new result in the failure rate of a customer's work.
 const RATE_GAIN: f64 = 0.1;
 
 /// Largest part of the backend servers of a class that may be ejected.
@@ -52,7 +52,7 @@
 #[derive(Clone, Debug, Eq, Hash, PartialEq)]
 struct JobKind {
     class: ClassName,
-    team: Option<TeamName>,
+    customer: Option<CustomerName>,
 }
 
 /// Finds backend servers that fail more than others do with the same work.
@@ -90,11 +90,11 @@
         now: NodeTime,
         vm: &VmId,
         class: &ClassName,
-        team: Option<&TeamName>,
+        customer: Option<&CustomerName>,
         failed: bool,
         fleet: usize,
     ) -> bool {
-        let expected = self.learn_rate(class, team, failed);
+        let expected = self.learn_rate(class, customer, failed);
         let evidence = self.workers.entry(vm.clone()).or_default();
         let before = evidence.standing;
         match failed {
@@ -139,11 +139,16 @@
         ended
     }
 
-    /// Updates the failure rate of a team's work; returns the rate before.
-    fn learn_rate(&mut self, class: &ClassName, team: Option<&TeamName>, failed: bool) -> f64 {
+    /// Updates the failure rate of a customer's work; returns the rate before.
+    fn learn_rate(
+        &mut self,
+        class: &ClassName,
+        customer: Option<&CustomerName>,
+        failed: bool,
+    ) -> f64 {
         let kind = JobKind {
             class: class.clone(),
-            team: team.cloned(),
+            customer: customer.cloned(),
         };
         let rate = self.rates.entry(kind).or_default();
         let before = *rate;
--- a/crates/policy/src/estimate.rs
+++ b/crates/policy/src/estimate.rs
@@ -3,7 +3,7 @@
 use std::collections::HashMap;
 use std::time;
 
-use redwing_model::TeamName;
+use redwing_model::CustomerName;
 
 use crate::clock::NodeTime;
 
@@ -13,8 +13,8 @@
 /// Weight of a new run time in a mean.
 const MEAN_GAIN: f64 = 0.1;
 
-/// Ended attempts after which a team's own mean is used.
-const MIN_TEAM_RUNS: u32 = 5;
+/// Ended attempts after which a customer's own mean is used.
+const MIN_CUSTOMER_RUNS: u32 = 5;
 
 /// Standard deviations above the mean within which nearly all run times are.
 const SPREAD_FACTOR: f64 = 3.0;
@@ -32,7 +32,7 @@
 #[derive(Debug, Default)]
 pub struct RunEstimate {
     class: RunMean,
-    teams: HashMap<Option<TeamName>, RunMean>,
+    customers: HashMap<Option<CustomerName>, RunMean>,
 }
 
 impl RunEstimate {
@@ -44,18 +44,18 @@
         }
     }
 
-    /// Returns the expected run time of a request of `team`.
-    pub fn expect(&self, team: Option<&TeamName>) -> time::Duration {
-        match self.teams.get(&team.cloned()) {
-            Some(mean) if mean.runs >= MIN_TEAM_RUNS => mean.mean(),
+    /// Returns the expected run time of a request of `customer`.
+    pub fn expect(&self, customer: Option<&CustomerName>) -> time::Duration {
+        match self.customers.get(&customer.cloned()) {
+            Some(mean) if mean.runs >= MIN_CUSTOMER_RUNS => mean.mean(),
             _ => self.class_mean(),
         }
     }
 
-    /// Returns a run time that nearly all requests of `team` stay within.
-    pub fn expect_longest(&self, team: Option<&TeamName>) -> time::Duration {
-        let mean = match self.teams.get(&team.cloned()) {
-            Some(mean) if mean.runs >= MIN_TEAM_RUNS => mean,
+    /// Returns a run time that nearly all requests of `customer` stay within.
+    pub fn expect_longest(&self, customer: Option<&CustomerName>) -> time::Duration {
+        let mean = match self.customers.get(&customer.cloned()) {
+            Some(mean) if mean.runs >= MIN_CUSTOMER_RUNS => mean,
             _ => &self.class,
         };
         let seconds = mean.seconds + SPREAD_FACTOR * mean.variance.sqrt();
@@ -64,18 +64,18 @@
 
     /// Returns whether enough attempts ended to refuse work on this evidence.
     pub fn is_learned(&self) -> bool {
-        self.class.runs >= MIN_TEAM_RUNS
+        self.class.runs >= MIN_CUSTOMER_RUNS
     }
 
     /// Takes the run time of an attempt that ended.
-    pub fn learn(&mut self, team: Option<&TeamName>, run: time::Duration) {
+    pub fn learn(&mut self, customer: Option<&CustomerName>, run: time::Duration) {
         self.class.learn(run);
-        match self.teams.get_mut(&team.cloned()) {
+        match self.customers.get_mut(&customer.cloned()) {
             Some(mean) => mean.learn(run),
             None => {
                 let mut mean = RunMean::default();
                 mean.learn(run);
-                self.teams.insert(team.cloned(), mean);
+                self.customers.insert(customer.cloned(), mean);
             }
         }
     }
@@ -101,7 +101,7 @@
 /// Time of backlog after which older dispatches count half.
 const HALF_LIFE: time::Duration = time::Duration::from_secs(1);
 
-/// Rate at which requests of one team leave their queue while some wait.
+/// Rate at which requests of one customer leave their queue while some wait.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct BacklogRate {
     since: NodeTime,
--- a/crates/policy/src/exchange.rs
+++ b/crates/policy/src/exchange.rs
@@ -1,6 +1,6 @@
 //! Messages between the schedulers of entry processes.
 
-use redwing_model::{ClassName, TeamName};
+use redwing_model::{ClassName, CustomerName};
 use serde::{Deserialize, Serialize};
 
 use crate::token::{TokenId, TokenPool};
@@ -11,8 +11,8 @@
 pub struct PeerMessage {
     /// Number of the message; grows with each message to the same peer.
     pub sequence: u64,
-    /// Demand and service of teams, for entries that changed.
-    pub demand: Vec<TeamDemand>,
+    /// Demand and service of customers, for entries that changed.
+    pub demand: Vec<CustomerDemand>,
     /// Idle slots of classes, for entries that changed.
     pub idle: Vec<IdleSlots>,
     /// Permits that the sender could use now.
@@ -33,16 +33,16 @@
     /// the text of each name and eight bytes for each number and list.
     pub fn wire_bytes(&self) -> u64 {
         let demand = self.demand.iter().map(|entry| {
-            let team = entry
-                .team
+            let customer = entry
+                .customer
                 .as_ref()
-                .map_or(0, |team| text_bytes(team.as_str()));
-            text_bytes(entry.class.as_str()) + team + 2 * NUMBER_BYTES
+                .map_or(0, |customer| text_bytes(customer.as_str()));
+            text_bytes(entry.class.as_str()) + customer + 2 * NUMBER_BYTES
         });
         let idle = self.idle.iter();
         let idle = idle.map(|entry| text_bytes(entry.class.as_str()) + NUMBER_BYTES);
         let wants = self.wants.iter();
-        let wants = wants.map(|entry| text_bytes(entry.team.as_str()) + NUMBER_BYTES);
+        let wants = wants.map(|entry| text_bytes(entry.customer.as_str()) + NUMBER_BYTES);
         let transfers = self.transfers.iter().map(|transfer| {
             let tokens = transfer.tokens.iter();
             let tokens = tokens.map(|token| pool_bytes(&token.pool) + NUMBER_BYTES);
@@ -62,14 +62,14 @@
     }
 }
 
-/// Waiting requests of a team in a class at the sender, and service received.
+/// Waiting requests of a customer in a class at the sender, and service received.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(rename_all = "kebab-case", deny_unknown_fields)]
-pub struct TeamDemand {
+pub struct CustomerDemand {
     /// Class of work.
     pub class: ClassName,
-    /// Team; `None` for callers without a key.
-    pub team: Option<TeamName>,
+    /// Customer; `None` for callers without a key.
+    pub customer: Option<CustomerName>,
     /// Requests waiting at the sender.
     pub waiting: u32,
     /// Slot time used through the sender since it started, in microseconds.
@@ -86,12 +86,12 @@
     pub slots: u32,
 }
 
-/// Permits of a team that the sender could use now.
+/// Permits of a customer that the sender could use now.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(rename_all = "kebab-case", deny_unknown_fields)]
 pub struct PermitWant {
-    /// Team that the permits belong to.
-    pub team: TeamName,
+    /// Customer that the permits belong to.
+    pub customer: CustomerName,
     /// Number of permits.
     pub permits: u32,
 }
@@ -113,7 +113,7 @@
 
 fn pool_bytes(pool: &TokenPool) -> u64 {
     match pool {
-        TokenPool::Permit(team) => text_bytes(team.as_str()),
+        TokenPool::Permit(customer) => text_bytes(customer.as_str()),
         TokenPool::Slot(vm) => text_bytes(vm.as_str()),
     }
 }
--- a/crates/policy/src/fair.rs
+++ b/crates/policy/src/fair.rs
@@ -1,52 +1,52 @@
 //! Weighted max-min queue of one class.
 //!
-//! Every team has a virtual time: the slot time charged to it, by all entry
+//! Every customer has a virtual time: the slot time charged to it, by all entry
 //! processes together, divided by its share of the class's slots. The waiting
-//! team with the lowest virtual time is served next. A team that becomes
-//! active starts no lower than the team served last, so that time spent idle
+//! customer with the lowest virtual time is served next. A customer that becomes
+//! active starts no lower than the customer served last, so that time spent idle
 //! earns no credit.
 
 use std::cmp;
 use std::collections::{BTreeSet, BinaryHeap, HashMap};
 use std::time;
 
-use redwing_model::TeamName;
+use redwing_model::CustomerName;
 
 use crate::clock::NodeTime;
 use crate::ticket::TicketId;
 
-/// Share of a team that the class does not declare.
+/// Share of a customer that the class does not declare.
 pub const UNDECLARED_SHARE: f64 = 0.01;
 
-/// How far a team held up by its limit may fall behind the others.
+/// How far a customer held up by its limit may fall behind the others.
 const MAX_CREDIT: VirtualTime = VirtualTime(500_000_000);
 
-/// How far a team that becomes active may start before the lowest active one.
+/// How far a customer that becomes active may start before the lowest active one.
 const MAX_LEAD: VirtualTime = VirtualTime(50_000_000);
 
 /// Entries of cancelled requests tolerated in a heap before it is rebuilt.
 const MIN_STALE_ENTRIES: usize = 64;
 
-/// Slot time charged to a team divided by its share of the slots, in
+/// Slot time charged to a customer divided by its share of the slots, in
 /// nanoseconds.
 #[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd)]
 pub struct VirtualTime(pub i64);
 
-/// Number of a team within one queue.
+/// Number of a customer within one queue.
 #[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
-pub struct TeamIndex(usize);
+pub struct CustomerIndex(usize);
 
-/// Place of a waiting request within its team.
+/// Place of a waiting request within its customer.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 struct QueueEntry {
     deadline: NodeTime,
     id: TicketId,
 }
 
-/// Waiting requests and virtual time of one team.
+/// Waiting requests and virtual time of one customer.
 #[derive(Debug)]
-struct TeamQueue {
-    team: Option<TeamName>,
+struct CustomerQueue {
+    customer: Option<CustomerName>,
     share: f64,
     clock: VirtualTime,
     waiting: usize,
@@ -56,15 +56,15 @@
     entries: BinaryHeap<cmp::Reverse<QueueEntry>>,
 }
 
-/// Waiting requests of one class, by team.
+/// Waiting requests of one class, by customer.
 #[derive(Debug)]
 pub struct FairQueue {
-    teams: Vec<TeamQueue>,
-    index: HashMap<Option<TeamName>, TeamIndex>,
-    ready: BTreeSet<(VirtualTime, TeamIndex)>,
-    remote: BTreeSet<(VirtualTime, TeamIndex)>,
+    customers: Vec<CustomerQueue>,
+    index: HashMap<Option<CustomerName>, CustomerIndex>,
+    ready: BTreeSet<(VirtualTime, CustomerIndex)>,
+    remote: BTreeSet<(VirtualTime, CustomerIndex)>,
     clock: VirtualTime,
-    /// Virtual time at which some team began to wait while no other did;
+    /// Virtual time at which some customer began to wait while no other did;
     /// refunds for attempts that started earlier do not lead below it.
     floor: VirtualTime,
     slots: u32,
@@ -77,7 +77,7 @@
     /// Creates an empty queue of a class without slots.
     pub fn new() -> Self {
         Self {
-            teams: Vec::new(),
+            customers: Vec::new(),
             index: HashMap::new(),
             ready: BTreeSet::new(),
             remote: BTreeSet::new(),
@@ -90,7 +90,7 @@
         }
     }
 
-    /// Returns the number of waiting requests of all teams.
+    /// Returns the number of waiting requests of all customers.
     pub fn waiting(&self) -> usize {
         self.waiting
     }
@@ -100,81 +100,81 @@
         self.running
     }
 
-    /// Returns the number of slots that all teams share.
+    /// Returns the number of slots that all customers share.
     pub fn slots(&self) -> u32 {
         self.slots
     }
 
-    /// Returns the number of waiting requests of `team` here.
-    pub fn waiting_of(&self, team: TeamIndex) -> usize {
-        self.teams[team.0].waiting
+    /// Returns the number of waiting requests of `customer` here.
+    pub fn waiting_of(&self, customer: CustomerIndex) -> usize {
+        self.customers[customer.0].waiting
     }
 
-    /// Returns the number of waiting requests of `team` at other processes.
-    pub fn remote_of(&self, team: TeamIndex) -> u32 {
-        self.teams[team.0].remote
+    /// Returns the number of waiting requests of `customer` at other processes.
+    pub fn remote_of(&self, customer: CustomerIndex) -> u32 {
+        self.customers[customer.0].remote
     }
 
-    /// Returns the name of `team`.
-    pub fn name(&self, team: TeamIndex) -> Option<&TeamName> {
-        self.teams[team.0].team.as_ref()
+    /// Returns the name of `customer`.
+    pub fn name(&self, customer: CustomerIndex) -> Option<&CustomerName> {
+        self.customers[customer.0].customer.as_ref()
     }
 
-    /// Returns the number of `team`, if the queue has seen it.
-    pub fn find(&self, team: Option<&TeamName>) -> Option<TeamIndex> {
-        self.index.get(&team.cloned()).copied()
+    /// Returns the number of `customer`, if the queue has seen it.
+    pub fn find(&self, customer: Option<&CustomerName>) -> Option<CustomerIndex> {
+        self.index.get(&customer.cloned()).copied()
     }
 
-    /// Returns all teams that the queue has seen.
-    pub fn teams(&self) -> impl Iterator<Item = TeamIndex> + use<> {
-        (0..self.teams.len()).map(TeamIndex)
+    /// Returns all customers that the queue has seen.
+    pub fn customers(&self) -> impl Iterator<Item = CustomerIndex> + use<> {
+        (0..self.customers.len()).map(CustomerIndex)
     }
 
-    /// Returns the slots that `team` can count on while the teams that are
+    /// Returns the slots that `customer` can count on while the customers that are
     /// active now stay active.
-    pub fn fair_slots(&self, team: TeamIndex) -> f64 {
-        let share = self.teams[team.0].share;
-        let others = match self.teams[team.0].is_active() {
+    pub fn fair_slots(&self, customer: CustomerIndex) -> f64 {
+        let share = self.customers[customer.0].share;
+        let others = match self.customers[customer.0].is_active() {
             true => self.active_share - share,
             false => self.active_share,
         };
         f64::from(self.slots) * share / (others.max(0.0) + share)
     }
 
-    /// Returns slot time of `team` in microseconds as virtual time.
-    pub fn scale(&self, team: TeamIndex, micros: i64) -> VirtualTime {
-        let slots = f64::from(self.slots) * self.teams[team.0].share;
+    /// Returns slot time of `customer` in microseconds as virtual time.
+    pub fn scale(&self, customer: CustomerIndex, micros: i64) -> VirtualTime {
+        let slots = f64::from(self.slots) * self.customers[customer.0].share;
         VirtualTime((micros as f64 * 1_000.0 / slots) as i64)
     }
 
-    /// Returns the virtual time and number of the ready team to serve next.
-    pub fn next_ready(&self) -> Option<(VirtualTime, TeamIndex)> {
+    /// Returns the virtual time and number of the ready customer to serve next.
+    pub fn next_ready(&self) -> Option<(VirtualTime, CustomerIndex)> {
         self.ready.first().copied()
     }
 
-    /// Returns ready teams, the one to serve next first.
-    pub fn ready_teams(&self) -> impl Iterator<Item = TeamIndex> + '_ {
-        self.ready.iter().map(|(_, team)| *team)
+    /// Returns ready customers, the one to serve next first.
+    pub fn ready_customers(&self) -> impl Iterator<Item = CustomerIndex> + '_ {
+        self.ready.iter().map(|(_, customer)| *customer)
     }
 
-    /// Returns the team that other processes should serve next.
-    pub fn next_remote(&self) -> Option<(VirtualTime, TeamIndex)> {
+    /// Returns the customer that other processes should serve next.
+    pub fn next_remote(&self) -> Option<(VirtualTime, CustomerIndex)> {
         self.remote.first().copied()
     }
 
-    /// Sets the number of slots that all teams share.
+    /// Sets the number of slots that all customers share.
     pub fn set_slots(&mut self, slots: u32) {
         self.slots = slots.max(1);
     }
 
-    /// Returns the number of `team`, adding it if it is new.
-    pub fn intern(&mut self, team: Option<&TeamName>, share: f64) -> TeamIndex {
-        if let Some(index) = self.find(team) {
+    /// Returns the number of `customer`, adding it if it is new.
+    pub fn intern(&mut self, customer: Option<&CustomerName>, share: f64) -> CustomerIndex {
+        if let Some(index) = self.find(customer) {
             return index;
         }
-        let index = TeamIndex(self.teams.len());
-        self.teams.push(TeamQueue {
-            team: team.cloned(),
+        let index = CustomerIndex(self.customers.len());
+        self.customers.push(CustomerQueue {
+            customer: customer.cloned(),
             share,
             clock: self.clock,
             waiting: 0,
@@ -183,43 +183,47 @@
             blocked: false,
             entries: BinaryHeap::new(),
         });
-        self.index.insert(team.cloned(), index);
+        self.index.insert(customer.cloned(), index);
         index
     }
 
-    /// Sets the share of `team`; what it was charged so far stays.
-    pub fn set_share(&mut self, team: TeamIndex, share: f64) {
-        self.update(team, |queue| queue.share = share);
+    /// Sets the share of `customer`; what it was charged so far stays.
+    pub fn set_share(&mut self, customer: CustomerIndex, share: f64) {
+        self.update(customer, |queue| queue.share = share);
     }
 
     /// Adds a waiting request.
-    pub fn push(&mut self, team: TeamIndex, deadline: NodeTime, id: TicketId) {
+    pub fn push(&mut self, customer: CustomerIndex, deadline: NodeTime, id: TicketId) {
         self.waiting += 1;
-        self.update(team, |queue| {
+        self.update(customer, |queue| {
             queue.waiting += 1;
             let entry = QueueEntry { deadline, id };
             queue.entries.push(cmp::Reverse(entry));
         });
     }
 
-    /// Forgets one waiting request of `team`, in constant time but for the
+    /// Forgets one waiting request of `customer`, in constant time but for the
     /// occasional removal of its stale entry.
     ///
     /// `live` tells of each entry whether its request still waits.
-    pub fn forget(&mut self, team: TeamIndex, live: impl Fn(TicketId) -> bool) {
+    pub fn forget(&mut self, customer: CustomerIndex, live: impl Fn(TicketId) -> bool) {
         self.waiting -= 1;
-        self.update(team, |queue| queue.waiting -= 1);
-        let queue = &mut self.teams[team.0];
+        self.update(customer, |queue| queue.waiting -= 1);
+        let queue = &mut self.customers[customer.0];
         if queue.entries.len() > 2 * queue.waiting + MIN_STALE_ENTRIES {
             queue.entries.retain(|entry| live(entry.0.id));
         }
     }
 
-    /// Returns the request of `team` with the earliest deadline.
+    /// Returns the request of `customer` with the earliest deadline.
     ///
     /// `live` tells of each entry whether its request still waits.
-    pub fn peek(&mut self, team: TeamIndex, live: impl Fn(TicketId) -> bool) -> Option<TicketId> {
-        let queue = &mut self.teams[team.0];
+    pub fn peek(
+        &mut self,
+        customer: CustomerIndex,
+        live: impl Fn(TicketId) -> bool,
+    ) -> Option<TicketId> {
+        let queue = &mut self.customers[customer.0];
         while let Some(cmp::Reverse(entry)) = queue.entries.peek() {
             if live(entry.id) {
                 return Some(entry.id);
@@ -229,61 +233,61 @@
         None
     }
 
-    /// Marks `team` as held up by its limit, or no longer so; returns whether
+    /// Marks `customer` as held up by its limit, or no longer so; returns whether
     /// requests that wait can go on.
-    pub fn set_blocked(&mut self, team: TeamIndex, blocked: bool) -> bool {
-        if self.teams[team.0].blocked == blocked {
+    pub fn set_blocked(&mut self, customer: CustomerIndex, blocked: bool) -> bool {
+        if self.customers[customer.0].blocked == blocked {
             return false;
         }
         let floor = VirtualTime(self.clock.0 - MAX_CREDIT.0);
-        self.update(team, |queue| {
+        self.update(customer, |queue| {
             queue.blocked = blocked;
             queue.clock = queue.clock.max(floor);
         });
-        !blocked && self.teams[team.0].waiting > 0
+        !blocked && self.customers[customer.0].waiting > 0
     }
 
-    /// Sets how many requests of `team` wait at other processes.
-    pub fn set_remote(&mut self, team: TeamIndex, waiting: u32) {
-        if self.teams[team.0].remote != waiting {
-            self.update(team, |queue| queue.remote = waiting);
+    /// Sets how many requests of `customer` wait at other processes.
+    pub fn set_remote(&mut self, customer: CustomerIndex, waiting: u32) {
+        if self.customers[customer.0].remote != waiting {
+            self.update(customer, |queue| queue.remote = waiting);
         }
     }
 
-    /// Notes that an attempt of `team` started, and charges it `estimate`.
-    pub fn start(&mut self, team: TeamIndex, estimate: time::Duration) {
-        self.clock = self.clock.max(self.teams[team.0].clock);
+    /// Notes that an attempt of `customer` started, and charges it `estimate`.
+    pub fn start(&mut self, customer: CustomerIndex, estimate: time::Duration) {
+        self.clock = self.clock.max(self.customers[customer.0].clock);
         self.running += 1;
-        self.update(team, |queue| queue.running += 1);
-        self.charge(team, duration_micros(estimate));
+        self.update(customer, |queue| queue.running += 1);
+        self.charge(customer, duration_micros(estimate));
     }
 
-    /// Notes that an attempt of `team` ended.
-    pub fn stop(&mut self, team: TeamIndex) {
+    /// Notes that an attempt of `customer` ended.
+    pub fn stop(&mut self, customer: CustomerIndex) {
         self.running = self.running.saturating_sub(1);
-        self.update(team, |queue| {
+        self.update(customer, |queue| {
             queue.running = queue.running.saturating_sub(1);
         });
     }
 
-    /// Charges `team` slot time in microseconds; a negative amount is a refund.
-    pub fn charge(&mut self, team: TeamIndex, micros: i64) {
-        let scaled = self.scale(team, micros);
+    /// Charges `customer` slot time in microseconds; a negative amount is a refund.
+    pub fn charge(&mut self, customer: CustomerIndex, micros: i64) {
+        let scaled = self.scale(customer, micros);
         let floor = self.floor;
-        self.update(team, |queue| {
+        self.update(customer, |queue| {
             let lowest = queue.clock.min(floor);
             let charged = VirtualTime(queue.clock.0.saturating_add(scaled.0));
             queue.clock = charged.max(lowest);
         });
     }
 
-    /// Changes a team and keeps every index in step.
-    fn update(&mut self, team: TeamIndex, change: impl FnOnce(&mut TeamQueue)) {
+    /// Changes a customer and keeps every index in step.
+    fn update(&mut self, customer: CustomerIndex, change: impl FnOnce(&mut CustomerQueue)) {
         let lift = self.active_clock();
-        let queue = &mut self.teams[team.0];
+        let queue = &mut self.customers[customer.0];
         let was_active = queue.is_active();
         let was_waiting = queue.is_waiting();
-        let key = (queue.clock, team);
+        let key = (queue.clock, customer);
         if queue.is_ready() {
             self.ready.remove(&key);
         }
@@ -297,7 +301,7 @@
         if queue.is_active() {
             self.active_share += queue.share;
         }
-        // A team that did not have to wait is not held to what the others
+        // A customer that did not have to wait is not held to what the others
         // used in the meantime, nor they to what it used.
         if queue.is_waiting() && !was_waiting {
             queue.clock = queue.clock.max(lift);
@@ -305,7 +309,7 @@
                 self.floor = lift;
             }
         }
-        let key = (queue.clock, team);
+        let key = (queue.clock, customer);
         if queue.is_ready() {
             self.ready.insert(key);
         }
@@ -314,7 +318,7 @@
         }
     }
 
-    /// Returns the virtual time at which a team that becomes active starts.
+    /// Returns the virtual time at which a customer that becomes active starts.
     fn active_clock(&self) -> VirtualTime {
         let ready = self.ready.first().map(|(clock, _)| *clock);
         let remote = self.remote.first().map(|(clock, _)| *clock);
@@ -338,7 +342,7 @@
     }
 }
 
-impl TeamQueue {
+impl CustomerQueue {
     fn is_active(&self) -> bool {
         self.is_waiting() || self.running > 0
     }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -5,7 +5,7 @@
 //! for one entry process; several of them exchange [`PeerMessage`]s.
 //!
 //! What may run at once is counted in numbered tokens (see [`token`]): one
-//! for each slot of a worker and one for each unit of a team's limit. A
+//! for each slot of a worker and one for each unit of a customer's limit. A
 //! request is dispatched only by a process that holds one token of each kind.
 
 pub mod choose;
--- a/crates/policy/src/scheduler/dispatch.rs
+++ b/crates/policy/src/scheduler/dispatch.rs
@@ -3,10 +3,10 @@
 use std::cmp;
 use std::time;
 
-use redwing_model::{ClassName, RunOutcome, TeamName, VmId};
+use redwing_model::{ClassName, CustomerName, RunOutcome, VmId};
 
 use crate::clock::NodeTime;
-use crate::fair::{TeamIndex, UNDECLARED_SHARE, duration_micros};
+use crate::fair::{CustomerIndex, UNDECLARED_SHARE, duration_micros};
 use crate::scheduler::request::{RequestState, RunningAttempt};
 use crate::scheduler::{NodeScheduler, SchedulerAction, share_of};
 use crate::ticket::{
@@ -67,18 +67,18 @@
         id: TicketId,
         report: &AttemptReport,
     ) -> AttemptVerdict {
-        let team = self
+        let customer = self
             .requests
             .get(&id)
-            .and_then(|request| request.ticket.team.as_ref());
-        let blocked = team.is_some_and(|team| self.blocked_teams.contains(team));
+            .and_then(|request| request.ticket.customer.as_ref());
+        let blocked = customer.is_some_and(|customer| self.blocked_customers.contains(customer));
         let Some(attempt) = self.end_attempt(now, id, report) else {
             return AttemptVerdict::Final;
         };
         let verdict = self.decide_next(now, id, report);
         self.pump_worker(now, &attempt.vm);
         if blocked && let Some(permit) = &attempt.permit {
-            self.pump_team(now, &permit.pool);
+            self.pump_customer(now, &permit.pool);
         }
         self.flush(now);
         verdict
@@ -98,35 +98,40 @@
         if ticket.deadline <= now {
             return Err(RefusalReason::DeadlineUnmet);
         }
-        let depth = target.max_waiting_per_team as usize;
-        let share = share_of(&target.shares, ticket.team.as_ref());
-        let team = self.intern_team(&ticket.class, ticket.team.as_ref(), share);
+        let depth = target.max_waiting_per_customer as usize;
+        let share = share_of(&target.shares, ticket.customer.as_ref());
+        let customer = self.intern_customer(&ticket.class, ticket.customer.as_ref(), share);
         let Some(state) = self.classes.get(&ticket.class) else {
             return Err(RefusalReason::NoCapacity);
         };
-        if state.queue.waiting_of(team) >= depth {
+        if state.queue.waiting_of(customer) >= depth {
             return Err(RefusalReason::QueueFull);
         }
         let remaining = ticket.deadline.saturating_since(now);
-        if self.expects_miss(now, &ticket.class, team, remaining) {
+        if self.expects_miss(now, &ticket.class, customer, remaining) {
             return Err(RefusalReason::DeadlineUnmet);
         }
-        self.enqueue(now, RequestState::new(ticket, team));
+        self.enqueue(now, RequestState::new(ticket, customer));
         Ok(())
     }
 
-    fn intern_team(&mut self, class: &ClassName, team: Option<&TeamName>, share: f64) -> TeamIndex {
+    fn intern_customer(
+        &mut self,
+        class: &ClassName,
+        customer: Option<&CustomerName>,
+        share: f64,
+    ) -> CustomerIndex {
         let state = self.classes.entry(class.clone()).or_default();
-        if let Some(index) = state.queue.find(team) {
+        if let Some(index) = state.queue.find(customer) {
             return index;
         }
-        let index = state.queue.intern(team, share);
-        if let Some(team) = team {
-            let classes = self.team_classes.entry(team.clone()).or_default();
+        let index = state.queue.intern(customer, share);
+        if let Some(customer) = customer {
+            let classes = self.customer_classes.entry(customer.clone()).or_default();
             classes.push(class.clone());
-            let blocked = self.is_blocked(team);
+            let blocked = self.is_blocked(customer);
             if blocked {
-                self.blocked_teams.insert(team.clone());
+                self.blocked_customers.insert(customer.clone());
             }
             if let Some(state) = self.classes.get_mut(class) {
                 state.queue.set_blocked(index, blocked);
@@ -135,11 +140,17 @@
         index
     }
 
-    /// Returns the number of `team` in `class`, with its declared share.
-    pub(super) fn team_index(&mut self, class: &ClassName, team: Option<&TeamName>) -> TeamIndex {
+    /// Returns the number of `customer` in `class`, with its declared share.
+    pub(super) fn customer_index(
+        &mut self,
+        class: &ClassName,
+        customer: Option<&CustomerName>,
+    ) -> CustomerIndex {
         let target = self.view.declaration.queues.get(class);
-        let share = target.map_or(UNDECLARED_SHARE, |target| share_of(&target.shares, team));
-        self.intern_team(class, team, share)
+        let share = target.map_or(UNDECLARED_SHARE, |target| {
+            share_of(&target.shares, customer)
+        });
+        self.intern_customer(class, customer, share)
     }
 
     /// Puts a request into its queue.
@@ -147,13 +158,13 @@
         let id = request.ticket.id;
         let deadline = request.ticket.deadline;
         if let Some(state) = self.classes.get_mut(&request.ticket.class) {
-            if state.queue.waiting_of(request.team) == 0 {
+            if state.queue.waiting_of(request.customer) == 0 {
                 self.report.mark_urgent();
-                state.rates.entry(request.team).or_default().start(now);
+                state.rates.entry(request.customer).or_default().start(now);
             }
-            state.queue.push(request.team, deadline, id);
+            state.queue.push(request.customer, deadline, id);
         }
-        self.report.mark(&request.ticket.class, request.team);
+        self.report.mark(&request.ticket.class, request.customer);
         self.deadlines.push(cmp::Reverse((deadline, id)));
         if let Some(last_start) = self.last_start(&request) {
             self.deadlines.push(cmp::Reverse((last_start, id)));
@@ -161,34 +172,39 @@
         self.requests.insert(id, request);
     }
 
-    /// Returns whether learned run times say that a new request of `team`
+    /// Returns whether learned run times say that a new request of `customer`
     /// would not be answered within `remaining`.
     fn expects_miss(
         &self,
         now: NodeTime,
         class: &ClassName,
-        team: TeamIndex,
+        customer: CustomerIndex,
         remaining: time::Duration,
     ) -> bool {
         let Some(state) = self.classes.get(class) else {
             return false;
         };
-        if !state.estimate.is_learned() || state.queue.waiting_of(team) == 0 {
+        if !state.estimate.is_learned() || state.queue.waiting_of(customer) == 0 {
             return false;
         }
-        let run = state.estimate.expect_longest(state.queue.name(team));
-        let needed = self.expected_wait(now, class, team) + run;
+        let run = state.estimate.expect_longest(state.queue.name(customer));
+        let needed = self.expected_wait(now, class, customer) + run;
         needed > remaining.mul_f64(ADMIT_FRACTION)
     }
 
-    /// Returns how long a new request of `team` is expected to wait here.
-    fn expected_wait(&self, now: NodeTime, class: &ClassName, team: TeamIndex) -> time::Duration {
+    /// Returns how long a new request of `customer` is expected to wait here.
+    fn expected_wait(
+        &self,
+        now: NodeTime,
+        class: &ClassName,
+        customer: CustomerIndex,
+    ) -> time::Duration {
         let Some(state) = self.classes.get(class) else {
             return time::Duration::ZERO;
         };
-        let name = state.queue.name(team);
+        let name = state.queue.name(customer);
         let limit = name.and_then(|name| self.limit_of(name));
-        let fair = state.queue.fair_slots(team);
+        let fair = state.queue.fair_slots(customer);
         let slots = limit.map_or(fair, |limit| fair.min(f64::from(limit)));
         let guess = slots
             / state
@@ -196,9 +212,9 @@
                 .expect(name)
                 .as_secs_f64()
                 .max(MIN_RUN_SECONDS);
-        let rate = state.rates.get(&team).copied().unwrap_or_default();
+        let rate = state.rates.get(&customer).copied().unwrap_or_default();
         let rate = rate.per_second(now, guess).max(MIN_RATE);
-        time::Duration::from_secs_f64(state.queue.waiting_of(team) as f64 / rate)
+        time::Duration::from_secs_f64(state.queue.waiting_of(customer) as f64 / rate)
     }
 
     /// Takes the tokens of an ended attempt back and corrects its charge.
@@ -211,18 +227,18 @@
         let request = self.requests.get_mut(&id)?;
         let attempt = request.attempt.take()?;
         let class = request.ticket.class.clone();
-        let (team, tried) = (request.team, request.tried.clone());
+        let (customer, tried) = (request.customer, request.tried.clone());
         self.running -= 1;
         let used = now.saturating_since(attempt.started);
         if let Some(state) = self.classes.get_mut(&class) {
-            let name = state.queue.name(team).cloned();
+            let name = state.queue.name(customer).cloned();
             if report.outcome == RunOutcome::Ran && !report.faulty {
                 state.estimate.learn(name.as_ref(), used);
             }
-            state.queue.stop(team);
+            state.queue.stop(customer);
             let correction = duration_micros(used) - attempt.charged;
-            state.queue.charge(team, correction);
-            self.report.charge(&class, team, correction);
+            state.queue.charge(customer, correction);
+            self.report.charge(&class, customer, correction);
             let fleet = self.workers.known(&class);
             let failed = report.faulty;
             let vm = &attempt.vm;
@@ -328,12 +344,16 @@
         self.classes.get(class).map_or(0, |state| state.last_serve)
     }
 
-    /// Dispatches for the classes of a team after a permit became free.
-    pub(super) fn pump_team(&mut self, now: NodeTime, pool: &TokenPool) {
-        let TokenPool::Permit(team) = pool else {
+    /// Dispatches for the classes of a customer after a permit became free.
+    pub(super) fn pump_customer(&mut self, now: NodeTime, pool: &TokenPool) {
+        let TokenPool::Permit(customer) = pool else {
             return;
         };
-        let classes = self.team_classes.get(team).cloned().unwrap_or_default();
+        let classes = self
+            .customer_classes
+            .get(customer)
+            .cloned()
+            .unwrap_or_default();
         for class in classes {
             self.pump_class(now, &class);
         }
@@ -358,23 +378,23 @@
         self.dispatch(now, class, id, &vm)
     }
 
-    /// Returns the request of the most under-served team that some free
+    /// Returns the request of the most under-served customer that some free
     /// backend server may take.
     fn next_match(&mut self, class: &ClassName) -> Option<(TicketId, VmId)> {
         let state = self.classes.get_mut(class)?;
         let requests = &self.requests;
         let live = |id| requests.get(&id).is_some_and(RequestState::is_waiting);
-        let first = state.queue.next_ready().map(|(_, team)| team)?;
+        let first = state.queue.next_ready().map(|(_, customer)| customer)?;
         let id = state.queue.peek(first, live)?;
         let tried = &requests.get(&id)?.tried;
         if let Some(vm) = self.workers.choose(class, tried) {
             return Some((id, vm.clone()));
         }
         // Only a request that was tried on every free backend server gets
-        // here; the other teams need not wait for it.
-        let teams: Vec<TeamIndex> = state.queue.ready_teams().skip(1).collect();
-        for team in teams {
-            let id = state.queue.peek(team, live)?;
+        // here; the other customers need not wait for it.
+        let customers: Vec<CustomerIndex> = state.queue.ready_customers().skip(1).collect();
+        for customer in customers {
+            let id = state.queue.peek(customer, live)?;
             let tried = &requests.get(&id)?.tried;
             if let Some(vm) = self.workers.choose(class, tried) {
                 return Some((id, vm.clone()));
@@ -392,7 +412,7 @@
         if request.ticket.deadline <= now {
             return true;
         }
-        let run = state.estimate.expect(request.ticket.team.as_ref());
+        let run = state.estimate.expect(request.ticket.customer.as_ref());
         let learned = state.estimate.is_learned();
         learned && state.queue.waiting() > 1 && now + run > request.ticket.deadline
     }
@@ -411,7 +431,7 @@
             return false;
         };
         let address = worker.address;
-        let name = request.ticket.team.as_ref();
+        let name = request.ticket.customer.as_ref();
         let estimate = state.estimate.expect(name).max(MIN_CHARGE);
         let charged = duration_micros(estimate);
         request.attempts += 1;
@@ -423,14 +443,14 @@
             started: now,
             charged,
         });
-        let (team, attempt) = (request.team, request.attempts);
+        let (customer, attempt) = (request.customer, request.attempts);
         state.last_serve = self.serves;
-        state.queue.start(team, estimate);
-        state.rates.entry(team).or_default().dispatch(now);
+        state.queue.start(customer, estimate);
+        state.rates.entry(customer).or_default().dispatch(now);
         let requests = &self.requests;
         let live = |id| requests.get(&id).is_some_and(RequestState::is_waiting);
-        state.queue.forget(team, live);
-        self.report.charge(class, team, charged);
+        state.queue.forget(customer, live);
+        self.report.charge(class, customer, charged);
         self.running += 1;
         if attempt == 1 {
             self.budget.earn();
@@ -450,14 +470,14 @@
         true
     }
 
-    /// Takes a slot of `vm` and, if the team has a limit, a permit.
+    /// Takes a slot of `vm` and, if the customer has a limit, a permit.
     fn take_tokens(&mut self, id: TicketId, vm: &VmId) -> Option<(TokenId, Option<TokenId>)> {
-        let team = self.requests.get(&id)?.ticket.team.clone();
+        let customer = self.requests.get(&id)?.ticket.customer.clone();
         let mut permit = None;
-        if let Some(team) = team
-            && let Some(limit) = self.limit_of(&team)
+        if let Some(customer) = customer
+            && let Some(limit) = self.limit_of(&customer)
         {
-            permit = Some(self.ledger.take(&TokenPool::Permit(team), limit, id)?);
+            permit = Some(self.ledger.take(&TokenPool::Permit(customer), limit, id)?);
         }
         let pool = TokenPool::Slot(vm.clone());
         let slot = self.ledger.take(&pool, self.settings.slots_per_worker, id);
@@ -490,8 +510,8 @@
             attempt.charged += extra;
             let class = &request.ticket.class;
             if let Some(state) = self.classes.get_mut(class) {
-                state.queue.charge(request.team, extra);
-                self.report.charge(class, request.team, extra);
+                state.queue.charge(request.customer, extra);
+                self.report.charge(class, request.customer, extra);
             }
             self.overruns.push(cmp::Reverse((now + used, id)));
         }
@@ -500,7 +520,7 @@
     /// Returns when a request has to start so that it ends in time.
     fn last_start(&self, request: &RequestState) -> Option<NodeTime> {
         let state = self.classes.get(&request.ticket.class)?;
-        let run = state.estimate.expect(request.ticket.team.as_ref());
+        let run = state.estimate.expect(request.ticket.customer.as_ref());
         let deadline = request.ticket.deadline.since_start();
         let learned = state.estimate.is_learned();
         learned.then(|| deadline.saturating_sub(run).into())
@@ -534,9 +554,9 @@
         let requests = &self.requests;
         let live = |id| requests.get(&id).is_some_and(RequestState::is_waiting);
         if let Some(state) = self.classes.get_mut(&request.ticket.class) {
-            state.queue.forget(request.team, live);
+            state.queue.forget(request.customer, live);
         }
-        self.report.mark(&request.ticket.class, request.team);
+        self.report.mark(&request.ticket.class, request.customer);
         Some(request)
     }
 
@@ -551,7 +571,7 @@
             true => RunOutcome::Unknown,
             false => RunOutcome::NotRun,
         };
-        let wait = self.expected_wait(now, &request.ticket.class, request.team);
+        let wait = self.expected_wait(now, &request.ticket.class, request.customer);
         self.push_refusal(request.ticket.id, reason, wait, outcome);
     }
 
--- a/crates/policy/src/scheduler/mod.rs
+++ b/crates/policy/src/scheduler/mod.rs
@@ -12,7 +12,7 @@
 use std::net;
 use std::time;
 
-use redwing_model::{ClassName, FleetDeclaration, NodeIncarnation, TeamName, VmId};
+use redwing_model::{ClassName, CustomerName, FleetDeclaration, NodeIncarnation, VmId};
 
 use crate::choose::WorkerIndex;
 use crate::clock::NodeTime;
@@ -38,7 +38,7 @@
     pub max_attempts: u32,
     /// Time between two reports of demand and service to peers.
     pub report_interval: time::Duration,
-    /// Shortest time between two reports when a team begins to wait.
+    /// Shortest time between two reports when a customer begins to wait.
     pub urgent_interval: time::Duration,
     /// Shortest time between two messages with tokens to the same peer.
     pub transfer_interval: time::Duration,
@@ -46,7 +46,7 @@
     pub resend_interval: time::Duration,
     /// Time after which an idle borrowed token goes back to its home.
     pub idle_return: time::Duration,
-    /// Lead in virtual time that a team here may have over a team waiting at
+    /// Lead in virtual time that a customer here may have over a customer waiting at
     /// a peer before a free slot goes to that peer.
     pub tolerance: time::Duration,
     /// Whether slots and permits may pass to peers.
@@ -148,7 +148,7 @@
     suspended: bool,
     leaving: bool,
     classes: BTreeMap<ClassName, ClassState>,
-    team_classes: HashMap<TeamName, Vec<ClassName>>,
+    customer_classes: HashMap<CustomerName, Vec<ClassName>>,
     requests: HashMap<TicketId, RequestState>,
     running: usize,
     serves: u64,
@@ -161,11 +161,11 @@
     links: BTreeMap<NodeIncarnation, PeerLink>,
     settled: BTreeSet<NodeIncarnation>,
     report: DemandReport,
-    /// Teams whose free permits or wanting peers may have changed.
-    dirty_teams: BTreeSet<TeamName>,
-    /// Teams without a free permit here.
-    blocked_teams: HashSet<TeamName>,
-    sent_wants: HashMap<TeamName, u32>,
+    /// Customers whose free permits or wanting peers may have changed.
+    dirty_customers: BTreeSet<CustomerName>,
+    /// Customers without a free permit here.
+    blocked_customers: HashSet<CustomerName>,
+    sent_wants: HashMap<CustomerName, u32>,
     last_report: Option<NodeTime>,
     last_sweep: NodeTime,
     last_expiry: NodeTime,
@@ -186,7 +186,7 @@
             suspended: false,
             leaving: false,
             classes: BTreeMap::new(),
-            team_classes: HashMap::new(),
+            customer_classes: HashMap::new(),
             requests: HashMap::new(),
             running: 0,
             serves: 0,
@@ -199,8 +199,8 @@
             links: BTreeMap::new(),
             settled: BTreeSet::new(),
             report: DemandReport::default(),
-            dirty_teams: BTreeSet::new(),
-            blocked_teams: HashSet::new(),
+            dirty_customers: BTreeSet::new(),
+            blocked_customers: HashSet::new(),
             sent_wants: HashMap::new(),
             last_report: None,
             last_sweep: NodeTime::default(),
@@ -276,9 +276,9 @@
         }
         self.install_peers(now);
         if homes || declaration {
-            let teams: Vec<TeamName> = self.team_classes.keys().cloned().collect();
-            for team in teams {
-                self.refresh_team(&team);
+            let customers: Vec<CustomerName> = self.customer_classes.keys().cloned().collect();
+            for customer in customers {
+                self.refresh_customer(&customer);
             }
         }
         self.pump_all(now);
@@ -373,10 +373,10 @@
     fn install_classes(&mut self) {
         for (class, target) in &self.view.declaration.queues {
             let state = self.classes.entry(class.clone()).or_default();
-            let teams: Vec<_> = state.queue.teams().collect();
-            for team in teams {
-                let share = share_of(&target.shares, state.queue.name(team));
-                state.queue.set_share(team, share);
+            let customers: Vec<_> = state.queue.customers().collect();
+            for customer in customers {
+                let share = share_of(&target.shares, state.queue.name(customer));
+                state.queue.set_share(customer, share);
             }
         }
     }
@@ -405,9 +405,9 @@
         }
     }
 
-    /// Returns the number below which permits of `team` count.
-    fn limit_of(&self, team: &TeamName) -> Option<u32> {
-        let target = self.view.declaration.teams.get(team)?;
+    /// Returns the number below which permits of `customer` count.
+    fn limit_of(&self, customer: &CustomerName) -> Option<u32> {
+        let target = self.view.declaration.customers.get(customer)?;
         Some(target.limit)
     }
 
@@ -419,21 +419,21 @@
                 let free = self.ledger.available(pool, bound);
                 self.workers.set_free(vm, free);
             }
-            TokenPool::Permit(team) => {
-                self.dirty_teams.insert(team.clone());
-                self.refresh_team(team);
+            TokenPool::Permit(customer) => {
+                self.dirty_customers.insert(customer.clone());
+                self.refresh_customer(customer);
             }
         }
     }
 
-    /// Marks `team` as held up by its limit or not, in every class.
-    fn refresh_team(&mut self, team: &TeamName) {
-        let blocked = self.is_blocked(team);
+    /// Marks `customer` as held up by its limit or not, in every class.
+    fn refresh_customer(&mut self, customer: &CustomerName) {
+        let blocked = self.is_blocked(customer);
         let changed = match blocked {
-            true => self.blocked_teams.insert(team.clone()),
-            false => self.blocked_teams.remove(team),
+            true => self.blocked_customers.insert(customer.clone()),
+            false => self.blocked_customers.remove(customer),
         };
-        let Some(classes) = self.team_classes.get(team) else {
+        let Some(classes) = self.customer_classes.get(customer) else {
             return;
         };
         if !changed {
@@ -441,7 +441,7 @@
         }
         for class in classes {
             if let Some(state) = self.classes.get_mut(class)
-                && let Some(index) = state.queue.find(Some(team))
+                && let Some(index) = state.queue.find(Some(customer))
             {
                 if state.queue.set_blocked(index, blocked) {
                     self.report.mark_urgent();
@@ -451,18 +451,19 @@
         }
     }
 
-    fn is_blocked(&self, team: &TeamName) -> bool {
-        let pool = TokenPool::Permit(team.clone());
-        match self.limit_of(team) {
+    fn is_blocked(&self, customer: &CustomerName) -> bool {
+        let pool = TokenPool::Permit(customer.clone());
+        match self.limit_of(customer) {
             Some(limit) => !self.ledger.has_available(&pool, limit),
             None => false,
         }
     }
 }
 
-/// Returns the declared share of `team`, or a small one.
-fn share_of(shares: &BTreeMap<TeamName, f64>, team: Option<&TeamName>) -> f64 {
-    team.and_then(|team| shares.get(team))
+/// Returns the declared share of `customer`, or a small one.
+fn share_of(shares: &BTreeMap<CustomerName, f64>, customer: Option<&CustomerName>) -> f64 {
+    customer
+        .and_then(|customer| shares.get(customer))
         .copied()
         .unwrap_or(UNDECLARED_SHARE)
 }
--- a/crates/policy/src/scheduler/peers.rs
+++ b/crates/policy/src/scheduler/peers.rs
@@ -3,10 +3,10 @@
 use std::collections::BTreeSet;
 use std::time;
 
-use redwing_model::{ClassName, NodeIncarnation, TeamName};
+use redwing_model::{ClassName, CustomerName, NodeIncarnation};
 
 use crate::clock::NodeTime;
-use crate::exchange::{PeerMessage, PermitWant, TeamDemand};
+use crate::exchange::{CustomerDemand, PeerMessage, PermitWant};
 use crate::fair::duration_micros;
 use crate::scheduler::{NodeScheduler, SchedulerAction, SchedulerSettings};
 use crate::share::{ReportKey, ReportedDemand, is_significant};
@@ -56,8 +56,8 @@
                 link.recall(pool);
             }
             for want in &message.wants {
-                link.set_wanted(&want.team, want.permits);
-                self.dirty_teams.insert(want.team.clone());
+                link.set_wanted(&want.customer, want.permits);
+                self.dirty_customers.insert(want.customer.clone());
             }
             self.take_demand(now, from, &message.demand, baseline);
         }
@@ -75,11 +75,11 @@
         &mut self,
         now: NodeTime,
         from: &NodeIncarnation,
-        demand: &[TeamDemand],
+        demand: &[CustomerDemand],
         baseline: bool,
     ) {
         for entry in demand {
-            let team = self.team_index(&entry.class, entry.team.as_ref());
+            let customer = self.customer_index(&entry.class, entry.customer.as_ref());
             let Some(state) = self.classes.get_mut(&entry.class) else {
                 continue;
             };
@@ -89,7 +89,7 @@
                 baseline,
             };
             let queue = &mut state.queue;
-            state.remote.update(queue, now, team, from, report);
+            state.remote.update(queue, now, customer, from, report);
         }
     }
 
@@ -121,8 +121,8 @@
         }
     }
 
-    /// Returns whether a waiting team at a peer is served so much less than
-    /// the teams here that it should get the next free slot of `class`.
+    /// Returns whether a waiting customer at a peer is served so much less than
+    /// the customers here that it should get the next free slot of `class`.
     pub(super) fn yields_slot(&self, class: &ClassName) -> bool {
         let Some(state) = self.classes.get(class) else {
             return false;
@@ -145,28 +145,28 @@
         let Some(state) = self.classes.get(class) else {
             return false;
         };
-        let Some((_, team)) = state.queue.next_remote() else {
+        let Some((_, customer)) = state.queue.next_remote() else {
             return false;
         };
-        let Some(peer) = state.remote.most_waiting(team).cloned() else {
+        let Some(peer) = state.remote.most_waiting(customer).cloned() else {
             return false;
         };
         let Some(token) = self.let_go(class, &peer) else {
             return false;
         };
         if let Some(state) = self.classes.get_mut(class) {
-            let run = duration_micros(state.estimate.expect(state.queue.name(team)));
+            let run = duration_micros(state.estimate.expect(state.queue.name(customer)));
             // The other processes see the same need and answer it as well,
-            // each with the slots that it has. The bound keeps a team with a
+            // each with the slots that it has. The bound keeps a customer with a
             // small share from paying far ahead for one slot.
             let others = match state.queue.next_ready() {
                 Some(_) => i64::from(state.queue.slots() / state.queue.running().max(1)),
                 None => 1,
             };
-            let one = state.queue.scale(team, run).0.max(1);
+            let one = state.queue.scale(customer, run).0.max(1);
             let bound = tolerance_nanos(&self.settings) / one;
             let micros = run.saturating_mul(others.min(bound).max(1));
-            state.remote.give(&mut state.queue, team, &peer, micros);
+            state.remote.give(&mut state.queue, customer, &peer, micros);
         }
         self.refresh_pool(&token.pool);
         true
@@ -258,11 +258,11 @@
         }
     }
 
-    /// Returns whether waiting requests may soon use a token of `pool`: a team
+    /// Returns whether waiting requests may soon use a token of `pool`: a customer
     /// keeps its permits while it waits for slots.
     fn may_need(&self, pool: &TokenPool) -> bool {
         match pool {
-            TokenPool::Permit(team) => self.waiting_of_team(team) > 0,
+            TokenPool::Permit(customer) => self.waiting_of_customer(customer) > 0,
             TokenPool::Slot(_) => false,
         }
     }
@@ -305,37 +305,37 @@
         if !self.settings.exchange_tokens {
             return;
         }
-        for team in std::mem::take(&mut self.dirty_teams) {
-            if self.next_wanting(&team).is_none() {
+        for customer in std::mem::take(&mut self.dirty_customers) {
+            if self.next_wanting(&customer).is_none() {
                 continue;
             }
-            let mut spare = self.spare_permits(&team);
+            let mut spare = self.spare_permits(&customer);
             while spare > 0
-                && let Some(peer) = self.next_wanting(&team)
-                && self.give_permit(&team, &peer)
+                && let Some(peer) = self.next_wanting(&customer)
+                && self.give_permit(&customer, &peer)
             {
                 spare -= 1;
             }
         }
     }
 
-    /// Returns how many free permits of `team` nothing here waits for.
-    fn spare_permits(&self, team: &TeamName) -> u32 {
-        let Some(limit) = self.limit_of(team) else {
+    /// Returns how many free permits of `customer` nothing here waits for.
+    fn spare_permits(&self, customer: &CustomerName) -> u32 {
+        let Some(limit) = self.limit_of(customer) else {
             return 0;
         };
-        let pool = TokenPool::Permit(team.clone());
+        let pool = TokenPool::Permit(customer.clone());
         let free = self.ledger.available(&pool, limit);
-        free.saturating_sub(self.waiting_of_team(team))
+        free.saturating_sub(self.waiting_of_customer(customer))
     }
 
-    /// Returns how many requests of `team` wait here, in all classes.
-    fn waiting_of_team(&self, team: &TeamName) -> u32 {
-        let classes = self.team_classes.get(team).into_iter().flatten();
+    /// Returns how many requests of `customer` wait here, in all classes.
+    fn waiting_of_customer(&self, customer: &CustomerName) -> u32 {
+        let classes = self.customer_classes.get(customer).into_iter().flatten();
         let mut waiting = 0;
         for class in classes {
             if let Some(state) = self.classes.get(class)
-                && let Some(index) = state.queue.find(Some(team))
+                && let Some(index) = state.queue.find(Some(customer))
             {
                 waiting += state.queue.waiting_of(index);
             }
@@ -343,27 +343,27 @@
         u32::try_from(waiting).unwrap_or(u32::MAX)
     }
 
-    fn next_wanting(&self, team: &TeamName) -> Option<NodeIncarnation> {
+    fn next_wanting(&self, customer: &CustomerName) -> Option<NodeIncarnation> {
         self.links
             .iter()
-            .filter(|(_, link)| link.wanted(team) > 0)
-            .max_by_key(|(_, link)| link.wanted(team))
+            .filter(|(_, link)| link.wanted(customer) > 0)
+            .max_by_key(|(_, link)| link.wanted(customer))
             .map(|(peer, _)| peer.clone())
     }
 
     /// Gives one free permit to `peer`, or back to its home.
-    fn give_permit(&mut self, team: &TeamName, peer: &NodeIncarnation) -> bool {
-        let pool = TokenPool::Permit(team.clone());
-        let Some(limit) = self.limit_of(team) else {
+    fn give_permit(&mut self, customer: &CustomerName, peer: &NodeIncarnation) -> bool {
+        let pool = TokenPool::Permit(customer.clone());
+        let Some(limit) = self.limit_of(customer) else {
             return false;
         };
         if let Some(token) = self.ledger.free_own(&pool, limit)
             && let Some(link) = self.links.get_mut(peer)
             && self.ledger.lend(&token, peer)
         {
-            link.set_wanted(team, link.wanted(team) - 1);
+            link.set_wanted(customer, link.wanted(customer) - 1);
             link.queue(token);
-            self.refresh_team(team);
+            self.refresh_customer(customer);
             return true;
         }
         if let Some((token, home)) = self.ledger.free_foreign(&pool)
@@ -371,7 +371,7 @@
         {
             self.give_back(&token, &home);
             if let Some(link) = self.links.get_mut(peer) {
-                link.set_wanted(team, link.wanted(team) - 1);
+                link.set_wanted(customer, link.wanted(customer) - 1);
             }
             return true;
         }
@@ -394,60 +394,63 @@
         self.report.mark_stale(now);
         let mut message = PeerMessage::default();
         let changed = self.report.take_changed();
-        let mut teams = BTreeSet::new();
+        let mut customers = BTreeSet::new();
         for key in &changed {
             if let Some(entry) = self.next_demand(now, key) {
                 message.demand.push(entry);
             }
             if let Some(state) = self.classes.get(&key.class)
-                && let Some(name) = state.queue.name(key.team)
+                && let Some(name) = state.queue.name(key.customer)
             {
-                teams.insert(name.clone());
+                customers.insert(name.clone());
             }
         }
-        for team in teams {
-            message.wants.extend(self.next_want(&team));
+        for customer in customers {
+            message.wants.extend(self.next_want(&customer));
         }
         Some(message)
     }
 
-    /// Returns what to report of one team, if it changed enough.
-    fn next_demand(&mut self, now: NodeTime, key: &ReportKey) -> Option<TeamDemand> {
+    /// Returns what to report of one customer, if it changed enough.
+    fn next_demand(&mut self, now: NodeTime, key: &ReportKey) -> Option<CustomerDemand> {
         let state = self.classes.get(&key.class)?;
-        let team = state.queue.name(key.team).cloned();
-        let waiting = u32::try_from(state.queue.waiting_of(key.team)).unwrap_or(u32::MAX);
-        let usable = match team
+        let customer = state.queue.name(key.customer).cloned();
+        let waiting = u32::try_from(state.queue.waiting_of(key.customer)).unwrap_or(u32::MAX);
+        let usable = match customer
             .as_ref()
-            .and_then(|team| Some((team, self.limit_of(team)?)))
+            .and_then(|customer| Some((customer, self.limit_of(customer)?)))
         {
-            Some((team, limit)) => {
-                let pool = TokenPool::Permit(team.clone());
+            Some((customer, limit)) => {
+                let pool = TokenPool::Permit(customer.clone());
                 waiting.min(self.ledger.available(&pool, limit))
             }
             None => waiting,
         };
         let service = self.report.next_service(now, key, usable, &state.queue)?;
-        Some(TeamDemand {
+        Some(CustomerDemand {
             class: key.class.clone(),
-            team,
+            customer,
             waiting: usable,
             service_micros: service,
         })
     }
 
-    /// Returns the permits of `team` to ask for, if that changed enough.
-    fn next_want(&mut self, team: &TeamName) -> Option<PermitWant> {
-        let limit = self.limit_of(team)?;
-        let pool = TokenPool::Permit(team.clone());
+    /// Returns the permits of `customer` to ask for, if that changed enough.
+    fn next_want(&mut self, customer: &CustomerName) -> Option<PermitWant> {
+        let limit = self.limit_of(customer)?;
+        let pool = TokenPool::Permit(customer.clone());
         let free = self.ledger.available(&pool, limit);
-        let permits = self.waiting_of_team(team).saturating_sub(free).min(limit);
-        let sent = self.sent_wants.get(team).copied().unwrap_or(0);
+        let permits = self
+            .waiting_of_customer(customer)
+            .saturating_sub(free)
+            .min(limit);
+        let sent = self.sent_wants.get(customer).copied().unwrap_or(0);
         if !is_significant(sent, permits) {
             return None;
         }
-        self.sent_wants.insert(team.clone(), permits);
+        self.sent_wants.insert(customer.clone(), permits);
         Some(PermitWant {
-            team: team.clone(),
+            customer: customer.clone(),
             permits,
         })
     }
--- a/crates/policy/src/scheduler/request.rs
+++ b/crates/policy/src/scheduler/request.rs
@@ -6,7 +6,7 @@
 
 use crate::clock::NodeTime;
 use crate::estimate::{BacklogRate, RunEstimate};
-use crate::fair::{FairQueue, TeamIndex};
+use crate::fair::{CustomerIndex, FairQueue};
 use crate::share::RemoteDemand;
 use crate::ticket::RequestTicket;
 use crate::token::TokenId;
@@ -17,7 +17,7 @@
     pub(super) queue: FairQueue,
     pub(super) estimate: RunEstimate,
     pub(super) remote: RemoteDemand,
-    pub(super) rates: HashMap<TeamIndex, BacklogRate>,
+    pub(super) rates: HashMap<CustomerIndex, BacklogRate>,
     /// Number of the last dispatch, for taking turns among classes.
     pub(super) last_serve: u64,
 }
@@ -26,7 +26,7 @@
 #[derive(Debug)]
 pub(super) struct RequestState {
     pub(super) ticket: RequestTicket,
-    pub(super) team: TeamIndex,
+    pub(super) customer: CustomerIndex,
     pub(super) attempts: u32,
     pub(super) tried: Vec<VmId>,
     /// Whether an earlier attempt may have run.
@@ -47,10 +47,10 @@
 }
 
 impl RequestState {
-    pub(super) fn new(ticket: RequestTicket, team: TeamIndex) -> Self {
+    pub(super) fn new(ticket: RequestTicket, customer: CustomerIndex) -> Self {
         Self {
             ticket,
-            team,
+            customer,
             attempts: 0,
             tried: Vec::new(),
             maybe_ran: false,
--- a/crates/policy/src/scheduler/usage.rs
+++ b/crates/policy/src/scheduler/usage.rs
@@ -42,8 +42,10 @@
         }
         let mut usages = Vec::with_capacity(self.classes.len());
         for (class, state) in &self.classes {
-            let teams = state.queue.teams();
-            let remote: u32 = teams.map(|team| state.queue.remote_of(team)).sum();
+            let customers = state.queue.customers();
+            let remote: u32 = customers
+                .map(|customer| state.queue.remote_of(customer))
+                .sum();
             let here = u32::try_from(state.queue.waiting()).unwrap_or(u32::MAX);
             usages.push(ClassUsage {
                 class: class.clone(),
--- a/crates/policy/src/share.rs
+++ b/crates/policy/src/share.rs
@@ -1,4 +1,4 @@
-//! Demand and service of teams across entry processes.
+//! Demand and service of customers across entry processes.
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::time;
@@ -6,7 +6,7 @@
 use redwing_model::{ClassName, NodeIncarnation};
 
 use crate::clock::NodeTime;
-use crate::fair::{FairQueue, TeamIndex, VirtualTime};
+use crate::fair::{CustomerIndex, FairQueue, VirtualTime};
 
 /// Smallest change of service that is worth a report, in virtual time.
 const MIN_SERVICE_CHANGE: VirtualTime = VirtualTime(50_000_000);
@@ -20,7 +20,7 @@
 /// Age at which reported demand is reported again, in case it was lost.
 const REFRESH_INTERVAL: time::Duration = time::Duration::from_secs(2);
 
-/// What one peer last reported of a team.
+/// What one peer last reported of a customer.
 #[derive(Clone, Debug, Default)]
 struct PeerDemand {
     waiting: u32,
@@ -33,10 +33,10 @@
 /// Demand of one class at other processes.
 #[derive(Debug, Default)]
 pub struct RemoteDemand {
-    teams: BTreeMap<TeamIndex, BTreeMap<NodeIncarnation, PeerDemand>>,
+    customers: BTreeMap<CustomerIndex, BTreeMap<NodeIncarnation, PeerDemand>>,
 }
 
-/// A peer's report of one team.
+/// A peer's report of one customer.
 #[derive(Clone, Copy, Debug)]
 pub struct ReportedDemand {
     /// Requests waiting at the peer.
@@ -48,10 +48,10 @@
 }
 
 impl RemoteDemand {
-    /// Returns the peer with the most waiting requests of `team`.
-    pub fn most_waiting(&self, team: TeamIndex) -> Option<&NodeIncarnation> {
-        self.teams
-            .get(&team)?
+    /// Returns the peer with the most waiting requests of `customer`.
+    pub fn most_waiting(&self, customer: CustomerIndex) -> Option<&NodeIncarnation> {
+        self.customers
+            .get(&customer)?
             .iter()
             .filter(|(_, demand)| demand.waiting > 0)
             .max_by_key(|(_, demand)| demand.waiting)
@@ -60,102 +60,106 @@
 
     /// Returns the slot time used through all peers, in microseconds.
     pub fn service_micros(&self) -> u64 {
-        let peers = self.teams.values().flat_map(BTreeMap::values);
+        let peers = self.customers.values().flat_map(BTreeMap::values);
         peers.fold(0, |sum, demand| sum.saturating_add(demand.service))
     }
 
-    /// Takes a report of `peer` and charges the team for the new service.
+    /// Takes a report of `peer` and charges the customer for the new service.
     pub fn update(
         &mut self,
         queue: &mut FairQueue,
         now: NodeTime,
-        team: TeamIndex,
+        customer: CustomerIndex,
         peer: &NodeIncarnation,
         report: ReportedDemand,
     ) {
-        let peers = self.teams.entry(team).or_default();
+        let peers = self.customers.entry(customer).or_default();
         let first = !peers.contains_key(peer);
         let demand = peers.entry(peer.clone()).or_default();
         if !(first && report.baseline) {
             let used = report.service.wrapping_sub(demand.service).cast_signed();
             let covered = used.clamp(0, demand.advance);
             demand.advance -= covered;
-            queue.charge(team, used - covered);
+            queue.charge(customer, used - covered);
         }
         demand.service = report.service;
         demand.waiting = report.waiting;
         demand.at = now;
-        self.sum(queue, team);
+        self.sum(queue, customer);
     }
 
-    /// Notes that a slot was given to `peer` for `team`, and charges the
+    /// Notes that a slot was given to `peer` for `customer`, and charges the
     /// service expected of it in advance.
     pub fn give(
         &mut self,
         queue: &mut FairQueue,
-        team: TeamIndex,
+        customer: CustomerIndex,
         peer: &NodeIncarnation,
         micros: i64,
     ) {
         let demand = self
-            .teams
-            .get_mut(&team)
+            .customers
+            .get_mut(&customer)
             .and_then(|peers| peers.get_mut(peer));
         if let Some(demand) = demand {
             demand.waiting = demand.waiting.saturating_sub(1);
             demand.advance += micros;
-            queue.charge(team, micros);
-            self.sum(queue, team);
+            queue.charge(customer, micros);
+            self.sum(queue, customer);
         }
     }
 
     /// Forgets the demand reported before `before`, and takes back what was
     /// charged in advance and never reported.
     pub fn expire(&mut self, queue: &mut FairQueue, before: NodeTime) {
-        let teams: Vec<TeamIndex> = self.teams.keys().copied().collect();
-        for team in teams {
-            let Some(peers) = self.teams.get_mut(&team) else {
+        let customers: Vec<CustomerIndex> = self.customers.keys().copied().collect();
+        for customer in customers {
+            let Some(peers) = self.customers.get_mut(&customer) else {
                 continue;
             };
             for demand in peers.values_mut() {
                 if demand.at < before {
                     demand.waiting = 0;
-                    queue.charge(team, -demand.advance);
+                    queue.charge(customer, -demand.advance);
                     demand.advance = 0;
                 }
             }
-            self.sum(queue, team);
+            self.sum(queue, customer);
         }
     }
 
     /// Forgets everything about the ended incarnation `ended`.
     pub fn forget(&mut self, queue: &mut FairQueue, ended: &NodeIncarnation) {
-        let teams: Vec<TeamIndex> = self.teams.keys().copied().collect();
-        for team in teams {
-            if let Some(peers) = self.teams.get_mut(&team) {
+        let customers: Vec<CustomerIndex> = self.customers.keys().copied().collect();
+        for customer in customers {
+            if let Some(peers) = self.customers.get_mut(&customer) {
                 peers.remove(ended);
             }
-            self.sum(queue, team);
+            self.sum(queue, customer);
         }
     }
 
-    fn sum(&self, queue: &mut FairQueue, team: TeamIndex) {
-        let peers = self.teams.get(&team).into_iter().flat_map(BTreeMap::values);
+    fn sum(&self, queue: &mut FairQueue, customer: CustomerIndex) {
+        let peers = self
+            .customers
+            .get(&customer)
+            .into_iter()
+            .flat_map(BTreeMap::values);
         let waiting = peers.fold(0u32, |sum, demand| sum.saturating_add(demand.waiting));
-        queue.set_remote(team, waiting);
+        queue.set_remote(customer, waiting);
     }
 }
 
-/// A team within a class.
+/// A customer within a class.
 #[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub struct ReportKey {
     /// Class of work.
     pub class: ClassName,
-    /// Team within the class.
-    pub team: TeamIndex,
+    /// Customer within the class.
+    pub customer: CustomerIndex,
 }
 
-/// What this process reported of a team, and what it should.
+/// What this process reported of a customer, and what it should.
 #[derive(Clone, Copy, Debug, Default)]
 struct OwnDemand {
     service: i64,
@@ -175,29 +179,29 @@
 }
 
 impl DemandReport {
-    /// Returns whether a team began to wait since the last report.
+    /// Returns whether a customer began to wait since the last report.
     pub fn is_urgent(&self) -> bool {
         self.urgent
     }
 
-    /// Notes that a team began to wait.
+    /// Notes that a customer began to wait.
     pub fn mark_urgent(&mut self) {
         self.urgent = true;
     }
 
-    /// Notes that the demand of a team may have changed.
-    pub fn mark(&mut self, class: &ClassName, team: TeamIndex) {
+    /// Notes that the demand of a customer may have changed.
+    pub fn mark(&mut self, class: &ClassName, customer: CustomerIndex) {
         self.changed.insert(ReportKey {
             class: class.clone(),
-            team,
+            customer,
         });
     }
 
-    /// Adds slot time used by a team here, in microseconds.
-    pub fn charge(&mut self, class: &ClassName, team: TeamIndex, micros: i64) {
+    /// Adds slot time used by a customer here, in microseconds.
+    pub fn charge(&mut self, class: &ClassName, customer: CustomerIndex, micros: i64) {
         let key = ReportKey {
             class: class.clone(),
-            team,
+            customer,
         };
         self.entries.entry(key.clone()).or_default().service += micros;
         self.changed.insert(key);
@@ -221,13 +225,13 @@
         }
     }
 
-    /// Takes the teams whose demand may have changed.
+    /// Takes the customers whose demand may have changed.
     pub fn take_changed(&mut self) -> BTreeSet<ReportKey> {
         self.urgent = false;
         std::mem::take(&mut self.changed)
     }
 
-    /// Returns the service to report of a team with `waiting` requests, or
+    /// Returns the service to report of a customer with `waiting` requests, or
     /// `None` if the change is too small; `queue` scales the service.
     pub fn next_service(
         &mut self,
@@ -237,7 +241,7 @@
         queue: &FairQueue,
     ) -> Option<u64> {
         let entry = self.entries.entry(key.clone()).or_default();
-        let change = queue.scale(key.team, entry.service - entry.sent_service);
+        let change = queue.scale(key.customer, entry.service - entry.sent_service);
         let service_due = change.0.abs() >= MIN_SERVICE_CHANGE.0;
         let stale = now.saturating_since(entry.sent_at) >= REFRESH_INTERVAL;
         let stale_due = stale && (waiting > 0 || change.0 != 0);
--- a/crates/policy/src/ticket.rs
+++ b/crates/policy/src/ticket.rs
@@ -2,7 +2,7 @@
 
 use std::time;
 
-use redwing_model::{ClassName, RunOutcome, TeamName, VmId};
+use redwing_model::{ClassName, CustomerName, RunOutcome, VmId};
 use serde::{Deserialize, Serialize};
 
 use crate::clock::NodeTime;
@@ -19,8 +19,8 @@
     pub id: TicketId,
     /// Class of work, named after its queue.
     pub class: ClassName,
-    /// Team that submitted it; `None` for a caller without a key on an open queue.
-    pub team: Option<TeamName>,
+    /// Customer that submitted it; `None` for a caller without a key on an open queue.
+    pub customer: Option<CustomerName>,
     /// When its answer is due.
     pub deadline: NodeTime,
     /// Whether it may be executed more than once.
@@ -32,7 +32,7 @@
 pub enum RefusalReason {
     /// Its deadline passed, or cannot be met, while it was waiting.
     DeadlineUnmet,
-    /// Too many requests of the team are waiting.
+    /// Too many requests of the customer are waiting.
     QueueFull,
     /// The class is not declared, or has no backend server at all.
     NoCapacity,
--- a/crates/policy/src/token.rs
+++ b/crates/policy/src/token.rs
@@ -6,15 +6,15 @@
 
 use std::fmt;
 
-use redwing_model::{TeamName, VmId};
+use redwing_model::{CustomerName, VmId};
 use serde::{Deserialize, Serialize};
 
 /// What a token gives a right to.
 #[derive(Clone, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum TokenPool {
-    /// One unit of a team's limit.
-    Permit(TeamName),
+    /// One unit of a customer's limit.
+    Permit(CustomerName),
     /// One slot of the backend server on a VM.
     Slot(VmId),
 }
@@ -32,7 +32,7 @@
 impl fmt::Display for TokenId {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         match &self.pool {
-            TokenPool::Permit(team) => write!(formatter, "permit {team}/{}", self.number),
+            TokenPool::Permit(customer) => write!(formatter, "permit {customer}/{}", self.number),
             TokenPool::Slot(vm) => write!(formatter, "slot {vm}/{}", self.number),
         }
     }
--- a/crates/policy/src/transfer.rs
+++ b/crates/policy/src/transfer.rs
@@ -7,7 +7,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time;
 
-use redwing_model::TeamName;
+use redwing_model::CustomerName;
 
 use crate::clock::NodeTime;
 use crate::exchange::{PeerMessage, TokenTransfer};
@@ -33,7 +33,7 @@
     sequence: u64,
     last_sequence: u64,
     last_transfer: Option<NodeTime>,
-    wants: BTreeMap<TeamName, u32>,
+    wants: BTreeMap<CustomerName, u32>,
     recalls: BTreeSet<TokenPool>,
 }
 
@@ -86,9 +86,9 @@
         !self.received.is_empty()
     }
 
-    /// Returns the permits of `team` that the peer could use.
-    pub fn wanted(&self, team: &TeamName) -> u32 {
-        self.wants.get(team).copied().unwrap_or(0)
+    /// Returns the permits of `customer` that the peer could use.
+    pub fn wanted(&self, customer: &CustomerName) -> u32 {
+        self.wants.get(customer).copied().unwrap_or(0)
     }
 
     /// Returns whether the peer asked for its tokens of `pool`.
@@ -96,11 +96,11 @@
         self.recalls.contains(pool)
     }
 
-    /// Sets the permits of `team` that the peer could use.
-    pub fn set_wanted(&mut self, team: &TeamName, permits: u32) {
+    /// Sets the permits of `customer` that the peer could use.
+    pub fn set_wanted(&mut self, customer: &CustomerName, permits: u32) {
         match permits {
-            0 => self.wants.remove(team),
-            _ => self.wants.insert(team.clone(), permits),
+            0 => self.wants.remove(customer),
+            _ => self.wants.insert(customer.clone(), permits),
         };
     }
 
--- a/crates/policy/tests/exchange.rs
+++ b/crates/policy/tests/exchange.rs
@@ -7,7 +7,7 @@
 use redwing_policy::{SchedulerSettings, TicketId};
 
 use support::cluster::{Cluster, NetworkFaults, WorkerFaults};
-use support::{FleetShape, millis, team};
+use support::{FleetShape, customer, millis};
 
 /// Longest time that a task runs, in milliseconds; below the task lease.
 const MAX_RUN: u64 = 1_500;
@@ -18,7 +18,7 @@
     Submit {
         node: usize,
         class: usize,
-        team: usize,
+        customer: usize,
         repeatable: bool,
         run: u64,
         timeout: u64,
@@ -69,10 +69,10 @@
     );
     let submit =
         submit.prop_map(
-            |(node, class, team, repeatable, run, timeout, count)| Step::Submit {
+            |(node, class, customer, repeatable, run, timeout, count)| Step::Submit {
                 node,
                 class,
-                team,
+                customer,
                 repeatable,
                 run,
                 timeout,
@@ -102,17 +102,17 @@
         Step::Submit {
             node,
             class,
-            team,
+            customer,
             repeatable,
             run,
             timeout,
             count,
         } => {
             let class = cluster.shape.class(class);
-            let names = cluster.shape.teams.clone();
-            let team = names.get(team).map(|(name, ..)| name);
+            let names = cluster.shape.customers.clone();
+            let customer = names.get(customer).map(|(name, ..)| name);
             for _ in 0..count {
-                cluster.submit(pick(node), &class, team, repeatable, run, timeout);
+                cluster.submit(pick(node), &class, customer, repeatable, run, timeout);
             }
         }
         Step::Cancel { back } => {
@@ -158,10 +158,10 @@
         workers: 4,
         slots: 3,
         classes: 2,
-        teams: vec![
-            (team("a"), 0.5, 5),
-            (team("b"), 0.3, 3),
-            (team("c"), 0.2, 8),
+        customers: vec![
+            (customer("a"), 0.5, 5),
+            (customer("b"), 0.3, 3),
+            (customer("c"), 0.2, 8),
         ],
         depth: 50,
     }
--- a/crates/policy/tests/local.rs
+++ b/crates/policy/tests/local.rs
@@ -9,7 +9,8 @@
 };
 
 use support::{
-    FleetShape, at, dispatched, lost, millis, node, refusals, refused, success, team, ticket, vm,
+    FleetShape, at, customer, dispatched, lost, millis, node, refusals, refused, success, ticket,
+    vm,
 };
 
 fn alone(shape: &FleetShape) -> NodeScheduler {
@@ -22,19 +23,19 @@
 fn a_request_is_dispatched_at_once_when_a_slot_is_free() {
     let shape = FleetShape::default();
     let mut scheduler = alone(&shape);
-    scheduler.submit(at(1), ticket(1, &shape.class(0), Some(&team("a"))));
+    scheduler.submit(at(1), ticket(1, &shape.class(0), Some(&customer("a"))));
     assert_eq!(dispatched(&scheduler.take_actions()).len(), 1);
 }
 
 #[test]
-fn the_limit_of_a_team_bounds_what_runs() {
+fn the_limit_of_a_customer_bounds_what_runs() {
     let shape = FleetShape {
-        teams: vec![(team("a"), 1.0, 3)],
+        customers: vec![(customer("a"), 1.0, 3)],
         ..FleetShape::default()
     };
     let mut scheduler = alone(&shape);
     for id in 0..10 {
-        scheduler.submit(at(1), ticket(id, &shape.class(0), Some(&team("a"))));
+        scheduler.submit(at(1), ticket(id, &shape.class(0), Some(&customer("a"))));
     }
     assert_eq!(dispatched(&scheduler.take_actions()).len(), 3);
     scheduler.finish(at(2), TicketId(0), &success(&vm(0)));
@@ -44,16 +45,16 @@
 #[test]
 fn a_lowered_limit_holds_at_once() {
     let mut shape = FleetShape {
-        teams: vec![(team("a"), 1.0, 5)],
+        customers: vec![(customer("a"), 1.0, 5)],
         ..FleetShape::default()
     };
     let mut scheduler = alone(&shape);
     for id in 0..10 {
-        scheduler.submit(at(1), ticket(id, &shape.class(0), Some(&team("a"))));
+        scheduler.submit(at(1), ticket(id, &shape.class(0), Some(&customer("a"))));
     }
     let started = dispatched(&scheduler.take_actions());
     assert_eq!(started.len(), 5);
-    shape.teams[0].2 = 2;
+    shape.customers[0].2 = 2;
     scheduler.install(at(2), shape.view(0, 1));
     for (id, vm) in &started[..3] {
         scheduler.finish(at(3), *id, &success(vm));
@@ -69,12 +70,16 @@
 #[test]
 fn slots_are_shared_by_weight_under_overload() {
     let shape = FleetShape {
-        teams: vec![(team("a"), 0.75, 100), (team("b"), 0.25, 100)],
+        customers: vec![(customer("a"), 0.75, 100), (customer("b"), 0.25, 100)],
         ..FleetShape::default()
     };
     let mut scheduler = alone(&shape);
     for id in 0..4_000 {
-        let name = if id % 2 == 0 { team("a") } else { team("b") };
+        let name = if id % 2 == 0 {
+            customer("a")
+        } else {
+            customer("b")
+        };
         scheduler.submit(at(1), ticket(id, &shape.class(0), Some(&name)));
     }
     let mut served = [0u32; 2];
@@ -89,7 +94,7 @@
         running = dispatched(&scheduler.take_actions());
     }
     let part = f64::from(served[0]) / f64::from(served[0] + served[1]);
-    assert!((part - 0.75).abs() < 0.02, "team a got {part}");
+    assert!((part - 0.75).abs() < 0.02, "customer a got {part}");
 }
 
 #[test]
@@ -100,10 +105,14 @@
     };
     let mut scheduler = alone(&shape);
     for id in 0..4_000 {
-        let name = if id % 2 == 0 { team("a") } else { team("b") };
+        let name = if id % 2 == 0 {
+            customer("a")
+        } else {
+            customer("b")
+        };
         scheduler.submit(at(1), ticket(id, &shape.class(0), Some(&name)));
     }
-    // Requests of team a run ten times longer than those of team b.
+    // Requests of customer a run ten times longer than those of customer b.
     let mut used = [0u64; 2];
     let mut ends = std::collections::BTreeSet::new();
     let mut now = 1;
@@ -118,11 +127,11 @@
         scheduler.finish(at(now), id, &success(&vm));
     }
     let part = used[0] as f64 / (used[0] + used[1]) as f64;
-    assert!((part - 0.5).abs() < 0.03, "team a used {part}");
+    assert!((part - 0.5).abs() < 0.03, "customer a used {part}");
 }
 
 #[test]
-fn an_idle_team_earns_no_credit() {
+fn an_idle_customer_earns_no_credit() {
     let shape = FleetShape {
         workers: 1,
         ..FleetShape::default()
@@ -142,7 +151,7 @@
             for _ in 0..8 {
                 let id = next * 2 + u64::from(name == "b");
                 next += 1;
-                scheduler.submit(at(now), ticket(id, &shape.class(0), Some(&team(name))));
+                scheduler.submit(at(now), ticket(id, &shape.class(0), Some(&customer(name))));
             }
         }
         running.extend(dispatched(&scheduler.take_actions()));
@@ -154,13 +163,13 @@
         }
         running.extend(dispatched(&scheduler.take_actions()));
     }
-    // After 2 s alone, team a still gets half as soon as team b arrives.
+    // After 2 s alone, customer a still gets half as soon as customer b arrives.
     let part = f64::from(counts[0]) / f64::from(counts[0] + counts[1]);
-    assert!(part > 0.4, "team a got {part}");
+    assert!(part > 0.4, "customer a got {part}");
 }
 
 #[test]
-fn the_earliest_deadline_of_a_team_goes_first() {
+fn the_earliest_deadline_of_a_customer_goes_first() {
     let shape = FleetShape {
         workers: 1,
         slots: 1,
@@ -168,10 +177,10 @@
     };
     let mut scheduler = alone(&shape);
     let class = shape.class(0);
-    scheduler.submit(at(1), ticket(1, &class, Some(&team("a"))));
-    let mut late = ticket(2, &class, Some(&team("a")));
+    scheduler.submit(at(1), ticket(1, &class, Some(&customer("a"))));
+    let mut late = ticket(2, &class, Some(&customer("a")));
     late.deadline = at(9_000);
-    let mut early = ticket(3, &class, Some(&team("a")));
+    let mut early = ticket(3, &class, Some(&customer("a")));
     early.deadline = at(5_000);
     scheduler.submit(at(1), late);
     scheduler.submit(at(1), early);
@@ -191,8 +200,8 @@
         ..FleetShape::default()
     };
     let mut scheduler = alone(&shape);
-    scheduler.submit(at(1), ticket(1, &shape.class(0), Some(&team("a"))));
-    let mut short = ticket(2, &shape.class(0), Some(&team("a")));
+    scheduler.submit(at(1), ticket(1, &shape.class(0), Some(&customer("a"))));
+    let mut short = ticket(2, &shape.class(0), Some(&customer("a")));
     short.deadline = at(500);
     scheduler.submit(at(1), short);
     scheduler.take_actions();
@@ -216,26 +225,26 @@
     let mut scheduler = alone(&shape);
     let class = shape.class(0);
     for id in 0..16 {
-        scheduler.submit(at(1), ticket(id, &class, Some(&team("a"))));
+        scheduler.submit(at(1), ticket(id, &class, Some(&customer("a"))));
     }
     for (id, vm) in dispatched(&scheduler.take_actions()) {
         scheduler.finish(at(1_001), id, &success(&vm));
     }
     // Eight run and none wait; the next 40 need 6 s at 8 slots and 1 s each.
     for id in 100..140 {
-        scheduler.submit(at(1_001), ticket(id, &class, Some(&team("a"))));
+        scheduler.submit(at(1_001), ticket(id, &class, Some(&customer("a"))));
     }
     scheduler.take_actions();
-    let mut hurried = ticket(500, &class, Some(&team("a")));
+    let mut hurried = ticket(500, &class, Some(&customer("a")));
     hurried.deadline = at(4_000);
     scheduler.submit(at(1_001), hurried);
     assert_eq!(refusals(&scheduler.take_actions()), [TicketId(500)]);
-    scheduler.submit(at(1_001), ticket(501, &class, Some(&team("a"))));
+    scheduler.submit(at(1_001), ticket(501, &class, Some(&customer("a"))));
     assert!(refusals(&scheduler.take_actions()).is_empty());
 }
 
 #[test]
-fn a_full_queue_of_one_team_leaves_others_alone() {
+fn a_full_queue_of_one_customer_leaves_others_alone() {
     let shape = FleetShape {
         workers: 1,
         depth: 2,
@@ -244,13 +253,13 @@
     let mut scheduler = alone(&shape);
     let class = shape.class(0);
     for id in 0..12 {
-        scheduler.submit(at(1), ticket(id, &class, Some(&team("a"))));
+        scheduler.submit(at(1), ticket(id, &class, Some(&customer("a"))));
     }
     assert_eq!(
         refusals(&scheduler.take_actions()),
         [TicketId(10), TicketId(11)]
     );
-    scheduler.submit(at(1), ticket(20, &class, Some(&team("b"))));
+    scheduler.submit(at(1), ticket(20, &class, Some(&customer("b"))));
     assert!(refusals(&scheduler.take_actions()).is_empty());
 }
 
@@ -267,9 +276,9 @@
 }
 
 #[test]
-fn a_caller_without_a_team_needs_no_permit() {
+fn a_caller_without_a_customer_needs_no_permit() {
     let shape = FleetShape {
-        teams: Vec::new(),
+        customers: Vec::new(),
         ..FleetShape::default()
     };
     let mut scheduler = alone(&shape);
@@ -283,7 +292,7 @@
 fn a_refused_attempt_is_retried_on_another_worker() {
     let shape = FleetShape::default();
     let mut scheduler = alone(&shape);
-    let mut single = ticket(1, &shape.class(0), Some(&team("a")));
+    let mut single = ticket(1, &shape.class(0), Some(&customer("a")));
     single.repeatable = false;
     scheduler.submit(at(1), single);
     let [(id, first)] = &dispatched(&scheduler.take_actions())[..] else {
@@ -301,7 +310,7 @@
 fn a_request_that_may_run_once_is_not_sent_again_after_an_unknown_end() {
     let shape = FleetShape::default();
     let mut scheduler = alone(&shape);
-    let mut single = ticket(1, &shape.class(0), Some(&team("a")));
+    let mut single = ticket(1, &shape.class(0), Some(&customer("a")));
     single.repeatable = false;
     scheduler.submit(at(1), single);
     let started = dispatched(&scheduler.take_actions());
@@ -316,7 +325,7 @@
 fn an_answer_that_has_begun_is_not_followed_by_an_attempt() {
     let shape = FleetShape::default();
     let mut scheduler = alone(&shape);
-    scheduler.submit(at(1), ticket(1, &shape.class(0), Some(&team("a"))));
+    scheduler.submit(at(1), ticket(1, &shape.class(0), Some(&customer("a"))));
     let started = dispatched(&scheduler.take_actions());
     let report = AttemptReport {
         answered: true,
@@ -335,7 +344,7 @@
         ..FleetShape::default()
     };
     let mut scheduler = alone(&shape);
-    let mut short = ticket(1, &shape.class(0), Some(&team("a")));
+    let mut short = ticket(1, &shape.class(0), Some(&customer("a")));
     short.deadline = at(1_000);
     scheduler.submit(at(1), short);
     scheduler.take_actions();
@@ -358,12 +367,12 @@
         ..FleetShape::default()
     };
     let mut scheduler = alone(&shape);
-    let mut single = ticket(1, &shape.class(0), Some(&team("a")));
+    let mut single = ticket(1, &shape.class(0), Some(&customer("a")));
     single.repeatable = false;
     scheduler.submit(at(1), single);
     scheduler.take_actions();
     scheduler.finish(at(10), TicketId(1), &lost(&vm(0)));
-    let mut next = ticket(2, &shape.class(0), Some(&team("a")));
+    let mut next = ticket(2, &shape.class(0), Some(&customer("a")));
     next.deadline = at(200_000);
     scheduler.submit(at(11), next);
     scheduler.tick(at(60_009));
@@ -380,7 +389,7 @@
     };
     let mut scheduler = alone(&shape);
     for id in 0..1_000 {
-        scheduler.submit(at(1), ticket(id, &shape.class(0), Some(&team("a"))));
+        scheduler.submit(at(1), ticket(id, &shape.class(0), Some(&customer("a"))));
     }
     let mut running = dispatched(&scheduler.take_actions());
     for id in (8..1_000).filter(|id| id % 5 != 0) {
@@ -410,7 +419,7 @@
     let mut scheduler = alone(&shape);
     let mut attempts = 0;
     for id in 0..1_000 {
-        scheduler.submit(at(id), ticket(id, &shape.class(0), Some(&team("a"))));
+        scheduler.submit(at(id), ticket(id, &shape.class(0), Some(&customer("a"))));
         let mut started = dispatched(&scheduler.take_actions());
         while let Some((id, vm)) = started.pop() {
             attempts += 1;
@@ -432,7 +441,7 @@
     let slot = shape.tokens()[0].clone();
     assert!(scheduler.release_home(&slot));
     assert!(!scheduler.release_home(&slot));
-    scheduler.submit(at(1), ticket(1, &shape.class(0), Some(&team("a"))));
+    scheduler.submit(at(1), ticket(1, &shape.class(0), Some(&customer("a"))));
     assert!(dispatched(&scheduler.take_actions()).is_empty());
     scheduler.install(at(2), shape.view(0, 1));
     assert_eq!(dispatched(&scheduler.take_actions()).len(), 1);
@@ -448,17 +457,17 @@
     let mut scheduler = alone(&shape);
     let class = shape.class(0);
     for id in 0..16 {
-        scheduler.submit(at(1), ticket(id, &class, Some(&team("a"))));
+        scheduler.submit(at(1), ticket(id, &class, Some(&customer("a"))));
     }
     // Every run takes 1 s; the eight that follow take the slots for longer.
     for (id, vm) in dispatched(&scheduler.take_actions()) {
         scheduler.finish(at(1_001), id, &success(&vm));
     }
     scheduler.take_actions();
-    let mut short = ticket(100, &class, Some(&team("a")));
+    let mut short = ticket(100, &class, Some(&customer("a")));
     short.deadline = at(6_001);
     scheduler.submit(at(1_001), short);
-    scheduler.submit(at(1_001), ticket(101, &class, Some(&team("a"))));
+    scheduler.submit(at(1_001), ticket(101, &class, Some(&customer("a"))));
     scheduler.tick(at(4_990));
     assert!(refusals(&scheduler.take_actions()).is_empty());
     scheduler.tick(at(5_010));
--- a/crates/policy/tests/pair.rs
+++ b/crates/policy/tests/pair.rs
@@ -9,7 +9,7 @@
 };
 
 use support::cluster::{Cluster, RequestEnd};
-use support::{FleetShape, at, dispatched, millis, node, refusals, success, team, ticket, vm};
+use support::{FleetShape, at, customer, dispatched, millis, node, refusals, success, ticket, vm};
 
 fn settings() -> SchedulerSettings {
     SchedulerSettings {
@@ -26,49 +26,56 @@
     };
     let mut cluster = Cluster::new(shape.clone(), 8, settings(), 1);
     for _ in 0..300 {
-        cluster.submit(7, &shape.class(0), Some(&team("b")), true, 5_000, 20_000);
+        cluster.submit(
+            7,
+            &shape.class(0),
+            Some(&customer("b")),
+            true,
+            5_000,
+            20_000,
+        );
     }
     cluster.run(1_000, 2);
-    assert_eq!(cluster.running_of(&team("b")), 80);
+    assert_eq!(cluster.running_of(&customer("b")), 80);
 }
 
 #[test]
-fn slots_are_shared_between_teams_at_different_processes() {
+fn slots_are_shared_between_customers_at_different_processes() {
     let shape = FleetShape {
         workers: 10,
         ..FleetShape::default()
     };
     let mut cluster = Cluster::new(shape.clone(), 8, settings(), 1);
     for _ in 0..4_000 {
-        cluster.submit(0, &shape.class(0), Some(&team("a")), true, 100, 20_000);
+        cluster.submit(0, &shape.class(0), Some(&customer("a")), true, 100, 20_000);
     }
     cluster.run(1_000, 2);
-    assert_eq!(cluster.running_of(&team("a")), 80);
+    assert_eq!(cluster.running_of(&customer("a")), 80);
     for _ in 0..4_000 {
-        cluster.submit(7, &shape.class(0), Some(&team("b")), true, 100, 20_000);
+        cluster.submit(7, &shape.class(0), Some(&customer("b")), true, 100, 20_000);
     }
     cluster.run(1_000, 2);
     let start = cluster.now;
     cluster.run(4_000, 2);
     let mut used = [0u64; 2];
     for task in cluster.finished.iter().filter(|task| task.start >= start) {
-        let place = usize::from(task.team == Some(team("b")));
+        let place = usize::from(task.customer == Some(customer("b")));
         used[place] += task.end - task.start;
     }
     let part = used[1] as f64 / (used[0] + used[1]) as f64;
-    assert!((part - 0.5).abs() < 0.05, "team b used {part}");
+    assert!((part - 0.5).abs() < 0.05, "customer b used {part}");
 }
 
-/// Submits one long request of team `a` at the last of `nodes` processes,
+/// Submits one long request of customer `a` at the last of `nodes` processes,
 /// which has to borrow for it if it has no slot of its own.
 fn borrow_everything(cluster: &mut Cluster, nodes: usize, run: u64) {
     let class = cluster.shape.class(0);
     let tokens = cluster.shape.workers as u64 * u64::from(cluster.shape.slots);
     for _ in 0..tokens {
-        cluster.submit(nodes - 1, &class, Some(&team("a")), true, run, 20_000);
+        cluster.submit(nodes - 1, &class, Some(&customer("a")), true, run, 20_000);
     }
     cluster.run(500, 2);
-    assert_eq!(u64::from(cluster.running_of(&team("a"))), tokens);
+    assert_eq!(u64::from(cluster.running_of(&customer("a"))), tokens);
 }
 
 #[test]
@@ -81,7 +88,7 @@
     borrow_everything(&mut cluster, 3, 1_900);
     cluster.kill(2);
     for _ in 0..32 {
-        cluster.submit(0, &shape.class(0), Some(&team("b")), true, 50, 20_000);
+        cluster.submit(0, &shape.class(0), Some(&customer("b")), true, 50, 20_000);
     }
     // The tasks of the ended process run on; nothing may join them.
     cluster.run(1_200, 2);
@@ -150,7 +157,7 @@
     scheduler.install(at(0), shape.view(0, 2));
     scheduler.take_actions();
     scheduler.suspend(at(1));
-    scheduler.submit(at(2), ticket(1, &shape.class(0), Some(&team("a"))));
+    scheduler.submit(at(2), ticket(1, &shape.class(0), Some(&customer("a"))));
     scheduler.tick(at(1_000));
     assert!(scheduler.take_actions().is_empty());
     scheduler.resume(at(2_000));
@@ -162,7 +169,7 @@
     let shape = FleetShape::default();
     let mut cluster = Cluster::new(shape.clone(), 3, settings(), 1);
     for _ in 0..12 {
-        cluster.submit(0, &shape.class(0), Some(&team("a")), true, 300, 20_000);
+        cluster.submit(0, &shape.class(0), Some(&customer("a")), true, 300, 20_000);
     }
     cluster.leave(0);
     cluster.run(2_000, 2);
@@ -192,13 +199,13 @@
     let shape = FleetShape::default();
     let mut scheduler = NodeScheduler::new(settings(), node(0));
     scheduler.install(at(0), shape.view(0, 1));
-    scheduler.submit(at(1), ticket(1, &shape.class(0), Some(&team("a"))));
+    scheduler.submit(at(1), ticket(1, &shape.class(0), Some(&customer("a"))));
     scheduler.leave(at(2));
     assert!(!scheduler.is_drained());
     let started = dispatched(&scheduler.take_actions());
     scheduler.finish(at(3), started[0].0, &success(&started[0].1));
     assert!(scheduler.is_drained());
-    scheduler.submit(at(4), ticket(2, &shape.class(0), Some(&team("a"))));
+    scheduler.submit(at(4), ticket(2, &shape.class(0), Some(&customer("a"))));
     assert_eq!(refusals(&scheduler.take_actions()), [TicketId(2)]);
 }
 
@@ -208,7 +215,7 @@
     let mut cluster = Cluster::new(shape.clone(), 4, settings(), 1);
     cluster.cut(3, 5_000);
     for _ in 0..20 {
-        cluster.submit(3, &shape.class(0), Some(&team("a")), true, 200, 4_000);
+        cluster.submit(3, &shape.class(0), Some(&customer("a")), true, 200, 4_000);
     }
     cluster.run(5_500, 2);
     let good = |request: &&support::cluster::Request| {
@@ -228,7 +235,7 @@
     cluster.black_hole = Some(vm(3));
     let ask = |cluster: &mut Cluster, millis: u64| {
         for _ in 0..millis / 10 {
-            cluster.submit(0, &shape.class(0), Some(&team("a")), true, 100, 4_000);
+            cluster.submit(0, &shape.class(0), Some(&customer("a")), true, 100, 4_000);
             cluster.run(10, 5);
         }
     };
@@ -256,10 +263,14 @@
         ..success(&vm(0))
     };
     for id in 0..400 {
-        let name = if id % 2 == 0 { team("a") } else { team("b") };
+        let name = if id % 2 == 0 {
+            customer("a")
+        } else {
+            customer("b")
+        };
         scheduler.submit(at(id * 10), ticket(id, &shape.class(0), Some(&name)));
         for (id, vm) in dispatched(&scheduler.take_actions()) {
-            // Everything of team a fails, everything of team b succeeds.
+            // Everything of customer a fails, everything of customer b succeeds.
             let report = match id.0 % 2 {
                 0 => broken.clone(),
                 _ => success(&vm),
@@ -279,7 +290,7 @@
     };
     let mut scheduler = NodeScheduler::new(settings(), node(0));
     scheduler.install(at(0), shape.view(0, 1));
-    scheduler.submit(at(1), ticket(1, &shape.class(0), Some(&team("a"))));
+    scheduler.submit(at(1), ticket(1, &shape.class(0), Some(&customer("a"))));
     let mut tried = Vec::new();
     while let [(id, vm)] = &dispatched(&scheduler.take_actions())[..] {
         tried.push(vm.clone());
--- a/crates/policy/tests/support/cluster/mod.rs
+++ b/crates/policy/tests/support/cluster/mod.rs
@@ -8,7 +8,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use redwing_model::{ClassName, NodeIncarnation, RunOutcome, TeamName, VmId};
+use redwing_model::{ClassName, CustomerName, NodeIncarnation, RunOutcome, VmId};
 use redwing_policy::{
     AttemptReport, AttemptVerdict, FleetView, NodeScheduler, PeerMessage, RequestTicket,
     SchedulerAction, SchedulerSettings, TicketId, TokenId,
@@ -67,7 +67,7 @@
     pub(crate) id: TicketId,
     pub(crate) node: NodeIncarnation,
     pub(crate) class: ClassName,
-    pub(crate) team: Option<TeamName>,
+    pub(crate) customer: Option<CustomerName>,
     pub(crate) vm: VmId,
     pub(crate) start: u64,
     pub(crate) end: u64,
@@ -79,7 +79,7 @@
 pub(crate) struct Request {
     pub(crate) node: usize,
     pub(crate) class: ClassName,
-    pub(crate) team: Option<TeamName>,
+    pub(crate) customer: Option<CustomerName>,
     pub(crate) repeatable: bool,
     pub(crate) run: u64,
     pub(crate) arrived: u64,
@@ -117,9 +117,9 @@
     cut_until: u64,
 }
 
-/// Requests of one team in one class.
+/// Requests of one customer in one class.
 #[derive(Clone, Copy, Debug, Default)]
-pub(crate) struct TeamLoad {
+pub(crate) struct CustomerLoad {
     /// Requests that have no end yet.
     pub(crate) open: u32,
     /// Tasks on workers.
@@ -166,9 +166,9 @@
     mailed: u64,
     tasks: BTreeMap<(u64, u64), Task>,
     late: Vec<Task>,
-    running_team: BTreeMap<TeamName, u32>,
+    running_customer: BTreeMap<CustomerName, u32>,
     running_vm: BTreeMap<VmId, u32>,
-    loads: BTreeMap<(ClassName, Option<TeamName>), TeamLoad>,
+    loads: BTreeMap<(ClassName, Option<CustomerName>), CustomerLoad>,
     next_task: u64,
     next_ticket: u64,
     numbers: Numbers,
@@ -201,7 +201,7 @@
             mailed: 0,
             tasks: BTreeMap::new(),
             late: Vec::new(),
-            running_team: BTreeMap::new(),
+            running_customer: BTreeMap::new(),
             running_vm: BTreeMap::new(),
             loads: BTreeMap::new(),
             next_task: 0,
@@ -245,12 +245,12 @@
         self.tasks.len()
     }
 
-    pub(crate) fn running_of(&self, team: &TeamName) -> u32 {
-        self.running_team.get(team).copied().unwrap_or(0)
+    pub(crate) fn running_of(&self, customer: &CustomerName) -> u32 {
+        self.running_customer.get(customer).copied().unwrap_or(0)
     }
 
-    pub(crate) fn load(&self, class: &ClassName, team: &TeamName) -> TeamLoad {
-        let key = (class.clone(), Some(team.clone()));
+    pub(crate) fn load(&self, class: &ClassName, customer: &CustomerName) -> CustomerLoad {
+        let key = (class.clone(), Some(customer.clone()));
         self.loads.get(&key).copied().unwrap_or_default()
     }
 
@@ -259,7 +259,7 @@
         &mut self,
         place: usize,
         class: &ClassName,
-        team: Option<&TeamName>,
+        customer: Option<&CustomerName>,
         repeatable: bool,
         run: u64,
         timeout: u64,
@@ -274,7 +274,7 @@
         let request = Request {
             node: place,
             class: class.clone(),
-            team: team.cloned(),
+            customer: customer.cloned(),
             repeatable,
             run,
             arrived: now,
@@ -284,13 +284,13 @@
         };
         self.requests.insert(id, request);
         self.loads
-            .entry((class.clone(), team.cloned()))
+            .entry((class.clone(), customer.cloned()))
             .or_default()
             .open += 1;
         let ticket = RequestTicket {
             id,
             class: class.clone(),
-            team: team.cloned(),
+            customer: customer.cloned(),
             deadline: at(now + timeout),
             repeatable,
         };
--- a/crates/policy/tests/support/cluster/task.rs
+++ b/crates/policy/tests/support/cluster/task.rs
@@ -24,12 +24,12 @@
                 self.violations.push(format!("{id:?} ran twice"));
             }
         }
-        let (class, team) = (request.class.clone(), request.team.clone());
+        let (class, customer) = (request.class.clone(), request.customer.clone());
         let task = Task {
             id,
             node: from.clone(),
             class,
-            team,
+            customer,
             vm: vm.clone(),
             start: self.now,
             end: self.now + run,
@@ -61,7 +61,7 @@
     }
 
     pub(super) fn count_start(&mut self, task: &Task) {
-        let key = (task.class.clone(), task.team.clone());
+        let key = (task.class.clone(), task.customer.clone());
         self.loads.entry(key).or_default().running += 1;
         let on_vm = self.running_vm.entry(task.vm.clone()).or_default();
         *on_vm += 1;
@@ -69,26 +69,31 @@
             let excess = format!("{} runs {on_vm} tasks at {}", task.vm, self.now);
             self.violations.push(excess);
         }
-        let Some(team) = &task.team else {
+        let Some(customer) = &task.customer else {
             return;
         };
-        let of_team = self.running_team.entry(team.clone()).or_default();
-        *of_team += 1;
-        let limit = self.shape.teams.iter().find(|(name, ..)| name == team);
-        if limit.is_some_and(|(_, _, limit)| *of_team > *limit) {
-            let excess = format!("{team} runs {of_team} tasks at {}", self.now);
+        let of_customer = self.running_customer.entry(customer.clone()).or_default();
+        *of_customer += 1;
+        let limit = self
+            .shape
+            .customers
+            .iter()
+            .find(|(name, ..)| name == customer);
+        if limit.is_some_and(|(_, _, limit)| *of_customer > *limit) {
+            let excess = format!("{customer} runs {of_customer} tasks at {}", self.now);
             self.violations.push(excess);
         }
     }
 
     pub(super) fn count_end(&mut self, task: &Task) {
-        let key = (task.class.clone(), task.team.clone());
+        let key = (task.class.clone(), task.customer.clone());
         self.loads.entry(key).or_default().running -= 1;
         if let Some(running) = self.running_vm.get_mut(&task.vm) {
             *running -= 1;
         }
-        let team = task.team.as_ref();
-        if let Some(running) = team.and_then(|team| self.running_team.get_mut(team)) {
+        let customer = task.customer.as_ref();
+        if let Some(running) = customer.and_then(|customer| self.running_customer.get_mut(customer))
+        {
             *running -= 1;
         }
     }
@@ -172,7 +177,7 @@
         }
         request.ends.push(end);
         if request.ends.len() == 1 {
-            let key = (request.class.clone(), request.team.clone());
+            let key = (request.class.clone(), request.customer.clone());
             self.loads.entry(key).or_default().open -= 1;
         }
         if request.ends.len() > 1 {
--- a/crates/policy/tests/support/mod.rs
+++ b/crates/policy/tests/support/mod.rs
@@ -7,9 +7,9 @@
 
 use std::time;
 
-use redwing_model::declaration::{QueueTarget, TeamTarget};
+use redwing_model::declaration::{CustomerTarget, QueueTarget};
 use redwing_model::{
-    ClassName, FleetDeclaration, NodeId, NodeIncarnation, PoolName, RunOutcome, TeamName, VmId,
+    ClassName, CustomerName, FleetDeclaration, NodeId, NodeIncarnation, PoolName, RunOutcome, VmId,
 };
 use redwing_policy::scheduler::WorkerView;
 use redwing_policy::{
@@ -21,8 +21,8 @@
     ClassName::new(name).unwrap()
 }
 
-pub(crate) fn team(name: &str) -> TeamName {
-    TeamName::new(name).unwrap()
+pub(crate) fn customer(name: &str) -> CustomerName {
+    CustomerName::new(name).unwrap()
 }
 
 pub(crate) fn vm(number: usize) -> VmId {
@@ -44,8 +44,8 @@
     pub(crate) workers: usize,
     pub(crate) slots: u32,
     pub(crate) classes: usize,
-    /// Name, share and limit of each team.
-    pub(crate) teams: Vec<(TeamName, f64, u32)>,
+    /// Name, share and limit of each customer.
+    pub(crate) customers: Vec<(CustomerName, f64, u32)>,
     pub(crate) depth: u32,
 }
 
@@ -55,7 +55,7 @@
             workers: 2,
             slots: 8,
             classes: 1,
-            teams: vec![(team("a"), 0.5, 100), (team("b"), 0.5, 100)],
+            customers: vec![(customer("a"), 0.5, 100), (customer("b"), 0.5, 100)],
             depth: 100_000,
         }
     }
@@ -68,10 +68,10 @@
 
     pub(crate) fn declaration(&self) -> FleetDeclaration {
         let mut fleet = FleetDeclaration::default();
-        for (name, _, limit) in &self.teams {
+        for (name, _, limit) in &self.customers {
             fleet
-                .teams
-                .insert(name.clone(), TeamTarget { limit: *limit });
+                .customers
+                .insert(name.clone(), CustomerTarget { limit: *limit });
         }
         for number in 0..self.classes {
             let target = QueueTarget {
@@ -79,9 +79,9 @@
                 open: false,
                 max_timeout_seconds: 60,
                 max_body_bytes: 1_000,
-                max_waiting_per_team: self.depth,
+                max_waiting_per_customer: self.depth,
                 shares: self
-                    .teams
+                    .customers
                     .iter()
                     .map(|(name, share, _)| (name.clone(), *share))
                     .collect(),
@@ -112,7 +112,7 @@
                 tokens.push(TokenId { pool, number });
             }
         }
-        for (name, _, limit) in &self.teams {
+        for (name, _, limit) in &self.customers {
             for number in 0..*limit {
                 let pool = TokenPool::Permit(name.clone());
                 tokens.push(TokenId { pool, number });
@@ -139,11 +139,11 @@
     }
 }
 
-pub(crate) fn ticket(id: u64, class: &ClassName, team: Option<&TeamName>) -> RequestTicket {
+pub(crate) fn ticket(id: u64, class: &ClassName, customer: Option<&CustomerName>) -> RequestTicket {
     RequestTicket {
         id: TicketId(id),
         class: class.clone(),
-        team: team.cloned(),
+        customer: customer.cloned(),
         deadline: at(60_000),
         repeatable: true,
     }
--- a/crates/protocol/src/convert.rs
+++ b/crates/protocol/src/convert.rs
@@ -1,9 +1,9 @@
 //! Conversions between wire forms and the types of the decisions.
 
 use capnp::{primitive_list, struct_list, text};
-use redwing_model::{NodeId, NodeIncarnation, QueueName, TeamName, VmId};
+use redwing_model::{CustomerName, NodeId, NodeIncarnation, QueueName, VmId};
 use redwing_policy::PeerMessage;
-use redwing_policy::exchange::{IdleSlots, PermitWant, TeamDemand, TokenTransfer};
+use redwing_policy::exchange::{CustomerDemand, IdleSlots, PermitWant, TokenTransfer};
 use redwing_policy::token::{TokenId, TokenPool};
 use redwing_provider::{RowKey, TableRow};
 
@@ -118,12 +118,12 @@
     u32::try_from(length).unwrap_or(u32::MAX)
 }
 
-fn write_demand(demand: &[TeamDemand], builder: peer_capnp::peer_message::Builder<'_>) {
+fn write_demand(demand: &[CustomerDemand], builder: peer_capnp::peer_message::Builder<'_>) {
     let mut list = builder.init_demand(list_length(demand.len()));
     for (index, entry) in demand.iter().enumerate() {
         let mut item = list.reborrow().get(list_length(index));
         item.set_class(entry.class.as_str());
-        item.set_team(entry.team.as_ref().map_or("", TeamName::as_str));
+        item.set_team(entry.customer.as_ref().map_or("", CustomerName::as_str));
         item.set_waiting(entry.waiting);
         item.set_service_micros(entry.service_micros);
     }
@@ -131,14 +131,14 @@
 
 fn read_demand(
     list: struct_list::Reader<'_, peer_capnp::team_demand::Owned>,
-) -> Result<Vec<TeamDemand>> {
+) -> Result<Vec<CustomerDemand>> {
     const STEP: &str = "read demand";
     check_length(STEP, list.len())?;
     let mut demand = Vec::with_capacity(list.len() as usize);
     for item in list.iter() {
-        demand.push(TeamDemand {
+        demand.push(CustomerDemand {
             class: read_name(STEP, item.get_class(), QueueName::new)?,
-            team: read_team(STEP, item.get_team())?,
+            customer: read_customer(STEP, item.get_team())?,
             waiting: item.get_waiting(),
             service_micros: item.get_service_micros(),
         });
@@ -173,7 +173,7 @@
     let mut list = builder.init_wants(list_length(wants.len()));
     for (index, entry) in wants.iter().enumerate() {
         let mut item = list.reborrow().get(list_length(index));
-        item.set_team(entry.team.as_str());
+        item.set_team(entry.customer.as_str());
         item.set_permits(entry.permits);
     }
 }
@@ -185,9 +185,9 @@
     check_length(STEP, list.len())?;
     let mut wants = Vec::with_capacity(list.len() as usize);
     for item in list.iter() {
-        let team = read_name(STEP, item.get_team(), TeamName::new)?;
+        let customer = read_name(STEP, item.get_team(), CustomerName::new)?;
         let permits = item.get_permits();
-        wants.push(PermitWant { team, permits });
+        wants.push(PermitWant { customer, permits });
     }
     Ok(wants)
 }
@@ -261,7 +261,7 @@
 
 fn write_pool(pool: &TokenPool, mut builder: peer_capnp::token_pool::Builder<'_>) {
     match pool {
-        TokenPool::Permit(team) => builder.set_permit(team.as_str()),
+        TokenPool::Permit(customer) => builder.set_permit(customer.as_str()),
         TokenPool::Slot(vm) => builder.set_slot(vm.as_str()),
     }
 }
@@ -271,21 +271,23 @@
 
     const STEP: &str = "read token pool";
     match reader.which() {
-        Ok(Which::Permit(team)) => read_name(STEP, team, TeamName::new).map(TokenPool::Permit),
+        Ok(Which::Permit(customer)) => {
+            read_name(STEP, customer, CustomerName::new).map(TokenPool::Permit)
+        }
         Ok(Which::Slot(vm)) => read_name(STEP, vm, VmId::new).map(TokenPool::Slot),
         Err(error) => Err(Error::invalid(STEP, error)),
     }
 }
 
-fn read_team(
+fn read_customer(
     step: &'static str,
     field: capnp::Result<text::Reader<'_>>,
-) -> Result<Option<TeamName>> {
+) -> Result<Option<CustomerName>> {
     let text = read_text(step, field)?;
     if text.is_empty() {
         return Ok(None);
     }
-    TeamName::new(text)
+    CustomerName::new(text)
         .map(Some)
         .map_err(|error| Error::invalid(step, error))
 }
--- a/crates/protocol/tests/convert.rs
+++ b/crates/protocol/tests/convert.rs
@@ -4,9 +4,9 @@
 
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
-use redwing_model::{QueueName, TeamName, VmId};
+use redwing_model::{CustomerName, QueueName, VmId};
 use redwing_policy::PeerMessage;
-use redwing_policy::exchange::{IdleSlots, PermitWant, TeamDemand, TokenTransfer};
+use redwing_policy::exchange::{CustomerDemand, IdleSlots, PermitWant, TokenTransfer};
 use redwing_policy::token::{TokenId, TokenPool};
 use redwing_protocol::{Category, convert, peer_capnp};
 use redwing_provider::{RowKey, TableRow};
@@ -28,13 +28,13 @@
     label().prop_map(|text| QueueName::new(&text).unwrap())
 }
 
-fn team() -> impl Strategy<Value = TeamName> {
-    label().prop_map(|text| TeamName::new(&text).unwrap())
+fn customer() -> impl Strategy<Value = CustomerName> {
+    label().prop_map(|text| CustomerName::new(&text).unwrap())
 }
 
 fn pool() -> impl Strategy<Value = TokenPool> {
     prop_oneof![
-        team().prop_map(TokenPool::Permit),
+        customer().prop_map(TokenPool::Permit),
         label().prop_map(|text| TokenPool::Slot(VmId::new(&text).unwrap())),
     ]
 }
@@ -43,19 +43,21 @@
     (pool(), any::<u32>()).prop_map(|(pool, number)| TokenId { pool, number })
 }
 
-fn demand() -> impl Strategy<Value = TeamDemand> {
+fn demand() -> impl Strategy<Value = CustomerDemand> {
     let parts = (
         queue(),
-        proptest::option::of(team()),
+        proptest::option::of(customer()),
         any::<u32>(),
         any::<u64>(),
     );
-    parts.prop_map(|(class, team, waiting, service_micros)| TeamDemand {
-        class,
-        team,
-        waiting,
-        service_micros,
-    })
+    parts.prop_map(
+        |(class, customer, waiting, service_micros)| CustomerDemand {
+            class,
+            customer,
+            waiting,
+            service_micros,
+        },
+    )
 }
 
 fn transfer() -> impl Strategy<Value = TokenTransfer> {
@@ -65,7 +67,8 @@
 
 fn message() -> impl Strategy<Value = PeerMessage> {
     let idle = (queue(), any::<u32>()).prop_map(|(class, slots)| IdleSlots { class, slots });
-    let want = (team(), any::<u32>()).prop_map(|(team, permits)| PermitWant { team, permits });
+    let want =
+        (customer(), any::<u32>()).prop_map(|(customer, permits)| PermitWant { customer, permits });
     let parts = (
         any::<u64>(),
         prop::collection::vec(demand(), 0..5),
