Time jobs by their occurrences, and keep gangs on one rack

A job with times was ranked by the moment it was accepted, so that an occurrence that was due seconds later counted as late at once; occurrences that overlap shared one row without a bound, which a table refuses above 64 KiB; a gang that is slow on more than one rack was placed like any other.

Change: due times count from the oldest occurrence that is not finished; the next occurrence waits while the row is full; a gang that asks for it goes to one rack if a rack has room for all of it (that of its data first), otherwise it starts where it can. Permits of an advisor mark the workers that a step must not use, in place of a copy of the list.

--- a/crates/jobs/src/scheduler/entry.rs
+++ b/crates/jobs/src/scheduler/entry.rs
@@ -4,7 +4,7 @@
 
 use crate::name::{JobId, TaskId, WorkerId};
 use crate::record::{JobRecord, JobState, OccurrenceRecord, ProgressRecord, TaskRecord};
-use crate::spec::{JobSpec, StepSpec};
+use crate::spec::{JobSpec, MAX_TASKS, StepSpec};
 use crate::time::BootTime;
 
 /// Where a run of a task is, or may be.
@@ -256,6 +256,27 @@
         self.begun += 1;
     }
 
+    /// Returns the tasks that the next occurrence adds.
+    fn next_tasks(&self) -> u32 {
+        self.record.spec.steps.iter().map(|step| step.count).sum()
+    }
+
+    /// Returns whether the row has room for the tasks of one more occurrence.
+    pub(super) fn has_row_room(&self) -> bool {
+        self.task_count() + self.next_tasks() as usize <= MAX_TASKS as usize
+    }
+
+    /// Returns when the work that is not finished was released, in
+    /// milliseconds since the epoch: when the job was accepted, or when its
+    /// oldest occurrence was due.
+    pub(super) fn released_ms(&self) -> u64 {
+        let Some(schedule) = self.record.spec.schedule else {
+            return self.record.accepted.as_millis();
+        };
+        let oldest = self.occurrences.iter().map(|entry| entry.number).min();
+        schedule.due_ms(oldest.unwrap_or(self.begun))
+    }
+
     /// Returns whether an occurrence has not begun.
     pub(super) fn has_unbegun(&self) -> bool {
         self.begun < self.record.spec.occurrences()
--- a/crates/jobs/src/scheduler/intake.rs
+++ b/crates/jobs/src/scheduler/intake.rs
@@ -153,9 +153,8 @@
                 continue;
             };
             let schedule = job.record.spec.schedule.unwrap_or_default();
-            while job.has_unbegun() {
-                let delay = u64::from(job.begun) * schedule.interval_ms;
-                if schedule.first_run_ms + delay > wall.as_millis() {
+            while job.has_unbegun() && job.has_row_room() {
+                if schedule.due_ms(job.begun) > wall.as_millis() {
                     break;
                 }
                 job.begin_next();
--- a/crates/jobs/src/scheduler/place.rs
+++ b/crates/jobs/src/scheduler/place.rs
@@ -4,9 +4,9 @@
 //! can still meet their objective go first, by the time that is left;
 //! long-running tasks, which earn as long as they run, go before those.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
-use crate::name::{JobId, PoolName, TaskId, WorkerId};
+use crate::name::{JobId, PoolName, TaskId, WorkerId, WorkerLabel};
 use crate::record::JobState;
 use crate::spec::{ResourceAmount, StepSpec};
 use crate::time::{BootTime, WallTime};
@@ -41,7 +41,10 @@
 pub(super) struct PlaceOption {
     pub(super) worker: WorkerId,
     pub(super) born: u64,
+    rack: Option<WorkerLabel>,
     room: ResourceAmount,
+    /// Whether the step at hand must not go there.
+    is_excluded: bool,
 }
 
 impl JobScheduler {
@@ -101,8 +104,7 @@
         let queue = self.manifest.queue(&job.record.queue);
         let (stretch, objective_ms) =
             queue.map_or((1.0, 0), |queue| (queue.stretch, queue.objective_ms));
-        let accepted = job.record.accepted.as_millis();
-        accepted + objective_ms + (stretch * job.chain_ms as f64) as u64
+        job.released_ms() + objective_ms + (stretch * job.chain_ms as f64) as u64
     }
 
     /// Returns whether a job cannot meet its objective any more, by its estimates.
@@ -121,7 +123,9 @@
             .map(|(id, entry)| PlaceOption {
                 worker: id.clone(),
                 born: entry.born,
+                rack: entry.view.as_ref().and_then(|view| view.rack.clone()),
                 room: entry.room(),
+                is_excluded: false,
             })
             .collect();
         options.sort_by(|one, other| one.worker.cmp(&other.worker));
@@ -187,23 +191,13 @@
         options: &mut [PlaceOption],
         now: BootTime,
     ) -> StepOutcome {
-        let is_permitted = |option: &PlaceOption| {
+        for option in options.iter_mut() {
             let ticket = self.advice.ticket(step, &option.worker, option.born, now);
-            ticket.is_some()
-        };
-        let positions: Vec<usize> = options
-            .iter()
-            .enumerate()
-            .filter(|(_, option)| is_permitted(option))
-            .map(|(position, _)| position)
-            .collect();
-        let mut permitted: Vec<PlaceOption> = positions
-            .iter()
-            .map(|&position| options[position].clone())
-            .collect();
-        let outcome = self.place_step(step, &mut permitted);
-        for (position, option) in positions.into_iter().zip(permitted) {
-            options[position] = option;
+            option.is_excluded = ticket.is_none();
+        }
+        let outcome = self.place_step(step, options);
+        for option in options.iter_mut() {
+            option.is_excluded = false;
         }
         if outcome.left > 0 {
             self.ask_advice(step, options, now);
@@ -262,16 +256,9 @@
         if count != spec.count || !self.within_limit_of_first(members, spec, count) {
             return none;
         }
-        let mut trial = options.to_vec();
-        let mut chosen: Vec<usize> = Vec::with_capacity(members.len());
-        for task in members {
-            let taken = |position: usize| chosen.iter().filter(|&&other| other == position).count();
-            let Some(position) = self.choose_beside(task, spec, &trial, taken) else {
-                return none;
-            };
-            trial[position].room -= spec.reserved();
-            chosen.push(position);
-        }
+        let Some(chosen) = self.choose_for_gang(members, spec, options) else {
+            return none;
+        };
         let runs = members.iter().filter_map(|task| self.task(task));
         let run = runs.map(|task| task.run).max().unwrap_or(0) + 1;
         for (task, position) in members.iter().zip(chosen) {
@@ -283,6 +270,55 @@
         }
     }
 
+    /// Returns a worker for each member: of one rack if the step asks for that
+    /// and a rack has room for all.
+    fn choose_for_gang(
+        &self,
+        members: &[TaskId],
+        spec: &StepSpec,
+        options: &[PlaceOption],
+    ) -> Option<Vec<usize>> {
+        if !spec.same_rack {
+            return self.choose_for_all(members, spec, options.to_vec());
+        }
+        let racks: BTreeSet<&WorkerLabel> =
+            options.iter().filter_map(|o| o.rack.as_ref()).collect();
+        // The rack of the data goes first.
+        let near = racks
+            .iter()
+            .filter(|rack| spec.affinity.as_ref() == Some(rack));
+        let others = racks
+            .iter()
+            .filter(|rack| spec.affinity.as_ref() != Some(rack));
+        let mut within = near.chain(others).filter_map(|rack| {
+            let mut trial = options.to_vec();
+            for option in &mut trial {
+                option.is_excluded |= option.rack.as_ref() != Some(rack);
+            }
+            self.choose_for_all(members, spec, trial)
+        });
+        within
+            .next()
+            .or_else(|| self.choose_for_all(members, spec, options.to_vec()))
+    }
+
+    /// Returns a worker for each member if all find room on `trial`.
+    fn choose_for_all(
+        &self,
+        members: &[TaskId],
+        spec: &StepSpec,
+        mut trial: Vec<PlaceOption>,
+    ) -> Option<Vec<usize>> {
+        let mut chosen: Vec<usize> = Vec::with_capacity(members.len());
+        for task in members {
+            let taken = |position: usize| chosen.iter().filter(|&&other| other == position).count();
+            let position = self.choose_beside(task, spec, &trial, taken)?;
+            trial[position].room -= spec.reserved();
+            chosen.push(position);
+        }
+        Some(chosen)
+    }
+
     fn within_limit_of_first(&self, members: &[TaskId], spec: &StepSpec, count: u32) -> bool {
         members
             .first()
@@ -334,7 +370,7 @@
         let reserved = spec.reserved();
         let mut best: Option<(PlaceScore, usize)> = None;
         for (position, option) in options.iter().enumerate() {
-            if !reserved.fits_in(&option.room) {
+            if option.is_excluded || !reserved.fits_in(&option.room) {
                 continue;
             }
             let Some(entry) = self.fleet.get(&option.worker) else {
--- a/crates/jobs/src/spec.rs
+++ b/crates/jobs/src/spec.rs
@@ -147,6 +147,14 @@
     pub interval_ms: u64,
 }
 
+impl JobSchedule {
+    /// Returns when an occurrence is due, in milliseconds since the Unix epoch.
+    pub fn due_ms(&self, occurrence: u32) -> u64 {
+        let delay = u64::from(occurrence).saturating_mul(self.interval_ms);
+        self.first_run_ms.saturating_add(delay)
+    }
+}
+
 /// What a caller asks for.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(rename_all = "kebab-case", default)]
--- a/crates/jobs/src/worker.rs
+++ b/crates/jobs/src/worker.rs
@@ -25,6 +25,9 @@
     pub capacity: ResourceAmount,
     /// Its labels; its rack is one of them.
     pub labels: Vec<WorkerLabel>,
+    /// Label of its rack, if it tells.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub rack: Option<WorkerLabel>,
     /// Whether it takes no new work.
     pub is_draining: bool,
     /// Least time that is left while it drains, in milliseconds.
--- a/crates/jobs/tests/common/mod.rs
+++ b/crates/jobs/tests/common/mod.rs
@@ -70,6 +70,7 @@
                     accelerators: 0,
                 },
                 labels: vec![WorkerLabel::new("a"), WorkerLabel::new("r1")],
+                rack: Some(WorkerLabel::new("r1")),
                 is_draining: false,
                 remaining_ms: None,
             },
--- a/crates/jobs/tests/placement.rs
+++ b/crates/jobs/tests/placement.rs
@@ -2,6 +2,7 @@
 
 mod common;
 
+use std::collections::BTreeSet;
 use std::sync;
 
 use common::{FakeFleet, FakeWorker, manifest_with_limit, parts_with_limit, step, task};
@@ -175,6 +176,55 @@
 
 /// Fillers give way fast when the tail of a serving task nears its
 /// objective, and come back slowly.
+/// Four workers of two racks; a worker of the first is taken in part.
+fn two_racks() -> FakeFleet {
+    let racks = ["r1", "r1", "r2", "r2"];
+    let workers = racks.iter().enumerate().map(|(number, rack)| {
+        let mut worker = FakeWorker::new(&format!("w{number}"), "builders", 4_000);
+        worker.view.labels = vec![WorkerLabel::new("a"), WorkerLabel::new(rack)];
+        worker.view.rack = Some(WorkerLabel::new(rack));
+        worker
+    });
+    let mut fleet = FakeFleet::new(SchedulerSettings::default(), workers.collect());
+    fleet.run(100);
+    fleet
+}
+
+/// A gang that is slow on more than one rack, with a task in use beside it:
+/// it goes to the rack that has room for all of it, or starts on both.
+#[rstest]
+#[case(6, &["w2", "w3"])]
+#[case(7, &["w0", "w1", "w2"])]
+#[case(8, &["w0", "w1", "w2", "w3"])]
+fn a_gang_stays_on_one_rack_if_it_fits(#[case] members: u32, #[case] expected: &[&str]) {
+    let mut fleet = two_racks();
+    let half = StepSpec {
+        max_per_worker: 1,
+        affinity: Some(WorkerLabel::new("r2")),
+        ..step(2, 1_000)
+    };
+    if members < 8 {
+        let near_first = StepSpec {
+            affinity: Some(WorkerLabel::new("r1")),
+            ..half
+        };
+        fleet.submit("beside", vec![near_first], 60_000);
+        fleet.run(100);
+    }
+    fleet.starts.clear();
+    let gang = StepSpec {
+        gang: true,
+        same_rack: true,
+        affinity: Some(WorkerLabel::new("r1")),
+        ..step(members, if members == 8 { 2_000 } else { 1_300 })
+    };
+    fleet.submit("gang", vec![gang], 5_000);
+    fleet.run(300);
+    let workers: BTreeSet<&str> = fleet.starts.iter().map(|start| start.2.as_str()).collect();
+    assert_eq!(fleet.starts.len(), members as usize);
+    assert_eq!(workers, expected.iter().copied().collect());
+}
+
 #[test]
 fn fillers_give_way_to_tasks_that_serve() {
     let mut fleet = fleet_of(1, 8_000);
--- a/crates/standin/src/worker.rs
+++ b/crates/standin/src/worker.rs
@@ -215,6 +215,7 @@
                     accelerators: 0,
                 },
                 labels: Vec::new(),
+                rack: None,
                 is_draining: false,
                 remaining_ms: None,
             };
