Repeat what a silent connection to the table left without an answer

Change: a scan that is not answered within 0.6 s is sent again over another connection, as often as its timeout allows; accepts, claims and the owner's changes follow an unanswered attempt after 0.7 s (all three recognise that an earlier attempt took effect). The watch of the owner's row survives gaps of four polls.

--- a/crates/engine/src/caller/answer.rs
+++ b/crates/engine/src/caller/answer.rs
@@ -32,6 +32,8 @@
 pub struct CallerSettings {
     /// Age of the manifest above which requests are not judged by it.
     pub manifest_age: time::Duration,
+    /// Time after which a write that was not answered is sent again.
+    pub attempt_limit: time::Duration,
     /// Longest time for an answer.
     pub longest_answer: time::Duration,
     /// Part of a caller's patience that is left for the way back.
@@ -44,6 +46,7 @@
     fn default() -> Self {
         Self {
             manifest_age: time::Duration::from_millis(1_700),
+            attempt_limit: time::Duration::from_millis(700),
             longest_answer: time::Duration::from_millis(2_500),
             answer_margin: time::Duration::from_millis(200),
             retry_after: time::Duration::from_secs(1),
@@ -209,7 +212,8 @@
         let mut may_be_stored = false;
         loop {
             let commit = self.client.commit(CallCause::Job, transaction.clone());
-            match timer::timeout_at(deadline, commit).await {
+            let limit = deadline.min(timer::Instant::now() + self.settings.attempt_limit);
+            match timer::timeout_at(limit, commit).await {
                 Ok(Ok(CommitOutcome::Committed(_) | CommitOutcome::Conflict(_))) => {
                     return CallerAnswer::Accepted;
                 }
@@ -217,8 +221,15 @@
                     may_be_stored |= error.classify() == Category::Unknown;
                     log_job_event!(info, event::ROW_UNSTORED, row = name, error = error);
                 }
-                // Whoever waits for the table is logged at the end.
-                Err(_) => may_be_stored = true,
+                Err(_) => {
+                    may_be_stored = true;
+                    log_job_event!(
+                        info,
+                        event::ROW_UNSTORED,
+                        row = name,
+                        error = "no answer yet"
+                    );
+                }
             }
             let pause = backoff.next_delay(rand::random());
             if timer::Instant::now() + pause >= deadline {
--- a/crates/engine/src/owner/campaign.rs
+++ b/crates/engine/src/owner/campaign.rs
@@ -72,7 +72,7 @@
                 return lease;
             }
             let version = current.map(|row| row.version);
-            let unchanged = sighting.observe(version, asked_at, parts.settings.poll * 3);
+            let unchanged = sighting.observe(version, asked_at, parts.settings.poll * 4);
             let known = current.and_then(|row| row::read::<OwnerRecord>(row).ok());
             if may_claim(parts, known.as_ref(), unchanged) {
                 let fence = known.map_or(0, |record| record.fence) + 1;
@@ -145,13 +145,10 @@
         None => transaction.require_absent(key.clone()),
     };
     let transaction = transaction.put(key.clone(), value.clone());
-    match parts
-        .client
-        .commit(CallCause::Membership, transaction)
-        .await
-    {
-        Ok(CommitOutcome::Committed(version)) => Ok(OwnerLease { record, version }),
-        Ok(CommitOutcome::Conflict(_)) => Err(None),
-        Err(_) => Err(Some(value)),
+    let commit = parts.client.commit(CallCause::Membership, transaction);
+    match timer::timeout(parts.settings.attempt_limit, commit).await {
+        Ok(Ok(CommitOutcome::Committed(version))) => Ok(OwnerLease { record, version }),
+        Ok(Ok(CommitOutcome::Conflict(_))) => Err(None),
+        Ok(Err(_)) | Err(_) => Err(Some(value)),
     }
 }
--- a/crates/engine/src/owner/change.rs
+++ b/crates/engine/src/owner/change.rs
@@ -5,7 +5,9 @@
 
 use redwing_jobs::scheduler::ChangeSet;
 use redwing_provider::backoff::{BackoffSettings, RetryBackoff};
-use redwing_provider::{CallCause, Category, CommitOutcome, RowKey, TableClient, TableTransaction};
+use redwing_provider::{
+    CallCause, Category, CommitOutcome, Error as TableError, RowKey, TableClient, TableTransaction,
+};
 use tokio::time as timer;
 
 use crate::clock;
@@ -22,6 +24,15 @@
     longest: time::Duration::from_millis(400),
 };
 
+/// How long a change is tried.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct StoreLimits {
+    /// Time after which an attempt that was not answered is followed by another.
+    pub(super) attempt: time::Duration,
+    /// Time after which no other attempt is made.
+    pub(super) give_up: time::Duration,
+}
+
 /// Rows that are written and deleted beside the progress of jobs.
 #[derive(Clone, Debug, Default)]
 pub(super) struct ExtraRows {
@@ -78,22 +89,17 @@
     client: &TableClient,
     transaction: &TableTransaction,
     record: &OwnerRecord,
-    give_up: time::Duration,
+    limits: StoreLimits,
 ) -> ChangeOutcome {
     let begun = clock::boot_now();
     let mut backoff = RetryBackoff::new(RETRY);
     let mut attempts = 0_u32;
     loop {
         attempts += 1;
-        let error = match client.commit(CallCause::Job, transaction.clone()).await {
-            Ok(CommitOutcome::Committed(version)) => {
-                return ChangeOutcome::Stored(OwnerLease {
-                    record: record.clone(),
-                    version,
-                });
-            }
-            Ok(CommitOutcome::Conflict(rows)) => return resolve(&rows, record),
-            Err(error) if error.classify() == Category::Refused => {
+        let commit = client.commit(CallCause::Job, transaction.clone());
+        let error = match timer::timeout(limits.attempt, commit).await {
+            Err(_) => TableError::unknown("store a change", "table", "no answer yet"),
+            Ok(Err(error)) if error.classify() == Category::Refused => {
                 log_job_event!(
                     error,
                     event::CHANGE_DELAYED,
@@ -102,7 +108,14 @@
                 );
                 return ChangeOutcome::Lost("the table refused a change");
             }
-            Err(error) => error,
+            Ok(Err(error)) => error,
+            Ok(Ok(CommitOutcome::Committed(version))) => {
+                return ChangeOutcome::Stored(OwnerLease {
+                    record: record.clone(),
+                    version,
+                });
+            }
+            Ok(Ok(CommitOutcome::Conflict(rows))) => return resolve(&rows, record),
         };
         log_job_event!(
             warn,
@@ -110,7 +123,7 @@
             attempts = attempts,
             error = error
         );
-        if clock::boot_now().saturating_since(begun) > give_up {
+        if clock::boot_now().saturating_since(begun) > limits.give_up {
             return ChangeOutcome::Lost("no change could be stored for too long");
         }
         timer::sleep(backoff.next_delay(rand::random())).await;
--- a/crates/engine/src/owner/mod.rs
+++ b/crates/engine/src/owner/mod.rs
@@ -44,6 +44,8 @@
     pub small_delay: time::Duration,
     /// Time between two looks at the row of another owner.
     pub poll: time::Duration,
+    /// Time after which a write that was not answered is sent again.
+    pub attempt_limit: time::Duration,
     /// Time without a successful change after which the owner gives no more
     /// orders and leases until a change succeeds.
     pub order_limit: time::Duration,
@@ -77,6 +79,7 @@
             is_small: false,
             small_delay: time::Duration::from_millis(2_000),
             poll: time::Duration::from_millis(450),
+            attempt_limit: time::Duration::from_millis(700),
             order_limit: time::Duration::from_millis(2_500),
             give_up: time::Duration::from_secs(20),
             pause_limit: time::Duration::from_millis(1_000),
--- a/crates/engine/src/owner/session.rs
+++ b/crates/engine/src/owner/session.rs
@@ -23,7 +23,7 @@
 use super::OwnerParts;
 use super::advice::{self, AnsweredQuestion};
 use super::campaign::OwnerLease;
-use super::change::{self, ChangeOutcome, ExtraRows};
+use super::change::{self, ChangeOutcome, ExtraRows, StoreLimits};
 use super::cleanup;
 use super::lanes::{AnsweredOrder, OrderLanes};
 use super::machines::{MachineAnswer, MachineDesk};
@@ -336,10 +336,13 @@
         };
         let (mut sender, outcome) = oneshot::channel();
         let client = self.parts.client.clone();
-        let give_up = self.parts.settings.give_up;
+        let limits = StoreLimits {
+            attempt: self.parts.settings.attempt_limit,
+            give_up: self.parts.settings.give_up,
+        };
         tokio::task::spawn_local(async move {
             let stored = tokio::select! {
-                stored = change::store(&client, &transaction, &record, give_up) => stored,
+                stored = change::store(&client, &transaction, &record, limits) => stored,
                 () = sender.closed() => return,
             };
             // The session may have ended in the meantime.
@@ -502,8 +505,11 @@
         let extra = self.take_extra();
         match change::transaction(&self.lease, &changes, &extra, true) {
             Ok((transaction, record)) => {
-                let give_up = self.parts.settings.lease;
-                change::store(&self.parts.client, &transaction, &record, give_up).await;
+                let limits = StoreLimits {
+                    attempt: self.parts.settings.attempt_limit,
+                    give_up: self.parts.settings.lease,
+                };
+                change::store(&self.parts.client, &transaction, &record, limits).await;
                 "the process stops"
             }
             Err(error) => {
--- a/crates/engine/src/run.rs
+++ b/crates/engine/src/run.rs
@@ -53,6 +53,7 @@
     ClientSettings {
         call_timeout: time::Duration::from_millis(1_200),
         scan_timeout: time::Duration::from_millis(2_500),
+        repeat_scan: Some(time::Duration::from_millis(600)),
         commits_in_flight: 8,
         reads_in_flight: 32,
         commit_interval: time::Duration::from_millis(1),
--- a/crates/engine/tests/owner.rs
+++ b/crates/engine/tests/owner.rs
@@ -3,6 +3,7 @@
 
 use std::rc;
 use std::sync;
+use std::sync::atomic;
 use std::time;
 
 use redwing_engine::DeploymentServices;
@@ -15,7 +16,10 @@
 use redwing_engine::row::{self, OwnerRecord};
 use redwing_engine::run;
 use redwing_jobs::{JobState, WorkerId};
-use redwing_provider::{RowKey, TableClient, TableStore, TableTransaction};
+use redwing_provider::table::TableView;
+use redwing_provider::{
+    CommitOutcome, LocalFuture, RowKey, TableClient, TableStore, TableTransaction,
+};
 use redwing_standin::worker::{FixedMachines, NoAdvisor};
 use redwing_standin::{MemoryPlatform, MemoryWorkers, WorkerFault};
 use tokio::sync::watch;
@@ -28,6 +32,48 @@
     "customers":[{"name":"inspectors","keys":["good"],"weight":1.0,"limit":{}}],
     "pools":[{"name":"workers","is-standby":false,"enforces-capacity":false}]}"#;
 
+/// Table that leaves each third scan and commit without an answer, as a
+/// connection does that went silent.
+struct SilentTable {
+    inner: MemoryPlatform,
+    is_silent: sync::Arc<atomic::AtomicBool>,
+    calls: atomic::AtomicU32,
+}
+
+impl SilentTable {
+    fn loses_next(&self) -> bool {
+        let number = self.calls.fetch_add(1, atomic::Ordering::Relaxed);
+        self.is_silent.load(atomic::Ordering::Relaxed) && number.is_multiple_of(3)
+    }
+}
+
+impl TableStore for SilentTable {
+    fn commit<'a>(
+        &'a self,
+        transaction: &'a TableTransaction,
+    ) -> LocalFuture<'a, redwing_provider::Result<CommitOutcome>> {
+        if self.loses_next() {
+            return Box::pin(std::future::pending());
+        }
+        self.inner.commit(transaction)
+    }
+
+    fn scan<'a>(&'a self, prefix: &'a str) -> LocalFuture<'a, redwing_provider::Result<TableView>> {
+        if self.loses_next() {
+            return Box::pin(std::future::pending());
+        }
+        self.inner.scan(prefix)
+    }
+
+    fn changes<'a>(
+        &'a self,
+        prefix: &'a str,
+        cursor: u64,
+    ) -> LocalFuture<'a, redwing_provider::Result<TableView>> {
+        self.inner.changes(prefix, cursor)
+    }
+}
+
 /// A process of the cluster.
 struct TestProcess {
     platform: MemoryPlatform,
@@ -42,6 +88,8 @@
     platform: MemoryPlatform,
     workers: MemoryWorkers,
     processes: Vec<TestProcess>,
+    /// Whether the table leaves calls of all processes without an answer.
+    is_silent: sync::Arc<atomic::AtomicBool>,
 }
 
 impl TestCluster {
@@ -55,6 +103,7 @@
             platform,
             workers,
             processes: Vec::new(),
+            is_silent: sync::Arc::default(),
         };
         for number in 0..processes {
             cluster.add(number).await;
@@ -77,7 +126,11 @@
     async fn add_with(&mut self, number: usize, settings: OwnerSettings) {
         let platform = self.platform.view();
         let services = DeploymentServices {
-            table: rc::Rc::new(platform.clone()),
+            table: rc::Rc::new(SilentTable {
+                inner: platform.clone(),
+                is_silent: sync::Arc::clone(&self.is_silent),
+                calls: atomic::AtomicU32::new(0),
+            }),
             workers: rc::Rc::new(self.workers.clone()),
             advisor: rc::Rc::new(NoAdvisor),
             machines: rc::Rc::new(FixedMachines),
@@ -274,6 +327,56 @@
     });
 }
 
+/// Connections to the table go silent for some calls, and the owner is cut
+/// off: another process still finds out, takes over and goes on.
+#[test]
+fn silent_connections_delay_a_takeover_by_little() {
+    run_test(async {
+        let cluster = TestCluster::start(2, time::Duration::from_millis(100)).await;
+        let first = cluster.owner().await;
+        cluster.is_silent.store(true, atomic::Ordering::Relaxed);
+        let position = cluster.position(&first);
+        cluster.processes[position]
+            .platform
+            .set_faults(|plan| plan.table_down = true);
+        let lost = timer::Instant::now();
+        let second = cluster.owner_after(first.fence).await;
+        let settings = OwnerSettings::default();
+        // The reads, the claim and the reads after it may each be lost once.
+        let limit = settings.lease + settings.poll * 3 + settings.attempt_limit * 3;
+        assert!(lost.elapsed() < limit, "{:?}", lost.elapsed());
+        let witness = cluster.position(&second);
+        assert_ne!(second.life, first.life);
+        assert_eq!(
+            cluster.submit(witness, "a", 3).await,
+            CallerAnswer::Accepted
+        );
+        cluster.wait_starts(3).await;
+        // Rows to read, then the change that precedes the starts.
+        let limit = limit + settings.attempt_limit * 4;
+        assert!(lost.elapsed() < limit, "{:?}", lost.elapsed());
+        cluster.wait_state(witness, "a", JobState::Completed).await;
+        assert_eq!(cluster.workers.starts().len(), 3);
+    });
+}
+
+/// An answer is found within the caller's patience although the first
+/// attempt went to a silent connection.
+#[test]
+fn a_submit_over_a_silent_connection_is_sent_again() {
+    run_test(async {
+        let cluster = TestCluster::start(1, time::Duration::from_millis(50)).await;
+        cluster.owner().await;
+        cluster.is_silent.store(true, atomic::Ordering::Relaxed);
+        for number in 0..6 {
+            let begun = timer::Instant::now();
+            let id = format!("job-{number}");
+            assert_eq!(cluster.submit(0, &id, 1).await, CallerAnswer::Accepted);
+            assert!(begun.elapsed() < time::Duration::from_millis(1_000));
+        }
+    });
+}
+
 /// A process that stops hands the scheduling over at once.
 #[test]
 fn a_stopping_owner_hands_over_at_once() {
--- a/crates/provider/src/client.rs
+++ b/crates/provider/src/client.rs
@@ -5,6 +5,8 @@
 use std::sync;
 use std::time;
 
+use futures_util::future::FutureExt;
+use futures_util::stream::{FuturesUnordered, StreamExt};
 use tokio::sync::{Semaphore, mpsc, oneshot};
 use tokio::{task, time as timer};
 
@@ -27,6 +29,9 @@
     pub call_timeout: time::Duration,
     /// Longest time that a scan may take; it may be many reads.
     pub scan_timeout: time::Duration,
+    /// Time after which a scan that was not answered is sent again, over
+    /// another connection; none if it never is.
+    pub repeat_scan: Option<time::Duration>,
     /// Largest number of commits in flight.
     pub commits_in_flight: usize,
     /// Largest number of reads in flight.
@@ -54,6 +59,7 @@
         Self {
             call_timeout: time::Duration::from_secs(5),
             scan_timeout: time::Duration::from_secs(5),
+            repeat_scan: None,
             commits_in_flight: 4,
             reads_in_flight: 8,
             commit_interval: time::Duration::from_millis(40),
@@ -281,7 +287,7 @@
         self.admit(step)?;
         self.tally.borrow_mut().count_read(cause);
         let call = match read {
-            TableRead::Scan => self.table.scan(prefix),
+            TableRead::Scan => self.scan_repeated(cause, prefix).boxed_local(),
             TableRead::Changes(cursor) => self.table.changes(prefix, cursor),
             TableRead::Watch(cursor, wait) => self.table.watch(prefix, cursor, wait),
         };
@@ -291,6 +297,23 @@
         answer
     }
 
+    /// Scans; the answer that comes first counts.
+    async fn scan_repeated(&self, cause: CallCause, prefix: &str) -> Result<TableView> {
+        let mut attempts = FuturesUnordered::new();
+        attempts.push(self.table.scan(prefix));
+        let Some(patience) = self.settings.repeat_scan else {
+            return first_answer(&mut attempts).await;
+        };
+        loop {
+            let answer = timer::timeout(patience, first_answer(&mut attempts)).await;
+            if let Ok(answer) = answer {
+                return answer;
+            }
+            self.tally.borrow_mut().count_read(cause);
+            attempts.push(self.table.scan(prefix));
+        }
+    }
+
     async fn send(
         &self,
         cause: CallCause,
@@ -334,6 +357,20 @@
     }
 }
 
+/// Returns the first view, or the error of the attempt that failed last.
+async fn first_answer(
+    attempts: &mut FuturesUnordered<LocalFuture<'_, Result<TableView>>>,
+) -> Result<TableView> {
+    let mut answer = Err(Error::unavailable("scan", PEER, "not sent"));
+    while let Some(next) = attempts.next().await {
+        answer = next;
+        if answer.is_ok() {
+            break;
+        }
+    }
+    answer
+}
+
 /// Commits what waits, in groups, until all clients are dropped.
 async fn run_writer(shared: rc::Rc<SharedState>, mut waiting: mpsc::Receiver<QueuedCommit>) {
     let slots = sync::Arc::new(Semaphore::new(shared.settings.commits_in_flight));
