Let a VM take the scheduling back after its process was killed

Change: a process of the VM that the row names, with another life, claims the row at once: its predecessor has ended.

--- a/crates/engine/src/owner/campaign.rs
+++ b/crates/engine/src/owner/campaign.rs
@@ -100,6 +100,8 @@
         None => unchanged >= delay,
         Some(owner) if owner.released => unchanged >= delay,
         Some(owner) if owner.is_small && !settings.is_small => true,
+        // An earlier process of this VM: it has ended.
+        Some(owner) if owner.node == parts.node && owner.life != parts.life => true,
         Some(_) => unchanged >= settings.lease + delay,
     }
 }
--- a/crates/engine/tests/owner.rs
+++ b/crates/engine/tests/owner.rs
@@ -124,6 +124,11 @@
     }
 
     async fn add_with(&mut self, number: usize, settings: OwnerSettings) {
+        self.add_life(number, number as u64, settings).await;
+    }
+
+    /// Adds a process of VM `number`.
+    async fn add_life(&mut self, number: usize, life: u64, settings: OwnerSettings) {
         let platform = self.platform.view();
         let services = DeploymentServices {
             table: rc::Rc::new(SilentTable {
@@ -150,7 +155,7 @@
         );
         let owner = task::spawn_local(owner::run(OwnerParts {
             node: format!("entry-{number}"),
-            life: number as u64,
+            life,
             settings: rc::Rc::new(settings),
             client,
             services,
@@ -377,6 +382,33 @@
     });
 }
 
+/// All processes are killed and come back: that of the owner's VM knows that
+/// the owner has ended, and waits for no lease.
+#[test]
+fn a_vm_takes_the_scheduling_back_after_its_process_was_killed() {
+    run_test(async {
+        let mut cluster = TestCluster::start(2, time::Duration::from_secs(3)).await;
+        let first = cluster.owner().await;
+        assert_eq!(cluster.submit(0, "a", 2).await, CallerAnswer::Accepted);
+        cluster.wait_starts(2).await;
+        let killed = timer::Instant::now();
+        for process in cluster.processes.drain(..) {
+            process.owner.abort();
+        }
+        for number in 0..2 {
+            let life = 100 + number as u64;
+            cluster
+                .add_life(number, life, OwnerSettings::default())
+                .await;
+        }
+        let second = cluster.owner_after(first.fence).await;
+        assert!(killed.elapsed() < OwnerSettings::default().lease);
+        assert_eq!(second.node, first.node);
+        cluster.wait_state(0, "a", JobState::Completed).await;
+        assert_eq!(cluster.workers.starts().len(), 2);
+    });
+}
+
 /// A process that stops hands the scheduling over at once.
 #[test]
 fn a_stopping_owner_hands_over_at_once() {
