Refuse a job that asks for what no worker has

Change: the owner stores the most that machines and workers offer (`board/offer`, written when it grows, looked at once a second); entry processes read it each ten seconds beside the submits, and refuse by it while it is younger than a minute. An offer that is not known refuses nothing.

--- a/crates/engine/src/caller/answer.rs
+++ b/crates/engine/src/caller/answer.rs
@@ -1,6 +1,7 @@
 //! What a caller's request leads to.
 
 use std::fmt;
+use std::rc;
 use std::sync;
 use std::time;
 
@@ -21,6 +22,8 @@
 use crate::manifest::OperatorView;
 use crate::row::{self, CancelRecord, PendingBoard};
 
+use super::offer::OfferReader;
+
 /// Delays between attempts to store something for a caller.
 const RETRY: BackoffSettings = BackoffSettings {
     first: time::Duration::from_millis(60),
@@ -40,6 +43,10 @@
     pub answer_margin: time::Duration,
     /// When callers may return while the table does not answer.
     pub retry_after: time::Duration,
+    /// Time after which what workers offer is read again.
+    pub offer_interval: time::Duration,
+    /// Age above which what workers offered refuses no job.
+    pub offer_age: time::Duration,
 }
 
 impl Default for CallerSettings {
@@ -50,6 +57,8 @@
             longest_answer: time::Duration::from_millis(2_500),
             answer_margin: time::Duration::from_millis(200),
             retry_after: time::Duration::from_secs(1),
+            offer_interval: time::Duration::from_secs(10),
+            offer_age: time::Duration::from_secs(60),
         }
     }
 }
@@ -82,6 +91,7 @@
     client: TableClient,
     codec: sync::Arc<dyn DeploymentCodec>,
     operators: watch::Receiver<OperatorView>,
+    offer: rc::Rc<OfferReader>,
 }
 
 /// What the gate found out about a request.
@@ -100,11 +110,13 @@
         codec: sync::Arc<dyn DeploymentCodec>,
         operators: watch::Receiver<OperatorView>,
     ) -> Self {
+        let offer = rc::Rc::new(OfferReader::new(client.clone(), &settings));
         Self {
             settings,
             client,
             codec,
             operators,
+            offer,
         }
     }
 
@@ -175,8 +187,10 @@
     }
 
     async fn submit(&self, id: &JobId, call: &AdmittedCall, body: &[u8]) -> CallerAnswer {
+        let offer = self.offer.current();
         let spec = self.codec.job(body).and_then(|spec| {
             spec.check()?;
+            offer.check(&spec)?;
             Ok(spec)
         });
         let spec = match spec {
--- a/crates/engine/src/caller/mod.rs
+++ b/crates/engine/src/caller/mod.rs
@@ -2,5 +2,6 @@
 
 pub mod answer;
 pub mod listener;
+mod offer;
 
 pub use answer::{CallerDesk, CallerSettings};
--- a/crates/engine/src/owner/machines.rs
+++ b/crates/engine/src/owner/machines.rs
@@ -5,6 +5,7 @@
 
 use redwing_jobs::capacity::{CapacityAction, CapacityPlanner, PoolFact, PoolMachine};
 use redwing_jobs::name::{MachineName, PoolName, WorkerId};
+use redwing_jobs::offer::FleetOffer;
 use redwing_jobs::upkeep::{
     MachineFact, UpkeepAction, UpkeepRecord, WavePlanner, WaveState, WorkerLoad,
 };
@@ -88,6 +89,13 @@
         self.is_fenced
     }
 
+    /// Takes what the machines offer into `offer`.
+    pub(super) fn add_offers(&self, offer: &mut FleetOffer) {
+        for machine in &self.machines {
+            offer.add(&machine.capacity, &machine.labels);
+        }
+    }
+
     pub(super) fn has_rows(&self) -> bool {
         !self.rows.is_empty()
     }
@@ -163,7 +171,7 @@
                 is_movable: machine.state == MachineState::Up && !is_busy,
                 worker: machine.worker.clone(),
                 load: load_of(machine, scheduler),
-                cpu_millis: machine.cpu_millis,
+                cpu_millis: machine.capacity.cpu_millis,
             };
             (machine.name.clone(), entry)
         });
--- a/crates/engine/src/owner/record.rs
+++ b/crates/engine/src/owner/record.rs
@@ -4,8 +4,10 @@
 use std::collections::BTreeMap;
 
 use redwing_jobs::JobRecord;
+use redwing_jobs::offer::FleetOffer;
 use redwing_jobs::upkeep::UpkeepRecord;
 use redwing_provider::{RowKey, TableRow};
+use serde::Serialize;
 
 use crate::event;
 use crate::follow;
@@ -14,8 +16,16 @@
 
 /// Returns the row of the counts of queues.
 pub(super) fn board_row(board: &PendingBoard) -> Option<EncodedRow> {
-    let key = RowKey::new(row::BOARD_KEY);
-    match row::write(&key, board) {
+    encode(RowKey::new(row::BOARD_KEY), board)
+}
+
+/// Returns the row of what workers offer at most.
+pub(super) fn offer_row(offer: &FleetOffer) -> Option<EncodedRow> {
+    encode(RowKey::new(row::OFFER_KEY), offer)
+}
+
+fn encode(key: RowKey, record: &impl Serialize) -> Option<EncodedRow> {
+    match row::write(&key, record) {
         Ok(value) => Some(EncodedRow { key, value }),
         Err(error) => {
             log_job_event!(error, event::ROW_MALFORMED, error = error);
--- a/crates/engine/src/owner/session.rs
+++ b/crates/engine/src/owner/session.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::collections::HashMap;
 
+use redwing_jobs::offer::FleetOffer;
 use redwing_jobs::record::ProgressRecord;
 use redwing_jobs::scheduler::{AdviceQuestion, ChangeSet};
 use redwing_jobs::upkeep::UpkeepRecord;
@@ -17,7 +18,7 @@
 use crate::event;
 use crate::follow::{self, TableUpdate};
 use crate::log_job_event;
-use crate::row::{self, JobKey, PendingBoard};
+use crate::row::{self, EncodedRow, JobKey, PendingBoard};
 use crate::services::WorkerReply;
 
 use super::OwnerParts;
@@ -77,6 +78,10 @@
     renewed_at: BootTime,
     board: PendingBoard,
     board_at: BootTime,
+    /// What workers offer at most.
+    offer: FleetOffer,
+    /// Its row, while it is to be stored.
+    grown_offer: Option<EncodedRow>,
     /// Orders that wait until the row is known to be ours.
     held_orders: Vec<WorkerOrder>,
     /// When the latest change that was stored was sent.
@@ -135,6 +140,8 @@
             renewed_at,
             board: PendingBoard::default(),
             board_at: BootTime::default(),
+            offer: FleetOffer::default(),
+            grown_offer: None,
             held_orders: Vec::new(),
             confirmed_at: renewed_at,
             must_confirm: false,
@@ -288,6 +295,7 @@
         }
         let changes = self.scheduler.take_changes();
         let mut extra = self.take_extra();
+        extra.written.extend(self.grown_offer.take());
         let board = self.next_board(now);
         extra
             .written
@@ -314,6 +322,7 @@
             return;
         }
         self.cleanup_at = now;
+        self.compare_offer();
         let expired = self.scheduler.take_expired(cleanup::JOBS_PER_ROUND, now);
         if !expired.is_empty() {
             cleanup::start(&self.parts.client, expired, &self.deleted_sender);
@@ -379,6 +388,17 @@
         None
     }
 
+    /// Has the row of what workers offer stored, if they offer more than before.
+    fn compare_offer(&mut self) {
+        let mut offer = self.offer.clone();
+        self.scheduler.add_offers(&mut offer);
+        self.desk.add_offers(&mut offer);
+        if offer != self.offer {
+            self.grown_offer = record::offer_row(&offer);
+            self.offer = offer;
+        }
+    }
+
     /// Returns the counts to store, if they changed and it is time.
     fn next_board(&mut self, now: BootTime) -> Option<PendingBoard> {
         if now.saturating_since(self.board_at) < self.parts.settings.board_interval {
--- a/crates/engine/src/row.rs
+++ b/crates/engine/src/row.rs
@@ -7,6 +7,7 @@
 //! | `progress/ID` | the owner | [`ProgressRecord`](redwing_jobs::ProgressRecord) |
 //! | `owner/jobs` | whoever owns the scheduling | [`OwnerRecord`] |
 //! | `board/pending` | the owner | [`PendingBoard`] |
+//! | `board/offer` | the owner | [`FleetOffer`](redwing_jobs::offer::FleetOffer) |
 //! | `upkeep/N` | the owner | [`UpkeepRecord`](redwing_jobs::upkeep::UpkeepRecord) |
 //!
 //! Jobs lie in several parts by their ids: a slow table accepts as many at a
@@ -46,6 +47,9 @@
 /// Row of the counts of queues.
 pub const BOARD_KEY: &str = "board/pending";
 
+/// Row of what workers offer at most.
+pub const OFFER_KEY: &str = "board/offer";
+
 /// End of the key of a cancel mark.
 const CANCEL_SUFFIX: &str = ".cancel";
 
--- a/crates/engine/src/services.rs
+++ b/crates/engine/src/services.rs
@@ -3,8 +3,9 @@
 use std::rc;
 use std::sync;
 
-use redwing_jobs::name::{MachineName, PoolName, WorkerId};
+use redwing_jobs::name::{MachineName, PoolName, WorkerId, WorkerLabel};
 use redwing_jobs::scheduler::{AdviceAnswer, AdviceQuestion};
+use redwing_jobs::spec::ResourceAmount;
 use redwing_jobs::worker::{HoldReport, OrderAnswer, OrderOutcome, WorkerOrder};
 use redwing_provider::{LocalFuture, Result, TableStore};
 
@@ -61,8 +62,10 @@
     pub state: MachineState,
     /// Worker that runs on it.
     pub worker: Option<WorkerId>,
-    /// Processor of the machine, in thousandths of a core.
-    pub cpu_millis: u64,
+    /// What the machine offers.
+    pub capacity: ResourceAmount,
+    /// Its labels.
+    pub labels: Vec<WorkerLabel>,
 }
 
 /// What became of an order for a machine.
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod error;
 pub mod manifest;
 pub mod name;
+pub mod offer;
 pub mod record;
 pub mod scheduler;
 pub mod spec;
--- /dev/null
+++ b/crates/jobs/src/offer.rs
@@ -0,0 +1,79 @@
+//! What workers offer at most, to tell a job that none of them can ever run.
+
+use std::collections::BTreeSet;
+
+use serde::{Deserialize, Serialize};
+
+use crate::error::{Error, Result};
+use crate::name::WorkerLabel;
+use crate::spec::{JobSpec, ResourceAmount, StepSpec};
+
+/// Most that any machine or worker was known to offer.
+///
+/// It only grows: a machine that is away for a while makes no job impossible.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "kebab-case", default)]
+pub struct FleetOffer {
+    /// Largest amount of each resource on one worker.
+    pub largest: ResourceAmount,
+    /// All labels.
+    pub labels: BTreeSet<WorkerLabel>,
+}
+
+impl FleetOffer {
+    /// Takes in what one worker or machine offers.
+    pub fn add(&mut self, capacity: &ResourceAmount, labels: &[WorkerLabel]) {
+        let largest = &mut self.largest;
+        largest.cpu_millis = largest.cpu_millis.max(capacity.cpu_millis);
+        largest.memory_mb = largest.memory_mb.max(capacity.memory_mb);
+        largest.accelerators = largest.accelerators.max(capacity.accelerators);
+        for label in labels {
+            if !self.labels.contains(label) {
+                self.labels.insert(label.clone());
+            }
+        }
+    }
+
+    /// Checks that a worker could run each task of a job.
+    ///
+    /// # Errors
+    ///
+    /// Fails with the first field that asks for more than any worker has. An
+    /// offer that is not known yet lets all jobs pass.
+    pub fn check(&self, spec: &JobSpec) -> Result<()> {
+        if *self == Self::default() {
+            return Ok(());
+        }
+        for (number, step) in spec.steps.iter().enumerate() {
+            self.check_step(number, step)?;
+        }
+        Ok(())
+    }
+
+    fn check_step(&self, number: usize, step: &StepSpec) -> Result<()> {
+        let needs = step.reserved();
+        let largest = &self.largest;
+        let amounts = [
+            ("cpu-millis", needs.cpu_millis, largest.cpu_millis),
+            ("memory-mb", needs.memory_mb, largest.memory_mb),
+            ("accelerators", needs.accelerators, largest.accelerators),
+        ];
+        for (name, need, most) in amounts {
+            if need > most {
+                let field = format!("steps[{number}].needs.{name}");
+                let problem = format!("{need} is more than any worker has; use at most {most}");
+                return Err(Error::field(field, problem));
+            }
+        }
+        match &step.requires {
+            Some(label) if !self.labels.contains(label) => {
+                let field = format!("steps[{number}].requires");
+                Err(Error::field(
+                    field,
+                    format!("no worker has the label {label}"),
+                ))
+            }
+            _ => Ok(()),
+        }
+    }
+}
--- a/crates/jobs/src/scheduler/fleet.rs
+++ b/crates/jobs/src/scheduler/fleet.rs
@@ -5,6 +5,7 @@
 use std::time;
 
 use crate::name::{JobId, TaskId, WorkerId};
+use crate::offer::FleetOffer;
 use crate::spec::ResourceAmount;
 use crate::time::BootTime;
 use crate::worker::WorkerView;
@@ -184,6 +185,17 @@
         self.workers.iter()
     }
 
+    /// Takes what the workers offer into `offer`.
+    pub(super) fn add_offers(&self, offer: &mut FleetOffer) {
+        for view in self
+            .workers
+            .values()
+            .filter_map(|entry| entry.view.as_ref())
+        {
+            offer.add(&view.capacity, &view.labels);
+        }
+    }
+
     pub(super) fn iter_mut(&mut self) -> impl Iterator<Item = (&WorkerId, &mut WorkerEntry)> {
         self.workers.iter_mut()
     }
--- a/crates/jobs/src/scheduler/mod.rs
+++ b/crates/jobs/src/scheduler/mod.rs
@@ -37,6 +37,7 @@
 
 use crate::manifest::JobManifest;
 use crate::name::{CustomerName, JobId, PoolName, QueueName, TaskId, WorkerId};
+use crate::offer::FleetOffer;
 use crate::record::JobState;
 use crate::spec::ResourceAmount;
 use crate::time::BootTime;
@@ -284,6 +285,11 @@
         counts
     }
 
+    /// Takes what the known workers offer into `offer`.
+    pub fn add_offers(&self, offer: &mut FleetOffer) {
+        self.fleet.add_offers(offer);
+    }
+
     fn push_order(&mut self, worker: &WorkerId, action: OrderAction, now: BootTime) {
         let Some(entry) = self.fleet.get(worker) else {
             return;
--- /dev/null
+++ b/crates/jobs/tests/offer.rs
@@ -0,0 +1,76 @@
+//! Jobs that no worker can ever run.
+
+use redwing_jobs::JobSpec;
+use redwing_jobs::name::WorkerLabel;
+use redwing_jobs::offer::FleetOffer;
+use redwing_jobs::spec::{ResourceAmount, StepSpec};
+use rstest::rstest;
+
+fn amount(cpu_millis: u64, memory_mb: u64, accelerators: u64) -> ResourceAmount {
+    ResourceAmount {
+        cpu_millis,
+        memory_mb,
+        accelerators,
+    }
+}
+
+/// A worker with much processor and one with an accelerator.
+fn offer() -> FleetOffer {
+    let mut offer = FleetOffer::default();
+    offer.add(&amount(32_000, 4_000, 0), &[WorkerLabel::new("a")]);
+    offer.add(&amount(8_000, 16_000, 1), &[WorkerLabel::new("gpu")]);
+    offer
+}
+
+fn job(needs: ResourceAmount, requires: Option<&str>) -> JobSpec {
+    let step = StepSpec {
+        count: 1,
+        needs,
+        requires: requires.map(WorkerLabel::new),
+        ..StepSpec::default()
+    };
+    JobSpec {
+        steps: vec![
+            StepSpec {
+                count: 1,
+                ..StepSpec::default()
+            },
+            step,
+        ],
+        ..JobSpec::default()
+    }
+}
+
+#[rstest]
+#[case::cpu(amount(32_001, 1, 0), None, "steps[1].needs.cpu-millis")]
+#[case::memory(amount(1, 16_001, 0), None, "steps[1].needs.memory-mb")]
+#[case::accelerators(amount(1, 1, 2), None, "steps[1].needs.accelerators")]
+#[case::label(amount(1, 1, 0), Some("tpu"), "steps[1].requires")]
+fn what_no_worker_has_is_named(
+    #[case] needs: ResourceAmount,
+    #[case] requires: Option<&str>,
+    #[case] field: &str,
+) {
+    let error = offer().check(&job(needs, requires)).unwrap_err();
+    assert!(error.to_string().contains(field), "{error}");
+}
+
+#[rstest]
+#[case::largest(amount(32_000, 16_000, 1), None)]
+#[case::label(amount(1, 1, 0), Some("gpu"))]
+fn what_some_worker_has_passes(#[case] needs: ResourceAmount, #[case] requires: Option<&str>) {
+    assert!(offer().check(&job(needs, requires)).is_ok());
+}
+
+#[test]
+fn a_filler_takes_no_processor_of_its_own() {
+    let mut filler = job(amount(64_000, 1, 0), None);
+    filler.steps[1].filler = true;
+    assert!(offer().check(&filler).is_ok());
+}
+
+#[test]
+fn an_unknown_offer_refuses_nothing() {
+    let needs = amount(1_000_000, 1_000_000, 9);
+    assert!(FleetOffer::default().check(&job(needs, Some("x"))).is_ok());
+}
