Take over after 1.2 s, and wait for all leases of the one before

While looking at that: the time for which the leases of an earlier owner may go on assumed that another takes over only after the lease; from a small VM a larger one takes over at once.

Change: lease 1.2 s, renewed and looked at each 0.35 s. Leases of an earlier owner are waited for 7.9 s (2.5 s of orders without a confirmed row, and one lease of 5 s on a slow clock with its margin) in place of 6.4 s; this holds back only work on workers that the new owner cannot reach.

Test: a_new_owner_waits_for_the_leases_of_a_worker_that_it_cannot_reach holds the new bound (7.8 s), which the old program does not keep.

--- a/crates/engine/src/owner/mod.rs
+++ b/crates/engine/src/owner/mod.rs
@@ -74,11 +74,11 @@
 impl Default for OwnerSettings {
     fn default() -> Self {
         Self {
-            lease: time::Duration::from_millis(1_600),
-            renewal: time::Duration::from_millis(450),
+            lease: time::Duration::from_millis(1_200),
+            renewal: time::Duration::from_millis(350),
             is_small: false,
             small_delay: time::Duration::from_millis(2_000),
-            poll: time::Duration::from_millis(450),
+            poll: time::Duration::from_millis(350),
             attempt_limit: time::Duration::from_millis(700),
             order_limit: time::Duration::from_millis(2_500),
             give_up: time::Duration::from_secs(20),
--- a/crates/jobs/src/scheduler/mod.rs
+++ b/crates/jobs/src/scheduler/mod.rs
@@ -58,8 +58,8 @@
     /// Length of the lease that each order and hold gives.
     pub lease: time::Duration,
     /// Longest time for which leases that an earlier owner gave may go on: the
-    /// time for which it gives orders without a confirmed row, and one lease,
-    /// less the time after which another may take over.
+    /// time for which it gives orders without a confirmed row, and one lease
+    /// on a slow clock. Another may take over from a small VM at once.
     pub inherited_lease: time::Duration,
     /// Largest share by which a worker's clock may be slow.
     pub clock_drift: f64,
@@ -95,7 +95,7 @@
     fn default() -> Self {
         Self {
             lease: time::Duration::from_millis(5_000),
-            inherited_lease: time::Duration::from_millis(6_400),
+            inherited_lease: time::Duration::from_millis(7_900),
             clock_drift: 0.02,
             lease_margin: time::Duration::from_millis(300),
             hold_wait: time::Duration::from_millis(1_000),
--- a/crates/jobs/tests/recovery.rs
+++ b/crates/jobs/tests/recovery.rs
@@ -105,7 +105,7 @@
     let first = fleet.starts[0].2.clone();
     fleet.worker(first.as_str()).is_dark = true;
     fleet.take_over(SchedulerSettings::default());
-    fleet.run(6_300);
+    fleet.run(7_800);
     assert_eq!(fleet.starts.len(), 1);
     fleet.run(700);
     assert_eq!(fleet.starts.len(), 2);
