Count a task that a wave displaces as demand for a machine

Change: such a task counts as a long-running task that waits, as long as the wave asks for its worker.

Test: a_task_that_upkeep_displaces_counts_as_demand_while_it_fits_nowhere.

--- a/crates/jobs/src/scheduler/mod.rs
+++ b/crates/jobs/src/scheduler/mod.rs
@@ -214,6 +214,9 @@
     fleet: WorkerFleet,
     usage: HashMap<CustomerName, ResourceAmount>,
     arrivals: HashMap<PoolName, PoolArrivals>,
+    /// Long-running tasks that are to leave their worker and found no room
+    /// elsewhere.
+    displaced: BTreeSet<TaskId>,
     advice: AdviceBook,
     journal: ChangeJournal,
     orders: Vec<WorkerOrder>,
@@ -237,6 +240,7 @@
             fleet: WorkerFleet::default(),
             usage: HashMap::new(),
             arrivals: HashMap::new(),
+            displaced: BTreeSet::new(),
             advice: AdviceBook::default(),
             journal: ChangeJournal::default(),
             orders: Vec::new(),
--- a/crates/jobs/src/scheduler/upkeep.rs
+++ b/crates/jobs/src/scheduler/upkeep.rs
@@ -32,7 +32,7 @@
     }
 
     /// Returns what is asked of each pool.
-    pub fn pool_demands(&self, wall: WallTime) -> BTreeMap<PoolName, PoolDemand> {
+    pub fn pool_demands(&mut self, wall: WallTime) -> BTreeMap<PoolName, PoolDemand> {
         let mut demands: BTreeMap<PoolName, PoolDemand> = BTreeMap::new();
         for (_, worker) in self.fleet.iter() {
             let Some(view) = &worker.view else {
@@ -60,6 +60,12 @@
                 }
             }
         }
+        for task in std::mem::take(&mut self.displaced) {
+            if let Some(job) = self.jobs.get(&task.job) {
+                let demand = demands.entry(self.pool_of(job).clone()).or_default();
+                demand.waiting_long_running += 1;
+            }
+        }
         for (pool, arrivals) in &self.arrivals {
             let demand = demands.entry(pool.clone()).or_default();
             demand.arrived_jobs = arrivals.jobs;
@@ -85,18 +91,21 @@
     }
 
     /// Stops the long-running tasks on a worker, as far as the budget of
-    /// their step allows; they start again elsewhere.
+    /// their step allows; they start again elsewhere. Those that find no room
+    /// go on, and count as demand until the next look at it.
     pub fn evict_long_running(&mut self, worker: &WorkerId, now: BootTime) {
         let Some(entry) = self.fleet.get(worker) else {
             return;
         };
         let tasks: Vec<TaskId> = entry.occupants.keys().cloned().collect();
         for task in tasks {
-            let may_leave = self.is_long_running(&task)
-                && self.may_interrupt(&task)
-                && self.has_place_for(&task, now);
-            if may_leave {
+            if !self.is_long_running(&task) || !self.may_interrupt(&task) {
+                continue;
+            }
+            if self.has_place_for(&task, now) {
                 self.stop_task(&task, now);
+            } else {
+                self.displaced.insert(task);
             }
         }
     }
--- a/crates/jobs/tests/placement.rs
+++ b/crates/jobs/tests/placement.rs
@@ -7,7 +7,7 @@
 
 use common::{FakeFleet, FakeWorker, manifest_with_limit, parts_with_limit, step, task};
 use redwing_jobs::JobManifest;
-use redwing_jobs::name::WorkerLabel;
+use redwing_jobs::name::{PoolName, WorkerLabel};
 use redwing_jobs::spec::StepSpec;
 use redwing_jobs::{JobState, SchedulerSettings, WorkerId};
 use rstest::rstest;
@@ -116,6 +116,35 @@
     fleet.assert_no_double_run();
 }
 
+/// A wave empties a worker whose long-running task fits nowhere: the task goes
+/// on, and its pool is known to need a machine for it.
+#[test]
+fn a_task_that_upkeep_displaces_counts_as_demand_while_it_fits_nowhere() {
+    let mut fleet = fleet_of(2, 8_000);
+    let service = StepSpec {
+        long_running: true,
+        max_unavailable: Some(1),
+        ..step(1, 5_000)
+    };
+    fleet.submit("s", vec![service], 0);
+    fleet.run(300);
+    let worker = fleet.starts[0].2.clone();
+    fleet.submit("j", vec![step(1, 4_000)], 60_000);
+    fleet.run(300);
+    assert_ne!(fleet.starts[1].2, worker);
+    fleet.scheduler.block_worker(&worker, true);
+    let (now, wall) = (fleet.now, fleet.wall());
+    fleet.scheduler.evict_long_running(&worker, now);
+    fleet.run(100);
+    assert!(fleet.stops.is_empty());
+    let pool = PoolName::new("builders");
+    let demand = fleet.scheduler.pool_demands(wall)[&pool];
+    assert_eq!(demand.waiting_long_running, 1);
+    // It is displaced only as long as somebody asks.
+    let demand = fleet.scheduler.pool_demands(wall)[&pool];
+    assert_eq!(demand.waiting_long_running, 0);
+}
+
 /// Six tasks of one core each, with limits of one, three and no cores.
 #[rstest]
 #[case(1_000, 1)]
