Count the log lines that nobody read

Change: the process counts what waits and what it drops, and the writing thread tells the count (`E212 log-dropped`, `lines`) before the first line that gets through again.

--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -69,6 +69,8 @@
     AUDIT_DELAYED = 210 "audit-delayed";
     /// Entries of the audit trail were dropped because the buffer is full.
     AUDIT_DROPPED = 211 "audit-dropped";
+    /// Log lines were dropped because nobody read them.
+    LOG_DROPPED = 212 "log-dropped";
     /// The listener for operators failed.
     ADMIN_FAILED = 220 "admin-failed";
     /// A claim could not be released or completed yet.
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -39,6 +39,7 @@
 pub mod metrics;
 pub mod mirror;
 pub mod once;
+pub mod output;
 pub mod peer;
 pub mod plane;
 pub mod register;
--- a/crates/node/src/log.rs
+++ b/crates/node/src/log.rs
@@ -5,15 +5,12 @@
 
 use log::LevelFilter;
 use logforth::append;
-use logforth::append::asynchronous::AsyncBuilder;
 use logforth::bridge;
 use logforth::filter::rustlog;
 use logforth::layout;
 
 use crate::error::{Error, Result};
-
-/// Lines that wait for a slow reader of standard output.
-const BUFFERED_LINES: usize = 8_192;
+use crate::output::DetachedOutput;
 
 /// Form of a log line.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
@@ -80,10 +77,12 @@
                     dispatch.append(append::Stderr::default().with_layout(json))
                 }
                 (LogStream::Output, LogFormat::Text) => {
-                    dispatch.append(detached(append::Stdout::default().with_layout(text)))
+                    let output = append::Stdout::default().with_layout(text);
+                    dispatch.append(DetachedOutput::start(output))
                 }
                 (LogStream::Output, LogFormat::Json) => {
-                    dispatch.append(detached(append::Stdout::default().with_layout(json)))
+                    let output = append::Stdout::default().with_layout(json);
+                    dispatch.append(DetachedOutput::start(output))
                 }
             }
         })
@@ -93,13 +92,3 @@
     log::set_max_level(level);
     Ok(())
 }
-
-/// Hands lines to a thread that writes them, so that a reader that stops
-/// reading holds nothing up; lines beyond the buffer are dropped.
-fn detached(output: append::Stdout) -> append::Async {
-    AsyncBuilder::new("log")
-        .buffered_lines_limit(Some(BUFFERED_LINES))
-        .overflow_drop_incoming()
-        .append(output)
-        .build()
-}
