Count a gang's run that failed as one attempt

Cause: found by a new test of checkpoints. When several members of a gang failed in one run, each counted as an attempt, and a job could be given up after a single run.

Change: the numbers of the runs that failed count, which members share.

Checkpoints had no test.

--- a/crates/jobs/src/scheduler/report.rs
+++ b/crates/jobs/src/scheduler/report.rs
@@ -1,6 +1,6 @@
 //! What workers say they run.
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::time;
 
 use crate::name::{JobId, TaskId, WorkerId};
@@ -190,12 +190,13 @@
             return;
         }
         let members = self.gang_members(task);
-        let failed: u32 = members
+        // Members of a gang share the numbers of their runs.
+        let failed: BTreeSet<u32> = members
             .iter()
             .filter_map(|member| self.task(member))
-            .map(|entry| entry.failed.len() as u32)
-            .sum();
-        if failed >= self.max_attempts(task) {
+            .flat_map(|entry| entry.failed.iter().copied())
+            .collect();
+        if failed.len() as u32 >= self.max_attempts(task) {
             self.finish(&task.job, JobState::Failed, now);
         }
     }
--- a/crates/jobs/tests/common/mod.rs
+++ b/crates/jobs/tests/common/mod.rs
@@ -33,6 +33,8 @@
     pub(crate) ends: Option<BootTime>,
     pub(crate) percent: u32,
     pub(crate) figure: u64,
+    /// Latest progress that it saved.
+    pub(crate) saved: Option<String>,
 }
 
 /// Worker in memory.
@@ -50,6 +52,8 @@
     pub(crate) is_dark: bool,
     /// Whether all that it runs fails at once.
     pub(crate) is_failing: bool,
+    /// Whether what it runs saves its progress, each step of time.
+    pub(crate) is_saving: bool,
     /// Whether what it runs makes no progress.
     pub(crate) is_hanging: bool,
     /// Whether acknowledged ends are forgotten; acknowledgements are lost otherwise.
@@ -82,6 +86,7 @@
             closed: BTreeMap::new(),
             is_dark: false,
             is_failing: false,
+            is_saving: false,
             is_hanging: false,
             is_forgetful: true,
         }
@@ -97,7 +102,7 @@
             task: task.clone(),
             run: run.run,
             kind,
-            checkpoint: None,
+            checkpoint: run.saved,
         });
         self.next_end += 1;
     }
@@ -105,6 +110,12 @@
     /// Lets time pass: runs end, and all end when the lease does.
     pub(crate) fn step(&mut self, now: BootTime) {
         let is_failing = self.is_failing;
+        if self.is_saving {
+            for run in self.running.values_mut() {
+                let worked = now.saturating_since(run.begun).as_millis();
+                run.saved = Some(format!("{worked} ms"));
+            }
+        }
         let due: Vec<TaskId> = self
             .running
             .iter()
@@ -131,7 +142,7 @@
         let running = self.running.iter().map(|(task, run)| ListedRun {
             task: task.clone(),
             run: run.run,
-            checkpoint: None,
+            checkpoint: run.saved.clone(),
             percent: run.percent_at(now, self.is_hanging),
             figure: run.figure,
         });
@@ -172,6 +183,8 @@
     pub(crate) is_table_up: bool,
     /// Every start that a worker carried out.
     pub(crate) starts: Vec<(TaskId, u32, WorkerId, BootTime)>,
+    /// Every saved progress that a start resumed from.
+    pub(crate) resumed: Vec<String>,
     /// Every task whose start was ordered.
     pub(crate) ordered: Vec<TaskId>,
     /// Every stop that a worker carried out.
@@ -268,6 +281,7 @@
             rows: BTreeMap::new(),
             is_table_up: true,
             starts: Vec::new(),
+            resumed: Vec::new(),
             ordered: Vec::new(),
             stops: Vec::new(),
             paces: Vec::new(),
@@ -440,6 +454,7 @@
                 task,
                 run,
                 lease_end_ms,
+                checkpoint,
                 ..
             } => {
                 let is_old = worker.closed.get(task).is_some_and(|closed| closed >= run);
@@ -461,8 +476,10 @@
                             .map(|length| now + *length),
                         percent: 100,
                         figure: 0,
+                        saved: checkpoint.clone(),
                     },
                 );
+                self.resumed.extend(checkpoint.clone());
                 self.starts
                     .push((task.clone(), *run, order.worker.clone(), now));
                 (OrderOutcome::Accepted, None)
