Send callers away soon while the table rejects their writes

Change: a write that was certainly not applied is tried for 0.3 s, then the caller gets 503 with Retry-After; a write that may have been applied is tried on as before.

Test: a_submit_that_the_table_rejects_is_sent_away_soon; before: 2.5 s.

--- a/crates/engine/src/caller/answer.rs
+++ b/crates/engine/src/caller/answer.rs
@@ -37,6 +37,9 @@
     pub manifest_age: time::Duration,
     /// Time after which a write that was not answered is sent again.
     pub attempt_limit: time::Duration,
+    /// Time for which a write that the table rejects is tried before the
+    /// caller is sent away; other VMs may be served.
+    pub refuse_after: time::Duration,
     /// Longest time for an answer.
     pub longest_answer: time::Duration,
     /// Part of a caller's patience that is left for the way back.
@@ -54,6 +57,7 @@
         Self {
             manifest_age: time::Duration::from_millis(1_700),
             attempt_limit: time::Duration::from_millis(700),
+            refuse_after: time::Duration::from_millis(300),
             longest_answer: time::Duration::from_millis(2_500),
             answer_margin: time::Duration::from_millis(200),
             retry_after: time::Duration::from_secs(1),
@@ -224,6 +228,7 @@
             .put(key, value);
         let mut backoff = RetryBackoff::new(RETRY);
         let mut may_be_stored = false;
+        let patience = timer::Instant::now() + self.settings.refuse_after;
         loop {
             let commit = self.client.commit(CallCause::Job, transaction.clone());
             let limit = deadline.min(timer::Instant::now() + self.settings.attempt_limit);
@@ -246,7 +251,12 @@
                 }
             }
             let pause = backoff.next_delay(rand::random());
-            if timer::Instant::now() + pause >= deadline {
+            let limit = if may_be_stored {
+                deadline
+            } else {
+                patience.min(deadline)
+            };
+            if timer::Instant::now() + pause >= limit {
                 break;
             }
             timer::sleep(pause).await;
--- a/crates/engine/tests/owner.rs
+++ b/crates/engine/tests/owner.rs
@@ -549,6 +549,30 @@
     });
 }
 
+/// The table turns one VM away: its callers hear so soon, while others are
+/// served, and what was refused never runs.
+#[test]
+fn a_submit_that_the_table_rejects_is_sent_away_soon() {
+    run_test(async {
+        let cluster = TestCluster::start(2, time::Duration::from_millis(50)).await;
+        cluster.owner().await;
+        cluster.processes[1]
+            .platform
+            .set_faults(|plan| plan.table_down = true);
+        let begun = timer::Instant::now();
+        let answer = cluster.submit(1, "a", 1).await;
+        assert!(
+            matches!(answer, CallerAnswer::Unavailable { .. }),
+            "{answer:?}"
+        );
+        assert!(begun.elapsed() < time::Duration::from_millis(600));
+        assert_eq!(cluster.submit(0, "b", 1).await, CallerAnswer::Accepted);
+        cluster.wait_state(0, "b", JobState::Completed).await;
+        assert_eq!(cluster.state(0, "a").await, CallerAnswer::NoSuchJob);
+        assert_eq!(cluster.workers.starts().len(), 1);
+    });
+}
+
 /// The job is stored although the reply was lost; the caller is told so.
 #[test]
 fn a_lost_reply_is_resolved_by_writing_again() {
