Split the storing of a row into attempts

No change of behaviour: one function makes one attempt and says whether the row is stored, certainly not, or perhaps; the check of an offer is one function an amount.

--- a/crates/engine/src/caller/answer.rs
+++ b/crates/engine/src/caller/answer.rs
@@ -10,7 +10,8 @@
 use redwing_jobs::{JobId, JobRecord, JobState, ProgressRecord};
 use redwing_provider::backoff::{BackoffSettings, RetryBackoff};
 use redwing_provider::{
-    CallCause, Category, CommitOutcome, RowKey, TableClient, TableRow, TableTransaction,
+    CallCause, Category, CommitOutcome, Error as TableError, RowKey, TableClient, TableRow,
+    TableTransaction,
 };
 use tokio::sync::watch;
 use tokio::time as timer;
@@ -106,6 +107,17 @@
     deadline: timer::Instant,
 }
 
+/// What became of one attempt to write a row.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum WriteAttempt {
+    /// The row is there, by this attempt or an earlier one.
+    Stored,
+    /// It was certainly not written.
+    Rejected,
+    /// It may have been written.
+    Unknown,
+}
+
 impl CallerDesk {
     /// Creates a desk that reads and writes through `client`.
     pub fn new(
@@ -230,32 +242,17 @@
         let mut may_be_stored = false;
         let patience = timer::Instant::now() + self.settings.refuse_after;
         loop {
-            let commit = self.client.commit(CallCause::Job, transaction.clone());
-            let limit = deadline.min(timer::Instant::now() + self.settings.attempt_limit);
-            match timer::timeout_at(limit, commit).await {
-                Ok(Ok(CommitOutcome::Committed(_) | CommitOutcome::Conflict(_))) => {
-                    return CallerAnswer::Accepted;
-                }
-                Ok(Err(error)) => {
-                    may_be_stored |= error.classify() == Category::Unknown;
-                    log_job_event!(info, event::ROW_UNSTORED, row = name, error = error);
-                }
-                Err(_) => {
-                    may_be_stored = true;
-                    log_job_event!(
-                        info,
-                        event::ROW_UNSTORED,
-                        row = name,
-                        error = "no answer yet"
-                    );
-                }
+            match self.try_write(&name, &transaction, deadline).await {
+                WriteAttempt::Stored => return CallerAnswer::Accepted,
+                WriteAttempt::Unknown => may_be_stored = true,
+                WriteAttempt::Rejected => {}
             }
-            let pause = backoff.next_delay(rand::random());
             let limit = if may_be_stored {
                 deadline
             } else {
                 patience.min(deadline)
             };
+            let pause = backoff.next_delay(rand::random());
             if timer::Instant::now() + pause >= limit {
                 break;
             }
@@ -269,6 +266,30 @@
         }
     }
 
+    /// Writes once; the row `name` stands in the log if that fails.
+    async fn try_write(
+        &self,
+        name: &str,
+        transaction: &TableTransaction,
+        deadline: timer::Instant,
+    ) -> WriteAttempt {
+        let limit = deadline.min(timer::Instant::now() + self.settings.attempt_limit);
+        let commit = self.client.commit(CallCause::Job, transaction.clone());
+        let error = match timer::timeout_at(limit, commit).await {
+            Ok(Ok(CommitOutcome::Committed(_) | CommitOutcome::Conflict(_))) => {
+                return WriteAttempt::Stored;
+            }
+            Ok(Err(error)) => error,
+            Err(_) => TableError::unknown("store a row", "table", "no answer yet"),
+        };
+        log_job_event!(info, event::ROW_UNSTORED, row = name, error = error);
+        if error.classify() == Category::Unknown {
+            WriteAttempt::Unknown
+        } else {
+            WriteAttempt::Rejected
+        }
+    }
+
     async fn state(&self, id: &JobId) -> CallerAnswer {
         let key = row::progress_key(id);
         let progress = match self.client.scan(CallCause::Job, key.as_str()).await {
--- a/crates/jobs/src/offer.rs
+++ b/crates/jobs/src/offer.rs
@@ -53,18 +53,10 @@
     fn check_step(&self, number: usize, step: &StepSpec) -> Result<()> {
         let needs = step.reserved();
         let largest = &self.largest;
-        let amounts = [
-            ("cpu-millis", needs.cpu_millis, largest.cpu_millis),
-            ("memory-mb", needs.memory_mb, largest.memory_mb),
-            ("accelerators", needs.accelerators, largest.accelerators),
-        ];
-        for (name, need, most) in amounts {
-            if need > most {
-                let field = format!("steps[{number}].needs.{name}");
-                let problem = format!("{need} is more than any worker has; use at most {most}");
-                return Err(Error::field(field, problem));
-            }
-        }
+        let check = |name, need, most| check_amount(number, name, need, most);
+        check("cpu-millis", needs.cpu_millis, largest.cpu_millis)?;
+        check("memory-mb", needs.memory_mb, largest.memory_mb)?;
+        check("accelerators", needs.accelerators, largest.accelerators)?;
         match &step.requires {
             Some(label) if !self.labels.contains(label) => {
                 let field = format!("steps[{number}].requires");
@@ -77,3 +69,12 @@
         }
     }
 }
+
+fn check_amount(step: usize, name: &str, need: u64, most: u64) -> Result<()> {
+    if need <= most {
+        return Ok(());
+    }
+    let field = format!("steps[{step}].needs.{name}");
+    let problem = format!("{need} is more than any worker has; use at most {most}");
+    Err(Error::field(field, problem))
+}
