Count the room of runs whose job a new owner does not know

A job that has ended is not taken over, so that a run of it which the former owner was still stopping counted as nothing, and its room was given away.

Change: such a run takes its whole worker until it is gone.

Test: what_a_former_owner_was_stopping_takes_room; before: 4 running where 2 fit.

--- a/crates/jobs/src/scheduler/report.rs
+++ b/crates/jobs/src/scheduler/report.rs
@@ -240,7 +240,7 @@
     /// Takes in a run that the worker lists as running.
     fn take_run(&mut self, worker: &WorkerId, listed: &ListedRun, now: BootTime) {
         if !self.is_current(&listed.task, listed.run, worker) {
-            let reserved = self.reserved(&listed.task);
+            let reserved = self.reserved_by_orphan(worker, &listed.task);
             self.stop_orphan(worker, &listed.task, listed.run, reserved, now);
             return;
         }
@@ -253,6 +253,16 @@
         confirm_run(task, listed.percent, now);
     }
 
+    /// Returns what a run takes that is to be stopped: the whole worker if
+    /// its job is not known any more, as after a takeover.
+    fn reserved_by_orphan(&self, worker: &WorkerId, task: &TaskId) -> ResourceAmount {
+        if self.jobs.contains_key(&task.job) {
+            return self.reserved(task);
+        }
+        let view = self.fleet.get(worker).and_then(|entry| entry.view.as_ref());
+        view.map(|view| view.capacity).unwrap_or_default()
+    }
+
     /// Orders the stop of a run that belongs to no task any more.
     pub(super) fn stop_orphan(
         &mut self,
--- a/crates/jobs/tests/common/mod.rs
+++ b/crates/jobs/tests/common/mod.rs
@@ -195,6 +195,8 @@
     pub(crate) fence: u64,
     /// Orders that get no answer and are carried out later.
     pub(crate) late_orders: Vec<(BootTime, WorkerOrder)>,
+    /// How long workers take to stop what they were told to.
+    pub(crate) stop_delay: Option<time::Duration>,
     /// How late orders are carried out, if they are lost.
     pub(crate) lose_orders: Option<time::Duration>,
     /// The only worker that the advisor permits.
@@ -289,6 +291,7 @@
             fence: 1,
             late_orders: Vec::new(),
             lose_orders: None,
+            stop_delay: None,
             permitted: None,
             questions: Vec::new(),
         }
@@ -405,6 +408,12 @@
             self.answer(order, OrderOutcome::Unknown, None);
             return;
         }
+        let is_stop = matches!(order.action, OrderAction::Stop { .. });
+        if let Some(delay) = self.stop_delay.filter(|_| is_stop) {
+            self.late_orders.push((self.now + delay, order.clone()));
+            self.answer(order, OrderOutcome::Accepted, None);
+            return;
+        }
         let (outcome, report) = self.carry_out(order);
         self.answer(order, outcome, report);
     }
--- a/crates/jobs/tests/recovery.rs
+++ b/crates/jobs/tests/recovery.rs
@@ -112,6 +112,30 @@
     fleet.assert_no_double_run();
 }
 
+/// A job is cancelled, and before its tasks have stopped another process takes
+/// over, which knows nothing of the job any more: they still take room.
+#[test]
+fn what_a_former_owner_was_stopping_takes_room() {
+    let mut fleet = fleet_of(1);
+    let capacity = fleet.worker("w0").view.capacity.cpu_millis;
+    let old = fleet.submit("old", vec![step(2, capacity / 2)], 60_000);
+    fleet.run(300);
+    fleet.stop_delay = Some(time::Duration::from_millis(400));
+    let now = fleet.now;
+    fleet.scheduler.cancel(&old, now);
+    fleet.run(20);
+    fleet.jobs.remove(&old);
+    fleet.take_over(SchedulerSettings::default());
+    let new = fleet.submit("new", vec![step(2, capacity / 2)], 300);
+    for _ in 0..60 {
+        fleet.run(10);
+        let running = fleet.worker("w0").running.len();
+        assert!(running <= 2, "{running} at {:?}", fleet.now);
+    }
+    fleet.run(1_000);
+    assert_eq!(fleet.state(&new), JobState::Completed);
+}
+
 #[test]
 fn a_lost_order_that_is_carried_out_late_runs_nothing_twice() {
     let mut fleet = fleet_of(3);
