Order moves and upkeep through one function

Found by reading the whole change. order_move and order_upkeep were one frame written twice, and the facts of all machines were gathered 20 times a second for the wave planner although no wave asked for them: is_active, which says so, was never called.

Change: MachineOrder says what is ordered, one function sends it; the facts are gathered while a wave is active. Log lines as before. No change of behaviour: without an active wave the planner has nothing to do.

--- a/crates/engine/src/owner/machines.rs
+++ b/crates/engine/src/owner/machines.rs
@@ -1,6 +1,7 @@
 //! Drives the upkeep of machines and their moves between pools.
 
 use std::collections::BTreeMap;
+use std::fmt;
 use std::rc;
 
 use redwing_jobs::capacity::{CapacityAction, CapacityPlanner, PoolFact, PoolMachine};
@@ -28,19 +29,33 @@
 pub(super) enum MachineAnswer {
     /// The list, or nothing if there was no answer.
     Listed(Option<Vec<ListedMachine>>),
-    /// What became of an order to move; nothing if that is not known.
-    Moved {
+    /// What became of an order; nothing if that is not known.
+    Ordered {
         machine: MachineName,
-        worker: Option<WorkerId>,
-        pool: PoolName,
+        order: MachineOrder,
         outcome: Option<MachineOutcome>,
     },
-    /// What became of an order for upkeep; nothing if that is not known.
-    Upkeep {
-        wave: u64,
-        machine: MachineName,
-        outcome: Option<MachineOutcome>,
+}
+
+/// What a machine is ordered to do.
+#[derive(Debug)]
+pub(super) enum MachineOrder {
+    /// Join a pool; the worker on it ends.
+    Move {
+        worker: Option<WorkerId>,
+        pool: PoolName,
     },
+    /// Have the upkeep of a wave.
+    Upkeep(u64),
+}
+
+impl fmt::Display for MachineOrder {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Move { pool, .. } => write!(formatter, "move to {pool}"),
+            Self::Upkeep(wave) => write!(formatter, "upkeep of wave {wave}"),
+        }
+    }
 }
 
 /// Keeps the list of machines and gives the orders for their upkeep.
@@ -123,9 +138,11 @@
         if self.machines.is_empty() {
             return;
         }
-        let facts = self.facts(scheduler);
-        for action in self.planner.plan(&facts, now) {
-            self.act(parts, scheduler, action, now);
+        if self.planner.is_active() {
+            let facts = self.facts(scheduler);
+            for action in self.planner.plan(&facts, now) {
+                self.act(parts, scheduler, action, now);
+            }
         }
         if now >= self.next_capacity {
             self.next_capacity = now + parts.settings.capacity_interval;
@@ -156,7 +173,7 @@
                     machine,
                     worker,
                     pool,
-                } => self.order_move(machine, worker, pool),
+                } => self.order(machine, MachineOrder::Move { worker, pool }),
             }
         }
     }
@@ -178,20 +195,23 @@
         machines.collect()
     }
 
-    fn order_move(&self, machine: MachineName, worker: Option<WorkerId>, pool: PoolName) {
+    /// Sends an order in a task of its own.
+    fn order(&self, machine: MachineName, order: MachineOrder) {
         let client = rc::Rc::clone(&self.client);
         let answers = self.answers.clone();
         let node = self.node.clone();
         let fence = self.fence;
         tokio::task::spawn_local(async move {
             let holder = MachineHolder { name: &node, fence };
-            let answer = client.change_pool(holder, &machine, &pool).await;
-            let outcome = known_outcome(&machine, &format!("move to {pool}"), answer);
+            let answer = match &order {
+                MachineOrder::Move { pool, .. } => client.change_pool(holder, &machine, pool).await,
+                MachineOrder::Upkeep(wave) => client.begin_upkeep(holder, &machine, *wave).await,
+            };
+            let outcome = known_outcome(&machine, &order, answer);
             // The session may have ended in the meantime.
-            let _ = answers.send(MachineAnswer::Moved {
+            let _ = answers.send(MachineAnswer::Ordered {
                 machine,
-                worker,
-                pool,
+                order,
                 outcome,
             });
         });
@@ -244,7 +264,9 @@
                 scheduler.evict_long_running(&worker, now);
             }
             UpkeepAction::Release(worker) => scheduler.block_worker(&worker, false),
-            UpkeepAction::Order { wave, machine } => self.order_upkeep(wave, machine),
+            UpkeepAction::Order { wave, machine } => {
+                self.order(machine, MachineOrder::Upkeep(wave));
+            }
             UpkeepAction::Store { wave, state } => self.store_wave(parts, wave, state),
         }
     }
@@ -266,24 +288,6 @@
         self.rows.push(parts.codec.wave_status(wave, state));
     }
 
-    fn order_upkeep(&self, wave: u64, machine: MachineName) {
-        let client = rc::Rc::clone(&self.client);
-        let answers = self.answers.clone();
-        let node = self.node.clone();
-        let fence = self.fence;
-        tokio::task::spawn_local(async move {
-            let holder = MachineHolder { name: &node, fence };
-            let answer = client.begin_upkeep(holder, &machine, wave).await;
-            let outcome = known_outcome(&machine, &format!("upkeep of wave {wave}"), answer);
-            // The session may have ended in the meantime.
-            let _ = answers.send(MachineAnswer::Upkeep {
-                wave,
-                machine,
-                outcome,
-            });
-        });
-    }
-
     /// Takes in what came of a call.
     pub(super) fn answered(
         &mut self,
@@ -296,18 +300,17 @@
                 self.is_listing = false;
                 self.machines = machines.unwrap_or_else(|| std::mem::take(&mut self.machines));
             }
-            MachineAnswer::Moved {
+            MachineAnswer::Ordered {
                 machine,
-                worker,
-                pool,
+                order: MachineOrder::Move { worker, pool },
                 outcome,
             } => {
                 self.capacity.move_answered(&machine);
                 self.move_answered(scheduler, &machine, worker.as_ref(), &pool, outcome);
             }
-            MachineAnswer::Upkeep {
-                wave,
+            MachineAnswer::Ordered {
                 machine,
+                order: MachineOrder::Upkeep(wave),
                 outcome,
             } => self.upkeep_answered(wave, &machine, outcome, now),
         }
@@ -376,7 +379,7 @@
 /// Returns what became of an order; nothing if it may still be carried out.
 fn known_outcome(
     machine: &MachineName,
-    order: &str,
+    order: &MachineOrder,
     answer: redwing_provider::Result<MachineOutcome>,
 ) -> Option<MachineOutcome> {
     match answer {
