Bound a commit's wait in the table's client

Found by reading the whole change: accepts, claims and the owner's changes each wrapped the client's commit in a timeout and mapped its end to an unknown outcome. The client does that now (`commit_within`). In the log the step of such an error is "commit" in place of two names of its own; nothing else changes.

--- a/crates/engine/src/caller/answer.rs
+++ b/crates/engine/src/caller/answer.rs
@@ -10,8 +10,7 @@
 use redwing_jobs::{JobId, JobRecord, JobState, ProgressRecord};
 use redwing_provider::backoff::{BackoffSettings, RetryBackoff};
 use redwing_provider::{
-    CallCause, Category, CommitOutcome, Error as TableError, RowKey, TableClient, TableRow,
-    TableTransaction,
+    CallCause, Category, CommitOutcome, RowKey, TableClient, TableRow, TableTransaction,
 };
 use tokio::sync::watch;
 use tokio::time as timer;
@@ -273,14 +272,15 @@
         transaction: &TableTransaction,
         deadline: timer::Instant,
     ) -> WriteAttempt {
-        let limit = deadline.min(timer::Instant::now() + self.settings.attempt_limit);
-        let commit = self.client.commit(CallCause::Job, transaction.clone());
-        let error = match timer::timeout_at(limit, commit).await {
-            Ok(Ok(CommitOutcome::Committed(_) | CommitOutcome::Conflict(_))) => {
+        let left = deadline.saturating_duration_since(timer::Instant::now());
+        let limit = left.min(self.settings.attempt_limit);
+        let client = &self.client;
+        let commit = client.commit_within(CallCause::Job, transaction.clone(), limit);
+        let error = match commit.await {
+            Ok(CommitOutcome::Committed(_) | CommitOutcome::Conflict(_)) => {
                 return WriteAttempt::Stored;
             }
-            Ok(Err(error)) => error,
-            Err(_) => TableError::unknown("store a row", "table", "no answer yet"),
+            Err(error) => error,
         };
         log_job_event!(info, event::ROW_UNSTORED, row = name, error = error);
         if error.classify() == Category::Unknown {
--- a/crates/engine/src/owner/campaign.rs
+++ b/crates/engine/src/owner/campaign.rs
@@ -147,10 +147,12 @@
         None => transaction.require_absent(key.clone()),
     };
     let transaction = transaction.put(key.clone(), value.clone());
-    let commit = parts.client.commit(CallCause::Membership, transaction);
-    match timer::timeout(parts.settings.attempt_limit, commit).await {
-        Ok(Ok(CommitOutcome::Committed(version))) => Ok(OwnerLease { record, version }),
-        Ok(Ok(CommitOutcome::Conflict(_))) => Err(None),
-        Ok(Err(_)) | Err(_) => Err(Some(value)),
+    let limit = parts.settings.attempt_limit;
+    let client = &parts.client;
+    let commit = client.commit_within(CallCause::Membership, transaction, limit);
+    match commit.await {
+        Ok(CommitOutcome::Committed(version)) => Ok(OwnerLease { record, version }),
+        Ok(CommitOutcome::Conflict(_)) => Err(None),
+        Err(_) => Err(Some(value)),
     }
 }
--- a/crates/engine/src/owner/change.rs
+++ b/crates/engine/src/owner/change.rs
@@ -5,9 +5,7 @@
 
 use redwing_jobs::scheduler::ChangeSet;
 use redwing_provider::backoff::{BackoffSettings, RetryBackoff};
-use redwing_provider::{
-    CallCause, Category, CommitOutcome, Error as TableError, RowKey, TableClient, TableTransaction,
-};
+use redwing_provider::{CallCause, Category, CommitOutcome, RowKey, TableClient, TableTransaction};
 use tokio::time as timer;
 
 use crate::clock;
@@ -96,10 +94,16 @@
     let mut attempts = 0_u32;
     loop {
         attempts += 1;
-        let commit = client.commit(CallCause::Job, transaction.clone());
-        let error = match timer::timeout(limits.attempt, commit).await {
-            Err(_) => TableError::unknown("store a change", "table", "no answer yet"),
-            Ok(Err(error)) if error.classify() == Category::Refused => {
+        let commit = client.commit_within(CallCause::Job, transaction.clone(), limits.attempt);
+        let error = match commit.await {
+            Ok(CommitOutcome::Committed(version)) => {
+                return ChangeOutcome::Stored(OwnerLease {
+                    record: record.clone(),
+                    version,
+                });
+            }
+            Ok(CommitOutcome::Conflict(rows)) => return resolve(&rows, record),
+            Err(error) if error.classify() == Category::Refused => {
                 log_job_event!(
                     error,
                     event::CHANGE_DELAYED,
@@ -108,14 +112,7 @@
                 );
                 return ChangeOutcome::Lost("the table refused a change");
             }
-            Ok(Err(error)) => error,
-            Ok(Ok(CommitOutcome::Committed(version))) => {
-                return ChangeOutcome::Stored(OwnerLease {
-                    record: record.clone(),
-                    version,
-                });
-            }
-            Ok(Ok(CommitOutcome::Conflict(rows))) => return resolve(&rows, record),
+            Err(error) => error,
         };
         log_job_event!(
             warn,
--- a/crates/provider/src/client.rs
+++ b/crates/provider/src/client.rs
@@ -166,6 +166,24 @@
         answer.await.unwrap_or_else(|_| Err(lost()))
     }
 
+    /// Applies a transaction as [`TableClient::commit`] does, but waits for the
+    /// answer for `limit` only. The attempt itself goes on.
+    ///
+    /// # Errors
+    ///
+    /// Fails as `commit` does, and with category `Unknown` after the limit.
+    pub async fn commit_within(
+        &self,
+        cause: CallCause,
+        transaction: TableTransaction,
+        limit: time::Duration,
+    ) -> Result<CommitOutcome> {
+        let late = || Error::unknown("commit", PEER, "no answer yet");
+        let commit = self.commit(cause, transaction);
+        let answer = timer::timeout(limit, commit).await;
+        answer.unwrap_or_else(|_| Err(late()))
+    }
+
     /// Applies a transaction, and finds out by reading if the reply is lost.
     ///
     /// The transaction must write the row `proof` under a condition on that
