Remove an answer that nobody gives, and fold the arms of the log's set-up

Found by reading the whole change. The set-up of the log spelled each stream with each format; the format is chosen once now. No change of behaviour.

--- a/crates/engine/src/caller/listener.rs
+++ b/crates/engine/src/caller/listener.rs
@@ -262,9 +262,7 @@
         let headers = response.headers_mut();
         let json = HeaderValue::from_static("application/json");
         headers.insert(header::CONTENT_TYPE, json);
-        if let CallerAnswer::Overloaded { retry_after }
-        | CallerAnswer::Unavailable { retry_after } = answer
-        {
+        if let CallerAnswer::Unavailable { retry_after } = answer {
             let seconds = retry_after.as_secs_f64().ceil() as u64;
             headers.insert(header::RETRY_AFTER, HeaderValue::from(seconds.max(1)));
         }
--- a/crates/engine/src/codec.rs
+++ b/crates/engine/src/codec.rs
@@ -59,11 +59,6 @@
     NotAllowed,
     /// The request cannot be read, or asks for what cannot be served.
     Malformed(String),
-    /// Not accepted, because there is too much to do.
-    Overloaded {
-        /// When the caller may try again.
-        retry_after: time::Duration,
-    },
     /// Not accepted, because something that is needed does not answer.
     Unavailable {
         /// When the caller may try again.
@@ -86,7 +81,6 @@
             Self::KeyRefused => "key-refused",
             Self::NotAllowed => "not-allowed",
             Self::Malformed(_) => "malformed",
-            Self::Overloaded { .. } => "overloaded",
             Self::Unavailable { .. } => "unavailable",
             Self::OutcomeUnknown => "unknown",
         }
--- a/crates/engine/src/product.rs
+++ b/crates/engine/src/product.rs
@@ -146,7 +146,6 @@
             CallerAnswer::KeyRefused => not_run(401, "the key is not good for this queue"),
             CallerAnswer::NotAllowed => not_run(405, "this method means nothing here"),
             CallerAnswer::Malformed(message) => not_run(400, message),
-            CallerAnswer::Overloaded { .. } => not_run(429, "too much to do; come back later"),
             CallerAnswer::Unavailable { .. } => not_run(503, "the table does not answer"),
             CallerAnswer::OutcomeUnknown => {
                 let body = ProblemBody {
--- a/crates/node/src/log.rs
+++ b/crates/node/src/log.rs
@@ -4,6 +4,7 @@
 use std::str;
 
 use log::LevelFilter;
+use logforth::Layout;
 use logforth::append;
 use logforth::bridge;
 use logforth::filter::rustlog;
@@ -64,24 +65,17 @@
     // Libraries report only what needs attention.
     let spec = format!("warn,redwing_node={level},redwing_engine={level},redwing_adapter={level}");
     let filter = rustlog::RustLogFilterBuilder::from_spec(spec).build();
-    let text = layout::TextLayout::default().no_color();
-    let json = layout::JsonLayout::default();
+    let layout: Box<dyn Layout> = match format {
+        LogFormat::Text => Box::new(layout::TextLayout::default().no_color()),
+        LogFormat::Json => Box::new(layout::JsonLayout::default()),
+    };
     let logger = logforth::core::builder()
         .dispatch(|dispatch| {
             let dispatch = dispatch.filter(filter);
-            match (stream, format) {
-                (LogStream::Error, LogFormat::Text) => {
-                    dispatch.append(append::Stderr::default().with_layout(text))
-                }
-                (LogStream::Error, LogFormat::Json) => {
-                    dispatch.append(append::Stderr::default().with_layout(json))
-                }
-                (LogStream::Output, LogFormat::Text) => {
-                    let output = append::Stdout::default().with_layout(text);
-                    dispatch.append(DetachedOutput::start(output))
-                }
-                (LogStream::Output, LogFormat::Json) => {
-                    let output = append::Stdout::default().with_layout(json);
+            match stream {
+                LogStream::Error => dispatch.append(append::Stderr::default().with_layout(layout)),
+                LogStream::Output => {
+                    let output = append::Stdout::default().with_layout(layout);
                     dispatch.append(DetachedOutput::start(output))
                 }
             }
