Record a machine as ordered before its maintenance is ordered

A changed wave was ignored, and a machine listed twice was counted twice.

Change: the record of a wave names the machines that may have been ordered; it is stored before the orders are sent, and a new owner counts them as down and repeats their orders. Orders wait while the ownership is unconfirmed, and only a change sent after a pause confirms it again. A machine that is missing from the list is ordered after a while: the response shows whether it exists. A changed wave is applied.

Ruled out: waiting after a takeover for orders to expire (no bound is known).

--- a/crates/engine/src/owner/machines.rs
+++ b/crates/engine/src/owner/machines.rs
@@ -58,7 +58,18 @@
     }
 }
 
+/// Order that has not been sent yet.
+#[derive(Debug)]
+struct PendingOrder {
+    machine: MachineName,
+    order: MachineOrder,
+}
+
 /// Keeps the list of machines and orders their maintenance and moves.
+///
+/// A maintenance order passes through three queues: until the rows that record it
+/// are taken, until they are stored, and until the ownership is confirmed. A move
+/// only waits for the confirmation.
 pub(super) struct MachineService {
     client: rc::Rc<dyn MachineClient>,
     responses: mpsc::UnboundedSender<MachineResponse>,
@@ -73,6 +84,12 @@
     next_list_at: BootTime,
     /// Rows to store with the next change.
     rows: Vec<EncodedRow>,
+    /// Orders whose rows are among `rows`.
+    unstored_orders: Vec<PendingOrder>,
+    /// Orders whose rows are being stored.
+    storing_orders: Vec<PendingOrder>,
+    /// Orders to be sent while the ownership is confirmed.
+    ready_orders: Vec<PendingOrder>,
     /// Whether an order was rejected because a newer owner exists.
     is_fenced: bool,
 }
@@ -96,6 +113,9 @@
             is_listing: false,
             next_list_at: BootTime::default(),
             rows: Vec::new(),
+            unstored_orders: Vec::new(),
+            storing_orders: Vec::new(),
+            ready_orders: Vec::new(),
             is_fenced: false,
         }
     }
@@ -117,10 +137,24 @@
         !self.rows.is_empty()
     }
 
+    /// Returns the rows to store next. The previous ones must have been stored.
     pub(super) fn take_rows(&mut self) -> Vec<EncodedRow> {
+        self.storing_orders.append(&mut self.unstored_orders);
         std::mem::take(&mut self.rows)
     }
 
+    /// Handles that the rows taken last are stored.
+    pub(super) fn rows_stored(&mut self) {
+        self.ready_orders.append(&mut self.storing_orders);
+    }
+
+    /// Sends the orders that are ready; the ownership must be confirmed.
+    pub(super) fn send_ready_orders(&mut self) {
+        for pending in std::mem::take(&mut self.ready_orders) {
+            self.send_order(pending.machine, pending.order);
+        }
+    }
+
     /// Adds the waves that operators requested, with their stored records.
     pub(super) fn add_waves(
         &mut self,
@@ -134,7 +168,7 @@
         }
     }
 
-    /// Lists the machines and sends the orders that are due.
+    /// Lists the machines and plans the orders that are due.
     pub(super) fn tick(
         &mut self,
         dependencies: &OwnerDependencies,
@@ -142,7 +176,7 @@
         now: BootTime,
     ) {
         self.list_if_due(&dependencies.settings, now);
-        if self.machines.is_empty() {
+        if self.machines.is_empty() || !self.ready_orders.is_empty() {
             return;
         }
         if self.wave_planner.is_active() {
@@ -185,7 +219,10 @@
                     machine,
                     worker,
                     pool,
-                } => self.send_order(machine, MachineOrder::Move { worker, pool }),
+                } => self.ready_orders.push(PendingOrder {
+                    machine,
+                    order: MachineOrder::Move { worker, pool },
+                }),
             }
         }
     }
@@ -282,7 +319,10 @@
             }
             MaintenanceAction::Release(worker) => scheduler.block_worker(&worker, false),
             MaintenanceAction::Order { wave, machine } => {
-                self.send_order(machine, MachineOrder::Maintenance(wave));
+                self.unstored_orders.push(PendingOrder {
+                    machine,
+                    order: MachineOrder::Maintenance(wave),
+                });
             }
             MaintenanceAction::Store { wave, state } => self.store_wave(dependencies, wave, state),
         }
@@ -382,7 +422,7 @@
             }
             Some(MachineOutcome::Fenced) => self.is_fenced = true,
             Some(MachineOutcome::Busy | MachineOutcome::Throttled) => {
-                self.wave_planner.order_rejected(wave, machine);
+                self.wave_planner.order_rejected(wave, machine, now);
             }
             Some(MachineOutcome::NotInWave | MachineOutcome::Invalid) => {
                 self.wave_planner.order_unneeded(wave, machine);
--- a/crates/engine/src/owner/session.rs
+++ b/crates/engine/src/owner/session.rs
@@ -96,9 +96,10 @@
     deferred_orders: Vec<WorkerOrder>,
     /// When the latest successful change was sent.
     confirmed_at: BootTime,
-    /// Whether a change must succeed before orders are sent: the process was
-    /// paused, or no change succeeded for longer than `unconfirmed_limit`.
-    must_confirm: bool,
+    /// Since when a change that was sent later must succeed before orders are sent:
+    /// the process was paused, or no change succeeded for longer than
+    /// `unconfirmed_limit`. None while the ownership is confirmed.
+    unconfirmed_since: Option<BootTime>,
 }
 
 impl<'a> OwnerSession<'a> {
@@ -156,7 +157,7 @@
             grown_capacity_row: None,
             deferred_orders: Vec::new(),
             confirmed_at: renewed_at,
-            must_confirm: false,
+            unconfirmed_since: None,
             lease,
         };
         session.apply_operator_view();
@@ -268,7 +269,7 @@
     fn handle_pause(&mut self, now: BootTime, last_loop: BootTime) {
         let paused = now.saturating_since(last_loop);
         log_job_event!(warn, event::PAUSE_NOTICED, millis = paused.as_millis());
-        self.must_confirm = true;
+        self.unconfirmed_since = Some(now);
     }
 
     fn schedule(&mut self, now: BootTime) {
@@ -280,16 +281,23 @@
         self.start_change(now);
         self.log_events();
         let unconfirmed = now.saturating_since(self.confirmed_at);
-        self.must_confirm |= unconfirmed > self.dependencies.settings.unconfirmed_limit;
-        let orders = self.scheduler.take_orders();
-        if self.must_confirm {
-            self.deferred_orders.extend(orders);
-            return;
+        if unconfirmed > self.dependencies.settings.unconfirmed_limit {
+            self.unconfirmed_since.get_or_insert(now);
+        }
+        self.deferred_orders.extend(self.scheduler.take_orders());
+        if self.unconfirmed_since.is_none() {
+            self.send_orders();
         }
-        for order in orders {
+    }
+
+    /// Sends the orders to workers and for machines; the ownership must be
+    /// confirmed.
+    fn send_orders(&mut self) {
+        for order in std::mem::take(&mut self.deferred_orders) {
             self.dependencies.metrics.count_order(order.action.kind());
             self.order_queues.send(order);
         }
+        self.machines.send_ready_orders();
     }
 
     fn tick(&mut self) {
@@ -308,7 +316,7 @@
         let settings = &self.dependencies.settings;
         let is_due = now.saturating_since(self.renewed_at) >= settings.renewal_interval;
         let has_changes = self.scheduler.has_changes() || self.machines.has_rows();
-        if !has_changes && !is_due && !self.must_confirm {
+        if !has_changes && !is_due && self.unconfirmed_since.is_none() {
             return;
         }
         let changes = self.scheduler.take_changes();
@@ -405,10 +413,9 @@
             self.pending_counts = pending_counts;
         }
         self.confirmed_at = self.renewed_at;
-        self.must_confirm = false;
-        for order in std::mem::take(&mut self.deferred_orders) {
-            self.order_queues.send(order);
-        }
+        let sent_at = self.renewed_at;
+        self.unconfirmed_since.take_if(|since| *since <= sent_at);
+        self.machines.rows_stored();
         self.scheduler.changes_stored(&pending.changes, now);
         None
     }
--- a/crates/engine/tests/common/mod.rs
+++ b/crates/engine/tests/common/mod.rs
@@ -20,8 +20,8 @@
 use redwing_provider::{
     CommitOutcome, LocalFuture, RowKey, TableClient, TableStore, TableTransaction,
 };
-use redwing_standin::worker::{NoAdvisor, NoMachines};
-use redwing_standin::{MemoryPlatform, MemoryWorkers};
+use redwing_standin::worker::NoAdvisor;
+use redwing_standin::{MemoryMachines, MemoryPlatform, MemoryWorkers};
 use tokio::sync::watch;
 use tokio::task;
 use tokio::time as timer;
@@ -108,6 +108,7 @@
 pub(crate) struct TestCluster {
     pub(crate) platform: MemoryPlatform,
     pub(crate) workers: MemoryWorkers,
+    pub(crate) machines: MemoryMachines,
     pub(crate) processes: Vec<TestProcess>,
     /// Table calls that get no response.
     pub(crate) lost_calls: rc::Rc<cell::Cell<LostCalls>>,
@@ -123,6 +124,7 @@
         let mut cluster = Self {
             platform,
             workers,
+            machines: MemoryMachines::default(),
             processes: Vec::new(),
             lost_calls: rc::Rc::default(),
         };
@@ -165,7 +167,7 @@
             }),
             workers: rc::Rc::new(self.workers.clone()),
             advisor: rc::Rc::new(NoAdvisor),
-            machines: rc::Rc::new(NoMachines),
+            machines: rc::Rc::new(self.machines.clone()),
         };
         let client = TableClient::new(rc::Rc::clone(&services.table), run::client_settings());
         let codec = sync::Arc::new(ProductCodec);
--- a/crates/engine/tests/owner.rs
+++ b/crates/engine/tests/owner.rs
@@ -2,6 +2,7 @@
 //! during failures of the owner, the table or workers.
 
 mod common;
+mod maintenance;
 
 use std::time;
 
--- /dev/null
+++ b/crates/jobs/src/maintenance/wave.rs
@@ -0,0 +1,400 @@
+//! Progress of one wave: the stages of its machines.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use crate::name::{MachineName, WorkerId};
+use crate::time::BootTime;
+
+use super::{
+    MachineStatus, MaintenanceAction, MaintenanceRecord, MaintenanceSettings, WaveRequest,
+    WaveState, WorkerLoad,
+};
+
+/// Stage of a machine in its wave.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+enum MachineStage {
+    #[default]
+    Waiting,
+    /// New tasks are blocked on the worker, if the machine has one.
+    Prepared(Option<WorkerId>),
+    /// Maintenance was ordered, and whether it has begun is unknown; with the time
+    /// of the latest order of this owner, if any.
+    Ordered(Option<BootTime>),
+    /// Maintenance has begun.
+    Down(BootTime),
+}
+
+/// Machine of a wave whose maintenance is not done.
+#[derive(Clone, Debug, Default)]
+struct MachineEntry {
+    stage: MachineStage,
+    /// Since when the list has left the machine out.
+    absent_since: Option<BootTime>,
+    /// When the machine may be ordered again after a rejected order.
+    not_before: BootTime,
+}
+
+impl MachineEntry {
+    /// Returns whether the machine is down, or may be.
+    fn counts_as_down(&self) -> bool {
+        matches!(self.stage, MachineStage::Ordered(_) | MachineStage::Down(_))
+    }
+
+    fn is_prepared(&self) -> bool {
+        matches!(self.stage, MachineStage::Prepared(_))
+    }
+
+    fn is_waiting(&self, now: BootTime) -> bool {
+        self.stage == MachineStage::Waiting && self.not_before <= now
+    }
+
+    /// Updates the stage of a listed machine; returns whether its maintenance is done.
+    fn update_listed(
+        &mut self,
+        status: &MachineStatus,
+        settings: &MaintenanceSettings,
+        now: BootTime,
+    ) -> bool {
+        self.absent_since = None;
+        match &self.stage {
+            MachineStage::Down(since) => {
+                status.is_up && now.saturating_since(*since) >= settings.maintenance_time
+            }
+            MachineStage::Waiting | MachineStage::Prepared(_) if status.is_in_maintenance => {
+                // An earlier owner ordered it.
+                self.stage = MachineStage::Down(now);
+                false
+            }
+            _ => false,
+        }
+    }
+
+    /// Updates the stage of a machine that the list leaves out; returns whether its
+    /// maintenance is done.
+    fn update_absent(&mut self, settings: &MaintenanceSettings, now: BootTime) -> bool {
+        self.absent_since.get_or_insert(now);
+        match &self.stage {
+            MachineStage::Down(since) => {
+                let down_time = settings.maintenance_time + settings.listing_lag;
+                now.saturating_since(*since) >= down_time
+            }
+            _ => false,
+        }
+    }
+}
+
+/// Wave with the stages of the machines whose maintenance is not done.
+#[derive(Clone, Debug)]
+pub(super) struct WaveEntry {
+    request: WaveRequest,
+    record: MaintenanceRecord,
+    started_at: BootTime,
+    machines: BTreeMap<MachineName, MachineEntry>,
+    /// Blocked workers of machines that were removed from the wave.
+    released_workers: Vec<WorkerId>,
+    /// Whether the latest progress was passed on to be stored.
+    is_reported: bool,
+}
+
+impl WaveEntry {
+    /// Creates the entry of a wave that started at `started_at`, with its stored
+    /// progress.
+    pub(super) fn new(
+        request: &WaveRequest,
+        record: MaintenanceRecord,
+        started_at: BootTime,
+    ) -> Self {
+        let ordered = record.ordered.iter().map(|name| {
+            let entry = MachineEntry {
+                stage: MachineStage::Ordered(None),
+                ..MachineEntry::default()
+            };
+            (name.clone(), entry)
+        });
+        let mut entry = Self {
+            machines: ordered.collect(),
+            request: request.clone(),
+            record,
+            started_at,
+            released_workers: Vec::new(),
+            is_reported: false,
+        };
+        entry.add_requested_machines();
+        entry
+    }
+
+    /// Applies an operator's changes to the wave. Machines that were removed and
+    /// may be down stay until their maintenance is done.
+    pub(super) fn update_request(&mut self, request: &WaveRequest) {
+        if self.request == *request {
+            return;
+        }
+        self.request = request.clone();
+        self.is_reported = false;
+        let requested: BTreeSet<&MachineName> = request.machines.iter().collect();
+        let released_workers = &mut self.released_workers;
+        self.machines.retain(|name, machine| {
+            if requested.contains(name) || machine.counts_as_down() {
+                return true;
+            }
+            if let MachineStage::Prepared(worker) = &mut machine.stage {
+                released_workers.extend(worker.take());
+            }
+            false
+        });
+        self.add_requested_machines();
+    }
+
+    fn add_requested_machines(&mut self) {
+        for name in &self.request.machines {
+            if !self.record.done.contains(name) {
+                self.machines.entry(name.clone()).or_default();
+            }
+        }
+    }
+
+    pub(super) fn record(&self) -> &MaintenanceRecord {
+        &self.record
+    }
+
+    pub(super) fn is_active(&self) -> bool {
+        !self.machines.is_empty() || !self.is_reported
+    }
+
+    pub(super) fn is_under_maintenance(&self, machine: &MachineName) -> bool {
+        let entry = self.machines.get(machine);
+        entry.is_some_and(|entry| entry.stage != MachineStage::Waiting)
+    }
+
+    pub(super) fn order_accepted(&mut self, machine: &MachineName, now: BootTime) {
+        if let Some(entry) = self.machines.get_mut(machine) {
+            entry.stage = MachineStage::Down(now);
+        }
+    }
+
+    /// Returns a machine to the waiting ones, to be ordered again from `retry_at`.
+    pub(super) fn order_rejected(&mut self, machine: &MachineName, retry_at: BootTime) {
+        if let Some(entry) = self.machines.get_mut(machine) {
+            entry.stage = MachineStage::Waiting;
+            entry.absent_since = None;
+            entry.not_before = retry_at;
+            self.record.ordered.remove(machine);
+        }
+    }
+
+    /// Removes a machine whose maintenance is done or that needs none.
+    pub(super) fn finish_machine(&mut self, machine: &MachineName) {
+        self.machines.remove(machine);
+        self.record.ordered.remove(machine);
+        self.record.done.insert(machine.clone());
+        self.is_reported = false;
+    }
+
+    /// Adds the next actions for the wave.
+    pub(super) fn plan(
+        &mut self,
+        settings: &MaintenanceSettings,
+        statuses: &BTreeMap<MachineName, MachineStatus>,
+        now: BootTime,
+        actions: &mut Vec<MaintenanceAction>,
+    ) {
+        let released_workers = self.released_workers.drain(..);
+        actions.extend(released_workers.map(MaintenanceAction::Release));
+        if !statuses.is_empty() {
+            self.update_stages(settings, statuses, now);
+            self.prepare_machines(settings, statuses, now, actions);
+            self.order_prepared(settings, statuses, now, actions);
+            self.order_absent(settings, now, actions);
+            self.repeat_orders(settings, now, actions);
+        }
+        if !self.is_reported {
+            self.is_reported = true;
+            actions.push(MaintenanceAction::Store {
+                wave: self.request.number,
+                state: self.state(),
+            });
+        }
+    }
+
+    fn state(&self) -> WaveState {
+        if self.remaining_count() == 0 {
+            WaveState::Completed
+        } else {
+            WaveState::Running
+        }
+    }
+
+    /// Returns the number of requested machines whose maintenance is not done.
+    fn remaining_count(&self) -> usize {
+        let requested: BTreeSet<&MachineName> = self.request.machines.iter().collect();
+        let done = &self.record.done;
+        let remaining = requested.into_iter().filter(|name| !done.contains(*name));
+        remaining.count()
+    }
+
+    fn down_count(&self) -> u32 {
+        let machines = self.machines.values();
+        machines.filter(|entry| entry.counts_as_down()).count() as u32
+    }
+
+    /// Returns whether there is no time left to wait for running tasks.
+    fn is_behind_schedule(&self, settings: &MaintenanceSettings, now: BootTime) -> bool {
+        let rounds = (self.remaining_count() as u32).div_ceil(self.request.max_down.max(1));
+        let needed = (settings.maintenance_time + settings.listing_lag) * rounds + settings.reserve;
+        let elapsed = now.saturating_since(self.started_at);
+        elapsed + needed > self.request.duration
+    }
+
+    /// Updates the stages of machines that are down, up again or not listed.
+    fn update_stages(
+        &mut self,
+        settings: &MaintenanceSettings,
+        statuses: &BTreeMap<MachineName, MachineStatus>,
+        now: BootTime,
+    ) {
+        let mut done = Vec::new();
+        for (name, machine) in &mut self.machines {
+            let is_done = match statuses.get(name) {
+                Some(status) => machine.update_listed(status, settings, now),
+                None => machine.update_absent(settings, now),
+            };
+            if is_done {
+                done.push(name.clone());
+            }
+        }
+        for name in done {
+            self.finish_machine(&name);
+        }
+    }
+
+    /// Blocks new tasks on the machines that go next.
+    fn prepare_machines(
+        &mut self,
+        settings: &MaintenanceSettings,
+        statuses: &BTreeMap<MachineName, MachineStatus>,
+        now: BootTime,
+        actions: &mut Vec<MaintenanceAction>,
+    ) {
+        let target_count = self.request.max_down + settings.prepared_ahead;
+        let prepared = self.machines.values().filter(|entry| entry.is_prepared());
+        let in_progress = self.down_count() + prepared.count() as u32;
+        let shortfall = target_count.saturating_sub(in_progress) as usize;
+        let waiting = self
+            .machines
+            .iter()
+            .filter(|(_, entry)| entry.is_waiting(now));
+        let mut next: Vec<(WorkerLoad, MachineName)> = waiting
+            .filter_map(|(name, _)| {
+                let status = statuses.get(name).filter(|status| status.is_up)?;
+                Some((status.load, name.clone()))
+            })
+            .collect();
+        next.sort_by_key(|(load, name)| (load.long_running, load.finite, name.clone()));
+        for (_, name) in next.into_iter().take(shortfall) {
+            let worker = statuses.get(&name).and_then(|status| status.worker.clone());
+            if let Some(worker) = &worker {
+                actions.push(MaintenanceAction::Prepare(worker.clone()));
+            }
+            if let Some(entry) = self.machines.get_mut(&name) {
+                entry.stage = MachineStage::Prepared(worker);
+            }
+        }
+    }
+
+    /// Orders the maintenance of prepared machines that have no tasks left to wait
+    /// for.
+    fn order_prepared(
+        &mut self,
+        settings: &MaintenanceSettings,
+        statuses: &BTreeMap<MachineName, MachineStatus>,
+        now: BootTime,
+        actions: &mut Vec<MaintenanceAction>,
+    ) {
+        let is_behind = self.is_behind_schedule(settings, now);
+        let mut ready = Vec::new();
+        for (name, machine) in &mut self.machines {
+            let MachineStage::Prepared(worker) = &mut machine.stage else {
+                continue;
+            };
+            let status = statuses.get(name);
+            let status = status.filter(|status| status.is_up && status.worker == *worker);
+            let Some(status) = status else {
+                // The worker moved or was replaced; the machine is prepared again.
+                actions.extend(worker.take().map(MaintenanceAction::Release));
+                machine.stage = MachineStage::Waiting;
+                continue;
+            };
+            let load = status.load;
+            if load.long_running == 0 && (load.finite == 0 || is_behind) {
+                ready.push(name.clone());
+            } else {
+                actions.extend(worker.clone().map(MaintenanceAction::Prepare));
+            }
+        }
+        self.order_within_limit(ready, now, actions);
+    }
+
+    /// Orders the maintenance of machines that the list has left out for long: the
+    /// response shows whether they exist.
+    fn order_absent(
+        &mut self,
+        settings: &MaintenanceSettings,
+        now: BootTime,
+        actions: &mut Vec<MaintenanceAction>,
+    ) {
+        let is_due = |entry: &MachineEntry| {
+            let absent = entry.absent_since;
+            let is_absent =
+                absent.is_some_and(|since| now.saturating_since(since) >= settings.absence_limit);
+            is_absent && entry.is_waiting(now)
+        };
+        let absent = self.machines.iter().filter(|(_, entry)| is_due(entry));
+        let absent: Vec<MachineName> = absent.map(|(name, _)| name.clone()).collect();
+        self.order_within_limit(absent, now, actions);
+    }
+
+    /// Orders as many of the machines as the limit allows, and records them first.
+    fn order_within_limit(
+        &mut self,
+        names: Vec<MachineName>,
+        now: BootTime,
+        actions: &mut Vec<MaintenanceAction>,
+    ) {
+        let free = self.request.max_down.saturating_sub(self.down_count());
+        for name in names.into_iter().take(free as usize) {
+            if let Some(entry) = self.machines.get_mut(&name) {
+                entry.stage = MachineStage::Ordered(Some(now));
+            }
+            self.record.ordered.insert(name.clone());
+            self.is_reported = false;
+            actions.push(MaintenanceAction::Order {
+                wave: self.request.number,
+                machine: name,
+            });
+        }
+    }
+
+    /// Repeats the orders that got no response, and those of an earlier owner.
+    fn repeat_orders(
+        &mut self,
+        settings: &MaintenanceSettings,
+        now: BootTime,
+        actions: &mut Vec<MaintenanceAction>,
+    ) {
+        for (name, entry) in &mut self.machines {
+            let MachineStage::Ordered(latest) = &mut entry.stage else {
+                continue;
+            };
+            let is_pending =
+                latest.is_some_and(|at| now.saturating_since(at) < settings.order_retry_interval);
+            if is_pending {
+                continue;
+            }
+            *latest = Some(now);
+            actions.push(MaintenanceAction::Order {
+                wave: self.request.number,
+                machine: name.clone(),
+            });
+        }
+    }
+}
--- a/crates/jobs/tests/maintenance.rs
+++ b/crates/jobs/tests/maintenance.rs
@@ -28,8 +28,11 @@
     wave_states: Vec<WaveState>,
     maintenance_counts: BTreeMap<MachineName, u32>,
     prepared_workers: Vec<WorkerId>,
+    released_workers: Vec<WorkerId>,
     /// Whether orders are executed and their responses lost.
     loses_responses: bool,
+    /// Progress of the wave as last stored.
+    stored: MaintenanceRecord,
 }
 
 fn wave_request(machine_count: usize, max_down: u32) -> WaveRequest {
@@ -67,7 +70,9 @@
             wave_states: Vec::new(),
             maintenance_counts: BTreeMap::new(),
             prepared_workers: Vec::new(),
+            released_workers: Vec::new(),
             loses_responses: false,
+            stored: MaintenanceRecord::default(),
         }
     }
 
@@ -104,22 +109,33 @@
                     Some(WorkerId::new(&format!("{machine}-{}", now.as_millis())));
             }
         }
-        for action in self.planner.plan(&self.machine_statuses, now) {
+        let actions = self.planner.plan(&self.machine_statuses, now);
+        for action in &actions {
+            if let MaintenanceAction::Store { wave, state } = action {
+                self.wave_states.push(*state);
+                self.stored = self.planner.record(*wave).cloned().unwrap_or_default();
+            }
+        }
+        for action in actions {
             match action {
                 MaintenanceAction::Order { wave, machine } => self.execute_order(wave, &machine),
-                MaintenanceAction::Store { state, .. } => self.wave_states.push(state),
+                MaintenanceAction::Store { .. } => {}
                 MaintenanceAction::Prepare(worker) => self.prepared_workers.push(worker),
-                MaintenanceAction::Release(_) => {}
+                MaintenanceAction::Release(worker) => self.released_workers.push(worker),
             }
         }
         self.max_down_count = self.max_down_count.max(self.down_until.len());
     }
 
     fn execute_order(&mut self, wave: u64, machine: &MachineName) {
-        let machine_status = self
-            .machine_statuses
-            .get_mut(machine)
-            .expect("the machine exists");
+        assert!(
+            self.stored.ordered.contains(machine),
+            "{machine} was ordered before that was stored"
+        );
+        let Some(machine_status) = self.machine_statuses.get_mut(machine) else {
+            self.planner.order_unneeded(wave, machine);
+            return;
+        };
         if machine_status.is_up && !self.maintenance_counts.contains_key(machine) {
             *self.maintenance_counts.entry(machine.clone()).or_default() += 1;
             machine_status.is_up = false;
@@ -234,3 +250,78 @@
     machines.advance(time::Duration::from_secs(5));
     assert!(machines.is_completed());
 }
+
+/// The list leaves out a machine for a while, as one that is read page by page
+/// does while other machines leave.
+#[test]
+fn a_wave_is_not_completed_while_a_machine_is_missing_from_the_list() {
+    let mut machines = FakeMachines::new(3);
+    let missing = machines
+        .machine_statuses
+        .remove(&machine_name(1))
+        .expect("the machine exists");
+    machines.add_wave(&wave_request(3, 3), None);
+    machines.advance(time::Duration::from_millis(1_000));
+    machines.machine_statuses.insert(machine_name(1), missing);
+    machines.advance(time::Duration::from_secs(5));
+    assert!(machines.is_completed());
+    assert_eq!(machines.maintenance_counts.len(), 3);
+}
+
+/// An earlier owner recorded an order whose outcome it did not learn: the machine
+/// counts as down until a repeated order shows the outcome.
+#[test]
+fn an_order_of_an_earlier_owner_counts_as_down() {
+    let mut machines = FakeMachines::new(3);
+    let record = MaintenanceRecord {
+        begun: WallTime::from_millis(machines.now.as_millis()),
+        ordered: [machine_name(2)].into(),
+        ..MaintenanceRecord::default()
+    };
+    machines.loses_responses = true;
+    machines.stored = record.clone();
+    machines.add_wave(&wave_request(3, 1), Some(record));
+    machines.advance(time::Duration::from_secs(1));
+    assert_eq!(
+        machines.maintenance_counts.keys().collect::<Vec<_>>(),
+        [&machine_name(2)]
+    );
+    machines.loses_responses = false;
+    machines.advance(time::Duration::from_secs(16));
+    assert!(machines.is_completed());
+    assert_eq!(machines.max_down_count, 1);
+}
+
+#[test]
+fn machines_that_are_named_twice_are_maintained_once() {
+    let mut machines = FakeMachines::new(3);
+    let mut request = wave_request(3, 1);
+    request.machines.extend_from_within(..);
+    machines.add_wave(&request, None);
+    machines.advance(time::Duration::from_secs(14));
+    assert!(machines.is_completed());
+    assert!(
+        machines
+            .maintenance_counts
+            .values()
+            .all(|count| *count == 1)
+    );
+}
+
+/// Machines that were removed from a wave do not go down any more, and their
+/// workers may get tasks again.
+#[test]
+fn a_machine_removed_from_a_wave_is_released() {
+    let mut machines = FakeMachines::new(3);
+    machines.load(1).finite = 1;
+    machines.load(2).finite = 1;
+    machines.add_wave(&wave_request(3, 3), None);
+    machines.advance(time::Duration::from_secs(1));
+    let mut request = wave_request(2, 3);
+    request.number = 1;
+    machines.add_wave(&request, None);
+    machines.advance(time::Duration::from_secs(18));
+    assert!(machines.is_completed());
+    assert!(!machines.maintenance_counts.contains_key(&machine_name(2)));
+    assert_eq!(machines.released_workers, [WorkerId::new("w2")]);
+}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -3,8 +3,8 @@
 //! A [`MemoryPlatform`] keeps the table, objects and VM list in memory and
 //! injects faults on request. [`server::serve`] exposes it over HTTP to other
 //! processes, which call it through an [`HttpPlatform`]. [`MemoryWorkers`]
-//! simulate the workers of one pool, and [`backend::start`] starts backend
-//! servers.
+//! simulate the workers of one pool, [`MemoryMachines`] the platform's machine
+//! service, and [`backend::start`] starts backend servers.
 //!
 //! # Examples
 //!
@@ -23,11 +23,13 @@
 pub mod backend;
 pub mod client;
 pub mod fault;
+pub mod machine;
 pub mod memory;
 pub mod server;
 pub mod worker;
 
 pub use client::HttpPlatform;
 pub use fault::FaultPlan;
+pub use machine::{MachineFault, MemoryMachines};
 pub use memory::{MemoryPlatform, MemorySettings};
 pub use worker::{MemoryWorkers, WorkerFault};
