Keep the order of waiting jobs instead of computing it in each round

Cause: each change started a round over all pools, which ranked every waiting job, copied every worker and looked at each reservation of each of them. With 600 waiting jobs on 540 workers a round took 2.3 ms, with 4,000 14.5 ms, and an owner has 0.5 cores: from some backlog on it placed fewer tasks than arrived, and the backlog never went away.

Change: module waiting keeps the jobs of each pool in the order of their rank and moves those that have become late; only pools that changed get a round; a job that needs more than any worker has free is skipped without a look at a worker; the tasks of a step that fit nowhere are tried once. Workers are indexed by pool and know what long-running tasks reserve.

--- a/crates/jobs/src/scheduler/advice.rs
+++ b/crates/jobs/src/scheduler/advice.rs
@@ -171,7 +171,7 @@
             return;
         };
         advice.requested_at = None;
-        self.needs_placement = true;
+        self.waiting.mark_all_changed();
         let Some(response) = response else {
             return;
         };
--- a/crates/jobs/src/scheduler/entry.rs
+++ b/crates/jobs/src/scheduler/entry.rs
@@ -4,7 +4,7 @@
 
 use crate::name::{JobId, TaskId, WorkerId};
 use crate::record::{JobRecord, JobState, OccurrenceRecord, ProgressRecord, TaskRecord};
-use crate::spec::{JobSpec, MAX_TASKS, StepSpec};
+use crate::spec::{JobSpec, MAX_TASKS, ResourceAmount, StepSpec};
 use crate::time::BootTime;
 
 /// Worker on which a run is, or may be.
@@ -282,19 +282,6 @@
         self.begun < self.record.spec.occurrences()
     }
 
-    /// Returns whether a ready task has no run.
-    pub(super) fn has_waiting(&self) -> bool {
-        if self.state.is_final() {
-            return false;
-        }
-        self.occurrences.iter().any(|occurrence| {
-            let steps = occurrence.steps.iter().zip(&self.record.spec.steps);
-            steps
-                .into_iter()
-                .any(|(step, spec)| step.has_idle() && occurrence.is_ready(spec))
-        })
-    }
-
     /// Returns the processor that waiting tasks request, in thousandths of a core.
     pub(super) fn waiting_cpu(&self) -> u64 {
         let steps = self.waiting_steps();
@@ -303,6 +290,17 @@
             .sum()
     }
 
+    /// Returns the least amount of each resource that a waiting task needs; none if
+    /// no task waits.
+    pub(super) fn smallest_need(&self) -> Option<ResourceAmount> {
+        if self.state.is_final() {
+            return None;
+        }
+        let steps = self.waiting_steps().filter(|(count, _)| *count > 0);
+        let needs = steps.map(|(_, spec)| spec.reserved());
+        needs.reduce(|one, other| one.component_min(&other))
+    }
+
     /// Returns the number of ready tasks that have no run.
     pub(super) fn waiting_tasks(&self) -> u64 {
         self.waiting_steps().map(|(count, _)| count).sum()
--- a/crates/jobs/src/scheduler/fleet.rs
+++ b/crates/jobs/src/scheduler/fleet.rs
@@ -1,11 +1,11 @@
 //! Workers, their free capacity and their leases.
 
-use std::collections::{HashMap, VecDeque};
+use std::collections::{BTreeSet, HashMap, VecDeque};
 use std::net;
 use std::time;
 
 use crate::feasibility::FleetCapacity;
-use crate::name::{JobId, TaskId, WorkerId};
+use crate::name::{JobId, PoolName, TaskId, WorkerId};
 use crate::spec::ResourceAmount;
 use crate::time::BootTime;
 use crate::worker::WorkerView;
@@ -41,6 +41,8 @@
 pub(super) struct RunReservation {
     pub(super) run: u32,
     pub(super) reserved: ResourceAmount,
+    /// Whether its task runs until its job is cancelled.
+    pub(super) is_long_running: bool,
     /// Stop of the run, if it belongs to no task any more.
     pub(super) orphan_stop: Option<OrphanStop>,
 }
@@ -86,7 +88,12 @@
     pub(super) applied_number: u64,
     pub(super) unacknowledged: VecDeque<UnacknowledgedRun>,
     pub(super) reservations: HashMap<TaskId, RunReservation>,
+    /// Sum of all reservations.
     pub(super) used: ResourceAmount,
+    /// Number of reservations of long-running tasks.
+    pub(super) long_running_count: u32,
+    /// Processor that these reserve, in thousandths of a core.
+    pub(super) long_running_cpu_millis: u64,
     /// Failed runs since the latest completed one.
     pub(super) consecutive_failures: u32,
     pub(super) unhealthy_until: BootTime,
@@ -129,8 +136,20 @@
 
     pub(super) fn reserve(&mut self, task: TaskId, reservation: RunReservation) {
         self.used += reservation.reserved;
+        if reservation.is_long_running {
+            self.long_running_count += 1;
+            self.long_running_cpu_millis += reservation.reserved.cpu_millis;
+        }
         if let Some(replaced) = self.reservations.insert(task, reservation) {
-            self.used -= replaced.reserved;
+            self.subtract(&replaced);
+        }
+    }
+
+    fn subtract(&mut self, removed: &RunReservation) {
+        self.used -= removed.reserved;
+        if removed.is_long_running {
+            self.long_running_count -= 1;
+            self.long_running_cpu_millis -= removed.reserved.cpu_millis;
         }
     }
 
@@ -141,7 +160,7 @@
             .get(task)
             .is_some_and(|entry| entry.run == run);
         if is_same && let Some(reservation) = self.reservations.remove(task) {
-            self.used -= reservation.reserved;
+            self.subtract(&reservation);
         }
         is_same
     }
@@ -166,6 +185,8 @@
         self.unhealthy_until = BootTime::default();
         self.best_effort_percent = 100;
         self.used = ResourceAmount::default();
+        self.long_running_count = 0;
+        self.long_running_cpu_millis = 0;
         let reservations = self.reservations.drain();
         reservations
             .map(|(task, reservation)| (task, reservation.run))
@@ -177,6 +198,8 @@
 #[derive(Debug, Default)]
 pub(super) struct WorkerFleet {
     workers: HashMap<WorkerId, WorkerEntry>,
+    /// Workers of each pool, by their latest view.
+    pools: HashMap<PoolName, BTreeSet<WorkerId>>,
 }
 
 impl WorkerFleet {
@@ -188,12 +211,58 @@
         self.workers.get_mut(id)
     }
 
-    pub(super) fn insert(&mut self, id: WorkerId, entry: WorkerEntry) -> &mut WorkerEntry {
-        self.workers.entry(id).insert_entry(entry).into_mut()
+    pub(super) fn insert(&mut self, id: WorkerId, entry: WorkerEntry) {
+        self.remove(&id);
+        if let Some(view) = &entry.view {
+            self.add_to_pool(&view.pool.clone(), &id);
+        }
+        self.workers.insert(id, entry);
+    }
+
+    /// Replaces the platform's entry of a worker.
+    pub(super) fn set_view(&mut self, id: &WorkerId, view: WorkerView) {
+        let Some(entry) = self.workers.get_mut(id) else {
+            return;
+        };
+        let pool = view.pool.clone();
+        let previous = entry.view.replace(view);
+        let has_moved = previous.as_ref().is_none_or(|view| view.pool != pool);
+        if has_moved {
+            if let Some(previous) = previous {
+                self.remove_from_pool(&previous.pool, id);
+            }
+            self.add_to_pool(&pool, id);
+        }
     }
 
     pub(super) fn remove(&mut self, id: &WorkerId) {
-        self.workers.remove(id);
+        let removed = self.workers.remove(id);
+        if let Some(view) = removed.and_then(|entry| entry.view) {
+            self.remove_from_pool(&view.pool, id);
+        }
+    }
+
+    fn add_to_pool(&mut self, pool: &PoolName, id: &WorkerId) {
+        let workers = self.pools.entry(pool.clone()).or_default();
+        workers.insert(id.clone());
+    }
+
+    fn remove_from_pool(&mut self, pool: &PoolName, id: &WorkerId) {
+        if let Some(workers) = self.pools.get_mut(pool) {
+            workers.remove(id);
+            if workers.is_empty() {
+                self.pools.remove(pool);
+            }
+        }
+    }
+
+    /// Returns the workers of a pool, by their ids.
+    pub(super) fn of_pool(
+        &self,
+        pool: &PoolName,
+    ) -> impl Iterator<Item = (&WorkerId, &WorkerEntry)> {
+        let workers = self.pools.get(pool).into_iter().flatten();
+        workers.filter_map(|id| Some((id, self.workers.get(id)?)))
     }
 
     pub(super) fn iter(&self) -> impl Iterator<Item = (&WorkerId, &WorkerEntry)> {
--- a/crates/jobs/src/scheduler/lifecycle.rs
+++ b/crates/jobs/src/scheduler/lifecycle.rs
@@ -107,11 +107,13 @@
             self.fleet.insert(worker.clone(), entry);
         }
         let reserved = self.reserved(task);
+        let is_long_running = self.is_long_running(task);
         if let Some(entry) = self.fleet.get_mut(worker) {
             entry.lease_until = entry.lease_until.max(inherited_until);
             let reservation = RunReservation {
                 run: *run,
                 reserved,
+                is_long_running,
                 orphan_stop: None,
             };
             entry.reserve(task.clone(), reservation);
--- a/crates/jobs/src/scheduler/listing.rs
+++ b/crates/jobs/src/scheduler/listing.rs
@@ -35,8 +35,8 @@
         if is_older {
             return;
         }
-        entry.view = Some(view);
         entry.is_listed = true;
+        self.fleet.set_view(&id, view);
         if is_newer {
             self.replace_worker(&id, incarnation);
         }
@@ -44,7 +44,7 @@
             self.record_status(&id, WorkerStatus::Draining);
             self.evict_from_draining(&id, now);
         }
-        self.needs_placement = true;
+        self.mark_worker_changed(&id);
     }
 
     /// Handles the removal of a worker's entry from the list.
@@ -82,7 +82,7 @@
         for (task, run) in dropped {
             self.drop_run(id, &task, run, RunEndReason::WorkerReplaced);
         }
-        self.needs_placement = true;
+        self.mark_worker_changed(id);
     }
 
     /// Stops long-running tasks on a draining worker, to restart them elsewhere; all
@@ -110,7 +110,7 @@
         if let Some(entry) = self.fleet.get_mut(worker) {
             entry.release(task, run);
         }
-        self.needs_placement = true;
+        self.mark_worker_changed(worker);
         let is_current = self.is_current(task, run, worker);
         if !is_current {
             return;
@@ -184,6 +184,6 @@
         self.uncount_active(task);
         self.set_phase(task, TaskPhase::Idle);
         self.refresh_waiting(&task.job);
-        self.needs_placement = true;
+        self.mark_worker_changed(&worker);
     }
 }
--- a/crates/jobs/src/scheduler/maintenance.rs
+++ b/crates/jobs/src/scheduler/maintenance.rs
@@ -17,47 +17,39 @@
 impl JobScheduler {
     /// Returns the numbers of tasks that run on a worker.
     pub fn worker_load(&self, worker: &WorkerId) -> WorkerLoad {
-        let mut load = WorkerLoad::default();
         let Some(entry) = self.fleet.get(worker) else {
-            return load;
+            return WorkerLoad::default();
         };
-        for task in entry.reservations.keys() {
-            if self.is_long_running(task) {
-                load.long_running += 1;
-            } else {
-                load.finite += 1;
-            }
+        let count = entry.reservations.len() as u32;
+        WorkerLoad {
+            finite: count - entry.long_running_count,
+            long_running: entry.long_running_count,
         }
-        load
     }
 
     /// Returns the demand of each pool.
     pub fn pool_demands(&mut self, wall: WallTime) -> BTreeMap<PoolName, PoolDemand> {
+        self.waiting.mark_late(wall);
         let mut demands: BTreeMap<PoolName, PoolDemand> = BTreeMap::new();
         for (_, worker) in self.fleet.iter() {
             let Some(view) = &worker.view else {
                 continue;
             };
             let demand = demands.entry(view.pool.clone()).or_default();
-            for (task, reservation) in &worker.reservations {
-                if self.is_long_running(task) {
-                    demand.long_running += reservation.reserved.cpu_millis;
-                } else {
-                    demand.running += reservation.reserved.cpu_millis;
-                }
-            }
+            demand.long_running += worker.long_running_cpu_millis;
+            demand.running += worker.used.cpu_millis - worker.long_running_cpu_millis;
         }
-        for id in &self.waiting {
-            if let Some(job) = self.jobs.get(id) {
-                let pool = self.pool_of(job);
-                let demand = demands.entry(pool.clone()).or_default();
-                if job.record.spec.is_long_running() {
-                    demand.waiting_long_running += job.waiting_tasks();
-                } else if self.is_late(job, wall) {
-                    demand.waiting_late += job.waiting_cpu();
-                } else {
-                    demand.waiting += job.waiting_cpu();
-                }
+        for (id, waiting) in self.waiting.iter() {
+            let Some(job) = self.jobs.get(id) else {
+                continue;
+            };
+            let demand = demands.entry(waiting.pool.clone()).or_default();
+            if !waiting.rank.is_finite {
+                demand.waiting_long_running += job.waiting_tasks();
+            } else if waiting.rank.is_late {
+                demand.waiting_late += job.waiting_cpu();
+            } else {
+                demand.waiting += job.waiting_cpu();
             }
         }
         for task in std::mem::take(&mut self.displaced) {
@@ -86,7 +78,7 @@
     pub fn block_worker(&mut self, worker: &WorkerId, is_blocked: bool) {
         if let Some(entry) = self.fleet.get_mut(worker) {
             entry.is_blocked = is_blocked;
-            self.needs_placement = true;
+            self.mark_worker_changed(worker);
         }
     }
 
--- a/crates/jobs/src/scheduler/mod.rs
+++ b/crates/jobs/src/scheduler/mod.rs
@@ -16,6 +16,7 @@
 //! - `pacing`: processor share of best-effort tasks beside tasks that serve users
 //! - `placement`: choice of a worker for each task, and the order of jobs
 //! - `report`: the runs that workers list
+//! - `waiting`: jobs that wait for capacity, in the order of their placement
 
 mod advice;
 mod changes;
@@ -29,6 +30,7 @@
 mod pacing;
 mod placement;
 mod report;
+mod waiting;
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::mem;
@@ -48,6 +50,7 @@
 use entry::JobEntry;
 use finished::FinishedJobs;
 use fleet::WorkerFleet;
+use waiting::WaitingJobs;
 
 pub use advice::{AdviceRequest, AdviceResponse, StepId, WorkerPermit};
 pub use changes::{ChangeSet, ProgressRow};
@@ -214,12 +217,15 @@
     /// Jobs whose final state is stored.
     finished: FinishedJobs,
     /// Jobs with ready tasks that have no run.
-    waiting: BTreeSet<JobId>,
+    waiting: WaitingJobs,
     /// Jobs with occurrences that have not begun.
     scheduled: BTreeSet<JobId>,
     fleet: WorkerFleet,
     /// Resources that count against the limit of each customer.
     usage: HashMap<CustomerName, ResourceAmount>,
+    /// Customers whose limit has kept a task from being placed since they last used
+    /// less.
+    limited_customers: BTreeSet<CustomerName>,
     arrivals: HashMap<PoolName, PoolArrivals>,
     /// Long-running tasks that are to leave their worker and fit on no other.
     displaced: BTreeSet<TaskId>,
@@ -228,8 +234,6 @@
     orders: Vec<WorkerOrder>,
     events: Vec<SchedulerEvent>,
     is_fenced: bool,
-    /// Whether capacity or waiting tasks changed since the last placement.
-    needs_placement: bool,
 }
 
 impl JobScheduler {
@@ -241,10 +245,11 @@
             manifest: sync::Arc::default(),
             jobs: HashMap::new(),
             finished: FinishedJobs::default(),
-            waiting: BTreeSet::new(),
+            waiting: WaitingJobs::default(),
             scheduled: BTreeSet::new(),
             fleet: WorkerFleet::default(),
             usage: HashMap::new(),
+            limited_customers: BTreeSet::new(),
             arrivals: HashMap::new(),
             displaced: BTreeSet::new(),
             advice: AdviceCache::default(),
@@ -252,16 +257,20 @@
             orders: Vec::new(),
             events: Vec::new(),
             is_fenced: false,
-            needs_placement: true,
         }
     }
 
     /// Applies a version of the manifest; older ones are ignored.
     pub fn set_manifest(&mut self, manifest: sync::Arc<JobManifest>) {
-        if manifest.version() >= self.manifest.version() {
-            self.manifest = manifest;
-            self.needs_placement = true;
+        if manifest.version() < self.manifest.version() || *manifest == *self.manifest {
+            return;
+        }
+        self.manifest = manifest;
+        let waiting: Vec<JobId> = self.waiting.iter().map(|(id, _)| id.clone()).collect();
+        for id in waiting {
+            self.update_waiting(&id);
         }
+        self.waiting.mark_all_changed();
     }
 
     /// Returns the orders to send now.
@@ -333,6 +342,6 @@
         self.stop_stalled(now);
         self.send_due_renewals(now);
         // A worker may have become usable again only because time passed.
-        self.needs_placement |= !self.waiting.is_empty();
+        self.waiting.mark_all_changed();
     }
 }
--- a/crates/jobs/src/scheduler/placement.rs
+++ b/crates/jobs/src/scheduler/placement.rs
@@ -4,7 +4,7 @@
 //! can still meet their objective go first, by their due time; long-running
 //! tasks, whose value grows with the time for which they run, go before those.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeSet;
 
 use crate::name::{JobId, PoolName, TaskId, WorkerId, WorkerLabel};
 use crate::record::JobState;
@@ -14,27 +14,12 @@
 use super::advice::StepId;
 use super::entry::{JobEntry, RunLocation, TaskPhase};
 use super::fleet::{RunReservation, WorkerEntry};
+use super::waiting::{JobRank, WaitingEntry};
 use super::{JobScheduler, SchedulerEvent};
 
 /// Tolerance for wrong estimates before a job counts as late, in milliseconds.
 const ESTIMATE_GRACE_MS: u64 = 150;
 
-/// Rank of a job among those that wait for the same pool; lower goes first.
-#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
-struct JobRank {
-    is_finite: bool,
-    is_late: bool,
-    priority: u32,
-    due_ms: u64,
-}
-
-/// Job that waits for capacity.
-#[derive(Clone, Debug)]
-struct WaitingJob {
-    rank: JobRank,
-    id: JobId,
-}
-
 /// Worker that may get tasks, with its remaining free capacity.
 #[derive(Clone, Debug)]
 pub(super) struct PlacementCandidate {
@@ -42,63 +27,122 @@
     pub(super) incarnation: u64,
     rack: Option<WorkerLabel>,
     free_capacity: ResourceAmount,
+    /// Processor of the worker, in thousandths of a core.
+    cpu_millis: u64,
+    /// Whether the worker already has long-running tasks.
+    runs_long_running: bool,
     /// Whether the current step must not run there.
     is_excluded: bool,
 }
 
+impl PlacementCandidate {
+    fn new(id: &WorkerId, entry: &WorkerEntry) -> Self {
+        let view = entry.view.as_ref();
+        Self {
+            worker: id.clone(),
+            incarnation: entry.incarnation,
+            rack: view.and_then(|view| view.rack.clone()),
+            free_capacity: entry.free_capacity(),
+            cpu_millis: view.map_or(1, |view| view.capacity.cpu_millis.max(1)),
+            runs_long_running: entry.long_running_count > 0,
+            is_excluded: false,
+        }
+    }
+
+    /// Returns the share of the worker's processor that is in use.
+    fn used_share(&self) -> f64 {
+        1.0 - self.free_capacity.cpu_millis as f64 / self.cpu_millis as f64
+    }
+}
+
+/// Returns the largest free amount of each resource.
+fn largest_free(candidates: &[PlacementCandidate]) -> ResourceAmount {
+    let free = candidates.iter().map(|candidate| &candidate.free_capacity);
+    free.fold(ResourceAmount::default(), |largest, free| {
+        largest.component_max(free)
+    })
+}
+
 impl JobScheduler {
     /// Places the tasks that are ready.
     pub fn place_tasks(&mut self, now: BootTime, wall: WallTime) {
         self.begin_due(wall);
-        if !self.needs_placement {
+        self.waiting.mark_late(wall);
+        for pool in self.waiting.take_changed() {
+            self.place_in_pool(&pool, now);
+        }
+    }
+
+    /// Visits the jobs that wait for a pool in their order, once each.
+    fn place_in_pool(&mut self, pool: &PoolName, now: BootTime) {
+        let mut candidates = self.candidates(pool, now);
+        if candidates.is_empty() {
             return;
         }
-        self.needs_placement = false;
-        for (pool, mut jobs) in self.waiting_by_pool(wall) {
-            jobs.sort_by(|one, other| (one.rank, &one.id).cmp(&(other.rank, &other.id)));
-            let mut candidates = self.candidates(&pool, now);
-            for job in jobs {
-                if candidates
-                    .iter()
-                    .all(|candidate| candidate.free_capacity.cpu_millis == 0)
-                {
-                    break;
-                }
-                self.place_job(&job.id, &mut candidates, now);
+        let mut largest = largest_free(&candidates);
+        let mut last = None;
+        while let Some(next) = self.waiting.next_fitting(pool, last.as_ref(), &largest) {
+            let placed_count = self.place_job(&next.1, &mut candidates, now);
+            if placed_count > 0 {
+                largest = largest_free(&candidates);
             }
+            last = Some(next);
         }
     }
 
-    fn waiting_by_pool(&self, wall: WallTime) -> BTreeMap<PoolName, Vec<WaitingJob>> {
-        let mut pools: BTreeMap<PoolName, Vec<WaitingJob>> = BTreeMap::new();
-        for id in &self.waiting {
-            let Some(job) = self.jobs.get(id) else {
-                continue;
-            };
-            let pool = self.pool_of(job);
-            let waiting = WaitingJob {
-                rank: self.rank(job, wall),
-                id: id.clone(),
-            };
-            pools.entry(pool.clone()).or_default().push(waiting);
+    /// Records that the capacity of a worker changed.
+    pub(super) fn mark_worker_changed(&mut self, worker: &WorkerId) {
+        let view = self.fleet.get(worker).and_then(|entry| entry.view.as_ref());
+        if let Some(view) = view {
+            self.waiting.mark_changed(&view.pool);
         }
-        pools
     }
 
-    /// Returns the pool whose workers run the tasks of a job.
-    pub(super) fn pool_of<'a>(&'a self, job: &'a JobEntry) -> &'a PoolName {
+    /// Updates whether a job waits, and has it placed as soon as it fits.
+    pub(super) fn refresh_waiting(&mut self, id: &JobId) {
+        self.update_waiting(id);
+        let pool = self.jobs.get(id).map(|job| self.pool_of(job).clone());
+        if let Some(pool) = pool {
+            self.waiting.mark_changed(&pool);
+        }
+    }
+
+    /// Updates whether a job waits, and its place in the order.
+    pub(super) fn update_waiting(&mut self, id: &JobId) {
+        let entry = self.jobs.get(id).and_then(|job| self.waiting_entry(job));
+        match entry {
+            Some(entry) => self.waiting.insert(id, entry),
+            None => self.waiting.remove(id),
+        }
+    }
+
+    fn waiting_entry(&self, job: &JobEntry) -> Option<WaitingEntry> {
+        let smallest_need = job.smallest_need()?;
         let queue = self.manifest.queue(&job.record.queue);
-        queue.map_or(&job.record.pool, |queue| &queue.pool)
+        let is_advised = queue.is_some_and(|queue| queue.is_advised);
+        let due_ms = self.due_ms(job);
+        Some(WaitingEntry {
+            pool: self.pool_of(job).clone(),
+            rank: JobRank {
+                is_finite: !job.record.spec.is_long_running(),
+                is_late: false,
+                priority: queue.map_or(0, |queue| queue.priority),
+                due_ms,
+            },
+            latest_start_ms: (due_ms + ESTIMATE_GRACE_MS).saturating_sub(job.remaining_ms()),
+            // The advisor is asked for permits also while no worker has capacity.
+            smallest_need: if is_advised {
+                ResourceAmount::default()
+            } else {
+                smallest_need
+            },
+        })
     }
 
-    fn rank(&self, job: &JobEntry, wall: WallTime) -> JobRank {
+    /// Returns the pool whose workers run the tasks of a job.
+    pub(super) fn pool_of<'a>(&'a self, job: &'a JobEntry) -> &'a PoolName {
         let queue = self.manifest.queue(&job.record.queue);
-        JobRank {
-            is_finite: !job.record.spec.is_long_running(),
-            is_late: self.is_late(job, wall),
-            priority: queue.map_or(0, |queue| queue.priority),
-            due_ms: self.due_ms(job),
-        }
+        queue.map_or(&job.record.pool, |queue| &queue.pool)
     }
 
     /// Returns when a job is due to finish, in milliseconds since the Unix epoch.
@@ -109,35 +153,24 @@
         job.released_ms() + objective_ms + (stretch * job.critical_path_ms as f64) as u64
     }
 
-    /// Returns whether a job can no longer meet its objective, by its estimates.
-    pub(super) fn is_late(&self, job: &JobEntry, wall: WallTime) -> bool {
-        let finished = wall.as_millis() + job.remaining_ms();
-        finished > self.due_ms(job) + ESTIMATE_GRACE_MS
-    }
-
+    /// Returns the usable workers of a pool, by their ids.
     pub(super) fn candidates(&self, pool: &PoolName, now: BootTime) -> Vec<PlacementCandidate> {
-        let workers = self.fleet.iter();
-        let usable = workers.filter(|(_, entry)| {
-            let view = entry.view.as_ref();
-            view.is_some_and(|view| view.pool == *pool) && entry.is_usable(now)
-        });
-        let mut candidates: Vec<PlacementCandidate> = usable
-            .map(|(id, entry)| PlacementCandidate {
-                worker: id.clone(),
-                incarnation: entry.incarnation,
-                rack: entry.view.as_ref().and_then(|view| view.rack.clone()),
-                free_capacity: entry.free_capacity(),
-                is_excluded: false,
-            })
-            .collect();
-        candidates.sort_by(|one, other| one.worker.cmp(&other.worker));
-        candidates
+        let workers = self.fleet.of_pool(pool);
+        let usable = workers.filter(|(_, entry)| entry.is_usable(now));
+        usable
+            .map(|(id, entry)| PlacementCandidate::new(id, entry))
+            .collect()
     }
 
-    /// Places as many tasks of a job as fit.
-    fn place_job(&mut self, id: &JobId, candidates: &mut [PlacementCandidate], now: BootTime) {
+    /// Places as many tasks of a job as fit; returns their number.
+    fn place_job(
+        &mut self,
+        id: &JobId,
+        candidates: &mut [PlacementCandidate],
+        now: BootTime,
+    ) -> u32 {
         let Some(job) = self.jobs.get(id) else {
-            return;
+            return 0;
         };
         let mut ready = Vec::new();
         for occurrence in &job.occurrences {
@@ -166,6 +199,7 @@
         if placed > 0 {
             self.record_placement(id, placed, unplaced);
         }
+        placed
     }
 
     fn record_placement(&mut self, id: &JobId, count: u32, unplaced: u32) {
@@ -175,10 +209,9 @@
             job.state = JobState::Running;
         }
         self.changes.mark_changed(id);
-        self.refresh_waiting(id);
         // The remaining tasks wait for more capacity; another attempt with the
         // same capacity would place none of them.
-        self.needs_placement = false;
+        self.update_waiting(id);
         self.events.push(SchedulerEvent::TasksPlaced {
             job: id.clone(),
             count,
@@ -238,15 +271,24 @@
         if spec.gang {
             return self.place_gang(&idle, &spec, candidates);
         }
+        let count = idle.len() as u32;
         for task in &idle {
+            if !self.within_limit(task, &spec, 1) {
+                self.record_limited(task);
+                break;
+            }
             match self.choose_candidate(task, &spec, candidates) {
-                Some(position) if self.within_limit(task, &spec, 1) => {
+                Some(position) => {
                     self.reserve(task, &spec, &mut candidates[position], None);
                     placement.placed += 1;
                 }
-                _ => placement.unplaced += 1,
+                // The others fit nowhere either, unless an earlier run of this task
+                // still holds a reservation.
+                None if self.task(task).is_some_and(|entry| entry.run == 0) => break,
+                None => {}
             }
         }
+        placement.unplaced = count - placement.placed;
         placement
     }
 
@@ -262,7 +304,12 @@
             placed: 0,
             unplaced: count,
         };
-        if count != spec.count || !self.gang_within_limit(members, spec, count) {
+        let first = members.first().filter(|_| count == spec.count);
+        let Some(first) = first else {
+            return none;
+        };
+        if !self.within_limit(first, spec, count) {
+            self.record_limited(first);
             return none;
         }
         let Some(chosen) = self.choose_for_gang(members, spec, candidates) else {
@@ -331,10 +378,11 @@
         Some(chosen)
     }
 
-    fn gang_within_limit(&self, members: &[TaskId], spec: &StepSpec, count: u32) -> bool {
-        members
-            .first()
-            .is_some_and(|first| self.within_limit(first, spec, count))
+    /// Records that the limit of the task's customer has kept it from being placed.
+    fn record_limited(&mut self, task: &TaskId) {
+        let job = self.jobs.get(&task.job);
+        let customer = job.and_then(|job| job.record.customer.clone());
+        self.limited_customers.extend(customer);
     }
 
     /// Returns whether `count` more tasks of the step keep the customer
@@ -380,20 +428,22 @@
         chosen_count: impl Fn(usize) -> usize,
     ) -> Option<usize> {
         let reserved = spec.reserved();
+        let is_retried = self.task(task).is_some_and(|entry| entry.run > 0);
         let mut best: Option<(PlacementScore, usize)> = None;
         for (position, candidate) in candidates.iter().enumerate() {
             if candidate.is_excluded || !reserved.fits_in(&candidate.free_capacity) {
                 continue;
             }
-            let Some(entry) = self.fleet.get(&candidate.worker) else {
-                continue;
-            };
-            if !meets_constraints(task, spec, entry, chosen_count(position)) {
+            let is_constrained = is_retried || spec.requires.is_some() || spec.max_per_worker > 0;
+            if is_constrained
+                && !self.meets_constraints(task, spec, candidate, chosen_count(position))
+            {
                 continue;
             }
             let score = PlacementScore {
-                runs_long_running: self.has_long_running(entry),
-                ..PlacementScore::of(spec, entry, &candidate.free_capacity)
+                matches_affinity: self.matches_affinity(spec, candidate),
+                runs_long_running: candidate.runs_long_running,
+                used_share: candidate.used_share(),
             };
             if best.is_none_or(|(other, _)| score > other) {
                 best = Some((score, position));
@@ -402,11 +452,43 @@
         best.map(|(_, position)| position)
     }
 
-    fn has_long_running(&self, entry: &WorkerEntry) -> bool {
-        entry
-            .reservations
-            .keys()
-            .any(|task| self.is_long_running(task))
+    fn matches_affinity(&self, spec: &StepSpec, candidate: &PlacementCandidate) -> bool {
+        let Some(rack) = &spec.affinity else {
+            return true;
+        };
+        let entry = self.fleet.get(&candidate.worker);
+        let view = entry.and_then(|entry| entry.view.as_ref());
+        view.is_some_and(|view| view.labels.contains(rack))
+    }
+
+    /// Returns whether the step's constraints allow the task on a worker, and no run
+    /// of the task holds a reservation there; `chosen_count` more tasks of the step
+    /// count as placed on the worker.
+    fn meets_constraints(
+        &self,
+        task: &TaskId,
+        spec: &StepSpec,
+        candidate: &PlacementCandidate,
+        chosen_count: usize,
+    ) -> bool {
+        let Some(entry) = self.fleet.get(&candidate.worker) else {
+            return false;
+        };
+        let labels = entry.view.as_ref().map(|view| &view.labels);
+        let has_label = spec
+            .requires
+            .as_ref()
+            .is_none_or(|label| labels.is_some_and(|labels| labels.contains(label)));
+        if !has_label || entry.reservations.contains_key(task) {
+            return false;
+        }
+        if spec.max_per_worker == 0 {
+            return true;
+        }
+        let same_step = entry.reservations.keys().filter(|other| {
+            other.job == task.job && other.occurrence == task.occurrence && other.step == task.step
+        });
+        same_step.count() + chosen_count < spec.max_per_worker as usize
     }
 
     /// Reserves capacity for a task; its start waits until the row is stored.
@@ -419,6 +501,7 @@
     ) {
         let reserved = spec.reserved();
         candidate.free_capacity -= reserved;
+        candidate.runs_long_running |= spec.long_running;
         let location = RunLocation {
             worker: candidate.worker.clone(),
             incarnation: candidate.incarnation,
@@ -431,6 +514,7 @@
         let reservation = RunReservation {
             run: entry.run,
             reserved,
+            is_long_running: spec.long_running,
             orphan_stop: None,
         };
         if let Some(worker) = self.fleet.get_mut(&candidate.worker) {
@@ -458,45 +542,3 @@
     /// that others become empty.
     used_share: f64,
 }
-
-impl PlacementScore {
-    fn of(spec: &StepSpec, entry: &WorkerEntry, free_capacity: &ResourceAmount) -> Self {
-        let view = entry.view.as_ref();
-        let matches_affinity = spec
-            .affinity
-            .as_ref()
-            .is_none_or(|rack| view.is_some_and(|view| view.labels.contains(rack)));
-        let capacity = view.map_or(1, |view| view.capacity.cpu_millis.max(1));
-        Self {
-            matches_affinity,
-            runs_long_running: false,
-            used_share: 1.0 - free_capacity.cpu_millis as f64 / capacity as f64,
-        }
-    }
-}
-
-/// Returns whether the step's constraints allow the task on a worker, and no run of
-/// the task holds a reservation there; `chosen_count` more tasks of the step count as
-/// placed on the worker.
-fn meets_constraints(
-    task: &TaskId,
-    spec: &StepSpec,
-    entry: &WorkerEntry,
-    chosen_count: usize,
-) -> bool {
-    let labels = entry.view.as_ref().map(|view| &view.labels);
-    let has_label = spec
-        .requires
-        .as_ref()
-        .is_none_or(|label| labels.is_some_and(|labels| labels.contains(label)));
-    if !has_label || entry.reservations.contains_key(task) {
-        return false;
-    }
-    if spec.max_per_worker == 0 {
-        return true;
-    }
-    let same_step = entry.reservations.keys().filter(|other| {
-        other.job == task.job && other.occurrence == task.occurrence && other.step == task.step
-    });
-    same_step.count() + chosen_count < spec.max_per_worker as usize
-}
--- a/crates/jobs/src/scheduler/report.rs
+++ b/crates/jobs/src/scheduler/report.rs
@@ -9,7 +9,7 @@
 use crate::time::BootTime;
 use crate::worker::{ActiveRun, EndedRun, ExitKind, OrderAction, RenewalReport};
 
-use super::entry::{JobEntry, RunProgress, TaskEntry, TaskPhase};
+use super::entry::{RunProgress, TaskEntry, TaskPhase};
 use super::fleet::{ClockSample, ContactState, OrphanStop, RunReservation, UnacknowledgedRun};
 use super::{JobScheduler, RunEndReason, SchedulerEvent, WorkerStatus};
 
@@ -69,7 +69,7 @@
         let has_ended_runs = !report.ended.is_empty();
         entry.next_renewal = if has_ended_runs { now + delay } else { now };
         if was_unresponsive {
-            self.needs_placement = true;
+            self.mark_worker_changed(worker);
             self.record_status(worker, WorkerStatus::Answering);
         }
     }
@@ -93,7 +93,7 @@
             entry.unacknowledged.push_back(unacknowledged);
         }
         self.update_failures(worker, ended.kind, now);
-        self.needs_placement = true;
+        self.mark_worker_changed(worker);
         if is_tracked {
             self.changes.mark_changed(&ended.task.job);
             self.end_run(worker, ended, now);
@@ -153,8 +153,8 @@
             self.free_task(&member);
             self.set_phase(&member, TaskPhase::Done);
         }
-        self.refresh_waiting(&task.job);
         self.check_completed(&task.job, now);
+        self.refresh_waiting(&task.job);
     }
 
     /// Stops the run of a task that continues elsewhere although the task is done.
@@ -277,6 +277,7 @@
         now: BootTime,
     ) {
         let retry_delay = self.settings.stop_retry_delay;
+        let is_long_running = self.is_long_running(task);
         let Some(entry) = self.fleet.get_mut(worker) else {
             return;
         };
@@ -293,6 +294,7 @@
         let reservation = RunReservation {
             run,
             reserved,
+            is_long_running,
             orphan_stop: Some(OrphanStop {
                 ordered_at: now,
                 accepted_at: None,
@@ -453,15 +455,10 @@
             && let Some(used) = self.usage.get_mut(customer)
         {
             *used -= needs;
-        }
-    }
-
-    pub(super) fn refresh_waiting(&mut self, id: &JobId) {
-        if self.jobs.get(id).is_some_and(JobEntry::has_waiting) {
-            self.waiting.insert(id.clone());
-            self.needs_placement = true;
-        } else {
-            self.waiting.remove(id);
+            if self.limited_customers.remove(customer) {
+                // Its jobs may wait for several pools.
+                self.waiting.mark_all_changed();
+            }
         }
     }
 }
--- a/crates/jobs/src/spec.rs
+++ b/crates/jobs/src/spec.rs
@@ -44,6 +44,24 @@
             && self.accelerators <= capacity.accelerators
     }
 
+    /// Returns the larger amount of each resource.
+    pub fn component_max(&self, other: &Self) -> Self {
+        Self {
+            cpu_millis: self.cpu_millis.max(other.cpu_millis),
+            memory_mb: self.memory_mb.max(other.memory_mb),
+            accelerators: self.accelerators.max(other.accelerators),
+        }
+    }
+
+    /// Returns the smaller amount of each resource.
+    pub fn component_min(&self, other: &Self) -> Self {
+        Self {
+            cpu_millis: self.cpu_millis.min(other.cpu_millis),
+            memory_mb: self.memory_mb.min(other.memory_mb),
+            accelerators: self.accelerators.min(other.accelerators),
+        }
+    }
+
     /// Subtracts `other`, but not below zero.
     pub fn saturating_sub(&self, other: &Self) -> Self {
         Self {
--- a/crates/jobs/tests/common/mod.rs
+++ b/crates/jobs/tests/common/mod.rs
@@ -323,10 +323,27 @@
 
     /// Submits a job to the queue `reports`.
     pub(crate) fn submit(&mut self, id: &str, steps: Vec<StepSpec>, duration_ms: u64) -> JobId {
+        self.submit_to(id, "builders", steps, duration_ms)
+    }
+
+    /// Submits a job to the queue of a pool; the manifest declares those of
+    /// `builders` and `printers`.
+    pub(crate) fn submit_to(
+        &mut self,
+        id: &str,
+        pool: &str,
+        steps: Vec<StepSpec>,
+        duration_ms: u64,
+    ) -> JobId {
         let id = JobId::new(id);
+        let queue = match pool {
+            "builders" => "reports",
+            "printers" => "labels",
+            other => other,
+        };
         let record = JobRecord {
-            queue: QueueName::new("reports"),
-            pool: PoolName::new("builders"),
+            queue: QueueName::new(queue),
+            pool: PoolName::new(pool),
             customer: Some(CustomerName::new("housing")),
             accepted: self.wall_time(),
             spec: JobSpec {
