--- a/crates/engine/src/owner/machines.rs
+++ b/crates/engine/src/owner/machines.rs
@@ -75,6 +75,8 @@
     responses: mpsc::UnboundedSender<MachineResponse>,
     metrics: JobMetrics,
     wave_planner: WavePlanner,
+    /// Latest state of each wave that was logged.
+    wave_states: BTreeMap<u64, WaveState>,
     capacity_planner: CapacityPlanner,
     next_plan_at: BootTime,
     node: String,
@@ -105,6 +107,7 @@
             responses,
             metrics: dependencies.metrics.clone(),
             wave_planner: WavePlanner::new(dependencies.settings.maintenance.clone()),
+            wave_states: BTreeMap::new(),
             capacity_planner: CapacityPlanner::new(dependencies.settings.capacity.clone()),
             next_plan_at: BootTime::default(),
             node: dependencies.node.clone(),
@@ -329,12 +332,14 @@
     }
 
     fn store_wave(&mut self, dependencies: &OwnerDependencies, wave: u64, state: WaveState) {
-        log_job_event!(
-            info,
-            event::WAVE_CHANGED,
-            wave = wave,
-            state = format!("{state:?}")
-        );
+        if self.wave_states.insert(wave, state) != Some(state) {
+            log_job_event!(
+                info,
+                event::WAVE_CHANGED,
+                wave = wave,
+                state = format!("{state:?}")
+            );
+        }
         let key = row::maintenance_key(wave);
         if let Some(record) = self.wave_planner.record(wave) {
             match row::write(&key, record) {
