--- a/crates/jobs/src/scheduler/listing.rs
+++ b/crates/jobs/src/scheduler/listing.rs
@@ -35,6 +35,8 @@
         if is_older {
             return;
         }
+        // Workers renew their entries all the time; only a change matters to placement.
+        let has_changed = !entry.is_listed || entry.view.as_ref() != Some(&view);
         entry.is_listed = true;
         self.fleet.set_view(&id, view);
         if is_newer {
@@ -44,7 +46,9 @@
             self.record_status(&id, WorkerStatus::Draining);
             self.evict_from_draining(&id, now);
         }
-        self.mark_worker_changed(&id);
+        if has_changed {
+            self.mark_worker_changed(&id);
+        }
     }
 
     /// Handles the removal of a worker's entry from the list.
