Divide a pool among customers by their weights

The weight of the manifest was used by nothing.

Change: module shares: a customer that uses its share of a pool or more, by its dominant resource, comes after those that use less; long-running jobs and jobs that can meet their objective still go first, and due time decides within a customer. Nothing is held back while capacity is free. Usage is counted from the running tasks, so a takeover keeps it. Manifests in the product's own format with a weight outside 0.001 to 1,000,000 are refused; the version in force stays.

--- a/crates/engine/src/product.rs
+++ b/crates/engine/src/product.rs
@@ -13,7 +13,7 @@
 use serde::Serialize;
 
 use crate::codec::{CallerResponse, DeploymentCodec, EncodedResponse, OperatorRow};
-use crate::error::Result;
+use crate::error::{Error, Result};
 use crate::row::{self, EncodedRow};
 
 /// Prefix of the rows that operators write.
@@ -75,6 +75,8 @@
         let key = entry.key.as_str();
         if key == MANIFEST_KEY {
             let manifest: JobManifest = row::read(entry)?;
+            let checked = manifest.check();
+            checked.map_err(|error| Error::row(&entry.key, error))?;
             return Ok(OperatorRow::Manifest(Box::new(manifest)));
         }
         if key.starts_with(WAVE_PREFIX) {
--- a/crates/jobs/src/error.rs
+++ b/crates/jobs/src/error.rs
@@ -12,6 +12,10 @@
         Field(field: String, problem: String) {
             display("read job: field {field}: {problem}")
         }
+        /// A field of a manifest has a value that is not supported.
+        Manifest(field: String, problem: String) {
+            display("read manifest: field {field}: {problem}")
+        }
         /// A text is not the name of a task.
         TaskName(text: String) {
             display("read task name: {text:?} is not JOB.OCCURRENCE.STEP.INDEX")
--- a/crates/jobs/src/manifest.rs
+++ b/crates/jobs/src/manifest.rs
@@ -1,12 +1,18 @@
 //! Declared queues, customers and pools of the job service.
 
 use std::collections::{BTreeMap, HashMap};
+use std::ops;
 
 use serde::{Deserialize, Serialize};
 
+use crate::error::{Error, Result};
 use crate::name::{CustomerName, PoolName, QueueName};
 use crate::spec::ResourceAmount;
 
+/// Weights that a customer may have. Wider ratios than these would leave one
+/// customer nothing.
+const WEIGHT_RANGE: ops::RangeInclusive<f64> = 0.001..=1_000_000.0;
+
 /// Address at which callers reach a queue.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(rename_all = "kebab-case", default)]
@@ -129,6 +135,28 @@
 }
 
 impl JobManifest {
+    /// Checks the weights of customers.
+    ///
+    /// # Errors
+    ///
+    /// Fails with the first customer whose weight is outside the range that is
+    /// supported.
+    pub fn check(&self) -> Result<()> {
+        for customer in self.customers.values() {
+            if !WEIGHT_RANGE.contains(&customer.weight) {
+                let field = format!("customers.{}.weight", customer.name);
+                let problem = format!(
+                    "{} is not from {} to {}",
+                    customer.weight,
+                    WEIGHT_RANGE.start(),
+                    WEIGHT_RANGE.end()
+                );
+                return Err(Error::Manifest(field, problem));
+            }
+        }
+        Ok(())
+    }
+
     /// Returns the version.
     pub fn version(&self) -> u64 {
         self.version
--- a/crates/jobs/src/scheduler/fleet.rs
+++ b/crates/jobs/src/scheduler/fleet.rs
@@ -256,6 +256,16 @@
         }
     }
 
+    /// Returns the capacity of all listed workers of a pool.
+    pub(super) fn capacity_of_pool(&self, pool: &PoolName) -> ResourceAmount {
+        let mut capacity = ResourceAmount::default();
+        for (_, entry) in self.of_pool(pool) {
+            let view = entry.view.as_ref().filter(|_| entry.is_listed);
+            capacity += view.map(|view| view.capacity).unwrap_or_default();
+        }
+        capacity
+    }
+
     /// Returns the workers of a pool, by their ids.
     pub(super) fn of_pool(
         &self,
--- a/crates/jobs/src/scheduler/mod.rs
+++ b/crates/jobs/src/scheduler/mod.rs
@@ -16,6 +16,7 @@
 //! - `pacing`: processor share of best-effort tasks beside tasks that serve users
 //! - `placement`: choice of a worker for each task, and the order of jobs
 //! - `report`: the runs that workers list
+//! - `shares`: division of a pool among customers
 //! - `waiting`: jobs that wait for capacity, in the order of their placement
 
 mod advice;
@@ -30,6 +31,7 @@
 mod pacing;
 mod placement;
 mod report;
+mod shares;
 mod waiting;
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
@@ -50,6 +52,7 @@
 use entry::JobEntry;
 use finished::FinishedJobs;
 use fleet::WorkerFleet;
+use shares::PoolUsage;
 use waiting::WaitingJobs;
 
 pub use advice::{AdviceRequest, AdviceResponse, StepId, WorkerPermit};
@@ -223,6 +226,8 @@
     fleet: WorkerFleet,
     /// Resources that count against the limit of each customer.
     usage: HashMap<CustomerName, ResourceAmount>,
+    /// Resources that the tasks of each customer reserve in each pool.
+    pool_usage: PoolUsage,
     /// Customers whose limit has kept a task from being placed since they last used
     /// less.
     limited_customers: BTreeSet<CustomerName>,
@@ -249,6 +254,7 @@
             scheduled: BTreeSet::new(),
             fleet: WorkerFleet::default(),
             usage: HashMap::new(),
+            pool_usage: PoolUsage::default(),
             limited_customers: BTreeSet::new(),
             arrivals: HashMap::new(),
             displaced: BTreeSet::new(),
@@ -266,6 +272,7 @@
             return;
         }
         self.manifest = manifest;
+        self.recount_pool_usage();
         let waiting: Vec<JobId> = self.waiting.iter().map(|(id, _)| id.clone()).collect();
         for id in waiting {
             self.update_waiting(&id);
--- a/crates/jobs/src/scheduler/placement.rs
+++ b/crates/jobs/src/scheduler/placement.rs
@@ -14,12 +14,19 @@
 use super::advice::StepId;
 use super::entry::{JobEntry, RunLocation, TaskPhase};
 use super::fleet::{RunReservation, WorkerEntry};
-use super::waiting::{JobRank, WaitingEntry};
+use super::shares::PoolShares;
+use super::waiting::{JobRank, PoolVisit, WaitingEntry};
 use super::{JobScheduler, SchedulerEvent};
 
 /// Tolerance for wrong estimates before a job counts as late, in milliseconds.
 const ESTIMATE_GRACE_MS: u64 = 150;
 
+/// Weight of jobs whose customer the manifest does not name.
+const DEFAULT_WEIGHT: f64 = 1.0;
+
+/// Smallest weight that counts, so that shares can be computed with any manifest.
+const MIN_WEIGHT: f64 = 1e-6;
+
 /// Worker that may get tasks, with its remaining free capacity.
 #[derive(Clone, Debug)]
 pub(super) struct PlacementCandidate {
@@ -79,17 +86,36 @@
         if candidates.is_empty() {
             return;
         }
+        let shares = self.pool_shares(pool);
         let mut largest = largest_free(&candidates);
-        let mut last = None;
-        while let Some(next) = self.waiting.next_fitting(pool, last.as_ref(), &largest) {
-            let placed_count = self.place_job(&next.1, &mut candidates, now);
+        let mut visit = PoolVisit::new(&self.waiting, pool, &largest, |customer| {
+            shares.is_used_up(customer, &self.pool_usage)
+        });
+        while let Some(id) = visit.next(&self.waiting, &largest, |customer| {
+            shares.is_used_up(customer, &self.pool_usage)
+        }) {
+            let placed_count = self.place_job(&id, &mut candidates, now);
             if placed_count > 0 {
                 largest = largest_free(&candidates);
             }
-            last = Some(next);
         }
     }
 
+    /// Divides a pool among the customers that use it or wait for it.
+    fn pool_shares(&self, pool: &PoolName) -> PoolShares {
+        let waiting = self.waiting.customers(pool);
+        let customers = waiting.chain(self.pool_usage.users(pool));
+        let weights = customers.map(|customer| {
+            let policy = customer
+                .as_ref()
+                .and_then(|name| self.manifest.customer(name));
+            let weight = policy.map_or(DEFAULT_WEIGHT, |policy| policy.weight);
+            (customer.clone(), weight.max(MIN_WEIGHT))
+        });
+        let capacity = self.fleet.capacity_of_pool(pool);
+        PoolShares::new(pool, capacity, weights.collect())
+    }
+
     /// Records that the capacity of a worker changed.
     pub(super) fn mark_worker_changed(&mut self, worker: &WorkerId) {
         let view = self.fleet.get(worker).and_then(|entry| entry.view.as_ref());
@@ -123,6 +149,7 @@
         let due_ms = self.due_ms(job);
         Some(WaitingEntry {
             pool: self.pool_of(job).clone(),
+            customer: job.record.customer.clone(),
             rank: JobRank {
                 is_finite: !job.record.spec.is_long_running(),
                 is_late: false,
--- a/crates/jobs/src/scheduler/report.rs
+++ b/crates/jobs/src/scheduler/report.rs
@@ -443,10 +443,45 @@
         if let Some(customer) = &job.record.customer {
             *self.usage.entry(customer.clone()).or_default() += needs;
         }
+        self.add_pool_usage(task);
+    }
+
+    fn add_pool_usage(&mut self, task: &TaskId) {
+        let reserved = self.reserved(task);
+        if let Some(job) = self.jobs.get(&task.job) {
+            let queue = self.manifest.queue(&job.record.queue);
+            let pool = queue.map_or(&job.record.pool, |queue| &queue.pool);
+            let customer = job.record.customer.as_ref();
+            self.pool_usage.add(pool, customer, reserved);
+        }
+    }
+
+    fn subtract_pool_usage(&mut self, task: &TaskId) {
+        let reserved = self.reserved(task);
+        if let Some(job) = self.jobs.get(&task.job) {
+            let queue = self.manifest.queue(&job.record.queue);
+            let pool = queue.map_or(&job.record.pool, |queue| &queue.pool);
+            let customer = job.record.customer.as_ref();
+            self.pool_usage.subtract(pool, customer, reserved);
+        }
+    }
+
+    /// Counts the usage of pools again: the manifest may have moved a queue to
+    /// another pool.
+    pub(super) fn recount_pool_usage(&mut self) {
+        self.pool_usage.clear();
+        let jobs = self.jobs.iter().filter(|(_, job)| job.active > 0);
+        let ids: Vec<JobId> = jobs.map(|(id, _)| id.clone()).collect();
+        for id in ids {
+            for placed in self.placed_runs(&id) {
+                self.add_pool_usage(&placed.task);
+            }
+        }
     }
 
     pub(super) fn uncount_active(&mut self, task: &TaskId) {
         let needs = self.needs(task);
+        self.subtract_pool_usage(task);
         let Some(job) = self.jobs.get_mut(&task.job) else {
             return;
         };
--- a/crates/jobs/src/scheduler/waiting.rs
+++ b/crates/jobs/src/scheduler/waiting.rs
@@ -9,11 +9,12 @@
 use std::mem;
 use std::ops::Bound;
 
-use crate::name::{JobId, PoolName};
+use crate::name::{CustomerName, JobId, PoolName};
 use crate::spec::ResourceAmount;
 use crate::time::WallTime;
 
-/// Rank of a job among those that wait for the same pool; lower goes first.
+/// Rank of a job among those of its customer that wait for the same pool; lower
+/// goes first.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub(super) struct JobRank {
     pub(super) is_finite: bool,
@@ -26,6 +27,7 @@
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub(super) struct WaitingEntry {
     pub(super) pool: PoolName,
+    pub(super) customer: Option<CustomerName>,
     pub(super) rank: JobRank,
     /// Last time at which the job can still meet its objective if it is placed
     /// then, in milliseconds since the Unix epoch.
@@ -34,15 +36,17 @@
     pub(super) smallest_need: ResourceAmount,
 }
 
-/// Position of a job in the order of its pool.
-pub(super) type WaitingKey = (JobRank, JobId);
+/// Position of a job in the order of its customer.
+type WaitingKey = (JobRank, JobId);
+
+/// Needs of the waiting jobs of one customer, in their order.
+type CustomerQueue = BTreeMap<WaitingKey, ResourceAmount>;
 
 /// All waiting jobs.
 #[derive(Debug, Default)]
 pub(super) struct WaitingJobs {
     entries: HashMap<JobId, WaitingEntry>,
-    /// Needs of the jobs of each pool, in the order in which they are placed.
-    pools: BTreeMap<PoolName, BTreeMap<WaitingKey, ResourceAmount>>,
+    pools: BTreeMap<PoolName, BTreeMap<Option<CustomerName>, CustomerQueue>>,
     /// Jobs that are not late yet, by their latest start.
     latest_starts: BTreeSet<(u64, JobId)>,
     /// Pools whose capacity or waiting jobs changed since their last placement.
@@ -84,7 +88,8 @@
             return;
         }
         self.remove(id);
-        let queue = self.pools.entry(entry.pool.clone()).or_default();
+        let customers = self.pools.entry(entry.pool.clone()).or_default();
+        let queue = customers.entry(entry.customer.clone()).or_default();
         queue.insert((entry.rank, id.clone()), entry.smallest_need);
         if !entry.rank.is_late {
             let start = (entry.latest_start_ms, id.clone());
@@ -98,14 +103,24 @@
         let Some(entry) = self.entries.remove(id) else {
             return;
         };
-        if let Some(queue) = self.pools.get_mut(&entry.pool) {
+        self.remove_from_queue(&entry, id);
+        let start = (entry.latest_start_ms, id.clone());
+        self.latest_starts.remove(&start);
+    }
+
+    fn remove_from_queue(&mut self, entry: &WaitingEntry, id: &JobId) {
+        let Some(customers) = self.pools.get_mut(&entry.pool) else {
+            return;
+        };
+        if let Some(queue) = customers.get_mut(&entry.customer) {
             queue.remove(&(entry.rank, id.clone()));
             if queue.is_empty() {
-                self.pools.remove(&entry.pool);
+                customers.remove(&entry.customer);
             }
         }
-        let start = (entry.latest_start_ms, id.clone());
-        self.latest_starts.remove(&start);
+        if customers.is_empty() {
+            self.pools.remove(&entry.pool);
+        }
     }
 
     /// Moves the jobs behind all others of their pool that can no longer meet their
@@ -123,18 +138,112 @@
         }
     }
 
-    /// Returns the first job of a pool after `last` of which a task may fit into
+    /// Returns the customers whose jobs wait for a pool.
+    pub(super) fn customers(&self, pool: &PoolName) -> impl Iterator<Item = &Option<CustomerName>> {
+        self.pools.get(pool).into_iter().flat_map(BTreeMap::keys)
+    }
+
+    /// Returns a customer's first job after `last` of which a task may fit into
     /// `largest_free`.
-    pub(super) fn next_fitting(
+    fn next_fitting(
         &self,
         pool: &PoolName,
+        customer: &Option<CustomerName>,
         last: Option<&WaitingKey>,
         largest_free: &ResourceAmount,
     ) -> Option<WaitingKey> {
-        let queue = self.pools.get(pool)?;
+        let queue = self.pools.get(pool)?.get(customer)?;
         let start = last.map_or(Bound::Unbounded, Bound::Excluded);
         let mut rest = queue.range((start, Bound::Unbounded));
         let next = rest.find(|(_, need)| need.fits_in(largest_free));
         next.map(|(key, _)| key.clone())
     }
+
+    /// Returns whether a task of the job may fit into `largest_free`.
+    fn fits(&self, id: &JobId, largest_free: &ResourceAmount) -> bool {
+        let entry = self.entries.get(id);
+        entry.is_some_and(|entry| entry.smallest_need.fits_in(largest_free))
+    }
+}
+
+/// Next job of one customer in a visit; lower goes first.
+///
+/// Long-running jobs go before others, those that can meet their objective before
+/// those that cannot, and among these the jobs of customers that have not used
+/// their share up.
+#[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
+struct VisitHead {
+    is_finite: bool,
+    is_late: bool,
+    is_share_used_up: bool,
+    key: WaitingKey,
+    customer: Option<CustomerName>,
+}
+
+/// Visit of the jobs that wait for a pool, each once.
+#[derive(Debug)]
+pub(super) struct PoolVisit {
+    pool: PoolName,
+    heads: BTreeSet<VisitHead>,
+}
+
+impl PoolVisit {
+    /// Begins with the first job of each customer.
+    pub(super) fn new(
+        waiting: &WaitingJobs,
+        pool: &PoolName,
+        largest_free: &ResourceAmount,
+        is_used_up: impl Fn(&Option<CustomerName>) -> bool,
+    ) -> Self {
+        let mut visit = Self {
+            pool: pool.clone(),
+            heads: BTreeSet::new(),
+        };
+        for customer in waiting.customers(pool) {
+            visit.add_next(waiting, customer, None, largest_free, &is_used_up);
+        }
+        visit
+    }
+
+    fn add_next(
+        &mut self,
+        waiting: &WaitingJobs,
+        customer: &Option<CustomerName>,
+        last: Option<&WaitingKey>,
+        largest_free: &ResourceAmount,
+        is_used_up: &impl Fn(&Option<CustomerName>) -> bool,
+    ) {
+        let next = waiting.next_fitting(&self.pool, customer, last, largest_free);
+        self.heads.extend(next.map(|key| VisitHead {
+            is_finite: key.0.is_finite,
+            is_late: key.0.is_late,
+            is_share_used_up: is_used_up(customer),
+            key,
+            customer: customer.clone(),
+        }));
+    }
+
+    /// Returns the next job of which a task may fit into `largest_free`.
+    pub(super) fn next(
+        &mut self,
+        waiting: &WaitingJobs,
+        largest_free: &ResourceAmount,
+        is_used_up: impl Fn(&Option<CustomerName>) -> bool,
+    ) -> Option<JobId> {
+        loop {
+            let mut head = self.heads.pop_first()?;
+            let is_share_used_up = is_used_up(&head.customer);
+            if is_share_used_up != head.is_share_used_up {
+                head.is_share_used_up = is_share_used_up;
+                self.heads.insert(head);
+                continue;
+            }
+            let customer = &head.customer;
+            let last = Some(&head.key);
+            self.add_next(waiting, customer, last, largest_free, &is_used_up);
+            if waiting.fits(&head.key.1, largest_free) {
+                return Some(head.key.1);
+            }
+        }
+    }
 }
--- a/crates/jobs/tests/common/mod.rs
+++ b/crates/jobs/tests/common/mod.rs
@@ -250,15 +250,23 @@
     ManifestParts {
         version: 1,
         queues: vec![queue("reports", "builders"), queue("labels", "printers")],
-        customers: vec![CustomerPolicy {
-            name: CustomerName::new("housing"),
-            keys: vec!["secret".to_owned()],
-            weight: 1.0,
-            limit: ResourceAmount {
-                cpu_millis,
-                ..ResourceAmount::default()
+        customers: vec![
+            CustomerPolicy {
+                name: CustomerName::new("housing"),
+                keys: vec!["secret".to_owned()],
+                weight: 1.0,
+                limit: ResourceAmount {
+                    cpu_millis,
+                    ..ResourceAmount::default()
+                },
+            },
+            CustomerPolicy {
+                name: CustomerName::new("portal"),
+                keys: vec!["other".to_owned()],
+                weight: 3.0,
+                limit: ResourceAmount::default(),
             },
-        }],
+        ],
         pools: ["builders", "printers"]
             .map(|name| PoolPolicy {
                 name: PoolName::new(name),
@@ -334,6 +342,18 @@
         pool: &str,
         steps: Vec<StepSpec>,
         duration_ms: u64,
+    ) -> JobId {
+        self.submit_as("housing", id, pool, steps, duration_ms)
+    }
+
+    /// Submits a job of a customer to the queue of a pool.
+    pub(crate) fn submit_as(
+        &mut self,
+        customer: &str,
+        id: &str,
+        pool: &str,
+        steps: Vec<StepSpec>,
+        duration_ms: u64,
     ) -> JobId {
         let id = JobId::new(id);
         let queue = match pool {
@@ -344,7 +364,7 @@
         let record = JobRecord {
             queue: QueueName::new(queue),
             pool: PoolName::new(pool),
-            customer: Some(CustomerName::new("housing")),
+            customer: Some(CustomerName::new(customer)),
             accepted: self.wall_time(),
             spec: JobSpec {
                 steps,
