Tell by the free capacity of single workers whether a waiting job may fit

Cause: the largest free processor and the largest free memory of a pool may be on different workers.

Change: a pool's free capacity is the set of amounts that no other worker exceeds in every resource; a job is visited only if one of them holds its task.

--- a/crates/jobs/benches/place.rs
+++ b/crates/jobs/benches/place.rs
@@ -12,6 +12,7 @@
 
 use common::{FakeFleet, FakeWorker, step_spec};
 use criterion::{Criterion, criterion_group, criterion_main};
+use redwing_jobs::spec::StepSpec;
 use redwing_jobs::worker::{EndedRun, ExitKind, RenewalReport};
 use redwing_jobs::{SchedulerSettings, TaskId, WorkerId};
 
@@ -45,7 +46,7 @@
     let running = fleet.workers.len() * tasks_per_worker as usize / TASKS_PER_JOB as usize;
     for number in 0..running + POOL_COUNT + waiting {
         let job = format!("j{number}");
-        let spec = vec![step_spec(TASKS_PER_JOB, TASK_CPU_MILLIS)];
+        let spec = vec![uneven_step(number / POOL_COUNT)];
         fleet.submit_to(&job, &pool_name(number % POOL_COUNT), spec, 3_600_000);
     }
     fleet.advance(200);
@@ -85,6 +86,17 @@
     }
 }
 
+/// Returns a step of tasks that need much memory or much processor in turn, so that
+/// the workers are full in one resource and have the other left.
+fn uneven_step(number: usize) -> StepSpec {
+    let mut step = step_spec(TASKS_PER_JOB, TASK_CPU_MILLIS);
+    if number.is_multiple_of(2) {
+        step.needs.cpu_millis = 500;
+        step.needs.memory_mb = 16_000;
+    }
+    step
+}
+
 /// Measures `iterations` runs that end, each followed by a round of placement.
 fn measure_ended_runs(workers: usize, waiting: usize, iterations: u64) -> time::Duration {
     let mut elapsed = time::Duration::ZERO;
@@ -115,7 +127,7 @@
     let mut elapsed = time::Duration::ZERO;
     for number in 0..iterations {
         let started = time::Instant::now();
-        let spec = vec![step_spec(TASKS_PER_JOB, TASK_CPU_MILLIS)];
+        let spec = vec![uneven_step(number as usize)];
         fleet.submit(&format!("late{number}"), spec, 3_600_000);
         let (now, wall) = (fleet.now, fleet.wall_time());
         fleet.scheduler.place_tasks(now, wall);
--- a/crates/jobs/src/scheduler/mod.rs
+++ b/crates/jobs/src/scheduler/mod.rs
@@ -9,6 +9,7 @@
 //! - `entry`: jobs, steps and tasks in memory
 //! - `finished`: jobs whose final state is stored, until their rows are deleted
 //! - `fleet`: workers, their free capacity and their leases
+//! - `free_capacity`: which tasks fit on no worker of a pool
 //! - `lifecycle`: submitted and cancelled jobs, and rows of an earlier owner
 //! - `listing`: the platform's list of workers
 //! - `maintenance`: load and demand, and eviction for maintenance
@@ -24,6 +25,7 @@
 mod entry;
 mod finished;
 mod fleet;
+mod free_capacity;
 mod lifecycle;
 mod listing;
 mod maintenance;
--- a/crates/jobs/src/scheduler/placement.rs
+++ b/crates/jobs/src/scheduler/placement.rs
@@ -14,6 +14,7 @@
 use super::advice::StepId;
 use super::entry::{JobEntry, RunLocation, TaskPhase};
 use super::fleet::{RunReservation, WorkerEntry};
+use super::free_capacity::FreeCapacity;
 use super::shares::PoolShares;
 use super::waiting::{JobRank, PoolVisit, WaitingEntry};
 use super::{JobScheduler, SchedulerEvent};
@@ -62,12 +63,9 @@
     }
 }
 
-/// Returns the largest free amount of each resource.
-fn largest_free(candidates: &[PlacementCandidate]) -> ResourceAmount {
-    let free = candidates.iter().map(|candidate| &candidate.free_capacity);
-    free.fold(ResourceAmount::default(), |largest, free| {
-        largest.component_max(free)
-    })
+/// Returns the free capacity of the candidates.
+fn free_capacity(candidates: &[PlacementCandidate]) -> FreeCapacity {
+    FreeCapacity::of(candidates.iter().map(|candidate| &candidate.free_capacity))
 }
 
 impl JobScheduler {
@@ -87,16 +85,16 @@
             return;
         }
         let shares = self.pool_shares(pool);
-        let mut largest = largest_free(&candidates);
-        let mut visit = PoolVisit::new(&self.waiting, pool, &largest, |customer| {
+        let mut free = free_capacity(&candidates);
+        let mut visit = PoolVisit::new(&self.waiting, pool, &free, |customer| {
             shares.is_used_up(customer, &self.pool_usage)
         });
-        while let Some(id) = visit.next(&self.waiting, &largest, |customer| {
+        while let Some(id) = visit.next(&self.waiting, &free, |customer| {
             shares.is_used_up(customer, &self.pool_usage)
         }) {
             let placed_count = self.place_job(&id, &mut candidates, now);
             if placed_count > 0 {
-                largest = largest_free(&candidates);
+                free = free_capacity(&candidates);
             }
         }
     }
--- a/crates/jobs/src/scheduler/waiting.rs
+++ b/crates/jobs/src/scheduler/waiting.rs
@@ -13,6 +13,8 @@
 use crate::spec::ResourceAmount;
 use crate::time::WallTime;
 
+use super::free_capacity::FreeCapacity;
+
 /// Rank of a job among those of its customer that wait for the same pool; lower
 /// goes first.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
@@ -144,25 +146,25 @@
     }
 
     /// Returns a customer's first job after `last` of which a task may fit into
-    /// `largest_free`.
+    /// `free`.
     fn next_fitting(
         &self,
         pool: &PoolName,
         customer: &Option<CustomerName>,
         last: Option<&WaitingKey>,
-        largest_free: &ResourceAmount,
+        free: &FreeCapacity,
     ) -> Option<WaitingKey> {
         let queue = self.pools.get(pool)?.get(customer)?;
         let start = last.map_or(Bound::Unbounded, Bound::Excluded);
         let mut rest = queue.range((start, Bound::Unbounded));
-        let next = rest.find(|(_, need)| need.fits_in(largest_free));
+        let next = rest.find(|(_, need)| free.fits(need));
         next.map(|(key, _)| key.clone())
     }
 
-    /// Returns whether a task of the job may fit into `largest_free`.
-    fn fits(&self, id: &JobId, largest_free: &ResourceAmount) -> bool {
+    /// Returns whether a task of the job may fit into the free capacity.
+    fn fits(&self, id: &JobId, free: &FreeCapacity) -> bool {
         let entry = self.entries.get(id);
-        entry.is_some_and(|entry| entry.smallest_need.fits_in(largest_free))
+        entry.is_some_and(|entry| free.fits(&entry.smallest_need))
     }
 }
 
@@ -192,7 +194,7 @@
     pub(super) fn new(
         waiting: &WaitingJobs,
         pool: &PoolName,
-        largest_free: &ResourceAmount,
+        free: &FreeCapacity,
         is_used_up: impl Fn(&Option<CustomerName>) -> bool,
     ) -> Self {
         let mut visit = Self {
@@ -200,7 +202,7 @@
             heads: BTreeSet::new(),
         };
         for customer in waiting.customers(pool) {
-            visit.add_next(waiting, customer, None, largest_free, &is_used_up);
+            visit.add_next(waiting, customer, None, free, &is_used_up);
         }
         visit
     }
@@ -210,10 +212,10 @@
         waiting: &WaitingJobs,
         customer: &Option<CustomerName>,
         last: Option<&WaitingKey>,
-        largest_free: &ResourceAmount,
+        free: &FreeCapacity,
         is_used_up: &impl Fn(&Option<CustomerName>) -> bool,
     ) {
-        let next = waiting.next_fitting(&self.pool, customer, last, largest_free);
+        let next = waiting.next_fitting(&self.pool, customer, last, free);
         self.heads.extend(next.map(|key| VisitHead {
             is_finite: key.0.is_finite,
             is_late: key.0.is_late,
@@ -223,11 +225,11 @@
         }));
     }
 
-    /// Returns the next job of which a task may fit into `largest_free`.
+    /// Returns the next job of which a task may fit into the free capacity.
     pub(super) fn next(
         &mut self,
         waiting: &WaitingJobs,
-        largest_free: &ResourceAmount,
+        free: &FreeCapacity,
         is_used_up: impl Fn(&Option<CustomerName>) -> bool,
     ) -> Option<JobId> {
         loop {
@@ -240,8 +242,8 @@
             }
             let customer = &head.customer;
             let last = Some(&head.key);
-            self.add_next(waiting, customer, last, largest_free, &is_used_up);
-            if waiting.fits(&head.key.1, largest_free) {
+            self.add_next(waiting, customer, last, free, &is_used_up);
+            if waiting.fits(&head.key.1, free) {
                 return Some(head.key.1);
             }
         }
--- a/crates/jobs/src/spec.rs
+++ b/crates/jobs/src/spec.rs
@@ -44,15 +44,6 @@
             && self.accelerators <= capacity.accelerators
     }
 
-    /// Returns the larger amount of each resource.
-    pub fn component_max(&self, other: &Self) -> Self {
-        Self {
-            cpu_millis: self.cpu_millis.max(other.cpu_millis),
-            memory_mb: self.memory_mb.max(other.memory_mb),
-            accelerators: self.accelerators.max(other.accelerators),
-        }
-    }
-
     /// Returns the smaller amount of each resource.
     pub fn component_min(&self, other: &Self) -> Self {
         Self {
