Split the request scheduler's dispatch and the owner's session by job

The usage of a pool was looked up twice in the same way. Change: moved without any change of behaviour; a pool's claim is one type.

--- a/crates/engine/src/owner/session.rs
+++ b/crates/engine/src/owner/session/mod.rs
@@ -1,15 +1,16 @@
 //! Session of an owner, from acquiring the ownership to losing or releasing it.
 
+mod rows;
+mod store;
+
 use std::collections::BTreeMap;
-use std::collections::HashMap;
 
 use redwing_jobs::feasibility::FleetCapacity;
 use redwing_jobs::maintenance::MaintenanceRecord;
-use redwing_jobs::record::ProgressRecord;
 use redwing_jobs::scheduler::{AdviceRequest, ChangeSet};
-use redwing_jobs::worker::{OrderAction, WorkerOrder, WorkerView};
+use redwing_jobs::worker::{OrderAction, WorkerOrder};
 use redwing_jobs::{BootTime, JobId, JobScheduler};
-use redwing_provider::{CallCause, TableRow};
+use redwing_provider::CallCause;
 use tokio::sync::{mpsc, oneshot};
 use tokio::time as timer;
 
@@ -18,13 +19,12 @@
 use crate::event;
 use crate::follow::{self, TableUpdate};
 use crate::log_job_event;
-use crate::row::{self, EncodedRow, JobKey, PendingCounts};
+use crate::row::{self, EncodedRow, PendingCounts};
 use crate::services::WorkerReply;
 
 use super::OwnerDependencies;
 use super::advice::{self, AdviceResult};
-use super::change::{self, ChangeOutcome, ExtraRows, StoreTimeouts};
-use super::cleanup;
+use super::change::{self, ChangeOutcome, StoreTimeouts};
 use super::election::OwnerLease;
 use super::machines::{MachineResponse, MachineService};
 use super::order_queues::{CompletedOrder, OrderQueues};
@@ -166,48 +166,6 @@
         Ok(session)
     }
 
-    fn restore_jobs(&mut self, job_rows: &[TableRow], progress_rows: &[TableRow]) {
-        let now = clock::boot_now();
-        let mut progress_by_id: HashMap<&str, ProgressRecord> = HashMap::new();
-        for entry in progress_rows {
-            let Some(id) = entry.key.as_str().strip_prefix(row::PROGRESS_PREFIX) else {
-                continue;
-            };
-            match row::read(entry) {
-                Ok(record) => {
-                    progress_by_id.insert(id, record);
-                }
-                Err(error) => follow::log_malformed(&entry.key, &error),
-            }
-        }
-        for (id, record) in &progress_by_id {
-            // Its job row may already be deleted; the cleanup then deletes the
-            // progress row.
-            if record.state.is_final() {
-                self.scheduler.restore_finished(&JobId::new(id), now);
-            }
-        }
-        let mut cancelled = Vec::new();
-        for entry in job_rows {
-            match row::read_job_key(&entry.key) {
-                Some(JobKey::Job(id)) => {
-                    match (record::read_job(entry), progress_by_id.get(id.as_str())) {
-                        (Some(record), Some(progress)) => {
-                            self.scheduler.restore(&id, record, progress, now);
-                        }
-                        (Some(record), None) => self.scheduler.submit(&id, record),
-                        (None, _) => {}
-                    }
-                }
-                Some(JobKey::Cancel(id)) => cancelled.push(id),
-                None => {}
-            }
-        }
-        for id in cancelled {
-            self.scheduler.cancel(&id, now);
-        }
-    }
-
     /// Runs until the ownership ends; returns the reason.
     async fn run(&mut self) -> &'static str {
         let mut operators = self.dependencies.operators.clone();
@@ -308,200 +266,6 @@
             .tick(self.dependencies, &mut self.scheduler, now);
     }
 
-    /// Starts to store the changes of the scheduler, or renews the lease.
-    fn start_change(&mut self, now: BootTime) {
-        if self.pending_change.is_some() {
-            return;
-        }
-        let settings = &self.dependencies.settings;
-        let is_due = now.saturating_since(self.renewed_at) >= settings.renewal_interval;
-        let has_changes = self.scheduler.has_changes() || self.machines.has_rows();
-        if !has_changes && !is_due && self.unconfirmed_since.is_none() {
-            return;
-        }
-        let changes = self.scheduler.take_changes();
-        let mut extra = self.take_extra_rows();
-        extra.written.extend(self.grown_capacity_row.take());
-        let pending_counts = self.next_pending_counts(now);
-        extra
-            .written
-            .extend(pending_counts.as_ref().and_then(record::pending_counts_row));
-        self.send_change(changes, &extra, pending_counts, now);
-    }
-
-    /// Returns the rows to write and delete besides the progress of jobs.
-    fn take_extra_rows(&mut self) -> ExtraRows {
-        let count = self.obsolete_jobs.len().min(cleanup::ROWS_PER_CHANGE);
-        let obsolete_jobs: Vec<JobId> = self.obsolete_jobs.drain(..count).collect();
-        for job in &obsolete_jobs {
-            self.scheduler.remove_expired(job);
-        }
-        ExtraRows {
-            written: self.machines.take_rows(),
-            deleted: cleanup::progress_keys(&obsolete_jobs),
-        }
-    }
-
-    /// Starts to delete the rows of jobs that finished long ago.
-    fn start_cleanup(&mut self, now: BootTime) {
-        if now.saturating_since(self.cleanup_started_at)
-            < self.dependencies.settings.cleanup_interval
-        {
-            return;
-        }
-        self.cleanup_started_at = now;
-        self.update_fleet_capacity();
-        let expired_jobs = self.scheduler.take_expired(cleanup::JOBS_PER_ROUND, now);
-        if !expired_jobs.is_empty() {
-            cleanup::start(
-                &self.dependencies.client,
-                expired_jobs,
-                &self.deleted_sender,
-            );
-        }
-    }
-
-    fn send_change(
-        &mut self,
-        changes: ChangeSet,
-        extra: &ExtraRows,
-        pending_counts: Option<PendingCounts>,
-        now: BootTime,
-    ) {
-        let (transaction, record) = match change::transaction(&self.lease, &changes, extra, false) {
-            Ok(prepared) => prepared,
-            Err(error) => {
-                log_job_event!(error, event::CHANGE_DELAYED, error = error);
-                return;
-            }
-        };
-        let (mut sender, outcome) = oneshot::channel();
-        let client = self.dependencies.client.clone();
-        let timeouts = StoreTimeouts {
-            attempt: self.dependencies.settings.attempt_timeout,
-            give_up_after: self.dependencies.settings.give_up_after,
-        };
-        tokio::task::spawn_local(async move {
-            let outcome = tokio::select! {
-                outcome = change::store(&client, &transaction, &record, timeouts) => outcome,
-                () = sender.closed() => return,
-            };
-            // The receiver is gone if the session has ended.
-            let _ = sender.send(outcome);
-        });
-        self.renewed_at = now;
-        self.pending_change = Some(PendingChange {
-            changes,
-            pending_counts,
-            outcome,
-        });
-    }
-
-    /// Applies the outcome of a change; returns the reason if the ownership is
-    /// lost.
-    fn handle_change_outcome(&mut self, outcome: ChangeOutcome) -> Option<&'static str> {
-        let pending = self.pending_change.take()?;
-        match outcome {
-            ChangeOutcome::Lost(reason) => return Some(reason),
-            ChangeOutcome::Stored(lease) => self.lease = lease,
-        }
-        let now = clock::boot_now();
-        let metrics = &self.dependencies.metrics;
-        metrics.count_change(now.saturating_since(self.renewed_at));
-        metrics.set_open_jobs(self.scheduler.job_count());
-        if let Some(pending_counts) = pending.pending_counts {
-            self.pending_counts = pending_counts;
-        }
-        self.confirmed_at = self.renewed_at;
-        let sent_at = self.renewed_at;
-        self.unconfirmed_since.take_if(|since| *since <= sent_at);
-        self.machines.rows_stored();
-        self.scheduler.changes_stored(&pending.changes, now);
-        None
-    }
-
-    /// Prepares the row of the fleet capacity to be stored, if it has grown.
-    fn update_fleet_capacity(&mut self) {
-        let mut fleet_capacity = self.fleet_capacity.clone();
-        self.scheduler.add_fleet_capacity(&mut fleet_capacity);
-        self.machines.add_capacity(&mut fleet_capacity);
-        if fleet_capacity != self.fleet_capacity {
-            self.grown_capacity_row = record::fleet_capacity_row(&fleet_capacity);
-            self.fleet_capacity = fleet_capacity;
-        }
-    }
-
-    /// Returns the pending counts to store, if they changed and
-    /// `pending_interval` has elapsed.
-    fn next_pending_counts(&mut self, now: BootTime) -> Option<PendingCounts> {
-        if now.saturating_since(self.counts_sent_at) < self.dependencies.settings.pending_interval {
-            return None;
-        }
-        let pending_counts = PendingCounts {
-            pending: self.scheduler.pending_counts(),
-        };
-        if pending_counts == self.pending_counts {
-            return None;
-        }
-        self.counts_sent_at = now;
-        Some(pending_counts)
-    }
-
-    fn apply_operator_view(&mut self) {
-        let view = self.dependencies.operators.borrow().clone();
-        if let Some(manifest) = &view.manifest {
-            self.scheduler.set_manifest(manifest.clone());
-        }
-        self.machines
-            .add_waves(&view, &self.waves, clock::boot_now());
-    }
-
-    fn apply_job_rows(&mut self, update: &TableUpdate) {
-        let now = clock::boot_now();
-        let mut cancelled = Vec::new();
-        for entry in &update.rows {
-            match row::read_job_key(&entry.key) {
-                Some(JobKey::Job(id)) => {
-                    if let Some(record) = record::read_job(entry) {
-                        self.scheduler.submit(&id, record);
-                    }
-                }
-                Some(JobKey::Cancel(id)) if entry.value.is_some() => cancelled.push(id),
-                _ => {}
-            }
-        }
-        for id in cancelled {
-            self.scheduler.cancel(&id, now);
-        }
-    }
-
-    fn apply_worker_rows(&mut self, rows: &[TableRow], is_complete: bool) {
-        let now = clock::boot_now();
-        let mut views: Vec<WorkerView> = Vec::new();
-        for entry in rows {
-            if entry.value.is_none() {
-                let id = self.dependencies.codec.worker_id(&entry.key);
-                self.scheduler.worker_unlisted(&id);
-                continue;
-            }
-            match self.dependencies.codec.worker(entry) {
-                Ok(view) => views.push(view),
-                Err(error) => {
-                    follow::log_malformed(&entry.key, &error);
-                    let id = self.dependencies.codec.worker_id(&entry.key);
-                    self.scheduler.worker_unlisted(&id);
-                }
-            }
-        }
-        if is_complete {
-            self.scheduler.workers_listed(views, now);
-            return;
-        }
-        for view in views {
-            self.scheduler.worker_listed(view, now);
-        }
-    }
-
     fn handle_completed_order(&mut self, completed: CompletedOrder) {
         let now = clock::boot_now();
         let CompletedOrder { order, reply } = completed;
--- /dev/null
+++ b/crates/engine/src/owner/session/rows.rs
@@ -0,0 +1,114 @@
+//! Rows that a session reads: jobs, workers, the manifest and waves.
+
+use std::collections::HashMap;
+
+use redwing_jobs::JobId;
+use redwing_jobs::record::ProgressRecord;
+use redwing_jobs::worker::WorkerView;
+use redwing_provider::TableRow;
+
+use crate::clock;
+use crate::follow::{self, TableUpdate};
+use crate::owner::record;
+use crate::row::{self, JobKey};
+
+use super::OwnerSession;
+
+impl OwnerSession<'_> {
+    pub(super) fn restore_jobs(&mut self, job_rows: &[TableRow], progress_rows: &[TableRow]) {
+        let now = clock::boot_now();
+        let mut progress_by_id: HashMap<&str, ProgressRecord> = HashMap::new();
+        for entry in progress_rows {
+            let Some(id) = entry.key.as_str().strip_prefix(row::PROGRESS_PREFIX) else {
+                continue;
+            };
+            match row::read(entry) {
+                Ok(record) => {
+                    progress_by_id.insert(id, record);
+                }
+                Err(error) => follow::log_malformed(&entry.key, &error),
+            }
+        }
+        for (id, record) in &progress_by_id {
+            // Its job row may already be deleted; the cleanup then deletes the
+            // progress row.
+            if record.state.is_final() {
+                self.scheduler.restore_finished(&JobId::new(id), now);
+            }
+        }
+        let mut cancelled = Vec::new();
+        for entry in job_rows {
+            match row::read_job_key(&entry.key) {
+                Some(JobKey::Job(id)) => {
+                    match (record::read_job(entry), progress_by_id.get(id.as_str())) {
+                        (Some(record), Some(progress)) => {
+                            self.scheduler.restore(&id, record, progress, now);
+                        }
+                        (Some(record), None) => self.scheduler.submit(&id, record),
+                        (None, _) => {}
+                    }
+                }
+                Some(JobKey::Cancel(id)) => cancelled.push(id),
+                None => {}
+            }
+        }
+        for id in cancelled {
+            self.scheduler.cancel(&id, now);
+        }
+    }
+
+    pub(super) fn apply_operator_view(&mut self) {
+        let view = self.dependencies.operators.borrow().clone();
+        if let Some(manifest) = &view.manifest {
+            self.scheduler.set_manifest(manifest.clone());
+        }
+        self.machines
+            .add_waves(&view, &self.waves, clock::boot_now());
+    }
+
+    pub(super) fn apply_job_rows(&mut self, update: &TableUpdate) {
+        let now = clock::boot_now();
+        let mut cancelled = Vec::new();
+        for entry in &update.rows {
+            match row::read_job_key(&entry.key) {
+                Some(JobKey::Job(id)) => {
+                    if let Some(record) = record::read_job(entry) {
+                        self.scheduler.submit(&id, record);
+                    }
+                }
+                Some(JobKey::Cancel(id)) if entry.value.is_some() => cancelled.push(id),
+                _ => {}
+            }
+        }
+        for id in cancelled {
+            self.scheduler.cancel(&id, now);
+        }
+    }
+
+    pub(super) fn apply_worker_rows(&mut self, rows: &[TableRow], is_complete: bool) {
+        let now = clock::boot_now();
+        let mut views: Vec<WorkerView> = Vec::new();
+        for entry in rows {
+            if entry.value.is_none() {
+                let id = self.dependencies.codec.worker_id(&entry.key);
+                self.scheduler.worker_unlisted(&id);
+                continue;
+            }
+            match self.dependencies.codec.worker(entry) {
+                Ok(view) => views.push(view),
+                Err(error) => {
+                    follow::log_malformed(&entry.key, &error);
+                    let id = self.dependencies.codec.worker_id(&entry.key);
+                    self.scheduler.worker_unlisted(&id);
+                }
+            }
+        }
+        if is_complete {
+            self.scheduler.workers_listed(views, now);
+            return;
+        }
+        for view in views {
+            self.scheduler.worker_listed(view, now);
+        }
+    }
+}
--- a/crates/jobs/src/scheduler/report.rs
+++ b/crates/jobs/src/scheduler/report.rs
@@ -11,6 +11,7 @@
 
 use super::entry::{RunProgress, TaskEntry, TaskPhase};
 use super::fleet::{ClockSample, ContactState, OrphanStop, RunReservation, UnacknowledgedRun};
+use super::shares::PoolClaim;
 use super::{JobScheduler, RunEndReason, SchedulerEvent, WorkerStatus};
 
 impl JobScheduler {
@@ -447,23 +448,19 @@
     }
 
     fn add_pool_usage(&mut self, task: &TaskId) {
-        let reserved = self.reserved(task);
-        if let Some(job) = self.jobs.get(&task.job) {
-            let queue = self.manifest.queue(&job.record.queue);
-            let pool = queue.map_or(&job.record.pool, |queue| &queue.pool);
-            let customer = job.record.customer.as_ref();
-            self.pool_usage.add(pool, customer, reserved);
+        if let Some(claim) = self.pool_claim(task) {
+            self.pool_usage.add(&claim);
         }
     }
 
-    fn subtract_pool_usage(&mut self, task: &TaskId) {
-        let reserved = self.reserved(task);
-        if let Some(job) = self.jobs.get(&task.job) {
-            let queue = self.manifest.queue(&job.record.queue);
-            let pool = queue.map_or(&job.record.pool, |queue| &queue.pool);
-            let customer = job.record.customer.as_ref();
-            self.pool_usage.subtract(pool, customer, reserved);
-        }
+    /// Returns what a task claims of its pool.
+    fn pool_claim(&self, task: &TaskId) -> Option<PoolClaim> {
+        let job = self.jobs.get(&task.job)?;
+        Some(PoolClaim {
+            pool: self.pool_of(job).clone(),
+            customer: job.record.customer.clone(),
+            amount: self.reserved(task),
+        })
     }
 
     /// Counts the usage of pools again: the manifest may have moved a queue to
@@ -481,7 +478,9 @@
 
     pub(super) fn uncount_active(&mut self, task: &TaskId) {
         let needs = self.needs(task);
-        self.subtract_pool_usage(task);
+        if let Some(claim) = self.pool_claim(task) {
+            self.pool_usage.subtract(&claim);
+        }
         let Some(job) = self.jobs.get_mut(&task.job) else {
             return;
         };
--- a/crates/jobs/src/scheduler/shares.rs
+++ b/crates/jobs/src/scheduler/shares.rs
@@ -11,34 +11,32 @@
 use crate::name::{CustomerName, PoolName};
 use crate::spec::ResourceAmount;
 
-/// Resources that the running tasks of each customer reserve, by pool. Jobs
-/// without a customer count as one.
+/// Resources that a running task reserves in a pool.
+#[derive(Clone, Debug)]
+pub(super) struct PoolClaim {
+    pub(super) pool: PoolName,
+    /// Customer of the job; jobs without one count as one customer.
+    pub(super) customer: Option<CustomerName>,
+    pub(super) amount: ResourceAmount,
+}
+
+/// Sum of the claims of each customer, by pool.
 #[derive(Debug, Default)]
 pub(super) struct PoolUsage {
     pools: HashMap<PoolName, HashMap<Option<CustomerName>, ResourceAmount>>,
 }
 
 impl PoolUsage {
-    pub(super) fn add(
-        &mut self,
-        pool: &PoolName,
-        customer: Option<&CustomerName>,
-        amount: ResourceAmount,
-    ) {
-        let customers = self.pools.entry(pool.clone()).or_default();
-        *customers.entry(customer.cloned()).or_default() += amount;
+    pub(super) fn add(&mut self, claim: &PoolClaim) {
+        let customers = self.pools.entry(claim.pool.clone()).or_default();
+        *customers.entry(claim.customer.clone()).or_default() += claim.amount;
     }
 
-    pub(super) fn subtract(
-        &mut self,
-        pool: &PoolName,
-        customer: Option<&CustomerName>,
-        amount: ResourceAmount,
-    ) {
-        let customers = self.pools.get_mut(pool);
-        let used = customers.and_then(|customers| customers.get_mut(&customer.cloned()));
+    pub(super) fn subtract(&mut self, claim: &PoolClaim) {
+        let customers = self.pools.get_mut(&claim.pool);
+        let used = customers.and_then(|customers| customers.get_mut(&claim.customer));
         if let Some(used) = used {
-            *used = used.saturating_sub(&amount);
+            *used = used.saturating_sub(&claim.amount);
         }
     }
 
--- a/crates/policy/src/scheduler/mod.rs
+++ b/crates/policy/src/scheduler/mod.rs
@@ -1,7 +1,10 @@
 //! Scheduler of the waiting requests of one entry process.
 
+mod admission;
+mod attempt;
 mod dispatch;
 mod peers;
+mod refusal;
 mod request;
 mod usage;
 
