--- a/crates/engine/src/owner/machines.rs
+++ b/crates/engine/src/owner/machines.rs
@@ -322,15 +322,25 @@
             }
             MaintenanceAction::Release(worker) => scheduler.block_worker(&worker, false),
             MaintenanceAction::Order { wave, machine } => {
-                self.unstored_orders.push(PendingOrder {
-                    machine,
-                    order: MachineOrder::Maintenance(wave),
-                });
+                self.add_maintenance_order(machine, wave);
             }
             MaintenanceAction::Store { wave, state } => self.store_wave(dependencies, wave, state),
         }
     }
 
+    /// Queues a maintenance order, unless an earlier one for the machine still waits
+    /// for its row.
+    fn add_maintenance_order(&mut self, machine: MachineName, wave: u64) {
+        let mut waiting = self.unstored_orders.iter().chain(&self.storing_orders);
+        if waiting.any(|pending| pending.machine == machine) {
+            return;
+        }
+        self.unstored_orders.push(PendingOrder {
+            machine,
+            order: MachineOrder::Maintenance(wave),
+        });
+    }
+
     fn store_wave(&mut self, dependencies: &OwnerDependencies, wave: u64, state: WaveState) {
         if self.wave_states.insert(wave, state) != Some(state) {
             log_job_event!(
