--- a/crates/engine/tests/common/mod.rs
+++ b/crates/engine/tests/common/mod.rs
@@ -26,7 +26,8 @@
 use tokio::task;
 use tokio::time as timer;
 
-const MANIFEST: &str = r#"{"version":1,
+/// First version of the manifest.
+pub(crate) const MANIFEST: &str = r#"{"version":1,
     "queues":[{"name":"certificates","address":{"path-prefix":"/q/"},"pool":"workers","priority":0,
       "max-attempts":3,"stretch":1.6,"objective-ms":600,"is-public":false,"is-advised":false}],
     "customers":[{"name":"inspectors","keys":["good"],"weight":1.0,"limit":{}}],
--- a/crates/engine/tests/owner.rs
+++ b/crates/engine/tests/owner.rs
@@ -6,13 +6,14 @@
 
 use std::time;
 
-use common::{LostCalls, TestCluster, head, run_test};
+use common::{LostCalls, MANIFEST, TestCluster, head, run_test};
 use redwing_engine::caller::service::CallerVerb;
 use redwing_engine::codec::{CallerHead, CallerResponse};
 use redwing_engine::owner::OwnerSettings;
+use redwing_engine::product;
 use redwing_engine::row;
 use redwing_jobs::{JobState, WorkerId};
-use redwing_provider::TableStore;
+use redwing_provider::{RowKey, TableStore, TableTransaction};
 use redwing_standin::WorkerFault;
 use tokio::time as timer;
 
@@ -443,3 +444,26 @@
         assert_eq!(cluster.state(0, "job-0").await, CallerResponse::NoSuchJob);
     });
 }
+
+/// The version in force stays, and jobs run on.
+#[test]
+fn a_manifest_with_an_unusable_weight_is_not_installed() {
+    run_test(async {
+        let cluster = TestCluster::start(1, time::Duration::from_millis(50)).await;
+        let broken = MANIFEST
+            .replace(r#""version":1"#, r#""version":2"#)
+            .replace(r#""weight":1.0"#, r#""weight":-1.0"#);
+        let row = TableTransaction::default().put(RowKey::new(product::MANIFEST_KEY), broken);
+        cluster
+            .platform
+            .commit(&row)
+            .await
+            .expect("the table is up");
+        timer::sleep(time::Duration::from_millis(700)).await;
+        let text = cluster.processes[0].metrics.text().expect("it is written");
+        let text = String::from_utf8(text).expect("it is text");
+        assert!(text.contains("redwing_manifest_version 1"), "{text}");
+        assert_eq!(cluster.submit(0, "a", 1).await, CallerResponse::Accepted);
+        cluster.wait_state(0, "a", JobState::Completed).await;
+    });
+}
