Log when runs wait for the leases of a lost worker

Change: event E545 lease-awaited with the number of runs and the time left, the counter redwing_lease_waits_total, and E540 Draining also for a worker that drains when it is first listed. No decision changes.

--- a/crates/engine/src/event.rs
+++ b/crates/engine/src/event.rs
@@ -95,4 +95,6 @@
     WAVE_CHANGED = 543 "wave-changed";
     /// A request to the advisor failed; it is repeated later.
     ADVICE_FAILED = 544 "advice-failed";
+    /// Runs on an unresponsive worker begin to wait for the end of its leases.
+    LEASE_AWAITED = 545 "lease-awaited";
 }
--- a/crates/engine/src/metrics.rs
+++ b/crates/engine/src/metrics.rs
@@ -29,6 +29,8 @@
     runs_ended: IntCounterVec,
     /// Tasks that were placed on workers.
     tasks_placed: IntCounter,
+    /// Times that runs on an unresponsive worker began to wait for its leases.
+    lease_waits: IntCounter,
     /// Orders to workers, by kind.
     orders: IntCounterVec,
     /// Time to store a change of the owner, in seconds.
@@ -73,6 +75,11 @@
         };
         let tasks_placed = IntCounter::new("redwing_tasks_placed_total", "Tasks given room.")?;
         registry.register(Box::new(tasks_placed.clone()))?;
+        let lease_waits = IntCounter::new(
+            "redwing_lease_waits_total",
+            "Times that runs waited for the leases of an unresponsive worker.",
+        )?;
+        registry.register(Box::new(lease_waits.clone()))?;
         Ok(Self {
             calls: counters(
                 "redwing_job_calls_total",
@@ -87,6 +94,7 @@
                 &["reason"],
             )?,
             tasks_placed,
+            lease_waits,
             orders: counters(
                 "redwing_worker_orders_total",
                 "Orders to workers.",
@@ -137,6 +145,11 @@
         self.jobs_ended.with_label_values(&[state]).inc();
     }
 
+    /// Counts that runs began to wait for the leases of an unresponsive worker.
+    pub fn count_lease_wait(&self) {
+        self.lease_waits.inc();
+    }
+
     /// Counts a run that ended without completing its task.
     pub fn count_ended_run(&self, reason: &str) {
         self.runs_ended.with_label_values(&[reason]).inc();
--- a/crates/engine/src/owner/scheduler_event.rs
+++ b/crates/engine/src/owner/scheduler_event.rs
@@ -32,6 +32,7 @@
         SchedulerEvent::JobEnded { state, .. } => metrics.count_ended_job(&format!("{state:?}")),
         SchedulerEvent::TasksPlaced { count, .. } => metrics.count_placed_tasks(*count),
         SchedulerEvent::RunEnded { reason, .. } => metrics.count_ended_run(&format!("{reason:?}")),
+        SchedulerEvent::LeaseAwaited { .. } => metrics.count_lease_wait(),
         SchedulerEvent::WorkerChanged { .. } => {}
     }
 }
@@ -78,5 +79,16 @@
             worker = worker,
             belief = format!("{status:?}"),
         ),
+        SchedulerEvent::LeaseAwaited {
+            worker,
+            runs,
+            remaining,
+        } => log_job_event!(
+            info,
+            event::LEASE_AWAITED,
+            worker = worker,
+            runs = runs,
+            millis = remaining.as_millis(),
+        ),
     }
 }
--- a/crates/jobs/src/scheduler/listing.rs
+++ b/crates/jobs/src/scheduler/listing.rs
@@ -14,6 +14,7 @@
     /// Updates a worker from its entry in the list.
     pub fn worker_listed(&mut self, view: WorkerView, now: BootTime) {
         let id = view.id.clone();
+        let is_draining = view.is_draining;
         let Some(entry) = self.fleet.get_mut(&id) else {
             let entry = WorkerEntry {
                 incarnation: view.incarnation,
@@ -25,10 +26,12 @@
             };
             self.fleet.insert(id.clone(), entry);
             self.record_status(&id, WorkerStatus::Listed);
+            if is_draining {
+                self.record_status(&id, WorkerStatus::Draining);
+            }
             return;
         };
         let was_draining = entry.view.as_ref().is_some_and(|view| view.is_draining);
-        let is_draining = view.is_draining;
         let incarnation = view.incarnation;
         let is_older = incarnation < entry.incarnation;
         let is_newer = incarnation > entry.incarnation;
@@ -133,7 +136,7 @@
     pub(super) fn expire_leases(&mut self, now: BootTime) {
         let mut expired = Vec::new();
         let mut removed = Vec::new();
-        for (id, entry) in self.fleet.iter() {
+        for (id, entry) in self.fleet.iter_mut() {
             let is_unresponsive = entry.contact != ContactState::Responsive;
             if entry.reservations.is_empty() {
                 if !entry.is_listed && is_unresponsive {
@@ -141,7 +144,21 @@
                 }
                 continue;
             }
-            if is_unresponsive && entry.lease_until < now {
+            if !is_unresponsive {
+                entry.is_lease_awaited = false;
+                continue;
+            }
+            let is_unreachable =
+                entry.contact == ContactState::Unresponsive || entry.view.is_none();
+            if is_unreachable && !entry.is_lease_awaited {
+                entry.is_lease_awaited = true;
+                self.events.push(SchedulerEvent::LeaseAwaited {
+                    worker: id.clone(),
+                    runs: entry.reservations.len() as u32,
+                    remaining: entry.lease_until.saturating_since(now),
+                });
+            }
+            if entry.lease_until < now {
                 let reservations = entry.reservations.iter();
                 expired.extend(
                     reservations
--- a/crates/jobs/src/scheduler/mod.rs
+++ b/crates/jobs/src/scheduler/mod.rs
@@ -166,6 +166,15 @@
         /// Its new status.
         status: WorkerStatus,
     },
+    /// Runs on an unresponsive worker begin to wait for the end of its leases.
+    LeaseAwaited {
+        /// The worker.
+        worker: WorkerId,
+        /// Number of the runs.
+        runs: u32,
+        /// Time until the leases have expired.
+        remaining: time::Duration,
+    },
 }
 
 /// Why a run ended without completing its task.
