--- /dev/null
+++ b/crates/engine/tests/takeover.rs
@@ -0,0 +1,85 @@
+//! Tasks of a worker that is lost while the ownership changes.
+
+#[allow(dead_code)]
+mod common;
+
+use std::time;
+
+use common::{TestCluster, run_test};
+use redwing_engine::codec::CallerResponse;
+use redwing_standin::WorkerFault;
+use tokio::time as timer;
+
+/// Longest time that a task of a lost worker may have no run: it is due 6 s after
+/// its last run, and 3 s later counts as lost.
+const RESTART_LIMIT: time::Duration = time::Duration::from_secs(9);
+
+/// Starts one task that outlasts the test, and makes its worker unresponsive.
+async fn lose_worker(processes: usize) -> (TestCluster, timer::Instant) {
+    let cluster = TestCluster::start(processes, time::Duration::from_secs(60)).await;
+    cluster.owner().await;
+    assert_eq!(cluster.submit(0, "a", 1).await, CallerResponse::Accepted);
+    cluster.wait_starts(1).await;
+    let fault = WorkerFault {
+        is_unresponsive: true,
+        ..WorkerFault::default()
+    };
+    let worker = cluster.workers.starts()[0].worker.clone();
+    cluster.workers.set_fault(&worker, fault);
+    (cluster, timer::Instant::now())
+}
+
+/// Waits until the task has started again, and checks the time it took.
+async fn check_restart(cluster: &TestCluster, lost_at: timer::Instant) {
+    cluster.wait_starts(2).await;
+    let elapsed = lost_at.elapsed();
+    assert!(elapsed < RESTART_LIMIT, "{elapsed:?}");
+    cluster.assert_no_double_run();
+}
+
+/// A rolling restart moves the ownership every 2 s while a worker is lost.
+#[test]
+fn a_rolling_restart_does_not_prolong_the_wait_for_a_lost_worker() {
+    run_test(async {
+        let (mut cluster, lost_at) = lose_worker(2).await;
+        for _ in 0..5 {
+            timer::sleep(time::Duration::from_secs(2)).await;
+            if cluster.workers.starts().len() > 1 {
+                break;
+            }
+            let owner = cluster.owner().await;
+            let index = cluster.process_index(&owner);
+            cluster.processes[index].stop.send_replace(true);
+            cluster.owner_above(owner.fencing_token).await;
+            cluster.add_process(cluster.processes.len()).await;
+        }
+        check_restart(&cluster, lost_at).await;
+    });
+}
+
+/// The owner is killed while it waits for the leases of a lost worker.
+#[test]
+fn a_killed_owner_does_not_prolong_the_wait_for_a_lost_worker() {
+    run_test(async {
+        let (cluster, lost_at) = lose_worker(3).await;
+        timer::sleep(time::Duration::from_secs(3)).await;
+        let owner = cluster.owner().await;
+        cluster.processes[cluster.process_index(&owner)]
+            .owner
+            .abort();
+        check_restart(&cluster, lost_at).await;
+    });
+}
+
+/// The owner is killed together with a worker.
+#[test]
+fn tasks_of_a_worker_that_is_lost_with_the_owner_start_again_in_time() {
+    run_test(async {
+        let (cluster, lost_at) = lose_worker(3).await;
+        let owner = cluster.owner().await;
+        cluster.processes[cluster.process_index(&owner)]
+            .owner
+            .abort();
+        check_restart(&cluster, lost_at).await;
+    });
+}
