Move long-running tasks off a draining worker by its state

What callers saw: a long-running task ended with its worker and had no run for 12 s, although the worker had announced 4 s before that it would leave. Cause: the move was triggered by the change of a worker's entry from ready to draining. An owner that stopped before it had read that change left a draining worker to its successor, which read it as draining from the start and moved nothing. Class: work that hangs on an edge, while the edge is not stored and the process that sees it may be gone. Fix: each tick stops long-running tasks on every worker whose entry says that it drains; ordering a stop twice has no effect.

--- a/crates/jobs/src/scheduler/fleet.rs
+++ b/crates/jobs/src/scheduler/fleet.rs
@@ -112,11 +112,16 @@
         self.view.as_ref().map(|view| view.address)
     }
 
+    /// Returns whether the worker accepts no new tasks because it is about to leave.
+    pub(super) fn is_draining(&self) -> bool {
+        self.view.as_ref().is_some_and(|view| view.is_draining)
+    }
+
     /// Returns whether the worker may get new tasks.
     pub(super) fn is_usable(&self, now: BootTime) -> bool {
-        let is_draining = self.view.as_ref().is_none_or(|view| view.is_draining);
         self.is_listed
-            && !is_draining
+            && self.view.is_some()
+            && !self.is_draining()
             && !self.is_blocked
             && self.contact == ContactState::Responsive
             && self.clock.is_some()
--- a/crates/jobs/src/scheduler/listing.rs
+++ b/crates/jobs/src/scheduler/listing.rs
@@ -31,7 +31,7 @@
             }
             return;
         };
-        let was_draining = entry.view.as_ref().is_some_and(|view| view.is_draining);
+        let was_draining = entry.is_draining();
         let incarnation = view.incarnation;
         let is_older = incarnation < entry.incarnation;
         let is_newer = incarnation > entry.incarnation;
@@ -47,7 +47,6 @@
         }
         if is_draining && !was_draining {
             self.record_status(&id, WorkerStatus::Draining);
-            self.evict_from_draining(&id, now);
         }
         if has_changed {
             self.mark_worker_changed(&id);
@@ -92,13 +91,16 @@
         self.mark_worker_changed(id);
     }
 
-    /// Stops long-running tasks on a draining worker, to restart them elsewhere; all
+    /// Stops long-running tasks on draining workers, to restart them elsewhere; all
     /// others may finish there.
-    fn evict_from_draining(&mut self, id: &WorkerId, now: BootTime) {
-        let Some(entry) = self.fleet.get(id) else {
-            return;
-        };
-        let tasks: Vec<TaskId> = entry.reservations.keys().cloned().collect();
+    ///
+    /// A new owner may meet workers that drain already, so this goes by the state of
+    /// a worker and not by its change.
+    pub(super) fn evict_from_draining(&mut self, now: BootTime) {
+        let draining = self.fleet.iter().filter(|(_, entry)| entry.is_draining());
+        let draining = draining.filter(|(_, entry)| entry.long_running_count > 0);
+        let tasks = draining.flat_map(|(_, entry)| entry.reservations.keys().cloned());
+        let tasks: Vec<TaskId> = tasks.collect();
         for task in tasks {
             if self.is_long_running(&task) {
                 self.stop_task(&task, now);
--- a/crates/jobs/src/scheduler/mod.rs
+++ b/crates/jobs/src/scheduler/mod.rs
@@ -356,6 +356,7 @@
     /// called several times a second.
     pub fn tick(&mut self, now: BootTime) {
         self.expire_leases(now);
+        self.evict_from_draining(now);
         self.retry_stops(now);
         self.stop_stalled(now);
         self.send_due_renewals(now);
