Count inherited leases from the last change of the previous owner

What callers saw: a task of a worker that was lost together with the owner had no run for 9.6 s; it is due after 6 s and counts as lost after 9 s. Cause: a new owner counted the leases of its predecessor from its own election, although the predecessor had been silent for 1.2 s or more, had released the ownership, or had ended as a former process of the same VM. Class: a wait that is counted from the moment of the observer and not of the event. Fix: the time counts from when the successor first saw the predecessor's last row, the 2.5 s without a stored change only if the predecessor may live. The owner's row has the time left for the leases of those before it, so that a short ownership hides none. Tests of jobs and engine pass otherwise.

--- a/crates/engine/src/owner/change.rs
+++ b/crates/engine/src/owner/change.rs
@@ -48,18 +48,28 @@
     Lost(&'static str),
 }
 
+/// State of the ownership that a change writes.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct OwnershipState {
+    /// Whether the owner releases the ownership.
+    pub(super) released: bool,
+    /// Time until the leases of earlier owners have expired.
+    pub(super) inherited: time::Duration,
+}
+
 /// Returns the transaction that stores a change, and the owner record that it
 /// writes.
 pub(super) fn transaction(
     lease: &OwnerLease,
     changes: &ChangeSet,
     extra: &ExtraRows,
-    released: bool,
+    state: OwnershipState,
 ) -> Result<(TableTransaction, OwnerRecord)> {
     let key = RowKey::new(row::OWNER_KEY);
     let record = OwnerRecord {
         change: lease.record.change + 1,
-        released,
+        released: state.released,
+        inherited_ms: Some(state.inherited.as_millis() as u64),
         ..lease.record.clone()
     };
     let value = row::write(&key, &record)?;
--- a/crates/engine/src/owner/election.rs
+++ b/crates/engine/src/owner/election.rs
@@ -2,6 +2,7 @@
 
 use std::time;
 
+use redwing_jobs::scheduler::PreviousOwner;
 use redwing_jobs::time::BootTime;
 use redwing_provider::table::TableView;
 use redwing_provider::{CallCause, CommitOutcome, RowKey, TableRow, TableTransaction};
@@ -21,6 +22,22 @@
     pub version: u64,
 }
 
+/// Ownership that this process has just acquired.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub(super) struct AcquiredOwnership {
+    pub(super) lease: OwnerLease,
+    /// When all leases that earlier owners granted to workers have expired.
+    pub(super) inherited_until: BootTime,
+}
+
+/// Claim whose outcome is unknown.
+#[derive(Clone, Debug)]
+struct PendingClaim {
+    /// Content that it writes.
+    value: String,
+    inherited_until: BootTime,
+}
+
 /// Tracks for how long the owner row has not changed.
 #[derive(Debug, Default)]
 struct RowObserver {
@@ -56,10 +73,10 @@
 }
 
 /// Waits until this process has acquired the ownership.
-pub(super) async fn acquire(dependencies: &OwnerDependencies) -> OwnerLease {
+pub(super) async fn acquire(dependencies: &OwnerDependencies) -> AcquiredOwnership {
     let key = RowKey::new(row::OWNER_KEY);
     let mut observer = RowObserver::default();
-    let mut claimed_value: Option<String> = None;
+    let mut pending: Option<PendingClaim> = None;
     loop {
         let requested_at = clock::boot_now();
         // The followers of the table log failed reads.
@@ -69,8 +86,8 @@
             .await
         {
             let current = find_owner_row(&view, &key);
-            if let Some(lease) = confirm_claim(current, claimed_value.as_ref()) {
-                return lease;
+            if let Some(acquired) = confirm_claim(current, pending.as_ref()) {
+                return acquired;
             }
             let version = current.map(|row| row.version);
             let unchanged_for = observer.observe(
@@ -80,10 +97,17 @@
             );
             let record = current.and_then(|row| row::read::<OwnerRecord>(row).ok());
             if may_claim(dependencies, record.as_ref(), unchanged_for) {
-                let fencing_token = record.map_or(0, |record| record.fencing_token) + 1;
-                match claim(dependencies, &key, version, fencing_token).await {
-                    Ok(lease) => return lease,
-                    Err(value) => claimed_value = value.or(claimed_value),
+                let inherited_until =
+                    inherited_until(dependencies, record.as_ref(), observer.unchanged_since);
+                let claimed = claim(dependencies, &key, version, record, inherited_until).await;
+                match claimed {
+                    Ok(lease) => {
+                        return AcquiredOwnership {
+                            lease,
+                            inherited_until,
+                        };
+                    }
+                    Err(unknown) => pending = unknown.or(pending),
                 }
             }
         }
@@ -115,50 +139,78 @@
         None => unchanged_for >= delay,
         Some(owner) if owner.released => unchanged_for >= delay,
         Some(owner) if owner.is_small && !settings.is_small => true,
-        // The owner was an earlier process of this VM, which has ended.
-        Some(owner)
-            if owner.node == dependencies.node && owner.incarnation != dependencies.incarnation =>
-        {
-            true
-        }
+        Some(owner) if is_former_process(dependencies, owner) => true,
         Some(_) => unchanged_for >= settings.lease + delay,
     }
 }
 
+/// Returns whether the owner was an earlier process of this VM, which has ended.
+fn is_former_process(dependencies: &OwnerDependencies, owner: &OwnerRecord) -> bool {
+    owner.node == dependencies.node && owner.incarnation != dependencies.incarnation
+}
+
+/// Returns when all leases have expired that earlier owners granted to workers, given
+/// the latest record and since when the row is known to be unchanged.
+fn inherited_until(
+    dependencies: &OwnerDependencies,
+    record: Option<&OwnerRecord>,
+    unchanged_since: BootTime,
+) -> BootTime {
+    let inherited_ms = record.and_then(|owner| owner.inherited_ms);
+    let has_ended =
+        record.is_some_and(|owner| owner.released || is_former_process(dependencies, owner));
+    let previous = PreviousOwner {
+        unchanged_since,
+        has_ended,
+        inherited: inherited_ms.map(time::Duration::from_millis),
+    };
+    previous.leases_until(&dependencies.settings.scheduler)
+}
+
 fn find_owner_row<'a>(view: &'a TableView, key: &RowKey) -> Option<&'a TableRow> {
     view.rows
         .iter()
         .find(|row| row.key == *key && row.value.is_some())
 }
 
-/// Returns the lease if an earlier claim whose response was lost took effect.
-fn confirm_claim(current: Option<&TableRow>, claimed_value: Option<&String>) -> Option<OwnerLease> {
+/// Returns the ownership if an earlier claim whose response was lost took effect.
+fn confirm_claim(
+    current: Option<&TableRow>,
+    pending: Option<&PendingClaim>,
+) -> Option<AcquiredOwnership> {
     let current = current?;
-    if claimed_value.is_none() || current.value.as_ref() != claimed_value {
+    let pending = pending?;
+    if current.value.as_ref() != Some(&pending.value) {
         return None;
     }
-    Some(OwnerLease {
-        record: row::read(current).ok()?,
-        version: current.version,
+    Some(AcquiredOwnership {
+        lease: OwnerLease {
+            record: row::read(current).ok()?,
+            version: current.version,
+        },
+        inherited_until: pending.inherited_until,
     })
 }
 
-/// Tries to write the owner row.
+/// Tries to write the owner row as the successor of `previous`.
 ///
-/// On failure returns the content if it may nevertheless have been written.
+/// On failure returns the claim if it may nevertheless have been written.
 async fn claim(
     dependencies: &OwnerDependencies,
     key: &RowKey,
     version: Option<u64>,
-    fencing_token: u64,
-) -> Result<OwnerLease, Option<String>> {
+    previous: Option<OwnerRecord>,
+    inherited_until: BootTime,
+) -> Result<OwnerLease, Option<PendingClaim>> {
+    let inherited = inherited_until.saturating_since(clock::boot_now());
     let record = OwnerRecord {
         node: dependencies.node.clone(),
         incarnation: dependencies.incarnation,
-        fencing_token,
+        fencing_token: previous.map_or(0, |record| record.fencing_token) + 1,
         change: 0,
         released: false,
         is_small: dependencies.settings.is_small,
+        inherited_ms: Some(inherited.as_millis() as u64),
     };
     let value = row::write(key, &record).map_err(|_| None)?;
     let transaction = TableTransaction::default();
@@ -173,6 +225,9 @@
     match commit.await {
         Ok(CommitOutcome::Committed(version)) => Ok(OwnerLease { record, version }),
         Ok(CommitOutcome::Conflict(_)) => Err(None),
-        Err(_) => Err(Some(value)),
+        Err(_) => Err(Some(PendingClaim {
+            value,
+            inherited_until,
+        })),
     }
 }
--- a/crates/engine/src/owner/mod.rs
+++ b/crates/engine/src/owner/mod.rs
@@ -129,11 +129,11 @@
 pub async fn run(dependencies: OwnerDependencies) {
     let mut stopping = dependencies.stopping.clone();
     loop {
-        let lease = tokio::select! {
-            lease = election::acquire(&dependencies) => lease,
+        let acquired = tokio::select! {
+            acquired = election::acquire(&dependencies) => acquired,
             _ = stopping.wait_for(|is_stopping| *is_stopping) => return,
         };
-        session::run(&dependencies, lease).await;
+        session::run(&dependencies, acquired).await;
         if *dependencies.stopping.borrow() {
             return;
         }
--- a/crates/engine/src/owner/session/mod.rs
+++ b/crates/engine/src/owner/session/mod.rs
@@ -7,7 +7,7 @@
 
 use redwing_jobs::feasibility::FleetCapacity;
 use redwing_jobs::maintenance::MaintenanceRecord;
-use redwing_jobs::scheduler::{AdviceRequest, ChangeSet};
+use redwing_jobs::scheduler::{AdviceRequest, ChangeSet, InheritedLeases};
 use redwing_jobs::worker::{OrderAction, WorkerOrder};
 use redwing_jobs::{BootTime, JobId, JobScheduler};
 use redwing_provider::CallCause;
@@ -25,18 +25,18 @@
 use super::OwnerDependencies;
 use super::advice::{self, AdviceResult};
 use super::change::{self, ChangeOutcome, StoreTimeouts};
-use super::election::OwnerLease;
+use super::election::{AcquiredOwnership, OwnerLease};
 use super::machines::{MachineResponse, MachineService};
 use super::order_queues::{CompletedOrder, OrderQueues};
 use super::record;
 use super::scheduler_event;
 
 /// Runs a session until the ownership is lost or the process stops.
-pub(super) async fn run(dependencies: &OwnerDependencies, lease: OwnerLease) {
-    let fencing_token = lease.record.fencing_token;
+pub(super) async fn run(dependencies: &OwnerDependencies, acquired: AcquiredOwnership) {
+    let fencing_token = acquired.lease.record.fencing_token;
     log_job_event!(info, event::OWNER_BEGUN, fence = fencing_token);
     dependencies.metrics.set_owner(fencing_token);
-    let reason = match OwnerSession::open(dependencies, lease).await {
+    let reason = match OwnerSession::open(dependencies, acquired).await {
         Ok(mut session) => session.run().await,
         Err(error) => {
             log_job_event!(error, event::CHANGE_DELAYED, error = error);
@@ -100,12 +100,21 @@
     /// the process was paused, or no change succeeded for longer than
     /// `unconfirmed_limit`. None while the ownership is confirmed.
     unconfirmed_since: Option<BootTime>,
+    /// When all leases of earlier owners have expired.
+    inherited_until: BootTime,
 }
 
 impl<'a> OwnerSession<'a> {
     /// Restores the state that earlier owners stored, and starts to follow jobs
     /// and workers.
-    async fn open(dependencies: &'a OwnerDependencies, lease: OwnerLease) -> Result<Self> {
+    async fn open(
+        dependencies: &'a OwnerDependencies,
+        acquired: AcquiredOwnership,
+    ) -> Result<Self> {
+        let AcquiredOwnership {
+            lease,
+            inherited_until,
+        } = acquired;
         let client = &dependencies.client;
         let renewed_at = clock::boot_now();
         // Concurrent scans: the lease must not expire while a slow table responds.
@@ -158,8 +167,12 @@
             deferred_orders: Vec::new(),
             confirmed_at: renewed_at,
             unconfirmed_since: None,
+            inherited_until,
             lease,
         };
+        session.scheduler.inherit_leases(InheritedLeases {
+            until: inherited_until,
+        });
         session.apply_operator_view();
         session.apply_worker_rows(&workers.rows, true);
         session.restore_jobs(&jobs.rows, &progress.rows);
@@ -322,7 +335,8 @@
         }
         let changes = self.scheduler.take_changes();
         let extra = self.take_extra_rows();
-        match change::transaction(&self.lease, &changes, &extra, true) {
+        let state = self.ownership_state(true, clock::boot_now());
+        match change::transaction(&self.lease, &changes, &extra, state) {
             Ok((transaction, record)) => {
                 let timeouts = StoreTimeouts {
                     attempt: self.dependencies.settings.attempt_timeout,
--- a/crates/engine/src/owner/session/store.rs
+++ b/crates/engine/src/owner/session/store.rs
@@ -7,7 +7,7 @@
 use crate::clock;
 use crate::event;
 use crate::log_job_event;
-use crate::owner::change::{self, ChangeOutcome, ExtraRows, StoreTimeouts};
+use crate::owner::change::{self, ChangeOutcome, ExtraRows, OwnershipState, StoreTimeouts};
 use crate::owner::cleanup;
 use crate::owner::record;
 use crate::row::PendingCounts;
@@ -75,7 +75,8 @@
         pending_counts: Option<PendingCounts>,
         now: BootTime,
     ) {
-        let (transaction, record) = match change::transaction(&self.lease, &changes, extra, false) {
+        let state = self.ownership_state(false, now);
+        let (transaction, record) = match change::transaction(&self.lease, &changes, extra, state) {
             Ok(prepared) => prepared,
             Err(error) => {
                 log_job_event!(error, event::CHANGE_DELAYED, error = error);
@@ -104,6 +105,14 @@
         });
     }
 
+    /// Returns the state of the ownership for a change that is sent now.
+    pub(super) fn ownership_state(&self, released: bool, now: BootTime) -> OwnershipState {
+        OwnershipState {
+            released,
+            inherited: self.inherited_until.saturating_since(now),
+        }
+    }
+
     /// Applies the outcome of a change; returns the reason if the ownership is
     /// lost.
     pub(super) fn handle_change_outcome(&mut self, outcome: ChangeOutcome) -> Option<&'static str> {
--- a/crates/engine/src/row.rs
+++ b/crates/engine/src/row.rs
@@ -74,6 +74,10 @@
     /// once.
     #[serde(default)]
     pub is_small: bool,
+    /// Time until all leases that earlier owners granted to workers have expired, in
+    /// milliseconds after the change; absent in rows of earlier releases.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub inherited_ms: Option<u64>,
 }
 
 /// Mark that a job was cancelled.
--- /dev/null
+++ b/crates/jobs/src/scheduler/lease.rs
@@ -0,0 +1,112 @@
+//! Leases that let runs on workers continue, and those of earlier owners.
+//!
+//! Load pattern: workers that become unresponsive while owners end. A worker that
+//! does not respond may run its tasks until its leases have expired; only then may
+//! they start elsewhere.
+
+use std::time;
+
+use crate::name::WorkerId;
+use crate::time::BootTime;
+
+use super::fleet::ContactState;
+use super::{JobScheduler, RunEndReason, SchedulerEvent, SchedulerSettings};
+
+/// What the successor of an owner knows of it.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct PreviousOwner {
+    /// Since when its row is known to be unchanged.
+    pub unchanged_since: BootTime,
+    /// Whether it sends no more orders since then.
+    pub has_ended: bool,
+    /// Time that the leases of the owners before it had left at its latest change;
+    /// none if unknown.
+    pub inherited: Option<time::Duration>,
+}
+
+impl PreviousOwner {
+    /// Returns when all leases have expired that this owner and those before it
+    /// granted.
+    ///
+    /// An owner that has not ended sends orders for a limited time after its latest
+    /// change, so at most until that time after the row was first seen unchanged.
+    pub fn leases_until(&self, settings: &SchedulerSettings) -> BootTime {
+        let longest = settings.inherited_lease;
+        let own = if self.has_ended {
+            settings.lease_bound()
+        } else {
+            longest
+        };
+        self.unchanged_since + own.max(self.inherited.unwrap_or(longest))
+    }
+}
+
+/// What a new owner knows of the leases that earlier owners granted.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct InheritedLeases {
+    /// When all of them have expired.
+    pub until: BootTime,
+}
+
+impl JobScheduler {
+    /// Returns when the leases of earlier owners have expired.
+    pub(super) fn inherited_until(&self, now: BootTime) -> BootTime {
+        match &self.inherited {
+            Some(leases) => leases.until,
+            None => now + self.settings.inherited_lease,
+        }
+    }
+
+    /// Grants a lease that begins now; returns its end on the worker's clock.
+    pub(super) fn grant_lease(&mut self, worker: &WorkerId, now: BootTime) -> Option<u64> {
+        let lease = self.settings.lease;
+        let bound = self.settings.lease_bound();
+        let entry = self.fleet.get_mut(worker)?;
+        let clock = entry.clock?;
+        entry.extend_lease(now, bound);
+        Some(clock.at(now) + lease.as_millis() as u64)
+    }
+
+    /// Drops runs on workers that were unresponsive until all their leases had
+    /// expired, and removes workers that are no longer listed.
+    pub(super) fn expire_leases(&mut self, now: BootTime) {
+        let mut expired = Vec::new();
+        let mut removed = Vec::new();
+        for (id, entry) in self.fleet.iter_mut() {
+            let is_unresponsive = entry.contact != ContactState::Responsive;
+            if entry.reservations.is_empty() {
+                if !entry.is_listed && is_unresponsive {
+                    removed.push(id.clone());
+                }
+                continue;
+            }
+            if !is_unresponsive {
+                entry.is_lease_awaited = false;
+                continue;
+            }
+            let is_unreachable =
+                entry.contact == ContactState::Unresponsive || entry.view.is_none();
+            if is_unreachable && !entry.is_lease_awaited {
+                entry.is_lease_awaited = true;
+                self.events.push(SchedulerEvent::LeaseAwaited {
+                    worker: id.clone(),
+                    runs: entry.reservations.len() as u32,
+                    remaining: entry.lease_until.saturating_since(now),
+                });
+            }
+            if entry.lease_until < now {
+                let reservations = entry.reservations.iter();
+                expired.extend(
+                    reservations
+                        .map(|(task, reservation)| (id.clone(), task.clone(), reservation.run)),
+                );
+            }
+        }
+        for (worker, task, run) in expired {
+            self.drop_run(&worker, &task, run, RunEndReason::LeaseExpired);
+        }
+        for id in removed {
+            self.fleet.remove(&id);
+        }
+    }
+}
--- a/crates/jobs/src/scheduler/listing.rs
+++ b/crates/jobs/src/scheduler/listing.rs
@@ -7,7 +7,7 @@
 use crate::worker::WorkerView;
 
 use super::entry::TaskPhase;
-use super::fleet::{ContactState, WorkerEntry};
+use super::fleet::WorkerEntry;
 use super::{JobScheduler, RunEndReason, SchedulerEvent, WorkerStatus};
 
 impl JobScheduler {
@@ -21,7 +21,7 @@
                 view: Some(view),
                 is_listed: true,
                 best_effort_percent: 100,
-                lease_until: now + self.settings.inherited_lease,
+                lease_until: self.inherited_until(now),
                 ..WorkerEntry::default()
             };
             self.fleet.insert(id.clone(), entry);
@@ -133,49 +133,6 @@
         self.free_task(task);
     }
 
-    /// Drops runs on workers that were unresponsive until all their leases had
-    /// expired, and removes workers that are no longer listed.
-    pub(super) fn expire_leases(&mut self, now: BootTime) {
-        let mut expired = Vec::new();
-        let mut removed = Vec::new();
-        for (id, entry) in self.fleet.iter_mut() {
-            let is_unresponsive = entry.contact != ContactState::Responsive;
-            if entry.reservations.is_empty() {
-                if !entry.is_listed && is_unresponsive {
-                    removed.push(id.clone());
-                }
-                continue;
-            }
-            if !is_unresponsive {
-                entry.is_lease_awaited = false;
-                continue;
-            }
-            let is_unreachable =
-                entry.contact == ContactState::Unresponsive || entry.view.is_none();
-            if is_unreachable && !entry.is_lease_awaited {
-                entry.is_lease_awaited = true;
-                self.events.push(SchedulerEvent::LeaseAwaited {
-                    worker: id.clone(),
-                    runs: entry.reservations.len() as u32,
-                    remaining: entry.lease_until.saturating_since(now),
-                });
-            }
-            if entry.lease_until < now {
-                let reservations = entry.reservations.iter();
-                expired.extend(
-                    reservations
-                        .map(|(task, reservation)| (id.clone(), task.clone(), reservation.run)),
-                );
-            }
-        }
-        for (worker, task, run) in expired {
-            self.drop_run(&worker, &task, run, RunEndReason::LeaseExpired);
-        }
-        for id in removed {
-            self.fleet.remove(&id);
-        }
-    }
-
     /// Returns whether `run` on `worker` is the task's current run.
     pub(super) fn is_current(&self, task: &TaskId, run: u32, worker: &WorkerId) -> bool {
         let Some(entry) = self.task(task) else {
--- a/crates/jobs/src/scheduler/mod.rs
+++ b/crates/jobs/src/scheduler/mod.rs
@@ -10,6 +10,7 @@
 //! - `finished`: jobs whose final state is stored, until their rows are deleted
 //! - `fleet`: workers, their free capacity and their leases
 //! - `free_capacity`: which tasks fit on no worker of a pool
+//! - `lease`: leases of workers, and those of earlier owners
 //! - `lifecycle`: submitted and cancelled jobs, and rows of an earlier owner
 //! - `listing`: the platform's list of workers
 //! - `maintenance`: load and demand, and eviction for maintenance
@@ -26,6 +27,7 @@
 mod finished;
 mod fleet;
 mod free_capacity;
+mod lease;
 mod lifecycle;
 mod listing;
 mod maintenance;
@@ -59,16 +61,16 @@
 
 pub use advice::{AdviceRequest, AdviceResponse, StepId, WorkerPermit};
 pub use changes::{ChangeSet, ProgressRow};
+pub use lease::{InheritedLeases, PreviousOwner};
 
 /// Limits and intervals of the scheduler.
 #[derive(Clone, Debug)]
 pub struct SchedulerSettings {
     /// Length of the lease that each start order and renewal grants.
     pub lease: time::Duration,
-    /// Longest time for which leases granted by an earlier owner may last after a
-    /// takeover: the time for which that owner may send orders without a
-    /// confirmed row, plus one lease on a slow clock. None of it can be assumed to
-    /// have passed, since a larger VM may take over from a small one at once.
+    /// Longest time for which leases of an owner may last after its latest change: the
+    /// time for which it may send orders without a confirmed row, plus one lease on
+    /// a slow clock.
     pub inherited_lease: time::Duration,
     /// Largest fraction by which a worker's clock may be slow.
     pub max_clock_drift: f64,
@@ -127,6 +129,13 @@
     }
 }
 
+impl SchedulerSettings {
+    /// Returns how long a lease may last after its order, by our clock.
+    pub fn lease_bound(&self) -> time::Duration {
+        self.lease.mul_f64(1.0 + self.max_clock_drift) + self.lease_margin
+    }
+}
+
 /// Change of the scheduler's state, for logs and metrics.
 #[derive(Clone, Debug, PartialEq)]
 pub enum SchedulerEvent {
@@ -247,6 +256,8 @@
     displaced: BTreeSet<TaskId>,
     advice: AdviceCache,
     changes: ChangeTracker,
+    /// Leases of earlier owners; none if nothing is known of them.
+    inherited: Option<InheritedLeases>,
     orders: Vec<WorkerOrder>,
     events: Vec<SchedulerEvent>,
     is_fenced: bool,
@@ -271,12 +282,19 @@
             displaced: BTreeSet::new(),
             advice: AdviceCache::default(),
             changes: ChangeTracker::default(),
+            inherited: None,
             orders: Vec::new(),
             events: Vec::new(),
             is_fenced: false,
         }
     }
 
+    /// Sets what is known of the leases of earlier owners; to be called before workers
+    /// and jobs are added.
+    pub fn inherit_leases(&mut self, leases: InheritedLeases) {
+        self.inherited = Some(leases);
+    }
+
     /// Applies a version of the manifest; older ones are ignored.
     pub fn set_manifest(&mut self, manifest: sync::Arc<JobManifest>) {
         if manifest.version() < self.manifest.version() || *manifest == *self.manifest {
--- a/crates/jobs/src/scheduler/order.rs
+++ b/crates/jobs/src/scheduler/order.rs
@@ -1,7 +1,5 @@
 //! Orders, their responses and their retries.
 
-use std::time;
-
 use crate::name::{TaskId, WorkerId};
 use crate::record::JobState;
 use crate::time::BootTime;
@@ -13,22 +11,6 @@
 use super::{JobScheduler, RunEndReason, WorkerStatus};
 
 impl JobScheduler {
-    /// Returns how long a lease may last after its order, by our clock.
-    pub(super) fn lease_bound(&self) -> time::Duration {
-        let settings = &self.settings;
-        settings.lease.mul_f64(1.0 + settings.max_clock_drift) + settings.lease_margin
-    }
-
-    /// Grants a lease that begins now; returns its end on the worker's clock.
-    fn grant_lease(&mut self, worker: &WorkerId, now: BootTime) -> Option<u64> {
-        let lease = self.settings.lease;
-        let bound = self.lease_bound();
-        let entry = self.fleet.get_mut(worker)?;
-        let clock = entry.clock?;
-        entry.extend_lease(now, bound);
-        Some(clock.at(now) + lease.as_millis() as u64)
-    }
-
     /// Sends the order to start a run whose row is stored.
     pub(super) fn order_start(&mut self, task: &TaskId, run: u32, now: BootTime) {
         let Some(entry) = self.task(task) else {
--- a/crates/jobs/src/scheduler/report.rs
+++ b/crates/jobs/src/scheduler/report.rs
@@ -48,7 +48,7 @@
         now: BootTime,
     ) {
         let delay = self.settings.renewal_batch_delay;
-        let bound = self.lease_bound();
+        let bound = self.settings.lease_bound();
         let Some(entry) = self.fleet.get_mut(worker) else {
             return;
         };
--- a/crates/jobs/tests/takeover.rs
+++ b/crates/jobs/tests/takeover.rs
@@ -2,9 +2,13 @@
 
 mod common;
 
+use std::time;
+
 use common::{FakeFleet, FakeWorker, step_spec};
-use redwing_jobs::SchedulerSettings;
+use redwing_jobs::scheduler::PreviousOwner;
 use redwing_jobs::spec::StepSpec;
+use redwing_jobs::{BootTime, SchedulerSettings};
+use rstest::rstest;
 
 fn fleet_of(count: usize) -> FakeFleet {
     let workers =
@@ -52,3 +56,26 @@
     assert!(fleet.worker(draining.as_str()).running.is_empty());
     assert_eq!(fleet.starts.len(), 2, "{:?}", fleet.starts);
 }
+
+/// An owner that may live on renews leases for 2.5 s after its latest change; one that
+/// has ended does not. The leases of those before it may last longer.
+#[rstest]
+#[case::may_live(false, Some(0), 7_900)]
+#[case::ended(true, Some(0), 5_400)]
+#[case::ended_after_a_short_time(true, Some(7_500), 7_500)]
+#[case::of_an_earlier_release(true, None, 7_900)]
+fn leases_of_earlier_owners_end(
+    #[case] has_ended: bool,
+    #[case] inherited_ms: Option<u64>,
+    #[case] expected_ms: u64,
+) {
+    let unchanged_since = BootTime::from_millis(20_000);
+    let previous = PreviousOwner {
+        unchanged_since,
+        has_ended,
+        inherited: inherited_ms.map(time::Duration::from_millis),
+    };
+    let until = previous.leases_until(&SchedulerSettings::default());
+    let expected = unchanged_since + time::Duration::from_millis(expected_ms);
+    assert_eq!(until, expected);
+}
