Store the ends of the leases of lost workers for the next owner

Cause: only the owner's memory had the end of a worker's leases, so each successor waited for a whole lease again. Class: a wait that begins anew with each owner because its end is not stored. Fix: the row owner/leases has the time left for each worker with runs that does not respond. It is written in the owner's changes, when its workers change, every second, and with the release. A successor counts it from when it first saw the owner's row unchanged, and only if the row is its direct predecessor's. While the row may name a worker, the worker gets no lease, so the row is never too short; with that check removed, the test a_worker_whose_end_of_leases_is_stored_gets_no_lease sees two runs at once.

--- a/crates/engine/src/owner/election.rs
+++ b/crates/engine/src/owner/election.rs
@@ -28,6 +28,8 @@
     pub(super) lease: OwnerLease,
     /// When all leases that earlier owners granted to workers have expired.
     pub(super) inherited_until: BootTime,
+    /// Since when the previous owner is known to have stored nothing.
+    pub(super) unchanged_since: BootTime,
 }
 
 /// Claim whose outcome is unknown.
@@ -36,6 +38,7 @@
     /// Content that it writes.
     value: String,
     inherited_until: BootTime,
+    unchanged_since: BootTime,
 }
 
 /// Tracks for how long the owner row has not changed.
@@ -97,17 +100,26 @@
             );
             let record = current.and_then(|row| row::read::<OwnerRecord>(row).ok());
             if may_claim(dependencies, record.as_ref(), unchanged_for) {
+                let unchanged_since = observer.unchanged_since;
                 let inherited_until =
-                    inherited_until(dependencies, record.as_ref(), observer.unchanged_since);
-                let claimed = claim(dependencies, &key, version, record, inherited_until).await;
-                match claimed {
+                    inherited_until(dependencies, record.as_ref(), unchanged_since);
+                let owner = successor(dependencies, record.as_ref(), inherited_until);
+                match claim(dependencies, &key, version, owner).await {
                     Ok(lease) => {
                         return AcquiredOwnership {
                             lease,
                             inherited_until,
+                            unchanged_since,
                         };
                     }
-                    Err(unknown) => pending = unknown.or(pending),
+                    Err(Some(value)) => {
+                        pending = Some(PendingClaim {
+                            value,
+                            inherited_until,
+                            unchanged_since,
+                        });
+                    }
+                    Err(None) => {}
                 }
             }
         }
@@ -189,21 +201,18 @@
             version: current.version,
         },
         inherited_until: pending.inherited_until,
+        unchanged_since: pending.unchanged_since,
     })
 }
 
-/// Tries to write the owner row as the successor of `previous`.
-///
-/// On failure returns the claim if it may nevertheless have been written.
-async fn claim(
+/// Returns the owner row of this process as the successor of `previous`.
+fn successor(
     dependencies: &OwnerDependencies,
-    key: &RowKey,
-    version: Option<u64>,
-    previous: Option<OwnerRecord>,
+    previous: Option<&OwnerRecord>,
     inherited_until: BootTime,
-) -> Result<OwnerLease, Option<PendingClaim>> {
+) -> OwnerRecord {
     let inherited = inherited_until.saturating_since(clock::boot_now());
-    let record = OwnerRecord {
+    OwnerRecord {
         node: dependencies.node.clone(),
         incarnation: dependencies.incarnation,
         fencing_token: previous.map_or(0, |record| record.fencing_token) + 1,
@@ -211,7 +220,18 @@
         released: false,
         is_small: dependencies.settings.is_small,
         inherited_ms: Some(inherited.as_millis() as u64),
-    };
+    }
+}
+
+/// Tries to write the owner row.
+///
+/// On failure returns the content if it may nevertheless have been written.
+async fn claim(
+    dependencies: &OwnerDependencies,
+    key: &RowKey,
+    version: Option<u64>,
+    record: OwnerRecord,
+) -> Result<OwnerLease, Option<String>> {
     let value = row::write(key, &record).map_err(|_| None)?;
     let transaction = TableTransaction::default();
     let transaction = match version {
@@ -225,9 +245,6 @@
     match commit.await {
         Ok(CommitOutcome::Committed(version)) => Ok(OwnerLease { record, version }),
         Ok(CommitOutcome::Conflict(_)) => Err(None),
-        Err(_) => Err(Some(PendingClaim {
-            value,
-            inherited_until,
-        })),
+        Err(_) => Err(Some(value)),
     }
 }
--- a/crates/engine/src/owner/record.rs
+++ b/crates/engine/src/owner/record.rs
@@ -2,17 +2,19 @@
 //! skipped.
 
 use std::collections::BTreeMap;
+use std::time;
 
-use redwing_jobs::JobRecord;
 use redwing_jobs::feasibility::FleetCapacity;
 use redwing_jobs::maintenance::MaintenanceRecord;
+use redwing_jobs::scheduler::LeaseEnds;
+use redwing_jobs::{BootTime, JobRecord};
 use redwing_provider::{RowKey, TableRow};
 use serde::Serialize;
 
 use crate::event;
 use crate::follow;
 use crate::log_job_event;
-use crate::row::{self, EncodedRow, PendingCounts};
+use crate::row::{self, EncodedRow, LeaseRecord, PendingCounts};
 
 /// Returns the row of the pending counts.
 pub(super) fn pending_counts_row(counts: &PendingCounts) -> Option<EncodedRow> {
@@ -24,6 +26,42 @@
     encode(RowKey::new(row::FLEET_CAPACITY_KEY), capacity)
 }
 
+/// Returns the row of the ends of leases, with the time left at `now`.
+pub(super) fn lease_row(fencing_token: u64, ends: &LeaseEnds, now: BootTime) -> Option<EncodedRow> {
+    let remaining = ends.iter().map(|(worker, end)| {
+        let remaining = end.saturating_since(now);
+        (worker.clone(), remaining.as_millis() as u64)
+    });
+    let record = LeaseRecord {
+        fencing_token,
+        remaining_ms: remaining.collect(),
+    };
+    encode(RowKey::new(row::LEASE_KEY), &record)
+}
+
+/// Reads the ends of leases that the owner with `fencing_token` stored, given a time
+/// at which the row was stored already.
+pub(super) fn read_lease_ends(
+    rows: &[TableRow],
+    fencing_token: u64,
+    stored_by: BootTime,
+) -> LeaseEnds {
+    let Some(entry) = rows.iter().find(|entry| entry.value.is_some()) else {
+        return LeaseEnds::default();
+    };
+    let record = match row::read::<LeaseRecord>(entry) {
+        Ok(record) if record.fencing_token == fencing_token => record,
+        Ok(_) => return LeaseEnds::default(),
+        Err(error) => {
+            follow::log_malformed(&entry.key, &error);
+            return LeaseEnds::default();
+        }
+    };
+    let ends = record.remaining_ms.into_iter();
+    ends.map(|(worker, millis)| (worker, stored_by + time::Duration::from_millis(millis)))
+        .collect()
+}
+
 fn encode(key: RowKey, record: &impl Serialize) -> Option<EncodedRow> {
     match row::write(&key, record) {
         Ok(value) => Some(EncodedRow { key, value }),
--- a/crates/engine/src/owner/session/mod.rs
+++ b/crates/engine/src/owner/session/mod.rs
@@ -114,14 +114,16 @@
         let AcquiredOwnership {
             lease,
             inherited_until,
+            unchanged_since,
         } = acquired;
         let client = &dependencies.client;
         let renewed_at = clock::boot_now();
         // Concurrent scans: the lease must not expire while a slow table responds.
-        let (jobs, progress, maintenance, workers) = futures_util::try_join!(
+        let (jobs, progress, maintenance, leases, workers) = futures_util::try_join!(
             client.scan(CallCause::Job, row::JOB_PREFIX),
             client.scan(CallCause::Job, row::PROGRESS_PREFIX),
             client.scan(CallCause::Maintenance, row::MAINTENANCE_PREFIX),
+            client.scan(CallCause::Membership, row::LEASE_KEY),
             client.scan(CallCause::Membership, dependencies.codec.worker_prefix()),
         )?;
         let (completed_sender, completed_orders) = mpsc::unbounded_channel();
@@ -172,6 +174,7 @@
         };
         session.scheduler.inherit_leases(InheritedLeases {
             until: inherited_until,
+            workers: record::read_lease_ends(&leases.rows, fencing_token - 1, unchanged_since),
         });
         session.apply_operator_view();
         session.apply_worker_rows(&workers.rows, true);
@@ -333,9 +336,12 @@
         for order in self.scheduler.take_orders() {
             self.order_queues.send(order);
         }
-        let changes = self.scheduler.take_changes();
-        let extra = self.take_extra_rows();
-        let state = self.ownership_state(true, clock::boot_now());
+        let now = clock::boot_now();
+        self.scheduler.prepare_release(now);
+        let changes = self.scheduler.take_changes(now);
+        let mut extra = self.take_extra_rows();
+        extra.written.extend(self.lease_row(&changes, now));
+        let state = self.ownership_state(true, now);
         match change::transaction(&self.lease, &changes, &extra, state) {
             Ok((transaction, record)) => {
                 let timeouts = StoreTimeouts {
--- a/crates/engine/src/owner/session/store.rs
+++ b/crates/engine/src/owner/session/store.rs
@@ -10,7 +10,7 @@
 use crate::owner::change::{self, ChangeOutcome, ExtraRows, OwnershipState, StoreTimeouts};
 use crate::owner::cleanup;
 use crate::owner::record;
-use crate::row::PendingCounts;
+use crate::row::{EncodedRow, PendingCounts};
 
 use super::{OwnerSession, PendingChange};
 
@@ -26,8 +26,9 @@
         if !has_changes && !is_due && self.unconfirmed_since.is_none() {
             return;
         }
-        let changes = self.scheduler.take_changes();
+        let changes = self.scheduler.take_changes(now);
         let mut extra = self.take_extra_rows();
+        extra.written.extend(self.lease_row(&changes, now));
         extra.written.extend(self.grown_capacity_row.take());
         let pending_counts = self.next_pending_counts(now);
         extra
@@ -105,6 +106,12 @@
         });
     }
 
+    /// Returns the row of the ends of leases, if the change has new ones.
+    pub(super) fn lease_row(&self, changes: &ChangeSet, now: BootTime) -> Option<EncodedRow> {
+        let ends = changes.lease_ends.as_ref()?;
+        record::lease_row(self.lease.record.fencing_token, ends, now)
+    }
+
     /// Returns the state of the ownership for a change that is sent now.
     pub(super) fn ownership_state(&self, released: bool, now: BootTime) -> OwnershipState {
         OwnershipState {
--- a/crates/engine/src/row.rs
+++ b/crates/engine/src/row.rs
@@ -6,6 +6,7 @@
 //! | `jobs@PART/ID.cancel` | the cancelling process, once | [`CancelRecord`] |
 //! | `progress/ID` | the owner | [`ProgressRecord`](redwing_jobs::ProgressRecord) |
 //! | `owner/jobs` | the owner, and the process that claims the ownership | [`OwnerRecord`] |
+//! | `owner/leases` | the owner | [`LeaseRecord`] |
 //! | `board/pending` | the owner | [`PendingCounts`] |
 //! | `board/offer` | the owner | [`FleetCapacity`](redwing_jobs::feasibility::FleetCapacity) |
 //! | `upkeep/N` | the owner | [`MaintenanceRecord`](redwing_jobs::maintenance::MaintenanceRecord) |
@@ -18,7 +19,7 @@
 use std::collections::BTreeMap;
 
 use redwing_jobs::JobId;
-use redwing_jobs::name::QueueName;
+use redwing_jobs::name::{QueueName, WorkerId};
 use redwing_jobs::time::WallTime;
 use redwing_provider::{RowKey, TableRow};
 use serde::de::DeserializeOwned;
@@ -45,6 +46,9 @@
 /// Row of the owner.
 pub const OWNER_KEY: &str = "owner/jobs";
 
+/// Row of the ends of leases.
+pub const LEASE_KEY: &str = "owner/leases";
+
 /// Row of the pending counts of queues.
 pub const PENDING_KEY: &str = "board/pending";
 
@@ -80,6 +84,19 @@
     pub inherited_ms: Option<u64>,
 }
 
+/// Ends of the leases of workers that the owner cannot reach.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct LeaseRecord {
+    /// Fencing token of the owner that wrote the row; only its successor may use it.
+    #[serde(rename = "fence")]
+    pub fencing_token: u64,
+    /// Time until all leases of each worker have expired, in milliseconds after the
+    /// change that wrote the row.
+    #[serde(rename = "ends-in")]
+    pub remaining_ms: BTreeMap<WorkerId, u64>,
+}
+
 /// Mark that a job was cancelled.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(rename_all = "kebab-case")]
--- a/crates/jobs/src/scheduler/changes.rs
+++ b/crates/jobs/src/scheduler/changes.rs
@@ -12,6 +12,7 @@
 
 use super::JobScheduler;
 use super::entry::{JobEntry, TaskPhase};
+use super::lease_ledger::LeaseEnds;
 
 /// Progress of one job, to be stored.
 #[derive(Clone, Debug, PartialEq)]
@@ -27,6 +28,8 @@
 pub struct ChangeSet {
     /// The rows.
     pub rows: Vec<ProgressRow>,
+    /// Ends of leases to store; none if the stored ones stay.
+    pub lease_ends: Option<LeaseEnds>,
     starts: Vec<PendingStart>,
 }
 
@@ -58,13 +61,16 @@
 impl JobScheduler {
     /// Returns whether there are rows to store.
     pub fn has_changes(&self) -> bool {
-        !self.changes.changed.is_empty()
+        !self.changes.changed.is_empty() || self.lease_ledger.is_due()
     }
 
     /// Takes the rows to store next. The previous ones must have been stored.
-    pub fn take_changes(&mut self) -> ChangeSet {
+    pub fn take_changes(&mut self, now: BootTime) -> ChangeSet {
         let limit = self.settings.max_rows_per_change;
-        let mut changes = ChangeSet::default();
+        let mut changes = ChangeSet {
+            lease_ends: self.lease_ledger.take(now),
+            ..ChangeSet::default()
+        };
         let mut tasks = 0;
         while changes.rows.len() < limit && tasks < self.settings.max_tasks_per_change {
             let Some(id) = self.changes.changed.pop_first() else {
@@ -100,6 +106,7 @@
     /// record may be acknowledged.
     pub fn changes_stored(&mut self, changes: &ChangeSet, now: BootTime) {
         self.changes.in_flight.clear();
+        self.lease_ledger.stored();
         for start in &changes.starts {
             self.order_start(&start.task, start.run, now);
         }
--- a/crates/jobs/src/scheduler/fleet.rs
+++ b/crates/jobs/src/scheduler/fleet.rs
@@ -79,8 +79,8 @@
     pub(super) clock: Option<ClockSample>,
     /// When all granted leases have expired, by our clock.
     pub(super) lease_until: BootTime,
-    /// Whether runs wait for that since the worker last responded.
-    pub(super) is_lease_awaited: bool,
+    /// Since when runs wait for that; none while the worker responds.
+    pub(super) awaited_since: Option<BootTime>,
     /// When the pending lease renewal was sent.
     pub(super) renewal_sent_at: Option<BootTime>,
     pub(super) next_renewal: BootTime,
--- a/crates/jobs/src/scheduler/lease.rs
+++ b/crates/jobs/src/scheduler/lease.rs
@@ -10,6 +10,7 @@
 use crate::time::BootTime;
 
 use super::fleet::ContactState;
+use super::lease_ledger::LeaseEnds;
 use super::{JobScheduler, RunEndReason, SchedulerEvent, SchedulerSettings};
 
 /// What the successor of an owner knows of it.
@@ -46,19 +47,26 @@
 pub struct InheritedLeases {
     /// When all of them have expired.
     pub until: BootTime,
+    /// When those of single workers have expired, as far as their end was stored.
+    pub workers: LeaseEnds,
 }
 
 impl JobScheduler {
-    /// Returns when the leases of earlier owners have expired.
-    pub(super) fn inherited_until(&self, now: BootTime) -> BootTime {
-        match &self.inherited {
-            Some(leases) => leases.until,
-            None => now + self.settings.inherited_lease,
-        }
+    /// Returns when the leases have expired that earlier owners granted to a worker.
+    pub(super) fn inherited_until(&self, worker: &WorkerId, now: BootTime) -> BootTime {
+        let Some(leases) = &self.inherited else {
+            return now + self.settings.inherited_lease;
+        };
+        let stored = leases.workers.get(worker);
+        stored.map_or(leases.until, |end| leases.until.min(*end))
     }
 
-    /// Grants a lease that begins now; returns its end on the worker's clock.
+    /// Grants a lease that begins now; returns its end on the worker's clock, or none
+    /// if the worker may get no lease now.
     pub(super) fn grant_lease(&mut self, worker: &WorkerId, now: BootTime) -> Option<u64> {
+        if self.lease_ledger.covers(worker) {
+            return None;
+        }
         let lease = self.settings.lease;
         let bound = self.settings.lease_bound();
         let entry = self.fleet.get_mut(worker)?;
@@ -81,13 +89,13 @@
                 continue;
             }
             if !is_unresponsive {
-                entry.is_lease_awaited = false;
+                entry.awaited_since = None;
                 continue;
             }
             let is_unreachable =
                 entry.contact == ContactState::Unresponsive || entry.view.is_none();
-            if is_unreachable && !entry.is_lease_awaited {
-                entry.is_lease_awaited = true;
+            if is_unreachable && entry.awaited_since.is_none() {
+                entry.awaited_since = Some(now);
                 self.events.push(SchedulerEvent::LeaseAwaited {
                     worker: id.clone(),
                     runs: entry.reservations.len() as u32,
@@ -109,4 +117,36 @@
             self.fleet.remove(&id);
         }
     }
+
+    /// Updates the ends of leases to store, those of workers that have not responded
+    /// for a while.
+    pub(super) fn update_lease_ends(&mut self, now: BootTime) {
+        let delay = self.settings.lease_record_delay;
+        let ends = self.lease_ends(|awaited_since| now.saturating_since(awaited_since) >= delay);
+        let interval = self.settings.lease_record_interval;
+        self.lease_ledger.update(ends, interval, now);
+    }
+
+    /// Includes the ends of the leases of all unresponsive workers in the next
+    /// change, the last one of this owner.
+    pub fn prepare_release(&mut self, now: BootTime) {
+        let ends = self.lease_ends(|_| true);
+        self.lease_ledger.update(ends, time::Duration::ZERO, now);
+    }
+
+    /// Returns the ends of the leases of workers with runs that do not respond, of
+    /// those whose end is stored already or that `is_lost` selects by the time since
+    /// which their leases are awaited.
+    fn lease_ends(&self, is_lost: impl Fn(BootTime) -> bool) -> LeaseEnds {
+        let unresponsive = self.fleet.iter().filter(|(_, entry)| {
+            entry.contact != ContactState::Responsive && !entry.reservations.is_empty()
+        });
+        let inherited = self.inherited.as_ref().map(|leases| &leases.workers);
+        let lost = unresponsive.filter(|(id, entry)| {
+            let is_stored = inherited.is_some_and(|ends| ends.contains_key(*id));
+            is_stored || entry.awaited_since.is_some_and(&is_lost)
+        });
+        let ends = lost.map(|(id, entry)| (id.clone(), entry.lease_until));
+        ends.take(self.settings.max_lease_ends).collect()
+    }
 }
--- /dev/null
+++ b/crates/jobs/src/scheduler/lease_ledger.rs
@@ -0,0 +1,71 @@
+//! Ends of leases that are stored for the successor of an owner.
+//!
+//! Load pattern: owners that end every few seconds while workers are lost. A
+//! successor that knew nothing of a lost worker would wait for a whole lease again,
+//! and with each further successor once more.
+//!
+//! While the stored row may state the end of a worker's leases, the worker gets no
+//! new lease; so the row is true at any time.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::mem;
+use std::time;
+
+use crate::name::WorkerId;
+use crate::time::BootTime;
+
+/// Ends of the leases of workers that do not respond.
+pub type LeaseEnds = BTreeMap<WorkerId, BootTime>;
+
+/// Ends of leases as stored, and as they are to be stored next.
+#[derive(Debug, Default)]
+pub(super) struct LeaseLedger {
+    /// Ends that the row states, or is about to state.
+    recorded: LeaseEnds,
+    /// Workers that the row states until the latest change is stored.
+    withdrawn: BTreeSet<WorkerId>,
+    /// Ends that the row is to state next.
+    wanted: LeaseEnds,
+    /// When `recorded` was last taken to be stored.
+    recorded_at: BootTime,
+    is_due: bool,
+}
+
+impl LeaseLedger {
+    /// Returns whether the stored row may state the end of the worker's leases.
+    pub(super) fn covers(&self, worker: &WorkerId) -> bool {
+        self.recorded.contains_key(worker) || self.withdrawn.contains(worker)
+    }
+
+    /// Returns whether the row is to be stored.
+    pub(super) fn is_due(&self) -> bool {
+        self.is_due
+    }
+
+    /// Sets the ends that the row is to state. It is stored when it names other
+    /// workers, and at each interval, because it has the time left when it is stored.
+    pub(super) fn update(&mut self, ends: LeaseEnds, interval: time::Duration, now: BootTime) {
+        let has_changed = !ends.keys().eq(self.recorded.keys());
+        let is_old = now.saturating_since(self.recorded_at) >= interval;
+        self.is_due = has_changed || (!ends.is_empty() && is_old);
+        self.wanted = ends;
+    }
+
+    /// Takes the ends to store next; none if the row is not due.
+    pub(super) fn take(&mut self, now: BootTime) -> Option<LeaseEnds> {
+        if !mem::take(&mut self.is_due) {
+            return None;
+        }
+        let previous = mem::replace(&mut self.recorded, self.wanted.clone());
+        let withdrawn = previous.into_keys();
+        self.withdrawn
+            .extend(withdrawn.filter(|worker| !self.wanted.contains_key(worker)));
+        self.recorded_at = now;
+        Some(self.wanted.clone())
+    }
+
+    /// Handles that the ends taken last are stored.
+    pub(super) fn stored(&mut self) {
+        self.withdrawn.clear();
+    }
+}
--- a/crates/jobs/src/scheduler/lifecycle.rs
+++ b/crates/jobs/src/scheduler/lifecycle.rs
@@ -91,7 +91,7 @@
         } = placed;
         let worker = &location.worker;
         let incarnation = location.incarnation;
-        let inherited_until = self.inherited_until(now);
+        let inherited_until = self.inherited_until(worker, now);
         let tracked_incarnation = self.fleet.get(worker).map(|entry| entry.incarnation);
         if tracked_incarnation.is_some_and(|tracked| tracked != incarnation) {
             // That incarnation of the worker has ended.
--- a/crates/jobs/src/scheduler/listing.rs
+++ b/crates/jobs/src/scheduler/listing.rs
@@ -21,7 +21,7 @@
                 view: Some(view),
                 is_listed: true,
                 best_effort_percent: 100,
-                lease_until: self.inherited_until(now),
+                lease_until: self.inherited_until(&id, now),
                 ..WorkerEntry::default()
             };
             self.fleet.insert(id.clone(), entry);
--- a/crates/jobs/src/scheduler/mod.rs
+++ b/crates/jobs/src/scheduler/mod.rs
@@ -11,6 +11,7 @@
 //! - `fleet`: workers, their free capacity and their leases
 //! - `free_capacity`: which tasks fit on no worker of a pool
 //! - `lease`: leases of workers, and those of earlier owners
+//! - `lease_ledger`: ends of leases that are stored for the next owner
 //! - `lifecycle`: submitted and cancelled jobs, and rows of an earlier owner
 //! - `listing`: the platform's list of workers
 //! - `maintenance`: load and demand, and eviction for maintenance
@@ -28,6 +29,7 @@
 mod fleet;
 mod free_capacity;
 mod lease;
+mod lease_ledger;
 mod lifecycle;
 mod listing;
 mod maintenance;
@@ -56,12 +58,14 @@
 use entry::JobEntry;
 use finished::FinishedJobs;
 use fleet::WorkerFleet;
+use lease_ledger::LeaseLedger;
 use shares::PoolUsage;
 use waiting::WaitingJobs;
 
 pub use advice::{AdviceRequest, AdviceResponse, StepId, WorkerPermit};
 pub use changes::{ChangeSet, ProgressRow};
 pub use lease::{InheritedLeases, PreviousOwner};
+pub use lease_ledger::LeaseEnds;
 
 /// Limits and intervals of the scheduler.
 #[derive(Clone, Debug)]
@@ -76,6 +80,13 @@
     pub max_clock_drift: f64,
     /// Time added to each lease before it counts as expired.
     pub lease_margin: time::Duration,
+    /// How long a worker with runs is unresponsive before the end of its leases is
+    /// stored for the next owner.
+    pub lease_record_delay: time::Duration,
+    /// Time after which the stored ends of leases are stored again with the time left.
+    pub lease_record_interval: time::Duration,
+    /// Largest number of workers whose ends of leases are stored.
+    pub max_lease_ends: usize,
     /// Longest time that a worker may wait for a run to end before it responds
     /// to a lease renewal.
     pub max_renewal_wait: time::Duration,
@@ -113,6 +124,9 @@
             inherited_lease: time::Duration::from_millis(7_900),
             max_clock_drift: 0.02,
             lease_margin: time::Duration::from_millis(300),
+            lease_record_delay: time::Duration::from_millis(1_000),
+            lease_record_interval: time::Duration::from_millis(1_000),
+            max_lease_ends: 256,
             max_renewal_wait: time::Duration::from_millis(1_000),
             renewal_batch_delay: time::Duration::from_millis(25),
             renewal_retry_delay: time::Duration::from_millis(300),
@@ -258,6 +272,7 @@
     changes: ChangeTracker,
     /// Leases of earlier owners; none if nothing is known of them.
     inherited: Option<InheritedLeases>,
+    lease_ledger: LeaseLedger,
     orders: Vec<WorkerOrder>,
     events: Vec<SchedulerEvent>,
     is_fenced: bool,
@@ -283,6 +298,7 @@
             advice: AdviceCache::default(),
             changes: ChangeTracker::default(),
             inherited: None,
+            lease_ledger: LeaseLedger::default(),
             orders: Vec::new(),
             events: Vec::new(),
             is_fenced: false,
@@ -374,6 +390,7 @@
     /// called several times a second.
     pub fn tick(&mut self, now: BootTime) {
         self.expire_leases(now);
+        self.update_lease_ends(now);
         self.evict_from_draining(now);
         self.retry_stops(now);
         self.stop_stalled(now);
--- a/crates/jobs/src/scheduler/placement.rs
+++ b/crates/jobs/src/scheduler/placement.rs
@@ -181,7 +181,8 @@
     /// Returns the usable workers of a pool, by their ids.
     pub(super) fn candidates(&self, pool: &PoolName, now: BootTime) -> Vec<PlacementCandidate> {
         let workers = self.fleet.of_pool(pool);
-        let usable = workers.filter(|(_, entry)| entry.is_usable(now));
+        let usable =
+            workers.filter(|(id, entry)| entry.is_usable(now) && !self.lease_ledger.covers(id));
         usable
             .map(|(id, entry)| PlacementCandidate::new(id, entry))
             .collect()
--- a/crates/jobs/tests/common/mod.rs
+++ b/crates/jobs/tests/common/mod.rs
@@ -10,7 +10,9 @@
     CallerAddress, CustomerPolicy, JobManifest, ManifestParts, PoolPolicy, QueuePolicy,
 };
 use redwing_jobs::name::{CustomerName, PoolName, QueueName, WorkerLabel};
-use redwing_jobs::scheduler::{AdviceRequest, AdviceResponse, ProgressRow, WorkerPermit};
+use redwing_jobs::scheduler::{
+    AdviceRequest, AdviceResponse, InheritedLeases, LeaseEnds, ProgressRow, WorkerPermit,
+};
 use redwing_jobs::spec::{ResourceAmount, StepSpec};
 use redwing_jobs::time::WallTime;
 use redwing_jobs::worker::{
@@ -189,6 +191,8 @@
     pub(crate) task_durations: BTreeMap<JobId, time::Duration>,
     /// Stored progress row of each job.
     pub(crate) rows: BTreeMap<JobId, ProgressRecord>,
+    /// Stored ends of leases.
+    pub(crate) lease_ends: LeaseEnds,
     /// Whether the table accepts writes.
     pub(crate) is_table_up: bool,
     /// Task, run, worker and time of every start that a worker executed.
@@ -308,6 +312,7 @@
             now,
             task_durations: BTreeMap::new(),
             rows: BTreeMap::new(),
+            lease_ends: LeaseEnds::new(),
             is_table_up: true,
             starts: Vec::new(),
             resumed_checkpoints: Vec::new(),
@@ -430,10 +435,13 @@
         if !self.is_table_up || !self.scheduler.has_changes() {
             return;
         }
-        let changes = self.scheduler.take_changes();
+        let changes = self.scheduler.take_changes(self.now);
         for ProgressRow { job, progress } in &changes.rows {
             self.rows.insert(job.clone(), progress.clone());
         }
+        if let Some(ends) = &changes.lease_ends {
+            self.lease_ends.clone_from(ends);
+        }
         self.scheduler.changes_stored(&changes, self.now);
     }
 
@@ -620,7 +628,12 @@
     /// stored rows and the list of workers only.
     pub(crate) fn take_over(&mut self, settings: SchedulerSettings) {
         self.fencing_token += 1;
+        let inherited = InheritedLeases {
+            until: self.now + settings.inherited_lease,
+            workers: std::mem::take(&mut self.lease_ends),
+        };
         let mut scheduler = JobScheduler::new(settings, self.fencing_token);
+        scheduler.inherit_leases(inherited);
         scheduler.set_manifest(sync::Arc::new(manifest()));
         let views = self.workers.values().map(|worker| worker.view.clone());
         scheduler.workers_listed(views.collect(), self.now);
--- a/crates/jobs/tests/recovery.rs
+++ b/crates/jobs/tests/recovery.rs
@@ -304,7 +304,7 @@
     fleet.advance(50);
     let mut row_count = 0;
     while fleet.scheduler.has_changes() {
-        let changes = fleet.scheduler.take_changes();
+        let changes = fleet.scheduler.take_changes(fleet.now);
         let row_bytes = changes.rows.iter().map(|row| {
             let text = serde_json::to_string(&row.progress).expect("a row can be written");
             assert!(text.len() < 49_000, "{} bytes", text.len());
--- a/crates/jobs/tests/takeover.rs
+++ b/crates/jobs/tests/takeover.rs
@@ -4,7 +4,7 @@
 
 use std::time;
 
-use common::{FakeFleet, FakeWorker, step_spec};
+use common::{FakeFleet, FakeWorker, step_spec, task_id};
 use redwing_jobs::scheduler::PreviousOwner;
 use redwing_jobs::spec::StepSpec;
 use redwing_jobs::{BootTime, SchedulerSettings};
@@ -79,3 +79,63 @@
     let expected = unchanged_since + time::Duration::from_millis(expected_ms);
     assert_eq!(until, expected);
 }
+
+/// Owners end every 2 s while a worker is lost; each waits only for what is left of
+/// the worker's leases.
+#[test]
+fn successors_wait_for_the_stored_end_of_the_leases_of_a_lost_worker() {
+    let mut fleet = fleet_of(2);
+    let job = fleet.submit("j", vec![step_spec(1, 1_000)], 60_000);
+    fleet.advance(500);
+    let lost = fleet.starts[0].2.clone();
+    let lost_at = fleet.now;
+    fleet.worker(lost.as_str()).is_unresponsive = true;
+    while fleet.starts.len() == 1 {
+        fleet.advance(2_000);
+        fleet.take_over(SchedulerSettings::default());
+        fleet.assert_no_double_run();
+    }
+    let wait = fleet.starts[1].3.saturating_since(lost_at);
+    assert!(wait < time::Duration::from_millis(5_600), "{wait:?}");
+    assert_eq!(fleet.running_count(&task_id(&job, 0, 0)), 1);
+}
+
+/// A worker that responds again while the stored row still has the end of its leases
+/// must not outlive that end, or a successor would start its tasks a second time.
+#[test]
+fn a_worker_whose_end_of_leases_is_stored_gets_no_lease() {
+    let mut fleet = fleet_of(2);
+    let job = fleet.submit("j", vec![step_spec(1, 1_000)], 60_000);
+    fleet.advance(500);
+    let lost = fleet.starts[0].2.clone();
+    fleet.worker(lost.as_str()).is_unresponsive = true;
+    fleet.advance(2_000);
+    assert_eq!(fleet.lease_ends.len(), 1);
+    fleet.is_table_up = false;
+    fleet.worker(lost.as_str()).is_unresponsive = false;
+    fleet.advance(2_000);
+    fleet.worker(lost.as_str()).is_unresponsive = true;
+    fleet.is_table_up = true;
+    fleet.take_over(SchedulerSettings::default());
+    for _ in 0..300 {
+        fleet.advance(10);
+        fleet.assert_no_double_run();
+    }
+    assert_eq!(fleet.running_count(&task_id(&job, 0, 0)), 1);
+    assert_eq!(fleet.starts.len(), 2, "it starts again at the stored end");
+}
+
+/// Once the row is stored without the worker, its leases are renewed as before.
+#[test]
+fn a_worker_that_responds_again_keeps_its_tasks() {
+    let mut fleet = fleet_of(2);
+    fleet.submit("j", vec![step_spec(1, 1_000)], 60_000);
+    fleet.advance(500);
+    let lost = fleet.starts[0].2.clone();
+    fleet.worker(lost.as_str()).is_unresponsive = true;
+    fleet.advance(2_000);
+    fleet.worker(lost.as_str()).is_unresponsive = false;
+    fleet.advance(10_000);
+    assert!(fleet.lease_ends.is_empty());
+    assert_eq!(fleet.starts.len(), 1);
+}
