Grant no lease to a worker that the next lease row names

What callers would see: a task that runs twice. Cause: the row owner/leases is chosen in a tick and taken when the earlier change is stored. A worker that answered in between got a lease, and the row taken then stated an end before that of the lease. Fix: a worker counts as named by the row from the choice on. Evidence: a_worker_that_is_about_to_be_stored_as_lost_gets_no_lease failed (a lease until 17610, the row until 15910) and passes.

--- a/crates/jobs/src/scheduler/lease_ledger.rs
+++ b/crates/jobs/src/scheduler/lease_ledger.rs
@@ -18,9 +18,12 @@
 pub type LeaseEnds = BTreeMap<WorkerId, BootTime>;
 
 /// Ends of leases as stored, and as they are to be stored next.
+///
+/// An end is `wanted` from an update until the next, `recorded` once it is taken to
+/// be stored, and `withdrawn` until the first change without it is stored.
 #[derive(Debug, Default)]
 pub(super) struct LeaseLedger {
-    /// Ends that the row states, or is about to state.
+    /// Ends that the row states once the latest change is stored.
     recorded: LeaseEnds,
     /// Workers that the row states until the latest change is stored.
     withdrawn: BTreeSet<WorkerId>,
@@ -32,9 +35,12 @@
 }
 
 impl LeaseLedger {
-    /// Returns whether the stored row may state the end of the worker's leases.
+    /// Returns whether the stored row states the end of the worker's leases, or may
+    /// state it with the next change.
     pub(super) fn covers(&self, worker: &WorkerId) -> bool {
-        self.recorded.contains_key(worker) || self.withdrawn.contains(worker)
+        self.wanted.contains_key(worker)
+            || self.recorded.contains_key(worker)
+            || self.withdrawn.contains(worker)
     }
 
     /// Returns whether the row is to be stored.
--- a/crates/jobs/tests/takeover.rs
+++ b/crates/jobs/tests/takeover.rs
@@ -7,6 +7,7 @@
 use common::{FakeFleet, FakeWorker, step_spec, task_id};
 use redwing_jobs::scheduler::PreviousOwner;
 use redwing_jobs::spec::StepSpec;
+use redwing_jobs::worker::OrderAction;
 use redwing_jobs::{BootTime, SchedulerSettings};
 use rstest::rstest;
 
@@ -139,3 +140,33 @@
     assert!(fleet.lease_ends.is_empty());
     assert_eq!(fleet.starts.len(), 1);
 }
+
+/// A worker responds again after the row that names it was chosen, but before that row
+/// is taken to be stored, because an earlier change takes long.
+#[test]
+fn a_worker_that_is_about_to_be_stored_as_lost_gets_no_lease() {
+    let mut fleet = fleet_of(1);
+    fleet.submit("j", vec![step_spec(1, 1_000)], 60_000);
+    fleet.advance(500);
+    fleet.submit("k", vec![step_spec(1, 1_000)], 60_000);
+    fleet.scheduler.place_tasks(fleet.now, fleet.wall_time());
+    let in_flight = fleet.scheduler.take_changes(fleet.now);
+    fleet.is_table_up = false;
+    fleet.worker("w0").is_unresponsive = true;
+    fleet.advance(2_000);
+    fleet.worker("w0").is_unresponsive = false;
+    fleet.scheduler.take_events();
+    while fleet.scheduler.take_events().is_empty() {
+        fleet.advance(10);
+    }
+    fleet.scheduler.changes_stored(&in_flight, fleet.now);
+    let orders = fleet.scheduler.take_orders();
+    let next = fleet.scheduler.take_changes(fleet.now);
+    let stored_end = next.lease_ends.and_then(|ends| ends.into_values().next());
+    let stored_end = stored_end.expect("the row names the worker");
+    for order in orders {
+        if let OrderAction::Start { lease_end_ms, .. } = order.action {
+            assert!(lease_end_ms <= stored_end.as_millis(), "{lease_end_ms}");
+        }
+    }
+}
