Count an owner's first orders from when it sent its claim

What callers would see: a task that runs twice. Cause: a new owner counted the time for which it may send orders without a stored change from the opening of its session; its successor counts from the owner's row, which may be written a second earlier if the reply to the claim was lost. Fix: the time begins when the claim was sent, as with every other change.

--- a/crates/engine/src/owner/election.rs
+++ b/crates/engine/src/owner/election.rs
@@ -26,6 +26,8 @@
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub(super) struct AcquiredOwnership {
     pub(super) lease: OwnerLease,
+    /// When the claim was sent.
+    pub(super) claimed_at: BootTime,
     /// When all leases that earlier owners granted to workers have expired.
     pub(super) inherited_until: BootTime,
     /// Since when the previous owner is known to have stored nothing.
@@ -37,6 +39,7 @@
 struct PendingClaim {
     /// Content that it writes.
     value: String,
+    claimed_at: BootTime,
     inherited_until: BootTime,
     unchanged_since: BootTime,
 }
@@ -103,11 +106,13 @@
                 let unchanged_since = observer.unchanged_since;
                 let inherited_until =
                     inherited_until(dependencies, record.as_ref(), unchanged_since);
+                let claimed_at = clock::boot_now();
                 let owner = successor(dependencies, record.as_ref(), inherited_until);
                 match claim(dependencies, &key, version, owner).await {
                     Ok(lease) => {
                         return AcquiredOwnership {
                             lease,
+                            claimed_at,
                             inherited_until,
                             unchanged_since,
                         };
@@ -115,6 +120,7 @@
                     Err(Some(value)) => {
                         pending = Some(PendingClaim {
                             value,
+                            claimed_at,
                             inherited_until,
                             unchanged_since,
                         });
@@ -200,6 +206,7 @@
             record: row::read(current).ok()?,
             version: current.version,
         },
+        claimed_at: pending.claimed_at,
         inherited_until: pending.inherited_until,
         unchanged_since: pending.unchanged_since,
     })
--- a/crates/engine/src/owner/session/mod.rs
+++ b/crates/engine/src/owner/session/mod.rs
@@ -113,11 +113,11 @@
     ) -> Result<Self> {
         let AcquiredOwnership {
             lease,
+            claimed_at,
             inherited_until,
             unchanged_since,
         } = acquired;
         let client = &dependencies.client;
-        let renewed_at = clock::boot_now();
         // Concurrent scans: the lease must not expire while a slow table responds.
         let (jobs, progress, maintenance, leases, workers) = futures_util::try_join!(
             client.scan(CallCause::Job, row::JOB_PREFIX),
@@ -157,17 +157,17 @@
             deleted,
             deleted_sender,
             obsolete_jobs: Vec::new(),
-            cleanup_started_at: renewed_at,
+            cleanup_started_at: clock::boot_now(),
             machine_responses,
             waves: record::read_waves(&maintenance.rows),
             pending_change: None,
-            renewed_at,
+            renewed_at: claimed_at,
             pending_counts: PendingCounts::default(),
             counts_sent_at: BootTime::default(),
             fleet_capacity: FleetCapacity::default(),
             grown_capacity_row: None,
             deferred_orders: Vec::new(),
-            confirmed_at: renewed_at,
+            confirmed_at: claimed_at,
             unconfirmed_since: None,
             inherited_until,
             lease,
--- a/crates/engine/tests/common/mod.rs
+++ b/crates/engine/tests/common/mod.rs
@@ -42,6 +42,8 @@
     EveryThird,
     /// The first commit of each job row.
     FirstOfEachJob,
+    /// The replies to claims of the ownership, and all later commits.
+    AfterClaim,
 }
 
 /// Table that never responds to lost calls.
@@ -51,6 +53,8 @@
     calls: cell::Cell<u32>,
     /// Job rows that were written before.
     written: cell::RefCell<HashSet<RowKey>>,
+    /// When a claim whose reply was lost took effect.
+    claimed_at: rc::Rc<cell::Cell<Option<timer::Instant>>>,
 }
 
 impl LossyTable {
@@ -60,6 +64,22 @@
         self.lost_calls.get() == LostCalls::EveryThird && number.is_multiple_of(3)
     }
 
+    /// Executes a claim of the ownership, and never responds.
+    async fn lose_claim_reply(
+        &self,
+        transaction: &TableTransaction,
+    ) -> redwing_provider::Result<CommitOutcome> {
+        let mut puts = transaction.writes().iter();
+        let owner = puts.find(|write| write.key.as_str() == row::OWNER_KEY);
+        let value = owner.and_then(|write| write.value.as_deref());
+        let record = value.and_then(|text| serde_json::from_str::<OwnerRecord>(text).ok());
+        if record.is_some_and(|record| record.change == 0) {
+            self.inner.commit(transaction).await?;
+            self.claimed_at.set(Some(timer::Instant::now()));
+        }
+        std::future::pending().await
+    }
+
     fn is_commit_lost(&self, transaction: &TableTransaction) -> bool {
         let mut puts = transaction.writes().iter().map(|write| write.key.clone());
         let job = puts.find(|key| key.as_str().starts_with("jobs@"));
@@ -74,6 +94,9 @@
         &'a self,
         transaction: &'a TableTransaction,
     ) -> LocalFuture<'a, redwing_provider::Result<CommitOutcome>> {
+        if self.lost_calls.get() == LostCalls::AfterClaim {
+            return Box::pin(self.lose_claim_reply(transaction));
+        }
         if self.is_commit_lost(transaction) {
             return Box::pin(std::future::pending());
         }
@@ -113,6 +136,8 @@
     pub(crate) processes: Vec<TestProcess>,
     /// Table calls that get no response.
     pub(crate) lost_calls: rc::Rc<cell::Cell<LostCalls>>,
+    /// When a claim whose reply was lost took effect.
+    pub(crate) claimed_at: rc::Rc<cell::Cell<Option<timer::Instant>>>,
 }
 
 impl TestCluster {
@@ -128,6 +153,7 @@
             machines: MemoryMachines::default(),
             processes: Vec::new(),
             lost_calls: rc::Rc::default(),
+            claimed_at: rc::Rc::default(),
         };
         for number in 0..processes {
             cluster.add_process(number).await;
@@ -165,6 +191,7 @@
                 lost_calls: rc::Rc::clone(&self.lost_calls),
                 calls: cell::Cell::new(0),
                 written: cell::RefCell::default(),
+                claimed_at: rc::Rc::clone(&self.claimed_at),
             }),
             workers: rc::Rc::new(self.workers.clone()),
             advisor: rc::Rc::new(NoAdvisor),
--- a/crates/engine/tests/takeover.rs
+++ b/crates/engine/tests/takeover.rs
@@ -5,8 +5,9 @@
 
 use std::time;
 
-use common::{TestCluster, run_test};
+use common::{LostCalls, TestCluster, run_test};
 use redwing_engine::codec::CallerResponse;
+use redwing_engine::owner::OwnerSettings;
 use redwing_standin::WorkerFault;
 use tokio::time as timer;
 
@@ -83,3 +84,26 @@
         check_restart(&cluster, lost_at).await;
     });
 }
+
+/// The claim of an owner takes effect without a reply, and none of its changes arrives.
+/// It must grant no lease beyond the time for which its successor waits.
+#[test]
+fn an_owner_counts_its_first_orders_from_when_it_sent_its_claim() {
+    run_test(async {
+        let mut cluster = TestCluster::start(1, time::Duration::from_secs(60)).await;
+        let owner = cluster.owner().await;
+        assert_eq!(cluster.submit(0, "a", 1).await, CallerResponse::Accepted);
+        cluster.wait_starts(1).await;
+        cluster.add_process(1).await;
+        cluster.lost_calls.set(LostCalls::AfterClaim);
+        cluster.processes[0].owner.abort();
+        cluster.owner_above(owner.fencing_token).await;
+        let claimed_at = cluster.claimed_at.get().expect("a claim took effect");
+        while !cluster.workers.running().is_empty() {
+            timer::sleep(time::Duration::from_millis(10)).await;
+        }
+        let elapsed = claimed_at.elapsed();
+        let limit = OwnerSettings::default().scheduler.inherited_lease;
+        assert!(elapsed < limit, "{elapsed:?}");
+    });
+}
