Renew a worker's lease as soon as the lease row no longer names it

What callers would see: tasks that end on sound workers which were silent for about 4 s. Cause: the renewal after a worker's answer carried no lease, since the row owner/leases still named it, but let the worker wait up to a second for a run to end; the next renewal came only then. Evidence: a_worker_that_responds_again_gets_a_lease_at_once failed (renewed without a lease) and passes; the delay there is under 50 ms.

--- a/crates/jobs/src/scheduler/order.rs
+++ b/crates/jobs/src/scheduler/order.rs
@@ -7,7 +7,7 @@
 
 use super::advice::StepId;
 use super::entry::{RunLocation, RunProgress, StopProgress, TaskPhase};
-use super::fleet::{ClockSample, ContactState};
+use super::fleet::{ClockSample, ContactState, WorkerEntry};
 use super::{JobScheduler, RunEndReason, WorkerStatus};
 
 impl JobScheduler {
@@ -240,7 +240,7 @@
     pub(super) fn send_due_renewals(&mut self, now: BootTime) {
         let entries = self.fleet.iter();
         let due: Vec<WorkerId> = entries
-            .filter(|(_, entry)| {
+            .filter(|(id, entry)| {
                 let is_needed = !entry.reservations.is_empty()
                     || !entry.unacknowledged.is_empty()
                     || (entry.is_listed && entry.contact != ContactState::Responsive);
@@ -248,6 +248,7 @@
                     && entry.renewal_sent_at.is_none()
                     && entry.next_renewal <= now
                     && entry.view.is_some()
+                    && !self.awaits_withdrawal(id, entry, now)
             })
             .map(|(id, _)| id.clone())
             .collect();
@@ -256,6 +257,15 @@
         }
     }
 
+    /// Returns whether a renewal without a lease would come soon after the latest
+    /// report, although one with a lease is possible once the worker is withdrawn from
+    /// the stored ends of leases.
+    fn awaits_withdrawal(&self, id: &WorkerId, entry: &WorkerEntry, now: BootTime) -> bool {
+        entry.contact == ContactState::Responsive
+            && self.lease_ledger.covers(id)
+            && now.saturating_since(entry.reported_at) < self.settings.renewal_retry_delay
+    }
+
     fn send_renewal(&mut self, worker: &WorkerId, now: BootTime) {
         let max_wait_ms = self.settings.max_renewal_wait.as_millis() as u64;
         let contact = self.fleet.get(worker).map(|entry| entry.contact);
@@ -269,7 +279,8 @@
         let Some(entry) = self.fleet.get_mut(worker) else {
             return;
         };
-        let may_wait = is_responsive && entry.unacknowledged.is_empty();
+        // A worker without a new lease is asked again before the old one expires.
+        let may_wait = lease_end_ms.is_some() && entry.unacknowledged.is_empty();
         entry.renewal_sent_at = Some(now);
         let action = OrderAction::Renew {
             acknowledged_number: entry.acknowledged_number,
--- a/crates/jobs/tests/takeover.rs
+++ b/crates/jobs/tests/takeover.rs
@@ -170,3 +170,36 @@
         }
     }
 }
+
+/// A worker responds again shortly before its lease expires.
+#[test]
+fn a_worker_that_responds_again_gets_a_lease_at_once() {
+    let mut fleet = fleet_of(1);
+    fleet.submit("j", vec![step_spec(1, 1_000)], 60_000);
+    fleet.advance(500);
+    fleet.worker("w0").is_unresponsive = true;
+    fleet.advance(4_300);
+    fleet.worker("w0").is_unresponsive = false;
+    fleet.scheduler.take_events();
+    while fleet.scheduler.take_events().is_empty() {
+        fleet.advance(10);
+    }
+    let answered_at = fleet.now;
+    loop {
+        fleet.now = fleet.now + common::TICK_INTERVAL;
+        fleet.scheduler.tick(fleet.now);
+        let changes = fleet.scheduler.take_changes(fleet.now);
+        fleet.scheduler.changes_stored(&changes, fleet.now);
+        let mut orders = fleet.scheduler.take_orders().into_iter();
+        let renewal = orders.find_map(|order| match order.action {
+            OrderAction::Renew { lease_end_ms, .. } => Some(lease_end_ms),
+            _ => None,
+        });
+        if let Some(lease_end_ms) = renewal {
+            assert!(lease_end_ms.is_some(), "renewed without a lease");
+            break;
+        }
+    }
+    let delay = fleet.now.saturating_since(answered_at);
+    assert!(delay < time::Duration::from_millis(50), "{delay:?}");
+}
