Stop only the runs on a draining worker itself

What callers would see: a sound run that is stopped because an earlier run of its task is still listed by a draining worker. Cause: the tasks of all reservations of the worker were stopped, and a stop goes to the current run, wherever it is. Fix: only tasks whose current run is on the draining worker are stopped. Evidence: a_drain_stops_no_run_on_another_worker failed (3 starts) and passes.

--- a/crates/jobs/src/scheduler/listing.rs
+++ b/crates/jobs/src/scheduler/listing.rs
@@ -99,8 +99,12 @@
     pub(super) fn evict_from_draining(&mut self, now: BootTime) {
         let draining = self.fleet.iter().filter(|(_, entry)| entry.is_draining());
         let draining = draining.filter(|(_, entry)| entry.long_running_count > 0);
-        let tasks = draining.flat_map(|(_, entry)| entry.reservations.keys().cloned());
-        let tasks: Vec<TaskId> = tasks.collect();
+        let mut tasks = Vec::new();
+        for (id, entry) in draining {
+            let runs = entry.reservations.iter();
+            let current = runs.filter(|(task, held)| self.is_current(task, held.run, id));
+            tasks.extend(current.map(|(task, _)| task.clone()));
+        }
         for task in tasks {
             if self.is_long_running(&task) {
                 self.stop_task(&task, now);
--- a/crates/jobs/tests/takeover.rs
+++ b/crates/jobs/tests/takeover.rs
@@ -203,3 +203,29 @@
     let delay = fleet.now.saturating_since(answered_at);
     assert!(delay < time::Duration::from_millis(50), "{delay:?}");
 }
+
+/// A draining worker still lists an earlier run of a task that runs elsewhere.
+#[test]
+fn a_drain_stops_no_run_on_another_worker() {
+    let mut fleet = fleet_of(2);
+    let job = fleet.submit("j", vec![long_running_step(1)], 0);
+    fleet.advance(300);
+    let first = fleet.starts[0].2.clone();
+    let earlier_run = fleet.worker(first.as_str()).running.clone();
+    fleet.worker(first.as_str()).is_unresponsive = true;
+    fleet.advance(7_000);
+    assert_eq!(fleet.starts.len(), 2);
+    let now = fleet.now;
+    fleet.stop_delay = Some(time::Duration::from_millis(900));
+    let worker = fleet.worker(first.as_str());
+    worker.is_unresponsive = false;
+    worker.closed_runs.clear();
+    worker.lease_end_ms = now.as_millis() + 5_000;
+    worker.running = earlier_run;
+    worker.view.is_draining = true;
+    let view = worker.view.clone();
+    fleet.scheduler.worker_listed(view, now);
+    fleet.advance(4_000);
+    assert_eq!(fleet.starts.len(), 2, "{:?}", fleet.stops);
+    assert_eq!(fleet.running_count(&task_id(&job, 0, 0)), 1);
+}
