Forget an inherited end of leases once the worker has responded

What callers would see: nothing but more changes at the table. Cause: a worker that an earlier owner had stored as lost was stored again at its shortest silence, for as long as the ownership lasted. Silences were also counted on from an earlier one if the worker had no runs in between. Fix: the first response ends both. Evidence: a_short_silence_of_a_worker_that_was_lost_before_is_not_stored failed and passes.

--- a/crates/jobs/src/scheduler/fleet.rs
+++ b/crates/jobs/src/scheduler/fleet.rs
@@ -79,7 +79,7 @@
     pub(super) clock: Option<ClockSample>,
     /// When all granted leases have expired, by our clock.
     pub(super) lease_until: BootTime,
-    /// Since when runs wait for that; none while the worker responds.
+    /// Since when runs wait for the end of these leases; none while the worker responds.
     pub(super) awaited_since: Option<BootTime>,
     /// When the pending lease renewal was sent.
     pub(super) renewal_sent_at: Option<BootTime>,
@@ -187,6 +187,7 @@
         self.clock = None;
         self.contact = ContactState::Unconfirmed;
         self.contacted_at = None;
+        self.awaited_since = None;
         self.next_renewal = BootTime::default();
         self.consecutive_failures = 0;
         self.unhealthy_until = BootTime::default();
--- a/crates/jobs/src/scheduler/lease.rs
+++ b/crates/jobs/src/scheduler/lease.rs
@@ -83,6 +83,7 @@
         for (id, entry) in self.fleet.iter_mut() {
             let is_unresponsive = entry.contact != ContactState::Responsive;
             if entry.reservations.is_empty() {
+                entry.awaited_since = None;
                 if !entry.is_listed && is_unresponsive {
                     removed.push(id.clone());
                 }
@@ -135,18 +136,21 @@
     }
 
     /// Returns the ends of the leases of workers with runs that do not respond, of
-    /// those whose end is stored already or that `is_lost` selects by the time since
-    /// which their leases are awaited.
+    /// those whose end was stored by an earlier owner or that `is_lost` selects by the
+    /// time since which their leases are awaited; those already stored come first.
     fn lease_ends(&self, is_lost: impl Fn(BootTime) -> bool) -> LeaseEnds {
         let unresponsive = self.fleet.iter().filter(|(_, entry)| {
             entry.contact != ContactState::Responsive && !entry.reservations.is_empty()
         });
         let inherited = self.inherited.as_ref().map(|leases| &leases.workers);
         let lost = unresponsive.filter(|(id, entry)| {
-            let is_stored = inherited.is_some_and(|ends| ends.contains_key(*id));
-            is_stored || entry.awaited_since.is_some_and(&is_lost)
+            let is_inherited = inherited.is_some_and(|ends| ends.contains_key(*id));
+            is_inherited || entry.awaited_since.is_some_and(&is_lost)
         });
         let ends = lost.map(|(id, entry)| (id.clone(), entry.lease_until));
+        let (covered, others): (Vec<_>, Vec<_>) =
+            ends.partition(|(id, _)| self.lease_ledger.covers(id));
+        let ends = covered.into_iter().chain(others);
         ends.take(self.settings.max_lease_ends).collect()
     }
 }
--- a/crates/jobs/src/scheduler/report.rs
+++ b/crates/jobs/src/scheduler/report.rs
@@ -58,6 +58,9 @@
         if entry.contact == ContactState::Unconfirmed {
             // From now on the worker rejects the orders of an earlier owner.
             entry.lease_until = now + bound;
+            if let Some(inherited) = &mut self.inherited {
+                inherited.workers.remove(worker);
+            }
         }
         entry.contacted_at.get_or_insert(now);
         entry.reported_at = entry.reported_at.max(issued_at);
--- a/crates/jobs/tests/takeover.rs
+++ b/crates/jobs/tests/takeover.rs
@@ -229,3 +229,19 @@
     assert_eq!(fleet.starts.len(), 2, "{:?}", fleet.stops);
     assert_eq!(fleet.running_count(&task_id(&job, 0, 0)), 1);
 }
+
+/// A stored end of leases has no effect once the worker has responded to the new owner.
+#[test]
+fn a_short_silence_of_a_worker_that_was_lost_before_is_not_stored() {
+    let mut fleet = fleet_of(1);
+    fleet.submit("j", vec![step_spec(1, 1_000)], 60_000);
+    fleet.advance(500);
+    fleet.worker("w0").is_unresponsive = true;
+    fleet.advance(2_000);
+    fleet.take_over(SchedulerSettings::default());
+    fleet.worker("w0").is_unresponsive = false;
+    fleet.advance(10_000);
+    fleet.worker("w0").is_unresponsive = true;
+    fleet.advance(100);
+    assert!(fleet.lease_ends.is_empty(), "{:?}", fleet.lease_ends);
+}
