Set the share of best-effort runs that an earlier owner may have paced

What callers would see: a best-effort job that hangs after a takeover. Cause: a new owner took the share of every best-effort run for 100 % and sent an order only when that changed, so a run that its predecessor had stopped stayed stopped. Fix: the first report of a worker sets the share of all its best-effort runs, to 100 % or, beside tasks that serve users, to 30 %, from which it rises. Evidence: a_new_owner_lets_a_best_effort_run_continue failed (0 % after 8 s) and passes.

--- a/crates/jobs/src/scheduler/fleet.rs
+++ b/crates/jobs/src/scheduler/fleet.rs
@@ -101,6 +101,9 @@
     pub(super) unhealthy_until: BootTime,
     /// Share of processor time that best-effort tasks may use, from 0 to 100.
     pub(super) best_effort_percent: u32,
+    /// Whether all best-effort runs on the worker have that share; runs that an earlier
+    /// owner started may have another.
+    pub(super) is_share_known: bool,
     /// When that share last changed.
     pub(super) paced_at: BootTime,
     /// Whether maintenance or a planned move blocks new tasks.
@@ -192,6 +195,7 @@
         self.consecutive_failures = 0;
         self.unhealthy_until = BootTime::default();
         self.best_effort_percent = 100;
+        self.is_share_known = true;
         self.used = ResourceAmount::default();
         self.long_running_count = 0;
         self.long_running_cpu_millis = 0;
--- a/crates/jobs/src/scheduler/pacing.rs
+++ b/crates/jobs/src/scheduler/pacing.rs
@@ -31,6 +31,10 @@
 /// Share below which best-effort tasks are stopped altogether, in percent.
 const MIN_PERCENT: u32 = 10;
 
+/// Share that best-effort tasks beside tasks that serve users get from a new owner, in
+/// percent: it does not know the share that they have.
+const INHERITED_PERCENT: u32 = 30;
+
 /// Returns the next best-effort share after `percent`, where `tail_ratio` is the
 /// tail latency of the tasks beside them divided by its objective.
 fn next_percent(percent: u32, tail_ratio: f64, since_change: time::Duration) -> u32 {
@@ -56,15 +60,23 @@
             let target = self.target_ms(&run.task)?;
             Some(run.metric as f64 / target as f64)
         });
-        let tail_ratio = tail_ratios.fold(0.0, f64::max);
+        let tail_ratio = tail_ratios.reduce(f64::max);
         let Some(entry) = self.fleet.get_mut(worker) else {
             return;
         };
         let since_change = now.saturating_since(entry.paced_at);
-        let percent = next_percent(entry.best_effort_percent, tail_ratio, since_change);
-        if percent == entry.best_effort_percent {
+        let percent = match tail_ratio {
+            Some(_) if !entry.is_share_known => INHERITED_PERCENT,
+            None if !entry.is_share_known => 100,
+            _ => {
+                let tail_ratio = tail_ratio.unwrap_or(0.0);
+                next_percent(entry.best_effort_percent, tail_ratio, since_change)
+            }
+        };
+        if entry.is_share_known && percent == entry.best_effort_percent {
             return;
         }
+        entry.is_share_known = true;
         entry.best_effort_percent = percent;
         entry.paced_at = now;
         let tasks = report.running.iter().map(|run| &run.task);
--- a/crates/jobs/tests/takeover.rs
+++ b/crates/jobs/tests/takeover.rs
@@ -245,3 +245,32 @@
     fleet.advance(100);
     assert!(fleet.lease_ends.is_empty(), "{:?}", fleet.lease_ends);
 }
+
+/// The previous owner had stopped a best-effort run, and its reason is gone since.
+#[test]
+fn a_new_owner_lets_a_best_effort_run_continue() {
+    let mut fleet = fleet_of(1);
+    let serving_step = StepSpec {
+        target_ms: 100,
+        ..long_running_step(1)
+    };
+    let serving = fleet.submit("s", vec![serving_step], 0);
+    let best_effort_step = StepSpec {
+        best_effort: true,
+        ..step_spec(1, 1_000)
+    };
+    fleet.submit("b", vec![best_effort_step], 60_000);
+    fleet.advance(1_000);
+    let task = task_id(&serving, 0, 0);
+    let set_tail = |fleet: &mut FakeFleet, millis| {
+        let run = fleet.worker("w0").running.get_mut(&task);
+        run.expect("the task runs").measurement = millis;
+    };
+    set_tail(&mut fleet, 200);
+    fleet.advance(5_000);
+    assert_eq!(fleet.pace_orders.last().map(|order| order.1), Some(0));
+    set_tail(&mut fleet, 10);
+    fleet.take_over(SchedulerSettings::default());
+    fleet.advance(8_000);
+    assert_eq!(fleet.pace_orders.last().map(|order| order.1), Some(100));
+}
