Send no orders at a release that may come too late; keep all pending claims

What callers would see: for the first, a task that runs twice; for the second, 1.2 s without an owner. Cause: an owner that stopped after a long wait for its latest change sent its remaining orders without a look at the age of that change. A process remembered only the latest of its claims without a reply, and their contents differ now. Fix: remaining orders are sent only within the limit for unconfirmed orders; each claim without a reply is remembered. A test ties inherited_lease to that limit and the length of a lease.

--- a/crates/engine/src/owner/election.rs
+++ b/crates/engine/src/owner/election.rs
@@ -82,7 +82,7 @@
 pub(super) async fn acquire(dependencies: &OwnerDependencies) -> AcquiredOwnership {
     let key = RowKey::new(row::OWNER_KEY);
     let mut observer = RowObserver::default();
-    let mut pending: Option<PendingClaim> = None;
+    let mut pending: Vec<PendingClaim> = Vec::new();
     loop {
         let requested_at = clock::boot_now();
         // The followers of the table log failed reads.
@@ -92,7 +92,7 @@
             .await
         {
             let current = find_owner_row(&view, &key);
-            if let Some(acquired) = confirm_claim(current, pending.as_ref()) {
+            if let Some(acquired) = confirm_claim(current, &pending) {
                 return acquired;
             }
             let version = current.map(|row| row.version);
@@ -118,7 +118,7 @@
                         };
                     }
                     Err(Some(value)) => {
-                        pending = Some(PendingClaim {
+                        pending.push(PendingClaim {
                             value,
                             claimed_at,
                             inherited_until,
@@ -191,16 +191,15 @@
         .find(|row| row.key == *key && row.value.is_some())
 }
 
-/// Returns the ownership if an earlier claim whose response was lost took effect.
+/// Returns the ownership if one of the earlier claims without a response took effect.
 fn confirm_claim(
     current: Option<&TableRow>,
-    pending: Option<&PendingClaim>,
+    pending: &[PendingClaim],
 ) -> Option<AcquiredOwnership> {
     let current = current?;
-    let pending = pending?;
-    if current.value.as_ref() != Some(&pending.value) {
-        return None;
-    }
+    let pending = pending
+        .iter()
+        .find(|claim| current.value.as_ref() == Some(&claim.value))?;
     Some(AcquiredOwnership {
         lease: OwnerLease {
             record: row::read(current).ok()?,
--- a/crates/engine/src/owner/session/mod.rs
+++ b/crates/engine/src/owner/session/mod.rs
@@ -264,6 +264,14 @@
         }
     }
 
+    /// Returns whether no other process can own the scheduling and rely on the time
+    /// for which this one sends orders.
+    fn is_confirmed(&self, now: BootTime) -> bool {
+        let unconfirmed = now.saturating_since(self.confirmed_at);
+        self.unconfirmed_since.is_none()
+            && unconfirmed <= self.dependencies.settings.unconfirmed_limit
+    }
+
     /// Sends the orders to workers and for machines; the ownership must be
     /// confirmed.
     fn send_orders(&mut self) {
@@ -333,10 +341,13 @@
                 return reason;
             }
         }
-        for order in self.scheduler.take_orders() {
-            self.order_queues.send(order);
-        }
         let now = clock::boot_now();
+        let orders = self.scheduler.take_orders();
+        if self.is_confirmed(now) {
+            for order in orders {
+                self.order_queues.send(order);
+            }
+        }
         self.scheduler.prepare_release(now);
         let changes = self.scheduler.take_changes(now);
         let mut extra = self.take_extra_rows();
--- a/crates/engine/tests/takeover.rs
+++ b/crates/engine/tests/takeover.rs
@@ -107,3 +107,12 @@
         assert!(elapsed < limit, "{elapsed:?}");
     });
 }
+
+/// The scheduler's bound on the leases of an earlier owner covers the time for which
+/// that owner may send orders.
+#[test]
+fn successors_wait_for_the_last_orders_of_an_owner() {
+    let settings = OwnerSettings::default();
+    let longest = settings.unconfirmed_limit + settings.scheduler.lease_bound();
+    assert!(settings.scheduler.inherited_lease >= longest);
+}
