--- a/crates/jobs/tests/maintenance.rs
+++ b/crates/jobs/tests/maintenance.rs
@@ -325,3 +325,18 @@
     assert!(!machines.maintenance_counts.contains_key(&machine_name(2)));
     assert_eq!(machines.released_workers, [WorkerId::new("w2")]);
 }
+
+/// Owners end every 2 s; each continues from the stored record.
+#[test]
+fn a_wave_is_completed_although_owners_change() {
+    let mut machines = FakeMachines::new(4);
+    machines.add_wave(&wave_request(2, 1), None);
+    for _ in 0..10 {
+        machines.advance(time::Duration::from_secs(2));
+        let record = machines.stored.clone();
+        machines.planner = WavePlanner::new(MaintenanceSettings::default());
+        machines.add_wave(&wave_request(2, 1), Some(record));
+    }
+    machines.advance(PLAN_INTERVAL);
+    assert!(machines.is_completed(), "{:?}", machines.stored.done);
+}
--- a/crates/jobs/tests/takeover.rs
+++ b/crates/jobs/tests/takeover.rs
@@ -274,3 +274,18 @@
     fleet.advance(8_000);
     assert_eq!(fleet.pace_orders.last().map(|order| order.1), Some(100));
 }
+
+/// Owners end every 2 s while a run makes no progress.
+#[test]
+fn a_run_without_progress_starts_elsewhere_although_owners_change() {
+    let mut fleet = fleet_of(2);
+    fleet.submit("j", vec![step_spec(1, 1_000)], 60_000);
+    fleet.advance(500);
+    let stalled = fleet.starts[0].2.clone();
+    fleet.worker(stalled.as_str()).is_stalled = true;
+    for _ in 0..6 {
+        fleet.advance(2_000);
+        fleet.take_over(SchedulerSettings::default());
+    }
+    assert!(fleet.starts.len() > 1, "not within 12 s");
+}
