--- a/crates/jobs/tests/common/mod.rs
+++ b/crates/jobs/tests/common/mod.rs
@@ -1,187 +1,37 @@
 //! Fleet of in-memory workers under a scheduler, advanced tick by tick in simulated time.
 
-#![allow(dead_code)]
+// Each test file uses a part.
+#![allow(dead_code, unused_imports)]
+
+mod sample;
+mod worker;
 
 use std::collections::{BTreeMap, HashSet};
 use std::sync;
 use std::time;
 
-use redwing_jobs::manifest::{
-    CallerAddress, CustomerPolicy, JobManifest, ManifestParts, PoolPolicy, QueuePolicy,
-};
-use redwing_jobs::name::{CustomerName, PoolName, QueueName, WorkerLabel};
+use redwing_jobs::name::{CustomerName, PoolName, QueueName};
 use redwing_jobs::scheduler::{
     AdviceRequest, AdviceResponse, InheritedLeases, LeaseEnds, ProgressRow, WorkerPermit,
 };
-use redwing_jobs::spec::{ResourceAmount, StepSpec};
+use redwing_jobs::spec::StepSpec;
 use redwing_jobs::time::WallTime;
 use redwing_jobs::worker::{
-    ActiveRun, EndedRun, ExitKind, OrderAction, OrderOutcome, OrderResponse, RenewalReport,
-    WorkerOrder, WorkerView,
+    ExitKind, OrderAction, OrderOutcome, OrderResponse, RenewalReport, WorkerOrder,
 };
 use redwing_jobs::{
     BootTime, JobId, JobRecord, JobScheduler, JobSpec, JobState, ProgressRecord, SchedulerSettings,
     TaskId, WorkerId,
 };
 
+pub(crate) use sample::{
+    manifest, manifest_parts_with_limit, manifest_with_limit, step_spec, task_id,
+};
+pub(crate) use worker::{FakeRun, FakeWorker};
+
 /// Simulated time between two ticks.
 pub(crate) const TICK_INTERVAL: time::Duration = time::Duration::from_millis(10);
 
-/// Run on an in-memory worker.
-#[derive(Clone, Debug)]
-pub(crate) struct FakeRun {
-    pub(crate) run: u32,
-    pub(crate) start_time: BootTime,
-    /// Time at which it completes, or `None` if it runs until it is stopped.
-    pub(crate) finish_time: Option<BootTime>,
-    /// Progress that a run without a finish time reports, from 0 to 100.
-    pub(crate) progress_percent: u32,
-    /// Tail latency in milliseconds of a task that serves users, or processor
-    /// use in thousandths of a core of any other.
-    pub(crate) measurement: u64,
-    /// Latest checkpoint.
-    pub(crate) checkpoint: Option<String>,
-}
-
-/// In-memory worker.
-#[derive(Clone, Debug)]
-pub(crate) struct FakeWorker {
-    pub(crate) view: WorkerView,
-    /// Highest fencing token that it has accepted.
-    pub(crate) fencing_token: u64,
-    pub(crate) running: BTreeMap<TaskId, FakeRun>,
-    pub(crate) ended_runs: Vec<EndedRun>,
-    pub(crate) next_ended_number: u64,
-    pub(crate) lease_end_ms: u64,
-    /// Highest run number of each task that was stopped or ended in this
-    /// incarnation.
-    pub(crate) closed_runs: BTreeMap<TaskId, u32>,
-    /// Whether orders sent to it are lost without a response.
-    pub(crate) is_unresponsive: bool,
-    /// Whether all of its runs fail at once.
-    pub(crate) is_failing: bool,
-    /// Whether its runs save a checkpoint at each tick.
-    pub(crate) is_checkpointing: bool,
-    /// Whether its runs report no progress.
-    pub(crate) is_stalled: bool,
-    /// Whether acknowledged runs leave the list of ended runs; otherwise all
-    /// acknowledgements are lost.
-    pub(crate) receives_acknowledgements: bool,
-}
-
-impl FakeWorker {
-    pub(crate) fn new(id: &str, pool: &str, cpu_millis: u64) -> Self {
-        Self {
-            view: WorkerView {
-                id: WorkerId::new(id),
-                pool: PoolName::new(pool),
-                address: std::net::SocketAddr::from(([127, 0, 0, 1], 1)),
-                incarnation: 1,
-                capacity: ResourceAmount {
-                    cpu_millis,
-                    memory_mb: 64_000,
-                    accelerators: 0,
-                },
-                labels: vec![WorkerLabel::new("a"), WorkerLabel::new("r1")],
-                rack: Some(WorkerLabel::new("r1")),
-                is_draining: false,
-                remaining_ms: None,
-            },
-            fencing_token: 0,
-            running: BTreeMap::new(),
-            ended_runs: Vec::new(),
-            next_ended_number: 1,
-            lease_end_ms: 0,
-            closed_runs: BTreeMap::new(),
-            is_unresponsive: false,
-            is_failing: false,
-            is_checkpointing: false,
-            is_stalled: false,
-            receives_acknowledgements: true,
-        }
-    }
-
-    fn end_run(&mut self, task: &TaskId, kind: ExitKind) {
-        let Some(run) = self.running.remove(task) else {
-            return;
-        };
-        self.closed_runs.insert(task.clone(), run.run);
-        self.ended_runs.push(EndedRun {
-            number: self.next_ended_number,
-            task: task.clone(),
-            run: run.run,
-            kind,
-            checkpoint: run.checkpoint,
-        });
-        self.next_ended_number += 1;
-    }
-
-    /// Ends the runs that are due, and all runs once the lease has expired.
-    pub(crate) fn tick(&mut self, now: BootTime) {
-        let is_failing = self.is_failing;
-        if self.is_checkpointing {
-            for run in self.running.values_mut() {
-                let elapsed_ms = now.saturating_since(run.start_time).as_millis();
-                run.checkpoint = Some(format!("{elapsed_ms} ms"));
-            }
-        }
-        let due_tasks: Vec<TaskId> = self
-            .running
-            .iter()
-            .filter(|(_, run)| is_failing || run.finish_time.is_some_and(|finish| finish <= now))
-            .map(|(task, _)| task.clone())
-            .collect();
-        for task in due_tasks {
-            let kind = if is_failing {
-                ExitKind::Failed
-            } else {
-                ExitKind::Done
-            };
-            self.end_run(&task, kind);
-        }
-        if self.lease_end_ms < now.as_millis() {
-            let lapsed_tasks: Vec<TaskId> = self.running.keys().cloned().collect();
-            for task in lapsed_tasks {
-                self.end_run(&task, ExitKind::Lapsed);
-            }
-        }
-    }
-
-    fn renewal_report(&self, now: BootTime) -> RenewalReport {
-        let listed_runs = self.running.iter().map(|(task, run)| ActiveRun {
-            task: task.clone(),
-            run: run.run,
-            checkpoint: run.checkpoint.clone(),
-            percent: run.percent_at(now, self.is_stalled),
-            metric: run.measurement,
-        });
-        RenewalReport {
-            incarnation: self.view.incarnation,
-            clock_ms: now.as_millis(),
-            running: listed_runs.collect(),
-            ended: self.ended_runs.clone(),
-            malformed: 0,
-        }
-    }
-}
-
-impl FakeRun {
-    fn percent_at(&self, now: BootTime, is_stalled: bool) -> u32 {
-        if is_stalled {
-            return 0;
-        }
-        let Some(finish_time) = self.finish_time else {
-            return self.progress_percent;
-        };
-        let duration_ms = finish_time
-            .saturating_since(self.start_time)
-            .as_millis()
-            .max(1);
-        let elapsed_ms = now.saturating_since(self.start_time).as_millis();
-        (elapsed_ms * 100 / duration_ms).min(100) as u32
-    }
-}
-
 /// Scheduler and its workers in simulated time.
 pub(crate) struct FakeFleet {
     pub(crate) scheduler: JobScheduler,
@@ -225,76 +75,6 @@
     pub(crate) advice_requests: Vec<AdviceRequest>,
 }
 
-/// Returns a manifest whose customer has no limit.
-pub(crate) fn manifest() -> JobManifest {
-    manifest_with_limit(0)
-}
-
-/// Returns a manifest whose customer may use `cpu_millis`; 0 means no limit.
-pub(crate) fn manifest_with_limit(cpu_millis: u64) -> JobManifest {
-    JobManifest::from(manifest_parts_with_limit(cpu_millis))
-}
-
-/// Returns the parts of [`manifest_with_limit`].
-pub(crate) fn manifest_parts_with_limit(cpu_millis: u64) -> ManifestParts {
-    let queue = |name: &str, pool: &str| QueuePolicy {
-        name: QueueName::new(name),
-        address: CallerAddress {
-            host: "jobs.example".to_owned(),
-            path_prefix: format!("/{name}/"),
-        },
-        pool: PoolName::new(pool),
-        priority: 0,
-        max_attempts: 3,
-        stretch: 1.6,
-        objective_ms: 600,
-        is_public: false,
-        is_advised: false,
-    };
-    ManifestParts {
-        version: 1,
-        queues: vec![queue("reports", "builders"), queue("labels", "printers")],
-        customers: vec![
-            CustomerPolicy {
-                name: CustomerName::new("housing"),
-                keys: vec!["secret".to_owned()],
-                weight: 1.0,
-                limit: ResourceAmount {
-                    cpu_millis,
-                    ..ResourceAmount::default()
-                },
-            },
-            CustomerPolicy {
-                name: CustomerName::new("portal"),
-                keys: vec!["other".to_owned()],
-                weight: 3.0,
-                limit: ResourceAmount::default(),
-            },
-        ],
-        pools: ["builders", "printers"]
-            .map(|name| PoolPolicy {
-                name: PoolName::new(name),
-                is_standby: false,
-                enforces_capacity: false,
-            })
-            .to_vec(),
-    }
-}
-
-/// Returns a step of `count` tasks that need `cpu_millis` each.
-pub(crate) fn step_spec(count: u32, cpu_millis: u64) -> StepSpec {
-    StepSpec {
-        count,
-        needs: ResourceAmount {
-            cpu_millis,
-            memory_mb: 100,
-            accelerators: 0,
-        },
-        estimate_ms: 500,
-        ..StepSpec::default()
-    }
-}
-
 impl FakeFleet {
     pub(crate) fn new(settings: SchedulerSettings, workers: Vec<FakeWorker>) -> Self {
         let mut scheduler = JobScheduler::new(settings, 1);
@@ -668,12 +448,3 @@
         }
     }
 }
-
-pub(crate) fn task_id(job: &JobId, step: u32, index: u32) -> TaskId {
-    TaskId {
-        job: job.clone(),
-        occurrence: 0,
-        step,
-        index,
-    }
-}
