--- a/crates/jobs/tests/common/mod.rs
+++ b/crates/jobs/tests/common/mod.rs
@@ -76,6 +76,13 @@
 }
 
 impl FakeFleet {
+    /// Returns a fleet with so many equal workers in the pool `builders`.
+    pub(crate) fn of_size(count: usize, cpu_millis: u64) -> Self {
+        let workers =
+            (0..count).map(|number| FakeWorker::new(&format!("w{number}"), "builders", cpu_millis));
+        Self::new(SchedulerSettings::default(), workers.collect())
+    }
+
     pub(crate) fn new(settings: SchedulerSettings, workers: Vec<FakeWorker>) -> Self {
         let mut scheduler = JobScheduler::new(settings, 1);
         scheduler.set_manifest(sync::Arc::new(manifest()));
--- a/crates/jobs/tests/maintenance.rs
+++ b/crates/jobs/tests/maintenance.rs
@@ -149,6 +149,12 @@
         }
     }
 
+    /// Panics if a machine was maintained more than once.
+    fn assert_maintained_once(&self) {
+        let mut counts = self.maintenance_counts.values();
+        assert!(counts.all(|count| *count == 1));
+    }
+
     fn is_completed(&self) -> bool {
         self.wave_states.last() == Some(&WaveState::Completed)
     }
@@ -212,12 +218,7 @@
     machines.loses_responses = false;
     machines.advance(time::Duration::from_secs(16));
     assert!(machines.is_completed());
-    assert!(
-        machines
-            .maintenance_counts
-            .values()
-            .all(|count| *count == 1)
-    );
+    machines.assert_maintained_once();
 }
 
 #[test]
@@ -233,12 +234,7 @@
     machines.advance(time::Duration::from_secs(12));
     assert!(machines.is_completed());
     assert!(machines.max_down_count <= 1);
-    assert!(
-        machines
-            .maintenance_counts
-            .values()
-            .all(|count| *count == 1)
-    );
+    machines.assert_maintained_once();
     let elapsed = machines.now.saturating_since(machines.start_time);
     assert!(elapsed < time::Duration::from_secs(20));
 }
@@ -300,12 +296,7 @@
     machines.add_wave(&request, None);
     machines.advance(time::Duration::from_secs(14));
     assert!(machines.is_completed());
-    assert!(
-        machines
-            .maintenance_counts
-            .values()
-            .all(|count| *count == 1)
-    );
+    machines.assert_maintained_once();
 }
 
 /// Machines that were removed from a wave do not go down any more, and their
--- a/crates/jobs/tests/placement.rs
+++ b/crates/jobs/tests/placement.rs
@@ -15,9 +15,7 @@
 use rstest::rstest;
 
 fn fleet_of(count: usize, cpu_millis: u64) -> FakeFleet {
-    let workers =
-        (0..count).map(|number| FakeWorker::new(&format!("w{number}"), "builders", cpu_millis));
-    let mut fleet = FakeFleet::new(SchedulerSettings::default(), workers.collect());
+    let mut fleet = FakeFleet::of_size(count, cpu_millis);
     fleet.advance(100);
     fleet
 }
--- a/crates/jobs/tests/recovery.rs
+++ b/crates/jobs/tests/recovery.rs
@@ -4,14 +4,12 @@
 
 use std::time;
 
-use common::{FakeFleet, FakeWorker, step_spec, task_id};
+use common::{FakeFleet, step_spec, task_id};
 use redwing_jobs::spec::StepSpec;
 use redwing_jobs::{JobState, SchedulerSettings, WorkerId};
 
 fn fleet_of(count: usize) -> FakeFleet {
-    let workers =
-        (0..count).map(|number| FakeWorker::new(&format!("w{number}"), "builders", 8_000));
-    FakeFleet::new(SchedulerSettings::default(), workers.collect())
+    FakeFleet::of_size(count, 8_000)
 }
 
 fn long_running_step(count: u32) -> StepSpec {
--- a/crates/jobs/tests/schedule.rs
+++ b/crates/jobs/tests/schedule.rs
@@ -4,15 +4,13 @@
 
 use std::time;
 
-use common::{FakeFleet, FakeWorker, step_spec, task_id};
+use common::{FakeFleet, step_spec, task_id};
 use redwing_jobs::name::{CustomerName, PoolName, QueueName};
 use redwing_jobs::spec::{JobSchedule, StepSpec};
 use redwing_jobs::{JobId, JobRecord, JobSpec, JobState, SchedulerSettings, TaskId};
 
 fn fleet_of(count: usize) -> FakeFleet {
-    let workers =
-        (0..count).map(|number| FakeWorker::new(&format!("w{number}"), "builders", 8_000));
-    let mut fleet = FakeFleet::new(SchedulerSettings::default(), workers.collect());
+    let mut fleet = FakeFleet::of_size(count, 8_000);
     fleet.advance(100);
     fleet
 }
