Place a customer's jobs by least work, and best-effort tasks last

Cause: at a peak, jobs in time went by due time. With five times the mean demand for 4 s each job began just before it was late, and lacked the time for its later steps. Best-effort jobs went by the order of their job, and long-running ones before all others. A job with a long step that was nearly done counted as late, since a step that runs counted as a whole.

Change: among jobs of equal priority that can end in time, least estimated work of the tasks without a run goes first; late jobs stay in order of due time. Jobs of which only best-effort tasks wait go after all others. The time that is left of a job counts from the progress of its runs, read again when the job would become late.

--- a/crates/jobs/src/scheduler/entry.rs
+++ b/crates/jobs/src/scheduler/entry.rs
@@ -7,6 +7,10 @@
 use crate::spec::{JobSpec, MAX_TASKS, ResourceAmount, StepSpec};
 use crate::time::BootTime;
 
+/// Duration of tasks without an estimate: their jobs must not seem to have the
+/// least work.
+const UNKNOWN_ESTIMATE_MS: u64 = 1_000;
+
 /// Worker on which a run is, or may be.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub(super) struct RunLocation {
@@ -145,6 +149,24 @@
         self.tasks.iter().all(|task| task.phase == TaskPhase::Done)
     }
 
+    /// Returns how much of its duration the step has left, in percent, by the task
+    /// that has advanced least.
+    fn remaining_percent(&self) -> u64 {
+        let remaining = self.tasks.iter().map(|task| match task.phase {
+            TaskPhase::Done => 0,
+            TaskPhase::Running(_, progress) => 100 - u64::from(progress.percent.min(100)),
+            _ => 100,
+        });
+        remaining.max().unwrap_or(0)
+    }
+
+    /// Returns the number of tasks that have no run.
+    fn idle_count(&self) -> u64 {
+        let tasks = self.tasks.iter();
+        let idle = tasks.filter(|task| task.phase == TaskPhase::Idle);
+        idle.count() as u64
+    }
+
     /// Returns whether a task has no run.
     pub(super) fn has_idle(&self) -> bool {
         self.tasks.iter().any(|task| task.phase == TaskPhase::Idle)
@@ -213,7 +235,7 @@
     pub(super) fn new(record: JobRecord) -> Self {
         let mut entry = Self {
             payload: record.spec.payload.as_str().into(),
-            critical_path_ms: critical_path_ms(&record.spec, |_| true),
+            critical_path_ms: critical_path_ms(&record.spec, |_| 100),
             state: JobState::Queued,
             begun: 0,
             occurrences: Vec::new(),
@@ -301,6 +323,27 @@
         needs.reduce(|one, other| one.component_min(&other))
     }
 
+    /// Returns whether all ready tasks that have no run are best-effort.
+    pub(super) fn is_waiting_best_effort(&self) -> bool {
+        let mut steps = self.waiting_steps().filter(|(count, _)| *count > 0);
+        steps.all(|(_, spec)| spec.best_effort)
+    }
+
+    /// Returns the estimated work of all tasks that have no run, ready or not, in
+    /// thousandths of a core times milliseconds.
+    pub(super) fn unplaced_work(&self) -> u64 {
+        let steps = self.occurrences.iter();
+        let steps = steps.flat_map(|entry| entry.steps.iter().zip(&self.record.spec.steps));
+        let work = steps.map(|(step, spec)| {
+            let estimate_ms = match spec.estimate_ms {
+                0 => UNKNOWN_ESTIMATE_MS,
+                estimate_ms => estimate_ms,
+            };
+            step.idle_count() * spec.reserved().cpu_millis * estimate_ms
+        });
+        work.sum()
+    }
+
     /// Returns the number of ready tasks that have no run.
     pub(super) fn waiting_tasks(&self) -> u64 {
         self.waiting_steps().map(|(count, _)| count).sum()
@@ -312,11 +355,7 @@
         self.occurrences.iter().flat_map(|occurrence| {
             let steps = occurrence.steps.iter().zip(&self.record.spec.steps);
             let ready = steps.filter(|(_, spec)| occurrence.is_ready(spec));
-            ready.map(|(step, spec)| {
-                let tasks = step.tasks.iter();
-                let idle = tasks.filter(|task| task.phase == TaskPhase::Idle);
-                (idle.count() as u64, spec)
-            })
+            ready.map(|(step, spec)| (step.idle_count(), spec))
         })
     }
 
@@ -347,12 +386,12 @@
     }
 
     /// Returns the estimated duration of the critical path that is left, in
-    /// milliseconds; a step that has begun counts as a whole.
+    /// milliseconds.
     pub(super) fn remaining_ms(&self) -> u64 {
         let paths = self.occurrences.iter().map(|occurrence| {
             critical_path_ms(&self.record.spec, |number| {
                 let step = occurrence.steps.get(number);
-                !step.is_some_and(StepEntry::is_done)
+                step.map_or(100, StepEntry::remaining_percent)
             })
         });
         paths.max().unwrap_or(0)
@@ -396,20 +435,15 @@
     }
 }
 
-/// Returns the estimated duration of the critical path through the included
-/// steps, in milliseconds.
-fn critical_path_ms(spec: &JobSpec, is_included: impl Fn(usize) -> bool) -> u64 {
+/// Returns the estimated duration of the critical path through the steps, in
+/// milliseconds, where each step has some percentage of its duration left.
+fn critical_path_ms(spec: &JobSpec, remaining_percent: impl Fn(usize) -> u64) -> u64 {
     let mut finished: Vec<u64> = Vec::with_capacity(spec.steps.len());
     for (number, step) in spec.steps.iter().enumerate() {
         let earlier = step.after.iter();
         let earlier = earlier.filter_map(|&number| finished.get(number as usize));
         let start = earlier.copied().max().unwrap_or(0);
-        let length = if is_included(number) {
-            step.estimate_ms
-        } else {
-            0
-        };
-        finished.push(start + length);
+        finished.push(start + step.estimate_ms * remaining_percent(number) / 100);
     }
     finished.into_iter().max().unwrap_or(0)
 }
--- a/crates/jobs/src/scheduler/placement.rs
+++ b/crates/jobs/src/scheduler/placement.rs
@@ -1,8 +1,10 @@
 //! Choice of a worker for each task, and the order in which jobs are placed.
 //!
-//! Load pattern: demand that exceeds a pool's capacity for seconds. Jobs that
-//! can still meet their objective go first, by their due time; long-running
-//! tasks, whose value grows with the time for which they run, go before those.
+//! Load pattern: demand that exceeds a pool's capacity for seconds. Long-running
+//! tasks, whose value grows with the time for which they run, go first, then jobs
+//! that can still meet their objective: those with the least work left to place,
+//! so that most of them end in time and begun jobs are finished. Late jobs come
+//! next, by due time, and jobs of which only best-effort tasks wait come last.
 
 use std::collections::BTreeSet;
 
@@ -72,12 +74,21 @@
     /// Places the tasks that are ready.
     pub fn place_tasks(&mut self, now: BootTime, wall: WallTime) {
         self.begin_due(wall);
-        self.waiting.mark_late(wall);
+        self.mark_late(wall);
         for pool in self.waiting.take_changed() {
             self.place_in_pool(&pool, now);
         }
     }
 
+    /// Moves the jobs behind all others of their pool that can no longer meet their
+    /// objective, by the progress of their runs at this time.
+    pub(super) fn mark_late(&mut self, wall: WallTime) {
+        while let Some(id) = self.waiting.next_overdue(wall) {
+            self.update_waiting(&id);
+            self.waiting.mark_late(&id, wall);
+        }
+    }
+
     /// Visits the jobs that wait for a pool in their order, once each.
     fn place_in_pool(&mut self, pool: &PoolName, now: BootTime) {
         let mut candidates = self.candidates(pool, now);
@@ -149,9 +160,11 @@
             pool: self.pool_of(job).clone(),
             customer: job.record.customer.clone(),
             rank: JobRank {
+                is_best_effort: job.is_waiting_best_effort(),
                 is_finite: !job.record.spec.is_long_running(),
                 is_late: false,
                 priority: queue.map_or(0, |queue| queue.priority),
+                unplaced_work: job.unplaced_work(),
                 due_ms,
             },
             latest_start_ms: (due_ms + ESTIMATE_GRACE_MS).saturating_sub(job.remaining_ms()),
--- a/crates/jobs/src/scheduler/waiting.rs
+++ b/crates/jobs/src/scheduler/waiting.rs
@@ -4,6 +4,10 @@
 //! for a few tasks only. The order is kept, not computed: a change costs what the
 //! jobs that it concerns cost, and jobs that cannot fit are skipped without a look
 //! at any worker.
+//!
+//! Load pattern: five times the mean demand for seconds. By due time, each job
+//! would begin just before it is late and lack the time for its later steps; by
+//! least work, small and nearly finished jobs end in time.
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::mem;
@@ -19,9 +23,14 @@
 /// goes first.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub(super) struct JobRank {
+    /// Whether all of its waiting tasks are best-effort.
+    pub(super) is_best_effort: bool,
     pub(super) is_finite: bool,
     pub(super) is_late: bool,
     pub(super) priority: u32,
+    /// Estimated work of its tasks that have no run, in thousandths of a core times
+    /// milliseconds; zero if the job is late, so that late jobs go by due time.
+    pub(super) unplaced_work: u64,
     pub(super) due_ms: u64,
 }
 
@@ -125,18 +134,22 @@
         }
     }
 
-    /// Moves the jobs behind all others of their pool that can no longer meet their
-    /// objective.
-    pub(super) fn mark_late(&mut self, wall: WallTime) {
-        while let Some((latest_start_ms, id)) = self.latest_starts.first().cloned() {
-            if latest_start_ms >= wall.as_millis() {
-                return;
-            }
-            self.latest_starts.pop_first();
-            if let Some(mut entry) = self.entries.get(&id).cloned() {
-                entry.rank.is_late = true;
-                self.insert(&id, entry);
-            }
+    /// Returns a job that is not late by its entry although its latest start has
+    /// passed.
+    pub(super) fn next_overdue(&self, wall: WallTime) -> Option<JobId> {
+        let (latest_start_ms, id) = self.latest_starts.first()?;
+        (*latest_start_ms < wall.as_millis()).then(|| id.clone())
+    }
+
+    /// Moves a job behind those that can still meet their objective, if its latest
+    /// start has passed.
+    pub(super) fn mark_late(&mut self, id: &JobId, wall: WallTime) {
+        let entry = self.entries.get(id);
+        let overdue = entry.filter(|entry| entry.latest_start_ms < wall.as_millis());
+        if let Some(mut entry) = overdue.cloned() {
+            entry.rank.is_late = true;
+            entry.rank.unplaced_work = 0;
+            self.insert(id, entry);
         }
     }
 
@@ -170,11 +183,12 @@
 
 /// Next job of one customer in a visit; lower goes first.
 ///
-/// Long-running jobs go before others, those that can meet their objective before
-/// those that cannot, and among these the jobs of customers that have not used
-/// their share up.
+/// Best-effort tasks go last. Long-running jobs go before others, those that can
+/// meet their objective before those that cannot, and among these the jobs of
+/// customers that have not used their share up.
 #[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
 struct VisitHead {
+    is_best_effort: bool,
     is_finite: bool,
     is_late: bool,
     is_share_used_up: bool,
@@ -217,6 +231,7 @@
     ) {
         let next = waiting.next_fitting(&self.pool, customer, last, free);
         self.heads.extend(next.map(|key| VisitHead {
+            is_best_effort: key.0.is_best_effort,
             is_finite: key.0.is_finite,
             is_late: key.0.is_late,
             is_share_used_up: is_used_up(customer),
--- /dev/null
+++ b/crates/jobs/tests/peak.rs
@@ -0,0 +1,204 @@
+//! Order of jobs while demand is a multiple of what the pool holds.
+
+mod common;
+
+use std::collections::BTreeMap;
+
+use common::{FakeFleet, FakeWorker, step_spec, task_id};
+use proptest::prelude::RngExt;
+use proptest::test_runner::{RngAlgorithm, TestRng};
+use redwing_jobs::spec::StepSpec;
+use redwing_jobs::{BootTime, JobId, JobState, SchedulerSettings, TaskId};
+use rstest::rstest;
+
+fn fleet_of(count: usize, cpu_millis: u64) -> FakeFleet {
+    let workers =
+        (0..count).map(|number| FakeWorker::new(&format!("w{number}"), "builders", cpu_millis));
+    let mut fleet = FakeFleet::new(SchedulerSettings::default(), workers.collect());
+    fleet.advance(100);
+    fleet
+}
+
+fn start_time(fleet: &FakeFleet, task: &TaskId) -> BootTime {
+    let start = fleet.starts.iter().find(|(started, ..)| started == task);
+    start.expect("the task has started").3
+}
+
+/// Chains of equal steps that arrive at random, as one customer's users send them.
+struct JobStream {
+    fleet: FakeFleet,
+    rng: TestRng,
+    due_times: BTreeMap<JobId, u64>,
+    timely_count: usize,
+}
+
+impl JobStream {
+    fn new(seed: u8) -> Self {
+        Self {
+            fleet: fleet_of(10, 32_000),
+            rng: TestRng::from_seed(RngAlgorithm::ChaCha, &[seed; 32]),
+            due_times: BTreeMap::new(),
+            timely_count: 0,
+        }
+    }
+
+    fn submit(&mut self) {
+        let step_count = self.rng.random_range(1..=3_u32);
+        let width = 2_u32 << self.rng.random_range(0..4);
+        let cpu_millis = self.rng.random_range(2_000..7_000);
+        let duration_ms = self.rng.random_range(300..1_000);
+        // Estimates are wrong by up to a factor of two.
+        let factor = self.rng.random_range(-1.0_f64..1.0).exp2();
+        let steps = (0..step_count).map(|number| StepSpec {
+            estimate_ms: (duration_ms as f64 * factor) as u64,
+            after: number.checked_sub(1).into_iter().collect(),
+            ..step_spec(width, cpu_millis)
+        });
+        let id = format!("j{}", self.due_times.len());
+        let id = self.fleet.submit(&id, steps.collect(), duration_ms);
+        let allowed_ms = 600 + u64::from(step_count) * duration_ms * 8 / 5;
+        self.due_times
+            .insert(id, self.fleet.now.as_millis() + allowed_ms);
+    }
+
+    /// Advances by `duration_ms` with `rate` jobs a second on average.
+    fn advance(&mut self, duration_ms: u64, rate: f64) {
+        for _ in 0..duration_ms / 10 {
+            if self.rng.random_range(0.0..100.0) < rate {
+                self.submit();
+            }
+            self.fleet.advance(10);
+            let now_ms = self.fleet.now.as_millis();
+            let due = self.due_times.iter();
+            let due = due.filter(|(_, due_ms)| (now_ms..now_ms + 10).contains(due_ms));
+            let timely = due.filter(|(job, _)| self.fleet.state(job) == JobState::Completed);
+            self.timely_count += timely.count();
+        }
+    }
+}
+
+/// Demand rises from half of the capacity to five times that for four seconds.
+/// Ordered by due time, 168 of these 296 jobs end in time: each begins just before
+/// it is late, and many then lack the time for their later steps.
+#[test]
+fn most_jobs_end_in_time_at_five_times_the_mean_demand() {
+    let mut timely_count = 0;
+    let mut job_count = 0;
+    for seed in 1..=3 {
+        let mut stream = JobStream::new(seed);
+        stream.advance(3_000, 4.0);
+        stream.advance(4_000, 20.0);
+        stream.advance(3_000, 4.0);
+        stream.advance(10_000, 0.0);
+        let mut jobs = stream.due_times.keys();
+        assert!(jobs.all(|job| stream.fleet.state(job) == JobState::Completed));
+        timely_count += stream.timely_count;
+        job_count += stream.due_times.len();
+    }
+    let share = timely_count as f64 / job_count as f64;
+    assert!(share > 0.68, "{timely_count} of {job_count}");
+}
+
+/// The last step of a job that has begun goes before a job that has not, although
+/// that one is due earlier.
+#[test]
+fn a_job_that_has_begun_is_finished_first() {
+    let mut fleet = fleet_of(1, 4_000);
+    let last_step = StepSpec {
+        after: vec![0],
+        ..step_spec(1, 1_000)
+    };
+    let begun = fleet.submit("begun", vec![step_spec(4, 1_000), last_step], 500);
+    fleet.advance(100);
+    let fresh = fleet.submit("fresh", vec![step_spec(4, 1_000)], 500);
+    fleet.advance(1_500);
+    let last = start_time(&fleet, &task_id(&begun, 1, 0));
+    assert!(last < start_time(&fleet, &task_id(&fresh, 0, 3)));
+}
+
+/// A job without an estimate does not go before others as if it had no work.
+#[test]
+fn a_job_without_an_estimate_gets_no_advantage() {
+    let mut fleet = fleet_of(1, 1_000);
+    fleet.submit("first", vec![step_spec(1, 1_000)], 500);
+    fleet.advance(100);
+    let unknown_step = StepSpec {
+        estimate_ms: 0,
+        ..step_spec(1, 1_000)
+    };
+    let unknown = fleet.submit("a", vec![unknown_step], 200);
+    let known = fleet.submit("b", vec![step_spec(1, 1_000)], 200);
+    fleet.advance(1_500);
+    let known = start_time(&fleet, &task_id(&known, 0, 0));
+    assert!(known < start_time(&fleet, &task_id(&unknown, 0, 0)));
+}
+
+/// Best-effort tasks reserve memory only; they take it after all urgent ones, even
+/// if they have waited for longer or run until they are cancelled.
+#[rstest]
+#[case(false)]
+#[case(true)]
+fn urgent_tasks_go_before_best_effort_tasks(#[case] is_long_running: bool) {
+    let mut fleet = fleet_of(1, 8_000);
+    let large_step = |best_effort| {
+        let mut step = step_spec(1, 1_000);
+        step.needs.memory_mb = 40_000;
+        StepSpec {
+            best_effort,
+            long_running: best_effort && is_long_running,
+            ..step
+        }
+    };
+    fleet.submit("first", vec![large_step(false)], 500);
+    fleet.advance(100);
+    let best_effort = fleet.submit("a", vec![large_step(true)], 300);
+    fleet.advance(100);
+    let urgent = fleet.submit("b", vec![large_step(false)], 300);
+    fleet.advance(2_000);
+    let urgent = start_time(&fleet, &task_id(&urgent, 0, 0));
+    assert!(urgent < start_time(&fleet, &task_id(&best_effort, 0, 0)));
+}
+
+/// A customer's late jobs wait for the jobs of another that are in time, although
+/// that one has used up its share.
+#[test]
+fn late_jobs_take_no_capacity_from_other_customers_jobs_in_time() {
+    let mut fleet = fleet_of(1, 4_000);
+    fleet.submit_as(
+        "housing",
+        "first",
+        "builders",
+        vec![step_spec(4, 1_000)],
+        2_000,
+    );
+    fleet.advance(100);
+    let late = fleet.submit_as("portal", "a", "builders", vec![step_spec(4, 1_000)], 500);
+    fleet.advance(1_500);
+    let in_time = fleet.submit_as("housing", "b", "builders", vec![step_spec(4, 1_000)], 500);
+    fleet.advance(2_000);
+    let in_time = start_time(&fleet, &task_id(&in_time, 0, 0));
+    assert!(in_time < start_time(&fleet, &task_id(&late, 0, 0)));
+}
+
+/// The time left of a job counts from the progress of its runs: a short step that
+/// waits beside a long one that is nearly done makes the job late only when the
+/// short one can no longer end in time.
+#[test]
+fn a_job_whose_long_step_is_nearly_done_is_not_late() {
+    let mut fleet = fleet_of(1, 1_000);
+    let long_step = StepSpec {
+        estimate_ms: 3_000,
+        ..step_spec(1, 1_000)
+    };
+    let short_step = StepSpec {
+        estimate_ms: 300,
+        ..step_spec(1, 1_000)
+    };
+    let begun = fleet.submit("begun", vec![long_step, short_step], 3_000);
+    fleet.advance(2_900);
+    let fresh = fleet.submit("fresh", vec![step_spec(1, 1_000)], 500);
+    fleet.advance(1_500);
+    let short = start_time(&fleet, &task_id(&begun, 1, 0));
+    assert!(short.as_millis() < 13_300, "{short:?}");
+    assert!(fleet.starts.iter().all(|(task, ..)| task.job != fresh));
+}
