--- a/crates/jobs/src/scheduler/entry.rs
+++ b/crates/jobs/src/scheduler/entry.rs
@@ -339,9 +339,10 @@
                 0 => UNKNOWN_ESTIMATE_MS,
                 estimate_ms => estimate_ms,
             };
-            step.idle_count() * spec.reserved().cpu_millis * estimate_ms
+            let task_work = spec.reserved().cpu_millis.saturating_mul(estimate_ms);
+            step.idle_count().saturating_mul(task_work)
         });
-        work.sum()
+        work.fold(0, u64::saturating_add)
     }
 
     /// Returns the number of ready tasks that have no run.
@@ -443,7 +444,8 @@
         let earlier = step.after.iter();
         let earlier = earlier.filter_map(|&number| finished.get(number as usize));
         let start = earlier.copied().max().unwrap_or(0);
-        finished.push(start + step.estimate_ms * remaining_percent(number) / 100);
+        let length = step.estimate_ms.saturating_mul(remaining_percent(number)) / 100;
+        finished.push(start.saturating_add(length));
     }
     finished.into_iter().max().unwrap_or(0)
 }
