Test that late and failed jobs leave their capacity to others

Cause: that late jobs wait for the jobs in time of other customers was tested with a customer below its share only, and not for jobs that had begun. That the other runs of a failed job are stopped had no test of its own. Change: tests only.

--- a/crates/jobs/tests/peak.rs
+++ b/crates/jobs/tests/peak.rs
@@ -160,24 +160,28 @@
 }
 
 /// A customer's late jobs wait for the jobs of another that are in time, although
-/// that one has used up its share.
-#[test]
-fn late_jobs_take_no_capacity_from_other_customers_jobs_in_time() {
+/// that one has used up its share; also if one of their tasks has begun.
+#[rstest]
+#[case(3, 500)]
+#[case(2, 2_500)]
+fn late_jobs_take_no_capacity_from_other_customers_jobs_in_time(
+    #[case] task_count: u32,
+    #[case] late_duration_ms: u64,
+) {
     let mut fleet = fleet_of(1, 4_000);
-    fleet.submit_as(
-        "housing",
-        "first",
-        "builders",
-        vec![step_spec(4, 1_000)],
-        2_000,
-    );
+    let submit = |fleet: &mut FakeFleet, customer, id, count, duration_ms| {
+        let steps = vec![step_spec(count, 1_000)];
+        fleet.submit_as(customer, id, "builders", steps, duration_ms)
+    };
+    submit(&mut fleet, "housing", "long", 1, 10_000);
+    submit(&mut fleet, "housing", "first", task_count, 2_000);
     fleet.advance(100);
-    let late = fleet.submit_as("portal", "a", "builders", vec![step_spec(4, 1_000)], 500);
+    let late = submit(&mut fleet, "portal", "a", 4, late_duration_ms);
     fleet.advance(1_500);
-    let in_time = fleet.submit_as("housing", "b", "builders", vec![step_spec(4, 1_000)], 500);
+    let in_time = submit(&mut fleet, "housing", "b", task_count, 500);
     fleet.advance(2_000);
     let in_time = start_time(&fleet, &task_id(&in_time, 0, 0));
-    assert!(in_time < start_time(&fleet, &task_id(&late, 0, 0)));
+    assert!(in_time < start_time(&fleet, &task_id(&late, 0, 3)));
 }
 
 /// The time left of a job counts from the progress of its runs: a short step that
@@ -202,3 +206,20 @@
     assert!(short.as_millis() < 13_300, "{short:?}");
     assert!(fleet.starts.iter().all(|(task, ..)| task.job != fresh));
 }
+
+/// A job that has failed leaves its capacity to others: its other runs are stopped.
+#[test]
+fn runs_of_a_failed_job_are_stopped() {
+    let mut fleet = fleet_of(2, 1_000);
+    fleet.worker("w0").is_failing = true;
+    let spread_step = StepSpec {
+        max_per_worker: 1,
+        ..step_spec(2, 1_000)
+    };
+    let failed = fleet.submit("failed", vec![spread_step], 20_000);
+    let next = fleet.submit("next", vec![step_spec(1, 1_000)], 500);
+    fleet.advance(3_000);
+    assert_eq!(fleet.state(&failed), JobState::Failed);
+    assert_eq!(fleet.stops.len(), 1);
+    assert_eq!(fleet.state(&next), JobState::Completed);
+}
