Place the urgent tasks of a job before its best-effort tasks

Cause: the ready steps of a job were placed by their numbers, so that a best-effort step with a lower number took the memory of an urgent one. Change: best-effort steps of a visited job come last.

--- a/crates/jobs/src/scheduler/placement.rs
+++ b/crates/jobs/src/scheduler/placement.rs
@@ -214,13 +214,14 @@
         for occurrence in &job.occurrences {
             for (number, spec) in job.record.spec.steps.iter().enumerate() {
                 if occurrence.is_ready(spec) && occurrence.steps[number].has_idle() {
-                    ready.push((occurrence.number, number as u32));
+                    ready.push((spec.best_effort, occurrence.number, number as u32));
                 }
             }
         }
+        ready.sort_by_key(|(is_best_effort, ..)| *is_best_effort);
         let mut placed = 0;
         let mut unplaced = 0;
-        for (occurrence, step) in ready {
+        for (_, occurrence, step) in ready {
             let step = StepId {
                 job: id.clone(),
                 occurrence,
--- a/crates/jobs/tests/peak.rs
+++ b/crates/jobs/tests/peak.rs
@@ -159,6 +159,22 @@
     assert!(urgent < start_time(&fleet, &task_id(&best_effort, 0, 0)));
 }
 
+/// Also within one job that has both.
+#[test]
+fn urgent_tasks_of_a_job_go_before_its_best_effort_tasks() {
+    let mut fleet = fleet_of(1, 8_000);
+    let mut urgent_step = step_spec(1, 1_000);
+    urgent_step.needs.memory_mb = 40_000;
+    let best_effort_step = StepSpec {
+        best_effort: true,
+        ..urgent_step.clone()
+    };
+    let job = fleet.submit("j", vec![best_effort_step, urgent_step], 300);
+    fleet.advance(1_000);
+    let urgent = start_time(&fleet, &task_id(&job, 1, 0));
+    assert!(urgent < start_time(&fleet, &task_id(&job, 0, 0)));
+}
+
 /// A customer's late jobs wait for the jobs of another that are in time, although
 /// that one has used up its share; also if one of their tasks has begun.
 #[rstest]
