Decide at entry VMs which jobs cannot be done in time

One customer's flood is accepted without limit, waits, and ends without service.

Change: jobs::admission has the summary that the owner publishes and the decision of one entry VM; scheduler::backlog counts the summary.

--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -22,6 +22,7 @@
 //! assert!(job.check().is_ok());
 //! ```
 
+pub mod admission;
 pub mod capacity;
 pub mod error;
 pub mod feasibility;
--- a/crates/jobs/src/manifest.rs
+++ b/crates/jobs/src/manifest.rs
@@ -2,6 +2,7 @@
 
 use std::collections::{BTreeMap, HashMap};
 use std::ops;
+use std::time;
 
 use serde::{Deserialize, Serialize};
 
@@ -13,6 +14,12 @@
 /// customer nothing.
 const WEIGHT_RANGE: ops::RangeInclusive<f64> = 0.001..=1_000_000.0;
 
+/// Weight of jobs whose customer the manifest does not name.
+const DEFAULT_WEIGHT: f64 = 1.0;
+
+/// Smallest weight that counts, so that shares can be computed with any manifest.
+const MIN_WEIGHT: f64 = 1e-6;
+
 /// Address at which callers reach a queue.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(rename_all = "kebab-case", default)]
@@ -47,6 +54,14 @@
     pub is_advised: bool,
 }
 
+impl QueuePolicy {
+    /// Returns the time objective of a job with the given critical path.
+    pub fn objective(&self, critical_path: time::Duration) -> time::Duration {
+        let stretched_ms = self.stretch.max(0.0) * critical_path.as_millis() as f64;
+        time::Duration::from_millis(self.objective_ms.saturating_add(stretched_ms as u64))
+    }
+}
+
 /// Limits and keys of one customer.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 #[serde(rename_all = "kebab-case")]
@@ -177,6 +192,13 @@
         self.customers.get(name)
     }
 
+    /// Returns the weight of a customer's share; jobs without a customer count as one.
+    pub fn weight(&self, customer: Option<&CustomerName>) -> f64 {
+        let policy = customer.and_then(|name| self.customer(name));
+        let weight = policy.map_or(DEFAULT_WEIGHT, |policy| policy.weight);
+        weight.max(MIN_WEIGHT)
+    }
+
     /// Returns the customer that owns `key`, if the key is valid.
     pub fn owner_of_key(&self, key: &str) -> Option<&CustomerName> {
         self.owners_of_keys.get(key)
--- a/crates/jobs/src/scheduler/entry.rs
+++ b/crates/jobs/src/scheduler/entry.rs
@@ -213,7 +213,7 @@
     pub(super) fn new(record: JobRecord) -> Self {
         let mut entry = Self {
             payload: record.spec.payload.as_str().into(),
-            critical_path_ms: critical_path_ms(&record.spec, |_| true),
+            critical_path_ms: record.spec.critical_path_ms(|_| true),
             state: JobState::Queued,
             begun: 0,
             occurrences: Vec::new(),
@@ -350,7 +350,7 @@
     /// milliseconds; a step that has begun counts as a whole.
     pub(super) fn remaining_ms(&self) -> u64 {
         let paths = self.occurrences.iter().map(|occurrence| {
-            critical_path_ms(&self.record.spec, |number| {
+            self.record.spec.critical_path_ms(|number| {
                 let step = occurrence.steps.get(number);
                 !step.is_some_and(StepEntry::is_done)
             })
@@ -395,21 +395,3 @@
         tasks.map(|task| task.failed.len() as u32).sum()
     }
 }
-
-/// Returns the estimated duration of the critical path through the included
-/// steps, in milliseconds.
-fn critical_path_ms(spec: &JobSpec, is_included: impl Fn(usize) -> bool) -> u64 {
-    let mut finished: Vec<u64> = Vec::with_capacity(spec.steps.len());
-    for (number, step) in spec.steps.iter().enumerate() {
-        let earlier = step.after.iter();
-        let earlier = earlier.filter_map(|&number| finished.get(number as usize));
-        let start = earlier.copied().max().unwrap_or(0);
-        let length = if is_included(number) {
-            step.estimate_ms
-        } else {
-            0
-        };
-        finished.push(start + length);
-    }
-    finished.into_iter().max().unwrap_or(0)
-}
--- a/crates/jobs/src/scheduler/lifecycle.rs
+++ b/crates/jobs/src/scheduler/lifecycle.rs
@@ -33,6 +33,9 @@
         let arrivals = self.arrivals.entry(record.pool.clone()).or_default();
         arrivals.jobs += 1;
         arrivals.work += record.spec.estimated_work();
+        let queue = self.manifest.queue(&record.queue);
+        let pool = queue.map_or(&record.pool, |queue| &queue.pool);
+        self.backlog.add_arrival(pool, record);
     }
 
     /// Adds a job with the progress that an earlier owner stored.
--- a/crates/jobs/src/scheduler/mod.rs
+++ b/crates/jobs/src/scheduler/mod.rs
@@ -5,6 +5,7 @@
 //! returns rows to store and orders to send. Its parts:
 //!
 //! - `advice`: permits of an advisor
+//! - `backlog`: summary of the waiting work, for the admission of jobs
 //! - `changes`: jobs with unstored changes, and what waits for their rows
 //! - `entry`: jobs, steps and tasks in memory
 //! - `finished`: jobs whose final state is stored, until their rows are deleted
@@ -21,6 +22,7 @@
 //! - `waiting`: jobs that wait for capacity, in the order of their placement
 
 mod advice;
+mod backlog;
 mod changes;
 mod entry;
 mod finished;
@@ -50,6 +52,7 @@
 use crate::worker::{ExitKind, OrderAction, OrderOutcome, WorkerOrder};
 
 use advice::AdviceCache;
+use backlog::BacklogTracker;
 use changes::ChangeTracker;
 use entry::JobEntry;
 use finished::FinishedJobs;
@@ -243,6 +246,7 @@
     /// less.
     limited_customers: BTreeSet<CustomerName>,
     arrivals: HashMap<PoolName, PoolArrivals>,
+    backlog: BacklogTracker,
     /// Long-running tasks that are to leave their worker and fit on no other.
     displaced: BTreeSet<TaskId>,
     advice: AdviceCache,
@@ -268,6 +272,7 @@
             pool_usage: PoolUsage::default(),
             limited_customers: BTreeSet::new(),
             arrivals: HashMap::new(),
+            backlog: BacklogTracker::default(),
             displaced: BTreeSet::new(),
             advice: AdviceCache::default(),
             changes: ChangeTracker::default(),
--- a/crates/jobs/src/scheduler/placement.rs
+++ b/crates/jobs/src/scheduler/placement.rs
@@ -22,12 +22,6 @@
 /// Tolerance for wrong estimates before a job counts as late, in milliseconds.
 const ESTIMATE_GRACE_MS: u64 = 150;
 
-/// Weight of jobs whose customer the manifest does not name.
-const DEFAULT_WEIGHT: f64 = 1.0;
-
-/// Smallest weight that counts, so that shares can be computed with any manifest.
-const MIN_WEIGHT: f64 = 1e-6;
-
 /// Worker that may get tasks, with its remaining free capacity.
 #[derive(Clone, Debug)]
 pub(super) struct PlacementCandidate {
@@ -104,11 +98,8 @@
         let waiting = self.waiting.customers(pool);
         let customers = waiting.chain(self.pool_usage.users(pool));
         let weights = customers.map(|customer| {
-            let policy = customer
-                .as_ref()
-                .and_then(|name| self.manifest.customer(name));
-            let weight = policy.map_or(DEFAULT_WEIGHT, |policy| policy.weight);
-            (customer.clone(), weight.max(MIN_WEIGHT))
+            let weight = self.manifest.weight(customer.as_ref());
+            (customer.clone(), weight)
         });
         let capacity = self.fleet.capacity_of_pool(pool);
         PoolShares::new(pool, capacity, weights.collect())
--- a/crates/jobs/src/spec.rs
+++ b/crates/jobs/src/spec.rs
@@ -193,9 +193,29 @@
     /// core times milliseconds.
     pub fn estimated_work(&self) -> u64 {
         let steps = self.steps.iter();
-        let work =
-            steps.map(|step| u64::from(step.count) * step.reserved().cpu_millis * step.estimate_ms);
-        work.sum()
+        let work = steps.map(|step| {
+            let cpu_millis = u64::from(step.count).saturating_mul(step.reserved().cpu_millis);
+            cpu_millis.saturating_mul(step.estimate_ms)
+        });
+        work.fold(0, u64::saturating_add)
+    }
+
+    /// Returns the estimated duration of the critical path through the included
+    /// steps, in milliseconds.
+    pub fn critical_path_ms(&self, is_included: impl Fn(usize) -> bool) -> u64 {
+        let mut finished: Vec<u64> = Vec::with_capacity(self.steps.len());
+        for (number, step) in self.steps.iter().enumerate() {
+            let earlier = step.after.iter();
+            let earlier = earlier.filter_map(|&number| finished.get(number as usize));
+            let start = earlier.copied().max().unwrap_or(0);
+            let length = if is_included(number) {
+                step.estimate_ms
+            } else {
+                0
+            };
+            finished.push(start.saturating_add(length));
+        }
+        finished.into_iter().max().unwrap_or(0)
     }
 
     /// Checks that the job can run at all.
