Count admitted work by publication, and place useless jobs last

Change: an entry VM scales what it admitted by a comparison with the published arrival rate; jobs past three times their objective are placed after all others; the capacity of a full pool is what it is seen to do.

--- a/crates/jobs/src/admission/mod.rs
+++ b/crates/jobs/src/admission/mod.rs
@@ -26,6 +26,7 @@
 use retry::RetryQueue;
 use summary::{work_ahead, work_due};
 
+pub(crate) use summary::averaged_rate;
 pub use summary::{
     BacklogLevel, BacklogSummary, CustomerBacklog, MAX_CUSTOMERS, MAX_LEVELS, MAX_POOLS,
     PoolBacklog,
@@ -39,8 +40,9 @@
 pub struct AdmissionSettings {
     /// Maximum age of the summary; with an older one all jobs are admitted.
     pub max_age: time::Duration,
-    /// Time over which an entry VM compares what it admits with what all admit.
-    pub comparison_window: time::Duration,
+    /// Time for which an entry VM uses a comparison of what it admits with what all
+    /// admit.
+    pub comparison_validity: time::Duration,
     /// Least time after which a refused caller may retry.
     pub min_retry_after: time::Duration,
     /// Longest time after which a refused caller may retry.
@@ -53,9 +55,9 @@
     fn default() -> Self {
         Self {
             max_age: time::Duration::from_secs(3),
-            comparison_window: time::Duration::from_secs(2),
+            comparison_validity: time::Duration::from_secs(10),
             min_retry_after: time::Duration::from_secs(1),
-            max_retry_after: time::Duration::from_secs(30),
+            max_retry_after: time::Duration::from_secs(60),
             max_remembered: 10_000,
         }
     }
@@ -124,39 +126,91 @@
     pub drain_rate: f64,
 }
 
+/// Work that was admitted since a publication.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct AdmittedWork {
+    /// Priority; 0 comes first.
+    pub priority: u32,
+    /// Latest time from the publication at which it may start and still be of use.
+    pub latest_start: time::Duration,
+    /// The work, in core-milliseconds.
+    pub work: f64,
+}
+
+/// Work of one customer before a job, as it is published and admitted since.
+struct WorkBefore<'a> {
+    customer: &'a CustomerBacklog,
+    admitted: &'a [AdmittedWork],
+    priority: u32,
+}
+
+impl WorkBefore<'_> {
+    /// Returns the work that is placed before a job that must start within `start_ms`,
+    /// in core-milliseconds: all of higher priorities, and what must start earlier of
+    /// the same.
+    fn ahead(&self, start_ms: f64) -> f64 {
+        let admitted = self.admitted.iter().filter(|admitted| {
+            admitted.priority < self.priority
+                || admitted.priority == self.priority && admitted.start_ms() <= start_ms
+        });
+        let admitted: f64 = admitted.map(|admitted| admitted.work).sum();
+        work_ahead(&self.customer.levels, self.priority, start_ms) + admitted
+    }
+
+    /// Returns the work that must start within `start_ms`, in core-milliseconds.
+    fn due(&self, start_ms: f64) -> f64 {
+        let admitted = self.admitted.iter();
+        let admitted = admitted
+            .filter(|entry| entry.priority <= self.priority && entry.start_ms() <= start_ms);
+        let admitted: f64 = admitted.map(|entry| entry.work).sum();
+        work_due(&self.customer.levels, self.priority, start_ms) + admitted
+    }
+
+    /// Returns the latest starts of published work before `start_ms`.
+    fn earlier_starts(&self, start_ms: f64) -> impl Iterator<Item = f64> {
+        let ends = self.customer.levels.iter().map(BacklogLevel::end_ms);
+        ends.filter(move |end_ms| *end_ms < start_ms)
+    }
+}
+
+impl AdmittedWork {
+    fn start_ms(&self) -> f64 {
+        self.latest_start.as_millis() as f64
+    }
+}
+
 /// Decides on a job by the backlog of its pool, of which the publication has the
 /// given age; `admitted` is the work of its customer that was admitted since then.
 ///
-/// Returns none if the job can be done in time, and none of its customer's jobs that
-/// were accepted before becomes useless by it.
+/// Returns none if the job can be done in time, and no job of its customer that was
+/// accepted before becomes useless by it.
 pub fn check(
     arrival: &JobArrival,
     backlog: &PoolBacklog,
-    admitted: &[BacklogLevel],
+    admitted: &[AdmittedWork],
     age: time::Duration,
 ) -> Option<ExcessWork> {
-    let latest_start = arrival.latest_start()?;
     let customer = backlog.customer(&arrival.customer)?;
-    if customer.waiting() == 0 {
+    if customer.waiting() == 0 && admitted.is_empty() {
         return None;
     }
+    let before = WorkBefore {
+        customer,
+        admitted,
+        priority: arrival.priority,
+    };
     let millis = |span: time::Duration| span.as_millis() as f64;
     let critical_path_ms = millis(arrival.critical_path);
-    let start_ms = millis(age + latest_start);
+    let start_ms = millis(age + arrival.latest_start()?);
     let begun = customer.running as f64 + arrival.work as f64;
     let excess_at = |start_ms: f64, waiting: f64| {
         let capacity = backlog.allotment(customer, start_ms + critical_path_ms);
         begun + waiting - capacity
     };
-    let priority = arrival.priority;
-    let ahead =
-        work_ahead(&customer.levels, priority, start_ms) + work_ahead(admitted, priority, start_ms);
-    // Accepted work that must start earlier may be placed behind the job.
-    let earlier = customer.levels.iter().map(BacklogLevel::end_ms);
-    let earlier = earlier.filter(|end_ms| *end_ms < start_ms).map(|end_ms| {
-        let due = work_due(&customer.levels, priority, end_ms);
-        excess_at(end_ms, due + work_due(admitted, priority, end_ms))
-    });
+    let ahead = before.ahead(start_ms);
+    // Accepted work that must start earlier may be placed after the job.
+    let earlier = before.earlier_starts(start_ms);
+    let earlier = earlier.map(|end_ms| excess_at(end_ms, before.due(end_ms)));
     let excess = earlier.fold(excess_at(start_ms, ahead), f64::max);
     let span_ms = start_ms + critical_path_ms;
     let share_rate = backlog.allotment(customer, span_ms) / span_ms.max(1.0) * 1_000.0;
@@ -183,10 +237,11 @@
 }
 
 impl JobAdmission {
-    /// Creates an admission without a summary, which admits all jobs.
-    pub fn new(settings: AdmissionSettings) -> Self {
+    /// Creates an admission without a summary, which admits all jobs; `seed` differs
+    /// from VM to VM.
+    pub fn new(settings: AdmissionSettings, seed: u64) -> Self {
         Self {
-            ledger: AdmissionLedger::new(settings.comparison_window),
+            ledger: AdmissionLedger::new(&settings, seed),
             retries: RetryQueue::new(&settings),
             received: None,
             settings,
@@ -204,9 +259,11 @@
         }
         let age = wall.saturating_since(summary.published);
         let made_at = now.as_millis().saturating_sub(age.as_millis() as u64);
+        let made_at = BootTime::from_millis(made_at);
+        self.ledger.compare(summary, made_at);
         self.received = Some(ReceivedSummary {
             summary: sync::Arc::clone(summary),
-            made_at: BootTime::from_millis(made_at),
+            made_at,
         });
     }
 
@@ -237,16 +294,12 @@
             return None;
         }
         let backlog = received.summary.pools.get(&arrival.pool)?;
-        let customer = backlog.customer(&arrival.customer)?;
-        let arrival_rate = customer.arrival_rate;
-        let admitted = self
-            .ledger
-            .admitted_since(arrival, received.made_at, arrival_rate, now);
-        let excess = check(arrival, backlog, &admitted.levels, age)?;
+        let admitted = self.ledger.admitted_since(arrival, received.made_at, now);
+        let excess = check(arrival, backlog, &admitted.work, age)?;
         // The others let in as many of the refused callers at the same time.
         Some(ExcessWork {
-            work: excess.work / admitted.scale,
-            drain_rate: excess.drain_rate / admitted.scale,
+            work: excess.work / admitted.ratio,
+            drain_rate: excess.drain_rate / admitted.ratio,
         })
     }
 }
--- a/crates/jobs/src/admission/summary.rs
+++ b/crates/jobs/src/admission/summary.rs
@@ -4,6 +4,7 @@
 //! owner sees all of it, and its summary is small enough to be read by each entry VM
 //! several times a second.
 
+use std::cmp;
 use std::collections::BTreeMap;
 use std::time;
 
@@ -20,14 +21,17 @@
 pub const MAX_CUSTOMERS: usize = 8;
 
 /// Largest number of levels of one customer.
-pub const MAX_LEVELS: usize = 16;
+pub const MAX_LEVELS: usize = 24;
+
+/// Time over which rates of work are averaged.
+const RATE_WINDOW: time::Duration = time::Duration::from_secs(1);
 
 /// Latest start, counted from the publication, up to which work is in the first
 /// level of its priority, in milliseconds.
 const FIRST_EDGE_MS: f64 = 250.0;
 
 /// Levels per doubling of the latest start.
-const LEVELS_PER_DOUBLING: f64 = 2.0;
+const LEVELS_PER_DOUBLING: f64 = 4.0;
 
 /// Time after which the first machine that a pool gets can run tasks.
 const MOVE_TIME: time::Duration = time::Duration::from_millis(1_500);
@@ -46,11 +50,11 @@
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
 #[serde(rename_all = "kebab-case", default)]
 pub struct PoolBacklog {
-    /// Processor of the workers that accept tasks, except what long-running tasks
-    /// reserve, in thousandths of a core.
-    pub cpu_millis: u64,
-    /// Processor of idle machines that the pool may get, in thousandths of a core.
-    pub reachable_cpu_millis: u64,
+    /// Estimated work that its workers do if all are busy, in core-milliseconds a
+    /// second.
+    pub work_rate: u64,
+    /// The same of idle machines that the pool may get.
+    pub reachable_work_rate: u64,
     /// Customers with the largest backlogs.
     pub customers: Vec<CustomerBacklog>,
     /// Sum of the other customers that use the pool, if there are any.
@@ -71,6 +75,9 @@
     pub running: u64,
     /// Estimated work of its waiting tasks that can still be done in time.
     pub levels: Vec<BacklogLevel>,
+    /// Estimated work of the waiting tasks that can no longer be done in time, in
+    /// core-milliseconds.
+    pub expired: u64,
     /// Estimated work of the jobs that arrive, in core-milliseconds a second.
     pub arrival_rate: u64,
     /// Estimated work that is done, in core-milliseconds a second.
@@ -126,6 +133,13 @@
     }
 }
 
+/// Returns the rate after a period of `seconds` in which `work` came, given the rate
+/// before it, in core-milliseconds a second.
+pub(crate) fn averaged_rate(rate: f64, work: u64, seconds: f64) -> f64 {
+    let weight = (seconds / RATE_WINDOW.as_secs_f64()).min(1.0);
+    rate + weight * (work as f64 / seconds - rate)
+}
+
 /// Returns the work of `priority` and of those before it that must start within
 /// `start_ms`, in core-milliseconds.
 pub(super) fn work_due(levels: &[BacklogLevel], priority: u32, start_ms: f64) -> f64 {
@@ -135,26 +149,29 @@
 
 /// Returns the work that is placed before a job of `priority` that must start within
 /// `start_ms`, in core-milliseconds: all of the priorities before it, and what must
-/// start earlier of its own.
+/// start earlier of its own. The work of its own interval counts, since jobs of one
+/// kind follow each other.
 pub(super) fn work_ahead(levels: &[BacklogLevel], priority: u32, start_ms: f64) -> f64 {
     let works = levels.iter().map(|level| {
-        if level.priority < priority {
-            level.work as f64
-        } else if level.priority == priority {
-            level.due_within(start_ms)
-        } else {
-            0.0
-        }
+        let is_ahead =
+            level.priority < priority || level.priority == priority && level.begin_ms() < start_ms;
+        if is_ahead { level.work as f64 } else { 0.0 }
     });
     works.sum()
 }
 
 impl CustomerBacklog {
-    /// Returns the estimated work of the waiting tasks, in core-milliseconds.
+    /// Returns the estimated work of the waiting tasks that can be done in time, in
+    /// core-milliseconds.
     pub fn waiting(&self) -> u64 {
         self.levels.iter().map(|level| level.work).sum()
     }
 
+    /// Returns the estimated work that is not done, in core-milliseconds.
+    pub fn unfinished(&self) -> u64 {
+        self.running + self.waiting() + self.expired
+    }
+
     /// Adds waiting work to the level that it belongs to.
     pub fn add_level(&mut self, added: BacklogLevel) {
         let mut levels = self.levels.iter_mut();
@@ -193,6 +210,7 @@
     fn merge(&mut self, other: &Self) {
         self.weight += other.weight;
         self.running += other.running;
+        self.expired += other.expired;
         self.arrival_rate += other.arrival_rate;
         self.drain_rate += other.drain_rate;
         for level in &other.levels {
@@ -208,7 +226,8 @@
         customers.find(|entry| entry.customer == *name)
     }
 
-    /// Returns the estimated work of all waiting tasks, in core-milliseconds.
+    /// Returns the estimated work of all waiting tasks that can be done in time, in
+    /// core-milliseconds.
     pub fn waiting(&self) -> u64 {
         let customers = self.customers.iter().chain(&self.rest);
         customers.map(CustomerBacklog::waiting).sum()
@@ -217,8 +236,8 @@
     /// Returns the work that the pool can do within `span_ms`, in core-milliseconds.
     fn capacity(&self, span_ms: f64) -> f64 {
         let moved_ms = span_ms - MOVE_TIME.as_millis() as f64;
-        let present = self.cpu_millis as f64 * span_ms;
-        let moved = self.reachable_cpu_millis as f64 * moved_ms.max(0.0);
+        let present = self.work_rate as f64 * span_ms;
+        let moved = self.reachable_work_rate as f64 * moved_ms.max(0.0);
         (present + moved) / 1_000.0
     }
 
@@ -248,9 +267,8 @@
 
     /// Keeps the customers with the largest backlogs and merges the others.
     pub fn limit_customers(&mut self) {
-        let backlog = |entry: &CustomerBacklog| entry.waiting() + entry.running;
         self.customers
-            .sort_by_key(|entry| std::cmp::Reverse(backlog(entry)));
+            .sort_by_key(|entry| cmp::Reverse(entry.unfinished()));
         for entry in self.customers.iter().skip(MAX_CUSTOMERS) {
             self.rest.get_or_insert_default().merge(entry);
         }
@@ -267,7 +285,7 @@
         for pool in self.pools.values_mut() {
             pool.limit_customers();
         }
-        let delay = |pool: &PoolBacklog| pool.waiting() as f64 / pool.cpu_millis.max(1) as f64;
+        let delay = |pool: &PoolBacklog| pool.waiting() as f64 / pool.work_rate.max(1) as f64;
         while self.pools.len() > MAX_POOLS {
             let shortest = self
                 .pools
--- a/crates/jobs/src/scheduler/backlog.rs
+++ b/crates/jobs/src/scheduler/backlog.rs
@@ -6,9 +6,12 @@
 //! counted as they come.
 
 use std::collections::HashMap;
+use std::ops;
 use std::time;
 
-use crate::admission::{BacklogLevel, BacklogSummary, CustomerBacklog, LATEST_FACTOR, PoolBacklog};
+use crate::admission::{
+    BacklogLevel, BacklogSummary, CustomerBacklog, LATEST_FACTOR, PoolBacklog, averaged_rate,
+};
 use crate::name::{CustomerName, PoolName};
 use crate::record::JobRecord;
 use crate::time::{BootTime, WallTime};
@@ -16,13 +19,20 @@
 use super::JobScheduler;
 use super::entry::{JobEntry, TaskEntry, TaskPhase};
 
-/// Time over which rates are averaged.
-const RATE_WINDOW: time::Duration = time::Duration::from_secs(1);
-
 /// Time for which the waiting work must occupy a pool to be worth publishing: less
 /// delays no job noticeably.
 const MIN_DELAY: time::Duration = time::Duration::from_millis(200);
 
+/// Fraction of its processor that the tasks of a full pool reserve; the rest fits none.
+const FULL_FRACTION: f64 = 0.9;
+
+/// Limits of the work for each core-millisecond, against samples in which many jobs
+/// were cancelled or nothing ended.
+const EFFICIENCY_RANGE: ops::RangeInclusive<f64> = 0.5..=1.5;
+
+/// Weight of the latest sample of it.
+const EFFICIENCY_WEIGHT: f64 = 0.25;
+
 /// Pool and customer.
 type BacklogKey = (PoolName, Option<CustomerName>);
 
@@ -39,10 +49,43 @@
     drain_rate: f64,
 }
 
+/// Work that a pool does for its processor, if all of it is in use.
+#[derive(Clone, Copy, Debug)]
+struct PoolEfficiency {
+    /// Estimated work in core-milliseconds for each core-millisecond.
+    value: f64,
+    /// Whether the pool was full at the latest sample.
+    was_full: bool,
+}
+
+impl Default for PoolEfficiency {
+    fn default() -> Self {
+        Self {
+            value: 1.0,
+            was_full: false,
+        }
+    }
+}
+
+impl PoolEfficiency {
+    /// Updates the value by the work that was done in a period of `seconds`.
+    fn sample(&mut self, done: u64, capacity: &PoolCapacity, seconds: f64) {
+        let is_full =
+            capacity.usable > 0 && capacity.used as f64 >= FULL_FRACTION * capacity.usable as f64;
+        if is_full && self.was_full {
+            let value = done as f64 / (capacity.usable as f64 * seconds);
+            let value = value.clamp(*EFFICIENCY_RANGE.start(), *EFFICIENCY_RANGE.end());
+            self.value += EFFICIENCY_WEIGHT * (value - self.value);
+        }
+        self.was_full = is_full;
+    }
+}
+
 /// Rates of arriving and finished work.
 #[derive(Debug, Default)]
 pub(super) struct BacklogTracker {
     flows: HashMap<BacklogKey, WorkFlow>,
+    efficiencies: HashMap<PoolName, PoolEfficiency>,
     sampled_at: Option<BootTime>,
 }
 
@@ -51,11 +94,22 @@
     pub(super) fn add_arrival(&mut self, pool: &PoolName, record: &JobRecord) {
         let key = (pool.clone(), record.customer.clone());
         let flow = self.flows.entry(key).or_default();
-        flow.arrived += record.spec.estimated_work() / 1_000;
+        let work = record.spec.estimated_work() / 1_000;
+        flow.arrived = flow.arrived.saturating_add(work);
+    }
+
+    fn efficiency(&self, pool: &PoolName) -> f64 {
+        let efficiency = self.efficiencies.get(pool);
+        efficiency.copied().unwrap_or_default().value
     }
 
     /// Updates the rates; returns whether they are known, which takes two samples.
-    fn sample(&mut self, counts: &HashMap<BacklogKey, CustomerWork>, now: BootTime) -> bool {
+    fn sample(
+        &mut self,
+        counts: &HashMap<BacklogKey, CustomerBacklog>,
+        capacities: &HashMap<PoolName, PoolCapacity>,
+        now: BootTime,
+    ) -> bool {
         for key in counts.keys() {
             if !self.flows.contains_key(key) {
                 self.flows.insert(key.clone(), WorkFlow::default());
@@ -63,18 +117,23 @@
         }
         let previous = self.sampled_at.replace(now);
         let elapsed = previous.map(|previous| now.saturating_since(previous).as_secs_f64());
+        let seconds = elapsed.filter(|seconds| *seconds > 0.0);
+        let mut done: HashMap<&PoolName, u64> = HashMap::new();
         for (key, flow) in &mut self.flows {
-            let outstanding = counts.get(key).map_or(0, |work| work.outstanding);
-            if let Some(seconds) = elapsed.filter(|seconds| *seconds > 0.0) {
-                let done = (flow.outstanding + flow.arrived).saturating_sub(outstanding);
-                let weight = (seconds / RATE_WINDOW.as_secs_f64()).min(1.0);
-                let average = |rate: f64, work: u64| rate + weight * (work as f64 / seconds - rate);
-                flow.arrival_rate = average(flow.arrival_rate, flow.arrived);
-                flow.drain_rate = average(flow.drain_rate, done);
+            let outstanding = counts.get(key).map_or(0, CustomerBacklog::unfinished);
+            if let Some(seconds) = seconds {
+                *done.entry(&key.0).or_default() += flow.sample(outstanding, seconds);
             }
             flow.arrived = 0;
             flow.outstanding = outstanding;
         }
+        if let Some(seconds) = seconds {
+            for (pool, capacity) in capacities {
+                let done = done.get(pool).copied().unwrap_or(0);
+                let efficiency = self.efficiencies.entry(pool.clone()).or_default();
+                efficiency.sample(done, capacity, seconds);
+            }
+        }
         // A rate below one core-millisecond a second is none.
         self.flows.retain(|_, flow| {
             flow.outstanding > 0 || flow.arrival_rate >= 1.0 || flow.drain_rate >= 1.0
@@ -83,12 +142,15 @@
     }
 }
 
-/// Unfinished work of one customer in one pool, in core-milliseconds.
-#[derive(Clone, Debug, Default)]
-struct CustomerWork {
-    backlog: CustomerBacklog,
-    /// All work, also that of jobs that can no longer be done in time.
-    outstanding: u64,
+impl WorkFlow {
+    /// Updates the rates after a period of `seconds`; returns the work that was done.
+    fn sample(&mut self, outstanding: u64, seconds: f64) -> u64 {
+        let before = self.outstanding.saturating_add(self.arrived);
+        let done = before.saturating_sub(outstanding);
+        self.arrival_rate = averaged_rate(self.arrival_rate, self.arrived, seconds);
+        self.drain_rate = averaged_rate(self.drain_rate, done, seconds);
+        done
+    }
 }
 
 /// Processor of the workers of a pool, in thousandths of a core.
@@ -96,6 +158,8 @@
 struct PoolCapacity {
     /// What tasks that end on their own can use.
     usable: u64,
+    /// What such tasks reserve.
+    used: u64,
     /// What workers without any task have.
     idle: u64,
 }
@@ -113,18 +177,17 @@
         wall: WallTime,
     ) -> Option<BacklogSummary> {
         let counts = self.count_backlog(now, wall);
-        if !self.backlog.sample(&counts, now) {
+        let capacities = self.pool_capacities();
+        if !self.backlog.sample(&counts, &capacities, now) {
             return None;
         }
-        let capacities = self.pool_capacities();
         let mut summary = BacklogSummary {
             published: wall,
             ..BacklogSummary::default()
         };
         for (key, flow) in &self.backlog.flows {
             let (pool, customer) = key;
-            let counted = counts.get(key);
-            let backlog = counted.map(|work| work.backlog.clone());
+            let backlog = counts.get(key).cloned();
             let entry = summary.pools.entry(pool.clone()).or_default();
             entry.customers.push(CustomerBacklog {
                 customer: customer.clone(),
@@ -135,7 +198,9 @@
             });
         }
         for (name, pool) in &mut summary.pools {
-            pool.cpu_millis = capacities.get(name).map_or(0, |capacity| capacity.usable);
+            let usable = capacities.get(name).map_or(0, |capacity| capacity.usable);
+            let efficiency = self.backlog.efficiency(name);
+            pool.work_rate = (usable as f64 * efficiency) as u64;
         }
         summary.pools.retain(|_, pool| is_delayed(pool));
         add_reachable(&mut summary, &capacities, standby_cpu_millis);
@@ -144,8 +209,8 @@
     }
 
     /// Counts the unfinished work of all jobs that end on their own.
-    fn count_backlog(&self, now: BootTime, wall: WallTime) -> HashMap<BacklogKey, CustomerWork> {
-        let mut counts: HashMap<BacklogKey, CustomerWork> = HashMap::new();
+    fn count_backlog(&self, now: BootTime, wall: WallTime) -> HashMap<BacklogKey, CustomerBacklog> {
+        let mut counts: HashMap<BacklogKey, CustomerBacklog> = HashMap::new();
         for job in self.jobs.values() {
             if job.state.is_final() || job.record.spec.is_long_running() {
                 continue;
@@ -156,15 +221,18 @@
             }
             let key = (self.pool_of(job).clone(), job.record.customer.clone());
             let count = counts.entry(key).or_default();
-            count.outstanding += work.waiting + work.running;
-            count.backlog.running += work.running;
-            let slack = self.latest_start_ms(job).checked_sub(wall.as_millis());
-            if let Some(slack_ms) = slack.filter(|_| work.waiting > 0) {
+            count.running += work.running;
+            let slack_ms = self.expiry_ms(job).checked_sub(wall.as_millis());
+            let Some(slack_ms) = slack_ms else {
+                count.expired += work.waiting;
+                continue;
+            };
+            if work.waiting > 0 {
                 let queue = self.manifest.queue(&job.record.queue);
                 let priority = queue.map_or(0, |queue| queue.priority);
                 let slack = time::Duration::from_millis(slack_ms);
                 let level = BacklogLevel::new(priority, slack, work.waiting);
-                count.backlog.add_level(level);
+                count.add_level(level);
             }
         }
         counts
@@ -172,7 +240,7 @@
 
     /// Returns the latest time at which the rest of a job may start and the job still
     /// be of use, in milliseconds since the Unix epoch.
-    fn latest_start_ms(&self, job: &JobEntry) -> u64 {
+    pub(super) fn expiry_ms(&self, job: &JobEntry) -> u64 {
         let queue = self.manifest.queue(&job.record.queue);
         let critical_path = time::Duration::from_millis(job.critical_path_ms);
         let objective = queue.map_or(critical_path, |queue| queue.objective(critical_path));
@@ -193,6 +261,8 @@
             let cpu_millis = view.capacity.cpu_millis;
             let capacity = capacities.entry(view.pool.clone()).or_default();
             capacity.usable += cpu_millis.saturating_sub(entry.long_running_cpu_millis);
+            let used = entry.used.cpu_millis;
+            capacity.used += used.saturating_sub(entry.long_running_cpu_millis);
             if entry.reservations.is_empty() {
                 capacity.idle += cpu_millis;
             }
@@ -245,8 +315,10 @@
 
 /// Returns whether the waiting work occupies a pool for long enough to be published.
 fn is_delayed(pool: &PoolBacklog) -> bool {
-    let covered = u128::from(pool.cpu_millis) * MIN_DELAY.as_millis() / 1_000;
-    u128::from(pool.waiting()) > covered
+    let expired: u64 = pool.customers.iter().map(|entry| entry.expired).sum();
+    let waiting = pool.waiting() + expired;
+    let covered = u128::from(pool.work_rate) * MIN_DELAY.as_millis() / 1_000;
+    u128::from(waiting) > covered
 }
 
 /// Divides the capacity of idle machines among the other pools, by their backlogs.
@@ -262,6 +334,6 @@
     let total: u64 = summary.pools.values().map(PoolBacklog::waiting).sum();
     for pool in summary.pools.values_mut() {
         let fraction = pool.waiting() as f64 / total.max(1) as f64;
-        pool.reachable_cpu_millis = (reachable * fraction) as u64;
+        pool.reachable_work_rate = (reachable * fraction) as u64;
     }
 }
--- a/crates/jobs/src/scheduler/placement.rs
+++ b/crates/jobs/src/scheduler/placement.rs
@@ -1,8 +1,8 @@
 //! Choice of a worker for each task, and the order in which jobs are placed.
 //!
 //! Load pattern: demand that exceeds a pool's capacity for seconds. Jobs that
-//! can still meet their objective go first, by their due time; long-running
-//! tasks, whose value grows with the time for which they run, go before those.
+//! can still meet their objective go first, by their due time, and those that can
+//! no longer be of use go last; long-running tasks, whose value grows with the time for which they run, go before those.
 
 use std::collections::BTreeSet;
 
@@ -142,10 +142,12 @@
             rank: JobRank {
                 is_finite: !job.record.spec.is_long_running(),
                 is_late: false,
+                is_expired: false,
                 priority: queue.map_or(0, |queue| queue.priority),
                 due_ms,
             },
             latest_start_ms: (due_ms + ESTIMATE_GRACE_MS).saturating_sub(job.remaining_ms()),
+            expiry_ms: self.expiry_ms(job),
             // The advisor is asked for permits also while no worker has capacity.
             smallest_need: if is_advised {
                 ResourceAmount::default()
--- a/crates/jobs/src/scheduler/waiting.rs
+++ b/crates/jobs/src/scheduler/waiting.rs
@@ -21,6 +21,8 @@
 pub(super) struct JobRank {
     pub(super) is_finite: bool,
     pub(super) is_late: bool,
+    /// Whether the job can no longer be of use.
+    pub(super) is_expired: bool,
     pub(super) priority: u32,
     pub(super) due_ms: u64,
 }
@@ -34,10 +36,24 @@
     /// Last time at which the job can still meet its objective if it is placed
     /// then, in milliseconds since the Unix epoch.
     pub(super) latest_start_ms: u64,
+    /// Last time at which the job can still be of use if it is placed then, in
+    /// milliseconds since the Unix epoch.
+    pub(super) expiry_ms: u64,
     /// Least amount of each resource that a waiting task needs.
     pub(super) smallest_need: ResourceAmount,
 }
 
+impl WaitingEntry {
+    /// Returns the next time after which the job goes behind others, in milliseconds
+    /// since the Unix epoch.
+    fn next_deadline_ms(&self) -> Option<u64> {
+        if !self.rank.is_late {
+            return Some(self.latest_start_ms);
+        }
+        (!self.rank.is_expired).then_some(self.expiry_ms)
+    }
+}
+
 /// Position of a job in the order of its customer.
 type WaitingKey = (JobRank, JobId);
 
@@ -49,8 +65,8 @@
 pub(super) struct WaitingJobs {
     entries: HashMap<JobId, WaitingEntry>,
     pools: BTreeMap<PoolName, BTreeMap<Option<CustomerName>, CustomerQueue>>,
-    /// Jobs that are not late yet, by their latest start.
-    latest_starts: BTreeSet<(u64, JobId)>,
+    /// Jobs that are not late or not expired yet, by their next deadline.
+    deadlines: BTreeSet<(u64, JobId)>,
     /// Pools whose capacity or waiting jobs changed since their last placement.
     changed_pools: BTreeSet<PoolName>,
     /// Whether all pools count as changed.
@@ -93,9 +109,8 @@
         let customers = self.pools.entry(entry.pool.clone()).or_default();
         let queue = customers.entry(entry.customer.clone()).or_default();
         queue.insert((entry.rank, id.clone()), entry.smallest_need);
-        if !entry.rank.is_late {
-            let start = (entry.latest_start_ms, id.clone());
-            self.latest_starts.insert(start);
+        if let Some(deadline_ms) = entry.next_deadline_ms() {
+            self.deadlines.insert((deadline_ms, id.clone()));
         }
         self.entries.insert(id.clone(), entry);
     }
@@ -106,8 +121,9 @@
             return;
         };
         self.remove_from_queue(&entry, id);
-        let start = (entry.latest_start_ms, id.clone());
-        self.latest_starts.remove(&start);
+        if let Some(deadline_ms) = entry.next_deadline_ms() {
+            self.deadlines.remove(&(deadline_ms, id.clone()));
+        }
     }
 
     fn remove_from_queue(&mut self, entry: &WaitingEntry, id: &JobId) {
@@ -125,15 +141,16 @@
         }
     }
 
-    /// Moves the jobs behind all others of their pool that can no longer meet their
-    /// objective.
+    /// Moves the jobs that can no longer meet their objective behind the others of
+    /// their pool, and behind all those that can no longer be of use.
     pub(super) fn mark_late(&mut self, wall: WallTime) {
-        while let Some((latest_start_ms, id)) = self.latest_starts.first().cloned() {
-            if latest_start_ms >= wall.as_millis() {
+        while let Some((deadline_ms, id)) = self.deadlines.first().cloned() {
+            if deadline_ms >= wall.as_millis() {
                 return;
             }
-            self.latest_starts.pop_first();
+            self.deadlines.pop_first();
             if let Some(mut entry) = self.entries.get(&id).cloned() {
+                entry.rank.is_expired = entry.rank.is_late;
                 entry.rank.is_late = true;
                 self.insert(&id, entry);
             }
@@ -171,12 +188,13 @@
 /// Next job of one customer in a visit; lower goes first.
 ///
 /// Long-running jobs go before others, those that can meet their objective before
-/// those that cannot, and among these the jobs of customers that have not used
-/// their share up.
+/// those that cannot, these before those that can no longer be of use, and among them
+/// the jobs of customers that have not used their share up.
 #[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
 struct VisitHead {
     is_finite: bool,
     is_late: bool,
+    is_expired: bool,
     is_share_used_up: bool,
     key: WaitingKey,
     customer: Option<CustomerName>,
@@ -219,6 +237,7 @@
         self.heads.extend(next.map(|key| VisitHead {
             is_finite: key.0.is_finite,
             is_late: key.0.is_late,
+            is_expired: key.0.is_expired,
             is_share_used_up: is_used_up(customer),
             key,
             customer: customer.clone(),
