Publish the backlogs of pools and refuse jobs by them

Change: the owner writes board/backlog with its other changes, at most twice a second and only while a pool has a backlog; each entry VM reads it in the background of callers' requests and refuses with 503 and Retry-After before anything is stored. A job that is stored already is accepted; if that cannot be read in 40 ms, the job is admitted.

--- a/crates/engine/src/caller/listener.rs
+++ b/crates/engine/src/caller/listener.rs
@@ -263,7 +263,9 @@
         let headers = response.headers_mut();
         let json = HeaderValue::from_static("application/json");
         headers.insert(header::CONTENT_TYPE, json);
-        if let CallerResponse::Unavailable { retry_after } = caller_response {
+        if let CallerResponse::Unavailable { retry_after }
+        | CallerResponse::Overloaded { retry_after } = caller_response
+        {
             let seconds = retry_after.as_secs_f64().ceil() as u64;
             headers.insert(header::RETRY_AFTER, HeaderValue::from(seconds.max(1)));
         }
--- a/crates/engine/src/caller/mod.rs
+++ b/crates/engine/src/caller/mod.rs
@@ -1,6 +1,6 @@
 //! Requests of callers: submits, reads and cancels jobs.
 
-mod fleet_capacity;
+mod board;
 pub mod listener;
 pub mod service;
 
--- a/crates/engine/src/caller/service.rs
+++ b/crates/engine/src/caller/service.rs
@@ -1,10 +1,15 @@
 //! Handles the requests of callers.
 
+use std::cell;
 use std::fmt;
 use std::rc;
 use std::sync;
 use std::time;
 
+use redwing_jobs::admission::{
+    AdmissionDecision, AdmissionSettings, BacklogSummary, JobAdmission, JobArrival,
+};
+use redwing_jobs::feasibility::FleetCapacity;
 use redwing_jobs::manifest::{JobManifest, QueuePolicy};
 use redwing_jobs::name::CustomerName;
 use redwing_jobs::{JobId, JobRecord, JobState, ProgressRecord};
@@ -22,7 +27,7 @@
 use crate::manifest::OperatorView;
 use crate::row::{self, CancelRecord, PendingCounts};
 
-use super::fleet_capacity::CapacityReader;
+use super::board::BoardReader;
 
 /// Delays between attempts to store a row for a caller.
 const RETRY: BackoffSettings = BackoffSettings {
@@ -48,6 +53,12 @@
     pub retry_after: time::Duration,
     /// Time between two reads of the fleet capacity.
     pub fleet_capacity_interval: time::Duration,
+    /// Time between two reads of the backlogs of pools.
+    pub backlog_interval: time::Duration,
+    /// Limits of the admission by these backlogs.
+    pub admission: AdmissionSettings,
+    /// Maximum time for which a job that is to be refused is looked up in the table.
+    pub refusal_timeout: time::Duration,
     /// Maximum age of the fleet capacity; an older one is not used to refuse
     /// jobs.
     pub max_fleet_capacity_age: time::Duration,
@@ -64,6 +75,9 @@
             retry_after: time::Duration::from_secs(1),
             fleet_capacity_interval: time::Duration::from_secs(10),
             max_fleet_capacity_age: time::Duration::from_secs(60),
+            backlog_interval: time::Duration::from_millis(500),
+            admission: AdmissionSettings::default(),
+            refusal_timeout: time::Duration::from_millis(40),
         }
     }
 }
@@ -96,7 +110,9 @@
     client: TableClient,
     codec: sync::Arc<dyn DeploymentCodec>,
     operators: watch::Receiver<OperatorView>,
-    fleet_capacity: rc::Rc<CapacityReader>,
+    fleet_capacity: rc::Rc<BoardReader<FleetCapacity>>,
+    backlog: rc::Rc<BoardReader<BacklogSummary>>,
+    admission: cell::RefCell<JobAdmission>,
 }
 
 /// Request that passed admission.
@@ -127,13 +143,27 @@
         codec: sync::Arc<dyn DeploymentCodec>,
         operators: watch::Receiver<OperatorView>,
     ) -> Self {
-        let fleet_capacity = rc::Rc::new(CapacityReader::new(client.clone(), &settings));
+        let fleet_capacity = rc::Rc::new(BoardReader::new(
+            client.clone(),
+            row::FLEET_CAPACITY_KEY,
+            settings.fleet_capacity_interval,
+            settings.max_fleet_capacity_age,
+        ));
+        let backlog = rc::Rc::new(BoardReader::new(
+            client.clone(),
+            row::BACKLOG_KEY,
+            settings.backlog_interval,
+            settings.admission.max_age,
+        ));
+        let admission = JobAdmission::new(settings.admission.clone(), rand::random());
         Self {
             settings,
             client,
             codec,
             operators,
             fleet_capacity,
+            backlog,
+            admission: cell::RefCell::new(admission),
         }
     }
 
@@ -210,7 +240,7 @@
     }
 
     async fn submit(&self, id: &JobId, call: &AdmittedCall, body: &[u8]) -> CallerResponse {
-        let fleet_capacity = self.fleet_capacity.current();
+        let fleet_capacity = self.fleet_capacity.current().unwrap_or_default();
         let spec = self.codec.job(body).and_then(|spec| {
             spec.check()?;
             fleet_capacity.check(&spec)?;
@@ -220,6 +250,10 @@
             Ok(spec) => spec,
             Err(error) => return CallerResponse::Malformed(error.to_string()),
         };
+        let arrival = JobArrival::new(&call.queue, call.customer.as_ref(), &spec);
+        if let Some(response) = self.refuse_overload(id, &arrival).await {
+            return response;
+        }
         let record = JobRecord {
             queue: call.queue.name.clone(),
             pool: call.queue.pool.clone(),
@@ -233,12 +267,44 @@
             Err(error) => return CallerResponse::Malformed(error.to_string()),
         };
         let response = self.store(key, value, call.deadline).await;
-        if response == CallerResponse::Accepted {
-            log_job_event!(info, event::JOB_ACCEPTED, job = id, queue = record.queue);
+        match &response {
+            CallerResponse::Accepted => {
+                log_job_event!(info, event::JOB_ACCEPTED, job = id, queue = record.queue);
+            }
+            CallerResponse::Unavailable { .. } => {
+                self.admission.borrow_mut().withdraw(id, &arrival);
+            }
+            _ => {}
         }
         response
     }
 
+    /// Decides on a job by the published backlogs; returns the response if the job must
+    /// not be stored.
+    ///
+    /// A job that is stored already was accepted. If that cannot be told in time, the
+    /// job is admitted, so that none is refused of which a task may run.
+    async fn refuse_overload(&self, id: &JobId, arrival: &JobArrival) -> Option<CallerResponse> {
+        let summary = self.backlog.current();
+        let decision = {
+            let mut admission = self.admission.borrow_mut();
+            let now = clock::boot_now();
+            if let Some(summary) = &summary {
+                admission.receive(summary, now, clock::wall_now());
+            }
+            admission.decide(id, arrival, now)
+        };
+        let AdmissionDecision::Refused { retry_after } = decision else {
+            return None;
+        };
+        let read = timer::timeout(self.settings.refusal_timeout, self.job_rows(id));
+        match read.await {
+            Ok(Ok(rows)) if rows.is_empty() => Some(CallerResponse::Overloaded { retry_after }),
+            Ok(Ok(_)) => Some(CallerResponse::Accepted),
+            Ok(Err(_)) | Err(_) => None,
+        }
+    }
+
     /// Stores a row that is written only once; an existing row counts as success.
     async fn store(&self, key: RowKey, value: String, deadline: timer::Instant) -> CallerResponse {
         let name = key.as_str().to_owned();
--- a/crates/engine/src/codec.rs
+++ b/crates/engine/src/codec.rs
@@ -65,6 +65,11 @@
         /// Time after which the caller may retry.
         retry_after: time::Duration,
     },
+    /// The job was not accepted, because it could not be done in time.
+    Overloaded {
+        /// Time after which the caller may retry.
+        retry_after: time::Duration,
+    },
     /// The request may or may not have taken effect; the caller may send the
     /// same id again.
     OutcomeUnknown,
@@ -84,6 +89,7 @@
             Self::NotAllowed => "not-allowed",
             Self::Malformed(_) => "malformed",
             Self::Unavailable { .. } => "unavailable",
+            Self::Overloaded { .. } => "overloaded",
             Self::OutcomeUnknown => "unknown",
         }
     }
--- a/crates/engine/src/owner/machines.rs
+++ b/crates/engine/src/owner/machines.rs
@@ -9,6 +9,7 @@
 use redwing_jobs::maintenance::{
     MachineStatus, MaintenanceAction, MaintenanceRecord, WavePlanner, WaveState, WorkerLoad,
 };
+use redwing_jobs::manifest::JobManifest;
 use redwing_jobs::name::{MachineName, PoolName, WorkerId};
 use redwing_jobs::{BootTime, JobScheduler};
 use redwing_provider::Category;
@@ -136,6 +137,16 @@
         }
     }
 
+    /// Returns the processor of the machines that are in a standby pool or move, in
+    /// thousandths of a core.
+    pub(super) fn standby_cpu_millis(&self, manifest: &JobManifest) -> u64 {
+        let machines = self.machines.iter().filter(|machine| {
+            let pool = manifest.pool(&machine.pool);
+            machine.state == MachineState::Moving || pool.is_some_and(|pool| pool.is_standby)
+        });
+        machines.map(|machine| machine.capacity.cpu_millis).sum()
+    }
+
     pub(super) fn has_rows(&self) -> bool {
         !self.rows.is_empty()
     }
--- a/crates/engine/src/owner/record.rs
+++ b/crates/engine/src/owner/record.rs
@@ -4,6 +4,7 @@
 use std::collections::BTreeMap;
 
 use redwing_jobs::JobRecord;
+use redwing_jobs::admission::BacklogSummary;
 use redwing_jobs::feasibility::FleetCapacity;
 use redwing_jobs::maintenance::MaintenanceRecord;
 use redwing_provider::{RowKey, TableRow};
@@ -24,6 +25,11 @@
     encode(RowKey::new(row::FLEET_CAPACITY_KEY), capacity)
 }
 
+/// Returns the row of the backlogs of pools.
+pub(super) fn backlog_row(summary: &BacklogSummary) -> Option<EncodedRow> {
+    encode(RowKey::new(row::BACKLOG_KEY), summary)
+}
+
 fn encode(key: RowKey, record: &impl Serialize) -> Option<EncodedRow> {
     match row::write(&key, record) {
         Ok(value) => Some(EncodedRow { key, value }),
--- a/crates/engine/src/owner/session/mod.rs
+++ b/crates/engine/src/owner/session/mod.rs
@@ -88,6 +88,10 @@
     pending_counts: PendingCounts,
     /// When pending counts were last sent.
     counts_sent_at: BootTime,
+    /// When the backlogs were last counted.
+    backlog_counted_at: BootTime,
+    /// Whether the row of the backlogs may list a pool.
+    has_published_backlog: bool,
     /// Largest capacity that workers and machines have had in this session.
     fleet_capacity: FleetCapacity,
     /// Row of the grown fleet capacity, to be stored with the next change.
@@ -153,6 +157,8 @@
             renewed_at,
             pending_counts: PendingCounts::default(),
             counts_sent_at: BootTime::default(),
+            backlog_counted_at: renewed_at,
+            has_published_backlog: true,
             fleet_capacity: FleetCapacity::default(),
             grown_capacity_row: None,
             deferred_orders: Vec::new(),
--- a/crates/engine/src/owner/session/store.rs
+++ b/crates/engine/src/owner/session/store.rs
@@ -10,7 +10,7 @@
 use crate::owner::change::{self, ChangeOutcome, ExtraRows, StoreTimeouts};
 use crate::owner::cleanup;
 use crate::owner::record;
-use crate::row::PendingCounts;
+use crate::row::{EncodedRow, PendingCounts};
 
 use super::{OwnerSession, PendingChange};
 
@@ -29,6 +29,7 @@
         let changes = self.scheduler.take_changes();
         let mut extra = self.take_extra_rows();
         extra.written.extend(self.grown_capacity_row.take());
+        extra.written.extend(self.next_backlog_row(now));
         let pending_counts = self.next_pending_counts(now);
         extra
             .written
@@ -138,6 +139,25 @@
         }
     }
 
+    /// Returns the row of the backlogs, if `backlog_interval` has elapsed and a pool has
+    /// a backlog, or had one at the latest publication.
+    fn next_backlog_row(&mut self, now: BootTime) -> Option<EncodedRow> {
+        let interval = self.dependencies.settings.backlog_interval;
+        if now.saturating_since(self.backlog_counted_at) < interval {
+            return None;
+        }
+        self.backlog_counted_at = now;
+        let manifest = self.dependencies.operators.borrow().manifest.clone()?;
+        let standby = self.machines.standby_cpu_millis(&manifest);
+        let summary = self
+            .scheduler
+            .backlog_summary(standby, now, clock::wall_now())?;
+        let has_backlog = !summary.pools.is_empty();
+        let is_needed = has_backlog || self.has_published_backlog;
+        self.has_published_backlog = has_backlog;
+        is_needed.then(|| record::backlog_row(&summary)).flatten()
+    }
+
     /// Returns the pending counts to store, if they changed and
     /// `pending_interval` has elapsed.
     pub(super) fn next_pending_counts(&mut self, now: BootTime) -> Option<PendingCounts> {
--- a/crates/engine/src/product.rs
+++ b/crates/engine/src/product.rs
@@ -155,6 +155,10 @@
                 503,
                 "not accepted: the table or the manifest is unavailable; retry later",
             ),
+            CallerResponse::Overloaded { .. } => not_run(
+                503,
+                "not accepted: the work of this customer that waits leaves no time; retry later",
+            ),
             CallerResponse::OutcomeUnknown => {
                 let body = ProblemBody {
                     problem: "outcome unknown: the table did not respond; retry with the same id",
--- a/crates/engine/src/row.rs
+++ b/crates/engine/src/row.rs
@@ -7,6 +7,7 @@
 //! | `progress/ID` | the owner | [`ProgressRecord`](redwing_jobs::ProgressRecord) |
 //! | `owner/jobs` | the owner, and the process that claims the ownership | [`OwnerRecord`] |
 //! | `board/pending` | the owner | [`PendingCounts`] |
+//! | `board/backlog` | the owner | [`BacklogSummary`](redwing_jobs::admission::BacklogSummary) |
 //! | `board/offer` | the owner | [`FleetCapacity`](redwing_jobs::feasibility::FleetCapacity) |
 //! | `upkeep/N` | the owner | [`MaintenanceRecord`](redwing_jobs::maintenance::MaintenanceRecord) |
 //!
@@ -51,6 +52,9 @@
 /// Row of the fleet capacity.
 pub const FLEET_CAPACITY_KEY: &str = "board/offer";
 
+/// Row of the backlogs of pools.
+pub const BACKLOG_KEY: &str = "board/backlog";
+
 /// Suffix of the key of a cancel mark.
 const CANCEL_SUFFIX: &str = ".cancel";
 
