Measure what a pool does with its processor instead of trusting estimates

Change: the published rate is the estimated work that a pool is seen to do for the processor that it uses; cancelled and failed jobs do not count as done; a pool without workers is not published.

--- a/crates/jobs/src/scheduler/backlog.rs
+++ b/crates/jobs/src/scheduler/backlog.rs
@@ -12,7 +12,7 @@
 use crate::admission::{
     BacklogLevel, BacklogSummary, CustomerBacklog, LATEST_FACTOR, PoolBacklog, averaged_rate,
 };
-use crate::name::{CustomerName, PoolName};
+use crate::name::{CustomerName, JobId, PoolName};
 use crate::record::JobRecord;
 use crate::time::{BootTime, WallTime};
 
@@ -26,11 +26,14 @@
 /// Fraction of its processor that the tasks of a full pool reserve; the rest fits none.
 const FULL_FRACTION: f64 = 0.9;
 
-/// Limits of the work for each core-millisecond, against samples in which many jobs
-/// were cancelled or nothing ended.
-const EFFICIENCY_RANGE: ops::RangeInclusive<f64> = 0.5..=1.5;
+/// Limits of the work for each core-millisecond. Callers may estimate many times what
+/// their tasks take; the lower limit is for samples in which hardly anything ended.
+const EFFICIENCY_RANGE: ops::RangeInclusive<f64> = 0.5..=100.0;
 
-/// Weight of the latest sample of it.
+/// Values that are taken for one while the pool is not full.
+const SAMPLING_ERROR: ops::RangeInclusive<f64> = 0.6..=1.7;
+
+/// Weight of the latest sample in its averages.
 const EFFICIENCY_WEIGHT: f64 = 0.25;
 
 /// Pool and customer.
@@ -41,6 +44,8 @@
 struct WorkFlow {
     /// Estimated work that arrived since the latest sample, in core-milliseconds.
     arrived: u64,
+    /// Estimated work that was given up since then: jobs that were cancelled or failed.
+    dropped: u64,
     /// Work that was not done at the latest sample, in core-milliseconds.
     outstanding: u64,
     /// Arriving work, in core-milliseconds a second.
@@ -49,35 +54,62 @@
     drain_rate: f64,
 }
 
-/// Work that a pool does for its processor, if all of it is in use.
-#[derive(Clone, Copy, Debug)]
-struct PoolEfficiency {
-    /// Estimated work in core-milliseconds for each core-millisecond.
-    value: f64,
-    /// Whether the pool was full at the latest sample.
-    was_full: bool,
+/// Averages of the work that is done and of the processor that it takes.
+#[derive(Clone, Copy, Debug, Default)]
+struct WorkRatio {
+    /// Estimated work, in core-milliseconds a second.
+    done: f64,
+    /// Processor, in thousandths of a core.
+    used: f64,
 }
 
-impl Default for PoolEfficiency {
-    fn default() -> Self {
-        Self {
-            value: 1.0,
-            was_full: false,
-        }
+impl WorkRatio {
+    fn sample(&mut self, done: f64, used: f64) {
+        self.done += EFFICIENCY_WEIGHT * (done - self.done);
+        self.used += EFFICIENCY_WEIGHT * (used - self.used);
     }
+
+    /// Returns the estimated work that is done with each core-millisecond, if any is
+    /// used.
+    fn value(&self) -> Option<f64> {
+        let value = self.done / self.used;
+        let value = value.clamp(*EFFICIENCY_RANGE.start(), *EFFICIENCY_RANGE.end());
+        (self.used >= 1.0).then_some(value)
+    }
+}
+
+/// Work that a pool does with its processor.
+#[derive(Clone, Copy, Debug, Default)]
+struct PoolEfficiency {
+    /// While it was full.
+    full: WorkRatio,
+    /// At other times, by the processor in use at each sample.
+    partly_used: WorkRatio,
+    is_full: bool,
 }
 
 impl PoolEfficiency {
-    /// Updates the value by the work that was done in a period of `seconds`.
+    /// Updates the averages by the work that was done in a period of `seconds`.
     fn sample(&mut self, done: u64, capacity: &PoolCapacity, seconds: f64) {
-        let is_full =
+        let was_full = self.is_full;
+        self.is_full =
             capacity.usable > 0 && capacity.used as f64 >= FULL_FRACTION * capacity.usable as f64;
-        if is_full && self.was_full {
-            let value = done as f64 / (capacity.usable as f64 * seconds);
-            let value = value.clamp(*EFFICIENCY_RANGE.start(), *EFFICIENCY_RANGE.end());
-            self.value += EFFICIENCY_WEIGHT * (value - self.value);
+        let done_rate = done as f64 / seconds;
+        if was_full && self.is_full {
+            // What a full pool leaves unused between two tasks is not to be had.
+            self.full.sample(done_rate, capacity.usable as f64);
+        } else {
+            self.partly_used.sample(done_rate, capacity.used as f64);
         }
-        self.was_full = is_full;
+    }
+
+    /// Returns the estimated work that is done with each core-millisecond; it is one if
+    /// tasks take their estimates and begin at once.
+    fn value(&self) -> f64 {
+        let of_part = self.partly_used.value();
+        // The use between samples is not known, so that small differences say nothing.
+        let of_part = of_part.filter(|value| !SAMPLING_ERROR.contains(value));
+        self.full.value().or(of_part).unwrap_or(1.0)
     }
 }
 
@@ -100,12 +132,12 @@
 
     fn is_full(&self, pool: &PoolName) -> bool {
         let efficiency = self.efficiencies.get(pool);
-        efficiency.is_some_and(|efficiency| efficiency.was_full)
+        efficiency.is_some_and(|efficiency| efficiency.is_full)
     }
 
     fn efficiency(&self, pool: &PoolName) -> f64 {
         let efficiency = self.efficiencies.get(pool);
-        efficiency.copied().unwrap_or_default().value
+        efficiency.map_or(1.0, PoolEfficiency::value)
     }
 
     /// Updates the rates; returns whether they are known, which takes two samples.
@@ -130,6 +162,7 @@
                 *done.entry(&key.0).or_default() += flow.sample(outstanding, seconds);
             }
             flow.arrived = 0;
+            flow.dropped = 0;
             flow.outstanding = outstanding;
         }
         if let Some(seconds) = seconds {
@@ -151,7 +184,9 @@
     /// Updates the rates after a period of `seconds`; returns the work that was done.
     fn sample(&mut self, outstanding: u64, seconds: f64) -> u64 {
         let before = self.outstanding.saturating_add(self.arrived);
-        let done = before.saturating_sub(outstanding);
+        let done = before
+            .saturating_sub(outstanding)
+            .saturating_sub(self.dropped);
         self.arrival_rate = averaged_rate(self.arrival_rate, self.arrived, seconds);
         self.drain_rate = averaged_rate(self.drain_rate, done, seconds);
         done
@@ -210,11 +245,27 @@
         summary
             .pools
             .retain(|name, pool| self.backlog.is_full(name) || is_delayed(pool));
+        // Workers that are all gone are about to come back: when, is not known.
+        summary.pools.retain(|_, pool| pool.work_rate > 0);
         add_reachable(&mut summary, &capacities, standby_cpu_millis);
         summary.limit();
         Some(summary)
     }
 
+    /// Counts the work of a job that is to end without being done.
+    pub(super) fn count_dropped(&mut self, id: &JobId, now: BootTime) {
+        let Some(job) = self.jobs.get(id) else {
+            return;
+        };
+        if job.state.is_final() || job.record.spec.is_long_running() {
+            return;
+        }
+        let work = job_work(job, now);
+        let key = (self.pool_of(job).clone(), job.record.customer.clone());
+        let flow = self.backlog.flows.entry(key).or_default();
+        flow.dropped += work.waiting + work.running;
+    }
+
     /// Counts the unfinished work of all jobs that end on their own.
     fn count_backlog(&self, now: BootTime, wall: WallTime) -> HashMap<BacklogKey, CustomerBacklog> {
         let mut counts: HashMap<BacklogKey, CustomerBacklog> = HashMap::new();
--- a/crates/jobs/src/scheduler/lifecycle.rs
+++ b/crates/jobs/src/scheduler/lifecycle.rs
@@ -131,6 +131,7 @@
 
     /// Ends a job: its runs are stopped, and its final state is to be stored.
     pub(super) fn finish(&mut self, id: &JobId, state: JobState, now: BootTime) {
+        self.count_dropped(id, now);
         let Some(job) = self.jobs.get_mut(id) else {
             return;
         };
--- a/crates/jobs/tests/admission.rs
+++ b/crates/jobs/tests/admission.rs
@@ -14,7 +14,7 @@
     JobAdmission, JobArrival, MAX_CUSTOMERS, MAX_POOLS, PoolBacklog, check,
 };
 use redwing_jobs::name::{CustomerName, PoolName, QueueName};
-use redwing_jobs::spec::JobSchedule;
+use redwing_jobs::spec::{JobSchedule, StepSpec};
 use redwing_jobs::time::WallTime;
 use redwing_jobs::{BootTime, JobId, JobSpec, JobState, SchedulerSettings};
 
@@ -55,6 +55,8 @@
     vms: Vec<JobAdmission>,
     summary: Option<sync::Arc<BacklogSummary>>,
     is_admission_used: bool,
+    /// Estimate of each task, in milliseconds.
+    estimate_ms: u64,
     submitted: u64,
     accepted: BTreeMap<JobId, BootTime>,
     finished: BTreeMap<JobId, BootTime>,
@@ -62,17 +64,29 @@
 }
 
 fn spec() -> JobSpec {
+    spec_with(TASK_MS)
+}
+
+fn spec_with(estimate_ms: u64) -> JobSpec {
+    let step = StepSpec {
+        estimate_ms,
+        ..step_spec(4, 1_000)
+    };
     JobSpec {
-        steps: vec![step_spec(4, 1_000)],
+        steps: vec![step],
         ..JobSpec::default()
     }
 }
 
 fn arrival(customer: &str) -> JobArrival {
+    arrival_of(customer, &spec())
+}
+
+fn arrival_of(customer: &str, spec: &JobSpec) -> JobArrival {
     let manifest = manifest();
     let queue = manifest.queue(&QueueName::new("reports"));
     let queue = queue.expect("the queue is declared");
-    JobArrival::new(queue, Some(&CustomerName::new(customer)), &spec())
+    JobArrival::new(queue, Some(&CustomerName::new(customer)), spec)
 }
 
 impl Replay {
@@ -89,6 +103,7 @@
             vms: vms.collect(),
             summary: None,
             is_admission_used,
+            estimate_ms: TASK_MS,
             submitted: 0,
             accepted: BTreeMap::new(),
             finished: BTreeMap::new(),
@@ -102,7 +117,8 @@
         let id = JobId::new(&format!("{customer}-{}", self.submitted));
         let number = (self.submitted % VM_COUNT as u64) as usize;
         let now = self.fleet.now;
-        let decision = self.vms[number].decide(&id, &arrival(customer), now);
+        let spec = spec_with(self.estimate_ms);
+        let decision = self.vms[number].decide(&id, &arrival_of(customer, &spec), now);
         match decision {
             AdmissionDecision::Refused { retry_after } if self.is_admission_used => {
                 assert!(retry_after >= AdmissionSettings::default().min_retry_after);
@@ -117,9 +133,8 @@
                 });
             }
             _ => {
-                let steps = spec().steps;
                 self.fleet
-                    .submit_as(customer, id.as_str(), "builders", steps, TASK_MS);
+                    .submit_as(customer, id.as_str(), "builders", spec.steps, TASK_MS);
                 self.accepted.insert(id, now);
             }
         }
@@ -243,6 +258,20 @@
     assert!(replay_flood(true, 9).refused.is_empty());
 }
 
+/// Callers estimate ten times what their tasks take: what the pool is seen to do counts,
+/// and jobs that it can do by their due time are not refused.
+#[test]
+fn jobs_are_not_refused_for_estimates_that_are_too_long() {
+    let mut replay = Replay::new(true);
+    replay.estimate_ms = 10 * TASK_MS;
+    replay.run(3_000, &[("portal", 10), ("housing", 12)]);
+    replay.run(4_000, &[("portal", 10), ("housing", 40)]);
+    replay.run(14_000, &[]);
+    assert!(replay.refused.is_empty(), "{}", replay.refused.len());
+    let (done, sent) = replay.done_within("housing", 600 + 16 * TASK_MS);
+    assert_eq!(done, sent);
+}
+
 /// Returns a backlog of so many core-milliseconds of `housing` in a pool of 40 cores.
 fn summary(published: WallTime, work: u64) -> sync::Arc<BacklogSummary> {
     let entry = |name: &str, weight: f64, work: u64| CustomerBacklog {
