--- a/crates/engine/src/owner/session/mod.rs
+++ b/crates/engine/src/owner/session/mod.rs
@@ -7,7 +7,7 @@
 
 use redwing_jobs::feasibility::FleetCapacity;
 use redwing_jobs::maintenance::MaintenanceRecord;
-use redwing_jobs::scheduler::{AdviceRequest, ChangeSet};
+use redwing_jobs::scheduler::{AdviceRequest, ChangeSet, InheritedLeases};
 use redwing_jobs::worker::{OrderAction, WorkerOrder};
 use redwing_jobs::{BootTime, JobId, JobScheduler};
 use redwing_provider::CallCause;
@@ -25,18 +25,18 @@
 use super::OwnerDependencies;
 use super::advice::{self, AdviceResult};
 use super::change::{self, ChangeOutcome, StoreTimeouts};
-use super::election::OwnerLease;
+use super::election::{AcquiredOwnership, OwnerLease};
 use super::machines::{MachineResponse, MachineService};
 use super::order_queues::{CompletedOrder, OrderQueues};
 use super::record;
 use super::scheduler_event;
 
 /// Runs a session until the ownership is lost or the process stops.
-pub(super) async fn run(dependencies: &OwnerDependencies, lease: OwnerLease) {
-    let fencing_token = lease.record.fencing_token;
+pub(super) async fn run(dependencies: &OwnerDependencies, acquired: AcquiredOwnership) {
+    let fencing_token = acquired.lease.record.fencing_token;
     log_job_event!(info, event::OWNER_BEGUN, fence = fencing_token);
     dependencies.metrics.set_owner(fencing_token);
-    let reason = match OwnerSession::open(dependencies, lease).await {
+    let reason = match OwnerSession::open(dependencies, acquired).await {
         Ok(mut session) => session.run().await,
         Err(error) => {
             log_job_event!(error, event::CHANGE_DELAYED, error = error);
@@ -104,19 +104,30 @@
     /// the process was paused, or no change succeeded for longer than
     /// `unconfirmed_limit`. None while the ownership is confirmed.
     unconfirmed_since: Option<BootTime>,
+    /// When all leases of earlier owners have expired.
+    inherited_until: BootTime,
 }
 
 impl<'a> OwnerSession<'a> {
     /// Restores the state that earlier owners stored, and starts to follow jobs
     /// and workers.
-    async fn open(dependencies: &'a OwnerDependencies, lease: OwnerLease) -> Result<Self> {
+    async fn open(
+        dependencies: &'a OwnerDependencies,
+        acquired: AcquiredOwnership,
+    ) -> Result<Self> {
+        let AcquiredOwnership {
+            lease,
+            claimed_at,
+            inherited_until,
+            unchanged_since,
+        } = acquired;
         let client = &dependencies.client;
-        let renewed_at = clock::boot_now();
         // Concurrent scans: the lease must not expire while a slow table responds.
-        let (jobs, progress, maintenance, workers) = futures_util::try_join!(
+        let (jobs, progress, maintenance, leases, workers) = futures_util::try_join!(
             client.scan(CallCause::Job, row::JOB_PREFIX),
             client.scan(CallCause::Job, row::PROGRESS_PREFIX),
             client.scan(CallCause::Maintenance, row::MAINTENANCE_PREFIX),
+            client.scan(CallCause::Membership, row::LEASE_KEY),
             client.scan(CallCause::Membership, dependencies.codec.worker_prefix()),
         )?;
         let (completed_sender, completed_orders) = mpsc::unbounded_channel();
@@ -150,22 +161,27 @@
             deleted,
             deleted_sender,
             obsolete_jobs: Vec::new(),
-            cleanup_started_at: renewed_at,
+            cleanup_started_at: clock::boot_now(),
             machine_responses,
             waves: record::read_waves(&maintenance.rows),
             pending_change: None,
-            renewed_at,
+            renewed_at: claimed_at,
             pending_counts: PendingCounts::default(),
             counts_sent_at: BootTime::default(),
-            backlog_counted_at: renewed_at,
+            backlog_counted_at: clock::boot_now(),
             has_published_backlog: true,
             fleet_capacity: FleetCapacity::default(),
             grown_capacity_row: None,
             deferred_orders: Vec::new(),
-            confirmed_at: renewed_at,
+            confirmed_at: claimed_at,
             unconfirmed_since: None,
+            inherited_until,
             lease,
         };
+        session.scheduler.inherit_leases(InheritedLeases {
+            until: inherited_until,
+            workers: record::read_lease_ends(&leases.rows, fencing_token - 1, unchanged_since),
+        });
         session.apply_operator_view();
         session.apply_worker_rows(&workers.rows, true);
         session.restore_jobs(&jobs.rows, &progress.rows);
@@ -254,6 +270,14 @@
         }
     }
 
+    /// Returns whether no other process can own the scheduling and rely on the time
+    /// for which this one sends orders.
+    fn is_confirmed(&self, now: BootTime) -> bool {
+        let unconfirmed = now.saturating_since(self.confirmed_at);
+        self.unconfirmed_since.is_none()
+            && unconfirmed <= self.dependencies.settings.unconfirmed_limit
+    }
+
     /// Sends the orders to workers and for machines; the ownership must be
     /// confirmed.
     fn send_orders(&mut self) {
@@ -323,12 +347,19 @@
                 return reason;
             }
         }
-        for order in self.scheduler.take_orders() {
-            self.order_queues.send(order);
+        let now = clock::boot_now();
+        let orders = self.scheduler.take_orders();
+        if self.is_confirmed(now) {
+            for order in orders {
+                self.order_queues.send(order);
+            }
         }
-        let changes = self.scheduler.take_changes();
-        let extra = self.take_extra_rows();
-        match change::transaction(&self.lease, &changes, &extra, true) {
+        self.scheduler.prepare_release(now);
+        let changes = self.scheduler.take_changes(now);
+        let mut extra = self.take_extra_rows();
+        extra.written.extend(self.lease_row(&changes, now));
+        let state = self.ownership_state(true, now);
+        match change::transaction(&self.lease, &changes, &extra, state) {
             Ok((transaction, record)) => {
                 let timeouts = StoreTimeouts {
                     attempt: self.dependencies.settings.attempt_timeout,
--- a/crates/engine/src/owner/session/store.rs
+++ b/crates/engine/src/owner/session/store.rs
@@ -7,7 +7,7 @@
 use crate::clock;
 use crate::event;
 use crate::log_job_event;
-use crate::owner::change::{self, ChangeOutcome, ExtraRows, StoreTimeouts};
+use crate::owner::change::{self, ChangeOutcome, ExtraRows, OwnershipState, StoreTimeouts};
 use crate::owner::cleanup;
 use crate::owner::record;
 use crate::row::{EncodedRow, PendingCounts};
@@ -26,8 +26,9 @@
         if !has_changes && !is_due && self.unconfirmed_since.is_none() {
             return;
         }
-        let changes = self.scheduler.take_changes();
+        let changes = self.scheduler.take_changes(now);
         let mut extra = self.take_extra_rows();
+        extra.written.extend(self.lease_row(&changes, now));
         extra.written.extend(self.grown_capacity_row.take());
         extra.written.extend(self.next_backlog_row(now));
         let pending_counts = self.next_pending_counts(now);
@@ -76,7 +77,8 @@
         pending_counts: Option<PendingCounts>,
         now: BootTime,
     ) {
-        let (transaction, record) = match change::transaction(&self.lease, &changes, extra, false) {
+        let state = self.ownership_state(false, now);
+        let (transaction, record) = match change::transaction(&self.lease, &changes, extra, state) {
             Ok(prepared) => prepared,
             Err(error) => {
                 log_job_event!(error, event::CHANGE_DELAYED, error = error);
@@ -105,6 +107,20 @@
         });
     }
 
+    /// Returns the row of the ends of leases, if the change has new ones.
+    pub(super) fn lease_row(&self, changes: &ChangeSet, now: BootTime) -> Option<EncodedRow> {
+        let ends = changes.lease_ends.as_ref()?;
+        record::lease_row(self.lease.record.fencing_token, ends, now)
+    }
+
+    /// Returns the state of the ownership for a change that is sent now.
+    pub(super) fn ownership_state(&self, released: bool, now: BootTime) -> OwnershipState {
+        OwnershipState {
+            released,
+            inherited: self.inherited_until.saturating_since(now),
+        }
+    }
+
     /// Applies the outcome of a change; returns the reason if the ownership is
     /// lost.
     pub(super) fn handle_change_outcome(&mut self, outcome: ChangeOutcome) -> Option<&'static str> {
--- a/crates/engine/src/row.rs
+++ b/crates/engine/src/row.rs
@@ -6,6 +6,7 @@
 //! | `jobs@PART/ID.cancel` | the cancelling process, once | [`CancelRecord`] |
 //! | `progress/ID` | the owner | [`ProgressRecord`](redwing_jobs::ProgressRecord) |
 //! | `owner/jobs` | the owner, and the process that claims the ownership | [`OwnerRecord`] |
+//! | `owner/leases` | the owner | [`LeaseRecord`] |
 //! | `board/pending` | the owner | [`PendingCounts`] |
 //! | `board/backlog` | the owner | [`BacklogSummary`](redwing_jobs::admission::BacklogSummary) |
 //! | `board/offer` | the owner | [`FleetCapacity`](redwing_jobs::feasibility::FleetCapacity) |
@@ -19,7 +20,7 @@
 use std::collections::BTreeMap;
 
 use redwing_jobs::JobId;
-use redwing_jobs::name::QueueName;
+use redwing_jobs::name::{QueueName, WorkerId};
 use redwing_jobs::time::WallTime;
 use redwing_provider::{RowKey, TableRow};
 use serde::de::DeserializeOwned;
@@ -46,6 +47,9 @@
 /// Row of the owner.
 pub const OWNER_KEY: &str = "owner/jobs";
 
+/// Row of the ends of leases.
+pub const LEASE_KEY: &str = "owner/leases";
+
 /// Row of the pending counts of queues.
 pub const PENDING_KEY: &str = "board/pending";
 
@@ -78,6 +82,23 @@
     /// once.
     #[serde(default)]
     pub is_small: bool,
+    /// Time until all leases that earlier owners granted to workers have expired, in
+    /// milliseconds after the change; absent in rows of earlier releases.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub inherited_ms: Option<u64>,
+}
+
+/// Ends of the leases of workers that the owner cannot reach.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct LeaseRecord {
+    /// Fencing token of the owner that wrote the row; only its successor may use it.
+    #[serde(rename = "fence")]
+    pub fencing_token: u64,
+    /// Time until all leases of each worker have expired, in milliseconds after the
+    /// change that wrote the row.
+    #[serde(rename = "ends-in")]
+    pub remaining_ms: BTreeMap<WorkerId, u64>,
 }
 
 /// Mark that a job was cancelled.
--- a/crates/jobs/src/scheduler/fleet.rs
+++ b/crates/jobs/src/scheduler/fleet.rs
@@ -79,8 +79,8 @@
     pub(super) clock: Option<ClockSample>,
     /// When all granted leases have expired, by our clock.
     pub(super) lease_until: BootTime,
-    /// Whether runs wait for that since the worker last responded.
-    pub(super) is_lease_awaited: bool,
+    /// Since when runs wait for the end of these leases; none while the worker responds.
+    pub(super) awaited_since: Option<BootTime>,
     /// When the pending lease renewal was sent.
     pub(super) renewal_sent_at: Option<BootTime>,
     pub(super) next_renewal: BootTime,
@@ -101,6 +101,9 @@
     pub(super) unhealthy_until: BootTime,
     /// Share of processor time that best-effort tasks may use, from 0 to 100.
     pub(super) best_effort_percent: u32,
+    /// Whether all best-effort runs on the worker have that share; runs that an earlier
+    /// owner started may have another.
+    pub(super) is_share_known: bool,
     /// When that share last changed.
     pub(super) paced_at: BootTime,
     /// Whether maintenance or a planned move blocks new tasks.
@@ -112,11 +115,16 @@
         self.view.as_ref().map(|view| view.address)
     }
 
+    /// Returns whether the worker accepts no new tasks because it is about to leave.
+    pub(super) fn is_draining(&self) -> bool {
+        self.view.as_ref().is_some_and(|view| view.is_draining)
+    }
+
     /// Returns whether the worker may get new tasks.
     pub(super) fn is_usable(&self, now: BootTime) -> bool {
-        let is_draining = self.view.as_ref().is_none_or(|view| view.is_draining);
         self.is_listed
-            && !is_draining
+            && self.view.is_some()
+            && !self.is_draining()
             && !self.is_blocked
             && self.contact == ContactState::Responsive
             && self.clock.is_some()
@@ -182,10 +190,12 @@
         self.clock = None;
         self.contact = ContactState::Unconfirmed;
         self.contacted_at = None;
+        self.awaited_since = None;
         self.next_renewal = BootTime::default();
         self.consecutive_failures = 0;
         self.unhealthy_until = BootTime::default();
         self.best_effort_percent = 100;
+        self.is_share_known = true;
         self.used = ResourceAmount::default();
         self.long_running_count = 0;
         self.long_running_cpu_millis = 0;
--- /dev/null
+++ b/crates/jobs/src/scheduler/lease.rs
@@ -0,0 +1,156 @@
+//! Leases that let runs on workers continue, and those of earlier owners.
+//!
+//! Load pattern: workers that become unresponsive while owners end. A worker that
+//! does not respond may run its tasks until its leases have expired; only then may
+//! they start elsewhere.
+
+use std::time;
+
+use crate::name::WorkerId;
+use crate::time::BootTime;
+
+use super::fleet::ContactState;
+use super::lease_ledger::LeaseEnds;
+use super::{JobScheduler, RunEndReason, SchedulerEvent, SchedulerSettings};
+
+/// What the successor of an owner knows of it.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct PreviousOwner {
+    /// Since when its row is known to be unchanged.
+    pub unchanged_since: BootTime,
+    /// Whether it sends no more orders since then.
+    pub has_ended: bool,
+    /// Time that the leases of the owners before it had left at its latest change;
+    /// none if unknown.
+    pub inherited: Option<time::Duration>,
+}
+
+impl PreviousOwner {
+    /// Returns when all leases have expired that this owner and those before it
+    /// granted.
+    ///
+    /// An owner that has not ended sends orders for a limited time after its latest
+    /// change, so at most until that time after the row was first seen unchanged.
+    pub fn leases_until(&self, settings: &SchedulerSettings) -> BootTime {
+        let longest = settings.inherited_lease;
+        let own = if self.has_ended {
+            settings.lease_bound()
+        } else {
+            longest
+        };
+        self.unchanged_since + own.max(self.inherited.unwrap_or(longest))
+    }
+}
+
+/// What a new owner knows of the leases that earlier owners granted.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct InheritedLeases {
+    /// When all of them have expired.
+    pub until: BootTime,
+    /// When those of single workers have expired, as far as their end was stored.
+    pub workers: LeaseEnds,
+}
+
+impl JobScheduler {
+    /// Returns when the leases have expired that earlier owners granted to a worker.
+    pub(super) fn inherited_until(&self, worker: &WorkerId, now: BootTime) -> BootTime {
+        let Some(leases) = &self.inherited else {
+            return now + self.settings.inherited_lease;
+        };
+        let stored = leases.workers.get(worker);
+        stored.map_or(leases.until, |end| leases.until.min(*end))
+    }
+
+    /// Grants a lease that begins now; returns its end on the worker's clock, or none
+    /// if the worker may get no lease now.
+    pub(super) fn grant_lease(&mut self, worker: &WorkerId, now: BootTime) -> Option<u64> {
+        if self.lease_ledger.covers(worker) {
+            return None;
+        }
+        let lease = self.settings.lease;
+        let bound = self.settings.lease_bound();
+        let entry = self.fleet.get_mut(worker)?;
+        let clock = entry.clock?;
+        entry.extend_lease(now, bound);
+        Some(clock.at(now) + lease.as_millis() as u64)
+    }
+
+    /// Drops runs on workers that were unresponsive until all their leases had
+    /// expired, and removes workers that are no longer listed.
+    pub(super) fn expire_leases(&mut self, now: BootTime) {
+        let mut expired = Vec::new();
+        let mut removed = Vec::new();
+        for (id, entry) in self.fleet.iter_mut() {
+            let is_unresponsive = entry.contact != ContactState::Responsive;
+            if entry.reservations.is_empty() {
+                entry.awaited_since = None;
+                if !entry.is_listed && is_unresponsive {
+                    removed.push(id.clone());
+                }
+                continue;
+            }
+            if !is_unresponsive {
+                entry.awaited_since = None;
+                continue;
+            }
+            let is_unreachable =
+                entry.contact == ContactState::Unresponsive || entry.view.is_none();
+            if is_unreachable && entry.awaited_since.is_none() {
+                entry.awaited_since = Some(now);
+                self.events.push(SchedulerEvent::LeaseAwaited {
+                    worker: id.clone(),
+                    runs: entry.reservations.len() as u32,
+                    remaining: entry.lease_until.saturating_since(now),
+                });
+            }
+            if entry.lease_until < now {
+                let reservations = entry.reservations.iter();
+                expired.extend(
+                    reservations
+                        .map(|(task, reservation)| (id.clone(), task.clone(), reservation.run)),
+                );
+            }
+        }
+        for (worker, task, run) in expired {
+            self.drop_run(&worker, &task, run, RunEndReason::LeaseExpired);
+        }
+        for id in removed {
+            self.fleet.remove(&id);
+        }
+    }
+
+    /// Updates the ends of leases to store, those of workers that have not responded
+    /// for a while.
+    pub(super) fn update_lease_ends(&mut self, now: BootTime) {
+        let delay = self.settings.lease_record_delay;
+        let ends = self.lease_ends(|awaited_since| now.saturating_since(awaited_since) >= delay);
+        let interval = self.settings.lease_record_interval;
+        self.lease_ledger.update(ends, interval, now);
+    }
+
+    /// Includes the ends of the leases of all unresponsive workers in the next
+    /// change, the last one of this owner.
+    pub fn prepare_release(&mut self, now: BootTime) {
+        let ends = self.lease_ends(|_| true);
+        self.lease_ledger.update(ends, time::Duration::ZERO, now);
+    }
+
+    /// Returns the ends of the leases of workers with runs that do not respond, of
+    /// those whose end was stored by an earlier owner or that `is_lost` selects by the
+    /// time since which their leases are awaited; those already stored come first.
+    fn lease_ends(&self, is_lost: impl Fn(BootTime) -> bool) -> LeaseEnds {
+        let unresponsive = self.fleet.iter().filter(|(_, entry)| {
+            entry.contact != ContactState::Responsive && !entry.reservations.is_empty()
+        });
+        let inherited = self.inherited.as_ref().map(|leases| &leases.workers);
+        let lost = unresponsive.filter(|(id, entry)| {
+            let is_inherited = inherited.is_some_and(|ends| ends.contains_key(*id));
+            is_inherited || entry.awaited_since.is_some_and(&is_lost)
+        });
+        let ends = lost.map(|(id, entry)| (id.clone(), entry.lease_until));
+        let (covered, others): (Vec<_>, Vec<_>) =
+            ends.partition(|(id, _)| self.lease_ledger.covers(id));
+        let ends = covered.into_iter().chain(others);
+        ends.take(self.settings.max_lease_ends).collect()
+    }
+}
--- a/crates/jobs/src/scheduler/listing.rs
+++ b/crates/jobs/src/scheduler/listing.rs
@@ -7,7 +7,7 @@
 use crate::worker::WorkerView;
 
 use super::entry::TaskPhase;
-use super::fleet::{ContactState, WorkerEntry};
+use super::fleet::WorkerEntry;
 use super::{JobScheduler, RunEndReason, SchedulerEvent, WorkerStatus};
 
 impl JobScheduler {
@@ -21,7 +21,7 @@
                 view: Some(view),
                 is_listed: true,
                 best_effort_percent: 100,
-                lease_until: now + self.settings.inherited_lease,
+                lease_until: self.inherited_until(&id, now),
                 ..WorkerEntry::default()
             };
             self.fleet.insert(id.clone(), entry);
@@ -31,7 +31,7 @@
             }
             return;
         };
-        let was_draining = entry.view.as_ref().is_some_and(|view| view.is_draining);
+        let was_draining = entry.is_draining();
         let incarnation = view.incarnation;
         let is_older = incarnation < entry.incarnation;
         let is_newer = incarnation > entry.incarnation;
@@ -47,7 +47,6 @@
         }
         if is_draining && !was_draining {
             self.record_status(&id, WorkerStatus::Draining);
-            self.evict_from_draining(&id, now);
         }
         if has_changed {
             self.mark_worker_changed(&id);
@@ -92,13 +91,20 @@
         self.mark_worker_changed(id);
     }
 
-    /// Stops long-running tasks on a draining worker, to restart them elsewhere; all
+    /// Stops long-running tasks on draining workers, to restart them elsewhere; all
     /// others may finish there.
-    fn evict_from_draining(&mut self, id: &WorkerId, now: BootTime) {
-        let Some(entry) = self.fleet.get(id) else {
-            return;
-        };
-        let tasks: Vec<TaskId> = entry.reservations.keys().cloned().collect();
+    ///
+    /// A new owner may meet workers that drain already, so this goes by the state of
+    /// a worker and not by its change.
+    pub(super) fn evict_from_draining(&mut self, now: BootTime) {
+        let draining = self.fleet.iter().filter(|(_, entry)| entry.is_draining());
+        let draining = draining.filter(|(_, entry)| entry.long_running_count > 0);
+        let mut tasks = Vec::new();
+        for (id, entry) in draining {
+            let runs = entry.reservations.iter();
+            let current = runs.filter(|(task, held)| self.is_current(task, held.run, id));
+            tasks.extend(current.map(|(task, _)| task.clone()));
+        }
         for task in tasks {
             if self.is_long_running(&task) {
                 self.stop_task(&task, now);
@@ -131,49 +137,6 @@
         self.free_task(task);
     }
 
-    /// Drops runs on workers that were unresponsive until all their leases had
-    /// expired, and removes workers that are no longer listed.
-    pub(super) fn expire_leases(&mut self, now: BootTime) {
-        let mut expired = Vec::new();
-        let mut removed = Vec::new();
-        for (id, entry) in self.fleet.iter_mut() {
-            let is_unresponsive = entry.contact != ContactState::Responsive;
-            if entry.reservations.is_empty() {
-                if !entry.is_listed && is_unresponsive {
-                    removed.push(id.clone());
-                }
-                continue;
-            }
-            if !is_unresponsive {
-                entry.is_lease_awaited = false;
-                continue;
-            }
-            let is_unreachable =
-                entry.contact == ContactState::Unresponsive || entry.view.is_none();
-            if is_unreachable && !entry.is_lease_awaited {
-                entry.is_lease_awaited = true;
-                self.events.push(SchedulerEvent::LeaseAwaited {
-                    worker: id.clone(),
-                    runs: entry.reservations.len() as u32,
-                    remaining: entry.lease_until.saturating_since(now),
-                });
-            }
-            if entry.lease_until < now {
-                let reservations = entry.reservations.iter();
-                expired.extend(
-                    reservations
-                        .map(|(task, reservation)| (id.clone(), task.clone(), reservation.run)),
-                );
-            }
-        }
-        for (worker, task, run) in expired {
-            self.drop_run(&worker, &task, run, RunEndReason::LeaseExpired);
-        }
-        for id in removed {
-            self.fleet.remove(&id);
-        }
-    }
-
     /// Returns whether `run` on `worker` is the task's current run.
     pub(super) fn is_current(&self, task: &TaskId, run: u32, worker: &WorkerId) -> bool {
         let Some(entry) = self.task(task) else {
--- a/crates/jobs/src/scheduler/mod.rs
+++ b/crates/jobs/src/scheduler/mod.rs
@@ -11,6 +11,8 @@
 //! - `finished`: jobs whose final state is stored, until their rows are deleted
 //! - `fleet`: workers, their free capacity and their leases
 //! - `free_capacity`: which tasks fit on no worker of a pool
+//! - `lease`: leases of workers, and those of earlier owners
+//! - `lease_ledger`: ends of leases that are stored for the next owner
 //! - `lifecycle`: submitted and cancelled jobs, and rows of an earlier owner
 //! - `listing`: the platform's list of workers
 //! - `maintenance`: load and demand, and eviction for maintenance
@@ -28,6 +30,8 @@
 mod finished;
 mod fleet;
 mod free_capacity;
+mod lease;
+mod lease_ledger;
 mod lifecycle;
 mod listing;
 mod maintenance;
@@ -57,26 +61,35 @@
 use entry::JobEntry;
 use finished::FinishedJobs;
 use fleet::WorkerFleet;
+use lease_ledger::LeaseLedger;
 use shares::PoolUsage;
 use waiting::WaitingJobs;
 
 pub use advice::{AdviceRequest, AdviceResponse, StepId, WorkerPermit};
 pub use changes::{ChangeSet, ProgressRow};
+pub use lease::{InheritedLeases, PreviousOwner};
+pub use lease_ledger::LeaseEnds;
 
 /// Limits and intervals of the scheduler.
 #[derive(Clone, Debug)]
 pub struct SchedulerSettings {
     /// Length of the lease that each start order and renewal grants.
     pub lease: time::Duration,
-    /// Longest time for which leases granted by an earlier owner may last after a
-    /// takeover: the time for which that owner may send orders without a
-    /// confirmed row, plus one lease on a slow clock. None of it can be assumed to
-    /// have passed, since a larger VM may take over from a small one at once.
+    /// Longest time for which leases of an owner may last after its latest change: the
+    /// time for which it may send orders without a confirmed row, plus one lease on
+    /// a slow clock.
     pub inherited_lease: time::Duration,
     /// Largest fraction by which a worker's clock may be slow.
     pub max_clock_drift: f64,
     /// Time added to each lease before it counts as expired.
     pub lease_margin: time::Duration,
+    /// How long a worker with runs is unresponsive before the end of its leases is
+    /// stored for the next owner.
+    pub lease_record_delay: time::Duration,
+    /// Time after which the stored ends of leases are stored again with the time left.
+    pub lease_record_interval: time::Duration,
+    /// Largest number of workers whose ends of leases are stored.
+    pub max_lease_ends: usize,
     /// Longest time that a worker may wait for a run to end before it responds
     /// to a lease renewal.
     pub max_renewal_wait: time::Duration,
@@ -114,6 +127,9 @@
             inherited_lease: time::Duration::from_millis(7_900),
             max_clock_drift: 0.02,
             lease_margin: time::Duration::from_millis(300),
+            lease_record_delay: time::Duration::from_millis(1_000),
+            lease_record_interval: time::Duration::from_millis(1_000),
+            max_lease_ends: 256,
             max_renewal_wait: time::Duration::from_millis(1_000),
             renewal_batch_delay: time::Duration::from_millis(25),
             renewal_retry_delay: time::Duration::from_millis(300),
@@ -130,6 +146,13 @@
     }
 }
 
+impl SchedulerSettings {
+    /// Returns how long a lease may last after its order, by our clock.
+    pub fn lease_bound(&self) -> time::Duration {
+        self.lease.mul_f64(1.0 + self.max_clock_drift) + self.lease_margin
+    }
+}
+
 /// Change of the scheduler's state, for logs and metrics.
 #[derive(Clone, Debug, PartialEq)]
 pub enum SchedulerEvent {
@@ -251,6 +274,9 @@
     displaced: BTreeSet<TaskId>,
     advice: AdviceCache,
     changes: ChangeTracker,
+    /// Leases of earlier owners; none if nothing is known of them.
+    inherited: Option<InheritedLeases>,
+    lease_ledger: LeaseLedger,
     orders: Vec<WorkerOrder>,
     events: Vec<SchedulerEvent>,
     is_fenced: bool,
@@ -276,12 +302,20 @@
             displaced: BTreeSet::new(),
             advice: AdviceCache::default(),
             changes: ChangeTracker::default(),
+            inherited: None,
+            lease_ledger: LeaseLedger::default(),
             orders: Vec::new(),
             events: Vec::new(),
             is_fenced: false,
         }
     }
 
+    /// Sets what is known of the leases of earlier owners; to be called before workers
+    /// and jobs are added.
+    pub fn inherit_leases(&mut self, leases: InheritedLeases) {
+        self.inherited = Some(leases);
+    }
+
     /// Applies a version of the manifest; older ones are ignored.
     pub fn set_manifest(&mut self, manifest: sync::Arc<JobManifest>) {
         if manifest.version() < self.manifest.version() || *manifest == *self.manifest {
@@ -361,6 +395,8 @@
     /// called several times a second.
     pub fn tick(&mut self, now: BootTime) {
         self.expire_leases(now);
+        self.update_lease_ends(now);
+        self.evict_from_draining(now);
         self.retry_stops(now);
         self.stop_stalled(now);
         self.send_due_renewals(now);
--- a/crates/jobs/src/scheduler/order.rs
+++ b/crates/jobs/src/scheduler/order.rs
@@ -1,7 +1,5 @@
 //! Orders, their responses and their retries.
 
-use std::time;
-
 use crate::name::{TaskId, WorkerId};
 use crate::record::JobState;
 use crate::time::BootTime;
@@ -9,26 +7,10 @@
 
 use super::advice::StepId;
 use super::entry::{RunLocation, RunProgress, StopProgress, TaskPhase};
-use super::fleet::{ClockSample, ContactState};
+use super::fleet::{ClockSample, ContactState, WorkerEntry};
 use super::{JobScheduler, RunEndReason, WorkerStatus};
 
 impl JobScheduler {
-    /// Returns how long a lease may last after its order, by our clock.
-    pub(super) fn lease_bound(&self) -> time::Duration {
-        let settings = &self.settings;
-        settings.lease.mul_f64(1.0 + settings.max_clock_drift) + settings.lease_margin
-    }
-
-    /// Grants a lease that begins now; returns its end on the worker's clock.
-    fn grant_lease(&mut self, worker: &WorkerId, now: BootTime) -> Option<u64> {
-        let lease = self.settings.lease;
-        let bound = self.lease_bound();
-        let entry = self.fleet.get_mut(worker)?;
-        let clock = entry.clock?;
-        entry.extend_lease(now, bound);
-        Some(clock.at(now) + lease.as_millis() as u64)
-    }
-
     /// Sends the order to start a run whose row is stored.
     pub(super) fn order_start(&mut self, task: &TaskId, run: u32, now: BootTime) {
         let Some(entry) = self.task(task) else {
@@ -258,7 +240,7 @@
     pub(super) fn send_due_renewals(&mut self, now: BootTime) {
         let entries = self.fleet.iter();
         let due: Vec<WorkerId> = entries
-            .filter(|(_, entry)| {
+            .filter(|(id, entry)| {
                 let is_needed = !entry.reservations.is_empty()
                     || !entry.unacknowledged.is_empty()
                     || (entry.is_listed && entry.contact != ContactState::Responsive);
@@ -266,6 +248,7 @@
                     && entry.renewal_sent_at.is_none()
                     && entry.next_renewal <= now
                     && entry.view.is_some()
+                    && !self.awaits_withdrawal(id, entry, now)
             })
             .map(|(id, _)| id.clone())
             .collect();
@@ -274,6 +257,15 @@
         }
     }
 
+    /// Returns whether a renewal without a lease would come soon after the latest
+    /// report, although one with a lease is possible once the worker is withdrawn from
+    /// the stored ends of leases.
+    fn awaits_withdrawal(&self, id: &WorkerId, entry: &WorkerEntry, now: BootTime) -> bool {
+        entry.contact == ContactState::Responsive
+            && self.lease_ledger.covers(id)
+            && now.saturating_since(entry.reported_at) < self.settings.renewal_retry_delay
+    }
+
     fn send_renewal(&mut self, worker: &WorkerId, now: BootTime) {
         let max_wait_ms = self.settings.max_renewal_wait.as_millis() as u64;
         let contact = self.fleet.get(worker).map(|entry| entry.contact);
@@ -287,7 +279,8 @@
         let Some(entry) = self.fleet.get_mut(worker) else {
             return;
         };
-        let may_wait = is_responsive && entry.unacknowledged.is_empty();
+        // A worker without a new lease is asked again before the old one expires.
+        let may_wait = lease_end_ms.is_some() && entry.unacknowledged.is_empty();
         entry.renewal_sent_at = Some(now);
         let action = OrderAction::Renew {
             acknowledged_number: entry.acknowledged_number,
--- a/crates/jobs/src/scheduler/report.rs
+++ b/crates/jobs/src/scheduler/report.rs
@@ -48,7 +48,7 @@
         now: BootTime,
     ) {
         let delay = self.settings.renewal_batch_delay;
-        let bound = self.lease_bound();
+        let bound = self.settings.lease_bound();
         let Some(entry) = self.fleet.get_mut(worker) else {
             return;
         };
@@ -58,6 +58,9 @@
         if entry.contact == ContactState::Unconfirmed {
             // From now on the worker rejects the orders of an earlier owner.
             entry.lease_until = now + bound;
+            if let Some(inherited) = &mut self.inherited {
+                inherited.workers.remove(worker);
+            }
         }
         entry.contacted_at.get_or_insert(now);
         entry.reported_at = entry.reported_at.max(issued_at);
--- a/crates/jobs/tests/takeover.rs
+++ b/crates/jobs/tests/takeover.rs
@@ -2,9 +2,14 @@
 
 mod common;
 
-use common::{FakeFleet, FakeWorker, step_spec};
-use redwing_jobs::SchedulerSettings;
+use std::time;
+
+use common::{FakeFleet, FakeWorker, step_spec, task_id};
+use redwing_jobs::scheduler::PreviousOwner;
 use redwing_jobs::spec::StepSpec;
+use redwing_jobs::worker::OrderAction;
+use redwing_jobs::{BootTime, SchedulerSettings};
+use rstest::rstest;
 
 fn fleet_of(count: usize) -> FakeFleet {
     let workers =
@@ -52,3 +57,235 @@
     assert!(fleet.worker(draining.as_str()).running.is_empty());
     assert_eq!(fleet.starts.len(), 2, "{:?}", fleet.starts);
 }
+
+/// An owner that may live on renews leases for 2.5 s after its latest change; one that
+/// has ended does not. The leases of those before it may last longer.
+#[rstest]
+#[case::may_live(false, Some(0), 7_900)]
+#[case::ended(true, Some(0), 5_400)]
+#[case::ended_after_a_short_time(true, Some(7_500), 7_500)]
+#[case::of_an_earlier_release(true, None, 7_900)]
+fn leases_of_earlier_owners_end(
+    #[case] has_ended: bool,
+    #[case] inherited_ms: Option<u64>,
+    #[case] expected_ms: u64,
+) {
+    let unchanged_since = BootTime::from_millis(20_000);
+    let previous = PreviousOwner {
+        unchanged_since,
+        has_ended,
+        inherited: inherited_ms.map(time::Duration::from_millis),
+    };
+    let until = previous.leases_until(&SchedulerSettings::default());
+    let expected = unchanged_since + time::Duration::from_millis(expected_ms);
+    assert_eq!(until, expected);
+}
+
+/// Owners end every 2 s while a worker is lost; each waits only for what is left of
+/// the worker's leases.
+#[test]
+fn successors_wait_for_the_stored_end_of_the_leases_of_a_lost_worker() {
+    let mut fleet = fleet_of(2);
+    let job = fleet.submit("j", vec![step_spec(1, 1_000)], 60_000);
+    fleet.advance(500);
+    let lost = fleet.starts[0].2.clone();
+    let lost_at = fleet.now;
+    fleet.worker(lost.as_str()).is_unresponsive = true;
+    while fleet.starts.len() == 1 {
+        fleet.advance(2_000);
+        fleet.take_over(SchedulerSettings::default());
+        fleet.assert_no_double_run();
+    }
+    let wait = fleet.starts[1].3.saturating_since(lost_at);
+    assert!(wait < time::Duration::from_millis(5_600), "{wait:?}");
+    assert_eq!(fleet.running_count(&task_id(&job, 0, 0)), 1);
+}
+
+/// A worker that responds again while the stored row still has the end of its leases
+/// must not outlive that end, or a successor would start its tasks a second time.
+#[test]
+fn a_worker_whose_end_of_leases_is_stored_gets_no_lease() {
+    let mut fleet = fleet_of(2);
+    let job = fleet.submit("j", vec![step_spec(1, 1_000)], 60_000);
+    fleet.advance(500);
+    let lost = fleet.starts[0].2.clone();
+    fleet.worker(lost.as_str()).is_unresponsive = true;
+    fleet.advance(2_000);
+    assert_eq!(fleet.lease_ends.len(), 1);
+    fleet.is_table_up = false;
+    fleet.worker(lost.as_str()).is_unresponsive = false;
+    fleet.advance(2_000);
+    fleet.worker(lost.as_str()).is_unresponsive = true;
+    fleet.is_table_up = true;
+    fleet.take_over(SchedulerSettings::default());
+    for _ in 0..300 {
+        fleet.advance(10);
+        fleet.assert_no_double_run();
+    }
+    assert_eq!(fleet.running_count(&task_id(&job, 0, 0)), 1);
+    assert_eq!(fleet.starts.len(), 2, "it starts again at the stored end");
+}
+
+/// Once the row is stored without the worker, its leases are renewed as before.
+#[test]
+fn a_worker_that_responds_again_keeps_its_tasks() {
+    let mut fleet = fleet_of(2);
+    fleet.submit("j", vec![step_spec(1, 1_000)], 60_000);
+    fleet.advance(500);
+    let lost = fleet.starts[0].2.clone();
+    fleet.worker(lost.as_str()).is_unresponsive = true;
+    fleet.advance(2_000);
+    fleet.worker(lost.as_str()).is_unresponsive = false;
+    fleet.advance(10_000);
+    assert!(fleet.lease_ends.is_empty());
+    assert_eq!(fleet.starts.len(), 1);
+}
+
+/// A worker responds again after the row that names it was chosen, but before that row
+/// is taken to be stored, because an earlier change takes long.
+#[test]
+fn a_worker_that_is_about_to_be_stored_as_lost_gets_no_lease() {
+    let mut fleet = fleet_of(1);
+    fleet.submit("j", vec![step_spec(1, 1_000)], 60_000);
+    fleet.advance(500);
+    fleet.submit("k", vec![step_spec(1, 1_000)], 60_000);
+    fleet.scheduler.place_tasks(fleet.now, fleet.wall_time());
+    let in_flight = fleet.scheduler.take_changes(fleet.now);
+    fleet.is_table_up = false;
+    fleet.worker("w0").is_unresponsive = true;
+    fleet.advance(2_000);
+    fleet.worker("w0").is_unresponsive = false;
+    fleet.scheduler.take_events();
+    while fleet.scheduler.take_events().is_empty() {
+        fleet.advance(10);
+    }
+    fleet.scheduler.changes_stored(&in_flight, fleet.now);
+    let orders = fleet.scheduler.take_orders();
+    let next = fleet.scheduler.take_changes(fleet.now);
+    let stored_end = next.lease_ends.and_then(|ends| ends.into_values().next());
+    let stored_end = stored_end.expect("the row names the worker");
+    for order in orders {
+        if let OrderAction::Start { lease_end_ms, .. } = order.action {
+            assert!(lease_end_ms <= stored_end.as_millis(), "{lease_end_ms}");
+        }
+    }
+}
+
+/// A worker responds again shortly before its lease expires.
+#[test]
+fn a_worker_that_responds_again_gets_a_lease_at_once() {
+    let mut fleet = fleet_of(1);
+    fleet.submit("j", vec![step_spec(1, 1_000)], 60_000);
+    fleet.advance(500);
+    fleet.worker("w0").is_unresponsive = true;
+    fleet.advance(4_300);
+    fleet.worker("w0").is_unresponsive = false;
+    fleet.scheduler.take_events();
+    while fleet.scheduler.take_events().is_empty() {
+        fleet.advance(10);
+    }
+    let answered_at = fleet.now;
+    loop {
+        fleet.now = fleet.now + common::TICK_INTERVAL;
+        fleet.scheduler.tick(fleet.now);
+        let changes = fleet.scheduler.take_changes(fleet.now);
+        fleet.scheduler.changes_stored(&changes, fleet.now);
+        let mut orders = fleet.scheduler.take_orders().into_iter();
+        let renewal = orders.find_map(|order| match order.action {
+            OrderAction::Renew { lease_end_ms, .. } => Some(lease_end_ms),
+            _ => None,
+        });
+        if let Some(lease_end_ms) = renewal {
+            assert!(lease_end_ms.is_some(), "renewed without a lease");
+            break;
+        }
+    }
+    let delay = fleet.now.saturating_since(answered_at);
+    assert!(delay < time::Duration::from_millis(50), "{delay:?}");
+}
+
+/// A draining worker still lists an earlier run of a task that runs elsewhere.
+#[test]
+fn a_drain_stops_no_run_on_another_worker() {
+    let mut fleet = fleet_of(2);
+    let job = fleet.submit("j", vec![long_running_step(1)], 0);
+    fleet.advance(300);
+    let first = fleet.starts[0].2.clone();
+    let earlier_run = fleet.worker(first.as_str()).running.clone();
+    fleet.worker(first.as_str()).is_unresponsive = true;
+    fleet.advance(7_000);
+    assert_eq!(fleet.starts.len(), 2);
+    let now = fleet.now;
+    fleet.stop_delay = Some(time::Duration::from_millis(900));
+    let worker = fleet.worker(first.as_str());
+    worker.is_unresponsive = false;
+    worker.closed_runs.clear();
+    worker.lease_end_ms = now.as_millis() + 5_000;
+    worker.running = earlier_run;
+    worker.view.is_draining = true;
+    let view = worker.view.clone();
+    fleet.scheduler.worker_listed(view, now);
+    fleet.advance(4_000);
+    assert_eq!(fleet.starts.len(), 2, "{:?}", fleet.stops);
+    assert_eq!(fleet.running_count(&task_id(&job, 0, 0)), 1);
+}
+
+/// A stored end of leases has no effect once the worker has responded to the new owner.
+#[test]
+fn a_short_silence_of_a_worker_that_was_lost_before_is_not_stored() {
+    let mut fleet = fleet_of(1);
+    fleet.submit("j", vec![step_spec(1, 1_000)], 60_000);
+    fleet.advance(500);
+    fleet.worker("w0").is_unresponsive = true;
+    fleet.advance(2_000);
+    fleet.take_over(SchedulerSettings::default());
+    fleet.worker("w0").is_unresponsive = false;
+    fleet.advance(10_000);
+    fleet.worker("w0").is_unresponsive = true;
+    fleet.advance(100);
+    assert!(fleet.lease_ends.is_empty(), "{:?}", fleet.lease_ends);
+}
+
+/// The previous owner had stopped a best-effort run, and its reason is gone since.
+#[test]
+fn a_new_owner_lets_a_best_effort_run_continue() {
+    let mut fleet = fleet_of(1);
+    let serving_step = StepSpec {
+        target_ms: 100,
+        ..long_running_step(1)
+    };
+    let serving = fleet.submit("s", vec![serving_step], 0);
+    let best_effort_step = StepSpec {
+        best_effort: true,
+        ..step_spec(1, 1_000)
+    };
+    fleet.submit("b", vec![best_effort_step], 60_000);
+    fleet.advance(1_000);
+    let task = task_id(&serving, 0, 0);
+    let set_tail = |fleet: &mut FakeFleet, millis| {
+        let run = fleet.worker("w0").running.get_mut(&task);
+        run.expect("the task runs").measurement = millis;
+    };
+    set_tail(&mut fleet, 200);
+    fleet.advance(5_000);
+    assert_eq!(fleet.pace_orders.last().map(|order| order.1), Some(0));
+    set_tail(&mut fleet, 10);
+    fleet.take_over(SchedulerSettings::default());
+    fleet.advance(8_000);
+    assert_eq!(fleet.pace_orders.last().map(|order| order.1), Some(100));
+}
+
+/// Owners end every 2 s while a run makes no progress.
+#[test]
+fn a_run_without_progress_starts_elsewhere_although_owners_change() {
+    let mut fleet = fleet_of(2);
+    fleet.submit("j", vec![step_spec(1, 1_000)], 60_000);
+    fleet.advance(500);
+    let stalled = fleet.starts[0].2.clone();
+    fleet.worker(stalled.as_str()).is_stalled = true;
+    for _ in 0..6 {
+        fleet.advance(2_000);
+        fleet.take_over(SchedulerSettings::default());
+    }
+    assert!(fleet.starts.len() > 1, "not within 12 s");
+}
