Keep long-running jobs of use however long they wait

Cause: read in the diff: a long-running job that waits longer than three times its objective would go behind later ones, although its value does not end.

Change: such jobs do not expire.

--- a/crates/jobs/src/scheduler/backlog.rs
+++ b/crates/jobs/src/scheduler/backlog.rs
@@ -297,8 +297,11 @@
     }
 
     /// Returns the latest time at which the rest of a job may start and the job still
-    /// be of use, in milliseconds since the Unix epoch.
+    /// be of use, in milliseconds since the Unix epoch; a long-running one always is.
     pub(super) fn expiry_ms(&self, job: &JobEntry) -> u64 {
+        if job.record.spec.is_long_running() {
+            return u64::MAX;
+        }
         let queue = self.manifest.queue(&job.record.queue);
         let critical_path = time::Duration::from_millis(job.critical_path_ms);
         let objective = queue.map_or(critical_path, |queue| queue.objective(critical_path));
