Let refused callers that return as told keep their place

Cause: a job that came back at its time and was refused again went behind all that were refused after it; the new test failed.

Change: only jobs that are refused for the first time queue behind the others.

--- a/crates/jobs/src/admission/retry.rs
+++ b/crates/jobs/src/admission/retry.rs
@@ -3,7 +3,8 @@
 //! Load pattern: thousands of refused callers that return together and are refused
 //! again. Each gets a time of its own, at the rate at which the backlog of its
 //! customer drains, in the order of the refusals. A job that returns early and is
-//! refused again keeps its time.
+//! refused again keeps its time; one that returns as told and is refused again does
+//! not go behind those that were refused after it.
 
 use std::collections::{HashMap, VecDeque};
 use std::time;
@@ -49,7 +50,8 @@
         excess: &ExcessWork,
         now: BootTime,
     ) -> time::Duration {
-        if let Some(time) = self.by_job.get(id).filter(|time| **time > now) {
+        let promised = self.by_job.get(id).copied();
+        if let Some(time) = promised.filter(|time| *time > now) {
             return self.bounded(time.saturating_since(now));
         }
         let drain_time = |work: f64| {
@@ -62,10 +64,13 @@
             .last
             .get(&key)
             .map(|last| *last + drain_time(arrival.work as f64));
+        // A job that returned as told does not go behind those refused after it.
+        let after_last = after_last.filter(|_| promised.is_none());
         let retry_at = after_last.map_or(drained_at, |after| after.max(drained_at));
         let delay = self.bounded(retry_at.saturating_since(now));
         let retry_at = now + delay;
-        self.last.insert(key, retry_at);
+        let last = self.last.entry(key).or_default();
+        *last = retry_at.max(*last);
         self.remember(id, retry_at);
         delay
     }
--- a/crates/jobs/tests/admission.rs
+++ b/crates/jobs/tests/admission.rs
@@ -344,17 +344,35 @@
     assert!(is_refused(&mut admission, &job, NOW));
 }
 
+/// Returns when a job of `housing` that is refused may be sent again.
+fn retry_time(admission: &mut JobAdmission, id: &str, now: BootTime) -> BootTime {
+    match admission.decide(&JobId::new(id), &arrival("housing"), now) {
+        AdmissionDecision::Refused { retry_after } => now + retry_after,
+        AdmissionDecision::Admitted => panic!("{id} is admitted"),
+    }
+}
+
+/// A job that returns as told and is refused again goes before those that were refused
+/// after it.
+#[test]
+fn a_caller_that_returns_as_told_keeps_its_place() {
+    let mut admission = admission_with(&summary(WallTime::default(), 400_000));
+    let first = retry_time(&mut admission, "first", NOW);
+    for number in 0..50 {
+        retry_time(&mut admission, &number.to_string(), NOW);
+    }
+    let flood = summary(WallTime::from_millis(5_000), 170_000);
+    admission.receive(&flood, first, flood.published);
+    let latest = retry_time(&mut admission, "latest", first);
+    assert!(retry_time(&mut admission, "first", first) < latest);
+}
+
 /// Later refusals get later times, at the rate of the drain, and a job that returns
 /// early keeps its time.
 #[test]
 fn refused_callers_return_in_their_order() {
     let mut admission = admission_with(&summary(WallTime::default(), 400_000));
-    let mut refuse =
-        |id: &str, now: BootTime| match admission.decide(&JobId::new(id), &arrival("housing"), now)
-        {
-            AdmissionDecision::Refused { retry_after } => now + retry_after,
-            AdmissionDecision::Admitted => panic!("{id} is admitted"),
-        };
+    let mut refuse = |id: &str, now: BootTime| retry_time(&mut admission, id, now);
     let later = NOW + time::Duration::from_millis(100);
     let first = refuse("first", NOW);
     let second = refuse("second", NOW);
