--- a/crates/engine/src/owner/record.rs
+++ b/crates/engine/src/owner/record.rs
@@ -4,6 +4,7 @@
 use std::collections::BTreeMap;
 use std::time;
 
+use redwing_jobs::admission::BacklogSummary;
 use redwing_jobs::feasibility::FleetCapacity;
 use redwing_jobs::maintenance::MaintenanceRecord;
 use redwing_jobs::scheduler::LeaseEnds;
@@ -26,6 +27,11 @@
     encode(RowKey::new(row::FLEET_CAPACITY_KEY), capacity)
 }
 
+/// Returns the row of the backlogs of pools.
+pub(super) fn backlog_row(summary: &BacklogSummary) -> Option<EncodedRow> {
+    encode(RowKey::new(row::BACKLOG_KEY), summary)
+}
+
 /// Returns the row of the ends of leases, with the time left at `now`.
 pub(super) fn lease_row(fencing_token: u64, ends: &LeaseEnds, now: BootTime) -> Option<EncodedRow> {
     let remaining = ends.iter().map(|(worker, end)| {
--- a/crates/engine/src/owner/session/store.rs
+++ b/crates/engine/src/owner/session/store.rs
@@ -30,6 +30,7 @@
         let mut extra = self.take_extra_rows();
         extra.written.extend(self.lease_row(&changes, now));
         extra.written.extend(self.grown_capacity_row.take());
+        extra.written.extend(self.next_backlog_row(now));
         let pending_counts = self.next_pending_counts(now);
         extra
             .written
@@ -154,6 +155,25 @@
         }
     }
 
+    /// Returns the row of the backlogs, if `backlog_interval` has elapsed and a pool has
+    /// a backlog, or had one at the latest publication.
+    fn next_backlog_row(&mut self, now: BootTime) -> Option<EncodedRow> {
+        let interval = self.dependencies.settings.backlog_interval;
+        if now.saturating_since(self.backlog_counted_at) < interval {
+            return None;
+        }
+        self.backlog_counted_at = now;
+        let manifest = self.dependencies.operators.borrow().manifest.clone()?;
+        let standby = self.machines.standby_cpu_millis(&manifest);
+        let summary = self
+            .scheduler
+            .backlog_summary(standby, now, clock::wall_now())?;
+        let has_backlog = !summary.pools.is_empty();
+        let is_needed = has_backlog || self.has_published_backlog;
+        self.has_published_backlog = has_backlog;
+        is_needed.then(|| record::backlog_row(&summary)).flatten()
+    }
+
     /// Returns the pending counts to store, if they changed and
     /// `pending_interval` has elapsed.
     pub(super) fn next_pending_counts(&mut self, now: BootTime) -> Option<PendingCounts> {
--- a/crates/jobs/src/scheduler/entry.rs
+++ b/crates/jobs/src/scheduler/entry.rs
@@ -235,7 +235,7 @@
     pub(super) fn new(record: JobRecord) -> Self {
         let mut entry = Self {
             payload: record.spec.payload.as_str().into(),
-            critical_path_ms: critical_path_ms(&record.spec, |_| 100),
+            critical_path_ms: record.spec.critical_path_ms(|_| 100),
             state: JobState::Queued,
             begun: 0,
             occurrences: Vec::new(),
@@ -390,7 +390,7 @@
     /// milliseconds.
     pub(super) fn remaining_ms(&self) -> u64 {
         let paths = self.occurrences.iter().map(|occurrence| {
-            critical_path_ms(&self.record.spec, |number| {
+            self.record.spec.critical_path_ms(|number| {
                 let step = occurrence.steps.get(number);
                 step.map_or(100, StepEntry::remaining_percent)
             })
@@ -435,17 +435,3 @@
         tasks.map(|task| task.failed.len() as u32).sum()
     }
 }
-
-/// Returns the estimated duration of the critical path through the steps, in
-/// milliseconds, where each step has some percentage of its duration left.
-fn critical_path_ms(spec: &JobSpec, remaining_percent: impl Fn(usize) -> u64) -> u64 {
-    let mut finished: Vec<u64> = Vec::with_capacity(spec.steps.len());
-    for (number, step) in spec.steps.iter().enumerate() {
-        let earlier = step.after.iter();
-        let earlier = earlier.filter_map(|&number| finished.get(number as usize));
-        let start = earlier.copied().max().unwrap_or(0);
-        let length = step.estimate_ms.saturating_mul(remaining_percent(number)) / 100;
-        finished.push(start.saturating_add(length));
-    }
-    finished.into_iter().max().unwrap_or(0)
-}
--- a/crates/jobs/src/scheduler/placement.rs
+++ b/crates/jobs/src/scheduler/placement.rs
@@ -4,7 +4,8 @@
 //! tasks, whose value grows with the time for which they run, go first, then jobs
 //! that can still meet their objective: those with the least work left to place,
 //! so that most of them end in time and begun jobs are finished. Late jobs come
-//! next, by due time, and jobs of which only best-effort tasks wait come last.
+//! next, by due time, then those that can no longer be of use, and jobs of which only
+//! best-effort tasks wait come last.
 
 use std::collections::BTreeSet;
 
@@ -24,12 +25,6 @@
 /// Tolerance for wrong estimates before a job counts as late, in milliseconds.
 const ESTIMATE_GRACE_MS: u64 = 150;
 
-/// Weight of jobs whose customer the manifest does not name.
-const DEFAULT_WEIGHT: f64 = 1.0;
-
-/// Smallest weight that counts, so that shares can be computed with any manifest.
-const MIN_WEIGHT: f64 = 1e-6;
-
 /// Worker that may get tasks, with its remaining free capacity.
 #[derive(Clone, Debug)]
 pub(super) struct PlacementCandidate {
@@ -115,11 +110,8 @@
         let waiting = self.waiting.customers(pool);
         let customers = waiting.chain(self.pool_usage.users(pool));
         let weights = customers.map(|customer| {
-            let policy = customer
-                .as_ref()
-                .and_then(|name| self.manifest.customer(name));
-            let weight = policy.map_or(DEFAULT_WEIGHT, |policy| policy.weight);
-            (customer.clone(), weight.max(MIN_WEIGHT))
+            let weight = self.manifest.weight(customer.as_ref());
+            (customer.clone(), weight)
         });
         let capacity = self.fleet.capacity_of_pool(pool);
         PoolShares::new(pool, capacity, weights.collect())
@@ -163,11 +155,13 @@
                 is_best_effort: job.is_waiting_best_effort(),
                 is_finite: !job.record.spec.is_long_running(),
                 is_late: false,
+                is_expired: false,
                 priority: queue.map_or(0, |queue| queue.priority),
                 unplaced_work: job.unplaced_work(),
                 due_ms,
             },
             latest_start_ms: (due_ms + ESTIMATE_GRACE_MS).saturating_sub(job.remaining_ms()),
+            expiry_ms: self.expiry_ms(job),
             // The advisor is asked for permits also while no worker has capacity.
             smallest_need: if is_advised {
                 ResourceAmount::default()
--- a/crates/jobs/src/scheduler/waiting.rs
+++ b/crates/jobs/src/scheduler/waiting.rs
@@ -27,6 +27,8 @@
     pub(super) is_best_effort: bool,
     pub(super) is_finite: bool,
     pub(super) is_late: bool,
+    /// Whether the job can no longer be of use.
+    pub(super) is_expired: bool,
     pub(super) priority: u32,
     /// Estimated work of its tasks that have no run, in thousandths of a core times
     /// milliseconds; zero if the job is late, so that late jobs go by due time.
@@ -43,10 +45,24 @@
     /// Last time at which the job can still meet its objective if it is placed
     /// then, in milliseconds since the Unix epoch.
     pub(super) latest_start_ms: u64,
+    /// Last time at which the job can still be of use if it is placed then, in
+    /// milliseconds since the Unix epoch.
+    pub(super) expiry_ms: u64,
     /// Least amount of each resource that a waiting task needs.
     pub(super) smallest_need: ResourceAmount,
 }
 
+impl WaitingEntry {
+    /// Returns the next time after which the job goes behind others, in milliseconds
+    /// since the Unix epoch.
+    fn next_deadline_ms(&self) -> Option<u64> {
+        if !self.rank.is_late {
+            return Some(self.latest_start_ms);
+        }
+        (!self.rank.is_expired).then_some(self.expiry_ms)
+    }
+}
+
 /// Position of a job in the order of its customer.
 type WaitingKey = (JobRank, JobId);
 
@@ -58,8 +74,8 @@
 pub(super) struct WaitingJobs {
     entries: HashMap<JobId, WaitingEntry>,
     pools: BTreeMap<PoolName, BTreeMap<Option<CustomerName>, CustomerQueue>>,
-    /// Jobs that are not late yet, by their latest start.
-    latest_starts: BTreeSet<(u64, JobId)>,
+    /// Jobs that are not late or not expired yet, by their next deadline.
+    deadlines: BTreeSet<(u64, JobId)>,
     /// Pools whose capacity or waiting jobs changed since their last placement.
     changed_pools: BTreeSet<PoolName>,
     /// Whether all pools count as changed.
@@ -102,9 +118,8 @@
         let customers = self.pools.entry(entry.pool.clone()).or_default();
         let queue = customers.entry(entry.customer.clone()).or_default();
         queue.insert((entry.rank, id.clone()), entry.smallest_need);
-        if !entry.rank.is_late {
-            let start = (entry.latest_start_ms, id.clone());
-            self.latest_starts.insert(start);
+        if let Some(deadline_ms) = entry.next_deadline_ms() {
+            self.deadlines.insert((deadline_ms, id.clone()));
         }
         self.entries.insert(id.clone(), entry);
     }
@@ -115,8 +130,9 @@
             return;
         };
         self.remove_from_queue(&entry, id);
-        let start = (entry.latest_start_ms, id.clone());
-        self.latest_starts.remove(&start);
+        if let Some(deadline_ms) = entry.next_deadline_ms() {
+            self.deadlines.remove(&(deadline_ms, id.clone()));
+        }
     }
 
     fn remove_from_queue(&mut self, entry: &WaitingEntry, id: &JobId) {
@@ -134,20 +150,20 @@
         }
     }
 
-    /// Returns a job that is not late by its entry although its latest start has
-    /// passed.
+    /// Returns a job whose place in the order is behind the time.
     pub(super) fn next_overdue(&self, wall: WallTime) -> Option<JobId> {
-        let (latest_start_ms, id) = self.latest_starts.first()?;
-        (*latest_start_ms < wall.as_millis()).then(|| id.clone())
+        let (deadline_ms, id) = self.deadlines.first()?;
+        (*deadline_ms < wall.as_millis()).then(|| id.clone())
     }
 
-    /// Moves a job behind those that can still meet their objective, if its latest
-    /// start has passed.
+    /// Moves a job that can no longer meet its objective behind those that can, and
+    /// one that can no longer be of use behind all others of its pool.
     pub(super) fn mark_late(&mut self, id: &JobId, wall: WallTime) {
         let entry = self.entries.get(id);
         let overdue = entry.filter(|entry| entry.latest_start_ms < wall.as_millis());
         if let Some(mut entry) = overdue.cloned() {
             entry.rank.is_late = true;
+            entry.rank.is_expired = entry.expiry_ms < wall.as_millis();
             entry.rank.unplaced_work = 0;
             self.insert(id, entry);
         }
@@ -184,13 +200,14 @@
 /// Next job of one customer in a visit; lower goes first.
 ///
 /// Best-effort tasks go last. Long-running jobs go before others, those that can
-/// meet their objective before those that cannot, and among these the jobs of
-/// customers that have not used their share up.
+/// meet their objective before those that cannot, these before those that can no longer
+/// be of use, and among them the jobs of customers that have not used their share up.
 #[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
 struct VisitHead {
     is_best_effort: bool,
     is_finite: bool,
     is_late: bool,
+    is_expired: bool,
     is_share_used_up: bool,
     key: WaitingKey,
     customer: Option<CustomerName>,
@@ -234,6 +251,7 @@
             is_best_effort: key.0.is_best_effort,
             is_finite: key.0.is_finite,
             is_late: key.0.is_late,
+            is_expired: key.0.is_expired,
             is_share_used_up: is_used_up(customer),
             key,
             customer: customer.clone(),
--- a/crates/jobs/src/spec.rs
+++ b/crates/jobs/src/spec.rs
@@ -193,9 +193,25 @@
     /// core times milliseconds.
     pub fn estimated_work(&self) -> u64 {
         let steps = self.steps.iter();
-        let work =
-            steps.map(|step| u64::from(step.count) * step.reserved().cpu_millis * step.estimate_ms);
-        work.sum()
+        let work = steps.map(|step| {
+            let cpu_millis = u64::from(step.count).saturating_mul(step.reserved().cpu_millis);
+            cpu_millis.saturating_mul(step.estimate_ms)
+        });
+        work.fold(0, u64::saturating_add)
+    }
+
+    /// Returns the estimated duration of the critical path through the steps, in
+    /// milliseconds, where each step has some percentage of its duration left.
+    pub fn critical_path_ms(&self, remaining_percent: impl Fn(usize) -> u64) -> u64 {
+        let mut finished: Vec<u64> = Vec::with_capacity(self.steps.len());
+        for (number, step) in self.steps.iter().enumerate() {
+            let earlier = step.after.iter();
+            let earlier = earlier.filter_map(|&number| finished.get(number as usize));
+            let start = earlier.copied().max().unwrap_or(0);
+            let length = step.estimate_ms.saturating_mul(remaining_percent(number)) / 100;
+            finished.push(start.saturating_add(length));
+        }
+        finished.into_iter().max().unwrap_or(0)
     }
 
     /// Checks that the job can run at all.
