Compare job policies in simulated time: redwingctl experiment

Cause: overload policies are judged by runs of the whole product only, which take minutes each and cannot be repeated with the same arrivals. Change: package experiment runs JobScheduler and CapacityPlanner against a TOML load with seeded arrivals; redwingctl experiment prints a table and writes JSON and SVG. SchedulerSettings has share_policy, Weighted by default as before. SvgWriter of planner is public for the plots.

--- a/crates/ctl/src/command.rs
+++ b/crates/ctl/src/command.rs
@@ -4,7 +4,7 @@
 use std::process;
 
 use crate::error::{Category, Error, Result};
-use crate::{apply, audit, explain, grant, inspect, job, load, report, rollout, value};
+use crate::{apply, audit, experiment, explain, grant, inspect, job, load, report, rollout, value};
 
 /// Subcommands in the order in which the help lists them.
 pub const COMMANDS: &[CommandEntry] = &[
@@ -20,6 +20,7 @@
     rollout::COMMAND,
     explain::COMMAND,
     report::COMMAND,
+    experiment::COMMAND,
     job::COMMAND,
     load::COMMAND,
     value::COMMAND,
--- /dev/null
+++ b/crates/experiment/src/outcome.rs
@@ -0,0 +1,151 @@
+//! Outcomes of jobs, counted for each customer and each second.
+
+use serde::Serialize;
+
+/// Outcome of one job; each job has exactly one.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum JobOutcome {
+    /// It ended within its objective.
+    InTime,
+    /// It ended after its objective.
+    Late,
+    /// It was refused, and its caller has given up.
+    Refused,
+    /// It was accepted, or was to return, and had not ended when the experiment did.
+    Unserved,
+}
+
+/// Number of jobs with each outcome.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct OutcomeCounts {
+    /// Jobs that callers submitted.
+    pub arrived: u64,
+    /// Jobs that ended within their objective.
+    pub in_time: u64,
+    /// Jobs that ended after their objective.
+    pub late: u64,
+    /// Jobs that were refused for good.
+    pub refused: u64,
+    /// Jobs that did not end.
+    pub unserved: u64,
+}
+
+impl OutcomeCounts {
+    /// Adds one job.
+    pub fn add(&mut self, outcome: JobOutcome) {
+        self.arrived += 1;
+        match outcome {
+            JobOutcome::InTime => self.in_time += 1,
+            JobOutcome::Late => self.late += 1,
+            JobOutcome::Refused => self.refused += 1,
+            JobOutcome::Unserved => self.unserved += 1,
+        }
+    }
+
+    /// Returns the fraction of the jobs that ended within their objective; 1 if
+    /// there were none.
+    pub fn in_time_fraction(&self) -> f64 {
+        self.fraction(self.in_time, 1.0)
+    }
+
+    /// Returns the fraction of the jobs that ended after their objective.
+    pub fn late_fraction(&self) -> f64 {
+        self.fraction(self.late, 0.0)
+    }
+
+    /// Returns the fraction of the jobs that were refused for good.
+    pub fn refused_fraction(&self) -> f64 {
+        self.fraction(self.refused, 0.0)
+    }
+
+    /// Returns the fraction of the jobs that were accepted or were to return, and
+    /// did not end.
+    pub fn unserved_fraction(&self) -> f64 {
+        self.fraction(self.unserved, 0.0)
+    }
+
+    fn fraction(&self, count: u64, none: f64) -> f64 {
+        if self.arrived == 0 {
+            return none;
+        }
+        count as f64 / self.arrived as f64
+    }
+}
+
+/// Outcomes of one customer.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct CustomerOutcome {
+    /// Name of the customer.
+    pub name: String,
+    /// Weight of the customer.
+    pub weight: f64,
+    /// Outcomes of its jobs.
+    pub counts: OutcomeCounts,
+    /// Estimated work of its jobs, in core seconds.
+    pub requested_work: f64,
+    /// Estimated work of its jobs that ended within their objective, in core seconds.
+    pub served_work: f64,
+    /// Outcomes of its jobs by the second in which they arrived.
+    pub seconds: Vec<OutcomeCounts>,
+}
+
+/// Result of one policy with one seed.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct RunResult {
+    /// Seed of the arrivals and durations.
+    pub seed: u64,
+    /// Outcomes of all jobs.
+    pub total: OutcomeCounts,
+    /// Refusals, also of jobs that were accepted later.
+    pub refusals: u64,
+    /// Moves of machines between pools.
+    pub moves: u64,
+    /// Weighted fairness index, see [`fairness_index`].
+    pub fairness: f64,
+    /// Outcomes of each customer, in the order of the load file.
+    pub customers: Vec<CustomerOutcome>,
+    /// Outcomes of all jobs by the second in which they arrived.
+    pub seconds: Vec<OutcomeCounts>,
+}
+
+/// Returns Jain's fairness index of the work that customers got in time, relative
+/// to their weighted max-min shares of the sum: 1 if each got its share, and 1/n
+/// if one of n customers got all. A customer's share is at most what it requested.
+pub fn fairness_index(customers: &[CustomerOutcome]) -> f64 {
+    let served: f64 = customers.iter().map(|customer| customer.served_work).sum();
+    let shares = max_min_shares(served, customers);
+    let pairs = customers.iter().zip(shares);
+    let ratios: Vec<f64> = pairs
+        .filter(|(_, share)| *share > 0.0)
+        .map(|(customer, share)| customer.served_work / share)
+        .collect();
+    let sum: f64 = ratios.iter().sum();
+    let squares: f64 = ratios.iter().map(|ratio| ratio * ratio).sum();
+    if squares == 0.0 {
+        return 1.0;
+    }
+    sum * sum / (ratios.len() as f64 * squares)
+}
+
+/// Splits `amount` by weighted max-min fairness; the customers are served in the
+/// order in which their requests are met as the level rises.
+fn max_min_shares(amount: f64, customers: &[CustomerOutcome]) -> Vec<f64> {
+    let mut shares = vec![0.0; customers.len()];
+    let level_of = |index: usize| customers[index].requested_work / customers[index].weight;
+    let mut order: Vec<usize> = (0..customers.len()).collect();
+    order.sort_by(|one, other| level_of(*one).total_cmp(&level_of(*other)));
+    let mut remaining = amount;
+    let mut weights: f64 = customers.iter().map(|customer| customer.weight).sum();
+    for index in order {
+        let customer = &customers[index];
+        let share = remaining * customer.weight / weights.max(f64::MIN_POSITIVE);
+        shares[index] = share.min(customer.requested_work);
+        remaining -= shares[index];
+        weights -= customer.weight;
+    }
+    shares
+}
--- /dev/null
+++ b/crates/experiment/src/run.rs
@@ -0,0 +1,525 @@
+//! One run: the scheduler, the planner and the fleet in simulated time.
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap};
+use std::sync;
+use std::time;
+
+use redwing_jobs::capacity::{CapacityAction, CapacityPlanner, CapacitySettings, PoolState};
+use redwing_jobs::manifest::JobManifest;
+use redwing_jobs::name::{CustomerName, MachineName, PoolName, QueueName};
+use redwing_jobs::scheduler::ChangeSet;
+use redwing_jobs::spec::{JobSpec, ResourceAmount};
+use redwing_jobs::time::WallTime;
+use redwing_jobs::worker::{OrderAction, OrderOutcome, OrderResponse, RenewalReport, WorkerOrder};
+use redwing_jobs::{BootTime, JobId, JobRecord, JobScheduler, JobState, TaskId, WorkerId};
+
+use crate::arrival::{self, JobArrival};
+use crate::fleet::{OrderEffect, SimulatedFleet};
+use crate::load::LoadFile;
+use crate::outcome::{CustomerOutcome, JobOutcome, OutcomeCounts, RunResult, fairness_index};
+use crate::policy::ExperimentPolicy;
+
+/// Simulated time between two rounds of placement, in milliseconds.
+const ROUND_MS: u64 = 5;
+
+/// Time between two ticks of the scheduler, in milliseconds, as the owner has it.
+const TICK_MS: u64 = 50;
+
+/// Time between two plans of the capacity, in milliseconds, as the owner has it.
+const PLAN_MS: u64 = 200;
+
+/// Time after which an order without a response has failed, in milliseconds.
+const ORDER_TIMEOUT_MS: u64 = 700;
+
+/// Time at which the run begins; clocks of workers do not start at zero.
+const BOOT_MS: u64 = 1_000_000;
+
+/// Time before the first arrival, in which workers respond for the first time.
+const WARM_UP_MS: u64 = 1_000;
+
+/// Something that happens at a point in time.
+#[derive(Debug)]
+enum SimulationEvent {
+    /// A caller submits a job.
+    Submit(usize),
+    /// The owner reads the row of an accepted job.
+    JobRead(usize),
+    /// A run ends if it was not stopped or lost.
+    RunEnd(WorkerId, TaskId, u32),
+    /// The longest wait of a held renewal ends.
+    HoldEnd(WorkerId, BootTime),
+    /// An order arrives at its worker.
+    Order(WorkerOrder),
+    /// The owner gets a response, or gives up waiting for it.
+    Response(WorkerOrder, OrderOutcome, Option<RenewalReport>),
+    /// Rows are stored.
+    Stored(ChangeSet),
+    /// A lost rack of the load goes down.
+    RackLost(usize),
+    /// A lost rack of the load comes back.
+    RackBack(usize),
+    /// A machine has moved.
+    MoveEnd(usize),
+}
+
+/// Event in the queue; earlier ones go first, then those added first.
+#[derive(Debug)]
+struct QueuedEvent {
+    at_ms: u64,
+    number: u64,
+    event: SimulationEvent,
+}
+
+impl PartialEq for QueuedEvent {
+    fn eq(&self, other: &Self) -> bool {
+        self.number == other.number
+    }
+}
+
+impl Eq for QueuedEvent {}
+
+impl PartialOrd for QueuedEvent {
+    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+impl Ord for QueuedEvent {
+    fn cmp(&self, other: &Self) -> std::cmp::Ordering {
+        (self.at_ms, self.number).cmp(&(other.at_ms, other.number))
+    }
+}
+
+/// Job during the run.
+#[derive(Clone, Debug)]
+struct SimulatedJob {
+    arrival: JobArrival,
+    /// When it was accepted, once it was.
+    accepted_ms: Option<u64>,
+    outcome: Option<JobOutcome>,
+}
+
+/// Simulates one policy with one seed.
+///
+/// # Panics
+///
+/// May panic if the load does not pass [`LoadFile::check`].
+pub fn run(load: &LoadFile, policy: ExperimentPolicy, seed: u64) -> RunResult {
+    let mut simulation = Simulation::new(load, policy, seed);
+    simulation.run();
+    simulation.result(seed)
+}
+
+struct Simulation<'a> {
+    load: &'a LoadFile,
+    specs: Vec<JobSpec>,
+    manifest: sync::Arc<JobManifest>,
+    scheduler: JobScheduler,
+    planner: CapacityPlanner,
+    fleet: SimulatedFleet,
+    jobs: Vec<SimulatedJob>,
+    events: BinaryHeap<Reverse<QueuedEvent>>,
+    event_count: u64,
+    now_ms: u64,
+    is_storing: bool,
+    refusals: u64,
+    moves: u64,
+}
+
+impl<'a> Simulation<'a> {
+    fn new(load: &'a LoadFile, policy: ExperimentPolicy, seed: u64) -> Self {
+        let now = BootTime::from_millis(BOOT_MS);
+        let manifest = sync::Arc::new(load.manifest());
+        let fleet = SimulatedFleet::new(load, now);
+        let mut scheduler = JobScheduler::new(policy.scheduler_settings(), 1);
+        scheduler.set_manifest(sync::Arc::clone(&manifest));
+        scheduler.workers_listed(fleet.views(), now);
+        let arrivals = arrival::arrivals(load, seed).into_iter();
+        let jobs = arrivals.map(|arrival| SimulatedJob {
+            arrival,
+            accepted_ms: None,
+            outcome: None,
+        });
+        let mut simulation = Self {
+            load,
+            specs: load.traffic.iter().map(|traffic| traffic.spec()).collect(),
+            manifest,
+            scheduler,
+            planner: CapacityPlanner::new(CapacitySettings::default()),
+            fleet,
+            jobs: jobs.collect(),
+            events: BinaryHeap::new(),
+            event_count: 0,
+            now_ms: BOOT_MS,
+            is_storing: false,
+            refusals: 0,
+            moves: 0,
+        };
+        simulation.add_load_events();
+        simulation
+    }
+
+    fn add_load_events(&mut self) {
+        let start_ms = BOOT_MS + WARM_UP_MS;
+        for number in 0..self.jobs.len() {
+            let at_ms = start_ms + self.jobs[number].arrival.at_ms;
+            self.push(at_ms, SimulationEvent::Submit(number));
+        }
+        for number in 0..self.load.lost_racks.len() {
+            let lost = &self.load.lost_racks[number];
+            let from_ms = start_ms + millis(lost.from_seconds);
+            let to_ms = from_ms + millis(lost.for_seconds);
+            self.push(from_ms, SimulationEvent::RackLost(number));
+            self.push(to_ms, SimulationEvent::RackBack(number));
+        }
+    }
+
+    fn push(&mut self, at_ms: u64, event: SimulationEvent) {
+        self.event_count += 1;
+        self.events.push(Reverse(QueuedEvent {
+            at_ms,
+            number: self.event_count,
+            event,
+        }));
+    }
+
+    fn now(&self) -> BootTime {
+        BootTime::from_millis(self.now_ms)
+    }
+
+    fn wall(&self) -> WallTime {
+        WallTime::from_millis(self.now_ms)
+    }
+
+    fn run(&mut self) {
+        let seconds = self.load.seconds + self.load.drain_seconds;
+        let end_ms = BOOT_MS + WARM_UP_MS + millis(seconds);
+        let mut round_ms = BOOT_MS;
+        while round_ms < end_ms {
+            round_ms += ROUND_MS;
+            while let Some(Reverse(next)) = self.events.peek()
+                && next.at_ms <= round_ms
+                && let Some(Reverse(next)) = self.events.pop()
+            {
+                self.now_ms = next.at_ms;
+                self.handle(next.event);
+            }
+            self.now_ms = round_ms;
+            self.round();
+        }
+    }
+
+    /// Does what the owner does after it has handled what it received.
+    fn round(&mut self) {
+        let now = self.now();
+        if self.now_ms.is_multiple_of(TICK_MS) {
+            self.scheduler.tick(now);
+        }
+        if self.load.fleet.moves && self.now_ms.is_multiple_of(PLAN_MS) {
+            self.plan_capacity();
+        }
+        self.scheduler.place_tasks(now, self.wall());
+        if !self.is_storing && self.scheduler.has_changes() {
+            let changes = self.scheduler.take_changes();
+            self.is_storing = true;
+            let stored_ms = self.now_ms + self.table_delay_ms();
+            self.push(stored_ms, SimulationEvent::Stored(changes));
+        }
+        self.scheduler.take_events();
+        let arrival_ms = self.now_ms + self.load.fleet.order_ms.get();
+        let mut orders = self.scheduler.take_orders();
+        // The scheduler's maps have no fixed order; the orders of a run have.
+        orders.sort_by(|one, other| one.worker.cmp(&other.worker));
+        for order in orders {
+            self.push(arrival_ms, SimulationEvent::Order(order));
+        }
+    }
+
+    fn handle(&mut self, event: SimulationEvent) {
+        let now = self.now();
+        match event {
+            SimulationEvent::Submit(number) => self.submit(number),
+            SimulationEvent::JobRead(number) => self.read_job(number),
+            SimulationEvent::RunEnd(worker, task, run) => {
+                if self.fleet.finish_run(&worker, &task, run) {
+                    self.answer_held(&worker, None);
+                }
+            }
+            SimulationEvent::HoldEnd(worker, issued_at) => {
+                self.answer_held(&worker, Some(issued_at));
+            }
+            SimulationEvent::Order(order) => self.execute(order),
+            SimulationEvent::Response(order, outcome, report) => {
+                self.handle_response(&order, outcome, report.as_ref());
+            }
+            SimulationEvent::Stored(changes) => self.handle_stored(&changes),
+            SimulationEvent::RackLost(number) => {
+                let timeout_ms = self.now_ms + ORDER_TIMEOUT_MS;
+                for order in self.fleet.lose_rack(&self.load.lost_racks[number]) {
+                    let response = SimulationEvent::Response(order, OrderOutcome::Unknown, None);
+                    self.push(timeout_ms, response);
+                }
+            }
+            SimulationEvent::RackBack(number) => {
+                let views = self.fleet.return_rack(&self.load.lost_racks[number], now);
+                for view in views {
+                    self.scheduler.worker_listed(view, now);
+                }
+            }
+            SimulationEvent::MoveEnd(number) => self.end_move(number),
+        }
+    }
+
+    /// Returns how long a write to the table takes that begins now.
+    fn table_delay_ms(&self) -> u64 {
+        let elapsed_ms = self.now_ms.saturating_sub(BOOT_MS + WARM_UP_MS);
+        let second = elapsed_ms as f64 / 1_000.0;
+        let periods = self.load.slow_table.iter();
+        let active = periods.filter(|slow| (slow.from_seconds..slow.to_seconds).contains(&second));
+        let extra: u64 = active.map(|slow| slow.delay_ms.get()).sum();
+        self.load.fleet.table_ms.get() + extra
+    }
+
+    fn submit(&mut self, number: usize) {
+        self.jobs[number].accepted_ms = Some(self.now_ms);
+        let stored_ms = self.now_ms + self.table_delay_ms();
+        self.push(stored_ms, SimulationEvent::JobRead(number));
+    }
+
+    fn read_job(&mut self, number: usize) {
+        let job = &self.jobs[number];
+        let traffic = &self.load.traffic[job.arrival.traffic];
+        let queue = QueueName::new(&traffic.queue);
+        let pool = self.manifest.queue(&queue).map(|queue| queue.pool.clone());
+        let record = JobRecord {
+            queue,
+            pool: pool.unwrap_or_else(|| PoolName::new("")),
+            customer: Some(CustomerName::new(&traffic.customer)),
+            accepted: WallTime::from_millis(job.accepted_ms.unwrap_or(self.now_ms)),
+            spec: self.specs[job.arrival.traffic].clone(),
+        };
+        self.scheduler.submit(&job_id(number), record);
+    }
+
+    fn execute(&mut self, order: WorkerOrder) {
+        let now = self.now();
+        let jobs = &self.jobs;
+        let traffic = &self.load.traffic;
+        let specs = &self.specs;
+        let duration_ms = |task: &TaskId| {
+            job_number(&task.job).map_or(1, |number| {
+                let arrival = &jobs[number].arrival;
+                arrival.duration_ms(&traffic[arrival.traffic], task.step, task.index)
+            })
+        };
+        let reserved = |task: &TaskId| {
+            let arrival = job_number(&task.job).map(|number| &jobs[number].arrival);
+            let spec =
+                arrival.and_then(|arrival| specs[arrival.traffic].steps.get(task.step as usize));
+            spec.map_or_else(ResourceAmount::default, |spec| spec.reserved())
+        };
+        let effect = self.fleet.execute(&order, now, duration_ms, reserved);
+        let response_ms = self.now_ms + self.load.fleet.order_ms.get();
+        match effect {
+            OrderEffect::Response(outcome, report) => {
+                self.push(
+                    response_ms,
+                    SimulationEvent::Response(order, outcome, report),
+                );
+            }
+            OrderEffect::Started(finishes_at) => {
+                if let OrderAction::Start { task, run, .. } = &order.action {
+                    let end = SimulationEvent::RunEnd(order.worker.clone(), task.clone(), *run);
+                    self.push(finishes_at.as_millis(), end);
+                }
+                let response = SimulationEvent::Response(order, OrderOutcome::Accepted, None);
+                self.push(response_ms, response);
+            }
+            OrderEffect::Held => {
+                if let OrderAction::Renew { wait_ms, .. } = order.action {
+                    let end = SimulationEvent::HoldEnd(order.worker, order.issued_at);
+                    self.push(self.now_ms + wait_ms, end);
+                }
+            }
+            OrderEffect::Silence => {
+                let timeout_ms = self.now_ms + ORDER_TIMEOUT_MS;
+                let response = SimulationEvent::Response(order, OrderOutcome::Unknown, None);
+                self.push(timeout_ms, response);
+            }
+        }
+    }
+
+    fn answer_held(&mut self, worker: &WorkerId, issued_at: Option<BootTime>) {
+        let now = self.now();
+        if let Some((order, report)) = self.fleet.answer_held(worker, issued_at, now) {
+            let response = SimulationEvent::Response(order, OrderOutcome::Accepted, Some(report));
+            let response_ms = self.now_ms + self.load.fleet.order_ms.get();
+            self.push(response_ms, response);
+        }
+    }
+
+    fn handle_response(
+        &mut self,
+        order: &WorkerOrder,
+        outcome: OrderOutcome,
+        report: Option<&RenewalReport>,
+    ) {
+        let now = self.now();
+        let worker = &order.worker;
+        let scheduler = &mut self.scheduler;
+        let response = OrderResponse {
+            outcome,
+            clock_ms: None,
+        };
+        match (&order.action, report) {
+            (OrderAction::Start { task, run, .. }, _) => {
+                scheduler.handle_start_response(worker, task, *run, &response, now);
+            }
+            (OrderAction::Stop { task, run }, _) => {
+                scheduler.handle_stop_response(worker, task, *run, &response, now);
+            }
+            (OrderAction::Renew { .. }, Some(report)) => {
+                scheduler.handle_renewal_report(worker, order.issued_at, report, now);
+            }
+            (OrderAction::Renew { .. }, None) => {
+                scheduler.handle_renewal_failure(worker, order.issued_at, outcome, now);
+            }
+            (OrderAction::Pace { .. }, _) => {}
+        }
+    }
+
+    /// Handles stored rows: callers see the states that they record.
+    fn handle_stored(&mut self, changes: &ChangeSet) {
+        let now = self.now();
+        self.is_storing = false;
+        self.scheduler.changes_stored(changes, now);
+        for row in &changes.rows {
+            let number = job_number(&row.job).filter(|_| row.progress.state.is_final());
+            if let Some(number) = number {
+                let outcome = self.final_outcome(number, row.progress.state);
+                self.jobs[number].outcome.get_or_insert(outcome);
+            }
+        }
+    }
+
+    fn final_outcome(&self, number: usize, state: JobState) -> JobOutcome {
+        let job = &self.jobs[number];
+        let traffic = &self.load.traffic[job.arrival.traffic];
+        let queue = self.load.queue(&traffic.queue);
+        let allowed_ms = queue.map_or(0, |queue| {
+            let path_ms = traffic.critical_path_ms() as f64;
+            queue.objective_ms.get() + (queue.stretch * path_ms) as u64
+        });
+        let due_ms = job.accepted_ms.unwrap_or(0) + allowed_ms;
+        match state {
+            JobState::Completed if self.now_ms <= due_ms => JobOutcome::InTime,
+            JobState::Completed => JobOutcome::Late,
+            _ => JobOutcome::Unserved,
+        }
+    }
+
+    fn plan_capacity(&mut self) {
+        let now = self.now();
+        let demands = self.scheduler.pool_demands(self.wall());
+        let pools = self.manifest.pools().map(|pool| {
+            let state = PoolState {
+                is_standby: pool.is_standby,
+                demand: demands.get(&pool.name).copied().unwrap_or_default(),
+            };
+            (pool.name.clone(), state)
+        });
+        let pools: BTreeMap<PoolName, PoolState> = pools.collect();
+        let machines = self.fleet.pool_machines(&self.scheduler);
+        for action in self.planner.plan(&pools, &machines, now) {
+            match action {
+                CapacityAction::Prepare(worker) => self.scheduler.block_worker(&worker, true),
+                CapacityAction::Release(worker) => self.scheduler.block_worker(&worker, false),
+                CapacityAction::Move {
+                    machine,
+                    worker,
+                    pool,
+                } => self.begin_move(&machine, worker.as_ref(), &pool),
+            }
+        }
+    }
+
+    fn begin_move(&mut self, machine: &MachineName, worker: Option<&WorkerId>, pool: &PoolName) {
+        self.planner.handle_move_response(machine);
+        let Some(number) = self.fleet.begin_move(machine, pool) else {
+            return;
+        };
+        if let Some(worker) = worker {
+            self.scheduler.worker_removed(worker);
+        }
+        self.moves += 1;
+        let duration = time::Duration::from_secs_f64(self.load.fleet.move_seconds);
+        let end_ms = self.now_ms + duration.as_millis() as u64;
+        self.push(end_ms, SimulationEvent::MoveEnd(number));
+    }
+
+    fn end_move(&mut self, number: usize) {
+        let now = self.now();
+        let pool = self.fleet.pool_of(number);
+        let policy = self.manifest.pool(pool);
+        let is_standby = policy.is_some_and(|policy| policy.is_standby);
+        if let Some(view) = self.fleet.end_move(number, is_standby, now) {
+            self.scheduler.worker_listed(view, now);
+        }
+    }
+
+    fn result(&self, seed: u64) -> RunResult {
+        let second_count = self.load.seconds.ceil() as usize;
+        let empty_seconds = vec![OutcomeCounts::default(); second_count];
+        let customers = self.load.customers.iter().map(|customer| CustomerOutcome {
+            name: customer.name.clone(),
+            weight: customer.weight,
+            counts: OutcomeCounts::default(),
+            requested_work: 0.0,
+            served_work: 0.0,
+            seconds: empty_seconds.clone(),
+        });
+        let mut result = RunResult {
+            seed,
+            total: OutcomeCounts::default(),
+            refusals: self.refusals,
+            moves: self.moves,
+            fairness: 1.0,
+            customers: customers.collect(),
+            seconds: empty_seconds,
+        };
+        let names = self.load.customers.iter().enumerate();
+        let numbers: BTreeMap<&str, usize> = names
+            .map(|(number, customer)| (customer.name.as_str(), number))
+            .collect();
+        for job in &self.jobs {
+            let traffic = &self.load.traffic[job.arrival.traffic];
+            let outcome = job.outcome.unwrap_or(JobOutcome::Unserved);
+            let second = (job.arrival.at_ms / 1_000) as usize;
+            let work = self.specs[job.arrival.traffic].estimated_work() as f64 / 1e6;
+            let customer = &mut result.customers[numbers[traffic.customer.as_str()]];
+            customer.counts.add(outcome);
+            customer.seconds[second].add(outcome);
+            customer.requested_work += work;
+            if outcome == JobOutcome::InTime {
+                customer.served_work += work;
+            }
+            result.total.add(outcome);
+            result.seconds[second].add(outcome);
+        }
+        result.fairness = fairness_index(&result.customers);
+        result
+    }
+}
+
+fn millis(seconds: f64) -> u64 {
+    (seconds * 1_000.0).round() as u64
+}
+
+fn job_id(number: usize) -> JobId {
+    JobId::new(&format!("j{number}"))
+}
+
+fn job_number(id: &JobId) -> Option<usize> {
+    id.as_str().strip_prefix('j')?.parse().ok()
+}
--- a/crates/jobs/src/scheduler/mod.rs
+++ b/crates/jobs/src/scheduler/mod.rs
@@ -60,6 +60,16 @@
 pub use advice::{AdviceRequest, AdviceResponse, StepId, WorkerPermit};
 pub use changes::{ChangeSet, ProgressRow};
 
+/// Whether the weights of customers decide which of them is placed first.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum SharePolicy {
+    /// One order for all customers, by priority and due time.
+    Ignored,
+    /// Customers that use less than their share go first.
+    #[default]
+    Weighted,
+}
+
 /// Limits and intervals of the scheduler.
 #[derive(Clone, Debug)]
 pub struct SchedulerSettings {
@@ -102,6 +112,8 @@
     /// Largest number of tasks in rows that are stored together, which limits
     /// their size.
     pub max_tasks_per_change: usize,
+    /// Whether customers share pools by their weights.
+    pub share_policy: SharePolicy,
 }
 
 impl Default for SchedulerSettings {
@@ -123,6 +135,7 @@
             retention: time::Duration::from_secs(300),
             max_rows_per_change: 80,
             max_tasks_per_change: 4_000,
+            share_policy: SharePolicy::default(),
         }
     }
 }
--- a/crates/jobs/src/scheduler/placement.rs
+++ b/crates/jobs/src/scheduler/placement.rs
@@ -4,7 +4,7 @@
 //! can still meet their objective go first, by their due time; long-running
 //! tasks, whose value grows with the time for which they run, go before those.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeSet, HashMap};
 
 use crate::name::{JobId, PoolName, TaskId, WorkerId, WorkerLabel};
 use crate::record::JobState;
@@ -17,7 +17,7 @@
 use super::free_capacity::FreeCapacity;
 use super::shares::PoolShares;
 use super::waiting::{JobRank, PoolVisit, WaitingEntry};
-use super::{JobScheduler, SchedulerEvent};
+use super::{JobScheduler, SchedulerEvent, SharePolicy};
 
 /// Tolerance for wrong estimates before a job counts as late, in milliseconds.
 const ESTIMATE_GRACE_MS: u64 = 150;
@@ -110,8 +110,12 @@
             let weight = policy.map_or(DEFAULT_WEIGHT, |policy| policy.weight);
             (customer.clone(), weight.max(MIN_WEIGHT))
         });
+        let weights = match self.settings.share_policy {
+            SharePolicy::Ignored => HashMap::new(),
+            SharePolicy::Weighted => weights.collect(),
+        };
         let capacity = self.fleet.capacity_of_pool(pool);
-        PoolShares::new(pool, capacity, weights.collect())
+        PoolShares::new(pool, capacity, weights)
     }
 
     /// Records that the capacity of a worker changed.
--- a/crates/planner/src/lib.rs
+++ b/crates/planner/src/lib.rs
@@ -35,7 +35,7 @@
 pub mod rollout;
 pub mod simulation;
 pub mod step;
-mod svg;
+pub mod svg;
 pub mod time;
 pub mod view;
 
--- a/crates/planner/src/svg.rs
+++ b/crates/planner/src/svg.rs
@@ -4,14 +4,15 @@
 
 /// Collects the elements of one SVG document.
 #[derive(Debug)]
-pub(crate) struct SvgWriter {
+pub struct SvgWriter {
     body: String,
     width: f64,
     height: f64,
 }
 
 impl SvgWriter {
-    pub(crate) fn new(width: f64, height: f64) -> Self {
+    /// Creates a document of a size in pixels.
+    pub fn new(width: f64, height: f64) -> Self {
         let body = String::new();
         Self {
             body,
@@ -20,20 +21,23 @@
         }
     }
 
-    pub(crate) fn rect(&mut self, x: f64, y: f64, width: f64, height: f64, fill: &str) {
+    /// Adds a filled rectangle.
+    pub fn rect(&mut self, x: f64, y: f64, width: f64, height: f64, fill: &str) {
         self.element(format_args!(
             r#"<rect x="{x:.1}" y="{y:.1}" width="{width:.1}" height="{height:.1}" fill="{fill}"/>"#
         ));
     }
 
-    pub(crate) fn line(&mut self, from: (f64, f64), to: (f64, f64), stroke: &str) {
+    /// Adds a line.
+    pub fn line(&mut self, from: (f64, f64), to: (f64, f64), stroke: &str) {
         let ((x1, y1), (x2, y2)) = (from, to);
         self.element(format_args!(
             r#"<line x1="{x1:.1}" y1="{y1:.1}" x2="{x2:.1}" y2="{y2:.1}" stroke="{stroke}"/>"#
         ));
     }
 
-    pub(crate) fn polyline(&mut self, points: &[(f64, f64)], stroke: &str) {
+    /// Adds a curve through `points`.
+    pub fn polyline(&mut self, points: &[(f64, f64)], stroke: &str) {
         let mut path = String::new();
         for (x, y) in points {
             path.push_str(&format!("{x:.1},{y:.1} "));
@@ -44,14 +48,16 @@
         ));
     }
 
-    pub(crate) fn text(&mut self, x: f64, y: f64, size: u32, text: &str) {
+    /// Adds a line of text; `y` is its base line.
+    pub fn text(&mut self, x: f64, y: f64, size: u32, text: &str) {
         let text = escape(text);
         self.element(format_args!(
             r#"<text x="{x:.1}" y="{y:.1}" font-size="{size}">{text}</text>"#
         ));
     }
 
-    pub(crate) fn finish(self) -> String {
+    /// Returns the document.
+    pub fn finish(self) -> String {
         let (width, height) = (self.width, self.height);
         format!(
             concat!(
