Refuse jobs in experiments: policy shares-admission

Cause: the admission of jobs exists now and is to be compared. Change: the owner in the model publishes its backlogs, each entry VM decides by them, and refused callers return after Retry-After at any entry VM. A job that ends after LATEST_FACTOR times its objective counts as unserved.

--- a/crates/experiment/src/check.rs
+++ b/crates/experiment/src/check.rs
@@ -64,6 +64,7 @@
         check_number("fleet.move-seconds", fleet.move_seconds, 0.0, 600.0)?;
         check_count("fleet.order-ms", fleet.order_ms, 0, 1_000)?;
         check_count("fleet.table-ms", fleet.table_ms, 0, 10_000)?;
+        check_count("fleet.publish-ms", fleet.publish_ms, 5, 60_000)?;
         check_length("pools", self.pools.len(), 1, 200)?;
         check_names("pools", self.pools.iter().map(|pool| pool.name.as_str()))?;
         for (number, pool) in self.pools.iter().enumerate() {
--- /dev/null
+++ b/crates/experiment/src/entry.rs
@@ -0,0 +1,55 @@
+//! Entry VMs that decide on the admission of jobs, and the callers' choice of them.
+
+use std::sync;
+
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+use redwing_jobs::admission::{
+    self, AdmissionDecision, AdmissionSettings, BacklogSummary, JobAdmission,
+};
+use redwing_jobs::time::WallTime;
+use redwing_jobs::{BootTime, JobId};
+
+use crate::arrival::JobArrival;
+
+/// All entry VMs; each decides by the latest summary and by what it has admitted.
+#[derive(Debug)]
+pub(crate) struct EntryFleet {
+    admissions: Vec<JobAdmission>,
+}
+
+impl EntryFleet {
+    pub(crate) fn new(count: u64) -> Self {
+        let admissions = (0..count).map(|_| JobAdmission::new(AdmissionSettings::default()));
+        Self {
+            admissions: admissions.collect(),
+        }
+    }
+
+    /// Passes a summary of the owner to all entry VMs.
+    pub(crate) fn receive(
+        &mut self,
+        summary: &sync::Arc<BacklogSummary>,
+        now: BootTime,
+        wall: WallTime,
+    ) {
+        for admission in &mut self.admissions {
+            admission.receive(summary, now, wall);
+        }
+    }
+
+    /// Decides on a job at the entry VM that its caller happens to reach with this
+    /// attempt.
+    pub(crate) fn decide(
+        &mut self,
+        arrival: &JobArrival,
+        attempt: u64,
+        id: &JobId,
+        asked: &admission::JobArrival,
+        now: BootTime,
+    ) -> AdmissionDecision {
+        let mut random = StdRng::seed_from_u64(arrival.seed.wrapping_add(attempt));
+        let number = random.random_range(0..self.admissions.len());
+        self.admissions[number].decide(id, asked, now)
+    }
+}
--- a/crates/experiment/src/fleet.rs
+++ b/crates/experiment/src/fleet.rs
@@ -9,6 +9,7 @@
 use std::net;
 
 use redwing_jobs::capacity::PoolMachine;
+use redwing_jobs::manifest::JobManifest;
 use redwing_jobs::name::{MachineName, PoolName, WorkerLabel};
 use redwing_jobs::spec::ResourceAmount;
 use redwing_jobs::worker::{
@@ -357,6 +358,17 @@
         self.start_worker(number, now)
     }
 
+    /// Returns the processor of the machines in standby pools that could be moved, in
+    /// thousandths of a core.
+    pub(crate) fn standby_cpu_millis(&self, manifest: &JobManifest) -> u64 {
+        let is_standby = |machine: &&SimulatedMachine| {
+            let pool = manifest.pool(&machine.pool);
+            pool.is_some_and(|pool| pool.is_standby) && !machine.is_down && !machine.is_moving
+        };
+        let machines = self.machines.iter().filter(is_standby);
+        machines.map(|machine| machine.capacity.cpu_millis).sum()
+    }
+
     /// Returns the machines as the capacity planner sees them.
     pub(crate) fn pool_machines(
         &self,
--- a/crates/experiment/src/lib.rs
+++ b/crates/experiment/src/lib.rs
@@ -29,6 +29,7 @@
 
 mod arrival;
 mod check;
+mod entry;
 pub mod error;
 mod fleet;
 pub mod load;
--- a/crates/experiment/src/outcome.rs
+++ b/crates/experiment/src/outcome.rs
@@ -8,11 +8,12 @@
 pub enum JobOutcome {
     /// It ended within its objective.
     InTime,
-    /// It ended after its objective.
+    /// It ended after its objective, but was still of use.
     Late,
-    /// It was refused, and its caller has given up.
+    /// It was refused, and its caller gave up or had not returned by the end.
     Refused,
-    /// It was accepted, or was to return, and had not ended when the experiment did.
+    /// It was accepted and did not end while it was of use: within
+    /// [`redwing_jobs::admission::LATEST_FACTOR`] times its objective.
     Unserved,
 }
 
@@ -24,11 +25,11 @@
     pub arrived: u64,
     /// Jobs that ended within their objective.
     pub in_time: u64,
-    /// Jobs that ended after their objective.
+    /// Jobs that ended after their objective and were still of use.
     pub late: u64,
     /// Jobs that were refused for good.
     pub refused: u64,
-    /// Jobs that did not end.
+    /// Jobs that were accepted and did not end while they were of use.
     pub unserved: u64,
 }
 
@@ -60,8 +61,8 @@
         self.fraction(self.refused, 0.0)
     }
 
-    /// Returns the fraction of the jobs that were accepted or were to return, and
-    /// did not end.
+    /// Returns the fraction of the jobs that were accepted and did not end while they
+    /// were of use.
     pub fn unserved_fraction(&self) -> f64 {
         self.fraction(self.unserved, 0.0)
     }
@@ -100,6 +101,8 @@
     pub seed: u64,
     /// Outcomes of all jobs.
     pub total: OutcomeCounts,
+    /// Jobs that ended before the experiment did, also those that were of no use then.
+    pub completed: u64,
     /// Refusals, also of jobs that were accepted later.
     pub refusals: u64,
     /// Moves of machines between pools.
