--- a/crates/experiment/src/lib.rs
+++ b/crates/experiment/src/lib.rs
@@ -31,6 +31,7 @@
 mod check;
 mod entry;
 pub mod error;
+mod event;
 mod fleet;
 pub mod load;
 pub mod outcome;
--- a/crates/experiment/src/load.rs
+++ b/crates/experiment/src/load.rs
@@ -388,6 +388,11 @@
         }
     }
 
+    /// Returns the estimated processor work of each job, in core seconds.
+    pub fn core_seconds(&self) -> f64 {
+        self.spec().estimated_work() as f64 / 1e6
+    }
+
     /// Returns the estimated duration of each job on free workers, in milliseconds.
     pub fn critical_path_ms(&self) -> u64 {
         self.steps.iter().map(|step| step.estimate_ms.get()).sum()
--- a/crates/experiment/src/outcome.rs
+++ b/crates/experiment/src/outcome.rs
@@ -1,7 +1,12 @@
 //! Outcomes of jobs, counted for each customer and each second.
 
+use std::collections::BTreeMap;
+
 use serde::Serialize;
 
+use crate::arrival::JobArrival;
+use crate::load::{LoadFile, TrafficLoad};
+
 /// Outcome of one job; each job has exactly one.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize)]
 #[serde(rename_all = "kebab-case")]
@@ -115,6 +120,61 @@
     pub seconds: Vec<OutcomeCounts>,
 }
 
+impl RunResult {
+    /// Counts the outcomes of all jobs of a load that passes its check.
+    pub(crate) fn count<'a>(
+        load: &LoadFile,
+        seed: u64,
+        jobs: impl Iterator<Item = (&'a JobArrival, JobOutcome)>,
+    ) -> Self {
+        let seconds = vec![OutcomeCounts::default(); load.seconds.ceil() as usize];
+        let customers = load.customers.iter().map(|customer| CustomerOutcome {
+            name: customer.name.clone(),
+            weight: customer.weight,
+            counts: OutcomeCounts::default(),
+            requested_work: 0.0,
+            served_work: 0.0,
+            seconds: seconds.clone(),
+        });
+        let mut result = Self {
+            seed,
+            total: OutcomeCounts::default(),
+            completed: 0,
+            refusals: 0,
+            moves: 0,
+            fairness: 1.0,
+            customers: customers.collect(),
+            seconds,
+        };
+        let names = load.customers.iter().enumerate();
+        let numbers: BTreeMap<&str, usize> = names
+            .map(|(number, customer)| (customer.name.as_str(), number))
+            .collect();
+        let works: Vec<f64> = load.traffic.iter().map(TrafficLoad::core_seconds).collect();
+        for (arrival, outcome) in jobs {
+            let name = &load.traffic[arrival.traffic].customer;
+            let second = (arrival.at_ms / 1_000) as usize;
+            let work = works[arrival.traffic];
+            result.total.add(outcome);
+            result.seconds[second].add(outcome);
+            result.customers[numbers[name.as_str()]].add(second, work, outcome);
+        }
+        result.fairness = fairness_index(&result.customers);
+        result
+    }
+}
+
+impl CustomerOutcome {
+    fn add(&mut self, second: usize, work: f64, outcome: JobOutcome) {
+        self.counts.add(outcome);
+        self.seconds[second].add(outcome);
+        self.requested_work += work;
+        if outcome == JobOutcome::InTime {
+            self.served_work += work;
+        }
+    }
+}
+
 /// Returns Jain's fairness index of the work that customers got in time, relative
 /// to their weighted max-min shares of the sum: 1 if each got its share, and 1/n
 /// if one of n customers got all. A customer's share is at most what it requested.
--- a/crates/experiment/src/run.rs
+++ b/crates/experiment/src/run.rs
@@ -1,11 +1,10 @@
 //! One run: the scheduler, the planner and the fleet in simulated time.
 
-use std::cmp::Reverse;
-use std::collections::{BTreeMap, BinaryHeap};
+use std::collections::BTreeMap;
 use std::sync;
 use std::time;
 
-use redwing_jobs::admission::{self, AdmissionDecision, BacklogSummary};
+use redwing_jobs::admission::{self, AdmissionDecision};
 use redwing_jobs::capacity::{CapacityAction, CapacityPlanner, CapacitySettings, PoolState};
 use redwing_jobs::manifest::JobManifest;
 use redwing_jobs::name::{CustomerName, MachineName, PoolName, QueueName};
@@ -17,9 +16,10 @@
 
 use crate::arrival::{self, JobArrival};
 use crate::entry::EntryFleet;
+use crate::event::{EventQueue, SimulationEvent};
 use crate::fleet::{OrderEffect, SimulatedFleet};
 use crate::load::LoadFile;
-use crate::outcome::{CustomerOutcome, JobOutcome, OutcomeCounts, RunResult, fairness_index};
+use crate::outcome::{JobOutcome, RunResult};
 use crate::policy::ExperimentPolicy;
 
 /// Simulated time between two rounds of placement, in milliseconds.
@@ -40,61 +40,6 @@
 /// Time before the first arrival, in which workers respond for the first time.
 const WARM_UP_MS: u64 = 1_000;
 
-/// Something that happens at a point in time.
-#[derive(Debug)]
-enum SimulationEvent {
-    /// A caller submits a job, after a number of refusals.
-    Submit(usize, u64),
-    /// The owner reads the row of an accepted job.
-    JobRead(usize),
-    /// A run ends if it was not stopped or lost.
-    RunEnd(WorkerId, TaskId, u32),
-    /// The longest wait of a held renewal ends.
-    HoldEnd(WorkerId, BootTime),
-    /// An order arrives at its worker.
-    Order(WorkerOrder),
-    /// The owner gets a response, or gives up waiting for it.
-    Response(WorkerOrder, OrderOutcome, Option<RenewalReport>),
-    /// Rows are stored.
-    Stored(ChangeSet),
-    /// Entry VMs read the published backlogs.
-    Published(sync::Arc<BacklogSummary>),
-    /// A lost rack of the load goes down.
-    RackLost(usize),
-    /// A lost rack of the load comes back.
-    RackBack(usize),
-    /// A machine has moved.
-    MoveEnd(usize),
-}
-
-/// Event in the queue; earlier ones go first, then those added first.
-#[derive(Debug)]
-struct QueuedEvent {
-    at_ms: u64,
-    number: u64,
-    event: SimulationEvent,
-}
-
-impl PartialEq for QueuedEvent {
-    fn eq(&self, other: &Self) -> bool {
-        self.number == other.number
-    }
-}
-
-impl Eq for QueuedEvent {}
-
-impl PartialOrd for QueuedEvent {
-    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
-        Some(self.cmp(other))
-    }
-}
-
-impl Ord for QueuedEvent {
-    fn cmp(&self, other: &Self) -> std::cmp::Ordering {
-        (self.at_ms, self.number).cmp(&(other.at_ms, other.number))
-    }
-}
-
 /// Job during the run.
 #[derive(Clone, Debug)]
 struct SimulatedJob {
@@ -125,8 +70,7 @@
     entries: EntryFleet,
     has_admission: bool,
     jobs: Vec<SimulatedJob>,
-    events: BinaryHeap<Reverse<QueuedEvent>>,
-    event_count: u64,
+    events: EventQueue,
     now_ms: u64,
     is_storing: bool,
     completed: u64,
@@ -158,8 +102,7 @@
             entries: EntryFleet::new(load.fleet.entry_vms.get()),
             has_admission: policy.has_admission(),
             jobs: jobs.collect(),
-            events: BinaryHeap::new(),
-            event_count: 0,
+            events: EventQueue::default(),
             now_ms: BOOT_MS,
             is_storing: false,
             completed: 0,
@@ -174,26 +117,17 @@
         let start_ms = BOOT_MS + WARM_UP_MS;
         for number in 0..self.jobs.len() {
             let at_ms = start_ms + self.jobs[number].arrival.at_ms;
-            self.push(at_ms, SimulationEvent::Submit(number, 0));
+            self.events.push(at_ms, SimulationEvent::Submit(number, 0));
         }
         for number in 0..self.load.lost_racks.len() {
             let lost = &self.load.lost_racks[number];
             let from_ms = start_ms + millis(lost.from_seconds);
             let to_ms = from_ms + millis(lost.for_seconds);
-            self.push(from_ms, SimulationEvent::RackLost(number));
-            self.push(to_ms, SimulationEvent::RackBack(number));
+            self.events.push(from_ms, SimulationEvent::RackLost(number));
+            self.events.push(to_ms, SimulationEvent::RackBack(number));
         }
     }
 
-    fn push(&mut self, at_ms: u64, event: SimulationEvent) {
-        self.event_count += 1;
-        self.events.push(Reverse(QueuedEvent {
-            at_ms,
-            number: self.event_count,
-            event,
-        }));
-    }
-
     fn now(&self) -> BootTime {
         BootTime::from_millis(self.now_ms)
     }
@@ -208,12 +142,9 @@
         let mut round_ms = BOOT_MS;
         while round_ms < end_ms {
             round_ms += ROUND_MS;
-            while let Some(Reverse(next)) = self.events.peek()
-                && next.at_ms <= round_ms
-                && let Some(Reverse(next)) = self.events.pop()
-            {
-                self.now_ms = next.at_ms;
-                self.handle(next.event);
+            while let Some((at_ms, event)) = self.events.pop_until(round_ms) {
+                self.now_ms = at_ms;
+                self.handle(event);
             }
             self.now_ms = round_ms;
             self.round();
@@ -237,7 +168,8 @@
             let changes = self.scheduler.take_changes();
             self.is_storing = true;
             let stored_ms = self.now_ms + self.table_delay_ms();
-            self.push(stored_ms, SimulationEvent::Stored(changes));
+            self.events
+                .push(stored_ms, SimulationEvent::Stored(changes));
         }
         self.scheduler.take_events();
         let arrival_ms = self.now_ms + self.load.fleet.order_ms.get();
@@ -245,7 +177,7 @@
         // The scheduler's maps have no fixed order; the orders of a run have.
         orders.sort_by(|one, other| one.worker.cmp(&other.worker));
         for order in orders {
-            self.push(arrival_ms, SimulationEvent::Order(order));
+            self.events.push(arrival_ms, SimulationEvent::Order(order));
         }
     }
 
@@ -275,7 +207,7 @@
                 let timeout_ms = self.now_ms + ORDER_TIMEOUT_MS;
                 for order in self.fleet.lose_rack(&self.load.lost_racks[number]) {
                     let response = SimulationEvent::Response(order, OrderOutcome::Unknown, None);
-                    self.push(timeout_ms, response);
+                    self.events.push(timeout_ms, response);
                 }
             }
             SimulationEvent::RackBack(number) => {
@@ -316,7 +248,8 @@
                 .sort_by(|one, other| one.customer.cmp(&other.customer));
         }
         let read_ms = self.now_ms + self.table_delay_ms() + self.load.fleet.table_ms.get();
-        self.push(read_ms, SimulationEvent::Published(sync::Arc::new(summary)));
+        self.events
+            .push(read_ms, SimulationEvent::Published(sync::Arc::new(summary)));
     }
 
     fn submit(&mut self, number: usize, attempt: u64) {
@@ -324,13 +257,15 @@
             self.refusals += 1;
             if attempt < self.load.callers.retries.get() {
                 let retry_ms = self.now_ms + retry_after.as_millis() as u64;
-                self.push(retry_ms, SimulationEvent::Submit(number, attempt + 1));
+                self.events
+                    .push(retry_ms, SimulationEvent::Submit(number, attempt + 1));
             }
             return;
         }
         self.jobs[number].accepted_ms = Some(self.now_ms);
         let stored_ms = self.now_ms + self.table_delay_ms();
-        self.push(stored_ms, SimulationEvent::JobRead(number));
+        self.events
+            .push(stored_ms, SimulationEvent::JobRead(number));
     }
 
     /// Returns the time after which a refused caller may retry; none if the job is
@@ -389,7 +324,7 @@
         let response_ms = self.now_ms + self.load.fleet.order_ms.get();
         match effect {
             OrderEffect::Response(outcome, report) => {
-                self.push(
+                self.events.push(
                     response_ms,
                     SimulationEvent::Response(order, outcome, report),
                 );
@@ -397,21 +332,21 @@
             OrderEffect::Started(finishes_at) => {
                 if let OrderAction::Start { task, run, .. } = &order.action {
                     let end = SimulationEvent::RunEnd(order.worker.clone(), task.clone(), *run);
-                    self.push(finishes_at.as_millis(), end);
+                    self.events.push(finishes_at.as_millis(), end);
                 }
                 let response = SimulationEvent::Response(order, OrderOutcome::Accepted, None);
-                self.push(response_ms, response);
+                self.events.push(response_ms, response);
             }
             OrderEffect::Held => {
                 if let OrderAction::Renew { wait_ms, .. } = order.action {
                     let end = SimulationEvent::HoldEnd(order.worker, order.issued_at);
-                    self.push(self.now_ms + wait_ms, end);
+                    self.events.push(self.now_ms + wait_ms, end);
                 }
             }
             OrderEffect::Silence => {
                 let timeout_ms = self.now_ms + ORDER_TIMEOUT_MS;
                 let response = SimulationEvent::Response(order, OrderOutcome::Unknown, None);
-                self.push(timeout_ms, response);
+                self.events.push(timeout_ms, response);
             }
         }
     }
@@ -421,7 +356,7 @@
         if let Some((order, report)) = self.fleet.answer_held(worker, issued_at, now) {
             let response = SimulationEvent::Response(order, OrderOutcome::Accepted, Some(report));
             let response_ms = self.now_ms + self.load.fleet.order_ms.get();
-            self.push(response_ms, response);
+            self.events.push(response_ms, response);
         }
     }
 
@@ -526,7 +461,7 @@
         self.moves += 1;
         let duration = time::Duration::from_secs_f64(self.load.fleet.move_seconds);
         let end_ms = self.now_ms + duration.as_millis() as u64;
-        self.push(end_ms, SimulationEvent::MoveEnd(number));
+        self.events.push(end_ms, SimulationEvent::MoveEnd(number));
     }
 
     fn end_move(&mut self, number: usize) {
@@ -540,51 +475,19 @@
     }
 
     fn result(&self, seed: u64) -> RunResult {
-        let second_count = self.load.seconds.ceil() as usize;
-        let empty_seconds = vec![OutcomeCounts::default(); second_count];
-        let customers = self.load.customers.iter().map(|customer| CustomerOutcome {
-            name: customer.name.clone(),
-            weight: customer.weight,
-            counts: OutcomeCounts::default(),
-            requested_work: 0.0,
-            served_work: 0.0,
-            seconds: empty_seconds.clone(),
-        });
-        let mut result = RunResult {
-            seed,
-            total: OutcomeCounts::default(),
-            completed: self.completed,
-            refusals: self.refusals,
-            moves: self.moves,
-            fairness: 1.0,
-            customers: customers.collect(),
-            seconds: empty_seconds,
-        };
-        let names = self.load.customers.iter().enumerate();
-        let numbers: BTreeMap<&str, usize> = names
-            .map(|(number, customer)| (customer.name.as_str(), number))
-            .collect();
-        for job in &self.jobs {
-            let traffic = &self.load.traffic[job.arrival.traffic];
+        let outcomes = self.jobs.iter().map(|job| {
             let unfinished = match job.accepted_ms {
                 Some(_) => JobOutcome::Unserved,
                 None => JobOutcome::Refused,
             };
-            let outcome = job.outcome.unwrap_or(unfinished);
-            let second = (job.arrival.at_ms / 1_000) as usize;
-            let work = self.specs[job.arrival.traffic].estimated_work() as f64 / 1e6;
-            let customer = &mut result.customers[numbers[traffic.customer.as_str()]];
-            customer.counts.add(outcome);
-            customer.seconds[second].add(outcome);
-            customer.requested_work += work;
-            if outcome == JobOutcome::InTime {
-                customer.served_work += work;
-            }
-            result.total.add(outcome);
-            result.seconds[second].add(outcome);
+            (&job.arrival, job.outcome.unwrap_or(unfinished))
+        });
+        RunResult {
+            completed: self.completed,
+            refusals: self.refusals,
+            moves: self.moves,
+            ..RunResult::count(self.load, seed, outcomes)
         }
-        result.fairness = fairness_index(&result.customers);
-        result
     }
 }
 
