Read published backlogs at each entry VM in its own time

Cause: the model passed a publication to all entry VMs at once, every 250 ms; the product publishes and reads every 500 ms. Change: fleet.publish-ms is 500 by default, and reads are spread over it.

--- a/crates/experiment/src/entry.rs
+++ b/crates/experiment/src/entry.rs
@@ -20,22 +20,22 @@
 
 impl EntryFleet {
     pub(crate) fn new(count: u64) -> Self {
-        let admissions = (0..count).map(|_| JobAdmission::new(AdmissionSettings::default()));
+        let admissions =
+            (0..count).map(|seed| JobAdmission::new(AdmissionSettings::default(), seed));
         Self {
             admissions: admissions.collect(),
         }
     }
 
-    /// Passes a summary of the owner to all entry VMs.
+    /// Passes a summary of the owner to an entry VM.
     pub(crate) fn receive(
         &mut self,
+        entry: usize,
         summary: &sync::Arc<BacklogSummary>,
         now: BootTime,
         wall: WallTime,
     ) {
-        for admission in &mut self.admissions {
-            admission.receive(summary, now, wall);
-        }
+        self.admissions[entry].receive(summary, now, wall);
     }
 
     /// Decides on a job at the entry VM that its caller happens to reach with this
--- a/crates/experiment/src/event.rs
+++ b/crates/experiment/src/event.rs
@@ -26,8 +26,8 @@
     Response(WorkerOrder, OrderOutcome, Option<RenewalReport>),
     /// Rows are stored.
     Stored(ChangeSet),
-    /// Entry VMs read the published backlogs.
-    Published(sync::Arc<BacklogSummary>),
+    /// An entry VM reads the published backlogs.
+    BacklogRead(usize, sync::Arc<BacklogSummary>),
     /// A lost rack of the load goes down.
     RackLost(usize),
     /// A lost rack of the load comes back.
--- a/crates/experiment/src/load.rs
+++ b/crates/experiment/src/load.rs
@@ -84,7 +84,8 @@
     pub order_ms: Count,
     /// Time that a write to the table takes, in milliseconds.
     pub table_ms: Count,
-    /// Time between two publications of the backlogs, in milliseconds.
+    /// Time between two publications of the backlogs, and between two reads of an
+    /// entry VM, in milliseconds.
     pub publish_ms: Count,
 }
 
@@ -96,7 +97,7 @@
             move_seconds: 1.5,
             order_ms: Count(2),
             table_ms: Count(8),
-            publish_ms: Count(250),
+            publish_ms: Count(500),
         }
     }
 }
--- a/crates/experiment/src/run.rs
+++ b/crates/experiment/src/run.rs
@@ -185,9 +185,9 @@
         let now = self.now();
         match event {
             SimulationEvent::Submit(number, attempt) => self.submit(number, attempt),
-            SimulationEvent::Published(summary) => {
+            SimulationEvent::BacklogRead(entry, summary) => {
                 let wall = self.wall();
-                self.entries.receive(&summary, now, wall);
+                self.entries.receive(entry, &summary, now, wall);
             }
             SimulationEvent::JobRead(number) => self.read_job(number),
             SimulationEvent::RunEnd(worker, task, run) => {
@@ -247,9 +247,15 @@
             pool.customers
                 .sort_by(|one, other| one.customer.cmp(&other.customer));
         }
-        let read_ms = self.now_ms + self.table_delay_ms() + self.load.fleet.table_ms.get();
-        self.events
-            .push(read_ms, SimulationEvent::Published(sync::Arc::new(summary)));
+        let stored_ms = self.now_ms + self.table_delay_ms();
+        let summary = sync::Arc::new(summary);
+        let count = self.load.fleet.entry_vms.get();
+        for entry in 0..count {
+            // The reads of the entry VMs are spread over the interval.
+            let read_ms = stored_ms + self.publish_ms() * entry / count;
+            let event = SimulationEvent::BacklogRead(entry as usize, sync::Arc::clone(&summary));
+            self.events.push(read_ms, event);
+        }
     }
 
     fn submit(&mut self, number: usize, attempt: u64) {
