--- a/crates/ctl/src/experiment/table.rs
+++ b/crates/ctl/src/experiment/table.rs
@@ -12,6 +12,7 @@
         "policy",
         "jobs",
         "in time %",
+        "at once %",
         "late %",
         "refused %",
         "unserved %",
@@ -22,6 +23,7 @@
             summary.policy.to_owned(),
             format!("{:.0}", summary.arrived.mean),
             percent(&summary.in_time),
+            percent(&summary.at_once),
             percent(&summary.late),
             percent(&summary.refused),
             percent(&summary.unserved),
@@ -41,6 +43,9 @@
     let mut headings = vec!["customer".to_owned(), "jobs".to_owned()];
     for summary in summaries {
         headings.push(format!("in time %, {}", summary.policy));
+        if summary.refusals.max > 0.0 {
+            headings.push("at once %".to_owned());
+        }
     }
     let customers = first.customers.iter().enumerate();
     let rows = customers.take(MAX_CUSTOMERS).map(|(number, customer)| {
@@ -48,11 +53,13 @@
             customer.name.clone(),
             format!("{:.0}", customer.arrived.mean),
         ];
-        row.extend(
-            summaries
-                .iter()
-                .map(|summary| percent(&summary.customers[number].in_time)),
-        );
+        for summary in summaries {
+            let customer = &summary.customers[number];
+            row.push(percent(&customer.in_time));
+            if summary.refusals.max > 0.0 {
+                row.push(percent(&customer.at_once));
+            }
+        }
         row
     });
     let mut text = align(&headings, rows.collect());
--- a/crates/experiment/src/outcome.rs
+++ b/crates/experiment/src/outcome.rs
@@ -11,7 +11,7 @@
 #[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum JobOutcome {
-    /// It ended within its objective.
+    /// It ended within its objective, counted from its acceptance.
     InTime,
     /// It ended after its objective, but was still of use.
     Late,
@@ -30,6 +30,8 @@
     pub arrived: u64,
     /// Jobs that ended within their objective.
     pub in_time: u64,
+    /// Those of them that were never refused.
+    pub in_time_at_once: u64,
     /// Jobs that ended after their objective and were still of use.
     pub late: u64,
     /// Jobs that were refused for good.
@@ -39,9 +41,10 @@
 }
 
 impl OutcomeCounts {
-    /// Adds one job.
-    pub fn add(&mut self, outcome: JobOutcome) {
+    /// Adds one job, which may have been refused before it was accepted.
+    pub fn add(&mut self, outcome: JobOutcome, was_refused: bool) {
         self.arrived += 1;
+        self.in_time_at_once += u64::from(outcome == JobOutcome::InTime && !was_refused);
         match outcome {
             JobOutcome::InTime => self.in_time += 1,
             JobOutcome::Late => self.late += 1,
@@ -56,6 +59,12 @@
         self.fraction(self.in_time, 1.0)
     }
 
+    /// Returns the fraction of the jobs that ended within their objective and were
+    /// never refused; 1 if there were none.
+    pub fn at_once_fraction(&self) -> f64 {
+        self.fraction(self.in_time_at_once, 1.0)
+    }
+
     /// Returns the fraction of the jobs that ended after their objective.
     pub fn late_fraction(&self) -> f64 {
         self.fraction(self.late, 0.0)
@@ -121,11 +130,12 @@
 }
 
 impl RunResult {
-    /// Counts the outcomes of all jobs of a load that passes its check.
+    /// Counts the outcomes of all jobs of a load that passes its check, each with
+    /// whether it was refused at first.
     pub(crate) fn count<'a>(
         load: &LoadFile,
         seed: u64,
-        jobs: impl Iterator<Item = (&'a JobArrival, JobOutcome)>,
+        jobs: impl Iterator<Item = (&'a JobArrival, JobOutcome, bool)>,
     ) -> Self {
         let seconds = vec![OutcomeCounts::default(); load.seconds.ceil() as usize];
         let customers = load.customers.iter().map(|customer| CustomerOutcome {
@@ -151,13 +161,13 @@
             .map(|(number, customer)| (customer.name.as_str(), number))
             .collect();
         let works: Vec<f64> = load.traffic.iter().map(TrafficLoad::core_seconds).collect();
-        for (arrival, outcome) in jobs {
+        for (arrival, outcome, was_refused) in jobs {
             let name = &load.traffic[arrival.traffic].customer;
             let second = (arrival.at_ms / 1_000) as usize;
             let work = works[arrival.traffic];
-            result.total.add(outcome);
-            result.seconds[second].add(outcome);
-            result.customers[numbers[name.as_str()]].add(second, work, outcome);
+            result.total.add(outcome, was_refused);
+            result.seconds[second].add(outcome, was_refused);
+            result.customers[numbers[name.as_str()]].add(second, work, outcome, was_refused);
         }
         result.fairness = fairness_index(&result.customers);
         result
@@ -165,9 +175,9 @@
 }
 
 impl CustomerOutcome {
-    fn add(&mut self, second: usize, work: f64, outcome: JobOutcome) {
-        self.counts.add(outcome);
-        self.seconds[second].add(outcome);
+    fn add(&mut self, second: usize, work: f64, outcome: JobOutcome, was_refused: bool) {
+        self.counts.add(outcome, was_refused);
+        self.seconds[second].add(outcome, was_refused);
         self.requested_work += work;
         if outcome == JobOutcome::InTime {
             self.served_work += work;
--- a/crates/experiment/src/run.rs
+++ b/crates/experiment/src/run.rs
@@ -46,6 +46,7 @@
     arrival: JobArrival,
     /// When it was accepted, once it was.
     accepted_ms: Option<u64>,
+    was_refused: bool,
     outcome: Option<JobOutcome>,
 }
 
@@ -90,6 +91,7 @@
         let jobs = arrivals.map(|arrival| SimulatedJob {
             arrival,
             accepted_ms: None,
+            was_refused: false,
             outcome: None,
         });
         let mut simulation = Self {
@@ -261,6 +263,7 @@
     fn submit(&mut self, number: usize, attempt: u64) {
         if let Some(retry_after) = self.refusal(number, attempt) {
             self.refusals += 1;
+            self.jobs[number].was_refused = true;
             if attempt < self.load.callers.retries.get() {
                 let retry_ms = self.now_ms + retry_after.as_millis() as u64;
                 self.events
@@ -486,7 +489,8 @@
                 Some(_) => JobOutcome::Unserved,
                 None => JobOutcome::Refused,
             };
-            (&job.arrival, job.outcome.unwrap_or(unfinished))
+            let outcome = job.outcome.unwrap_or(unfinished);
+            (&job.arrival, outcome, job.was_refused)
         });
         RunResult {
             completed: self.completed,
--- a/crates/experiment/src/summary.rs
+++ b/crates/experiment/src/summary.rs
@@ -43,6 +43,8 @@
     pub arrived: ValueRange,
     /// Served in time.
     pub in_time: ValueRange,
+    /// Served in time and never refused.
+    pub at_once: ValueRange,
     /// Refused.
     pub refused: ValueRange,
     /// Not served.
@@ -59,12 +61,16 @@
     pub arrived: ValueRange,
     /// Served in time.
     pub in_time: ValueRange,
+    /// Served in time and never refused.
+    pub at_once: ValueRange,
     /// Served late.
     pub late: ValueRange,
     /// Refused.
     pub refused: ValueRange,
     /// Not served.
     pub unserved: ValueRange,
+    /// Number of refusals, also of jobs that were accepted later.
+    pub refusals: ValueRange,
     /// Weighted fairness index.
     pub fairness: ValueRange,
     /// Customers, in the order of the load file.
@@ -83,9 +89,11 @@
             policy: policy.name(),
             arrived: total(|counts| counts.arrived as f64),
             in_time: total(OutcomeCounts::in_time_fraction),
+            at_once: total(OutcomeCounts::at_once_fraction),
             late: total(OutcomeCounts::late_fraction),
             refused: total(OutcomeCounts::refused_fraction),
             unserved: total(OutcomeCounts::unserved_fraction),
+            refusals: ValueRange::of(runs.iter().map(|run| run.refusals as f64)),
             fairness: ValueRange::of(runs.iter().map(|run| run.fairness)),
             customers: customer_summaries(&runs),
             runs,
@@ -125,6 +133,7 @@
                 name: customer.name.clone(),
                 arrived: range(|counts| counts.arrived as f64),
                 in_time: range(OutcomeCounts::in_time_fraction),
+                at_once: range(OutcomeCounts::at_once_fraction),
                 refused: range(OutcomeCounts::refused_fraction),
                 unserved: range(OutcomeCounts::unserved_fraction),
             }
--- a/crates/experiment/tests/run.rs
+++ b/crates/experiment/tests/run.rs
@@ -92,7 +92,12 @@
     let flood = customer(&result, "housing");
     assert!(flood.refused > 0);
     assert!(result.refusals > flood.refused);
-    assert_eq!(customer(&result, "portal").refused, 0);
+    assert!(flood.in_time_at_once < flood.in_time);
+    let portal = customer(&result, "portal");
+    assert_eq!(
+        (portal.refused, portal.in_time_at_once),
+        (0, portal.in_time)
+    );
     let without = run(&load, ExperimentPolicy::Shares, seed);
     assert!(result.total.unserved < without.total.unserved);
 }
