--- a/crates/jobs/src/scheduler/placement.rs
+++ b/crates/jobs/src/scheduler/placement.rs
@@ -7,7 +7,7 @@
 //! next, by due time, then those that can no longer be of use, and jobs of which only
 //! best-effort tasks wait come last.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeSet, HashMap};
 
 use crate::name::{JobId, PoolName, TaskId, WorkerId, WorkerLabel};
 use crate::record::JobState;
@@ -20,7 +20,7 @@
 use super::free_capacity::FreeCapacity;
 use super::shares::PoolShares;
 use super::waiting::{JobRank, PoolVisit, WaitingEntry};
-use super::{JobScheduler, SchedulerEvent};
+use super::{JobScheduler, SchedulerEvent, SharePolicy};
 
 /// Tolerance for wrong estimates before a job counts as late, in milliseconds.
 const ESTIMATE_GRACE_MS: u64 = 150;
@@ -113,8 +113,12 @@
             let weight = self.manifest.weight(customer.as_ref());
             (customer.clone(), weight)
         });
+        let weights = match self.settings.share_policy {
+            SharePolicy::Ignored => HashMap::new(),
+            SharePolicy::Weighted => weights.collect(),
+        };
         let capacity = self.fleet.capacity_of_pool(pool);
-        PoolShares::new(pool, capacity, weights.collect())
+        PoolShares::new(pool, capacity, weights)
     }
 
     /// Records that the capacity of a worker changed.
