--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -32,4 +32,4 @@
 pub use fault::FaultPlan;
 pub use machine::{MachineFault, MemoryMachines};
 pub use memory::{MemoryPlatform, MemorySettings};
-pub use worker::{MemoryWorkers, WorkerFault};
+pub use worker::{MemoryWorkers, RecordedChange, RunChange, WorkerFault};
