Split start and stop of an entry process from its signals

Cause: a test can stop or end one of several processes only if that does not depend on the signals of the whole test process. Change: EngineProcess starts, stops and aborts an entry process; serve adds the signals. The order of the steps is unchanged.

--- a/crates/engine/src/run.rs
+++ b/crates/engine/src/run.rs
@@ -1,14 +1,17 @@
 //! Start, signals and shutdown of an entry process that runs jobs.
 
+use std::io;
 use std::rc;
 use std::sync;
 use std::time;
 
+use actix_server::ServerHandle;
 use redwing_provider::backoff::BackoffSettings;
 use redwing_provider::breaker::BreakerSettings;
 use redwing_provider::{ClientSettings, TableClient};
 use tokio::signal::unix;
 use tokio::sync::watch;
+use tokio::task;
 use tokio::time as timer;
 
 use crate::caller::CallerSettings;
@@ -107,6 +110,85 @@
     }
 }
 
+/// Entry process that serves callers and takes part in the election of the owner.
+pub struct EngineProcess {
+    settings: EngineSettings,
+    stop: watch::Sender<bool>,
+    handle: ServerHandle,
+    serving: task::JoinHandle<io::Result<()>>,
+    owner: task::JoinHandle<()>,
+}
+
+impl EngineProcess {
+    /// Starts the listeners and the tasks of the process.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a listener or the metrics cannot be used.
+    pub fn start(
+        settings: EngineSettings,
+        listeners: EngineListeners,
+        factory: sync::Arc<dyn ServicesFactory>,
+    ) -> Result<Self> {
+        let (stop, stopping) = watch::channel(false);
+        let services = factory.services();
+        let client = TableClient::new(rc::Rc::clone(&services.table), settings.client.clone());
+        let metrics = JobMetrics::new()?;
+        let operators = manifest::follow_operators(&client, factory.codec(), metrics.clone());
+        let dependencies = ListenerDependencies {
+            settings: settings.caller.clone(),
+            client: settings.client.clone(),
+            factory: sync::Arc::clone(&factory),
+            operators: operators.clone(),
+            stopping: stopping.clone(),
+            metrics: metrics.clone(),
+        };
+        let server = listener::start(listeners, &dependencies)?;
+        let handle = server.handle();
+        let serving = actix_rt::spawn(server);
+        let owner = task::spawn_local(owner::run(OwnerDependencies {
+            node: settings.node.clone(),
+            incarnation: rand::random(),
+            settings: rc::Rc::new(settings.owner.clone()),
+            client,
+            services,
+            codec: factory.codec(),
+            operators,
+            stopping,
+            metrics,
+        }));
+        log_job_event!(info, event::ENGINE_STARTED, node = settings.node);
+        Ok(Self {
+            settings,
+            stop,
+            handle,
+            serving,
+            owner,
+        })
+    }
+
+    /// Stops the process as after a signal: it serves for the leave delay, then
+    /// completes the requests that it has read.
+    pub async fn stop(self) {
+        log_job_event!(info, event::ENGINE_STOPPING, node = self.settings.node);
+        self.stop.send_replace(true);
+        timer::sleep(self.settings.leave_delay).await;
+        self.handle.stop(true).await;
+        // The process exits whatever the tasks return.
+        let _ = self.serving.await;
+        let _ = self.owner.await;
+        log_job_event!(info, event::ENGINE_STOPPED, node = self.settings.node);
+    }
+
+    /// Ends the tasks and connections of the process at once, as a crash does.
+    pub async fn abort(self) {
+        self.owner.abort();
+        self.handle.stop(false).await;
+        // The process has failed whatever the task returns.
+        let _ = self.serving.await;
+    }
+}
+
 /// Serves callers and takes part in the election of the owner, until a signal to
 /// stop.
 ///
@@ -119,42 +201,8 @@
     factory: sync::Arc<dyn ServicesFactory>,
 ) -> Result<()> {
     let mut signals = ProcessSignals::open()?;
-    let (stop, stopping) = watch::channel(false);
-    let services = factory.services();
-    let client = TableClient::new(rc::Rc::clone(&services.table), settings.client.clone());
-    let metrics = JobMetrics::new()?;
-    let operators = manifest::follow_operators(&client, factory.codec(), metrics.clone());
-    let dependencies = ListenerDependencies {
-        settings: settings.caller.clone(),
-        client: settings.client.clone(),
-        factory: sync::Arc::clone(&factory),
-        operators: operators.clone(),
-        stopping: stopping.clone(),
-        metrics: metrics.clone(),
-    };
-    let server = listener::start(listeners, &dependencies)?;
-    let handle = server.handle();
-    let serving = actix_rt::spawn(server);
-    let owner = tokio::task::spawn_local(owner::run(OwnerDependencies {
-        node: settings.node.clone(),
-        incarnation: rand::random(),
-        settings: rc::Rc::new(settings.owner.clone()),
-        client,
-        services,
-        codec: factory.codec(),
-        operators,
-        stopping,
-        metrics,
-    }));
-    log_job_event!(info, event::ENGINE_STARTED, node = settings.node);
+    let process = EngineProcess::start(settings, listeners, factory)?;
     signals.stop().await;
-    log_job_event!(info, event::ENGINE_STOPPING, node = settings.node);
-    stop.send_replace(true);
-    timer::sleep(settings.leave_delay).await;
-    handle.stop(true).await;
-    // The process exits whatever the tasks return.
-    let _ = serving.await;
-    let _ = owner.await;
-    log_job_event!(info, event::ENGINE_STOPPED, node = settings.node);
+    process.stop().await;
     Ok(())
 }
