--- a/crates/jobs/tests/recovery.rs
+++ b/crates/jobs/tests/recovery.rs
@@ -319,3 +319,26 @@
     }
     assert!(row_count >= 100, "{row_count}");
 }
+
+/// A worker restarts after its last report and before an order to start a run
+/// reaches it, and the owner learns of the restart from the list. The run is one
+/// of the new incarnation, so the task must not start elsewhere while it may run.
+#[test]
+fn a_run_that_a_new_incarnation_accepted_is_not_taken_for_lost() {
+    let mut fleet = fleet_of(2);
+    fleet.advance(300);
+    let job = fleet.submit("j", vec![long_running_step(1)], 0);
+    while fleet.starts.is_empty() {
+        fleet.advance(1);
+    }
+    let worker = fleet.starts[0].2.clone();
+    fleet.worker(worker.as_str()).view.incarnation += 1;
+    let view = fleet.worker(worker.as_str()).view.clone();
+    let now = fleet.now;
+    fleet.scheduler.worker_listed(view, now);
+    for _ in 0..200 {
+        fleet.advance(1);
+        fleet.assert_no_double_run();
+    }
+    assert_eq!(fleet.running_count(&task_id(&job, 0, 0)), 1);
+}
