Trace only the first failures of a soak seed

Cause: each trace sorts the history of all runs. Change: the first three failures of a seed are traced, the others are one line.

--- a/crates/engine/tests/soak.rs
+++ b/crates/engine/tests/soak.rs
@@ -30,9 +30,6 @@
 use rstest::rstest;
 use tokio::time as timer;
 
-/// Number of failures of a seed that are printed with their traces.
-const MAX_TRACES: usize = 3;
-
 /// Extent of a soak.
 #[derive(Clone, Copy, Debug)]
 struct SoakSettings {
@@ -69,10 +66,8 @@
     trace::install();
     let failures = actix_rt::System::new().block_on(run_seed(settings));
     println!("soak seed {}: {} failures", settings.seed, failures.len());
-    for (number, failure) in failures.iter().enumerate() {
-        let first_line = failure.lines().next().unwrap_or_default();
-        let is_traced = number < MAX_TRACES;
-        println!("{}", if is_traced { failure } else { first_line });
+    for failure in &failures {
+        println!("{failure}");
     }
     failures.len()
 }
--- a/crates/engine/tests/soak/cluster.rs
+++ b/crates/engine/tests/soak/cluster.rs
@@ -24,6 +24,9 @@
 /// Pool of all workers.
 const POOL: &str = "workers";
 
+/// Number of failures of a seed that are traced.
+const MAX_TRACES: usize = 3;
+
 /// Factory of the services of one process, with its own table faults.
 struct SoakFactory {
     platform: MemoryPlatform,
@@ -289,11 +292,16 @@
         self.unplanned_at.set(timer::Instant::now());
     }
 
+    /// Records a failure, with a trace if it is one of the first.
     pub(crate) fn fail(&self, what: &str, job: &str) {
-        let trace = crate::check::trace(self, job);
         let at = self.started_at.elapsed();
         let mut failures = self.failures.borrow_mut();
-        failures.push(format!("FAILURE at {at:.1?}: {what}\n{trace}"));
+        let trace = if failures.len() < MAX_TRACES {
+            crate::check::trace(self, job)
+        } else {
+            String::new()
+        };
+        failures.push(format!("FAILURE at {at:.1?}: {what} ({job})\n{trace}"));
     }
 }
 
