Stop a run that may have reached a worker's next incarnation

What callers would see: a task that runs twice. Cause: when a worker has restarted, all its runs were taken for lost. A start order that was on its way may have reached the new incarnation, or may still do so: an order names the worker by its id only. Fix: a run that no report of the earlier incarnation has listed is stopped on the new one, and its task is free only when that stop is accepted; a start that arrives later is then rejected by the worker.

--- a/crates/jobs/src/scheduler/entry.rs
+++ b/crates/jobs/src/scheduler/entry.rs
@@ -47,6 +47,8 @@
     pub(super) percent: u32,
     /// When the progress last changed.
     pub(super) advanced_at: BootTime,
+    /// Whether a report of the worker has listed the run.
+    pub(super) is_listed: bool,
 }
 
 /// Progress of stopping a run.
@@ -98,6 +100,7 @@
             confirmed_at: now,
             percent: 0,
             advanced_at: now,
+            is_listed: false,
         };
         let phase = match &record.worker {
             _ if record.done => TaskPhase::Done,
--- a/crates/jobs/src/scheduler/listing.rs
+++ b/crates/jobs/src/scheduler/listing.rs
@@ -4,10 +4,10 @@
 
 use crate::name::{TaskId, WorkerId};
 use crate::time::BootTime;
-use crate::worker::WorkerView;
+use crate::worker::{OrderAction, WorkerView};
 
-use super::entry::TaskPhase;
-use super::fleet::WorkerEntry;
+use super::entry::{RunLocation, StopProgress, TaskPhase};
+use super::fleet::{RunReservation, WorkerEntry};
 use super::{JobScheduler, RunEndReason, SchedulerEvent, WorkerStatus};
 
 impl JobScheduler {
@@ -43,7 +43,7 @@
         entry.is_listed = true;
         self.fleet.set_view(&id, view);
         if is_newer {
-            self.replace_worker(&id, incarnation);
+            self.replace_worker(&id, incarnation, now);
         }
         if is_draining && !was_draining {
             self.record_status(&id, WorkerStatus::Draining);
@@ -79,18 +79,68 @@
     }
 
     /// Handles a new incarnation of a worker: no run of the previous one is left.
-    pub(super) fn replace_worker(&mut self, id: &WorkerId, incarnation: u64) {
+    ///
+    /// A start that no report of the previous one has confirmed may have reached the
+    /// new one, or may still do so.
+    pub(super) fn replace_worker(&mut self, id: &WorkerId, incarnation: u64, now: BootTime) {
         let Some(entry) = self.fleet.get_mut(id) else {
             return;
         };
         let dropped = entry.begin_incarnation(incarnation);
         self.record_status(id, WorkerStatus::Replaced);
         for (task, run) in dropped {
-            self.drop_run(id, &task, run, RunEndReason::WorkerReplaced);
+            if self.is_current(&task, run, id) && !self.is_listed(&task) {
+                self.stop_unlisted(id, &task, now);
+            } else {
+                self.drop_run(id, &task, run, RunEndReason::WorkerReplaced);
+            }
         }
         self.mark_worker_changed(id);
     }
 
+    /// Returns whether a report of its worker has listed the current run of a task, or
+    /// it is not ordered yet.
+    fn is_listed(&self, task: &TaskId) -> bool {
+        match self.task(task).map(|entry| &entry.phase) {
+            Some(TaskPhase::Running(_, progress)) => progress.is_listed,
+            Some(TaskPhase::Ordered(_)) => false,
+            _ => true,
+        }
+    }
+
+    /// Stops a run that the present incarnation of a worker may have, or may get, and
+    /// reserves its capacity until then.
+    fn stop_unlisted(&mut self, id: &WorkerId, task: &TaskId, now: BootTime) {
+        let reserved = self.reserved(task);
+        let is_long_running = self.is_long_running(task);
+        let run = self.task(task).map_or(0, |entry| entry.run);
+        let Some(entry) = self.fleet.get_mut(id) else {
+            return;
+        };
+        let reservation = RunReservation {
+            run,
+            reserved,
+            is_long_running,
+            orphan_stop: None,
+        };
+        entry.reserve(task.clone(), reservation);
+        let location = RunLocation {
+            worker: id.clone(),
+            incarnation: entry.incarnation,
+        };
+        let progress = StopProgress {
+            ordered_at: now,
+            accepted_at: None,
+        };
+        self.set_phase(task, TaskPhase::Stopping(location, progress));
+        self.changes.mark_changed(&task.job);
+        let action = OrderAction::Stop {
+            task: task.clone(),
+            run,
+        };
+        self.push_order(id, action, now);
+    }
+
     /// Stops long-running tasks on draining workers, to restart them elsewhere; all
     /// others may finish there.
     ///
--- a/crates/jobs/src/scheduler/report.rs
+++ b/crates/jobs/src/scheduler/report.rs
@@ -27,7 +27,7 @@
             return;
         };
         if report.incarnation > entry.incarnation {
-            self.replace_worker(worker, report.incarnation);
+            self.replace_worker(worker, report.incarnation, now);
         }
         self.update_contact(worker, issued_at, report, now);
         for ended in &report.ended {
@@ -508,12 +508,16 @@
                 confirmed_at: now,
                 percent,
                 advanced_at: now,
+                is_listed: true,
             };
             task.phase = TaskPhase::Running(location.clone(), progress);
         }
-        TaskPhase::Running(_, progress) if progress.percent != percent => {
-            progress.percent = percent;
-            progress.advanced_at = now;
+        TaskPhase::Running(_, progress) => {
+            progress.is_listed = true;
+            if progress.percent != percent {
+                progress.percent = percent;
+                progress.advanced_at = now;
+            }
         }
         _ => {}
     }
