Give a stopping process the time to complete the requests it has read

Cause: a response may take 2.5 s, but connections were closed 1 s after the leave delay. Fix: while the process stops, a response takes 2 s at most, and connections stay open for these 2 s after the leave delay: 5.5 s in all.

--- a/crates/engine/src/caller/listener.rs
+++ b/crates/engine/src/caller/listener.rs
@@ -43,6 +43,10 @@
 /// Maximum number of concurrent connections.
 const MAX_CONNECTIONS: usize = 3_000;
 
+/// Longest time to a response while the process is stopping, and for which it then
+/// completes the requests that it has read.
+const STOPPING_TIMEOUT: time::Duration = time::Duration::from_secs(2);
+
 /// Age of the operator view from which the process reports that it is not ready.
 const MAX_READY_AGE: time::Duration = time::Duration::from_millis(2_500);
 
@@ -111,7 +115,7 @@
         .workers(1)
         .worker_max_blocking_threads(1)
         .max_concurrent_connections(MAX_CONNECTIONS)
-        .shutdown_timeout(1)
+        .shutdown_timeout(STOPPING_TIMEOUT.as_secs())
         .disable_signals();
     let builder = listen(builder, "callers", listeners.callers, dependencies)?;
     let builder = match listeners.balancer {
@@ -247,11 +251,13 @@
         let host = header_text(headers, header::HOST.as_str());
         let timeout = header_text(headers, self.codec.timeout_header());
         let timeout = timeout.and_then(|text| text.parse().ok());
+        let timeout = timeout.map(time::Duration::from_millis);
+        let limit = self.stopping.borrow().then_some(STOPPING_TIMEOUT);
         CallerHead {
             host: host.unwrap_or_default(),
             path: request.path().to_owned(),
             key: header_text(headers, self.codec.key_header()).map(|text| bare_key(&text)),
-            timeout: timeout.map(time::Duration::from_millis),
+            timeout: timeout.into_iter().chain(limit).min(),
         }
     }
 
