Count untouched jobs of a backlog by their estimates

Cause: a summary of 12,500 jobs with 50,000 waiting tasks took 4.7 to 7.2 ms.

Change: jobs of which no task has started are not walked task by task.

--- a/crates/jobs/src/scheduler/backlog.rs
+++ b/crates/jobs/src/scheduler/backlog.rs
@@ -13,7 +13,7 @@
     BacklogLevel, BacklogSummary, CustomerBacklog, LATEST_FACTOR, PoolBacklog, averaged_rate,
 };
 use crate::name::{CustomerName, JobId, PoolName};
-use crate::record::JobRecord;
+use crate::record::{JobRecord, JobState};
 use crate::time::{BootTime, WallTime};
 
 use super::JobScheduler;
@@ -307,7 +307,11 @@
         let objective = queue.map_or(critical_path, |queue| queue.objective(critical_path));
         let latest_ms = objective.mul_f64(LATEST_FACTOR).as_millis() as u64;
         let latest_ms = job.released_ms().saturating_add(latest_ms);
-        latest_ms.saturating_sub(job.remaining_ms())
+        let remaining_ms = match is_untouched(job) {
+            true => job.critical_path_ms,
+            false => job.remaining_ms(),
+        };
+        latest_ms.saturating_sub(remaining_ms)
     }
 
     fn pool_capacities(&self) -> HashMap<PoolName, PoolCapacity> {
@@ -339,7 +343,20 @@
     running: u64,
 }
 
+/// Returns whether no task of a job without a schedule has started, as most are in a
+/// large backlog: its tasks need not be looked at.
+fn is_untouched(job: &JobEntry) -> bool {
+    job.state == JobState::Queued && job.record.spec.schedule.is_none()
+}
+
 fn job_work(job: &JobEntry, now: BootTime) -> JobWork {
+    if is_untouched(job) {
+        let waiting = job.record.spec.estimated_work() / 1_000;
+        return JobWork {
+            waiting,
+            running: 0,
+        };
+    }
     let mut work = JobWork::default();
     for occurrence in &job.occurrences {
         for (step, spec) in occurrence.steps.iter().zip(&job.record.spec.steps) {
