Estimate what other entry VMs admit without refusing what fits

Change: the ratio is that of the time when all admitted most, with one job more on both sides, and is used only for customers near their limit or refused lately. The seed also spreads the retry times of VMs.

--- a/crates/jobs/src/admission/ledger.rs
+++ b/crates/jobs/src/admission/ledger.rs
@@ -10,10 +10,11 @@
 use crate::time::BootTime;
 
 use super::summary::{BacklogSummary, averaged_rate};
-use super::{AdmissionSettings, AdmittedWork, JobArrival};
+use super::{AdmissionSettings, AdmittedWork, JobArrival, fraction_of};
 
-/// Largest assumed ratio between what all VMs admit and what this one does.
-const MAX_RATIO: f64 = 200.0;
+/// Jobs a second by which both sides of a comparison are raised, since a VM
+/// may have admitted none. Fewer would make such a VM refuse jobs that fit.
+const ADDED_JOBS: f64 = 1.0;
 
 #[derive(Clone, Debug)]
 struct AdmittedJob {
@@ -33,12 +34,16 @@
     /// summary.
     rate: f64,
     comparison: Option<Comparison>,
+    /// When this VM last refused a job.
+    refused_at: Option<BootTime>,
 }
 
-/// Comparison of what all VMs admitted with what this one did.
+/// What all VMs admitted and what this one did, in core-milliseconds a second, when all
+/// admitted most.
 #[derive(Clone, Copy, Debug)]
 struct Comparison {
-    ratio: f64,
+    all: f64,
+    own: f64,
     made_at: BootTime,
 }
 
@@ -119,47 +124,66 @@
             entry.rate = averaged_rate(entry.rate, work, seconds);
             let pool = summary.pools.get(pool);
             let all = pool.and_then(|pool| pool.customer(customer));
-            let all = all.filter(|all| all.waiting() > 0 && all.arrival_rate > 0);
-            if let Some(all) = all.filter(|_| entry.rate >= 1.0) {
-                let ratio = all.arrival_rate as f64 / entry.rate;
-                entry.comparison = Some(Comparison {
-                    ratio: ratio.clamp(1.0, MAX_RATIO),
+            let all = all.filter(|all| all.waiting() > 0);
+            let all = all.map(|all| all.arrival_rate as f64);
+            let previous = entry.comparison.filter(|previous| {
+                made_at.saturating_since(previous.made_at) <= self.comparison_validity
+            });
+            let is_highest = |all: &f64| previous.is_none_or(|previous| *all >= previous.all);
+            entry.comparison = match all.filter(is_highest) {
+                Some(all) => Some(Comparison {
+                    all,
+                    own: entry.rate,
                     made_at,
-                });
-            }
+                }),
+                None => previous,
+            };
         }
     }
 
+    /// Records that a job was refused.
+    pub(super) fn refuse(&mut self, arrival: &JobArrival, now: BootTime) {
+        self.customer(arrival).refused_at = Some(now);
+    }
+
     /// Returns the estimated work that all VMs admitted for the customer of `arrival`
     /// since `made_at`, with latest starts counted from then.
     ///
-    /// The other VMs decide on jobs like this one at the same time. They count by a
-    /// fraction that differs from VM to VM, so that as many are admitted in all as fit,
-    /// even if fewer fit than there are VMs.
+    /// Only if the customer is near its limit, or was refused jobs lately, the others
+    /// count: they admit as many times what this VM does as when all admitted most, and decide on jobs like
+    /// this one at the same time. Of the latter, the VMs count different fractions, so
+    /// that not each of them admits one if fewer fit.
     pub(super) fn admitted_since(
         &mut self,
         arrival: &JobArrival,
         made_at: BootTime,
+        is_near_limit: bool,
         now: BootTime,
     ) -> EstimatedAdmissions {
         let validity = self.comparison_validity;
-        let fraction = fraction_of(self.seed, made_at);
+        let fraction = fraction_of(self.seed ^ made_at.as_millis());
         let customer = self.customer(arrival);
-        let comparison = customer.comparison;
-        let valid = comparison.filter(|entry| now.saturating_since(entry.made_at) <= validity);
-        let ratio = valid.map_or(1.0, |entry| entry.ratio);
         let recent = customer.jobs.iter().filter(|job| job.at >= made_at);
         let work = recent.map(|job| AdmittedWork {
             priority: job.priority,
             latest_start: job.at.saturating_since(made_at) + job.latest_start,
-            work: job.work as f64 * ratio,
+            work: job.work as f64,
         });
         let mut work: Vec<AdmittedWork> = work.collect();
-        if ratio > 1.0 {
+        let Some(comparison) = customer.comparison else {
+            return EstimatedAdmissions { work, ratio: 1.0 };
+        };
+        let job = arrival.work.max(1) as f64;
+        let added = job * ADDED_JOBS;
+        let ratio = ((comparison.all + added) / (comparison.own + added)).max(1.0);
+        let refused_at = customer.refused_at;
+        let was_refused = refused_at.is_some_and(|at| now.saturating_since(at) <= validity);
+        if is_near_limit || was_refused {
+            let own: f64 = work.iter().map(|work| work.work).sum();
             work.push(AdmittedWork {
                 priority: arrival.priority,
                 latest_start: time::Duration::ZERO,
-                work: arrival.work as f64 * (ratio - 1.0) * fraction,
+                work: (ratio - 1.0) * (own + job * fraction),
             });
         }
         EstimatedAdmissions { work, ratio }
@@ -175,12 +199,3 @@
         }
     }
 }
-
-/// Returns a number from 0 to 1 that is evenly distributed over VMs and publications
-/// (the generator SplitMix64).
-fn fraction_of(seed: u64, made_at: BootTime) -> f64 {
-    let state = seed ^ made_at.as_millis().wrapping_mul(0x9e37_79b9_7f4a_7c15);
-    let mixed = (state ^ (state >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-    let mixed = (mixed ^ (mixed >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
-    ((mixed ^ (mixed >> 31)) >> 11) as f64 / (1_u64 << 53) as f64
-}
--- a/crates/jobs/src/admission/mod.rs
+++ b/crates/jobs/src/admission/mod.rs
@@ -40,7 +40,7 @@
 pub struct AdmissionSettings {
     /// Maximum age of the summary; with an older one all jobs are admitted.
     pub max_age: time::Duration,
-    /// Time for which an entry VM uses a comparison of what it admits with what all
+    /// Time after a refusal for which an entry VM counts what it expects that others
     /// admit.
     pub comparison_validity: time::Duration,
     /// Whether a job is refused that could be done in time itself, but only instead of
@@ -196,7 +196,7 @@
     protects_accepted: bool,
 ) -> Option<ExcessWork> {
     let customer = backlog.customer(&arrival.customer)?;
-    if customer.waiting() == 0 && admitted.is_empty() {
+    if customer.waiting() == 0 && admitted.iter().all(|admitted| admitted.work <= 0.0) {
         return None;
     }
     let before = WorkBefore {
@@ -248,7 +248,7 @@
     pub fn new(settings: AdmissionSettings, seed: u64) -> Self {
         Self {
             ledger: AdmissionLedger::new(&settings, seed),
-            retries: RetryQueue::new(&settings),
+            retries: RetryQueue::new(&settings, seed),
             received: None,
             settings,
         }
@@ -284,9 +284,12 @@
     /// is called.
     pub fn decide(&mut self, id: &JobId, arrival: &JobArrival, now: BootTime) -> AdmissionDecision {
         match self.excess(arrival, now) {
-            Some(excess) => AdmissionDecision::Refused {
-                retry_after: self.retries.refuse(id, arrival, &excess, now),
-            },
+            Some(excess) => {
+                self.ledger.refuse(arrival, now);
+                AdmissionDecision::Refused {
+                    retry_after: self.retries.refuse(id, arrival, &excess, now),
+                }
+            }
             None => {
                 self.retries.forget(id);
                 self.ledger.add(id, arrival, now);
@@ -307,7 +310,14 @@
             return None;
         }
         let backlog = received.summary.pools.get(&arrival.pool)?;
-        let admitted = self.ledger.admitted_since(arrival, received.made_at, now);
+        let customer = backlog.customer(&arrival.customer)?;
+        let span = arrival.objective?.mul_f64(LATEST_FACTOR);
+        let limit = backlog.allotment(customer, span.as_millis() as f64);
+        let is_near_limit = customer.waiting() as f64 >= limit / 2.0;
+        let made_at = received.made_at;
+        let admitted = self
+            .ledger
+            .admitted_since(arrival, made_at, is_near_limit, now);
         let excess = check(
             arrival,
             backlog,
@@ -322,3 +332,12 @@
         })
     }
 }
+
+/// Returns a number from 0 to 1 that is evenly distributed over seeds (the generator
+/// SplitMix64).
+fn fraction_of(seed: u64) -> f64 {
+    let state = seed.wrapping_add(0x9e37_79b9_7f4a_7c15);
+    let mixed = (state ^ (state >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    let mixed = (mixed ^ (mixed >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    ((mixed ^ (mixed >> 31)) >> 11) as f64 / (1_u64 << 53) as f64
+}
--- a/crates/jobs/src/admission/retry.rs
+++ b/crates/jobs/src/admission/retry.rs
@@ -12,7 +12,7 @@
 use crate::name::{CustomerName, JobId, PoolName};
 use crate::time::BootTime;
 
-use super::{AdmissionSettings, ExcessWork, JobArrival};
+use super::{AdmissionSettings, ExcessWork, JobArrival, fraction_of};
 
 /// Least rate at which a backlog is assumed to drain, in core-milliseconds a second.
 const MIN_DRAIN_RATE: f64 = 1.0;
@@ -23,6 +23,9 @@
     min_delay: time::Duration,
     max_delay: time::Duration,
     max_remembered: usize,
+    /// Fraction of the time between two refused jobs by which the times of this VM
+    /// differ from those of others.
+    phase: f64,
     /// Latest retry time that each customer was given.
     last: HashMap<(PoolName, Option<CustomerName>), BootTime>,
     by_job: HashMap<JobId, BootTime>,
@@ -31,11 +34,12 @@
 }
 
 impl RetryQueue {
-    pub(super) fn new(settings: &AdmissionSettings) -> Self {
+    pub(super) fn new(settings: &AdmissionSettings, seed: u64) -> Self {
         Self {
             min_delay: settings.min_retry_after,
             max_delay: settings.max_retry_after,
             max_remembered: settings.max_remembered,
+            phase: fraction_of(seed),
             last: HashMap::new(),
             by_job: HashMap::new(),
             order: VecDeque::new(),
@@ -59,7 +63,8 @@
             time::Duration::from_secs_f64(seconds.min(self.max_delay.as_secs_f64()))
         };
         let key = (arrival.pool.clone(), arrival.customer.clone());
-        let drained_at = now + drain_time(excess.work);
+        let phase = drain_time(arrival.work as f64).mul_f64(self.phase);
+        let drained_at = now + drain_time(excess.work) + phase;
         let after_last = self
             .last
             .get(&key)
