--- a/crates/engine/src/caller/service.rs
+++ b/crates/engine/src/caller/service.rs
@@ -42,6 +42,8 @@
 /// Settings of the responses to callers.
 #[derive(Clone, Debug)]
 pub struct CallerSettings {
+    /// Whether jobs are refused that the published backlogs show to be too late.
+    pub refuses_early: bool,
     /// Maximum age of the manifest; requests are refused while it is older.
     pub max_manifest_age: time::Duration,
     /// Time after which a write without a response is sent again.
@@ -71,6 +73,7 @@
 impl Default for CallerSettings {
     fn default() -> Self {
         Self {
+            refuses_early: false,
             max_manifest_age: time::Duration::from_millis(1_700),
             attempt_timeout: time::Duration::from_millis(700),
             refuse_after: time::Duration::from_millis(300),
@@ -289,6 +292,9 @@
     /// A job that is stored already was accepted. If that cannot be told in time, the
     /// job is admitted, so that none is refused of which a task may run.
     async fn refuse_overload(&self, id: &JobId, arrival: &JobArrival) -> Option<CallerResponse> {
+        if !self.settings.refuses_early {
+            return None;
+        }
         let summary = self.backlog.current();
         let decision = {
             let mut admission = self.admission.borrow_mut();
--- a/crates/engine/src/owner/mod.rs
+++ b/crates/engine/src/owner/mod.rs
@@ -62,6 +62,8 @@
     pub tick_interval: time::Duration,
     /// Minimum time between two writes of the pending counts.
     pub pending_interval: time::Duration,
+    /// Whether the backlogs of pools are published.
+    pub publishes_backlogs: bool,
     /// Minimum time between two writes of the backlogs of pools.
     pub backlog_interval: time::Duration,
     /// Time between two rounds of cleanup, which deletes the rows of finished
@@ -93,6 +95,7 @@
             pause_limit: time::Duration::from_millis(1_000),
             tick_interval: time::Duration::from_millis(50),
             pending_interval: time::Duration::from_millis(700),
+            publishes_backlogs: false,
             backlog_interval: time::Duration::from_millis(500),
             cleanup_interval: time::Duration::from_secs(1),
             machine_interval: time::Duration::from_millis(600),
--- a/crates/engine/src/owner/session/store.rs
+++ b/crates/engine/src/owner/session/store.rs
@@ -158,6 +158,9 @@
     /// Returns the row of the backlogs, if `backlog_interval` has elapsed and a pool has
     /// a backlog, or had one at the latest publication.
     fn next_backlog_row(&mut self, now: BootTime) -> Option<EncodedRow> {
+        if !self.dependencies.settings.publishes_backlogs {
+            return None;
+        }
         let interval = self.dependencies.settings.backlog_interval;
         if now.saturating_since(self.backlog_counted_at) < interval {
             return None;
--- a/crates/engine/src/run.rs
+++ b/crates/engine/src/run.rs
@@ -39,6 +39,14 @@
     pub client: ClientSettings,
 }
 
+impl EngineSettings {
+    /// Sets whether the owner publishes backlogs, and callers are refused by them.
+    pub fn set_early_refusal(&mut self, is_enabled: bool) {
+        self.caller.refuses_early = is_enabled;
+        self.owner.publishes_backlogs = is_enabled;
+    }
+}
+
 impl Default for EngineSettings {
     fn default() -> Self {
         Self {
--- a/crates/engine/tests/common/mod.rs
+++ b/crates/engine/tests/common/mod.rs
@@ -205,7 +205,10 @@
         first_view.expect("the manifest is followed");
         let (stop, stopping) = watch::channel(false);
         let service = CallerService::new(
-            CallerSettings::default(),
+            CallerSettings {
+                refuses_early: true,
+                ..CallerSettings::default()
+            },
             client.clone(),
             codec.clone(),
             operators.clone(),
@@ -213,7 +216,10 @@
         let owner = task::spawn_local(owner::run(OwnerDependencies {
             node: format!("entry-{number}"),
             incarnation,
-            settings: rc::Rc::new(settings),
+            settings: rc::Rc::new(OwnerSettings {
+                publishes_backlogs: true,
+                ..settings
+            }),
             client,
             services,
             codec,
--- a/crates/experiment/src/run.rs
+++ b/crates/experiment/src/run.rs
@@ -167,7 +167,7 @@
         }
         self.scheduler.place_tasks(now, self.wall());
         if !self.is_storing && self.scheduler.has_changes() {
-            let changes = self.scheduler.take_changes();
+            let changes = self.scheduler.take_changes(now);
             self.is_storing = true;
             let stored_ms = self.now_ms + self.table_delay_ms();
             self.events
--- a/crates/node/src/jobs.rs
+++ b/crates/node/src/jobs.rs
@@ -40,19 +40,20 @@
 /// addresses or stops with an error.
 pub async fn serve(settings: &JobSettings) -> Result<()> {
     let result = match settings.platform {
-        JobPlatform::Deployed => serve_deployed().await?,
+        JobPlatform::Deployed => serve_deployed(settings).await?,
         JobPlatform::Embedded => serve_embedded(settings).await?,
     };
     result.map_err(|error| Error::start("run jobs", error))
 }
 
-async fn serve_deployed() -> Result<redwing_engine::Result<()>> {
-    let settings = redwing_adapter::read_settings();
-    let settings = settings.map_err(|error| Error::start("read settings", error))?;
-    let listeners = EngineListeners::bind(settings.callers, settings.balancer);
+async fn serve_deployed(settings: &JobSettings) -> Result<redwing_engine::Result<()>> {
+    let deployment = redwing_adapter::read_settings();
+    let deployment = deployment.map_err(|error| Error::start("read settings", error))?;
+    let listeners = EngineListeners::bind(deployment.callers, deployment.balancer);
     let listeners = listeners.map_err(|error| Error::start("listen", error))?;
-    let engine = settings.engine.clone();
-    let factory = sync::Arc::new(PlatformFactory::new(settings));
+    let mut engine = deployment.engine.clone();
+    engine.set_early_refusal(settings.early_refusal);
+    let factory = sync::Arc::new(PlatformFactory::new(deployment));
     Ok(run::serve(engine, listeners, factory).await)
 }
 
@@ -63,10 +64,11 @@
     let address = listeners
         .address()
         .map_err(|error| Error::start("listen", error))?;
-    let engine = EngineSettings {
+    let mut engine = EngineSettings {
         leave_delay: time::Duration::from_millis(200),
         ..EngineSettings::default()
     };
+    engine.set_early_refusal(settings.early_refusal);
     let text = format!(
         "listen http://{address}\n\n\
          curl -X POST -H 'authorization: Bearer {ACCESS_KEY}' http://{address}/v1/queues/certificates/jobs/first \\\n\
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -165,6 +165,8 @@
     pub platform: JobPlatform,
     /// Address to serve callers on, unless the platform's settings set one.
     pub listen: net::SocketAddr,
+    /// Whether jobs are refused at once that published backlogs show to be too late.
+    pub early_refusal: bool,
     /// Format of log lines.
     pub log_format: LogFormat,
     /// Minimum level of log events.
@@ -238,6 +240,15 @@
             "listen",
             "Address to serve callers on; port 0 picks any free port",
         ))
+        .arg(
+            flag::named(
+                "early-refusal",
+                "Whether to refuse jobs at once that cannot be done in time",
+            )
+            .default_value("off")
+            .value_name("on|off")
+            .value_parser(["on", "off"]),
+        )
         .args(log_flags())
 }
 
@@ -245,6 +256,7 @@
     Some(JobSettings {
         platform: *flags.get_one("job-platform")?,
         listen: *flags.get_one("listen")?,
+        early_refusal: flags.get_one::<String>("early-refusal")? == "on",
         log_format: *flags.get_one("log-format")?,
         log_level: *flags.get_one("log-level")?,
     })
