Let jobs without an objective keep their place among late jobs

Cause: a job without an estimate, in a queue without an objective, counted as of no use at once and went behind all late jobs. Fix: such a job never expires. Evidence: a_job_without_an_objective_keeps_its_place fails without the check and passes.

--- a/crates/jobs/src/scheduler/backlog.rs
+++ b/crates/jobs/src/scheduler/backlog.rs
@@ -297,7 +297,8 @@
     }
 
     /// Returns the latest time at which the rest of a job may start and the job still
-    /// be of use, in milliseconds since the Unix epoch; a long-running one always is.
+    /// be of use, in milliseconds since the Unix epoch; a long-running one, or one
+    /// without an objective, always is.
     pub(super) fn expiry_ms(&self, job: &JobEntry) -> u64 {
         if job.record.spec.is_long_running() {
             return u64::MAX;
@@ -305,6 +306,9 @@
         let queue = self.manifest.queue(&job.record.queue);
         let critical_path = time::Duration::from_millis(job.critical_path_ms);
         let objective = queue.map_or(critical_path, |queue| queue.objective(critical_path));
+        if objective.is_zero() {
+            return u64::MAX;
+        }
         let latest_ms = objective.mul_f64(LATEST_FACTOR).as_millis() as u64;
         let latest_ms = job.released_ms().saturating_add(latest_ms);
         let remaining_ms = match is_untouched(job) {
--- a/crates/jobs/tests/peak.rs
+++ b/crates/jobs/tests/peak.rs
@@ -3,10 +3,12 @@
 mod common;
 
 use std::collections::BTreeMap;
+use std::sync;
 
-use common::{FakeFleet, FakeWorker, step_spec, task_id};
+use common::{FakeFleet, FakeWorker, manifest_parts_with_limit, step_spec, task_id};
 use proptest::prelude::RngExt;
 use proptest::test_runner::{RngAlgorithm, TestRng};
+use redwing_jobs::manifest::JobManifest;
 use redwing_jobs::spec::StepSpec;
 use redwing_jobs::{BootTime, JobId, JobState, SchedulerSettings, TaskId};
 use rstest::rstest;
@@ -239,3 +241,27 @@
     assert_eq!(fleet.stops.len(), 1);
     assert_eq!(fleet.state(&next), JobState::Completed);
 }
+
+/// A job without an estimate, in a queue without an objective, never counts as being of
+/// no use: it waits among the late jobs by its due time.
+#[test]
+fn a_job_without_an_objective_keeps_its_place() {
+    let mut fleet = fleet_of(1, 1_000);
+    let mut parts = manifest_parts_with_limit(0);
+    parts.version = 2;
+    parts.queues[0].objective_ms = 0;
+    let manifest = JobManifest::from(parts);
+    fleet.scheduler.set_manifest(sync::Arc::new(manifest));
+    fleet.submit("first", vec![step_spec(1, 1_000)], 1_500);
+    fleet.advance(100);
+    let unknown_step = StepSpec {
+        estimate_ms: 0,
+        ..step_spec(1, 1_000)
+    };
+    let unknown = fleet.submit("a", vec![unknown_step], 300);
+    fleet.advance(100);
+    let late = fleet.submit("b", vec![step_spec(1, 1_000)], 300);
+    fleet.advance(3_000);
+    let unknown = start_time(&fleet, &task_id(&unknown, 0, 0));
+    assert!(unknown < start_time(&fleet, &task_id(&late, 0, 0)));
+}
