Take back the admission of a job whose row cannot be encoded

Cause: the count of admitted work kept a job that was not stored. Found by reading the diff; no test of its own, since no job is known that cannot be encoded. Change: it is withdrawn like one whose write was refused; two comments say what holds.

--- a/crates/engine/src/caller/service.rs
+++ b/crates/engine/src/caller/service.rs
@@ -35,8 +35,8 @@
     max_delay: time::Duration::from_millis(300),
 };
 
-/// Time from the start of a publication until it is surely stored. All VMs read each
-/// publication at about this time, so that their knowledge is equally old.
+/// Least time from a publication until entry VMs read it; each adds up to as much at
+/// random.
 const PUBLICATION_DELAY: time::Duration = time::Duration::from_millis(40);
 
 /// Settings of the responses to callers.
@@ -271,7 +271,10 @@
         let key = row::job_key(id);
         let value = match row::write(&key, &record) {
             Ok(value) => value,
-            Err(error) => return CallerResponse::Malformed(error.to_string()),
+            Err(error) => {
+                self.admission.borrow_mut().withdraw(id, &arrival);
+                return CallerResponse::Malformed(error.to_string());
+            }
         };
         let response = self.store(key, value, call.deadline).await;
         match &response {
@@ -290,7 +293,7 @@
     /// not be stored.
     ///
     /// A job that is stored already was accepted. If that cannot be told in time, the
-    /// job is admitted, so that none is refused of which a task may run.
+    /// job is admitted. A write that is still under way is not seen.
     async fn refuse_overload(&self, id: &JobId, arrival: &JobArrival) -> Option<CallerResponse> {
         if !self.settings.refuses_early {
             return None;
