Test the engine with early refusal off, as the product has it

Cause: the test cluster refused early in every test; only those of admission ask for it. Change: the settings of the owner decide, in the test cluster too.

--- a/crates/engine/tests/admission.rs
+++ b/crates/engine/tests/admission.rs
@@ -8,6 +8,7 @@
 use common::{TestCluster, head, run_test};
 use redwing_engine::caller::service::CallerVerb;
 use redwing_engine::codec::CallerResponse;
+use redwing_engine::owner::OwnerSettings;
 use redwing_engine::row;
 use redwing_jobs::JobState;
 use redwing_jobs::admission::BacklogSummary;
@@ -21,6 +22,19 @@
 /// of 1.4 s.
 const FLOOD_JOBS: usize = 16;
 
+/// Starts two processes that refuse early.
+async fn start_cluster() -> TestCluster {
+    let mut cluster = TestCluster::start(0, TASK_TIME).await;
+    for number in 0..2 {
+        let settings = OwnerSettings {
+            publishes_backlogs: true,
+            ..OwnerSettings::default()
+        };
+        cluster.add_process_with(number, settings).await;
+    }
+    cluster
+}
+
 async fn submit(cluster: &TestCluster, process: usize, id: &str) -> CallerResponse {
     let body = br#"{"steps":[{"count":10,"needs":{"cpu-millis":1000},"estimate-ms":500}]}"#;
     let service = &cluster.processes[process].service;
@@ -67,7 +81,7 @@
 #[test]
 fn a_refused_job_never_runs_and_an_accepted_one_stays_accepted() {
     run_test(async {
-        let cluster = TestCluster::start(2, TASK_TIME).await;
+        let cluster = start_cluster().await;
         cluster.owner().await;
         for number in 0..FLOOD_JOBS {
             let response = submit(&cluster, number % 2, &format!("flood-{number}")).await;
@@ -101,7 +115,7 @@
 #[test]
 fn a_lost_owner_refuses_no_job_for_long() {
     run_test(async {
-        let cluster = TestCluster::start(2, TASK_TIME).await;
+        let cluster = start_cluster().await;
         let owner = cluster.owner().await;
         let other = 1 - cluster.process_index(&owner);
         for number in 0..FLOOD_JOBS {
--- a/crates/engine/tests/common/mod.rs
+++ b/crates/engine/tests/common/mod.rs
@@ -206,7 +206,7 @@
         let (stop, stopping) = watch::channel(false);
         let service = CallerService::new(
             CallerSettings {
-                refuses_early: true,
+                refuses_early: settings.publishes_backlogs,
                 ..CallerSettings::default()
             },
             client.clone(),
@@ -216,10 +216,7 @@
         let owner = task::spawn_local(owner::run(OwnerDependencies {
             node: format!("entry-{number}"),
             incarnation,
-            settings: rc::Rc::new(OwnerSettings {
-                publishes_backlogs: true,
-                ..settings
-            }),
+            settings: rc::Rc::new(settings),
             client,
             services,
             codec,
