--- a/crates/ctl/tests/experiment.rs
+++ b/crates/ctl/tests/experiment.rs
@@ -32,7 +32,7 @@
     let report: serde_json::Value =
         serde_json::from_str(&read("experiment.json")).expect("the report is JSON");
     let policies = report["policies"].as_array().expect("policies are listed");
-    assert_eq!(policies[0]["policy"], "due-time");
+    assert_eq!(policies[0]["policy"], "common-order");
     assert_eq!(policies[0]["runs"].as_array().map(Vec::len), Some(2));
     assert!(read("seconds.svg").contains("<polyline"));
     assert!(read("customers.svg").contains("housing"));
--- a/crates/engine/src/owner/election.rs
+++ b/crates/engine/src/owner/election.rs
@@ -180,7 +180,7 @@
     let previous = PreviousOwner {
         unchanged_since,
         has_ended,
-        inherited: inherited_ms.map(time::Duration::from_millis),
+        earlier_leases_left: inherited_ms.map(time::Duration::from_millis),
     };
     previous.leases_until(&dependencies.settings.scheduler)
 }
--- a/crates/engine/src/owner/session/mod.rs
+++ b/crates/engine/src/owner/session/mod.rs
@@ -178,9 +178,11 @@
             inherited_until,
             lease,
         };
+        // The previous owner had the token before this one.
+        let previous_token = fencing_token - 1;
         session.scheduler.inherit_leases(InheritedLeases {
             until: inherited_until,
-            workers: record::read_lease_ends(&leases.rows, fencing_token - 1, unchanged_since),
+            workers: record::read_lease_ends(&leases.rows, previous_token, unchanged_since),
         });
         session.apply_operator_view();
         session.apply_worker_rows(&workers.rows, true);
@@ -270,8 +272,8 @@
         }
     }
 
-    /// Returns whether no other process can own the scheduling and rely on the time
-    /// for which this one sends orders.
+    /// Returns whether orders may be sent: the latest stored change is recent enough
+    /// that a successor waits for the leases that they grant.
     fn is_confirmed(&self, now: BootTime) -> bool {
         let unconfirmed = now.saturating_since(self.confirmed_at);
         self.unconfirmed_since.is_none()
@@ -349,6 +351,7 @@
         }
         let now = clock::boot_now();
         let orders = self.scheduler.take_orders();
+        // Otherwise the next owner orders what is still needed.
         if self.is_confirmed(now) {
             for order in orders {
                 self.order_queues.send(order);
--- a/crates/experiment/src/policy.rs
+++ b/crates/experiment/src/policy.rs
@@ -11,7 +11,7 @@
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub enum ExperimentPolicy {
     /// One order for all customers, by priority and due time.
-    DueTime,
+    CommonOrder,
     /// Customers share pools by their weights.
     Shares,
     /// As [`Self::Shares`]; jobs that cannot be done in time are refused.
@@ -20,12 +20,12 @@
 
 impl ExperimentPolicy {
     /// All policies, in the order of reports.
-    pub const ALL: [Self; 3] = [Self::DueTime, Self::Shares, Self::SharesAdmission];
+    pub const ALL: [Self; 3] = [Self::CommonOrder, Self::Shares, Self::SharesAdmission];
 
     /// Returns the name for flags and reports.
     pub fn name(self) -> &'static str {
         match self {
-            Self::DueTime => "due-time",
+            Self::CommonOrder => "common-order",
             Self::Shares => "shares",
             Self::SharesAdmission => "shares-admission",
         }
@@ -40,7 +40,7 @@
     pub fn scheduler_settings(self) -> SchedulerSettings {
         SchedulerSettings {
             share_policy: match self {
-                Self::DueTime => SharePolicy::Ignored,
+                Self::CommonOrder => SharePolicy::Ignored,
                 Self::Shares | Self::SharesAdmission => SharePolicy::Weighted,
             },
             ..SchedulerSettings::default()
--- a/crates/experiment/tests/run.rs
+++ b/crates/experiment/tests/run.rs
@@ -71,7 +71,7 @@
 fn shares_protect_the_others_from_a_flood(#[case] seed: u64) {
     let load = load(&small_load());
     let shares = run(&load, ExperimentPolicy::Shares, seed);
-    let due_time = run(&load, ExperimentPolicy::DueTime, seed);
+    let due_time = run(&load, ExperimentPolicy::CommonOrder, seed);
     let protected = customer(&shares, "portal").in_time_fraction();
     let exposed = customer(&due_time, "portal").in_time_fraction();
     assert!(protected >= 0.95, "{protected}");
@@ -173,8 +173,8 @@
 #[test]
 fn a_summary_has_mean_and_range_over_the_seeds() {
     let load = load(&small_load());
-    let runs = (1..=3).map(|seed| run(&load, ExperimentPolicy::DueTime, seed));
-    let summary = PolicySummary::new(ExperimentPolicy::DueTime, runs.collect());
+    let runs = (1..=3).map(|seed| run(&load, ExperimentPolicy::CommonOrder, seed));
+    let summary = PolicySummary::new(ExperimentPolicy::CommonOrder, runs.collect());
     assert_eq!(summary.runs.len(), 3);
     assert!(summary.in_time.min <= summary.in_time.mean);
     assert!(summary.in_time.mean <= summary.in_time.max);
--- a/crates/jobs/src/admission/ledger.rs
+++ b/crates/jobs/src/admission/ledger.rs
@@ -33,7 +33,7 @@
     /// Work admitted by this VM, in core-milliseconds a second, averaged as in the
     /// summary.
     rate: f64,
-    comparison: Option<Comparison>,
+    comparison: Option<AdmissionComparison>,
     /// When this VM last refused a job.
     refused_at: Option<BootTime>,
 }
@@ -41,7 +41,7 @@
 /// What all VMs admitted and what this one did, in core-milliseconds a second, when all
 /// admitted most.
 #[derive(Clone, Copy, Debug)]
-struct Comparison {
+struct AdmissionComparison {
     all: f64,
     own: f64,
     made_at: BootTime,
@@ -131,7 +131,7 @@
             });
             let is_highest = |all: &f64| previous.is_none_or(|previous| *all >= previous.all);
             entry.comparison = match all.filter(is_highest) {
-                Some(all) => Some(Comparison {
+                Some(all) => Some(AdmissionComparison {
                     all,
                     own: entry.rate,
                     made_at,
@@ -149,10 +149,10 @@
     /// Returns the estimated work that all VMs admitted for the customer of `arrival`
     /// since `made_at`, with latest starts counted from then.
     ///
-    /// Only if the customer is near its limit, or was refused jobs lately, the others
-    /// count: they admit as many times what this VM does as when all admitted most, and decide on jobs like
-    /// this one at the same time. Of the latter, the VMs count different fractions, so
-    /// that not each of them admits one if fewer fit.
+    /// Other VMs count only if the customer is near its limit or was refused lately. They
+    /// are taken to admit in the same ratio to this VM as when all admitted most. For
+    /// jobs that all decide on at once, each VM counts a different fraction, so that not
+    /// every VM admits one.
     pub(super) fn admitted_since(
         &mut self,
         arrival: &JobArrival,
--- a/crates/jobs/src/scheduler/entry.rs
+++ b/crates/jobs/src/scheduler/entry.rs
@@ -48,7 +48,7 @@
     /// When the progress last changed.
     pub(super) advanced_at: BootTime,
     /// Whether a report of the worker has listed the run.
-    pub(super) is_listed: bool,
+    pub(super) is_reported: bool,
 }
 
 /// Progress of stopping a run.
@@ -100,7 +100,7 @@
             confirmed_at: now,
             percent: 0,
             advanced_at: now,
-            is_listed: false,
+            is_reported: false,
         };
         let phase = match &record.worker {
             _ if record.done => TaskPhase::Done,
--- a/crates/jobs/src/scheduler/lease.rs
+++ b/crates/jobs/src/scheduler/lease.rs
@@ -13,16 +13,16 @@
 use super::lease_ledger::LeaseEnds;
 use super::{JobScheduler, RunEndReason, SchedulerEvent, SchedulerSettings};
 
-/// What the successor of an owner knows of it.
+/// What a new owner knows of the one before it.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct PreviousOwner {
     /// Since when its row is known to be unchanged.
     pub unchanged_since: BootTime,
-    /// Whether it sends no more orders since then.
+    /// Whether it has ended, so that it sends no order after that time.
     pub has_ended: bool,
     /// Time that the leases of the owners before it had left at its latest change;
     /// none if unknown.
-    pub inherited: Option<time::Duration>,
+    pub earlier_leases_left: Option<time::Duration>,
 }
 
 impl PreviousOwner {
@@ -38,7 +38,7 @@
         } else {
             longest
         };
-        self.unchanged_since + own.max(self.inherited.unwrap_or(longest))
+        self.unchanged_since + own.max(self.earlier_leases_left.unwrap_or(longest))
     }
 }
 
@@ -53,7 +53,7 @@
 
 impl JobScheduler {
     /// Returns when the leases have expired that earlier owners granted to a worker.
-    pub(super) fn inherited_until(&self, worker: &WorkerId, now: BootTime) -> BootTime {
+    pub(super) fn earlier_leases_until(&self, worker: &WorkerId, now: BootTime) -> BootTime {
         let Some(leases) = &self.inherited else {
             return now + self.settings.inherited_lease;
         };
@@ -75,21 +75,36 @@
         Some(clock.at(now) + lease.as_millis() as u64)
     }
 
-    /// Drops runs on workers that were unresponsive until all their leases had
-    /// expired, and removes workers that are no longer listed.
+    /// Drops the runs on workers without contact whose leases have all expired, and
+    /// removes workers that have no runs and are no longer listed.
     pub(super) fn expire_leases(&mut self, now: BootTime) {
+        self.note_awaited_leases(now);
         let mut expired = Vec::new();
         let mut removed = Vec::new();
-        for (id, entry) in self.fleet.iter_mut() {
-            let is_unresponsive = entry.contact != ContactState::Responsive;
-            if entry.reservations.is_empty() {
-                entry.awaited_since = None;
-                if !entry.is_listed && is_unresponsive {
-                    removed.push(id.clone());
-                }
+        for (id, entry) in self.fleet.iter() {
+            if entry.contact == ContactState::Responsive {
                 continue;
             }
-            if !is_unresponsive {
+            if entry.reservations.is_empty() && !entry.is_listed {
+                removed.push(id.clone());
+            }
+            if entry.lease_until < now {
+                let runs = entry.reservations.iter();
+                expired.extend(runs.map(|(task, held)| (id.clone(), task.clone(), held.run)));
+            }
+        }
+        for (worker, task, run) in expired {
+            self.drop_run(&worker, &task, run, RunEndReason::LeaseExpired);
+        }
+        for id in removed {
+            self.fleet.remove(&id);
+        }
+    }
+
+    /// Records since when runs on unreachable workers wait for the end of the leases.
+    fn note_awaited_leases(&mut self, now: BootTime) {
+        for (id, entry) in self.fleet.iter_mut() {
+            if entry.contact == ContactState::Responsive || entry.reservations.is_empty() {
                 entry.awaited_since = None;
                 continue;
             }
@@ -103,19 +118,6 @@
                     remaining: entry.lease_until.saturating_since(now),
                 });
             }
-            if entry.lease_until < now {
-                let reservations = entry.reservations.iter();
-                expired.extend(
-                    reservations
-                        .map(|(task, reservation)| (id.clone(), task.clone(), reservation.run)),
-                );
-            }
-        }
-        for (worker, task, run) in expired {
-            self.drop_run(&worker, &task, run, RunEndReason::LeaseExpired);
-        }
-        for id in removed {
-            self.fleet.remove(&id);
         }
     }
 
--- a/crates/jobs/src/scheduler/lifecycle.rs
+++ b/crates/jobs/src/scheduler/lifecycle.rs
@@ -94,7 +94,7 @@
         } = placed;
         let worker = &location.worker;
         let incarnation = location.incarnation;
-        let inherited_until = self.inherited_until(worker, now);
+        let inherited_until = self.earlier_leases_until(worker, now);
         let tracked_incarnation = self.fleet.get(worker).map(|entry| entry.incarnation);
         if tracked_incarnation.is_some_and(|tracked| tracked != incarnation) {
             // That incarnation of the worker has ended.
@@ -197,6 +197,17 @@
                 (location.clone(), entry.run)
             }
         };
+        self.order_stop(task, location, run, now);
+    }
+
+    /// Orders the stop of a task's run at a location.
+    pub(super) fn order_stop(
+        &mut self,
+        task: &TaskId,
+        location: RunLocation,
+        run: u32,
+        now: BootTime,
+    ) {
         let worker = location.worker.clone();
         let progress = StopProgress {
             ordered_at: now,
--- a/crates/jobs/src/scheduler/listing.rs
+++ b/crates/jobs/src/scheduler/listing.rs
@@ -4,9 +4,9 @@
 
 use crate::name::{TaskId, WorkerId};
 use crate::time::BootTime;
-use crate::worker::{OrderAction, WorkerView};
+use crate::worker::WorkerView;
 
-use super::entry::{RunLocation, StopProgress, TaskPhase};
+use super::entry::{RunLocation, TaskPhase};
 use super::fleet::{RunReservation, WorkerEntry};
 use super::{JobScheduler, RunEndReason, SchedulerEvent, WorkerStatus};
 
@@ -21,7 +21,7 @@
                 view: Some(view),
                 is_listed: true,
                 best_effort_percent: 100,
-                lease_until: self.inherited_until(&id, now),
+                lease_until: self.earlier_leases_until(&id, now),
                 ..WorkerEntry::default()
             };
             self.fleet.insert(id.clone(), entry);
@@ -89,8 +89,8 @@
         let dropped = entry.begin_incarnation(incarnation);
         self.record_status(id, WorkerStatus::Replaced);
         for (task, run) in dropped {
-            if self.is_current(&task, run, id) && !self.is_listed(&task) {
-                self.stop_unlisted(id, &task, now);
+            if self.is_current(&task, run, id) && !self.is_reported(&task) {
+                self.stop_unreported(id, &task, now);
             } else {
                 self.drop_run(id, &task, run, RunEndReason::WorkerReplaced);
             }
@@ -98,11 +98,10 @@
         self.mark_worker_changed(id);
     }
 
-    /// Returns whether a report of its worker has listed the current run of a task, or
-    /// it is not ordered yet.
-    fn is_listed(&self, task: &TaskId) -> bool {
+    /// Returns false for a run that is ordered and that no report has listed.
+    fn is_reported(&self, task: &TaskId) -> bool {
         match self.task(task).map(|entry| &entry.phase) {
-            Some(TaskPhase::Running(_, progress)) => progress.is_listed,
+            Some(TaskPhase::Running(_, progress)) => progress.is_reported,
             Some(TaskPhase::Ordered(_)) => false,
             _ => true,
         }
@@ -110,7 +109,7 @@
 
     /// Stops a run that the present incarnation of a worker may have, or may get, and
     /// reserves its capacity until then.
-    fn stop_unlisted(&mut self, id: &WorkerId, task: &TaskId, now: BootTime) {
+    fn stop_unreported(&mut self, id: &WorkerId, task: &TaskId, now: BootTime) {
         let reserved = self.reserved(task);
         let is_long_running = self.is_long_running(task);
         let run = self.task(task).map_or(0, |entry| entry.run);
@@ -128,17 +127,8 @@
             worker: id.clone(),
             incarnation: entry.incarnation,
         };
-        let progress = StopProgress {
-            ordered_at: now,
-            accepted_at: None,
-        };
-        self.set_phase(task, TaskPhase::Stopping(location, progress));
         self.changes.mark_changed(&task.job);
-        let action = OrderAction::Stop {
-            task: task.clone(),
-            run,
-        };
-        self.push_order(id, action, now);
+        self.order_stop(task, location, run, now);
     }
 
     /// Stops long-running tasks on draining workers, to restart them elsewhere; all
--- a/crates/jobs/src/scheduler/maintenance.rs
+++ b/crates/jobs/src/scheduler/maintenance.rs
@@ -29,7 +29,7 @@
 
     /// Returns the demand of each pool.
     pub fn pool_demands(&mut self, wall: WallTime) -> BTreeMap<PoolName, PoolDemand> {
-        self.mark_late(wall);
+        self.rank_overdue_jobs(wall);
         let mut demands: BTreeMap<PoolName, PoolDemand> = BTreeMap::new();
         for (_, worker) in self.fleet.iter() {
             let Some(view) = &worker.view else {
--- a/crates/jobs/src/scheduler/mod.rs
+++ b/crates/jobs/src/scheduler/mod.rs
@@ -73,7 +73,7 @@
 /// Whether the weights of customers decide which of them is placed first.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub enum SharePolicy {
-    /// One order for all customers, by priority and due time.
+    /// One order for all customers: priority, least work without a run, due time.
     Ignored,
     /// Customers that use less than their share go first.
     #[default]
--- a/crates/jobs/src/scheduler/order.rs
+++ b/crates/jobs/src/scheduler/order.rs
@@ -112,7 +112,7 @@
             confirmed_at: now,
             percent: 0,
             advanced_at: now,
-            is_listed: false,
+            is_reported: false,
         };
         self.set_phase(task, TaskPhase::Running(location, progress));
         self.pace_started(&worker, task, now);
--- a/crates/jobs/src/scheduler/placement.rs
+++ b/crates/jobs/src/scheduler/placement.rs
@@ -69,18 +69,18 @@
     /// Places the tasks that are ready.
     pub fn place_tasks(&mut self, now: BootTime, wall: WallTime) {
         self.begin_due(wall);
-        self.mark_late(wall);
+        self.rank_overdue_jobs(wall);
         for pool in self.waiting.take_changed() {
             self.place_in_pool(&pool, now);
         }
     }
 
-    /// Moves the jobs behind all others of their pool that can no longer meet their
-    /// objective, by the progress of their runs at this time.
-    pub(super) fn mark_late(&mut self, wall: WallTime) {
+    /// Ranks the jobs whose deadlines have passed, by the progress of their runs at
+    /// this time.
+    pub(super) fn rank_overdue_jobs(&mut self, wall: WallTime) {
         while let Some(id) = self.waiting.next_overdue(wall) {
             self.update_waiting(&id);
-            self.waiting.mark_late(&id, wall);
+            self.waiting.rank_overdue(&id, wall);
         }
     }
 
--- a/crates/jobs/src/scheduler/report.rs
+++ b/crates/jobs/src/scheduler/report.rs
@@ -508,12 +508,12 @@
                 confirmed_at: now,
                 percent,
                 advanced_at: now,
-                is_listed: true,
+                is_reported: true,
             };
             task.phase = TaskPhase::Running(location.clone(), progress);
         }
         TaskPhase::Running(_, progress) => {
-            progress.is_listed = true;
+            progress.is_reported = true;
             if progress.percent != percent {
                 progress.percent = percent;
                 progress.advanced_at = now;
--- a/crates/jobs/src/scheduler/waiting.rs
+++ b/crates/jobs/src/scheduler/waiting.rs
@@ -150,15 +150,15 @@
         }
     }
 
-    /// Returns a job whose place in the order is behind the time.
+    /// Returns a job whose next deadline has passed.
     pub(super) fn next_overdue(&self, wall: WallTime) -> Option<JobId> {
         let (deadline_ms, id) = self.deadlines.first()?;
         (*deadline_ms < wall.as_millis()).then(|| id.clone())
     }
 
-    /// Moves a job that can no longer meet its objective behind those that can, and
-    /// one that can no longer be of use behind all others of its pool.
-    pub(super) fn mark_late(&mut self, id: &JobId, wall: WallTime) {
+    /// Ranks a job whose deadline has passed: late behind those in time, or of no use
+    /// behind late ones.
+    pub(super) fn rank_overdue(&mut self, id: &JobId, wall: WallTime) {
         let entry = self.entries.get(id);
         let overdue = entry.filter(|entry| entry.latest_start_ms < wall.as_millis());
         if let Some(mut entry) = overdue.cloned() {
--- a/crates/jobs/src/spec.rs
+++ b/crates/jobs/src/spec.rs
@@ -201,7 +201,8 @@
     }
 
     /// Returns the estimated duration of the critical path through the steps, in
-    /// milliseconds, where each step has some percentage of its duration left.
+    /// milliseconds; `remaining_percent` returns how much of the duration of the step
+    /// with that number is left, from 0 to 100.
     pub fn critical_path_ms(&self, remaining_percent: impl Fn(usize) -> u64) -> u64 {
         let mut finished: Vec<u64> = Vec::with_capacity(self.steps.len());
         for (number, step) in self.steps.iter().enumerate() {
--- a/crates/jobs/tests/takeover.rs
+++ b/crates/jobs/tests/takeover.rs
@@ -72,7 +72,7 @@
     let previous = PreviousOwner {
         unchanged_since,
         has_ended,
-        inherited: inherited_ms.map(time::Duration::from_millis),
+        earlier_leases_left: inherited_ms.map(time::Duration::from_millis),
     };
     let until = previous.leases_until(&SchedulerSettings::default());
     let expected = unchanged_since + time::Duration::from_millis(expected_ms);
