Log how many rows and bytes a new owner reads

Change: the client reads a scan page by page, and the adapter counts the bytes as they arrive. E534 logs the counts of a read that succeeded, E535 those of one that failed, in place of E532. Timeouts and repeated scans stay as they were.

--- a/crates/engine/src/event.rs
+++ b/crates/engine/src/event.rs
@@ -81,10 +81,14 @@
     OWNER_ENDED = 531 "owner-ended";
     /// An attempt to store a change failed; it is retried unless the table
     /// refused it or the time limit has passed. Also logged if a change cannot be
-    /// encoded, or a new owner could not read the stored rows.
+    /// encoded.
     CHANGE_DELAYED = 532 "change-delayed";
     /// The process was paused for so long that another may own the scheduling.
     PAUSE_NOTICED = 533 "pause-noticed";
+    /// A new owner has read the stored rows.
+    ROWS_READ = 534 "rows-read";
+    /// A new owner could not read the stored rows; logs what had arrived.
+    ROWS_INCOMPLETE = 535 "rows-incomplete";
     /// The status of a worker changed.
     WORKER_CHANGED = 540 "worker-changed";
     /// The platform responded to an order for maintenance or a move of a machine.
--- a/crates/engine/src/owner/session/mod.rs
+++ b/crates/engine/src/owner/session/mod.rs
@@ -1,5 +1,6 @@
 //! Session of an owner, from acquiring the ownership to losing or releasing it.
 
+mod restore;
 mod rows;
 mod store;
 
@@ -15,7 +16,6 @@
 use tokio::time as timer;
 
 use crate::clock;
-use crate::error::Result;
 use crate::event;
 use crate::follow::{self, TableUpdate};
 use crate::log_job_event;
@@ -31,6 +31,8 @@
 use super::record;
 use super::scheduler_event;
 
+use restore::StoredRows;
+
 /// Runs a session until the ownership is lost or the process stops.
 pub(super) async fn run(dependencies: &OwnerDependencies, acquired: AcquiredOwnership) {
     let fencing_token = acquired.lease.record.fencing_token;
@@ -38,10 +40,7 @@
     dependencies.metrics.set_owner(fencing_token);
     let reason = match OwnerSession::open(dependencies, acquired).await {
         Ok(mut session) => session.run().await,
-        Err(error) => {
-            log_job_event!(error, event::CHANGE_DELAYED, error = error);
-            "the rows could not be read"
-        }
+        Err(reason) => reason,
     };
     dependencies.metrics.set_owner(0);
     log_job_event!(
@@ -114,7 +113,7 @@
     async fn open(
         dependencies: &'a OwnerDependencies,
         acquired: AcquiredOwnership,
-    ) -> Result<Self> {
+    ) -> Result<Self, &'static str> {
         let AcquiredOwnership {
             lease,
             claimed_at,
@@ -122,14 +121,16 @@
             unchanged_since,
         } = acquired;
         let client = &dependencies.client;
-        // Concurrent scans: the lease must not expire while a slow table responds.
-        let (jobs, progress, maintenance, leases, workers) = futures_util::try_join!(
-            client.scan(CallCause::Job, row::JOB_PREFIX),
-            client.scan(CallCause::Job, row::PROGRESS_PREFIX),
-            client.scan(CallCause::Maintenance, row::MAINTENANCE_PREFIX),
-            client.scan(CallCause::Membership, row::LEASE_KEY),
-            client.scan(CallCause::Membership, dependencies.codec.worker_prefix()),
-        )?;
+        let Some(StoredRows {
+            jobs,
+            progress,
+            maintenance,
+            leases,
+            workers,
+        }) = restore::read_rows(dependencies).await
+        else {
+            return Err("the rows could not be read");
+        };
         let (completed_sender, completed_orders) = mpsc::unbounded_channel();
         let (machine_sender, machine_responses) = mpsc::unbounded_channel();
         let (deleted_sender, deleted) = mpsc::unbounded_channel();
--- a/crates/provider/src/client.rs
+++ b/crates/provider/src/client.rs
@@ -16,7 +16,9 @@
 use crate::breaker::{BreakerDecision, BreakerSettings, CircuitBreaker};
 use crate::counters::{CallCause, CallCounters, CauseCounts};
 use crate::error::{Category, Error, Result};
+use crate::progress::ReadProgress;
 use crate::rate_limiter::RateLimiter;
+use crate::scan::TableScanner;
 use crate::table::{CommitOutcome, RowKey, TableRow, TableStore, TableTransaction, TableView};
 
 /// Name of the service in errors.
@@ -242,7 +244,23 @@
     /// Fails if the table does not respond in time or the circuit breaker is
     /// open.
     pub async fn scan(&self, cause: CallCause, prefix: &str) -> Result<TableView> {
-        self.shared.read(cause, prefix, TableRead::Scan).await
+        let progress = ReadProgress::default();
+        self.scan_observed(cause, prefix, &progress).await
+    }
+
+    /// Reads as [`TableClient::scan`] does, and counts in `progress` what has arrived.
+    ///
+    /// # Errors
+    ///
+    /// Fails as `scan` does.
+    pub async fn scan_observed(
+        &self,
+        cause: CallCause,
+        prefix: &str,
+        progress: &ReadProgress,
+    ) -> Result<TableView> {
+        let read = TableRead::Scan(progress);
+        self.shared.read(cause, prefix, read).await
     }
 
     /// Reads the rows under `prefix` that commits after `cursor` wrote.
@@ -280,16 +298,16 @@
 /// Kind of a read, with the number of the commit after which it starts and
 /// the longest wait.
 #[derive(Clone, Copy, Debug)]
-enum TableRead {
-    Scan,
+enum TableRead<'a> {
+    Scan(&'a ReadProgress),
     Changes(u64),
     Watch(u64, time::Duration),
 }
 
-impl TableRead {
+impl TableRead<'_> {
     fn operation(self) -> &'static str {
         match self {
-            Self::Scan => "scan",
+            Self::Scan(_) => "scan",
             Self::Changes(_) => "changes",
             Self::Watch(..) => "watch",
         }
@@ -298,7 +316,7 @@
     /// Returns how long the response may take.
     fn timeout(self, settings: &ClientSettings) -> time::Duration {
         match self {
-            Self::Scan => settings.scan_timeout,
+            Self::Scan(_) => settings.scan_timeout,
             Self::Changes(_) => settings.call_timeout,
             // The table may delay the response by `wait`.
             Self::Watch(_, wait) => settings.call_timeout + wait,
@@ -307,7 +325,7 @@
 }
 
 impl SharedState {
-    async fn read(&self, cause: CallCause, prefix: &str, read: TableRead) -> Result<TableView> {
+    async fn read(&self, cause: CallCause, prefix: &str, read: TableRead<'_>) -> Result<TableView> {
         let operation = read.operation();
         let unavailable = |message: &str| Error::unavailable(operation, SERVICE, message);
         let permit = self.read_semaphore.acquire().await;
@@ -317,7 +335,7 @@
         self.admit(operation)?;
         self.counters.borrow_mut().count_read(cause);
         let call = match read {
-            TableRead::Scan => self.scan_hedged(cause, prefix).boxed_local(),
+            TableRead::Scan(progress) => self.scan_hedged(cause, prefix, progress).boxed_local(),
             TableRead::Changes(cursor) => self.table.changes(prefix, cursor),
             TableRead::Watch(cursor, wait) => self.table.watch(prefix, cursor, wait),
         };
@@ -328,9 +346,18 @@
     }
 
     /// Scans, with hedged calls if configured; the first successful one counts.
-    async fn scan_hedged(&self, cause: CallCause, prefix: &str) -> Result<TableView> {
+    async fn scan_hedged(
+        &self,
+        cause: CallCause,
+        prefix: &str,
+        progress: &ReadProgress,
+    ) -> Result<TableView> {
+        let scanner = TableScanner {
+            table: self.table.as_ref(),
+            progress,
+        };
         let mut attempts = FuturesUnordered::new();
-        attempts.push(self.table.scan(prefix));
+        attempts.push(scanner.scan(prefix).boxed_local());
         let Some(hedge_delay) = self.settings.scan_hedge_delay else {
             return first_response(&mut attempts).await;
         };
@@ -340,7 +367,7 @@
                 return response;
             }
             self.counters.borrow_mut().count_read(cause);
-            attempts.push(self.table.scan(prefix));
+            attempts.push(scanner.scan(prefix).boxed_local());
         }
     }
 
--- a/crates/provider/src/lib.rs
+++ b/crates/provider/src/lib.rs
@@ -24,7 +24,9 @@
 pub mod directory;
 pub mod error;
 pub mod object;
+pub mod progress;
 pub mod rate_limiter;
+pub mod scan;
 pub mod table;
 
 pub use client::{ClientSettings, TableClient};
@@ -32,6 +34,7 @@
 pub use directory::{ListedStatus, ListedVm, VmControl, VmDirectory, VmRole};
 pub use error::{Category, Error, Result};
 pub use object::ObjectStore;
+pub use progress::ReadProgress;
 pub use table::{CommitOutcome, RowKey, TableRow, TableStore, TableTransaction};
 
 use std::future;
--- a/crates/provider/src/table.rs
+++ b/crates/provider/src/table.rs
@@ -1,11 +1,13 @@
 //! The platform's transactional table.
 
+use std::future;
 use std::time;
 
 use serde::{Deserialize, Serialize};
 
 use crate::LocalFuture;
 use crate::error::Result;
+use crate::progress::ReadProgress;
 
 /// Key of a row, written `TABLE/NAME` or `TABLE@PART/NAME`.
 ///
@@ -180,6 +182,49 @@
     pub cursor: u64,
 }
 
+impl TableView {
+    /// Returns the number of bytes of the keys and contents.
+    pub fn size(&self) -> u64 {
+        let sizes = self.rows.iter().map(|row| {
+            let value = row.value.as_ref().map_or(0, String::len);
+            row.key.as_str().len() + value
+        });
+        sizes.sum::<usize>() as u64
+    }
+}
+
+/// Parts of a table that hold the rows under a prefix.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct PartList {
+    /// Prefixes that each lie in one part and together cover the requested one.
+    pub prefixes: Vec<String>,
+    /// Number of the latest commit before the parts were listed; none if they were
+    /// not listed, because the prefix lies in one part.
+    pub cursor: Option<u64>,
+}
+
+/// Rows of one page of a read.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct TablePage {
+    /// The rows, in key order.
+    pub rows: Vec<TableRow>,
+    /// Number of the latest commit that the rows reflect.
+    pub cursor: u64,
+    /// Whether more rows follow.
+    pub has_more: bool,
+}
+
+/// Request for one page of the rows under a prefix.
+#[derive(Clone, Copy, Debug)]
+pub struct PageRequest<'a> {
+    /// Prefix of the keys, in one part.
+    pub prefix: &'a str,
+    /// Last row of the previous page; none for the first page.
+    pub after: Option<&'a RowKey>,
+    /// Counts the bytes of the response as they arrive.
+    pub progress: &'a ReadProgress,
+}
+
 /// Transactional table of the platform.
 pub trait TableStore {
     /// Applies a transaction.
@@ -199,6 +244,38 @@
     /// Fails if the table does not respond in time.
     fn scan<'a>(&'a self, prefix: &'a str) -> LocalFuture<'a, Result<TableView>>;
 
+    /// Returns the parts over which the rows under `prefix` are distributed. The
+    /// default implementation has all rows in one.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the table does not respond in time.
+    fn list_parts<'a>(&'a self, prefix: &'a str) -> LocalFuture<'a, Result<PartList>> {
+        let prefixes = vec![prefix.to_owned()];
+        Box::pin(future::ready(Ok(PartList {
+            prefixes,
+            cursor: None,
+        })))
+    }
+
+    /// Reads one page of the rows under a prefix that lies in one part. The default
+    /// implementation returns all rows as one page.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the table does not respond in time.
+    fn scan_page<'a>(&'a self, request: PageRequest<'a>) -> LocalFuture<'a, Result<TablePage>> {
+        Box::pin(async move {
+            let view = self.scan(request.prefix).await?;
+            request.progress.add(view.size());
+            Ok(TablePage {
+                rows: view.rows,
+                cursor: view.cursor,
+                has_more: false,
+            })
+        })
+    }
+
     /// Reads the rows under `prefix` that commits after `cursor` wrote,
     /// deleted rows included.
     ///
