--- a/crates/engine/tests/common/mod.rs
+++ b/crates/engine/tests/common/mod.rs
@@ -16,12 +16,12 @@
 use redwing_engine::row::{self, OwnerRecord};
 use redwing_engine::run;
 use redwing_jobs::JobState;
-use redwing_provider::table::TableView;
+use redwing_provider::table::{PageRequest, TablePage, TableView};
 use redwing_provider::{
     CommitOutcome, LocalFuture, RowKey, TableClient, TableStore, TableTransaction,
 };
 use redwing_standin::worker::NoAdvisor;
-use redwing_standin::{MemoryMachines, MemoryPlatform, MemoryWorkers};
+use redwing_standin::{LinkSettings, LinkedTable, MemoryMachines, MemoryPlatform, MemoryWorkers};
 use tokio::sync::watch;
 use tokio::task;
 use tokio::time as timer;
@@ -48,7 +48,7 @@
 
 /// Table that never responds to lost calls.
 struct LossyTable {
-    inner: MemoryPlatform,
+    inner: LinkedTable,
     lost_calls: rc::Rc<cell::Cell<LostCalls>>,
     calls: cell::Cell<u32>,
     /// Job rows that were written before.
@@ -110,6 +110,16 @@
         self.inner.scan(prefix)
     }
 
+    fn scan_page<'a>(
+        &'a self,
+        request: PageRequest<'a>,
+    ) -> LocalFuture<'a, redwing_provider::Result<TablePage>> {
+        if self.is_next_lost() {
+            return Box::pin(std::future::pending());
+        }
+        self.inner.scan_page(request)
+    }
+
     fn changes<'a>(
         &'a self,
         prefix: &'a str,
@@ -134,6 +144,8 @@
     pub(crate) workers: MemoryWorkers,
     pub(crate) machines: MemoryMachines,
     pub(crate) processes: Vec<TestProcess>,
+    /// Links from the VMs to the table; each VM has its own bandwidth.
+    pub(crate) link: LinkSettings,
     /// Table calls that get no response.
     pub(crate) lost_calls: rc::Rc<cell::Cell<LostCalls>>,
     /// When a claim whose reply was lost took effect.
@@ -152,6 +164,7 @@
             workers,
             machines: MemoryMachines::default(),
             processes: Vec::new(),
+            link: LinkSettings::default(),
             lost_calls: rc::Rc::default(),
             claimed_at: rc::Rc::default(),
         };
@@ -187,7 +200,7 @@
         let platform = self.platform.new_client();
         let services = DeploymentServices {
             table: rc::Rc::new(LossyTable {
-                inner: platform.clone(),
+                inner: LinkedTable::new(rc::Rc::new(platform.clone()), self.link.clone()),
                 lost_calls: rc::Rc::clone(&self.lost_calls),
                 calls: cell::Cell::new(0),
                 written: cell::RefCell::default(),
--- a/crates/provider/tests/client.rs
+++ b/crates/provider/tests/client.rs
@@ -8,10 +8,10 @@
 use proptest::test_runner::RngSeed;
 use redwing_provider::backoff::BackoffSettings;
 use redwing_provider::{
-    CallCause, Category, ClientSettings, CommitOutcome, RowKey, TableClient, TableStore,
-    TableTransaction,
+    CallCause, Category, ClientSettings, CommitOutcome, ReadProgress, RowKey, TableClient,
+    TableStore, TableTransaction,
 };
-use redwing_standin::MemoryPlatform;
+use redwing_standin::{LinkSettings, LinkedTable, MemoryPlatform};
 
 const CAUSE: CallCause = CallCause::Configuration;
 
@@ -310,3 +310,62 @@
         });
     }
 }
+
+/// Settings under which a scan without progress soon ends.
+fn impatient_settings() -> ClientSettings {
+    ClientSettings {
+        scan_timeout: time::Duration::from_millis(250),
+        scan_hedge_delay: Some(time::Duration::from_millis(60)),
+        ..fast_settings()
+    }
+}
+
+/// Client of a table with rows of 1 MB in several pages, over a link.
+async fn linked_client(link: &LinkSettings) -> TableClient {
+    let platform = MemoryPlatform::default();
+    for number in 0..1_000 {
+        let row =
+            TableTransaction::default().put(key(&format!("a/{number:04}")), "x".repeat(1_000));
+        platform.commit(&row).await.expect("the table is up");
+    }
+    let table = LinkedTable::new(rc::Rc::new(platform), link.clone());
+    TableClient::new(rc::Rc::new(table), impatient_settings())
+}
+
+/// A scan that was repeated while its rows arrived took up the link for itself.
+#[test]
+fn a_scan_over_a_slow_link_receives_each_row_once() {
+    block_on(async {
+        let link = LinkSettings::default();
+        link.bytes_per_second.set(Some(1_000_000));
+        let client = linked_client(&link).await;
+        let progress = ReadProgress::default();
+        let view = client.scan_observed(CAUSE, "a/", &progress).await;
+        assert_eq!(view.expect("the rows arrive").rows.len(), 1_000);
+        assert!(progress.bytes() < 1_100_000, "{} bytes", progress.bytes());
+    });
+}
+
+#[test]
+fn a_page_without_a_response_is_requested_again() {
+    block_on(async {
+        let link = LinkSettings::default();
+        link.silent_pages.set(2);
+        let client = linked_client(&link).await;
+        let view = client.scan(CAUSE, "a/").await.expect("the rows arrive");
+        assert_eq!(view.rows.len(), 1_000);
+    });
+}
+
+#[test]
+fn a_scan_ends_once_nothing_arrives_any_more() {
+    block_on(async {
+        let link = LinkSettings::default();
+        link.silent_pages.set(u32::MAX);
+        let client = linked_client(&link).await;
+        let started = time::Instant::now();
+        let error = client.scan(CAUSE, "a/").await.expect_err("nothing arrives");
+        assert_eq!(error.classify(), Category::Unavailable);
+        assert!(started.elapsed() >= impatient_settings().scan_timeout);
+    });
+}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -2,7 +2,8 @@
 //!
 //! A [`MemoryPlatform`] keeps the table, objects and VM list in memory and
 //! injects faults on request. [`server::serve`] exposes it over HTTP to other
-//! processes, which call it through an [`HttpPlatform`]. [`MemoryWorkers`]
+//! processes, which call it through an [`HttpPlatform`]. A [`LinkedTable`] limits the
+//! bandwidth to the table. [`MemoryWorkers`]
 //! simulate the workers of one pool, [`MemoryMachines`] the platform's machine
 //! service, and [`backend::start`] starts backend servers.
 //!
@@ -23,6 +24,7 @@
 pub mod backend;
 pub mod client;
 pub mod fault;
+pub mod link;
 pub mod machine;
 pub mod memory;
 pub mod server;
@@ -30,6 +32,7 @@
 
 pub use client::HttpPlatform;
 pub use fault::FaultPlan;
+pub use link::{LinkSettings, LinkedTable};
 pub use machine::{MachineFault, MemoryMachines};
 pub use memory::{MemoryPlatform, MemorySettings};
 pub use worker::{MemoryWorkers, RecordedChange, RunChange, WorkerFault};
--- a/crates/standin/src/memory.rs
+++ b/crates/standin/src/memory.rs
@@ -5,7 +5,9 @@
 use std::time;
 
 use redwing_model::VmId;
-use redwing_provider::table::{CommitOutcome, TableRow, TableTransaction, TableView};
+use redwing_provider::table::{
+    CommitOutcome, PageRequest, TablePage, TableRow, TableTransaction, TableView,
+};
 use redwing_provider::{
     Error, ListedStatus, ListedVm, LocalFuture, ObjectStore, PlatformServices, Result, RowKey,
     TableStore, VmControl, VmDirectory,
@@ -17,6 +19,9 @@
 /// Name of the stand-in in errors.
 const PEER: &str = "stand-in platform";
 
+/// Largest number of rows in one page.
+const PAGE_ROWS: usize = 500;
+
 /// Timing of the VM list and of reboots.
 #[derive(Clone, Debug)]
 pub struct MemorySettings {
@@ -346,6 +351,23 @@
         Box::pin(self.read_table("scan", prefix, |row| row.value.is_some()))
     }
 
+    fn scan_page<'a>(&'a self, request: PageRequest<'a>) -> LocalFuture<'a, Result<TablePage>> {
+        Box::pin(async move {
+            let is_selected = |row: &TableRow| {
+                row.value.is_some() && request.after.is_none_or(|last| row.key > *last)
+            };
+            let mut view = self.read_table("scan", request.prefix, is_selected).await?;
+            let has_more = view.rows.len() > PAGE_ROWS;
+            view.rows.truncate(PAGE_ROWS);
+            request.progress.add(view.size());
+            Ok(TablePage {
+                rows: view.rows,
+                cursor: view.cursor,
+                has_more,
+            })
+        })
+    }
+
     fn changes<'a>(&'a self, prefix: &'a str, cursor: u64) -> LocalFuture<'a, Result<TableView>> {
         Box::pin(self.read_table("changes", prefix, move |row| row.version > cursor))
     }
