Limit a scan by the time without progress

Cause: a scan had 2.5 s in all, whatever its size, and a scan that was not complete after 0.6 s was sent again as a whole. All that had arrived was thrown away, also what came twice.

Change: the client requests each page by itself, again only while no byte of it arrives, and ends a scan once nothing at all has arrived for the limit. A page that fails is requested again as long as the scan makes progress.

--- a/crates/provider/src/client.rs
+++ b/crates/provider/src/client.rs
@@ -5,8 +5,6 @@
 use std::sync;
 use std::time;
 
-use futures_util::future::FutureExt;
-use futures_util::stream::{FuturesUnordered, StreamExt};
 use tokio::sync::{Semaphore, mpsc, oneshot};
 use tokio::{task, time as timer};
 
@@ -18,7 +16,7 @@
 use crate::error::{Category, Error, Result};
 use crate::progress::ReadProgress;
 use crate::rate_limiter::RateLimiter;
-use crate::scan::TableScanner;
+use crate::scan::ClientScan;
 use crate::table::{CommitOutcome, RowKey, TableRow, TableStore, TableTransaction, TableView};
 
 /// Name of the service in errors.
@@ -29,10 +27,10 @@
 pub struct ClientSettings {
     /// Longest time that a call may take.
     pub call_timeout: time::Duration,
-    /// Longest time that a scan may take; it may consist of many reads.
+    /// Longest time for which a scan may receive nothing; it may consist of many reads.
     pub scan_timeout: time::Duration,
-    /// Time after which a scan without a response is sent again, over another
-    /// connection; `None` if it never is.
+    /// Time after which a read of a scan of which nothing has arrived is sent again,
+    /// over another connection; `None` if it never is.
     pub scan_hedge_delay: Option<time::Duration>,
     /// Largest number of commits in flight.
     pub max_commits_in_flight: usize,
@@ -89,9 +87,9 @@
     queue: mpsc::Sender<QueuedCommit>,
 }
 
-struct SharedState {
-    table: rc::Rc<dyn TableStore>,
-    settings: ClientSettings,
+pub(crate) struct SharedState {
+    pub(crate) table: rc::Rc<dyn TableStore>,
+    pub(crate) settings: ClientSettings,
     breaker: cell::RefCell<CircuitBreaker>,
     read_limiter: cell::RefCell<RateLimiter>,
     read_semaphore: Semaphore,
@@ -259,8 +257,9 @@
         prefix: &str,
         progress: &ReadProgress,
     ) -> Result<TableView> {
-        let read = TableRead::Scan(progress);
-        self.shared.read(cause, prefix, read).await
+        ClientScan::new(&self.shared, cause, progress)
+            .run(prefix)
+            .await
     }
 
     /// Reads the rows under `prefix` that commits after `cursor` wrote.
@@ -295,19 +294,17 @@
     }
 }
 
-/// Kind of a read, with the number of the commit after which it starts and
+/// Kind of a read of changes, with the number of the commit after which it starts and
 /// the longest wait.
 #[derive(Clone, Copy, Debug)]
-enum TableRead<'a> {
-    Scan(&'a ReadProgress),
+enum TableRead {
     Changes(u64),
     Watch(u64, time::Duration),
 }
 
-impl TableRead<'_> {
+impl TableRead {
     fn operation(self) -> &'static str {
         match self {
-            Self::Scan(_) => "scan",
             Self::Changes(_) => "changes",
             Self::Watch(..) => "watch",
         }
@@ -316,7 +313,6 @@
     /// Returns how long the response may take.
     fn timeout(self, settings: &ClientSettings) -> time::Duration {
         match self {
-            Self::Scan(_) => settings.scan_timeout,
             Self::Changes(_) => settings.call_timeout,
             // The table may delay the response by `wait`.
             Self::Watch(_, wait) => settings.call_timeout + wait,
@@ -325,52 +321,38 @@
 }
 
 impl SharedState {
-    async fn read(&self, cause: CallCause, prefix: &str, read: TableRead<'_>) -> Result<TableView> {
+    async fn read(&self, cause: CallCause, prefix: &str, read: TableRead) -> Result<TableView> {
         let operation = read.operation();
-        let unavailable = |message: &str| Error::unavailable(operation, SERVICE, message);
+        let call = async || {
+            let call = match read {
+                TableRead::Changes(cursor) => self.table.changes(prefix, cursor),
+                TableRead::Watch(cursor, wait) => self.table.watch(prefix, cursor, wait),
+            };
+            let response = timer::timeout(read.timeout(&self.settings), call).await;
+            response.unwrap_or_else(|_| Err(Error::unavailable(operation, SERVICE, "timed out")))
+        };
+        self.call(cause, operation, call).await
+    }
+
+    /// Makes one call that reads, within the limits on the number and rate of reads.
+    pub(crate) async fn call<T, F: Future<Output = Result<T>>>(
+        &self,
+        cause: CallCause,
+        operation: &'static str,
+        call: impl FnOnce() -> F,
+    ) -> Result<T> {
         let permit = self.read_semaphore.acquire().await;
-        let _permit = permit.map_err(|_| unavailable("the table client is closed"))?;
+        let _permit = permit
+            .map_err(|_| Error::unavailable(operation, SERVICE, "the table client is closed"))?;
         let delay = self.read_limiter.borrow_mut().reserve(time::Instant::now());
         timer::sleep(delay).await;
         self.admit(operation)?;
         self.counters.borrow_mut().count_read(cause);
-        let call = match read {
-            TableRead::Scan(progress) => self.scan_hedged(cause, prefix, progress).boxed_local(),
-            TableRead::Changes(cursor) => self.table.changes(prefix, cursor),
-            TableRead::Watch(cursor, wait) => self.table.watch(prefix, cursor, wait),
-        };
-        let response = timer::timeout(read.timeout(&self.settings), call).await;
-        let response = response.unwrap_or_else(|_| Err(unavailable("timed out")));
+        let response = call().await;
         self.record(cause, &response);
         response
     }
 
-    /// Scans, with hedged calls if configured; the first successful one counts.
-    async fn scan_hedged(
-        &self,
-        cause: CallCause,
-        prefix: &str,
-        progress: &ReadProgress,
-    ) -> Result<TableView> {
-        let scanner = TableScanner {
-            table: self.table.as_ref(),
-            progress,
-        };
-        let mut attempts = FuturesUnordered::new();
-        attempts.push(scanner.scan(prefix).boxed_local());
-        let Some(hedge_delay) = self.settings.scan_hedge_delay else {
-            return first_response(&mut attempts).await;
-        };
-        loop {
-            let response = timer::timeout(hedge_delay, first_response(&mut attempts)).await;
-            if let Ok(response) = response {
-                return response;
-            }
-            self.counters.borrow_mut().count_read(cause);
-            attempts.push(scanner.scan(prefix).boxed_local());
-        }
-    }
-
     async fn send(
         &self,
         cause: CallCause,
@@ -401,7 +383,7 @@
         }
     }
 
-    fn record<T>(&self, cause: CallCause, response: &Result<T>) {
+    pub(crate) fn record<T>(&self, cause: CallCause, response: &Result<T>) {
         let category = response.as_ref().err().map(Error::classify);
         self.counters.borrow_mut().count_result(cause, category);
         let now = time::Instant::now();
@@ -418,20 +400,6 @@
     }
 }
 
-/// Returns the first successful view, or the error of the last failed call.
-async fn first_response(
-    attempts: &mut FuturesUnordered<LocalFuture<'_, Result<TableView>>>,
-) -> Result<TableView> {
-    let mut response = Err(Error::unavailable("scan", SERVICE, "no call was sent"));
-    while let Some(next) = attempts.next().await {
-        response = next;
-        if response.is_ok() {
-            break;
-        }
-    }
-    response
-}
-
 /// Commits queued transactions in batches until all clients are dropped.
 async fn run_writer(shared: rc::Rc<SharedState>, mut queued_commits: mpsc::Receiver<QueuedCommit>) {
     let semaphore = sync::Arc::new(Semaphore::new(shared.settings.max_commits_in_flight));
--- a/crates/provider/src/progress.rs
+++ b/crates/provider/src/progress.rs
@@ -2,6 +2,7 @@
 
 use std::cell;
 use std::rc;
+use std::time;
 
 /// Counts what a read has received. Clones share the counts.
 #[derive(Clone, Debug, Default)]
@@ -17,6 +18,7 @@
     rows: cell::Cell<u64>,
     pages: cell::Cell<u64>,
     requests: cell::Cell<u64>,
+    received_at: cell::Cell<Option<time::Instant>>,
 }
 
 impl ReadProgress {
@@ -48,9 +50,17 @@
         self.counts.requests.get()
     }
 
+    /// Returns when bytes were last received.
+    pub(crate) fn received_at(&self) -> Option<time::Instant> {
+        self.counts.received_at.get()
+    }
+
     /// Counts received bytes.
     pub fn add(&self, bytes: u64) {
         self.count(|counts| &counts.bytes, bytes);
+        for counts in self.all_counts() {
+            counts.received_at.set(Some(time::Instant::now()));
+        }
     }
 
     /// Counts a complete response with `rows` rows.
@@ -65,10 +75,14 @@
     }
 
     fn count(&self, counter: impl Fn(&ReadCounts) -> &cell::Cell<u64>, amount: u64) {
-        let all = [Some(&self.counts), self.parent.as_ref()];
-        for counts in all.into_iter().flatten() {
+        for counts in self.all_counts() {
             let cell = counter(counts);
             cell.set(cell.get() + amount);
         }
     }
+
+    fn all_counts(&self) -> impl Iterator<Item = &ReadCounts> {
+        let all = [Some(&self.counts), self.parent.as_ref()];
+        all.into_iter().flatten().map(rc::Rc::as_ref)
+    }
 }
