Keep ownership and leases while a new owner reads the rows

Callers saw: long-running tasks without a run after takeovers on VMs with slow links.

Cause: a new owner renewed neither its own lease nor those of the workers before it had read all rows of jobs. Reads that take longer than its lease (1.2 s, and the delay of small VMs) let the next process claim the ownership; reads that take longer than the leases of workers (5 s from the latest renewal of the previous owner) end all runs.

Change: the session of an owner begins as soon as the workers are read. Until the rows of jobs are there it renews the owner row and the leases of all listed workers; it places, starts, stops and acknowledges nothing, moves no machine, and publishes no counts. Then the workers are asked anew, as after any takeover.

--- a/crates/engine/src/owner/session/mod.rs
+++ b/crates/engine/src/owner/session/mod.rs
@@ -19,7 +19,7 @@
 use crate::event;
 use crate::follow::{self, TableUpdate};
 use crate::log_job_event;
-use crate::row::{self, EncodedRow, PendingCounts};
+use crate::row::{EncodedRow, PendingCounts};
 use crate::services::WorkerReply;
 
 use super::OwnerDependencies;
@@ -31,7 +31,7 @@
 use super::record;
 use super::scheduler_event;
 
-use restore::StoredRows;
+use restore::{FleetRows, JobRows};
 
 /// Runs a session until the ownership is lost or the process stops.
 pub(super) async fn run(dependencies: &OwnerDependencies, acquired: AcquiredOwnership) {
@@ -40,7 +40,10 @@
     dependencies.metrics.set_owner(fencing_token);
     let reason = match OwnerSession::open(dependencies, acquired).await {
         Ok(mut session) => session.run().await,
-        Err(reason) => reason,
+        Err(error) => {
+            log_job_event!(error, event::ROWS_INCOMPLETE, error = error);
+            "the rows could not be read"
+        }
     };
     dependencies.metrics.set_owner(0);
     log_job_event!(
@@ -66,7 +69,10 @@
     scheduler: JobScheduler,
     machines: MachineService,
     order_queues: OrderQueues,
-    job_updates: mpsc::Receiver<TableUpdate>,
+    /// Rows of jobs, while they are being read.
+    job_rows: Option<oneshot::Receiver<Option<JobRows>>>,
+    /// Changes of these rows, once they are read.
+    job_updates: Option<mpsc::Receiver<TableUpdate>>,
     worker_updates: mpsc::Receiver<TableUpdate>,
     completed_orders: mpsc::UnboundedReceiver<CompletedOrder>,
     advice_requests: mpsc::UnboundedSender<AdviceRequest>,
@@ -108,12 +114,11 @@
 }
 
 impl<'a> OwnerSession<'a> {
-    /// Restores the state that earlier owners stored, and starts to follow jobs
-    /// and workers.
+    /// Reads the workers, and starts to read the jobs that earlier owners stored.
     async fn open(
         dependencies: &'a OwnerDependencies,
         acquired: AcquiredOwnership,
-    ) -> Result<Self, &'static str> {
+    ) -> redwing_provider::Result<Self> {
         let AcquiredOwnership {
             lease,
             claimed_at,
@@ -121,16 +126,11 @@
             unchanged_since,
         } = acquired;
         let client = &dependencies.client;
-        let Some(StoredRows {
-            jobs,
-            progress,
+        let FleetRows {
             maintenance,
             leases,
             workers,
-        }) = restore::read_rows(dependencies).await
-        else {
-            return Err("the rows could not be read");
-        };
+        } = restore::read_fleet(dependencies).await?;
         let (completed_sender, completed_orders) = mpsc::unbounded_channel();
         let (machine_sender, machine_responses) = mpsc::unbounded_channel();
         let (deleted_sender, deleted) = mpsc::unbounded_channel();
@@ -142,13 +142,8 @@
             scheduler: JobScheduler::new(dependencies.settings.scheduler.clone(), fencing_token),
             machines: MachineService::new(dependencies, fencing_token, machine_sender),
             order_queues: OrderQueues::new(dependencies.services.workers.clone(), completed_sender),
-            job_updates: follow::follow(
-                client,
-                CallCause::Job,
-                row::JOB_PREFIX,
-                Some(jobs.cursor),
-                follow::WATCH_TIMEOUT,
-            ),
+            job_rows: Some(restore::read_jobs(client)),
+            job_updates: None,
             worker_updates: follow::follow(
                 client,
                 CallCause::Membership,
@@ -185,9 +180,9 @@
             until: inherited_until,
             workers: record::read_lease_ends(&leases.rows, previous_token, unchanged_since),
         });
+        session.scheduler.begin_restoring();
         session.apply_operator_view();
         session.apply_worker_rows(&workers.rows, true);
-        session.restore_jobs(&jobs.rows, &progress.rows);
         Ok(session)
     }
 
@@ -207,7 +202,15 @@
                     let now = clock::boot_now();
                     self.scheduler.handle_advice_response(&request, response.as_ref(), now);
                 }
-                Some(update) = self.job_updates.recv() => self.apply_job_rows(&update),
+                rows = wait_for_rows(&mut self.job_rows) => {
+                    let Some(rows) = rows else {
+                        return "the rows could not be read";
+                    };
+                    self.finish_restoring(&rows);
+                }
+                Some(update) = next_update(&mut self.job_updates) => {
+                    self.apply_job_rows(&update);
+                }
                 Some(update) = self.worker_updates.recv() => {
                     self.apply_worker_rows(&update.rows, update.is_complete);
                 }
@@ -244,7 +247,7 @@
         while let Ok(completed) = self.completed_orders.try_recv() {
             self.handle_completed_order(completed);
         }
-        while let Ok(update) = self.job_updates.try_recv() {
+        while let Some(Ok(update)) = self.job_updates.as_mut().map(mpsc::Receiver::try_recv) {
             self.apply_job_rows(&update);
         }
     }
@@ -294,6 +297,10 @@
     fn tick(&mut self) {
         let now = clock::boot_now();
         self.scheduler.tick(now);
+        if self.scheduler.is_restoring() {
+            // What machines are needed is not known yet.
+            return;
+        }
         self.start_cleanup(now);
         self.machines
             .tick(self.dependencies, &mut self.scheduler, now);
@@ -390,3 +397,20 @@
         None => std::future::pending().await,
     }
 }
+
+/// Waits for the rows of jobs; returns none if they could not be read, and never returns
+/// if they are not being read.
+async fn wait_for_rows(rows: &mut Option<oneshot::Receiver<Option<JobRows>>>) -> Option<JobRows> {
+    match rows {
+        Some(receiver) => receiver.await.ok().flatten(),
+        None => std::future::pending().await,
+    }
+}
+
+/// Waits for the next update; never returns while the rows are not followed.
+async fn next_update(updates: &mut Option<mpsc::Receiver<TableUpdate>>) -> Option<TableUpdate> {
+    match updates {
+        Some(receiver) => receiver.recv().await,
+        None => std::future::pending().await,
+    }
+}
--- a/crates/engine/src/owner/session/rows.rs
+++ b/crates/engine/src/owner/session/rows.rs
@@ -5,7 +5,7 @@
 use redwing_jobs::JobId;
 use redwing_jobs::record::ProgressRecord;
 use redwing_jobs::worker::WorkerView;
-use redwing_provider::TableRow;
+use redwing_provider::{CallCause, TableRow};
 
 use crate::clock;
 use crate::follow::{self, TableUpdate};
@@ -13,9 +13,24 @@
 use crate::row::{self, JobKey};
 
 use super::OwnerSession;
+use super::restore::JobRows;
 
 impl OwnerSession<'_> {
-    pub(super) fn restore_jobs(&mut self, job_rows: &[TableRow], progress_rows: &[TableRow]) {
+    /// Restores the jobs of earlier owners and starts to schedule and to follow changes.
+    pub(super) fn finish_restoring(&mut self, rows: &JobRows) {
+        self.restore_jobs(&rows.jobs.rows, &rows.progress.rows);
+        self.scheduler.finish_restoring(clock::boot_now());
+        self.job_rows = None;
+        self.job_updates = Some(follow::follow(
+            &self.dependencies.client,
+            CallCause::Job,
+            row::JOB_PREFIX,
+            Some(rows.jobs.cursor),
+            follow::WATCH_TIMEOUT,
+        ));
+    }
+
+    fn restore_jobs(&mut self, job_rows: &[TableRow], progress_rows: &[TableRow]) {
         let now = clock::boot_now();
         let mut progress_by_id: HashMap<&str, ProgressRecord> = HashMap::new();
         for entry in progress_rows {
--- a/crates/engine/src/owner/session/store.rs
+++ b/crates/engine/src/owner/session/store.rs
@@ -158,7 +158,7 @@
     /// Returns the row of the backlogs, if `backlog_interval` has elapsed and a pool has
     /// a backlog, or had one at the latest publication.
     fn next_backlog_row(&mut self, now: BootTime) -> Option<EncodedRow> {
-        if !self.dependencies.settings.publishes_backlogs {
+        if !self.dependencies.settings.publishes_backlogs || self.scheduler.is_restoring() {
             return None;
         }
         let interval = self.dependencies.settings.backlog_interval;
@@ -180,6 +180,9 @@
     /// Returns the pending counts to store, if they changed and
     /// `pending_interval` has elapsed.
     pub(super) fn next_pending_counts(&mut self, now: BootTime) -> Option<PendingCounts> {
+        if self.scheduler.is_restoring() {
+            return None;
+        }
         if now.saturating_since(self.counts_sent_at) < self.dependencies.settings.pending_interval {
             return None;
         }
--- a/crates/jobs/src/scheduler/mod.rs
+++ b/crates/jobs/src/scheduler/mod.rs
@@ -20,6 +20,7 @@
 //! - `pacing`: processor share of best-effort tasks beside tasks that serve users
 //! - `placement`: choice of a worker for each task, and the order of jobs
 //! - `report`: the runs that workers list
+//! - `restoring`: leases of workers while a new owner reads the rows of jobs
 //! - `shares`: division of a pool among customers
 //! - `waiting`: jobs that wait for capacity, in the order of their placement
 
@@ -39,6 +40,7 @@
 mod pacing;
 mod placement;
 mod report;
+mod restoring;
 mod shares;
 mod waiting;
 
@@ -293,6 +295,8 @@
     orders: Vec<WorkerOrder>,
     events: Vec<SchedulerEvent>,
     is_fenced: bool,
+    /// Whether the jobs of earlier owners are still to be restored.
+    is_restoring: bool,
 }
 
 impl JobScheduler {
@@ -320,6 +324,7 @@
             orders: Vec::new(),
             events: Vec::new(),
             is_fenced: false,
+            is_restoring: false,
         }
     }
 
--- a/crates/jobs/src/scheduler/order.rs
+++ b/crates/jobs/src/scheduler/order.rs
@@ -244,7 +244,8 @@
             .filter(|(id, entry)| {
                 let is_needed = !entry.reservations.is_empty()
                     || !entry.unacknowledged.is_empty()
-                    || (entry.is_listed && entry.contact != ContactState::Responsive);
+                    || (entry.is_listed
+                        && (self.is_restoring || entry.contact != ContactState::Responsive));
                 is_needed
                     && entry.renewal_sent_at.is_none()
                     && entry.next_renewal <= now
@@ -281,7 +282,8 @@
             return;
         };
         // A worker without a new lease is asked again before the old one expires.
-        let may_wait = lease_end_ms.is_some() && entry.unacknowledged.is_empty();
+        let may_wait =
+            lease_end_ms.is_some() && entry.unacknowledged.is_empty() && !self.is_restoring;
         entry.renewal_sent_at = Some(now);
         let action = OrderAction::Renew {
             acknowledged_number: entry.acknowledged_number,
--- a/crates/jobs/src/scheduler/placement.rs
+++ b/crates/jobs/src/scheduler/placement.rs
@@ -68,6 +68,9 @@
 impl JobScheduler {
     /// Places the tasks that are ready.
     pub fn place_tasks(&mut self, now: BootTime, wall: WallTime) {
+        if self.is_restoring {
+            return;
+        }
         self.begin_due(wall);
         self.rank_overdue_jobs(wall);
         for pool in self.waiting.take_changed() {
--- a/crates/jobs/src/scheduler/report.rs
+++ b/crates/jobs/src/scheduler/report.rs
@@ -29,6 +29,10 @@
         if report.incarnation > entry.incarnation {
             self.replace_worker(worker, report.incarnation, now);
         }
+        if self.is_restoring {
+            self.keep_lease(worker, issued_at, report, now);
+            return;
+        }
         self.update_contact(worker, issued_at, report, now);
         for ended in &report.ended {
             self.apply_ended_run(worker, ended, now);
--- a/crates/jobs/tests/common/mod.rs
+++ b/crates/jobs/tests/common/mod.rs
@@ -414,6 +414,13 @@
     /// Replaces the scheduler by that of a new owner, which starts from the
     /// stored rows and the list of workers only.
     pub(crate) fn take_over(&mut self, settings: SchedulerSettings) {
+        self.begin_take_over(settings);
+        self.finish_take_over();
+    }
+
+    /// Replaces the scheduler by that of a new owner, which has not read the rows of
+    /// jobs yet.
+    pub(crate) fn begin_take_over(&mut self, settings: SchedulerSettings) {
         self.fencing_token += 1;
         let inherited = InheritedLeases {
             until: self.now + settings.inherited_lease,
@@ -423,14 +430,23 @@
         scheduler.inherit_leases(inherited);
         scheduler.set_manifest(sync::Arc::new(manifest()));
         let views = self.workers.values().map(|worker| worker.view.clone());
+        scheduler.begin_restoring();
         scheduler.workers_listed(views.collect(), self.now);
+        self.scheduler = scheduler;
+    }
+
+    /// Lets the new owner read the rows of jobs.
+    pub(crate) fn finish_take_over(&mut self) {
         for (id, record) in &self.jobs {
             match self.rows.get(id) {
-                Some(progress) => scheduler.restore(id, record.clone(), progress, self.now),
-                None => scheduler.submit(id, record.clone()),
+                Some(progress) => {
+                    self.scheduler
+                        .restore(id, record.clone(), progress, self.now);
+                }
+                None => self.scheduler.submit(id, record.clone()),
             }
         }
-        self.scheduler = scheduler;
+        self.scheduler.finish_restoring(self.now);
     }
 
     pub(crate) fn state(&self, id: &JobId) -> JobState {
--- a/crates/jobs/tests/takeover.rs
+++ b/crates/jobs/tests/takeover.rs
@@ -8,7 +8,7 @@
 use redwing_jobs::scheduler::PreviousOwner;
 use redwing_jobs::spec::StepSpec;
 use redwing_jobs::worker::OrderAction;
-use redwing_jobs::{BootTime, SchedulerSettings};
+use redwing_jobs::{BootTime, JobState, SchedulerSettings};
 use rstest::rstest;
 
 fn fleet_of(count: usize) -> FakeFleet {
@@ -287,3 +287,30 @@
     }
     assert!(fleet.starts.len() > 1, "not within 12 s");
 }
+
+/// A new owner on a slow link reads the rows for longer than a lease lasts.
+#[test]
+fn runs_are_kept_while_a_new_owner_reads_the_rows() {
+    let mut fleet = fleet_of(2);
+    let long = fleet.submit("long", vec![step_spec(2, 1_000)], 60_000);
+    let short = fleet.submit("short", vec![step_spec(2, 1_000)], 2_000);
+    fleet.advance(500);
+    let starts = fleet.starts.len();
+    fleet.begin_take_over(SchedulerSettings::default());
+    fleet.advance(12_000);
+    // No run has lapsed, and none was started, stopped or acknowledged meanwhile.
+    assert_eq!(fleet.starts.len(), starts);
+    assert_eq!(fleet.running_count(&task_id(&long, 0, 0)), 1);
+    let ended: usize = fleet
+        .workers
+        .values()
+        .map(|worker| worker.ended_runs.len())
+        .sum();
+    assert_eq!(ended, 2);
+    fleet.finish_take_over();
+    fleet.advance(2_000);
+    assert_eq!(fleet.state(&short), JobState::Completed);
+    assert_eq!(fleet.starts.len(), starts);
+    assert_eq!(fleet.running_count(&task_id(&long, 0, 0)), 1);
+    fleet.assert_no_double_run();
+}
