Limit a watch by the time without progress

Changes that take longer to arrive were read again from the same commit, together with those made meanwhile, without end. In runs_outlive_a_takeover_over_a_slow_link the first owner of the test read none of the rows that were written after its begin (E522 watch timed out, once; no job started in 60 s).

Change: a watch ends once nothing of its response has arrived for that time; adapter and client count the bytes as for scans.

Evidence: runs_outlive_a_takeover_over_a_slow_link failed before and passes, with a_watch_over_a_slow_link_receives_all_changes (not run on the code before).

--- a/crates/engine/tests/common/mod.rs
+++ b/crates/engine/tests/common/mod.rs
@@ -16,7 +16,7 @@
 use redwing_engine::row::{self, OwnerRecord};
 use redwing_engine::run;
 use redwing_jobs::JobState;
-use redwing_provider::table::{PageRequest, TablePage, TableView};
+use redwing_provider::table::{PageRequest, TablePage, TableView, WatchRequest};
 use redwing_provider::{
     CommitOutcome, LocalFuture, RowKey, TableClient, TableStore, TableTransaction,
 };
@@ -127,6 +127,13 @@
     ) -> LocalFuture<'a, redwing_provider::Result<TableView>> {
         self.inner.changes(prefix, cursor)
     }
+
+    fn watch<'a>(
+        &'a self,
+        request: WatchRequest<'a>,
+    ) -> LocalFuture<'a, redwing_provider::Result<TableView>> {
+        self.inner.watch(request)
+    }
 }
 
 /// Process of the cluster.
--- a/crates/provider/src/client.rs
+++ b/crates/provider/src/client.rs
@@ -17,7 +17,9 @@
 use crate::progress::ReadProgress;
 use crate::rate_limiter::RateLimiter;
 use crate::scan::ClientScan;
-use crate::table::{CommitOutcome, RowKey, TableRow, TableStore, TableTransaction, TableView};
+use crate::table::{
+    CommitOutcome, RowKey, TableRow, TableStore, TableTransaction, TableView, WatchRequest,
+};
 
 /// Name of the service in errors.
 const SERVICE: &str = "table";
@@ -310,7 +312,7 @@
         }
     }
 
-    /// Returns how long the response may take.
+    /// Returns for how long nothing of the response may arrive.
     fn timeout(self, settings: &ClientSettings) -> time::Duration {
         match self {
             Self::Changes(_) => settings.call_timeout,
@@ -323,13 +325,20 @@
 impl SharedState {
     async fn read(&self, cause: CallCause, prefix: &str, read: TableRead) -> Result<TableView> {
         let operation = read.operation();
+        let progress = ReadProgress::default();
         let call = async || {
             let call = match read {
                 TableRead::Changes(cursor) => self.table.changes(prefix, cursor),
-                TableRead::Watch(cursor, wait) => self.table.watch(prefix, cursor, wait),
+                TableRead::Watch(cursor, wait) => self.table.watch(WatchRequest {
+                    prefix,
+                    cursor,
+                    wait,
+                    progress: &progress,
+                }),
             };
-            let response = timer::timeout(read.timeout(&self.settings), call).await;
-            response.unwrap_or_else(|_| Err(Error::unavailable(operation, SERVICE, "timed out")))
+            let limit = read.timeout(&self.settings);
+            let response = within_idle_limit(limit, &progress, call).await;
+            response.unwrap_or_else(|| Err(Error::unavailable(operation, SERVICE, "timed out")))
         };
         self.call(cause, operation, call).await
     }
@@ -400,6 +409,24 @@
     }
 }
 
+/// Waits for a response while it makes progress; returns none once nothing of it has
+/// arrived for `limit`.
+async fn within_idle_limit<T>(
+    limit: time::Duration,
+    progress: &ReadProgress,
+    call: LocalFuture<'_, T>,
+) -> Option<T> {
+    let mut call = call;
+    loop {
+        let received = progress.bytes();
+        match timer::timeout(limit, &mut call).await {
+            Ok(response) => return Some(response),
+            Err(_) if progress.bytes() == received => return None,
+            Err(_) => {}
+        }
+    }
+}
+
 /// Commits queued transactions in batches until all clients are dropped.
 async fn run_writer(shared: rc::Rc<SharedState>, mut queued_commits: mpsc::Receiver<QueuedCommit>) {
     let semaphore = sync::Arc::new(Semaphore::new(shared.settings.max_commits_in_flight));
--- a/crates/provider/src/table.rs
+++ b/crates/provider/src/table.rs
@@ -225,6 +225,19 @@
     pub progress: &'a ReadProgress,
 }
 
+/// Request for the changes of the rows under a prefix.
+#[derive(Clone, Copy, Debug)]
+pub struct WatchRequest<'a> {
+    /// Prefix of the keys, which may cover all parts.
+    pub prefix: &'a str,
+    /// Number of the commit whose later changes are read.
+    pub cursor: u64,
+    /// Longest time for which the table may wait for a change.
+    pub wait: time::Duration,
+    /// Counts the bytes of the response as they arrive.
+    pub progress: &'a ReadProgress,
+}
+
 /// Transactional table of the platform.
 pub trait TableStore {
     /// Applies a transaction.
@@ -284,19 +297,18 @@
     /// Fails if the table does not respond in time.
     fn changes<'a>(&'a self, prefix: &'a str, cursor: u64) -> LocalFuture<'a, Result<TableView>>;
 
-    /// Reads as [`TableStore::changes`] does, but may wait up to `wait` for
-    /// the first change. The default implementation does not wait.
+    /// Reads as [`TableStore::changes`] does, but may wait for the first change. The
+    /// default implementation does not wait.
     ///
     /// # Errors
     ///
-    /// Fails with category `Refused` if the history after `cursor` is no
+    /// Fails with category `Refused` if the history after the cursor is no
     /// longer kept; the rows must then be scanned again.
-    fn watch<'a>(
-        &'a self,
-        prefix: &'a str,
-        cursor: u64,
-        _wait: time::Duration,
-    ) -> LocalFuture<'a, Result<TableView>> {
-        self.changes(prefix, cursor)
+    fn watch<'a>(&'a self, request: WatchRequest<'a>) -> LocalFuture<'a, Result<TableView>> {
+        Box::pin(async move {
+            let view = self.changes(request.prefix, request.cursor).await?;
+            request.progress.add(view.size());
+            Ok(view)
+        })
     }
 }
--- a/crates/provider/tests/client.rs
+++ b/crates/provider/tests/client.rs
@@ -314,6 +314,7 @@
 /// Settings under which a scan without progress soon ends.
 fn impatient_settings() -> ClientSettings {
     ClientSettings {
+        call_timeout: time::Duration::from_millis(250),
         scan_timeout: time::Duration::from_millis(250),
         scan_hedge_delay: Some(time::Duration::from_millis(60)),
         ..fast_settings()
@@ -346,6 +347,19 @@
     });
 }
 
+/// A watch that ends before its rows have arrived reads the same rows again.
+#[test]
+fn a_watch_over_a_slow_link_receives_all_changes() {
+    block_on(async {
+        let link = LinkSettings::default();
+        link.bytes_per_second.set(Some(1_000_000));
+        let client = linked_client(&link).await;
+        let wait = time::Duration::from_millis(100);
+        let view = client.watch(CAUSE, "a/", 0, wait).await;
+        assert_eq!(view.expect("the rows arrive").rows.len(), 1_000);
+    });
+}
+
 #[test]
 fn a_page_without_a_response_is_requested_again() {
     block_on(async {
--- a/crates/standin/src/link.rs
+++ b/crates/standin/src/link.rs
@@ -4,7 +4,7 @@
 use std::rc;
 use std::time;
 
-use redwing_provider::table::{PageRequest, PartList, TablePage, TableView};
+use redwing_provider::table::{PageRequest, PartList, TablePage, TableView, WatchRequest};
 use redwing_provider::{
     CommitOutcome, LocalFuture, ReadProgress, Result, TableStore, TableTransaction,
 };
@@ -108,4 +108,17 @@
             self.transfer_view(view).await
         })
     }
+
+    fn watch<'a>(&'a self, request: WatchRequest<'a>) -> LocalFuture<'a, Result<TableView>> {
+        Box::pin(async move {
+            let received = ReadProgress::default();
+            let inner = WatchRequest {
+                progress: &received,
+                ..request
+            };
+            let view = self.table.watch(inner).await?;
+            self.transfer(received.bytes(), request.progress).await;
+            Ok(view)
+        })
+    }
 }
