Name the limits of the table as types, and enforce them in the stand-in

Change: `TableLimits` names entries and bytes of a transaction, bytes of a row and a key, rows and bytes of a page. `TransactionSize` counts as the table does: conditions, writes and deletions are entries; a value counts in base64, with its key and an upper bound for the names of fields. A `TableStore` states its limits, and the stand-in in memory (so its server and the test tables around it) refuses what is beyond them.

--- a/crates/engine/tests/common/mod.rs
+++ b/crates/engine/tests/common/mod.rs
@@ -18,7 +18,7 @@
 use redwing_jobs::JobState;
 use redwing_provider::table::TableView;
 use redwing_provider::{
-    CommitOutcome, LocalFuture, RowKey, TableClient, TableStore, TableTransaction,
+    CommitOutcome, LocalFuture, RowKey, TableClient, TableLimits, TableStore, TableTransaction,
 };
 use redwing_standin::worker::NoAdvisor;
 use redwing_standin::{MemoryMachines, MemoryPlatform, MemoryWorkers};
@@ -90,6 +90,10 @@
 }
 
 impl TableStore for LossyTable {
+    fn limits(&self) -> TableLimits {
+        self.inner.limits()
+    }
+
     fn commit<'a>(
         &'a self,
         transaction: &'a TableTransaction,
--- a/crates/provider/examples/recovery.rs
+++ b/crates/provider/examples/recovery.rs
@@ -12,8 +12,8 @@
 
 use redwing_provider::table::TableView;
 use redwing_provider::{
-    CallCause, ClientSettings, CommitOutcome, LocalFuture, Result, RowKey, TableClient, TableStore,
-    TableTransaction,
+    CallCause, ClientSettings, CommitOutcome, LocalFuture, Result, RowKey, TableClient,
+    TableLimits, TableStore, TableTransaction,
 };
 use redwing_standin::MemoryPlatform;
 use tokio::{task, time as timer};
@@ -50,6 +50,10 @@
 }
 
 impl TableStore for LoggingTable {
+    fn limits(&self) -> TableLimits {
+        self.table.limits()
+    }
+
     fn commit<'a>(
         &'a self,
         transaction: &'a TableTransaction,
--- a/crates/provider/src/client.rs
+++ b/crates/provider/src/client.rs
@@ -16,6 +16,7 @@
 use crate::breaker::{BreakerDecision, BreakerSettings, CircuitBreaker};
 use crate::counters::{CallCause, CallCounters, CauseCounts};
 use crate::error::{Category, Error, Result};
+use crate::limits::TableLimits;
 use crate::rate_limiter::RateLimiter;
 use crate::table::{CommitOutcome, RowKey, TableRow, TableStore, TableTransaction, TableView};
 
@@ -127,6 +128,11 @@
         rc::Rc::new(CauseStore { client, cause })
     }
 
+    /// Returns the limits of the table.
+    pub fn limits(&self) -> TableLimits {
+        self.shared.table.limits()
+    }
+
     /// Returns when the table last responded.
     pub fn last_success(&self) -> Option<time::Instant> {
         self.shared.last_success.get()
@@ -523,6 +529,10 @@
 }
 
 impl TableStore for CauseStore {
+    fn limits(&self) -> TableLimits {
+        self.client.limits()
+    }
+
     fn commit<'a>(
         &'a self,
         transaction: &'a TableTransaction,
--- a/crates/provider/src/lib.rs
+++ b/crates/provider/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod counters;
 pub mod directory;
 pub mod error;
+pub mod limits;
 pub mod object;
 pub mod rate_limiter;
 pub mod table;
@@ -31,6 +32,7 @@
 pub use counters::{CallCause, CauseCounts};
 pub use directory::{ListedStatus, ListedVm, VmControl, VmDirectory, VmRole};
 pub use error::{Category, Error, Result};
+pub use limits::{TableLimits, TransactionSize};
 pub use object::ObjectStore;
 pub use table::{CommitOutcome, RowKey, TableRow, TableStore, TableTransaction};
 
--- a/crates/provider/src/table.rs
+++ b/crates/provider/src/table.rs
@@ -6,6 +6,7 @@
 
 use crate::LocalFuture;
 use crate::error::Result;
+use crate::limits::TableLimits;
 
 /// Key of a row, written `TABLE/NAME` or `TABLE@PART/NAME`.
 ///
@@ -182,11 +183,17 @@
 
 /// Transactional table of the platform.
 pub trait TableStore {
+    /// Returns the limits of the table; a transaction beyond them is refused.
+    fn limits(&self) -> TableLimits {
+        TableLimits::default()
+    }
+
     /// Applies a transaction.
     ///
     /// # Errors
     ///
-    /// Fails with category `Unknown` if the transaction may have been applied.
+    /// Fails with category `Unknown` if the transaction may have been applied, and
+    /// with `Refused` if it is beyond the limits of the table.
     fn commit<'a>(
         &'a self,
         transaction: &'a TableTransaction,
--- a/crates/standin/src/memory.rs
+++ b/crates/standin/src/memory.rs
@@ -8,7 +8,7 @@
 use redwing_provider::table::{CommitOutcome, TableRow, TableTransaction, TableView};
 use redwing_provider::{
     Error, ListedStatus, ListedVm, LocalFuture, ObjectStore, PlatformServices, Result, RowKey,
-    TableStore, VmControl, VmDirectory,
+    TableLimits, TableStore, TransactionSize, VmControl, VmDirectory,
 };
 use tokio::time as timer;
 
@@ -17,7 +17,7 @@
 /// Name of the stand-in in errors.
 const PEER: &str = "stand-in platform";
 
-/// Timing of the VM list and of reboots.
+/// Limits of the table, and timing of the VM list and of reboots.
 #[derive(Clone, Debug)]
 pub struct MemorySettings {
     /// Age of the VM list that clients see.
@@ -26,6 +26,8 @@
     pub leave_time: time::Duration,
     /// Time that a rebooting VM is down.
     pub reboot_time: time::Duration,
+    /// Limits of the table.
+    pub table_limits: TableLimits,
 }
 
 impl Default for MemorySettings {
@@ -34,6 +36,7 @@
             list_lag: time::Duration::from_secs(2),
             leave_time: time::Duration::from_secs(1),
             reboot_time: time::Duration::from_secs(5),
+            table_limits: TableLimits::default(),
         }
     }
 }
@@ -319,12 +322,17 @@
 }
 
 impl TableStore for MemoryPlatform {
+    fn limits(&self) -> TableLimits {
+        self.lock().settings.table_limits
+    }
+
     fn commit<'a>(
         &'a self,
         transaction: &'a TableTransaction,
     ) -> LocalFuture<'a, Result<CommitOutcome>> {
         Box::pin(async move {
             fail_if_down(self.lock_faults().table_down, "commit")?;
+            check_limits(&self.limits(), transaction)?;
             self.wait_half_delay().await;
             if self.lock_faults().consume_lost_request() {
                 return Err(Error::unknown("commit", PEER, "connection broken"));
@@ -416,6 +424,16 @@
     }
 }
 
+/// Refuses a transaction beyond the limits, as the real table does.
+fn check_limits(limits: &TableLimits, transaction: &TableTransaction) -> Result<()> {
+    let size = TransactionSize::of(transaction);
+    if limits.allow(&size) {
+        return Ok(());
+    }
+    let message = format!("{size} are beyond the limits of the table");
+    Err(Error::refused("commit", PEER, message))
+}
+
 fn fail_if_down(is_down: bool, operation: &'static str) -> Result<()> {
     if is_down {
         return Err(Error::unavailable(operation, PEER, "the service is down"));
--- a/crates/standin/tests/memory.rs
+++ b/crates/standin/tests/memory.rs
@@ -97,6 +97,52 @@
     });
 }
 
+/// Entries and bytes at and beyond the limits of the table.
+#[rstest]
+#[case::conditions_and_writes(50, 50, 1, true)]
+#[case::one_entry_too_many(50, 51, 1, false)]
+#[case::largest_row(1, 1, 65_536, true)]
+#[case::row_too_large(1, 1, 65_537, false)]
+#[case::values_in_base64(0, 11, 65_536, true)]
+#[case::too_many_bytes(0, 12, 65_536, false)]
+fn commit_refuses_what_is_beyond_the_limits(
+    #[values(false, true)] http: bool,
+    #[case] conditions: usize,
+    #[case] puts: usize,
+    #[case] value_bytes: usize,
+    #[case] is_allowed: bool,
+) {
+    with_services(http, |services, _| async move {
+        let mut change = TableTransaction::default();
+        for number in 0..conditions {
+            change = change.require_absent(key(&format!("a/{number}")));
+        }
+        for number in 0..puts {
+            let value = "x".repeat(value_bytes);
+            change = change.put(key(&format!("b/{number}")), value);
+        }
+        let outcome = services.table.commit(&change).await;
+        let category = outcome
+            .as_ref()
+            .err()
+            .map(redwing_provider::Error::classify);
+        assert_eq!(category, (!is_allowed).then_some(Category::Refused));
+        let rows = services.table.scan("b/").await.unwrap().rows;
+        assert_eq!(rows.len(), if is_allowed { puts } else { 0 });
+    });
+}
+
+#[test]
+fn commit_refuses_long_keys() {
+    with_services(false, |services, _| async move {
+        for (length, is_allowed) in [(200, true), (201, false)] {
+            let name = "n".repeat(length);
+            let change = TableTransaction::default().put(key(&format!("t@1/{name}")), "1");
+            assert_eq!(services.table.commit(&change).await.is_ok(), is_allowed);
+        }
+    });
+}
+
 #[rstest]
 fn objects_are_written_once(#[values(false, true)] http: bool) {
     with_services(http, |services, _| async move {
