Keep batches within the limits of the table

Cause: the client merged up to 64 independent transactions into one, of two entries or more each, whatever their sizes: 60 rows created at once were refused together. A transaction that the table refuses alone also failed all others of its batch.

Change: a batch takes only what fits; the rest goes into the next one. A refused batch is sent in halves, so that only the transaction that the table refuses fails. A transaction that is beyond the limits by itself is refused with its sizes before anything is sent.

--- a/crates/provider/src/batch.rs
+++ b/crates/provider/src/batch.rs
@@ -2,14 +2,17 @@
 
 use std::collections::HashSet;
 
+use crate::limits::{TableLimits, TransactionSize};
 use crate::table::{CommitOutcome, RowKey, TableRow, TableTransaction};
 
 /// Independent transactions that are committed as one.
 ///
 /// Transactions are independent if no row occurs in more than one of them, in
-/// a condition or in a write.
-#[derive(Debug, Default)]
+/// a condition or in a write. Together they stay within the limits of the table.
+#[derive(Debug)]
 pub struct TransactionBatch {
+    limits: TableLimits,
+    size: TransactionSize,
     transactions: Vec<TableTransaction>,
     keys: HashSet<RowKey>,
 }
@@ -24,6 +27,21 @@
 }
 
 impl TransactionBatch {
+    /// Creates a batch for a table with the given limits.
+    pub fn new(limits: TableLimits) -> Self {
+        Self {
+            limits,
+            size: TransactionSize::default(),
+            transactions: Vec::new(),
+            keys: HashSet::new(),
+        }
+    }
+
+    /// Returns the size of all transactions together.
+    pub fn size(&self) -> TransactionSize {
+        self.size
+    }
+
     /// Returns the number of transactions.
     pub fn len(&self) -> usize {
         self.transactions.len()
@@ -38,7 +56,7 @@
     pub fn merged(&self) -> TableTransaction {
         let mut merged = TableTransaction::default();
         for transaction in &self.transactions {
-            merged = merged.merge(transaction);
+            merged.extend(transaction);
         }
         merged
     }
@@ -68,11 +86,15 @@
     ///
     /// # Errors
     ///
-    /// Fails with the transaction if it shares a row with one in the batch.
+    /// Fails with the transaction if it shares a row with one in the batch, or does
+    /// not fit into the batch. An empty batch takes any transaction.
     pub fn add(&mut self, transaction: TableTransaction) -> Result<(), TableTransaction> {
-        if transaction.keys().any(|key| self.keys.contains(key)) {
+        let size = self.size.plus(TransactionSize::of(&transaction));
+        let is_full = !self.is_empty() && !self.limits.allow(&size);
+        if is_full || transaction.keys().any(|key| self.keys.contains(key)) {
             return Err(transaction);
         }
+        self.size = size;
         self.keys.extend(transaction.keys().cloned());
         self.transactions.push(transaction);
         Ok(())
@@ -85,6 +107,26 @@
             position += 1;
             positions.binary_search(&(position - 1)).is_ok()
         });
+        self.update_size();
+    }
+
+    /// Removes the second half of the transactions and returns it.
+    pub fn split_half(&mut self) -> Self {
+        let second = self.transactions.split_off(self.transactions.len() / 2);
+        self.update_size();
+        let mut half = Self::new(self.limits);
+        half.keys = second
+            .iter()
+            .flat_map(|other| other.keys().cloned())
+            .collect();
+        half.transactions = second;
+        half.update_size();
+        half
+    }
+
+    fn update_size(&mut self) {
+        let sizes = self.transactions.iter().map(TransactionSize::of);
+        self.size = sizes.fold(TransactionSize::default(), TransactionSize::plus);
     }
 }
 
--- a/crates/provider/src/client.rs
+++ b/crates/provider/src/client.rs
@@ -16,7 +16,7 @@
 use crate::breaker::{BreakerDecision, BreakerSettings, CircuitBreaker};
 use crate::counters::{CallCause, CallCounters, CauseCounts};
 use crate::error::{Category, Error, Result};
-use crate::limits::TableLimits;
+use crate::limits::{TableLimits, TransactionSize};
 use crate::rate_limiter::RateLimiter;
 use crate::table::{CommitOutcome, RowKey, TableRow, TableStore, TableTransaction, TableView};
 
@@ -153,12 +153,18 @@
     /// # Errors
     ///
     /// Fails with category `Unknown` if the transaction may have been
-    /// applied, and with `Unavailable` if it was not sent.
+    /// applied, with `Unavailable` if it was not sent, and with `Refused`, also
+    /// without being sent, if it is beyond the limits of the table.
     pub async fn commit(
         &self,
         cause: CallCause,
         transaction: TableTransaction,
     ) -> Result<CommitOutcome> {
+        let size = TransactionSize::of(&transaction);
+        if !self.limits().allow(&size) {
+            let message = format!("{size} are beyond the limits of the table");
+            return Err(Error::refused("commit", SERVICE, message));
+        }
         let (reply, response) = oneshot::channel();
         let queued = QueuedCommit {
             cause,
@@ -428,7 +434,7 @@
             return;
         };
         timer::sleep(limiter.reserve(time::Instant::now())).await;
-        let mut batch = CommitBatch::default();
+        let mut batch = CommitBatch::new(shared.table.limits());
         deferred = batch.fill(first, &mut queued_commits, &shared.settings);
         let shared = shared.clone();
         task::spawn_local(async move {
@@ -439,14 +445,21 @@
 }
 
 /// Transactions that are committed as one, with the callers that wait.
-#[derive(Default)]
 struct CommitBatch {
     transactions: TransactionBatch,
     waiters: Vec<(CallCause, oneshot::Sender<Result<CommitOutcome>>)>,
 }
 
 impl CommitBatch {
-    /// Adds queued transactions; returns the first that depends on one added.
+    fn new(limits: TableLimits) -> Self {
+        Self {
+            transactions: TransactionBatch::new(limits),
+            waiters: Vec::new(),
+        }
+    }
+
+    /// Adds queued transactions; returns the first that depends on one added, or
+    /// does not fit beside them.
     fn fill(
         &mut self,
         first: QueuedCommit,
@@ -489,19 +502,37 @@
     }
 
     /// Commits the batch; transactions whose conditions fail are removed and the
-    /// rest is sent again.
-    async fn commit(mut self, shared: &SharedState) {
-        while let Some((cause, _)) = self.waiters.first() {
-            match shared.send(*cause, &self.transactions.merged()).await {
-                Ok(CommitOutcome::Conflict(rows)) => self.remove_failed(&rows),
-                response => {
-                    self.reply_all(response);
-                    return;
+    /// rest is sent again. A batch that the table refuses is sent in halves, so that
+    /// only the transaction that it refuses fails.
+    async fn commit(self, shared: &SharedState) {
+        let mut batches = vec![self];
+        while let Some(mut batch) = batches.pop() {
+            let Some((cause, _)) = batch.waiters.first() else {
+                continue;
+            };
+            match shared.send(*cause, &batch.transactions.merged()).await {
+                Ok(CommitOutcome::Conflict(rows)) => {
+                    batch.remove_failed(&rows);
+                    batches.push(batch);
                 }
+                Err(error) if error.classify() == Category::Refused && batch.waiters.len() > 1 => {
+                    batches.push(batch.split_half());
+                    batches.push(batch);
+                }
+                response => batch.reply_all(response),
             }
         }
     }
 
+    fn split_half(&mut self) -> Self {
+        let transactions = self.transactions.split_half();
+        let waiters = self.waiters.split_off(self.transactions.len());
+        Self {
+            transactions,
+            waiters,
+        }
+    }
+
     fn remove_failed(&mut self, rows: &[TableRow]) {
         let partition = self.transactions.partition(rows);
         self.transactions.retain(&partition.remaining);
--- a/crates/provider/tests/client.rs
+++ b/crates/provider/tests/client.rs
@@ -154,6 +154,94 @@
     });
 }
 
+#[test]
+fn batches_stay_within_the_limits_of_the_table() {
+    block_on(async {
+        let platform = MemoryPlatform::default();
+        let client = client_for(&platform, fast_settings());
+        let names: Vec<String> = (0..60).map(|number| format!("row/{number}")).collect();
+        let large = "x".repeat(30_000);
+        let commits = names
+            .iter()
+            .map(|name| client.commit(CAUSE, creation(name, &large)));
+        for outcome in future::join_all(commits).await {
+            assert!(
+                matches!(outcome, Ok(CommitOutcome::Committed(_))),
+                "{outcome:?}"
+            );
+        }
+        let sent: u64 = client.counts().iter().map(|count| count.commits).sum();
+        assert!((2..=4).contains(&sent), "{sent} commits");
+    });
+}
+
+#[test]
+fn transaction_beyond_the_limits_is_refused_with_its_sizes() {
+    block_on(async {
+        let platform = MemoryPlatform::default();
+        let client = client_for(&platform, fast_settings());
+        let change = creation("row/1", &"x".repeat(65_537));
+        let error = client.commit(CAUSE, change).await.unwrap_err();
+        assert_eq!(error.classify(), Category::Refused);
+        let text = error.to_string();
+        assert!(
+            text.contains("2 entries") && text.contains("65537 bytes"),
+            "{text}"
+        );
+        assert!(client.counts().iter().all(|count| count.commits == 0));
+    });
+}
+
+/// The table refuses what is within the known limits, because its own are lower.
+#[test]
+fn refusal_of_a_batch_is_one_of_the_transaction_that_the_table_refuses() {
+    struct StricterTable(MemoryPlatform);
+    impl TableStore for StricterTable {
+        fn commit<'a>(
+            &'a self,
+            transaction: &'a TableTransaction,
+        ) -> redwing_provider::LocalFuture<'a, redwing_provider::Result<CommitOutcome>> {
+            let mut writes = transaction.writes().iter();
+            if writes.any(|write| write.key == key("row/3")) {
+                let error = redwing_provider::Error::refused("commit", "fake", "no right");
+                return Box::pin(async { Err(error) });
+            }
+            self.0.commit(transaction)
+        }
+        fn scan<'a>(
+            &'a self,
+            prefix: &'a str,
+        ) -> redwing_provider::LocalFuture<
+            'a,
+            redwing_provider::Result<redwing_provider::table::TableView>,
+        > {
+            self.0.scan(prefix)
+        }
+        fn changes<'a>(
+            &'a self,
+            prefix: &'a str,
+            cursor: u64,
+        ) -> redwing_provider::LocalFuture<
+            'a,
+            redwing_provider::Result<redwing_provider::table::TableView>,
+        > {
+            self.0.changes(prefix, cursor)
+        }
+    }
+    block_on(async {
+        let table = rc::Rc::new(StricterTable(MemoryPlatform::default()));
+        let client = TableClient::new(table, fast_settings());
+        let names: Vec<String> = (0..10).map(|number| format!("row/{number}")).collect();
+        let commits = names
+            .iter()
+            .map(|name| client.commit(CAUSE, creation(name, "1")));
+        let outcomes = future::join_all(commits).await;
+        for (number, outcome) in outcomes.iter().enumerate() {
+            assert_eq!(outcome.is_err(), number == 3, "{outcome:?}");
+        }
+    });
+}
+
 #[test]
 fn full_queue_rejects_commits_without_effect() {
     block_on(async {
