Fill transactions through one builder that cuts by entries and bytes

Cause: each writer limited its transactions by a count of its own, none by bytes, so that their sum was beyond the limits of the table.

Change: `TransactionBuilder` adds units, which are stored whole or not at all, up to the limits of the table; `FillBudget` halves the number of units after a refusal, so that nothing is sent again as it was refused.

--- a/crates/provider/src/lib.rs
+++ b/crates/provider/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod backoff;
 pub mod batch;
 pub mod breaker;
+pub mod builder;
 pub mod client;
 pub mod counters;
 pub mod directory;
--- a/crates/provider/tests/limits.rs
+++ b/crates/provider/tests/limits.rs
@@ -1,4 +1,5 @@
-//! Tests of the rate limiter, the backoff and the circuit breaker.
+//! Tests of the rate limiter, the backoff, the circuit breaker and the sizes of
+//! transactions.
 
 use std::time;
 
@@ -6,7 +7,9 @@
 use proptest::test_runner::RngSeed;
 use redwing_provider::backoff::{BackoffSettings, RetryBackoff};
 use redwing_provider::breaker::{BreakerDecision, BreakerSettings, CircuitBreaker};
+use redwing_provider::builder::{FillBudget, TransactionBuilder, UnitFit};
 use redwing_provider::rate_limiter::RateLimiter;
+use redwing_provider::{RowKey, TableLimits, TableTransaction, TransactionSize};
 
 fn config(seed: u64) -> ProptestConfig {
     ProptestConfig {
@@ -16,6 +19,81 @@
     }
 }
 
+/// Unit of so many rows, each with a value of so many bytes.
+fn unit(number: usize, rows: usize, value_bytes: usize) -> TableTransaction {
+    let mut unit = TableTransaction::default();
+    for row in 0..rows {
+        let key = RowKey::new(format!("progress/{number}-{row}"));
+        unit = unit.put(key, "x".repeat(value_bytes));
+    }
+    unit
+}
+
+fn owner_row() -> TableTransaction {
+    let key = RowKey::new("owner/jobs");
+    TableTransaction::default()
+        .require_version(key.clone(), 1)
+        .put(key, "{}")
+}
+
+proptest! {
+    #![proptest_config(config(503))]
+
+    /// Every unit that fits into a transaction of its own is stored once and in order,
+    /// in transactions within the limits, although some are refused; a transaction is
+    /// never sent again as it was refused.
+    #[test]
+    fn backlog_drains_in_transactions_within_the_limits(
+        shapes in prop::collection::vec((1usize..6, 0usize..90_000), 0..150),
+        refusals in prop::collection::vec(any::<bool>(), 0..60),
+    ) {
+        let limits = TableLimits::default();
+        let mut refusals = refusals.into_iter();
+        let mut budget = FillBudget::default();
+        let units = shapes.iter().enumerate();
+        let mut queue: std::collections::VecDeque<TableTransaction> = units
+            .map(|(number, (rows, bytes))| unit(number, *rows, *bytes))
+            .collect();
+        let expected: Vec<TableTransaction> = queue
+            .iter()
+            .filter(|unit| limits.allow_rows(&TransactionSize::of(unit)))
+            .cloned()
+            .collect();
+        let mut done = Vec::new();
+        let mut refused = Vec::new();
+        while !queue.is_empty() {
+            let mut builder = TransactionBuilder::new(limits, owner_row()).with_budget(budget);
+            let mut taken = Vec::new();
+            while let Some(next) = queue.front() {
+                match builder.add(next) {
+                    UnitFit::Added => taken.extend(queue.pop_front()),
+                    UnitFit::Full => break,
+                    UnitFit::TooLarge(size) => {
+                        prop_assert!(!limits.allow_rows(&size), "{size}");
+                        queue.pop_front();
+                    }
+                }
+            }
+            let count = builder.units();
+            prop_assert_eq!(count, taken.len());
+            let size = builder.size();
+            let transaction = builder.finish();
+            prop_assert_eq!(size, TransactionSize::of(&transaction));
+            prop_assert!(limits.allow(&size), "{size}");
+            prop_assert!(!refused.contains(&transaction));
+            if count > 1 && refusals.next().unwrap_or(false) {
+                budget.refused(count);
+                taken.into_iter().rev().for_each(|unit| queue.push_front(unit));
+                refused.push(transaction);
+                continue;
+            }
+            budget.stored();
+            done.append(&mut taken);
+        }
+        prop_assert_eq!(done, expected);
+    }
+}
+
 proptest! {
     #![proptest_config(config(502))]
 
