Take rows in the order of their changes, ends before new work, as they fit

Cause: the rows of a change were taken by the names of their jobs, up to a number of rows and tasks, whatever their size. While more changed than a change holds, jobs with late names waited for all others, and rows of ended work for those of new work. The owner had no way to put rows back that were refused.

Change: rows are taken in the order in which their jobs changed, those of running and ended work before those of new work, for as many as the caller has room. `changes_refused` queues them again, in the same order; `set_row_aside` leaves out a row that the table does not take, until its job changes.

--- a/crates/jobs/src/scheduler/changes.rs
+++ b/crates/jobs/src/scheduler/changes.rs
@@ -1,17 +1,22 @@
 //! Rows to store, and what waits for them.
 //!
+//! Load pattern: far more rows than one change of the owner holds, such as after an
+//! absence of the table. Rows are taken in the order in which their jobs changed, those
+//! of running and ended work before those of new work, for as many as the caller has
+//! room; the rest waits for the next change.
+//!
 //! Rows are stored in sequence: the next change is taken only after the
-//! previous one was stored. A run is started, and an ended run acknowledged,
+//! previous one was stored or refused. A run is started, and an ended run acknowledged,
 //! only after the row that records it was stored.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 use crate::name::{JobId, TaskId, WorkerId};
 use crate::record::ProgressRecord;
 use crate::time::BootTime;
 
 use super::JobScheduler;
-use super::entry::{JobEntry, TaskPhase};
+use super::entry::TaskPhase;
 use super::lease_ledger::LeaseEnds;
 
 /// Progress of one job, to be stored.
@@ -21,6 +26,8 @@
     pub job: JobId,
     /// Progress to store.
     pub progress: ProgressRecord,
+    /// Work of the job.
+    pub kind: WorkKind,
 }
 
 /// Rows that are stored together.
@@ -31,6 +38,8 @@
     /// Ends of leases to store; none if the stored ones stay.
     pub lease_ends: Option<LeaseEnds>,
     starts: Vec<PendingStart>,
+    /// Number of the tasks in `rows`.
+    tasks: usize,
 }
 
 /// Run that is started once its row is stored.
@@ -40,66 +49,249 @@
     run: u32,
 }
 
-/// Jobs with progress that is not stored yet: changed ones, and those whose rows
-/// are being stored.
+/// Whether a row was added to those that are stored together.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum RowFit {
+    /// It was added.
+    Added,
+    /// It does not fit beside the others; it waits for the next change.
+    Full,
+    /// It fits into no change: its job is set aside until it changes.
+    TooLarge,
+}
+
+/// Work whose rows are taken together.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum WorkKind {
+    /// Work that runs or has ended.
+    Running,
+    /// Work whose runs are to be started.
+    New,
+}
+
+/// Jobs in the order in which they changed first since their rows were taken.
+#[derive(Debug, Default)]
+struct ChangeQueue {
+    jobs: BTreeMap<i64, JobId>,
+    positions: HashMap<JobId, i64>,
+}
+
+impl ChangeQueue {
+    fn is_empty(&self) -> bool {
+        self.jobs.is_empty()
+    }
+
+    fn contains(&self, job: &JobId) -> bool {
+        self.positions.contains_key(job)
+    }
+
+    fn push(&mut self, job: &JobId) {
+        let last = self.jobs.last_key_value();
+        let position = last.map_or(0, |(position, _)| position + 1);
+        self.insert(position, job);
+    }
+
+    fn push_front(&mut self, job: &JobId) {
+        let first = self.jobs.first_key_value();
+        let position = first.map_or(0, |(position, _)| position - 1);
+        self.insert(position, job);
+    }
+
+    fn insert(&mut self, position: i64, job: &JobId) {
+        if !self.contains(job) {
+            self.positions.insert(job.clone(), position);
+            self.jobs.insert(position, job.clone());
+        }
+    }
+
+    fn remove(&mut self, job: &JobId) {
+        if let Some(position) = self.positions.remove(job) {
+            self.jobs.remove(&position);
+        }
+    }
+
+    fn pop(&mut self) -> Option<JobId> {
+        let (_, job) = self.jobs.pop_first()?;
+        self.positions.remove(&job);
+        Some(job)
+    }
+}
+
+/// Jobs with progress that is not stored yet: changed ones, those whose rows are being
+/// stored, and those whose rows the table does not take.
 #[derive(Debug, Default)]
 pub(super) struct ChangeTracker {
-    changed: BTreeSet<JobId>,
+    /// Changed jobs with work that runs or has ended.
+    running: ChangeQueue,
+    /// Other changed jobs, which only have runs to be started.
+    starting: ChangeQueue,
     in_flight: BTreeSet<JobId>,
+    /// Jobs that have not changed since their rows were refused.
+    refused: BTreeSet<JobId>,
+    /// Jobs whose rows are not stored before they change.
+    set_aside: BTreeSet<JobId>,
 }
 
 impl ChangeTracker {
+    /// Marks a job of which work has run or ended.
     pub(super) fn mark_changed(&mut self, job: &JobId) {
-        self.changed.insert(job.clone());
+        self.reset(job);
+        self.starting.remove(job);
+        self.running.push(job);
+    }
+
+    /// Marks a job of which runs are to be started.
+    pub(super) fn mark_starting(&mut self, job: &JobId) {
+        self.reset(job);
+        if !self.running.contains(job) {
+            self.starting.push(job);
+        }
+    }
+
+    /// Forgets that the row of a job was not taken by the table, because the job has
+    /// changed.
+    fn reset(&mut self, job: &JobId) {
+        self.set_aside.remove(job);
+        self.refused.remove(job);
+    }
+
+    fn has_changed(&self) -> bool {
+        !self.running.is_empty() || !self.starting.is_empty()
+    }
+
+    fn queue_mut(&mut self, kind: WorkKind) -> &mut ChangeQueue {
+        match kind {
+            WorkKind::Running => &mut self.running,
+            WorkKind::New => &mut self.starting,
+        }
     }
 
     fn is_stored(&self, job: &JobId) -> bool {
-        !self.changed.contains(job) && !self.in_flight.contains(job)
+        !self.running.contains(job)
+            && !self.starting.contains(job)
+            && !self.in_flight.contains(job)
+            && !self.set_aside.contains(job)
     }
 }
 
 impl JobScheduler {
     /// Returns whether there are rows to store.
     pub fn has_changes(&self) -> bool {
-        !self.changes.changed.is_empty() || self.lease_ledger.is_due()
+        self.changes.has_changed() || self.lease_ledger.is_due()
     }
 
-    /// Takes the rows to store next. The previous ones must have been stored.
+    /// Returns the number of rows of running and ended work to store.
+    pub fn running_change_count(&self) -> usize {
+        self.changes.running.jobs.len()
+    }
+
+    /// Takes the rows to store next. The previous ones must have been stored or
+    /// refused.
     pub fn take_changes(&mut self, now: BootTime) -> ChangeSet {
-        let limit = self.settings.max_rows_per_change;
-        let mut changes = ChangeSet {
+        let mut changes = self.begin_changes(now);
+        let mut add = |_: &ProgressRow| RowFit::Added;
+        self.add_changes(&mut changes, WorkKind::Running, &mut add);
+        self.add_changes(&mut changes, WorkKind::New, &mut add);
+        changes
+    }
+
+    /// Takes the ends of leases to store next, without any rows. The previous rows
+    /// must have been stored or refused.
+    pub fn begin_changes(&mut self, now: BootTime) -> ChangeSet {
+        ChangeSet {
             lease_ends: self.lease_ledger.take(now),
             ..ChangeSet::default()
-        };
-        let mut tasks = 0;
-        while changes.rows.len() < limit && tasks < self.settings.max_tasks_per_change {
-            let Some(id) = self.changes.changed.pop_first() else {
-                break;
+        }
+    }
+
+    /// Takes rows of one kind of work, in the order in which their jobs changed, until
+    /// `add` has no room for one.
+    pub fn add_changes(
+        &mut self,
+        changes: &mut ChangeSet,
+        kind: WorkKind,
+        add: &mut dyn FnMut(&ProgressRow) -> RowFit,
+    ) {
+        let limit = self.settings.max_rows_per_change;
+        while changes.rows.len() < limit && changes.tasks < self.settings.max_tasks_per_change {
+            let Some(id) = self.changes.queue_mut(kind).pop() else {
+                return;
+            };
+            let Some(job) = self.jobs.get(&id) else {
+                self.changes.in_flight.insert(id);
+                continue;
             };
-            self.add_row(&mut changes, &id);
-            tasks += self.jobs.get(&id).map_or(0, JobEntry::task_count);
-            self.changes.in_flight.insert(id);
+            let row = ProgressRow {
+                progress: job.progress(),
+                job: id,
+                kind,
+            };
+            match add(&row) {
+                RowFit::Added => self.add_row(changes, row),
+                RowFit::TooLarge => {
+                    self.changes.set_aside.insert(row.job);
+                }
+                RowFit::Full => {
+                    self.changes.queue_mut(kind).push_front(&row.job);
+                    return;
+                }
+            }
         }
-        changes
     }
 
-    fn add_row(&self, changes: &mut ChangeSet, id: &JobId) {
-        let Some(job) = self.jobs.get(id) else {
-            return;
-        };
-        changes.rows.push(ProgressRow {
-            job: id.clone(),
-            progress: job.progress(),
-        });
-        let reserved = job
-            .tasks(id)
-            .filter(|(_, task)| matches!(task.phase, TaskPhase::Reserved(_)));
-        changes
-            .starts
-            .extend(reserved.map(|(name, task)| PendingStart {
-                task: name,
-                run: task.run,
-            }));
+    fn add_row(&mut self, changes: &mut ChangeSet, row: ProgressRow) {
+        if let Some(job) = self.jobs.get(&row.job) {
+            changes.tasks += job.task_count();
+            let reserved = job
+                .tasks(&row.job)
+                .filter(|(_, task)| matches!(task.phase, TaskPhase::Reserved(_)));
+            changes
+                .starts
+                .extend(reserved.map(|(name, task)| PendingStart {
+                    task: name,
+                    run: task.run,
+                }));
+        }
+        self.changes.refused.remove(&row.job);
+        self.changes.in_flight.insert(row.job.clone());
+        changes.rows.push(row);
+    }
+
+    /// Handles that the table refused the rows taken last: all of them wait again,
+    /// those of jobs that have not changed since in the same order and before others.
+    pub fn changes_refused(&mut self, changes: &ChangeSet) {
+        self.changes.in_flight.clear();
+        if changes.lease_ends.is_some() {
+            self.leases_refused();
+        }
+        for row in changes.rows.iter().rev() {
+            let tracker = &mut self.changes;
+            if tracker.running.contains(&row.job) || tracker.starting.contains(&row.job) {
+                continue;
+            }
+            tracker.refused.insert(row.job.clone());
+            tracker.queue_mut(row.kind).push_front(&row.job);
+        }
+    }
+
+    /// Handles that the ends of leases taken last do not fit: they are taken again.
+    pub fn leases_refused(&mut self) {
+        self.lease_ledger.refused(true);
+    }
+
+    /// Leaves the ends of leases that the table refused out until they are due again.
+    pub fn set_leases_aside(&mut self) {
+        self.lease_ledger.refused(false);
+    }
+
+    /// Sets a job aside whose row the table refused: it is not stored before the job
+    /// changes. One that has changed since stays in its queue.
+    pub fn set_row_aside(&mut self, job: &JobId) {
+        if self.changes.refused.remove(job) {
+            self.changes.running.remove(job);
+            self.changes.starting.remove(job);
+            self.changes.set_aside.insert(job.clone());
+        }
     }
 
     /// Handles stored rows: their runs are started, and the ended runs that they
--- a/crates/jobs/src/scheduler/lease_ledger.rs
+++ b/crates/jobs/src/scheduler/lease_ledger.rs
@@ -32,6 +32,8 @@
     /// When `recorded` was last taken to be stored.
     recorded_at: BootTime,
     is_due: bool,
+    /// Whether the ends taken last were refused.
+    is_refused: bool,
 }
 
 impl LeaseLedger {
@@ -53,7 +55,8 @@
     pub(super) fn update(&mut self, ends: LeaseEnds, interval: time::Duration, now: BootTime) {
         let has_changed = !ends.keys().eq(self.recorded.keys());
         let is_old = now.saturating_since(self.recorded_at) >= interval;
-        self.is_due = has_changed || (!ends.is_empty() && is_old);
+        let has_unstored = !ends.is_empty() || self.is_refused;
+        self.is_due = has_changed || (has_unstored && is_old);
         self.wanted = ends;
     }
 
@@ -67,11 +70,25 @@
         self.withdrawn
             .extend(withdrawn.filter(|worker| !self.wanted.contains_key(worker)));
         self.recorded_at = now;
+        self.is_refused = false;
         Some(self.wanted.clone())
     }
 
-    /// Handles that the ends taken last are stored.
+    /// Handles that the ends taken last were refused: they are taken again, at once
+    /// or after the interval.
+    pub(super) fn refused(&mut self, is_urgent: bool) {
+        self.is_refused = true;
+        self.is_due = is_urgent;
+        if is_urgent {
+            self.recorded_at = BootTime::default();
+        }
+    }
+
+    /// Handles that the change is stored; with it the ends taken last, unless they
+    /// were refused.
     pub(super) fn stored(&mut self) {
-        self.withdrawn.clear();
+        if !self.is_refused {
+            self.withdrawn.clear();
+        }
     }
 }
--- a/crates/jobs/src/scheduler/lifecycle.rs
+++ b/crates/jobs/src/scheduler/lifecycle.rs
@@ -176,7 +176,7 @@
                 self.scheduled.remove(&id);
             }
             if self.jobs.contains_key(&id) {
-                self.changes.mark_changed(&id);
+                self.changes.mark_starting(&id);
                 self.refresh_waiting(&id);
             }
         }
--- a/crates/jobs/src/scheduler/mod.rs
+++ b/crates/jobs/src/scheduler/mod.rs
@@ -66,7 +66,7 @@
 use waiting::WaitingJobs;
 
 pub use advice::{AdviceRequest, AdviceResponse, StepId, WorkerPermit};
-pub use changes::{ChangeSet, ProgressRow};
+pub use changes::{ChangeSet, ProgressRow, RowFit, WorkKind};
 pub use lease::{InheritedLeases, PreviousOwner};
 pub use lease_ledger::LeaseEnds;
 
--- a/crates/jobs/src/scheduler/placement.rs
+++ b/crates/jobs/src/scheduler/placement.rs
@@ -246,7 +246,7 @@
         {
             job.state = JobState::Running;
         }
-        self.changes.mark_changed(id);
+        self.changes.mark_starting(id);
         // The remaining tasks wait for more capacity; another attempt with the
         // same capacity would place none of them.
         self.update_waiting(id);
--- /dev/null
+++ b/crates/jobs/tests/changes.rs
@@ -0,0 +1,165 @@
+//! Rows of progress that are more than one change of the owner holds.
+
+mod common;
+
+use common::{FakeFleet, step_spec};
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use redwing_jobs::{JobId, JobState, SchedulerSettings};
+
+/// Size of a change that holds a few rows of one task, in bytes.
+const FEW_ROWS: usize = 300;
+
+/// Advances until all jobs have ended; panics if they have not within a minute.
+fn drain(fleet: &mut FakeFleet) {
+    for _ in 0..600 {
+        if fleet.jobs.keys().all(|id| fleet.state(id).is_final()) {
+            return;
+        }
+        fleet.advance(100);
+    }
+    let jobs = fleet.jobs.keys();
+    let open: Vec<_> = jobs.filter(|id| !fleet.state(id).is_final()).collect();
+    panic!("not done in 60 s: {open:?}");
+}
+
+/// The table is absent while work ends and more is submitted. On its return the ends are
+/// stored before the rows of new work, whatever the names of the jobs are.
+#[test]
+fn ends_are_stored_before_new_work() {
+    let mut fleet = FakeFleet::of_size(4, 4_000);
+    let ending = |number| format!("z-{number}");
+    for number in 0..8 {
+        fleet.submit(&ending(number), vec![step_spec(1, 1_000)], 400);
+    }
+    fleet.advance(100);
+    fleet.is_table_up = false;
+    for number in 0..8 {
+        fleet.submit(&format!("a-{number}"), vec![step_spec(1, 1_000)], 400);
+    }
+    fleet.advance(1_000);
+    fleet.stored_order.clear();
+    fleet.change_bytes = FEW_ROWS;
+    fleet.is_table_up = true;
+    drain(&mut fleet);
+    let first: Vec<&str> = fleet.stored_order[..8].iter().map(JobId::as_str).collect();
+    assert!(first.iter().all(|id| id.starts_with("z-")), "{first:?}");
+}
+
+/// More jobs arrive than changes hold rows. Rows are stored in the order in which their
+/// jobs changed: none waits for jobs that arrived later, whatever their names are.
+#[test]
+fn a_job_does_not_wait_for_others_that_arrived_later() {
+    let mut fleet = FakeFleet::of_size(4, 4_000);
+    fleet.change_bytes = FEW_ROWS;
+    for number in 0..100 {
+        if number == 20 {
+            fleet.submit("z", vec![step_spec(1, 10)], 20);
+        }
+        for other in 0..4 {
+            let id = format!("a-{number:02}-{other}");
+            fleet.submit(&id, vec![step_spec(1, 10)], 20);
+        }
+        fleet.advance(10);
+    }
+    let z = JobId::new("z");
+    assert_eq!(
+        fleet.state(&z),
+        JobState::Completed,
+        "{:?}",
+        fleet.rows.get(&z)
+    );
+}
+
+/// What the table refuses is stored later, and no run is started before.
+#[test]
+fn refused_rows_are_stored_later() {
+    let mut fleet = FakeFleet::of_size(2, 4_000);
+    fleet.refused_changes = 3;
+    for number in 0..3 {
+        fleet.submit(&format!("a-{number}"), vec![step_spec(1, 1_000)], 100);
+    }
+    fleet.advance(30);
+    assert!(fleet.starts.is_empty());
+    drain(&mut fleet);
+    assert_eq!(fleet.starts.len(), 3);
+}
+
+/// A job whose row is too large waits without holding up any other, and continues once
+/// its row fits.
+#[test]
+fn a_row_that_is_too_large_holds_up_no_other() {
+    let mut fleet = FakeFleet::of_size(4, 4_000);
+    fleet.change_bytes = FEW_ROWS;
+    let large = fleet.submit("large", vec![step_spec(12, 100)], 100);
+    fleet.submit("small", vec![step_spec(1, 100)], 100);
+    fleet.advance(1_000);
+    assert_eq!(fleet.state(&JobId::new("small")), JobState::Completed);
+    assert_eq!(fleet.state(&large), JobState::Queued);
+    assert_eq!(fleet.starts.len(), 1);
+    fleet.scheduler.cancel(&large, fleet.now);
+    fleet.advance(100);
+    assert_eq!(fleet.state(&large), JobState::Cancelled);
+}
+
+/// Event while a backlog of rows drains.
+#[derive(Clone, Debug)]
+enum BacklogEvent {
+    Submit { tasks: u32, duration_ms: u64 },
+    LimitChanges { bytes: usize },
+    RefuseChanges { count: u32 },
+    SetTable { is_up: bool },
+    TakeOver,
+}
+
+fn backlog_event() -> impl Strategy<Value = BacklogEvent> {
+    prop_oneof![
+        6 => (1..5_u32, 20..800_u64)
+            .prop_map(|(tasks, duration_ms)| BacklogEvent::Submit { tasks, duration_ms }),
+        1 => (FEW_ROWS..5_000).prop_map(|bytes| BacklogEvent::LimitChanges { bytes }),
+        1 => (1..9_u32).prop_map(|count| BacklogEvent::RefuseChanges { count }),
+        1 => any::<bool>().prop_map(|is_up| BacklogEvent::SetTable { is_up }),
+        1 => Just(BacklogEvent::TakeOver),
+    ]
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 64,
+        failure_persistence: None,
+        rng_seed: RngSeed::Fixed(504),
+        ..ProptestConfig::default()
+    })]
+
+    /// Any backlog drains in changes within their limit, across takeovers and refusals;
+    /// as the workers lose nothing, each task runs once.
+    #[test]
+    fn any_backlog_drains_within_the_limits(
+        events in prop::collection::vec((0..300_u64, backlog_event()), 1..60),
+    ) {
+        let mut fleet = FakeFleet::of_size(4, 4_000);
+        fleet.change_bytes = FEW_ROWS;
+        let mut task_count = 0;
+        for (number, (delay_ms, event)) in events.into_iter().enumerate() {
+            match event {
+                BacklogEvent::Submit { tasks, duration_ms } => {
+                    task_count += tasks as usize;
+                    let id = format!("job-{number}");
+                    fleet.submit(&id, vec![step_spec(tasks, 500)], duration_ms);
+                }
+                BacklogEvent::LimitChanges { bytes } => fleet.change_bytes = bytes,
+                BacklogEvent::RefuseChanges { count } => fleet.refused_changes = count,
+                BacklogEvent::SetTable { is_up } => fleet.is_table_up = is_up,
+                BacklogEvent::TakeOver => fleet.take_over(SchedulerSettings::default()),
+            }
+            fleet.advance(delay_ms);
+            fleet.assert_no_double_run();
+        }
+        fleet.is_table_up = true;
+        drain(&mut fleet);
+        prop_assert!(!fleet.scheduler.has_changes());
+        prop_assert_eq!(fleet.starts.len(), task_count);
+        let jobs = fleet.jobs.keys();
+        prop_assert!(jobs.into_iter().all(|id| fleet.state(id) == JobState::Completed));
+    }
+}
--- a/crates/jobs/tests/common/mod.rs
+++ b/crates/jobs/tests/common/mod.rs
@@ -12,7 +12,8 @@
 
 use redwing_jobs::name::{CustomerName, PoolName, QueueName};
 use redwing_jobs::scheduler::{
-    AdviceRequest, AdviceResponse, InheritedLeases, LeaseEnds, ProgressRow, WorkerPermit,
+    AdviceRequest, AdviceResponse, ChangeSet, InheritedLeases, LeaseEnds, ProgressRow, RowFit,
+    WorkKind, WorkerPermit,
 };
 use redwing_jobs::spec::StepSpec;
 use redwing_jobs::time::WallTime;
@@ -45,6 +46,12 @@
     pub(crate) lease_ends: LeaseEnds,
     /// Whether the table accepts writes.
     pub(crate) is_table_up: bool,
+    /// Largest number of bytes of progress in one change.
+    pub(crate) change_bytes: usize,
+    /// Number of upcoming changes that the table refuses.
+    pub(crate) refused_changes: u32,
+    /// Jobs whose rows were stored, in this order.
+    pub(crate) stored_order: Vec<JobId>,
     /// Task, run, worker and time of every start that a worker executed.
     pub(crate) starts: Vec<(TaskId, u32, WorkerId, BootTime)>,
     /// Every checkpoint that a run resumed from.
@@ -75,6 +82,13 @@
     pub(crate) advice_requests: Vec<AdviceRequest>,
 }
 
+/// Returns the size of a row as it is stored.
+pub(crate) fn row_bytes(progress: &ProgressRecord) -> usize {
+    serde_json::to_string(progress)
+        .expect("it is encoded")
+        .len()
+}
+
 impl FakeFleet {
     /// Returns a fleet with so many equal workers in the pool `builders`.
     pub(crate) fn of_size(count: usize, cpu_millis: u64) -> Self {
@@ -101,6 +115,9 @@
             rows: BTreeMap::new(),
             lease_ends: LeaseEnds::new(),
             is_table_up: true,
+            change_bytes: usize::MAX,
+            refused_changes: 0,
+            stored_order: Vec::new(),
             starts: Vec::new(),
             resumed_checkpoints: Vec::new(),
             ordered_starts: Vec::new(),
@@ -222,9 +239,15 @@
         if !self.is_table_up || !self.scheduler.has_changes() {
             return;
         }
-        let changes = self.scheduler.take_changes(self.now);
-        for ProgressRow { job, progress } in &changes.rows {
+        let changes = self.take_changes();
+        if self.refused_changes > 0 {
+            self.refused_changes -= 1;
+            self.scheduler.changes_refused(&changes);
+            return;
+        }
+        for ProgressRow { job, progress, .. } in &changes.rows {
             self.rows.insert(job.clone(), progress.clone());
+            self.stored_order.push(job.clone());
         }
         if let Some(ends) = &changes.lease_ends {
             self.lease_ends.clone_from(ends);
@@ -232,6 +255,30 @@
         self.scheduler.changes_stored(&changes, self.now);
     }
 
+    /// Takes the rows of one change, up to `change_bytes`.
+    fn take_changes(&mut self) -> ChangeSet {
+        let limit = self.change_bytes;
+        let mut used = 0;
+        let mut add = |row: &ProgressRow| {
+            let size = row_bytes(&row.progress);
+            if size > limit {
+                return RowFit::TooLarge;
+            }
+            if used + size > limit {
+                return RowFit::Full;
+            }
+            used += size;
+            RowFit::Added
+        };
+        let mut changes = self.scheduler.begin_changes(self.now);
+        for kind in [WorkKind::Running, WorkKind::New] {
+            self.scheduler.add_changes(&mut changes, kind, &mut add);
+        }
+        let sizes = changes.rows.iter().map(|row| row_bytes(&row.progress));
+        assert!(sizes.sum::<usize>() <= limit);
+        changes
+    }
+
     fn execute_delayed_orders(&mut self) {
         let now = self.now;
         let (due_orders, pending_orders): (Vec<_>, Vec<_>) = self
