Fill the owner's changes within the limits; a refusal does not end it

Cause: a change held 80 progress rows and 4,000 tasks, and beside them every row of waves, ten deletions, the ends of leases and the rows for callers, without a limit on the sum or on bytes. After an absence of the table the sum was refused ("over 100 entries or 1 MB"), which ended the ownership; the next owner could build the same change.

Change: a change is filled through the builder in a fixed order: the owner row and its condition, ends of leases, waves, rows for callers, running and ended work, deletions, new work. What does not fit waits for the next. The two rows of a wave go together, only the latest of each wave, and its orders after them. A refused change is logged with its sizes (E534), its contents are queued again, and the next has half of its units; a unit that is refused alone is left out until it changes (E535), if the owner row is stored without it. Each change has another number, so that an attempt of a refused one is not taken for its successor. A release stores what has run or ended in as many changes as that takes, and leaves new work to the successor.

--- a/crates/engine/src/event.rs
+++ b/crates/engine/src/event.rs
@@ -79,12 +79,16 @@
     OWNER_BEGUN = 530 "owner-begun";
     /// The process has lost or released the ownership of the scheduling.
     OWNER_ENDED = 531 "owner-ended";
-    /// An attempt to store a change failed; it is retried unless the table
-    /// refused it or the time limit has passed. Also logged if a change cannot be
-    /// encoded, or a new owner could not read the stored rows.
+    /// An attempt to store a change failed; it is retried until the time
+    /// limit has passed. Also logged if a change cannot be encoded, or a new owner
+    /// could not read the stored rows.
     CHANGE_DELAYED = 532 "change-delayed";
     /// The process was paused for so long that another may own the scheduling.
     PAUSE_NOTICED = 533 "pause-noticed";
+    /// The table refused a change; its rows are stored with smaller changes.
+    CHANGE_REFUSED = 534 "change-refused";
+    /// The table does not take a row; it is left out until its content changes.
+    ROW_SET_ASIDE = 535 "row-set-aside";
     /// The status of a worker changed.
     WORKER_CHANGED = 540 "worker-changed";
     /// The platform responded to an order for maintenance or a move of a machine.
--- a/crates/engine/src/owner/change.rs
+++ b/crates/engine/src/owner/change.rs
@@ -1,11 +1,16 @@
 //! Changes of an owner: transactions that commit only while it still owns the
 //! scheduling.
 
+use std::fmt;
 use std::time;
 
-use redwing_jobs::scheduler::ChangeSet;
+use redwing_jobs::JobId;
 use redwing_provider::backoff::{BackoffSettings, RetryBackoff};
-use redwing_provider::{CallCause, Category, CommitOutcome, RowKey, TableClient, TableTransaction};
+use redwing_provider::builder::{FillBudget, TransactionBuilder, UnitFit};
+use redwing_provider::{
+    CallCause, Category, CommitOutcome, RowKey, TableClient, TableLimits, TableTransaction,
+    TransactionSize,
+};
 use tokio::time as timer;
 
 use crate::clock;
@@ -31,18 +36,13 @@
     pub(super) give_up_after: time::Duration,
 }
 
-/// Rows that a change writes and deletes besides the progress of jobs.
-#[derive(Clone, Debug, Default)]
-pub(super) struct ExtraRows {
-    pub(super) written: Vec<EncodedRow>,
-    pub(super) deleted: Vec<RowKey>,
-}
-
 /// Outcome of storing a change.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub(super) enum ChangeOutcome {
     /// The change is stored; the lease has the new version of the owner row.
     Stored(OwnerLease),
+    /// The table refused the change as it was; with its error.
+    Refused(String),
     /// Another process owns the scheduling, or this one must assume so; with
     /// the reason.
     Lost(&'static str),
@@ -57,37 +57,108 @@
     pub(super) inherited: time::Duration,
 }
 
-/// Returns the transaction that stores a change, and the owner record that it
-/// writes.
-pub(super) fn transaction(
-    lease: &OwnerLease,
-    changes: &ChangeSet,
-    extra: &ExtraRows,
-    state: OwnershipState,
-) -> Result<(TableTransaction, OwnerRecord)> {
-    let key = RowKey::new(row::OWNER_KEY);
-    let record = OwnerRecord {
-        change: lease.record.change + 1,
-        released: state.released,
-        inherited_ms: Some(state.inherited.as_millis() as u64),
-        ..lease.record.clone()
-    };
-    let value = row::write(&key, &record)?;
-    let mut transaction = TableTransaction::default()
-        .require_version(key.clone(), lease.version)
-        .put(key, value);
-    for change in &changes.rows {
-        let key = row::progress_key(&change.job);
-        let value = row::write(&key, &change.progress)?;
-        transaction = transaction.put(key, value);
+/// Rows of a change that are stored together or not at all.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub(super) enum ChangeUnit {
+    /// Ends of leases.
+    LeaseEnds,
+    /// Rows of a wave, by its number.
+    Wave(u64),
+    /// Row for the callers.
+    Board(RowKey),
+    /// Progress of a job.
+    Progress(JobId),
+    /// Deletion of the progress of a job whose other rows are deleted.
+    Obsolete(JobId),
+}
+
+impl fmt::Display for ChangeUnit {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::LeaseEnds => formatter.write_str(row::LEASE_KEY),
+            Self::Wave(wave) => formatter.write_str(row::maintenance_key(*wave).as_str()),
+            Self::Board(key) => formatter.write_str(key.as_str()),
+            Self::Progress(job) | Self::Obsolete(job) => {
+                formatter.write_str(row::progress_key(job).as_str())
+            }
+        }
+    }
+}
+
+/// Change that is being filled: the owner row and its condition, and the units that
+/// fit beside them.
+#[derive(Debug)]
+pub(super) struct ChangeFill {
+    builder: TransactionBuilder,
+    pub(super) units: Vec<ChangeUnit>,
+    pub(super) record: OwnerRecord,
+}
+
+impl ChangeFill {
+    /// Creates a change of the owner with the number `change`.
+    pub(super) fn new(
+        lease: &OwnerLease,
+        change: u64,
+        state: OwnershipState,
+        limits: TableLimits,
+        budget: FillBudget,
+    ) -> Result<Self> {
+        let key = RowKey::new(row::OWNER_KEY);
+        let record = OwnerRecord {
+            change,
+            released: state.released,
+            inherited_ms: Some(state.inherited.as_millis() as u64),
+            ..lease.record.clone()
+        };
+        let value = row::write(&key, &record)?;
+        let base = TableTransaction::default()
+            .require_version(key.clone(), lease.version)
+            .put(key, value);
+        Ok(Self {
+            builder: TransactionBuilder::new(limits, base).with_budget(budget),
+            units: Vec::new(),
+            record,
+        })
+    }
+
+    /// Adds a unit if it fits; logs one that fits into no change.
+    pub(super) fn add(&mut self, unit: ChangeUnit, rows: &TableTransaction) -> UnitFit {
+        let fit = self.builder.add(rows);
+        match fit {
+            UnitFit::Added => self.units.push(unit),
+            UnitFit::TooLarge(size) => log_set_aside(&unit, &size),
+            UnitFit::Full => {}
+        }
+        fit
     }
-    for row in &extra.written {
-        transaction = transaction.put(row.key.clone(), row.value.clone());
+
+    /// Adds a unit of one row if it fits.
+    pub(super) fn add_row(&mut self, unit: ChangeUnit, row: &EncodedRow) -> UnitFit {
+        let rows = TableTransaction::default().put(row.key.clone(), row.value.clone());
+        self.add(unit, &rows)
+    }
+
+    /// Returns the size of the change.
+    pub(super) fn size(&self) -> TransactionSize {
+        self.builder.size()
     }
-    for key in &extra.deleted {
-        transaction = transaction.delete(key.clone());
+
+    /// Returns the transaction that stores the change.
+    pub(super) fn into_transaction(self) -> TableTransaction {
+        self.builder.finish()
     }
-    Ok((transaction, record))
+}
+
+/// Logs that a unit is not stored before its content changes.
+pub(super) fn log_set_aside(unit: &ChangeUnit, size: &TransactionSize) {
+    log_job_event!(
+        error,
+        event::ROW_SET_ASIDE,
+        row = unit,
+        entries = size.entries,
+        bytes = size.bytes,
+        largest_row = size.largest_row,
+    );
 }
 
 /// Stores a change, with retries until `timeouts.give_up_after`.
@@ -116,13 +187,7 @@
             }
             Ok(CommitOutcome::Conflict(rows)) => return resolve_conflict(&rows, record),
             Err(error) if error.classify() == Category::Refused => {
-                log_job_event!(
-                    error,
-                    event::CHANGE_DELAYED,
-                    attempts = attempts,
-                    error = error
-                );
-                return ChangeOutcome::Lost("the table refused a change");
+                return ChangeOutcome::Refused(error.to_string());
             }
             Err(error) => error,
         };
--- a/crates/engine/src/owner/cleanup.rs
+++ b/crates/engine/src/owner/cleanup.rs
@@ -5,7 +5,7 @@
 //! between, the next owner finds progress without a job and deletes it.
 
 use redwing_jobs::JobId;
-use redwing_provider::{CallCause, RowKey, TableClient, TableTransaction};
+use redwing_provider::{CallCause, TableClient, TableTransaction};
 use tokio::sync::mpsc;
 
 use crate::event;
@@ -44,8 +44,3 @@
         }
     });
 }
-
-/// Returns the keys of the progress rows of `jobs`.
-pub(super) fn progress_keys(jobs: &[JobId]) -> Vec<RowKey> {
-    jobs.iter().map(row::progress_key).collect()
-}
--- a/crates/engine/src/owner/machines.rs
+++ b/crates/engine/src/owner/machines.rs
@@ -1,6 +1,6 @@
 //! Maintenance of machines and their moves between pools.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::fmt;
 use std::rc;
 
@@ -12,7 +12,8 @@
 use redwing_jobs::manifest::JobManifest;
 use redwing_jobs::name::{MachineName, PoolName, WorkerId};
 use redwing_jobs::{BootTime, JobScheduler};
-use redwing_provider::Category;
+use redwing_provider::builder::UnitFit;
+use redwing_provider::{Category, TableTransaction};
 use tokio::sync::mpsc;
 
 use crate::clock;
@@ -23,8 +24,13 @@
 use crate::row::{self, EncodedRow};
 use crate::services::{LeaseHolder, ListedMachine, MachineClient, MachineOutcome, MachineState};
 
+use super::change::{ChangeFill, ChangeUnit};
 use super::{OwnerDependencies, OwnerSettings};
 
+/// Maximum number of waves whose rows are in one change: other work is not to wait for
+/// a flood of them.
+const WAVES_PER_CHANGE: usize = 10;
+
 /// Response to a call of the platform's machine service.
 #[derive(Debug)]
 pub(super) enum MachineResponse {
@@ -50,6 +56,16 @@
     Maintenance(u64),
 }
 
+impl MachineOrder {
+    /// Returns the wave whose rows must be stored before the order is sent.
+    fn wave(&self) -> Option<u64> {
+        match self {
+            Self::Move { .. } => None,
+            Self::Maintenance(wave) => Some(*wave),
+        }
+    }
+}
+
 impl fmt::Display for MachineOrder {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
@@ -66,6 +82,13 @@
     order: MachineOrder,
 }
 
+/// Rows of a wave that are stored together.
+#[derive(Clone, Debug)]
+struct WaveRows {
+    wave: u64,
+    rows: Vec<EncodedRow>,
+}
+
 /// Keeps the list of machines and orders their maintenance and moves.
 ///
 /// A maintenance order passes through three queues: until the rows that record it
@@ -85,9 +108,14 @@
     machines: Vec<ListedMachine>,
     is_listing: bool,
     next_list_at: BootTime,
-    /// Rows to store with the next change.
-    rows: Vec<EncodedRow>,
-    /// Orders whose rows are among `rows`.
+    /// Rows to store with the next changes, of each wave together.
+    rows: VecDeque<WaveRows>,
+    /// Rows that are being stored.
+    storing_rows: Vec<WaveRows>,
+    /// Waves whose rows the table does not take; their orders wait until the rows
+    /// change.
+    set_aside: BTreeSet<u64>,
+    /// Orders whose rows are not taken to be stored.
     unstored_orders: Vec<PendingOrder>,
     /// Orders whose rows are being stored.
     storing_orders: Vec<PendingOrder>,
@@ -116,7 +144,9 @@
             machines: Vec::new(),
             is_listing: false,
             next_list_at: BootTime::default(),
-            rows: Vec::new(),
+            rows: VecDeque::new(),
+            storing_rows: Vec::new(),
+            set_aside: BTreeSet::new(),
             unstored_orders: Vec::new(),
             storing_orders: Vec::new(),
             ready_orders: Vec::new(),
@@ -151,17 +181,61 @@
         !self.rows.is_empty()
     }
 
-    /// Returns the rows to store next. The previous ones must have been stored.
-    pub(super) fn take_rows(&mut self) -> Vec<EncodedRow> {
-        self.storing_orders.append(&mut self.unstored_orders);
-        std::mem::take(&mut self.rows)
+    /// Adds the rows to store next to a change. The previous ones must have been
+    /// stored or refused.
+    pub(super) fn add_rows(&mut self, fill: &mut ChangeFill) {
+        for _ in 0..WAVES_PER_CHANGE {
+            let Some(next) = self.rows.pop_front() else {
+                break;
+            };
+            let mut rows = TableTransaction::default();
+            for row in &next.rows {
+                rows = rows.put(row.key.clone(), row.value.clone());
+            }
+            match fill.add(ChangeUnit::Wave(next.wave), &rows) {
+                UnitFit::Added => self.storing_rows.push(next),
+                UnitFit::TooLarge(_) => {
+                    self.set_aside.insert(next.wave);
+                }
+                UnitFit::Full => {
+                    self.rows.push_front(next);
+                    break;
+                }
+            }
+        }
+        let unstored = std::mem::take(&mut self.unstored_orders).into_iter();
+        let (waiting, storing): (Vec<_>, Vec<_>) = unstored.partition(|pending| {
+            let wave = pending.order.wave();
+            let is_queued = self.rows.iter().any(|rows| Some(rows.wave) == wave);
+            is_queued || wave.is_some_and(|wave| self.set_aside.contains(&wave))
+        });
+        self.unstored_orders = waiting;
+        self.storing_orders.extend(storing);
     }
 
     /// Handles that the rows taken last are stored.
     pub(super) fn rows_stored(&mut self) {
+        self.storing_rows.clear();
         self.ready_orders.append(&mut self.storing_orders);
     }
 
+    /// Handles that the rows taken last were refused: they wait again, except those of
+    /// waves that have changed.
+    pub(super) fn rows_refused(&mut self) {
+        self.unstored_orders.append(&mut self.storing_orders);
+        for refused in std::mem::take(&mut self.storing_rows).into_iter().rev() {
+            if !self.rows.iter().any(|rows| rows.wave == refused.wave) {
+                self.rows.push_front(refused);
+            }
+        }
+    }
+
+    /// Leaves the rows of a wave out until they change.
+    pub(super) fn set_wave_aside(&mut self, wave: u64) {
+        self.rows.retain(|rows| rows.wave != wave);
+        self.set_aside.insert(wave);
+    }
+
     /// Sends the orders that are ready; the ownership must be confirmed.
     pub(super) fn send_ready_orders(&mut self) {
         for pending in std::mem::take(&mut self.ready_orders) {
@@ -362,13 +436,20 @@
             );
         }
         let key = row::maintenance_key(wave);
+        let mut rows = Vec::new();
         if let Some(record) = self.wave_planner.record(wave) {
             match row::write(&key, record) {
-                Ok(value) => self.rows.push(EncodedRow { key, value }),
+                Ok(value) => rows.push(EncodedRow { key, value }),
                 Err(error) => log_job_event!(error, event::ROW_MALFORMED, error = error),
             }
         }
-        self.rows.push(dependencies.codec.wave_status(wave, state));
+        rows.push(dependencies.codec.wave_status(wave, state));
+        self.set_aside.remove(&wave);
+        // Only the latest rows of a wave count; they keep its place.
+        match self.rows.iter_mut().find(|queued| queued.wave == wave) {
+            Some(queued) => queued.rows = rows,
+            None => self.rows.push_back(WaveRows { wave, rows }),
+        }
     }
 
     /// Applies the response to a call.
--- a/crates/engine/src/owner/session/mod.rs
+++ b/crates/engine/src/owner/session/mod.rs
@@ -3,14 +3,15 @@
 mod rows;
 mod store;
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 
 use redwing_jobs::feasibility::FleetCapacity;
 use redwing_jobs::maintenance::MaintenanceRecord;
-use redwing_jobs::scheduler::{AdviceRequest, ChangeSet, InheritedLeases};
+use redwing_jobs::scheduler::{AdviceRequest, InheritedLeases};
 use redwing_jobs::worker::{OrderAction, WorkerOrder};
 use redwing_jobs::{BootTime, JobId, JobScheduler};
-use redwing_provider::CallCause;
+use redwing_provider::builder::FillBudget;
+use redwing_provider::{CallCause, TransactionSize};
 use tokio::sync::{mpsc, oneshot};
 use tokio::time as timer;
 
@@ -24,13 +25,15 @@
 
 use super::OwnerDependencies;
 use super::advice::{self, AdviceResult};
-use super::change::{self, ChangeOutcome, StoreTimeouts};
+use super::change::{ChangeOutcome, ChangeUnit};
 use super::election::{AcquiredOwnership, OwnerLease};
 use super::machines::{MachineResponse, MachineService};
 use super::order_queues::{CompletedOrder, OrderQueues};
 use super::record;
 use super::scheduler_event;
 
+use store::ChangeContents;
+
 /// Runs a session until the ownership is lost or the process stops.
 pub(super) async fn run(dependencies: &OwnerDependencies, acquired: AcquiredOwnership) {
     let fencing_token = acquired.lease.record.fencing_token;
@@ -54,9 +57,7 @@
 
 /// Change that is being stored.
 struct PendingChange {
-    changes: ChangeSet,
-    /// Pending counts that the change writes.
-    pending_counts: Option<PendingCounts>,
+    contents: ChangeContents,
     outcome: oneshot::Receiver<ChangeOutcome>,
 }
 
@@ -76,12 +77,21 @@
     deleted: mpsc::UnboundedReceiver<JobId>,
     deleted_sender: mpsc::UnboundedSender<JobId>,
     /// Jobs whose progress rows are to be deleted with the next changes.
-    obsolete_jobs: Vec<JobId>,
+    obsolete_jobs: VecDeque<JobId>,
     cleanup_started_at: BootTime,
     machine_responses: mpsc::UnboundedReceiver<MachineResponse>,
     /// Maintenance records as read at the start, by the number of the wave.
     waves: BTreeMap<u64, MaintenanceRecord>,
     pending_change: Option<PendingChange>,
+    /// Number of the latest change. Each has another one, so that a refused change
+    /// and the next cannot be taken for one another.
+    change_number: u64,
+    /// Number of units of the next change.
+    fill_budget: FillBudget,
+    /// Unit that was refused alone, with the size of that change.
+    suspect: Option<(ChangeUnit, TransactionSize)>,
+    /// Until when no change is sent, because the table refused the owner row.
+    refused_until: BootTime,
     /// When the latest change was sent, successful or not.
     renewed_at: BootTime,
     /// Pending counts as stored.
@@ -160,11 +170,15 @@
             advice_results,
             deleted,
             deleted_sender,
-            obsolete_jobs: Vec::new(),
+            obsolete_jobs: VecDeque::new(),
             cleanup_started_at: clock::boot_now(),
             machine_responses,
             waves: record::read_waves(&maintenance.rows),
             pending_change: None,
+            change_number: lease.record.change,
+            fill_budget: FillBudget::default(),
+            suspect: None,
+            refused_until: BootTime::default(),
             renewed_at: claimed_at,
             pending_counts: PendingCounts::default(),
             counts_sent_at: BootTime::default(),
@@ -210,7 +224,7 @@
                 Some(update) = self.worker_updates.recv() => {
                     self.apply_worker_rows(&update.rows, update.is_complete);
                 }
-                Some(job) = self.deleted.recv() => self.obsolete_jobs.push(job),
+                Some(job) = self.deleted.recv() => self.obsolete_jobs.push_back(job),
                 Some(response) = self.machine_responses.recv() => {
                     self.machines.handle_response(&mut self.scheduler, response, clock::boot_now());
                 }
@@ -358,24 +372,7 @@
             }
         }
         self.scheduler.prepare_release(now);
-        let changes = self.scheduler.take_changes(now);
-        let mut extra = self.take_extra_rows();
-        extra.written.extend(self.lease_row(&changes, now));
-        let state = self.ownership_state(true, now);
-        match change::transaction(&self.lease, &changes, &extra, state) {
-            Ok((transaction, record)) => {
-                let timeouts = StoreTimeouts {
-                    attempt: self.dependencies.settings.attempt_timeout,
-                    give_up_after: self.dependencies.settings.lease,
-                };
-                change::store(&self.dependencies.client, &transaction, &record, timeouts).await;
-                "the process stops"
-            }
-            Err(error) => {
-                log_job_event!(error, event::CHANGE_DELAYED, error = error);
-                "the process stops without having released the ownership"
-            }
-        }
+        self.store_release().await
     }
 }
 
--- a/crates/engine/src/owner/session/store.rs
+++ b/crates/engine/src/owner/session/store.rs
@@ -1,23 +1,80 @@
 //! Changes that a session stores.
+//!
+//! Load pattern: after an absence of the table, far more to store than one change
+//! holds. A change is filled in the order of [`FILL_ORDER`] up to the limits of the
+//! table; what does not fit waits for the next one.
 
-use redwing_jobs::scheduler::ChangeSet;
+use redwing_jobs::scheduler::{ChangeSet, ProgressRow, RowFit, WorkKind};
 use redwing_jobs::{BootTime, JobId};
+use redwing_provider::builder::UnitFit;
+use redwing_provider::{TableTransaction, TransactionSize};
 use tokio::sync::oneshot;
 
 use crate::clock;
+use crate::error::Result;
 use crate::event;
 use crate::log_job_event;
-use crate::owner::change::{self, ChangeOutcome, ExtraRows, OwnershipState, StoreTimeouts};
+use crate::owner::change::{
+    self, ChangeFill, ChangeOutcome, ChangeUnit, OwnershipState, StoreTimeouts,
+};
 use crate::owner::cleanup;
+use crate::owner::election::OwnerLease;
 use crate::owner::record;
-use crate::row::{EncodedRow, PendingCounts};
+use crate::row::{self, EncodedRow, PendingCounts};
 
 use super::{OwnerSession, PendingChange};
 
+/// Kinds of what a change stores beside the owner row.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum ChangePart {
+    /// Ends of leases.
+    LeaseEnds,
+    /// Rows of waves.
+    Waves,
+    /// Rows for the callers.
+    Boards,
+    /// Progress of running and ended work.
+    RunningWork,
+    /// Deletions of the progress of jobs whose other rows are deleted.
+    ObsoleteJobs,
+    /// Progress of work whose runs are to be started.
+    NewWork,
+}
+
+/// Maximum number of progress rows that are left for the change that releases the
+/// ownership; the workers list to the next owner what is not stored with it.
+const MAX_RELEASE_ROWS: usize = 60;
+
+/// Order in which a change is filled. The first three parts are bounded, so that they
+/// leave most of a change to the others. Running work and ends come before new work:
+/// they free workers and answer callers, and new work only adds to what is under way.
+const FILL_ORDER: [ChangePart; 6] = [
+    ChangePart::LeaseEnds,
+    ChangePart::Waves,
+    ChangePart::Boards,
+    ChangePart::RunningWork,
+    ChangePart::ObsoleteJobs,
+    ChangePart::NewWork,
+];
+
+/// What a change stores, until it is stored or refused.
+#[derive(Debug, Default)]
+pub(super) struct ChangeContents {
+    pub(super) changes: ChangeSet,
+    units: Vec<ChangeUnit>,
+    size: TransactionSize,
+    /// Pending counts that the change writes.
+    pending_counts: Option<PendingCounts>,
+    /// Row of the fleet capacity that the change writes.
+    capacity_row: Option<EncodedRow>,
+    /// Jobs whose progress rows the change deletes.
+    obsolete_jobs: Vec<JobId>,
+}
+
 impl OwnerSession<'_> {
     /// Starts to store the changes of the scheduler, or renews the lease.
     pub(super) fn start_change(&mut self, now: BootTime) {
-        if self.pending_change.is_some() {
+        if self.pending_change.is_some() || now < self.refused_until {
             return;
         }
         let settings = &self.dependencies.settings;
@@ -26,28 +83,168 @@
         if !has_changes && !is_due && self.unconfirmed_since.is_none() {
             return;
         }
-        let changes = self.scheduler.take_changes(now);
-        let mut extra = self.take_extra_rows();
-        extra.written.extend(self.lease_row(&changes, now));
-        extra.written.extend(self.grown_capacity_row.take());
-        extra.written.extend(self.next_backlog_row(now));
-        let pending_counts = self.next_pending_counts(now);
-        extra
-            .written
-            .extend(pending_counts.as_ref().and_then(record::pending_counts_row));
-        self.send_change(changes, &extra, pending_counts, now);
-    }
-
-    /// Returns the rows to write and delete besides the progress of jobs.
-    pub(super) fn take_extra_rows(&mut self) -> ExtraRows {
-        let count = self.obsolete_jobs.len().min(cleanup::ROWS_PER_CHANGE);
-        let obsolete_jobs: Vec<JobId> = self.obsolete_jobs.drain(..count).collect();
-        for job in &obsolete_jobs {
-            self.scheduler.remove_expired(job);
+        match self.fill_change(&FILL_ORDER, false, now) {
+            Ok((fill, contents)) => self.send_change(fill, contents, now),
+            Err(error) => log_job_event!(error, event::CHANGE_DELAYED, error = error),
         }
-        ExtraRows {
-            written: self.machines.take_rows(),
-            deleted: cleanup::progress_keys(&obsolete_jobs),
+    }
+
+    /// Fills a change with `parts`, as far as they fit.
+    fn fill_change(
+        &mut self,
+        parts: &[ChangePart],
+        released: bool,
+        now: BootTime,
+    ) -> Result<(ChangeFill, ChangeContents)> {
+        self.change_number += 1;
+        let mut fill = ChangeFill::new(
+            &self.lease,
+            self.change_number,
+            self.ownership_state(released, now),
+            self.dependencies.client.limits(),
+            self.fill_budget,
+        )?;
+        let mut contents = ChangeContents {
+            changes: self.scheduler.begin_changes(now),
+            ..ChangeContents::default()
+        };
+        for part in parts {
+            match part {
+                ChangePart::LeaseEnds => self.add_lease_ends(&mut fill, &contents.changes, now),
+                ChangePart::Waves => self.machines.add_rows(&mut fill),
+                ChangePart::Boards => self.add_boards(&mut fill, &mut contents, now),
+                ChangePart::RunningWork => {
+                    self.add_progress(&mut fill, &mut contents, WorkKind::Running);
+                }
+                ChangePart::ObsoleteJobs => self.add_obsolete(&mut fill, &mut contents),
+                ChangePart::NewWork => self.add_progress(&mut fill, &mut contents, WorkKind::New),
+            }
+        }
+        contents.units = fill.units.clone();
+        contents.size = fill.size();
+        Ok((fill, contents))
+    }
+
+    /// Adds the row of the ends of leases, if there are new ones.
+    fn add_lease_ends(&mut self, fill: &mut ChangeFill, changes: &ChangeSet, now: BootTime) {
+        let Some(ends) = changes.lease_ends.as_ref() else {
+            return;
+        };
+        let row = record::lease_row(self.lease.record.fencing_token, ends, now);
+        let fit = row.map(|row| fill.add_row(ChangeUnit::LeaseEnds, &row));
+        match fit {
+            Some(UnitFit::Added) => {}
+            Some(UnitFit::Full) => self.scheduler.leases_refused(),
+            Some(UnitFit::TooLarge(_)) | None => self.scheduler.set_leases_aside(),
+        }
+    }
+
+    /// Adds the rows for the callers that are due; one that does not fit is published
+    /// anew later.
+    fn add_boards(&mut self, fill: &mut ChangeFill, contents: &mut ChangeContents, now: BootTime) {
+        if let Some(row) = self.grown_capacity_row.take() {
+            match fill.add_row(ChangeUnit::Board(row.key.clone()), &row) {
+                UnitFit::Added => contents.capacity_row = Some(row),
+                UnitFit::Full => self.grown_capacity_row = Some(row),
+                UnitFit::TooLarge(_) => {}
+            }
+        }
+        if let Some(row) = self.next_backlog_row(now) {
+            let fit = fill.add_row(ChangeUnit::Board(row.key.clone()), &row);
+            self.has_published_backlog |= fit != UnitFit::Added;
+        }
+        if let Some(counts) = self.next_pending_counts(now)
+            && let Some(row) = record::pending_counts_row(&counts)
+            && fill.add_row(ChangeUnit::Board(row.key.clone()), &row) == UnitFit::Added
+        {
+            contents.pending_counts = Some(counts);
+        }
+    }
+
+    fn add_progress(
+        &mut self,
+        fill: &mut ChangeFill,
+        contents: &mut ChangeContents,
+        kind: WorkKind,
+    ) {
+        let mut add = |progress: &ProgressRow| {
+            let key = row::progress_key(&progress.job);
+            let value = match row::write(&key, &progress.progress) {
+                Ok(value) => value,
+                Err(error) => {
+                    log_job_event!(error, event::ROW_MALFORMED, error = error);
+                    return RowFit::TooLarge;
+                }
+            };
+            let unit = ChangeUnit::Progress(progress.job.clone());
+            match fill.add_row(unit, &EncodedRow { key, value }) {
+                UnitFit::Added => RowFit::Added,
+                UnitFit::Full => RowFit::Full,
+                UnitFit::TooLarge(_) => RowFit::TooLarge,
+            }
+        };
+        self.scheduler
+            .add_changes(&mut contents.changes, kind, &mut add);
+    }
+
+    fn add_obsolete(&mut self, fill: &mut ChangeFill, contents: &mut ChangeContents) {
+        while contents.obsolete_jobs.len() < cleanup::ROWS_PER_CHANGE {
+            let Some(job) = self.obsolete_jobs.pop_front() else {
+                return;
+            };
+            let rows = TableTransaction::default().delete(row::progress_key(&job));
+            match fill.add(ChangeUnit::Obsolete(job.clone()), &rows) {
+                UnitFit::Added => contents.obsolete_jobs.push(job),
+                UnitFit::Full => {
+                    self.obsolete_jobs.push_front(job);
+                    return;
+                }
+                UnitFit::TooLarge(_) => {}
+            }
+        }
+    }
+
+    /// Stores what work has run or ended, then releases the ownership so that another
+    /// process can acquire it at once. Runs that were to be started are left to it.
+    pub(super) async fn store_release(&mut self) -> &'static str {
+        let parts = FILL_ORDER.map(|part| (part != ChangePart::NewWork).then_some(part));
+        let parts: Vec<ChangePart> = parts.into_iter().flatten().collect();
+        let timeouts = StoreTimeouts {
+            attempt: self.dependencies.settings.attempt_timeout,
+            give_up_after: self.dependencies.settings.lease,
+        };
+        let started = clock::boot_now();
+        loop {
+            let now = clock::boot_now();
+            let is_late = now.saturating_since(started) >= timeouts.give_up_after;
+            let has_more = self.scheduler.running_change_count() > MAX_RELEASE_ROWS;
+            let released = is_late || !has_more;
+            let prepared = self.fill_change(&parts, released, now);
+            let (fill, contents) = match prepared {
+                Ok(prepared) => prepared,
+                Err(error) => {
+                    log_job_event!(error, event::CHANGE_DELAYED, error = error);
+                    return "the process stops without having released the ownership";
+                }
+            };
+            self.renewed_at = now;
+            let record = fill.record.clone();
+            let transaction = fill.into_transaction();
+            let client = &self.dependencies.client;
+            match change::store(client, &transaction, &record, timeouts).await {
+                ChangeOutcome::Stored(lease) => self.apply_stored(lease, contents, now),
+                ChangeOutcome::Lost(reason) => return reason,
+                ChangeOutcome::Refused(_) if is_late || contents.units.is_empty() => {
+                    return "the process stops without having released the ownership";
+                }
+                ChangeOutcome::Refused(error) => {
+                    self.apply_refused(contents, &error, now);
+                    continue;
+                }
+            }
+            if released {
+                return "the process stops";
+            }
         }
     }
 
@@ -70,21 +267,9 @@
         }
     }
 
-    pub(super) fn send_change(
-        &mut self,
-        changes: ChangeSet,
-        extra: &ExtraRows,
-        pending_counts: Option<PendingCounts>,
-        now: BootTime,
-    ) {
-        let state = self.ownership_state(false, now);
-        let (transaction, record) = match change::transaction(&self.lease, &changes, extra, state) {
-            Ok(prepared) => prepared,
-            Err(error) => {
-                log_job_event!(error, event::CHANGE_DELAYED, error = error);
-                return;
-            }
-        };
+    fn send_change(&mut self, fill: ChangeFill, contents: ChangeContents, now: BootTime) {
+        let record = fill.record.clone();
+        let transaction = fill.into_transaction();
         let (mut sender, outcome) = oneshot::channel();
         let client = self.dependencies.client.clone();
         let timeouts = StoreTimeouts {
@@ -100,21 +285,11 @@
             let _ = sender.send(outcome);
         });
         self.renewed_at = now;
-        self.pending_change = Some(PendingChange {
-            changes,
-            pending_counts,
-            outcome,
-        });
-    }
-
-    /// Returns the row of the ends of leases, if the change has new ones.
-    pub(super) fn lease_row(&self, changes: &ChangeSet, now: BootTime) -> Option<EncodedRow> {
-        let ends = changes.lease_ends.as_ref()?;
-        record::lease_row(self.lease.record.fencing_token, ends, now)
+        self.pending_change = Some(PendingChange { contents, outcome });
     }
 
     /// Returns the state of the ownership for a change that is sent now.
-    pub(super) fn ownership_state(&self, released: bool, now: BootTime) -> OwnershipState {
+    fn ownership_state(&self, released: bool, now: BootTime) -> OwnershipState {
         OwnershipState {
             released,
             inherited: self.inherited_until.saturating_since(now),
@@ -125,23 +300,86 @@
     /// lost.
     pub(super) fn handle_change_outcome(&mut self, outcome: ChangeOutcome) -> Option<&'static str> {
         let pending = self.pending_change.take()?;
+        let now = clock::boot_now();
         match outcome {
-            ChangeOutcome::Lost(reason) => return Some(reason),
-            ChangeOutcome::Stored(lease) => self.lease = lease,
+            ChangeOutcome::Lost(reason) => Some(reason),
+            ChangeOutcome::Stored(lease) => {
+                self.apply_stored(lease, pending.contents, now);
+                None
+            }
+            ChangeOutcome::Refused(error) => {
+                self.apply_refused(pending.contents, &error, now);
+                let unconfirmed = now.saturating_since(self.confirmed_at);
+                let is_past_limit = unconfirmed > self.dependencies.settings.give_up_after;
+                is_past_limit.then_some("no change could be stored within the time limit")
+            }
         }
-        let now = clock::boot_now();
+    }
+
+    fn apply_stored(&mut self, lease: OwnerLease, contents: ChangeContents, now: BootTime) {
+        self.lease = lease;
         let metrics = &self.dependencies.metrics;
         metrics.count_change(now.saturating_since(self.renewed_at));
         metrics.set_open_jobs(self.scheduler.job_count());
-        if let Some(pending_counts) = pending.pending_counts {
+        self.fill_budget.stored();
+        if let Some((unit, size)) = self.suspect.take() {
+            // The change was stored without it.
+            change::log_set_aside(&unit, &size);
+            self.set_aside(&unit);
+        }
+        if let Some(pending_counts) = contents.pending_counts {
             self.pending_counts = pending_counts;
         }
+        for job in &contents.obsolete_jobs {
+            self.scheduler.remove_expired(job);
+        }
         self.confirmed_at = self.renewed_at;
         let sent_at = self.renewed_at;
         self.unconfirmed_since.take_if(|since| *since <= sent_at);
         self.machines.rows_stored();
-        self.scheduler.changes_stored(&pending.changes, now);
-        None
+        self.scheduler.changes_stored(&contents.changes, now);
+    }
+
+    /// Queues the contents of a refused change again, for smaller changes. If it had
+    /// one unit, the next change has none: so it shows whether the unit is the cause.
+    fn apply_refused(&mut self, contents: ChangeContents, error: &str, now: BootTime) {
+        log_job_event!(
+            error,
+            event::CHANGE_REFUSED,
+            entries = contents.size.entries,
+            bytes = contents.size.bytes,
+            largest_row = contents.size.largest_row,
+            error = error,
+        );
+        self.fill_budget.refused(contents.units.len());
+        match contents.units.as_slice() {
+            [unit] => self.suspect = Some((unit.clone(), contents.size)),
+            // The table does not take the owner row: more attempts follow at the
+            // interval of renewals.
+            [] => self.refused_until = now + self.dependencies.settings.renewal_interval,
+            _ => {}
+        }
+        self.scheduler.changes_refused(&contents.changes);
+        self.machines.rows_refused();
+        if self.grown_capacity_row.is_none() {
+            self.grown_capacity_row = contents.capacity_row;
+        }
+        self.has_published_backlog = true;
+        for job in contents.obsolete_jobs.into_iter().rev() {
+            self.obsolete_jobs.push_front(job);
+        }
+    }
+
+    /// Leaves a unit out of the changes until its content changes.
+    fn set_aside(&mut self, unit: &ChangeUnit) {
+        match unit {
+            ChangeUnit::LeaseEnds => self.scheduler.set_leases_aside(),
+            ChangeUnit::Wave(wave) => self.machines.set_wave_aside(*wave),
+            ChangeUnit::Board(_) => self.grown_capacity_row = None,
+            ChangeUnit::Progress(job) => self.scheduler.set_row_aside(job),
+            // The next owner finds it again.
+            ChangeUnit::Obsolete(job) => self.obsolete_jobs.retain(|other| other != job),
+        }
     }
 
     /// Prepares the row of the fleet capacity to be stored, if it has grown.
--- a/crates/engine/tests/common/mod.rs
+++ b/crates/engine/tests/common/mod.rs
@@ -46,8 +46,32 @@
     AfterClaim,
 }
 
+/// Transactions that the table refuses although they are within its limits.
+#[derive(Debug, Default)]
+pub(crate) struct RefusalRule {
+    /// Largest number of entries, if it is lower than the limit of the table.
+    pub(crate) max_entries: Option<usize>,
+    /// Key of a row that is refused.
+    pub(crate) key: Option<RowKey>,
+    /// All transactions that were refused.
+    pub(crate) refused: Vec<TableTransaction>,
+}
+
+impl RefusalRule {
+    fn refuses(&mut self, transaction: &TableTransaction) -> bool {
+        let entries = transaction.keys().count();
+        let is_too_large = self.max_entries.is_some_and(|limit| entries > limit);
+        let has_key = transaction.keys().any(|key| Some(key) == self.key.as_ref());
+        if is_too_large || has_key {
+            self.refused.push(transaction.clone());
+        }
+        is_too_large || has_key
+    }
+}
+
 /// Table that never responds to lost calls.
 struct LossyTable {
+    refusals: rc::Rc<cell::RefCell<RefusalRule>>,
     inner: MemoryPlatform,
     lost_calls: rc::Rc<cell::Cell<LostCalls>>,
     calls: cell::Cell<u32>,
@@ -101,6 +125,10 @@
         if self.lost_calls.get() == LostCalls::AfterClaim {
             return Box::pin(self.lose_claim_reply(transaction));
         }
+        if self.refusals.borrow_mut().refuses(transaction) {
+            let error = redwing_provider::Error::refused("commit", "test table", "a rule");
+            return Box::pin(std::future::ready(Err(error)));
+        }
         if self.is_commit_lost(transaction) {
             return Box::pin(std::future::pending());
         }
@@ -142,6 +170,8 @@
     pub(crate) lost_calls: rc::Rc<cell::Cell<LostCalls>>,
     /// When a claim whose reply was lost took effect.
     pub(crate) claimed_at: rc::Rc<cell::Cell<Option<timer::Instant>>>,
+    /// Transactions that the table refuses.
+    pub(crate) refusals: rc::Rc<cell::RefCell<RefusalRule>>,
 }
 
 impl TestCluster {
@@ -158,6 +188,7 @@
             processes: Vec::new(),
             lost_calls: rc::Rc::default(),
             claimed_at: rc::Rc::default(),
+            refusals: rc::Rc::default(),
         };
         for number in 0..processes {
             cluster.add_process(number).await;
@@ -191,6 +222,7 @@
         let platform = self.platform.new_client();
         let services = DeploymentServices {
             table: rc::Rc::new(LossyTable {
+                refusals: rc::Rc::clone(&self.refusals),
                 inner: platform.clone(),
                 lost_calls: rc::Rc::clone(&self.lost_calls),
                 calls: cell::Cell::new(0),
--- /dev/null
+++ b/crates/engine/tests/limits.rs
@@ -0,0 +1,142 @@
+//! Owners that have more to store than the table takes at once, and rows that it does
+//! not take.
+
+#[allow(dead_code)]
+mod common;
+
+use std::time;
+
+use common::{TestCluster, head, run_test};
+use redwing_engine::caller::service::CallerVerb;
+use redwing_engine::codec::CallerResponse;
+use redwing_engine::row;
+use redwing_jobs::JobId;
+use redwing_jobs::maintenance::WaveRequest;
+use redwing_jobs::name::MachineName;
+use redwing_provider::{RowKey, TableStore, TableTransaction};
+use redwing_standin::{MemoryMachines, MemoryWorkers};
+use tokio::time as timer;
+
+/// Time for which a task runs.
+const TASK_TIME: time::Duration = time::Duration::from_millis(1_500);
+
+/// Starts processes with enough workers for all jobs of a test.
+async fn start(processes: usize) -> TestCluster {
+    let mut cluster = TestCluster::start(0, TASK_TIME).await;
+    cluster.workers = MemoryWorkers::new("workers", 60, TASK_TIME);
+    let registered = cluster.workers.register(&cluster.platform).await;
+    registered.expect("the table is up");
+    cluster.machines = MemoryMachines::new("workers", 4, TASK_TIME);
+    for number in 0..processes {
+        cluster.add_process(number).await;
+    }
+    cluster.owner().await;
+    cluster
+}
+
+async fn submit_jobs(cluster: &TestCluster, count: usize) {
+    let submitted = (0..count).map(|number| async move {
+        let response = cluster.submit(0, &format!("job-{number}"), 1).await;
+        assert_eq!(response, CallerResponse::Accepted);
+    });
+    futures_util::future::join_all(submitted).await;
+}
+
+async fn request_waves(cluster: &TestCluster, count: u64) {
+    for number in 1..=count {
+        let request = WaveRequest {
+            number,
+            machines: vec![MachineName::new("m-0")],
+            duration: time::Duration::from_secs(60),
+            max_down: 1,
+        };
+        let value = serde_json::to_string(&request).expect("it is encoded");
+        let key = RowKey::new(format!("manifest/wave/{number}"));
+        let row = TableTransaction::default().put(key, value);
+        let stored = cluster.platform.commit(&row).await;
+        stored.expect("the table is up");
+    }
+}
+
+/// Waits until so many rows under `prefix` have the text, and checks that the first
+/// owner still is the only one.
+async fn wait_rows(cluster: &TestCluster, prefix: &str, text: &str, count: usize) {
+    loop {
+        assert_eq!(cluster.owner().await.fencing_token, 1);
+        let view = cluster.platform.scan(prefix).await;
+        let rows = view.expect("the table is up").rows;
+        let values = rows.iter().filter_map(|row| row.value.as_deref());
+        if values.filter(|value| value.contains(text)).count() == count {
+            return;
+        }
+        timer::sleep(time::Duration::from_millis(20)).await;
+    }
+}
+
+/// While the table is absent, jobs end and waves are requested; their rows together are
+/// more than one transaction takes.
+#[test]
+fn an_owner_outlives_a_backlog_of_more_rows_than_a_change_holds() {
+    run_test(async {
+        let cluster = start(1).await;
+        submit_jobs(&cluster, 300).await;
+        cluster.wait_starts(300).await;
+        cluster.disconnect_table(0);
+        request_waves(&cluster, 20).await;
+        timer::sleep(time::Duration::from_millis(2_000)).await;
+        cluster.processes[0].platform.set_faults(|plan| {
+            plan.table_down = false;
+            plan.table_delay_millis = 200;
+        });
+        wait_rows(&cluster, row::PROGRESS_PREFIX, "completed", 300).await;
+        wait_rows(&cluster, "wave-status/", "", 20).await;
+        assert_eq!(cluster.workers.starts().len(), 300);
+    });
+}
+
+/// Returns whether no rows beside that of the owner were refused twice.
+fn is_refused_once(cluster: &TestCluster) -> bool {
+    let rule = cluster.refusals.borrow();
+    let rows = rule.refused.iter().map(|change| &change.writes()[1..]);
+    let rows: Vec<_> = rows.filter(|rows| !rows.is_empty()).collect();
+    let mut numbered = rows.iter().enumerate();
+    numbered.all(|(number, one)| !rows[..number].contains(one))
+}
+
+/// The table refuses changes that are within its stated limits.
+#[test]
+fn an_owner_stores_refused_changes_in_smaller_ones() {
+    run_test(async {
+        let cluster = start(1).await;
+        submit_jobs(&cluster, 100).await;
+        cluster.wait_starts(100).await;
+        cluster.refusals.borrow_mut().max_entries = Some(7);
+        request_waves(&cluster, 3).await;
+        wait_rows(&cluster, row::PROGRESS_PREFIX, "completed", 100).await;
+        wait_rows(&cluster, "wave-status/", "", 3).await;
+        assert!(!cluster.refusals.borrow().refused.is_empty());
+        assert!(is_refused_once(&cluster));
+        assert_eq!(cluster.workers.starts().len(), 100);
+    });
+}
+
+/// The table refuses one row; all others are stored, and that one once it is taken
+/// and has changed.
+#[test]
+fn a_refused_row_keeps_no_other_from_being_stored() {
+    run_test(async {
+        let cluster = start(1).await;
+        let id = JobId::new("job-5");
+        cluster.refusals.borrow_mut().key = Some(row::progress_key(&id));
+        submit_jobs(&cluster, 50).await;
+        wait_rows(&cluster, row::PROGRESS_PREFIX, "completed", 49).await;
+        assert!(is_refused_once(&cluster));
+        assert_eq!(cluster.workers.starts().len(), 49);
+        cluster.refusals.borrow_mut().key = None;
+        let service = &cluster.processes[0].service;
+        let head = head("job-5", "good");
+        let response = service.respond(CallerVerb::Cancel, &head, b"").await;
+        assert_eq!(response, CallerResponse::Cancelled);
+        wait_rows(&cluster, row::PROGRESS_PREFIX, "cancelled", 1).await;
+    });
+}
--- a/crates/provider/src/builder.rs
+++ b/crates/provider/src/builder.rs
@@ -105,7 +105,8 @@
 /// Number of units of a writer's next transaction.
 ///
 /// After a refusal it is half of what was refused, so that no transaction is sent
-/// again as it was. A single unit that is refused must be set aside.
+/// again as it was. After that of a single unit it is none: if the transaction is
+/// stored without it, the unit is to be set aside.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct FillBudget {
     max_units: usize,
@@ -122,11 +123,11 @@
 impl FillBudget {
     /// Halves the budget after the refusal of a transaction with this many units.
     pub fn refused(&mut self, units: usize) {
-        self.max_units = (units / 2).max(1);
+        self.max_units = units / 2;
     }
 
     /// Doubles the budget after a transaction was stored.
     pub fn stored(&mut self) {
-        self.max_units = self.max_units.saturating_mul(2);
+        self.max_units = self.max_units.saturating_mul(2).max(1);
     }
 }
