Refuse a job of which a row would not fit, with its sizes

Cause: a job whose row is larger than the table takes was answered with 503 ("retry later"), after the table had refused the same write several times; one whose progress could outgrow its row was accepted, and could never start. The number of occurrences under way was bounded by tasks for 64 KiB only, whatever the table takes.

Change: a submission is checked against the largest row of the table before anything is stored, both the row of the job and the estimated progress of one occurrence, and refused with both sizes. Occurrences begin only while the estimate of all fits. A write that the table refuses is not sent again.

--- a/crates/engine/src/caller/service.rs
+++ b/crates/engine/src/caller/service.rs
@@ -136,6 +136,8 @@
 enum WriteOutcome {
     /// The row is stored, by this attempt or an earlier one.
     Stored,
+    /// The table refused the write, as it would any other attempt.
+    Refused,
     /// The row was certainly not written by this attempt.
     Rejected,
     /// The row may have been written by this attempt.
@@ -248,8 +250,10 @@
 
     async fn submit(&self, id: &JobId, call: &AdmittedCall, body: &[u8]) -> CallerResponse {
         let fleet_capacity = self.fleet_capacity.current().unwrap_or_default();
+        let limits = self.client.limits();
         let spec = self.codec.job(body).and_then(|spec| {
             spec.check()?;
+            spec.check_progress(limits.row_bytes)?;
             fleet_capacity.check(&spec)?;
             Ok(spec)
         });
@@ -269,11 +273,11 @@
             spec,
         };
         let key = row::job_key(id);
-        let value = match row::write(&key, &record) {
+        let value = match encode_job(&key, &record, limits.row_bytes) {
             Ok(value) => value,
-            Err(error) => {
+            Err(message) => {
                 self.admission.borrow_mut().withdraw(id, &arrival);
-                return CallerResponse::Malformed(error.to_string());
+                return CallerResponse::Malformed(message);
             }
         };
         let response = self.store(key, value, call.deadline).await;
@@ -336,6 +340,7 @@
             match self.try_write(&name, &transaction, deadline).await {
                 WriteOutcome::Stored => return CallerResponse::Accepted,
                 WriteOutcome::Unknown => may_be_stored = true,
+                WriteOutcome::Refused => break,
                 WriteOutcome::Rejected => {}
             }
             let limit = if may_be_stored {
@@ -375,10 +380,10 @@
             Err(error) => error,
         };
         log_job_event!(info, event::ROW_UNSTORED, row = name, error = error);
-        if error.classify() == Category::Unknown {
-            WriteOutcome::Unknown
-        } else {
-            WriteOutcome::Rejected
+        match error.classify() {
+            Category::Unknown => WriteOutcome::Unknown,
+            Category::Refused => WriteOutcome::Refused,
+            Category::Unavailable => WriteOutcome::Rejected,
         }
     }
 
@@ -464,6 +469,18 @@
     }
 }
 
+/// Encodes the row of a job; fails with a message if it is larger than `row_bytes`.
+fn encode_job(key: &RowKey, record: &JobRecord, row_bytes: usize) -> Result<String, String> {
+    let value = row::write(key, record).map_err(|error| error.to_string())?;
+    if value.len() > row_bytes {
+        let size = value.len();
+        return Err(format!(
+            "the job takes {size} bytes; at most {row_bytes} can be stored"
+        ));
+    }
+    Ok(value)
+}
+
 fn customer_of_key(manifest: &JobManifest, head: &CallerHead) -> Option<CustomerName> {
     let key = head.key.as_deref()?;
     manifest.owner_of_key(key).cloned()
--- a/crates/engine/src/owner/session/mod.rs
+++ b/crates/engine/src/owner/session/mod.rs
@@ -9,7 +9,7 @@
 use redwing_jobs::maintenance::MaintenanceRecord;
 use redwing_jobs::scheduler::{AdviceRequest, InheritedLeases};
 use redwing_jobs::worker::{OrderAction, WorkerOrder};
-use redwing_jobs::{BootTime, JobId, JobScheduler};
+use redwing_jobs::{BootTime, JobId, JobScheduler, SchedulerSettings};
 use redwing_provider::builder::FillBudget;
 use redwing_provider::{CallCause, TransactionSize};
 use tokio::sync::{mpsc, oneshot};
@@ -146,9 +146,13 @@
         let (advice_requests, advice_results) =
             advice::start(dependencies.services.advisor.clone());
         let fencing_token = lease.record.fencing_token;
+        let scheduler_settings = SchedulerSettings {
+            max_row_bytes: client.limits().row_bytes,
+            ..dependencies.settings.scheduler.clone()
+        };
         let mut session = Self {
             dependencies,
-            scheduler: JobScheduler::new(dependencies.settings.scheduler.clone(), fencing_token),
+            scheduler: JobScheduler::new(scheduler_settings, fencing_token),
             machines: MachineService::new(dependencies, fencing_token, machine_sender),
             order_queues: OrderQueues::new(dependencies.services.workers.clone(), completed_sender),
             job_updates: follow::follow(
--- a/crates/engine/tests/limits.rs
+++ b/crates/engine/tests/limits.rs
@@ -6,15 +6,17 @@
 
 use std::time;
 
-use common::{TestCluster, head, run_test};
+use common::{MANIFEST, TestCluster, head, run_test};
 use redwing_engine::caller::service::CallerVerb;
 use redwing_engine::codec::CallerResponse;
-use redwing_engine::row;
+use redwing_engine::{product, row};
 use redwing_jobs::JobId;
 use redwing_jobs::maintenance::WaveRequest;
 use redwing_jobs::name::MachineName;
-use redwing_provider::{RowKey, TableStore, TableTransaction};
-use redwing_standin::{MemoryMachines, MemoryWorkers};
+use redwing_provider::{RowKey, TableLimits, TableStore, TableTransaction};
+use redwing_standin::memory::MemorySettings;
+use redwing_standin::{MemoryMachines, MemoryPlatform, MemoryWorkers};
+use rstest::rstest;
 use tokio::time as timer;
 
 /// Time for which a task runs.
@@ -140,3 +142,69 @@
         wait_rows(&cluster, row::PROGRESS_PREFIX, "cancelled", 1).await;
     });
 }
+
+/// Starts a process on a table with rows of at most so many bytes.
+async fn start_with_rows(row_bytes: usize) -> TestCluster {
+    let mut cluster = TestCluster::start(0, TASK_TIME).await;
+    cluster.platform = MemoryPlatform::new(MemorySettings {
+        table_limits: TableLimits {
+            row_bytes,
+            ..TableLimits::default()
+        },
+        ..MemorySettings::default()
+    });
+    let manifest = RowKey::new(product::MANIFEST_KEY);
+    let row = TableTransaction::default().put(manifest, MANIFEST);
+    cluster
+        .platform
+        .commit(&row)
+        .await
+        .expect("the table is up");
+    let registered = cluster.workers.register(&cluster.platform).await;
+    registered.expect("the table is up");
+    cluster.add_process(0).await;
+    cluster.owner().await;
+    cluster
+}
+
+/// A job of which a row would not fit is refused with its sizes, and is not stored.
+#[rstest]
+#[case::row_of_the_job(65_536, 1, 70_000, "65536")]
+#[case::row_of_its_progress(
+    8_192,
+    200,
+    1,
+    "the progress of 200 tasks may take 15060 bytes; at most 8192"
+)]
+fn a_job_whose_rows_do_not_fit_is_refused(
+    #[case] row_bytes: usize,
+    #[case] tasks: u32,
+    #[case] image_bytes: usize,
+    #[case] problem: &str,
+) {
+    run_test(async {
+        let cluster = start_with_rows(row_bytes).await;
+        let image = "i".repeat(image_bytes);
+        let body = format!(
+            r#"{{"steps":[{{"count":{tasks},"needs":{{"cpu-millis":10}},"image":"{image}"}}]}}"#
+        );
+        let service = &cluster.processes[0].service;
+        let head = head("large", "good");
+        let response = service.respond(CallerVerb::Submit, &head, body.as_bytes());
+        let CallerResponse::Malformed(message) = response.await else {
+            panic!("the job is refused");
+        };
+        assert!(message.contains(problem), "{message}");
+        let rows = cluster
+            .platform
+            .scan("jobs@*/")
+            .await
+            .expect("the table is up");
+        assert!(rows.rows.is_empty());
+        assert_eq!(
+            cluster.submit(0, "small", 40).await,
+            CallerResponse::Accepted
+        );
+        wait_rows(&cluster, row::PROGRESS_PREFIX, "completed", 1).await;
+    });
+}
--- a/crates/jobs/src/scheduler/entry.rs
+++ b/crates/jobs/src/scheduler/entry.rs
@@ -281,14 +281,14 @@
         self.begun += 1;
     }
 
-    /// Returns the number of tasks that the next occurrence adds.
-    fn next_tasks(&self) -> u32 {
-        self.record.spec.steps.iter().map(|step| step.count).sum()
-    }
-
-    /// Returns whether the tasks of one more occurrence fit into the row.
-    pub(super) fn has_row_capacity(&self) -> bool {
-        self.task_count() + self.next_tasks() as usize <= MAX_TASKS as usize
+    /// Returns whether the progress of one more occurrence fits into a row of
+    /// `row_bytes`.
+    pub(super) fn has_row_capacity(&self, row_bytes: usize) -> bool {
+        let spec = &self.record.spec;
+        let next_tasks: u32 = spec.steps.iter().map(|step| step.count).sum();
+        let tasks = self.task_count() + next_tasks as usize;
+        let bytes = (self.occurrences.len() + 1) * spec.progress_bytes();
+        tasks <= MAX_TASKS as usize && (bytes <= row_bytes || self.occurrences.is_empty())
     }
 
     /// Returns when the unfinished work was released, in milliseconds since the
--- a/crates/jobs/src/scheduler/lifecycle.rs
+++ b/crates/jobs/src/scheduler/lifecycle.rs
@@ -155,6 +155,7 @@
 
     /// Begins the occurrences that are due.
     pub(super) fn begin_due(&mut self, wall: WallTime) {
+        let row_bytes = self.settings.max_row_bytes;
         let mut changed = Vec::new();
         for id in &self.scheduled {
             let Some(job) = self.jobs.get_mut(id) else {
@@ -162,7 +163,7 @@
                 continue;
             };
             let schedule = job.record.spec.schedule.unwrap_or_default();
-            while job.has_unstarted() && job.has_row_capacity() {
+            while job.has_unstarted() && job.has_row_capacity(row_bytes) {
                 if schedule.due_ms(job.begun) > wall.as_millis() {
                     break;
                 }
--- a/crates/jobs/src/scheduler/mod.rs
+++ b/crates/jobs/src/scheduler/mod.rs
@@ -128,6 +128,8 @@
     /// Largest number of tasks in rows that are stored together, which limits
     /// their size.
     pub max_tasks_per_change: usize,
+    /// Largest size of a progress row, in bytes.
+    pub max_row_bytes: usize,
     /// Whether customers share pools by their weights.
     pub share_policy: SharePolicy,
 }
@@ -154,6 +156,7 @@
             retention: time::Duration::from_secs(300),
             max_rows_per_change: 80,
             max_tasks_per_change: 4_000,
+            max_row_bytes: 65_536,
             share_policy: SharePolicy::default(),
         }
     }
--- a/crates/jobs/src/spec.rs
+++ b/crates/jobs/src/spec.rs
@@ -10,10 +10,20 @@
 /// Largest number of steps of a job.
 pub const MAX_STEPS: usize = 64;
 
-/// Largest number of tasks of a job: the row of its progress must fit into
-/// the 64 KiB that a table accepts for one row.
+/// Largest number of tasks of a job. With the estimates below, the row of its progress
+/// fits into the 64 KiB that a table usually accepts for one row.
 pub const MAX_TASKS: u32 = 600;
 
+/// Estimated largest size of the stored progress of a task, in bytes: its run, a few
+/// failed runs, and its worker with its incarnation.
+const TASK_BYTES: usize = 75;
+
+/// Estimated largest size of the checkpoint of a task in its stored progress, in bytes.
+const CHECKPOINT_BYTES: usize = 25;
+
+/// Estimated size of the stored progress of an occurrence beside its tasks, in bytes.
+const FRAME_BYTES: usize = 60;
+
 /// Largest payload of a job, in bytes.
 pub const MAX_PAYLOAD_BYTES: usize = 4_000;
 
@@ -215,6 +225,39 @@
         finished.into_iter().max().unwrap_or(0)
     }
 
+    /// Returns the estimated largest size of the stored progress of one occurrence,
+    /// in bytes.
+    pub fn progress_bytes(&self) -> usize {
+        let steps = self.steps.iter();
+        let bytes = steps.map(|step| {
+            let checkpoint_bytes = if step.checkpointing {
+                CHECKPOINT_BYTES
+            } else {
+                0
+            };
+            step.count as usize * (TASK_BYTES + checkpoint_bytes)
+        });
+        FRAME_BYTES + bytes.sum::<usize>()
+    }
+
+    /// Checks that the stored progress of one occurrence fits into a row of
+    /// `row_bytes`, whatever runs its tasks have.
+    ///
+    /// # Errors
+    ///
+    /// Fails with the number of tasks and both sizes.
+    pub fn check_progress(&self, row_bytes: usize) -> Result<()> {
+        let needed = self.progress_bytes();
+        if needed <= row_bytes {
+            return Ok(());
+        }
+        let tasks: u32 = self.steps.iter().map(|step| step.count).sum();
+        let problem = format!(
+            "the progress of {tasks} tasks may take {needed} bytes; at most {row_bytes} can be stored"
+        );
+        Err(Error::field("steps", problem))
+    }
+
     /// Checks that the job can run at all.
     ///
     /// # Errors
--- a/crates/jobs/tests/changes.rs
+++ b/crates/jobs/tests/changes.rs
@@ -2,10 +2,12 @@
 
 mod common;
 
-use common::{FakeFleet, step_spec};
+use common::{FakeFleet, row_bytes, step_spec};
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
-use redwing_jobs::{JobId, JobState, SchedulerSettings};
+use redwing_jobs::record::{OccurrenceRecord, TaskRecord};
+use redwing_jobs::spec::StepSpec;
+use redwing_jobs::{JobId, JobSpec, JobState, ProgressRecord, SchedulerSettings, WorkerId};
 
 /// Size of a change that holds a few rows of one task, in bytes.
 const FEW_ROWS: usize = 300;
@@ -102,6 +104,42 @@
     assert_eq!(fleet.state(&large), JobState::Cancelled);
 }
 
+/// Every task of a large job runs for the third time, on a worker with a long name.
+#[test]
+fn the_estimated_size_covers_the_progress_of_a_large_job() {
+    let task = TaskRecord {
+        run: 300,
+        failed: vec![100, 200],
+        worker: Some(WorkerId::new("server-of-a-long-name-24")),
+        incarnation: 1_800_000_000_000,
+        checkpoint: Some("00000bb87a21d94b".to_owned()),
+        ..TaskRecord::default()
+    };
+    let record = ProgressRecord {
+        state: JobState::Running,
+        begun: 1,
+        occurrences: vec![OccurrenceRecord {
+            number: 1,
+            steps: vec![vec![task; 300]; 2],
+        }],
+    };
+    let step = StepSpec {
+        checkpointing: true,
+        ..step_spec(300, 100)
+    };
+    let spec = JobSpec {
+        steps: vec![step.clone(), step],
+        ..JobSpec::default()
+    };
+    let (needed, estimated) = (row_bytes(&record), spec.progress_bytes());
+    assert!(needed <= estimated, "{needed} bytes of {estimated}");
+    assert!(spec.check_progress(65_536).is_ok());
+    let error = spec
+        .check_progress(needed)
+        .expect_err("the estimate is larger");
+    assert!(error.to_string().contains("600 tasks"), "{error}");
+}
+
 /// Event while a backlog of rows drains.
 #[derive(Clone, Debug)]
 enum BacklogEvent {
