Write the owners of tokens in transactions within the limits

Cause: the membership wrote 32 rows of owners a transaction, whatever their size; 40 backend servers with 2,000 slots each were refused in every round.

Change: the rows go through the transaction builder; one that is too large by itself is an error with its pool and sizes, and keeps no other from being written.

--- a/crates/node/src/membership.rs
+++ b/crates/node/src/membership.rs
@@ -15,6 +15,7 @@
 };
 use redwing_model::{FleetDeclaration, NodeId, NodeIncarnation};
 use redwing_policy::{FleetView, NodeTime, TokenId, TokenPool};
+use redwing_provider::builder::{TransactionBuilder, UnitFit};
 use redwing_provider::table::CommitOutcome;
 use redwing_provider::{
     Error, LocalFuture, PlatformServices, Result, RowKey, TableRow, TableTransaction,
@@ -363,9 +364,7 @@
                 changes.push((pool, record));
             }
         }
-        for chunk in changes.chunks(MAX_ROWS_PER_TRANSACTION) {
-            self.replace_rows(chunk).await?;
-        }
+        self.replace_rows(&changes).await?;
         self.remove_obsolete(members).await
     }
 
@@ -494,22 +493,45 @@
             .into_iter()
             .map(|(pool, record)| (pool.clone(), record))
             .collect();
-        for chunk in changes.chunks(MAX_ROWS_PER_TRANSACTION) {
-            self.replace_rows(chunk).await?;
-        }
+        self.replace_rows(&changes).await?;
         Ok(())
     }
 
+    /// Writes rows in as many transactions as the limits of the table ask for.
     async fn replace_rows(&self, rows: &[(TokenPool, OwnershipRecord)]) -> Result<()> {
         const STEP: &str = "write the owners of tokens";
-        let mut transaction = TableTransaction::default();
+        let refused = |message: String| Error::refused(STEP, "table", message);
+        let limits = self.services.table.limits();
+        let new_builder = || TransactionBuilder::new(limits, TableTransaction::default());
+        let mut builder = new_builder();
+        // The other rows are written all the same.
+        let mut too_large = None;
         for (pool, record) in rows {
-            transaction = self
+            let unit = self
                 .ownership
-                .replace(transaction, pool, record)
-                .map_err(|error| Error::refused(STEP, "table", error.to_string()))?;
+                .replace(TableTransaction::default(), pool, record)
+                .map_err(|error| refused(error.to_string()))?;
+            if builder.units() >= MAX_ROWS_PER_TRANSACTION {
+                self.commit(&builder.finish()).await?;
+                builder = new_builder();
+            }
+            match builder.add(&unit) {
+                UnitFit::Added => {}
+                UnitFit::Full => {
+                    self.commit(&builder.finish()).await?;
+                    builder = new_builder();
+                    builder.add(&unit);
+                }
+                UnitFit::TooLarge(size) => too_large = Some((pool, size)),
+            }
+        }
+        if builder.units() > 0 {
+            self.commit(&builder.finish()).await?;
+        }
+        match too_large {
+            Some((pool, size)) => Err(refused(format!("row of {pool:?}: {size}"))),
+            None => Ok(()),
         }
-        self.commit(&transaction).await.map(|_| ())
     }
 
     /// Commits a transaction; the next round retries after a conflict.
--- a/crates/node/tests/membership/main.rs
+++ b/crates/node/tests/membership/main.rs
@@ -6,6 +6,7 @@
 
 #![allow(clippy::unwrap_used, reason = "a panic fails the test")]
 
+mod limits;
 mod model;
 mod simulation;
 
