--- a/crates/jobs/src/scheduler/mod.rs
+++ b/crates/jobs/src/scheduler/mod.rs
@@ -68,7 +68,7 @@
 use waiting::WaitingJobs;
 
 pub use advice::{AdviceRequest, AdviceResponse, StepId, WorkerPermit};
-pub use changes::{ChangeSet, ProgressRow};
+pub use changes::{ChangeSet, ProgressRow, RowFit, WorkKind};
 pub use lease::{InheritedLeases, PreviousOwner};
 pub use lease_ledger::LeaseEnds;
 
@@ -130,6 +130,8 @@
     /// Largest number of tasks in rows that are stored together, which limits
     /// their size.
     pub max_tasks_per_change: usize,
+    /// Largest size of a progress row, in bytes.
+    pub max_row_bytes: usize,
     /// Whether customers share pools by their weights.
     pub share_policy: SharePolicy,
 }
@@ -156,6 +158,7 @@
             retention: time::Duration::from_secs(300),
             max_rows_per_change: 80,
             max_tasks_per_change: 4_000,
+            max_row_bytes: 65_536,
             share_policy: SharePolicy::default(),
         }
     }
--- a/crates/provider/src/table.rs
+++ b/crates/provider/src/table.rs
@@ -7,6 +7,7 @@
 
 use crate::LocalFuture;
 use crate::error::Result;
+use crate::limits::TableLimits;
 use crate::progress::ReadProgress;
 
 /// Key of a row, written `TABLE/NAME` or `TABLE@PART/NAME`.
@@ -130,9 +131,14 @@
 
     /// Adds the conditions and writes of another transaction.
     pub fn merge(mut self, other: &Self) -> Self {
+        self.extend(other);
+        self
+    }
+
+    /// Adds the conditions and writes of another transaction in place.
+    pub fn extend(&mut self, other: &Self) {
         self.conditions.extend_from_slice(&other.conditions);
         self.writes.extend_from_slice(&other.writes);
-        self
     }
 
     /// Adds the condition that the row does not exist.
@@ -240,11 +246,17 @@
 
 /// Transactional table of the platform.
 pub trait TableStore {
+    /// Returns the limits of the table; a transaction beyond them is refused.
+    fn limits(&self) -> TableLimits {
+        TableLimits::default()
+    }
+
     /// Applies a transaction.
     ///
     /// # Errors
     ///
-    /// Fails with category `Unknown` if the transaction may have been applied.
+    /// Fails with category `Unknown` if the transaction may have been applied, and
+    /// with `Refused` if it is beyond the limits of the table.
     fn commit<'a>(
         &'a self,
         transaction: &'a TableTransaction,
--- a/crates/standin/src/link.rs
+++ b/crates/standin/src/link.rs
@@ -6,7 +6,7 @@
 
 use redwing_provider::table::{PageRequest, PartList, TablePage, TableView, WatchRequest};
 use redwing_provider::{
-    CommitOutcome, LocalFuture, ReadProgress, Result, TableStore, TableTransaction,
+    CommitOutcome, LocalFuture, ReadProgress, Result, TableLimits, TableStore, TableTransaction,
 };
 use tokio::time as timer;
 
@@ -71,6 +71,10 @@
 }
 
 impl TableStore for LinkedTable {
+    fn limits(&self) -> TableLimits {
+        self.table.limits()
+    }
+
     fn commit<'a>(
         &'a self,
         transaction: &'a TableTransaction,
