Give no pending counts of an owner that is gone

Cause: the counts are those that an owner stored last. While the ownership changes and the next owner reads its rows, jobs are accepted that nobody counts, and every process goes on to give the old counts as the present ones.

Change: the row names the owner that counted, by its fencing token. A process compares it with the owner row and, if they differ or the ownership is released, answers that the count is not available, with the time to come back. Rows without the field, of earlier releases, are given as before.

Evidence: pending_counts_of_an_earlier_owner_are_not_given got Pending(0) before and passes.

--- a/crates/engine/src/caller/service.rs
+++ b/crates/engine/src/caller/service.rs
@@ -17,6 +17,7 @@
 use redwing_provider::{
     CallCause, Category, CommitOutcome, RowKey, TableClient, TableRow, TableTransaction,
 };
+use serde::de::DeserializeOwned;
 use tokio::sync::watch;
 use tokio::time as timer;
 
@@ -25,7 +26,7 @@
 use crate::event;
 use crate::log_job_event;
 use crate::manifest::OperatorView;
-use crate::row::{self, CancelRecord, PendingCounts};
+use crate::row::{self, CancelRecord, OwnerRecord, PendingCounts};
 
 use super::board::BoardReader;
 
@@ -444,22 +445,35 @@
         }
     }
 
+    /// Returns the pending count of a queue, unless no present owner has counted yet.
     async fn pending_count(&self, call: &AdmittedCall) -> CallerResponse {
-        let key = RowKey::new(row::PENDING_KEY);
-        let view = match self.client.scan(CallCause::Job, key.as_str()).await {
-            Ok(view) => view,
-            Err(error) => return self.unreadable(&key, &error),
-        };
-        let counts = view.rows.first().map(row::read::<PendingCounts>);
-        let counts = match counts {
-            Some(Ok(counts)) => counts,
-            Some(Err(error)) => return self.unreadable(&key, &error),
-            None => PendingCounts::default(),
+        let rows = futures_util::try_join!(
+            self.board_row::<PendingCounts>(row::PENDING_KEY),
+            self.board_row::<OwnerRecord>(row::OWNER_KEY),
+        );
+        let (counts, owner) = match rows {
+            Ok(rows) => rows,
+            Err(response) => return response,
         };
+        if !counts.is_current(&owner) {
+            let key = RowKey::new(row::PENDING_KEY);
+            return self.unreadable(&key, &"the owner that counted is gone");
+        }
         let pending = counts.pending.get(&call.queue.name);
         CallerResponse::Pending(pending.copied().unwrap_or(0))
     }
 
+    /// Reads a row that owners write.
+    async fn board_row<T: DeserializeOwned>(&self, key: &'static str) -> Result<T, CallerResponse> {
+        let key = RowKey::new(key);
+        let view = self.client.scan(CallCause::Job, key.as_str()).await;
+        let view = view.map_err(|error| self.unreadable(&key, &error))?;
+        let Some(entry) = view.rows.first() else {
+            return Err(self.unreadable(&key, &"there is no such row"));
+        };
+        row::read(entry).map_err(|error| self.unreadable(&key, &error))
+    }
+
     /// Logs that a row could not be read and returns the response.
     fn unreadable(&self, key: &RowKey, error: &impl fmt::Display) -> CallerResponse {
         log_job_event!(info, event::ROW_UNREAD, row = key.as_str(), error = error);
--- a/crates/engine/src/owner/session/store.rs
+++ b/crates/engine/src/owner/session/store.rs
@@ -425,6 +425,7 @@
             return None;
         }
         let pending_counts = PendingCounts {
+            fencing_token: Some(self.lease.record.fencing_token),
             pending: self.scheduler.pending_counts(),
         };
         if pending_counts == self.pending_counts {
--- a/crates/engine/src/row.rs
+++ b/crates/engine/src/row.rs
@@ -113,10 +113,24 @@
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(rename_all = "kebab-case")]
 pub struct PendingCounts {
+    /// Fencing token of the owner that counted; absent in rows of earlier releases.
+    #[serde(rename = "fence", default, skip_serializing_if = "Option::is_none")]
+    pub fencing_token: Option<u64>,
     /// Number of accepted jobs without a started task, by queue.
     pub pending: BTreeMap<QueueName, u64>,
 }
 
+impl PendingCounts {
+    /// Returns whether the counts are those of the present owner, given its record. An
+    /// owner that is gone has not counted the jobs that were accepted since.
+    pub fn is_current(&self, owner: &OwnerRecord) -> bool {
+        let is_own = self
+            .fencing_token
+            .is_none_or(|token| token == owner.fencing_token);
+        is_own && !owner.released
+    }
+}
+
 /// Returns the key of a job row.
 pub fn job_key(id: &JobId) -> RowKey {
     let part = xxh3::xxh3_64(id.as_str().as_bytes()) % JOB_PARTS;
--- a/crates/engine/tests/common/mod.rs
+++ b/crates/engine/tests/common/mod.rs
@@ -335,6 +335,14 @@
             .await
     }
 
+    /// Asks for the pending count of the queue.
+    pub(crate) async fn pending(&self, process: usize) -> CallerResponse {
+        let service = &self.processes[process].service;
+        service
+            .respond(CallerVerb::Read, &head("", "good"), b"")
+            .await
+    }
+
     /// Waits until a job has the state; the time limit of the test ends the wait.
     pub(crate) async fn wait_state(&self, process: usize, id: &str, state: JobState) {
         while self.state(process, id).await != CallerResponse::State(state) {
--- a/crates/engine/tests/owner.rs
+++ b/crates/engine/tests/owner.rs
@@ -11,7 +11,7 @@
 use redwing_engine::codec::{CallerHead, CallerResponse};
 use redwing_engine::owner::OwnerSettings;
 use redwing_engine::product;
-use redwing_engine::row;
+use redwing_engine::row::{self, OwnerRecord};
 use redwing_jobs::{JobState, WorkerId};
 use redwing_provider::{RowKey, TableStore, TableTransaction};
 use redwing_standin::WorkerFault;
@@ -467,3 +467,35 @@
         cluster.wait_state(0, "a", JobState::Completed).await;
     });
 }
+
+/// The counts are those of an owner that is gone, and its successor reads the rows.
+#[test]
+fn pending_counts_of_an_earlier_owner_are_not_given() {
+    run_test(async {
+        let cluster = TestCluster::start(1, time::Duration::from_millis(100)).await;
+        let owner = cluster.owner().await;
+        while cluster.pending(0).await != CallerResponse::Pending(0) {
+            timer::sleep(time::Duration::from_millis(20)).await;
+        }
+        cluster.processes[0].owner.abort();
+        assert_eq!(cluster.submit(0, "a", 1).await, CallerResponse::Accepted);
+        let key = RowKey::new(row::OWNER_KEY);
+        let successor = OwnerRecord {
+            node: "entry-9".to_owned(),
+            fencing_token: owner.fencing_token + 1,
+            ..owner
+        };
+        let value = row::write(&key, &successor).expect("the record is encoded");
+        let claim = TableTransaction::default().put(key, value);
+        cluster
+            .platform
+            .commit(&claim)
+            .await
+            .expect("the table is up");
+        let response = cluster.pending(0).await;
+        assert!(
+            matches!(response, CallerResponse::Unavailable { .. }),
+            "{response:?}"
+        );
+    });
+}
