Count the time without progress of a run on across owners

Cause: only the memory of an owner had since when a run makes no progress. With a new owner every 2 s the timeout of 2.5 s was never reached, and a run on a worker that hangs stayed there.

Change: `wait` has the mechanism for waits that outlive their owner: what a wait has lasted is stored in a row that the owner writes, relative to that change, and the successor counts on from a time at which the row was stored already (since when the owner row is unchanged), so a restored wait is never shorter. Its first use is the time without progress, with the progress itself, in the rows of jobs: from 1 s without progress, once a second, at most 16 rows; and with a release. The code on such runs is now in `stall`.

New, for what must not change: a run that progresses again is not stopped, and few rows are stored.

--- a/crates/engine/src/owner/session/mod.rs
+++ b/crates/engine/src/owner/session/mod.rs
@@ -184,6 +184,7 @@
             until: inherited_until,
             workers: record::read_lease_ends(&leases.rows, previous_token, unchanged_since),
         });
+        session.scheduler.inherit_waits(unchanged_since);
         session.apply_operator_view();
         session.apply_worker_rows(&workers.rows, true);
         session.restore_jobs(&jobs.rows, &progress.rows);
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -33,6 +33,7 @@
 pub mod scheduler;
 pub mod spec;
 pub mod time;
+pub mod wait;
 pub mod worker;
 
 pub use error::{Error, Result};
--- a/crates/jobs/src/record.rs
+++ b/crates/jobs/src/record.rs
@@ -9,6 +9,7 @@
 use crate::name::{CustomerName, PoolName, QueueName, WorkerId};
 use crate::spec::JobSpec;
 use crate::time::WallTime;
+use crate::wait::ElapsedWait;
 
 /// Job that was accepted from a caller.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
@@ -75,6 +76,12 @@
     /// Latest checkpoint that the task saved.
     #[serde(rename = "c", skip_serializing_if = "Option::is_none")]
     pub checkpoint: Option<String>,
+    /// Progress of the latest run, if it has not changed for a while; from 0 to 100.
+    #[serde(rename = "p", skip_serializing_if = "is_default")]
+    pub percent: u32,
+    /// For how long that progress has not changed; none if it changed lately.
+    #[serde(rename = "s", skip_serializing_if = "Option::is_none")]
+    pub unchanged: Option<ElapsedWait>,
 }
 
 fn is_default<T: Default + PartialEq>(value: &T) -> bool {
--- a/crates/jobs/src/scheduler/changes.rs
+++ b/crates/jobs/src/scheduler/changes.rs
@@ -76,20 +76,20 @@
             let Some(id) = self.changes.changed.pop_first() else {
                 break;
             };
-            self.add_row(&mut changes, &id);
+            self.add_row(&mut changes, &id, now);
             tasks += self.jobs.get(&id).map_or(0, JobEntry::task_count);
             self.changes.in_flight.insert(id);
         }
         changes
     }
 
-    fn add_row(&self, changes: &mut ChangeSet, id: &JobId) {
+    fn add_row(&self, changes: &mut ChangeSet, id: &JobId, now: BootTime) {
         let Some(job) = self.jobs.get(id) else {
             return;
         };
         changes.rows.push(ProgressRow {
             job: id.clone(),
-            progress: job.progress(),
+            progress: job.progress(self.stall_recording(now)),
         });
         let reserved = job
             .tasks(id)
--- a/crates/jobs/src/scheduler/entry.rs
+++ b/crates/jobs/src/scheduler/entry.rs
@@ -1,11 +1,13 @@
 //! Jobs, steps and tasks in memory.
 
 use std::sync;
+use std::time;
 
 use crate::name::{JobId, TaskId, WorkerId};
 use crate::record::{JobRecord, JobState, OccurrenceRecord, ProgressRecord, TaskRecord};
 use crate::spec::{JobSpec, MAX_TASKS, ResourceAmount, StepSpec};
 use crate::time::BootTime;
+use crate::wait::ElapsedWait;
 
 /// Duration of tasks without an estimate: their jobs must not seem to have the
 /// least work.
@@ -95,11 +97,12 @@
         is_new
     }
 
-    fn restore(record: &TaskRecord, now: BootTime) -> Self {
+    /// Restores a task whose record was stored by the time `stored_by`.
+    fn restore(record: &TaskRecord, stored_by: BootTime, now: BootTime) -> Self {
         let progress = RunProgress {
             confirmed_at: now,
-            percent: 0,
-            advanced_at: now,
+            percent: record.percent,
+            advanced_at: record.unchanged.map_or(now, |wait| wait.began(stored_by)),
             is_reported: false,
         };
         let phase = match &record.worker {
@@ -121,7 +124,7 @@
         }
     }
 
-    fn record(&self) -> TaskRecord {
+    fn record(&self, stall: Option<StallRecording>) -> TaskRecord {
         if self.phase == TaskPhase::Done {
             return TaskRecord {
                 done: true,
@@ -129,6 +132,7 @@
             };
         }
         let location = self.phase.location();
+        let unchanged = stall.and_then(|stall| self.unchanged_progress(stall));
         TaskRecord {
             run: self.run,
             failed: self.failed.clone(),
@@ -136,8 +140,30 @@
             worker: location.map(|location| location.worker.clone()),
             incarnation: location.map_or(0, |location| location.incarnation),
             checkpoint: self.checkpoint.clone(),
+            percent: unchanged.map_or(0, |(percent, _)| percent),
+            unchanged: unchanged.map(|(_, wait)| wait),
         }
     }
+
+    /// Returns the progress of the run, and for how long it has not changed, if that
+    /// is long enough to be stored.
+    fn unchanged_progress(&self, stall: StallRecording) -> Option<(u32, ElapsedWait)> {
+        let TaskPhase::Running(_, progress) = &self.phase else {
+            return None;
+        };
+        let is_long = stall.now.saturating_since(progress.advanced_at) >= stall.delay;
+        let wait = ElapsedWait::since(progress.advanced_at, stall.now);
+        is_long.then_some((progress.percent, wait))
+    }
+}
+
+/// Which times without progress are stored.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct StallRecording {
+    /// When the row is stored.
+    pub(super) now: BootTime,
+    /// Shortest time that is stored.
+    pub(super) delay: time::Duration,
 }
 
 /// One step of one occurrence.
@@ -208,13 +234,15 @@
         self.steps.iter().all(StepEntry::is_done)
     }
 
-    fn record(&self) -> OccurrenceRecord {
-        let steps = self.steps.iter();
+    fn record(&self, spec: &JobSpec, stall: StallRecording) -> OccurrenceRecord {
+        let steps = self.steps.iter().zip(&spec.steps);
+        let steps = steps.map(|(step, spec)| {
+            let stall = spec.must_progress().then_some(stall);
+            step.tasks.iter().map(|task| task.record(stall)).collect()
+        });
         OccurrenceRecord {
             number: self.number,
-            steps: steps
-                .map(|step| step.tasks.iter().map(TaskEntry::record).collect())
-                .collect(),
+            steps: steps.collect(),
         }
     }
 }
@@ -251,7 +279,13 @@
         entry
     }
 
-    pub(super) fn restore(record: JobRecord, progress: &ProgressRecord, now: BootTime) -> Self {
+    /// Restores a job whose progress was stored by the time `stored_by`.
+    pub(super) fn restore(
+        record: JobRecord,
+        progress: &ProgressRecord,
+        stored_by: BootTime,
+        now: BootTime,
+    ) -> Self {
         let mut entry = Self::new(record);
         entry.state = progress.state;
         entry.begun = progress.begun.max(entry.begun);
@@ -263,7 +297,7 @@
             let steps = occurrence.steps.iter_mut().zip(&stored.steps);
             for (step, records) in steps {
                 for (task, record) in step.tasks.iter_mut().zip(records) {
-                    *task = TaskEntry::restore(record, now);
+                    *task = TaskEntry::restore(record, stored_by, now);
                 }
             }
             entry
@@ -376,8 +410,10 @@
     }
 
     /// Returns the row to store.
-    pub(super) fn progress(&self) -> ProgressRecord {
-        let occurrences = self.occurrences.iter().map(OccurrenceEntry::record);
+    pub(super) fn progress(&self, stall: StallRecording) -> ProgressRecord {
+        let spec = &self.record.spec;
+        let occurrences = self.occurrences.iter();
+        let occurrences = occurrences.map(|occurrence| occurrence.record(spec, stall));
         ProgressRecord {
             state: self.state,
             begun: self.begun,
--- a/crates/jobs/src/scheduler/lease.rs
+++ b/crates/jobs/src/scheduler/lease.rs
@@ -130,9 +130,10 @@
         self.lease_ledger.update(ends, interval, now);
     }
 
-    /// Includes the ends of the leases of all unresponsive workers in the next
-    /// change, the last one of this owner.
+    /// Includes the ends of the leases of all unresponsive workers, and the times
+    /// without progress, in the next change, the last one of this owner.
     pub fn prepare_release(&mut self, now: BootTime) {
+        self.mark_stalled(now);
         let ends = self.lease_ends(|_| true);
         self.lease_ledger.update(ends, time::Duration::ZERO, now);
     }
--- a/crates/jobs/src/scheduler/lifecycle.rs
+++ b/crates/jobs/src/scheduler/lifecycle.rs
@@ -52,7 +52,8 @@
         if self.finished.contains(id) || self.jobs.contains_key(id) {
             return;
         }
-        let entry = JobEntry::restore(record, progress, now);
+        let stored_by = self.stored_by.map_or(now, |stored_by| stored_by.min(now));
+        let entry = JobEntry::restore(record, progress, stored_by, now);
         self.insert(id, entry);
         for placed in self.placed_runs(id) {
             self.restore_run(&placed, now);
--- a/crates/jobs/src/scheduler/mod.rs
+++ b/crates/jobs/src/scheduler/mod.rs
@@ -21,6 +21,7 @@
 //! - `placement`: choice of a worker for each task, and the order of jobs
 //! - `report`: the runs that workers list
 //! - `shares`: division of a pool among customers
+//! - `stall`: runs that make no progress
 //! - `waiting`: jobs that wait for capacity, in the order of their placement
 
 mod advice;
@@ -40,6 +41,7 @@
 mod placement;
 mod report;
 mod shares;
+mod stall;
 mod waiting;
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
@@ -100,6 +102,14 @@
     pub lease_record_interval: time::Duration,
     /// Largest number of workers whose ends of leases are stored.
     pub max_lease_ends: usize,
+    /// Time for which a wait must have lasted before it is stored for the next owner.
+    pub wait_record_delay: time::Duration,
+    /// Time after which stored waits are stored again with the time that they have
+    /// lasted.
+    pub wait_record_interval: time::Duration,
+    /// Largest number of progress rows that are stored together only because runs make
+    /// no progress.
+    pub max_stalled_rows: usize,
     /// Longest time that a worker may wait for a run to end before it responds
     /// to a lease renewal.
     pub max_renewal_wait: time::Duration,
@@ -142,6 +152,9 @@
             lease_record_delay: time::Duration::from_millis(1_000),
             lease_record_interval: time::Duration::from_millis(1_000),
             max_lease_ends: 256,
+            wait_record_delay: time::Duration::from_millis(1_000),
+            wait_record_interval: time::Duration::from_millis(1_000),
+            max_stalled_rows: 16,
             max_renewal_wait: time::Duration::from_millis(1_000),
             renewal_batch_delay: time::Duration::from_millis(25),
             renewal_retry_delay: time::Duration::from_millis(300),
@@ -290,6 +303,10 @@
     /// Leases of earlier owners; none if nothing is known of them.
     inherited: Option<InheritedLeases>,
     lease_ledger: LeaseLedger,
+    /// Time at which the rows of earlier owners were stored already; none if unknown.
+    stored_by: Option<BootTime>,
+    /// When times without progress were last taken to be stored.
+    stalls_recorded_at: BootTime,
     orders: Vec<WorkerOrder>,
     events: Vec<SchedulerEvent>,
     is_fenced: bool,
@@ -317,6 +334,8 @@
             changes: ChangeTracker::default(),
             inherited: None,
             lease_ledger: LeaseLedger::default(),
+            stored_by: None,
+            stalls_recorded_at: BootTime::default(),
             orders: Vec::new(),
             events: Vec::new(),
             is_fenced: false,
@@ -329,6 +348,12 @@
         self.inherited = Some(leases);
     }
 
+    /// Sets a time at which the rows of earlier owners were stored already, from which
+    /// their waits are counted on; to be called before jobs are added.
+    pub fn inherit_waits(&mut self, stored_by: BootTime) {
+        self.stored_by = Some(stored_by);
+    }
+
     /// Applies a version of the manifest; older ones are ignored.
     pub fn set_manifest(&mut self, manifest: sync::Arc<JobManifest>) {
         if manifest.version() < self.manifest.version() || *manifest == *self.manifest {
@@ -412,6 +437,7 @@
         self.evict_from_draining(now);
         self.retry_stops(now);
         self.stop_stalled(now);
+        self.record_stalls(now);
         self.send_due_renewals(now);
         // A worker may have become usable again only because time passed.
         self.waiting.mark_all_changed();
--- a/crates/jobs/src/scheduler/report.rs
+++ b/crates/jobs/src/scheduler/report.rs
@@ -1,7 +1,6 @@
 //! Processing of the runs that workers list.
 
 use std::collections::{BTreeSet, HashMap};
-use std::time;
 
 use crate::name::{JobId, TaskId, WorkerId};
 use crate::record::JobState;
@@ -361,47 +360,6 @@
         }
     }
 
-    /// Stops runs that make no progress, to restart them on other workers.
-    pub(super) fn stop_stalled(&mut self, now: BootTime) {
-        let timeout = self.settings.stall_timeout;
-        let mut stalled = Vec::new();
-        for (id, worker) in self.fleet.iter() {
-            if worker.contact != ContactState::Responsive {
-                continue;
-            }
-            for (task, reservation) in &worker.reservations {
-                if self.has_stalled(task, now, timeout) {
-                    stalled.push((id.clone(), task.clone(), reservation.run));
-                }
-            }
-        }
-        for (worker, task, run) in stalled {
-            self.events.push(SchedulerEvent::RunEnded {
-                task: task.clone(),
-                run,
-                worker: worker.clone(),
-                reason: RunEndReason::Stalled,
-            });
-            if let Some(entry) = self.fleet.get_mut(&worker) {
-                entry.unhealthy_until = now + self.settings.failure_cooldown;
-            }
-            self.stop_task(&task, now);
-        }
-    }
-
-    fn has_stalled(&self, task: &TaskId, now: BootTime, timeout: time::Duration) -> bool {
-        let step = self.step_spec(task);
-        if step.is_none_or(|step| step.best_effort || step.gang || step.long_running) {
-            return false;
-        }
-        match self.task(task).map(|entry| &entry.phase) {
-            Some(TaskPhase::Running(_, progress)) => {
-                now.saturating_since(progress.advanced_at) > timeout
-            }
-            _ => false,
-        }
-    }
-
     pub(super) fn task(&self, task: &TaskId) -> Option<&TaskEntry> {
         let job = self.jobs.get(&task.job)?;
         let step = job.step(task.occurrence, task.step)?;
--- /dev/null
+++ b/crates/jobs/src/scheduler/stall.rs
@@ -0,0 +1,97 @@
+//! Runs that make no progress.
+//!
+//! Load pattern: a worker that hangs while it still responds, under owners that end
+//! every few seconds. The time without progress is stored with the progress of the
+//! job, so that the next owner counts on from there.
+
+use std::collections::BTreeMap;
+
+use crate::name::{JobId, TaskId};
+use crate::time::BootTime;
+
+use super::entry::{StallRecording, TaskPhase};
+use super::fleet::ContactState;
+use super::{JobScheduler, RunEndReason, SchedulerEvent};
+
+impl JobScheduler {
+    /// Stops runs that make no progress, to restart them on other workers.
+    pub(super) fn stop_stalled(&mut self, now: BootTime) {
+        let timeout = self.settings.stall_timeout;
+        let mut stalled = Vec::new();
+        for (id, worker) in self.fleet.iter() {
+            if worker.contact != ContactState::Responsive {
+                continue;
+            }
+            for (task, reservation) in &worker.reservations {
+                let advanced_at = self.advanced_at(task);
+                if advanced_at.is_some_and(|at| now.saturating_since(at) > timeout) {
+                    stalled.push((id.clone(), task.clone(), reservation.run));
+                }
+            }
+        }
+        for (worker, task, run) in stalled {
+            self.events.push(SchedulerEvent::RunEnded {
+                task: task.clone(),
+                run,
+                worker: worker.clone(),
+                reason: RunEndReason::Stalled,
+            });
+            if let Some(entry) = self.fleet.get_mut(&worker) {
+                entry.unhealthy_until = now + self.settings.failure_cooldown;
+            }
+            self.stop_task(&task, now);
+        }
+    }
+
+    /// Has the jobs stored whose runs have made no progress for a while, those first
+    /// that have made none for longest; to be called with each tick.
+    pub(super) fn record_stalls(&mut self, now: BootTime) {
+        let interval = self.settings.wait_record_interval;
+        if now.saturating_since(self.stalls_recorded_at) >= interval {
+            self.mark_stalled(now);
+        }
+    }
+
+    /// Has the jobs stored whose runs have made no progress for a while.
+    pub(super) fn mark_stalled(&mut self, now: BootTime) {
+        let delay = self.settings.wait_record_delay;
+        let is_long = |at: &BootTime| now.saturating_since(*at) >= delay;
+        let mut advanced: BTreeMap<JobId, BootTime> = BTreeMap::new();
+        for (_, worker) in self.fleet.iter() {
+            for task in worker.reservations.keys() {
+                if let Some(at) = self.advanced_at(task).filter(is_long) {
+                    let earliest = advanced.entry(task.job.clone()).or_insert(at);
+                    *earliest = at.min(*earliest);
+                }
+            }
+        }
+        if advanced.is_empty() {
+            return;
+        }
+        self.stalls_recorded_at = now;
+        let mut jobs: Vec<(BootTime, JobId)> =
+            advanced.into_iter().map(|(job, at)| (at, job)).collect();
+        jobs.sort();
+        for (_, job) in jobs.iter().take(self.settings.max_stalled_rows) {
+            self.changes.mark_changed(job);
+        }
+    }
+
+    /// Returns which times without progress the rows state that are stored now.
+    pub(super) fn stall_recording(&self, now: BootTime) -> StallRecording {
+        StallRecording {
+            now,
+            delay: self.settings.wait_record_delay,
+        }
+    }
+
+    /// Returns when the run of a task that must make progress last made some.
+    fn advanced_at(&self, task: &TaskId) -> Option<BootTime> {
+        let step = self.step_spec(task);
+        step.filter(|step| step.must_progress())?;
+        match &self.task(task)?.phase {
+            TaskPhase::Running(_, progress) => Some(progress.advanced_at),
+            _ => None,
+        }
+    }
+}
--- a/crates/jobs/src/spec.rs
+++ b/crates/jobs/src/spec.rs
@@ -143,6 +143,11 @@
         }
         self.needs
     }
+
+    /// Returns whether a run that reports no progress for long is stopped.
+    pub fn must_progress(&self) -> bool {
+        !(self.best_effort || self.gang || self.long_running)
+    }
 }
 
 /// Schedule of a job that runs later or more than once.
--- a/crates/jobs/tests/takeover.rs
+++ b/crates/jobs/tests/takeover.rs
@@ -287,3 +287,42 @@
     }
     assert!(fleet.starts.len() > 1, "not within 12 s");
 }
+
+/// What an owner stored of a run without progress has no effect once the run has made
+/// some.
+#[test]
+fn a_run_that_progresses_again_is_not_stopped_by_the_next_owner() {
+    let mut fleet = fleet_of(2);
+    fleet.submit("j", vec![step_spec(1, 1_000)], 60_000);
+    fleet.advance(500);
+    let worker = fleet.starts[0].2.clone();
+    fleet.worker(worker.as_str()).is_stalled = true;
+    fleet.advance(1_700);
+    fleet.worker(worker.as_str()).is_stalled = false;
+    fleet.take_over(SchedulerSettings::default());
+    fleet.advance(5_000);
+    assert_eq!(fleet.starts.len(), 1);
+}
+
+/// While all runs hang, the rows that are stored for that alone are few.
+#[test]
+fn few_rows_are_stored_for_runs_without_progress() {
+    let mut fleet = fleet_of(40);
+    for number in 0..40 {
+        fleet.submit(&format!("j{number}"), vec![step_spec(1, 8_000)], 60_000);
+    }
+    fleet.advance(500);
+    for worker in fleet.workers.values_mut() {
+        worker.is_stalled = true;
+    }
+    let mut rows = 0;
+    for _ in 0..190 {
+        fleet.now = fleet.now + common::TICK_INTERVAL;
+        fleet.scheduler.tick(fleet.now);
+        let changes = fleet.scheduler.take_changes(fleet.now);
+        rows += changes.rows.len();
+        fleet.scheduler.changes_stored(&changes, fleet.now);
+    }
+    // Two batches, one a second, before the runs are stopped.
+    assert_eq!(rows, 32);
+}
