Count the time that machines of a wave are down on across owners

Cause: only the memory of an owner had since when a machine is down for its maintenance; a successor ordered the maintenance again and waited for 2 s from that. With a new owner every 2 s no machine was ever done.

Change: the record of a wave has, for each machine whose maintenance has begun, how long ago that was when the row was written. It is written as soon as a machine is down and then once a second, and with every other change of the record. A successor takes these machines as down since then (counted from a time at which the row was stored already, so never for longer than they are) and does not order them again. Older code ignores the field and goes by `ordered`, which is as before.

New: a machine that is down is not ordered again by the next owner; a record of an earlier release is read.

--- a/crates/engine/src/owner/record.rs
+++ b/crates/engine/src/owner/record.rs
@@ -12,6 +12,7 @@
 use redwing_provider::{RowKey, TableRow};
 use serde::Serialize;
 
+use crate::clock;
 use crate::event;
 use crate::follow;
 use crate::log_job_event;
@@ -90,15 +91,20 @@
     }
 }
 
-/// Reads the maintenance records, by the number of the wave.
-pub(super) fn read_waves(rows: &[TableRow]) -> BTreeMap<u64, MaintenanceRecord> {
+/// Reads the maintenance records, by the number of the wave, as they are now, given a
+/// time at which the rows were stored already.
+pub(super) fn read_waves(
+    rows: &[TableRow],
+    stored_by: BootTime,
+) -> BTreeMap<u64, MaintenanceRecord> {
+    let elapsed = clock::boot_now().saturating_since(stored_by);
     let mut waves = BTreeMap::new();
     for entry in rows {
         let number = entry.key.as_str().strip_prefix(row::MAINTENANCE_PREFIX);
         let number = number.and_then(|text| text.parse().ok());
-        match (number, row::read(entry)) {
+        match (number, row::read::<MaintenanceRecord>(entry)) {
             (Some(number), Ok(record)) => {
-                waves.insert(number, record);
+                waves.insert(number, record.after(elapsed));
             }
             (_, Err(error)) => follow::log_malformed(&entry.key, &error),
             (None, Ok(_)) => {
--- a/crates/engine/src/owner/session/mod.rs
+++ b/crates/engine/src/owner/session/mod.rs
@@ -163,7 +163,7 @@
             obsolete_jobs: Vec::new(),
             cleanup_started_at: clock::boot_now(),
             machine_responses,
-            waves: record::read_waves(&maintenance.rows),
+            waves: record::read_waves(&maintenance.rows, unchanged_since),
             pending_change: None,
             renewed_at: claimed_at,
             pending_counts: PendingCounts::default(),
--- a/crates/jobs/src/maintenance/mod.rs
+++ b/crates/jobs/src/maintenance/mod.rs
@@ -8,7 +8,8 @@
 //!
 //! Load pattern: a wave over half of the fleet while demand exceeds capacity.
 //! The machines with the fewest tasks left go first, so that little waiting is
-//! needed and no work is lost.
+//! needed and no work is lost. Owners may end while a machine is down; the time for
+//! which it has been down is stored, and the next owner counts on from there.
 
 mod wave;
 
@@ -19,6 +20,7 @@
 
 use crate::name::{MachineName, WorkerId};
 use crate::time::{BootTime, WallTime};
+use crate::wait::ElapsedWait;
 
 use wave::WaveEntry;
 
@@ -58,6 +60,19 @@
     /// done.
     #[serde(default, skip_serializing_if = "BTreeSet::is_empty")]
     pub ordered: BTreeSet<MachineName>,
+    /// Machines whose maintenance has begun, and how long ago.
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    pub down: BTreeMap<MachineName, ElapsedWait>,
+}
+
+impl MaintenanceRecord {
+    /// Returns the record as it is a while after it was stored.
+    pub fn after(mut self, elapsed: time::Duration) -> Self {
+        for wait in self.down.values_mut() {
+            *wait = wait.after(elapsed);
+        }
+        self
+    }
 }
 
 /// Tasks that a worker would lose by going down now.
@@ -125,6 +140,8 @@
     pub prepared_ahead: u32,
     /// Part of the wave's time that is kept in reserve.
     pub reserve: time::Duration,
+    /// Time after which the times for which machines have been down are stored again.
+    pub record_interval: time::Duration,
 }
 
 impl Default for MaintenanceSettings {
@@ -137,6 +154,7 @@
             absence_limit: time::Duration::from_millis(1_500),
             prepared_ahead: 1,
             reserve: time::Duration::from_secs(2),
+            record_interval: time::Duration::from_secs(1),
         }
     }
 }
@@ -157,8 +175,8 @@
         }
     }
 
-    /// Adds a wave, with the progress that an earlier owner stored. If the wave is
-    /// known, applies the operator's changes to it.
+    /// Adds a wave, with the progress that an earlier owner stored, as it is `now`. If
+    /// the wave is known, applies the operator's changes to it.
     pub fn add(
         &mut self,
         request: &WaveRequest,
@@ -177,7 +195,7 @@
         let age = wall.saturating_since(record.begun);
         let started_at = now.as_millis().saturating_sub(age.as_millis() as u64);
         let started_at = BootTime::from_millis(started_at);
-        let entry = WaveEntry::new(request, record, started_at);
+        let entry = WaveEntry::new(request, record, started_at, now);
         self.waves.insert(request.number, entry);
     }
 
--- a/crates/jobs/src/maintenance/wave.rs
+++ b/crates/jobs/src/maintenance/wave.rs
@@ -4,6 +4,7 @@
 
 use crate::name::{MachineName, WorkerId};
 use crate::time::BootTime;
+use crate::wait::ElapsedWait;
 
 use super::{
     MachineStatus, MaintenanceAction, MaintenanceRecord, MaintenanceSettings, WaveRequest,
@@ -94,6 +95,8 @@
     released_workers: Vec<WorkerId>,
     /// Whether the latest progress was passed on to be stored.
     is_reported: bool,
+    /// When the times for which machines have been down were last passed on.
+    down_recorded_at: BootTime,
 }
 
 impl WaveEntry {
@@ -103,10 +106,16 @@
         request: &WaveRequest,
         record: MaintenanceRecord,
         started_at: BootTime,
+        now: BootTime,
     ) -> Self {
-        let ordered = record.ordered.iter().map(|name| {
+        let ordered = record.ordered.iter().chain(record.down.keys());
+        let ordered = ordered.map(|name| {
+            let down = record.down.get(name);
+            let stage = down.map_or(MachineStage::Ordered(None), |wait| {
+                MachineStage::Down(wait.began(now))
+            });
             let entry = MachineEntry {
-                stage: MachineStage::Ordered(None),
+                stage,
                 ..MachineEntry::default()
             };
             (name.clone(), entry)
@@ -118,6 +127,7 @@
             started_at,
             released_workers: Vec::new(),
             is_reported: false,
+            down_recorded_at: BootTime::default(),
         };
         entry.add_requested_machines();
         entry
@@ -207,8 +217,9 @@
             self.order_absent(settings, now, actions);
             self.repeat_orders(settings, now, actions);
         }
-        if !self.is_reported {
+        if !self.is_reported || self.has_old_down_times(settings, now) {
             self.is_reported = true;
+            self.record_down_times(now);
             actions.push(MaintenanceAction::Store {
                 wave: self.request.number,
                 state: self.state(),
@@ -216,6 +227,29 @@
         }
     }
 
+    /// Returns whether machines are down and the stored times for which they have been
+    /// are to be stored again.
+    fn has_old_down_times(&self, settings: &MaintenanceSettings, now: BootTime) -> bool {
+        let elapsed = now.saturating_since(self.down_recorded_at);
+        elapsed >= settings.record_interval && self.down_since().next().is_some()
+    }
+
+    fn record_down_times(&mut self, now: BootTime) {
+        let down = self.down_since();
+        let down = down.map(|(name, since)| (name.clone(), ElapsedWait::since(since, now)));
+        self.record.down = down.collect();
+        self.down_recorded_at = now;
+    }
+
+    /// Returns the machines whose maintenance has begun, and since when.
+    fn down_since(&self) -> impl Iterator<Item = (&MachineName, BootTime)> {
+        let machines = self.machines.iter();
+        machines.filter_map(|(name, entry)| match entry.stage {
+            MachineStage::Down(since) => Some((name, since)),
+            _ => None,
+        })
+    }
+
     fn state(&self) -> WaveState {
         if self.remaining_count() == 0 {
             WaveState::Completed
--- a/crates/jobs/tests/maintenance.rs
+++ b/crates/jobs/tests/maintenance.rs
@@ -10,6 +10,7 @@
 };
 use redwing_jobs::name::{MachineName, WorkerId};
 use redwing_jobs::time::WallTime;
+use redwing_jobs::wait::ElapsedWait;
 
 /// Time between two plans.
 const PLAN_INTERVAL: time::Duration = time::Duration::from_millis(100);
@@ -331,3 +332,39 @@
     machines.advance(PLAN_INTERVAL);
     assert!(machines.is_completed(), "{:?}", machines.stored.done);
 }
+
+/// The next owner knows for how long a machine has been down at least, and orders its
+/// maintenance only once.
+#[test]
+fn a_machine_that_is_down_is_not_ordered_again_by_the_next_owner() {
+    let mut machines = FakeMachines::new(2);
+    machines.add_wave(&wave_request(1, 1), None);
+    machines.advance(time::Duration::from_millis(1_300));
+    let record = machines.stored.clone();
+    let down = record.down.get(&machine_name(0)).copied();
+    let after_a_second = ElapsedWait::default().after(time::Duration::from_secs(1));
+    assert_eq!(down, Some(after_a_second));
+    let record = record.after(time::Duration::from_millis(100));
+    machines.planner = WavePlanner::new(MaintenanceSettings::default());
+    machines.add_wave(&wave_request(1, 1), Some(record));
+    let actions = machines
+        .planner
+        .plan(&machines.machine_statuses, machines.now);
+    let order = MaintenanceAction::Order {
+        wave: 1,
+        machine: machine_name(0),
+    };
+    assert!(!actions.contains(&order), "{actions:?}");
+    machines.advance(time::Duration::from_millis(1_000));
+    assert!(machines.is_completed());
+    assert_eq!(machines.max_down_count, 1);
+}
+
+#[test]
+fn a_record_of_an_earlier_release_has_no_machine_that_is_down() {
+    let text = r#"{"begun":5,"done":["m1"],"ordered":["m2"]}"#;
+    let record: MaintenanceRecord = serde_json::from_str(text).expect("it is read");
+    assert!(record.down.is_empty());
+    let written = serde_json::to_string(&record).expect("it is written");
+    assert_eq!(written, text);
+}
