Start no part of a gang of which one member cannot be ordered

Cause: once the row of a gang was stored, each member was ordered by itself. If the worker of one was gone by then, drained, was blocked, unhealthy or waited for the end of its leases, that member was freed and the others started. They make no progress without it, and a gang is placed only as a whole, so it was not placed again either.

Change: before the first member is ordered, each member is asked whether it may start now; if one may not, all are freed and the gang is placed again.

Evidence: a_gang_of_which_one_member_cannot_be_ordered_does_not_start failed (the first member was ordered to start) and passes.

--- a/crates/jobs/src/scheduler/changes.rs
+++ b/crates/jobs/src/scheduler/changes.rs
@@ -13,6 +13,7 @@
 use super::JobScheduler;
 use super::entry::{JobEntry, TaskPhase};
 use super::lease_ledger::LeaseEnds;
+use super::order;
 
 /// Progress of one job, to be stored.
 #[derive(Clone, Debug, PartialEq)]
@@ -107,7 +108,15 @@
     pub fn changes_stored(&mut self, changes: &ChangeSet, now: BootTime) {
         self.changes.in_flight.clear();
         self.lease_ledger.stored();
+        let mut step = None;
         for start in &changes.starts {
+            // The members of a gang follow each other.
+            let start_step = order::step_of(&start.task);
+            if step.as_ref() != Some(&start_step) && self.is_gang(&start.task) {
+                let members = self.gang_members(&start.task);
+                self.free_incomplete_gang(&members, start.run, now);
+            }
+            step = Some(start_step);
             self.order_start(&start.task, start.run, now);
         }
         self.acknowledge_ended_runs(now);
--- a/crates/jobs/src/scheduler/order.rs
+++ b/crates/jobs/src/scheduler/order.rs
@@ -11,6 +11,38 @@
 use super::{JobScheduler, RunEndReason, WorkerStatus};
 
 impl JobScheduler {
+    /// Frees all members of a gang whose row is stored, unless each of them can be
+    /// ordered to start: a part of a gang would make no progress.
+    pub(super) fn free_incomplete_gang(&mut self, members: &[TaskId], run: u32, now: BootTime) {
+        let can_start = |member: &TaskId| self.may_start(member, run, now);
+        if members.iter().all(can_start) {
+            return;
+        }
+        for member in members {
+            let phase = self.task(member).map(|entry| &entry.phase);
+            if matches!(phase, Some(TaskPhase::Reserved(_))) {
+                self.free_task(member);
+            }
+        }
+    }
+
+    /// Returns whether a run whose row is stored may be ordered to start now.
+    fn may_start(&self, task: &TaskId, run: u32, now: BootTime) -> bool {
+        let Some(entry) = self.task(task).filter(|entry| entry.run == run) else {
+            return false;
+        };
+        let TaskPhase::Reserved(location) = &entry.phase else {
+            return false;
+        };
+        let is_permitted =
+            self.ticket(task, location, now).is_some() || !self.is_advised(&task.job);
+        let worker = self.fleet.get(&location.worker);
+        let is_usable = worker.is_some_and(|worker| {
+            worker.incarnation == location.incarnation && worker.is_usable(now)
+        });
+        is_permitted && is_usable && !self.lease_ledger.covers(&location.worker)
+    }
+
     /// Sends the order to start a run whose row is stored.
     pub(super) fn order_start(&mut self, task: &TaskId, run: u32, now: BootTime) {
         let Some(entry) = self.task(task) else {
@@ -23,16 +55,12 @@
             return;
         }
         let location = location.clone();
-        let checkpoint = self.resume_point(task);
-        let ticket = self.ticket(task, &location, now);
-        let is_permitted = ticket.is_some() || !self.is_advised(&task.job);
-        let is_usable = self.fleet.get(&location.worker).is_some_and(|worker| {
-            worker.incarnation == location.incarnation && worker.is_usable(now)
-        });
-        if !is_usable || !is_permitted {
+        if !self.may_start(task, run, now) {
             self.free_task(task);
             return;
         }
+        let checkpoint = self.resume_point(task);
+        let ticket = self.ticket(task, &location, now);
         let Some(lease_end_ms) = self.grant_lease(&location.worker, now) else {
             self.free_task(task);
             return;
--- a/crates/jobs/src/scheduler/report.rs
+++ b/crates/jobs/src/scheduler/report.rs
@@ -224,13 +224,13 @@
         }
     }
 
-    fn is_gang(&self, task: &TaskId) -> bool {
+    pub(super) fn is_gang(&self, task: &TaskId) -> bool {
         let step = self.step_spec(task);
         step.is_some_and(|step| step.gang)
     }
 
     /// Returns the tasks that end together with `task`.
-    fn gang_members(&self, task: &TaskId) -> Vec<TaskId> {
+    pub(super) fn gang_members(&self, task: &TaskId) -> Vec<TaskId> {
         if !self.is_gang(task) {
             return vec![task.clone()];
         }
--- a/crates/jobs/tests/placement.rs
+++ b/crates/jobs/tests/placement.rs
@@ -11,6 +11,7 @@
 use redwing_jobs::JobManifest;
 use redwing_jobs::name::{PoolName, WorkerLabel};
 use redwing_jobs::spec::StepSpec;
+use redwing_jobs::worker::OrderAction;
 use redwing_jobs::{JobState, SchedulerSettings, WorkerId};
 use rstest::rstest;
 
@@ -207,6 +208,33 @@
     assert_eq!(fleet.state(&small_job), JobState::Completed);
 }
 
+/// A worker drains while the row of a gang with a member on it is being stored.
+#[test]
+fn a_gang_of_which_one_member_cannot_be_ordered_does_not_start() {
+    let mut fleet = fleet_of(3, 1_000);
+    fleet.advance(100);
+    let gang = StepSpec {
+        gang: true,
+        ..step_spec(2, 1_000)
+    };
+    let job = fleet.submit("j", vec![gang], 500);
+    fleet.scheduler.place_tasks(fleet.now, fleet.wall_time());
+    let changes = fleet.scheduler.take_changes(fleet.now);
+    let last_member = &changes.rows[0].progress.occurrences[0].steps[0][1];
+    let draining = last_member.worker.clone().expect("it is placed");
+    fleet.worker(draining.as_str()).view.is_draining = true;
+    let view = fleet.worker(draining.as_str()).view.clone();
+    fleet.scheduler.worker_listed(view, fleet.now);
+    fleet.scheduler.changes_stored(&changes, fleet.now);
+    let orders = fleet.scheduler.take_orders();
+    let mut actions = orders.iter().map(|order| &order.action);
+    let start = actions.find(|action| matches!(action, OrderAction::Start { .. }));
+    assert_eq!(start, None);
+    fleet.advance(1_000);
+    assert_eq!(fleet.starts.len(), 2, "{:?}", fleet.starts);
+    assert_eq!(fleet.state(&job), JobState::Completed);
+}
+
 /// Returns a fleet of four workers, two on each of the racks r1 and r2.
 fn fleet_on_two_racks() -> FakeFleet {
     let racks = ["r1", "r1", "r2", "r2"];
