Store with a release how long machines of a wave have been down

The time that a machine is down is written once a second, so an owner that ends within a second of that passes none of its own time on; with a restart that replaces the owner every 1.3 s a wave of two machines did not end.

Change: the last change of an owner has the records of the waves with machines that are down, as of then. A row of the machines that is set again before it was stored replaces the earlier version instead of being written twice in one change: while the table is slow, a change does not grow with the time that it takes.

Evidence: a_wave_is_completed_while_a_restart_replaces_the_owners failed (15 owners, "the wave is not completed") and passes, each machine ordered once.

--- a/crates/engine/src/owner/machines.rs
+++ b/crates/engine/src/owner/machines.rs
@@ -361,14 +361,32 @@
                 state = format!("{state:?}")
             );
         }
+        self.add_wave_record(wave);
+        self.set_row(dependencies.codec.wave_status(wave, state));
+    }
+
+    fn add_wave_record(&mut self, wave: u64) {
         let key = row::maintenance_key(wave);
         if let Some(record) = self.wave_planner.record(wave) {
             match row::write(&key, record) {
-                Ok(value) => self.rows.push(EncodedRow { key, value }),
+                Ok(value) => self.set_row(EncodedRow { key, value }),
                 Err(error) => log_job_event!(error, event::ROW_MALFORMED, error = error),
             }
         }
-        self.rows.push(dependencies.codec.wave_status(wave, state));
+    }
+
+    /// Adds a row to those to store next, in place of an earlier version of it.
+    fn set_row(&mut self, row: EncodedRow) {
+        self.rows.retain(|other| other.key != row.key);
+        self.rows.push(row);
+    }
+
+    /// Adds the records of the waves with machines that are down to the next rows, the
+    /// last ones of this owner.
+    pub(super) fn prepare_release(&mut self, now: BootTime) {
+        for wave in self.wave_planner.prepare_release(now) {
+            self.add_wave_record(wave);
+        }
     }
 
     /// Applies the response to a call.
--- a/crates/engine/src/owner/session/mod.rs
+++ b/crates/engine/src/owner/session/mod.rs
@@ -359,6 +359,7 @@
             }
         }
         self.scheduler.prepare_release(now);
+        self.machines.prepare_release(now);
         let changes = self.scheduler.take_changes(now);
         let mut extra = self.take_extra_rows();
         extra.written.extend(self.lease_row(&changes, now));
--- a/crates/engine/tests/maintenance/mod.rs
+++ b/crates/engine/tests/maintenance/mod.rs
@@ -3,6 +3,7 @@
 use std::time;
 
 use crate::common::{TestCluster, run_test};
+use redwing_engine::owner::OwnerSettings;
 use redwing_jobs::maintenance::{WaveRequest, WaveState};
 use redwing_jobs::name::MachineName;
 use redwing_provider::{RowKey, TableStore, TableTransaction};
@@ -168,3 +169,29 @@
         assert!(cluster.machines.most_down() <= 2);
     });
 }
+
+/// Stops the owner after a second, and starts another process.
+async fn replace_owner(cluster: &mut TestCluster, settings: &OwnerSettings) {
+    let owner = cluster.owner().await;
+    timer::sleep(time::Duration::from_secs(1)).await;
+    let number = cluster.processes.len();
+    cluster.add_process_with(number, settings.clone()).await;
+    let index = cluster.process_index(&owner);
+    cluster.processes[index].stop.send_replace(true);
+    cluster.owner_above(owner.fencing_token).await;
+}
+
+/// Each owner ends long before a machine that is down is up again.
+#[test]
+fn a_wave_is_completed_while_a_restart_replaces_the_owners() {
+    run_test(async {
+        let mut cluster = start_wave(1, 2, 2).await;
+        let mut replaced = 0;
+        while wave_state(&cluster).await != Some(WaveState::Completed) {
+            replace_owner(&mut cluster, &OwnerSettings::default()).await;
+            replaced += 1;
+            assert!(replaced < 15, "the wave is not completed");
+        }
+        assert_eq!(cluster.machines.orders().len(), 2, "each is ordered once");
+    });
+}
--- a/crates/jobs/src/maintenance/mod.rs
+++ b/crates/jobs/src/maintenance/mod.rs
@@ -215,6 +215,18 @@
         self.waves.get(&wave).map(WaveEntry::record)
     }
 
+    /// Updates what the records state of machines that are down, for the last change of
+    /// an owner; returns the waves whose records are to be stored for that.
+    pub fn prepare_release(&mut self, now: BootTime) -> Vec<u64> {
+        let mut updated = Vec::new();
+        for (wave, entry) in &mut self.waves {
+            if entry.prepare_release(now) {
+                updated.push(*wave);
+            }
+        }
+        updated
+    }
+
     /// Handles an accepted maintenance order.
     pub fn order_accepted(&mut self, wave: u64, machine: &MachineName, now: BootTime) {
         if let Some(entry) = self.waves.get_mut(&wave) {
--- a/crates/jobs/src/maintenance/wave.rs
+++ b/crates/jobs/src/maintenance/wave.rs
@@ -234,6 +234,13 @@
         elapsed >= settings.record_interval && self.down_since().next().is_some()
     }
 
+    /// Updates the times for which machines have been down; returns whether there are
+    /// any.
+    pub(super) fn prepare_release(&mut self, now: BootTime) -> bool {
+        self.record_down_times(now);
+        !self.record.down.is_empty()
+    }
+
     fn record_down_times(&mut self, now: BootTime) {
         let down = self.down_since();
         let down = down.map(|(name, since)| (name.clone(), ElapsedWait::since(since, now)));
