Count what moves of machines wait for on across owners

Cause: only the memory of an owner had since when machines are surplus, which are being emptied, and the demand for which a pool keeps its capacity. With owners that end before the delay, no machine was parked; one that was being emptied got tasks again from each successor.

Change: the new row `owner/waits` has these, at most 64 machines of each kind. The successor blocks the workers of machines that are being emptied at once. A machine that no list has is no longer kept as surplus.

--- a/crates/engine/src/owner/machines.rs
+++ b/crates/engine/src/owner/machines.rs
@@ -4,7 +4,7 @@
 use std::fmt;
 use std::rc;
 
-use redwing_jobs::capacity::{CapacityAction, CapacityPlanner, PoolMachine, PoolState};
+use redwing_jobs::capacity::{CapacityAction, CapacityPlanner, MoveWaits, PoolMachine, PoolState};
 use redwing_jobs::feasibility::FleetCapacity;
 use redwing_jobs::maintenance::{
     MachineStatus, MaintenanceAction, MaintenanceRecord, WavePlanner, WaveState, WorkerLoad,
@@ -226,18 +226,40 @@
         let pools: BTreeMap<PoolName, PoolState> = pools.collect();
         let machines = self.pool_machines(scheduler);
         for action in self.capacity_planner.plan(&pools, &machines, now) {
-            match action {
-                CapacityAction::Prepare(worker) => scheduler.block_worker(&worker, true),
-                CapacityAction::Release(worker) => scheduler.block_worker(&worker, false),
-                CapacityAction::Move {
-                    machine,
-                    worker,
-                    pool,
-                } => self.ready_orders.push(PendingOrder {
-                    machine,
-                    order: MachineOrder::Move { worker, pool },
-                }),
-            }
+            self.apply_capacity_action(scheduler, action);
+        }
+    }
+
+    fn apply_capacity_action(&mut self, scheduler: &mut JobScheduler, action: CapacityAction) {
+        match action {
+            CapacityAction::Prepare(worker) => scheduler.block_worker(&worker, true),
+            CapacityAction::Release(worker) => scheduler.block_worker(&worker, false),
+            CapacityAction::Move {
+                machine,
+                worker,
+                pool,
+            } => self.ready_orders.push(PendingOrder {
+                machine,
+                order: MachineOrder::Move { worker, pool },
+            }),
+        }
+    }
+
+    /// Returns what moves wait for, to be stored for the next owner.
+    pub(super) fn move_waits(&self, now: BootTime) -> MoveWaits {
+        self.capacity_planner.waits(now)
+    }
+
+    /// Continues the waits of an earlier owner, which were stored by the time
+    /// `stored_by`; the workers must be listed already.
+    pub(super) fn restore_moves(
+        &mut self,
+        scheduler: &mut JobScheduler,
+        waits: MoveWaits,
+        stored_by: BootTime,
+    ) {
+        for action in self.capacity_planner.restore(waits, stored_by) {
+            self.apply_capacity_action(scheduler, action);
         }
     }
 
--- a/crates/engine/src/owner/record.rs
+++ b/crates/engine/src/owner/record.rs
@@ -11,12 +11,13 @@
 use redwing_jobs::{BootTime, JobRecord};
 use redwing_provider::{RowKey, TableRow};
 use serde::Serialize;
+use serde::de::DeserializeOwned;
 
 use crate::clock;
 use crate::event;
 use crate::follow;
 use crate::log_job_event;
-use crate::row::{self, EncodedRow, LeaseRecord, PendingCounts};
+use crate::row::{self, EncodedRow, LeaseRecord, PendingCounts, WaitRecord};
 
 /// Returns the row of the pending counts.
 pub(super) fn pending_counts_row(counts: &PendingCounts) -> Option<EncodedRow> {
@@ -53,22 +54,40 @@
     fencing_token: u64,
     stored_by: BootTime,
 ) -> LeaseEnds {
-    let Some(entry) = rows.iter().find(|entry| entry.value.is_some()) else {
+    let record = find::<LeaseRecord>(rows, row::LEASE_KEY).unwrap_or_default();
+    if record.fencing_token != fencing_token {
         return LeaseEnds::default();
-    };
-    let record = match row::read::<LeaseRecord>(entry) {
-        Ok(record) if record.fencing_token == fencing_token => record,
-        Ok(_) => return LeaseEnds::default(),
-        Err(error) => {
-            follow::log_malformed(&entry.key, &error);
-            return LeaseEnds::default();
-        }
-    };
+    }
     let ends = record.remaining_ms.into_iter();
     ends.map(|(worker, millis)| (worker, stored_by + time::Duration::from_millis(millis)))
         .collect()
 }
 
+/// Returns the row of the waits.
+pub(super) fn wait_row(record: &WaitRecord) -> Option<EncodedRow> {
+    encode(RowKey::new(row::WAIT_KEY), record)
+}
+
+/// Reads the waits that the owner with `fencing_token` stored.
+pub(super) fn read_waits(rows: &[TableRow], fencing_token: u64) -> WaitRecord {
+    let record = find::<WaitRecord>(rows, row::WAIT_KEY);
+    let record = record.filter(|record| record.fencing_token == fencing_token);
+    record.unwrap_or_default()
+}
+
+/// Reads the row with the given key; returns none if it is absent or malformed.
+fn find<T: DeserializeOwned>(rows: &[TableRow], key: &str) -> Option<T> {
+    let is_found = |entry: &&TableRow| entry.key.as_str() == key && entry.value.is_some();
+    let entry = rows.iter().find(is_found)?;
+    match row::read(entry) {
+        Ok(record) => Some(record),
+        Err(error) => {
+            follow::log_malformed(&entry.key, &error);
+            None
+        }
+    }
+}
+
 fn encode(key: RowKey, record: &impl Serialize) -> Option<EncodedRow> {
     match row::write(&key, record) {
         Ok(value) => Some(EncodedRow { key, value }),
--- a/crates/engine/src/owner/session/mod.rs
+++ b/crates/engine/src/owner/session/mod.rs
@@ -106,6 +106,10 @@
     unconfirmed_since: Option<BootTime>,
     /// When all leases of earlier owners have expired.
     inherited_until: BootTime,
+    /// When waits were last stored for the next owner, or found to be none.
+    waits_stored_at: BootTime,
+    /// Whether the row of the waits may have any.
+    has_stored_waits: bool,
 }
 
 impl<'a> OwnerSession<'a> {
@@ -123,11 +127,11 @@
         } = acquired;
         let client = &dependencies.client;
         // Concurrent scans: the lease must not expire while a slow table responds.
-        let (jobs, progress, maintenance, leases, workers) = futures_util::try_join!(
+        let (jobs, progress, maintenance, owner, workers) = futures_util::try_join!(
             client.scan(CallCause::Job, row::JOB_PREFIX),
             client.scan(CallCause::Job, row::PROGRESS_PREFIX),
             client.scan(CallCause::Maintenance, row::MAINTENANCE_PREFIX),
-            client.scan(CallCause::Membership, row::LEASE_KEY),
+            client.scan(CallCause::Membership, row::OWNER_PREFIX),
             client.scan(CallCause::Membership, dependencies.codec.worker_prefix()),
         )?;
         let (completed_sender, completed_orders) = mpsc::unbounded_channel();
@@ -176,18 +180,24 @@
             confirmed_at: claimed_at,
             unconfirmed_since: None,
             inherited_until,
+            waits_stored_at: BootTime::default(),
+            has_stored_waits: false,
             lease,
         };
         // The previous owner had the token before this one.
         let previous_token = fencing_token - 1;
         session.scheduler.inherit_leases(InheritedLeases {
             until: inherited_until,
-            workers: record::read_lease_ends(&leases.rows, previous_token, unchanged_since),
+            workers: record::read_lease_ends(&owner.rows, previous_token, unchanged_since),
         });
         session.scheduler.inherit_waits(unchanged_since);
         session.apply_operator_view();
         session.apply_worker_rows(&workers.rows, true);
         session.restore_jobs(&jobs.rows, &progress.rows);
+        session.restore_waits(
+            record::read_waits(&owner.rows, previous_token),
+            unchanged_since,
+        );
         Ok(session)
     }
 
@@ -363,6 +373,7 @@
         let changes = self.scheduler.take_changes(now);
         let mut extra = self.take_extra_rows();
         extra.written.extend(self.lease_row(&changes, now));
+        extra.written.extend(self.wait_row(now));
         let state = self.ownership_state(true, now);
         match change::transaction(&self.lease, &changes, &extra, state) {
             Ok((transaction, record)) => {
--- a/crates/engine/src/owner/session/rows.rs
+++ b/crates/engine/src/owner/session/rows.rs
@@ -2,15 +2,15 @@
 
 use std::collections::HashMap;
 
-use redwing_jobs::JobId;
 use redwing_jobs::record::ProgressRecord;
 use redwing_jobs::worker::WorkerView;
+use redwing_jobs::{BootTime, JobId};
 use redwing_provider::TableRow;
 
 use crate::clock;
 use crate::follow::{self, TableUpdate};
 use crate::owner::record;
-use crate::row::{self, JobKey};
+use crate::row::{self, JobKey, WaitRecord};
 
 use super::OwnerSession;
 
@@ -57,6 +57,14 @@
         }
     }
 
+    /// Continues the waits of the previous owner, which were stored by the time
+    /// `stored_by`.
+    pub(super) fn restore_waits(&mut self, waits: WaitRecord, stored_by: BootTime) {
+        self.has_stored_waits = !waits.is_empty();
+        self.machines
+            .restore_moves(&mut self.scheduler, waits.moves, stored_by);
+    }
+
     pub(super) fn apply_operator_view(&mut self) {
         let view = self.dependencies.operators.borrow().clone();
         if let Some(manifest) = &view.manifest {
--- a/crates/engine/src/owner/session/store.rs
+++ b/crates/engine/src/owner/session/store.rs
@@ -10,7 +10,7 @@
 use crate::owner::change::{self, ChangeOutcome, ExtraRows, OwnershipState, StoreTimeouts};
 use crate::owner::cleanup;
 use crate::owner::record;
-use crate::row::{EncodedRow, PendingCounts};
+use crate::row::{EncodedRow, PendingCounts, WaitRecord};
 
 use super::{OwnerSession, PendingChange};
 
@@ -31,6 +31,7 @@
         extra.written.extend(self.lease_row(&changes, now));
         extra.written.extend(self.grown_capacity_row.take());
         extra.written.extend(self.next_backlog_row(now));
+        extra.written.extend(self.next_wait_row(now));
         let pending_counts = self.next_pending_counts(now);
         extra
             .written
@@ -177,6 +178,30 @@
         is_needed.then(|| record::backlog_row(&summary)).flatten()
     }
 
+    /// Returns the row of the waits, if `wait_record_interval` has elapsed and something
+    /// waits, or did when the row was last stored.
+    fn next_wait_row(&mut self, now: BootTime) -> Option<EncodedRow> {
+        let interval = self.dependencies.settings.scheduler.wait_record_interval;
+        if now.saturating_since(self.waits_stored_at) < interval {
+            return None;
+        }
+        self.waits_stored_at = now;
+        self.wait_row(now)
+    }
+
+    /// Returns the row of the waits, if something waits, or did when the row was last
+    /// stored.
+    pub(super) fn wait_row(&mut self, now: BootTime) -> Option<EncodedRow> {
+        let waits = WaitRecord {
+            fencing_token: self.lease.record.fencing_token,
+            moves: self.machines.move_waits(now),
+        };
+        let has_waits = !waits.is_empty();
+        let is_needed = has_waits || self.has_stored_waits;
+        self.has_stored_waits = has_waits;
+        is_needed.then(|| record::wait_row(&waits)).flatten()
+    }
+
     /// Returns the pending counts to store, if they changed and
     /// `pending_interval` has elapsed.
     pub(super) fn next_pending_counts(&mut self, now: BootTime) -> Option<PendingCounts> {
--- a/crates/engine/src/row.rs
+++ b/crates/engine/src/row.rs
@@ -7,6 +7,7 @@
 //! | `progress/ID` | the owner | [`ProgressRecord`](redwing_jobs::ProgressRecord) |
 //! | `owner/jobs` | the owner, and the process that claims the ownership | [`OwnerRecord`] |
 //! | `owner/leases` | the owner | [`LeaseRecord`] |
+//! | `owner/waits` | the owner | [`WaitRecord`] |
 //! | `board/pending` | the owner | [`PendingCounts`] |
 //! | `board/backlog` | the owner | [`BacklogSummary`](redwing_jobs::admission::BacklogSummary) |
 //! | `board/offer` | the owner | [`FleetCapacity`](redwing_jobs::feasibility::FleetCapacity) |
@@ -20,6 +21,7 @@
 use std::collections::BTreeMap;
 
 use redwing_jobs::JobId;
+use redwing_jobs::capacity::MoveWaits;
 use redwing_jobs::name::{QueueName, WorkerId};
 use redwing_jobs::time::WallTime;
 use redwing_provider::{RowKey, TableRow};
@@ -44,12 +46,18 @@
 /// Prefix of the maintenance records of waves.
 pub const MAINTENANCE_PREFIX: &str = "upkeep/";
 
+/// Prefix of the row of the owner, and of those that it leaves to its successor.
+pub const OWNER_PREFIX: &str = "owner/";
+
 /// Row of the owner.
 pub const OWNER_KEY: &str = "owner/jobs";
 
 /// Row of the ends of leases.
 pub const LEASE_KEY: &str = "owner/leases";
 
+/// Row of the waits.
+pub const WAIT_KEY: &str = "owner/waits";
+
 /// Row of the pending counts of queues.
 pub const PENDING_KEY: &str = "board/pending";
 
@@ -101,6 +109,25 @@
     pub remaining_ms: BTreeMap<WorkerId, u64>,
 }
 
+/// Waits that the next owner counts on, as they are with the change that writes them.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct WaitRecord {
+    /// Fencing token of the owner that wrote the row; only its successor may use it.
+    #[serde(rename = "fence")]
+    pub fencing_token: u64,
+    /// What moves of machines wait for.
+    #[serde(default)]
+    pub moves: MoveWaits,
+}
+
+impl WaitRecord {
+    /// Returns whether nothing waits.
+    pub fn is_empty(&self) -> bool {
+        self.moves.is_empty()
+    }
+}
+
 /// Mark that a job was cancelled.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(rename_all = "kebab-case")]
--- a/crates/engine/tests/maintenance/mod.rs
+++ b/crates/engine/tests/maintenance/mod.rs
@@ -2,8 +2,11 @@
 
 use std::time;
 
-use crate::common::{TestCluster, run_test};
+use crate::common::{MANIFEST, TestCluster, run_test};
 use redwing_engine::owner::OwnerSettings;
+use redwing_engine::product;
+use redwing_engine::services::MachineClient;
+use redwing_jobs::capacity::CapacitySettings;
 use redwing_jobs::maintenance::{WaveRequest, WaveState};
 use redwing_jobs::name::MachineName;
 use redwing_provider::{RowKey, TableStore, TableTransaction};
@@ -195,3 +198,40 @@
         assert_eq!(cluster.machines.orders().len(), 2, "each is ordered once");
     });
 }
+
+/// Each owner ends long before a machine has been surplus for long enough.
+#[test]
+fn a_machine_is_parked_while_a_restart_replaces_the_owners() {
+    run_test(async {
+        let mut cluster = TestCluster::start(0, time::Duration::from_millis(50)).await;
+        cluster.machines = MemoryMachines::new("workers", 3, MAINTENANCE_TIME);
+        let manifest = MANIFEST.replace(
+            r#""pools":["#,
+            r#""pools":[{"name":"spare","is-standby":true,"enforces-capacity":false},"#,
+        );
+        let row = TableTransaction::default().put(RowKey::new(product::MANIFEST_KEY), &manifest);
+        let commit = cluster.platform.commit(&row).await;
+        commit.expect("the table is up");
+        let settings = OwnerSettings {
+            capacity: CapacitySettings {
+                park_delay: time::Duration::from_secs(4),
+                ..CapacitySettings::default()
+            },
+            ..OwnerSettings::default()
+        };
+        cluster.add_process_with(0, settings.clone()).await;
+        let mut replaced = 0;
+        loop {
+            let machines = cluster.machines.list().await.expect("they are listed");
+            if machines
+                .iter()
+                .any(|machine| machine.pool.as_str() == "spare")
+            {
+                break;
+            }
+            replace_owner(&mut cluster, &settings).await;
+            replaced += 1;
+            assert!(replaced < 15, "no machine is parked");
+        }
+    });
+}
--- a/crates/jobs/src/capacity.rs
+++ b/crates/jobs/src/capacity.rs
@@ -12,13 +12,19 @@
 //!
 //! A machine with long-running tasks is never moved, and one with other
 //! tasks only after they have finished.
+//!
+//! Owners may end every few seconds. What a move waits for is stored as
+//! [`MoveWaits`], and the next owner counts on from there.
 
 use std::collections::{BTreeMap, VecDeque};
 use std::time;
 
+use serde::{Deserialize, Serialize};
+
 use crate::maintenance::WorkerLoad;
 use crate::name::{MachineName, PoolName, WorkerId};
 use crate::time::BootTime;
+use crate::wait::ElapsedWait;
 
 /// Limits and intervals of the planner.
 #[derive(Clone, Debug)]
@@ -39,6 +45,8 @@
     pub min_free_machines: u32,
     /// Time after which a move that got no response is given up.
     pub move_timeout: time::Duration,
+    /// Largest number of machines, and of pools, in stored waits.
+    pub max_waits: usize,
 }
 
 impl Default for CapacitySettings {
@@ -52,6 +60,7 @@
             park_delay: time::Duration::from_millis(1_200),
             min_free_machines: 1,
             move_timeout: time::Duration::from_secs(4),
+            max_waits: 64,
         }
     }
 }
@@ -197,6 +206,11 @@
             }
             self.required.pop_front();
         }
+        self.highest_requirement()
+    }
+
+    /// Returns the largest recorded requirement.
+    fn highest_requirement(&self) -> u64 {
         let required = self.required.iter().map(|sample| sample.cpu_millis);
         required.max().unwrap_or(0)
     }
@@ -225,11 +239,35 @@
 }
 
 /// Machine that is being emptied for a move.
-#[derive(Clone, Debug)]
-struct EmptyingMachine {
-    worker: WorkerId,
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct EmptyingMachine {
+    /// Worker on it, which gets no new tasks.
+    pub worker: WorkerId,
     /// Pool that it moves to.
-    pool: PoolName,
+    pub pool: PoolName,
+}
+
+/// What moves wait for, as stored for the next owner.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "kebab-case", default)]
+pub struct MoveWaits {
+    /// For how long machines have been surplus in their pool.
+    #[serde(skip_serializing_if = "BTreeMap::is_empty")]
+    pub surplus: BTreeMap<MachineName, ElapsedWait>,
+    /// Machines that are being emptied.
+    #[serde(skip_serializing_if = "BTreeMap::is_empty")]
+    pub emptying: BTreeMap<MachineName, EmptyingMachine>,
+    /// Highest demand for which each pool keeps its capacity, in thousandths of a core.
+    #[serde(skip_serializing_if = "BTreeMap::is_empty")]
+    pub required: BTreeMap<PoolName, u64>,
+}
+
+impl MoveWaits {
+    /// Returns whether no move waits.
+    pub fn is_empty(&self) -> bool {
+        self.surplus.is_empty() && self.emptying.is_empty()
+    }
 }
 
 /// Sizes pools by their demand.
@@ -253,6 +291,55 @@
         }
     }
 
+    /// Returns what moves wait for, to be stored for the next owner; of more machines
+    /// than are stored, those that have been surplus for longest.
+    pub fn waits(&self, now: BootTime) -> MoveWaits {
+        let limit = self.settings.max_waits;
+        let mut surplus: Vec<(BootTime, &MachineName)> = self
+            .idle_since
+            .iter()
+            .map(|(name, at)| (*at, name))
+            .collect();
+        surplus.sort();
+        let surplus = surplus.into_iter().take(limit);
+        let emptying = self.emptying.iter().take(limit);
+        let mut waits = MoveWaits {
+            surplus: surplus
+                .map(|(at, name)| (name.clone(), ElapsedWait::since(at, now)))
+                .collect(),
+            emptying: emptying
+                .map(|(name, machine)| (name.clone(), machine.clone()))
+                .collect(),
+            required: BTreeMap::new(),
+        };
+        if !waits.is_empty() {
+            let pools = self.history.iter().take(limit);
+            let required =
+                pools.map(|(name, history)| (name.clone(), history.highest_requirement()));
+            waits.required = required.filter(|(_, required)| *required > 0).collect();
+        }
+        waits
+    }
+
+    /// Continues the waits of an earlier owner, which were stored by the time
+    /// `stored_by`; returns the actions that keep machines empty.
+    pub fn restore(&mut self, waits: MoveWaits, stored_by: BootTime) -> Vec<CapacityAction> {
+        for (name, wait) in waits.surplus {
+            self.idle_since.insert(name, wait.began(stored_by));
+        }
+        for (name, cpu_millis) in waits.required {
+            let sample = RequirementSample {
+                at: stored_by,
+                cpu_millis,
+            };
+            let history = self.history.entry(name).or_default();
+            history.required.push_back(sample);
+        }
+        self.emptying = waits.emptying;
+        let workers = self.emptying.values().map(|machine| machine.worker.clone());
+        workers.map(CapacityAction::Prepare).collect()
+    }
+
     /// Handles the response to a move.
     pub fn handle_move_response(&mut self, machine: &MachineName) {
         self.ordered.remove(machine);
@@ -491,8 +578,11 @@
     ) {
         let standby = balances.iter().find(|(_, balance)| balance.is_standby);
         let Some(standby) = standby.map(|(name, _)| name.clone()) else {
+            self.idle_since.clear();
             return;
         };
+        self.idle_since
+            .retain(|name, _| machines.contains_key(name));
         for (name, machine) in machines {
             let Some(balance) = balances.get(&machine.pool).copied() else {
                 continue;
--- a/crates/jobs/tests/capacity.rs
+++ b/crates/jobs/tests/capacity.rs
@@ -117,6 +117,15 @@
         machine.worker = None;
     }
 
+    /// Replaces the planner by that of a new owner, which has only the stored waits.
+    fn take_over(&mut self) -> Vec<CapacityAction> {
+        let waits = self.planner.waits(self.now);
+        let text = serde_json::to_string(&waits).expect("they are written");
+        let waits = serde_json::from_str(&text).expect("they are read");
+        self.planner = CapacityPlanner::new(CapacitySettings::default());
+        self.planner.restore(waits, self.now)
+    }
+
     fn advance(&mut self, duration: time::Duration) {
         let end = self.now + duration;
         while self.now < end {
@@ -274,3 +283,62 @@
         pools.machine_count("builders")
     );
 }
+
+/// Owners end every second, before a machine has been surplus for long enough.
+#[test]
+fn a_surplus_machine_is_parked_although_owners_change() {
+    let mut pools = FakePools::new(&[("builders", 9), ("spare", 2)]);
+    for _ in 0..3 {
+        pools.advance(time::Duration::from_secs(1));
+        pools.take_over();
+    }
+    assert_eq!(pools.machine_count("builders"), 1);
+}
+
+/// The next owner has no demand history of its own; the demand before the change of
+/// owners still keeps the machines in their pool.
+#[test]
+fn a_new_owner_parks_no_machine_that_was_needed_lately() {
+    let mut pools = FakePools::new(&[("builders", 6), ("spare", 2)]);
+    pools.demand("builders").running = 4 * MACHINE_CPU_MILLIS;
+    pools.advance(time::Duration::from_secs(1));
+    pools.take_over();
+    pools.demand("builders").running = 0;
+    pools.advance(time::Duration::from_secs(1));
+    assert_eq!(pools.machine_count("builders"), 4);
+}
+
+/// Owners change while a machine is emptied: it stays blocked and moves once it is
+/// empty, although another machine has fewer tasks by then.
+#[test]
+fn a_machine_that_is_being_emptied_moves_although_owners_change() {
+    let mut pools = FakePools::new(&[("builders", 1), ("printers", 4)]);
+    for number in 0..4 {
+        pools.load(&format!("printers-{number}")).finite = 2;
+    }
+    pools.load("printers-2").finite = 1;
+    pools.demand("builders").waiting = 2 * MACHINE_CPU_MILLIS;
+    let worker = WorkerId::new("printers-2");
+    let prepared = [CapacityAction::Prepare(worker)];
+    assert_eq!(pools.plan(), prepared);
+    pools.load("printers-1").finite = 0;
+    pools.load("printers-1").long_running = 1;
+    for number in [0, 3] {
+        pools.load(&format!("printers-{number}")).finite = 1;
+    }
+    assert_eq!(pools.take_over(), prepared);
+    assert_eq!(pools.plan(), []);
+    pools.load("printers-2").finite = 0;
+    pools.plan();
+    let moves: Vec<&str> = pools.moves.iter().map(|(name, _)| name.as_str()).collect();
+    assert_eq!(moves, ["printers-2"]);
+}
+
+/// The stored waits are bounded whatever the number of machines.
+#[test]
+fn waits_of_many_machines_are_bounded() {
+    let mut pools = FakePools::new(&[("builders", 300), ("spare", 2)]);
+    pools.advance(time::Duration::from_secs(1));
+    let waits = pools.planner.waits(pools.now);
+    assert_eq!(waits.surplus.len(), 64);
+}
