Go on to empty the workers that the previous owner emptied for a wave

Cause: only the memory of an owner had which workers it was emptying. A successor let them get tasks again and chose anew, by the tasks of that moment; with owners that end every few seconds a worker with longer tasks was never empty before the end of the wave's time.

Change: the record of a wave names the machines that are being emptied with their workers, once a second, with the other changes of the record and with a release. A successor blocks these workers as soon as it knows them and goes on with these machines; one that has another worker by then is released and chosen anew, as before.

Not changed: a new owner moves long-running tasks with a budget off a worker only after each worker of the step has responded to it for 1 s, because a stop order of the previous owner may still take effect until then.

Evidence: a_new_owner_goes_on_to_empty_the_workers_that_its_predecessor_emptied failed (w1 and w2 prepared instead of w0 and w1) and passes.

--- a/crates/engine/src/owner/machines.rs
+++ b/crates/engine/src/owner/machines.rs
@@ -251,8 +251,8 @@
     }
 
     /// Continues the waits of an earlier owner, which were stored by the time
-    /// `stored_by`; the workers must be listed already.
-    pub(super) fn restore_moves(
+    /// `stored_by`, with the waves that were added; the workers must be listed already.
+    pub(super) fn restore_waits(
         &mut self,
         scheduler: &mut JobScheduler,
         waits: MoveWaits,
@@ -261,6 +261,9 @@
         for action in self.capacity_planner.restore(waits, stored_by) {
             self.apply_capacity_action(scheduler, action);
         }
+        for worker in self.wave_planner.prepared_workers() {
+            scheduler.block_worker(worker, true);
+        }
     }
 
     fn pool_machines(&self, scheduler: &JobScheduler) -> BTreeMap<MachineName, PoolMachine> {
@@ -403,8 +406,8 @@
         self.rows.push(row);
     }
 
-    /// Adds the records of the waves with machines that are down to the next rows, the
-    /// last ones of this owner.
+    /// Adds the records of the waves with machines that are being emptied or down to the
+    /// next rows, the last ones of this owner.
     pub(super) fn prepare_release(&mut self, now: BootTime) {
         for wave in self.wave_planner.prepare_release(now) {
             self.add_wave_record(wave);
--- a/crates/engine/src/owner/session/rows.rs
+++ b/crates/engine/src/owner/session/rows.rs
@@ -62,7 +62,7 @@
     pub(super) fn restore_waits(&mut self, waits: WaitRecord, stored_by: BootTime) {
         self.has_stored_waits = !waits.is_empty();
         self.machines
-            .restore_moves(&mut self.scheduler, waits.moves, stored_by);
+            .restore_waits(&mut self.scheduler, waits.moves, stored_by);
     }
 
     pub(super) fn apply_operator_view(&mut self) {
--- a/crates/jobs/src/maintenance/mod.rs
+++ b/crates/jobs/src/maintenance/mod.rs
@@ -8,8 +8,9 @@
 //!
 //! Load pattern: a wave over half of the fleet while demand exceeds capacity.
 //! The machines with the fewest tasks left go first, so that little waiting is
-//! needed and no work is lost. Owners may end while a machine is down; the time for
-//! which it has been down is stored, and the next owner counts on from there.
+//! needed and no work is lost. Owners may end meanwhile: which machines are being
+//! emptied and how long others have been down is stored, and the next owner goes on
+//! from there.
 
 mod wave;
 
@@ -63,6 +64,9 @@
     /// Machines whose maintenance has begun, and how long ago.
     #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
     pub down: BTreeMap<MachineName, ElapsedWait>,
+    /// Machines whose workers were being emptied, with these.
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    pub prepared: BTreeMap<MachineName, WorkerId>,
 }
 
 impl MaintenanceRecord {
@@ -140,7 +144,8 @@
     pub prepared_ahead: u32,
     /// Part of the wave's time that is kept in reserve.
     pub reserve: time::Duration,
-    /// Time after which the times for which machines have been down are stored again.
+    /// Time after which it is stored again which machines are being emptied and how long
+    /// others have been down.
     pub record_interval: time::Duration,
 }
 
@@ -215,8 +220,14 @@
         self.waves.get(&wave).map(WaveEntry::record)
     }
 
-    /// Updates what the records state of machines that are down, for the last change of
-    /// an owner; returns the waves whose records are to be stored for that.
+    /// Returns the workers that are being emptied for maintenance.
+    pub fn prepared_workers(&self) -> impl Iterator<Item = &WorkerId> {
+        self.waves.values().flat_map(WaveEntry::prepared_workers)
+    }
+
+    /// Updates what the records state of machines that are being emptied or down, for
+    /// the last change of an owner; returns the waves whose records are to be stored
+    /// for that.
     pub fn prepare_release(&mut self, now: BootTime) -> Vec<u64> {
         let mut updated = Vec::new();
         for (wave, entry) in &mut self.waves {
--- a/crates/jobs/src/maintenance/wave.rs
+++ b/crates/jobs/src/maintenance/wave.rs
@@ -95,8 +95,10 @@
     released_workers: Vec<WorkerId>,
     /// Whether the latest progress was passed on to be stored.
     is_reported: bool,
-    /// When the times for which machines have been down were last passed on.
-    down_recorded_at: BootTime,
+    /// When the progress was last passed on.
+    reported_at: BootTime,
+    /// Workers that an earlier owner had blocked.
+    blocked_workers: Vec<WorkerId>,
 }
 
 impl WaveEntry {
@@ -127,9 +129,11 @@
             started_at,
             released_workers: Vec::new(),
             is_reported: false,
-            down_recorded_at: BootTime::default(),
+            reported_at: BootTime::default(),
+            blocked_workers: Vec::new(),
         };
         entry.add_requested_machines();
+        entry.restore_prepared();
         entry
     }
 
@@ -163,6 +167,18 @@
         }
     }
 
+    /// Goes on with the machines that an earlier owner was emptying.
+    fn restore_prepared(&mut self) {
+        for (name, worker) in &self.record.prepared {
+            let entry = self.machines.get_mut(name);
+            let entry = entry.filter(|entry| entry.stage == MachineStage::Waiting);
+            if let Some(entry) = entry {
+                entry.stage = MachineStage::Prepared(Some(worker.clone()));
+                self.blocked_workers.push(worker.clone());
+            }
+        }
+    }
+
     pub(super) fn record(&self) -> &MaintenanceRecord {
         &self.record
     }
@@ -210,6 +226,8 @@
     ) {
         let released_workers = self.released_workers.drain(..);
         actions.extend(released_workers.map(MaintenanceAction::Release));
+        let blocked_workers = self.blocked_workers.drain(..);
+        actions.extend(blocked_workers.map(MaintenanceAction::Prepare));
         if !statuses.is_empty() {
             self.update_stages(settings, statuses, now);
             self.prepare_machines(settings, statuses, now, actions);
@@ -217,9 +235,9 @@
             self.order_absent(settings, now, actions);
             self.repeat_orders(settings, now, actions);
         }
-        if !self.is_reported || self.has_old_down_times(settings, now) {
+        if !self.is_reported || self.has_old_waits(settings, now) {
             self.is_reported = true;
-            self.record_down_times(now);
+            self.record_waits(now);
             actions.push(MaintenanceAction::Store {
                 wave: self.request.number,
                 state: self.state(),
@@ -227,25 +245,32 @@
         }
     }
 
-    /// Returns whether machines are down and the stored times for which they have been
-    /// are to be stored again.
-    fn has_old_down_times(&self, settings: &MaintenanceSettings, now: BootTime) -> bool {
-        let elapsed = now.saturating_since(self.down_recorded_at);
-        elapsed >= settings.record_interval && self.down_since().next().is_some()
+    /// Returns whether machines are being emptied or down, and what is stored of them is
+    /// to be stored again.
+    fn has_old_waits(&self, settings: &MaintenanceSettings, now: BootTime) -> bool {
+        now.saturating_since(self.reported_at) >= settings.record_interval && self.has_waits()
     }
 
-    /// Updates the times for which machines have been down; returns whether there are
-    /// any.
+    fn has_waits(&self) -> bool {
+        self.down_since().next().is_some() || self.prepared().next().is_some()
+    }
+
+    /// Updates what the record states of machines that are being emptied or down;
+    /// returns whether there are any.
     pub(super) fn prepare_release(&mut self, now: BootTime) -> bool {
-        self.record_down_times(now);
-        !self.record.down.is_empty()
+        self.record_waits(now);
+        self.has_waits()
     }
 
-    fn record_down_times(&mut self, now: BootTime) {
+    fn record_waits(&mut self, now: BootTime) {
         let down = self.down_since();
         let down = down.map(|(name, since)| (name.clone(), ElapsedWait::since(since, now)));
-        self.record.down = down.collect();
-        self.down_recorded_at = now;
+        let down = down.collect();
+        let prepared = self.prepared();
+        let prepared = prepared.map(|(name, worker)| (name.clone(), worker.clone()));
+        self.record.prepared = prepared.collect();
+        self.record.down = down;
+        self.reported_at = now;
     }
 
     /// Returns the machines whose maintenance has begun, and since when.
@@ -257,6 +282,19 @@
         })
     }
 
+    /// Returns the machines whose workers are being emptied, with these.
+    fn prepared(&self) -> impl Iterator<Item = (&MachineName, &WorkerId)> {
+        let machines = self.machines.iter();
+        machines.filter_map(|(name, entry)| match &entry.stage {
+            MachineStage::Prepared(Some(worker)) => Some((name, worker)),
+            _ => None,
+        })
+    }
+
+    pub(super) fn prepared_workers(&self) -> impl Iterator<Item = &WorkerId> {
+        self.prepared().map(|(_, worker)| worker)
+    }
+
     fn state(&self) -> WaveState {
         if self.remaining_count() == 0 {
             WaveState::Completed
--- a/crates/jobs/tests/maintenance.rs
+++ b/crates/jobs/tests/maintenance.rs
@@ -1,6 +1,6 @@
 //! Waves of maintenance.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time;
 
 use redwing_jobs::BootTime;
@@ -368,3 +368,31 @@
     let written = serde_json::to_string(&record).expect("it is written");
     assert_eq!(written, text);
 }
+
+/// Owners change while the workers of two machines are emptied, the number that is
+/// prepared; others have fewer tasks by then.
+#[test]
+fn a_new_owner_goes_on_to_empty_the_workers_that_its_predecessor_emptied() {
+    let mut machines = FakeMachines::new(4);
+    for number in 0..4 {
+        machines.load(number).finite = 3;
+    }
+    machines.add_wave(&wave_request(4, 1), None);
+    machines.advance(time::Duration::from_millis(1_500));
+    machines.load(2).finite = 1;
+    machines.load(3).finite = 1;
+    machines.prepared_workers.clear();
+    machines.planner = WavePlanner::new(MaintenanceSettings::default());
+    let record = machines.stored.clone();
+    machines.add_wave(&wave_request(4, 1), Some(record));
+    machines.load(1).finite = 0;
+    machines.advance(PLAN_INTERVAL);
+    let prepared: BTreeSet<&str> = machines
+        .prepared_workers
+        .iter()
+        .map(WorkerId::as_str)
+        .collect();
+    assert_eq!(prepared, BTreeSet::from(["w0", "w1"]));
+    let maintained: Vec<_> = machines.maintenance_counts.keys().collect();
+    assert_eq!(maintained, [&machine_name(1)]);
+}
