Keep what the advisor has decided across owners

Cause: only the memory of an owner had permits and denials. A successor asked again for each worker, one request at a time, and a step waited for the advisor with each owner anew.

Change: `owner/waits` has the permits and denials of steps of waiting jobs, for at most 64 workers, with tickets of at most 512 bytes. A permit must not count as valid for longer than it is; how long its row was on its way is not known, so it counts for 1 s less. A worker rejects an expired one in any case.

Not changed: the response to a request that is under way when its owner ends is lost.

Evidence: permits_and_denials_of_the_advisor_outlive_the_owner failed (all three workers were asked for again) and a_permit_that_may_have_expired_is_requested_again failed (a denied worker was asked for again); both pass. FakeFleet hands permits on.

--- a/crates/engine/src/owner/session/rows.rs
+++ b/crates/engine/src/owner/session/rows.rs
@@ -62,6 +62,7 @@
     pub(super) fn restore_waits(&mut self, waits: WaitRecord, stored_by: BootTime) {
         self.stored_waits = waits.clone();
         self.scheduler.restore_health(&waits.health, stored_by);
+        self.scheduler.restore_advice(&waits.advice, stored_by);
         self.machines
             .restore_waits(&mut self.scheduler, waits.moves, stored_by);
     }
--- a/crates/engine/src/owner/session/store.rs
+++ b/crates/engine/src/owner/session/store.rs
@@ -195,6 +195,7 @@
             fencing_token: self.lease.record.fencing_token,
             moves: self.machines.move_waits(now),
             health: self.scheduler.fleet_health(now),
+            advice: self.scheduler.stored_advice(now),
         };
         if waits == self.stored_waits || (waits.is_empty() && self.stored_waits.is_empty()) {
             return None;
--- a/crates/engine/src/row.rs
+++ b/crates/engine/src/row.rs
@@ -23,7 +23,7 @@
 use redwing_jobs::JobId;
 use redwing_jobs::capacity::MoveWaits;
 use redwing_jobs::name::{QueueName, WorkerId};
-use redwing_jobs::scheduler::FleetHealth;
+use redwing_jobs::scheduler::{FleetHealth, StoredAdvice};
 use redwing_jobs::time::WallTime;
 use redwing_provider::{RowKey, TableRow};
 use serde::de::DeserializeOwned;
@@ -123,12 +123,15 @@
     /// Workers that get no new tasks or have failed runs.
     #[serde(default, skip_serializing_if = "FleetHealth::is_empty")]
     pub health: FleetHealth,
+    /// Permits and denials of the advisor.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub advice: Vec<StoredAdvice>,
 }
 
 impl WaitRecord {
     /// Returns whether nothing waits.
     pub fn is_empty(&self) -> bool {
-        self.moves.is_empty() && self.health.is_empty()
+        self.moves.is_empty() && self.health.is_empty() && self.advice.is_empty()
     }
 }
 
--- a/crates/jobs/src/scheduler/advice.rs
+++ b/crates/jobs/src/scheduler/advice.rs
@@ -3,13 +3,18 @@
 //! On some queues only an advisor decides which workers may run a step. It
 //! accepts one request at a time and responds after a delay for each worker
 //! in it, so requests name few workers, and permits are reused until they expire.
+//! Owners may end every few seconds; what the advisor has decided is stored for the
+//! next one.
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::fmt;
 use std::time;
 
+use serde::{Deserialize, Serialize};
+
 use crate::name::{JobId, WorkerId};
 use crate::time::BootTime;
+use crate::wait::RemainingWait;
 
 use super::JobScheduler;
 use super::placement::PlacementCandidate;
@@ -23,8 +28,12 @@
 /// Time after which a request that got no response is repeated.
 const RESPONSE_TIMEOUT: time::Duration = time::Duration::from_secs(3);
 
+/// Length of the longest ticket that is stored for the next owner, in bytes.
+const MAX_STORED_TICKET_BYTES: usize = 512;
+
 /// Step of a job in one of its occurrences, written `JOB.OCCURRENCE.STEP`.
-#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+#[derive(Clone, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+#[serde(rename_all = "kebab-case")]
 pub struct StepId {
     /// Job of the step.
     pub job: JobId,
@@ -40,6 +49,35 @@
     }
 }
 
+/// Permit, as stored for the next owner.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct StoredPermit {
+    /// The worker.
+    pub worker: WorkerId,
+    /// Incarnation of the worker.
+    #[serde(rename = "born")]
+    pub incarnation: u64,
+    /// Ticket that start orders to the worker must carry.
+    pub ticket: String,
+    /// Time for which it is valid.
+    pub valid: RemainingWait,
+}
+
+/// Permits and denials of a step, as stored for the next owner.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct StoredAdvice {
+    /// The step.
+    pub step: StepId,
+    /// Its permits.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub permits: Vec<StoredPermit>,
+    /// Workers that may not run it.
+    #[serde(default, skip_serializing_if = "BTreeSet::is_empty")]
+    pub denied: BTreeSet<WorkerId>,
+}
+
 /// Request to the advisor.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct AdviceRequest {
@@ -84,6 +122,27 @@
     denied: BTreeSet<WorkerId>,
 }
 
+impl StepAdvice {
+    /// Returns the permits that are still valid and short enough to be stored, by worker.
+    fn valid_permits(&self, now: BootTime) -> Vec<StoredPermit> {
+        let permits = self.permits.iter();
+        let valid = permits.filter(|(_, permit)| {
+            permit.valid_until > now + PERMIT_MARGIN
+                && permit.ticket.len() <= MAX_STORED_TICKET_BYTES
+        });
+        let mut valid: Vec<StoredPermit> = valid
+            .map(|(worker, permit)| StoredPermit {
+                worker: worker.clone(),
+                incarnation: permit.incarnation,
+                ticket: permit.ticket.clone(),
+                valid: RemainingWait::until(permit.valid_until, now),
+            })
+            .collect();
+        valid.sort_by(|one, other| one.worker.cmp(&other.worker));
+        valid
+    }
+}
+
 /// Permits of all steps, and the requests to send.
 #[derive(Debug, Default)]
 pub(super) struct AdviceCache {
@@ -193,6 +252,56 @@
         advice.denied.extend(denied.cloned());
     }
 
+    /// Returns the permits and denials of the steps of waiting jobs, to be stored for the
+    /// next owner, for as many workers as are stored.
+    pub fn stored_advice(&self, now: BootTime) -> Vec<StoredAdvice> {
+        let mut left = self.settings.max_stored_advice;
+        let mut stored = Vec::new();
+        for (step, advice) in &self.advice.steps {
+            let job = self.jobs.get(&step.job);
+            if job.is_none_or(|job| job.smallest_need().is_none()) {
+                continue;
+            }
+            let mut permits = advice.valid_permits(now);
+            permits.truncate(left);
+            left -= permits.len();
+            let denied: BTreeSet<WorkerId> = advice.denied.iter().take(left).cloned().collect();
+            left -= denied.len();
+            if !permits.is_empty() || !denied.is_empty() {
+                stored.push(StoredAdvice {
+                    step: step.clone(),
+                    permits,
+                    denied,
+                });
+            }
+        }
+        stored
+    }
+
+    /// Restores the permits and denials that an earlier owner had stored by the time
+    /// `stored_by`; the jobs must be restored already.
+    ///
+    /// Permits count as expired earlier than they are, by the time for which the row
+    /// may have been on its way. A worker rejects a start with an expired permit.
+    pub fn restore_advice(&mut self, advice: &[StoredAdvice], stored_by: BootTime) {
+        let delay = self.settings.max_row_delay;
+        for stored in advice {
+            if !self.jobs.contains_key(&stored.step.job) {
+                continue;
+            }
+            let step = self.advice.steps.entry(stored.step.clone()).or_default();
+            step.denied.clone_from(&stored.denied);
+            for permit in &stored.permits {
+                let cached = CachedPermit {
+                    ticket: permit.ticket.clone(),
+                    incarnation: permit.incarnation,
+                    valid_until: permit.valid.earliest_end(stored_by, delay),
+                };
+                step.permits.insert(permit.worker.clone(), cached);
+            }
+        }
+    }
+
     /// Returns whether an advisor must permit the workers of a job.
     pub(super) fn is_advised(&self, job: &JobId) -> bool {
         let job = self.jobs.get(job);
--- a/crates/jobs/src/scheduler/mod.rs
+++ b/crates/jobs/src/scheduler/mod.rs
@@ -69,7 +69,7 @@
 use shares::PoolUsage;
 use waiting::WaitingJobs;
 
-pub use advice::{AdviceRequest, AdviceResponse, StepId, WorkerPermit};
+pub use advice::{AdviceRequest, AdviceResponse, StepId, StoredAdvice, StoredPermit, WorkerPermit};
 pub use changes::{ChangeSet, ProgressRow};
 pub use health::{FleetHealth, WorkerHealth};
 pub use lease::{InheritedLeases, PreviousOwner};
@@ -115,6 +115,12 @@
     pub max_stalled_rows: usize,
     /// Largest number of workers whose health is stored for the next owner.
     pub max_stored_health: usize,
+    /// Largest number of workers whose permits and denials are stored for the next
+    /// owner.
+    pub max_stored_advice: usize,
+    /// Longest time from a change until it is known to be stored, where a stored time
+    /// must not count as longer than it is.
+    pub max_row_delay: time::Duration,
     /// Longest time that a worker may wait for a run to end before it responds
     /// to a lease renewal.
     pub max_renewal_wait: time::Duration,
@@ -161,6 +167,8 @@
             wait_record_interval: time::Duration::from_millis(1_000),
             max_stalled_rows: 16,
             max_stored_health: 64,
+            max_stored_advice: 64,
+            max_row_delay: time::Duration::from_millis(1_000),
             max_renewal_wait: time::Duration::from_millis(1_000),
             renewal_batch_delay: time::Duration::from_millis(25),
             renewal_retry_delay: time::Duration::from_millis(300),
--- a/crates/jobs/src/wait.rs
+++ b/crates/jobs/src/wait.rs
@@ -53,4 +53,11 @@
     pub fn end(self, stored_by: BootTime) -> BootTime {
         stored_by + time::Duration::from_millis(self.0)
     }
+
+    /// Returns when the wait ends, by our clock, or an earlier time, if the row was
+    /// stored at most `max_delay` before `stored_by`.
+    pub fn earliest_end(self, stored_by: BootTime, max_delay: time::Duration) -> BootTime {
+        let end = self.end(stored_by).as_millis();
+        BootTime::from_millis(end.saturating_sub(max_delay.as_millis() as u64))
+    }
 }
--- a/crates/jobs/tests/common/mod.rs
+++ b/crates/jobs/tests/common/mod.rs
@@ -412,7 +412,8 @@
     }
 
     /// Replaces the scheduler by that of a new owner, which starts from the
-    /// stored rows, with the health of workers as of now, and the list of workers only.
+    /// stored rows, with the health of workers and the permits as of now, and the list of
+    /// workers only.
     pub(crate) fn take_over(&mut self, settings: SchedulerSettings) {
         self.fencing_token += 1;
         let inherited = InheritedLeases {
@@ -420,6 +421,7 @@
             workers: std::mem::take(&mut self.lease_ends),
         };
         let health = self.scheduler.fleet_health(self.now);
+        let advice = self.scheduler.stored_advice(self.now);
         let mut scheduler = JobScheduler::new(settings, self.fencing_token);
         scheduler.inherit_leases(inherited);
         scheduler.set_manifest(sync::Arc::new(manifest()));
@@ -432,6 +434,7 @@
             }
         }
         scheduler.restore_health(&health, self.now);
+        scheduler.restore_advice(&advice, self.now);
         self.scheduler = scheduler;
     }
 
--- a/crates/jobs/tests/takeover.rs
+++ b/crates/jobs/tests/takeover.rs
@@ -2,13 +2,14 @@
 
 mod common;
 
+use std::sync;
 use std::time;
 
 use common::{FakeFleet, step_spec, task_id};
 use redwing_jobs::scheduler::PreviousOwner;
 use redwing_jobs::spec::StepSpec;
 use redwing_jobs::worker::OrderAction;
-use redwing_jobs::{BootTime, SchedulerSettings};
+use redwing_jobs::{BootTime, JobManifest, JobState, SchedulerSettings, WorkerId};
 use rstest::rstest;
 
 fn fleet_of(count: usize) -> FakeFleet {
@@ -374,3 +375,53 @@
     fleet.advance(500);
     assert_eq!(fleet.starts.len(), 4, "k starts at once");
 }
+
+/// Returns a manifest with a queue on which an advisor decides.
+fn advised_manifest(version: u64) -> sync::Arc<JobManifest> {
+    let mut parts = common::manifest_parts_with_limit(0);
+    parts.version = version;
+    for queue in &mut parts.queues {
+        queue.is_advised = true;
+    }
+    sync::Arc::new(JobManifest::from(parts))
+}
+
+/// The advisor is slow; the next owner does not ask it again for what it has decided.
+#[test]
+fn permits_and_denials_of_the_advisor_outlive_the_owner() {
+    let mut fleet = FakeFleet::of_size(3, 1_000);
+    fleet.scheduler.set_manifest(advised_manifest(2));
+    fleet.permitted_worker = Some(WorkerId::new("w1"));
+    let job = fleet.submit("j", vec![step_spec(2, 1_000)], 1_500);
+    fleet.advance(500);
+    assert_eq!(fleet.starts.len(), 1);
+    fleet.advice_requests.clear();
+    fleet.take_over(SchedulerSettings::default());
+    fleet.scheduler.set_manifest(advised_manifest(2));
+    fleet.advance(1_200);
+    assert_eq!(
+        fleet.starts.len(),
+        2,
+        "the second task starts after the first"
+    );
+    assert_eq!(fleet.advice_requests, []);
+    fleet.advance(2_000);
+    assert_eq!(fleet.state(&job), JobState::Completed);
+}
+
+/// A stored permit may have been on its way for a while: it counts for less, not more.
+#[test]
+fn a_permit_that_may_have_expired_is_requested_again() {
+    let mut fleet = FakeFleet::of_size(2, 1_000);
+    fleet.scheduler.set_manifest(advised_manifest(2));
+    fleet.permitted_worker = Some(WorkerId::new("w1"));
+    fleet.submit("j", vec![step_spec(2, 1_000)], 2_000);
+    fleet.advance(1_900);
+    fleet.advice_requests.clear();
+    fleet.take_over(SchedulerSettings::default());
+    fleet.scheduler.set_manifest(advised_manifest(2));
+    fleet.advance(500);
+    assert_eq!(fleet.starts.len(), 2);
+    assert_eq!(fleet.advice_requests.len(), 1);
+    assert_eq!(fleet.advice_requests[0].workers, [WorkerId::new("w1")]);
+}
