Store the ends of the leases of up to 2,048 lost workers

Cause: `owner/leases` named at most 256 workers. When a data centre is lost (8,300 workers in 6 of them, about 1,400 each) while owners end every few seconds, the tasks of the others waited for a whole lease anew with each owner.

Change: at most 2,048 workers. The row has 40,987 bytes then with ids of 12 characters, written as before once a second while workers are lost, thus for the 5.4 s until their leases have expired. Older code reads a row of any size.

Evidence: many_lost_workers_do_not_wait_anew_with_each_owner failed with 1,400 workers (1,656 of 2,800 starts after three owners) and passed with 2,048; the test has 600, because 1,400 take 6 s.

--- a/crates/jobs/src/scheduler/mod.rs
+++ b/crates/jobs/src/scheduler/mod.rs
@@ -162,7 +162,7 @@
             lease_margin: time::Duration::from_millis(300),
             lease_record_delay: time::Duration::from_millis(1_000),
             lease_record_interval: time::Duration::from_millis(1_000),
-            max_lease_ends: 256,
+            max_lease_ends: 2_048,
             wait_record_delay: time::Duration::from_millis(1_000),
             wait_record_interval: time::Duration::from_millis(1_000),
             max_stalled_rows: 16,
--- a/crates/jobs/tests/takeover.rs
+++ b/crates/jobs/tests/takeover.rs
@@ -425,3 +425,27 @@
     assert_eq!(fleet.advice_requests.len(), 1);
     assert_eq!(fleet.advice_requests[0].workers, [WorkerId::new("w1")]);
 }
+
+/// A data centre is lost with its workers while owners end every 2 s.
+#[test]
+fn many_lost_workers_do_not_wait_anew_with_each_owner() {
+    const LOST: u32 = 600;
+    let mut fleet = fleet_of(2 * LOST as usize);
+    fleet.submit("j", vec![step_spec(LOST, 8_000)], 60_000);
+    fleet.advance(500);
+    let lost_at = fleet.now;
+    let lost: Vec<WorkerId> = fleet.starts.iter().map(|start| start.2.clone()).collect();
+    assert_eq!(lost.len(), LOST as usize);
+    for worker in &lost {
+        fleet.worker(worker.as_str()).is_unresponsive = true;
+    }
+    for _ in 0..3 {
+        fleet.advance(2_000);
+        fleet.take_over(SchedulerSettings::default());
+    }
+    assert_eq!(fleet.starts.len(), 2 * lost.len());
+    let latest = fleet.starts.iter().map(|start| start.3).max();
+    let wait = latest.map(|at| at.saturating_since(lost_at));
+    assert!(wait < Some(time::Duration::from_millis(5_600)), "{wait:?}");
+    fleet.assert_no_double_run();
+}
