Store the ends of the leases of workers that blink together

Cause: `owner/leases` was stored at once each time that another worker had not responded for a second, or responded again. With many workers that blink one after the other that was a change in nearly each tick.

Change: such a change follows the one before it by 200 ms at least. A worker that responds again within that time gets its next lease by as much later, as before only once the row without it is stored. A release stores the row in any case.

--- a/crates/jobs/src/scheduler/lease.rs
+++ b/crates/jobs/src/scheduler/lease.rs
@@ -10,7 +10,7 @@
 use crate::time::BootTime;
 
 use super::fleet::ContactState;
-use super::lease_ledger::LeaseEnds;
+use super::lease_ledger::{LeaseEnds, RecordPace};
 use super::{JobScheduler, RunEndReason, SchedulerEvent, SchedulerSettings};
 
 /// What a new owner knows of the one before it.
@@ -126,8 +126,11 @@
     pub(super) fn update_lease_ends(&mut self, now: BootTime) {
         let delay = self.settings.lease_record_delay;
         let ends = self.lease_ends(|awaited_since| now.saturating_since(awaited_since) >= delay);
-        let interval = self.settings.lease_record_interval;
-        self.lease_ledger.update(ends, interval, now);
+        let pace = RecordPace {
+            batch_delay: self.settings.lease_record_batch_delay,
+            interval: self.settings.lease_record_interval,
+        };
+        self.lease_ledger.update(ends, pace, now);
     }
 
     /// Includes the ends of the leases of all unresponsive workers, and the times
@@ -135,7 +138,7 @@
     pub fn prepare_release(&mut self, now: BootTime) {
         self.mark_stalled(now);
         let ends = self.lease_ends(|_| true);
-        self.lease_ledger.update(ends, time::Duration::ZERO, now);
+        self.lease_ledger.update(ends, RecordPace::default(), now);
     }
 
     /// Returns the ends of the leases of workers with runs that do not respond, of
--- a/crates/jobs/src/scheduler/lease_ledger.rs
+++ b/crates/jobs/src/scheduler/lease_ledger.rs
@@ -14,6 +14,15 @@
 use crate::name::WorkerId;
 use crate::time::BootTime;
 
+/// How often the ends of leases are stored.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct RecordPace {
+    /// Shortest time between two versions of the row.
+    pub(super) batch_delay: time::Duration,
+    /// Time after which the row is stored again with the time left.
+    pub(super) interval: time::Duration,
+}
+
 /// Ends of the leases of workers that do not respond.
 pub type LeaseEnds = BTreeMap<WorkerId, BootTime>;
 
@@ -50,10 +59,11 @@
 
     /// Sets the ends that the row is to state. It is stored when it names other
     /// workers, and at each interval, because it has the time left when it is stored.
-    pub(super) fn update(&mut self, ends: LeaseEnds, interval: time::Duration, now: BootTime) {
-        let has_changed = !ends.keys().eq(self.recorded.keys());
-        let is_old = now.saturating_since(self.recorded_at) >= interval;
-        self.is_due = has_changed || (!ends.is_empty() && is_old);
+    /// Workers that blink one after the other are stored together.
+    pub(super) fn update(&mut self, ends: LeaseEnds, pace: RecordPace, now: BootTime) {
+        let age = now.saturating_since(self.recorded_at);
+        let has_changed = !ends.keys().eq(self.recorded.keys()) && age >= pace.batch_delay;
+        self.is_due = has_changed || (!ends.is_empty() && age >= pace.interval);
         self.wanted = ends;
     }
 
--- a/crates/jobs/src/scheduler/mod.rs
+++ b/crates/jobs/src/scheduler/mod.rs
@@ -101,6 +101,9 @@
     /// How long a worker with runs is unresponsive before the end of its leases is
     /// stored for the next owner.
     pub lease_record_delay: time::Duration,
+    /// Shortest time between two changes that store the ends of leases because other
+    /// workers respond or do not.
+    pub lease_record_batch_delay: time::Duration,
     /// Time after which the stored ends of leases are stored again with the time left.
     pub lease_record_interval: time::Duration,
     /// Largest number of workers whose ends of leases are stored.
@@ -161,6 +164,7 @@
             max_clock_drift: 0.02,
             lease_margin: time::Duration::from_millis(300),
             lease_record_delay: time::Duration::from_millis(1_000),
+            lease_record_batch_delay: time::Duration::from_millis(200),
             lease_record_interval: time::Duration::from_millis(1_000),
             max_lease_ends: 2_048,
             wait_record_delay: time::Duration::from_millis(1_000),
--- a/crates/jobs/tests/common/mod.rs
+++ b/crates/jobs/tests/common/mod.rs
@@ -43,6 +43,8 @@
     pub(crate) rows: BTreeMap<JobId, ProgressRecord>,
     /// Stored ends of leases.
     pub(crate) lease_ends: LeaseEnds,
+    /// Number of times that ends of leases were stored.
+    pub(crate) lease_end_writes: usize,
     /// Whether the table accepts writes.
     pub(crate) is_table_up: bool,
     /// Task, run, worker and time of every start that a worker executed.
@@ -100,6 +102,7 @@
             task_durations: BTreeMap::new(),
             rows: BTreeMap::new(),
             lease_ends: LeaseEnds::new(),
+            lease_end_writes: 0,
             is_table_up: true,
             starts: Vec::new(),
             resumed_checkpoints: Vec::new(),
@@ -228,6 +231,7 @@
         }
         if let Some(ends) = &changes.lease_ends {
             self.lease_ends.clone_from(ends);
+            self.lease_end_writes += 1;
         }
         self.scheduler.changes_stored(&changes, self.now);
     }
--- a/crates/jobs/tests/takeover.rs
+++ b/crates/jobs/tests/takeover.rs
@@ -449,3 +449,21 @@
     assert!(wait < Some(time::Duration::from_millis(5_600)), "{wait:?}");
     fleet.assert_no_double_run();
 }
+
+/// Workers stop to respond for 1.5 s, one after the other: the row of the ends of leases
+/// is not stored for each of them alone.
+#[test]
+fn workers_that_blink_cause_few_changes() {
+    let mut fleet = fleet_of(100);
+    fleet.submit("j", vec![step_spec(100, 8_000)], 60_000);
+    fleet.advance(500);
+    for tick in 0..500 {
+        for (number, worker) in fleet.workers.values_mut().enumerate() {
+            worker.is_unresponsive = (tick + 4 * number) % 400 < 150;
+        }
+        fleet.advance(10);
+    }
+    let writes = fleet.lease_end_writes;
+    assert!(writes <= 25, "{writes} changes in 5 s");
+    assert_eq!(fleet.starts.len(), 100, "no task is lost");
+}
