--- a/crates/jobs/tests/takeover.rs
+++ b/crates/jobs/tests/takeover.rs
@@ -6,6 +6,7 @@
 use std::time;
 
 use common::{FakeFleet, step_spec, task_id};
+use redwing_jobs::record::TaskRecord;
 use redwing_jobs::scheduler::PreviousOwner;
 use redwing_jobs::spec::StepSpec;
 use redwing_jobs::worker::OrderAction;
@@ -467,3 +468,12 @@
     assert!(writes <= 25, "{writes} changes in 5 s");
     assert_eq!(fleet.starts.len(), 100, "no task is lost");
 }
+
+#[test]
+fn progress_rows_of_an_earlier_release_are_read() {
+    let text = r#"{"r":2,"f":[1],"w":"w0","b":7}"#;
+    let record: TaskRecord = serde_json::from_str(text).expect("it is read");
+    assert_eq!(record.unchanged, None);
+    let written = serde_json::to_string(&record).expect("it is written");
+    assert_eq!(written, text);
+}
