--- a/crates/engine/src/owner/machines.rs
+++ b/crates/engine/src/owner/machines.rs
@@ -4,7 +4,7 @@
 use std::fmt;
 use std::rc;
 
-use redwing_jobs::capacity::{CapacityAction, CapacityPlanner, PoolMachine, PoolState};
+use redwing_jobs::capacity::{CapacityAction, CapacityPlanner, MoveWaits, PoolMachine, PoolState};
 use redwing_jobs::feasibility::FleetCapacity;
 use redwing_jobs::maintenance::{
     MachineStatus, MaintenanceAction, MaintenanceRecord, WavePlanner, WaveState, WorkerLoad,
@@ -300,18 +300,43 @@
         let pools: BTreeMap<PoolName, PoolState> = pools.collect();
         let machines = self.pool_machines(scheduler);
         for action in self.capacity_planner.plan(&pools, &machines, now) {
-            match action {
-                CapacityAction::Prepare(worker) => scheduler.block_worker(&worker, true),
-                CapacityAction::Release(worker) => scheduler.block_worker(&worker, false),
-                CapacityAction::Move {
-                    machine,
-                    worker,
-                    pool,
-                } => self.ready_orders.push(PendingOrder {
-                    machine,
-                    order: MachineOrder::Move { worker, pool },
-                }),
-            }
+            self.apply_capacity_action(scheduler, action);
+        }
+    }
+
+    fn apply_capacity_action(&mut self, scheduler: &mut JobScheduler, action: CapacityAction) {
+        match action {
+            CapacityAction::Prepare(worker) => scheduler.block_worker(&worker, true),
+            CapacityAction::Release(worker) => scheduler.block_worker(&worker, false),
+            CapacityAction::Move {
+                machine,
+                worker,
+                pool,
+            } => self.ready_orders.push(PendingOrder {
+                machine,
+                order: MachineOrder::Move { worker, pool },
+            }),
+        }
+    }
+
+    /// Returns what moves wait for, to be stored for the next owner.
+    pub(super) fn move_waits(&self, now: BootTime) -> MoveWaits {
+        self.capacity_planner.waits(now)
+    }
+
+    /// Continues the waits of an earlier owner, which were stored by the time
+    /// `stored_by`, with the waves that were added; the workers must be listed already.
+    pub(super) fn restore_waits(
+        &mut self,
+        scheduler: &mut JobScheduler,
+        waits: MoveWaits,
+        stored_by: BootTime,
+    ) {
+        for action in self.capacity_planner.restore(waits, stored_by) {
+            self.apply_capacity_action(scheduler, action);
+        }
+        for worker in self.wave_planner.prepared_workers() {
+            scheduler.block_worker(worker, true);
         }
     }
 
@@ -435,20 +460,41 @@
                 state = format!("{state:?}")
             );
         }
+        self.add_wave_record(wave);
+        self.queue_row(wave, dependencies.codec.wave_status(wave, state));
+    }
+
+    fn add_wave_record(&mut self, wave: u64) {
         let key = row::maintenance_key(wave);
-        let mut rows = Vec::new();
         if let Some(record) = self.wave_planner.record(wave) {
             match row::write(&key, record) {
-                Ok(value) => rows.push(EncodedRow { key, value }),
+                Ok(value) => self.queue_row(wave, EncodedRow { key, value }),
                 Err(error) => log_job_event!(error, event::ROW_MALFORMED, error = error),
             }
         }
-        rows.push(dependencies.codec.wave_status(wave, state));
+    }
+
+    /// Queues a row of a wave to be stored, in place of an earlier version of it; rows
+    /// keep the place of their wave.
+    fn queue_row(&mut self, wave: u64, row: EncodedRow) {
         self.set_aside.remove(&wave);
-        // Only the latest rows of a wave count; they keep its place.
         match self.rows.iter_mut().find(|queued| queued.wave == wave) {
-            Some(queued) => queued.rows = rows,
-            None => self.rows.push_back(WaveRows { wave, rows }),
+            Some(queued) => {
+                queued.rows.retain(|other| other.key != row.key);
+                queued.rows.push(row);
+            }
+            None => self.rows.push_back(WaveRows {
+                wave,
+                rows: vec![row],
+            }),
+        }
+    }
+
+    /// Adds the records of the waves with machines that are being emptied or down to the
+    /// next rows, the last ones of this owner.
+    pub(super) fn prepare_release(&mut self, now: BootTime) {
+        for wave in self.wave_planner.prepare_release(now) {
+            self.add_wave_record(wave);
         }
     }
 
--- a/crates/engine/src/owner/session/mod.rs
+++ b/crates/engine/src/owner/session/mod.rs
@@ -20,7 +20,7 @@
 use crate::event;
 use crate::follow::{self, TableUpdate};
 use crate::log_job_event;
-use crate::row::{EncodedRow, PendingCounts};
+use crate::row::{EncodedRow, PendingCounts, WaitRecord};
 use crate::services::WorkerReply;
 
 use super::OwnerDependencies;
@@ -62,6 +62,14 @@
     outcome: oneshot::Receiver<ChangeOutcome>,
 }
 
+/// Waits that the previous owner stored.
+#[derive(Clone, Debug, Default)]
+struct InheritedWaits {
+    record: WaitRecord,
+    /// Time at which they were stored already.
+    stored_by: BootTime,
+}
+
 /// State of a session: the scheduler, its inputs and its pending change.
 struct OwnerSession<'a> {
     dependencies: &'a OwnerDependencies,
@@ -120,6 +128,12 @@
     unconfirmed_since: Option<BootTime>,
     /// When all leases of earlier owners have expired.
     inherited_until: BootTime,
+    /// When waits were last counted to be stored for the next owner.
+    waits_counted_at: BootTime,
+    /// Waits as stored.
+    stored_waits: WaitRecord,
+    /// Waits of the previous owner, until the jobs are restored.
+    inherited_waits: InheritedWaits,
 }
 
 impl<'a> OwnerSession<'a> {
@@ -137,7 +151,7 @@
         let client = &dependencies.client;
         let FleetRows {
             maintenance,
-            leases,
+            owner,
             workers,
         } = restore::read_fleet(dependencies).await?;
         let (completed_sender, completed_orders) = mpsc::unbounded_channel();
@@ -172,7 +186,7 @@
             obsolete_jobs: VecDeque::new(),
             cleanup_started_at: clock::boot_now(),
             machine_responses,
-            waves: record::read_waves(&maintenance.rows),
+            waves: record::read_waves(&maintenance.rows, unchanged_since),
             pending_change: None,
             change_number: lease.record.change,
             fill_budget: FillBudget::default(),
@@ -189,14 +203,22 @@
             confirmed_at: claimed_at,
             unconfirmed_since: None,
             inherited_until,
+            waits_counted_at: BootTime::default(),
+            stored_waits: WaitRecord::default(),
+            inherited_waits: InheritedWaits::default(),
             lease,
         };
         // The previous owner had the token before this one.
         let previous_token = fencing_token - 1;
         session.scheduler.inherit_leases(InheritedLeases {
             until: inherited_until,
-            workers: record::read_lease_ends(&leases.rows, previous_token, unchanged_since),
+            workers: record::read_lease_ends(&owner.rows, previous_token, unchanged_since),
         });
+        session.scheduler.inherit_waits(unchanged_since);
+        session.inherited_waits = InheritedWaits {
+            record: record::read_waits(&owner.rows, previous_token),
+            stored_by: unchanged_since,
+        };
         session.scheduler.begin_restoring();
         session.apply_operator_view();
         session.apply_worker_rows(&workers.rows, true);
@@ -383,6 +405,9 @@
             }
         }
         self.scheduler.prepare_release(now);
+        if !self.scheduler.is_restoring() {
+            self.machines.prepare_release(now);
+        }
         self.store_release().await
     }
 }
--- a/crates/engine/src/owner/session/restore.rs
+++ b/crates/engine/src/owner/session/restore.rs
@@ -13,7 +13,7 @@
 /// Rows that a new owner needs to renew the leases of workers.
 pub(super) struct FleetRows {
     pub(super) maintenance: TableView,
-    pub(super) leases: TableView,
+    pub(super) owner: TableView,
     pub(super) workers: TableView,
 }
 
@@ -34,14 +34,14 @@
     let client = &dependencies.client;
     let worker_prefix = dependencies.codec.worker_prefix();
     // Concurrent scans: the lease must not expire while a slow table responds.
-    let (maintenance, leases, workers) = futures_util::try_join!(
+    let (maintenance, owner, workers) = futures_util::try_join!(
         client.scan(CallCause::Maintenance, row::MAINTENANCE_PREFIX),
-        client.scan(CallCause::Membership, row::LEASE_KEY),
+        client.scan(CallCause::Membership, row::OWNER_PREFIX),
         client.scan(CallCause::Membership, worker_prefix),
     )?;
     Ok(FleetRows {
         maintenance,
-        leases,
+        owner,
         workers,
     })
 }
--- a/crates/engine/src/owner/session/rows.rs
+++ b/crates/engine/src/owner/session/rows.rs
@@ -2,15 +2,15 @@
 
 use std::collections::HashMap;
 
-use redwing_jobs::JobId;
 use redwing_jobs::record::ProgressRecord;
 use redwing_jobs::worker::WorkerView;
+use redwing_jobs::{BootTime, JobId};
 use redwing_provider::{CallCause, TableRow};
 
 use crate::clock;
 use crate::follow::{self, TableUpdate};
 use crate::owner::record;
-use crate::row::{self, JobKey};
+use crate::row::{self, JobKey, WaitRecord};
 
 use super::OwnerSession;
 use super::restore::JobRows;
@@ -19,6 +19,8 @@
     /// Restores the jobs of earlier owners and starts to schedule and to follow changes.
     pub(super) fn finish_restoring(&mut self, rows: &JobRows) {
         self.restore_jobs(&rows.jobs.rows, &rows.progress.rows);
+        let waits = std::mem::take(&mut self.inherited_waits);
+        self.restore_waits(waits.record, waits.stored_by);
         self.scheduler.finish_restoring(clock::boot_now());
         self.job_rows = None;
         self.job_updates = Some(follow::follow(
@@ -72,6 +74,16 @@
         }
     }
 
+    /// Continues the waits of the previous owner, which were stored by the time
+    /// `stored_by`.
+    fn restore_waits(&mut self, waits: WaitRecord, stored_by: BootTime) {
+        self.stored_waits = waits.clone();
+        self.scheduler.restore_health(&waits.health, stored_by);
+        self.scheduler.restore_advice(&waits.advice, stored_by);
+        self.machines
+            .restore_waits(&mut self.scheduler, waits.moves, stored_by);
+    }
+
     pub(super) fn apply_operator_view(&mut self) {
         let view = self.dependencies.operators.borrow().clone();
         if let Some(manifest) = &view.manifest {
--- a/crates/engine/src/owner/session/store.rs
+++ b/crates/engine/src/owner/session/store.rs
@@ -20,7 +20,7 @@
 use crate::owner::cleanup;
 use crate::owner::election::OwnerLease;
 use crate::owner::record;
-use crate::row::{self, EncodedRow, PendingCounts};
+use crate::row::{self, EncodedRow, PendingCounts, WaitRecord};
 
 use super::{OwnerSession, PendingChange};
 
@@ -65,6 +65,8 @@
     size: TransactionSize,
     /// Pending counts that the change writes.
     pending_counts: Option<PendingCounts>,
+    /// Waits that the change writes.
+    waits: Option<WaitRecord>,
     /// Row of the fleet capacity that the change writes.
     capacity_row: Option<EncodedRow>,
     /// Jobs whose progress rows the change deletes.
@@ -114,10 +116,12 @@
                 ChangePart::Waves => self.machines.add_rows(&mut fill),
                 ChangePart::Boards => self.add_boards(&mut fill, &mut contents, now),
                 ChangePart::RunningWork => {
-                    self.add_progress(&mut fill, &mut contents, WorkKind::Running);
+                    self.add_progress(&mut fill, &mut contents, WorkKind::Running, now);
                 }
                 ChangePart::ObsoleteJobs => self.add_obsolete(&mut fill, &mut contents),
-                ChangePart::NewWork => self.add_progress(&mut fill, &mut contents, WorkKind::New),
+                ChangePart::NewWork => {
+                    self.add_progress(&mut fill, &mut contents, WorkKind::New, now)
+                }
             }
         }
         contents.units = fill.units.clone();
@@ -159,6 +163,12 @@
         {
             contents.pending_counts = Some(counts);
         }
+        if let Some(waits) = self.next_waits(fill.record.released, now)
+            && let Some(row) = record::wait_row(&waits)
+            && fill.add_row(ChangeUnit::Board(row.key.clone()), &row) == UnitFit::Added
+        {
+            contents.waits = Some(waits);
+        }
     }
 
     fn add_progress(
@@ -166,6 +176,7 @@
         fill: &mut ChangeFill,
         contents: &mut ChangeContents,
         kind: WorkKind,
+        now: BootTime,
     ) {
         let mut add = |progress: &ProgressRow| {
             let key = row::progress_key(&progress.job);
@@ -184,7 +195,7 @@
             }
         };
         self.scheduler
-            .add_changes(&mut contents.changes, kind, &mut add);
+            .add_changes(&mut contents.changes, kind, now, &mut add);
     }
 
     fn add_obsolete(&mut self, fill: &mut ChangeFill, contents: &mut ChangeContents) {
@@ -330,6 +341,9 @@
         if let Some(pending_counts) = contents.pending_counts {
             self.pending_counts = pending_counts;
         }
+        if let Some(waits) = contents.waits {
+            self.stored_waits = waits;
+        }
         for job in &contents.obsolete_jobs {
             self.scheduler.remove_expired(job);
         }
@@ -415,6 +429,29 @@
         is_needed.then(|| record::backlog_row(&summary)).flatten()
     }
 
+    /// Returns the waits to store, if they differ from those stored and
+    /// `wait_record_interval` has elapsed or the ownership is `released`.
+    fn next_waits(&mut self, released: bool, now: BootTime) -> Option<WaitRecord> {
+        if self.scheduler.is_restoring() {
+            return None;
+        }
+        let interval = self.dependencies.settings.scheduler.wait_record_interval;
+        let is_recent = now.saturating_since(self.waits_counted_at) < interval;
+        if is_recent && !released {
+            return None;
+        }
+        self.waits_counted_at = now;
+        let waits = WaitRecord {
+            fencing_token: self.lease.record.fencing_token,
+            moves: self.machines.move_waits(now),
+            health: self.scheduler.fleet_health(now),
+            advice: self.scheduler.stored_advice(now),
+        };
+        let is_stored = waits == self.stored_waits;
+        let is_empty = waits.is_empty() && self.stored_waits.is_empty();
+        (!is_stored && !is_empty).then_some(waits)
+    }
+
     /// Returns the pending counts to store, if they changed and
     /// `pending_interval` has elapsed.
     pub(super) fn next_pending_counts(&mut self, now: BootTime) -> Option<PendingCounts> {
--- a/crates/engine/tests/maintenance/mod.rs
+++ b/crates/engine/tests/maintenance/mod.rs
@@ -2,7 +2,11 @@
 
 use std::time;
 
-use crate::common::{TestCluster, run_test};
+use crate::common::{MANIFEST, TestCluster, run_test};
+use redwing_engine::owner::OwnerSettings;
+use redwing_engine::product;
+use redwing_engine::services::MachineClient;
+use redwing_jobs::capacity::CapacitySettings;
 use redwing_jobs::maintenance::{WaveRequest, WaveState};
 use redwing_jobs::name::MachineName;
 use redwing_provider::{RowKey, TableStore, TableTransaction};
@@ -168,3 +172,66 @@
         assert!(cluster.machines.most_down() <= 2);
     });
 }
+
+/// Stops the owner after a second, and starts another process.
+async fn replace_owner(cluster: &mut TestCluster, settings: &OwnerSettings) {
+    let owner = cluster.owner().await;
+    timer::sleep(time::Duration::from_secs(1)).await;
+    let number = cluster.processes.len();
+    cluster.add_process_with(number, settings.clone()).await;
+    let index = cluster.process_index(&owner);
+    cluster.processes[index].stop.send_replace(true);
+    cluster.owner_above(owner.fencing_token).await;
+}
+
+/// Each owner ends long before a machine that is down is up again.
+#[test]
+fn a_wave_is_completed_while_a_restart_replaces_the_owners() {
+    run_test(async {
+        let mut cluster = start_wave(1, 2, 2).await;
+        let mut replaced = 0;
+        while wave_state(&cluster).await != Some(WaveState::Completed) {
+            replace_owner(&mut cluster, &OwnerSettings::default()).await;
+            replaced += 1;
+            assert!(replaced < 15, "the wave is not completed");
+        }
+        assert_eq!(cluster.machines.orders().len(), 2, "each is ordered once");
+    });
+}
+
+/// Each owner ends long before a machine has been surplus for long enough.
+#[test]
+fn a_machine_is_parked_while_a_restart_replaces_the_owners() {
+    run_test(async {
+        let mut cluster = TestCluster::start(0, time::Duration::from_millis(50)).await;
+        cluster.machines = MemoryMachines::new("workers", 3, MAINTENANCE_TIME);
+        let manifest = MANIFEST.replace(
+            r#""pools":["#,
+            r#""pools":[{"name":"spare","is-standby":true,"enforces-capacity":false},"#,
+        );
+        let row = TableTransaction::default().put(RowKey::new(product::MANIFEST_KEY), &manifest);
+        let commit = cluster.platform.commit(&row).await;
+        commit.expect("the table is up");
+        let settings = OwnerSettings {
+            capacity: CapacitySettings {
+                park_delay: time::Duration::from_secs(4),
+                ..CapacitySettings::default()
+            },
+            ..OwnerSettings::default()
+        };
+        cluster.add_process_with(0, settings.clone()).await;
+        let mut replaced = 0;
+        loop {
+            let machines = cluster.machines.list().await.expect("they are listed");
+            if machines
+                .iter()
+                .any(|machine| machine.pool.as_str() == "spare")
+            {
+                break;
+            }
+            replace_owner(&mut cluster, &settings).await;
+            replaced += 1;
+            assert!(replaced < 15, "no machine is parked");
+        }
+    });
+}
--- a/crates/jobs/src/scheduler/changes.rs
+++ b/crates/jobs/src/scheduler/changes.rs
@@ -18,6 +18,7 @@
 use super::JobScheduler;
 use super::entry::TaskPhase;
 use super::lease_ledger::LeaseEnds;
+use super::order;
 
 /// Progress of one job, to be stored.
 #[derive(Clone, Debug, PartialEq)]
@@ -190,8 +191,8 @@
     pub fn take_changes(&mut self, now: BootTime) -> ChangeSet {
         let mut changes = self.begin_changes(now);
         let mut add = |_: &ProgressRow| RowFit::Added;
-        self.add_changes(&mut changes, WorkKind::Running, &mut add);
-        self.add_changes(&mut changes, WorkKind::New, &mut add);
+        self.add_changes(&mut changes, WorkKind::Running, now, &mut add);
+        self.add_changes(&mut changes, WorkKind::New, now, &mut add);
         changes
     }
 
@@ -210,6 +211,7 @@
         &mut self,
         changes: &mut ChangeSet,
         kind: WorkKind,
+        now: BootTime,
         add: &mut dyn FnMut(&ProgressRow) -> RowFit,
     ) {
         let limit = self.settings.max_rows_per_change;
@@ -222,7 +224,7 @@
                 continue;
             };
             let row = ProgressRow {
-                progress: job.progress(),
+                progress: job.progress(self.stall_recording(now)),
                 job: id,
                 kind,
             };
@@ -299,7 +301,15 @@
     pub fn changes_stored(&mut self, changes: &ChangeSet, now: BootTime) {
         self.changes.in_flight.clear();
         self.lease_ledger.stored();
+        let mut step = None;
         for start in &changes.starts {
+            // The members of a gang follow each other.
+            let start_step = order::step_of(&start.task);
+            if step.as_ref() != Some(&start_step) && self.is_gang(&start.task) {
+                let members = self.gang_members(&start.task);
+                self.free_incomplete_gang(&members, start.run, now);
+            }
+            step = Some(start_step);
             self.order_start(&start.task, start.run, now);
         }
         self.acknowledge_ended_runs(now);
--- a/crates/jobs/src/scheduler/mod.rs
+++ b/crates/jobs/src/scheduler/mod.rs
@@ -11,6 +11,7 @@
 //! - `finished`: jobs whose final state is stored, until their rows are deleted
 //! - `fleet`: workers, their free capacity and their leases
 //! - `free_capacity`: which tasks fit on no worker of a pool
+//! - `health`: workers that fail their runs or reject orders
 //! - `lease`: leases of workers, and those of earlier owners
 //! - `lease_ledger`: ends of leases that are stored for the next owner
 //! - `lifecycle`: submitted and cancelled jobs, and rows of an earlier owner
@@ -22,6 +23,7 @@
 //! - `report`: the runs that workers list
 //! - `restoring`: leases of workers while a new owner reads the rows of jobs
 //! - `shares`: division of a pool among customers
+//! - `stall`: runs that make no progress
 //! - `waiting`: jobs that wait for capacity, in the order of their placement
 
 mod advice;
@@ -31,6 +33,7 @@
 mod finished;
 mod fleet;
 mod free_capacity;
+mod health;
 mod lease;
 mod lease_ledger;
 mod lifecycle;
@@ -42,6 +45,7 @@
 mod report;
 mod restoring;
 mod shares;
+mod stall;
 mod waiting;
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
@@ -67,8 +71,9 @@
 use shares::PoolUsage;
 use waiting::WaitingJobs;
 
-pub use advice::{AdviceRequest, AdviceResponse, StepId, WorkerPermit};
+pub use advice::{AdviceRequest, AdviceResponse, StepId, StoredAdvice, StoredPermit, WorkerPermit};
 pub use changes::{ChangeSet, ProgressRow, RowFit, WorkKind};
+pub use health::{FleetHealth, WorkerHealth};
 pub use lease::{InheritedLeases, PreviousOwner};
 pub use lease_ledger::LeaseEnds;
 
@@ -98,10 +103,29 @@
     /// How long a worker with runs is unresponsive before the end of its leases is
     /// stored for the next owner.
     pub lease_record_delay: time::Duration,
+    /// Shortest time between two changes that store the ends of leases because other
+    /// workers respond or do not.
+    pub lease_record_batch_delay: time::Duration,
     /// Time after which the stored ends of leases are stored again with the time left.
     pub lease_record_interval: time::Duration,
     /// Largest number of workers whose ends of leases are stored.
     pub max_lease_ends: usize,
+    /// Time for which a wait must have lasted before it is stored for the next owner.
+    pub wait_record_delay: time::Duration,
+    /// Time after which stored waits are stored again with the time that they have
+    /// lasted.
+    pub wait_record_interval: time::Duration,
+    /// Largest number of progress rows that are stored together only because runs make
+    /// no progress.
+    pub max_stalled_rows: usize,
+    /// Largest number of workers whose health is stored for the next owner.
+    pub max_stored_health: usize,
+    /// Largest number of workers whose permits and denials are stored for the next
+    /// owner.
+    pub max_stored_advice: usize,
+    /// Longest time from a change until it is known to be stored, where a stored time
+    /// must not count as longer than it is.
+    pub max_row_delay: time::Duration,
     /// Longest time that a worker may wait for a run to end before it responds
     /// to a lease renewal.
     pub max_renewal_wait: time::Duration,
@@ -144,8 +168,15 @@
             max_clock_drift: 0.02,
             lease_margin: time::Duration::from_millis(300),
             lease_record_delay: time::Duration::from_millis(1_000),
+            lease_record_batch_delay: time::Duration::from_millis(200),
             lease_record_interval: time::Duration::from_millis(1_000),
-            max_lease_ends: 256,
+            max_lease_ends: 2_048,
+            wait_record_delay: time::Duration::from_millis(1_000),
+            wait_record_interval: time::Duration::from_millis(1_000),
+            max_stalled_rows: 16,
+            max_stored_health: 64,
+            max_stored_advice: 64,
+            max_row_delay: time::Duration::from_millis(1_000),
             max_renewal_wait: time::Duration::from_millis(1_000),
             renewal_batch_delay: time::Duration::from_millis(25),
             renewal_retry_delay: time::Duration::from_millis(300),
@@ -295,6 +326,10 @@
     /// Leases of earlier owners; none if nothing is known of them.
     inherited: Option<InheritedLeases>,
     lease_ledger: LeaseLedger,
+    /// Time at which the rows of earlier owners were stored already; none if unknown.
+    stored_by: Option<BootTime>,
+    /// When times without progress were last taken to be stored.
+    stalls_recorded_at: BootTime,
     orders: Vec<WorkerOrder>,
     events: Vec<SchedulerEvent>,
     is_fenced: bool,
@@ -324,6 +359,8 @@
             changes: ChangeTracker::default(),
             inherited: None,
             lease_ledger: LeaseLedger::default(),
+            stored_by: None,
+            stalls_recorded_at: BootTime::default(),
             orders: Vec::new(),
             events: Vec::new(),
             is_fenced: false,
@@ -337,6 +374,12 @@
         self.inherited = Some(leases);
     }
 
+    /// Sets a time at which the rows of earlier owners were stored already, from which
+    /// their waits are counted on; to be called before jobs are added.
+    pub fn inherit_waits(&mut self, stored_by: BootTime) {
+        self.stored_by = Some(stored_by);
+    }
+
     /// Applies a version of the manifest; older ones are ignored.
     pub fn set_manifest(&mut self, manifest: sync::Arc<JobManifest>) {
         if manifest.version() < self.manifest.version() || *manifest == *self.manifest {
@@ -420,6 +463,7 @@
         self.evict_from_draining(now);
         self.retry_stops(now);
         self.stop_stalled(now);
+        self.record_stalls(now);
         self.send_due_renewals(now);
         // A worker may have become usable again only because time passed.
         self.waiting.mark_all_changed();
--- a/crates/jobs/src/scheduler/report.rs
+++ b/crates/jobs/src/scheduler/report.rs
@@ -1,7 +1,6 @@
 //! Processing of the runs that workers list.
 
 use std::collections::{BTreeSet, HashMap};
-use std::time;
 
 use crate::name::{JobId, TaskId, WorkerId};
 use crate::record::JobState;
@@ -100,7 +99,7 @@
         if let Some(entry) = self.fleet.get_mut(worker) {
             entry.unacknowledged.push_back(unacknowledged);
         }
-        self.update_failures(worker, ended.kind, now);
+        self.update_failures(worker, ended, now);
         self.mark_worker_changed(worker);
         if is_tracked {
             self.changes.mark_changed(&ended.task.job);
@@ -108,26 +107,6 @@
         }
     }
 
-    /// Updates the consecutive failures of a worker after a run ended; at the limit,
-    /// the worker gets no new tasks for a while.
-    fn update_failures(&mut self, worker: &WorkerId, kind: ExitKind, now: BootTime) {
-        let limit = self.settings.consecutive_failure_limit;
-        let cooldown = self.settings.failure_cooldown;
-        let Some(entry) = self.fleet.get_mut(worker) else {
-            return;
-        };
-        match kind {
-            ExitKind::Done => entry.consecutive_failures = 0,
-            ExitKind::Failed => entry.consecutive_failures += 1,
-            _ => return,
-        }
-        if entry.consecutive_failures >= limit {
-            entry.consecutive_failures = limit - 1;
-            entry.unhealthy_until = now + cooldown;
-            self.record_status(worker, WorkerStatus::Unhealthy);
-        }
-    }
-
     fn end_run(&mut self, worker: &WorkerId, ended: &EndedRun, now: BootTime) {
         let is_current = self.is_current(&ended.task, ended.run, worker);
         if ended.kind != ExitKind::Done {
@@ -229,13 +208,13 @@
         }
     }
 
-    fn is_gang(&self, task: &TaskId) -> bool {
+    pub(super) fn is_gang(&self, task: &TaskId) -> bool {
         let step = self.step_spec(task);
         step.is_some_and(|step| step.gang)
     }
 
     /// Returns the tasks that end together with `task`.
-    fn gang_members(&self, task: &TaskId) -> Vec<TaskId> {
+    pub(super) fn gang_members(&self, task: &TaskId) -> Vec<TaskId> {
         if !self.is_gang(task) {
             return vec![task.clone()];
         }
@@ -365,47 +344,6 @@
         }
     }
 
-    /// Stops runs that make no progress, to restart them on other workers.
-    pub(super) fn stop_stalled(&mut self, now: BootTime) {
-        let timeout = self.settings.stall_timeout;
-        let mut stalled = Vec::new();
-        for (id, worker) in self.fleet.iter() {
-            if worker.contact != ContactState::Responsive {
-                continue;
-            }
-            for (task, reservation) in &worker.reservations {
-                if self.has_stalled(task, now, timeout) {
-                    stalled.push((id.clone(), task.clone(), reservation.run));
-                }
-            }
-        }
-        for (worker, task, run) in stalled {
-            self.events.push(SchedulerEvent::RunEnded {
-                task: task.clone(),
-                run,
-                worker: worker.clone(),
-                reason: RunEndReason::Stalled,
-            });
-            if let Some(entry) = self.fleet.get_mut(&worker) {
-                entry.unhealthy_until = now + self.settings.failure_cooldown;
-            }
-            self.stop_task(&task, now);
-        }
-    }
-
-    fn has_stalled(&self, task: &TaskId, now: BootTime, timeout: time::Duration) -> bool {
-        let step = self.step_spec(task);
-        if step.is_none_or(|step| step.best_effort || step.gang || step.long_running) {
-            return false;
-        }
-        match self.task(task).map(|entry| &entry.phase) {
-            Some(TaskPhase::Running(_, progress)) => {
-                now.saturating_since(progress.advanced_at) > timeout
-            }
-            _ => false,
-        }
-    }
-
     pub(super) fn task(&self, task: &TaskId) -> Option<&TaskEntry> {
         let job = self.jobs.get(&task.job)?;
         let step = job.step(task.occurrence, task.step)?;
--- a/crates/jobs/tests/common/mod.rs
+++ b/crates/jobs/tests/common/mod.rs
@@ -12,8 +12,8 @@
 
 use redwing_jobs::name::{CustomerName, PoolName, QueueName};
 use redwing_jobs::scheduler::{
-    AdviceRequest, AdviceResponse, ChangeSet, InheritedLeases, LeaseEnds, ProgressRow, RowFit,
-    WorkKind, WorkerPermit,
+    AdviceRequest, AdviceResponse, ChangeSet, FleetHealth, InheritedLeases, LeaseEnds, ProgressRow,
+    RowFit, StoredAdvice, WorkKind, WorkerPermit,
 };
 use redwing_jobs::spec::StepSpec;
 use redwing_jobs::time::WallTime;
@@ -44,6 +44,11 @@
     pub(crate) rows: BTreeMap<JobId, ProgressRecord>,
     /// Stored ends of leases.
     pub(crate) lease_ends: LeaseEnds,
+    /// Number of times that ends of leases were stored.
+    pub(crate) lease_end_writes: usize,
+    /// Health of workers and permits that the latest owner had stored when it ended.
+    stored_health: FleetHealth,
+    stored_advice: Vec<StoredAdvice>,
     /// Whether the table accepts writes.
     pub(crate) is_table_up: bool,
     /// Largest number of bytes of progress in one change.
@@ -114,6 +119,9 @@
             task_durations: BTreeMap::new(),
             rows: BTreeMap::new(),
             lease_ends: LeaseEnds::new(),
+            lease_end_writes: 0,
+            stored_health: FleetHealth::default(),
+            stored_advice: Vec::new(),
             is_table_up: true,
             change_bytes: usize::MAX,
             refused_changes: 0,
@@ -251,6 +259,7 @@
         }
         if let Some(ends) = &changes.lease_ends {
             self.lease_ends.clone_from(ends);
+            self.lease_end_writes += 1;
         }
         self.scheduler.changes_stored(&changes, self.now);
     }
@@ -272,7 +281,8 @@
         };
         let mut changes = self.scheduler.begin_changes(self.now);
         for kind in [WorkKind::Running, WorkKind::New] {
-            self.scheduler.add_changes(&mut changes, kind, &mut add);
+            self.scheduler
+                .add_changes(&mut changes, kind, self.now, &mut add);
         }
         let sizes = changes.rows.iter().map(|row| row_bytes(&row.progress));
         assert!(sizes.sum::<usize>() <= limit);
@@ -459,7 +469,8 @@
     }
 
     /// Replaces the scheduler by that of a new owner, which starts from the
-    /// stored rows and the list of workers only.
+    /// stored rows, with the health of workers and the permits as of now, and the list of
+    /// workers only.
     pub(crate) fn take_over(&mut self, settings: SchedulerSettings) {
         self.begin_take_over(settings);
         self.finish_take_over();
@@ -473,6 +484,8 @@
             until: self.now + settings.inherited_lease,
             workers: std::mem::take(&mut self.lease_ends),
         };
+        self.stored_health = self.scheduler.fleet_health(self.now);
+        self.stored_advice = self.scheduler.stored_advice(self.now);
         let mut scheduler = JobScheduler::new(settings, self.fencing_token);
         scheduler.inherit_leases(inherited);
         scheduler.set_manifest(sync::Arc::new(manifest()));
@@ -493,6 +506,8 @@
                 None => self.scheduler.submit(id, record.clone()),
             }
         }
+        self.scheduler.restore_health(&self.stored_health, self.now);
+        self.scheduler.restore_advice(&self.stored_advice, self.now);
         self.scheduler.finish_restoring(self.now);
     }
 
--- a/crates/jobs/tests/takeover.rs
+++ b/crates/jobs/tests/takeover.rs
@@ -2,13 +2,15 @@
 
 mod common;
 
+use std::sync;
 use std::time;
 
 use common::{FakeFleet, step_spec, task_id};
+use redwing_jobs::record::TaskRecord;
 use redwing_jobs::scheduler::PreviousOwner;
 use redwing_jobs::spec::StepSpec;
 use redwing_jobs::worker::OrderAction;
-use redwing_jobs::{BootTime, JobState, SchedulerSettings};
+use redwing_jobs::{BootTime, JobManifest, JobState, SchedulerSettings, WorkerId};
 use rstest::rstest;
 
 fn fleet_of(count: usize) -> FakeFleet {
@@ -314,3 +316,191 @@
     assert_eq!(fleet.running_count(&task_id(&long, 0, 0)), 1);
     fleet.assert_no_double_run();
 }
+
+/// What an owner stored of a run without progress has no effect once the run has made
+/// some.
+#[test]
+fn a_run_that_progresses_again_is_not_stopped_by_the_next_owner() {
+    let mut fleet = fleet_of(2);
+    fleet.submit("j", vec![step_spec(1, 1_000)], 60_000);
+    fleet.advance(500);
+    let worker = fleet.starts[0].2.clone();
+    fleet.worker(worker.as_str()).is_stalled = true;
+    fleet.advance(1_700);
+    fleet.worker(worker.as_str()).is_stalled = false;
+    fleet.take_over(SchedulerSettings::default());
+    fleet.advance(5_000);
+    assert_eq!(fleet.starts.len(), 1);
+}
+
+/// While all runs hang, the rows that are stored for that alone are few.
+#[test]
+fn few_rows_are_stored_for_runs_without_progress() {
+    let mut fleet = fleet_of(40);
+    for number in 0..40 {
+        fleet.submit(&format!("j{number}"), vec![step_spec(1, 8_000)], 60_000);
+    }
+    fleet.advance(500);
+    for worker in fleet.workers.values_mut() {
+        worker.is_stalled = true;
+    }
+    let mut rows = 0;
+    for _ in 0..190 {
+        fleet.now = fleet.now + common::TICK_INTERVAL;
+        fleet.scheduler.tick(fleet.now);
+        let changes = fleet.scheduler.take_changes(fleet.now);
+        rows += changes.rows.len();
+        fleet.scheduler.changes_stored(&changes, fleet.now);
+    }
+    // Two batches, one a second, before the runs are stopped.
+    assert_eq!(rows, 32);
+}
+
+/// A worker that fails each run gets no new tasks for 3 s; owners end meanwhile.
+#[test]
+fn a_worker_that_fails_its_runs_gets_no_tasks_from_the_next_owner() {
+    let mut fleet = fleet_of(1);
+    fleet.worker("w0").is_failing = true;
+    fleet.submit("j", vec![step_spec(1, 1_000)], 60_000);
+    fleet.submit("k", vec![step_spec(1, 1_000)], 60_000);
+    fleet.advance(500);
+    assert_eq!(fleet.starts.len(), 4);
+    for _ in 0..2 {
+        fleet.take_over(SchedulerSettings::default());
+        fleet.advance(1_000);
+        assert_eq!(fleet.starts.len(), 4);
+    }
+    fleet.advance(1_000);
+    assert_eq!(fleet.starts.len(), 6, "both are tried again after 3 s");
+}
+
+/// Each owner sees fewer failed runs than make a worker unhealthy.
+#[test]
+fn failed_runs_of_a_worker_are_counted_across_owners() {
+    let mut fleet = fleet_of(1);
+    fleet.worker("w0").is_failing = true;
+    fleet.submit("j", vec![step_spec(1, 1_000)], 60_000);
+    fleet.advance(500);
+    assert_eq!(fleet.starts.len(), 3);
+    fleet.take_over(SchedulerSettings::default());
+    fleet.submit("k", vec![step_spec(1, 1_000)], 60_000);
+    fleet.advance(1_000);
+    assert_eq!(fleet.starts.len(), 4);
+}
+
+/// The worker lists the runs again that the previous owner has counted.
+#[test]
+fn a_failed_run_is_counted_once_by_two_owners() {
+    let mut fleet = fleet_of(1);
+    fleet.worker("w0").is_failing = true;
+    fleet.worker("w0").receives_acknowledgements = false;
+    fleet.submit("j", vec![step_spec(1, 1_000)], 60_000);
+    fleet.advance(500);
+    fleet.worker("w0").is_failing = false;
+    fleet.take_over(SchedulerSettings::default());
+    fleet.advance(500);
+    fleet.submit("k", vec![step_spec(1, 1_000)], 60_000);
+    fleet.advance(500);
+    assert_eq!(fleet.starts.len(), 4, "k starts at once");
+}
+
+/// Returns a manifest with a queue on which an advisor decides.
+fn advised_manifest(version: u64) -> sync::Arc<JobManifest> {
+    let mut parts = common::manifest_parts_with_limit(0);
+    parts.version = version;
+    for queue in &mut parts.queues {
+        queue.is_advised = true;
+    }
+    sync::Arc::new(JobManifest::from(parts))
+}
+
+/// The advisor is slow; the next owner does not ask it again for what it has decided.
+#[test]
+fn permits_and_denials_of_the_advisor_outlive_the_owner() {
+    let mut fleet = FakeFleet::of_size(3, 1_000);
+    fleet.scheduler.set_manifest(advised_manifest(2));
+    fleet.permitted_worker = Some(WorkerId::new("w1"));
+    let job = fleet.submit("j", vec![step_spec(2, 1_000)], 1_500);
+    fleet.advance(500);
+    assert_eq!(fleet.starts.len(), 1);
+    fleet.advice_requests.clear();
+    fleet.take_over(SchedulerSettings::default());
+    fleet.scheduler.set_manifest(advised_manifest(2));
+    fleet.advance(1_200);
+    assert_eq!(
+        fleet.starts.len(),
+        2,
+        "the second task starts after the first"
+    );
+    assert_eq!(fleet.advice_requests, []);
+    fleet.advance(2_000);
+    assert_eq!(fleet.state(&job), JobState::Completed);
+}
+
+/// A stored permit may have been on its way for a while: it counts for less, not more.
+#[test]
+fn a_permit_that_may_have_expired_is_requested_again() {
+    let mut fleet = FakeFleet::of_size(2, 1_000);
+    fleet.scheduler.set_manifest(advised_manifest(2));
+    fleet.permitted_worker = Some(WorkerId::new("w1"));
+    fleet.submit("j", vec![step_spec(2, 1_000)], 2_000);
+    fleet.advance(1_900);
+    fleet.advice_requests.clear();
+    fleet.take_over(SchedulerSettings::default());
+    fleet.scheduler.set_manifest(advised_manifest(2));
+    fleet.advance(500);
+    assert_eq!(fleet.starts.len(), 2);
+    assert_eq!(fleet.advice_requests.len(), 1);
+    assert_eq!(fleet.advice_requests[0].workers, [WorkerId::new("w1")]);
+}
+
+/// A data centre is lost with its workers while owners end every 2 s.
+#[test]
+fn many_lost_workers_do_not_wait_anew_with_each_owner() {
+    const LOST: u32 = 600;
+    let mut fleet = fleet_of(2 * LOST as usize);
+    fleet.submit("j", vec![step_spec(LOST, 8_000)], 60_000);
+    fleet.advance(500);
+    let lost_at = fleet.now;
+    let lost: Vec<WorkerId> = fleet.starts.iter().map(|start| start.2.clone()).collect();
+    assert_eq!(lost.len(), LOST as usize);
+    for worker in &lost {
+        fleet.worker(worker.as_str()).is_unresponsive = true;
+    }
+    for _ in 0..3 {
+        fleet.advance(2_000);
+        fleet.take_over(SchedulerSettings::default());
+    }
+    assert_eq!(fleet.starts.len(), 2 * lost.len());
+    let latest = fleet.starts.iter().map(|start| start.3).max();
+    let wait = latest.map(|at| at.saturating_since(lost_at));
+    assert!(wait < Some(time::Duration::from_millis(5_600)), "{wait:?}");
+    fleet.assert_no_double_run();
+}
+
+/// Workers stop to respond for 1.5 s, one after the other: the row of the ends of leases
+/// is not stored for each of them alone.
+#[test]
+fn workers_that_blink_cause_few_changes() {
+    let mut fleet = fleet_of(100);
+    fleet.submit("j", vec![step_spec(100, 8_000)], 60_000);
+    fleet.advance(500);
+    for tick in 0..500 {
+        for (number, worker) in fleet.workers.values_mut().enumerate() {
+            worker.is_unresponsive = (tick + 4 * number) % 400 < 150;
+        }
+        fleet.advance(10);
+    }
+    let writes = fleet.lease_end_writes;
+    assert!(writes <= 25, "{writes} changes in 5 s");
+    assert_eq!(fleet.starts.len(), 100, "no task is lost");
+}
+
+#[test]
+fn progress_rows_of_an_earlier_release_are_read() {
+    let text = r#"{"r":2,"f":[1],"w":"w0","b":7}"#;
+    let record: TaskRecord = serde_json::from_str(text).expect("it is read");
+    assert_eq!(record.unchanged, None);
+    let written = serde_json::to_string(&record).expect("it is written");
+    assert_eq!(written, text);
+}
