Serve a stand-in platform as a process, for several entry processes

Change: `redwingctl platform` serves the published formats on loopback: table with limits, rates, history and feed; registrations; workers with leases, fences, incarnations, room, ended lists, gangs, checkpoints; machines, waves and advice; a file of faults, its calls and the state for tests. It writes the settings file of each process. The package platform/standin reuses the types of platform/src, which become public where both sides need them.

Faults, waves, gangs and advice were not run yet; their tests follow.

--- a/crates/ctl/src/command.rs
+++ b/crates/ctl/src/command.rs
@@ -4,7 +4,9 @@
 use std::process;
 
 use crate::error::{Category, Error, Result};
-use crate::{apply, audit, experiment, explain, grant, inspect, job, load, report, rollout, value};
+use crate::{
+    apply, audit, experiment, explain, grant, inspect, job, load, platform, report, rollout, value,
+};
 
 /// Subcommands in the order in which the help lists them.
 pub const COMMANDS: &[CommandEntry] = &[
@@ -22,6 +24,7 @@
     report::COMMAND,
     experiment::COMMAND,
     job::COMMAND,
+    platform::COMMAND,
     load::COMMAND,
     value::COMMAND,
 ];
--- a/crates/ctl/src/lib.rs
+++ b/crates/ctl/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod load;
 pub mod option;
 pub mod output;
+mod platform;
 pub mod report;
 pub mod rollout;
 mod transport;
