--- a/crates/ctl/tests/usage.rs
+++ b/crates/ctl/tests/usage.rs
@@ -49,3 +49,22 @@
     line.extend(["--admin", "http://127.0.0.1:9", "--token", "t"]);
     assert_eq!(redwing_ctl::run(line), ExitStatus::Usage);
 }
+
+#[rstest]
+#[case::no_address(&["platform", "--listen", "here"])]
+#[case::not_on_loopback(&["platform", "--listen", "192.0.2.1:1"])]
+#[case::no_workers(&["platform", "--workers", "0"])]
+#[case::no_fault_file(&["platform", "--faults", "/nonexistent/faults.toml"])]
+fn invalid_flags_of_the_platform_exit_with_status_2(#[case] arguments: &[&str]) {
+    let mut line = vec!["redwingctl"];
+    line.extend(arguments);
+    assert_eq!(redwing_ctl::run(line), ExitStatus::Usage);
+}
+
+#[test]
+fn a_platform_on_a_port_in_use_exits_with_failure() {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("bind a free port");
+    let address = listener.local_addr().expect("get the listener's address");
+    let line = ["redwingctl", "platform", "--listen", &address.to_string()];
+    assert_eq!(redwing_ctl::run(line), ExitStatus::Failure);
+}
