--- a/crates/ctl/src/platform.rs
+++ b/crates/ctl/src/platform.rs
@@ -109,7 +109,7 @@
 fn run(flags: &clap::ArgMatches) -> Result<ExitStatus> {
     let settings = settings_of(flags);
     let listen = settings.listen;
-    let served = actix_rt::System::new().block_on(standin::run(settings));
+    let served = actix_rt::System::new().block_on(standin::serve(settings));
     match served {
         Ok(()) => Ok(ExitStatus::Success),
         Err(error) => Err(convert_error(listen, error)),
