Look at the progress of runs five times a second

Cause: since times without progress are stored, each tick of the owner (50 ms) looked at the progress of all runs twice.

Change: one look, each 200 ms, stops stalled runs and has the others stored.

--- a/crates/jobs/src/scheduler/mod.rs
+++ b/crates/jobs/src/scheduler/mod.rs
@@ -330,6 +330,8 @@
     stored_by: Option<BootTime>,
     /// When times without progress were last taken to be stored.
     stalls_recorded_at: BootTime,
+    /// When the progress of all runs was last looked at.
+    stalls_checked_at: BootTime,
     orders: Vec<WorkerOrder>,
     events: Vec<SchedulerEvent>,
     is_fenced: bool,
@@ -361,6 +363,7 @@
             lease_ledger: LeaseLedger::default(),
             stored_by: None,
             stalls_recorded_at: BootTime::default(),
+            stalls_checked_at: BootTime::default(),
             orders: Vec::new(),
             events: Vec::new(),
             is_fenced: false,
@@ -462,8 +465,7 @@
         self.update_lease_ends(now);
         self.evict_from_draining(now);
         self.retry_stops(now);
-        self.stop_stalled(now);
-        self.record_stalls(now);
+        self.check_stalls(now);
         self.send_due_renewals(now);
         // A worker may have become usable again only because time passed.
         self.waiting.mark_all_changed();
--- a/crates/jobs/src/scheduler/stall.rs
+++ b/crates/jobs/src/scheduler/stall.rs
@@ -5,6 +5,7 @@
 //! job, so that the next owner counts on from there.
 
 use std::collections::BTreeMap;
+use std::time;
 
 use crate::name::{JobId, TaskId};
 use crate::time::BootTime;
@@ -13,9 +14,26 @@
 use super::fleet::ContactState;
 use super::{JobScheduler, RunEndReason, SchedulerEvent};
 
+/// Time between two looks at the progress of all runs.
+const CHECK_INTERVAL: time::Duration = time::Duration::from_millis(200);
+
 impl JobScheduler {
+    /// Stops runs that make no progress, and has the others stored that have made none
+    /// for a while; to be called with each tick.
+    pub(super) fn check_stalls(&mut self, now: BootTime) {
+        if now.saturating_since(self.stalls_checked_at) < CHECK_INTERVAL {
+            return;
+        }
+        self.stalls_checked_at = now;
+        self.stop_stalled(now);
+        let interval = self.settings.wait_record_interval;
+        if now.saturating_since(self.stalls_recorded_at) >= interval {
+            self.mark_stalled(now);
+        }
+    }
+
     /// Stops runs that make no progress, to restart them on other workers.
-    pub(super) fn stop_stalled(&mut self, now: BootTime) {
+    fn stop_stalled(&mut self, now: BootTime) {
         let timeout = self.settings.stall_timeout;
         let mut stalled = Vec::new();
         for (id, worker) in self.fleet.iter() {
@@ -44,15 +62,7 @@
     }
 
     /// Has the jobs stored whose runs have made no progress for a while, those first
-    /// that have made none for longest; to be called with each tick.
-    pub(super) fn record_stalls(&mut self, now: BootTime) {
-        let interval = self.settings.wait_record_interval;
-        if now.saturating_since(self.stalls_recorded_at) >= interval {
-            self.mark_stalled(now);
-        }
-    }
-
-    /// Has the jobs stored whose runs have made no progress for a while.
+    /// that have made none for longest.
     pub(super) fn mark_stalled(&mut self, now: BootTime) {
         let delay = self.settings.wait_record_delay;
         let is_long = |at: &BootTime| now.saturating_since(*at) >= delay;
