Keep the leases that an owner grants while it reads the rows

Callers would see: a task with two runs at a time, or a run that lapses.

Cause: while jobs are not restored no worker has a reservation. A worker that became silent and was listed no more was therefore dropped with the end of the lease that the owner had just granted, and its task started elsewhere at once; one that was listed no more but responded got no renewal.

Change: workers are kept, and renewed, until the jobs are restored.

Evidence: a_lease_that_was_renewed_while_rows_are_read_is_not_forgotten (two cases) and a_worker_that_is_not_listed_keeps_its_lease_while_rows_are_read failed before and pass.

--- a/crates/jobs/src/scheduler/lease.rs
+++ b/crates/jobs/src/scheduler/lease.rs
@@ -85,7 +85,8 @@
             if entry.contact == ContactState::Responsive {
                 continue;
             }
-            if entry.reservations.is_empty() && !entry.is_listed {
+            // Before jobs are restored, any worker may have runs.
+            if entry.reservations.is_empty() && !entry.is_listed && !self.is_restoring {
                 removed.push(id.clone());
             }
             if entry.lease_until < now {
--- a/crates/jobs/src/scheduler/order.rs
+++ b/crates/jobs/src/scheduler/order.rs
@@ -263,8 +263,8 @@
             .filter(|(id, entry)| {
                 let is_needed = !entry.reservations.is_empty()
                     || !entry.unacknowledged.is_empty()
-                    || (entry.is_listed
-                        && (self.is_restoring || entry.contact != ContactState::Responsive));
+                    || self.is_restoring
+                    || (entry.is_listed && entry.contact != ContactState::Responsive);
                 is_needed
                     && entry.renewal_sent_at.is_none()
                     && entry.next_renewal <= now
--- a/crates/jobs/tests/takeover.rs
+++ b/crates/jobs/tests/takeover.rs
@@ -504,3 +504,46 @@
     let written = serde_json::to_string(&record).expect("it is written");
     assert_eq!(written, text);
 }
+
+/// A worker becomes silent and is listed no more, after a new owner that still reads the
+/// rows has renewed its lease; with `is_listed_again`, it comes back to the list.
+#[rstest]
+#[case::unlisted(false)]
+#[case::listed_again(true)]
+fn a_lease_that_was_renewed_while_rows_are_read_is_not_forgotten(#[case] is_listed_again: bool) {
+    for renewed_ms in [6_000, 7_500, 9_000] {
+        let mut fleet = fleet_of(2);
+        let job = fleet.submit("j", vec![step_spec(1, 1_000)], 60_000);
+        fleet.advance(500);
+        let worker = fleet.starts[0].2.clone();
+        fleet.begin_take_over(SchedulerSettings::default());
+        fleet.advance(renewed_ms);
+        fleet.worker(worker.as_str()).is_unresponsive = true;
+        fleet.advance(2_600);
+        fleet.scheduler.worker_unlisted(&worker);
+        fleet.advance(100);
+        if is_listed_again {
+            let view = fleet.worker(worker.as_str()).view.clone();
+            fleet.scheduler.worker_listed(view, fleet.now);
+        }
+        fleet.finish_take_over();
+        for _ in 0..100 {
+            fleet.advance(50);
+            assert!(fleet.running_count(&task_id(&job, 0, 0)) <= 1);
+        }
+    }
+}
+
+/// The list of workers may lapse while they respond.
+#[test]
+fn a_worker_that_is_not_listed_keeps_its_lease_while_rows_are_read() {
+    let mut fleet = fleet_of(2);
+    let job = fleet.submit("j", vec![step_spec(1, 1_000)], 60_000);
+    fleet.advance(500);
+    let worker = fleet.starts[0].2.clone();
+    fleet.begin_take_over(SchedulerSettings::default());
+    fleet.advance(3_000);
+    fleet.scheduler.worker_unlisted(&worker);
+    fleet.advance(9_000);
+    assert_eq!(fleet.running_count(&task_id(&job, 0, 0)), 1);
+}
