--- a/crates/jobs/tests/faults.rs
+++ b/crates/jobs/tests/faults.rs
@@ -25,23 +25,38 @@
 #[derive(Clone, Debug)]
 enum FleetEvent {
     /// A job of two steps is submitted.
-    Submit { task_count: u32, duration_ms: u64 },
+    Submit {
+        task_count: u32,
+        duration_ms: u64,
+    },
     /// A worker becomes unresponsive, or responsive again.
     SetUnresponsive {
         worker: usize,
         is_unresponsive: bool,
     },
     /// A worker crashes and restarts as a new incarnation.
-    Crash { worker: usize },
+    Crash {
+        worker: usize,
+    },
     /// Responses are lost and orders executed after a delay; no delay ends the
     /// loss.
-    LoseOrders { delay_ms: Option<u64> },
+    LoseOrders {
+        delay_ms: Option<u64>,
+    },
     /// The table becomes available or unavailable.
-    SetTable { is_up: bool },
+    SetTable {
+        is_up: bool,
+    },
     /// Another process takes over the ownership.
     TakeOver,
+    /// A new owner begins, and reads the rows until the next `FinishTakeOver`.
+    BeginTakeOver,
+    FinishTakeOver,
     /// A worker disappears from the list of workers, or reappears.
-    SetListed { worker: usize, is_listed: bool },
+    SetListed {
+        worker: usize,
+        is_listed: bool,
+    },
 }
 
 fn fleet_event() -> impl Strategy<Value = FleetEvent> {
@@ -58,6 +73,8 @@
             .prop_map(|delay_ms| FleetEvent::LoseOrders { delay_ms }),
         1 => any::<bool>().prop_map(|is_up| FleetEvent::SetTable { is_up }),
         1 => Just(FleetEvent::TakeOver),
+        1 => Just(FleetEvent::BeginTakeOver),
+        2 => Just(FleetEvent::FinishTakeOver),
         1 => (0..WORKER_COUNT, any::<bool>())
             .prop_map(|(worker, is_listed)| FleetEvent::SetListed { worker, is_listed }),
     ]
@@ -155,6 +172,9 @@
         }
         FleetEvent::SetTable { is_up } => fleet.is_table_up = *is_up,
         FleetEvent::TakeOver => fleet.take_over(SchedulerSettings::default()),
+        FleetEvent::BeginTakeOver => fleet.begin_take_over(SchedulerSettings::default()),
+        FleetEvent::FinishTakeOver if fleet.scheduler.is_restoring() => fleet.finish_take_over(),
+        FleetEvent::FinishTakeOver => {}
         FleetEvent::SetListed { worker, is_listed } => {
             let view = fleet.worker(&format!("w{worker}")).view.clone();
             if *is_listed {
@@ -205,6 +225,9 @@
     // Once all faults have ended, every job completes.
     fleet.lost_order_delay = None;
     fleet.is_table_up = true;
+    if fleet.scheduler.is_restoring() {
+        fleet.finish_take_over();
+    }
     for number in 0..WORKER_COUNT {
         fleet.worker(&format!("w{number}")).is_unresponsive = false;
         let view = fleet.worker(&format!("w{number}")).view.clone();
