Begin the session of an owner before it has read the workers

Callers would see: false pending counts after a takeover that takes longer than 5 s, and on slow links owners that never last.

Cause: (1) the first counts of a new owner were published before it had read what was accepted while it read, although they were named as its own; (2) the rows of workers, waves and the previous owner were read before anything was renewed; (3) one failed request before the first complete page ended the ownership, without a release.

Change: the session begins with the claim and reads first the fleet, then the jobs; no counts before the first answer of the feed; scans of an owner repeat failed requests until nothing has arrived for the limit; an owner that cannot read the rows releases.

(2) and (3) have no test of their own.

--- a/crates/engine/src/owner/session/mod.rs
+++ b/crates/engine/src/owner/session/mod.rs
@@ -8,17 +8,17 @@
 
 use redwing_jobs::feasibility::FleetCapacity;
 use redwing_jobs::maintenance::MaintenanceRecord;
-use redwing_jobs::scheduler::{AdviceRequest, InheritedLeases};
+use redwing_jobs::scheduler::AdviceRequest;
 use redwing_jobs::worker::{OrderAction, WorkerOrder};
 use redwing_jobs::{BootTime, JobId, JobScheduler, SchedulerSettings};
+use redwing_provider::TransactionSize;
 use redwing_provider::builder::FillBudget;
-use redwing_provider::{CallCause, TransactionSize};
 use tokio::sync::{mpsc, oneshot};
 use tokio::time as timer;
 
 use crate::clock;
 use crate::event;
-use crate::follow::{self, TableUpdate};
+use crate::follow::TableUpdate;
 use crate::log_job_event;
 use crate::row::{EncodedRow, PendingCounts, WaitRecord};
 use crate::services::WorkerReply;
@@ -29,10 +29,9 @@
 use super::election::{AcquiredOwnership, OwnerLease};
 use super::machines::{MachineResponse, MachineService};
 use super::order_queues::{CompletedOrder, OrderQueues};
-use super::record;
 use super::scheduler_event;
 
-use restore::{FleetRows, JobRows};
+use restore::{RestoreStage, RestoredRows};
 use store::ChangeContents;
 
 /// Runs a session until the ownership is lost or the process stops.
@@ -40,13 +39,7 @@
     let fencing_token = acquired.lease.record.fencing_token;
     log_job_event!(info, event::OWNER_BEGUN, fence = fencing_token);
     dependencies.metrics.set_owner(fencing_token);
-    let reason = match OwnerSession::open(dependencies, acquired).await {
-        Ok(mut session) => session.run().await,
-        Err(error) => {
-            log_job_event!(error, event::ROWS_INCOMPLETE, error = error);
-            "the rows could not be read"
-        }
-    };
+    let reason = OwnerSession::open(dependencies, acquired).run().await;
     dependencies.metrics.set_owner(0);
     log_job_event!(
         info,
@@ -62,14 +55,6 @@
     outcome: oneshot::Receiver<ChangeOutcome>,
 }
 
-/// Waits that the previous owner stored.
-#[derive(Clone, Debug, Default)]
-struct InheritedWaits {
-    record: WaitRecord,
-    /// Time at which they were stored already.
-    stored_by: BootTime,
-}
-
 /// State of a session: the scheduler, its inputs and its pending change.
 struct OwnerSession<'a> {
     dependencies: &'a OwnerDependencies,
@@ -77,11 +62,14 @@
     scheduler: JobScheduler,
     machines: MachineService,
     order_queues: OrderQueues,
-    /// Rows of jobs, while they are being read.
-    job_rows: Option<oneshot::Receiver<Option<JobRows>>>,
-    /// Changes of these rows, once they are read.
+    /// Rows of earlier owners that are being read.
+    restoring: RestoreStage,
+    /// Changes of the rows of jobs, once they are read.
     job_updates: Option<mpsc::Receiver<TableUpdate>>,
-    worker_updates: mpsc::Receiver<TableUpdate>,
+    /// Whether changes have arrived that were made while the rows were read.
+    has_followed_jobs: bool,
+    /// Changes of the rows of workers, once they are read.
+    worker_updates: Option<mpsc::Receiver<TableUpdate>>,
     completed_orders: mpsc::UnboundedReceiver<CompletedOrder>,
     advice_requests: mpsc::UnboundedSender<AdviceRequest>,
     advice_results: mpsc::UnboundedReceiver<AdviceResult>,
@@ -132,16 +120,15 @@
     waits_counted_at: BootTime,
     /// Waits as stored.
     stored_waits: WaitRecord,
+    /// Since when the previous owner is known to have stored nothing.
+    unchanged_since: BootTime,
     /// Waits of the previous owner, until the jobs are restored.
-    inherited_waits: InheritedWaits,
+    inherited_waits: WaitRecord,
 }
 
 impl<'a> OwnerSession<'a> {
-    /// Reads the workers, and starts to read the jobs that earlier owners stored.
-    async fn open(
-        dependencies: &'a OwnerDependencies,
-        acquired: AcquiredOwnership,
-    ) -> redwing_provider::Result<Self> {
+    /// Starts to read what earlier owners stored.
+    fn open(dependencies: &'a OwnerDependencies, acquired: AcquiredOwnership) -> Self {
         let AcquiredOwnership {
             lease,
             claimed_at,
@@ -149,11 +136,6 @@
             unchanged_since,
         } = acquired;
         let client = &dependencies.client;
-        let FleetRows {
-            maintenance,
-            owner,
-            workers,
-        } = restore::read_fleet(dependencies).await?;
         let (completed_sender, completed_orders) = mpsc::unbounded_channel();
         let (machine_sender, machine_responses) = mpsc::unbounded_channel();
         let (deleted_sender, deleted) = mpsc::unbounded_channel();
@@ -169,15 +151,10 @@
             scheduler: JobScheduler::new(scheduler_settings, fencing_token),
             machines: MachineService::new(dependencies, fencing_token, machine_sender),
             order_queues: OrderQueues::new(dependencies.services.workers.clone(), completed_sender),
-            job_rows: Some(restore::read_jobs(client)),
+            restoring: RestoreStage::begin(dependencies),
             job_updates: None,
-            worker_updates: follow::follow(
-                client,
-                CallCause::Membership,
-                dependencies.codec.worker_prefix(),
-                Some(workers.cursor),
-                follow::WATCH_TIMEOUT,
-            ),
+            has_followed_jobs: false,
+            worker_updates: None,
             completed_orders,
             advice_requests,
             advice_results,
@@ -186,7 +163,7 @@
             obsolete_jobs: VecDeque::new(),
             cleanup_started_at: clock::boot_now(),
             machine_responses,
-            waves: record::read_waves(&maintenance.rows, unchanged_since),
+            waves: BTreeMap::new(),
             pending_change: None,
             change_number: lease.record.change,
             fill_budget: FillBudget::default(),
@@ -203,26 +180,15 @@
             confirmed_at: claimed_at,
             unconfirmed_since: None,
             inherited_until,
+            unchanged_since,
             waits_counted_at: BootTime::default(),
             stored_waits: WaitRecord::default(),
-            inherited_waits: InheritedWaits::default(),
+            inherited_waits: WaitRecord::default(),
             lease,
         };
-        // The previous owner had the token before this one.
-        let previous_token = fencing_token - 1;
-        session.scheduler.inherit_leases(InheritedLeases {
-            until: inherited_until,
-            workers: record::read_lease_ends(&owner.rows, previous_token, unchanged_since),
-        });
-        session.scheduler.inherit_waits(unchanged_since);
-        session.inherited_waits = InheritedWaits {
-            record: record::read_waits(&owner.rows, previous_token),
-            stored_by: unchanged_since,
-        };
         session.scheduler.begin_restoring();
         session.apply_operator_view();
-        session.apply_worker_rows(&workers.rows, true);
-        Ok(session)
+        session
     }
 
     /// Runs until the ownership ends; returns the reason.
@@ -241,16 +207,19 @@
                     let now = clock::boot_now();
                     self.scheduler.handle_advice_response(&request, response.as_ref(), now);
                 }
-                rows = wait_for_rows(&mut self.job_rows) => {
-                    let Some(rows) = rows else {
+                rows = self.restoring.next() => match rows {
+                    Some(RestoredRows::Fleet(rows)) => self.restore_fleet(&rows),
+                    Some(RestoredRows::Jobs(rows)) => self.finish_restoring(&rows),
+                    None => {
+                        // Another process may be able to read them.
+                        self.release().await;
                         return "the rows could not be read";
-                    };
-                    self.finish_restoring(&rows);
-                }
+                    }
+                },
                 Some(update) = next_update(&mut self.job_updates) => {
                     self.apply_job_rows(&update);
                 }
-                Some(update) = self.worker_updates.recv() => {
+                Some(update) = next_update(&mut self.worker_updates) => {
                     self.apply_worker_rows(&update.rows, update.is_complete);
                 }
                 Some(job) = self.deleted.recv() => self.obsolete_jobs.push_back(job),
@@ -423,15 +392,6 @@
     }
 }
 
-/// Waits for the rows of jobs; returns none if they could not be read, and never returns
-/// if they are not being read.
-async fn wait_for_rows(rows: &mut Option<oneshot::Receiver<Option<JobRows>>>) -> Option<JobRows> {
-    match rows {
-        Some(receiver) => receiver.await.ok().flatten(),
-        None => std::future::pending().await,
-    }
-}
-
 /// Waits for the next update; never returns while the rows are not followed.
 async fn next_update(updates: &mut Option<mpsc::Receiver<TableUpdate>>) -> Option<TableUpdate> {
     match updates {
--- a/crates/engine/src/owner/session/restore.rs
+++ b/crates/engine/src/owner/session/restore.rs
@@ -1,5 +1,10 @@
-//! Rows that a new owner reads before it schedules.
+//! Rows that a new owner reads before it schedules: first those of workers, then those
+//! of jobs.
+//!
+//! Load pattern: a takeover on a slow link. The session runs meanwhile and renews the
+//! leases, its own and those of the workers that are read.
 
+use redwing_jobs::BootTime;
 use redwing_provider::table::TableView;
 use redwing_provider::{CallCause, ReadProgress, TableClient};
 use tokio::sync::oneshot;
@@ -23,37 +28,62 @@
     pub(super) progress: TableView,
 }
 
-/// Reads the rows that are needed at once.
-///
-/// # Errors
-///
-/// Fails if the table does not respond in time.
-pub(super) async fn read_fleet(
-    dependencies: &OwnerDependencies,
-) -> redwing_provider::Result<FleetRows> {
-    let client = &dependencies.client;
-    let worker_prefix = dependencies.codec.worker_prefix();
-    // Concurrent scans: the lease must not expire while a slow table responds.
-    let (maintenance, owner, workers) = futures_util::try_join!(
-        client.scan(CallCause::Maintenance, row::MAINTENANCE_PREFIX),
-        client.scan(CallCause::Membership, row::OWNER_PREFIX),
-        client.scan(CallCause::Membership, worker_prefix),
-    )?;
-    Ok(FleetRows {
-        maintenance,
-        owner,
-        workers,
-    })
+/// Rows that have been read.
+pub(super) enum RestoredRows {
+    Fleet(FleetRows),
+    Jobs(JobRows),
 }
 
-/// Starts to read the rows of jobs; sends none, and logs what had arrived, if they could
-/// not be read. Ends once the receiver is closed.
-pub(super) fn read_jobs(client: &TableClient) -> oneshot::Receiver<Option<JobRows>> {
+/// What a new owner is reading.
+pub(super) enum RestoreStage {
+    /// The rows of workers, waves and the previous owner.
+    Fleet(oneshot::Receiver<Option<FleetRows>>),
+    /// The rows of jobs.
+    Jobs(oneshot::Receiver<Option<JobRows>>),
+    /// Nothing more.
+    Done,
+}
+
+impl RestoreStage {
+    /// Starts to read the rows of workers.
+    pub(super) fn begin(dependencies: &OwnerDependencies) -> Self {
+        let client = dependencies.client.clone();
+        let worker_prefix = dependencies.codec.worker_prefix().to_owned();
+        Self::Fleet(read(
+            async move { scan_fleet(&client, &worker_prefix).await },
+        ))
+    }
+
+    /// Starts to read the rows of jobs.
+    pub(super) fn read_jobs(client: &TableClient) -> Self {
+        let client = client.clone();
+        Self::Jobs(read(async move { scan_jobs(&client).await }))
+    }
+
+    /// Waits for the rows that are being read; returns none if they could not be read,
+    /// and never returns if nothing is being read.
+    pub(super) async fn next(&mut self) -> Option<RestoredRows> {
+        match self {
+            Self::Fleet(rows) => rows.await.ok().flatten().map(RestoredRows::Fleet),
+            Self::Jobs(rows) => rows.await.ok().flatten().map(RestoredRows::Jobs),
+            Self::Done => std::future::pending().await,
+        }
+    }
+
+    /// Returns whether the rows of workers are still being read.
+    pub(super) fn awaits_fleet(&self) -> bool {
+        matches!(self, Self::Fleet(_))
+    }
+}
+
+/// Starts a read that ends once the receiver is closed.
+fn read<T: 'static>(
+    scan: impl Future<Output = Option<T>> + 'static,
+) -> oneshot::Receiver<Option<T>> {
     let (mut sender, receiver) = oneshot::channel();
-    let client = client.clone();
     tokio::task::spawn_local(async move {
         let rows = tokio::select! {
-            rows = scan_jobs(&client) => rows,
+            rows = scan => rows,
             () = sender.closed() => return,
         };
         // The receiver is gone if the session has ended.
@@ -62,6 +92,27 @@
     receiver
 }
 
+async fn scan_fleet(client: &TableClient, worker_prefix: &str) -> Option<FleetRows> {
+    let started = clock::boot_now();
+    let counts = ReadProgress::default();
+    let result = futures_util::try_join!(
+        client.scan_observed(CallCause::Maintenance, row::MAINTENANCE_PREFIX, &counts),
+        client.scan_observed(CallCause::Membership, row::OWNER_PREFIX, &counts),
+        client.scan_observed(CallCause::Membership, worker_prefix, &counts),
+    );
+    match result {
+        Ok((maintenance, owner, workers)) => Some(FleetRows {
+            maintenance,
+            owner,
+            workers,
+        }),
+        Err(error) => {
+            log_incomplete(&error, &counts, started);
+            None
+        }
+    }
+}
+
 async fn scan_jobs(client: &TableClient) -> Option<JobRows> {
     let started = clock::boot_now();
     let counts = ReadProgress::default();
@@ -69,7 +120,6 @@
         client.scan_observed(CallCause::Job, row::JOB_PREFIX, &counts),
         client.scan_observed(CallCause::Job, row::PROGRESS_PREFIX, &counts),
     );
-    let millis = clock::boot_now().saturating_since(started).as_millis();
     match result {
         Ok((jobs, progress)) => {
             log_job_event!(
@@ -79,22 +129,26 @@
                 bytes = counts.bytes(),
                 pages = counts.pages(),
                 requests = counts.requests(),
-                millis = millis,
+                millis = clock::boot_now().saturating_since(started).as_millis(),
             );
             Some(JobRows { jobs, progress })
         }
         Err(error) => {
-            log_job_event!(
-                error,
-                event::ROWS_INCOMPLETE,
-                error = error,
-                rows = counts.rows(),
-                bytes = counts.bytes(),
-                pages = counts.pages(),
-                requests = counts.requests(),
-                millis = millis,
-            );
+            log_incomplete(&error, &counts, started);
             None
         }
     }
 }
+
+fn log_incomplete(error: &redwing_provider::Error, counts: &ReadProgress, started: BootTime) {
+    log_job_event!(
+        error,
+        event::ROWS_INCOMPLETE,
+        error = error,
+        rows = counts.rows(),
+        bytes = counts.bytes(),
+        pages = counts.pages(),
+        requests = counts.requests(),
+        millis = clock::boot_now().saturating_since(started).as_millis(),
+    );
+}
--- a/crates/engine/src/owner/session/rows.rs
+++ b/crates/engine/src/owner/session/rows.rs
@@ -3,6 +3,7 @@
 use std::collections::HashMap;
 
 use redwing_jobs::record::ProgressRecord;
+use redwing_jobs::scheduler::InheritedLeases;
 use redwing_jobs::worker::WorkerView;
 use redwing_jobs::{BootTime, JobId};
 use redwing_provider::{CallCause, TableRow};
@@ -13,16 +14,41 @@
 use crate::row::{self, JobKey, WaitRecord};
 
 use super::OwnerSession;
-use super::restore::JobRows;
+use super::restore::{FleetRows, JobRows, RestoreStage};
 
 impl OwnerSession<'_> {
+    /// Starts to renew the leases of workers and to read the rows of jobs.
+    pub(super) fn restore_fleet(&mut self, rows: &FleetRows) {
+        // The previous owner had the token before this one.
+        let previous_token = self.lease.record.fencing_token - 1;
+        let stored_by = self.unchanged_since;
+        self.scheduler.inherit_leases(InheritedLeases {
+            until: self.inherited_until,
+            workers: record::read_lease_ends(&rows.owner.rows, previous_token, stored_by),
+        });
+        self.scheduler.inherit_waits(stored_by);
+        self.inherited_waits = record::read_waits(&rows.owner.rows, previous_token);
+        self.waves = record::read_waves(&rows.maintenance.rows, stored_by);
+        let client = &self.dependencies.client;
+        self.worker_updates = Some(follow::follow(
+            client,
+            CallCause::Membership,
+            self.dependencies.codec.worker_prefix(),
+            Some(rows.workers.cursor),
+            follow::WATCH_TIMEOUT,
+        ));
+        self.restoring = RestoreStage::read_jobs(client);
+        self.apply_operator_view();
+        self.apply_worker_rows(&rows.workers.rows, true);
+    }
+
     /// Restores the jobs of earlier owners and starts to schedule and to follow changes.
     pub(super) fn finish_restoring(&mut self, rows: &JobRows) {
         self.restore_jobs(&rows.jobs.rows, &rows.progress.rows);
         let waits = std::mem::take(&mut self.inherited_waits);
-        self.restore_waits(waits.record, waits.stored_by);
+        self.restore_waits(waits, self.unchanged_since);
         self.scheduler.finish_restoring(clock::boot_now());
-        self.job_rows = None;
+        self.restoring = RestoreStage::Done;
         self.job_updates = Some(follow::follow(
             &self.dependencies.client,
             CallCause::Job,
@@ -89,11 +115,16 @@
         if let Some(manifest) = &view.manifest {
             self.scheduler.set_manifest(manifest.clone());
         }
+        if self.restoring.awaits_fleet() {
+            // The records of earlier owners are not read yet.
+            return;
+        }
         self.machines
             .add_waves(&view, &self.waves, clock::boot_now());
     }
 
     pub(super) fn apply_job_rows(&mut self, update: &TableUpdate) {
+        self.has_followed_jobs = true;
         let now = clock::boot_now();
         let mut cancelled = Vec::new();
         for entry in &update.rows {
--- a/crates/engine/src/owner/session/store.rs
+++ b/crates/engine/src/owner/session/store.rs
@@ -410,7 +410,7 @@
     /// Returns the row of the backlogs, if `backlog_interval` has elapsed and a pool has
     /// a backlog, or had one at the latest publication.
     fn next_backlog_row(&mut self, now: BootTime) -> Option<EncodedRow> {
-        if !self.dependencies.settings.publishes_backlogs || self.scheduler.is_restoring() {
+        if !self.dependencies.settings.publishes_backlogs || !self.has_followed_jobs {
             return None;
         }
         let interval = self.dependencies.settings.backlog_interval;
@@ -455,7 +455,8 @@
     /// Returns the pending counts to store, if they changed and
     /// `pending_interval` has elapsed.
     pub(super) fn next_pending_counts(&mut self, now: BootTime) -> Option<PendingCounts> {
-        if self.scheduler.is_restoring() {
+        if !self.has_followed_jobs {
+            // Jobs that were accepted while the rows were read are not counted yet.
             return None;
         }
         if now.saturating_since(self.counts_sent_at) < self.dependencies.settings.pending_interval {
--- a/crates/engine/tests/slow_link.rs
+++ b/crates/engine/tests/slow_link.rs
@@ -118,3 +118,30 @@
         cluster.assert_no_double_run();
     });
 }
+
+/// Jobs are accepted while their part of the table has been read already.
+#[test]
+fn counts_after_a_slow_takeover_include_all_accepted_jobs() {
+    run_test(async {
+        let cluster = start_cluster(time::Duration::from_secs(60), ROW_BYTES / 8).await;
+        assert_eq!(cluster.submit(0, "a", 60).await, CallerResponse::Accepted);
+        timer::sleep(time::Duration::from_secs(1)).await;
+        replace_owner(&cluster).await;
+        timer::sleep(time::Duration::from_millis(1_500)).await;
+        for number in 0..40 {
+            let response = cluster.submit(1, &format!("w{number}"), 1).await;
+            assert_eq!(response, CallerResponse::Accepted);
+        }
+        loop {
+            match cluster.pending(1).await {
+                CallerResponse::Pending(count) => {
+                    assert!(count >= 40, "{count}");
+                    break;
+                }
+                CallerResponse::Unavailable { .. } => {}
+                response => panic!("{response:?}"),
+            }
+            timer::sleep(time::Duration::from_millis(10)).await;
+        }
+    });
+}
--- a/crates/provider/src/client.rs
+++ b/crates/provider/src/client.rs
@@ -257,14 +257,18 @@
     /// open.
     pub async fn scan(&self, cause: CallCause, prefix: &str) -> Result<TableView> {
         let progress = ReadProgress::default();
-        self.scan_observed(cause, prefix, &progress).await
+        ClientScan::new(&self.shared, cause, &progress)
+            .run(prefix)
+            .await
     }
 
     /// Reads as [`TableClient::scan`] does, and counts in `progress` what has arrived.
+    /// Requests that fail are repeated.
     ///
     /// # Errors
     ///
-    /// Fails as `scan` does.
+    /// Fails if nothing has arrived for the limit, also of other scans with this
+    /// progress, or if the table refuses a request.
     pub async fn scan_observed(
         &self,
         cause: CallCause,
@@ -272,6 +276,7 @@
         progress: &ReadProgress,
     ) -> Result<TableView> {
         ClientScan::new(&self.shared, cause, progress)
+            .patient()
             .run(prefix)
             .await
     }
--- a/crates/provider/src/scan.rs
+++ b/crates/provider/src/scan.rs
@@ -108,6 +108,8 @@
     shared: &'a SharedState,
     cause: CallCause,
     progress: &'a ReadProgress,
+    /// Whether requests are repeated although nothing has arrived yet.
+    is_patient: bool,
     started: time::Instant,
 }
 
@@ -121,10 +123,19 @@
             shared,
             cause,
             progress,
+            is_patient: false,
             started: time::Instant::now(),
         }
     }
 
+    /// Repeats requests that fail although nothing has arrived yet.
+    pub(crate) fn patient(self) -> Self {
+        Self {
+            is_patient: true,
+            ..self
+        }
+    }
+
     pub(crate) async fn run(&self, prefix: &str) -> Result<TableView> {
         scan_source(self, prefix).await
     }
@@ -168,8 +179,8 @@
         response
     }
 
-    /// Repeats a request that failed as long as the scan makes progress; a scan that has
-    /// not received any page fails at once.
+    /// Repeats a request that failed until nothing has arrived for the limit; a scan that
+    /// has not received any page fails at once, unless it is patient.
     async fn retry<T>(&self, mut send: impl AsyncFnMut() -> Result<T>) -> Result<T> {
         let mut backoff = RetryBackoff::new(RETRY);
         loop {
@@ -177,8 +188,9 @@
                 Ok(response) => return Ok(response),
                 Err(error) => error,
             };
-            let is_final = error.classify() == Category::Refused;
-            if is_final || self.progress.pages() == 0 || self.idle_time_left().is_zero() {
+            let is_refused = error.classify() == Category::Refused;
+            let is_first = self.progress.pages() == 0 && !self.is_patient;
+            if is_refused || is_first || self.idle_time_left().is_zero() {
                 return Err(error);
             }
             timer::sleep(backoff.next_delay(rand::random())).await;
