Refuse what was not sent to the table, instead of an unknown outcome

Cause: a commit whose caller stopped waiting counted as of unknown outcome, also while it was still queued behind the commits in flight and was then never sent. On a silent table all of 40 submissions got "outcome unknown" (504), although at most 8 rows were sent.

Change: the client tells a transaction that was sent from one that was not; the latter is unavailable, is never sent, and its caller is refused truly.

Evidence: before, commit_that_is_not_sent_in_time_is_without_effect (redwing-provider, client) and jobs_that_were_not_sent_to_a_silent_table_are_refused (redwing-engine, owner; 40 of 40 unknown) fail; after, both pass, and a refused job is never stored.

--- a/crates/engine/tests/owner.rs
+++ b/crates/engine/tests/owner.rs
@@ -11,7 +11,7 @@
 use redwing_engine::codec::{CallerHead, CallerResponse};
 use redwing_engine::owner::OwnerSettings;
 use redwing_engine::product;
-use redwing_engine::row;
+use redwing_engine::{row, run};
 use redwing_jobs::{JobState, WorkerId};
 use redwing_provider::{RowKey, TableStore, TableTransaction};
 use redwing_standin::WorkerFault;
@@ -36,6 +36,39 @@
     });
 }
 
+/// The table is silent. Only the jobs whose rows were sent to it may be stored; all
+/// others are refused, and never run.
+#[test]
+fn jobs_that_were_not_sent_to_a_silent_table_are_refused() {
+    run_test(async {
+        let cluster = TestCluster::start(1, time::Duration::from_millis(50)).await;
+        cluster.owner().await;
+        let set_delay = |millis| {
+            let platform = &cluster.processes[0].platform;
+            platform.set_faults(|plan| plan.table_delay_millis = millis);
+        };
+        set_delay(20_000);
+        let names: Vec<String> = (0..40).map(|number| format!("job-{number}")).collect();
+        let submitted = names.iter().map(|name| cluster.submit(0, name, 1));
+        let responses = futures_util::future::join_all(submitted).await;
+        let unknown = responses
+            .iter()
+            .filter(|response| **response == CallerResponse::OutcomeUnknown);
+        let in_flight = run::client_settings().max_commits_in_flight;
+        assert!(unknown.count() <= in_flight, "{responses:?}");
+        set_delay(0);
+        timer::sleep(time::Duration::from_secs(1)).await;
+        for (name, response) in names.iter().zip(&responses) {
+            let is_refused = matches!(response, CallerResponse::Unavailable { .. });
+            let state = cluster.state(0, name).await;
+            assert!(
+                !is_refused || state == CallerResponse::NoSuchJob,
+                "{name}: {state:?}"
+            );
+        }
+    });
+}
+
 /// A job that needs more than any worker has is refused with the name of the
 /// field, and is not stored.
 #[test]
--- a/crates/provider/src/client.rs
+++ b/crates/provider/src/client.rs
@@ -102,6 +102,8 @@
     cause: CallCause,
     transaction: TableTransaction,
     queued_at: time::Instant,
+    /// Whether the transaction is in a batch that is being sent.
+    is_sent: rc::Rc<cell::Cell<bool>>,
     reply: oneshot::Sender<Result<CommitOutcome>>,
 }
 
@@ -159,6 +161,16 @@
         &self,
         cause: CallCause,
         transaction: TableTransaction,
+    ) -> Result<CommitOutcome> {
+        let is_sent = rc::Rc::default();
+        self.queue_commit(cause, transaction, is_sent).await
+    }
+
+    async fn queue_commit(
+        &self,
+        cause: CallCause,
+        transaction: TableTransaction,
+        is_sent: rc::Rc<cell::Cell<bool>>,
     ) -> Result<CommitOutcome> {
         let size = TransactionSize::of(&transaction);
         if !self.limits().allow(&size) {
@@ -170,6 +182,7 @@
             cause,
             transaction,
             queued_at: time::Instant::now(),
+            is_sent,
             reply,
         };
         if self.queue.try_send(queued).is_err() {
@@ -185,21 +198,29 @@
     }
 
     /// Applies a transaction as [`TableClient::commit`] does, but waits for the
-    /// response for at most `limit`. The attempt itself continues.
+    /// response for at most `limit`. An attempt that was sent by then continues; one
+    /// that was not is never sent.
     ///
     /// # Errors
     ///
-    /// Fails as `commit` does, and with category `Unknown` after the limit.
+    /// Fails as `commit` does; after the limit with category `Unknown` if the
+    /// transaction was sent, and with `Unavailable` if it was not.
     pub async fn commit_within(
         &self,
         cause: CallCause,
         transaction: TableTransaction,
         limit: time::Duration,
     ) -> Result<CommitOutcome> {
-        let timed_out = || Error::unknown("commit", SERVICE, "no response within the time limit");
-        let commit = self.commit(cause, transaction);
+        let is_sent = rc::Rc::new(cell::Cell::new(false));
+        let commit = self.queue_commit(cause, transaction, is_sent.clone());
         let response = timer::timeout(limit, commit).await;
-        response.unwrap_or_else(|_| Err(timed_out()))
+        response.unwrap_or_else(|_| {
+            Err(match is_sent.get() {
+                true => Error::unknown("commit", SERVICE, "no response within the time limit"),
+                // The writer leaves out what nobody waits for.
+                false => Error::unavailable("commit", SERVICE, "not sent within the time limit"),
+            })
+        })
     }
 
     /// Applies a transaction, and repeats it if its outcome is unknown.
@@ -491,6 +512,7 @@
         }
         match self.transactions.add(queued.transaction) {
             Ok(()) => {
+                queued.is_sent.set(true);
                 self.waiters.push((queued.cause, queued.reply));
                 None
             }
--- a/crates/provider/tests/client.rs
+++ b/crates/provider/tests/client.rs
@@ -242,6 +242,34 @@
     });
 }
 
+#[test]
+fn commit_that_is_not_sent_in_time_is_without_effect() {
+    block_on(async {
+        let platform = MemoryPlatform::default();
+        platform.set_faults(|faults| faults.table_delay_millis = 100);
+        let settings = ClientSettings {
+            max_commits_in_flight: 1,
+            batch_limit: 1,
+            ..fast_settings()
+        };
+        let client = client_for(&platform, settings);
+        let limit = time::Duration::from_millis(20);
+        let (first, second) = future::join(
+            client.commit_within(CAUSE, creation("row/1", "1"), limit),
+            client.commit_within(CAUSE, creation("row/2", "1"), limit),
+        )
+        .await;
+        assert_eq!(first.unwrap_err().classify(), Category::Unknown);
+        assert_eq!(second.unwrap_err().classify(), Category::Unavailable);
+        platform.set_faults(|faults| faults.table_delay_millis = 0);
+        let last = client.commit(CAUSE, creation("row/3", "1")).await;
+        assert!(matches!(last, Ok(CommitOutcome::Committed(_))));
+        let rows = platform.scan("row/").await.unwrap().rows;
+        let keys: Vec<&str> = rows.iter().map(|row| row.key.as_str()).collect();
+        assert_eq!(keys, ["row/1", "row/3"]);
+    });
+}
+
 #[test]
 fn full_queue_rejects_commits_without_effect() {
     block_on(async {
