Try a change again at once after an attempt without a response

Cause: after an attempt that waited 0.7 s for a silent table, the owner waited up to 0.4 s more before the next, so that the first change after the table's return was late.

Change: the time that an attempt took counts towards the delay before the next one; failures that come back at once are retried as before.

--- a/crates/engine/src/owner/change.rs
+++ b/crates/engine/src/owner/change.rs
@@ -177,6 +177,7 @@
     let mut attempts = 0_u32;
     loop {
         attempts += 1;
+        let attempted = clock::boot_now();
         let commit = client.commit_within(CallCause::Job, transaction.clone(), timeouts.attempt);
         let error = match commit.await {
             Ok(CommitOutcome::Committed(version)) => {
@@ -200,7 +201,10 @@
         if clock::boot_now().saturating_since(started) > timeouts.give_up_after {
             return ChangeOutcome::Lost("no change could be stored within the time limit");
         }
-        timer::sleep(backoff.next_delay(rand::random())).await;
+        // An attempt on a silent table has taken longer than any delay; the next one
+        // follows at once, as the table may have returned.
+        let elapsed = clock::boot_now().saturating_since(attempted);
+        timer::sleep(backoff.delay_after(elapsed, rand::random())).await;
     }
 }
 
--- a/crates/provider/src/backoff.rs
+++ b/crates/provider/src/backoff.rs
@@ -55,4 +55,10 @@
     pub fn reset(&mut self) {
         self.bound = self.settings.initial_delay;
     }
+
+    /// Returns the delay before the next attempt after one that took `elapsed`, which
+    /// counts towards the delay: an attempt without a response has waited already.
+    pub fn delay_after(&mut self, elapsed: time::Duration, jitter: f64) -> time::Duration {
+        self.next_delay(jitter).saturating_sub(elapsed)
+    }
 }
--- a/crates/provider/tests/limits.rs
+++ b/crates/provider/tests/limits.rs
@@ -126,6 +126,22 @@
         }
     }
 
+    /// The time that attempts took counts towards the delays between them.
+    #[test]
+    fn delays_count_from_the_start_of_an_attempt(
+        attempts in prop::collection::vec((0u64..3_000, 0.0f64..1.0), 1..40),
+    ) {
+        let settings = BackoffSettings::default();
+        let mut backoff = RetryBackoff::new(settings.clone());
+        let mut plain = RetryBackoff::new(settings.clone());
+        for (elapsed, jitter) in attempts {
+            let elapsed = time::Duration::from_millis(elapsed);
+            let delay = backoff.delay_after(elapsed, jitter);
+            prop_assert!(delay.is_zero() || elapsed < settings.max_delay);
+            prop_assert_eq!(delay, plain.next_delay(jitter).saturating_sub(elapsed));
+        }
+    }
+
     /// While the breaker is open, calls are at least `min_open` apart; a success
     /// closes it whatever came before.
     #[test]
