Confirm drains in transactions within the limits

Cause: a process wrote the confirmations of all drains in one transaction; with more than 100 VMs draining, as after the failure of a data centre, the table refused all of them in every round, and no drain ended.

Change: the confirmations go through the transaction builder, in as many transactions as they take.

--- a/crates/node/src/maintenance/runner.rs
+++ b/crates/node/src/maintenance/runner.rs
@@ -2,6 +2,7 @@
 
 use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet};
+use std::mem;
 use std::rc;
 use std::sync;
 use std::time;
@@ -13,6 +14,7 @@
 use redwing_planner::plan::{FleetPlan, plan};
 use redwing_planner::step::{PlanStep, PlatformCall, RowReference};
 use redwing_planner::{FleetRows, PlanTime, PlannerSettings, ProfileTargets};
+use redwing_provider::builder::{TransactionBuilder, UnitFit};
 use redwing_provider::table::CommitOutcome;
 use redwing_provider::{Category, PlatformServices, Result, RowKey, TableRow, TableTransaction};
 use tokio::sync::watch;
@@ -355,7 +357,9 @@
 
     /// Writes a confirmation for each draining VM that this process no longer uses.
     async fn confirm_drains(&mut self, now: PlanTime, rows: &FleetRows, usage: &UsageReport) {
-        let mut transaction = TableTransaction::default();
+        let limits = self.services.table.limits();
+        let new_builder = || TransactionBuilder::new(limits, TableTransaction::default());
+        let mut builder = new_builder();
         let mut unused_since = BTreeMap::new();
         for (vm, row) in &rows.vms {
             let draining = matches!(row.value.phase, VmPhase::Draining | VmPhase::Moving);
@@ -374,9 +378,18 @@
                 incarnation: self.incarnation.clone(),
                 revision,
             };
-            transaction = self.add_confirmation(transaction, vm, &ack);
+            let confirmation = self.confirmation(vm, &ack);
+            if builder.add(&confirmation) == UnitFit::Full {
+                let full = mem::replace(&mut builder, new_builder());
+                self.commit_confirmations(full.finish()).await;
+                builder.add(&confirmation);
+            }
         }
         self.unused_since = unused_since;
+        self.commit_confirmations(builder.finish()).await;
+    }
+
+    async fn commit_confirmations(&self, transaction: TableTransaction) {
         if !transaction.writes().is_empty()
             && let Err(error) = self.services.table.commit(&transaction).await
         {
@@ -388,13 +401,9 @@
         }
     }
 
-    /// Adds the confirmation to `transaction` unless the table already has it.
-    fn add_confirmation(
-        &self,
-        transaction: TableTransaction,
-        vm: &VmId,
-        ack: &DrainAck,
-    ) -> TableTransaction {
+    /// Returns the transaction that writes a confirmation, empty if it is stored.
+    fn confirmation(&self, vm: &VmId, ack: &DrainAck) -> TableTransaction {
+        let transaction = TableTransaction::default();
         let row = RowReference::DrainAck {
             vm: vm.clone(),
             node: self.incarnation.node.clone(),
--- a/crates/node/tests/maintenance.rs
+++ b/crates/node/tests/maintenance.rs
@@ -405,3 +405,38 @@
     let newcomer: VmId = vm_name(20).parse().unwrap();
     assert_eq!(vms[&newcomer].pool, reports_pool());
 }
+
+/// A failure drains many VMs at once: the confirmations are more than one transaction
+/// holds.
+#[actix_rt::test]
+async fn many_drains_are_confirmed() {
+    let mut region = Region::new(1).await;
+    let names = (100..230).map(|number| format!("vm-{number}"));
+    let vms: BTreeSet<VmId> = names.map(|name| name.parse().unwrap()).collect();
+    for vm in &vms {
+        let record = VmRecord {
+            identity: VmIdentity {
+                vm: vm.clone(),
+                ..listed_vm(0, region.backend).identity
+            },
+            pool: "reports".parse().unwrap(),
+            phase: VmPhase::Draining,
+            revision: 1,
+        };
+        let value = serde_json::to_string(&record).unwrap();
+        let row = TableTransaction::default().put(RowKey::new(format!("vm/{vm}")), value);
+        region.platform.commit(&row).await.unwrap();
+    }
+    region.processes[0].scheduler.vms.replace(vms.clone());
+    for _ in 0..10 {
+        region.advance_second();
+        let now = region.now();
+        let runner = &mut region.processes[0].runner;
+        runner
+            .read_state(now, 1, &region.declaration)
+            .await
+            .unwrap();
+    }
+    let confirmations = region.platform.scan("drain/").await.unwrap().rows;
+    assert_eq!(confirmations.len(), vms.len());
+}
