--- a/crates/engine/src/event.rs
+++ b/crates/engine/src/event.rs
@@ -70,7 +70,7 @@
     /// A row that the request of a caller needs could not be read.
     ROW_UNREAD = 524 "row-unread";
     /// An attempt to store a row for a caller failed; it is retried until the time
-    /// limit.
+    /// limit, unless the table refused it.
     ROW_UNSTORED = 525 "row-unstored";
     /// The rows of a job that finished long ago could not be deleted; the next
     /// owner retries.
