Probe a silent table more often than its calls time out

Cause: while the circuit breaker was open, a probe that got no response kept all other calls out for twice the call timeout (2.4 s in an entry process), also once the table had returned; a probe may be a read that waits.

Change: another call may probe after `probe_interval`, 0.3 s in entry processes of jobs, about as often as each reads the owner row. The other processes keep twice the call timeout.

--- a/crates/engine/src/run.rs
+++ b/crates/engine/src/run.rs
@@ -71,6 +71,8 @@
         read_interval: time::Duration::ZERO,
         // Rows of several parts in one transaction take twice as long.
         batch_limit: 1,
+        // About as often as a process reads the owner row anyway.
+        probe_interval: time::Duration::from_millis(300),
         breaker: BreakerSettings {
             failure_threshold: 5,
             min_open: time::Duration::from_millis(100),
--- a/crates/provider/src/client.rs
+++ b/crates/provider/src/client.rs
@@ -45,6 +45,9 @@
     pub batch_limit: usize,
     /// Largest number of transactions in the queue.
     pub queue_capacity: usize,
+    /// Time after which another call may probe a table that does not respond to the
+    /// previous probe.
+    pub probe_interval: time::Duration,
     /// Settings of the circuit breaker.
     pub breaker: BreakerSettings,
     /// Delays between attempts to resolve a commit of unknown outcome.
@@ -67,6 +70,7 @@
             read_interval: time::Duration::from_millis(10),
             batch_limit: 64,
             queue_capacity: 1_024,
+            probe_interval: time::Duration::from_secs(10),
             breaker: BreakerSettings::default(),
             backoff: BackoffSettings::default(),
             min_resolve_attempts: 4,
@@ -395,7 +399,9 @@
     fn admit(&self, operation: &'static str) -> Result<()> {
         let now = time::Instant::now();
         let mut breaker = self.breaker.borrow_mut();
-        match breaker.admit(now, self.settings.call_timeout * 2) {
+        let settings = &self.settings;
+        let probe_interval = settings.probe_interval.min(settings.call_timeout * 2);
+        match breaker.admit(now, probe_interval) {
             BreakerDecision::Allow => Ok(()),
             BreakerDecision::Reject(delay) => {
                 let message = format!(
--- a/crates/provider/tests/client.rs
+++ b/crates/provider/tests/client.rs
@@ -270,6 +270,38 @@
     });
 }
 
+/// The table returns while a probe has no response: the next call does not wait for
+/// the end of that probe.
+#[test]
+fn probe_without_a_response_does_not_delay_the_next_for_long() {
+    block_on(async {
+        let platform = MemoryPlatform::default();
+        let mut settings = fast_settings();
+        settings.call_timeout = time::Duration::from_secs(30);
+        settings.probe_interval = time::Duration::from_millis(20);
+        settings.breaker.failure_threshold = 1;
+        settings.breaker.min_open = time::Duration::from_millis(1);
+        settings.breaker.backoff = settings.backoff.clone();
+        let client = client_for(&platform, settings);
+        platform.set_faults(|faults| faults.table_down = true);
+        assert!(client.scan(CAUSE, "row/").await.is_err());
+        platform.set_faults(|faults| {
+            faults.table_down = false;
+            faults.table_delay_millis = 60_000;
+        });
+        let pause = time::Duration::from_millis(50);
+        tokio::time::sleep(pause).await;
+        let probe = tokio::time::timeout(pause, client.scan(CAUSE, "row/"));
+        assert!(probe.await.is_err(), "the table is silent");
+        platform.set_faults(|faults| faults.table_delay_millis = 0);
+        let commit = client.commit(CAUSE, creation("row/1", "1")).await;
+        assert!(
+            matches!(commit, Ok(CommitOutcome::Committed(_))),
+            "{commit:?}"
+        );
+    });
+}
+
 #[test]
 fn full_queue_rejects_commits_without_effect() {
     block_on(async {
