Renew the ownership between changes that the table refuses

Cause: after a refusal each change has half of the units of the one before. On a slow table that takes longer than the ownership lasts without a change (1.2 s): another process took over, with the same rows to store.

Change: if the latest stored change is older than the interval of renewals, the next one after a refusal has no units; the halving continues after it.

--- a/crates/engine/src/owner/session/mod.rs
+++ b/crates/engine/src/owner/session/mod.rs
@@ -88,6 +88,8 @@
     change_number: u64,
     /// Number of units of the next change.
     fill_budget: FillBudget,
+    /// Whether the next change is only to renew the ownership.
+    is_renewal_next: bool,
     /// Unit that was refused alone, with the size of that change.
     suspect: Option<(ChangeUnit, TransactionSize)>,
     /// Until when no change is sent, because the table refused the owner row.
@@ -181,6 +183,7 @@
             pending_change: None,
             change_number: lease.record.change,
             fill_budget: FillBudget::default(),
+            is_renewal_next: false,
             suspect: None,
             refused_until: BootTime::default(),
             renewed_at: claimed_at,
--- a/crates/engine/src/owner/session/store.rs
+++ b/crates/engine/src/owner/session/store.rs
@@ -4,9 +4,11 @@
 //! holds. A change is filled in the order of [`FILL_ORDER`] up to the limits of the
 //! table; what does not fit waits for the next one.
 
+use std::mem;
+
 use redwing_jobs::scheduler::{ChangeSet, ProgressRow, RowFit, WorkKind};
 use redwing_jobs::{BootTime, JobId};
-use redwing_provider::builder::UnitFit;
+use redwing_provider::builder::{FillBudget, UnitFit};
 use redwing_provider::{TableTransaction, TransactionSize};
 use tokio::sync::oneshot;
 
@@ -62,6 +64,9 @@
 pub(super) struct ChangeContents {
     pub(super) changes: ChangeSet,
     units: Vec<ChangeUnit>,
+    /// Whether the change only renews the ownership, between others that the table
+    /// refuses.
+    is_bare: bool,
     size: TransactionSize,
     /// Pending counts that the change writes.
     pending_counts: Option<PendingCounts>,
@@ -97,14 +102,21 @@
         now: BootTime,
     ) -> Result<(ChangeFill, ChangeContents)> {
         self.change_number += 1;
+        let is_bare = mem::take(&mut self.is_renewal_next);
+        let budget = if is_bare {
+            FillBudget::NONE
+        } else {
+            self.fill_budget
+        };
         let mut fill = ChangeFill::new(
             &self.lease,
             self.change_number,
             self.ownership_state(released, now),
             self.dependencies.client.limits(),
-            self.fill_budget,
+            budget,
         )?;
         let mut contents = ChangeContents {
+            is_bare,
             changes: self.scheduler.begin_changes(now),
             ..ChangeContents::default()
         };
@@ -219,6 +231,8 @@
             let is_late = now.saturating_since(started) >= timeouts.give_up_after;
             let has_more = self.scheduler.running_change_count() > MAX_RELEASE_ROWS;
             let released = is_late || !has_more;
+            // Each of these changes renews the ownership, or ends it.
+            self.is_renewal_next = false;
             let prepared = self.fill_change(&parts, released, now);
             let (fill, contents) = match prepared {
                 Ok(prepared) => prepared,
@@ -321,7 +335,9 @@
         let metrics = &self.dependencies.metrics;
         metrics.count_change(now.saturating_since(self.renewed_at));
         metrics.set_open_jobs(self.scheduler.job_count());
-        self.fill_budget.stored();
+        if !contents.is_bare {
+            self.fill_budget.stored();
+        }
         if let Some((unit, size)) = self.suspect.take() {
             // The change was stored without it.
             change::log_set_aside(&unit, &size);
@@ -351,13 +367,18 @@
             largest_row = contents.size.largest_row,
             error = error,
         );
+        let renewal_interval = self.dependencies.settings.renewal_interval;
         self.fill_budget.refused(contents.units.len());
         match contents.units.as_slice() {
             [unit] => self.suspect = Some((unit.clone(), contents.size)),
             // The table does not take the owner row: more attempts follow at the
             // interval of renewals.
-            [] => self.refused_until = now + self.dependencies.settings.renewal_interval,
-            _ => {}
+            [] => self.refused_until = now + renewal_interval,
+            // Halving may take longer than the ownership lasts without a change.
+            _ => {
+                let unconfirmed = now.saturating_since(self.confirmed_at);
+                self.is_renewal_next = unconfirmed >= renewal_interval;
+            }
         }
         self.scheduler.changes_refused(&contents.changes);
         self.machines.rows_refused();
--- a/crates/engine/tests/common/mod.rs
+++ b/crates/engine/tests/common/mod.rs
@@ -126,8 +126,12 @@
             return Box::pin(self.lose_claim_reply(transaction));
         }
         if self.refusals.borrow_mut().refuses(transaction) {
-            let error = redwing_provider::Error::refused("commit", "test table", "a rule");
-            return Box::pin(std::future::ready(Err(error)));
+            let delay = time::Duration::from_millis(self.inner.faults().table_delay_millis);
+            return Box::pin(async move {
+                timer::sleep(delay).await;
+                let message = "a rule of the test";
+                Err(redwing_provider::Error::refused("commit", "table", message))
+            });
         }
         if self.is_commit_lost(transaction) {
             return Box::pin(std::future::pending());
--- a/crates/engine/tests/limits.rs
+++ b/crates/engine/tests/limits.rs
@@ -36,9 +36,9 @@
     cluster
 }
 
-async fn submit_jobs(cluster: &TestCluster, count: usize) {
+async fn submit_jobs(cluster: &TestCluster, process: usize, count: usize) {
     let submitted = (0..count).map(|number| async move {
-        let response = cluster.submit(0, &format!("job-{number}"), 1).await;
+        let response = cluster.submit(process, &format!("job-{number}"), 1).await;
         assert_eq!(response, CallerResponse::Accepted);
     });
     futures_util::future::join_all(submitted).await;
@@ -81,7 +81,7 @@
 fn an_owner_outlives_a_backlog_of_more_rows_than_a_change_holds() {
     run_test(async {
         let cluster = start(1).await;
-        submit_jobs(&cluster, 300).await;
+        submit_jobs(&cluster, 0, 300).await;
         cluster.wait_starts(300).await;
         cluster.disconnect_table(0);
         request_waves(&cluster, 20).await;
@@ -110,7 +110,7 @@
 fn an_owner_stores_refused_changes_in_smaller_ones() {
     run_test(async {
         let cluster = start(1).await;
-        submit_jobs(&cluster, 100).await;
+        submit_jobs(&cluster, 0, 100).await;
         cluster.wait_starts(100).await;
         cluster.refusals.borrow_mut().max_entries = Some(7);
         request_waves(&cluster, 3).await;
@@ -130,7 +130,7 @@
         let cluster = start(1).await;
         let id = JobId::new("job-5");
         cluster.refusals.borrow_mut().key = Some(row::progress_key(&id));
-        submit_jobs(&cluster, 50).await;
+        submit_jobs(&cluster, 0, 50).await;
         wait_rows(&cluster, row::PROGRESS_PREFIX, "completed", 49).await;
         assert!(is_refused_once(&cluster));
         assert_eq!(cluster.workers.starts().len(), 49);
@@ -143,6 +143,24 @@
     });
 }
 
+/// Each call takes so long that an owner which only sent smaller and smaller changes
+/// would not renew its ownership in time.
+#[test]
+fn an_owner_with_a_slow_table_outlives_refused_changes() {
+    run_test(async {
+        let cluster = start(2).await;
+        let id = JobId::new("job-0");
+        cluster.refusals.borrow_mut().key = Some(row::progress_key(&id));
+        let owner = cluster.process_index(&cluster.owner().await);
+        let platform = &cluster.processes[owner].platform;
+        platform.set_faults(|plan| plan.table_delay_millis = 300);
+        submit_jobs(&cluster, 1 - owner, 50).await;
+        wait_rows(&cluster, row::PROGRESS_PREFIX, "completed", 49).await;
+        assert!(!cluster.refusals.borrow().refused.is_empty());
+        assert!(is_refused_once(&cluster));
+    });
+}
+
 /// Starts a process on a table with rows of at most so many bytes.
 async fn start_with_rows(row_bytes: usize) -> TestCluster {
     let mut cluster = TestCluster::start(0, TASK_TIME).await;
--- a/crates/provider/src/builder.rs
+++ b/crates/provider/src/builder.rs
@@ -121,6 +121,9 @@
 }
 
 impl FillBudget {
+    /// Budget of a transaction without units.
+    pub const NONE: Self = Self { max_units: 0 };
+
     /// Halves the budget after the refusal of a transaction with this many units.
     pub fn refused(&mut self, units: usize) {
         self.max_units = units / 2;
