Ignore timeouts of calls that were sent before the table last responded

Cause: calls that a silent table never answered time out together, after it has returned; as consecutive failures they opened the circuit breaker again, 0.9 s after the return, and reads and writes were rejected once more.

Change: a failure counts only if the table has not responded since the call was sent.

--- a/crates/provider/src/client.rs
+++ b/crates/provider/src/client.rs
@@ -353,6 +353,7 @@
         timer::sleep(delay).await;
         self.admit(operation)?;
         self.counters.borrow_mut().count_read(cause);
+        let sent_at = time::Instant::now();
         let call = match read {
             TableRead::Scan => self.scan_hedged(cause, prefix).boxed_local(),
             TableRead::Changes(cursor) => self.table.changes(prefix, cursor),
@@ -360,7 +361,7 @@
         };
         let response = timer::timeout(read.timeout(&self.settings), call).await;
         let response = response.unwrap_or_else(|_| Err(unavailable("timed out")));
-        self.record(cause, &response);
+        self.record(cause, sent_at, &response);
         response
     }
 
@@ -388,11 +389,12 @@
     ) -> Result<CommitOutcome> {
         self.admit("commit")?;
         self.counters.borrow_mut().count_commit(cause);
+        let sent_at = time::Instant::now();
         let call = self.table.commit(transaction);
         let response = timer::timeout(self.settings.call_timeout, call).await;
         let response =
             response.unwrap_or_else(|_| Err(Error::unknown("commit", SERVICE, "timed out")));
-        self.record(cause, &response);
+        self.record(cause, sent_at, &response);
         response
     }
 
@@ -413,7 +415,7 @@
         }
     }
 
-    fn record<T>(&self, cause: CallCause, response: &Result<T>) {
+    fn record<T>(&self, cause: CallCause, sent_at: time::Instant, response: &Result<T>) {
         let category = response.as_ref().err().map(Error::classify);
         self.counters.borrow_mut().count_result(cause, category);
         let now = time::Instant::now();
@@ -422,6 +424,8 @@
                 self.breaker.borrow_mut().record_success();
                 self.last_success.set(Some(now));
             }
+            // The table has responded since the call was sent.
+            Some(_) if self.last_success.get() > Some(sent_at) => {}
             Some(Category::Unavailable | Category::Unknown) => {
                 let jitter = rand::random();
                 self.breaker.borrow_mut().record_failure(now, jitter);
--- a/crates/provider/tests/client.rs
+++ b/crates/provider/tests/client.rs
@@ -302,6 +302,36 @@
     });
 }
 
+/// Calls that the table never answered time out after it has returned: they say nothing
+/// of the table as it is now.
+#[test]
+fn timeouts_of_earlier_calls_do_not_open_the_breaker() {
+    block_on(async {
+        let platform = MemoryPlatform::default();
+        platform.set_faults(|faults| faults.table_delay_millis = 60_000);
+        let mut settings = fast_settings();
+        settings.batch_limit = 1;
+        settings.call_timeout = time::Duration::from_millis(500);
+        settings.breaker.failure_threshold = 3;
+        settings.breaker.min_open = time::Duration::from_secs(60);
+        let client = client_for(&platform, settings);
+        let names: Vec<String> = (0..4).map(|number| format!("row/{number}")).collect();
+        let hung = names
+            .iter()
+            .map(|name| client.commit(CAUSE, creation(name, "1")));
+        let returned = async {
+            tokio::time::sleep(time::Duration::from_millis(100)).await;
+            platform.set_faults(|faults| faults.table_delay_millis = 0);
+            client.scan(CAUSE, "row/").await
+        };
+        let (hung, returned) = future::join(future::join_all(hung), returned).await;
+        assert!(hung.iter().all(Result::is_err));
+        assert!(returned.is_ok());
+        let scan = client.scan(CAUSE, "row/").await;
+        assert!(scan.is_ok(), "{scan:?}");
+    });
+}
+
 #[test]
 fn full_queue_rejects_commits_without_effect() {
     block_on(async {
