--- a/crates/engine/tests/common/mod.rs
+++ b/crates/engine/tests/common/mod.rs
@@ -73,6 +73,8 @@
 struct LossyTable {
     refusals: rc::Rc<cell::RefCell<RefusalRule>>,
     inner: LinkedTable,
+    /// Platform behind the link, with its faults.
+    platform: MemoryPlatform,
     lost_calls: rc::Rc<cell::Cell<LostCalls>>,
     calls: cell::Cell<u32>,
     /// Job rows that were written before.
@@ -126,8 +128,12 @@
             return Box::pin(self.lose_claim_reply(transaction));
         }
         if self.refusals.borrow_mut().refuses(transaction) {
-            let error = redwing_provider::Error::refused("commit", "test table", "a rule");
-            return Box::pin(std::future::ready(Err(error)));
+            let delay = time::Duration::from_millis(self.platform.faults().table_delay_millis);
+            return Box::pin(async move {
+                timer::sleep(delay).await;
+                let message = "a rule of the test";
+                Err(redwing_provider::Error::refused("commit", "table", message))
+            });
         }
         if self.is_commit_lost(transaction) {
             return Box::pin(std::future::pending());
@@ -243,6 +249,7 @@
         let services = DeploymentServices {
             table: rc::Rc::new(LossyTable {
                 refusals: rc::Rc::clone(&self.refusals),
+                platform: platform.clone(),
                 inner: LinkedTable::new(rc::Rc::new(platform.clone()), self.link.clone()),
                 lost_calls: rc::Rc::clone(&self.lost_calls),
                 calls: cell::Cell::new(0),
--- a/crates/engine/tests/owner.rs
+++ b/crates/engine/tests/owner.rs
@@ -12,7 +12,8 @@
 use redwing_engine::owner::OwnerSettings;
 use redwing_engine::product;
 use redwing_engine::row::{self, OwnerRecord};
-use redwing_jobs::{JobState, WorkerId};
+use redwing_engine::run;
+use redwing_jobs::{JobId, JobState, WorkerId};
 use redwing_provider::{RowKey, TableStore, TableTransaction};
 use redwing_standin::WorkerFault;
 use tokio::time as timer;
@@ -36,6 +37,39 @@
     });
 }
 
+/// The table is silent. Only the jobs whose rows were sent to it may be stored; all
+/// others are refused, and never run.
+#[test]
+fn jobs_that_were_not_sent_to_a_silent_table_are_refused() {
+    run_test(async {
+        let cluster = TestCluster::start(1, time::Duration::from_millis(50)).await;
+        cluster.owner().await;
+        let set_delay = |millis| {
+            let platform = &cluster.processes[0].platform;
+            platform.set_faults(|plan| plan.table_delay_millis = millis);
+        };
+        set_delay(20_000);
+        let names: Vec<String> = (0..40).map(|number| format!("job-{number}")).collect();
+        let submitted = names.iter().map(|name| cluster.submit(0, name, 1));
+        let responses = futures_util::future::join_all(submitted).await;
+        let unknown = responses
+            .iter()
+            .filter(|response| **response == CallerResponse::OutcomeUnknown);
+        let in_flight = run::client_settings().max_commits_in_flight;
+        assert!(unknown.count() <= in_flight, "{responses:?}");
+        set_delay(0);
+        timer::sleep(time::Duration::from_secs(1)).await;
+        let view = cluster.platform.scan("jobs@*/").await;
+        let rows = view.expect("the table is up").rows;
+        for (name, response) in names.iter().zip(&responses) {
+            let key = row::job_key(&JobId::new(name));
+            let is_stored = rows.iter().any(|entry| entry.key == key);
+            let is_refused = matches!(response, CallerResponse::Unavailable { .. });
+            assert!(!is_refused || !is_stored, "{name}");
+        }
+    });
+}
+
 /// A job that needs more than any worker has is refused with the name of the
 /// field, and is not stored.
 #[test]
--- a/crates/provider/src/client.rs
+++ b/crates/provider/src/client.rs
@@ -47,6 +47,9 @@
     pub batch_limit: usize,
     /// Largest number of transactions in the queue.
     pub queue_capacity: usize,
+    /// Time after which another call may probe a table that does not respond to the
+    /// previous probe.
+    pub probe_interval: time::Duration,
     /// Settings of the circuit breaker.
     pub breaker: BreakerSettings,
     /// Delays between attempts to resolve a commit of unknown outcome.
@@ -69,6 +72,7 @@
             read_interval: time::Duration::from_millis(10),
             batch_limit: 64,
             queue_capacity: 1_024,
+            probe_interval: time::Duration::from_secs(10),
             breaker: BreakerSettings::default(),
             backoff: BackoffSettings::default(),
             min_resolve_attempts: 4,
@@ -104,6 +108,8 @@
     cause: CallCause,
     transaction: TableTransaction,
     queued_at: time::Instant,
+    /// Whether the transaction is in a batch that is being sent.
+    is_sent: rc::Rc<cell::Cell<bool>>,
     reply: oneshot::Sender<Result<CommitOutcome>>,
 }
 
@@ -161,6 +167,16 @@
         &self,
         cause: CallCause,
         transaction: TableTransaction,
+    ) -> Result<CommitOutcome> {
+        let is_sent = rc::Rc::default();
+        self.queue_commit(cause, transaction, is_sent).await
+    }
+
+    async fn queue_commit(
+        &self,
+        cause: CallCause,
+        transaction: TableTransaction,
+        is_sent: rc::Rc<cell::Cell<bool>>,
     ) -> Result<CommitOutcome> {
         let size = TransactionSize::of(&transaction);
         if !self.limits().allow(&size) {
@@ -172,6 +188,7 @@
             cause,
             transaction,
             queued_at: time::Instant::now(),
+            is_sent,
             reply,
         };
         if self.queue.try_send(queued).is_err() {
@@ -187,21 +204,29 @@
     }
 
     /// Applies a transaction as [`TableClient::commit`] does, but waits for the
-    /// response for at most `limit`. The attempt itself continues.
+    /// response for at most `limit`. An attempt that was sent by then continues; one
+    /// that was not is never sent.
     ///
     /// # Errors
     ///
-    /// Fails as `commit` does, and with category `Unknown` after the limit.
+    /// Fails as `commit` does; after the limit with category `Unknown` if the
+    /// transaction was sent, and with `Unavailable` if it was not.
     pub async fn commit_within(
         &self,
         cause: CallCause,
         transaction: TableTransaction,
         limit: time::Duration,
     ) -> Result<CommitOutcome> {
-        let timed_out = || Error::unknown("commit", SERVICE, "no response within the time limit");
-        let commit = self.commit(cause, transaction);
+        let is_sent = rc::Rc::new(cell::Cell::new(false));
+        let commit = self.queue_commit(cause, transaction, is_sent.clone());
         let response = timer::timeout(limit, commit).await;
-        response.unwrap_or_else(|_| Err(timed_out()))
+        response.unwrap_or_else(|_| {
+            Err(match is_sent.get() {
+                true => Error::unknown("commit", SERVICE, "no response within the time limit"),
+                // The writer leaves out what nobody waits for.
+                false => Error::unavailable("commit", SERVICE, "not sent within the time limit"),
+            })
+        })
     }
 
     /// Applies a transaction, and repeats it if its outcome is unknown.
@@ -374,8 +399,9 @@
         timer::sleep(delay).await;
         self.admit(operation)?;
         self.counters.borrow_mut().count_read(cause);
+        let sent_at = time::Instant::now();
         let response = call().await;
-        self.record(cause, &response);
+        self.record(cause, sent_at, &response);
         response
     }
 
@@ -386,18 +412,21 @@
     ) -> Result<CommitOutcome> {
         self.admit("commit")?;
         self.counters.borrow_mut().count_commit(cause);
+        let sent_at = time::Instant::now();
         let call = self.table.commit(transaction);
         let response = timer::timeout(self.settings.call_timeout, call).await;
         let response =
             response.unwrap_or_else(|_| Err(Error::unknown("commit", SERVICE, "timed out")));
-        self.record(cause, &response);
+        self.record(cause, sent_at, &response);
         response
     }
 
     fn admit(&self, operation: &'static str) -> Result<()> {
         let now = time::Instant::now();
         let mut breaker = self.breaker.borrow_mut();
-        match breaker.admit(now, self.settings.call_timeout * 2) {
+        let settings = &self.settings;
+        let probe_interval = settings.probe_interval.min(settings.call_timeout * 2);
+        match breaker.admit(now, probe_interval) {
             BreakerDecision::Allow => Ok(()),
             BreakerDecision::Reject(delay) => {
                 let message = format!(
@@ -409,7 +438,7 @@
         }
     }
 
-    pub(crate) fn record<T>(&self, cause: CallCause, response: &Result<T>) {
+    pub(crate) fn record<T>(&self, cause: CallCause, sent_at: time::Instant, response: &Result<T>) {
         let category = response.as_ref().err().map(Error::classify);
         self.counters.borrow_mut().count_result(cause, category);
         let now = time::Instant::now();
@@ -418,6 +447,8 @@
                 self.breaker.borrow_mut().record_success();
                 self.last_success.set(Some(now));
             }
+            // The table has responded since the call was sent.
+            Some(_) if self.last_success.get() > Some(sent_at) => {}
             Some(Category::Unavailable | Category::Unknown) => {
                 let jitter = rand::random();
                 self.breaker.borrow_mut().record_failure(now, jitter);
@@ -518,6 +549,7 @@
         }
         match self.transactions.add(queued.transaction) {
             Ok(()) => {
+                queued.is_sent.set(true);
                 self.waiters.push((queued.cause, queued.reply));
                 None
             }
--- a/crates/provider/src/scan.rs
+++ b/crates/provider/src/scan.rs
@@ -175,7 +175,7 @@
 
     fn time_out<T>(&self) -> Result<T> {
         let response = Err(Error::unavailable("scan", "table", "timed out"));
-        self.shared.record(self.cause, &response);
+        self.shared.record(self.cause, self.started, &response);
         response
     }
 
--- a/crates/provider/tests/client.rs
+++ b/crates/provider/tests/client.rs
@@ -242,6 +242,96 @@
     });
 }
 
+#[test]
+fn commit_that_is_not_sent_in_time_is_without_effect() {
+    block_on(async {
+        let platform = MemoryPlatform::default();
+        platform.set_faults(|faults| faults.table_delay_millis = 100);
+        let settings = ClientSettings {
+            max_commits_in_flight: 1,
+            batch_limit: 1,
+            ..fast_settings()
+        };
+        let client = client_for(&platform, settings);
+        let limit = time::Duration::from_millis(20);
+        let (first, second) = future::join(
+            client.commit_within(CAUSE, creation("row/1", "1"), limit),
+            client.commit_within(CAUSE, creation("row/2", "1"), limit),
+        )
+        .await;
+        assert_eq!(first.unwrap_err().classify(), Category::Unknown);
+        assert_eq!(second.unwrap_err().classify(), Category::Unavailable);
+        platform.set_faults(|faults| faults.table_delay_millis = 0);
+        let last = client.commit(CAUSE, creation("row/3", "1")).await;
+        assert!(matches!(last, Ok(CommitOutcome::Committed(_))));
+        let rows = platform.scan("row/").await.unwrap().rows;
+        let keys: Vec<&str> = rows.iter().map(|row| row.key.as_str()).collect();
+        assert_eq!(keys, ["row/1", "row/3"]);
+    });
+}
+
+/// The table returns while a probe has no response: the next call does not wait for
+/// the end of that probe.
+#[test]
+fn probe_without_a_response_does_not_delay_the_next_for_long() {
+    block_on(async {
+        let platform = MemoryPlatform::default();
+        let mut settings = fast_settings();
+        settings.call_timeout = time::Duration::from_secs(30);
+        settings.probe_interval = time::Duration::from_millis(20);
+        settings.breaker.failure_threshold = 1;
+        settings.breaker.min_open = time::Duration::from_millis(1);
+        settings.breaker.backoff = settings.backoff.clone();
+        let client = client_for(&platform, settings);
+        platform.set_faults(|faults| faults.table_down = true);
+        assert!(client.scan(CAUSE, "row/").await.is_err());
+        platform.set_faults(|faults| {
+            faults.table_down = false;
+            faults.table_delay_millis = 60_000;
+        });
+        let pause = time::Duration::from_millis(50);
+        tokio::time::sleep(pause).await;
+        let probe = tokio::time::timeout(pause, client.scan(CAUSE, "row/"));
+        assert!(probe.await.is_err(), "the table is silent");
+        platform.set_faults(|faults| faults.table_delay_millis = 0);
+        let commit = client.commit(CAUSE, creation("row/1", "1")).await;
+        assert!(
+            matches!(commit, Ok(CommitOutcome::Committed(_))),
+            "{commit:?}"
+        );
+    });
+}
+
+/// Calls that the table never answered time out after it has returned: they say nothing
+/// of the table as it is now.
+#[test]
+fn timeouts_of_earlier_calls_do_not_open_the_breaker() {
+    block_on(async {
+        let platform = MemoryPlatform::default();
+        platform.set_faults(|faults| faults.table_delay_millis = 60_000);
+        let mut settings = fast_settings();
+        settings.batch_limit = 1;
+        settings.call_timeout = time::Duration::from_millis(500);
+        settings.breaker.failure_threshold = 3;
+        settings.breaker.min_open = time::Duration::from_secs(60);
+        let client = client_for(&platform, settings);
+        let names: Vec<String> = (0..4).map(|number| format!("row/{number}")).collect();
+        let hung = names
+            .iter()
+            .map(|name| client.commit(CAUSE, creation(name, "1")));
+        let returned = async {
+            tokio::time::sleep(time::Duration::from_millis(100)).await;
+            platform.set_faults(|faults| faults.table_delay_millis = 0);
+            client.scan(CAUSE, "row/").await
+        };
+        let (hung, returned) = future::join(future::join_all(hung), returned).await;
+        assert!(hung.iter().all(Result::is_err));
+        assert!(returned.is_ok());
+        let scan = client.scan(CAUSE, "row/").await;
+        assert!(scan.is_ok(), "{scan:?}");
+    });
+}
+
 #[test]
 fn full_queue_rejects_commits_without_effect() {
     block_on(async {
