Count others' admissions at entry VMs that admitted none

The first publication that shows the flood was read by all VMs, but those that had admitted no job of the customer had no entry in their ledgers, so made no comparison with what all admit, took the ratio for one, and each admitted its next job: 30 jobs after all VMs knew of the flood.

Change: each publication creates the entries of customers whose jobs wait.

--- a/crates/jobs/src/admission/ledger.rs
+++ b/crates/jobs/src/admission/ledger.rs
@@ -117,6 +117,13 @@
             return;
         };
         let seconds = made_at.saturating_since(previous).as_secs_f64();
+        // A VM that has admitted none needs a comparison too.
+        for (pool, backlog) in &summary.pools {
+            for entry in backlog.customers.iter().filter(|entry| entry.waiting() > 0) {
+                let key = (pool.clone(), entry.customer.clone());
+                self.customers.entry(key).or_default();
+            }
+        }
         for ((pool, customer), entry) in &mut self.customers {
             let jobs = entry.jobs.iter();
             let covered = jobs.filter(|job| (previous..made_at).contains(&job.at));
