Publish how many entry VMs get a customer's jobs

Cause: the trace shows that a VM estimated what all admit as if one job a second more were admitted by all together, not by each VM. With 100 VMs that each get a job a second the ratio of all to its own came out at 25 to 50, and the parts of all VMs added up to several times what may be admitted.

Change: the row of a job has the number of the process that accepted it. The owner publishes for each customer the number of VMs over which its jobs are spread, by how many jobs were seen at how many VMs, at most those that accepted any job in the last minute. A VM adds one job a second for each of them, so that the parts add up to the whole. `expired`, which no entry VM reads, leaves the row to make room for it; the test of the row's bound has the number, too.

--- a/crates/engine/src/caller/service.rs
+++ b/crates/engine/src/caller/service.rs
@@ -120,6 +120,8 @@
     fleet_capacity: rc::Rc<BoardReader<FleetCapacity>>,
     backlog: rc::Rc<BoardReader<BacklogSummary>>,
     admission: cell::RefCell<JobAdmission>,
+    /// Number by which the owner tells the processes that accept jobs apart.
+    process_number: u64,
 }
 
 /// Request that passed admission.
@@ -162,7 +164,8 @@
             settings.backlog_interval,
             settings.admission.max_age,
         ));
-        let admission = JobAdmission::new(settings.admission.clone(), rand::random());
+        let process_number = u64::from(rand::random::<u32>());
+        let admission = JobAdmission::new(settings.admission.clone(), process_number);
         Self {
             settings,
             client,
@@ -171,6 +174,7 @@
             fleet_capacity,
             backlog,
             admission: cell::RefCell::new(admission),
+            process_number,
         }
     }
 
@@ -266,6 +270,7 @@
             pool: call.queue.pool.clone(),
             customer: call.customer.clone(),
             accepted: clock::wall_now(),
+            accepted_by: self.process_number,
             spec,
         };
         let key = row::job_key(id);
--- a/crates/experiment/src/entry.rs
+++ b/crates/experiment/src/entry.rs
@@ -38,18 +38,20 @@
         self.admissions[entry].receive(summary, now, wall);
     }
 
-    /// Decides on a job at the entry VM that its caller happens to reach with this
-    /// attempt.
+    /// Returns the entry VM that the caller of a job happens to reach with this attempt.
+    pub(crate) fn choose(&self, arrival: &JobArrival, attempt: u64) -> usize {
+        let mut random = StdRng::seed_from_u64(arrival.seed.wrapping_add(attempt));
+        random.random_range(0..self.admissions.len())
+    }
+
+    /// Decides on a job at an entry VM.
     pub(crate) fn decide(
         &mut self,
-        arrival: &JobArrival,
-        attempt: u64,
+        entry: usize,
         id: &JobId,
         asked: &admission::JobArrival,
         now: BootTime,
     ) -> AdmissionDecision {
-        let mut random = StdRng::seed_from_u64(arrival.seed.wrapping_add(attempt));
-        let number = random.random_range(0..self.admissions.len());
-        self.admissions[number].decide(id, asked, now)
+        self.admissions[entry].decide(id, asked, now)
     }
 }
--- a/crates/experiment/src/run.rs
+++ b/crates/experiment/src/run.rs
@@ -46,6 +46,8 @@
     arrival: JobArrival,
     /// When it was accepted, once it was.
     accepted_ms: Option<u64>,
+    /// Entry VM that its latest attempt reached.
+    entry: usize,
     was_refused: bool,
     outcome: Option<JobOutcome>,
 }
@@ -91,6 +93,7 @@
         let jobs = arrivals.map(|arrival| SimulatedJob {
             arrival,
             accepted_ms: None,
+            entry: 0,
             was_refused: false,
             outcome: None,
         });
@@ -261,7 +264,8 @@
     }
 
     fn submit(&mut self, number: usize, attempt: u64) {
-        if let Some(retry_after) = self.refusal(number, attempt) {
+        self.jobs[number].entry = self.entries.choose(&self.jobs[number].arrival, attempt);
+        if let Some(retry_after) = self.refusal(number) {
             self.refusals += 1;
             self.jobs[number].was_refused = true;
             if attempt < self.load.callers.retries.get() {
@@ -279,11 +283,11 @@
 
     /// Returns the time after which a refused caller may retry; none if the job is
     /// admitted.
-    fn refusal(&mut self, number: usize, attempt: u64) -> Option<time::Duration> {
+    fn refusal(&mut self, number: usize) -> Option<time::Duration> {
         if !self.has_admission {
             return None;
         }
-        let arrival = self.jobs[number].arrival;
+        let (arrival, entry) = (self.jobs[number].arrival, self.jobs[number].entry);
         let traffic = &self.load.traffic[arrival.traffic];
         let queue = self.manifest.queue(&QueueName::new(&traffic.queue))?;
         let customer = CustomerName::new(&traffic.customer);
@@ -291,7 +295,7 @@
         let asked = admission::JobArrival::new(queue, Some(&customer), spec);
         let now = self.now();
         let id = job_id(number);
-        match self.entries.decide(&arrival, attempt, &id, &asked, now) {
+        match self.entries.decide(entry, &id, &asked, now) {
             AdmissionDecision::Admitted => None,
             AdmissionDecision::Refused { retry_after } => Some(retry_after),
         }
@@ -307,6 +311,7 @@
             pool: pool.unwrap_or_else(|| PoolName::new("")),
             customer: Some(CustomerName::new(&traffic.customer)),
             accepted: WallTime::from_millis(job.accepted_ms.unwrap_or(self.now_ms)),
+            accepted_by: job.entry as u64,
             spec: self.specs[job.arrival.traffic].clone(),
         };
         self.scheduler.submit(&job_id(number), record);
--- a/crates/jobs/src/admission/ledger.rs
+++ b/crates/jobs/src/admission/ledger.rs
@@ -12,8 +12,8 @@
 use super::summary::{BacklogSummary, averaged_rate};
 use super::{AdmissionSettings, AdmittedWork, JobArrival, fraction_of};
 
-/// Jobs a second by which both sides of a comparison are raised, since a VM
-/// may have admitted none. Fewer would make such a VM refuse jobs that fit.
+/// Jobs a second that are added to what each VM admitted, since a VM may have admitted
+/// none. Fewer would make such a VM refuse jobs that fit.
 const ADDED_JOBS: f64 = 1.0;
 
 #[derive(Clone, Debug)]
@@ -44,6 +44,8 @@
 struct AdmissionComparison {
     all: f64,
     own: f64,
+    /// Largest number of VMs that admitted any, as far as known.
+    entry_count: u64,
     made_at: BootTime,
 }
 
@@ -132,18 +134,25 @@
             let pool = summary.pools.get(pool);
             let all = pool.and_then(|pool| pool.customer(customer));
             let all = all.filter(|all| all.waiting() > 0);
+            let published_count = all.map_or(0, |all| all.entry_count);
             let all = all.map(|all| all.arrival_rate as f64);
             let previous = entry.comparison.filter(|previous| {
                 made_at.saturating_since(previous.made_at) <= self.comparison_validity
             });
+            let known_count = previous.map_or(1, |previous| previous.entry_count);
+            let entry_count = known_count.max(published_count);
             let is_highest = |all: &f64| previous.is_none_or(|previous| *all >= previous.all);
             entry.comparison = match all.filter(is_highest) {
                 Some(all) => Some(AdmissionComparison {
                     all,
                     own: entry.rate,
+                    entry_count,
                     made_at,
                 }),
-                None => previous,
+                None => previous.map(|previous| AdmissionComparison {
+                    entry_count,
+                    ..previous
+                }),
             };
         }
     }
@@ -182,7 +191,8 @@
         };
         let job = arrival.work.max(1) as f64;
         let added = job * ADDED_JOBS;
-        let ratio = ((comparison.all + added) / (comparison.own + added)).max(1.0);
+        let all = comparison.all + added * comparison.entry_count as f64;
+        let ratio = (all / (comparison.own + added)).max(1.0);
         let refused_at = customer.refused_at;
         let was_refused = refused_at.is_some_and(|at| now.saturating_since(at) <= validity);
         if is_near_limit || was_refused {
--- a/crates/jobs/src/admission/summary.rs
+++ b/crates/jobs/src/admission/summary.rs
@@ -76,12 +76,16 @@
     /// Estimated work of its waiting tasks that can still be done in time.
     pub levels: Vec<BacklogLevel>,
     /// Estimated work of the waiting tasks that can no longer be done in time, in
-    /// core-milliseconds.
+    /// core-milliseconds. Entry VMs need it for nothing, so that it is not in the row.
+    #[serde(skip)]
     pub expired: u64,
     /// Estimated work of the jobs that arrive, in core-milliseconds a second.
     pub arrival_rate: u64,
     /// Estimated work that is done, in core-milliseconds a second.
     pub drain_rate: u64,
+    /// Estimated number of entry VMs that get its jobs.
+    #[serde(rename = "vms")]
+    pub entry_count: u64,
 }
 
 /// Waiting work of one priority that must start at about the same time.
@@ -213,6 +217,7 @@
         self.expired += other.expired;
         self.arrival_rate += other.arrival_rate;
         self.drain_rate += other.drain_rate;
+        self.entry_count = self.entry_count.max(other.entry_count);
         for level in &other.levels {
             self.add_level(*level);
         }
--- a/crates/jobs/src/scheduler/backlog.rs
+++ b/crates/jobs/src/scheduler/backlog.rs
@@ -33,6 +33,10 @@
 /// Values that are taken for one while the pool is not full.
 const SAMPLING_ERROR: ops::RangeInclusive<f64> = 0.6..=1.7;
 
+/// Time for which an entry VM counts after a job that it accepted: in a flood of which
+/// most is refused, each VM admits one only now and then.
+const ENTRY_WINDOW: time::Duration = time::Duration::from_secs(60);
+
 /// Weight of the latest sample in its averages.
 const EFFICIENCY_WEIGHT: f64 = 0.25;
 
@@ -40,8 +44,10 @@
 type BacklogKey = (PoolName, Option<CustomerName>);
 
 /// Arrivals and rates of one customer in one pool.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Debug, Default)]
 struct WorkFlow {
+    /// Jobs that each entry VM accepted.
+    entries: EntryCounts,
     /// Estimated work that arrived since the latest sample, in core-milliseconds.
     arrived: u64,
     /// Estimated work that was given up since then: jobs that were cancelled or failed.
@@ -54,6 +60,67 @@
     drain_rate: f64,
 }
 
+/// Jobs that one entry VM accepted, and when it last did, by the samples.
+#[derive(Clone, Copy, Debug, Default)]
+struct EntryCount {
+    jobs: u64,
+    /// Part of the jobs since the latest sample.
+    recent_jobs: u64,
+    accepted_at: BootTime,
+}
+
+/// Jobs that each entry VM accepted.
+#[derive(Clone, Debug, Default)]
+struct EntryCounts {
+    counts: HashMap<u64, EntryCount>,
+}
+
+impl EntryCounts {
+    fn len(&self) -> u64 {
+        self.counts.len() as u64
+    }
+
+    fn add(&mut self, entry: u64) {
+        let count = self.counts.entry(entry).or_default();
+        count.jobs += 1;
+        count.recent_jobs += 1;
+    }
+
+    /// Forgets the entry VMs that accepted none for long.
+    fn sample(&mut self, now: BootTime) {
+        for count in self.counts.values_mut() {
+            if count.recent_jobs > 0 {
+                count.recent_jobs = 0;
+                count.accepted_at = now;
+            }
+        }
+        self.counts
+            .retain(|_, count| now.saturating_since(count.accepted_at) <= ENTRY_WINDOW);
+    }
+
+    /// Returns the estimated number of entry VMs that get the jobs, at most `all` if no
+    /// more accepted one: jobs that are spread evenly over so many would be seen at as
+    /// many as these were.
+    fn estimate(&self, all: u64) -> u64 {
+        let seen = self.len();
+        let jobs: u64 = self.counts.values().map(|count| count.jobs).sum();
+        let is_enough = |number: u64| {
+            let expected = -(-(jobs as f64) / number as f64).exp_m1() * number as f64;
+            expected >= seen as f64
+        };
+        let (mut below, mut above) = (seen, all.max(seen));
+        while below < above {
+            let middle = below + (above - below) / 2;
+            if is_enough(middle) {
+                above = middle;
+            } else {
+                below = middle + 1;
+            }
+        }
+        below
+    }
+}
+
 /// Averages of the work that is done and of the processor that it takes.
 #[derive(Clone, Copy, Debug, Default)]
 struct WorkRatio {
@@ -117,6 +184,8 @@
 #[derive(Debug, Default)]
 pub(super) struct BacklogTracker {
     flows: HashMap<BacklogKey, WorkFlow>,
+    /// Jobs of all pools and customers that each entry VM accepted.
+    entries: EntryCounts,
     efficiencies: HashMap<PoolName, PoolEfficiency>,
     sampled_at: Option<BootTime>,
 }
@@ -128,6 +197,8 @@
         let flow = self.flows.entry(key).or_default();
         let work = record.spec.estimated_work() / 1_000;
         flow.arrived = flow.arrived.saturating_add(work);
+        flow.entries.add(record.accepted_by);
+        self.entries.add(record.accepted_by);
     }
 
     fn is_full(&self, pool: &PoolName) -> bool {
@@ -156,11 +227,13 @@
         let elapsed = previous.map(|previous| now.saturating_since(previous).as_secs_f64());
         let seconds = elapsed.filter(|seconds| *seconds > 0.0);
         let mut done: HashMap<&PoolName, u64> = HashMap::new();
+        self.entries.sample(now);
         for (key, flow) in &mut self.flows {
             let outstanding = counts.get(key).map_or(0, CustomerBacklog::unfinished);
             if let Some(seconds) = seconds {
                 *done.entry(&key.0).or_default() += flow.sample(outstanding, seconds);
             }
+            flow.entries.sample(now);
             flow.arrived = 0;
             flow.dropped = 0;
             flow.outstanding = outstanding;
@@ -232,6 +305,7 @@
             entry.customers.push(CustomerBacklog {
                 customer: customer.clone(),
                 weight: self.manifest.weight(customer.as_ref()),
+                entry_count: flow.entries.estimate(self.backlog.entries.len()),
                 arrival_rate: flow.arrival_rate as u64,
                 drain_rate: flow.drain_rate as u64,
                 ..backlog.unwrap_or_default()
--- a/crates/jobs/tests/admission.rs
+++ b/crates/jobs/tests/admission.rs
@@ -133,6 +133,7 @@
                 });
             }
             _ => {
+                self.fleet.accepting = number as u64 + 1;
                 self.fleet
                     .submit_as(customer, id.as_str(), "builders", spec.steps, TASK_MS);
                 self.accepted.insert(id, now);
@@ -417,6 +418,7 @@
         let mut entry = CustomerBacklog {
             customer: Some(CustomerName::new(&name(number))),
             weight: 1.0,
+            entry_count: 100,
             ..CustomerBacklog::default()
         };
         for step in 0..100 {
--- a/crates/jobs/tests/common/mod.rs
+++ b/crates/jobs/tests/common/mod.rs
@@ -57,6 +57,8 @@
     /// worker executed.
     pub(crate) pace_orders: Vec<(TaskId, u32, BootTime)>,
     pub(crate) jobs: BTreeMap<JobId, JobRecord>,
+    /// Number of the process that accepts jobs.
+    pub(crate) accepting: u64,
     /// Fencing token of the current scheduler.
     pub(crate) fencing_token: u64,
     /// Orders that are executed later, with the time of execution.
@@ -107,6 +109,7 @@
             stops: Vec::new(),
             pace_orders: Vec::new(),
             jobs: BTreeMap::new(),
+            accepting: 0,
             fencing_token: 1,
             delayed_orders: Vec::new(),
             lost_order_delay: None,
@@ -158,6 +161,7 @@
             pool: PoolName::new(pool),
             customer: Some(CustomerName::new(customer)),
             accepted: self.wall_time(),
+            accepted_by: self.accepting,
             spec: JobSpec {
                 steps,
                 ..JobSpec::default()
--- a/crates/jobs/tests/schedule.rs
+++ b/crates/jobs/tests/schedule.rs
@@ -30,6 +30,7 @@
         pool: PoolName::new("builders"),
         customer: Some(CustomerName::new("housing")),
         accepted: fleet.wall_time(),
+        accepted_by: 0,
         spec: JobSpec {
             steps,
             schedule: Some(JobSchedule {
