Leave room for the variation of what entry VMs admit

Cause: VMs that decide without each other admit five jobs in half a second give or take two, and what is too much is of no use to anybody.

Change: the root of the number that others are expected to admit is left free.

--- a/crates/jobs/src/admission/ledger.rs
+++ b/crates/jobs/src/admission/ledger.rs
@@ -197,10 +197,13 @@
         let was_refused = refused_at.is_some_and(|at| now.saturating_since(at) <= validity);
         if is_near_limit || was_refused {
             let own: f64 = work.iter().map(|work| work.work).sum();
+            let others = (ratio - 1.0) * (own + job * fraction);
+            // VMs that decide without each other admit a number that varies by its root.
+            let deviation = (others * job).sqrt();
             work.push(AdmittedWork {
                 priority: arrival.priority,
                 latest_start: time::Duration::ZERO,
-                work: (ratio - 1.0) * (own + job * fraction),
+                work: others + deviation,
             });
         }
         EstimatedAdmissions { work, ratio }
