Count half of a critical path for jobs that must have begun

Cause: a job counted all that its pool does until its latest end. What tasks leave free between its latest start and this end also starts later jobs, so that 2 to 3 jobs too many were admitted, also with one entry VM.

Change: half of the critical path counts.

--- a/crates/jobs/src/admission/mod.rs
+++ b/crates/jobs/src/admission/mod.rs
@@ -205,11 +205,12 @@
         priority: arrival.priority,
     };
     let millis = |span: time::Duration| span.as_millis() as f64;
-    let critical_path_ms = millis(arrival.critical_path);
+    // What tasks leave free until a job ends is used by jobs that end later, too.
+    let usable_path_ms = millis(arrival.critical_path) / 2.0;
     let start_ms = millis(age + arrival.latest_start()?);
     let begun = customer.running as f64 + arrival.work as f64;
     let excess_at = |start_ms: f64, waiting: f64| {
-        let capacity = backlog.allotment(customer, start_ms + critical_path_ms);
+        let capacity = backlog.allotment(customer, start_ms + usable_path_ms);
         begun + waiting - capacity
     };
     let ahead = before.ahead(start_ms);
@@ -218,7 +219,7 @@
     let earlier = earlier.filter(|_| protects_accepted);
     let earlier = earlier.map(|end_ms| excess_at(end_ms, before.due(end_ms)));
     let excess = earlier.fold(excess_at(start_ms, ahead), f64::max);
-    let span_ms = start_ms + critical_path_ms;
+    let span_ms = start_ms + usable_path_ms;
     let share_rate = backlog.allotment(customer, span_ms) / span_ms.max(1.0) * 1_000.0;
     (excess > 0.0).then(|| ExcessWork {
         work: excess,
