Publish a pool for a while after it was busy

Cause: while the VMs refuse, a backlog can drain to nothing. The next publication did not list the pool, and all VMs together admitted everything for half a second: 46 to 50 jobs at once in a flood that went on.

Change: a pool is listed for 10 s after it was full or delayed.

--- a/crates/jobs/src/scheduler/backlog.rs
+++ b/crates/jobs/src/scheduler/backlog.rs
@@ -37,6 +37,10 @@
 /// most is refused, each VM admits one only now and then.
 const ENTRY_WINDOW: time::Duration = time::Duration::from_secs(60);
 
+/// Time for which a pool is published after it was busy: if a flood that is refused
+/// leaves nothing that waits, entry VMs need its capacity until they admit again.
+const LISTED_TIME: time::Duration = time::Duration::from_secs(10);
+
 /// Weight of the latest sample in its averages.
 const EFFICIENCY_WEIGHT: f64 = 0.25;
 
@@ -187,6 +191,8 @@
     /// Jobs of all pools and customers that each entry VM accepted.
     entries: EntryCounts,
     efficiencies: HashMap<PoolName, PoolEfficiency>,
+    /// When each pool was last full or delayed.
+    busy_at: HashMap<PoolName, BootTime>,
     sampled_at: Option<BootTime>,
 }
 
@@ -206,6 +212,15 @@
         efficiency.is_some_and(|efficiency| efficiency.is_full)
     }
 
+    /// Returns whether a pool is full or delayed, or was lately.
+    fn is_listed(&mut self, name: &PoolName, pool: &PoolBacklog, now: BootTime) -> bool {
+        if self.is_full(name) || is_delayed(pool) {
+            self.busy_at.insert(name.clone(), now);
+        }
+        let busy_at = self.busy_at.get(name);
+        busy_at.is_some_and(|at| now.saturating_since(*at) <= LISTED_TIME)
+    }
+
     fn efficiency(&self, pool: &PoolName) -> f64 {
         let efficiency = self.efficiencies.get(pool);
         efficiency.map_or(1.0, PoolEfficiency::value)
@@ -318,7 +333,7 @@
         }
         summary
             .pools
-            .retain(|name, pool| self.backlog.is_full(name) || is_delayed(pool));
+            .retain(|name, pool| self.backlog.is_listed(name, pool, now));
         // Workers that are all gone are about to come back: when, is not known.
         summary.pools.retain(|_, pool| pool.work_rate > 0);
         add_reachable(&mut summary, &capacities, standby_cpu_millis);
