Publish when waiting work must start more exactly

Cause: levels of waiting work are up to a fifth of their time wide, and all work of a level was taken to start until the end of it.

Change: a level has the mean of its latest starts, on a scale eight times as fine. The pools have a new name in the row, so that processes of the other form read none and admit.

--- a/crates/jobs/src/admission/mod.rs
+++ b/crates/jobs/src/admission/mod.rs
@@ -170,10 +170,11 @@
         work_due(&self.customer.levels, self.priority, start_ms) + admitted
     }
 
-    /// Returns the latest starts of published work before `start_ms`.
+    /// Returns the latest starts of published work before `start_ms`, in milliseconds.
     fn earlier_starts(&self, start_ms: f64) -> impl Iterator<Item = f64> {
-        let ends = self.customer.levels.iter().map(BacklogLevel::end_ms);
-        ends.filter(move |end_ms| *end_ms < start_ms)
+        let starts = self.customer.levels.iter();
+        let starts = starts.map(BacklogLevel::start_ms);
+        starts.filter(move |earlier_ms| *earlier_ms < start_ms)
     }
 }
 
@@ -217,7 +218,7 @@
     // Accepted work that must start earlier may be placed after the job.
     let earlier = before.earlier_starts(start_ms);
     let earlier = earlier.filter(|_| protects_accepted);
-    let earlier = earlier.map(|end_ms| excess_at(end_ms, before.due(end_ms)));
+    let earlier = earlier.map(|earlier_ms| excess_at(earlier_ms, before.due(earlier_ms)));
     let excess = earlier.fold(excess_at(start_ms, ahead), f64::max);
     let span_ms = start_ms + usable_path_ms;
     let share_rate = backlog.allotment(customer, span_ms) / span_ms.max(1.0) * 1_000.0;
--- a/crates/jobs/src/admission/summary.rs
+++ b/crates/jobs/src/admission/summary.rs
@@ -8,7 +8,7 @@
 use std::collections::BTreeMap;
 use std::time;
 
-use serde::{Deserialize, Serialize};
+use serde::{Deserialize, Serialize, Serializer};
 
 use crate::name::{CustomerName, PoolName};
 use crate::time::WallTime;
@@ -33,6 +33,9 @@
 /// Levels per doubling of the latest start.
 const LEVELS_PER_DOUBLING: f64 = 4.0;
 
+/// Positions of latest starts in one level.
+const POSITIONS_PER_LEVEL: f64 = 8.0;
+
 /// Time after which the first machine that a pool gets can run tasks.
 const MOVE_TIME: time::Duration = time::Duration::from_millis(1_500);
 
@@ -43,6 +46,10 @@
     /// When it was made, by the clock of the owner.
     pub published: WallTime,
     /// Backlogs of the pools; a pool that is not listed has none worth mentioning.
+    ///
+    /// Its name in the row belongs to the form of the levels: a process that knows
+    /// another one reads no pools, and admits.
+    #[serde(rename = "pool-backlogs")]
     pub pools: BTreeMap<PoolName, PoolBacklog>,
 }
 
@@ -89,15 +96,16 @@
 }
 
 /// Waiting work of one priority that must start at about the same time.
-#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq, Serialize)]
 #[serde(rename_all = "kebab-case", default)]
 pub struct BacklogLevel {
     /// Priority; 0 comes first.
     #[serde(rename = "p")]
     pub priority: u32,
-    /// Number of the interval of the latest starts; later ones have higher numbers.
-    #[serde(rename = "s")]
-    pub interval: u32,
+    /// Mean position of the latest starts on a logarithmic scale, published as a whole
+    /// number.
+    #[serde(rename = "s", serialize_with = "serialize_rounded")]
+    pub position: f64,
     /// Estimated work, in core-milliseconds.
     #[serde(rename = "w")]
     pub work: u64,
@@ -108,35 +116,58 @@
     /// publication.
     pub fn new(priority: u32, latest_start: time::Duration, work: u64) -> Self {
         let doublings = (latest_start.as_millis() as f64 / FIRST_EDGE_MS).log2();
-        let interval = (doublings * LEVELS_PER_DOUBLING).ceil().max(0.0);
+        let position = doublings * LEVELS_PER_DOUBLING * POSITIONS_PER_LEVEL;
         Self {
             priority,
-            interval: interval as u32,
+            position: position.max(0.0),
             work,
         }
     }
 
-    /// Returns the latest start of all its work.
-    pub(super) fn end_ms(&self) -> f64 {
-        FIRST_EDGE_MS * (f64::from(self.interval) / LEVELS_PER_DOUBLING).exp2()
+    /// Returns the number of the interval of the latest starts.
+    fn interval(&self) -> u32 {
+        (self.position / POSITIONS_PER_LEVEL).ceil() as u32
+    }
+
+    /// Returns the mean latest start of its work; in the first interval this is at once.
+    pub(super) fn start_ms(&self) -> f64 {
+        if self.interval() == 0 {
+            return 0.0;
+        }
+        let doublings = self.position / POSITIONS_PER_LEVEL / LEVELS_PER_DOUBLING;
+        FIRST_EDGE_MS * doublings.exp2()
     }
 
     fn begin_ms(&self) -> f64 {
-        match self.interval {
+        match self.interval() {
             0 => 0.0,
             interval => FIRST_EDGE_MS * (f64::from(interval - 1) / LEVELS_PER_DOUBLING).exp2(),
         }
     }
 
-    /// Returns the work that must start within `start_ms`, in core-milliseconds;
-    /// latest starts are assumed to be evenly distributed over the interval.
+    /// Returns the work that must start within `start_ms`, in core-milliseconds; all
+    /// latest starts are taken for their mean.
     fn due_within(&self, start_ms: f64) -> f64 {
-        let (begin, end) = (self.begin_ms(), self.end_ms());
-        let fraction = (start_ms - begin) / (end - begin);
-        self.work as f64 * fraction.clamp(0.0, 1.0)
+        if self.start_ms() <= start_ms {
+            self.work as f64
+        } else {
+            0.0
+        }
+    }
+
+    /// Adds the work of another level.
+    fn merge(&mut self, other: &Self) {
+        let work = self.work.saturating_add(other.work);
+        let fraction = other.work as f64 / work.max(1) as f64;
+        self.position += (other.position - self.position) * fraction;
+        self.work = work;
     }
 }
 
+fn serialize_rounded<S: Serializer>(position: &f64, serializer: S) -> Result<S::Ok, S::Error> {
+    serializer.serialize_u64(position.round() as u64)
+}
+
 /// Returns the rate after a period of `seconds` in which `work` came, given the rate
 /// before it, in core-milliseconds a second.
 pub(crate) fn averaged_rate(rate: f64, work: u64, seconds: f64) -> f64 {
@@ -180,9 +211,9 @@
     pub fn add_level(&mut self, added: BacklogLevel) {
         let mut levels = self.levels.iter_mut();
         let same = levels
-            .find(|level| (level.priority, level.interval) == (added.priority, added.interval));
+            .find(|level| (level.priority, level.interval()) == (added.priority, added.interval()));
         match same {
-            Some(level) => level.work += added.work,
+            Some(level) => level.merge(&added),
             None => self.levels.push(added),
         }
     }
@@ -190,17 +221,19 @@
     /// Merges the levels that come last until there are at most [`MAX_LEVELS`].
     pub fn limit_levels(&mut self) {
         self.levels
-            .sort_by_key(|level| (level.priority, level.interval));
+            .sort_by_key(|level| (level.priority, level.interval()));
         while self.levels.len() > MAX_LEVELS {
             let Some(last) = self.levels.pop() else {
                 return;
             };
             if let Some(level) = self.levels.last_mut() {
                 level.priority = last.priority;
-                level.interval = level.interval.max(last.interval);
-                level.work += last.work;
+                level.merge(&last);
             }
         }
+        for level in &mut self.levels {
+            level.position = level.position.round();
+        }
     }
 
     /// Returns the work that the customer claims of its pool within `span_ms`, in
