Protect accepted jobs from all that is admitted since

Cause: the scheduler places jobs that can still be in time before late ones, but an entry VM counted what it had admitted since the publication only where it must start earlier. Work that had to start before now still counted, so that a job at its limit kept VMs from admitting while the pool ran 24 to 28 of 40 tasks.

Change: all that was admitted since counts before accepted work that must start earlier, until this has started or is of no use.

--- a/crates/jobs/src/admission/mod.rs
+++ b/crates/jobs/src/admission/mod.rs
@@ -161,11 +161,11 @@
         work_ahead(&self.customer.levels, self.priority, start_ms) + admitted
     }
 
-    /// Returns the work that must start within `start_ms`, in core-milliseconds.
+    /// Returns the work that must start within `start_ms`, and what may be placed before
+    /// it: all that was admitted since, in core-milliseconds.
     fn due(&self, start_ms: f64) -> f64 {
         let admitted = self.admitted.iter();
-        let admitted = admitted
-            .filter(|entry| entry.priority <= self.priority && entry.start_ms() <= start_ms);
+        let admitted = admitted.filter(|entry| entry.priority <= self.priority);
         let admitted: f64 = admitted.map(|entry| entry.work).sum();
         work_due(&self.customer.levels, self.priority, start_ms) + admitted
     }
@@ -215,9 +215,10 @@
         begun + waiting - capacity
     };
     let ahead = before.ahead(start_ms);
-    // Accepted work that must start earlier may be placed after the job.
+    // Accepted work that must start earlier may be placed after the job; what had to
+    // start by now has, or is of no use.
     let earlier = before.earlier_starts(start_ms);
-    let earlier = earlier.filter(|_| protects_accepted);
+    let earlier = earlier.filter(|earlier_ms| protects_accepted && *earlier_ms > millis(age));
     let earlier = earlier.map(|earlier_ms| excess_at(earlier_ms, before.due(earlier_ms)));
     let excess = earlier.fold(excess_at(start_ms, ahead), f64::max);
     let span_ms = start_ms + usable_path_ms;
--- a/crates/jobs/tests/admission.rs
+++ b/crates/jobs/tests/admission.rs
@@ -92,11 +92,15 @@
 impl Replay {
     /// Starts with 40 cores: 20 jobs a second.
     fn new(is_admission_used: bool) -> Self {
+        Self::with_vms(VM_COUNT, is_admission_used)
+    }
+
+    fn with_vms(count: usize, is_admission_used: bool) -> Self {
         let workers =
             (0..5).map(|number| FakeWorker::new(&format!("w{number}"), "builders", 8_000));
         let mut fleet = FakeFleet::new(SchedulerSettings::default(), workers.collect());
         fleet.advance(100);
-        let vms = (0..VM_COUNT)
+        let vms = (0..count)
             .map(|number| JobAdmission::new(AdmissionSettings::default(), number as u64 + 1));
         Self {
             fleet,
@@ -115,7 +119,7 @@
     fn send(&mut self, customer: &str) {
         self.submitted += 1;
         let id = JobId::new(&format!("{customer}-{}", self.submitted));
-        let number = (self.submitted % VM_COUNT as u64) as usize;
+        let number = (self.submitted % self.vms.len() as u64) as usize;
         let now = self.fleet.now;
         let spec = spec_with(self.estimate_ms);
         let decision = self.vms[number].decide(&id, &arrival_of(customer, &spec), now);
@@ -160,8 +164,9 @@
                 .backlog_summary(0, now, self.fleet.wall_time());
             self.summary = summary.map(sync::Arc::new);
         }
+        let count = self.vms.len() as u64;
         for (number, vm) in self.vms.iter_mut().enumerate() {
-            let offset_ms = number as u64 * READ_SPREAD_MS / VM_COUNT as u64;
+            let offset_ms = number as u64 * READ_SPREAD_MS / count;
             let offset_ms = offset_ms - offset_ms % tick_ms;
             if let Some(summary) = &self.summary
                 && now_ms % PUBLICATION_MS == offset_ms
@@ -203,7 +208,10 @@
 /// Half of the capacity is asked for by `portal`, and for some seconds so many jobs a
 /// second by `housing`.
 fn replay_flood(is_admission_used: bool, flood: u64) -> Replay {
-    let mut replay = Replay::new(is_admission_used);
+    replay_flood_with(Replay::new(is_admission_used), flood)
+}
+
+fn replay_flood_with(mut replay: Replay, flood: u64) -> Replay {
     replay.run(2_000, &[("portal", 10)]);
     replay.run(10_000, &[("portal", 10), ("housing", flood)]);
     replay.run(4_000, &[("portal", 10)]);
@@ -232,7 +240,21 @@
 /// times its objective, except one in twenty.
 #[test]
 fn accepted_jobs_are_done_while_they_are_of_use() {
-    let mut replay = replay_flood(true, 100);
+    check_use_of_accepted(replay_flood(true, 100));
+}
+
+/// The same holds for deployments of other sizes, and nothing is refused that the pool
+/// has capacity for.
+#[test]
+fn accepted_jobs_are_of_use_with_any_number_of_vms() {
+    for count in [1, 3, 10, 30] {
+        let replay = replay_flood_with(Replay::with_vms(count, true), 100);
+        check_refused(&replay);
+        check_use_of_accepted(replay);
+    }
+}
+
+fn check_use_of_accepted(mut replay: Replay) {
     let begin = replay.accepted.iter();
     let begin = begin.filter(|(id, _)| id.as_str().starts_with("housing"));
     let begin = begin.map(|(_, at)| *at).min().expect("some are accepted");
@@ -247,7 +269,10 @@
 /// nothing that waits.
 #[test]
 fn jobs_are_refused_only_while_the_pool_is_full() {
-    let replay = replay_flood(true, 100);
+    check_refused(&replay_flood(true, 100));
+}
+
+fn check_refused(replay: &Replay) {
     for refusal in &replay.refused {
         assert!(refusal.running >= SLOT_COUNT * 3 / 4, "{refusal:?}");
         assert!(refusal.unfinished > 0, "{refusal:?}");
