--- a/crates/jobs/src/admission/mod.rs
+++ b/crates/jobs/src/admission/mod.rs
@@ -161,19 +161,20 @@
         work_ahead(&self.customer.levels, self.priority, start_ms) + admitted
     }
 
-    /// Returns the work that must start within `start_ms`, in core-milliseconds.
+    /// Returns the work that must start within `start_ms`, and what may be placed before
+    /// it: all that was admitted since, in core-milliseconds.
     fn due(&self, start_ms: f64) -> f64 {
         let admitted = self.admitted.iter();
-        let admitted = admitted
-            .filter(|entry| entry.priority <= self.priority && entry.start_ms() <= start_ms);
+        let admitted = admitted.filter(|entry| entry.priority <= self.priority);
         let admitted: f64 = admitted.map(|entry| entry.work).sum();
         work_due(&self.customer.levels, self.priority, start_ms) + admitted
     }
 
-    /// Returns the latest starts of published work before `start_ms`.
+    /// Returns the latest starts of published work before `start_ms`, in milliseconds.
     fn earlier_starts(&self, start_ms: f64) -> impl Iterator<Item = f64> {
-        let ends = self.customer.levels.iter().map(BacklogLevel::end_ms);
-        ends.filter(move |end_ms| *end_ms < start_ms)
+        let starts = self.customer.levels.iter();
+        let starts = starts.map(BacklogLevel::start_ms);
+        starts.filter(move |earlier_ms| *earlier_ms < start_ms)
     }
 }
 
@@ -205,20 +206,22 @@
         priority: arrival.priority,
     };
     let millis = |span: time::Duration| span.as_millis() as f64;
-    let critical_path_ms = millis(arrival.critical_path);
+    // What tasks leave free until a job ends is used by jobs that end later, too.
+    let usable_path_ms = millis(arrival.critical_path) / 2.0;
     let start_ms = millis(age + arrival.latest_start()?);
     let begun = customer.running as f64 + arrival.work as f64;
     let excess_at = |start_ms: f64, waiting: f64| {
-        let capacity = backlog.allotment(customer, start_ms + critical_path_ms);
+        let capacity = backlog.allotment(customer, start_ms + usable_path_ms);
         begun + waiting - capacity
     };
     let ahead = before.ahead(start_ms);
-    // Accepted work that must start earlier may be placed after the job.
+    // Accepted work that must start earlier may be placed after the job; what had to
+    // start by now has, or is of no use.
     let earlier = before.earlier_starts(start_ms);
-    let earlier = earlier.filter(|_| protects_accepted);
-    let earlier = earlier.map(|end_ms| excess_at(end_ms, before.due(end_ms)));
+    let earlier = earlier.filter(|earlier_ms| protects_accepted && *earlier_ms > millis(age));
+    let earlier = earlier.map(|earlier_ms| excess_at(earlier_ms, before.due(earlier_ms)));
     let excess = earlier.fold(excess_at(start_ms, ahead), f64::max);
-    let span_ms = start_ms + critical_path_ms;
+    let span_ms = start_ms + usable_path_ms;
     let share_rate = backlog.allotment(customer, span_ms) / span_ms.max(1.0) * 1_000.0;
     (excess > 0.0).then(|| ExcessWork {
         work: excess,
