Soak of the real programs as processes: control, proxies, callers, plan, checks

Change: crates/node/tests/process_soak starts the programs as processes, each behind a proxy for its table and one for its callers, under actions drawn from the seed; the promises are in check.rs.

--- /dev/null
+++ b/crates/node/tests/process_soak.rs
@@ -0,0 +1,143 @@
+//! Randomized soak of the real programs as processes: entry processes behind
+//! proxies, the stand-in platform, and callers, under signals, restarts, changes
+//! and faults that overlap.
+//!
+//! Environment variables set up runs by hand: `SOAK_SEED` (first seed),
+//! `SOAK_SEEDS` (number of seeds), `SOAK_PROCESSES`, `SOAK_SECONDS` (duration of the
+//! actions of one seed), `SOAK_PROGRAM` (program to test instead of the built one)
+//! and `SOAK_LOGS` (directory in which failed seeds leave their logs). The seed
+//! fixes the actions and what callers send, not the order of concurrent events.
+
+#[path = "process_soak/action.rs"]
+mod action;
+#[path = "process_soak/caller.rs"]
+mod caller;
+#[path = "process_soak/check.rs"]
+mod check;
+#[path = "process_soak/cluster.rs"]
+mod cluster;
+#[path = "process_soak/job.rs"]
+mod job;
+#[path = "process_soak/platform.rs"]
+mod platform;
+#[path = "process_soak/process.rs"]
+mod process;
+#[path = "process_soak/proxy.rs"]
+mod proxy;
+#[path = "process_soak/trace.rs"]
+mod trace;
+#[path = "process_soak/wire.rs"]
+mod wire;
+
+use std::cell;
+use std::env;
+use std::fs;
+use std::path::PathBuf;
+use std::rc;
+use std::sync;
+use std::time;
+
+use caller::SoakCallers;
+use cluster::SoakCluster;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use rstest::rstest;
+
+/// Extent of a soak.
+#[derive(Clone, Copy, Debug)]
+struct SoakSettings {
+    seed: u64,
+    processes: usize,
+    duration: time::Duration,
+}
+
+impl Default for SoakSettings {
+    fn default() -> Self {
+        Self {
+            seed: 1,
+            processes: 4,
+            duration: time::Duration::from_secs(20),
+        }
+    }
+}
+
+fn variable(name: &str, default: u64) -> u64 {
+    let text = env::var(name).ok();
+    text.map_or(default, |text| {
+        text.parse().expect("the variable is a number")
+    })
+}
+
+/// Returns the directory for the logs of a seed.
+fn log_directory(seed: u64) -> PathBuf {
+    let parent = env::var_os("SOAK_LOGS");
+    let parent = parent.map_or_else(|| PathBuf::from(env!("CARGO_TARGET_TMPDIR")), PathBuf::from);
+    parent.join(format!("soak-{seed}-{}", std::process::id()))
+}
+
+async fn run_seed(settings: SoakSettings) -> Vec<String> {
+    let directory = log_directory(settings.seed);
+    fs::create_dir_all(&directory).expect("the log directory is writable");
+    println!("soak {settings:?}, logs in {}", directory.display());
+    let cluster = SoakCluster::start(&directory, settings.processes, settings.seed).await;
+    let cluster = rc::Rc::new(cluster);
+    let callers = SoakCallers::start(&cluster, settings.seed);
+    let is_over = rc::Rc::new(cell::Cell::new(false));
+    let monitor = check::monitor(rc::Rc::clone(&cluster), rc::Rc::clone(&is_over));
+    let monitor = tokio::task::spawn_local(monitor);
+    let watch = tokio::task::spawn_local(check::watch(rc::Rc::clone(&cluster)));
+    let mut rng = StdRng::seed_from_u64(settings.seed);
+    action::run_all(&cluster, &mut rng, settings.duration).await;
+    callers.stop().await;
+    check::check_end(&cluster).await;
+    is_over.set(true);
+    monitor.await.expect("the checks end");
+    watch.abort();
+    cluster.stop();
+    let failures = cluster.failures.take();
+    if failures.is_empty() {
+        // A directory that stays does no harm.
+        let _ = fs::remove_dir_all(&directory);
+    }
+    failures
+}
+
+/// Runs one seed at a time, because each has many processes.
+fn run_soak(settings: SoakSettings) -> usize {
+    static TURN: sync::Mutex<()> = sync::Mutex::new(());
+    let _turn = TURN.lock().unwrap_or_else(sync::PoisonError::into_inner);
+    let failures = actix_rt::System::new().block_on(run_seed(settings));
+    println!("soak seed {}: {} failures", settings.seed, failures.len());
+    for failure in &failures {
+        println!("{failure}");
+    }
+    failures.len()
+}
+
+#[rstest]
+#[case::seed_1(1)]
+#[case::seed_2(2)]
+fn a_short_soak_of_processes_breaks_no_promise(#[case] seed: u64) {
+    let failures = run_soak(SoakSettings {
+        seed,
+        ..SoakSettings::default()
+    });
+    assert_eq!(failures, 0);
+}
+
+#[test]
+#[ignore = "takes as long as its environment variables say"]
+fn a_soak_of_processes_by_hand_breaks_no_promise() {
+    let first = variable("SOAK_SEED", 1);
+    let seeds = first..first + variable("SOAK_SEEDS", 1);
+    let failed = seeds.filter(|seed| {
+        let failures = run_soak(SoakSettings {
+            seed: *seed,
+            processes: variable("SOAK_PROCESSES", 6) as usize,
+            duration: time::Duration::from_secs(variable("SOAK_SECONDS", 45)),
+        });
+        failures > 0
+    });
+    let failed: Vec<u64> = failed.collect();
+    assert!(failed.is_empty(), "failed seeds: {failed:?}");
+}
--- /dev/null
+++ b/crates/node/tests/process_soak/job.rs
@@ -0,0 +1,277 @@
+//! Jobs of the soak as their callers know them.
+
+use std::cell;
+use std::collections::BTreeMap;
+use std::fmt;
+use std::time;
+
+use rand::Rng;
+use rand::rngs::StdRng;
+use serde_json::json;
+use tokio::time as timer;
+
+use crate::platform::{SoakQueue, SoakTenant};
+
+/// Largest number of jobs at a time that run until they are cancelled.
+const MAX_LONG: usize = 8;
+
+/// Kind of a job.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub(crate) enum JobKind {
+    /// Two steps, the second one after the first.
+    Chain,
+    Checkpointing,
+    BestEffort,
+    Gang,
+    LongRunning,
+    Single,
+    Speculative,
+    Timed,
+}
+
+/// What the caller knows of a submission.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Submission {
+    Accepted(timer::Instant),
+    Refused,
+    /// It may be stored.
+    Unknown,
+    /// A stopping process closed the connection without a response.
+    Unanswered,
+}
+
+/// State of a job in a response.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub(crate) enum ShownState {
+    Queued,
+    Running,
+    Completed,
+    Failed,
+    Cancelled,
+}
+
+impl ShownState {
+    pub(crate) fn parse(text: &str) -> Option<Self> {
+        match text {
+            "queued" => Some(Self::Queued),
+            "running" => Some(Self::Running),
+            "completed" => Some(Self::Completed),
+            "failed" => Some(Self::Failed),
+            "cancelled" => Some(Self::Cancelled),
+            _ => None,
+        }
+    }
+
+    pub(crate) fn is_final(self) -> bool {
+        self >= Self::Completed
+    }
+
+    /// Returns whether a job that was shown in this state may be shown in `next`.
+    pub(crate) fn may_become(self, next: Self) -> bool {
+        self == next || !self.is_final() && next > self
+    }
+}
+
+/// Task of a job, named as workers and the platform name it.
+#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub(crate) struct TaskName {
+    pub(crate) job: String,
+    pub(crate) occurrence: u32,
+    pub(crate) step: usize,
+    pub(crate) index: u32,
+}
+
+impl TaskName {
+    pub(crate) fn parse(text: &str) -> Option<Self> {
+        let mut parts = text.split('.');
+        let name = Self {
+            job: parts.next()?.to_owned(),
+            occurrence: parts.next()?.parse().ok()?,
+            step: parts.next()?.parse().ok()?,
+            index: parts.next()?.parse().ok()?,
+        };
+        parts.next().is_none().then_some(name)
+    }
+}
+
+impl fmt::Display for TaskName {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let (job, occurrence) = (&self.job, self.occurrence);
+        write!(formatter, "{job}.{occurrence}.{}.{}", self.step, self.index)
+    }
+}
+
+/// Job as its caller knows it.
+#[derive(Clone, Debug)]
+pub(crate) struct CalledJob {
+    pub(crate) queue: SoakQueue,
+    pub(crate) tenant: SoakTenant,
+    pub(crate) kind: JobKind,
+    /// CPU that each task reserves, in thousandths of a core.
+    pub(crate) cpu: i64,
+    /// Number of tasks of each step.
+    pub(crate) counts: Vec<u32>,
+    /// Number of occurrences.
+    pub(crate) times: u32,
+    /// Time of the first occurrence since the Unix epoch and interval, both in
+    /// milliseconds, of a job with occurrences.
+    pub(crate) schedule: Option<(u64, u64)>,
+    pub(crate) body: String,
+    pub(crate) submission: Submission,
+    pub(crate) is_cancel_sent: bool,
+    pub(crate) cancelled_at: Option<timer::Instant>,
+    /// Latest state in a response, and when it was received.
+    pub(crate) shown: Option<(ShownState, timer::Instant)>,
+    /// When the first response said that it is completed.
+    pub(crate) completed_at: Option<timer::Instant>,
+}
+
+impl CalledJob {
+    /// Draws a job; jobs that run until they are cancelled only if `may_last`.
+    pub(crate) fn draw(
+        rng: &mut StdRng,
+        queues: &[SoakQueue],
+        tenants: &[SoakTenant],
+        may_last: bool,
+    ) -> Self {
+        let queue = queues[rng.random_range(0..queues.len())].clone();
+        let tenant = tenants[rng.random_range(0..tenants.len())].clone();
+        let kind = match rng.random_range(0..100) {
+            0..15 if may_last => JobKind::LongRunning,
+            0..35 => JobKind::Chain,
+            35..45 => JobKind::Gang,
+            45..53 => JobKind::Timed,
+            53..63 => JobKind::Checkpointing,
+            63..70 => JobKind::BestEffort,
+            70..76 => JobKind::Speculative,
+            _ => JobKind::Single,
+        };
+        let millis: u64 = rng.random_range(20..1_500);
+        let count = rng.random_range(1..4);
+        let (first_run_in, interval_ms) =
+            (rng.random_range(100..1_500), rng.random_range(200..2_000));
+        let times = rng.random_range(2..5);
+        let cpu = match kind {
+            // Limits matter only if some jobs come near to them.
+            JobKind::Single if rng.random_bool(0.2) => 1_500,
+            JobKind::LongRunning => 200,
+            _ => 100,
+        };
+        let step = |fields: serde_json::Value| {
+            let mut step = json!({
+                "count": count, "cpu": cpu, "memMb": 16, "estimateMs": millis,
+            });
+            let fields = fields.as_object().expect("they are fields").clone();
+            step.as_object_mut().expect("it is a step").extend(fields);
+            step
+        };
+        let steps = match kind {
+            JobKind::Chain => vec![step(json!({})), step(json!({"count": 2, "after": [0]}))],
+            JobKind::Gang => vec![step(json!({"count": count + 1, "gang": true}))],
+            JobKind::LongRunning => {
+                vec![step(json!({"longRunning": true, "maxUnavailable": 1}))]
+            }
+            JobKind::Checkpointing => vec![step(json!({"checkpointing": true}))],
+            JobKind::BestEffort => vec![step(json!({"fillCount": true, "image": "fill"}))],
+            JobKind::Speculative => vec![step(json!({"speculative": true}))],
+            JobKind::Timed | JobKind::Single => vec![step(json!({}))],
+        };
+        let counts = steps.iter().filter_map(|step| step["count"].as_u64());
+        let counts = counts.map(|count| count as u32).collect();
+        let mut body = json!({"spec": millis.to_string(), "steps": steps});
+        let schedule = (kind == JobKind::Timed).then(|| {
+            let now = unix_millis(time::SystemTime::now());
+            (now + first_run_in, interval_ms)
+        });
+        if let Some((first_run_ms, interval_ms)) = schedule {
+            body["times"] = json!(times);
+            body["firstRunMs"] = json!(first_run_ms);
+            body["intervalMs"] = json!(interval_ms);
+        }
+        Self {
+            queue,
+            tenant,
+            kind,
+            cpu: if kind == JobKind::BestEffort { 0 } else { cpu },
+            counts,
+            times: if schedule.is_some() { times } else { 1 },
+            schedule,
+            body: body.to_string(),
+            submission: Submission::Unknown,
+            is_cancel_sent: false,
+            cancelled_at: None,
+            shown: None,
+            completed_at: None,
+        }
+    }
+
+    pub(crate) fn is_long(&self) -> bool {
+        self.kind == JobKind::LongRunning
+    }
+
+    /// Returns the tasks of all occurrences.
+    pub(crate) fn tasks(&self, job: &str) -> Vec<TaskName> {
+        let mut tasks = Vec::new();
+        for occurrence in 0..self.times {
+            for (step, count) in self.counts.iter().enumerate() {
+                let job = job.to_owned();
+                tasks.extend((0..*count).map(|index| TaskName {
+                    job: job.clone(),
+                    occurrence,
+                    step,
+                    index,
+                }));
+            }
+        }
+        tasks
+    }
+}
+
+/// Returns a time in milliseconds since the Unix epoch.
+pub(crate) fn unix_millis(at: time::SystemTime) -> u64 {
+    let since = at.duration_since(time::SystemTime::UNIX_EPOCH);
+    since.map_or(0, |since| since.as_millis() as u64)
+}
+
+/// All jobs of a soak, by id.
+#[derive(Debug, Default)]
+pub(crate) struct JobLedger(cell::RefCell<BTreeMap<String, CalledJob>>);
+
+impl JobLedger {
+    pub(crate) fn insert(&self, id: &str, job: CalledJob) {
+        self.0.borrow_mut().insert(id.to_owned(), job);
+    }
+
+    pub(crate) fn snapshot(&self) -> BTreeMap<String, CalledJob> {
+        self.0.borrow().clone()
+    }
+
+    pub(crate) fn find(&self, id: &str) -> Option<CalledJob> {
+        self.0.borrow().get(id).cloned()
+    }
+
+    pub(crate) fn update<T>(&self, id: &str, change: impl FnOnce(&mut CalledJob) -> T) -> T {
+        change(self.0.borrow_mut().get_mut(id).expect("the job is listed"))
+    }
+
+    /// Returns whether another job may run until it is cancelled.
+    pub(crate) fn may_last(&self) -> bool {
+        let jobs = self.0.borrow();
+        let is_lasting = |job: &&CalledJob| job.is_long() && !job.is_cancel_sent;
+        jobs.values().filter(is_lasting).count() < MAX_LONG
+    }
+
+    /// Returns a random accepted job, half the time one that runs until it is
+    /// cancelled.
+    pub(crate) fn draw(&self, rng: &mut StdRng) -> Option<(String, CalledJob)> {
+        let jobs = self.0.borrow();
+        let is_any = rng.random_bool(0.5);
+        let is_accepted = |job: &CalledJob| {
+            matches!(job.submission, Submission::Accepted(_))
+                && (is_any || job.is_long() && !job.is_cancel_sent)
+        };
+        let accepted: Vec<_> = jobs.iter().filter(|(_, job)| is_accepted(job)).collect();
+        let (id, job) = accepted.get(rng.random_range(0..accepted.len().max(1)))?;
+        Some(((*id).clone(), (*job).clone()))
+    }
+}
--- /dev/null
+++ b/crates/node/tests/process_soak/platform.rs
@@ -0,0 +1,445 @@
+//! Stand-in platform as a process, and what its workers, machines and operators see.
+
+use std::cell;
+use std::collections::{BTreeMap, BTreeSet};
+use std::env;
+use std::fmt;
+use std::net;
+use std::path::{Path, PathBuf};
+use std::rc;
+use std::time;
+
+use redwing_adapter::http::JsonClient;
+use redwing_adapter::table::PlatformTable;
+use redwing_engine::row::{self, OwnerRecord};
+use redwing_provider::TableStore;
+use serde::Deserialize;
+use serde_json::json;
+use tokio::net::TcpStream;
+
+use crate::process::{self, ProcessCommand, SoakProcess};
+use crate::wire::{self, WireRequest, WireResponse};
+
+/// Environment variable that names the program of the platform.
+const PLATFORM_VARIABLE: &str = "SOAK_PLATFORM";
+
+/// Longest time until the platform has printed its addresses.
+const START_LIMIT: time::Duration = time::Duration::from_secs(20);
+
+/// Longest time of a call of the soak itself.
+const CALL_LIMIT: time::Duration = time::Duration::from_secs(20);
+
+/// Pools of the platform's machines that are in use, and the number of machines in
+/// each; the numbers of the machines follow each other.
+const MACHINES: usize = 8;
+
+/// Customer whose running work is limited.
+const LIMITED_TENANT: &str = "surveyors";
+
+/// CPU that the limited customer may have running, in thousandths of a core.
+pub(crate) const TENANT_CPU_LIMIT: u64 = 2_000;
+
+/// Time within which the machines of a wave are to be maintained, in seconds.
+const WAVE_SECONDS: u64 = 20;
+
+/// Time that a draining worker has until it leaves, in milliseconds.
+const DRAIN_MS: u64 = 4_500;
+
+/// Time after the end of a drain in which its effects may be seen, in milliseconds.
+const DRAIN_EFFECT_MS: f64 = 3_000.0;
+
+/// Queue of the manifest.
+#[derive(Clone, Debug)]
+pub(crate) struct SoakQueue {
+    pub(crate) host: String,
+    pub(crate) path_prefix: String,
+}
+
+/// Customer of the manifest.
+#[derive(Clone, Debug)]
+pub(crate) struct SoakTenant {
+    pub(crate) key: String,
+    pub(crate) has_limit: bool,
+}
+
+/// One run of a task.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(rename_all = "camelCase")]
+pub(crate) struct RunView {
+    pub(crate) run: u32,
+    pub(crate) worker: String,
+    pub(crate) machine: String,
+    /// Start and end on the platform's clock.
+    pub(crate) started_ms: f64,
+    pub(crate) ended_ms: Option<f64>,
+    pub(crate) how: Option<String>,
+}
+
+impl RunView {
+    pub(crate) fn is(&self, how: &str) -> bool {
+        self.how.as_deref() == Some(how)
+    }
+
+    /// Returns whether an order ended the run, if its worker did not leave by itself.
+    pub(crate) fn is_ordered_end(&self) -> bool {
+        self.is("stopped") || self.is("lost")
+    }
+}
+
+impl fmt::Display for RunView {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let (run, worker, machine) = (self.run, &self.worker, &self.machine);
+        let started_ms = self.started_ms;
+        write!(
+            formatter,
+            "run {run} on {worker} ({machine}), {started_ms:.0} ms to "
+        )?;
+        match (self.ended_ms, &self.how) {
+            (Some(ended_ms), Some(how)) => write!(formatter, "{ended_ms:.0} ms, {how}"),
+            _ => formatter.write_str("now"),
+        }
+    }
+}
+
+/// All runs of a task.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(rename_all = "camelCase")]
+pub(crate) struct TaskView {
+    pub(crate) runs: Vec<RunView>,
+    pub(crate) speculative: bool,
+}
+
+#[derive(Clone, Copy, Debug, Deserialize)]
+struct CapacityView {
+    cpu: i64,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct MachineView {
+    machine: String,
+    capacity: CapacityView,
+}
+
+/// Wave as the operator requested it.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(rename_all = "camelCase")]
+pub(crate) struct WaveRequest {
+    pub(crate) wave: u64,
+    pub(crate) machines: Vec<String>,
+    pub(crate) max_count: usize,
+}
+
+/// Wave with its state.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(rename_all = "camelCase")]
+pub(crate) struct WaveView {
+    pub(crate) request: WaveRequest,
+    status: serde_json::Value,
+    pub(crate) maintained: Vec<String>,
+    pub(crate) max_down: usize,
+}
+
+impl WaveView {
+    pub(crate) fn is_completed(&self) -> bool {
+        self.status["state"] == "completed"
+    }
+}
+
+/// State of the platform.
+#[derive(Clone, Debug, Default, Deserialize)]
+#[serde(rename_all = "camelCase")]
+pub(crate) struct PlatformView {
+    pub(crate) now_ms: f64,
+    pub(crate) tasks: BTreeMap<String, TaskView>,
+    machines: Vec<MachineView>,
+    pub(crate) waves: BTreeMap<String, WaveView>,
+}
+
+impl PlatformView {
+    pub(crate) fn is_running(&self, task: &str) -> bool {
+        let runs = self.tasks.get(task).map_or(&[][..], |task| &task.runs);
+        runs.iter().any(|run| run.ended_ms.is_none())
+    }
+
+    /// Returns the CPU of a machine.
+    pub(crate) fn capacity(&self, machine: &str) -> Option<i64> {
+        let mut machines = self.machines.iter();
+        let found = machines.find(|entry| entry.machine == machine);
+        found.map(|entry| entry.capacity.cpu)
+    }
+}
+
+/// Running platform.
+pub(crate) struct StandinPlatform {
+    address: net::SocketAddr,
+    /// Settings files of the processes, in their order.
+    pub(crate) settings_files: Vec<PathBuf>,
+    keys: Vec<String>,
+    version: cell::Cell<u64>,
+    waves: cell::Cell<u64>,
+    /// Machines that failed for good.
+    lost: cell::RefCell<BTreeSet<String>>,
+    /// Ends of the effects of all drains, on the clock of the soak.
+    drains: cell::RefCell<Vec<(f64, f64)>>,
+    started: time::Instant,
+    table: PlatformTable,
+    latest_view: cell::RefCell<rc::Rc<PlatformView>>,
+    /// Killed when the platform is dropped.
+    _process: SoakProcess,
+}
+
+impl StandinPlatform {
+    /// Starts the platform for a number of processes.
+    pub(crate) async fn start(directory: &Path, processes: usize, seed: u64) -> Self {
+        let settings = directory.join("settings");
+        let log = directory.join("platform.log");
+        let arguments = [
+            "platform",
+            "--listen",
+            "127.0.0.1:0",
+            "--settings-dir",
+            &settings.display().to_string(),
+            "--processes",
+            &processes.to_string(),
+            "--seed",
+            &seed.to_string(),
+        ];
+        let process = SoakProcess::start(&ProcessCommand {
+            program: program(),
+            arguments: arguments.map(str::to_owned).to_vec(),
+            environment: Vec::new(),
+            log: log.clone(),
+        });
+        let lines = process::wait_line(&log, START_LIMIT, |line| line.starts_with("curl http"));
+        let lines = lines.await;
+        let find = |name: &str| -> Vec<&str> {
+            let values = lines.iter().filter_map(|line| line.strip_prefix(name));
+            values.collect()
+        };
+        let address = find("platform http://")[0];
+        let address = address.parse().expect("it prints its address");
+        let settings_files = find("process ").into_iter().map(|line| {
+            let words = line.split_whitespace();
+            let path = words.skip_while(|word| *word != "settings").nth(1);
+            PathBuf::from(path.expect("it prints the settings file"))
+        });
+        let platform = Self {
+            address,
+            settings_files: settings_files.collect(),
+            keys: find("key ").into_iter().map(str::to_owned).collect(),
+            version: cell::Cell::new(1),
+            waves: cell::Cell::new(0),
+            lost: cell::RefCell::default(),
+            drains: cell::RefCell::default(),
+            started: time::Instant::now(),
+            table: PlatformTable::new(JsonClient::new(), address),
+            latest_view: cell::RefCell::default(),
+            _process: process,
+        };
+        platform.change_manifest(1.0).await;
+        platform
+    }
+
+    /// Returns the queues; no version of the manifest changes them.
+    pub(crate) fn queues(&self) -> Vec<SoakQueue> {
+        let names = ["urgent", "batch", "annex", "advised"].into_iter();
+        let queues = names.map(|name| SoakQueue {
+            host: "any".to_owned(),
+            path_prefix: format!("/{name}/"),
+        });
+        queues.collect()
+    }
+
+    /// Returns the customers; no version of the manifest changes them.
+    pub(crate) fn tenants(&self) -> Vec<SoakTenant> {
+        // The keys are printed in the order of the customers, the limited one last.
+        let count = self.keys.len();
+        let keys = self.keys.iter().enumerate();
+        let tenants = keys.map(|(index, key)| SoakTenant {
+            key: key.clone(),
+            has_limit: index + 1 == count,
+        });
+        tenants.collect()
+    }
+
+    async fn call(&self, method: &str, path: &str, body: &str) -> WireResponse {
+        let mut stream = TcpStream::connect(self.address).await;
+        let stream = stream.as_mut().expect("the platform listens");
+        let request = WireRequest {
+            method,
+            path,
+            host: "any",
+            key: "",
+            body,
+        };
+        let called = wire::call(stream, request, CALL_LIMIT).await;
+        let response = called.expect("the platform responds");
+        assert_eq!(response.status, 200, "{path}: {} to {body}", response.body);
+        response
+    }
+
+    /// Returns what workers, machines and operators see.
+    pub(crate) async fn view(&self) -> rc::Rc<PlatformView> {
+        let response = self.call("GET", "/stand-in/state", "").await;
+        let view = serde_json::from_str(&response.body);
+        let view: PlatformView = view.expect("the state has the fields of the view");
+        let view = rc::Rc::new(view);
+        *self.latest_view.borrow_mut() = rc::Rc::clone(&view);
+        view
+    }
+
+    /// Returns a line for each run of a job that the latest view has.
+    pub(crate) fn runs_of(&self, job: &str) -> Vec<String> {
+        let view = self.latest_view.borrow();
+        let tasks = view.tasks.iter().filter(|(name, _)| {
+            let id = name.split('.').next();
+            id == Some(job)
+        });
+        let lines = tasks.flat_map(|(name, task)| {
+            let runs = task.runs.iter();
+            runs.map(move |run| format!("{name} {run}"))
+        });
+        lines.collect()
+    }
+
+    /// Returns the name of the owner's VM, unless the table does not say so.
+    pub(crate) async fn owner(&self) -> Option<String> {
+        let view = self.table.scan(row::OWNER_KEY).await.ok()?;
+        let record: OwnerRecord = row::read(view.rows.first()?).ok()?;
+        Some(record.node)
+    }
+
+    async fn write(&self, key: &str, value: &serde_json::Value) {
+        let body = json!({"key": key, "value": value}).to_string();
+        self.call("POST", "/stand-in/operator", &body).await;
+    }
+
+    /// Writes the next version of the manifest.
+    pub(crate) async fn change_manifest(&self, weight: f64) {
+        let version = self.version.get() + 1;
+        self.version.set(version);
+        let route = |name: &str, service: &str, priority: u32| {
+            json!({
+                "name": name, "host": "", "pathPrefix": format!("/{name}/"),
+                "service": service, "priority": priority, "maxAttempts": 4, "stretch": 4.0,
+                "targetCompletionMs": 20_000,
+            })
+        };
+        let mut advised = route("advised", "workers", 1);
+        advised["advisor"] = json!({"decideMs": 40, "perItemMs": 2, "validMs": 5_000});
+        // A queue that comes and goes, and that no caller uses.
+        let extra = route(&format!("extra-{version}"), "annex", 2);
+        let service = |name: &str, enforces_capacity: bool, is_standby: bool| {
+            json!({
+                "name": name, "enforcesCapacity": enforces_capacity, "standby": is_standby,
+            })
+        };
+        let tenant = |name: &str, key: &str, weight: f64| {
+            let limit = if name == LIMITED_TENANT {
+                TENANT_CPU_LIMIT
+            } else {
+                0
+            };
+            json!({
+                "name": name, "apiKeys": [key], "weight": weight,
+                "maxCount": {"cpu": limit, "memMb": 0, "gpu": 0},
+            })
+        };
+        let manifest = json!({
+            "version": version,
+            "routes": [
+                route("urgent", "workers", 0), route("batch", "workers", 1),
+                route("annex", "annex", 1), advised, extra,
+            ],
+            "services": [
+                service("workers", true, false), service("annex", false, false),
+                service("standby", false, true),
+            ],
+            "tenants": [
+                tenant("inspectors", &self.keys[0], 2.0),
+                tenant(LIMITED_TENANT, &self.keys[1], weight),
+            ],
+            "limits": {},
+        });
+        self.write("config", &manifest).await;
+    }
+
+    /// Requests the maintenance of some machines, beginning with one of them.
+    pub(crate) async fn request_wave(&self, first: usize, count: usize, max_down: u32) {
+        let wave = self.waves.get() + 1;
+        self.waves.set(wave);
+        let machines = (0..count).map(|offset| machine_name(machine_number(first + offset)));
+        let request = json!({
+            "wave": wave, "machines": machines.collect::<Vec<_>>(),
+            "durationS": WAVE_SECONDS, "maxCount": max_down,
+        });
+        self.write(&format!("wave/{wave}"), &request).await;
+    }
+
+    /// Adds faults, whose times count from now.
+    pub(crate) async fn add_faults(&self, faults: &str) {
+        self.call("POST", "/stand-in/faults", faults).await;
+    }
+
+    /// Lets the worker of a machine drain and leave.
+    pub(crate) async fn drain_worker(&self, choice: usize) {
+        let begun = self.started.elapsed().as_secs_f64() * 1_000.0;
+        let ends = begun + DRAIN_MS as f64 + DRAIN_EFFECT_MS;
+        self.drains.borrow_mut().push((begun, ends));
+        let machine = machine_number(choice);
+        let fault = format!(
+            "[[fault]]\neffect = \"drain\"\nfrom-seconds = 0.0\nmachine = {machine}\n\
+             down-ms = {DRAIN_MS}\n"
+        );
+        self.add_faults(&fault).await;
+    }
+
+    /// Returns whether a worker may have left at a time of the soak.
+    pub(crate) fn may_have_left(&self, at_ms: f64) -> bool {
+        let drains = self.drains.borrow();
+        drains
+            .iter()
+            .any(|(begun, ends)| (*begun..*ends).contains(&at_ms))
+    }
+
+    /// Lets a machine fail for good.
+    pub(crate) async fn lose_machine(&self, choice: usize) {
+        let machine = machine_number(choice);
+        self.lost.borrow_mut().insert(machine_name(machine));
+        let fault = "[[fault]]\neffect = \"lose\"\nfrom-seconds = 0.0";
+        self.add_faults(&format!("{fault}\nmachine = {machine}\n"))
+            .await;
+    }
+
+    pub(crate) fn is_lost(&self, machine: &str) -> bool {
+        self.lost.borrow().contains(machine)
+    }
+
+    /// Returns the number of machines that failed for good.
+    pub(crate) fn lost_machines(&self) -> usize {
+        self.lost.borrow().len()
+    }
+}
+
+/// Returns the number of a machine in use.
+pub(crate) fn machine_number(choice: usize) -> usize {
+    choice % MACHINES + 1
+}
+
+fn machine_name(number: usize) -> String {
+    format!("machine-{number}")
+}
+
+/// Returns the path of the platform's program, which is built beside the one under
+/// test.
+fn program() -> PathBuf {
+    let built = Path::new(env!("CARGO_BIN_EXE_redwinglb")).with_file_name("redwingctl");
+    let program = env::var_os(PLATFORM_VARIABLE).map_or(built, PathBuf::from);
+    let name = program.display();
+    assert!(
+        program.exists(),
+        "{name} is missing: cargo build --bin redwingctl"
+    );
+    program
+}
