Add bursts, removals, slow links and pending counts to the soak of processes

Change: actions Burst (wide jobs at once), Remove and Slow; callers read the number of pending jobs, which has to count half of those that have waited for 5 s.

--- a/crates/node/tests/process_soak.rs
+++ b/crates/node/tests/process_soak.rs
@@ -40,8 +40,6 @@
 
 use caller::SoakCallers;
 use cluster::{FailureGroup, SoakCluster};
-use rand::SeedableRng;
-use rand::rngs::StdRng;
 use rstest::rstest;
 
 /// Extent of a soak.
@@ -87,8 +85,7 @@
     let monitor = check::monitor(rc::Rc::clone(&cluster), rc::Rc::clone(&is_over));
     let monitor = tokio::task::spawn_local(monitor);
     let watch = tokio::task::spawn_local(check::watch(rc::Rc::clone(&cluster)));
-    let mut rng = StdRng::seed_from_u64(settings.seed);
-    action::run_all(&cluster, &mut rng, settings.duration).await;
+    action::run_all(&cluster, settings.seed, settings.duration).await;
     callers.stop().await;
     check::check_end(&cluster).await;
     is_over.set(true);
--- a/crates/node/tests/process_soak/action.rs
+++ b/crates/node/tests/process_soak/action.rs
@@ -3,10 +3,11 @@
 use std::rc;
 use std::time;
 
-use rand::Rng;
 use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
 use tokio::time as timer;
 
+use crate::caller;
 use crate::cluster::SoakCluster;
 use crate::platform;
 use crate::proxy::{LinkFault, LinkProxy};
@@ -38,6 +39,7 @@
     HoldBoth,
     Reset,
     Silence,
+    Slow { bandwidth: u32 },
 }
 
 /// Service of the platform that a fault is in.
@@ -177,6 +179,8 @@
     Disturb { choice: ProcessChoice, link: LinkChoice, action: LinkAction, ms: u64 },
     Platform { fault: PlatformFault, ms: u64 },
     Drain { worker: usize },
+    Remove { node: usize, is_killed: bool },
+    Burst { jobs: u32 },
     Wave { first: usize, machines: usize, max_down: u32 },
     ChangeManifest { count: u32, gap_ms: u64 },
 }
@@ -195,7 +199,7 @@
 }
 
 fn draw_link(rng: &mut StdRng) -> LinkAction {
-    match rng.random_range(0..6) {
+    match rng.random_range(0..7) {
         0 => LinkAction::Delay {
             delay_ms: rng.random_range(5..400),
         },
@@ -203,6 +207,9 @@
         2 => LinkAction::HoldResponses,
         3 => LinkAction::HoldBoth,
         4 => LinkAction::Reset,
+        5 => LinkAction::Slow {
+            bandwidth: rng.random_range(50..1_000),
+        },
         _ => LinkAction::Silence,
     }
 }
@@ -256,13 +263,17 @@
         30..37 => SoakAction::Kill { choice, down_ms },
         37..44 => SoakAction::Freeze { choice, ms },
         44..47 => SoakAction::Reload { choice },
-        47..55 => SoakAction::Disturb {
+        47..49 => SoakAction::Remove {
+            node: rng.random_range(0..processes), is_killed: rng.random(),
+        },
+        49..52 => SoakAction::Burst { jobs: rng.random_range(32..160) },
+        52..58 => SoakAction::Disturb {
             choice, link: LinkChoice::Table, action: draw_link(rng), ms,
         },
-        55..59 => SoakAction::Disturb {
+        58..61 => SoakAction::Disturb {
             choice, link: LinkChoice::Caller, action: draw_link(rng), ms,
         },
-        59..75 => SoakAction::Platform { fault: draw_fault(rng), ms },
+        61..75 => SoakAction::Platform { fault: draw_fault(rng), ms },
         75..85 => SoakAction::Drain { worker },
         85..92 => SoakAction::Wave {
             first: worker, machines: rng.random_range(1..5), max_down: count,
@@ -271,13 +282,12 @@
     }
 }
 
-/// Runs drawn actions for the duration, and waits until all have ended.
-pub(crate) async fn run_all(
-    cluster: &rc::Rc<SoakCluster>,
-    rng: &mut StdRng,
-    duration: time::Duration,
-) {
+/// Runs actions drawn from the seed for the duration, and waits until all have ended.
+pub(crate) async fn run_all(cluster: &rc::Rc<SoakCluster>, seed: u64, duration: time::Duration) {
+    let mut rng = StdRng::seed_from_u64(seed);
+    let rng = &mut rng;
     let processes = cluster.processes();
+    let mut bursts = 0;
     let mut running = Vec::new();
     while cluster.started_at.elapsed() < duration {
         let action = draw(rng, processes);
@@ -288,8 +298,15 @@
         }
         cluster.acted_at.set(timer::Instant::now());
         let cluster = rc::Rc::clone(cluster);
+        let burst = bursts;
+        bursts += u32::from(matches!(action, SoakAction::Burst { .. }));
         running.push(tokio::task::spawn_local(async move {
-            run(&cluster, action).await;
+            match action {
+                SoakAction::Burst { jobs } => {
+                    caller::submit_burst(&cluster, seed, burst, jobs).await;
+                }
+                _ => run(&cluster, action).await,
+            }
             cluster.acted_at.set(timer::Instant::now());
         }));
         let is_series = rng.random_bool(0.4);
@@ -313,6 +330,18 @@
         SoakAction::Reload { choice } => {
             each(cluster, choice, async |node| cluster.reload_process(node)).await;
         }
+        SoakAction::Remove { node, is_killed } => {
+            // Half of the processes remain.
+            if !cluster.may_remove() {
+                return;
+            }
+            if is_killed {
+                cluster.mark_unplanned();
+                cluster.kill_process(node);
+            } else {
+                cluster.stop_process(node).await;
+            }
+        }
         SoakAction::Drain { worker } => cluster.platform.drain_worker(worker).await,
         SoakAction::Wave {
             first,
@@ -415,6 +444,10 @@
             delay: time::Duration::from_millis(delay_ms),
             ..LinkFault::default()
         },
+        LinkAction::Slow { bandwidth } => LinkFault {
+            bandwidth,
+            ..LinkFault::default()
+        },
         LinkAction::HoldRequests => LinkFault {
             holds_requests: true,
             ..LinkFault::default()
--- a/crates/node/tests/process_soak/caller.rs
+++ b/crates/node/tests/process_soak/caller.rs
@@ -12,7 +12,7 @@
 use tokio::time as timer;
 
 use crate::cluster::{self, ServingProcess, SoakCluster};
-use crate::job::{CalledJob, ShownState, Submission};
+use crate::job::{CalledJob, JobSize, ShownState, Submission};
 use crate::wire::{self, CallFailure, WireRequest, WireResponse};
 
 /// Time after which a call without a response has failed.
@@ -21,6 +21,15 @@
 /// Longest time for which a submission with an unknown outcome is repeated.
 const SUBMIT_LIMIT: time::Duration = time::Duration::from_secs(30);
 
+/// Number of callers that submit the jobs of a burst.
+const BURST_CALLERS: u32 = 32;
+
+/// Number of the first caller of the first burst; lower ones are those that stay.
+const FIRST_BURST_CALLER: u32 = 0x1000;
+
+/// Least age of the accepted jobs that a number of pending jobs has to count.
+const PENDING_AGE: time::Duration = time::Duration::from_secs(5);
+
 /// Id of a job that nobody submits.
 const UNKNOWN_JOB: &str = "ffffffffffffffff";
 
@@ -55,13 +64,7 @@
     pub(crate) fn start(cluster: &rc::Rc<SoakCluster>, seed: u64) -> Self {
         let is_stopping = rc::Rc::new(cell::Cell::new(false));
         let tasks = (0..8 + cluster.processes() / 4).map(|number| {
-            let caller = SoakCaller {
-                cluster: rc::Rc::clone(cluster),
-                rng: StdRng::seed_from_u64(seed * 1_000 + number as u64),
-                connection: None,
-                prefix: format!("{:04x}{number:04x}", seed & 0xffff),
-                submitted: 0,
-            };
+            let caller = SoakCaller::new(cluster, seed, number as u32);
             task::spawn_local(caller.run(rc::Rc::clone(&is_stopping)))
         });
         Self {
@@ -87,7 +90,29 @@
     submitted: u32,
 }
 
+/// Submits many wide jobs at once.
+pub(crate) async fn submit_burst(cluster: &rc::Rc<SoakCluster>, seed: u64, burst: u32, jobs: u32) {
+    let callers = (0..BURST_CALLERS).map(async |index| {
+        let number = FIRST_BURST_CALLER + burst * BURST_CALLERS + index;
+        let mut caller = SoakCaller::new(cluster, seed, number);
+        for _ in 0..jobs.div_ceil(BURST_CALLERS) {
+            caller.submit(JobSize::Wide).await;
+        }
+    });
+    futures_util::future::join_all(callers).await;
+}
+
 impl SoakCaller {
+    fn new(cluster: &rc::Rc<SoakCluster>, seed: u64, number: u32) -> Self {
+        Self {
+            cluster: rc::Rc::clone(cluster),
+            rng: StdRng::seed_from_u64(seed * 100_000 + u64::from(number)),
+            connection: None,
+            prefix: format!("{:04x}{number:04x}", seed & 0xffff),
+            submitted: 0,
+        }
+    }
+
     async fn run(mut self, is_stopping: rc::Rc<cell::Cell<bool>>) {
         while !is_stopping.get() {
             let pause = time::Duration::from_millis(self.rng.random_range(20..500));
@@ -97,7 +122,8 @@
                 (0..6, Some((id, job))) => self.cancel(&id, &job).await,
                 (6..60, Some((id, job))) => self.read(&id, &job).await,
                 (60..62, Some((_, job))) => self.read_unknown(&job).await,
-                _ => self.submit().await,
+                (62..65, Some((_, job))) => self.read_pending(&job).await,
+                _ => self.submit(JobSize::Usual).await,
             }
         }
     }
@@ -149,12 +175,12 @@
         }
     }
 
-    async fn submit(&mut self) {
+    async fn submit(&mut self, size: JobSize) {
         self.submitted += 1;
         let id = format!("{}{:08x}", self.prefix, self.submitted);
         let may_last = self.cluster.ledger.may_last();
         let (queues, tenants) = (&self.cluster.queues, &self.cluster.tenants);
-        let job = CalledJob::draw(&mut self.rng, queues, tenants, may_last);
+        let job = CalledJob::draw(&mut self.rng, queues, tenants, may_last, size);
         self.cluster.ledger.insert(&id, job.clone());
         let end = timer::Instant::now() + SUBMIT_LIMIT;
         let mut may_be_stored = false;
@@ -205,6 +231,42 @@
         }
     }
 
+    /// Reads the number of pending jobs of a queue. It has to count half of those
+    /// that were accepted a while ago and have no run even later.
+    async fn read_pending(&mut self, job: &CalledJob) {
+        let sent_at = timer::Instant::now();
+        let CallOutcome::Response(response) = self.call("GET", "", job).await else {
+            return;
+        };
+        let jobs = self.cluster.ledger.snapshot();
+        let view = self.cluster.platform.view().await;
+        let is_excused = self.cluster.is_table_disturbed();
+        let body = response.json();
+        let pending = body.as_ref().and_then(|body| body["pending"].as_u64());
+        let pending = match (response.status, pending) {
+            (200, Some(pending)) => pending,
+            (503, _) if is_excused => return,
+            (status, _) => {
+                let what = format!("pending jobs answered {status}: {}", response.body);
+                return self.cluster.fail(&what, &job.queue.path_prefix);
+            }
+        };
+        let waiting = jobs.iter().filter(|(id, other)| {
+            let Submission::Accepted(at) = other.submission else {
+                return false;
+            };
+            let is_old = at + PENDING_AGE < sent_at && other.schedule.is_none();
+            let is_same = other.queue.path_prefix == job.queue.path_prefix;
+            let has_begun = || view.has_begun(id);
+            is_old && is_same && !other.is_cancel_sent && !has_begun()
+        });
+        let waiting = waiting.count() as u64;
+        if !is_excused && pending * 2 < waiting {
+            let what = format!("pending jobs are {pending}, but {waiting} wait");
+            self.cluster.fail(&what, &job.queue.path_prefix);
+        }
+    }
+
     async fn cancel(&mut self, id: &str, job: &CalledJob) {
         self.cluster
             .ledger
@@ -233,13 +295,7 @@
     job: &CalledJob,
     rng: &mut StdRng,
 ) -> Option<WireResponse> {
-    let mut caller = SoakCaller {
-        cluster: rc::Rc::clone(cluster),
-        rng: StdRng::seed_from_u64(rng.random()),
-        connection: None,
-        prefix: String::new(),
-        submitted: 0,
-    };
+    let mut caller = SoakCaller::new(cluster, rng.random_range(0..1_000), 0);
     match caller.call("GET", id, job).await {
         CallOutcome::Response(response) => Some(response),
         _ => None,
--- a/crates/node/tests/process_soak/check.rs
+++ b/crates/node/tests/process_soak/check.rs
@@ -119,6 +119,10 @@
 struct MonitorState {
     offset_ms: Option<f64>,
     last_runs: HashMap<TaskName, timer::Instant>,
+    /// Numbers of runs and of ended ones of the tasks that were checked.
+    checked_runs: HashMap<String, (usize, usize)>,
+    /// Jobs that were shown as completed and are.
+    completed: BTreeSet<String>,
     reported: BTreeSet<SoakProblem>,
 }
 
@@ -140,10 +144,25 @@
         };
         let mut problems = Vec::new();
         for (name, task) in &input.view.tasks {
+            let ended = task.runs.iter().filter(|run| run.ended_ms.is_some());
+            let counts = (task.runs.len(), ended.count());
+            let id = name.split('.').next().unwrap_or(name);
+            // A job that is newer than the snapshot is checked in the next look.
+            let is_known = input.jobs.contains_key(id);
+            if is_known && self.checked_runs.insert(name.clone(), counts) == Some(counts) {
+                continue;
+            }
             check_task(&input, name, &task.runs, task.speculative, &mut problems);
         }
         for (id, job) in &input.jobs {
+            if self.completed.contains(id) {
+                continue;
+            }
+            let count = problems.len();
             check_job(&input, id, job, &mut problems);
+            if job.completed_at.is_some() && problems.len() == count {
+                self.completed.insert(id.clone());
+            }
         }
         check_room(&input, &mut problems);
         check_waves(&input, &mut problems);
@@ -215,12 +234,7 @@
         }
         return;
     };
-    match job.submission {
-        Submission::Refused => report("the submission was refused, but the job runs"),
-        Submission::Unanswered => report("the submission got no response, but the job runs"),
-        Submission::Accepted(_) | Submission::Unknown => {}
-    }
-    if !job.tasks(&task.job).contains(&task) {
+    if !job.has_task(&task) {
         report("no task of its job");
     }
     for (index, run) in runs.iter().enumerate() {
@@ -283,6 +297,13 @@
 
 /// Checks what callers were told about a job.
 fn check_job(input: &CheckInput<'_>, id: &str, job: &CalledJob, problems: &mut Vec<SoakProblem>) {
+    match job.submission {
+        Submission::Refused | Submission::Unanswered if input.view.has_begun(id) => {
+            let what = format!("the submission was {:?}, but the job runs", job.submission);
+            problems.push(problem(&what, id));
+        }
+        _ => {}
+    }
     let tasks = job.tasks(id);
     if let Some(completed_at) = job.completed_at {
         let at_ms = input.platform_ms(completed_at) + CLOCK_ERROR_MS;
--- a/crates/node/tests/process_soak/cluster.rs
+++ b/crates/node/tests/process_soak/cluster.rs
@@ -329,6 +329,11 @@
         self.active_faults.get() > 0 || self.unplanned_at.get().elapsed() < TABLE_RECOVERY
     }
 
+    /// Returns whether enough processes serve callers that one may be removed.
+    pub(crate) fn may_remove(&self) -> bool {
+        self.serving().len() > self.processes() / 2 + 1
+    }
+
     /// Returns the VM of the owner, if there is one.
     pub(crate) async fn owner_node(&self) -> Option<usize> {
         let name = self.platform.owner().await?;
--- a/crates/node/tests/process_soak/job.rs
+++ b/crates/node/tests/process_soak/job.rs
@@ -29,6 +29,14 @@
     Timed,
 }
 
+/// Size of a job.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum JobSize {
+    Usual,
+    /// One step with many tasks, so that many rows change at a time.
+    Wide,
+}
+
 /// What the caller knows of a submission.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum Submission {
@@ -133,10 +141,12 @@
         queues: &[SoakQueue],
         tenants: &[SoakTenant],
         may_last: bool,
+        size: JobSize,
     ) -> Self {
         let queue = queues[rng.random_range(0..queues.len())].clone();
         let tenant = rng.random_range(0..tenants.len());
         let kind = match rng.random_range(0..100) {
+            _ if size == JobSize::Wide => JobKind::Single,
             0..15 if may_last => JobKind::LongRunning,
             0..35 => JobKind::Chain,
             35..45 => JobKind::Gang,
@@ -149,16 +159,21 @@
         let tenant = match kind {
             // Long-running tasks would use up a limit for good.
             JobKind::LongRunning => tenants.iter().find(|tenant| !tenant.has_limit),
+            _ if size == JobSize::Wide => tenants.iter().find(|tenant| !tenant.has_limit),
             _ => tenants.get(tenant),
         };
         let tenant = tenant.expect("a customer has no limit").clone();
         let millis: u64 = rng.random_range(20..1_500);
-        let count = rng.random_range(1..4);
+        let count = match size {
+            JobSize::Usual => rng.random_range(1..4),
+            JobSize::Wide => rng.random_range(10..60),
+        };
         let (first_run_in, interval_ms) =
             (rng.random_range(100..1_500), rng.random_range(200..2_000));
         let times = rng.random_range(2..5);
         let cpu = match kind {
             // Limits matter only if some jobs come near to them.
+            _ if size == JobSize::Wide => 50,
             JobKind::Single if rng.random_bool(0.2) => 1_500,
             JobKind::LongRunning => 200,
             _ => 100,
@@ -215,6 +230,12 @@
         self.kind == JobKind::LongRunning
     }
 
+    /// Returns whether the job has a task.
+    pub(crate) fn has_task(&self, task: &TaskName) -> bool {
+        let count = self.counts.get(task.step).copied().unwrap_or(0);
+        task.occurrence < self.times && task.index < count
+    }
+
     /// Returns the tasks of all occurrences.
     pub(crate) fn tasks(&self, job: &str) -> Vec<TaskName> {
         let mut tasks = Vec::new();
--- a/crates/node/tests/process_soak/platform.rs
+++ b/crates/node/tests/process_soak/platform.rs
@@ -162,6 +162,13 @@
         runs.iter().any(|run| run.ended_ms.is_none())
     }
 
+    /// Returns whether a job has had a run.
+    pub(crate) fn has_begun(&self, job: &str) -> bool {
+        // The separator after the id is the least character of a name.
+        let mut later = self.tasks.range(format!("{job}.")..);
+        later.next().is_some_and(|(name, _)| name.starts_with(job))
+    }
+
     /// Returns the CPU of a machine.
     pub(crate) fn capacity(&self, machine: &str) -> Option<i64> {
         let mut machines = self.machines.iter();
--- a/crates/node/tests/process_soak/proxy.rs
+++ b/crates/node/tests/process_soak/proxy.rs
@@ -31,6 +31,9 @@
 pub(crate) struct LinkFault {
     /// Time by which each piece is late.
     pub(crate) delay: time::Duration,
+    /// Bandwidth of each connection and direction, in kilobytes per second; 0 for no
+    /// limit.
+    pub(crate) bandwidth: u32,
     pub(crate) holds_requests: bool,
     pub(crate) holds_responses: bool,
 }
@@ -163,13 +166,17 @@
     let mut buffer = vec![0; BUFFER_BYTES];
     loop {
         let count = reader.read(&mut buffer).await?;
-        let delay = {
+        let fault = {
             let is_open =
                 |state: &LinkState| number >= state.first_heard && !state.fault.is_held(direction);
             let open = state.wait_for(is_open).await;
-            open.map_err(io::Error::other)?.fault.delay
+            open.map_err(io::Error::other)?.fault
         };
-        timer::sleep(delay).await;
+        timer::sleep(fault.delay).await;
+        if fault.bandwidth > 0 {
+            let seconds = count as f64 / 1_000.0 / f64::from(fault.bandwidth);
+            timer::sleep(time::Duration::from_secs_f64(seconds)).await;
+        }
         if count == 0 {
             return writer.shutdown().await;
         }
