--- a/crates/node/tests/process_soak.rs
+++ b/crates/node/tests/process_soak.rs
@@ -40,7 +40,12 @@
 
 use caller::SoakCallers;
 use cluster::{FailureGroup, SoakCluster};
+use proxy::LinkFault;
 use rstest::rstest;
+use tokio::time as timer;
+
+/// Part of the grace period that is left when a stopping process stops serving.
+const STOP_MARGIN: time::Duration = time::Duration::from_millis(2_000);
 
 /// Extent of a soak.
 #[derive(Clone, Copy, Debug)]
@@ -127,6 +132,34 @@
     assert_eq!(failures, 0);
 }
 
+/// Lost commits delay the response to its longest time, beyond the end of the time for
+/// which the process serves after the signal.
+#[test]
+fn a_stopping_process_completes_a_request_that_it_has_read() {
+    actix_rt::System::new().block_on(async {
+        let directory = log_directory(0);
+        fs::create_dir_all(&directory).expect("the log directory is writable");
+        let cluster = rc::Rc::new(SoakCluster::start(&directory, 1, 1).await);
+        let grace_period = cluster.slots.borrow()[0].grace_period;
+        let late_call = caller::submit_late(&cluster, async {
+            timer::sleep(grace_period - STOP_MARGIN - time::Duration::from_millis(200)).await;
+            let slot = &cluster.slots.borrow()[0];
+            slot.table_link.set_fault(LinkFault {
+                holds_responses: true,
+                ..LinkFault::default()
+            });
+        });
+        let (_, status) = tokio::join!(cluster.stop_process(0), late_call);
+        assert_eq!(status, Some(504));
+        assert!(
+            cluster.failures.borrow().is_empty(),
+            "{:?}",
+            cluster.failures
+        );
+        let _ = fs::remove_dir_all(&directory);
+    });
+}
+
 #[test]
 #[ignore = "takes as long as its environment variables say"]
 fn a_soak_of_processes_by_hand_breaks_no_promise() {
--- a/crates/node/tests/process_soak/caller.rs
+++ b/crates/node/tests/process_soak/caller.rs
@@ -302,6 +302,24 @@
     }
 }
 
+/// Submits a job on a connection that was opened before, once `until` has passed, and
+/// returns the status of the whole response.
+pub(crate) async fn submit_late(
+    cluster: &rc::Rc<SoakCluster>,
+    until: impl Future<Output = ()>,
+) -> Option<u16> {
+    let mut caller = SoakCaller::new(cluster, 1, 0);
+    let (queues, tenants) = (&cluster.queues, &cluster.tenants);
+    let job = CalledJob::draw(&mut caller.rng, queues, tenants, false, JobSize::Usual);
+    // Opens the connection.
+    caller.call("GET", UNKNOWN_JOB, &job).await;
+    until.await;
+    match caller.call("POST", "00000000000000a1", &job).await {
+        CallOutcome::Response(response) => Some(response.status),
+        _ => None,
+    }
+}
+
 /// Checks the response to a read of an accepted job, and keeps its state.
 pub(crate) fn check_state(
     cluster: &SoakCluster,
--- a/crates/node/tests/process_soak/check.rs
+++ b/crates/node/tests/process_soak/check.rs
@@ -30,7 +30,7 @@
 const SETTLE_TIME: time::Duration = time::Duration::from_secs(5);
 
 /// Time in which all jobs and waves end after the last action.
-const END_LIMIT: time::Duration = time::Duration::from_secs(40);
+const END_LIMIT: time::Duration = time::Duration::from_secs(30);
 
 /// Least time between two looks at the platform; a look takes a fifth at most.
 const LOOK_INTERVAL: time::Duration = time::Duration::from_millis(200);
@@ -259,7 +259,9 @@
             if !is_speculative && !has_ended {
                 report(&format!("two runs at once: {earlier}, {run}"));
             }
-            if !is_speculative && earlier.is("done") && input.is_calm_at(run.started_ms) {
+            let was_noted = earlier.noted_ms.is_some_and(|at| at <= run.started_ms);
+            let must_be_known = was_noted || input.is_calm_at(run.started_ms);
+            if !is_speculative && earlier.is("done") && must_be_known {
                 report(&format!("started after it was done: {earlier}, {run}"));
             }
             if !is_speculative && earlier.run >= run.run {
--- a/crates/node/tests/process_soak/cluster.rs
+++ b/crates/node/tests/process_soak/cluster.rs
@@ -66,7 +66,7 @@
 pub(crate) struct ProcessSlot {
     settings: PathBuf,
     ready: net::SocketAddr,
-    grace_period: time::Duration,
+    pub(crate) grace_period: time::Duration,
     pub(crate) caller_link: LinkProxy,
     pub(crate) table_link: LinkProxy,
     process: Option<SoakProcess>,
--- a/crates/node/tests/process_soak/platform.rs
+++ b/crates/node/tests/process_soak/platform.rs
@@ -74,6 +74,8 @@
     /// Start and end on the platform's clock.
     pub(crate) started_ms: f64,
     pub(crate) ended_ms: Option<f64>,
+    /// When an owner took note of the end.
+    pub(crate) noted_ms: Option<f64>,
     pub(crate) how: Option<String>,
 }
 
