Scale the fleet and the advised jobs of the soak with the processes

Change: 4 workers a pool and one more for each 16 processes; the plain queues are drawn once more for each 40 processes.

--- a/crates/node/tests/process_soak/action.rs
+++ b/crates/node/tests/process_soak/action.rs
@@ -9,7 +9,7 @@
 
 use crate::caller;
 use crate::cluster::SoakCluster;
-use crate::platform;
+use crate::platform::StandinPlatform;
 use crate::proxy::{LinkFault, LinkProxy};
 
 /// Longest time between the first and the last start of a series, in milliseconds.
@@ -99,8 +99,8 @@
 
 impl PlatformFault {
     /// Returns the fault in the platform's format.
-    fn text(self, ms: u64) -> String {
-        let machine = |worker: usize| format!("machine = {}\n", platform::machine_number(worker));
+    fn text(self, platform: &StandinPlatform, ms: u64) -> String {
+        let machine = |worker: usize| format!("machine = {}\n", platform.machine_number(worker));
         let lasts = format!("to-seconds = {:?}\n", ms as f64 / 1_000.0);
         let fields = match self {
             Self::Calls {
@@ -423,7 +423,10 @@
             match fault {
                 PlatformFault::Lose { .. } if cluster.platform.lost_machines() > 0 => return,
                 PlatformFault::Lose { worker } => cluster.platform.lose_machine(worker).await,
-                _ => cluster.platform.add_faults(&fault.text(ms)).await,
+                _ => {
+                    let text = fault.text(&cluster.platform, ms);
+                    cluster.platform.add_faults(&text).await;
+                }
             }
             hold_fault(cluster, ms).await;
         }
--- a/crates/node/tests/process_soak/platform.rs
+++ b/crates/node/tests/process_soak/platform.rs
@@ -31,9 +31,11 @@
 /// Longest time of a call of the soak itself.
 const CALL_LIMIT: time::Duration = time::Duration::from_secs(20);
 
-/// Pools of the platform's machines that are in use, and the number of machines in
-/// each; the numbers of the machines follow each other.
-const MACHINES: usize = 8;
+/// Number of pools whose machines are in use; their machines are the first ones.
+const POOLS: usize = 2;
+
+/// Queue whose steps need permits of the advisor.
+const ADVISED_QUEUE: &str = "advised";
 
 /// Customer whose running work is limited.
 const LIMITED_TENANT: &str = "surveyors";
@@ -187,6 +189,11 @@
     /// Settings files of the processes, in their order.
     pub(crate) settings_files: Vec<PathBuf>,
     keys: Vec<String>,
+    /// Number of machines in use.
+    machines: usize,
+    /// Number of times that each queue without an advisor is drawn for one of those
+    /// with one, as the advisor decides on one call at a time.
+    queue_weight: usize,
     version: cell::Cell<u64>,
     waves: cell::Cell<u64>,
     /// Machines that failed for good.
@@ -204,6 +211,7 @@
     /// Starts the platform for a number of processes.
     pub(crate) async fn start(directory: &Path, processes: usize, seed: u64) -> Self {
         let settings = directory.join("settings");
+        let workers = 4 + processes / 16;
         let log = directory.join("platform.log");
         let arguments = [
             "platform",
@@ -215,6 +223,8 @@
             &processes.to_string(),
             "--seed",
             &seed.to_string(),
+            "--workers",
+            &workers.to_string(),
         ];
         let process = SoakProcess::start(&ProcessCommand {
             program: program(),
@@ -239,6 +249,8 @@
             address,
             settings_files: settings_files.collect(),
             keys: find("key ").into_iter().map(str::to_owned).collect(),
+            machines: workers * POOLS,
+            queue_weight: 1 + processes / 40,
             version: cell::Cell::new(1),
             waves: cell::Cell::new(0),
             lost: cell::RefCell::default(),
@@ -252,9 +264,10 @@
         platform
     }
 
-    /// Returns the queues; no version of the manifest changes them.
+    /// Returns the queues as they are drawn; no version of the manifest changes them.
     pub(crate) fn queues(&self) -> Vec<SoakQueue> {
-        let names = ["urgent", "batch", "annex", "advised"].into_iter();
+        let plain = ["urgent", "batch", "annex"].repeat(self.queue_weight);
+        let names = plain.into_iter().chain([ADVISED_QUEUE]);
         let queues = names.map(|name| SoakQueue {
             host: "any".to_owned(),
             path_prefix: format!("/{name}/"),
@@ -352,7 +365,7 @@
                 "targetCompletionMs": 20_000,
             })
         };
-        let mut advised = route("advised", "workers", 1);
+        let mut advised = route(ADVISED_QUEUE, "workers", 1);
         advised["advisor"] = json!({"decideMs": 40, "perItemMs": 2, "validMs": 5_000});
         // A queue that comes and goes, and that no caller uses.
         let extra = route(&format!("extra-{version}"), "annex", 2);
@@ -395,7 +408,10 @@
     pub(crate) async fn request_wave(&self, first: usize, count: usize, max_down: u32) {
         let wave = self.waves.get() + 1;
         self.waves.set(wave);
-        let machines = (0..count).map(|offset| machine_name(machine_number(first + offset)));
+        let machines = (first..first + count).map(|choice| {
+            let number = self.machine_number(choice);
+            machine_name(number)
+        });
         let request = json!({
             "wave": wave, "machines": machines.collect::<Vec<_>>(),
             "durationS": WAVE_SECONDS, "maxCount": max_down,
@@ -413,7 +429,7 @@
         let begun = self.started.elapsed().as_secs_f64() * 1_000.0;
         let ends = begun + DRAIN_MS as f64 + DRAIN_EFFECT_MS;
         self.drains.borrow_mut().push((begun, ends));
-        let machine = machine_number(choice);
+        let machine = self.machine_number(choice);
         let fault = format!(
             "[[fault]]\neffect = \"drain\"\nfrom-seconds = 0.0\nmachine = {machine}\n\
              down-ms = {DRAIN_MS}\n"
@@ -431,13 +447,18 @@
 
     /// Lets a machine fail for good.
     pub(crate) async fn lose_machine(&self, choice: usize) {
-        let machine = machine_number(choice);
+        let machine = self.machine_number(choice);
         self.lost.borrow_mut().insert(machine_name(machine));
         let fault = "[[fault]]\neffect = \"lose\"\nfrom-seconds = 0.0";
         self.add_faults(&format!("{fault}\nmachine = {machine}\n"))
             .await;
     }
 
+    /// Returns the number of a machine in use.
+    pub(crate) fn machine_number(&self, choice: usize) -> usize {
+        choice % self.machines + 1
+    }
+
     pub(crate) fn is_lost(&self, machine: &str) -> bool {
         self.lost.borrow().contains(machine)
     }
@@ -448,11 +469,6 @@
     }
 }
 
-/// Returns the number of a machine in use.
-pub(crate) fn machine_number(choice: usize) -> usize {
-    choice % MACHINES + 1
-}
-
 fn machine_name(number: usize) -> String {
     format!("machine-{number}")
 }
