--- a/crates/node/tests/process_soak/platform.rs
+++ b/crates/node/tests/process_soak/platform.rs
@@ -18,6 +18,7 @@
 use tokio::net::TcpStream;
 use tokio::sync::watch;
 use tokio::task;
+use tokio::time as timer;
 
 use crate::process::{self, ProcessCommand, SoakProcess};
 use crate::wire::{self, WireRequest, WireResponse};
@@ -324,10 +325,14 @@
     /// one after the other, and this adds none.
     pub(crate) async fn later_view(&self) -> rc::Rc<PlatformView> {
         let mut views = self.views.subscribe();
-        for _ in 0..2 {
-            // The sender lives as long as the platform.
-            let _ = views.changed().await;
-        }
+        let later = async {
+            for _ in 0..2 {
+                // The sender lives as long as the platform.
+                let _ = views.changed().await;
+            }
+        };
+        let waited = timer::timeout(CALL_LIMIT, later).await;
+        waited.expect("the checks look at the platform");
         let view = views.borrow();
         rc::Rc::clone(&view)
     }
