--- a/crates/node/tests/process_soak/check.rs
+++ b/crates/node/tests/process_soak/check.rs
@@ -551,11 +551,14 @@
     loop {
         let view = cluster.platform.later_view().await;
         // A machine that is down for good stays in the list, and may be back for all
-        // that the system knows.
+        // that the system knows; the others are to be maintained.
+        let is_lost = |machine: &&String| cluster.platform.is_lost(machine);
         let mut open = view.waves.iter().filter(|(_, wave)| {
-            let mut machines = wave.request.machines.iter();
-            let has_lost = machines.any(|machine| cluster.platform.is_lost(machine));
-            !wave.is_completed() && !has_lost
+            let machines = &wave.request.machines;
+            let has_lost = machines.iter().any(|machine| is_lost(&machine));
+            let mut others = machines.iter().filter(|machine| !is_lost(machine));
+            let is_done = others.all(|machine| wave.maintained.contains(machine));
+            !wave.is_completed() && !(has_lost && is_done)
         });
         let Some((name, wave)) = open.next() else {
             return;
