--- a/crates/node/tests/process_soak/check.rs
+++ b/crates/node/tests/process_soak/check.rs
@@ -558,7 +558,7 @@
             let has_lost = machines.iter().any(|machine| is_lost(&machine));
             let mut others = machines.iter().filter(|machine| !is_lost(machine));
             let is_done = others.all(|machine| wave.maintained.contains(machine));
-            !wave.is_completed() && !(has_lost && is_done)
+            !(wave.is_completed() || has_lost && is_done)
         });
         let Some((name, wave)) = open.next() else {
             return;
