--- a/crates/engine/tests/slow_link.rs
+++ b/crates/engine/tests/slow_link.rs
@@ -31,6 +31,7 @@
         queue: QueueName::new("certificates"),
         pool: PoolName::new("workers"),
         customer: None,
+        accepted_by: 0,
         accepted: WallTime::default(),
         spec: JobSpec {
             payload: "p".repeat(160),
