--- a/crates/node/tests/process_soak/platform.rs
+++ b/crates/node/tests/process_soak/platform.rs
@@ -12,7 +12,7 @@
 use redwing_adapter::http::JsonClient;
 use redwing_adapter::table::PlatformTable;
 use redwing_engine::row::{self, OwnerRecord};
-use redwing_provider::TableStore;
+use redwing_provider::{TableLimits, TableStore};
 use serde::Deserialize;
 use serde_json::json;
 use tokio::net::TcpStream;
@@ -261,7 +261,7 @@
             lost: cell::RefCell::default(),
             drains: cell::RefCell::default(),
             started: time::Instant::now(),
-            table: PlatformTable::new(JsonClient::new(), address),
+            table: PlatformTable::new(JsonClient::new(), address, TableLimits::default()),
             views: watch::Sender::default(),
             _process: process,
         };
