Take no maintenance of another wave for that of a wave

Callers would see: MIXED, a wave said to be completed although a machine of it has not begun its maintenance.

Cause: a machine that the list showed in maintenance, and that the wave had not ordered, counted as ordered by an earlier owner.

Change: only recorded orders count; the state of the list that was used for nothing else goes.

--- a/crates/engine/src/owner/machines.rs
+++ b/crates/engine/src/owner/machines.rs
@@ -409,7 +409,6 @@
         let statuses = self.machines.iter().map(|machine| {
             let status = MachineStatus {
                 is_up: machine.state == MachineState::Up,
-                is_in_maintenance: machine.state == MachineState::Maintenance,
                 worker: machine.worker.clone(),
                 load: load_of(machine, scheduler),
             };
--- a/crates/jobs/src/maintenance/mod.rs
+++ b/crates/jobs/src/maintenance/mod.rs
@@ -93,8 +93,6 @@
 pub struct MachineStatus {
     /// Whether it runs its worker.
     pub is_up: bool,
-    /// Whether it is in maintenance.
-    pub is_in_maintenance: bool,
     /// Worker on it.
     pub worker: Option<WorkerId>,
     /// Tasks that the worker runs.
--- a/crates/jobs/src/maintenance/wave.rs
+++ b/crates/jobs/src/maintenance/wave.rs
@@ -50,6 +50,9 @@
     }
 
     /// Updates the stage of a listed machine; returns whether its maintenance is done.
+    ///
+    /// An order is recorded before it is sent, so a machine that is in maintenance
+    /// without one is so for another wave.
     fn update_listed(
         &mut self,
         status: &MachineStatus,
@@ -61,11 +64,6 @@
             MachineStage::Down(since) => {
                 status.is_up && now.saturating_since(*since) >= settings.maintenance_time
             }
-            MachineStage::Waiting | MachineStage::Prepared(_) if status.is_in_maintenance => {
-                // An earlier owner ordered it.
-                self.stage = MachineStage::Down(now);
-                false
-            }
             _ => false,
         }
     }
--- a/crates/jobs/tests/maintenance.rs
+++ b/crates/jobs/tests/maintenance.rs
@@ -54,7 +54,6 @@
         let machine_statuses = (0..machine_count).map(|number| {
             let machine_status = MachineStatus {
                 is_up: true,
-                is_in_maintenance: false,
                 worker: Some(WorkerId::new(&format!("w{number}"))),
                 load: WorkerLoad::default(),
             };
@@ -105,7 +104,6 @@
             {
                 self.down_until.remove(machine);
                 machine_status.is_up = true;
-                machine_status.is_in_maintenance = false;
                 machine_status.worker =
                     Some(WorkerId::new(&format!("{machine}-{}", now.as_millis())));
             }
@@ -140,7 +138,6 @@
         if machine_status.is_up && !self.maintenance_counts.contains_key(machine) {
             *self.maintenance_counts.entry(machine.clone()).or_default() += 1;
             machine_status.is_up = false;
-            machine_status.is_in_maintenance = true;
             machine_status.load = WorkerLoad::default();
             self.down_until
                 .insert(machine.clone(), self.now + MAINTENANCE_DURATION);
@@ -396,3 +393,19 @@
     let maintained: Vec<_> = machines.maintenance_counts.keys().collect();
     assert_eq!(maintained, [&machine_name(1)]);
 }
+
+/// Another wave has the machine down when this one begins.
+#[test]
+fn maintenance_of_another_wave_does_not_count() {
+    let mut machines = FakeMachines::new(2);
+    let machine = machine_name(0);
+    let status = machines.machine_statuses.get_mut(&machine);
+    let status = status.expect("the machine exists");
+    status.is_up = false;
+    let until = machines.now + MAINTENANCE_DURATION;
+    machines.down_until.insert(machine.clone(), until);
+    machines.add_wave(&wave_request(1, 1), None);
+    machines.advance(time::Duration::from_secs(8));
+    assert_eq!(machines.maintenance_counts.get(&machine), Some(&1));
+    assert!(machines.is_completed());
+}
