Count the idle machines of pools that are published for a while

Change: idle machines count unless their pool is busy at this publication.

Evidence: new test idle_machines_of_a_pool_that_was_busy_are_reachable failed before (0 in place of 8,000) and passes.

--- a/crates/jobs/src/scheduler/backlog.rs
+++ b/crates/jobs/src/scheduler/backlog.rs
@@ -336,7 +336,9 @@
             .retain(|name, pool| self.backlog.is_listed(name, pool, now));
         // Workers that are all gone are about to come back: when, is not known.
         summary.pools.retain(|_, pool| pool.work_rate > 0);
-        add_reachable(&mut summary, &capacities, standby_cpu_millis);
+        let busy_at = &self.backlog.busy_at;
+        let is_busy = |name: &PoolName| busy_at.get(name) == Some(&now);
+        add_reachable(&mut summary, &capacities, standby_cpu_millis, is_busy);
         summary.limit();
         Some(summary)
     }
@@ -492,14 +494,16 @@
     u128::from(waiting) > covered
 }
 
-/// Divides the capacity of idle machines among the other pools, by their backlogs.
+/// Divides the idle machines of pools that are not busy among the listed pools, by their
+/// backlogs.
 fn add_reachable(
     summary: &mut BacklogSummary,
     capacities: &HashMap<PoolName, PoolCapacity>,
     standby_cpu_millis: u64,
+    is_busy: impl Fn(&PoolName) -> bool,
 ) {
     let idle = capacities.iter();
-    let idle = idle.filter(|(name, _)| !summary.pools.contains_key(*name));
+    let idle = idle.filter(|(name, _)| !is_busy(name));
     let idle: u64 = idle.map(|(_, capacity)| capacity.idle).sum();
     let reachable = (idle + standby_cpu_millis) as f64;
     let total: u64 = summary.pools.values().map(PoolBacklog::waiting).sum();
--- a/crates/jobs/tests/admission.rs
+++ b/crates/jobs/tests/admission.rs
@@ -435,6 +435,34 @@
     assert!(housing.is_some_and(|housing| housing.arrival_rate == 0));
 }
 
+/// A pool that was busy lately is published, and its idle machines can be moved to one
+/// that is busy now.
+#[test]
+fn idle_machines_of_a_pool_that_was_busy_are_reachable() {
+    let worker = |pool: &str| FakeWorker::new(&format!("w-{pool}"), pool, 8_000);
+    let workers = vec![worker("builders"), worker("printers")];
+    let mut fleet = FakeFleet::new(SchedulerSettings::default(), workers);
+    fleet.advance(100);
+    let publish = |fleet: &mut FakeFleet, pool: &str| {
+        for number in 0..20 {
+            let id = format!("{pool}-{number}");
+            fleet.submit_as("housing", &id, pool, spec().steps, TASK_MS);
+        }
+        fleet.advance(PUBLICATION_MS);
+        let wall = fleet.wall_time();
+        fleet.scheduler.backlog_summary(0, fleet.now, wall);
+        fleet.advance(PUBLICATION_MS);
+        let wall = fleet.wall_time();
+        fleet.scheduler.backlog_summary(0, fleet.now, wall)
+    };
+    publish(&mut fleet, "printers").expect("the rates are known");
+    fleet.advance(6_000);
+    let summary = publish(&mut fleet, "builders").expect("the rates are known");
+    assert!(summary.pools.contains_key(&PoolName::new("printers")));
+    let builders = &summary.pools[&PoolName::new("builders")];
+    assert_eq!(builders.reachable_work_rate, 8_000);
+}
+
 /// The row of the summary is bounded, whatever waits.
 #[test]
 fn a_summary_is_bounded() {
