Count the machines of a wave that another wave has down

Callers would see: LIMIT, more machines of a wave down at once than it allows.

Cause: since maintenance for another wave does not count as a wave's own, it did not count against the limit either, although the machines are down all the same.

Change: the planner of waves counts the machines that any wave has down, without the lag of the list.

Evidence: the_limit_of_a_wave_counts_its_machines_that_another_wave_has_down failed before (m4 is ordered beside 2) and passes.

--- a/crates/jobs/src/maintenance/mod.rs
+++ b/crates/jobs/src/maintenance/mod.rs
@@ -265,9 +265,22 @@
         now: BootTime,
     ) -> Vec<MaintenanceAction> {
         let mut actions = Vec::new();
-        for entry in self.waves.values_mut() {
-            entry.plan(&self.settings, statuses, now, &mut actions);
+        let numbers: Vec<u64> = self.waves.keys().copied().collect();
+        for number in numbers {
+            let down_elsewhere = self.down_in_other_waves(number);
+            if let Some(entry) = self.waves.get_mut(&number) {
+                entry.set_down_elsewhere(down_elsewhere);
+                entry.plan(&self.settings, statuses, now, &mut actions);
+            }
         }
         actions
     }
+
+    /// Returns the machines that are down, or may be, for waves other than `number`.
+    fn down_in_other_waves(&self, number: u64) -> BTreeSet<MachineName> {
+        let others = self.waves.iter().filter(|(other, _)| **other != number);
+        others
+            .flat_map(|(_, entry)| entry.down_machines().cloned())
+            .collect()
+    }
 }
--- a/crates/jobs/src/maintenance/wave.rs
+++ b/crates/jobs/src/maintenance/wave.rs
@@ -97,6 +97,8 @@
     reported_at: BootTime,
     /// Workers that an earlier owner had blocked.
     blocked_workers: Vec<WorkerId>,
+    /// Machines that are down, or may be, for other waves.
+    down_elsewhere: BTreeSet<MachineName>,
 }
 
 impl WaveEntry {
@@ -129,6 +131,7 @@
             is_reported: false,
             reported_at: BootTime::default(),
             blocked_workers: Vec::new(),
+            down_elsewhere: BTreeSet::new(),
         };
         entry.add_requested_machines();
         entry.restore_prepared();
@@ -309,9 +312,24 @@
         remaining.count()
     }
 
+    /// Returns the machines that are down for this wave, or may be.
+    pub(super) fn down_machines(&self) -> impl Iterator<Item = &MachineName> {
+        let down = self.machines.iter();
+        down.filter(|(_, entry)| entry.counts_as_down())
+            .map(|(name, _)| name)
+    }
+
+    /// Sets which machines are down for other waves.
+    pub(super) fn set_down_elsewhere(&mut self, machines: BTreeSet<MachineName>) {
+        self.down_elsewhere = machines;
+    }
+
+    /// Returns how many machines of the wave are down, or may be, for any wave.
     fn down_count(&self) -> u32 {
-        let machines = self.machines.values();
-        machines.filter(|entry| entry.counts_as_down()).count() as u32
+        let requested = self.request.machines.iter();
+        let elsewhere = requested.filter(|name| self.down_elsewhere.contains(*name));
+        let down: BTreeSet<&MachineName> = self.down_machines().chain(elsewhere).collect();
+        down.len() as u32
     }
 
     /// Returns whether there is no time left to wait for running tasks.
--- a/crates/jobs/tests/maintenance.rs
+++ b/crates/jobs/tests/maintenance.rs
@@ -409,3 +409,52 @@
     assert_eq!(machines.maintenance_counts.get(&machine), Some(&1));
     assert!(machines.is_completed());
 }
+
+/// Two waves share machines; the limit of each covers those that the other has down.
+#[test]
+fn the_limit_of_a_wave_counts_its_machines_that_another_wave_has_down() {
+    let mut machines = FakeMachines::new(6);
+    let shared = WaveRequest {
+        number: 2,
+        machines: (2..4).map(machine_name).collect(),
+        ..wave_request(0, 2)
+    };
+    machines.add_wave(&wave_request(6, 2), None);
+    let mut orders = 0;
+    for tick in 0..200 {
+        if tick == 10 {
+            machines.add_wave(&shared, None);
+        }
+        machines.now = machines.now + PLAN_INTERVAL;
+        let now = machines.now;
+        for (machine, status) in &mut machines.machine_statuses {
+            status.is_up = machines
+                .down_until
+                .get(machine)
+                .is_none_or(|until| *until <= now);
+        }
+        for action in machines.planner.plan(&machines.machine_statuses, now) {
+            let MaintenanceAction::Order { wave, machine } = action else {
+                continue;
+            };
+            if !machines.machine_statuses[&machine].is_up {
+                machines.planner.order_rejected(wave, &machine, now);
+                continue;
+            }
+            let is_down = |number: &usize| {
+                let until = machines.down_until.get(&machine_name(*number));
+                until.is_some_and(|until| *until > now)
+            };
+            let down = (0..6).filter(is_down).count();
+            assert!(wave != 1 || down < 2, "{machine} is ordered beside {down}");
+            machines
+                .down_until
+                .insert(machine.clone(), now + MAINTENANCE_DURATION);
+            let status = machines.machine_statuses.get_mut(&machine);
+            status.expect("the machine exists").is_up = false;
+            machines.planner.order_accepted(wave, &machine, now);
+            orders += 1;
+        }
+    }
+    assert_eq!(orders, 8, "each machine for each of its waves");
+}
