Let requests for pending counts wait for a new owner's first counts

Cause: counts of an owner that is gone are not given, and a new one needs up to a second for its first counts.

Change: a request reads the rows again for up to 1.5 s, within its own time, before it is answered that the count is not available.

--- a/crates/engine/src/caller/service.rs
+++ b/crates/engine/src/caller/service.rs
@@ -40,6 +40,13 @@
 /// random.
 const PUBLICATION_DELAY: time::Duration = time::Duration::from_millis(40);
 
+/// Time between two reads of the pending counts while a new owner has not counted yet.
+const COUNT_RETRY: time::Duration = time::Duration::from_millis(100);
+
+/// Longest time for which a request waits for the counts of a new owner; most takeovers
+/// are complete by then.
+const COUNT_WAIT: time::Duration = time::Duration::from_millis(1_500);
+
 /// Settings of the responses to callers.
 #[derive(Clone, Debug)]
 pub struct CallerSettings {
@@ -450,22 +457,34 @@
         }
     }
 
-    /// Returns the pending count of a queue, unless no present owner has counted yet.
+    /// Returns the pending count of a queue; waits a little for a new owner that has not
+    /// counted yet.
     async fn pending_count(&self, call: &AdmittedCall) -> CallerResponse {
-        let rows = futures_util::try_join!(
+        let give_up_at = call.deadline.min(timer::Instant::now() + COUNT_WAIT);
+        loop {
+            let counts = match self.current_counts().await {
+                Ok(counts) => counts,
+                Err(response) => return response,
+            };
+            if let Some(counts) = counts {
+                let pending = counts.pending.get(&call.queue.name);
+                return CallerResponse::Pending(pending.copied().unwrap_or(0));
+            }
+            if timer::Instant::now() + COUNT_RETRY >= give_up_at {
+                let key = RowKey::new(row::PENDING_KEY);
+                return self.unreadable(&key, &"the owner that counted is gone");
+            }
+            timer::sleep(COUNT_RETRY).await;
+        }
+    }
+
+    /// Reads the pending counts; returns none if they are not those of the present owner.
+    async fn current_counts(&self) -> Result<Option<PendingCounts>, CallerResponse> {
+        let (counts, owner) = futures_util::try_join!(
             self.board_row::<PendingCounts>(row::PENDING_KEY),
             self.board_row::<OwnerRecord>(row::OWNER_KEY),
-        );
-        let (counts, owner) = match rows {
-            Ok(rows) => rows,
-            Err(response) => return response,
-        };
-        if !counts.is_current(&owner) {
-            let key = RowKey::new(row::PENDING_KEY);
-            return self.unreadable(&key, &"the owner that counted is gone");
-        }
-        let pending = counts.pending.get(&call.queue.name);
-        CallerResponse::Pending(pending.copied().unwrap_or(0))
+        )?;
+        Ok(counts.is_current(&owner).then_some(counts))
     }
 
     /// Reads a row that owners write.
