Count a job as pending until a worker has accepted a run of it

Cause: the scheduler changes a job to running as it places the first task, before the order is sent, and never back; pending counts went by that state. A job whose orders are rejected or have no response was not counted, and since the state is stored, the next owner counted the same. Change: a job has started once a worker is known to have accepted a run: by its response, or by its list of active or ended runs. Stored with the next change of the job; a new owner learns it from the workers as well. Evidence: a_job_is_pending_until_a_worker_has_accepted_a_task failed before (0 for 1). a_job_that_has_begun_is_not_pending_after_a_takeover guards the other direction and passed before.

--- a/crates/jobs/src/record.rs
+++ b/crates/jobs/src/record.rs
@@ -111,6 +111,9 @@
 pub struct ProgressRecord {
     /// State as callers see it.
     pub state: JobState,
+    /// Whether a worker is known to have accepted a run; not kept in a final state.
+    #[serde(default, rename = "started", skip_serializing_if = "is_default")]
+    pub has_started: bool,
     /// Occurrences below this number have begun or are finished.
     #[serde(default, skip_serializing_if = "is_default")]
     pub begun: u32,
--- a/crates/jobs/src/scheduler/entry.rs
+++ b/crates/jobs/src/scheduler/entry.rs
@@ -253,6 +253,8 @@
     pub(super) record: JobRecord,
     pub(super) payload: sync::Arc<str>,
     pub(super) state: JobState,
+    /// Whether a worker is known to have accepted a run of it.
+    pub(super) has_started: bool,
     /// Occurrences below this number have begun.
     pub(super) begun: u32,
     pub(super) occurrences: Vec<OccurrenceEntry>,
@@ -268,6 +270,7 @@
             payload: record.spec.payload.as_str().into(),
             critical_path_ms: record.spec.critical_path_ms(|_| 100),
             state: JobState::Queued,
+            has_started: false,
             begun: 0,
             occurrences: Vec::new(),
             active: 0,
@@ -288,6 +291,7 @@
     ) -> Self {
         let mut entry = Self::new(record);
         entry.state = progress.state;
+        entry.has_started = progress.has_started;
         entry.begun = progress.begun.max(entry.begun);
         if entry.record.spec.schedule.is_some() {
             entry.occurrences.clear();
@@ -308,6 +312,14 @@
         entry
     }
 
+    /// Returns whether no task has started of a job without a schedule.
+    ///
+    /// That its tasks are placed does not count: a worker may reject the orders, or
+    /// never receive them.
+    pub(super) fn is_pending(&self) -> bool {
+        !self.has_started && !self.state.is_final() && self.record.spec.schedule.is_none()
+    }
+
     /// Begins the next occurrence.
     pub(super) fn begin_next(&mut self) {
         let occurrence = OccurrenceEntry::new(self.begun, &self.record.spec);
@@ -416,6 +428,7 @@
         let occurrences = occurrences.map(|occurrence| occurrence.record(spec, stall));
         ProgressRecord {
             state: self.state,
+            has_started: self.has_started && !self.state.is_final(),
             begun: self.begun,
             occurrences: if self.state.is_final() {
                 Vec::new()
--- a/crates/jobs/src/scheduler/mod.rs
+++ b/crates/jobs/src/scheduler/mod.rs
@@ -422,7 +422,7 @@
     pub fn pending_counts(&self) -> BTreeMap<QueueName, u64> {
         let mut counts = BTreeMap::new();
         for job in self.jobs.values() {
-            if job.state == JobState::Queued && job.record.spec.schedule.is_none() {
+            if job.is_pending() {
                 *counts.entry(job.record.queue.clone()).or_insert(0) += 1;
             }
         }
--- a/crates/jobs/src/scheduler/order.rs
+++ b/crates/jobs/src/scheduler/order.rs
@@ -136,6 +136,7 @@
 
     fn start_accepted(&mut self, task: &TaskId, location: RunLocation, now: BootTime) {
         let worker = location.worker.clone();
+        self.mark_started(&task.job);
         let progress = RunProgress {
             confirmed_at: now,
             percent: 0,
--- a/crates/jobs/src/scheduler/report.rs
+++ b/crates/jobs/src/scheduler/report.rs
@@ -108,6 +108,7 @@
     }
 
     fn end_run(&mut self, worker: &WorkerId, ended: &EndedRun, now: BootTime) {
+        self.mark_started(&ended.task.job);
         let is_current = self.is_current(&ended.task, ended.run, worker);
         if ended.kind != ExitKind::Done {
             self.events.push(SchedulerEvent::RunEnded {
@@ -230,6 +231,7 @@
 
     /// Applies a run that the worker lists as running.
     fn apply_active_run(&mut self, worker: &WorkerId, listed: &ActiveRun, now: BootTime) {
+        self.mark_started(&listed.task.job);
         if !self.is_current(&listed.task, listed.run, worker) {
             let reserved = self.reserved_by_orphan(worker, &listed.task);
             self.stop_orphan(worker, &listed.task, listed.run, reserved, now);
@@ -344,6 +346,14 @@
         }
     }
 
+    /// Records that a worker has accepted a run of a job. It is stored with the next
+    /// change of the job: a new owner learns it from the workers as well.
+    pub(super) fn mark_started(&mut self, id: &JobId) {
+        if let Some(job) = self.jobs.get_mut(id) {
+            job.has_started = true;
+        }
+    }
+
     pub(super) fn task(&self, task: &TaskId) -> Option<&TaskEntry> {
         let job = self.jobs.get(&task.job)?;
         let step = job.step(task.occurrence, task.step)?;
--- a/crates/jobs/tests/changes.rs
+++ b/crates/jobs/tests/changes.rs
@@ -117,6 +117,7 @@
     };
     let record = ProgressRecord {
         state: JobState::Running,
+        has_started: true,
         begun: 1,
         occurrences: vec![OccurrenceRecord {
             number: 1,
--- a/crates/jobs/tests/recovery.rs
+++ b/crates/jobs/tests/recovery.rs
@@ -6,7 +6,7 @@
 
 use common::{FakeFleet, step_spec, task_id};
 use redwing_jobs::spec::StepSpec;
-use redwing_jobs::{JobState, SchedulerSettings, WorkerId};
+use redwing_jobs::{JobId, JobState, SchedulerSettings, WorkerId};
 
 fn fleet_of(count: usize) -> FakeFleet {
     FakeFleet::of_size(count, 8_000)
@@ -340,3 +340,46 @@
     }
     assert_eq!(fleet.running_count(&task_id(&job, 0, 0)), 1);
 }
+
+/// The number of pending jobs in the queue of the job.
+fn pending_count(fleet: &FakeFleet, job: &JobId) -> u64 {
+    let counts = fleet.scheduler.pending_counts();
+    counts
+        .get(&fleet.jobs[job].queue)
+        .copied()
+        .unwrap_or_default()
+}
+
+/// A process once gave a count of 0 for a job whose orders had no response.
+#[test]
+fn a_job_is_pending_until_a_worker_has_accepted_a_task() {
+    let mut fleet = fleet_of(1);
+    fleet.advance(100);
+    fleet.worker("w0").is_unresponsive = true;
+    let job = fleet.submit("j", vec![step_spec(1, 1_000)], 60_000);
+    fleet.advance(100);
+    assert_eq!(fleet.ordered_starts.len(), 1);
+    assert_eq!(pending_count(&fleet, &job), 1);
+    fleet.take_over(SchedulerSettings::default());
+    fleet.advance(100);
+    assert_eq!(pending_count(&fleet, &job), 1);
+    fleet.worker("w0").is_unresponsive = false;
+    fleet.advance(10_000);
+    assert_eq!(fleet.running_count(&task_id(&job, 0, 0)), 1);
+    assert_eq!(pending_count(&fleet, &job), 0);
+}
+
+#[test]
+fn a_job_that_has_begun_is_not_pending_after_a_takeover() {
+    let mut fleet = fleet_of(1);
+    let second_step = StepSpec {
+        after: vec![0],
+        ..step_spec(1, 1_000)
+    };
+    let job = fleet.submit("j", vec![step_spec(1, 1_000), second_step], 200);
+    fleet.advance(300);
+    assert_eq!(fleet.starts.len(), 2);
+    fleet.worker("w0").is_unresponsive = true;
+    fleet.take_over(SchedulerSettings::default());
+    assert_eq!(pending_count(&fleet, &job), 0);
+}
