--- a/crates/provider/src/client.rs
+++ b/crates/provider/src/client.rs
@@ -2,28 +2,26 @@
 
 use std::cell;
 use std::rc;
-use std::sync;
 use std::time;
 
-use tokio::sync::{Semaphore, mpsc, oneshot};
+use tokio::sync::{mpsc, oneshot};
 use tokio::{task, time as timer};
 
 use crate::LocalFuture;
 use crate::backoff::{BackoffSettings, RetryBackoff};
-use crate::batch::{self, TransactionBatch};
-use crate::breaker::{BreakerDecision, BreakerSettings, CircuitBreaker};
-use crate::counters::{CallCause, CallCounters, CauseCounts};
+use crate::batch;
+use crate::breaker::BreakerSettings;
+use crate::calls::{SharedState, TableRead};
+use crate::counters::{CallCause, CauseCounts};
 use crate::error::{Category, Error, Result};
 use crate::limits::{TableLimits, TransactionSize};
 use crate::progress::ReadProgress;
-use crate::rate_limiter::RateLimiter;
 use crate::scan::ClientScan;
-use crate::table::{
-    CommitOutcome, RowKey, TableRow, TableStore, TableTransaction, TableView, WatchRequest,
-};
+use crate::table::{CommitOutcome, RowKey, TableStore, TableTransaction, TableView};
+use crate::writer::{self, QueuedCommit};
 
 /// Name of the service in errors.
-const SERVICE: &str = "table";
+pub(crate) const SERVICE: &str = "table";
 
 /// Settings of a table client.
 #[derive(Clone, Debug)]
@@ -94,39 +92,12 @@
     queue: mpsc::Sender<QueuedCommit>,
 }
 
-pub(crate) struct SharedState {
-    pub(crate) table: rc::Rc<dyn TableStore>,
-    pub(crate) settings: ClientSettings,
-    breaker: cell::RefCell<CircuitBreaker>,
-    read_limiter: cell::RefCell<RateLimiter>,
-    read_semaphore: Semaphore,
-    counters: cell::RefCell<CallCounters>,
-    last_success: cell::Cell<Option<time::Instant>>,
-}
-
-struct QueuedCommit {
-    cause: CallCause,
-    transaction: TableTransaction,
-    queued_at: time::Instant,
-    /// Whether the transaction is in a batch that is being sent.
-    is_sent: rc::Rc<cell::Cell<bool>>,
-    reply: oneshot::Sender<Result<CommitOutcome>>,
-}
-
 impl TableClient {
     /// Creates a client of `table` and starts its writer task.
     pub fn new(table: rc::Rc<dyn TableStore>, settings: ClientSettings) -> Self {
         let (queue, queued_commits) = mpsc::channel(settings.queue_capacity);
-        let shared = rc::Rc::new(SharedState {
-            table,
-            breaker: cell::RefCell::new(CircuitBreaker::new(settings.breaker.clone())),
-            read_limiter: cell::RefCell::new(RateLimiter::new(settings.read_interval)),
-            read_semaphore: Semaphore::new(settings.max_reads_in_flight),
-            counters: cell::RefCell::default(),
-            last_success: cell::Cell::new(None),
-            settings,
-        });
-        task::spawn_local(run_writer(shared.clone(), queued_commits));
+        let shared = rc::Rc::new(SharedState::new(table, settings));
+        task::spawn_local(writer::run(shared.clone(), queued_commits));
         Self { shared, queue }
     }
 
@@ -143,17 +114,17 @@
 
     /// Returns when the table last responded.
     pub fn last_success(&self) -> Option<time::Instant> {
-        self.shared.last_success.get()
+        self.shared.last_success()
     }
 
     /// Returns whether the table has responded and the circuit breaker is closed.
     pub fn is_reachable(&self) -> bool {
-        self.shared.breaker.borrow().is_closed() && self.last_success().is_some()
+        self.shared.is_reachable()
     }
 
     /// Returns the numbers of calls so far, one entry per cause.
     pub fn counts(&self) -> Vec<CauseCounts> {
-        self.shared.counters.borrow().counts()
+        self.shared.counts()
     }
 
     /// Applies a transaction.
@@ -338,280 +309,6 @@
     }
 }
 
-/// Kind of a read of changes, with the number of the commit after which it starts and
-/// the longest wait.
-#[derive(Clone, Copy, Debug)]
-enum TableRead {
-    Changes(u64),
-    Watch(u64, time::Duration),
-}
-
-impl TableRead {
-    fn operation(self) -> &'static str {
-        match self {
-            Self::Changes(_) => "changes",
-            Self::Watch(..) => "watch",
-        }
-    }
-
-    /// Returns for how long nothing of the response may arrive.
-    fn timeout(self, settings: &ClientSettings) -> time::Duration {
-        match self {
-            Self::Changes(_) => settings.call_timeout,
-            // The table may delay the response by `wait`.
-            Self::Watch(_, wait) => settings.call_timeout + wait,
-        }
-    }
-}
-
-impl SharedState {
-    async fn read(&self, cause: CallCause, prefix: &str, read: TableRead) -> Result<TableView> {
-        let operation = read.operation();
-        let progress = ReadProgress::default();
-        let call = async || {
-            let call = match read {
-                TableRead::Changes(cursor) => self.table.changes(prefix, cursor),
-                TableRead::Watch(cursor, wait) => self.table.watch(WatchRequest {
-                    prefix,
-                    cursor,
-                    wait,
-                    progress: &progress,
-                }),
-            };
-            let limit = read.timeout(&self.settings);
-            let response = within_idle_limit(limit, &progress, call).await;
-            response.unwrap_or_else(|| Err(Error::unavailable(operation, SERVICE, "timed out")))
-        };
-        self.call(cause, operation, call).await
-    }
-
-    /// Makes one call that reads, within the limits on the number and rate of reads.
-    pub(crate) async fn call<T, F: Future<Output = Result<T>>>(
-        &self,
-        cause: CallCause,
-        operation: &'static str,
-        call: impl FnOnce() -> F,
-    ) -> Result<T> {
-        let permit = self.read_semaphore.acquire().await;
-        let _permit = permit
-            .map_err(|_| Error::unavailable(operation, SERVICE, "the table client is closed"))?;
-        let delay = self.read_limiter.borrow_mut().reserve(time::Instant::now());
-        timer::sleep(delay).await;
-        self.admit(operation)?;
-        self.counters.borrow_mut().count_read(cause);
-        let sent_at = time::Instant::now();
-        let response = call().await;
-        self.record(cause, sent_at, &response);
-        response
-    }
-
-    async fn send(
-        &self,
-        cause: CallCause,
-        transaction: &TableTransaction,
-    ) -> Result<CommitOutcome> {
-        self.admit("commit")?;
-        self.counters.borrow_mut().count_commit(cause);
-        let sent_at = time::Instant::now();
-        let call = self.table.commit(transaction);
-        let response = timer::timeout(self.settings.call_timeout, call).await;
-        let response =
-            response.unwrap_or_else(|_| Err(Error::unknown("commit", SERVICE, "timed out")));
-        self.record(cause, sent_at, &response);
-        response
-    }
-
-    fn admit(&self, operation: &'static str) -> Result<()> {
-        let now = time::Instant::now();
-        let mut breaker = self.breaker.borrow_mut();
-        let settings = &self.settings;
-        let probe_interval = settings.probe_interval.min(settings.call_timeout * 2);
-        match breaker.admit(now, probe_interval) {
-            BreakerDecision::Allow => Ok(()),
-            BreakerDecision::Reject(delay) => {
-                let message = format!(
-                    "circuit breaker is open; next probe in {} ms",
-                    delay.as_millis()
-                );
-                Err(Error::unavailable(operation, SERVICE, message))
-            }
-        }
-    }
-
-    pub(crate) fn record<T>(&self, cause: CallCause, sent_at: time::Instant, response: &Result<T>) {
-        let category = response.as_ref().err().map(Error::classify);
-        self.counters.borrow_mut().count_result(cause, category);
-        let now = time::Instant::now();
-        match category {
-            None | Some(Category::Refused) => {
-                self.breaker.borrow_mut().record_success();
-                self.last_success.set(Some(now));
-            }
-            // The table has responded since the call was sent.
-            Some(_) if self.last_success.get() > Some(sent_at) => {}
-            Some(Category::Unavailable | Category::Unknown) => {
-                let jitter = rand::random();
-                self.breaker.borrow_mut().record_failure(now, jitter);
-            }
-        }
-    }
-}
-
-/// Waits for a response while it makes progress; returns none once nothing of it has
-/// arrived for `limit`.
-async fn within_idle_limit<T>(
-    limit: time::Duration,
-    progress: &ReadProgress,
-    call: LocalFuture<'_, T>,
-) -> Option<T> {
-    let mut call = call;
-    loop {
-        let received = progress.bytes();
-        match timer::timeout(limit, &mut call).await {
-            Ok(response) => return Some(response),
-            Err(_) if progress.bytes() == received => return None,
-            Err(_) => {}
-        }
-    }
-}
-
-/// Commits queued transactions in batches until all clients are dropped.
-async fn run_writer(shared: rc::Rc<SharedState>, mut queued_commits: mpsc::Receiver<QueuedCommit>) {
-    let semaphore = sync::Arc::new(Semaphore::new(shared.settings.max_commits_in_flight));
-    let mut limiter = RateLimiter::new(shared.settings.commit_interval);
-    let mut deferred = None;
-    loop {
-        let first = match deferred.take() {
-            Some(queued) => queued,
-            None => match queued_commits.recv().await {
-                Some(queued) => queued,
-                None => return,
-            },
-        };
-        let Ok(permit) = semaphore.clone().acquire_owned().await else {
-            return;
-        };
-        timer::sleep(limiter.reserve(time::Instant::now())).await;
-        let mut batch = CommitBatch::new(shared.table.limits());
-        deferred = batch.fill(first, &mut queued_commits, &shared.settings);
-        let shared = shared.clone();
-        task::spawn_local(async move {
-            batch.commit(&shared).await;
-            drop(permit);
-        });
-    }
-}
-
-/// Transactions that are committed as one, with the callers that wait.
-struct CommitBatch {
-    transactions: TransactionBatch,
-    waiters: Vec<(CallCause, oneshot::Sender<Result<CommitOutcome>>)>,
-}
-
-impl CommitBatch {
-    fn new(limits: TableLimits) -> Self {
-        Self {
-            transactions: TransactionBatch::new(limits),
-            waiters: Vec::new(),
-        }
-    }
-
-    /// Adds queued transactions; returns the first that depends on one added, or
-    /// does not fit beside them.
-    fn fill(
-        &mut self,
-        first: QueuedCommit,
-        queued_commits: &mut mpsc::Receiver<QueuedCommit>,
-        settings: &ClientSettings,
-    ) -> Option<QueuedCommit> {
-        let mut next = Some(first);
-        while let Some(queued) = next {
-            if let Some(dependent) = self.add(queued, settings.call_timeout) {
-                return Some(dependent);
-            }
-            if self.transactions.len() >= settings.batch_limit {
-                return None;
-            }
-            next = queued_commits.try_recv().ok();
-        }
-        None
-    }
-
-    fn add(&mut self, queued: QueuedCommit, max_wait: time::Duration) -> Option<QueuedCommit> {
-        if queued.reply.is_closed() {
-            return None;
-        }
-        if queued.queued_at.elapsed() > max_wait {
-            let error = Error::unavailable("commit", SERVICE, "not sent within the call timeout");
-            // The caller may have dropped its future.
-            let _ = queued.reply.send(Err(error));
-            return None;
-        }
-        match self.transactions.add(queued.transaction) {
-            Ok(()) => {
-                queued.is_sent.set(true);
-                self.waiters.push((queued.cause, queued.reply));
-                None
-            }
-            Err(transaction) => Some(QueuedCommit {
-                transaction,
-                ..queued
-            }),
-        }
-    }
-
-    /// Commits the batch; transactions whose conditions fail are removed and the
-    /// rest is sent again. A batch that the table refuses is sent in halves, so that
-    /// only the transaction that it refuses fails.
-    async fn commit(self, shared: &SharedState) {
-        let mut batches = vec![self];
-        while let Some(mut batch) = batches.pop() {
-            let Some((cause, _)) = batch.waiters.first() else {
-                continue;
-            };
-            match shared.send(*cause, &batch.transactions.merged()).await {
-                Ok(CommitOutcome::Conflict(rows)) => {
-                    batch.remove_failed(&rows);
-                    batches.push(batch);
-                }
-                Err(error) if error.classify() == Category::Refused && batch.waiters.len() > 1 => {
-                    batches.push(batch.split_half());
-                    batches.push(batch);
-                }
-                response => batch.reply_all(response),
-            }
-        }
-    }
-
-    fn split_half(&mut self) -> Self {
-        let transactions = self.transactions.split_half();
-        let waiters = self.waiters.split_off(self.transactions.len());
-        Self {
-            transactions,
-            waiters,
-        }
-    }
-
-    fn remove_failed(&mut self, rows: &[TableRow]) {
-        let partition = self.transactions.partition(rows);
-        self.transactions.retain(&partition.remaining);
-        for (position, rows) in partition.failed.into_iter().rev() {
-            let (_, reply) = self.waiters.remove(position);
-            let _ = reply.send(Ok(CommitOutcome::Conflict(rows)));
-        }
-    }
-
-    fn reply_all(self, response: Result<CommitOutcome>) {
-        for (_, reply) in self.waiters {
-            let response = match &response {
-                Ok(outcome) => Ok(outcome.clone()),
-                Err(error) => Err(error.duplicate()),
-            };
-            let _ = reply.send(response);
-        }
-    }
-}
-
 /// Handle to the table whose calls count for one cause.
 struct CauseStore {
     client: TableClient,
--- a/crates/provider/src/lib.rs
+++ b/crates/provider/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod batch;
 pub mod breaker;
 pub mod builder;
+mod calls;
 pub mod client;
 pub mod counters;
 pub mod directory;
@@ -30,6 +31,7 @@
 pub mod rate_limiter;
 pub mod scan;
 pub mod table;
+mod writer;
 
 pub use client::{ClientSettings, TableClient};
 pub use counters::{CallCause, CauseCounts};
--- a/crates/provider/src/scan.rs
+++ b/crates/provider/src/scan.rs
@@ -12,7 +12,7 @@
 
 use crate::LocalFuture;
 use crate::backoff::{BackoffSettings, RetryBackoff};
-use crate::client::SharedState;
+use crate::calls::SharedState;
 use crate::counters::CallCause;
 use crate::error::{Category, Error, Result};
 use crate::progress::ReadProgress;
