Submit the jobs of a test of large backlogs in groups

an_owner_outlives_a_backlog_of_more_rows_than_a_change_holds failed in a run beside load (load average 25): Unavailable where Accepted was expected. Cause: its set-up submits 300 jobs at once in one thread of a debug build. Beside load a job was not sent to the table within 0.7 s, and was refused, which is true and allowed. Change: 30 at a time. That each is accepted at once is checked as before, and so is all that follows.

--- a/crates/engine/tests/limits.rs
+++ b/crates/engine/tests/limits.rs
@@ -22,6 +22,9 @@
 /// Time for which a task runs.
 const TASK_TIME: time::Duration = time::Duration::from_millis(1_500);
 
+/// Number of jobs that are submitted at the same time.
+const CONCURRENT_SUBMISSIONS: usize = 30;
+
 /// Starts processes with enough workers for all jobs of a test.
 async fn start(processes: usize) -> TestCluster {
     let mut cluster = TestCluster::start(0, TASK_TIME).await;
@@ -37,11 +40,15 @@
 }
 
 async fn submit_jobs(cluster: &TestCluster, process: usize, count: usize) {
-    let submitted = (0..count).map(|number| async move {
-        let response = cluster.submit(process, &format!("job-{number}"), 1).await;
-        assert_eq!(response, CallerResponse::Accepted);
-    });
-    futures_util::future::join_all(submitted).await;
+    // A process refuses jobs that it cannot send to the table in time.
+    for first in (0..count).step_by(CONCURRENT_SUBMISSIONS) {
+        let numbers = first..count.min(first + CONCURRENT_SUBMISSIONS);
+        let submitted = numbers.map(|number| async move {
+            let response = cluster.submit(process, &format!("job-{number}"), 1).await;
+            assert_eq!(response, CallerResponse::Accepted);
+        });
+        futures_util::future::join_all(submitted).await;
+    }
 }
 
 async fn request_waves(cluster: &TestCluster, count: u64) {
