Keep the times of a claim in one struct

Cause: AcquiredOwnership and PendingClaim repeated three fields, and acquire had the steps of a claim in one function. Change: ClaimTimes, made by claim_times. No change of behaviour.

--- a/crates/engine/src/owner/election.rs
+++ b/crates/engine/src/owner/election.rs
@@ -26,6 +26,12 @@
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub(super) struct AcquiredOwnership {
     pub(super) lease: OwnerLease,
+    pub(super) times: ClaimTimes,
+}
+
+/// Times that a claim goes by.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) struct ClaimTimes {
     /// When the claim was sent.
     pub(super) claimed_at: BootTime,
     /// When all leases that earlier owners granted to workers have expired.
@@ -39,9 +45,7 @@
 struct PendingClaim {
     /// Content that it writes.
     value: String,
-    claimed_at: BootTime,
-    inherited_until: BootTime,
-    unchanged_since: BootTime,
+    times: ClaimTimes,
 }
 
 /// Tracks for how long the owner row has not changed.
@@ -81,6 +85,7 @@
 /// Waits until this process has acquired the ownership.
 pub(super) async fn acquire(dependencies: &OwnerDependencies) -> AcquiredOwnership {
     let key = RowKey::new(row::OWNER_KEY);
+    let poll_interval = dependencies.settings.poll_interval;
     let mut observer = RowObserver::default();
     let mut pending: Vec<PendingClaim> = Vec::new();
     loop {
@@ -96,47 +101,33 @@
                 return acquired;
             }
             let version = current.map(|row| row.version);
-            let unchanged_for = observer.observe(
-                version,
-                requested_at,
-                dependencies.settings.poll_interval * 4,
-            );
+            let unchanged_for = observer.observe(version, requested_at, poll_interval * 4);
             let record = current.and_then(|row| row::read::<OwnerRecord>(row).ok());
             if may_claim(dependencies, record.as_ref(), unchanged_for) {
-                let unchanged_since = observer.unchanged_since;
-                let inherited_until =
-                    inherited_until(dependencies, record.as_ref(), unchanged_since);
-                let claimed_at = clock::boot_now();
-                let owner = successor(dependencies, record.as_ref(), inherited_until);
+                let times = claim_times(dependencies, record.as_ref(), observer.unchanged_since);
+                let owner = successor(dependencies, record.as_ref(), times.inherited_until);
                 match claim(dependencies, &key, version, owner).await {
-                    Ok(lease) => {
-                        return AcquiredOwnership {
-                            lease,
-                            claimed_at,
-                            inherited_until,
-                            unchanged_since,
-                        };
-                    }
-                    Err(Some(value)) => {
-                        pending.push(PendingClaim {
-                            value,
-                            claimed_at,
-                            inherited_until,
-                            unchanged_since,
-                        });
-                    }
+                    Ok(lease) => return AcquiredOwnership { lease, times },
+                    Err(Some(value)) => pending.push(PendingClaim { value, times }),
                     Err(None) => {}
                 }
             }
         }
         let jitter: f64 = rand::random();
-        timer::sleep(
-            dependencies
-                .settings
-                .poll_interval
-                .mul_f64(0.75 + 0.5 * jitter),
-        )
-        .await;
+        timer::sleep(poll_interval.mul_f64(0.75 + 0.5 * jitter)).await;
+    }
+}
+
+/// Returns the times of a claim that is sent now.
+fn claim_times(
+    dependencies: &OwnerDependencies,
+    record: Option<&OwnerRecord>,
+    unchanged_since: BootTime,
+) -> ClaimTimes {
+    ClaimTimes {
+        claimed_at: clock::boot_now(),
+        inherited_until: inherited_until(dependencies, record, unchanged_since),
+        unchanged_since,
     }
 }
 
@@ -205,9 +196,7 @@
             record: row::read(current).ok()?,
             version: current.version,
         },
-        claimed_at: pending.claimed_at,
-        inherited_until: pending.inherited_until,
-        unchanged_since: pending.unchanged_since,
+        times: pending.times,
     })
 }
 
--- a/crates/engine/src/owner/session/mod.rs
+++ b/crates/engine/src/owner/session/mod.rs
@@ -131,12 +131,7 @@
 impl<'a> OwnerSession<'a> {
     /// Starts to read what earlier owners stored.
     fn open(dependencies: &'a OwnerDependencies, acquired: AcquiredOwnership) -> Self {
-        let AcquiredOwnership {
-            lease,
-            claimed_at,
-            inherited_until,
-            unchanged_since,
-        } = acquired;
+        let AcquiredOwnership { lease, times } = acquired;
         let client = &dependencies.client;
         let (completed_sender, completed_orders) = mpsc::unbounded_channel();
         let (machine_sender, machine_responses) = mpsc::unbounded_channel();
@@ -172,7 +167,7 @@
             is_renewal_next: false,
             suspect: None,
             refused_until: BootTime::default(),
-            renewed_at: claimed_at,
+            renewed_at: times.claimed_at,
             pending_counts: PendingCounts::default(),
             counts_sent_at: BootTime::default(),
             backlog_counted_at: clock::boot_now(),
@@ -180,10 +175,10 @@
             fleet_capacity: FleetCapacity::default(),
             grown_capacity_row: None,
             deferred_orders: Vec::new(),
-            confirmed_at: claimed_at,
+            confirmed_at: times.claimed_at,
             unconfirmed_since: None,
-            inherited_until,
-            unchanged_since,
+            inherited_until: times.inherited_until,
+            unchanged_since: times.unchanged_since,
             waits_counted_at: BootTime::default(),
             stored_waits: WaitRecord::default(),
             inherited_waits: WaitRecord::default(),
