Close the connections of a stopping process before its grace period ends

Cause: a process serves for 4 s after the signal (the grace period of 6 s less 2 s) and then keeps open connections for 2 s, so it was killed as it closed them; a request read in that time could be cut off. The 2 s stood in two places. Each request was given 2 s, also when less was left. A response takes at most what is left until connections are closed (StopPhase).

--- a/crates/engine/src/caller/listener.rs
+++ b/crates/engine/src/caller/listener.rs
@@ -14,6 +14,7 @@
 use futures_util::StreamExt;
 use redwing_provider::{ClientSettings, TableClient};
 use tokio::sync::watch;
+use tokio::time as timer;
 
 use crate::codec::{CallerHead, CallerResponse, DeploymentCodec};
 use crate::error::{Error, Result};
@@ -22,6 +23,7 @@
 use crate::manifest::OperatorView;
 use crate::metrics::JobMetrics;
 use crate::services::ServicesFactory;
+use crate::stop::{CLOSING_TIME, StopPhase};
 
 use super::service::{CallerService, CallerSettings, CallerVerb};
 
@@ -43,10 +45,6 @@
 /// Maximum number of concurrent connections.
 const MAX_CONNECTIONS: usize = 3_000;
 
-/// Longest time to a response while the process is stopping, and for which it then
-/// completes the requests that it has read.
-const STOPPING_TIMEOUT: time::Duration = time::Duration::from_secs(2);
-
 /// Age of the operator view from which the process reports that it is not ready.
 const MAX_READY_AGE: time::Duration = time::Duration::from_millis(2_500);
 
@@ -101,8 +99,8 @@
     pub operators: watch::Receiver<OperatorView>,
     /// Metrics of the process.
     pub metrics: JobMetrics,
-    /// True once the process is stopping.
-    pub stopping: watch::Receiver<bool>,
+    /// Whether the process is stopping.
+    pub stop_phase: watch::Receiver<StopPhase>,
 }
 
 /// Starts the traffic thread.
@@ -115,7 +113,7 @@
         .workers(1)
         .worker_max_blocking_threads(1)
         .max_concurrent_connections(MAX_CONNECTIONS)
-        .shutdown_timeout(STOPPING_TIMEOUT.as_secs())
+        .shutdown_timeout(CLOSING_TIME.as_secs())
         .disable_signals();
     let builder = listen(builder, "callers", listeners.callers, dependencies)?;
     let builder = match listeners.balancer {
@@ -165,7 +163,7 @@
     codec: sync::Arc<dyn DeploymentCodec>,
     operators: watch::Receiver<OperatorView>,
     metrics: JobMetrics,
-    stopping: watch::Receiver<bool>,
+    stop_phase: watch::Receiver<StopPhase>,
 }
 
 impl TrafficThread {
@@ -183,7 +181,7 @@
             codec,
             operators: dependencies.operators.clone(),
             metrics: dependencies.metrics.clone(),
-            stopping: dependencies.stopping.clone(),
+            stop_phase: dependencies.stop_phase.clone(),
         }
     }
 
@@ -195,7 +193,7 @@
             return self.metrics();
         }
         let mut response = self.serve_caller(request).await;
-        if *self.stopping.borrow() {
+        if self.stop_phase.borrow().is_stopping() {
             // Callers should reconnect to a process that is not stopping.
             response
                 .head_mut()
@@ -206,8 +204,8 @@
 
     fn readiness(&self) -> Response<BoxBody> {
         let view = self.operators.borrow();
-        let is_ready =
-            view.manifest.is_some() && view.age() < MAX_READY_AGE && !*self.stopping.borrow();
+        let is_stopping = self.stop_phase.borrow().is_stopping();
+        let is_ready = view.manifest.is_some() && view.age() < MAX_READY_AGE && !is_stopping;
         let status = if is_ready {
             StatusCode::OK
         } else {
@@ -252,7 +250,10 @@
         let timeout = header_text(headers, self.codec.timeout_header());
         let timeout = timeout.and_then(|text| text.parse().ok());
         let timeout = timeout.map(time::Duration::from_millis);
-        let limit = self.stopping.borrow().then_some(STOPPING_TIMEOUT);
+        let limit = self
+            .stop_phase
+            .borrow()
+            .response_limit(timer::Instant::now());
         CallerHead {
             host: host.unwrap_or_default(),
             path: request.path().to_owned(),
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod row;
 pub mod run;
 pub mod services;
+pub mod stop;
 
 pub use codec::DeploymentCodec;
 pub use error::{Error, Result};
--- a/crates/engine/src/owner/mod.rs
+++ b/crates/engine/src/owner/mod.rs
@@ -28,6 +28,7 @@
 use crate::manifest::OperatorView;
 use crate::metrics::JobMetrics;
 use crate::services::DeploymentServices;
+use crate::stop::StopPhase;
 
 pub use election::OwnerLease;
 
@@ -126,21 +127,21 @@
     pub operators: watch::Receiver<OperatorView>,
     /// Metrics of the process.
     pub metrics: JobMetrics,
-    /// True once the process is stopping.
-    pub stopping: watch::Receiver<bool>,
+    /// Whether the process is stopping.
+    pub stop_phase: watch::Receiver<StopPhase>,
 }
 
 /// Acquires the ownership and runs a session, repeatedly, until the process
 /// stops.
 pub async fn run(dependencies: OwnerDependencies) {
-    let mut stopping = dependencies.stopping.clone();
+    let mut stop_phase = dependencies.stop_phase.clone();
     loop {
         let acquired = tokio::select! {
             acquired = election::acquire(&dependencies) => acquired,
-            _ = stopping.wait_for(|is_stopping| *is_stopping) => return,
+            _ = stop_phase.wait_for(StopPhase::is_stopping) => return,
         };
         session::run(&dependencies, acquired).await;
-        if *dependencies.stopping.borrow() {
+        if dependencies.stop_phase.borrow().is_stopping() {
             return;
         }
     }
--- a/crates/engine/src/owner/session/mod.rs
+++ b/crates/engine/src/owner/session/mod.rs
@@ -22,6 +22,7 @@
 use crate::log_job_event;
 use crate::row::{EncodedRow, PendingCounts, WaitRecord};
 use crate::services::WorkerReply;
+use crate::stop::StopPhase;
 
 use super::OwnerDependencies;
 use super::advice::{self, AdviceResult};
@@ -192,7 +193,7 @@
     /// Runs until the ownership ends; returns the reason.
     async fn run(&mut self) -> &'static str {
         let mut operators = self.dependencies.operators.clone();
-        let mut stopping = self.dependencies.stopping.clone();
+        let mut stop_phase = self.dependencies.stop_phase.clone();
         let mut ticks = timer::interval(self.dependencies.settings.tick_interval);
         ticks.set_missed_tick_behavior(timer::MissedTickBehavior::Delay);
         let mut last_loop = clock::boot_now();
@@ -231,7 +232,7 @@
                 }
                 Ok(()) = operators.changed() => self.apply_operator_view(),
                 _ = ticks.tick() => self.tick(),
-                _ = stopping.wait_for(|is_stopping| *is_stopping) => {
+                _ = stop_phase.wait_for(StopPhase::is_stopping) => {
                     return self.release().await;
                 }
             }
--- a/crates/engine/src/run.rs
+++ b/crates/engine/src/run.rs
@@ -23,6 +23,7 @@
 use crate::metrics::JobMetrics;
 use crate::owner::{self, OwnerDependencies, OwnerSettings};
 use crate::services::ServicesFactory;
+use crate::stop::{CLOSING_TIME, StopPhase};
 
 /// Settings of an entry process.
 #[derive(Clone, Debug)]
@@ -123,7 +124,7 @@
 /// Entry process that serves callers and takes part in the election of the owner.
 pub struct EngineProcess {
     settings: EngineSettings,
-    stop: watch::Sender<bool>,
+    stop_phase: watch::Sender<StopPhase>,
     handle: ServerHandle,
     serving: task::JoinHandle<io::Result<()>>,
     owner: task::JoinHandle<()>,
@@ -140,7 +141,7 @@
         listeners: EngineListeners,
         factory: sync::Arc<dyn ServicesFactory>,
     ) -> Result<Self> {
-        let (stop, stopping) = watch::channel(false);
+        let (stop_sender, stop_phase) = watch::channel(StopPhase::default());
         let services = factory.services();
         let client = TableClient::new(rc::Rc::clone(&services.table), settings.client.clone());
         let metrics = JobMetrics::new()?;
@@ -150,7 +151,7 @@
             client: settings.client.clone(),
             factory: sync::Arc::clone(&factory),
             operators: operators.clone(),
-            stopping: stopping.clone(),
+            stop_phase: stop_phase.clone(),
             metrics: metrics.clone(),
         };
         let server = listener::start(listeners, &dependencies)?;
@@ -164,13 +165,13 @@
             services,
             codec: factory.codec(),
             operators,
-            stopping,
+            stop_phase,
             metrics,
         }));
         log_job_event!(info, event::ENGINE_STARTED, node = settings.node);
         Ok(Self {
             settings,
-            stop,
+            stop_phase: stop_sender,
             handle,
             serving,
             owner,
@@ -181,7 +182,8 @@
     /// completes the requests that it has read.
     pub async fn stop(self) {
         log_job_event!(info, event::ENGINE_STOPPING, node = self.settings.node);
-        self.stop.send_replace(true);
+        let closes_at = timer::Instant::now() + self.settings.leave_delay + CLOSING_TIME;
+        self.stop_phase.send_replace(StopPhase::stopping(closes_at));
         timer::sleep(self.settings.leave_delay).await;
         self.handle.stop(true).await;
         // The process exits whatever the tasks return.
