Give no pending counts before workers have reported what they run

A new owner counted running jobs as pending, until each worker had reported its runs: callers got a count that had never been true, for up to the interval of the counts (0.7 s) after each takeover. Cause: that a job has started is stored with its next change only, and a job of one step has none between the acceptance of its runs and their end. Change: the scheduler gives no counts while a listed worker that has runs of such jobs has neither responded to this owner nor failed to (one renewal); the owner stores none, and callers wait or get Unavailable. Runs on a worker that fails to respond count as not accepted, as before.

--- a/crates/engine/src/owner/session/store.rs
+++ b/crates/engine/src/owner/session/store.rs
@@ -485,7 +485,7 @@
         }
         let pending_counts = PendingCounts {
             fencing_token: Some(self.lease.record.fencing_token),
-            pending: self.scheduler.pending_counts(),
+            pending: self.scheduler.pending_counts()?,
         };
         if pending_counts == self.pending_counts {
             return None;
--- a/crates/jobs/src/scheduler/mod.rs
+++ b/crates/jobs/src/scheduler/mod.rs
@@ -66,7 +66,7 @@
 use changes::ChangeTracker;
 use entry::JobEntry;
 use finished::FinishedJobs;
-use fleet::WorkerFleet;
+use fleet::{ContactState, WorkerFleet};
 use lease_ledger::LeaseLedger;
 use shares::PoolUsage;
 use waiting::WaitingJobs;
@@ -418,15 +418,31 @@
     }
 
     /// Returns the number of jobs in each queue with no started task, except those
-    /// with a schedule.
-    pub fn pending_counts(&self) -> BTreeMap<QueueName, u64> {
+    /// with a schedule; none while workers are still to report whether they run some
+    /// of these jobs.
+    pub fn pending_counts(&self) -> Option<BTreeMap<QueueName, u64>> {
+        if self.awaits_started_jobs() {
+            return None;
+        }
         let mut counts = BTreeMap::new();
         for job in self.jobs.values() {
             if job.is_pending() {
                 *counts.entry(job.record.queue.clone()).or_insert(0) += 1;
             }
         }
-        counts
+        Some(counts)
+    }
+
+    /// Returns whether a job counts as pending only because a worker that was listed
+    /// with runs of earlier owners has neither responded nor failed to.
+    fn awaits_started_jobs(&self) -> bool {
+        let workers = self.fleet.iter().map(|(_, worker)| worker);
+        let mut awaited = workers
+            .filter(|worker| worker.contact == ContactState::Unconfirmed && worker.view.is_some());
+        awaited.any(|worker| {
+            let mut tasks = worker.reservations.keys();
+            tasks.any(|task| self.jobs.get(&task.job).is_some_and(JobEntry::is_pending))
+        })
     }
 
     /// Adds the capacity and labels of all tracked workers that were ever listed to
--- a/crates/jobs/tests/recovery.rs
+++ b/crates/jobs/tests/recovery.rs
@@ -341,13 +341,27 @@
     assert_eq!(fleet.running_count(&task_id(&job, 0, 0)), 1);
 }
 
-/// The number of pending jobs in the queue of the job.
-fn pending_count(fleet: &FakeFleet, job: &JobId) -> u64 {
-    let counts = fleet.scheduler.pending_counts();
-    counts
-        .get(&fleet.jobs[job].queue)
-        .copied()
-        .unwrap_or_default()
+/// The number of pending jobs in the queue of the job, if it is known.
+fn pending_count(fleet: &FakeFleet, job: &JobId) -> Option<u64> {
+    let counts = fleet.scheduler.pending_counts()?;
+    let count = counts.get(&fleet.jobs[job].queue).copied();
+    Some(count.unwrap_or_default())
+}
+
+/// A job whose only run was accepted before the takeover is not stored as started.
+#[test]
+fn a_running_job_is_never_counted_as_pending_by_a_new_owner() {
+    let mut fleet = fleet_of(2);
+    let job = fleet.submit("j", vec![step_spec(2, 1_000)], 60_000);
+    fleet.advance(300);
+    assert_eq!(fleet.starts.len(), 2);
+    assert_eq!(pending_count(&fleet, &job), Some(0));
+    fleet.take_over(SchedulerSettings::default());
+    for _ in 0..100 {
+        assert_ne!(pending_count(&fleet, &job), Some(1), "{:?}", fleet.now);
+        fleet.advance(10);
+    }
+    assert_eq!(pending_count(&fleet, &job), Some(0));
 }
 
 /// A process once gave a count of 0 for a job whose orders had no response.
@@ -359,14 +373,14 @@
     let job = fleet.submit("j", vec![step_spec(1, 1_000)], 60_000);
     fleet.advance(100);
     assert_eq!(fleet.ordered_starts.len(), 1);
-    assert_eq!(pending_count(&fleet, &job), 1);
+    assert_eq!(pending_count(&fleet, &job), Some(1));
     fleet.take_over(SchedulerSettings::default());
     fleet.advance(100);
-    assert_eq!(pending_count(&fleet, &job), 1);
+    assert_eq!(pending_count(&fleet, &job), Some(1));
     fleet.worker("w0").is_unresponsive = false;
     fleet.advance(10_000);
     assert_eq!(fleet.running_count(&task_id(&job, 0, 0)), 1);
-    assert_eq!(pending_count(&fleet, &job), 0);
+    assert_eq!(pending_count(&fleet, &job), Some(0));
 }
 
 #[test]
@@ -381,5 +395,5 @@
     assert_eq!(fleet.starts.len(), 2);
     fleet.worker("w0").is_unresponsive = true;
     fleet.take_over(SchedulerSettings::default());
-    assert_eq!(pending_count(&fleet, &job), 0);
+    assert_eq!(pending_count(&fleet, &job), Some(0));
 }
