Count a job as started if its row tells of an ended task

Jobs between two steps were counted as pending by the first owner of the new release, until their next task was accepted. Cause: rows of earlier releases do not tell whether a worker has accepted a run. Change: a task that is done, has failed or has saved a checkpoint tells it too. Evidence: a_job_with_an_ended_task_is_not_pending_whatever_its_row_tells failed before.

--- a/crates/jobs/src/record.rs
+++ b/crates/jobs/src/record.rs
@@ -121,3 +121,13 @@
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub occurrences: Vec<OccurrenceRecord>,
 }
+
+impl ProgressRecord {
+    /// Returns whether a task has been run by what is stored of it, whether or not a
+    /// worker is recorded to have accepted one: rows of earlier releases do not tell.
+    pub fn has_run(&self) -> bool {
+        let steps = self.occurrences.iter().flat_map(|entry| &entry.steps);
+        let mut tasks = steps.flatten();
+        tasks.any(|task| task.done || !task.failed.is_empty() || task.checkpoint.is_some())
+    }
+}
--- a/crates/jobs/src/scheduler/entry.rs
+++ b/crates/jobs/src/scheduler/entry.rs
@@ -291,7 +291,7 @@
     ) -> Self {
         let mut entry = Self::new(record);
         entry.state = progress.state;
-        entry.has_started = progress.has_started;
+        entry.has_started = progress.has_started || progress.has_run();
         entry.begun = progress.begun.max(entry.begun);
         if entry.record.spec.schedule.is_some() {
             entry.occurrences.clear();
--- a/crates/jobs/tests/recovery.rs
+++ b/crates/jobs/tests/recovery.rs
@@ -397,3 +397,22 @@
     fleet.take_over(SchedulerSettings::default());
     assert_eq!(pending_count(&fleet, &job), Some(0));
 }
+
+/// Rows of earlier releases do not tell whether a worker has accepted a run.
+#[test]
+fn a_job_with_an_ended_task_is_not_pending_whatever_its_row_tells() {
+    let mut fleet = fleet_of(1);
+    let second_step = StepSpec {
+        after: vec![0],
+        ..step_spec(1, 9_000)
+    };
+    let job = fleet.submit("j", vec![step_spec(1, 1_000), second_step], 200);
+    fleet.advance(500);
+    assert_eq!(fleet.starts.len(), 1);
+    let row = fleet.rows.get_mut(&job).expect("it is stored");
+    row.has_started = false;
+    fleet.worker("w0").is_unresponsive = true;
+    fleet.take_over(SchedulerSettings::default());
+    fleet.advance(100);
+    assert_eq!(pending_count(&fleet, &job), Some(0));
+}
