Count a machine as down although a repeated order is rejected

A wave could have more machines down than its limit. Cause: the rejection of a repeated order was taken for the fact that the machine is not down. It tells only of the repetition: the first order, which had no response, may have been carried out. The machine then counted as waiting, and another one was ordered beside it. A rejection that arrives after the acceptance of the first order had the same effect. Change: a rejection returns a machine to the waiting ones only if it answers the only order; otherwise the order is repeated until its outcome is known. Orders of an earlier owner count as such first orders. A machine that is down stays so.

--- a/crates/jobs/src/maintenance/wave.rs
+++ b/crates/jobs/src/maintenance/wave.rs
@@ -33,6 +33,9 @@
     absent_since: Option<BootTime>,
     /// When the machine may be ordered again after a rejected order.
     not_before: BootTime,
+    /// Whether an order before the latest one had no response, so that a rejection of
+    /// the latest one does not tell whether maintenance has begun.
+    may_have_begun: bool,
 }
 
 impl MachineEntry {
@@ -118,6 +121,7 @@
             });
             let entry = MachineEntry {
                 stage,
+                may_have_begun: true,
                 ..MachineEntry::default()
             };
             (name.clone(), entry)
@@ -199,9 +203,13 @@
         }
     }
 
-    /// Returns a machine to the waiting ones, to be ordered again from `retry_at`.
+    /// Returns a machine to the waiting ones, to be ordered again from `retry_at`, unless
+    /// an earlier order may have been carried out.
     pub(super) fn order_rejected(&mut self, machine: &MachineName, retry_at: BootTime) {
-        if let Some(entry) = self.machines.get_mut(machine) {
+        if let Some(entry) = self.machines.get_mut(machine)
+            && matches!(entry.stage, MachineStage::Ordered(_))
+            && !entry.may_have_begun
+        {
             entry.stage = MachineStage::Waiting;
             entry.absent_since = None;
             entry.not_before = retry_at;
@@ -459,6 +467,7 @@
         for name in names.into_iter().take(free as usize) {
             if let Some(entry) = self.machines.get_mut(&name) {
                 entry.stage = MachineStage::Ordered(Some(now));
+                entry.may_have_begun = false;
             }
             self.record.ordered.insert(name.clone());
             self.is_reported = false;
@@ -486,6 +495,7 @@
                 continue;
             }
             *latest = Some(now);
+            entry.may_have_begun = true;
             actions.push(MaintenanceAction::Order {
                 wave: self.request.number,
                 machine: name.clone(),
--- a/crates/jobs/tests/maintenance.rs
+++ b/crates/jobs/tests/maintenance.rs
@@ -32,6 +32,8 @@
     released_workers: Vec<WorkerId>,
     /// Whether orders are executed and their responses lost.
     loses_responses: bool,
+    /// Whether orders for machines that are not up are rejected.
+    rejects_repeats: bool,
     /// Progress of the wave as last stored.
     stored: MaintenanceRecord,
 }
@@ -72,6 +74,7 @@
             prepared_workers: Vec::new(),
             released_workers: Vec::new(),
             loses_responses: false,
+            rejects_repeats: false,
             stored: MaintenanceRecord::default(),
         }
     }
@@ -135,6 +138,10 @@
             self.planner.order_unneeded(wave, machine);
             return;
         };
+        if self.rejects_repeats && !machine_status.is_up {
+            self.planner.order_rejected(wave, machine, self.now);
+            return;
+        }
         if machine_status.is_up && !self.maintenance_counts.contains_key(machine) {
             *self.maintenance_counts.entry(machine.clone()).or_default() += 1;
             machine_status.is_up = false;
@@ -458,3 +465,33 @@
     }
     assert_eq!(orders, 8, "each machine for each of its waves");
 }
+
+/// The platform carries out an order, the response is lost, and the repeated order is
+/// rejected: the machine may be down for the first one.
+#[test]
+fn a_machine_counts_as_down_although_a_repeated_order_is_rejected() {
+    let mut machines = FakeMachines::new(3);
+    machines.loses_responses = true;
+    machines.rejects_repeats = true;
+    machines.add_wave(&wave_request(3, 1), None);
+    machines.advance(time::Duration::from_secs(2));
+    machines.loses_responses = false;
+    machines.advance(time::Duration::from_secs(17));
+    assert!(machines.is_completed());
+    machines.assert_maintained_once();
+    assert_eq!(machines.max_down_count, 1);
+}
+
+/// The response to the first order arrives before the rejection of its repetition.
+#[test]
+fn a_machine_whose_maintenance_has_begun_stays_so_after_a_late_rejection() {
+    let mut machines = FakeMachines::new(3);
+    machines.add_wave(&wave_request(3, 1), None);
+    machines.advance(time::Duration::from_millis(500));
+    let down: Vec<MachineName> = machines.down_until.keys().cloned().collect();
+    machines.planner.order_rejected(1, &down[0], machines.now);
+    machines.advance(time::Duration::from_secs(16));
+    assert!(machines.is_completed());
+    machines.assert_maintained_once();
+    assert_eq!(machines.max_down_count, 1);
+}
