Keep the budget of a change while only rows for callers are stored

Cause: a change that is stored doubles the budget of the next one, also if it had no more than a row for callers, which tells nothing of the refused ones. Change: such a change leaves the budget as it is.

--- a/crates/engine/src/owner/session/store.rs
+++ b/crates/engine/src/owner/session/store.rs
@@ -78,6 +78,15 @@
     obsolete_jobs: Vec<JobId>,
 }
 
+impl ChangeContents {
+    /// Returns whether all that the change stores are rows for the callers, which tells
+    /// nothing of others that were refused.
+    fn has_only_boards(&self) -> bool {
+        let mut units = self.units.iter();
+        !self.units.is_empty() && units.all(|unit| matches!(unit, ChangeUnit::Board(_)))
+    }
+}
+
 impl OwnerSession<'_> {
     /// Starts to store the changes of the scheduler, or renews the lease.
     pub(super) fn start_change(&mut self, now: BootTime) {
@@ -346,7 +355,7 @@
         let metrics = &self.dependencies.metrics;
         metrics.count_change(now.saturating_since(self.renewed_at));
         metrics.set_open_jobs(self.scheduler.job_count());
-        if !contents.is_bare {
+        if !contents.is_bare && !contents.has_only_boards() {
             self.fill_budget.stored();
         }
         if let Some((unit, size)) = self.suspect.take() {
