Give pending counts only while they are known to be right

Callers got counts of any age while the token of the owner that had counted was still the present one: the owner paused or dead, its changes without a response, or the row of the counts refused while others were stored. Cause: what was once stored was taken for the present state; the row had an author, but no time. Change: the row of the owner, which each change writes anyway, names the change that wrote the counts and the time on the clock of the table (`nowMs` of its responses) up to which the owner had read the jobs when it found the counts right. Callers get counts that were so at most 2 s ago, the time on the way included; older ones are waited for as those of a new owner, then Unavailable. Rows of earlier releases have no such time, and are given as before. The owner follows the rows of jobs with waits of 0.5 s in place of 1 s, so that calm counts are younger than 2 s by a margin. No change is added.

--- a/crates/engine/src/caller/service.rs
+++ b/crates/engine/src/caller/service.rs
@@ -43,6 +43,9 @@
 /// Time between two reads of the pending counts while a new owner has not counted yet.
 const COUNT_RETRY: time::Duration = time::Duration::from_millis(100);
 
+/// Maximum age of the pending counts.
+const MAX_COUNT_AGE: time::Duration = time::Duration::from_millis(2_000);
+
 /// Longest time for which a request waits for the counts of a new owner; most takeovers
 /// are complete by then.
 const COUNT_WAIT: time::Duration = time::Duration::from_millis(1_500);
@@ -141,6 +144,13 @@
     deadline: timer::Instant,
 }
 
+/// Row that owners write.
+struct BoardRow<T> {
+    content: T,
+    /// When it was read, in milliseconds on the clock of the table.
+    table_ms: Option<u64>,
+}
+
 /// Outcome of one attempt to write a row.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum WriteOutcome {
@@ -478,24 +488,38 @@
         }
     }
 
-    /// Reads the pending counts; returns none if they are not those of the present owner.
+    /// Reads the pending counts; returns none if they are not those of the present owner
+    /// or too old.
     async fn current_counts(&self) -> Result<Option<PendingCounts>, CallerResponse> {
+        let requested_at = timer::Instant::now();
         let (counts, owner) = futures_util::try_join!(
             self.board_row::<PendingCounts>(row::PENDING_KEY),
             self.board_row::<OwnerRecord>(row::OWNER_KEY),
         )?;
-        Ok(counts.is_current(&owner).then_some(counts))
+        // The rows are older than the table tells by the time that they took to arrive.
+        let max_age = MAX_COUNT_AGE.saturating_sub(requested_at.elapsed());
+        let is_current = counts
+            .content
+            .is_current(&owner.content, owner.table_ms, max_age);
+        Ok(is_current.then_some(counts.content))
     }
 
     /// Reads a row that owners write.
-    async fn board_row<T: DeserializeOwned>(&self, key: &'static str) -> Result<T, CallerResponse> {
+    async fn board_row<T: DeserializeOwned>(
+        &self,
+        key: &'static str,
+    ) -> Result<BoardRow<T>, CallerResponse> {
         let key = RowKey::new(key);
         let view = self.client.scan(CallCause::Job, key.as_str()).await;
         let view = view.map_err(|error| self.unreadable(&key, &error))?;
         let Some(entry) = view.rows.first() else {
             return Err(self.unreadable(&key, &"there is no such row"));
         };
-        row::read(entry).map_err(|error| self.unreadable(&key, &error))
+        let content = row::read(entry).map_err(|error| self.unreadable(&key, &error))?;
+        Ok(BoardRow {
+            content,
+            table_ms: view.table_ms,
+        })
     }
 
     /// Logs that a row could not be read and returns the response.
--- a/crates/engine/src/follow.rs
+++ b/crates/engine/src/follow.rs
@@ -33,6 +33,8 @@
 pub struct TableUpdate {
     /// When the read was sent; the rows are at least as recent.
     pub requested_at: BootTime,
+    /// When the table read the rows, on its clock; none if it does not tell.
+    pub table_ms: Option<u64>,
     /// Whether `rows` has all rows; otherwise only those that changed.
     pub is_complete: bool,
     /// Rows; a deleted row has no value.
@@ -131,6 +133,7 @@
         let is_empty = view.rows.is_empty();
         let update = TableUpdate {
             requested_at,
+            table_ms: view.table_ms,
             is_complete,
             rows: view.rows,
         };
--- a/crates/engine/src/owner/change.rs
+++ b/crates/engine/src/owner/change.rs
@@ -17,7 +17,7 @@
 use crate::error::Result;
 use crate::event;
 use crate::log_job_event;
-use crate::row::{self, EncodedRow, OwnerRecord};
+use crate::row::{self, CountConfirmation, EncodedRow, OwnerRecord};
 
 use super::election::OwnerLease;
 
@@ -55,6 +55,8 @@
     pub(super) released: bool,
     /// Time until the leases of earlier owners have expired.
     pub(super) inherited: time::Duration,
+    /// What is confirmed of the pending counts.
+    pub(super) confirmed_counts: Option<CountConfirmation>,
 }
 
 /// Rows of a change that are stored together or not at all.
@@ -108,6 +110,7 @@
             change,
             released: state.released,
             inherited_ms: Some(state.inherited.as_millis() as u64),
+            confirmed_counts: state.confirmed_counts,
             ..lease.record.clone()
         };
         let value = row::write(&key, &record)?;
--- a/crates/engine/src/owner/election.rs
+++ b/crates/engine/src/owner/election.rs
@@ -226,6 +226,7 @@
         released: false,
         is_small: dependencies.settings.is_small,
         inherited_ms: Some(inherited.as_millis() as u64),
+        confirmed_counts: None,
     }
 }
 
--- a/crates/engine/src/owner/session/mod.rs
+++ b/crates/engine/src/owner/session/mod.rs
@@ -68,6 +68,9 @@
     job_updates: Option<mpsc::Receiver<TableUpdate>>,
     /// Whether changes have arrived that were made while the rows were read.
     has_followed_jobs: bool,
+    /// When the latest changes were read, in milliseconds on the clock of the table;
+    /// none if it does not tell.
+    followed_ms: Option<u64>,
     /// Changes of the rows of workers, once they are read.
     worker_updates: Option<mpsc::Receiver<TableUpdate>>,
     completed_orders: mpsc::UnboundedReceiver<CompletedOrder>,
@@ -156,6 +159,7 @@
             restoring: RestoreStage::begin(dependencies),
             job_updates: None,
             has_followed_jobs: false,
+            followed_ms: None,
             worker_updates: None,
             completed_orders,
             advice_requests,
--- a/crates/engine/src/owner/session/rows.rs
+++ b/crates/engine/src/owner/session/rows.rs
@@ -1,6 +1,7 @@
 //! Rows that a session reads: jobs, workers, the manifest and waves.
 
 use std::collections::HashMap;
+use std::time;
 
 use redwing_jobs::record::ProgressRecord;
 use redwing_jobs::scheduler::InheritedLeases;
@@ -16,6 +17,10 @@
 use super::OwnerSession;
 use super::restore::{FleetRows, JobRows, RestoreStage};
 
+/// Maximum time that the table waits for a change of job rows; shorter than
+/// [`follow::WATCH_TIMEOUT`], because pending counts are as old as the latest response.
+const JOB_WATCH_TIMEOUT: time::Duration = time::Duration::from_millis(500);
+
 impl OwnerSession<'_> {
     /// Starts to renew the leases of workers and to read the rows of jobs.
     pub(super) fn restore_fleet(&mut self, rows: &FleetRows) {
@@ -54,7 +59,7 @@
             CallCause::Job,
             row::JOB_PREFIX,
             Some(rows.jobs.cursor),
-            follow::WATCH_TIMEOUT,
+            JOB_WATCH_TIMEOUT,
         ));
     }
 
@@ -125,6 +130,7 @@
 
     pub(super) fn apply_job_rows(&mut self, update: &TableUpdate) {
         self.has_followed_jobs = true;
+        self.followed_ms = update.table_ms;
         let now = clock::boot_now();
         let mut cancelled = Vec::new();
         for entry in &update.rows {
--- a/crates/engine/src/owner/session/store.rs
+++ b/crates/engine/src/owner/session/store.rs
@@ -22,7 +22,7 @@
 use crate::owner::cleanup;
 use crate::owner::election::OwnerLease;
 use crate::owner::record;
-use crate::row::{self, EncodedRow, PendingCounts, WaitRecord};
+use crate::row::{self, CountConfirmation, EncodedRow, PendingCounts, WaitRecord};
 
 use super::{OwnerSession, PendingChange};
 
@@ -87,6 +87,15 @@
     }
 }
 
+/// Pending counts for a change.
+#[derive(Debug)]
+struct CountUpdate {
+    /// Counts to store, if the stored ones are to be replaced.
+    row: Option<PendingCounts>,
+    /// What the change confirms.
+    confirmed: Option<CountConfirmation>,
+}
+
 impl OwnerSession<'_> {
     /// Starts to store the changes of the scheduler, or renews the lease.
     pub(super) fn start_change(&mut self, now: BootTime) {
@@ -119,16 +128,22 @@
         } else {
             self.fill_budget
         };
+        let counts = self.count_pending(is_bare, now);
+        let state = OwnershipState {
+            confirmed_counts: counts.confirmed,
+            ..self.ownership_state(released, now)
+        };
         let mut fill = ChangeFill::new(
             &self.lease,
             self.change_number,
-            self.ownership_state(released, now),
+            state,
             self.dependencies.client.limits(),
             budget,
         )?;
         let mut contents = ChangeContents {
             is_bare,
             changes: self.scheduler.begin_changes(now),
+            pending_counts: counts.row,
             ..ChangeContents::default()
         };
         for part in parts {
@@ -178,7 +193,7 @@
             let fit = fill.add_row(ChangeUnit::Board(row.key.clone()), &row);
             self.has_published_backlog |= fit != UnitFit::Added;
         }
-        if let Some(counts) = self.next_pending_counts(now)
+        if let Some(counts) = contents.pending_counts.take()
             && let Some(row) = record::pending_counts_row(&counts)
             && fill.add_row(ChangeUnit::Board(row.key.clone()), &row) == UnitFit::Added
         {
@@ -327,6 +342,7 @@
         OwnershipState {
             released,
             inherited: self.inherited_until.saturating_since(now),
+            confirmed_counts: self.lease.record.confirmed_counts,
         }
     }
 
@@ -482,24 +498,51 @@
         (!is_stored && !is_empty).then_some(waits)
     }
 
-    /// Returns the pending counts to store, if they changed and
-    /// `pending_interval` has elapsed.
-    pub(super) fn next_pending_counts(&mut self, now: BootTime) -> Option<PendingCounts> {
+    /// Counts the pending jobs for the next change. The counts are to be stored if they
+    /// differ from those stored and `pending_interval` has elapsed; until then the
+    /// stored ones are as old as they were.
+    fn count_pending(&mut self, is_bare: bool, now: BootTime) -> CountUpdate {
+        let stored = CountUpdate {
+            row: None,
+            confirmed: self.lease.record.confirmed_counts,
+        };
         if !self.has_followed_jobs {
             // Jobs that were accepted while the rows were read are not counted yet.
-            return None;
+            return stored;
         }
-        if now.saturating_since(self.counts_sent_at) < self.dependencies.settings.pending_interval {
-            return None;
+        let interval = self.dependencies.settings.pending_interval;
+        if now.saturating_since(self.counts_sent_at) < interval {
+            return stored;
         }
-        let pending_counts = PendingCounts {
-            fencing_token: Some(self.lease.record.fencing_token),
-            pending: self.scheduler.pending_counts()?,
+        let Some(pending) = self.scheduler.pending_counts() else {
+            return stored;
         };
-        if pending_counts == self.pending_counts {
-            return None;
+        let is_own = self.pending_counts.fencing_token == Some(self.lease.record.fencing_token);
+        if is_own && pending == self.pending_counts.pending {
+            return CountUpdate {
+                row: None,
+                confirmed: self.confirmation(self.pending_counts.change),
+            };
+        }
+        if is_bare {
+            return stored;
         }
         self.counts_sent_at = now;
-        Some(pending_counts)
+        let change = self.followed_ms.map(|_| self.change_number);
+        CountUpdate {
+            confirmed: self.confirmation(change),
+            row: Some(PendingCounts {
+                fencing_token: Some(self.lease.record.fencing_token),
+                change,
+                pending,
+            }),
+        }
+    }
+
+    /// Returns the confirmation of counts that `change` writes, as of the latest rows of
+    /// jobs.
+    fn confirmation(&self, change: Option<u64>) -> Option<CountConfirmation> {
+        let (change, table_ms) = change.zip(self.followed_ms)?;
+        Some(CountConfirmation { change, table_ms })
     }
 }
--- a/crates/engine/src/row.rs
+++ b/crates/engine/src/row.rs
@@ -19,6 +19,7 @@
 //! row.
 
 use std::collections::BTreeMap;
+use std::time;
 
 use redwing_jobs::JobId;
 use redwing_jobs::capacity::MoveWaits;
@@ -95,6 +96,25 @@
     /// milliseconds after the change; absent in rows of earlier releases.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub inherited_ms: Option<u64>,
+    /// What the change confirms of the pending counts; none before the owner has counted,
+    /// and in rows of earlier releases.
+    #[serde(rename = "counts", default, skip_serializing_if = "Option::is_none")]
+    pub confirmed_counts: Option<CountConfirmation>,
+}
+
+/// Confirmation that pending counts are still those of the owner.
+///
+/// The counts are stored only when they change, but the row of the owner with each
+/// change. An owner that is paused, or cannot store, confirms nothing.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct CountConfirmation {
+    /// Number of the change that wrote the counts.
+    pub change: u64,
+    /// When the counts were right, in milliseconds on the clock of the table: they
+    /// include the jobs that it had accepted by then.
+    #[serde(rename = "as-of")]
+    pub table_ms: u64,
 }
 
 /// Ends of the leases of workers that the owner cannot reach.
@@ -150,18 +170,46 @@
     /// Fencing token of the owner that counted; absent in rows of earlier releases.
     #[serde(rename = "fence", default, skip_serializing_if = "Option::is_none")]
     pub fencing_token: Option<u64>,
+    /// Number of the change that wrote the row; absent in rows of earlier releases.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub change: Option<u64>,
     /// Number of accepted jobs without a started task, by queue.
     pub pending: BTreeMap<QueueName, u64>,
 }
 
 impl PendingCounts {
-    /// Returns whether the counts are those of the present owner, given its record. An
-    /// owner that is gone has not counted the jobs that were accepted since.
-    pub fn is_current(&self, owner: &OwnerRecord) -> bool {
+    /// Returns whether the counts are those of the present owner, given its record, and
+    /// were right at most `max_age` before the record was read, at `table_ms` on the
+    /// clock of the table. An owner that is gone or stores nothing has not counted the
+    /// jobs that were accepted since.
+    pub fn is_current(
+        &self,
+        owner: &OwnerRecord,
+        table_ms: Option<u64>,
+        max_age: time::Duration,
+    ) -> bool {
         let is_own = self
             .fencing_token
             .is_none_or(|token| token == owner.fencing_token);
-        is_own && !owner.released
+        is_own && !owner.released && self.is_confirmed(owner, table_ms, max_age)
+    }
+
+    fn is_confirmed(
+        &self,
+        owner: &OwnerRecord,
+        table_ms: Option<u64>,
+        max_age: time::Duration,
+    ) -> bool {
+        let Some(change) = self.change else {
+            // An owner of an earlier release confirms no counts.
+            return true;
+        };
+        let confirmed = owner.confirmed_counts;
+        let confirmed = confirmed.filter(|confirmed| confirmed.change == change);
+        let age_ms = confirmed
+            .zip(table_ms)
+            .and_then(|(confirmed, now_ms)| now_ms.checked_sub(confirmed.table_ms));
+        age_ms.is_some_and(|age_ms| u128::from(age_ms) <= max_age.as_millis())
     }
 }
 
--- a/crates/engine/tests/owner.rs
+++ b/crates/engine/tests/owner.rs
@@ -533,3 +533,68 @@
         );
     });
 }
+
+/// Waits until the count of pending jobs is given.
+async fn wait_pending(cluster: &TestCluster, count: u64) {
+    while cluster.pending(0).await != CallerResponse::Pending(count) {
+        timer::sleep(time::Duration::from_millis(20)).await;
+    }
+}
+
+/// Time after which the counts must not be given any more.
+const COUNT_AGE: time::Duration = time::Duration::from_millis(2_000);
+
+/// The owner is frozen, and no other process can take over.
+#[test]
+fn pending_counts_of_an_owner_that_stores_nothing_are_not_given() {
+    run_test(async {
+        let cluster = TestCluster::start(1, time::Duration::from_millis(100)).await;
+        wait_pending(&cluster, 0).await;
+        cluster.processes[0].owner.abort();
+        assert_eq!(cluster.submit(0, "a", 1).await, CallerResponse::Accepted);
+        timer::sleep(COUNT_AGE).await;
+        let response = cluster.pending(0).await;
+        assert!(
+            matches!(response, CallerResponse::Unavailable { .. }),
+            "{response:?}"
+        );
+    });
+}
+
+/// The table takes all changes of the owner but those of the counts.
+#[test]
+fn pending_counts_that_cannot_be_stored_are_not_given_for_long() {
+    run_test(async {
+        let cluster = TestCluster::start(1, time::Duration::from_millis(100)).await;
+        wait_pending(&cluster, 0).await;
+        for worker in ["worker-1", "worker-2", "worker-3"] {
+            cluster.workers.remove(&WorkerId::new(worker));
+        }
+        cluster.refusals.borrow_mut().key = Some(RowKey::new(row::PENDING_KEY));
+        assert_eq!(cluster.submit(0, "a", 1).await, CallerResponse::Accepted);
+        timer::sleep(COUNT_AGE * 2).await;
+        let response = cluster.pending(0).await;
+        assert!(
+            matches!(response, CallerResponse::Unavailable { .. }),
+            "{response:?}"
+        );
+        cluster.refusals.borrow_mut().key = None;
+        wait_pending(&cluster, 1).await;
+    });
+}
+
+/// Counts that stay the same are given for as long as the owner renews its row.
+#[test]
+fn pending_counts_that_do_not_change_are_given_at_any_time() {
+    run_test(async {
+        let cluster = TestCluster::start(1, time::Duration::from_millis(100)).await;
+        wait_pending(&cluster, 0).await;
+        let started = timer::Instant::now();
+        while started.elapsed() < COUNT_AGE * 2 {
+            let asked = timer::Instant::now();
+            assert_eq!(cluster.pending(0).await, CallerResponse::Pending(0));
+            assert!(asked.elapsed() < time::Duration::from_millis(200));
+            timer::sleep(time::Duration::from_millis(30)).await;
+        }
+    });
+}
--- a/crates/node/tests/control/property.rs
+++ b/crates/node/tests/control/property.rs
@@ -282,7 +282,7 @@
             .collect();
         let mut state = ConfigState::default();
         let mut version = 0;
-        let view = TableView { rows: rows.clone(), cursor: 5 };
+        let view = TableView { rows: rows.clone(), cursor: 5, table_ms: None };
         for outcome in [
             state.install_change(&rows),
             state.install_changes(&view, 0),
--- a/crates/provider/src/scan.rs
+++ b/crates/provider/src/scan.rs
@@ -61,7 +61,10 @@
         .try_collect()
         .await?;
     let first_cursor = views.iter().map(|view| view.cursor).min();
+    // None comes before any time.
+    let table_ms = views.iter().map(|view| view.table_ms).min();
     Ok(TableView {
+        table_ms: table_ms.flatten(),
         cursor: parts.cursor.or(first_cursor).unwrap_or(0),
         rows: views.into_iter().flat_map(|view| view.rows).collect(),
     })
@@ -76,6 +79,7 @@
         if last.is_none() {
             // The next read of changes returns those after the first page.
             view.cursor = page.cursor;
+            view.table_ms = page.table_ms;
         }
         last = page.rows.last().map(|row| row.key.clone());
         view.rows.extend(page.rows);
--- a/crates/provider/src/table.rs
+++ b/crates/provider/src/table.rs
@@ -186,6 +186,10 @@
     pub rows: Vec<TableRow>,
     /// Number of the latest commit that the rows reflect.
     pub cursor: u64,
+    /// When they were read, in milliseconds on a clock of the table that all its clients
+    /// see; none if the table does not tell.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub table_ms: Option<u64>,
 }
 
 impl TableView {
@@ -216,6 +220,8 @@
     pub rows: Vec<TableRow>,
     /// Number of the latest commit that the rows reflect.
     pub cursor: u64,
+    /// When they were read, as in [`TableView::table_ms`].
+    pub table_ms: Option<u64>,
     /// Whether more rows follow.
     pub has_more: bool,
 }
@@ -296,6 +302,7 @@
             Ok(TablePage {
                 rows: view.rows,
                 cursor: view.cursor,
+                table_ms: view.table_ms,
                 has_more: false,
             })
         })
--- a/crates/standin/src/memory.rs
+++ b/crates/standin/src/memory.rs
@@ -263,7 +263,11 @@
             .cloned()
             .collect();
         let cursor = self.commits;
-        TableView { rows, cursor }
+        TableView {
+            rows,
+            cursor,
+            table_ms: Some(self.clock.now().as_millis() as u64),
+        }
     }
 
     fn apply(&mut self, transaction: &TableTransaction) -> CommitOutcome {
@@ -369,6 +373,7 @@
             Ok(TablePage {
                 rows: view.rows,
                 cursor: view.cursor,
+                table_ms: view.table_ms,
                 has_more,
             })
         })
