Release the worker of a machine whose move had no effect

A worker got no new tasks for the rest of an ownership, although its machine stayed in its pool and counted as capacity there. Cause: the worker is blocked with the order to move its machine; if the order had no response, nothing looked again at whether the machine had moved. That the move was ordered was taken for the fact that the worker ends. Change: once the machines were listed after the lost response, a machine that still has the worker counts as one that is being emptied: its move is ordered again, or the worker is released if the move is needed no more. Evidence: a_worker_whose_move_had_no_effect_is_released_once_it_is_not_needed_elsewhere failed before (no action). The part in the owner has no test of its own: the stand-in has no order that is lost without effect. The tests of capacity.rs (14) and those of redwing-engine in owner.rs, takeover.rs and limits.rs (43) pass.

--- a/crates/engine/src/owner/machines.rs
+++ b/crates/engine/src/owner/machines.rs
@@ -82,6 +82,16 @@
     order: MachineOrder,
 }
 
+/// Move without a response, of a machine with a worker.
+#[derive(Debug)]
+struct LostMove {
+    machine: MachineName,
+    worker: WorkerId,
+    pool: PoolName,
+    /// Whether a list was requested before, which need not show the outcome.
+    awaits_old_list: bool,
+}
+
 /// Rows of a wave that are stored together.
 #[derive(Clone, Debug)]
 struct WaveRows {
@@ -108,6 +118,8 @@
     machines: Vec<ListedMachine>,
     is_listing: bool,
     next_list_at: BootTime,
+    /// Moves without a response, until a list shows their outcome.
+    lost_moves: Vec<LostMove>,
     /// Rows to store with the next changes, of each wave together.
     rows: VecDeque<WaveRows>,
     /// Rows that are being stored.
@@ -144,6 +156,7 @@
             machines: Vec::new(),
             is_listing: false,
             next_list_at: BootTime::default(),
+            lost_moves: Vec::new(),
             rows: VecDeque::new(),
             storing_rows: Vec::new(),
             set_aside: BTreeSet::new(),
@@ -507,8 +520,22 @@
         match response {
             MachineResponse::Listed(machines) => {
                 self.is_listing = false;
-                self.machines = machines.unwrap_or_else(|| std::mem::take(&mut self.machines));
+                self.apply_list(machines);
             }
+            MachineResponse::Ordered {
+                machine,
+                order:
+                    MachineOrder::Move {
+                        worker: Some(worker),
+                        pool,
+                    },
+                outcome: None,
+            } => self.lost_moves.push(LostMove {
+                machine,
+                worker,
+                pool,
+                awaits_old_list: self.is_listing,
+            }),
             MachineResponse::Ordered {
                 machine,
                 order: MachineOrder::Move { worker, pool },
@@ -525,6 +552,21 @@
         }
     }
 
+    /// Applies a list of the machines; none if there was no response.
+    fn apply_list(&mut self, machines: Option<Vec<ListedMachine>>) {
+        let is_listed = machines.is_some();
+        self.machines = machines.unwrap_or_else(|| std::mem::take(&mut self.machines));
+        for mut lost in std::mem::take(&mut self.lost_moves) {
+            if is_listed && !lost.awaits_old_list {
+                self.capacity_planner
+                    .handle_lost_move(&lost.machine, lost.worker, lost.pool);
+            } else {
+                lost.awaits_old_list = false;
+                self.lost_moves.push(lost);
+            }
+        }
+    }
+
     fn handle_move_response(
         &mut self,
         scheduler: &mut JobScheduler,
@@ -550,7 +592,7 @@
                 }
             }
             Some(MachineOutcome::Fenced) => self.is_fenced = true,
-            // The machine may have moved: the next list shows its pool.
+            // A machine without a worker: the next list shows its pool.
             None => {}
             Some(_) => {
                 if let Some(worker) = worker {
--- a/crates/jobs/src/capacity.rs
+++ b/crates/jobs/src/capacity.rs
@@ -345,6 +345,15 @@
         self.ordered.remove(machine);
     }
 
+    /// Handles that a move of a machine with a worker had no response, once the machines
+    /// were listed after it: if the worker is still listed on the machine, the move is
+    /// ordered again, or the worker is released.
+    pub fn handle_lost_move(&mut self, machine: &MachineName, worker: WorkerId, pool: PoolName) {
+        self.ordered.remove(machine);
+        let emptying = EmptyingMachine { worker, pool };
+        self.emptying.insert(machine.clone(), emptying);
+    }
+
     /// Returns the actions that move machines to follow the demand.
     pub fn plan(
         &mut self,
--- a/crates/jobs/tests/capacity.rs
+++ b/crates/jobs/tests/capacity.rs
@@ -28,6 +28,8 @@
     arrival_times: BTreeMap<MachineName, BootTime>,
     now: BootTime,
     moves: Vec<(MachineName, PoolName)>,
+    /// Whether orders are lost on their way.
+    loses_orders: bool,
 }
 
 impl FakePools {
@@ -60,6 +62,7 @@
             arrival_times: BTreeMap::new(),
             now: BootTime::from_millis(10_000),
             moves: Vec::new(),
+            loses_orders: false,
         }
     }
 
@@ -106,6 +109,12 @@
     }
 
     fn move_machine(&mut self, name: &MachineName, pool: &PoolName) {
+        if self.loses_orders {
+            let worker = self.machines[name].worker.clone();
+            let worker = worker.expect("the machine has a worker");
+            self.planner.handle_lost_move(name, worker, pool.clone());
+            return;
+        }
         self.planner.handle_move_response(name);
         self.moves.push((name.clone(), pool.clone()));
         self.arrival_times
@@ -342,3 +351,21 @@
     let waits = pools.planner.waits(pools.now);
     assert_eq!(waits.surplus.len(), 64);
 }
+
+/// The worker gets no new tasks from the order on.
+#[test]
+fn a_worker_whose_move_had_no_effect_is_released_once_it_is_not_needed_elsewhere() {
+    let mut pools = FakePools::new(&[("builders", 1), ("printers", 4)]);
+    pools.demand("builders").waiting = 2 * MACHINE_CPU_MILLIS;
+    pools.loses_orders = true;
+    let actions = pools.plan();
+    let [CapacityAction::Prepare(worker), CapacityAction::Move { .. }] = &actions[..] else {
+        panic!("{actions:?}");
+    };
+    pools.demand("builders").waiting = 0;
+    let actions = pools.plan();
+    assert!(
+        actions.contains(&CapacityAction::Release(worker.clone())),
+        "{actions:?}"
+    );
+}
