Tell the end of a job once it is stored

The log and the metrics named a job as ended before its final state was stored; if the owner was lost before, its successor named it again. Cause: the event was made with the decision. Change: it is made once the row with the final state is stored, and logged and counted at once, so also with the change that releases the ownership.

--- a/crates/engine/src/owner/session/store.rs
+++ b/crates/engine/src/owner/session/store.rs
@@ -393,6 +393,7 @@
         self.unconfirmed_since.take_if(|since| *since <= sent_at);
         self.machines.rows_stored();
         self.scheduler.changes_stored(&contents.changes, now);
+        self.log_events();
     }
 
     /// Queues the contents of a refused change again, for smaller changes. If it had
--- a/crates/jobs/src/scheduler/changes.rs
+++ b/crates/jobs/src/scheduler/changes.rs
@@ -15,10 +15,10 @@
 use crate::record::ProgressRecord;
 use crate::time::BootTime;
 
-use super::JobScheduler;
 use super::entry::TaskPhase;
 use super::lease_ledger::LeaseEnds;
 use super::order;
+use super::{JobScheduler, SchedulerEvent};
 
 /// Progress of one job, to be stored.
 #[derive(Clone, Debug, PartialEq)]
@@ -314,6 +314,9 @@
         }
         self.acknowledge_ended_runs(now);
         for row in &changes.rows {
+            if row.progress.state.is_final() {
+                self.tell_end(&row.job);
+            }
             self.remove_finished(&row.job, now);
         }
     }
@@ -346,6 +349,19 @@
         }
     }
 
+    /// Tells that a job has ended, once its final state is stored.
+    fn tell_end(&mut self, id: &JobId) {
+        let Some(job) = self.jobs.get_mut(id).filter(|job| !job.is_end_told) else {
+            return;
+        };
+        job.is_end_told = true;
+        self.events.push(SchedulerEvent::JobEnded {
+            job: id.clone(),
+            state: job.state,
+            failed: job.failed_runs(),
+        });
+    }
+
     fn remove_finished(&mut self, id: &JobId, now: BootTime) {
         let is_finished = self
             .jobs
--- a/crates/jobs/src/scheduler/entry.rs
+++ b/crates/jobs/src/scheduler/entry.rs
@@ -255,6 +255,8 @@
     pub(super) state: JobState,
     /// Whether a worker is known to have accepted a run of it.
     pub(super) has_started: bool,
+    /// Whether its end was told, which it is once it is stored.
+    pub(super) is_end_told: bool,
     /// Occurrences below this number have begun.
     pub(super) begun: u32,
     pub(super) occurrences: Vec<OccurrenceEntry>,
@@ -271,6 +273,7 @@
             critical_path_ms: record.spec.critical_path_ms(|_| 100),
             state: JobState::Queued,
             has_started: false,
+            is_end_told: false,
             begun: 0,
             occurrences: Vec::new(),
             active: 0,
--- a/crates/jobs/src/scheduler/lifecycle.rs
+++ b/crates/jobs/src/scheduler/lifecycle.rs
@@ -5,9 +5,9 @@
 use crate::time::{BootTime, WallTime};
 use crate::worker::OrderAction;
 
+use super::JobScheduler;
 use super::entry::{JobEntry, RunLocation, StopProgress, TaskPhase};
 use super::fleet::{RunReservation, WorkerEntry};
-use super::{JobScheduler, SchedulerEvent};
 
 /// Run of a task that is assigned to a worker.
 pub(super) struct PlacedRun {
@@ -140,12 +140,6 @@
             return;
         }
         job.state = state;
-        let failed = job.failed_runs();
-        self.events.push(SchedulerEvent::JobEnded {
-            job: id.clone(),
-            state,
-            failed,
-        });
         self.scheduled.remove(id);
         self.waiting.remove(id);
         self.changes.mark_changed(id);
--- a/crates/jobs/src/scheduler/mod.rs
+++ b/crates/jobs/src/scheduler/mod.rs
@@ -205,7 +205,7 @@
 /// Change of the scheduler's state, for logs and metrics.
 #[derive(Clone, Debug, PartialEq)]
 pub enum SchedulerEvent {
-    /// A job reached a final state.
+    /// A job reached a final state, which is stored.
     JobEnded {
         /// The job.
         job: JobId,
--- a/crates/jobs/tests/recovery.rs
+++ b/crates/jobs/tests/recovery.rs
@@ -5,6 +5,7 @@
 use std::time;
 
 use common::{FakeFleet, step_spec, task_id};
+use redwing_jobs::scheduler::SchedulerEvent;
 use redwing_jobs::spec::StepSpec;
 use redwing_jobs::{JobId, JobState, SchedulerSettings, WorkerId};
 
@@ -416,3 +417,28 @@
     fleet.advance(100);
     assert_eq!(pending_count(&fleet, &job), Some(0));
 }
+
+/// The number of jobs whose end the scheduler has told since the last call.
+fn told_ends(fleet: &mut FakeFleet) -> usize {
+    let events = fleet.scheduler.take_events().into_iter();
+    let ends = events.filter(|event| matches!(event, SchedulerEvent::JobEnded { .. }));
+    ends.count()
+}
+
+/// If the owner is lost before, its successor finds the end again.
+#[test]
+fn the_end_of_a_job_is_told_once_it_is_stored() {
+    let mut fleet = fleet_of(1);
+    fleet.submit("j", vec![step_spec(1, 1_000)], 300);
+    fleet.advance(200);
+    assert_eq!(fleet.starts.len(), 1);
+    fleet.is_table_up = false;
+    fleet.advance(500);
+    assert_eq!(told_ends(&mut fleet), 0);
+    fleet.take_over(SchedulerSettings::default());
+    fleet.is_table_up = true;
+    fleet.advance(500);
+    assert_eq!(told_ends(&mut fleet), 1);
+    fleet.advance(500);
+    assert_eq!(told_ends(&mut fleet), 0);
+}
