Send requests again that were sent before the return of the table

Cause: a request that the silent table never answers kept its sender waiting until its own time limit, which for a watch is that of a call and the wait for a change (1.7 and 2.2 s). The breaker opened and closed without an effect on it. Watches that were to show whether the table had returned waited for a change too, and failed followers slept on.

Change: the first response after failures ends what was sent before its request and of which nothing has arrived: reads are sent again, the outcome of a commit is unknown, which its senders resolve at once. While the latest call failed, watches do not wait for a change. Followers read again as soon as the table has returned. The stand-in table can be silent.

--- a/crates/engine/src/follow.rs
+++ b/crates/engine/src/follow.rs
@@ -107,7 +107,9 @@
                         is_unreachable = true;
                         log_job_event!(warn, event::TABLE_LOST, rows = self.prefix, error = error);
                     }
-                    timer::sleep(backoff.next_delay(rand::random())).await;
+                    let delay = backoff.next_delay(rand::random());
+                    // The other clause ends the wait.
+                    let _ = timer::timeout(delay, self.client.wait_for_return()).await;
                 }
             }
         }
--- a/crates/provider/src/breaker.rs
+++ b/crates/provider/src/breaker.rs
@@ -65,6 +65,11 @@
         matches!(self.state, BreakerState::Closed { .. })
     }
 
+    /// Returns whether the latest call got a response.
+    pub fn is_healthy(&self) -> bool {
+        matches!(self.state, BreakerState::Closed { failures: 0 })
+    }
+
     /// Decides whether a call may start at `now`.
     ///
     /// A probe without a result after `probe_timeout` no longer counts, so that
--- a/crates/provider/src/client.rs
+++ b/crates/provider/src/client.rs
@@ -5,7 +5,7 @@
 use std::sync;
 use std::time;
 
-use tokio::sync::{Semaphore, mpsc, oneshot};
+use tokio::sync::{Semaphore, mpsc, oneshot, watch};
 use tokio::{task, time as timer};
 
 use crate::LocalFuture;
@@ -102,6 +102,8 @@
     read_semaphore: Semaphore,
     counters: cell::RefCell<CallCounters>,
     last_success: cell::Cell<Option<time::Instant>>,
+    /// When the call was sent whose response was the first after failures.
+    returned_call: watch::Sender<Option<time::Instant>>,
 }
 
 struct QueuedCommit {
@@ -124,6 +126,7 @@
             read_semaphore: Semaphore::new(settings.max_reads_in_flight),
             counters: cell::RefCell::default(),
             last_success: cell::Cell::new(None),
+            returned_call: watch::Sender::new(None),
             settings,
         });
         task::spawn_local(run_writer(shared.clone(), queued_commits));
@@ -151,6 +154,13 @@
         self.shared.breaker.borrow().is_closed() && self.last_success().is_some()
     }
 
+    /// Waits until the table responds after failures.
+    pub async fn wait_for_return(&self) {
+        let mut returned_call = self.shared.returned_call.subscribe();
+        // The sender lives as long as this client.
+        let _ = returned_call.changed().await;
+    }
+
     /// Returns the numbers of calls so far, one entry per cause.
     pub fn counts(&self) -> Vec<CauseCounts> {
         self.shared.counters.borrow().counts()
@@ -374,7 +384,11 @@
                 TableRead::Watch(cursor, wait) => self.table.watch(WatchRequest {
                     prefix,
                     cursor,
-                    wait,
+                    // While the table fails, the response shows that it has returned.
+                    wait: match self.breaker.borrow().is_healthy() {
+                        true => wait,
+                        false => time::Duration::ZERO,
+                    },
                     progress: &progress,
                 }),
             };
@@ -382,27 +396,49 @@
             let response = within_idle_limit(limit, &progress, call).await;
             response.unwrap_or_else(|| Err(Error::unavailable(operation, SERVICE, "timed out")))
         };
-        self.call(cause, operation, call).await
+        self.call(cause, operation, &progress, call).await
     }
 
     /// Makes one call that reads, within the limits on the number and rate of reads.
-    pub(crate) async fn call<T, F: Future<Output = Result<T>>>(
+    ///
+    /// The call is sent again once the table has returned, if it was sent before and
+    /// nothing has arrived in `progress` since.
+    pub(crate) async fn call<T>(
         &self,
         cause: CallCause,
         operation: &'static str,
-        call: impl FnOnce() -> F,
+        progress: &ReadProgress,
+        call: impl AsyncFn() -> Result<T>,
     ) -> Result<T> {
         let permit = self.read_semaphore.acquire().await;
         let _permit = permit
             .map_err(|_| Error::unavailable(operation, SERVICE, "the table client is closed"))?;
         let delay = self.read_limiter.borrow_mut().reserve(time::Instant::now());
         timer::sleep(delay).await;
-        self.admit(operation)?;
-        self.counters.borrow_mut().count_read(cause);
-        let sent_at = time::Instant::now();
-        let response = call().await;
-        self.record(cause, sent_at, &response);
-        response
+        loop {
+            self.admit(operation)?;
+            self.counters.borrow_mut().count_read(cause);
+            let sent_at = time::Instant::now();
+            let received = progress.bytes();
+            let is_lost = || progress.bytes() == received;
+            tokio::select! {
+                response = call() => {
+                    self.record(cause, sent_at, &response);
+                    return response;
+                }
+                () = self.wait_for_later_response(sent_at, is_lost) => {}
+            }
+        }
+    }
+
+    /// Waits until the table has responded, after failures, to a call sent later than
+    /// `sent_at`, and `is_lost` returns true then: a call from before gets no response
+    /// any more.
+    async fn wait_for_later_response(&self, sent_at: time::Instant, is_lost: impl Fn() -> bool) {
+        let mut returned_call = self.returned_call.subscribe();
+        let is_later = |call: &Option<time::Instant>| *call > Some(sent_at) && is_lost();
+        // The sender lives as long as the client.
+        let _ = returned_call.wait_for(is_later).await;
     }
 
     async fn send(
@@ -414,9 +450,15 @@
         self.counters.borrow_mut().count_commit(cause);
         let sent_at = time::Instant::now();
         let call = self.table.commit(transaction);
-        let response = timer::timeout(self.settings.call_timeout, call).await;
-        let response =
-            response.unwrap_or_else(|_| Err(Error::unknown("commit", SERVICE, "timed out")));
+        let response = tokio::select! {
+            response = timer::timeout(self.settings.call_timeout, call) => {
+                response.unwrap_or_else(|_| Err(Error::unknown("commit", SERVICE, "timed out")))
+            }
+            () = self.wait_for_later_response(sent_at, || true) => {
+                let message = "the table has responded to a later request";
+                Err(Error::unknown("commit", SERVICE, message))
+            }
+        };
         self.record(cause, sent_at, &response);
         response
     }
@@ -444,8 +486,12 @@
         let now = time::Instant::now();
         match category {
             None | Some(Category::Refused) => {
+                let has_returned = !self.breaker.borrow().is_healthy();
                 self.breaker.borrow_mut().record_success();
                 self.last_success.set(Some(now));
+                if has_returned {
+                    self.returned_call.send_replace(Some(sent_at));
+                }
             }
             // The table has responded since the call was sent.
             Some(_) if self.last_success.get() > Some(sent_at) => {}
--- a/crates/provider/src/scan.rs
+++ b/crates/provider/src/scan.rs
@@ -202,8 +202,10 @@
     async fn list_parts(&self, prefix: &str) -> Result<PartList> {
         let send = || {
             self.progress.add_request();
-            let call = || self.shared.table.list_parts(prefix);
-            self.shared.call(self.cause, "scan", call).boxed_local()
+            let call = async || self.shared.table.list_parts(prefix).await;
+            self.shared
+                .call(self.cause, "scan", self.progress, call)
+                .boxed_local()
         };
         self.retry(async || self.send_hedged(self.progress, send).await)
             .await
@@ -218,8 +220,10 @@
                 after,
                 progress: &progress,
             };
-            let call = move || self.shared.table.scan_page(request);
-            self.shared.call(self.cause, "scan", call).boxed_local()
+            let call = async move || self.shared.table.scan_page(request).await;
+            self.shared
+                .call(self.cause, "scan", request.progress, call)
+                .boxed_local()
         };
         let page = self
             .retry(async || self.send_hedged(&progress, send).await)
--- a/crates/provider/tests/client.rs
+++ b/crates/provider/tests/client.rs
@@ -302,6 +302,63 @@
     });
 }
 
+/// Settings of a client that soon notices that the table is silent, but waits long for a
+/// response to each call.
+fn patient_settings() -> ClientSettings {
+    let mut settings = fast_settings();
+    settings.call_timeout = time::Duration::from_secs(30);
+    settings.scan_timeout = time::Duration::from_millis(20);
+    settings
+}
+
+/// Makes the table silent, sends `hung`, and ends the silence once the client has noticed
+/// it; returns the response after another call got one.
+async fn return_during<T>(
+    platform: &MemoryPlatform,
+    client: &TableClient,
+    hung: impl Future<Output = T>,
+) -> T {
+    platform.set_faults(|faults| faults.table_silent = true);
+    let returned = async {
+        assert!(client.scan(CAUSE, "other/").await.is_err());
+        platform.set_faults(|faults| faults.table_silent = false);
+        let row = creation("row/1", "1");
+        platform.commit(&row).await.expect("the table is up");
+        assert!(client.scan(CAUSE, "other/").await.is_ok());
+    };
+    let both = future::join(hung, returned);
+    let limit = time::Duration::from_secs(5);
+    let (response, ()) = tokio::time::timeout(limit, both)
+        .await
+        .expect("the call ends soon after the return of the table");
+    response
+}
+
+/// A watch was sent while the table was silent: it is sent again once another call got a
+/// response, and does not wait for the end of its own time limit.
+#[test]
+fn a_watch_from_before_the_return_of_the_table_is_sent_again() {
+    block_on(async {
+        let platform = MemoryPlatform::default();
+        let client = client_for(&platform, patient_settings());
+        let watch = client.watch(CAUSE, "row/", 0, time::Duration::from_secs(1));
+        let view = return_during(&platform, &client, watch).await;
+        assert_eq!(view.expect("the table is up").rows.len(), 1);
+    });
+}
+
+/// The same for a commit, whose outcome is then unknown.
+#[test]
+fn a_commit_from_before_the_return_of_the_table_ends() {
+    block_on(async {
+        let platform = MemoryPlatform::default();
+        let client = client_for(&platform, patient_settings());
+        let commit = client.commit(CAUSE, creation("row/2", "1"));
+        let outcome = return_during(&platform, &client, commit).await;
+        assert_eq!(outcome.unwrap_err().classify(), Category::Unknown);
+    });
+}
+
 /// Calls that the table never answered time out after it has returned: they say nothing
 /// of the table as it is now.
 #[test]
--- a/crates/standin/src/fault.rs
+++ b/crates/standin/src/fault.rs
@@ -8,6 +8,9 @@
 pub struct FaultPlan {
     /// Every call of the table fails.
     pub table_down: bool,
+    /// Calls of the table never get a response, also once this has ended, as on a
+    /// connection that has gone silent.
+    pub table_silent: bool,
     /// Every call of the object store fails.
     pub objects_down: bool,
     /// Every call that lists or controls VMs fails.
--- a/crates/standin/src/memory.rs
+++ b/crates/standin/src/memory.rs
@@ -1,6 +1,7 @@
 //! Stand-in platform in memory.
 
 use std::collections::{BTreeMap, HashSet};
+use std::future;
 use std::sync;
 use std::time;
 
@@ -220,13 +221,22 @@
         }
     }
 
+    /// Fails if the table is down; never returns if it is silent.
+    async fn reach_table(&self, operation: &'static str) -> Result<()> {
+        let faults = self.faults();
+        if faults.table_silent {
+            return future::pending().await;
+        }
+        fail_if_down(faults.table_down, operation)
+    }
+
     async fn read_table(
         &self,
         operation: &'static str,
         prefix: &str,
         is_selected: impl Fn(&TableRow) -> bool,
     ) -> Result<TableView> {
-        fail_if_down(self.lock_faults().table_down, operation)?;
+        self.reach_table(operation).await?;
         self.wait_half_delay().await;
         let view = self.lock().read(prefix, is_selected);
         self.wait_half_delay().await;
@@ -333,7 +343,7 @@
         transaction: &'a TableTransaction,
     ) -> LocalFuture<'a, Result<CommitOutcome>> {
         Box::pin(async move {
-            fail_if_down(self.lock_faults().table_down, "commit")?;
+            self.reach_table("commit").await?;
             check_limits(&self.limits(), transaction)?;
             self.wait_half_delay().await;
             if self.lock_faults().consume_lost_request() {
