Retry a change of the owner once its response is late

Cause: an attempt to store a change waited 700 ms for its response, whatever responses usually take. Two lost ones last longer than the lease of 1.2 s, and nothing is started meanwhile.

Change: the client of the table keeps the mean and the deviation of the time until its commits were answered. A response that comes after that still counts for the estimate, so that a slow table is soon waited for.

--- a/crates/engine/tests/common/mod.rs
+++ b/crates/engine/tests/common/mod.rs
@@ -44,6 +44,8 @@
     FirstOfEachJob,
     /// The replies to claims of the ownership, and all later commits.
     AfterClaim,
+    /// Two of three replies to commits; these take effect.
+    TwoOfThreeReplies,
 }
 
 /// Transactions that the table refuses although they are within its limits.
@@ -106,6 +108,20 @@
         std::future::pending().await
     }
 
+    /// Executes a commit; responds to every third.
+    async fn lose_replies(
+        &self,
+        transaction: &TableTransaction,
+    ) -> redwing_provider::Result<CommitOutcome> {
+        let number = self.calls.get();
+        self.calls.set(number + 1);
+        let outcome = self.inner.commit(transaction).await;
+        match number % 3 {
+            2 => outcome,
+            _ => std::future::pending().await,
+        }
+    }
+
     fn is_commit_lost(&self, transaction: &TableTransaction) -> bool {
         let mut puts = transaction.writes().iter().map(|write| write.key.clone());
         let job = puts.find(|key| key.as_str().starts_with("jobs@"));
@@ -127,6 +143,9 @@
         if self.lost_calls.get() == LostCalls::AfterClaim {
             return Box::pin(self.lose_claim_reply(transaction));
         }
+        if self.lost_calls.get() == LostCalls::TwoOfThreeReplies {
+            return Box::pin(self.lose_replies(transaction));
+        }
         if self.refusals.borrow_mut().refuses(transaction) {
             let delay = time::Duration::from_millis(self.platform.faults().table_delay_millis);
             return Box::pin(async move {
--- a/crates/provider/src/client.rs
+++ b/crates/provider/src/client.rs
@@ -17,6 +17,7 @@
 use crate::limits::{TableLimits, TransactionSize};
 use crate::progress::ReadProgress;
 use crate::rate_limiter::RateLimiter;
+use crate::response_time::ResponseTime;
 use crate::scan::ClientScan;
 use crate::table::{
     CommitOutcome, RowKey, TableRow, TableStore, TableTransaction, TableView, WatchRequest,
@@ -102,6 +103,8 @@
     read_semaphore: Semaphore,
     counters: cell::RefCell<CallCounters>,
     last_success: cell::Cell<Option<time::Instant>>,
+    /// Time until the responses to commits arrived.
+    commit_time: cell::Cell<ResponseTime>,
     /// When the call was sent whose response was the first after failures.
     returned_call: watch::Sender<Option<time::Instant>>,
 }
@@ -126,6 +129,7 @@
             read_semaphore: Semaphore::new(settings.max_reads_in_flight),
             counters: cell::RefCell::default(),
             last_success: cell::Cell::new(None),
+            commit_time: cell::Cell::default(),
             returned_call: watch::Sender::new(None),
             settings,
         });
@@ -154,6 +158,12 @@
         self.shared.breaker.borrow().is_closed() && self.last_success().is_some()
     }
 
+    /// Returns the time after which the response to a commit is probably lost, at most
+    /// `max`.
+    pub fn commit_late_after(&self, max: time::Duration) -> time::Duration {
+        self.shared.commit_time.get().late_after(max)
+    }
+
     /// Waits until the table responds after failures.
     pub async fn wait_for_return(&self) {
         let mut returned_call = self.shared.returned_call.subscribe();
@@ -460,6 +470,11 @@
             }
         };
         self.record(cause, sent_at, &response);
+        if response.is_ok() {
+            let mut commit_time = self.commit_time.get();
+            commit_time.observe(sent_at.elapsed());
+            self.commit_time.set(commit_time);
+        }
         response
     }
 
