Count a machine that left as gone in its wave although it is busy

The users' page rejects with 'busy' a machine that is not up, or leaving; one that does not exist any more may be either.

Change: a machine that the list has left out for 5 s and that is busy then counts as gone. While it is absent it is ordered each 1.5 s as before.

Evidence: a_wave_is_completed_although_a_machine_that_left_stays_busy failed and passes; a_wave_waits_for_a_listed_machine_that_is_busy passes before and after.

--- a/crates/engine/src/owner/machines.rs
+++ b/crates/engine/src/owner/machines.rs
@@ -573,7 +573,8 @@
                 self.wave_planner.order_accepted(wave, machine, now);
             }
             Some(MachineOutcome::Fenced) => self.is_fenced = true,
-            Some(MachineOutcome::Busy | MachineOutcome::Throttled) => {
+            Some(MachineOutcome::Busy) => self.wave_planner.machine_busy(wave, machine, now),
+            Some(MachineOutcome::Throttled) => {
                 self.wave_planner.order_rejected(wave, machine, now);
             }
             Some(MachineOutcome::NotInWave | MachineOutcome::Invalid) => {
--- a/crates/jobs/src/maintenance/mod.rs
+++ b/crates/jobs/src/maintenance/mod.rs
@@ -138,6 +138,9 @@
     /// Time for which a machine must be missing from the list before its
     /// maintenance is ordered nevertheless.
     pub absence_limit: time::Duration,
+    /// Time for which a machine that is busy must be missing from the list before it counts
+    /// as gone. A list that was read page by page lacks a machine for one interval only.
+    pub departure_limit: time::Duration,
     /// Number of machines to prepare beyond those that may be down.
     pub prepared_ahead: u32,
     /// Part of the wave's time that is kept in reserve.
@@ -155,6 +158,7 @@
             order_retry_interval: time::Duration::from_millis(1_500),
             rejection_delay: time::Duration::from_millis(300),
             absence_limit: time::Duration::from_millis(1_500),
+            departure_limit: time::Duration::from_secs(5),
             prepared_ahead: 1,
             reserve: time::Duration::from_secs(2),
             record_interval: time::Duration::from_secs(1),
@@ -250,6 +254,14 @@
         }
     }
 
+    /// Handles an order that was rejected because the machine is not up, or leaving. It
+    /// may be sent again later, unless the machine has left.
+    pub fn machine_busy(&mut self, wave: u64, machine: &MachineName, now: BootTime) {
+        if let Some(entry) = self.waves.get_mut(&wave) {
+            entry.machine_busy(machine, &self.settings, now);
+        }
+    }
+
     /// Handles an order for a machine that needs no maintenance: it is not part of
     /// the wave, or does not exist.
     pub fn order_unneeded(&mut self, wave: u64, machine: &MachineName) {
--- a/crates/jobs/src/maintenance/wave.rs
+++ b/crates/jobs/src/maintenance/wave.rs
@@ -203,12 +203,29 @@
     pub(super) fn order_rejected(&mut self, machine: &MachineName, retry_at: BootTime) {
         if let Some(entry) = self.machines.get_mut(machine) {
             entry.stage = MachineStage::Waiting;
-            entry.absent_since = None;
             entry.not_before = retry_at;
             self.record.ordered.remove(machine);
         }
     }
 
+    /// Returns a machine that is busy to the waiting ones, or removes it if it has left:
+    /// the list has left it out for long.
+    pub(super) fn machine_busy(
+        &mut self,
+        machine: &MachineName,
+        settings: &MaintenanceSettings,
+        now: BootTime,
+    ) {
+        let entry = self.machines.get(machine);
+        match entry.and_then(|entry| entry.absent_since) {
+            Some(since) if now.saturating_since(since) >= settings.departure_limit => {
+                self.finish_machine(machine);
+            }
+            Some(_) => self.order_rejected(machine, now + settings.absence_limit),
+            None => self.order_rejected(machine, now + settings.rejection_delay),
+        }
+    }
+
     /// Removes a machine whose maintenance is done or that needs none.
     pub(super) fn finish_machine(&mut self, machine: &MachineName) {
         self.machines.remove(machine);
--- a/crates/jobs/tests/maintenance.rs
+++ b/crates/jobs/tests/maintenance.rs
@@ -32,6 +32,8 @@
     released_workers: Vec<WorkerId>,
     /// Whether orders are executed and their responses lost.
     loses_responses: bool,
+    /// Machines that have left, and are busy by the responses to orders.
+    departed: BTreeSet<MachineName>,
     /// Progress of the wave as last stored.
     stored: MaintenanceRecord,
 }
@@ -72,6 +74,7 @@
             prepared_workers: Vec::new(),
             released_workers: Vec::new(),
             loses_responses: false,
+            departed: BTreeSet::new(),
             stored: MaintenanceRecord::default(),
         }
     }
@@ -131,6 +134,10 @@
             self.stored.ordered.contains(machine),
             "{machine} was ordered before that was stored"
         );
+        if self.departed.contains(machine) {
+            self.planner.machine_busy(wave, machine, self.now);
+            return;
+        }
         let Some(machine_status) = self.machine_statuses.get_mut(machine) else {
             self.planner.order_unneeded(wave, machine);
             return;
@@ -262,6 +269,35 @@
     assert_eq!(machines.maintenance_counts.len(), 3);
 }
 
+/// A machine leaves while the wave goes on. The list leaves it out, but orders find it
+/// busy to the end.
+#[test]
+fn a_wave_is_completed_although_a_machine_that_left_stays_busy() {
+    let mut machines = FakeMachines::new(3);
+    machines.add_wave(&wave_request(3, 1), None);
+    machines.machine_statuses.remove(&machine_name(2));
+    machines.departed.insert(machine_name(2));
+    machines.advance(time::Duration::from_secs(4));
+    assert!(!machines.is_completed());
+    machines.advance(time::Duration::from_secs(16));
+    assert!(machines.is_completed());
+    assert_eq!(machines.maintenance_counts.len(), 2);
+}
+
+/// A machine that is listed may be busy for long, and is maintained afterwards.
+#[test]
+fn a_wave_waits_for_a_listed_machine_that_is_busy() {
+    let mut machines = FakeMachines::new(2);
+    machines.departed.insert(machine_name(1));
+    machines.add_wave(&wave_request(2, 1), None);
+    machines.advance(time::Duration::from_secs(15));
+    assert!(!machines.is_completed());
+    machines.departed.clear();
+    machines.advance(time::Duration::from_secs(5));
+    assert!(machines.is_completed());
+    assert_eq!(machines.maintenance_counts.len(), 2);
+}
+
 /// An earlier owner recorded an order whose outcome it did not learn: the machine
 /// counts as down until a repeated order shows the outcome.
 #[test]
