Send reads again at intervals while the table fails

Change: while the latest call failed, a read without any response is sent again at the interval of probes; each of these waits for one interval, and the read itself for its own limit, so that a slow table is read as before. The breaker does not count them.

Evidence: a_read_notices_the_return_of_the_table_by_itself failed (5 s without a response) and passes.

--- a/crates/provider/src/client.rs
+++ b/crates/provider/src/client.rs
@@ -49,7 +49,7 @@
     /// Largest number of transactions in the queue.
     pub queue_capacity: usize,
     /// Time after which another call may probe a table that does not respond to the
-    /// previous probe.
+    /// previous probe, and between two probes of one read.
     pub probe_interval: time::Duration,
     /// Settings of the circuit breaker.
     pub breaker: BreakerSettings,
@@ -412,7 +412,7 @@
     /// Makes one call that reads, within the limits on the number and rate of reads.
     ///
     /// The call is sent again once the table has returned, if it was sent before and
-    /// nothing has arrived in `progress` since.
+    /// nothing has arrived in `progress` since; while the table fails, at intervals too.
     pub(crate) async fn call<T>(
         &self,
         cause: CallCause,
@@ -425,22 +425,55 @@
             .map_err(|_| Error::unavailable(operation, SERVICE, "the table client is closed"))?;
         let delay = self.read_limiter.borrow_mut().reserve(time::Instant::now());
         timer::sleep(delay).await;
+        let received = progress.bytes();
+        let is_lost = || progress.bytes() == received;
         loop {
             self.admit(operation)?;
             self.counters.borrow_mut().count_read(cause);
             let sent_at = time::Instant::now();
-            let received = progress.bytes();
-            let is_lost = || progress.bytes() == received;
             tokio::select! {
                 response = call() => {
                     self.record(cause, sent_at, &response);
                     return response;
                 }
+                response = self.probe(cause, &call, is_lost) => return response,
                 () = self.wait_for_later_response(sent_at, is_lost) => {}
             }
         }
     }
 
+    /// Sends a read again at intervals while the table fails and `is_lost` returns true,
+    /// until one is answered. Each waits for one interval only: responses that take longer
+    /// are left to the read itself, and the breaker does not count them.
+    async fn probe<T>(
+        &self,
+        cause: CallCause,
+        call: impl AsyncFn() -> Result<T>,
+        is_lost: impl Fn() -> bool,
+    ) -> Result<T> {
+        let interval = self.settings.probe_interval;
+        let mut ticks = timer::interval(interval);
+        ticks.set_missed_tick_behavior(timer::MissedTickBehavior::Delay);
+        ticks.reset();
+        loop {
+            ticks.tick().await;
+            let is_failing = !self.breaker.borrow().is_healthy();
+            if !is_failing || !is_lost() {
+                continue;
+            }
+            self.counters.borrow_mut().count_read(cause);
+            let sent_at = time::Instant::now();
+            let Ok(response) = timer::timeout(interval, call()).await else {
+                continue;
+            };
+            let category = response.as_ref().err().map(Error::classify);
+            if matches!(category, None | Some(Category::Refused)) {
+                self.record(cause, sent_at, &response);
+                return response;
+            }
+        }
+    }
+
     /// Waits until the table has responded, after failures, to a call sent later than
     /// `sent_at`, and `is_lost` returns true then: a call from before gets no response
     /// any more.
--- a/crates/provider/tests/client.rs
+++ b/crates/provider/tests/client.rs
@@ -348,6 +348,29 @@
     });
 }
 
+/// No other call shows that the table has returned: a read without a response is sent again
+/// at the interval of probes while the table fails.
+#[test]
+fn a_read_notices_the_return_of_the_table_by_itself() {
+    block_on(async {
+        let platform = MemoryPlatform::default();
+        let mut settings = patient_settings();
+        settings.probe_interval = time::Duration::from_millis(20);
+        let client = client_for(&platform, settings);
+        platform.set_faults(|faults| faults.table_silent = true);
+        assert!(client.scan(CAUSE, "other/").await.is_err());
+        let watch = client.watch(CAUSE, "row/", 0, time::Duration::from_secs(1));
+        let returned = async {
+            tokio::time::sleep(time::Duration::from_millis(200)).await;
+            platform.set_faults(|faults| faults.table_silent = false);
+        };
+        let limit = time::Duration::from_secs(5);
+        let both = tokio::time::timeout(limit, future::join(watch, returned)).await;
+        let (view, ()) = both.expect("the watch ends soon after the return of the table");
+        assert!(view.is_ok(), "{view:?}");
+    });
+}
+
 /// The same for a commit, whose outcome is then unknown.
 #[test]
 fn a_commit_from_before_the_return_of_the_table_ends() {
