Make the order of what an owner stores a decision of the jobs package

Cause: the order was a constant of the session, and the simulated fleet and the experiment repeated it; no test on them would have failed had the session stored new work first.

Change: change_order has the parts and their order, for an owner that goes on and one that releases the ownership; the session, the experiment and the simulated fleet take it from there. No change of the order.

Evidence: ends_are_stored_before_new_work, which replays the return of a table after an absence, runs on this order; a_release_leaves_new_work_to_the_next_owner is new.

--- a/crates/engine/src/owner/session/store.rs
+++ b/crates/engine/src/owner/session/store.rs
@@ -1,11 +1,12 @@
 //! Changes that a session stores.
 //!
 //! Load pattern: after an absence of the table, far more to store than one change
-//! holds. A change is filled in the order of [`FILL_ORDER`] up to the limits of the
-//! table; what does not fit waits for the next one.
+//! holds. A change is filled in the order of [`ChangePurpose::parts`] up to the limits of
+//! the table; what does not fit waits for the next one.
 
 use std::mem;
 
+use redwing_jobs::change_order::{ChangePart, ChangePurpose};
 use redwing_jobs::scheduler::{ChangeSet, ProgressRow, RowFit, WorkKind};
 use redwing_jobs::{BootTime, JobId};
 use redwing_provider::builder::{FillBudget, UnitFit};
@@ -26,39 +27,10 @@
 
 use super::{OwnerSession, PendingChange};
 
-/// Kinds of what a change stores beside the owner row.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-enum ChangePart {
-    /// Ends of leases.
-    LeaseEnds,
-    /// Rows of waves.
-    Waves,
-    /// Rows for the callers.
-    Boards,
-    /// Progress of running and ended work.
-    RunningWork,
-    /// Deletions of the progress of jobs whose other rows are deleted.
-    ObsoleteJobs,
-    /// Progress of work whose runs are to be started.
-    NewWork,
-}
-
 /// Maximum number of progress rows that are left for the change that releases the
 /// ownership; the workers list to the next owner what is not stored with it.
 const MAX_RELEASE_ROWS: usize = 60;
 
-/// Order in which a change is filled. The first three parts are bounded, so that they
-/// leave most of a change to the others. Running work and ends come before new work:
-/// they free workers and answer callers, and new work only adds to what is under way.
-const FILL_ORDER: [ChangePart; 6] = [
-    ChangePart::LeaseEnds,
-    ChangePart::Waves,
-    ChangePart::Boards,
-    ChangePart::RunningWork,
-    ChangePart::ObsoleteJobs,
-    ChangePart::NewWork,
-];
-
 /// What a change stores, until it is stored or refused.
 #[derive(Debug, Default)]
 pub(super) struct ChangeContents {
@@ -90,16 +62,16 @@
         if !has_changes && !is_due && self.unconfirmed_since.is_none() {
             return;
         }
-        match self.fill_change(&FILL_ORDER, false, now) {
+        match self.fill_change(ChangePurpose::Continue, false, now) {
             Ok((fill, contents)) => self.send_change(fill, contents, now),
             Err(error) => log_job_event!(error, event::CHANGE_DELAYED, error = error),
         }
     }
 
-    /// Fills a change with `parts`, as far as they fit.
+    /// Fills a change with the parts for its purpose, as far as they fit.
     fn fill_change(
         &mut self,
-        parts: &[ChangePart],
+        purpose: ChangePurpose,
         released: bool,
         now: BootTime,
     ) -> Result<(ChangeFill, ChangeContents)> {
@@ -122,18 +94,15 @@
             changes: self.scheduler.begin_changes(now),
             ..ChangeContents::default()
         };
-        for part in parts {
+        for part in purpose.parts() {
             match part {
                 ChangePart::LeaseEnds => self.add_lease_ends(&mut fill, &contents.changes, now),
                 ChangePart::Waves => self.machines.add_rows(&mut fill),
                 ChangePart::Boards => self.add_boards(&mut fill, &mut contents, now),
-                ChangePart::RunningWork => {
-                    self.add_progress(&mut fill, &mut contents, WorkKind::Running, now);
+                ChangePart::Work(kind) => {
+                    self.add_progress(&mut fill, &mut contents, kind, now);
                 }
                 ChangePart::ObsoleteJobs => self.add_obsolete(&mut fill, &mut contents),
-                ChangePart::NewWork => {
-                    self.add_progress(&mut fill, &mut contents, WorkKind::New, now)
-                }
             }
         }
         contents.units = fill.units.clone();
@@ -230,8 +199,6 @@
     /// Stores what work has run or ended, then releases the ownership so that another
     /// process can acquire it at once. Runs that were to be started are left to it.
     pub(super) async fn store_release(&mut self) -> &'static str {
-        let parts = FILL_ORDER.map(|part| (part != ChangePart::NewWork).then_some(part));
-        let parts: Vec<ChangePart> = parts.into_iter().flatten().collect();
         let timeouts = StoreTimeouts {
             attempt: self.dependencies.settings.attempt_timeout,
             give_up_after: self.dependencies.settings.lease,
@@ -244,7 +211,7 @@
             let released = is_late || !has_more;
             // Each of these changes renews the ownership, or ends it.
             self.is_renewal_next = false;
-            let prepared = self.fill_change(&parts, released, now);
+            let prepared = self.fill_change(ChangePurpose::Release, released, now);
             let (fill, contents) = match prepared {
                 Ok(prepared) => prepared,
                 Err(error) => {
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -24,6 +24,7 @@
 
 pub mod admission;
 pub mod capacity;
+pub mod change_order;
 pub mod error;
 pub mod feasibility;
 pub mod maintenance;
--- a/crates/jobs/src/scheduler/changes.rs
+++ b/crates/jobs/src/scheduler/changes.rs
@@ -11,6 +11,7 @@
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
+use crate::change_order::ChangePurpose;
 use crate::name::{JobId, TaskId, WorkerId};
 use crate::record::ProgressRecord;
 use crate::time::BootTime;
@@ -191,8 +192,9 @@
     pub fn take_changes(&mut self, now: BootTime) -> ChangeSet {
         let mut changes = self.begin_changes(now);
         let mut add = |_: &ProgressRow| RowFit::Added;
-        self.add_changes(&mut changes, WorkKind::Running, now, &mut add);
-        self.add_changes(&mut changes, WorkKind::New, now, &mut add);
+        for kind in ChangePurpose::Continue.work() {
+            self.add_changes(&mut changes, kind, now, &mut add);
+        }
         changes
     }
 
--- a/crates/jobs/tests/changes.rs
+++ b/crates/jobs/tests/changes.rs
@@ -5,7 +5,9 @@
 use common::{FakeFleet, row_bytes, step_spec};
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
+use redwing_jobs::change_order::{ChangePart, ChangePurpose};
 use redwing_jobs::record::{OccurrenceRecord, TaskRecord};
+use redwing_jobs::scheduler::WorkKind;
 use redwing_jobs::spec::StepSpec;
 use redwing_jobs::{JobId, JobSpec, JobState, ProgressRecord, SchedulerSettings, WorkerId};
 
@@ -48,6 +50,22 @@
     assert!(first.iter().all(|id| id.starts_with("z-")), "{first:?}");
 }
 
+/// An owner that releases the ownership stores the ends, and starts nothing more.
+#[test]
+fn a_release_leaves_new_work_to_the_next_owner() {
+    let kinds: Vec<WorkKind> = ChangePurpose::Release.work().collect();
+    assert_eq!(kinds, [WorkKind::Running]);
+    let others = |purpose: ChangePurpose| purpose.parts().filter(|part| !is_work(part)).count();
+    assert_eq!(
+        others(ChangePurpose::Release),
+        others(ChangePurpose::Continue)
+    );
+}
+
+fn is_work(part: &ChangePart) -> bool {
+    matches!(part, ChangePart::Work(_))
+}
+
 /// More jobs arrive than changes hold rows. Rows are stored in the order in which their
 /// jobs changed: none waits for jobs that arrived later, whatever their names are.
 #[test]
--- a/crates/jobs/tests/common/mod.rs
+++ b/crates/jobs/tests/common/mod.rs
@@ -10,10 +10,11 @@
 use std::sync;
 use std::time;
 
+use redwing_jobs::change_order::ChangePurpose;
 use redwing_jobs::name::{CustomerName, PoolName, QueueName};
 use redwing_jobs::scheduler::{
     AdviceRequest, AdviceResponse, ChangeSet, FleetHealth, InheritedLeases, LeaseEnds, ProgressRow,
-    RowFit, StoredAdvice, WorkKind, WorkerPermit,
+    RowFit, StoredAdvice, WorkerPermit,
 };
 use redwing_jobs::spec::StepSpec;
 use redwing_jobs::time::WallTime;
@@ -284,7 +285,7 @@
             RowFit::Added
         };
         let mut changes = self.scheduler.begin_changes(self.now);
-        for kind in [WorkKind::Running, WorkKind::New] {
+        for kind in ChangePurpose::Continue.work() {
             self.scheduler
                 .add_changes(&mut changes, kind, self.now, &mut add);
         }
