Double the wait for a late response at each second attempt only

Change: the wait doubles at each second attempt: five fit into the lease. The estimate grows by the first response that was late, so the doubling only matters until then.

Evidence: an_owner_whose_replies_are_lost_keeps_the_ownership now loses four of five replies instead of two of three; it failed before and passes.

--- a/crates/engine/src/owner/change.rs
+++ b/crates/engine/src/owner/change.rs
@@ -166,8 +166,8 @@
 /// An attempt whose response was lost is recognised by the owner row, whose
 /// content no other change writes. An attempt that arrives late has no effect,
 /// because the version of the row has changed. The first attempts wait no longer than
-/// responses usually take, so that lost ones do not cost the ownership; each waits twice
-/// as long as the one before, so that a table that turns slow is not sent many.
+/// responses usually take, so that lost ones do not cost the ownership; each second one
+/// waits twice as long as before, so that a table that turns slow is not sent many.
 pub(super) async fn store(
     client: &TableClient,
     transaction: &TableTransaction,
@@ -182,7 +182,9 @@
         attempts += 1;
         let attempted = clock::boot_now();
         let commit = client.commit_within(CallCause::Job, transaction.clone(), attempt_timeout);
-        attempt_timeout = (attempt_timeout * 2).min(timeouts.attempt);
+        if attempts.is_multiple_of(2) {
+            attempt_timeout = (attempt_timeout * 2).min(timeouts.attempt);
+        }
         let error = match commit.await {
             Ok(CommitOutcome::Committed(version)) => {
                 return ChangeOutcome::Stored(OwnerLease {
--- a/crates/engine/tests/common/mod.rs
+++ b/crates/engine/tests/common/mod.rs
@@ -44,8 +44,8 @@
     FirstOfEachJob,
     /// The replies to claims of the ownership, and all later commits.
     AfterClaim,
-    /// Two of three replies to commits; these take effect.
-    TwoOfThreeReplies,
+    /// Four of five replies to commits; these take effect.
+    FourOfFiveReplies,
 }
 
 /// Transactions that the table refuses although they are within its limits.
@@ -108,7 +108,7 @@
         std::future::pending().await
     }
 
-    /// Executes a commit; responds to every third.
+    /// Executes a commit; responds to every fifth.
     async fn lose_replies(
         &self,
         transaction: &TableTransaction,
@@ -116,8 +116,8 @@
         let number = self.calls.get();
         self.calls.set(number + 1);
         let outcome = self.inner.commit(transaction).await;
-        match number % 3 {
-            2 => outcome,
+        match number % 5 {
+            4 => outcome,
             _ => std::future::pending().await,
         }
     }
@@ -143,7 +143,7 @@
         if self.lost_calls.get() == LostCalls::AfterClaim {
             return Box::pin(self.lose_claim_reply(transaction));
         }
-        if self.lost_calls.get() == LostCalls::TwoOfThreeReplies {
+        if self.lost_calls.get() == LostCalls::FourOfFiveReplies {
             return Box::pin(self.lose_replies(transaction));
         }
         if self.refusals.borrow_mut().refuses(transaction) {
--- a/crates/engine/tests/takeover.rs
+++ b/crates/engine/tests/takeover.rs
@@ -116,7 +116,7 @@
         let cluster = TestCluster::start(2, time::Duration::from_secs(60)).await;
         let owner = cluster.owner().await;
         timer::sleep(time::Duration::from_secs(2)).await;
-        cluster.lost_calls.set(LostCalls::TwoOfThreeReplies);
+        cluster.lost_calls.set(LostCalls::FourOfFiveReplies);
         timer::sleep(time::Duration::from_secs(8)).await;
         let last = cluster.owner().await;
         assert_eq!(last.fencing_token, owner.fencing_token);
