--- a/crates/provider/src/calls.rs
+++ b/crates/provider/src/calls.rs
@@ -5,7 +5,7 @@
 use std::rc;
 use std::time;
 
-use tokio::sync::Semaphore;
+use tokio::sync::{Semaphore, watch};
 use tokio::time as timer;
 
 use crate::LocalFuture;
@@ -15,6 +15,7 @@
 use crate::error::{Category, Error, Result};
 use crate::progress::ReadProgress;
 use crate::rate_limiter::RateLimiter;
+use crate::response_time::ResponseTime;
 use crate::table::{CommitOutcome, TableStore, TableTransaction, TableView, WatchRequest};
 
 /// Table with the limits and counters that all calls of a client share.
@@ -26,6 +27,10 @@
     read_semaphore: Semaphore,
     counters: cell::RefCell<CallCounters>,
     last_success: cell::Cell<Option<time::Instant>>,
+    /// Time until the responses to commits arrived.
+    commit_time: cell::Cell<ResponseTime>,
+    /// When the call was sent whose response was the first after failures.
+    returned_call: watch::Sender<Option<time::Instant>>,
 }
 
 /// Kind of a read of changes, with the number of the commit after which it starts and
@@ -63,6 +68,8 @@
             read_semaphore: Semaphore::new(settings.max_reads_in_flight),
             counters: cell::RefCell::default(),
             last_success: cell::Cell::new(None),
+            commit_time: cell::Cell::default(),
+            returned_call: watch::Sender::new(None),
             settings,
         }
     }
@@ -77,6 +84,19 @@
         self.breaker.borrow().is_closed() && self.last_success().is_some()
     }
 
+    /// Returns the time after which the response to a commit is probably lost, at most
+    /// `max`.
+    pub(crate) fn commit_late_after(&self, max: time::Duration) -> time::Duration {
+        self.commit_time.get().late_after(max)
+    }
+
+    /// Waits until the table responds after failures.
+    pub(crate) async fn wait_for_return(&self) {
+        let mut returned_call = self.returned_call.subscribe();
+        // The sender lives as long as this value.
+        let _ = returned_call.changed().await;
+    }
+
     /// Returns the numbers of calls so far, one entry per cause.
     pub(crate) fn counts(&self) -> Vec<CauseCounts> {
         self.counters.borrow().counts()
@@ -97,7 +117,11 @@
                 TableRead::Watch(cursor, wait) => self.table.watch(WatchRequest {
                     prefix,
                     cursor,
-                    wait,
+                    // While the table fails, the response shows that it has returned.
+                    wait: match self.breaker.borrow().is_healthy() {
+                        true => wait,
+                        false => time::Duration::ZERO,
+                    },
                     progress: &progress,
                 }),
             };
@@ -105,27 +129,82 @@
             let response = within_idle_limit(limit, &progress, call).await;
             response.unwrap_or_else(|| Err(Error::unavailable(operation, SERVICE, "timed out")))
         };
-        self.call(cause, operation, call).await
+        self.call(cause, operation, &progress, call).await
     }
 
     /// Makes one call that reads, within the limits on the number and rate of reads.
-    pub(crate) async fn call<T, F: Future<Output = Result<T>>>(
+    ///
+    /// The call is sent again once the table has returned, if it was sent before and
+    /// nothing has arrived in `progress` since; while the table fails, at intervals too.
+    pub(crate) async fn call<T>(
         &self,
         cause: CallCause,
         operation: &'static str,
-        call: impl FnOnce() -> F,
+        progress: &ReadProgress,
+        call: impl AsyncFn() -> Result<T>,
     ) -> Result<T> {
         let permit = self.read_semaphore.acquire().await;
         let _permit = permit
             .map_err(|_| Error::unavailable(operation, SERVICE, "the table client is closed"))?;
         let delay = self.read_limiter.borrow_mut().reserve(time::Instant::now());
         timer::sleep(delay).await;
-        self.admit(operation)?;
-        self.counters.borrow_mut().count_read(cause);
-        let sent_at = time::Instant::now();
-        let response = call().await;
-        self.record(cause, sent_at, &response);
-        response
+        let received = progress.bytes();
+        let is_lost = || progress.bytes() == received;
+        loop {
+            self.admit(operation)?;
+            self.counters.borrow_mut().count_read(cause);
+            let sent_at = time::Instant::now();
+            tokio::select! {
+                response = call() => {
+                    self.record(cause, sent_at, &response);
+                    return response;
+                }
+                response = self.probe(cause, &call, is_lost) => return response,
+                () = self.wait_for_later_response(sent_at, is_lost) => {}
+            }
+        }
+    }
+
+    /// Sends a read again at intervals while the table fails and `is_lost` returns true,
+    /// until one is answered. Each waits for one interval only: responses that take longer
+    /// are left to the read itself, and the breaker does not count them.
+    async fn probe<T>(
+        &self,
+        cause: CallCause,
+        call: impl AsyncFn() -> Result<T>,
+        is_lost: impl Fn() -> bool,
+    ) -> Result<T> {
+        let interval = self.settings.probe_interval;
+        let mut ticks = timer::interval(interval);
+        ticks.set_missed_tick_behavior(timer::MissedTickBehavior::Delay);
+        ticks.reset();
+        loop {
+            ticks.tick().await;
+            let is_failing = !self.breaker.borrow().is_healthy();
+            if !is_failing || !is_lost() {
+                continue;
+            }
+            self.counters.borrow_mut().count_read(cause);
+            let sent_at = time::Instant::now();
+            let Ok(response) = timer::timeout(interval, call()).await else {
+                continue;
+            };
+            let category = response.as_ref().err().map(Error::classify);
+            if matches!(category, None | Some(Category::Refused)) {
+                self.record(cause, sent_at, &response);
+                return response;
+            }
+        }
+    }
+
+    /// Waits until the table has responded, after failures, to a call sent later than
+    /// `sent_at`, and `is_lost` returns true then: a call from before gets no response
+    /// any more.
+    async fn wait_for_later_response(&self, sent_at: time::Instant, is_lost: impl Fn() -> bool) {
+        let mut returned_call = self.returned_call.subscribe();
+        let is_later = |call: &Option<time::Instant>| *call > Some(sent_at) && is_lost();
+        // The sender lives as long as the client.
+        let _ = returned_call.wait_for(is_later).await;
     }
 
     /// Makes one attempt to commit a transaction.
@@ -138,10 +217,21 @@
         self.counters.borrow_mut().count_commit(cause);
         let sent_at = time::Instant::now();
         let call = self.table.commit(transaction);
-        let response = timer::timeout(self.settings.call_timeout, call).await;
-        let response =
-            response.unwrap_or_else(|_| Err(Error::unknown("commit", SERVICE, "timed out")));
+        let response = tokio::select! {
+            response = timer::timeout(self.settings.call_timeout, call) => {
+                response.unwrap_or_else(|_| Err(Error::unknown("commit", SERVICE, "timed out")))
+            }
+            () = self.wait_for_later_response(sent_at, || true) => {
+                let message = "the table has responded to a later request";
+                Err(Error::unknown("commit", SERVICE, message))
+            }
+        };
         self.record(cause, sent_at, &response);
+        if response.is_ok() {
+            let mut commit_time = self.commit_time.get();
+            commit_time.observe(sent_at.elapsed());
+            self.commit_time.set(commit_time);
+        }
         response
     }
 
@@ -169,8 +259,12 @@
         let now = time::Instant::now();
         match category {
             None | Some(Category::Refused) => {
+                let has_returned = !self.breaker.borrow().is_healthy();
                 self.breaker.borrow_mut().record_success();
                 self.last_success.set(Some(now));
+                if has_returned {
+                    self.returned_call.send_replace(Some(sent_at));
+                }
             }
             // The table has responded since the call was sent.
             Some(_) if self.last_success.get() > Some(sent_at) => {}
--- a/crates/provider/src/client.rs
+++ b/crates/provider/src/client.rs
@@ -46,7 +46,7 @@
     /// Largest number of transactions in the queue.
     pub queue_capacity: usize,
     /// Time after which another call may probe a table that does not respond to the
-    /// previous probe.
+    /// previous probe, and between two probes of one read.
     pub probe_interval: time::Duration,
     /// Settings of the circuit breaker.
     pub breaker: BreakerSettings,
@@ -122,6 +122,17 @@
         self.shared.is_reachable()
     }
 
+    /// Returns the time after which the response to a commit is probably lost, at most
+    /// `max`.
+    pub fn commit_late_after(&self, max: time::Duration) -> time::Duration {
+        self.shared.commit_late_after(max)
+    }
+
+    /// Waits until the table responds after failures.
+    pub async fn wait_for_return(&self) {
+        self.shared.wait_for_return().await;
+    }
+
     /// Returns the numbers of calls so far, one entry per cause.
     pub fn counts(&self) -> Vec<CauseCounts> {
         self.shared.counts()
