Count no capacity that the advisor denies to a waiting step

Cause: the planner compares the demand of a pool with the processor of its machines. After the idle time one machine was left, whose worker the advisor denied; its free processor counted as enough, so none was woken. A denial is final, so the job waited for ever. Change: a pool's demand has the free processor of the workers that are denied to a waiting step, the most of any step, for timely and for late work. The planner adds it to what the pool needs, so that a machine is moved or woken, its worker is asked about, and the next one follows if that is denied too. Workers that the advisor was not asked about count as permitted. Evidence: in crates/jobs/tests/advice.rs three tests (timely, late and long-running work) failed before; no_machine_is_woken_while_a_permitted_worker_has_capacity passed before and guards the other direction. The tests of redwing-jobs pass. Limit: while a step waits that no worker of the fleet may run, the pool keeps all machines that no other pool needs.

--- a/crates/jobs/src/capacity.rs
+++ b/crates/jobs/src/capacity.rs
@@ -10,6 +10,9 @@
 //! Work that can no longer meet its objective gets machines only while no pool
 //! lacks capacity for work that can.
 //!
+//! Free capacity on workers that the advisor denies to a waiting step does not count
+//! for it: the pool gets machines until a worker is permitted.
+//!
 //! A machine with long-running tasks is never moved, and one with other
 //! tasks only after they have finished.
 //!
@@ -77,6 +80,12 @@
     /// Processor needed by waiting tasks that can no longer meet their objective, in
     /// thousandths of a core.
     pub waiting_late: u64,
+    /// Free processor of the workers that the advisor denies to a waiting step that can
+    /// meet its objective or is long-running, the most of any such step, in thousandths
+    /// of a core.
+    pub denied: u64,
+    /// The same for steps that can no longer meet their objective.
+    pub denied_late: u64,
     /// Processor reserved by long-running tasks, in thousandths of a core.
     pub long_running: u64,
     /// Long-running tasks that wait for capacity; each may need a machine of its own.
@@ -387,12 +396,12 @@
             history.record(now, demand.arrived_jobs, &settings);
             let rate = history.expected_rate(now, &settings);
             let arriving = rate * mean_work(&demand) * (1.0 + settings.headroom);
-            let current = demand.running + demand.waiting;
+            let current = demand.running + demand.waiting + demand.denied;
             let required = current.max(arriving as u64) + demand.long_running;
             let balance = PoolBalance {
                 is_standby: state.is_standby,
                 required,
-                late: demand.waiting_late,
+                late: demand.waiting_late + demand.denied_late.saturating_sub(demand.denied),
                 retained: history.peak_requirement(now, required, settings.peak_window),
                 allocated: 0,
             };
@@ -418,7 +427,8 @@
     }
 
     /// Raises the requirement of each pool to its machines with long-running tasks,
-    /// one more for each such task that waits, and a few free ones.
+    /// one more for each such task that waits, and a few free ones that are not denied to
+    /// waiting steps.
     fn raise_to_minimum(
         &self,
         pools: &BTreeMap<PoolName, PoolState>,
@@ -438,10 +448,10 @@
                 continue;
             }
             let occupied = minimum.get(name).copied().unwrap_or(0);
-            let waiting = pools
-                .get(name)
-                .map_or(0, |state| state.demand.waiting_long_running);
-            let free = (u64::from(self.settings.min_free_machines) + waiting) * machine_size;
+            let demand = pools.get(name).map(|state| state.demand);
+            let demand = demand.unwrap_or_default();
+            let free = u64::from(self.settings.min_free_machines) + demand.waiting_long_running;
+            let free = free * machine_size + demand.denied;
             balance.required = balance.required.max(occupied + free);
             balance.retained = balance.retained.max(occupied + free);
         }
--- a/crates/jobs/src/scheduler/advice.rs
+++ b/crates/jobs/src/scheduler/advice.rs
@@ -195,6 +195,12 @@
         });
     }
 
+    /// Returns the workers that may not run a step, as far as is known.
+    fn denied(&self, step: &StepId) -> impl Iterator<Item = &WorkerId> {
+        let advice = self.steps.get(step);
+        advice.into_iter().flat_map(|advice| &advice.denied)
+    }
+
     /// Drops a permit that a worker rejected.
     pub(super) fn drop_permit(&mut self, step: &StepId, worker: &WorkerId) {
         if let Some(advice) = self.steps.get_mut(step) {
@@ -309,6 +315,29 @@
         queue.is_some_and(|queue| queue.is_advised)
     }
 
+    /// Returns the free processor of the workers that are denied to a waiting step of a
+    /// job, the most of any of its steps, in thousandths of a core.
+    ///
+    /// Workers that the advisor has not been asked about count as permitted.
+    pub(super) fn denied_cpu(&self, id: &JobId) -> u64 {
+        let Some(job) = self.jobs.get(id).filter(|_| self.is_advised(id)) else {
+            return 0;
+        };
+        let pool = self.pool_of(job);
+        let denied = job.waiting_step_numbers().map(|(occurrence, step)| {
+            let step = StepId {
+                job: id.clone(),
+                occurrence,
+                step,
+            };
+            let workers = self.advice.denied(&step);
+            let workers = workers.filter_map(|worker| self.fleet.get(worker));
+            let open = workers.filter(|entry| entry.is_open_in(pool));
+            open.map(|entry| entry.free_capacity().cpu_millis).sum()
+        });
+        denied.max().unwrap_or(0)
+    }
+
     /// Requests permits for the workers that a step might run on.
     pub(super) fn request_advice(
         &mut self,
--- a/crates/jobs/src/scheduler/entry.rs
+++ b/crates/jobs/src/scheduler/entry.rs
@@ -409,6 +409,17 @@
         })
     }
 
+    /// Returns the occurrence and number of each ready step that has tasks without a run.
+    pub(super) fn waiting_step_numbers(&self) -> impl Iterator<Item = (u32, u32)> {
+        self.occurrences.iter().flat_map(|occurrence| {
+            let steps = occurrence.steps.iter().zip(&self.record.spec.steps);
+            let steps = steps.enumerate();
+            let waiting =
+                steps.filter(|(_, (step, spec))| occurrence.is_ready(spec) && step.has_idle());
+            waiting.map(|(number, _)| (occurrence.number, number as u32))
+        })
+    }
+
     pub(super) fn step(&self, occurrence: u32, step: u32) -> Option<&StepEntry> {
         let mut occurrences = self.occurrences.iter();
         let entry = occurrences.find(|entry| entry.number == occurrence)?;
--- a/crates/jobs/src/scheduler/fleet.rs
+++ b/crates/jobs/src/scheduler/fleet.rs
@@ -133,6 +133,13 @@
             && self.unhealthy_until <= now
     }
 
+    /// Returns whether the worker belongs to a pool and new tasks on it are not blocked.
+    pub(super) fn is_open_in(&self, pool: &PoolName) -> bool {
+        let view = self.view.as_ref();
+        let is_open = view.is_some_and(|view| view.pool == *pool && !view.is_draining);
+        is_open && self.is_listed && !self.is_blocked
+    }
+
     /// Returns whether the latest report lists no run that an earlier owner has
     /// ordered to stop, given the longest time that a stop may take.
     pub(super) fn has_settled(&self, stop_timeout: time::Duration) -> bool {
--- a/crates/jobs/src/scheduler/maintenance.rs
+++ b/crates/jobs/src/scheduler/maintenance.rs
@@ -46,10 +46,13 @@
             let demand = demands.entry(waiting.pool.clone()).or_default();
             if !waiting.rank.is_finite {
                 demand.waiting_long_running += job.waiting_tasks();
+                demand.denied = demand.denied.max(self.denied_cpu(id));
             } else if waiting.rank.is_late {
                 demand.waiting_late += job.waiting_cpu();
+                demand.denied_late = demand.denied_late.max(self.denied_cpu(id));
             } else {
                 demand.waiting += job.waiting_cpu();
+                demand.denied = demand.denied.max(self.denied_cpu(id));
             }
         }
         for task in std::mem::take(&mut self.displaced) {
