Reserve nothing for a job whose row is set aside

Cause: the row of a job that the table does not take (E537) is not stored before the job changes, and no start is ordered before the row is stored. The tasks that had been placed kept their reservations of capacity and of the customer's limit, and counted as active, until the job changed, which it may never do. Change: when a job is set aside, its runs that are not ordered yet are freed, and it does not wait for capacity. As soon as it changes it waits again. No start of these runs was ever sent, and the row that names them was not stored, so that nothing can run twice. Evidence: a_row_that_is_too_large_reserves_nothing failed before for a worker that the reservation filled and for a limit that it used up. a_job_with_a_row_that_was_too_large_continues_once_it_changes passed before and guards the other direction.

--- a/crates/jobs/src/scheduler/changes.rs
+++ b/crates/jobs/src/scheduler/changes.rs
@@ -134,26 +134,31 @@
 }
 
 impl ChangeTracker {
-    /// Marks a job of which work has run or ended.
-    pub(super) fn mark_changed(&mut self, job: &JobId) {
-        self.reset(job);
+    /// Marks a job of which work has run or ended; returns whether it was set aside.
+    fn mark_changed(&mut self, job: &JobId) -> bool {
         self.starting.remove(job);
         self.running.push(job);
+        self.reset(job)
     }
 
-    /// Marks a job of which runs are to be started.
-    pub(super) fn mark_starting(&mut self, job: &JobId) {
-        self.reset(job);
+    /// Marks a job of which runs are to be started; returns whether it was set aside.
+    fn mark_starting(&mut self, job: &JobId) -> bool {
         if !self.running.contains(job) {
             self.starting.push(job);
         }
+        self.reset(job)
     }
 
     /// Forgets that the row of a job was not taken by the table, because the job has
-    /// changed.
-    fn reset(&mut self, job: &JobId) {
-        self.set_aside.remove(job);
+    /// changed; returns whether it was set aside.
+    fn reset(&mut self, job: &JobId) -> bool {
         self.refused.remove(job);
+        self.set_aside.remove(job)
+    }
+
+    /// Returns whether the row of a job is not stored before the job changes.
+    pub(super) fn is_set_aside(&self, job: &JobId) -> bool {
+        self.set_aside.contains(job)
     }
 
     fn has_changed(&self) -> bool {
@@ -230,9 +235,7 @@
             };
             match add(&row) {
                 RowFit::Added => self.add_row(changes, row),
-                RowFit::TooLarge => {
-                    self.changes.set_aside.insert(row.job);
-                }
+                RowFit::TooLarge => self.set_job_aside(&row.job),
                 RowFit::Full => {
                     self.changes.queue_mut(kind).push_front(&row.job);
                     return;
@@ -292,7 +295,38 @@
         if self.changes.refused.remove(job) {
             self.changes.running.remove(job);
             self.changes.starting.remove(job);
-            self.changes.set_aside.insert(job.clone());
+            self.set_job_aside(job);
+        }
+    }
+
+    /// Sets a job aside. Its runs that are not ordered yet reserve nothing any more, and
+    /// no task of it is placed before it changes.
+    fn set_job_aside(&mut self, id: &JobId) {
+        self.changes.set_aside.insert(id.clone());
+        let Some(job) = self.jobs.get(id) else {
+            return;
+        };
+        let reserved = job
+            .tasks(id)
+            .filter(|(_, task)| matches!(task.phase, TaskPhase::Reserved(_)));
+        let reserved: Vec<TaskId> = reserved.map(|(name, _)| name).collect();
+        for task in &reserved {
+            self.free_task(task);
+        }
+        self.refresh_waiting(id);
+    }
+
+    /// Marks a job of which work has run or ended.
+    pub(super) fn mark_changed(&mut self, id: &JobId) {
+        if self.changes.mark_changed(id) {
+            self.refresh_waiting(id);
+        }
+    }
+
+    /// Marks a job of which runs are to be started.
+    pub(super) fn mark_starting(&mut self, id: &JobId) {
+        if self.changes.mark_starting(id) {
+            self.refresh_waiting(id);
         }
     }
 
--- a/crates/jobs/src/scheduler/lifecycle.rs
+++ b/crates/jobs/src/scheduler/lifecycle.rs
@@ -148,7 +148,7 @@
         });
         self.scheduled.remove(id);
         self.waiting.remove(id);
-        self.changes.mark_changed(id);
+        self.mark_changed(id);
         for placed in self.placed_runs(id) {
             self.stop_task(&placed.task, now);
         }
@@ -178,7 +178,7 @@
                 self.scheduled.remove(&id);
             }
             if self.jobs.contains_key(&id) {
-                self.changes.mark_starting(&id);
+                self.mark_starting(&id);
                 self.refresh_waiting(&id);
             }
         }
--- a/crates/jobs/src/scheduler/listing.rs
+++ b/crates/jobs/src/scheduler/listing.rs
@@ -127,7 +127,7 @@
             worker: id.clone(),
             incarnation: entry.incarnation,
         };
-        self.changes.mark_changed(&task.job);
+        self.mark_changed(&task.job);
         self.order_stop(task, location, run, now);
     }
 
--- a/crates/jobs/src/scheduler/placement.rs
+++ b/crates/jobs/src/scheduler/placement.rs
@@ -143,7 +143,9 @@
 
     /// Updates whether a job waits, and its place in the order.
     pub(super) fn update_waiting(&mut self, id: &JobId) {
-        let entry = self.jobs.get(id).and_then(|job| self.waiting_entry(job));
+        let job = self.jobs.get(id);
+        let job = job.filter(|_| !self.changes.is_set_aside(id));
+        let entry = job.and_then(|job| self.waiting_entry(job));
         match entry {
             Some(entry) => self.waiting.insert(id, entry),
             None => self.waiting.remove(id),
@@ -249,7 +251,7 @@
         {
             job.state = JobState::Running;
         }
-        self.changes.mark_starting(id);
+        self.mark_starting(id);
         // The remaining tasks wait for more capacity; another attempt with the
         // same capacity would place none of them.
         self.update_waiting(id);
--- a/crates/jobs/src/scheduler/report.rs
+++ b/crates/jobs/src/scheduler/report.rs
@@ -102,7 +102,7 @@
         self.update_failures(worker, ended, now);
         self.mark_worker_changed(worker);
         if is_tracked {
-            self.changes.mark_changed(&ended.task.job);
+            self.mark_changed(&ended.task.job);
             self.end_run(worker, ended, now);
         }
     }
--- a/crates/jobs/src/scheduler/stall.rs
+++ b/crates/jobs/src/scheduler/stall.rs
@@ -83,7 +83,7 @@
             advanced.into_iter().map(|(job, at)| (at, job)).collect();
         jobs.sort();
         for (_, job) in jobs.iter().take(self.settings.max_stalled_rows) {
-            self.changes.mark_changed(job);
+            self.mark_changed(job);
         }
     }
 
--- a/crates/jobs/tests/changes.rs
+++ b/crates/jobs/tests/changes.rs
@@ -2,12 +2,16 @@
 
 mod common;
 
-use common::{FakeFleet, row_bytes, step_spec};
+use std::sync;
+
+use common::{FakeFleet, FakeWorker, manifest_with_limit, row_bytes, step_spec};
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
+use redwing_jobs::name::PoolName;
 use redwing_jobs::record::{OccurrenceRecord, TaskRecord};
 use redwing_jobs::spec::StepSpec;
 use redwing_jobs::{JobId, JobSpec, JobState, ProgressRecord, SchedulerSettings, WorkerId};
+use rstest::rstest;
 
 /// Size of a change that holds a few rows of one task, in bytes.
 const FEW_ROWS: usize = 300;
@@ -104,6 +108,50 @@
     assert_eq!(fleet.state(&large), JobState::Cancelled);
 }
 
+/// A job whose row is too large starts nothing; what it would use is free for others,
+/// whether the worker or the customer's limit holds no more.
+#[rstest]
+#[case::worker(1_200, 0)]
+#[case::limit(4_000, 1_200)]
+fn a_row_that_is_too_large_reserves_nothing(#[case] worker: u64, #[case] limit: u64) {
+    let mut fleet = FakeFleet::of_size(1, worker);
+    let manifest = sync::Arc::new(manifest_with_limit(limit));
+    fleet.scheduler.set_manifest(manifest);
+    fleet.change_bytes = FEW_ROWS;
+    let large = fleet.submit("large", vec![step_spec(12, 100)], 100);
+    fleet.advance(500);
+    let small = fleet.submit("small", vec![step_spec(1, 100)], 100);
+    fleet.advance(1_000);
+    assert_eq!(fleet.state(&small), JobState::Completed);
+    assert_eq!(fleet.state(&large), JobState::Queued);
+    assert_eq!(fleet.starts.len(), 1);
+    let wall = fleet.wall_time();
+    let demands = fleet.scheduler.pool_demands(wall);
+    assert_eq!(demands[&PoolName::new("builders")].waiting, 0);
+}
+
+/// The row of a job becomes too large while its tasks run. The rest starts once the job
+/// has changed and its row fits.
+#[test]
+fn a_job_with_a_row_that_was_too_large_continues_once_it_changes() {
+    let mut fleet = FakeFleet::of_size(1, 500);
+    let large = fleet.submit("large", vec![step_spec(12, 100)], 400);
+    fleet.advance(200);
+    let worker = FakeWorker::new("w1", "builders", 500);
+    let view = worker.view.clone();
+    fleet.workers.insert(view.id.clone(), worker);
+    fleet.scheduler.worker_listed(view, fleet.now);
+    fleet.advance(150);
+    assert_eq!(fleet.starts.len(), 10);
+    fleet.change_bytes = 100;
+    fleet.advance(150);
+    assert_eq!(fleet.starts.len(), 10);
+    fleet.change_bytes = usize::MAX;
+    fleet.advance(1_000);
+    assert_eq!(fleet.state(&large), JobState::Completed);
+    assert_eq!(fleet.starts.len(), 12);
+}
+
 /// Every task of a large job runs for the third time, on a worker with a long name.
 #[test]
 fn the_estimated_size_covers_the_progress_of_a_large_job() {
