Tell operators which machines a wave waits for

Cause: a machine of a wave that is listed as down for good gets no order, or never comes up after its order. The wave stays running for ever, and nothing says why. Change: event E546 wave-delayed names the machines of a wave that have not been up for 10 s longer than maintenance takes, and says whether the time of the wave is over and how many machines are left; it is logged whenever either changes. A new owner counts the 10 s anew, but the time of the wave is stored. Evidence: operators_are_told_which_machine_a_wave_waits_for (before and in its maintenance) and a_wave_is_completed_after_an_unavailable_machine_has_returned failed before with an action that nothing emitted. The tests of redwing-jobs pass.

--- a/crates/engine/src/event.rs
+++ b/crates/engine/src/event.rs
@@ -104,4 +104,6 @@
     ADVICE_FAILED = 544 "advice-failed";
     /// Runs on an unresponsive worker begin to wait for the end of its leases.
     LEASE_AWAITED = 545 "lease-awaited";
+    /// A wave of maintenance waits for machines that are not up, or its time is over.
+    WAVE_DELAYED = 546 "wave-delayed";
 }
--- a/crates/engine/src/owner/machines.rs
+++ b/crates/engine/src/owner/machines.rs
@@ -7,7 +7,8 @@
 use redwing_jobs::capacity::{CapacityAction, CapacityPlanner, MoveWaits, PoolMachine, PoolState};
 use redwing_jobs::feasibility::FleetCapacity;
 use redwing_jobs::maintenance::{
-    MachineStatus, MaintenanceAction, MaintenanceRecord, WavePlanner, WaveState, WorkerLoad,
+    MachineStatus, MaintenanceAction, MaintenanceRecord, WaveDelay, WavePlanner, WaveState,
+    WorkerLoad,
 };
 use redwing_jobs::manifest::JobManifest;
 use redwing_jobs::name::{MachineName, PoolName, WorkerId};
@@ -31,6 +32,9 @@
 /// a flood of them.
 const WAVES_PER_CHANGE: usize = 10;
 
+/// Maximum number of machines that one event names.
+const MACHINES_PER_EVENT: usize = 10;
+
 /// Response to a call of the platform's machine service.
 #[derive(Debug)]
 pub(super) enum MachineResponse {
@@ -434,6 +438,7 @@
                 self.add_maintenance_order(machine, wave);
             }
             MaintenanceAction::Store { wave, state } => self.store_wave(dependencies, wave, state),
+            MaintenanceAction::Report(delay) => log_delay(&delay),
         }
     }
 
@@ -585,6 +590,21 @@
     }
 }
 
+/// Logs what keeps a wave from being completed.
+fn log_delay(delay: &WaveDelay) {
+    let named = delay.unavailable.iter().take(MACHINES_PER_EVENT);
+    let named: Vec<&str> = named.map(MachineName::as_str).collect();
+    log_job_event!(
+        warn,
+        event::WAVE_DELAYED,
+        wave = delay.wave,
+        overdue = delay.is_overdue,
+        remaining = delay.remaining,
+        unavailable = delay.unavailable.len(),
+        machines = named.join(","),
+    );
+}
+
 /// Logs the outcome of an order and returns it; none if the order may still
 /// take effect. An order that failed without effect counts as throttled.
 fn order_outcome(
--- a/crates/jobs/src/maintenance/mod.rs
+++ b/crates/jobs/src/maintenance/mod.rs
@@ -121,6 +121,23 @@
         /// Its state.
         state: WaveState,
     },
+    /// Tell operators what keeps a wave from being completed.
+    Report(WaveDelay),
+}
+
+/// What keeps a wave from being completed.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct WaveDelay {
+    /// Number of the wave.
+    pub wave: u64,
+    /// Whether the time of the wave is over.
+    pub is_overdue: bool,
+    /// Number of machines whose maintenance is not done.
+    pub remaining: usize,
+    /// Those of them that are listed and have not been up for longer than a move or their
+    /// maintenance takes: without a repair, or their removal from the wave or the list,
+    /// the wave is not completed.
+    pub unavailable: Vec<MachineName>,
 }
 
 /// Limits and intervals of the planner.
@@ -138,6 +155,9 @@
     /// Time for which a machine must be missing from the list before its
     /// maintenance is ordered nevertheless.
     pub absence_limit: time::Duration,
+    /// Time for which a machine must not be up before operators are told, beyond the
+    /// maintenance itself: longer than a move takes.
+    pub unavailability_limit: time::Duration,
     /// Number of machines to prepare beyond those that may be down.
     pub prepared_ahead: u32,
     /// Part of the wave's time that is kept in reserve.
@@ -155,6 +175,7 @@
             order_retry_interval: time::Duration::from_millis(1_500),
             rejection_delay: time::Duration::from_millis(300),
             absence_limit: time::Duration::from_millis(1_500),
+            unavailability_limit: time::Duration::from_secs(10),
             prepared_ahead: 1,
             reserve: time::Duration::from_secs(2),
             record_interval: time::Duration::from_secs(1),
--- a/crates/jobs/src/maintenance/wave.rs
+++ b/crates/jobs/src/maintenance/wave.rs
@@ -7,8 +7,8 @@
 use crate::wait::ElapsedWait;
 
 use super::{
-    MachineStatus, MaintenanceAction, MaintenanceRecord, MaintenanceSettings, WaveRequest,
-    WaveState, WorkerLoad,
+    MachineStatus, MaintenanceAction, MaintenanceRecord, MaintenanceSettings, WaveDelay,
+    WaveRequest, WaveState, WorkerLoad,
 };
 
 /// Stage of a machine in its wave.
@@ -31,6 +31,8 @@
     stage: MachineStage,
     /// Since when the list has left the machine out.
     absent_since: Option<BootTime>,
+    /// Since when the machine is listed as not up.
+    unavailable_since: Option<BootTime>,
     /// When the machine may be ordered again after a rejected order.
     not_before: BootTime,
 }
@@ -60,6 +62,12 @@
         now: BootTime,
     ) -> bool {
         self.absent_since = None;
+        match status.is_up {
+            true => self.unavailable_since = None,
+            false => {
+                self.unavailable_since.get_or_insert(now);
+            }
+        }
         match &self.stage {
             MachineStage::Down(since) => {
                 status.is_up && now.saturating_since(*since) >= settings.maintenance_time
@@ -72,6 +80,7 @@
     /// maintenance is done.
     fn update_absent(&mut self, settings: &MaintenanceSettings, now: BootTime) -> bool {
         self.absent_since.get_or_insert(now);
+        self.unavailable_since = None;
         match &self.stage {
             MachineStage::Down(since) => {
                 let down_time = settings.maintenance_time + settings.listing_lag;
@@ -95,6 +104,8 @@
     is_reported: bool,
     /// When the progress was last passed on.
     reported_at: BootTime,
+    /// What operators were told last about what keeps the wave from being completed.
+    delay: WaveDelay,
     /// Workers that an earlier owner had blocked.
     blocked_workers: Vec<WorkerId>,
     /// Machines that are down, or may be, for other waves.
@@ -130,6 +141,7 @@
             released_workers: Vec::new(),
             is_reported: false,
             reported_at: BootTime::default(),
+            delay: WaveDelay::default(),
             blocked_workers: Vec::new(),
             down_elsewhere: BTreeSet::new(),
         };
@@ -235,6 +247,7 @@
             self.order_prepared(settings, statuses, now, actions);
             self.order_absent(settings, now, actions);
             self.repeat_orders(settings, now, actions);
+            self.report_delay(settings, now, actions);
         }
         if !self.is_reported || self.has_old_waits(settings, now) {
             self.is_reported = true;
@@ -246,6 +259,36 @@
         }
     }
 
+    /// Tells operators what keeps the wave from being completed, if that has changed.
+    fn report_delay(
+        &mut self,
+        settings: &MaintenanceSettings,
+        now: BootTime,
+        actions: &mut Vec<MaintenanceAction>,
+    ) {
+        let delay = self.current_delay(settings, now);
+        let is_known = delay.is_overdue == self.delay.is_overdue
+            && delay.unavailable == self.delay.unavailable;
+        if !is_known && delay.remaining > 0 {
+            actions.push(MaintenanceAction::Report(delay.clone()));
+        }
+        self.delay = delay;
+    }
+
+    fn current_delay(&self, settings: &MaintenanceSettings, now: BootTime) -> WaveDelay {
+        let limit = settings.maintenance_time + settings.unavailability_limit;
+        let unavailable = self.machines.iter().filter(|(_, entry)| {
+            let since = entry.unavailable_since;
+            since.is_some_and(|since| now.saturating_since(since) >= limit)
+        });
+        WaveDelay {
+            wave: self.request.number,
+            is_overdue: now.saturating_since(self.started_at) > self.request.duration,
+            remaining: self.remaining_count(),
+            unavailable: unavailable.map(|(name, _)| name.clone()).collect(),
+        }
+    }
+
     /// Returns whether machines are being emptied or down, and what is stored of them is
     /// to be stored again.
     fn has_old_waits(&self, settings: &MaintenanceSettings, now: BootTime) -> bool {
--- a/crates/jobs/tests/maintenance.rs
+++ b/crates/jobs/tests/maintenance.rs
@@ -5,12 +5,13 @@
 
 use redwing_jobs::BootTime;
 use redwing_jobs::maintenance::{
-    MachineStatus, MaintenanceAction, MaintenanceRecord, MaintenanceSettings, WavePlanner,
-    WaveRequest, WaveState, WorkerLoad,
+    MachineStatus, MaintenanceAction, MaintenanceRecord, MaintenanceSettings, WaveDelay,
+    WavePlanner, WaveRequest, WaveState, WorkerLoad,
 };
 use redwing_jobs::name::{MachineName, WorkerId};
 use redwing_jobs::time::WallTime;
 use redwing_jobs::wait::ElapsedWait;
+use rstest::rstest;
 
 /// Time between two plans.
 const PLAN_INTERVAL: time::Duration = time::Duration::from_millis(100);
@@ -27,6 +28,7 @@
     start_time: BootTime,
     max_down_count: usize,
     wave_states: Vec<WaveState>,
+    delays: Vec<WaveDelay>,
     maintenance_counts: BTreeMap<MachineName, u32>,
     prepared_workers: Vec<WorkerId>,
     released_workers: Vec<WorkerId>,
@@ -68,6 +70,7 @@
             start_time: now,
             max_down_count: 0,
             wave_states: Vec::new(),
+            delays: Vec::new(),
             maintenance_counts: BTreeMap::new(),
             prepared_workers: Vec::new(),
             released_workers: Vec::new(),
@@ -119,6 +122,7 @@
             match action {
                 MaintenanceAction::Order { wave, machine } => self.execute_order(wave, &machine),
                 MaintenanceAction::Store { .. } => {}
+                MaintenanceAction::Report(delay) => self.delays.push(delay),
                 MaintenanceAction::Prepare(worker) => self.prepared_workers.push(worker),
                 MaintenanceAction::Release(worker) => self.released_workers.push(worker),
             }
@@ -458,3 +462,59 @@
     }
     assert_eq!(orders, 8, "each machine for each of its waves");
 }
+
+/// A machine fails for good, before its maintenance or in it, and stays listed: the wave
+/// is not completed, and operators are told which machine it waits for.
+#[rstest]
+#[case::before_its_maintenance(0)]
+#[case::in_its_maintenance(3_000)]
+fn operators_are_told_which_machine_a_wave_waits_for(#[case] up_ms: u64) {
+    let mut machines = FakeMachines::new(4);
+    machines.add_wave(&wave_request(4, 1), None);
+    // Machine 1 goes second, after two seconds.
+    machines.advance(time::Duration::from_millis(up_ms));
+    let failed = machine_name(1);
+    let status = machines.machine_statuses.get_mut(&failed);
+    let status = status.expect("the machine exists");
+    status.is_up = false;
+    status.worker = None;
+    machines.down_until.remove(&failed);
+    machines.advance(time::Duration::from_secs(10));
+    assert_eq!(machines.delays, []);
+    machines.advance(time::Duration::from_secs(3));
+    let remaining = if up_ms == 0 { 1 } else { 3 };
+    let early = WaveDelay {
+        wave: 1,
+        is_overdue: false,
+        remaining,
+        unavailable: vec![failed],
+    };
+    assert_eq!(machines.delays, std::slice::from_ref(&early));
+    machines.advance(time::Duration::from_secs(60));
+    let overdue = WaveDelay {
+        is_overdue: true,
+        ..early.clone()
+    };
+    assert_eq!(machines.delays, [early, overdue]);
+    assert_eq!(machines.wave_states.last(), Some(&WaveState::Running));
+}
+
+/// The wave goes on, and is completed, as soon as the machine is up again.
+#[test]
+fn a_wave_is_completed_after_an_unavailable_machine_has_returned() {
+    let mut machines = FakeMachines::new(2);
+    machines.add_wave(&wave_request(2, 1), None);
+    let name = machine_name(1);
+    let set_up = |machines: &mut FakeMachines, is_up| {
+        let status = machines.machine_statuses.get_mut(&name);
+        status.expect("the machine exists").is_up = is_up;
+    };
+    set_up(&mut machines, false);
+    machines.advance(time::Duration::from_secs(25));
+    assert_eq!(machines.delays.len(), 2);
+    set_up(&mut machines, true);
+    machines.advance(time::Duration::from_secs(4));
+    assert!(machines.is_completed());
+    assert_eq!(machines.delays.len(), 3);
+    assert_eq!(machines.delays[2].unavailable, []);
+}
