Keep the record of a large wave within a row

Cause: the record of a wave names each machine that is done or ordered, and again those that are being emptied (with their workers) or down. With thousands of machines it outgrew a row in the middle of the wave, was set aside (E537), and the wave stood still, since no order is sent before its row is stored. Change: what is stored of emptied and down machines is what fits beside the names of all machines; the next owner empties the others anew, or repeats their orders, which the platform accepts for the same wave. A version of a wave of which even the names may not fit is refused as it is read, with E547 wave-refused, the number of machines and both sizes; an earlier version goes on.

--- a/crates/engine/src/event.rs
+++ b/crates/engine/src/event.rs
@@ -106,4 +106,6 @@
     LEASE_AWAITED = 545 "lease-awaited";
     /// A wave of maintenance waits for machines that are not up, or its time is over.
     WAVE_DELAYED = 546 "wave-delayed";
+    /// A wave of maintenance is not carried out, because its progress cannot be stored.
+    WAVE_REFUSED = 547 "wave-refused";
 }
--- a/crates/engine/src/owner/machines.rs
+++ b/crates/engine/src/owner/machines.rs
@@ -7,8 +7,8 @@
 use redwing_jobs::capacity::{CapacityAction, CapacityPlanner, MoveWaits, PoolMachine, PoolState};
 use redwing_jobs::feasibility::FleetCapacity;
 use redwing_jobs::maintenance::{
-    MachineStatus, MaintenanceAction, MaintenanceRecord, WaveDelay, WavePlanner, WaveState,
-    WorkerLoad,
+    MachineStatus, MaintenanceAction, MaintenanceRecord, MaintenanceSettings, WaveDelay,
+    WavePlanner, WaveState, WorkerLoad,
 };
 use redwing_jobs::manifest::JobManifest;
 use redwing_jobs::name::{MachineName, PoolName, WorkerId};
@@ -135,11 +135,15 @@
         fencing_token: u64,
         responses: mpsc::UnboundedSender<MachineResponse>,
     ) -> Self {
+        let maintenance_settings = MaintenanceSettings {
+            max_record_bytes: dependencies.client.limits().row_bytes,
+            ..dependencies.settings.maintenance.clone()
+        };
         Self {
             client: rc::Rc::clone(&dependencies.services.machines),
             responses,
             metrics: dependencies.metrics.clone(),
-            wave_planner: WavePlanner::new(dependencies.settings.maintenance.clone()),
+            wave_planner: WavePlanner::new(maintenance_settings),
             wave_states: BTreeMap::new(),
             capacity_planner: CapacityPlanner::new(dependencies.settings.capacity.clone()),
             next_plan_at: BootTime::default(),
@@ -256,7 +260,10 @@
     ) {
         for wave in view.waves.iter() {
             let record = records.get(&wave.number).cloned();
-            self.wave_planner.add(wave, record, now, clock::wall_now());
+            let added = self.wave_planner.add(wave, record, now, clock::wall_now());
+            if let Err(error) = added {
+                log_job_event!(error, event::WAVE_REFUSED, error = error);
+            }
         }
     }
 
--- a/crates/jobs/src/error.rs
+++ b/crates/jobs/src/error.rs
@@ -16,6 +16,10 @@
         Manifest(field: String, problem: String) {
             display("read manifest: field {field}: {problem}")
         }
+        /// A wave of maintenance cannot be stored.
+        Wave(wave: u64, problem: String) {
+            display("read wave {wave}: {problem}")
+        }
         /// A text is not the name of a task.
         TaskName(text: String) {
             display("read task name: {text:?} is not JOB.OCCURRENCE.STEP.INDEX")
--- a/crates/jobs/src/maintenance/mod.rs
+++ b/crates/jobs/src/maintenance/mod.rs
@@ -12,6 +12,7 @@
 //! emptied and how long others have been down is stored, and the next owner goes on
 //! from there.
 
+mod record;
 mod wave;
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -19,6 +20,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::error::Result;
 use crate::name::{MachineName, WorkerId};
 use crate::time::{BootTime, WallTime};
 use crate::wait::ElapsedWait;
@@ -165,6 +167,8 @@
     /// Time after which it is stored again which machines are being emptied and how long
     /// others have been down.
     pub record_interval: time::Duration,
+    /// Largest size of the record of a wave, in bytes: what a row of the table holds.
+    pub max_record_bytes: usize,
 }
 
 impl Default for MaintenanceSettings {
@@ -179,6 +183,7 @@
             prepared_ahead: 1,
             reserve: time::Duration::from_secs(2),
             record_interval: time::Duration::from_secs(1),
+            max_record_bytes: usize::MAX,
         }
     }
 }
@@ -188,6 +193,8 @@
 pub struct WavePlanner {
     settings: MaintenanceSettings,
     waves: BTreeMap<u64, WaveEntry>,
+    /// Latest requests that were refused, by the numbers of their waves.
+    refused: BTreeMap<u64, WaveRequest>,
 }
 
 impl WavePlanner {
@@ -195,22 +202,36 @@
     pub fn new(settings: MaintenanceSettings) -> Self {
         Self {
             settings,
-            waves: BTreeMap::new(),
+            ..Self::default()
         }
     }
 
     /// Adds a wave, with the progress that an earlier owner stored, as it is `now`. If
     /// the wave is known, applies the operator's changes to it.
+    ///
+    /// # Errors
+    ///
+    /// Fails once for each version of a wave whose progress may not fit into a row. That
+    /// version is not applied.
     pub fn add(
         &mut self,
         request: &WaveRequest,
         record: Option<MaintenanceRecord>,
         now: BootTime,
         wall: WallTime,
-    ) {
+    ) -> Result<()> {
+        if self.refused.get(&request.number) == Some(request) {
+            return Ok(());
+        }
+        let known = self.record(request.number).or(record.as_ref());
+        if let Err(error) = record::check_size(request, known, self.settings.max_record_bytes) {
+            self.refused.insert(request.number, request.clone());
+            return Err(error);
+        }
+        self.refused.remove(&request.number);
         if let Some(entry) = self.waves.get_mut(&request.number) {
             entry.update_request(request);
-            return;
+            return Ok(());
         }
         let record = record.unwrap_or(MaintenanceRecord {
             begun: wall,
@@ -221,6 +242,7 @@
         let started_at = BootTime::from_millis(started_at);
         let entry = WaveEntry::new(request, record, started_at, now);
         self.waves.insert(request.number, entry);
+        Ok(())
     }
 
     /// Returns whether the list of machines is needed.
@@ -250,7 +272,7 @@
     pub fn prepare_release(&mut self, now: BootTime) -> Vec<u64> {
         let mut updated = Vec::new();
         for (wave, entry) in &mut self.waves {
-            if entry.prepare_release(now) {
+            if entry.prepare_release(&self.settings, now) {
                 updated.push(*wave);
             }
         }
--- a/crates/jobs/src/maintenance/wave.rs
+++ b/crates/jobs/src/maintenance/wave.rs
@@ -8,7 +8,7 @@
 
 use super::{
     MachineStatus, MaintenanceAction, MaintenanceRecord, MaintenanceSettings, WaveDelay,
-    WaveRequest, WaveState, WorkerLoad,
+    WaveRequest, WaveState, WorkerLoad, record,
 };
 
 /// Stage of a machine in its wave.
@@ -251,7 +251,7 @@
         }
         if !self.is_reported || self.has_old_waits(settings, now) {
             self.is_reported = true;
-            self.record_waits(now);
+            self.record_waits(settings, now);
             actions.push(MaintenanceAction::Store {
                 wave: self.request.number,
                 state: self.state(),
@@ -301,19 +301,23 @@
 
     /// Updates what the record states of machines that are being emptied or down;
     /// returns whether there are any.
-    pub(super) fn prepare_release(&mut self, now: BootTime) -> bool {
-        self.record_waits(now);
+    pub(super) fn prepare_release(
+        &mut self,
+        settings: &MaintenanceSettings,
+        now: BootTime,
+    ) -> bool {
+        self.record_waits(settings, now);
         self.has_waits()
     }
 
-    fn record_waits(&mut self, now: BootTime) {
+    fn record_waits(&mut self, settings: &MaintenanceSettings, now: BootTime) {
         let down = self.down_since();
         let down = down.map(|(name, since)| (name.clone(), ElapsedWait::since(since, now)));
-        let down = down.collect();
         let prepared = self.prepared();
         let prepared = prepared.map(|(name, worker)| (name.clone(), worker.clone()));
-        self.record.prepared = prepared.collect();
-        self.record.down = down;
+        let mut record = self.record.clone();
+        record::set_waits(&mut record, down, prepared, settings.max_record_bytes);
+        self.record = record;
         self.reported_at = now;
     }
 
--- a/crates/jobs/tests/maintenance.rs
+++ b/crates/jobs/tests/maintenance.rs
@@ -36,6 +36,8 @@
     loses_responses: bool,
     /// Progress of the wave as last stored.
     stored: MaintenanceRecord,
+    /// Largest size of a stored record.
+    largest_record_bytes: usize,
 }
 
 fn wave_request(machine_count: usize, max_down: u32) -> WaveRequest {
@@ -76,12 +78,14 @@
             released_workers: Vec::new(),
             loses_responses: false,
             stored: MaintenanceRecord::default(),
+            largest_record_bytes: 0,
         }
     }
 
     fn add_wave(&mut self, request: &WaveRequest, record: Option<MaintenanceRecord>) {
         let wall = WallTime::from_millis(self.now.as_millis());
-        self.planner.add(request, record, self.now, wall);
+        let added = self.planner.add(request, record, self.now, wall);
+        added.expect("the record of the wave fits into a row");
     }
 
     fn load(&mut self, number: usize) -> &mut WorkerLoad {
@@ -116,6 +120,8 @@
             if let MaintenanceAction::Store { wave, state } = action {
                 self.wave_states.push(*state);
                 self.stored = self.planner.record(*wave).cloned().unwrap_or_default();
+                let text = serde_json::to_string(&self.stored).expect("it is written");
+                self.largest_record_bytes = self.largest_record_bytes.max(text.len());
             }
         }
         for action in actions {
@@ -518,3 +524,55 @@
     assert_eq!(machines.delays.len(), 3);
     assert_eq!(machines.delays[2].unavailable, []);
 }
+
+fn settings_with_rows(max_record_bytes: usize) -> MaintenanceSettings {
+    MaintenanceSettings {
+        max_record_bytes,
+        ..MaintenanceSettings::default()
+    }
+}
+
+/// Many machines of a large wave are emptied and down at once while owners change. What
+/// is stored of them takes no more than a row holds beside the names of all machines.
+#[test]
+fn the_record_of_a_large_wave_fits_into_a_row() {
+    let mut machines = FakeMachines::new(100);
+    let request = wave_request(100, 60);
+    machines.planner = WavePlanner::new(settings_with_rows(900));
+    machines.add_wave(&request, None);
+    for number in 0..100 {
+        machines.load(number).finite = 1;
+    }
+    for _ in 0..10 {
+        machines.advance(time::Duration::from_secs(3));
+        machines.planner = WavePlanner::new(settings_with_rows(900));
+        machines.add_wave(&request, Some(machines.stored.clone()));
+    }
+    assert!(machines.is_completed());
+    machines.assert_maintained_once();
+    assert!(machines.max_down_count <= 60, "{}", machines.max_down_count);
+    let bytes = machines.largest_record_bytes;
+    assert!((700..=900).contains(&bytes), "{bytes}");
+}
+
+/// A wave whose machines are too many for a row is refused with the sizes, once; its other
+/// versions are not.
+#[test]
+fn a_wave_with_too_many_machines_for_a_row_is_refused() {
+    let mut machines = FakeMachines::new(100);
+    machines.planner = WavePlanner::new(settings_with_rows(300));
+    let now = machines.now;
+    let wall = WallTime::from_millis(now.as_millis());
+    let large = wave_request(100, 2);
+    let refused = machines.planner.add(&large, None, now, wall);
+    let error = refused.expect_err("it does not fit");
+    let text = error.to_string();
+    assert!(text.contains("wave 1") && text.contains("100 machines") && text.contains("300"));
+    assert_eq!(machines.planner.add(&large, None, now, wall), Ok(()));
+    assert!(!machines.planner.is_active());
+    machines.add_wave(&wave_request(30, 5), None);
+    assert!(machines.planner.add(&large, None, now, wall).is_err());
+    machines.advance(time::Duration::from_secs(20));
+    assert!(machines.is_completed());
+    assert_eq!(machines.maintenance_counts.len(), 30);
+}
