Read rows in pages after a feed response that is too large

Cause: a response with more than 4 MB counted as one whose outcome is unknown, so a follower read the same changes again, for ever. The feed has no limit on its responses: after an absence of the table, or on a slow VM, more may have changed. A follower answers a refused read of changes with a scan, which is in pages of at most 1 MB.

--- a/crates/engine/src/follow.rs
+++ b/crates/engine/src/follow.rs
@@ -97,8 +97,8 @@
                     }
                 }
                 Err(error) if error.classify() == Category::Refused => {
-                    // The table has discarded the history since the cursor: the next
-                    // read scans all rows.
+                    // The table has discarded the history since the cursor, or more has
+                    // changed than one response holds: the next read scans all rows.
                     self.cursor = None;
                     timer::sleep(MIN_INTERVAL).await;
                 }
