--- a/crates/engine/src/owner/machines.rs
+++ b/crates/engine/src/owner/machines.rs
@@ -7,7 +7,8 @@
 use redwing_jobs::capacity::{CapacityAction, CapacityPlanner, MoveWaits, PoolMachine, PoolState};
 use redwing_jobs::feasibility::FleetCapacity;
 use redwing_jobs::maintenance::{
-    MachineStatus, MaintenanceAction, MaintenanceRecord, WavePlanner, WaveState, WorkerLoad,
+    MachineStatus, MaintenanceAction, MaintenanceRecord, MaintenanceSettings, WaveDelay,
+    WavePlanner, WaveState, WorkerLoad,
 };
 use redwing_jobs::manifest::JobManifest;
 use redwing_jobs::name::{MachineName, PoolName, WorkerId};
@@ -31,6 +32,9 @@
 /// a flood of them.
 const WAVES_PER_CHANGE: usize = 10;
 
+/// Maximum number of machines that one event names.
+const MACHINES_PER_EVENT: usize = 10;
+
 /// Response to a call of the platform's machine service.
 #[derive(Debug)]
 pub(super) enum MachineResponse {
@@ -143,11 +147,15 @@
         fencing_token: u64,
         responses: mpsc::UnboundedSender<MachineResponse>,
     ) -> Self {
+        let maintenance_settings = MaintenanceSettings {
+            max_record_bytes: dependencies.client.limits().row_bytes,
+            ..dependencies.settings.maintenance.clone()
+        };
         Self {
             client: rc::Rc::clone(&dependencies.services.machines),
             responses,
             metrics: dependencies.metrics.clone(),
-            wave_planner: WavePlanner::new(dependencies.settings.maintenance.clone()),
+            wave_planner: WavePlanner::new(maintenance_settings),
             wave_states: BTreeMap::new(),
             capacity_planner: CapacityPlanner::new(dependencies.settings.capacity.clone()),
             next_plan_at: BootTime::default(),
@@ -265,7 +273,10 @@
     ) {
         for wave in view.waves.iter() {
             let record = records.get(&wave.number).cloned();
-            self.wave_planner.add(wave, record, now, clock::wall_now());
+            let added = self.wave_planner.add(wave, record, now, clock::wall_now());
+            if let Err(error) = added {
+                log_job_event!(error, event::WAVE_REFUSED, error = error);
+            }
         }
     }
 
@@ -447,6 +458,7 @@
                 self.add_maintenance_order(machine, wave);
             }
             MaintenanceAction::Store { wave, state } => self.store_wave(dependencies, wave, state),
+            MaintenanceAction::Report(delay) => log_delay(&delay),
         }
     }
 
@@ -628,6 +640,21 @@
     }
 }
 
+/// Logs what keeps a wave from being completed.
+fn log_delay(delay: &WaveDelay) {
+    let named = delay.unavailable.iter().take(MACHINES_PER_EVENT);
+    let named: Vec<&str> = named.map(MachineName::as_str).collect();
+    log_job_event!(
+        warn,
+        event::WAVE_DELAYED,
+        wave = delay.wave,
+        overdue = delay.is_overdue,
+        remaining = delay.remaining,
+        unavailable = delay.unavailable.len(),
+        machines = named.join(","),
+    );
+}
+
 /// Logs the outcome of an order and returns it; none if the order may still
 /// take effect. An order that failed without effect counts as throttled.
 fn order_outcome(
--- a/crates/jobs/src/maintenance/mod.rs
+++ b/crates/jobs/src/maintenance/mod.rs
@@ -12,6 +12,7 @@
 //! emptied and how long others have been down is stored, and the next owner goes on
 //! from there.
 
+mod record;
 mod wave;
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -19,6 +20,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::error::Result;
 use crate::name::{MachineName, WorkerId};
 use crate::time::{BootTime, WallTime};
 use crate::wait::ElapsedWait;
@@ -121,6 +123,23 @@
         /// Its state.
         state: WaveState,
     },
+    /// Tell operators what keeps a wave from being completed.
+    Report(WaveDelay),
+}
+
+/// What keeps a wave from being completed.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct WaveDelay {
+    /// Number of the wave.
+    pub wave: u64,
+    /// Whether the time of the wave is over.
+    pub is_overdue: bool,
+    /// Number of machines whose maintenance is not done.
+    pub remaining: usize,
+    /// Those of them that are listed and have not been up for longer than a move or their
+    /// maintenance takes: without a repair, or their removal from the wave or the list,
+    /// the wave is not completed.
+    pub unavailable: Vec<MachineName>,
 }
 
 /// Limits and intervals of the planner.
@@ -141,6 +160,9 @@
     /// Time for which a machine that is busy must be missing from the list before it counts
     /// as gone. A list that was read page by page lacks a machine for one interval only.
     pub departure_limit: time::Duration,
+    /// Time for which a machine must not be up before operators are told, beyond the
+    /// maintenance itself: longer than a move takes.
+    pub unavailability_limit: time::Duration,
     /// Number of machines to prepare beyond those that may be down.
     pub prepared_ahead: u32,
     /// Part of the wave's time that is kept in reserve.
@@ -148,6 +170,8 @@
     /// Time after which it is stored again which machines are being emptied and how long
     /// others have been down.
     pub record_interval: time::Duration,
+    /// Largest size of the record of a wave, in bytes: what a row of the table holds.
+    pub max_record_bytes: usize,
 }
 
 impl Default for MaintenanceSettings {
@@ -159,9 +183,11 @@
             rejection_delay: time::Duration::from_millis(300),
             absence_limit: time::Duration::from_millis(1_500),
             departure_limit: time::Duration::from_secs(5),
+            unavailability_limit: time::Duration::from_secs(10),
             prepared_ahead: 1,
             reserve: time::Duration::from_secs(2),
             record_interval: time::Duration::from_secs(1),
+            max_record_bytes: usize::MAX,
         }
     }
 }
@@ -171,6 +197,8 @@
 pub struct WavePlanner {
     settings: MaintenanceSettings,
     waves: BTreeMap<u64, WaveEntry>,
+    /// Latest requests that were refused, by the numbers of their waves.
+    refused: BTreeMap<u64, WaveRequest>,
 }
 
 impl WavePlanner {
@@ -178,22 +206,36 @@
     pub fn new(settings: MaintenanceSettings) -> Self {
         Self {
             settings,
-            waves: BTreeMap::new(),
+            ..Self::default()
         }
     }
 
     /// Adds a wave, with the progress that an earlier owner stored, as it is `now`. If
     /// the wave is known, applies the operator's changes to it.
+    ///
+    /// # Errors
+    ///
+    /// Fails once for each version of a wave whose progress may not fit into a row. That
+    /// version is not applied.
     pub fn add(
         &mut self,
         request: &WaveRequest,
         record: Option<MaintenanceRecord>,
         now: BootTime,
         wall: WallTime,
-    ) {
+    ) -> Result<()> {
+        if self.refused.get(&request.number) == Some(request) {
+            return Ok(());
+        }
+        let known = self.record(request.number).or(record.as_ref());
+        if let Err(error) = record::check_size(request, known, self.settings.max_record_bytes) {
+            self.refused.insert(request.number, request.clone());
+            return Err(error);
+        }
+        self.refused.remove(&request.number);
         if let Some(entry) = self.waves.get_mut(&request.number) {
             entry.update_request(request);
-            return;
+            return Ok(());
         }
         let record = record.unwrap_or(MaintenanceRecord {
             begun: wall,
@@ -204,6 +246,7 @@
         let started_at = BootTime::from_millis(started_at);
         let entry = WaveEntry::new(request, record, started_at, now);
         self.waves.insert(request.number, entry);
+        Ok(())
     }
 
     /// Returns whether the list of machines is needed.
@@ -233,7 +276,7 @@
     pub fn prepare_release(&mut self, now: BootTime) -> Vec<u64> {
         let mut updated = Vec::new();
         for (wave, entry) in &mut self.waves {
-            if entry.prepare_release(now) {
+            if entry.prepare_release(&self.settings, now) {
                 updated.push(*wave);
             }
         }
--- a/crates/jobs/tests/maintenance.rs
+++ b/crates/jobs/tests/maintenance.rs
@@ -5,12 +5,13 @@
 
 use redwing_jobs::BootTime;
 use redwing_jobs::maintenance::{
-    MachineStatus, MaintenanceAction, MaintenanceRecord, MaintenanceSettings, WavePlanner,
-    WaveRequest, WaveState, WorkerLoad,
+    MachineStatus, MaintenanceAction, MaintenanceRecord, MaintenanceSettings, WaveDelay,
+    WavePlanner, WaveRequest, WaveState, WorkerLoad,
 };
 use redwing_jobs::name::{MachineName, WorkerId};
 use redwing_jobs::time::WallTime;
 use redwing_jobs::wait::ElapsedWait;
+use rstest::rstest;
 
 /// Time between two plans.
 const PLAN_INTERVAL: time::Duration = time::Duration::from_millis(100);
@@ -27,6 +28,7 @@
     start_time: BootTime,
     max_down_count: usize,
     wave_states: Vec<WaveState>,
+    delays: Vec<WaveDelay>,
     maintenance_counts: BTreeMap<MachineName, u32>,
     prepared_workers: Vec<WorkerId>,
     released_workers: Vec<WorkerId>,
@@ -38,6 +40,8 @@
     departed: BTreeSet<MachineName>,
     /// Progress of the wave as last stored.
     stored: MaintenanceRecord,
+    /// Largest size of a stored record.
+    largest_record_bytes: usize,
 }
 
 fn wave_request(machine_count: usize, max_down: u32) -> WaveRequest {
@@ -72,6 +76,7 @@
             start_time: now,
             max_down_count: 0,
             wave_states: Vec::new(),
+            delays: Vec::new(),
             maintenance_counts: BTreeMap::new(),
             prepared_workers: Vec::new(),
             released_workers: Vec::new(),
@@ -79,12 +84,14 @@
             rejects_repeats: false,
             departed: BTreeSet::new(),
             stored: MaintenanceRecord::default(),
+            largest_record_bytes: 0,
         }
     }
 
     fn add_wave(&mut self, request: &WaveRequest, record: Option<MaintenanceRecord>) {
         let wall = WallTime::from_millis(self.now.as_millis());
-        self.planner.add(request, record, self.now, wall);
+        let added = self.planner.add(request, record, self.now, wall);
+        added.expect("the record of the wave fits into a row");
     }
 
     fn load(&mut self, number: usize) -> &mut WorkerLoad {
@@ -119,12 +126,15 @@
             if let MaintenanceAction::Store { wave, state } = action {
                 self.wave_states.push(*state);
                 self.stored = self.planner.record(*wave).cloned().unwrap_or_default();
+                let text = serde_json::to_string(&self.stored).expect("it is written");
+                self.largest_record_bytes = self.largest_record_bytes.max(text.len());
             }
         }
         for action in actions {
             match action {
                 MaintenanceAction::Order { wave, machine } => self.execute_order(wave, &machine),
                 MaintenanceAction::Store { .. } => {}
+                MaintenanceAction::Report(delay) => self.delays.push(delay),
                 MaintenanceAction::Prepare(worker) => self.prepared_workers.push(worker),
                 MaintenanceAction::Release(worker) => self.released_workers.push(worker),
             }
@@ -531,3 +541,111 @@
     machines.assert_maintained_once();
     assert_eq!(machines.max_down_count, 1);
 }
+
+/// A machine fails for good, before its maintenance or in it, and stays listed: the wave
+/// is not completed, and operators are told which machine it waits for.
+#[rstest]
+#[case::before_its_maintenance(0)]
+#[case::in_its_maintenance(3_000)]
+fn operators_are_told_which_machine_a_wave_waits_for(#[case] up_ms: u64) {
+    let mut machines = FakeMachines::new(4);
+    machines.add_wave(&wave_request(4, 1), None);
+    // Machine 1 goes second, after two seconds.
+    machines.advance(time::Duration::from_millis(up_ms));
+    let failed = machine_name(1);
+    let status = machines.machine_statuses.get_mut(&failed);
+    let status = status.expect("the machine exists");
+    status.is_up = false;
+    status.worker = None;
+    machines.down_until.remove(&failed);
+    machines.advance(time::Duration::from_secs(10));
+    assert_eq!(machines.delays, []);
+    machines.advance(time::Duration::from_secs(3));
+    let remaining = if up_ms == 0 { 1 } else { 3 };
+    let early = WaveDelay {
+        wave: 1,
+        is_overdue: false,
+        remaining,
+        unavailable: vec![failed],
+    };
+    assert_eq!(machines.delays, std::slice::from_ref(&early));
+    machines.advance(time::Duration::from_secs(60));
+    let overdue = WaveDelay {
+        is_overdue: true,
+        ..early.clone()
+    };
+    assert_eq!(machines.delays, [early, overdue]);
+    assert_eq!(machines.wave_states.last(), Some(&WaveState::Running));
+}
+
+/// The wave goes on, and is completed, as soon as the machine is up again.
+#[test]
+fn a_wave_is_completed_after_an_unavailable_machine_has_returned() {
+    let mut machines = FakeMachines::new(2);
+    machines.add_wave(&wave_request(2, 1), None);
+    let name = machine_name(1);
+    let set_up = |machines: &mut FakeMachines, is_up| {
+        let status = machines.machine_statuses.get_mut(&name);
+        status.expect("the machine exists").is_up = is_up;
+    };
+    set_up(&mut machines, false);
+    machines.advance(time::Duration::from_secs(25));
+    assert_eq!(machines.delays.len(), 2);
+    set_up(&mut machines, true);
+    machines.advance(time::Duration::from_secs(4));
+    assert!(machines.is_completed());
+    assert_eq!(machines.delays.len(), 3);
+    assert_eq!(machines.delays[2].unavailable, []);
+}
+
+fn settings_with_rows(max_record_bytes: usize) -> MaintenanceSettings {
+    MaintenanceSettings {
+        max_record_bytes,
+        ..MaintenanceSettings::default()
+    }
+}
+
+/// Many machines of a large wave are emptied and down at once while owners change. What
+/// is stored of them takes no more than a row holds beside the names of all machines.
+#[test]
+fn the_record_of_a_large_wave_fits_into_a_row() {
+    let mut machines = FakeMachines::new(100);
+    let request = wave_request(100, 60);
+    machines.planner = WavePlanner::new(settings_with_rows(900));
+    machines.add_wave(&request, None);
+    for number in 0..100 {
+        machines.load(number).finite = 1;
+    }
+    for _ in 0..10 {
+        machines.advance(time::Duration::from_secs(3));
+        machines.planner = WavePlanner::new(settings_with_rows(900));
+        machines.add_wave(&request, Some(machines.stored.clone()));
+    }
+    assert!(machines.is_completed());
+    machines.assert_maintained_once();
+    assert!(machines.max_down_count <= 60, "{}", machines.max_down_count);
+    let bytes = machines.largest_record_bytes;
+    assert!((700..=900).contains(&bytes), "{bytes}");
+}
+
+/// A wave whose machines are too many for a row is refused with the sizes, once; its other
+/// versions are not.
+#[test]
+fn a_wave_with_too_many_machines_for_a_row_is_refused() {
+    let mut machines = FakeMachines::new(100);
+    machines.planner = WavePlanner::new(settings_with_rows(300));
+    let now = machines.now;
+    let wall = WallTime::from_millis(now.as_millis());
+    let large = wave_request(100, 2);
+    let refused = machines.planner.add(&large, None, now, wall);
+    let error = refused.expect_err("it does not fit");
+    let text = error.to_string();
+    assert!(text.contains("wave 1") && text.contains("100 machines") && text.contains("300"));
+    assert_eq!(machines.planner.add(&large, None, now, wall), Ok(()));
+    assert!(!machines.planner.is_active());
+    machines.add_wave(&wave_request(30, 5), None);
+    assert!(machines.planner.add(&large, None, now, wall).is_err());
+    machines.advance(time::Duration::from_secs(20));
+    assert!(machines.is_completed());
+    assert_eq!(machines.maintenance_counts.len(), 30);
+}
