Skip a customer's queue of which no job can fit

Cause: each round of placement compared every waiting job with the free capacity of the pool, also after the capacity that an ended run left had gone to the first job that fits.

Change: the queue of a customer keeps the least amount of each resource that its jobs need. It is not looked at while no worker has these amounts free. The metric redwing_jobs_examined_total counts the comparisons.

--- a/crates/engine/src/metrics.rs
+++ b/crates/engine/src/metrics.rs
@@ -29,6 +29,8 @@
     runs_ended: IntCounterVec,
     /// Tasks that were placed on workers.
     tasks_placed: IntCounter,
+    /// Waiting jobs that placement has compared with the free capacity.
+    jobs_examined: IntCounter,
     /// Times that runs on an unresponsive worker began to wait for its leases.
     lease_waits: IntCounter,
     /// Orders to workers, by kind.
@@ -75,6 +77,11 @@
         };
         let tasks_placed = IntCounter::new("redwing_tasks_placed_total", "Tasks given room.")?;
         registry.register(Box::new(tasks_placed.clone()))?;
+        let jobs_examined = IntCounter::new(
+            "redwing_jobs_examined_total",
+            "Waiting jobs compared with the free capacity.",
+        )?;
+        registry.register(Box::new(jobs_examined.clone()))?;
         let lease_waits = IntCounter::new(
             "redwing_lease_waits_total",
             "Times that runs waited for the leases of an unresponsive worker.",
@@ -94,6 +101,7 @@
                 &["reason"],
             )?,
             tasks_placed,
+            jobs_examined,
             lease_waits,
             orders: counters(
                 "redwing_worker_orders_total",
@@ -160,6 +168,11 @@
         self.tasks_placed.inc_by(u64::from(count));
     }
 
+    /// Counts waiting jobs that placement has compared with the free capacity.
+    pub fn count_examined_jobs(&self, count: u64) {
+        self.jobs_examined.inc_by(count);
+    }
+
     /// Counts an order to a worker.
     pub fn count_order(&self, kind: &str) {
         self.orders.with_label_values(&[kind]).inc();
--- a/crates/engine/src/owner/session/mod.rs
+++ b/crates/engine/src/owner/session/mod.rs
@@ -351,6 +351,8 @@
     }
 
     fn log_events(&mut self) {
+        let examined = self.scheduler.take_examined();
+        self.dependencies.metrics.count_examined_jobs(examined);
         for event in self.scheduler.take_events() {
             scheduler_event::log_event(&event);
             scheduler_event::count_event(&self.dependencies.metrics, &event);
--- a/crates/jobs/src/scheduler/mod.rs
+++ b/crates/jobs/src/scheduler/mod.rs
@@ -417,6 +417,12 @@
         self.jobs.len()
     }
 
+    /// Returns how many waiting jobs placement has compared with the free capacity since
+    /// the previous call.
+    pub fn take_examined(&mut self) -> u64 {
+        self.waiting.take_examined()
+    }
+
     /// Returns the number of jobs in each queue with no started task, except those
     /// with a schedule.
     pub fn pending_counts(&self) -> BTreeMap<QueueName, u64> {
--- a/crates/jobs/src/scheduler/waiting.rs
+++ b/crates/jobs/src/scheduler/waiting.rs
@@ -3,12 +3,15 @@
 //! Load pattern: a backlog of thousands of jobs while each change frees capacity
 //! for a few tasks only. The order is kept, not computed: a change costs what the
 //! jobs that it concerns cost, and jobs that cannot fit are skipped without a look
-//! at any worker.
+//! at any worker. A customer's queue is not looked at if the free capacity holds not
+//! even the least amounts that its jobs need, as in a full pool between two ends of
+//! runs.
 //!
 //! Load pattern: five times the mean demand for seconds. By due time, each job
 //! would begin just before it is late and lack the time for its later steps; by
 //! least work, small and nearly finished jobs end in time.
 
+use std::cell;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::mem;
 use std::ops::Bound;
@@ -66,8 +69,65 @@
 /// Position of a job in the order of its customer.
 type WaitingKey = (JobRank, JobId);
 
+/// Amounts of one resource, each with the number of jobs that need it.
+type AmountCounts = BTreeMap<u64, usize>;
+
 /// Needs of the waiting jobs of one customer, in their order.
-type CustomerQueue = BTreeMap<WaitingKey, ResourceAmount>;
+#[derive(Debug, Default)]
+struct CustomerQueue {
+    needs: BTreeMap<WaitingKey, ResourceAmount>,
+    cpu_millis: AmountCounts,
+    memory_mb: AmountCounts,
+    accelerators: AmountCounts,
+}
+
+impl CustomerQueue {
+    fn is_empty(&self) -> bool {
+        self.needs.is_empty()
+    }
+
+    fn insert(&mut self, key: WaitingKey, need: ResourceAmount) {
+        self.remove(&key);
+        self.needs.insert(key, need);
+        add_amount(&mut self.cpu_millis, need.cpu_millis);
+        add_amount(&mut self.memory_mb, need.memory_mb);
+        add_amount(&mut self.accelerators, need.accelerators);
+    }
+
+    fn remove(&mut self, key: &WaitingKey) {
+        if let Some(need) = self.needs.remove(key) {
+            remove_amount(&mut self.cpu_millis, need.cpu_millis);
+            remove_amount(&mut self.memory_mb, need.memory_mb);
+            remove_amount(&mut self.accelerators, need.accelerators);
+        }
+    }
+
+    /// Returns the least amount of each resource that a job needs.
+    fn least_need(&self) -> ResourceAmount {
+        ResourceAmount {
+            cpu_millis: least_amount(&self.cpu_millis),
+            memory_mb: least_amount(&self.memory_mb),
+            accelerators: least_amount(&self.accelerators),
+        }
+    }
+}
+
+fn add_amount(counts: &mut AmountCounts, amount: u64) {
+    *counts.entry(amount).or_default() += 1;
+}
+
+fn remove_amount(counts: &mut AmountCounts, amount: u64) {
+    if let Some(count) = counts.get_mut(&amount) {
+        *count -= 1;
+        if *count == 0 {
+            counts.remove(&amount);
+        }
+    }
+}
+
+fn least_amount(counts: &AmountCounts) -> u64 {
+    counts.keys().next().copied().unwrap_or(0)
+}
 
 /// All waiting jobs.
 #[derive(Debug, Default)]
@@ -80,9 +140,16 @@
     changed_pools: BTreeSet<PoolName>,
     /// Whether all pools count as changed.
     has_all_changed: bool,
+    /// Number of jobs whose needs were compared with the free capacity.
+    examined: cell::Cell<u64>,
 }
 
 impl WaitingJobs {
+    /// Takes the number of jobs whose needs were compared with the free capacity.
+    pub(super) fn take_examined(&mut self) -> u64 {
+        self.examined.take()
+    }
+
     /// Returns the jobs that wait, in no particular order.
     pub(super) fn iter(&self) -> impl Iterator<Item = (&JobId, &WaitingEntry)> {
         self.entries.iter()
@@ -184,9 +251,13 @@
         free: &FreeCapacity,
     ) -> Option<WaitingKey> {
         let queue = self.pools.get(pool)?.get(customer)?;
+        if !free.fits(&queue.least_need()) {
+            return None;
+        }
         let start = last.map_or(Bound::Unbounded, Bound::Excluded);
-        let mut rest = queue.range((start, Bound::Unbounded));
-        let next = rest.find(|(_, need)| free.fits(need));
+        let rest = queue.needs.range((start, Bound::Unbounded));
+        let mut examined = rest.inspect(|_| self.examined.set(self.examined.get() + 1));
+        let next = examined.find(|(_, need)| free.fits(need));
         next.map(|(key, _)| key.clone())
     }
 
--- a/crates/jobs/tests/peak.rs
+++ b/crates/jobs/tests/peak.rs
@@ -265,3 +265,39 @@
     let unknown = start_time(&fleet, &task_id(&unknown, 0, 0));
     assert!(unknown < start_time(&fleet, &task_id(&late, 0, 0)));
 }
+
+/// A full pool with a backlog of thousands of jobs of several customers: each run that
+/// ends gives capacity to one task. What placement looks at does not grow with the
+/// backlog.
+#[rstest]
+#[case(100)]
+#[case(4_000)]
+fn an_ended_run_costs_the_same_with_any_backlog(#[case] backlog: usize) {
+    let mut fleet = fleet_of(10, 32_000);
+    for number in 0..backlog {
+        let customer = format!("customer-{}", number % 6);
+        let cpu_millis = 2_600 + (number as u64 * 37) % 5_000;
+        let step = StepSpec {
+            estimate_ms: 640,
+            ..step_spec(8, cpu_millis)
+        };
+        fleet.submit_as(
+            &customer,
+            &format!("j{number}"),
+            "builders",
+            vec![step],
+            640,
+        );
+    }
+    fleet.advance(2_000);
+    fleet.scheduler.take_examined();
+    let started = fleet.starts.len();
+    fleet.advance(3_000);
+    let examined = fleet.scheduler.take_examined();
+    let started = (fleet.starts.len() - started) as u64;
+    assert!(started >= 200, "{started} runs");
+    assert!(
+        examined <= 20 * started,
+        "{examined} looks for {started} runs"
+    );
+}
