Ask workers less often while their ended runs are not stored

Cause: until the row of an ended run is stored, the run cannot be acknowledged, and the worker lists it with each response at once instead of waiting for the next end. The owner asked such a worker again 25 ms later, so the more it had to store, the more requests and responses it had to handle.

Change: renewal_batch_delay is 100 ms. A stored row ends the delay as before, so that nothing changes while rows are stored faster.

--- a/crates/jobs/src/scheduler/mod.rs
+++ b/crates/jobs/src/scheduler/mod.rs
@@ -129,8 +129,9 @@
     /// Longest time that a worker may wait for a run to end before it responds
     /// to a lease renewal.
     pub max_renewal_wait: time::Duration,
-    /// Delay before the next renewal after one that listed ended runs, so that
-    /// one response covers several.
+    /// Delay before the next renewal after one that listed ended runs, unless rows are
+    /// stored before that allow to acknowledge some: until then each response lists
+    /// the same runs again.
     pub renewal_batch_delay: time::Duration,
     /// Delay before a renewal that got no response is retried.
     pub renewal_retry_delay: time::Duration,
@@ -178,7 +179,7 @@
             max_stored_advice: 64,
             max_row_delay: time::Duration::from_millis(1_000),
             max_renewal_wait: time::Duration::from_millis(1_000),
-            renewal_batch_delay: time::Duration::from_millis(25),
+            renewal_batch_delay: time::Duration::from_millis(100),
             renewal_retry_delay: time::Duration::from_millis(300),
             stop_retry_delay: time::Duration::from_millis(500),
             stop_timeout: time::Duration::from_millis(1_000),
--- a/crates/jobs/tests/changes.rs
+++ b/crates/jobs/tests/changes.rs
@@ -73,6 +73,26 @@
     );
 }
 
+/// Runs end on all workers while the table stores nothing for a second. Until a row is
+/// stored, an ended run is listed with each response, so that workers are not asked at
+/// the rate of their responses; new ends are learnt within a fraction of a second.
+#[test]
+fn workers_are_rarely_asked_while_ends_are_not_stored() {
+    let mut fleet = FakeFleet::of_size(4, 4_000);
+    fleet.submit("early", vec![step_spec(4, 4_000)], 200);
+    fleet.submit("late", vec![step_spec(4, 4_000)], 300);
+    fleet.advance(150);
+    fleet.is_table_up = false;
+    fleet.advance(150);
+    let before = fleet.renewal_count;
+    fleet.advance(1_000);
+    let renewals = fleet.renewal_count - before;
+    assert!(renewals <= 4 * 11, "{renewals} renewals");
+    assert!(renewals >= 4 * 4, "{renewals} renewals");
+    fleet.is_table_up = true;
+    drain(&mut fleet);
+}
+
 /// What the table refuses is stored later, and no run is started before.
 #[test]
 fn refused_rows_are_stored_later() {
--- a/crates/jobs/tests/common/mod.rs
+++ b/crates/jobs/tests/common/mod.rs
@@ -63,6 +63,8 @@
     pub(crate) resumed_checkpoints: Vec<String>,
     /// Every task whose start was ordered.
     pub(crate) ordered_starts: Vec<TaskId>,
+    /// Number of lease renewals that were sent.
+    pub(crate) renewal_count: usize,
     /// Task, run and time of every stop that a worker executed.
     pub(crate) stops: Vec<(TaskId, u32, BootTime)>,
     /// Task, processor share in percent and time of every pace order that a
@@ -131,6 +133,7 @@
             starts: Vec::new(),
             resumed_checkpoints: Vec::new(),
             ordered_starts: Vec::new(),
+            renewal_count: 0,
             stops: Vec::new(),
             pace_orders: Vec::new(),
             jobs: BTreeMap::new(),
@@ -342,6 +345,7 @@
             return;
         }
         let is_renewal = matches!(order.action, OrderAction::Renew { .. });
+        self.renewal_count += usize::from(is_renewal);
         if let Some(delay) = self.lost_order_delay.filter(|_| !is_renewal) {
             self.delayed_orders.push((self.now + delay, order.clone()));
             self.deliver_response(order, OrderOutcome::Unknown, None);
