Count the demand of pools from what each waiting job keeps

Change: the entry of a waiting job keeps the number of its waiting tasks and their processor, which change only when the entry is made anew. The values are the same; the tests of the demand and of the planner cover them.

--- a/crates/jobs/benches/place.rs
+++ b/crates/jobs/benches/place.rs
@@ -136,6 +136,17 @@
     elapsed
 }
 
+/// Measures `iterations` counts of the demand of all pools.
+fn measure_demands(workers: usize, waiting: usize, iterations: u64) -> time::Duration {
+    let mut fleet = full_fleet(workers, waiting);
+    let wall = fleet.wall_time();
+    let started = time::Instant::now();
+    for _ in 0..iterations {
+        hint::black_box(fleet.scheduler.pool_demands(wall));
+    }
+    started.elapsed()
+}
+
 fn decisions(criterion: &mut Criterion) {
     for (workers, waiting) in SIZES {
         let size = format!("{workers}/{waiting}");
@@ -145,6 +156,9 @@
         criterion.bench_function(&format!("arrival/{size}"), |bencher| {
             bencher.iter_custom(|iterations| measure_arrivals(workers, waiting, iterations));
         });
+        criterion.bench_function(&format!("demands/{size}"), |bencher| {
+            bencher.iter_custom(|iterations| measure_demands(workers, waiting, iterations));
+        });
     }
 }
 
--- a/crates/jobs/src/scheduler/maintenance.rs
+++ b/crates/jobs/src/scheduler/maintenance.rs
@@ -39,17 +39,19 @@
             demand.long_running += worker.long_running_cpu_millis;
             demand.running += worker.used.cpu_millis - worker.long_running_cpu_millis;
         }
-        for (id, waiting) in self.waiting.iter() {
-            let Some(job) = self.jobs.get(id) else {
+        for (_, waiting) in self.waiting.iter() {
+            if !demands.contains_key(&waiting.pool) {
+                demands.insert(waiting.pool.clone(), PoolDemand::default());
+            }
+            let Some(demand) = demands.get_mut(&waiting.pool) else {
                 continue;
             };
-            let demand = demands.entry(waiting.pool.clone()).or_default();
             if !waiting.rank.is_finite {
-                demand.waiting_long_running += job.waiting_tasks();
+                demand.waiting_long_running += waiting.waiting_tasks;
             } else if waiting.rank.is_late {
-                demand.waiting_late += job.waiting_cpu();
+                demand.waiting_late += waiting.waiting_cpu;
             } else {
-                demand.waiting += job.waiting_cpu();
+                demand.waiting += waiting.waiting_cpu;
             }
         }
         for task in std::mem::take(&mut self.displaced) {
--- a/crates/jobs/src/scheduler/placement.rs
+++ b/crates/jobs/src/scheduler/placement.rs
@@ -175,6 +175,8 @@
             } else {
                 smallest_need
             },
+            waiting_tasks: job.waiting_tasks(),
+            waiting_cpu: job.waiting_cpu(),
         })
     }
 
--- a/crates/jobs/src/scheduler/waiting.rs
+++ b/crates/jobs/src/scheduler/waiting.rs
@@ -53,6 +53,10 @@
     pub(super) expiry_ms: u64,
     /// Least amount of each resource that a waiting task needs.
     pub(super) smallest_need: ResourceAmount,
+    /// Number of ready tasks that have no run.
+    pub(super) waiting_tasks: u64,
+    /// Processor that these request, in thousandths of a core.
+    pub(super) waiting_cpu: u64,
 }
 
 impl WaitingEntry {
