Update the place of a job once when a task of it ends

Change: the run is released with the phase that the task enters; the job's place is updated once. No decision changes; the tests of the package pass.

--- a/crates/jobs/src/scheduler/listing.rs
+++ b/crates/jobs/src/scheduler/listing.rs
@@ -194,20 +194,28 @@
 
     /// Frees a task: its reservation is released, and it waits to be placed again.
     pub(super) fn free_task(&mut self, task: &TaskId) {
+        if self.release_task(task, TaskPhase::Idle) {
+            self.refresh_waiting(&task.job);
+        }
+    }
+
+    /// Ends the run of a task, which enters `phase`; returns whether it had one. The job
+    /// keeps its place among those that wait.
+    pub(super) fn release_task(&mut self, task: &TaskId, phase: TaskPhase) -> bool {
         let Some(entry) = self.task(task) else {
-            return;
+            return false;
         };
         let run = entry.run;
         let Some(location) = entry.phase.location() else {
-            return;
+            return false;
         };
         let worker = location.worker.clone();
         if let Some(entry) = self.fleet.get_mut(&worker) {
             entry.release(task, run);
         }
         self.uncount_active(task);
-        self.set_phase(task, TaskPhase::Idle);
-        self.refresh_waiting(&task.job);
+        self.set_phase(task, phase);
         self.mark_worker_changed(&worker);
+        true
     }
 }
--- a/crates/jobs/src/scheduler/report.rs
+++ b/crates/jobs/src/scheduler/report.rs
@@ -138,8 +138,9 @@
         for member in members {
             // A run on another worker is redundant now.
             self.stop_redundant_run(&member, now);
-            self.free_task(&member);
-            self.set_phase(&member, TaskPhase::Done);
+            if !self.release_task(&member, TaskPhase::Done) {
+                self.set_phase(&member, TaskPhase::Done);
+            }
         }
         self.check_completed(&task.job, now);
         self.refresh_waiting(&task.job);
