Collect only workers with capacity for a waiting job

Change: workers that have not even the least amounts free that a waiting job of the pool needs are left out. No task could have been placed on them; the tests of the package pass.

--- a/crates/jobs/src/scheduler/placement.rs
+++ b/crates/jobs/src/scheduler/placement.rs
@@ -89,7 +89,8 @@
 
     /// Visits the jobs that wait for a pool in their order, once each.
     fn place_in_pool(&mut self, pool: &PoolName, now: BootTime) {
-        let mut candidates = self.candidates(pool, now);
+        let least_need = self.waiting.least_need(pool);
+        let mut candidates = self.candidates_for(pool, &least_need, now);
         if candidates.is_empty() {
             return;
         }
@@ -196,9 +197,22 @@
 
     /// Returns the usable workers of a pool, by their ids.
     pub(super) fn candidates(&self, pool: &PoolName, now: BootTime) -> Vec<PlacementCandidate> {
+        self.candidates_for(pool, &ResourceAmount::default(), now)
+    }
+
+    /// Returns the usable workers of a pool that have `need` free, by their ids.
+    fn candidates_for(
+        &self,
+        pool: &PoolName,
+        need: &ResourceAmount,
+        now: BootTime,
+    ) -> Vec<PlacementCandidate> {
         let workers = self.fleet.of_pool(pool);
-        let usable =
-            workers.filter(|(id, entry)| entry.is_usable(now) && !self.lease_ledger.covers(id));
+        let usable = workers.filter(|(id, entry)| {
+            need.fits_in(&entry.free_capacity())
+                && entry.is_usable(now)
+                && !self.lease_ledger.covers(id)
+        });
         usable
             .map(|(id, entry)| PlacementCandidate::new(id, entry))
             .collect()
--- a/crates/jobs/src/scheduler/waiting.rs
+++ b/crates/jobs/src/scheduler/waiting.rs
@@ -245,6 +245,14 @@
         self.pools.get(pool).into_iter().flat_map(BTreeMap::keys)
     }
 
+    /// Returns the least amount of each resource that a job needs that waits for a pool.
+    pub(super) fn least_need(&self, pool: &PoolName) -> ResourceAmount {
+        let customers = self.pools.get(pool).into_iter().flat_map(BTreeMap::values);
+        let needs = customers.map(CustomerQueue::least_need);
+        let least = needs.reduce(|one, other| one.component_min(&other));
+        least.unwrap_or_default()
+    }
+
     /// Returns a customer's first job after `last` of which a task may fit into
     /// `free`.
     fn next_fitting(
