--- a/crates/jobs/src/scheduler/maintenance.rs
+++ b/crates/jobs/src/scheduler/maintenance.rs
@@ -40,18 +40,20 @@
             demand.running += worker.used.cpu_millis - worker.long_running_cpu_millis;
         }
         for (id, waiting) in self.waiting.iter() {
-            let Some(job) = self.jobs.get(id) else {
+            if !demands.contains_key(&waiting.pool) {
+                demands.insert(waiting.pool.clone(), PoolDemand::default());
+            }
+            let Some(demand) = demands.get_mut(&waiting.pool) else {
                 continue;
             };
-            let demand = demands.entry(waiting.pool.clone()).or_default();
             if !waiting.rank.is_finite {
-                demand.waiting_long_running += job.waiting_tasks();
+                demand.waiting_long_running += waiting.waiting_tasks;
                 demand.denied = demand.denied.max(self.denied_cpu(id));
             } else if waiting.rank.is_late {
-                demand.waiting_late += job.waiting_cpu();
+                demand.waiting_late += waiting.waiting_cpu;
                 demand.denied_late = demand.denied_late.max(self.denied_cpu(id));
             } else {
-                demand.waiting += job.waiting_cpu();
+                demand.waiting += waiting.waiting_cpu;
                 demand.denied = demand.denied.max(self.denied_cpu(id));
             }
         }
