Read the rows of jobs only once the manifest is known

Cause: the table refused all calls for 1.8 s while process 2 started (E522 on op/ at 33.143). It claimed the ownership at 33.879, 0.1 s after the table was back, and placed tasks from 33.946 on. Its follower retried the rows of operators only at 34.138 (E521). In between the scheduler had no manifest: no limits of customers, no largest number of attempts, no pools of queues, no advisor.

Change: an owner reads the rows of jobs, and so schedules, only once the manifest is known. Meanwhile it renews the leases of workers as it does while the rows are read.

Test: an_owner_starts_nothing_before_it_has_the_manifest; before the change 2 starts instead of 1, it passes after.

--- a/crates/engine/src/owner/session/restore.rs
+++ b/crates/engine/src/owner/session/restore.rs
@@ -54,10 +54,16 @@
         ))
     }
 
-    /// Starts to read the rows of jobs.
-    pub(super) fn read_jobs(client: &TableClient) -> Self {
-        let client = client.clone();
-        Self::Jobs(read(async move { scan_jobs(&client).await }))
+    /// Starts to read the rows of jobs, once the manifest is known: without it, limits
+    /// of customers and attempts are not known either.
+    pub(super) fn read_jobs(dependencies: &OwnerDependencies) -> Self {
+        let client = dependencies.client.clone();
+        let mut operators = dependencies.operators.clone();
+        Self::Jobs(read(async move {
+            let known = operators.wait_for(|view| view.manifest.is_some()).await;
+            known.ok()?;
+            scan_jobs(&client).await
+        }))
     }
 
     /// Waits for the rows that are being read; returns none if they could not be read,
--- a/crates/engine/src/owner/session/rows.rs
+++ b/crates/engine/src/owner/session/rows.rs
@@ -37,13 +37,15 @@
             Some(rows.workers.cursor),
             follow::WATCH_TIMEOUT,
         ));
-        self.restoring = RestoreStage::read_jobs(client);
+        self.restoring = RestoreStage::read_jobs(self.dependencies);
         self.apply_operator_view();
         self.apply_worker_rows(&rows.workers.rows, true);
     }
 
     /// Restores the jobs of earlier owners and starts to schedule and to follow changes.
     pub(super) fn finish_restoring(&mut self, rows: &JobRows) {
+        // The manifest may have come with the rows.
+        self.apply_operator_view();
         self.restore_jobs(&rows.jobs.rows, &rows.progress.rows);
         let waits = std::mem::take(&mut self.inherited_waits);
         self.restore_waits(waits, self.unchanged_since);
--- a/crates/engine/tests/common/mod.rs
+++ b/crates/engine/tests/common/mod.rs
@@ -44,6 +44,8 @@
     FirstOfEachJob,
     /// The replies to claims of the ownership, and all later commits.
     AfterClaim,
+    /// All reads of the rows of operators.
+    OperatorReads,
 }
 
 /// Transactions that the table refuses although they are within its limits.
@@ -90,6 +92,11 @@
         self.lost_calls.get() == LostCalls::EveryThird && number.is_multiple_of(3)
     }
 
+    fn is_read_lost(&self, prefix: &str) -> bool {
+        let is_lost = self.lost_calls.get() == LostCalls::OperatorReads;
+        self.is_next_lost() || is_lost && product::MANIFEST_KEY.starts_with(prefix)
+    }
+
     /// Executes a claim of the ownership, and never responds.
     async fn lose_claim_reply(
         &self,
@@ -142,7 +149,7 @@
     }
 
     fn scan<'a>(&'a self, prefix: &'a str) -> LocalFuture<'a, redwing_provider::Result<TableView>> {
-        if self.is_next_lost() {
+        if self.is_read_lost(prefix) {
             return Box::pin(std::future::pending());
         }
         self.inner.scan(prefix)
@@ -152,7 +159,7 @@
         &'a self,
         request: PageRequest<'a>,
     ) -> LocalFuture<'a, redwing_provider::Result<TablePage>> {
-        if self.is_next_lost() {
+        if self.is_read_lost(request.prefix) {
             return Box::pin(std::future::pending());
         }
         self.inner.scan_page(request)
@@ -264,8 +271,10 @@
         let codec = sync::Arc::new(ProductCodec);
         let metrics = JobMetrics::new().expect("the names differ");
         let mut operators = manifest::follow_operators(&client, codec.clone(), metrics.clone());
-        let first_view = operators.wait_for(|view| view.manifest.is_some()).await;
-        first_view.expect("the manifest is followed");
+        if self.lost_calls.get() != LostCalls::OperatorReads {
+            let first_view = operators.wait_for(|view| view.manifest.is_some()).await;
+            first_view.expect("the manifest is followed");
+        }
         let (stop, stopping) = watch::channel(false);
         let service = CallerService::new(
             CallerSettings {
--- a/crates/engine/tests/takeover.rs
+++ b/crates/engine/tests/takeover.rs
@@ -8,6 +8,9 @@
 use common::{LostCalls, TestCluster, run_test};
 use redwing_engine::codec::CallerResponse;
 use redwing_engine::owner::OwnerSettings;
+use redwing_engine::product;
+use redwing_jobs::JobState;
+use redwing_provider::{RowKey, TableStore, TableTransaction};
 use redwing_standin::WorkerFault;
 use tokio::time as timer;
 
@@ -108,6 +111,35 @@
     });
 }
 
+/// The table is back, and a process that has not read the manifest yet becomes owner. It
+/// does not know the limits of customers.
+#[test]
+fn an_owner_starts_nothing_before_it_has_the_manifest() {
+    run_test(async {
+        let mut cluster = TestCluster::start(0, time::Duration::from_millis(1_500)).await;
+        let manifest = common::MANIFEST.replace(r#""limit":{}"#, r#""limit":{"cpu-millis":500}"#);
+        let row = TableTransaction::default().put(RowKey::new(product::MANIFEST_KEY), manifest);
+        cluster
+            .platform
+            .commit(&row)
+            .await
+            .expect("the table is up");
+        cluster.add_process(0).await;
+        let owner = cluster.owner().await;
+        assert_eq!(cluster.submit(0, "a", 2).await, CallerResponse::Accepted);
+        cluster.wait_starts(1).await;
+        cluster.lost_calls.set(LostCalls::OperatorReads);
+        cluster.add_process(1).await;
+        cluster.processes[0].stop.send_replace(true);
+        cluster.owner_above(owner.fencing_token).await;
+        timer::sleep(time::Duration::from_millis(500)).await;
+        assert_eq!(cluster.workers.starts().len(), 1);
+        cluster.lost_calls.set(LostCalls::None);
+        cluster.wait_state(1, "a", JobState::Completed).await;
+        assert_eq!(cluster.workers.starts().len(), 2);
+    });
+}
+
 /// The scheduler's bound on the leases of an earlier owner covers the time for which
 /// that owner may send orders.
 #[test]
