Split the checks of the soak of processes and shorten its actions

What the platform shows moves from platform.rs to view.rs. - Actions on a process share one way through the chosen processes. Faults of the platform are drawn as their fields, faults of links as LinkFault, instead of as types that are then converted. "Disturbance of a link" is called a fault of a link. - Drawing a job, and waiting for the exit of a process, are functions of their own.

--- a/crates/node/tests/process_soak.rs
+++ b/crates/node/tests/process_soak.rs
@@ -22,10 +22,14 @@
 mod platform;
 #[path = "process_soak/process.rs"]
 mod process;
+#[path = "process_soak/promise.rs"]
+mod promise;
 #[path = "process_soak/proxy.rs"]
 mod proxy;
 #[path = "process_soak/trace.rs"]
 mod trace;
+#[path = "process_soak/view.rs"]
+mod view;
 #[path = "process_soak/wire.rs"]
 mod wire;
 
--- a/crates/node/tests/process_soak/action.rs
+++ b/crates/node/tests/process_soak/action.rs
@@ -9,7 +9,7 @@
 
 use crate::caller;
 use crate::cluster::SoakCluster;
-use crate::platform::StandinPlatform;
+use crate::platform::{LOSE, PlatformFault};
 use crate::proxy::{LinkFault, LinkProxy};
 
 /// Longest time between the first and the last start of a series, in milliseconds.
@@ -23,166 +23,51 @@
     Every { gap_ms: u64 },
 }
 
-/// Listener whose proxy an action disturbs.
+/// Listener whose proxy has a fault.
 #[derive(Clone, Copy, Debug)]
 enum LinkChoice {
     Caller,
     Table,
 }
 
-/// Disturbance of a link.
+/// Fault of a link, or of the connections that are open.
 #[derive(Clone, Copy, Debug)]
 enum LinkAction {
-    Delay { delay_ms: u64 },
-    HoldRequests,
-    HoldResponses,
-    HoldBoth,
+    Fault(LinkFault),
     Reset,
     Silence,
-    Slow { bandwidth: u32 },
 }
 
-/// Service of the platform that a fault is in.
+/// Action on one process.
 #[derive(Clone, Copy, Debug)]
-enum FaultTarget {
-    Advisor,
-    Machines,
-    Table,
-    TableWrites,
-    /// Worker of one machine, or of all.
-    Workers(Option<usize>),
-}
-
-/// Fault of the calls to a service.
-#[derive(Clone, Copy, Debug)]
-enum CallFault {
-    Delay { delay_ms: u64 },
-    Late { delay_ms: u64 },
-    LoseReplies,
-    LoseRequests,
-    Refuse { status: u16 },
-}
-
-/// Fault of the platform, or of a worker.
-#[derive(Clone, Copy, Debug)]
-enum PlatformFault {
-    Calls {
-        target: FaultTarget,
-        fault: CallFault,
-        share: f64,
-    },
-    Crash {
-        worker: usize,
-        is_replaced: bool,
-    },
-    FailRuns {
-        share: f64,
-    },
-    LapseLeases {
-        worker: usize,
-    },
-    LapseRegistrations {
-        worker: Option<usize>,
-    },
-    Lose {
-        worker: usize,
-    },
-    LoseHistory,
-    SlowRuns {
-        factor: f64,
-    },
-    StepClock {
-        worker: usize,
-        step_ms: i64,
-    },
+#[rustfmt::skip]
+enum ProcessAction {
+    Freeze { ms: u64 },
+    Kill { down_ms: u64 },
+    Link { link: LinkChoice, action: LinkAction, ms: u64 },
+    Reload,
+    Restart { down_ms: u64 },
+    RestartAndKill { kill_ms: u64, down_ms: u64 },
 }
 
-impl PlatformFault {
-    /// Returns the fault in the platform's format.
-    fn text(self, platform: &StandinPlatform, ms: u64) -> String {
-        let machine = |worker: usize| format!("machine = {}\n", platform.machine_number(worker));
-        let lasts = format!("to-seconds = {:?}\n", ms as f64 / 1_000.0);
-        let fields = match self {
-            Self::Calls {
-                target,
-                fault,
-                share,
-            } => {
-                let target = match target {
-                    FaultTarget::Advisor => "target = \"advisor\"\n".to_owned(),
-                    FaultTarget::Machines => "target = \"machines\"\n".to_owned(),
-                    FaultTarget::Table => "target = \"table\"\n".to_owned(),
-                    FaultTarget::TableWrites => "target = \"table-writes\"\n".to_owned(),
-                    FaultTarget::Workers(worker) => {
-                        let machine = worker.map(machine).unwrap_or_default();
-                        format!("target = \"workers\"\n{machine}")
-                    }
-                };
-                let fault = match fault {
-                    CallFault::Delay { delay_ms } => {
-                        format!("effect = \"delay\"\ndelay-ms = {delay_ms}\n")
-                    }
-                    CallFault::Late { delay_ms } => {
-                        format!("effect = \"late\"\ndelay-ms = {delay_ms}\n")
-                    }
-                    CallFault::LoseReplies => "effect = \"lose-replies\"\n".to_owned(),
-                    CallFault::LoseRequests => "effect = \"lose-requests\"\n".to_owned(),
-                    CallFault::Refuse { status } => {
-                        format!("effect = \"refuse\"\nstatus = {status}\n")
-                    }
-                };
-                format!("{target}{fault}{lasts}share = {share:?}\n")
-            }
-            Self::Crash {
-                worker,
-                is_replaced,
-            } => {
-                let effect = if is_replaced { "replace" } else { "crash" };
-                format!("effect = \"{effect}\"\ndown-ms = {ms}\n{}", machine(worker))
-            }
-            Self::FailRuns { share } => {
-                format!("effect = \"fail-runs\"\nshare = {share:?}\n{lasts}")
-            }
-            Self::LapseLeases { worker } => {
-                format!("effect = \"lapse-leases\"\n{}", machine(worker))
-            }
-            Self::LapseRegistrations { worker } => {
-                let machine = worker.map(machine).unwrap_or_default();
-                format!("effect = \"lapse-registrations\"\n{machine}{lasts}")
-            }
-            Self::Lose { worker } => format!("effect = \"lose\"\n{}", machine(worker)),
-            Self::LoseHistory => "effect = \"lose-history\"\n".to_owned(),
-            Self::SlowRuns { factor } => {
-                format!("effect = \"slow-runs\"\nfactor = {factor:?}\n{lasts}")
-            }
-            Self::StepClock { worker, step_ms } => {
-                format!(
-                    "effect = \"step-clocks\"\nstep-ms = {step_ms}\n{}",
-                    machine(worker)
-                )
-            }
-        };
-        format!("[[fault]]\nfrom-seconds = 0.0\n{fields}")
+impl ProcessAction {
+    fn is_planned(self) -> bool {
+        matches!(self, Self::Reload | Self::Restart { .. })
     }
 }
 
 /// Drawn action; all times are in milliseconds.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 #[rustfmt::skip]
 enum SoakAction {
-    Quiet { ms: u64 },
-    Restart { choice: ProcessChoice, down_ms: u64 },
-    RestartAndKill { choice: ProcessChoice, kill_ms: u64, down_ms: u64 },
-    Kill { choice: ProcessChoice, down_ms: u64 },
-    Freeze { choice: ProcessChoice, ms: u64 },
-    Reload { choice: ProcessChoice },
-    Disturb { choice: ProcessChoice, link: LinkChoice, action: LinkAction, ms: u64 },
-    Platform { fault: PlatformFault, ms: u64 },
+    Burst { jobs: u32 },
+    ChangeManifest { count: u32, gap_ms: u64 },
     Drain { worker: usize },
+    Platform { fault: PlatformFault },
+    Process { choice: ProcessChoice, action: ProcessAction },
+    Quiet { ms: u64 },
     Remove { node: usize, is_killed: bool },
-    Burst { jobs: u32 },
     Wave { first: usize, machines: usize, max_down: u32 },
-    ChangeManifest { count: u32, gap_ms: u64 },
 }
 
 fn draw_choice(rng: &mut StdRng, processes: usize) -> ProcessChoice {
@@ -199,81 +84,111 @@
 }
 
 fn draw_link(rng: &mut StdRng) -> LinkAction {
+    let mut fault = LinkFault::default();
     match rng.random_range(0..7) {
-        0 => LinkAction::Delay {
-            delay_ms: rng.random_range(5..400),
-        },
-        1 => LinkAction::HoldRequests,
-        2 => LinkAction::HoldResponses,
-        3 => LinkAction::HoldBoth,
-        4 => LinkAction::Reset,
-        5 => LinkAction::Slow {
-            bandwidth: rng.random_range(50..1_000),
-        },
-        _ => LinkAction::Silence,
+        0 => fault.delay = time::Duration::from_millis(rng.random_range(5..400)),
+        1 => fault.holds_requests = true,
+        2 => fault.holds_responses = true,
+        3 => (fault.holds_requests, fault.holds_responses) = (true, true),
+        4 => return LinkAction::Reset,
+        5 => fault.bandwidth = rng.random_range(50..1_000),
+        _ => return LinkAction::Silence,
     }
+    LinkAction::Fault(fault)
 }
 
-#[rustfmt::skip]
-fn draw_fault(rng: &mut StdRng) -> PlatformFault {
+fn draw_fault(rng: &mut StdRng, ms: u64) -> PlatformFault {
     let worker = rng.random_range(0..100);
     let any_worker = rng.random::<bool>().then_some(worker);
-    let delay_ms = rng.random_range(20..1_500);
-    let target = match rng.random_range(0..10) {
-        0..4 => FaultTarget::Table,
-        4..6 => FaultTarget::TableWrites,
-        6..8 => FaultTarget::Workers(any_worker),
-        8 => FaultTarget::Machines,
-        _ => FaultTarget::Advisor,
+    let delay_ms: u64 = rng.random_range(20..1_500);
+    let (target, target_worker) = match rng.random_range(0..10) {
+        0..4 => ("table", None),
+        4..6 => ("table-writes", None),
+        6..8 => ("workers", any_worker),
+        8 => ("machines", None),
+        _ => ("advisor", None),
     };
-    let fault = match rng.random_range(0..5) {
-        0 => CallFault::Delay { delay_ms },
-        1 => CallFault::Late { delay_ms },
-        2 => CallFault::LoseReplies,
-        3 => CallFault::LoseRequests,
-        _ => CallFault::Refuse { status: if rng.random() { 503 } else { 429 } },
+    let (call_effect, call_field) = match rng.random_range(0..5) {
+        0 => ("delay", format!("delay-ms = {delay_ms}, ")),
+        1 => ("late", format!("delay-ms = {delay_ms}, ")),
+        2 => ("lose-replies", String::new()),
+        3 => ("lose-requests", String::new()),
+        _ => {
+            let status = if rng.random() { 503 } else { 429 };
+            ("refuse", format!("status = {status}, "))
+        }
     };
-    let share = if rng.random() { 1.0 } else { rng.random_range(0.05..0.6) };
-    match rng.random_range(0..20) {
-        0..9 => PlatformFault::Calls { target, fault, share },
-        9..12 => PlatformFault::Crash { worker, is_replaced: rng.random() },
-        12 => PlatformFault::FailRuns { share: share.min(0.3) },
-        13..15 => PlatformFault::LapseLeases { worker },
-        15 => PlatformFault::LapseRegistrations { worker: any_worker },
-        16 => PlatformFault::Lose { worker },
-        17 => PlatformFault::LoseHistory,
-        18 => PlatformFault::SlowRuns { factor: rng.random_range(0.5..4.0) },
-        _ => PlatformFault::StepClock { worker, step_ms: rng.random_range(-3_000..3_000) },
+    let share: f64 = match rng.random() {
+        true => 1.0,
+        false => rng.random_range(0.05..0.6),
+    };
+    let lasts = |ms: u64| format!("to-seconds = {:?}", ms as f64 / 1_000.0);
+    let (effect, worker, fields) = match rng.random_range(0..20) {
+        0..9 => {
+            let lasts = lasts(ms);
+            let fields = format!("target = \"{target}\", {call_field}share = {share:?}, {lasts}");
+            (call_effect, target_worker, fields)
+        }
+        9..12 => {
+            let is_replaced: bool = rng.random();
+            let effect = if is_replaced { "replace" } else { "crash" };
+            (effect, Some(worker), format!("down-ms = {ms}"))
+        }
+        12 => {
+            let fields = format!("share = {:?}, {}", share.min(0.3), lasts(ms));
+            ("fail-runs", None, fields)
+        }
+        13..15 => ("lapse-leases", Some(worker), String::new()),
+        15 => ("lapse-registrations", any_worker, lasts(ms)),
+        16 => (LOSE, Some(worker), String::new()),
+        17 => ("lose-history", None, String::new()),
+        18 => {
+            let factor: f64 = rng.random_range(0.5..4.0);
+            let fields = format!("factor = {factor:?}, {}", lasts(ms));
+            ("slow-runs", None, fields)
+        }
+        _ => {
+            let step_ms: i64 = rng.random_range(-3_000..3_000);
+            let fields = format!("step-ms = {step_ms}");
+            ("step-clocks", Some(worker), fields)
+        }
+    };
+    PlatformFault {
+        effect,
+        worker,
+        fields,
+        ms,
     }
 }
 
 #[rustfmt::skip]
 fn draw(rng: &mut StdRng, processes: usize) -> SoakAction {
     let choice = draw_choice(rng, processes);
+    let on = |action| SoakAction::Process { choice, action };
     let worker = rng.random_range(0..100);
     let count = rng.random_range(1..4);
     let ms = rng.random_range(300..4_000);
     let down_ms = rng.random_range(0..2_000);
     match rng.random_range(0..100) {
         0..10 => SoakAction::Quiet { ms: rng.random_range(5_000..13_000) },
-        10..26 => SoakAction::Restart { choice, down_ms },
-        26..30 => SoakAction::RestartAndKill {
-            choice, kill_ms: rng.random_range(100..5_000), down_ms,
-        },
-        30..37 => SoakAction::Kill { choice, down_ms },
-        37..44 => SoakAction::Freeze { choice, ms },
-        44..47 => SoakAction::Reload { choice },
+        10..26 => on(ProcessAction::Restart { down_ms }),
+        26..30 => {
+            on(ProcessAction::RestartAndKill { kill_ms: rng.random_range(100..5_000), down_ms })
+        }
+        30..37 => on(ProcessAction::Kill { down_ms }),
+        37..44 => on(ProcessAction::Freeze { ms }),
+        44..47 => on(ProcessAction::Reload),
         47..49 => SoakAction::Remove {
             node: rng.random_range(0..processes), is_killed: rng.random(),
         },
         49..52 => SoakAction::Burst { jobs: rng.random_range(32..160) },
-        52..58 => SoakAction::Disturb {
-            choice, link: LinkChoice::Table, action: draw_link(rng), ms,
-        },
-        58..61 => SoakAction::Disturb {
-            choice, link: LinkChoice::Caller, action: draw_link(rng), ms,
-        },
-        61..75 => SoakAction::Platform { fault: draw_fault(rng), ms },
+        52..58 => {
+            on(ProcessAction::Link { link: LinkChoice::Table, action: draw_link(rng), ms })
+        }
+        58..61 => {
+            on(ProcessAction::Link { link: LinkChoice::Caller, action: draw_link(rng), ms })
+        }
+        61..75 => SoakAction::Platform { fault: draw_fault(rng, ms) },
         75..85 => SoakAction::Drain { worker },
         85..92 => SoakAction::Wave {
             first: worker, machines: rng.random_range(1..5), max_down: count,
@@ -285,12 +200,10 @@
 /// Runs actions drawn from the seed for the duration, and waits until all have ended.
 pub(crate) async fn run_all(cluster: &rc::Rc<SoakCluster>, seed: u64, duration: time::Duration) {
     let mut rng = StdRng::seed_from_u64(seed);
-    let rng = &mut rng;
-    let processes = cluster.processes();
     let mut bursts = 0;
     let mut running = Vec::new();
     while cluster.started_at.elapsed() < duration {
-        let action = draw(rng, processes);
+        let action = draw(&mut rng, cluster.processes());
         println!("{:7.2?} {action:?}", cluster.started_at.elapsed());
         if let SoakAction::Quiet { ms } = action {
             pause(ms).await;
@@ -318,156 +231,92 @@
     }
 }
 
+#[rustfmt::skip]
 async fn run(cluster: &SoakCluster, action: SoakAction) {
+    let platform = &cluster.platform;
     match action {
-        SoakAction::Quiet { .. } => {}
-        SoakAction::Restart { choice, down_ms } => {
-            each(cluster, choice, async |node| {
-                restart(cluster, node, down_ms).await;
-            })
-            .await;
-        }
-        SoakAction::Reload { choice } => {
-            each(cluster, choice, async |node| cluster.reload_process(node)).await;
-        }
-        SoakAction::Remove { node, is_killed } => {
-            // Half of the processes remain.
-            if !cluster.may_remove() {
-                return;
-            }
-            if is_killed {
-                cluster.mark_unplanned();
-                cluster.kill_process(node);
-            } else {
-                cluster.stop_process(node).await;
-            }
-        }
-        SoakAction::Drain { worker } => cluster.platform.drain_worker(worker).await,
-        SoakAction::Wave {
-            first,
-            machines,
-            max_down,
-        } => {
-            let platform = &cluster.platform;
-            platform.request_wave(first, machines, max_down).await;
-        }
+        SoakAction::Burst { .. } | SoakAction::Quiet { .. } => {}
         SoakAction::ChangeManifest { count, gap_ms } => {
             for number in 0..count {
-                let weight = f64::from(number + 1);
-                cluster.platform.change_manifest(weight).await;
+                platform.change_manifest(f64::from(number + 1)).await;
                 pause(gap_ms).await;
             }
         }
-        _ => {
+        SoakAction::Drain { worker } => platform.drain_worker(worker).await,
+        SoakAction::Platform { fault } => {
             cluster.mark_unplanned();
-            run_fault(cluster, action).await;
+            if platform.add_fault(&fault).await {
+                hold_fault(cluster, fault.ms).await;
+            }
             cluster.mark_unplanned();
         }
+        SoakAction::Process { choice, action } if action.is_planned() => {
+            each(cluster, choice, async |node| run_on(cluster, node, action).await).await;
+        }
+        SoakAction::Process { choice, action } => {
+            cluster.mark_unplanned();
+            each(cluster, choice, async |node| run_on(cluster, node, action).await).await;
+            cluster.mark_unplanned();
+        }
+        // Half of the processes remain.
+        SoakAction::Remove { .. } if !cluster.may_remove() => {}
+        SoakAction::Remove { node, is_killed: true } => {
+            cluster.mark_unplanned();
+            cluster.kill_process(node);
+        }
+        SoakAction::Remove { node, is_killed: false } => {
+            cluster.stop_process(node).await;
+        }
+        SoakAction::Wave { first, machines, max_down } => {
+            platform.request_wave(first, machines, max_down).await;
+        }
     }
 }
 
-async fn run_fault(cluster: &SoakCluster, action: SoakAction) {
+/// Runs an action on one process, until the process is as it was before.
+async fn run_on(cluster: &SoakCluster, node: usize, action: ProcessAction) {
     match action {
-        SoakAction::RestartAndKill {
-            choice,
-            kill_ms,
-            down_ms,
-        } => {
-            each(cluster, choice, async |node| {
-                let kill = async {
-                    pause(kill_ms).await;
-                    cluster.mark_unplanned();
-                    if cluster.kill_process(node) {
-                        pause(down_ms).await;
-                        cluster.start_process(node).await;
-                    }
-                };
-                tokio::join!(restart(cluster, node, down_ms), kill);
-            })
-            .await;
-        }
-        SoakAction::Kill { choice, down_ms } => {
-            each(cluster, choice, async |node| {
-                cluster.mark_unplanned();
-                if cluster.kill_process(node) {
-                    pause(down_ms).await;
-                    cluster.start_process(node).await;
-                }
-            })
-            .await;
-        }
-        SoakAction::Freeze { choice, ms } => {
-            each(cluster, choice, async |node| {
-                cluster.freeze_process(node, true);
-                hold_fault(cluster, ms).await;
-                cluster.freeze_process(node, false);
-            })
-            .await;
-        }
-        SoakAction::Disturb {
-            choice,
-            link,
-            action,
-            ms,
-        } => {
-            each(cluster, choice, async |node| {
-                disturb(cluster, node, link, action);
-                hold_fault(cluster, ms).await;
-                with_link(cluster, node, link, |link| {
-                    link.set_fault(LinkFault::default());
-                });
-            })
-            .await;
+        ProcessAction::Freeze { ms } => {
+            cluster.freeze_process(node, true);
+            hold_fault(cluster, ms).await;
+            cluster.freeze_process(node, false);
         }
-        SoakAction::Platform { fault, ms } => {
-            match fault {
-                PlatformFault::Lose { .. } if cluster.platform.lost_machines() > 0 => return,
-                PlatformFault::Lose { worker } => cluster.platform.lose_machine(worker).await,
-                _ => {
-                    let text = fault.text(&cluster.platform, ms);
-                    cluster.platform.add_faults(&text).await;
-                }
-            }
+        ProcessAction::Kill { down_ms } => kill(cluster, node, down_ms).await,
+        ProcessAction::Link { link, action, ms } => {
+            with_link(cluster, node, link, |link| match action {
+                LinkAction::Fault(fault) => link.set_fault(fault),
+                LinkAction::Reset => link.reset(),
+                LinkAction::Silence => link.silence(),
+            });
             hold_fault(cluster, ms).await;
+            let usual = LinkFault::default();
+            with_link(cluster, node, link, |link| link.set_fault(usual));
+        }
+        ProcessAction::Reload => cluster.reload_process(node),
+        ProcessAction::Restart { down_ms } => restart(cluster, node, down_ms).await,
+        ProcessAction::RestartAndKill { kill_ms, down_ms } => {
+            let kill = async {
+                pause(kill_ms).await;
+                kill(cluster, node, down_ms).await;
+            };
+            tokio::join!(restart(cluster, node, down_ms), kill);
         }
-        _ => {}
     }
 }
 
-async fn restart(cluster: &SoakCluster, node: usize, down_ms: u64) {
-    if cluster.stop_process(node).await {
+async fn kill(cluster: &SoakCluster, node: usize, down_ms: u64) {
+    cluster.mark_unplanned();
+    if cluster.kill_process(node) {
         pause(down_ms).await;
         cluster.start_process(node).await;
     }
 }
 
-fn disturb(cluster: &SoakCluster, node: usize, link: LinkChoice, action: LinkAction) {
-    let fault = match action {
-        LinkAction::Delay { delay_ms } => LinkFault {
-            delay: time::Duration::from_millis(delay_ms),
-            ..LinkFault::default()
-        },
-        LinkAction::Slow { bandwidth } => LinkFault {
-            bandwidth,
-            ..LinkFault::default()
-        },
-        LinkAction::HoldRequests => LinkFault {
-            holds_requests: true,
-            ..LinkFault::default()
-        },
-        LinkAction::HoldResponses => LinkFault {
-            holds_responses: true,
-            ..LinkFault::default()
-        },
-        LinkAction::HoldBoth => LinkFault {
-            holds_requests: true,
-            holds_responses: true,
-            ..LinkFault::default()
-        },
-        LinkAction::Reset => return with_link(cluster, node, link, LinkProxy::reset),
-        LinkAction::Silence => return with_link(cluster, node, link, LinkProxy::silence),
-    };
-    with_link(cluster, node, link, |link| link.set_fault(fault));
+async fn restart(cluster: &SoakCluster, node: usize, down_ms: u64) {
+    if cluster.stop_process(node).await {
+        pause(down_ms).await;
+        cluster.start_process(node).await;
+    }
 }
 
 fn with_link(
--- a/crates/node/tests/process_soak/cluster.rs
+++ b/crates/node/tests/process_soak/cluster.rs
@@ -6,6 +6,7 @@
 use std::fs;
 use std::net;
 use std::path::{Path, PathBuf};
+use std::process::ExitStatus;
 use std::time;
 
 use tokio::net::TcpStream;
@@ -184,10 +185,8 @@
     pub(crate) async fn stop_process(&self, node: usize) -> bool {
         let (limit, was_ready) = {
             let slot = &mut self.slots.borrow_mut()[node];
-            if slot.stopping_start == slot.starts {
-                return false;
-            }
-            let Some(process) = &mut slot.process else {
+            let is_stopping = slot.stopping_start == slot.starts;
+            let Some(process) = slot.process.as_mut().filter(|_| !is_stopping) else {
                 return false;
             };
             process.signal(ProcessSignal::Terminate);
@@ -195,40 +194,48 @@
             let was_ready = slot.ready_start == slot.starts;
             (slot.grace_period + EXIT_MARGIN, was_ready)
         };
+        let status = self.wait_exit(node, limit).await;
+        let was_killed = {
+            let slot = &mut self.slots.borrow_mut()[node];
+            // Dropped, and thereby killed if it is still there.
+            slot.process = None;
+            slot.ready_start = 0;
+            slot.killed_start == slot.starts
+        };
         let name = entry_name(node);
-        let mut time_left = limit;
-        loop {
-            let status = {
+        match status {
+            None => self.fail(
+                &format!("{name} has not exited {limit:?} after its stop"),
+                &name,
+            ),
+            // Before it is ready, a signal may end it at once.
+            Some(status) if !status.success() && was_ready && !was_killed => {
+                self.fail(
+                    &format!("{name} was stopped and ended with {status}"),
+                    &name,
+                );
+            }
+            Some(_) => {}
+        }
+        true
+    }
+
+    /// Waits for the exit of a process; time in which it is frozen does not count.
+    async fn wait_exit(&self, node: usize, mut limit: time::Duration) -> Option<ExitStatus> {
+        while !limit.is_zero() {
+            {
                 let slot = &mut self.slots.borrow_mut()[node];
-                if !slot.is_frozen {
-                    time_left = time_left.saturating_sub(EXIT_POLL);
-                }
                 let status = slot.process.as_mut().and_then(SoakProcess::exit_status);
-                // Before it is ready, a signal may end it at once.
-                let may_fail = slot.killed_start == slot.starts || !was_ready;
-                status.map(|status| (status, may_fail))
-            };
-            match status {
-                Some((status, may_fail)) => {
-                    if !status.success() && !may_fail {
-                        let what = format!("{name} was stopped and ended with {status}");
-                        self.fail(&what, &name);
-                    }
-                    break;
+                if status.is_some() {
+                    return status;
                 }
-                None if time_left.is_zero() => {
-                    let what = format!("{name} has not exited {limit:?} after its stop");
-                    self.fail(&what, &name);
-                    break;
+                if !slot.is_frozen {
+                    limit = limit.saturating_sub(EXIT_POLL);
                 }
-                None => timer::sleep(EXIT_POLL).await,
             }
+            timer::sleep(EXIT_POLL).await;
         }
-        let slot = &mut self.slots.borrow_mut()[node];
-        // Dropped, and thereby killed if it is still there.
-        slot.process = None;
-        slot.ready_start = 0;
-        true
+        None
     }
 
     /// Kills the process of a VM. Returns whether the caller is the one who may start
@@ -410,30 +417,23 @@
     async fn new(settings: &Path, directory: &Path) -> Self {
         let text = fs::read_to_string(settings).expect("the platform wrote the settings");
         let mut file: toml::Table = text.parse().expect("the settings are TOML");
-        let find = |file: &toml::Table, section: &str, name: &str| {
-            let field = file.get(section).and_then(|section| section.get(name));
-            let text = field.and_then(toml::Value::as_str);
+        let address = |section: &str, name: &str| {
+            let text = file[section][name].as_str();
             let address = text.and_then(|text| text.parse::<net::SocketAddr>().ok());
             address.unwrap_or_else(|| panic!("{section}.{name} is an address: {text:?}"))
         };
-        let table_link = LinkProxy::start(find(&file, "platform", "address")).await;
-        let caller_link = LinkProxy::start(find(&file, "listen", "front")).await;
-        let ready = find(&file, "listen", "ready");
-        let grace = file.get("bounds").and_then(|bounds| bounds.get("graceS"));
-        let grace = grace.and_then(|grace| match grace {
-            toml::Value::Integer(seconds) => Some(*seconds as f64),
-            other => other.as_float(),
-        });
-        let table = file.get_mut("platform").and_then(toml::Value::as_table_mut);
-        let table = table.expect("the section was read");
-        table.insert("address".to_owned(), table_link.address.to_string().into());
+        let table_link = LinkProxy::start(address("platform", "address")).await;
+        let caller_link = LinkProxy::start(address("listen", "front")).await;
+        let ready = address("listen", "ready");
+        let grace = file["bounds"]["graceS"].as_float().expect("it is a number");
+        file["platform"]["address"] = table_link.address.to_string().into();
         let name = settings.file_name().expect("it is a file");
         let path = directory.join(name).with_extension("proxied.toml");
         fs::write(&path, file.to_string()).expect("the directory is writable");
         Self {
             settings: path,
             ready,
-            grace_period: time::Duration::from_secs_f64(grace.unwrap_or(6.0)),
+            grace_period: time::Duration::from_secs_f64(grace),
             caller_link,
             table_link,
             process: None,
--- a/crates/node/tests/process_soak/job.rs
+++ b/crates/node/tests/process_soak/job.rs
@@ -29,6 +29,38 @@
     Timed,
 }
 
+impl JobKind {
+    /// Returns the kind for a number below 100.
+    fn of(drawn: u32, may_last: bool) -> Self {
+        match drawn {
+            0..15 if may_last => Self::LongRunning,
+            0..35 => Self::Chain,
+            35..45 => Self::Gang,
+            45..53 => Self::Timed,
+            53..63 => Self::Checkpointing,
+            63..70 => Self::BestEffort,
+            70..76 => Self::Speculative,
+            _ => Self::Single,
+        }
+    }
+
+    /// Returns the fields by which the last step differs from a usual one with a
+    /// number of tasks.
+    fn fields(self, count: u32) -> Vec<(&'static str, serde_json::Value)> {
+        match self {
+            Self::BestEffort => vec![("fillCount", json!(true)), ("image", json!("fill"))],
+            Self::Chain => vec![("count", json!(2)), ("after", json!([0]))],
+            Self::Checkpointing => vec![("checkpointing", json!(true))],
+            Self::Gang => vec![("count", json!(count + 1)), ("gang", json!(true))],
+            Self::LongRunning => {
+                vec![("longRunning", json!(true)), ("maxUnavailable", json!(1))]
+            }
+            Self::Single | Self::Timed => Vec::new(),
+            Self::Speculative => vec![("speculative", json!(true))],
+        }
+    }
+}
+
 /// Size of a job.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum JobSize {
@@ -143,60 +175,42 @@
         may_last: bool,
         size: JobSize,
     ) -> Self {
+        let is_wide = size == JobSize::Wide;
         let queue = queues[rng.random_range(0..queues.len())].clone();
-        let tenant = rng.random_range(0..tenants.len());
+        let any_tenant = &tenants[rng.random_range(0..tenants.len())];
         let kind = match rng.random_range(0..100) {
-            _ if size == JobSize::Wide => JobKind::Single,
-            0..15 if may_last => JobKind::LongRunning,
-            0..35 => JobKind::Chain,
-            35..45 => JobKind::Gang,
-            45..53 => JobKind::Timed,
-            53..63 => JobKind::Checkpointing,
-            63..70 => JobKind::BestEffort,
-            70..76 => JobKind::Speculative,
-            _ => JobKind::Single,
+            _ if is_wide => JobKind::Single,
+            drawn => JobKind::of(drawn, may_last),
         };
-        let tenant = match kind {
-            // Long-running tasks would use up a limit for good.
-            JobKind::LongRunning => tenants.iter().find(|tenant| !tenant.has_limit),
-            _ if size == JobSize::Wide => tenants.iter().find(|tenant| !tenant.has_limit),
-            _ => tenants.get(tenant),
+        // Long-running tasks would use up a limit for good.
+        let tenant = match is_wide || kind == JobKind::LongRunning {
+            true => tenants.iter().find(|tenant| !tenant.has_limit),
+            false => Some(any_tenant),
         };
-        let tenant = tenant.expect("a customer has no limit").clone();
         let millis: u64 = rng.random_range(20..1_500);
-        let count = match size {
+        let count: u32 = match size {
             JobSize::Usual => rng.random_range(1..4),
             JobSize::Wide => rng.random_range(10..60),
         };
-        let (first_run_in, interval_ms) =
-            (rng.random_range(100..1_500), rng.random_range(200..2_000));
+        let first_run_in: u64 = rng.random_range(100..1_500);
+        let interval_ms: u64 = rng.random_range(200..2_000);
         let times = rng.random_range(2..5);
         let cpu = match kind {
             // Limits matter only if some jobs come near to them.
-            _ if size == JobSize::Wide => 50,
+            _ if is_wide => 50,
             JobKind::Single if rng.random_bool(0.2) => 1_500,
             JobKind::LongRunning => 200,
             _ => 100,
         };
-        let step = |fields: serde_json::Value| {
-            let mut step = json!({
-                "count": count, "cpu": cpu, "memMb": 16, "estimateMs": millis,
-            });
-            let fields = fields.as_object().expect("they are fields").clone();
-            step.as_object_mut().expect("it is a step").extend(fields);
-            step
-        };
-        let steps = match kind {
-            JobKind::Chain => vec![step(json!({})), step(json!({"count": 2, "after": [0]}))],
-            JobKind::Gang => vec![step(json!({"count": count + 1, "gang": true}))],
-            JobKind::LongRunning => {
-                vec![step(json!({"longRunning": true, "maxUnavailable": 1}))]
-            }
-            JobKind::Checkpointing => vec![step(json!({"checkpointing": true}))],
-            JobKind::BestEffort => vec![step(json!({"fillCount": true, "image": "fill"}))],
-            JobKind::Speculative => vec![step(json!({"speculative": true}))],
-            JobKind::Timed | JobKind::Single => vec![step(json!({}))],
-        };
+        let mut first = json!({"count": count, "cpu": cpu, "memMb": 16, "estimateMs": millis});
+        let mut steps = Vec::new();
+        if kind == JobKind::Chain {
+            steps.push(first.clone());
+        }
+        for (name, value) in kind.fields(count) {
+            first[name] = value;
+        }
+        steps.push(first);
         let counts = steps.iter().filter_map(|step| step["count"].as_u64());
         let counts = counts.map(|count| count as u32).collect();
         let mut body = json!({"spec": millis.to_string(), "steps": steps});
@@ -211,7 +225,7 @@
         }
         Self {
             queue,
-            tenant,
+            tenant: tenant.expect("a customer has no limit").clone(),
             kind,
             cpu: if kind == JobKind::BestEffort { 0 } else { cpu },
             counts,
@@ -236,24 +250,48 @@
         task.occurrence < self.times && task.index < count
     }
 
+    /// Returns when an occurrence is due, in milliseconds since the Unix epoch.
+    pub(crate) fn due_ms(&self, task: &TaskName) -> Option<u64> {
+        let (first_run_ms, interval_ms) = self.schedule?;
+        Some(first_run_ms + interval_ms * u64::from(task.occurrence))
+    }
+
+    /// Returns the tasks of a step in the occurrence of another task.
+    pub(crate) fn step_tasks(
+        &self,
+        task: &TaskName,
+        step: usize,
+    ) -> impl Iterator<Item = TaskName> + use<> {
+        let task = task.clone();
+        (0..self.counts[step]).map(move |index| TaskName {
+            step,
+            index,
+            ..task.clone()
+        })
+    }
+
     /// Returns the tasks of all occurrences.
     pub(crate) fn tasks(&self, job: &str) -> Vec<TaskName> {
         let mut tasks = Vec::new();
         for occurrence in 0..self.times {
-            for (step, count) in self.counts.iter().enumerate() {
-                let job = job.to_owned();
-                tasks.extend((0..*count).map(|index| TaskName {
-                    job: job.clone(),
-                    occurrence,
-                    step,
-                    index,
-                }));
-            }
+            let first = TaskName {
+                job: job.to_owned(),
+                occurrence,
+                step: 0,
+                index: 0,
+            };
+            let steps = 0..self.counts.len();
+            tasks.extend(steps.flat_map(|step| self.step_tasks(&first, step)));
         }
         tasks
     }
 }
 
+/// Returns the id of the job of a task, by the task's name.
+pub(crate) fn id_of(task: &str) -> &str {
+    task.split('.').next().unwrap_or(task)
+}
+
 /// Returns a time in milliseconds since the Unix epoch.
 pub(crate) fn unix_millis(at: time::SystemTime) -> u64 {
     let since = at.duration_since(time::SystemTime::UNIX_EPOCH);
--- a/crates/node/tests/process_soak/platform.rs
+++ b/crates/node/tests/process_soak/platform.rs
@@ -1,10 +1,10 @@
 //! Stand-in platform as a process, and what its workers, machines and operators see.
 
 use std::cell;
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeSet;
 use std::env;
-use std::fmt;
 use std::net;
+use std::ops;
 use std::path::{Path, PathBuf};
 use std::rc;
 use std::time;
@@ -13,14 +13,15 @@
 use redwing_adapter::table::PlatformTable;
 use redwing_engine::row::{self, OwnerRecord};
 use redwing_provider::{TableLimits, TableStore};
-use serde::Deserialize;
 use serde_json::json;
 use tokio::net::TcpStream;
 use tokio::sync::watch;
 use tokio::task;
 use tokio::time as timer;
 
+use crate::job;
 use crate::process::{self, ProcessCommand, SoakProcess};
+use crate::view::PlatformView;
 use crate::wire::{self, WireRequest, WireResponse};
 
 /// Environment variable that names the program of the platform.
@@ -51,8 +52,11 @@
 /// Time that a draining worker has until it leaves, in milliseconds.
 const DRAIN_MS: u64 = 4_500;
 
-/// Time after the end of a drain in which its effects may be seen, in milliseconds.
-const DRAIN_EFFECT_MS: f64 = 3_000.0;
+/// Time after the end of a fault in which its effects may be seen, in milliseconds.
+const EFFECT_MS: f64 = 3_000.0;
+
+/// Effect of a fault that ends a machine for good.
+pub(crate) const LOSE: &str = "lose";
 
 /// Queue of the manifest.
 #[derive(Clone, Debug)]
@@ -68,121 +72,16 @@
     pub(crate) has_limit: bool,
 }
 
-/// One run of a task.
-#[derive(Clone, Debug, Deserialize)]
-#[serde(rename_all = "camelCase")]
-pub(crate) struct RunView {
-    pub(crate) run: u32,
-    pub(crate) worker: String,
-    pub(crate) machine: String,
-    /// Start and end on the platform's clock.
-    pub(crate) started_ms: f64,
-    pub(crate) ended_ms: Option<f64>,
-    /// When an owner took note of the end.
-    pub(crate) noted_ms: Option<f64>,
-    pub(crate) how: Option<String>,
-}
-
-impl RunView {
-    pub(crate) fn is(&self, how: &str) -> bool {
-        self.how.as_deref() == Some(how)
-    }
-
-    /// Returns whether an order ended the run, if its worker did not leave by itself.
-    pub(crate) fn is_ordered_end(&self) -> bool {
-        self.is("stopped") || self.is("lost")
-    }
-}
-
-impl fmt::Display for RunView {
-    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let (run, worker, machine) = (self.run, &self.worker, &self.machine);
-        let started_ms = self.started_ms;
-        write!(
-            formatter,
-            "run {run} on {worker} ({machine}), {started_ms:.0} ms to "
-        )?;
-        match (self.ended_ms, &self.how) {
-            (Some(ended_ms), Some(how)) => write!(formatter, "{ended_ms:.0} ms, {how}"),
-            _ => formatter.write_str("now"),
-        }
-    }
-}
-
-/// All runs of a task.
-#[derive(Clone, Debug, Deserialize)]
-#[serde(rename_all = "camelCase")]
-pub(crate) struct TaskView {
-    pub(crate) runs: Vec<RunView>,
-    pub(crate) speculative: bool,
-}
-
-#[derive(Clone, Copy, Debug, Deserialize)]
-struct CapacityView {
-    cpu: i64,
-}
-
-#[derive(Clone, Debug, Deserialize)]
-#[serde(rename_all = "camelCase")]
-struct MachineView {
-    machine: String,
-    capacity: CapacityView,
-}
-
-/// Wave as the operator requested it.
-#[derive(Clone, Debug, Deserialize)]
-#[serde(rename_all = "camelCase")]
-pub(crate) struct WaveRequest {
-    pub(crate) wave: u64,
-    pub(crate) machines: Vec<String>,
-    pub(crate) max_count: usize,
-}
-
-/// Wave with its state.
-#[derive(Clone, Debug, Deserialize)]
-#[serde(rename_all = "camelCase")]
-pub(crate) struct WaveView {
-    pub(crate) request: WaveRequest,
-    status: serde_json::Value,
-    pub(crate) maintained: Vec<String>,
-    pub(crate) max_down: usize,
-}
-
-impl WaveView {
-    pub(crate) fn is_completed(&self) -> bool {
-        self.status["state"] == "completed"
-    }
-}
-
-/// State of the platform.
-#[derive(Clone, Debug, Default, Deserialize)]
-#[serde(rename_all = "camelCase")]
-pub(crate) struct PlatformView {
-    pub(crate) now_ms: f64,
-    pub(crate) tasks: BTreeMap<String, TaskView>,
-    machines: Vec<MachineView>,
-    pub(crate) waves: BTreeMap<String, WaveView>,
-}
-
-impl PlatformView {
-    pub(crate) fn is_running(&self, task: &str) -> bool {
-        let runs = self.tasks.get(task).map_or(&[][..], |task| &task.runs);
-        runs.iter().any(|run| run.ended_ms.is_none())
-    }
-
-    /// Returns whether a job has had a run.
-    pub(crate) fn has_begun(&self, job: &str) -> bool {
-        // The separator after the id is the least character of a name.
-        let mut later = self.tasks.range(format!("{job}.")..);
-        later.next().is_some_and(|(name, _)| name.starts_with(job))
-    }
-
-    /// Returns the CPU of a machine.
-    pub(crate) fn capacity(&self, machine: &str) -> Option<i64> {
-        let mut machines = self.machines.iter();
-        let found = machines.find(|entry| entry.machine == machine);
-        found.map(|entry| entry.capacity.cpu)
-    }
+/// Fault of the platform, or of a worker, that begins at once.
+#[derive(Clone, Debug)]
+pub(crate) struct PlatformFault {
+    pub(crate) effect: &'static str,
+    /// Choice of the worker, if only one is concerned.
+    pub(crate) worker: Option<usize>,
+    /// The other fields in the platform's format.
+    pub(crate) fields: String,
+    /// Time for which it lasts.
+    pub(crate) ms: u64,
 }
 
 /// Running platform.
@@ -202,8 +101,8 @@
     waves: cell::Cell<u64>,
     /// Machines that failed for good.
     lost: cell::RefCell<BTreeSet<String>>,
-    /// Ends of the effects of all drains, on the clock of the soak.
-    drains: cell::RefCell<Vec<(f64, f64)>>,
+    /// Times of the soak in which drains had their effects, in milliseconds.
+    drains: cell::RefCell<Vec<ops::Range<f64>>>,
     started: time::Instant,
     table: PlatformTable,
     views: watch::Sender<rc::Rc<PlatformView>>,
@@ -292,7 +191,8 @@
         tenants.collect()
     }
 
-    async fn call(&self, method: &str, path: &str, body: &str) -> WireResponse {
+    /// Sends a call; returns the response, whatever its status.
+    async fn send(&self, method: &str, path: &str, body: &str) -> WireResponse {
         let mut stream = TcpStream::connect(self.address).await;
         let stream = stream.as_mut().expect("the platform listens");
         let request = WireRequest {
@@ -303,7 +203,11 @@
             body,
         };
         let called = wire::call(stream, request, CALL_LIMIT).await;
-        let response = called.expect("the platform responds");
+        called.expect("the platform responds")
+    }
+
+    async fn call(&self, method: &str, path: &str, body: &str) -> WireResponse {
+        let response = self.send(method, path, body).await;
         assert_eq!(response.status, 200, "{path}: {} to {body}", response.body);
         response
     }
@@ -340,10 +244,8 @@
     /// Returns a line for each run of a job that the latest view has.
     pub(crate) fn runs_of(&self, job: &str) -> Vec<String> {
         let view = self.views.borrow();
-        let tasks = view.tasks.iter().filter(|(name, _)| {
-            let id = name.split('.').next();
-            id == Some(job)
-        });
+        let tasks = view.tasks.iter();
+        let tasks = tasks.filter(|(name, _)| job::id_of(name) == job);
         let lines = tasks.flat_map(|(name, task)| {
             let runs = task.runs.iter();
             runs.map(move |run| format!("{name} {run}"))
@@ -428,39 +330,50 @@
         self.write(&format!("wave/{wave}"), &request).await;
     }
 
-    /// Adds faults, whose times count from now.
-    pub(crate) async fn add_faults(&self, faults: &str) {
-        self.call("POST", "/stand-in/faults", faults).await;
+    /// Adds a fault. Returns whether it was added: only one machine may fail for good.
+    pub(crate) async fn add_fault(&self, fault: &PlatformFault) -> bool {
+        let machine = fault.worker.map(|worker| self.machine_number(worker));
+        if fault.effect == LOSE {
+            if !self.lost.borrow().is_empty() {
+                return false;
+            }
+            let name = machine.map(machine_name).expect("it names a machine");
+            self.lost.borrow_mut().insert(name);
+        }
+        let (effect, fields) = (fault.effect, &fault.fields);
+        let machine = machine.map(|machine| format!(", machine = {machine}"));
+        let machine = machine.unwrap_or_default();
+        let separator = if fields.is_empty() { "" } else { ", " };
+        let text = format!(
+            "fault = [{{ effect = \"{effect}\", from-seconds = 0.0{machine}{separator}{fields} }}]"
+        );
+        self.call("POST", "/stand-in/faults", &text).await;
+        true
     }
 
     /// Lets the worker of a machine drain and leave.
-    pub(crate) async fn drain_worker(&self, choice: usize) {
+    pub(crate) async fn drain_worker(&self, worker: usize) {
+        self.drains.borrow_mut().push(self.effect_range(DRAIN_MS));
+        let fault = PlatformFault {
+            effect: "drain",
+            worker: Some(worker),
+            fields: format!("down-ms = {DRAIN_MS}"),
+            ms: DRAIN_MS,
+        };
+        self.add_fault(&fault).await;
+    }
+
+    /// Returns the times in which a fault that begins now, and lasts for `ms`, may have
+    /// an effect.
+    fn effect_range(&self, ms: u64) -> ops::Range<f64> {
         let begun = self.started.elapsed().as_secs_f64() * 1_000.0;
-        let ends = begun + DRAIN_MS as f64 + DRAIN_EFFECT_MS;
-        self.drains.borrow_mut().push((begun, ends));
-        let machine = self.machine_number(choice);
-        let fault = format!(
-            "[[fault]]\neffect = \"drain\"\nfrom-seconds = 0.0\nmachine = {machine}\n\
-             down-ms = {DRAIN_MS}\n"
-        );
-        self.add_faults(&fault).await;
+        begun..begun + ms as f64 + EFFECT_MS
     }
 
     /// Returns whether a worker may have left at a time of the soak.
     pub(crate) fn may_have_left(&self, at_ms: f64) -> bool {
         let drains = self.drains.borrow();
-        drains
-            .iter()
-            .any(|(begun, ends)| (*begun..*ends).contains(&at_ms))
-    }
-
-    /// Lets a machine fail for good.
-    pub(crate) async fn lose_machine(&self, choice: usize) {
-        let machine = self.machine_number(choice);
-        self.lost.borrow_mut().insert(machine_name(machine));
-        let fault = "[[fault]]\neffect = \"lose\"\nfrom-seconds = 0.0";
-        self.add_faults(&format!("{fault}\nmachine = {machine}\n"))
-            .await;
+        drains.iter().any(|range| range.contains(&at_ms))
     }
 
     /// Returns the number of a machine in use.
@@ -471,11 +384,6 @@
     pub(crate) fn is_lost(&self, machine: &str) -> bool {
         self.lost.borrow().contains(machine)
     }
-
-    /// Returns the number of machines that failed for good.
-    pub(crate) fn lost_machines(&self) -> usize {
-        self.lost.borrow().len()
-    }
 }
 
 fn machine_name(number: usize) -> String {
--- /dev/null
+++ b/crates/node/tests/process_soak/view.rs
@@ -0,0 +1,134 @@
+//! What the platform shows: runs, machines and waves.
+
+use std::collections::BTreeMap;
+use std::fmt;
+
+use serde::Deserialize;
+
+use crate::platform::StandinPlatform;
+
+/// One run of a task.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(rename_all = "camelCase")]
+pub(crate) struct RunView {
+    pub(crate) run: u32,
+    pub(crate) worker: String,
+    pub(crate) machine: String,
+    /// Start and end on the platform's clock.
+    pub(crate) started_ms: f64,
+    pub(crate) ended_ms: Option<f64>,
+    /// When an owner took note of the end.
+    pub(crate) noted_ms: Option<f64>,
+    pub(crate) how: Option<String>,
+}
+
+impl RunView {
+    pub(crate) fn is(&self, how: &str) -> bool {
+        self.how.as_deref() == Some(how)
+    }
+
+    /// Returns whether an order ended the run, if its worker did not leave by itself.
+    pub(crate) fn is_ordered_end(&self) -> bool {
+        self.is("stopped") || self.is("lost")
+    }
+}
+
+impl fmt::Display for RunView {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let (run, worker, machine) = (self.run, &self.worker, &self.machine);
+        let started_ms = self.started_ms;
+        write!(
+            formatter,
+            "run {run} on {worker} ({machine}), {started_ms:.0} ms to "
+        )?;
+        match (self.ended_ms, &self.how) {
+            (Some(ended_ms), Some(how)) => write!(formatter, "{ended_ms:.0} ms, {how}"),
+            _ => formatter.write_str("now"),
+        }
+    }
+}
+
+/// All runs of a task.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(rename_all = "camelCase")]
+pub(crate) struct TaskView {
+    pub(crate) runs: Vec<RunView>,
+    pub(crate) speculative: bool,
+}
+
+#[derive(Clone, Copy, Debug, Deserialize)]
+struct CapacityView {
+    cpu: i64,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct MachineView {
+    machine: String,
+    capacity: CapacityView,
+}
+
+/// Wave as the operator requested it.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(rename_all = "camelCase")]
+pub(crate) struct WaveRequest {
+    pub(crate) wave: u64,
+    pub(crate) machines: Vec<String>,
+    pub(crate) max_count: usize,
+}
+
+/// Wave with its state.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(rename_all = "camelCase")]
+pub(crate) struct WaveView {
+    pub(crate) request: WaveRequest,
+    status: serde_json::Value,
+    pub(crate) maintained: Vec<String>,
+    pub(crate) max_down: usize,
+}
+
+impl WaveView {
+    pub(crate) fn is_completed(&self) -> bool {
+        self.status["state"] == "completed"
+    }
+
+    /// Returns the machines that had no maintenance, without those that are lost.
+    pub(crate) fn open_machines(
+        &self,
+        platform: &StandinPlatform,
+    ) -> impl Iterator<Item = &String> {
+        let machines = self.request.machines.iter();
+        machines.filter(|machine| !self.maintained.contains(machine) && !platform.is_lost(machine))
+    }
+}
+
+/// State of the platform.
+#[derive(Clone, Debug, Default, Deserialize)]
+#[serde(rename_all = "camelCase")]
+pub(crate) struct PlatformView {
+    pub(crate) now_ms: f64,
+    pub(crate) tasks: BTreeMap<String, TaskView>,
+    machines: Vec<MachineView>,
+    pub(crate) waves: BTreeMap<String, WaveView>,
+}
+
+impl PlatformView {
+    pub(crate) fn is_running(&self, task: &str) -> bool {
+        let runs = self.tasks.get(task).map_or(&[][..], |task| &task.runs);
+        runs.iter().any(|run| run.ended_ms.is_none())
+    }
+
+    /// Returns whether a job has had a run.
+    pub(crate) fn has_begun(&self, job: &str) -> bool {
+        // The separator after the id is the least character of a name.
+        let mut later = self.tasks.range(format!("{job}.")..);
+        later.next().is_some_and(|(name, _)| name.starts_with(job))
+    }
+
+    /// Returns the CPU of a machine.
+    pub(crate) fn capacity(&self, machine: &str) -> Option<i64> {
+        let mut machines = self.machines.iter();
+        let found = machines.find(|entry| entry.machine == machine);
+        found.map(|entry| entry.capacity.cpu)
+    }
+}
