Check that runs fail only while the soak lets them

The old soak, in one process, checked that no run failed without a fault. The soak of processes has faults that let runs fail, and had no such check: now a run that ended as failed must have started while such a fault was active, or within 3 s after it.

--- a/crates/node/tests/process_soak.rs
+++ b/crates/node/tests/process_soak.rs
@@ -212,6 +212,8 @@
 #[case::lost_machine_again(237, 5)]
 #[case::lost_machine_behind(239, 5)]
 #[case::idle_reset(232, 5)]
+// An owner scheduled before it had the manifest, without limits of customers.
+#[case::late_manifest(3004, 4)]
 // A fleet too small for 100 processes.
 #[case::small_fleet(500, 100)]
 #[ignore = "takes several minutes"]
--- a/crates/node/tests/process_soak/action.rs
+++ b/crates/node/tests/process_soak/action.rs
@@ -9,7 +9,7 @@
 
 use crate::caller;
 use crate::cluster::SoakCluster;
-use crate::platform::{LOSE, PlatformFault};
+use crate::platform::{FAIL_RUNS, LOSE, PlatformFault};
 use crate::proxy::{LinkFault, LinkProxy};
 
 /// Longest time between the first and the last start of a series, in milliseconds.
@@ -136,7 +136,7 @@
         }
         12 => {
             let fields = format!("share = {:?}, {}", share.min(0.3), lasts(ms));
-            ("fail-runs", None, fields)
+            (FAIL_RUNS, None, fields)
         }
         13..15 => ("lapse-leases", Some(worker), String::new()),
         15 => ("lapse-registrations", any_worker, lasts(ms)),
--- a/crates/node/tests/process_soak/platform.rs
+++ b/crates/node/tests/process_soak/platform.rs
@@ -55,6 +55,9 @@
 /// Time after the end of a fault in which its effects may be seen, in milliseconds.
 const EFFECT_MS: f64 = 3_000.0;
 
+/// Effect of a fault that lets runs fail.
+pub(crate) const FAIL_RUNS: &str = "fail-runs";
+
 /// Effect of a fault that ends a machine for good.
 pub(crate) const LOSE: &str = "lose";
 
@@ -101,8 +104,10 @@
     waves: cell::Cell<u64>,
     /// Machines that failed for good.
     lost: cell::RefCell<BTreeSet<String>>,
-    /// Times of the soak in which drains had their effects, in milliseconds.
+    /// Times of the soak in which drains and faults that let runs fail had their
+    /// effects, in milliseconds.
     drains: cell::RefCell<Vec<ops::Range<f64>>>,
+    run_failures: cell::RefCell<Vec<ops::Range<f64>>>,
     started: time::Instant,
     table: PlatformTable,
     views: watch::Sender<rc::Rc<PlatformView>>,
@@ -159,6 +164,7 @@
             waves: cell::Cell::new(0),
             lost: cell::RefCell::default(),
             drains: cell::RefCell::default(),
+            run_failures: cell::RefCell::default(),
             started: time::Instant::now(),
             table: PlatformTable::new(JsonClient::new(), address, TableLimits::default()),
             views: watch::Sender::default(),
@@ -340,6 +346,11 @@
             let name = machine.map(machine_name).expect("it names a machine");
             self.lost.borrow_mut().insert(name);
         }
+        if fault.effect == FAIL_RUNS {
+            self.run_failures
+                .borrow_mut()
+                .push(self.effect_range(fault.ms));
+        }
         let (effect, fields) = (fault.effect, &fault.fields);
         let machine = machine.map(|machine| format!(", machine = {machine}"));
         let machine = machine.unwrap_or_default();
@@ -376,6 +387,12 @@
         drains.iter().any(|range| range.contains(&at_ms))
     }
 
+    /// Returns whether a run that started at a time of the soak may fail.
+    pub(crate) fn may_fail(&self, started_ms: f64) -> bool {
+        let failures = self.run_failures.borrow();
+        failures.iter().any(|range| range.contains(&started_ms))
+    }
+
     /// Returns the number of a machine in use.
     pub(crate) fn machine_number(&self, choice: usize) -> usize {
         choice % self.machines + 1
--- a/crates/node/tests/process_soak/promise.rs
+++ b/crates/node/tests/process_soak/promise.rs
@@ -103,6 +103,10 @@
         .is_some_and(|due_ms| began_ms + started_ms < due_ms as f64 - EARLY_MS - CLOCK_ERROR_MS);
     let mut first_step = job.step_tasks(task, 0);
     let is_after_step = task.step == 0 || first_step.all(|first| input.is_done(&first, started_ms));
+    let may_fail = input
+        .cluster
+        .platform
+        .may_fail(started_ms + input.offset_ms);
     select([
         (
             completed_ms.is_some_and(|at| started_ms > at + ORDER_TIME_MS),
@@ -117,6 +121,10 @@
             !is_after_step,
             "started before the steps that it comes after were done",
         ),
+        (
+            run.is("failed") && !may_fail,
+            "a run failed without a fault",
+        ),
     ])
 }
 
