Let the VMs of a soak differ, and workers be out of reach for longer

What the old soak, in one process, varied and the soak of processes did not:

- Every fourth VM is small, and leaves the scheduling to larger ones.
- The times for which processes serve after the signal differ: grace periods of 6, 5 and 4.5 s in turn.
- Faults of the calls to one worker last up to 12 s instead of 4 s, beyond the end of the worker's leases; the old soak silenced workers for up to 14 s.

--- a/crates/node/tests/process_soak/action.rs
+++ b/crates/node/tests/process_soak/action.rs
@@ -123,8 +123,11 @@
         false => rng.random_range(0.05..0.6),
     };
     let lasts = |ms: u64| format!("to-seconds = {:?}", ms as f64 / 1_000.0);
+    let mut ms = ms;
     let (effect, worker, fields) = match rng.random_range(0..20) {
         0..9 => {
+            // One worker may be out of reach for longer than its leases last.
+            ms *= if target_worker.is_some() { 3 } else { 1 };
             let lasts = lasts(ms);
             let fields = format!("target = \"{target}\", {call_field}share = {share:?}, {lasts}");
             (call_effect, target_worker, fields)
--- a/crates/node/tests/process_soak/cluster.rs
+++ b/crates/node/tests/process_soak/cluster.rs
@@ -41,6 +41,19 @@
 /// milliseconds, as it is noted only when its action has begun.
 const AFTERMATH_MS: f64 = 300.0;
 
+/// Grace periods of the processes, in turn.
+const GRACE_PERIODS: [time::Duration; 3] = [
+    time::Duration::from_secs(6),
+    time::Duration::from_secs(5),
+    time::Duration::from_millis(4_500),
+];
+
+/// One VM of so many is small, and leaves the scheduling to larger ones.
+const SMALL_EACH: usize = 4;
+
+/// CPU of a small VM, as a share of one core.
+const SMALL_CPU_SHARE: f64 = 0.1;
+
 /// Number of kinds of failures of a seed of which one is traced.
 const MAX_TRACES: usize = 6;
 
@@ -110,8 +123,8 @@
     pub(crate) async fn start(directory: &Path, processes: usize, seed: u64) -> Self {
         let platform = StandinPlatform::start(directory, processes, seed).await;
         let mut slots = Vec::new();
-        for settings in &platform.settings_files {
-            slots.push(ProcessSlot::new(settings, directory).await);
+        for (node, settings) in platform.settings_files.iter().enumerate() {
+            slots.push(ProcessSlot::new(node, settings, directory).await);
         }
         assert_eq!(slots.len(), processes, "a settings file for each process");
         let now = timer::Instant::now();
@@ -413,8 +426,9 @@
 }
 
 impl ProcessSlot {
-    /// Puts proxies in front of a process: its settings name the one of the table.
-    async fn new(settings: &Path, directory: &Path) -> Self {
+    /// Puts proxies in front of a process: its settings name the one of the table. VMs
+    /// differ in their size and in the grace period.
+    async fn new(node: usize, settings: &Path, directory: &Path) -> Self {
         let text = fs::read_to_string(settings).expect("the platform wrote the settings");
         let mut file: toml::Table = text.parse().expect("the settings are TOML");
         let address = |section: &str, name: &str| {
@@ -425,15 +439,19 @@
         let table_link = LinkProxy::start(address("platform", "address")).await;
         let caller_link = LinkProxy::start(address("listen", "front")).await;
         let ready = address("listen", "ready");
-        let grace = file["bounds"]["graceS"].as_float().expect("it is a number");
+        let grace_period = GRACE_PERIODS[node % GRACE_PERIODS.len()];
         file["platform"]["address"] = table_link.address.to_string().into();
+        file["bounds"]["graceS"] = grace_period.as_secs_f64().into();
+        if node % SMALL_EACH == SMALL_EACH - 1 {
+            file["limits"]["cpuShare"] = SMALL_CPU_SHARE.into();
+        }
         let name = settings.file_name().expect("it is a file");
         let path = directory.join(name).with_extension("proxied.toml");
         fs::write(&path, file.to_string()).expect("the directory is writable");
         Self {
             settings: path,
             ready,
-            grace_period: time::Duration::from_secs_f64(grace),
+            grace_period,
             caller_link,
             table_link,
             process: None,
