Count the time in which the soak's platform does not respond as unplanned

Trace (seconds of 11:27): between 05.5 and 06.8 nothing of the platform responded to any process: the owner's commit had no response within its time limit (E532, 06.46), workers 1 and 4 became silent (06.35, 06.46) and answered again (06.68, 06.78), and all three processes refused 13 reads from 06.80 to 06.96, as their view of the operators' rows had not been confirmed recently. The proxies were not late (over 60 ms) after 28.4 s of the soak. What is left is the platform's process, whose delays the soak did not measure.

Change: a probe each 50 ms that takes the platform no work. If it has no response within 300 ms, the time until the response counts as a fault, as one of the soak's own does. What a process may do while the platform responds in time is checked as before.

--- a/crates/node/tests/process_soak.rs
+++ b/crates/node/tests/process_soak.rs
@@ -94,12 +94,14 @@
     let monitor = check::monitor(rc::Rc::clone(&cluster), rc::Rc::clone(&is_over));
     let monitor = tokio::task::spawn_local(monitor);
     let watch = tokio::task::spawn_local(check::watch(rc::Rc::clone(&cluster)));
+    let probe = tokio::task::spawn_local(check::probe(rc::Rc::clone(&cluster)));
     action::run_all(&cluster, settings.seed, settings.duration).await;
     callers.stop().await;
     check::check_end(&cluster).await;
     is_over.set(true);
     monitor.await.expect("the checks end");
     watch.abort();
+    probe.abort();
     cluster.stop();
     let failures = cluster.failures.take();
     if failures.is_empty() {
@@ -212,6 +214,8 @@
 #[case::lost_machine_again(237, 5)]
 #[case::lost_machine_behind(239, 5)]
 #[case::idle_reset(232, 5)]
+// The platform's process did not respond for a second, which no check knew.
+#[case::late_platform(3006, 4)]
 // An owner scheduled before it had the manifest, without limits of customers.
 #[case::late_manifest(3004, 4)]
 // A fleet too small for 100 processes.
--- a/crates/node/tests/process_soak/check.rs
+++ b/crates/node/tests/process_soak/check.rs
@@ -3,6 +3,7 @@
 
 use std::cell;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::pin::pin;
 use std::rc;
 use std::time;
 
@@ -39,6 +40,9 @@
 /// Longest time by which the soak itself may delay the proxies.
 const MAX_LATENESS: time::Duration = time::Duration::from_millis(60);
 
+/// Longest time in which the platform responds if nothing holds it up.
+const MAX_RESPONSE_TIME: time::Duration = time::Duration::from_millis(300);
+
 /// Number of reads at a time at the end.
 const END_READERS: usize = 8;
 
@@ -135,6 +139,25 @@
     }
 }
 
+/// Marks the time in which the platform does not respond, until it is aborted.
+pub(crate) async fn probe(cluster: rc::Rc<SoakCluster>) {
+    loop {
+        timer::sleep(WATCH_INTERVAL).await;
+        let begun = timer::Instant::now();
+        let mut response = pin!(cluster.platform.probe());
+        let limited = timer::timeout(MAX_RESPONSE_TIME, response.as_mut());
+        if limited.await.is_err() {
+            let active = &cluster.active_faults;
+            active.set(active.get() + 1);
+            response.await;
+            active.set(active.get() - 1);
+            let (at, took) = (cluster.started_at.elapsed(), begun.elapsed());
+            println!("{at:7.2?} platform responded in {took:.0?}");
+            cluster.mark_unplanned();
+        }
+    }
+}
+
 #[derive(Default)]
 struct MonitorState {
     offset_ms: Option<f64>,
--- a/crates/node/tests/process_soak/platform.rs
+++ b/crates/node/tests/process_soak/platform.rs
@@ -218,6 +218,11 @@
         response
     }
 
+    /// Waits for a response that takes the platform no work.
+    pub(crate) async fn probe(&self) {
+        self.send("GET", "/stand-in/probe", "").await;
+    }
+
     /// Returns what workers, machines and operators see.
     pub(crate) async fn view(&self) -> rc::Rc<PlatformView> {
         let response = self.call("GET", "/stand-in/state", "").await;
