Bound the time for which a stopping owner waits for a change

Known finding of the soak: an owner whose table cannot be reached stopped 20 s after the signal, beyond its grace period of 6 s.

Cause: at the signal a change is under way, which is retried until give_up_after (20 s), and the release waits for its outcome without a limit.

Change: the release waits for the lease (1.2 s), the time for which the release itself is retried; then the process stops without it. By then other processes may claim the ownership anyway.

Test: an_owner_without_a_table_stops_in_time, over 4 s before the change; passes after. Tests owner (29) and takeover (7) pass.

--- a/crates/engine/src/owner/session/mod.rs
+++ b/crates/engine/src/owner/session/mod.rs
@@ -359,11 +359,13 @@
 
     /// Releases the ownership so that another process can acquire it at once.
     async fn release(&mut self) -> &'static str {
-        if let Some(pending) = &mut self.pending_change {
-            // A dropped sender counts as a lost change.
-            let outcome = (&mut pending.outcome).await;
-            let outcome =
-                outcome.unwrap_or(ChangeOutcome::Lost("the outcome of a change was lost"));
+        if self.pending_change.is_some() {
+            // The change is retried for longer than the process may take to stop.
+            let limit = self.dependencies.settings.lease;
+            let outcome = wait_for_change(&mut self.pending_change);
+            let Ok(outcome) = timer::timeout(limit, outcome).await else {
+                return "the process stops while a change is under way";
+            };
             if let Some(reason) = self.handle_change_outcome(outcome) {
                 return reason;
             }
--- a/crates/engine/tests/takeover.rs
+++ b/crates/engine/tests/takeover.rs
@@ -140,6 +140,21 @@
     });
 }
 
+/// The table goes down some time before the signal, and a change is under way.
+#[test]
+fn an_owner_without_a_table_stops_in_time() {
+    run_test(async {
+        let mut cluster = TestCluster::start(1, time::Duration::from_secs(60)).await;
+        cluster.owner().await;
+        cluster.disconnect_table(0);
+        timer::sleep(time::Duration::from_millis(1_500)).await;
+        let process = cluster.processes.remove(0);
+        process.stop.send_replace(true);
+        let stopped = timer::timeout(time::Duration::from_secs(4), process.owner).await;
+        assert!(stopped.is_ok(), "it still runs");
+    });
+}
+
 /// The scheduler's bound on the leases of an earlier owner covers the time for which
 /// that owner may send orders.
 #[test]
