Count the effects of faults on the clock of the soak

Cause: the platform noted drains and faults of runs on a clock that began when it was ready, the checks count from when the proxies were set up, later with more processes. The failed runs had started just after their fault, on the other clock before it. The effects of drains, too, were expected too late. Now both clocks are one.

--- a/crates/node/tests/process_soak/cluster.rs
+++ b/crates/node/tests/process_soak/cluster.rs
@@ -134,6 +134,7 @@
         }
         assert_eq!(slots.len(), processes, "a settings file for each process");
         let now = timer::Instant::now();
+        let started_at = platform.started_at;
         let cluster = Self {
             directory: directory.to_owned(),
             queues: platform.queues(),
@@ -141,8 +142,8 @@
             platform,
             slots: cell::RefCell::new(slots),
             ledger: JobLedger::default(),
-            started_at: now,
-            began_at: time::SystemTime::now(),
+            started_at,
+            began_at: time::SystemTime::now() - started_at.elapsed(),
             acted_at: cell::Cell::new(now),
             unplanned_at: cell::Cell::new(now),
             unplanned_ms: cell::RefCell::default(),
--- a/crates/node/tests/process_soak/platform.rs
+++ b/crates/node/tests/process_soak/platform.rs
@@ -108,7 +108,8 @@
     /// effects, in milliseconds.
     drains: cell::RefCell<Vec<ops::Range<f64>>>,
     run_failures: cell::RefCell<Vec<ops::Range<f64>>>,
-    started: time::Instant,
+    /// When it was ready, by which the times of the soak count.
+    pub(crate) started_at: timer::Instant,
     table: PlatformTable,
     views: watch::Sender<rc::Rc<PlatformView>>,
     /// Killed when the platform is dropped.
@@ -165,7 +166,7 @@
             lost: cell::RefCell::default(),
             drains: cell::RefCell::default(),
             run_failures: cell::RefCell::default(),
-            started: time::Instant::now(),
+            started_at: timer::Instant::now(),
             table: PlatformTable::new(JsonClient::new(), address, TableLimits::default()),
             views: watch::Sender::default(),
             _process: process,
@@ -382,7 +383,7 @@
     /// Returns the times in which a fault that begins now, and lasts for `ms`, may have
     /// an effect.
     fn effect_range(&self, ms: u64) -> ops::Range<f64> {
-        let begun = self.started.elapsed().as_secs_f64() * 1_000.0;
+        let begun = self.started_at.elapsed().as_secs_f64() * 1_000.0;
         begun..begun + ms as f64 + EFFECT_MS
     }
 
