--- a/crates/node/tests/process_soak.rs
+++ b/crates/node/tests/process_soak.rs
@@ -168,6 +168,38 @@
     });
 }
 
+/// An owner with jobs is cut off from the table, some time before the signal.
+#[rstest]
+#[case::at_the_signal(0)]
+#[case::before_its_changes_are_given_up(1_500)]
+#[case::long_before(6_000)]
+fn an_owner_without_a_table_stops_within_its_grace_period(#[case] cut_ms: u64) {
+    actix_rt::System::new().block_on(async {
+        let directory = log_directory(&format!("cut-{cut_ms}"));
+        fs::create_dir_all(&directory).expect("the log directory is writable");
+        let cluster = rc::Rc::new(SoakCluster::start(&directory, 1, 1).await);
+        let is_over = rc::Rc::new(cell::Cell::new(false));
+        let monitor = check::monitor(rc::Rc::clone(&cluster), rc::Rc::clone(&is_over));
+        let monitor = tokio::task::spawn_local(monitor);
+        let callers = SoakCallers::start(&cluster, 1);
+        timer::sleep(time::Duration::from_secs(3)).await;
+        callers.stop().await;
+        is_over.set(true);
+        monitor.await.expect("the checks end");
+        assert_eq!(cluster.owner_node().await, Some(0));
+        cluster.slots.borrow()[0].table_link.set_fault(LinkFault {
+            holds_requests: true,
+            holds_responses: true,
+            ..LinkFault::default()
+        });
+        timer::sleep(time::Duration::from_millis(cut_ms)).await;
+        cluster.stop_process(0).await;
+        let failures = cluster.failures.take();
+        assert!(failures.is_empty(), "{failures:?}");
+        let _ = fs::remove_dir_all(&directory);
+    });
+}
+
 /// Open connections to the table go silent for good, while new ones work; the
 /// processes keep several of them.
 #[test]
