Remove the soak in one process, which the soak of processes replaces

Where each of its checks stands in crates/node/tests/process_soak:

- no two runs of a task at once; no start after the end was stored as done: promise.rs, find_pair_problems
- no run fails without a fault: promise.rs, find_run_problems
- a long-running task has a run again within 9 s: check.rs, check_gaps
- a cancelled job has no run after 3.2 s in steady state: promise.rs, check_job
- a refused or unanswered submission is not stored: check.rs, wait_job; nor does it run: promise.rs, check_job
- each accepted job ends as it should, within 30 s after the last action, long-running ones with a run of each task: check.rs, wait_job.
An accepted job that failed was a failure; as runs may fail by a fault now, it is one unless a task has failed as often as it may (promise.rs, has_failed), each time by a fault
- the state of an accepted job is given, 503 only near a fault: caller.rs, check_state
- a connection ends without a response only by a kill, or before the first byte: caller.rs, call; the latter now only at a process that was told to stop
- a stopping process completes a request that it has read: the test of the same name

Not carried over, besides no check: the listener in the product's own formats is not under a soak any more (the tests owner, takeover, slow_link and jobs use it), and workers that join beyond those that are replaced.

The stand-in workers kept a history of runs for this soak only, which goes with it.

--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -35,4 +35,4 @@
 pub use link::{LinkSettings, LinkedTable};
 pub use machine::{MachineFault, MemoryMachines};
 pub use memory::{MemoryPlatform, MemorySettings};
-pub use worker::{MemoryWorkers, RecordedChange, RunChange, WorkerFault};
+pub use worker::{MemoryWorkers, WorkerFault};
--- a/crates/standin/src/worker.rs
+++ b/crates/standin/src/worker.rs
@@ -2,11 +2,10 @@
 //!
 //! A task only takes a fixed time. Faults are set per worker: it doesn't respond,
 //! executes orders after a delay, or fails its tasks; [`MemoryWorkers::crash`]
-//! replaces a worker by its next incarnation, which has no runs. Workers can join,
-//! drain and leave. A payload that is a number is the duration of the task, in
-//! milliseconds.
+//! replaces a worker by its next incarnation, which has no runs. A payload that is a
+//! number is the duration of the task, in milliseconds.
 
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeMap, HashMap};
 use std::sync;
 use std::time;
 
@@ -48,39 +47,9 @@
     duration: time::Duration,
 }
 
-/// Change of a run on a stand-in worker.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum RunChange {
-    /// The worker accepted the order to start it.
-    Started,
-    /// It ended.
-    Ended(ExitKind),
-    /// It was lost with the worker.
-    Lost,
-    /// The owner acknowledged that it is done.
-    DoneStored,
-}
-
-/// Recorded change of a run.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub struct RecordedChange {
-    /// When it took effect.
-    pub at: time::Instant,
-    /// Task of the run.
-    pub task: TaskId,
-    /// Number of the run.
-    pub run: u32,
-    /// Worker of the run.
-    pub worker: WorkerId,
-    /// The change.
-    pub change: RunChange,
-}
-
 #[derive(Debug)]
 struct StandinWorker {
     view: WorkerView,
-    /// Changes of runs that were not yet moved to the history of all workers.
-    changes: Vec<RecordedChange>,
     fault: WorkerFault,
     started_at: time::Instant,
     fencing_token: u64,
@@ -98,35 +67,10 @@
         self.started_at.elapsed().as_millis() as u64
     }
 
-    fn record(&mut self, at: time::Instant, task: &TaskId, run: u32, change: RunChange) {
-        self.changes.push(RecordedChange {
-            at,
-            task: task.clone(),
-            run,
-            worker: self.view.id.clone(),
-            change,
-        });
-    }
-
-    /// Records that all runs are lost, and returns the changes.
-    fn lose_runs(&mut self) -> Vec<RecordedChange> {
-        self.end_finished_runs();
-        for (task, run) in std::mem::take(&mut self.running) {
-            self.record(time::Instant::now(), &task, run.run, RunChange::Lost);
-        }
-        std::mem::take(&mut self.changes)
-    }
-
     fn end(&mut self, task: &TaskId, kind: ExitKind) {
         let Some(run) = self.running.remove(task) else {
             return;
         };
-        let ended_at = match kind {
-            ExitKind::Done => run.started_at + run.duration,
-            ExitKind::Lapsed => self.started_at + time::Duration::from_millis(self.lease_end_ms),
-            _ => time::Instant::now(),
-        };
-        self.record(ended_at, task, run.run, RunChange::Ended(kind));
         self.closed_runs.insert(task.clone(), run.run);
         self.ended.push(EndedRun {
             number: self.next_end_number,
@@ -195,16 +139,7 @@
                 lease_end_ms,
                 ..
             } => {
-                let stored = |end: &EndedRun| end.number <= *acknowledged_number;
-                let (acknowledged, ended) =
-                    self.ended.drain(..).partition::<Vec<EndedRun>, _>(stored);
-                self.ended = ended;
-                for end in acknowledged {
-                    if end.kind == ExitKind::Done {
-                        let now = time::Instant::now();
-                        self.record(now, &end.task, end.run, RunChange::DoneStored);
-                    }
-                }
+                self.ended.retain(|end| end.number > *acknowledged_number);
                 self.lease_end_ms = self.lease_end_ms.max(lease_end_ms.unwrap_or(0));
                 OrderOutcome::Accepted
             }
@@ -230,16 +165,11 @@
             return OrderOutcome::Expired;
         }
         self.lease_end_ms = self.lease_end_ms.max(lease_end_ms);
-        let started_at = time::Instant::now();
-        let entry = StandinRun {
+        self.running.entry(task.clone()).or_insert(StandinRun {
             run,
-            started_at,
+            started_at: time::Instant::now(),
             duration,
-        };
-        if !self.running.contains_key(task) {
-            self.running.insert(task.clone(), entry);
-            self.record(started_at, task, run, RunChange::Started);
-        }
+        });
         OrderOutcome::Accepted
     }
 
@@ -281,8 +211,6 @@
 pub struct MemoryWorkers {
     workers: sync::Arc<sync::Mutex<BTreeMap<WorkerId, StandinWorker>>>,
     starts: sync::Arc<sync::Mutex<Vec<AcceptedStart>>>,
-    /// Changes of the runs on workers that crashed or left.
-    past_changes: sync::Arc<sync::Mutex<Vec<RecordedChange>>>,
     /// Duration of each task.
     task_duration: time::Duration,
 }
@@ -300,7 +228,6 @@
         Self {
             workers: sync::Arc::new(sync::Mutex::new(workers.collect())),
             starts: sync::Arc::default(),
-            past_changes: sync::Arc::default(),
             task_duration,
         }
     }
@@ -328,62 +255,6 @@
         Ok(())
     }
 
-    /// Adds the worker `worker-NUMBER`; [`MemoryWorkers::register`] lists it.
-    pub fn add(&self, pool: &str, number: u32) {
-        let view = worker_view(pool, number);
-        let id = view.id.clone();
-        let worker = new_incarnation(view, WorkerFault::default());
-        self.lock().insert(id, worker);
-    }
-
-    /// Makes a worker drain; [`MemoryWorkers::register`] lists the change.
-    pub fn drain(&self, worker: &WorkerId, remaining: time::Duration) {
-        if let Some(worker) = self.lock().get_mut(worker) {
-            worker.view.is_draining = true;
-            worker.view.remaining_ms = Some(remaining.as_millis() as u64);
-        }
-    }
-
-    /// Ends a worker with its runs; its row stays.
-    pub fn remove(&self, worker: &WorkerId) {
-        if let Some(mut worker) = self.lock().remove(worker) {
-            self.keep_changes(worker.lose_runs());
-        }
-    }
-
-    /// Returns all changes of runs, in the order of their times.
-    pub fn history(&self) -> Vec<RecordedChange> {
-        let mut history = match self.past_changes.lock() {
-            Ok(changes) => changes.clone(),
-            Err(poisoned) => poisoned.into_inner().clone(),
-        };
-        for worker in self.lock().values_mut() {
-            worker.end_finished_runs();
-            history.extend(worker.changes.iter().cloned());
-        }
-        history.sort_by_key(|entry| entry.at);
-        history
-    }
-
-    /// Returns the tasks with a run on a responsive worker.
-    pub fn reachable_tasks(&self) -> BTreeSet<TaskId> {
-        let mut workers = self.lock();
-        let responsive = workers
-            .values_mut()
-            .filter(|worker| !worker.fault.is_unresponsive);
-        let tasks = responsive.flat_map(|worker| {
-            worker.end_finished_runs();
-            worker.running.keys().cloned()
-        });
-        tasks.collect()
-    }
-
-    fn keep_changes(&self, changes: Vec<RecordedChange>) {
-        if let Ok(mut past) = self.past_changes.lock() {
-            past.extend(changes);
-        }
-    }
-
     /// Sets the faults of a worker.
     pub fn set_fault(&self, worker: &WorkerId, fault: WorkerFault) {
         if let Some(worker) = self.lock().get_mut(worker) {
@@ -394,7 +265,6 @@
     /// Replaces a worker by its next incarnation, which has no runs.
     pub fn crash(&self, worker: &WorkerId) {
         if let Some(worker) = self.lock().get_mut(worker) {
-            self.keep_changes(worker.lose_runs());
             let mut view = worker.view.clone();
             view.incarnation += 1;
             *worker = new_incarnation(view, worker.fault);
@@ -534,7 +404,6 @@
 fn new_incarnation(view: WorkerView, fault: WorkerFault) -> StandinWorker {
     StandinWorker {
         view,
-        changes: Vec::new(),
         fault,
         started_at: time::Instant::now(),
         fencing_token: 0,
