Share the start and the end of the tests of the process soak

Starting a cluster in a log directory, running callers with the checks, and ending both with the failures printed stood in three tests and run_seed. A failed test other than a seed prints its examples, too, now. Signals are those of rustix instead of an enum that is converted.

--- a/crates/node/tests/process_soak.rs
+++ b/crates/node/tests/process_soak.rs
@@ -34,18 +34,19 @@
 mod wire;
 
 use std::cell;
-use std::collections::BTreeMap;
 use std::env;
 use std::fs;
+use std::future;
 use std::path::PathBuf;
 use std::rc;
 use std::sync;
 use std::time;
 
 use caller::SoakCallers;
-use cluster::{FailureGroup, SoakCluster};
+use cluster::SoakCluster;
 use proxy::LinkFault;
 use rstest::rstest;
+use tokio::task;
 use tokio::time as timer;
 
 /// Part of the grace period that is left when a stopping process stops serving.
@@ -83,47 +84,77 @@
     parent.join(format!("soak-{name}-{}", std::process::id()))
 }
 
-async fn run_seed(settings: SoakSettings) -> BTreeMap<String, FailureGroup> {
-    let directory = log_directory(&settings.seed.to_string());
+/// Starts the processes; their logs are in a directory with the name.
+async fn start_cluster(name: &str, processes: usize, seed: u64) -> rc::Rc<SoakCluster> {
+    let directory = log_directory(name);
     fs::create_dir_all(&directory).expect("the log directory is writable");
-    println!("soak {settings:?}, logs in {}", directory.display());
-    let cluster = SoakCluster::start(&directory, settings.processes, settings.seed).await;
-    let cluster = rc::Rc::new(cluster);
-    let callers = SoakCallers::start(&cluster, settings.seed);
-    let is_over = rc::Rc::new(cell::Cell::new(false));
-    let monitor = check::monitor(rc::Rc::clone(&cluster), rc::Rc::clone(&is_over));
-    let monitor = tokio::task::spawn_local(monitor);
-    let watch = tokio::task::spawn_local(check::watch(rc::Rc::clone(&cluster)));
-    let probe = tokio::task::spawn_local(check::probe(rc::Rc::clone(&cluster)));
-    action::run_all(&cluster, settings.seed, settings.duration).await;
-    callers.stop().await;
-    check::check_end(&cluster).await;
-    is_over.set(true);
-    monitor.await.expect("the checks end");
-    watch.abort();
-    probe.abort();
+    println!("soak {name}, logs in {}", directory.display());
+    rc::Rc::new(SoakCluster::start(&directory, processes, seed).await)
+}
+
+/// Ends the processes; returns the number of failures, and prints some of each kind.
+fn finish(cluster: &SoakCluster) -> usize {
     cluster.stop();
     let failures = cluster.failures.take();
     if failures.is_empty() {
         // A directory that stays does no harm.
-        let _ = fs::remove_dir_all(&directory);
+        let _ = fs::remove_dir_all(&cluster.directory);
     }
-    failures
-}
-
-/// Runs one seed at a time, because each has many processes.
-fn run_soak(settings: SoakSettings) -> usize {
-    static TURN: sync::Mutex<()> = sync::Mutex::new(());
-    let _turn = TURN.lock().unwrap_or_else(sync::PoisonError::into_inner);
-    let failures = actix_rt::System::new().block_on(run_seed(settings));
-    let count: usize = failures.values().map(|group| group.count).sum();
-    println!("soak seed {}: {count} failures", settings.seed);
     for (kind, group) in &failures {
         println!("{} times: {kind}", group.count);
         for example in &group.examples {
             println!("{example}");
         }
     }
+    failures.values().map(|group| group.count).sum()
+}
+
+/// Callers, and the checks of what they and the platform see.
+struct CheckedCalls {
+    callers: SoakCallers,
+    is_over: rc::Rc<cell::Cell<bool>>,
+    monitor: task::JoinHandle<()>,
+}
+
+impl CheckedCalls {
+    fn start(cluster: &rc::Rc<SoakCluster>, seed: u64) -> Self {
+        let is_over = rc::Rc::new(cell::Cell::new(false));
+        let monitor = check::monitor(rc::Rc::clone(cluster), rc::Rc::clone(&is_over));
+        Self {
+            callers: SoakCallers::start(cluster, seed),
+            is_over,
+            monitor: task::spawn_local(monitor),
+        }
+    }
+
+    /// Ends the callers, then the checks once `last_checks` has ended.
+    async fn end(self, last_checks: impl Future<Output = ()>) {
+        self.callers.stop().await;
+        last_checks.await;
+        self.is_over.set(true);
+        self.monitor.await.expect("the checks end");
+    }
+}
+
+async fn run_seed(settings: SoakSettings) -> usize {
+    let name = settings.seed.to_string();
+    let cluster = start_cluster(&name, settings.processes, settings.seed).await;
+    let calls = CheckedCalls::start(&cluster, settings.seed);
+    let watch = task::spawn_local(check::watch(rc::Rc::clone(&cluster)));
+    let probe = task::spawn_local(check::probe(rc::Rc::clone(&cluster)));
+    action::run_all(&cluster, settings.seed, settings.duration).await;
+    calls.end(check::check_end(&cluster)).await;
+    watch.abort();
+    probe.abort();
+    finish(&cluster)
+}
+
+/// Runs one seed at a time, because each has many processes.
+fn run_soak(settings: SoakSettings) -> usize {
+    static TURN: sync::Mutex<()> = sync::Mutex::new(());
+    let _turn = TURN.lock().unwrap_or_else(sync::PoisonError::into_inner);
+    let count = actix_rt::System::new().block_on(run_seed(settings));
+    println!("{settings:?}: {count} failures");
     count
 }
 
@@ -145,9 +176,7 @@
 #[test]
 fn a_stopping_process_completes_a_request_that_it_has_read() {
     actix_rt::System::new().block_on(async {
-        let directory = log_directory("stop");
-        fs::create_dir_all(&directory).expect("the log directory is writable");
-        let cluster = rc::Rc::new(SoakCluster::start(&directory, 1, 1).await);
+        let cluster = start_cluster("stop", 1, 1).await;
         let grace_period = cluster.slots.borrow()[0].grace_period;
         let late_call = caller::submit_late(&cluster, async {
             timer::sleep(grace_period - STOP_MARGIN - time::Duration::from_millis(200)).await;
@@ -159,12 +188,7 @@
         });
         let (_, status) = tokio::join!(cluster.stop_process(0), late_call);
         assert_eq!(status, Some(504));
-        assert!(
-            cluster.failures.borrow().is_empty(),
-            "{:?}",
-            cluster.failures
-        );
-        let _ = fs::remove_dir_all(&directory);
+        assert_eq!(finish(&cluster), 0);
     });
 }
 
@@ -175,17 +199,10 @@
 #[case::long_before(6_000)]
 fn an_owner_without_a_table_stops_within_its_grace_period(#[case] cut_ms: u64) {
     actix_rt::System::new().block_on(async {
-        let directory = log_directory(&format!("cut-{cut_ms}"));
-        fs::create_dir_all(&directory).expect("the log directory is writable");
-        let cluster = rc::Rc::new(SoakCluster::start(&directory, 1, 1).await);
-        let is_over = rc::Rc::new(cell::Cell::new(false));
-        let monitor = check::monitor(rc::Rc::clone(&cluster), rc::Rc::clone(&is_over));
-        let monitor = tokio::task::spawn_local(monitor);
-        let callers = SoakCallers::start(&cluster, 1);
+        let cluster = start_cluster(&format!("cut-{cut_ms}"), 1, 1).await;
+        let calls = CheckedCalls::start(&cluster, 1);
         timer::sleep(time::Duration::from_secs(3)).await;
-        callers.stop().await;
-        is_over.set(true);
-        monitor.await.expect("the checks end");
+        calls.end(future::ready(())).await;
         assert_eq!(cluster.owner_node().await, Some(0));
         cluster.slots.borrow()[0].table_link.set_fault(LinkFault {
             holds_requests: true,
@@ -194,9 +211,7 @@
         });
         timer::sleep(time::Duration::from_millis(cut_ms)).await;
         cluster.stop_process(0).await;
-        let failures = cluster.failures.take();
-        assert!(failures.is_empty(), "{failures:?}");
-        let _ = fs::remove_dir_all(&directory);
+        assert_eq!(finish(&cluster), 0);
     });
 }
 
@@ -204,31 +219,18 @@
 /// processes keep several of them.
 #[test]
 fn processes_serve_again_after_their_connections_to_the_table_went_silent() {
-    let failures = actix_rt::System::new().block_on(async {
-        let directory = log_directory("silence");
-        fs::create_dir_all(&directory).expect("the log directory is writable");
-        let cluster = rc::Rc::new(SoakCluster::start(&directory, 2, 1).await);
-        let callers = SoakCallers::start(&cluster, 1);
-        let is_over = rc::Rc::new(cell::Cell::new(false));
-        let monitor = check::monitor(rc::Rc::clone(&cluster), rc::Rc::clone(&is_over));
-        let monitor = tokio::task::spawn_local(monitor);
+    actix_rt::System::new().block_on(async {
+        let cluster = start_cluster("silence", 2, 1).await;
+        let calls = CheckedCalls::start(&cluster, 1);
         timer::sleep(time::Duration::from_secs(4)).await;
         for slot in cluster.slots.borrow().iter() {
             slot.table_link.silence();
         }
         cluster.mark_unplanned();
         timer::sleep(time::Duration::from_secs(12)).await;
-        callers.stop().await;
-        is_over.set(true);
-        monitor.await.expect("the checks end");
-        cluster.stop();
-        cluster.failures.take()
+        calls.end(future::ready(())).await;
+        assert_eq!(finish(&cluster), 0);
     });
-    let failures: Vec<_> = failures.into_iter().collect();
-    for (kind, group) in &failures {
-        println!("{} times: {kind}", group.count);
-    }
-    assert!(failures.is_empty());
 }
 
 /// Each of these seeds failed once.
--- a/crates/node/tests/process_soak/cluster.rs
+++ b/crates/node/tests/process_soak/cluster.rs
@@ -9,12 +9,13 @@
 use std::process::ExitStatus;
 use std::time;
 
+use rustix::process::Signal;
 use tokio::net::TcpStream;
 use tokio::time as timer;
 
 use crate::job::JobLedger;
 use crate::platform::{SoakQueue, SoakTenant, StandinPlatform};
-use crate::process::{ProcessCommand, ProcessSignal, SoakProcess};
+use crate::process::{ProcessCommand, SoakProcess};
 use crate::proxy::LinkProxy;
 use crate::trace;
 use crate::wire::{self, WireRequest};
@@ -210,7 +211,7 @@
             let Some(process) = slot.process.as_mut().filter(|_| !is_stopping) else {
                 return false;
             };
-            process.signal(ProcessSignal::Terminate);
+            process.signal(Signal::TERM);
             slot.stopping_start = slot.starts;
             let was_ready = slot.ready_start == slot.starts;
             (slot.grace_period + EXIT_MARGIN, was_ready)
@@ -266,7 +267,7 @@
         let Some(process) = &mut slot.process else {
             return false;
         };
-        process.signal(ProcessSignal::Kill);
+        process.signal(Signal::KILL);
         slot.killed_start = slot.starts;
         slot.ready_start = 0;
         if slot.stopping_start == slot.starts {
@@ -280,8 +281,8 @@
     pub(crate) fn freeze_process(&self, node: usize, is_frozen: bool) {
         let slot = &mut self.slots.borrow_mut()[node];
         let signal = match is_frozen {
-            true => ProcessSignal::Freeze,
-            false => ProcessSignal::Continue,
+            true => Signal::STOP,
+            false => Signal::CONT,
         };
         slot.is_frozen = is_frozen;
         slot.frozen_at = Some(timer::Instant::now());
@@ -297,7 +298,7 @@
             // Before it is ready, it may not handle the signal yet.
             && slot.ready_start == slot.starts
         {
-            process.signal(ProcessSignal::Reload);
+            process.signal(Signal::HUP);
         }
     }
 
--- a/crates/node/tests/process_soak/process.rs
+++ b/crates/node/tests/process_soak/process.rs
@@ -13,28 +13,6 @@
 /// Time between two looks at a process that is to print a line.
 const POLL_INTERVAL: time::Duration = time::Duration::from_millis(20);
 
-/// Signal that the soak sends.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(crate) enum ProcessSignal {
-    Continue,
-    Freeze,
-    Kill,
-    Reload,
-    Terminate,
-}
-
-impl ProcessSignal {
-    fn number(self) -> system::Signal {
-        match self {
-            Self::Continue => system::Signal::CONT,
-            Self::Freeze => system::Signal::STOP,
-            Self::Kill => system::Signal::KILL,
-            Self::Reload => system::Signal::HUP,
-            Self::Terminate => system::Signal::TERM,
-        }
-    }
-}
-
 /// Program that the soak starts, with its arguments and environment.
 #[derive(Clone, Debug)]
 pub(crate) struct ProcessCommand {
@@ -76,13 +54,13 @@
     }
 
     /// Sends a signal; a process that has exited gets none.
-    pub(crate) fn signal(&mut self, signal: ProcessSignal) {
+    pub(crate) fn signal(&mut self, signal: system::Signal) {
         if self.exit_status().is_some() {
             return;
         }
         let process = system::Pid::from_child(&self.child);
         // It is not reaped before the next look, so the id is still its own.
-        system::kill_process(process, signal.number()).expect("a child can be signalled");
+        system::kill_process(process, signal).expect("a child can be signalled");
     }
 
     /// Returns the status of a process that has exited.
@@ -93,7 +71,7 @@
 
 impl Drop for SoakProcess {
     fn drop(&mut self) {
-        self.signal(ProcessSignal::Kill);
+        self.signal(system::Signal::KILL);
         // It was killed; its status does not matter.
         let _ = self.child.wait();
     }
