--- a/crates/node/tests/process_soak.rs
+++ b/crates/node/tests/process_soak.rs
@@ -26,6 +26,8 @@
 mod promise;
 #[path = "process_soak/proxy.rs"]
 mod proxy;
+#[path = "process_soak/slot.rs"]
+mod slot;
 #[path = "process_soak/trace.rs"]
 mod trace;
 #[path = "process_soak/view.rs"]
