Resume the scheduler of a test process after a pause, as the membership does

Cause: a process that was paused for over a quarter of its lease (75 ms with the 0.3 s of the test) starts nothing until the next round of the membership. The test process has no membership, so it waited for ever. The program is right. Change: the test process resumes in rounds of 0.5 s. No check is changed.

--- a/crates/node/tests/common/fleet.rs
+++ b/crates/node/tests/common/fleet.rs
@@ -4,10 +4,11 @@
 use std::net;
 use std::sync;
 use std::thread;
+use std::time;
 
 use redwing_model::{FleetDeclaration, NodeId, NodeIncarnation, VmId, declaration};
 use redwing_node::connection::ConnectionLimiter;
-use redwing_node::control::{ControlChannel, ControlCommand, NodeClock};
+use redwing_node::control::{ControlChannel, ControlCommand, ControlHandle, NodeClock};
 use redwing_node::ingress::{self, IngressContext};
 use redwing_node::metrics::{MetricsRegistry, RequestMetrics};
 use redwing_node::settings::{self, CommandChoice, NodeSettings};
@@ -16,6 +17,10 @@
 use redwing_policy::{FleetView, SchedulerSettings, TokenId, TokenPool};
 use redwing_standin::backend::{self, BackendState};
 use tokio::sync::{mpsc, watch};
+use tokio::time as timer;
+
+/// Time between two rounds of the membership.
+const ROUND_INTERVAL: time::Duration = time::Duration::from_millis(500);
 
 /// Slots of each backend server.
 const SLOTS: u32 = 8;
@@ -101,6 +106,7 @@
     };
     let control = channel.start(node, scheduler, outbox);
     control.send(ControlCommand::Install(Box::new(view)));
+    actix_rt::spawn(resume_in_rounds(control.clone()));
     let registry = MetricsRegistry::default();
     let context = IngressContext {
         snapshots,
@@ -118,6 +124,15 @@
     });
 }
 
+/// Resumes a scheduler that has noticed a pause, as the rounds of the membership do: this
+/// process is never replaced.
+async fn resume_in_rounds(control: ControlHandle) {
+    loop {
+        timer::sleep(ROUND_INTERVAL).await;
+        control.call(|scheduler, now| scheduler.resume(now)).await;
+    }
+}
+
 fn node_settings(flags: &[&'static str]) -> NodeSettings {
     let line = ["redwinglb", "serve", "--platform", "embedded"];
     let line = line.iter().chain(flags);
