Wait for the response to a change as long as before the measured waits

At 22.9 s, as the table turned slow, an owner on a large VM gave each attempt 150 to 300 ms, four had no response in time (E532), and it lost the ownership at 24.3 s; the next ones did the same. An attempt whose response comes after its own limit counts for nothing, so short limits on a slow table end an ownership that longer ones keep. Change: each attempt waits 0.7 s again.

--- a/crates/engine/src/owner/change.rs
+++ b/crates/engine/src/owner/change.rs
@@ -30,7 +30,7 @@
 /// Timeouts for storing a change.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct StoreTimeouts {
-    /// Longest time after which an attempt without a response is retried.
+    /// Time after which an attempt without a response is retried.
     pub(super) attempt: time::Duration,
     /// Time after which no more attempts are made.
     pub(super) give_up_after: time::Duration,
@@ -168,9 +168,7 @@
 ///
 /// An attempt whose response was lost is recognised by the owner row, whose
 /// content no other change writes. An attempt that arrives late has no effect,
-/// because the version of the row has changed. The first attempts wait no longer than
-/// responses usually take, so that lost ones do not cost the ownership; each second one
-/// waits twice as long as before, so that a table that turns slow is not sent many.
+/// because the version of the row has changed.
 pub(super) async fn store(
     client: &TableClient,
     transaction: &TableTransaction,
@@ -180,14 +178,10 @@
     let started = clock::boot_now();
     let mut backoff = RetryBackoff::new(RETRY);
     let mut attempts = 0_u32;
-    let mut attempt_timeout = client.commit_late_after(timeouts.attempt);
     loop {
         attempts += 1;
         let attempted = clock::boot_now();
-        let commit = client.commit_within(CallCause::Job, transaction.clone(), attempt_timeout);
-        if attempts.is_multiple_of(2) {
-            attempt_timeout = (attempt_timeout * 2).min(timeouts.attempt);
-        }
+        let commit = client.commit_within(CallCause::Job, transaction.clone(), timeouts.attempt);
         let error = match commit.await {
             Ok(CommitOutcome::Committed(version)) => {
                 return ChangeOutcome::Stored(OwnerLease {
--- a/crates/provider/src/calls.rs
+++ b/crates/provider/src/calls.rs
@@ -15,7 +15,6 @@
 use crate::error::{Category, Error, Result};
 use crate::progress::ReadProgress;
 use crate::rate_limiter::RateLimiter;
-use crate::response_time::ResponseTime;
 use crate::table::{CommitOutcome, TableStore, TableTransaction, TableView, WatchRequest};
 
 /// Table with the limits and counters that all calls of a client share.
@@ -27,8 +26,6 @@
     read_semaphore: Semaphore,
     counters: cell::RefCell<CallCounters>,
     last_success: cell::Cell<Option<time::Instant>>,
-    /// Time until the responses to commits arrived.
-    commit_time: cell::Cell<ResponseTime>,
     /// When the call was sent whose response was the first after failures.
     returned_call: watch::Sender<Option<time::Instant>>,
 }
@@ -68,7 +65,6 @@
             read_semaphore: Semaphore::new(settings.max_reads_in_flight),
             counters: cell::RefCell::default(),
             last_success: cell::Cell::new(None),
-            commit_time: cell::Cell::default(),
             returned_call: watch::Sender::new(None),
             settings,
         }
@@ -84,12 +80,6 @@
         self.breaker.borrow().is_closed() && self.last_success().is_some()
     }
 
-    /// Returns the time after which the response to a commit is probably lost, at most
-    /// `max`.
-    pub(crate) fn commit_late_after(&self, max: time::Duration) -> time::Duration {
-        self.commit_time.get().late_after(max)
-    }
-
     /// Waits until the table responds after failures.
     pub(crate) async fn wait_for_return(&self) {
         let mut returned_call = self.returned_call.subscribe();
@@ -227,11 +217,6 @@
             }
         };
         self.record(cause, sent_at, &response);
-        if response.is_ok() {
-            let mut commit_time = self.commit_time.get();
-            commit_time.observe(sent_at.elapsed());
-            self.commit_time.set(commit_time);
-        }
         response
     }
 
--- a/crates/provider/src/client.rs
+++ b/crates/provider/src/client.rs
@@ -122,12 +122,6 @@
         self.shared.is_reachable()
     }
 
-    /// Returns the time after which the response to a commit is probably lost, at most
-    /// `max`.
-    pub fn commit_late_after(&self, max: time::Duration) -> time::Duration {
-        self.shared.commit_late_after(max)
-    }
-
     /// Waits until the table responds after failures.
     pub async fn wait_for_return(&self) {
         self.shared.wait_for_return().await;
--- a/crates/provider/src/lib.rs
+++ b/crates/provider/src/lib.rs
@@ -29,7 +29,6 @@
 pub mod object;
 pub mod progress;
 pub mod rate_limiter;
-pub mod response_time;
 pub mod scan;
 pub mod table;
 mod writer;
