Look for waiting steps, reserved tasks and numbers of tasks in one place each

Cause: this change wrote again what was there. waiting_step_numbers and the loop of place_job are waiting_steps with other results; the tasks that wait for their rows were filtered twice in changes.rs; the tasks of a job were summed in three places; is_zero stands beside is_default in record.rs. A wave cloned its whole record each second to set two fields of it. Change: WaitingStep, JobEntry::reserved_tasks and JobSpec::task_count serve all of them. No change of behaviour.

--- a/crates/jobs/src/maintenance/wave.rs
+++ b/crates/jobs/src/maintenance/wave.rs
@@ -1,6 +1,7 @@
 //! Progress of one wave: the stages of its machines.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::mem;
 
 use crate::name::{MachineName, WorkerId};
 use crate::time::BootTime;
@@ -336,11 +337,11 @@
     }
 
     fn record_waits(&mut self, settings: &MaintenanceSettings, now: BootTime) {
+        let mut record = mem::take(&mut self.record);
         let down = self.down_since();
         let down = down.map(|(name, since)| (name.clone(), ElapsedWait::since(since, now)));
         let prepared = self.prepared();
         let prepared = prepared.map(|(name, worker)| (name.clone(), worker.clone()));
-        let mut record = self.record.clone();
         record::set_waits(&mut record, down, prepared, settings.max_record_bytes);
         self.record = record;
         self.reported_at = now;
--- a/crates/jobs/src/record.rs
+++ b/crates/jobs/src/record.rs
@@ -25,16 +25,12 @@
     /// When it was accepted, by the clock of the accepting VM.
     pub accepted: WallTime,
     /// Number that the accepting process chose for itself; 0 if it has none.
-    #[serde(default, skip_serializing_if = "is_zero")]
+    #[serde(default, skip_serializing_if = "is_default")]
     pub accepted_by: u64,
     /// Specification from the caller.
     pub spec: JobSpec,
 }
 
-fn is_zero(number: &u64) -> bool {
-    *number == 0
-}
-
 /// State of a job as callers see it.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(rename_all = "kebab-case")]
--- a/crates/jobs/src/scheduler/advice.rs
+++ b/crates/jobs/src/scheduler/advice.rs
@@ -324,11 +324,11 @@
             return 0;
         };
         let pool = self.pool_of(job);
-        let denied = job.waiting_step_numbers().map(|(occurrence, step)| {
+        let denied = job.waiting_steps().map(|waiting| {
             let step = StepId {
                 job: id.clone(),
-                occurrence,
-                step,
+                occurrence: waiting.occurrence,
+                step: waiting.number,
             };
             let workers = self.advice.denied(&step);
             let workers = workers.filter_map(|worker| self.fleet.get(worker));
--- a/crates/jobs/src/scheduler/changes.rs
+++ b/crates/jobs/src/scheduler/changes.rs
@@ -16,7 +16,6 @@
 use crate::record::ProgressRecord;
 use crate::time::BootTime;
 
-use super::entry::TaskPhase;
 use super::lease_ledger::LeaseEnds;
 use super::order;
 use super::{JobScheduler, SchedulerEvent};
@@ -249,15 +248,12 @@
     fn add_row(&mut self, changes: &mut ChangeSet, row: ProgressRow) {
         if let Some(job) = self.jobs.get(&row.job) {
             changes.tasks += job.task_count();
-            let reserved = job
-                .tasks(&row.job)
-                .filter(|(_, task)| matches!(task.phase, TaskPhase::Reserved(_)));
-            changes
-                .starts
-                .extend(reserved.map(|(name, task)| PendingStart {
-                    task: name,
-                    run: task.run,
-                }));
+            let reserved = job.reserved_tasks(&row.job);
+            let starts = reserved.map(|(task, entry)| PendingStart {
+                task,
+                run: entry.run,
+            });
+            changes.starts.extend(starts);
         }
         self.changes.refused.remove(&row.job);
         self.changes.in_flight.insert(row.job.clone());
@@ -308,10 +304,8 @@
         let Some(job) = self.jobs.get(id) else {
             return;
         };
-        let reserved = job
-            .tasks(id)
-            .filter(|(_, task)| matches!(task.phase, TaskPhase::Reserved(_)));
-        let reserved: Vec<TaskId> = reserved.map(|(name, _)| name).collect();
+        let reserved = job.reserved_tasks(id).map(|(task, _)| task);
+        let reserved: Vec<TaskId> = reserved.collect();
         for task in &reserved {
             self.free_task(task);
         }
--- a/crates/jobs/src/scheduler/entry.rs
+++ b/crates/jobs/src/scheduler/entry.rs
@@ -247,6 +247,17 @@
     }
 }
 
+/// Ready step that has tasks without a run.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct WaitingStep<'a> {
+    /// Number of the occurrence.
+    pub(super) occurrence: u32,
+    /// Number of the step in the occurrence.
+    pub(super) number: u32,
+    pub(super) step: &'a StepEntry,
+    pub(super) spec: &'a StepSpec,
+}
+
 /// One job that is not finished, or whose final state is not stored.
 #[derive(Clone, Debug)]
 pub(super) struct JobEntry {
@@ -334,8 +345,7 @@
     /// `row_bytes`.
     pub(super) fn has_row_capacity(&self, row_bytes: usize) -> bool {
         let spec = &self.record.spec;
-        let next_tasks: u32 = spec.steps.iter().map(|step| step.count).sum();
-        let tasks = self.task_count() + next_tasks as usize;
+        let tasks = self.task_count() + spec.task_count() as usize;
         let bytes = (self.occurrences.len() + 1) * spec.progress_bytes();
         tasks <= MAX_TASKS as usize && (bytes <= row_bytes || self.occurrences.is_empty())
     }
@@ -360,7 +370,7 @@
     pub(super) fn waiting_cpu(&self) -> u64 {
         let steps = self.waiting_steps();
         steps
-            .map(|(count, spec)| count * spec.reserved().cpu_millis)
+            .map(|waiting| waiting.step.idle_count() * waiting.spec.reserved().cpu_millis)
             .sum()
     }
 
@@ -370,15 +380,13 @@
         if self.state.is_final() {
             return None;
         }
-        let steps = self.waiting_steps().filter(|(count, _)| *count > 0);
-        let needs = steps.map(|(_, spec)| spec.reserved());
+        let needs = self.waiting_steps().map(|waiting| waiting.spec.reserved());
         needs.reduce(|one, other| one.component_min(&other))
     }
 
     /// Returns whether all ready tasks that have no run are best-effort.
     pub(super) fn is_waiting_best_effort(&self) -> bool {
-        let mut steps = self.waiting_steps().filter(|(count, _)| *count > 0);
-        steps.all(|(_, spec)| spec.best_effort)
+        self.waiting_steps().all(|waiting| waiting.spec.best_effort)
     }
 
     /// Returns the estimated work of all tasks that have no run, ready or not, in
@@ -399,27 +407,23 @@
 
     /// Returns the number of ready tasks that have no run.
     pub(super) fn waiting_tasks(&self) -> u64 {
-        self.waiting_steps().map(|(count, _)| count).sum()
-    }
-
-    /// Returns the ready steps, each with the number of its tasks that have no
-    /// run.
-    fn waiting_steps(&self) -> impl Iterator<Item = (u64, &StepSpec)> {
-        self.occurrences.iter().flat_map(|occurrence| {
-            let steps = occurrence.steps.iter().zip(&self.record.spec.steps);
-            let ready = steps.filter(|(_, spec)| occurrence.is_ready(spec));
-            ready.map(|(step, spec)| (step.idle_count(), spec))
-        })
+        let steps = self.waiting_steps();
+        steps.map(|waiting| waiting.step.idle_count()).sum()
     }
 
-    /// Returns the occurrence and number of each ready step that has tasks without a run.
-    pub(super) fn waiting_step_numbers(&self) -> impl Iterator<Item = (u32, u32)> {
+    /// Returns the ready steps that have tasks without a run.
+    pub(super) fn waiting_steps(&self) -> impl Iterator<Item = WaitingStep<'_>> {
         self.occurrences.iter().flat_map(|occurrence| {
             let steps = occurrence.steps.iter().zip(&self.record.spec.steps);
-            let steps = steps.enumerate();
-            let waiting =
-                steps.filter(|(_, (step, spec))| occurrence.is_ready(spec) && step.has_idle());
-            waiting.map(|(number, _)| (occurrence.number, number as u32))
+            let waiting = steps
+                .enumerate()
+                .filter(|(_, (step, spec))| occurrence.is_ready(spec) && step.has_idle());
+            waiting.map(|(number, (step, spec))| WaitingStep {
+                occurrence: occurrence.number,
+                number: number as u32,
+                step,
+                spec,
+            })
         })
     }
 
@@ -470,6 +474,15 @@
         steps.map(|step| step.tasks.len()).sum()
     }
 
+    /// Returns the tasks whose runs wait for their rows to be stored, with their names.
+    pub(super) fn reserved_tasks<'a>(
+        &'a self,
+        job: &'a JobId,
+    ) -> impl Iterator<Item = (TaskId, &'a TaskEntry)> {
+        let tasks = self.tasks(job);
+        tasks.filter(|(_, task)| matches!(task.phase, TaskPhase::Reserved(_)))
+    }
+
     /// Returns all tasks of the occurrences that have begun, with their names.
     pub(super) fn tasks<'a>(
         &'a self,
--- a/crates/jobs/src/scheduler/maintenance.rs
+++ b/crates/jobs/src/scheduler/maintenance.rs
@@ -46,15 +46,17 @@
             let Some(demand) = demands.get_mut(&waiting.pool) else {
                 continue;
             };
-            if !waiting.rank.is_finite {
-                demand.waiting_long_running += waiting.waiting_tasks;
-                demand.denied = demand.denied.max(self.denied_cpu(id));
-            } else if waiting.rank.is_late {
+            let denied = self.denied_cpu(id);
+            if waiting.rank.is_finite && waiting.rank.is_late {
                 demand.waiting_late += waiting.waiting_cpu;
-                demand.denied_late = demand.denied_late.max(self.denied_cpu(id));
-            } else {
+                demand.denied_late = demand.denied_late.max(denied);
+                continue;
+            }
+            demand.denied = demand.denied.max(denied);
+            if waiting.rank.is_finite {
                 demand.waiting += waiting.waiting_cpu;
-                demand.denied = demand.denied.max(self.denied_cpu(id));
+            } else {
+                demand.waiting_long_running += waiting.waiting_tasks;
             }
         }
         for task in std::mem::take(&mut self.displaced) {
--- a/crates/jobs/src/scheduler/placement.rs
+++ b/crates/jobs/src/scheduler/placement.rs
@@ -230,14 +230,9 @@
         let Some(job) = self.jobs.get(id) else {
             return 0;
         };
-        let mut ready = Vec::new();
-        for occurrence in &job.occurrences {
-            for (number, spec) in job.record.spec.steps.iter().enumerate() {
-                if occurrence.is_ready(spec) && occurrence.steps[number].has_idle() {
-                    ready.push((spec.best_effort, occurrence.number, number as u32));
-                }
-            }
-        }
+        let ready = job.waiting_steps();
+        let ready = ready.map(|step| (step.spec.best_effort, step.occurrence, step.number));
+        let mut ready: Vec<_> = ready.collect();
         ready.sort_by_key(|(is_best_effort, ..)| *is_best_effort);
         let mut placed = 0;
         let mut unplaced = 0;
--- a/crates/jobs/src/spec.rs
+++ b/crates/jobs/src/spec.rs
@@ -230,6 +230,11 @@
         finished.into_iter().max().unwrap_or(0)
     }
 
+    /// Returns the number of tasks of one occurrence.
+    pub fn task_count(&self) -> u32 {
+        self.steps.iter().map(|step| step.count).sum()
+    }
+
     /// Returns the estimated largest size of the stored progress of one occurrence,
     /// in bytes.
     pub fn progress_bytes(&self) -> usize {
@@ -256,7 +261,7 @@
         if needed <= row_bytes {
             return Ok(());
         }
-        let tasks: u32 = self.steps.iter().map(|step| step.count).sum();
+        let tasks = self.task_count();
         let problem = format!(
             "the progress of {tasks} tasks may take {needed} bytes; at most {row_bytes} can be stored"
         );
@@ -280,7 +285,7 @@
         for (number, step) in self.steps.iter().enumerate() {
             check_step(number, step)?;
         }
-        let tasks: u32 = self.steps.iter().map(|step| step.count).sum();
+        let tasks = self.task_count();
         if tasks > MAX_TASKS {
             let problem = format!("{tasks} tasks; use at most {MAX_TASKS} in all steps");
             return Err(Error::field("steps", problem));
