Check the limits of a transaction in one place

Cause: the client of the table and the table in memory had the same check with the same message; TableTransaction::merge had no caller since batches extend in place. Change: TableLimits::check serves both; merge is removed. No change of behaviour.

--- a/crates/provider/src/client.rs
+++ b/crates/provider/src/client.rs
@@ -14,7 +14,7 @@
 use crate::calls::{SharedState, TableRead};
 use crate::counters::{CallCause, CauseCounts};
 use crate::error::{Category, Error, Result};
-use crate::limits::{TableLimits, TransactionSize};
+use crate::limits::TableLimits;
 use crate::progress::ReadProgress;
 use crate::scan::ClientScan;
 use crate::table::{CommitOutcome, RowKey, TableStore, TableTransaction, TableView};
@@ -154,11 +154,7 @@
         transaction: TableTransaction,
         is_sent: rc::Rc<cell::Cell<bool>>,
     ) -> Result<CommitOutcome> {
-        let size = TransactionSize::of(&transaction);
-        if !self.limits().allow(&size) {
-            let message = format!("{size} are beyond the limits of the table");
-            return Err(Error::refused("commit", SERVICE, message));
-        }
+        self.limits().check(&transaction, SERVICE)?;
         let (reply, response) = oneshot::channel();
         let queued = QueuedCommit {
             cause,
--- a/crates/provider/src/limits.rs
+++ b/crates/provider/src/limits.rs
@@ -6,6 +6,7 @@
 
 use std::fmt;
 
+use crate::error::{Error, Result};
 use crate::table::{RowCondition, RowWrite, TableTransaction};
 
 /// Bytes that an entry takes beside its key and value: names of fields, a version
@@ -116,6 +117,20 @@
             && size.bytes <= self.transaction_bytes
     }
 
+    /// Checks that a transaction is within the limits.
+    ///
+    /// # Errors
+    ///
+    /// Fails with category `Refused` and the size.
+    pub fn check(&self, transaction: &TableTransaction, peer: &str) -> Result<()> {
+        let size = TransactionSize::of(transaction);
+        if self.allow(&size) {
+            return Ok(());
+        }
+        let message = format!("{size} are beyond the limits of the table");
+        Err(Error::refused("commit", peer, message))
+    }
+
     /// Returns whether each row of a transaction of this size is within the limits,
     /// whatever the transaction as a whole is.
     pub fn allow_rows(&self, size: &TransactionSize) -> bool {
--- a/crates/provider/src/table.rs
+++ b/crates/provider/src/table.rs
@@ -130,12 +130,6 @@
     }
 
     /// Adds the conditions and writes of another transaction.
-    pub fn merge(mut self, other: &Self) -> Self {
-        self.extend(other);
-        self
-    }
-
-    /// Adds the conditions and writes of another transaction in place.
     pub fn extend(&mut self, other: &Self) {
         self.conditions.extend_from_slice(&other.conditions);
         self.writes.extend_from_slice(&other.writes);
--- a/crates/standin/src/memory.rs
+++ b/crates/standin/src/memory.rs
@@ -11,7 +11,7 @@
 };
 use redwing_provider::{
     Error, ListedStatus, ListedVm, LocalFuture, ObjectStore, PlatformServices, Result, RowKey,
-    TableLimits, TableStore, TransactionSize, VmControl, VmDirectory,
+    TableLimits, TableStore, VmControl, VmDirectory,
 };
 use tokio::time as timer;
 
@@ -348,7 +348,7 @@
     ) -> LocalFuture<'a, Result<CommitOutcome>> {
         Box::pin(async move {
             self.reach_table("commit").await?;
-            check_limits(&self.limits(), transaction)?;
+            self.limits().check(transaction, PEER)?;
             self.wait_half_delay().await;
             if self.lock_faults().consume_lost_request() {
                 return Err(Error::unknown("commit", PEER, "connection broken"));
@@ -459,16 +459,6 @@
     }
 }
 
-/// Refuses a transaction beyond the limits, as the real table does.
-fn check_limits(limits: &TableLimits, transaction: &TableTransaction) -> Result<()> {
-    let size = TransactionSize::of(transaction);
-    if limits.allow(&size) {
-        return Ok(());
-    }
-    let message = format!("{size} are beyond the limits of the table");
-    Err(Error::refused("commit", PEER, message))
-}
-
 fn fail_if_down(is_down: bool, operation: &'static str) -> Result<()> {
     if is_down {
         return Err(Error::unavailable(operation, PEER, "the service is down"));
