Queue the rows of waves in a module of their own, read rows in one place

Change: WaveRowQueue (wave_rows.rs), ChangeFill::add_board, record::read_or_log and ok_or_log of restore.rs. No change of behaviour.

--- a/crates/engine/src/owner/change.rs
+++ b/crates/engine/src/owner/change.rs
@@ -141,6 +141,11 @@
         self.add(unit, &rows)
     }
 
+    /// Adds a row for the callers if it fits.
+    pub(super) fn add_board(&mut self, row: &EncodedRow) -> UnitFit {
+        self.add_row(ChangeUnit::Board(row.key.clone()), row)
+    }
+
     /// Returns the size of the change.
     pub(super) fn size(&self) -> TransactionSize {
         self.builder.size()
--- a/crates/engine/src/owner/machines.rs
+++ b/crates/engine/src/owner/machines.rs
@@ -1,6 +1,6 @@
 //! Maintenance of machines and their moves between pools.
 
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::BTreeMap;
 use std::fmt;
 use std::rc;
 
@@ -13,8 +13,7 @@
 use redwing_jobs::manifest::JobManifest;
 use redwing_jobs::name::{MachineName, PoolName, WorkerId};
 use redwing_jobs::{BootTime, JobScheduler};
-use redwing_provider::builder::UnitFit;
-use redwing_provider::{Category, TableTransaction};
+use redwing_provider::Category;
 use tokio::sync::mpsc;
 
 use crate::clock;
@@ -25,13 +24,10 @@
 use crate::row::{self, EncodedRow};
 use crate::services::{LeaseHolder, ListedMachine, MachineClient, MachineOutcome, MachineState};
 
-use super::change::{ChangeFill, ChangeUnit};
+use super::change::ChangeFill;
+use super::wave_rows::WaveRowQueue;
 use super::{OwnerDependencies, OwnerSettings};
 
-/// Maximum number of waves whose rows are in one change: other work is not to wait for
-/// a flood of them.
-const WAVES_PER_CHANGE: usize = 10;
-
 /// Maximum number of machines that one event names.
 const MACHINES_PER_EVENT: usize = 10;
 
@@ -96,13 +92,6 @@
     awaits_old_list: bool,
 }
 
-/// Rows of a wave that are stored together.
-#[derive(Clone, Debug)]
-struct WaveRows {
-    wave: u64,
-    rows: Vec<EncodedRow>,
-}
-
 /// Keeps the list of machines and orders their maintenance and moves.
 ///
 /// A maintenance order passes through three queues: until the rows that record it
@@ -124,13 +113,8 @@
     next_list_at: BootTime,
     /// Moves without a response, until a list shows their outcome.
     lost_moves: Vec<LostMove>,
-    /// Rows to store with the next changes, of each wave together.
-    rows: VecDeque<WaveRows>,
-    /// Rows that are being stored.
-    storing_rows: Vec<WaveRows>,
-    /// Waves whose rows the table does not take; their orders wait until the rows
-    /// change.
-    set_aside: BTreeSet<u64>,
+    /// Rows of waves to store.
+    rows: WaveRowQueue,
     /// Orders whose rows are not taken to be stored.
     unstored_orders: Vec<PendingOrder>,
     /// Orders whose rows are being stored.
@@ -165,9 +149,7 @@
             is_listing: false,
             next_list_at: BootTime::default(),
             lost_moves: Vec::new(),
-            rows: VecDeque::new(),
-            storing_rows: Vec::new(),
-            set_aside: BTreeSet::new(),
+            rows: WaveRowQueue::default(),
             unstored_orders: Vec::new(),
             storing_orders: Vec::new(),
             ready_orders: Vec::new(),
@@ -205,30 +187,11 @@
     /// Adds the rows to store next to a change. The previous ones must have been
     /// stored or refused.
     pub(super) fn add_rows(&mut self, fill: &mut ChangeFill) {
-        for _ in 0..WAVES_PER_CHANGE {
-            let Some(next) = self.rows.pop_front() else {
-                break;
-            };
-            let mut rows = TableTransaction::default();
-            for row in &next.rows {
-                rows = rows.put(row.key.clone(), row.value.clone());
-            }
-            match fill.add(ChangeUnit::Wave(next.wave), &rows) {
-                UnitFit::Added => self.storing_rows.push(next),
-                UnitFit::TooLarge(_) => {
-                    self.set_aside.insert(next.wave);
-                }
-                UnitFit::Full => {
-                    self.rows.push_front(next);
-                    break;
-                }
-            }
-        }
+        self.rows.add_to(fill);
         let unstored = std::mem::take(&mut self.unstored_orders).into_iter();
         let (waiting, storing): (Vec<_>, Vec<_>) = unstored.partition(|pending| {
             let wave = pending.order.wave();
-            let is_queued = self.rows.iter().any(|rows| Some(rows.wave) == wave);
-            is_queued || wave.is_some_and(|wave| self.set_aside.contains(&wave))
+            wave.is_some_and(|wave| self.rows.is_waiting(wave))
         });
         self.unstored_orders = waiting;
         self.storing_orders.extend(storing);
@@ -236,7 +199,7 @@
 
     /// Handles that the rows taken last are stored.
     pub(super) fn rows_stored(&mut self) {
-        self.storing_rows.clear();
+        self.rows.stored();
         self.ready_orders.append(&mut self.storing_orders);
     }
 
@@ -244,17 +207,12 @@
     /// waves that have changed.
     pub(super) fn rows_refused(&mut self) {
         self.unstored_orders.append(&mut self.storing_orders);
-        for refused in std::mem::take(&mut self.storing_rows).into_iter().rev() {
-            if !self.rows.iter().any(|rows| rows.wave == refused.wave) {
-                self.rows.push_front(refused);
-            }
-        }
+        self.rows.refused();
     }
 
     /// Leaves the rows of a wave out until they change.
     pub(super) fn set_wave_aside(&mut self, wave: u64) {
-        self.rows.retain(|rows| rows.wave != wave);
-        self.set_aside.insert(wave);
+        self.rows.set_aside(wave);
     }
 
     /// Sends the orders that are ready; the ownership must be confirmed.
@@ -485,35 +443,20 @@
             );
         }
         self.add_wave_record(wave);
-        self.queue_row(wave, dependencies.codec.wave_status(wave, state));
+        self.rows
+            .push(wave, dependencies.codec.wave_status(wave, state));
     }
 
     fn add_wave_record(&mut self, wave: u64) {
         let key = row::maintenance_key(wave);
         if let Some(record) = self.wave_planner.record(wave) {
             match row::write(&key, record) {
-                Ok(value) => self.queue_row(wave, EncodedRow { key, value }),
+                Ok(value) => self.rows.push(wave, EncodedRow { key, value }),
                 Err(error) => log_job_event!(error, event::ROW_MALFORMED, error = error),
             }
         }
     }
 
-    /// Queues a row of a wave to be stored, in place of an earlier version of it; rows
-    /// keep the place of their wave.
-    fn queue_row(&mut self, wave: u64, row: EncodedRow) {
-        self.set_aside.remove(&wave);
-        match self.rows.iter_mut().find(|queued| queued.wave == wave) {
-            Some(queued) => {
-                queued.rows.retain(|other| other.key != row.key);
-                queued.rows.push(row);
-            }
-            None => self.rows.push_back(WaveRows {
-                wave,
-                rows: vec![row],
-            }),
-        }
-    }
-
     /// Adds the records of the waves with machines that are being emptied or down to the
     /// next rows, the last ones of this owner.
     pub(super) fn prepare_release(&mut self, now: BootTime) {
--- a/crates/engine/src/owner/mod.rs
+++ b/crates/engine/src/owner/mod.rs
@@ -16,6 +16,7 @@
 mod record;
 mod scheduler_event;
 mod session;
+mod wave_rows;
 
 use std::rc;
 use std::sync;
--- a/crates/engine/src/owner/record.rs
+++ b/crates/engine/src/owner/record.rs
@@ -78,14 +78,15 @@
 /// Reads the row with the given key; returns none if it is absent or malformed.
 fn find<T: DeserializeOwned>(rows: &[TableRow], key: &str) -> Option<T> {
     let is_found = |entry: &&TableRow| entry.key.as_str() == key && entry.value.is_some();
-    let entry = rows.iter().find(is_found)?;
-    match row::read(entry) {
-        Ok(record) => Some(record),
-        Err(error) => {
-            follow::log_malformed(&entry.key, &error);
-            None
-        }
-    }
+    read_or_log(rows.iter().find(is_found)?)
+}
+
+/// Reads a row; returns none if it is malformed.
+pub(super) fn read_or_log<T: DeserializeOwned>(entry: &TableRow) -> Option<T> {
+    let record = row::read(entry);
+    record
+        .inspect_err(|error| follow::log_malformed(&entry.key, error))
+        .ok()
 }
 
 fn encode(key: RowKey, record: &impl Serialize) -> Option<EncodedRow> {
@@ -101,13 +102,7 @@
 /// Reads the row of a job; returns none if it is deleted or malformed.
 pub(super) fn read_job(entry: &TableRow) -> Option<JobRecord> {
     entry.value.as_ref()?;
-    match row::read(entry) {
-        Ok(record) => Some(record),
-        Err(error) => {
-            follow::log_malformed(&entry.key, &error);
-            None
-        }
-    }
+    read_or_log(entry)
 }
 
 /// Reads the maintenance records, by the number of the wave, as they are now, given a
--- a/crates/engine/src/owner/session/restore.rs
+++ b/crates/engine/src/owner/session/restore.rs
@@ -106,17 +106,12 @@
         client.scan_observed(CallCause::Membership, row::OWNER_PREFIX, &counts),
         client.scan_observed(CallCause::Membership, worker_prefix, &counts),
     );
-    match result {
-        Ok((maintenance, owner, workers)) => Some(FleetRows {
-            maintenance,
-            owner,
-            workers,
-        }),
-        Err(error) => {
-            log_incomplete(&error, &counts, started);
-            None
-        }
-    }
+    let (maintenance, owner, workers) = ok_or_log(result, &counts, started)?;
+    Some(FleetRows {
+        maintenance,
+        owner,
+        workers,
+    })
 }
 
 async fn scan_jobs(client: &TableClient) -> Option<JobRows> {
@@ -126,35 +121,36 @@
         client.scan_observed(CallCause::Job, row::JOB_PREFIX, &counts),
         client.scan_observed(CallCause::Job, row::PROGRESS_PREFIX, &counts),
     );
-    match result {
-        Ok((jobs, progress)) => {
-            log_job_event!(
-                info,
-                event::ROWS_READ,
-                rows = counts.rows(),
-                bytes = counts.bytes(),
-                pages = counts.pages(),
-                requests = counts.requests(),
-                millis = clock::boot_now().saturating_since(started).as_millis(),
-            );
-            Some(JobRows { jobs, progress })
-        }
-        Err(error) => {
-            log_incomplete(&error, &counts, started);
-            None
-        }
-    }
-}
-
-fn log_incomplete(error: &redwing_provider::Error, counts: &ReadProgress, started: BootTime) {
+    let (jobs, progress) = ok_or_log(result, &counts, started)?;
     log_job_event!(
-        error,
-        event::ROWS_INCOMPLETE,
-        error = error,
+        info,
+        event::ROWS_READ,
         rows = counts.rows(),
         bytes = counts.bytes(),
         pages = counts.pages(),
         requests = counts.requests(),
         millis = clock::boot_now().saturating_since(started).as_millis(),
     );
+    Some(JobRows { jobs, progress })
+}
+
+/// Returns what was read; logs an error, with what had arrived.
+fn ok_or_log<T>(
+    result: redwing_provider::Result<T>,
+    counts: &ReadProgress,
+    started: BootTime,
+) -> Option<T> {
+    let log = |error: &redwing_provider::Error| {
+        log_job_event!(
+            error,
+            event::ROWS_INCOMPLETE,
+            error = error,
+            rows = counts.rows(),
+            bytes = counts.bytes(),
+            pages = counts.pages(),
+            requests = counts.requests(),
+            millis = clock::boot_now().saturating_since(started).as_millis(),
+        );
+    };
+    result.inspect_err(log).ok()
 }
--- a/crates/engine/src/owner/session/rows.rs
+++ b/crates/engine/src/owner/session/rows.rs
@@ -72,11 +72,8 @@
             let Some(id) = entry.key.as_str().strip_prefix(row::PROGRESS_PREFIX) else {
                 continue;
             };
-            match row::read(entry) {
-                Ok(record) => {
-                    progress_by_id.insert(id, record);
-                }
-                Err(error) => follow::log_malformed(&entry.key, &error),
+            if let Some(record) = record::read_or_log(entry) {
+                progress_by_id.insert(id, record);
             }
         }
         for (id, record) in &progress_by_id {
--- a/crates/engine/src/owner/session/store.rs
+++ b/crates/engine/src/owner/session/store.rs
@@ -152,25 +152,25 @@
     /// anew later.
     fn add_boards(&mut self, fill: &mut ChangeFill, contents: &mut ChangeContents, now: BootTime) {
         if let Some(row) = self.grown_capacity_row.take() {
-            match fill.add_row(ChangeUnit::Board(row.key.clone()), &row) {
+            match fill.add_board(&row) {
                 UnitFit::Added => contents.capacity_row = Some(row),
                 UnitFit::Full => self.grown_capacity_row = Some(row),
                 UnitFit::TooLarge(_) => {}
             }
         }
         if let Some(row) = self.next_backlog_row(now) {
-            let fit = fill.add_row(ChangeUnit::Board(row.key.clone()), &row);
+            let fit = fill.add_board(&row);
             self.has_published_backlog |= fit != UnitFit::Added;
         }
         if let Some(counts) = contents.pending_counts.take()
             && let Some(row) = record::pending_counts_row(&counts)
-            && fill.add_row(ChangeUnit::Board(row.key.clone()), &row) == UnitFit::Added
+            && fill.add_board(&row) == UnitFit::Added
         {
             contents.pending_counts = Some(counts);
         }
         if let Some(waits) = self.next_waits(fill.record.released, now)
             && let Some(row) = record::wait_row(&waits)
-            && fill.add_row(ChangeUnit::Board(row.key.clone()), &row) == UnitFit::Added
+            && fill.add_board(&row) == UnitFit::Added
         {
             contents.waits = Some(waits);
         }
