--- a/crates/node/tests/membership/limits.rs
+++ b/crates/node/tests/membership/limits.rs
@@ -3,15 +3,13 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use redwing_model::vm::{VmPhase, VmRecord};
 use redwing_node::membership::{MembershipRunner, MembershipSettings};
-use redwing_node::register::{self, MemberIdentity};
 use redwing_policy::NodeTime;
-use redwing_provider::{ListedStatus, ListedVm, RowKey, TableStore, TableTransaction, VmRole};
+use redwing_provider::TableStore;
 use redwing_standin::MemoryPlatform;
 
 use crate::model::ModelScheduler;
-use crate::simulation::vm_identity;
+use crate::simulation::{put_worker, register_entry};
 
 /// Number of backend servers.
 const WORKERS: usize = 40;
@@ -19,24 +17,6 @@
 /// Slots of each backend server; a row of their owners takes about half of the limit.
 const SLOTS_PER_WORKER: u32 = 2_000;
 
-async fn put_worker(platform: &MemoryPlatform, number: usize) {
-    let identity = vm_identity(&format!("vm-{number}"), 9_000);
-    let record = VmRecord {
-        identity: identity.clone(),
-        pool: "a".parse().unwrap(),
-        phase: VmPhase::Serving,
-        revision: 1,
-    };
-    let value = serde_json::to_string(&record).unwrap();
-    let row = TableTransaction::default().put(RowKey::new(format!("vm/vm-{number}")), value);
-    platform.commit(&row).await.unwrap();
-    platform.put_vm(ListedVm {
-        identity,
-        role: VmRole::BackendServer,
-        status: ListedStatus::Live,
-    });
-}
-
 #[test]
 fn owners_of_many_tokens_are_stored_within_the_limits_of_the_table() {
     actix_rt::System::new().block_on(async {
@@ -45,26 +25,14 @@
         for number in 0..WORKERS {
             put_worker(&platform, number).await;
         }
-        let identity = vm_identity("entry-0", 7_000);
-        platform.put_vm(ListedVm {
-            identity,
-            role: VmRole::Entry("entry-0".parse().unwrap()),
-            status: ListedStatus::Live,
-        });
-        let identity = MemberIdentity {
-            node: "entry-0".parse().unwrap(),
-            data_centre: "dc-1".parse().unwrap(),
-            peer_address: "127.0.0.1:7000".parse().unwrap(),
-        };
-        let record = register::register(&platform, &identity).await.unwrap();
+        let incarnation = register_entry(&platform, 0).await;
         let scheduler = Rc::new(ModelScheduler::default());
         let settings = MembershipSettings {
             slots_per_worker: SLOTS_PER_WORKER,
             ..MembershipSettings::default()
         };
         let services = platform.services();
-        let mut runner =
-            MembershipRunner::new(settings, services, scheduler.clone(), record.incarnation);
+        let mut runner = MembershipRunner::new(settings, services, scheduler.clone(), incarnation);
         let declaration = redwing_model::from_toml("[pools.a]\nvms = 1\nmax-unavailable = 0");
         let declaration = declaration.unwrap();
         let mut now = NodeTime::from_millis(0);
--- a/crates/node/tests/membership/simulation.rs
+++ b/crates/node/tests/membership/simulation.rs
@@ -16,6 +16,42 @@
 
 use crate::model::{ModelScheduler, NODES, SLOTS, TASK_LEASE};
 
+/// Lists a backend server that serves pool `a`.
+pub(crate) async fn put_worker(platform: &MemoryPlatform, number: usize) {
+    let identity = vm_identity(&format!("vm-{number}"), 9_000);
+    let record = VmRecord {
+        identity: identity.clone(),
+        pool: "a".parse().unwrap(),
+        phase: VmPhase::Serving,
+        revision: 1,
+    };
+    let value = serde_json::to_string(&record).unwrap();
+    let row = TableTransaction::default().put(RowKey::new(format!("vm/vm-{number}")), value);
+    platform.commit(&row).await.unwrap();
+    platform.put_vm(ListedVm {
+        identity,
+        role: VmRole::BackendServer,
+        status: ListedStatus::Live,
+    });
+}
+
+/// Lists an entry VM, and registers its process through the same client.
+pub(crate) async fn register_entry(platform: &MemoryPlatform, index: usize) -> NodeIncarnation {
+    let node: NodeId = format!("entry-{index}").parse().unwrap();
+    platform.put_vm(ListedVm {
+        identity: vm_identity(node.as_str(), 7_000),
+        role: VmRole::Entry(node.clone()),
+        status: ListedStatus::Live,
+    });
+    let identity = MemberIdentity {
+        node,
+        data_centre: "dc-1".parse().unwrap(),
+        peer_address: "127.0.0.1:7000".parse().unwrap(),
+    };
+    let record = register::register(platform, &identity).await;
+    record.unwrap().incarnation
+}
+
 /// One running entry process.
 pub(crate) struct Process {
     pub(crate) incarnation: NodeIncarnation,
@@ -85,7 +121,7 @@
                 .unwrap(),
             now: NodeTime::from_millis(0),
         };
-        simulation.add_worker().await;
+        put_worker(&simulation.platform, 1).await;
         for node in 0..NODES {
             simulation.start_process(node).await;
         }
@@ -96,38 +132,9 @@
         simulation
     }
 
-    pub(crate) async fn add_worker(&self) {
-        let identity = vm_identity("vm-1", 9_000);
-        let record = VmRecord {
-            identity: identity.clone(),
-            pool: "a".parse().unwrap(),
-            phase: VmPhase::Serving,
-            revision: 1,
-        };
-        let value = serde_json::to_string(&record).unwrap();
-        let row = TableTransaction::default().put(RowKey::new("vm/vm-1"), value);
-        self.platform.commit(&row).await.unwrap();
-        self.platform.put_vm(ListedVm {
-            identity,
-            role: VmRole::BackendServer,
-            status: ListedStatus::Live,
-        });
-    }
-
     pub(crate) async fn start_process(&mut self, index: usize) {
-        let node: NodeId = format!("entry-{index}").parse().unwrap();
-        self.platform.put_vm(ListedVm {
-            identity: vm_identity(node.as_str(), 7_000),
-            role: VmRole::Entry(node.clone()),
-            status: ListedStatus::Live,
-        });
         let platform = self.platform.new_client();
-        let identity = MemberIdentity {
-            node,
-            data_centre: "dc-1".parse().unwrap(),
-            peer_address: "127.0.0.1:7000".parse().unwrap(),
-        };
-        let record = register::register(&platform, &identity).await.unwrap();
+        let incarnation = register_entry(&platform, index).await;
         let scheduler = Rc::new(ModelScheduler::default());
         let settings = MembershipSettings {
             slots_per_worker: SLOTS,
@@ -140,10 +147,10 @@
             settings,
             platform.services(),
             scheduler.clone(),
-            record.incarnation.clone(),
+            incarnation.clone(),
         );
         self.processes[index] = Some(Process {
-            incarnation: record.incarnation,
+            incarnation,
             platform,
             scheduler,
             runner,
