Log which stored ends of leases a new owner counts on

E548 leases-inherited has both, and the time until all other leases have expired. No decision changes.

--- a/crates/engine/src/event.rs
+++ b/crates/engine/src/event.rs
@@ -108,4 +108,6 @@
     WAVE_DELAYED = 546 "wave-delayed";
     /// A wave of maintenance is not carried out, because its progress cannot be stored.
     WAVE_REFUSED = 547 "wave-refused";
+    /// A new owner has read when the leases of earlier owners expire.
+    LEASES_INHERITED = 548 "leases-inherited";
 }
--- a/crates/engine/src/owner/record.rs
+++ b/crates/engine/src/owner/record.rs
@@ -47,20 +47,35 @@
     encode(RowKey::new(row::LEASE_KEY), &record)
 }
 
+/// Ends of leases as an earlier owner stored them.
+pub(super) struct StoredLeases {
+    /// Fencing token of the owner that wrote the row; 0 if there is none.
+    pub(super) fencing_token: u64,
+    /// The ends; empty if they do not count for the new owner.
+    pub(super) ends: LeaseEnds,
+}
+
 /// Reads the ends of leases that the owner with `fencing_token` stored, given a time
 /// at which the row was stored already.
 pub(super) fn read_lease_ends(
     rows: &[TableRow],
     fencing_token: u64,
     stored_by: BootTime,
-) -> LeaseEnds {
+) -> StoredLeases {
     let record = find::<LeaseRecord>(rows, row::LEASE_KEY).unwrap_or_default();
-    if record.fencing_token != fencing_token {
-        return LeaseEnds::default();
+    let mut stored = StoredLeases {
+        fencing_token: record.fencing_token,
+        ends: LeaseEnds::default(),
+    };
+    if record.fencing_token == fencing_token {
+        let ends = record.remaining_ms.into_iter();
+        let ends = ends.map(|(worker, millis)| {
+            let remaining = time::Duration::from_millis(millis);
+            (worker, stored_by + remaining)
+        });
+        stored.ends.extend(ends);
     }
-    let ends = record.remaining_ms.into_iter();
-    ends.map(|(worker, millis)| (worker, stored_by + time::Duration::from_millis(millis)))
-        .collect()
+    stored
 }
 
 /// Returns the row of the waits.
--- a/crates/engine/src/owner/session/rows.rs
+++ b/crates/engine/src/owner/session/rows.rs
@@ -10,8 +10,10 @@
 use redwing_provider::{CallCause, TableRow};
 
 use crate::clock;
+use crate::event;
 use crate::follow::{self, TableUpdate};
-use crate::owner::record;
+use crate::log_job_event;
+use crate::owner::record::{self, StoredLeases};
 use crate::row::{self, JobKey, WaitRecord};
 
 use super::OwnerSession;
@@ -27,9 +29,11 @@
         // The previous owner had the token before this one.
         let previous_token = self.lease.record.fencing_token - 1;
         let stored_by = self.unchanged_since;
+        let stored = record::read_lease_ends(&rows.owner.rows, previous_token, stored_by);
+        self.log_inherited(&stored);
         self.scheduler.inherit_leases(InheritedLeases {
             until: self.inherited_until,
-            workers: record::read_lease_ends(&rows.owner.rows, previous_token, stored_by),
+            workers: stored.ends,
         });
         self.scheduler.inherit_waits(stored_by);
         self.inherited_waits = record::read_waits(&rows.owner.rows, previous_token);
@@ -47,6 +51,18 @@
         self.apply_worker_rows(&rows.workers.rows, true);
     }
 
+    fn log_inherited(&self, stored: &StoredLeases) {
+        let remaining = self.inherited_until.saturating_since(clock::boot_now());
+        log_job_event!(
+            info,
+            event::LEASES_INHERITED,
+            fence = self.lease.record.fencing_token,
+            row_fence = stored.fencing_token,
+            workers = stored.ends.len(),
+            millis = remaining.as_millis(),
+        );
+    }
+
     /// Restores the jobs of earlier owners and starts to schedule and to follow changes.
     pub(super) fn finish_restoring(&mut self, rows: &JobRows) {
         // The manifest may have come with the rows.
