--- a/crates/engine/tests/common/mod.rs
+++ b/crates/engine/tests/common/mod.rs
@@ -17,12 +17,15 @@
 use redwing_engine::run;
 use redwing_engine::stop::{CLOSING_TIME, StopPhase};
 use redwing_jobs::JobState;
+use redwing_jobs::name::WorkerId;
 use redwing_provider::table::{PageRequest, TablePage, TableView, WatchRequest};
 use redwing_provider::{
     CommitOutcome, LocalFuture, RowKey, TableClient, TableLimits, TableStore, TableTransaction,
 };
 use redwing_standin::worker::NoAdvisor;
-use redwing_standin::{LinkSettings, LinkedTable, MemoryMachines, MemoryPlatform, MemoryWorkers};
+use redwing_standin::{
+    LinkSettings, LinkedTable, MemoryMachines, MemoryPlatform, MemoryWorkers, WorkerFault,
+};
 use tokio::sync::watch;
 use tokio::task;
 use tokio::time as timer;
@@ -34,6 +37,10 @@
     "customers":[{"name":"inspectors","keys":["good"],"weight":1.0,"limit":{}}],
     "pools":[{"name":"workers","is-standby":false,"enforces-capacity":false}]}"#;
 
+/// Longest time that a task of a lost worker may have no run: it is due 6 s after
+/// its last run, and 3 s later counts as lost.
+pub(crate) const RESTART_LIMIT: time::Duration = time::Duration::from_secs(9);
+
 /// Table calls that get no response, as on a broken connection.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub(crate) enum LostCalls {
@@ -381,6 +388,15 @@
         }
     }
 
+    /// Makes a worker unresponsive.
+    pub(crate) fn lose_worker(&self, worker: &WorkerId) {
+        let fault = WorkerFault {
+            is_unresponsive: true,
+            ..WorkerFault::default()
+        };
+        self.workers.set_fault(worker, fault);
+    }
+
     /// Makes the table unreachable for a process.
     pub(crate) fn disconnect_table(&self, process: usize) {
         self.processes[process]
--- a/crates/engine/tests/slow_link.rs
+++ b/crates/engine/tests/slow_link.rs
@@ -5,7 +5,7 @@
 
 use std::time;
 
-use common::{TestCluster, run_test};
+use common::{RESTART_LIMIT, TestCluster, run_test};
 use redwing_engine::codec::CallerResponse;
 use redwing_engine::owner::OwnerSettings;
 use redwing_engine::row::{self, OwnerRecord};
@@ -146,3 +146,31 @@
         }
     });
 }
+
+/// A worker is lost, and two owners are stopped one after the other while they read the
+/// rows.
+#[test]
+fn owners_that_end_while_they_read_do_not_prolong_the_wait_for_a_lost_worker() {
+    run_test(async {
+        let mut cluster = start_cluster(time::Duration::from_secs(60), ROW_BYTES / 8).await;
+        assert_eq!(cluster.submit(0, "a", 1).await, CallerResponse::Accepted);
+        cluster.wait_starts(1).await;
+        let lost_at = timer::Instant::now();
+        cluster.lose_worker(&cluster.workers.starts()[0].worker);
+        for _ in 0..2 {
+            timer::sleep(time::Duration::from_secs(2)).await;
+            let owner = cluster.owner().await;
+            cluster.processes[cluster.process_index(&owner)].stop();
+            cluster.owner_above(owner.fencing_token).await;
+        }
+        timer::sleep(time::Duration::from_secs(2)).await;
+        let owner = cluster.owner().await;
+        cluster.processes[cluster.process_index(&owner)].stop();
+        cluster.link.bytes_per_second.set(None);
+        cluster.add_process(3).await;
+        cluster.wait_starts(2).await;
+        let elapsed = lost_at.elapsed();
+        assert!(elapsed < RESTART_LIMIT, "{elapsed:?}");
+        cluster.assert_no_double_run();
+    });
+}
--- a/crates/engine/tests/takeover.rs
+++ b/crates/engine/tests/takeover.rs
@@ -5,31 +5,21 @@
 
 use std::time;
 
-use common::{LostCalls, TestCluster, run_test};
+use common::{LostCalls, RESTART_LIMIT, TestCluster, run_test};
 use redwing_engine::codec::CallerResponse;
 use redwing_engine::owner::OwnerSettings;
 use redwing_engine::product;
 use redwing_jobs::JobState;
 use redwing_provider::{RowKey, TableStore, TableTransaction};
-use redwing_standin::WorkerFault;
 use tokio::time as timer;
 
-/// Longest time that a task of a lost worker may have no run: it is due 6 s after
-/// its last run, and 3 s later counts as lost.
-const RESTART_LIMIT: time::Duration = time::Duration::from_secs(9);
-
 /// Starts one task that outlasts the test, and makes its worker unresponsive.
 async fn lose_worker(processes: usize) -> (TestCluster, timer::Instant) {
     let cluster = TestCluster::start(processes, time::Duration::from_secs(60)).await;
     cluster.owner().await;
     assert_eq!(cluster.submit(0, "a", 1).await, CallerResponse::Accepted);
     cluster.wait_starts(1).await;
-    let fault = WorkerFault {
-        is_unresponsive: true,
-        ..WorkerFault::default()
-    };
-    let worker = cluster.workers.starts()[0].worker.clone();
-    cluster.workers.set_fault(&worker, fault);
+    cluster.lose_worker(&cluster.workers.starts()[0].worker);
     (cluster, timer::Instant::now())
 }
 
