Pass waits on when an owner ends while it reads the rows

Cause: the rows owner/leases and owner/waits counted only if the owner directly before had written them. An owner that ends before it has read all rows has written none, so its successor knew no end of a lease, and waited as for one that granted leases until its last moment; with each further owner once more.

Change: until an owner has read all rows, its own row names the latest owner that had, and for how long that one's rows have been stored; its successor counts on these. It also stores the ends of leases under its own token as soon as it has read them. A worker that responds to it gets a lease only after it has been taken out of the stored row, at once then and not half a lease later; what it was granted counts when it is lost again. Progress rows are counted from the same time, because an owner that reads stores none.

Three tests of the pure decisions; with the granted lease left out of the stored end, a task runs twice in one of them.

--- a/crates/engine/src/owner/change.rs
+++ b/crates/engine/src/owner/change.rs
@@ -17,7 +17,7 @@
 use crate::error::Result;
 use crate::event;
 use crate::log_job_event;
-use crate::row::{self, CountConfirmation, EncodedRow, OwnerRecord};
+use crate::row::{self, CarriedRows, CountConfirmation, EncodedRow, OwnerRecord};
 
 use super::election::OwnerLease;
 
@@ -55,6 +55,8 @@
     pub(super) released: bool,
     /// Time until the leases of earlier owners have expired.
     pub(super) inherited: time::Duration,
+    /// Rows of earlier owners that count on.
+    pub(super) carried: Option<CarriedRows>,
     /// What is confirmed of the pending counts.
     pub(super) confirmed_counts: Option<CountConfirmation>,
 }
@@ -110,6 +112,7 @@
             change,
             released: state.released,
             inherited_ms: Some(state.inherited.as_millis() as u64),
+            carried: state.carried,
             confirmed_counts: state.confirmed_counts,
             ..lease.record.clone()
         };
--- a/crates/engine/src/owner/election.rs
+++ b/crates/engine/src/owner/election.rs
@@ -12,6 +12,7 @@
 use crate::row::{self, OwnerRecord};
 
 use super::OwnerDependencies;
+use super::inherited::InheritedRows;
 
 /// Ownership of this process: the owner row as it last wrote it.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -36,8 +37,8 @@
     pub(super) claimed_at: BootTime,
     /// When all leases that earlier owners granted to workers have expired.
     pub(super) inherited_until: BootTime,
-    /// Since when the previous owner is known to have stored nothing.
-    pub(super) unchanged_since: BootTime,
+    /// Rows of earlier owners that count.
+    pub(super) inherited_rows: InheritedRows,
 }
 
 /// Claim whose outcome is unknown.
@@ -105,7 +106,7 @@
             let record = current.and_then(|row| row::read::<OwnerRecord>(row).ok());
             if may_claim(dependencies, record.as_ref(), unchanged_for) {
                 let times = claim_times(dependencies, record.as_ref(), observer.unchanged_since);
-                let owner = successor(dependencies, record.as_ref(), times.inherited_until);
+                let owner = successor(dependencies, record.as_ref(), &times);
                 match claim(dependencies, &key, version, owner).await {
                     Ok(lease) => return AcquiredOwnership { lease, times },
                     Err(Some(value)) => pending.push(PendingClaim { value, times }),
@@ -127,7 +128,7 @@
     ClaimTimes {
         claimed_at: clock::boot_now(),
         inherited_until: inherited_until(dependencies, record, unchanged_since),
-        unchanged_since,
+        inherited_rows: InheritedRows::after(record, unchanged_since),
     }
 }
 
@@ -204,9 +205,10 @@
 fn successor(
     dependencies: &OwnerDependencies,
     previous: Option<&OwnerRecord>,
-    inherited_until: BootTime,
+    times: &ClaimTimes,
 ) -> OwnerRecord {
-    let inherited = inherited_until.saturating_since(clock::boot_now());
+    let now = clock::boot_now();
+    let inherited = times.inherited_until.saturating_since(now);
     OwnerRecord {
         node: dependencies.node.clone(),
         incarnation: dependencies.incarnation,
@@ -215,6 +217,7 @@
         released: false,
         is_small: dependencies.settings.is_small,
         inherited_ms: Some(inherited.as_millis() as u64),
+        carried: Some(times.inherited_rows.carried(now)),
         confirmed_counts: None,
     }
 }
--- a/crates/engine/src/owner/mod.rs
+++ b/crates/engine/src/owner/mod.rs
@@ -11,6 +11,7 @@
 mod change;
 mod cleanup;
 mod election;
+mod inherited;
 mod machines;
 mod order_queues;
 mod record;
--- a/crates/engine/src/owner/record.rs
+++ b/crates/engine/src/owner/record.rs
@@ -17,6 +17,7 @@
 use crate::event;
 use crate::follow;
 use crate::log_job_event;
+use crate::owner::inherited::InheritedRows;
 use crate::row::{self, EncodedRow, LeaseRecord, PendingCounts, WaitRecord};
 
 /// Returns the row of the pending counts.
@@ -55,19 +56,14 @@
     pub(super) ends: LeaseEnds,
 }
 
-/// Reads the ends of leases that the owner with `fencing_token` stored, given a time
-/// at which the row was stored already.
-pub(super) fn read_lease_ends(
-    rows: &[TableRow],
-    fencing_token: u64,
-    stored_by: BootTime,
-) -> StoredLeases {
+/// Reads the ends of leases that an earlier owner stored.
+pub(super) fn read_lease_ends(rows: &[TableRow], inherited: &InheritedRows) -> StoredLeases {
     let record = find::<LeaseRecord>(rows, row::LEASE_KEY).unwrap_or_default();
     let mut stored = StoredLeases {
         fencing_token: record.fencing_token,
         ends: LeaseEnds::default(),
     };
-    if record.fencing_token == fencing_token {
+    if let Some(stored_by) = inherited.stored_by(record.fencing_token) {
         let ends = record.remaining_ms.into_iter();
         let ends = ends.map(|(worker, millis)| {
             let remaining = time::Duration::from_millis(millis);
@@ -83,11 +79,22 @@
     encode(RowKey::new(row::WAIT_KEY), record)
 }
 
-/// Reads the waits that the owner with `fencing_token` stored.
-pub(super) fn read_waits(rows: &[TableRow], fencing_token: u64) -> WaitRecord {
-    let record = find::<WaitRecord>(rows, row::WAIT_KEY);
-    let record = record.filter(|record| record.fencing_token == fencing_token);
-    record.unwrap_or_default()
+/// Waits as an earlier owner stored them.
+#[derive(Debug, Default)]
+pub(super) struct StoredWaits {
+    /// The waits; empty if those that are stored do not count for the new owner.
+    pub(super) record: WaitRecord,
+    /// A time at which the row was stored already.
+    pub(super) stored_by: BootTime,
+}
+
+/// Reads the waits that an earlier owner stored.
+pub(super) fn read_waits(rows: &[TableRow], inherited: &InheritedRows) -> StoredWaits {
+    let record = find::<WaitRecord>(rows, row::WAIT_KEY).unwrap_or_default();
+    let Some(stored_by) = inherited.stored_by(record.fencing_token) else {
+        return StoredWaits::default();
+    };
+    StoredWaits { record, stored_by }
 }
 
 /// Reads the row with the given key; returns none if it is absent or malformed.
--- a/crates/engine/src/owner/session/mod.rs
+++ b/crates/engine/src/owner/session/mod.rs
@@ -28,8 +28,10 @@
 use super::advice::{self, AdviceResult};
 use super::change::{ChangeOutcome, ChangeUnit};
 use super::election::{AcquiredOwnership, OwnerLease};
+use super::inherited::InheritedRows;
 use super::machines::{MachineResponse, MachineService};
 use super::order_queues::{CompletedOrder, OrderQueues};
+use super::record::StoredWaits;
 use super::scheduler_event;
 
 use restore::{RestoreStage, RestoredRows};
@@ -126,10 +128,10 @@
     waits_counted_at: BootTime,
     /// Waits as stored.
     stored_waits: WaitRecord,
-    /// Since when the previous owner is known to have stored nothing.
-    unchanged_since: BootTime,
-    /// Waits of the previous owner, until the jobs are restored.
-    inherited_waits: WaitRecord,
+    /// Rows of earlier owners that count.
+    inherited_rows: InheritedRows,
+    /// Waits of earlier owners, until the jobs are restored.
+    inherited_waits: StoredWaits,
 }
 
 impl<'a> OwnerSession<'a> {
@@ -183,10 +185,10 @@
             confirmed_at: times.claimed_at,
             unconfirmed_since: None,
             inherited_until: times.inherited_until,
-            unchanged_since: times.unchanged_since,
+            inherited_rows: times.inherited_rows,
             waits_counted_at: BootTime::default(),
             stored_waits: WaitRecord::default(),
-            inherited_waits: WaitRecord::default(),
+            inherited_waits: StoredWaits::default(),
             lease,
         };
         session.scheduler.begin_restoring();
--- a/crates/engine/src/owner/session/rows.rs
+++ b/crates/engine/src/owner/session/rows.rs
@@ -3,18 +3,18 @@
 use std::collections::HashMap;
 use std::time;
 
+use redwing_jobs::JobId;
 use redwing_jobs::record::ProgressRecord;
 use redwing_jobs::scheduler::InheritedLeases;
 use redwing_jobs::worker::WorkerView;
-use redwing_jobs::{BootTime, JobId};
 use redwing_provider::{CallCause, TableRow};
 
 use crate::clock;
 use crate::event;
 use crate::follow::{self, TableUpdate};
 use crate::log_job_event;
-use crate::owner::record::{self, StoredLeases};
-use crate::row::{self, JobKey, WaitRecord};
+use crate::owner::record::{self, StoredLeases, StoredWaits};
+use crate::row::{self, JobKey};
 
 use super::OwnerSession;
 use super::restore::{FleetRows, JobRows, RestoreStage};
@@ -26,18 +26,16 @@
 impl OwnerSession<'_> {
     /// Starts to renew the leases of workers and to read the rows of jobs.
     pub(super) fn restore_fleet(&mut self, rows: &FleetRows) {
-        // The previous owner had the token before this one.
-        let previous_token = self.lease.record.fencing_token - 1;
-        let stored_by = self.unchanged_since;
-        let stored = record::read_lease_ends(&rows.owner.rows, previous_token, stored_by);
+        let inherited = self.inherited_rows;
+        let stored = record::read_lease_ends(&rows.owner.rows, &inherited);
         self.log_inherited(&stored);
         self.scheduler.inherit_leases(InheritedLeases {
             until: self.inherited_until,
             workers: stored.ends,
         });
-        self.scheduler.inherit_waits(stored_by);
-        self.inherited_waits = record::read_waits(&rows.owner.rows, previous_token);
-        self.waves = record::read_waves(&rows.maintenance.rows, stored_by);
+        self.scheduler.inherit_waits(inherited.progress_stored_by());
+        self.inherited_waits = record::read_waits(&rows.owner.rows, &inherited);
+        self.waves = record::read_waves(&rows.maintenance.rows, inherited.all_stored_by());
         let client = &self.dependencies.client;
         self.worker_updates = Some(follow::follow(
             client,
@@ -69,7 +67,7 @@
         self.apply_operator_view();
         self.restore_jobs(&rows.jobs.rows, &rows.progress.rows);
         let waits = std::mem::take(&mut self.inherited_waits);
-        self.restore_waits(waits, self.unchanged_since);
+        self.restore_waits(waits);
         self.scheduler.finish_restoring(clock::boot_now());
         self.restoring = RestoreStage::Done;
         self.job_updates = Some(follow::follow(
@@ -120,9 +118,12 @@
         }
     }
 
-    /// Continues the waits of the previous owner, which were stored by the time
-    /// `stored_by`.
-    fn restore_waits(&mut self, waits: WaitRecord, stored_by: BootTime) {
+    /// Continues the waits of earlier owners.
+    fn restore_waits(&mut self, waits: StoredWaits) {
+        let StoredWaits {
+            record: waits,
+            stored_by,
+        } = waits;
         self.stored_waits = waits.clone();
         self.scheduler.restore_health(&waits.health, stored_by);
         self.scheduler.restore_advice(&waits.advice, stored_by);
--- a/crates/engine/src/owner/session/store.rs
+++ b/crates/engine/src/owner/session/store.rs
@@ -309,6 +309,10 @@
         OwnershipState {
             released,
             inherited: self.inherited_until.saturating_since(now),
+            carried: self
+                .scheduler
+                .is_restoring()
+                .then(|| self.inherited_rows.carried(now)),
             confirmed_counts: self.lease.record.confirmed_counts,
         }
     }
--- a/crates/engine/src/row.rs
+++ b/crates/engine/src/row.rs
@@ -26,6 +26,7 @@
 use redwing_jobs::name::{QueueName, WorkerId};
 use redwing_jobs::scheduler::{FleetHealth, StoredAdvice};
 use redwing_jobs::time::WallTime;
+use redwing_jobs::wait::ElapsedWait;
 use redwing_provider::{RowKey, TableRow};
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
@@ -96,12 +97,27 @@
     /// milliseconds after the change; absent in rows of earlier releases.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub inherited_ms: Option<u64>,
+    /// Rows of waits that count although an earlier owner wrote them, until this owner
+    /// has read all rows; none from then on, and in rows of earlier releases.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub carried: Option<CarriedRows>,
     /// What the change confirms of the pending counts; none before the owner has counted,
     /// and in rows of earlier releases.
     #[serde(rename = "counts", default, skip_serializing_if = "Option::is_none")]
     pub confirmed_counts: Option<CountConfirmation>,
 }
 
+/// Rows of waits of an earlier owner that count on.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct CarriedRows {
+    /// Fencing token of the latest owner that had read all rows.
+    #[serde(rename = "fence")]
+    pub fencing_token: u64,
+    /// For how long, at least, its rows were stored when the change was sent.
+    pub age: ElapsedWait,
+}
+
 /// Confirmation that pending counts are still those of the owner.
 ///
 /// The counts are stored only when they change, but the row of the owner with each
@@ -121,7 +137,8 @@
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(rename_all = "kebab-case")]
 pub struct LeaseRecord {
-    /// Fencing token of the owner that wrote the row; only its successor may use it.
+    /// Fencing token of the owner that wrote the row; only its successor may use it, and
+    /// later owners while no owner has read all rows since.
     #[serde(rename = "fence")]
     pub fencing_token: u64,
     /// Time until all leases of each worker have expired, in milliseconds after the
@@ -134,7 +151,8 @@
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(rename_all = "kebab-case")]
 pub struct WaitRecord {
-    /// Fencing token of the owner that wrote the row; only its successor may use it.
+    /// Fencing token of the owner that wrote the row; only its successor may use it, and
+    /// later owners while no owner has read all rows since.
     #[serde(rename = "fence")]
     pub fencing_token: u64,
     /// What moves of machines wait for.
--- a/crates/engine/tests/owner.rs
+++ b/crates/engine/tests/owner.rs
@@ -1,6 +1,7 @@
 //! Several processes with one table: ownership of the scheduling, and jobs
 //! during failures of the owner, the table or workers.
 
+#[allow(dead_code)]
 mod common;
 mod maintenance;
 
--- a/crates/jobs/src/scheduler/fleet.rs
+++ b/crates/jobs/src/scheduler/fleet.rs
@@ -79,6 +79,8 @@
     pub(super) clock: Option<ClockSample>,
     /// When all granted leases have expired, by our clock.
     pub(super) lease_until: BootTime,
+    /// When the order was sent that granted the latest lease.
+    pub(super) leased_at: Option<BootTime>,
     /// Since when runs wait for the end of these leases; none while the worker responds.
     pub(super) awaited_since: Option<BootTime>,
     /// When the pending lease renewal was sent.
@@ -184,8 +186,9 @@
         is_same
     }
 
-    /// Records that leases end at most `lease` from now.
+    /// Records that an order sent now grants a lease, which ends at most `lease` later.
     pub(super) fn extend_lease(&mut self, now: BootTime, lease: time::Duration) {
+        self.leased_at = Some(now);
         self.lease_until = self.lease_until.max(now + lease);
     }
 
--- a/crates/jobs/src/scheduler/lease.rs
+++ b/crates/jobs/src/scheduler/lease.rs
@@ -146,6 +146,9 @@
     /// those whose end was stored by an earlier owner or that `is_lost` selects by the
     /// time since which their leases are awaited; those already stored come first.
     fn lease_ends(&self, is_lost: impl Fn(BootTime) -> bool) -> LeaseEnds {
+        if self.is_restoring {
+            return self.inherited_ends();
+        }
         let unresponsive = self.fleet.iter().filter(|(_, entry)| {
             entry.contact != ContactState::Responsive && !entry.reservations.is_empty()
         });
@@ -160,4 +163,16 @@
         let ends = covered.into_iter().chain(others);
         ends.take(self.settings.max_lease_ends).collect()
     }
+
+    /// Returns the ends of leases of the workers for which earlier owners stored them and
+    /// that do not respond to this one.
+    fn inherited_ends(&self) -> LeaseEnds {
+        let inherited = self.inherited.iter().flat_map(|leases| &leases.workers);
+        let ends = inherited.filter_map(|(id, end)| match self.fleet.get(id) {
+            Some(entry) if entry.contact == ContactState::Responsive => None,
+            Some(entry) => Some((id.clone(), entry.lease_until)),
+            None => Some((id.clone(), *end)),
+        });
+        ends.collect()
+    }
 }
--- a/crates/jobs/src/scheduler/restoring.rs
+++ b/crates/jobs/src/scheduler/restoring.rs
@@ -24,12 +24,15 @@
     /// from now on the reports of workers are applied.
     pub fn finish_restoring(&mut self, now: BootTime) {
         self.is_restoring = false;
-        for (_, entry) in self.fleet.iter_mut() {
+        for (id, entry) in self.fleet.iter_mut() {
             entry.next_renewal = now;
             // The runs that it has reported were not applied.
             entry.reported_at = BootTime::default();
             if entry.contact == ContactState::Responsive {
                 entry.contact = ContactState::Unconfirmed;
+                if let Some(inherited) = &mut self.inherited {
+                    inherited.workers.remove(id);
+                }
             }
         }
     }
@@ -48,6 +51,8 @@
         now: BootTime,
     ) {
         let interval = self.settings.lease / RENEWAL_PART;
+        let retry_delay = self.settings.renewal_retry_delay;
+        let may_be_stored = self.lease_ledger.covers(worker);
         let Some(entry) = self.fleet.get_mut(worker) else {
             return;
         };
@@ -59,9 +64,15 @@
             clock_ms: report.clock_ms,
             read_at: now,
         });
-        // The first report has only shown the worker's clock.
-        let had_lease = entry.contact == ContactState::Responsive;
         entry.contact = ContactState::Responsive;
-        entry.next_renewal = if had_lease { now + interval } else { now };
+        entry.next_renewal = if entry.leased_at == Some(issued_at) {
+            now + interval
+        } else if may_be_stored {
+            // It gets a lease once the row without it is stored.
+            now + retry_delay
+        } else {
+            // The first report has only shown the worker's clock.
+            now
+        };
     }
 }
--- a/crates/jobs/tests/common/mod.rs
+++ b/crates/jobs/tests/common/mod.rs
@@ -491,7 +491,7 @@
         self.fencing_token += 1;
         let inherited = InheritedLeases {
             until: self.now + settings.inherited_lease,
-            workers: std::mem::take(&mut self.lease_ends),
+            workers: self.lease_ends.clone(),
         };
         self.stored_health = self.scheduler.fleet_health(self.now);
         self.stored_advice = self.scheduler.stored_advice(self.now);
--- a/crates/jobs/tests/takeover.rs
+++ b/crates/jobs/tests/takeover.rs
@@ -101,6 +101,54 @@
     assert_eq!(fleet.running_count(&task_id(&job, 0, 0)), 1);
 }
 
+/// Owners end every 2 s while they still read the rows of their predecessors.
+#[test]
+fn owners_that_end_while_they_read_pass_the_ends_of_leases_on() {
+    let mut fleet = fleet_of(2);
+    let job = fleet.submit("j", vec![step_spec(1, 1_000)], 60_000);
+    fleet.advance(500);
+    let lost = fleet.starts[0].2.clone();
+    let lost_at = fleet.now;
+    fleet.worker(lost.as_str()).is_unresponsive = true;
+    fleet.advance(1_500);
+    for _ in 0..2 {
+        fleet.begin_take_over(SchedulerSettings::default());
+        fleet.advance(2_000);
+        fleet.assert_no_double_run();
+    }
+    fleet.finish_take_over();
+    fleet.advance(500);
+    let wait = fleet.starts[1].3.saturating_since(lost_at);
+    assert!(wait < time::Duration::from_millis(6_000), "{wait:?}");
+    assert_eq!(fleet.running_count(&task_id(&job, 0, 0)), 1);
+}
+
+/// A worker whose end of leases is stored gets a lease from an owner that still reads the
+/// rows, and is lost again before that owner ends.
+#[test]
+fn a_lease_that_was_granted_while_rows_are_read_is_not_cut_short() {
+    for responsive_ms in [500, 1_000, 2_000] {
+        let mut fleet = fleet_of(2);
+        let job = fleet.submit("j", vec![step_spec(1, 1_000)], 60_000);
+        fleet.advance(500);
+        let worker = fleet.starts[0].2.clone();
+        fleet.worker(worker.as_str()).is_unresponsive = true;
+        fleet.advance(2_000);
+        assert_eq!(fleet.lease_ends.len(), 1);
+        fleet.begin_take_over(SchedulerSettings::default());
+        fleet.worker(worker.as_str()).is_unresponsive = false;
+        fleet.advance(responsive_ms);
+        fleet.worker(worker.as_str()).is_unresponsive = true;
+        fleet.advance(3_000);
+        fleet.take_over(SchedulerSettings::default());
+        for _ in 0..300 {
+            fleet.advance(50);
+            fleet.assert_no_double_run();
+        }
+        assert_eq!(fleet.running_count(&task_id(&job, 0, 0)), 1);
+    }
+}
+
 /// A worker that responds again while the stored row still has the end of its leases
 /// must not outlive that end, or a successor would start its tasks a second time.
 #[test]
@@ -126,6 +174,25 @@
     assert_eq!(fleet.starts.len(), 2, "it starts again at the stored end");
 }
 
+/// A worker responds again to an owner that still reads the rows, 1 s before its lease
+/// expires.
+#[test]
+fn a_worker_that_responds_while_rows_are_read_gets_a_lease_at_once() {
+    let mut fleet = fleet_of(2);
+    fleet.submit("j", vec![step_spec(1, 1_000)], 60_000);
+    fleet.advance(500);
+    let worker = fleet.starts[0].2.clone();
+    fleet.worker(worker.as_str()).is_unresponsive = true;
+    fleet.advance(2_000);
+    fleet.begin_take_over(SchedulerSettings::default());
+    fleet.advance(2_000);
+    fleet.worker(worker.as_str()).is_unresponsive = false;
+    fleet.advance(4_000);
+    fleet.finish_take_over();
+    fleet.advance(4_000);
+    assert_eq!(fleet.starts.len(), 1);
+}
+
 /// Once the row is stored without the worker, its leases are renewed as before.
 #[test]
 fn a_worker_that_responds_again_keeps_its_tasks() {
