Take the times of the table client from the timer

Cause: the client and the stand-ins read the clock of the machine for limits, the breaker, leases of workers and the ages of rows, and the timer of Tokio for waits. A test that pauses the timer therefore sees limits that never pass, and a test that does not pause it depends on the speed of the machine.

Change: the client and the stand-ins ask the timer for the time. In a process it is the same clock (Tokio's Instant without its feature test-util), so nothing changes there.

--- a/crates/provider/src/calls.rs
+++ b/crates/provider/src/calls.rs
@@ -11,6 +11,7 @@
 use crate::LocalFuture;
 use crate::breaker::{BreakerDecision, CircuitBreaker};
 use crate::client::{ClientSettings, SERVICE};
+use crate::clock;
 use crate::counters::{CallCause, CallCounters, CauseCounts};
 use crate::error::{Category, Error, Result};
 use crate::progress::ReadProgress;
@@ -136,14 +137,14 @@
         let permit = self.read_semaphore.acquire().await;
         let _permit = permit
             .map_err(|_| Error::unavailable(operation, SERVICE, "the table client is closed"))?;
-        let delay = self.read_limiter.borrow_mut().reserve(time::Instant::now());
+        let delay = self.read_limiter.borrow_mut().reserve(clock::now());
         timer::sleep(delay).await;
         let received = progress.bytes();
         let is_lost = || progress.bytes() == received;
         loop {
             self.admit(operation)?;
             self.counters.borrow_mut().count_read(cause);
-            let sent_at = time::Instant::now();
+            let sent_at = clock::now();
             tokio::select! {
                 response = call() => {
                     self.record(cause, sent_at, &response);
@@ -175,7 +176,7 @@
                 continue;
             }
             self.counters.borrow_mut().count_read(cause);
-            let sent_at = time::Instant::now();
+            let sent_at = clock::now();
             let Ok(response) = timer::timeout(interval, call()).await else {
                 continue;
             };
@@ -205,7 +206,7 @@
     ) -> Result<CommitOutcome> {
         self.admit("commit")?;
         self.counters.borrow_mut().count_commit(cause);
-        let sent_at = time::Instant::now();
+        let sent_at = clock::now();
         let call = self.table.commit(transaction);
         let response = tokio::select! {
             response = timer::timeout(self.settings.call_timeout, call) => {
@@ -221,7 +222,7 @@
     }
 
     fn admit(&self, operation: &'static str) -> Result<()> {
-        let now = time::Instant::now();
+        let now = clock::now();
         let mut breaker = self.breaker.borrow_mut();
         let settings = &self.settings;
         let probe_interval = settings.probe_interval.min(settings.call_timeout * 2);
@@ -241,7 +242,7 @@
     pub(crate) fn record<T>(&self, cause: CallCause, sent_at: time::Instant, response: &Result<T>) {
         let category = response.as_ref().err().map(Error::classify);
         self.counters.borrow_mut().count_result(cause, category);
-        let now = time::Instant::now();
+        let now = clock::now();
         match category {
             None | Some(Category::Refused) => {
                 let has_returned = !self.breaker.borrow().is_healthy();
--- a/crates/provider/src/client.rs
+++ b/crates/provider/src/client.rs
@@ -12,6 +12,7 @@
 use crate::batch;
 use crate::breaker::BreakerSettings;
 use crate::calls::{SharedState, TableRead};
+use crate::clock;
 use crate::counters::{CallCause, CauseCounts};
 use crate::error::{Category, Error, Result};
 use crate::limits::TableLimits;
@@ -159,7 +160,7 @@
         let queued = QueuedCommit {
             cause,
             transaction,
-            queued_at: time::Instant::now(),
+            queued_at: clock::now(),
             is_sent,
             reply,
         };
@@ -221,7 +222,7 @@
     ) -> Result<CommitOutcome> {
         let mut backoff = RetryBackoff::new(self.shared.settings.backoff.clone());
         let mut sent_before = false;
-        let start = time::Instant::now();
+        let start = clock::now();
         let mut attempt = 0;
         loop {
             attempt += 1;
@@ -238,7 +239,7 @@
             };
             sent_before = true;
             let settings = &self.shared.settings;
-            let is_past_timeout = start.elapsed() >= settings.resolve_timeout;
+            let is_past_timeout = clock::elapsed_since(start) >= settings.resolve_timeout;
             if is_past_timeout && attempt >= settings.min_resolve_attempts {
                 return Err(Error::unknown("resolve commit", SERVICE, error.to_string()));
             }
--- a/crates/provider/src/lib.rs
+++ b/crates/provider/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod builder;
 mod calls;
 pub mod client;
+mod clock;
 pub mod counters;
 pub mod directory;
 pub mod error;
--- a/crates/provider/src/progress.rs
+++ b/crates/provider/src/progress.rs
@@ -4,6 +4,8 @@
 use std::rc;
 use std::time;
 
+use crate::clock;
+
 /// Counts what a read has received. Clones share the counts.
 #[derive(Clone, Debug, Default)]
 pub struct ReadProgress {
@@ -59,7 +61,7 @@
     pub fn add(&self, bytes: u64) {
         self.count(|counts| &counts.bytes, bytes);
         for counts in self.all_counts() {
-            counts.received_at.set(Some(time::Instant::now()));
+            counts.received_at.set(Some(clock::now()));
         }
     }
 
--- a/crates/provider/src/scan.rs
+++ b/crates/provider/src/scan.rs
@@ -13,6 +13,7 @@
 use crate::LocalFuture;
 use crate::backoff::{BackoffSettings, RetryBackoff};
 use crate::calls::SharedState;
+use crate::clock;
 use crate::counters::CallCause;
 use crate::error::{Category, Error, Result};
 use crate::progress::ReadProgress;
@@ -128,7 +129,7 @@
             cause,
             progress,
             is_patient: false,
-            started: time::Instant::now(),
+            started: clock::now(),
         }
     }
 
@@ -147,7 +148,7 @@
     /// Returns for how long the scan may still go on without receiving anything.
     fn idle_time_left(&self) -> time::Duration {
         let since = self.progress.received_at().unwrap_or(self.started);
-        let idle = since.max(self.started).elapsed();
+        let idle = clock::elapsed_since(since.max(self.started));
         self.shared.settings.scan_timeout.saturating_sub(idle)
     }
 
--- a/crates/provider/src/writer.rs
+++ b/crates/provider/src/writer.rs
@@ -12,6 +12,7 @@
 use crate::batch::TransactionBatch;
 use crate::calls::SharedState;
 use crate::client::{ClientSettings, SERVICE};
+use crate::clock;
 use crate::counters::CallCause;
 use crate::error::{Category, Error, Result};
 use crate::limits::TableLimits;
@@ -47,7 +48,7 @@
         let Ok(permit) = semaphore.clone().acquire_owned().await else {
             return;
         };
-        timer::sleep(limiter.reserve(time::Instant::now())).await;
+        timer::sleep(limiter.reserve(clock::now())).await;
         let mut batch = CommitBatch::new(shared.table.limits());
         deferred = batch.fill(first, &mut queued_commits, &shared.settings);
         let shared = shared.clone();
@@ -97,7 +98,7 @@
         if queued.reply.is_closed() {
             return None;
         }
-        if queued.queued_at.elapsed() > max_wait {
+        if clock::elapsed_since(queued.queued_at) > max_wait {
             let error = Error::unavailable("commit", SERVICE, "not sent within the call timeout");
             // The caller may have dropped its future.
             let _ = queued.reply.send(Err(error));
--- a/crates/standin/src/memory.rs
+++ b/crates/standin/src/memory.rs
@@ -83,14 +83,14 @@
 
 /// Time since the platform was created; tests may advance it.
 struct StandinClock {
-    start: time::Instant,
+    start: timer::Instant,
     advanced: time::Duration,
 }
 
 impl Default for StandinClock {
     fn default() -> Self {
         Self {
-            start: time::Instant::now(),
+            start: timer::Instant::now(),
             advanced: time::Duration::ZERO,
         }
     }
--- a/crates/standin/src/worker.rs
+++ b/crates/standin/src/worker.rs
@@ -43,7 +43,7 @@
 #[derive(Clone, Debug)]
 struct StandinRun {
     run: u32,
-    started_at: time::Instant,
+    started_at: timer::Instant,
     duration: time::Duration,
 }
 
@@ -51,7 +51,7 @@
 struct StandinWorker {
     view: WorkerView,
     fault: WorkerFault,
-    started_at: time::Instant,
+    started_at: timer::Instant,
     fencing_token: u64,
     lease_end_ms: u64,
     running: BTreeMap<TaskId, StandinRun>,
@@ -85,7 +85,7 @@
     /// Ends the runs that have finished, failed or lost their lease.
     fn end_finished_runs(&mut self) {
         let is_failing = self.fault.is_failing;
-        let now = time::Instant::now();
+        let now = timer::Instant::now();
         let lease_end = self.started_at + time::Duration::from_millis(self.lease_end_ms);
         let finished = self.running.iter().filter_map(|(task, run)| {
             let done_at = run.started_at + run.duration;
@@ -167,7 +167,7 @@
         self.lease_end_ms = self.lease_end_ms.max(lease_end_ms);
         self.running.entry(task.clone()).or_insert(StandinRun {
             run,
-            started_at: time::Instant::now(),
+            started_at: timer::Instant::now(),
             duration,
         });
         OrderOutcome::Accepted
@@ -410,7 +410,7 @@
     StandinWorker {
         view,
         fault,
-        started_at: time::Instant::now(),
+        started_at: timer::Instant::now(),
         fencing_token: 0,
         lease_end_ms: 0,
         running: BTreeMap::new(),
