Pause the time of the engine's tests

Cause: the set-up, not the product. All processes of a cluster, the table and the workers share one thread in real time. A stall of that thread delays the renewals of the owner and lets the lease run for its successor at once, which no stall of one VM does; and an attempt whose response is there already counts as timed out.

Change: the tests of the engine pause the timer. The clocks of the engine follow the timer of the thread where a test asks for it; the calls of the processes do not change. All bounds stand as they were, and time passes by what the code waits for only. A thread ends the program if a test works without end, since its own limit is never reached then. A second test delays the calls of the owner at 21 points of time, by as much as an attempt allows. What paused time does not show, delays by the machine's own work, is left to the soak of the processes.

--- a/crates/engine/tests/common/mod.rs
+++ b/crates/engine/tests/common/mod.rs
@@ -2,12 +2,16 @@
 
 use std::cell;
 use std::collections::HashSet;
+use std::process;
 use std::rc;
 use std::sync;
+use std::sync::mpsc;
+use std::thread;
 use std::time;
 
 use redwing_engine::DeploymentServices;
 use redwing_engine::caller::service::{CallerService, CallerSettings, CallerVerb};
+use redwing_engine::clock;
 use redwing_engine::codec::{CallerHead, CallerResponse};
 use redwing_engine::manifest;
 use redwing_engine::metrics::JobMetrics;
@@ -41,6 +45,9 @@
 /// its last run, and 3 s later counts as lost.
 pub(crate) const RESTART_LIMIT: time::Duration = time::Duration::from_secs(9);
 
+/// Time on the clock of the machine after which a test counts as stuck.
+const STUCK_LIMIT: time::Duration = time::Duration::from_secs(600);
+
 /// Table calls that get no response, as on a broken connection.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub(crate) enum LostCalls {
@@ -419,10 +426,29 @@
     }
 }
 
-/// Runs a test on one thread with local tasks, with a limit of one minute.
+/// Runs a test on one thread with local tasks, with a limit of one minute. Its time passes
+/// only while all tasks wait, however long the machine takes for their work.
 pub(crate) fn run_test(test: impl Future<Output = ()>) {
     let limit = time::Duration::from_secs(60);
-    let limited = async { timer::timeout(limit, test).await };
+    let _running = abort_if_stuck();
+    let limited = async {
+        timer::pause();
+        clock::follow_timer();
+        timer::timeout(limit, test).await
+    };
     let finished = actix_rt::System::new().block_on(limited);
     finished.expect("the test ends within a minute");
 }
+
+/// Ends the program if the sender still exists after [`STUCK_LIMIT`]: while a test works
+/// without end, its own time stands still and never reaches its limit.
+fn abort_if_stuck() -> mpsc::Sender<()> {
+    let (running, ended) = mpsc::channel();
+    thread::spawn(move || {
+        if ended.recv_timeout(STUCK_LIMIT) == Err(mpsc::RecvTimeoutError::Timeout) {
+            eprintln!("a test runs for more than {STUCK_LIMIT:?}");
+            process::abort();
+        }
+    });
+    running
+}
--- a/crates/engine/tests/limits.rs
+++ b/crates/engine/tests/limits.rs
@@ -150,22 +150,50 @@
     });
 }
 
+/// Time that each call of an owner with a slow table takes, in milliseconds.
+const SLOW_CALL_MILLIS: u64 = 300;
+
+/// Time that a delayed call takes, in milliseconds; an attempt still gets its response.
+const DELAYED_CALL_MILLIS: u64 = 650;
+
+/// Makes the calls that are sent in the time of one call after `delay` take longer.
+async fn delay_calls(platform: MemoryPlatform, delay: time::Duration) {
+    timer::sleep(delay).await;
+    platform.set_faults(|plan| plan.table_delay_millis = DELAYED_CALL_MILLIS);
+    timer::sleep(time::Duration::from_millis(SLOW_CALL_MILLIS)).await;
+    platform.set_faults(|plan| plan.table_delay_millis = SLOW_CALL_MILLIS);
+}
+
+/// Checks that an owner with a slow table, which refuses one row, stays the owner.
+async fn check_slow_owner(delay: Option<time::Duration>) {
+    let cluster = start(2).await;
+    let id = JobId::new("job-0");
+    cluster.refusals.borrow_mut().key = Some(row::progress_key(&id));
+    let owner = cluster.process_index(&cluster.owner().await);
+    let platform = &cluster.processes[owner].platform;
+    platform.set_faults(|plan| plan.table_delay_millis = SLOW_CALL_MILLIS);
+    if let Some(delay) = delay {
+        tokio::task::spawn_local(delay_calls(platform.clone(), delay));
+    }
+    submit_jobs(&cluster, 1 - owner, 50).await;
+    wait_rows(&cluster, row::PROGRESS_PREFIX, "completed", 49).await;
+    assert!(!cluster.refusals.borrow().refused.is_empty());
+    assert!(is_refused_once(&cluster));
+}
+
 /// Each call takes so long that an owner which only sent smaller and smaller changes
 /// would not renew its ownership in time.
 #[test]
 fn an_owner_with_a_slow_table_outlives_refused_changes() {
-    run_test(async {
-        let cluster = start(2).await;
-        let id = JobId::new("job-0");
-        cluster.refusals.borrow_mut().key = Some(row::progress_key(&id));
-        let owner = cluster.process_index(&cluster.owner().await);
-        let platform = &cluster.processes[owner].platform;
-        platform.set_faults(|plan| plan.table_delay_millis = 300);
-        submit_jobs(&cluster, 1 - owner, 50).await;
-        wait_rows(&cluster, row::PROGRESS_PREFIX, "completed", 49).await;
-        assert!(!cluster.refusals.borrow().refused.is_empty());
-        assert!(is_refused_once(&cluster));
-    });
+    run_test(check_slow_owner(None));
+}
+
+/// The delay falls on any of the changes and renewals.
+#[test]
+fn an_owner_with_a_slow_table_outlives_a_delayed_call_between_refused_changes() {
+    for millis in (300..4_500).step_by(200) {
+        run_test(check_slow_owner(Some(time::Duration::from_millis(millis))));
+    }
 }
 
 /// Starts a process on a table with rows of at most so many bytes.
