--- a/crates/engine/tests/takeover.rs
+++ b/crates/engine/tests/takeover.rs
@@ -101,6 +101,52 @@
     });
 }
 
+/// Loses the owner while calls to the table get no response, and checks that another
+/// process becomes owner and starts a job within the timeouts of the retries.
+async fn check_lossy_takeover(read: u32) {
+    let cluster = TestCluster::start(2, time::Duration::from_millis(100)).await;
+    let first = cluster.owner().await;
+    cluster.lost_calls.set(LostCalls::OnceEach { read });
+    let index = cluster.process_index(&first);
+    cluster.disconnect_table(index);
+    let disconnected = timer::Instant::now();
+    let second = cluster.owner_above(first.fencing_token).await;
+    let settings = OwnerSettings::default();
+    // The reads, the claim and the reads after it may each be lost once.
+    let limit = settings.lease + settings.poll_interval * 3 + settings.attempt_timeout * 3;
+    let elapsed = disconnected.elapsed();
+    assert!(elapsed < limit, "{elapsed:?}, read {read}");
+    // The claim and the read after it are each sent again once.
+    let claimed_at = cluster.claimed_at.get().expect("the claim was lost");
+    let elapsed = claimed_at.elapsed();
+    let repeat_limit = settings.attempt_timeout * 2;
+    assert!(elapsed < repeat_limit, "{elapsed:?} after the claim");
+    let successor = cluster.process_index(&second);
+    assert_ne!(second.incarnation, first.incarnation);
+    assert_eq!(
+        cluster.submit(successor, "a", 3).await,
+        CallerResponse::Accepted
+    );
+    cluster.wait_starts(3).await;
+    // Next, the scans of the new session and the change before the start orders.
+    let limit = limit + settings.attempt_timeout * 4;
+    let elapsed = disconnected.elapsed();
+    assert!(elapsed < limit, "{elapsed:?}, read {read}");
+    cluster
+        .wait_state(successor, "a", JobState::Completed)
+        .await;
+    assert_eq!(cluster.workers.starts().len(), 3);
+}
+
+/// The claim gets no response, nor does one of the reads before it, nor the first of each
+/// call after it: another process still becomes owner in time.
+#[test]
+fn lost_table_calls_delay_a_takeover_only_by_their_retries() {
+    for read in 1..=6 {
+        run_test(check_lossy_takeover(read));
+    }
+}
+
 /// The first claim is lost, and then the table is silent for longer than a successor may
 /// go without a response: the lease of the lost owner has expired all the same.
 #[test]
