--- a/crates/engine/src/owner/election.rs
+++ b/crates/engine/src/owner/election.rs
@@ -57,6 +57,8 @@
     unchanged_since: BootTime,
     /// When the latest successful read of the row was sent.
     read_at: Option<BootTime>,
+    /// Whether a claim of this version was sent.
+    is_claimed: bool,
 }
 
 impl RowObserver {
@@ -64,7 +66,8 @@
     /// unchanged.
     ///
     /// A gap between reads of more than `max_gap` restarts the measurement: an
-    /// owner cannot renew its lease while the table is down.
+    /// owner cannot renew its lease while the table is down. Once the version was
+    /// claimed, no gap does: the lease had expired before.
     fn observe(
         &mut self,
         version: Option<u64>,
@@ -74,9 +77,10 @@
         let has_gap = self
             .read_at
             .is_none_or(|read_at| requested_at.saturating_since(read_at) > max_gap);
-        if has_gap || version != self.version {
+        if version != self.version || has_gap && !self.is_claimed {
             self.version = version;
             self.unchanged_since = clock::boot_now();
+            self.is_claimed = false;
         }
         self.read_at = Some(requested_at);
         requested_at.saturating_since(self.unchanged_since)
@@ -91,6 +95,7 @@
     let mut pending: Vec<PendingClaim> = Vec::new();
     loop {
         let requested_at = clock::boot_now();
+        let mut claim_time = time::Duration::ZERO;
         // The followers of the table log failed reads.
         if let Ok(view) = dependencies
             .client
@@ -105,17 +110,22 @@
             let unchanged_for = observer.observe(version, requested_at, poll_interval * 4);
             let record = current.and_then(|row| row::read::<OwnerRecord>(row).ok());
             if may_claim(dependencies, record.as_ref(), unchanged_for) {
+                observer.is_claimed = true;
                 let times = claim_times(dependencies, record.as_ref(), observer.unchanged_since);
                 let owner = successor(dependencies, record.as_ref(), &times);
+                let claimed_at = times.claimed_at;
                 match claim(dependencies, &key, version, owner).await {
                     Ok(lease) => return AcquiredOwnership { lease, times },
                     Err(Some(value)) => pending.push(PendingClaim { value, times }),
                     Err(None) => {}
                 }
+                claim_time = clock::boot_now().saturating_since(claimed_at);
             }
         }
         let jitter: f64 = rand::random();
-        timer::sleep(poll_interval.mul_f64(0.75 + 0.5 * jitter)).await;
+        let delay = poll_interval.mul_f64(0.75 + 0.5 * jitter);
+        // A claim without a response has waited already.
+        timer::sleep(delay.saturating_sub(claim_time)).await;
     }
 }
 
