Decode data centres, cold workers and the bound on evacuations

Cause: no type had the data centre of a worker or machine, so that no decision could regard it; the cold time of workers and services was not read either.

Change: the types DataCentre, WorkerView.data_centre and cold_ms, ListedMachine.data_centre, PoolMachine.data_centre and PoolPolicy.cold_start_ms. The product's own formats have manifest/evacuation/NAME. No behaviour changes yet.

--- a/crates/engine/src/codec.rs
+++ b/crates/engine/src/codec.rs
@@ -7,7 +7,7 @@
 use redwing_jobs::JobState;
 use redwing_jobs::maintenance::{WaveRequest, WaveState};
 use redwing_jobs::manifest::JobManifest;
-use redwing_jobs::name::WorkerId;
+use redwing_jobs::name::{DataCentre, WorkerId};
 use redwing_jobs::worker::WorkerView;
 use redwing_provider::{RowKey, TableRow};
 
@@ -116,6 +116,10 @@
     /// Fails if the row cannot be read.
     fn operator_row(&self, row: &TableRow) -> Result<OperatorRow>;
 
+    /// Returns the data centre that the row with this key evacuates while it exists,
+    /// whatever its value is; none for other rows.
+    fn evacuated_data_centre(&self, key: &RowKey) -> Option<DataCentre>;
+
     /// Prefix of the rows in which workers register.
     fn worker_prefix(&self) -> &str;
 
--- a/crates/engine/src/owner/machines.rs
+++ b/crates/engine/src/owner/machines.rs
@@ -330,6 +330,7 @@
                 is_usable: matches!(machine.state, MachineState::Up | MachineState::Moving)
                     && !is_under_maintenance,
                 is_movable: machine.state == MachineState::Up && !is_under_maintenance,
+                data_centre: machine.data_centre.clone(),
                 worker: machine.worker.clone(),
                 load: load_of(machine, scheduler),
                 cpu_millis: machine.capacity.cpu_millis,
--- a/crates/engine/src/product.rs
+++ b/crates/engine/src/product.rs
@@ -2,11 +2,12 @@
 //! callers, for deployments whose platform defines none.
 //!
 //! `docs/INTERFACE.md` describes the interface. Rows hold the JSON form of
-//! the domain types: `manifest/head`, `manifest/wave/N` and `workers/ID`.
+//! the domain types: `manifest/head`, `manifest/wave/N` and `workers/ID`. The row
+//! `manifest/evacuation/NAME` evacuates a data centre while it exists.
 
 use redwing_jobs::maintenance::{WaveRequest, WaveState};
 use redwing_jobs::manifest::JobManifest;
-use redwing_jobs::name::WorkerId;
+use redwing_jobs::name::{DataCentre, WorkerId};
 use redwing_jobs::worker::WorkerView;
 use redwing_jobs::{JobSpec, JobState};
 use redwing_provider::{RowKey, TableRow};
@@ -22,6 +23,9 @@
 /// Prefix of the rows of waves.
 const WAVE_PREFIX: &str = "manifest/wave/";
 
+/// Prefix of the rows of evacuated data centres.
+const EVACUATION_PREFIX: &str = "manifest/evacuation/";
+
 /// Row of the newest manifest.
 pub const MANIFEST_KEY: &str = "manifest/head";
 
@@ -39,6 +43,11 @@
     RowKey::new(format!("{WORKER_PREFIX}{id}"))
 }
 
+/// Returns the key of the row that evacuates a data centre while it exists.
+pub fn evacuation_key(data_centre: &DataCentre) -> RowKey {
+    RowKey::new(format!("{EVACUATION_PREFIX}{data_centre}"))
+}
+
 /// Body of a response with the state of a job.
 #[derive(Clone, Copy, Debug, Serialize)]
 #[serde(rename_all = "kebab-case")]
@@ -86,6 +95,11 @@
         Ok(OperatorRow::Other)
     }
 
+    fn evacuated_data_centre(&self, key: &RowKey) -> Option<DataCentre> {
+        let name = key.as_str().strip_prefix(EVACUATION_PREFIX)?;
+        (!name.is_empty()).then(|| DataCentre::new(name))
+    }
+
     fn worker_prefix(&self) -> &str {
         WORKER_PREFIX
     }
--- a/crates/engine/src/services.rs
+++ b/crates/engine/src/services.rs
@@ -3,7 +3,7 @@
 use std::rc;
 use std::sync;
 
-use redwing_jobs::name::{MachineName, PoolName, WorkerId, WorkerLabel};
+use redwing_jobs::name::{DataCentre, MachineName, PoolName, WorkerId, WorkerLabel};
 use redwing_jobs::scheduler::{AdviceRequest, AdviceResponse};
 use redwing_jobs::spec::ResourceAmount;
 use redwing_jobs::worker::{OrderOutcome, OrderResponse, RenewalReport, WorkerOrder};
@@ -59,6 +59,8 @@
     pub name: MachineName,
     /// Pool that it belongs to.
     pub pool: PoolName,
+    /// Its data centre, if known; a machine never changes it.
+    pub data_centre: Option<DataCentre>,
     /// State of the machine.
     pub state: MachineState,
     /// Worker that runs on the machine.
--- a/crates/experiment/src/fleet.rs
+++ b/crates/experiment/src/fleet.rs
@@ -186,6 +186,8 @@
             capacity: machine.capacity,
             labels: vec![machine.rack.clone()],
             rack: Some(machine.rack.clone()),
+            data_centre: None,
+            cold_ms: 0,
             is_draining: false,
             remaining_ms: None,
         };
@@ -381,6 +383,7 @@
                 pool: machine.pool.clone(),
                 is_usable: !machine.is_down,
                 is_movable: !machine.is_down && !machine.is_moving,
+                data_centre: None,
                 worker,
                 load: load.unwrap_or_default(),
                 cpu_millis: machine.capacity.cpu_millis,
--- a/crates/experiment/src/load.rs
+++ b/crates/experiment/src/load.rs
@@ -351,6 +351,7 @@
             name: PoolName::new(&pool.name),
             is_standby: pool.standby,
             enforces_capacity: true,
+            cold_start_ms: 0,
         });
         JobManifest::from(ManifestParts {
             version: 1,
--- a/crates/jobs/src/capacity.rs
+++ b/crates/jobs/src/capacity.rs
@@ -25,7 +25,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::maintenance::WorkerLoad;
-use crate::name::{MachineName, PoolName, WorkerId};
+use crate::name::{DataCentre, MachineName, PoolName, WorkerId};
 use crate::time::BootTime;
 use crate::wait::ElapsedWait;
 
@@ -105,6 +105,8 @@
     pub is_usable: bool,
     /// Whether it may be moved now: up, and not under maintenance.
     pub is_movable: bool,
+    /// Its data centre, if known.
+    pub data_centre: Option<DataCentre>,
     /// Worker on it.
     pub worker: Option<WorkerId>,
     /// Tasks that the worker runs.
--- a/crates/jobs/src/manifest.rs
+++ b/crates/jobs/src/manifest.rs
@@ -86,6 +86,14 @@
     pub is_standby: bool,
     /// Whether its workers reject tasks beyond their capacity.
     pub enforces_capacity: bool,
+    /// Time for which a worker is slow after its start, in milliseconds; 0 if workers are
+    /// warm at once.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub cold_start_ms: u64,
+}
+
+fn is_zero(value: &u64) -> bool {
+    *value == 0
 }
 
 /// One version of the declared queues, customers and pools.
--- a/crates/jobs/src/name.rs
+++ b/crates/jobs/src/name.rs
@@ -78,6 +78,10 @@
     /// Label of a worker; its rack is one of them.
     WorkerLabel
 }
+text_name! {
+    /// Name of a data centre, a failure domain that can fail as a whole.
+    DataCentre
+}
 
 /// Name of a task, written `JOB.OCCURRENCE.STEP.INDEX`.
 #[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
--- a/crates/jobs/src/scheduler/mod.rs
+++ b/crates/jobs/src/scheduler/mod.rs
@@ -157,6 +157,9 @@
     pub max_tasks_per_change: usize,
     /// Largest size of a progress row, in bytes.
     pub max_row_bytes: usize,
+    /// Longest time from the confirmation of an evacuation until the last start in the
+    /// data centre; none if no such time is kept.
+    pub evacuation_bound: Option<time::Duration>,
     /// Whether customers share pools by their weights.
     pub share_policy: SharePolicy,
 }
@@ -191,6 +194,7 @@
             max_rows_per_change: 80,
             max_tasks_per_change: 4_000,
             max_row_bytes: 65_536,
+            evacuation_bound: None,
             share_policy: SharePolicy::default(),
         }
     }
--- a/crates/jobs/src/worker.rs
+++ b/crates/jobs/src/worker.rs
@@ -5,7 +5,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::name::{PoolName, TaskId, WorkerId, WorkerLabel};
+use crate::name::{DataCentre, PoolName, TaskId, WorkerId, WorkerLabel};
 use crate::spec::ResourceAmount;
 use crate::time::BootTime;
 
@@ -29,12 +29,23 @@
     /// Label of its rack, if known.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub rack: Option<WorkerLabel>,
+    /// Its data centre, if known.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub data_centre: Option<DataCentre>,
+    /// Time for which it remains slow because it has just started, as of the time when
+    /// the entry was written, in milliseconds; 0 if it is warm.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub cold_ms: u64,
     /// Whether it accepts no new tasks.
     pub is_draining: bool,
     /// Minimum time left while it drains, in milliseconds.
     pub remaining_ms: Option<u64>,
 }
 
+fn is_zero(value: &u64) -> bool {
+    *value == 0
+}
+
 /// How a run ended.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(rename_all = "kebab-case")]
--- a/crates/jobs/tests/advice.rs
+++ b/crates/jobs/tests/advice.rs
@@ -41,6 +41,7 @@
             name: PoolName::new("standby"),
             is_standby: true,
             enforces_capacity: false,
+            cold_start_ms: 0,
         });
         parts.version = 2;
         let manifest = sync::Arc::new(JobManifest::from(parts));
@@ -95,6 +96,7 @@
                 pool: pool.clone(),
                 is_usable: true,
                 is_movable: true,
+                data_centre: None,
                 load: self.fleet.scheduler.worker_load(&worker),
                 worker: Some(worker).filter(|_| pool.as_str() == "builders"),
                 cpu_millis: MACHINE_CPU_MILLIS,
--- a/crates/jobs/tests/capacity.rs
+++ b/crates/jobs/tests/capacity.rs
@@ -48,6 +48,7 @@
                     pool: PoolName::new(pool),
                     is_usable: true,
                     is_movable: true,
+                    data_centre: None,
                     worker: Some(WorkerId::new(&name)),
                     load: WorkerLoad::default(),
                     cpu_millis: MACHINE_CPU_MILLIS,
--- a/crates/jobs/tests/common/sample.rs
+++ b/crates/jobs/tests/common/sample.rs
@@ -58,6 +58,7 @@
                 name: PoolName::new(name),
                 is_standby: false,
                 enforces_capacity: false,
+                cold_start_ms: 0,
             })
             .to_vec(),
     }
--- a/crates/jobs/tests/common/worker.rs
+++ b/crates/jobs/tests/common/worker.rs
@@ -64,6 +64,8 @@
                 },
                 labels: vec![WorkerLabel::new("a"), WorkerLabel::new("r1")],
                 rack: Some(WorkerLabel::new("r1")),
+                data_centre: None,
+                cold_ms: 0,
                 is_draining: false,
                 remaining_ms: None,
             },
--- a/crates/standin/src/machine.rs
+++ b/crates/standin/src/machine.rs
@@ -117,6 +117,7 @@
         let listed = listed.map(|(name, machine)| ListedMachine {
             name: name.clone(),
             pool: machine.pool.clone(),
+            data_centre: None,
             state: if machine.is_down() {
                 MachineState::Maintenance
             } else {
--- a/crates/standin/src/worker.rs
+++ b/crates/standin/src/worker.rs
@@ -401,6 +401,8 @@
         },
         labels: Vec::new(),
         rack: None,
+        data_centre: None,
+        cold_ms: 0,
         is_draining: false,
         remaining_ms: None,
     }
