Read the evacuations of the operators

Cause: no process followed the rows with which operators evacuate data centres.

Change: OperatorView.evacuations has the data centres whose rows exist. Only the key counts: a row whose value cannot be read evacuates as well. A complete read replaces the set; an update adds and removes.

--- a/crates/engine/src/manifest.rs
+++ b/crates/engine/src/manifest.rs
@@ -1,10 +1,12 @@
-//! Manifest and waves of the operators, with their freshness.
+//! Manifest, waves and evacuations of the operators, with their freshness.
 
+use std::collections::BTreeSet;
 use std::sync;
 use std::time;
 
 use redwing_jobs::JobManifest;
 use redwing_jobs::maintenance::WaveRequest;
+use redwing_jobs::name::DataCentre;
 use redwing_jobs::time::BootTime;
 use redwing_provider::{CallCause, TableClient};
 use tokio::sync::watch;
@@ -21,13 +23,15 @@
 /// confirmed view.
 const WATCH_TIMEOUT: time::Duration = time::Duration::from_millis(500);
 
-/// Manifest and waves of the operators, as last read by this process.
+/// Manifest, waves and evacuations of the operators, as last read by this process.
 #[derive(Clone, Debug, Default)]
 pub struct OperatorView {
     /// Manifest with the highest version; none until one has been read.
     pub manifest: Option<sync::Arc<JobManifest>>,
     /// All waves of maintenance.
     pub waves: sync::Arc<Vec<WaveRequest>>,
+    /// Data centres that are evacuated.
+    pub evacuations: sync::Arc<BTreeSet<DataCentre>>,
     /// When the latest successful read was sent.
     pub confirmed_at: BootTime,
 }
@@ -38,9 +42,17 @@
         clock::boot_now().saturating_since(self.confirmed_at)
     }
 
-    /// Applies rows; a manifest never replaces one with a higher version.
-    fn apply(&mut self, codec: &dyn DeploymentCodec, update: &follow::TableUpdate) {
+    /// Applies rows; a manifest never replaces one with a higher version. Evacuations are
+    /// exactly those of a complete read.
+    pub fn apply(&mut self, codec: &dyn DeploymentCodec, update: &follow::TableUpdate) {
+        if update.is_complete && !self.evacuations.is_empty() {
+            self.evacuations = sync::Arc::default();
+        }
         for row in &update.rows {
+            if let Some(data_centre) = codec.evacuated_data_centre(&row.key) {
+                self.set_evacuated(data_centre, row.value.is_some());
+                continue;
+            }
             if row.value.is_none() {
                 continue;
             }
@@ -66,6 +78,15 @@
         }
     }
 
+    fn set_evacuated(&mut self, data_centre: DataCentre, is_evacuated: bool) {
+        let evacuations = sync::Arc::make_mut(&mut self.evacuations);
+        if is_evacuated {
+            evacuations.insert(data_centre);
+        } else {
+            evacuations.remove(&data_centre);
+        }
+    }
+
     fn add_wave(&mut self, wave: WaveRequest) {
         let waves = sync::Arc::make_mut(&mut self.waves);
         waves.retain(|listed| listed.number != wave.number);
