--- a/crates/engine/src/event.rs
+++ b/crates/engine/src/event.rs
@@ -110,4 +110,10 @@
     WAVE_REFUSED = 547 "wave-refused";
     /// A new owner has read when the leases of earlier owners expire.
     LEASES_INHERITED = 548 "leases-inherited";
+    /// The evacuation of a data centre began or ended.
+    EVACUATION_CHANGED = 550 "evacuation-changed";
+    /// No run is left in an evacuated data centre.
+    EVACUATION_DRAINED = 551 "evacuation-drained";
+    /// Starts began or ceased to wait because the operators' rows were read too long ago.
+    STARTS_WITHHELD = 552 "starts-withheld";
 }
--- a/crates/engine/src/manifest.rs
+++ b/crates/engine/src/manifest.rs
@@ -37,6 +37,11 @@
 }
 
 impl OperatorView {
+    /// Returns whether the rows were read.
+    pub fn is_read(&self) -> bool {
+        self.confirmed_at > BootTime::default()
+    }
+
     /// Returns the time since the latest successful read was sent.
     pub fn age(&self) -> time::Duration {
         clock::boot_now().saturating_since(self.confirmed_at)
--- a/crates/engine/src/metrics.rs
+++ b/crates/engine/src/metrics.rs
@@ -1,11 +1,14 @@
 //! Metrics of jobs in the Prometheus text format; `docs/METRICS.md` lists them.
 
+use std::collections::BTreeMap;
 use std::time;
 
 use prometheus::{
-    Encoder, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
-    TextEncoder,
+    Encoder, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Opts,
+    Registry, TextEncoder,
 };
+use redwing_jobs::evacuation::EvacuationProgress;
+use redwing_jobs::name::DataCentre;
 
 use crate::error::{Error, Result};
 
@@ -45,6 +48,10 @@
     open_jobs: IntGauge,
     /// Version of the manifest in force.
     manifest_version: IntGauge,
+    /// Workers of evacuated data centres, by data centre.
+    evacuated_workers: IntGaugeVec,
+    /// Runs that are left on them, by data centre.
+    evacuation_runs: IntGaugeVec,
 }
 
 impl JobMetrics {
@@ -75,6 +82,11 @@
             registry.register(Box::new(gauge.clone()))?;
             Ok::<_, prometheus::Error>(gauge)
         };
+        let gauges = |name: &str, help: &str| {
+            let gauge = IntGaugeVec::new(Opts::new(name, help), &["data_centre"])?;
+            registry.register(Box::new(gauge.clone()))?;
+            Ok::<_, prometheus::Error>(gauge)
+        };
         let tasks_placed = IntCounter::new("redwing_tasks_placed_total", "Tasks given room.")?;
         registry.register(Box::new(tasks_placed.clone()))?;
         let jobs_examined = IntCounter::new(
@@ -117,6 +129,14 @@
             owner_fencing_token: gauge("redwing_owner_fence", "Fencing token of this owner.")?,
             open_jobs: gauge("redwing_open_jobs", "Jobs not finished.")?,
             manifest_version: gauge("redwing_manifest_version", "Version in force.")?,
+            evacuated_workers: gauges(
+                "redwing_evacuated_workers",
+                "Workers of evacuated data centres.",
+            )?,
+            evacuation_runs: gauges(
+                "redwing_evacuation_runs",
+                "Runs left in evacuated data centres.",
+            )?,
             registry,
         })
     }
@@ -203,4 +223,17 @@
     pub fn set_manifest_version(&self, version: u64) {
         self.manifest_version.set(version as i64);
     }
+
+    /// Sets the progress of all evacuations; others have no value any more.
+    pub fn set_evacuations(&self, progress: &BTreeMap<DataCentre, EvacuationProgress>) {
+        self.evacuated_workers.reset();
+        self.evacuation_runs.reset();
+        for (name, progress) in progress {
+            let labels = [name.as_str()];
+            let workers = self.evacuated_workers.with_label_values(&labels);
+            workers.set(i64::from(progress.workers));
+            let runs = self.evacuation_runs.with_label_values(&labels);
+            runs.set(i64::from(progress.runs));
+        }
+    }
 }
--- a/crates/engine/src/owner/machines.rs
+++ b/crates/engine/src/owner/machines.rs
@@ -1,8 +1,8 @@
 //! Maintenance of machines and their moves between pools.
 
-use std::collections::BTreeMap;
-use std::fmt;
+use std::collections::{BTreeMap, BTreeSet};
 use std::rc;
+use std::sync;
 
 use redwing_jobs::capacity::{CapacityAction, CapacityPlanner, MoveWaits, PoolMachine, PoolState};
 use redwing_jobs::feasibility::FleetCapacity;
@@ -11,9 +11,8 @@
     WavePlanner, WaveState, WorkerLoad,
 };
 use redwing_jobs::manifest::JobManifest;
-use redwing_jobs::name::{MachineName, PoolName, WorkerId};
+use redwing_jobs::name::{DataCentre, MachineName, PoolName, WorkerId};
 use redwing_jobs::{BootTime, JobScheduler};
-use redwing_provider::Category;
 use tokio::sync::mpsc;
 
 use crate::clock;
@@ -25,73 +24,13 @@
 use crate::services::{LeaseHolder, ListedMachine, MachineClient, MachineOutcome, MachineState};
 
 use super::change::ChangeFill;
+use super::machine_order::{self, LostMove, MachineOrder, MachineResponse, PendingOrder};
 use super::wave_rows::WaveRowQueue;
 use super::{OwnerDependencies, OwnerSettings};
 
 /// Maximum number of machines that one event names.
 const MACHINES_PER_EVENT: usize = 10;
 
-/// Response to a call of the platform's machine service.
-#[derive(Debug)]
-pub(super) enum MachineResponse {
-    /// List of machines; none if the call failed.
-    Listed(Option<Vec<ListedMachine>>),
-    /// Outcome of an order; none if it is unknown.
-    Ordered {
-        machine: MachineName,
-        order: MachineOrder,
-        outcome: Option<MachineOutcome>,
-    },
-}
-
-/// Order for a machine.
-#[derive(Debug)]
-pub(super) enum MachineOrder {
-    /// Join a pool; the worker on the machine ends.
-    Move {
-        worker: Option<WorkerId>,
-        pool: PoolName,
-    },
-    /// Start the maintenance of a wave, by its number.
-    Maintenance(u64),
-}
-
-impl MachineOrder {
-    /// Returns the wave whose rows must be stored before the order is sent.
-    fn wave(&self) -> Option<u64> {
-        match self {
-            Self::Move { .. } => None,
-            Self::Maintenance(wave) => Some(*wave),
-        }
-    }
-}
-
-impl fmt::Display for MachineOrder {
-    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match self {
-            Self::Move { pool, .. } => write!(formatter, "move to {pool}"),
-            Self::Maintenance(wave) => write!(formatter, "upkeep of wave {wave}"),
-        }
-    }
-}
-
-/// Order that has not been sent yet.
-#[derive(Debug)]
-struct PendingOrder {
-    machine: MachineName,
-    order: MachineOrder,
-}
-
-/// Move without a response, of a machine with a worker.
-#[derive(Debug)]
-struct LostMove {
-    machine: MachineName,
-    worker: WorkerId,
-    pool: PoolName,
-    /// Whether a list was requested before, which need not show the outcome.
-    awaits_old_list: bool,
-}
-
 /// Keeps the list of machines and orders their maintenance and moves.
 ///
 /// A maintenance order passes through three queues: until the rows that record it
@@ -123,6 +62,8 @@
     ready_orders: Vec<PendingOrder>,
     /// Whether an order was rejected because a newer owner exists.
     is_fenced: bool,
+    /// Data centres that are evacuated.
+    evacuations: sync::Arc<BTreeSet<DataCentre>>,
 }
 
 impl MachineService {
@@ -154,6 +95,7 @@
             storing_orders: Vec::new(),
             ready_orders: Vec::new(),
             is_fenced: false,
+            evacuations: sync::Arc::default(),
         }
     }
 
@@ -175,7 +117,9 @@
     pub(super) fn standby_cpu_millis(&self, manifest: &JobManifest) -> u64 {
         let machines = self.machines.iter().filter(|machine| {
             let pool = manifest.pool(&machine.pool);
-            machine.state == MachineState::Moving || pool.is_some_and(|pool| pool.is_standby)
+            let is_reserve =
+                machine.state == MachineState::Moving || pool.is_some_and(|pool| pool.is_standby);
+            is_reserve && !self.is_in_evacuated(machine)
         });
         machines.map(|machine| machine.capacity.cpu_millis).sum()
     }
@@ -238,6 +182,49 @@
         }
     }
 
+    /// Sets the data centres that are evacuated. Moves of their machines into pools that
+    /// are in use are not ordered any more.
+    pub(super) fn set_evacuations(&mut self, scheduler: &mut JobScheduler, view: &OperatorView) {
+        if self.evacuations == view.evacuations {
+            return;
+        }
+        self.evacuations = sync::Arc::clone(&view.evacuations);
+        self.capacity_planner
+            .set_evacuations(sync::Arc::clone(&view.evacuations));
+        let orders = std::mem::take(&mut self.ready_orders).into_iter();
+        let (withdrawn, kept): (Vec<_>, Vec<_>) = orders.partition(|pending| {
+            let MachineOrder::Move { pool, .. } = &pending.order else {
+                return false;
+            };
+            let manifest = view.manifest.as_ref();
+            let pool = manifest.and_then(|manifest| manifest.pool(pool));
+            let is_parked = pool.is_some_and(|pool| pool.is_standby);
+            self.is_evacuated(&pending.machine) && !is_parked
+        });
+        self.ready_orders = kept;
+        for pending in withdrawn {
+            self.capacity_planner.handle_move_response(&pending.machine);
+            if let MachineOrder::Move {
+                worker: Some(worker),
+                ..
+            } = pending.order
+            {
+                scheduler.block_worker(&worker, false);
+            }
+        }
+    }
+
+    fn is_evacuated(&self, machine: &MachineName) -> bool {
+        let mut machines = self.machines.iter();
+        let listed = machines.find(|listed| listed.name == *machine);
+        listed.is_some_and(|listed| self.is_in_evacuated(listed))
+    }
+
+    fn is_in_evacuated(&self, machine: &ListedMachine) -> bool {
+        let data_centre = machine.data_centre.as_ref();
+        data_centre.is_some_and(|name| self.evacuations.contains(name))
+    }
+
     /// Lists the machines and plans the orders that are due.
     pub(super) fn tick(
         &mut self,
@@ -357,7 +344,7 @@
                     client.begin_maintenance(holder, &machine, *wave).await
                 }
             };
-            let outcome = order_outcome(&machine, &order, response);
+            let outcome = machine_order::order_outcome(&machine, &order, response);
             // The receiver is gone if the session has ended.
             let _ = responses.send(MachineResponse::Ordered {
                 machine,
@@ -392,6 +379,7 @@
         let statuses = self.machines.iter().map(|machine| {
             let status = MachineStatus {
                 is_up: machine.state == MachineState::Up,
+                is_evacuated: self.is_in_evacuated(machine),
                 worker: machine.worker.clone(),
                 load: load_of(machine, scheduler),
             };
@@ -599,38 +587,6 @@
     );
 }
 
-/// Logs the outcome of an order and returns it; none if the order may still
-/// take effect. An order that failed without effect counts as throttled.
-fn order_outcome(
-    machine: &MachineName,
-    order: &MachineOrder,
-    response: redwing_provider::Result<MachineOutcome>,
-) -> Option<MachineOutcome> {
-    match response {
-        Ok(outcome) => {
-            log_job_event!(
-                info,
-                event::MACHINE_ORDERED,
-                machine = machine,
-                order = order,
-                outcome = format!("{outcome:?}"),
-            );
-            Some(outcome)
-        }
-        Err(error) => {
-            log_job_event!(
-                warn,
-                event::MACHINE_CALL_FAILED,
-                machine = machine,
-                order = order,
-                error = error,
-            );
-            let has_no_effect = error.classify() != Category::Unknown;
-            has_no_effect.then_some(MachineOutcome::Throttled)
-        }
-    }
-}
-
 /// Returns the load of the worker on a machine.
 fn load_of(machine: &ListedMachine, scheduler: &JobScheduler) -> WorkerLoad {
     let worker = machine.worker.as_ref();
--- a/crates/engine/src/owner/mod.rs
+++ b/crates/engine/src/owner/mod.rs
@@ -12,6 +12,7 @@
 mod cleanup;
 mod election;
 mod inherited;
+mod machine_order;
 mod machines;
 mod order_queues;
 mod record;
--- a/crates/engine/src/owner/order_queues.rs
+++ b/crates/engine/src/owner/order_queues.rs
@@ -1,15 +1,21 @@
 //! Sends orders to workers, with a limit of concurrent orders per worker.
+//!
+//! Load pattern: start orders wait here while an operator evacuates their data centre, or
+//! while the process is paused. Whether a start may be sent is decided when it is sent, by
+//! the latest rows of operators.
 
 use std::collections::HashMap;
 use std::rc;
 use std::sync;
 use std::time;
 
+use redwing_jobs::evacuation::StartGuard;
 use redwing_jobs::name::WorkerId;
 use redwing_jobs::worker::{OrderAction, OrderOutcome, OrderResponse, WorkerOrder};
-use tokio::sync::{Semaphore, mpsc};
+use tokio::sync::{OwnedSemaphorePermit, Semaphore, mpsc, watch};
 
 use crate::clock;
+use crate::manifest::OperatorView;
 use crate::services::{WorkerClient, WorkerReply};
 
 /// Concurrent orders to one worker, not counting lease renewals.
@@ -31,17 +37,51 @@
     client: rc::Rc<dyn WorkerClient>,
     completed: mpsc::UnboundedSender<CompletedOrder>,
     semaphores: HashMap<WorkerId, sync::Arc<Semaphore>>,
+    permission: StartPermission,
+}
+
+/// Which starts the operators permit.
+#[derive(Clone, Debug)]
+pub(super) struct StartPermission {
+    /// Longest time from the confirmation of an evacuation until the last start.
+    pub(super) bound: Option<time::Duration>,
+    pub(super) operators: watch::Receiver<OperatorView>,
+}
+
+impl StartPermission {
+    /// Returns whether the operators' rows, as last read, permit to send an order now.
+    fn permits(&self, order: &WorkerOrder) -> bool {
+        let view = self.operators.borrow();
+        let mut guard = StartGuard::new(self.bound);
+        guard.set_evacuations(sync::Arc::clone(&view.evacuations));
+        guard.set_confirmed(view.confirmed_at);
+        guard.permits(order.data_centre.as_ref(), clock::boot_now())
+    }
+
+    /// Waits until the data centre of an order is evacuated; for an order without one, for
+    /// ever.
+    async fn withdrawn(mut self, order: &WorkerOrder) {
+        let Some(data_centre) = &order.data_centre else {
+            return std::future::pending().await;
+        };
+        let is_evacuated = |view: &OperatorView| view.evacuations.contains(data_centre);
+        if self.operators.wait_for(is_evacuated).await.is_err() {
+            std::future::pending().await
+        }
+    }
 }
 
 impl OrderQueues {
     pub(super) fn new(
         client: rc::Rc<dyn WorkerClient>,
         completed: mpsc::UnboundedSender<CompletedOrder>,
+        permission: StartPermission,
     ) -> Self {
         Self {
             client,
             completed,
             semaphores: HashMap::new(),
+            permission,
         }
     }
 
@@ -50,8 +90,17 @@
         let client = rc::Rc::clone(&self.client);
         let completed = self.completed.clone();
         let semaphore = self.semaphore_for(&order);
+        let permission = self.permission.clone();
         tokio::task::spawn_local(async move {
-            let reply = send_within_limit(client.as_ref(), semaphore, &order).await;
+            let outgoing = OutgoingOrder {
+                client: client.as_ref(),
+                order: &order,
+                semaphore,
+            };
+            let reply = match order.action {
+                OrderAction::Start { .. } => outgoing.send_start(permission).await,
+                _ => outgoing.send().await,
+            };
             // The receiver is gone if the session has ended.
             let _ = completed.send(CompletedOrder { order, reply });
         });
@@ -69,23 +118,50 @@
     }
 }
 
-async fn send_within_limit(
-    client: &dyn WorkerClient,
+/// Order that waits until its worker has few others.
+struct OutgoingOrder<'a> {
+    client: &'a dyn WorkerClient,
+    order: &'a WorkerOrder,
     semaphore: Option<sync::Arc<Semaphore>>,
-    order: &WorkerOrder,
-) -> WorkerReply {
-    let _permit = match &semaphore {
+}
+
+impl OutgoingOrder<'_> {
+    /// Waits for its turn; a renewal needs none.
+    async fn turn(&self) -> Option<OwnedSemaphorePermit> {
+        let semaphore = self.semaphore.clone()?;
         // The semaphore is never closed.
-        Some(semaphore) => semaphore.acquire().await.ok(),
-        None => None,
-    };
-    let waited = clock::boot_now().saturating_since(order.issued_at);
-    let is_start = matches!(order.action, OrderAction::Start { .. });
-    if is_start && waited > MAX_START_WAIT {
-        return WorkerReply::Order(OrderResponse {
-            outcome: OrderOutcome::Unhealthy,
-            clock_ms: None,
-        });
+        semaphore.acquire_owned().await.ok()
+    }
+
+    async fn send(self) -> WorkerReply {
+        let _turn = self.turn().await;
+        self.client.send(self.order).await
     }
-    client.send(order).await
+
+    /// Sends a start, unless its data centre is evacuated before its turn.
+    async fn send_start(self, permission: StartPermission) -> WorkerReply {
+        let _turn = tokio::select! {
+            biased;
+            () = permission.clone().withdrawn(self.order) => {
+                return rejected(OrderOutcome::Unsent);
+            }
+            turn = self.turn() => turn,
+        };
+        if !permission.permits(self.order) {
+            return rejected(OrderOutcome::Unsent);
+        }
+        let waited = clock::boot_now().saturating_since(self.order.issued_at);
+        if waited > MAX_START_WAIT {
+            return rejected(OrderOutcome::Unhealthy);
+        }
+        self.client.send(self.order).await
+    }
+}
+
+/// Returns the reply to a start that was not sent.
+fn rejected(outcome: OrderOutcome) -> WorkerReply {
+    WorkerReply::Order(OrderResponse {
+        outcome,
+        clock_ms: None,
+    })
 }
--- a/crates/engine/src/owner/scheduler_event.rs
+++ b/crates/engine/src/owner/scheduler_event.rs
@@ -33,7 +33,10 @@
         SchedulerEvent::TasksPlaced { count, .. } => metrics.count_placed_tasks(*count),
         SchedulerEvent::RunEnded { reason, .. } => metrics.count_ended_run(&format!("{reason:?}")),
         SchedulerEvent::LeaseAwaited { .. } => metrics.count_lease_wait(),
-        SchedulerEvent::WorkerChanged { .. } => {}
+        SchedulerEvent::WorkerChanged { .. }
+        | SchedulerEvent::EvacuationChanged { .. }
+        | SchedulerEvent::EvacuationDrained { .. }
+        | SchedulerEvent::StartsWithheld { .. } => {}
     }
 }
 
@@ -90,5 +93,25 @@
             runs = runs,
             millis = remaining.as_millis(),
         ),
+        SchedulerEvent::EvacuationChanged {
+            data_centre,
+            is_evacuated,
+            progress,
+        } => log_job_event!(
+            warn,
+            event::EVACUATION_CHANGED,
+            data_centre = data_centre,
+            state = if *is_evacuated { "begun" } else { "ended" },
+            workers = progress.workers,
+            runs = progress.runs,
+        ),
+        SchedulerEvent::EvacuationDrained { data_centre } => {
+            log_job_event!(info, event::EVACUATION_DRAINED, data_centre = data_centre,)
+        }
+        SchedulerEvent::StartsWithheld { is_withholding } => log_job_event!(
+            warn,
+            event::STARTS_WITHHELD,
+            state = if *is_withholding { "begun" } else { "ended" },
+        ),
     }
 }
--- a/crates/engine/src/owner/session/mod.rs
+++ b/crates/engine/src/owner/session/mod.rs
@@ -29,8 +29,9 @@
 use super::change::{ChangeOutcome, ChangeUnit};
 use super::election::{AcquiredOwnership, OwnerLease};
 use super::inherited::InheritedRows;
-use super::machines::{MachineResponse, MachineService};
-use super::order_queues::{CompletedOrder, OrderQueues};
+use super::machine_order::MachineResponse;
+use super::machines::MachineService;
+use super::order_queues::{CompletedOrder, OrderQueues, StartPermission};
 use super::record::StoredWaits;
 use super::scheduler_event;
 
@@ -153,7 +154,14 @@
             dependencies,
             scheduler: JobScheduler::new(scheduler_settings, fencing_token),
             machines: MachineService::new(dependencies, fencing_token, machine_sender),
-            order_queues: OrderQueues::new(dependencies.services.workers.clone(), completed_sender),
+            order_queues: OrderQueues::new(
+                dependencies.services.workers.clone(),
+                completed_sender,
+                StartPermission {
+                    bound: dependencies.settings.scheduler.evacuation_bound,
+                    operators: dependencies.operators.clone(),
+                },
+            ),
             restoring: RestoreStage::begin(dependencies),
             job_updates: None,
             has_followed_jobs: false,
--- a/crates/engine/src/owner/session/rows.rs
+++ b/crates/engine/src/owner/session/rows.rs
@@ -1,18 +1,20 @@
 //! Rows that a session reads: jobs, workers, the manifest and waves.
 
 use std::collections::HashMap;
+use std::mem;
 use std::time;
 
 use redwing_jobs::JobId;
 use redwing_jobs::record::ProgressRecord;
 use redwing_jobs::scheduler::InheritedLeases;
-use redwing_jobs::worker::WorkerView;
+use redwing_jobs::worker::{WorkerOrder, WorkerView};
 use redwing_provider::{CallCause, TableRow};
 
 use crate::clock;
 use crate::event;
 use crate::follow::{self, TableUpdate};
 use crate::log_job_event;
+use crate::manifest::OperatorView;
 use crate::owner::record::{self, StoredLeases, StoredWaits};
 use crate::row::{self, JobKey};
 
@@ -136,6 +138,7 @@
         if let Some(manifest) = &view.manifest {
             self.scheduler.set_manifest(manifest.clone());
         }
+        self.apply_evacuations(&view);
         if self.restoring.awaits_fleet() {
             // The records of earlier owners are not read yet.
             return;
@@ -144,6 +147,24 @@
             .add_waves(&view, &self.waves, clock::boot_now());
     }
 
+    /// Applies the evacuations of the operators. Orders that are not sent are taken back.
+    fn apply_evacuations(&mut self, view: &OperatorView) {
+        if !view.is_read() {
+            return;
+        }
+        let now = clock::boot_now();
+        self.scheduler.confirm_evacuations(view.confirmed_at);
+        self.scheduler.set_evacuations(&view.evacuations, now);
+        self.machines.set_evacuations(&mut self.scheduler, view);
+        let orders = mem::take(&mut self.deferred_orders).into_iter();
+        let (withdrawn, kept) = orders.partition(|order| self.scheduler.is_withdrawn(order));
+        self.deferred_orders = kept;
+        let withdrawn: Vec<WorkerOrder> = withdrawn;
+        for order in &withdrawn {
+            self.scheduler.take_back(order, now);
+        }
+    }
+
     pub(super) fn apply_job_rows(&mut self, update: &TableUpdate) {
         self.has_followed_jobs = true;
         self.followed_ms = update.table_ms;
--- a/crates/jobs/src/capacity.rs
+++ b/crates/jobs/src/capacity.rs
@@ -16,19 +16,28 @@
 //! A machine with long-running tasks is never moved, and one with other
 //! tasks only after they have finished.
 //!
+//! A machine of an evacuated data centre is no capacity of its pool. It is parked once it
+//! is empty, and moved into no other pool.
+//!
 //! Owners may end every few seconds. What a move waits for is stored as
 //! [`MoveWaits`], and the next owner counts on from there.
 
-use std::collections::{BTreeMap, VecDeque};
-use std::time;
+mod history;
+mod waits;
 
-use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync;
+use std::time;
 
 use crate::maintenance::WorkerLoad;
 use crate::name::{DataCentre, MachineName, PoolName, WorkerId};
 use crate::time::BootTime;
 use crate::wait::ElapsedWait;
 
+use history::{DemandHistory, RequirementSample};
+
+pub use waits::{EmptyingMachine, MoveWaits};
+
 /// Limits and intervals of the planner.
 #[derive(Clone, Debug)]
 pub struct CapacitySettings {
@@ -142,91 +151,6 @@
     },
 }
 
-/// Demand of a pool over the last seconds.
-#[derive(Clone, Debug, Default)]
-struct DemandHistory {
-    arrivals: VecDeque<ArrivalSample>,
-    /// Recent requirements of the pool.
-    required: VecDeque<RequirementSample>,
-}
-
-#[derive(Clone, Copy, Debug)]
-struct ArrivalSample {
-    at: BootTime,
-    arrived_jobs: u64,
-}
-
-#[derive(Clone, Copy, Debug)]
-struct RequirementSample {
-    at: BootTime,
-    /// In thousandths of a core.
-    cpu_millis: u64,
-}
-
-impl DemandHistory {
-    fn record(&mut self, at: BootTime, arrived_jobs: u64, settings: &CapacitySettings) {
-        self.arrivals.push_back(ArrivalSample { at, arrived_jobs });
-        let max_age = settings.rate_window * 2;
-        while let Some(oldest) = self.arrivals.front() {
-            if at.saturating_since(oldest.at) <= max_age {
-                break;
-            }
-            self.arrivals.pop_front();
-        }
-    }
-
-    /// Returns the number of jobs that had arrived `age` before `now`, by the first
-    /// sample since then.
-    fn arrived_jobs_at(&self, now: BootTime, age: time::Duration) -> Option<u64> {
-        let mut arrivals = self.arrivals.iter();
-        let sample = arrivals.find(|sample| now.saturating_since(sample.at) <= age);
-        sample.map(|sample| sample.arrived_jobs)
-    }
-
-    /// Returns the arrivals of jobs per second that are expected by the end of a
-    /// move that begins now.
-    ///
-    /// Small numbers of arrivals are noisy; growth is extrapolated only if it
-    /// exceeds the noise.
-    fn expected_rate(&self, now: BootTime, settings: &CapacitySettings) -> f64 {
-        let window = settings.rate_window;
-        let (Some(before), Some(middle), Some(last)) = (
-            self.arrived_jobs_at(now, window * 2),
-            self.arrived_jobs_at(now, window),
-            self.arrivals.back().map(|sample| sample.arrived_jobs),
-        ) else {
-            return 0.0;
-        };
-        let previous = middle.saturating_sub(before) as f64;
-        let latest = last.saturating_sub(middle) as f64;
-        let seconds = window.as_secs_f64();
-        let rise = latest - previous;
-        let noise = settings.growth_confidence * (latest + previous).sqrt();
-        let growth = if rise > noise { rise / seconds } else { 0.0 };
-        let expected_growth = growth / seconds * settings.lead_time.as_secs_f64();
-        latest / seconds + expected_growth
-    }
-
-    /// Records the current requirement; returns the largest recent one.
-    fn peak_requirement(&mut self, at: BootTime, cpu_millis: u64, max_age: time::Duration) -> u64 {
-        self.required
-            .push_back(RequirementSample { at, cpu_millis });
-        while let Some(oldest) = self.required.front() {
-            if at.saturating_since(oldest.at) <= max_age {
-                break;
-            }
-            self.required.pop_front();
-        }
-        self.highest_requirement()
-    }
-
-    /// Returns the largest recorded requirement.
-    fn highest_requirement(&self) -> u64 {
-        let required = self.required.iter().map(|sample| sample.cpu_millis);
-        required.max().unwrap_or(0)
-    }
-}
-
 /// Returns the mean work of a job, in thousandths of a core times seconds.
 fn mean_work(demand: &PoolDemand) -> f64 {
     if demand.arrived_jobs == 0 {
@@ -249,38 +173,6 @@
     allocated: u64,
 }
 
-/// Machine that is being emptied for a move.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
-#[serde(rename_all = "kebab-case")]
-pub struct EmptyingMachine {
-    /// Worker on it, which gets no new tasks.
-    pub worker: WorkerId,
-    /// Pool that it moves to.
-    pub pool: PoolName,
-}
-
-/// What moves wait for, as stored for the next owner.
-#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
-#[serde(rename_all = "kebab-case", default)]
-pub struct MoveWaits {
-    /// For how long machines have been surplus in their pool.
-    #[serde(skip_serializing_if = "BTreeMap::is_empty")]
-    pub surplus: BTreeMap<MachineName, ElapsedWait>,
-    /// Machines that are being emptied.
-    #[serde(skip_serializing_if = "BTreeMap::is_empty")]
-    pub emptying: BTreeMap<MachineName, EmptyingMachine>,
-    /// Highest demand for which each pool keeps its capacity, in thousandths of a core.
-    #[serde(skip_serializing_if = "BTreeMap::is_empty")]
-    pub required: BTreeMap<PoolName, u64>,
-}
-
-impl MoveWaits {
-    /// Returns whether no move waits.
-    pub fn is_empty(&self) -> bool {
-        self.surplus.is_empty() && self.emptying.is_empty()
-    }
-}
-
 /// Sizes pools by their demand.
 #[derive(Debug, Default)]
 pub struct CapacityPlanner {
@@ -291,6 +183,8 @@
     emptying: BTreeMap<MachineName, EmptyingMachine>,
     /// Moves that were ordered and have no response yet.
     ordered: BTreeMap<MachineName, BootTime>,
+    /// Data centres that are evacuated.
+    evacuations: sync::Arc<BTreeSet<DataCentre>>,
 }
 
 impl CapacityPlanner {
@@ -302,6 +196,17 @@
         }
     }
 
+    /// Sets the data centres that are evacuated. Their machines are no capacity of any
+    /// pool.
+    pub fn set_evacuations(&mut self, evacuations: sync::Arc<BTreeSet<DataCentre>>) {
+        self.evacuations = evacuations;
+    }
+
+    fn is_evacuated(&self, machine: &PoolMachine) -> bool {
+        let data_centre = machine.data_centre.as_ref();
+        data_centre.is_some_and(|name| self.evacuations.contains(name))
+    }
+
     /// Returns what moves wait for, to be stored for the next owner; of more machines
     /// than are stored, those that have been surplus for longest.
     pub fn waits(&self, now: BootTime) -> MoveWaits {
@@ -375,8 +280,9 @@
         let timeout = self.settings.move_timeout;
         self.ordered
             .retain(|_, since| now.saturating_since(*since) < timeout);
-        let mut balances = self.balances(pools, machines, now);
         let mut actions = Vec::new();
+        self.release_evacuated(machines, &mut actions);
+        let mut balances = self.balances(pools, machines, now);
         self.move_emptied(machines, &balances, now, &mut actions);
         self.fill_deficits(machines, &mut balances, now, &mut actions);
         let has_deficit = balances
@@ -422,6 +328,7 @@
             let is_emptying = self.emptying.contains_key(name);
             if let Some(balance) = balances.get_mut(&machine.pool)
                 && machine.is_usable
+                && !self.is_evacuated(machine)
                 && !is_emptying
             {
                 balance.allocated += machine.cpu_millis;
@@ -450,7 +357,7 @@
         let mut machine_size = 0;
         for machine in machines.values() {
             machine_size = machine_size.max(machine.cpu_millis);
-            if machine.load.long_running > 0 {
+            if machine.load.long_running > 0 && !self.is_evacuated(machine) {
                 *minimum.entry(&machine.pool).or_default() += machine.cpu_millis;
             }
         }
@@ -468,6 +375,22 @@
         }
     }
 
+    /// Gives up the moves of machines whose data centre is evacuated.
+    fn release_evacuated(
+        &mut self,
+        machines: &BTreeMap<MachineName, PoolMachine>,
+        actions: &mut Vec<CapacityAction>,
+    ) {
+        let emptying = std::mem::take(&mut self.emptying).into_iter();
+        let (released, kept): (Vec<_>, Vec<_>) = emptying.partition(|(name, _)| {
+            let machine = machines.get(name);
+            machine.is_some_and(|machine| self.is_evacuated(machine))
+        });
+        self.emptying = kept.into_iter().collect();
+        let workers = released.into_iter().map(|(_, machine)| machine.worker);
+        actions.extend(workers.map(CapacityAction::Release));
+    }
+
     /// Moves the machines that have become empty, and releases those that are no
     /// longer needed.
     fn move_emptied(
@@ -570,7 +493,8 @@
             };
             let has_surplus = balance.is_standby
                 || balance.allocated.saturating_sub(balance.retained) >= machine.cpu_millis;
-            machine.pool != *pool && has_surplus && self.is_available(name, machine)
+            let is_candidate = machine.pool != *pool && !self.is_evacuated(machine);
+            is_candidate && has_surplus && self.is_available(name, machine)
         });
         let best = candidates.min_by_key(|(name, machine)| {
             let is_parked = balances
@@ -608,8 +532,11 @@
             let Some(balance) = balances.get(&machine.pool).copied() else {
                 continue;
             };
+            let is_evacuated = self.is_evacuated(machine);
+            let is_surplus = is_evacuated
+                || balance.allocated.saturating_sub(balance.retained) >= machine.cpu_millis;
             let is_spare = !balance.is_standby
-                && balance.allocated.saturating_sub(balance.retained) >= machine.cpu_millis
+                && is_surplus
                 && machine.load.finite == 0
                 && self.is_available(name, machine);
             if !is_spare {
@@ -620,7 +547,9 @@
             if now.saturating_since(since) < self.settings.park_delay {
                 continue;
             }
-            transfer(balances, &machine.pool, &standby, machine.cpu_millis);
+            if !is_evacuated {
+                transfer(balances, &machine.pool, &standby, machine.cpu_millis);
+            }
             self.order_move(name, machine, &standby, now, actions);
         }
     }
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod capacity;
 pub mod change_order;
 pub mod error;
+pub mod evacuation;
 pub mod feasibility;
 pub mod maintenance;
 pub mod manifest;
--- a/crates/jobs/src/maintenance/mod.rs
+++ b/crates/jobs/src/maintenance/mod.rs
@@ -8,7 +8,8 @@
 //!
 //! Load pattern: a wave over half of the fleet while demand exceeds capacity.
 //! The machines with the fewest tasks left go first, so that little waiting is
-//! needed and no work is lost. Owners may end meanwhile: which machines are being
+//! needed and no work is lost; before them, those of evacuated data centres, which do no
+//! further work. Owners may end meanwhile: which machines are being
 //! emptied and how long others have been down is stored, and the next owner goes on
 //! from there.
 
@@ -95,6 +96,8 @@
 pub struct MachineStatus {
     /// Whether it runs its worker.
     pub is_up: bool,
+    /// Whether its data centre is evacuated: its maintenance takes no capacity from a pool.
+    pub is_evacuated: bool,
     /// Worker on it.
     pub worker: Option<WorkerId>,
     /// Tasks that the worker runs.
--- a/crates/jobs/src/maintenance/wave.rs
+++ b/crates/jobs/src/maintenance/wave.rs
@@ -9,7 +9,7 @@
 
 use super::{
     MachineStatus, MaintenanceAction, MaintenanceRecord, MaintenanceSettings, WaveDelay,
-    WaveRequest, WaveState, WorkerLoad, record,
+    WaveRequest, WaveState, record,
 };
 
 /// Stage of a machine in its wave.
@@ -95,6 +95,24 @@
     }
 }
 
+/// Rank of a machine among those that wait for their maintenance; lower goes first.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+struct MachineRank {
+    long_running: u32,
+    is_in_use: bool,
+    finite: u32,
+}
+
+impl MachineRank {
+    fn of(status: &MachineStatus) -> Self {
+        Self {
+            long_running: status.load.long_running,
+            is_in_use: !status.is_evacuated,
+            finite: status.load.finite,
+        }
+    }
+}
+
 /// Wave with the stages of the machines whose maintenance is not done.
 #[derive(Clone, Debug)]
 pub(super) struct WaveEntry {
@@ -451,13 +469,13 @@
             .machines
             .iter()
             .filter(|(_, entry)| entry.is_waiting(now));
-        let mut next: Vec<(WorkerLoad, MachineName)> = waiting
+        let mut next: Vec<(MachineRank, MachineName)> = waiting
             .filter_map(|(name, _)| {
                 let status = statuses.get(name).filter(|status| status.is_up)?;
-                Some((status.load, name.clone()))
+                Some((MachineRank::of(status), name.clone()))
             })
             .collect();
-        next.sort_by_key(|(load, name)| (load.long_running, load.finite, name.clone()));
+        next.sort();
         for (_, name) in next.into_iter().take(shortfall) {
             let worker = statuses.get(&name).and_then(|status| status.worker.clone());
             if let Some(worker) = &worker {
--- a/crates/jobs/src/scheduler/advice.rs
+++ b/crates/jobs/src/scheduler/advice.rs
@@ -17,7 +17,7 @@
 use crate::wait::RemainingWait;
 
 use super::JobScheduler;
-use super::placement::PlacementCandidate;
+use super::candidate::PlacementCandidate;
 
 /// Largest number of workers in one request.
 const MAX_WORKERS_PER_REQUEST: usize = 20;
--- a/crates/jobs/src/scheduler/backlog.rs
+++ b/crates/jobs/src/scheduler/backlog.rs
@@ -165,6 +165,10 @@
         let was_full = self.is_full;
         self.is_full =
             capacity.usable > 0 && capacity.used as f64 >= FULL_FRACTION * capacity.usable as f64;
+        if capacity.leaving > 0 {
+            // Part of the work was done on workers that no longer count.
+            return;
+        }
         let done_rate = done as f64 / seconds;
         if was_full && self.is_full {
             // What a full pool leaves unused between two tasks is not to be had.
@@ -290,6 +294,17 @@
     used: u64,
     /// What workers without any task have.
     idle: u64,
+    /// What evacuated workers have.
+    evacuated: u64,
+    /// What tasks on these reserve.
+    leaving: u64,
+}
+
+impl PoolCapacity {
+    /// Returns whether all workers are evacuated.
+    fn is_evacuated(&self) -> bool {
+        self.usable == 0 && self.evacuated > 0
+    }
 }
 
 impl JobScheduler {
@@ -334,8 +349,12 @@
         summary
             .pools
             .retain(|name, pool| self.backlog.is_listed(name, pool, now));
-        // Workers that are all gone are about to come back: when, is not known.
-        summary.pools.retain(|_, pool| pool.work_rate > 0);
+        // Workers that are all gone are about to come back: when, is not known. Those that
+        // are all evacuated are not.
+        summary.pools.retain(|name, pool| {
+            let capacity = capacities.get(name);
+            pool.work_rate > 0 || capacity.is_some_and(PoolCapacity::is_evacuated)
+        });
         let busy_at = &self.backlog.busy_at;
         let is_busy = |name: &PoolName| busy_at.get(name) == Some(&now);
         add_reachable(&mut summary, &capacities, standby_cpu_millis, is_busy);
@@ -420,6 +439,11 @@
             }
             let cpu_millis = view.capacity.cpu_millis;
             let capacity = capacities.entry(view.pool.clone()).or_default();
+            if entry.is_evacuated {
+                capacity.evacuated += cpu_millis;
+                capacity.leaving += entry.used.cpu_millis;
+                continue;
+            }
             capacity.usable += cpu_millis.saturating_sub(entry.long_running_cpu_millis);
             let used = entry.used.cpu_millis;
             capacity.used += used.saturating_sub(entry.long_running_cpu_millis);
--- a/crates/jobs/src/scheduler/fleet.rs
+++ b/crates/jobs/src/scheduler/fleet.rs
@@ -2,10 +2,11 @@
 
 use std::collections::{BTreeSet, HashMap, VecDeque};
 use std::net;
+use std::sync;
 use std::time;
 
 use crate::feasibility::FleetCapacity;
-use crate::name::{JobId, PoolName, TaskId, WorkerId};
+use crate::name::{DataCentre, JobId, PoolName, TaskId, WorkerId};
 use crate::spec::ResourceAmount;
 use crate::time::BootTime;
 use crate::worker::WorkerView;
@@ -112,6 +113,8 @@
     pub(super) paced_at: BootTime,
     /// Whether maintenance or a planned move blocks new tasks.
     pub(super) is_blocked: bool,
+    /// Whether its data centre is evacuated.
+    pub(super) is_evacuated: bool,
 }
 
 impl WorkerEntry {
@@ -119,6 +122,16 @@
         self.view.as_ref().map(|view| view.address)
     }
 
+    /// Returns the data centre of the worker, if known.
+    pub(super) fn data_centre(&self) -> Option<&DataCentre> {
+        self.view.as_ref()?.data_centre.as_ref()
+    }
+
+    fn update_evacuated(&mut self, evacuations: &BTreeSet<DataCentre>) {
+        let data_centre = self.data_centre();
+        self.is_evacuated = data_centre.is_some_and(|name| evacuations.contains(name));
+    }
+
     /// Returns whether the worker accepts no new tasks because it is about to leave.
     pub(super) fn is_draining(&self) -> bool {
         self.view.as_ref().is_some_and(|view| view.is_draining)
@@ -130,6 +143,7 @@
             && self.view.is_some()
             && !self.is_draining()
             && !self.is_blocked
+            && !self.is_evacuated
             && self.contact == ContactState::Responsive
             && self.clock.is_some()
             && self.unhealthy_until <= now
@@ -139,7 +153,7 @@
     pub(super) fn is_open_in(&self, pool: &PoolName) -> bool {
         let view = self.view.as_ref();
         let is_open = view.is_some_and(|view| view.pool == *pool && !view.is_draining);
-        is_open && self.is_listed && !self.is_blocked
+        is_open && self.is_listed && !self.is_blocked && !self.is_evacuated
     }
 
     /// Returns whether the latest report lists no run that an earlier owner has
@@ -225,6 +239,8 @@
     workers: HashMap<WorkerId, WorkerEntry>,
     /// Workers of each pool, by their latest view.
     pools: HashMap<PoolName, BTreeSet<WorkerId>>,
+    /// Data centres that are evacuated.
+    evacuations: sync::Arc<BTreeSet<DataCentre>>,
 }
 
 impl WorkerFleet {
@@ -236,8 +252,9 @@
         self.workers.get_mut(id)
     }
 
-    pub(super) fn insert(&mut self, id: WorkerId, entry: WorkerEntry) {
+    pub(super) fn insert(&mut self, id: WorkerId, mut entry: WorkerEntry) {
         self.remove(&id);
+        entry.update_evacuated(&self.evacuations);
         if let Some(view) = &entry.view {
             self.add_to_pool(&view.pool.clone(), &id);
         }
@@ -251,6 +268,7 @@
         };
         let pool = view.pool.clone();
         let previous = entry.view.replace(view);
+        entry.update_evacuated(&self.evacuations);
         let has_moved = previous.as_ref().is_none_or(|view| view.pool != pool);
         if has_moved {
             if let Some(previous) = previous {
@@ -260,6 +278,22 @@
         }
     }
 
+    /// Sets the data centres that are evacuated.
+    pub(super) fn set_evacuations(&mut self, evacuations: sync::Arc<BTreeSet<DataCentre>>) {
+        self.evacuations = evacuations;
+        for entry in self.workers.values_mut() {
+            entry.update_evacuated(&self.evacuations);
+        }
+    }
+
+    /// Returns the workers of evacuated data centres.
+    pub(super) fn evacuated(&self) -> impl Iterator<Item = (&WorkerId, &WorkerEntry)> {
+        // Most of the time there are none.
+        let workers = (!self.evacuations.is_empty()).then_some(&self.workers);
+        let workers = workers.into_iter().flatten();
+        workers.filter(|(_, entry)| entry.is_evacuated)
+    }
+
     pub(super) fn remove(&mut self, id: &WorkerId) {
         let removed = self.workers.remove(id);
         if let Some(view) = removed.and_then(|entry| entry.view) {
@@ -281,11 +315,12 @@
         }
     }
 
-    /// Returns the capacity of all listed workers of a pool.
+    /// Returns the capacity of all listed workers of a pool that are not evacuated.
     pub(super) fn capacity_of_pool(&self, pool: &PoolName) -> ResourceAmount {
         let mut capacity = ResourceAmount::default();
         for (_, entry) in self.of_pool(pool) {
-            let view = entry.view.as_ref().filter(|_| entry.is_listed);
+            let is_counted = entry.is_listed && !entry.is_evacuated;
+            let view = entry.view.as_ref().filter(|_| is_counted);
             capacity += view.map(|view| view.capacity).unwrap_or_default();
         }
         capacity
--- a/crates/jobs/src/scheduler/lease.rs
+++ b/crates/jobs/src/scheduler/lease.rs
@@ -75,6 +75,20 @@
         Some(clock.at(now) + lease.as_millis() as u64)
     }
 
+    /// Grants the lease of a start that is ordered now; returns its end on the worker's
+    /// clock, or none if the worker may get no lease now. It ends when the start must not
+    /// begin any more, so that the worker rejects one that arrives later.
+    pub(super) fn grant_start_lease(&mut self, worker: &WorkerId, now: BootTime) -> Option<u64> {
+        let lease_end_ms = self.grant_lease(worker, now)?;
+        let entry = self.fleet.get(worker)?;
+        let Some(begins_by) = self.start_guard.begins_by(entry.data_centre()) else {
+            return Some(lease_end_ms);
+        };
+        let remaining = begins_by.saturating_since(now);
+        let start_end_ms = entry.clock?.at(now) + remaining.as_millis() as u64;
+        Some(lease_end_ms.min(start_end_ms))
+    }
+
     /// Drops the runs on workers without contact whose leases have all expired, and
     /// removes workers that have no runs and are no longer listed.
     pub(super) fn expire_leases(&mut self, now: BootTime) {
--- a/crates/jobs/src/scheduler/maintenance.rs
+++ b/crates/jobs/src/scheduler/maintenance.rs
@@ -123,7 +123,7 @@
     }
 
     /// Returns whether the step's budget allows making the task unavailable.
-    fn may_interrupt(&self, task: &TaskId) -> bool {
+    pub(super) fn may_interrupt(&self, task: &TaskId) -> bool {
         let Some(job) = self.jobs.get(&task.job) else {
             return true;
         };
--- a/crates/jobs/src/scheduler/mod.rs
+++ b/crates/jobs/src/scheduler/mod.rs
@@ -6,9 +6,11 @@
 //!
 //! - `advice`: permits of an advisor
 //! - `backlog`: summary of the waiting work, for the admission of jobs
+//! - `candidate`: workers that may get tasks, while tasks are placed
 //! - `changes`: jobs with unstored changes, and what waits for their rows
 //! - `entry`: jobs, steps and tasks in memory
 //! - `finished`: jobs whose final state is stored, until their rows are deleted
+//! - `evacuation`: evacuated data centres, where nothing starts
 //! - `fleet`: workers, their free capacity and their leases
 //! - `free_capacity`: which tasks fit on no worker of a pool
 //! - `health`: workers that fail their runs or reject orders
@@ -28,8 +30,10 @@
 
 mod advice;
 mod backlog;
+mod candidate;
 mod changes;
 mod entry;
+mod evacuation;
 mod finished;
 mod fleet;
 mod free_capacity;
@@ -53,9 +57,10 @@
 use std::sync;
 use std::time;
 
+use crate::evacuation::{EvacuationProgress, StartGuard};
 use crate::feasibility::FleetCapacity;
 use crate::manifest::JobManifest;
-use crate::name::{CustomerName, JobId, PoolName, QueueName, TaskId, WorkerId};
+use crate::name::{CustomerName, DataCentre, JobId, PoolName, QueueName, TaskId, WorkerId};
 use crate::record::JobState;
 use crate::spec::ResourceAmount;
 use crate::time::BootTime;
@@ -65,6 +70,7 @@
 use backlog::BacklogTracker;
 use changes::ChangeTracker;
 use entry::JobEntry;
+use evacuation::EvacuationTracker;
 use finished::FinishedJobs;
 use fleet::{ContactState, WorkerFleet};
 use lease_ledger::LeaseLedger;
@@ -255,6 +261,25 @@
         /// Time until the leases have expired.
         remaining: time::Duration,
     },
+    /// The evacuation of a data centre began or ended.
+    EvacuationChanged {
+        /// The data centre.
+        data_centre: DataCentre,
+        /// Whether it began.
+        is_evacuated: bool,
+        /// Its workers and the runs on them.
+        progress: EvacuationProgress,
+    },
+    /// No run is left in an evacuated data centre.
+    EvacuationDrained {
+        /// The data centre.
+        data_centre: DataCentre,
+    },
+    /// Starts began or ceased to wait because the operators' rows were read too long ago.
+    StartsWithheld {
+        /// Whether they wait.
+        is_withholding: bool,
+    },
 }
 
 /// Why a run ended without completing its task.
@@ -324,6 +349,9 @@
     limited_customers: BTreeSet<CustomerName>,
     arrivals: HashMap<PoolName, PoolArrivals>,
     backlog: BacklogTracker,
+    /// Which starts the operators permit.
+    start_guard: StartGuard,
+    evacuation: EvacuationTracker,
     /// Long-running tasks that are to leave their worker and fit on no other.
     displaced: BTreeSet<TaskId>,
     advice: AdviceCache,
@@ -348,6 +376,8 @@
     /// Creates the scheduler of an owner with the given fencing token.
     pub fn new(settings: SchedulerSettings, fencing_token: u64) -> Self {
         Self {
+            start_guard: StartGuard::new(settings.evacuation_bound),
+            evacuation: EvacuationTracker::default(),
             settings,
             fencing_token,
             manifest: sync::Arc::default(),
@@ -472,6 +502,7 @@
         self.orders.push(WorkerOrder {
             worker: worker.clone(),
             address,
+            data_centre: entry.data_centre().cloned(),
             fencing_token: self.fencing_token,
             issued_at: now,
             action,
@@ -491,8 +522,10 @@
         self.expire_leases(now);
         self.update_lease_ends(now);
         self.evict_from_draining(now);
+        self.evict_from_evacuated(now);
         self.retry_stops(now);
         self.check_stalls(now);
+        self.track_evacuations(now);
         self.send_due_renewals(now);
         // A worker may have become usable again only because time passed.
         self.waiting.mark_all_changed();
--- a/crates/jobs/src/scheduler/order.rs
+++ b/crates/jobs/src/scheduler/order.rs
@@ -38,7 +38,7 @@
             self.ticket(task, location, now).is_some() || !self.is_advised(&task.job);
         let worker = self.fleet.get(&location.worker);
         let is_usable = worker.is_some_and(|worker| {
-            worker.incarnation == location.incarnation && worker.is_usable(now)
+            worker.incarnation == location.incarnation && self.may_start_on(worker, now)
         });
         is_permitted && is_usable && !self.lease_ledger.covers(&location.worker)
     }
@@ -61,7 +61,7 @@
         }
         let checkpoint = self.resume_point(task);
         let ticket = self.ticket(task, &location, now);
-        let Some(lease_end_ms) = self.grant_lease(&location.worker, now) else {
+        let Some(lease_end_ms) = self.grant_start_lease(&location.worker, now) else {
             self.free_task(task);
             return;
         };
--- a/crates/jobs/src/scheduler/placement.rs
+++ b/crates/jobs/src/scheduler/placement.rs
@@ -15,9 +15,9 @@
 use crate::time::{BootTime, WallTime};
 
 use super::advice::StepId;
+use super::candidate::{self, PlacementCandidate};
 use super::entry::{JobEntry, RunLocation, TaskPhase};
-use super::fleet::{RunReservation, WorkerEntry};
-use super::free_capacity::FreeCapacity;
+use super::fleet::RunReservation;
 use super::shares::PoolShares;
 use super::waiting::{JobRank, PoolVisit, WaitingEntry};
 use super::{JobScheduler, SchedulerEvent, SharePolicy};
@@ -25,46 +25,6 @@
 /// Tolerance for wrong estimates before a job counts as late, in milliseconds.
 const ESTIMATE_GRACE_MS: u64 = 150;
 
-/// Worker that may get tasks, with its remaining free capacity.
-#[derive(Clone, Debug)]
-pub(super) struct PlacementCandidate {
-    pub(super) worker: WorkerId,
-    pub(super) incarnation: u64,
-    rack: Option<WorkerLabel>,
-    free_capacity: ResourceAmount,
-    /// Processor of the worker, in thousandths of a core.
-    cpu_millis: u64,
-    /// Whether the worker already has long-running tasks.
-    runs_long_running: bool,
-    /// Whether the current step must not run there.
-    is_excluded: bool,
-}
-
-impl PlacementCandidate {
-    fn new(id: &WorkerId, entry: &WorkerEntry) -> Self {
-        let view = entry.view.as_ref();
-        Self {
-            worker: id.clone(),
-            incarnation: entry.incarnation,
-            rack: view.and_then(|view| view.rack.clone()),
-            free_capacity: entry.free_capacity(),
-            cpu_millis: view.map_or(1, |view| view.capacity.cpu_millis.max(1)),
-            runs_long_running: entry.long_running_count > 0,
-            is_excluded: false,
-        }
-    }
-
-    /// Returns the share of the worker's processor that is in use.
-    fn used_share(&self) -> f64 {
-        1.0 - self.free_capacity.cpu_millis as f64 / self.cpu_millis as f64
-    }
-}
-
-/// Returns the free capacity of the candidates.
-fn free_capacity(candidates: &[PlacementCandidate]) -> FreeCapacity {
-    FreeCapacity::of(candidates.iter().map(|candidate| &candidate.free_capacity))
-}
-
 impl JobScheduler {
     /// Places the tasks that are ready.
     pub fn place_tasks(&mut self, now: BootTime, wall: WallTime) {
@@ -95,7 +55,7 @@
             return;
         }
         let shares = self.pool_shares(pool);
-        let mut free = free_capacity(&candidates);
+        let mut free = candidate::free_capacity(&candidates);
         let mut visit = PoolVisit::new(&self.waiting, pool, &free, |customer| {
             shares.is_used_up(customer, &self.pool_usage)
         });
@@ -104,7 +64,7 @@
         }) {
             let placed_count = self.place_job(&id, &mut candidates, now);
             if placed_count > 0 {
-                free = free_capacity(&candidates);
+                free = candidate::free_capacity(&candidates);
             }
         }
     }
@@ -212,7 +172,7 @@
         let workers = self.fleet.of_pool(pool);
         let usable = workers.filter(|(id, entry)| {
             need.fits_in(&entry.free_capacity())
-                && entry.is_usable(now)
+                && self.may_start_on(entry, now)
                 && !self.lease_ledger.covers(id)
         });
         usable
@@ -281,22 +241,30 @@
         candidates: &mut [PlacementCandidate],
         now: BootTime,
     ) -> StepPlacement {
-        for candidate in candidates.iter_mut() {
-            let ticket = self
-                .advice
-                .ticket(step, &candidate.worker, candidate.incarnation, now);
-            candidate.is_excluded = ticket.is_none();
-        }
+        self.exclude_unpermitted(step, candidates, now);
         let placement = self.place_step(step, candidates);
-        for candidate in candidates.iter_mut() {
-            candidate.is_excluded = false;
-        }
+        candidate::include_all(candidates);
         if placement.unplaced > 0 {
             self.request_advice(step, candidates, now);
         }
         placement
     }
 
+    /// Excludes the workers that the advisor does not permit for a step.
+    pub(super) fn exclude_unpermitted(
+        &self,
+        step: &StepId,
+        candidates: &mut [PlacementCandidate],
+        now: BootTime,
+    ) {
+        for candidate in candidates {
+            let ticket = self
+                .advice
+                .ticket(step, &candidate.worker, candidate.incarnation, now);
+            candidate.is_excluded = ticket.is_none();
+        }
+    }
+
     fn place_step(
         &mut self,
         step: &StepId,
@@ -382,7 +350,7 @@
 
     /// Chooses a worker for each member: in one rack if the step asks for that and
     /// a rack has capacity for all.
-    fn choose_for_gang(
+    pub(super) fn choose_for_gang(
         &self,
         members: &[TaskId],
         spec: &StepSpec,
@@ -441,7 +409,7 @@
 
     /// Returns whether `count` more tasks of the step keep the customer
     /// within its limit.
-    fn within_limit(&self, task: &TaskId, spec: &StepSpec, count: u32) -> bool {
+    pub(super) fn within_limit(&self, task: &TaskId, spec: &StepSpec, count: u32) -> bool {
         let job = self.jobs.get(&task.job);
         let Some(customer) = job.and_then(|job| job.record.customer.as_ref()) else {
             return true;
--- a/crates/jobs/src/scheduler/restoring.rs
+++ b/crates/jobs/src/scheduler/restoring.rs
@@ -24,6 +24,7 @@
     /// from now on the reports of workers are applied.
     pub fn finish_restoring(&mut self, now: BootTime) {
         self.is_restoring = false;
+        self.count_evacuations(now);
         for (id, entry) in self.fleet.iter_mut() {
             entry.next_renewal = now;
             // The runs that it has reported were not applied.
--- a/crates/jobs/src/worker.rs
+++ b/crates/jobs/src/worker.rs
@@ -131,6 +131,8 @@
     Replaced,
     /// The worker is unhealthy; not carried out.
     Unhealthy,
+    /// It was not sent, because its data centre is evacuated or may be; not carried out.
+    Unsent,
     /// There was no response; it may be carried out at any time.
     Unknown,
 }
@@ -151,6 +153,8 @@
     pub worker: WorkerId,
     /// Its address.
     pub address: net::SocketAddr,
+    /// Its data centre, if known.
+    pub data_centre: Option<DataCentre>,
     /// Fencing token of the owner.
     pub fencing_token: u64,
     /// When the scheduler issued the order.
--- a/crates/jobs/tests/common/mod.rs
+++ b/crates/jobs/tests/common/mod.rs
@@ -6,12 +6,12 @@
 mod sample;
 mod worker;
 
-use std::collections::{BTreeMap, HashSet};
+use std::collections::{BTreeMap, BTreeSet, HashSet};
 use std::sync;
 use std::time;
 
 use redwing_jobs::change_order::ChangePurpose;
-use redwing_jobs::name::{CustomerName, PoolName, QueueName};
+use redwing_jobs::name::{CustomerName, DataCentre, PoolName, QueueName};
 use redwing_jobs::scheduler::{
     AdviceRequest, AdviceResponse, ChangeSet, FleetHealth, InheritedLeases, LeaseEnds, ProgressRow,
     RowFit, StoredAdvice, WorkerPermit,
@@ -90,6 +90,12 @@
     pub(crate) permitted_worker: Option<WorkerId>,
     /// Every request to the advisor.
     pub(crate) advice_requests: Vec<AdviceRequest>,
+    /// Data centres that the operators evacuate.
+    pub(crate) evacuations: BTreeSet<DataCentre>,
+    /// Whether the operators' rows are read at each tick.
+    pub(crate) is_feed_up: bool,
+    /// If set, orders are kept here instead of being sent.
+    pub(crate) held_orders: Option<Vec<WorkerOrder>>,
 }
 
 /// Returns the size of a row as it is stored.
@@ -146,6 +152,26 @@
             stop_delay: None,
             permitted_worker: None,
             advice_requests: Vec::new(),
+            evacuations: BTreeSet::new(),
+            is_feed_up: true,
+            held_orders: None,
+        }
+    }
+
+    /// Begins or undoes an evacuation; the owner reads it with the next tick.
+    pub(crate) fn evacuate(&mut self, data_centre: &str, is_evacuated: bool) {
+        let name = DataCentre::new(data_centre);
+        if is_evacuated {
+            self.evacuations.insert(name);
+        } else {
+            self.evacuations.remove(&name);
+        }
+    }
+
+    fn read_evacuations(&mut self) {
+        if self.is_feed_up {
+            self.scheduler.set_evacuations(&self.evacuations, self.now);
+            self.scheduler.confirm_evacuations(self.now);
         }
     }
 
@@ -223,12 +249,29 @@
             worker.tick(self.now);
         }
         self.execute_delayed_orders();
+        self.read_evacuations();
         self.scheduler.tick(self.now);
         self.scheduler.place_tasks(self.now, self.wall_time());
         self.respond_to_advice_requests();
         self.store_changes();
         for order in self.scheduler.take_orders() {
-            self.send_order(&order);
+            match &mut self.held_orders {
+                Some(held) => held.push(order),
+                None => self.send_order(&order),
+            }
+        }
+    }
+
+    /// Sends the orders that were held, as the session of an owner does: starts in an
+    /// evacuated data centre are taken back.
+    pub(crate) fn send_held(&mut self) {
+        self.read_evacuations();
+        for order in self.held_orders.take().unwrap_or_default() {
+            if self.scheduler.is_withdrawn(&order) {
+                self.scheduler.take_back(&order, self.now);
+            } else {
+                self.send_order(&order);
+            }
         }
     }
 
@@ -273,7 +316,7 @@
     }
 
     /// Takes the rows of one change, up to `change_bytes`.
-    fn take_changes(&mut self) -> ChangeSet {
+    pub(crate) fn take_changes(&mut self) -> ChangeSet {
         let limit = self.change_bytes;
         let mut used = 0;
         let mut add = |row: &ProgressRow| {
@@ -500,6 +543,7 @@
         scheduler.set_manifest(sync::Arc::new(manifest()));
         let views = self.workers.values().map(|worker| worker.view.clone());
         scheduler.begin_restoring();
+        scheduler.set_evacuations(&self.evacuations, self.now);
         scheduler.workers_listed(views.collect(), self.now);
         self.scheduler = scheduler;
     }
--- a/crates/jobs/tests/maintenance.rs
+++ b/crates/jobs/tests/maintenance.rs
@@ -62,6 +62,7 @@
         let machine_statuses = (0..machine_count).map(|number| {
             let machine_status = MachineStatus {
                 is_up: true,
+                is_evacuated: false,
                 worker: Some(WorkerId::new(&format!("w{number}"))),
                 load: WorkerLoad::default(),
             };
--- a/crates/node/tests/pages.rs
+++ b/crates/node/tests/pages.rs
@@ -63,6 +63,8 @@
     jobs.count_ended_run("Vanished");
     jobs.count_order("start");
     jobs.count_machine_order("move");
+    let evacuated = "east".to_owned().into();
+    jobs.set_evacuations(&[(evacuated, Default::default())].into());
     let names = registry.names().into_iter().chain(jobs.names());
     let defined: BTreeSet<String> = names.collect();
     assert_eq!(first_cells("METRICS.md"), defined);
