--- a/crates/jobs/tests/capacity.rs
+++ b/crates/jobs/tests/capacity.rs
@@ -1,6 +1,7 @@
 //! Moves of machines between pools according to demand.
 
 use std::collections::BTreeMap;
+use std::sync;
 use std::time;
 
 use redwing_jobs::BootTime;
@@ -8,7 +9,7 @@
     CapacityAction, CapacityPlanner, CapacitySettings, PoolDemand, PoolMachine, PoolState,
 };
 use redwing_jobs::maintenance::WorkerLoad;
-use redwing_jobs::name::{MachineName, PoolName, WorkerId};
+use redwing_jobs::name::{DataCentre, MachineName, PoolName, WorkerId};
 
 /// Processor of each machine, in thousandths of a core.
 const MACHINE_CPU_MILLIS: u64 = 32_000;
@@ -127,6 +128,13 @@
         machine.worker = None;
     }
 
+    /// Sets the data centres that are evacuated.
+    fn evacuate(&mut self, names: &[&str]) {
+        let names = names.iter().map(|name| DataCentre::new(name));
+        self.planner
+            .set_evacuations(sync::Arc::new(names.collect()));
+    }
+
     /// Replaces the planner by that of a new owner, which has only the stored waits.
     fn take_over(&mut self) -> Vec<CapacityAction> {
         let waits = self.planner.waits(self.now);
@@ -370,3 +378,77 @@
         "{actions:?}"
     );
 }
+
+/// Returns pools whose machines are in the data centres `east` and `west` in turn, and
+/// evacuates `east`.
+fn evacuated_pools(machine_counts: &[(&str, usize)]) -> FakePools {
+    let mut pools = FakePools::new(machine_counts);
+    for (number, machine) in pools.machines.values_mut().enumerate() {
+        let name = if number % 2 == 0 { "east" } else { "west" };
+        machine.data_centre = Some(DataCentre::new(name));
+    }
+    pools.evacuate(&["east"]);
+    pools
+}
+
+/// Returns the data centres of the machines that were moved to a pool.
+fn moved_from(pools: &FakePools, pool: &str) -> Vec<String> {
+    let moves = pools.moves.iter().filter(|(_, to)| to.as_str() == pool);
+    let data_centres = moves.filter_map(|(name, _)| pools.machines[name].data_centre.clone());
+    data_centres.map(String::from).collect()
+}
+
+/// Half of the pool is evacuated: what is missing comes from the other data centre, also out
+/// of the standby pool.
+#[test]
+fn a_deficit_is_filled_from_the_other_data_centres() {
+    let mut pools = evacuated_pools(&[("builders", 8), ("printers", 4), ("spare", 8)]);
+    pools.demand("builders").running = 8 * MACHINE_CPU_MILLIS;
+    for number in 0..8 {
+        pools.load(&format!("builders-{number}")).finite = 1;
+    }
+    pools.advance(time::Duration::from_secs(3));
+    let moved = moved_from(&pools, "builders");
+    assert_eq!(moved.len(), 4, "{:?}", pools.moves);
+    assert!(moved.iter().all(|name| name == "west"), "{moved:?}");
+}
+
+/// Machines of the data centre are parked after the usual delay once they are empty, also if
+/// the pool lacks capacity; they return when the evacuation is undone.
+#[test]
+fn empty_machines_of_an_evacuated_data_centre_are_parked() {
+    let mut pools = evacuated_pools(&[("builders", 4), ("spare", 0)]);
+    pools.demand("builders").waiting = 4 * MACHINE_CPU_MILLIS;
+    pools.load("builders-0").finite = 1;
+    pools.advance(time::Duration::from_secs(1));
+    assert_eq!(moved_from(&pools, "spare").len(), 0);
+    pools.advance(time::Duration::from_secs(1));
+    assert_eq!(moved_from(&pools, "spare"), ["east"]);
+    pools.load("builders-0").finite = 0;
+    pools.advance(time::Duration::from_secs(3));
+    assert_eq!(moved_from(&pools, "spare"), ["east", "east"]);
+    pools.evacuate(&[]);
+    pools.advance(time::Duration::from_secs(1));
+    assert_eq!(moved_from(&pools, "builders"), ["east", "east"]);
+}
+
+/// A machine was being emptied for another pool when its data centre was evacuated.
+#[test]
+fn a_machine_that_is_being_emptied_is_given_up() {
+    let mut pools = FakePools::new(&[("builders", 1), ("printers", 2)]);
+    for machine in pools.machines.values_mut() {
+        machine.data_centre = Some(DataCentre::new("east"));
+    }
+    pools.load("printers-0").finite = 1;
+    pools.load("printers-1").finite = 1;
+    pools.demand("builders").waiting = 2 * MACHINE_CPU_MILLIS;
+    let prepared = pools.plan();
+    assert_eq!(prepared.len(), 1, "{prepared:?}");
+    pools.evacuate(&["east"]);
+    let released = pools.plan();
+    assert!(matches!(released[..], [CapacityAction::Release(_)]));
+    pools.load("printers-0").finite = 0;
+    pools.load("printers-1").finite = 0;
+    pools.advance(time::Duration::from_secs(3));
+    assert!(pools.moves.is_empty(), "{:?}", pools.moves);
+}
--- a/crates/jobs/tests/evacuation.rs
+++ b/crates/jobs/tests/evacuation.rs
@@ -2,17 +2,19 @@
 
 mod common;
 
+use std::sync;
 use std::time;
 
 use common::{FakeFleet, FakeWorker, step_spec, task_id};
 use proptest::prelude::RngExt;
 use proptest::test_runner::{RngAlgorithm, TestRng};
+use redwing_jobs::admission::{AdmissionDecision, AdmissionSettings, JobAdmission, JobArrival};
 use redwing_jobs::evacuation::EvacuationState;
-use redwing_jobs::name::DataCentre;
+use redwing_jobs::name::{CustomerName, DataCentre, PoolName, QueueName};
 use redwing_jobs::scheduler::{SchedulerEvent, WorkerStatus};
 use redwing_jobs::spec::StepSpec;
 use redwing_jobs::worker::OrderAction;
-use redwing_jobs::{BootTime, JobState, SchedulerSettings, WorkerId};
+use redwing_jobs::{BootTime, JobId, JobSpec, JobState, SchedulerSettings, WorkerId};
 
 /// Longest time from an evacuation to the last start in the data centre.
 const BOUND: time::Duration = time::Duration::from_secs(5);
@@ -173,7 +175,7 @@
         queue.is_advised = true;
     }
     let manifest = redwing_jobs::JobManifest::from(parts);
-    fleet.scheduler.set_manifest(std::sync::Arc::new(manifest));
+    fleet.scheduler.set_manifest(sync::Arc::new(manifest));
     fleet.permitted_worker = Some(WorkerId::new("east-0"));
     // Two tasks wait, with a permit that is valid.
     let job = fleet.submit("j", vec![step_spec(6, 1_000)], 400);
@@ -395,6 +397,64 @@
     assert_eq!(events.iter().filter(|event| **event == drained).count(), 1);
 }
 
+/// The summary showed the capacity of the whole pool, so that far more was admitted than
+/// could be done in time.
+#[test]
+fn the_backlog_counts_only_capacity_that_can_be_used() {
+    let pool = PoolName::new("builders");
+    let mut fleet = fleet(1);
+    fleet.evacuate("east", true);
+    fleet.submit("j", vec![step_spec(100, 1_000)], 500);
+    let work_rate = |fleet: &mut FakeFleet| {
+        let summaries = (0..4).map(|_| {
+            fleet.advance(500);
+            let wall = fleet.wall_time();
+            fleet.scheduler.backlog_summary(0, fleet.now, wall)
+        });
+        let latest = summaries.last().flatten().expect("the rates are known");
+        latest.pools.get(&pool).map(|pool| pool.work_rate)
+    };
+    let rate = work_rate(&mut fleet).expect("the pool is full");
+    assert!((7_000..=9_000).contains(&rate), "{rate}");
+    fleet.evacuate("north", true);
+    fleet.evacuate("west", true);
+    assert_eq!(work_rate(&mut fleet), Some(0));
+}
+
+/// With early refusal, jobs for a pool that is evacuated as a whole waited until they were of
+/// no use.
+#[test]
+fn a_job_for_an_evacuated_pool_is_refused_if_it_cannot_be_done_in_time() {
+    let mut fleet = fleet(1);
+    for name in NAMES {
+        fleet.evacuate(name, true);
+    }
+    let spec = JobSpec {
+        steps: vec![step_spec(4, 1_000)],
+        ..JobSpec::default()
+    };
+    fleet.submit("waiting", spec.steps.clone(), 500);
+    let summaries = (0..3).map(|_| {
+        fleet.advance(500);
+        let wall = fleet.wall_time();
+        fleet.scheduler.backlog_summary(0, fleet.now, wall)
+    });
+    let summary = summaries.last().flatten().expect("the rates are known");
+    let mut admission = JobAdmission::new(AdmissionSettings::default(), 1);
+    let summary = sync::Arc::new(summary);
+    admission.receive(&summary, fleet.now, summary.published);
+    let manifest = common::manifest();
+    let queue = manifest.queue(&QueueName::new("reports"));
+    let queue = queue.expect("it is declared");
+    let customer = CustomerName::new("housing");
+    let arrival = JobArrival::new(queue, Some(&customer), &spec);
+    let decision = admission.decide(&JobId::new("late"), &arrival, fleet.now);
+    let AdmissionDecision::Refused { retry_after } = decision else {
+        panic!("it was admitted");
+    };
+    assert!(retry_after <= time::Duration::from_secs(60));
+}
+
 /// Evacuations begin and are undone at random, while the table refuses, the operators' rows
 /// are not read, orders are lost and carried out late, and owners end.
 #[test]
