Set no job aside while the table refuses all changes

Cause: a row that was refused alone was left out of later changes as soon as the owner row was stored without it, also if the change without any row had been refused in between. So a job whose row was tried alone while the table refused everything was never started, until its owner ended.

Change: a refused change without any unit clears the suspicion.

--- a/crates/engine/src/owner/session/store.rs
+++ b/crates/engine/src/owner/session/store.rs
@@ -383,8 +383,11 @@
         match contents.units.as_slice() {
             [unit] => self.suspect = Some((unit.clone(), contents.size)),
             // The table does not take the owner row: more attempts follow at the
-            // interval of renewals.
-            [] => self.refused_until = now + renewal_interval,
+            // interval of renewals. A unit that was refused before need not be the cause.
+            [] => {
+                self.suspect = None;
+                self.refused_until = now + renewal_interval;
+            }
             // Halving may take longer than the ownership lasts without a change.
             _ => {
                 let unconfirmed = now.saturating_since(self.confirmed_at);
--- a/crates/engine/tests/limits.rs
+++ b/crates/engine/tests/limits.rs
@@ -10,9 +10,9 @@
 use redwing_engine::caller::service::CallerVerb;
 use redwing_engine::codec::CallerResponse;
 use redwing_engine::{product, row};
-use redwing_jobs::JobId;
 use redwing_jobs::maintenance::WaveRequest;
 use redwing_jobs::name::MachineName;
+use redwing_jobs::{JobId, JobState};
 use redwing_provider::{RowKey, TableLimits, TableStore, TableTransaction};
 use redwing_standin::memory::MemorySettings;
 use redwing_standin::{MemoryMachines, MemoryPlatform, MemoryWorkers};
@@ -150,6 +150,20 @@
     });
 }
 
+/// The table refuses all changes of the owner for a while. A job whose row was refused alone
+/// then counted as the cause, and was never started.
+#[test]
+fn no_job_is_set_aside_because_the_table_refuses_all_changes() {
+    run_test(async {
+        let cluster = start(1).await;
+        cluster.refusals.borrow_mut().key = Some(RowKey::new(row::OWNER_KEY));
+        submit_jobs(&cluster, 0, 1).await;
+        timer::sleep(time::Duration::from_secs(2)).await;
+        cluster.refusals.borrow_mut().key = None;
+        cluster.wait_state(0, "job-0", JobState::Completed).await;
+    });
+}
+
 /// Time that each call of an owner with a slow table takes, in milliseconds.
 const SLOW_CALL_MILLIS: u64 = 300;
 
