Show the state of evacuations to operators, and test evacuations with failures

Change: the owner writes evacuation-status/NAME in the product's own formats: requested, in-force or drained, with the runs that are left. A new owner reads which rows exist, so that the row of an evacuation that was undone meanwhile is deleted. The stand-in workers have data centres and may respond slowly.

--- a/crates/engine/src/codec.rs
+++ b/crates/engine/src/codec.rs
@@ -136,6 +136,10 @@
     /// Returns the row that shows the state of a wave to operators.
     fn wave_status(&self, wave: u64, state: WaveState) -> EncodedRow;
 
+    /// Prefix of the rows that show the state of evacuations to operators, by the name of
+    /// the data centre; none if the deployment has no such rows.
+    fn evacuation_status_prefix(&self) -> Option<&str>;
+
     /// Name of the header with the key.
     fn key_header(&self) -> &str;
 
--- a/crates/engine/src/owner/mod.rs
+++ b/crates/engine/src/owner/mod.rs
@@ -11,6 +11,7 @@
 mod change;
 mod cleanup;
 mod election;
+mod evacuation_board;
 mod inherited;
 mod machine_order;
 mod machines;
--- a/crates/engine/src/owner/session/mod.rs
+++ b/crates/engine/src/owner/session/mod.rs
@@ -28,6 +28,7 @@
 use super::advice::{self, AdviceResult};
 use super::change::{ChangeOutcome, ChangeUnit};
 use super::election::{AcquiredOwnership, OwnerLease};
+use super::evacuation_board::EvacuationBoard;
 use super::inherited::InheritedRows;
 use super::machine_order::MachineResponse;
 use super::machines::MachineService;
@@ -45,6 +46,7 @@
     dependencies.metrics.set_owner(fencing_token);
     let reason = OwnerSession::open(dependencies, acquired).run().await;
     dependencies.metrics.set_owner(0);
+    dependencies.metrics.set_evacuations(&BTreeMap::new());
     log_job_event!(
         info,
         event::OWNER_ENDED,
@@ -115,6 +117,8 @@
     fleet_capacity: FleetCapacity,
     /// Row of the grown fleet capacity, to be stored with the next change.
     grown_capacity_row: Option<EncodedRow>,
+    /// Rows that show the state of evacuations.
+    evacuation_board: EvacuationBoard,
     /// Orders to be sent once a change confirms the ownership.
     deferred_orders: Vec<WorkerOrder>,
     /// When the latest successful change was sent.
@@ -189,6 +193,7 @@
             has_published_backlog: true,
             fleet_capacity: FleetCapacity::default(),
             grown_capacity_row: None,
+            evacuation_board: EvacuationBoard::new(dependencies.codec.evacuation_status_prefix()),
             deferred_orders: Vec::new(),
             confirmed_at: times.claimed_at,
             unconfirmed_since: None,
@@ -323,6 +328,8 @@
             return;
         }
         self.start_cleanup(now);
+        let progress = self.scheduler.evacuation_progress();
+        self.dependencies.metrics.set_evacuations(progress);
         self.machines
             .tick(self.dependencies, &mut self.scheduler, now);
     }
--- a/crates/engine/src/owner/session/restore.rs
+++ b/crates/engine/src/owner/session/restore.rs
@@ -4,12 +4,15 @@
 //! Load pattern: a takeover on a slow link. The session runs meanwhile and renews the
 //! leases, its own and those of the workers that are read.
 
+use std::sync;
+
 use redwing_jobs::BootTime;
 use redwing_provider::table::TableView;
 use redwing_provider::{CallCause, ReadProgress, TableClient};
 use tokio::sync::oneshot;
 
 use crate::clock;
+use crate::codec::DeploymentCodec;
 use crate::event;
 use crate::log_job_event;
 use crate::owner::OwnerDependencies;
@@ -20,6 +23,8 @@
     pub(super) maintenance: TableView,
     pub(super) owner: TableView,
     pub(super) workers: TableView,
+    /// Rows that show the state of evacuations; none if the deployment has no such rows.
+    pub(super) evacuations: Option<TableView>,
 }
 
 /// Rows of jobs that earlier owners and callers have stored.
@@ -48,9 +53,9 @@
     /// Starts to read the rows of workers.
     pub(super) fn begin(dependencies: &OwnerDependencies) -> Self {
         let client = dependencies.client.clone();
-        let worker_prefix = dependencies.codec.worker_prefix().to_owned();
+        let codec = sync::Arc::clone(&dependencies.codec);
         Self::Fleet(read(
-            async move { scan_fleet(&client, &worker_prefix).await },
+            async move { scan_fleet(&client, codec.as_ref()).await },
         ))
     }
 
@@ -98,22 +103,36 @@
     receiver
 }
 
-async fn scan_fleet(client: &TableClient, worker_prefix: &str) -> Option<FleetRows> {
+async fn scan_fleet(client: &TableClient, codec: &dyn DeploymentCodec) -> Option<FleetRows> {
     let started = clock::boot_now();
     let counts = ReadProgress::default();
     let result = futures_util::try_join!(
         client.scan_observed(CallCause::Maintenance, row::MAINTENANCE_PREFIX, &counts),
         client.scan_observed(CallCause::Membership, row::OWNER_PREFIX, &counts),
-        client.scan_observed(CallCause::Membership, worker_prefix, &counts),
+        client.scan_observed(CallCause::Membership, codec.worker_prefix(), &counts),
+        scan_evacuations(client, codec, &counts),
     );
-    let (maintenance, owner, workers) = ok_or_log(result, &counts, started)?;
+    let (maintenance, owner, workers, evacuations) = ok_or_log(result, &counts, started)?;
     Some(FleetRows {
         maintenance,
         owner,
         workers,
+        evacuations,
     })
 }
 
+async fn scan_evacuations(
+    client: &TableClient,
+    codec: &dyn DeploymentCodec,
+    counts: &ReadProgress,
+) -> redwing_provider::Result<Option<TableView>> {
+    let Some(prefix) = codec.evacuation_status_prefix() else {
+        return Ok(None);
+    };
+    let view = client.scan_observed(CallCause::Maintenance, prefix, counts);
+    view.await.map(Some)
+}
+
 async fn scan_jobs(client: &TableClient) -> Option<JobRows> {
     let started = clock::boot_now();
     let counts = ReadProgress::default();
--- a/crates/engine/src/owner/session/rows.rs
+++ b/crates/engine/src/owner/session/rows.rs
@@ -37,6 +37,9 @@
         });
         self.scheduler.inherit_waits(inherited.progress_stored_by());
         self.inherited_waits = record::read_waits(&rows.owner.rows, &inherited);
+        if let Some(view) = &rows.evacuations {
+            self.evacuation_board.restore(&view.rows);
+        }
         self.waves = record::read_waves(&rows.maintenance.rows, inherited.all_stored_by());
         let client = &self.dependencies.client;
         self.worker_updates = Some(follow::follow(
--- a/crates/engine/src/owner/session/store.rs
+++ b/crates/engine/src/owner/session/store.rs
@@ -22,6 +22,7 @@
 };
 use crate::owner::cleanup;
 use crate::owner::election::OwnerLease;
+use crate::owner::evacuation_board::StatusUpdate;
 use crate::owner::record;
 use crate::row::{self, CountConfirmation, EncodedRow, PendingCounts, WaitRecord};
 
@@ -46,6 +47,8 @@
     waits: Option<WaitRecord>,
     /// Row of the fleet capacity that the change writes.
     capacity_row: Option<EncodedRow>,
+    /// Rows of evacuations that the change writes.
+    evacuations: Vec<StatusUpdate>,
     /// Jobs whose progress rows the change deletes.
     obsolete_jobs: Vec<JobId>,
 }
@@ -158,6 +161,10 @@
                 UnitFit::TooLarge(_) => {}
             }
         }
+        if !self.scheduler.is_restoring() {
+            let progress = self.scheduler.evacuation_progress();
+            contents.evacuations = self.evacuation_board.add_to(fill, progress);
+        }
         if let Some(row) = self.next_backlog_row(now) {
             let fit = fill.add_board(&row);
             self.has_published_backlog |= fit != UnitFit::Added;
@@ -356,6 +363,7 @@
         if let Some(waits) = contents.waits {
             self.stored_waits = waits;
         }
+        self.evacuation_board.stored(contents.evacuations);
         for job in &contents.obsolete_jobs {
             self.scheduler.remove_expired(job);
         }
@@ -410,7 +418,11 @@
         match unit {
             ChangeUnit::LeaseEnds => self.scheduler.set_leases_aside(),
             ChangeUnit::Wave(wave) => self.machines.set_wave_aside(*wave),
-            ChangeUnit::Board(_) => self.grown_capacity_row = None,
+            ChangeUnit::Board(key) => {
+                self.grown_capacity_row = None;
+                let progress = self.scheduler.evacuation_progress();
+                self.evacuation_board.set_aside(key, progress);
+            }
             ChangeUnit::Progress(job) => self.scheduler.set_row_aside(job),
             // The next owner finds it again.
             ChangeUnit::Obsolete(job) => self.obsolete_jobs.retain(|other| other != job),
--- a/crates/engine/src/product.rs
+++ b/crates/engine/src/product.rs
@@ -35,6 +35,9 @@
 /// Prefix of the rows with the states of waves.
 const STATUS_PREFIX: &str = "wave-status/";
 
+/// Prefix of the rows with the states of evacuations.
+pub const EVACUATION_STATUS_PREFIX: &str = "evacuation-status/";
+
 /// Maximum length of a job id, in bytes.
 const MAX_ID_BYTES: usize = 64;
 
@@ -120,6 +123,10 @@
         EncodedRow { key, value }
     }
 
+    fn evacuation_status_prefix(&self) -> Option<&str> {
+        Some(EVACUATION_STATUS_PREFIX)
+    }
+
     fn key_header(&self) -> &str {
         "authorization"
     }
--- a/crates/engine/tests/common/mod.rs
+++ b/crates/engine/tests/common/mod.rs
@@ -66,6 +66,8 @@
     AfterClaim,
     /// All reads of the rows of operators.
     OperatorReads,
+    /// All reads of the rows of operators and of their changes.
+    OperatorFeed,
 }
 
 /// Transactions that the table refuses although they are within its limits.
@@ -137,7 +139,9 @@
 impl LossyTable {
     fn is_read_lost(&self, prefix: &str) -> bool {
         match self.lost_calls.get() {
-            LostCalls::OperatorReads => product::MANIFEST_KEY.starts_with(prefix),
+            LostCalls::OperatorReads | LostCalls::OperatorFeed => {
+                product::MANIFEST_KEY.starts_with(prefix)
+            }
             LostCalls::OnceEach { read } if prefix == row::OWNER_KEY => {
                 self.owner_calls.borrow_mut().is_read_lost(read)
             }
@@ -245,6 +249,10 @@
         &'a self,
         request: WatchRequest<'a>,
     ) -> LocalFuture<'a, redwing_provider::Result<TableView>> {
+        let is_feed_lost = self.lost_calls.get() == LostCalls::OperatorFeed;
+        if is_feed_lost && product::MANIFEST_KEY.starts_with(request.prefix) {
+            return Box::pin(std::future::pending());
+        }
         self.inner.watch(request)
     }
 }
--- a/crates/jobs/src/evacuation.rs
+++ b/crates/jobs/src/evacuation.rs
@@ -118,3 +118,22 @@
     /// No run is left.
     Drained,
 }
+
+/// State of an evacuation with the runs that are left, as shown to operators.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct EvacuationStatus {
+    /// State of the evacuation.
+    pub state: EvacuationState,
+    /// Runs that are left on workers of the data centre.
+    pub runs: u32,
+}
+
+impl From<&EvacuationProgress> for EvacuationStatus {
+    fn from(progress: &EvacuationProgress) -> Self {
+        Self {
+            state: progress.state(),
+            runs: progress.runs,
+        }
+    }
+}
--- a/crates/standin/src/worker.rs
+++ b/crates/standin/src/worker.rs
@@ -15,7 +15,7 @@
     WorkerReply,
 };
 use redwing_jobs::TaskId;
-use redwing_jobs::name::{MachineName, PoolName, WorkerId};
+use redwing_jobs::name::{DataCentre, MachineName, PoolName, WorkerId};
 use redwing_jobs::scheduler::{AdviceRequest, AdviceResponse};
 use redwing_jobs::spec::ResourceAmount;
 use redwing_jobs::worker::{
@@ -36,6 +36,8 @@
     /// Delay after which orders other than renewals are executed, without a
     /// response.
     pub execution_delay: Option<time::Duration>,
+    /// Delay after which orders other than renewals are executed, with a response.
+    pub response_delay: Option<time::Duration>,
     /// Whether all tasks of the worker fail.
     pub is_failing: bool,
 }
@@ -204,6 +206,8 @@
     pub run: u32,
     /// Worker of the run.
     pub worker: WorkerId,
+    /// When it was accepted.
+    pub at: timer::Instant,
 }
 
 /// Stand-in workers of one pool; clones share the workers.
@@ -255,6 +259,18 @@
         Ok(())
     }
 
+    /// Places the workers in data centres in turn; they are to be registered after that.
+    pub fn set_data_centres(&self, names: &[&str]) {
+        for (worker, name) in self.lock().values_mut().zip(names.iter().cycle()) {
+            worker.view.data_centre = Some(DataCentre::new(name));
+        }
+    }
+
+    /// Returns the data centre of a worker.
+    pub fn data_centre(&self, worker: &WorkerId) -> Option<DataCentre> {
+        self.lock().get(worker)?.view.data_centre.clone()
+    }
+
     /// Sets the faults of a worker.
     pub fn set_fault(&self, worker: &WorkerId, fault: WorkerFault) {
         if let Some(worker) = self.lock().get_mut(worker) {
@@ -330,6 +346,7 @@
                 task: task.clone(),
                 run: *run,
                 worker: order.worker.clone(),
+                at: timer::Instant::now(),
             });
         }
         response
@@ -384,6 +401,9 @@
             });
             return WorkerReply::Order(no_response);
         }
+        if let Some(delay) = fault.response_delay {
+            timer::sleep(delay).await;
+        }
         WorkerReply::Order(self.execute(order))
     }
 }
