Keep short bounds on evacuations as far as possible, and bound the work of an eviction

Cause: since bounds under 3 s are accepted, a fixed reserve of 2 s would withhold all starts. Each tick also looked at all waiting jobs, though no long-running task was on an evacuated worker.

Change: of bounds under 5 s, 0.4 is the reserve; bounds under 1 s count as 1 s. Waiting tasks are looked at only while a pool has tasks to move, and once a task of a step fits nowhere, the others of that step are not tried.

--- a/crates/jobs/src/evacuation.rs
+++ b/crates/jobs/src/evacuation.rs
@@ -17,12 +17,19 @@
 
 /// Part of the bound that must be left for a start to be ordered: the time for which the
 /// order may wait in its queue and be on its way, and until the lease is renewed.
-pub const MIN_START_TIME: time::Duration = time::Duration::from_millis(2_000);
+const MIN_START_TIME: time::Duration = time::Duration::from_millis(2_000);
+
+/// Largest fraction of the bound that must be left: the operators' rows are read again
+/// every 500 ms.
+const MAX_START_FRACTION: f64 = 0.4;
 
 /// Part of the bound that is not used: the clock of a worker may be slow, and is read at
 /// intervals.
 const CLOCK_MARGIN: time::Duration = time::Duration::from_millis(200);
 
+/// Shortest bound that can be kept; with a shorter one no start would ever be permitted.
+const MIN_BOUND: time::Duration = time::Duration::from_millis(1_000);
+
 /// Evacuated data centres, and until when a start elsewhere may begin.
 #[derive(Clone, Debug, Default)]
 pub struct StartGuard {
@@ -36,7 +43,7 @@
     /// `bound`, the age of the rows does not matter.
     pub fn new(bound: Option<time::Duration>) -> Self {
         Self {
-            bound,
+            bound: bound.map(|bound| bound.max(MIN_BOUND)),
             ..Self::default()
         }
     }
@@ -67,8 +74,9 @@
         let Some(bound) = self.bound else {
             return true;
         };
+        let needed = MIN_START_TIME.min(bound.mul_f64(MAX_START_FRACTION));
         let age = self.confirmed_at.map(|at| now.saturating_since(at));
-        age.is_some_and(|age| age + MIN_START_TIME <= bound)
+        age.is_some_and(|age| age + needed <= bound)
     }
 
     /// Returns whether a start in a data centre may be ordered now.
@@ -80,7 +88,7 @@
     /// begin; none if there is no such time.
     pub fn begins_by(&self, data_centre: Option<&DataCentre>) -> Option<BootTime> {
         let bound = data_centre.and(self.bound)?;
-        let usable = bound.saturating_sub(CLOCK_MARGIN);
+        let usable = bound - CLOCK_MARGIN;
         Some(self.confirmed_at.unwrap_or_default() + usable)
     }
 }
--- a/crates/jobs/src/scheduler/evacuation.rs
+++ b/crates/jobs/src/scheduler/evacuation.rs
@@ -223,12 +223,7 @@
     pub(super) fn evict_from_evacuated(&mut self, now: BootTime) {
         for (pool, eviction) in self.evictions() {
             let mut candidates = self.candidates(&pool, now);
-            for task in &eviction.stopped {
-                if let Some(spec) = self.step_spec(task) {
-                    self.claim(task, spec, &mut candidates);
-                }
-            }
-            self.evict_in_pool(eviction.running, &mut candidates, now);
+            self.evict_in_pool(eviction, &mut candidates, now);
         }
     }
 
@@ -253,11 +248,11 @@
                 }
             }
         }
-        for (id, entry) in self
-            .waiting
-            .iter()
-            .filter(|(_, entry)| !entry.rank.is_finite)
-        {
+        if evictions.is_empty() {
+            return evictions;
+        }
+        let waiting = self.waiting.iter();
+        for (id, entry) in waiting.filter(|(_, entry)| !entry.rank.is_finite) {
             if let Some(eviction) = evictions.get_mut(&entry.pool) {
                 eviction.stopped.extend(self.waiting_long_running(id));
             }
@@ -286,13 +281,20 @@
 
     fn evict_in_pool(
         &mut self,
-        tasks: Vec<TaskId>,
+        eviction: PoolEviction,
         candidates: &mut [PlacementCandidate],
         now: BootTime,
     ) {
         // Other tasks of these steps fit nowhere either.
         let mut unplaced: BTreeSet<StepId> = BTreeSet::new();
-        for task in tasks {
+        for task in &eviction.stopped {
+            let step = order::step_of(task);
+            let spec = self.step_spec(task).filter(|_| !unplaced.contains(&step));
+            if spec.is_some_and(|spec| !self.claim(task, spec, candidates)) {
+                unplaced.insert(step);
+            }
+        }
+        for task in eviction.running {
             let Some(spec) = self.step_spec(&task).cloned() else {
                 continue;
             };
