Send no order after the ownership is released

Cause: a process that stopped went on to send the orders in its queues after it had released the ownership, while its successor already ordered the same tasks. Workers that the successor had reached rejected them; others carried them out.

Change: the queues are closed before the release is stored, and with the session. The successor finds from the reports of the workers that these runs do not exist.

--- a/crates/engine/src/owner/order_queues.rs
+++ b/crates/engine/src/owner/order_queues.rs
@@ -2,7 +2,8 @@
 //!
 //! Load pattern: start orders wait here while an operator evacuates their data centre, or
 //! while the process is paused. Whether a start may be sent is decided when it is sent, by
-//! the latest rows of operators.
+//! the latest rows of operators. Once a process has released the ownership, it sends none
+//! of the orders that still wait.
 
 use std::collections::HashMap;
 use std::rc;
@@ -38,6 +39,8 @@
     completed: mpsc::UnboundedSender<CompletedOrder>,
     semaphores: HashMap<WorkerId, sync::Arc<Semaphore>>,
     permission: StartPermission,
+    /// Whether nothing is sent any more; also once this is dropped.
+    is_closed: watch::Sender<bool>,
 }
 
 /// Which starts the operators permit.
@@ -82,20 +85,28 @@
             completed,
             semaphores: HashMap::new(),
             permission,
+            is_closed: watch::Sender::new(false),
         }
     }
 
+    /// Sends nothing any more: the orders that wait are not carried out.
+    pub(super) fn close(&self) {
+        self.is_closed.send_replace(true);
+    }
+
     /// Sends an order in a separate task.
     pub(super) fn send(&mut self, order: WorkerOrder) {
         let client = rc::Rc::clone(&self.client);
         let completed = self.completed.clone();
         let semaphore = self.semaphore_for(&order);
         let permission = self.permission.clone();
+        let is_closed = self.is_closed.subscribe();
         tokio::task::spawn_local(async move {
             let outgoing = OutgoingOrder {
                 client: client.as_ref(),
                 order: &order,
                 semaphore,
+                is_closed,
             };
             let reply = match order.action {
                 OrderAction::Start { .. } => outgoing.send_start(permission).await,
@@ -123,42 +134,62 @@
     client: &'a dyn WorkerClient,
     order: &'a WorkerOrder,
     semaphore: Option<sync::Arc<Semaphore>>,
+    is_closed: watch::Receiver<bool>,
 }
 
 impl OutgoingOrder<'_> {
-    /// Waits for its turn; a renewal needs none.
-    async fn turn(&self) -> Option<OwnedSemaphorePermit> {
+    /// Waits for the turn of the order; a renewal needs none. Returns none if the queues
+    /// are closed before.
+    async fn turn(&self) -> Option<Option<OwnedSemaphorePermit>> {
+        let mut is_closed = self.is_closed.clone();
+        tokio::select! {
+            biased;
+            // An error means that the queues were dropped.
+            _ = is_closed.wait_for(|is_closed| *is_closed) => None,
+            turn = self.permit() => Some(turn),
+        }
+    }
+
+    async fn permit(&self) -> Option<OwnedSemaphorePermit> {
         let semaphore = self.semaphore.clone()?;
         // The semaphore is never closed.
         semaphore.acquire_owned().await.ok()
     }
 
     async fn send(self) -> WorkerReply {
-        let _turn = self.turn().await;
+        let Some(_turn) = self.turn().await else {
+            return self.unsent();
+        };
         self.client.send(self.order).await
     }
 
     /// Sends a start, unless its data centre is evacuated before its turn.
     async fn send_start(self, permission: StartPermission) -> WorkerReply {
-        let _turn = tokio::select! {
+        let turn = tokio::select! {
             biased;
-            () = permission.clone().withdrawn(self.order) => {
-                return rejected(OrderOutcome::Unsent);
-            }
+            () = permission.clone().withdrawn(self.order) => None,
             turn = self.turn() => turn,
         };
-        if !permission.permits(self.order) {
-            return rejected(OrderOutcome::Unsent);
-        }
+        let Some(_turn) = turn.filter(|_| permission.permits(self.order)) else {
+            return self.unsent();
+        };
         let waited = clock::boot_now().saturating_since(self.order.issued_at);
         if waited > MAX_START_WAIT {
             return rejected(OrderOutcome::Unhealthy);
         }
         self.client.send(self.order).await
     }
+
+    /// Returns the reply to an order that was not sent.
+    fn unsent(&self) -> WorkerReply {
+        match self.order.action {
+            OrderAction::Renew { .. } => WorkerReply::NoReport(OrderOutcome::Unsent),
+            _ => rejected(OrderOutcome::Unsent),
+        }
+    }
 }
 
-/// Returns the reply to a start that was not sent.
+/// Returns the reply to an order that was not carried out.
 fn rejected(outcome: OrderOutcome) -> WorkerReply {
     WorkerReply::Order(OrderResponse {
         outcome,
--- a/crates/engine/src/owner/session/mod.rs
+++ b/crates/engine/src/owner/session/mod.rs
@@ -14,6 +14,7 @@
 use redwing_provider::TransactionSize;
 use redwing_provider::builder::FillBudget;
 use tokio::sync::{mpsc, oneshot};
+use tokio::task;
 use tokio::time as timer;
 
 use crate::clock;
@@ -396,7 +397,10 @@
             for order in orders {
                 self.order_queues.send(order);
             }
+            task::yield_now().await;
         }
+        // From the release on, only the next owner may send orders.
+        self.order_queues.close();
         self.scheduler.prepare_release(now);
         if !self.scheduler.is_restoring() {
             self.machines.prepare_release(now);
--- a/crates/jobs/src/worker.rs
+++ b/crates/jobs/src/worker.rs
@@ -131,7 +131,8 @@
     Replaced,
     /// The worker is unhealthy; not carried out.
     Unhealthy,
-    /// It was not sent, because its data centre is evacuated or may be; not carried out.
+    /// It was not sent, because its data centre is evacuated or may be, or the ownership has
+    /// ended; not carried out.
     Unsent,
     /// There was no response; it may be carried out at any time.
     Unknown,
--- a/crates/standin/src/worker.rs
+++ b/crates/standin/src/worker.rs
@@ -210,11 +210,25 @@
     pub at: timer::Instant,
 }
 
+/// Start order that arrived at a stand-in worker, accepted or not.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct ReceivedStart {
+    /// Task to start.
+    pub task: TaskId,
+    /// Number of the run.
+    pub run: u32,
+    /// Fencing token of the sender.
+    pub fencing_token: u64,
+    /// When it arrived.
+    pub at: timer::Instant,
+}
+
 /// Stand-in workers of one pool; clones share the workers.
 #[derive(Clone, Debug)]
 pub struct MemoryWorkers {
     workers: sync::Arc<sync::Mutex<BTreeMap<WorkerId, StandinWorker>>>,
     starts: sync::Arc<sync::Mutex<Vec<AcceptedStart>>>,
+    received: sync::Arc<sync::Mutex<Vec<ReceivedStart>>>,
     /// Duration of each task.
     task_duration: time::Duration,
 }
@@ -232,6 +246,7 @@
         Self {
             workers: sync::Arc::new(sync::Mutex::new(workers.collect())),
             starts: sync::Arc::default(),
+            received: sync::Arc::default(),
             task_duration,
         }
     }
@@ -300,6 +315,27 @@
         }
     }
 
+    /// Returns all start orders that arrived.
+    pub fn received(&self) -> Vec<ReceivedStart> {
+        match self.received.lock() {
+            Ok(received) => received.clone(),
+            Err(poisoned) => poisoned.into_inner().clone(),
+        }
+    }
+
+    fn record_received(&self, order: &WorkerOrder) {
+        if let OrderAction::Start { task, run, .. } = &order.action
+            && let Ok(mut received) = self.received.lock()
+        {
+            received.push(ReceivedStart {
+                task: task.clone(),
+                run: *run,
+                fencing_token: order.fencing_token,
+                at: timer::Instant::now(),
+            });
+        }
+    }
+
     /// Returns the number of active runs of each task.
     pub fn running(&self) -> BTreeMap<TaskId, usize> {
         let mut counts = BTreeMap::new();
@@ -374,6 +410,7 @@
     }
 
     async fn handle_order(&self, order: &WorkerOrder) -> WorkerReply {
+        self.record_received(order);
         let no_response = OrderResponse {
             outcome: OrderOutcome::Unknown,
             clock_ms: None,
