Stop the rest of a gang of which a start is taken back

Cause: the members that were sent held their workers until these ended them as incomplete.

Change: the other members of the same run are stopped at once; the gang is placed again as a whole.

--- a/crates/jobs/src/scheduler/order.rs
+++ b/crates/jobs/src/scheduler/order.rs
@@ -171,6 +171,7 @@
                 }
             }
             OrderOutcome::Unhealthy | OrderOutcome::Full => self.suspend_worker(worker, now),
+            OrderOutcome::Unsent => self.stop_incomplete_gang(task, run, now),
             OrderOutcome::Unpermitted => self.advice.drop_permit(&step_of(task), worker),
             // Every other worker would reject it as well.
             OrderOutcome::Invalid => self.finish(&task.job, JobState::Failed, now),
@@ -178,6 +179,16 @@
         }
     }
 
+    /// Stops the other members of a gang of which one does not start: a part of it would
+    /// only hold its workers.
+    fn stop_incomplete_gang(&mut self, task: &TaskId, run: u32, now: BootTime) {
+        for member in self.gang_members(task) {
+            if self.task(&member).is_some_and(|entry| entry.run == run) {
+                self.stop_task(&member, now);
+            }
+        }
+    }
+
     fn update_clock(&mut self, worker: &WorkerId, response: &OrderResponse, now: BootTime) {
         let (Some(entry), Some(clock_ms)) = (self.fleet.get_mut(worker), response.clock_ms) else {
             return;
--- a/crates/jobs/tests/evacuation.rs
+++ b/crates/jobs/tests/evacuation.rs
@@ -165,6 +165,29 @@
     assert_eq!(fleet.starts.len(), 3);
 }
 
+/// The other members of the gang held their workers until these ended them as incomplete.
+#[test]
+fn a_gang_of_which_a_start_is_taken_back_is_stopped_and_starts_elsewhere() {
+    let mut fleet = fleet(2);
+    fleet.advance(100);
+    fleet.held_orders = Some(Vec::new());
+    let gang = StepSpec {
+        gang: true,
+        ..step_spec(4, 3_000)
+    };
+    let job = fleet.submit("j", vec![gang], 60_000);
+    fleet.advance(50);
+    fleet.evacuate("east", true);
+    fleet.send_held();
+    let sent = fleet.starts.len();
+    assert!((1..4).contains(&sent), "{sent}");
+    fleet.advance(500);
+    assert_eq!(fleet.stops.len(), sent);
+    let members = (0..4).filter(|index| fleet.running_count(&task_id(&job, 0, *index)) == 1);
+    assert_eq!(members.count(), 4);
+    assert_eq!(running_in(&fleet, "east"), 0);
+}
+
 /// The advisor permits only a worker of the evacuated data centre.
 #[test]
 fn an_advised_step_waits_until_its_worker_is_back() {
