Look at long-running tasks on evacuated workers five times a second

Change: these tasks are looked at every 200 ms; those without capacity elsewhere are remembered as demand in between. Maintenance leaves tasks on evacuated workers to the evacuation, so that none counts as demand twice.

--- a/crates/jobs/src/scheduler/evacuation.rs
+++ b/crates/jobs/src/scheduler/evacuation.rs
@@ -27,6 +27,9 @@
 /// Time between two counts of the runs in evacuated data centres.
 const COUNT_INTERVAL: time::Duration = time::Duration::from_millis(500);
 
+/// Time between two looks at the long-running tasks on evacuated workers.
+const EVICTION_INTERVAL: time::Duration = time::Duration::from_millis(200);
+
 /// Progress of evacuations, and what operators were told of them.
 #[derive(Clone, Debug, Default)]
 pub(super) struct EvacuationTracker {
@@ -37,6 +40,10 @@
     drained: BTreeSet<DataCentre>,
     /// Whether starts wait because the operators' rows were read too long ago.
     is_withholding: bool,
+    /// When long-running tasks on evacuated workers were last looked at.
+    evicted_at: BootTime,
+    /// Number of these that fit on no other worker, by pool.
+    displaced: BTreeMap<PoolName, u64>,
 }
 
 /// Long-running tasks of a pool on evacuated workers.
@@ -219,14 +226,26 @@
 
     /// Stops long-running tasks on evacuated workers, as far as the budgets of their steps
     /// allow and other workers have capacity for them now. The others run on, and count
-    /// as demand in the next `pool_demands`.
+    /// as demand; to be called with each tick.
     pub(super) fn evict_from_evacuated(&mut self, now: BootTime) {
+        if now.saturating_since(self.evacuation.evicted_at) < EVICTION_INTERVAL {
+            return;
+        }
+        self.evacuation.evicted_at = now;
+        self.evacuation.displaced.clear();
         for (pool, eviction) in self.evictions() {
             let mut candidates = self.candidates(&pool, now);
-            self.evict_in_pool(eviction, &mut candidates, now);
+            let displaced = self.evict_in_pool(eviction, &mut candidates, now);
+            self.evacuation.displaced.insert(pool, displaced);
         }
     }
 
+    /// Returns the number of long-running tasks that are to leave evacuated workers and
+    /// fit on no other, by pool.
+    pub(super) fn displaced_by_evacuation(&self) -> &BTreeMap<PoolName, u64> {
+        &self.evacuation.displaced
+    }
+
     /// Returns the long-running tasks on evacuated workers, by pool and in their order.
     fn evictions(&self) -> BTreeMap<PoolName, PoolEviction> {
         let mut evictions: BTreeMap<PoolName, PoolEviction> = BTreeMap::new();
@@ -279,12 +298,14 @@
         tasks.map(|(task, _)| task).collect()
     }
 
+    /// Returns the number of tasks that fit on no other worker.
     fn evict_in_pool(
         &mut self,
         eviction: PoolEviction,
         candidates: &mut [PlacementCandidate],
         now: BootTime,
-    ) {
+    ) -> u64 {
+        let mut displaced = 0;
         // Other tasks of these steps fit nowhere either.
         let mut unplaced: BTreeSet<StepId> = BTreeSet::new();
         for task in &eviction.stopped {
@@ -306,13 +327,14 @@
                 !unplaced.contains(&step) && self.claim_permitted(&task, &spec, candidates, now);
             if !has_capacity {
                 unplaced.insert(step);
-                self.displaced.insert(task);
+                displaced += 1;
                 continue;
             }
             for member in self.gang_members(&task) {
                 self.stop_task(&member, now);
             }
         }
+        displaced
     }
 
     /// Claims capacity as [`JobScheduler::claim`] does, only of workers that the advisor
--- a/crates/jobs/src/scheduler/maintenance.rs
+++ b/crates/jobs/src/scheduler/maintenance.rs
@@ -65,6 +65,10 @@
                 demand.waiting_long_running += 1;
             }
         }
+        for (pool, displaced) in self.displaced_by_evacuation() {
+            let demand = demands.entry(pool.clone()).or_default();
+            demand.waiting_long_running += displaced;
+        }
         for (pool, arrivals) in &self.arrivals {
             let demand = demands.entry(pool.clone()).or_default();
             demand.arrived_jobs = arrivals.jobs;
@@ -93,7 +97,9 @@
     /// their step allows; they start again elsewhere. Those that fit on no other
     /// worker keep running, and count as demand in the next `pool_demands`.
     pub fn evict_long_running(&mut self, worker: &WorkerId, now: BootTime) {
-        let Some(entry) = self.fleet.get(worker) else {
+        let entry = self.fleet.get(worker);
+        // Tasks on evacuated workers move anyway.
+        let Some(entry) = entry.filter(|entry| !entry.is_evacuated) else {
             return;
         };
         let tasks: Vec<TaskId> = entry.reservations.keys().cloned().collect();
