Keep the metrics of evacuations while they change

Cause: both gauges were emptied and set again with each tick; a read in between showed no evacuation.

--- a/crates/engine/src/metrics.rs
+++ b/crates/engine/src/metrics.rs
@@ -224,10 +224,19 @@
         self.manifest_version.set(version as i64);
     }
 
-    /// Sets the progress of all evacuations; others have no value any more.
-    pub fn set_evacuations(&self, progress: &BTreeMap<DataCentre, EvacuationProgress>) {
-        self.evacuated_workers.reset();
-        self.evacuation_runs.reset();
+    /// Sets the progress of all evacuations; those of `previous` that have ended have no
+    /// value any more.
+    pub fn set_evacuations(
+        &self,
+        progress: &BTreeMap<DataCentre, EvacuationProgress>,
+        previous: &BTreeMap<DataCentre, EvacuationProgress>,
+    ) {
+        let ended = previous.keys().filter(|name| !progress.contains_key(*name));
+        for name in ended {
+            // An error means that it had no value.
+            let _ = self.evacuated_workers.remove_label_values(&[name.as_str()]);
+            let _ = self.evacuation_runs.remove_label_values(&[name.as_str()]);
+        }
         for (name, progress) in progress {
             let labels = [name.as_str()];
             let workers = self.evacuated_workers.with_label_values(&labels);
--- a/crates/engine/src/owner/session/mod.rs
+++ b/crates/engine/src/owner/session/mod.rs
@@ -6,8 +6,10 @@
 
 use std::collections::{BTreeMap, VecDeque};
 
+use redwing_jobs::evacuation::EvacuationProgress;
 use redwing_jobs::feasibility::FleetCapacity;
 use redwing_jobs::maintenance::MaintenanceRecord;
+use redwing_jobs::name::DataCentre;
 use redwing_jobs::scheduler::AdviceRequest;
 use redwing_jobs::worker::{OrderAction, WorkerOrder};
 use redwing_jobs::{BootTime, JobId, JobScheduler, SchedulerSettings};
@@ -45,9 +47,10 @@
     let fencing_token = acquired.lease.record.fencing_token;
     log_job_event!(info, event::OWNER_BEGUN, fence = fencing_token);
     dependencies.metrics.set_owner(fencing_token);
-    let reason = OwnerSession::open(dependencies, acquired).run().await;
+    let mut session = OwnerSession::open(dependencies, acquired);
+    let reason = session.run().await;
+    session.publish_evacuations(&BTreeMap::new());
     dependencies.metrics.set_owner(0);
-    dependencies.metrics.set_evacuations(&BTreeMap::new());
     log_job_event!(
         info,
         event::OWNER_ENDED,
@@ -120,6 +123,8 @@
     grown_capacity_row: Option<EncodedRow>,
     /// Rows that show the state of evacuations.
     evacuation_board: EvacuationBoard,
+    /// Progress of evacuations as shown by the metrics.
+    published_progress: BTreeMap<DataCentre, EvacuationProgress>,
     /// Orders to be sent once a change confirms the ownership.
     deferred_orders: Vec<WorkerOrder>,
     /// When the latest successful change was sent.
@@ -195,6 +200,7 @@
             fleet_capacity: FleetCapacity::default(),
             grown_capacity_row: None,
             evacuation_board: EvacuationBoard::new(dependencies.codec.evacuation_status_prefix()),
+            published_progress: BTreeMap::new(),
             deferred_orders: Vec::new(),
             confirmed_at: times.claimed_at,
             unconfirmed_since: None,
@@ -329,12 +335,21 @@
             return;
         }
         self.start_cleanup(now);
-        let progress = self.scheduler.evacuation_progress();
-        self.dependencies.metrics.set_evacuations(progress);
+        if *self.scheduler.evacuation_progress() != self.published_progress {
+            let progress = self.scheduler.evacuation_progress().clone();
+            self.publish_evacuations(&progress);
+        }
         self.machines
             .tick(self.dependencies, &mut self.scheduler, now);
     }
 
+    /// Sets the metrics of evacuations.
+    fn publish_evacuations(&mut self, progress: &BTreeMap<DataCentre, EvacuationProgress>) {
+        let metrics = &self.dependencies.metrics;
+        metrics.set_evacuations(progress, &self.published_progress);
+        self.published_progress.clone_from(progress);
+    }
+
     fn handle_completed_order(&mut self, completed: CompletedOrder) {
         let now = clock::boot_now();
         let CompletedOrder { order, reply } = completed;
--- a/crates/node/tests/pages.rs
+++ b/crates/node/tests/pages.rs
@@ -64,7 +64,8 @@
     jobs.count_order("start");
     jobs.count_machine_order("move");
     let evacuated = "east".to_owned().into();
-    jobs.set_evacuations(&[(evacuated, Default::default())].into());
+    let progress = [(evacuated, Default::default())].into();
+    jobs.set_evacuations(&progress, &progress);
     let names = registry.names().into_iter().chain(jobs.names());
     let defined: BTreeSet<String> = names.collect();
     assert_eq!(first_cells("METRICS.md"), defined);
