Test evacuations with a backlog of work and random failures

Without work that waits, no start was due after the bound, so that the test of the silent feed passed also without the guard.

--- a/crates/engine/tests/common/mod.rs
+++ b/crates/engine/tests/common/mod.rs
@@ -355,7 +355,11 @@
         let codec = sync::Arc::new(ProductCodec);
         let metrics = JobMetrics::new().expect("the names differ");
         let mut operators = manifest::follow_operators(&client, codec.clone(), metrics.clone());
-        if self.lost_calls.get() != LostCalls::OperatorReads {
+        let is_feed_lost = matches!(
+            self.lost_calls.get(),
+            LostCalls::OperatorReads | LostCalls::OperatorFeed
+        );
+        if !is_feed_lost {
             let first_view = operators.wait_for(|view| view.manifest.is_some()).await;
             first_view.expect("the manifest is followed");
         }
--- a/crates/engine/tests/evacuation.rs
+++ b/crates/engine/tests/evacuation.rs
@@ -6,6 +6,8 @@
 use std::time;
 
 use common::{LostCalls, RefusalRule, TestCluster, run_test};
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
 use redwing_engine::codec::CallerResponse;
 use redwing_engine::owner::OwnerSettings;
 use redwing_engine::product;
@@ -58,6 +60,18 @@
     timer::Instant::now()
 }
 
+/// Submits jobs that take all workers 300 ms each; returns their ids.
+async fn submit_backlog(cluster: &TestCluster, count: usize) -> Vec<String> {
+    let ids: Vec<String> = (0..count)
+        .map(|number| format!("backlog-{number}"))
+        .collect();
+    for id in &ids {
+        let response = cluster.submit(0, id, 24).await;
+        assert_eq!(response, CallerResponse::Accepted);
+    }
+    ids
+}
+
 /// Returns the number of starts in `east` that were accepted after `time`.
 fn starts_in_east(cluster: &TestCluster, time: timer::Instant) -> usize {
     let starts = cluster.workers.starts().into_iter();
@@ -154,21 +168,14 @@
 #[test]
 fn an_owner_without_the_operators_feed_starts_nothing_after_the_bound() {
     run_test(async {
-        let cluster = start(1, time::Duration::from_millis(100)).await;
+        let cluster = start(1, time::Duration::from_millis(300)).await;
         cluster.owner().await;
+        let jobs = submit_backlog(&cluster, 40).await;
         cluster.lost_calls.set(LostCalls::OperatorFeed);
         let evacuated_at = evacuate(&cluster, "east", true).await;
-        let mut jobs = Vec::new();
-        for number in 0..40 {
-            let id = format!("job-{number}");
-            let response = cluster.submit(0, &id, 3).await;
-            if response == CallerResponse::Accepted {
-                jobs.push(id);
-            }
-            timer::sleep(time::Duration::from_millis(200)).await;
-        }
+        timer::sleep(time::Duration::from_secs(10)).await;
+        assert!(starts_in_east(&cluster, evacuated_at) > 0);
         assert_eq!(starts_in_east(&cluster, evacuated_at + BOUND), 0);
-        assert!(!jobs.is_empty());
         cluster.lost_calls.set(LostCalls::None);
         for id in &jobs {
             cluster.wait_state(0, id, JobState::Completed).await;
@@ -248,3 +255,63 @@
         wait_status(&cluster, "east", None).await;
     });
 }
+
+/// Evacuations begin and are undone at random while owners are killed, stopped, paused and cut
+/// off from the table or the rows of operators.
+#[test]
+fn nothing_starts_after_the_bound_whatever_fails() {
+    for seed in 0..8 {
+        run_test(check_random_faults(seed));
+    }
+}
+
+async fn check_random_faults(seed: u64) {
+    let mut rng = SmallRng::seed_from_u64(seed);
+    let mut cluster = start(3, time::Duration::from_millis(300)).await;
+    submit_backlog(&cluster, 100).await;
+    let mut begun_at: Option<timer::Instant> = None;
+    let mut checked = 0;
+    for number in 0..40 {
+        let index = rng.random_range(0..cluster.processes.len());
+        match rng.random_range(0..16) {
+            0 | 1 => {
+                let is_evacuated = begun_at.is_none();
+                let confirmed_at = evacuate(&cluster, "east", is_evacuated).await;
+                begun_at = is_evacuated.then_some(confirmed_at);
+            }
+            2 => {
+                cluster.processes[index].owner.abort();
+                let next = cluster.processes.len();
+                cluster.add_process_with(next, settings()).await;
+            }
+            3 => cluster.disconnect_table(index),
+            4 => cluster.lost_calls.set(LostCalls::OperatorFeed),
+            5 => timer::advance(time::Duration::from_millis(rng.random_range(0..6_000))).await,
+            6 => {
+                cluster.lost_calls.set(LostCalls::None);
+                for process in &cluster.processes {
+                    process.platform.set_faults(|plan| plan.table_down = false);
+                }
+            }
+            _ => {}
+        }
+        let ids: Vec<String> = (0..cluster.processes.len())
+            .map(|process| format!("job-{number}-{process}"))
+            .collect();
+        let submitted = ids.iter().enumerate();
+        let submitted = submitted.map(|(process, id)| cluster.submit(process, id, 4));
+        let submitted = futures_util::future::join_all(submitted);
+        // Processes that are cut off respond later, or not at all.
+        let _ = timer::timeout(time::Duration::from_millis(200), submitted).await;
+        timer::sleep(time::Duration::from_millis(rng.random_range(10..900))).await;
+        let starts = cluster.workers.starts();
+        let late = starts[checked..].iter().filter(|start| {
+            let is_late = begun_at.is_some_and(|begun_at| start.at > begun_at + BOUND);
+            is_late && EAST_WORKERS.contains(&start.worker.as_str())
+        });
+        assert_eq!(late.count(), 0, "seed {seed}, step {number}");
+        checked = starts.len();
+        cluster.assert_no_double_run();
+    }
+    assert!(checked > 50, "seed {seed}: only {checked} starts");
+}
