Count a run as started only once its worker has reported it

Cause: an evacuation was shown as in force while stop orders for starts without a response were not accepted, and while starts of an earlier owner could be under way.

Change: such runs count as unconfirmed. A gang claims capacity once, not for each of its members.

--- a/crates/jobs/src/evacuation.rs
+++ b/crates/jobs/src/evacuation.rs
@@ -100,7 +100,8 @@
     pub workers: u32,
     /// Runs on them.
     pub runs: u32,
-    /// Part of the runs whose start orders have no response.
+    /// Part of the runs that may not have started yet, because their start orders have no
+    /// response.
     pub unconfirmed: u32,
 }
 
--- a/crates/jobs/src/scheduler/evacuation.rs
+++ b/crates/jobs/src/scheduler/evacuation.rs
@@ -19,7 +19,7 @@
 
 use super::advice::StepId;
 use super::candidate::{self, PlacementCandidate};
-use super::entry::TaskPhase;
+use super::entry::{RunLocation, TaskPhase};
 use super::fleet::WorkerEntry;
 use super::order;
 use super::{JobScheduler, SchedulerEvent};
@@ -64,7 +64,8 @@
             return;
         }
         let evacuations = sync::Arc::new(evacuations.clone());
-        self.start_guard.set_evacuations(evacuations.clone());
+        self.start_guard
+            .set_evacuations(sync::Arc::clone(&evacuations));
         self.fleet.set_evacuations(evacuations);
         self.free_reserved();
         self.take_back_orders(now);
@@ -210,7 +211,7 @@
                 continue;
             };
             let tasks = entry.reservations.keys();
-            let unconfirmed = tasks.filter(|task| self.is_ordered_on(task, id));
+            let unconfirmed = tasks.filter(|task| self.may_start_later(task, id));
             progress.workers += u32::from(entry.is_listed);
             progress.runs += entry.reservations.len() as u32;
             progress.unconfirmed += unconfirmed.count() as u32;
@@ -218,10 +219,19 @@
         counts
     }
 
-    /// Returns whether a task's start on a worker was ordered and has no response.
-    fn is_ordered_on(&self, task: &TaskId, worker: &WorkerId) -> bool {
+    /// Returns whether a run on a worker may not have started yet: its start has no response
+    /// or was ordered by an earlier owner, and no stop of it is accepted.
+    fn may_start_later(&self, task: &TaskId, worker: &WorkerId) -> bool {
         let phase = self.task(task).map(|entry| &entry.phase);
-        matches!(phase, Some(TaskPhase::Ordered(location)) if location.worker == *worker)
+        let is_here = |location: &RunLocation| location.worker == *worker;
+        match phase {
+            Some(TaskPhase::Ordered(location)) => is_here(location),
+            Some(TaskPhase::Running(location, run)) => is_here(location) && !run.is_reported,
+            Some(TaskPhase::Stopping(location, stop)) => {
+                is_here(location) && stop.accepted_at.is_none()
+            }
+            _ => false,
+        }
     }
 
     /// Stops long-running tasks on evacuated workers, as far as the budgets of their steps
@@ -308,9 +318,13 @@
         let mut displaced = 0;
         // Other tasks of these steps fit nowhere either.
         let mut unplaced: BTreeSet<StepId> = BTreeSet::new();
+        let mut claimed_gangs: BTreeSet<StepId> = BTreeSet::new();
         for task in &eviction.stopped {
             let step = order::step_of(task);
-            let spec = self.step_spec(task).filter(|_| !unplaced.contains(&step));
+            let spec = self.step_spec(task).filter(|spec| {
+                let is_claimed = spec.gang && !claimed_gangs.insert(step.clone());
+                !is_claimed && !unplaced.contains(&step)
+            });
             if spec.is_some_and(|spec| !self.claim(task, spec, candidates)) {
                 unplaced.insert(step);
             }
--- a/crates/jobs/tests/evacuation.rs
+++ b/crates/jobs/tests/evacuation.rs
@@ -478,6 +478,29 @@
     assert!(retry_after <= time::Duration::from_secs(60));
 }
 
+/// A start order without a response may still be carried out, until the worker has seen the
+/// fencing token of a later owner.
+#[test]
+fn an_evacuation_is_in_force_once_no_start_is_under_way() {
+    let mut fleet = fleet(1);
+    fleet.advance(100);
+    fleet.lost_order_delay = Some(time::Duration::from_millis(1_500));
+    fleet.submit("j", vec![step_spec(12, 1_000)], 3_000);
+    fleet.advance(100);
+    fleet.evacuate("east", true);
+    fleet.advance(20);
+    let east = DataCentre::new("east");
+    let state = |fleet: &FakeFleet| fleet.scheduler.evacuation_progress()[&east].state();
+    assert_eq!(state(&fleet), EvacuationState::Requested);
+    fleet.advance(600);
+    assert_eq!(state(&fleet), EvacuationState::Requested);
+    fleet.take_over(settings());
+    fleet.advance(700);
+    assert_eq!(state(&fleet), EvacuationState::Drained);
+    fleet.advance(2_000);
+    assert_eq!(starts_in(&fleet, "east"), 0);
+}
+
 /// Evacuations begin and are undone at random, while the table refuses, the operators' rows
 /// are not read, orders are lost and carried out late, and owners end.
 #[test]
