Test that a move that waits is not ordered in an evacuated data centre

The move waits for the confirmation of the ownership while the table refuses changes. The test fails if these moves are kept. The stand-in machine service has data centres, capacities and a list of the moves.

--- a/crates/engine/tests/evacuation.rs
+++ b/crates/engine/tests/evacuation.rs
@@ -5,7 +5,7 @@
 
 use std::time;
 
-use common::{LostCalls, RefusalRule, TestCluster, run_test};
+use common::{LostCalls, MANIFEST, RefusalRule, TestCluster, run_test};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use redwing_engine::codec::CallerResponse;
@@ -14,9 +14,10 @@
 use redwing_engine::row;
 use redwing_jobs::evacuation::{EvacuationState, EvacuationStatus};
 use redwing_jobs::name::{DataCentre, WorkerId};
+use redwing_jobs::spec::ResourceAmount;
 use redwing_jobs::{JobState, SchedulerSettings};
 use redwing_provider::{RowKey, TableStore, TableTransaction};
-use redwing_standin::WorkerFault;
+use redwing_standin::{MemoryMachines, WorkerFault};
 use tokio::time as timer;
 
 /// Longest time from an evacuation to the last start in the data centre.
@@ -232,6 +233,54 @@
     });
 }
 
+/// Returns the manifest with a standby pool.
+fn manifest_with_standby() -> String {
+    let standby = r#","enforces-capacity":false},
+        {"name":"spare","is-standby":true,"enforces-capacity":false}]"#;
+    let text = MANIFEST.replace(r#","enforces-capacity":false}]"#, standby);
+    text.replace(r#""version":1"#, r#""version":2"#)
+}
+
+/// The move of a machine out of the standby pool waited for the confirmation of the ownership
+/// when the data centre was evacuated.
+#[test]
+fn a_move_that_waits_is_not_ordered_in_an_evacuated_data_centre() {
+    run_test(async {
+        let mut cluster = start(0, time::Duration::from_secs(1)).await;
+        cluster.machines = MemoryMachines::new("spare", 6, time::Duration::from_secs(1));
+        let capacity = ResourceAmount {
+            cpu_millis: 4_000,
+            ..ResourceAmount::default()
+        };
+        let north = DataCentre::new("north");
+        cluster.machines.set_machines(Some(north), capacity);
+        let key = RowKey::new(product::MANIFEST_KEY);
+        let row = TableTransaction::default().put(key, manifest_with_standby());
+        cluster
+            .platform
+            .commit(&row)
+            .await
+            .expect("the table is up");
+        cluster.add_process_with(0, settings()).await;
+        cluster.owner().await;
+        // The pool in use gets a free machine.
+        timer::sleep(time::Duration::from_secs(2)).await;
+        let moves = cluster.machines.moves();
+        cluster.refusals.borrow_mut().key = Some(RowKey::new(row::OWNER_KEY));
+        timer::sleep(time::Duration::from_secs(3)).await;
+        cluster.submit(0, "a", 48).await;
+        timer::sleep(time::Duration::from_secs(1)).await;
+        evacuate(&cluster, "north", true).await;
+        timer::sleep(time::Duration::from_millis(500)).await;
+        cluster.refusals.borrow_mut().key = None;
+        cluster.wait_starts(24).await;
+        assert_eq!(cluster.machines.moves(), moves);
+        evacuate(&cluster, "north", false).await;
+        cluster.wait_state(0, "a", JobState::Completed).await;
+        assert!(cluster.machines.moves().len() > moves.len());
+    });
+}
+
 /// The row of an evacuation that was undone while there was no owner stayed.
 #[test]
 fn operators_see_the_state_of_an_evacuation() {
--- a/crates/standin/src/machine.rs
+++ b/crates/standin/src/machine.rs
@@ -12,7 +12,7 @@
 use redwing_engine::services::{
     LeaseHolder, ListedMachine, MachineClient, MachineOutcome, MachineState,
 };
-use redwing_jobs::name::{MachineName, PoolName};
+use redwing_jobs::name::{DataCentre, MachineName, PoolName};
 use redwing_jobs::spec::ResourceAmount;
 use redwing_provider::{Error, LocalFuture, Result};
 use tokio::time as timer;
@@ -50,6 +50,9 @@
     fault: MachineFault,
     most_down: usize,
     orders: Vec<MachineName>,
+    moves: Vec<MachineName>,
+    data_centre: Option<DataCentre>,
+    capacity: ResourceAmount,
 }
 
 /// Machine service in memory; clones share the machines.
@@ -82,6 +85,18 @@
         }
     }
 
+    /// Sets the data centre and the capacity of all machines.
+    pub fn set_machines(&self, data_centre: Option<DataCentre>, capacity: ResourceAmount) {
+        let mut state = self.state.borrow_mut();
+        state.data_centre = data_centre;
+        state.capacity = capacity;
+    }
+
+    /// Returns the machines of all orders to move, in the order of arrival.
+    pub fn moves(&self) -> Vec<MachineName> {
+        self.state.borrow().moves.clone()
+    }
+
     /// Sets the faults of the service.
     pub fn set_fault(&self, fault: MachineFault) {
         self.state.borrow_mut().fault = fault;
@@ -117,14 +132,14 @@
         let listed = listed.map(|(name, machine)| ListedMachine {
             name: name.clone(),
             pool: machine.pool.clone(),
-            data_centre: None,
+            data_centre: state.data_centre.clone(),
             state: if machine.is_down() {
                 MachineState::Maintenance
             } else {
                 MachineState::Up
             },
             worker: None,
-            capacity: ResourceAmount::default(),
+            capacity: state.capacity,
             labels: Vec::new(),
         });
         listed.collect()
@@ -188,6 +203,7 @@
         machine: &'a MachineName,
         pool: &'a PoolName,
     ) -> LocalFuture<'a, Result<MachineOutcome>> {
+        self.state.borrow_mut().moves.push(machine.clone());
         let token = holder.fencing_token;
         Box::pin(self.order(move |service| {
             service.execute(token, machine, |entry| {
