--- a/crates/ctl/src/platform.rs
+++ b/crates/ctl/src/platform.rs
@@ -4,7 +4,7 @@
 use std::path;
 use std::time;
 
-use redwing_platform_standin::settings::FleetSettings;
+use redwing_platform_standin::settings::{BoundSettings, FleetSettings};
 use redwing_platform_standin::{self as standin, StandinSettings};
 
 use crate::command::{CommandEntry, ExitStatus};
@@ -23,7 +23,8 @@
 /// Largest number of machines of a pool.
 const MAX_MACHINES: i64 = 1_000;
 
-/// Longest duration of a task, in milliseconds.
+/// Longest duration of a task, and longest time for which a worker is cold, in
+/// milliseconds.
 const MAX_TASK_MS: i64 = 600_000;
 
 fn define() -> clap::Command {
@@ -83,6 +84,18 @@
             fleet.racks.into(),
             1..=MAX_MACHINES,
         ))
+        .arg(number(
+            "data-centres",
+            "Number of data centres over which the racks are distributed",
+            fleet.data_centres.into(),
+            1..=MAX_MACHINES,
+        ))
+        .arg(number(
+            "cold-ms",
+            "Time for which a worker that has started is cold, in milliseconds",
+            defaults.bounds.cold_duration.as_millis() as i64,
+            0..=MAX_TASK_MS,
+        ))
         .arg(number(
             "task-ms",
             "Duration of a task whose job names none, in milliseconds",
@@ -131,9 +144,14 @@
             workers: integer("workers") as u32,
             spares: integer("spares") as u32,
             racks: integer("racks") as u32,
+            data_centres: integer("data-centres") as u32,
             task_duration: time::Duration::from_millis(integer("task-ms") as u64),
             ..defaults.fleet
         },
+        bounds: BoundSettings {
+            cold_duration: time::Duration::from_millis(integer("cold-ms") as u64),
+            ..defaults.bounds
+        },
         ..defaults
     }
 }
