Give no requests to evacuated data centres in the scheduler

Cause: the scheduler of the request path did not know data centres.

Change: it is told the data centre of each VM and the evacuated data centres. A VM of one of them counts as not serving: it gets no request and its slots are neither used nor lent; running requests end by themselves. A change updates only the VMs that it concerns. A scheduler that is held sends nothing and refuses new requests at once, for a process that cannot know the evacuations.

--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod clock;
 pub mod demand;
 pub mod estimate;
+pub mod evacuation;
 pub mod fair_queue;
 pub mod ledger;
 pub mod message;
--- a/crates/policy/src/scheduler/admission.rs
+++ b/crates/policy/src/scheduler/admission.rs
@@ -43,7 +43,7 @@
         let Some(target) = self.view.declaration.queues.get(&ticket.class) else {
             return Err(RefusalReason::NoCapacity);
         };
-        if self.workers.total(&ticket.class) == 0 {
+        if self.is_held || self.workers.total(&ticket.class) == 0 {
             return Err(RefusalReason::NoCapacity);
         }
         if ticket.deadline <= now {
--- a/crates/policy/src/scheduler/dispatch.rs
+++ b/crates/policy/src/scheduler/dispatch.rs
@@ -74,7 +74,7 @@
     /// Dispatches or refuses one waiting request of `class`, or transfers one
     /// free slot to a peer; returns false once neither is possible.
     fn dispatch_next(&mut self, now: NodeTime, class: &ClassName) -> bool {
-        if self.suspended || !self.workers.has_free(class) {
+        if self.suspended || self.is_held || !self.workers.has_free(class) {
             return false;
         }
         if self.should_yield_slot(class) {
--- a/crates/policy/src/scheduler/mod.rs
+++ b/crates/policy/src/scheduler/mod.rs
@@ -3,6 +3,7 @@
 mod admission;
 mod attempt;
 mod dispatch;
+mod evacuation;
 mod peers;
 mod refusal;
 mod request;
@@ -19,6 +20,7 @@
 
 use crate::clock::NodeTime;
 use crate::demand::DemandReporter;
+use crate::evacuation::EvacuationMap;
 use crate::fair_queue::UNDECLARED_SHARE;
 use crate::ledger::{TokenCounts, TokenLedger};
 use crate::message::PeerMessage;
@@ -150,6 +152,7 @@
     node: NodeIncarnation,
     view: FleetView,
     suspended: bool,
+    is_held: bool,
     leaving: bool,
     classes: BTreeMap<ClassName, ClassState>,
     customer_classes: HashMap<CustomerName, Vec<ClassName>>,
@@ -160,6 +163,7 @@
     overrun_checks: BinaryHeap<cmp::Reverse<(NodeTime, TicketId)>>,
     ledger: TokenLedger,
     workers: WorkerIndex,
+    evacuations: EvacuationMap,
     detector: OutlierDetector,
     budget: RetryBudget,
     links: BTreeMap<NodeIncarnation, PeerLink>,
@@ -189,6 +193,7 @@
             node,
             view: FleetView::default(),
             suspended: false,
+            is_held: false,
             leaving: false,
             classes: BTreeMap::new(),
             customer_classes: HashMap::new(),
@@ -199,6 +204,7 @@
             overrun_checks: BinaryHeap::new(),
             ledger: TokenLedger::default(),
             workers: WorkerIndex::default(),
+            evacuations: EvacuationMap::default(),
             detector: OutlierDetector::default(),
             budget: RetryBudget::new(),
             links: BTreeMap::new(),
@@ -398,16 +404,24 @@
         let bound = self.settings.slots_per_worker;
         let ledger = &self.ledger;
         let detector = &self.detector;
+        let evacuations = &self.evacuations;
         self.workers = WorkerIndex::new(
             &self.view.workers,
             |vm| running.get(vm).copied().unwrap_or(0),
             |vm| ledger.available(&TokenPool::Slot(vm.clone()), bound),
             |vm| detector.health(vm),
+            |vm| evacuations.is_evacuated(vm),
         );
         let workers = &self.workers;
         self.detector.retain(|vm| workers.get(vm).is_some());
+        self.update_slots();
+    }
+
+    /// Updates the slots of the queues to the backend servers that serve.
+    fn update_slots(&mut self) {
+        let bound = self.settings.slots_per_worker;
         for (class, state) in &mut self.classes {
-            let serving = u32::try_from(workers.serving(class)).unwrap_or(u32::MAX);
+            let serving = u32::try_from(self.workers.serving(class)).unwrap_or(u32::MAX);
             state.queue.set_slots(serving.saturating_mul(bound));
         }
     }
--- a/crates/policy/src/worker_index.rs
+++ b/crates/policy/src/worker_index.rs
@@ -37,6 +37,7 @@
     free: u32,
     last_use: u64,
     health: WorkerHealth,
+    is_evacuated: bool,
 }
 
 /// Backend servers with free slots by class, in selection order.
@@ -46,6 +47,10 @@
     by_vm: HashMap<VmId, usize>,
     by_class: HashMap<ClassName, ClassWorkers>,
     use_count: u64,
+    /// Number of backend servers of evacuated data centres.
+    evacuated_total: usize,
+    /// Number of attempts of this process that run on them.
+    evacuated_running: usize,
 }
 
 /// Backend servers of one class.
@@ -59,28 +64,34 @@
 impl WorkerIndex {
     /// Creates an index of `workers`; `running`, `free` and `health` return for
     /// each VM the number of running attempts of this process, the number of its
-    /// free slot tokens and its health.
+    /// free slot tokens and its health, and `is_evacuated` whether its data centre is
+    /// evacuated.
     pub fn new(
         workers: &[WorkerView],
         running: impl Fn(&VmId) -> u32,
         free: impl Fn(&VmId) -> u32,
         health: impl Fn(&VmId) -> WorkerHealth,
+        is_evacuated: impl Fn(&VmId) -> bool,
     ) -> Self {
         let mut index = Self::default();
         for view in workers {
             index.by_vm.insert(view.vm.clone(), index.workers.len());
-            for class in &view.classes {
-                let class_workers = index.by_class.entry(class.clone()).or_default();
-                class_workers.total += 1;
-                class_workers.serving += usize::from(view.serving);
-            }
-            index.workers.push(WorkerEntry {
+            let entry = WorkerEntry {
                 view: view.clone(),
                 running: running(&view.vm),
                 free: free(&view.vm),
                 last_use: 0,
                 health: health(&view.vm),
-            });
+                is_evacuated: is_evacuated(&view.vm),
+            };
+            for class in &view.classes {
+                let class_workers = index.by_class.entry(class.clone()).or_default();
+                class_workers.total += 1;
+                class_workers.serving += usize::from(entry.is_serving());
+            }
+            index.evacuated_total += usize::from(entry.is_evacuated);
+            index.evacuated_running += entry.evacuated_running();
+            index.workers.push(entry);
             index.insert(index.workers.len() - 1);
         }
         index
@@ -159,6 +170,35 @@
         self.update(vm, |entry| entry.health = health);
     }
 
+    /// Sets whether the data centre of `vm` is evacuated.
+    pub fn set_evacuated(&mut self, vm: &VmId, is_evacuated: bool) {
+        let Some(&worker) = self.by_vm.get(vm) else {
+            return;
+        };
+        let before = &self.workers[worker];
+        let was_serving = before.is_serving();
+        self.evacuated_total -= usize::from(before.is_evacuated);
+        self.update(vm, |entry| entry.is_evacuated = is_evacuated);
+        let entry = &self.workers[worker];
+        self.evacuated_total += usize::from(is_evacuated);
+        for class in &entry.view.classes {
+            if let Some(class_workers) = self.by_class.get_mut(class) {
+                let others = class_workers.serving - usize::from(was_serving);
+                class_workers.serving = others + usize::from(entry.is_serving());
+            }
+        }
+    }
+
+    /// Returns the number of backend servers of evacuated data centres.
+    pub fn evacuated_total(&self) -> usize {
+        self.evacuated_total
+    }
+
+    /// Returns the number of attempts of this process that run in evacuated data centres.
+    pub fn evacuated_running(&self) -> usize {
+        self.evacuated_running
+    }
+
     fn update(&mut self, vm: &VmId, change: impl FnOnce(&mut WorkerEntry)) {
         let Some(&worker) = self.by_vm.get(vm) else {
             return;
@@ -172,7 +212,9 @@
                 }
             }
         }
+        self.evacuated_running -= entry.evacuated_running();
         change(&mut self.workers[worker]);
+        self.evacuated_running += self.workers[worker].evacuated_running();
         self.insert(worker);
     }
 
@@ -191,13 +233,26 @@
 }
 
 impl WorkerEntry {
+    /// Returns whether the backend server may get new requests.
+    fn is_serving(&self) -> bool {
+        self.view.serving && !self.is_evacuated
+    }
+
     fn is_eligible(&self) -> bool {
         let allowed = match self.health {
             WorkerHealth::Healthy => true,
             WorkerHealth::Probing => self.running == 0,
             WorkerHealth::Ejected(_) => false,
         };
-        allowed && self.free > 0 && self.view.serving
+        allowed && self.free > 0 && self.is_serving()
+    }
+
+    /// Returns the number of running attempts, if the data centre is evacuated.
+    fn evacuated_running(&self) -> usize {
+        if self.is_evacuated {
+            return self.running as usize;
+        }
+        0
     }
 
     fn key(&self, worker: usize) -> SelectionKey {
