--- a/crates/ctl/src/output.rs
+++ b/crates/ctl/src/output.rs
@@ -176,6 +176,8 @@
         ChangeKind::WithdrawKey { hash } => format!("withdraw key {}", hash.to_hex()),
         ChangeKind::GrantOperator { name, .. } => format!("grant operator {name}"),
         ChangeKind::WithdrawOperator { hash } => format!("withdraw operator {}", hash.to_hex()),
+        ChangeKind::Evacuate { data_centre, .. } => format!("evacuate {data_centre}"),
+        ChangeKind::UndoEvacuation { data_centre } => format!("undo evacuation of {data_centre}"),
     }
 }
 
@@ -201,6 +203,9 @@
             "majority-reachable {}",
             yes_no(status.majority_reachable)
         )?;
+        for data_centre in &status.evacuated {
+            write!(formatter, "\nevacuated {data_centre}")?;
+        }
         for member in &status.members {
             write!(
                 formatter,
--- a/crates/model/src/admin.rs
+++ b/crates/model/src/admin.rs
@@ -16,6 +16,9 @@
 //! | `GET /v1/admin/operators` | list of [`OperatorView`] |
 //! | `POST /v1/admin/operators`, [`OperatorRequest`] | [`ChangeResponse`] with the secret |
 //! | `DELETE /v1/admin/operators/HASH` | [`ChangeResponse`] |
+//! | `GET /v1/admin/evacuations` | list of [`EvacuationView`] |
+//! | `POST /v1/admin/evacuations/DATA-CENTRE`, [`EvacuationRequest`] or empty | [`ChangeResponse`] |
+//! | `DELETE /v1/admin/evacuations/DATA-CENTRE` | [`ChangeResponse`] |
 //! | `GET /v1/admin/status` | [`NodeStatus`] |
 //! | `GET /v1/admin/audit[?FILTERS]` | one [`AuditEntry`] per line |
 //! | `GET /v1/admin/rollouts/POOL` | status of the pool's roll-out |
@@ -23,15 +26,15 @@
 //! | `GET /v1/admin/explain/vm\|pool\|class/NAME` | decision with its inputs |
 //!
 //! The status of a [`ChangeResponse`] is 200 for `accepted`, 202 for `pending`,
-//! 409 for a conflict, 422 for an invalid declaration, 503 if the table could
-//! not be reached. Other failures are [`ProblemReport`]s.
+//! 404 for an unknown object, 409 for a conflict, 422 for an invalid declaration,
+//! 503 if the table could not be reached. Other failures are [`ProblemReport`]s.
 
 use serde::{Deserialize, Serialize};
 
 use crate::access::KeyHash;
 use crate::diff::FieldDifference;
 use crate::error::{DeclarationError, TextPosition};
-use crate::name::{CustomerName, NodeId, NodeIncarnation, QueueName};
+use crate::name::{CustomerName, DataCentre, NodeId, NodeIncarnation, QueueName};
 
 /// Header that carries the change id.
 pub const CHANGE_ID_HEADER: &str = "redwing-change-id";
@@ -71,6 +74,8 @@
     NotFound,
     /// The change id was already used for a different change.
     IdReused,
+    /// The state in force does not allow the change, whoever requests it.
+    Disallowed,
     /// The table could not be reached; nothing was written.
     Unavailable,
 }
@@ -106,6 +111,13 @@
     /// Digest of the key or token that was granted or withdrawn.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub hash: Option<KeyHash>,
+    /// Whether an accepted change found that what it requests is in force already.
+    #[serde(default, skip_serializing_if = "is_false")]
+    pub unchanged: bool,
+}
+
+fn is_false(value: &bool) -> bool {
+    !*value
 }
 
 /// Error in a declaration, with its position in the text if it has one.
@@ -209,6 +221,20 @@
         /// Digest of the token.
         hash: KeyHash,
     },
+    /// A data centre was evacuated.
+    #[serde(rename_all = "kebab-case")]
+    Evacuate {
+        /// Data centre that gets no new requests.
+        data_centre: DataCentre,
+        /// Whether other data centres may be evacuated at the same time.
+        also: bool,
+    },
+    /// The evacuation of a data centre was undone.
+    #[serde(rename_all = "kebab-case")]
+    UndoEvacuation {
+        /// Data centre that gets requests again.
+        data_centre: DataCentre,
+    },
 }
 
 /// One change in the configuration's history.
@@ -283,6 +309,30 @@
     pub name: String,
 }
 
+/// Request to evacuate a data centre.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "kebab-case", deny_unknown_fields, default)]
+pub struct EvacuationRequest {
+    /// Whether other data centres may be evacuated at the same time.
+    pub also: bool,
+}
+
+/// An evacuation in force.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct EvacuationView {
+    /// Data centre that gets no new requests.
+    pub data_centre: DataCentre,
+    /// Version that began the evacuation.
+    pub version: u64,
+    /// Operator who requested it.
+    pub operator: String,
+    /// Time of the request, in milliseconds since the Unix epoch.
+    pub at_millis: u64,
+    /// Number of VMs in the data centre, as last read by the process.
+    pub vms: u32,
+}
+
 /// Status of one entry process, with its view of the cluster.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(rename_all = "kebab-case")]
@@ -300,6 +350,9 @@
     /// Whether the entry VMs that recently sent messages form a majority,
     /// together with this one.
     pub majority_reachable: bool,
+    /// Evacuated data centres, which get no new requests.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub evacuated: Vec<DataCentre>,
     /// Known entry VMs, including this one.
     pub members: Vec<MemberStatus>,
 }
--- a/crates/node/src/admin/change.rs
+++ b/crates/node/src/admin/change.rs
@@ -149,7 +149,10 @@
 }
 
 /// Returns the draft of the requested change, without a declaration.
-fn draft(request: &AdminRequest, kind: ChangeKind) -> Result<ChangeDraft, AdminResponse> {
+pub(crate) fn draft(
+    request: &AdminRequest,
+    kind: ChangeKind,
+) -> Result<ChangeDraft, AdminResponse> {
     let malformed = |detail: &str| AdminProblem::Malformed.response(detail);
     let header = request.headers.get(CHANGE_ID_HEADER);
     let id = match header {
--- a/crates/node/src/admin/mod.rs
+++ b/crates/node/src/admin/mod.rs
@@ -5,6 +5,7 @@
 //! adds its own. The API runs on the control thread.
 
 mod change;
+pub mod evacuation;
 pub mod message;
 mod read;
 
@@ -22,6 +23,7 @@
 use tokio::sync::Semaphore;
 use tokio::{task, time as timer};
 
+pub use evacuation::{EvacuationRoutes, PlaceSource};
 pub use message::{AdminProblem, AdminRequest, AdminResponse};
 
 use crate::audit;
--- a/crates/node/src/admin/read.rs
+++ b/crates/node/src/admin/read.rs
@@ -143,6 +143,7 @@
             ready: snapshot.ready,
             table_reachable: service.table_reachable(),
             majority_reachable: propagation::is_majority(reachable + 1, peers.peer_count()),
+            evacuated: service.view().evacuations.keys().cloned().collect(),
             members: peers.members(),
         };
         AdminResponse::json(OK, &status)
--- a/crates/node/src/cluster.rs
+++ b/crates/node/src/cluster.rs
@@ -3,12 +3,13 @@
 //! A process registers in the table, exchanges calls with its peers, and runs
 //! membership rounds until it leaves or detects that it was replaced.
 
+use std::collections::HashMap;
 use std::net;
 use std::rc;
 use std::time;
 
 use redwing_membership::EndedSettings;
-use redwing_model::NodeIncarnation;
+use redwing_model::{DataCentre, NodeIncarnation, VmId};
 use redwing_policy::{FleetView, PeerMessage, TokenId};
 use redwing_provider::{LocalFuture, TableRow};
 use tokio::sync::{mpsc, watch};
@@ -270,6 +271,11 @@
 struct ControlPort(ControlHandle);
 
 impl SchedulerPort for ControlPort {
+    fn place(&self, places: HashMap<VmId, DataCentre>) {
+        self.0
+            .run(move |scheduler, now| scheduler.set_places(now, places));
+    }
+
     fn install(&self, view: FleetView) {
         self.0.send(ControlCommand::Install(Box::new(view)));
     }
--- a/crates/node/src/config/change.rs
+++ b/crates/node/src/config/change.rs
@@ -8,7 +8,7 @@
 use serde::Serialize;
 
 use crate::config::row::{self, ChangeRecord, DeclarationRecord, HeadRecord, HistoryRecord};
-use crate::config::row::{KeyRecord, OperatorRecord};
+use crate::config::row::{EvacuationRecord, KeyRecord, OperatorRecord};
 use crate::config::state::ConfigState;
 
 /// Id of a change, chosen by the operator; makes the change idempotent.
@@ -68,7 +68,10 @@
             | ChangeKind::WithdrawKey { hash }
             | ChangeKind::GrantOperator { hash, .. }
             | ChangeKind::WithdrawOperator { hash } => Some(hash),
-            ChangeKind::Apply | ChangeKind::Rollback { .. } => None,
+            ChangeKind::Apply
+            | ChangeKind::Rollback { .. }
+            | ChangeKind::Evacuate { .. }
+            | ChangeKind::UndoEvacuation { .. } => None,
         }
     }
 
@@ -77,6 +80,14 @@
         matches!(self.kind, ChangeKind::Apply | ChangeKind::Rollback { .. })
     }
 
+    /// Returns whether the change begins or undoes an evacuation.
+    pub fn is_evacuation(&self) -> bool {
+        matches!(
+            self.kind,
+            ChangeKind::Evacuate { .. } | ChangeKind::UndoEvacuation { .. }
+        )
+    }
+
     /// Returns the name of the change in the audit trail.
     pub fn action(&self) -> &'static str {
         match self.kind {
@@ -86,6 +97,8 @@
             ChangeKind::WithdrawKey { .. } => "withdraw-key",
             ChangeKind::GrantOperator { .. } => "grant-operator",
             ChangeKind::WithdrawOperator { .. } => "withdraw-operator",
+            ChangeKind::Evacuate { .. } => "evacuate",
+            ChangeKind::UndoEvacuation { .. } => "undo-evacuation",
         }
     }
 
@@ -107,6 +120,8 @@
                 format!("operator/{name}/{}", short(hash))
             }
             ChangeKind::WithdrawOperator { hash } => format!("operator/{}", short(hash)),
+            ChangeKind::Evacuate { data_centre, .. }
+            | ChangeKind::UndoEvacuation { data_centre } => format!("data-centre/{data_centre}"),
         }
     }
 
@@ -124,6 +139,9 @@
             ChangeKind::GrantOperator { name, .. } => format!("grant-operator {name}"),
             ChangeKind::WithdrawKey { hash } => format!("withdraw-key {}", hash.to_hex()),
             ChangeKind::WithdrawOperator { hash } => format!("withdraw-operator {}", hash.to_hex()),
+            // Whether others may be evacuated is a condition, not part of what is requested.
+            ChangeKind::Evacuate { data_centre, .. } => format!("evacuate {data_centre}"),
+            ChangeKind::UndoEvacuation { data_centre } => format!("undo-evacuation {data_centre}"),
         };
         KeyHash::of(&request)
     }
@@ -221,6 +239,17 @@
             ChangeKind::WithdrawOperator { hash } => {
                 Ok(transaction.delete(row::operator_row_key(hash)))
             }
+            ChangeKind::Evacuate { data_centre, .. } => {
+                let record = EvacuationRecord {
+                    version,
+                    operator: self.operator.clone(),
+                    at_millis: self.at_millis,
+                };
+                put(transaction, row::evacuation_row_key(data_centre), &record)
+            }
+            ChangeKind::UndoEvacuation { data_centre } => {
+                Ok(transaction.delete(row::evacuation_row_key(data_centre)))
+            }
         }
     }
 }
--- a/crates/node/src/config/mod.rs
+++ b/crates/node/src/config/mod.rs
@@ -8,6 +8,7 @@
 //! changes and keeps the state current.
 
 pub mod change;
+pub mod evacuation;
 pub mod history;
 pub mod propagation;
 pub mod refresh;
--- a/crates/node/src/config/response.rs
+++ b/crates/node/src/config/response.rs
@@ -7,6 +7,7 @@
 use redwing_model::{FleetDeclaration, declaration};
 
 use crate::config::change::ChangeDraft;
+use crate::config::evacuation::{self, EvacuationVerdict, FleetPlaces};
 use crate::config::state::ConfigView;
 
 /// Returns the name of a status in the audit trail.
@@ -46,6 +47,14 @@
     }
 }
 
+/// Returns the response to a change that finds what it requests in force.
+pub(crate) fn unchanged(draft: &ChangeDraft, detail: String) -> ChangeResponse {
+    ChangeResponse {
+        unchanged: true,
+        ..response_of(draft, ChangeStatus::Accepted, None, detail)
+    }
+}
+
 /// Returns the response to a dry run of a change that would be accepted.
 pub(crate) fn dry_run(draft: &ChangeDraft, view: &ConfigView) -> ChangeResponse {
     let detail = "dry run: nothing was changed".to_owned();
@@ -82,9 +91,13 @@
     }
 }
 
-/// Returns the refusal of a change that is invalid for the configuration in
-/// force.
-pub(crate) fn check(draft: &ChangeDraft, view: &ConfigView) -> Option<ChangeResponse> {
+/// Returns the response to a change that is not made: the refusal of one that is invalid
+/// for the configuration in force, or the acceptance of one that changes nothing.
+pub(crate) fn check(
+    draft: &ChangeDraft,
+    view: &ConfigView,
+    places: &FleetPlaces,
+) -> Option<ChangeResponse> {
     let fleet = &view.declaration;
     match &draft.kind {
         ChangeKind::Apply | ChangeKind::Rollback { .. } => check_declaration(draft),
@@ -110,6 +123,28 @@
             (!granted).then(|| not_found(draft, "no token with this digest is in force"))
         }
         ChangeKind::GrantOperator { .. } => None,
+        ChangeKind::Evacuate { .. } | ChangeKind::UndoEvacuation { .. } => {
+            check_evacuation(draft, view, places)
+        }
+    }
+}
+
+fn check_evacuation(
+    draft: &ChangeDraft,
+    view: &ConfigView,
+    places: &FleetPlaces,
+) -> Option<ChangeResponse> {
+    match evacuation::check(&draft.kind, places, &view.evacuations) {
+        EvacuationVerdict::Allowed => None,
+        EvacuationVerdict::Unchanged(detail) => Some(unchanged(draft, detail)),
+        EvacuationVerdict::UnknownDataCentre(detail) => Some(not_found(draft, &detail)),
+        EvacuationVerdict::Disallowed(detail) => {
+            Some(refused(draft, RefusalCause::Disallowed, detail))
+        }
+        EvacuationVerdict::PlacesUnread => {
+            let detail = "the VMs of the fleet have not been read yet; try again";
+            Some(refused(draft, RefusalCause::Unavailable, detail))
+        }
     }
 }
 
@@ -169,5 +204,6 @@
         conflict: None,
         secret: None,
         hash: draft.hash(),
+        unchanged: false,
     }
 }
--- a/crates/node/src/config/row.rs
+++ b/crates/node/src/config/row.rs
@@ -1,7 +1,7 @@
 //! Table rows of the configuration.
 
 use redwing_model::admin::HistoryEntry;
-use redwing_model::{CustomerName, KeyHash, QueueName};
+use redwing_model::{CustomerName, DataCentre, KeyHash, QueueName};
 use redwing_provider::RowKey;
 use serde::{Deserialize, Serialize};
 
@@ -22,6 +22,7 @@
 
 const KEY_PREFIX: &str = "config/key/";
 const OPERATOR_PREFIX: &str = "config/operator/";
+const EVACUATION_PREFIX: &str = "config/evacuation/";
 
 /// Digits of a version in a key.
 const VERSION_DIGITS: usize = 10;
@@ -78,6 +79,19 @@
     pub version: u64,
 }
 
+/// Row of an evacuation in force. A row that cannot be read evacuates its data centre as
+/// well, with the default content.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "kebab-case", default)]
+pub struct EvacuationRecord {
+    /// Version that began it.
+    pub version: u64,
+    /// Operator who requested it.
+    pub operator: String,
+    /// Time of the request, in milliseconds since the Unix epoch.
+    pub at_millis: u64,
+}
+
 /// Row that maps the id of a change to the version that it created.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(rename_all = "kebab-case")]
@@ -104,7 +118,7 @@
 }
 
 /// Kind of a configuration row, derived from its key.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Eq, PartialEq)]
 pub enum RowKind {
     /// A [`HeadRecord`].
     Head,
@@ -114,6 +128,8 @@
     Key(KeyHash),
     /// An [`OperatorRecord`].
     Operator(KeyHash),
+    /// An [`EvacuationRecord`].
+    Evacuation(DataCentre),
     /// Not a row of the configuration in force.
     Other,
 }
@@ -125,12 +141,17 @@
             let digits = key.as_str().strip_prefix(prefix)?;
             KeyHash::from_hex(digits).ok()
         };
+        let evacuated = || {
+            let name = key.as_str().strip_prefix(EVACUATION_PREFIX)?;
+            DataCentre::new(name).ok()
+        };
         match key.as_str() {
             HEAD_KEY => Self::Head,
             DECLARATION_KEY => Self::Declaration,
             _ => hash_after(KEY_PREFIX)
                 .map(Self::Key)
                 .or_else(|| hash_after(OPERATOR_PREFIX).map(Self::Operator))
+                .or_else(|| evacuated().map(Self::Evacuation))
                 .unwrap_or(Self::Other),
         }
     }
@@ -146,6 +167,11 @@
     RowKey::new(format!("{OPERATOR_PREFIX}{}", hash.to_hex()))
 }
 
+/// Returns the row key of the evacuation of a data centre.
+pub fn evacuation_row_key(data_centre: &DataCentre) -> RowKey {
+    RowKey::new(format!("{EVACUATION_PREFIX}{data_centre}"))
+}
+
 /// Returns the row key of the change with this id.
 pub fn change_row_key(id: &str) -> RowKey {
     RowKey::new(format!("{CHANGE_PREFIX}{}", KeyHash::of(id).to_hex()))
--- a/crates/node/src/config/service.rs
+++ b/crates/node/src/config/service.rs
@@ -1,13 +1,14 @@
 //! Service that changes the configuration and publishes the version in force.
 
 use std::cell;
+use std::collections::BTreeSet;
 use std::rc;
 use std::sync;
 use std::time;
 
 use futures_util::future;
-use redwing_model::KeyHash;
 use redwing_model::admin::{ChangeResponse, RefusalCause};
+use redwing_model::{DataCentre, KeyHash};
 use redwing_provider::{
     CallCause, Category, CommitOutcome, Result, RowKey, TableClient, TableRow, TableTransaction,
 };
@@ -15,10 +16,12 @@
 
 use crate::audit::{AuditDraft, AuditLog};
 use crate::config::change::ChangeDraft;
+use crate::config::evacuation::{self, FleetPlaces};
 use crate::config::propagation::{self, ConfigPropagation};
 use crate::config::response;
 use crate::config::row::{self, ChangeRecord};
 use crate::config::state::{ConfigState, ConfigView, InstallOutcome};
+use crate::evacuation::{DispatchDeadline, EvacuationNotice, EvacuationReceiver, EvacuationSender};
 use crate::event;
 use crate::peer::ConfigSnapshot;
 use crate::snapshot::{FreshnessDeadline, NodeSnapshot, SnapshotSender};
@@ -43,6 +46,9 @@
     pub propagation_interval: time::Duration,
     /// Digest of an operator token that is valid without a grant.
     pub bootstrap: Option<KeyHash>,
+    /// Longest time after the acceptance of an evacuation for which a process that does not
+    /// learn of it may dispatch requests; none if it has no bound.
+    pub evacuation_bound: Option<time::Duration>,
 }
 
 impl Default for ConfigSettings {
@@ -53,10 +59,15 @@
             propagation_timeout: time::Duration::from_secs(5),
             propagation_interval: time::Duration::from_millis(200),
             bootstrap: None,
+            evacuation_bound: None,
         }
     }
 }
 
+/// Time that remains of the bound of an evacuation for a request on its way to a backend
+/// server.
+const EVACUATION_MARGIN: time::Duration = time::Duration::from_secs(1);
+
 /// Name of the operator who presents the bootstrap token.
 pub const BOOTSTRAP_OPERATOR: &str = "bootstrap";
 
@@ -69,6 +80,8 @@
     pub(crate) refresh_requested: channel::Notify,
     pub(crate) freshness: sync::Arc<FreshnessDeadline>,
     snapshots: rc::Rc<SnapshotSender>,
+    evacuations: EvacuationSender,
+    places: cell::RefCell<FleetPlaces>,
     audit: AuditLog,
     change_lock: channel::Mutex<()>,
 }
@@ -90,11 +103,38 @@
             refresh_requested: channel::Notify::new(),
             freshness: sync::Arc::default(),
             snapshots,
+            evacuations: EvacuationSender::default(),
+            places: cell::RefCell::default(),
             audit,
             change_lock: channel::Mutex::new(()),
         }
     }
 
+    /// Publishes the evacuations in force to `evacuations` as well.
+    pub fn with_evacuations(self, evacuations: EvacuationSender) -> Self {
+        let service = Self {
+            evacuations,
+            ..self
+        };
+        service.publish_evacuations(&service.view());
+        service
+    }
+
+    /// Returns a receiver of the evacuations in force.
+    pub fn evacuations(&self) -> EvacuationReceiver {
+        self.evacuations.subscribe()
+    }
+
+    /// Sets where the VMs of the fleet are, by which evacuations are checked.
+    pub fn set_places(&self, places: FleetPlaces) {
+        *self.places.borrow_mut() = places;
+    }
+
+    /// Returns the number of VMs in a data centre, as last read.
+    pub fn vms_in(&self, data_centre: &DataCentre) -> u32 {
+        self.places.borrow().vms(data_centre)
+    }
+
     /// Returns the version in force; 0 if there is none.
     pub fn version(&self) -> u64 {
         self.state.borrow().version()
@@ -153,9 +193,11 @@
         }
     }
 
-    /// Publishes the configuration in force to the traffic threads.
+    /// Publishes the configuration in force: the evacuations before the rest, so that no
+    /// request is admitted under a version whose evacuations the scheduler does not have.
     pub(crate) fn publish(&self) {
         let view = self.view();
+        self.publish_evacuations(&view);
         let accepts_keyed = view.head.version > 0 && self.is_fresh();
         self.snapshots.send_if_modified(|snapshot| {
             let same_version = snapshot.version == view.head.version;
@@ -182,6 +224,42 @@
         });
     }
 
+    fn publish_evacuations(&self, view: &ConfigView) {
+        let evacuated: BTreeSet<DataCentre> = view.evacuations.keys().cloned().collect();
+        let bound = self.settings.evacuation_bound;
+        self.evacuations.send_if_modified(|notice| {
+            let is_same = *notice.evacuated == evacuated;
+            if is_same && notice.deadline.is_some() == bound.is_some() {
+                return false;
+            }
+            for data_centre in evacuated.symmetric_difference(&notice.evacuated) {
+                let action = match evacuated.contains(data_centre) {
+                    true => "evacuated",
+                    false => "no longer evacuated",
+                };
+                log_event!(
+                    warn,
+                    event::EVACUATION_INSTALLED,
+                    "data centre {data_centre} is {action} as of version {}",
+                    view.head.version
+                );
+            }
+            let margin = bound.map(|bound| bound.saturating_sub(self.shortest_evacuation_bound()));
+            let deadline =
+                margin.map(|margin| DispatchDeadline::new(self.freshness.clone(), margin));
+            *notice = EvacuationNotice {
+                evacuated: sync::Arc::new(evacuated),
+                deadline,
+            };
+            true
+        });
+    }
+
+    /// Returns the shortest bound of an evacuation that a process can keep.
+    fn shortest_evacuation_bound(&self) -> time::Duration {
+        self.settings.freshness_limit + EVACUATION_MARGIN
+    }
+
     /// Returns whether the process recently verified that it has the latest
     /// accepted version.
     pub fn is_fresh(&self) -> bool {
@@ -287,8 +365,11 @@
                 return Ok(Some(self.repeated_response(draft, existing).await));
             }
         }
-        if let Some(refusal) = self.check(draft).await? {
-            return Ok(refresh_first.then_some(refusal));
+        if let Some(response) = self.check(draft).await? {
+            if !refresh_first {
+                return Ok(None);
+            }
+            return Ok(Some(self.confirm_unchanged(draft, response).await));
         }
         let base = self.state.borrow().clone();
         let transaction = draft.transaction(&base);
@@ -318,12 +399,12 @@
         }
     }
 
-    /// Returns the refusal of a change that is invalid for the configuration in
-    /// force.
+    /// Returns the response to a change that is not made, because it is invalid for the
+    /// configuration in force or changes nothing.
     async fn check(&self, draft: &ChangeDraft) -> Result<Option<ChangeResponse>> {
         let view = self.view();
-        if let Some(refusal) = response::check(draft, &view) {
-            return Ok(Some(refusal));
+        if let Some(response) = response::check(draft, &view, &self.places.borrow()) {
+            return Ok(Some(response));
         }
         match draft.base_version {
             Some(base) if base != view.head.version && draft.replaces_declaration() => {
@@ -373,9 +454,33 @@
         let has_majority = self.propagate_to_majority(&rows, version).await;
         let mut response = response::committed(draft, version, has_majority);
         response.differences = response::differences(&before, draft);
+        let places = self.places.borrow();
+        let consequence = evacuation::consequence(&draft.kind, &places, &before.evacuations);
+        append(&mut response, consequence);
+        if self.version() > version {
+            let reversal = evacuation::reversal(&draft.kind, &self.view().evacuations);
+            append(&mut response, reversal);
+        }
         response
     }
 
+    /// Returns the response to a change that is not made; one that finds what it requests in
+    /// force is accepted only if a majority of members has it.
+    async fn confirm_unchanged(
+        &self,
+        draft: &ChangeDraft,
+        response: ChangeResponse,
+    ) -> ChangeResponse {
+        if !response.unchanged {
+            return response;
+        }
+        let rows = self.state.borrow().latest_change_rows();
+        match self.propagate_to_majority(&rows, self.version()).await {
+            true => response,
+            false => response::pending(draft, None, &response.detail),
+        }
+    }
+
     /// Returns the response to a change whose id is already in the table.
     async fn repeated_response(&self, draft: &ChangeDraft, existing: &TableRow) -> ChangeResponse {
         let record = existing.value.as_deref().unwrap_or_default();
@@ -390,6 +495,11 @@
             );
             return response::refused(draft, RefusalCause::IdReused, detail);
         }
+        if draft.is_evacuation() {
+            // A later change may have reversed this one; without the table, the response
+            // does not tell.
+            let _ = self.refresh().await;
+        }
         // Peers that cannot install these rows read the table instead.
         let rows = self.state.borrow().latest_change_rows();
         let has_majority = self.propagate_to_majority(&rows, record.version).await;
@@ -401,6 +511,12 @@
                 .detail
                 .push_str("; the secret is shown only in the response to the original grant");
         }
+        if self.version() > record.version {
+            append(
+                &mut response,
+                evacuation::reversal(&draft.kind, &self.view().evacuations),
+            );
+        }
         response
     }
 
@@ -422,6 +538,14 @@
     }
 }
 
+/// Appends a remark to the detail of a response.
+fn append(response: &mut ChangeResponse, remark: Option<String>) {
+    if let Some(remark) = remark {
+        response.detail.push_str("; ");
+        response.detail.push_str(&remark);
+    }
+}
+
 /// Returns the rows in force that the transaction wrote or deleted.
 fn written_rows(transaction: &TableTransaction, commit: u64) -> Vec<TableRow> {
     let in_force = |key: &RowKey| key.as_str().starts_with(row::CONFIG_PREFIX);
--- a/crates/node/src/config/state.rs
+++ b/crates/node/src/config/state.rs
@@ -3,13 +3,14 @@
 use std::collections::{BTreeMap, HashMap};
 use std::sync;
 
-use redwing_model::{FleetDeclaration, KeyHash, declaration};
+use redwing_model::{DataCentre, FleetDeclaration, KeyHash, declaration};
 use redwing_provider::table::TableView;
 use redwing_provider::{RowKey, TableRow};
 use serde::Deserialize;
 
 use crate::config::row::{
-    CONFIG_PREFIX, DeclarationRecord, HEAD_KEY, HeadRecord, KeyRecord, OperatorRecord, RowKind,
+    CONFIG_PREFIX, DeclarationRecord, EvacuationRecord, HEAD_KEY, HeadRecord, KeyRecord,
+    OperatorRecord, RowKind,
 };
 use crate::peer::ConfigSnapshot;
 use crate::snapshot::KeyGrant;
@@ -58,6 +59,8 @@
     pub keys: sync::Arc<HashMap<KeyHash, KeyGrant>>,
     /// Names of operators, by digest of their tokens.
     pub operators: sync::Arc<HashMap<KeyHash, String>>,
+    /// Evacuations in force, by data centre.
+    pub evacuations: sync::Arc<BTreeMap<DataCentre, EvacuationRecord>>,
 }
 
 impl ConfigState {
@@ -224,6 +227,7 @@
     let mut view = ConfigView::default();
     let mut keys = HashMap::new();
     let mut operators = HashMap::new();
+    let mut evacuations = BTreeMap::new();
     for row in rows.values() {
         match RowKind::of(&row.key) {
             RowKind::Head => view.head = parse_row(row)?,
@@ -238,11 +242,15 @@
                 let record: OperatorRecord = parse_row(row)?;
                 operators.insert(hash, record.name);
             }
+            RowKind::Evacuation(data_centre) => {
+                evacuations.insert(data_centre, parse_row(row).unwrap_or_default());
+            }
             RowKind::Other => {}
         }
     }
     view.keys = sync::Arc::new(keys);
     view.operators = sync::Arc::new(operators);
+    view.evacuations = sync::Arc::new(evacuations);
     Ok(view)
 }
 
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -20,6 +20,7 @@
 use redwing_provider::PlatformServices;
 use tokio::sync::{mpsc, oneshot, watch};
 
+use crate::evacuation::{DispatchDeadline, EvacuationReceiver};
 use crate::event;
 use crate::metrics::SchedulerMetrics;
 use crate::settings::{self, NodeSettings};
@@ -196,6 +197,14 @@
         result.await.ok()
     }
 
+    /// Calls `work` with the scheduler, without waiting for it.
+    pub fn run<F>(&self, work: F)
+    where
+        F: FnOnce(&mut NodeScheduler, NodeTime) + Send + 'static,
+    {
+        self.send(ControlCommand::Call(SchedulerCall(Box::new(work))));
+    }
+
     /// Refuses new requests and waits until no request waits or runs.
     pub async fn leave(&self) {
         let (sender, done) = oneshot::channel();
@@ -229,6 +238,8 @@
     pub handle: ControlHandle,
     /// Gauges of the scheduler's state, if they are exported.
     pub metrics: Option<SchedulerMetrics>,
+    /// Receiver of the evacuations in force, if there are any.
+    pub evacuations: Option<EvacuationReceiver>,
     commands: mpsc::UnboundedReceiver<ControlCommand>,
 }
 
@@ -244,6 +255,7 @@
         Self {
             handle,
             metrics: None,
+            evacuations: None,
             commands,
         }
     }
@@ -264,6 +276,9 @@
             last_active: handle.clock.now(),
             last_active_wall: time::SystemTime::now(),
             metrics: self.metrics,
+            evacuations: self.evacuations,
+            dispatch_deadline: None,
+            is_held: false,
             verdict_senders: HashMap::new(),
             running: 0,
             leave_waiters: Vec::new(),
@@ -279,6 +294,9 @@
     scheduler: NodeScheduler,
     clock: NodeClock,
     metrics: Option<SchedulerMetrics>,
+    evacuations: Option<EvacuationReceiver>,
+    dispatch_deadline: Option<DispatchDeadline>,
+    is_held: bool,
     verdict_senders: HashMap<TicketId, VerdictSender>,
     running: usize,
     pause_limit: time::Duration,
@@ -301,6 +319,7 @@
                         return;
                     };
                     self.check_pause(self.clock.now());
+                    self.follow_evacuations(self.clock.now());
                     self.handle(command);
                     self.handle_queued(&mut commands);
                 }
@@ -308,6 +327,7 @@
             }
             let now = self.clock.now();
             self.check_pause(now);
+            self.follow_evacuations(now);
             if now.saturating_since(last_tick) >= period {
                 self.scheduler.tick(now);
                 last_tick = now;
@@ -344,6 +364,31 @@
         self.last_active_wall = wall;
     }
 
+    /// Passes a change of the evacuations to the scheduler, and holds it while the
+    /// configuration is too old to know them.
+    fn follow_evacuations(&mut self, now: NodeTime) {
+        let Some(evacuations) = &mut self.evacuations else {
+            return;
+        };
+        // Once the sender is gone, the process is ending.
+        if evacuations.has_changed().unwrap_or(false) {
+            let notice = evacuations.borrow_and_update().clone();
+            self.scheduler.set_evacuations(now, &notice.evacuated);
+            self.dispatch_deadline = notice.deadline;
+        }
+        let deadline = self.dispatch_deadline.as_ref();
+        let is_held = deadline.is_some_and(|deadline| !deadline.allows(time::Instant::now()));
+        if is_held != self.is_held {
+            log_event!(
+                warn,
+                event::DISPATCH_HELD,
+                "requests are held back because the configuration is too old: {is_held}"
+            );
+            self.is_held = is_held;
+            self.scheduler.set_held(now, is_held);
+        }
+    }
+
     fn update_metrics(&self) {
         if let Some(metrics) = &self.metrics {
             metrics.update(&self.scheduler);
--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -66,6 +66,10 @@
     CONFIG_UNREAD = 202 "config-unread";
     /// The process started or stopped accepting requests with keys.
     KEYED_WORK_CHANGED = 203 "keyed-work-changed";
+    /// An evacuation of a data centre began or ended at this process.
+    EVACUATION_INSTALLED = 204 "evacuation-installed";
+    /// The process stopped or resumed sending requests, by the age of its configuration.
+    DISPATCH_HELD = 205 "dispatch-held";
     /// Entries of the audit trail could not be written yet.
     AUDIT_DELAYED = 210 "audit-delayed";
     /// Entries of the audit trail were dropped because the buffer is full.
--- a/crates/node/src/fleet.rs
+++ b/crates/node/src/fleet.rs
@@ -1,10 +1,10 @@
 //! Backend servers from the table's VM rows and the platform's VM list.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 use redwing_model::vm::VmPhase;
 use redwing_model::vm::VmRecord;
-use redwing_model::{ClassName, FleetDeclaration, NodeId, PoolName, VmId};
+use redwing_model::{ClassName, DataCentre, FleetDeclaration, NodeId, PoolName, VmId};
 use redwing_policy::scheduler::WorkerView;
 use redwing_provider::{ListedStatus, ListedVm, VmRole};
 
@@ -57,6 +57,14 @@
         .collect()
 }
 
+/// Returns the data centres of the VMs.
+pub fn data_centres(records: &[VmRecord]) -> HashMap<VmId, DataCentre> {
+    let identities = records.iter().map(|record| &record.identity);
+    identities
+        .map(|identity| (identity.vm.clone(), identity.data_centre.clone()))
+        .collect()
+}
+
 /// Returns the scheduler's view of the backend servers, each with the classes of
 /// its pool.
 ///
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod dispatch;
 pub mod embedded;
 pub mod error;
+pub mod evacuation;
 pub mod exchange;
 mod flag;
 pub mod fleet;
--- a/crates/node/src/maintenance/mod.rs
+++ b/crates/node/src/maintenance/mod.rs
@@ -20,14 +20,16 @@
 pub use service::MaintenanceService;
 
 use std::cell::RefCell;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::rc;
 use std::sync;
 
 use redwing_model::vm::VmIdentity;
-use redwing_model::{ClassName, FleetDeclaration, VmId};
+use redwing_model::{ClassName, DataCentre, FleetDeclaration, VmId};
 use redwing_planner::{FleetRows, PlannerSettings, PlannerView, VmObservation};
 
+use crate::evacuation::EvacuationReceiver;
+
 /// Inputs of the last maintenance round of one process, read by the operator API.
 #[derive(Clone, Debug, Default)]
 pub struct MaintenanceState {
@@ -43,6 +45,8 @@
     pub unassigned: Vec<VmIdentity>,
     /// Sustained demand of each class, in slots.
     pub demand: BTreeMap<ClassName, f64>,
+    /// Evacuated data centres.
+    pub evacuated: sync::Arc<BTreeSet<DataCentre>>,
     /// Whether the VM list is recent enough to plan with.
     pub list_recent: bool,
     /// Settings of the planner.
@@ -50,6 +54,11 @@
 }
 
 impl MaintenanceState {
+    /// Takes over the evacuations in force.
+    pub(crate) fn follow(&mut self, evacuations: &EvacuationReceiver) {
+        self.evacuated = sync::Arc::clone(&evacuations.borrow().evacuated);
+    }
+
     /// Returns the state as input of the planner.
     pub fn view(&self) -> PlannerView<'_> {
         PlannerView {
@@ -59,6 +68,7 @@
             observations: &self.observations,
             unassigned: &self.unassigned,
             demand: &self.demand,
+            evacuated: &self.evacuated,
             list_recent: self.list_recent,
         }
     }
--- a/crates/node/src/maintenance/runner.rs
+++ b/crates/node/src/maintenance/runner.rs
@@ -20,6 +20,7 @@
 use tokio::sync::watch;
 
 use crate::audit::{AuditDraft, AuditLog};
+use crate::evacuation::EvacuationReceiver;
 use crate::event;
 use crate::maintenance::observe::{
     DemandMeter, ListTracker, ObservationInputs, SchedulerUsage, UsageReport, probe_vms,
@@ -94,6 +95,7 @@
     unused_since: BTreeMap<VmId, (u64, PlanTime)>,
     turns: TurnTracker,
     audit: Option<AuditLog>,
+    evacuations: Option<EvacuationReceiver>,
 }
 
 impl MaintenanceRunner {
@@ -125,6 +127,7 @@
             unused_since: BTreeMap::new(),
             turns: TurnTracker::default(),
             audit: None,
+            evacuations: None,
         }
     }
 
@@ -134,6 +137,12 @@
         self
     }
 
+    /// Plans around the evacuations in force.
+    pub fn with_evacuations(mut self, evacuations: EvacuationReceiver) -> Self {
+        self.evacuations = Some(evacuations);
+        self
+    }
+
     /// Returns the state shared with the operator API.
     pub fn state(&self) -> SharedState {
         rc::Rc::clone(&self.state)
@@ -271,6 +280,9 @@
         let state = &mut *self.state.borrow_mut();
         state.config_version = version;
         state.declaration = sync::Arc::clone(declaration);
+        if let Some(evacuations) = &self.evacuations {
+            state.follow(evacuations);
+        }
     }
 
     /// Returns the rank of this process among the members, in the order of names.
--- a/crates/node/src/maintenance/service.rs
+++ b/crates/node/src/maintenance/service.rs
@@ -10,6 +10,9 @@
 use redwing_provider::table::CommitOutcome;
 use redwing_provider::{Category, Error, Result, RowKey, TableStore};
 
+use crate::admin::PlaceSource;
+use crate::config::evacuation::FleetPlaces;
+use crate::evacuation::EvacuationReceiver;
 use crate::event;
 use crate::maintenance::rows;
 use crate::maintenance::{MaintenanceState, SharedState};
@@ -22,12 +25,25 @@
 pub struct MaintenanceService {
     state: SharedState,
     table: rc::Rc<dyn TableStore>,
+    evacuations: Option<EvacuationReceiver>,
 }
 
 impl MaintenanceService {
     /// Creates a service that reads the state of a runner.
     pub fn new(state: SharedState, table: rc::Rc<dyn TableStore>) -> Self {
-        Self { state, table }
+        Self {
+            state,
+            table,
+            evacuations: None,
+        }
+    }
+
+    /// Explains with the evacuations in force, which may be newer than the last round.
+    pub fn with_evacuations(self, evacuations: EvacuationReceiver) -> Self {
+        Self {
+            evacuations: Some(evacuations),
+            ..self
+        }
     }
 
     /// Returns the progress of the pool's roll-out from the last round, or `None`
@@ -56,6 +72,9 @@
 
     /// Explains the current maintenance decisions for a VM, pool or class.
     pub fn explain(&self, now: PlanTime, subject: &Subject) -> Option<Explanation> {
+        if let Some(evacuations) = &self.evacuations {
+            self.state.borrow_mut().follow(evacuations);
+        }
         let state = self.state.borrow();
         explain::explain(now, &state.settings, &state.view(), subject)
     }
@@ -144,6 +163,14 @@
     }
 }
 
+impl PlaceSource for MaintenanceService {
+    fn places(&self) -> FleetPlaces {
+        let rows = rc::Rc::clone(&self.state.borrow().rows);
+        let records = rows.vms.values().map(|row| &row.value);
+        FleetPlaces::new(records.map(|record| (&record.pool, &record.identity.data_centre)))
+    }
+}
+
 fn status(state: &MaintenanceState, now: PlanTime, pool: &PoolName) -> Option<RolloutStatus> {
     let drain = state.declaration.pools.get(pool)?.drain_seconds;
     let outage = explain::expected_outage(&state.settings, drain);
--- a/crates/node/src/membership.rs
+++ b/crates/node/src/membership.rs
@@ -6,14 +6,14 @@
 //! the versions read, so that concurrent, late and repeated rounds are safe.
 
 use std::cell::RefCell;
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::rc;
 
 use redwing_membership::{
     EndedSettings, EndedTracker, MemberRecord, MembershipSnapshot, OwnerAssignment,
     OwnershipRecord, member,
 };
-use redwing_model::{FleetDeclaration, NodeId, NodeIncarnation};
+use redwing_model::{DataCentre, FleetDeclaration, NodeId, NodeIncarnation, VmId};
 use redwing_policy::{FleetView, NodeTime, TokenId, TokenPool};
 use redwing_provider::builder::{TransactionBuilder, UnitFit};
 use redwing_provider::table::CommitOutcome;
@@ -54,6 +54,9 @@
 
 /// Scheduler operations that the membership uses.
 pub trait SchedulerPort {
+    /// Replaces the data centres of the VMs.
+    fn place(&self, _places: HashMap<VmId, DataCentre>) {}
+
     /// Replaces the scheduler's view of the fleet.
     fn install(&self, view: FleetView);
 
@@ -110,6 +113,8 @@
     released: BTreeSet<TokenId>,
     /// View last installed in the scheduler; `None` if it must be installed again.
     installed_view: RefCell<Option<FleetView>>,
+    /// Data centres of the VMs as last passed to the scheduler.
+    installed_places: RefCell<HashMap<VmId, DataCentre>>,
 }
 
 impl MembershipRunner {
@@ -136,6 +141,7 @@
             fully_settled: BTreeSet::new(),
             released: BTreeSet::new(),
             installed_view: RefCell::new(None),
+            installed_places: RefCell::default(),
         }
     }
 
@@ -259,6 +265,12 @@
             peers: peers.iter().map(|peer| peer.incarnation.clone()).collect(),
             owned_tokens: self.usable_tokens(),
         };
+        // Before the view, so that no VM of an evacuated data centre gets a request.
+        let places = fleet::data_centres(&records);
+        if *self.installed_places.borrow() != places {
+            self.scheduler.place(places.clone());
+            *self.installed_places.borrow_mut() = places;
+        }
         if self.installed_view.borrow().as_ref() != Some(&view) {
             self.scheduler.install(view.clone());
             *self.installed_view.borrow_mut() = Some(view);
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -154,6 +154,8 @@
     requests: IntGaugeVec,
     tokens: IntGaugeVec,
     ejected: IntGauge,
+    evacuated_workers: IntGauge,
+    evacuated_requests: IntGauge,
 }
 
 impl SchedulerMetrics {
@@ -182,11 +184,21 @@
                 "redwing_ejected_workers",
                 "Backend servers that get no requests because they failed.",
             )?,
+            evacuated_workers: IntGauge::new(
+                "redwing_evacuated_workers",
+                "Backend servers in evacuated data centres.",
+            )?,
+            evacuated_requests: IntGauge::new(
+                "redwing_evacuated_requests",
+                "Requests of the process that still run in evacuated data centres.",
+            )?,
         };
         let registry = registry.inner();
         registry.register(Box::new(metrics.requests.clone()))?;
         registry.register(Box::new(metrics.tokens.clone()))?;
         registry.register(Box::new(metrics.ejected.clone()))?;
+        registry.register(Box::new(metrics.evacuated_workers.clone()))?;
+        registry.register(Box::new(metrics.evacuated_requests.clone()))?;
         Ok(metrics)
     }
 
@@ -200,6 +212,9 @@
         set(&self.tokens, "lent", counts.lent);
         set(&self.tokens, "quarantined", counts.quarantined);
         self.ejected.set(gauge_value(scheduler.ejected().count()));
+        let (workers, running) = (scheduler.evacuated_workers(), scheduler.evacuated_running());
+        self.evacuated_workers.set(gauge_value(workers));
+        self.evacuated_requests.set(gauge_value(running));
     }
 }
 
--- a/crates/node/src/plane.rs
+++ b/crates/node/src/plane.rs
@@ -11,13 +11,14 @@
 use tokio::sync::mpsc;
 use tokio::task;
 
-use crate::admin::{self, AdminRouter};
+use crate::admin::{self, AdminRouter, EvacuationRoutes};
 use crate::audit::{self, AuditLog, AuditSettings};
 use crate::claim::{self, ClaimHandle, ClaimSettings};
 use crate::cluster::{self, ClusterNode};
 use crate::config::{self, ConfigService, ConfigSettings};
 use crate::control::{ControlChannel, NodeServices};
 use crate::error::{Error, Result};
+use crate::evacuation::EvacuationSender;
 use crate::event;
 use crate::link::PeerLinks;
 use crate::maintenance::{
@@ -66,7 +67,9 @@
     ///
     /// Fails if a listener cannot be used, or if the process is asked to stop
     /// before the table has responded.
-    pub async fn start(dependencies: PlaneDependencies) -> Result<Self> {
+    pub async fn start(mut dependencies: PlaneDependencies) -> Result<Self> {
+        let evacuations = EvacuationSender::default();
+        dependencies.channel.evacuations = Some(evacuations.subscribe());
         let listener = async_listener(dependencies.peer_listener)?;
         let address = peer_address(&dependencies.services, &listener)?;
         let client = TableClient::new(
@@ -89,17 +92,24 @@
         let audit = AuditLog::new(incarnation.clone(), objects, AuditSettings::default());
         let propagation =
             LinkPropagation::new(rc::Rc::clone(&links), rc::Rc::clone(&services.snapshots));
-        let config_service = rc::Rc::new(ConfigService::new(
+        let config_service = ConfigService::new(
             client.clone(),
             rc::Rc::new(propagation),
             rc::Rc::clone(&services.snapshots),
             audit.clone(),
             ConfigSettings {
                 bootstrap: dependencies.bootstrap,
+                evacuation_bound: services.settings.evacuation_bound,
                 ..ConfigSettings::default()
             },
-        ));
-        let maintenance = start_maintenance(&maintenance_services, incarnation.clone(), &audit);
+        );
+        let config_service = rc::Rc::new(config_service.with_evacuations(evacuations));
+        let maintenance = start_maintenance(
+            &maintenance_services,
+            incarnation.clone(),
+            &audit,
+            &config_service,
+        );
         let stop = services.stop.clone();
         let sources = SampleSources {
             client: client.clone(),
@@ -127,7 +137,12 @@
         // The cell is empty, since a process registers once.
         let _ = dependencies.claims.set(claims);
         task::spawn_local(config::run(rc::Rc::clone(&config_service), stop.clone()));
-        let router = AdminRouter::new(rc::Rc::clone(&config_service)).with_handler(maintenance);
+        let places = rc::Rc::new(maintenance.clone());
+        let evacuation_routes = EvacuationRoutes::new(rc::Rc::clone(&config_service), places);
+        let maintenance_routes = MaintenanceRoutes::new(maintenance, audit.clone());
+        let router = AdminRouter::new(rc::Rc::clone(&config_service))
+            .with_handler(rc::Rc::new(maintenance_routes))
+            .with_handler(rc::Rc::new(evacuation_routes));
         task::spawn_local(serve_operators(
             dependencies.admin_listener,
             router,
@@ -166,24 +181,28 @@
     }
 }
 
-/// Starts the maintenance rounds and returns the routes of the operator API.
+/// Starts the maintenance rounds and returns the service that reads their state.
 fn start_maintenance(
     services: &NodeServices,
     incarnation: NodeIncarnation,
     audit: &AuditLog,
-) -> rc::Rc<MaintenanceRoutes> {
+    config: &ConfigService,
+) -> MaintenanceService {
     let runner = MaintenanceRunner::new(
         MaintenanceSettings::default(),
         services.platform.clone(),
         rc::Rc::new(services.control.clone()),
         incarnation,
     );
-    let runner = runner.with_audit(audit.clone());
+    let runner = runner
+        .with_audit(audit.clone())
+        .with_evacuations(config.evacuations());
     let table = rc::Rc::clone(&services.platform.table);
     let service = MaintenanceService::new(runner.state(), table);
+    let service = service.with_evacuations(config.evacuations());
     let snapshots = services.snapshots.subscribe();
     task::spawn_local(runner.run(snapshots, services.stop.clone()));
-    rc::Rc::new(MaintenanceRoutes::new(service, audit.clone()))
+    service
 }
 
 /// Serves the operator API; if that fails, the process still serves callers.
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -5,6 +5,7 @@
 //! lists them.
 
 use std::net;
+use std::ops;
 use std::str;
 use std::time;
 
@@ -19,6 +20,10 @@
 /// Number of pause limits that fit in one task lease.
 pub(crate) const PAUSE_LIMITS_PER_LEASE: u32 = 4;
 
+/// Bounds of evacuations, in seconds. A configuration is used for 4 s after it was last
+/// confirmed, and a request may be on its way for a second.
+const EVACUATION_BOUNDS: ops::RangeInclusive<f64> = 5.0..=3_600.0;
+
 /// Location of the platform's services.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub enum PlatformAddress {
@@ -120,6 +125,9 @@
     pub peer_advertise: Option<net::SocketAddr>,
     /// Maximum age of the platform's VM list.
     pub list_lag: time::Duration,
+    /// Longest time after the acceptance of an evacuation for which a process that does not
+    /// learn of it sends requests; none if it has no bound.
+    pub evacuation_bound: Option<time::Duration>,
     /// Number of traffic threads.
     pub traffic_threads: usize,
     /// Number of stand-in backend servers of the embedded platform.
@@ -310,12 +318,38 @@
 }
 
 fn platform_flags() -> Vec<Arg> {
-    vec![flag::seconds(
-        "list-lag",
-        "Maximum age of the platform's VM list",
-        "30",
-        0.1..=3_600.0,
-    )]
+    vec![
+        flag::seconds(
+            "list-lag",
+            "Maximum age of the platform's VM list",
+            "30",
+            0.1..=3_600.0,
+        ),
+        flag::named(
+            "evacuation-bound",
+            "Longest time for which an isolated process sends requests after an evacuation",
+        )
+        .default_value("none")
+        .value_name("none|5..=3600 SECONDS")
+        .value_parser(parse_evacuation_bound),
+    ]
+}
+
+/// Bound of evacuations, as a flag.
+#[derive(Clone, Copy, Debug)]
+struct EvacuationBound(Option<time::Duration>);
+
+fn parse_evacuation_bound(text: &str) -> Result<EvacuationBound, String> {
+    if text == "none" {
+        return Ok(EvacuationBound(None));
+    }
+    match text.parse::<f64>() {
+        Ok(seconds) if EVACUATION_BOUNDS.contains(&seconds) => {
+            let bound = time::Duration::from_secs_f64(seconds);
+            Ok(EvacuationBound(Some(bound)))
+        }
+        _ => Err("use none or a number of seconds from 5 to 3600".to_owned()),
+    }
 }
 
 fn limit_flags() -> Vec<Arg> {
@@ -445,6 +479,7 @@
         peer_listen: flag::read(flags, "peer-listen")?,
         peer_advertise: flag::read(flags, "peer-advertise"),
         list_lag: flag::read(flags, "list-lag")?,
+        evacuation_bound: flag::read::<EvacuationBound>(flags, "evacuation-bound")?.0,
         traffic_threads: flag::read_count(flags, "traffic-threads")?,
         embedded_workers: flag::read(flags, "embedded-workers")?,
         limits: path_limits(flags)?,
--- /dev/null
+++ b/crates/node/tests/control/evacuation.rs
@@ -0,0 +1,389 @@
+//! Evacuations as changes of the configuration: propagation, retries, restarts.
+
+use std::collections::BTreeSet;
+use std::rc;
+use std::time;
+
+use crate::fleet::{TestFleet, TestNode, draft, fast_client};
+use actix_http::header::{HeaderMap, HeaderName, HeaderValue};
+use actix_http::{Method, StatusCode};
+use redwing_model::admin::{
+    AuditFilter, ChangeKind, ChangeResponse, ChangeStatus, EvacuationView, RefusalCause,
+};
+use redwing_model::{DataCentre, PoolName};
+use redwing_node::admin::{AdminHandler, AdminRequest, EvacuationRoutes, PlaceSource};
+use redwing_node::config::evacuation::{self, EvacuationTable, EvacuationVerdict, FleetPlaces};
+use redwing_node::config::{ConfigService, ConfigState};
+use redwing_provider::{RowKey, TableClient, TableRow};
+use rstest::rstest;
+
+fn block_on<F: Future>(future: F) -> F::Output {
+    actix_rt::System::new().block_on(future)
+}
+
+fn data_centre(name: &str) -> DataCentre {
+    DataCentre::new(name).unwrap()
+}
+
+/// Returns places with pool `a` in all of three data centres and `b` only in the east.
+fn places() -> FleetPlaces {
+    let (a, b) = (PoolName::new("a").unwrap(), PoolName::new("b").unwrap());
+    let [east, north, west] = ["east", "north", "west"].map(data_centre);
+    FleetPlaces::new([(&a, &east), (&a, &north), (&a, &west), (&b, &east)])
+}
+
+fn evacuate(name: &str, also: bool) -> ChangeKind {
+    let data_centre = data_centre(name);
+    ChangeKind::Evacuate { data_centre, also }
+}
+
+fn undo(name: &str) -> ChangeKind {
+    let data_centre = data_centre(name);
+    ChangeKind::UndoEvacuation { data_centre }
+}
+
+/// Returns processes with a configuration that know the places of the VMs.
+async fn fleet(size: usize) -> TestFleet {
+    let fleet = TestFleet::new(size);
+    fleet.nodes[0].apply("c1", 5, None).await;
+    for node in &fleet.nodes {
+        node.config.set_places(places());
+    }
+    fleet
+}
+
+async fn change(node: &TestNode, id: &str, kind: ChangeKind) -> ChangeResponse {
+    node.config.change(&draft(id, kind)).await
+}
+
+/// Returns the evacuated data centres as the scheduler of the process receives them.
+fn evacuated(node: &TestNode) -> Vec<String> {
+    let names = node.config.evacuations().borrow().evacuated.clone();
+    names.iter().map(ToString::to_string).collect()
+}
+
+fn table(names: &[&str]) -> EvacuationTable {
+    let entry = |name: &&str| (data_centre(name), Default::default());
+    names.iter().map(entry).collect()
+}
+
+/// Guards against a refused evacuation that has an effect, and against an allowed one that
+/// leaves nothing.
+#[rstest]
+#[case::first(evacuate("east", false), &[], "allowed")]
+#[case::second(evacuate("west", false), &["east"], "disallowed")]
+#[case::second_on_purpose(evacuate("west", true), &["east"], "allowed")]
+#[case::last(evacuate("north", true), &["east", "west"], "disallowed")]
+#[case::again(evacuate("east", false), &["east", "west"], "unchanged")]
+#[case::unknown(evacuate("south", true), &[], "unknown")]
+#[case::undo(undo("east"), &["east"], "allowed")]
+#[case::undo_of_one_without_vms(undo("south"), &["south"], "allowed")]
+#[case::undo_of_none(undo("east"), &["west"], "unchanged")]
+#[case::undo_of_unknown(undo("south"), &["west"], "unknown")]
+fn an_evacuation_is_checked_against_those_in_force(
+    #[case] kind: ChangeKind,
+    #[case] in_force: &[&str],
+    #[case] expected: &str,
+) {
+    let verdict = match evacuation::check(&kind, &places(), &table(in_force)) {
+        EvacuationVerdict::Allowed => "allowed",
+        EvacuationVerdict::Unchanged(_) => "unchanged",
+        EvacuationVerdict::UnknownDataCentre(_) => "unknown",
+        EvacuationVerdict::Disallowed(_) => "disallowed",
+        EvacuationVerdict::PlacesUnread => "unread",
+    };
+    assert_eq!(verdict, expected);
+}
+
+/// Guards against a process that has not read the VMs and takes every data centre for
+/// unknown, and against a pool without VMs elsewhere that is not named.
+#[test]
+fn places_decide_what_is_known_and_what_is_confined() {
+    let unread = evacuation::check(
+        &evacuate("east", false),
+        &FleetPlaces::default(),
+        &table(&[]),
+    );
+    assert_eq!(unread, EvacuationVerdict::PlacesUnread);
+    let consequence = |kind, in_force: &[&str]| {
+        evacuation::consequence(&kind, &places(), &table(in_force)).unwrap_or_default()
+    };
+    assert!(consequence(evacuate("east", false), &[]).contains("has: b;"));
+    assert_eq!(consequence(evacuate("west", false), &[]), "");
+    assert!(consequence(evacuate("west", true), &["east", "north"]).contains("has: a;"));
+}
+
+#[test]
+fn an_evacuation_is_in_force_at_a_majority_and_recorded() {
+    block_on(async {
+        let fleet = fleet(3).await;
+        fleet.network.borrow_mut().isolated[2] = true;
+        let response = change(&fleet.nodes[0], "c2", evacuate("east", false)).await;
+        assert_eq!(
+            (response.status, response.version),
+            (ChangeStatus::Accepted, Some(2))
+        );
+        assert!(response.detail.contains("has: b;"), "{}", response.detail);
+        assert_eq!(evacuated(&fleet.nodes[1]), ["east"]);
+        assert!(evacuated(&fleet.nodes[2]).is_empty());
+        fleet.nodes[2].config.refresh().await.unwrap();
+        assert_eq!(evacuated(&fleet.nodes[2]), ["east"]);
+
+        let response = change(&fleet.nodes[2], "c3", undo("east")).await;
+        assert_eq!(response.version, Some(3));
+        let config = &fleet.nodes[2].config;
+        let kinds = config.history(2).await.unwrap().into_iter();
+        let kinds: Vec<ChangeKind> = kinds.map(|entry| entry.kind).collect();
+        assert_eq!(kinds, [undo("east"), evacuate("east", false)]);
+        config.audit().flush().await.unwrap();
+        let entries = config.audit().query(&AuditFilter::default()).await.unwrap();
+        let last = entries.last().unwrap();
+        assert_eq!(
+            (&*last.action, &*last.subject, last.to_version),
+            ("undo-evacuation", "data-centre/east", Some(3))
+        );
+    });
+}
+
+/// Guards against a second version, or a refusal, for a command that is repeated because
+/// its reply was lost after the write.
+#[test]
+fn a_repeated_evacuation_gets_the_result_of_the_first() {
+    block_on(async {
+        let fleet = fleet(3).await;
+        let faults = |lost| {
+            let platform = &fleet.nodes[0].platform;
+            platform.set_faults(|faults| faults.lost_replies = lost);
+        };
+        faults(u32::MAX);
+        let lost = change(&fleet.nodes[0], "c2", evacuate("east", false)).await;
+        assert_eq!(lost.status, ChangeStatus::Pending);
+        faults(0);
+        for node in [1, 0] {
+            let again = change(&fleet.nodes[node], "c2", evacuate("east", false)).await;
+            assert_eq!(
+                (again.status, again.version, again.unchanged),
+                (ChangeStatus::Accepted, Some(2), false)
+            );
+        }
+        let other = change(&fleet.nodes[1], "c3", evacuate("east", false)).await;
+        assert_eq!(
+            (other.status, other.version, other.unchanged),
+            (ChangeStatus::Accepted, None, true)
+        );
+        assert_eq!(fleet.nodes[1].config.version(), 2);
+    });
+}
+
+/// Guards against a confirmation of an evacuation that another operator has undone while
+/// it was being confirmed, and against a retry that evacuates again.
+#[test]
+fn the_row_written_last_counts_when_an_evacuation_is_undone_while_it_is_confirmed() {
+    block_on(async {
+        let fleet = fleet(3).await;
+        fleet.network.borrow_mut().isolated[0] = true;
+        let pending = change(&fleet.nodes[0], "c2", evacuate("east", false)).await;
+        assert_eq!(
+            (pending.status, pending.version),
+            (ChangeStatus::Pending, Some(2))
+        );
+        fleet.nodes[2].config.refresh().await.unwrap();
+        let undone = change(&fleet.nodes[1], "c3", undo("east")).await;
+        assert_eq!(
+            (undone.status, undone.version),
+            (ChangeStatus::Accepted, Some(3))
+        );
+        fleet.network.borrow_mut().isolated[0] = false;
+        let again = change(&fleet.nodes[0], "c2", evacuate("east", false)).await;
+        assert_eq!(
+            (again.status, again.version),
+            (ChangeStatus::Accepted, Some(2))
+        );
+        assert!(again.detail.contains("undone"), "{}", again.detail);
+        for node in &fleet.nodes[..2] {
+            assert!(evacuated(node).is_empty());
+        }
+    });
+}
+
+/// Guards against two operators who together evacuate the last data centres, each on the
+/// state before the other's change.
+#[test]
+fn of_two_evacuations_at_once_the_second_is_checked_against_the_first() {
+    block_on(async {
+        let fleet = fleet(3).await;
+        change(&fleet.nodes[0], "c2", evacuate("north", false)).await;
+        let first = draft("c3", evacuate("east", true));
+        let second = draft("c4", evacuate("west", true));
+        let (first, second) = futures_util::future::join(
+            fleet.nodes[0].config.change(&first),
+            fleet.nodes[1].config.change(&second),
+        )
+        .await;
+        let causes: BTreeSet<_> = [&first, &second]
+            .map(|response| response.cause == Some(RefusalCause::Disallowed))
+            .into();
+        assert_eq!(causes.len(), 2, "{first:?} {second:?}");
+        fleet.nodes[2].config.refresh().await.unwrap();
+        assert_eq!(evacuated(&fleet.nodes[2]).len(), 2);
+    });
+}
+
+/// Guards against an accepted evacuation that reverts when a process restarts without the
+/// table, from a peer that does not have it yet.
+#[test]
+fn an_accepted_evacuation_survives_a_restart_in_an_outage() {
+    block_on(async {
+        let mut fleet = fleet(3).await;
+        fleet.network.borrow_mut().isolated[1] = true;
+        let response = change(&fleet.nodes[0], "c2", evacuate("east", false)).await;
+        assert_eq!(response.status, ChangeStatus::Accepted);
+        for node in &fleet.nodes {
+            node.platform.set_faults(|faults| faults.table_down = true);
+        }
+        fleet.restart(2);
+        let config = fleet.nodes[2].config.clone();
+        config.refresh_from_peers().await;
+        assert_eq!(config.version(), 0, "one peer is not a majority");
+        fleet.network.borrow_mut().isolated[1] = false;
+        config.refresh_from_peers().await;
+        assert_eq!(evacuated(&fleet.nodes[2]), ["east"]);
+        // A change without the table may have taken effect if its id was used before.
+        let refused = change(&fleet.nodes[2], "c3", undo("east")).await;
+        assert_eq!(refused.status, ChangeStatus::Pending);
+        assert_eq!(evacuated(&fleet.nodes[2]), ["east"]);
+    });
+}
+
+/// Guards against a process without table and peers that goes on sending requests by an old
+/// configuration, although evacuations have a bound; and against a bound for processes that
+/// have none.
+#[test]
+fn a_bounded_process_without_table_and_peers_stops_dispatching() {
+    block_on(async {
+        let fleet = fleet(1).await;
+        let config = bounded_service(&fleet.nodes[0]);
+        config.refresh().await.unwrap();
+        let deadline = config.evacuations().borrow().deadline.clone().unwrap();
+        let now = time::Instant::now();
+        assert!(deadline.allows(now));
+        let freshness = config.freshness_limit();
+        let second = time::Duration::from_secs(1);
+        // The bound is 6 s with a freshness of 4 s, and the request's way takes 1 s of it.
+        assert!(deadline.allows(now + freshness + second - time::Duration::from_millis(200)));
+        assert!(!deadline.allows(now + freshness + second + time::Duration::from_millis(200)));
+        let unbounded = fleet.nodes[0].config.evacuations();
+        assert!(unbounded.borrow().deadline.is_none());
+    });
+}
+
+/// Returns another service of the node's process, with a bound of evacuations.
+fn bounded_service(node: &TestNode) -> rc::Rc<ConfigService> {
+    use redwing_node::audit::{AuditLog, AuditSettings};
+    use redwing_node::config::{ConfigSettings, propagation};
+    use redwing_node::evacuation::EvacuationSender;
+
+    let audit = AuditLog::new(
+        node.config.audit().node().clone(),
+        node.platform.services().objects,
+        AuditSettings::default(),
+    );
+    let client = TableClient::new(node.platform.services().table, fast_client());
+    let (snapshots, _) = tokio::sync::watch::channel(Default::default());
+    let settings = ConfigSettings {
+        evacuation_bound: Some(time::Duration::from_secs(6)),
+        ..ConfigSettings::default()
+    };
+    let peers = rc::Rc::new(propagation::NoPeers);
+    let service = ConfigService::new(client, peers, rc::Rc::new(snapshots), audit, settings);
+    rc::Rc::new(service.with_evacuations(EvacuationSender::default()))
+}
+
+/// Guards against a row of a newer release, or a damaged one, that is ignored.
+#[test]
+fn a_row_that_cannot_be_read_evacuates_its_data_centre() {
+    let row = |key: &str, value: &str| TableRow {
+        key: RowKey::new(key),
+        version: 1,
+        value: Some(value.to_owned()),
+    };
+    let head = r#"{"version":1,"change":"c","operator":"o","at-millis":1,"rows":2}"#;
+    let mut state = ConfigState::default();
+    state.install_change(&[
+        row("config/head", head),
+        row("config/evacuation/east", "{}]"),
+    ]);
+    let view = state.view();
+    assert_eq!(view.head.version, 1);
+    assert!(view.evacuations.contains_key(&data_centre("east")));
+}
+
+struct FixedPlaces;
+
+impl PlaceSource for FixedPlaces {
+    fn places(&self) -> FleetPlaces {
+        places()
+    }
+}
+
+/// Guards against routes that take a wrong method, body or name, or answer with another
+/// status than those of other changes.
+#[test]
+fn routes_evacuate_list_and_undo() {
+    block_on(async {
+        let fleet = fleet(1).await;
+        let config = fleet.nodes[0].config.clone();
+        let routes = EvacuationRoutes::new(config, rc::Rc::new(FixedPlaces));
+        let call = async |method: Method, path: &str, id: &'static str, body: &str| {
+            let mut headers = HeaderMap::new();
+            let name = HeaderName::from_static("redwing-change-id");
+            headers.insert(name, HeaderValue::from_static(id));
+            let request = AdminRequest {
+                method,
+                path: path.to_owned(),
+                query: String::new(),
+                headers,
+                operator: "ama".to_owned(),
+                body: body.as_bytes().to_vec(),
+            };
+            let response = routes.handle(&request).expect("a route").await;
+            let body: serde_json::Value = serde_json::from_slice(response.body()).unwrap();
+            (response.status(), body)
+        };
+        let (status, body) = call(Method::POST, "evacuations/east", "c2", "").await;
+        assert_eq!((status, &body["version"]), (StatusCode::OK, &2.into()));
+        let (status, body) = call(Method::POST, "evacuations/west", "c3", "").await;
+        assert_eq!(
+            (status, &body["cause"]),
+            (StatusCode::CONFLICT, &"disallowed".into())
+        );
+        let also = r#"{"also":true}"#;
+        let (status, _) = call(Method::POST, "evacuations/west", "c4", also).await;
+        assert_eq!(status, StatusCode::OK);
+        let (status, _) = call(Method::POST, "evacuations/south", "c5", also).await;
+        assert_eq!(status, StatusCode::NOT_FOUND);
+        let (status, _) = call(Method::POST, "evacuations/West", "c6", "").await;
+        assert_eq!(status, StatusCode::BAD_REQUEST);
+        let (status, _) = call(Method::PUT, "evacuations/west", "c7", "").await;
+        assert_eq!(status, StatusCode::METHOD_NOT_ALLOWED);
+        let (_, body) = call(Method::GET, "evacuations", "c8", "").await;
+        let views: Vec<EvacuationView> = serde_json::from_value(body).unwrap();
+        let listed = views.iter().map(|view| {
+            (
+                view.data_centre.as_str(),
+                view.version,
+                view.vms,
+                &*view.operator,
+            )
+        });
+        assert_eq!(
+            listed.collect::<Vec<_>>(),
+            [("east", 2, 2, "ama"), ("west", 3, 1, "ama")]
+        );
+        let (status, _) = call(Method::DELETE, "evacuations/east", "c9", "").await;
+        assert_eq!(
+            (status, evacuated(&fleet.nodes[0])),
+            (StatusCode::OK, vec!["west".to_owned()])
+        );
+    });
+}
--- a/crates/node/tests/control/main.rs
+++ b/crates/node/tests/control/main.rs
@@ -6,5 +6,6 @@
 mod audit;
 mod claim;
 mod config;
+mod evacuation;
 mod fleet;
 mod property;
--- a/crates/planner/src/explain.rs
+++ b/crates/planner/src/explain.rs
@@ -101,6 +101,10 @@
         None if view.is_suspect(vm) => {
             format!("{vm} is counted as out of service: it is ejected or not listed as live")
         }
+        None if view.is_evacuated(&record.identity) => format!(
+            "{vm} gets no requests: its data centre {} is evacuated",
+            record.identity.data_centre
+        ),
         None => format!("{vm} serves pool {}", record.pool),
         Some(outage) => describe_outage(vm, record.phase, outage),
     };
@@ -109,6 +113,10 @@
         .input("phase", phase_name(record.phase))
         .input("rack", &record.identity.rack)
         .input("data centre", &record.identity.data_centre);
+    let explanation = match view.is_evacuated(&record.identity) {
+        true => explanation.would_change("the undo of the evacuation of its data centre"),
+        false => explanation,
+    };
     let Some(outage) = outage else {
         let text = format!("a roll-out of pool {}, a move, or a failure", record.pool);
         return Some(explanation.would_change(text));
--- a/crates/planner/src/view.rs
+++ b/crates/planner/src/view.rs
@@ -1,10 +1,10 @@
 //! Input of the planner: table rows, observations and the declaration.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time;
 
 use redwing_model::vm::{VmIdentity, VmRecord};
-use redwing_model::{ClassName, FleetDeclaration, NodeId, PoolName, VmId};
+use redwing_model::{ClassName, DataCentre, FleetDeclaration, NodeId, PoolName, VmId};
 
 use crate::error::{Error, Result};
 use crate::record::PoolRecord;
@@ -150,6 +150,8 @@
     /// Sustained demand of each class, in slots; a class is missing until it has
     /// been observed for a whole demand window.
     pub demand: &'a BTreeMap<ClassName, f64>,
+    /// Evacuated data centres, whose VMs get no requests.
+    pub evacuated: &'a BTreeSet<DataCentre>,
     /// Whether the VM list is recent; if not, no planned drain starts.
     pub list_recent: bool,
 }
@@ -159,6 +161,7 @@
     pub fn new(declaration: &'a FleetDeclaration, rows: &'a FleetRows) -> Self {
         const NO_OBSERVATIONS: &BTreeMap<VmId, VmObservation> = &BTreeMap::new();
         const NO_DEMAND: &BTreeMap<ClassName, f64> = &BTreeMap::new();
+        const NO_DATA_CENTRES: &BTreeSet<DataCentre> = &BTreeSet::new();
         Self {
             declaration,
             config_version: 0,
@@ -166,10 +169,16 @@
             observations: NO_OBSERVATIONS,
             unassigned: &[],
             demand: NO_DEMAND,
+            evacuated: NO_DATA_CENTRES,
             list_recent: true,
         }
     }
 
+    /// Returns whether a VM is in an evacuated data centre.
+    pub fn is_evacuated(&self, identity: &VmIdentity) -> bool {
+        self.evacuated.contains(&identity.data_centre)
+    }
+
     /// Returns whether a VM is a suspect: ejected or not listed as live. This is
     /// meant for VMs whose rows are in phase serving.
     pub fn is_suspect(&self, vm: &VmId) -> bool {
