Plan around evacuated data centres

Cause: the planner took VMs of an evacuated data centre for serving: it drained others within a budget that was used up, moved VMs out of it into pools, and moved none in to replace them.

Change: serving VMs of the data centre count as out of service for the headroom of drains elsewhere, for the shortage of a pool and for what it releases; drains elsewhere that exceed the budget with them are cancelled. In the data centre itself a roll-out goes on within max-unavailable. No VM of it joins a pool. The status of a roll-out and explain name the evacuation.

--- a/crates/ctl/src/rollout.rs
+++ b/crates/ctl/src/rollout.rs
@@ -119,6 +119,9 @@
         RolloutBlocker::DataCentre { data_centre } => {
             format!("VMs out in data centre {data_centre}; other data centres must wait")
         }
+        RolloutBlocker::Evacuated { vms } => {
+            format!("an evacuation: {vms} VMs of the pool get no requests")
+        }
         RolloutBlocker::StaleList => "the platform's VM list, which is outdated".to_owned(),
         RolloutBlocker::LongDrains { vms } => {
             let names: Vec<&str> = vms.iter().map(|vm| vm.as_str()).collect();
--- a/crates/planner/src/builder.rs
+++ b/crates/planner/src/builder.rs
@@ -27,6 +27,8 @@
     name: &'a PoolName,
     budget: PoolBudget,
     suspects: u32,
+    /// Serving members in evacuated data centres that are no suspects.
+    evacuated: u32,
     record: PoolRecord,
     rollout: Option<borrow::Cow<'a, RolloutRecord>>,
     pinned_data_centre: Option<DataCentre>,
@@ -56,6 +58,7 @@
             name,
             budget: PoolBudget::new(max_unavailable),
             suspects,
+            evacuated: 0,
             pinned_data_centre: pinned_data_centre(view, &record),
             record,
             rollout,
@@ -67,6 +70,11 @@
         builder
     }
 
+    /// Sets the number of serving members in evacuated data centres that are no suspects.
+    pub(crate) fn with_evacuated(self, evacuated: u32) -> Self {
+        Self { evacuated, ..self }
+    }
+
     pub(crate) fn record(&self) -> &PoolRecord {
         &self.record
     }
@@ -79,12 +87,27 @@
         self.record.outages.get(vm)
     }
 
-    pub(crate) fn headroom(&self) -> u32 {
-        self.budget.headroom(&self.record, self.suspects)
+    /// Returns how many more VMs may be taken out of service, in evacuated data centres or in
+    /// the others.
+    pub(crate) fn headroom(&self, in_evacuated: bool) -> u32 {
+        self.budget
+            .headroom(&self.record, self.absent(in_evacuated))
     }
 
-    pub(crate) fn excess(&self) -> u32 {
-        self.budget.excess(&self.record, self.suspects)
+    /// Returns whether planned drains must be cancelled, in evacuated data centres or in the
+    /// others.
+    pub(crate) fn must_cancel_drains(&self, in_evacuated: bool) -> bool {
+        let absent = self.absent(in_evacuated);
+        self.budget.excess(&self.record, absent) > 0
+    }
+
+    /// Returns the number of members in phase serving that count as out of service. Those in
+    /// evacuated data centres don't limit outages there, which cost no capacity.
+    fn absent(&self, in_evacuated: bool) -> u32 {
+        match in_evacuated {
+            true => self.suspects,
+            false => self.suspects + self.evacuated,
+        }
     }
 
     /// Returns the only data centre in which planned outages are allowed, or
@@ -111,7 +134,7 @@
 
     /// Adds a serving VM to the members of the pool.
     pub(crate) fn add_member(&mut self, record: VmRecord) {
-        self.count_if_suspect(&record.identity.vm);
+        self.count_if_absent(&record.identity);
         self.record.members += 1;
         let unplanned = |outage: &&VmOutage| !outage.cause.is_planned();
         let lost = self.record.outages.values().filter(unplanned).count() as u32;
@@ -137,12 +160,15 @@
         move_to: Option<PoolName>,
     ) -> Result<()> {
         let identity = vm.record().identity.clone();
+        let is_evacuated = self.view.is_evacuated(&identity);
+        let headroom = self.headroom(is_evacuated);
         let pinned = self
             .pinned_data_centre
             .get_or_insert(identity.data_centre.clone());
-        if *pinned != identity.data_centre || self.headroom() == 0 {
+        if *pinned != identity.data_centre || headroom == 0 {
             return Err(Error::budget_spent("drain", self.name));
         }
+        self.evacuated = self.evacuated.saturating_sub(u32::from(is_evacuated));
         self.includes_rollout |= matches!(cause, OutageCause::Rollout(_));
         self.open_outage(&identity.vm, cause, move_to.clone());
         let record = match cause {
@@ -172,7 +198,7 @@
     pub(crate) fn cancel_drain(&mut self, record: VmRecord) {
         let vm = record.identity.vm.clone();
         self.record.outages.remove(&vm);
-        self.count_if_suspect(&vm);
+        self.count_if_absent(&record.identity);
         self.delete_acknowledgements(&vm);
         self.put(record);
         self.changes.push(StepChange::CancelDrain { vm });
@@ -217,7 +243,7 @@
     pub(crate) fn return_to_service(&mut self, vm: TrackedVm<Serving>) {
         let (id, _) = vm_and_revision(&vm);
         self.close_outage(&id);
-        self.count_if_suspect(&id);
+        self.count_if_absent(&vm.record().identity);
         self.put(vm.into_record());
         self.changes.push(StepChange::Return { vm: id });
     }
@@ -367,11 +393,13 @@
         }
     }
 
-    /// Keeps counting a VM as a suspect if it serves again but is ejected or not
-    /// listed as live.
-    fn count_if_suspect(&mut self, vm: &VmId) {
-        if self.view.is_suspect(vm) {
+    /// Keeps counting a VM as out of service if its phase is serving again but it is ejected,
+    /// not listed as live, or in an evacuated data centre.
+    fn count_if_absent(&mut self, identity: &VmIdentity) {
+        if self.view.is_suspect(&identity.vm) {
             self.suspects += 1;
+        } else if self.view.is_evacuated(identity) {
+            self.evacuated += 1;
         }
     }
 
--- a/crates/planner/src/capacity.rs
+++ b/crates/planner/src/capacity.rs
@@ -12,6 +12,17 @@
 /// Standard deviations of the number of single failures that the buffer covers.
 const FAILURE_SIGMAS: f64 = 3.0;
 
+/// Number of a pool's members in evacuated data centres.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub(crate) struct EvacuatedMembers {
+    /// Members in phase serving that are no suspects and limit the outages of the others. In
+    /// the spare pool there are none: it replaces VMs just then.
+    pub(crate) serving: u32,
+    /// Members that would be present without the evacuation: those that are not lost and do
+    /// not move to another pool.
+    pub(crate) present: u32,
+}
+
 /// VMs grouped by pool, computed once for each plan.
 #[derive(Debug, Default)]
 pub(crate) struct FleetIndex<'a> {
@@ -19,6 +30,7 @@
     /// Members that are out of service or have an observation.
     abnormal: BTreeMap<&'a PoolName, Vec<&'a VmRecord>>,
     suspects: BTreeMap<&'a PoolName, u32>,
+    evacuated: BTreeMap<&'a PoolName, EvacuatedMembers>,
     largest_rack: u32,
 }
 
@@ -48,9 +60,35 @@
             }
         }
         index.largest_rack = racks.into_values().max().unwrap_or(0);
+        if !view.evacuated.is_empty() {
+            index.count_evacuated(view);
+        }
         index
     }
 
+    fn count_evacuated(&mut self, view: &PlannerView<'a>) {
+        let spare = view.declaration.spare_pool.as_ref();
+        let records = view.rows.vms.values().map(|row| &row.value);
+        for record in records.filter(|record| view.is_evacuated(&record.identity)) {
+            let counts = self.evacuated.entry(&record.pool).or_default();
+            let vm = &record.identity.vm;
+            let is_serving = record.phase == VmPhase::Serving && !view.is_suspect(vm);
+            if is_serving && spare != Some(&record.pool) {
+                counts.serving += 1;
+            }
+            let pool = view.rows.pools.get(&record.pool);
+            let outage = pool.and_then(|row| row.value.outages.get(vm));
+            let is_present =
+                outage.is_none_or(|outage| outage.cause.is_planned() && outage.move_to.is_none());
+            counts.present += u32::from(is_present);
+        }
+    }
+
+    /// Returns the number of members in evacuated data centres.
+    pub(crate) fn evacuated(&self, pool: &PoolName) -> EvacuatedMembers {
+        self.evacuated.get(pool).copied().unwrap_or_default()
+    }
+
     pub(crate) fn members(&self, pool: &PoolName) -> &[&'a Versioned<VmRecord>] {
         self.by_pool.get(pool).map_or(&[], Vec::as_slice)
     }
--- a/crates/planner/src/explain.rs
+++ b/crates/planner/src/explain.rs
@@ -173,9 +173,10 @@
 ) -> Option<Explanation> {
     let record = &view.rows.pools.get(pool)?.value;
     let target = view.declaration.pools.get(pool)?;
-    let suspects = FleetIndex::new(view).suspects(pool);
+    let index = FleetIndex::new(view);
+    let (suspects, evacuated) = (index.suspects(pool), index.evacuated(pool).serving);
     let budget = PoolBudget::new(target.max_unavailable);
-    let headroom = budget.headroom(record, suspects);
+    let headroom = budget.headroom(record, suspects + evacuated);
     let decision = format!("{headroom} more VMs of pool {pool} may be taken out of service now");
     let mut explanation = Explanation::new(Subject::Pool(pool.clone()), decision)
         .input("declared VMs", target.vms)
@@ -189,6 +190,11 @@
         )
         .input("ejected or unseen", suspects)
         .input("max-unavailable", target.max_unavailable);
+    if evacuated > 0 {
+        explanation = explanation
+            .input("serving in evacuated data centres", evacuated)
+            .would_change("the undo of an evacuation");
+    }
     explanation = add_requirement(settings, view, pool, record, explanation);
     let default_outage = expected_outage(settings, target.drain_seconds);
     if let Some(status) = status(now, default_outage, view, pool) {
@@ -248,6 +254,9 @@
         RolloutBlocker::DataCentre { data_centre } => {
             format!("the return of the VMs that are out in data centre {data_centre}")
         }
+        RolloutBlocker::Evacuated { vms } => {
+            format!("the undo of an evacuation, by which {vms} VMs get no requests")
+        }
         RolloutBlocker::StaleList => "a recent VM list from the platform".to_owned(),
         RolloutBlocker::LongDrains { vms } => {
             format!("the end of long requests on {} draining VMs", vms.len())
--- a/crates/planner/src/moves.rs
+++ b/crates/planner/src/moves.rs
@@ -65,7 +65,8 @@
                 continue;
             };
             let incoming = incoming.get(pool).copied().unwrap_or(0);
-            let balance = PoolBalance::new(view, settings, pool, &row.value);
+            let evacuated = index.evacuated(pool).present;
+            let balance = PoolBalance::new(view, settings, pool, &row.value, evacuated);
             if spare == Some(pool) {
                 let surplus = balance.spare_surplus(index.largest_rack());
                 allocator.surpluses.insert(pool, surplus);
@@ -134,7 +135,7 @@
     budget: u32,
     /// Members that are neither moving to another pool nor lost.
     present: u32,
-    /// Members that are not moving to another pool.
+    /// Members that are not moving to another pool, without those in evacuated data centres.
     staying: u32,
     /// VMs required for the sustained demand; `None` while it is unknown.
     required: Option<u32>,
@@ -150,11 +151,14 @@
         settings: &PlannerSettings,
         pool: &PoolName,
         record: &PoolRecord,
+        evacuated: u32,
     ) -> Self {
         let requirement = pool_requirement(view, settings.slots_per_vm, pool);
         let target = view.declaration.pools.get(pool);
         let declared = target.map_or(0, |target| target.vms);
-        let staying = record.members.saturating_sub(record.departing());
+        let staying = record
+            .members
+            .saturating_sub(record.departing() + evacuated);
         // A pool releases no VMs while its demand is unknown.
         let release_vms = requirement.map_or(u32::MAX, |requirement| requirement.release_vms);
         Self {
--- a/crates/planner/src/plan.rs
+++ b/crates/planner/src/plan.rs
@@ -111,7 +111,8 @@
         shortages.insert(pool, assigned.saturating_sub(present));
     }
     let mut adoptions: BTreeMap<&PoolName, Vec<&VmIdentity>> = BTreeMap::new();
-    for identity in view.unassigned {
+    let unassigned = view.unassigned.iter();
+    for identity in unassigned.filter(|identity| !view.is_evacuated(identity)) {
         let largest = shortages.iter_mut().max_by_key(|(_, shortage)| **shortage);
         let pool = match largest {
             Some((pool, shortage)) if *shortage > 0 => {
@@ -160,6 +161,9 @@
         let Some(row) = self.view.rows.vms.get(vm) else {
             return;
         };
+        if self.view.is_evacuated(&row.value.identity) {
+            return;
+        }
         let phase_started = self.phase_started(source, vm);
         let elapsed = self.now.saturating_since(phase_started);
         let observation = self.observation(vm);
@@ -196,7 +200,9 @@
             return;
         }
         let suspects = self.index.suspects(pool);
+        let evacuated = self.index.evacuated(pool).serving;
         let mut builder = StepBuilder::new(self.now, self.view, pool, suspects);
+        builder = builder.with_evacuated(evacuated);
         for identity in adopted.iter().take(self.settings.max_changes_per_step) {
             builder.adopt(identity);
         }
@@ -383,8 +389,9 @@
             let Some(outage) = builder.outage(vm) else {
                 continue;
             };
+            let is_evacuated = self.view.is_evacuated(&record.identity);
             let must_cancel = outage.cause.is_planned()
-                && (builder.excess() > 0 || Some(outage.cause) == aborted);
+                && (builder.must_cancel_drains(is_evacuated) || Some(outage.cause) == aborted);
             if !must_cancel || builder.has_changed(vm) || self.view.is_suspect(vm) {
                 continue;
             }
@@ -423,27 +430,46 @@
         let Some(rollout) = builder.rollout() else {
             return;
         };
-        if rollout.state != RolloutState::Running || builder.headroom() == 0 {
+        if rollout.state != RolloutState::Running {
             return;
         }
         let cause = OutageCause::Rollout(rollout.id);
-        let chosen = |vm: &VmId| rollout.remaining.contains(vm);
-        for record in self.drain_candidates(builder, pool, chosen) {
-            if builder.headroom() == 0
-                || builder.change_count() >= self.settings.max_changes_per_step
-            {
-                return;
-            }
-            let AnyVm::Serving(vm) = AnyVm::from(record.clone()) else {
+        let remaining = rollout.remaining.clone();
+        // Where an outage costs no capacity first.
+        let has_evacuated = !self.view.evacuated.is_empty();
+        for is_evacuated in [true, false] {
+            if (is_evacuated && !has_evacuated) || builder.headroom(is_evacuated) == 0 {
                 continue;
+            }
+            let chosen = |record: &VmRecord| {
+                let is_chosen = self.view.is_evacuated(&record.identity) == is_evacuated;
+                is_chosen && remaining.contains(&record.identity.vm)
             };
-            let move_to = allocator.grant_with_reboot(pool);
-            if builder.drain(vm, cause, move_to).is_err() {
-                return;
+            for record in self.drain_candidates(builder, pool, chosen) {
+                if self.is_full(builder, is_evacuated) {
+                    break;
+                }
+                let AnyVm::Serving(vm) = AnyVm::from(record.clone()) else {
+                    continue;
+                };
+                let move_to = match is_evacuated {
+                    true => None,
+                    false => allocator.grant_with_reboot(pool),
+                };
+                if builder.drain(vm, cause, move_to).is_err() {
+                    break;
+                }
             }
         }
     }
 
+    /// Returns whether the step takes no more drains, in evacuated data centres or in the
+    /// others.
+    fn is_full(&self, builder: &StepBuilder<'_>, in_evacuated: bool) -> bool {
+        builder.headroom(in_evacuated) == 0
+            || builder.change_count() >= self.settings.max_changes_per_step
+    }
+
     /// Starts drains for moves without a reboot.
     fn start_move_drains(
         &self,
@@ -452,14 +478,13 @@
         allocator: &mut MoveAllocator<'_>,
     ) {
         let is_undeclared = !self.view.declaration.pools.contains_key(pool);
-        if builder.headroom() == 0 || !(is_undeclared || allocator.has_shortage()) {
+        if builder.headroom(false) == 0 || !(is_undeclared || allocator.has_shortage()) {
             return;
         }
         let targets = ProfileTargets::of(self.view.declaration.profile);
-        for record in self.drain_candidates(builder, pool, |_| true) {
-            if builder.headroom() == 0
-                || builder.change_count() >= self.settings.max_changes_per_step
-            {
+        let chosen = |record: &VmRecord| !self.view.is_evacuated(&record.identity);
+        for record in self.drain_candidates(builder, pool, chosen) {
+            if self.is_full(builder, false) {
                 return;
             }
             let granted = allocator.grant(pool);
@@ -483,14 +508,14 @@
         &self,
         builder: &StepBuilder<'_>,
         pool: &PoolName,
-        chosen: impl Fn(&VmId) -> bool,
+        chosen: impl Fn(&VmRecord) -> bool,
     ) -> Vec<&'a VmRecord> {
         let members = self.index.members(pool).iter().map(|row| &row.value);
         let mut candidates: Vec<&VmRecord> = members
             .filter(|record| {
                 let vm = &record.identity.vm;
                 record.phase == VmPhase::Serving
-                    && chosen(vm)
+                    && chosen(record)
                     && !self.view.is_suspect(vm)
                     && !builder.has_changed(vm)
             })
@@ -540,7 +565,13 @@
         })
     }
 
+    /// Returns whether a VM moves to a declared pool; one in an evacuated data centre does
+    /// not join any.
     fn has_target_pool(&self, builder: &StepBuilder<'_>, vm: &VmId) -> bool {
+        let row = self.view.rows.vms.get(vm);
+        if row.is_some_and(|row| self.view.is_evacuated(&row.value.identity)) {
+            return false;
+        }
         let outage = builder.outage(vm);
         let target = outage.and_then(|outage| outage.move_to.as_ref());
         target.is_some_and(|pool| self.view.declaration.pools.contains_key(pool))
--- a/crates/planner/src/rollout.rs
+++ b/crates/planner/src/rollout.rs
@@ -8,6 +8,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::budget::PoolBudget;
+use crate::capacity::FleetIndex;
 use crate::error::{Error, Result};
 use crate::record::{OutageCause, PoolRecord};
 use crate::step::{RowContent, RowExpectation, RowReference, RowUpdate, StepCommit};
@@ -254,6 +255,12 @@
         /// Data centre with the planned outages.
         data_centre: DataCentre,
     },
+    /// VMs of the pool get no requests because their data centre is evacuated, so that the
+    /// budget has no room for drains in the others.
+    Evacuated {
+        /// Number of these VMs.
+        vms: u32,
+    },
     /// The platform's VM list is not recent.
     StaleList,
     /// These VMs have been draining for longer than the pool's drain time.
@@ -382,6 +389,8 @@
         let planned = record.planned_outages();
         let unplanned = record.unavailable() - planned + shortfall + suspects;
         blockers.push(RolloutBlocker::BudgetSpent { planned, unplanned });
+    } else if let Some(vms) = evacuation_blocker(view, pool, rollout, record, suspects) {
+        blockers.push(RolloutBlocker::Evacuated { vms });
     } else if let Some(data_centre) = pinned_data_centre(view, record) {
         blockers.push(RolloutBlocker::DataCentre { data_centre });
     }
@@ -398,6 +407,30 @@
     blockers
 }
 
+/// Returns the number of VMs in evacuated data centres, if they leave no headroom for the
+/// remaining VMs, which are all in others.
+fn evacuation_blocker(
+    view: &PlannerView<'_>,
+    pool: &PoolName,
+    rollout: &RolloutRecord,
+    record: &PoolRecord,
+    suspects: u32,
+) -> Option<u32> {
+    if view.evacuated.is_empty() {
+        return None;
+    }
+    let target = view.declaration.pools.get(pool)?;
+    let evacuated = FleetIndex::new(view).evacuated(pool).serving;
+    let budget = PoolBudget::new(target.max_unavailable);
+    let mut rows = rollout
+        .remaining
+        .iter()
+        .filter_map(|vm| view.rows.vms.get(vm));
+    let goes_on = rows.any(|row| view.is_evacuated(&row.value.identity));
+    let is_blocked = budget.headroom(record, suspects + evacuated) == 0;
+    (evacuated > 0 && is_blocked && !goes_on).then_some(evacuated)
+}
+
 /// Returns the data centre of the pool's planned outages, if it has any. All of
 /// them are in one data centre.
 pub(crate) fn pinned_data_centre(
