Start cold backend servers slowly

Cause: backend servers that come back after an evacuation have no running requests, so that the shortest queue sends them most of the load while they are slow.

Change: the platform's list may state that a VM is cold, and for how long. Without such an entry nothing changes.

--- a/crates/node/src/cluster.rs
+++ b/crates/node/src/cluster.rs
@@ -276,6 +276,11 @@
             .run(move |scheduler, now| scheduler.set_places(now, places));
     }
 
+    fn set_cold(&self, cold: HashMap<VmId, time::Duration>) {
+        self.0
+            .run(move |scheduler, now| scheduler.set_cold(now, &cold));
+    }
+
     fn install(&self, view: FleetView) {
         self.0.send(ControlCommand::Install(Box::new(view)));
     }
--- a/crates/node/src/fleet.rs
+++ b/crates/node/src/fleet.rs
@@ -1,6 +1,7 @@
 //! Backend servers from the table's VM rows and the platform's VM list.
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::time;
 
 use redwing_model::vm::VmPhase;
 use redwing_model::vm::VmRecord;
@@ -40,7 +41,22 @@
 
     /// Returns whether the VM is listed and not about to leave.
     pub fn is_live(&self, vm: &VmId) -> bool {
-        self.statuses.get(vm) == Some(&ListedStatus::Live)
+        let status = self.statuses.get(vm);
+        status.is_some_and(|status| status.is_live())
+    }
+
+    /// Returns the cold VMs, with the time for which each remains cold.
+    pub fn cold_vms(&self) -> HashMap<VmId, time::Duration> {
+        let cold = self
+            .statuses
+            .iter()
+            .filter_map(|(vm, status)| match status {
+                ListedStatus::Cold { left_millis } if *left_millis > 0 => {
+                    Some((vm.clone(), time::Duration::from_millis(*left_millis)))
+                }
+                _ => None,
+            });
+        cold.collect()
     }
 
     /// Returns the listed entry VMs.
--- a/crates/node/src/maintenance/observe.rs
+++ b/crates/node/src/maintenance/observe.rs
@@ -80,15 +80,15 @@
     /// Returns the listed live VMs that have no row in the table.
     pub fn unassigned(&self, rows: &FleetRows) -> Vec<VmIdentity> {
         let live = self.listed.values();
-        let live = live.filter(|(_, status)| *status == ListedStatus::Live);
+        let live = live.filter(|(_, status)| status.is_live());
         let unassigned = live.filter(|(identity, _)| !rows.vms.contains_key(&identity.vm));
         unassigned.map(|(identity, _)| identity.clone()).collect()
     }
 
     fn listing(&self, vm: &VmId) -> Listing {
         match self.listed.get(vm) {
-            Some((_, ListedStatus::Live)) => Listing::Live,
             Some((_, ListedStatus::Leaving)) => Listing::Leaving,
+            Some(_) => Listing::Live,
             None => Listing::Absent,
         }
     }
--- a/crates/node/src/membership.rs
+++ b/crates/node/src/membership.rs
@@ -8,6 +8,7 @@
 use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::rc;
+use std::time;
 
 use redwing_membership::{
     EndedSettings, EndedTracker, MemberRecord, MembershipSnapshot, OwnerAssignment,
@@ -57,6 +58,9 @@
     /// Replaces the data centres of the VMs.
     fn place(&self, _places: HashMap<VmId, DataCentre>) {}
 
+    /// Replaces the cold VMs, with the time for which each remains cold.
+    fn set_cold(&self, _cold: HashMap<VmId, time::Duration>) {}
+
     /// Replaces the scheduler's view of the fleet.
     fn install(&self, view: FleetView);
 
@@ -213,7 +217,12 @@
     async fn read_listing(&mut self) -> bool {
         match self.services.directory.list().await {
             Ok(list) => {
+                let had_cold = !self.listing.cold_vms().is_empty();
                 self.listing = VmListing::new(&list);
+                let cold = self.listing.cold_vms();
+                if had_cold || !cold.is_empty() {
+                    self.scheduler.set_cold(cold);
+                }
                 true
             }
             Err(_) => false,
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod peer_link;
 pub mod retry;
 pub mod scheduler;
+pub mod slow_start;
 pub mod ticket;
 pub mod token;
 pub mod worker_index;
--- a/crates/policy/src/scheduler/dispatch.rs
+++ b/crates/policy/src/scheduler/dispatch.rs
@@ -183,6 +183,7 @@
         self.overrun_checks
             .push(cmp::Reverse((now + estimate * 2, id)));
         self.workers.start(vm);
+        self.count_cold(class, vm);
         self.refresh_pool(&slot.pool);
         if let Some(permit) = &permit {
             self.refresh_pool(&permit.pool);
--- a/crates/policy/src/scheduler/mod.rs
+++ b/crates/policy/src/scheduler/mod.rs
@@ -7,6 +7,7 @@
 mod peers;
 mod refusal;
 mod request;
+mod slow_start;
 mod usage;
 
 pub use usage::ClassUsage;
@@ -28,6 +29,7 @@
 use crate::peer_link::PeerLink;
 use crate::retry::RetryBudget;
 use crate::scheduler::request::{ClassState, RequestState};
+use crate::slow_start::SlowStart;
 use crate::ticket::{RequestRefusal, TicketId};
 use crate::token::{TokenId, TokenPool};
 use crate::worker_index::WorkerIndex;
@@ -164,6 +166,8 @@
     ledger: TokenLedger,
     workers: WorkerIndex,
     evacuations: EvacuationMap,
+    slow_start: SlowStart,
+    last_cold_update: Option<NodeTime>,
     detector: OutlierDetector,
     budget: RetryBudget,
     links: BTreeMap<NodeIncarnation, PeerLink>,
@@ -205,6 +209,8 @@
             ledger: TokenLedger::default(),
             workers: WorkerIndex::default(),
             evacuations: EvacuationMap::default(),
+            slow_start: SlowStart::default(),
+            last_cold_update: None,
             detector: OutlierDetector::default(),
             budget: RetryBudget::new(),
             links: BTreeMap::new(),
@@ -287,6 +293,7 @@
             self.install_workers();
         }
         self.install_peers(now);
+        self.update_cold(now);
         if owned_changed || declaration_changed {
             let customers: Vec<CustomerName> = self.customer_classes.keys().cloned().collect();
             for customer in customers {
@@ -309,6 +316,7 @@
             self.refresh_pool(&token.pool);
         }
         self.expire_demand(now);
+        self.update_cold(now);
         self.dispatch_all(now);
         self.flush(now);
     }
@@ -414,6 +422,7 @@
         );
         let workers = &self.workers;
         self.detector.retain(|vm| workers.get(vm).is_some());
+        self.withhold_cold();
         self.update_slots();
     }
 
--- a/crates/policy/src/worker_index.rs
+++ b/crates/policy/src/worker_index.rs
@@ -38,6 +38,8 @@
     last_use: u64,
     health: WorkerHealth,
     is_evacuated: bool,
+    /// Whether it gets no requests for now, since it is cold.
+    is_withheld: bool,
 }
 
 /// Backend servers with free slots by class, in selection order.
@@ -83,6 +85,7 @@
                 last_use: 0,
                 health: health(&view.vm),
                 is_evacuated: is_evacuated(&view.vm),
+                is_withheld: false,
             };
             for class in &view.classes {
                 let class_workers = index.by_class.entry(class.clone()).or_default();
@@ -189,6 +192,21 @@
         }
     }
 
+    /// Sets whether the backend server on `vm` gets no requests for now, although it serves.
+    pub fn set_withheld(&mut self, vm: &VmId, is_withheld: bool) {
+        let is_same = |index: &usize| self.workers[*index].is_withheld == is_withheld;
+        if !self.by_vm.get(vm).is_some_and(is_same) {
+            self.update(vm, |entry| entry.is_withheld = is_withheld);
+        }
+    }
+
+    /// Returns the classes for which the backend server on `vm` serves.
+    pub fn serving_classes(&self, vm: &VmId) -> &[ClassName] {
+        let entry = self.by_vm.get(vm).map(|index| &self.workers[*index]);
+        let serving = entry.filter(|entry| entry.is_serving());
+        serving.map_or(&[], |entry| &entry.view.classes)
+    }
+
     /// Returns the number of backend servers of evacuated data centres.
     pub fn evacuated_total(&self) -> usize {
         self.evacuated_total
@@ -244,7 +262,7 @@
             WorkerHealth::Probing => self.running == 0,
             WorkerHealth::Ejected(_) => false,
         };
-        allowed && self.free > 0 && self.is_serving()
+        allowed && self.free > 0 && self.is_serving() && !self.is_withheld
     }
 
     /// Returns the number of running attempts, if the data centre is evacuated.
--- a/crates/provider/src/directory.rs
+++ b/crates/provider/src/directory.rs
@@ -23,10 +23,23 @@
 pub enum ListedStatus {
     /// The platform considers the VM live.
     Live,
+    /// The VM is live, and its backend server is slow for some time after its start.
+    #[serde(rename_all = "kebab-case")]
+    Cold {
+        /// Time for which it remains slow, in milliseconds.
+        left_millis: u64,
+    },
     /// The platform is about to remove the VM.
     Leaving,
 }
 
+impl ListedStatus {
+    /// Returns whether the platform considers the VM live.
+    pub fn is_live(self) -> bool {
+        self != Self::Leaving
+    }
+}
+
 /// One entry of the platform's VM list.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(rename_all = "kebab-case")]
