--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -154,7 +154,7 @@
     requests: IntGaugeVec,
     tokens: IntGaugeVec,
     ejected: IntGauge,
-    evacuated_workers: IntGauge,
+    evacuated_backends: IntGauge,
     evacuated_requests: IntGauge,
 }
 
@@ -184,8 +184,8 @@
                 "redwing_ejected_workers",
                 "Backend servers that get no requests because they failed.",
             )?,
-            evacuated_workers: IntGauge::new(
-                "redwing_evacuated_workers",
+            evacuated_backends: IntGauge::new(
+                "redwing_evacuated_backends",
                 "Backend servers in evacuated data centres.",
             )?,
             evacuated_requests: IntGauge::new(
@@ -197,7 +197,7 @@
         registry.register(Box::new(metrics.requests.clone()))?;
         registry.register(Box::new(metrics.tokens.clone()))?;
         registry.register(Box::new(metrics.ejected.clone()))?;
-        registry.register(Box::new(metrics.evacuated_workers.clone()))?;
+        registry.register(Box::new(metrics.evacuated_backends.clone()))?;
         registry.register(Box::new(metrics.evacuated_requests.clone()))?;
         Ok(metrics)
     }
@@ -213,7 +213,7 @@
         set(&self.tokens, "quarantined", counts.quarantined);
         self.ejected.set(gauge_value(scheduler.ejected().count()));
         let (workers, running) = (scheduler.evacuated_workers(), scheduler.evacuated_running());
-        self.evacuated_workers.set(gauge_value(workers));
+        self.evacuated_backends.set(gauge_value(workers));
         self.evacuated_requests.set(gauge_value(running));
     }
 }
