Share the decision on evacuations between request path and commands

The decision has no I/O and is the same for VMs and for workers of jobs, so it moves to redwing-model.

--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -31,6 +31,7 @@
 pub mod declaration;
 pub mod diff;
 pub mod error;
+pub mod evacuation;
 mod field;
 pub mod name;
 pub mod outcome;
--- a/crates/node/src/admin/evacuation.rs
+++ b/crates/node/src/admin/evacuation.rs
@@ -10,7 +10,7 @@
 use crate::admin::change;
 use crate::admin::{AdminHandler, AdminProblem, AdminRequest, AdminResponse};
 use crate::config::ConfigService;
-use crate::config::evacuation::FleetPlaces;
+use crate::config::evacuation::VmPlaces;
 
 /// Path of the list of evacuations, and path prefix of each.
 const EVACUATIONS_PATH: &str = "evacuations";
@@ -18,7 +18,7 @@
 /// Source of where the VMs of the fleet are.
 pub trait PlaceSource {
     /// Returns the places of the VMs as last read from the table.
-    fn places(&self) -> FleetPlaces;
+    fn places(&self) -> VmPlaces;
 }
 
 /// Operator API routes for evacuations.
--- a/crates/node/src/config/response.rs
+++ b/crates/node/src/config/response.rs
@@ -4,10 +4,11 @@
     ChangeKind, ChangeResponse, ChangeStatus, ConflictReport, ErrorReport, RefusalCause,
 };
 use redwing_model::diff::{self, FieldDifference};
+use redwing_model::evacuation::EvacuationVerdict;
 use redwing_model::{FleetDeclaration, declaration};
 
 use crate::config::change::ChangeDraft;
-use crate::config::evacuation::{self, EvacuationVerdict, FleetPlaces};
+use crate::config::evacuation::{self, VmPlaces};
 use crate::config::state::ConfigView;
 
 /// Returns the name of a status in the audit trail.
@@ -96,7 +97,7 @@
 pub(crate) fn check(
     draft: &ChangeDraft,
     view: &ConfigView,
-    places: &FleetPlaces,
+    places: &VmPlaces,
 ) -> Option<ChangeResponse> {
     let fleet = &view.declaration;
     match &draft.kind {
@@ -132,20 +133,17 @@
 fn check_evacuation(
     draft: &ChangeDraft,
     view: &ConfigView,
-    places: &FleetPlaces,
+    places: &VmPlaces,
 ) -> Option<ChangeResponse> {
-    match evacuation::check(&draft.kind, places, &view.evacuations) {
-        EvacuationVerdict::Allowed => None,
-        EvacuationVerdict::Unchanged(detail) => Some(unchanged(draft, detail)),
-        EvacuationVerdict::UnknownDataCentre(detail) => Some(not_found(draft, &detail)),
-        EvacuationVerdict::Disallowed(detail) => {
-            Some(refused(draft, RefusalCause::Disallowed, detail))
-        }
-        EvacuationVerdict::PlacesUnread => {
-            let detail = "the VMs of the fleet have not been read yet; try again";
-            Some(refused(draft, RefusalCause::Unavailable, detail))
-        }
-    }
+    let (verdict, reason) = evacuation::check(&draft.kind, places, &view.evacuations);
+    let cause = match verdict {
+        EvacuationVerdict::Allowed => return None,
+        EvacuationVerdict::Unchanged => return Some(unchanged(draft, reason)),
+        EvacuationVerdict::Unknown => RefusalCause::NotFound,
+        EvacuationVerdict::Last | EvacuationVerdict::Second => RefusalCause::Disallowed,
+        EvacuationVerdict::PlacesUnread => RefusalCause::Unavailable,
+    };
+    Some(refused(draft, cause, reason))
 }
 
 /// Returns the refusal of an invalid declaration, with all its errors.
--- a/crates/node/src/config/service.rs
+++ b/crates/node/src/config/service.rs
@@ -16,7 +16,7 @@
 
 use crate::audit::{AuditDraft, AuditLog};
 use crate::config::change::ChangeDraft;
-use crate::config::evacuation::{self, FleetPlaces};
+use crate::config::evacuation::{self, VmPlaces};
 use crate::config::propagation::{self, ConfigPropagation};
 use crate::config::response;
 use crate::config::row::{self, ChangeRecord};
@@ -81,7 +81,7 @@
     pub(crate) freshness: sync::Arc<FreshnessDeadline>,
     snapshots: rc::Rc<SnapshotSender>,
     evacuations: EvacuationSender,
-    places: cell::RefCell<FleetPlaces>,
+    places: cell::RefCell<VmPlaces>,
     audit: AuditLog,
     change_lock: channel::Mutex<()>,
 }
@@ -126,13 +126,13 @@
     }
 
     /// Sets where the VMs of the fleet are, by which evacuations are checked.
-    pub fn set_places(&self, places: FleetPlaces) {
+    pub fn set_places(&self, places: VmPlaces) {
         *self.places.borrow_mut() = places;
     }
 
     /// Returns the number of VMs in a data centre, as last read.
     pub fn vms_in(&self, data_centre: &DataCentre) -> u32 {
-        self.places.borrow().vms(data_centre)
+        self.places.borrow().count(data_centre)
     }
 
     /// Returns the version in force; 0 if there is none.
--- a/crates/node/src/maintenance/service.rs
+++ b/crates/node/src/maintenance/service.rs
@@ -11,7 +11,7 @@
 use redwing_provider::{Category, Error, Result, RowKey, TableStore};
 
 use crate::admin::PlaceSource;
-use crate::config::evacuation::FleetPlaces;
+use crate::config::evacuation::VmPlaces;
 use crate::evacuation::EvacuationReceiver;
 use crate::event;
 use crate::maintenance::rows;
@@ -164,10 +164,10 @@
 }
 
 impl PlaceSource for MaintenanceService {
-    fn places(&self) -> FleetPlaces {
+    fn places(&self) -> VmPlaces {
         let rows = rc::Rc::clone(&self.state.borrow().rows);
         let records = rows.vms.values().map(|row| &row.value);
-        FleetPlaces::new(records.map(|record| (&record.pool, &record.identity.data_centre)))
+        VmPlaces::new(records.map(|record| (&record.pool, &record.identity.data_centre)))
     }
 }
 
--- a/crates/node/tests/control/evacuation.rs
+++ b/crates/node/tests/control/evacuation.rs
@@ -10,9 +10,10 @@
 use redwing_model::admin::{
     AuditFilter, ChangeKind, ChangeResponse, ChangeStatus, EvacuationView, RefusalCause,
 };
+use redwing_model::evacuation::EvacuationVerdict;
 use redwing_model::{DataCentre, PoolName};
 use redwing_node::admin::{AdminHandler, AdminRequest, EvacuationRoutes, PlaceSource};
-use redwing_node::config::evacuation::{self, EvacuationTable, EvacuationVerdict, FleetPlaces};
+use redwing_node::config::evacuation::{self, EvacuationTable, VmPlaces};
 use redwing_node::config::{ConfigService, ConfigState};
 use redwing_provider::{RowKey, TableClient, TableRow};
 use rstest::rstest;
@@ -26,10 +27,10 @@
 }
 
 /// Returns places with pool `a` in all of three data centres and `b` only in the east.
-fn places() -> FleetPlaces {
+fn places() -> VmPlaces {
     let (a, b) = (PoolName::new("a").unwrap(), PoolName::new("b").unwrap());
     let [east, north, west] = ["east", "north", "west"].map(data_centre);
-    FleetPlaces::new([(&a, &east), (&a, &north), (&a, &west), (&b, &east)])
+    VmPlaces::new([(&a, &east), (&a, &north), (&a, &west), (&b, &east)])
 }
 
 fn evacuate(name: &str, also: bool) -> ChangeKind {
@@ -70,47 +71,38 @@
 /// Guards against a refused evacuation that has an effect, and against an allowed one that
 /// leaves nothing.
 #[rstest]
-#[case::first(evacuate("east", false), &[], "allowed")]
-#[case::second(evacuate("west", false), &["east"], "disallowed")]
-#[case::second_on_purpose(evacuate("west", true), &["east"], "allowed")]
-#[case::last(evacuate("north", true), &["east", "west"], "disallowed")]
-#[case::again(evacuate("east", false), &["east", "west"], "unchanged")]
-#[case::unknown(evacuate("south", true), &[], "unknown")]
-#[case::undo(undo("east"), &["east"], "allowed")]
-#[case::undo_of_one_without_vms(undo("south"), &["south"], "allowed")]
-#[case::undo_of_none(undo("east"), &["west"], "unchanged")]
-#[case::undo_of_unknown(undo("south"), &["west"], "unknown")]
+#[case::first(evacuate("east", false), &[], EvacuationVerdict::Allowed)]
+#[case::second(evacuate("west", false), &["east"], EvacuationVerdict::Second)]
+#[case::second_on_purpose(evacuate("west", true), &["east"], EvacuationVerdict::Allowed)]
+#[case::last(evacuate("north", true), &["east", "west"], EvacuationVerdict::Last)]
+#[case::again(evacuate("east", false), &["east", "west"], EvacuationVerdict::Unchanged)]
+#[case::unknown(evacuate("south", true), &[], EvacuationVerdict::Unknown)]
+#[case::undo(undo("east"), &["east"], EvacuationVerdict::Allowed)]
+#[case::undo_of_one_without_vms(undo("south"), &["south"], EvacuationVerdict::Allowed)]
+#[case::undo_of_none(undo("east"), &["west"], EvacuationVerdict::Unchanged)]
+#[case::undo_of_unknown(undo("south"), &["west"], EvacuationVerdict::Unknown)]
 fn an_evacuation_is_checked_against_those_in_force(
     #[case] kind: ChangeKind,
     #[case] in_force: &[&str],
-    #[case] expected: &str,
+    #[case] expected: EvacuationVerdict,
 ) {
-    let verdict = match evacuation::check(&kind, &places(), &table(in_force)) {
-        EvacuationVerdict::Allowed => "allowed",
-        EvacuationVerdict::Unchanged(_) => "unchanged",
-        EvacuationVerdict::UnknownDataCentre(_) => "unknown",
-        EvacuationVerdict::Disallowed(_) => "disallowed",
-        EvacuationVerdict::PlacesUnread => "unread",
-    };
+    let (verdict, reason) = evacuation::check(&kind, &places(), &table(in_force));
     assert_eq!(verdict, expected);
+    assert_eq!(reason.is_empty(), verdict == EvacuationVerdict::Allowed);
 }
 
 /// Guards against a process that has not read the VMs and takes every data centre for
 /// unknown, and against a pool without VMs elsewhere that is not named.
 #[test]
 fn places_decide_what_is_known_and_what_is_confined() {
-    let unread = evacuation::check(
-        &evacuate("east", false),
-        &FleetPlaces::default(),
-        &table(&[]),
-    );
-    assert_eq!(unread, EvacuationVerdict::PlacesUnread);
+    let unread = evacuation::check(&evacuate("east", false), &VmPlaces::default(), &table(&[]));
+    assert_eq!(unread.0, EvacuationVerdict::PlacesUnread);
     let consequence = |kind, in_force: &[&str]| {
         evacuation::consequence(&kind, &places(), &table(in_force)).unwrap_or_default()
     };
-    assert!(consequence(evacuate("east", false), &[]).contains("has: b;"));
+    assert!(consequence(evacuate("east", false), &[]).contains("waits: b"));
     assert_eq!(consequence(evacuate("west", false), &[]), "");
-    assert!(consequence(evacuate("west", true), &["east", "north"]).contains("has: a;"));
+    assert!(consequence(evacuate("west", true), &["east", "north"]).contains("waits: a"));
 }
 
 #[test]
@@ -123,7 +115,7 @@
             (response.status, response.version),
             (ChangeStatus::Accepted, Some(2))
         );
-        assert!(response.detail.contains("has: b;"), "{}", response.detail);
+        assert!(response.detail.contains("waits: b"), "{}", response.detail);
         assert_eq!(evacuated(&fleet.nodes[1]), ["east"]);
         assert!(evacuated(&fleet.nodes[2]).is_empty());
         fleet.nodes[2].config.refresh().await.unwrap();
@@ -321,7 +313,7 @@
 struct FixedPlaces;
 
 impl PlaceSource for FixedPlaces {
-    fn places(&self) -> FleetPlaces {
+    fn places(&self) -> VmPlaces {
         places()
     }
 }
