--- a/crates/ctl/src/client.rs
+++ b/crates/ctl/src/client.rs
@@ -94,14 +94,18 @@
             base_urls: base_urls.cloned().collect(),
             token: token.cloned().unwrap_or_default(),
             change: ChangeSettings {
-                id: flag_value::<String>(flags, "change-id")
-                    .unwrap_or_else(|| format!("ctl-{:032x}", rand::random::<u128>())),
+                id: flag_value::<String>(flags, "change-id").unwrap_or_else(Self::generate_id),
                 base_version: flag_value(flags, "base-version"),
                 wait: time::Duration::from_secs_f64(flag_value(flags, "wait").unwrap_or(0.0)),
             },
         }
     }
 
+    /// Returns a random id of a change.
+    pub(crate) fn generate_id() -> String {
+        format!("ctl-{:032x}", rand::random::<u128>())
+    }
+
     /// Sends a read request and decodes its JSON response.
     ///
     /// # Errors
--- a/crates/ctl/src/command.rs
+++ b/crates/ctl/src/command.rs
@@ -5,7 +5,8 @@
 
 use crate::error::{Category, Error, Result};
 use crate::{
-    apply, audit, experiment, explain, grant, inspect, job, load, platform, report, rollout, value,
+    apply, audit, evacuate, experiment, explain, grant, inspect, job, load, platform, report,
+    rollout, value,
 };
 
 /// Subcommands in the order in which the help lists them.
@@ -20,6 +21,7 @@
     grant::OPERATOR,
     audit::COMMAND,
     rollout::COMMAND,
+    evacuate::COMMAND,
     explain::COMMAND,
     report::COMMAND,
     experiment::COMMAND,
--- a/crates/ctl/src/lib.rs
+++ b/crates/ctl/src/lib.rs
@@ -16,6 +16,7 @@
 mod client;
 pub mod command;
 pub mod error;
+mod evacuate;
 mod experiment;
 pub mod explain;
 mod grant;
