--- a/crates/ctl/tests/evacuate.rs
+++ b/crates/ctl/tests/evacuate.rs
@@ -5,7 +5,8 @@
 use std::sync::mpsc;
 use std::thread;
 
-use redwing_ctl::ExitStatus;
+use redwing_ctl::{ExitStatus, output};
+use redwing_model::admin::{HistoryEntry, NodeStatus};
 use redwing_platform_standin::StandinSettings;
 use redwing_platform_standin::settings::FleetSettings;
 use rstest::rstest;
@@ -128,6 +129,21 @@
     assert_eq!(status, ExitStatus::Usage);
 }
 
+/// Guards against a status or history that does not show evacuations.
+#[test]
+fn status_and_history_name_the_data_centre() {
+    let status = r#"{"node":{"node":"n","epoch":1},"version":3,"accepts-keyed":true,"ready":true,
+        "table-reachable":true,"majority-reachable":true,"evacuated":["east"],"members":[]}"#;
+    let status: NodeStatus = serde_json::from_str(status).expect("a status");
+    let text = output::StatusText(&status).to_string();
+    assert!(text.contains("\nevacuated east"), "{text}");
+    let history = r#"[{"version":3,"from-version":2,"change":"c","operator":"ama","at-millis":0,
+        "kind":{"undo-evacuation":{"data-centre":"east"}}}]"#;
+    let history: Vec<HistoryEntry> = serde_json::from_str(history).expect("a history");
+    let text = output::HistoryText(&history).to_string();
+    assert!(text.contains("undo evacuation of east (c)"), "{text}");
+}
+
 /// Stand-in platform in a thread of its own.
 struct TestPlatform {
     address: net::SocketAddr,
--- a/crates/node/tests/control/evacuation.rs
+++ b/crates/node/tests/control/evacuation.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeSet;
 use std::rc;
+use std::sync;
 use std::time;
 
 use crate::fleet::{TestFleet, TestNode, draft, fast_client};
@@ -11,12 +12,20 @@
     AuditFilter, ChangeKind, ChangeResponse, ChangeStatus, EvacuationView, RefusalCause,
 };
 use redwing_model::evacuation::EvacuationVerdict;
-use redwing_model::{DataCentre, PoolName};
+use redwing_model::{DataCentre, PoolName, VmId};
 use redwing_node::admin::{AdminHandler, AdminRequest, EvacuationRoutes, PlaceSource};
 use redwing_node::config::evacuation::{self, EvacuationTable, VmPlaces};
 use redwing_node::config::{ConfigService, ConfigState};
+use redwing_node::control::{
+    ControlChannel, ControlCommand, ControlHandle, NodeClock, RequestVerdict,
+};
+use redwing_node::evacuation::{DispatchDeadline, EvacuationNotice, EvacuationSender};
+use redwing_node::snapshot::FreshnessDeadline;
+use redwing_policy::scheduler::WorkerView;
+use redwing_policy::{FleetView, RequestTicket, SchedulerSettings, TicketId, TokenId, TokenPool};
 use redwing_provider::{RowKey, TableClient, TableRow};
 use rstest::rstest;
+use tokio::sync::{mpsc, oneshot};
 
 fn block_on<F: Future>(future: F) -> F::Output {
     actix_rt::System::new().block_on(future)
@@ -273,7 +282,6 @@
 fn bounded_service(node: &TestNode) -> rc::Rc<ConfigService> {
     use redwing_node::audit::{AuditLog, AuditSettings};
     use redwing_node::config::{ConfigSettings, propagation};
-    use redwing_node::evacuation::EvacuationSender;
 
     let audit = AuditLog::new(
         node.config.audit().node().clone(),
@@ -379,3 +387,126 @@
         );
     });
 }
+
+/// Scheduler task with one backend server in each of two data centres.
+struct SchedulerBench {
+    control: ControlHandle,
+    notices: EvacuationSender,
+    /// Receivers of the verdicts on requests that wait.
+    waiting: Vec<oneshot::Receiver<RequestVerdict>>,
+    next: u64,
+}
+
+impl SchedulerBench {
+    fn start() -> Self {
+        let notices = EvacuationSender::default();
+        let mut channel = ControlChannel::open(NodeClock::start());
+        channel.evacuations = Some(notices.subscribe());
+        let (outbox, _) = mpsc::unbounded_channel();
+        let node = "entry-1.1".parse().unwrap();
+        let control = channel.start(node, SchedulerSettings::default(), outbox);
+        let names = ["east", "west"];
+        let vm = |name: &str| VmId::new(&format!("vm-{name}")).unwrap();
+        let workers = names.map(|name| WorkerView {
+            vm: vm(name),
+            address: ([127, 0, 0, 1], 1).into(),
+            classes: vec!["q".parse().unwrap()],
+            serving: true,
+        });
+        let tokens = names.map(|name| TokenId {
+            pool: TokenPool::Slot(vm(name)),
+            number: 0,
+        });
+        let text = "[pools.a]\nvms = 2\nmax-unavailable = 1\n[queues.q]\npool = \"a\"\n";
+        let view = FleetView {
+            declaration: redwing_model::from_toml(text).unwrap(),
+            workers: workers.into(),
+            owned_tokens: tokens.into(),
+            ..FleetView::default()
+        };
+        let places = names.map(|name| (vm(name), data_centre(name)));
+        control.run(move |scheduler, now| scheduler.set_places(now, places.into()));
+        control.send(ControlCommand::Install(Box::new(view)));
+        Self {
+            control,
+            notices,
+            waiting: Vec::new(),
+            next: 0,
+        }
+    }
+
+    /// Submits a request and returns its verdict; `None` while it waits.
+    async fn submit(&mut self) -> Option<RequestVerdict> {
+        self.next += 1;
+        let verdict = self.control.submit(RequestTicket {
+            id: TicketId(self.next),
+            class: "q".parse().unwrap(),
+            customer: None,
+            deadline: self.control.clock().now() + time::Duration::from_secs(60),
+            repeatable: true,
+        });
+        // The call is handled after the request.
+        self.control.call(|_, _| ()).await;
+        self.waiting.push(verdict);
+        self.verdict()
+    }
+
+    /// Returns the verdict on the latest request; `None` while it waits.
+    fn verdict(&mut self) -> Option<RequestVerdict> {
+        let verdict = self.waiting.last_mut()?.try_recv();
+        verdict.ok()
+    }
+}
+
+/// Guards against a request that is sent by evacuations which are older than the version
+/// under which it was admitted: the notice is published just before the request.
+#[test]
+fn a_request_after_the_notice_does_not_go_to_the_data_centre() {
+    block_on(async {
+        let mut bench = SchedulerBench::start();
+        bench.control.call(|_, _| ()).await;
+        let evacuated = BTreeSet::from([data_centre("west")]);
+        bench.notices.send_replace(EvacuationNotice {
+            evacuated: evacuated.into(),
+            deadline: None,
+        });
+        let verdict = bench.submit().await;
+        let Some(RequestVerdict::Dispatch(order)) = verdict else {
+            panic!("{verdict:?}");
+        };
+        assert_eq!(order.vm.as_str(), "vm-east");
+        assert_eq!(bench.submit().await, None, "the other server is evacuated");
+        bench.notices.send_replace(EvacuationNotice::default());
+        bench.control.call(|_, _| ()).await;
+        let Some(RequestVerdict::Dispatch(order)) = bench.verdict() else {
+            panic!("the waiting request goes there after the undo");
+        };
+        assert_eq!(order.vm.as_str(), "vm-west");
+    });
+}
+
+/// Guards against a process with a bound that sends requests by an old configuration, or
+/// never again.
+#[test]
+fn a_process_whose_configuration_is_too_old_sends_nothing_until_it_is_confirmed() {
+    block_on(async {
+        let mut bench = SchedulerBench::start();
+        let freshness = sync::Arc::new(FreshnessDeadline::default());
+        let deadline = DispatchDeadline::new(freshness.clone(), time::Duration::ZERO);
+        bench.notices.send_replace(EvacuationNotice {
+            deadline: Some(deadline),
+            ..EvacuationNotice::default()
+        });
+        let verdict = bench.submit().await;
+        assert!(
+            matches!(verdict, Some(RequestVerdict::Refuse(_))),
+            "{verdict:?}"
+        );
+        freshness.extend(time::Instant::now() + time::Duration::from_secs(600));
+        let verdict = bench.submit().await;
+        assert!(
+            matches!(verdict, Some(RequestVerdict::Dispatch(_))),
+            "{verdict:?}"
+        );
+    });
+}
--- a/crates/node/tests/settings.rs
+++ b/crates/node/tests/settings.rs
@@ -76,3 +76,23 @@
         assert_eq!(flag.get_env().unwrap(), variable.as_str());
     }
 }
+
+/// Guards against a bound that no process can keep.
+#[rstest]
+#[case::none("none", Ok(None))]
+#[case::shortest("5", Ok(Some(5)))]
+#[case::too_short("4.9", Err(()))]
+#[case::not_finite("NaN", Err(()))]
+fn an_evacuation_bound_is_none_or_long_enough(
+    #[case] value: &str,
+    #[case] expected: Result<Option<u64>, ()>,
+) {
+    let arguments = ["--platform", "embedded", "--evacuation-bound", value];
+    let line = ["redwinglb", "serve"].into_iter().chain(arguments);
+    let parsed = settings::command().try_get_matches_from(line);
+    assert_eq!(parsed.is_ok(), expected.is_ok());
+    if let Ok(seconds) = expected {
+        let bound = serve_settings(&arguments).evacuation_bound;
+        assert_eq!(bound.map(|bound| bound.as_secs()), seconds);
+    }
+}
