--- a/crates/node/src/config/response.rs
+++ b/crates/node/src/config/response.rs
@@ -4,9 +4,11 @@
     ChangeKind, ChangeResponse, ChangeStatus, ConflictReport, ErrorReport, RefusalCause,
 };
 use redwing_model::diff::{self, FieldDifference};
+use redwing_model::evacuation::EvacuationVerdict;
 use redwing_model::{FleetDeclaration, declaration};
 
 use crate::config::change::ChangeDraft;
+use crate::config::evacuation::{self, VmPlaces};
 use crate::config::state::ConfigView;
 
 /// Returns the name of a status in the audit trail.
@@ -46,6 +48,14 @@
     }
 }
 
+/// Returns the response to a change that finds what it requests in force.
+pub(crate) fn unchanged(draft: &ChangeDraft, detail: String) -> ChangeResponse {
+    ChangeResponse {
+        unchanged: true,
+        ..response_of(draft, ChangeStatus::Accepted, None, detail)
+    }
+}
+
 /// Returns the response to a dry run of a change that would be accepted.
 pub(crate) fn dry_run(draft: &ChangeDraft, view: &ConfigView) -> ChangeResponse {
     let detail = "dry run: nothing was changed".to_owned();
@@ -82,9 +92,13 @@
     }
 }
 
-/// Returns the refusal of a change that is invalid for the configuration in
-/// force.
-pub(crate) fn check(draft: &ChangeDraft, view: &ConfigView) -> Option<ChangeResponse> {
+/// Returns the response to a change that is not made: the refusal of one that is invalid
+/// for the configuration in force, or the acceptance of one that changes nothing.
+pub(crate) fn check(
+    draft: &ChangeDraft,
+    view: &ConfigView,
+    places: &VmPlaces,
+) -> Option<ChangeResponse> {
     let fleet = &view.declaration;
     match &draft.kind {
         ChangeKind::Apply | ChangeKind::Rollback { .. } => check_declaration(draft),
@@ -110,9 +124,28 @@
             (!granted).then(|| not_found(draft, "no token with this digest is in force"))
         }
         ChangeKind::GrantOperator { .. } => None,
+        ChangeKind::Evacuate { .. } | ChangeKind::UndoEvacuation { .. } => {
+            check_evacuation(draft, view, places)
+        }
     }
 }
 
+fn check_evacuation(
+    draft: &ChangeDraft,
+    view: &ConfigView,
+    places: &VmPlaces,
+) -> Option<ChangeResponse> {
+    let (verdict, reason) = evacuation::check(&draft.kind, places, &view.evacuations);
+    let cause = match verdict {
+        EvacuationVerdict::Allowed => return None,
+        EvacuationVerdict::Unchanged => return Some(unchanged(draft, reason)),
+        EvacuationVerdict::Unknown => RefusalCause::NotFound,
+        EvacuationVerdict::Last | EvacuationVerdict::Second => RefusalCause::Disallowed,
+        EvacuationVerdict::PlacesUnread => RefusalCause::Unavailable,
+    };
+    Some(refused(draft, cause, reason))
+}
+
 /// Returns the refusal of an invalid declaration, with all its errors.
 pub(crate) fn check_declaration(draft: &ChangeDraft) -> Option<ChangeResponse> {
     let text = draft.declaration.as_deref().unwrap_or_default();
@@ -169,5 +202,6 @@
         conflict: None,
         secret: None,
         hash: draft.hash(),
+        unchanged: false,
     }
 }
--- a/crates/planner/src/explain.rs
+++ b/crates/planner/src/explain.rs
@@ -101,6 +101,10 @@
         None if view.is_suspect(vm) => {
             format!("{vm} is counted as out of service: it is ejected or not listed as live")
         }
+        None if view.is_evacuated(&record.identity) => format!(
+            "{vm} gets no requests: its data centre {} is evacuated",
+            record.identity.data_centre
+        ),
         None => format!("{vm} serves pool {}", record.pool),
         Some(outage) => describe_outage(vm, record.phase, outage),
     };
@@ -109,6 +113,10 @@
         .input("phase", phase_name(record.phase))
         .input("rack", &record.identity.rack)
         .input("data centre", &record.identity.data_centre);
+    let explanation = match view.is_evacuated(&record.identity) {
+        true => explanation.would_change("the undo of the evacuation of its data centre"),
+        false => explanation,
+    };
     let Some(outage) = outage else {
         let text = format!("a roll-out of pool {}, a move, or a failure", record.pool);
         return Some(explanation.would_change(text));
@@ -165,9 +173,10 @@
 ) -> Option<Explanation> {
     let record = &view.rows.pools.get(pool)?.value;
     let target = view.declaration.pools.get(pool)?;
-    let suspects = FleetIndex::new(view).suspects(pool);
+    let index = FleetIndex::new(view);
+    let (suspects, evacuated) = (index.suspects(pool), index.evacuated(pool).serving);
     let budget = PoolBudget::new(target.max_unavailable);
-    let headroom = budget.headroom(record, suspects);
+    let headroom = budget.headroom(record, suspects + evacuated);
     let decision = format!("{headroom} more VMs of pool {pool} may be taken out of service now");
     let mut explanation = Explanation::new(Subject::Pool(pool.clone()), decision)
         .input("declared VMs", target.vms)
@@ -181,6 +190,11 @@
         )
         .input("ejected or unseen", suspects)
         .input("max-unavailable", target.max_unavailable);
+    if evacuated > 0 {
+        explanation = explanation
+            .input("serving in evacuated data centres", evacuated)
+            .would_change("the undo of an evacuation");
+    }
     explanation = add_requirement(settings, view, pool, record, explanation);
     let default_outage = expected_outage(settings, target.drain_seconds);
     if let Some(status) = status(now, default_outage, view, pool) {
@@ -240,6 +254,9 @@
         RolloutBlocker::DataCentre { data_centre } => {
             format!("the return of the VMs that are out in data centre {data_centre}")
         }
+        RolloutBlocker::Evacuated { vms } => {
+            format!("the undo of an evacuation, by which {vms} VMs get no requests")
+        }
         RolloutBlocker::StaleList => "a recent VM list from the platform".to_owned(),
         RolloutBlocker::LongDrains { vms } => {
             format!("the end of long requests on {} draining VMs", vms.len())
