--- a/crates/node/src/fleet.rs
+++ b/crates/node/src/fleet.rs
@@ -1,10 +1,11 @@
 //! Backend servers from the table's VM rows and the platform's VM list.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::time;
 
 use redwing_model::vm::VmPhase;
 use redwing_model::vm::VmRecord;
-use redwing_model::{ClassName, FleetDeclaration, NodeId, PoolName, VmId};
+use redwing_model::{ClassName, DataCentre, FleetDeclaration, NodeId, PoolName, VmId};
 use redwing_policy::scheduler::WorkerView;
 use redwing_provider::{ListedStatus, ListedVm, VmRole};
 
@@ -40,7 +41,22 @@
 
     /// Returns whether the VM is listed and not about to leave.
     pub fn is_live(&self, vm: &VmId) -> bool {
-        self.statuses.get(vm) == Some(&ListedStatus::Live)
+        let status = self.statuses.get(vm);
+        status.is_some_and(|status| status.is_live())
+    }
+
+    /// Returns the cold VMs, with the time for which each remains cold.
+    pub fn cold_vms(&self) -> HashMap<VmId, time::Duration> {
+        let cold = self
+            .statuses
+            .iter()
+            .filter_map(|(vm, status)| match status {
+                ListedStatus::Cold { left_millis } if *left_millis > 0 => {
+                    Some((vm.clone(), time::Duration::from_millis(*left_millis)))
+                }
+                _ => None,
+            });
+        cold.collect()
     }
 
     /// Returns the listed entry VMs.
@@ -57,6 +73,14 @@
         .collect()
 }
 
+/// Returns the data centres of the VMs.
+pub fn data_centres(records: &[VmRecord]) -> HashMap<VmId, DataCentre> {
+    let identities = records.iter().map(|record| &record.identity);
+    identities
+        .map(|identity| (identity.vm.clone(), identity.data_centre.clone()))
+        .collect()
+}
+
 /// Returns the scheduler's view of the backend servers, each with the classes of
 /// its pool.
 ///
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod clock;
 pub mod demand;
 pub mod estimate;
+pub mod evacuation;
 pub mod fair_queue;
 pub mod ledger;
 pub mod message;
@@ -19,6 +20,7 @@
 pub mod peer_link;
 pub mod retry;
 pub mod scheduler;
+pub mod slow_start;
 pub mod ticket;
 pub mod token;
 pub mod worker_index;
--- a/crates/policy/src/scheduler/mod.rs
+++ b/crates/policy/src/scheduler/mod.rs
@@ -3,9 +3,11 @@
 mod admission;
 mod attempt;
 mod dispatch;
+mod evacuation;
 mod peers;
 mod refusal;
 mod request;
+mod slow_start;
 mod usage;
 
 pub use usage::ClassUsage;
@@ -19,6 +21,7 @@
 
 use crate::clock::NodeTime;
 use crate::demand::DemandReporter;
+use crate::evacuation::EvacuationMap;
 use crate::fair_queue::UNDECLARED_SHARE;
 use crate::ledger::{TokenCounts, TokenLedger};
 use crate::message::PeerMessage;
@@ -26,6 +29,7 @@
 use crate::peer_link::PeerLink;
 use crate::retry::RetryBudget;
 use crate::scheduler::request::{ClassState, RequestState};
+use crate::slow_start::SlowStart;
 use crate::ticket::{RequestRefusal, TicketId};
 use crate::token::{TokenId, TokenPool};
 use crate::worker_index::WorkerIndex;
@@ -150,6 +154,7 @@
     node: NodeIncarnation,
     view: FleetView,
     suspended: bool,
+    is_held: bool,
     leaving: bool,
     classes: BTreeMap<ClassName, ClassState>,
     customer_classes: HashMap<CustomerName, Vec<ClassName>>,
@@ -160,6 +165,9 @@
     overrun_checks: BinaryHeap<cmp::Reverse<(NodeTime, TicketId)>>,
     ledger: TokenLedger,
     workers: WorkerIndex,
+    evacuations: EvacuationMap,
+    slow_start: SlowStart,
+    last_cold_update: Option<NodeTime>,
     detector: OutlierDetector,
     budget: RetryBudget,
     links: BTreeMap<NodeIncarnation, PeerLink>,
@@ -189,6 +197,7 @@
             node,
             view: FleetView::default(),
             suspended: false,
+            is_held: false,
             leaving: false,
             classes: BTreeMap::new(),
             customer_classes: HashMap::new(),
@@ -199,6 +208,9 @@
             overrun_checks: BinaryHeap::new(),
             ledger: TokenLedger::default(),
             workers: WorkerIndex::default(),
+            evacuations: EvacuationMap::default(),
+            slow_start: SlowStart::default(),
+            last_cold_update: None,
             detector: OutlierDetector::default(),
             budget: RetryBudget::new(),
             links: BTreeMap::new(),
@@ -281,6 +293,7 @@
             self.install_workers();
         }
         self.install_peers(now);
+        self.update_cold(now);
         if owned_changed || declaration_changed {
             let customers: Vec<CustomerName> = self.customer_classes.keys().cloned().collect();
             for customer in customers {
@@ -303,6 +316,7 @@
             self.refresh_pool(&token.pool);
         }
         self.expire_demand(now);
+        self.update_cold(now);
         self.dispatch_all(now);
         self.flush(now);
     }
@@ -398,16 +412,25 @@
         let bound = self.settings.slots_per_worker;
         let ledger = &self.ledger;
         let detector = &self.detector;
+        let evacuations = &self.evacuations;
         self.workers = WorkerIndex::new(
             &self.view.workers,
             |vm| running.get(vm).copied().unwrap_or(0),
             |vm| ledger.available(&TokenPool::Slot(vm.clone()), bound),
             |vm| detector.health(vm),
+            |vm| evacuations.is_evacuated(vm),
         );
         let workers = &self.workers;
         self.detector.retain(|vm| workers.get(vm).is_some());
+        self.withhold_cold();
+        self.update_slots();
+    }
+
+    /// Updates the slots of the queues to the backend servers that serve.
+    fn update_slots(&mut self) {
+        let bound = self.settings.slots_per_worker;
         for (class, state) in &mut self.classes {
-            let serving = u32::try_from(workers.serving(class)).unwrap_or(u32::MAX);
+            let serving = u32::try_from(self.workers.serving(class)).unwrap_or(u32::MAX);
             state.queue.set_slots(serving.saturating_mul(bound));
         }
     }
