Evacuate data centres in the soak of processes

Change: the soak evacuates one of two data centres, or both, undoes that, and evacuates again, while processes restart, are paused or cut off, and waves and drains go on. It fails for each start in an evacuated data centre after the bound, also in times with unplanned events.

--- a/crates/node/tests/process_soak.rs
+++ b/crates/node/tests/process_soak.rs
@@ -16,6 +16,8 @@
 mod check;
 #[path = "process_soak/cluster.rs"]
 mod cluster;
+#[path = "process_soak/evacuation.rs"]
+mod evacuation;
 #[path = "process_soak/job.rs"]
 mod job;
 #[path = "process_soak/platform.rs"]
@@ -146,7 +148,11 @@
     let calls = CheckedCalls::start(&cluster, settings.seed);
     let watch = task::spawn_local(check::watch(rc::Rc::clone(&cluster)));
     let probe = task::spawn_local(check::probe(rc::Rc::clone(&cluster)));
+    let evacuations = rc::Rc::clone(&cluster);
+    let evacuations = evacuation::run_all(evacuations, settings.seed, settings.duration);
+    let evacuations = task::spawn_local(evacuations);
     action::run_all(&cluster, settings.seed, settings.duration).await;
+    evacuations.await.expect("the evacuations end");
     calls.end(check::check_end(&cluster)).await;
     watch.abort();
     probe.abort();
--- a/crates/node/tests/process_soak/platform.rs
+++ b/crates/node/tests/process_soak/platform.rs
@@ -36,6 +36,9 @@
 /// Number of pools whose machines are in use; their machines are the first ones.
 const POOLS: usize = 2;
 
+/// Number of data centres over which the machines are distributed.
+pub(crate) const DATA_CENTRES: usize = 2;
+
 /// Queue whose steps need permits of the advisor.
 const ADVISED_QUEUE: &str = "advised";
 
@@ -108,6 +111,9 @@
     /// effects, in milliseconds.
     drains: cell::RefCell<Vec<ops::Range<f64>>>,
     run_failures: cell::RefCell<Vec<ops::Range<f64>>>,
+    /// Number of data centres that are evacuated, and when one last was.
+    evacuated: cell::Cell<usize>,
+    evacuated_at: cell::Cell<Option<timer::Instant>>,
     /// When it was ready, by which the times of the soak count.
     pub(crate) started_at: timer::Instant,
     table: PlatformTable,
@@ -134,6 +140,8 @@
             &seed.to_string(),
             "--workers",
             &workers.to_string(),
+            "--data-centres",
+            &DATA_CENTRES.to_string(),
         ];
         let process = SoakProcess::start(&ProcessCommand {
             program: program(),
@@ -166,6 +174,8 @@
             lost: cell::RefCell::default(),
             drains: cell::RefCell::default(),
             run_failures: cell::RefCell::default(),
+            evacuated: cell::Cell::new(0),
+            evacuated_at: cell::Cell::new(None),
             started_at: timer::Instant::now(),
             table: PlatformTable::new(JsonClient::new(), address, TableLimits::default()),
             views: watch::Sender::default(),
@@ -342,6 +352,29 @@
         self.write(&format!("wave/{wave}"), &request).await;
     }
 
+    /// Evacuates a data centre, or undoes that.
+    pub(crate) async fn evacuate(&self, data_centre: usize, is_evacuated: bool) {
+        let count = self.evacuated.get();
+        self.evacuated.set(match is_evacuated {
+            true => count + 1,
+            false => count - 1,
+        });
+        self.evacuated_at.set(Some(timer::Instant::now()));
+        let value = match is_evacuated {
+            true => json!({}),
+            false => serde_json::Value::Null,
+        };
+        let key = format!("evacuate/zone-{}", data_centre + 1);
+        self.write(&key, &value).await;
+    }
+
+    /// Returns whether a data centre is evacuated, or was so less than `limit` ago: there
+    /// may be no room for all tasks.
+    pub(crate) fn was_evacuated(&self, limit: time::Duration) -> bool {
+        let ended_at = self.evacuated_at.get();
+        self.evacuated.get() > 0 || ended_at.is_some_and(|at| at.elapsed() < limit)
+    }
+
     /// Adds a fault. Returns whether it was added: only one machine may fail for good.
     pub(crate) async fn add_fault(&self, fault: &PlatformFault) -> bool {
         let machine = fault.worker.map(|worker| self.machine_number(worker));
--- a/crates/node/tests/process_soak/promise.rs
+++ b/crates/node/tests/process_soak/promise.rs
@@ -279,3 +279,18 @@
         }
     }
 }
+
+/// Checks that nothing has started in an evacuated data centre after the bound.
+pub(crate) fn check_evacuations(input: &CheckInput<'_>) {
+    for evacuation in &input.view.evacuations {
+        for start in &evacuation.first_late {
+            let (task, run, machine) = (&start.task, start.run, &start.machine);
+            let late_ms = start.started_ms - evacuation.from_ms;
+            let data_centre = &evacuation.data_centre;
+            let what = format!(
+                "{task}: run {run} on {machine} started {late_ms:.0} ms after {data_centre} was evacuated"
+            );
+            input.report(&what, job::id_of(task));
+        }
+    }
+}
--- a/crates/node/tests/process_soak/view.rs
+++ b/crates/node/tests/process_soak/view.rs
@@ -102,6 +102,26 @@
     }
 }
 
+/// Start in an evacuated data centre that came too late.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(rename_all = "camelCase")]
+pub(crate) struct LateStartView {
+    pub(crate) task: String,
+    pub(crate) run: u32,
+    pub(crate) machine: String,
+    pub(crate) started_ms: f64,
+}
+
+/// Evacuation of a data centre.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(rename_all = "camelCase")]
+pub(crate) struct EvacuationView {
+    pub(crate) data_centre: String,
+    /// Confirmation on the platform's clock.
+    pub(crate) from_ms: f64,
+    pub(crate) first_late: Vec<LateStartView>,
+}
+
 /// State of the platform.
 #[derive(Clone, Debug, Default, Deserialize)]
 #[serde(rename_all = "camelCase")]
@@ -110,6 +130,7 @@
     pub(crate) tasks: BTreeMap<String, TaskView>,
     machines: Vec<MachineView>,
     pub(crate) waves: BTreeMap<String, WaveView>,
+    pub(crate) evacuations: Vec<EvacuationView>,
 }
 
 impl PlatformView {
