Refuse jobs at once for a pool that is evacuated as a whole

Cause: with early refusal, a customer without waiting work was always admitted, also for a pool all of whose workers are evacuated; its jobs waited until they were of no use.

Change: such a pool is published, and jobs with an objective are refused while no machine of another data centre can be moved to it. Other pools are published and decided upon as before.

--- a/crates/jobs/src/admission/mod.rs
+++ b/crates/jobs/src/admission/mod.rs
@@ -313,6 +313,12 @@
             return None;
         }
         let backlog = received.summary.pools.get(&arrival.pool)?;
+        if arrival.objective.is_some() && backlog.has_no_capacity() {
+            return Some(ExcessWork {
+                work: arrival.work as f64,
+                drain_rate: 0.0,
+            });
+        }
         let customer = backlog.customer(&arrival.customer)?;
         let span = arrival.objective?.mul_f64(LATEST_FACTOR);
         let limit = backlog.allotment(customer, span.as_millis() as f64);
--- a/crates/jobs/src/admission/summary.rs
+++ b/crates/jobs/src/admission/summary.rs
@@ -264,6 +264,11 @@
         customers.find(|entry| entry.customer == *name)
     }
 
+    /// Returns whether no worker can run its jobs, and no machine can be moved to it.
+    pub(super) fn has_no_capacity(&self) -> bool {
+        self.work_rate == 0 && self.reachable_work_rate == 0
+    }
+
     /// Returns the estimated work of all waiting tasks that can be done in time, in
     /// core-milliseconds.
     pub fn waiting(&self) -> u64 {
--- a/crates/jobs/src/scheduler/backlog.rs
+++ b/crates/jobs/src/scheduler/backlog.rs
@@ -346,14 +346,15 @@
             let efficiency = self.backlog.efficiency(name);
             pool.work_rate = (usable as f64 * efficiency) as u64;
         }
-        summary
-            .pools
-            .retain(|name, pool| self.backlog.is_listed(name, pool, now));
+        let evacuated = capacities.iter().filter(|(_, pool)| pool.is_evacuated());
+        for (name, _) in evacuated {
+            summary.pools.entry(name.clone()).or_default();
+        }
         // Workers that are all gone are about to come back: when, is not known. Those that
         // are all evacuated are not.
         summary.pools.retain(|name, pool| {
-            let capacity = capacities.get(name);
-            pool.work_rate > 0 || capacity.is_some_and(PoolCapacity::is_evacuated)
+            let is_listed = self.backlog.is_listed(name, pool, now) && pool.work_rate > 0;
+            is_listed || capacities.get(name).is_some_and(PoolCapacity::is_evacuated)
         });
         let busy_at = &self.backlog.busy_at;
         let is_busy = |name: &PoolName| busy_at.get(name) == Some(&now);
@@ -519,7 +520,7 @@
 }
 
 /// Divides the idle machines of pools that are not busy among the listed pools, by their
-/// backlogs.
+/// backlogs. A pool that is evacuated gets some once work arrives.
 fn add_reachable(
     summary: &mut BacklogSummary,
     capacities: &HashMap<PoolName, PoolCapacity>,
@@ -532,7 +533,10 @@
     let reachable = (idle + standby_cpu_millis) as f64;
     let total: u64 = summary.pools.values().map(PoolBacklog::waiting).sum();
     for pool in summary.pools.values_mut() {
-        let fraction = pool.waiting() as f64 / total.max(1) as f64;
+        let fraction = match pool.waiting() {
+            0 if pool.work_rate == 0 => 1.0,
+            waiting => waiting as f64 / total.max(1) as f64,
+        };
         pool.reachable_work_rate = (reachable * fraction) as u64;
     }
 }
