--- a/crates/jobs/src/scheduler/evacuation.rs
+++ b/crates/jobs/src/scheduler/evacuation.rs
@@ -19,7 +19,7 @@
 
 use super::advice::StepId;
 use super::candidate::{self, PlacementCandidate};
-use super::entry::TaskPhase;
+use super::entry::{RunLocation, TaskPhase};
 use super::fleet::WorkerEntry;
 use super::order;
 use super::{JobScheduler, SchedulerEvent};
@@ -27,6 +27,9 @@
 /// Time between two counts of the runs in evacuated data centres.
 const COUNT_INTERVAL: time::Duration = time::Duration::from_millis(500);
 
+/// Time between two looks at the long-running tasks on evacuated workers.
+const EVICTION_INTERVAL: time::Duration = time::Duration::from_millis(200);
+
 /// Progress of evacuations, and what operators were told of them.
 #[derive(Clone, Debug, Default)]
 pub(super) struct EvacuationTracker {
@@ -37,6 +40,10 @@
     drained: BTreeSet<DataCentre>,
     /// Whether starts wait because the operators' rows were read too long ago.
     is_withholding: bool,
+    /// When long-running tasks on evacuated workers were last looked at.
+    evicted_at: BootTime,
+    /// Number of these that fit on no other worker, by pool.
+    displaced: BTreeMap<PoolName, u64>,
 }
 
 /// Long-running tasks of a pool on evacuated workers.
@@ -57,7 +64,8 @@
             return;
         }
         let evacuations = sync::Arc::new(evacuations.clone());
-        self.start_guard.set_evacuations(evacuations.clone());
+        self.start_guard
+            .set_evacuations(sync::Arc::clone(&evacuations));
         self.fleet.set_evacuations(evacuations);
         self.free_reserved();
         self.take_back_orders(now);
@@ -203,7 +211,7 @@
                 continue;
             };
             let tasks = entry.reservations.keys();
-            let unconfirmed = tasks.filter(|task| self.is_ordered_on(task, id));
+            let unconfirmed = tasks.filter(|task| self.may_start_later(task, id));
             progress.workers += u32::from(entry.is_listed);
             progress.runs += entry.reservations.len() as u32;
             progress.unconfirmed += unconfirmed.count() as u32;
@@ -211,22 +219,43 @@
         counts
     }
 
-    /// Returns whether a task's start on a worker was ordered and has no response.
-    fn is_ordered_on(&self, task: &TaskId, worker: &WorkerId) -> bool {
+    /// Returns whether a run on a worker may not have started yet: its start has no response
+    /// or was ordered by an earlier owner, and no stop of it is accepted.
+    fn may_start_later(&self, task: &TaskId, worker: &WorkerId) -> bool {
         let phase = self.task(task).map(|entry| &entry.phase);
-        matches!(phase, Some(TaskPhase::Ordered(location)) if location.worker == *worker)
+        let is_here = |location: &RunLocation| location.worker == *worker;
+        match phase {
+            Some(TaskPhase::Ordered(location)) => is_here(location),
+            Some(TaskPhase::Running(location, run)) => is_here(location) && !run.is_reported,
+            Some(TaskPhase::Stopping(location, stop)) => {
+                is_here(location) && stop.accepted_at.is_none()
+            }
+            _ => false,
+        }
     }
 
     /// Stops long-running tasks on evacuated workers, as far as the budgets of their steps
     /// allow and other workers have capacity for them now. The others run on, and count
-    /// as demand in the next `pool_demands`.
+    /// as demand; to be called with each tick.
     pub(super) fn evict_from_evacuated(&mut self, now: BootTime) {
+        if now.saturating_since(self.evacuation.evicted_at) < EVICTION_INTERVAL {
+            return;
+        }
+        self.evacuation.evicted_at = now;
+        self.evacuation.displaced.clear();
         for (pool, eviction) in self.evictions() {
             let mut candidates = self.candidates(&pool, now);
-            self.evict_in_pool(eviction, &mut candidates, now);
+            let displaced = self.evict_in_pool(eviction, &mut candidates, now);
+            self.evacuation.displaced.insert(pool, displaced);
         }
     }
 
+    /// Returns the number of long-running tasks that are to leave evacuated workers and
+    /// fit on no other, by pool.
+    pub(super) fn displaced_by_evacuation(&self) -> &BTreeMap<PoolName, u64> {
+        &self.evacuation.displaced
+    }
+
     /// Returns the long-running tasks on evacuated workers, by pool and in their order.
     fn evictions(&self) -> BTreeMap<PoolName, PoolEviction> {
         let mut evictions: BTreeMap<PoolName, PoolEviction> = BTreeMap::new();
@@ -279,17 +308,23 @@
         tasks.map(|(task, _)| task).collect()
     }
 
+    /// Returns the number of tasks that fit on no other worker.
     fn evict_in_pool(
         &mut self,
         eviction: PoolEviction,
         candidates: &mut [PlacementCandidate],
         now: BootTime,
-    ) {
+    ) -> u64 {
+        let mut displaced = 0;
         // Other tasks of these steps fit nowhere either.
         let mut unplaced: BTreeSet<StepId> = BTreeSet::new();
+        let mut claimed_gangs: BTreeSet<StepId> = BTreeSet::new();
         for task in &eviction.stopped {
             let step = order::step_of(task);
-            let spec = self.step_spec(task).filter(|_| !unplaced.contains(&step));
+            let spec = self.step_spec(task).filter(|spec| {
+                let is_claimed = spec.gang && !claimed_gangs.insert(step.clone());
+                !is_claimed && !unplaced.contains(&step)
+            });
             if spec.is_some_and(|spec| !self.claim(task, spec, candidates)) {
                 unplaced.insert(step);
             }
@@ -306,13 +341,14 @@
                 !unplaced.contains(&step) && self.claim_permitted(&task, &spec, candidates, now);
             if !has_capacity {
                 unplaced.insert(step);
-                self.displaced.insert(task);
+                displaced += 1;
                 continue;
             }
             for member in self.gang_members(&task) {
                 self.stop_task(&member, now);
             }
         }
+        displaced
     }
 
     /// Claims capacity as [`JobScheduler::claim`] does, only of workers that the advisor
