Tell why a worker with runs ended

Cause: runs on a worker that crashed, was cut off, drained or moved all ended as LeaseExpired or WorkerReplaced, and no event or metric connected the end of a worker with its runs; the hypotheses on tasks that crash their workers could not be told apart. Change: event E553 worker-lost and redwing_workers_lost_total with the cause: crashed, unreachable (still listed), drained, removed, or a fault that most workers of a rack or data centre share. No decision depends on it yet.

--- a/crates/engine/src/event.rs
+++ b/crates/engine/src/event.rs
@@ -116,4 +116,6 @@
     EVACUATION_DRAINED = 551 "evacuation-drained";
     /// Starts began or ceased to wait because the operators' rows were read too long ago.
     STARTS_WITHHELD = 552 "starts-withheld";
+    /// A worker with runs ended, or could not be reached until its leases had expired.
+    WORKER_LOST = 553 "worker-lost";
 }
--- a/crates/engine/src/metrics.rs
+++ b/crates/engine/src/metrics.rs
@@ -36,6 +36,8 @@
     jobs_examined: IntCounter,
     /// Times that runs on an unresponsive worker began to wait for its leases.
     lease_waits: IntCounter,
+    /// Workers that ended with runs, by cause.
+    workers_lost: IntCounterVec,
     /// Orders to workers, by kind.
     orders: IntCounterVec,
     /// Time to store a change of the owner, in seconds.
@@ -115,6 +117,11 @@
             tasks_placed,
             jobs_examined,
             lease_waits,
+            workers_lost: counters(
+                "redwing_workers_lost_total",
+                "Workers that ended with runs.",
+                &["cause"],
+            )?,
             orders: counters(
                 "redwing_worker_orders_total",
                 "Orders to workers.",
@@ -178,6 +185,11 @@
         self.lease_waits.inc();
     }
 
+    /// Counts a worker that ended with runs.
+    pub fn count_lost_worker(&self, cause: &str) {
+        self.workers_lost.with_label_values(&[cause]).inc();
+    }
+
     /// Counts a run that ended without completing its task.
     pub fn count_ended_run(&self, reason: &str) {
         self.runs_ended.with_label_values(&[reason]).inc();
--- a/crates/engine/src/owner/scheduler_event.rs
+++ b/crates/engine/src/owner/scheduler_event.rs
@@ -33,6 +33,7 @@
         SchedulerEvent::TasksPlaced { count, .. } => metrics.count_placed_tasks(*count),
         SchedulerEvent::RunEnded { reason, .. } => metrics.count_ended_run(&format!("{reason:?}")),
         SchedulerEvent::LeaseAwaited { .. } => metrics.count_lease_wait(),
+        SchedulerEvent::WorkerLost { cause, .. } => metrics.count_lost_worker(cause.as_str()),
         SchedulerEvent::WorkerChanged { .. }
         | SchedulerEvent::EvacuationChanged { .. }
         | SchedulerEvent::EvacuationDrained { .. }
@@ -93,6 +94,17 @@
             runs = runs,
             millis = remaining.as_millis(),
         ),
+        SchedulerEvent::WorkerLost {
+            worker,
+            runs,
+            cause,
+        } => log_job_event!(
+            info,
+            event::WORKER_LOST,
+            worker = worker,
+            runs = runs,
+            cause = cause.as_str(),
+        ),
         SchedulerEvent::EvacuationChanged {
             data_centre,
             is_evacuated,
--- a/crates/jobs/src/scheduler/fleet.rs
+++ b/crates/jobs/src/scheduler/fleet.rs
@@ -75,6 +75,10 @@
     /// When this incarnation first responded to this owner; from then on it rejects
     /// the orders of earlier owners.
     pub(super) contacted_at: Option<BootTime>,
+    /// Since when it is listed without interruption, as far as this owner knows.
+    pub(super) listed_since: BootTime,
+    /// When it stopped responding; none while it responds, or if it never did.
+    pub(super) silent_since: Option<BootTime>,
     /// When the renewal of the latest report was sent.
     pub(super) reported_at: BootTime,
     pub(super) clock: Option<ClockSample>,
@@ -216,6 +220,7 @@
         self.clock = None;
         self.contact = ContactState::Unconfirmed;
         self.contacted_at = None;
+        self.silent_since = None;
         self.awaited_since = None;
         self.next_renewal = BootTime::default();
         self.consecutive_failures = 0;
--- a/crates/jobs/src/scheduler/lease.rs
+++ b/crates/jobs/src/scheduler/lease.rs
@@ -103,19 +103,32 @@
             if entry.reservations.is_empty() && !entry.is_listed && !self.is_restoring {
                 removed.push(id.clone());
             }
-            if entry.lease_until < now {
-                let runs = entry.reservations.iter();
-                expired.extend(runs.map(|(task, held)| (id.clone(), task.clone(), held.run)));
+            if entry.lease_until < now && !entry.reservations.is_empty() {
+                expired.push(id.clone());
             }
         }
-        for (worker, task, run) in expired {
-            self.drop_run(&worker, &task, run, RunEndReason::LeaseExpired);
+        for id in &expired {
+            self.expire_runs(id);
         }
         for id in removed {
             self.fleet.remove(&id);
         }
     }
 
+    /// Drops the runs on a worker whose leases have all expired.
+    fn expire_runs(&mut self, id: &WorkerId) {
+        let Some(entry) = self.fleet.get(id) else {
+            return;
+        };
+        let runs = entry.reservations.iter();
+        let runs: Vec<_> = runs.map(|(task, held)| (task.clone(), held.run)).collect();
+        let cause = self.loss_cause(id, entry.is_draining(), false);
+        self.record_loss(id, runs.len() as u32, cause);
+        for (task, run) in runs {
+            self.drop_run(id, &task, run, RunEndReason::LeaseExpired);
+        }
+    }
+
     /// Records since when runs on unreachable workers wait for the end of the leases.
     fn note_awaited_leases(&mut self, now: BootTime) {
         for (id, entry) in self.fleet.iter_mut() {
--- a/crates/jobs/src/scheduler/listing.rs
+++ b/crates/jobs/src/scheduler/listing.rs
@@ -20,6 +20,7 @@
                 incarnation: view.incarnation,
                 view: Some(view),
                 is_listed: true,
+                listed_since: now,
                 best_effort_percent: 100,
                 lease_until: self.earlier_leases_until(&id, now),
                 ..WorkerEntry::default()
@@ -40,10 +41,13 @@
         }
         // Workers renew their entries all the time; only a change matters to placement.
         let has_changed = !entry.is_listed || entry.view.as_ref() != Some(&view);
+        if !entry.is_listed || is_newer {
+            entry.listed_since = now;
+        }
         entry.is_listed = true;
         self.fleet.set_view(&id, view);
         if is_newer {
-            self.replace_worker(&id, incarnation, now);
+            self.replace_worker(&id, incarnation, was_draining, now);
         }
         if is_draining && !was_draining {
             self.record_status(&id, WorkerStatus::Draining);
@@ -78,15 +82,24 @@
         }
     }
 
-    /// Handles a new incarnation of a worker: no run of the previous one is left.
+    /// Handles a new incarnation of a worker: no run of the previous one, which
+    /// `was_draining`, is left.
     ///
     /// A start that no report of the previous one has confirmed may have reached the
     /// new one, or may still do so.
-    pub(super) fn replace_worker(&mut self, id: &WorkerId, incarnation: u64, now: BootTime) {
+    pub(super) fn replace_worker(
+        &mut self,
+        id: &WorkerId,
+        incarnation: u64,
+        was_draining: bool,
+        now: BootTime,
+    ) {
+        let cause = self.loss_cause(id, was_draining, true);
         let Some(entry) = self.fleet.get_mut(id) else {
             return;
         };
         let dropped = entry.begin_incarnation(incarnation);
+        self.record_loss(id, dropped.len() as u32, cause);
         self.record_status(id, WorkerStatus::Replaced);
         for (task, run) in dropped {
             if self.is_current(&task, run, id) && !self.is_reported(&task) {
--- a/crates/jobs/src/scheduler/mod.rs
+++ b/crates/jobs/src/scheduler/mod.rs
@@ -18,6 +18,7 @@
 //! - `lease_ledger`: ends of leases that are stored for the next owner
 //! - `lifecycle`: submitted and cancelled jobs, and rows of an earlier owner
 //! - `listing`: the platform's list of workers
+//! - `loss`: ends of workers that had runs, and why they ended
 //! - `maintenance`: load and demand, and eviction for maintenance
 //! - `order`: orders, their responses and their retries
 //! - `pacing`: processor share of best-effort tasks beside tasks that serve users
@@ -42,6 +43,7 @@
 mod lease_ledger;
 mod lifecycle;
 mod listing;
+mod loss;
 mod maintenance;
 mod order;
 mod pacing;
@@ -82,6 +84,7 @@
 pub use health::{FleetHealth, WorkerHealth};
 pub use lease::{InheritedLeases, PreviousOwner};
 pub use lease_ledger::LeaseEnds;
+pub use loss::LossCause;
 
 /// Whether the weights of customers decide which of them is placed first.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
@@ -261,6 +264,15 @@
         /// Time until the leases have expired.
         remaining: time::Duration,
     },
+    /// A worker with runs ended, or cannot be reached for longer than its leases last.
+    WorkerLost {
+        /// The worker.
+        worker: WorkerId,
+        /// Number of the runs.
+        runs: u32,
+        /// Why it ended.
+        cause: LossCause,
+    },
     /// The evacuation of a data centre began or ended.
     EvacuationChanged {
         /// The data centre.
--- a/crates/jobs/src/scheduler/order.rs
+++ b/crates/jobs/src/scheduler/order.rs
@@ -263,6 +263,7 @@
         }
         let was_responsive = entry.contact == ContactState::Responsive;
         entry.contact = ContactState::Unresponsive;
+        entry.silent_since.get_or_insert(now);
         if was_responsive {
             self.record_status(worker, WorkerStatus::Silent);
         }
--- a/crates/jobs/src/scheduler/report.rs
+++ b/crates/jobs/src/scheduler/report.rs
@@ -26,7 +26,8 @@
             return;
         };
         if report.incarnation > entry.incarnation {
-            self.replace_worker(worker, report.incarnation, now);
+            let was_draining = entry.is_draining();
+            self.replace_worker(worker, report.incarnation, was_draining, now);
         }
         if self.is_restoring {
             self.keep_lease(worker, issued_at, report, now);
@@ -69,6 +70,7 @@
         entry.reported_at = entry.reported_at.max(issued_at);
         let was_unresponsive = entry.contact != ContactState::Responsive;
         entry.contact = ContactState::Responsive;
+        entry.silent_since = None;
         entry.clock = Some(ClockSample {
             clock_ms: report.clock_ms,
             read_at: now,
--- a/crates/jobs/src/time.rs
+++ b/crates/jobs/src/time.rs
@@ -31,6 +31,11 @@
     pub const fn saturating_since(self, earlier: Self) -> time::Duration {
         time::Duration::from_millis(self.0.saturating_sub(earlier.0))
     }
+
+    /// Returns the time between this and `other`, whichever is later.
+    pub const fn abs_diff(self, other: Self) -> time::Duration {
+        time::Duration::from_millis(self.0.abs_diff(other.0))
+    }
 }
 
 impl ops::Add<time::Duration> for BootTime {
--- a/crates/jobs/tests/common/mod.rs
+++ b/crates/jobs/tests/common/mod.rs
@@ -3,6 +3,7 @@
 // Each test file uses a part.
 #![allow(dead_code, unused_imports)]
 
+mod crash;
 mod sample;
 mod worker;
 
@@ -14,7 +15,7 @@
 use redwing_jobs::name::{CustomerName, DataCentre, PoolName, QueueName};
 use redwing_jobs::scheduler::{
     AdviceRequest, AdviceResponse, ChangeSet, FleetHealth, InheritedLeases, LeaseEnds, ProgressRow,
-    RowFit, StoredAdvice, WorkerPermit,
+    RowFit, SchedulerEvent, StoredAdvice, WorkerPermit,
 };
 use redwing_jobs::spec::StepSpec;
 use redwing_jobs::time::WallTime;
@@ -26,6 +27,7 @@
     TaskId, WorkerId,
 };
 
+pub(crate) use crash::{CrashPlan, ReturnMode};
 pub(crate) use sample::{
     manifest, manifest_parts_with_limit, manifest_with_limit, step_spec, task_id,
 };
@@ -96,6 +98,10 @@
     pub(crate) is_feed_up: bool,
     /// If set, orders are kept here instead of being sent.
     pub(crate) held_orders: Option<Vec<WorkerOrder>>,
+    /// Tasks that crash their workers.
+    pub(crate) crash_plan: CrashPlan,
+    /// Every event of the schedulers so far, if they are kept.
+    pub(crate) events: Option<Vec<SchedulerEvent>>,
 }
 
 /// Returns the size of a row as it is stored.
@@ -155,6 +161,8 @@
             evacuations: BTreeSet::new(),
             is_feed_up: true,
             held_orders: None,
+            crash_plan: CrashPlan::default(),
+            events: None,
         }
     }
 
@@ -248,6 +256,7 @@
         for worker in self.workers.values_mut() {
             worker.tick(self.now);
         }
+        self.apply_crashes();
         self.execute_delayed_orders();
         self.read_evacuations();
         self.scheduler.tick(self.now);
@@ -260,6 +269,9 @@
                 None => self.send_order(&order),
             }
         }
+        if let Some(events) = &mut self.events {
+            events.extend(self.scheduler.take_events());
+        }
     }
 
     /// Sends the orders that were held, as the session of an owner does: starts in an
@@ -494,6 +506,7 @@
                 self.resumed_checkpoints.extend(checkpoint.clone());
                 self.starts
                     .push((task.clone(), *run, order.worker.clone(), now));
+                self.crash_plan.note_start(task, &order.worker, now);
                 (OrderOutcome::Accepted, None)
             }
             OrderAction::Stop { task, run } => {
@@ -541,7 +554,8 @@
         let mut scheduler = JobScheduler::new(settings, self.fencing_token);
         scheduler.inherit_leases(inherited);
         scheduler.set_manifest(sync::Arc::new(manifest()));
-        let views = self.workers.values().map(|worker| worker.view.clone());
+        let listed = self.workers.values().filter(|worker| worker.is_listed);
+        let views = listed.map(|worker| worker.view.clone());
         scheduler.begin_restoring();
         scheduler.set_evacuations(&self.evacuations, self.now);
         scheduler.workers_listed(views.collect(), self.now);
--- a/crates/jobs/tests/common/worker.rs
+++ b/crates/jobs/tests/common/worker.rs
@@ -36,6 +36,8 @@
     /// Highest run number of each task that was stopped or ended in this
     /// incarnation.
     pub(crate) closed_runs: BTreeMap<TaskId, u32>,
+    /// Whether a new owner finds it in the list of workers.
+    pub(crate) is_listed: bool,
     /// Whether orders sent to it are lost without a response.
     pub(crate) is_unresponsive: bool,
     /// Whether all of its runs fail at once.
@@ -75,6 +77,7 @@
             next_ended_number: 1,
             lease_end_ms: 0,
             closed_runs: BTreeMap::new(),
+            is_listed: true,
             is_unresponsive: false,
             is_failing: false,
             is_checkpointing: false,
--- a/crates/node/tests/pages.rs
+++ b/crates/node/tests/pages.rs
@@ -61,6 +61,7 @@
     jobs.count_call("submit", "accepted", std::time::Duration::ZERO);
     jobs.count_ended_job("Completed");
     jobs.count_ended_run("Vanished");
+    jobs.count_lost_worker("crashed");
     jobs.count_order("start");
     jobs.count_machine_order("move");
     let evacuated = "east".to_owned().into();
