Give up a job whose task crashes worker after worker

Cause: an attempt counted only if a worker listed its end. A worker that crashes lists nothing, so the run ended as LeaseExpired or WorkerReplaced and its task was free as if it had never been tried: a retry without a limit, because the failure that ought to be counted is the one that cannot be reported. And all runs of the worker were placed again in one decision, packed on the same next worker, where the task crashed them again.

Change: the crash of a worker counts against each run on it, also one whose start got no response and one of an earlier owner, in the row that is stored before the next start. A worker that is still listed, drained, moved or in maintenance, or that ended together with its rack or data centre, has not crashed; a count is taken back if the same incarnation responds again. Tasks that were on a crashed worker are spread; one under which two workers crashed, or one before it was reported, runs on a worker without runs of other jobs, for which at most a quarter of a pool is kept. A crash there shows which job is to blame: it is given up after three crashes, after two if both came before the run was reported, and after four in any company. A run of 10 s clears its task. The reason is stored with the state, logged (E513, E554) and counted.

Why it works: the count is in the row that each start waits for, so no owner can start a task without it, and at most four starts crash.

--- a/crates/engine/src/event.rs
+++ b/crates/engine/src/event.rs
@@ -118,4 +118,6 @@
     STARTS_WITHHELD = 552 "starts-withheld";
     /// A worker with runs ended, or could not be reached until its leases had expired.
     WORKER_LOST = 553 "worker-lost";
+    /// A worker crashed under a run; it counts against its task.
+    TASK_SUSPECTED = 554 "task-suspected";
 }
--- a/crates/engine/src/metrics.rs
+++ b/crates/engine/src/metrics.rs
@@ -28,6 +28,10 @@
     response_time: Histogram,
     /// Jobs that reached a final state, by state.
     jobs_ended: IntCounterVec,
+    /// Jobs that failed, by reason.
+    jobs_failed: IntCounterVec,
+    /// Runs under which a worker crashed.
+    tasks_suspected: IntCounter,
     /// Runs that ended without completing their tasks, by reason.
     runs_ended: IntCounterVec,
     /// Tasks that were placed on workers.
@@ -96,6 +100,11 @@
             "Waiting jobs compared with the free capacity.",
         )?;
         registry.register(Box::new(jobs_examined.clone()))?;
+        let tasks_suspected = IntCounter::new(
+            "redwing_tasks_suspected_total",
+            "Runs under which a worker crashed.",
+        )?;
+        registry.register(Box::new(tasks_suspected.clone()))?;
         let lease_waits = IntCounter::new(
             "redwing_lease_waits_total",
             "Times that runs waited for the leases of an unresponsive worker.",
@@ -109,6 +118,8 @@
             )?,
             response_time: histogram("redwing_job_answer_seconds", "Time to an answer.")?,
             jobs_ended: counters("redwing_jobs_ended_total", "Jobs ended.", &["state"])?,
+            jobs_failed: counters("redwing_jobs_failed_total", "Jobs failed.", &["reason"])?,
+            tasks_suspected,
             runs_ended: counters(
                 "redwing_runs_ended_total",
                 "Runs ended, not done.",
@@ -180,6 +191,16 @@
         self.jobs_ended.with_label_values(&[state]).inc();
     }
 
+    /// Counts a job that failed.
+    pub fn count_failed_job(&self, reason: &str) {
+        self.jobs_failed.with_label_values(&[reason]).inc();
+    }
+
+    /// Counts a run under which a worker crashed.
+    pub fn count_suspected_task(&self) {
+        self.tasks_suspected.inc();
+    }
+
     /// Counts that runs began to wait for the leases of an unresponsive worker.
     pub fn count_lease_wait(&self) {
         self.lease_waits.inc();
--- a/crates/engine/src/owner/scheduler_event.rs
+++ b/crates/engine/src/owner/scheduler_event.rs
@@ -29,11 +29,17 @@
 /// Counts a scheduler event.
 pub(super) fn count_event(metrics: &JobMetrics, event: &SchedulerEvent) {
     match event {
-        SchedulerEvent::JobEnded { state, .. } => metrics.count_ended_job(&format!("{state:?}")),
+        SchedulerEvent::JobEnded { state, failure, .. } => {
+            metrics.count_ended_job(&format!("{state:?}"));
+            if let Some(failure) = failure {
+                metrics.count_failed_job(failure.reason.as_str());
+            }
+        }
         SchedulerEvent::TasksPlaced { count, .. } => metrics.count_placed_tasks(*count),
         SchedulerEvent::RunEnded { reason, .. } => metrics.count_ended_run(&format!("{reason:?}")),
         SchedulerEvent::LeaseAwaited { .. } => metrics.count_lease_wait(),
         SchedulerEvent::WorkerLost { cause, .. } => metrics.count_lost_worker(cause.as_str()),
+        SchedulerEvent::TaskSuspected { .. } => metrics.count_suspected_task(),
         SchedulerEvent::WorkerChanged { .. }
         | SchedulerEvent::EvacuationChanged { .. }
         | SchedulerEvent::EvacuationDrained { .. }
@@ -44,12 +50,31 @@
 /// Logs a scheduler event.
 pub(super) fn log_event(event: &SchedulerEvent) {
     match event {
-        SchedulerEvent::JobEnded { job, state, failed } => log_job_event!(
+        SchedulerEvent::JobEnded {
+            job,
+            state,
+            failed,
+            failure: None,
+        } => log_job_event!(
+            info,
+            event::JOB_ENDED,
+            job = job,
+            state = format!("{state:?}"),
+            failed_runs = failed,
+        ),
+        SchedulerEvent::JobEnded {
+            job,
+            state,
+            failed,
+            failure: Some(failure),
+        } => log_job_event!(
             info,
             event::JOB_ENDED,
             job = job,
             state = format!("{state:?}"),
             failed_runs = failed,
+            reason = failure.reason.as_str(),
+            task = failure.task,
         ),
         SchedulerEvent::TasksPlaced {
             job,
@@ -105,6 +130,21 @@
             runs = runs,
             cause = cause.as_str(),
         ),
+        SchedulerEvent::TaskSuspected {
+            task,
+            run,
+            worker,
+            crashes,
+            is_isolated,
+        } => log_job_event!(
+            info,
+            event::TASK_SUSPECTED,
+            task = task,
+            run = run,
+            worker = worker,
+            crashes = crashes,
+            isolated = is_isolated,
+        ),
         SchedulerEvent::EvacuationChanged {
             data_centre,
             is_evacuated,
--- a/crates/engine/src/owner/session/rows.rs
+++ b/crates/engine/src/owner/session/rows.rs
@@ -195,7 +195,7 @@
         for entry in rows {
             if entry.value.is_none() {
                 let id = self.dependencies.codec.worker_id(&entry.key);
-                self.scheduler.worker_unlisted(&id);
+                self.scheduler.worker_unlisted(&id, now);
                 continue;
             }
             match self.dependencies.codec.worker(entry) {
@@ -203,7 +203,7 @@
                 Err(error) => {
                     follow::log_malformed(&entry.key, &error);
                     let id = self.dependencies.codec.worker_id(&entry.key);
-                    self.scheduler.worker_unlisted(&id);
+                    self.scheduler.worker_unlisted(&id, now);
                 }
             }
         }
--- a/crates/jobs/src/name.rs
+++ b/crates/jobs/src/name.rs
@@ -84,7 +84,8 @@
 }
 
 /// Name of a task, written `JOB.OCCURRENCE.STEP.INDEX`.
-#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+#[derive(Clone, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+#[serde(into = "String", try_from = "String")]
 pub struct TaskId {
     /// Job of the task.
     pub job: JobId,
@@ -108,6 +109,20 @@
     }
 }
 
+impl From<TaskId> for String {
+    fn from(task: TaskId) -> Self {
+        task.to_string()
+    }
+}
+
+impl TryFrom<String> for TaskId {
+    type Error = Error;
+
+    fn try_from(text: String) -> Result<Self> {
+        text.parse()
+    }
+}
+
 impl str::FromStr for TaskId {
     type Err = Error;
 
--- a/crates/jobs/src/record.rs
+++ b/crates/jobs/src/record.rs
@@ -6,7 +6,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::name::{CustomerName, PoolName, QueueName, WorkerId};
+use crate::name::{CustomerName, PoolName, QueueName, TaskId, WorkerId};
 use crate::spec::JobSpec;
 use crate::time::WallTime;
 use crate::wait::ElapsedWait;
@@ -55,6 +55,67 @@
     }
 }
 
+/// Why a job has failed.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum FailureReason {
+    /// A task failed as often as its queue allows.
+    FailedRuns,
+    /// Workers crashed under a task, the last one while it ran nothing else.
+    CrashedWorkers,
+    /// A worker rejected a task as invalid.
+    InvalidTask,
+}
+
+impl FailureReason {
+    /// Returns the name used in logs, metrics and rows.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::FailedRuns => "failed-runs",
+            Self::CrashedWorkers => "crashed-workers",
+            Self::InvalidTask => "invalid-task",
+        }
+    }
+}
+
+/// Why a job has failed, and the task that has made it fail.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct JobFailure {
+    /// The reason.
+    pub reason: FailureReason,
+    /// The task.
+    pub task: TaskId,
+}
+
+/// Workers that crashed under the latest runs of a task; serialized as one number to keep
+/// rows small, twice the count, plus one if the task is isolated.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(from = "u32", into = "u32")]
+pub struct CrashRecord {
+    /// Their number.
+    pub count: u32,
+    /// Whether the next run, or the present one, has to be on a worker without runs of
+    /// other jobs.
+    pub is_isolated: bool,
+}
+
+impl From<u32> for CrashRecord {
+    fn from(value: u32) -> Self {
+        Self {
+            count: value / 2,
+            is_isolated: value % 2 == 1,
+        }
+    }
+}
+
+impl From<CrashRecord> for u32 {
+    fn from(record: CrashRecord) -> Self {
+        let doubled = record.count.saturating_mul(2);
+        doubled.saturating_add(u32::from(record.is_isolated))
+    }
+}
+
 /// Stored state of one task. The serialized names are short because the cost of
 /// a row depends on its size.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
@@ -67,6 +128,9 @@
     /// several owners, so a count would include some failures twice.
     #[serde(rename = "f", skip_serializing_if = "Vec::is_empty")]
     pub failed: Vec<u32>,
+    /// Workers that crashed under its latest runs.
+    #[serde(rename = "x", skip_serializing_if = "is_default")]
+    pub crashes: CrashRecord,
     /// Whether the task is done.
     #[serde(rename = "d", skip_serializing_if = "is_default")]
     pub done: bool,
@@ -107,6 +171,9 @@
 pub struct ProgressRecord {
     /// State as callers see it.
     pub state: JobState,
+    /// Why it has failed; none in any other state, and in rows of earlier releases.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub failure: Option<JobFailure>,
     /// Whether a worker is known to have accepted a run; not kept in a final state.
     #[serde(default, rename = "started", skip_serializing_if = "is_default")]
     pub has_started: bool,
@@ -124,6 +191,11 @@
     pub fn has_run(&self) -> bool {
         let steps = self.occurrences.iter().flat_map(|entry| &entry.steps);
         let mut tasks = steps.flatten();
-        tasks.any(|task| task.done || !task.failed.is_empty() || task.checkpoint.is_some())
+        tasks.any(|task| {
+            task.done
+                || !task.failed.is_empty()
+                || task.crashes.count > 0
+                || task.checkpoint.is_some()
+        })
     }
 }
--- a/crates/jobs/src/scheduler/changes.rs
+++ b/crates/jobs/src/scheduler/changes.rs
@@ -389,6 +389,7 @@
             job: id.clone(),
             state: job.state,
             failed: job.failed_runs(),
+            failure: job.failure.clone(),
         });
     }
 
--- /dev/null
+++ b/crates/jobs/src/scheduler/crash.rs
@@ -0,0 +1,424 @@
+//! Tasks that crash the workers on which they start.
+//!
+//! Load pattern: a tenth of the jobs of one queue have a task that crashes each worker
+//! within milliseconds, while a dozen other tasks run beside it. A crash counts against
+//! each run on the worker, but only little: those tasks are kept apart from each other, and
+//! a task that is suspected more runs on a worker without runs of other jobs. Only a crash
+//! there shows which job is to blame, and ends it.
+//!
+//! The counts are stored with the job, before the next start. A run that goes on for long
+//! enough clears its task.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::time;
+
+use crate::name::{JobId, PoolName, TaskId, WorkerId};
+use crate::record::{CrashRecord, FailureReason, JobFailure, JobState};
+use crate::time::BootTime;
+
+use super::candidate::PlacementCandidate;
+use super::entry::{StartCaution, TaskPhase};
+use super::fleet::{ContactState, WorkerEntry};
+use super::{JobScheduler, LossCause, SchedulerEvent};
+
+/// Crashes after which the next run of a task is isolated.
+const ISOLATION_CRASHES: u32 = 2;
+
+/// Crashes, the latest of them in isolation, after which a job is given up.
+const ISOLATED_CRASH_LIMIT: u32 = 3;
+
+/// As [`ISOLATED_CRASH_LIMIT`], for a task whose first run was not even reported before
+/// its worker crashed.
+const START_CRASH_LIMIT: u32 = 2;
+
+/// Crashes after which a job is given up whatever ran beside its task.
+const CRASH_LIMIT: u32 = 4;
+
+/// Time after which a run clears its task of earlier crashes.
+const CLEARING_TIME: time::Duration = time::Duration::from_secs(10);
+
+/// Time between two looks at the runs of suspected tasks.
+const CLEARING_INTERVAL: time::Duration = time::Duration::from_secs(1);
+
+/// Time for which the runs of a lost worker are remembered: the worker may come back with
+/// them, or turn out to have crashed.
+const LOSS_RETENTION: time::Duration = time::Duration::from_secs(60);
+
+/// Part of the workers of a pool that may be kept for isolated tasks.
+const ISOLATION_PART: usize = 4;
+
+/// Time for which a worker gets no new tasks so that it becomes vacant.
+const VACATING_TIME: time::Duration = time::Duration::from_secs(3);
+
+/// Time after which tasks are no longer isolated in a pool that has had no vacant worker.
+const ISOLATION_WAIT: time::Duration = time::Duration::from_secs(5);
+
+/// Run that was lost with its worker.
+#[derive(Clone, Debug)]
+pub(super) struct LostRun {
+    task: TaskId,
+    run: u32,
+    /// Whether no report of the worker has listed it.
+    is_unreported: bool,
+}
+
+/// Runs that were lost with a worker.
+#[derive(Clone, Debug, Default)]
+pub(super) struct LostWorker {
+    incarnation: u64,
+    runs: Vec<LostRun>,
+    /// Whether all of them are of one job.
+    is_isolated: bool,
+    /// Whether the crash is counted against their tasks.
+    is_counted: bool,
+    lost_at: BootTime,
+}
+
+/// Suspected tasks, and what is known of lost workers.
+#[derive(Clone, Debug, Default)]
+pub(super) struct CrashTracker {
+    /// Tasks under which a worker has crashed.
+    suspects: BTreeSet<TaskId>,
+    lost: HashMap<WorkerId, LostWorker>,
+    /// Since when isolated tasks wait for a worker, by pool.
+    waiting_since: BTreeMap<PoolName, BootTime>,
+    /// Whether an isolated task has found no worker in the present decision.
+    is_wanting: bool,
+    /// Pools without a worker that can be vacated.
+    crowded: BTreeSet<PoolName>,
+    checked_at: BootTime,
+}
+
+impl CrashTracker {
+    /// Returns whether a worker has crashed under a task that is tracked.
+    pub(super) fn has_suspects(&self) -> bool {
+        !self.suspects.is_empty()
+    }
+
+    pub(super) fn add_suspect(&mut self, task: TaskId) {
+        self.suspects.insert(task);
+    }
+}
+
+impl JobScheduler {
+    /// Returns the runs on a worker that may have crashed it: those that were ordered.
+    pub(super) fn runs_on(&self, id: &WorkerId, now: BootTime) -> LostWorker {
+        let Some(entry) = self.fleet.get(id) else {
+            return LostWorker::default();
+        };
+        let reservations = entry.reservations.iter();
+        let runs = reservations.filter_map(|(task, held)| {
+            let is_current = self.is_current(task, held.run, id);
+            let phase = self.task(task).map(|task| &task.phase);
+            let is_unreported = match phase.filter(|_| is_current) {
+                Some(TaskPhase::Reserved(_)) => return None,
+                Some(TaskPhase::Ordered(_)) => true,
+                Some(TaskPhase::Running(_, run)) => {
+                    !run.is_reported && entry.contacted_at.is_some()
+                }
+                _ => false,
+            };
+            Some(LostRun {
+                task: task.clone(),
+                run: held.run,
+                is_unreported,
+            })
+        });
+        let runs: Vec<LostRun> = runs.collect();
+        let jobs: BTreeSet<&JobId> = runs.iter().map(|run| &run.task.job).collect();
+        LostWorker {
+            incarnation: entry.incarnation,
+            is_isolated: jobs.len() == 1,
+            is_counted: false,
+            lost_at: now,
+            runs,
+        }
+    }
+
+    /// Counts a crash against the tasks of the lost runs, or remembers them until it is
+    /// known whether the worker crashed.
+    pub(super) fn judge_loss(
+        &mut self,
+        id: &WorkerId,
+        mut lost: LostWorker,
+        cause: LossCause,
+        now: BootTime,
+    ) {
+        match cause {
+            LossCause::Crashed => self.count_crash(id, &mut lost, now),
+            LossCause::Unreachable => {}
+            LossCause::Drained | LossCause::Removed | LossCause::SharedFault => return,
+        }
+        self.crashes.lost.insert(id.clone(), lost);
+    }
+
+    /// Handles that a lost worker is no longer listed: it has crashed.
+    pub(super) fn confirm_loss(&mut self, id: &WorkerId, now: BootTime) {
+        let Some(mut lost) = self.crashes.lost.remove(id) else {
+            return;
+        };
+        self.count_crash(id, &mut lost, now);
+        self.crashes.lost.insert(id.clone(), lost);
+    }
+
+    /// Handles a sign of life of an incarnation of a lost worker: the same one has not
+    /// crashed, an earlier one has.
+    pub(super) fn settle_loss(&mut self, id: &WorkerId, incarnation: u64, now: BootTime) {
+        let Some(mut lost) = self.crashes.lost.remove(id) else {
+            return;
+        };
+        if incarnation > lost.incarnation {
+            self.count_crash(id, &mut lost, now);
+        } else if lost.is_counted {
+            self.retract_crash(&lost);
+        }
+    }
+
+    fn count_crash(&mut self, id: &WorkerId, lost: &mut LostWorker, now: BootTime) {
+        if std::mem::replace(&mut lost.is_counted, true) {
+            return;
+        }
+        for run in &lost.runs {
+            self.record_crash(id, run, lost.is_isolated, now);
+        }
+    }
+
+    /// Counts the crash of a worker that has started again since an earlier owner stored a
+    /// run there; what else ran there is not known.
+    pub(super) fn count_inherited_crash(
+        &mut self,
+        id: &WorkerId,
+        task: &TaskId,
+        run: u32,
+        now: BootTime,
+    ) {
+        let lost = LostRun {
+            task: task.clone(),
+            run,
+            is_unreported: false,
+        };
+        self.record_crash(id, &lost, false, now);
+    }
+
+    fn record_crash(&mut self, id: &WorkerId, lost: &LostRun, is_isolated: bool, now: BootTime) {
+        let is_final = |job: &super::JobEntry| job.state.is_final();
+        if self.jobs.get(&lost.task.job).is_none_or(is_final) {
+            return;
+        }
+        let Some(task) = self.task_mut(&lost.task) else {
+            return;
+        };
+        if task.phase == TaskPhase::Done {
+            return;
+        }
+        let earlier = task.crashes;
+        let crashes = earlier.count.saturating_add(1);
+        task.crashes = CrashRecord {
+            count: crashes,
+            is_isolated: earlier.is_isolated || lost.is_unreported || crashes >= ISOLATION_CRASHES,
+        };
+        let crashed_at_start = earlier.count == 1 && earlier.is_isolated;
+        self.crashes.add_suspect(lost.task.clone());
+        self.mark_changed(&lost.task.job);
+        self.refresh_waiting(&lost.task.job);
+        self.events.push(SchedulerEvent::TaskSuspected {
+            task: lost.task.clone(),
+            run: lost.run,
+            worker: id.clone(),
+            crashes,
+            is_isolated,
+        });
+        let limit = if crashed_at_start && lost.is_unreported {
+            START_CRASH_LIMIT
+        } else {
+            ISOLATED_CRASH_LIMIT
+        };
+        if crashes >= CRASH_LIMIT || (is_isolated && crashes >= limit) {
+            let failure = JobFailure {
+                reason: FailureReason::CrashedWorkers,
+                task: lost.task.clone(),
+            };
+            self.fail(failure, now);
+        }
+    }
+
+    fn retract_crash(&mut self, lost: &LostWorker) {
+        for run in &lost.runs {
+            if let Some(task) = self.task_mut(&run.task) {
+                let count = task.crashes.count.saturating_sub(1);
+                task.crashes = CrashRecord {
+                    count,
+                    is_isolated: count >= ISOLATION_CRASHES,
+                };
+                self.mark_changed(&run.task.job);
+                self.refresh_waiting(&run.task.job);
+            }
+        }
+    }
+
+    /// Ends a job because of one of its tasks.
+    pub(super) fn fail(&mut self, failure: JobFailure, now: BootTime) {
+        let id = failure.task.job.clone();
+        if let Some(job) = self.jobs.get_mut(&id).filter(|job| !job.state.is_final()) {
+            job.failure = Some(failure);
+        }
+        self.finish(&id, JobState::Failed, now);
+    }
+
+    /// Clears suspected tasks whose runs have gone on for long enough, and forgets lost
+    /// workers; to be called with each tick.
+    pub(super) fn clear_suspects(&mut self, now: BootTime) {
+        if now.saturating_since(self.crashes.checked_at) < CLEARING_INTERVAL {
+            return;
+        }
+        self.crashes.checked_at = now;
+        let is_recent = |lost: &LostWorker| now.saturating_since(lost.lost_at) < LOSS_RETENTION;
+        self.crashes.lost.retain(|_, lost| is_recent(lost));
+        for task in std::mem::take(&mut self.crashes.suspects) {
+            if self.has_run_for_long(&task, now) {
+                self.clear_suspect(&task);
+            } else if self.is_suspect(&task) {
+                self.crashes.suspects.insert(task);
+            }
+        }
+    }
+
+    fn is_suspect(&self, task: &TaskId) -> bool {
+        let entry = self.task(task);
+        entry.is_some_and(|entry| entry.crashes.count > 0 && entry.phase != TaskPhase::Done)
+    }
+
+    fn has_run_for_long(&self, task: &TaskId, now: BootTime) -> bool {
+        let Some(TaskPhase::Running(location, run)) = self.task(task).map(|entry| &entry.phase)
+        else {
+            return false;
+        };
+        let worker = self.fleet.get(&location.worker);
+        let responds = worker.is_some_and(|entry| entry.contact == ContactState::Responsive);
+        responds && run.is_reported && now.saturating_since(run.confirmed_at) >= CLEARING_TIME
+    }
+
+    fn clear_suspect(&mut self, task: &TaskId) {
+        let Some(entry) = self.task_mut(task) else {
+            return;
+        };
+        entry.crashes = CrashRecord::default();
+        let worker = entry
+            .phase
+            .location()
+            .map(|location| location.worker.clone());
+        if let Some(worker) = worker {
+            if let Some(entry) = self.fleet.get_mut(&worker) {
+                entry.set_caution(task, StartCaution::None);
+            }
+            self.mark_worker_changed(&worker);
+        }
+        self.mark_changed(&task.job);
+    }
+
+    /// Returns what the next run of a task is to be kept apart from.
+    pub(super) fn caution(&self, task: &TaskId) -> StartCaution {
+        if !self.crashes.has_suspects() {
+            return StartCaution::None;
+        }
+        let members = self.gang_members(task);
+        let members = members.iter().filter_map(|member| self.task(member));
+        let caution = members.map(|member| member.caution()).max();
+        let is_crowded = || {
+            let job = self.jobs.get(&task.job);
+            job.is_some_and(|job| self.crashes.crowded.contains(self.pool_of(job)))
+        };
+        match caution.unwrap_or_default() {
+            StartCaution::Isolated if is_crowded() => StartCaution::Apart,
+            caution => caution,
+        }
+    }
+
+    /// Decides how many more vacant workers of a pool may be kept for isolated tasks.
+    pub(super) fn limit_isolation(&self, pool: &PoolName, candidates: &mut [PlacementCandidate]) {
+        if !self.crashes.has_suspects() {
+            return;
+        }
+        let (isolated, workers) = self.count_isolated(pool);
+        let mut left = isolation_limit(workers).saturating_sub(isolated);
+        for candidate in candidates {
+            candidate.may_isolate = candidate.is_vacant() && left > 0;
+            left -= usize::from(candidate.may_isolate);
+        }
+    }
+
+    /// Returns the numbers of workers of a pool with isolated tasks, and of all its
+    /// workers.
+    fn count_isolated(&self, pool: &PoolName) -> (usize, usize) {
+        let mut isolated = 0;
+        let mut workers = 0;
+        for (_, entry) in self.fleet.of_pool(pool) {
+            workers += usize::from(entry.is_listed);
+            isolated += usize::from(entry.isolated_count > 0);
+        }
+        (isolated, workers)
+    }
+
+    /// Notes that a task has found no worker.
+    pub(super) fn note_unplaced(&mut self, task: &TaskId) {
+        self.crashes.is_wanting |= self.caution(task) == StartCaution::Isolated;
+    }
+
+    /// Begins to vacate a worker if isolated tasks of a pool found none, and notes whether
+    /// the pool has none that can be vacated.
+    pub(super) fn vacate_for_isolated(&mut self, pool: &PoolName, now: BootTime) {
+        if !std::mem::take(&mut self.crashes.is_wanting) {
+            self.crashes.waiting_since.remove(pool);
+            self.crashes.crowded.remove(pool);
+            return;
+        }
+        let waiting_since = *self
+            .crashes
+            .waiting_since
+            .entry(pool.clone())
+            .or_insert(now);
+        let (isolated, workers) = self.count_isolated(pool);
+        let vacating = self.fleet.of_pool(pool);
+        let vacating = vacating
+            .filter(|(_, entry)| entry.vacated_until > now)
+            .count();
+        let has_begun = isolated + vacating > 0;
+        if isolated + vacating < isolation_limit(workers) {
+            self.vacate_one(pool, now);
+        }
+        let is_late = now.saturating_since(waiting_since) >= ISOLATION_WAIT;
+        let can_vacate = has_begun || self.vacatable(pool, now).is_some();
+        if !can_vacate || (is_late && isolated == 0) {
+            self.crashes.crowded.insert(pool.clone());
+            self.waiting.mark_changed(pool);
+        }
+    }
+
+    fn vacate_one(&mut self, pool: &PoolName, now: BootTime) {
+        let Some(id) = self.vacatable(pool, now) else {
+            return;
+        };
+        if let Some(entry) = self.fleet.get_mut(&id) {
+            entry.vacated_until = now + VACATING_TIME;
+        }
+    }
+
+    /// Returns the worker of a pool with the fewest runs that becomes vacant by itself.
+    fn vacatable(&self, pool: &PoolName, now: BootTime) -> Option<WorkerId> {
+        let is_vacatable = |entry: &WorkerEntry| {
+            self.may_start_on(entry, now)
+                && entry.long_running_count == 0
+                && entry.isolated_count == 0
+                && entry.vacated_until <= now
+        };
+        let workers = self.fleet.of_pool(pool);
+        let workers = workers.filter(|(_, entry)| is_vacatable(entry));
+        let fewest = workers.min_by_key(|(id, entry)| (entry.reservations.len(), *id));
+        fewest.map(|(id, _)| id.clone())
+    }
+}
+
+/// Returns how many of so many workers of a pool may be kept for isolated tasks.
+fn isolation_limit(workers: usize) -> usize {
+    (workers / ISOLATION_PART).max(1)
+}
--- a/crates/jobs/src/scheduler/entry.rs
+++ b/crates/jobs/src/scheduler/entry.rs
@@ -4,7 +4,9 @@
 use std::time;
 
 use crate::name::{JobId, TaskId, WorkerId};
-use crate::record::{JobRecord, JobState, OccurrenceRecord, ProgressRecord, TaskRecord};
+use crate::record::{
+    CrashRecord, JobFailure, JobRecord, JobState, OccurrenceRecord, ProgressRecord, TaskRecord,
+};
 use crate::spec::{JobSpec, MAX_TASKS, ResourceAmount, StepSpec};
 use crate::time::BootTime;
 use crate::wait::ElapsedWait;
@@ -22,6 +24,18 @@
     pub(super) incarnation: u64,
 }
 
+/// What a run is kept apart from, because workers crashed under its task.
+#[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd)]
+pub(super) enum StartCaution {
+    /// Nothing.
+    #[default]
+    None,
+    /// Other tasks under which workers crashed, as far as possible.
+    Apart,
+    /// The runs of all other jobs.
+    Isolated,
+}
+
 /// Phase of a task.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub(super) enum TaskPhase {
@@ -83,11 +97,24 @@
     pub(super) run: u32,
     /// Numbers of the runs that failed.
     pub(super) failed: Vec<u32>,
+    /// Workers that crashed under its latest runs.
+    pub(super) crashes: CrashRecord,
     /// Latest checkpoint that the task saved.
     pub(super) checkpoint: Option<String>,
 }
 
 impl TaskEntry {
+    /// Returns what a run of the task is kept apart from.
+    pub(super) fn caution(&self) -> StartCaution {
+        match self.crashes {
+            CrashRecord {
+                is_isolated: true, ..
+            } => StartCaution::Isolated,
+            CrashRecord { count: 0, .. } => StartCaution::None,
+            _ => StartCaution::Apart,
+        }
+    }
+
     /// Records that a run failed; returns whether it was not recorded before.
     pub(super) fn record_failure(&mut self, run: u32) -> bool {
         let is_new = !self.failed.contains(&run);
@@ -120,6 +147,7 @@
             phase,
             run: record.run,
             failed: record.failed.clone(),
+            crashes: record.crashes,
             checkpoint: record.checkpoint.clone(),
         }
     }
@@ -136,6 +164,7 @@
         TaskRecord {
             run: self.run,
             failed: self.failed.clone(),
+            crashes: self.crashes,
             done: false,
             worker: location.map(|location| location.worker.clone()),
             incarnation: location.map_or(0, |location| location.incarnation),
@@ -264,6 +293,8 @@
     pub(super) record: JobRecord,
     pub(super) payload: sync::Arc<str>,
     pub(super) state: JobState,
+    /// Why it has failed.
+    pub(super) failure: Option<JobFailure>,
     /// Whether a worker is known to have accepted a run of it.
     pub(super) has_started: bool,
     /// Whether its end was told, which it is once it is stored.
@@ -283,6 +314,7 @@
             payload: record.spec.payload.as_str().into(),
             critical_path_ms: record.spec.critical_path_ms(|_| 100),
             state: JobState::Queued,
+            failure: None,
             has_started: false,
             is_end_told: false,
             begun: 0,
@@ -380,7 +412,15 @@
         if self.state.is_final() {
             return None;
         }
-        let needs = self.waiting_steps().map(|waiting| waiting.spec.reserved());
+        let is_isolated =
+            |task: &TaskEntry| task.phase == TaskPhase::Idle && task.crashes.is_isolated;
+        let needs = self.waiting_steps().map(|waiting| {
+            // A vacant worker is looked for also while none has free capacity.
+            if waiting.step.tasks.iter().any(is_isolated) {
+                return ResourceAmount::default();
+            }
+            waiting.spec.reserved()
+        });
         needs.reduce(|one, other| one.component_min(&other))
     }
 
@@ -446,6 +486,7 @@
         let occurrences = occurrences.map(|occurrence| occurrence.record(spec, stall));
         ProgressRecord {
             state: self.state,
+            failure: self.failure.clone(),
             has_started: self.has_started && !self.state.is_final(),
             begun: self.begun,
             occurrences: if self.state.is_final() {
--- a/crates/jobs/src/scheduler/fleet.rs
+++ b/crates/jobs/src/scheduler/fleet.rs
@@ -11,6 +11,8 @@
 use crate::time::BootTime;
 use crate::worker::WorkerView;
 
+use super::entry::StartCaution;
+
 /// Whether a worker responds to this owner.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub(super) enum ContactState {
@@ -44,6 +46,8 @@
     pub(super) reserved: ResourceAmount,
     /// Whether its task runs until its job is cancelled.
     pub(super) is_long_running: bool,
+    /// What it is kept apart from.
+    pub(super) caution: StartCaution,
     /// Stop of the run, if it belongs to no task any more.
     pub(super) orphan_stop: Option<OrphanStop>,
 }
@@ -103,6 +107,12 @@
     pub(super) long_running_count: u32,
     /// Processor that these reserve, in thousandths of a core.
     pub(super) long_running_cpu_millis: u64,
+    /// Number of reservations of tasks under which workers crashed.
+    pub(super) suspect_count: u32,
+    /// Number of these that are isolated.
+    pub(super) isolated_count: u32,
+    /// Until when it gets no new tasks, so that it becomes vacant for isolated ones.
+    pub(super) vacated_until: BootTime,
     /// Failed runs since the latest completed one.
     pub(super) consecutive_failures: u32,
     /// Ended runs up to this number are counted in it.
@@ -179,17 +189,41 @@
             self.long_running_count += 1;
             self.long_running_cpu_millis += reservation.reserved.cpu_millis;
         }
+        self.suspect_count += u32::from(reservation.caution != StartCaution::None);
+        self.isolated_count += u32::from(reservation.caution == StartCaution::Isolated);
         if let Some(replaced) = self.reservations.insert(task, reservation) {
             self.subtract(&replaced);
         }
     }
 
+    /// Sets what the run of a task is kept apart from.
+    pub(super) fn set_caution(&mut self, task: &TaskId, caution: StartCaution) {
+        if let Some(reservation) = self.reservations.get(task).copied() {
+            let reservation = RunReservation {
+                caution,
+                ..reservation
+            };
+            self.reserve(task.clone(), reservation);
+        }
+    }
+
+    /// Returns the job whose isolated tasks the worker runs, if any.
+    pub(super) fn isolated_job(&self) -> Option<&JobId> {
+        // Most workers have none.
+        let runs = (self.isolated_count > 0).then_some(&self.reservations);
+        let mut runs = runs.into_iter().flatten();
+        let isolated = runs.find(|(_, held)| held.caution == StartCaution::Isolated);
+        isolated.map(|(task, _)| &task.job)
+    }
+
     fn subtract(&mut self, removed: &RunReservation) {
         self.used -= removed.reserved;
         if removed.is_long_running {
             self.long_running_count -= 1;
             self.long_running_cpu_millis -= removed.reserved.cpu_millis;
         }
+        self.suspect_count -= u32::from(removed.caution != StartCaution::None);
+        self.isolated_count -= u32::from(removed.caution == StartCaution::Isolated);
     }
 
     /// Releases the reservation of a run; returns whether there was one.
@@ -231,6 +265,9 @@
         self.used = ResourceAmount::default();
         self.long_running_count = 0;
         self.long_running_cpu_millis = 0;
+        self.suspect_count = 0;
+        self.isolated_count = 0;
+        self.vacated_until = BootTime::default();
         let reservations = self.reservations.drain();
         reservations
             .map(|(task, reservation)| (task, reservation.run))
--- a/crates/jobs/src/scheduler/free_capacity.rs
+++ b/crates/jobs/src/scheduler/free_capacity.rs
@@ -15,10 +15,10 @@
 
 impl FreeCapacity {
     /// Collects the free amounts of workers.
-    pub(super) fn of<'a>(free: impl Iterator<Item = &'a ResourceAmount>) -> Self {
+    pub(super) fn of(free: impl Iterator<Item = ResourceAmount>) -> Self {
         let mut capacity = Self::default();
         for amount in free {
-            capacity.add(amount);
+            capacity.add(&amount);
         }
         capacity
     }
--- a/crates/jobs/src/scheduler/lease.rs
+++ b/crates/jobs/src/scheduler/lease.rs
@@ -108,7 +108,7 @@
             }
         }
         for id in &expired {
-            self.expire_runs(id);
+            self.expire_runs(id, now);
         }
         for id in removed {
             self.fleet.remove(&id);
@@ -116,17 +116,19 @@
     }
 
     /// Drops the runs on a worker whose leases have all expired.
-    fn expire_runs(&mut self, id: &WorkerId) {
+    fn expire_runs(&mut self, id: &WorkerId, now: BootTime) {
         let Some(entry) = self.fleet.get(id) else {
             return;
         };
         let runs = entry.reservations.iter();
         let runs: Vec<_> = runs.map(|(task, held)| (task.clone(), held.run)).collect();
         let cause = self.loss_cause(id, entry.is_draining(), false);
+        let lost = self.runs_on(id, now);
         self.record_loss(id, runs.len() as u32, cause);
         for (task, run) in runs {
             self.drop_run(id, &task, run, RunEndReason::LeaseExpired);
         }
+        self.judge_loss(id, lost, cause, now);
     }
 
     /// Records since when runs on unreachable workers wait for the end of the leases.
--- a/crates/jobs/src/scheduler/lifecycle.rs
+++ b/crates/jobs/src/scheduler/lifecycle.rs
@@ -6,7 +6,7 @@
 use crate::worker::OrderAction;
 
 use super::JobScheduler;
-use super::entry::{JobEntry, RunLocation, StopProgress, TaskPhase};
+use super::entry::{JobEntry, RunLocation, StopProgress, TaskEntry, TaskPhase};
 use super::fleet::{RunReservation, WorkerEntry};
 
 /// Run of a task that is assigned to a worker.
@@ -54,6 +54,10 @@
         }
         let stored_by = self.stored_by.map_or(now, |stored_by| stored_by.min(now));
         let entry = JobEntry::restore(record, progress, stored_by, now);
+        let suspects = entry.tasks(id).filter(|(_, task)| task.crashes.count > 0);
+        for (task, _) in suspects {
+            self.crashes.add_suspect(task);
+        }
         self.insert(id, entry);
         for placed in self.placed_runs(id) {
             self.restore_run(&placed, now);
@@ -100,6 +104,9 @@
         if tracked_incarnation.is_some_and(|tracked| tracked != incarnation) {
             // That incarnation of the worker has ended.
             self.set_phase(task, TaskPhase::Idle);
+            if tracked_incarnation > Some(incarnation) {
+                self.count_inherited_crash(worker, task, *run, now);
+            }
             return;
         }
         if tracked_incarnation.is_none() {
@@ -112,12 +119,14 @@
         }
         let reserved = self.reserved(task);
         let is_long_running = self.is_long_running(task);
+        let caution = self.task(task).map(TaskEntry::caution).unwrap_or_default();
         if let Some(entry) = self.fleet.get_mut(worker) {
             entry.lease_until = entry.lease_until.max(inherited_until);
             let reservation = RunReservation {
                 run: *run,
                 reserved,
                 is_long_running,
+                caution,
                 orphan_stop: None,
             };
             entry.reserve(task.clone(), reservation);
--- a/crates/jobs/src/scheduler/listing.rs
+++ b/crates/jobs/src/scheduler/listing.rs
@@ -6,7 +6,7 @@
 use crate::time::BootTime;
 use crate::worker::WorkerView;
 
-use super::entry::{RunLocation, TaskPhase};
+use super::entry::{RunLocation, TaskEntry, TaskPhase};
 use super::fleet::{RunReservation, WorkerEntry};
 use super::{JobScheduler, RunEndReason, SchedulerEvent, WorkerStatus};
 
@@ -15,6 +15,9 @@
     pub fn worker_listed(&mut self, view: WorkerView, now: BootTime) {
         let id = view.id.clone();
         let is_draining = view.is_draining;
+        if self.fleet.get(&id).is_none_or(|entry| !entry.is_listed) {
+            self.settle_loss(&id, view.incarnation, now);
+        }
         let Some(entry) = self.fleet.get_mut(&id) else {
             let entry = WorkerEntry {
                 incarnation: view.incarnation,
@@ -58,7 +61,8 @@
     }
 
     /// Handles the removal of a worker's entry from the list.
-    pub fn worker_unlisted(&mut self, id: &WorkerId) {
+    pub fn worker_unlisted(&mut self, id: &WorkerId, now: BootTime) {
+        self.confirm_loss(id, now);
         let Some(entry) = self.fleet.get_mut(id) else {
             return;
         };
@@ -78,7 +82,7 @@
             self.worker_listed(view, now);
         }
         for id in unlisted {
-            self.worker_unlisted(&id);
+            self.worker_unlisted(&id, now);
         }
     }
 
@@ -95,6 +99,7 @@
         now: BootTime,
     ) {
         let cause = self.loss_cause(id, was_draining, true);
+        let lost = self.runs_on(id, now);
         let Some(entry) = self.fleet.get_mut(id) else {
             return;
         };
@@ -108,6 +113,7 @@
                 self.drop_run(id, &task, run, RunEndReason::WorkerReplaced);
             }
         }
+        self.judge_loss(id, lost, cause, now);
         self.mark_worker_changed(id);
     }
 
@@ -126,6 +132,7 @@
         let reserved = self.reserved(task);
         let is_long_running = self.is_long_running(task);
         let run = self.task(task).map_or(0, |entry| entry.run);
+        let caution = self.task(task).map(TaskEntry::caution).unwrap_or_default();
         let Some(entry) = self.fleet.get_mut(id) else {
             return;
         };
@@ -133,6 +140,7 @@
             run,
             reserved,
             is_long_running,
+            caution,
             orphan_stop: None,
         };
         entry.reserve(task.clone(), reservation);
--- a/crates/jobs/src/scheduler/mod.rs
+++ b/crates/jobs/src/scheduler/mod.rs
@@ -8,6 +8,7 @@
 //! - `backlog`: summary of the waiting work, for the admission of jobs
 //! - `candidate`: workers that may get tasks, while tasks are placed
 //! - `changes`: jobs with unstored changes, and what waits for their rows
+//! - `crash`: tasks that crash the workers on which they start
 //! - `entry`: jobs, steps and tasks in memory
 //! - `finished`: jobs whose final state is stored, until their rows are deleted
 //! - `evacuation`: evacuated data centres, where nothing starts
@@ -33,6 +34,7 @@
 mod backlog;
 mod candidate;
 mod changes;
+mod crash;
 mod entry;
 mod evacuation;
 mod finished;
@@ -63,7 +65,7 @@
 use crate::feasibility::FleetCapacity;
 use crate::manifest::JobManifest;
 use crate::name::{CustomerName, DataCentre, JobId, PoolName, QueueName, TaskId, WorkerId};
-use crate::record::JobState;
+use crate::record::{JobFailure, JobState};
 use crate::spec::ResourceAmount;
 use crate::time::BootTime;
 use crate::worker::{ExitKind, OrderAction, OrderOutcome, WorkerOrder};
@@ -71,6 +73,7 @@
 use advice::AdviceCache;
 use backlog::BacklogTracker;
 use changes::ChangeTracker;
+use crash::CrashTracker;
 use entry::JobEntry;
 use evacuation::EvacuationTracker;
 use finished::FinishedJobs;
@@ -227,6 +230,8 @@
         state: JobState,
         /// Runs of its tasks that failed.
         failed: u32,
+        /// Why it has failed, if it has.
+        failure: Option<JobFailure>,
     },
     /// Tasks of a job were placed on workers.
     TasksPlaced {
@@ -273,6 +278,19 @@
         /// Why it ended.
         cause: LossCause,
     },
+    /// A worker crashed under a run.
+    TaskSuspected {
+        /// Task of the run.
+        task: TaskId,
+        /// Number of the run.
+        run: u32,
+        /// Worker of the run.
+        worker: WorkerId,
+        /// Workers that crashed under its latest runs, this one included.
+        crashes: u32,
+        /// Whether the worker ran nothing of other jobs.
+        is_isolated: bool,
+    },
     /// The evacuation of a data centre began or ended.
     EvacuationChanged {
         /// The data centre.
@@ -368,6 +386,7 @@
     displaced: BTreeSet<TaskId>,
     advice: AdviceCache,
     changes: ChangeTracker,
+    crashes: CrashTracker,
     /// Leases of earlier owners; none if nothing is known of them.
     inherited: Option<InheritedLeases>,
     lease_ledger: LeaseLedger,
@@ -406,6 +425,7 @@
             displaced: BTreeSet::new(),
             advice: AdviceCache::default(),
             changes: ChangeTracker::default(),
+            crashes: CrashTracker::default(),
             inherited: None,
             lease_ledger: LeaseLedger::default(),
             stored_by: None,
@@ -537,6 +557,7 @@
         self.evict_from_evacuated(now);
         self.retry_stops(now);
         self.check_stalls(now);
+        self.clear_suspects(now);
         self.track_evacuations(now);
         self.send_due_renewals(now);
         // A worker may have become usable again only because time passed.
--- a/crates/jobs/src/scheduler/order.rs
+++ b/crates/jobs/src/scheduler/order.rs
@@ -1,7 +1,7 @@
 //! Orders, their responses and their retries.
 
 use crate::name::{TaskId, WorkerId};
-use crate::record::JobState;
+use crate::record::{FailureReason, JobFailure};
 use crate::time::BootTime;
 use crate::worker::{OrderAction, OrderOutcome, OrderResponse};
 
@@ -174,7 +174,13 @@
             OrderOutcome::Unsent => self.stop_incomplete_gang(task, run, now),
             OrderOutcome::Unpermitted => self.advice.drop_permit(&step_of(task), worker),
             // Every other worker would reject it as well.
-            OrderOutcome::Invalid => self.finish(&task.job, JobState::Failed, now),
+            OrderOutcome::Invalid => {
+                let failure = JobFailure {
+                    reason: FailureReason::InvalidTask,
+                    task: task.clone(),
+                };
+                self.fail(failure, now);
+            }
             _ => {}
         }
     }
--- a/crates/jobs/src/scheduler/placement.rs
+++ b/crates/jobs/src/scheduler/placement.rs
@@ -16,7 +16,7 @@
 
 use super::advice::StepId;
 use super::candidate::{self, PlacementCandidate};
-use super::entry::{JobEntry, RunLocation, TaskPhase};
+use super::entry::{JobEntry, RunLocation, StartCaution, TaskPhase};
 use super::fleet::RunReservation;
 use super::shares::PoolShares;
 use super::waiting::{JobRank, PoolVisit, WaitingEntry};
@@ -54,6 +54,7 @@
         if candidates.is_empty() {
             return;
         }
+        self.limit_isolation(pool, &mut candidates);
         let shares = self.pool_shares(pool);
         let mut free = candidate::free_capacity(&candidates);
         let mut visit = PoolVisit::new(&self.waiting, pool, &free, |customer| {
@@ -64,9 +65,11 @@
         }) {
             let placed_count = self.place_job(&id, &mut candidates, now);
             if placed_count > 0 {
+                self.limit_isolation(pool, &mut candidates);
                 free = candidate::free_capacity(&candidates);
             }
         }
+        self.vacate_for_isolated(pool, now);
     }
 
     /// Divides a pool among the customers that use it or wait for it.
@@ -176,7 +179,7 @@
                 && !self.lease_ledger.covers(id)
         });
         usable
-            .map(|(id, entry)| PlacementCandidate::new(id, entry))
+            .map(|(id, entry)| PlacementCandidate::new(id, entry, now))
             .collect()
     }
 
@@ -307,7 +310,7 @@
                 // The others fit nowhere either, unless an earlier run of this task
                 // still holds a reservation.
                 None if self.task(task).is_some_and(|entry| entry.run == 0) => break,
-                None => {}
+                None => self.note_unplaced(task),
             }
         }
         placement.unplaced = count - placement.placed;
@@ -335,6 +338,7 @@
             return none;
         }
         let Some(chosen) = self.choose_for_gang(members, spec, candidates) else {
+            self.note_unplaced(first);
             return none;
         };
         let runs = members.iter().filter_map(|task| self.task(task));
@@ -394,7 +398,7 @@
             let chosen_count =
                 |position: usize| chosen.iter().filter(|&&other| other == position).count();
             let position = self.choose_candidate_with(task, spec, &scratch, chosen_count)?;
-            scratch[position].free_capacity -= spec.reserved();
+            scratch[position].add_run(&task.job, self.caution(task), &spec.reserved());
             chosen.push(position);
         }
         Some(chosen)
@@ -450,10 +454,12 @@
         chosen_count: impl Fn(usize) -> usize,
     ) -> Option<usize> {
         let reserved = spec.reserved();
+        let caution = self.caution(task);
         let is_retried = self.task(task).is_some_and(|entry| entry.run > 0);
         let mut best: Option<(PlacementScore, usize)> = None;
         for (position, candidate) in candidates.iter().enumerate() {
-            if candidate.is_excluded || !reserved.fits_in(&candidate.free_capacity) {
+            let is_admitted = !candidate.is_excluded && candidate.admits(&task.job, caution);
+            if !is_admitted || !reserved.fits_in(&candidate.free_capacity) {
                 continue;
             }
             let is_constrained = is_retried || spec.requires.is_some() || spec.max_per_worker > 0;
@@ -462,11 +468,11 @@
             {
                 continue;
             }
-            let score = PlacementScore {
-                matches_affinity: self.matches_affinity(spec, candidate),
-                runs_long_running: candidate.runs_long_running,
-                used_share: candidate.used_share(),
-            };
+            let score = PlacementScore::new(
+                candidate,
+                self.matches_affinity(spec, candidate),
+                caution != StartCaution::None,
+            );
             if best.is_none_or(|(other, _)| score > other) {
                 best = Some((score, position));
             }
@@ -522,7 +528,8 @@
         run: Option<u32>,
     ) {
         let reserved = spec.reserved();
-        candidate.free_capacity -= reserved;
+        let caution = self.caution(task);
+        candidate.add_run(&task.job, caution, &reserved);
         candidate.runs_long_running |= spec.long_running;
         let location = RunLocation {
             worker: candidate.worker.clone(),
@@ -537,6 +544,7 @@
             run: entry.run,
             reserved,
             is_long_running: spec.long_running,
+            caution,
             orphan_stop: None,
         };
         if let Some(worker) = self.fleet.get_mut(&candidate.worker) {
@@ -557,6 +565,9 @@
 #[derive(Clone, Copy, Debug, PartialEq, PartialOrd)]
 struct PlacementScore {
     matches_affinity: bool,
+    /// Number of its runs under whose tasks workers crashed, negative: they are spread, and
+    /// others avoid them.
+    suspects: i64,
     /// Whether the worker already has long-running tasks: packing tasks beside them
     /// keeps the other machines movable.
     runs_long_running: bool,
@@ -564,3 +575,17 @@
     /// that others become empty.
     used_share: f64,
 }
+
+impl PlacementScore {
+    /// Returns the score of a worker for a task. One under which workers crashed goes where
+    /// it can do least harm.
+    fn new(candidate: &PlacementCandidate, matches_affinity: bool, is_suspect: bool) -> Self {
+        let used_share = candidate.used_share();
+        Self {
+            matches_affinity,
+            suspects: -i64::from(candidate.suspects),
+            runs_long_running: candidate.runs_long_running != is_suspect,
+            used_share: if is_suspect { -used_share } else { used_share },
+        }
+    }
+}
--- a/crates/jobs/src/scheduler/report.rs
+++ b/crates/jobs/src/scheduler/report.rs
@@ -3,12 +3,12 @@
 use std::collections::{BTreeSet, HashMap};
 
 use crate::name::{JobId, TaskId, WorkerId};
-use crate::record::JobState;
+use crate::record::{FailureReason, JobFailure, JobState};
 use crate::spec::{ResourceAmount, StepSpec};
 use crate::time::BootTime;
 use crate::worker::{ActiveRun, EndedRun, ExitKind, OrderAction, RenewalReport};
 
-use super::entry::{RunProgress, TaskEntry, TaskPhase};
+use super::entry::{RunProgress, StartCaution, TaskEntry, TaskPhase};
 use super::fleet::{ClockSample, ContactState, OrphanStop, RunReservation, UnacknowledgedRun};
 use super::shares::PoolClaim;
 use super::{JobScheduler, RunEndReason, SchedulerEvent, WorkerStatus};
@@ -22,6 +22,7 @@
         report: &RenewalReport,
         now: BootTime,
     ) {
+        self.settle_loss(worker, report.incarnation, now);
         let Some(entry) = self.fleet.get(worker) else {
             return;
         };
@@ -192,7 +193,11 @@
             .flat_map(|entry| entry.failed.iter().copied())
             .collect();
         if failed.len() as u32 >= self.max_attempts(task) {
-            self.finish(&task.job, JobState::Failed, now);
+            let failure = JobFailure {
+                reason: FailureReason::FailedRuns,
+                task: task.clone(),
+            };
+            self.fail(failure, now);
         }
     }
 
@@ -287,6 +292,7 @@
             run,
             reserved,
             is_long_running,
+            caution: StartCaution::None,
             orphan_stop: Some(OrphanStop {
                 ordered_at: now,
                 accepted_at: None,
--- a/crates/jobs/src/spec.rs
+++ b/crates/jobs/src/spec.rs
@@ -15,8 +15,8 @@
 pub const MAX_TASKS: u32 = 600;
 
 /// Estimated largest size of the stored progress of a task, in bytes: its run, a few
-/// failed runs, and its worker with its incarnation.
-const TASK_BYTES: usize = 75;
+/// failed runs, the crashes of its workers, and its worker with its incarnation.
+const TASK_BYTES: usize = 78;
 
 /// Estimated largest size of the checkpoint of a task in its stored progress, in bytes.
 const CHECKPOINT_BYTES: usize = 25;
--- a/crates/jobs/tests/common/crash.rs
+++ b/crates/jobs/tests/common/crash.rs
@@ -129,7 +129,7 @@
     fn unlist_crashed(&mut self, id: &WorkerId) {
         if self.crash_plan.return_mode != ReturnMode::NewIncarnation {
             self.worker(id.as_str()).is_listed = false;
-            self.scheduler.worker_unlisted(id);
+            self.scheduler.worker_unlisted(id, self.now);
         }
     }
 }
--- a/crates/jobs/tests/crashing_tasks.rs
+++ b/crates/jobs/tests/crashing_tasks.rs
@@ -52,14 +52,19 @@
 }
 
 /// Each owner knows of a part of the crashes only.
-#[test]
-fn a_task_that_crashes_its_workers_is_given_up_although_owners_change() {
+#[rstest]
+fn a_task_that_crashes_its_workers_is_given_up_although_owners_change(
+    #[values(ReturnMode::NewWorker, ReturnMode::NewIncarnation, ReturnMode::Never)]
+    mode: ReturnMode,
+    #[values(1_100, 2_000, 5_000)] owner_ms: u64,
+) {
     let (mut fleet, deadly) = fleet_with_deadly(step_spec(2, 1_000));
-    for _ in 0..30 {
-        fleet.advance(2_000);
+    fleet.crash_plan.return_mode = mode;
+    for _ in 0..60_000 / owner_ms {
+        fleet.advance(owner_ms);
         fleet.take_over(SchedulerSettings::default());
     }
-    fleet.advance(10_000);
+    fleet.advance(20_000);
     assert_eq!(fleet.state(&deadly), JobState::Failed);
     assert!(start_count(&fleet, &task_id(&deadly, 0, 0)) <= MAX_STARTS);
 }
@@ -146,7 +151,7 @@
     for _ in 0..6 {
         let (_, _, worker, _) = fleet.starts.last().expect("a start").clone();
         fleet.worker(worker.as_str()).is_unresponsive = true;
-        fleet.scheduler.worker_unlisted(&worker);
+        fleet.scheduler.worker_unlisted(&worker, fleet.now);
         fleet.advance(7_000);
         fleet.worker(worker.as_str()).is_unresponsive = false;
         let view = fleet.worker(worker.as_str()).view.clone();
--- a/crates/jobs/tests/faults.rs
+++ b/crates/jobs/tests/faults.rs
@@ -180,7 +180,7 @@
             if *is_listed {
                 fleet.scheduler.worker_listed(view, fleet.now);
             } else {
-                fleet.scheduler.worker_unlisted(&view.id);
+                fleet.scheduler.worker_unlisted(&view.id, fleet.now);
             }
         }
     }
--- a/crates/jobs/tests/takeover.rs
+++ b/crates/jobs/tests/takeover.rs
@@ -587,7 +587,7 @@
         fleet.advance(renewed_ms);
         fleet.worker(worker.as_str()).is_unresponsive = true;
         fleet.advance(2_600);
-        fleet.scheduler.worker_unlisted(&worker);
+        fleet.scheduler.worker_unlisted(&worker, fleet.now);
         fleet.advance(100);
         if is_listed_again {
             let view = fleet.worker(worker.as_str()).view.clone();
@@ -610,7 +610,7 @@
     let worker = fleet.starts[0].2.clone();
     fleet.begin_take_over(SchedulerSettings::default());
     fleet.advance(3_000);
-    fleet.scheduler.worker_unlisted(&worker);
+    fleet.scheduler.worker_unlisted(&worker, fleet.now);
     fleet.advance(9_000);
     assert_eq!(fleet.running_count(&task_id(&job, 0, 0)), 1);
 }
--- a/crates/node/tests/pages.rs
+++ b/crates/node/tests/pages.rs
@@ -62,6 +62,7 @@
     jobs.count_ended_job("Completed");
     jobs.count_ended_run("Vanished");
     jobs.count_lost_worker("crashed");
+    jobs.count_failed_job("crashed-workers");
     jobs.count_order("start");
     jobs.count_machine_order("move");
     let evacuated = "east".to_owned().into();
