Send a request to two backend servers at most that die under it

Callers would see backend servers crash one after the other under a repeatable request: it was sent again after each, up to its three attempts, as if the server had been at fault alone. Attempts that did not start the request count as before.

--- a/crates/policy/src/scheduler/attempt.rs
+++ b/crates/policy/src/scheduler/attempt.rs
@@ -103,13 +103,16 @@
             return AttemptVerdict::Final;
         };
         request.maybe_ran |= report.outcome != RunOutcome::NotRun;
+        let is_lost = report.faulty && report.outcome == RunOutcome::Unknown;
+        request.lost_attempts += u32::from(is_lost);
         let failed = report.faulty || report.outcome != RunOutcome::Ran;
         let allowed = !request.maybe_ran || request.ticket.repeatable;
         if request.cancelled || report.response_started || !failed || !allowed {
             return AttemptVerdict::Final;
         }
         let in_time = request.ticket.deadline > now;
-        let exhausted = request.attempts >= self.settings.max_attempts;
+        let exhausted = request.attempts >= self.settings.max_attempts
+            || request.lost_attempts >= self.settings.max_lost_attempts;
         if in_time && !exhausted && self.budget.spend() {
             self.enqueue(now, request);
             return AttemptVerdict::Pending;
--- a/crates/policy/src/scheduler/mod.rs
+++ b/crates/policy/src/scheduler/mod.rs
@@ -44,6 +44,8 @@
     pub task_lease: time::Duration,
     /// Maximum number of attempts per request.
     pub max_attempts: u32,
+    /// Backend servers that may close or die under one request; then it is given up.
+    pub max_lost_attempts: u32,
     /// Time between two reports of demand and service to peers.
     pub report_interval: time::Duration,
     /// Shortest time between two reports when a customer starts to wait.
@@ -67,6 +69,7 @@
             slots_per_worker: 8,
             task_lease: time::Duration::from_secs(60),
             max_attempts: 3,
+            max_lost_attempts: 2,
             report_interval: time::Duration::from_millis(250),
             urgent_interval: time::Duration::from_millis(100),
             transfer_interval: time::Duration::from_millis(20),
--- a/crates/policy/src/scheduler/request.rs
+++ b/crates/policy/src/scheduler/request.rs
@@ -28,6 +28,8 @@
     pub(super) ticket: RequestTicket,
     pub(super) customer: CustomerIndex,
     pub(super) attempts: u32,
+    /// Attempts during which the backend server closed the connection or died.
+    pub(super) lost_attempts: u32,
     pub(super) tried: Vec<VmId>,
     /// Whether an earlier attempt may have run.
     pub(super) maybe_ran: bool,
@@ -52,6 +54,7 @@
             ticket,
             customer,
             attempts: 0,
+            lost_attempts: 0,
             tried: Vec::new(),
             maybe_ran: false,
             cancelled: false,
--- a/crates/policy/tests/local.rs
+++ b/crates/policy/tests/local.rs
@@ -322,6 +322,43 @@
     assert!(dispatched(&actions).is_empty() && refusals(&actions).is_empty());
 }
 
+/// A request that crashes its backend servers must not be sent to all of them.
+#[test]
+fn a_request_under_which_two_backend_servers_close_is_given_up() {
+    let shape = FleetShape {
+        workers: 5,
+        ..FleetShape::default()
+    };
+    let mut scheduler = single_scheduler(&shape);
+    scheduler.submit(at(1), ticket(1, &shape.class(0), Some(&customer("a"))));
+    let mut attempts = 0;
+    let mut verdict = AttemptVerdict::Pending;
+    while let [(id, vm)] = &dispatched(&scheduler.take_actions())[..] {
+        attempts += 1;
+        verdict = scheduler.finish(at(2), *id, &lost(vm));
+    }
+    assert_eq!(attempts, 2);
+    assert_eq!(verdict, AttemptVerdict::Final);
+}
+
+/// A backend server that did not start the request says nothing about it.
+#[test]
+fn a_request_that_was_not_started_keeps_its_attempts() {
+    let shape = FleetShape {
+        workers: 5,
+        ..FleetShape::default()
+    };
+    let mut scheduler = single_scheduler(&shape);
+    scheduler.submit(at(1), ticket(1, &shape.class(0), Some(&customer("a"))));
+    let mut attempts = 0;
+    while let [(id, vm)] = &dispatched(&scheduler.take_actions())[..] {
+        attempts += 1;
+        let report = if attempts == 1 { lost(vm) } else { refused(vm) };
+        scheduler.finish(at(2), *id, &report);
+    }
+    assert_eq!(attempts, 3);
+}
+
 #[test]
 fn no_attempt_follows_once_a_response_has_started() {
     let shape = FleetShape::default();
