Start nothing on a worker that has shrunk since it was chosen

Callers saw workers that do not guard their capacity run more than they have (LIMIT is what the users call it), after a worker's capacity had shrunk while a start was on its way. Cause: a decision was carried out later by what it was based on: a start waits for its row, or for the confirmation of the ownership, and was sent then without another look at the worker. Change: a start is ordered, and an order that was held back is sent, only while all reservations of its worker fit into its present capacity; otherwise its task waits again, with all members of its gang. Runs that are being stopped count.

--- a/crates/engine/src/owner/session/mod.rs
+++ b/crates/engine/src/owner/session/mod.rs
@@ -320,7 +320,12 @@
     /// Sends the orders to workers and for machines; the ownership must be
     /// confirmed.
     fn send_orders(&mut self) {
+        let now = clock::boot_now();
         for order in std::mem::take(&mut self.deferred_orders) {
+            if self.scheduler.exceeds_capacity(&order) {
+                self.scheduler.take_back(&order, now);
+                continue;
+            }
             self.dependencies.metrics.count_order(order.action.kind());
             self.order_queues.send(order);
         }
--- a/crates/jobs/src/scheduler/fleet.rs
+++ b/crates/jobs/src/scheduler/fleet.rs
@@ -183,6 +183,12 @@
         capacity.unwrap_or_default().saturating_sub(&self.used)
     }
 
+    /// Returns whether the reservations need more than the worker has: it has shrunk.
+    pub(super) fn is_overcommitted(&self) -> bool {
+        let capacity = self.view.as_ref().map(|view| view.capacity);
+        !self.used.fits_in(&capacity.unwrap_or_default())
+    }
+
     pub(super) fn reserve(&mut self, task: TaskId, reservation: RunReservation) {
         self.used += reservation.reserved;
         if reservation.is_long_running {
--- a/crates/jobs/src/scheduler/order.rs
+++ b/crates/jobs/src/scheduler/order.rs
@@ -3,7 +3,7 @@
 use crate::name::{TaskId, WorkerId};
 use crate::record::{FailureReason, JobFailure};
 use crate::time::BootTime;
-use crate::worker::{OrderAction, OrderOutcome, OrderResponse};
+use crate::worker::{OrderAction, OrderOutcome, OrderResponse, WorkerOrder};
 
 use super::advice::StepId;
 use super::entry::{RunLocation, RunProgress, StopProgress, TaskPhase};
@@ -38,7 +38,9 @@
             self.ticket(task, location, now).is_some() || !self.is_advised(&task.job);
         let worker = self.fleet.get(&location.worker);
         let is_usable = worker.is_some_and(|worker| {
-            worker.incarnation == location.incarnation && self.may_start_on(worker, now)
+            worker.incarnation == location.incarnation
+                && !worker.is_overcommitted()
+                && self.may_start_on(worker, now)
         });
         is_permitted && is_usable && !self.lease_ledger.covers(&location.worker)
     }
@@ -81,6 +83,14 @@
         self.push_order(&worker, action, now);
     }
 
+    /// Returns whether an order that is not sent yet starts a run on a worker that has
+    /// shrunk below its reservations since; it is to be taken back.
+    pub fn exceeds_capacity(&self, order: &WorkerOrder) -> bool {
+        let is_start = matches!(order.action, OrderAction::Start { .. });
+        let worker = self.fleet.get(&order.worker);
+        is_start && worker.is_some_and(WorkerEntry::is_overcommitted)
+    }
+
     /// Returns the ticket of the advisor's permit to run a task on a worker.
     fn ticket(&self, task: &TaskId, location: &RunLocation, now: BootTime) -> Option<String> {
         let step = step_of(task);
