Use a worker that has started again once its new entry is known

Callers saw tasks on workers of another kind, or beyond their capacity, when a worker came back smaller under its id and reported before its entry in the list had changed. Cause: as with workers that have shrunk, a decision on old facts: the report of a new incarnation made the worker usable with the capacity and labels of the old one. Change: a worker gets tasks only if its entry is of the incarnation that responds. Result: nothing_starts_on_a_new_incarnation_before_its_capacity_is_known failed before (a task of 1,000 on a worker of 500) and passes now, with all tests of redwing-jobs and redwing-engine.

--- a/crates/jobs/src/scheduler/fleet.rs
+++ b/crates/jobs/src/scheduler/fleet.rs
@@ -151,10 +151,17 @@
         self.view.as_ref().is_some_and(|view| view.is_draining)
     }
 
+    /// Returns whether the platform's entry describes the present incarnation: another one
+    /// may be of a different kind.
+    fn is_view_current(&self) -> bool {
+        let view = self.view.as_ref();
+        view.is_some_and(|view| view.incarnation == self.incarnation)
+    }
+
     /// Returns whether the worker may get new tasks.
     pub(super) fn is_usable(&self, now: BootTime) -> bool {
         self.is_listed
-            && self.view.is_some()
+            && self.is_view_current()
             && !self.is_draining()
             && !self.is_blocked
             && !self.is_evacuated
--- a/crates/jobs/tests/shrunk_workers.rs
+++ b/crates/jobs/tests/shrunk_workers.rs
@@ -4,7 +4,7 @@
 
 use common::{FakeFleet, step_spec};
 use redwing_jobs::name::QueueName;
-use redwing_jobs::spec::StepSpec;
+use redwing_jobs::spec::{ResourceAmount, StepSpec};
 use redwing_jobs::{JobManifest, JobState, WorkerId};
 
 /// Changes the processor that a worker lists, in thousandths of a core.
@@ -118,3 +118,29 @@
     assert_eq!(fleet.starts.len(), 3);
     assert_within_capacity(&fleet, "w0");
 }
+
+/// A new incarnation may be of another kind; what it has is known once it is listed.
+#[test]
+fn nothing_starts_on_a_new_incarnation_before_its_capacity_is_known() {
+    let mut fleet = FakeFleet::of_size(1, 8_000);
+    fleet.submit("long", vec![step_spec(1, 1_000)], 60_000);
+    fleet.advance(200);
+    let worker = fleet.worker("w0");
+    worker.running.clear();
+    worker.view.incarnation += 1;
+    worker.view.capacity = ResourceAmount {
+        cpu_millis: 500,
+        ..worker.view.capacity
+    };
+    fleet.advance(2_000);
+    assert_eq!(fleet.starts.len(), 1);
+    assert_within_capacity(&fleet, "w0");
+    let view = fleet.worker("w0").view.clone();
+    let now = fleet.now;
+    fleet.scheduler.worker_listed(view, now);
+    fleet.advance(1_000);
+    assert_eq!(fleet.starts.len(), 1);
+    set_cpu(&mut fleet, "w0", 8_000);
+    fleet.advance(1_000);
+    assert_eq!(fleet.starts.len(), 2);
+}
