Tell callers and operators why a job failed

Callers of a job that was given up saw failed and nothing else; whether its tasks failed, crashed their workers or were rejected stood nowhere. Cause: the row had the reason since, and nothing showed it. Change: the state of a failed job has the reason and the task in the product's own format, redwingctl explain job ID reads it from any entry process of jobs; the users' platform has no place for it and gets failed as before.

--- a/crates/ctl/src/job.rs
+++ b/crates/ctl/src/job.rs
@@ -1,9 +1,13 @@
 //! The `job` subcommands: submit a job, show its state, cancel it, and count
 //! the pending jobs of a queue.
 
+use std::fmt;
 use std::time;
 
 use awc::http::Method;
+use redwing_jobs::JobState;
+use redwing_jobs::record::{FailureReason, JobFailure};
+use serde::{Deserialize, Serialize};
 
 use crate::command::{CommandEntry, ExitStatus};
 use crate::error::{Error, Result};
@@ -65,7 +69,8 @@
         ))
 }
 
-fn target_arguments() -> Vec<clap::Arg> {
+/// Returns the flags that name a queue of an entry process.
+pub(crate) fn target_arguments() -> Vec<clap::Arg> {
     vec![
         clap::Arg::new("target")
             .long("target")
@@ -113,6 +118,10 @@
     value.ok().flatten().cloned().unwrap_or_default()
 }
 
+fn job_path(flags: &clap::ArgMatches, id: &str) -> String {
+    format!("/v1/queues/{}/jobs/{id}", text_flag(flags, "queue"))
+}
+
 fn job_call(
     flags: &clap::ArgMatches,
     operation: &'static str,
@@ -123,16 +132,56 @@
         operation,
         method,
         base_url: text_flag(flags, "target"),
-        path: format!(
-            "/v1/queues/{}/jobs/{}",
-            text_flag(flags, "queue"),
-            text_flag(flags, "id")
-        ),
+        path: job_path(flags, &text_flag(flags, "id")),
         key: flags.get_one::<String>("key").cloned(),
         body,
     }
 }
 
+/// State of a job as callers see it, as text.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub(crate) struct JobExplanation {
+    state: JobState,
+    /// Why it has failed, if the process tells.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    failure: Option<JobFailure>,
+}
+
+impl fmt::Display for JobExplanation {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let state = match self.state {
+            JobState::Queued => "queued: no task has started",
+            JobState::Running => "running",
+            JobState::Completed => "completed: all tasks are done",
+            JobState::Failed => "failed",
+            JobState::Cancelled => "cancelled by its caller",
+        };
+        formatter.write_str(state)?;
+        let Some(JobFailure { reason, task }) = &self.failure else {
+            return Ok(());
+        };
+        let reason = match reason {
+            FailureReason::FailedRuns => "failed as often as its queue allows",
+            FailureReason::CrashedWorkers => "crashed the workers on which it was started",
+            FailureReason::InvalidTask => "was rejected as invalid by a worker",
+        };
+        write!(formatter, ": task {task} {reason}")
+    }
+}
+
+/// Reads the state of a job, and why it has failed.
+pub(crate) fn explain(flags: &clap::ArgMatches, id: &str) -> Result<JobExplanation> {
+    let call = JobCall {
+        path: job_path(flags, id),
+        ..job_call(flags, "explain job", Method::GET, String::new())
+    };
+    let target = call.base_url.clone();
+    let body = actix_rt::System::new().block_on(async { send(call).await })?;
+    let explanation = serde_json::from_str(&body);
+    explanation.map_err(|error| Error::refused("explain job", &target, error.to_string()))
+}
+
 /// Sends a call and returns the body of a successful response.
 async fn send(call: JobCall) -> Result<String> {
     let JobCall {
--- a/crates/engine/src/caller/service.rs
+++ b/crates/engine/src/caller/service.rs
@@ -418,7 +418,10 @@
         };
         let entry = progress.iter().find(|entry| entry.key == key);
         if let Some(record) = entry.and_then(|entry| row::read::<ProgressRecord>(entry).ok()) {
-            return CallerResponse::State(record.state);
+            return match record.failure {
+                Some(failure) => CallerResponse::Failed(failure),
+                None => CallerResponse::State(record.state),
+            };
         }
         match self.job_rows(id).await {
             Ok(rows) if rows.is_empty() => CallerResponse::NoSuchJob,
@@ -558,6 +561,7 @@
         response,
         CallerResponse::Accepted
             | CallerResponse::State(_)
+            | CallerResponse::Failed(_)
             | CallerResponse::Cancelled
             | CallerResponse::Pending(_)
     );
--- a/crates/engine/src/codec.rs
+++ b/crates/engine/src/codec.rs
@@ -8,6 +8,7 @@
 use redwing_jobs::maintenance::{WaveRequest, WaveState};
 use redwing_jobs::manifest::JobManifest;
 use redwing_jobs::name::{DataCentre, WorkerId};
+use redwing_jobs::record::JobFailure;
 use redwing_jobs::worker::WorkerView;
 use redwing_provider::{RowKey, TableRow};
 
@@ -45,6 +46,8 @@
     Accepted,
     /// State of the job.
     State(JobState),
+    /// The job has failed, for the given reason.
+    Failed(JobFailure),
     /// The job is cancelled.
     Cancelled,
     /// Number of accepted jobs of which no task has started.
@@ -80,7 +83,7 @@
     pub fn name(&self) -> &'static str {
         match self {
             Self::Accepted => "accepted",
-            Self::State(_) => "state",
+            Self::State(_) | Self::Failed(_) => "state",
             Self::Cancelled => "cancelled",
             Self::Pending(_) => "pending",
             Self::NoSuchJob => "no-such-job",
--- a/crates/engine/src/product.rs
+++ b/crates/engine/src/product.rs
@@ -8,6 +8,7 @@
 use redwing_jobs::maintenance::{WaveRequest, WaveState};
 use redwing_jobs::manifest::JobManifest;
 use redwing_jobs::name::{DataCentre, WorkerId};
+use redwing_jobs::record::JobFailure;
 use redwing_jobs::worker::WorkerView;
 use redwing_jobs::{JobSpec, JobState};
 use redwing_provider::{RowKey, TableRow};
@@ -54,8 +55,19 @@
 /// Body of a response with the state of a job.
 #[derive(Clone, Copy, Debug, Serialize)]
 #[serde(rename_all = "kebab-case")]
-struct StateBody {
+struct StateBody<'a> {
     state: JobState,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    failure: Option<&'a JobFailure>,
+}
+
+impl StateBody<'_> {
+    fn new(state: JobState) -> Self {
+        Self {
+            state,
+            failure: None,
+        }
+    }
 }
 
 /// Body of a response with the pending count of a queue.
@@ -151,19 +163,16 @@
 
     fn encode_response(&self, response: &CallerResponse) -> EncodedResponse {
         match response {
-            CallerResponse::Accepted => encode(
-                201,
-                &StateBody {
-                    state: JobState::Queued,
-                },
-            ),
-            CallerResponse::State(state) => encode(200, &StateBody { state: *state }),
-            CallerResponse::Cancelled => encode(
-                200,
-                &StateBody {
-                    state: JobState::Cancelled,
-                },
-            ),
+            CallerResponse::Accepted => encode(201, &StateBody::new(JobState::Queued)),
+            CallerResponse::State(state) => encode(200, &StateBody::new(*state)),
+            CallerResponse::Failed(failure) => {
+                let body = StateBody {
+                    state: JobState::Failed,
+                    failure: Some(failure),
+                };
+                encode(200, &body)
+            }
+            CallerResponse::Cancelled => encode(200, &StateBody::new(JobState::Cancelled)),
             CallerResponse::Pending(pending) => encode(200, &PendingBody { pending: *pending }),
             CallerResponse::NoSuchJob => not_run(404, "there is no such job"),
             CallerResponse::NoSuchQueue => not_run(404, "no queue has this host and path"),
