Let no task wait long for a worker of its own

Cause: a bound on what is kept for isolated tasks (a quarter of the pool) without a bound on who waits for it: each task that had started just before the crash had to be isolated, 200 jobs for two workers, of which each crash takes one for 5.4 s. Change: a task with one crash is isolated only if a worker is vacant now, and else goes where no other job's suspected task runs; with two crashes it waits 3 s for a vacant worker, with three 10 s, and no longer. Those with most crashes get vacant workers first. A new owner does not begin these waits anew.

--- a/crates/jobs/src/record.rs
+++ b/crates/jobs/src/record.rs
@@ -89,22 +89,21 @@
 }
 
 /// Workers that crashed under the latest runs of a task; serialized as one number to keep
-/// rows small, twice the count, plus one if the task is isolated.
+/// rows small, twice the count, plus one if all of them crashed at the start.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(from = "u32", into = "u32")]
 pub struct CrashRecord {
     /// Their number.
     pub count: u32,
-    /// Whether the next run, or the present one, has to be on a worker without runs of
-    /// other jobs.
-    pub is_isolated: bool,
+    /// Whether all of them crashed before they had reported the run.
+    pub is_at_start: bool,
 }
 
 impl From<u32> for CrashRecord {
     fn from(value: u32) -> Self {
         Self {
             count: value / 2,
-            is_isolated: value % 2 == 1,
+            is_at_start: value % 2 == 1,
         }
     }
 }
@@ -112,7 +111,7 @@
 impl From<CrashRecord> for u32 {
     fn from(record: CrashRecord) -> Self {
         let doubled = record.count.saturating_mul(2);
-        doubled.saturating_add(u32::from(record.is_isolated))
+        doubled.saturating_add(u32::from(record.is_at_start))
     }
 }
 
--- a/crates/jobs/src/scheduler/candidate.rs
+++ b/crates/jobs/src/scheduler/candidate.rs
@@ -1,5 +1,7 @@
 //! Workers that may get tasks, while tasks are placed.
 
+use std::collections::BTreeSet;
+
 use crate::name::{JobId, WorkerId, WorkerLabel};
 use crate::spec::ResourceAmount;
 use crate::time::BootTime;
@@ -33,8 +35,8 @@
     /// Whether the current step must not run there.
     pub(super) is_excluded: bool,
     occupancy: WorkerOccupancy,
-    /// Number of its runs under whose tasks workers crashed.
-    pub(super) suspects: u32,
+    /// Jobs of its runs under whose tasks workers crashed.
+    suspect_jobs: BTreeSet<JobId>,
     /// Whether it may be kept for isolated tasks, if it is vacant.
     pub(super) may_isolate: bool,
     /// Whether it gets no new tasks so that it becomes vacant for isolated ones.
@@ -58,7 +60,7 @@
             runs_long_running: entry.long_running_count > 0,
             is_excluded: false,
             occupancy,
-            suspects: entry.suspect_count,
+            suspect_jobs: entry.suspect_jobs(),
             may_isolate: true,
             is_vacated: entry.vacated_until > now,
         }
@@ -74,16 +76,26 @@
         match &self.occupancy {
             WorkerOccupancy::Isolated(other) => caution == StartCaution::Isolated && other == job,
             WorkerOccupancy::Vacant if caution == StartCaution::Isolated => self.may_isolate,
-            WorkerOccupancy::Vacant | WorkerOccupancy::Shared => {
-                caution != StartCaution::Isolated && !self.is_vacated
-            }
+            _ if self.is_vacated => false,
+            WorkerOccupancy::Vacant | WorkerOccupancy::Shared => match caution {
+                StartCaution::None | StartCaution::Spread => true,
+                StartCaution::Apart => self.other_suspects(job) == 0,
+                StartCaution::Isolated => false,
+            },
         }
     }
 
+    /// Returns the number of other jobs with runs under whose tasks workers crashed.
+    pub(super) fn other_suspects(&self, job: &JobId) -> usize {
+        self.suspect_jobs.len() - usize::from(self.suspect_jobs.contains(job))
+    }
+
     /// Takes capacity for a run of a job that is kept apart by `caution`.
     pub(super) fn add_run(&mut self, job: &JobId, caution: StartCaution, amount: &ResourceAmount) {
         self.claim(amount);
-        self.suspects += u32::from(caution != StartCaution::None);
+        if caution != StartCaution::None {
+            self.suspect_jobs.insert(job.clone());
+        }
         if caution == StartCaution::Isolated {
             self.occupancy = WorkerOccupancy::Isolated(job.clone());
         } else if self.is_vacant() {
--- a/crates/jobs/src/scheduler/crash.rs
+++ b/crates/jobs/src/scheduler/crash.rs
@@ -9,6 +9,7 @@
 //! The counts are stored with the job, before the next start. A run that goes on for long
 //! enough clears its task.
 
+use std::cmp;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::time;
 
@@ -17,18 +18,15 @@
 use crate::time::BootTime;
 
 use super::candidate::PlacementCandidate;
-use super::entry::{StartCaution, TaskPhase};
+use super::entry::{StartCaution, TaskEntry, TaskPhase};
 use super::fleet::{ContactState, WorkerEntry};
+use super::placement::PlacementPass;
 use super::{JobScheduler, LossCause, SchedulerEvent};
 
-/// Crashes after which the next run of a task is isolated.
-const ISOLATION_CRASHES: u32 = 2;
-
 /// Crashes, the latest of them in isolation, after which a job is given up.
 const ISOLATED_CRASH_LIMIT: u32 = 3;
 
-/// As [`ISOLATED_CRASH_LIMIT`], for a task whose first run was not even reported before
-/// its worker crashed.
+/// As [`ISOLATED_CRASH_LIMIT`], if all workers crashed before they had reported the run.
 const START_CRASH_LIMIT: u32 = 2;
 
 /// Crashes after which a job is given up whatever ran beside its task.
@@ -47,11 +45,22 @@
 /// Part of the workers of a pool that may be kept for isolated tasks.
 const ISOLATION_PART: usize = 4;
 
-/// Time for which a worker gets no new tasks so that it becomes vacant.
-const VACATING_TIME: time::Duration = time::Duration::from_secs(3);
+/// Time for which a task waits for a worker without others under which workers crashed.
+const APART_WAIT: time::Duration = time::Duration::from_secs(3);
+
+/// Time for which a task waits for a vacant worker, and for which a worker gets no new
+/// tasks to become vacant.
+const ISOLATION_WAIT: time::Duration = time::Duration::from_secs(3);
 
-/// Time after which tasks are no longer isolated in a pool that has had no vacant worker.
-const ISOLATION_WAIT: time::Duration = time::Duration::from_secs(5);
+/// As [`ISOLATION_WAIT`], for a task that may be given up after its next crash.
+const LAST_ISOLATION_WAIT: time::Duration = time::Duration::from_secs(10);
+
+/// What a run is kept apart from, from the most to the least.
+const ALL_CAUTIONS: &[StartCaution] = &[
+    StartCaution::Isolated,
+    StartCaution::Apart,
+    StartCaution::Spread,
+];
 
 /// Run that was lost with its worker.
 #[derive(Clone, Debug)]
@@ -77,15 +86,13 @@
 /// Suspected tasks, and what is known of lost workers.
 #[derive(Clone, Debug, Default)]
 pub(super) struct CrashTracker {
-    /// Tasks under which a worker has crashed.
-    suspects: BTreeSet<TaskId>,
+    /// Tasks under which a worker has crashed, with the time of the latest crash.
+    suspects: BTreeMap<TaskId, BootTime>,
     lost: HashMap<WorkerId, LostWorker>,
-    /// Since when isolated tasks wait for a worker, by pool.
-    waiting_since: BTreeMap<PoolName, BootTime>,
-    /// Whether an isolated task has found no worker in the present decision.
-    is_wanting: bool,
-    /// Pools without a worker that can be vacated.
-    crowded: BTreeSet<PoolName>,
+    /// Time of the present placement.
+    placed_at: BootTime,
+    /// Whether a task has found no vacant worker in the present placement and waits.
+    is_waiting: bool,
     checked_at: BootTime,
 }
 
@@ -95,8 +102,20 @@
         !self.suspects.is_empty()
     }
 
-    pub(super) fn add_suspect(&mut self, task: TaskId) {
-        self.suspects.insert(task);
+    pub(super) fn add_suspect(&mut self, task: TaskId, now: BootTime) {
+        self.suspects.insert(task, now);
+    }
+
+    /// Begins a placement.
+    pub(super) fn begin_placement(&mut self, now: BootTime) {
+        self.placed_at = now;
+    }
+
+    /// Returns the time since the latest crash under a task; for longer than any wait if it
+    /// was under an earlier owner.
+    fn waited(&self, task: &TaskId) -> time::Duration {
+        let crashed_at = self.suspects.get(task).copied().unwrap_or_default();
+        self.placed_at.saturating_since(crashed_at)
     }
 }
 
@@ -212,28 +231,32 @@
             return;
         }
         let earlier = task.crashes;
-        let crashes = earlier.count.saturating_add(1);
         task.crashes = CrashRecord {
-            count: crashes,
-            is_isolated: earlier.is_isolated || lost.is_unreported || crashes >= ISOLATION_CRASHES,
+            count: earlier.count.saturating_add(1),
+            is_at_start: lost.is_unreported && (earlier.count == 0 || earlier.is_at_start),
         };
-        let crashed_at_start = earlier.count == 1 && earlier.is_isolated;
-        self.crashes.add_suspect(lost.task.clone());
+        let crashes = task.crashes;
+        self.crashes.add_suspect(lost.task.clone(), now);
         self.mark_changed(&lost.task.job);
         self.refresh_waiting(&lost.task.job);
         self.events.push(SchedulerEvent::TaskSuspected {
             task: lost.task.clone(),
             run: lost.run,
             worker: id.clone(),
-            crashes,
+            crashes: crashes.count,
             is_isolated,
         });
-        let limit = if crashed_at_start && lost.is_unreported {
+        let isolated_limit = if crashes.is_at_start {
             START_CRASH_LIMIT
         } else {
             ISOLATED_CRASH_LIMIT
         };
-        if crashes >= CRASH_LIMIT || (is_isolated && crashes >= limit) {
+        let limit = if is_isolated {
+            isolated_limit
+        } else {
+            CRASH_LIMIT
+        };
+        if crashes.count >= limit {
             let failure = JobFailure {
                 reason: FailureReason::CrashedWorkers,
                 task: lost.task.clone(),
@@ -245,11 +268,8 @@
     fn retract_crash(&mut self, lost: &LostWorker) {
         for run in &lost.runs {
             if let Some(task) = self.task_mut(&run.task) {
-                let count = task.crashes.count.saturating_sub(1);
-                task.crashes = CrashRecord {
-                    count,
-                    is_isolated: count >= ISOLATION_CRASHES,
-                };
+                task.crashes.count = task.crashes.count.saturating_sub(1);
+                task.crashes.is_at_start &= task.crashes.count > 0;
                 self.mark_changed(&run.task.job);
                 self.refresh_waiting(&run.task.job);
             }
@@ -274,11 +294,11 @@
         self.crashes.checked_at = now;
         let is_recent = |lost: &LostWorker| now.saturating_since(lost.lost_at) < LOSS_RETENTION;
         self.crashes.lost.retain(|_, lost| is_recent(lost));
-        for task in std::mem::take(&mut self.crashes.suspects) {
+        for (task, crashed_at) in std::mem::take(&mut self.crashes.suspects) {
             if self.has_run_for_long(&task, now) {
                 self.clear_suspect(&task);
             } else if self.is_suspect(&task) {
-                self.crashes.suspects.insert(task);
+                self.crashes.suspects.insert(task, crashed_at);
             }
         }
     }
@@ -316,24 +336,68 @@
         self.mark_changed(&task.job);
     }
 
-    /// Returns what the next run of a task is to be kept apart from.
-    pub(super) fn caution(&self, task: &TaskId) -> StartCaution {
+    /// Returns what the next run of a task is to be kept apart from: if no worker fits, the
+    /// next of these.
+    pub(super) fn cautions(&self, task: &TaskId) -> &'static [StartCaution] {
         if !self.crashes.has_suspects() {
-            return StartCaution::None;
+            return &[StartCaution::None];
         }
         let members = self.gang_members(task);
-        let members = members.iter().filter_map(|member| self.task(member));
-        let caution = members.map(|member| member.caution()).max();
-        let is_crowded = || {
-            let job = self.jobs.get(&task.job);
-            job.is_some_and(|job| self.crashes.crowded.contains(self.pool_of(job)))
-        };
-        match caution.unwrap_or_default() {
-            StartCaution::Isolated if is_crowded() => StartCaution::Apart,
-            caution => caution,
+        let crashes = members.iter().filter_map(|member| self.task(member));
+        let wants_isolation = crashes.clone().any(TaskEntry::wants_isolation);
+        let count = crashes.map(|entry| entry.crashes.count).max();
+        let waited = members.iter().map(|member| self.crashes.waited(member));
+        let waited = waited.min().unwrap_or_default();
+        match count.unwrap_or(0) {
+            0 => &[StartCaution::None],
+            1 => match (wants_isolation, waited < APART_WAIT) {
+                (false, true) => &[StartCaution::Apart],
+                (false, false) => &[StartCaution::Apart, StartCaution::Spread],
+                (true, true) => &[StartCaution::Isolated, StartCaution::Apart],
+                (true, false) => ALL_CAUTIONS,
+            },
+            count if waited < isolation_wait(count) => &[StartCaution::Isolated],
+            _ => ALL_CAUTIONS,
         }
     }
 
+    /// Places the tasks of a pool that are to be isolated, those first under which most
+    /// workers crashed.
+    pub(super) fn place_isolated(
+        &mut self,
+        pool: &PoolName,
+        candidates: &mut [PlacementCandidate],
+        now: BootTime,
+    ) {
+        if !candidates.iter().any(|candidate| candidate.may_isolate) || !self.crashes.has_suspects()
+        {
+            return;
+        }
+        let mut jobs: BTreeMap<JobId, u32> = BTreeMap::new();
+        for task in self.crashes.suspects.keys() {
+            if let Some(count) = self.isolation_count(pool, task) {
+                let most = jobs.entry(task.job.clone()).or_default();
+                *most = count.max(*most);
+            }
+        }
+        let mut jobs: Vec<(JobId, u32)> = jobs.into_iter().collect();
+        jobs.sort_by_key(|(_, count)| cmp::Reverse(*count));
+        for (id, _) in jobs {
+            if self.place_job(&id, candidates, PlacementPass::Isolated, now) > 0 {
+                self.limit_isolation(pool, candidates);
+            }
+        }
+    }
+
+    /// Returns the number of crashes under a task that waits to be isolated in a pool.
+    fn isolation_count(&self, pool: &PoolName, task: &TaskId) -> Option<u32> {
+        let entry = self.task(task)?;
+        let waits = entry.phase == TaskPhase::Idle && entry.wants_isolation();
+        let is_here = self.waiting.pool(&task.job) == Some(pool);
+        // The members of a gang are placed together.
+        (waits && is_here && !self.is_gang(task)).then_some(entry.crashes.count)
+    }
+
     /// Decides how many more vacant workers of a pool may be kept for isolated tasks.
     pub(super) fn limit_isolation(&self, pool: &PoolName, candidates: &mut [PlacementCandidate]) {
         if !self.crashes.has_suspects() {
@@ -361,37 +425,20 @@
 
     /// Notes that a task has found no worker.
     pub(super) fn note_unplaced(&mut self, task: &TaskId) {
-        self.crashes.is_wanting |= self.caution(task) == StartCaution::Isolated;
+        self.crashes.is_waiting |= self.cautions(task) == [StartCaution::Isolated];
     }
 
-    /// Begins to vacate a worker if isolated tasks of a pool found none, and notes whether
-    /// the pool has none that can be vacated.
+    /// Begins to vacate a worker of a pool if a task waits for one.
     pub(super) fn vacate_for_isolated(&mut self, pool: &PoolName, now: BootTime) {
-        if !std::mem::take(&mut self.crashes.is_wanting) {
-            self.crashes.waiting_since.remove(pool);
-            self.crashes.crowded.remove(pool);
+        if !std::mem::take(&mut self.crashes.is_waiting) {
             return;
         }
-        let waiting_since = *self
-            .crashes
-            .waiting_since
-            .entry(pool.clone())
-            .or_insert(now);
         let (isolated, workers) = self.count_isolated(pool);
-        let vacating = self.fleet.of_pool(pool);
-        let vacating = vacating
-            .filter(|(_, entry)| entry.vacated_until > now)
-            .count();
-        let has_begun = isolated + vacating > 0;
-        if isolated + vacating < isolation_limit(workers) {
+        let vacated = self.fleet.of_pool(pool);
+        let vacated = vacated.filter(|(_, entry)| entry.vacated_until > now);
+        if isolated + vacated.count() < isolation_limit(workers) {
             self.vacate_one(pool, now);
         }
-        let is_late = now.saturating_since(waiting_since) >= ISOLATION_WAIT;
-        let can_vacate = has_begun || self.vacatable(pool, now).is_some();
-        if !can_vacate || (is_late && isolated == 0) {
-            self.crashes.crowded.insert(pool.clone());
-            self.waiting.mark_changed(pool);
-        }
     }
 
     fn vacate_one(&mut self, pool: &PoolName, now: BootTime) {
@@ -399,7 +446,7 @@
             return;
         };
         if let Some(entry) = self.fleet.get_mut(&id) {
-            entry.vacated_until = now + VACATING_TIME;
+            entry.vacated_until = now + ISOLATION_WAIT;
         }
     }
 
@@ -418,6 +465,15 @@
     }
 }
 
+/// Returns how long a task under which so many workers crashed waits for a vacant one.
+fn isolation_wait(crashes: u32) -> time::Duration {
+    if crashes + 1 < CRASH_LIMIT {
+        ISOLATION_WAIT
+    } else {
+        LAST_ISOLATION_WAIT
+    }
+}
+
 /// Returns how many of so many workers of a pool may be kept for isolated tasks.
 fn isolation_limit(workers: usize) -> usize {
     (workers / ISOLATION_PART).max(1)
--- a/crates/jobs/src/scheduler/entry.rs
+++ b/crates/jobs/src/scheduler/entry.rs
@@ -24,13 +24,15 @@
     pub(super) incarnation: u64,
 }
 
-/// What a run is kept apart from, because workers crashed under its task.
+/// What a run is kept apart from, if workers crashed under its task.
 #[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd)]
 pub(super) enum StartCaution {
     /// Nothing.
     #[default]
     None,
     /// Other tasks under which workers crashed, as far as possible.
+    Spread,
+    /// Tasks of other jobs under which workers crashed.
     Apart,
     /// The runs of all other jobs.
     Isolated,
@@ -104,17 +106,20 @@
 }
 
 impl TaskEntry {
-    /// Returns what a run of the task is kept apart from.
+    /// Returns what a run of the task is kept apart from that was placed by an earlier owner
+    /// or that the task does not want any more.
     pub(super) fn caution(&self) -> StartCaution {
-        match self.crashes {
-            CrashRecord {
-                is_isolated: true, ..
-            } => StartCaution::Isolated,
-            CrashRecord { count: 0, .. } => StartCaution::None,
-            _ => StartCaution::Apart,
+        match self.crashes.count {
+            0 => StartCaution::None,
+            _ => StartCaution::Spread,
         }
     }
 
+    /// Returns whether the next run is to be on a worker without runs of other jobs.
+    pub(super) fn wants_isolation(&self) -> bool {
+        self.crashes.count > 1 || self.crashes.is_at_start
+    }
+
     /// Records that a run failed; returns whether it was not recorded before.
     pub(super) fn record_failure(&mut self, run: u32) -> bool {
         let is_new = !self.failed.contains(&run);
@@ -413,7 +418,7 @@
             return None;
         }
         let is_isolated =
-            |task: &TaskEntry| task.phase == TaskPhase::Idle && task.crashes.is_isolated;
+            |task: &TaskEntry| task.phase == TaskPhase::Idle && task.wants_isolation();
         let needs = self.waiting_steps().map(|waiting| {
             // A vacant worker is looked for also while none has free capacity.
             if waiting.step.tasks.iter().any(is_isolated) {
--- a/crates/jobs/src/scheduler/evacuation.rs
+++ b/crates/jobs/src/scheduler/evacuation.rs
@@ -398,7 +398,7 @@
         let Some(chosen) = chosen else {
             return false;
         };
-        for position in chosen {
+        for (position, _) in chosen {
             candidates[position].claim(&spec.reserved());
         }
         true
--- a/crates/jobs/src/scheduler/fleet.rs
+++ b/crates/jobs/src/scheduler/fleet.rs
@@ -220,6 +220,15 @@
         }
     }
 
+    /// Returns the jobs of its runs under whose tasks workers crashed.
+    pub(super) fn suspect_jobs(&self) -> BTreeSet<JobId> {
+        // Most workers have none.
+        let runs = (self.suspect_count > 0).then_some(&self.reservations);
+        let runs = runs.into_iter().flatten();
+        let suspects = runs.filter(|(_, held)| held.caution != StartCaution::None);
+        suspects.map(|(task, _)| task.job.clone()).collect()
+    }
+
     /// Returns the job whose isolated tasks the worker runs, if any.
     pub(super) fn isolated_job(&self) -> Option<&JobId> {
         // Most workers have none.
--- a/crates/jobs/src/scheduler/lifecycle.rs
+++ b/crates/jobs/src/scheduler/lifecycle.rs
@@ -56,7 +56,7 @@
         let entry = JobEntry::restore(record, progress, stored_by, now);
         let suspects = entry.tasks(id).filter(|(_, task)| task.crashes.count > 0);
         for (task, _) in suspects {
-            self.crashes.add_suspect(task);
+            self.crashes.add_suspect(task, BootTime::default());
         }
         self.insert(id, entry);
         for placed in self.placed_runs(id) {
--- a/crates/jobs/src/scheduler/placement.rs
+++ b/crates/jobs/src/scheduler/placement.rs
@@ -7,6 +7,7 @@
 //! next, by due time, then those that can no longer be of use, and jobs of which only
 //! best-effort tasks wait come last.
 
+use std::cmp;
 use std::collections::{BTreeSet, HashMap};
 
 use crate::name::{JobId, PoolName, TaskId, WorkerId, WorkerLabel};
@@ -16,7 +17,7 @@
 
 use super::advice::StepId;
 use super::candidate::{self, PlacementCandidate};
-use super::entry::{JobEntry, RunLocation, StartCaution, TaskPhase};
+use super::entry::{JobEntry, RunLocation, StartCaution, TaskEntry, TaskPhase};
 use super::fleet::RunReservation;
 use super::shares::PoolShares;
 use super::waiting::{JobRank, PoolVisit, WaitingEntry};
@@ -31,6 +32,7 @@
         if self.is_restoring {
             return;
         }
+        self.crashes.begin_placement(now);
         self.begin_due(wall);
         self.rank_overdue_jobs(wall);
         for pool in self.waiting.take_changed() {
@@ -55,6 +57,7 @@
             return;
         }
         self.limit_isolation(pool, &mut candidates);
+        self.place_isolated(pool, &mut candidates, now);
         let shares = self.pool_shares(pool);
         let mut free = candidate::free_capacity(&candidates);
         let mut visit = PoolVisit::new(&self.waiting, pool, &free, |customer| {
@@ -63,7 +66,8 @@
         while let Some(id) = visit.next(&self.waiting, &free, |customer| {
             shares.is_used_up(customer, &self.pool_usage)
         }) {
-            let placed_count = self.place_job(&id, &mut candidates, now);
+            let pass = PlacementPass::Regular;
+            let placed_count = self.place_job(&id, &mut candidates, pass, now);
             if placed_count > 0 {
                 self.limit_isolation(pool, &mut candidates);
                 free = candidate::free_capacity(&candidates);
@@ -184,10 +188,11 @@
     }
 
     /// Places as many tasks of a job as fit; returns their number.
-    fn place_job(
+    pub(super) fn place_job(
         &mut self,
         id: &JobId,
         candidates: &mut [PlacementCandidate],
+        pass: PlacementPass,
         now: BootTime,
     ) -> u32 {
         let Some(job) = self.jobs.get(id) else {
@@ -206,9 +211,9 @@
                 step,
             };
             let placement = if self.is_advised(id) {
-                self.place_advised(&step, candidates, now)
+                self.place_advised(&step, candidates, pass, now)
             } else {
-                self.place_step(&step, candidates)
+                self.place_step(&step, candidates, pass)
             };
             placed += placement.placed;
             unplaced += placement.unplaced;
@@ -242,10 +247,11 @@
         &mut self,
         step: &StepId,
         candidates: &mut [PlacementCandidate],
+        pass: PlacementPass,
         now: BootTime,
     ) -> StepPlacement {
         self.exclude_unpermitted(step, candidates, now);
-        let placement = self.place_step(step, candidates);
+        let placement = self.place_step(step, candidates, pass);
         candidate::include_all(candidates);
         if placement.unplaced > 0 {
             self.request_advice(step, candidates, now);
@@ -272,6 +278,7 @@
         &mut self,
         step: &StepId,
         candidates: &mut [PlacementCandidate],
+        pass: PlacementPass,
     ) -> StepPlacement {
         let mut placement = StepPlacement::default();
         let Some(job) = self.jobs.get(&step.job) else {
@@ -285,7 +292,7 @@
         };
         let tasks = entry.tasks.iter().enumerate();
         let idle: Vec<TaskId> = tasks
-            .filter(|(_, task)| task.phase == TaskPhase::Idle)
+            .filter(|(_, task)| task.phase == TaskPhase::Idle && pass.places(task))
             .map(|(index, _)| TaskId {
                 job: step.job.clone(),
                 occurrence: step.occurrence,
@@ -302,9 +309,9 @@
                 self.record_limited(task);
                 break;
             }
-            match self.choose_candidate(task, &spec, candidates) {
-                Some(position) => {
-                    self.reserve(task, &spec, &mut candidates[position], None);
+            match self.choose_candidate_in(pass, task, &spec, candidates) {
+                Some((position, caution)) => {
+                    self.reserve(task, &spec, &mut candidates[position], caution, None);
                     placement.placed += 1;
                 }
                 // The others fit nowhere either, unless an earlier run of this task
@@ -343,8 +350,8 @@
         };
         let runs = members.iter().filter_map(|task| self.task(task));
         let run = runs.map(|task| task.run).max().unwrap_or(0) + 1;
-        for (task, position) in members.iter().zip(chosen) {
-            self.reserve(task, spec, &mut candidates[position], Some(run));
+        for (task, (position, caution)) in members.iter().zip(chosen) {
+            self.reserve(task, spec, &mut candidates[position], caution, Some(run));
         }
         StepPlacement {
             placed: count,
@@ -359,7 +366,7 @@
         members: &[TaskId],
         spec: &StepSpec,
         candidates: &[PlacementCandidate],
-    ) -> Option<Vec<usize>> {
+    ) -> Option<Vec<(usize, StartCaution)>> {
         if !spec.same_rack {
             return self.choose_for_all(members, spec, candidates.to_vec());
         }
@@ -388,17 +395,33 @@
 
     /// Chooses a worker for each member if all fit on `scratch`.
     fn choose_for_all(
+        &self,
+        members: &[TaskId],
+        spec: &StepSpec,
+        scratch: Vec<PlacementCandidate>,
+    ) -> Option<Vec<(usize, StartCaution)>> {
+        let mut cautions = self.cautions(members.first()?).iter();
+        cautions.find_map(|&caution| {
+            let chosen = self.choose_with_caution(members, spec, scratch.clone(), caution)?;
+            let chosen = chosen.into_iter().map(|position| (position, caution));
+            Some(chosen.collect())
+        })
+    }
+
+    fn choose_with_caution(
         &self,
         members: &[TaskId],
         spec: &StepSpec,
         mut scratch: Vec<PlacementCandidate>,
+        caution: StartCaution,
     ) -> Option<Vec<usize>> {
         let mut chosen: Vec<usize> = Vec::with_capacity(members.len());
         for task in members {
             let chosen_count =
                 |position: usize| chosen.iter().filter(|&&other| other == position).count();
-            let position = self.choose_candidate_with(task, spec, &scratch, chosen_count)?;
-            scratch[position].add_run(&task.job, self.caution(task), &spec.reserved());
+            let position =
+                self.choose_candidate_with(task, spec, &scratch, caution, chosen_count)?;
+            scratch[position].add_run(&task.job, caution, &spec.reserved());
             chosen.push(position);
         }
         Some(chosen)
@@ -435,26 +458,44 @@
             )
     }
 
+    /// Returns the best worker for a task, and what its run is kept apart from there.
     pub(super) fn choose_candidate(
         &self,
         task: &TaskId,
         spec: &StepSpec,
         candidates: &[PlacementCandidate],
-    ) -> Option<usize> {
-        self.choose_candidate_with(task, spec, candidates, |_| 0)
+    ) -> Option<(usize, StartCaution)> {
+        self.choose_candidate_in(PlacementPass::Regular, task, spec, candidates)
+    }
+
+    fn choose_candidate_in(
+        &self,
+        pass: PlacementPass,
+        task: &TaskId,
+        spec: &StepSpec,
+        candidates: &[PlacementCandidate],
+    ) -> Option<(usize, StartCaution)> {
+        let cautions = match pass {
+            PlacementPass::Isolated => &[StartCaution::Isolated],
+            PlacementPass::Regular => self.cautions(task),
+        };
+        cautions.iter().find_map(|&caution| {
+            let position = self.choose_candidate_with(task, spec, candidates, caution, |_| 0)?;
+            Some((position, caution))
+        })
     }
 
-    /// Returns the best worker for a task; `chosen_count` returns how many tasks of
-    /// the step are already chosen for a candidate.
+    /// Returns the best worker for a task that is kept apart by `caution`; `chosen_count`
+    /// returns how many tasks of the step are already chosen for a candidate.
     fn choose_candidate_with(
         &self,
         task: &TaskId,
         spec: &StepSpec,
         candidates: &[PlacementCandidate],
+        caution: StartCaution,
         chosen_count: impl Fn(usize) -> usize,
     ) -> Option<usize> {
         let reserved = spec.reserved();
-        let caution = self.caution(task);
         let is_retried = self.task(task).is_some_and(|entry| entry.run > 0);
         let mut best: Option<(PlacementScore, usize)> = None;
         for (position, candidate) in candidates.iter().enumerate() {
@@ -468,11 +509,10 @@
             {
                 continue;
             }
-            let score = PlacementScore::new(
-                candidate,
-                self.matches_affinity(spec, candidate),
-                caution != StartCaution::None,
-            );
+            let score = PlacementScore {
+                matches_affinity: self.matches_affinity(spec, candidate),
+                ..PlacementScore::new(candidate, &task.job, caution)
+            };
             if best.is_none_or(|(other, _)| score > other) {
                 best = Some((score, position));
             }
@@ -525,10 +565,10 @@
         task: &TaskId,
         spec: &StepSpec,
         candidate: &mut PlacementCandidate,
+        caution: StartCaution,
         run: Option<u32>,
     ) {
         let reserved = spec.reserved();
-        let caution = self.caution(task);
         candidate.add_run(&task.job, caution, &reserved);
         candidate.runs_long_running |= spec.long_running;
         let location = RunLocation {
@@ -554,6 +594,21 @@
     }
 }
 
+/// Which tasks are placed.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum PlacementPass {
+    /// Those that are to be isolated, on vacant workers.
+    Isolated,
+    /// All.
+    Regular,
+}
+
+impl PlacementPass {
+    fn places(self, task: &TaskEntry) -> bool {
+        self == Self::Regular || task.wants_isolation()
+    }
+}
+
 /// Numbers of tasks of a step that were placed and that were not.
 #[derive(Clone, Copy, Debug, Default)]
 struct StepPlacement {
@@ -565,9 +620,9 @@
 #[derive(Clone, Copy, Debug, PartialEq, PartialOrd)]
 struct PlacementScore {
     matches_affinity: bool,
-    /// Number of its runs under whose tasks workers crashed, negative: they are spread, and
-    /// others avoid them.
-    suspects: i64,
+    /// Number of other jobs with runs there under whose tasks workers crashed: these are
+    /// spread, and others avoid them.
+    clear_of_suspects: cmp::Reverse<usize>,
     /// Whether the worker already has long-running tasks: packing tasks beside them
     /// keeps the other machines movable.
     runs_long_running: bool,
@@ -577,13 +632,14 @@
 }
 
 impl PlacementScore {
-    /// Returns the score of a worker for a task. One under which workers crashed goes where
-    /// it can do least harm.
-    fn new(candidate: &PlacementCandidate, matches_affinity: bool, is_suspect: bool) -> Self {
+    /// Returns the score of a worker for a task of a job without affinity. One under which
+    /// workers crashed goes where it can do least harm.
+    fn new(candidate: &PlacementCandidate, job: &JobId, caution: StartCaution) -> Self {
+        let is_suspect = caution != StartCaution::None;
         let used_share = candidate.used_share();
         Self {
-            matches_affinity,
-            suspects: -i64::from(candidate.suspects),
+            matches_affinity: true,
+            clear_of_suspects: cmp::Reverse(candidate.other_suspects(job)),
             runs_long_running: candidate.runs_long_running != is_suspect,
             used_share: if is_suspect { -used_share } else { used_share },
         }
--- a/crates/jobs/src/scheduler/waiting.rs
+++ b/crates/jobs/src/scheduler/waiting.rs
@@ -159,6 +159,11 @@
         self.entries.iter()
     }
 
+    /// Returns the pool for which a job waits.
+    pub(super) fn pool(&self, id: &JobId) -> Option<&PoolName> {
+        self.entries.get(id).map(|entry| &entry.pool)
+    }
+
     /// Records that capacity or jobs of a pool changed.
     pub(super) fn mark_changed(&mut self, pool: &PoolName) {
         if !self.changed_pools.contains(pool) {
--- a/crates/jobs/tests/changes.rs
+++ b/crates/jobs/tests/changes.rs
@@ -198,7 +198,7 @@
         failed: vec![100, 200],
         crashes: CrashRecord {
             count: 3,
-            is_isolated: true,
+            is_at_start: true,
         },
         worker: Some(WorkerId::new("server-of-a-long-name-24")),
         incarnation: 1_800_000_000_000,
--- a/crates/jobs/tests/common/crash.rs
+++ b/crates/jobs/tests/common/crash.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeSet;
 use std::time;
 
+use redwing_jobs::worker::ExitKind;
 use redwing_jobs::{BootTime, TaskId, WorkerId};
 
 use super::{FakeFleet, FakeWorker};
@@ -93,9 +94,28 @@
 
     fn crash_worker(&mut self, id: &WorkerId) {
         let worker = self.worker(id.as_str());
+        let lost: Vec<TaskId> = worker.running.keys().cloned().collect();
         worker.running.clear();
         worker.ended_runs.clear();
         worker.is_unresponsive = true;
+        for task in lost {
+            self.break_gang(&task);
+        }
+    }
+
+    /// Ends the runs of the other members of a gang, if the task is one.
+    fn break_gang(&mut self, lost: &TaskId) {
+        let step = &self.jobs[&lost.job].spec.steps[lost.step as usize];
+        if !step.gang {
+            return;
+        }
+        for worker in self.workers.values_mut() {
+            let tasks = worker.running.keys();
+            let members = tasks.filter(|task| task.job == lost.job && task.step == lost.step);
+            for member in members.cloned().collect::<Vec<_>>() {
+                worker.end_run(&member, ExitKind::Broken);
+            }
+        }
     }
 
     fn return_worker(&mut self, id: &WorkerId) {
--- a/crates/jobs/tests/crashing_tasks.rs
+++ b/crates/jobs/tests/crashing_tasks.rs
@@ -162,3 +162,37 @@
     assert_eq!(fleet.state(&job), JobState::Running);
     assert_eq!(fleet.running_count(&task_id(&job, 0, 0)), 1);
 }
+
+/// Many suspected tasks wait for few vacant workers: none of them waits for long.
+#[test]
+fn tasks_beside_many_that_crash_their_workers_are_done_soon() {
+    let mut fleet = FakeFleet::of_size(8, 8_000);
+    // Long-running tasks leave no worker vacant.
+    let long_running = StepSpec {
+        long_running: true,
+        max_per_worker: 1,
+        ..step_spec(8, 1_000)
+    };
+    fleet.submit("service", vec![long_running], 0);
+    fleet.advance(200);
+    let mut innocent = Vec::new();
+    for number in 0..12 {
+        let deadly = fleet.submit(&format!("deadly-{number}"), vec![step_spec(2, 1_000)], 500);
+        fleet.crash_plan.deadly.insert(task_id(&deadly, 0, 0));
+        for other in 0..4 {
+            let id = format!("innocent-{number}-{other}");
+            innocent.push(fleet.submit(&id, vec![step_spec(2, 1_000)], 500));
+        }
+        fleet.advance(500);
+    }
+    fleet.advance(40_000);
+    for job in &innocent {
+        assert_eq!(fleet.state(job), JobState::Completed, "{job}");
+    }
+    for number in 0..12 {
+        let deadly = JobId::new(&format!("deadly-{number}"));
+        assert_eq!(fleet.state(&deadly), JobState::Failed, "{deadly}");
+        assert!(start_count(&fleet, &task_id(&deadly, 0, 0)) <= MAX_STARTS);
+    }
+    assert_eq!(fleet.state(&JobId::new("service")), JobState::Running);
+}
