Refuse entries that no worker can have, and keep their workers' runs

Other operators saw machines end again and again, or stop following the list, after another writer had left one odd entry among those of the workers. Here such an entry was taken for a worker: capacity of 2^64-1 (a sum wraps, or panics in a build that checks overflow), a port of 0, a start in 10^11 years (which hides all later entries of a worker under the same id and frees its running tasks), slow for 1e300 ms. An entry that could not be read took its worker for no longer listed, and each write of it was a log line. Cause: types were checked, ranges were not. Sums of what others write saturate; a job with such numbers is refused with the field.

--- a/crates/engine/src/owner/session/mod.rs
+++ b/crates/engine/src/owner/session/mod.rs
@@ -12,7 +12,7 @@
 use redwing_jobs::name::DataCentre;
 use redwing_jobs::scheduler::AdviceRequest;
 use redwing_jobs::worker::{OrderAction, WorkerOrder};
-use redwing_jobs::{BootTime, JobId, JobScheduler, SchedulerSettings};
+use redwing_jobs::{BootTime, JobId, JobScheduler, SchedulerSettings, WorkerId};
 use redwing_provider::TransactionSize;
 use redwing_provider::builder::FillBudget;
 use tokio::sync::{mpsc, oneshot};
@@ -83,6 +83,8 @@
     followed_ms: Option<u64>,
     /// Changes of the rows of workers, once they are read.
     worker_updates: Option<mpsc::Receiver<TableUpdate>>,
+    /// Entries of workers that could not be read, with the reasons that were logged.
+    refused_entries: BTreeMap<WorkerId, String>,
     completed_orders: mpsc::UnboundedReceiver<CompletedOrder>,
     advice_requests: mpsc::UnboundedSender<AdviceRequest>,
     advice_results: mpsc::UnboundedReceiver<AdviceResult>,
@@ -177,6 +179,7 @@
             has_followed_jobs: false,
             followed_ms: None,
             worker_updates: None,
+            refused_entries: BTreeMap::new(),
             completed_orders,
             advice_requests,
             advice_results,
--- a/crates/engine/src/owner/session/rows.rs
+++ b/crates/engine/src/owner/session/rows.rs
@@ -1,16 +1,17 @@
 //! Rows that a session reads: jobs, workers, the manifest and waves.
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::mem;
 use std::time;
 
-use redwing_jobs::JobId;
 use redwing_jobs::record::ProgressRecord;
 use redwing_jobs::scheduler::InheritedLeases;
 use redwing_jobs::worker::{WorkerOrder, WorkerView};
-use redwing_provider::{CallCause, TableRow};
+use redwing_jobs::{JobId, WorkerId};
+use redwing_provider::{CallCause, RowKey, TableRow};
 
 use crate::clock;
+use crate::error::{Error, Result};
 use crate::event;
 use crate::follow::{self, TableUpdate};
 use crate::log_job_event;
@@ -25,6 +26,9 @@
 /// [`follow::WATCH_TIMEOUT`], because pending counts are as old as the latest response.
 const JOB_WATCH_TIMEOUT: time::Duration = time::Duration::from_millis(500);
 
+/// Longest time by which the clock of a worker may be ahead of ours.
+const MAX_CLOCK_LEAD: time::Duration = time::Duration::from_secs(24 * 60 * 60);
+
 impl OwnerSession<'_> {
     /// Starts to renew the leases of workers and to read the rows of jobs.
     pub(super) fn restore_fleet(&mut self, rows: &FleetRows) {
@@ -192,27 +196,56 @@
     pub(super) fn apply_worker_rows(&mut self, rows: &[TableRow], is_complete: bool) {
         let now = clock::boot_now();
         let mut views: Vec<WorkerView> = Vec::new();
+        let mut refused: Vec<WorkerId> = Vec::new();
         for entry in rows {
+            let id = self.dependencies.codec.worker_id(&entry.key);
             if entry.value.is_none() {
-                let id = self.dependencies.codec.worker_id(&entry.key);
+                self.refused_entries.remove(&id);
                 self.scheduler.worker_unlisted(&id, now);
                 continue;
             }
-            match self.dependencies.codec.worker(entry) {
-                Ok(view) => views.push(view),
+            match self.read_worker(entry) {
+                Ok(view) => {
+                    self.refused_entries.remove(&id);
+                    views.push(view);
+                }
                 Err(error) => {
-                    follow::log_malformed(&entry.key, &error);
-                    let id = self.dependencies.codec.worker_id(&entry.key);
-                    self.scheduler.worker_unlisted(&id, now);
+                    self.log_refused(&id, &entry.key, error.to_string());
+                    refused.push(id);
                 }
             }
         }
         if is_complete {
-            self.scheduler.workers_listed(views, now);
+            let listed: BTreeSet<&WorkerId> = refused.iter().collect();
+            self.refused_entries.retain(|id, _| listed.contains(id));
+            self.scheduler.workers_listed(views, &refused, now);
             return;
         }
+        for id in &refused {
+            self.scheduler.worker_refused(id);
+        }
         for view in views {
             self.scheduler.worker_listed(view, now);
         }
     }
+
+    /// Decodes the entry of a worker; one that starts far in the future is refused, because
+    /// it would hide all later entries of the worker.
+    fn read_worker(&self, entry: &TableRow) -> Result<WorkerView> {
+        let view = self.dependencies.codec.worker(entry)?;
+        let latest_ms = clock::wall_now().as_millis() + MAX_CLOCK_LEAD.as_millis() as u64;
+        if view.incarnation > latest_ms {
+            return Err(Error::row(&entry.key, "the worker starts in the future"));
+        }
+        Ok(view)
+    }
+
+    /// Logs that an entry is refused, once for each change of the reason.
+    fn log_refused(&mut self, id: &WorkerId, key: &RowKey, error: String) {
+        let is_known = self.refused_entries.get(id) == Some(&error);
+        if !is_known {
+            follow::log_malformed(key, &error);
+            self.refused_entries.insert(id.clone(), error);
+        }
+    }
 }
--- a/crates/experiment/src/run.rs
+++ b/crates/experiment/src/run.rs
@@ -88,7 +88,7 @@
         let fleet = SimulatedFleet::new(load, now);
         let mut scheduler = JobScheduler::new(policy.scheduler_settings(), 1);
         scheduler.set_manifest(sync::Arc::clone(&manifest));
-        scheduler.workers_listed(fleet.views(), now);
+        scheduler.workers_listed(fleet.views(), &[], now);
         let arrivals = arrival::arrivals(load, seed).into_iter();
         let jobs = arrivals.map(|arrival| SimulatedJob {
             arrival,
--- a/crates/jobs/src/scheduler/entry.rs
+++ b/crates/jobs/src/scheduler/entry.rs
@@ -407,8 +407,11 @@
     pub(super) fn waiting_cpu(&self) -> u64 {
         let steps = self.waiting_steps();
         steps
-            .map(|waiting| waiting.step.idle_count() * waiting.spec.reserved().cpu_millis)
-            .sum()
+            .map(|waiting| {
+                let need = waiting.spec.reserved().cpu_millis;
+                waiting.step.idle_count().saturating_mul(need)
+            })
+            .fold(0, u64::saturating_add)
     }
 
     /// Returns the least amount of each resource that a waiting task needs; none if
--- a/crates/jobs/src/scheduler/fleet.rs
+++ b/crates/jobs/src/scheduler/fleet.rs
@@ -35,7 +35,8 @@
 impl ClockSample {
     /// Returns the worker's clock at `now`, extrapolated at the rate of our clock.
     pub(super) fn at(&self, now: BootTime) -> u64 {
-        self.clock_ms + now.saturating_since(self.read_at).as_millis() as u64
+        let elapsed_ms = now.saturating_since(self.read_at).as_millis() as u64;
+        self.clock_ms.saturating_add(elapsed_ms)
     }
 }
 
@@ -73,6 +74,8 @@
     /// The platform's entry; none if only stored rows name the worker.
     pub(super) view: Option<WorkerView>,
     pub(super) is_listed: bool,
+    /// Whether its entry could not be read when it was last listed.
+    pub(super) is_refused: bool,
     /// Incarnation of the worker: its start, in milliseconds since the Unix epoch.
     pub(super) incarnation: u64,
     pub(super) contact: ContactState,
@@ -161,6 +164,7 @@
     /// Returns whether the worker may get new tasks.
     pub(super) fn is_usable(&self, now: BootTime) -> bool {
         self.is_listed
+            && !self.is_refused
             && self.is_view_current()
             && !self.is_draining()
             && !self.is_blocked
@@ -174,7 +178,7 @@
     pub(super) fn is_open_in(&self, pool: &PoolName) -> bool {
         let view = self.view.as_ref();
         let is_open = view.is_some_and(|view| view.pool == *pool && !view.is_draining);
-        is_open && self.is_listed && !self.is_blocked && !self.is_evacuated
+        is_open && self.is_listed && !self.is_refused && !self.is_blocked && !self.is_evacuated
     }
 
     /// Returns whether the latest report lists no run that an earlier owner has
--- a/crates/jobs/src/scheduler/lease.rs
+++ b/crates/jobs/src/scheduler/lease.rs
@@ -72,7 +72,7 @@
         let entry = self.fleet.get_mut(worker)?;
         let clock = entry.clock?;
         entry.extend_lease(now, bound);
-        Some(clock.at(now) + lease.as_millis() as u64)
+        Some(clock.at(now).saturating_add(lease.as_millis() as u64))
     }
 
     /// Grants the lease of a start that is ordered now; returns its end on the worker's
@@ -85,7 +85,8 @@
             return Some(lease_end_ms);
         };
         let remaining = begins_by.saturating_since(now);
-        let start_end_ms = entry.clock?.at(now) + remaining.as_millis() as u64;
+        let start_end_ms = entry.clock?.at(now);
+        let start_end_ms = start_end_ms.saturating_add(remaining.as_millis() as u64);
         Some(lease_end_ms.min(start_end_ms))
     }
 
--- a/crates/jobs/src/scheduler/lifecycle.rs
+++ b/crates/jobs/src/scheduler/lifecycle.rs
@@ -32,7 +32,7 @@
         }
         let arrivals = self.arrivals.entry(record.pool.clone()).or_default();
         arrivals.jobs += 1;
-        arrivals.work += record.spec.estimated_work();
+        arrivals.work = arrivals.work.saturating_add(record.spec.estimated_work());
         let queue = self.manifest.queue(&record.queue);
         let pool = queue.map_or(&record.pool, |queue| &queue.pool);
         self.backlog.add_arrival(pool, record);
--- a/crates/jobs/src/scheduler/listing.rs
+++ b/crates/jobs/src/scheduler/listing.rs
@@ -43,11 +43,13 @@
             return;
         }
         // Workers renew their entries all the time; only a change matters to placement.
-        let has_changed = !entry.is_listed || entry.view.as_ref() != Some(&view);
+        let has_changed =
+            !entry.is_listed || entry.is_refused || entry.view.as_ref() != Some(&view);
         if !entry.is_listed || is_newer {
             entry.listed_since = now;
         }
         entry.is_listed = true;
+        entry.is_refused = false;
         self.fleet.set_view(&id, view);
         if is_newer {
             self.replace_worker(&id, incarnation, was_draining, now);
@@ -60,6 +62,17 @@
         }
     }
 
+    /// Handles that the entry of a worker cannot be read, perhaps because another writer has
+    /// replaced it: the worker gets no new tasks, and its runs go on.
+    pub fn worker_refused(&mut self, id: &WorkerId) {
+        let entry = self.fleet.get_mut(id);
+        let Some(entry) = entry.filter(|entry| entry.is_listed && !entry.is_refused) else {
+            return;
+        };
+        entry.is_refused = true;
+        self.record_status(id, WorkerStatus::Refused);
+    }
+
     /// Handles the removal of a worker's entry from the list.
     pub fn worker_unlisted(&mut self, id: &WorkerId, now: BootTime) {
         self.confirm_loss(id, now);
@@ -73,9 +86,11 @@
         self.record_status(id, WorkerStatus::Unlisted);
     }
 
-    /// Applies a complete list: workers missing from it are no longer listed.
-    pub fn workers_listed(&mut self, views: Vec<WorkerView>, now: BootTime) {
-        let listed: BTreeSet<WorkerId> = views.iter().map(|view| view.id.clone()).collect();
+    /// Applies a complete list: workers missing from it, and from those whose entries cannot
+    /// be read, are no longer listed.
+    pub fn workers_listed(&mut self, views: Vec<WorkerView>, refused: &[WorkerId], now: BootTime) {
+        let listed = views.iter().map(|view| &view.id);
+        let listed: BTreeSet<WorkerId> = listed.chain(refused).cloned().collect();
         let tracked = self.fleet.iter().map(|(id, _)| id.clone());
         let unlisted: Vec<WorkerId> = tracked.filter(|id| !listed.contains(id)).collect();
         for view in views {
@@ -84,6 +99,9 @@
         for id in unlisted {
             self.worker_unlisted(&id, now);
         }
+        for id in refused {
+            self.worker_refused(id);
+        }
     }
 
     /// Handles a new incarnation of a worker: no run of the previous one, which
--- a/crates/jobs/src/scheduler/maintenance.rs
+++ b/crates/jobs/src/scheduler/maintenance.rs
@@ -48,13 +48,13 @@
             };
             let denied = self.denied_cpu(id);
             if waiting.rank.is_finite && waiting.rank.is_late {
-                demand.waiting_late += waiting.waiting_cpu;
+                demand.waiting_late = demand.waiting_late.saturating_add(waiting.waiting_cpu);
                 demand.denied_late = demand.denied_late.max(denied);
                 continue;
             }
             demand.denied = demand.denied.max(denied);
             if waiting.rank.is_finite {
-                demand.waiting += waiting.waiting_cpu;
+                demand.waiting = demand.waiting.saturating_add(waiting.waiting_cpu);
             } else {
                 demand.waiting_long_running += waiting.waiting_tasks;
             }
--- a/crates/jobs/src/scheduler/mod.rs
+++ b/crates/jobs/src/scheduler/mod.rs
@@ -338,6 +338,8 @@
     Draining,
     /// No longer listed.
     Unlisted,
+    /// Listed by an entry that cannot be read.
+    Refused,
     /// Unresponsive.
     Silent,
     /// Responsive again.
--- a/crates/jobs/src/scheduler/placement.rs
+++ b/crates/jobs/src/scheduler/placement.rs
@@ -137,7 +137,9 @@
                 unplaced_work: job.unplaced_work(),
                 due_ms,
             },
-            latest_start_ms: (due_ms + ESTIMATE_GRACE_MS).saturating_sub(job.remaining_ms()),
+            latest_start_ms: due_ms
+                .saturating_add(ESTIMATE_GRACE_MS)
+                .saturating_sub(job.remaining_ms()),
             expiry_ms: self.expiry_ms(job),
             // The advisor is asked for permits also while no worker has capacity.
             smallest_need: if is_advised {
@@ -161,7 +163,11 @@
         let queue = self.manifest.queue(&job.record.queue);
         let (stretch, objective_ms) =
             queue.map_or((1.0, 0), |queue| (queue.stretch, queue.objective_ms));
-        job.released_ms() + objective_ms + (stretch * job.critical_path_ms as f64) as u64
+        let stretched_ms = (stretch * job.critical_path_ms as f64) as u64;
+        let released_ms = job.released_ms();
+        released_ms
+            .saturating_add(objective_ms)
+            .saturating_add(stretched_ms)
     }
 
     /// Returns the usable workers of a pool, by their ids.
@@ -447,7 +453,7 @@
         let used = self.usage.get(customer).copied().unwrap_or_default();
         let needs = spec.needs;
         let is_within = |limit: u64, used: u64, need: u64| {
-            limit == 0 || used + need * u64::from(count) <= limit
+            limit == 0 || used.saturating_add(need.saturating_mul(u64::from(count))) <= limit
         };
         is_within(policy.limit.cpu_millis, used.cpu_millis, needs.cpu_millis)
             && is_within(policy.limit.memory_mb, used.memory_mb, needs.memory_mb)
--- a/crates/jobs/src/spec.rs
+++ b/crates/jobs/src/spec.rs
@@ -27,6 +27,17 @@
 /// Largest payload of a job, in bytes.
 pub const MAX_PAYLOAD_BYTES: usize = 4_000;
 
+/// Longest estimate of a task, in milliseconds: ten years.
+pub const MAX_ESTIMATE_MS: u64 = 10 * 365 * 24 * 60 * 60 * 1_000;
+
+/// Most that a worker can have, and so that a task can need: 10,000 cores, 1 PiB of memory
+/// and 10,000 accelerators.
+pub const MAX_WORKER_CAPACITY: ResourceAmount = ResourceAmount {
+    cpu_millis: 10_000_000,
+    memory_mb: 1 << 30,
+    accelerators: 10_000,
+};
+
 /// Amounts of resources, offered by a worker or needed by a task.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(rename_all = "kebab-case", default)]
@@ -75,9 +86,9 @@
 
 impl ops::AddAssign for ResourceAmount {
     fn add_assign(&mut self, other: Self) {
-        self.cpu_millis += other.cpu_millis;
-        self.memory_mb += other.memory_mb;
-        self.accelerators += other.accelerators;
+        self.cpu_millis = self.cpu_millis.saturating_add(other.cpu_millis);
+        self.memory_mb = self.memory_mb.saturating_add(other.memory_mb);
+        self.accelerators = self.accelerators.saturating_add(other.accelerators);
     }
 }
 
@@ -299,6 +310,17 @@
         let problem = format!("use 1 to {MAX_TASKS} tasks");
         return Err(Error::field(format!("steps[{number}].count"), problem));
     }
+    if !step.needs.fits_in(&MAX_WORKER_CAPACITY) {
+        let problem = "a task needs more than any worker can have";
+        return Err(Error::field(format!("steps[{number}].needs"), problem));
+    }
+    if step.estimate_ms > MAX_ESTIMATE_MS {
+        let problem = format!("use at most {MAX_ESTIMATE_MS} ms");
+        return Err(Error::field(
+            format!("steps[{number}].estimate-ms"),
+            problem,
+        ));
+    }
     if step.after.iter().any(|&earlier| earlier as usize >= number) {
         let problem = "name earlier steps only";
         return Err(Error::field(format!("steps[{number}].after"), problem));
--- a/crates/jobs/tests/common/mod.rs
+++ b/crates/jobs/tests/common/mod.rs
@@ -558,7 +558,7 @@
         let views = listed.map(|worker| worker.view.clone());
         scheduler.begin_restoring();
         scheduler.set_evacuations(&self.evacuations, self.now);
-        scheduler.workers_listed(views.collect(), self.now);
+        scheduler.workers_listed(views.collect(), &[], self.now);
         self.scheduler = scheduler;
     }
 
