Take a worker for ended when another has its address

Cause: the answer 421 of another worker at the address (the machine's next one, 3.1 s after the crash) freed only the run whose stop it answered, counted nothing, and said nothing about the other runs. Change: whichever order it answers, the worker has ended: all of its runs end, are counted as after any other end of a worker, and start again elsewhere. Result: runs_of_a_worker_whose_address_another_has_start_elsewhere_at_once and a start without a response in that mode failed before and pass now, with all tests of redwing-jobs and redwing-engine.

--- a/crates/jobs/src/scheduler/lease.rs
+++ b/crates/jobs/src/scheduler/lease.rs
@@ -109,25 +109,26 @@
             }
         }
         for id in &expired {
-            self.expire_runs(id, now);
+            self.drop_runs_on(id, RunEndReason::LeaseExpired, now);
         }
         for id in removed {
             self.fleet.remove(&id);
         }
     }
 
-    /// Drops the runs on a worker whose leases have all expired.
-    fn expire_runs(&mut self, id: &WorkerId, now: BootTime) {
+    /// Drops the runs on a worker that has ended, or whose leases have all expired.
+    pub(super) fn drop_runs_on(&mut self, id: &WorkerId, reason: RunEndReason, now: BootTime) {
         let Some(entry) = self.fleet.get(id) else {
             return;
         };
         let runs = entry.reservations.iter();
         let runs: Vec<_> = runs.map(|(task, held)| (task.clone(), held.run)).collect();
-        let cause = self.loss_cause(id, entry.is_draining(), false);
+        let has_ended = reason == RunEndReason::WorkerReplaced;
+        let cause = self.loss_cause(id, entry.is_draining(), has_ended);
         let lost = self.runs_on(id, now);
         self.record_loss(id, runs.len() as u32, cause);
         for (task, run) in runs {
-            self.drop_run(id, &task, run, RunEndReason::LeaseExpired);
+            self.drop_run(id, &task, run, reason);
         }
         self.judge_loss(id, lost, cause, now);
     }
--- a/crates/jobs/src/scheduler/order.rs
+++ b/crates/jobs/src/scheduler/order.rs
@@ -175,11 +175,7 @@
         let reason = RunEndReason::Rejected(outcome);
         self.drop_run(worker, task, run, reason);
         match outcome {
-            OrderOutcome::Replaced => {
-                if let Some(entry) = self.fleet.get_mut(worker) {
-                    entry.contact = ContactState::Unresponsive;
-                }
-            }
+            OrderOutcome::Replaced => self.end_worker(worker, now),
             OrderOutcome::Unhealthy | OrderOutcome::Full => self.suspend_worker(worker, now),
             OrderOutcome::Unsent => self.stop_incomplete_gang(task, run, now),
             OrderOutcome::Unpermitted => self.advice.drop_permit(&step_of(task), worker),
@@ -230,9 +226,7 @@
             OrderOutcome::Accepted | OrderOutcome::Stale => {
                 self.stop_accepted(worker, task, run, now);
             }
-            OrderOutcome::Replaced => {
-                self.drop_run(worker, task, run, RunEndReason::WorkerReplaced);
-            }
+            OrderOutcome::Replaced => self.end_worker(worker, now),
             _ => {}
         }
     }
@@ -277,6 +271,17 @@
             self.is_fenced = true;
             return;
         }
+        self.note_silent(worker, now);
+        if outcome == OrderOutcome::Replaced {
+            self.end_worker(worker, now);
+        }
+    }
+
+    /// Records that a worker does not respond.
+    fn note_silent(&mut self, worker: &WorkerId, now: BootTime) {
+        let Some(entry) = self.fleet.get_mut(worker) else {
+            return;
+        };
         let was_responsive = entry.contact == ContactState::Responsive;
         entry.contact = ContactState::Unresponsive;
         entry.silent_since.get_or_insert(now);
@@ -285,6 +290,17 @@
         }
     }
 
+    /// Handles that another worker responds at the address of a worker: it has ended, and
+    /// none of its runs is left.
+    fn end_worker(&mut self, worker: &WorkerId, now: BootTime) {
+        self.note_silent(worker, now);
+        if self.is_restoring {
+            // Which of its runs are current is not known yet.
+            return;
+        }
+        self.drop_runs_on(worker, RunEndReason::WorkerReplaced, now);
+    }
+
     /// Sends the lease renewals that are due.
     pub(super) fn send_due_renewals(&mut self, now: BootTime) {
         let entries = self.fleet.iter();
--- a/crates/jobs/tests/common/crash.rs
+++ b/crates/jobs/tests/common/crash.rs
@@ -23,6 +23,8 @@
     /// As another worker; the entry of the crashed one is removed later.
     #[default]
     NewWorker,
+    /// As another worker at the same address, which rejects orders for the crashed one.
+    SameAddress,
     /// As a new incarnation of the same worker.
     NewIncarnation,
     /// Not at all; its entry is removed.
@@ -133,7 +135,9 @@
                 let view = worker.view.clone();
                 self.scheduler.worker_listed(view, now);
             }
-            ReturnMode::NewWorker => {
+            ReturnMode::NewWorker | ReturnMode::SameAddress => {
+                let is_replaced = self.crash_plan.return_mode == ReturnMode::SameAddress;
+                self.worker(id.as_str()).is_replaced = is_replaced;
                 self.crash_plan.returned += 1;
                 let name = format!("{id}-{}", self.crash_plan.returned);
                 let mut worker = FakeWorker::new(&name, "builders", 0);
--- a/crates/jobs/tests/common/mod.rs
+++ b/crates/jobs/tests/common/mod.rs
@@ -392,11 +392,12 @@
         if let OrderAction::Start { task, .. } = &order.action {
             self.ordered_starts.push(task.clone());
         }
-        let is_unresponsive = self
-            .workers
-            .get(&order.worker)
-            .is_none_or(|worker| worker.is_unresponsive);
-        if is_unresponsive {
+        let worker = self.workers.get(&order.worker);
+        if worker.is_some_and(|worker| worker.is_replaced) {
+            self.deliver_response(order, OrderOutcome::Replaced, None);
+            return;
+        }
+        if worker.is_none_or(|worker| worker.is_unresponsive) {
             self.deliver_response(order, OrderOutcome::Unknown, None);
             return;
         }
--- a/crates/jobs/tests/common/worker.rs
+++ b/crates/jobs/tests/common/worker.rs
@@ -38,6 +38,8 @@
     pub(crate) closed_runs: BTreeMap<TaskId, u32>,
     /// Whether a new owner finds it in the list of workers.
     pub(crate) is_listed: bool,
+    /// Whether another worker has its address.
+    pub(crate) is_replaced: bool,
     /// Whether orders sent to it are lost without a response.
     pub(crate) is_unresponsive: bool,
     /// Whether all of its runs fail at once.
@@ -78,6 +80,7 @@
             lease_end_ms: 0,
             closed_runs: BTreeMap::new(),
             is_listed: true,
+            is_replaced: false,
             is_unresponsive: false,
             is_failing: false,
             is_checkpointing: false,
--- a/crates/jobs/tests/crashing_tasks.rs
+++ b/crates/jobs/tests/crashing_tasks.rs
@@ -54,7 +54,12 @@
 /// Each owner knows of a part of the crashes only.
 #[rstest]
 fn a_task_that_crashes_its_workers_is_given_up_although_owners_change(
-    #[values(ReturnMode::NewWorker, ReturnMode::NewIncarnation, ReturnMode::Never)]
+    #[values(
+        ReturnMode::NewWorker,
+        ReturnMode::SameAddress,
+        ReturnMode::NewIncarnation,
+        ReturnMode::Never
+    )]
     mode: ReturnMode,
     #[values(1_100, 2_000, 5_000)] owner_ms: u64,
 ) {
@@ -103,9 +108,12 @@
 }
 
 /// The start may have arrived late, after the crash that another task caused.
-#[test]
-fn a_start_without_a_response_counts_if_its_worker_crashes() {
+#[rstest]
+fn a_start_without_a_response_counts_if_its_worker_crashes(
+    #[values(ReturnMode::NewWorker, ReturnMode::SameAddress)] mode: ReturnMode,
+) {
     let mut fleet = FakeFleet::of_size(3, 8_000);
+    fleet.crash_plan.return_mode = mode;
     fleet.advance(100);
     let deadly = fleet.submit("deadly", vec![step_spec(1, 1_000)], 1_000);
     fleet.crash_plan.deadly.insert(task_id(&deadly, 0, 0));
@@ -196,3 +204,21 @@
     }
     assert_eq!(fleet.state(&JobId::new("service")), JobState::Running);
 }
+
+/// Another worker at its address shows that a worker has ended, long before its leases have.
+#[test]
+fn runs_of_a_worker_whose_address_another_has_start_elsewhere_at_once() {
+    let mut fleet = FakeFleet::of_size(2, 8_000);
+    fleet.crash_plan.return_mode = ReturnMode::SameAddress;
+    let job = fleet.submit("j", vec![step_spec(4, 1_000)], 30_000);
+    fleet.advance(500);
+    let (_, _, worker, _) = fleet.starts[0].clone();
+    let now = fleet.now;
+    fleet.crash_plan.crash(&worker, now);
+    fleet.advance(4_000);
+    let restarted = fleet.starts.iter().filter(|(_, run, ..)| *run == 2);
+    assert_eq!(restarted.count(), 4);
+    fleet.assert_no_double_run();
+    fleet.advance(35_000);
+    assert_eq!(fleet.state(&job), JobState::Completed);
+}
