Do not blame a task for a worker that crashes again and again by itself

A job was given up although none of its tasks had ever run: a worker that crashed three times within 60 ms counted three times against a start that had no response. Cause: a suspected task was started again at once on a worker that had just started again, so that each of its crashes found an ordered run there. Change: a task under which two workers crashed starts 1 s after the latest crash at the earliest, and a run counts for one crash at most.

--- a/crates/jobs/src/scheduler/crash.rs
+++ b/crates/jobs/src/scheduler/crash.rs
@@ -45,6 +45,10 @@
 /// Part of the workers of a pool that may be kept for isolated tasks.
 const ISOLATION_PART: usize = 4;
 
+/// Time after a crash for which a task under which several workers crashed is not started: a
+/// worker that crashes again meanwhile does so by itself.
+const CRASH_BACKOFF: time::Duration = time::Duration::from_secs(1);
+
 /// Time for which a task waits for a worker without others under which workers crashed.
 const APART_WAIT: time::Duration = time::Duration::from_secs(3);
 
@@ -227,9 +231,11 @@
         let Some(task) = self.task_mut(&lost.task) else {
             return;
         };
-        if task.phase == TaskPhase::Done {
+        // A run starts once at most: it crashes no second incarnation of a worker.
+        if task.phase == TaskPhase::Done || task.crashed_run == lost.run {
             return;
         }
+        task.crashed_run = lost.run;
         let earlier = task.crashes;
         task.crashes = CrashRecord {
             count: earlier.count.saturating_add(1),
@@ -270,6 +276,7 @@
             if let Some(task) = self.task_mut(&run.task) {
                 task.crashes.count = task.crashes.count.saturating_sub(1);
                 task.crashes.is_at_start &= task.crashes.count > 0;
+                task.crashed_run = 0;
                 self.mark_changed(&run.task.job);
                 self.refresh_waiting(&run.task.job);
             }
@@ -337,7 +344,7 @@
     }
 
     /// Returns what the next run of a task is to be kept apart from: if no worker fits, the
-    /// next of these.
+    /// next of these; none if it is not to start yet.
     pub(super) fn cautions(&self, task: &TaskId) -> &'static [StartCaution] {
         if !self.crashes.has_suspects() {
             return &[StartCaution::None];
@@ -356,6 +363,7 @@
                 (true, true) => &[StartCaution::Isolated, StartCaution::Apart],
                 (true, false) => ALL_CAUTIONS,
             },
+            _ if waited < CRASH_BACKOFF => &[],
             count if waited < isolation_wait(count) => &[StartCaution::Isolated],
             _ => ALL_CAUTIONS,
         }
@@ -392,7 +400,9 @@
     /// Returns the number of crashes under a task that waits to be isolated in a pool.
     fn isolation_count(&self, pool: &PoolName, task: &TaskId) -> Option<u32> {
         let entry = self.task(task)?;
-        let waits = entry.phase == TaskPhase::Idle && entry.wants_isolation();
+        let waits = entry.phase == TaskPhase::Idle
+            && entry.wants_isolation()
+            && !self.cautions(task).is_empty();
         let is_here = self.waiting.pool(&task.job) == Some(pool);
         // The members of a gang are placed together.
         (waits && is_here && !self.is_gang(task)).then_some(entry.crashes.count)
@@ -425,7 +435,8 @@
 
     /// Notes that a task has found no worker.
     pub(super) fn note_unplaced(&mut self, task: &TaskId) {
-        self.crashes.is_waiting |= self.cautions(task) == [StartCaution::Isolated];
+        let cautions = self.cautions(task);
+        self.crashes.is_waiting |= cautions.is_empty() || cautions == [StartCaution::Isolated];
     }
 
     /// Begins to vacate a worker of a pool if a task waits for one.
--- a/crates/jobs/src/scheduler/entry.rs
+++ b/crates/jobs/src/scheduler/entry.rs
@@ -101,6 +101,8 @@
     pub(super) failed: Vec<u32>,
     /// Workers that crashed under its latest runs.
     pub(super) crashes: CrashRecord,
+    /// Number of the run under which a worker crashed last, as far as this owner knows.
+    pub(super) crashed_run: u32,
     /// Latest checkpoint that the task saved.
     pub(super) checkpoint: Option<String>,
 }
@@ -153,6 +155,7 @@
             run: record.run,
             failed: record.failed.clone(),
             crashes: record.crashes,
+            crashed_run: 0,
             checkpoint: record.checkpoint.clone(),
         }
     }
--- a/crates/jobs/src/scheduler/placement.rs
+++ b/crates/jobs/src/scheduler/placement.rs
@@ -481,9 +481,10 @@
         spec: &StepSpec,
         candidates: &[PlacementCandidate],
     ) -> Option<(usize, StartCaution)> {
+        let cautions = self.cautions(task);
         let cautions = match pass {
-            PlacementPass::Isolated => &[StartCaution::Isolated],
-            PlacementPass::Regular => self.cautions(task),
+            PlacementPass::Isolated => &cautions[..cautions.len().min(1)],
+            PlacementPass::Regular => cautions,
         };
         cautions.iter().find_map(|&caution| {
             let position = self.choose_candidate_with(task, spec, candidates, caution, |_| 0)?;
--- a/crates/jobs/tests/crashing_tasks.rs
+++ b/crates/jobs/tests/crashing_tasks.rs
@@ -222,3 +222,25 @@
     fleet.advance(35_000);
     assert_eq!(fleet.state(&job), JobState::Completed);
 }
+
+/// The starts without responses may have reached it each time.
+#[test]
+fn a_worker_that_crashes_again_and_again_by_itself_ends_no_job() {
+    let mut fleet = FakeFleet::of_size(1, 8_000);
+    fleet.advance(100);
+    let job = fleet.submit("j", vec![step_spec(1, 1_000)], 500);
+    fleet.lost_order_delay = Some(std::time::Duration::from_secs(60));
+    fleet.advance(100);
+    for _ in 0..6 {
+        let worker = fleet.worker("w0");
+        worker.view.incarnation += 1;
+        let view = worker.view.clone();
+        let now = fleet.now;
+        fleet.scheduler.worker_listed(view, now);
+        fleet.advance(50);
+    }
+    fleet.lost_order_delay = None;
+    fleet.delayed_orders.clear();
+    fleet.advance(20_000);
+    assert_eq!(fleet.state(&job), JobState::Completed);
+}
