--- a/crates/jobs/src/scheduler/mod.rs
+++ b/crates/jobs/src/scheduler/mod.rs
@@ -15,6 +15,7 @@
 //! - `fleet`: workers, their free capacity and their leases
 //! - `free_capacity`: which tasks fit on no worker of a pool
 //! - `health`: workers that fail their runs or reject orders
+//! - `isolation`: tasks under which workers crashed, kept apart
 //! - `lease`: leases of workers, and those of earlier owners
 //! - `lease_ledger`: ends of leases that are stored for the next owner
 //! - `lifecycle`: submitted and cancelled jobs, and rows of an earlier owner
@@ -41,6 +42,7 @@
 mod fleet;
 mod free_capacity;
 mod health;
+mod isolation;
 mod lease;
 mod lease_ledger;
 mod lifecycle;
