Test that steps of all kinds that crash their workers are given up

Change: gangs, long-running, speculative, best-effort and wide steps one by one, advised tasks, and a table that is away while owners change. Result: all of them pass on this code; of these, gangs and long-running steps were tested before, in one test.

--- a/crates/jobs/tests/crashing_tasks.rs
+++ b/crates/jobs/tests/crashing_tasks.rs
@@ -3,10 +3,11 @@
 mod common;
 
 use std::collections::BTreeMap;
+use std::sync;
 
 use common::{FakeFleet, ReturnMode, step_spec, task_id};
 use redwing_jobs::spec::StepSpec;
-use redwing_jobs::{JobId, JobState, SchedulerSettings, TaskId, WorkerId};
+use redwing_jobs::{JobId, JobManifest, JobState, SchedulerSettings, TaskId, WorkerId};
 use rstest::rstest;
 
 /// Most starts of a task that crashes its workers: three, and two more.
@@ -88,23 +89,54 @@
     assert!(most_restarted(&fleet, &innocent) <= 2);
 }
 
+#[rstest]
+#[case(StepSpec { gang: true, ..step_spec(3, 1_000) })]
+#[case(StepSpec { long_running: true, max_per_worker: 1, ..step_spec(3, 1_000) })]
+#[case(StepSpec { speculative: true, ..step_spec(3, 1_000) })]
+#[case(StepSpec { best_effort: true, ..step_spec(3, 1_000) })]
+#[case(step_spec(24, 1_000))]
+fn steps_of_all_kinds_that_crash_their_workers_are_given_up(#[case] step: StepSpec) {
+    let (mut fleet, deadly) = fleet_with_deadly(step);
+    fleet.advance(60_000);
+    assert_eq!(fleet.state(&deadly), JobState::Failed);
+    assert!(start_count(&fleet, &task_id(&deadly, 0, 0)) <= MAX_STARTS);
+}
+
+/// The advisor permits one worker only.
 #[test]
-fn a_gang_and_a_long_running_task_that_crash_their_workers_are_given_up() {
-    let gang = StepSpec {
-        gang: true,
-        ..step_spec(3, 1_000)
-    };
-    let long_running = StepSpec {
-        long_running: true,
-        max_per_worker: 1,
-        ..step_spec(3, 1_000)
-    };
-    for step in [gang, long_running] {
-        let (mut fleet, deadly) = fleet_with_deadly(step);
-        fleet.advance(60_000);
-        assert_eq!(fleet.state(&deadly), JobState::Failed);
-        assert!(start_count(&fleet, &task_id(&deadly, 0, 0)) <= MAX_STARTS);
+fn an_advised_task_that_crashes_its_worker_is_given_up() {
+    let mut fleet = FakeFleet::of_size(3, 8_000);
+    fleet.crash_plan.return_mode = ReturnMode::NewIncarnation;
+    let mut parts = common::manifest_parts_with_limit(0);
+    parts.version += 1;
+    for queue in &mut parts.queues {
+        queue.is_advised = true;
     }
+    let manifest = sync::Arc::new(JobManifest::from(parts));
+    fleet.scheduler.set_manifest(manifest);
+    fleet.permitted_worker = Some(WorkerId::new("w0"));
+    let deadly = fleet.submit("deadly", vec![step_spec(2, 1_000)], 1_000);
+    fleet.crash_plan.deadly.insert(task_id(&deadly, 0, 0));
+    fleet.advance(60_000);
+    assert_eq!(fleet.state(&deadly), JobState::Failed);
+    assert!(start_count(&fleet, &task_id(&deadly, 0, 0)) <= MAX_STARTS);
+}
+
+/// No start is ordered before the row is stored that has the count.
+#[test]
+fn a_task_that_crashes_its_workers_is_given_up_although_the_table_is_away() {
+    let (mut fleet, deadly) = fleet_with_deadly(step_spec(2, 1_000));
+    for round in 0..30 {
+        fleet.is_table_up = round % 3 == 0;
+        fleet.advance(1_500);
+        if round % 5 == 4 {
+            fleet.take_over(SchedulerSettings::default());
+        }
+    }
+    fleet.is_table_up = true;
+    fleet.advance(20_000);
+    assert_eq!(fleet.state(&deadly), JobState::Failed);
+    assert!(start_count(&fleet, &task_id(&deadly, 0, 0)) <= MAX_STARTS);
 }
 
 /// The start may have arrived late, after the crash that another task caused.
