Simplify what the mend of crashing tasks wrote

Cause: read once more as a whole: each caller of fail built the same value, the choice of a limit was nested, isolation_count asked for the cautions of tasks of other pools, a gang's candidates were copied once more than before the mend, StartCaution had an order that nothing uses, and tests repeated their checks. No behaviour, bound, check or expectation is changed.

--- a/crates/jobs/src/scheduler/crash.rs
+++ b/crates/jobs/src/scheduler/crash.rs
@@ -225,22 +225,13 @@
             crashes: crashes.count,
             is_isolated,
         });
-        let isolated_limit = if crashes.is_at_start {
-            START_CRASH_LIMIT
-        } else {
-            ISOLATED_CRASH_LIMIT
-        };
-        let limit = if is_isolated {
-            isolated_limit
-        } else {
-            CRASH_LIMIT
+        let limit = match (is_isolated, crashes.is_at_start) {
+            (false, _) => CRASH_LIMIT,
+            (true, false) => ISOLATED_CRASH_LIMIT,
+            (true, true) => START_CRASH_LIMIT,
         };
         if crashes.count >= limit {
-            let failure = JobFailure {
-                reason: FailureReason::CrashedWorkers,
-                task: lost.task.clone(),
-            };
-            self.fail(failure, now);
+            self.fail(&lost.task, FailureReason::CrashedWorkers, now);
         }
     }
 
@@ -257,12 +248,15 @@
     }
 
     /// Ends a job because of one of its tasks.
-    pub(super) fn fail(&mut self, failure: JobFailure, now: BootTime) {
-        let id = failure.task.job.clone();
-        if let Some(job) = self.jobs.get_mut(&id).filter(|job| !job.state.is_final()) {
-            job.failure = Some(failure);
+    pub(super) fn fail(&mut self, task: &TaskId, reason: FailureReason, now: BootTime) {
+        let job = self.jobs.get_mut(&task.job);
+        if let Some(job) = job.filter(|job| !job.state.is_final()) {
+            job.failure = Some(JobFailure {
+                reason,
+                task: task.clone(),
+            });
         }
-        self.finish(&id, JobState::Failed, now);
+        self.finish(&task.job, JobState::Failed, now);
     }
 
     /// Clears suspected tasks whose runs have gone on for long enough, and forgets lost
--- a/crates/jobs/src/scheduler/entry.rs
+++ b/crates/jobs/src/scheduler/entry.rs
@@ -25,7 +25,7 @@
 }
 
 /// What a run is kept apart from, if workers crashed under its task.
-#[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd)]
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub(super) enum StartCaution {
     /// Nothing.
     #[default]
--- a/crates/jobs/src/scheduler/isolation.rs
+++ b/crates/jobs/src/scheduler/isolation.rs
@@ -102,12 +102,12 @@
     /// Returns the number of crashes under a task that waits to be isolated in a pool.
     fn isolation_count(&self, pool: &PoolName, task: &TaskId) -> Option<u32> {
         let entry = self.task(task)?;
-        let waits = entry.phase == TaskPhase::Idle
-            && entry.wants_isolation()
-            && !self.cautions(task).is_empty();
+        let waits = entry.phase == TaskPhase::Idle && entry.wants_isolation();
         let is_here = self.waiting.pool(&task.job) == Some(pool);
         // The members of a gang are placed together.
-        (waits && is_here && !self.is_gang(task)).then_some(entry.crashes.count)
+        let is_placed_here = waits && is_here && !self.is_gang(task);
+        let may_start = is_placed_here && !self.cautions(task).is_empty();
+        may_start.then_some(entry.crashes.count)
     }
 
     /// Decides how many more vacant workers of a pool may be kept for isolated tasks.
--- a/crates/jobs/src/scheduler/order.rs
+++ b/crates/jobs/src/scheduler/order.rs
@@ -1,7 +1,7 @@
 //! Orders, their responses and their retries.
 
 use crate::name::{TaskId, WorkerId};
-use crate::record::{FailureReason, JobFailure};
+use crate::record::FailureReason;
 use crate::time::BootTime;
 use crate::worker::{OrderAction, OrderOutcome, OrderResponse, WorkerOrder};
 
@@ -180,13 +180,7 @@
             OrderOutcome::Unsent => self.stop_incomplete_gang(task, run, now),
             OrderOutcome::Unpermitted => self.advice.drop_permit(&step_of(task), worker),
             // Every other worker would reject it as well.
-            OrderOutcome::Invalid => {
-                let failure = JobFailure {
-                    reason: FailureReason::InvalidTask,
-                    task: task.clone(),
-                };
-                self.fail(failure, now);
-            }
+            OrderOutcome::Invalid => self.fail(task, FailureReason::InvalidTask, now),
             _ => {}
         }
     }
--- a/crates/jobs/src/scheduler/placement.rs
+++ b/crates/jobs/src/scheduler/placement.rs
@@ -374,7 +374,7 @@
         candidates: &[PlacementCandidate],
     ) -> Option<Vec<(usize, StartCaution)>> {
         if !spec.same_rack {
-            return self.choose_for_all(members, spec, candidates.to_vec());
+            return self.choose_for_all(members, spec, candidates);
         }
         let racks: BTreeSet<&WorkerLabel> = candidates
             .iter()
@@ -392,23 +392,23 @@
             for candidate in &mut scratch {
                 candidate.is_excluded |= candidate.rack.as_ref() != Some(rack);
             }
-            self.choose_for_all(members, spec, scratch)
+            self.choose_for_all(members, spec, &scratch)
         });
         by_rack
             .next()
-            .or_else(|| self.choose_for_all(members, spec, candidates.to_vec()))
+            .or_else(|| self.choose_for_all(members, spec, candidates))
     }
 
-    /// Chooses a worker for each member if all fit on `scratch`.
+    /// Chooses a worker for each member if all fit on `candidates`.
     fn choose_for_all(
         &self,
         members: &[TaskId],
         spec: &StepSpec,
-        scratch: Vec<PlacementCandidate>,
+        candidates: &[PlacementCandidate],
     ) -> Option<Vec<(usize, StartCaution)>> {
         let mut cautions = self.cautions(members.first()?).iter();
         cautions.find_map(|&caution| {
-            let chosen = self.choose_with_caution(members, spec, scratch.clone(), caution)?;
+            let chosen = self.choose_with_caution(members, spec, candidates, caution)?;
             let chosen = chosen.into_iter().map(|position| (position, caution));
             Some(chosen.collect())
         })
@@ -418,9 +418,10 @@
         &self,
         members: &[TaskId],
         spec: &StepSpec,
-        mut scratch: Vec<PlacementCandidate>,
+        candidates: &[PlacementCandidate],
         caution: StartCaution,
     ) -> Option<Vec<usize>> {
+        let mut scratch = candidates.to_vec();
         let mut chosen: Vec<usize> = Vec::with_capacity(members.len());
         for task in members {
             let chosen_count =
--- a/crates/jobs/src/scheduler/report.rs
+++ b/crates/jobs/src/scheduler/report.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeSet, HashMap};
 
 use crate::name::{JobId, TaskId, WorkerId};
-use crate::record::{FailureReason, JobFailure, JobState};
+use crate::record::{FailureReason, JobState};
 use crate::spec::{ResourceAmount, StepSpec};
 use crate::time::BootTime;
 use crate::worker::{ActiveRun, EndedRun, ExitKind, OrderAction, RenewalReport};
@@ -193,11 +193,7 @@
             .flat_map(|entry| entry.failed.iter().copied())
             .collect();
         if failed.len() as u32 >= self.max_attempts(task) {
-            let failure = JobFailure {
-                reason: FailureReason::FailedRuns,
-                task: task.clone(),
-            };
-            self.fail(failure, now);
+            self.fail(task, FailureReason::FailedRuns, now);
         }
     }
 
--- a/crates/jobs/tests/crashing_tasks.rs
+++ b/crates/jobs/tests/crashing_tasks.rs
@@ -28,6 +28,12 @@
     starts.filter(|(started, ..)| started == task).count()
 }
 
+/// Panics unless the job has failed and its first task was started within the limit.
+fn assert_given_up(fleet: &FakeFleet, deadly: &JobId) {
+    assert_eq!(fleet.state(deadly), JobState::Failed, "{deadly}");
+    assert!(start_count(fleet, &task_id(deadly, 0, 0)) <= MAX_STARTS);
+}
+
 /// Returns the largest number of runs of one job that were lost with their workers.
 fn most_restarted(fleet: &FakeFleet, job: &JobId) -> usize {
     let mut counts: BTreeMap<&TaskId, usize> = BTreeMap::new();
@@ -47,8 +53,7 @@
     let (mut fleet, deadly) = fleet_with_deadly(step_spec(2, 1_000));
     fleet.crash_plan.return_mode = mode;
     fleet.advance(60_000);
-    assert_eq!(fleet.state(&deadly), JobState::Failed);
-    assert!(start_count(&fleet, &task_id(&deadly, 0, 0)) <= MAX_STARTS);
+    assert_given_up(&fleet, &deadly);
     assert_eq!(fleet.state(&JobId::new("innocent")), JobState::Completed);
 }
 
@@ -71,8 +76,7 @@
         fleet.take_over(SchedulerSettings::default());
     }
     fleet.advance(20_000);
-    assert_eq!(fleet.state(&deadly), JobState::Failed);
-    assert!(start_count(&fleet, &task_id(&deadly, 0, 0)) <= MAX_STARTS);
+    assert_given_up(&fleet, &deadly);
 }
 
 /// What shared a worker with the task is lost once, and not again on the next worker.
@@ -98,8 +102,7 @@
 fn steps_of_all_kinds_that_crash_their_workers_are_given_up(#[case] step: StepSpec) {
     let (mut fleet, deadly) = fleet_with_deadly(step);
     fleet.advance(60_000);
-    assert_eq!(fleet.state(&deadly), JobState::Failed);
-    assert!(start_count(&fleet, &task_id(&deadly, 0, 0)) <= MAX_STARTS);
+    assert_given_up(&fleet, &deadly);
 }
 
 /// The advisor permits one worker only.
@@ -118,8 +121,7 @@
     let deadly = fleet.submit("deadly", vec![step_spec(2, 1_000)], 1_000);
     fleet.crash_plan.deadly.insert(task_id(&deadly, 0, 0));
     fleet.advance(60_000);
-    assert_eq!(fleet.state(&deadly), JobState::Failed);
-    assert!(start_count(&fleet, &task_id(&deadly, 0, 0)) <= MAX_STARTS);
+    assert_given_up(&fleet, &deadly);
 }
 
 /// No start is ordered before the row is stored that has the count.
@@ -135,8 +137,7 @@
     }
     fleet.is_table_up = true;
     fleet.advance(20_000);
-    assert_eq!(fleet.state(&deadly), JobState::Failed);
-    assert!(start_count(&fleet, &task_id(&deadly, 0, 0)) <= MAX_STARTS);
+    assert_given_up(&fleet, &deadly);
 }
 
 /// The start may have arrived late, after the crash that another task caused.
@@ -151,8 +152,7 @@
     fleet.crash_plan.deadly.insert(task_id(&deadly, 0, 0));
     fleet.lost_order_delay = Some(std::time::Duration::from_millis(400));
     fleet.advance(80_000);
-    assert_eq!(fleet.state(&deadly), JobState::Failed);
-    assert!(start_count(&fleet, &task_id(&deadly, 0, 0)) <= MAX_STARTS);
+    assert_given_up(&fleet, &deadly);
 }
 
 /// Workers that crash for other reasons do not end the jobs on them.
@@ -231,8 +231,7 @@
     }
     for number in 0..12 {
         let deadly = JobId::new(&format!("deadly-{number}"));
-        assert_eq!(fleet.state(&deadly), JobState::Failed, "{deadly}");
-        assert!(start_count(&fleet, &task_id(&deadly, 0, 0)) <= MAX_STARTS);
+        assert_given_up(&fleet, &deadly);
     }
     assert_eq!(fleet.state(&JobId::new("service")), JobState::Running);
 }
--- a/crates/jobs/tests/shrunk_workers.rs
+++ b/crates/jobs/tests/shrunk_workers.rs
@@ -5,7 +5,7 @@
 use common::{FakeFleet, step_spec};
 use redwing_jobs::name::QueueName;
 use redwing_jobs::spec::{ResourceAmount, StepSpec};
-use redwing_jobs::{JobManifest, JobState, WorkerId};
+use redwing_jobs::{JobId, JobManifest, JobState, WorkerId};
 
 /// Changes the processor that a worker lists, in thousandths of a core.
 fn set_cpu(fleet: &mut FakeFleet, worker: &str, cpu_millis: u64) {
@@ -27,6 +27,14 @@
     assert!(used.sum::<u64>() <= worker.view.capacity.cpu_millis);
 }
 
+/// Panics unless only three tasks have started, and the others follow.
+fn assert_three_start_first(fleet: &mut FakeFleet, job: &JobId) {
+    assert_eq!(fleet.starts.len(), 3);
+    assert_within_capacity(fleet, "w0");
+    fleet.advance(5_000);
+    assert_eq!(fleet.state(job), JobState::Completed);
+}
+
 #[test]
 fn a_start_that_waits_for_its_row_is_not_sent_to_a_worker_that_has_shrunk() {
     let mut fleet = FakeFleet::of_size(1, 8_000);
@@ -37,10 +45,7 @@
     set_cpu(&mut fleet, "w0", 3_000);
     fleet.is_table_up = true;
     fleet.advance(100);
-    assert_eq!(fleet.starts.len(), 3);
-    assert_within_capacity(&fleet, "w0");
-    fleet.advance(5_000);
-    assert_eq!(fleet.state(&job), JobState::Completed);
+    assert_three_start_first(&mut fleet, &job);
 }
 
 #[test]
@@ -52,10 +57,7 @@
     fleet.advance(200);
     set_cpu(&mut fleet, "w0", 3_000);
     fleet.send_held();
-    assert_eq!(fleet.starts.len(), 3);
-    assert_within_capacity(&fleet, "w0");
-    fleet.advance(5_000);
-    assert_eq!(fleet.state(&job), JobState::Completed);
+    assert_three_start_first(&mut fleet, &job);
 }
 
 /// Runs that are left of a larger capacity count, also while they are being stopped.
--- a/crates/policy/tests/local.rs
+++ b/crates/policy/tests/local.rs
@@ -2,7 +2,7 @@
 
 mod support;
 
-use redwing_model::RunOutcome;
+use redwing_model::{RunOutcome, VmId};
 use redwing_policy::{
     AttemptReport, AttemptVerdict, NodeScheduler, RefusalReason, SchedulerAction,
     SchedulerSettings, TicketId,
@@ -322,9 +322,9 @@
     assert!(dispatched(&actions).is_empty() && refusals(&actions).is_empty());
 }
 
-/// A request that crashes its backend servers must not be sent to all of them.
-#[test]
-fn a_request_under_which_two_backend_servers_close_is_given_up() {
+/// Sends a request whose attempts end as `report` returns, given their numbers from 1, until
+/// no other follows; returns their number and the verdict on the last.
+fn run_attempts(report: impl Fn(u32, &VmId) -> AttemptReport) -> (u32, AttemptVerdict) {
     let shape = FleetShape {
         workers: 5,
         ..FleetShape::default()
@@ -335,8 +335,15 @@
     let mut verdict = AttemptVerdict::Pending;
     while let [(id, vm)] = &dispatched(&scheduler.take_actions())[..] {
         attempts += 1;
-        verdict = scheduler.finish(at(2), *id, &lost(vm));
+        verdict = scheduler.finish(at(2), *id, &report(attempts, vm));
     }
+    (attempts, verdict)
+}
+
+/// A request that crashes its backend servers must not be sent to all of them.
+#[test]
+fn a_request_under_which_two_backend_servers_close_is_given_up() {
+    let (attempts, verdict) = run_attempts(|_, vm| lost(vm));
     assert_eq!(attempts, 2);
     assert_eq!(verdict, AttemptVerdict::Final);
 }
@@ -344,18 +351,10 @@
 /// A backend server that did not start the request says nothing about it.
 #[test]
 fn a_request_that_was_not_started_keeps_its_attempts() {
-    let shape = FleetShape {
-        workers: 5,
-        ..FleetShape::default()
-    };
-    let mut scheduler = single_scheduler(&shape);
-    scheduler.submit(at(1), ticket(1, &shape.class(0), Some(&customer("a"))));
-    let mut attempts = 0;
-    while let [(id, vm)] = &dispatched(&scheduler.take_actions())[..] {
-        attempts += 1;
-        let report = if attempts == 1 { lost(vm) } else { refused(vm) };
-        scheduler.finish(at(2), *id, &report);
-    }
+    let (attempts, _) = run_attempts(|attempt, vm| match attempt {
+        1 => lost(vm),
+        _ => refused(vm),
+    });
     assert_eq!(attempts, 3);
 }
 
