Show that a subtask of some minutes is started again for ever

Case review/4: runs whose percent does not change within 2.5 s are stopped as stalled. The percent is a whole number, so a subtask of more than about 250 s is stopped again and again, and its job is never done. Where one worker only has the label that the step requires, the jobs have nothing running for 3 s after each stop, which breaks LOST.

--- a/review/common.sh
+++ b/review/common.sh
@@ -111,14 +111,6 @@
     "$tool" call GET "$platform/stand-in/state" '' 2>&1 | sed 's/^200 //' >"$scratch/state.json"
 }
 
-# Prints the number of the process that became the owner of the scheduling last.
-owner_number() {
-    grep -l 'owner-begun' "$scratch"/[123].log | while read -r log; do
-        printf '%s %s\n' "$(grep 'owner-begun' "$log" | tail -n 1 | grep -o 'fence=[0-9]*' | cut -d= -f2)" \
-            "$(basename "$log" .log)"
-    done | sort -n | tail -n 1 | cut -d' ' -f2
-}
-
 # Judges the runs of all subtasks; the exit status is that of the script. With `repeated`,
 # only starts count that have a higher run than one that was done.
 judge_runs() {
--- a/review/tool/src/judge.rs
+++ b/review/tool/src/judge.rs
@@ -1,4 +1,4 @@
-//! Rules TWICE and QUOTA on the runs that the stand-in platform has recorded.
+//! Rules on the runs that the stand-in platform has recorded.
 
 use std::fmt;
 
@@ -86,36 +86,31 @@
     tasks.collect()
 }
 
-/// Returns the number of the machine with most runs, from 1.
-pub fn busiest_machine(state: &Value) -> Option<usize> {
-    let Value::List(machines) = state.field("machines")? else {
-        return None;
-    };
-    let counts = machines
-        .iter()
-        .map(|machine| match machine.field("running") {
-            Some(Value::List(runs)) => runs.len(),
-            _ => 0,
-        });
-    let (index, count) = counts.enumerate().max_by_key(|(_, count)| *count)?;
-    (count > 0).then_some(index + 1)
-}
+impl Task {
+    /// Returns the name of the subtask.
+    pub fn name(&self) -> &str {
+        &self.name
+    }
 
-/// Returns the starts that bring more than `limit` runs to work at a time.
-pub fn starts_above(tasks: &[Task], limit: usize) -> Vec<String> {
-    let runs: Vec<(&Task, &Run)> = tasks
-        .iter()
-        .flat_map(|task| task.runs.iter().map(move |run| (task, run)))
-        .collect();
-    let starts = runs.iter().filter_map(|(task, run)| {
-        let active = runs.iter().filter(|(_, other)| other.overlaps(run)).count();
-        let is_above = active > limit;
-        is_above.then(|| format!("{} is run {active} at a time: {run}", task.name))
-    });
-    starts.collect()
-}
+    /// Returns when the first run started.
+    pub fn first_start_ms(&self) -> Option<f64> {
+        self.runs.iter().map(|run| run.started_ms).reduce(f64::min)
+    }
+
+    /// Returns the times from `from_ms` on for which the subtask had no run although it was
+    /// not done.
+    pub fn gaps(&self, from_ms: f64, now_ms: f64) -> Vec<(f64, f64)> {
+        let mut runs: Vec<&Run> = self.runs.iter().collect();
+        runs.sort_by(|left, right| left.started_ms.total_cmp(&right.started_ms));
+        let starts = runs.iter().skip(1).map(|run| run.started_ms);
+        let next_starts = starts.chain([now_ms]);
+        let gaps = runs.iter().zip(next_starts).filter_map(|(run, next_ms)| {
+            let ended_ms = run.ended_ms.filter(|ended| *ended >= from_ms)?;
+            (run.how != "done").then_some((ended_ms, next_ms))
+        });
+        gaps.collect()
+    }
 
-impl Task {
     /// Prints one line a run.
     pub fn print_runs(&self) {
         for run in &self.runs {
--- a/review/tool/src/main.rs
+++ b/review/tool/src/main.rs
@@ -24,12 +24,11 @@
     let args: Vec<&str> = args.iter().map(String::as_str).collect();
     let result = match args.as_slice() {
         ["call", method, url, body, headers @ ..] => call(method, url, body, headers),
-        ["busiest", path] => busiest(path),
-        ["quota", limit, path] => return judge_quota(limit, path),
+        ["gaps", longest, from, path] => return judge_gaps(longest, from, path),
         ["judge", "all", path] => return judge(path, Task::breaches),
         ["judge", "repeated", path] => return judge(path, Task::repeats),
         _ => Err(io::Error::other(
-            "usage: review-tool call METHOD URL BODY [HEADER...] | judge all|repeated FILE | busiest FILE | quota RUNS FILE",
+            "usage: review-tool call METHOD URL BODY [HEADER...] | judge all|repeated FILE | gaps LONGEST_MS FROM_MS FILE",
         )),
     };
     match result {
@@ -98,37 +97,40 @@
     json::parse(&text).ok_or_else(|| io::Error::other("the state of the platform cannot be read"))
 }
 
-/// Prints the number of the machine with most runs.
-fn busiest(path: &str) -> io::Result<()> {
-    let state = read_state(path)?;
-    let machine = judge::busiest_machine(&state);
-    let machine = machine.ok_or_else(|| io::Error::other("no machine has runs"))?;
-    println!("{machine}");
-    Ok(())
-}
-
-/// Prints all runs, and the starts that bring more than `limit` runs to work at a time.
-fn judge_quota(limit: &str, path: &str) -> ExitCode {
-    let Ok(limit) = limit.parse::<usize>() else {
-        return fail("the limit is no number");
+/// Prints all runs, and the times of at least `longest_ms` for which a subtask that is not
+/// done had no run, if they begin `from_ms` after the last subtask started first, or later.
+fn judge_gaps(longest_ms: &str, from_ms: &str, path: &str) -> ExitCode {
+    let (Ok(longest_ms), Ok(from_ms)) = (longest_ms.parse::<f64>(), from_ms.parse::<f64>()) else {
+        return fail("the times are no numbers");
     };
-    let tasks = match read_state(path) {
-        Ok(state) => judge::tasks(&state).unwrap_or_default(),
+    let state = match read_state(path) {
+        Ok(state) => state,
         Err(error) => return fail(&error.to_string()),
     };
+    let Some(tasks) = judge::tasks(&state) else {
+        return fail("the state of the platform has no subtasks");
+    };
     for task in &tasks {
         task.print_runs();
     }
-    let starts = judge::starts_above(&tasks, limit);
-    for start in &starts {
-        println!("QUOTA {start}");
+    let first_starts = tasks.iter().filter_map(Task::first_start_ms);
+    let from_ms: f64 = first_starts.fold(0.0, f64::max) + from_ms;
+    let now_ms = state.field("nowMs").and_then(json::Value::number);
+    let mut broken = 0;
+    for task in &tasks {
+        for (began_ms, ended_ms) in task.gaps(from_ms, now_ms.unwrap_or(0.0)) {
+            let length_ms: f64 = ended_ms - began_ms;
+            if length_ms >= longest_ms {
+                println!(
+                    "LOST {} had no run for {length_ms:.0} ms from {began_ms:.0}",
+                    task.name()
+                );
+                broken += 1;
+            }
+        }
     }
-    println!(
-        "{} subtasks, {} breaches of QUOTA",
-        tasks.len(),
-        starts.len()
-    );
-    ExitCode::from(u8::from(!starts.is_empty()))
+    println!("{} subtasks, {broken} breaches of LOST", tasks.len());
+    ExitCode::from(u8::from(broken > 0))
 }
 
 /// Prints all runs, and those that break the rule on double runs.
