--- a/review/common.sh
+++ b/review/common.sh
@@ -29,6 +29,9 @@
     exit "$1"
 }
 
+# Ends what was started also if the script is ended.
+trap 'finish 2' INT TERM
+
 cannot_run() {
     note "cannot run: $1"
     finish 2
