Keep the crashes of the review scripts inside the named shares

The shares of srv_crash (0.15) and replace_with_reuse (0.18) are of the workers of a service. The pools of the scripts had 4 or 6 workers, so that one or two of them were more. Checks and bounds are unchanged.

--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -5,24 +5,24 @@
 case_dir=$(cd "$(dirname "${BASH_SOURCE[0]}")" && pwd)
 source "$case_dir/../common.sh"
 
-start_all --workers 6
+start_all --workers 12
 
 job='{"spec":"3000","steps":[{"count":6,"cpu":1000,"memMb":100,"estimateMs":3000}]}'
 submit 0 "$job"
 ((accepted == 1)) || cannot_run 'the job was not accepted'
 sleep 0.05
-# Two of twelve workers crash, and 0.7 s later others are at their addresses. The job's
-# subtasks are on the first one, and the second one is idle: the queue's workers are those of
-# machines 7 to 12, and the owner takes free ones in the order of their ids as texts.
+# Two of the service's twelve workers crash, and 0.7 s later others are at their addresses. The
+# job's subtasks are on the first one, and the second one is idle: the queue's workers are those
+# of machines 13 to 24, and the owner takes free ones in the order of their ids as texts.
 add_faults '[[fault]]
 effect = "replace"
-machine = 10
+machine = 13
 from-seconds = 0
 down-ms = 700
 
 [[fault]]
 effect = "replace"
-machine = 11
+machine = 14
 from-seconds = 0
 down-ms = 700'
 for _ in {1..12}; do
