Log for how long a run went on before its worker crashed

Change: a run has a trace, the time of the order to start it and the clock of its worker at its first and last sign. E554 gives the time between these signs (`seen_ms`) and the time from the order until the worker no longer responded (`at_most_ms`). No decision changes.

--- a/crates/engine/src/owner/scheduler_event.rs
+++ b/crates/engine/src/owner/scheduler_event.rs
@@ -1,5 +1,7 @@
 //! Logs and metrics of scheduler events.
 
+use std::time;
+
 use redwing_jobs::scheduler::SchedulerEvent;
 use redwing_jobs::worker::{OrderOutcome, OrderResponse, WorkerOrder};
 
@@ -136,6 +138,7 @@
             worker,
             crashes,
             is_isolated,
+            span,
         } => log_job_event!(
             info,
             event::TASK_SUSPECTED,
@@ -144,6 +147,8 @@
             worker = worker,
             crashes = crashes,
             isolated = is_isolated,
+            seen_ms = optional_millis(span.seen),
+            at_most_ms = optional_millis(span.at_most),
         ),
         SchedulerEvent::EvacuationChanged {
             data_centre,
@@ -167,3 +172,8 @@
         ),
     }
 }
+
+/// Returns the text of a time in milliseconds that may be unknown.
+fn optional_millis(span: Option<time::Duration>) -> String {
+    span.map_or_else(|| "unknown".to_owned(), |span| span.as_millis().to_string())
+}
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod change_order;
 pub mod error;
 pub mod evacuation;
+pub mod evidence;
 pub mod feasibility;
 pub mod maintenance;
 pub mod manifest;
--- a/crates/jobs/src/scheduler/crash.rs
+++ b/crates/jobs/src/scheduler/crash.rs
@@ -12,6 +12,7 @@
 use std::mem;
 use std::time;
 
+use crate::evidence::RunSpan;
 use crate::name::{JobId, TaskId, WorkerId};
 use crate::record::{CrashRecord, FailureReason, JobFailure, JobState};
 use crate::time::BootTime;
@@ -46,6 +47,8 @@
     run: u32,
     /// Whether no report of the worker has listed it.
     is_unreported: bool,
+    /// For how long it went on.
+    span: RunSpan,
 }
 
 /// Runs that were lost with a worker.
@@ -102,6 +105,7 @@
         let Some(entry) = self.fleet.get(id) else {
             return LostWorker::default();
         };
+        let silent_since = entry.silent_since.unwrap_or(now);
         let reservations = entry.reservations.iter();
         let runs = reservations.filter_map(|(task, held)| {
             let is_current = self.is_current(task, held.run, id);
@@ -114,10 +118,13 @@
                 }
                 _ => false,
             };
+            let trace = self.task(task).filter(|_| is_current);
+            let trace = trace.map(|task| task.trace).unwrap_or_default();
             Some(LostRun {
                 task: task.clone(),
                 run: held.run,
                 is_unreported,
+                span: trace.span(silent_since),
             })
         });
         let runs: Vec<LostRun> = runs.collect();
@@ -192,6 +199,7 @@
             task: task.clone(),
             run,
             is_unreported: false,
+            span: RunSpan::default(),
         };
         self.record_crash(id, &lost, false, now);
     }
@@ -224,6 +232,7 @@
             worker: id.clone(),
             crashes: crashes.count,
             is_isolated,
+            span: lost.span,
         });
         let limit = match (is_isolated, crashes.is_at_start) {
             (false, _) => CRASH_LIMIT,
--- a/crates/jobs/src/scheduler/entry.rs
+++ b/crates/jobs/src/scheduler/entry.rs
@@ -11,6 +11,8 @@
 use crate::time::BootTime;
 use crate::wait::ElapsedWait;
 
+use super::run_trace::RunTrace;
+
 /// Duration of tasks without an estimate: their jobs must not seem to have the
 /// least work.
 const UNKNOWN_ESTIMATE_MS: u64 = 1_000;
@@ -97,6 +99,8 @@
     pub(super) phase: TaskPhase,
     /// Number of the latest run; 0 if there was none.
     pub(super) run: u32,
+    /// What this owner has seen of that run.
+    pub(super) trace: RunTrace,
     /// Numbers of the runs that failed.
     pub(super) failed: Vec<u32>,
     /// Workers that crashed under its latest runs.
@@ -153,6 +157,7 @@
         Self {
             phase,
             run: record.run,
+            trace: RunTrace::default(),
             failed: record.failed.clone(),
             crashes: record.crashes,
             crashed_run: 0,
--- a/crates/jobs/src/scheduler/mod.rs
+++ b/crates/jobs/src/scheduler/mod.rs
@@ -27,6 +27,7 @@
 //! - `placement`: choice of a worker for each task, and the order of jobs
 //! - `report`: the runs that workers list
 //! - `restoring`: leases of workers while a new owner reads the rows of jobs
+//! - `run_trace`: signs of a run between its start and the end of its worker
 //! - `shares`: division of a pool among customers
 //! - `stall`: runs that make no progress
 //! - `waiting`: jobs that wait for capacity, in the order of their placement
@@ -54,6 +55,7 @@
 mod placement;
 mod report;
 mod restoring;
+mod run_trace;
 mod shares;
 mod stall;
 mod waiting;
@@ -64,6 +66,7 @@
 use std::time;
 
 use crate::evacuation::{EvacuationProgress, StartGuard};
+use crate::evidence::RunSpan;
 use crate::feasibility::FleetCapacity;
 use crate::manifest::JobManifest;
 use crate::name::{CustomerName, DataCentre, JobId, PoolName, QueueName, TaskId, WorkerId};
@@ -292,6 +295,8 @@
         crashes: u32,
         /// Whether the worker ran nothing of other jobs.
         is_isolated: bool,
+        /// For how long the run went on.
+        span: RunSpan,
     },
     /// The evacuation of a data centre began or ended.
     EvacuationChanged {
--- a/crates/jobs/src/scheduler/order.rs
+++ b/crates/jobs/src/scheduler/order.rs
@@ -8,6 +8,7 @@
 use super::advice::StepId;
 use super::entry::{RunLocation, RunProgress, StopProgress, TaskPhase};
 use super::fleet::{ClockSample, ContactState, WorkerEntry};
+use super::run_trace::RunTrace;
 use super::{JobScheduler, RunEndReason, WorkerStatus};
 
 impl JobScheduler {
@@ -80,6 +81,9 @@
         };
         let worker = location.worker.clone();
         self.set_phase(task, TaskPhase::Ordered(location));
+        if let Some(entry) = self.task_mut(task) {
+            entry.trace = RunTrace::ordered(now);
+        }
         self.push_order(&worker, action, now);
     }
 
@@ -135,7 +139,9 @@
             return;
         };
         match response.outcome {
-            OrderOutcome::Accepted => self.start_accepted(task, location, now),
+            OrderOutcome::Accepted => {
+                self.start_accepted(task, location, response.clock_ms, now);
+            }
             OrderOutcome::Unknown => {
                 self.suspend_worker(worker, now);
                 self.stop_task(task, now);
@@ -144,9 +150,18 @@
         }
     }
 
-    fn start_accepted(&mut self, task: &TaskId, location: RunLocation, now: BootTime) {
+    fn start_accepted(
+        &mut self,
+        task: &TaskId,
+        location: RunLocation,
+        clock_ms: Option<u64>,
+        now: BootTime,
+    ) {
         let worker = location.worker.clone();
         self.mark_started(&task.job);
+        if let (Some(entry), Some(clock_ms)) = (self.task_mut(task), clock_ms) {
+            entry.trace.add_sign(clock_ms);
+        }
         let progress = RunProgress {
             confirmed_at: now,
             percent: 0,
--- a/crates/jobs/src/scheduler/report.rs
+++ b/crates/jobs/src/scheduler/report.rs
@@ -39,7 +39,7 @@
             self.apply_ended_run(worker, ended, now);
         }
         for run in &report.running {
-            self.apply_active_run(worker, run, now);
+            self.apply_active_run(worker, run, report.clock_ms, now);
         }
         self.drop_missing_runs(worker, issued_at, report);
         self.pace_best_effort(worker, report, now);
@@ -234,7 +234,13 @@
     }
 
     /// Applies a run that the worker lists as running.
-    fn apply_active_run(&mut self, worker: &WorkerId, listed: &ActiveRun, now: BootTime) {
+    fn apply_active_run(
+        &mut self,
+        worker: &WorkerId,
+        listed: &ActiveRun,
+        clock_ms: u64,
+        now: BootTime,
+    ) {
         self.mark_started(&listed.task.job);
         if !self.is_current(&listed.task, listed.run, worker) {
             let reserved = self.reserved_by_orphan(worker, &listed.task);
@@ -247,6 +253,7 @@
         if listed.checkpoint.is_some() {
             task.checkpoint.clone_from(&listed.checkpoint);
         }
+        task.trace.add_sign(clock_ms);
         confirm_run(task, listed.percent, now);
     }
 
