Weigh the ends of workers before a job is given up for them

Cause: each end of a worker counted the same against every task on it, and three or four of them ended the job. So did starts that the next worker at an address had refused (they never began), and the ends of workers under runs that had gone on for seconds. The other error was of the same judgement: ends of several workers that a new owner found silent when it began counted as one fault of a rack, and against no task.

Hypotheses were: (1) a refused start counts for the orders beside it; (2) one end counts twice; (3) ends of workers count however long their runs went on.

Change: an end counts by how likely it is by chance, from the time that the run had gone on and the rate at which workers of the pool end by themselves (module `evidence`). A run that began nowhere counts for nothing, one that went on for long clears its task. A start on a worker unheard for long says nothing. The evidence is stored as one number (`y`); rows of earlier releases (`x`) are read.

--- a/crates/engine/src/owner/scheduler_event.rs
+++ b/crates/engine/src/owner/scheduler_event.rs
@@ -139,6 +139,7 @@
             crashes,
             is_isolated,
             span,
+            rate,
         } => log_job_event!(
             info,
             event::TASK_SUSPECTED,
@@ -149,6 +150,8 @@
             isolated = is_isolated,
             seen_ms = optional_millis(span.seen),
             at_most_ms = optional_millis(span.at_most),
+            ends_per_s = format!("{:.4}", rate.per_second),
+            ends = rate.ends,
         ),
         SchedulerEvent::EvacuationChanged {
             data_centre,
--- a/crates/jobs/src/record.rs
+++ b/crates/jobs/src/record.rs
@@ -6,6 +6,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::evidence::CrashEvidence;
 use crate::name::{CustomerName, PoolName, QueueName, TaskId, WorkerId};
 use crate::spec::JobSpec;
 use crate::time::WallTime;
@@ -88,33 +89,6 @@
     pub task: TaskId,
 }
 
-/// Workers that crashed under the latest runs of a task; serialized as one number to keep
-/// rows small, twice the count, plus one if all of them crashed at the start.
-#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
-#[serde(from = "u32", into = "u32")]
-pub struct CrashRecord {
-    /// Their number.
-    pub count: u32,
-    /// Whether all of them crashed before they had reported the run.
-    pub is_at_start: bool,
-}
-
-impl From<u32> for CrashRecord {
-    fn from(value: u32) -> Self {
-        Self {
-            count: value / 2,
-            is_at_start: value % 2 == 1,
-        }
-    }
-}
-
-impl From<CrashRecord> for u32 {
-    fn from(record: CrashRecord) -> Self {
-        let doubled = record.count.saturating_mul(2);
-        doubled.saturating_add(u32::from(record.is_at_start))
-    }
-}
-
 /// Stored state of one task. The serialized names are short because the cost of
 /// a row depends on its size.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
@@ -127,9 +101,13 @@
     /// several owners, so a count would include some failures twice.
     #[serde(rename = "f", skip_serializing_if = "Vec::is_empty")]
     pub failed: Vec<u32>,
-    /// Workers that crashed under its latest runs.
-    #[serde(rename = "x", skip_serializing_if = "is_default")]
-    pub crashes: CrashRecord,
+    /// Evidence that it crashes its workers.
+    #[serde(rename = "y", skip_serializing_if = "is_default")]
+    pub crashes: CrashEvidence,
+    /// As an earlier release has stored it: twice the number of crashes, plus one if all of
+    /// them came at the start.
+    #[serde(rename = "x", skip_serializing)]
+    pub earlier_crashes: u32,
     /// Whether the task is done.
     #[serde(rename = "d", skip_serializing_if = "is_default")]
     pub done: bool,
@@ -150,6 +128,16 @@
     pub unchanged: Option<ElapsedWait>,
 }
 
+impl TaskRecord {
+    /// Returns the evidence that the task crashes its workers.
+    pub fn crash_evidence(&self) -> CrashEvidence {
+        if self.crashes == CrashEvidence::default() {
+            return CrashEvidence::unmeasured(self.earlier_crashes / 2);
+        }
+        self.crashes
+    }
+}
+
 fn is_default<T: Default + PartialEq>(value: &T) -> bool {
     *value == T::default()
 }
@@ -193,7 +181,7 @@
         tasks.any(|task| {
             task.done
                 || !task.failed.is_empty()
-                || task.crashes.count > 0
+                || task.crash_evidence().count() > 0
                 || task.checkpoint.is_some()
         })
     }
--- a/crates/jobs/src/scheduler/crash.rs
+++ b/crates/jobs/src/scheduler/crash.rs
@@ -1,40 +1,29 @@
 //! Tasks that crash the workers on which they start.
 //!
 //! Load pattern: a tenth of the jobs of one queue have a task that crashes each worker
-//! within milliseconds, while a dozen other tasks run beside it. A crash counts against
-//! each run on the worker, but only little: a crash of a worker without runs of other jobs
-//! shows which job is to blame, and ends it. Module `isolation` brings that about.
+//! within milliseconds, while a dozen other tasks run beside it; and pools that lose a
+//! worker each second although no task is to blame. The end of a worker is evidence against
+//! each run on it, as module `evidence` weighs it: conclusive evidence ends the job. Module
+//! `isolation` keeps suspected tasks apart, so that few ends are due to others.
 //!
-//! The counts are stored with the job, before the next start. A run that goes on for long
+//! The evidence is stored with the job, before the next start. A run that goes on for long
 //! enough clears its task.
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::mem;
 use std::time;
 
-use crate::evidence::RunSpan;
-use crate::name::{JobId, TaskId, WorkerId};
-use crate::record::{CrashRecord, FailureReason, JobFailure, JobState};
+use crate::evidence::{CrashEvidence, EndRate, EndVerdict, RunSpan};
+use crate::name::{JobId, PoolName, TaskId, WorkerId};
+use crate::record::{FailureReason, JobFailure, JobState};
 use crate::time::BootTime;
 
 use super::entry::{JobEntry, StartCaution, TaskPhase};
 use super::fleet::ContactState;
 use super::{JobScheduler, LossCause, SchedulerEvent};
 
-/// Crashes, the latest of them in isolation, after which a job is given up.
-const ISOLATED_CRASH_LIMIT: u32 = 3;
-
-/// As [`ISOLATED_CRASH_LIMIT`], if all workers crashed before they had reported the run.
-const START_CRASH_LIMIT: u32 = 2;
-
-/// Crashes after which a job is given up whatever ran beside its task.
-pub(super) const CRASH_LIMIT: u32 = 4;
-
-/// Time after which a run clears its task of earlier crashes.
-const CLEARING_TIME: time::Duration = time::Duration::from_secs(10);
-
 /// Time between two looks at the runs of suspected tasks.
-const CLEARING_INTERVAL: time::Duration = time::Duration::from_secs(1);
+const CLEARING_INTERVAL: time::Duration = time::Duration::from_millis(250);
 
 /// Time for which the runs of a lost worker are remembered: the worker may come back with
 /// them, or turn out to have crashed.
@@ -45,24 +34,37 @@
 pub(super) struct LostRun {
     task: TaskId,
     run: u32,
-    /// Whether no report of the worker has listed it.
-    is_unreported: bool,
     /// For how long it went on.
     span: RunSpan,
+    /// What the end says about the task, once that is counted.
+    verdict: Option<EndVerdict>,
 }
 
-/// Runs that were lost with a worker.
-#[derive(Clone, Debug, Default)]
+/// Worker that ended, with its runs.
+#[derive(Clone, Debug)]
 pub(super) struct LostWorker {
     incarnation: u64,
+    pool: Option<PoolName>,
     runs: Vec<LostRun>,
     /// Whether all of them are of one job.
     is_isolated: bool,
+    /// How often it ended by itself before.
+    rate: EndRate,
+    /// Whether it has responded to this owner: otherwise it may have ended long ago.
+    was_in_contact: bool,
     /// Whether the crash is counted against their tasks.
     is_counted: bool,
     lost_at: BootTime,
 }
 
+impl LostWorker {
+    /// Returns whether the worker is taken to have ended by itself: no run that may have
+    /// crashed it had just begun.
+    fn ended_by_itself(&self) -> bool {
+        self.was_in_contact && !self.runs.iter().any(|run| run.span.had_just_begun())
+    }
+}
+
 /// Suspected tasks, and what is known of lost workers.
 #[derive(Clone, Debug, Default)]
 pub(super) struct CrashTracker {
@@ -100,42 +102,49 @@
 }
 
 impl JobScheduler {
-    /// Returns the runs on a worker that may have crashed it: those that were ordered.
-    pub(super) fn runs_on(&self, id: &WorkerId, now: BootTime) -> LostWorker {
+    /// Returns a worker that ends now, with the runs that may have crashed it: those that
+    /// may have begun.
+    pub(super) fn lost_worker(&self, id: &WorkerId, now: BootTime) -> LostWorker {
+        let entry = self.fleet.get(id);
+        let view = entry.and_then(|entry| entry.view.as_ref());
+        let runs = self.lost_runs(id, now);
+        let jobs: BTreeSet<&JobId> = runs.iter().map(|run| &run.task.job).collect();
+        LostWorker {
+            incarnation: entry.map_or(0, |entry| entry.incarnation),
+            pool: view.map(|view| view.pool.clone()),
+            is_isolated: jobs.len() == 1,
+            rate: self.end_rate(id, now),
+            was_in_contact: entry.is_some_and(|entry| entry.contacted_at.is_some()),
+            is_counted: false,
+            lost_at: now,
+            runs,
+        }
+    }
+
+    fn lost_runs(&self, id: &WorkerId, now: BootTime) -> Vec<LostRun> {
         let Some(entry) = self.fleet.get(id) else {
-            return LostWorker::default();
+            return Vec::new();
         };
         let silent_since = entry.silent_since.unwrap_or(now);
+        let heard_at = entry.clock.map(|clock| clock.read_at);
         let reservations = entry.reservations.iter();
         let runs = reservations.filter_map(|(task, held)| {
-            let is_current = self.is_current(task, held.run, id);
-            let phase = self.task(task).map(|task| &task.phase);
-            let is_unreported = match phase.filter(|_| is_current) {
-                Some(TaskPhase::Reserved(_)) => return None,
-                Some(TaskPhase::Ordered(_)) => true,
-                Some(TaskPhase::Running(_, run)) => {
-                    !run.is_reported && entry.contacted_at.is_some()
-                }
-                _ => false,
-            };
-            let trace = self.task(task).filter(|_| is_current);
-            let trace = trace.map(|task| task.trace).unwrap_or_default();
+            let current = self.task(task);
+            let current = current.filter(|_| self.is_current(task, held.run, id));
+            let trace = current.map(|entry| entry.trace).unwrap_or_default();
+            let is_reserved =
+                current.is_some_and(|entry| matches!(entry.phase, TaskPhase::Reserved(_)));
+            if is_reserved || trace.has_not_begun(entry.refused_at) {
+                return None;
+            }
             Some(LostRun {
                 task: task.clone(),
                 run: held.run,
-                is_unreported,
-                span: trace.span(silent_since),
+                span: trace.span(heard_at, silent_since),
+                verdict: None,
             })
         });
-        let runs: Vec<LostRun> = runs.collect();
-        let jobs: BTreeSet<&JobId> = runs.iter().map(|run| &run.task.job).collect();
-        LostWorker {
-            incarnation: entry.incarnation,
-            is_isolated: jobs.len() == 1,
-            is_counted: false,
-            lost_at: now,
-            runs,
-        }
+        runs.collect()
     }
 
     /// Counts a crash against the tasks of the lost runs, or remembers them until it is
@@ -147,21 +156,37 @@
         cause: LossCause,
         now: BootTime,
     ) {
+        let earlier = self.crashes.lost.get(id);
+        if earlier.is_some_and(|earlier| earlier.incarnation == lost.incarnation) {
+            // It has got no run since it was lost.
+            if cause == LossCause::Crashed {
+                self.confirm_loss(id, now);
+            }
+            return;
+        }
         match cause {
             LossCause::Crashed => self.count_crash(id, &mut lost, now),
+            LossCause::SharedFault => {
+                // Only a run that had just begun may have crashed one of these workers.
+                let rate = lost.rate;
+                lost.runs.retain(|run| run.span.is_measured(rate));
+                self.count_crash(id, &mut lost, now);
+            }
             LossCause::Unreachable => {}
-            LossCause::Drained | LossCause::Removed | LossCause::SharedFault => return,
+            LossCause::Drained | LossCause::Removed => return,
         }
         self.crashes.lost.insert(id.clone(), lost);
     }
 
-    /// Handles that a lost worker is no longer listed: it has crashed.
-    pub(super) fn confirm_loss(&mut self, id: &WorkerId, now: BootTime) {
+    /// Handles that a lost worker is no longer listed: it has crashed. Returns whether it
+    /// was one.
+    pub(super) fn confirm_loss(&mut self, id: &WorkerId, now: BootTime) -> bool {
         let Some(mut lost) = self.crashes.lost.remove(id) else {
-            return;
+            return false;
         };
         self.count_crash(id, &mut lost, now);
         self.crashes.lost.insert(id.clone(), lost);
+        true
     }
 
     /// Handles a sign of life of an incarnation of a lost worker: the same one has not
@@ -181,9 +206,14 @@
         if mem::replace(&mut lost.is_counted, true) {
             return;
         }
-        for run in &lost.runs {
-            self.record_crash(id, run, lost.is_isolated, now);
+        if let Some(pool) = lost.pool.as_ref().filter(|_| lost.ended_by_itself()) {
+            self.ends.add(pool, id, now);
+        }
+        let mut runs = mem::take(&mut lost.runs);
+        for run in &mut runs {
+            run.verdict = self.record_crash(id, run, lost, now);
         }
+        lost.runs = runs;
     }
 
     /// Counts the crash of a worker that has started again since an earlier owner stored a
@@ -195,60 +225,82 @@
         run: u32,
         now: BootTime,
     ) {
+        let worker = LostWorker {
+            is_isolated: false,
+            ..self.lost_worker(id, now)
+        };
         let lost = LostRun {
             task: task.clone(),
             run,
-            is_unreported: false,
             span: RunSpan::default(),
+            verdict: None,
         };
-        self.record_crash(id, &lost, false, now);
+        self.record_crash(id, &lost, &worker, now);
     }
 
-    fn record_crash(&mut self, id: &WorkerId, lost: &LostRun, is_isolated: bool, now: BootTime) {
+    /// Counts the end of a worker for or against the task of a run on it; returns what it
+    /// says, unless it does not count.
+    fn record_crash(
+        &mut self,
+        id: &WorkerId,
+        lost: &LostRun,
+        worker: &LostWorker,
+        now: BootTime,
+    ) -> Option<EndVerdict> {
         let is_final = |job: &JobEntry| job.state.is_final();
         if self.jobs.get(&lost.task.job).is_none_or(is_final) {
-            return;
+            return None;
         }
-        let Some(task) = self.task_mut(&lost.task) else {
-            return;
-        };
+        let verdict = EndVerdict::new(&lost.span, worker.rate);
+        let task = self.task_mut(&lost.task)?;
         // A run starts once at most: it crashes no second incarnation of a worker.
         if task.phase == TaskPhase::Done || task.crashed_run == lost.run {
-            return;
+            return None;
         }
         task.crashed_run = lost.run;
-        let earlier = task.crashes;
-        task.crashes = CrashRecord {
-            count: earlier.count.saturating_add(1),
-            is_at_start: lost.is_unreported && (earlier.count == 0 || earlier.is_at_start),
-        };
-        let crashes = task.crashes;
+        let earlier = mem::take(&mut task.crashes);
+        task.crashes = earlier.with(verdict);
+        let evidence = task.crashes;
+        if evidence != earlier {
+            self.mark_changed(&lost.task.job);
+            self.refresh_waiting(&lost.task.job);
+        }
+        match verdict {
+            EndVerdict::Cleared => {
+                self.crashes.suspects.remove(&lost.task);
+                return Some(verdict);
+            }
+            EndVerdict::Neutral => return Some(verdict),
+            EndVerdict::Measured(_) | EndVerdict::Unmeasured => {}
+        }
         self.crashes.add_suspect(lost.task.clone(), now);
-        self.mark_changed(&lost.task.job);
-        self.refresh_waiting(&lost.task.job);
         self.events.push(SchedulerEvent::TaskSuspected {
             task: lost.task.clone(),
             run: lost.run,
             worker: id.clone(),
-            crashes: crashes.count,
-            is_isolated,
+            crashes: evidence.count(),
+            is_isolated: worker.is_isolated,
             span: lost.span,
+            rate: worker.rate,
         });
-        let limit = match (is_isolated, crashes.is_at_start) {
-            (false, _) => CRASH_LIMIT,
-            (true, false) => ISOLATED_CRASH_LIMIT,
-            (true, true) => START_CRASH_LIMIT,
-        };
-        if crashes.count >= limit {
+        let rate = worker
+            .pool
+            .as_ref()
+            .map(|pool| self.pool_end_rate(pool, now));
+        let rate = rate.unwrap_or(worker.rate);
+        if evidence.is_conclusive(rate, worker.is_isolated) {
             self.fail(&lost.task, FailureReason::CrashedWorkers, now);
         }
+        Some(verdict)
     }
 
     fn retract_crash(&mut self, lost: &LostWorker) {
         for run in &lost.runs {
+            let Some(verdict) = run.verdict else {
+                continue;
+            };
             if let Some(task) = self.task_mut(&run.task) {
-                task.crashes.count = task.crashes.count.saturating_sub(1);
-                task.crashes.is_at_start &= task.crashes.count > 0;
+                task.crashes = task.crashes.without(verdict);
                 task.crashed_run = 0;
                 self.mark_changed(&run.task.job);
                 self.refresh_waiting(&run.task.job);
@@ -275,6 +327,7 @@
             return;
         }
         self.crashes.checked_at = now;
+        self.ends.prune(now);
         let is_recent = |lost: &LostWorker| now.saturating_since(lost.lost_at) < LOSS_RETENTION;
         self.crashes.lost.retain(|_, lost| is_recent(lost));
         for (task, crashed_at) in mem::take(&mut self.crashes.suspects) {
@@ -288,24 +341,27 @@
 
     fn is_suspect(&self, task: &TaskId) -> bool {
         let entry = self.task(task);
-        entry.is_some_and(|entry| entry.crashes.count > 0 && entry.phase != TaskPhase::Done)
+        entry.is_some_and(|entry| entry.crashes.count() > 0 && entry.phase != TaskPhase::Done)
     }
 
     fn has_run_for_long(&self, task: &TaskId, now: BootTime) -> bool {
-        let Some(TaskPhase::Running(location, run)) = self.task(task).map(|entry| &entry.phase)
-        else {
+        let Some(entry) = self.task(task) else {
+            return false;
+        };
+        let TaskPhase::Running(location, _) = &entry.phase else {
             return false;
         };
         let worker = self.fleet.get(&location.worker);
         let responds = worker.is_some_and(|entry| entry.contact == ContactState::Responsive);
-        responds && run.is_reported && now.saturating_since(run.confirmed_at) >= CLEARING_TIME
+        let seen = entry.trace.seen();
+        responds && seen.is_some_and(|seen| self.end_rate(&location.worker, now).clears(seen))
     }
 
     fn clear_suspect(&mut self, task: &TaskId) {
         let Some(entry) = self.task_mut(task) else {
             return;
         };
-        entry.crashes = CrashRecord::default();
+        entry.crashes = CrashEvidence::default();
         let worker = entry
             .phase
             .location()
--- a/crates/jobs/src/scheduler/entry.rs
+++ b/crates/jobs/src/scheduler/entry.rs
@@ -3,9 +3,10 @@
 use std::sync;
 use std::time;
 
+use crate::evidence::CrashEvidence;
 use crate::name::{JobId, TaskId, WorkerId};
 use crate::record::{
-    CrashRecord, JobFailure, JobRecord, JobState, OccurrenceRecord, ProgressRecord, TaskRecord,
+    JobFailure, JobRecord, JobState, OccurrenceRecord, ProgressRecord, TaskRecord,
 };
 use crate::spec::{JobSpec, MAX_TASKS, ResourceAmount, StepSpec};
 use crate::time::BootTime;
@@ -103,8 +104,8 @@
     pub(super) trace: RunTrace,
     /// Numbers of the runs that failed.
     pub(super) failed: Vec<u32>,
-    /// Workers that crashed under its latest runs.
-    pub(super) crashes: CrashRecord,
+    /// Evidence that it crashes its workers.
+    pub(super) crashes: CrashEvidence,
     /// Number of the run under which a worker crashed last, as far as this owner knows.
     pub(super) crashed_run: u32,
     /// Latest checkpoint that the task saved.
@@ -115,7 +116,7 @@
     /// Returns what a run of the task is kept apart from that was placed by an earlier owner
     /// or that the task does not want any more.
     pub(super) fn caution(&self) -> StartCaution {
-        match self.crashes.count {
+        match self.crashes.count() {
             0 => StartCaution::None,
             _ => StartCaution::Spread,
         }
@@ -123,7 +124,7 @@
 
     /// Returns whether the next run is to be on a worker without runs of other jobs.
     pub(super) fn wants_isolation(&self) -> bool {
-        self.crashes.count > 1 || self.crashes.is_at_start
+        self.crashes.count() > 1 || self.crashes.is_at_start()
     }
 
     /// Records that a run failed; returns whether it was not recorded before.
@@ -159,7 +160,7 @@
             run: record.run,
             trace: RunTrace::default(),
             failed: record.failed.clone(),
-            crashes: record.crashes,
+            crashes: record.crash_evidence(),
             crashed_run: 0,
             checkpoint: record.checkpoint.clone(),
         }
@@ -178,6 +179,7 @@
             run: self.run,
             failed: self.failed.clone(),
             crashes: self.crashes,
+            earlier_crashes: 0,
             done: false,
             worker: location.map(|location| location.worker.clone()),
             incarnation: location.map_or(0, |location| location.incarnation),
--- a/crates/jobs/src/scheduler/fleet.rs
+++ b/crates/jobs/src/scheduler/fleet.rs
@@ -86,6 +86,8 @@
     pub(super) listed_since: BootTime,
     /// When it stopped responding; none while it responds, or if it never did.
     pub(super) silent_since: Option<BootTime>,
+    /// When the order was issued that another worker at its address has rejected.
+    pub(super) refused_at: Option<BootTime>,
     /// When the renewal of the latest report was sent.
     pub(super) reported_at: BootTime,
     pub(super) clock: Option<ClockSample>,
@@ -281,6 +283,7 @@
         self.contact = ContactState::Unconfirmed;
         self.contacted_at = None;
         self.silent_since = None;
+        self.refused_at = None;
         self.awaited_since = None;
         self.next_renewal = BootTime::default();
         self.consecutive_failures = 0;
--- a/crates/jobs/src/scheduler/isolation.rs
+++ b/crates/jobs/src/scheduler/isolation.rs
@@ -15,7 +15,6 @@
 
 use super::JobScheduler;
 use super::candidate::PlacementCandidate;
-use super::crash::CRASH_LIMIT;
 use super::entry::{StartCaution, TaskEntry, TaskPhase};
 use super::fleet::WorkerEntry;
 use super::placement::PlacementPass;
@@ -34,7 +33,10 @@
 /// tasks to become vacant.
 const ISOLATION_WAIT: time::Duration = time::Duration::from_secs(3);
 
-/// As [`ISOLATION_WAIT`], for a task that may be given up after its next crash.
+/// Crashes after which a task that has waited in vain waits for longer.
+const PATIENT_CRASHES: u32 = 3;
+
+/// As [`ISOLATION_WAIT`], for a task under which so many workers crashed.
 const LAST_ISOLATION_WAIT: time::Duration = time::Duration::from_secs(10);
 
 /// What a run is kept apart from, from the most to the least.
@@ -54,7 +56,7 @@
         let members = self.gang_members(task);
         let crashes = members.iter().filter_map(|member| self.task(member));
         let wants_isolation = crashes.clone().any(TaskEntry::wants_isolation);
-        let count = crashes.map(|entry| entry.crashes.count).max();
+        let count = crashes.map(|entry| entry.crashes.count()).max();
         let waited = members.iter().map(|member| self.crashes.waited(member));
         let waited = waited.min().unwrap_or_default();
         match count.unwrap_or(0) {
@@ -107,7 +109,7 @@
         // The members of a gang are placed together.
         let is_placed_here = waits && is_here && !self.is_gang(task);
         let may_start = is_placed_here && !self.cautions(task).is_empty();
-        may_start.then_some(entry.crashes.count)
+        may_start.then_some(entry.crashes.count())
     }
 
     /// Decides how many more vacant workers of a pool may be kept for isolated tasks.
@@ -180,7 +182,7 @@
 
 /// Returns how long a task under which so many workers crashed waits for a vacant one.
 fn isolation_wait(crashes: u32) -> time::Duration {
-    if crashes + 1 < CRASH_LIMIT {
+    if crashes < PATIENT_CRASHES {
         ISOLATION_WAIT
     } else {
         LAST_ISOLATION_WAIT
--- a/crates/jobs/src/scheduler/lease.rs
+++ b/crates/jobs/src/scheduler/lease.rs
@@ -125,7 +125,7 @@
         let runs: Vec<_> = runs.map(|(task, held)| (task.clone(), held.run)).collect();
         let has_ended = reason == RunEndReason::WorkerReplaced;
         let cause = self.loss_cause(id, entry.is_draining(), has_ended);
-        let lost = self.runs_on(id, now);
+        let lost = self.lost_worker(id, now);
         self.record_loss(id, runs.len() as u32, cause);
         for (task, run) in runs {
             self.drop_run(id, &task, run, reason);
--- a/crates/jobs/src/scheduler/lifecycle.rs
+++ b/crates/jobs/src/scheduler/lifecycle.rs
@@ -54,7 +54,7 @@
         }
         let stored_by = self.stored_by.map_or(now, |stored_by| stored_by.min(now));
         let entry = JobEntry::restore(record, progress, stored_by, now);
-        let suspects = entry.tasks(id).filter(|(_, task)| task.crashes.count > 0);
+        let suspects = entry.tasks(id).filter(|(_, task)| task.crashes.count() > 0);
         for (task, _) in suspects {
             self.crashes.add_suspect(task, BootTime::default());
         }
--- a/crates/jobs/src/scheduler/listing.rs
+++ b/crates/jobs/src/scheduler/listing.rs
@@ -45,7 +45,7 @@
         // Workers renew their entries all the time; only a change matters to placement.
         let has_changed =
             !entry.is_listed || entry.is_refused || entry.view.as_ref() != Some(&view);
-        if !entry.is_listed || is_newer {
+        if !entry.is_listed {
             entry.listed_since = now;
         }
         entry.is_listed = true;
@@ -75,7 +75,7 @@
 
     /// Handles the removal of a worker's entry from the list.
     pub fn worker_unlisted(&mut self, id: &WorkerId, now: BootTime) {
-        self.confirm_loss(id, now);
+        let was_lost = self.confirm_loss(id, now);
         let Some(entry) = self.fleet.get_mut(id) else {
             return;
         };
@@ -83,6 +83,11 @@
             return;
         }
         entry.is_listed = false;
+        let ended_by_itself =
+            entry.reservations.is_empty() && !entry.is_draining() && !entry.is_blocked;
+        if ended_by_itself && !was_lost {
+            self.note_end(id, now);
+        }
         self.record_status(id, WorkerStatus::Unlisted);
     }
 
@@ -117,10 +122,11 @@
         now: BootTime,
     ) {
         let cause = self.loss_cause(id, was_draining, true);
-        let lost = self.runs_on(id, now);
+        let lost = self.lost_worker(id, now);
         let Some(entry) = self.fleet.get_mut(id) else {
             return;
         };
+        entry.listed_since = now;
         let dropped = entry.begin_incarnation(incarnation);
         self.record_loss(id, dropped.len() as u32, cause);
         self.record_status(id, WorkerStatus::Replaced);
--- a/crates/jobs/src/scheduler/loss.rs
+++ b/crates/jobs/src/scheduler/loss.rs
@@ -78,6 +78,10 @@
         let (Some(view), Some(silent_since)) = (&lost.view, lost.silent_since) else {
             return false;
         };
+        if lost.contacted_at.is_none() {
+            // When it became silent is not known.
+            return false;
+        }
         let in_rack = |entry: &WorkerEntry| {
             let other = entry.view.as_ref();
             view.rack.is_some() && other.is_some_and(|other| other.rack == view.rack)
@@ -104,6 +108,7 @@
         let mut count = SilentCount::default();
         for (_, entry) in self.fleet.iter().filter(|(_, entry)| is_member(entry)) {
             match entry.silent_since {
+                _ if entry.silent_since.is_some() && entry.contacted_at.is_none() => {}
                 Some(at) if at.abs_diff(silent_since) <= SIMULTANEOUS => count.silent += 1,
                 Some(_) => {}
                 None => {
--- a/crates/jobs/src/scheduler/mod.rs
+++ b/crates/jobs/src/scheduler/mod.rs
@@ -9,6 +9,7 @@
 //! - `candidate`: workers that may get tasks, while tasks are placed
 //! - `changes`: jobs with unstored changes, and what waits for their rows
 //! - `crash`: tasks that crash the workers on which they start
+//! - `end_rate`: how often workers end by themselves
 //! - `entry`: jobs, steps and tasks in memory
 //! - `finished`: jobs whose final state is stored, until their rows are deleted
 //! - `evacuation`: evacuated data centres, where nothing starts
@@ -37,6 +38,7 @@
 mod candidate;
 mod changes;
 mod crash;
+mod end_rate;
 mod entry;
 mod evacuation;
 mod finished;
@@ -66,7 +68,7 @@
 use std::time;
 
 use crate::evacuation::{EvacuationProgress, StartGuard};
-use crate::evidence::RunSpan;
+use crate::evidence::{EndRate, RunSpan};
 use crate::feasibility::FleetCapacity;
 use crate::manifest::JobManifest;
 use crate::name::{CustomerName, DataCentre, JobId, PoolName, QueueName, TaskId, WorkerId};
@@ -79,6 +81,7 @@
 use backlog::BacklogTracker;
 use changes::ChangeTracker;
 use crash::CrashTracker;
+use end_rate::EndHistory;
 use entry::JobEntry;
 use evacuation::EvacuationTracker;
 use finished::FinishedJobs;
@@ -297,6 +300,8 @@
         is_isolated: bool,
         /// For how long the run went on.
         span: RunSpan,
+        /// How often the worker ended by itself before.
+        rate: EndRate,
     },
     /// The evacuation of a data centre began or ended.
     EvacuationChanged {
@@ -396,6 +401,8 @@
     advice: AdviceCache,
     changes: ChangeTracker,
     crashes: CrashTracker,
+    /// Ends of workers that this owner knows of.
+    ends: EndHistory,
     /// Leases of earlier owners; none if nothing is known of them.
     inherited: Option<InheritedLeases>,
     lease_ledger: LeaseLedger,
@@ -435,6 +442,7 @@
             advice: AdviceCache::default(),
             changes: ChangeTracker::default(),
             crashes: CrashTracker::default(),
+            ends: EndHistory::default(),
             inherited: None,
             lease_ledger: LeaseLedger::default(),
             stored_by: None,
--- a/crates/jobs/src/scheduler/order.rs
+++ b/crates/jobs/src/scheduler/order.rs
@@ -188,9 +188,10 @@
         now: BootTime,
     ) {
         let reason = RunEndReason::Rejected(outcome);
+        let ordered_at = self.task(task).and_then(|entry| entry.trace.ordered_at());
         self.drop_run(worker, task, run, reason);
         match outcome {
-            OrderOutcome::Replaced => self.end_worker(worker, now),
+            OrderOutcome::Replaced => self.end_worker(worker, ordered_at, now),
             OrderOutcome::Unhealthy | OrderOutcome::Full => self.suspend_worker(worker, now),
             OrderOutcome::Unsent => self.stop_incomplete_gang(task, run, now),
             OrderOutcome::Unpermitted => self.advice.drop_permit(&step_of(task), worker),
@@ -235,11 +236,26 @@
             OrderOutcome::Accepted | OrderOutcome::Stale => {
                 self.stop_accepted(worker, task, run, now);
             }
-            OrderOutcome::Replaced => self.end_worker(worker, now),
+            OrderOutcome::Replaced => {
+                let ordered_at = self.stop_ordered_at(worker, task, run);
+                self.end_worker(worker, ordered_at, now);
+            }
             _ => {}
         }
     }
 
+    /// Returns when the latest order to stop a run was issued.
+    fn stop_ordered_at(&self, worker: &WorkerId, task: &TaskId, run: u32) -> Option<BootTime> {
+        let reservation = self.fleet.get(worker)?.reservations.get(task)?;
+        if let Some(stop) = reservation.orphan_stop {
+            return Some(stop.ordered_at);
+        }
+        match &self.task(task).filter(|entry| entry.run == run)?.phase {
+            TaskPhase::Stopping(_, stop) => Some(stop.ordered_at),
+            _ => None,
+        }
+    }
+
     fn stop_accepted(&mut self, worker: &WorkerId, task: &TaskId, run: u32, now: BootTime) {
         let reservation = self
             .fleet
@@ -282,7 +298,7 @@
         }
         self.note_silent(worker, now);
         if outcome == OrderOutcome::Replaced {
-            self.end_worker(worker, now);
+            self.end_worker(worker, Some(issued_at), now);
         }
     }
 
@@ -299,10 +315,13 @@
         }
     }
 
-    /// Handles that another worker responds at the address of a worker: it has ended, and
-    /// none of its runs is left.
-    fn end_worker(&mut self, worker: &WorkerId, now: BootTime) {
+    /// Handles that another worker at the address of a worker has rejected the order that was
+    /// issued at `refused_at`: it has ended, and none of its runs is left.
+    fn end_worker(&mut self, worker: &WorkerId, refused_at: Option<BootTime>, now: BootTime) {
         self.note_silent(worker, now);
+        if let Some(entry) = self.fleet.get_mut(worker) {
+            entry.refused_at = refused_at;
+        }
         if self.is_restoring {
             // Which of its runs are current is not known yet.
             return;
--- a/crates/jobs/src/spec.rs
+++ b/crates/jobs/src/spec.rs
@@ -16,7 +16,7 @@
 
 /// Estimated largest size of the stored progress of a task, in bytes: its run, a few
 /// failed runs, the crashes of its workers, and its worker with its incarnation.
-const TASK_BYTES: usize = 78;
+const TASK_BYTES: usize = 82;
 
 /// Estimated largest size of the checkpoint of a task in its stored progress, in bytes.
 const CHECKPOINT_BYTES: usize = 25;
