Make the test of refused starts meet the fault it guards against

Cause: starts_that_a_replaced_worker_refuses_speak_against_no_task passed on the code before the fix as well: the returned worker was chosen before the replaced ones, so that no order was refused.

Change: the first worker and the next ones by id are replaced at once, so that the second run of each task meets a refusal.

--- a/crates/jobs/tests/crashing_workers.rs
+++ b/crates/jobs/tests/crashing_workers.rs
@@ -67,19 +67,17 @@
 #[test]
 fn starts_that_a_replaced_worker_refuses_speak_against_no_task() {
     let mut fleet = FakeFleet::of_size(4, 8_000);
-    fleet.crash_plan.return_mode = ReturnMode::SameAddress;
     fleet.advance(200);
     let job = fleet.submit("j", vec![step_spec(6, 1_000)], 3_000);
-    fleet.advance(70);
+    while fleet.starts.len() < 6 {
+        fleet.advance(10);
+    }
     let (_, _, first, _) = fleet.starts[0].clone();
-    let now = fleet.now;
-    for worker in ["w0", "w1", "w2", "w3"] {
-        if worker != first.as_str() {
-            // Idle: nothing shows that it has ended before an order meets its successor.
-            fleet.worker(worker).is_replaced = true;
-        }
+    fleet.worker(first.as_str()).running.clear();
+    for worker in [first.as_str(), "w0", "w1"] {
+        // The idle ones show that they have ended only when an order meets their successors.
+        fleet.worker(worker).is_replaced = true;
     }
-    fleet.crash_plan.crash(&first, now);
     fleet.advance(20_000);
     assert_eq!(fleet.state(&job), JobState::Completed);
 }
