--- a/crates/jobs/src/scheduler/fleet.rs
+++ b/crates/jobs/src/scheduler/fleet.rs
@@ -285,6 +285,8 @@
         self.silent_since = None;
         self.refused_at = None;
         self.awaited_since = None;
+        // The response to a renewal that is under way is that of the previous one.
+        self.renewal_sent_at = None;
         self.next_renewal = BootTime::default();
         self.consecutive_failures = 0;
         self.counted_number = 0;
--- /dev/null
+++ b/crates/jobs/tests/late_reports.rs
@@ -0,0 +1,80 @@
+//! Reports of workers that arrive after the worker has started again.
+
+mod common;
+
+use common::{FakeFleet, step_spec, task_id};
+use redwing_jobs::worker::{EndedRun, ExitKind, RenewalReport};
+use redwing_jobs::{BootTime, JobState, WorkerId};
+
+/// Returns a fleet of one worker that has started again, a report of its earlier life, and when
+/// the renewal was sent that it responds to.
+fn restarted_fleet() -> (FakeFleet, RenewalReport, BootTime) {
+    let mut fleet = FakeFleet::of_size(1, 8_000);
+    let earlier = fleet.submit("earlier", vec![step_spec(8, 1_000)], 300);
+    fleet.advance(200);
+    let issued_at = fleet.now;
+    let ended = (0..8).map(|index| EndedRun {
+        number: u64::from(index) + 1,
+        task: task_id(&earlier, 0, index),
+        run: 1,
+        kind: ExitKind::Done,
+        checkpoint: None,
+    });
+    let report = RenewalReport {
+        incarnation: 1,
+        clock_ms: fleet.now.as_millis(),
+        running: Vec::new(),
+        ended: ended.collect(),
+        malformed: 0,
+    };
+    fleet.advance(2_000);
+    assert_eq!(fleet.state(&earlier), JobState::Completed);
+    let worker = fleet.worker("w0");
+    worker.view.incarnation = 2;
+    worker.next_ended_number = 1;
+    worker.ended_runs.clear();
+    worker.closed_runs.clear();
+    worker.fencing_token = 0;
+    worker.lease_end_ms = 0;
+    let view = worker.view.clone();
+    let now = fleet.now;
+    fleet.scheduler.worker_listed(view, now);
+    fleet.advance(100);
+    (fleet, report, issued_at)
+}
+
+/// Guards against ends of a new life that are taken for known, because a late report of the
+/// earlier one had listed as many: their tasks are done, and started again (TWICE).
+#[test]
+fn a_late_report_of_an_earlier_life_acknowledges_no_end_of_the_new_one() {
+    let (mut fleet, report, issued_at) = restarted_fleet();
+    let job = fleet.submit("j", vec![step_spec(4, 1_000)], 200);
+    fleet.advance(50);
+    let now = fleet.now;
+    let worker = WorkerId::new("w0");
+    fleet
+        .scheduler
+        .handle_renewal_report(&worker, issued_at, &report, now);
+    let before = fleet.starts.len();
+    fleet.advance(5_000);
+    assert_eq!(fleet.state(&job), JobState::Completed);
+    assert_eq!(fleet.starts.len(), before);
+}
+
+/// Guards against runs of a new life that are taken for vanished because a late report of the
+/// earlier one does not list them.
+#[test]
+fn a_late_report_of_an_earlier_life_drops_no_run_of_the_new_one() {
+    let (mut fleet, report, _) = restarted_fleet();
+    fleet.submit("j", vec![step_spec(4, 1_000)], 3_000);
+    fleet.advance(500);
+    let now = fleet.now;
+    let worker = WorkerId::new("w0");
+    fleet
+        .scheduler
+        .handle_renewal_report(&worker, now, &report, now);
+    let before = fleet.starts.len();
+    fleet.advance(2_000);
+    assert_eq!(fleet.starts.len(), before);
+    fleet.assert_no_double_run();
+}
