Say once when a run had just begun, and name its limits apart

RunSpan derived twice for how long a run went on at most; EndVerdict::new had a nested condition; MOMENT and JUST_BEGUN named each other's meaning; two places of loss.rs checked apart that a silent worker had never responded; both tests of late reports handed the report in by the same lines.

Values, decisions and assertions are the same.

--- a/crates/jobs/src/evidence.rs
+++ b/crates/jobs/src/evidence.rs
@@ -32,14 +32,16 @@
 /// Time after which a run speaks for its task, however rarely workers end.
 const LONGEST_TRIAL: time::Duration = time::Duration::from_secs(10);
 
-/// Longest run after whose end its worker is not taken to have ended by itself.
-const MOMENT: time::Duration = time::Duration::from_millis(100);
+/// Longest run that had just begun: its worker is not taken to have ended by itself.
+const JUST_BEGUN: time::Duration = time::Duration::from_millis(100);
 
-/// Longest run, on average, that counts as just begun.
-const JUST_BEGUN: time::Duration = time::Duration::from_millis(500);
+/// Longest average of the runs of a task whose workers ended at the start.
+const LONGEST_START: time::Duration = time::Duration::from_millis(500);
 
-/// Largest of each number in a serialized [`CrashEvidence`].
+/// Largest number of ends of either kind in a [`CrashEvidence`]: one digit.
 const MAX_COUNT: u32 = 9;
+
+/// Largest sum in a [`CrashEvidence`]: three digits.
 const MAX_SUM: u32 = 999;
 
 /// Bounds of the time for which a run went on until its worker ended.
@@ -65,14 +67,25 @@
 
     /// Returns whether the run is known to have begun milliseconds before that end.
     pub fn had_just_begun(&self) -> bool {
-        let longest = self.at_most.filter(|_| self.seen.is_some());
-        longest.is_some_and(|longest| longest <= MOMENT)
+        self.longest().is_some_and(|longest| longest <= JUST_BEGUN)
     }
 
     fn measured(&self, rate: EndRate) -> Option<time::Duration> {
-        // Without any sign the run may not have begun.
-        let longest = self.at_most.filter(|_| self.seen.is_some());
-        longest.filter(|longest| rate.chance(*longest) < UNMEASURED_CHANCE)
+        let is_short = |longest: &time::Duration| rate.chance(*longest) < UNMEASURED_CHANCE;
+        self.longest().filter(is_short)
+    }
+
+    /// Returns for how long the run went on at most; none if it may not have begun, as without
+    /// any sign of it.
+    fn longest(&self) -> Option<time::Duration> {
+        self.at_most.filter(|_| self.seen.is_some())
+    }
+
+    /// Returns whether there is no sign of the run and its worker may well have ended before
+    /// it could begin.
+    fn may_not_have_begun(&self, rate: EndRate) -> bool {
+        let is_long = |unheard| rate.chance(unheard) >= UNMEASURED_CHANCE;
+        self.seen.is_none() && self.unheard.is_some_and(is_long)
     }
 }
 
@@ -119,13 +132,9 @@
         if span.seen.is_some_and(|seen| rate.clears(seen)) {
             return Self::Cleared;
         }
-        let may_not_have_begun = span.seen.is_none()
-            && span
-                .unheard
-                .is_some_and(|unheard| rate.chance(unheard) >= UNMEASURED_CHANCE);
         match span.measured(rate) {
             Some(longest) => Self::Measured(longest),
-            None if may_not_have_begun => Self::Neutral,
+            None if span.may_not_have_begun(rate) => Self::Neutral,
             None => Self::Unmeasured,
         }
     }
@@ -196,9 +205,9 @@
         }
     }
 
-    /// Returns whether the runs had just begun.
+    /// Returns whether all workers ended soon after the start of the run.
     pub fn is_at_start(&self) -> bool {
-        let limit = self.measured * log_tenths(JUST_BEGUN);
+        let limit = self.measured * log_tenths(LONGEST_START);
         self.measured > 0 && self.unmeasured == 0 && self.log_sum <= limit
     }
 
--- a/crates/jobs/src/scheduler/crash.rs
+++ b/crates/jobs/src/scheduler/crash.rs
@@ -258,7 +258,7 @@
             return None;
         }
         task.crashed_run = lost.run;
-        let earlier = mem::take(&mut task.crashes);
+        let earlier = task.crashes;
         task.crashes = earlier.with(verdict);
         let evidence = task.crashes;
         if evidence != earlier {
--- a/crates/jobs/src/scheduler/loss.rs
+++ b/crates/jobs/src/scheduler/loss.rs
@@ -75,13 +75,11 @@
     /// Returns whether most workers of the rack or the data centre of `lost` became silent
     /// when it did.
     fn shares_fault(&self, lost: &WorkerEntry) -> bool {
-        let (Some(view), Some(silent_since)) = (&lost.view, lost.silent_since) else {
+        // Of a worker that never responded to this owner it is not known when it became silent.
+        let silent_since = lost.silent_since.filter(|_| lost.contacted_at.is_some());
+        let (Some(view), Some(silent_since)) = (&lost.view, silent_since) else {
             return false;
         };
-        if lost.contacted_at.is_none() {
-            // When it became silent is not known.
-            return false;
-        }
         let in_rack = |entry: &WorkerEntry| {
             let other = entry.view.as_ref();
             view.rack.is_some() && other.is_some_and(|other| other.rack == view.rack)
@@ -108,7 +106,7 @@
         let mut count = SilentCount::default();
         for (_, entry) in self.fleet.iter().filter(|(_, entry)| is_member(entry)) {
             match entry.silent_since {
-                _ if entry.silent_since.is_some() && entry.contacted_at.is_none() => {}
+                Some(_) if entry.contacted_at.is_none() => {}
                 Some(at) if at.abs_diff(silent_since) <= SIMULTANEOUS => count.silent += 1,
                 Some(_) => {}
                 None => {
--- a/crates/jobs/tests/late_reports.rs
+++ b/crates/jobs/tests/late_reports.rs
@@ -43,6 +43,24 @@
     (fleet, report, issued_at)
 }
 
+/// Hands a report in as the response to the renewal that was sent at `issued_at`, and advances
+/// time; returns how many runs have started since.
+fn starts_after(
+    fleet: &mut FakeFleet,
+    issued_at: BootTime,
+    report: &RenewalReport,
+    duration_ms: u64,
+) -> usize {
+    let now = fleet.now;
+    let worker = WorkerId::new("w0");
+    fleet
+        .scheduler
+        .handle_renewal_report(&worker, issued_at, report, now);
+    let before = fleet.starts.len();
+    fleet.advance(duration_ms);
+    fleet.starts.len() - before
+}
+
 /// Guards against ends of a new life that are taken for known, because a late report of the
 /// earlier one had listed as many: their tasks are done, and started again (TWICE).
 #[test]
@@ -50,15 +68,9 @@
     let (mut fleet, report, issued_at) = restarted_fleet();
     let job = fleet.submit("j", vec![step_spec(4, 1_000)], 200);
     fleet.advance(50);
-    let now = fleet.now;
-    let worker = WorkerId::new("w0");
-    fleet
-        .scheduler
-        .handle_renewal_report(&worker, issued_at, &report, now);
-    let before = fleet.starts.len();
-    fleet.advance(5_000);
+    let starts = starts_after(&mut fleet, issued_at, &report, 5_000);
     assert_eq!(fleet.state(&job), JobState::Completed);
-    assert_eq!(fleet.starts.len(), before);
+    assert_eq!(starts, 0);
 }
 
 /// Guards against runs of a new life that are taken for vanished because a late report of the
@@ -69,12 +81,7 @@
     fleet.submit("j", vec![step_spec(4, 1_000)], 3_000);
     fleet.advance(500);
     let now = fleet.now;
-    let worker = WorkerId::new("w0");
-    fleet
-        .scheduler
-        .handle_renewal_report(&worker, now, &report, now);
-    let before = fleet.starts.len();
-    fleet.advance(2_000);
-    assert_eq!(fleet.starts.len(), before);
+    let starts = starts_after(&mut fleet, now, &report, 2_000);
+    assert_eq!(starts, 0);
     fleet.assert_no_double_run();
 }
