--- a/review/rig/src/scenario.rs
+++ b/review/rig/src/scenario.rs
@@ -74,6 +74,7 @@
             "same-id" => self.same_id(),
             "slow-progress" => self.slow_progress(),
             "open-upkeep" => self.open_upkeep(),
+            "failed-starts" => self.failed_starts(),
             _ => Err(format!("there is no case {case:?}")),
         };
         let outcome = match result {
@@ -95,8 +96,8 @@
     }
 
     /// Starts workers, platform and processes, and waits until a job has run.
-    fn open(&self, clock_rate: f64) -> Result<Stage, String> {
-        let workers = (1..=WORKERS).map(|number| {
+    fn open(&self, clock_rate: f64, worker_count: usize) -> Result<Stage, String> {
+        let workers = (1..=worker_count).map(|number| {
             let shape = WorkerShape {
                 service: "reports".to_owned(),
                 zone: "zone-a".to_owned(),
@@ -163,7 +164,7 @@
         const IDLE_MS: u64 = 80_000;
         const CUT_AFTER_MS: u64 = 300;
         const CUT_MS: u64 = 5_500;
-        let stage = self.open(0.981)?;
+        let stage = self.open(0.981, WORKERS)?;
         sleep_ms(IDLE_MS);
         let id = "00000000000000b1";
         if !stage
@@ -205,7 +206,7 @@
         const JOBS: usize = 40;
         const WIDTH: u32 = 24;
         const RESTART_MS: u64 = 3_500;
-        let mut stage = self.open(1.0)?;
+        let mut stage = self.open(1.0, WORKERS)?;
         let ids: Vec<String> = (0..JOBS)
             .map(|job| format!("{:016x}", 0xc00 + job))
             .collect();
@@ -259,7 +260,7 @@
     /// ids.
     fn same_id(&self) -> Result<Vec<String>, String> {
         const FINISH_MS: u64 = 14_000;
-        let stage = self.open(1.0)?;
+        let stage = self.open(1.0, WORKERS)?;
         let machines = stage.platform.machine_names();
         if self.has_trouble {
             let wave =
@@ -301,7 +302,7 @@
         const FINISH_MS: u64 = 14_000;
         const OBSERVED_MS: u64 = 25_000;
         const IDLE_LIMIT_MS: u64 = 3_000;
-        let stage = self.open(1.0)?;
+        let stage = self.open(1.0, WORKERS)?;
         let long = if self.has_trouble {
             "300000+1"
         } else {
@@ -359,13 +360,59 @@
         Ok(breaks)
     }
 
+    /// One of twelve workers answers 400 to starts for a while.
+    fn failed_starts(&self) -> Result<Vec<String>, String> {
+        const WIDE_FLEET: usize = 12;
+        const FAILING_MS: u64 = 6_500;
+        const BETWEEN_MS: u64 = 60;
+        let stage = self.open(1.0, WIDE_FLEET)?;
+        let ended_ms = clock::now_ms() + FAILING_MS;
+        // The first job has run on the worker that is preferred.
+        let grey = self.record.runs().first().map(|run| run.worker.clone());
+        let grey = stage
+            .workers
+            .iter()
+            .find(|worker| Some(&worker.id) == grey.as_ref());
+        let grey = grey.ok_or("there is no such worker")?;
+        grey.set_refusing(self.has_trouble);
+        let mut ids = Vec::new();
+        while clock::now_ms() < ended_ms {
+            let id = format!("{:016x}", 0x1100 + ids.len());
+            if stage
+                .fleet
+                .submit(&id, &job_body("300+600", 6, 1_800, 1_024, 600))
+            {
+                ids.push(id);
+            }
+            sleep_ms(BETWEEN_MS);
+        }
+        grey.set_refusing(false);
+        sleep_ms(5_000);
+        let has_failed_run = |id: &str| {
+            let runs = self.runs_of(id).into_iter();
+            runs.into_iter()
+                .any(|run| run.ended.is_some_and(|(_, how)| how == "failed"))
+        };
+        let is_failed = |id: &&String| stage.fleet.state(id).contains("failed");
+        let failed: Vec<&String> = ids.iter().filter(is_failed).collect();
+        let uncaused = failed.iter().filter(|id| !has_failed_run(id)).count();
+        let mut breaks = self.record.twice();
+        if uncaused > 0 {
+            breaks.push(format!(
+                "{uncaused} of {} accepted jobs are shown as failed, the first of them {}, and none of their runs has ended failed",
+                ids.len(), failed[0]
+            ));
+        }
+        Ok(breaks)
+    }
+
     /// The owner is killed while calls for machines go unanswered, after it has ordered the
     /// upkeep of two empty machines.
     fn open_upkeep(&self) -> Result<Vec<String>, String> {
         const SILENT_MS: u64 = 5_000;
         const KILL_AFTER_MS: u64 = 1_200;
         const RESTART_MS: u64 = 3_500;
-        let mut stage = self.open(1.0)?;
+        let mut stage = self.open(1.0, WORKERS)?;
         let lasting = |count: usize| {
             let step = json!({"count": count, "cpu": 26_000, "memMb": 1_024, "longRunning": true,
                 "maxPerServer": 1, "maxUnavailable": 1, "estimateMs": 900});
--- a/review/rig/src/worker.rs
+++ b/review/rig/src/worker.rs
@@ -142,6 +142,8 @@
     /// None while the worker is down.
     life: Option<Life>,
     is_cut: bool,
+    /// Whether it answers 400 to all starts and does nothing.
+    refuses_starts: bool,
 }
 
 /// Worker with its address.
@@ -182,6 +184,7 @@
                 state: Mutex::new(State {
                     life: Some(Life::new()),
                     is_cut: false,
+                    refuses_starts: false,
                 }),
                 changed: Condvar::new(),
             }
@@ -195,6 +198,12 @@
         self.changed.notify_all();
     }
 
+    /// Makes the worker answer 400 to all starts without carrying them out, while its status
+    /// check and its lists are good; or ends that.
+    pub fn set_refusing(&self, refuses_starts: bool) {
+        self.lock().refuses_starts = refuses_starts;
+    }
+
     /// Ends the life of the worker with all that it runs, for the reason `how`.
     pub fn end_life(&self, how: &'static str) {
         let mut state = self.lock();
@@ -308,6 +317,12 @@
         }
         let reply = match request.path.as_str() {
             "/health" => Reply::Send(200, "{}".to_owned()),
+            "/run-start" if self.lock().refuses_starts => {
+                let task = body["task"].as_str().unwrap_or_default();
+                let text = format!("start of {task} at {}: answered 400, not begun", self.id);
+                self.record.line(&text);
+                Reply::Send(400, "{}".to_owned())
+            }
             "/run-start" => self.with_life(&body, |life| self.start_run(life, &body)),
             "/run-stop" => self.with_life(&body, |life| self.stop_run(life, &body)),
             "/pace" => self.with_life(&body, |_| Ok(())),
