Make the simulated workers as strict as the platform's

Cause: the workers of crates/jobs/tests listed all their ends, had the owner's own clock, granted leases of any length and forgot little when they started again.

Change: a worker has a clock of its own, with a rate, that starts anew with each incarnation; it shortens leases to 10 s, lists 500 ends at a time, includes its clock in each of its responses, and takes the lease of a start that it rejects as old. A new incarnation is begun in one place, which six tests had each written out.

--- a/crates/jobs/tests/common/crash.rs
+++ b/crates/jobs/tests/common/crash.rs
@@ -126,12 +126,8 @@
             ReturnMode::Never => {}
             ReturnMode::NewIncarnation => {
                 let worker = self.worker(id.as_str());
-                worker.view.incarnation += 1;
+                worker.restart(now);
                 worker.is_unresponsive = false;
-                worker.next_ended_number = 1;
-                worker.closed_runs.clear();
-                worker.fencing_token = 0;
-                worker.lease_end_ms = 0;
                 let view = worker.view.clone();
                 self.scheduler.worker_listed(view, now);
             }
--- a/crates/jobs/tests/common/mod.rs
+++ b/crates/jobs/tests/common/mod.rs
@@ -31,7 +31,7 @@
 pub(crate) use sample::{
     manifest, manifest_parts_with_limit, manifest_with_limit, step_spec, task_id,
 };
-pub(crate) use worker::{FakeRun, FakeWorker};
+pub(crate) use worker::{FakeRun, FakeWorker, MAX_LISTED_ENDS};
 
 /// Simulated time between two ticks.
 pub(crate) const TICK_INTERVAL: time::Duration = time::Duration::from_millis(10);
@@ -425,10 +425,12 @@
         report: Option<RenewalReport>,
     ) {
         let now = self.now;
-        let is_accepted = outcome == OrderOutcome::Accepted;
+        let worker = self.workers.get(&order.worker);
+        // Only the worker itself includes its clock.
+        let is_own = !matches!(outcome, OrderOutcome::Replaced | OrderOutcome::Unknown);
         let response = OrderResponse {
             outcome,
-            clock_ms: is_accepted.then_some(now.as_millis()),
+            clock_ms: worker.filter(|_| is_own).map(|worker| worker.clock_ms(now)),
         };
         match &order.action {
             OrderAction::Start { task, run, .. } => {
@@ -480,6 +482,10 @@
                 checkpoint,
                 ..
             } => {
+                if *lease_end_ms <= worker.clock_ms(now) {
+                    return (OrderOutcome::Expired, None);
+                }
+                worker.extend_lease(*lease_end_ms, now);
                 let is_stale = worker
                     .closed_runs
                     .get(task)
@@ -487,10 +493,6 @@
                 if is_stale {
                     return (OrderOutcome::Stale, None);
                 }
-                if *lease_end_ms < now.as_millis() {
-                    return (OrderOutcome::Expired, None);
-                }
-                worker.lease_end_ms = worker.lease_end_ms.max(*lease_end_ms);
                 let duration = task_durations.get(&task.job);
                 worker.running.insert(
                     task.clone(),
@@ -525,7 +527,7 @@
                         .ended_runs
                         .retain(|ended_run| ended_run.number > *acknowledged_number);
                 }
-                worker.lease_end_ms = worker.lease_end_ms.max(lease_end_ms.unwrap_or(0));
+                worker.extend_lease(lease_end_ms.unwrap_or(0), now);
                 (OrderOutcome::Accepted, Some(worker.renewal_report(now)))
             }
             OrderAction::Pace { task, percent, .. } => {
--- a/crates/jobs/tests/common/worker.rs
+++ b/crates/jobs/tests/common/worker.rs
@@ -1,12 +1,19 @@
 //! In-memory worker.
 
 use std::collections::BTreeMap;
+use std::time;
 
 use redwing_jobs::name::{PoolName, WorkerLabel};
 use redwing_jobs::spec::ResourceAmount;
 use redwing_jobs::worker::{ActiveRun, EndedRun, ExitKind, RenewalReport, WorkerView};
 use redwing_jobs::{BootTime, TaskId, WorkerId};
 
+/// Longest lease that a worker grants; a longer one is shortened.
+const MAX_LEASE: time::Duration = time::Duration::from_millis(10_000);
+
+/// Largest number of ended runs in one list.
+pub(crate) const MAX_LISTED_ENDS: usize = 500;
+
 /// Run on an in-memory worker.
 #[derive(Clone, Debug)]
 pub(crate) struct FakeRun {
@@ -32,7 +39,14 @@
     pub(crate) running: BTreeMap<TaskId, FakeRun>,
     pub(crate) ended_runs: Vec<EndedRun>,
     pub(crate) next_ended_number: u64,
+    /// How its runs have ended so far.
+    pub(crate) exits: Vec<ExitKind>,
+    /// End of the lease on the worker's clock.
     pub(crate) lease_end_ms: u64,
+    /// When the worker's clock was at zero.
+    pub(crate) born_at: BootTime,
+    /// Rate of the worker's clock.
+    pub(crate) clock_rate: f64,
     /// Highest run number of each task that was stopped or ended in this
     /// incarnation.
     pub(crate) closed_runs: BTreeMap<TaskId, u32>,
@@ -77,7 +91,10 @@
             running: BTreeMap::new(),
             ended_runs: Vec::new(),
             next_ended_number: 1,
+            exits: Vec::new(),
             lease_end_ms: 0,
+            born_at: BootTime::default(),
+            clock_rate: 1.0,
             closed_runs: BTreeMap::new(),
             is_listed: true,
             is_replaced: false,
@@ -89,11 +106,41 @@
         }
     }
 
+    /// Begins a new incarnation of the worker, which knows nothing of the one before.
+    pub(crate) fn restart(&mut self, now: BootTime) {
+        self.view.incarnation += 1;
+        self.running.clear();
+        self.ended_runs.clear();
+        self.next_ended_number = 1;
+        self.closed_runs.clear();
+        self.fencing_token = 0;
+        self.lease_end_ms = 0;
+        self.born_at = now;
+    }
+
+    /// Returns the worker's clock, in milliseconds.
+    pub(crate) fn clock_ms(&self, now: BootTime) -> u64 {
+        let elapsed = now.saturating_since(self.born_at);
+        elapsed.mul_f64(self.clock_rate).as_millis() as u64
+    }
+
+    /// Returns whether the lease has expired.
+    pub(crate) fn has_lapsed(&self, now: BootTime) -> bool {
+        self.lease_end_ms < self.clock_ms(now)
+    }
+
+    /// Extends the lease up to the longest one.
+    pub(super) fn extend_lease(&mut self, lease_end_ms: u64, now: BootTime) {
+        let longest_ms = self.clock_ms(now) + MAX_LEASE.as_millis() as u64;
+        self.lease_end_ms = self.lease_end_ms.max(lease_end_ms.min(longest_ms));
+    }
+
     pub(super) fn end_run(&mut self, task: &TaskId, kind: ExitKind) {
         let Some(run) = self.running.remove(task) else {
             return;
         };
         self.closed_runs.insert(task.clone(), run.run);
+        self.exits.push(kind);
         self.ended_runs.push(EndedRun {
             number: self.next_ended_number,
             task: task.clone(),
@@ -127,7 +174,7 @@
             };
             self.end_run(&task, kind);
         }
-        if self.lease_end_ms < now.as_millis() {
+        if self.has_lapsed(now) {
             let lapsed_tasks: Vec<TaskId> = self.running.keys().cloned().collect();
             for task in lapsed_tasks {
                 self.end_run(&task, ExitKind::Lapsed);
@@ -143,11 +190,12 @@
             percent: run.percent_at(now, self.is_stalled),
             metric: run.measurement,
         });
+        let listed_ends = self.ended_runs.iter().take(MAX_LISTED_ENDS);
         RenewalReport {
             incarnation: self.view.incarnation,
-            clock_ms: now.as_millis(),
+            clock_ms: self.clock_ms(now),
             running: listed_runs.collect(),
-            ended: self.ended_runs.clone(),
+            ended: listed_ends.cloned().collect(),
             malformed: 0,
         }
     }
--- a/crates/jobs/tests/crashing_tasks.rs
+++ b/crates/jobs/tests/crashing_tasks.rs
@@ -263,10 +263,10 @@
     fleet.lost_order_delay = Some(std::time::Duration::from_secs(60));
     fleet.advance(100);
     for _ in 0..6 {
+        let now = fleet.now;
         let worker = fleet.worker("w0");
-        worker.view.incarnation += 1;
+        worker.restart(now);
         let view = worker.view.clone();
-        let now = fleet.now;
         fleet.scheduler.worker_listed(view, now);
         fleet.advance(50);
     }
--- a/crates/jobs/tests/faults.rs
+++ b/crates/jobs/tests/faults.rs
@@ -130,7 +130,7 @@
                 if ended_run.kind == redwing_jobs::worker::ExitKind::Done {
                     self.done_tasks.insert(ended_run.task.clone());
                 }
-                if worker.lease_end_ms < fleet.now.as_millis() {
+                if worker.has_lapsed(fleet.now) {
                     self.unacknowledged_tasks.insert(ended_run.task.clone());
                 }
             }
@@ -189,19 +189,14 @@
 /// Crashes a worker and restarts it as a new incarnation; orders in flight to it
 /// are lost.
 fn crash(fleet: &mut FakeFleet, checker: &mut InvariantChecker, id: &str) {
+    let now = fleet.now;
     let worker = fleet.worker(id);
     let unacknowledged_tasks = worker
         .ended_runs
         .iter()
         .map(|ended_run| ended_run.task.clone());
     checker.unacknowledged_tasks.extend(unacknowledged_tasks);
-    worker.view.incarnation += 1;
-    worker.running.clear();
-    worker.ended_runs.clear();
-    worker.next_ended_number = 1;
-    worker.closed_runs.clear();
-    worker.fencing_token = 0;
-    worker.lease_end_ms = 0;
+    worker.restart(now);
     let view = worker.view.clone();
     fleet
         .delayed_orders
--- a/crates/jobs/tests/late_reports.rs
+++ b/crates/jobs/tests/late_reports.rs
@@ -29,15 +29,10 @@
     };
     fleet.advance(2_000);
     assert_eq!(fleet.state(&earlier), JobState::Completed);
+    let now = fleet.now;
     let worker = fleet.worker("w0");
-    worker.view.incarnation = 2;
-    worker.next_ended_number = 1;
-    worker.ended_runs.clear();
-    worker.closed_runs.clear();
-    worker.fencing_token = 0;
-    worker.lease_end_ms = 0;
+    worker.restart(now);
     let view = worker.view.clone();
-    let now = fleet.now;
     fleet.scheduler.worker_listed(view, now);
     fleet.advance(100);
     (fleet, report, issued_at)
--- a/crates/jobs/tests/recovery.rs
+++ b/crates/jobs/tests/recovery.rs
@@ -280,10 +280,8 @@
     let job = fleet.submit("j", vec![step_spec(2, 1_000)], 2_000);
     fleet.advance(300);
     let first_worker = fleet.starts[0].2.clone();
-    let worker = fleet.worker(first_worker.as_str());
-    worker.view.incarnation += 1;
-    worker.running.clear();
-    worker.closed_runs.clear();
+    let now = fleet.now;
+    fleet.worker(first_worker.as_str()).restart(now);
     fleet.take_over(SchedulerSettings::default());
     fleet.advance(5_000);
     assert_eq!(fleet.state(&job), JobState::Completed);
--- a/crates/jobs/tests/shrunk_workers.rs
+++ b/crates/jobs/tests/shrunk_workers.rs
@@ -127,9 +127,9 @@
     let mut fleet = FakeFleet::of_size(1, 8_000);
     fleet.submit("long", vec![step_spec(1, 1_000)], 60_000);
     fleet.advance(200);
+    let now = fleet.now;
     let worker = fleet.worker("w0");
-    worker.running.clear();
-    worker.view.incarnation += 1;
+    worker.restart(now);
     worker.view.capacity = ResourceAmount {
         cpu_millis: 500,
         ..worker.view.capacity
