Bound the error of a worker's clock, however old its reading

A worker with a slow clock had nothing to run for 80 s; it got a task and was cut off, and the task was started elsewhere 0.3 s before the first run ended.

Cause: the end of a lease is a time on the worker's clock. The owner extrapolated that clock from a reading of any age at the rate of its own clock, and allowed for drift over one lease only. After 80 s a clock that is 1.9 % slow is 1.5 s behind.

Change: the end of a lease is computed from the least that the clock can show, so it is never late. A reading is used while that costs at most a tenth of a lease. When a task is placed on a worker whose reading is older, the clock is read while the row of the task is stored, and the start waits for both; a gang waits as a whole. grant_start_lease had the same fault. The starts of stored runs have a module of their own.

Why it works: the worker's clock is slow by 2 % at most, so that the bound holds for a reading of any age; nothing has to arrive in time for it.

--- a/crates/jobs/src/scheduler/changes.rs
+++ b/crates/jobs/src/scheduler/changes.rs
@@ -17,7 +17,7 @@
 use crate::time::BootTime;
 
 use super::lease_ledger::LeaseEnds;
-use super::order;
+use super::starting::PendingStart;
 use super::{JobScheduler, SchedulerEvent};
 
 /// Progress of one job, to be stored.
@@ -43,13 +43,6 @@
     tasks: usize,
 }
 
-/// Run that is started once its row is stored.
-#[derive(Clone, Debug, Eq, PartialEq)]
-struct PendingStart {
-    task: TaskId,
-    run: u32,
-}
-
 /// Whether a row was added to those that are stored together.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum RowFit {
@@ -331,17 +324,7 @@
     pub fn changes_stored(&mut self, changes: &ChangeSet, now: BootTime) {
         self.changes.in_flight.clear();
         self.lease_ledger.stored();
-        let mut step = None;
-        for start in &changes.starts {
-            // The members of a gang follow each other.
-            let start_step = order::step_of(&start.task);
-            if step.as_ref() != Some(&start_step) && self.is_gang(&start.task) {
-                let members = self.gang_members(&start.task);
-                self.free_incomplete_gang(&members, start.run, now);
-            }
-            step = Some(start_step);
-            self.order_start(&start.task, start.run, now);
-        }
+        self.begin_starts(&changes.starts, now);
         self.acknowledge_ended_runs(now);
         for row in &changes.rows {
             if row.progress.state.is_final() {
--- a/crates/jobs/src/scheduler/evacuation.rs
+++ b/crates/jobs/src/scheduler/evacuation.rs
@@ -21,7 +21,7 @@
 use super::candidate::{self, PlacementCandidate};
 use super::entry::{RunLocation, TaskPhase};
 use super::fleet::WorkerEntry;
-use super::order;
+use super::starting;
 use super::{JobScheduler, SchedulerEvent};
 
 /// Time between two counts of the runs in evacuated data centres.
@@ -320,7 +320,7 @@
         let mut unplaced: BTreeSet<StepId> = BTreeSet::new();
         let mut claimed_gangs: BTreeSet<StepId> = BTreeSet::new();
         for task in &eviction.stopped {
-            let step = order::step_of(task);
+            let step = starting::step_of(task);
             let spec = self.step_spec(task).filter(|spec| {
                 let is_claimed = spec.gang && !claimed_gangs.insert(step.clone());
                 !is_claimed && !unplaced.contains(&step)
@@ -336,7 +336,7 @@
             if !self.may_evict(&task, &spec) {
                 continue;
             }
-            let step = order::step_of(&task);
+            let step = starting::step_of(&task);
             let has_capacity =
                 !unplaced.contains(&step) && self.claim_permitted(&task, &spec, candidates, now);
             if !has_capacity {
@@ -363,7 +363,7 @@
         if !self.is_advised(&task.job) {
             return self.claim(task, spec, candidates);
         }
-        let step = order::step_of(task);
+        let step = starting::step_of(task);
         self.exclude_unpermitted(&step, candidates, now);
         let is_claimed = self.claim(task, spec, candidates);
         candidate::include_all(candidates);
--- a/crates/jobs/src/scheduler/fleet.rs
+++ b/crates/jobs/src/scheduler/fleet.rs
@@ -11,6 +11,7 @@
 use crate::time::BootTime;
 use crate::worker::WorkerView;
 
+use super::clock_reading::ClockReading;
 use super::entry::StartCaution;
 
 /// Whether a worker responds to this owner.
@@ -25,21 +26,6 @@
     Unresponsive,
 }
 
-/// Reading of a worker's clock, with our time of the reading.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(super) struct ClockSample {
-    pub(super) clock_ms: u64,
-    pub(super) read_at: BootTime,
-}
-
-impl ClockSample {
-    /// Returns the worker's clock at `now`, extrapolated at the rate of our clock.
-    pub(super) fn at(&self, now: BootTime) -> u64 {
-        let elapsed_ms = now.saturating_since(self.read_at).as_millis() as u64;
-        self.clock_ms.saturating_add(elapsed_ms)
-    }
-}
-
 /// Capacity that a run reserves on a worker.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(super) struct RunReservation {
@@ -90,7 +76,7 @@
     pub(super) refused_at: Option<BootTime>,
     /// When the renewal of the latest report was sent.
     pub(super) reported_at: BootTime,
-    pub(super) clock: Option<ClockSample>,
+    pub(super) clock: Option<ClockReading>,
     /// When all granted leases have expired, by our clock.
     pub(super) lease_until: BootTime,
     /// When the order was sent that granted the latest lease.
--- a/crates/jobs/src/scheduler/lease.rs
+++ b/crates/jobs/src/scheduler/lease.rs
@@ -9,6 +9,7 @@
 use crate::name::WorkerId;
 use crate::time::BootTime;
 
+use super::clock_reading;
 use super::fleet::ContactState;
 use super::lease_ledger::{LeaseEnds, RecordPace};
 use super::{JobScheduler, RunEndReason, SchedulerEvent, SchedulerSettings};
@@ -62,17 +63,19 @@
     }
 
     /// Grants a lease that begins now; returns its end on the worker's clock, or none
-    /// if the worker may get no lease now.
+    /// if the worker may get no lease now, or its clock was read too long ago.
     pub(super) fn grant_lease(&mut self, worker: &WorkerId, now: BootTime) -> Option<u64> {
         if self.lease_ledger.covers(worker) {
             return None;
         }
+        let reading = self.fresh_reading(worker, now)?;
         let lease = self.settings.lease;
         let bound = self.settings.lease_bound();
+        let drift = self.settings.max_clock_drift;
         let entry = self.fleet.get_mut(worker)?;
-        let clock = entry.clock?;
         entry.extend_lease(now, bound);
-        Some(clock.at(now).saturating_add(lease.as_millis() as u64))
+        let clock_ms = reading.earliest_at(now, drift);
+        Some(clock_ms.saturating_add(lease.as_millis() as u64))
     }
 
     /// Grants the lease of a start that is ordered now; returns its end on the worker's
@@ -84,10 +87,10 @@
         let Some(begins_by) = self.start_guard.begins_by(entry.data_centre()) else {
             return Some(lease_end_ms);
         };
-        let remaining = begins_by.saturating_since(now);
-        let start_end_ms = entry.clock?.at(now);
-        let start_end_ms = start_end_ms.saturating_add(remaining.as_millis() as u64);
-        Some(lease_end_ms.min(start_end_ms))
+        let drift = self.settings.max_clock_drift;
+        let clock_ms = entry.clock?.earliest_at(now, drift);
+        let remaining_ms = clock_reading::slow_millis(begins_by.saturating_since(now), drift);
+        Some(lease_end_ms.min(clock_ms.saturating_add(remaining_ms)))
     }
 
     /// Drops the runs on workers without contact whose leases have all expired, and
--- a/crates/jobs/src/scheduler/mod.rs
+++ b/crates/jobs/src/scheduler/mod.rs
@@ -8,6 +8,7 @@
 //! - `backlog`: summary of the waiting work, for the admission of jobs
 //! - `candidate`: workers that may get tasks, while tasks are placed
 //! - `changes`: jobs with unstored changes, and what waits for their rows
+//! - `clock_reading`: readings of the clocks of workers
 //! - `crash`: tasks that crash the workers on which they start
 //! - `end_rate`: how often workers end by themselves
 //! - `entry`: jobs, steps and tasks in memory
@@ -31,12 +32,14 @@
 //! - `run_trace`: signs of a run between its start and the end of its worker
 //! - `shares`: division of a pool among customers
 //! - `stall`: runs that make no progress
+//! - `starting`: starts of the runs whose rows are stored
 //! - `waiting`: jobs that wait for capacity, in the order of their placement
 
 mod advice;
 mod backlog;
 mod candidate;
 mod changes;
+mod clock_reading;
 mod crash;
 mod end_rate;
 mod entry;
@@ -60,6 +63,7 @@
 mod run_trace;
 mod shares;
 mod stall;
+mod starting;
 mod waiting;
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
@@ -88,6 +92,7 @@
 use fleet::{ContactState, WorkerFleet};
 use lease_ledger::LeaseLedger;
 use shares::PoolUsage;
+use starting::PendingStart;
 use waiting::WaitingJobs;
 
 pub use advice::{AdviceRequest, AdviceResponse, StepId, StoredAdvice, StoredPermit, WorkerPermit};
@@ -400,6 +405,8 @@
     displaced: BTreeSet<TaskId>,
     advice: AdviceCache,
     changes: ChangeTracker,
+    /// Runs whose rows are stored and that wait for a reading of their worker's clock.
+    waiting_starts: Vec<PendingStart>,
     crashes: CrashTracker,
     /// Ends of workers that this owner knows of.
     ends: EndHistory,
@@ -441,6 +448,7 @@
             displaced: BTreeSet::new(),
             advice: AdviceCache::default(),
             changes: ChangeTracker::default(),
+            waiting_starts: Vec::new(),
             crashes: CrashTracker::default(),
             ends: EndHistory::default(),
             inherited: None,
@@ -573,6 +581,7 @@
         self.evict_from_draining(now);
         self.evict_from_evacuated(now);
         self.retry_stops(now);
+        self.begin_waiting_starts(now);
         self.check_stalls(now);
         self.clear_suspects(now);
         self.track_evacuations(now);
--- a/crates/jobs/src/scheduler/order.rs
+++ b/crates/jobs/src/scheduler/order.rs
@@ -5,88 +5,13 @@
 use crate::time::BootTime;
 use crate::worker::{OrderAction, OrderOutcome, OrderResponse, WorkerOrder};
 
-use super::advice::StepId;
+use super::clock_reading::ClockReading;
 use super::entry::{RunLocation, RunProgress, StopProgress, TaskPhase};
-use super::fleet::{ClockSample, ContactState, WorkerEntry};
-use super::run_trace::RunTrace;
+use super::fleet::{ContactState, WorkerEntry};
+use super::starting;
 use super::{JobScheduler, RunEndReason, WorkerStatus};
 
 impl JobScheduler {
-    /// Frees all members of a gang whose row is stored, unless each of them can be
-    /// ordered to start: a part of a gang would make no progress.
-    pub(super) fn free_incomplete_gang(&mut self, members: &[TaskId], run: u32, now: BootTime) {
-        let can_start = |member: &TaskId| self.may_start(member, run, now);
-        if members.iter().all(can_start) {
-            return;
-        }
-        for member in members {
-            let phase = self.task(member).map(|entry| &entry.phase);
-            if matches!(phase, Some(TaskPhase::Reserved(_))) {
-                self.free_task(member);
-            }
-        }
-    }
-
-    /// Returns whether a run whose row is stored may be ordered to start now.
-    fn may_start(&self, task: &TaskId, run: u32, now: BootTime) -> bool {
-        let Some(entry) = self.task(task).filter(|entry| entry.run == run) else {
-            return false;
-        };
-        let TaskPhase::Reserved(location) = &entry.phase else {
-            return false;
-        };
-        let is_permitted =
-            self.ticket(task, location, now).is_some() || !self.is_advised(&task.job);
-        let worker = self.fleet.get(&location.worker);
-        let is_usable = worker.is_some_and(|worker| {
-            worker.incarnation == location.incarnation
-                && !worker.is_overcommitted()
-                && self.may_start_on(worker, now)
-        });
-        is_permitted && is_usable && !self.lease_ledger.covers(&location.worker)
-    }
-
-    /// Sends the order to start a run whose row is stored.
-    pub(super) fn order_start(&mut self, task: &TaskId, run: u32, now: BootTime) {
-        let Some(entry) = self.task(task) else {
-            return;
-        };
-        let TaskPhase::Reserved(location) = &entry.phase else {
-            return;
-        };
-        if entry.run != run {
-            return;
-        }
-        let location = location.clone();
-        if !self.may_start(task, run, now) {
-            self.free_task(task);
-            return;
-        }
-        let checkpoint = self.resume_point(task);
-        let ticket = self.ticket(task, &location, now);
-        let Some(lease_end_ms) = self.grant_start_lease(&location.worker, now) else {
-            self.free_task(task);
-            return;
-        };
-        let Some(job) = self.jobs.get(&task.job) else {
-            return;
-        };
-        let action = OrderAction::Start {
-            task: task.clone(),
-            run,
-            payload: job.payload.clone(),
-            lease_end_ms,
-            checkpoint,
-            ticket,
-        };
-        let worker = location.worker.clone();
-        self.set_phase(task, TaskPhase::Ordered(location));
-        if let Some(entry) = self.task_mut(task) {
-            entry.trace = RunTrace::ordered(now);
-        }
-        self.push_order(&worker, action, now);
-    }
-
     /// Returns whether an order that is not sent yet starts a run on a worker that has
     /// shrunk below its reservations since; it is to be taken back.
     pub fn exceeds_capacity(&self, order: &WorkerOrder) -> bool {
@@ -95,28 +20,6 @@
         is_start && worker.is_some_and(WorkerEntry::is_overcommitted)
     }
 
-    /// Returns the ticket of the advisor's permit to run a task on a worker.
-    fn ticket(&self, task: &TaskId, location: &RunLocation, now: BootTime) -> Option<String> {
-        let step = step_of(task);
-        self.advice
-            .ticket(&step, &location.worker, location.incarnation, now)
-    }
-
-    /// Returns the checkpoint that the next run of a task resumes from; all
-    /// members of a gang resume from the same.
-    fn resume_point(&self, task: &TaskId) -> Option<String> {
-        let entry = self.task(task)?;
-        let job = self.jobs.get(&task.job)?;
-        let spec = job.record.spec.steps.get(task.step as usize)?;
-        if !spec.gang {
-            return entry.checkpoint.clone();
-        }
-        let step = job.step(task.occurrence, task.step)?;
-        step.tasks
-            .iter()
-            .find_map(|member| member.checkpoint.clone())
-    }
-
     /// Handles the response to the order to start a run.
     pub fn handle_start_response(
         &mut self,
@@ -194,7 +97,7 @@
             OrderOutcome::Replaced => self.end_worker(worker, ordered_at, now),
             OrderOutcome::Unhealthy | OrderOutcome::Full => self.suspend_worker(worker, now),
             OrderOutcome::Unsent => self.stop_incomplete_gang(task, run, now),
-            OrderOutcome::Unpermitted => self.advice.drop_permit(&step_of(task), worker),
+            OrderOutcome::Unpermitted => self.advice.drop_permit(&starting::step_of(task), worker),
             // Every other worker would reject it as well.
             OrderOutcome::Invalid => self.fail(task, FailureReason::InvalidTask, now),
             _ => {}
@@ -215,7 +118,7 @@
         let (Some(entry), Some(clock_ms)) = (self.fleet.get_mut(worker), response.clock_ms) else {
             return;
         };
-        entry.clock = Some(ClockSample {
+        entry.clock = Some(ClockReading {
             clock_ms,
             read_at: now,
         });
@@ -360,7 +263,7 @@
             && now.saturating_since(entry.reported_at) < self.settings.renewal_retry_delay
     }
 
-    fn send_renewal(&mut self, worker: &WorkerId, now: BootTime) {
+    pub(super) fn send_renewal(&mut self, worker: &WorkerId, now: BootTime) {
         let max_wait_ms = self.settings.max_renewal_wait.as_millis() as u64;
         let contact = self.fleet.get(worker).map(|entry| entry.contact);
         let is_responsive = contact == Some(ContactState::Responsive);
@@ -433,12 +336,3 @@
         self.push_order(worker, action, now);
     }
 }
-
-/// Returns the step of a task.
-pub(super) fn step_of(task: &TaskId) -> StepId {
-    StepId {
-        job: task.job.clone(),
-        occurrence: task.occurrence,
-        step: task.step,
-    }
-}
--- a/crates/jobs/src/scheduler/placement.rs
+++ b/crates/jobs/src/scheduler/placement.rs
@@ -219,7 +219,7 @@
             let placement = if self.is_advised(id) {
                 self.place_advised(&step, candidates, pass, now)
             } else {
-                self.place_step(&step, candidates, pass)
+                self.place_step(&step, candidates, pass, now)
             };
             placed += placement.placed;
             unplaced += placement.unplaced;
@@ -257,7 +257,7 @@
         now: BootTime,
     ) -> StepPlacement {
         self.exclude_unpermitted(step, candidates, now);
-        let placement = self.place_step(step, candidates, pass);
+        let placement = self.place_step(step, candidates, pass, now);
         candidate::include_all(candidates);
         if placement.unplaced > 0 {
             self.request_advice(step, candidates, now);
@@ -285,6 +285,7 @@
         step: &StepId,
         candidates: &mut [PlacementCandidate],
         pass: PlacementPass,
+        now: BootTime,
     ) -> StepPlacement {
         let mut placement = StepPlacement::default();
         let Some(job) = self.jobs.get(&step.job) else {
@@ -307,7 +308,7 @@
             })
             .collect();
         if spec.gang {
-            return self.place_gang(&idle, &spec, candidates);
+            return self.place_gang(&idle, &spec, candidates, now);
         }
         let count = idle.len() as u32;
         for task in &idle {
@@ -317,7 +318,8 @@
             }
             match self.choose_candidate_in(pass, task, &spec, candidates) {
                 Some((position, caution)) => {
-                    self.reserve(task, &spec, &mut candidates[position], caution, None);
+                    let candidate = &mut candidates[position];
+                    self.reserve(task, &spec, candidate, caution, None, now);
                     placement.placed += 1;
                 }
                 // The others fit nowhere either, unless an earlier run of this task
@@ -336,6 +338,7 @@
         members: &[TaskId],
         spec: &StepSpec,
         candidates: &mut [PlacementCandidate],
+        now: BootTime,
     ) -> StepPlacement {
         let count = members.len() as u32;
         let none = StepPlacement {
@@ -357,7 +360,8 @@
         let runs = members.iter().filter_map(|task| self.task(task));
         let run = runs.map(|task| task.run).max().unwrap_or(0) + 1;
         for (task, (position, caution)) in members.iter().zip(chosen) {
-            self.reserve(task, spec, &mut candidates[position], caution, Some(run));
+            let candidate = &mut candidates[position];
+            self.reserve(task, spec, candidate, caution, Some(run), now);
         }
         StepPlacement {
             placed: count,
@@ -567,7 +571,8 @@
         same_step.count() + chosen_count < spec.max_per_worker as usize
     }
 
-    /// Reserves capacity for a task; its start waits until the row is stored.
+    /// Reserves capacity for a task; its start waits until the row is stored. Meanwhile the
+    /// worker's clock is read, if that was too long ago.
     fn reserve(
         &mut self,
         task: &TaskId,
@@ -575,6 +580,7 @@
         candidate: &mut PlacementCandidate,
         caution: StartCaution,
         run: Option<u32>,
+        now: BootTime,
     ) {
         let reserved = spec.reserved();
         candidate.add_run(&task.job, caution, &reserved);
@@ -599,6 +605,7 @@
             worker.reserve(task.clone(), reservation);
         }
         self.count_active(task);
+        self.refresh_reading(&candidate.worker, now);
     }
 }
 
--- a/crates/jobs/src/scheduler/report.rs
+++ b/crates/jobs/src/scheduler/report.rs
@@ -8,8 +8,9 @@
 use crate::time::BootTime;
 use crate::worker::{ActiveRun, EndedRun, ExitKind, OrderAction, RenewalReport};
 
+use super::clock_reading::ClockReading;
 use super::entry::{RunProgress, StartCaution, TaskEntry, TaskPhase};
-use super::fleet::{ClockSample, ContactState, OrphanStop, RunReservation, UnacknowledgedRun};
+use super::fleet::{ContactState, OrphanStop, RunReservation, UnacknowledgedRun};
 use super::shares::PoolClaim;
 use super::{JobScheduler, RunEndReason, SchedulerEvent, WorkerStatus};
 
@@ -45,6 +46,7 @@
             self.apply_active_run(worker, run, report.clock_ms, now);
         }
         self.drop_missing_runs(worker, issued_at, report);
+        self.begin_waiting_starts(now);
         self.pace_best_effort(worker, report, now);
     }
 
@@ -82,7 +84,7 @@
         let was_unresponsive = entry.contact != ContactState::Responsive;
         entry.contact = ContactState::Responsive;
         entry.silent_since = None;
-        entry.clock = Some(ClockSample {
+        entry.clock = Some(ClockReading {
             clock_ms: report.clock_ms,
             read_at: now,
         });
--- a/crates/jobs/src/scheduler/restoring.rs
+++ b/crates/jobs/src/scheduler/restoring.rs
@@ -9,7 +9,8 @@
 use crate::worker::RenewalReport;
 
 use super::JobScheduler;
-use super::fleet::{ClockSample, ContactState};
+use super::clock_reading::ClockReading;
+use super::fleet::ContactState;
 
 /// Part of a lease after which it is renewed while rows are read.
 const RENEWAL_PART: u32 = 2;
@@ -61,7 +62,7 @@
             entry.renewal_sent_at = None;
         }
         entry.contacted_at.get_or_insert(now);
-        entry.clock = Some(ClockSample {
+        entry.clock = Some(ClockReading {
             clock_ms: report.clock_ms,
             read_at: now,
         });
