Leave responses to orders for an earlier incarnation out

What callers could see: a task that runs twice at a time (TWICE). A late response to a stop, sent before its worker started again, set the worker's clock an hour ahead; the next lease was as long as the worker allows, the owner assumed less, and after a cut of the worker the task was started elsewhere.

Cause: update_clock took the clock of any response to an order. Reports name their incarnation and were compared; responses do not, and were not.

Evidence: a_late_response_of_an_earlier_life_does_not_set_the_clock, in simulated time: the task runs twice without the comparison. Not seen with real processes.

Change: an order names the incarnation of the worker that it is for. Responses to starts and stops go through handle_order_response, which leaves those of an earlier incarnation out.

Why it works: each reading of a clock is now from the incarnation that the owner knows, or from one after it, whose clock has begun anew and gives a shorter lease.

--- a/crates/engine/src/owner/session/mod.rs
+++ b/crates/engine/src/owner/session/mod.rs
@@ -379,13 +379,11 @@
                 self.scheduler
                     .handle_renewal_failure(worker, order.issued_at, outcome, now);
             }
-            (OrderAction::Start { task, run, .. }, WorkerReply::Order(response)) => {
-                self.scheduler
-                    .handle_start_response(worker, task, *run, &response, now);
-            }
-            (OrderAction::Stop { task, run }, WorkerReply::Order(response)) => {
-                self.scheduler
-                    .handle_stop_response(worker, task, *run, &response, now);
+            (
+                OrderAction::Start { .. } | OrderAction::Stop { .. },
+                WorkerReply::Order(response),
+            ) => {
+                self.scheduler.handle_order_response(&order, &response, now);
             }
             (_, reply) => scheduler_event::log_unexpected_reply(&order, &reply),
         }
--- a/crates/experiment/src/run.rs
+++ b/crates/experiment/src/run.rs
@@ -388,19 +388,13 @@
             clock_ms: None,
         };
         match (&order.action, report) {
-            (OrderAction::Start { task, run, .. }, _) => {
-                scheduler.handle_start_response(worker, task, *run, &response, now);
-            }
-            (OrderAction::Stop { task, run }, _) => {
-                scheduler.handle_stop_response(worker, task, *run, &response, now);
-            }
             (OrderAction::Renew { .. }, Some(report)) => {
                 scheduler.handle_renewal_report(worker, order.issued_at, report, now);
             }
             (OrderAction::Renew { .. }, None) => {
                 scheduler.handle_renewal_failure(worker, order.issued_at, outcome, now);
             }
-            (OrderAction::Pace { .. }, _) => {}
+            _ => scheduler.handle_order_response(order, &response, now),
         }
     }
 
--- a/crates/jobs/src/scheduler/evacuation.rs
+++ b/crates/jobs/src/scheduler/evacuation.rs
@@ -129,12 +129,12 @@
 
     /// Handles that a start order is not sent: its task waits again.
     pub fn take_back(&mut self, order: &WorkerOrder, now: BootTime) {
-        if let OrderAction::Start { task, run, .. } = &order.action {
+        if matches!(order.action, OrderAction::Start { .. }) {
             let response = OrderResponse {
                 outcome: OrderOutcome::Unsent,
                 clock_ms: None,
             };
-            self.handle_start_response(&order.worker, task, *run, &response, now);
+            self.handle_order_response(order, &response, now);
         }
     }
 
--- a/crates/jobs/src/scheduler/mod.rs
+++ b/crates/jobs/src/scheduler/mod.rs
@@ -558,6 +558,7 @@
         };
         self.orders.push(WorkerOrder {
             worker: worker.clone(),
+            incarnation: entry.incarnation,
             address,
             data_centre: entry.data_centre().cloned(),
             fencing_token: self.fencing_token,
--- a/crates/jobs/src/scheduler/order.rs
+++ b/crates/jobs/src/scheduler/order.rs
@@ -20,20 +20,47 @@
         is_start && worker.is_some_and(WorkerEntry::is_overcommitted)
     }
 
-    /// Handles the response to the order to start a run.
-    pub fn handle_start_response(
+    /// Handles the response to an order to start, stop or pace a run.
+    pub fn handle_order_response(
         &mut self,
-        worker: &WorkerId,
-        task: &TaskId,
-        run: u32,
+        order: &WorkerOrder,
         response: &OrderResponse,
         now: BootTime,
     ) {
-        self.update_clock(worker, response, now);
         if response.outcome == OrderOutcome::Fenced {
             self.is_fenced = true;
             return;
         }
+        if self.is_earlier(&order.worker, order.incarnation) {
+            return;
+        }
+        self.update_clock(&order.worker, response, now);
+        match &order.action {
+            OrderAction::Start { task, run, .. } => {
+                self.handle_start_response(&order.worker, task, *run, response, now);
+            }
+            OrderAction::Stop { task, run } => {
+                self.handle_stop_response(&order.worker, task, *run, response.outcome, now);
+            }
+            OrderAction::Pace { .. } | OrderAction::Renew { .. } => {}
+        }
+    }
+
+    /// Returns whether an incarnation of a worker is earlier than the present one, so that a
+    /// message from it says nothing about runs, clock and leases of the worker.
+    pub(super) fn is_earlier(&self, worker: &WorkerId, incarnation: u64) -> bool {
+        let entry = self.fleet.get(worker);
+        entry.is_some_and(|entry| incarnation < entry.incarnation)
+    }
+
+    fn handle_start_response(
+        &mut self,
+        worker: &WorkerId,
+        task: &TaskId,
+        run: u32,
+        response: &OrderResponse,
+        now: BootTime,
+    ) {
         if !self.is_current(task, run, worker) {
             return;
         }
@@ -124,18 +151,15 @@
         });
     }
 
-    /// Handles the response to the order to stop a run.
-    pub fn handle_stop_response(
+    fn handle_stop_response(
         &mut self,
         worker: &WorkerId,
         task: &TaskId,
         run: u32,
-        response: &OrderResponse,
+        outcome: OrderOutcome,
         now: BootTime,
     ) {
-        self.update_clock(worker, response, now);
-        match response.outcome {
-            OrderOutcome::Fenced => self.is_fenced = true,
+        match outcome {
             OrderOutcome::Accepted | OrderOutcome::Stale => {
                 self.stop_accepted(worker, task, run, now);
             }
--- a/crates/jobs/src/worker.rs
+++ b/crates/jobs/src/worker.rs
@@ -152,6 +152,8 @@
 pub struct WorkerOrder {
     /// Worker that receives the order.
     pub worker: WorkerId,
+    /// Incarnation of the worker that the order is for.
+    pub incarnation: u64,
     /// Its address.
     pub address: net::SocketAddr,
     /// Its data centre, if known.
--- a/crates/jobs/tests/common/mod.rs
+++ b/crates/jobs/tests/common/mod.rs
@@ -433,14 +433,6 @@
             clock_ms: worker.filter(|_| is_own).map(|worker| worker.clock_ms(now)),
         };
         match &order.action {
-            OrderAction::Start { task, run, .. } => {
-                self.scheduler
-                    .handle_start_response(&order.worker, task, *run, &response, now);
-            }
-            OrderAction::Stop { task, run } => {
-                self.scheduler
-                    .handle_stop_response(&order.worker, task, *run, &response, now);
-            }
             OrderAction::Renew { .. } => match report {
                 Some(report) => {
                     self.scheduler.handle_renewal_report(
@@ -459,7 +451,7 @@
                     );
                 }
             },
-            OrderAction::Pace { .. } => {}
+            _ => self.scheduler.handle_order_response(order, &response, now),
         }
     }
 
