Take a run for lost only by a complete list

After a kill of the owner, 960 runs on one worker had ended; the 460 beyond the earliest 500 were started again 55 ms before their ends were listed.

Cause: a run in neither list of a report was taken for lost. The list of ends has the earliest 500 only.

In simulated time no owner ends: with the table away for 12 s, 300 of 800 runs on one worker are Vanished and start again.

Change: a report says whether its list of ends is complete. What it proves of each run is decided in one place and kept with the run: in progress, over, or nothing. Only a complete list shows that a run is lost. Whatever concluded from a missing run asks there: runs without progress, accepted stops, tasks counted as available, runs suspected of a crash. With the first of these left out, the 300 runs were stopped as Stalled instead.

Why it works: all runs in progress are listed, so that a missing run is over; how it ended is in the list as soon as earlier ends are acknowledged.

--- a/crates/experiment/src/fleet.rs
+++ b/crates/experiment/src/fleet.rs
@@ -89,6 +89,7 @@
             clock_ms: now.as_millis(),
             running: running.collect(),
             ended: self.ended.clone(),
+            is_complete: true,
             malformed: 0,
         }
     }
--- a/crates/jobs/benches/place.rs
+++ b/crates/jobs/benches/place.rs
@@ -82,6 +82,7 @@
             kind: ExitKind::Done,
             checkpoint: None,
         }],
+        is_complete: true,
         malformed: 0,
     }
 }
--- a/crates/jobs/src/scheduler/crash.rs
+++ b/crates/jobs/src/scheduler/crash.rs
@@ -19,7 +19,7 @@
 use crate::time::BootTime;
 
 use super::entry::{JobEntry, StartCaution, TaskPhase};
-use super::fleet::ContactState;
+use super::fleet::{ContactState, RunPresence};
 use super::{JobScheduler, LossCause, SchedulerEvent};
 
 /// Time between two looks at the runs of suspected tasks.
@@ -134,7 +134,8 @@
             let trace = current.map(|entry| entry.trace).unwrap_or_default();
             let is_reserved =
                 current.is_some_and(|entry| matches!(entry.phase, TaskPhase::Reserved(_)));
-            if is_reserved || trace.has_not_begun(entry.refused_at) {
+            let is_over = held.presence == RunPresence::Over;
+            if is_reserved || is_over || trace.has_not_begun(entry.refused_at) {
                 return None;
             }
             Some(LostRun {
@@ -352,7 +353,8 @@
             return false;
         };
         let worker = self.fleet.get(&location.worker);
-        let responds = worker.is_some_and(|entry| entry.contact == ContactState::Responsive);
+        let responds = worker
+            .is_some_and(|entry| entry.contact == ContactState::Responsive && !entry.is_over(task));
         let seen = entry.trace.seen();
         responds && seen.is_some_and(|seen| self.end_rate(&location.worker, now).clears(seen))
     }
--- a/crates/jobs/src/scheduler/maintenance.rs
+++ b/crates/jobs/src/scheduler/maintenance.rs
@@ -144,22 +144,29 @@
             return true;
         };
         let others = step.tasks.iter().enumerate();
-        let unavailable = others
-            .filter(|(index, other)| *index != task.index as usize && !self.is_serving(other))
-            .count();
-        unavailable < budget as usize
+        let others = others.filter(|(index, _)| *index != task.index as usize);
+        let unavailable = others.filter(|(index, other)| {
+            let name = TaskId {
+                index: *index as u32,
+                ..task.clone()
+            };
+            !self.is_serving(&name, other)
+        });
+        unavailable.count() < budget as usize
     }
 
     /// Returns whether a long-running task is serving on a responsive worker, and
     /// no order of an earlier owner can still stop it.
-    fn is_serving(&self, task: &TaskEntry) -> bool {
+    fn is_serving(&self, name: &TaskId, task: &TaskEntry) -> bool {
         let TaskPhase::Running(location, progress) = &task.phase else {
             return false;
         };
         let worker = self.fleet.get(&location.worker);
         let stop_timeout = self.settings.stop_timeout;
         let is_reliable = worker.is_some_and(|entry| {
-            entry.contact == ContactState::Responsive && entry.has_settled(stop_timeout)
+            entry.contact == ContactState::Responsive
+                && entry.has_settled(stop_timeout)
+                && !entry.is_over(name)
         });
         is_reliable && progress.percent >= SERVING_PERCENT
     }
--- a/crates/jobs/src/scheduler/placement.rs
+++ b/crates/jobs/src/scheduler/placement.rs
@@ -18,7 +18,7 @@
 use super::advice::StepId;
 use super::candidate::{self, PlacementCandidate};
 use super::entry::{JobEntry, RunLocation, StartCaution, TaskEntry, TaskPhase};
-use super::fleet::RunReservation;
+use super::fleet::{RunPresence, RunReservation};
 use super::shares::PoolShares;
 use super::waiting::{JobRank, PoolVisit, WaitingEntry};
 use super::{JobScheduler, SchedulerEvent, SharePolicy};
@@ -599,6 +599,7 @@
             reserved,
             is_long_running: spec.long_running,
             caution,
+            presence: RunPresence::default(),
             orphan_stop: None,
         };
         if let Some(worker) = self.fleet.get_mut(&candidate.worker) {
--- a/crates/jobs/src/scheduler/report.rs
+++ b/crates/jobs/src/scheduler/report.rs
@@ -10,7 +10,7 @@
 
 use super::clock_reading::ClockReading;
 use super::entry::{RunProgress, StartCaution, TaskEntry, TaskPhase};
-use super::fleet::{ContactState, OrphanStop, RunReservation, UnacknowledgedRun};
+use super::fleet::{ContactState, OrphanStop, RunPresence, RunReservation, UnacknowledgedRun};
 use super::shares::PoolClaim;
 use super::{JobScheduler, RunEndReason, SchedulerEvent, WorkerStatus};
 
@@ -45,7 +45,7 @@
         for run in &report.running {
             self.apply_active_run(worker, run, report.clock_ms, now);
         }
-        self.drop_missing_runs(worker, issued_at, report);
+        self.update_presence(worker, issued_at, report);
         self.begin_waiting_starts(now);
         self.pace_best_effort(worker, report, now);
     }
@@ -301,6 +301,7 @@
             reserved,
             is_long_running,
             caution: StartCaution::None,
+            presence: RunPresence::default(),
             orphan_stop: Some(OrphanStop {
                 ordered_at: now,
                 accepted_at: None,
@@ -314,34 +315,39 @@
         self.push_order(worker, action, now);
     }
 
-    /// Drops runs that the worker would list if they existed.
-    fn drop_missing_runs(
-        &mut self,
-        worker: &WorkerId,
-        issued_at: BootTime,
-        report: &RenewalReport,
-    ) {
+    /// Records what a report proves about the runs of the worker, and drops those that are
+    /// lost.
+    fn update_presence(&mut self, worker: &WorkerId, issued_at: BootTime, report: &RenewalReport) {
         let running = report.running.iter();
         let listed: HashMap<&TaskId, u32> = running.map(|run| (&run.task, run.run)).collect();
         let Some(entry) = self.fleet.get(worker) else {
             return;
         };
-        let mut missing = Vec::new();
-        for (task, reservation) in &entry.reservations {
-            if listed.get(task) == Some(&reservation.run) {
-                continue;
-            }
-            if self.should_be_listed(worker, task, reservation, issued_at) {
-                missing.push((task.clone(), reservation.run));
+        let reservations = entry.reservations.iter();
+        let changed: Vec<(TaskId, u32, RunPresence)> = reservations
+            .filter_map(|(task, held)| {
+                let presence = if listed.get(task) == Some(&held.run) {
+                    RunPresence::Running
+                } else if self.should_be_listed(worker, task, held, issued_at) {
+                    RunPresence::Over
+                } else {
+                    return None;
+                };
+                let has_changed = presence != held.presence || presence == RunPresence::Over;
+                has_changed.then(|| (task.clone(), held.run, presence))
+            })
+            .collect();
+        for (task, run, presence) in changed {
+            if presence == RunPresence::Over && report.is_complete {
+                self.drop_run(worker, &task, run, RunEndReason::Vanished);
+            } else if let Some(entry) = self.fleet.get_mut(worker) {
+                entry.set_presence(&task, presence);
             }
         }
-        for (task, run) in missing {
-            self.drop_run(worker, &task, run, RunEndReason::Vanished);
-        }
     }
 
-    /// Returns whether the response to a renewal sent at `issued_at` would list a
-    /// run if it existed.
+    /// Returns whether the response to a renewal sent at `issued_at` would list a run as in
+    /// progress if it were.
     fn should_be_listed(
         &self,
         worker: &WorkerId,
--- a/crates/jobs/src/scheduler/stall.rs
+++ b/crates/jobs/src/scheduler/stall.rs
@@ -11,7 +11,7 @@
 use crate::time::BootTime;
 
 use super::entry::{StallRecording, TaskPhase};
-use super::fleet::ContactState;
+use super::fleet::{ContactState, RunPresence, RunReservation};
 use super::{JobScheduler, RunEndReason, SchedulerEvent};
 
 /// Time between two looks at the progress of all runs.
@@ -41,7 +41,7 @@
                 continue;
             }
             for (task, reservation) in &worker.reservations {
-                let advanced_at = self.advanced_at(task);
+                let advanced_at = self.advanced_at(task, reservation);
                 if advanced_at.is_some_and(|at| now.saturating_since(at) > timeout) {
                     stalled.push((id.clone(), task.clone(), reservation.run));
                 }
@@ -68,8 +68,8 @@
         let is_long = |at: &BootTime| now.saturating_since(*at) >= delay;
         let mut advanced: BTreeMap<JobId, BootTime> = BTreeMap::new();
         for (_, worker) in self.fleet.iter() {
-            for task in worker.reservations.keys() {
-                if let Some(at) = self.advanced_at(task).filter(is_long) {
+            for (task, reservation) in &worker.reservations {
+                if let Some(at) = self.advanced_at(task, reservation).filter(is_long) {
                     let earliest = advanced.entry(task.job.clone()).or_insert(at);
                     *earliest = at.min(*earliest);
                 }
@@ -95,8 +95,12 @@
         }
     }
 
-    /// Returns when the run of a task that must make progress last made some.
-    fn advanced_at(&self, task: &TaskId) -> Option<BootTime> {
+    /// Returns when the run of a task that must make progress last made some. One that is
+    /// over makes none, whether its end is listed yet or not.
+    fn advanced_at(&self, task: &TaskId, reservation: &RunReservation) -> Option<BootTime> {
+        if reservation.presence == RunPresence::Over {
+            return None;
+        }
         let step = self.step_spec(task);
         step.filter(|step| step.must_progress())?;
         match &self.task(task)?.phase {
--- a/crates/jobs/src/worker.rs
+++ b/crates/jobs/src/worker.rs
@@ -104,8 +104,10 @@
     pub clock_ms: u64,
     /// Runs in progress.
     pub running: Vec<ActiveRun>,
-    /// Ended runs that were not yet acknowledged.
+    /// Ended runs that were not yet acknowledged, the earliest first.
     pub ended: Vec<EndedRun>,
+    /// Whether these are all of them. Otherwise a run that is not listed may have ended.
+    pub is_complete: bool,
     /// Number of entries in either list that could not be read.
     pub malformed: usize,
 }
--- a/crates/jobs/tests/common/worker.rs
+++ b/crates/jobs/tests/common/worker.rs
@@ -196,6 +196,7 @@
             clock_ms: self.clock_ms(now),
             running: listed_runs.collect(),
             ended: listed_ends.cloned().collect(),
+            is_complete: self.ended_runs.len() < MAX_LISTED_ENDS,
             malformed: 0,
         }
     }
--- a/crates/jobs/tests/late_reports.rs
+++ b/crates/jobs/tests/late_reports.rs
@@ -27,6 +27,7 @@
         clock_ms: fleet.now.as_millis(),
         running: Vec::new(),
         ended: ended.collect(),
+        is_complete: true,
         malformed: 0,
     };
     fleet.advance(2_000);
--- a/crates/standin/src/worker.rs
+++ b/crates/standin/src/worker.rs
@@ -25,6 +25,12 @@
 use redwing_provider::{Error, LocalFuture, Result, TableStore, TableTransaction};
 use tokio::time as timer;
 
+/// Longest lease that a worker grants; a longer one is shortened.
+const MAX_LEASE: time::Duration = time::Duration::from_millis(10_000);
+
+/// Largest number of ended runs in one list.
+const MAX_LISTED_ENDS: usize = 500;
+
 /// Interval at which a waiting renewal checks whether a run has ended.
 const RENEWAL_POLL_INTERVAL: time::Duration = time::Duration::from_millis(10);
 
@@ -69,6 +75,12 @@
         self.started_at.elapsed().as_millis() as u64
     }
 
+    /// Extends the lease up to the longest one.
+    fn extend_lease(&mut self, lease_end_ms: u64) {
+        let longest_ms = self.clock_ms() + MAX_LEASE.as_millis() as u64;
+        self.lease_end_ms = self.lease_end_ms.max(lease_end_ms.min(longest_ms));
+    }
+
     fn end(&mut self, task: &TaskId, kind: ExitKind) {
         let Some(run) = self.running.remove(task) else {
             return;
@@ -142,7 +154,7 @@
                 ..
             } => {
                 self.ended.retain(|end| end.number > *acknowledged_number);
-                self.lease_end_ms = self.lease_end_ms.max(lease_end_ms.unwrap_or(0));
+                self.extend_lease(lease_end_ms.unwrap_or(0));
                 OrderOutcome::Accepted
             }
             OrderAction::Pace { .. } => OrderOutcome::Accepted,
@@ -166,7 +178,7 @@
         if lease_end_ms < self.clock_ms() {
             return OrderOutcome::Expired;
         }
-        self.lease_end_ms = self.lease_end_ms.max(lease_end_ms);
+        self.extend_lease(lease_end_ms);
         self.running.entry(task.clone()).or_insert(StandinRun {
             run,
             started_at: timer::Instant::now(),
@@ -187,11 +199,13 @@
                 metric: 0,
             }
         });
+        let listed = self.ended.iter().take(MAX_LISTED_ENDS);
         RenewalReport {
             incarnation: self.view.incarnation,
             clock_ms: self.clock_ms(),
             running: running.collect(),
-            ended: self.ended.clone(),
+            ended: listed.cloned().collect(),
+            is_complete: self.ended.len() <= MAX_LISTED_ENDS,
             malformed: 0,
         }
     }
