--- a/crates/ctl/src/platform.rs
+++ b/crates/ctl/src/platform.rs
@@ -90,6 +90,12 @@
             fleet.data_centres.into(),
             1..=MAX_MACHINES,
         ))
+        .arg(number(
+            "kept-ids",
+            "Percentage of workers that keep their ids over a move or maintenance",
+            fleet.kept_id_percent.into(),
+            0..=100,
+        ))
         .arg(number(
             "cold-ms",
             "Time for which a worker that has started is cold, in milliseconds",
@@ -146,6 +152,7 @@
             racks: integer("racks") as u32,
             data_centres: integer("data-centres") as u32,
             task_duration: time::Duration::from_millis(integer("task-ms") as u64),
+            kept_id_percent: integer("kept-ids") as u32,
             ..defaults.fleet
         },
         bounds: BoundSettings {
--- a/crates/engine/src/owner/machine_order.rs
+++ b/crates/engine/src/owner/machine_order.rs
@@ -22,12 +22,20 @@
     },
 }
 
+/// Worker on a machine that is moved.
+#[derive(Debug)]
+pub(super) struct MovedWorker {
+    pub(super) id: WorkerId,
+    /// Incarnation that the move ends; 0 if unknown.
+    pub(super) incarnation: u64,
+}
+
 /// Order for a machine.
 #[derive(Debug)]
 pub(super) enum MachineOrder {
     /// Join a pool; the worker on the machine ends.
     Move {
-        worker: Option<WorkerId>,
+        worker: Option<MovedWorker>,
         pool: PoolName,
     },
     /// Start the maintenance of a wave, by its number.
@@ -42,6 +50,14 @@
             Self::Maintenance(wave) => Some(*wave),
         }
     }
+
+    /// Returns the worker that a move ends, if any.
+    pub(super) fn moved_worker(&self) -> Option<&MovedWorker> {
+        match self {
+            Self::Move { worker, .. } => worker.as_ref(),
+            Self::Maintenance(_) => None,
+        }
+    }
 }
 
 impl fmt::Display for MachineOrder {
@@ -64,7 +80,7 @@
 #[derive(Debug)]
 pub(super) struct LostMove {
     pub(super) machine: MachineName,
-    pub(super) worker: WorkerId,
+    pub(super) worker: MovedWorker,
     pub(super) pool: PoolName,
     /// Whether a list was requested before, which need not show the outcome.
     pub(super) awaits_old_list: bool,
--- a/crates/engine/src/owner/machines.rs
+++ b/crates/engine/src/owner/machines.rs
@@ -4,14 +4,15 @@
 use std::rc;
 use std::sync;
 
-use redwing_jobs::capacity::{CapacityAction, CapacityPlanner, MoveWaits, PoolMachine, PoolState};
+use redwing_jobs::block::{WorkerBlock, WorkerBlocks};
+use redwing_jobs::capacity::{CapacityPlanner, MachineMove, MoveWaits, PoolMachine, PoolState};
 use redwing_jobs::feasibility::FleetCapacity;
 use redwing_jobs::maintenance::{
     MachineStatus, MaintenanceAction, MaintenanceRecord, MaintenanceSettings, WaveDelay,
     WavePlanner, WaveState, WorkerLoad,
 };
 use redwing_jobs::manifest::JobManifest;
-use redwing_jobs::name::{DataCentre, MachineName, PoolName, WorkerId};
+use redwing_jobs::name::{DataCentre, MachineName, PoolName};
 use redwing_jobs::{BootTime, JobScheduler};
 use tokio::sync::mpsc;
 
@@ -24,7 +25,9 @@
 use crate::services::{LeaseHolder, ListedMachine, MachineClient, MachineOutcome, MachineState};
 
 use super::change::ChangeFill;
-use super::machine_order::{self, LostMove, MachineOrder, MachineResponse, PendingOrder};
+use super::machine_order::{
+    self, LostMove, MachineOrder, MachineResponse, MovedWorker, PendingOrder,
+};
 use super::wave_rows::WaveRowQueue;
 use super::{OwnerDependencies, OwnerSettings};
 
@@ -204,14 +207,22 @@
         self.ready_orders = kept;
         for pending in withdrawn {
             self.capacity_planner.handle_move_response(&pending.machine);
-            if let MachineOrder::Move {
-                worker: Some(worker),
-                ..
-            } = pending.order
-            {
-                scheduler.block_worker(&worker, false);
-            }
         }
+        self.update_blocks(scheduler);
+    }
+
+    /// Blocks the workers whose machines waves and moves want now, and no others.
+    fn update_blocks(&self, scheduler: &mut JobScheduler) {
+        let mut blocks = WorkerBlocks::default();
+        self.wave_planner.add_blocks(&mut blocks);
+        self.capacity_planner.add_blocks(&mut blocks);
+        let lost = self.lost_moves.iter().map(|lost| &lost.worker.id);
+        let ready = self.ready_orders.iter();
+        let ready = ready.filter_map(|pending| pending.order.moved_worker());
+        for worker in lost.chain(ready.map(|moved| &moved.id)) {
+            blocks.add(worker, WorkerBlock::All);
+        }
+        scheduler.set_blocks(blocks);
     }
 
     fn is_evacuated(&self, machine: &MachineName) -> bool {
@@ -238,7 +249,10 @@
         }
         if self.wave_planner.is_active() {
             let statuses = self.machine_statuses(scheduler);
-            for action in self.wave_planner.plan(&statuses, now) {
+            let actions = self.wave_planner.plan(&statuses, now);
+            // Evicted tasks must find another worker.
+            self.update_blocks(scheduler);
+            for action in actions {
                 self.apply_action(dependencies, scheduler, action, now);
             }
         }
@@ -246,6 +260,7 @@
             self.next_plan_at = now + dependencies.settings.capacity_interval;
             self.plan_capacity(dependencies, scheduler, now);
         }
+        self.update_blocks(scheduler);
     }
 
     /// Moves machines to the pools with demand.
@@ -269,22 +284,19 @@
         let pools: BTreeMap<PoolName, PoolState> = pools.collect();
         let machines = self.pool_machines(scheduler);
         for action in self.capacity_planner.plan(&pools, &machines, now) {
-            self.apply_capacity_action(scheduler, action);
-        }
-    }
-
-    fn apply_capacity_action(&mut self, scheduler: &mut JobScheduler, action: CapacityAction) {
-        match action {
-            CapacityAction::Prepare(worker) => scheduler.block_worker(&worker, true),
-            CapacityAction::Release(worker) => scheduler.block_worker(&worker, false),
-            CapacityAction::Move {
+            let MachineMove {
                 machine,
                 worker,
                 pool,
-            } => self.ready_orders.push(PendingOrder {
+            } = action;
+            let worker = worker.map(|id| MovedWorker {
+                incarnation: scheduler.incarnation(&id).unwrap_or_default(),
+                id,
+            });
+            self.ready_orders.push(PendingOrder {
                 machine,
                 order: MachineOrder::Move { worker, pool },
-            }),
+            });
         }
     }
 
@@ -301,12 +313,8 @@
         waits: MoveWaits,
         stored_by: BootTime,
     ) {
-        for action in self.capacity_planner.restore(waits, stored_by) {
-            self.apply_capacity_action(scheduler, action);
-        }
-        for worker in self.wave_planner.prepared_workers() {
-            scheduler.block_worker(worker, true);
-        }
+        self.capacity_planner.restore(waits, stored_by);
+        self.update_blocks(scheduler);
     }
 
     fn pool_machines(&self, scheduler: &JobScheduler) -> BTreeMap<MachineName, PoolMachine> {
@@ -381,6 +389,7 @@
                 is_up: machine.state == MachineState::Up,
                 is_evacuated: self.is_in_evacuated(machine),
                 worker: machine.worker.clone(),
+                incarnation: incarnation_of(machine, scheduler),
                 load: load_of(machine, scheduler),
             };
             (machine.name.clone(), status)
@@ -396,11 +405,11 @@
         now: BootTime,
     ) {
         match action {
-            MaintenanceAction::Prepare(worker) => {
-                scheduler.block_worker(&worker, true);
-                scheduler.evict_long_running(&worker, now);
-            }
-            MaintenanceAction::Release(worker) => scheduler.block_worker(&worker, false),
+            MaintenanceAction::Evict(worker) => scheduler.evict_long_running(&worker, now),
+            MaintenanceAction::Remove {
+                worker,
+                incarnation,
+            } => scheduler.worker_removed(&worker, incarnation),
             MaintenanceAction::Order { wave, machine } => {
                 self.add_maintenance_order(machine, wave);
             }
@@ -494,6 +503,7 @@
                 outcome,
             } => self.handle_maintenance_response(wave, &machine, outcome, now),
         }
+        self.update_blocks(scheduler);
     }
 
     /// Applies a list of the machines; none if there was no response.
@@ -503,7 +513,7 @@
         for mut lost in std::mem::take(&mut self.lost_moves) {
             if is_listed && !lost.awaits_old_list {
                 self.capacity_planner
-                    .handle_lost_move(&lost.machine, lost.worker, lost.pool);
+                    .handle_lost_move(&lost.machine, lost.worker.id, lost.pool);
             } else {
                 lost.awaits_old_list = false;
                 self.lost_moves.push(lost);
@@ -515,7 +525,7 @@
         &mut self,
         scheduler: &mut JobScheduler,
         machine: &MachineName,
-        worker: Option<&WorkerId>,
+        worker: Option<&MovedWorker>,
         pool: &PoolName,
         outcome: Option<MachineOutcome>,
     ) {
@@ -532,17 +542,12 @@
                     listed.worker = None;
                 }
                 if let Some(worker) = worker {
-                    scheduler.worker_removed(worker);
+                    scheduler.worker_removed(&worker.id, worker.incarnation);
                 }
             }
             Some(MachineOutcome::Fenced) => self.is_fenced = true,
-            // A machine without a worker: the next list shows its pool.
-            None => {}
-            Some(_) => {
-                if let Some(worker) = worker {
-                    scheduler.block_worker(worker, false);
-                }
-            }
+            // It had no effect, or the machine has no worker: the next list shows its pool.
+            Some(_) | None => {}
         }
     }
 
@@ -587,6 +592,13 @@
     );
 }
 
+/// Returns the incarnation of the worker on a machine, or 0 if it is not known.
+fn incarnation_of(machine: &ListedMachine, scheduler: &JobScheduler) -> u64 {
+    let worker = machine.worker.as_ref();
+    let incarnation = worker.and_then(|worker| scheduler.incarnation(worker));
+    incarnation.unwrap_or_default()
+}
+
 /// Returns the load of the worker on a machine.
 fn load_of(machine: &ListedMachine, scheduler: &JobScheduler) -> WorkerLoad {
     let worker = machine.worker.as_ref();
--- a/crates/engine/tests/maintenance/mod.rs
+++ b/crates/engine/tests/maintenance/mod.rs
@@ -1,16 +1,18 @@
 //! Waves of maintenance over several processes, with a stand-in machine service.
 
+use std::collections::BTreeSet;
 use std::time;
 
 use crate::common::{MANIFEST, TestCluster, run_test};
 use redwing_engine::owner::OwnerSettings;
 use redwing_engine::product;
 use redwing_engine::services::MachineClient;
+use redwing_jobs::JobState;
 use redwing_jobs::capacity::CapacitySettings;
 use redwing_jobs::maintenance::{WaveRequest, WaveState};
-use redwing_jobs::name::MachineName;
+use redwing_jobs::name::{MachineName, WorkerId};
 use redwing_provider::{RowKey, TableStore, TableTransaction};
-use redwing_standin::{MachineFault, MemoryMachines};
+use redwing_standin::{MachineFault, MemoryMachines, WorkerReturn};
 use tokio::time as timer;
 
 /// Time that a machine is down for maintenance: shorter than the owner assumes,
@@ -141,6 +143,35 @@
     });
 }
 
+/// Guards against workers that get no task after the maintenance of their machines, since they
+/// start again under their ids (LOST); and against the same for workers with new ids.
+async fn every_worker_gets_tasks_after_a_wave(returns: WorkerReturn) {
+    let mut cluster = start_wave(0, 3, 1).await;
+    cluster
+        .machines
+        .host(&cluster.workers, &cluster.platform, returns);
+    cluster.add_process(0).await;
+    wait_completed(&cluster).await;
+    let ids = cluster.workers.ids();
+    let before = cluster.workers.starts().len();
+    cluster.submit(0, "after", 24).await;
+    timer::sleep(time::Duration::from_secs(3)).await;
+    let starts = cluster.workers.starts().split_off(before);
+    let used: BTreeSet<WorkerId> = starts.iter().map(|start| start.worker.clone()).collect();
+    assert_eq!(used, ids.into_iter().collect(), "{returns:?}");
+    cluster.wait_state(0, "after", JobState::Completed).await;
+}
+
+#[test]
+fn workers_that_keep_their_ids_get_tasks_after_a_wave() {
+    run_test(every_worker_gets_tasks_after_a_wave(WorkerReturn::SameId));
+}
+
+#[test]
+fn workers_with_new_ids_get_tasks_after_a_wave() {
+    run_test(every_worker_gets_tasks_after_a_wave(WorkerReturn::NewId));
+}
+
 /// A wave may name machines that do not exist, and machines twice.
 #[test]
 fn a_wave_with_unknown_and_repeated_machines_is_completed() {
--- a/crates/experiment/src/run.rs
+++ b/crates/experiment/src/run.rs
@@ -5,7 +5,8 @@
 use std::time;
 
 use redwing_jobs::admission::{self, AdmissionDecision};
-use redwing_jobs::capacity::{CapacityAction, CapacityPlanner, CapacitySettings, PoolState};
+use redwing_jobs::block::WorkerBlocks;
+use redwing_jobs::capacity::{CapacityPlanner, CapacitySettings, MachineMove, PoolState};
 use redwing_jobs::manifest::JobManifest;
 use redwing_jobs::name::{CustomerName, MachineName, PoolName, QueueName};
 use redwing_jobs::scheduler::ChangeSet;
@@ -446,16 +447,16 @@
         let pools: BTreeMap<PoolName, PoolState> = pools.collect();
         let machines = self.fleet.pool_machines(&self.scheduler);
         for action in self.planner.plan(&pools, &machines, now) {
-            match action {
-                CapacityAction::Prepare(worker) => self.scheduler.block_worker(&worker, true),
-                CapacityAction::Release(worker) => self.scheduler.block_worker(&worker, false),
-                CapacityAction::Move {
-                    machine,
-                    worker,
-                    pool,
-                } => self.begin_move(&machine, worker.as_ref(), &pool),
-            }
+            let MachineMove {
+                machine,
+                worker,
+                pool,
+            } = action;
+            self.begin_move(&machine, worker.as_ref(), &pool);
         }
+        let mut blocks = WorkerBlocks::default();
+        self.planner.add_blocks(&mut blocks);
+        self.scheduler.set_blocks(blocks);
     }
 
     fn begin_move(&mut self, machine: &MachineName, worker: Option<&WorkerId>, pool: &PoolName) {
@@ -464,7 +465,9 @@
             return;
         };
         if let Some(worker) = worker {
-            self.scheduler.worker_removed(worker);
+            let incarnation = self.scheduler.incarnation(worker);
+            self.scheduler
+                .worker_removed(worker, incarnation.unwrap_or_default());
         }
         self.moves += 1;
         let duration = time::Duration::from_secs_f64(self.load.fleet.move_seconds);
--- a/crates/jobs/src/capacity.rs
+++ b/crates/jobs/src/capacity.rs
@@ -29,6 +29,7 @@
 use std::sync;
 use std::time;
 
+use crate::block::{WorkerBlock, WorkerBlocks};
 use crate::maintenance::WorkerLoad;
 use crate::name::{DataCentre, MachineName, PoolName, WorkerId};
 use crate::time::BootTime;
@@ -133,22 +134,15 @@
     pub demand: PoolDemand,
 }
 
-/// Action that the planner requests.
+/// Move of a machine that the planner requests.
 #[derive(Clone, Debug, Eq, PartialEq)]
-pub enum CapacityAction {
-    /// Block new tasks on a worker, so that its machine can be moved.
-    Prepare(WorkerId),
-    /// Allow new tasks on a worker again.
-    Release(WorkerId),
-    /// Move a machine to a pool.
-    Move {
-        /// The machine.
-        machine: MachineName,
-        /// Worker that runs on it.
-        worker: Option<WorkerId>,
-        /// The pool.
-        pool: PoolName,
-    },
+pub struct MachineMove {
+    /// The machine.
+    pub machine: MachineName,
+    /// Worker that runs on it.
+    pub worker: Option<WorkerId>,
+    /// Pool that it joins.
+    pub pool: PoolName,
 }
 
 /// Returns the mean work of a job, in thousandths of a core times seconds.
@@ -173,6 +167,14 @@
     allocated: u64,
 }
 
+/// Move that was ordered.
+#[derive(Clone, Debug)]
+struct OrderedMove {
+    ordered_at: BootTime,
+    /// Worker that runs on the machine.
+    worker: Option<WorkerId>,
+}
+
 /// Sizes pools by their demand.
 #[derive(Debug, Default)]
 pub struct CapacityPlanner {
@@ -182,7 +184,7 @@
     idle_since: BTreeMap<MachineName, BootTime>,
     emptying: BTreeMap<MachineName, EmptyingMachine>,
     /// Moves that were ordered and have no response yet.
-    ordered: BTreeMap<MachineName, BootTime>,
+    ordered: BTreeMap<MachineName, OrderedMove>,
     /// Data centres that are evacuated.
     evacuations: sync::Arc<BTreeSet<DataCentre>>,
 }
@@ -238,8 +240,8 @@
     }
 
     /// Continues the waits of an earlier owner, which were stored by the time
-    /// `stored_by`; returns the actions that keep machines empty.
-    pub fn restore(&mut self, waits: MoveWaits, stored_by: BootTime) -> Vec<CapacityAction> {
+    /// `stored_by`.
+    pub fn restore(&mut self, waits: MoveWaits, stored_by: BootTime) {
         for (name, wait) in waits.surplus {
             self.idle_since.insert(name, wait.began(stored_by));
         }
@@ -252,8 +254,16 @@
             history.required.push_back(sample);
         }
         self.emptying = waits.emptying;
-        let workers = self.emptying.values().map(|machine| machine.worker.clone());
-        workers.map(CapacityAction::Prepare).collect()
+    }
+
+    /// Adds the workers that get no new tasks because their machines are to be moved.
+    pub fn add_blocks(&self, blocks: &mut WorkerBlocks) {
+        let emptying = self.emptying.values().map(|machine| &machine.worker);
+        let ordered = self.ordered.values();
+        let ordered = ordered.filter_map(|ordered| ordered.worker.as_ref());
+        for worker in emptying.chain(ordered) {
+            blocks.add(worker, WorkerBlock::All);
+        }
     }
 
     /// Handles the response to a move.
@@ -270,21 +280,21 @@
         self.emptying.insert(machine.clone(), emptying);
     }
 
-    /// Returns the actions that move machines to follow the demand.
+    /// Returns the moves of machines that follow the demand.
     pub fn plan(
         &mut self,
         pools: &BTreeMap<PoolName, PoolState>,
         machines: &BTreeMap<MachineName, PoolMachine>,
         now: BootTime,
-    ) -> Vec<CapacityAction> {
+    ) -> Vec<MachineMove> {
         let timeout = self.settings.move_timeout;
         self.ordered
-            .retain(|_, since| now.saturating_since(*since) < timeout);
-        let mut actions = Vec::new();
-        self.release_evacuated(machines, &mut actions);
+            .retain(|_, ordered| now.saturating_since(ordered.ordered_at) < timeout);
+        let mut moves = Vec::new();
+        self.release_evacuated(machines);
         let mut balances = self.balances(pools, machines, now);
-        self.move_emptied(machines, &balances, now, &mut actions);
-        self.fill_deficits(machines, &mut balances, now, &mut actions);
+        self.move_emptied(machines, &balances, now, &mut moves);
+        self.fill_deficits(machines, &mut balances, now, &mut moves);
         let has_deficit = balances
             .values()
             .any(|balance| !balance.is_standby && balance.required > balance.allocated);
@@ -293,10 +303,10 @@
                 balance.required += balance.late;
                 balance.retained += balance.late;
             }
-            self.fill_deficits(machines, &mut balances, now, &mut actions);
+            self.fill_deficits(machines, &mut balances, now, &mut moves);
         }
-        self.park_idle(machines, &mut balances, now, &mut actions);
-        actions
+        self.park_idle(machines, &mut balances, now, &mut moves);
+        moves
     }
 
     fn balances(
@@ -376,19 +386,13 @@
     }
 
     /// Gives up the moves of machines whose data centre is evacuated.
-    fn release_evacuated(
-        &mut self,
-        machines: &BTreeMap<MachineName, PoolMachine>,
-        actions: &mut Vec<CapacityAction>,
-    ) {
+    fn release_evacuated(&mut self, machines: &BTreeMap<MachineName, PoolMachine>) {
         let emptying = std::mem::take(&mut self.emptying).into_iter();
-        let (released, kept): (Vec<_>, Vec<_>) = emptying.partition(|(name, _)| {
+        let kept = emptying.filter(|(name, _)| {
             let machine = machines.get(name);
-            machine.is_some_and(|machine| self.is_evacuated(machine))
+            machine.is_none_or(|machine| !self.is_evacuated(machine))
         });
-        self.emptying = kept.into_iter().collect();
-        let workers = released.into_iter().map(|(_, machine)| machine.worker);
-        actions.extend(workers.map(CapacityAction::Release));
+        self.emptying = kept.collect();
     }
 
     /// Moves the machines that have become empty, and releases those that are no
@@ -398,27 +402,28 @@
         machines: &BTreeMap<MachineName, PoolMachine>,
         balances: &BTreeMap<PoolName, PoolBalance>,
         now: BootTime,
-        actions: &mut Vec<CapacityAction>,
+        moves: &mut Vec<MachineMove>,
     ) {
         let mut still_emptying = BTreeMap::new();
         for (name, emptying) in std::mem::take(&mut self.emptying) {
             let machine = machines.get(&name);
             let worker = machine.and_then(|machine| machine.worker.as_ref());
-            let Some(machine) = machine.filter(|_| worker == Some(&emptying.worker)) else {
-                actions.push(CapacityAction::Release(emptying.worker));
+            let is_same = worker == Some(&emptying.worker);
+            // A machine that has moved may have a worker with the same id.
+            let is_there = |machine: &&PoolMachine| is_same && machine.pool != emptying.pool;
+            let Some(machine) = machine.filter(is_there) else {
                 continue;
             };
             let target = balances.get(&emptying.pool).copied().unwrap_or_default();
             let is_needed = target.required + machine.cpu_millis > target.allocated;
             if !is_needed || !machine.is_movable || machine.load.long_running > 0 {
-                actions.push(CapacityAction::Release(emptying.worker));
                 continue;
             }
             if machine.load.finite > 0 {
                 still_emptying.insert(name, emptying);
                 continue;
             }
-            self.order_move(&name, machine, &emptying.pool, now, actions);
+            self.order_move(&name, machine, &emptying.pool, now, moves);
         }
         self.emptying = still_emptying;
     }
@@ -430,12 +435,15 @@
         machine: &PoolMachine,
         pool: &PoolName,
         now: BootTime,
-        actions: &mut Vec<CapacityAction>,
+        moves: &mut Vec<MachineMove>,
     ) {
-        self.ordered.insert(name.clone(), now);
+        let ordered = OrderedMove {
+            ordered_at: now,
+            worker: machine.worker.clone(),
+        };
+        self.ordered.insert(name.clone(), ordered);
         self.idle_since.remove(name);
-        actions.extend(machine.worker.clone().map(CapacityAction::Prepare));
-        actions.push(CapacityAction::Move {
+        moves.push(MachineMove {
             machine: name.clone(),
             worker: machine.worker.clone(),
             pool: pool.clone(),
@@ -448,7 +456,7 @@
         machines: &BTreeMap<MachineName, PoolMachine>,
         balances: &mut BTreeMap<PoolName, PoolBalance>,
         now: BootTime,
-        actions: &mut Vec<CapacityAction>,
+        moves: &mut Vec<MachineMove>,
     ) {
         let mut deficits: Vec<(u64, PoolName)> = balances
             .iter()
@@ -467,14 +475,13 @@
                 transfer(balances, &machine.pool, &pool, machine.cpu_millis);
                 match &machine.worker {
                     Some(worker) if machine.load.finite > 0 => {
-                        actions.push(CapacityAction::Prepare(worker.clone()));
                         let emptying = EmptyingMachine {
                             worker: worker.clone(),
                             pool: pool.clone(),
                         };
                         self.emptying.insert(name, emptying);
                     }
-                    _ => self.order_move(&name, machine, &pool, now, actions),
+                    _ => self.order_move(&name, machine, &pool, now, moves),
                 }
             }
         }
@@ -519,7 +526,7 @@
         machines: &BTreeMap<MachineName, PoolMachine>,
         balances: &mut BTreeMap<PoolName, PoolBalance>,
         now: BootTime,
-        actions: &mut Vec<CapacityAction>,
+        moves: &mut Vec<MachineMove>,
     ) {
         let standby = balances.iter().find(|(_, balance)| balance.is_standby);
         let Some(standby) = standby.map(|(name, _)| name.clone()) else {
@@ -550,7 +557,7 @@
             if !is_evacuated {
                 transfer(balances, &machine.pool, &standby, machine.cpu_millis);
             }
-            self.order_move(name, machine, &standby, now, actions);
+            self.order_move(name, machine, &standby, now, moves);
         }
     }
 }
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -23,6 +23,7 @@
 //! ```
 
 pub mod admission;
+pub mod block;
 pub mod capacity;
 pub mod change_order;
 pub mod error;
--- a/crates/jobs/src/maintenance/mod.rs
+++ b/crates/jobs/src/maintenance/mod.rs
@@ -21,6 +21,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::block::WorkerBlocks;
 use crate::error::Result;
 use crate::name::{MachineName, WorkerId};
 use crate::time::{BootTime, WallTime};
@@ -67,7 +68,7 @@
     /// Machines whose maintenance has begun, and how long ago.
     #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
     pub down: BTreeMap<MachineName, ElapsedWait>,
-    /// Machines whose workers were being emptied, with these.
+    /// Machines whose workers were being emptied, or that were ordered, with these workers.
     #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
     pub prepared: BTreeMap<MachineName, WorkerId>,
 }
@@ -100,6 +101,8 @@
     pub is_evacuated: bool,
     /// Worker on it.
     pub worker: Option<WorkerId>,
+    /// Incarnation of the worker; 0 if unknown.
+    pub incarnation: u64,
     /// Tasks that the worker runs.
     pub load: WorkerLoad,
 }
@@ -107,10 +110,15 @@
 /// Action that the planner requests.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum MaintenanceAction {
-    /// Block new tasks on a worker, and move long-running tasks off it.
-    Prepare(WorkerId),
-    /// Allow new tasks on a worker again.
-    Release(WorkerId),
+    /// Move long-running tasks off a worker, on which new ones are blocked.
+    Evict(WorkerId),
+    /// Remove a worker that its machine has no more after the maintenance.
+    Remove {
+        /// The worker.
+        worker: WorkerId,
+        /// Its latest incarnation before the maintenance.
+        incarnation: u64,
+    },
     /// Take a machine down for its maintenance; to be sent only once the progress
     /// of the wave is stored.
     Order {
@@ -268,9 +276,11 @@
         self.waves.get(&wave).map(WaveEntry::record)
     }
 
-    /// Returns the workers that are being emptied for maintenance.
-    pub fn prepared_workers(&self) -> impl Iterator<Item = &WorkerId> {
-        self.waves.values().flat_map(WaveEntry::prepared_workers)
+    /// Adds the workers that get no new tasks because of maintenance.
+    pub fn add_blocks(&self, blocks: &mut WorkerBlocks) {
+        for entry in self.waves.values() {
+            entry.add_blocks(blocks);
+        }
     }
 
     /// Updates what the records state of machines that are being emptied or down, for
--- a/crates/jobs/src/maintenance/wave.rs
+++ b/crates/jobs/src/maintenance/wave.rs
@@ -3,6 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::mem;
 
+use crate::block::{WorkerBlock, WorkerBlocks};
 use crate::name::{MachineName, WorkerId};
 use crate::time::BootTime;
 use crate::wait::ElapsedWait;
@@ -18,7 +19,7 @@
     #[default]
     Waiting,
     /// New tasks are blocked on the worker, if the machine has one.
-    Prepared(Option<WorkerId>),
+    Prepared,
     /// Maintenance was ordered, and whether it has begun is unknown; with the time
     /// of the latest order of this owner, if any.
     Ordered(Option<BootTime>),
@@ -30,6 +31,10 @@
 #[derive(Clone, Debug, Default)]
 struct MachineEntry {
     stage: MachineStage,
+    /// Worker on the machine from the time on at which it is prepared, if known.
+    worker: Option<WorkerId>,
+    /// Latest known incarnation of that worker before the maintenance began.
+    incarnation: u64,
     /// Since when the list has left the machine out.
     absent_since: Option<BootTime>,
     /// Since when the machine is listed as not up.
@@ -48,7 +53,39 @@
     }
 
     fn is_prepared(&self) -> bool {
-        matches!(self.stage, MachineStage::Prepared(_))
+        self.stage == MachineStage::Prepared
+    }
+
+    /// Returns the worker that gets no new tasks for the sake of the maintenance, if any.
+    fn block(&self) -> Option<(&WorkerId, WorkerBlock)> {
+        let block = match self.stage {
+            MachineStage::Waiting => return None,
+            MachineStage::Prepared | MachineStage::Ordered(_) => WorkerBlock::All,
+            MachineStage::Down(_) => WorkerBlock::UpTo(self.incarnation),
+        };
+        self.worker.as_ref().map(|worker| (worker, block))
+    }
+
+    /// Returns the machine to those that wait for their maintenance.
+    fn wait_again(&mut self) {
+        self.stage = MachineStage::Waiting;
+        self.worker = None;
+    }
+
+    /// Updates which incarnation of the worker the maintenance would end.
+    fn update_worker(&mut self, status: &MachineStatus) {
+        if !matches!(
+            self.stage,
+            MachineStage::Prepared | MachineStage::Ordered(_)
+        ) {
+            return;
+        }
+        if self.worker.is_none() {
+            self.worker.clone_from(&status.worker);
+        }
+        if self.worker == status.worker {
+            self.incarnation = status.incarnation;
+        }
     }
 
     fn is_waiting(&self, now: BootTime) -> bool {
@@ -66,6 +103,7 @@
         now: BootTime,
     ) -> bool {
         self.absent_since = None;
+        self.update_worker(status);
         match status.is_up {
             true => self.unavailable_since = None,
             false => {
@@ -120,16 +158,12 @@
     record: MaintenanceRecord,
     started_at: BootTime,
     machines: BTreeMap<MachineName, MachineEntry>,
-    /// Blocked workers of machines that were removed from the wave.
-    released_workers: Vec<WorkerId>,
     /// Whether the latest progress was passed on to be stored.
     is_reported: bool,
     /// When the progress was last passed on.
     reported_at: BootTime,
     /// What operators were told last about what keeps the wave from being completed.
     delay: WaveDelay,
-    /// Workers that an earlier owner had blocked.
-    blocked_workers: Vec<WorkerId>,
     /// Machines that are down, or may be, for other waves.
     down_elsewhere: BTreeSet<MachineName>,
 }
@@ -161,11 +195,9 @@
             request: request.clone(),
             record,
             started_at,
-            released_workers: Vec::new(),
             is_reported: false,
             reported_at: BootTime::default(),
             delay: WaveDelay::default(),
-            blocked_workers: Vec::new(),
             down_elsewhere: BTreeSet::new(),
         };
         entry.add_requested_machines();
@@ -182,16 +214,8 @@
         self.request = request.clone();
         self.is_reported = false;
         let requested: BTreeSet<&MachineName> = request.machines.iter().collect();
-        let released_workers = &mut self.released_workers;
-        self.machines.retain(|name, machine| {
-            if requested.contains(name) || machine.counts_as_down() {
-                return true;
-            }
-            if let MachineStage::Prepared(worker) = &mut machine.stage {
-                released_workers.extend(worker.take());
-            }
-            false
-        });
+        self.machines
+            .retain(|name, machine| requested.contains(name) || machine.counts_as_down());
         self.add_requested_machines();
     }
 
@@ -203,15 +227,18 @@
         }
     }
 
-    /// Goes on with the machines that an earlier owner was emptying.
+    /// Goes on with the machines that an earlier owner was emptying, or had ordered.
     fn restore_prepared(&mut self) {
         for (name, worker) in &self.record.prepared {
             let entry = self.machines.get_mut(name);
-            let entry = entry.filter(|entry| entry.stage == MachineStage::Waiting);
-            if let Some(entry) = entry {
-                entry.stage = MachineStage::Prepared(Some(worker.clone()));
-                self.blocked_workers.push(worker.clone());
+            let Some(entry) = entry.filter(|entry| !matches!(entry.stage, MachineStage::Down(_)))
+            else {
+                continue;
+            };
+            if entry.stage == MachineStage::Waiting {
+                entry.stage = MachineStage::Prepared;
             }
+            entry.worker = Some(worker.clone());
         }
     }
 
@@ -234,14 +261,18 @@
         }
     }
 
-    /// Returns a machine to the waiting ones, to be ordered again from `retry_at`, unless
-    /// an earlier order may have been carried out.
+    /// Handles that an order had no effect: the machine stays prepared if its worker is known,
+    /// or waits, and may be ordered again from `retry_at`. Not if an earlier order may have
+    /// been carried out.
     pub(super) fn order_rejected(&mut self, machine: &MachineName, retry_at: BootTime) {
         if let Some(entry) = self.machines.get_mut(machine)
             && matches!(entry.stage, MachineStage::Ordered(_))
             && !entry.may_have_begun
         {
-            entry.stage = MachineStage::Waiting;
+            entry.stage = match entry.worker {
+                Some(_) => MachineStage::Prepared,
+                None => MachineStage::Waiting,
+            };
             entry.not_before = retry_at;
             self.record.ordered.remove(machine);
         }
@@ -281,13 +312,9 @@
         now: BootTime,
         actions: &mut Vec<MaintenanceAction>,
     ) {
-        let released_workers = self.released_workers.drain(..);
-        actions.extend(released_workers.map(MaintenanceAction::Release));
-        let blocked_workers = self.blocked_workers.drain(..);
-        actions.extend(blocked_workers.map(MaintenanceAction::Prepare));
         if !statuses.is_empty() {
-            self.update_stages(settings, statuses, now);
-            self.prepare_machines(settings, statuses, now, actions);
+            self.update_stages(settings, statuses, now, actions);
+            self.prepare_machines(settings, statuses, now);
             self.order_prepared(settings, statuses, now, actions);
             self.order_absent(settings, now, actions);
             self.repeat_orders(settings, now, actions);
@@ -374,17 +401,21 @@
         })
     }
 
-    /// Returns the machines whose workers are being emptied, with these.
+    /// Returns the machines whose workers are being emptied, or that were ordered, with
+    /// these workers.
     fn prepared(&self) -> impl Iterator<Item = (&MachineName, &WorkerId)> {
         let machines = self.machines.iter();
-        machines.filter_map(|(name, entry)| match &entry.stage {
-            MachineStage::Prepared(Some(worker)) => Some((name, worker)),
-            _ => None,
+        machines.filter_map(|(name, entry)| match entry.block()? {
+            (worker, WorkerBlock::All) => Some((name, worker)),
+            (_, WorkerBlock::UpTo(_)) => None,
         })
     }
 
-    pub(super) fn prepared_workers(&self) -> impl Iterator<Item = &WorkerId> {
-        self.prepared().map(|(_, worker)| worker)
+    /// Adds the workers that get no new tasks because of the wave.
+    pub(super) fn add_blocks(&self, blocks: &mut WorkerBlocks) {
+        for (worker, block) in self.machines.values().filter_map(MachineEntry::block) {
+            blocks.add(worker, block);
+        }
     }
 
     fn state(&self) -> WaveState {
@@ -437,15 +468,25 @@
         settings: &MaintenanceSettings,
         statuses: &BTreeMap<MachineName, MachineStatus>,
         now: BootTime,
+        actions: &mut Vec<MaintenanceAction>,
     ) {
         let mut done = Vec::new();
         for (name, machine) in &mut self.machines {
-            let is_done = match statuses.get(name) {
+            let status = statuses.get(name);
+            let is_done = match status {
                 Some(status) => machine.update_listed(status, settings, now),
                 None => machine.update_absent(settings, now),
             };
-            if is_done {
-                done.push(name.clone());
+            if !is_done {
+                continue;
+            }
+            done.push(name.clone());
+            let present = status.and_then(|status| status.worker.as_ref());
+            if let Some(worker) = machine.worker.take().filter(|old| Some(old) != present) {
+                actions.push(MaintenanceAction::Remove {
+                    worker,
+                    incarnation: machine.incarnation,
+                });
             }
         }
         for name in done {
@@ -459,7 +500,6 @@
         settings: &MaintenanceSettings,
         statuses: &BTreeMap<MachineName, MachineStatus>,
         now: BootTime,
-        actions: &mut Vec<MaintenanceAction>,
     ) {
         let target_count = self.request.max_down + settings.prepared_ahead;
         let prepared = self.machines.values().filter(|entry| entry.is_prepared());
@@ -477,12 +517,10 @@
             .collect();
         next.sort();
         for (_, name) in next.into_iter().take(shortfall) {
-            let worker = statuses.get(&name).and_then(|status| status.worker.clone());
-            if let Some(worker) = &worker {
-                actions.push(MaintenanceAction::Prepare(worker.clone()));
-            }
-            if let Some(entry) = self.machines.get_mut(&name) {
-                entry.stage = MachineStage::Prepared(worker);
+            let status = statuses.get(&name);
+            if let (Some(entry), Some(status)) = (self.machines.get_mut(&name), status) {
+                entry.stage = MachineStage::Prepared;
+                entry.update_worker(status);
             }
         }
     }
@@ -499,22 +537,23 @@
         let is_behind = self.is_behind_schedule(settings, now);
         let mut ready = Vec::new();
         for (name, machine) in &mut self.machines {
-            let MachineStage::Prepared(worker) = &mut machine.stage else {
+            if !machine.is_prepared() {
                 continue;
-            };
+            }
             let status = statuses.get(name);
-            let status = status.filter(|status| status.is_up && status.worker == *worker);
+            let status = status.filter(|status| status.is_up && status.worker == machine.worker);
             let Some(status) = status else {
                 // The worker moved or was replaced; the machine is prepared again.
-                actions.extend(worker.take().map(MaintenanceAction::Release));
-                machine.stage = MachineStage::Waiting;
+                machine.wait_again();
                 continue;
             };
             let load = status.load;
             if load.long_running == 0 && (load.finite == 0 || is_behind) {
-                ready.push(name.clone());
+                if machine.not_before <= now {
+                    ready.push(name.clone());
+                }
             } else {
-                actions.extend(worker.clone().map(MaintenanceAction::Prepare));
+                actions.extend(machine.worker.clone().map(MaintenanceAction::Evict));
             }
         }
         self.order_within_limit(ready, now, actions);
--- a/crates/jobs/src/scheduler/backlog.rs
+++ b/crates/jobs/src/scheduler/backlog.rs
@@ -435,7 +435,7 @@
             let Some(view) = &entry.view else {
                 continue;
             };
-            if !entry.is_listed || view.is_draining || entry.is_blocked {
+            if !entry.is_listed || view.is_draining || entry.is_blocked() {
                 continue;
             }
             let cpu_millis = view.capacity.cpu_millis;
--- a/crates/jobs/src/scheduler/fleet.rs
+++ b/crates/jobs/src/scheduler/fleet.rs
@@ -1,10 +1,12 @@
 //! Workers, their free capacity and their leases.
 
 use std::collections::{BTreeSet, HashMap, VecDeque};
+use std::mem;
 use std::net;
 use std::sync;
 use std::time;
 
+use crate::block::{WorkerBlock, WorkerBlocks};
 use crate::feasibility::FleetCapacity;
 use crate::name::{DataCentre, JobId, PoolName, TaskId, WorkerId};
 use crate::spec::ResourceAmount;
@@ -132,8 +134,10 @@
     pub(super) is_share_known: bool,
     /// When that share last changed.
     pub(super) paced_at: BootTime,
-    /// Whether maintenance or a planned move blocks new tasks.
-    pub(super) is_blocked: bool,
+    /// Block for what is planned for its machine, if any.
+    pub(super) block: Option<WorkerBlock>,
+    /// Whether its machine was taken from under this incarnation.
+    pub(super) is_removed: bool,
     /// Whether its data centre is evacuated.
     pub(super) is_evacuated: bool,
 }
@@ -153,6 +157,12 @@
         self.is_evacuated = data_centre.is_some_and(|name| evacuations.contains(name));
     }
 
+    /// Returns whether the present incarnation gets no new tasks because of its machine.
+    pub(super) fn is_blocked(&self) -> bool {
+        let block = self.block;
+        self.is_removed || block.is_some_and(|block| block.includes(self.incarnation))
+    }
+
     /// Returns whether the worker accepts no new tasks because it is about to leave.
     pub(super) fn is_draining(&self) -> bool {
         self.view.as_ref().is_some_and(|view| view.is_draining)
@@ -171,7 +181,7 @@
             && !self.is_refused
             && self.is_view_current()
             && !self.is_draining()
-            && !self.is_blocked
+            && !self.is_blocked()
             && !self.is_evacuated
             && self.contact == ContactState::Responsive
             && self.clock.is_some()
@@ -182,7 +192,7 @@
     pub(super) fn is_open_in(&self, pool: &PoolName) -> bool {
         let view = self.view.as_ref();
         let is_open = view.is_some_and(|view| view.pool == *pool && !view.is_draining);
-        is_open && self.is_listed && !self.is_refused && !self.is_blocked && !self.is_evacuated
+        is_open && self.is_listed && !self.is_refused && !self.is_blocked() && !self.is_evacuated
     }
 
     /// Returns whether the latest report lists no run that an earlier owner has
@@ -299,6 +309,7 @@
         self.contacted_at = None;
         self.silent_since = None;
         self.refused_at = None;
+        self.is_removed = false;
         self.awaited_since = None;
         // The response to a renewal that is under way is that of the previous one.
         self.renewal_sent_at = None;
@@ -329,6 +340,8 @@
     pools: HashMap<PoolName, BTreeSet<WorkerId>>,
     /// Data centres that are evacuated.
     evacuations: sync::Arc<BTreeSet<DataCentre>>,
+    /// Blocks of workers, also of those that are not listed.
+    blocks: WorkerBlocks,
 }
 
 impl WorkerFleet {
@@ -343,6 +356,7 @@
     pub(super) fn insert(&mut self, id: WorkerId, mut entry: WorkerEntry) {
         self.remove(&id);
         entry.update_evacuated(&self.evacuations);
+        entry.block = self.blocks.get(&id);
         if let Some(view) = &entry.view {
             self.add_to_pool(&view.pool.clone(), &id);
         }
@@ -374,6 +388,27 @@
         }
     }
 
+    /// Replaces all blocks; returns the workers whose block has changed.
+    pub(super) fn set_blocks(&mut self, blocks: WorkerBlocks) -> Vec<WorkerId> {
+        if self.blocks == blocks {
+            return Vec::new();
+        }
+        let previous = mem::replace(&mut self.blocks, blocks);
+        let concerned: BTreeSet<&WorkerId> =
+            previous.workers().chain(self.blocks.workers()).collect();
+        let mut changed = Vec::new();
+        for id in concerned {
+            let block = self.blocks.get(id);
+            if let Some(entry) = self.workers.get_mut(id)
+                && entry.block != block
+            {
+                entry.block = block;
+                changed.push(id.clone());
+            }
+        }
+        changed
+    }
+
     /// Returns the workers of evacuated data centres.
     pub(super) fn evacuated(&self) -> impl Iterator<Item = (&WorkerId, &WorkerEntry)> {
         // Most of the time there are none.
--- a/crates/jobs/src/scheduler/listing.rs
+++ b/crates/jobs/src/scheduler/listing.rs
@@ -84,7 +84,7 @@
         }
         entry.is_listed = false;
         let ended_by_itself =
-            entry.reservations.is_empty() && !entry.is_draining() && !entry.is_blocked;
+            entry.reservations.is_empty() && !entry.is_draining() && !entry.is_blocked();
         if ended_by_itself && !was_lost {
             self.note_end(id, now);
         }
--- a/crates/jobs/src/scheduler/loss.rs
+++ b/crates/jobs/src/scheduler/loss.rs
@@ -61,7 +61,7 @@
         };
         if was_draining {
             LossCause::Drained
-        } else if entry.is_blocked {
+        } else if entry.is_blocked() {
             LossCause::Removed
         } else if entry.is_listed && !has_restarted {
             LossCause::Unreachable
--- a/crates/jobs/src/scheduler/maintenance.rs
+++ b/crates/jobs/src/scheduler/maintenance.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 
+use crate::block::WorkerBlocks;
 use crate::capacity::PoolDemand;
 use crate::maintenance::WorkerLoad;
 use crate::name::{PoolName, TaskId, WorkerId};
@@ -77,22 +78,28 @@
         demands
     }
 
-    /// Handles an accepted order to move a worker's machine: none of its tasks is left.
-    pub fn worker_removed(&mut self, worker: &WorkerId) {
-        if let Some(entry) = self.fleet.get_mut(worker) {
+    /// Handles that the machine was taken from under an incarnation of a worker, or an
+    /// earlier one: none of its tasks is left.
+    pub fn worker_removed(&mut self, worker: &WorkerId, incarnation: u64) {
+        let entry = self.fleet.get_mut(worker);
+        if let Some(entry) = entry.filter(|entry| entry.incarnation <= incarnation) {
             entry.is_listed = false;
-            entry.is_blocked = true;
+            entry.is_removed = true;
         }
     }
 
-    /// Blocks or unblocks new tasks on a worker.
-    pub fn block_worker(&mut self, worker: &WorkerId, is_blocked: bool) {
-        if let Some(entry) = self.fleet.get_mut(worker) {
-            entry.is_blocked = is_blocked;
-            self.mark_worker_changed(worker);
+    /// Replaces the blocks of workers by those that waves and moves need now.
+    pub fn set_blocks(&mut self, blocks: WorkerBlocks) {
+        for worker in self.fleet.set_blocks(blocks) {
+            self.mark_worker_changed(&worker);
         }
     }
 
+    /// Returns the present incarnation of a worker, if it is tracked.
+    pub fn incarnation(&self, worker: &WorkerId) -> Option<u64> {
+        self.fleet.get(worker).map(|entry| entry.incarnation)
+    }
+
     /// Stops the long-running tasks on a worker, as far as the budget of
     /// their step allows; they start again elsewhere. Those that fit on no other
     /// worker keep running, and count as demand in the next `pool_demands`.
--- a/crates/jobs/tests/advice.rs
+++ b/crates/jobs/tests/advice.rs
@@ -6,8 +6,9 @@
 use std::sync;
 
 use common::{FakeFleet, FakeWorker, manifest_parts_with_limit, step_spec, task_id};
+use redwing_jobs::block::WorkerBlocks;
 use redwing_jobs::capacity::{
-    CapacityAction, CapacityPlanner, CapacitySettings, PoolMachine, PoolState,
+    CapacityPlanner, CapacitySettings, MachineMove, PoolMachine, PoolState,
 };
 use redwing_jobs::manifest::PoolPolicy;
 use redwing_jobs::name::{MachineName, PoolName};
@@ -106,16 +107,12 @@
         let machines = machines.collect();
         let now = self.fleet.now;
         for action in self.planner.plan(&BTreeMap::from(pools), &machines, now) {
-            match action {
-                CapacityAction::Prepare(worker) => {
-                    self.fleet.scheduler.block_worker(&worker, true);
-                }
-                CapacityAction::Release(worker) => {
-                    self.fleet.scheduler.block_worker(&worker, false);
-                }
-                CapacityAction::Move { machine, pool, .. } => self.move_machine(&machine, &pool),
-            }
+            let MachineMove { machine, pool, .. } = action;
+            self.move_machine(&machine, &pool);
         }
+        let mut blocks = WorkerBlocks::default();
+        self.planner.add_blocks(&mut blocks);
+        self.fleet.scheduler.set_blocks(blocks);
     }
 
     fn move_machine(&mut self, machine: &MachineName, pool: &PoolName) {
@@ -123,7 +120,7 @@
         self.moves += 1;
         self.machines.insert(machine.clone(), pool.clone());
         let worker = WorkerId::new(machine.as_str());
-        self.fleet.scheduler.worker_removed(&worker);
+        self.fleet.scheduler.worker_removed(&worker, 1);
         self.fleet.workers.remove(&worker);
         if pool.as_str() == "builders" {
             self.start_worker(machine);
--- a/crates/jobs/tests/capacity.rs
+++ b/crates/jobs/tests/capacity.rs
@@ -5,8 +5,9 @@
 use std::time;
 
 use redwing_jobs::BootTime;
+use redwing_jobs::block::WorkerBlocks;
 use redwing_jobs::capacity::{
-    CapacityAction, CapacityPlanner, CapacitySettings, PoolDemand, PoolMachine, PoolState,
+    CapacityPlanner, CapacitySettings, MachineMove, PoolDemand, PoolMachine, PoolState,
 };
 use redwing_jobs::maintenance::WorkerLoad;
 use redwing_jobs::name::{DataCentre, MachineName, PoolName, WorkerId};
@@ -87,7 +88,7 @@
     }
 
     /// Plans once, executes the moves and returns all planned actions.
-    fn plan(&mut self) -> Vec<CapacityAction> {
+    fn plan(&mut self) -> Vec<MachineMove> {
         self.now = self.now + PLAN_INTERVAL;
         let now = self.now;
         for (name, machine) in &mut self.machines {
@@ -103,9 +104,7 @@
         }
         let actions = self.planner.plan(&self.pools, &self.machines, now);
         for action in &actions {
-            if let CapacityAction::Move { machine, pool, .. } = action {
-                self.move_machine(machine, pool);
-            }
+            self.move_machine(&action.machine, &action.pool);
         }
         actions
     }
@@ -136,12 +135,19 @@
     }
 
     /// Replaces the planner by that of a new owner, which has only the stored waits.
-    fn take_over(&mut self) -> Vec<CapacityAction> {
+    fn take_over(&mut self) {
         let waits = self.planner.waits(self.now);
         let text = serde_json::to_string(&waits).expect("they are written");
         let waits = serde_json::from_str(&text).expect("they are read");
         self.planner = CapacityPlanner::new(CapacitySettings::default());
-        self.planner.restore(waits, self.now)
+        self.planner.restore(waits, self.now);
+    }
+
+    /// Returns the workers whose machines are to be moved.
+    fn blocked(&self) -> Vec<String> {
+        let mut blocks = WorkerBlocks::default();
+        self.planner.add_blocks(&mut blocks);
+        blocks.workers().map(WorkerId::to_string).collect()
     }
 
     fn advance(&mut self, duration: time::Duration) {
@@ -179,16 +185,11 @@
         pools.load(&format!("printers-{number}")).finite = 1;
     }
     pools.demand("builders").waiting = 2 * MACHINE_CPU_MILLIS;
-    let actions = pools.plan();
-    assert!(
-        matches!(actions[..], [CapacityAction::Prepare(_)]),
-        "{actions:?}"
-    );
-    assert!(pools.moves.is_empty());
-    let CapacityAction::Prepare(worker) = &actions[0] else {
-        unreachable!("the action was just matched");
+    assert_eq!(pools.plan(), []);
+    let [worker] = &pools.blocked()[..] else {
+        panic!("{:?}", pools.blocked());
     };
-    pools.load(worker.as_str()).finite = 0;
+    pools.load(worker).finite = 0;
     pools.plan();
     assert_eq!(pools.moves.len(), 1);
 }
@@ -201,12 +202,10 @@
     }
     pools.demand("builders").waiting = 2 * MACHINE_CPU_MILLIS;
     pools.plan();
+    assert_eq!(pools.blocked().len(), 1);
     pools.demand("builders").waiting = 0;
-    let actions = pools.plan();
-    assert!(
-        matches!(actions[..], [CapacityAction::Release(_)]),
-        "{actions:?}"
-    );
+    assert_eq!(pools.plan(), []);
+    assert!(pools.blocked().is_empty());
 }
 
 #[test]
@@ -336,16 +335,17 @@
     }
     pools.load("printers-2").finite = 1;
     pools.demand("builders").waiting = 2 * MACHINE_CPU_MILLIS;
-    let worker = WorkerId::new("printers-2");
-    let prepared = [CapacityAction::Prepare(worker)];
-    assert_eq!(pools.plan(), prepared);
+    assert_eq!(pools.plan(), []);
+    assert_eq!(pools.blocked(), ["printers-2"]);
     pools.load("printers-1").finite = 0;
     pools.load("printers-1").long_running = 1;
     for number in [0, 3] {
         pools.load(&format!("printers-{number}")).finite = 1;
     }
-    assert_eq!(pools.take_over(), prepared);
+    pools.take_over();
+    assert_eq!(pools.blocked(), ["printers-2"]);
     assert_eq!(pools.plan(), []);
+    assert_eq!(pools.blocked(), ["printers-2"]);
     pools.load("printers-2").finite = 0;
     pools.plan();
     let moves: Vec<&str> = pools.moves.iter().map(|(name, _)| name.as_str()).collect();
@@ -368,15 +368,14 @@
     pools.demand("builders").waiting = 2 * MACHINE_CPU_MILLIS;
     pools.loses_orders = true;
     let actions = pools.plan();
-    let [CapacityAction::Prepare(worker), CapacityAction::Move { .. }] = &actions[..] else {
+    let [MachineMove { worker, .. }] = &actions[..] else {
         panic!("{actions:?}");
     };
+    let moved: Vec<String> = worker.iter().map(WorkerId::to_string).collect();
+    assert_eq!(pools.blocked(), moved);
     pools.demand("builders").waiting = 0;
-    let actions = pools.plan();
-    assert!(
-        actions.contains(&CapacityAction::Release(worker.clone())),
-        "{actions:?}"
-    );
+    pools.plan();
+    assert!(!pools.blocked().contains(&moved[0]));
 }
 
 /// Returns pools whose machines are in the data centres `east` and `west` in turn, and
@@ -442,11 +441,11 @@
     pools.load("printers-0").finite = 1;
     pools.load("printers-1").finite = 1;
     pools.demand("builders").waiting = 2 * MACHINE_CPU_MILLIS;
-    let prepared = pools.plan();
-    assert_eq!(prepared.len(), 1, "{prepared:?}");
+    assert_eq!(pools.plan(), []);
+    assert_eq!(pools.blocked().len(), 1);
     pools.evacuate(&["east"]);
-    let released = pools.plan();
-    assert!(matches!(released[..], [CapacityAction::Release(_)]));
+    assert_eq!(pools.plan(), []);
+    assert!(pools.blocked().is_empty());
     pools.load("printers-0").finite = 0;
     pools.load("printers-1").finite = 0;
     pools.advance(time::Duration::from_secs(3));
--- a/crates/jobs/tests/loss.rs
+++ b/crates/jobs/tests/loss.rs
@@ -81,7 +81,7 @@
 #[test]
 fn a_worker_whose_machine_is_moved_has_not_crashed() {
     let mut fleet = busy_fleet(ReturnMode::Never);
-    fleet.scheduler.worker_removed(&WorkerId::new("w0"));
+    fleet.scheduler.worker_removed(&WorkerId::new("w0"), 1);
     crash(&mut fleet, &["w0"]);
     assert_eq!(causes(&fleet), [LossCause::Removed]);
 }
--- a/crates/jobs/tests/maintenance.rs
+++ b/crates/jobs/tests/maintenance.rs
@@ -4,6 +4,7 @@
 use std::time;
 
 use redwing_jobs::BootTime;
+use redwing_jobs::block::WorkerBlocks;
 use redwing_jobs::maintenance::{
     MachineStatus, MaintenanceAction, MaintenanceRecord, MaintenanceSettings, WaveDelay,
     WavePlanner, WaveRequest, WaveState, WorkerLoad,
@@ -30,8 +31,12 @@
     wave_states: Vec<WaveState>,
     delays: Vec<WaveDelay>,
     maintenance_counts: BTreeMap<MachineName, u32>,
-    prepared_workers: Vec<WorkerId>,
-    released_workers: Vec<WorkerId>,
+    /// Worker of each request to move long-running tasks off it.
+    evictions: Vec<WorkerId>,
+    /// Workers that were removed, with their latest incarnations.
+    removed_workers: Vec<(WorkerId, u64)>,
+    /// Whether workers return under their ids after the maintenance.
+    keeps_ids: bool,
     /// Whether orders are executed and their responses lost.
     loses_responses: bool,
     /// Whether orders for machines that are not up are rejected.
@@ -64,6 +69,7 @@
                 is_up: true,
                 is_evacuated: false,
                 worker: Some(WorkerId::new(&format!("w{number}"))),
+                incarnation: 1,
                 load: WorkerLoad::default(),
             };
             (machine_name(number), machine_status)
@@ -79,8 +85,9 @@
             wave_states: Vec::new(),
             delays: Vec::new(),
             maintenance_counts: BTreeMap::new(),
-            prepared_workers: Vec::new(),
-            released_workers: Vec::new(),
+            evictions: Vec::new(),
+            removed_workers: Vec::new(),
+            keeps_ids: false,
             loses_responses: false,
             rejects_repeats: false,
             departed: BTreeSet::new(),
@@ -118,8 +125,11 @@
             {
                 self.down_until.remove(machine);
                 machine_status.is_up = true;
-                machine_status.worker =
-                    Some(WorkerId::new(&format!("{machine}-{}", now.as_millis())));
+                machine_status.incarnation = now.as_millis();
+                if !self.keeps_ids {
+                    machine_status.worker =
+                        Some(WorkerId::new(&format!("{machine}-{}", now.as_millis())));
+                }
             }
         }
         let actions = self.planner.plan(&self.machine_statuses, now);
@@ -136,8 +146,11 @@
                 MaintenanceAction::Order { wave, machine } => self.execute_order(wave, &machine),
                 MaintenanceAction::Store { .. } => {}
                 MaintenanceAction::Report(delay) => self.delays.push(delay),
-                MaintenanceAction::Prepare(worker) => self.prepared_workers.push(worker),
-                MaintenanceAction::Release(worker) => self.released_workers.push(worker),
+                MaintenanceAction::Evict(worker) => self.evictions.push(worker),
+                MaintenanceAction::Remove {
+                    worker,
+                    incarnation,
+                } => self.removed_workers.push((worker, incarnation)),
             }
         }
         self.max_down_count = self.max_down_count.max(self.down_until.len());
@@ -172,6 +185,18 @@
         }
     }
 
+    /// Returns the blocks that the waves need.
+    fn blocks(&self) -> WorkerBlocks {
+        let mut blocks = WorkerBlocks::default();
+        self.planner.add_blocks(&mut blocks);
+        blocks
+    }
+
+    /// Returns the workers of which some incarnation is blocked.
+    fn blocked(&self) -> Vec<String> {
+        self.blocks().workers().map(WorkerId::to_string).collect()
+    }
+
     /// Panics if a machine was maintained more than once.
     fn assert_maintained_once(&self) {
         let mut counts = self.maintenance_counts.values();
@@ -227,8 +252,8 @@
     machines.advance(time::Duration::from_secs(25));
     assert!(machines.maintenance_counts.is_empty());
     assert!(
-        machines.prepared_workers.len() > 1,
-        "the worker is prepared repeatedly"
+        machines.evictions.len() > 1,
+        "the worker is emptied repeatedly"
     );
 }
 
@@ -360,13 +385,15 @@
     machines.load(2).finite = 1;
     machines.add_wave(&wave_request(3, 3), None);
     machines.advance(time::Duration::from_secs(1));
+    assert_eq!(machines.blocked(), ["w0", "w1", "w2"]);
     let mut request = wave_request(2, 3);
     request.number = 1;
     machines.add_wave(&request, None);
+    assert_eq!(machines.blocked(), ["w0", "w1"]);
     machines.advance(time::Duration::from_secs(18));
     assert!(machines.is_completed());
     assert!(!machines.maintenance_counts.contains_key(&machine_name(2)));
-    assert_eq!(machines.released_workers, [WorkerId::new("w2")]);
+    assert!(machines.blocked().is_empty());
 }
 
 /// Owners end every 2 s; each continues from the stored record.
@@ -432,18 +459,13 @@
     machines.advance(time::Duration::from_millis(1_500));
     machines.load(2).finite = 1;
     machines.load(3).finite = 1;
-    machines.prepared_workers.clear();
     machines.planner = WavePlanner::new(MaintenanceSettings::default());
     let record = machines.stored.clone();
     machines.add_wave(&wave_request(4, 1), Some(record));
+    assert_eq!(machines.blocked(), ["w0", "w1"]);
     machines.load(1).finite = 0;
     machines.advance(PLAN_INTERVAL);
-    let prepared: BTreeSet<&str> = machines
-        .prepared_workers
-        .iter()
-        .map(WorkerId::as_str)
-        .collect();
-    assert_eq!(prepared, BTreeSet::from(["w0", "w1"]));
+    assert_eq!(machines.blocked(), ["w0", "w1"]);
     let maintained: Vec<_> = machines.maintenance_counts.keys().collect();
     assert_eq!(maintained, [&machine_name(1)]);
 }
--- a/crates/jobs/tests/placement.rs
+++ b/crates/jobs/tests/placement.rs
@@ -9,6 +9,7 @@
     FakeFleet, FakeWorker, manifest_parts_with_limit, manifest_with_limit, step_spec, task_id,
 };
 use redwing_jobs::JobManifest;
+use redwing_jobs::block::{WorkerBlock, WorkerBlocks};
 use redwing_jobs::name::{PoolName, WorkerLabel};
 use redwing_jobs::spec::StepSpec;
 use redwing_jobs::worker::OrderAction;
@@ -137,7 +138,9 @@
     fleet.submit("j", vec![step_spec(1, 4_000)], 60_000);
     fleet.advance(300);
     assert_ne!(fleet.starts[1].2, worker);
-    fleet.scheduler.block_worker(&worker, true);
+    let mut blocks = WorkerBlocks::default();
+    blocks.add(&worker, WorkerBlock::All);
+    fleet.scheduler.set_blocks(blocks);
     let (now, wall) = (fleet.now, fleet.wall_time());
     fleet.scheduler.evict_long_running(&worker, now);
     fleet.advance(100);
--- a/crates/node/tests/process_soak/platform.rs
+++ b/crates/node/tests/process_soak/platform.rs
@@ -122,6 +122,14 @@
     _process: SoakProcess,
 }
 
+/// Returns the percentage of workers that keep their ids over a move or maintenance.
+fn kept_id_percent(seed: u64) -> u32 {
+    match seed.is_multiple_of(2) {
+        true => 50,
+        false => 0,
+    }
+}
+
 impl StandinPlatform {
     /// Starts the platform for a number of processes.
     pub(crate) async fn start(directory: &Path, processes: usize, seed: u64) -> Self {
@@ -142,6 +150,8 @@
             &workers.to_string(),
             "--data-centres",
             &DATA_CENTRES.to_string(),
+            "--kept-ids",
+            &kept_id_percent(seed).to_string(),
         ];
         let process = SoakProcess::start(&ProcessCommand {
             program: program(),
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -33,6 +33,6 @@
 pub use client::HttpPlatform;
 pub use fault::FaultPlan;
 pub use link::{LinkSettings, LinkedTable};
-pub use machine::{MachineFault, MemoryMachines};
+pub use machine::{MachineFault, MemoryMachines, WorkerReturn};
 pub use memory::{MemoryPlatform, MemorySettings};
 pub use worker::{MemoryWorkers, WorkerFault};
--- a/crates/standin/src/machine.rs
+++ b/crates/standin/src/machine.rs
@@ -6,17 +6,22 @@
 
 use std::cell;
 use std::collections::{BTreeMap, BTreeSet};
+use std::fmt;
 use std::rc;
 use std::time;
 
+use redwing_engine::product;
 use redwing_engine::services::{
     LeaseHolder, ListedMachine, MachineClient, MachineOutcome, MachineState,
 };
-use redwing_jobs::name::{DataCentre, MachineName, PoolName};
+use redwing_jobs::name::{DataCentre, MachineName, PoolName, WorkerId};
 use redwing_jobs::spec::ResourceAmount;
-use redwing_provider::{Error, LocalFuture, Result};
+use redwing_provider::{Error, LocalFuture, Result, TableStore, TableTransaction};
 use tokio::time as timer;
 
+use crate::memory::MemoryPlatform;
+use crate::worker::MemoryWorkers;
+
 /// Injected faults of the service.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct MachineFault {
@@ -26,9 +31,56 @@
     pub unlisted: BTreeSet<MachineName>,
 }
 
+/// Under which id a worker returns after the maintenance of its machine.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum WorkerReturn {
+    /// Its own.
+    SameId,
+    /// Another one; its entry is removed.
+    NewId,
+}
+
+/// Workers that run on the machines, with the table that lists them.
+#[derive(Clone)]
+struct HostedWorkers {
+    workers: MemoryWorkers,
+    table: MemoryPlatform,
+    returns: WorkerReturn,
+}
+
+impl fmt::Debug for HostedWorkers {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter
+            .debug_struct("HostedWorkers")
+            .field("workers", &self.workers)
+            .field("returns", &self.returns)
+            .finish_non_exhaustive()
+    }
+}
+
+impl HostedWorkers {
+    /// Starts the next incarnation of a worker; returns its id.
+    async fn bring_back(&self, worker: &WorkerId) -> Option<WorkerId> {
+        let id = match self.returns {
+            WorkerReturn::SameId => worker.clone(),
+            WorkerReturn::NewId => WorkerId::new(&format!("{worker}-next")),
+        };
+        let view = self.workers.bring_back(worker, &id)?;
+        let value = serde_json::to_string(&view).ok()?;
+        let mut change = TableTransaction::default().put(product::worker_key(&id), value);
+        if id != *worker {
+            change = change.delete(product::worker_key(worker));
+        }
+        self.table.commit(&change).await.ok()?;
+        Some(id)
+    }
+}
+
 /// Machine with the state that orders change.
 #[derive(Debug)]
 struct StandinMachine {
+    /// Worker on it, while the machine is up.
+    worker: Option<WorkerId>,
     pool: PoolName,
     fencing_token: u64,
     /// When its latest maintenance ends.
@@ -60,6 +112,7 @@
 pub struct MemoryMachines {
     maintenance_time: time::Duration,
     state: rc::Rc<cell::RefCell<ServiceState>>,
+    hosted: Option<HostedWorkers>,
 }
 
 impl MemoryMachines {
@@ -68,6 +121,7 @@
     pub fn new(pool: &str, count: usize, maintenance_time: time::Duration) -> Self {
         let machines = (0..count).map(|number| {
             let machine = StandinMachine {
+                worker: None,
                 pool: PoolName::new(pool),
                 fencing_token: 0,
                 down_until: None,
@@ -82,7 +136,44 @@
         Self {
             maintenance_time,
             state: rc::Rc::new(cell::RefCell::new(state)),
+            hosted: None,
+        }
+    }
+
+    /// Runs one of the workers on each machine, in their order; `table` lists them.
+    pub fn host(&mut self, workers: &MemoryWorkers, table: &MemoryPlatform, returns: WorkerReturn) {
+        let mut state = self.state.borrow_mut();
+        for (machine, id) in state.machines.values_mut().zip(workers.ids()) {
+            machine.worker = Some(id);
         }
+        drop(state);
+        self.hosted = Some(HostedWorkers {
+            workers: workers.clone(),
+            table: table.clone(),
+            returns,
+        });
+    }
+
+    /// Ends the worker of a machine, which returns after the maintenance.
+    fn take_worker_down(&self, name: &MachineName) {
+        let Some(hosted) = self.hosted.clone() else {
+            return;
+        };
+        let mut state = self.state.borrow_mut();
+        let machine = state.machines.get_mut(name);
+        let Some(worker) = machine.and_then(|machine| machine.worker.take()) else {
+            return;
+        };
+        hosted.workers.take_down(&worker);
+        let (state, name) = (rc::Rc::clone(&self.state), name.clone());
+        let maintenance_time = self.maintenance_time;
+        tokio::task::spawn_local(async move {
+            timer::sleep(maintenance_time).await;
+            let id = hosted.bring_back(&worker).await;
+            if let Some(machine) = state.borrow_mut().machines.get_mut(&name) {
+                machine.worker = id;
+            }
+        });
     }
 
     /// Sets the data centre and the capacity of all machines.
@@ -138,7 +229,7 @@
             } else {
                 MachineState::Up
             },
-            worker: None,
+            worker: machine.worker.clone(),
             capacity: state.capacity,
             labels: Vec::new(),
         });
@@ -167,7 +258,8 @@
 
     fn maintain(&self, fencing_token: u64, name: &MachineName, wave: u64) -> MachineOutcome {
         let end = timer::Instant::now() + self.maintenance_time;
-        self.execute(fencing_token, name, |machine| {
+        let mut has_begun = false;
+        let outcome = self.execute(fencing_token, name, |machine| {
             if machine.maintained.contains(&wave) {
                 return MachineOutcome::Accepted;
             }
@@ -176,8 +268,13 @@
             }
             machine.down_until = Some(end);
             machine.maintained.insert(wave);
+            has_begun = true;
             MachineOutcome::Accepted
-        })
+        });
+        if has_begun {
+            self.take_worker_down(name);
+        }
+        outcome
     }
 
     /// Executes an order now, or after the delay of the fault without a response.
--- a/crates/standin/src/worker.rs
+++ b/crates/standin/src/worker.rs
@@ -265,6 +265,11 @@
         }
     }
 
+    /// Returns the ids of the workers.
+    pub fn ids(&self) -> Vec<WorkerId> {
+        self.lock().keys().cloned().collect()
+    }
+
     /// Registers all workers in the table.
     ///
     /// # Errors
@@ -321,6 +326,26 @@
         }
     }
 
+    /// Ends a worker with its runs, until it returns.
+    pub(crate) fn take_down(&self, worker: &WorkerId) {
+        if let Some(worker) = self.lock().get_mut(worker) {
+            worker.running.clear();
+            worker.fault.is_unresponsive = true;
+        }
+    }
+
+    /// Starts the next incarnation of a worker that was taken down, under the id `id`;
+    /// returns its entry.
+    pub(crate) fn bring_back(&self, worker: &WorkerId, id: &WorkerId) -> Option<WorkerView> {
+        let mut workers = self.lock();
+        let mut view = workers.remove(worker)?.view;
+        view.id = id.clone();
+        view.incarnation += 1;
+        let next = new_incarnation(view.clone(), WorkerFault::default());
+        workers.insert(id.clone(), next);
+        Some(view)
+    }
+
     /// Returns all accepted start orders.
     pub fn starts(&self) -> Vec<AcceptedStart> {
         match self.starts.lock() {
