Remove the entries of idle workers that have left

What callers saw: nothing. The owner kept an entry for each worker that had left while it was idle, one with each maintenance or move that brings a new id.

Cause: an entry was removed only once its worker did not respond, and an idle worker is not asked.

Evidence: the_entry_of_an_idle_worker_that_has_left_is_removed fails before.

Change: an entry is removed when its worker is no longer listed, has no runs and nothing to acknowledge, whether it counts as responsive or not.

Why it works: what such an entry knows is read from the worker again with one renewal, should it be listed again; two tests guard that.

--- a/crates/jobs/src/scheduler/fleet.rs
+++ b/crates/jobs/src/scheduler/fleet.rs
@@ -163,6 +163,14 @@
         self.is_removed || block.is_some_and(|block| block.includes(self.incarnation))
     }
 
+    /// Returns whether nothing more is expected of the worker: it is no longer listed, has no
+    /// runs, and, if it responds, nothing to acknowledge.
+    pub(super) fn has_left(&self, now: BootTime) -> bool {
+        let is_settled = self.unacknowledged.is_empty() && self.unhealthy_until <= now;
+        let is_silent = self.contact != ContactState::Responsive;
+        !self.is_listed && self.reservations.is_empty() && (is_silent || is_settled)
+    }
+
     /// Returns whether the worker accepts no new tasks because it is about to leave.
     pub(super) fn is_draining(&self) -> bool {
         self.view.as_ref().is_some_and(|view| view.is_draining)
--- a/crates/jobs/src/scheduler/lease.rs
+++ b/crates/jobs/src/scheduler/lease.rs
@@ -100,13 +100,13 @@
         let mut expired = Vec::new();
         let mut removed = Vec::new();
         for (id, entry) in self.fleet.iter() {
-            if entry.contact == ContactState::Responsive {
-                continue;
-            }
             // Before jobs are restored, any worker may have runs.
-            if entry.reservations.is_empty() && !entry.is_listed && !self.is_restoring {
+            if !self.is_restoring && entry.has_left(now) {
                 removed.push(id.clone());
             }
+            if entry.contact == ContactState::Responsive {
+                continue;
+            }
             if entry.lease_until < now && !entry.reservations.is_empty() {
                 expired.push(id.clone());
             }
