Let a new incarnation reject orders to the one before

A worker crashed, started again under its id, and carried out what had been sent to the incarnation before: a start of a run that was stopped since, or a renewal that acknowledged ends which nobody had read.

Cause: nothing in an order tells the new incarnation that it was for the one before. The id is the same, the fencing token that of the same owner, and the new incarnation knows no stop and numbers its ends anew.

Change: the fencing token of an order grows with each new incarnation of a worker that its owner learns of; tokens of owners are 2^20 apart, so that a later owner's are higher than all of these. A response to an order with a lower token than the present one of its worker has no effect. It takes the place of the incarnation in an order, which said the same.

Why it works: workers keep the highest token that they have seen. A new incarnation has seen none until the owner's first order to it, and from then on a higher one than any order to the one before has.

--- a/crates/engine/src/owner/election.rs
+++ b/crates/engine/src/owner/election.rs
@@ -2,6 +2,7 @@
 
 use std::time;
 
+use redwing_jobs::fence;
 use redwing_jobs::scheduler::PreviousOwner;
 use redwing_jobs::time::BootTime;
 use redwing_provider::table::TableView;
@@ -222,7 +223,7 @@
     OwnerRecord {
         node: dependencies.node.clone(),
         incarnation: dependencies.incarnation,
-        fencing_token: previous.map_or(0, |record| record.fencing_token) + 1,
+        fencing_token: fence::next_owner_token(previous.map(|record| record.fencing_token)),
         change: 0,
         released: false,
         is_small: dependencies.settings.is_small,
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -30,6 +30,7 @@
 pub mod evacuation;
 pub mod evidence;
 pub mod feasibility;
+pub mod fence;
 pub mod maintenance;
 pub mod manifest;
 pub mod name;
--- a/crates/jobs/src/scheduler/fleet.rs
+++ b/crates/jobs/src/scheduler/fleet.rs
@@ -82,6 +82,8 @@
     pub(super) is_refused: bool,
     /// Incarnation of the worker: its start, in milliseconds since the Unix epoch.
     pub(super) incarnation: u64,
+    /// Session with that incarnation, in the order of their beginnings.
+    pub(super) session: u64,
     pub(super) contact: ContactState,
     /// When this incarnation first responded to this owner; from then on it rejects
     /// the orders of earlier owners.
@@ -307,7 +309,7 @@
 
     /// Resets the entry for a new incarnation; returns the runs of the previous one,
     /// none of which is left.
-    pub(super) fn begin_incarnation(&mut self, incarnation: u64) -> Vec<(TaskId, u32)> {
+    fn begin_incarnation(&mut self, incarnation: u64) -> Vec<(TaskId, u32)> {
         self.incarnation = incarnation;
         self.acknowledged_number = 0;
         self.applied_number = 0;
@@ -350,6 +352,8 @@
     evacuations: sync::Arc<BTreeSet<DataCentre>>,
     /// Blocks of workers, also of those that are not listed.
     blocks: WorkerBlocks,
+    /// Number of new incarnations of known workers so far.
+    sessions: u64,
 }
 
 impl WorkerFleet {
@@ -365,12 +369,28 @@
         self.remove(&id);
         entry.update_evacuated(&self.evacuations);
         entry.block = self.blocks.get(&id);
+        entry.session = self.sessions;
         if let Some(view) = &entry.view {
             self.add_to_pool(&view.pool.clone(), &id);
         }
         self.workers.insert(id, entry);
     }
 
+    /// Resets the entry of a worker for a new incarnation, with which a new session begins;
+    /// returns the runs of the previous one.
+    pub(super) fn begin_incarnation(
+        &mut self,
+        id: &WorkerId,
+        incarnation: u64,
+    ) -> Vec<(TaskId, u32)> {
+        let Some(entry) = self.workers.get_mut(id) else {
+            return Vec::new();
+        };
+        self.sessions += 1;
+        entry.session = self.sessions;
+        entry.begin_incarnation(incarnation)
+    }
+
     /// Replaces the platform's entry of a worker.
     pub(super) fn set_view(&mut self, id: &WorkerId, view: WorkerView) {
         let Some(entry) = self.workers.get_mut(id) else {
--- a/crates/jobs/src/scheduler/listing.rs
+++ b/crates/jobs/src/scheduler/listing.rs
@@ -127,7 +127,7 @@
             return;
         };
         entry.listed_since = now;
-        let dropped = entry.begin_incarnation(incarnation);
+        let dropped = self.fleet.begin_incarnation(id, incarnation);
         self.record_loss(id, dropped.len() as u32, cause);
         self.record_status(id, WorkerStatus::Replaced);
         for (task, run) in dropped {
--- a/crates/jobs/src/scheduler/mod.rs
+++ b/crates/jobs/src/scheduler/mod.rs
@@ -74,6 +74,7 @@
 use crate::evacuation::{EvacuationProgress, StartGuard};
 use crate::evidence::{EndRate, RunSpan};
 use crate::feasibility::FleetCapacity;
+use crate::fence;
 use crate::manifest::JobManifest;
 use crate::name::{CustomerName, DataCentre, JobId, PoolName, QueueName, TaskId, WorkerId};
 use crate::record::{JobFailure, JobState};
@@ -558,10 +559,9 @@
         };
         self.orders.push(WorkerOrder {
             worker: worker.clone(),
-            incarnation: entry.incarnation,
             address,
             data_centre: entry.data_centre().cloned(),
-            fencing_token: self.fencing_token,
+            fencing_token: fence::order_token(self.fencing_token, entry.session),
             issued_at: now,
             action,
         });
--- a/crates/jobs/src/scheduler/order.rs
+++ b/crates/jobs/src/scheduler/order.rs
@@ -1,5 +1,6 @@
 //! Orders, their responses and their retries.
 
+use crate::fence;
 use crate::name::{TaskId, WorkerId};
 use crate::record::FailureReason;
 use crate::time::BootTime;
@@ -27,11 +28,11 @@
         response: &OrderResponse,
         now: BootTime,
     ) {
-        if response.outcome == OrderOutcome::Fenced {
-            self.is_fenced = true;
+        if self.is_outdated(order) {
             return;
         }
-        if self.is_earlier(&order.worker, order.incarnation) {
+        if response.outcome == OrderOutcome::Fenced {
+            self.is_fenced = true;
             return;
         }
         self.update_clock(&order.worker, response, now);
@@ -46,11 +47,13 @@
         }
     }
 
-    /// Returns whether an incarnation of a worker is earlier than the present one, so that a
-    /// message from it says nothing about runs, clock and leases of the worker.
-    pub(super) fn is_earlier(&self, worker: &WorkerId, incarnation: u64) -> bool {
-        let entry = self.fleet.get(worker);
-        entry.is_some_and(|entry| incarnation < entry.incarnation)
+    /// Returns whether an order was for an earlier incarnation of its worker, so that the
+    /// response says nothing about runs, clock and leases of the present one.
+    fn is_outdated(&self, order: &WorkerOrder) -> bool {
+        let entry = self.fleet.get(&order.worker);
+        entry.is_some_and(|entry| {
+            order.fencing_token < fence::order_token(self.fencing_token, entry.session)
+        })
     }
 
     fn handle_start_response(
--- a/crates/jobs/src/scheduler/report.rs
+++ b/crates/jobs/src/scheduler/report.rs
@@ -23,7 +23,7 @@
         report: &RenewalReport,
         now: BootTime,
     ) {
-        if self.is_earlier(worker, report.incarnation) {
+        if self.is_outdated_report(worker, report) {
             return;
         }
         self.settle_loss(worker, report.incarnation, now);
@@ -50,6 +50,13 @@
         self.pace_best_effort(worker, report, now);
     }
 
+    /// Returns whether a report is from an earlier incarnation of a worker than the present
+    /// one: it says nothing about its runs, its clock or its leases.
+    fn is_outdated_report(&self, worker: &WorkerId, report: &RenewalReport) -> bool {
+        let entry = self.fleet.get(worker);
+        entry.is_some_and(|entry| report.incarnation < entry.incarnation)
+    }
+
     fn update_contact(
         &mut self,
         worker: &WorkerId,
--- a/crates/jobs/src/worker.rs
+++ b/crates/jobs/src/worker.rs
@@ -154,13 +154,11 @@
 pub struct WorkerOrder {
     /// Worker that receives the order.
     pub worker: WorkerId,
-    /// Incarnation of the worker that the order is for.
-    pub incarnation: u64,
     /// Its address.
     pub address: net::SocketAddr,
     /// Its data centre, if known.
     pub data_centre: Option<DataCentre>,
-    /// Fencing token of the owner.
+    /// Fencing token; higher for a later incarnation of the worker.
     pub fencing_token: u64,
     /// When the scheduler issued the order.
     pub issued_at: BootTime,
--- a/crates/node/tests/cluster.rs
+++ b/crates/node/tests/cluster.rs
@@ -126,7 +126,9 @@
     assert_eq!(Request::get("/healthz").send(listen).unwrap().status, 200);
     assert_eq!(Request::get("/readyz").send(listen).unwrap().status, 503);
     for node in 0..2 {
-        assert_eq!(cluster.send_keyed(node).status, 200);
+        let response = cluster.send_keyed(node);
+        let log = || cluster.entry(node).log_lines().join("\n");
+        assert_eq!(response.status, 200, "{}\n{}", response.text(), log());
     }
     cluster.set_faults(None, FaultPlan::default());
     cluster.wait_ready(2);
