Try a start that a worker rejects as invalid elsewhere

Cause: one 400 ended the job, on the assumption that every other worker would reject the task as well; the worker was not held for unhealthy.

Change: the task is tried on another worker at once, and with delays up to 2 s after two rejections in a row. A worker that is the first to reject several tasks in a row gets no new ones for a while; the rejection counts for the task instead once a second worker has rejected it. A gang of which one member is rejected starts again as a whole. The reason invalid-task remains for rows of earlier versions.

Why it works: only runs that end as failed fail a job, and a rejection tells which of worker and task is at fault by what other workers say.

--- a/crates/jobs/src/record.rs
+++ b/crates/jobs/src/record.rs
@@ -64,7 +64,7 @@
     FailedRuns,
     /// Workers crashed under a task, the last one while it ran nothing else.
     CrashedWorkers,
-    /// A worker rejected a task as invalid.
+    /// A worker rejected a task as invalid; in rows of earlier versions only.
     InvalidTask,
 }
 
--- a/crates/jobs/src/scheduler/entry.rs
+++ b/crates/jobs/src/scheduler/entry.rs
@@ -12,6 +12,7 @@
 use crate::time::BootTime;
 use crate::wait::ElapsedWait;
 
+use super::rejection::StartRejections;
 use super::run_trace::RunTrace;
 
 /// Duration of tasks without an estimate: their jobs must not seem to have the
@@ -102,6 +103,8 @@
     pub(super) run: u32,
     /// What this owner has seen of that run.
     pub(super) trace: RunTrace,
+    /// Starts that workers rejected as invalid.
+    pub(super) rejections: StartRejections,
     /// Numbers of the runs that failed.
     pub(super) failed: Vec<u32>,
     /// Evidence that it crashes its workers.
@@ -159,6 +162,7 @@
             phase,
             run: record.run,
             trace: RunTrace::default(),
+            rejections: StartRejections::default(),
             failed: record.failed.clone(),
             crashes: record.crash_evidence(),
             crashed_run: 0,
--- a/crates/jobs/src/scheduler/fleet.rs
+++ b/crates/jobs/src/scheduler/fleet.rs
@@ -128,6 +128,8 @@
     pub(super) consecutive_failures: u32,
     /// Ended runs up to this number are counted in it.
     pub(super) counted_number: u64,
+    /// Starts that it rejected as invalid since the latest one that it accepted.
+    pub(super) rejected_starts: u32,
     pub(super) unhealthy_until: BootTime,
     /// Share of processor time that best-effort tasks may use, from 0 to 100.
     pub(super) best_effort_percent: u32,
@@ -326,6 +328,7 @@
         self.next_renewal = BootTime::default();
         self.consecutive_failures = 0;
         self.counted_number = 0;
+        self.rejected_starts = 0;
         self.unhealthy_until = BootTime::default();
         self.best_effort_percent = 100;
         self.is_share_known = true;
--- a/crates/jobs/src/scheduler/mod.rs
+++ b/crates/jobs/src/scheduler/mod.rs
@@ -27,6 +27,7 @@
 //! - `order`: orders, their responses and their retries
 //! - `pacing`: processor share of best-effort tasks beside tasks that serve users
 //! - `placement`: choice of a worker for each task, and the order of jobs
+//! - `rejection`: starts that workers reject as invalid
 //! - `report`: the runs that workers list
 //! - `restoring`: leases of workers while a new owner reads the rows of jobs
 //! - `run_trace`: signs of a run between its start and the end of its worker
@@ -58,6 +59,7 @@
 mod order;
 mod pacing;
 mod placement;
+mod rejection;
 mod report;
 mod restoring;
 mod run_trace;
--- a/crates/jobs/src/scheduler/order.rs
+++ b/crates/jobs/src/scheduler/order.rs
@@ -2,7 +2,6 @@
 
 use crate::fence;
 use crate::name::{TaskId, WorkerId};
-use crate::record::FailureReason;
 use crate::time::BootTime;
 use crate::worker::{OrderAction, OrderOutcome, OrderResponse, WorkerOrder};
 
@@ -102,6 +101,7 @@
             is_reported: false,
         };
         self.set_phase(task, TaskPhase::Running(location, progress));
+        self.clear_rejections(&worker, task);
         self.pace_started(&worker, task, now);
         let is_final = self
             .jobs
@@ -128,8 +128,10 @@
             OrderOutcome::Unhealthy | OrderOutcome::Full => self.suspend_worker(worker, now),
             OrderOutcome::Unsent => self.stop_incomplete_gang(task, run, now),
             OrderOutcome::Unpermitted => self.advice.drop_permit(&starting::step_of(task), worker),
-            // Every other worker would reject it as well.
-            OrderOutcome::Invalid => self.fail(task, FailureReason::InvalidTask, now),
+            OrderOutcome::Invalid => {
+                self.reject_start(worker, task, now);
+                self.stop_incomplete_gang(task, run, now);
+            }
             _ => {}
         }
     }
--- a/crates/jobs/src/scheduler/placement.rs
+++ b/crates/jobs/src/scheduler/placement.rs
@@ -307,11 +307,15 @@
                 index: index as u32,
             })
             .collect();
-        if spec.gang {
+        let is_due: Vec<bool> = idle.iter().map(|task| self.may_retry(task, now)).collect();
+        let all_due = is_due.iter().all(|is_due| *is_due);
+        if spec.gang && all_due {
             return self.place_gang(&idle, &spec, candidates, now);
         }
         let count = idle.len() as u32;
-        for task in &idle {
+        let due = idle.iter().zip(is_due);
+        let due = due.filter(|(_, is_due)| *is_due && !spec.gang);
+        for (task, _) in due {
             if !self.within_limit(task, &spec, 1) {
                 self.record_limited(task);
                 break;
@@ -332,6 +336,12 @@
         placement
     }
 
+    /// Returns whether a task may be placed now, given the workers that have rejected it.
+    fn may_retry(&mut self, task: &TaskId, now: BootTime) -> bool {
+        let entry = self.task_mut(task);
+        entry.is_none_or(|entry| entry.rejections.prepare(now))
+    }
+
     /// Places all members of a gang, or none.
     fn place_gang(
         &mut self,
@@ -508,11 +518,18 @@
         chosen_count: impl Fn(usize) -> usize,
     ) -> Option<usize> {
         let reserved = spec.reserved();
-        let is_retried = self.task(task).is_some_and(|entry| entry.run > 0);
+        let entry = self.task(task);
+        let is_retried = entry.is_some_and(|entry| entry.run > 0);
+        let rejections = entry.map(|entry| &entry.rejections);
+        let is_rejected =
+            |worker: &WorkerId| rejections.is_some_and(|rejections| rejections.excludes(worker));
         let mut best: Option<(PlacementScore, usize)> = None;
         for (position, candidate) in candidates.iter().enumerate() {
             let is_admitted = !candidate.is_excluded && candidate.admits(&task.job, caution);
-            if !is_admitted || !reserved.fits_in(&candidate.free_capacity) {
+            if !is_admitted
+                || is_rejected(&candidate.worker)
+                || !reserved.fits_in(&candidate.free_capacity)
+            {
                 continue;
             }
             let is_constrained = is_retried || spec.requires.is_some() || spec.max_per_worker > 0;
--- a/crates/jobs/tests/common/mod.rs
+++ b/crates/jobs/tests/common/mod.rs
@@ -41,6 +41,8 @@
     pub(crate) scheduler: JobScheduler,
     pub(crate) workers: BTreeMap<WorkerId, FakeWorker>,
     pub(crate) now: BootTime,
+    /// Jobs whose starts all workers reject as invalid.
+    pub(crate) invalid_jobs: BTreeSet<JobId>,
     /// Duration of each task of a job; zero if tasks run until they are stopped.
     pub(crate) task_durations: BTreeMap<JobId, time::Duration>,
     /// Stored progress row of each job.
@@ -133,6 +135,7 @@
                 .map(|worker| (worker.view.id.clone(), worker))
                 .collect(),
             now,
+            invalid_jobs: BTreeSet::new(),
             task_durations: BTreeMap::new(),
             rows: BTreeMap::new(),
             lease_ends: LeaseEnds::new(),
@@ -474,6 +477,9 @@
                 checkpoint,
                 ..
             } => {
+                if worker.rejects_starts || self.invalid_jobs.contains(&task.job) {
+                    return (OrderOutcome::Invalid, None);
+                }
                 if *lease_end_ms <= worker.clock_ms(now) {
                     return (OrderOutcome::Expired, None);
                 }
--- a/crates/jobs/tests/common/worker.rs
+++ b/crates/jobs/tests/common/worker.rs
@@ -56,6 +56,8 @@
     pub(crate) is_replaced: bool,
     /// Whether orders sent to it are lost without a response.
     pub(crate) is_unresponsive: bool,
+    /// Whether it rejects all starts as invalid.
+    pub(crate) rejects_starts: bool,
     /// Whether all of its runs fail at once.
     pub(crate) is_failing: bool,
     /// Whether its runs save a checkpoint at each tick.
@@ -99,6 +101,7 @@
             is_listed: true,
             is_replaced: false,
             is_unresponsive: false,
+            rejects_starts: false,
             is_failing: false,
             is_checkpointing: false,
             is_stalled: false,
