Expect progress of a run as often as its estimate allows

Cause: progress is a whole percent, and a run that had made none for 2.5 s was stopped, however long a percent of it takes.

Change: a run may make no progress for four times as long as a percent takes by the estimate of its step, or 2.5 s. Each stop in vain doubles the time for the next run of the task. Only the first stop of a task holds its worker for unhealthy.

Why it works: the limit is longer than the interval of the signal where the estimate is right within a factor of four, and becomes so where it is not.

--- a/crates/jobs/src/scheduler/entry.rs
+++ b/crates/jobs/src/scheduler/entry.rs
@@ -103,6 +103,8 @@
     pub(super) run: u32,
     /// What this owner has seen of that run.
     pub(super) trace: RunTrace,
+    /// Number of its runs that this owner has stopped because they made no progress.
+    pub(super) stalls: u32,
     /// Starts that workers rejected as invalid.
     pub(super) rejections: StartRejections,
     /// Numbers of the runs that failed.
@@ -162,6 +164,7 @@
             phase,
             run: record.run,
             trace: RunTrace::default(),
+            stalls: 0,
             rejections: StartRejections::default(),
             failed: record.failed.clone(),
             crashes: record.crash_evidence(),
--- a/crates/jobs/src/scheduler/stall.rs
+++ b/crates/jobs/src/scheduler/stall.rs
@@ -3,6 +3,10 @@
 //! Load pattern: a worker that hangs while it still responds, under owners that end
 //! every few seconds. The time without progress is stored with the progress of the
 //! job, so that the next owner counts on from there.
+//!
+//! Workers report progress in whole percents. A run of minutes makes none for seconds, which
+//! its estimate tells; where that is too low, each stop in vain doubles the time that the next
+//! run of the task has.
 
 use std::collections::BTreeMap;
 use std::time;
@@ -14,6 +18,13 @@
 use super::fleet::{ContactState, RunPresence, RunReservation};
 use super::{JobScheduler, RunEndReason, SchedulerEvent};
 
+/// Times that a percent of a run may take as long as estimated: it may be far from its data,
+/// on a slow worker.
+const ESTIMATE_FACTOR: u32 = 4;
+
+/// Largest number of doublings of the time without progress.
+const MAX_DOUBLINGS: u32 = 12;
+
 /// Time between two looks at the progress of all runs.
 const CHECK_INTERVAL: time::Duration = time::Duration::from_millis(200);
 
@@ -34,7 +45,6 @@
 
     /// Stops runs that make no progress, to restart them on other workers.
     fn stop_stalled(&mut self, now: BootTime) {
-        let timeout = self.settings.stall_timeout;
         let mut stalled = Vec::new();
         for (id, worker) in self.fleet.iter() {
             if worker.contact != ContactState::Responsive {
@@ -42,7 +52,8 @@
             }
             for (task, reservation) in &worker.reservations {
                 let advanced_at = self.advanced_at(task, reservation);
-                if advanced_at.is_some_and(|at| now.saturating_since(at) > timeout) {
+                let unchanged = advanced_at.map(|at| now.saturating_since(at));
+                if unchanged.is_some_and(|unchanged| unchanged > self.stall_limit(task)) {
                     stalled.push((id.clone(), task.clone(), reservation.run));
                 }
             }
@@ -54,13 +65,36 @@
                 worker: worker.clone(),
                 reason: RunEndReason::Stalled,
             });
-            if let Some(entry) = self.fleet.get_mut(&worker) {
+            let is_first = self.count_stall(&task);
+            if let Some(entry) = self.fleet.get_mut(&worker).filter(|_| is_first) {
                 entry.unhealthy_until = now + self.settings.failure_cooldown;
             }
             self.stop_task(&task, now);
         }
     }
 
+    /// Returns the longest time without progress of the present run of a task.
+    fn stall_limit(&self, task: &TaskId) -> time::Duration {
+        let estimate_ms = self.step_spec(task).map_or(0, |step| step.estimate_ms);
+        let percent = time::Duration::from_millis(estimate_ms) / 100;
+        let limit = self
+            .settings
+            .stall_timeout
+            .max(percent.saturating_mul(ESTIMATE_FACTOR));
+        let stalls = self.task(task).map_or(0, |entry| entry.stalls);
+        limit.saturating_mul(1 << stalls.min(MAX_DOUBLINGS))
+    }
+
+    /// Counts that a run of a task was stopped for want of progress; returns whether it is the
+    /// first of the task. A later one does not speak against its worker.
+    fn count_stall(&mut self, task: &TaskId) -> bool {
+        let Some(entry) = self.task_mut(task) else {
+            return true;
+        };
+        entry.stalls += 1;
+        entry.stalls == 1
+    }
+
     /// Has the jobs stored whose runs have made no progress for a while, those first
     /// that have made none for longest.
     pub(super) fn mark_stalled(&mut self, now: BootTime) {
