Split three large modules and share the orders of the simulated fleet

Change: machines of a wave (maintenance/machine.rs), the choice of a worker (scheduler/choice.rs), machines as the planners see them (owner/machine_view.rs) and orders on their way to simulated workers (tests/common/order.rs) have modules of their own. No behaviour changes. A test guards that idle workers are not asked.

--- a/crates/engine/src/owner/machines.rs
+++ b/crates/engine/src/owner/machines.rs
@@ -9,7 +9,7 @@
 use redwing_jobs::feasibility::FleetCapacity;
 use redwing_jobs::maintenance::{
     MachineStatus, MaintenanceAction, MaintenanceRecord, MaintenanceSettings, WaveDelay,
-    WavePlanner, WaveState, WorkerLoad,
+    WavePlanner, WaveState,
 };
 use redwing_jobs::manifest::JobManifest;
 use redwing_jobs::name::{DataCentre, MachineName, PoolName};
@@ -28,6 +28,7 @@
 use super::machine_order::{
     self, LostMove, MachineOrder, MachineResponse, MovedWorker, PendingOrder,
 };
+use super::machine_view;
 use super::wave_rows::WaveRowQueue;
 use super::{OwnerDependencies, OwnerSettings};
 
@@ -320,16 +321,7 @@
     fn pool_machines(&self, scheduler: &JobScheduler) -> BTreeMap<MachineName, PoolMachine> {
         let machines = self.machines.iter().map(|machine| {
             let is_under_maintenance = self.wave_planner.is_under_maintenance(&machine.name);
-            let pool_machine = PoolMachine {
-                pool: machine.pool.clone(),
-                is_usable: matches!(machine.state, MachineState::Up | MachineState::Moving)
-                    && !is_under_maintenance,
-                is_movable: machine.state == MachineState::Up && !is_under_maintenance,
-                data_centre: machine.data_centre.clone(),
-                worker: machine.worker.clone(),
-                load: load_of(machine, scheduler),
-                cpu_millis: machine.capacity.cpu_millis,
-            };
+            let pool_machine = machine_view::pool_machine(machine, is_under_maintenance, scheduler);
             (machine.name.clone(), pool_machine)
         });
         machines.collect()
@@ -385,13 +377,8 @@
 
     fn machine_statuses(&self, scheduler: &JobScheduler) -> BTreeMap<MachineName, MachineStatus> {
         let statuses = self.machines.iter().map(|machine| {
-            let status = MachineStatus {
-                is_up: machine.state == MachineState::Up,
-                is_evacuated: self.is_in_evacuated(machine),
-                worker: machine.worker.clone(),
-                incarnation: incarnation_of(machine, scheduler),
-                load: load_of(machine, scheduler),
-            };
+            let is_evacuated = self.is_in_evacuated(machine);
+            let status = machine_view::machine_status(machine, is_evacuated, scheduler);
             (machine.name.clone(), status)
         });
         statuses.collect()
@@ -591,17 +578,3 @@
         machines = named.join(","),
     );
 }
-
-/// Returns the incarnation of the worker on a machine, or 0 if it is not known.
-fn incarnation_of(machine: &ListedMachine, scheduler: &JobScheduler) -> u64 {
-    let worker = machine.worker.as_ref();
-    let incarnation = worker.and_then(|worker| scheduler.incarnation(worker));
-    incarnation.unwrap_or_default()
-}
-
-/// Returns the load of the worker on a machine.
-fn load_of(machine: &ListedMachine, scheduler: &JobScheduler) -> WorkerLoad {
-    let worker = machine.worker.as_ref();
-    let load = worker.map(|worker| scheduler.worker_load(worker));
-    load.unwrap_or_default()
-}
--- a/crates/engine/src/owner/mod.rs
+++ b/crates/engine/src/owner/mod.rs
@@ -14,6 +14,7 @@
 mod evacuation_board;
 mod inherited;
 mod machine_order;
+mod machine_view;
 mod machines;
 mod order_queues;
 mod record;
--- a/crates/jobs/src/maintenance/mod.rs
+++ b/crates/jobs/src/maintenance/mod.rs
@@ -13,6 +13,7 @@
 //! emptied and how long others have been down is stored, and the next owner goes on
 //! from there.
 
+mod machine;
 mod record;
 mod wave;
 
--- a/crates/jobs/src/scheduler/mod.rs
+++ b/crates/jobs/src/scheduler/mod.rs
@@ -8,6 +8,7 @@
 //! - `backlog`: summary of the waiting work, for the admission of jobs
 //! - `candidate`: workers that may get tasks, while tasks are placed
 //! - `changes`: jobs with unstored changes, and what waits for their rows
+//! - `choice`: choice of a worker for a task
 //! - `clock_reading`: readings of the clocks of workers
 //! - `crash`: tasks that crash the workers on which they start
 //! - `end_rate`: how often workers end by themselves
@@ -40,6 +41,7 @@
 mod backlog;
 mod candidate;
 mod changes;
+mod choice;
 mod clock_reading;
 mod crash;
 mod end_rate;
--- a/crates/jobs/tests/blocks.rs
+++ b/crates/jobs/tests/blocks.rs
@@ -231,10 +231,7 @@
     fleet
         .scheduler
         .set_blocks(blocks_of(&worker, WorkerBlock::All));
-    let now = fleet.now;
-    fleet.worker("w0").restart(now);
-    let view = fleet.worker("w0").view.clone();
-    fleet.scheduler.worker_listed(view, now);
+    fleet.restart_worker("w0");
     fleet.submit("j", vec![step_spec(8, 1_000)], 60_000);
     fleet.advance(1_000);
     assert_eq!(fleet.starts.len(), 4);
@@ -257,10 +254,7 @@
     fleet.submit("j", vec![step_spec(4, 1_000)], 60_000);
     fleet.advance(1_000);
     assert!(fleet.starts.is_empty());
-    let now = fleet.now;
-    fleet.worker("w0").restart(now);
-    let view = fleet.worker("w0").view.clone();
-    fleet.scheduler.worker_listed(view, now);
+    fleet.restart_worker("w0");
     fleet.advance(100);
     assert_eq!(fleet.starts.len(), 4);
 }
--- a/crates/jobs/tests/common/crash.rs
+++ b/crates/jobs/tests/common/crash.rs
@@ -94,6 +94,15 @@
         self.crash_plan.crashes.extend(crashes);
     }
 
+    /// Starts a worker again, which is listed at once.
+    pub(crate) fn restart_worker(&mut self, id: &str) {
+        let now = self.now;
+        let worker = self.worker(id);
+        worker.restart(now);
+        let view = worker.view.clone();
+        self.scheduler.worker_listed(view, now);
+    }
+
     fn crash_worker(&mut self, id: &WorkerId) {
         let worker = self.worker(id.as_str());
         let lost: Vec<TaskId> = worker.running.keys().cloned().collect();
--- a/crates/jobs/tests/crashing_tasks.rs
+++ b/crates/jobs/tests/crashing_tasks.rs
@@ -263,11 +263,7 @@
     fleet.lost_order_delay = Some(std::time::Duration::from_secs(60));
     fleet.advance(100);
     for _ in 0..6 {
-        let now = fleet.now;
-        let worker = fleet.worker("w0");
-        worker.restart(now);
-        let view = worker.view.clone();
-        fleet.scheduler.worker_listed(view, now);
+        fleet.restart_worker("w0");
         fleet.advance(50);
     }
     fleet.lost_order_delay = None;
--- a/crates/jobs/tests/late_orders.rs
+++ b/crates/jobs/tests/late_orders.rs
@@ -8,31 +8,6 @@
 use redwing_jobs::worker::{OrderAction, OrderOutcome, OrderResponse, WorkerOrder};
 use redwing_jobs::{JobState, WorkerId};
 
-/// Advances time and holds the first order back that `is_wanted` selects; the others are sent.
-fn hold_back(
-    fleet: &mut FakeFleet,
-    duration_ms: u64,
-    is_wanted: impl Fn(&OrderAction) -> bool,
-) -> WorkerOrder {
-    fleet.held_orders = Some(Vec::new());
-    fleet.advance(duration_ms);
-    let mut held = fleet.held_orders.take().unwrap_or_default();
-    let position = held.iter().position(|order| is_wanted(&order.action));
-    let wanted = held.remove(position.expect("it was ordered"));
-    fleet.held_orders = Some(held);
-    fleet.send_held();
-    wanted
-}
-
-/// Starts a worker again, which is listed at once.
-fn restart(fleet: &mut FakeFleet, id: &str) {
-    let now = fleet.now;
-    let worker = fleet.worker(id);
-    worker.restart(now);
-    let view = worker.view.clone();
-    fleet.scheduler.worker_listed(view, now);
-}
-
 /// Guards against a start that a new incarnation carries out although the run was stopped before
 /// and the task is done elsewhere (TWICE): the new incarnation knows neither the stop nor the
 /// fencing token.
@@ -42,7 +17,7 @@
     fleet.advance(100);
     let job = fleet.submit("j", vec![step_spec(1, 1_000)], 2_000);
     let is_start = |action: &OrderAction| matches!(action, OrderAction::Start { .. });
-    let start = hold_back(&mut fleet, 20, is_start);
+    let start = fleet.hold_back(20, is_start);
     let lost = OrderResponse {
         outcome: OrderOutcome::Unknown,
         clock_ms: None,
@@ -51,7 +26,7 @@
     fleet.scheduler.handle_order_response(&start, &lost, now);
     fleet.advance(500);
     assert_eq!(fleet.starts.len(), 1, "it runs elsewhere");
-    restart(&mut fleet, start.worker.as_str());
+    fleet.restart_worker(start.worker.as_str());
     fleet.advance(100);
     let late = fleet.now + time::Duration::from_millis(10);
     fleet.delayed_orders.push((late, start));
@@ -79,8 +54,8 @@
         } => *acknowledged_number >= 10,
         _ => false,
     };
-    let renewal = hold_back(&mut fleet, 20, acknowledges);
-    restart(&mut fleet, "w0");
+    let renewal = fleet.hold_back(20, acknowledges);
+    fleet.restart_worker("w0");
     fleet.advance(100);
     let before = fleet.starts.len();
     let job = fleet.submit("j", vec![step_spec(10, 1_000)], 200);
@@ -105,8 +80,8 @@
     let now = fleet.now;
     fleet.scheduler.cancel(&job, now);
     let is_stop = |action: &OrderAction| matches!(action, OrderAction::Stop { .. });
-    let stop = hold_back(&mut fleet, 10, is_stop);
-    restart(&mut fleet, "w0");
+    let stop = fleet.hold_back(10, is_stop);
+    fleet.restart_worker("w0");
     fleet.advance(100);
     let fenced = OrderResponse {
         outcome: OrderOutcome::Fenced,
--- a/crates/jobs/tests/late_reports.rs
+++ b/crates/jobs/tests/late_reports.rs
@@ -4,9 +4,9 @@
 
 use common::{FakeFleet, step_spec, task_id};
 use redwing_jobs::worker::{
-    EndedRun, ExitKind, OrderAction, OrderOutcome, OrderResponse, RenewalReport, WorkerOrder,
+    EndedRun, ExitKind, OrderAction, OrderOutcome, OrderResponse, RenewalReport,
 };
-use redwing_jobs::{BootTime, JobId, JobState, WorkerId};
+use redwing_jobs::{BootTime, JobState, WorkerId};
 
 /// Returns a fleet of one worker that has started again, a report of its earlier life, and when
 /// the renewal was sent that it responds to.
@@ -32,11 +32,7 @@
     };
     fleet.advance(2_000);
     assert_eq!(fleet.state(&earlier), JobState::Completed);
-    let now = fleet.now;
-    let worker = fleet.worker("w0");
-    worker.restart(now);
-    let view = worker.view.clone();
-    fleet.scheduler.worker_listed(view, now);
+    fleet.restart_worker("w0");
     fleet.advance(100);
     (fleet, report, issued_at)
 }
@@ -84,28 +80,6 @@
     fleet.assert_no_double_run();
 }
 
-/// Cancels a job and returns the order to stop its only run, which is not sent.
-fn unsent_stop(fleet: &mut FakeFleet, job: &JobId) -> WorkerOrder {
-    let now = fleet.now;
-    fleet.held_orders = Some(Vec::new());
-    fleet.scheduler.cancel(job, now);
-    fleet.advance(10);
-    let held = fleet.held_orders.take().unwrap_or_default();
-    let mut stops = held
-        .into_iter()
-        .filter(|order| matches!(order.action, OrderAction::Stop { .. }));
-    stops.next().expect("a stop was ordered")
-}
-
-/// Starts a worker again, which is listed at once.
-fn restart(fleet: &mut FakeFleet, id: &WorkerId) {
-    let now = fleet.now;
-    let worker = fleet.worker(id.as_str());
-    worker.restart(now);
-    let view = worker.view.clone();
-    fleet.scheduler.worker_listed(view, now);
-}
-
 /// Guards against a lease that is granted by the clock of an earlier life, an hour ahead: the
 /// worker shortens it to the longest one, the owner assumes a shorter one, and the task starts
 /// elsewhere while it runs on (TWICE).
@@ -115,14 +89,17 @@
     fleet.advance(3_600_000);
     let earlier = fleet.submit("earlier", vec![step_spec(1, 1_000)], 60_000);
     fleet.advance(500);
-    let stop = unsent_stop(&mut fleet, &earlier);
+    let now = fleet.now;
+    fleet.scheduler.cancel(&earlier, now);
+    let is_stop = |action: &OrderAction| matches!(action, OrderAction::Stop { .. });
+    let stop = fleet.hold_back(10, is_stop);
     let now = fleet.now;
     let worker = stop.worker.clone();
     let response = OrderResponse {
         outcome: OrderOutcome::Accepted,
         clock_ms: Some(fleet.worker(worker.as_str()).clock_ms(now)),
     };
-    restart(&mut fleet, &worker);
+    fleet.restart_worker(worker.as_str());
     fleet.advance(500);
     fleet.submit("j", vec![step_spec(1, 1_000)], 20_000);
     fleet.advance(500);
--- a/crates/jobs/tests/many_ends.rs
+++ b/crates/jobs/tests/many_ends.rs
@@ -158,10 +158,7 @@
     let (mut fleet, _) = busy_fleet();
     fleet.is_table_up = false;
     fleet.advance(TASK_MS + 500);
-    let now = fleet.now;
-    fleet.worker("w0").restart(now);
-    let view = fleet.worker("w0").view.clone();
-    fleet.scheduler.worker_listed(view, now);
+    fleet.restart_worker("w0");
     fleet.advance(100);
     let suspected = fleet
         .events
--- a/crates/jobs/tests/worker_clocks.rs
+++ b/crates/jobs/tests/worker_clocks.rs
@@ -96,3 +96,13 @@
     let worker = first_start(&mut fleet, 500);
     assert_eq!(worker, WorkerId::new("w1"));
 }
+
+/// Guards against readings that cost calls and processor time on an idle fleet: no worker is asked,
+/// however long it rests.
+#[test]
+fn an_idle_worker_is_not_asked() {
+    let mut fleet = rested_fleet(50, 1.0, 1_000);
+    let asked = fleet.renewal_count;
+    fleet.advance(600_000);
+    assert_eq!(fleet.renewal_count, asked);
+}
