--- a/crates/jobs/tests/advice.rs
+++ b/crates/jobs/tests/advice.rs
@@ -173,3 +173,20 @@
     assert_eq!(plant.fleet.state(&job), JobState::Completed);
     assert_eq!(plant.moves, 0);
 }
+
+/// Guards against a denial that outlives the incarnation that it was for: the next one may be of
+/// another kind, and the job waits for ever.
+#[test]
+fn the_advisor_is_asked_again_about_a_worker_that_has_started_again() {
+    let mut plant = FakePlant::new(1, 0);
+    let job = plant.fleet.submit("j", vec![step_spec(1, 500)], 300);
+    plant.fleet.advance(1_000);
+    assert!(plant.fleet.starts.is_empty());
+    let asked = plant.fleet.advice_requests.len();
+    plant.fleet.permitted_worker = Some(WorkerId::new("m0"));
+    plant.fleet.advance(1_000);
+    assert_eq!(plant.fleet.advice_requests.len(), asked, "it was denied");
+    plant.fleet.restart_worker("m0");
+    plant.fleet.advance(1_000);
+    assert_eq!(plant.fleet.state(&job), JobState::Completed);
+}
