Send the share of best-effort tasks again after a lost order

What callers could see: tasks that serve users stay over their objective (HARM). An order that limits best-effort tasks beside them was lost, or an older one was carried out after it; the owner believed in a share that the worker did not have and sent nothing more.

Cause: the order was sent once, and its response was only logged.

Evidence: a_share_is_sent_again_after_an_order_without_a_response fails before. Not seen with real processes.

Change: after an order without a response the present share is sent each second for 15 s.

Why it works: an order that is carried out late is followed by one with the present share.

--- a/crates/engine/src/owner/session/mod.rs
+++ b/crates/engine/src/owner/session/mod.rs
@@ -379,10 +379,10 @@
                 self.scheduler
                     .handle_renewal_failure(worker, order.issued_at, outcome, now);
             }
-            (
-                OrderAction::Start { .. } | OrderAction::Stop { .. },
-                WorkerReply::Order(response),
-            ) => {
+            (action, WorkerReply::Order(response)) => {
+                if matches!(action, OrderAction::Pace { .. }) {
+                    scheduler_event::log_unexpected_reply(&order, &WorkerReply::Order(response));
+                }
                 self.scheduler.handle_order_response(&order, &response, now);
             }
             (_, reply) => scheduler_event::log_unexpected_reply(&order, &reply),
--- a/crates/jobs/src/scheduler/fleet.rs
+++ b/crates/jobs/src/scheduler/fleet.rs
@@ -138,6 +138,10 @@
     pub(super) is_share_known: bool,
     /// When that share last changed.
     pub(super) paced_at: BootTime,
+    /// When it was last sent.
+    pub(super) share_sent_at: BootTime,
+    /// Until when it is sent again: an order had no response.
+    pub(super) repeats_share_until: BootTime,
     /// Block for what is planned for its machine, if any.
     pub(super) block: Option<WorkerBlock>,
     /// Whether its machine was taken from under this incarnation.
@@ -332,6 +336,7 @@
         self.unhealthy_until = BootTime::default();
         self.best_effort_percent = 100;
         self.is_share_known = true;
+        self.repeats_share_until = BootTime::default();
         self.used = ResourceAmount::default();
         self.long_running_count = 0;
         self.long_running_cpu_millis = 0;
--- a/crates/jobs/src/scheduler/order.rs
+++ b/crates/jobs/src/scheduler/order.rs
@@ -42,7 +42,10 @@
             OrderAction::Stop { task, run } => {
                 self.handle_stop_response(&order.worker, task, *run, response.outcome, now);
             }
-            OrderAction::Pace { .. } | OrderAction::Renew { .. } => {}
+            OrderAction::Pace { .. } => {
+                self.handle_pace_response(&order.worker, response.outcome, now);
+            }
+            OrderAction::Renew { .. } => {}
         }
     }
 
--- a/crates/jobs/src/scheduler/pacing.rs
+++ b/crates/jobs/src/scheduler/pacing.rs
@@ -3,12 +3,15 @@
 //! Load pattern: best-effort tasks slow down the tasks beside them by amounts
 //! that change within seconds. Their share on a worker falls fast when the tail
 //! latency of a serving task approaches its objective, and rises slowly.
+//!
+//! An order without a response may be lost, or carried out seconds later, after newer ones. So
+//! the present share is sent again for a while after it.
 
 use std::time;
 
 use crate::name::{TaskId, WorkerId};
 use crate::time::BootTime;
-use crate::worker::{OrderAction, RenewalReport};
+use crate::worker::{OrderAction, OrderOutcome, RenewalReport};
 
 use super::JobScheduler;
 use super::entry::TaskPhase;
@@ -35,6 +38,12 @@
 /// percent: it does not know the share that they have.
 const INHERITED_PERCENT: u32 = 30;
 
+/// Time for which the share is sent again after an order that had no response.
+const REPEAT_TIME: time::Duration = time::Duration::from_secs(15);
+
+/// Time between two of these orders.
+const REPEAT_INTERVAL: time::Duration = time::Duration::from_secs(1);
+
 /// Returns the next best-effort share after `percent`, where `tail_ratio` is the
 /// tail latency of the tasks beside them divided by its objective.
 fn next_percent(percent: u32, tail_ratio: f64, since_change: time::Duration) -> u32 {
@@ -73,12 +82,18 @@
                 next_percent(entry.best_effort_percent, tail_ratio, since_change)
             }
         };
-        if entry.is_share_known && percent == entry.best_effort_percent {
+        let is_changed = !entry.is_share_known || percent != entry.best_effort_percent;
+        let is_repeated = entry.repeats_share_until > now
+            && now.saturating_since(entry.share_sent_at) >= REPEAT_INTERVAL;
+        if !is_changed && !is_repeated {
             return;
         }
+        if is_changed {
+            entry.paced_at = now;
+        }
         entry.is_share_known = true;
         entry.best_effort_percent = percent;
-        entry.paced_at = now;
+        entry.share_sent_at = now;
         let tasks = report.running.iter().map(|run| &run.task);
         let best_effort: Vec<TaskId> = tasks
             .filter(|task| self.is_best_effort(task))
@@ -100,6 +115,19 @@
         }
     }
 
+    /// Handles the response to an order that limits a run.
+    pub(super) fn handle_pace_response(
+        &mut self,
+        worker: &WorkerId,
+        outcome: OrderOutcome,
+        now: BootTime,
+    ) {
+        let is_certain = matches!(outcome, OrderOutcome::Accepted | OrderOutcome::Stale);
+        if let Some(entry) = self.fleet.get_mut(worker).filter(|_| !is_certain) {
+            entry.repeats_share_until = now + REPEAT_TIME;
+        }
+    }
+
     fn pace_task(&mut self, worker: &WorkerId, task: &TaskId, percent: u32, now: BootTime) {
         let Some(entry) = self.task(task) else {
             return;
--- a/crates/jobs/tests/placement.rs
+++ b/crates/jobs/tests/placement.rs
@@ -4,6 +4,7 @@
 
 use std::collections::BTreeSet;
 use std::sync;
+use std::time;
 
 use common::{
     FakeFleet, FakeWorker, manifest_parts_with_limit, manifest_with_limit, step_spec, task_id,
@@ -350,3 +351,41 @@
     );
     assert_eq!(fleet.advice_requests.len(), 1, "permits are reused");
 }
+
+/// Guards against a share that the owner believes in and the worker does not have, because the
+/// order was lost, or an older one carried out after it (HARM).
+#[test]
+fn a_share_is_sent_again_after_an_order_without_a_response() {
+    let mut fleet = fleet_of(1, 8_000);
+    let serving_step = StepSpec {
+        long_running: true,
+        target_ms: 100,
+        ..step_spec(1, 1_000)
+    };
+    let best_effort_step = StepSpec {
+        best_effort: true,
+        ..step_spec(1, 4_000)
+    };
+    let service_job = fleet.submit("s", vec![serving_step], 0);
+    fleet.submit("f", vec![best_effort_step], 600_000);
+    fleet.advance(500);
+    let service = task_id(&service_job, 0, 0);
+    let run = fleet.worker("w0").running.get_mut(&service);
+    run.expect("the service runs").measurement = 95;
+    // The orders of the first fall are carried out 5 s later.
+    fleet.lost_order_delay = Some(time::Duration::from_secs(5));
+    fleet.advance(50);
+    fleet.lost_order_delay = None;
+    fleet.advance(4_000);
+    let last = |fleet: &FakeFleet| fleet.pace_orders.last().map(|(_, percent, _)| *percent);
+    assert_eq!(last(&fleet), Some(0));
+    fleet.advance(3_000);
+    assert_eq!(last(&fleet), Some(0), "{:?}", fleet.pace_orders);
+    let late = fleet.pace_orders.iter().filter(|order| order.1 > 0);
+    assert!(late.count() > 1, "an older order came late");
+    // It ends some time after the last order without a response.
+    fleet.advance(20_000);
+    let sent = fleet.pace_orders.len();
+    fleet.advance(5_000);
+    assert_eq!(fleet.pace_orders.len(), sent);
+}
