Let a busy machine of a wave wait, and look at rejections only where there are some

And each placement looked up each waiting task for rejected starts.

Change: a throttled order leaves the machine prepared, a busy one returns it to those that wait, as before. Rejections are looked up only in steps that have some.

--- a/crates/jobs/src/maintenance/wave.rs
+++ b/crates/jobs/src/maintenance/wave.rs
@@ -125,20 +125,31 @@
     }
 
     /// Handles that an order had no effect: the machine stays prepared if its worker is known,
-    /// or waits, and may be ordered again from `retry_at`. Not if an earlier order may have
-    /// been carried out.
+    /// or waits, and may be ordered again from `retry_at`.
     pub(super) fn order_rejected(&mut self, machine: &MachineName, retry_at: BootTime) {
-        if let Some(entry) = self.machines.get_mut(machine)
-            && matches!(entry.stage, MachineStage::Ordered(_))
-            && !entry.may_have_begun
-        {
-            entry.stage = match entry.worker {
-                Some(_) => MachineStage::Prepared,
-                None => MachineStage::Waiting,
-            };
-            entry.not_before = retry_at;
-            self.record.ordered.remove(machine);
+        let Some(entry) = self.take_back_order(machine, retry_at) else {
+            return;
+        };
+        match entry.worker {
+            Some(_) => entry.stage = MachineStage::Prepared,
+            None => entry.wait_again(),
+        }
+    }
+
+    /// Takes an order back that had no effect, unless an earlier one may have been carried
+    /// out; returns the machine, which may be ordered again from `retry_at`.
+    fn take_back_order(
+        &mut self,
+        machine: &MachineName,
+        retry_at: BootTime,
+    ) -> Option<&mut MachineEntry> {
+        let entry = self.machines.get_mut(machine)?;
+        if !matches!(entry.stage, MachineStage::Ordered(_)) || entry.may_have_begun {
+            return None;
         }
+        entry.not_before = retry_at;
+        self.record.ordered.remove(machine);
+        Some(entry)
     }
 
     /// Returns a machine that is busy to the waiting ones, or removes it if it has left:
@@ -154,8 +165,15 @@
             Some(since) if now.saturating_since(since) >= settings.departure_limit => {
                 self.finish_machine(machine);
             }
-            Some(_) => self.order_rejected(machine, now + settings.absence_limit),
-            None => self.order_rejected(machine, now + settings.rejection_delay),
+            Some(_) => self.wait_for_busy(machine, now + settings.absence_limit),
+            None => self.wait_for_busy(machine, now + settings.rejection_delay),
+        }
+    }
+
+    /// Returns a busy machine to the waiting ones, so that another one goes first.
+    fn wait_for_busy(&mut self, machine: &MachineName, retry_at: BootTime) {
+        if let Some(entry) = self.take_back_order(machine, retry_at) {
+            entry.wait_again();
         }
     }
 
--- a/crates/jobs/src/scheduler/placement.rs
+++ b/crates/jobs/src/scheduler/placement.rs
@@ -306,15 +306,12 @@
                 index: index as u32,
             })
             .collect();
-        let is_due: Vec<bool> = idle.iter().map(|task| self.may_retry(task, now)).collect();
-        let all_due = is_due.iter().all(|is_due| *is_due);
-        if spec.gang && all_due {
-            return self.place_gang(&idle, &spec, candidates, now);
-        }
         let count = idle.len() as u32;
-        let due = idle.iter().zip(is_due);
-        let due = due.filter(|(_, is_due)| *is_due && !spec.gang);
-        for (task, _) in due {
+        let due = self.due_tasks(idle, now);
+        if spec.gang {
+            return self.place_gang(&due, &spec, candidates, now);
+        }
+        for task in &due {
             if !self.within_limit(task, &spec, 1) {
                 self.record_limited(task);
                 break;
@@ -335,10 +332,20 @@
         placement
     }
 
-    /// Returns whether a task may be placed now, given the workers that have rejected it.
-    fn may_retry(&mut self, task: &TaskId, now: BootTime) -> bool {
-        let entry = self.task_mut(task);
-        entry.is_none_or(|entry| entry.rejections.prepare(now))
+    /// Returns the tasks that may be placed now: not those that workers have rejected lately.
+    fn due_tasks(&mut self, mut idle: Vec<TaskId>, now: BootTime) -> Vec<TaskId> {
+        let is_rejected = |task: &TaskEntry| !task.rejections.is_empty();
+        if !idle
+            .iter()
+            .any(|task| self.task(task).is_some_and(is_rejected))
+        {
+            return idle;
+        }
+        idle.retain(|task| {
+            let entry = self.task_mut(task);
+            entry.is_none_or(|entry| entry.rejections.prepare(now))
+        });
+        idle
     }
 
     /// Places all members of a gang, or none.
--- a/crates/jobs/src/scheduler/rejection.rs
+++ b/crates/jobs/src/scheduler/rejection.rs
@@ -43,6 +43,11 @@
         self.not_before = now + retry_delay(self.count);
     }
 
+    /// Returns whether no start was rejected.
+    pub(super) fn is_empty(&self) -> bool {
+        self.count == 0
+    }
+
     /// Forgets the workers on which the task may be tried again; returns whether it may be
     /// placed now.
     pub(super) fn prepare(&mut self, now: BootTime) -> bool {
--- a/crates/jobs/tests/blocks.rs
+++ b/crates/jobs/tests/blocks.rs
@@ -330,3 +330,34 @@
         blocks_of(&WorkerId::new("w0"), WorkerBlock::UpTo(1))
     );
 }
+
+/// Guards against a machine that is released when its order is throttled, fills with tasks and
+/// has to be emptied again; and against one that is busy and holds the turn of the others.
+#[test]
+fn a_machine_stays_blocked_while_its_order_is_throttled_but_not_while_it_is_busy() {
+    let mut plant = FakePlant::new(2, true);
+    plant.request_wave(&["m0", "m1"]);
+    let now = plant.fleet.now;
+    let statuses = ["0", "1"].map(|number| {
+        let status = MachineStatus {
+            is_up: true,
+            worker: Some(WorkerId::new(&format!("w{number}"))),
+            incarnation: 1,
+            ..MachineStatus::default()
+        };
+        (MachineName::new(&format!("m{number}")), status)
+    });
+    let statuses = BTreeMap::from(statuses);
+    plant.planner.plan(&statuses, now);
+    plant
+        .planner
+        .order_rejected(1, &MachineName::new("m0"), now);
+    plant.planner.machine_busy(1, &MachineName::new("m1"), now);
+    let mut blocks = WorkerBlocks::default();
+    plant.planner.add_blocks(&mut blocks);
+    assert_eq!(blocks, blocks_of(&WorkerId::new("w0"), WorkerBlock::All));
+    let later = now + time::Duration::from_secs(1);
+    let actions = plant.planner.plan(&statuses, later);
+    let is_order = |action: &&MaintenanceAction| matches!(action, MaintenanceAction::Order { .. });
+    assert_eq!(actions.iter().filter(is_order).count(), 2, "{actions:?}");
+}
