Take back that a denial of the advisor ends with its incarnation

Cause, by reading: the incarnations that were asked about were kept with the step until the first response. While many requests wait for the advisor, one is repeated after 3 s; its second response found none, and put permits without an incarnation in the place of valid ones.

--- a/crates/jobs/src/scheduler/advice.rs
+++ b/crates/jobs/src/scheduler/advice.rs
@@ -8,7 +8,6 @@
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::fmt;
-use std::mem;
 use std::time;
 
 use serde::{Deserialize, Serialize};
@@ -119,10 +118,8 @@
 struct StepAdvice {
     requested_at: Option<BootTime>,
     permits: HashMap<WorkerId, CachedPermit>,
-    /// Incarnations of the workers in the request that is pending.
-    requested: HashMap<WorkerId, u64>,
-    /// Incarnations of workers that may not run the step; a denial is final for one.
-    denied: BTreeMap<WorkerId, u64>,
+    /// Workers that may not run the step; a denial is final.
+    denied: BTreeSet<WorkerId>,
 }
 
 impl StepAdvice {
@@ -184,28 +181,22 @@
                 permit.incarnation == candidate.incarnation
                     && permit.valid_until > now + PERMIT_MARGIN
             });
-            let denied = advice.denied.get(&candidate.worker);
-            !is_valid && denied != Some(&candidate.incarnation)
+            !is_valid && !advice.denied.contains(&candidate.worker)
         });
-        let undecided = undecided.take(MAX_WORKERS_PER_REQUEST);
-        let requested: Vec<(WorkerId, u64)> = undecided
-            .map(|candidate| (candidate.worker.clone(), candidate.incarnation))
-            .collect();
-        if requested.is_empty() {
+        let workers = undecided.take(MAX_WORKERS_PER_REQUEST);
+        let workers: Vec<WorkerId> = workers.map(|candidate| candidate.worker.clone()).collect();
+        if workers.is_empty() {
             return;
         }
-        let workers = requested.iter().map(|(worker, _)| worker.clone());
-        let workers = workers.collect();
         advice.requested_at = Some(now);
-        advice.requested = requested.into_iter().collect();
         self.requests.push(AdviceRequest {
             step: step.clone(),
             workers,
         });
     }
 
-    /// Returns the incarnations of workers that may not run a step, as far as is known.
-    fn denied(&self, step: &StepId) -> impl Iterator<Item = (&WorkerId, &u64)> {
+    /// Returns the workers that may not run a step, as far as is known.
+    fn denied(&self, step: &StepId) -> impl Iterator<Item = &WorkerId> {
         let advice = self.steps.get(step);
         advice.into_iter().flat_map(|advice| &advice.denied)
     }
@@ -236,13 +227,15 @@
         response: Option<&AdviceResponse>,
         now: BootTime,
     ) {
+        let incarnations: HashMap<&WorkerId, u64> = request
+            .workers
+            .iter()
+            .filter_map(|worker| Some((worker, self.fleet.get(worker)?.incarnation)))
+            .collect();
         let Some(advice) = self.advice.steps.get_mut(&request.step) else {
             return;
         };
         advice.requested_at = None;
-        // A worker may have started again since.
-        let incarnations = mem::take(&mut advice.requested);
-        let incarnation_of = |worker: &WorkerId| incarnations.get(worker).copied();
         self.waiting.mark_all_changed();
         let Some(response) = response else {
             return;
@@ -250,7 +243,7 @@
         for permit in &response.permits {
             let cached = CachedPermit {
                 ticket: permit.ticket.clone(),
-                incarnation: incarnation_of(&permit.worker).unwrap_or_default(),
+                incarnation: incarnations.get(&permit.worker).copied().unwrap_or(0),
                 valid_until: now + response.valid_for,
             };
             advice.permits.insert(permit.worker.clone(), cached);
@@ -262,8 +255,7 @@
                 .iter()
                 .any(|permit| permit.worker == **worker)
         });
-        let denied = denied.filter_map(|worker| Some((worker.clone(), incarnation_of(worker)?)));
-        advice.denied.extend(denied);
+        advice.denied.extend(denied.cloned());
     }
 
     /// Returns the permits and denials of the steps of waiting jobs, to be stored for the
@@ -279,10 +271,7 @@
             let mut permits = advice.valid_permits(now);
             permits.truncate(left);
             left -= permits.len();
-            let denied = advice.denied.iter();
-            let denied = denied.filter(|(worker, denied)| self.is_present(worker, **denied));
-            let denied = denied.take(left).map(|(worker, _)| worker.clone());
-            let denied: BTreeSet<WorkerId> = denied.collect();
+            let denied: BTreeSet<WorkerId> = advice.denied.iter().take(left).cloned().collect();
             left -= denied.len();
             if !permits.is_empty() || !denied.is_empty() {
                 stored.push(StoredAdvice {
@@ -306,13 +295,8 @@
             if !self.jobs.contains_key(&stored.step.job) {
                 continue;
             }
-            let fleet = &self.fleet;
-            let denied = stored.denied.iter().filter_map(|worker| {
-                let incarnation = fleet.get(worker)?.incarnation;
-                Some((worker.clone(), incarnation))
-            });
             let step = self.advice.steps.entry(stored.step.clone()).or_default();
-            step.denied = denied.collect();
+            step.denied.clone_from(&stored.denied);
             for permit in &stored.permits {
                 let cached = CachedPermit {
                     ticket: permit.ticket.clone(),
@@ -324,11 +308,6 @@
         }
     }
 
-    /// Returns whether an incarnation of a worker is the present one.
-    fn is_present(&self, worker: &WorkerId, incarnation: u64) -> bool {
-        self.incarnation(worker) == Some(incarnation)
-    }
-
     /// Returns whether an advisor must permit the workers of a job.
     pub(super) fn is_advised(&self, job: &JobId) -> bool {
         let job = self.jobs.get(job);
@@ -351,9 +330,8 @@
                 occurrence: waiting.occurrence,
                 step: waiting.number,
             };
-            let denied = self.advice.denied(&step);
-            let denied = denied.filter(|(worker, denied)| self.is_present(worker, **denied));
-            let workers = denied.filter_map(|(worker, _)| self.fleet.get(worker));
+            let workers = self.advice.denied(&step);
+            let workers = workers.filter_map(|worker| self.fleet.get(worker));
             let open = workers.filter(|entry| entry.is_open_in(pool));
             open.map(|entry| entry.free_capacity().cpu_millis).sum()
         });
