Keep of a run only whether it is over, and look up less at each start

Cause, found by reading the whole change once more: three states were kept of what a report proves, of which one was ever asked about, and each new run was copied to record another; each start was checked twice because of the readings of clocks, and each waiting task looked up for rejections that hardly any has; whether two tasks are of one step was written out twice; two tests set up the same worker.

Change: a bool in place of the three states. The age of a reading is looked at before whether the run may start. Rejections are looked for in the step that is at hand. TaskId::is_of_step, and a function for the tests' worker. No behaviour changes.

--- a/crates/jobs/src/name.rs
+++ b/crates/jobs/src/name.rs
@@ -97,6 +97,13 @@
     pub index: u32,
 }
 
+impl TaskId {
+    /// Returns whether both tasks belong to the same step of the same occurrence.
+    pub(crate) fn is_of_step(&self, other: &Self) -> bool {
+        self.job == other.job && self.occurrence == other.occurrence && self.step == other.step
+    }
+}
+
 impl fmt::Display for TaskId {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         let Self {
--- a/crates/jobs/src/scheduler/choice.rs
+++ b/crates/jobs/src/scheduler/choice.rs
@@ -187,9 +187,8 @@
         if spec.max_per_worker == 0 {
             return true;
         }
-        let same_step = entry.reservations.keys().filter(|other| {
-            other.job == task.job && other.occurrence == task.occurrence && other.step == task.step
-        });
+        let same_step = entry.reservations.keys();
+        let same_step = same_step.filter(|other| other.is_of_step(task));
         same_step.count() + chosen_count < spec.max_per_worker as usize
     }
 }
--- a/crates/jobs/src/scheduler/crash.rs
+++ b/crates/jobs/src/scheduler/crash.rs
@@ -19,7 +19,7 @@
 use crate::time::BootTime;
 
 use super::entry::{JobEntry, StartCaution, TaskPhase};
-use super::fleet::{ContactState, RunPresence};
+use super::fleet::ContactState;
 use super::{JobScheduler, LossCause, SchedulerEvent};
 
 /// Time between two looks at the runs of suspected tasks.
@@ -134,8 +134,7 @@
             let trace = current.map(|entry| entry.trace).unwrap_or_default();
             let is_reserved =
                 current.is_some_and(|entry| matches!(entry.phase, TaskPhase::Reserved(_)));
-            let is_over = held.presence == RunPresence::Over;
-            if is_reserved || is_over || trace.has_not_begun(entry.refused_at) {
+            if is_reserved || held.is_over || trace.has_not_begun(entry.refused_at) {
                 return None;
             }
             Some(LostRun {
--- a/crates/jobs/src/scheduler/fleet.rs
+++ b/crates/jobs/src/scheduler/fleet.rs
@@ -28,20 +28,6 @@
     Unresponsive,
 }
 
-/// What the latest report of a worker proves about a run there.
-///
-/// A report lists all runs in progress, but only the earliest of the ended ones.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
-pub(super) enum RunPresence {
-    /// Nothing: the run may have begun after the worker was asked.
-    #[default]
-    Unproven,
-    /// It was in progress.
-    Running,
-    /// It had ended, or was lost; a later report shows which.
-    Over,
-}
-
 /// Capacity that a run reserves on a worker.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(super) struct RunReservation {
@@ -51,8 +37,9 @@
     pub(super) is_long_running: bool,
     /// What it is kept apart from.
     pub(super) caution: StartCaution,
-    /// What is known of it from the worker.
-    pub(super) presence: RunPresence,
+    /// Whether the latest report proves that it is not in progress. It has ended or was lost;
+    /// a later report shows which, since only the earliest ended runs are listed.
+    pub(super) is_over: bool,
     /// Stop of the run, if it belongs to no task any more.
     pub(super) orphan_stop: Option<OrphanStop>,
 }
@@ -254,17 +241,17 @@
         }
     }
 
-    /// Records what the latest report proves about the run of a task.
-    pub(super) fn set_presence(&mut self, task: &TaskId, presence: RunPresence) {
+    /// Records whether the latest report proves that the run of a task is not in progress.
+    pub(super) fn set_over(&mut self, task: &TaskId, is_over: bool) {
         if let Some(reservation) = self.reservations.get_mut(task) {
-            reservation.presence = presence;
+            reservation.is_over = is_over;
         }
     }
 
     /// Returns whether the latest report proves that the run of a task is not in progress.
     pub(super) fn is_over(&self, task: &TaskId) -> bool {
         let reservation = self.reservations.get(task);
-        reservation.is_some_and(|held| held.presence == RunPresence::Over)
+        reservation.is_some_and(|held| held.is_over)
     }
 
     /// Returns the jobs of its runs under whose tasks workers crashed.
--- a/crates/jobs/src/scheduler/lifecycle.rs
+++ b/crates/jobs/src/scheduler/lifecycle.rs
@@ -7,7 +7,7 @@
 
 use super::JobScheduler;
 use super::entry::{JobEntry, RunLocation, StopProgress, TaskEntry, TaskPhase};
-use super::fleet::{RunPresence, RunReservation, WorkerEntry};
+use super::fleet::{RunReservation, WorkerEntry};
 
 /// Run of a task that is assigned to a worker.
 pub(super) struct PlacedRun {
@@ -127,7 +127,7 @@
                 reserved,
                 is_long_running,
                 caution,
-                presence: RunPresence::default(),
+                is_over: false,
                 orphan_stop: None,
             };
             entry.reserve(task.clone(), reservation);
--- a/crates/jobs/src/scheduler/listing.rs
+++ b/crates/jobs/src/scheduler/listing.rs
@@ -7,7 +7,7 @@
 use crate::worker::WorkerView;
 
 use super::entry::{RunLocation, TaskEntry, TaskPhase};
-use super::fleet::{RunPresence, RunReservation, WorkerEntry};
+use super::fleet::{RunReservation, WorkerEntry};
 use super::{JobScheduler, RunEndReason, SchedulerEvent, WorkerStatus};
 
 impl JobScheduler {
@@ -165,7 +165,7 @@
             reserved,
             is_long_running,
             caution,
-            presence: RunPresence::default(),
+            is_over: false,
             orphan_stop: None,
         };
         entry.reserve(task.clone(), reservation);
--- a/crates/jobs/src/scheduler/placement.rs
+++ b/crates/jobs/src/scheduler/placement.rs
@@ -17,7 +17,7 @@
 use super::advice::StepId;
 use super::candidate::{self, PlacementCandidate};
 use super::entry::{JobEntry, RunLocation, StartCaution, TaskEntry, TaskPhase};
-use super::fleet::{RunPresence, RunReservation};
+use super::fleet::RunReservation;
 use super::shares::PoolShares;
 use super::waiting::{JobRank, PoolVisit, WaitingEntry};
 use super::{JobScheduler, SchedulerEvent, SharePolicy};
@@ -296,6 +296,8 @@
         let Some(entry) = job.step(step.occurrence, step.step) else {
             return placement;
         };
+        let mut tasks = entry.tasks.iter();
+        let has_rejected = tasks.any(|task| !task.rejections.is_empty());
         let tasks = entry.tasks.iter().enumerate();
         let idle: Vec<TaskId> = tasks
             .filter(|(_, task)| task.phase == TaskPhase::Idle && pass.places(task))
@@ -307,7 +309,10 @@
             })
             .collect();
         let count = idle.len() as u32;
-        let due = self.due_tasks(idle, now);
+        let due = match has_rejected {
+            true => self.due_tasks(idle, now),
+            false => idle,
+        };
         if spec.gang {
             return self.place_gang(&due, &spec, candidates, now);
         }
@@ -334,13 +339,6 @@
 
     /// Returns the tasks that may be placed now: not those that workers have rejected lately.
     fn due_tasks(&mut self, mut idle: Vec<TaskId>, now: BootTime) -> Vec<TaskId> {
-        let is_rejected = |task: &TaskEntry| !task.rejections.is_empty();
-        if !idle
-            .iter()
-            .any(|task| self.task(task).is_some_and(is_rejected))
-        {
-            return idle;
-        }
         idle.retain(|task| {
             let entry = self.task_mut(task);
             entry.is_none_or(|entry| entry.rejections.prepare(now))
@@ -444,7 +442,7 @@
             reserved,
             is_long_running: spec.long_running,
             caution,
-            presence: RunPresence::default(),
+            is_over: false,
             orphan_stop: None,
         };
         if let Some(worker) = self.fleet.get_mut(&candidate.worker) {
--- a/crates/jobs/src/scheduler/report.rs
+++ b/crates/jobs/src/scheduler/report.rs
@@ -10,7 +10,7 @@
 
 use super::clock_reading::ClockReading;
 use super::entry::{RunProgress, StartCaution, TaskEntry, TaskPhase};
-use super::fleet::{ContactState, OrphanStop, RunPresence, RunReservation, UnacknowledgedRun};
+use super::fleet::{ContactState, OrphanStop, RunReservation, UnacknowledgedRun};
 use super::shares::PoolClaim;
 use super::{JobScheduler, RunEndReason, SchedulerEvent, WorkerStatus};
 
@@ -308,7 +308,7 @@
             reserved,
             is_long_running,
             caution: StartCaution::None,
-            presence: RunPresence::default(),
+            is_over: false,
             orphan_stop: Some(OrphanStop {
                 ordered_at: now,
                 accepted_at: None,
@@ -322,7 +322,7 @@
         self.push_order(worker, action, now);
     }
 
-    /// Records what a report proves about the runs of the worker, and drops those that are
+    /// Records which runs of the worker a report proves to be over, and drops those that are
     /// lost.
     fn update_presence(&mut self, worker: &WorkerId, issued_at: BootTime, report: &RenewalReport) {
         let running = report.running.iter();
@@ -330,25 +330,25 @@
         let Some(entry) = self.fleet.get(worker) else {
             return;
         };
-        let reservations = entry.reservations.iter();
-        let changed: Vec<(TaskId, u32, RunPresence)> = reservations
-            .filter_map(|(task, held)| {
-                let presence = if listed.get(task) == Some(&held.run) {
-                    RunPresence::Running
-                } else if self.should_be_listed(worker, task, held, issued_at) {
-                    RunPresence::Over
-                } else {
-                    return None;
-                };
-                let has_changed = presence != held.presence || presence == RunPresence::Over;
-                has_changed.then(|| (task.clone(), held.run, presence))
-            })
-            .collect();
-        for (task, run, presence) in changed {
-            if presence == RunPresence::Over && report.is_complete {
+        let mut over = Vec::new();
+        let mut in_progress = Vec::new();
+        for (task, held) in &entry.reservations {
+            if listed.get(task) == Some(&held.run) {
+                in_progress.extend(held.is_over.then(|| task.clone()));
+            } else if self.should_be_listed(worker, task, held, issued_at) {
+                over.push((task.clone(), held.run));
+            }
+        }
+        for (task, run) in over {
+            if report.is_complete {
                 self.drop_run(worker, &task, run, RunEndReason::Vanished);
             } else if let Some(entry) = self.fleet.get_mut(worker) {
-                entry.set_presence(&task, presence);
+                entry.set_over(&task, true);
+            }
+        }
+        for task in in_progress {
+            if let Some(entry) = self.fleet.get_mut(worker) {
+                entry.set_over(&task, false);
             }
         }
     }
--- a/crates/jobs/src/scheduler/stall.rs
+++ b/crates/jobs/src/scheduler/stall.rs
@@ -15,7 +15,7 @@
 use crate::time::BootTime;
 
 use super::entry::{StallRecording, TaskPhase};
-use super::fleet::{ContactState, RunPresence, RunReservation};
+use super::fleet::{ContactState, RunReservation};
 use super::{JobScheduler, RunEndReason, SchedulerEvent};
 
 /// Times that a percent of a run may take as long as estimated: it may be far from its data,
@@ -132,7 +132,7 @@
     /// Returns when the run of a task that must make progress last made some. One that is
     /// over makes none, whether its end is listed yet or not.
     fn advanced_at(&self, task: &TaskId, reservation: &RunReservation) -> Option<BootTime> {
-        if reservation.presence == RunPresence::Over {
+        if reservation.is_over {
             return None;
         }
         let step = self.step_spec(task);
--- a/crates/jobs/src/scheduler/starting.rs
+++ b/crates/jobs/src/scheduler/starting.rs
@@ -27,7 +27,7 @@
     /// Returns whether both runs belong to the same step and have the same number, as those
     /// of a gang.
     fn is_beside(&self, other: &Self) -> bool {
-        self.run == other.run && step_of(&self.task) == step_of(&other.task)
+        self.run == other.run && self.task.is_of_step(&other.task)
     }
 }
 
@@ -104,12 +104,11 @@
     /// Returns whether a run may be started, but for a recent reading of its worker's
     /// clock, which is on its way.
     fn awaits_reading(&self, start: &PendingStart, now: BootTime) -> bool {
-        if !self.may_start(&start.task, start.run, now) {
-            return false;
-        }
         let task = self.task(&start.task);
         let location = task.and_then(|entry| entry.phase.location());
+        // Most readings are recent.
         location.is_some_and(|location| self.fresh_reading(&location.worker, now).is_none())
+            && self.may_start(&start.task, start.run, now)
     }
 
     /// Sends the order to start a run whose row is stored.
--- a/crates/jobs/tests/placement.rs
+++ b/crates/jobs/tests/placement.rs
@@ -14,7 +14,7 @@
 use redwing_jobs::name::{PoolName, WorkerLabel};
 use redwing_jobs::spec::StepSpec;
 use redwing_jobs::worker::OrderAction;
-use redwing_jobs::{JobState, SchedulerSettings, WorkerId};
+use redwing_jobs::{JobId, JobState, SchedulerSettings, WorkerId};
 use rstest::rstest;
 
 fn fleet_of(count: usize, cpu_millis: u64) -> FakeFleet {
@@ -289,10 +289,9 @@
     assert_eq!(workers, expected_workers.iter().copied().collect());
 }
 
-/// Best-effort tasks are slowed down fast when the tail latency of a serving
-/// task nears its objective, and sped up slowly.
-#[test]
-fn best_effort_tasks_yield_to_tasks_that_serve_users() {
+/// Returns a fleet of one worker with a task that serves users and a best-effort task of this
+/// duration, and the job of the former.
+fn shared_worker(best_effort_ms: u64) -> (FakeFleet, JobId) {
     let mut fleet = fleet_of(1, 8_000);
     let serving_step = StepSpec {
         long_running: true,
@@ -304,8 +303,16 @@
         ..step_spec(1, 4_000)
     };
     let service_job = fleet.submit("s", vec![serving_step], 0);
-    fleet.submit("f", vec![best_effort_step], 60_000);
+    fleet.submit("f", vec![best_effort_step], best_effort_ms);
     fleet.advance(500);
+    (fleet, service_job)
+}
+
+/// Best-effort tasks are slowed down fast when the tail latency of a serving
+/// task nears its objective, and sped up slowly.
+#[test]
+fn best_effort_tasks_yield_to_tasks_that_serve_users() {
+    let (mut fleet, service_job) = shared_worker(60_000);
     let set_tail_latency = |fleet: &mut FakeFleet, latency_ms: u64| {
         let run = fleet
             .worker("w0")
@@ -356,19 +363,7 @@
 /// order was lost, or an older one carried out after it (HARM).
 #[test]
 fn a_share_is_sent_again_after_an_order_without_a_response() {
-    let mut fleet = fleet_of(1, 8_000);
-    let serving_step = StepSpec {
-        long_running: true,
-        target_ms: 100,
-        ..step_spec(1, 1_000)
-    };
-    let best_effort_step = StepSpec {
-        best_effort: true,
-        ..step_spec(1, 4_000)
-    };
-    let service_job = fleet.submit("s", vec![serving_step], 0);
-    fleet.submit("f", vec![best_effort_step], 600_000);
-    fleet.advance(500);
+    let (mut fleet, service_job) = shared_worker(600_000);
     let service = task_id(&service_job, 0, 0);
     let run = fleet.worker("w0").running.get_mut(&service);
     run.expect("the service runs").measurement = 95;
