Begin the clocks of simulated and stand-in workers anywhere

Cause: a new incarnation of a worker has a clock that begins anew, on the users' platform with any value. The clocks of our simulated and stand-in workers began at zero, so that no test could meet a fault that comes from taking a clock for an age, or an old clock for a new one.

Change: they begin with a value that says nothing about their age. The stand-in worker can carry out a late renewal.

--- a/crates/jobs/tests/common/worker.rs
+++ b/crates/jobs/tests/common/worker.rs
@@ -11,6 +11,12 @@
 /// Longest lease that a worker grants; a longer one is shortened.
 const MAX_LEASE: time::Duration = time::Duration::from_millis(10_000);
 
+/// What the clock of a worker shows when the simulation begins, in milliseconds.
+const FIRST_CLOCK_MS: u64 = 600_000;
+
+/// What the clock of a new incarnation begins with: no clock says for how long it has run.
+const RESTARTED_CLOCK_MS: u64 = 300_000;
+
 /// Largest number of ended runs in one list.
 pub(crate) const MAX_LISTED_ENDS: usize = 500;
 
@@ -43,8 +49,10 @@
     pub(crate) exits: Vec<ExitKind>,
     /// End of the lease on the worker's clock.
     pub(crate) lease_end_ms: u64,
-    /// When the worker's clock was at zero.
+    /// When the worker's clock showed `first_clock_ms`.
     pub(crate) born_at: BootTime,
+    /// What the clock showed at the beginning of the incarnation, or of the simulation.
+    pub(crate) first_clock_ms: u64,
     /// Rate of the worker's clock.
     pub(crate) clock_rate: f64,
     /// Highest run number of each task that was stopped or ended in this
@@ -96,6 +104,7 @@
             exits: Vec::new(),
             lease_end_ms: 0,
             born_at: BootTime::default(),
+            first_clock_ms: FIRST_CLOCK_MS,
             clock_rate: 1.0,
             closed_runs: BTreeMap::new(),
             is_listed: true,
@@ -119,12 +128,13 @@
         self.fencing_token = 0;
         self.lease_end_ms = 0;
         self.born_at = now;
+        self.first_clock_ms = RESTARTED_CLOCK_MS;
     }
 
     /// Returns the worker's clock, in milliseconds.
     pub(crate) fn clock_ms(&self, now: BootTime) -> u64 {
         let elapsed = now.saturating_since(self.born_at);
-        elapsed.mul_f64(self.clock_rate).as_millis() as u64
+        self.first_clock_ms + elapsed.mul_f64(self.clock_rate).as_millis() as u64
     }
 
     /// Returns whether the lease has expired.
--- a/crates/standin/src/worker.rs
+++ b/crates/standin/src/worker.rs
@@ -6,6 +6,7 @@
 //! number is the duration of the task, in milliseconds.
 
 use std::collections::{BTreeMap, HashMap};
+use std::hash::{self, Hash, Hasher};
 use std::sync;
 use std::time;
 
@@ -31,6 +32,9 @@
 /// Largest number of ended runs in one list.
 const MAX_LISTED_ENDS: usize = 500;
 
+/// Upper end of what a worker's clock may begin with, in milliseconds.
+const MAX_CLOCK_ORIGIN_MS: u64 = 9_000_000;
+
 /// Interval at which a waiting renewal checks whether a run has ended.
 const RENEWAL_POLL_INTERVAL: time::Duration = time::Duration::from_millis(10);
 
@@ -60,6 +64,8 @@
     view: WorkerView,
     fault: WorkerFault,
     started_at: timer::Instant,
+    /// What the worker's clock showed at its start, in milliseconds.
+    clock_origin_ms: u64,
     fencing_token: u64,
     lease_end_ms: u64,
     running: BTreeMap<TaskId, StandinRun>,
@@ -72,7 +78,7 @@
 
 impl StandinWorker {
     fn clock_ms(&self) -> u64 {
-        self.started_at.elapsed().as_millis() as u64
+        self.clock_origin_ms + self.started_at.elapsed().as_millis() as u64
     }
 
     /// Extends the lease up to the longest one.
@@ -100,7 +106,8 @@
     fn end_finished_runs(&mut self) {
         let is_failing = self.fault.is_failing;
         let now = timer::Instant::now();
-        let lease_end = self.started_at + time::Duration::from_millis(self.lease_end_ms);
+        let lease_ms = self.lease_end_ms.saturating_sub(self.clock_origin_ms);
+        let lease_end = self.started_at + time::Duration::from_millis(lease_ms);
         let finished = self.running.iter().filter_map(|(task, run)| {
             let done_at = run.started_at + run.duration;
             let kind = match is_failing {
@@ -326,6 +333,14 @@
         }
     }
 
+    /// Lets a worker carry out a lease renewal for the incarnation before, whose clock was far
+    /// ahead.
+    pub fn renew_late(&self, worker: &WorkerId) {
+        if let Some(worker) = self.lock().get_mut(worker) {
+            worker.extend_lease(u64::MAX);
+        }
+    }
+
     /// Ends a worker with its runs, until it returns.
     pub(crate) fn take_down(&self, worker: &WorkerId) {
         if let Some(worker) = self.lock().get_mut(worker) {
@@ -504,8 +519,16 @@
     }
 }
 
+/// Returns what the clock of an incarnation begins with: it does not say how old it is.
+fn clock_origin_ms(view: &WorkerView) -> u64 {
+    let mut hasher = hash::DefaultHasher::new();
+    (&view.id, view.incarnation).hash(&mut hasher);
+    hasher.finish() % MAX_CLOCK_ORIGIN_MS
+}
+
 fn new_incarnation(view: WorkerView, fault: WorkerFault) -> StandinWorker {
     StandinWorker {
+        clock_origin_ms: clock_origin_ms(&view),
         view,
         fault,
         started_at: timer::Instant::now(),
