Wait for leases that workers take from orders for the incarnation before

Workers crashed, were back under their ids, were cut off 2 s later, and their tasks were started elsewhere while the first runs went on for up to 10 s.

Cause: a renewal that is on its way to a worker that crashes is carried out by its next incarnation, which has seen no fencing token. Its end of the lease is a time on the clock of the incarnation before; on the new clock it is far ahead, and the worker shortens it to the longest lease that it grants, 10 s. The owner counted on 5.4 s after its own orders. The same for starts: one that no report has listed may begin on the next incarnation, also while it is being stopped, and also under a new owner, which took the run for ended.

Change: with the first response in a session the owner holds for possible that a late order has given the worker its longest lease until then. That counts only where an order for an earlier incarnation may have been sent in the last 10 s: the owner knew one, or the owner before may have. A response to an order of an earlier session opens no session. Runs that no report has listed are stopped on the next incarnation before their tasks start again. The owner row names the workers whose leases last longer than a successor would assume.

Why it works: from the first order of a session on, the worker rejects what was sent before, so that no lease lasts longer than the longest one from then; and before that nothing is started there.

Tests hold the wait for a worker that is cut off to 5.6 s in its first incarnation, on new workers, 8 s after a restart, and after a takeover.

--- a/crates/engine/src/owner/change.rs
+++ b/crates/engine/src/owner/change.rs
@@ -1,10 +1,11 @@
 //! Changes of an owner: transactions that commit only while it still owns the
 //! scheduling.
 
+use std::collections::BTreeMap;
 use std::fmt;
 use std::time;
 
-use redwing_jobs::JobId;
+use redwing_jobs::{JobId, WorkerId};
 use redwing_provider::backoff::{BackoffSettings, RetryBackoff};
 use redwing_provider::builder::{FillBudget, TransactionBuilder, UnitFit};
 use redwing_provider::{
@@ -49,12 +50,15 @@
 }
 
 /// State of the ownership that a change writes.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub(super) struct OwnershipState {
     /// Whether the owner releases the ownership.
     pub(super) released: bool,
     /// Time until the leases of earlier owners have expired.
     pub(super) inherited: time::Duration,
+    /// Time until the leases of single workers have expired that last longer, in
+    /// milliseconds.
+    pub(super) late_ms: BTreeMap<WorkerId, u64>,
     /// Rows of earlier owners that count on.
     pub(super) carried: Option<CarriedRows>,
     /// What is confirmed of the pending counts.
@@ -112,6 +116,7 @@
             change,
             released: state.released,
             inherited_ms: Some(state.inherited.as_millis() as u64),
+            late_ms: state.late_ms,
             carried: state.carried,
             confirmed_counts: state.confirmed_counts,
             ..lease.record.clone()
--- a/crates/engine/src/owner/election.rs
+++ b/crates/engine/src/owner/election.rs
@@ -14,6 +14,7 @@
 
 use super::OwnerDependencies;
 use super::inherited::InheritedRows;
+use super::late_leases::LateLeases;
 
 /// Ownership of this process: the owner row as it last wrote it.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -32,12 +33,16 @@
 }
 
 /// Times that a claim goes by.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Eq, PartialEq)]
 pub(super) struct ClaimTimes {
     /// When the claim was sent.
     pub(super) claimed_at: BootTime,
     /// When all leases that earlier owners granted to workers have expired.
     pub(super) inherited_until: BootTime,
+    /// When those of single workers have expired that last longer.
+    pub(super) late_leases: LateLeases,
+    /// Until when earlier owners may have sent orders; none if there were none.
+    pub(super) orders_until: Option<BootTime>,
     /// Rows of earlier owners that count.
     pub(super) inherited_rows: InheritedRows,
 }
@@ -136,9 +141,13 @@
     record: Option<&OwnerRecord>,
     unchanged_since: BootTime,
 ) -> ClaimTimes {
+    let settings = &dependencies.settings.scheduler;
+    let previous = previous_owner(dependencies, record, unchanged_since);
     ClaimTimes {
         claimed_at: clock::boot_now(),
-        inherited_until: inherited_until(dependencies, record, unchanged_since),
+        inherited_until: previous.leases_until(settings),
+        late_leases: LateLeases::after(record, unchanged_since),
+        orders_until: record.map(|_| previous.orders_until(settings)),
         inherited_rows: InheritedRows::after(record, unchanged_since),
     }
 }
@@ -170,22 +179,21 @@
     owner.node == dependencies.node && owner.incarnation != dependencies.incarnation
 }
 
-/// Returns when all leases have expired that earlier owners granted to workers, given
-/// the latest record and since when the row is known to be unchanged.
-fn inherited_until(
+/// Returns what is known of the owner before, given the latest record and since when the row
+/// is known to be unchanged.
+fn previous_owner(
     dependencies: &OwnerDependencies,
     record: Option<&OwnerRecord>,
     unchanged_since: BootTime,
-) -> BootTime {
+) -> PreviousOwner {
     let inherited_ms = record.and_then(|owner| owner.inherited_ms);
     let has_ended =
         record.is_some_and(|owner| owner.released || is_former_process(dependencies, owner));
-    let previous = PreviousOwner {
+    PreviousOwner {
         unchanged_since,
         has_ended,
         earlier_leases_left: inherited_ms.map(time::Duration::from_millis),
-    };
-    previous.leases_until(&dependencies.settings.scheduler)
+    }
 }
 
 fn find_owner_row<'a>(view: &'a TableView, key: &RowKey) -> Option<&'a TableRow> {
@@ -208,7 +216,7 @@
             record: row::read(current).ok()?,
             version: current.version,
         },
-        times: pending.times,
+        times: pending.times.clone(),
     })
 }
 
@@ -228,6 +236,7 @@
         released: false,
         is_small: dependencies.settings.is_small,
         inherited_ms: Some(inherited.as_millis() as u64),
+        late_ms: times.late_leases.remaining_ms(now),
         carried: Some(times.inherited_rows.carried(now)),
         confirmed_counts: None,
     }
--- /dev/null
+++ b/crates/engine/src/owner/late_leases.rs
@@ -0,0 +1,67 @@
+//! Leases of single workers that last longer than those of all others.
+//!
+//! Load pattern: workers that start again and take the longest lease that they grant from an
+//! order for the incarnation before, while owners end one after the other. Most of the time
+//! there are none. They are part of the owner row, so that each change that starts a run on
+//! such a worker states them.
+
+use std::collections::BTreeMap;
+use std::time;
+
+use redwing_jobs::scheduler::LeaseEnds;
+use redwing_jobs::{BootTime, WorkerId};
+
+use crate::row::OwnerRecord;
+
+/// Largest number of workers in the owner row.
+const MAX_WORKERS: usize = 64;
+
+/// Ends of such leases.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub(super) struct LateLeases {
+    /// End that counts for all workers, where there are too many; otherwise the beginning of
+    /// time.
+    pub(super) until: BootTime,
+    /// End for each worker.
+    pub(super) workers: LeaseEnds,
+}
+
+impl LateLeases {
+    /// Returns the ends as the owner row states them.
+    pub(super) fn of(workers: LeaseEnds) -> Self {
+        if workers.len() <= MAX_WORKERS {
+            return Self {
+                workers,
+                ..Self::default()
+            };
+        }
+        Self {
+            until: workers.into_values().max().unwrap_or_default(),
+            workers: LeaseEnds::default(),
+        }
+    }
+
+    /// Returns the ends that `record` states, which is known to have been the owner row since
+    /// `unchanged_since`.
+    pub(super) fn after(record: Option<&OwnerRecord>, unchanged_since: BootTime) -> Self {
+        let stated = record.into_iter().flat_map(|record| &record.late_ms);
+        let ends = stated.map(|(worker, millis)| {
+            let remaining = time::Duration::from_millis(*millis);
+            (worker.clone(), unchanged_since + remaining)
+        });
+        Self {
+            workers: ends.collect(),
+            ..Self::default()
+        }
+    }
+
+    /// Returns the time left for each worker, in milliseconds.
+    pub(super) fn remaining_ms(&self, now: BootTime) -> BTreeMap<WorkerId, u64> {
+        let ends = self.workers.iter();
+        let remaining = ends.map(|(worker, end)| {
+            let remaining = end.saturating_since(now);
+            (worker.clone(), remaining.as_millis() as u64)
+        });
+        remaining.collect()
+    }
+}
--- a/crates/engine/src/owner/mod.rs
+++ b/crates/engine/src/owner/mod.rs
@@ -13,6 +13,7 @@
 mod election;
 mod evacuation_board;
 mod inherited;
+mod late_leases;
 mod machine_order;
 mod machine_view;
 mod machines;
--- a/crates/engine/src/owner/session/mod.rs
+++ b/crates/engine/src/owner/session/mod.rs
@@ -10,7 +10,7 @@
 use redwing_jobs::feasibility::FleetCapacity;
 use redwing_jobs::maintenance::MaintenanceRecord;
 use redwing_jobs::name::DataCentre;
-use redwing_jobs::scheduler::AdviceRequest;
+use redwing_jobs::scheduler::{AdviceRequest, LeaseEnds};
 use redwing_jobs::worker::{OrderAction, WorkerOrder};
 use redwing_jobs::{BootTime, JobId, JobScheduler, SchedulerSettings, WorkerId};
 use redwing_provider::TransactionSize;
@@ -137,6 +137,11 @@
     unconfirmed_since: Option<BootTime>,
     /// When all leases of earlier owners have expired.
     inherited_until: BootTime,
+    /// When those of single workers have expired that last longer, until the scheduler
+    /// knows them.
+    inherited_late: LeaseEnds,
+    /// Until when earlier owners may have sent orders; none if there were none.
+    earlier_orders_until: Option<BootTime>,
     /// When waits were last counted to be stored for the next owner.
     waits_counted_at: BootTime,
     /// Waits as stored.
@@ -208,6 +213,8 @@
             confirmed_at: times.claimed_at,
             unconfirmed_since: None,
             inherited_until: times.inherited_until,
+            inherited_late: times.late_leases.workers,
+            earlier_orders_until: times.orders_until,
             inherited_rows: times.inherited_rows,
             waits_counted_at: BootTime::default(),
             stored_waits: WaitRecord::default(),
@@ -372,12 +379,10 @@
                         rows = report.malformed,
                     );
                 }
-                self.scheduler
-                    .handle_renewal_report(worker, order.issued_at, &report, now);
+                self.scheduler.handle_renewal_report(&order, &report, now);
             }
             (OrderAction::Renew { .. }, WorkerReply::NoReport(outcome)) => {
-                self.scheduler
-                    .handle_renewal_failure(worker, order.issued_at, outcome, now);
+                self.scheduler.handle_renewal_failure(&order, outcome, now);
             }
             (action, WorkerReply::Order(response)) => {
                 if matches!(action, OrderAction::Pace { .. }) {
--- a/crates/engine/src/owner/session/rows.rs
+++ b/crates/engine/src/owner/session/rows.rs
@@ -38,6 +38,8 @@
         self.scheduler.inherit_leases(InheritedLeases {
             until: self.inherited_until,
             workers: stored.ends,
+            late: mem::take(&mut self.inherited_late),
+            orders_until: self.earlier_orders_until,
         });
         self.scheduler.inherit_waits(inherited.progress_stored_by());
         self.inherited_waits = record::read_waits(&rows.owner.rows, &inherited);
--- a/crates/engine/src/owner/session/store.rs
+++ b/crates/engine/src/owner/session/store.rs
@@ -23,6 +23,7 @@
 use crate::owner::cleanup;
 use crate::owner::election::OwnerLease;
 use crate::owner::evacuation_board::StatusUpdate;
+use crate::owner::late_leases::LateLeases;
 use crate::owner::record;
 use crate::row::{self, CountConfirmation, EncodedRow, PendingCounts, WaitRecord};
 
@@ -313,9 +314,14 @@
 
     /// Returns the state of the ownership for a change that is sent now.
     fn ownership_state(&self, released: bool, now: BootTime) -> OwnershipState {
+        let late_leases = LateLeases::of(self.scheduler.late_lease_ends(now));
         OwnershipState {
             released,
-            inherited: self.inherited_until.saturating_since(now),
+            inherited: late_leases
+                .until
+                .max(self.inherited_until)
+                .saturating_since(now),
+            late_ms: late_leases.remaining_ms(now),
             carried: self
                 .scheduler
                 .is_restoring()
--- a/crates/engine/src/row.rs
+++ b/crates/engine/src/row.rs
@@ -97,6 +97,10 @@
     /// milliseconds after the change; absent in rows of earlier releases.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub inherited_ms: Option<u64>,
+    /// Time until the leases of single workers have expired that last longer than those of
+    /// all others, in milliseconds after the change.
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    pub late_ms: BTreeMap<WorkerId, u64>,
     /// Rows of waits that count although an earlier owner wrote them, until this owner
     /// has read all rows; none from then on, and in rows of earlier releases.
     #[serde(default, skip_serializing_if = "Option::is_none")]
--- a/crates/engine/tests/takeover.rs
+++ b/crates/engine/tests/takeover.rs
@@ -11,6 +11,7 @@
 use redwing_engine::product;
 use redwing_jobs::JobState;
 use redwing_provider::{RowKey, TableStore, TableTransaction};
+use redwing_standin::worker::WorkerFault;
 use tokio::time as timer;
 
 /// Starts one task that outlasts the test, and makes its worker unresponsive.
@@ -78,6 +79,42 @@
     });
 }
 
+/// Guards against a task that starts elsewhere while it runs (TWICE): its worker had started
+/// again and carried out a renewal for the incarnation before, and is lost with the owner.
+#[test]
+fn a_successor_waits_for_the_long_lease_of_a_worker_that_had_started_again() {
+    run_test(async {
+        let cluster = TestCluster::start(3, time::Duration::from_secs(60)).await;
+        let workers = cluster.workers.ids();
+        let (lost, others) = workers.split_first().expect("there are workers");
+        for worker in others {
+            cluster.lose_worker(worker);
+        }
+        let owner = cluster.owner().await;
+        assert_eq!(cluster.submit(0, "a", 1).await, CallerResponse::Accepted);
+        cluster.wait_starts(1).await;
+        cluster.workers.crash(lost);
+        cluster.workers.renew_late(lost);
+        let listed = cluster.workers.register(&cluster.platform).await;
+        listed.expect("the table is up");
+        cluster.wait_starts(2).await;
+        cluster.lose_worker(lost);
+        cluster.processes[cluster.process_index(&owner)]
+            .owner
+            .abort();
+        for worker in others {
+            cluster.workers.set_fault(worker, WorkerFault::default());
+        }
+        for _ in 0..1_500 {
+            timer::sleep(time::Duration::from_millis(10)).await;
+            cluster.assert_no_double_run();
+        }
+        assert_eq!(cluster.workers.starts().len(), 3);
+        let owner = cluster.owner().await;
+        assert!(owner.late_ms.is_empty(), "{owner:?}");
+    });
+}
+
 /// The claim of an owner takes effect without a reply, and none of its changes arrives.
 /// It must grant no lease beyond the time for which its successor waits.
 #[test]
--- a/crates/experiment/src/run.rs
+++ b/crates/experiment/src/run.rs
@@ -382,7 +382,6 @@
         report: Option<&RenewalReport>,
     ) {
         let now = self.now();
-        let worker = &order.worker;
         let scheduler = &mut self.scheduler;
         let response = OrderResponse {
             outcome,
@@ -390,10 +389,10 @@
         };
         match (&order.action, report) {
             (OrderAction::Renew { .. }, Some(report)) => {
-                scheduler.handle_renewal_report(worker, order.issued_at, report, now);
+                scheduler.handle_renewal_report(order, report, now);
             }
             (OrderAction::Renew { .. }, None) => {
-                scheduler.handle_renewal_failure(worker, order.issued_at, outcome, now);
+                scheduler.handle_renewal_failure(order, outcome, now);
             }
             _ => scheduler.handle_order_response(order, &response, now),
         }
--- a/crates/jobs/benches/place.rs
+++ b/crates/jobs/benches/place.rs
@@ -109,10 +109,11 @@
         for (worker, task, run, number) in tasks.iter().take(left as usize) {
             let report = ended_report(&fleet, task, *run, *number);
             let (now, wall) = (fleet.now, fleet.wall_time());
+            let renewal = fleet.renewal(worker, issued_at);
             let started = time::Instant::now();
             fleet
                 .scheduler
-                .handle_renewal_report(worker, issued_at, &report, now);
+                .handle_renewal_report(&renewal, &report, now);
             fleet.scheduler.place_tasks(now, wall);
             elapsed += started.elapsed();
             hint::black_box(fleet.scheduler.take_events());
--- a/crates/jobs/src/scheduler/entry.rs
+++ b/crates/jobs/src/scheduler/entry.rs
@@ -80,9 +80,21 @@
     pub(super) ordered_at: BootTime,
     /// When the worker accepted a stop order.
     pub(super) accepted_at: Option<BootTime>,
+    /// Whether a report of the worker has listed the run.
+    pub(super) is_reported: bool,
 }
 
 impl TaskPhase {
+    /// Returns false for a run that is ordered and that no report has listed.
+    pub(super) fn is_reported(&self) -> bool {
+        match self {
+            Self::Ordered(_) => false,
+            Self::Running(_, progress) => progress.is_reported,
+            Self::Stopping(_, stop) => stop.is_reported,
+            Self::Idle | Self::Reserved(_) | Self::Done => true,
+        }
+    }
+
     /// Returns the worker on which the task reserves capacity.
     pub(super) fn location(&self) -> Option<&RunLocation> {
         match self {
--- a/crates/jobs/src/scheduler/fleet.rs
+++ b/crates/jobs/src/scheduler/fleet.rs
@@ -71,6 +71,11 @@
     pub(super) incarnation: u64,
     /// Session with that incarnation, in the order of their beginnings.
     pub(super) session: u64,
+    /// Until when orders for earlier incarnations may have been sent; none if there were none.
+    pub(super) earlier_orders_until: Option<BootTime>,
+    /// When all leases have expired that such orders have granted to this incarnation; set by
+    /// its first response.
+    pub(super) late_lease_until: BootTime,
     pub(super) contact: ContactState,
     /// When this incarnation first responded to this owner; from then on it rejects
     /// the orders of earlier owners.
@@ -310,6 +315,7 @@
         self.clock = None;
         self.contact = ContactState::Unconfirmed;
         self.contacted_at = None;
+        self.late_lease_until = BootTime::default();
         self.silent_since = None;
         self.refused_at = None;
         self.is_removed = false;
@@ -349,6 +355,8 @@
     blocks: WorkerBlocks,
     /// Number of new incarnations of known workers so far.
     sessions: u64,
+    /// Workers without an entry, with the time of its removal.
+    removed: HashMap<WorkerId, BootTime>,
 }
 
 impl WorkerFleet {
@@ -360,8 +368,11 @@
         self.workers.get_mut(id)
     }
 
+    /// Adds a worker.
     pub(super) fn insert(&mut self, id: WorkerId, mut entry: WorkerEntry) {
-        self.remove(&id);
+        if let Some(removed_at) = self.removed.remove(&id) {
+            entry.earlier_orders_until = entry.earlier_orders_until.max(Some(removed_at));
+        }
         entry.update_evacuated(&self.evacuations);
         entry.block = self.blocks.get(&id);
         entry.session = self.sessions;
@@ -377,12 +388,14 @@
         &mut self,
         id: &WorkerId,
         incarnation: u64,
+        now: BootTime,
     ) -> Vec<(TaskId, u32)> {
         let Some(entry) = self.workers.get_mut(id) else {
             return Vec::new();
         };
         self.sessions += 1;
         entry.session = self.sessions;
+        entry.earlier_orders_until = Some(now);
         entry.begin_incarnation(incarnation)
     }
 
@@ -440,13 +453,21 @@
         workers.filter(|(_, entry)| entry.is_evacuated)
     }
 
-    pub(super) fn remove(&mut self, id: &WorkerId) {
-        let removed = self.workers.remove(id);
-        if let Some(view) = removed.and_then(|entry| entry.view) {
+    pub(super) fn remove(&mut self, id: &WorkerId, now: BootTime) {
+        let Some(entry) = self.workers.remove(id) else {
+            return;
+        };
+        self.removed.insert(id.clone(), now);
+        if let Some(view) = entry.view {
             self.remove_from_pool(&view.pool, id);
         }
     }
 
+    /// Forgets the workers whose entries were removed before `time`.
+    pub(super) fn forget_removed(&mut self, time: BootTime) {
+        self.removed.retain(|_, removed_at| *removed_at >= time);
+    }
+
     fn add_to_pool(&mut self, pool: &PoolName, id: &WorkerId) {
         let workers = self.pools.entry(pool.clone()).or_default();
         workers.insert(id.clone());
--- /dev/null
+++ b/crates/jobs/src/scheduler/late_lease.rs
@@ -0,0 +1,87 @@
+//! Leases that workers take from orders for the incarnation before.
+//!
+//! Load pattern: workers that start again under their ids, and soon after cannot be reached.
+//! An order that was on its way to the incarnation before is carried out by the new one,
+//! which has seen no fencing token yet. The end of the lease in it is a time on a clock that
+//! has begun anew since, so that the lease is as long as a worker grants at most. The first
+//! response to an order of the present session ends this: from then on the worker rejects
+//! what was sent before.
+
+use crate::name::WorkerId;
+use crate::time::BootTime;
+
+use super::JobScheduler;
+use super::lease_ledger::LeaseEnds;
+
+impl JobScheduler {
+    /// Returns until when earlier owners may have sent orders; none if there were none.
+    pub(super) fn earlier_owners_until(&self, now: BootTime) -> Option<BootTime> {
+        match &self.inherited {
+            Some(leases) => leases.orders_until,
+            None => Some(now + self.settings.inherited_lease),
+        }
+    }
+
+    /// Notes the first response of a worker in the present session.
+    pub(super) fn note_contact(&mut self, worker: &WorkerId, now: BootTime) {
+        let inherited_until = self.inherited_late_lease(worker);
+        let max_delay = self.settings.max_order_delay;
+        let longest = self.settings.longest_lease_bound();
+        let Some(entry) = self.fleet.get_mut(worker) else {
+            return;
+        };
+        if entry.contacted_at.is_some() {
+            return;
+        }
+        entry.contacted_at = Some(now);
+        let latest_order = entry
+            .earlier_orders_until
+            .map(|sent| now.min(sent + max_delay));
+        let late_until = latest_order.map(|carried_out| carried_out + longest);
+        entry.late_lease_until = late_until.unwrap_or_default().max(inherited_until);
+    }
+
+    /// Notes that an earlier owner was in contact with the present incarnation of a worker,
+    /// which has rejected the orders for earlier ones since.
+    pub(super) fn note_earlier_contact(&mut self, worker: &WorkerId) {
+        let inherited_until = self.inherited_late_lease(worker);
+        if let Some(entry) = self.fleet.get_mut(worker) {
+            entry.earlier_orders_until = None;
+            entry.late_lease_until = inherited_until;
+        }
+    }
+
+    /// Returns when the leases of a worker have expired that earlier owners stated to last
+    /// longer than those of others.
+    fn inherited_late_lease(&self, worker: &WorkerId) -> BootTime {
+        let inherited = self.inherited.as_ref();
+        let stated = inherited.and_then(|leases| leases.late.get(worker));
+        stated.copied().unwrap_or_default()
+    }
+
+    /// Returns the ends of the leases of workers with runs that last longer than the next
+    /// owner would assume.
+    pub fn late_lease_ends(&self, now: BootTime) -> LeaseEnds {
+        let usual_until = now + self.settings.lease_bound();
+        let inherited = self.inherited.as_ref();
+        let usual_until = inherited.map_or(usual_until, |leases| leases.until.max(usual_until));
+        let is_late = |end: &BootTime| *end > usual_until;
+        let entries = self.fleet.iter();
+        let tracked = entries
+            .filter(|(_, entry)| self.is_restoring || !entry.reservations.is_empty())
+            .map(|(id, entry)| (id, entry.lease_until.max(entry.late_lease_until)));
+        let untracked = inherited.into_iter().flat_map(|leases| &leases.late);
+        let untracked = untracked
+            .filter(|(id, _)| self.fleet.get(id).is_none())
+            .map(|(id, end)| (id, *end));
+        let ends = tracked.chain(untracked).filter(|(_, end)| is_late(end));
+        ends.map(|(id, end)| (id.clone(), end)).collect()
+    }
+
+    /// Forgets the workers that left so long ago that no late order is of consequence.
+    pub(super) fn forget_late_orders(&mut self, now: BootTime) {
+        let kept = self.settings.max_order_delay + self.settings.longest_lease_bound();
+        let kept_since = now.as_millis().saturating_sub(kept.as_millis() as u64);
+        self.fleet.forget_removed(BootTime::from_millis(kept_since));
+    }
+}
--- a/crates/jobs/src/scheduler/lease.rs
+++ b/crates/jobs/src/scheduler/lease.rs
@@ -27,6 +27,22 @@
 }
 
 impl PreviousOwner {
+    /// Returns until when this owner may have sent orders.
+    ///
+    /// An owner that has not ended sends them for a limited time after its latest change.
+    pub fn orders_until(&self, settings: &SchedulerSettings) -> BootTime {
+        let unconfirmed = settings
+            .inherited_lease
+            .saturating_sub(settings.lease_bound());
+        let is_over = self.has_ended;
+        self.unchanged_since
+            + if is_over {
+                time::Duration::ZERO
+            } else {
+                unconfirmed
+            }
+    }
+
     /// Returns when all leases have expired that this owner and those before it
     /// granted.
     ///
@@ -50,6 +66,10 @@
     pub until: BootTime,
     /// When those of single workers have expired, as far as their end was stored.
     pub workers: LeaseEnds,
+    /// When those of single workers have expired that last longer.
+    pub late: LeaseEnds,
+    /// Until when earlier owners may have sent orders; none if there were none.
+    pub orders_until: Option<BootTime>,
 }
 
 impl JobScheduler {
@@ -59,7 +79,9 @@
             return now + self.settings.inherited_lease;
         };
         let stored = leases.workers.get(worker);
-        stored.map_or(leases.until, |end| leases.until.min(*end))
+        let until = stored.map_or(leases.until, |end| leases.until.min(*end));
+        let late = leases.late.get(worker);
+        late.map_or(until, |end| until.max(*end))
     }
 
     /// Grants a lease that begins now; returns its end on the worker's clock, or none
@@ -115,8 +137,9 @@
             self.drop_runs_on(id, RunEndReason::LeaseExpired, now);
         }
         for id in removed {
-            self.fleet.remove(&id);
+            self.fleet.remove(&id, now);
         }
+        self.forget_late_orders(now);
     }
 
     /// Drops the runs on a worker that has ended, or whose leases have all expired.
--- a/crates/jobs/src/scheduler/lifecycle.rs
+++ b/crates/jobs/src/scheduler/lifecycle.rs
@@ -100,22 +100,30 @@
         let worker = &location.worker;
         let incarnation = location.incarnation;
         let inherited_until = self.earlier_leases_until(worker, now);
-        let tracked_incarnation = self.fleet.get(worker).map(|entry| entry.incarnation);
-        if tracked_incarnation.is_some_and(|tracked| tracked != incarnation) {
-            // That incarnation of the worker has ended.
-            self.set_phase(task, TaskPhase::Idle);
-            if tracked_incarnation > Some(incarnation) {
+        let tracked = self.fleet.get(worker).map(|entry| entry.incarnation);
+        match tracked {
+            Some(tracked) if tracked > incarnation => {
+                // That incarnation of the worker has ended, but the present one may have
+                // carried the start out.
+                self.count_active(task);
+                self.stop_unreported(worker, task, now);
                 self.count_inherited_crash(worker, task, *run, now);
+                return;
+            }
+            Some(tracked) if tracked < incarnation => {
+                self.set_phase(task, TaskPhase::Idle);
+                return;
+            }
+            Some(_) => self.note_earlier_contact(worker),
+            None => {
+                let entry = WorkerEntry {
+                    incarnation,
+                    best_effort_percent: 100,
+                    earlier_orders_until: self.earlier_owners_until(now),
+                    ..WorkerEntry::default()
+                };
+                self.fleet.insert(worker.clone(), entry);
             }
-            return;
-        }
-        if tracked_incarnation.is_none() {
-            let entry = WorkerEntry {
-                incarnation,
-                best_effort_percent: 100,
-                ..WorkerEntry::default()
-            };
-            self.fleet.insert(worker.clone(), entry);
         }
         let reserved = self.reserved(task);
         let is_long_running = self.is_long_running(task);
@@ -215,9 +223,11 @@
         now: BootTime,
     ) {
         let worker = location.worker.clone();
+        let phase = self.task(task).map(|entry| &entry.phase);
         let progress = StopProgress {
             ordered_at: now,
             accepted_at: None,
+            is_reported: phase.is_some_and(TaskPhase::is_reported),
         };
         self.set_phase(task, TaskPhase::Stopping(location, progress));
         let action = OrderAction::Stop {
--- a/crates/jobs/src/scheduler/listing.rs
+++ b/crates/jobs/src/scheduler/listing.rs
@@ -26,6 +26,7 @@
                 listed_since: now,
                 best_effort_percent: 100,
                 lease_until: self.earlier_leases_until(&id, now),
+                earlier_orders_until: self.earlier_owners_until(now),
                 ..WorkerEntry::default()
             };
             self.fleet.insert(id.clone(), entry);
@@ -127,7 +128,7 @@
             return;
         };
         entry.listed_since = now;
-        let dropped = self.fleet.begin_incarnation(id, incarnation);
+        let dropped = self.fleet.begin_incarnation(id, incarnation, now);
         self.record_loss(id, dropped.len() as u32, cause);
         self.record_status(id, WorkerStatus::Replaced);
         for (task, run) in dropped {
@@ -141,25 +142,25 @@
         self.mark_worker_changed(id);
     }
 
-    /// Returns false for a run that is ordered and that no report has listed.
+    /// Returns false for a task whose run is ordered and listed by no report.
     fn is_reported(&self, task: &TaskId) -> bool {
-        match self.task(task).map(|entry| &entry.phase) {
-            Some(TaskPhase::Running(_, progress)) => progress.is_reported,
-            Some(TaskPhase::Ordered(_)) => false,
-            _ => true,
-        }
+        self.task(task)
+            .is_none_or(|entry| entry.phase.is_reported())
     }
 
     /// Stops a run that the present incarnation of a worker may have, or may get, and
     /// reserves its capacity until then.
-    fn stop_unreported(&mut self, id: &WorkerId, task: &TaskId, now: BootTime) {
+    pub(super) fn stop_unreported(&mut self, id: &WorkerId, task: &TaskId, now: BootTime) {
         let reserved = self.reserved(task);
         let is_long_running = self.is_long_running(task);
         let run = self.task(task).map_or(0, |entry| entry.run);
         let caution = self.task(task).map(TaskEntry::caution).unwrap_or_default();
+        let late_lease_until = now + self.settings.longest_lease_bound();
         let Some(entry) = self.fleet.get_mut(id) else {
             return;
         };
+        // The end of its lease is a time on the clock of the earlier incarnation.
+        entry.lease_until = entry.lease_until.max(late_lease_until);
         let reservation = RunReservation {
             run,
             reserved,
--- a/crates/jobs/src/scheduler/mod.rs
+++ b/crates/jobs/src/scheduler/mod.rs
@@ -19,6 +19,7 @@
 //! - `free_capacity`: which tasks fit on no worker of a pool
 //! - `health`: workers that fail their runs or reject orders
 //! - `isolation`: tasks under which workers crashed, kept apart
+//! - `late_lease`: leases of workers that have started again, by orders from before
 //! - `lease`: leases of workers, and those of earlier owners
 //! - `lease_ledger`: ends of leases that are stored for the next owner
 //! - `lifecycle`: submitted and cancelled jobs, and rows of an earlier owner
@@ -52,6 +53,7 @@
 mod free_capacity;
 mod health;
 mod isolation;
+mod late_lease;
 mod lease;
 mod lease_ledger;
 mod lifecycle;
@@ -122,6 +124,10 @@
 pub struct SchedulerSettings {
     /// Length of the lease that each start order and renewal grants.
     pub lease: time::Duration,
+    /// Longest lease that a worker grants; it shortens longer ones.
+    pub max_lease: time::Duration,
+    /// Longest time after which a worker carries out an order that has no response.
+    pub max_order_delay: time::Duration,
     /// Longest time for which leases of an owner may last after its latest change: the
     /// time for which it may send orders without a confirmed row, plus one lease on
     /// a slow clock.
@@ -198,6 +204,8 @@
     fn default() -> Self {
         Self {
             lease: time::Duration::from_millis(5_000),
+            max_lease: time::Duration::from_millis(10_000),
+            max_order_delay: time::Duration::from_millis(10_000),
             inherited_lease: time::Duration::from_millis(7_900),
             max_clock_drift: 0.02,
             lease_margin: time::Duration::from_millis(300),
@@ -233,7 +241,16 @@
 impl SchedulerSettings {
     /// Returns how long a lease may last after its order, by our clock.
     pub fn lease_bound(&self) -> time::Duration {
-        self.lease.mul_f64(1.0 + self.max_clock_drift) + self.lease_margin
+        self.bound_of(self.lease)
+    }
+
+    /// Returns how long the longest lease that a worker grants may last, by our clock.
+    pub fn longest_lease_bound(&self) -> time::Duration {
+        self.bound_of(self.max_lease)
+    }
+
+    fn bound_of(&self, lease: time::Duration) -> time::Duration {
+        lease.mul_f64(1.0 + self.max_clock_drift) + self.lease_margin
     }
 }
 
--- a/crates/jobs/src/scheduler/order.rs
+++ b/crates/jobs/src/scheduler/order.rs
@@ -51,7 +51,7 @@
 
     /// Returns whether an order was for an earlier incarnation of its worker, so that the
     /// response says nothing about runs, clock and leases of the present one.
-    fn is_outdated(&self, order: &WorkerOrder) -> bool {
+    pub(super) fn is_outdated(&self, order: &WorkerOrder) -> bool {
         let entry = self.fleet.get(&order.worker);
         entry.is_some_and(|entry| {
             order.fencing_token < fence::order_token(self.fencing_token, entry.session)
@@ -213,11 +213,12 @@
     /// Handles a lease renewal that failed or got no response.
     pub fn handle_renewal_failure(
         &mut self,
-        worker: &WorkerId,
-        issued_at: BootTime,
+        order: &WorkerOrder,
         outcome: OrderOutcome,
         now: BootTime,
     ) {
+        let worker = &order.worker;
+        let issued_at = order.issued_at;
         let retry_delay = self.settings.renewal_retry_delay;
         let Some(entry) = self.fleet.get_mut(worker) else {
             return;
@@ -359,6 +360,7 @@
             *stop = StopProgress {
                 ordered_at: now,
                 accepted_at: None,
+                ..*stop
             };
         }
         let action = OrderAction::Stop {
--- a/crates/jobs/src/scheduler/report.rs
+++ b/crates/jobs/src/scheduler/report.rs
@@ -6,7 +6,7 @@
 use crate::record::{FailureReason, JobState};
 use crate::spec::{ResourceAmount, StepSpec};
 use crate::time::BootTime;
-use crate::worker::{ActiveRun, EndedRun, ExitKind, OrderAction, RenewalReport};
+use crate::worker::{ActiveRun, EndedRun, ExitKind, OrderAction, RenewalReport, WorkerOrder};
 
 use super::clock_reading::ClockReading;
 use super::entry::{RunProgress, StartCaution, TaskEntry, TaskPhase};
@@ -15,14 +15,15 @@
 use super::{JobScheduler, RunEndReason, SchedulerEvent, WorkerStatus};
 
 impl JobScheduler {
-    /// Handles the response to the lease renewal that was sent at `issued_at`.
+    /// Handles the response to a lease renewal.
     pub fn handle_renewal_report(
         &mut self,
-        worker: &WorkerId,
-        issued_at: BootTime,
+        order: &WorkerOrder,
         report: &RenewalReport,
         now: BootTime,
     ) {
+        let worker = &order.worker;
+        let issued_at = order.issued_at;
         if self.is_outdated_report(worker, report) {
             return;
         }
@@ -34,6 +35,11 @@
             let was_draining = entry.is_draining();
             self.replace_worker(worker, report.incarnation, was_draining, now);
         }
+        if self.is_outdated(order) {
+            // The worker may carry out more orders of that session.
+            return;
+        }
+        self.note_contact(worker, now);
         if self.is_restoring {
             self.keep_lease(worker, issued_at, report, now);
             return;
@@ -74,12 +80,11 @@
         }
         if entry.contact == ContactState::Unconfirmed {
             // From now on the worker rejects the orders of an earlier owner.
-            entry.lease_until = now + bound;
+            entry.lease_until = entry.late_lease_until.max(now + bound);
             if let Some(inherited) = &mut self.inherited {
                 inherited.workers.remove(worker);
             }
         }
-        entry.contacted_at.get_or_insert(now);
         entry.reported_at = entry.reported_at.max(issued_at);
         let was_unresponsive = entry.contact != ContactState::Responsive;
         entry.contact = ContactState::Responsive;
--- a/crates/jobs/src/scheduler/restoring.rs
+++ b/crates/jobs/src/scheduler/restoring.rs
@@ -61,7 +61,6 @@
         if entry.renewal_sent_at == Some(issued_at) {
             entry.renewal_sent_at = None;
         }
-        entry.contacted_at.get_or_insert(now);
         entry.clock = Some(ClockReading {
             clock_ms: report.clock_ms,
             read_at: now,
--- a/crates/jobs/tests/common/mod.rs
+++ b/crates/jobs/tests/common/mod.rs
@@ -15,8 +15,8 @@
 use redwing_jobs::change_order::ChangePurpose;
 use redwing_jobs::name::{CustomerName, DataCentre, PoolName, QueueName};
 use redwing_jobs::scheduler::{
-    AdviceRequest, AdviceResponse, ChangeSet, FleetHealth, InheritedLeases, LeaseEnds, ProgressRow,
-    RowFit, SchedulerEvent, StoredAdvice, WorkerPermit,
+    AdviceRequest, AdviceResponse, ChangeSet, FleetHealth, InheritedLeases, LeaseEnds,
+    PreviousOwner, ProgressRow, RowFit, SchedulerEvent, StoredAdvice, WorkerPermit,
 };
 use redwing_jobs::spec::StepSpec;
 use redwing_jobs::time::WallTime;
@@ -124,6 +124,8 @@
 
     pub(crate) fn new(settings: SchedulerSettings, workers: Vec<FakeWorker>) -> Self {
         let mut scheduler = JobScheduler::new(settings, 1);
+        // There was no owner before.
+        scheduler.inherit_leases(InheritedLeases::default());
         scheduler.set_manifest(sync::Arc::new(manifest()));
         let now = BootTime::from_millis(10_000);
         for worker in &workers {
@@ -355,9 +357,16 @@
     /// jobs yet.
     pub(crate) fn begin_take_over(&mut self, settings: SchedulerSettings) {
         self.fencing_token += 1;
+        let previous = PreviousOwner {
+            unchanged_since: self.now,
+            has_ended: false,
+            earlier_leases_left: Some(time::Duration::ZERO),
+        };
         let inherited = InheritedLeases {
-            until: self.now + settings.inherited_lease,
+            until: previous.leases_until(&settings),
             workers: self.lease_ends.clone(),
+            late: self.scheduler.late_lease_ends(self.now),
+            orders_until: Some(previous.orders_until(&settings)),
         };
         self.stored_health = self.scheduler.fleet_health(self.now);
         self.stored_advice = self.scheduler.stored_advice(self.now);
--- a/crates/jobs/tests/common/order.rs
+++ b/crates/jobs/tests/common/order.rs
@@ -1,10 +1,9 @@
 //! Orders on their way to in-memory workers, and their execution.
 
-use redwing_jobs::TaskId;
-use redwing_jobs::WorkerId;
 use redwing_jobs::worker::{
     ExitKind, OrderAction, OrderOutcome, OrderResponse, RenewalReport, WorkerOrder,
 };
+use redwing_jobs::{BootTime, TaskId, WorkerId};
 
 use super::{FakeFleet, FakeRun};
 
@@ -26,6 +25,24 @@
         wanted
     }
 
+    /// Returns a lease renewal of the present owner, with the highest fencing token that the
+    /// worker has seen.
+    pub(crate) fn renewal(&self, worker: &WorkerId, issued_at: BootTime) -> WorkerOrder {
+        let known = &self.workers[worker];
+        WorkerOrder {
+            worker: worker.clone(),
+            address: known.view.address,
+            data_centre: known.view.data_centre.clone(),
+            fencing_token: known.fencing_token,
+            issued_at,
+            action: OrderAction::Renew {
+                acknowledged_number: 0,
+                lease_end_ms: None,
+                wait_ms: 0,
+            },
+        }
+    }
+
     /// Sends the orders that were held, as the session of an owner does: starts in an
     /// evacuated data centre or beyond the capacity of a worker are taken back.
     pub(crate) fn send_held(&mut self) {
@@ -122,20 +139,10 @@
         match &order.action {
             OrderAction::Renew { .. } => match report {
                 Some(report) => {
-                    self.scheduler.handle_renewal_report(
-                        &order.worker,
-                        order.issued_at,
-                        &report,
-                        now,
-                    );
+                    self.scheduler.handle_renewal_report(order, &report, now);
                 }
                 None => {
-                    self.scheduler.handle_renewal_failure(
-                        &order.worker,
-                        order.issued_at,
-                        outcome,
-                        now,
-                    );
+                    self.scheduler.handle_renewal_failure(order, outcome, now);
                 }
             },
             _ => self.scheduler.handle_order_response(order, &response, now),
--- a/crates/jobs/tests/late_reports.rs
+++ b/crates/jobs/tests/late_reports.rs
@@ -46,10 +46,8 @@
     duration_ms: u64,
 ) -> usize {
     let now = fleet.now;
-    let worker = WorkerId::new("w0");
-    fleet
-        .scheduler
-        .handle_renewal_report(&worker, issued_at, report, now);
+    let renewal = fleet.renewal(&WorkerId::new("w0"), issued_at);
+    fleet.scheduler.handle_renewal_report(&renewal, report, now);
     let before = fleet.starts.len();
     fleet.advance(duration_ms);
     fleet.starts.len() - before
--- /dev/null
+++ b/crates/jobs/tests/restarted_workers.rs
@@ -0,0 +1,271 @@
+//! Workers that start again under their ids, carry out what was sent to the incarnation before, and
+//! are cut off soon after.
+
+mod common;
+
+use std::time;
+
+use common::{FakeFleet, FakeWorker, step_spec, task_id};
+use redwing_jobs::worker::{OrderAction, OrderOutcome, OrderResponse, WorkerOrder};
+use redwing_jobs::{JobId, SchedulerSettings, WorkerId};
+use rstest::rstest;
+
+/// Longest time for which a task waits for a worker that is cut off, without late orders.
+const USUAL_WAIT: time::Duration = time::Duration::from_millis(5_600);
+
+/// Time for which runs are watched: longer than any lease of a worker.
+const WATCH_MS: u64 = 15_000;
+
+fn grants_lease(action: &OrderAction) -> bool {
+    matches!(
+        action,
+        OrderAction::Renew {
+            lease_end_ms: Some(_),
+            ..
+        }
+    )
+}
+
+fn is_start(action: &OrderAction) -> bool {
+    matches!(action, OrderAction::Start { .. })
+}
+
+/// Returns a fleet of one worker, which has run a long task for a while.
+fn busy_fleet() -> FakeFleet {
+    let mut fleet = FakeFleet::of_size(1, 8_000);
+    fleet.advance(20_000);
+    fleet.submit("j", vec![step_spec(1, 1_000)], 60_000);
+    fleet.advance(500);
+    assert_eq!(fleet.starts.len(), 1);
+    fleet
+}
+
+/// Lists one more worker.
+fn add_worker(fleet: &mut FakeFleet, id: &str) {
+    let mut worker = FakeWorker::new(id, "builders", 8_000);
+    worker.restart(fleet.now);
+    let view = worker.view.clone();
+    fleet.workers.insert(view.id.clone(), worker);
+    fleet.scheduler.worker_listed(view, fleet.now);
+}
+
+/// Lists the present incarnation of a worker.
+fn list_worker(fleet: &mut FakeFleet, id: &str) {
+    let (now, view) = (fleet.now, fleet.worker(id).view.clone());
+    fleet.scheduler.worker_listed(view, now);
+}
+
+/// Lets a worker carry an order out with the next tick.
+fn deliver_late(fleet: &mut FakeFleet, order: WorkerOrder) {
+    fleet.delayed_orders.push((fleet.now, order));
+}
+
+/// Advances time and panics if a task runs twice.
+fn watch(fleet: &mut FakeFleet) {
+    for _ in 0..WATCH_MS / 10 {
+        fleet.advance(10);
+        fleet.assert_no_double_run();
+    }
+}
+
+/// Cuts a worker off, and returns how long its task then waits for another one.
+fn wait_after_cut(fleet: &mut FakeFleet, id: &str) -> time::Duration {
+    let cut_at = fleet.now;
+    let before = fleet.starts.len();
+    fleet.worker(id).is_unresponsive = true;
+    watch(fleet);
+    assert_eq!(fleet.starts.len(), before + 1, "{:?}", fleet.starts);
+    fleet.starts[before].3.saturating_since(cut_at)
+}
+
+/// Guards against a task that starts elsewhere while it runs (TWICE): the new incarnation of its worker
+/// took its lease from a renewal for the incarnation before, whose clock was hours ahead, and the
+/// owner learned of the new incarnation by the response.
+#[test]
+fn a_lease_from_a_renewal_for_the_incarnation_before_is_waited_for() {
+    let mut fleet = busy_fleet();
+    let now = fleet.now;
+    fleet.worker("w0").restart(now);
+    fleet.advance(50);
+    list_worker(&mut fleet, "w0");
+    fleet.advance(250);
+    assert_eq!(fleet.starts.len(), 2);
+    add_worker(&mut fleet, "w1");
+    wait_after_cut(&mut fleet, "w0");
+}
+
+/// Guards against the same, if the renewal arrives late, after the new incarnation was listed.
+#[test]
+fn a_lease_from_a_late_renewal_is_waited_for() {
+    let mut fleet = busy_fleet();
+    let renewal = fleet.hold_back(20, grants_lease);
+    fleet.restart_worker("w0");
+    deliver_late(&mut fleet, renewal);
+    fleet.advance(300);
+    assert_eq!(fleet.starts.len(), 2);
+    add_worker(&mut fleet, "w1");
+    wait_after_cut(&mut fleet, "w0");
+}
+
+/// Guards against the same, if another owner takes over.
+#[test]
+fn a_new_owner_waits_for_a_lease_from_a_late_renewal() {
+    let mut fleet = busy_fleet();
+    let renewal = fleet.hold_back(20, grants_lease);
+    fleet.restart_worker("w0");
+    deliver_late(&mut fleet, renewal);
+    fleet.advance(300);
+    assert_eq!(fleet.starts.len(), 2);
+    fleet.worker("w0").is_unresponsive = true;
+    fleet.take_over(SchedulerSettings::default());
+    add_worker(&mut fleet, "w1");
+    watch(&mut fleet);
+    assert_eq!(fleet.starts.len(), 3);
+}
+
+/// Guards against the same, if the owner that takes over is the first to reach the new incarnation.
+#[test]
+fn a_lease_from_a_late_renewal_of_an_earlier_owner_is_waited_for() {
+    let mut fleet = busy_fleet();
+    let renewal = fleet.hold_back(20, grants_lease);
+    fleet.restart_worker("w0");
+    deliver_late(&mut fleet, renewal);
+    fleet.take_over(SchedulerSettings::default());
+    fleet.advance(300);
+    assert_eq!(fleet.starts.len(), 2);
+    add_worker(&mut fleet, "w1");
+    wait_after_cut(&mut fleet, "w0");
+}
+
+/// Returns a fleet of two workers, with the start of a long task that had no response.
+fn fleet_with_lost_start() -> (FakeFleet, WorkerOrder) {
+    let mut fleet = FakeFleet::of_size(2, 8_000);
+    fleet.advance(20_000);
+    fleet.submit("j", vec![step_spec(1, 1_000)], 60_000);
+    let start = fleet.hold_back(20, is_start);
+    let lost = OrderResponse {
+        outcome: OrderOutcome::Unknown,
+        clock_ms: None,
+    };
+    let now = fleet.now;
+    fleet.scheduler.handle_order_response(&start, &lost, now);
+    (fleet, start)
+}
+
+/// Guards against a task that starts elsewhere (TWICE) because its owner takes it for ended with
+/// the incarnation that its start was sent to, while the next incarnation has carried the start out.
+#[rstest]
+fn a_new_owner_waits_for_a_start_that_the_next_incarnation_carried_out(
+    #[values(false, true)] is_cut_off: bool,
+) {
+    let (mut fleet, start) = fleet_with_lost_start();
+    let worker = start.worker.clone();
+    let now = fleet.now;
+    fleet.worker(worker.as_str()).restart(now);
+    fleet.held_orders = Some(Vec::new());
+    deliver_late(&mut fleet, start);
+    fleet.advance(10);
+    fleet.held_orders = None;
+    assert_eq!(fleet.starts.len(), 1);
+    fleet.worker(worker.as_str()).is_unresponsive = is_cut_off;
+    fleet.take_over(SchedulerSettings::default());
+    watch(&mut fleet);
+    assert_eq!(fleet.starts.len(), 2, "{:?}", fleet.starts);
+    assert_eq!(fleet.running_count(&task_id(&JobId::new("j"), 0, 0)), 1);
+}
+
+/// Guards against the same, if the owner that takes over is in contact with the worker for a
+/// moment.
+#[test]
+fn a_new_owner_in_contact_waits_for_a_lease_from_a_late_renewal() {
+    let mut fleet = busy_fleet();
+    let renewal = fleet.hold_back(20, grants_lease);
+    fleet.restart_worker("w0");
+    deliver_late(&mut fleet, renewal);
+    fleet.advance(300);
+    fleet.take_over(SchedulerSettings::default());
+    fleet.advance(300);
+    assert_eq!(fleet.starts.len(), 2);
+    add_worker(&mut fleet, "w1");
+    wait_after_cut(&mut fleet, "w0");
+}
+
+/// Guards against the same after two takeovers: the owner between cannot reach the worker.
+#[test]
+fn owners_pass_a_long_lease_of_a_worker_on_that_they_cannot_reach() {
+    for is_read in [true, false] {
+        let mut fleet = busy_fleet();
+        let renewal = fleet.hold_back(20, grants_lease);
+        fleet.restart_worker("w0");
+        deliver_late(&mut fleet, renewal);
+        fleet.advance(300);
+        assert_eq!(fleet.starts.len(), 2);
+        fleet.worker("w0").is_unresponsive = true;
+        fleet.begin_take_over(SchedulerSettings::default());
+        if is_read {
+            fleet.finish_take_over();
+        }
+        fleet.advance(600);
+        fleet.take_over(SchedulerSettings::default());
+        add_worker(&mut fleet, "w1");
+        watch(&mut fleet);
+        assert_eq!(fleet.starts.len(), 3);
+    }
+}
+
+/// Guards against the same with one owner: the new incarnation is cut off as soon as it is listed.
+#[test]
+fn an_owner_waits_for_a_start_that_the_next_incarnation_carried_out() {
+    let (mut fleet, start) = fleet_with_lost_start();
+    let worker = start.worker.clone();
+    fleet.restart_worker(worker.as_str());
+    fleet.worker(worker.as_str()).is_unresponsive = true;
+    deliver_late(&mut fleet, start);
+    watch(&mut fleet);
+    assert_eq!(fleet.starts.len(), 2, "{:?}", fleet.starts);
+}
+
+/// Guards against the opposite: tasks that wait longer for a worker that is cut off although no
+/// late order can have given it a lease.
+#[rstest]
+#[case::in_its_first_incarnation(None, 0)]
+#[case::a_while_after_it_started_again(Some("w0"), 8_000)]
+fn a_task_waits_no_longer_than_for_its_own_leases(
+    #[case] restarted: Option<&str>,
+    #[case] delay_ms: u64,
+) {
+    let mut fleet = busy_fleet();
+    if let Some(id) = restarted {
+        fleet.restart_worker(id);
+    }
+    fleet.advance(delay_ms);
+    add_worker(&mut fleet, "w1");
+    let wait = wait_after_cut(&mut fleet, "w0");
+    assert!(wait < USUAL_WAIT, "{wait:?}");
+}
+
+/// Guards against the opposite: tasks that wait longer for a worker only because it is new.
+#[test]
+fn a_task_on_a_new_worker_waits_no_longer() {
+    let mut fleet = FakeFleet::of_size(0, 8_000);
+    fleet.advance(30_000);
+    add_worker(&mut fleet, "new");
+    fleet.submit("j", vec![step_spec(1, 1_000)], 60_000);
+    fleet.advance(300);
+    assert_eq!(fleet.starts.len(), 1);
+    add_worker(&mut fleet, "other");
+    let wait = wait_after_cut(&mut fleet, "new");
+    assert!(wait < USUAL_WAIT, "{wait:?}");
+}
+
+/// Guards against the opposite: tasks that wait longer after each takeover.
+#[test]
+fn a_new_owner_waits_no_longer_for_workers_that_have_been_up_for_a_while() {
+    let mut fleet = busy_fleet();
+    fleet.take_over(SchedulerSettings::default());
+    fleet.advance(300);
+    add_worker(&mut fleet, "w1");
+    let wait = wait_after_cut(&mut fleet, "w0");
+    assert!(wait < USUAL_WAIT, "{wait:?}");
+    assert_eq!(fleet.starts[1].2, WorkerId::new("w1"));
+}
