Begin a new session with a worker whose entry was away

What callers saw: nothing yet; shown by a test beside the one of late leases (TWICE).

Cause: the fencing token of orders grows with each new incarnation that the owner learns of. A worker that is not listed for a while loses its entry, and one that was listed again got an entry with the token of before: its new incarnation accepted late orders to the one before.

Evidence: an_incarnation_that_is_listed_after_a_while_rejects_orders_to_the_one_before fails on: a late start runs a task that runs elsewhere.

Entries of workers that were never known, as of each move, use up no token.

--- a/crates/jobs/src/scheduler/fleet.rs
+++ b/crates/jobs/src/scheduler/fleet.rs
@@ -353,7 +353,7 @@
     evacuations: sync::Arc<BTreeSet<DataCentre>>,
     /// Blocks of workers, also of those that are not listed.
     blocks: WorkerBlocks,
-    /// Number of new incarnations of known workers so far.
+    /// Number of sessions so far that are not the first one with their worker.
     sessions: u64,
     /// Workers without an entry, with the time of its removal.
     removed: HashMap<WorkerId, BootTime>,
@@ -368,9 +368,10 @@
         self.workers.get_mut(id)
     }
 
-    /// Adds a worker.
+    /// Adds a worker, with which a new session begins if it has had an entry before.
     pub(super) fn insert(&mut self, id: WorkerId, mut entry: WorkerEntry) {
         if let Some(removed_at) = self.removed.remove(&id) {
+            self.sessions += 1;
             entry.earlier_orders_until = entry.earlier_orders_until.max(Some(removed_at));
         }
         entry.update_evacuated(&self.evacuations);
--- a/crates/jobs/tests/restarted_workers.rs
+++ b/crates/jobs/tests/restarted_workers.rs
@@ -225,6 +225,26 @@
     assert_eq!(fleet.starts.len(), 2, "{:?}", fleet.starts);
 }
 
+/// Guards against a late start that the next incarnation carries out (TWICE): its entry had been away
+/// for a while, and with it what the owner knew of the incarnation before.
+#[test]
+fn an_incarnation_that_is_listed_after_a_while_rejects_orders_to_the_one_before() {
+    let (mut fleet, start) = fleet_with_lost_start();
+    let worker = start.worker.clone();
+    fleet.worker(worker.as_str()).is_unresponsive = true;
+    let now = fleet.now;
+    fleet.scheduler.worker_unlisted(&worker, now);
+    fleet.advance(8_000);
+    assert_eq!(fleet.scheduler.incarnation(&worker), None);
+    assert_eq!(fleet.starts.len(), 1, "it runs elsewhere");
+    fleet.restart_worker(worker.as_str());
+    fleet.worker(worker.as_str()).is_unresponsive = false;
+    fleet.advance(100);
+    deliver_late(&mut fleet, start);
+    watch(&mut fleet);
+    assert_eq!(fleet.starts.len(), 1);
+}
+
 /// Guards against the opposite: tasks that wait longer for a worker that is cut off although no
 /// late order can have given it a lease.
 #[rstest]
