Keep the run in a row that is newer than the list of workers

What callers saw: nothing yet; shown by a test beside the one of late leases (TWICE).

Cause: a new owner compared the incarnation in the row of a run with that of the worker in the list, and took the run for ended where they differed, also where the row had the later one: the owner before had learned of it by a report, before the entry of the worker changed.

Evidence: a_run_on_a_later_incarnation_than_the_listed_one_goes_on fails on: the task is started again while it runs.

Change: the later incarnation replaces the listed one.

Measured: the test passes with it and fails without.

--- a/crates/jobs/src/scheduler/lifecycle.rs
+++ b/crates/jobs/src/scheduler/lifecycle.rs
@@ -100,9 +100,10 @@
         let worker = &location.worker;
         let incarnation = location.incarnation;
         let inherited_until = self.earlier_leases_until(worker, now);
-        let tracked = self.fleet.get(worker).map(|entry| entry.incarnation);
+        let tracked = self.fleet.get(worker);
+        let tracked = tracked.map(|entry| (entry.incarnation, entry.is_draining()));
         match tracked {
-            Some(tracked) if tracked > incarnation => {
+            Some((tracked, _)) if tracked > incarnation => {
                 // That incarnation of the worker has ended, but the present one may have
                 // carried the start out.
                 self.count_active(task);
@@ -110,9 +111,9 @@
                 self.count_inherited_crash(worker, task, *run, now);
                 return;
             }
-            Some(tracked) if tracked < incarnation => {
-                self.set_phase(task, TaskPhase::Idle);
-                return;
+            Some((tracked, was_draining)) if tracked < incarnation => {
+                // The list is older than the row.
+                self.replace_worker(worker, incarnation, was_draining, now);
             }
             Some(_) => self.note_earlier_contact(worker),
             None => {
--- a/crates/jobs/tests/restarted_workers.rs
+++ b/crates/jobs/tests/restarted_workers.rs
@@ -7,7 +7,7 @@
 
 use common::{FakeFleet, FakeWorker, step_spec, task_id};
 use redwing_jobs::worker::{OrderAction, OrderOutcome, OrderResponse, WorkerOrder};
-use redwing_jobs::{JobId, SchedulerSettings, WorkerId};
+use redwing_jobs::{JobId, JobState, SchedulerSettings, WorkerId};
 use rstest::rstest;
 
 /// Longest time for which a task waits for a worker that is cut off, without late orders.
@@ -213,6 +213,26 @@
     }
 }
 
+/// Guards against a task that starts elsewhere (TWICE) because the list that a new owner reads is
+/// older than the row of the run.
+#[test]
+fn a_run_on_a_later_incarnation_than_the_listed_one_goes_on() {
+    let mut fleet = FakeFleet::of_size(2, 8_000);
+    fleet.restart_worker("w0");
+    fleet.restart_worker("w1");
+    fleet.advance(20_000);
+    let job = fleet.submit("j", vec![step_spec(1, 1_000)], 3_000);
+    fleet.advance(100);
+    let worker = fleet.starts[0].2.clone();
+    fleet.worker(worker.as_str()).view.incarnation -= 1;
+    fleet.begin_take_over(SchedulerSettings::default());
+    fleet.worker(worker.as_str()).view.incarnation += 1;
+    fleet.finish_take_over();
+    watch(&mut fleet);
+    assert_eq!(fleet.starts.len(), 1);
+    assert_eq!(fleet.state(&job), JobState::Completed);
+}
+
 /// Guards against the same with one owner: the new incarnation is cut off as soon as it is listed.
 #[test]
 fn an_owner_waits_for_a_start_that_the_next_incarnation_carried_out() {
