Bound the memory of all bodies together, and the time of each

Cause: a body was buffered whole, up to 512 KiB, on each of 3,000 connections; nothing bounded the sum or the time. A chunk of 4 bytes takes 32 more in the queue of its connection. And a connection whose chunked request was refused stayed open until the request ended.

Change: all bodies of a process share an eighth of its memory, 32 MiB at most, beside 32 KiB for each; counted are the body, what the connection buffers for it, and its waiting chunks. A request that needs more than is left gets 503 with Retry-After. A body has 30 s. A response to a request that has not ended closes the connection, after 1 s in which the caller can read it. Small requests need nothing of what is shared, and are served.

Why it works: what a body holds is counted before it is taken, and is given back with the response, the refusal or the time limit.

Unfinished heads are not covered (docs/incidents/unfinished-bodies.md).

--- a/crates/engine/src/caller/listener.rs
+++ b/crates/engine/src/caller/listener.rs
@@ -6,12 +6,14 @@
 use std::sync;
 use std::time;
 
-use actix_http::body::{BoxBody, MessageBody};
+use actix_http::body::BoxBody;
 use actix_http::header::{self, HeaderMap, HeaderName, HeaderValue};
-use actix_http::{ConnectionType, HttpMessage, HttpService, Method, Request, Response, StatusCode};
+use actix_http::{
+    ConnectionType, HttpMessage, HttpService, Method, Payload, Request, Response, StatusCode,
+};
 use actix_server::{Server, ServerBuilder};
 use actix_service::fn_factory;
-use futures_util::StreamExt;
+use bytes::Bytes;
 use redwing_provider::{ClientSettings, TableClient};
 use tokio::sync::watch;
 use tokio::time as timer;
@@ -25,14 +27,16 @@
 use crate::services::ServicesFactory;
 use crate::stop::{CLOSING_TIME, StopPhase};
 
+use super::body::{BodyError, BodyReader, UnreadBody};
 use super::service::{CallerService, CallerSettings, CallerVerb};
 
-/// Largest body of a caller's request, in bytes.
-const MAX_BODY_BYTES: usize = 512 * 1024;
-
 /// Time limit for the head of a request on a new connection.
 const HEAD_TIMEOUT: time::Duration = time::Duration::from_secs(5);
 
+/// Time for which a caller may still send to a connection that is being closed, so that it can
+/// read the response.
+const CLOSE_TIMEOUT: time::Duration = time::Duration::from_secs(1);
+
 /// Time after which an idle connection is closed.
 const IDLE_TIMEOUT: time::Duration = time::Duration::from_secs(60);
 
@@ -115,9 +119,10 @@
         .max_concurrent_connections(MAX_CONNECTIONS)
         .shutdown_timeout(CLOSING_TIME.as_secs())
         .disable_signals();
-    let builder = listen(builder, "callers", listeners.callers, dependencies)?;
+    let bodies = BodyReader::new(dependencies.settings.body);
+    let builder = listen(builder, "callers", listeners.callers, dependencies, &bodies)?;
     let builder = match listeners.balancer {
-        Some(balancer) => listen(builder, "balancer", balancer, dependencies)?,
+        Some(balancer) => listen(builder, "balancer", balancer, dependencies, &bodies)?,
         None => builder,
     };
     Ok(builder.run())
@@ -128,16 +133,20 @@
     name: &'static str,
     listener: net::TcpListener,
     dependencies: &ListenerDependencies,
+    bodies: &BodyReader,
 ) -> Result<ServerBuilder> {
     let dependencies = dependencies.clone();
+    let bodies = bodies.clone();
     let factory = move || {
         let dependencies = dependencies.clone();
+        let bodies = bodies.clone();
         HttpService::build()
             .keep_alive(IDLE_TIMEOUT)
             .client_request_timeout(HEAD_TIMEOUT)
+            .client_disconnect_timeout(CLOSE_TIMEOUT)
             .tcp_nodelay(true)
             .h1(fn_factory(move || {
-                let thread = rc::Rc::new(TrafficThread::new(&dependencies));
+                let thread = rc::Rc::new(TrafficThread::new(&dependencies, bodies.clone()));
                 async move {
                     Ok::<_, ()>(actix_service::fn_service(move |request| {
                         serve(rc::Rc::clone(&thread), request)
@@ -160,6 +169,9 @@
 /// State of the traffic thread.
 struct TrafficThread {
     service: CallerService,
+    bodies: BodyReader,
+    /// Time after which callers may retry while no memory is left for their body.
+    retry_after: time::Duration,
     codec: sync::Arc<dyn DeploymentCodec>,
     operators: watch::Receiver<OperatorView>,
     metrics: JobMetrics,
@@ -167,7 +179,7 @@
 }
 
 impl TrafficThread {
-    fn new(dependencies: &ListenerDependencies) -> Self {
+    fn new(dependencies: &ListenerDependencies, bodies: BodyReader) -> Self {
         let services = dependencies.factory.services();
         let client = TableClient::new(services.table, dependencies.client.clone());
         let codec = dependencies.factory.codec();
@@ -178,6 +190,8 @@
                 sync::Arc::clone(&codec),
                 dependencies.operators.clone(),
             ),
+            bodies,
+            retry_after: dependencies.settings.retry_after,
             codec,
             operators: dependencies.operators.clone(),
             metrics: dependencies.metrics.clone(),
@@ -185,14 +199,16 @@
         }
     }
 
-    async fn serve(&self, request: Request) -> Response<BoxBody> {
+    async fn serve(&self, mut request: Request) -> Response<BoxBody> {
+        let mut payload = request.take_payload();
         if request.method() == Method::GET && request.path() == self.codec.readiness_path() {
-            return self.readiness();
+            return with_unread(self.readiness(), payload);
         }
         if request.method() == Method::GET && request.path() == METRICS_PATH {
-            return self.metrics();
+            return with_unread(self.metrics(), payload);
         }
-        let mut response = self.serve_caller(request).await;
+        let response = self.serve_caller(&request, &mut payload).await;
+        let mut response = with_unread(self.encode(&response), payload);
         if self.stop_phase.borrow().is_stopping() {
             // Callers should reconnect to a process that is not stopping.
             response
@@ -202,7 +218,7 @@
         response
     }
 
-    fn readiness(&self) -> Response<BoxBody> {
+    fn readiness(&self) -> Response<Bytes> {
         let view = self.operators.borrow();
         let is_stopping = self.stop_phase.borrow().is_stopping();
         let is_ready = view.manifest.is_some() && view.age() < MAX_READY_AGE && !is_stopping;
@@ -211,36 +227,47 @@
         } else {
             StatusCode::SERVICE_UNAVAILABLE
         };
-        Response::new(status)
+        Response::with_body(status, Bytes::new())
     }
 
-    fn metrics(&self) -> Response<BoxBody> {
+    fn metrics(&self) -> Response<Bytes> {
         match self.metrics.text() {
-            Ok(text) => Response::with_body(StatusCode::OK, text.boxed()),
+            Ok(text) => Response::with_body(StatusCode::OK, text.into()),
             Err(error) => {
                 log_job_event!(error, event::METRICS_UNWRITTEN, error = error);
-                Response::internal_server_error()
+                Response::with_body(StatusCode::INTERNAL_SERVER_ERROR, Bytes::new())
             }
         }
     }
 
-    async fn serve_caller(&self, mut request: Request) -> Response<BoxBody> {
+    async fn serve_caller(&self, request: &Request, payload: &mut Payload) -> CallerResponse {
         let verb = match *request.method() {
             Method::POST | Method::PUT => CallerVerb::Submit,
             Method::GET => CallerVerb::Read,
             Method::DELETE => CallerVerb::Cancel,
-            _ => return self.encode(&CallerResponse::NotAllowed),
+            _ => return CallerResponse::NotAllowed,
         };
-        let head = self.head(&request);
-        match read_body(&mut request).await {
-            Ok(body) => {
-                let started = time::Instant::now();
-                let response = self.service.respond(verb, &head, &body).await;
-                self.metrics
-                    .count_call(verb.name(), response.name(), started.elapsed());
-                self.encode(&response)
-            }
-            Err(message) => self.encode(&CallerResponse::Malformed(message)),
+        let head = self.head(request);
+        let declared_bytes = header_text(request.headers(), header::CONTENT_LENGTH.as_str());
+        let declared_bytes = declared_bytes.and_then(|text| text.parse().ok());
+        let body = match self.bodies.read(payload, declared_bytes).await {
+            Ok(body) => body,
+            Err(error) => return self.refuse_body(&error),
+        };
+        let started = time::Instant::now();
+        let response = self.service.respond(verb, &head, body.bytes()).await;
+        self.metrics
+            .count_call(verb.name(), response.name(), started.elapsed());
+        response
+    }
+
+    /// Returns the response to a request whose body was not read to its end.
+    fn refuse_body(&self, error: &BodyError) -> CallerResponse {
+        match error {
+            BodyError::Full => CallerResponse::Unavailable {
+                retry_after: self.retry_after,
+            },
+            _ => CallerResponse::Malformed(error.to_string()),
         }
     }
 
@@ -262,11 +289,11 @@
         }
     }
 
-    fn encode(&self, caller_response: &CallerResponse) -> Response<BoxBody> {
+    fn encode(&self, caller_response: &CallerResponse) -> Response<Bytes> {
         let encoded = self.codec.encode_response(caller_response);
         let status =
             StatusCode::from_u16(encoded.status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
-        let mut response = Response::with_body(status, encoded.body.boxed());
+        let mut response = Response::with_body(status, Bytes::from(encoded.body));
         let headers = response.headers_mut();
         let json = HeaderValue::from_static("application/json");
         headers.insert(header::CONTENT_TYPE, json);
@@ -280,6 +307,12 @@
     }
 }
 
+/// Returns a response that keeps what is unread of its request.
+fn with_unread(response: Response<Bytes>, unread: Payload) -> Response<BoxBody> {
+    let response = response.map_body(|_, body| UnreadBody::new(body, unread));
+    response.map_into_boxed_body()
+}
+
 /// Returns a key without its authorization scheme, if it has one.
 fn bare_key(text: &str) -> String {
     text.strip_prefix(KEY_SCHEME).unwrap_or(text).to_owned()
@@ -290,16 +323,3 @@
     let value = headers.get(name)?;
     value.to_str().ok().map(str::to_owned)
 }
-
-async fn read_body(request: &mut Request) -> std::result::Result<Vec<u8>, String> {
-    let mut payload = request.take_payload();
-    let mut body = Vec::new();
-    while let Some(chunk) = payload.next().await {
-        let chunk = chunk.map_err(|error| error.to_string())?;
-        if body.len() + chunk.len() > MAX_BODY_BYTES {
-            return Err(format!("the body has more than {MAX_BODY_BYTES} bytes"));
-        }
-        body.extend_from_slice(&chunk);
-    }
-    Ok(body)
-}
--- a/crates/engine/src/caller/mod.rs
+++ b/crates/engine/src/caller/mod.rs
@@ -1,7 +1,9 @@
 //! Requests of callers: submits, reads and cancels jobs.
 
 mod board;
+pub mod body;
 pub mod listener;
 pub mod service;
 
+pub use body::BodySettings;
 pub use service::{CallerService, CallerSettings};
--- a/crates/engine/src/caller/service.rs
+++ b/crates/engine/src/caller/service.rs
@@ -29,6 +29,7 @@
 use crate::row::{self, CancelRecord, OwnerRecord, PendingCounts};
 
 use super::board::BoardReader;
+use super::body::BodySettings;
 
 /// Delays between attempts to store a row for a caller.
 const RETRY: BackoffSettings = BackoffSettings {
@@ -55,6 +56,8 @@
 pub struct CallerSettings {
     /// Whether jobs are refused that the published backlogs show to be too late.
     pub refuses_early: bool,
+    /// Limits on the bodies of requests.
+    pub body: BodySettings,
     /// Maximum age of the manifest; requests are refused while it is older.
     pub max_manifest_age: time::Duration,
     /// Time after which a write without a response is sent again.
@@ -85,6 +88,7 @@
     fn default() -> Self {
         Self {
             refuses_early: false,
+            body: BodySettings::default(),
             max_manifest_age: time::Duration::from_millis(1_700),
             attempt_timeout: time::Duration::from_millis(700),
             refuse_after: time::Duration::from_millis(300),
