Convert between ends of leases and the times left in one place

Cause: the leases of single workers in the owner row repeat the two conversions that the row of the ends of leases has.

Change: `record::remaining_ms` and `record::lease_ends` serve both rows; the scheduler looks the stated ends up in one function. No change of behaviour.

--- a/crates/engine/src/owner/late_leases.rs
+++ b/crates/engine/src/owner/late_leases.rs
@@ -6,13 +6,14 @@
 //! such a worker states them.
 
 use std::collections::BTreeMap;
-use std::time;
 
 use redwing_jobs::scheduler::LeaseEnds;
 use redwing_jobs::{BootTime, WorkerId};
 
 use crate::row::OwnerRecord;
 
+use super::record;
+
 /// Largest number of workers in the owner row.
 const MAX_WORKERS: usize = 64;
 
@@ -44,24 +45,15 @@
     /// Returns the ends that `record` states, which is known to have been the owner row since
     /// `unchanged_since`.
     pub(super) fn after(record: Option<&OwnerRecord>, unchanged_since: BootTime) -> Self {
-        let stated = record.into_iter().flat_map(|record| &record.late_ms);
-        let ends = stated.map(|(worker, millis)| {
-            let remaining = time::Duration::from_millis(*millis);
-            (worker.clone(), unchanged_since + remaining)
-        });
+        let ends = record.map(|record| record::lease_ends(&record.late_ms, unchanged_since));
         Self {
-            workers: ends.collect(),
+            workers: ends.unwrap_or_default(),
             ..Self::default()
         }
     }
 
     /// Returns the time left for each worker, in milliseconds.
     pub(super) fn remaining_ms(&self, now: BootTime) -> BTreeMap<WorkerId, u64> {
-        let ends = self.workers.iter();
-        let remaining = ends.map(|(worker, end)| {
-            let remaining = end.saturating_since(now);
-            (worker.clone(), remaining.as_millis() as u64)
-        });
-        remaining.collect()
+        record::remaining_ms(&self.workers, now)
     }
 }
--- a/crates/engine/src/owner/record.rs
+++ b/crates/engine/src/owner/record.rs
@@ -8,7 +8,7 @@
 use redwing_jobs::feasibility::FleetCapacity;
 use redwing_jobs::maintenance::MaintenanceRecord;
 use redwing_jobs::scheduler::LeaseEnds;
-use redwing_jobs::{BootTime, JobRecord};
+use redwing_jobs::{BootTime, JobRecord, WorkerId};
 use redwing_provider::{RowKey, TableRow};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
@@ -37,17 +37,31 @@
 
 /// Returns the row of the ends of leases, with the time left at `now`.
 pub(super) fn lease_row(fencing_token: u64, ends: &LeaseEnds, now: BootTime) -> Option<EncodedRow> {
-    let remaining = ends.iter().map(|(worker, end)| {
-        let remaining = end.saturating_since(now);
-        (worker.clone(), remaining.as_millis() as u64)
-    });
     let record = LeaseRecord {
         fencing_token,
-        remaining_ms: remaining.collect(),
+        remaining_ms: remaining_ms(ends, now),
     };
     encode(RowKey::new(row::LEASE_KEY), &record)
 }
 
+/// Returns the time left at `now` for each worker, in milliseconds.
+pub(super) fn remaining_ms(ends: &LeaseEnds, now: BootTime) -> BTreeMap<WorkerId, u64> {
+    let remaining = ends.iter().map(|(worker, end)| {
+        let remaining = end.saturating_since(now);
+        (worker.clone(), remaining.as_millis() as u64)
+    });
+    remaining.collect()
+}
+
+/// Returns the ends of leases of which so many milliseconds were left at `since`.
+pub(super) fn lease_ends(remaining_ms: &BTreeMap<WorkerId, u64>, since: BootTime) -> LeaseEnds {
+    let ends = remaining_ms.iter().map(|(worker, millis)| {
+        let remaining = time::Duration::from_millis(*millis);
+        (worker.clone(), since + remaining)
+    });
+    ends.collect()
+}
+
 /// Ends of leases as an earlier owner stored them.
 pub(super) struct StoredLeases {
     /// Fencing token of the owner that wrote the row; 0 if there is none.
@@ -64,12 +78,7 @@
         ends: LeaseEnds::default(),
     };
     if let Some(stored_by) = inherited.stored_by(record.fencing_token) {
-        let ends = record.remaining_ms.into_iter();
-        let ends = ends.map(|(worker, millis)| {
-            let remaining = time::Duration::from_millis(millis);
-            (worker, stored_by + remaining)
-        });
-        stored.ends.extend(ends);
+        stored.ends = lease_ends(&record.remaining_ms, stored_by);
     }
     stored
 }
--- a/crates/jobs/src/scheduler/late_lease.rs
+++ b/crates/jobs/src/scheduler/late_lease.rs
@@ -53,7 +53,7 @@
 
     /// Returns when the leases of a worker have expired that earlier owners stated to last
     /// longer than those of others.
-    fn inherited_late_lease(&self, worker: &WorkerId) -> BootTime {
+    pub(super) fn inherited_late_lease(&self, worker: &WorkerId) -> BootTime {
         let inherited = self.inherited.as_ref();
         let stated = inherited.and_then(|leases| leases.late.get(worker));
         stated.copied().unwrap_or_default()
@@ -65,7 +65,6 @@
         let usual_until = now + self.settings.lease_bound();
         let inherited = self.inherited.as_ref();
         let usual_until = inherited.map_or(usual_until, |leases| leases.until.max(usual_until));
-        let is_late = |end: &BootTime| *end > usual_until;
         let entries = self.fleet.iter();
         let tracked = entries
             .filter(|(_, entry)| self.is_restoring || !entry.reservations.is_empty())
@@ -74,7 +73,8 @@
         let untracked = untracked
             .filter(|(id, _)| self.fleet.get(id).is_none())
             .map(|(id, end)| (id, *end));
-        let ends = tracked.chain(untracked).filter(|(_, end)| is_late(end));
+        let ends = tracked.chain(untracked);
+        let ends = ends.filter(|(_, end)| *end > usual_until);
         ends.map(|(id, end)| (id.clone(), end)).collect()
     }
 
--- a/crates/jobs/src/scheduler/lease.rs
+++ b/crates/jobs/src/scheduler/lease.rs
@@ -34,13 +34,10 @@
         let unconfirmed = settings
             .inherited_lease
             .saturating_sub(settings.lease_bound());
-        let is_over = self.has_ended;
-        self.unchanged_since
-            + if is_over {
-                time::Duration::ZERO
-            } else {
-                unconfirmed
-            }
+        if self.has_ended {
+            return self.unchanged_since;
+        }
+        self.unchanged_since + unconfirmed
     }
 
     /// Returns when all leases have expired that this owner and those before it
@@ -80,8 +77,7 @@
         };
         let stored = leases.workers.get(worker);
         let until = stored.map_or(leases.until, |end| leases.until.min(*end));
-        let late = leases.late.get(worker);
-        late.map_or(until, |end| until.max(*end))
+        until.max(self.inherited_late_lease(worker))
     }
 
     /// Grants a lease that begins now; returns its end on the worker's clock, or none
