Share the set-up of tests with late orders

Cause: five tests of restarted workers begin with the same four lines, and the loss of a start stood in two files.

Change: `fleet_with_late_renewal`, and `lose_start` beside the other orders of the simulated fleet. All assertions stay.

--- a/crates/jobs/tests/common/order.rs
+++ b/crates/jobs/tests/common/order.rs
@@ -25,6 +25,20 @@
         wanted
     }
 
+    /// Advances time and loses the start that is ordered: the owner gets no response, and the
+    /// worker may carry it out later.
+    pub(crate) fn lose_start(&mut self) -> WorkerOrder {
+        let is_start = |action: &OrderAction| matches!(action, OrderAction::Start { .. });
+        let start = self.hold_back(20, is_start);
+        let lost = OrderResponse {
+            outcome: OrderOutcome::Unknown,
+            clock_ms: None,
+        };
+        self.scheduler
+            .handle_order_response(&start, &lost, self.now);
+        start
+    }
+
     /// Returns a lease renewal of the present owner, with the highest fencing token that the
     /// worker has seen.
     pub(crate) fn renewal(&self, worker: &WorkerId, issued_at: BootTime) -> WorkerOrder {
--- a/crates/jobs/tests/late_orders.rs
+++ b/crates/jobs/tests/late_orders.rs
@@ -16,14 +16,7 @@
     let mut fleet = FakeFleet::of_size(2, 8_000);
     fleet.advance(100);
     let job = fleet.submit("j", vec![step_spec(1, 1_000)], 2_000);
-    let is_start = |action: &OrderAction| matches!(action, OrderAction::Start { .. });
-    let start = fleet.hold_back(20, is_start);
-    let lost = OrderResponse {
-        outcome: OrderOutcome::Unknown,
-        clock_ms: None,
-    };
-    let now = fleet.now;
-    fleet.scheduler.handle_order_response(&start, &lost, now);
+    let start = fleet.lose_start();
     fleet.advance(500);
     assert_eq!(fleet.starts.len(), 1, "it runs elsewhere");
     fleet.restart_worker(start.worker.as_str());
--- a/crates/jobs/tests/restarted_workers.rs
+++ b/crates/jobs/tests/restarted_workers.rs
@@ -6,7 +6,7 @@
 use std::time;
 
 use common::{FakeFleet, FakeWorker, step_spec, task_id};
-use redwing_jobs::worker::{OrderAction, OrderOutcome, OrderResponse, WorkerOrder};
+use redwing_jobs::worker::{OrderAction, WorkerOrder};
 use redwing_jobs::{JobId, JobState, SchedulerSettings, WorkerId};
 use rstest::rstest;
 
@@ -26,10 +26,6 @@
     )
 }
 
-fn is_start(action: &OrderAction) -> bool {
-    matches!(action, OrderAction::Start { .. })
-}
-
 /// Returns a fleet of one worker, which has run a long task for a while.
 fn busy_fleet() -> FakeFleet {
     let mut fleet = FakeFleet::of_size(1, 8_000);
@@ -60,6 +56,16 @@
     fleet.delayed_orders.push((fleet.now, order));
 }
 
+/// Returns a fleet of one worker, which has just started again and gets a renewal for the
+/// incarnation before.
+fn fleet_with_late_renewal() -> FakeFleet {
+    let mut fleet = busy_fleet();
+    let renewal = fleet.hold_back(20, grants_lease);
+    fleet.restart_worker("w0");
+    deliver_late(&mut fleet, renewal);
+    fleet
+}
+
 /// Advances time and panics if a task runs twice.
 fn watch(fleet: &mut FakeFleet) {
     for _ in 0..WATCH_MS / 10 {
@@ -78,9 +84,9 @@
     fleet.starts[before].3.saturating_since(cut_at)
 }
 
-/// Guards against a task that starts elsewhere while it runs (TWICE): the new incarnation of its worker
-/// took its lease from a renewal for the incarnation before, whose clock was hours ahead, and the
-/// owner learned of the new incarnation by the response.
+/// Guards against a task that starts elsewhere while it runs (TWICE): the new incarnation of its
+/// worker took its lease from a renewal for the incarnation before, whose clock was minutes ahead,
+/// and the owner learned of the new incarnation by the response.
 #[test]
 fn a_lease_from_a_renewal_for_the_incarnation_before_is_waited_for() {
     let mut fleet = busy_fleet();
@@ -97,10 +103,7 @@
 /// Guards against the same, if the renewal arrives late, after the new incarnation was listed.
 #[test]
 fn a_lease_from_a_late_renewal_is_waited_for() {
-    let mut fleet = busy_fleet();
-    let renewal = fleet.hold_back(20, grants_lease);
-    fleet.restart_worker("w0");
-    deliver_late(&mut fleet, renewal);
+    let mut fleet = fleet_with_late_renewal();
     fleet.advance(300);
     assert_eq!(fleet.starts.len(), 2);
     add_worker(&mut fleet, "w1");
@@ -110,10 +113,7 @@
 /// Guards against the same, if another owner takes over.
 #[test]
 fn a_new_owner_waits_for_a_lease_from_a_late_renewal() {
-    let mut fleet = busy_fleet();
-    let renewal = fleet.hold_back(20, grants_lease);
-    fleet.restart_worker("w0");
-    deliver_late(&mut fleet, renewal);
+    let mut fleet = fleet_with_late_renewal();
     fleet.advance(300);
     assert_eq!(fleet.starts.len(), 2);
     fleet.worker("w0").is_unresponsive = true;
@@ -123,13 +123,11 @@
     assert_eq!(fleet.starts.len(), 3);
 }
 
-/// Guards against the same, if the owner that takes over is the first to reach the new incarnation.
+/// Guards against the same, if the owner that takes over is the first to reach the new
+/// incarnation.
 #[test]
 fn a_lease_from_a_late_renewal_of_an_earlier_owner_is_waited_for() {
-    let mut fleet = busy_fleet();
-    let renewal = fleet.hold_back(20, grants_lease);
-    fleet.restart_worker("w0");
-    deliver_late(&mut fleet, renewal);
+    let mut fleet = fleet_with_late_renewal();
     fleet.take_over(SchedulerSettings::default());
     fleet.advance(300);
     assert_eq!(fleet.starts.len(), 2);
@@ -142,18 +140,12 @@
     let mut fleet = FakeFleet::of_size(2, 8_000);
     fleet.advance(20_000);
     fleet.submit("j", vec![step_spec(1, 1_000)], 60_000);
-    let start = fleet.hold_back(20, is_start);
-    let lost = OrderResponse {
-        outcome: OrderOutcome::Unknown,
-        clock_ms: None,
-    };
-    let now = fleet.now;
-    fleet.scheduler.handle_order_response(&start, &lost, now);
+    let start = fleet.lose_start();
     (fleet, start)
 }
 
 /// Guards against a task that starts elsewhere (TWICE) because its owner takes it for ended with
-/// the incarnation that its start was sent to, while the next incarnation has carried the start out.
+/// the incarnation that its start was sent to, while the next one has carried the start out.
 #[rstest]
 fn a_new_owner_waits_for_a_start_that_the_next_incarnation_carried_out(
     #[values(false, true)] is_cut_off: bool,
@@ -178,10 +170,7 @@
 /// moment.
 #[test]
 fn a_new_owner_in_contact_waits_for_a_lease_from_a_late_renewal() {
-    let mut fleet = busy_fleet();
-    let renewal = fleet.hold_back(20, grants_lease);
-    fleet.restart_worker("w0");
-    deliver_late(&mut fleet, renewal);
+    let mut fleet = fleet_with_late_renewal();
     fleet.advance(300);
     fleet.take_over(SchedulerSettings::default());
     fleet.advance(300);
@@ -194,10 +183,7 @@
 #[test]
 fn owners_pass_a_long_lease_of_a_worker_on_that_they_cannot_reach() {
     for is_read in [true, false] {
-        let mut fleet = busy_fleet();
-        let renewal = fleet.hold_back(20, grants_lease);
-        fleet.restart_worker("w0");
-        deliver_late(&mut fleet, renewal);
+        let mut fleet = fleet_with_late_renewal();
         fleet.advance(300);
         assert_eq!(fleet.starts.len(), 2);
         fleet.worker("w0").is_unresponsive = true;
@@ -233,7 +219,8 @@
     assert_eq!(fleet.state(&job), JobState::Completed);
 }
 
-/// Guards against the same with one owner: the new incarnation is cut off as soon as it is listed.
+/// Guards against the same with one owner: the new incarnation is cut off as soon as it is
+/// listed.
 #[test]
 fn an_owner_waits_for_a_start_that_the_next_incarnation_carried_out() {
     let (mut fleet, start) = fleet_with_lost_start();
@@ -245,8 +232,8 @@
     assert_eq!(fleet.starts.len(), 2, "{:?}", fleet.starts);
 }
 
-/// Guards against a late start that the next incarnation carries out (TWICE): its entry had been away
-/// for a while, and with it what the owner knew of the incarnation before.
+/// Guards against a late start that the next incarnation carries out (TWICE): its entry had been
+/// away for a while, and with it what the owner knew of the incarnation before.
 #[test]
 fn an_incarnation_that_is_listed_after_a_while_rejects_orders_to_the_one_before() {
     let (mut fleet, start) = fleet_with_lost_start();
