Share the child process of the tests of jobs and of hostile callers

Cause: hostile_callers.rs had the start, the call and the end of a job process again, as jobs.rs has them.

Change: `job_process` serves both, with the limit of a response that each had. All assertions stay.

Measured: both files pass, 3 and 6 tests.

--- a/crates/node/tests/hostile_callers.rs
+++ b/crates/node/tests/hostile_callers.rs
@@ -1,12 +1,15 @@
 //! Callers that send large bodies, many at once, and do not end them.
 
+mod job_process;
+
 use std::fs;
-use std::io::{BufRead, BufReader, Read, Write};
+use std::io::{BufReader, Write};
 use std::net;
 use std::process;
 use std::sync;
 use std::time;
 
+use job_process::JobProcess;
 use rstest::rstest;
 
 /// Connections of the callers that do not behave.
@@ -27,65 +30,36 @@
 /// Time after which a connection that takes no more bytes is left as it is.
 const WRITE_TIMEOUT: time::Duration = time::Duration::from_secs(2);
 
+/// Longest time that a response may take.
+const RESPONSE_LIMIT: time::Duration = time::Duration::from_secs(60);
+
 /// Held by each test: only one measures at a time.
 static MEASURING: sync::Mutex<()> = sync::Mutex::new(());
 
-/// Entry process with its own table and workers, killed on drop.
+/// Process whose memory is measured.
 struct EntryProcess {
-    child: process::Child,
-    address: net::SocketAddr,
+    jobs: JobProcess,
     /// Its further output, so that it can go on writing.
     _output: BufReader<process::ChildStdout>,
 }
 
 impl EntryProcess {
     fn start() -> Self {
-        let mut child = process::Command::new(env!("CARGO_BIN_EXE_redwinglb"))
-            .args(["jobs", "--log-level", "error"])
-            .stdout(process::Stdio::piped())
-            .spawn()
-            .expect("the program starts");
-        let output = child.stdout.take().expect("its output is piped");
-        let mut output = BufReader::new(output);
-        let mut line = String::new();
-        output.read_line(&mut line).expect("it prints its address");
-        let address = line.trim().strip_prefix("listen http://");
-        let address = address.expect("the address comes first");
-        let started = Self {
-            child,
-            address: address.parse().expect("it is an address"),
+        let (jobs, output) = JobProcess::start("error", RESPONSE_LIMIT);
+        jobs.wait_ready();
+        Self {
+            jobs,
             _output: output,
-        };
-        while !started
-            .call("GET", "/readyz", "")
-            .starts_with("HTTP/1.1 200")
-        {
-            std::thread::sleep(time::Duration::from_millis(50));
         }
-        started
-    }
-
-    /// Sends a request on its own connection; returns the whole response.
-    fn call(&self, method: &str, path: &str, body: &str) -> String {
-        let mut stream = net::TcpStream::connect(self.address).expect("it listens");
-        let limit = Some(time::Duration::from_secs(60));
-        stream.set_read_timeout(limit).expect("a limit can be set");
-        let length = body.len();
-        let head = head(method, path, &format!("content-length: {length}"));
-        let request = format!("{head}{body}");
-        stream.write_all(request.as_bytes()).expect("it reads");
-        let mut response = String::new();
-        stream.read_to_string(&mut response).expect("it responds");
-        response
     }
 
     /// Submits a job, again after each 503, as callers do.
     fn submit(&self, id: &str, body: &str) {
         let path = format!("/v1/queues/certificates/jobs/{id}");
-        let mut response = self.call("POST", &path, body);
+        let mut response = self.jobs.call("POST", &path, body);
         while response.starts_with("HTTP/1.1 503") {
             std::thread::sleep(time::Duration::from_millis(100));
-            response = self.call("POST", &path, body);
+            response = self.jobs.call("POST", &path, body);
         }
         assert!(response.starts_with("HTTP/1.1 201"), "{response}");
     }
@@ -93,7 +67,7 @@
     /// Opens a connection, sends the request as far as the process reads it, and keeps the
     /// connection open.
     fn send_part(&self, request: &[u8]) -> net::TcpStream {
-        let mut stream = net::TcpStream::connect(self.address).expect("it listens");
+        let mut stream = net::TcpStream::connect(self.jobs.address).expect("it listens");
         let limit = Some(WRITE_TIMEOUT);
         stream.set_write_timeout(limit).expect("a limit can be set");
         // The process may refuse the rest, or close the connection.
@@ -103,7 +77,7 @@
 
     /// Returns the largest amount of memory that the process has ever had, in kilobytes.
     fn peak_memory_kb(&self) -> u64 {
-        let status = fs::read_to_string(format!("/proc/{}/status", self.child.id()));
+        let status = fs::read_to_string(format!("/proc/{}/status", self.jobs.child.id()));
         let status = status.expect("it runs");
         let line = status.lines().find(|line| line.starts_with("VmHWM:"));
         let figure = line.and_then(|line| line.split_whitespace().nth(1));
@@ -111,26 +85,11 @@
     }
 
     fn descriptor_count(&self) -> usize {
-        let entries = fs::read_dir(format!("/proc/{}/fd", self.child.id()));
+        let entries = fs::read_dir(format!("/proc/{}/fd", self.jobs.child.id()));
         entries.expect("it runs").count()
     }
 }
 
-impl Drop for EntryProcess {
-    fn drop(&mut self) {
-        // The process may have exited already.
-        let _ = self.child.kill();
-        let _ = self.child.wait();
-    }
-}
-
-fn head(method: &str, path: &str, framing: &str) -> String {
-    format!(
-        "{method} {path} HTTP/1.1\r\nhost: any\r\nauthorization: Bearer inspectors-key\r\n\
-         connection: close\r\n{framing}\r\n\r\n"
-    )
-}
-
 /// How a caller frames its body.
 #[derive(Clone, Copy, Debug)]
 enum Framing {
@@ -145,13 +104,14 @@
     let path = format!("/v1/queues/certificates/jobs/hostile-{number}");
     match framing {
         Framing::Whole => {
-            let head = head("POST", &path, &format!("content-length: {body_bytes}"));
+            let head = job_process::head("POST", &path, &format!("content-length: {body_bytes}"));
             let mut request = head.into_bytes();
             request.resize(request.len() + body_bytes - 1, b' ');
             request
         }
         Framing::Chunks(chunk_bytes) => {
-            let mut request = head("POST", &path, "transfer-encoding: chunked").into_bytes();
+            let head = job_process::head("POST", &path, "transfer-encoding: chunked");
+            let mut request = head.into_bytes();
             for _ in 0..body_bytes / chunk_bytes {
                 request.extend_from_slice(format!("{chunk_bytes:x}\r\n").as_bytes());
                 request.resize(request.len() + chunk_bytes, b' ');
@@ -196,7 +156,7 @@
     });
     assert_eq!(connections.len(), CROWD);
     entry.submit("ordinary", JOB);
-    let exited = entry.child.try_wait().expect("it can be asked");
+    let exited = entry.jobs.child.try_wait().expect("it can be asked");
     assert_eq!(exited, None);
     let memory_kb = entry.peak_memory_kb();
     assert!(memory_kb < MAX_MEMORY_KB, "{memory_kb} kB");
