Show that a successor forgets long leases of more than 64 workers

In simulated time, on the logic of: 70 workers start again and carry out a late renewal, the owner is killed, its successor is in contact with them for 0.4 s, and they are cut off. Five tasks, as many as there are workers left, run on two workers at once.

--- a/crates/engine/tests/common/mod.rs
+++ b/crates/engine/tests/common/mod.rs
@@ -292,8 +292,17 @@
 
 impl TestCluster {
     pub(crate) async fn start(processes: usize, task_time: time::Duration) -> Self {
+        Self::with_workers(3, processes, task_time).await
+    }
+
+    /// Starts a cluster with so many workers.
+    pub(crate) async fn with_workers(
+        count: u32,
+        processes: usize,
+        task_time: time::Duration,
+    ) -> Self {
         let platform = MemoryPlatform::default();
-        let workers = MemoryWorkers::new("workers", 3, task_time);
+        let workers = MemoryWorkers::new("workers", count, task_time);
         workers.register(&platform).await.expect("the table is up");
         let row = TableTransaction::default().put(RowKey::new(product::MANIFEST_KEY), MANIFEST);
         platform.commit(&row).await.expect("the table is up");
@@ -425,7 +434,19 @@
     }
 
     pub(crate) async fn submit(&self, process: usize, id: &str, tasks: u32) -> CallerResponse {
-        let body = format!(r#"{{"steps":[{{"count":{tasks},"needs":{{"cpu-millis":500}}}}]}}"#);
+        self.submit_with_cpu(process, id, tasks, 500).await
+    }
+
+    /// Submits a job whose tasks need so many thousandths of a core each.
+    pub(crate) async fn submit_with_cpu(
+        &self,
+        process: usize,
+        id: &str,
+        tasks: u32,
+        cpu_millis: u64,
+    ) -> CallerResponse {
+        let needs = format!(r#"{{"cpu-millis":{cpu_millis}}}"#);
+        let body = format!(r#"{{"steps":[{{"count":{tasks},"needs":{needs}}}]}}"#);
         let service = &self.processes[process].service;
         service
             .respond(CallerVerb::Submit, &head(id, "good"), body.as_bytes())
--- a/crates/engine/tests/takeover.rs
+++ b/crates/engine/tests/takeover.rs
@@ -14,6 +14,12 @@
 use redwing_standin::worker::WorkerFault;
 use tokio::time as timer;
 
+/// Number of workers that start again at once; more than the owner row names.
+const RETURNED_WORKERS: u32 = 70;
+
+/// Time in which a new owner reads the rows and is in contact with the workers.
+const CONTACT_TIME: time::Duration = time::Duration::from_millis(400);
+
 /// Starts one task that outlasts the test, and makes its worker unresponsive.
 async fn lose_worker(processes: usize) -> (TestCluster, timer::Instant) {
     let cluster = TestCluster::start(processes, time::Duration::from_secs(60)).await;
@@ -115,6 +121,50 @@
     });
 }
 
+/// Guards against the same after the successor has been in contact with the workers, if there are
+/// more of them than the owner row names one by one.
+#[test]
+fn a_successor_in_contact_waits_for_the_long_leases_of_more_workers_than_its_row_names() {
+    run_test(async {
+        let mut cluster =
+            TestCluster::with_workers(RETURNED_WORKERS + 5, 1, time::Duration::from_secs(60)).await;
+        let workers = cluster.workers.ids();
+        let (returned, others) = workers.split_at(RETURNED_WORKERS as usize);
+        for worker in others {
+            cluster.lose_worker(worker);
+        }
+        let owner = cluster.owner().await;
+        let submitted = cluster.submit_with_cpu(0, "a", RETURNED_WORKERS, 4_000);
+        assert_eq!(submitted.await, CallerResponse::Accepted);
+        cluster.wait_starts(returned.len()).await;
+        for worker in returned {
+            cluster.workers.crash(worker);
+            cluster.workers.renew_late(worker);
+        }
+        let listed = cluster.workers.register(&cluster.platform).await;
+        listed.expect("the table is up");
+        cluster.wait_starts(2 * returned.len()).await;
+        // The VM of the owner starts again at once.
+        cluster.processes[0].owner.abort();
+        cluster
+            .add_incarnation(0, 1, OwnerSettings::default())
+            .await;
+        cluster.owner_above(owner.fencing_token).await;
+        timer::sleep(CONTACT_TIME).await;
+        for worker in returned {
+            cluster.lose_worker(worker);
+        }
+        for worker in others {
+            cluster.workers.set_fault(worker, WorkerFault::default());
+        }
+        for _ in 0..1_500 {
+            timer::sleep(time::Duration::from_millis(10)).await;
+            cluster.assert_no_double_run();
+        }
+        assert!(cluster.workers.starts().len() > 2 * returned.len());
+    });
+}
+
 /// The claim of an owner takes effect without a reply, and none of its changes arrives.
 /// It must grant no lease beyond the time for which its successor waits.
 #[test]
