Keep to the summed end of long leases after a worker's first response

Cause: with more than 64 workers that may hold a lease from a late order, the owner row stated one end for all of them. The next owner honoured it only until a worker's first response: what was read from then on looked into the single entries, and took 'not named' for 'none'. The end was also left out of the row where it was not later than what the owner itself had inherited, and was forgotten by the owner after the next.

Change: usual and long leases are kept apart at each worker, and in the owner row: the summary has a field of its own (late-all-ms), a long lease holds whether the worker has responded or not, one function answers until when a worker may hold a lease, and one what earlier owners have stated for it. The scheduler limits the list itself, so that tests in simulated time reach the limit.

Evidence: a_successor_in_contact_waits_for_the_long_leases_of_more_workers_than_its_row_names failed before (five tasks on two workers) and passes, here with a limit of 69 for 70 workers.

--- a/crates/engine/src/owner/change.rs
+++ b/crates/engine/src/owner/change.rs
@@ -1,11 +1,10 @@
 //! Changes of an owner: transactions that commit only while it still owns the
 //! scheduling.
 
-use std::collections::BTreeMap;
 use std::fmt;
 use std::time;
 
-use redwing_jobs::{JobId, WorkerId};
+use redwing_jobs::JobId;
 use redwing_provider::backoff::{BackoffSettings, RetryBackoff};
 use redwing_provider::builder::{FillBudget, TransactionBuilder, UnitFit};
 use redwing_provider::{
@@ -18,7 +17,7 @@
 use crate::error::Result;
 use crate::event;
 use crate::log_job_event;
-use crate::row::{self, CarriedRows, CountConfirmation, EncodedRow, OwnerRecord};
+use crate::row::{self, CarriedRows, CountConfirmation, EncodedRow, LateLeaseTimes, OwnerRecord};
 
 use super::election::OwnerLease;
 
@@ -56,9 +55,8 @@
     pub(super) released: bool,
     /// Time until the leases of earlier owners have expired.
     pub(super) inherited: time::Duration,
-    /// Time until the leases of single workers have expired that last longer, in
-    /// milliseconds.
-    pub(super) late_ms: BTreeMap<WorkerId, u64>,
+    /// Time until the leases have expired that last longer than those of orders on time.
+    pub(super) late_leases: LateLeaseTimes,
     /// Rows of earlier owners that count on.
     pub(super) carried: Option<CarriedRows>,
     /// What is confirmed of the pending counts.
@@ -116,7 +114,7 @@
             change,
             released: state.released,
             inherited_ms: Some(state.inherited.as_millis() as u64),
-            late_ms: state.late_ms,
+            late_leases: state.late_leases,
             carried: state.carried,
             confirmed_counts: state.confirmed_counts,
             ..lease.record.clone()
--- a/crates/engine/src/owner/election.rs
+++ b/crates/engine/src/owner/election.rs
@@ -3,7 +3,7 @@
 use std::time;
 
 use redwing_jobs::fence;
-use redwing_jobs::scheduler::PreviousOwner;
+use redwing_jobs::scheduler::{LateLeases, PreviousOwner};
 use redwing_jobs::time::BootTime;
 use redwing_provider::table::TableView;
 use redwing_provider::{CallCause, CommitOutcome, RowKey, TableRow, TableTransaction};
@@ -14,7 +14,7 @@
 
 use super::OwnerDependencies;
 use super::inherited::InheritedRows;
-use super::late_leases::LateLeases;
+use super::late_leases;
 
 /// Ownership of this process: the owner row as it last wrote it.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -37,9 +37,9 @@
 pub(super) struct ClaimTimes {
     /// When the claim was sent.
     pub(super) claimed_at: BootTime,
-    /// When all leases that earlier owners granted to workers have expired.
+    /// When all leases have expired that orders on time of earlier owners granted to workers.
     pub(super) inherited_until: BootTime,
-    /// When those of single workers have expired that last longer.
+    /// When those have expired that last longer.
     pub(super) late_leases: LateLeases,
     /// Until when earlier owners may have sent orders; none if there were none.
     pub(super) orders_until: Option<BootTime>,
@@ -146,7 +146,7 @@
     ClaimTimes {
         claimed_at: clock::boot_now(),
         inherited_until: previous.leases_until(settings),
-        late_leases: LateLeases::after(record, unchanged_since),
+        late_leases: late_leases::read(record, unchanged_since),
         orders_until: record.map(|_| previous.orders_until(settings)),
         inherited_rows: InheritedRows::after(record, unchanged_since),
     }
@@ -236,7 +236,7 @@
         released: false,
         is_small: dependencies.settings.is_small,
         inherited_ms: Some(inherited.as_millis() as u64),
-        late_ms: times.late_leases.remaining_ms(now),
+        late_leases: late_leases::remaining(&times.late_leases, now),
         carried: Some(times.inherited_rows.carried(now)),
         confirmed_counts: None,
     }
--- a/crates/engine/src/owner/session/mod.rs
+++ b/crates/engine/src/owner/session/mod.rs
@@ -10,7 +10,7 @@
 use redwing_jobs::feasibility::FleetCapacity;
 use redwing_jobs::maintenance::MaintenanceRecord;
 use redwing_jobs::name::DataCentre;
-use redwing_jobs::scheduler::{AdviceRequest, LeaseEnds};
+use redwing_jobs::scheduler::{AdviceRequest, LateLeases};
 use redwing_jobs::worker::{OrderAction, WorkerOrder};
 use redwing_jobs::{BootTime, JobId, JobScheduler, SchedulerSettings, WorkerId};
 use redwing_provider::TransactionSize;
@@ -139,7 +139,7 @@
     inherited_until: BootTime,
     /// When those of single workers have expired that last longer, until the scheduler
     /// knows them.
-    inherited_late: LeaseEnds,
+    inherited_late: LateLeases,
     /// Until when earlier owners may have sent orders; none if there were none.
     earlier_orders_until: Option<BootTime>,
     /// When waits were last counted to be stored for the next owner.
@@ -213,7 +213,7 @@
             confirmed_at: times.claimed_at,
             unconfirmed_since: None,
             inherited_until: times.inherited_until,
-            inherited_late: times.late_leases.workers,
+            inherited_late: times.late_leases,
             earlier_orders_until: times.orders_until,
             inherited_rows: times.inherited_rows,
             waits_counted_at: BootTime::default(),
--- a/crates/engine/src/owner/session/store.rs
+++ b/crates/engine/src/owner/session/store.rs
@@ -23,7 +23,7 @@
 use crate::owner::cleanup;
 use crate::owner::election::OwnerLease;
 use crate::owner::evacuation_board::StatusUpdate;
-use crate::owner::late_leases::LateLeases;
+use crate::owner::late_leases;
 use crate::owner::record;
 use crate::row::{self, CountConfirmation, EncodedRow, PendingCounts, WaitRecord};
 
@@ -314,14 +314,11 @@
 
     /// Returns the state of the ownership for a change that is sent now.
     fn ownership_state(&self, released: bool, now: BootTime) -> OwnershipState {
-        let late_leases = LateLeases::of(self.scheduler.late_lease_ends(now));
+        let late_leases = self.scheduler.late_leases(now);
         OwnershipState {
             released,
-            inherited: late_leases
-                .until
-                .max(self.inherited_until)
-                .saturating_since(now),
-            late_ms: late_leases.remaining_ms(now),
+            inherited: self.inherited_until.saturating_since(now),
+            late_leases: late_leases::remaining(&late_leases, now),
             carried: self
                 .scheduler
                 .is_restoring()
--- a/crates/engine/src/row.rs
+++ b/crates/engine/src/row.rs
@@ -97,10 +97,9 @@
     /// milliseconds after the change; absent in rows of earlier releases.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub inherited_ms: Option<u64>,
-    /// Time until the leases of single workers have expired that last longer than those of
-    /// all others, in milliseconds after the change.
-    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
-    pub late_ms: BTreeMap<WorkerId, u64>,
+    /// Time until the leases have expired that last longer than those of orders on time.
+    #[serde(flatten)]
+    pub late_leases: LateLeaseTimes,
     /// Rows of waits that count although an earlier owner wrote them, until this owner
     /// has read all rows; none from then on, and in rows of earlier releases.
     #[serde(default, skip_serializing_if = "Option::is_none")]
@@ -111,6 +110,23 @@
     pub confirmed_counts: Option<CountConfirmation>,
 }
 
+/// Time until the leases have expired that last longer than those of orders on time, in
+/// milliseconds after the change.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "kebab-case", default)]
+pub struct LateLeaseTimes {
+    /// Time that counts for all workers; 0 if there is none.
+    #[serde(rename = "late-all-ms", skip_serializing_if = "is_zero")]
+    pub all_ms: u64,
+    /// Times for single workers.
+    #[serde(rename = "late-ms", skip_serializing_if = "BTreeMap::is_empty")]
+    pub worker_ms: BTreeMap<WorkerId, u64>,
+}
+
+fn is_zero(value: &u64) -> bool {
+    *value == 0
+}
+
 /// Rows of waits of an earlier owner that count on.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(rename_all = "kebab-case")]
--- a/crates/engine/tests/takeover.rs
+++ b/crates/engine/tests/takeover.rs
@@ -9,7 +9,8 @@
 use redwing_engine::codec::CallerResponse;
 use redwing_engine::owner::OwnerSettings;
 use redwing_engine::product;
-use redwing_jobs::JobState;
+use redwing_engine::row::LateLeaseTimes;
+use redwing_jobs::{JobState, SchedulerSettings};
 use redwing_provider::{RowKey, TableStore, TableTransaction};
 use redwing_standin::worker::WorkerFault;
 use tokio::time as timer;
@@ -20,6 +21,17 @@
 /// Time in which a new owner reads the rows and is in contact with the workers.
 const CONTACT_TIME: time::Duration = time::Duration::from_millis(400);
 
+/// Returns settings of owners whose row names at most `limit` workers with long leases.
+fn settings_with_limit(limit: usize) -> OwnerSettings {
+    OwnerSettings {
+        scheduler: SchedulerSettings {
+            max_late_leases: limit,
+            ..SchedulerSettings::default()
+        },
+        ..OwnerSettings::default()
+    }
+}
+
 /// Starts one task that outlasts the test, and makes its worker unresponsive.
 async fn lose_worker(processes: usize) -> (TestCluster, timer::Instant) {
     let cluster = TestCluster::start(processes, time::Duration::from_secs(60)).await;
@@ -117,7 +129,7 @@
         }
         assert_eq!(cluster.workers.starts().len(), 3);
         let owner = cluster.owner().await;
-        assert!(owner.late_ms.is_empty(), "{owner:?}");
+        assert_eq!(owner.late_leases, LateLeaseTimes::default());
     });
 }
 
@@ -127,7 +139,9 @@
 fn a_successor_in_contact_waits_for_the_long_leases_of_more_workers_than_its_row_names() {
     run_test(async {
         let mut cluster =
-            TestCluster::with_workers(RETURNED_WORKERS + 5, 1, time::Duration::from_secs(60)).await;
+            TestCluster::with_workers(RETURNED_WORKERS + 5, 0, time::Duration::from_secs(60)).await;
+        let settings = settings_with_limit(RETURNED_WORKERS as usize - 1);
+        cluster.add_process_with(0, settings).await;
         let workers = cluster.workers.ids();
         let (returned, others) = workers.split_at(RETURNED_WORKERS as usize);
         for worker in others {
@@ -147,7 +161,7 @@
         // The VM of the owner starts again at once.
         cluster.processes[0].owner.abort();
         cluster
-            .add_incarnation(0, 1, OwnerSettings::default())
+            .add_incarnation(0, 1, settings_with_limit(RETURNED_WORKERS as usize - 1))
             .await;
         cluster.owner_above(owner.fencing_token).await;
         timer::sleep(CONTACT_TIME).await;
--- a/crates/jobs/src/scheduler/fleet.rs
+++ b/crates/jobs/src/scheduler/fleet.rs
@@ -73,8 +73,8 @@
     pub(super) session: u64,
     /// Until when orders for earlier incarnations may have been sent; none if there were none.
     pub(super) earlier_orders_until: Option<BootTime>,
-    /// When all leases have expired that such orders have granted to this incarnation; set by
-    /// its first response.
+    /// When the leases have expired that this incarnation may hold and that last longer than
+    /// those of orders on time.
     pub(super) late_lease_until: BootTime,
     pub(super) contact: ContactState,
     /// When this incarnation first responded to this owner; from then on it rejects
@@ -89,7 +89,7 @@
     /// When the renewal of the latest report was sent.
     pub(super) reported_at: BootTime,
     pub(super) clock: Option<ClockReading>,
-    /// When all granted leases have expired, by our clock.
+    /// When the leases of orders on time have expired, by our clock.
     pub(super) lease_until: BootTime,
     /// When the order was sent that granted the latest lease.
     pub(super) leased_at: Option<BootTime>,
@@ -299,6 +299,11 @@
         is_same
     }
 
+    /// Returns until when the worker may hold a lease.
+    pub(super) fn leases_until(&self) -> BootTime {
+        self.lease_until.max(self.late_lease_until)
+    }
+
     /// Records that an order sent now grants a lease, which ends at most `lease` later.
     pub(super) fn extend_lease(&mut self, now: BootTime, lease: time::Duration) {
         self.leased_at = Some(now);
--- a/crates/jobs/src/scheduler/late_lease.rs
+++ b/crates/jobs/src/scheduler/late_lease.rs
@@ -13,6 +13,36 @@
 use super::JobScheduler;
 use super::lease_ledger::LeaseEnds;
 
+/// When leases have expired that last longer than those of orders on time.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct LateLeases {
+    /// End that counts for all workers; the beginning of time if there is none.
+    pub until: BootTime,
+    /// Ends for single workers.
+    pub workers: LeaseEnds,
+}
+
+impl LateLeases {
+    /// Returns when such leases of a worker have expired.
+    pub fn end_of(&self, worker: &WorkerId) -> BootTime {
+        let single = self.workers.get(worker).copied();
+        self.until.max(single.unwrap_or_default())
+    }
+
+    /// Returns ends that name at most `limit` workers: of more, the latest end counts for
+    /// all workers.
+    fn limited(self, limit: usize) -> Self {
+        if self.workers.len() <= limit {
+            return self;
+        }
+        let latest = self.workers.into_values().max();
+        Self {
+            until: self.until.max(latest.unwrap_or_default()),
+            workers: LeaseEnds::default(),
+        }
+    }
+}
+
 impl JobScheduler {
     /// Returns until when earlier owners may have sent orders; none if there were none.
     pub(super) fn earlier_owners_until(&self, now: BootTime) -> Option<BootTime> {
@@ -38,7 +68,8 @@
             .earlier_orders_until
             .map(|sent| now.min(sent + max_delay));
         let late_until = latest_order.map(|carried_out| carried_out + longest);
-        entry.late_lease_until = late_until.unwrap_or_default().max(inherited_until);
+        let late_until = late_until.unwrap_or_default().max(inherited_until);
+        entry.late_lease_until = entry.late_lease_until.max(late_until);
     }
 
     /// Notes that an earlier owner was in contact with the present incarnation of a worker,
@@ -52,30 +83,39 @@
     }
 
     /// Returns when the leases of a worker have expired that earlier owners stated to last
-    /// longer than those of others.
+    /// longer than those of orders on time.
     pub(super) fn inherited_late_lease(&self, worker: &WorkerId) -> BootTime {
         let inherited = self.inherited.as_ref();
-        let stated = inherited.and_then(|leases| leases.late.get(worker));
-        stated.copied().unwrap_or_default()
+        let stated = inherited.map(|leases| leases.late.end_of(worker));
+        stated.unwrap_or_default()
     }
 
-    /// Returns the ends of the leases of workers with runs that last longer than the next
-    /// owner would assume.
-    pub fn late_lease_ends(&self, now: BootTime) -> LeaseEnds {
+    /// Returns the ends of the leases of workers with runs that last longer than an owner
+    /// that is in contact with them would assume.
+    pub fn late_leases(&self, now: BootTime) -> LateLeases {
         let usual_until = now + self.settings.lease_bound();
-        let inherited = self.inherited.as_ref();
-        let usual_until = inherited.map_or(usual_until, |leases| leases.until.max(usual_until));
+        let inherited = self.inherited.as_ref().map(|leases| &leases.late);
+        let until = inherited.map(|late| late.until).unwrap_or_default();
+        let until = if until > usual_until {
+            until
+        } else {
+            BootTime::default()
+        };
         let entries = self.fleet.iter();
         let tracked = entries
             .filter(|(_, entry)| self.is_restoring || !entry.reservations.is_empty())
-            .map(|(id, entry)| (id, entry.lease_until.max(entry.late_lease_until)));
-        let untracked = inherited.into_iter().flat_map(|leases| &leases.late);
+            .map(|(id, entry)| (id, entry.late_lease_until));
+        let untracked = inherited.into_iter().flat_map(|late| &late.workers);
         let untracked = untracked
             .filter(|(id, _)| self.fleet.get(id).is_none())
             .map(|(id, end)| (id, *end));
         let ends = tracked.chain(untracked);
-        let ends = ends.filter(|(_, end)| *end > usual_until);
-        ends.map(|(id, end)| (id.clone(), end)).collect()
+        let ends = ends.filter(|(_, end)| *end > usual_until.max(until));
+        let leases = LateLeases {
+            until,
+            workers: ends.map(|(id, end)| (id.clone(), end)).collect(),
+        };
+        leases.limited(self.settings.max_late_leases)
     }
 
     /// Forgets the workers that left so long ago that no late order is of consequence.
--- a/crates/jobs/src/scheduler/lease.rs
+++ b/crates/jobs/src/scheduler/lease.rs
@@ -11,6 +11,7 @@
 
 use super::clock_reading;
 use super::fleet::ContactState;
+use super::late_lease::LateLeases;
 use super::lease_ledger::{LeaseEnds, RecordPace};
 use super::{JobScheduler, RunEndReason, SchedulerEvent, SchedulerSettings};
 
@@ -59,25 +60,26 @@
 /// What a new owner knows of the leases that earlier owners granted.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct InheritedLeases {
-    /// When all of them have expired.
+    /// When those of orders on time have expired.
     pub until: BootTime,
     /// When those of single workers have expired, as far as their end was stored.
     pub workers: LeaseEnds,
-    /// When those of single workers have expired that last longer.
-    pub late: LeaseEnds,
+    /// When those have expired that last longer than the leases of orders on time, whether a
+    /// worker has responded to the new owner or not.
+    pub late: LateLeases,
     /// Until when earlier owners may have sent orders; none if there were none.
     pub orders_until: Option<BootTime>,
 }
 
 impl JobScheduler {
-    /// Returns when the leases have expired that earlier owners granted to a worker.
+    /// Returns when the leases have expired that orders on time of earlier owners granted to
+    /// a worker.
     pub(super) fn earlier_leases_until(&self, worker: &WorkerId, now: BootTime) -> BootTime {
         let Some(leases) = &self.inherited else {
             return now + self.settings.inherited_lease;
         };
         let stored = leases.workers.get(worker);
-        let until = stored.map_or(leases.until, |end| leases.until.min(*end));
-        until.max(self.inherited_late_lease(worker))
+        stored.map_or(leases.until, |end| leases.until.min(*end))
     }
 
     /// Grants a lease that begins now; returns its end on the worker's clock, or none
@@ -125,7 +127,7 @@
             if entry.contact == ContactState::Responsive {
                 continue;
             }
-            if entry.lease_until < now && !entry.reservations.is_empty() {
+            if entry.leases_until() < now && !entry.reservations.is_empty() {
                 expired.push(id.clone());
             }
         }
@@ -169,7 +171,7 @@
                 self.events.push(SchedulerEvent::LeaseAwaited {
                     worker: id.clone(),
                     runs: entry.reservations.len() as u32,
-                    remaining: entry.lease_until.saturating_since(now),
+                    remaining: entry.leases_until().saturating_since(now),
                 });
             }
         }
@@ -210,7 +212,7 @@
             let is_inherited = inherited.is_some_and(|ends| ends.contains_key(*id));
             is_inherited || entry.awaited_since.is_some_and(&is_lost)
         });
-        let ends = lost.map(|(id, entry)| (id.clone(), entry.lease_until));
+        let ends = lost.map(|(id, entry)| (id.clone(), entry.leases_until()));
         let (covered, others): (Vec<_>, Vec<_>) =
             ends.partition(|(id, _)| self.lease_ledger.covers(id));
         let ends = covered.into_iter().chain(others);
@@ -223,7 +225,7 @@
         let inherited = self.inherited.iter().flat_map(|leases| &leases.workers);
         let ends = inherited.filter_map(|(id, end)| match self.fleet.get(id) {
             Some(entry) if entry.contact == ContactState::Responsive => None,
-            Some(entry) => Some((id.clone(), entry.lease_until)),
+            Some(entry) => Some((id.clone(), entry.leases_until())),
             None => Some((id.clone(), *end)),
         });
         ends.collect()
--- a/crates/jobs/src/scheduler/lifecycle.rs
+++ b/crates/jobs/src/scheduler/lifecycle.rs
@@ -120,6 +120,7 @@
                 let entry = WorkerEntry {
                     incarnation,
                     best_effort_percent: 100,
+                    late_lease_until: self.inherited_late_lease(worker),
                     earlier_orders_until: self.earlier_owners_until(now),
                     ..WorkerEntry::default()
                 };
--- a/crates/jobs/src/scheduler/listing.rs
+++ b/crates/jobs/src/scheduler/listing.rs
@@ -26,6 +26,7 @@
                 listed_since: now,
                 best_effort_percent: 100,
                 lease_until: self.earlier_leases_until(&id, now),
+                late_lease_until: self.inherited_late_lease(&id),
                 earlier_orders_until: self.earlier_owners_until(now),
                 ..WorkerEntry::default()
             };
@@ -160,7 +161,7 @@
             return;
         };
         // The end of its lease is a time on the clock of the earlier incarnation.
-        entry.lease_until = entry.lease_until.max(late_lease_until);
+        entry.late_lease_until = entry.late_lease_until.max(late_lease_until);
         let reservation = RunReservation {
             run,
             reserved,
--- a/crates/jobs/src/scheduler/mod.rs
+++ b/crates/jobs/src/scheduler/mod.rs
@@ -105,6 +105,7 @@
 pub use advice::{AdviceRequest, AdviceResponse, StepId, StoredAdvice, StoredPermit, WorkerPermit};
 pub use changes::{ChangeSet, ProgressRow, RowFit, WorkKind};
 pub use health::{FleetHealth, WorkerHealth};
+pub use late_lease::LateLeases;
 pub use lease::{InheritedLeases, PreviousOwner};
 pub use lease_ledger::LeaseEnds;
 pub use loss::LossCause;
@@ -146,6 +147,9 @@
     pub lease_record_interval: time::Duration,
     /// Largest number of workers whose ends of leases are stored.
     pub max_lease_ends: usize,
+    /// Largest number of workers that the owner row names because their leases last longer
+    /// than those of orders on time; of more, one end counts for all workers.
+    pub max_late_leases: usize,
     /// Time for which a wait must have lasted before it is stored for the next owner.
     pub wait_record_delay: time::Duration,
     /// Time after which stored waits are stored again with the time that they have
@@ -213,6 +217,7 @@
             lease_record_batch_delay: time::Duration::from_millis(200),
             lease_record_interval: time::Duration::from_millis(1_000),
             max_lease_ends: 2_048,
+            max_late_leases: 64,
             wait_record_delay: time::Duration::from_millis(1_000),
             wait_record_interval: time::Duration::from_millis(1_000),
             max_stalled_rows: 16,
--- a/crates/jobs/src/scheduler/report.rs
+++ b/crates/jobs/src/scheduler/report.rs
@@ -80,7 +80,7 @@
         }
         if entry.contact == ContactState::Unconfirmed {
             // From now on the worker rejects the orders of an earlier owner.
-            entry.lease_until = entry.late_lease_until.max(now + bound);
+            entry.lease_until = now + bound;
             if let Some(inherited) = &mut self.inherited {
                 inherited.workers.remove(worker);
             }
--- a/crates/jobs/tests/common/mod.rs
+++ b/crates/jobs/tests/common/mod.rs
@@ -122,6 +122,13 @@
         Self::new(SchedulerSettings::default(), workers.collect())
     }
 
+    /// Returns a fleet with so many equal workers, under an owner with the settings.
+    pub(crate) fn with_settings(count: usize, settings: SchedulerSettings) -> Self {
+        let workers =
+            (0..count).map(|number| FakeWorker::new(&format!("w{number}"), "builders", 8_000));
+        Self::new(settings, workers.collect())
+    }
+
     pub(crate) fn new(settings: SchedulerSettings, workers: Vec<FakeWorker>) -> Self {
         let mut scheduler = JobScheduler::new(settings, 1);
         // There was no owner before.
@@ -365,7 +372,7 @@
         let inherited = InheritedLeases {
             until: previous.leases_until(&settings),
             workers: self.lease_ends.clone(),
-            late: self.scheduler.late_lease_ends(self.now),
+            late: self.scheduler.late_leases(self.now),
             orders_until: Some(previous.orders_until(&settings)),
         };
         self.stored_health = self.scheduler.fleet_health(self.now);
--- a/crates/jobs/tests/restarted_workers.rs
+++ b/crates/jobs/tests/restarted_workers.rs
@@ -199,6 +199,54 @@
     }
 }
 
+/// Returns settings whose owner names so few workers with long leases that one end counts for
+/// all.
+fn settings_with_one_end() -> SchedulerSettings {
+    SchedulerSettings {
+        max_late_leases: 0,
+        ..SchedulerSettings::default()
+    }
+}
+
+/// Guards against the same if the owner states one end for all workers: the next one is in
+/// contact with the worker, and so is the one after it.
+#[test]
+fn owners_in_contact_keep_to_one_end_for_all_workers() {
+    for owners in [1, 2] {
+        let mut fleet = FakeFleet::with_settings(1, settings_with_one_end());
+        fleet.advance(20_000);
+        fleet.submit("j", vec![step_spec(1, 1_000)], 60_000);
+        fleet.advance(500);
+        let renewal = fleet.hold_back(20, grants_lease);
+        fleet.restart_worker("w0");
+        deliver_late(&mut fleet, renewal);
+        fleet.advance(300);
+        assert_eq!(fleet.starts.len(), 2);
+        for _ in 0..owners {
+            fleet.take_over(settings_with_one_end());
+            fleet.advance(300);
+        }
+        add_worker(&mut fleet, "w1");
+        wait_after_cut(&mut fleet, "w0");
+    }
+}
+
+/// Guards against the opposite: tasks that wait longer once that end is past.
+#[test]
+fn a_task_waits_no_longer_after_the_end_for_all_workers() {
+    let mut fleet = FakeFleet::with_settings(1, settings_with_one_end());
+    fleet.advance(20_000);
+    fleet.submit("j", vec![step_spec(1, 1_000)], 60_000);
+    fleet.advance(500);
+    fleet.restart_worker("w0");
+    fleet.advance(300);
+    fleet.take_over(settings_with_one_end());
+    fleet.advance(8_000);
+    add_worker(&mut fleet, "w1");
+    let wait = wait_after_cut(&mut fleet, "w0");
+    assert!(wait < USUAL_WAIT, "{wait:?}");
+}
+
 /// Guards against a task that starts elsewhere (TWICE) because the list that a new owner reads is
 /// older than the row of the run.
 #[test]
