Wait for the longest lease where a start had no response, and doubt a clock that went back

Cause: the end of the lease in a start is a time on the clock of the incarnation that the owner knows. The next one, whose clock has begun anew, shortens it to the longest lease that it grants, 10 s, while the owner counted on 5 s. Two signs were not read: the clock in the response, which was behind an earlier reading and was taken for the present one, and the missing response.

Change: a response whose clock is behind the least that the same incarnation could show gives no reading and no lease from then on, until the worker has said who it is, and the owner waits for the longest lease. A run whose start was left without a response, and that no report has listed, may be on an incarnation that the owner does not know of: it alone waits for the longest lease, 11.2 s after the last order, and the other runs of the worker go on elsewhere as before. A successor learns of it from the owner row (unconfirmed), and counts it until the worker's first response.

An owner that ends before the response to a start was due leaves its successor without the sign: open.

--- a/crates/engine/src/owner/change.rs
+++ b/crates/engine/src/owner/change.rs
@@ -57,6 +57,8 @@
     pub(super) inherited: time::Duration,
     /// Time until the leases have expired that last longer than those of orders on time.
     pub(super) late_leases: LateLeaseTimes,
+    /// Time until those have expired that an unknown incarnation may hold.
+    pub(super) unconfirmed: LateLeaseTimes,
     /// Rows of earlier owners that count on.
     pub(super) carried: Option<CarriedRows>,
     /// What is confirmed of the pending counts.
@@ -115,6 +117,7 @@
             released: state.released,
             inherited_ms: Some(state.inherited.as_millis() as u64),
             late_leases: state.late_leases,
+            unconfirmed: state.unconfirmed,
             carried: state.carried,
             confirmed_counts: state.confirmed_counts,
             ..lease.record.clone()
--- a/crates/engine/src/owner/election.rs
+++ b/crates/engine/src/owner/election.rs
@@ -10,7 +10,7 @@
 use tokio::time as timer;
 
 use crate::clock;
-use crate::row::{self, OwnerRecord};
+use crate::row::{self, LateLeaseTimes, OwnerRecord};
 
 use super::OwnerDependencies;
 use super::inherited::InheritedRows;
@@ -41,6 +41,8 @@
     pub(super) inherited_until: BootTime,
     /// When those have expired that last longer.
     pub(super) late_leases: LateLeases,
+    /// When those have expired that an unknown incarnation may hold.
+    pub(super) unconfirmed: LateLeases,
     /// Until when earlier owners may have sent orders; none if there were none.
     pub(super) orders_until: Option<BootTime>,
     /// Rows of earlier owners that count.
@@ -143,10 +145,15 @@
 ) -> ClaimTimes {
     let settings = &dependencies.settings.scheduler;
     let previous = previous_owner(dependencies, record, unchanged_since);
+    let ends = |times: Option<&LateLeaseTimes>| {
+        let ends = times.map(|times| late_leases::ends(times, unchanged_since));
+        ends.unwrap_or_default()
+    };
     ClaimTimes {
         claimed_at: clock::boot_now(),
         inherited_until: previous.leases_until(settings),
-        late_leases: late_leases::read(record, unchanged_since),
+        late_leases: ends(record.map(|record| &record.late_leases)),
+        unconfirmed: ends(record.map(|record| &record.unconfirmed)),
         orders_until: record.map(|_| previous.orders_until(settings)),
         inherited_rows: InheritedRows::after(record, unchanged_since),
     }
@@ -237,6 +244,7 @@
         is_small: dependencies.settings.is_small,
         inherited_ms: Some(inherited.as_millis() as u64),
         late_leases: late_leases::remaining(&times.late_leases, now),
+        unconfirmed: late_leases::remaining(&times.unconfirmed, now),
         carried: Some(times.inherited_rows.carried(now)),
         confirmed_counts: None,
     }
--- a/crates/engine/src/owner/late_leases.rs
+++ b/crates/engine/src/owner/late_leases.rs
@@ -10,7 +10,7 @@
 use redwing_jobs::BootTime;
 use redwing_jobs::scheduler::LateLeases;
 
-use crate::row::{LateLeaseTimes, OwnerRecord};
+use crate::row::LateLeaseTimes;
 
 use super::record;
 
@@ -23,16 +23,14 @@
     }
 }
 
-/// Returns the ends that `record` states, which is known to have been the owner row since
-/// `unchanged_since`.
-pub(super) fn read(record: Option<&OwnerRecord>, unchanged_since: BootTime) -> LateLeases {
-    let Some(record) = record else {
+/// Returns the ends of which so much time was left at `since`.
+pub(super) fn ends(times: &LateLeaseTimes, since: BootTime) -> LateLeases {
+    if times.is_empty() {
         return LateLeases::default();
-    };
-    let times = &record.late_leases;
+    }
     let all = time::Duration::from_millis(times.all_ms);
     LateLeases {
-        until: unchanged_since + all,
-        workers: record::lease_ends(&times.worker_ms, unchanged_since),
+        until: since + all,
+        workers: record::lease_ends(&times.worker_ms, since),
     }
 }
--- a/crates/engine/src/owner/session/mod.rs
+++ b/crates/engine/src/owner/session/mod.rs
@@ -140,6 +140,8 @@
     /// When those of single workers have expired that last longer, until the scheduler
     /// knows them.
     inherited_late: LateLeases,
+    /// When those have expired that an unknown incarnation may hold.
+    inherited_unconfirmed: LateLeases,
     /// Until when earlier owners may have sent orders; none if there were none.
     earlier_orders_until: Option<BootTime>,
     /// When waits were last counted to be stored for the next owner.
@@ -214,6 +216,7 @@
             unconfirmed_since: None,
             inherited_until: times.inherited_until,
             inherited_late: times.late_leases,
+            inherited_unconfirmed: times.unconfirmed,
             earlier_orders_until: times.orders_until,
             inherited_rows: times.inherited_rows,
             waits_counted_at: BootTime::default(),
--- a/crates/engine/src/owner/session/rows.rs
+++ b/crates/engine/src/owner/session/rows.rs
@@ -39,6 +39,7 @@
             until: self.inherited_until,
             workers: stored.ends,
             late: mem::take(&mut self.inherited_late),
+            unconfirmed: mem::take(&mut self.inherited_unconfirmed),
             orders_until: self.earlier_orders_until,
         });
         self.scheduler.inherit_waits(inherited.progress_stored_by());
--- a/crates/engine/src/owner/session/store.rs
+++ b/crates/engine/src/owner/session/store.rs
@@ -315,10 +315,12 @@
     /// Returns the state of the ownership for a change that is sent now.
     fn ownership_state(&self, released: bool, now: BootTime) -> OwnershipState {
         let late_leases = self.scheduler.late_leases(now);
+        let unconfirmed = self.scheduler.unconfirmed_leases(now);
         OwnershipState {
             released,
             inherited: self.inherited_until.saturating_since(now),
             late_leases: late_leases::remaining(&late_leases, now),
+            unconfirmed: late_leases::remaining(&unconfirmed, now),
             carried: self
                 .scheduler
                 .is_restoring()
--- a/crates/engine/src/row.rs
+++ b/crates/engine/src/row.rs
@@ -100,6 +100,10 @@
     /// Time until the leases have expired that last longer than those of orders on time.
     #[serde(flatten)]
     pub late_leases: LateLeaseTimes,
+    /// Time until those have expired that an incarnation may hold that the owner did not know
+    /// of; they count for workers that have not responded to the next owner.
+    #[serde(default, skip_serializing_if = "LateLeaseTimes::is_empty")]
+    pub unconfirmed: LateLeaseTimes,
     /// Rows of waits that count although an earlier owner wrote them, until this owner
     /// has read all rows; none from then on, and in rows of earlier releases.
     #[serde(default, skip_serializing_if = "Option::is_none")]
@@ -123,6 +127,13 @@
     pub worker_ms: BTreeMap<WorkerId, u64>,
 }
 
+impl LateLeaseTimes {
+    /// Returns whether there are no such leases.
+    pub fn is_empty(&self) -> bool {
+        self.all_ms == 0 && self.worker_ms.is_empty()
+    }
+}
+
 fn is_zero(value: &u64) -> bool {
     *value == 0
 }
--- a/crates/jobs/src/scheduler/fleet.rs
+++ b/crates/jobs/src/scheduler/fleet.rs
@@ -40,6 +40,9 @@
     /// Whether the latest report proves that it is not in progress. It has ended or was lost;
     /// a later report shows which, since only the earliest ended runs are listed.
     pub(super) is_over: bool,
+    /// Whether its start was left without a response, and no report lists it: an incarnation
+    /// may have carried it out that the owner does not know of.
+    pub(super) is_unanswered: bool,
     /// Stop of the run, if it belongs to no task any more.
     pub(super) orphan_stop: Option<OrphanStop>,
 }
@@ -76,6 +79,9 @@
     /// When the leases have expired that this incarnation may hold and that last longer than
     /// those of orders on time.
     pub(super) late_lease_until: BootTime,
+    /// When the lease has expired that an incarnation may hold that earlier owners did not know
+    /// of; the first response to this owner ends this.
+    pub(super) unconfirmed_until: BootTime,
     pub(super) contact: ContactState,
     /// When this incarnation first responded to this owner; from then on it rejects
     /// the orders of earlier owners.
@@ -301,7 +307,8 @@
 
     /// Returns until when the worker may hold a lease.
     pub(super) fn leases_until(&self) -> BootTime {
-        self.lease_until.max(self.late_lease_until)
+        let longer_until = self.late_lease_until.max(self.unconfirmed_until);
+        self.lease_until.max(longer_until)
     }
 
     /// Records that an order sent now grants a lease, which ends at most `lease` later.
@@ -321,6 +328,7 @@
         self.contact = ContactState::Unconfirmed;
         self.contacted_at = None;
         self.late_lease_until = BootTime::default();
+        self.unconfirmed_until = BootTime::default();
         self.silent_since = None;
         self.refused_at = None;
         self.is_removed = false;
--- a/crates/jobs/src/scheduler/late_lease.rs
+++ b/crates/jobs/src/scheduler/late_lease.rs
@@ -29,9 +29,23 @@
         self.until.max(single.unwrap_or_default())
     }
 
+    /// Adds an end for a worker.
+    pub(super) fn add(&mut self, worker: &WorkerId, until: BootTime) {
+        let end = self.workers.entry(worker.clone()).or_default();
+        *end = until.max(*end);
+    }
+
+    /// Forgets the ends before `now`.
+    pub(super) fn forget_before(&mut self, now: BootTime) {
+        self.workers.retain(|_, end| *end >= now);
+        if self.until < now {
+            self.until = BootTime::default();
+        }
+    }
+
     /// Returns ends that name at most `limit` workers: of more, the latest end counts for
     /// all workers.
-    fn limited(self, limit: usize) -> Self {
+    pub(super) fn limited(self, limit: usize) -> Self {
         if self.workers.len() <= limit {
             return self;
         }
@@ -52,7 +66,8 @@
         }
     }
 
-    /// Notes the first response of a worker in the present session.
+    /// Notes the first response of a worker in the present session: the incarnation that it is
+    /// has confirmed itself.
     pub(super) fn note_contact(&mut self, worker: &WorkerId, now: BootTime) {
         let inherited_until = self.inherited_late_lease(worker);
         let max_delay = self.settings.max_order_delay;
@@ -64,6 +79,7 @@
             return;
         }
         entry.contacted_at = Some(now);
+        entry.unconfirmed_until = BootTime::default();
         let latest_order = entry
             .earlier_orders_until
             .map(|sent| now.min(sent + max_delay));
@@ -90,6 +106,14 @@
         stated.unwrap_or_default()
     }
 
+    /// Returns when the leases of a worker have expired that an incarnation may hold that
+    /// earlier owners did not know of.
+    pub(super) fn inherited_unconfirmed(&self, worker: &WorkerId) -> BootTime {
+        let inherited = self.inherited.as_ref();
+        let stated = inherited.map(|leases| leases.unconfirmed.end_of(worker));
+        stated.unwrap_or_default()
+    }
+
     /// Returns the ends of the leases of workers with runs that last longer than an owner
     /// that is in contact with them would assume.
     pub fn late_leases(&self, now: BootTime) -> LateLeases {
--- a/crates/jobs/src/scheduler/lease.rs
+++ b/crates/jobs/src/scheduler/lease.rs
@@ -67,6 +67,9 @@
     /// When those have expired that last longer than the leases of orders on time, whether a
     /// worker has responded to the new owner or not.
     pub late: LateLeases,
+    /// When those have expired that a worker may hold until it has responded to the new owner:
+    /// an incarnation that nobody knows of may have carried a start out.
+    pub unconfirmed: LateLeases,
     /// Until when earlier owners may have sent orders; none if there were none.
     pub orders_until: Option<BootTime>,
 }
@@ -117,6 +120,7 @@
     /// removes workers that have no runs and are no longer listed.
     pub(super) fn expire_leases(&mut self, now: BootTime) {
         self.note_awaited_leases(now);
+        let settings = &self.settings;
         let mut expired = Vec::new();
         let mut removed = Vec::new();
         for (id, entry) in self.fleet.iter() {
@@ -127,7 +131,8 @@
             if entry.contact == ContactState::Responsive {
                 continue;
             }
-            if entry.leases_until() < now && !entry.reservations.is_empty() {
+            let mut runs = entry.reservations.values();
+            if runs.any(|held| entry.run_until(held, settings) < now) {
                 expired.push(id.clone());
             }
         }
@@ -140,14 +145,16 @@
         self.forget_late_orders(now);
     }
 
-    /// Drops the runs on a worker that has ended, or whose leases have all expired.
+    /// Drops the runs on a worker that has ended, or those whose leases have all expired.
     pub(super) fn drop_runs_on(&mut self, id: &WorkerId, reason: RunEndReason, now: BootTime) {
+        let settings = &self.settings;
         let Some(entry) = self.fleet.get(id) else {
             return;
         };
+        let has_ended = reason == RunEndReason::WorkerReplaced;
         let runs = entry.reservations.iter();
+        let runs = runs.filter(|(_, held)| has_ended || entry.run_until(held, settings) < now);
         let runs: Vec<_> = runs.map(|(task, held)| (task.clone(), held.run)).collect();
-        let has_ended = reason == RunEndReason::WorkerReplaced;
         let cause = self.loss_cause(id, entry.is_draining(), has_ended);
         let lost = self.lost_worker(id, now);
         self.record_loss(id, runs.len() as u32, cause);
@@ -171,7 +178,7 @@
                 self.events.push(SchedulerEvent::LeaseAwaited {
                     worker: id.clone(),
                     runs: entry.reservations.len() as u32,
-                    remaining: entry.leases_until().saturating_since(now),
+                    remaining: entry.runs_until(&self.settings).saturating_since(now),
                 });
             }
         }
@@ -212,7 +219,7 @@
             let is_inherited = inherited.is_some_and(|ends| ends.contains_key(*id));
             is_inherited || entry.awaited_since.is_some_and(&is_lost)
         });
-        let ends = lost.map(|(id, entry)| (id.clone(), entry.leases_until()));
+        let ends = lost.map(|(id, entry)| (id.clone(), entry.runs_until(&self.settings)));
         let (covered, others): (Vec<_>, Vec<_>) =
             ends.partition(|(id, _)| self.lease_ledger.covers(id));
         let ends = covered.into_iter().chain(others);
--- a/crates/jobs/src/scheduler/lifecycle.rs
+++ b/crates/jobs/src/scheduler/lifecycle.rs
@@ -121,6 +121,7 @@
                     incarnation,
                     best_effort_percent: 100,
                     late_lease_until: self.inherited_late_lease(worker),
+                    unconfirmed_until: self.inherited_unconfirmed(worker),
                     earlier_orders_until: self.earlier_owners_until(now),
                     ..WorkerEntry::default()
                 };
@@ -138,6 +139,7 @@
                 is_long_running,
                 caution,
                 is_over: false,
+                is_unanswered: false,
                 orphan_stop: None,
             };
             entry.reserve(task.clone(), reservation);
--- a/crates/jobs/src/scheduler/listing.rs
+++ b/crates/jobs/src/scheduler/listing.rs
@@ -27,6 +27,7 @@
                 best_effort_percent: 100,
                 lease_until: self.earlier_leases_until(&id, now),
                 late_lease_until: self.inherited_late_lease(&id),
+                unconfirmed_until: self.inherited_unconfirmed(&id),
                 earlier_orders_until: self.earlier_owners_until(now),
                 ..WorkerEntry::default()
             };
@@ -168,6 +169,7 @@
             is_long_running,
             caution,
             is_over: false,
+            is_unanswered: false,
             orphan_stop: None,
         };
         entry.reserve(task.clone(), reservation);
--- a/crates/jobs/src/scheduler/mod.rs
+++ b/crates/jobs/src/scheduler/mod.rs
@@ -44,6 +44,7 @@
 mod changes;
 mod choice;
 mod clock_reading;
+mod confirmation;
 mod crash;
 mod end_rate;
 mod entry;
@@ -129,6 +130,8 @@
     pub max_lease: time::Duration,
     /// Longest time after which a worker carries out an order that has no response.
     pub max_order_delay: time::Duration,
+    /// Time after which an order without a response counts as unanswered.
+    pub max_response_delay: time::Duration,
     /// Longest time for which leases of an owner may last after its latest change: the
     /// time for which it may send orders without a confirmed row, plus one lease on
     /// a slow clock.
@@ -210,6 +213,7 @@
             lease: time::Duration::from_millis(5_000),
             max_lease: time::Duration::from_millis(10_000),
             max_order_delay: time::Duration::from_millis(10_000),
+            max_response_delay: time::Duration::from_millis(700),
             inherited_lease: time::Duration::from_millis(7_900),
             max_clock_drift: 0.02,
             lease_margin: time::Duration::from_millis(300),
@@ -392,6 +396,8 @@
     Replaced,
     /// It rejects orders or fails its runs.
     Unhealthy,
+    /// The clock in a response is behind an earlier one: another incarnation has responded.
+    ClockSetBack,
 }
 
 /// Jobs that arrived for a pool, except long-running ones.
--- a/crates/jobs/src/scheduler/order.rs
+++ b/crates/jobs/src/scheduler/order.rs
@@ -5,7 +5,6 @@
 use crate::time::BootTime;
 use crate::worker::{OrderAction, OrderOutcome, OrderResponse, WorkerOrder};
 
-use super::clock_reading::ClockReading;
 use super::entry::{RunLocation, RunProgress, StopProgress, TaskPhase};
 use super::fleet::{ContactState, WorkerEntry};
 use super::starting;
@@ -34,9 +33,12 @@
             self.is_fenced = true;
             return;
         }
-        self.update_clock(&order.worker, response, now);
+        self.update_clock(order, response, now);
         match &order.action {
             OrderAction::Start { task, run, .. } => {
+                if response.outcome == OrderOutcome::Unknown {
+                    self.set_unanswered(&order.worker, task, *run, true);
+                }
                 self.handle_start_response(&order.worker, task, *run, response, now);
             }
             OrderAction::Stop { task, run } => {
@@ -149,16 +151,6 @@
         }
     }
 
-    fn update_clock(&mut self, worker: &WorkerId, response: &OrderResponse, now: BootTime) {
-        let (Some(entry), Some(clock_ms)) = (self.fleet.get_mut(worker), response.clock_ms) else {
-            return;
-        };
-        entry.clock = Some(ClockReading {
-            clock_ms,
-            read_at: now,
-        });
-    }
-
     fn handle_stop_response(
         &mut self,
         worker: &WorkerId,
--- a/crates/jobs/tests/common/mod.rs
+++ b/crates/jobs/tests/common/mod.rs
@@ -373,6 +373,7 @@
             until: previous.leases_until(&settings),
             workers: self.lease_ends.clone(),
             late: self.scheduler.late_leases(self.now),
+            unconfirmed: self.scheduler.unconfirmed_leases(self.now),
             orders_until: Some(previous.orders_until(&settings)),
         };
         self.stored_health = self.scheduler.fleet_health(self.now);
