--- a/crates/jobs/tests/common/worker.rs
+++ b/crates/jobs/tests/common/worker.rs
@@ -40,6 +40,9 @@
 #[derive(Clone, Debug)]
 pub(crate) struct FakeWorker {
     pub(crate) view: WorkerView,
+    /// How far the number of the next incarnation is from that of the present one; negative if
+    /// the time of day is set back.
+    pub(crate) incarnation_step: i64,
     /// Highest fencing token that it has accepted.
     pub(crate) fencing_token: u64,
     pub(crate) running: BTreeMap<TaskId, FakeRun>,
@@ -97,6 +100,7 @@
                 is_draining: false,
                 remaining_ms: None,
             },
+            incarnation_step: 1,
             fencing_token: 0,
             running: BTreeMap::new(),
             ended_runs: Vec::new(),
@@ -120,7 +124,8 @@
 
     /// Begins a new incarnation of the worker, which knows nothing of the one before.
     pub(crate) fn restart(&mut self, now: BootTime) {
-        self.view.incarnation += 1;
+        let incarnation = self.view.incarnation;
+        self.view.incarnation = incarnation.saturating_add_signed(self.incarnation_step);
         self.running.clear();
         self.ended_runs.clear();
         self.next_ended_number = 1;
