--- a/crates/jobs/tests/common/mod.rs
+++ b/crates/jobs/tests/common/mod.rs
@@ -418,4 +418,17 @@
             }
         }
     }
+
+    /// Panics if the runs on a worker need more processor than it has.
+    pub(crate) fn assert_within_capacity(&self) {
+        for (id, worker) in &self.workers {
+            let needs = worker.running.keys().map(|task| {
+                let steps = &self.jobs[&task.job].spec.steps;
+                steps[task.step as usize].needs.cpu_millis
+            });
+            let used: u64 = needs.sum();
+            let capacity = worker.view.capacity.cpu_millis;
+            assert!(used <= capacity, "{id} runs {used} of {capacity}");
+        }
+    }
 }
