Add a failing test of a late lease after a lost response

What callers would see: a task runs twice, 5 s long. Its worker has started again, has carried out a renewal for the incarnation before, and did not respond to the first renewal of its owner, as a server that has just started may not.

Cause: the end of such a lease gets into the one that the owner waits for only while the worker is Unconfirmed; after a renewal without a response it is Unresponsive. The owner row states the right end.

--- a/crates/jobs/tests/restarted_workers.rs
+++ b/crates/jobs/tests/restarted_workers.rs
@@ -135,6 +135,21 @@
     wait_after_cut(&mut fleet, "w0");
 }
 
+/// Guards against the same, if the new incarnation does not respond to the first renewal.
+#[rstest]
+#[case::for_a_moment(20)]
+#[case::for_a_second(1_000)]
+fn a_lease_from_a_late_renewal_is_waited_for_although_a_response_was_lost(#[case] away_ms: u64) {
+    let mut fleet = fleet_with_late_renewal();
+    fleet.worker("w0").is_unresponsive = true;
+    fleet.advance(away_ms);
+    fleet.worker("w0").is_unresponsive = false;
+    fleet.advance(600);
+    assert_eq!(fleet.starts.len(), 2);
+    add_worker(&mut fleet, "w1");
+    wait_after_cut(&mut fleet, "w0");
+}
+
 /// Returns a fleet of two workers, with the start of a long task that had no response.
 fn fleet_with_lost_start() -> (FakeFleet, WorkerOrder) {
     let mut fleet = FakeFleet::of_size(2, 8_000);
