--- a/crates/jobs/tests/restarted_workers.rs
+++ b/crates/jobs/tests/restarted_workers.rs
@@ -150,6 +150,28 @@
     wait_after_cut(&mut fleet, "w0");
 }
 
+/// Guards against the same, if the new incarnation is away until shortly after it has carried the
+/// renewal out: an order without a response may be that late.
+#[rstest]
+#[case::after_2_s(2_000)]
+#[case::after_9_s(9_000)]
+#[case::after_12_s(12_000)]
+fn a_lease_from_a_renewal_is_waited_for_that_is_carried_out(#[case] delay_ms: u64) {
+    let mut fleet = busy_fleet();
+    let renewal = fleet.hold_back(20, grants_lease);
+    let due = renewal.issued_at + time::Duration::from_millis(delay_ms);
+    fleet.restart_worker("w0");
+    fleet.worker("w0").is_unresponsive = true;
+    fleet.delayed_orders.push((due, renewal));
+    let remaining = due.saturating_since(fleet.now);
+    fleet.advance(remaining.as_millis() as u64 + 10);
+    fleet.worker("w0").is_unresponsive = false;
+    fleet.advance(600);
+    assert_eq!(fleet.starts.len(), 2);
+    add_worker(&mut fleet, "w1");
+    wait_after_cut(&mut fleet, "w0");
+}
+
 /// Returns a fleet of two workers, with the start of a long task that had no response.
 fn fleet_with_lost_start() -> (FakeFleet, WorkerOrder) {
     let mut fleet = FakeFleet::of_size(2, 8_000);
