Add a failing test of a renewal that its owner itself sends late

What callers would see: a task runs twice. An owner whose latest change is too old keeps its orders and sends them once a change is stored. A worker that starts again in that time gets a renewal of the session before, and takes the longest lease; the owner takes the beginning of the session for the time of the last such order.

By reading, it needs a table that refuses changes for more than 10 s while it lists workers.

--- a/crates/jobs/tests/restarted_workers.rs
+++ b/crates/jobs/tests/restarted_workers.rs
@@ -172,6 +172,26 @@
     wait_after_cut(&mut fleet, "w0");
 }
 
+/// Guards against the same, if the renewal is sent to the new incarnation itself: its owner sends no
+/// orders while the table accepts no changes, and sends those of that time afterwards.
+#[test]
+fn a_renewal_for_the_incarnation_before_that_is_sent_long_afterwards_grants_no_unknown_lease() {
+    let mut fleet = busy_fleet();
+    fleet.held_orders = Some(Vec::new());
+    fleet.is_table_up = false;
+    fleet.advance(20);
+    let held = fleet.held_orders.iter().flatten();
+    assert!(held.into_iter().any(|order| grants_lease(&order.action)));
+    fleet.restart_worker("w0");
+    fleet.advance(20_000);
+    fleet.is_table_up = true;
+    fleet.send_held();
+    fleet.advance(600);
+    assert_eq!(fleet.starts.len(), 2);
+    add_worker(&mut fleet, "w1");
+    wait_after_cut(&mut fleet, "w0");
+}
+
 /// Returns a fleet of two workers, with the start of a long task that had no response.
 fn fleet_with_lost_start() -> (FakeFleet, WorkerOrder) {
     let mut fleet = FakeFleet::of_size(2, 8_000);
