--- a/crates/jobs/tests/restarted_workers.rs
+++ b/crates/jobs/tests/restarted_workers.rs
@@ -135,6 +135,63 @@
     wait_after_cut(&mut fleet, "w0");
 }
 
+/// Guards against the same, if the new incarnation does not respond to the first renewal.
+#[rstest]
+#[case::for_a_moment(20)]
+#[case::for_a_second(1_000)]
+fn a_lease_from_a_late_renewal_is_waited_for_although_a_response_was_lost(#[case] away_ms: u64) {
+    let mut fleet = fleet_with_late_renewal();
+    fleet.worker("w0").is_unresponsive = true;
+    fleet.advance(away_ms);
+    fleet.worker("w0").is_unresponsive = false;
+    fleet.advance(600);
+    assert_eq!(fleet.starts.len(), 2);
+    add_worker(&mut fleet, "w1");
+    wait_after_cut(&mut fleet, "w0");
+}
+
+/// Guards against the same, if the new incarnation is away until shortly after it has carried the
+/// renewal out: an order without a response may be that late.
+#[rstest]
+#[case::after_2_s(2_000)]
+#[case::after_9_s(9_000)]
+#[case::after_12_s(12_000)]
+fn a_lease_from_a_renewal_is_waited_for_that_is_carried_out(#[case] delay_ms: u64) {
+    let mut fleet = busy_fleet();
+    let renewal = fleet.hold_back(20, grants_lease);
+    let due = renewal.issued_at + time::Duration::from_millis(delay_ms);
+    fleet.restart_worker("w0");
+    fleet.worker("w0").is_unresponsive = true;
+    fleet.delayed_orders.push((due, renewal));
+    let remaining = due.saturating_since(fleet.now);
+    fleet.advance(remaining.as_millis() as u64 + 10);
+    fleet.worker("w0").is_unresponsive = false;
+    fleet.advance(600);
+    assert_eq!(fleet.starts.len(), 2);
+    add_worker(&mut fleet, "w1");
+    wait_after_cut(&mut fleet, "w0");
+}
+
+/// Guards against the same, if the renewal is sent to the new incarnation itself: its owner sends no
+/// orders while the table accepts no changes, and sends those of that time afterwards.
+#[test]
+fn a_renewal_for_the_incarnation_before_that_is_sent_long_afterwards_grants_no_unknown_lease() {
+    let mut fleet = busy_fleet();
+    fleet.held_orders = Some(Vec::new());
+    fleet.is_table_up = false;
+    fleet.advance(20);
+    let held = fleet.held_orders.iter().flatten();
+    assert!(held.into_iter().any(|order| grants_lease(&order.action)));
+    fleet.restart_worker("w0");
+    fleet.advance(20_000);
+    fleet.is_table_up = true;
+    fleet.send_held();
+    fleet.advance(600);
+    assert_eq!(fleet.starts.len(), 2);
+    add_worker(&mut fleet, "w1");
+    wait_after_cut(&mut fleet, "w0");
+}
+
 /// Returns a fleet of two workers, with the start of a long task that had no response.
 fn fleet_with_lost_start() -> (FakeFleet, WorkerOrder) {
     let mut fleet = FakeFleet::of_size(2, 8_000);
