Add a failing test of a row that counts as contact with an incarnation

What callers would see: a task runs twice, for half a second, after a takeover. Its start had no response; its worker started again, and carried the start out under the next owner, 0.5 s later; then it was cut off.

Cause: the earlier owner stores the run that it stops on the new incarnation with the number of that one, before it is in contact with it. The next owner takes a row with the present number for proof of such a contact, and assumes no late order.

--- a/crates/jobs/tests/restarted_workers.rs
+++ b/crates/jobs/tests/restarted_workers.rs
@@ -256,6 +256,29 @@
     }
 }
 
+/// Guards against the same, if the next incarnation carries the start out under the owner that takes
+/// over, seconds later: the row names that incarnation, although no owner was in contact with it.
+#[rstest]
+#[case::at_once(500)]
+#[case::seconds_later(4_000)]
+fn a_row_that_names_an_incarnation_does_not_prove_contact_with_it(#[case] delay_ms: u64) {
+    let (mut fleet, start) = fleet_with_lost_start();
+    let worker = start.worker.clone();
+    fleet.restart_worker(worker.as_str());
+    fleet.worker(worker.as_str()).is_unresponsive = true;
+    fleet.advance(100);
+    fleet.take_over(SchedulerSettings::default());
+    fleet.advance(delay_ms);
+    deliver_late(&mut fleet, start);
+    fleet.advance(10);
+    assert_eq!(fleet.starts.len(), 1);
+    fleet.worker(worker.as_str()).is_unresponsive = false;
+    fleet.advance(500);
+    fleet.worker(worker.as_str()).is_unresponsive = true;
+    watch(&mut fleet);
+    assert_eq!(fleet.starts.len(), 2, "{:?}", fleet.starts);
+}
+
 /// Guards against a task that starts elsewhere (TWICE) because the list that a new owner reads is
 /// older than the row of the run.
 #[test]
