Tell the incarnations of a worker apart by what the store says, not by their numbers

Callers would see work that waits for ever, and TWICE: `born`, the number of an incarnation, is a time of day, which can be set back. A worker that returned with a lower number got no work, its lost run did not start again, and a task that crashes its workers was never given up.

Cause: a lower number was taken for an earlier incarnation, in the list, in reports, in rows, in blocks and in the count of crashes.

Change: an incarnation is another one if its number differs. Entries come in the order of the store, so another entry is later, unless it was replaced before; where the present one is known from its report alone, the worker is asked. A report to an order of the present session is of the present incarnation; one to an earlier order says nothing and opens no session. Where a stored row and the list differ, the first report decides; until then both count. A run that is to be stopped on the next incarnation is stored with the one that its start was sent to, since a row counts as a sign of contact.

--- a/crates/jobs/src/block.rs
+++ b/crates/jobs/src/block.rs
@@ -12,8 +12,8 @@
 /// Which incarnations of a worker get no new tasks.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub enum WorkerBlock {
-    /// Those up to this one: their machine has been taken from under them.
-    UpTo(u64),
+    /// This one: its machine has been taken from under it.
+    One(u64),
     /// All: their machine is being emptied, or may be taken down or moved at any time.
     All,
 }
@@ -22,7 +22,7 @@
     /// Returns whether an incarnation gets no new tasks.
     pub fn includes(self, incarnation: u64) -> bool {
         match self {
-            Self::UpTo(last) => incarnation <= last,
+            Self::One(taken) => incarnation == taken,
             Self::All => true,
         }
     }
@@ -35,7 +35,7 @@
 }
 
 impl WorkerBlocks {
-    /// Adds a block; of two for the same worker, the one of more incarnations counts.
+    /// Adds a block; of two for the same worker, that of all incarnations counts.
     pub fn add(&mut self, worker: &WorkerId, block: WorkerBlock) {
         match self.blocks.entry(worker.clone()) {
             Entry::Vacant(entry) => {
--- a/crates/jobs/src/maintenance/machine.rs
+++ b/crates/jobs/src/maintenance/machine.rs
@@ -54,7 +54,7 @@
         let block = match self.stage {
             MachineStage::Waiting => return None,
             MachineStage::Prepared | MachineStage::Ordered(_) => WorkerBlock::All,
-            MachineStage::Down(_) => WorkerBlock::UpTo(self.incarnation),
+            MachineStage::Down(_) => WorkerBlock::One(self.incarnation),
         };
         self.worker.as_ref().map(|worker| (worker, block))
     }
--- a/crates/jobs/src/maintenance/wave.rs
+++ b/crates/jobs/src/maintenance/wave.rs
@@ -288,7 +288,7 @@
         let machines = self.machines.iter();
         machines.filter_map(|(name, entry)| match entry.block()? {
             (worker, WorkerBlock::All) => Some((name, worker)),
-            (_, WorkerBlock::UpTo(_)) => None,
+            (_, WorkerBlock::One(_)) => None,
         })
     }
 
--- a/crates/jobs/src/scheduler/crash.rs
+++ b/crates/jobs/src/scheduler/crash.rs
@@ -189,13 +189,13 @@
         true
     }
 
-    /// Handles a sign of life of an incarnation of a lost worker: the same one has not
+    /// Handles a sign of life of the present incarnation of a lost worker: the same one has not
     /// crashed, an earlier one has.
     pub(super) fn settle_loss(&mut self, id: &WorkerId, incarnation: u64, now: BootTime) {
         let Some(mut lost) = self.crashes.lost.remove(id) else {
             return;
         };
-        if incarnation > lost.incarnation {
+        if incarnation != lost.incarnation {
             self.count_crash(id, &mut lost, now);
         } else if lost.is_counted {
             self.retract_crash(&lost);
--- a/crates/jobs/src/scheduler/fleet.rs
+++ b/crates/jobs/src/scheduler/fleet.rs
@@ -16,6 +16,10 @@
 use super::clock_reading::ClockReading;
 use super::entry::StartCaution;
 
+/// Number of replaced incarnations that are remembered of a worker; entries of earlier ones
+/// arrive a moment late.
+const MAX_EARLIER_INCARNATIONS: usize = 8;
+
 /// Whether a worker responds to this owner.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub(super) enum ContactState {
@@ -28,6 +32,19 @@
     Unresponsive,
 }
 
+/// How one incarnation of a worker follows on another.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum IncarnationOrder {
+    /// They are the same.
+    Same,
+    /// It is earlier.
+    Earlier,
+    /// It is later.
+    Later,
+    /// It is earlier or later: the entry of the other one has not been read.
+    Unknown,
+}
+
 /// Capacity that a run reserves on a worker.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(super) struct RunReservation {
@@ -72,6 +89,10 @@
     pub(super) is_refused: bool,
     /// Incarnation of the worker: its start, in milliseconds since the Unix epoch.
     pub(super) incarnation: u64,
+    /// Latest incarnations that it has replaced.
+    pub(super) earlier_incarnations: VecDeque<u64>,
+    /// Entry of another incarnation, of which it is not known yet whether it is a later one.
+    pub(super) unplaced_view: Option<WorkerView>,
     /// Session with that incarnation, in the order of their beginnings.
     pub(super) session: u64,
     /// Until when orders for earlier incarnations may have been sent; none if there were none.
@@ -189,6 +210,30 @@
         view.is_some_and(|view| view.incarnation == self.incarnation)
     }
 
+    /// Returns how the incarnation of an entry of the list follows on the tracked one. The
+    /// entries come in the order in which they were written; their numbers say nothing, since
+    /// the time of day of a worker may be set.
+    pub(super) fn succession(&self, incarnation: u64) -> IncarnationOrder {
+        if incarnation == self.incarnation {
+            return IncarnationOrder::Same;
+        }
+        if self.earlier_incarnations.contains(&incarnation) {
+            return IncarnationOrder::Earlier;
+        }
+        if self.view.is_none() || self.is_view_current() {
+            IncarnationOrder::Later
+        } else {
+            IncarnationOrder::Unknown
+        }
+    }
+
+    /// Returns whether the tracked incarnation is taken to be later than another one in a
+    /// stored row: it has said so itself, or it is from a row as well and has a higher number.
+    pub(super) fn is_later_than_stored(&self, incarnation: u64) -> bool {
+        let is_from_row = !self.is_view_current();
+        self.contacted_at.is_some() || (is_from_row && self.incarnation > incarnation)
+    }
+
     /// Returns whether the worker may get new tasks.
     pub(super) fn is_usable(&self, now: BootTime) -> bool {
         self.is_listed
@@ -321,6 +366,8 @@
     /// none of which is left.
     fn begin_incarnation(&mut self, incarnation: u64) -> Vec<(TaskId, u32)> {
         self.incarnation = incarnation;
+        self.earlier_incarnations
+            .retain(|earlier| *earlier != incarnation);
         self.acknowledged_number = 0;
         self.applied_number = 0;
         self.unacknowledged.clear();
@@ -410,7 +457,21 @@
         self.sessions += 1;
         entry.session = self.sessions;
         entry.earlier_orders_until = Some(now);
-        entry.begin_incarnation(incarnation)
+        let dropped = entry.begin_incarnation(incarnation);
+        let is_listed = |view: &WorkerView| view.incarnation == incarnation;
+        if let Some(view) = entry.unplaced_view.take().filter(is_listed) {
+            self.set_view(id, view);
+        }
+        dropped
+    }
+
+    /// Remembers that the tracked incarnation of a worker has ended.
+    pub(super) fn end_incarnation(&mut self, id: &WorkerId) {
+        if let Some(entry) = self.workers.get_mut(id) {
+            let earlier = &mut entry.earlier_incarnations;
+            earlier.truncate(MAX_EARLIER_INCARNATIONS - 1);
+            earlier.push_front(entry.incarnation);
+        }
     }
 
     /// Replaces the platform's entry of a worker.
--- a/crates/jobs/src/scheduler/lifecycle.rs
+++ b/crates/jobs/src/scheduler/lifecycle.rs
@@ -1,6 +1,6 @@
 //! Submitted and cancelled jobs, and rows of an earlier owner.
 
-use crate::name::{JobId, TaskId};
+use crate::name::{JobId, TaskId, WorkerId};
 use crate::record::{JobRecord, JobState, ProgressRecord};
 use crate::time::{BootTime, WallTime};
 use crate::worker::OrderAction;
@@ -100,10 +100,9 @@
         let worker = &location.worker;
         let incarnation = location.incarnation;
         let inherited_until = self.earlier_leases_until(worker, now);
-        let tracked = self.fleet.get(worker);
-        let tracked = tracked.map(|entry| (entry.incarnation, entry.is_draining()));
-        match tracked {
-            Some((tracked, _)) if tracked > incarnation => {
+        match self.fleet.get(worker) {
+            Some(entry) if entry.incarnation == incarnation => self.note_earlier_contact(worker),
+            Some(entry) if entry.is_later_than_stored(incarnation) => {
                 // That incarnation of the worker has ended, but the present one may have
                 // carried the start out.
                 self.count_active(task);
@@ -111,11 +110,7 @@
                 self.count_inherited_crash(worker, task, *run, now);
                 return;
             }
-            Some((tracked, was_draining)) if tracked < incarnation => {
-                // The list is older than the row.
-                self.replace_worker(worker, incarnation, was_draining, now);
-            }
-            Some(_) => self.note_earlier_contact(worker),
+            Some(_) => self.assume_incarnation(worker, incarnation, now),
             None => {
                 let entry = WorkerEntry {
                     incarnation,
@@ -147,6 +142,18 @@
         self.count_active(task);
     }
 
+    /// Takes the incarnation in a stored row for the present one, although the list of workers
+    /// names another: which of them is later, the first report says. Until then, the runs may
+    /// be on the listed one, with the longest lease.
+    fn assume_incarnation(&mut self, worker: &WorkerId, incarnation: u64, now: BootTime) {
+        let longest_until = now + self.settings.longest_lease_bound();
+        let was_draining = self.fleet.get(worker).is_some_and(WorkerEntry::is_draining);
+        self.begin_incarnation(worker, incarnation, was_draining, now);
+        if let Some(entry) = self.fleet.get_mut(worker) {
+            entry.late_lease_until = entry.late_lease_until.max(longest_until);
+        }
+    }
+
     /// Cancels a job and stops its runs.
     pub fn cancel(&mut self, id: &JobId, now: BootTime) {
         self.finish(id, JobState::Cancelled, now);
--- a/crates/jobs/src/scheduler/listing.rs
+++ b/crates/jobs/src/scheduler/listing.rs
@@ -6,8 +6,8 @@
 use crate::time::BootTime;
 use crate::worker::WorkerView;
 
-use super::entry::{RunLocation, TaskEntry, TaskPhase};
-use super::fleet::{RunReservation, WorkerEntry};
+use super::entry::{TaskEntry, TaskPhase};
+use super::fleet::{IncarnationOrder, RunReservation, WorkerEntry};
 use super::{JobScheduler, RunEndReason, SchedulerEvent, WorkerStatus};
 
 impl JobScheduler {
@@ -40,10 +40,15 @@
         };
         let was_draining = entry.is_draining();
         let incarnation = view.incarnation;
-        let is_older = incarnation < entry.incarnation;
-        let is_newer = incarnation > entry.incarnation;
-        if is_older {
-            return;
+        let order = entry.succession(incarnation);
+        match order {
+            IncarnationOrder::Earlier => return,
+            IncarnationOrder::Unknown => {
+                entry.unplaced_view = Some(view);
+                self.ask_incarnation(&id, now);
+                return;
+            }
+            IncarnationOrder::Same | IncarnationOrder::Later => {}
         }
         // Workers renew their entries all the time; only a change matters to placement.
         let has_changed =
@@ -54,7 +59,7 @@
         entry.is_listed = true;
         entry.is_refused = false;
         self.fleet.set_view(&id, view);
-        if is_newer {
+        if order == IncarnationOrder::Later {
             self.replace_worker(&id, incarnation, was_draining, now);
         }
         if is_draining && !was_draining {
@@ -123,6 +128,19 @@
         incarnation: u64,
         was_draining: bool,
         now: BootTime,
+    ) {
+        self.fleet.end_incarnation(id);
+        self.begin_incarnation(id, incarnation, was_draining, now);
+    }
+
+    /// Begins to track another incarnation of a worker, and drops or stops the runs of the
+    /// previous one, which `was_draining`.
+    pub(super) fn begin_incarnation(
+        &mut self,
+        id: &WorkerId,
+        incarnation: u64,
+        was_draining: bool,
+        now: BootTime,
     ) {
         let cause = self.loss_cause(id, was_draining, true);
         let lost = self.lost_worker(id, now);
@@ -144,6 +162,14 @@
         self.mark_worker_changed(id);
     }
 
+    /// Requests a report, which says what the present incarnation of a worker is.
+    fn ask_incarnation(&mut self, id: &WorkerId, now: BootTime) {
+        let entry = self.fleet.get(id);
+        if entry.is_some_and(|entry| entry.renewal_sent_at.is_none()) {
+            self.send_renewal(id, now);
+        }
+    }
+
     /// Returns false for a task whose run is ordered and listed by no report.
     fn is_reported(&self, task: &TaskId) -> bool {
         self.task(task)
@@ -157,6 +183,12 @@
         let is_long_running = self.is_long_running(task);
         let run = self.task(task).map_or(0, |entry| entry.run);
         let caution = self.task(task).map(TaskEntry::caution).unwrap_or_default();
+        // The row goes on to name the incarnation that the start was sent to: one that it
+        // names counts as one that an owner was in contact with.
+        let location = self.task(task).and_then(|entry| entry.phase.location());
+        let Some(location) = location.cloned() else {
+            return;
+        };
         let late_lease_until = now + self.settings.longest_lease_bound();
         let Some(entry) = self.fleet.get_mut(id) else {
             return;
@@ -173,10 +205,6 @@
             orphan_stop: None,
         };
         entry.reserve(task.clone(), reservation);
-        let location = RunLocation {
-            worker: id.clone(),
-            incarnation: entry.incarnation,
-        };
         self.mark_changed(&task.job);
         self.order_stop(task, location, run, now);
     }
--- a/crates/jobs/src/scheduler/maintenance.rs
+++ b/crates/jobs/src/scheduler/maintenance.rs
@@ -78,11 +78,11 @@
         demands
     }
 
-    /// Handles that the machine was taken from under an incarnation of a worker, or an
-    /// earlier one: none of its tasks is left.
+    /// Handles that the machine was taken from under an incarnation of a worker: none of its
+    /// tasks is left.
     pub fn worker_removed(&mut self, worker: &WorkerId, incarnation: u64) {
         let entry = self.fleet.get_mut(worker);
-        if let Some(entry) = entry.filter(|entry| entry.incarnation <= incarnation) {
+        if let Some(entry) = entry.filter(|entry| entry.incarnation == incarnation) {
             entry.is_listed = false;
             entry.is_removed = true;
         }
--- a/crates/jobs/src/scheduler/report.rs
+++ b/crates/jobs/src/scheduler/report.rs
@@ -24,19 +24,22 @@
     ) {
         let worker = &order.worker;
         let issued_at = order.issued_at;
-        if self.is_outdated_report(worker, report) {
+        if self.is_outdated(order) {
+            // It may be of an earlier incarnation.
+            return;
+        }
+        if self.is_report_outdated(order, report, now) {
             return;
         }
         self.settle_loss(worker, report.incarnation, now);
         let Some(entry) = self.fleet.get(worker) else {
             return;
         };
-        if report.incarnation > entry.incarnation {
+        if report.incarnation != entry.incarnation {
+            // The order was sent after the tracked one was known, so this is a later one.
             let was_draining = entry.is_draining();
             self.replace_worker(worker, report.incarnation, was_draining, now);
-        }
-        if self.is_outdated(order) {
-            // The worker may carry out more orders of that session.
+            // The worker may carry out more orders of the session that has ended.
             return;
         }
         self.note_contact(worker, now);
@@ -56,11 +59,27 @@
         self.pace_best_effort(worker, report, now);
     }
 
-    /// Returns whether a report is from an earlier incarnation of a worker than the present
-    /// one: it says nothing about its runs, its clock or its leases.
-    fn is_outdated_report(&self, worker: &WorkerId, report: &RenewalReport) -> bool {
-        let entry = self.fleet.get(worker);
-        entry.is_some_and(|entry| report.incarnation < entry.incarnation)
+    /// Returns whether a report is from an incarnation of a worker that another one has
+    /// replaced: it says nothing about its runs, its clock or its leases, and the worker is
+    /// asked again.
+    fn is_report_outdated(
+        &mut self,
+        order: &WorkerOrder,
+        report: &RenewalReport,
+        now: BootTime,
+    ) -> bool {
+        let retry_delay = self.settings.renewal_retry_delay;
+        let Some(entry) = self.fleet.get_mut(&order.worker) else {
+            return false;
+        };
+        if !entry.earlier_incarnations.contains(&report.incarnation) {
+            return false;
+        }
+        if entry.renewal_sent_at == Some(order.issued_at) {
+            entry.renewal_sent_at = None;
+            entry.next_renewal = now + retry_delay;
+        }
+        true
     }
 
     fn update_contact(
--- a/crates/jobs/tests/blocks.rs
+++ b/crates/jobs/tests/blocks.rs
@@ -250,7 +250,7 @@
     let worker = WorkerId::new("w0");
     fleet
         .scheduler
-        .set_blocks(blocks_of(&worker, WorkerBlock::UpTo(1)));
+        .set_blocks(blocks_of(&worker, WorkerBlock::One(1)));
     fleet.submit("j", vec![step_spec(4, 1_000)], 60_000);
     fleet.advance(1_000);
     assert!(fleet.starts.is_empty());
@@ -281,10 +281,10 @@
 #[test]
 fn a_worker_that_a_wave_and_a_move_want_is_blocked_until_both_are_over() {
     let worker = WorkerId::new("w0");
-    let mut both = blocks_of(&worker, WorkerBlock::UpTo(7));
+    let mut both = blocks_of(&worker, WorkerBlock::One(7));
     both.add(&worker, WorkerBlock::All);
     assert_eq!(both.get(&worker), Some(WorkerBlock::All));
-    both.add(&worker, WorkerBlock::UpTo(8));
+    both.add(&worker, WorkerBlock::One(8));
     assert_eq!(both.get(&worker), Some(WorkerBlock::All));
     let workers: BTreeSet<&WorkerId> = both.workers().collect();
     assert_eq!(workers, BTreeSet::from([&worker]));
@@ -325,10 +325,7 @@
     next.order_accepted(1, &MachineName::new("m0"), now);
     let mut blocks = WorkerBlocks::default();
     next.add_blocks(&mut blocks);
-    assert_eq!(
-        blocks,
-        blocks_of(&WorkerId::new("w0"), WorkerBlock::UpTo(1))
-    );
+    assert_eq!(blocks, blocks_of(&WorkerId::new("w0"), WorkerBlock::One(1)));
 }
 
 /// Guards against a machine that is released when its order is throttled, fills with tasks and
--- a/crates/jobs/tests/clocks_set_back.rs
+++ b/crates/jobs/tests/clocks_set_back.rs
@@ -354,7 +354,7 @@
     let worker = WorkerId::new("w0");
     let earlier = fleet.worker("w0").view.incarnation;
     let mut blocks = WorkerBlocks::default();
-    blocks.add(&worker, WorkerBlock::UpTo(earlier));
+    blocks.add(&worker, WorkerBlock::One(earlier));
     fleet.scheduler.set_blocks(blocks);
     let view = restart(&mut fleet, &worker, shift_ms);
     list(&mut fleet, view);
