Stop a late start of an earlier run, and keep its room until it is gone

Callers would see LIMIT and TWICE: a start without a response is carried out by the next incarnation, while the owner has ordered a later run of the task there.

Cause: the owner took the listed run for one that the worker rejects, since it had ordered a newer one there. That holds for the incarnation that got the newer one alone. It stopped only the newer run, which was not there, and gave its room away.

Change: the listed run is stopped, and the capacity of a task is free once no run of it is listed.

--- a/crates/jobs/src/scheduler/report.rs
+++ b/crates/jobs/src/scheduler/report.rs
@@ -321,7 +321,13 @@
         let current = entry.reservations.get(task).copied();
         let same_run = current.filter(|reservation| reservation.run == run);
         if current.is_some() && same_run.is_none() {
-            // The task has a newer run here; the worker rejects the older.
+            // The task has a newer run here, of which an incarnation that has carried out an
+            // earlier start knows nothing.
+            let action = OrderAction::Stop {
+                task: task.clone(),
+                run,
+            };
+            self.push_order(worker, action, now);
             return;
         }
         let stop = same_run.and_then(|reservation| reservation.orphan_stop);
@@ -349,7 +355,7 @@
     }
 
     /// Records which runs of the worker a report proves to be over, and drops those that are
-    /// lost.
+    /// lost. The capacity of a task is free once no run of it is listed.
     fn update_presence(&mut self, worker: &WorkerId, issued_at: BootTime, report: &RenewalReport) {
         let running = report.running.iter();
         let listed: HashMap<&TaskId, u32> = running.map(|run| (&run.task, run.run)).collect();
@@ -361,7 +367,9 @@
         for (task, held) in &entry.reservations {
             if listed.get(task) == Some(&held.run) {
                 in_progress.extend(held.is_over.then(|| task.clone()));
-            } else if self.should_be_listed(worker, task, held, issued_at) {
+            } else if !listed.contains_key(task)
+                && self.should_be_listed(worker, task, held, issued_at)
+            {
                 over.push((task.clone(), held.run));
             }
         }
--- a/crates/jobs/tests/common/order.rs
+++ b/crates/jobs/tests/common/order.rs
@@ -25,6 +25,28 @@
         wanted
     }
 
+    /// Advances time until an order is issued that `is_wanted` selects, and holds that one back;
+    /// the others are sent at each tick.
+    pub(crate) fn hold_back_one(
+        &mut self,
+        limit_ms: u64,
+        is_wanted: impl Fn(&OrderAction) -> bool,
+    ) -> WorkerOrder {
+        for _ in 0..limit_ms / 10 {
+            self.held_orders = Some(Vec::new());
+            self.advance(10);
+            let mut held = self.held_orders.take().unwrap_or_default();
+            let position = held.iter().position(|order| is_wanted(&order.action));
+            let wanted = position.map(|position| held.remove(position));
+            self.held_orders = Some(held);
+            self.send_held();
+            if let Some(wanted) = wanted {
+                return wanted;
+            }
+        }
+        panic!("it was not ordered within {limit_ms} ms");
+    }
+
     /// Advances time and loses the start that is ordered: the owner gets no response, and the
     /// worker may carry it out later.
     pub(crate) fn lose_start(&mut self) -> WorkerOrder {
--- a/crates/jobs/tests/late_starts.rs
+++ b/crates/jobs/tests/late_starts.rs
@@ -74,7 +74,7 @@
     let (mut fleet, start) = fleet_with_stopped_start();
     fleet.advance(COOLDOWN_MS - 700);
     let is_start = |action: &OrderAction| matches!(action, OrderAction::Start { .. });
-    let next = fleet.hold_back(400, is_start);
+    let next = fleet.hold_back_one(400, is_start);
     if has_response {
         let response = OrderResponse {
             outcome: OrderOutcome::Accepted,
