Read a report before a start on a worker that left one without a response

Callers would see LIMIT: the next incarnation of a worker, of which its owner knows nothing yet, has carried out a late start, and the owner places a task in the same room.

Cause: a start that was left without a response may be carried out for seconds, but only by an incarnation that has not seen its stop.

Change: for as long as such a start may be on its way, the next start on that worker waits for a report that is at most 200 ms old, requested when the task is placed; renewals that it waits for do not wait for an end. The wait of an unanswered run counts from when its response was due.

The milliseconds between the report and the start are left.

--- a/crates/jobs/src/scheduler/clock_reading.rs
+++ b/crates/jobs/src/scheduler/clock_reading.rs
@@ -56,12 +56,18 @@
         (age <= self.settings.max_reading_age()).then_some(reading)
     }
 
-    /// Requests a reading of a worker's clock if the latest one is too old for a lease.
+    /// Returns whether a start on a worker waits for a report.
+    pub(super) fn lacks_reading(&self, worker: &WorkerId, now: BootTime) -> bool {
+        self.fresh_reading(worker, now).is_none() || self.needs_report(worker, now)
+    }
+
+    /// Requests a report of a worker, with a reading of its clock, if a start there waits for
+    /// one.
     pub(super) fn refresh_reading(&mut self, worker: &WorkerId, now: BootTime) {
         let is_idle = self.fleet.get(worker).is_some_and(|entry| {
             entry.contact == ContactState::Responsive && entry.renewal_sent_at.is_none()
         });
-        if is_idle && self.fresh_reading(worker, now).is_none() {
+        if is_idle && self.lacks_reading(worker, now) {
             self.send_renewal(worker, now);
         }
     }
--- a/crates/jobs/src/scheduler/confirmation.rs
+++ b/crates/jobs/src/scheduler/confirmation.rs
@@ -18,6 +18,9 @@
 use super::late_lease::LateLeases;
 use super::{JobScheduler, SchedulerSettings, WorkerStatus};
 
+/// Age up to which a report shows what a worker runs before a start there.
+const RECENT_REPORT_AGE: time::Duration = time::Duration::from_millis(200);
+
 /// Difference of two clocks that rounding to whole milliseconds explains.
 const ROUNDING_ERROR: time::Duration = time::Duration::from_millis(2);
 
@@ -29,12 +32,13 @@
         settings: &SchedulerSettings,
     ) -> BootTime {
         let usual_until = self.leases_until();
-        match self.leased_at {
-            Some(leased_at) if reservation.is_unanswered => {
-                usual_until.max(settings.longest_lease_after(leased_at))
-            }
-            _ => usual_until,
-        }
+        let Some(unanswered_at) = reservation.unanswered_at else {
+            return usual_until;
+        };
+        let started_until = unanswered_at + settings.longest_lease_bound();
+        let renewed_at = self.leased_at.unwrap_or_default();
+        let renewed_until = settings.longest_lease_after(renewed_at);
+        usual_until.max(started_until).max(renewed_until)
     }
 
     /// Returns until when one of its runs may be in progress.
@@ -46,7 +50,7 @@
 }
 
 impl SchedulerSettings {
-    /// Returns when the longest lease has expired that an order sent at `sent_at` may grant.
+    /// Returns when the longest lease has expired that a renewal sent at `sent_at` may grant.
     fn longest_lease_after(&self, sent_at: BootTime) -> BootTime {
         sent_at + self.max_response_delay + self.longest_lease_bound()
     }
@@ -64,22 +68,38 @@
 }
 
 impl JobScheduler {
-    /// Notes whether the start of a run was left without a response, so that an incarnation may
-    /// have carried it out that this owner does not know of.
+    /// Notes when the start of a run was left without a response, so that an incarnation may
+    /// have carried it out that this owner does not know of, or may do so later.
     pub(super) fn set_unanswered(
         &mut self,
         worker: &WorkerId,
         task: &TaskId,
         run: u32,
-        is_unanswered: bool,
+        unanswered_at: Option<BootTime>,
     ) {
-        let entry = self.fleet.get_mut(worker);
-        let reservation = entry.and_then(|entry| entry.reservations.get_mut(task));
+        let Some(entry) = self.fleet.get_mut(worker) else {
+            return;
+        };
+        entry.unanswered_at = unanswered_at.max(entry.unanswered_at);
+        let reservation = entry.reservations.get_mut(task);
         if let Some(reservation) = reservation.filter(|held| held.run == run) {
-            reservation.is_unanswered = is_unanswered;
+            reservation.unanswered_at = unanswered_at;
         }
     }
 
+    /// Returns whether a start on a worker needs a report first, although the clock of the
+    /// worker is known: the next incarnation may have carried an earlier start out, which
+    /// takes capacity there. The report must come after the start was placed.
+    pub(super) fn needs_report(&self, worker: &WorkerId, now: BootTime) -> bool {
+        let Some(entry) = self.fleet.get(worker) else {
+            return false;
+        };
+        let max_delay = self.settings.max_order_delay;
+        let may_be_late = entry.unanswered_at.is_some_and(|at| now <= at + max_delay);
+        let is_recent = now.saturating_since(entry.reported_at) <= RECENT_REPORT_AGE;
+        may_be_late && !is_recent
+    }
+
     /// Updates the clock of a worker from the response to an order. A clock that has gone back
     /// is that of another incarnation, which may have taken the longest lease from the orders
     /// so far; it gets no other before it has said who it is.
@@ -118,7 +138,7 @@
         leases.forget_before(now);
         for (id, entry) in self.fleet.iter() {
             let mut runs = entry.reservations.values();
-            if runs.any(|held| held.is_unanswered) {
+            if runs.any(|held| held.unanswered_at.is_some()) {
                 leases.add(id, entry.runs_until(&self.settings));
             }
         }
--- a/crates/jobs/src/scheduler/fleet.rs
+++ b/crates/jobs/src/scheduler/fleet.rs
@@ -57,9 +57,9 @@
     /// Whether the latest report proves that it is not in progress. It has ended or was lost;
     /// a later report shows which, since only the earliest ended runs are listed.
     pub(super) is_over: bool,
-    /// Whether its start was left without a response, and no report lists it: an incarnation
-    /// may have carried it out that the owner does not know of.
-    pub(super) is_unanswered: bool,
+    /// When its start was left without a response, unless a report lists it since: an
+    /// incarnation may have carried it out that the owner does not know of.
+    pub(super) unanswered_at: Option<BootTime>,
     /// Stop of the run, if it belongs to no task any more.
     pub(super) orphan_stop: Option<OrphanStop>,
 }
@@ -118,6 +118,8 @@
     pub(super) clock: Option<ClockReading>,
     /// When the leases of orders on time have expired, by our clock.
     pub(super) lease_until: BootTime,
+    /// When a start there was last left without a response.
+    pub(super) unanswered_at: Option<BootTime>,
     /// When the order was sent that granted the latest lease.
     pub(super) leased_at: Option<BootTime>,
     /// Since when runs wait for the end of these leases; none while the worker responds.
--- a/crates/jobs/src/scheduler/listing.rs
+++ b/crates/jobs/src/scheduler/listing.rs
@@ -201,7 +201,7 @@
             is_long_running,
             caution,
             is_over: false,
-            is_unanswered: false,
+            unanswered_at: None,
             orphan_stop: None,
         };
         entry.reserve(task.clone(), reservation);
--- a/crates/jobs/src/scheduler/mod.rs
+++ b/crates/jobs/src/scheduler/mod.rs
@@ -130,7 +130,7 @@
     pub max_lease: time::Duration,
     /// Longest time after which a worker carries out an order that has no response.
     pub max_order_delay: time::Duration,
-    /// Time after which an order without a response counts as unanswered.
+    /// Longest time from a lease renewal that does not wait until its response or failure.
     pub max_response_delay: time::Duration,
     /// Longest time for which leases of an owner may last after its latest change: the
     /// time for which it may send orders without a confirmed row, plus one lease on
--- a/crates/jobs/src/scheduler/order.rs
+++ b/crates/jobs/src/scheduler/order.rs
@@ -37,7 +37,7 @@
         match &order.action {
             OrderAction::Start { task, run, .. } => {
                 if response.outcome == OrderOutcome::Unknown {
-                    self.set_unanswered(&order.worker, task, *run, true);
+                    self.set_unanswered(&order.worker, task, *run, Some(now));
                 }
                 self.handle_start_response(&order.worker, task, *run, response, now);
             }
@@ -298,12 +298,14 @@
         } else {
             None
         };
+        let needs_report = self.needs_report(worker, now);
         let Some(entry) = self.fleet.get_mut(worker) else {
             return;
         };
         // A worker without a new lease is asked again before the old one expires.
         let may_wait =
             lease_end_ms.is_some() && entry.unacknowledged.is_empty() && !self.is_restoring;
+        let may_wait = may_wait && !needs_report;
         entry.renewal_sent_at = Some(now);
         let action = OrderAction::Renew {
             acknowledged_number: entry.acknowledged_number,
--- a/crates/jobs/src/scheduler/placement.rs
+++ b/crates/jobs/src/scheduler/placement.rs
@@ -443,7 +443,7 @@
             is_long_running: spec.long_running,
             caution,
             is_over: false,
-            is_unanswered: false,
+            unanswered_at: None,
             orphan_stop: None,
         };
         if let Some(worker) = self.fleet.get_mut(&candidate.worker) {
--- a/crates/jobs/src/scheduler/report.rs
+++ b/crates/jobs/src/scheduler/report.rs
@@ -291,7 +291,7 @@
         }
         task.trace.add_sign(clock_ms);
         confirm_run(task, listed.percent, now);
-        self.set_unanswered(worker, &listed.task, listed.run, false);
+        self.set_unanswered(worker, &listed.task, listed.run, None);
     }
 
     /// Returns the capacity of a run that is to be stopped: that of the whole
@@ -340,7 +340,7 @@
             is_long_running,
             caution: StartCaution::None,
             is_over: false,
-            is_unanswered: false,
+            unanswered_at: None,
             orphan_stop: Some(OrphanStop {
                 ordered_at: now,
                 accepted_at: None,
--- a/crates/jobs/src/scheduler/starting.rs
+++ b/crates/jobs/src/scheduler/starting.rs
@@ -101,13 +101,13 @@
         is_permitted && is_usable && !self.lease_ledger.covers(&location.worker)
     }
 
-    /// Returns whether a run may be started, but for a recent reading of its worker's
-    /// clock, which is on its way.
+    /// Returns whether a run may be started, but for a recent report of its worker, which is
+    /// on its way.
     fn awaits_reading(&self, start: &PendingStart, now: BootTime) -> bool {
         let task = self.task(&start.task);
         let location = task.and_then(|entry| entry.phase.location());
         // Most readings are recent.
-        location.is_some_and(|location| self.fresh_reading(&location.worker, now).is_none())
+        location.is_some_and(|location| self.lacks_reading(&location.worker, now))
             && self.may_start(&start.task, start.run, now)
     }
 
