Send no held order whose session has ended

Callers would see TWICE: an owner that cannot store holds its orders back; later it sent a renewal by the clock of an earlier incarnation to the next one, after all such orders counted as carried out.

Change: orders of an earlier session are dropped when held orders are sent.

--- a/crates/engine/src/owner/session/mod.rs
+++ b/crates/engine/src/owner/session/mod.rs
@@ -335,7 +335,7 @@
     fn send_orders(&mut self) {
         let now = clock::boot_now();
         for order in std::mem::take(&mut self.deferred_orders) {
-            if self.scheduler.exceeds_capacity(&order) {
+            if self.scheduler.is_obsolete(&order) {
                 self.scheduler.take_back(&order, now);
                 continue;
             }
--- a/crates/jobs/src/scheduler/order.rs
+++ b/crates/jobs/src/scheduler/order.rs
@@ -19,6 +19,12 @@
         is_start && worker.is_some_and(WorkerEntry::is_overcommitted)
     }
 
+    /// Returns whether an order that is not sent yet is not to be sent any more: it is for an
+    /// earlier incarnation of its worker, or exceeds its capacity.
+    pub fn is_obsolete(&self, order: &WorkerOrder) -> bool {
+        self.is_outdated(order) || self.exceeds_capacity(order)
+    }
+
     /// Handles the response to an order to start, stop or pace a run.
     pub fn handle_order_response(
         &mut self,
--- a/crates/jobs/tests/common/order.rs
+++ b/crates/jobs/tests/common/order.rs
@@ -80,11 +80,12 @@
     }
 
     /// Sends the orders that were held, as the session of an owner does: starts in an
-    /// evacuated data centre or beyond the capacity of a worker are taken back.
+    /// evacuated data centre, beyond the capacity of a worker or for an earlier incarnation are
+    /// taken back.
     pub(crate) fn send_held(&mut self) {
         self.read_evacuations();
         for order in self.held_orders.take().unwrap_or_default() {
-            if self.scheduler.is_withdrawn(&order) || self.scheduler.exceeds_capacity(&order) {
+            if self.scheduler.is_withdrawn(&order) || self.scheduler.is_obsolete(&order) {
                 self.scheduler.take_back(&order, self.now);
             } else {
                 self.send_order(&order);
