Give an owner 2^30 fencing tokens, and end the ownership when they are used up

Callers would see TWICE: from the 2^20th restart of any worker on, under one owner, all later incarnations got orders with the same token, and each accepted those for the one before; nothing said so.

Change: tokens of owners are 2^30 apart, which is two years at that rate; beyond that the owner sends nothing and gives the ownership up.

--- a/crates/jobs/src/fence.rs
+++ b/crates/jobs/src/fence.rs
@@ -6,8 +6,9 @@
 //! new incarnation of a worker that its owner learns of: from its first order on, the new
 //! incarnation rejects what was sent to the one before.
 
-/// Number of tokens that an owner has for its orders.
-const TOKENS_PER_OWNER: u64 = 1 << 20;
+/// Number of tokens that an owner has for its orders: enough for two years in which fourteen
+/// workers start again each second.
+const TOKENS_PER_OWNER: u64 = 1 << 30;
 
 /// Returns the token of the owner that succeeds the one with the token `previous`: higher than
 /// those of all orders of that owner.
@@ -16,7 +17,8 @@
 }
 
 /// Returns the token of an order that the owner with the token `owner` sends in a session with
-/// a worker.
-pub(crate) fn order_token(owner: u64, session: u64) -> u64 {
-    owner.saturating_add(session.min(TOKENS_PER_OWNER - 1))
+/// a worker; none if its tokens are used up.
+pub fn order_token(owner: u64, session: u64) -> Option<u64> {
+    let is_left = session < TOKENS_PER_OWNER;
+    is_left.then(|| owner.saturating_add(session))
 }
--- a/crates/jobs/src/scheduler/mod.rs
+++ b/crates/jobs/src/scheduler/mod.rs
@@ -532,7 +532,8 @@
         mem::take(&mut self.events)
     }
 
-    /// Returns whether a worker has reported a newer owner.
+    /// Returns whether the ownership is to end: a worker has reported a newer owner, or the
+    /// fencing tokens are used up.
     pub fn is_fenced(&self) -> bool {
         self.is_fenced
     }
@@ -589,11 +590,15 @@
         let Some(address) = entry.address() else {
             return;
         };
+        let Some(fencing_token) = fence::order_token(self.fencing_token, entry.session) else {
+            self.is_fenced = true;
+            return;
+        };
         self.orders.push(WorkerOrder {
             worker: worker.clone(),
             address,
             data_centre: entry.data_centre().cloned(),
-            fencing_token: fence::order_token(self.fencing_token, entry.session),
+            fencing_token,
             issued_at: now,
             action,
         });
--- a/crates/jobs/src/scheduler/order.rs
+++ b/crates/jobs/src/scheduler/order.rs
@@ -62,7 +62,8 @@
     pub(super) fn is_outdated(&self, order: &WorkerOrder) -> bool {
         let entry = self.fleet.get(&order.worker);
         entry.is_some_and(|entry| {
-            order.fencing_token < fence::order_token(self.fencing_token, entry.session)
+            let present = fence::order_token(self.fencing_token, entry.session);
+            present.is_none_or(|present| order.fencing_token < present)
         })
     }
 
--- a/crates/jobs/tests/many_sessions.rs
+++ b/crates/jobs/tests/many_sessions.rs
@@ -53,3 +53,15 @@
     }
     assert!(latest.is_some(), "it has sent some");
 }
+
+/// Guards against tokens that are used by two owners, or twice by one.
+#[test]
+fn an_owner_whose_tokens_are_used_up_has_no_further_one() {
+    let next_owner = fence::next_owner_token(Some(OWNER_TOKEN));
+    let count = next_owner - OWNER_TOKEN;
+    assert_eq!(
+        fence::order_token(OWNER_TOKEN, count - 1),
+        Some(next_owner - 1)
+    );
+    assert_eq!(fence::order_token(OWNER_TOKEN, count), None);
+}
