Log which long leases a new owner inherits

It names now how many workers hold longer leases, until when all do if they were too many, and the same for leases under unknown incarnations.

--- a/crates/engine/src/owner/session/rows.rs
+++ b/crates/engine/src/owner/session/rows.rs
@@ -62,7 +62,10 @@
     }
 
     fn log_inherited(&self, stored: &StoredLeases) {
-        let remaining = self.inherited_until.saturating_since(clock::boot_now());
+        let now = clock::boot_now();
+        let remaining = self.inherited_until.saturating_since(now);
+        let late = &self.inherited_late;
+        let unconfirmed = &self.inherited_unconfirmed;
         log_job_event!(
             info,
             event::LEASES_INHERITED,
@@ -70,6 +73,10 @@
             row_fence = stored.fencing_token,
             workers = stored.ends.len(),
             millis = remaining.as_millis(),
+            late_workers = late.workers.len(),
+            late_millis = late.until.saturating_since(now).as_millis(),
+            unconfirmed_workers = unconfirmed.workers.len(),
+            unconfirmed_millis = unconfirmed.until.saturating_since(now).as_millis(),
         );
     }
 
