Acknowledge ends of runs only while the worker lists them

Callers would see TWICE: a task that was done starts again.

Cause: each renewal repeated the latest number, also long after the worker had dropped those ends, and to an incarnation that nobody had confirmed.

After a rest, the first renewal acknowledges nothing, and lists the last ends once more. What is left: an acknowledgement that is on its way at the moment of the restart.

--- a/crates/jobs/src/scheduler/fleet.rs
+++ b/crates/jobs/src/scheduler/fleet.rs
@@ -129,6 +129,8 @@
     pub(super) next_renewal: BootTime,
     /// Ended runs up to this number are stored.
     pub(super) acknowledged_number: u64,
+    /// Lowest number of the ended runs in the latest report; none if it listed none.
+    pub(super) first_listed_end: Option<u64>,
     /// Ended runs up to this number were applied.
     pub(super) applied_number: u64,
     pub(super) unacknowledged: VecDeque<UnacknowledgedRun>,
@@ -263,6 +265,21 @@
             .is_some_and(|contacted_at| self.reported_at >= contacted_at + stop_timeout)
     }
 
+    /// Returns the number up to which the next renewal acknowledges ended runs. It names one
+    /// only while the worker lists such runs, as a report of at most `max_age` shows: under an
+    /// incarnation that the owner does not know of, other runs have these numbers.
+    pub(super) fn acknowledgement(&self, now: BootTime, max_age: time::Duration) -> u64 {
+        let is_recent = now.saturating_since(self.reported_at) <= max_age;
+        let is_confirmed = is_recent && self.contact == ContactState::Responsive;
+        let first = self.first_listed_end.filter(|_| is_confirmed);
+        let is_listed = first.is_some_and(|first| first <= self.acknowledged_number);
+        if is_listed {
+            self.acknowledged_number
+        } else {
+            0
+        }
+    }
+
     /// Returns the capacity that is not reserved.
     pub(super) fn free_capacity(&self) -> ResourceAmount {
         let capacity = self.view.as_ref().map(|view| view.capacity);
@@ -371,6 +388,7 @@
         self.earlier_incarnations
             .retain(|earlier| *earlier != incarnation);
         self.acknowledged_number = 0;
+        self.first_listed_end = None;
         self.applied_number = 0;
         self.unacknowledged.clear();
         self.clock = None;
--- a/crates/jobs/src/scheduler/order.rs
+++ b/crates/jobs/src/scheduler/order.rs
@@ -306,6 +306,7 @@
             None
         };
         let needs_report = self.needs_report(worker, now);
+        let max_age = self.settings.max_renewal_wait + self.settings.max_response_delay;
         let Some(entry) = self.fleet.get_mut(worker) else {
             return;
         };
@@ -315,7 +316,7 @@
         let may_wait = may_wait && !needs_report;
         entry.renewal_sent_at = Some(now);
         let action = OrderAction::Renew {
-            acknowledged_number: entry.acknowledged_number,
+            acknowledged_number: entry.acknowledgement(now, max_age),
             lease_end_ms,
             wait_ms: if may_wait { max_wait_ms } else { 0 },
         };
--- a/crates/jobs/src/scheduler/report.rs
+++ b/crates/jobs/src/scheduler/report.rs
@@ -112,6 +112,7 @@
             clock_ms: report.clock_ms,
             read_at: now,
         });
+        entry.first_listed_end = report.ended.first().map(|ended| ended.number);
         let has_ended_runs = !report.ended.is_empty();
         entry.next_renewal = if has_ended_runs { now + delay } else { now };
         if was_unresponsive {
--- a/crates/jobs/tests/restarted_workers.rs
+++ b/crates/jobs/tests/restarted_workers.rs
@@ -506,3 +506,37 @@
     let wait = wait_after_cut(&mut fleet, start.worker.as_str());
     assert!(wait < USUAL_WAIT, "{wait:?}");
 }
+
+/// Guards against a task that is done and starts again (TWICE): an incarnation that its owner did
+/// not know of ran it, and a renewal for the one before, whose ends had higher numbers, made it
+/// forget the end before anybody had read it.
+#[test]
+fn a_renewal_for_the_incarnation_before_acknowledges_no_unread_end() {
+    let mut fleet = FakeFleet::of_size(1, 8_000);
+    fleet.advance(20_000);
+    let earlier = fleet.submit("earlier", vec![step_spec(8, 1_000)], 300);
+    fleet.advance(3_000);
+    assert_eq!(fleet.state(&earlier), JobState::Completed);
+    let job = fleet.submit("j", vec![step_spec(1, 1_000)], 30);
+    fleet.held_orders = Some(Vec::new());
+    fleet.advance(40);
+    let held = fleet.held_orders.take().unwrap_or_default();
+    let now = fleet.now;
+    fleet.worker("w0").restart(now);
+    let before = fleet.starts.len();
+    for is_renewal in [false, true] {
+        fleet.held_orders = Some(Vec::new());
+        for order in &held {
+            if matches!(order.action, OrderAction::Renew { .. }) == is_renewal {
+                fleet.execute_unanswered(order);
+            }
+        }
+        fleet.advance(50);
+    }
+    assert_eq!(fleet.starts.len(), before + 1);
+    fleet.held_orders = None;
+    list_worker(&mut fleet, "w0");
+    fleet.advance(12_000);
+    assert_eq!(fleet.starts.len(), before + 1, "{:?}", fleet.starts);
+    assert_eq!(fleet.state(&job), JobState::Completed);
+}
