--- a/crates/ctl/src/platform.rs
+++ b/crates/ctl/src/platform.rs
@@ -23,7 +23,10 @@
 /// Largest number of machines of a pool.
 const MAX_MACHINES: i64 = 1_000;
 
-/// Longest duration of a task, and longest time for which a worker is cold, in
+/// Least value of the longest lease, in milliseconds.
+const MIN_LEASE_MS: i64 = 1_000;
+
+/// Longest duration of a task, longest lease, and longest time for which a worker is cold, in
 /// milliseconds.
 const MAX_TASK_MS: i64 = 600_000;
 
@@ -96,6 +99,12 @@
             fleet.kept_id_percent.into(),
             0..=100,
         ))
+        .arg(number(
+            "max-lease-ms",
+            "Longest lease that a worker grants, in milliseconds",
+            defaults.bounds.max_lease.as_millis() as i64,
+            MIN_LEASE_MS..=MAX_TASK_MS,
+        ))
         .arg(number(
             "cold-ms",
             "Time for which a worker that has started is cold, in milliseconds",
@@ -157,6 +166,7 @@
         },
         bounds: BoundSettings {
             cold_duration: time::Duration::from_millis(integer("cold-ms") as u64),
+            max_lease: time::Duration::from_millis(integer("max-lease-ms") as u64),
             ..defaults.bounds
         },
         ..defaults
