Soak workers that return and are cut off while long tasks run

The soak drew crashes and faults of orders, but never both on one worker, cut no worker off so that it went on, had no task that outlives the longest lease, and a longest lease of 6 s, which hides a late renewal.

A series of its own (recut) draws rounds: orders are late by up to 12 s, a worker or a data centre crashes and returns after 5 ms to 1.5 s, some with the time of day set back, registers up to 1 s later, gets bursts of tasks of 11 to 13 s, and is cut off 10 ms to 4 s after its return for 5 to 13 s; in half of them the owner is killed. Rounds of two kinds can be selected: a takeover between the return and the cut, and starts that arrive before the first registration. Two runs at once and the room of workers are checked by what the workers themselves ran, those that are cut off included; each pair is reported once, with worker, fence, arrival of the order, start and end. The manifest of the series has no pool on standby, since the platform of the soak has none and the owner repeats moves to it without end.

--- a/crates/node/tests/process_soak.rs
+++ b/crates/node/tests/process_soak.rs
@@ -4,8 +4,9 @@
 //!
 //! Environment variables set up runs by hand: `SOAK_SEED` (first seed),
 //! `SOAK_SEEDS` (number of seeds), `SOAK_PROCESSES`, `SOAK_SECONDS` (duration of the
-//! actions of one seed), `SOAK_PROGRAM` (program to test instead of the built one)
-//! and `SOAK_LOGS` (directory in which failed seeds leave their logs). The seed
+//! actions of one seed), `SOAK_PROGRAM` (program to test instead of the built one),
+//! `SOAK_LOGS` (directory in which failed seeds leave their logs) and `SOAK_KEEP` (set if
+//! the others leave theirs too). The seed
 //! fixes the actions and what callers send, not the order of concurrent events.
 
 #[path = "process_soak/action.rs"]
@@ -28,6 +29,8 @@
 mod promise;
 #[path = "process_soak/proxy.rs"]
 mod proxy;
+#[path = "process_soak/recut.rs"]
+mod recut;
 #[path = "process_soak/slot.rs"]
 mod slot;
 #[path = "process_soak/trace.rs"]
@@ -39,6 +42,7 @@
 
 use std::cell;
 use std::env;
+use std::fmt;
 use std::fs;
 use std::future;
 use std::path::PathBuf;
@@ -48,7 +52,9 @@
 
 use caller::SoakCallers;
 use cluster::SoakCluster;
+use platform::PlatformShape;
 use proxy::LinkFault;
+use recut::{RoundChoice, SeriesShape};
 use rstest::rstest;
 use tokio::net::TcpStream;
 use tokio::task;
@@ -92,17 +98,22 @@
 
 /// Starts the processes; their logs are in a directory with the name.
 async fn start_cluster(name: &str, processes: usize, seed: u64) -> rc::Rc<SoakCluster> {
+    start_shape(name, PlatformShape::usual(processes, seed)).await
+}
+
+/// Starts the processes on a platform of the shape.
+async fn start_shape(name: &str, shape: PlatformShape) -> rc::Rc<SoakCluster> {
     let directory = log_directory(name);
     fs::create_dir_all(&directory).expect("the log directory is writable");
     println!("soak {name}, logs in {}", directory.display());
-    rc::Rc::new(SoakCluster::start(&directory, processes, seed).await)
+    rc::Rc::new(SoakCluster::start(&directory, shape).await)
 }
 
 /// Ends the processes; returns the number of failures, and prints some of each kind.
 fn finish(cluster: &SoakCluster) -> usize {
     cluster.stop();
     let failures = cluster.failures.take();
-    if failures.is_empty() {
+    if failures.is_empty() && env::var_os("SOAK_KEEP").is_none() {
         // A directory that stays does no harm.
         let _ = fs::remove_dir_all(&cluster.directory);
     }
@@ -159,15 +170,37 @@
     finish(&cluster)
 }
 
+/// Runs a series in which workers return and are cut off.
+async fn run_series(shape: SeriesShape) -> usize {
+    let name = format!("recut-{:?}-{}", shape.rounds, shape.seed).to_lowercase();
+    let cluster = start_shape(&name, shape.platform()).await;
+    let calls = CheckedCalls::start(&cluster, shape.seed);
+    let watch = task::spawn_local(check::watch(rc::Rc::clone(&cluster)));
+    let probe = task::spawn_local(check::probe(rc::Rc::clone(&cluster)));
+    recut::run_all(&cluster, shape).await;
+    calls.end(check::check_end(&cluster)).await;
+    watch.abort();
+    probe.abort();
+    finish(&cluster)
+}
+
 /// Runs one seed at a time, because each has many processes.
-fn run_soak(settings: SoakSettings) -> usize {
+fn run_alone(settings: impl fmt::Debug, run: impl Future<Output = usize>) -> usize {
     static TURN: sync::Mutex<()> = sync::Mutex::new(());
     let _turn = TURN.lock().unwrap_or_else(sync::PoisonError::into_inner);
-    let count = actix_rt::System::new().block_on(run_seed(settings));
+    let count = actix_rt::System::new().block_on(run);
     println!("{settings:?}: {count} failures");
     count
 }
 
+fn run_soak(settings: SoakSettings) -> usize {
+    run_alone(settings, run_seed(settings))
+}
+
+fn run_recut(shape: SeriesShape) -> usize {
+    run_alone(shape, run_series(shape))
+}
+
 #[rstest]
 #[case::seed_1(1)]
 // Two waves share machines; one maintenance is taken for that of both.
@@ -181,6 +214,47 @@
     assert_eq!(failures, 0);
 }
 
+#[rstest]
+#[case::seed_1(1)]
+#[case::seed_2(2)]
+#[case::seed_3(3)]
+fn workers_that_return_and_are_cut_off_run_no_task_twice(#[case] seed: u64) {
+    let failures = run_recut(SeriesShape {
+        seed,
+        processes: 3,
+        workers: 16,
+        duration: time::Duration::ZERO,
+        rounds: RoundChoice::Any,
+    });
+    assert_eq!(failures, 0);
+}
+
+/// `SOAK_ROUNDS` selects rounds that are not drawn: `takeover` or `idle`.
+#[test]
+#[ignore = "takes as long as its environment variables say"]
+fn a_recut_series_by_hand_runs_no_task_twice() {
+    let first = variable("SOAK_SEED", 1);
+    let seeds = first..first + variable("SOAK_SEEDS", 1);
+    let rounds = match env::var("SOAK_ROUNDS").as_deref() {
+        Ok("takeover") => RoundChoice::Takeover,
+        Ok("idle") => RoundChoice::Idle,
+        Ok(other) => panic!("SOAK_ROUNDS is {other}: use takeover or idle"),
+        Err(_) => RoundChoice::Any,
+    };
+    let failed = seeds.filter(|seed| {
+        let failures = run_recut(SeriesShape {
+            seed: *seed,
+            processes: variable("SOAK_PROCESSES", 3) as usize,
+            workers: variable("SOAK_WORKERS", 8) as usize,
+            duration: time::Duration::from_secs(variable("SOAK_SECONDS", 30)),
+            rounds,
+        });
+        failures > 0
+    });
+    let failed: Vec<u64> = failed.collect();
+    assert!(failed.is_empty(), "failed seeds: {failed:?}");
+}
+
 /// Lost commits delay the response to its longest time, beyond the end of the time for
 /// which the process serves after the signal.
 #[test]
@@ -231,7 +305,7 @@
     actix_rt::System::new().block_on(async {
         let directory = log_directory("idle");
         fs::create_dir_all(&directory).expect("the log directory is writable");
-        let cluster = SoakCluster::start(&directory, 1, 1).await;
+        let cluster = SoakCluster::start(&directory, PlatformShape::usual(1, 1)).await;
         let (address, grace_period) = {
             let slot = &cluster.slots.borrow()[0];
             (slot.caller_link.address, slot.grace_period)
--- a/crates/node/tests/process_soak/action.rs
+++ b/crates/node/tests/process_soak/action.rs
@@ -307,7 +307,8 @@
     }
 }
 
-async fn kill(cluster: &SoakCluster, node: usize, down_ms: u64) {
+/// Kills a process and starts it again after a time.
+pub(crate) async fn kill(cluster: &SoakCluster, node: usize, down_ms: u64) {
     cluster.mark_unplanned();
     if cluster.kill_process(node) {
         pause(down_ms).await;
--- a/crates/node/tests/process_soak/caller.rs
+++ b/crates/node/tests/process_soak/caller.rs
@@ -12,7 +12,7 @@
 use tokio::time as timer;
 
 use crate::cluster::{self, ServingProcess, SoakCluster};
-use crate::job::{CalledJob, JobSize, ShownState, Submission};
+use crate::job::{self, CalledJob, JobSize, ShownState, Submission};
 use crate::wire::{self, CallFailure, WireRequest, WireResponse};
 
 /// Time after which a call without a response has failed.
@@ -27,6 +27,12 @@
 /// Number of the first caller of the first burst; lower ones are those that stay.
 const FIRST_BURST_CALLER: u32 = 0x1000;
 
+/// Largest number of jobs of long tasks that are submitted at once.
+const MAX_BURST_JOBS: u32 = 0x200;
+
+/// Number of the caller whose tasks outlive the longest lease.
+const LASTING_CALLER: u32 = 0xf00;
+
 /// Least age of the accepted jobs that a number of pending jobs has to count.
 const PENDING_AGE: time::Duration = time::Duration::from_secs(5);
 
@@ -103,6 +109,46 @@
     futures_util::future::join_all(callers).await;
 }
 
+/// Submits jobs whose tasks outlive the longest lease, about `tasks` of them, and others as
+/// these end if they are to be `renewed`; cancels them once `is_over`.
+pub(crate) async fn submit_lasting(
+    cluster: rc::Rc<SoakCluster>,
+    seed: u64,
+    (tasks, renewed): (u32, bool),
+    is_over: rc::Rc<cell::Cell<bool>>,
+) {
+    let mut caller = SoakCaller::new(&cluster, seed, LASTING_CALLER);
+    let jobs = tasks.div_ceil(job::LASTING_TASKS);
+    for _ in 0..jobs {
+        caller.submit(JobSize::Lasting).await;
+    }
+    while !is_over.get() {
+        timer::sleep(job::LASTING_TIME / jobs).await;
+        if renewed {
+            caller.submit(JobSize::Lasting).await;
+        }
+    }
+    let jobs = cluster.ledger.snapshot();
+    for (id, job) in jobs.iter().filter(|(_, job)| job.is_lasting()) {
+        caller.cancel(id, job).await;
+    }
+}
+
+/// Submits at once about `tasks` tasks that outlive the longest lease.
+pub(crate) async fn burst_lasting(
+    cluster: &rc::Rc<SoakCluster>,
+    seed: u64,
+    burst: u32,
+    tasks: u32,
+) {
+    let callers = (0..tasks.div_ceil(job::LASTING_TASKS)).map(async |index| {
+        let number = FIRST_BURST_CALLER + burst * MAX_BURST_JOBS + index;
+        let mut caller = SoakCaller::new(cluster, seed, number);
+        caller.submit(JobSize::Lasting).await;
+    });
+    futures_util::future::join_all(callers).await;
+}
+
 impl SoakCaller {
     fn new(cluster: &rc::Rc<SoakCluster>, seed: u64, number: u32) -> Self {
         Self {
--- a/crates/node/tests/process_soak/check.rs
+++ b/crates/node/tests/process_soak/check.rs
@@ -60,16 +60,23 @@
     pub(crate) jobs: BTreeMap<String, CalledJob>,
     /// Time of the soak when the platform's clock was zero, in milliseconds.
     pub(crate) offset_ms: f64,
-    problems: cell::RefCell<Vec<SoakProblem>>,
+    /// Problems of this look, each with what may change from one look to the next.
+    problems: cell::RefCell<Vec<(SoakProblem, String)>>,
 }
 
 impl CheckInput<'_> {
     /// Adds a problem of this look.
     pub(crate) fn report(&self, what: &str, subject: &str) {
-        self.problems.borrow_mut().push(SoakProblem {
+        self.report_with(what, subject, String::new());
+    }
+
+    /// Adds a problem of this look, with what may be another in the next look.
+    pub(crate) fn report_with(&self, what: &str, subject: &str, details: String) {
+        let problem = SoakProblem {
             what: what.to_owned(),
             subject: subject.to_owned(),
-        });
+        };
+        self.problems.borrow_mut().push((problem, details));
     }
 
     /// Converts a time of the soak to the platform's clock.
@@ -211,9 +218,9 @@
         promise::check_waves(&input);
         promise::check_evacuations(&input);
         self.check_gaps(&input);
-        for problem in input.problems.take() {
+        for (problem, details) in input.problems.take() {
             if self.reported.insert(problem.clone()) {
-                cluster.fail(&problem.what, &problem.subject);
+                cluster.fail(&format!("{}{details}", problem.what), &problem.subject);
             }
         }
     }
--- a/crates/node/tests/process_soak/cluster.rs
+++ b/crates/node/tests/process_soak/cluster.rs
@@ -13,7 +13,7 @@
 use tokio::time as timer;
 
 use crate::job::JobLedger;
-use crate::platform::{SoakQueue, SoakTenant, StandinPlatform};
+use crate::platform::{PlatformShape, SoakQueue, SoakTenant, StandinPlatform};
 use crate::process::{ProcessCommand, SoakProcess};
 use crate::slot::ProcessSlot;
 use crate::trace;
@@ -94,8 +94,9 @@
 
 impl SoakCluster {
     /// Starts the platform and the processes, and waits until all are ready.
-    pub(crate) async fn start(directory: &Path, processes: usize, seed: u64) -> Self {
-        let platform = StandinPlatform::start(directory, processes, seed).await;
+    pub(crate) async fn start(directory: &Path, shape: PlatformShape) -> Self {
+        let processes = shape.processes;
+        let platform = StandinPlatform::start(directory, shape).await;
         let mut slots = Vec::new();
         for (node, settings) in platform.settings_files.iter().enumerate() {
             slots.push(ProcessSlot::new(node, settings, directory).await);
--- a/crates/node/tests/process_soak/job.rs
+++ b/crates/node/tests/process_soak/job.rs
@@ -3,6 +3,7 @@
 use std::cell;
 use std::collections::BTreeMap;
 use std::fmt;
+use std::ops;
 use std::time;
 
 use rand::Rng;
@@ -15,6 +16,19 @@
 /// Largest number of jobs at a time that run until they are cancelled.
 const MAX_LONG: usize = 8;
 
+/// Usual duration of a task that outlives the longest lease.
+pub(crate) const LASTING_TIME: time::Duration = time::Duration::from_secs(12);
+
+/// Usual number of such tasks in a job.
+pub(crate) const LASTING_TASKS: u32 = 3;
+
+/// Queues of such tasks: one of each pool in use, of the same priority, without an advisor,
+/// which decides on one call at a time.
+const LASTING_QUEUES: ops::Range<usize> = 1..3;
+
+/// CPU that such a task reserves, in thousandths of a core; a worker has room for one.
+const LASTING_CPU: i64 = 6_000;
+
 /// Kind of a job.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub(crate) enum JobKind {
@@ -67,6 +81,8 @@
     Usual,
     /// One step with many tasks, so that many rows change at a time.
     Wide,
+    /// One step whose tasks outlive the longest lease.
+    Lasting,
 }
 
 /// What the caller knows of a submission.
@@ -175,7 +191,11 @@
         may_last: bool,
         size: JobSize,
     ) -> Self {
-        let is_wide = size == JobSize::Wide;
+        let is_wide = size != JobSize::Usual;
+        let queues = match size {
+            JobSize::Lasting => &queues[LASTING_QUEUES],
+            _ => queues,
+        };
         let queue = queues[rng.random_range(0..queues.len())].clone();
         let any_tenant = &tenants[rng.random_range(0..tenants.len())];
         let kind = match rng.random_range(0..100) {
@@ -187,15 +207,20 @@
             true => tenants.iter().find(|tenant| !tenant.has_limit),
             false => Some(any_tenant),
         };
-        let millis: u64 = rng.random_range(20..1_500);
+        let millis: u64 = match size {
+            JobSize::Lasting => rng.random_range(11_000..13_000),
+            _ => rng.random_range(20..1_500),
+        };
         let count: u32 = match size {
             JobSize::Usual => rng.random_range(1..4),
             JobSize::Wide => rng.random_range(10..60),
+            JobSize::Lasting => rng.random_range(2..6),
         };
         let first_run_in: u64 = rng.random_range(100..1_500);
         let interval_ms: u64 = rng.random_range(200..2_000);
         let times = rng.random_range(2..5);
         let cpu = match kind {
+            _ if size == JobSize::Lasting => LASTING_CPU,
             // Limits matter only if some jobs come near to them.
             _ if is_wide => 50,
             JobKind::Single if rng.random_bool(0.2) => 1_500,
@@ -244,6 +269,11 @@
         self.kind == JobKind::LongRunning
     }
 
+    /// Returns whether its tasks outlive the longest lease.
+    pub(crate) fn is_lasting(&self) -> bool {
+        self.cpu == LASTING_CPU
+    }
+
     /// Returns whether the job has a task.
     pub(crate) fn has_task(&self, task: &TaskName) -> bool {
         let count = self.counts.get(task.step).copied().unwrap_or(0);
--- a/crates/node/tests/process_soak/platform.rs
+++ b/crates/node/tests/process_soak/platform.rs
@@ -90,6 +90,32 @@
     pub(crate) ms: u64,
 }
 
+/// Extent of a platform.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) struct PlatformShape {
+    pub(crate) processes: usize,
+    pub(crate) seed: u64,
+    /// Number of workers in each pool.
+    pub(crate) workers: usize,
+    /// Longest lease that a worker grants, in milliseconds.
+    pub(crate) max_lease_ms: u64,
+    /// Whether the manifest has a pool on standby.
+    pub(crate) has_standby: bool,
+}
+
+impl PlatformShape {
+    /// Returns the usual shape for a number of processes.
+    pub(crate) fn usual(processes: usize, seed: u64) -> Self {
+        Self {
+            processes,
+            seed,
+            workers: 4 + processes / 16,
+            max_lease_ms: 6_000,
+            has_standby: true,
+        }
+    }
+}
+
 /// Running platform.
 pub(crate) struct StandinPlatform {
     address: net::SocketAddr,
@@ -103,6 +129,8 @@
     /// Number of times that each queue without an advisor is drawn for one of those
     /// with one, as the advisor decides on one call at a time.
     queue_weight: usize,
+    /// Whether the manifest has a pool on standby.
+    has_standby: bool,
     version: cell::Cell<u64>,
     waves: cell::Cell<u64>,
     /// Machines that failed for good.
@@ -131,10 +159,16 @@
 }
 
 impl StandinPlatform {
-    /// Starts the platform for a number of processes.
-    pub(crate) async fn start(directory: &Path, processes: usize, seed: u64) -> Self {
+    /// Starts the platform.
+    pub(crate) async fn start(directory: &Path, shape: PlatformShape) -> Self {
+        let PlatformShape {
+            processes,
+            seed,
+            workers,
+            max_lease_ms,
+            has_standby,
+        } = shape;
         let settings = directory.join("settings");
-        let workers = 4 + processes / 16;
         let log = directory.join("platform.log");
         let arguments = [
             "platform",
@@ -152,6 +186,8 @@
             &DATA_CENTRES.to_string(),
             "--kept-ids",
             &kept_id_percent(seed).to_string(),
+            "--max-lease-ms",
+            &max_lease_ms.to_string(),
         ];
         let process = SoakProcess::start(&ProcessCommand {
             program: program(),
@@ -179,6 +215,7 @@
             machines: workers * POOLS,
             tenant_limit: TENANT_CPU * (1 + processes as u64 / 25),
             queue_weight: 1 + processes / 40,
+            has_standby,
             version: cell::Cell::new(1),
             waves: cell::Cell::new(0),
             lost: cell::RefCell::default(),
@@ -317,6 +354,13 @@
                 "name": name, "enforcesCapacity": enforces_capacity, "standby": is_standby,
             })
         };
+        let mut services = vec![
+            service("workers", true, false),
+            service("annex", false, false),
+        ];
+        if self.has_standby {
+            services.push(service("standby", false, true));
+        }
         let tenant = |name: &str, key: &str, weight: f64| {
             let limit = if name == LIMITED_TENANT {
                 self.tenant_limit
@@ -334,10 +378,7 @@
                 route("urgent", "workers", 0), route("batch", "workers", 1),
                 route("annex", "annex", 1), advised, extra,
             ],
-            "services": [
-                service("workers", true, false), service("annex", false, false),
-                service("standby", false, true),
-            ],
+            "services": services,
             "tenants": [
                 tenant("inspectors", &self.keys[0], 2.0),
                 tenant(LIMITED_TENANT, &self.keys[1], weight),
@@ -374,7 +415,7 @@
             true => json!({}),
             false => serde_json::Value::Null,
         };
-        let key = format!("evacuate/zone-{}", data_centre + 1);
+        let key = format!("evacuate/{}", data_centre_name(data_centre));
         self.write(&key, &value).await;
     }
 
@@ -407,10 +448,15 @@
         let text = format!(
             "fault = [{{ effect = \"{effect}\", from-seconds = 0.0{machine}{separator}{fields} }}]"
         );
-        self.call("POST", "/stand-in/faults", &text).await;
+        self.add_faults(&text).await;
         true
     }
 
+    /// Adds faults in the platform's format, whose times count from now.
+    pub(crate) async fn add_faults(&self, text: &str) {
+        self.call("POST", "/stand-in/faults", text).await;
+    }
+
     /// Lets the worker of a machine drain and leave.
     pub(crate) async fn drain_worker(&self, worker: usize) {
         self.drains.borrow_mut().push(self.effect_range(DRAIN_MS));
@@ -452,6 +498,11 @@
     }
 }
 
+/// Returns the name of a data centre by its number, from 0.
+pub(crate) fn data_centre_name(number: usize) -> String {
+    format!("zone-{}", number + 1)
+}
+
 fn machine_name(number: usize) -> String {
     format!("machine-{number}")
 }
--- a/crates/node/tests/process_soak/promise.rs
+++ b/crates/node/tests/process_soak/promise.rs
@@ -50,7 +50,9 @@
         let earlier_runs = view.runs[..index].iter();
         for earlier in earlier_runs.filter(|_| !view.speculative) {
             for what in find_pair_problems(input, earlier, run) {
-                report(&format!("{what}: {earlier}, {run}"));
+                let (first, second) = (earlier.run, run.run);
+                let what = format!("{name}: {what}, {first} and {second}");
+                input.report_with(&what, &task.job, format!(": {earlier}; {run}"));
             }
         }
     }
--- a/crates/node/tests/process_soak/view.rs
+++ b/crates/node/tests/process_soak/view.rs
@@ -14,6 +14,10 @@
     pub(crate) run: u32,
     pub(crate) worker: String,
     pub(crate) machine: String,
+    fencing_token: u64,
+    /// Start of the worker and arrival of the order, on the platform's clock.
+    worker_since_ms: f64,
+    received_ms: f64,
     /// Start and end on the platform's clock.
     pub(crate) started_ms: f64,
     pub(crate) ended_ms: Option<f64>,
@@ -36,10 +40,12 @@
 impl fmt::Display for RunView {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         let (run, worker, machine) = (self.run, &self.worker, &self.machine);
-        let started_ms = self.started_ms;
+        let (since_ms, received_ms) = (self.worker_since_ms, self.received_ms);
+        let (started_ms, token) = (self.started_ms, self.fencing_token);
         write!(
             formatter,
-            "run {run} on {worker} ({machine}), {started_ms:.0} ms to "
+            "run {run} on {worker} ({machine}) since {since_ms:.0} ms, order of fence {token} at \
+             {received_ms:.0} ms, {started_ms:.0} ms to "
         )?;
         match (self.ended_ms, &self.how) {
             (Some(ended_ms), Some(how)) => write!(formatter, "{ended_ms:.0} ms, {how}"),
@@ -65,6 +71,7 @@
 #[serde(rename_all = "camelCase")]
 struct MachineView {
     machine: String,
+    zone: String,
     capacity: CapacityView,
 }
 
@@ -146,6 +153,31 @@
         later.next().is_some_and(|(name, _)| name.starts_with(job))
     }
 
+    pub(crate) fn machine_count(&self) -> usize {
+        self.machines.len()
+    }
+
+    /// Returns when the leases of machines expired after a time, by the names of those on
+    /// which runs were lost by that.
+    pub(crate) fn lapses(&self, from_ms: f64, machines: &[usize]) -> BTreeMap<&str, f64> {
+        let names: Vec<&str> = machines
+            .iter()
+            .filter_map(|number| self.machines.get(number - 1))
+            .map(|machine| machine.machine.as_str())
+            .collect();
+        let runs = self.tasks.values().flat_map(|task| &task.runs);
+        let lapsed = runs.filter(|run| run.is("lapsed") && names.contains(&run.machine.as_str()));
+        let lapses = lapsed.filter_map(|run| Some((run.machine.as_str(), run.ended_ms?)));
+        lapses.filter(|(_, at)| *at > from_ms).collect()
+    }
+
+    /// Returns the numbers of the machines in a data centre, from 1.
+    pub(crate) fn machines_in(&self, data_centre: &str) -> Vec<usize> {
+        let machines = self.machines.iter().zip(1..);
+        let found = machines.filter(|(machine, _)| machine.zone == data_centre);
+        found.map(|(_, number)| number).collect()
+    }
+
     /// Returns the CPU of a machine.
     pub(crate) fn capacity(&self, machine: &str) -> Option<i64> {
         let mut machines = self.machines.iter();
