Ask a worker again whose clock has gone back, and ignore a report without an incarnation

A rejected start whose response had an earlier clock left an idle worker without a reading, and nobody asked it again: it got no work. It counts as not in contact now, and gets a renewal. A report without born says nothing about the present incarnation.

--- a/crates/jobs/src/scheduler/confirmation.rs
+++ b/crates/jobs/src/scheduler/confirmation.rs
@@ -14,7 +14,7 @@
 use crate::worker::{OrderResponse, WorkerOrder};
 
 use super::clock_reading::ClockReading;
-use super::fleet::{RunReservation, WorkerEntry};
+use super::fleet::{ContactState, RunReservation, WorkerEntry};
 use super::late_lease::LateLeases;
 use super::{JobScheduler, SchedulerSettings, WorkerStatus};
 
@@ -120,6 +120,8 @@
             .map(|reading| reading.least_in_response(order.issued_at, drift));
         if least_ms.is_some_and(|least_ms| clock_ms < least_ms) {
             entry.clock = None;
+            entry.contact = ContactState::Unconfirmed;
+            entry.next_renewal = now;
             entry.late_lease_until = entry.late_lease_until.max(unconfirmed_until);
             self.record_status(worker, WorkerStatus::ClockSetBack);
             return;
--- a/crates/jobs/src/scheduler/report.rs
+++ b/crates/jobs/src/scheduler/report.rs
@@ -60,8 +60,8 @@
     }
 
     /// Returns whether a report is from an incarnation of a worker that another one has
-    /// replaced: it says nothing about its runs, its clock or its leases, and the worker is
-    /// asked again.
+    /// replaced, or does not say which one it is from: it says nothing about the runs, the
+    /// clock or the leases of the present one, and the worker is asked again.
     fn is_report_outdated(
         &mut self,
         order: &WorkerOrder,
@@ -72,7 +72,8 @@
         let Some(entry) = self.fleet.get_mut(&order.worker) else {
             return false;
         };
-        if !entry.earlier_incarnations.contains(&report.incarnation) {
+        let is_unknown = report.incarnation == 0;
+        if !is_unknown && !entry.earlier_incarnations.contains(&report.incarnation) {
             return false;
         }
         if entry.renewal_sent_at == Some(order.issued_at) {
--- a/crates/jobs/tests/clocks_set_back.rs
+++ b/crates/jobs/tests/clocks_set_back.rs
@@ -382,3 +382,19 @@
     fleet.advance(WORK_LIMIT_MS);
     assert_eq!(fleet.state(&next), JobState::Completed);
 }
+
+/// Guards against a run that is taken for ended (TWICE) because a report does not say which
+/// incarnation it is from.
+#[test]
+fn a_report_without_an_incarnation_ends_no_run() {
+    let (mut fleet, worker) = busy_fleet(2);
+    let token = fleet.worker(worker.as_str()).fencing_token;
+    let report = RenewalReport {
+        incarnation: 0,
+        ..empty_report(&mut fleet, &worker)
+    };
+    report_late(&mut fleet, &worker, &report, token);
+    watch(&mut fleet, WATCH_MS);
+    assert_eq!(fleet.starts.len(), 1);
+    assert!(fleet.worker(worker.as_str()).running.len() == 1);
+}
--- a/crates/jobs/tests/restarted_workers.rs
+++ b/crates/jobs/tests/restarted_workers.rs
@@ -540,3 +540,52 @@
     assert_eq!(fleet.starts.len(), before + 1, "{:?}", fleet.starts);
     assert_eq!(fleet.state(&job), JobState::Completed);
 }
+
+/// Guards against a storm of calls when many workers start again at once, and against workers that
+/// then wait for work.
+#[test]
+fn workers_that_return_together_get_few_calls_and_work_within_seconds() {
+    const WORKERS: usize = 80;
+    let mut fleet = FakeFleet::of_size(WORKERS, 8_000);
+    fleet.advance(20_000);
+    let before = fleet.renewal_count;
+    for number in 0..WORKERS {
+        fleet.restart_worker(&format!("w{number}"));
+    }
+    fleet.advance(3_000);
+    let calls = fleet.renewal_count - before;
+    assert!(calls <= 2 * WORKERS, "{calls} calls");
+    let job = fleet.submit("j", vec![step_spec(WORKERS as u32 * 8, 1_000)], 300);
+    fleet.advance(1_000);
+    assert_eq!(fleet.state(&job), JobState::Completed);
+}
+
+/// Guards against the opposite: a worker waits longer for its next task because it has started
+/// again.
+#[test]
+fn a_worker_that_returns_gets_its_next_task_at_once() {
+    let mut fleet = busy_fleet();
+    fleet.restart_worker("w0");
+    let returned_at = fleet.now;
+    fleet.advance(300);
+    assert_eq!(fleet.starts.len(), 2);
+    let wait = fleet.starts[1].3.saturating_since(returned_at);
+    assert!(wait < time::Duration::from_millis(100), "{wait:?}");
+}
+
+/// Guards against a worker that gets no work any more since a response had an earlier clock,
+/// although the same incarnation goes on.
+#[test]
+fn a_worker_whose_clock_went_back_once_gets_work_again() {
+    let mut fleet = FakeFleet::of_size(1, 8_000);
+    fleet.advance(20_000);
+    let first = fleet.submit("first", vec![step_spec(1, 1_000)], 300);
+    let start = fleet.hold_back(20, |action| matches!(action, OrderAction::Start { .. }));
+    fleet.scheduler.cancel(&first, fleet.now);
+    fleet.worker("w0").first_clock_ms -= 20_000;
+    fleet.send_order(&start);
+    fleet.advance(1_000);
+    let next = fleet.submit("next", vec![step_spec(8, 1_000)], 300);
+    fleet.advance(2_000);
+    assert_eq!(fleet.state(&next), JobState::Completed);
+}
