Kill the owner once the returned workers have runs again

In the rounds with a takeover, owner and workers had fixed times.

The owner is killed once four fifths of the workers have runs, and the cut begins 0.5 s after another one is the owner.

--- a/crates/node/tests/process_soak/recut.rs
+++ b/crates/node/tests/process_soak/recut.rs
@@ -46,6 +46,15 @@
 /// Number of long tasks for each worker, so that most are idle.
 const IDLE_LOAD: f64 = 0.1;
 
+/// Time in which workers that have returned get runs.
+const BUSY_LIMIT: time::Duration = time::Duration::from_millis(1_500);
+
+/// Time in which a new owner is in contact with all workers.
+const CONTACT_TIME: time::Duration = time::Duration::from_millis(500);
+
+/// Time between two looks at owner and workers.
+const POLL_INTERVAL: time::Duration = time::Duration::from_millis(30);
+
 /// Time before the crash for which orders may be late.
 const LEAD_MS: u64 = 1_500;
 
@@ -118,6 +127,9 @@
     burst_ms: Option<u64>,
     /// Time from the beginning of the round to the end of the owner, if it is killed.
     kill_ms: Option<u64>,
+    /// Whether the cut awaits the contact of a next owner with workers that have runs again,
+    /// instead of its time.
+    has_takeover: bool,
 }
 
 impl SeriesRound {
@@ -160,14 +172,13 @@
             kill_ms: rng
                 .random_bool(0.5)
                 .then(|| rng.random_range(LEAD_MS / 2..end_ms)),
+            has_takeover: false,
         }
     }
 
     /// Draws a round in which the owner is killed between the return and the cut.
     fn draw_takeover(rng: &mut StdRng) -> Self {
         let down_ms = rng.random_range(300..1_300);
-        let kill_after_ms = rng.random_range(900..1_300);
-        let reach_ms = kill_after_ms + rng.random_range(2_000..2_600);
         Self {
             scope: RoundScope::DataCentre(rng.random_range(0..DATA_CENTRES)),
             down_ms,
@@ -178,10 +189,11 @@
                 share: 0.9,
                 delay_ms: down_ms + 500,
             }],
-            reach_ms,
+            reach_ms: 0,
             cut_ms: rng.random_range(10_500..12_000),
             burst_ms: None,
-            kill_ms: Some(LEAD_MS + down_ms + kill_after_ms),
+            kill_ms: None,
+            has_takeover: true,
         }
     }
 
@@ -200,6 +212,7 @@
             cut_ms: rng.random_range(10_500..12_000),
             burst_ms: Some(0),
             kill_ms: None,
+            has_takeover: false,
         }
     }
 
@@ -208,10 +221,19 @@
         time::Duration::from_millis(LEAD_MS + self.down_ms + self.reach_ms)
     }
 
-    /// Returns the faults of one machine in the platform's format.
+    /// Returns the cut of one machine in the platform's format, some time from now.
+    fn cut(&self, machine: usize, after: time::Duration) -> String {
+        let from = after.as_secs_f64();
+        let to = from + self.cut_ms as f64 / 1_000.0;
+        format!(
+            "{{ effect = \"cut\", machine = {machine}, from-seconds = {from:?}, to-seconds = {to:?} }},\n"
+        )
+    }
+
+    /// Returns the faults of one machine in the platform's format, without the cut.
     fn faults(&self, machine: usize) -> String {
         let seconds = |ms: u64| ms as f64 / 1_000.0;
-        let (returned_ms, cut_at) = (LEAD_MS + self.down_ms, self.cut_at().as_secs_f64());
+        let returned_ms = LEAD_MS + self.down_ms;
         let late = self.late.iter().map(|late| {
             format!(
                 "{{ effect = \"late\", target = \"workers\", machine = {machine}, from-seconds = {:?}, \
@@ -230,11 +252,7 @@
             self.born_step_ms,
             self.report_ms
         );
-        let cut = format!(
-            "{{ effect = \"cut\", machine = {machine}, from-seconds = {cut_at:?}, to-seconds = {:?} }},\n",
-            cut_at + seconds(self.cut_ms)
-        );
-        late.chain([crash, cut]).collect()
+        late.chain([crash]).collect()
     }
 }
 
@@ -292,13 +310,12 @@
             view.machines_in(&name)
         }
     };
-    let begun_ms = cluster.platform.view().await.now_ms;
-    let faults = machines.iter().map(|machine| round.faults(*machine));
-    let faults: String = faults.collect();
-    cluster
-        .platform
-        .add_faults(&format!("fault = [\n{faults}]"))
-        .await;
+    let begun = timer::Instant::now();
+    let faults = machines.iter().map(|machine| match round.has_takeover {
+        true => round.faults(*machine),
+        false => round.faults(*machine) + &round.cut(*machine, round.cut_at()),
+    });
+    add_faults(cluster, faults.collect()).await;
     let kill = async {
         if let Some(kill_ms) = round.kill_ms {
             timer::sleep(time::Duration::from_millis(kill_ms)).await;
@@ -315,20 +332,69 @@
             burst.await;
         }
     };
-    let cut = time::Duration::from_millis(round.cut_ms).max(LEASE_TIME);
-    tokio::join!(timer::sleep(round.cut_at() + cut), kill, burst);
-    print_leases(cluster, round, begun_ms, &machines).await;
+    let cut = async {
+        let mut killed = None;
+        if round.has_takeover {
+            timer::sleep(time::Duration::from_millis(LEAD_MS + round.down_ms)).await;
+            killed = Some(take_over(cluster, &machines).await);
+            let cuts = machines.iter();
+            let cuts = cuts.map(|machine| round.cut(*machine, time::Duration::ZERO));
+            add_faults(cluster, cuts.collect()).await;
+        } else {
+            timer::sleep_until(begun + round.cut_at()).await;
+        }
+        let cut_ms = cluster.platform.view().await.now_ms;
+        let cut_time = time::Duration::from_millis(round.cut_ms).max(LEASE_TIME);
+        let start = async {
+            if let Some(node) = killed {
+                cluster.start_process(node).await;
+            }
+        };
+        tokio::join!(timer::sleep(cut_time), start);
+        cut_ms
+    };
+    let (cut_ms, (), ()) = tokio::join!(cut, kill, burst);
+    print_leases(cluster, cut_ms, &machines).await;
     cluster.acted_at.set(timer::Instant::now());
 }
 
+async fn add_faults(cluster: &SoakCluster, faults: String) {
+    let text = format!("fault = [\n{faults}]");
+    cluster.platform.add_faults(&text).await;
+}
+
+/// Kills the owner once most of the machines have runs again, and waits until another one is in
+/// contact with their workers. Returns the node that was killed.
+async fn take_over(cluster: &SoakCluster, machines: &[usize]) -> usize {
+    let limit = timer::Instant::now() + BUSY_LIMIT;
+    while timer::Instant::now() < limit {
+        let view = cluster.platform.view().await;
+        if view.busy_count(machines) * 5 > machines.len() * 4 {
+            break;
+        }
+        timer::sleep(POLL_INTERVAL).await;
+    }
+    let owner = loop {
+        match cluster.owner_node().await {
+            Some(node) => break node,
+            None => timer::sleep(POLL_INTERVAL).await,
+        }
+    };
+    println!("{:7.2?} kill {owner}", cluster.started_at.elapsed());
+    cluster.mark_unplanned();
+    cluster.kill_process(owner);
+    loop {
+        timer::sleep(POLL_INTERVAL).await;
+        if cluster.owner_node().await.is_some_and(|node| node != owner) {
+            break;
+        }
+    }
+    timer::sleep(CONTACT_TIME).await;
+    owner
+}
+
 /// Prints how many workers had runs at the cut, and for how long these went on.
-async fn print_leases(
-    cluster: &SoakCluster,
-    round: &SeriesRound,
-    begun_ms: f64,
-    machines: &[usize],
-) {
-    let cut_ms = begun_ms + round.cut_at().as_secs_f64() * 1_000.0;
+async fn print_leases(cluster: &SoakCluster, cut_ms: f64, machines: &[usize]) {
     let view = cluster.platform.later_view().await;
     let lapses = view.lapses(cut_ms, machines);
     let last_ms = lapses.values().copied().fold(0.0, f64::max);
--- a/crates/node/tests/process_soak/view.rs
+++ b/crates/node/tests/process_soak/view.rs
@@ -73,6 +73,8 @@
     machine: String,
     zone: String,
     capacity: CapacityView,
+    /// Active runs with their numbers.
+    running: Vec<(String, u32)>,
 }
 
 /// Wave as the operator requested it.
@@ -157,6 +159,16 @@
         self.machines.len()
     }
 
+    /// Returns how many of the machines have runs.
+    pub(crate) fn busy_count(&self, machines: &[usize]) -> usize {
+        let machines = machines
+            .iter()
+            .filter_map(|number| self.machines.get(number - 1));
+        machines
+            .filter(|machine| !machine.running.is_empty())
+            .count()
+    }
+
     /// Returns when the leases of machines expired after a time, by the names of those on
     /// which runs were lost by that.
     pub(crate) fn lapses(&self, from_ms: f64, machines: &[usize]) -> BTreeMap<&str, f64> {
