Cut returned workers off once the next owner is in contact with them

In the rounds with a takeover, the cut began a fixed time after another process was the owner; beside load, none of the workers had had contact with it by then, and the test passed on the fault that it is for.

The platform shows the highest fencing token that each worker has seen. The cut begins 0.2 s after all workers that have returned have seen one of the next owner. Each wait ends after 2.5 s.

--- a/crates/node/tests/process_soak/recut.rs
+++ b/crates/node/tests/process_soak/recut.rs
@@ -46,11 +46,11 @@
 /// Number of long tasks for each worker, so that most are idle.
 const IDLE_LOAD: f64 = 0.1;
 
-/// Time in which workers that have returned get runs.
-const BUSY_LIMIT: time::Duration = time::Duration::from_millis(1_500);
+/// Longest time that a round waits for a state of the workers or the owner.
+const WAIT_LIMIT: time::Duration = time::Duration::from_millis(2_500);
 
-/// Time in which a new owner is in contact with all workers.
-const CONTACT_TIME: time::Duration = time::Duration::from_millis(500);
+/// Time in which a response of a worker is received.
+const RESPONSE_TIME: time::Duration = time::Duration::from_millis(200);
 
 /// Time between two looks at owner and workers.
 const POLL_INTERVAL: time::Duration = time::Duration::from_millis(30);
@@ -336,7 +336,7 @@
         let mut killed = None;
         if round.has_takeover {
             timer::sleep(time::Duration::from_millis(LEAD_MS + round.down_ms)).await;
-            killed = Some(take_over(cluster, &machines).await);
+            killed = take_over(cluster, &machines).await;
             let cuts = machines.iter();
             let cuts = cuts.map(|machine| round.cut(*machine, time::Duration::ZERO));
             add_faults(cluster, cuts.collect()).await;
@@ -365,32 +365,28 @@
 
 /// Kills the owner once most of the machines have runs again, and waits until another one is in
 /// contact with their workers. Returns the node that was killed.
-async fn take_over(cluster: &SoakCluster, machines: &[usize]) -> usize {
-    let limit = timer::Instant::now() + BUSY_LIMIT;
-    while timer::Instant::now() < limit {
-        let view = cluster.platform.view().await;
-        if view.busy_count(machines) * 5 > machines.len() * 4 {
-            break;
-        }
-        timer::sleep(POLL_INTERVAL).await;
-    }
-    let owner = loop {
-        match cluster.owner_node().await {
-            Some(node) => break node,
-            None => timer::sleep(POLL_INTERVAL).await,
-        }
-    };
+async fn take_over(cluster: &SoakCluster, machines: &[usize]) -> Option<usize> {
+    let platform = &cluster.platform;
+    let most = machines.len() * 4 / 5;
+    wait_until(async || platform.view().await.busy_count(machines) > most).await;
+    wait_until(async || cluster.owner_node().await.is_some()).await;
+    let owner = cluster.owner_node().await?;
     println!("{:7.2?} kill {owner}", cluster.started_at.elapsed());
     cluster.mark_unplanned();
     cluster.kill_process(owner);
-    loop {
+    let token = platform.view().await.last_token();
+    wait_until(async || platform.view().await.fenced_count(machines, token) == machines.len())
+        .await;
+    timer::sleep(RESPONSE_TIME).await;
+    Some(owner)
+}
+
+/// Waits for some time until a state is reached.
+async fn wait_until(is_reached: impl AsyncFn() -> bool) {
+    let end = timer::Instant::now() + WAIT_LIMIT;
+    while timer::Instant::now() < end && !is_reached().await {
         timer::sleep(POLL_INTERVAL).await;
-        if cluster.owner_node().await.is_some_and(|node| node != owner) {
-            break;
-        }
     }
-    timer::sleep(CONTACT_TIME).await;
-    owner
 }
 
 /// Prints how many workers had runs at the cut, and for how long these went on.
--- a/crates/node/tests/process_soak/view.rs
+++ b/crates/node/tests/process_soak/view.rs
@@ -73,6 +73,8 @@
     machine: String,
     zone: String,
     capacity: CapacityView,
+    /// Highest fencing token that the worker has seen.
+    fencing_token: u64,
     /// Active runs with their numbers.
     running: Vec<(String, u32)>,
 }
@@ -159,24 +161,37 @@
         self.machines.len()
     }
 
+    /// Returns the views of machines by their numbers.
+    fn select(&self, machines: &[usize]) -> impl Iterator<Item = &MachineView> {
+        let numbers = machines.iter();
+        numbers.filter_map(|number| self.machines.get(number - 1))
+    }
+
     /// Returns how many of the machines have runs.
     pub(crate) fn busy_count(&self, machines: &[usize]) -> usize {
-        let machines = machines
-            .iter()
-            .filter_map(|number| self.machines.get(number - 1));
-        machines
-            .filter(|machine| !machine.running.is_empty())
+        let busy = self.select(machines);
+        busy.filter(|machine| !machine.running.is_empty()).count()
+    }
+
+    /// Returns the highest fencing token that a worker has seen.
+    pub(crate) fn last_token(&self) -> u64 {
+        let tokens = self.machines.iter().map(|machine| machine.fencing_token);
+        tokens.max().unwrap_or(0)
+    }
+
+    /// Returns how many of the machines have seen a token higher than `token`.
+    pub(crate) fn fenced_count(&self, machines: &[usize], token: u64) -> usize {
+        let fenced = self.select(machines);
+        fenced
+            .filter(|machine| machine.fencing_token > token)
             .count()
     }
 
     /// Returns when the leases of machines expired after a time, by the names of those on
     /// which runs were lost by that.
     pub(crate) fn lapses(&self, from_ms: f64, machines: &[usize]) -> BTreeMap<&str, f64> {
-        let names: Vec<&str> = machines
-            .iter()
-            .filter_map(|number| self.machines.get(number - 1))
-            .map(|machine| machine.machine.as_str())
-            .collect();
+        let names = self.select(machines);
+        let names: Vec<&str> = names.map(|machine| machine.machine.as_str()).collect();
         let runs = self.tasks.values().flat_map(|task| &task.runs);
         let lapsed = runs.filter(|run| run.is("lapsed") && names.contains(&run.machine.as_str()));
         let lapses = lapsed.filter_map(|run| Some((run.machine.as_str(), run.ended_ms?)));
