List two tests of returned workers that run tasks twice

A new owner reads one end of the leases for more than 64 workers, and forgets it at the first response of each. 100 workers of a data centre return, the owner is killed, the next one is in contact with them, they are cut off: 15 tasks start 5 s later, while their first runs go on for 7.7 s after the cut, under leases from orders for the former incarnations.

A start with the fence and the clock of the incarnation before begins a run on the next one, before its first registration, with the longest lease; after the cut its task starts elsewhere 5 s later: 2 tasks, 2 to 10 s before the end of the first run.

--- a/crates/node/tests/process_soak.rs
+++ b/crates/node/tests/process_soak.rs
@@ -229,6 +229,33 @@
     assert_eq!(failures, 0);
 }
 
+/// More workers return than the owner row names one by one; the next owner is in contact with
+/// them before they are cut off.
+#[test]
+fn a_new_owner_awaits_the_late_leases_of_many_workers() {
+    let failures = run_recut(SeriesShape {
+        seed: 1,
+        processes: 3,
+        workers: 100,
+        duration: time::Duration::ZERO,
+        rounds: RoundChoice::Takeover,
+    });
+    assert_eq!(failures, 0);
+}
+
+/// The start has the fence and the clock of the incarnation before.
+#[test]
+fn a_start_that_the_next_incarnation_gets_first_runs_no_task_twice() {
+    let failures = run_recut(SeriesShape {
+        seed: 1,
+        processes: 3,
+        workers: 40,
+        duration: time::Duration::ZERO,
+        rounds: RoundChoice::Idle,
+    });
+    assert_eq!(failures, 0);
+}
+
 /// `SOAK_ROUNDS` selects rounds that are not drawn: `takeover` or `idle`.
 #[test]
 #[ignore = "takes as long as its environment variables say"]
