Assume that orders are carried out up to 14 s late

An order waits up to 1.2 s in its queue before it is sent, and is carried out up to 12 s later; 13 s were 0.2 s short (found by review, read only).

--- a/crates/jobs/src/scheduler/mod.rs
+++ b/crates/jobs/src/scheduler/mod.rs
@@ -212,7 +212,7 @@
         Self {
             lease: time::Duration::from_millis(5_000),
             max_lease: time::Duration::from_millis(10_000),
-            max_order_delay: time::Duration::from_millis(13_000),
+            max_order_delay: time::Duration::from_millis(14_000),
             max_response_delay: time::Duration::from_millis(700),
             inherited_lease: time::Duration::from_millis(7_900),
             max_clock_drift: 0.02,
