--- a/crates/engine/tests/common/mod.rs
+++ b/crates/engine/tests/common/mod.rs
@@ -12,7 +12,7 @@
 use redwing_engine::DeploymentServices;
 use redwing_engine::caller::service::{CallerService, CallerSettings, CallerVerb};
 use redwing_engine::clock;
-use redwing_engine::codec::{CallerHead, CallerResponse};
+use redwing_engine::codec::{CallerHead, CallerResponse, DeploymentCodec};
 use redwing_engine::manifest;
 use redwing_engine::metrics::JobMetrics;
 use redwing_engine::owner::{self, OwnerDependencies, OwnerSettings};
@@ -64,6 +64,8 @@
     FirstOfEachJob,
     /// The replies to claims of the ownership, and all later commits.
     AfterClaim,
+    /// All reads of the rows of workers.
+    WorkerReads,
     /// All reads of the rows of operators.
     OperatorReads,
     /// All reads of the rows of operators and of their changes.
@@ -142,6 +144,7 @@
             LostCalls::OperatorReads | LostCalls::OperatorFeed => {
                 product::MANIFEST_KEY.starts_with(prefix)
             }
+            LostCalls::WorkerReads => prefix == ProductCodec.worker_prefix(),
             LostCalls::OnceEach { read } if prefix == row::OWNER_KEY => {
                 self.owner_calls.borrow_mut().is_read_lost(read)
             }
--- a/crates/engine/tests/takeover.rs
+++ b/crates/engine/tests/takeover.rs
@@ -133,6 +133,50 @@
     });
 }
 
+/// Guards against the same if the successor stops before it has read the rows of workers: it has
+/// written the owner row meanwhile.
+#[test]
+fn a_successor_that_still_reads_rows_passes_the_long_lease_of_a_worker_on() {
+    run_test(async {
+        let cluster = TestCluster::start(3, time::Duration::from_secs(60)).await;
+        let workers = cluster.workers.ids();
+        let (lost, others) = workers.split_first().expect("there are workers");
+        for worker in others {
+            cluster.lose_worker(worker);
+        }
+        let owner = cluster.owner().await;
+        assert_eq!(cluster.submit(0, "a", 1).await, CallerResponse::Accepted);
+        cluster.wait_starts(1).await;
+        cluster.workers.crash(lost);
+        cluster.workers.renew_late(lost);
+        let listed = cluster.workers.register(&cluster.platform).await;
+        listed.expect("the table is up");
+        cluster.wait_starts(2).await;
+        cluster.lose_worker(lost);
+        cluster.lost_calls.set(LostCalls::WorkerReads);
+        cluster.processes[cluster.process_index(&owner)]
+            .owner
+            .abort();
+        let mut reading = cluster.owner_above(owner.fencing_token).await;
+        assert_ne!(reading.late_leases, LateLeaseTimes::default());
+        while reading.change == 0 {
+            timer::sleep(time::Duration::from_millis(10)).await;
+            reading = cluster.owner_above(owner.fencing_token).await;
+        }
+        cluster.processes[cluster.process_index(&reading)].stop();
+        cluster.lost_calls.set(LostCalls::None);
+        cluster.owner_above(reading.fencing_token).await;
+        for worker in others {
+            cluster.workers.set_fault(worker, WorkerFault::default());
+        }
+        for _ in 0..1_500 {
+            timer::sleep(time::Duration::from_millis(10)).await;
+            cluster.assert_no_double_run();
+        }
+        assert_eq!(cluster.workers.starts().len(), 3);
+    });
+}
+
 /// Guards against the same after the successor has been in contact with the workers, if there are
 /// more of them than the owner row names one by one.
 #[test]
--- a/crates/jobs/tests/common/mod.rs
+++ b/crates/jobs/tests/common/mod.rs
@@ -15,7 +15,7 @@
 use redwing_jobs::change_order::ChangePurpose;
 use redwing_jobs::name::{CustomerName, DataCentre, PoolName, QueueName};
 use redwing_jobs::scheduler::{
-    AdviceRequest, AdviceResponse, ChangeSet, FleetHealth, InheritedLeases, LeaseEnds,
+    AdviceRequest, AdviceResponse, ChangeSet, FleetHealth, InheritedLeases, LateLeases, LeaseEnds,
     PreviousOwner, ProgressRow, RowFit, SchedulerEvent, StoredAdvice, WorkerPermit,
 };
 use redwing_jobs::spec::StepSpec;
@@ -37,6 +37,9 @@
 /// Simulated time between two ticks.
 pub(crate) const TICK_INTERVAL: time::Duration = time::Duration::from_millis(10);
 
+/// Time after which an owner stores a change although nothing has changed.
+const OWNER_RENEWAL_INTERVAL: time::Duration = time::Duration::from_millis(350);
+
 /// Scheduler and its workers in simulated time.
 pub(crate) struct FakeFleet {
     pub(crate) scheduler: JobScheduler,
@@ -55,6 +58,10 @@
     /// Health of workers and permits that the latest owner had stored when it ended.
     stored_health: FleetHealth,
     stored_advice: Vec<StoredAdvice>,
+    /// Long and unconfirmed leases that the latest change states.
+    stated_leases: [LateLeases; 2],
+    /// When the latest change was stored.
+    stored_at: BootTime,
     /// Whether the table accepts writes.
     pub(crate) is_table_up: bool,
     /// Largest number of bytes of progress in one change.
@@ -152,6 +159,8 @@
             lease_end_writes: 0,
             stored_health: FleetHealth::default(),
             stored_advice: Vec::new(),
+            stated_leases: <[LateLeases; 2]>::default(),
+            stored_at: now,
             is_table_up: true,
             change_bytes: usize::MAX,
             refused_changes: 0,
@@ -307,9 +316,14 @@
     }
 
     fn store_changes(&mut self) {
-        if !self.is_table_up || !self.scheduler.has_changes() {
+        let is_due = self.now.saturating_since(self.stored_at) >= OWNER_RENEWAL_INTERVAL;
+        if !self.is_table_up || !(is_due || self.scheduler.has_changes()) {
             return;
         }
+        let stated = [
+            self.scheduler.late_leases(self.now),
+            self.scheduler.unconfirmed_leases(self.now),
+        ];
         let changes = self.take_changes();
         if self.refused_changes > 0 {
             self.refused_changes -= 1;
@@ -324,6 +338,8 @@
             self.lease_ends.clone_from(ends);
             self.lease_end_writes += 1;
         }
+        self.stated_leases = stated;
+        self.stored_at = self.now;
         self.scheduler.changes_stored(&changes, self.now);
     }
 
@@ -372,8 +388,8 @@
         let inherited = InheritedLeases {
             until: previous.leases_until(&settings),
             workers: self.lease_ends.clone(),
-            late: self.scheduler.late_leases(self.now),
-            unconfirmed: self.scheduler.unconfirmed_leases(self.now),
+            late: self.stated_leases[0].clone(),
+            unconfirmed: self.stated_leases[1].clone(),
             orders_until: Some(previous.orders_until(&settings)),
         };
         self.stored_health = self.scheduler.fleet_health(self.now);
