Add failing tests of late starts after a takeover and after two restarts

A listed incarnation that its owner cannot reach carries a start out seconds late: sent by the owner before, or for the incarnation before the last. FakeFleet can release the ownership.

--- a/crates/jobs/tests/common/mod.rs
+++ b/crates/jobs/tests/common/mod.rs
@@ -62,6 +62,8 @@
     stated_leases: [LateLeases; 2],
     /// When the latest change was stored.
     stored_at: BootTime,
+    /// Whether the owner has released the ownership.
+    has_released: bool,
     /// Whether the table accepts writes.
     pub(crate) is_table_up: bool,
     /// Largest number of bytes of progress in one change.
@@ -161,6 +163,7 @@
             stored_advice: Vec::new(),
             stated_leases: <[LateLeases; 2]>::default(),
             stored_at: now,
+            has_released: false,
             is_table_up: true,
             change_bytes: usize::MAX,
             refused_changes: 0,
@@ -376,13 +379,27 @@
         self.finish_take_over();
     }
 
+    /// Stores the change that releases the ownership; no order is sent after it.
+    pub(crate) fn release(&mut self) {
+        self.scheduler.prepare_release(self.now);
+        self.stated_leases = [
+            self.scheduler.late_leases(self.now),
+            self.scheduler.unconfirmed_leases(self.now),
+        ];
+        let changes = self.scheduler.begin_changes(self.now);
+        if let Some(ends) = changes.lease_ends {
+            self.lease_ends = ends;
+        }
+        self.has_released = true;
+    }
+
     /// Replaces the scheduler by that of a new owner, which has not read the rows of
     /// jobs yet.
     pub(crate) fn begin_take_over(&mut self, settings: SchedulerSettings) {
         self.fencing_token += 1;
         let previous = PreviousOwner {
             unchanged_since: self.now,
-            has_ended: false,
+            has_ended: std::mem::take(&mut self.has_released),
             earlier_leases_left: Some(time::Duration::ZERO),
         };
         let inherited = InheritedLeases {
--- a/crates/jobs/tests/unanswered_starts.rs
+++ b/crates/jobs/tests/unanswered_starts.rs
@@ -6,7 +6,6 @@
 use std::time;
 
 use common::{FakeFleet, FakeWorker, step_spec};
-use redwing_jobs::scheduler::{InheritedLeases, PreviousOwner};
 use redwing_jobs::worker::{OrderAction, OrderOutcome, OrderResponse, WorkerOrder};
 use redwing_jobs::{BootTime, JobState, SchedulerSettings};
 use rstest::rstest;
@@ -260,23 +259,8 @@
 fn a_new_owner_waits_for_a_start_that_was_sent_just_before_the_release() {
     let mut fleet = fleet_with_starts_in_flight(1);
     fleet.worker("w0").view.incarnation -= 1;
-    let settings = SchedulerSettings::default();
-    let previous = PreviousOwner {
-        unchanged_since: fleet.now,
-        has_ended: true,
-        earlier_leases_left: Some(time::Duration::ZERO),
-    };
-    fleet.scheduler.prepare_release(fleet.now);
-    let inherited = InheritedLeases {
-        until: previous.leases_until(&settings),
-        workers: fleet.lease_ends.clone(),
-        late: fleet.scheduler.late_leases(fleet.now),
-        unconfirmed: fleet.scheduler.unconfirmed_leases(fleet.now),
-        orders_until: Some(previous.orders_until(&settings)),
-    };
-    fleet.begin_take_over(settings);
-    fleet.scheduler.inherit_leases(inherited);
-    fleet.finish_take_over();
+    fleet.release();
+    fleet.take_over(SchedulerSettings::default());
     add_worker(&mut fleet, "w1");
     watch(&mut fleet);
     assert_eq!(fleet.starts.len(), 2, "{:?}", fleet.starts);
@@ -302,3 +286,54 @@
     add_worker(&mut fleet, "w1");
     watch(&mut fleet);
 }
+
+/// Guards against a late start on a listed incarnation that cannot be reached, under an owner
+/// that has taken over since the start was sent.
+#[rstest]
+#[case::after_2_s(2_000)]
+#[case::after_8_s(8_000)]
+fn a_new_owner_waits_for_a_late_start_on_a_listed_incarnation(
+    #[case] delay_ms: u64,
+    #[values(false, true)] is_listed_before: bool,
+) {
+    let mut fleet = FakeFleet::of_size(2, 8_000);
+    fleet.advance(20_000);
+    fleet.submit("j", vec![step_spec(1, 1_000)], 60_000);
+    let start = fleet.lose_start();
+    let worker = start.worker.clone();
+    let due = start.issued_at + time::Duration::from_millis(delay_ms);
+    fleet.advance(50);
+    let now = fleet.now;
+    fleet.worker(worker.as_str()).restart(now);
+    fleet.worker(worker.as_str()).is_unresponsive = true;
+    let view = fleet.worker(worker.as_str()).view.clone();
+    if is_listed_before {
+        fleet.scheduler.worker_listed(view.clone(), now);
+        fleet.advance(50);
+    } else {
+        fleet.worker(worker.as_str()).view.incarnation -= 1;
+    }
+    fleet.take_over(SchedulerSettings::default());
+    fleet.worker(worker.as_str()).view = view.clone();
+    fleet.advance(50);
+    fleet.scheduler.worker_listed(view, fleet.now);
+    fleet.delayed_orders.push((due, start));
+    watch(&mut fleet);
+}
+
+/// Guards against the same, if the worker starts again twice before it carries the start out.
+#[test]
+fn a_late_start_on_the_incarnation_after_the_next_is_waited_for() {
+    let mut fleet = FakeFleet::of_size(2, 8_000);
+    fleet.advance(20_000);
+    fleet.submit("j", vec![step_spec(1, 1_000)], 60_000);
+    let start = fleet.lose_start();
+    let worker = start.worker.clone();
+    let due = start.issued_at + time::Duration::from_millis(9_000);
+    fleet.restart_worker(worker.as_str());
+    fleet.worker(worker.as_str()).is_unresponsive = true;
+    fleet.advance(1_000);
+    fleet.restart_worker(worker.as_str());
+    fleet.delayed_orders.push((due, start));
+    watch(&mut fleet);
+}
