Add a failing test of a start that waits for a report without need

A worker that has responded since it started again rejects what was sent before, but starts on it wait for a fresh report for 13 s after a lost start.

--- a/crates/jobs/tests/unanswered_starts.rs
+++ b/crates/jobs/tests/unanswered_starts.rs
@@ -337,3 +337,27 @@
     fleet.delayed_orders.push((due, start));
     watch(&mut fleet);
 }
+
+/// Guards against starts that wait for a report of a worker without need: it has started again
+/// since the start that had no response, and has responded, so that it rejects earlier orders.
+#[rstest]
+#[case::with_a_lost_start(true)]
+#[case::without_a_lost_start(false)]
+fn a_start_on_a_worker_that_has_started_again_and_responded_waits_for_no_report(
+    #[case] is_lost: bool,
+) {
+    let mut fleet = FakeFleet::of_size(1, 8_000);
+    fleet.advance(20_000);
+    fleet.submit("first", vec![step_spec(1, 1_000)], 300);
+    if is_lost {
+        fleet.lose_start();
+    } else {
+        fleet.advance(20);
+    }
+    fleet.restart_worker("w0");
+    fleet.advance(3_000);
+    let before = fleet.starts.len();
+    fleet.submit("j", vec![step_spec(1, 1_000)], 300);
+    advance_slowly(&mut fleet, 250, 150);
+    assert_eq!(fleet.starts.len(), before + 1);
+}
