--- a/crates/jobs/tests/unanswered_starts.rs
+++ b/crates/jobs/tests/unanswered_starts.rs
@@ -361,3 +361,31 @@
     advance_slowly(&mut fleet, 250, 150);
     assert_eq!(fleet.starts.len(), before + 1);
 }
+
+/// Guards against the opposite: the task of a worker that is lost with its owner waits longer,
+/// beyond the 9 s after which it counts as lost, because starts on many others were in flight.
+#[rstest]
+#[case::few(10)]
+#[case::more_than_the_row_names(70)]
+fn a_task_waits_no_longer_because_many_other_starts_were_in_flight(#[case] others: u32) {
+    let mut fleet = FakeFleet::of_size(72, 8_000);
+    fleet.advance(20_000);
+    fleet.submit("long", vec![step_spec(1, 8_000)], 60_000);
+    fleet.advance(500);
+    let lost = fleet.starts[0].2.clone();
+    fleet.submit("others", vec![step_spec(others, 8_000)], 60_000);
+    fleet.held_orders = Some(Vec::new());
+    // A change is stored meanwhile.
+    fleet.advance(400);
+    fleet.worker(lost.as_str()).is_unresponsive = true;
+    fleet.send_held();
+    let lost_at = fleet.now;
+    fleet.take_over(SchedulerSettings::default());
+    let before = fleet.starts.len();
+    while fleet.starts.len() == before {
+        fleet.advance(10);
+        fleet.assert_no_double_run();
+    }
+    let wait = fleet.now.saturating_since(lost_at);
+    assert!(wait < time::Duration::from_secs(9), "{wait:?}");
+}
