--- a/crates/jobs/tests/common/mod.rs
+++ b/crates/jobs/tests/common/mod.rs
@@ -15,7 +15,7 @@
 use redwing_jobs::change_order::ChangePurpose;
 use redwing_jobs::name::{CustomerName, DataCentre, PoolName, QueueName};
 use redwing_jobs::scheduler::{
-    AdviceRequest, AdviceResponse, ChangeSet, FleetHealth, InheritedLeases, LeaseEnds,
+    AdviceRequest, AdviceResponse, ChangeSet, FleetHealth, InheritedLeases, LateLeases, LeaseEnds,
     PreviousOwner, ProgressRow, RowFit, SchedulerEvent, StoredAdvice, WorkerPermit,
 };
 use redwing_jobs::spec::StepSpec;
@@ -37,6 +37,9 @@
 /// Simulated time between two ticks.
 pub(crate) const TICK_INTERVAL: time::Duration = time::Duration::from_millis(10);
 
+/// Time after which an owner stores a change although nothing has changed.
+const OWNER_RENEWAL_INTERVAL: time::Duration = time::Duration::from_millis(350);
+
 /// Scheduler and its workers in simulated time.
 pub(crate) struct FakeFleet {
     pub(crate) scheduler: JobScheduler,
@@ -55,6 +58,12 @@
     /// Health of workers and permits that the latest owner had stored when it ended.
     stored_health: FleetHealth,
     stored_advice: Vec<StoredAdvice>,
+    /// Long and unconfirmed leases that the latest change states.
+    stated_leases: [LateLeases; 2],
+    /// When the latest change was stored.
+    stored_at: BootTime,
+    /// Whether the owner has released the ownership.
+    has_released: bool,
     /// Whether the table accepts writes.
     pub(crate) is_table_up: bool,
     /// Largest number of bytes of progress in one change.
@@ -152,6 +161,9 @@
             lease_end_writes: 0,
             stored_health: FleetHealth::default(),
             stored_advice: Vec::new(),
+            stated_leases: <[LateLeases; 2]>::default(),
+            stored_at: now,
+            has_released: false,
             is_table_up: true,
             change_bytes: usize::MAX,
             refused_changes: 0,
@@ -307,9 +319,14 @@
     }
 
     fn store_changes(&mut self) {
-        if !self.is_table_up || !self.scheduler.has_changes() {
+        let is_due = self.now.saturating_since(self.stored_at) >= OWNER_RENEWAL_INTERVAL;
+        if !self.is_table_up || !(is_due || self.scheduler.has_changes()) {
             return;
         }
+        let stated = [
+            self.scheduler.late_leases(self.now),
+            self.scheduler.unconfirmed_leases(self.now),
+        ];
         let changes = self.take_changes();
         if self.refused_changes > 0 {
             self.refused_changes -= 1;
@@ -324,6 +341,8 @@
             self.lease_ends.clone_from(ends);
             self.lease_end_writes += 1;
         }
+        self.stated_leases = stated;
+        self.stored_at = self.now;
         self.scheduler.changes_stored(&changes, self.now);
     }
 
@@ -360,20 +379,34 @@
         self.finish_take_over();
     }
 
+    /// Stores the change that releases the ownership; no order is sent after it.
+    pub(crate) fn release(&mut self) {
+        self.scheduler.prepare_release(self.now);
+        self.stated_leases = [
+            self.scheduler.late_leases(self.now),
+            self.scheduler.unconfirmed_leases(self.now),
+        ];
+        let changes = self.scheduler.begin_changes(self.now);
+        if let Some(ends) = changes.lease_ends {
+            self.lease_ends = ends;
+        }
+        self.has_released = true;
+    }
+
     /// Replaces the scheduler by that of a new owner, which has not read the rows of
     /// jobs yet.
     pub(crate) fn begin_take_over(&mut self, settings: SchedulerSettings) {
         self.fencing_token += 1;
         let previous = PreviousOwner {
             unchanged_since: self.now,
-            has_ended: false,
+            has_ended: std::mem::take(&mut self.has_released),
             earlier_leases_left: Some(time::Duration::ZERO),
         };
         let inherited = InheritedLeases {
             until: previous.leases_until(&settings),
             workers: self.lease_ends.clone(),
-            late: self.scheduler.late_leases(self.now),
-            unconfirmed: self.scheduler.unconfirmed_leases(self.now),
+            late: self.stated_leases[0].clone(),
+            unconfirmed: self.stated_leases[1].clone(),
             orders_until: Some(previous.orders_until(&settings)),
         };
         self.stored_health = self.scheduler.fleet_health(self.now);
