Keep what is known of a lost start through further restarts, and ask for no needless report

Found by review, each by a test that failed on: a second restart forgot that a start may still come (TWICE); a worker that has responded since its restart rejects earlier orders, yet starts there waited for a report; and more than 64 responses on their way were summed up for all workers, so that a task lost together with the owner waited 11.2 s (1,024 are named now, for the moment that they are awaited). Once a clock has gone back, only a report sets it.

--- a/crates/jobs/src/scheduler/confirmation.rs
+++ b/crates/jobs/src/scheduler/confirmation.rs
@@ -173,10 +173,13 @@
             self.note_clock_set_back(worker, now);
             return;
         }
-        entry.clock = Some(ClockReading {
-            clock_ms,
-            read_at: now,
-        });
+        // Once it has gone back, only a report tells whose clock it is.
+        if entry.clock.is_some() || entry.contacted_at.is_none() {
+            entry.clock = Some(ClockReading {
+                clock_ms,
+                read_at: now,
+            });
+        }
     }
 
     /// Notes that a clock has gone back: the worker may have taken the longest lease from the
@@ -206,6 +209,6 @@
                 leases.add(id, until);
             }
         }
-        leases.limited(self.settings.max_late_leases)
+        leases.limited(self.settings.max_unconfirmed_leases)
     }
 }
--- a/crates/jobs/src/scheduler/late_lease.rs
+++ b/crates/jobs/src/scheduler/late_lease.rs
@@ -80,6 +80,7 @@
         }
         entry.contacted_at = Some(now);
         entry.unconfirmed_until = BootTime::default();
+        entry.unanswered_at = None;
         let latest_order = entry
             .earlier_orders_until
             .map(|sent| now.min(sent + max_delay));
--- a/crates/jobs/src/scheduler/lifecycle.rs
+++ b/crates/jobs/src/scheduler/lifecycle.rs
@@ -111,7 +111,7 @@
                 // That incarnation of the worker has ended, but the present one may have
                 // carried the start out.
                 self.count_active(task);
-                self.stop_unreported(worker, task, now, now);
+                self.stop_unreported(worker, task, StartResponse::Received, now);
                 self.count_inherited_crash(worker, task, *run, now);
                 return;
             }
--- a/crates/jobs/src/scheduler/listing.rs
+++ b/crates/jobs/src/scheduler/listing.rs
@@ -155,10 +155,7 @@
         for (task, reservation) in dropped {
             let run = reservation.run;
             if self.is_current(&task, run, id) && !self.is_reported(&task) {
-                let carried_out_by = self
-                    .settings
-                    .start_carried_out_by(reservation.response, now);
-                self.stop_unreported(id, &task, carried_out_by, now);
+                self.stop_unreported(id, &task, reservation.response, now);
             } else {
                 self.drop_run(id, &task, run, RunEndReason::WorkerReplaced);
             }
@@ -181,15 +178,16 @@
             .is_none_or(|entry| entry.phase.is_reported())
     }
 
-    /// Stops a run that the present incarnation of a worker may have, or may get until
-    /// `carried_out_by`, and reserves its capacity until then.
+    /// Stops a run that the present incarnation of a worker may have, or may get later if its
+    /// start had no `response`, and reserves its capacity until then.
     pub(super) fn stop_unreported(
         &mut self,
         id: &WorkerId,
         task: &TaskId,
-        carried_out_by: BootTime,
+        response: StartResponse,
         now: BootTime,
     ) {
+        let carried_out_by = self.settings.start_carried_out_by(response, now);
         let reserved = self.reserved(task);
         let is_long_running = self.is_long_running(task);
         let run = self.task(task).map_or(0, |entry| entry.run);
@@ -212,7 +210,7 @@
             is_long_running,
             caution,
             is_over: false,
-            response: StartResponse::default(),
+            response,
             orphan_stop: None,
         };
         entry.reserve(task.clone(), reservation);
--- a/crates/jobs/src/scheduler/mod.rs
+++ b/crates/jobs/src/scheduler/mod.rs
@@ -153,6 +153,9 @@
     /// Largest number of workers that the owner row names because their leases last longer
     /// than those of orders on time; of more, one end counts for all workers.
     pub max_late_leases: usize,
+    /// The same for the workers whose responses to starts are awaited or missing; they are
+    /// named for a moment only.
+    pub max_unconfirmed_leases: usize,
     /// Time for which a wait must have lasted before it is stored for the next owner.
     pub wait_record_delay: time::Duration,
     /// Time after which stored waits are stored again with the time that they have
@@ -222,6 +225,7 @@
             lease_record_interval: time::Duration::from_millis(1_000),
             max_lease_ends: 2_048,
             max_late_leases: 64,
+            max_unconfirmed_leases: 1_024,
             wait_record_delay: time::Duration::from_millis(1_000),
             wait_record_interval: time::Duration::from_millis(1_000),
             max_stalled_rows: 16,
