--- a/crates/jobs/src/scheduler/confirmation.rs
+++ b/crates/jobs/src/scheduler/confirmation.rs
@@ -92,9 +92,7 @@
     fn longest_lease_after(&self, sent_at: BootTime) -> BootTime {
         sent_at + self.max_response_delay + self.longest_lease_bound()
     }
-}
 
-impl SchedulerSettings {
     /// Returns until when a start may be carried out whose worker is known to have started
     /// again.
     pub(super) fn start_carried_out_by(&self, response: StartResponse, now: BootTime) -> BootTime {
