--- a/crates/jobs/src/scheduler/confirmation.rs
+++ b/crates/jobs/src/scheduler/confirmation.rs
@@ -139,7 +139,7 @@
 
     /// Returns whether a start on a worker needs a report first, although the clock of the
     /// worker is known: the next incarnation may have carried an earlier start out, which
-    /// takes capacity there. The report must come after the start was placed.
+    /// takes capacity there. A report that has just arrived shows it.
     pub(super) fn needs_report(&self, worker: &WorkerId, now: BootTime) -> bool {
         let Some(entry) = self.fleet.get(worker) else {
             return false;
