--- a/crates/jobs/src/scheduler/late_lease.rs
+++ b/crates/jobs/src/scheduler/late_lease.rs
@@ -11,6 +11,7 @@
 use crate::time::BootTime;
 
 use super::JobScheduler;
+use super::fleet::WorkerEntry;
 use super::lease_ledger::LeaseEnds;
 
 /// When leases have expired that last longer than those of orders on time.
@@ -58,8 +59,29 @@
 }
 
 impl JobScheduler {
+    /// Returns the entry of a worker that becomes known now, with what is known of the leases
+    /// and orders of earlier owners.
+    pub(super) fn new_entry(
+        &self,
+        worker: &WorkerId,
+        incarnation: u64,
+        now: BootTime,
+    ) -> WorkerEntry {
+        let inherited = self.inherited.as_ref();
+        let unconfirmed_until = inherited.map(|leases| leases.unconfirmed.end_of(worker));
+        WorkerEntry {
+            incarnation,
+            best_effort_percent: 100,
+            lease_until: self.earlier_leases_until(worker, now),
+            late_lease_until: self.inherited_late_lease(worker),
+            unconfirmed_until: unconfirmed_until.unwrap_or_default(),
+            earlier_orders_until: self.earlier_owners_until(now),
+            ..WorkerEntry::default()
+        }
+    }
+
     /// Returns until when earlier owners may have sent orders; none if there were none.
-    pub(super) fn earlier_owners_until(&self, now: BootTime) -> Option<BootTime> {
+    fn earlier_owners_until(&self, now: BootTime) -> Option<BootTime> {
         match &self.inherited {
             Some(leases) => leases.orders_until,
             None => Some(now + self.settings.inherited_lease),
@@ -107,14 +129,6 @@
         stated.unwrap_or_default()
     }
 
-    /// Returns when the leases of a worker have expired that an incarnation may hold that
-    /// earlier owners did not know of.
-    pub(super) fn inherited_unconfirmed(&self, worker: &WorkerId) -> BootTime {
-        let inherited = self.inherited.as_ref();
-        let stated = inherited.map(|leases| leases.unconfirmed.end_of(worker));
-        stated.unwrap_or_default()
-    }
-
     /// Returns the ends of the leases of workers with runs that last longer than an owner
     /// that is in contact with them would assume.
     pub fn late_leases(&self, now: BootTime) -> LateLeases {
--- a/crates/jobs/src/scheduler/lifecycle.rs
+++ b/crates/jobs/src/scheduler/lifecycle.rs
@@ -117,14 +117,7 @@
             }
             Some(_) => self.assume_incarnation(worker, incarnation, now),
             None => {
-                let entry = WorkerEntry {
-                    incarnation,
-                    best_effort_percent: 100,
-                    late_lease_until: self.inherited_late_lease(worker),
-                    unconfirmed_until: self.inherited_unconfirmed(worker),
-                    earlier_orders_until: self.earlier_owners_until(now),
-                    ..WorkerEntry::default()
-                };
+                let entry = self.new_entry(worker, incarnation, now);
                 self.fleet.insert(worker.clone(), entry);
             }
         }
--- a/crates/jobs/src/scheduler/listing.rs
+++ b/crates/jobs/src/scheduler/listing.rs
@@ -15,22 +15,17 @@
     /// Updates a worker from its entry in the list.
     pub fn worker_listed(&mut self, view: WorkerView, now: BootTime) {
         let id = view.id.clone();
+        let incarnation = view.incarnation;
         let is_draining = view.is_draining;
         if self.fleet.get(&id).is_none_or(|entry| !entry.is_listed) {
-            self.settle_loss(&id, view.incarnation, now);
+            self.settle_loss(&id, incarnation, now);
         }
         let Some(entry) = self.fleet.get_mut(&id) else {
             let entry = WorkerEntry {
-                incarnation: view.incarnation,
                 view: Some(view),
                 is_listed: true,
                 listed_since: now,
-                best_effort_percent: 100,
-                lease_until: self.earlier_leases_until(&id, now),
-                late_lease_until: self.inherited_late_lease(&id),
-                unconfirmed_until: self.inherited_unconfirmed(&id),
-                earlier_orders_until: self.earlier_owners_until(now),
-                ..WorkerEntry::default()
+                ..self.new_entry(&id, incarnation, now)
             };
             self.fleet.insert(id.clone(), entry);
             self.record_status(&id, WorkerStatus::Listed);
@@ -40,7 +35,6 @@
             return;
         };
         let was_draining = entry.is_draining();
-        let incarnation = view.incarnation;
         let order = entry.succession(incarnation);
         match order {
             IncarnationOrder::Earlier => return,
--- a/crates/jobs/src/scheduler/mod.rs
+++ b/crates/jobs/src/scheduler/mod.rs
@@ -10,6 +10,7 @@
 //! - `changes`: jobs with unstored changes, and what waits for their rows
 //! - `choice`: choice of a worker for a task
 //! - `clock_reading`: readings of the clocks of workers
+//! - `confirmation`: which incarnation of a worker has carried out a start
 //! - `crash`: tasks that crash the workers on which they start
 //! - `end_rate`: how often workers end by themselves
 //! - `entry`: jobs, steps and tasks in memory
