--- a/crates/jobs/src/scheduler/fleet.rs
+++ b/crates/jobs/src/scheduler/fleet.rs
@@ -17,10 +17,6 @@
 use super::confirmation::StartResponse;
 use super::entry::StartCaution;
 
-/// Number of replaced incarnations that are remembered of a worker; entries of earlier ones
-/// arrive a moment late.
-const MAX_EARLIER_INCARNATIONS: usize = 8;
-
 /// Whether a worker responds to this owner.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub(super) enum ContactState {
@@ -33,19 +29,6 @@
     Unresponsive,
 }
 
-/// How one incarnation of a worker follows on another.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(super) enum IncarnationOrder {
-    /// They are the same.
-    Same,
-    /// It is earlier.
-    Earlier,
-    /// It is later.
-    Later,
-    /// It is earlier or later: the entry of the other one has not been read.
-    Unknown,
-}
-
 /// Capacity that a run reserves on a worker.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(super) struct RunReservation {
@@ -214,40 +197,11 @@
 
     /// Returns whether the platform's entry describes the present incarnation: another one
     /// may be of a different kind.
-    fn is_view_current(&self) -> bool {
+    pub(super) fn is_view_current(&self) -> bool {
         let view = self.view.as_ref();
         view.is_some_and(|view| view.incarnation == self.incarnation)
     }
 
-    /// Returns how the incarnation of an entry of the list follows on the tracked one. The
-    /// entries come in the order in which they were written; their numbers say nothing, since
-    /// the time of day of a worker may be set.
-    pub(super) fn succession(&self, incarnation: u64) -> IncarnationOrder {
-        if incarnation == self.incarnation {
-            return IncarnationOrder::Same;
-        }
-        if self.earlier_incarnations.contains(&incarnation) {
-            return IncarnationOrder::Earlier;
-        }
-        if self.is_listed_as_tracked() {
-            IncarnationOrder::Later
-        } else {
-            IncarnationOrder::Unknown
-        }
-    }
-
-    /// Returns whether the list of workers names the tracked incarnation, or none.
-    pub(super) fn is_listed_as_tracked(&self) -> bool {
-        self.view.is_none() || self.is_view_current()
-    }
-
-    /// Returns whether the tracked incarnation is taken to be later than another one in a
-    /// stored row: it has said so itself, or it is from a row as well and has a higher number.
-    pub(super) fn is_later_than_stored(&self, incarnation: u64) -> bool {
-        let is_from_row = !self.is_view_current();
-        self.contacted_at.is_some() || (is_from_row && self.incarnation > incarnation)
-    }
-
     /// Returns whether the worker may get new tasks.
     pub(super) fn is_usable(&self, now: BootTime) -> bool {
         self.is_listed
@@ -495,15 +449,6 @@
         dropped
     }
 
-    /// Remembers that the tracked incarnation of a worker has ended.
-    pub(super) fn end_incarnation(&mut self, id: &WorkerId) {
-        if let Some(entry) = self.workers.get_mut(id) {
-            let earlier = &mut entry.earlier_incarnations;
-            earlier.truncate(MAX_EARLIER_INCARNATIONS - 1);
-            earlier.push_front(entry.incarnation);
-        }
-    }
-
     /// Replaces the platform's entry of a worker.
     pub(super) fn set_view(&mut self, id: &WorkerId, view: WorkerView) {
         let Some(entry) = self.workers.get_mut(id) else {
--- a/crates/jobs/src/scheduler/listing.rs
+++ b/crates/jobs/src/scheduler/listing.rs
@@ -8,7 +8,8 @@
 
 use super::confirmation::StartResponse;
 use super::entry::{TaskEntry, TaskPhase};
-use super::fleet::{IncarnationOrder, RunReservation, WorkerEntry};
+use super::fleet::{RunReservation, WorkerEntry};
+use super::incarnation::IncarnationOrder;
 use super::{JobScheduler, RunEndReason, SchedulerEvent, WorkerStatus};
 
 impl JobScheduler {
@@ -124,7 +125,9 @@
         was_draining: bool,
         now: BootTime,
     ) {
-        self.fleet.end_incarnation(id);
+        if let Some(entry) = self.fleet.get_mut(id) {
+            entry.end_incarnation();
+        }
         self.begin_incarnation(id, incarnation, was_draining, now);
     }
 
