--- a/crates/engine/tests/takeover.rs
+++ b/crates/engine/tests/takeover.rs
@@ -9,8 +9,8 @@
 use redwing_engine::codec::CallerResponse;
 use redwing_engine::owner::OwnerSettings;
 use redwing_engine::product;
-use redwing_engine::row::LateLeaseTimes;
-use redwing_jobs::{JobState, SchedulerSettings};
+use redwing_engine::row::{LateLeaseTimes, OwnerRecord};
+use redwing_jobs::{JobState, SchedulerSettings, WorkerId};
 use redwing_provider::{RowKey, TableStore, TableTransaction};
 use redwing_standin::worker::WorkerFault;
 use tokio::time as timer;
@@ -32,6 +32,39 @@
     }
 }
 
+/// Starts one task that outlasts the test on a worker that starts again, carries out a renewal for
+/// the incarnation before, gets the task once more, and then becomes unresponsive. Returns the
+/// owner and the other workers, which are unresponsive all the while.
+async fn lose_returned_worker() -> (TestCluster, OwnerRecord, Vec<WorkerId>) {
+    let cluster = TestCluster::start(3, time::Duration::from_secs(60)).await;
+    let mut others = cluster.workers.ids();
+    let lost = others.remove(0);
+    for worker in &others {
+        cluster.lose_worker(worker);
+    }
+    let owner = cluster.owner().await;
+    assert_eq!(cluster.submit(0, "a", 1).await, CallerResponse::Accepted);
+    cluster.wait_starts(1).await;
+    cluster.workers.crash(&lost);
+    cluster.workers.renew_late(&lost);
+    let listed = cluster.workers.register(&cluster.platform).await;
+    listed.expect("the table is up");
+    cluster.wait_starts(2).await;
+    cluster.lose_worker(&lost);
+    (cluster, owner, others)
+}
+
+/// Makes workers responsive, and checks for longer than any lease that no task runs twice.
+async fn bring_back(cluster: &TestCluster, workers: &[WorkerId]) {
+    for worker in workers {
+        cluster.workers.set_fault(worker, WorkerFault::default());
+    }
+    for _ in 0..1_500 {
+        timer::sleep(time::Duration::from_millis(10)).await;
+        cluster.assert_no_double_run();
+    }
+}
+
 /// Starts one task that outlasts the test, and makes its worker unresponsive.
 async fn lose_worker(processes: usize) -> (TestCluster, timer::Instant) {
     let cluster = TestCluster::start(processes, time::Duration::from_secs(60)).await;
@@ -102,31 +135,11 @@
 #[test]
 fn a_successor_waits_for_the_long_lease_of_a_worker_that_had_started_again() {
     run_test(async {
-        let cluster = TestCluster::start(3, time::Duration::from_secs(60)).await;
-        let workers = cluster.workers.ids();
-        let (lost, others) = workers.split_first().expect("there are workers");
-        for worker in others {
-            cluster.lose_worker(worker);
-        }
-        let owner = cluster.owner().await;
-        assert_eq!(cluster.submit(0, "a", 1).await, CallerResponse::Accepted);
-        cluster.wait_starts(1).await;
-        cluster.workers.crash(lost);
-        cluster.workers.renew_late(lost);
-        let listed = cluster.workers.register(&cluster.platform).await;
-        listed.expect("the table is up");
-        cluster.wait_starts(2).await;
-        cluster.lose_worker(lost);
+        let (cluster, owner, others) = lose_returned_worker().await;
         cluster.processes[cluster.process_index(&owner)]
             .owner
             .abort();
-        for worker in others {
-            cluster.workers.set_fault(worker, WorkerFault::default());
-        }
-        for _ in 0..1_500 {
-            timer::sleep(time::Duration::from_millis(10)).await;
-            cluster.assert_no_double_run();
-        }
+        bring_back(&cluster, &others).await;
         assert_eq!(cluster.workers.starts().len(), 3);
         let owner = cluster.owner().await;
         assert_eq!(owner.late_leases, LateLeaseTimes::default());
@@ -138,21 +151,7 @@
 #[test]
 fn a_successor_that_still_reads_rows_passes_the_long_lease_of_a_worker_on() {
     run_test(async {
-        let cluster = TestCluster::start(3, time::Duration::from_secs(60)).await;
-        let workers = cluster.workers.ids();
-        let (lost, others) = workers.split_first().expect("there are workers");
-        for worker in others {
-            cluster.lose_worker(worker);
-        }
-        let owner = cluster.owner().await;
-        assert_eq!(cluster.submit(0, "a", 1).await, CallerResponse::Accepted);
-        cluster.wait_starts(1).await;
-        cluster.workers.crash(lost);
-        cluster.workers.renew_late(lost);
-        let listed = cluster.workers.register(&cluster.platform).await;
-        listed.expect("the table is up");
-        cluster.wait_starts(2).await;
-        cluster.lose_worker(lost);
+        let (cluster, owner, others) = lose_returned_worker().await;
         cluster.lost_calls.set(LostCalls::WorkerReads);
         cluster.processes[cluster.process_index(&owner)]
             .owner
@@ -166,13 +165,7 @@
         cluster.processes[cluster.process_index(&reading)].stop();
         cluster.lost_calls.set(LostCalls::None);
         cluster.owner_above(reading.fencing_token).await;
-        for worker in others {
-            cluster.workers.set_fault(worker, WorkerFault::default());
-        }
-        for _ in 0..1_500 {
-            timer::sleep(time::Duration::from_millis(10)).await;
-            cluster.assert_no_double_run();
-        }
+        bring_back(&cluster, &others).await;
         assert_eq!(cluster.workers.starts().len(), 3);
     });
 }
@@ -212,13 +205,7 @@
         for worker in returned {
             cluster.lose_worker(worker);
         }
-        for worker in others {
-            cluster.workers.set_fault(worker, WorkerFault::default());
-        }
-        for _ in 0..1_500 {
-            timer::sleep(time::Duration::from_millis(10)).await;
-            cluster.assert_no_double_run();
-        }
+        bring_back(&cluster, others).await;
         assert!(cluster.workers.starts().len() > 2 * returned.len());
     });
 }
--- a/crates/jobs/tests/clocks_set_back.rs
+++ b/crates/jobs/tests/clocks_set_back.rs
@@ -85,12 +85,11 @@
     }
 }
 
-/// Advances time and panics if a task runs twice.
-fn watch(fleet: &mut FakeFleet, duration_ms: u64) {
-    for _ in 0..duration_ms / 10 {
-        fleet.advance(10);
-        fleet.assert_no_double_run();
-    }
+/// Submits a job of so many tasks, and checks that it is done in time.
+fn assert_gets_work(fleet: &mut FakeFleet, id: &str, tasks: u32) {
+    let job = fleet.submit(id, vec![step_spec(tasks, 1_000)], 300);
+    fleet.watch_runs(WORK_LIMIT_MS);
+    assert_eq!(fleet.state(&job), JobState::Completed);
 }
 
 /// Guards against a worker that never gets work again because its time of day was set back
@@ -105,9 +104,7 @@
         let view = restart(&mut fleet, &WorkerId::new("w0"), shift_ms);
         fleet.advance(entry_delay_ms);
         list(&mut fleet, view);
-        let job = fleet.submit("j", vec![step_spec(8, 1_000)], 300);
-        fleet.advance(WORK_LIMIT_MS);
-        assert_eq!(fleet.state(&job), JobState::Completed);
+        assert_gets_work(&mut fleet, "j", 8);
     }
 }
 
@@ -121,7 +118,7 @@
         let view = restart(&mut fleet, &worker, shift_ms);
         fleet.advance(entry_delay_ms);
         list(&mut fleet, view);
-        watch(&mut fleet, WORK_LIMIT_MS);
+        fleet.watch_runs(WORK_LIMIT_MS);
         assert_eq!(fleet.starts.len(), 2);
         assert_eq!(fleet.running_count(&task_id(&JobId::new("j"), 0, 0)), 1);
     }
@@ -138,9 +135,9 @@
         let view = restart(&mut fleet, &worker, shift_ms);
         fleet.worker(worker.as_str()).is_unresponsive = is_cut_off;
         list(&mut fleet, view);
-        watch(&mut fleet, RESTART_LIMIT_MS);
+        fleet.watch_runs(RESTART_LIMIT_MS);
         assert_eq!(fleet.starts.len(), 2);
-        watch(&mut fleet, WATCH_MS);
+        fleet.watch_runs(WATCH_MS);
         assert_eq!(fleet.starts.len(), 2);
     }
 }
@@ -161,9 +158,9 @@
     restart(&mut fleet, &worker, shift_ms);
     fleet.worker(worker.as_str()).is_unresponsive = is_cut_off;
     fleet.take_over(SchedulerSettings::default());
-    watch(&mut fleet, limit_ms);
+    fleet.watch_runs(limit_ms);
     assert_eq!(fleet.starts.len(), 2);
-    watch(&mut fleet, WATCH_MS);
+    fleet.watch_runs(WATCH_MS);
     assert_eq!(fleet.starts.len(), 2);
 }
 
@@ -181,9 +178,7 @@
         };
         restart(&mut fleet, &worker, shift_ms);
         fleet.take_over(SchedulerSettings::default());
-        let job = fleet.submit("next", vec![step_spec(4, 1_000)], 300);
-        watch(&mut fleet, WORK_LIMIT_MS);
-        assert_eq!(fleet.state(&job), JobState::Completed);
+        assert_gets_work(&mut fleet, "next", 4);
     }
 }
 
@@ -220,11 +215,11 @@
     fleet.begin_take_over(SchedulerSettings::default());
     set_views(&mut fleet, &present);
     fleet.finish_take_over();
-    watch(&mut fleet, 100);
+    fleet.watch_runs(100);
     for view in present {
         list(&mut fleet, view);
     }
-    watch(&mut fleet, WATCH_MS);
+    fleet.watch_runs(WATCH_MS);
     assert_eq!(fleet.starts.len(), 1);
     assert_eq!(fleet.state(&job), JobState::Completed);
 }
@@ -251,7 +246,7 @@
 
 /// Checks that the run in progress goes on and that its worker gets more.
 fn assert_undisturbed(fleet: &mut FakeFleet) {
-    watch(fleet, WATCH_MS);
+    fleet.watch_runs(WATCH_MS);
     assert_eq!(fleet.starts.len(), 1);
     fleet.submit("more", vec![step_spec(15, 1_000)], 0);
     fleet.advance(500);
@@ -271,7 +266,7 @@
         let (mut fleet, _, report, token) = fleet_with_earlier_incarnation(shift_ms);
         for _ in 0..times {
             report_late(&mut fleet, &WorkerId::new("w0"), &report, token);
-            watch(&mut fleet, 200);
+            fleet.watch_runs(200);
         }
         assert_undisturbed(&mut fleet);
     }
@@ -289,9 +284,9 @@
         let present = fleet.worker("w0").view.clone();
         for _ in 0..times {
             list(&mut fleet, earlier.clone());
-            watch(&mut fleet, 200);
+            fleet.watch_runs(200);
             list(&mut fleet, present.clone());
-            watch(&mut fleet, 200);
+            fleet.watch_runs(200);
         }
         assert_undisturbed(&mut fleet);
     }
@@ -318,11 +313,11 @@
     fleet.delayed_orders.push((fleet.now, start));
     fleet.advance(20);
     assert_eq!(fleet.starts.len(), 1, "the present incarnation has it");
-    watch(&mut fleet, 20);
+    fleet.watch_runs(20);
     list(&mut fleet, unknown);
-    watch(&mut fleet, 500);
+    fleet.watch_runs(500);
     list(&mut fleet, present);
-    watch(&mut fleet, WATCH_MS);
+    fleet.watch_runs(WATCH_MS);
     assert_eq!(fleet.running_count(&task_id(&JobId::new("j"), 0, 0)), 1);
 }
 
@@ -339,9 +334,7 @@
     list(&mut fleet, view);
     fleet.advance(500);
     fleet.scheduler.worker_removed(&worker, earlier);
-    let job = fleet.submit("j", vec![step_spec(1, 1_000)], 300);
-    fleet.advance(WORK_LIMIT_MS);
-    assert_eq!(fleet.state(&job), JobState::Completed);
+    assert_gets_work(&mut fleet, "j", 1);
 }
 
 /// Guards against the block of a machine that was taken down: it holds the present incarnation,
@@ -358,9 +351,7 @@
     fleet.scheduler.set_blocks(blocks);
     let view = restart(&mut fleet, &worker, shift_ms);
     list(&mut fleet, view);
-    let job = fleet.submit("j", vec![step_spec(1, 1_000)], 300);
-    fleet.advance(WORK_LIMIT_MS);
-    assert_eq!(fleet.state(&job), JobState::Completed);
+    assert_gets_work(&mut fleet, "j", 1);
 }
 
 /// Guards against a task that is never given up although it crashes its workers: one that returns
@@ -378,9 +369,7 @@
     fleet.crash_plan.deadly.insert(task_id(&job, 0, 0));
     fleet.advance(60_000);
     assert_eq!(fleet.state(&job), JobState::Failed);
-    let next = fleet.submit("next", vec![step_spec(32, 1_000)], 300);
-    fleet.advance(WORK_LIMIT_MS);
-    assert_eq!(fleet.state(&next), JobState::Completed);
+    assert_gets_work(&mut fleet, "next", 32);
 }
 
 /// Guards against a run that is taken for ended (TWICE) because a report does not say which
@@ -394,7 +383,7 @@
         ..empty_report(&mut fleet, &worker)
     };
     report_late(&mut fleet, &worker, &report, token);
-    watch(&mut fleet, WATCH_MS);
+    fleet.watch_runs(WATCH_MS);
     assert_eq!(fleet.starts.len(), 1);
     assert!(fleet.worker(worker.as_str()).running.len() == 1);
 }
--- a/crates/jobs/tests/common/mod.rs
+++ b/crates/jobs/tests/common/mod.rs
@@ -29,6 +29,7 @@
 };
 
 pub(crate) use crash::{CrashPlan, ReturnMode};
+pub(crate) use order::{grants_lease, is_start};
 pub(crate) use sample::{
     manifest, manifest_parts_with_limit, manifest_with_limit, step_spec, task_id,
 };
@@ -131,11 +132,22 @@
         Self::new(SchedulerSettings::default(), workers.collect())
     }
 
-    /// Returns a fleet with so many equal workers, under an owner with the settings.
-    pub(crate) fn with_settings(count: usize, settings: SchedulerSettings) -> Self {
-        let workers =
-            (0..count).map(|number| FakeWorker::new(&format!("w{number}"), "builders", 8_000));
-        Self::new(settings, workers.collect())
+    /// Returns a fleet with so many equal workers, which have been up for a while and are to
+    /// run the long task of the job `j`.
+    pub(crate) fn with_long_task(count: usize) -> Self {
+        let mut fleet = Self::of_size(count, 8_000);
+        fleet.advance(20_000);
+        fleet.submit("j", vec![step_spec(1, 1_000)], 60_000);
+        fleet
+    }
+
+    /// Lists one more worker.
+    pub(crate) fn add_worker(&mut self, id: &str) {
+        let mut worker = FakeWorker::new(id, "builders", 8_000);
+        worker.restart(self.now);
+        let view = worker.view.clone();
+        self.workers.insert(view.id.clone(), worker);
+        self.scheduler.worker_listed(view, self.now);
     }
 
     pub(crate) fn new(settings: SchedulerSettings, workers: Vec<FakeWorker>) -> Self {
@@ -323,10 +335,7 @@
         if !self.is_table_up || !(is_due || self.scheduler.has_changes()) {
             return;
         }
-        let stated = [
-            self.scheduler.late_leases(self.now),
-            self.scheduler.unconfirmed_leases(self.now),
-        ];
+        let stated = self.leases_to_state();
         let changes = self.take_changes();
         if self.refused_changes > 0 {
             self.refused_changes -= 1;
@@ -379,13 +388,18 @@
         self.finish_take_over();
     }
 
+    /// Returns the long and unconfirmed leases that a change states which is stored now.
+    fn leases_to_state(&self) -> [LateLeases; 2] {
+        [
+            self.scheduler.late_leases(self.now),
+            self.scheduler.unconfirmed_leases(self.now),
+        ]
+    }
+
     /// Stores the change that releases the ownership; no order is sent after it.
     pub(crate) fn release(&mut self) {
         self.scheduler.prepare_release(self.now);
-        self.stated_leases = [
-            self.scheduler.late_leases(self.now),
-            self.scheduler.unconfirmed_leases(self.now),
-        ];
+        self.stated_leases = self.leases_to_state();
         let changes = self.scheduler.begin_changes(self.now);
         if let Some(ends) = changes.lease_ends {
             self.lease_ends = ends;
@@ -450,6 +464,16 @@
             .count()
     }
 
+    /// Advances simulated time by `duration_ms`, and panics if a task runs on two workers at
+    /// once at any tick.
+    pub(crate) fn watch_runs(&mut self, duration_ms: u64) {
+        let end = self.now + time::Duration::from_millis(duration_ms);
+        while self.now < end {
+            self.tick();
+            self.assert_no_double_run();
+        }
+    }
+
     /// Panics if a task runs on two workers at once.
     pub(crate) fn assert_no_double_run(&self) {
         let mut running_tasks = HashSet::new();
--- a/crates/jobs/tests/common/order.rs
+++ b/crates/jobs/tests/common/order.rs
@@ -7,6 +7,22 @@
 
 use super::{FakeFleet, FakeRun};
 
+/// Returns whether an order starts a run.
+pub(crate) fn is_start(action: &OrderAction) -> bool {
+    matches!(action, OrderAction::Start { .. })
+}
+
+/// Returns whether an order is a renewal that grants a lease.
+pub(crate) fn grants_lease(action: &OrderAction) -> bool {
+    matches!(
+        action,
+        OrderAction::Renew {
+            lease_end_ms: Some(_),
+            ..
+        }
+    )
+}
+
 impl FakeFleet {
     /// Advances time and holds the first order back that `is_wanted` selects; the others are
     /// sent.
@@ -50,14 +66,8 @@
     /// Advances time and loses the start that is ordered: the owner gets no response, and the
     /// worker may carry it out later.
     pub(crate) fn lose_start(&mut self) -> WorkerOrder {
-        let is_start = |action: &OrderAction| matches!(action, OrderAction::Start { .. });
         let start = self.hold_back(20, is_start);
-        let lost = OrderResponse {
-            outcome: OrderOutcome::Unknown,
-            clock_ms: None,
-        };
-        self.scheduler
-            .handle_order_response(&start, &lost, self.now);
+        self.deliver_response(&start, OrderOutcome::Unknown, None);
         start
     }
 
@@ -165,7 +175,8 @@
         self.deliver_response(order, outcome, report);
     }
 
-    fn deliver_response(
+    /// Hands the response to an order in, or that there was none.
+    pub(crate) fn deliver_response(
         &mut self,
         order: &WorkerOrder,
         outcome: OrderOutcome,
--- a/crates/jobs/tests/late_starts.rs
+++ b/crates/jobs/tests/late_starts.rs
@@ -2,8 +2,8 @@
 
 mod common;
 
-use common::{FakeFleet, FakeWorker, step_spec, task_id};
-use redwing_jobs::worker::{OrderAction, OrderOutcome, OrderResponse, WorkerOrder};
+use common::{FakeFleet, FakeWorker, is_start, step_spec, task_id};
+use redwing_jobs::worker::{OrderOutcome, OrderResponse, WorkerOrder};
 use redwing_jobs::{JobId, JobState};
 use rstest::rstest;
 
@@ -73,7 +73,6 @@
 fn fleet_with_earlier_run(has_response: bool) -> FakeFleet {
     let (mut fleet, start) = fleet_with_stopped_start();
     fleet.advance(COOLDOWN_MS - 700);
-    let is_start = |action: &OrderAction| matches!(action, OrderAction::Start { .. });
     let next = fleet.hold_back_one(400, is_start);
     if has_response {
         let response = OrderResponse {
@@ -114,9 +113,6 @@
     fleet.scheduler.worker_listed(other.view.clone(), now);
     fleet.workers.insert(other.view.id.clone(), other);
     fleet.send_held();
-    for _ in 0..1_000 {
-        fleet.advance(10);
-        fleet.assert_no_double_run();
-    }
+    fleet.watch_runs(10_000);
     assert_eq!(fleet.running_count(&task_id(&JobId::new("j"), 0, 0)), 1);
 }
--- a/crates/jobs/tests/restarted_workers.rs
+++ b/crates/jobs/tests/restarted_workers.rs
@@ -5,7 +5,7 @@
 
 use std::time;
 
-use common::{FakeFleet, FakeWorker, step_spec, task_id};
+use common::{FakeFleet, FakeWorker, grants_lease, is_start, step_spec, task_id};
 use redwing_jobs::worker::{OrderAction, WorkerOrder};
 use redwing_jobs::{JobId, JobState, SchedulerSettings, WorkerId};
 use rstest::rstest;
@@ -16,35 +16,14 @@
 /// Time for which runs are watched: longer than any lease of a worker.
 const WATCH_MS: u64 = 15_000;
 
-fn grants_lease(action: &OrderAction) -> bool {
-    matches!(
-        action,
-        OrderAction::Renew {
-            lease_end_ms: Some(_),
-            ..
-        }
-    )
-}
-
 /// Returns a fleet of one worker, which has run a long task for a while.
 fn busy_fleet() -> FakeFleet {
-    let mut fleet = FakeFleet::of_size(1, 8_000);
-    fleet.advance(20_000);
-    fleet.submit("j", vec![step_spec(1, 1_000)], 60_000);
+    let mut fleet = FakeFleet::with_long_task(1);
     fleet.advance(500);
     assert_eq!(fleet.starts.len(), 1);
     fleet
 }
 
-/// Lists one more worker.
-fn add_worker(fleet: &mut FakeFleet, id: &str) {
-    let mut worker = FakeWorker::new(id, "builders", 8_000);
-    worker.restart(fleet.now);
-    let view = worker.view.clone();
-    fleet.workers.insert(view.id.clone(), worker);
-    fleet.scheduler.worker_listed(view, fleet.now);
-}
-
 /// Lists the present incarnation of a worker.
 fn list_worker(fleet: &mut FakeFleet, id: &str) {
     let (now, view) = (fleet.now, fleet.worker(id).view.clone());
@@ -70,25 +49,12 @@
 /// cannot be reached: longer than the latest order and any lease of it together.
 const LATE_START_WATCH_MS: u64 = 25_000;
 
-/// Advances time and panics if a task runs twice.
-fn watch(fleet: &mut FakeFleet) {
-    watch_for(fleet, WATCH_MS);
-}
-
-/// Advances time by `duration_ms` and panics if a task runs twice.
-fn watch_for(fleet: &mut FakeFleet, duration_ms: u64) {
-    for _ in 0..duration_ms / 10 {
-        fleet.advance(10);
-        fleet.assert_no_double_run();
-    }
-}
-
 /// Cuts a worker off, and returns how long its task then waits for another one.
 fn wait_after_cut(fleet: &mut FakeFleet, id: &str) -> time::Duration {
     let cut_at = fleet.now;
     let before = fleet.starts.len();
     fleet.worker(id).is_unresponsive = true;
-    watch(fleet);
+    fleet.watch_runs(WATCH_MS);
     assert_eq!(fleet.starts.len(), before + 1, "{:?}", fleet.starts);
     fleet.starts[before].3.saturating_since(cut_at)
 }
@@ -105,7 +71,7 @@
     list_worker(&mut fleet, "w0");
     fleet.advance(250);
     assert_eq!(fleet.starts.len(), 2);
-    add_worker(&mut fleet, "w1");
+    fleet.add_worker("w1");
     wait_after_cut(&mut fleet, "w0");
 }
 
@@ -115,7 +81,7 @@
     let mut fleet = fleet_with_late_renewal();
     fleet.advance(300);
     assert_eq!(fleet.starts.len(), 2);
-    add_worker(&mut fleet, "w1");
+    fleet.add_worker("w1");
     wait_after_cut(&mut fleet, "w0");
 }
 
@@ -127,8 +93,8 @@
     assert_eq!(fleet.starts.len(), 2);
     fleet.worker("w0").is_unresponsive = true;
     fleet.take_over(SchedulerSettings::default());
-    add_worker(&mut fleet, "w1");
-    watch(&mut fleet);
+    fleet.add_worker("w1");
+    fleet.watch_runs(WATCH_MS);
     assert_eq!(fleet.starts.len(), 3);
 }
 
@@ -140,7 +106,7 @@
     fleet.take_over(SchedulerSettings::default());
     fleet.advance(300);
     assert_eq!(fleet.starts.len(), 2);
-    add_worker(&mut fleet, "w1");
+    fleet.add_worker("w1");
     wait_after_cut(&mut fleet, "w0");
 }
 
@@ -155,7 +121,7 @@
     fleet.worker("w0").is_unresponsive = false;
     fleet.advance(600);
     assert_eq!(fleet.starts.len(), 2);
-    add_worker(&mut fleet, "w1");
+    fleet.add_worker("w1");
     wait_after_cut(&mut fleet, "w0");
 }
 
@@ -177,7 +143,7 @@
     fleet.worker("w0").is_unresponsive = false;
     fleet.advance(600);
     assert_eq!(fleet.starts.len(), 2);
-    add_worker(&mut fleet, "w1");
+    fleet.add_worker("w1");
     wait_after_cut(&mut fleet, "w0");
 }
 
@@ -197,15 +163,13 @@
     fleet.send_held();
     fleet.advance(600);
     assert_eq!(fleet.starts.len(), 2);
-    add_worker(&mut fleet, "w1");
+    fleet.add_worker("w1");
     wait_after_cut(&mut fleet, "w0");
 }
 
 /// Returns a fleet of two workers, with the start of a long task that had no response.
 fn fleet_with_lost_start() -> (FakeFleet, WorkerOrder) {
-    let mut fleet = FakeFleet::of_size(2, 8_000);
-    fleet.advance(20_000);
-    fleet.submit("j", vec![step_spec(1, 1_000)], 60_000);
+    let mut fleet = FakeFleet::with_long_task(2);
     let start = fleet.lose_start();
     (fleet, start)
 }
@@ -227,7 +191,7 @@
     assert_eq!(fleet.starts.len(), 1);
     fleet.worker(worker.as_str()).is_unresponsive = is_cut_off;
     fleet.take_over(SchedulerSettings::default());
-    watch(&mut fleet);
+    fleet.watch_runs(WATCH_MS);
     assert_eq!(fleet.starts.len(), 2, "{:?}", fleet.starts);
     assert_eq!(fleet.running_count(&task_id(&JobId::new("j"), 0, 0)), 1);
 }
@@ -241,7 +205,7 @@
     fleet.take_over(SchedulerSettings::default());
     fleet.advance(300);
     assert_eq!(fleet.starts.len(), 2);
-    add_worker(&mut fleet, "w1");
+    fleet.add_worker("w1");
     wait_after_cut(&mut fleet, "w0");
 }
 
@@ -259,8 +223,8 @@
         }
         fleet.advance(600);
         fleet.take_over(SchedulerSettings::default());
-        add_worker(&mut fleet, "w1");
-        watch(&mut fleet);
+        fleet.add_worker("w1");
+        fleet.watch_runs(WATCH_MS);
         assert_eq!(fleet.starts.len(), 3);
     }
 }
@@ -279,7 +243,10 @@
 #[test]
 fn owners_in_contact_keep_to_one_end_for_all_workers() {
     for owners in [1, 2] {
-        let mut fleet = FakeFleet::with_settings(1, settings_with_one_end());
+        let mut fleet = FakeFleet::new(
+            settings_with_one_end(),
+            vec![FakeWorker::new("w0", "builders", 8_000)],
+        );
         fleet.advance(20_000);
         fleet.submit("j", vec![step_spec(1, 1_000)], 60_000);
         fleet.advance(500);
@@ -292,7 +259,7 @@
             fleet.take_over(settings_with_one_end());
             fleet.advance(300);
         }
-        add_worker(&mut fleet, "w1");
+        fleet.add_worker("w1");
         wait_after_cut(&mut fleet, "w0");
     }
 }
@@ -300,7 +267,10 @@
 /// Guards against the opposite: tasks that wait longer once that end is past.
 #[test]
 fn a_task_waits_no_longer_after_the_end_for_all_workers() {
-    let mut fleet = FakeFleet::with_settings(1, settings_with_one_end());
+    let mut fleet = FakeFleet::new(
+        settings_with_one_end(),
+        vec![FakeWorker::new("w0", "builders", 8_000)],
+    );
     fleet.advance(20_000);
     fleet.submit("j", vec![step_spec(1, 1_000)], 60_000);
     fleet.advance(500);
@@ -308,7 +278,7 @@
     fleet.advance(300);
     fleet.take_over(settings_with_one_end());
     fleet.advance(8_000);
-    add_worker(&mut fleet, "w1");
+    fleet.add_worker("w1");
     let wait = wait_after_cut(&mut fleet, "w0");
     assert!(wait < USUAL_WAIT, "{wait:?}");
 }
@@ -332,7 +302,7 @@
     fleet.worker(worker.as_str()).is_unresponsive = false;
     fleet.advance(500);
     fleet.worker(worker.as_str()).is_unresponsive = true;
-    watch_for(&mut fleet, LATE_START_WATCH_MS);
+    fleet.watch_runs(LATE_START_WATCH_MS);
     assert_eq!(fleet.starts.len(), 2, "{:?}", fleet.starts);
 }
 
@@ -351,7 +321,7 @@
     fleet.begin_take_over(SchedulerSettings::default());
     fleet.worker(worker.as_str()).view.incarnation += 1;
     fleet.finish_take_over();
-    watch(&mut fleet);
+    fleet.watch_runs(WATCH_MS);
     assert_eq!(fleet.starts.len(), 1);
     assert_eq!(fleet.state(&job), JobState::Completed);
 }
@@ -365,7 +335,7 @@
     fleet.restart_worker(worker.as_str());
     fleet.worker(worker.as_str()).is_unresponsive = true;
     deliver_late(&mut fleet, start);
-    watch_for(&mut fleet, LATE_START_WATCH_MS);
+    fleet.watch_runs(LATE_START_WATCH_MS);
     assert_eq!(fleet.starts.len(), 2, "{:?}", fleet.starts);
 }
 
@@ -385,7 +355,7 @@
     fleet.worker(worker.as_str()).is_unresponsive = false;
     fleet.advance(100);
     deliver_late(&mut fleet, start);
-    watch(&mut fleet);
+    fleet.watch_runs(WATCH_MS);
     assert_eq!(fleet.starts.len(), 1);
 }
 
@@ -403,7 +373,7 @@
         fleet.restart_worker(id);
     }
     fleet.advance(delay_ms);
-    add_worker(&mut fleet, "w1");
+    fleet.add_worker("w1");
     let wait = wait_after_cut(&mut fleet, "w0");
     assert!(wait < USUAL_WAIT, "{wait:?}");
 }
@@ -413,11 +383,11 @@
 fn a_task_on_a_new_worker_waits_no_longer() {
     let mut fleet = FakeFleet::of_size(0, 8_000);
     fleet.advance(30_000);
-    add_worker(&mut fleet, "new");
+    fleet.add_worker("new");
     fleet.submit("j", vec![step_spec(1, 1_000)], 60_000);
     fleet.advance(300);
     assert_eq!(fleet.starts.len(), 1);
-    add_worker(&mut fleet, "other");
+    fleet.add_worker("other");
     let wait = wait_after_cut(&mut fleet, "new");
     assert!(wait < USUAL_WAIT, "{wait:?}");
 }
@@ -428,7 +398,7 @@
     let mut fleet = busy_fleet();
     fleet.take_over(SchedulerSettings::default());
     fleet.advance(300);
-    add_worker(&mut fleet, "w1");
+    fleet.add_worker("w1");
     let wait = wait_after_cut(&mut fleet, "w0");
     assert!(wait < USUAL_WAIT, "{wait:?}");
     assert_eq!(fleet.starts[1].2, WorkerId::new("w1"));
@@ -441,10 +411,8 @@
     behind_ms: u64,
     is_response_lost: bool,
 ) -> (FakeFleet, WorkerId) {
-    let mut fleet = FakeFleet::of_size(2, 8_000);
-    fleet.advance(20_000);
-    fleet.submit("j", vec![step_spec(1, 1_000)], 60_000);
-    let start = fleet.hold_back(20, |action| matches!(action, OrderAction::Start { .. }));
+    let mut fleet = FakeFleet::with_long_task(2);
+    let start = fleet.hold_back(20, is_start);
     let (id, now) = (start.worker.clone(), fleet.now);
     let worker = fleet.worker(id.as_str());
     let clock_ms = worker.clock_ms(now);
@@ -469,7 +437,7 @@
     #[values(false, true)] is_response_lost: bool,
 ) {
     let (mut fleet, _) = fleet_with_start_on_unknown_incarnation(behind_ms, is_response_lost);
-    watch(&mut fleet);
+    fleet.watch_runs(WATCH_MS);
     assert_eq!(fleet.starts.len(), 2, "{:?}", fleet.starts);
 }
 
@@ -483,7 +451,7 @@
     fleet.advance(100);
     fleet.worker(id.as_str()).view.incarnation -= 1;
     fleet.take_over(SchedulerSettings::default());
-    watch(&mut fleet);
+    fleet.watch_runs(WATCH_MS);
     assert_eq!(fleet.starts.len(), 2, "{:?}", fleet.starts);
 }
 
@@ -491,10 +459,8 @@
 /// shown another clock.
 #[test]
 fn a_worker_whose_clock_has_gone_back_gets_no_lease_before_it_says_who_it_is() {
-    let mut fleet = FakeFleet::of_size(2, 8_000);
-    fleet.advance(20_000);
-    fleet.submit("j", vec![step_spec(1, 1_000)], 60_000);
-    let start = fleet.hold_back(20, |action| matches!(action, OrderAction::Start { .. }));
+    let mut fleet = FakeFleet::with_long_task(2);
+    let start = fleet.hold_back(20, is_start);
     let (id, now) = (start.worker.clone(), fleet.now);
     fleet.worker(id.as_str()).restart(now);
     fleet.send_order(&start);
@@ -507,10 +473,8 @@
 /// the worker is cut off at once.
 #[test]
 fn a_task_whose_start_had_a_response_waits_no_longer() {
-    let mut fleet = FakeFleet::of_size(2, 8_000);
-    fleet.advance(20_000);
-    fleet.submit("j", vec![step_spec(1, 1_000)], 60_000);
-    let start = fleet.hold_back(20, |action| matches!(action, OrderAction::Start { .. }));
+    let mut fleet = FakeFleet::with_long_task(2);
+    let start = fleet.hold_back(20, is_start);
     fleet.send_order(&start);
     let wait = wait_after_cut(&mut fleet, start.worker.as_str());
     assert!(wait < USUAL_WAIT, "{wait:?}");
@@ -589,7 +553,7 @@
     let mut fleet = FakeFleet::of_size(1, 8_000);
     fleet.advance(20_000);
     let first = fleet.submit("first", vec![step_spec(1, 1_000)], 300);
-    let start = fleet.hold_back(20, |action| matches!(action, OrderAction::Start { .. }));
+    let start = fleet.hold_back(20, is_start);
     fleet.scheduler.cancel(&first, fleet.now);
     fleet.worker("w0").first_clock_ms -= 20_000;
     fleet.send_order(&start);
--- a/crates/jobs/tests/unanswered_starts.rs
+++ b/crates/jobs/tests/unanswered_starts.rs
@@ -5,45 +5,14 @@
 
 use std::time;
 
-use common::{FakeFleet, FakeWorker, step_spec};
-use redwing_jobs::worker::{OrderAction, OrderOutcome, OrderResponse, WorkerOrder};
+use common::{FakeFleet, grants_lease, is_start, step_spec};
+use redwing_jobs::worker::{OrderOutcome, WorkerOrder};
 use redwing_jobs::{BootTime, JobState, SchedulerSettings};
 use rstest::rstest;
 
 /// Time for which runs are watched: longer than any lease of a worker.
 const WATCH_MS: u64 = 25_000;
 
-fn is_start(action: &OrderAction) -> bool {
-    matches!(action, OrderAction::Start { .. })
-}
-
-fn grants_lease(action: &OrderAction) -> bool {
-    matches!(
-        action,
-        OrderAction::Renew {
-            lease_end_ms: Some(_),
-            ..
-        }
-    )
-}
-
-/// Advances time and panics if a task runs twice.
-fn watch(fleet: &mut FakeFleet) {
-    for _ in 0..WATCH_MS / 10 {
-        fleet.advance(10);
-        fleet.assert_no_double_run();
-    }
-}
-
-/// Lists one more worker.
-fn add_worker(fleet: &mut FakeFleet, id: &str) {
-    let mut worker = FakeWorker::new(id, "builders", 8_000);
-    worker.restart(fleet.now);
-    let view = worker.view.clone();
-    fleet.workers.insert(view.id.clone(), worker);
-    fleet.scheduler.worker_listed(view, fleet.now);
-}
-
 /// Lets workers carry orders out with the next tick; their owner gets no response yet.
 fn carry_out(fleet: &mut FakeFleet, orders: Vec<WorkerOrder>) {
     for order in orders {
@@ -83,8 +52,8 @@
     let mut fleet = fleet_with_starts_in_flight(1);
     fleet.worker("w0").view.incarnation -= 1;
     fleet.take_over(SchedulerSettings::default());
-    add_worker(&mut fleet, "w1");
-    watch(&mut fleet);
+    fleet.add_worker("w1");
+    fleet.watch_runs(WATCH_MS);
     assert_eq!(fleet.starts.len(), 2, "{:?}", fleet.starts);
 }
 
@@ -96,8 +65,8 @@
 fn a_new_owner_waits_for_all_runs_that_the_next_incarnation_may_have(#[case] count: u32) {
     let mut fleet = fleet_with_starts_in_flight(count);
     fleet.take_over(SchedulerSettings::default());
-    add_worker(&mut fleet, "w1");
-    watch(&mut fleet);
+    fleet.add_worker("w1");
+    fleet.watch_runs(WATCH_MS);
     assert_eq!(fleet.starts.len() as u32, 2 * count, "{:?}", fleet.starts);
 }
 
@@ -108,16 +77,14 @@
 #[case::after_9_s(9_000)]
 #[case::after_12_s(12_000)]
 fn a_late_start_on_a_listed_incarnation_is_waited_for(#[case] delay_ms: u64) {
-    let mut fleet = FakeFleet::of_size(2, 8_000);
-    fleet.advance(20_000);
-    fleet.submit("j", vec![step_spec(1, 1_000)], 60_000);
+    let mut fleet = FakeFleet::with_long_task(2);
     let start = fleet.lose_start();
     let worker = start.worker.clone();
     let due = start.issued_at + time::Duration::from_millis(delay_ms);
     fleet.restart_worker(worker.as_str());
     fleet.worker(worker.as_str()).is_unresponsive = true;
     fleet.delayed_orders.push((due, start));
-    watch(&mut fleet);
+    fleet.watch_runs(WATCH_MS);
 }
 
 /// Guards against the same: the incarnation that carried the start out, unknown to its owner, then
@@ -150,8 +117,8 @@
         .scheduler
         .handle_renewal_failure(&renewal, OrderOutcome::Unknown, fleet.now);
     fleet.delayed_orders.push((due, renewal));
-    add_worker(&mut fleet, "w1");
-    watch(&mut fleet);
+    fleet.add_worker("w1");
+    fleet.watch_runs(WATCH_MS);
 }
 
 /// Advances time while each order takes `delay_ms` to arrive and be answered.
@@ -191,12 +158,7 @@
     let held = fleet.held_orders.take().unwrap_or_default();
     for order in held {
         if is_lost && is_start(&order.action) && order.worker.as_str() == "w0" {
-            let lost = OrderResponse {
-                outcome: OrderOutcome::Unknown,
-                clock_ms: None,
-            };
-            let now = fleet.now;
-            fleet.scheduler.handle_order_response(&order, &lost, now);
+            fleet.deliver_response(&order, OrderOutcome::Unknown, None);
         } else {
             fleet.send_order(&order);
         }
@@ -215,25 +177,21 @@
 #[case::after_500_ms(500)]
 #[case::after_2_s(2_000)]
 fn a_late_start_on_an_unknown_incarnation_is_waited_for(#[case] delay_ms: u64) {
-    let mut fleet = FakeFleet::of_size(2, 8_000);
-    fleet.advance(20_000);
-    fleet.submit("j", vec![step_spec(1, 1_000)], 60_000);
+    let mut fleet = FakeFleet::with_long_task(2);
     let start = fleet.lose_start();
     let due = start.issued_at + time::Duration::from_millis(delay_ms);
     let (id, now) = (start.worker.clone(), fleet.now);
     fleet.worker(id.as_str()).restart(now);
     fleet.worker(id.as_str()).is_unresponsive = true;
     fleet.delayed_orders.push((due, start));
-    watch(&mut fleet);
+    fleet.watch_runs(WATCH_MS);
 }
 
 /// Guards against a successor that knows nothing of a start without a response: its owner states
 /// the longer lease with the next change only, which nothing else may call for.
 #[test]
 fn a_start_without_a_response_is_stored_at_once() {
-    let mut fleet = FakeFleet::of_size(2, 8_000);
-    fleet.advance(20_000);
-    fleet.submit("j", vec![step_spec(1, 1_000)], 60_000);
+    let mut fleet = FakeFleet::with_long_task(2);
     fleet.lose_start();
     assert!(fleet.scheduler.has_changes());
 }
@@ -261,8 +219,8 @@
     fleet.worker("w0").view.incarnation -= 1;
     fleet.release();
     fleet.take_over(SchedulerSettings::default());
-    add_worker(&mut fleet, "w1");
-    watch(&mut fleet);
+    fleet.add_worker("w1");
+    fleet.watch_runs(WATCH_MS);
     assert_eq!(fleet.starts.len(), 2, "{:?}", fleet.starts);
 }
 
@@ -271,9 +229,7 @@
 /// a report.
 #[test]
 fn a_clock_that_has_gone_back_in_a_report_counts_as_in_any_response() {
-    let mut fleet = FakeFleet::of_size(1, 8_000);
-    fleet.advance(20_000);
-    fleet.submit("j", vec![step_spec(1, 1_000)], 60_000);
+    let mut fleet = FakeFleet::with_long_task(1);
     fleet.advance(500);
     let renewal = fleet.hold_back_one(3_000, grants_lease);
     let now = fleet.now;
@@ -283,8 +239,8 @@
     fleet.advance(300);
     assert_eq!(fleet.starts.len(), 2, "{:?}", fleet.starts);
     fleet.worker("w0").is_unresponsive = true;
-    add_worker(&mut fleet, "w1");
-    watch(&mut fleet);
+    fleet.add_worker("w1");
+    fleet.watch_runs(WATCH_MS);
 }
 
 /// Guards against a late start on a listed incarnation that cannot be reached, under an owner
@@ -296,9 +252,7 @@
     #[case] delay_ms: u64,
     #[values(false, true)] is_listed_before: bool,
 ) {
-    let mut fleet = FakeFleet::of_size(2, 8_000);
-    fleet.advance(20_000);
-    fleet.submit("j", vec![step_spec(1, 1_000)], 60_000);
+    let mut fleet = FakeFleet::with_long_task(2);
     let start = fleet.lose_start();
     let worker = start.worker.clone();
     let due = start.issued_at + time::Duration::from_millis(delay_ms);
@@ -318,15 +272,13 @@
     fleet.advance(50);
     fleet.scheduler.worker_listed(view, fleet.now);
     fleet.delayed_orders.push((due, start));
-    watch(&mut fleet);
+    fleet.watch_runs(WATCH_MS);
 }
 
 /// Guards against the same, if the worker starts again twice before it carries the start out.
 #[test]
 fn a_late_start_on_the_incarnation_after_the_next_is_waited_for() {
-    let mut fleet = FakeFleet::of_size(2, 8_000);
-    fleet.advance(20_000);
-    fleet.submit("j", vec![step_spec(1, 1_000)], 60_000);
+    let mut fleet = FakeFleet::with_long_task(2);
     let start = fleet.lose_start();
     let worker = start.worker.clone();
     let due = start.issued_at + time::Duration::from_millis(9_000);
@@ -335,7 +287,7 @@
     fleet.advance(1_000);
     fleet.restart_worker(worker.as_str());
     fleet.delayed_orders.push((due, start));
-    watch(&mut fleet);
+    fleet.watch_runs(WATCH_MS);
 }
 
 /// Guards against starts that wait for a report of a worker without need: it has started again
