Add case 14: a job whose workers were parked in a lull never runs

The planner of pools counts processor time only. In a lull it parks all machines of a service but one; a job that requires a label of the parked ones is accepted after that and waits for 60 s and longer, without any fault.

--- a/review/probe-3/src/deployment.rs
+++ b/review/probe-3/src/deployment.rs
@@ -64,11 +64,22 @@
     platform: Child,
     address: SocketAddr,
     entries: Vec<Entry>,
+    has_standby: bool,
 }
 
 impl Deployment {
     /// Starts the platform with so many workers in each pool, and the entry processes.
     pub fn start(case: &mut Case, processes: u32, workers: u32) -> Result<Self, Failure> {
+        Self::start_with_spares(case, processes, workers, 0)
+    }
+
+    /// Starts as [`Deployment::start`] does, with so many machines in a pool on standby.
+    pub fn start_with_spares(
+        case: &mut Case,
+        processes: u32,
+        workers: u32,
+        spares: u32,
+    ) -> Result<Self, Failure> {
         let directory = std::env::temp_dir().join(format!("probe-3-{}", std::process::id()));
         fs::create_dir_all(&directory).map_err(|error| error.to_string())?;
         let mut platform = Command::new(case.programs.join("redwingctl"))
@@ -82,6 +93,7 @@
             .args(["--processes", &processes.to_string()])
             .args(["--workers", &workers.to_string()])
             .args(["--racks", &workers.div_ceil(4).to_string()])
+            .args(["--spares", &spares.to_string()])
             .arg("--settings-dir")
             .arg(&directory)
             .stdin(Stdio::null())
@@ -111,6 +123,7 @@
             platform,
             address: address.ok_or("the platform did not start")?,
             entries,
+            has_standby: spares > 0,
         };
         case.record.note(&format!(
             "platform with {workers} workers a pool and {processes} entry processes"
@@ -193,13 +206,16 @@
         };
         let mut routes = vec![route("batch", "workers")];
         routes.extend(has_queue.then(|| route(QUEUE, "annex")));
+        let service = |name: &str, is_guarded: bool, is_standby: bool| json!({"name": name, "enforcesCapacity": is_guarded, "standby": is_standby});
+        let mut services = vec![
+            service("workers", true, false),
+            service("annex", false, false),
+        ];
+        services.extend(self.has_standby.then(|| service("standby", false, true)));
         let manifest = json!({
             "version": version,
             "routes": routes,
-            "services": [
-                {"name": "workers", "enforcesCapacity": true, "standby": false},
-                {"name": "annex", "enforcesCapacity": false, "standby": false},
-            ],
+            "services": services,
             "tenants": [{
                 "name": "inspectors", "apiKeys": [KEY], "weight": 1.0,
                 "maxCount": {"cpu": max_cpu, "memMb": 0, "gpu": 0},
@@ -318,6 +334,18 @@
         Ok(runs)
     }
 
+    /// Returns the machines that are up in a pool, with their racks.
+    pub fn machines(&self, pool: &str) -> Result<Vec<(String, String)>, Failure> {
+        let response = self.platform_call("GET", "/stand-in/state", "")?;
+        let state: Value =
+            serde_json::from_str(&response.body).map_err(|error| error.to_string())?;
+        let machines = state["machines"].as_array().ok_or("no machines")?;
+        let machines = machines.iter().filter(|machine| machine["pool"] == pool);
+        let named =
+            machines.map(|machine| (text(&machine["machine"]), text(&machine["labels"][1])));
+        Ok(named.collect())
+    }
+
     /// Returns the time on the platform's clock, in milliseconds.
     pub fn now_ms(&self) -> Result<f64, Failure> {
         let response = self.platform_call("GET", "/stand-in/state", "")?;
--- a/review/probe-3/src/main.rs
+++ b/review/probe-3/src/main.rs
@@ -6,9 +6,9 @@
 
 mod budget;
 mod cancelled;
-mod crashes;
 mod deployment;
 mod http;
+mod parked;
 mod quota;
 mod record;
 mod silent;
@@ -66,7 +66,7 @@
         "quota" => quota::run(&mut case),
         "cancelled" => cancelled::run(&mut case),
         "budget" => budget::run(&mut case),
-        "crashes" => crashes::run(&mut case),
+        "parked" => parked::run(&mut case),
         "silent" => silent::run(&mut case),
         _ => Err(format!("there is no case {name}")),
     };
