--- a/review/probe-3/src/cancelled.rs
+++ b/review/probe-3/src/cancelled.rs
@@ -18,11 +18,17 @@
 /// Time for which the writes are lost.
 const LOSS: Duration = Duration::from_millis(4_500);
 
-/// Time for which a caller waits before it leaves.
+/// Time for which an impatient caller waits before it leaves.
 const PATIENCE: Duration = Duration::from_millis(300);
 
+/// One of so many callers is impatient.
+const IMPATIENT: u64 = 4;
+
+/// Time between two jobs.
+const INTERVAL: Duration = Duration::from_millis(80);
+
 /// Number of jobs.
-const JOBS: u64 = 24;
+const JOBS: u64 = 48;
 
 /// One subtask of a minute.
 const JOB: &str = r#"{"spec":"60000","steps":[{"count":1,"cpu":500,"memMb":100}]}"#;
@@ -47,13 +53,20 @@
             "for 4.5 s, 35 % of the writes to the table get no answer and are done 6 s later",
         );
     }
-    let mut cancelled = Vec::new();
-    for number in 0..JOBS {
-        if began.elapsed() + PATIENCE > LOSS {
-            break;
-        }
-        cancelled.extend(hand_in(case, &deployment, number)?);
+    let calls: Vec<Call> = thread::scope(|scope| {
+        let deployment = &deployment;
+        let callers = (0..JOBS).map(|number| {
+            thread::sleep(INTERVAL);
+            scope.spawn(move || hand_in(deployment, number))
+        });
+        let callers: Vec<_> = callers.collect();
+        let calls = callers.into_iter().map(|caller| caller.join());
+        calls.filter_map(Result::ok).flatten().collect()
+    });
+    for line in calls.iter().flat_map(|call| &call.lines) {
+        case.record.note(line);
     }
+    let cancelled = calls.into_iter().filter_map(|call| call.cancelled);
     thread::sleep(LOSS.saturating_sub(began.elapsed()));
     let calm_from = deployment.now_ms()? + STABLE_MS;
     case.record.note(&format!(
@@ -84,37 +97,45 @@
     Ok(verdict)
 }
 
-/// Hands a job in. A caller without an answer leaves and cancels the job at another process.
-fn hand_in(
-    case: &mut Case,
-    deployment: &Deployment,
-    number: u64,
-) -> Result<Option<Cancelled>, Failure> {
+/// What a caller has done.
+struct Call {
+    lines: Vec<String>,
+    cancelled: Option<Cancelled>,
+}
+
+/// Hands a job in. An impatient caller without an answer leaves, and cancels the job at
+/// another process.
+fn hand_in(deployment: &Deployment, number: u64) -> Result<Call, Failure> {
     let index = number as usize % deployment.entry_count();
     let id = format!("{:016x}", 0xc000 + number);
-    let response = deployment.call_within(index, "POST", &id, JOB, PATIENCE);
-    if let Ok(response) = response {
-        case.record.note(&format!(
-            "POST {id} at process {}: {}",
-            index + 1,
-            response.status
-        ));
-        return Ok(None);
+    let is_impatient = number % IMPATIENT == 0;
+    let limit = match is_impatient {
+        true => PATIENCE,
+        false => Duration::from_secs(3),
+    };
+    let response = deployment.call_within(index, "POST", &id, JOB, limit);
+    let status = response.map(|response| response.status);
+    let answer = status
+        .as_ref()
+        .map_or("no answer".to_owned(), u16::to_string);
+    let mut call = Call {
+        lines: vec![format!("POST {id} at process {}: {answer}", index + 1)],
+        cancelled: None,
+    };
+    if status.is_ok() || !is_impatient {
+        return Ok(call);
     }
-    case.record.note(&format!(
-        "POST {id} at process {}: no answer, the caller leaves",
-        index + 1
-    ));
     let next = (index + 1) % deployment.entry_count();
     let response = deployment.call(next, "DELETE", &id, "")?;
-    case.record.note(&format!(
-        "DELETE {id} at process {}: {}",
+    call.lines.push(format!(
+        "the caller has left; DELETE {id} at process {}: {}",
         next + 1,
         response.status
     ));
-    Ok(Some(Cancelled {
+    call.cancelled = Some(Cancelled {
         id,
         status: response.status,
         answered_at: deployment.now_ms()?,
-    }))
+    });
+    Ok(call)
 }
