--- a/review/probe-3/src/budget.rs
+++ b/review/probe-3/src/budget.rs
@@ -32,10 +32,8 @@
         ));
     }
     thread::sleep(Duration::from_secs(15));
-    if !case.has_trouble {
-        let state = deployment.state(1, ID);
-        case.record.note(&format!("GET {ID}: {state:?}"));
-    }
+    let state = deployment.state(1, ID);
+    case.record.note(&format!("GET {ID}: {state:?}"));
     let runs = deployment.record_runs(case)?;
     let mut verdict = Verdict::Held;
     let mut starts: BTreeMap<&str, usize> = BTreeMap::new();
--- a/review/probe-3/src/cancelled.rs
+++ b/review/probe-3/src/cancelled.rs
@@ -108,7 +108,7 @@
 fn hand_in(deployment: &Deployment, number: u64) -> Result<Call, Failure> {
     let index = number as usize % deployment.entry_count();
     let id = format!("{:016x}", 0xc000 + number);
-    let is_impatient = number % IMPATIENT == 0;
+    let is_impatient = number.is_multiple_of(IMPATIENT);
     let limit = match is_impatient {
         true => PATIENCE,
         false => Duration::from_secs(3),
--- a/review/probe-3/src/deployment.rs
+++ b/review/probe-3/src/deployment.rs
@@ -163,16 +163,15 @@
         Ok(())
     }
 
-    /// Sends SIGTERM to an entry process.
-    pub fn terminate(&self, index: usize) -> Result<(), Failure> {
+    /// Kills an entry process.
+    pub fn kill(&mut self, index: usize) -> Result<(), Failure> {
         let child = self.entries[index]
             .child
-            .as_ref()
+            .as_mut()
             .ok_or("it does not run")?;
-        let status = Command::new("kill")
-            .args(["-TERM", &child.id().to_string()])
-            .status();
-        status.map(|_| ()).map_err(|error| error.to_string())
+        child.kill().map_err(|error| error.to_string())?;
+        child.wait().map_err(|error| error.to_string())?;
+        Ok(())
     }
 
     /// Returns the number of the process that owns the scheduling, from 0.
--- a/review/probe-3/src/main.rs
+++ b/review/probe-3/src/main.rs
@@ -9,7 +9,6 @@
 mod deployment;
 mod http;
 mod parked;
-mod quota;
 mod record;
 mod silent;
 
@@ -63,7 +62,6 @@
     case.record
         .note(&format!("case {name}, trouble {has_trouble}"));
     let outcome = match name.as_str() {
-        "quota" => quota::run(&mut case),
         "cancelled" => cancelled::run(&mut case),
         "budget" => budget::run(&mut case),
         "parked" => parked::run(&mut case),
