Add case 12: a subtask runs twice after its owner was killed right after a start

An owner that is killed some 30 ms after its starts leaves no sign of a start without an answer. The next life of the worker carries it out late, behind a cut; the process starts again, waits 5.4 s and starts the subtask elsewhere.

The window is narrow: the wait is 5.4 s, and the longest cut 5.5 s.

--- a/review/probe-3/src/main.rs
+++ b/review/probe-3/src/main.rs
@@ -10,6 +10,7 @@
 mod http;
 mod parked;
 mod record;
+mod restarted;
 mod silent;
 
 use std::env;
@@ -64,6 +65,7 @@
     let outcome = match name.as_str() {
         "cancelled" => cancelled::run(&mut case),
         "budget" => budget::run(&mut case),
+        "restarted" => restarted::run(&mut case),
         "parked" => parked::run(&mut case),
         "silent" => silent::run(&mut case),
         _ => Err(format!("there is no case {name}")),
