--- a/review/12/run.sh
+++ b/review/12/run.sh
@@ -1,4 +1,5 @@
 #!/usr/bin/env bash
-# Case 12; see claim.txt.
-folder=$(dirname "$0")
-exec "$folder/../run-3.sh" restarted "$folder"
+# Case 12; see claim.txt. Writes record.txt beside it. TROUBLE=0 leaves the disruption out.
+folder=$(cd "$(dirname "$0")" && pwd)
+export TROUBLE="${TROUBLE:-1}"
+exec "$folder/../run-3.sh" restarted "$folder/record.txt"
