--- a/review/probe-3/src/restarted.rs
+++ b/review/probe-3/src/restarted.rs
@@ -17,7 +17,7 @@
 const RESTART_DELAY: Duration = Duration::from_millis(700);
 
 pub fn run(case: &mut Case) -> Result<Verdict, Failure> {
-    let mut deployment = Deployment::start(case, 3, 9)?;
+    let mut deployment = Deployment::start(case, 3, 15)?;
     for round in 0..ROUNDS {
         play(case, &mut deployment, round)?;
     }
