--- a/review/probe-3/src/cancelled.rs
+++ b/review/probe-3/src/cancelled.rs
@@ -47,10 +47,10 @@
     if case.has_trouble {
         deployment.add_faults(
             "[[fault]]\neffect = \"late\"\ntarget = \"table-writes\"\nshare = 0.35\n\
-             delay-ms = 6000\nfrom-seconds = 0.0\nto-seconds = 4.5\n",
+             delay-ms = 5800\nfrom-seconds = 0.0\nto-seconds = 4.5\n",
         )?;
         case.record.note(
-            "for 4.5 s, 35 % of the writes to the table get no answer and are done 6 s later",
+            "for 4.5 s, 35 % of the writes to the table get no answer and are done 5.8 s later",
         );
     }
     let calls: Vec<Call> = thread::scope(|scope| {
