Keep case 14 inside the share of jobs that can never be done

One job of 20 can never be done, where the site has a share of 0.05; it was the only job before. Its two subtasks had between them 13 to 18 starts each, and three are allowed.

--- a/review/probe-3/src/budget.rs
+++ b/review/probe-3/src/budget.rs
@@ -4,7 +4,7 @@
 use std::thread;
 use std::time::Duration;
 
-use crate::deployment::Deployment;
+use crate::deployment::{Deployment, QUEUE};
 use crate::{Case, Failure, Verdict};
 
 /// Runs after whose failure a subtask does not start again.
@@ -12,18 +12,38 @@
 
 const ID: &str = "00000000000000b1";
 
-/// Two subtasks of 1 s each.
-const JOB: &str = r#"{"spec":"1000","steps":[{"count":2,"cpu":1000,"memMb":100}]}"#;
+/// Two subtasks of 1 s each, for the rack whose workers fail them.
+const JOB: &str =
+    r#"{"spec":"1000","steps":[{"count":2,"cpu":1000,"memMb":100,"requires":"rack-3"}]}"#;
+
+/// One subtask that can be done.
+const SOUND_JOB: &str =
+    r#"{"spec":"500","steps":[{"count":1,"cpu":500,"memMb":100,"requires":"rack-1"}]}"#;
+
+/// Number of sound jobs; one job in twenty can never be done.
+const SOUND_JOBS: u64 = 19;
 
 pub fn run(case: &mut Case) -> Result<Verdict, Failure> {
     let mut deployment = Deployment::start(case, 3, 9)?;
-    // The only job of this deployment can never be done.
-    deployment.add_faults(
-        "[[fault]]\neffect = \"fail-runs\"\nshare = 1.0\nfrom-seconds = 0.0\nto-seconds = 100.0\n",
-    )?;
+    // Only the job that can never be done runs on these workers.
+    for (machine, _) in deployment
+        .machines(QUEUE)?
+        .iter()
+        .filter(|(_, rack)| rack == "rack-3")
+    {
+        let number = machine.trim_start_matches("machine-");
+        deployment.add_faults(&format!(
+            "[[fault]]\neffect = \"fail-runs\"\nmachine = {number}\nshare = 1.0\n\
+             from-seconds = 0.0\nto-seconds = 100.0\n"
+        ))?;
+    }
+    for number in 0..SOUND_JOBS {
+        deployment.submit(case, 0, &format!("{:016x}", 0x5000 + number), SOUND_JOB)?;
+    }
     deployment.submit(case, 0, ID, JOB)?;
     deployment.wait_until("the job runs", |deployment| {
-        deployment.runs().is_ok_and(|runs| runs.len() >= 2)
+        let runs = deployment.runs().unwrap_or_default();
+        runs.iter().filter(|run| run.task.starts_with(ID)).count() >= 2
     })?;
     if case.has_trouble {
         let version = deployment.set_manifest(0, false)?;
@@ -48,6 +68,7 @@
             verdict = Verdict::Broken;
         }
     }
+    starts.retain(|task, _| task.starts_with(ID));
     for (task, count) in starts {
         case.record
             .note(&format!("{task}: {count} starts, {MAX_ATTEMPTS} allowed"));
