State the lease of a start with the change that allows it

The owner was killed some 30 ms after the starts; the worker started again, was cut off, carried a start out late with the longest lease, and the next owner waited for the usual lease only.

Cause: the response to a start had a default, received. A run counted so from its reservation until the start was sent, that is, in the very change that stores its row, and again once its row was read. An owner that ended before its next change left no sign of the start.

Change: the default is gone. A reserved run is unsent, and the change that stores it states the longest lease of a start that is sent within the 2.5 s for which the owner may send orders after it. A run that is read from a row has a missing response while earlier owners state such a lease of its worker; a worker that is then listed anew is waited for as under one owner. Once that worker has responded, only the longest lease from then on counts.

Why it works: every start has a row that states it before it is sent, and every reader of a row restores that state. Rows keep their format.

--- a/crates/jobs/src/scheduler/confirmation.rs
+++ b/crates/jobs/src/scheduler/confirmation.rs
@@ -25,12 +25,13 @@
 const ROUNDING_ERROR: time::Duration = time::Duration::from_millis(2);
 
 /// Response of a worker to an order to start a run.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(super) enum StartResponse {
-    /// It has arrived, or a report lists the run; also for a run that an earlier owner started,
-    /// and for one that is not ordered yet.
-    #[default]
+    /// It has arrived, or a report lists the run.
     Received,
+    /// The order waits until the row of the run is stored. It follows that change at once, so
+    /// that the change itself has to state the lease for a successor.
+    Unsent,
     /// It may still arrive.
     Awaited,
     /// It was given up then: an incarnation may have carried the start out that the owner does
@@ -73,6 +74,7 @@
         let runs = self.reservations.values();
         let ends = runs.filter_map(|reservation| match reservation.response {
             StartResponse::Received => None,
+            StartResponse::Unsent => Some(settings.longest_lease_from_change(now)),
             StartResponse::Awaited => Some(settings.longest_lease_after(now)),
             StartResponse::Missing(_) => Some(self.run_until(reservation, settings)),
         });
@@ -93,11 +95,17 @@
         sent_at + self.max_response_delay + self.longest_lease_bound()
     }
 
+    /// Returns when the longest lease has expired that a start may grant which is sent once a
+    /// change taken at `taken_at` is stored.
+    fn longest_lease_from_change(&self, taken_at: BootTime) -> BootTime {
+        taken_at + self.order_period() + self.longest_lease_bound()
+    }
+
     /// Returns until when a start may be carried out whose worker is known to have started
     /// again.
     pub(super) fn start_carried_out_by(&self, response: StartResponse, now: BootTime) -> BootTime {
         match response {
-            StartResponse::Received => now,
+            StartResponse::Received | StartResponse::Unsent => now,
             StartResponse::Awaited => now + self.max_order_delay,
             StartResponse::Missing(at) => now.max(at + self.max_order_delay),
         }
@@ -137,6 +145,18 @@
         }
     }
 
+    /// Returns what is known of the responses to the starts on a worker that earlier owners sent:
+    /// one is missing while they state a lease of an incarnation that they did not know of.
+    pub(super) fn inherited_response(&self, worker: &WorkerId, now: BootTime) -> StartResponse {
+        let inherited = self.inherited.as_ref();
+        let stated = inherited.map(|leases| leases.unconfirmed.end_of(worker));
+        match stated.filter(|end| *end > now) {
+            // No order of theirs is sent after that.
+            Some(end) => StartResponse::Missing(now.min(end - self.settings.longest_lease_bound())),
+            None => StartResponse::Received,
+        }
+    }
+
     /// Returns whether a start on a worker needs a report first, although the clock of the
     /// worker is known: the next incarnation may have carried an earlier start out, which
     /// takes capacity there. A report that has just arrived shows it.
--- a/crates/jobs/src/scheduler/late_lease.rs
+++ b/crates/jobs/src/scheduler/late_lease.rs
@@ -109,6 +109,8 @@
         let late_until = latest_order.map(|carried_out| carried_out + longest);
         let late_until = late_until.unwrap_or_default().max(inherited_until);
         entry.late_lease_until = entry.late_lease_until.max(late_until);
+        // From now on the worker rejects the starts for earlier incarnations.
+        entry.late_start_until = entry.late_start_until.min(now + longest);
     }
 
     /// Notes that an earlier owner was in contact with the present incarnation of a worker,
--- a/crates/jobs/src/scheduler/lease.rs
+++ b/crates/jobs/src/scheduler/lease.rs
@@ -32,13 +32,10 @@
     ///
     /// An owner that has not ended sends them for a limited time after its latest change.
     pub fn orders_until(&self, settings: &SchedulerSettings) -> BootTime {
-        let unconfirmed = settings
-            .inherited_lease
-            .saturating_sub(settings.lease_bound());
         if self.has_ended {
             return self.unchanged_since;
         }
-        self.unchanged_since + unconfirmed
+        self.unchanged_since + settings.order_period()
     }
 
     /// Returns when all leases have expired that this owner and those before it
--- a/crates/jobs/src/scheduler/lifecycle.rs
+++ b/crates/jobs/src/scheduler/lifecycle.rs
@@ -101,6 +101,7 @@
         let worker = &location.worker;
         let incarnation = location.incarnation;
         let inherited_until = self.earlier_leases_until(worker, now);
+        let response = self.inherited_response(worker, now);
         match self.fleet.get(worker) {
             Some(entry) if entry.incarnation == incarnation => {
                 if entry.is_listed_as_tracked() {
@@ -111,11 +112,13 @@
                 // That incarnation of the worker has ended, but the present one may have
                 // carried the start out.
                 self.count_active(task);
-                self.stop_unreported(worker, task, StartResponse::Received, now);
+                self.stop_unreported(worker, task, response, now);
                 self.count_inherited_crash(worker, task, *run, now);
                 return;
             }
-            Some(_) => self.assume_incarnation(worker, incarnation, now),
+            Some(_) => {
+                self.assume_incarnation(worker, incarnation, response, now);
+            }
             None => {
                 let entry = self.new_entry(worker, incarnation, now);
                 self.fleet.insert(worker.clone(), entry);
@@ -132,7 +135,7 @@
                 is_long_running,
                 caution,
                 is_over: false,
-                response: StartResponse::default(),
+                response,
                 orphan_stop: None,
             };
             entry.reserve(task.clone(), reservation);
@@ -143,8 +146,15 @@
     /// Takes the incarnation in a stored row for the present one, although the list of workers
     /// names another: which of them is later, the first report says. Until then, the runs may
     /// be on the listed one, with the longest lease.
-    fn assume_incarnation(&mut self, worker: &WorkerId, incarnation: u64, now: BootTime) {
-        let longest_until = now + self.settings.longest_lease_bound();
+    fn assume_incarnation(
+        &mut self,
+        worker: &WorkerId,
+        incarnation: u64,
+        response: StartResponse,
+        now: BootTime,
+    ) {
+        let carried_out_by = self.settings.start_carried_out_by(response, now);
+        let longest_until = carried_out_by + self.settings.longest_lease_bound();
         let was_draining = self.fleet.get(worker).is_some_and(WorkerEntry::is_draining);
         self.begin_incarnation(worker, incarnation, was_draining, now);
         if let Some(entry) = self.fleet.get_mut(worker) {
--- a/crates/jobs/src/scheduler/placement.rs
+++ b/crates/jobs/src/scheduler/placement.rs
@@ -444,7 +444,7 @@
             is_long_running: spec.long_running,
             caution,
             is_over: false,
-            response: StartResponse::default(),
+            response: StartResponse::Unsent,
             orphan_stop: None,
         };
         if let Some(worker) = self.fleet.get_mut(&candidate.worker) {
--- a/crates/jobs/src/scheduler/report.rs
+++ b/crates/jobs/src/scheduler/report.rs
@@ -349,7 +349,7 @@
             is_long_running,
             caution: StartCaution::None,
             is_over: false,
-            response: StartResponse::default(),
+            response: StartResponse::Received,
             orphan_stop: Some(OrphanStop {
                 ordered_at: now,
                 accepted_at: None,
--- a/crates/jobs/src/scheduler/settings.rs
+++ b/crates/jobs/src/scheduler/settings.rs
@@ -153,6 +153,11 @@
         self.bound_of(self.max_lease)
     }
 
+    /// Returns for how long after its latest change an owner may send orders.
+    pub(super) fn order_period(&self) -> time::Duration {
+        self.inherited_lease.saturating_sub(self.lease_bound())
+    }
+
     fn bound_of(&self, lease: time::Duration) -> time::Duration {
         lease.mul_f64(1.0 + self.max_clock_drift) + self.lease_margin
     }
--- a/crates/jobs/src/time.rs
+++ b/crates/jobs/src/time.rs
@@ -46,6 +46,14 @@
     }
 }
 
+impl ops::Sub<time::Duration> for BootTime {
+    type Output = Self;
+
+    fn sub(self, delay: time::Duration) -> Self {
+        Self(self.0.saturating_sub(delay.as_millis() as u64))
+    }
+}
+
 /// Milliseconds since the Unix epoch, by the VM's wall clock.
 #[derive(
     Clone, Copy, Debug, Default, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize,
--- a/crates/jobs/tests/restarted_workers.rs
+++ b/crates/jobs/tests/restarted_workers.rs
@@ -191,7 +191,13 @@
     assert_eq!(fleet.starts.len(), 1);
     fleet.worker(worker.as_str()).is_unresponsive = is_cut_off;
     fleet.take_over(SchedulerSettings::default());
-    fleet.watch_runs(WATCH_MS);
+    // The start may as well be still to come.
+    let watch_ms = if is_cut_off {
+        LATE_START_WATCH_MS
+    } else {
+        WATCH_MS
+    };
+    fleet.watch_runs(watch_ms);
     assert_eq!(fleet.starts.len(), 2, "{:?}", fleet.starts);
     assert_eq!(fleet.running_count(&task_id(&JobId::new("j"), 0, 0)), 1);
 }
--- a/crates/jobs/tests/unanswered_starts.rs
+++ b/crates/jobs/tests/unanswered_starts.rs
@@ -23,6 +23,16 @@
     fleet.held_orders = None;
 }
 
+/// Advances time until the long task is ordered to start; returns the start, which has neither been
+/// carried out nor responded to.
+fn hold_start(fleet: &mut FakeFleet) -> WorkerOrder {
+    fleet.held_orders = Some(Vec::new());
+    fleet.advance(20);
+    let held = fleet.held_orders.take().unwrap_or_default();
+    let mut starts = held.into_iter().filter(|order| is_start(&order.action));
+    starts.next().expect("it was ordered")
+}
+
 /// Returns a fleet of one worker, which has started again unnoticed, has carried out so many
 /// starts whose responses are still to come, and is cut off.
 fn fleet_with_starts_in_flight(count: u32) -> FakeFleet {
@@ -57,6 +67,90 @@
     assert_eq!(fleet.starts.len(), 2, "{:?}", fleet.starts);
 }
 
+/// Guards against the same on a listed incarnation that cannot be reached: it carries the start out
+/// seconds after the takeover, and takes the longest lease from it.
+#[rstest]
+#[case::after_2_s(2_000)]
+#[case::after_8_s(8_000)]
+#[case::after_12_s(12_000)]
+fn a_new_owner_waits_for_a_late_start_that_the_one_before_sent_just_before_it_ended(
+    #[case] delay_ms: u64,
+    #[values(false, true)] is_listed_before: bool,
+) {
+    let mut fleet = FakeFleet::with_long_task(2);
+    let start = hold_start(&mut fleet);
+    let (id, now) = (start.worker.clone(), fleet.now);
+    let due = start.issued_at + time::Duration::from_millis(delay_ms);
+    let worker = fleet.worker(id.as_str());
+    let former = worker.view.clone();
+    worker.restart(now);
+    worker.is_unresponsive = true;
+    let present = worker.view.clone();
+    if !is_listed_before {
+        worker.view = former;
+    }
+    fleet.take_over(SchedulerSettings::default());
+    fleet.advance(50);
+    fleet.worker(id.as_str()).view = present.clone();
+    fleet.scheduler.worker_listed(present, fleet.now);
+    fleet.delayed_orders.push((due, start));
+    fleet.watch_runs(WATCH_MS);
+    assert_eq!(fleet.starts.len(), 2, "{:?}", fleet.starts);
+}
+
+/// Guards against the opposite: work that waits because a new owner waits for an earlier
+/// incarnation, although the present one responds.
+#[rstest]
+#[case::listed_before(true)]
+#[case::listed_after(false)]
+fn a_worker_that_has_started_again_and_responds_gets_work_from_a_new_owner_at_once(
+    #[case] is_listed_before: bool,
+) {
+    let mut fleet = FakeFleet::with_long_task(1);
+    hold_start(&mut fleet);
+    let now = fleet.now;
+    let former = fleet.worker("w0").view.clone();
+    fleet.worker("w0").restart(now);
+    let present = fleet.worker("w0").view.clone();
+    if !is_listed_before {
+        fleet.worker("w0").view = former;
+    }
+    fleet.take_over(SchedulerSettings::default());
+    fleet.worker("w0").view = present.clone();
+    fleet.scheduler.worker_listed(present, fleet.now);
+    fleet.advance(500);
+    assert_eq!(fleet.starts.len(), 1, "{:?}", fleet.starts);
+    // It has taken no longer lease than the longest before it responded.
+    let lost_at = fleet.now;
+    fleet.worker("w0").is_unresponsive = true;
+    fleet.add_worker("w1");
+    while fleet.starts.len() == 1 {
+        fleet.advance(10);
+    }
+    let wait = fleet.now.saturating_since(lost_at);
+    let longest = SchedulerSettings::default().longest_lease_bound();
+    assert!(wait <= longest, "{wait:?}");
+}
+
+/// Guards against the opposite: a takeover on a calm day that delays or repeats a task, because
+/// starts were in flight.
+#[test]
+fn a_takeover_delays_no_task_of_workers_that_respond() {
+    let mut fleet = FakeFleet::of_size(4, 8_000);
+    fleet.advance(20_000);
+    let job = fleet.submit("j", vec![step_spec(20, 1_000)], 600);
+    fleet.held_orders = Some(Vec::new());
+    fleet.advance(20);
+    let held = fleet.held_orders.take().unwrap_or_default();
+    carry_out(&mut fleet, held);
+    fleet.take_over(SchedulerSettings::default());
+    let other = fleet.submit("other", vec![step_spec(8, 1_000)], 300);
+    fleet.advance(800);
+    assert_eq!(fleet.state(&job), JobState::Completed);
+    assert_eq!(fleet.state(&other), JobState::Completed);
+    assert_eq!(fleet.starts.len(), 28);
+}
+
 /// Guards against the same, if the new owner reads the entry of the present incarnation, and
 /// more than one row names the one before.
 #[rstest]
