Keep a job that was cancelled before it was stored from being stored

Cause: a cancelling that found no row stored nothing. The process that took the POST goes on with its write, and the table carries a write without an answer out up to 6 s later.

Change: such a cancelling stores a withdrawal on the condition that there is no job, and answers 410 once it is stored. The row of a job is written on the condition that there is no withdrawal of its customer and queue. The owner deletes withdrawals after the retention of finished jobs. They are limited by customer and in all; beyond that, and while nothing can be stored, DELETE is refused (503), or its outcome is unknown (504).

Why it works: the condition is part of each attempt, so that the table refuses also one that arrives late. No process has to remember anything, and the owner meets no job with a withdrawal.

--- a/crates/engine/src/caller/mod.rs
+++ b/crates/engine/src/caller/mod.rs
@@ -4,6 +4,7 @@
 pub mod body;
 pub mod listener;
 pub mod service;
+pub mod withdrawal;
 
 pub use body::BodySettings;
 pub use service::{CallerService, CallerSettings};
--- a/crates/engine/src/caller/service.rs
+++ b/crates/engine/src/caller/service.rs
@@ -30,6 +30,7 @@
 
 use super::board::BoardReader;
 use super::body::BodySettings;
+use super::withdrawal::{WithdrawalLimiter, WithdrawalLimits};
 
 /// Delays between attempts to store a row for a caller.
 const RETRY: BackoffSettings = BackoffSettings {
@@ -82,6 +83,8 @@
     /// Maximum age of the fleet capacity; an older one is not used to refuse
     /// jobs.
     pub max_fleet_capacity_age: time::Duration,
+    /// Limits of the withdrawals of jobs that are not stored.
+    pub withdrawals: WithdrawalLimits,
 }
 
 impl Default for CallerSettings {
@@ -100,6 +103,7 @@
             backlog_interval: time::Duration::from_millis(500),
             admission: AdmissionSettings::default(),
             refusal_timeout: time::Duration::from_millis(40),
+            withdrawals: WithdrawalLimits::default(),
         }
     }
 }
@@ -135,6 +139,7 @@
     fleet_capacity: rc::Rc<BoardReader<FleetCapacity>>,
     backlog: rc::Rc<BoardReader<BacklogSummary>>,
     admission: cell::RefCell<JobAdmission>,
+    withdrawals: cell::RefCell<WithdrawalLimiter>,
     /// Number by which the owner tells the processes that accept jobs apart.
     process_number: u64,
 }
@@ -148,6 +153,13 @@
     deadline: timer::Instant,
 }
 
+impl AdmittedCall {
+    /// Returns the key of the withdrawal of a job by this caller.
+    fn withdrawal_key(&self, id: &JobId) -> RowKey {
+        row::withdrawal_key(id, &self.queue.name, self.customer.as_ref())
+    }
+}
+
 /// Row that owners write.
 struct BoardRow<T> {
     content: T,
@@ -156,10 +168,12 @@
 }
 
 /// Outcome of one attempt to write a row.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Eq, PartialEq)]
 enum WriteOutcome {
-    /// The row is stored, by this attempt or an earlier one.
+    /// The row is stored.
     Stored,
+    /// Rows are there that must not be; one of them may be from an earlier attempt.
+    Conflict(Vec<TableRow>),
     /// The table refused the write, as it would any other attempt.
     Refused,
     /// The row was certainly not written by this attempt.
@@ -168,6 +182,17 @@
     Unknown,
 }
 
+/// Outcome of storing a row that is written only once.
+#[derive(Clone, Debug, Eq, PartialEq)]
+enum StoreOutcome {
+    /// The row is stored.
+    Stored,
+    /// Rows are there that must not be; one of them may be from an earlier attempt.
+    Conflict(Vec<TableRow>),
+    /// The row is not stored; with the response to the caller.
+    Unstored(CallerResponse),
+}
+
 impl CallerService {
     /// Creates a service that reads and writes through `client`.
     pub fn new(
@@ -190,6 +215,7 @@
         ));
         let process_number = u64::from(rand::random::<u32>());
         let admission = JobAdmission::new(settings.admission.clone(), process_number);
+        let withdrawal_limits = settings.withdrawals.clone();
         Self {
             settings,
             client,
@@ -198,6 +224,7 @@
             fleet_capacity,
             backlog,
             admission: cell::RefCell::new(admission),
+            withdrawals: cell::RefCell::new(WithdrawalLimiter::new(withdrawal_limits)),
             process_number,
         }
     }
@@ -307,12 +334,12 @@
                 return CallerResponse::Malformed(message);
             }
         };
-        let response = self.store(key, value, call.deadline).await;
+        let response = self.store_job(id, call, value).await;
         match &response {
             CallerResponse::Accepted => {
                 log_job_event!(info, event::JOB_ACCEPTED, job = id, queue = record.queue);
             }
-            CallerResponse::Unavailable { .. } => {
+            CallerResponse::Unavailable { .. } | CallerResponse::NoSuchJob => {
                 self.admission.borrow_mut().withdraw(id, &arrival);
             }
             _ => {}
@@ -320,6 +347,27 @@
         response
     }
 
+    /// Stores the row of a job, unless its caller has withdrawn it. One that is stored already
+    /// counts as accepted.
+    async fn store_job(&self, id: &JobId, call: &AdmittedCall, value: String) -> CallerResponse {
+        let key = row::job_key(id);
+        let withdrawal = call.withdrawal_key(id);
+        // Also an attempt that the table carries out late has this condition.
+        let transaction = TableTransaction::default()
+            .require_absent(key.clone())
+            .require_absent(withdrawal.clone())
+            .put(key.clone(), value);
+        match self.store(&key, transaction, call.deadline).await {
+            StoreOutcome::Stored => CallerResponse::Accepted,
+            StoreOutcome::Conflict(rows) if has_row(&rows, &key) => CallerResponse::Accepted,
+            StoreOutcome::Conflict(rows) if has_row(&rows, &withdrawal) => {
+                CallerResponse::NoSuchJob
+            }
+            StoreOutcome::Conflict(_) => CallerResponse::OutcomeUnknown,
+            StoreOutcome::Unstored(response) => response,
+        }
+    }
+
     /// Decides on a job by the published backlogs; returns the response if the job must
     /// not be stored.
     ///
@@ -354,18 +402,21 @@
         }
     }
 
-    /// Stores a row that is written only once; an existing row counts as success.
-    async fn store(&self, key: RowKey, value: String, deadline: timer::Instant) -> CallerResponse {
-        let name = key.as_str().to_owned();
-        let transaction = TableTransaction::default()
-            .require_absent(key.clone())
-            .put(key, value);
+    /// Stores the row `key`, which is written only once, with the attempts that this takes.
+    async fn store(
+        &self,
+        key: &RowKey,
+        transaction: TableTransaction,
+        deadline: timer::Instant,
+    ) -> StoreOutcome {
+        let name = key.as_str();
         let mut backoff = RetryBackoff::new(RETRY);
         let mut may_be_stored = false;
         let refuse_at = timer::Instant::now() + self.settings.refuse_after;
         loop {
-            match self.try_write(&name, &transaction, deadline).await {
-                WriteOutcome::Stored => return CallerResponse::Accepted,
+            match self.try_write(name, &transaction, deadline).await {
+                WriteOutcome::Stored => return StoreOutcome::Stored,
+                WriteOutcome::Conflict(rows) => return StoreOutcome::Conflict(rows),
                 WriteOutcome::Unknown => may_be_stored = true,
                 WriteOutcome::Refused => break,
                 WriteOutcome::Rejected => {}
@@ -381,12 +432,13 @@
             }
             timer::sleep(delay).await;
         }
-        if may_be_stored {
-            return CallerResponse::OutcomeUnknown;
-        }
-        CallerResponse::Unavailable {
-            retry_after: self.settings.retry_after,
-        }
+        StoreOutcome::Unstored(if may_be_stored {
+            CallerResponse::OutcomeUnknown
+        } else {
+            CallerResponse::Unavailable {
+                retry_after: self.settings.retry_after,
+            }
+        })
     }
 
     /// Makes one attempt to write the row `name`, and logs a failure.
@@ -401,9 +453,8 @@
         let client = &self.client;
         let commit = client.commit_within(CallCause::Job, transaction.clone(), timeout);
         let error = match commit.await {
-            Ok(CommitOutcome::Committed(_) | CommitOutcome::Conflict(_)) => {
-                return WriteOutcome::Stored;
-            }
+            Ok(CommitOutcome::Committed(_)) => return WriteOutcome::Stored,
+            Ok(CommitOutcome::Conflict(rows)) => return WriteOutcome::Conflict(rows),
             Err(error) => error,
         };
         log_job_event!(info, event::ROW_UNSTORED, row = name, error = error);
@@ -437,40 +488,93 @@
 
     /// Reads the job row and its cancel mark.
     async fn job_rows(&self, id: &JobId) -> Result<Vec<TableRow>, CallerResponse> {
+        let rows = self.rows_of_id(id).await?.into_iter();
+        let keys = [row::job_key(id), row::cancel_key(id)];
+        Ok(rows.filter(|entry| keys.contains(&entry.key)).collect())
+    }
+
+    /// Reads the job row and all marks of its id.
+    async fn rows_of_id(&self, id: &JobId) -> Result<Vec<TableRow>, CallerResponse> {
         let key = row::job_key(id);
         let view = self.client.scan(CallCause::Job, key.as_str()).await;
         let view = view.map_err(|error| self.unreadable(&key, &error))?;
-        let rows = view.rows.into_iter();
-        let cancel = row::cancel_key(id);
-        let job_rows = rows.filter(|entry| entry.key == key || entry.key == cancel);
-        Ok(job_rows.collect())
+        Ok(view.rows)
     }
 
+    /// Cancels a job that is stored, and withdraws one that is not: a write of its row may be
+    /// under way at any process, or be carried out late.
     async fn cancel(&self, id: &JobId, call: &AdmittedCall) -> CallerResponse {
-        let rows = match self.job_rows(id).await {
+        let rows = match self.rows_of_id(id).await {
             Ok(rows) => rows,
             Err(response) => return response,
         };
-        if rows.is_empty() {
+        if has_row(&rows, &row::job_key(id)) {
+            return self.cancel_stored(id, &rows, call).await;
+        }
+        if has_row(&rows, &call.withdrawal_key(id)) {
             return CallerResponse::NoSuchJob;
         }
-        if is_cancelled(&rows, id) {
+        self.withdraw(id, call).await
+    }
+
+    /// Stores the cancel mark of a job whose row is stored.
+    async fn cancel_stored(
+        &self,
+        id: &JobId,
+        rows: &[TableRow],
+        call: &AdmittedCall,
+    ) -> CallerResponse {
+        if is_cancelled(rows, id) {
             return CallerResponse::Cancelled;
         }
         let key = row::cancel_key(id);
-        let record = CancelRecord {
-            cancelled: clock::wall_now(),
-        };
-        let value = match row::write(&key, &record) {
+        let value = match encode_mark(&key) {
             Ok(value) => value,
-            Err(error) => return CallerResponse::Malformed(error.to_string()),
+            Err(response) => return response,
         };
-        match self.store(key, value, call.deadline).await {
-            CallerResponse::Accepted => {
+        let transaction = TableTransaction::default()
+            .require_absent(key.clone())
+            .put(key.clone(), value);
+        match self.store(&key, transaction, call.deadline).await {
+            StoreOutcome::Stored | StoreOutcome::Conflict(_) => {
                 log_job_event!(info, event::JOB_CANCELLED, job = id);
                 CallerResponse::Cancelled
             }
-            response => response,
+            StoreOutcome::Unstored(response) => response,
+        }
+    }
+
+    /// Stores that a job is not to be stored any more, or cancels it if it has been stored
+    /// meanwhile.
+    async fn withdraw(&self, id: &JobId, call: &AdmittedCall) -> CallerResponse {
+        let now = clock::boot_now();
+        let permitted = {
+            let mut limiter = self.withdrawals.borrow_mut();
+            limiter.admit(call.customer.as_ref(), now)
+        };
+        if let Err(retry_after) = permitted {
+            return CallerResponse::Unavailable { retry_after };
+        }
+        let job_key = row::job_key(id);
+        let key = call.withdrawal_key(id);
+        let value = match encode_mark(&key) {
+            Ok(value) => value,
+            Err(response) => return response,
+        };
+        let transaction = TableTransaction::default()
+            .require_absent(job_key.clone())
+            .require_absent(key.clone())
+            .put(key.clone(), value);
+        match self.store(&key, transaction, call.deadline).await {
+            StoreOutcome::Stored => {
+                log_job_event!(info, event::JOB_WITHDRAWN, job = id);
+                CallerResponse::NoSuchJob
+            }
+            StoreOutcome::Conflict(rows) if has_row(&rows, &job_key) => {
+                self.cancel_stored(id, &rows, call).await
+            }
+            StoreOutcome::Conflict(_) => CallerResponse::NoSuchJob,
+            StoreOutcome::Unstored(response) => response,
         }
     }
 
@@ -556,8 +660,20 @@
 }
 
 fn is_cancelled(rows: &[TableRow], id: &JobId) -> bool {
-    let key = row::cancel_key(id);
-    rows.iter().any(|entry| entry.key == key)
+    has_row(rows, &row::cancel_key(id))
+}
+
+fn has_row(rows: &[TableRow], key: &RowKey) -> bool {
+    rows.iter()
+        .any(|entry| entry.key == *key && entry.value.is_some())
+}
+
+/// Encodes the mark of a cancelling that is stored now.
+fn encode_mark(key: &RowKey) -> Result<String, CallerResponse> {
+    let record = CancelRecord {
+        cancelled: clock::wall_now(),
+    };
+    row::write(key, &record).map_err(|error| CallerResponse::Malformed(error.to_string()))
 }
 
 fn log_refusal(verb: CallerVerb, head: &CallerHead, response: &CallerResponse) {
--- a/crates/engine/src/event.rs
+++ b/crates/engine/src/event.rs
@@ -52,6 +52,8 @@
     CALL_REFUSED = 511 "call-refused";
     /// A job was cancelled by its caller.
     JOB_CANCELLED = 512 "job-cancelled";
+    /// A job was cancelled before it was stored.
+    JOB_WITHDRAWN = 516 "job-withdrawn";
     /// A job reached a final state.
     JOB_ENDED = 513 "job-ended";
     /// Tasks of a job were placed on workers.
--- a/crates/engine/src/owner/cleanup.rs
+++ b/crates/engine/src/owner/cleanup.rs
@@ -1,11 +1,14 @@
-//! Deletes the rows of jobs that finished long ago.
+//! Deletes the rows of jobs that finished long ago, and old withdrawals of jobs.
 //!
 //! A task first deletes the job row and its cancel mark; the progress row
 //! follows with the next change of the owner. If the ownership is lost in
 //! between, the next owner finds progress without a job and deletes it.
 
-use redwing_jobs::JobId;
-use redwing_provider::{CallCause, TableClient, TableTransaction};
+use std::collections::VecDeque;
+use std::time;
+
+use redwing_jobs::{BootTime, JobId};
+use redwing_provider::{CallCause, RowKey, TableClient, TableTransaction};
 use tokio::sync::mpsc;
 
 use crate::event;
@@ -19,6 +22,60 @@
 /// that it writes.
 pub(super) const ROWS_PER_CHANGE: usize = 10;
 
+/// Withdrawals whose rows are stored.
+///
+/// A row is kept from when this owner first saw it for as long as the state of a finished job:
+/// by then no write of the job is under way any more. A new owner counts anew.
+#[derive(Debug, Default)]
+pub(super) struct WithdrawalRows {
+    /// The oldest first.
+    order: VecDeque<(RowKey, BootTime)>,
+}
+
+impl WithdrawalRows {
+    /// Remembers a row.
+    pub(super) fn add(&mut self, key: RowKey, now: BootTime) {
+        self.order.push_back((key, now));
+    }
+
+    /// Returns up to `limit` rows that are older than `retention`; they are to be deleted.
+    pub(super) fn take_expired(
+        &mut self,
+        limit: usize,
+        retention: time::Duration,
+        now: BootTime,
+    ) -> Vec<RowKey> {
+        let mut expired = Vec::new();
+        let is_old = |row: &mut (RowKey, BootTime)| now.saturating_since(row.1) >= retention;
+        while expired.len() < limit {
+            let Some((key, _)) = self.order.pop_front_if(is_old) else {
+                break;
+            };
+            expired.push(key);
+        }
+        expired
+    }
+}
+
+/// Starts a task that deletes withdrawals. Those that it cannot delete are left to the next
+/// owner.
+pub(super) fn delete_withdrawals(client: &TableClient, keys: Vec<RowKey>) {
+    let client = client.clone();
+    tokio::task::spawn_local(async move {
+        for key in keys {
+            let rows = TableTransaction::default().delete(key.clone());
+            if let Err(error) = client.commit(CallCause::Job, rows).await {
+                log_job_event!(
+                    warn,
+                    event::CLEANUP_FAILED,
+                    job = key.as_str(),
+                    error = error
+                );
+            }
+        }
+    });
+}
+
 /// Starts a task that deletes the rows of `jobs` and sends the ids of those
 /// that are deleted to `deleted`.
 pub(super) fn start(
--- a/crates/engine/src/owner/session/mod.rs
+++ b/crates/engine/src/owner/session/mod.rs
@@ -30,6 +30,7 @@
 use super::OwnerDependencies;
 use super::advice::{self, AdviceResult};
 use super::change::{ChangeOutcome, ChangeUnit};
+use super::cleanup::WithdrawalRows;
 use super::election::{AcquiredOwnership, OwnerLease};
 use super::evacuation_board::EvacuationBoard;
 use super::inherited::InheritedRows;
@@ -91,6 +92,8 @@
     /// Jobs whose job rows have been deleted.
     deleted: mpsc::UnboundedReceiver<JobId>,
     deleted_sender: mpsc::UnboundedSender<JobId>,
+    /// Withdrawals of jobs, until their rows are deleted.
+    withdrawal_rows: WithdrawalRows,
     /// Jobs whose progress rows are to be deleted with the next changes.
     obsolete_jobs: VecDeque<JobId>,
     cleanup_started_at: BootTime,
@@ -192,6 +195,7 @@
             advice_results,
             deleted,
             deleted_sender,
+            withdrawal_rows: WithdrawalRows::default(),
             obsolete_jobs: VecDeque::new(),
             cleanup_started_at: clock::boot_now(),
             machine_responses,
--- a/crates/engine/src/owner/session/rows.rs
+++ b/crates/engine/src/owner/session/rows.rs
@@ -129,6 +129,7 @@
                     }
                 }
                 Some(JobKey::Cancel(id)) => cancelled.push(id),
+                Some(JobKey::Withdrawal(_)) => self.withdrawal_rows.add(entry.key.clone(), now),
                 None => {}
             }
         }
@@ -195,6 +196,9 @@
                     }
                 }
                 Some(JobKey::Cancel(id)) if entry.value.is_some() => cancelled.push(id),
+                Some(JobKey::Withdrawal(_)) if entry.value.is_some() => {
+                    self.withdrawal_rows.add(entry.key.clone(), now);
+                }
                 _ => {}
             }
         }
--- a/crates/engine/src/owner/session/store.rs
+++ b/crates/engine/src/owner/session/store.rs
@@ -281,6 +281,13 @@
         }
         self.cleanup_started_at = now;
         self.update_fleet_capacity();
+        let retention = self.dependencies.settings.scheduler.retention;
+        let withdrawals =
+            self.withdrawal_rows
+                .take_expired(cleanup::JOBS_PER_ROUND, retention, now);
+        if !withdrawals.is_empty() {
+            cleanup::delete_withdrawals(&self.dependencies.client, withdrawals);
+        }
         let expired_jobs = self.scheduler.take_expired(cleanup::JOBS_PER_ROUND, now);
         if !expired_jobs.is_empty() {
             cleanup::start(
--- a/crates/engine/src/row.rs
+++ b/crates/engine/src/row.rs
@@ -4,6 +4,7 @@
 //! | --- | --- | --- |
 //! | `jobs@PART/ID` | the accepting process, once | [`JobRecord`](redwing_jobs::JobRecord) |
 //! | `jobs@PART/ID.cancel` | the cancelling process, once | [`CancelRecord`] |
+//! | `jobs@PART/ID.withdrawn.HASH` | the cancelling process, once | [`CancelRecord`] |
 //! | `progress/ID` | the owner | [`ProgressRecord`](redwing_jobs::ProgressRecord) |
 //! | `owner/jobs` | the owner, and the process that claims the ownership | [`OwnerRecord`] |
 //! | `owner/leases` | the owner | [`LeaseRecord`] |
@@ -23,7 +24,7 @@
 
 use redwing_jobs::JobId;
 use redwing_jobs::capacity::MoveWaits;
-use redwing_jobs::name::{QueueName, WorkerId};
+use redwing_jobs::name::{CustomerName, QueueName, WorkerId};
 use redwing_jobs::scheduler::{FleetHealth, StoredAdvice};
 use redwing_jobs::time::WallTime;
 use redwing_jobs::wait::ElapsedWait;
@@ -73,6 +74,9 @@
 /// Suffix of the key of a cancel mark.
 const CANCEL_SUFFIX: &str = ".cancel";
 
+/// Part of the key of a withdrawal between the id and the hash of who it is from.
+const WITHDRAWAL_INFIX: &str = ".withdrawn.";
+
 /// Owner of the scheduling.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(rename_all = "kebab-case")]
@@ -204,7 +208,7 @@
     }
 }
 
-/// Mark that a job was cancelled.
+/// Mark that a job was cancelled, or withdrawn before it was stored.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(rename_all = "kebab-case")]
 pub struct CancelRecord {
@@ -273,6 +277,18 @@
     RowKey::new(format!("{}{CANCEL_SUFFIX}", job_key(id).as_str()))
 }
 
+/// Returns the key of the withdrawal of a job that is not stored: one of that customer on that
+/// queue is not stored while the row is there. A job of another one with the same id is.
+pub fn withdrawal_key(id: &JobId, queue: &QueueName, customer: Option<&CustomerName>) -> RowKey {
+    let customer = customer.map(CustomerName::as_str);
+    let source = format!("{queue}\0{}", customer.unwrap_or_default());
+    let hash = xxh3::xxh3_64(source.as_bytes());
+    RowKey::new(format!(
+        "{}{WITHDRAWAL_INFIX}{hash:016x}",
+        job_key(id).as_str()
+    ))
+}
+
 /// Returns the key of a job's progress row.
 pub fn progress_key(id: &JobId) -> RowKey {
     RowKey::new(format!("{PROGRESS_PREFIX}{id}"))
@@ -299,6 +315,8 @@
     Job(JobId),
     /// Cancel mark of the job.
     Cancel(JobId),
+    /// Withdrawal of a job with this id.
+    Withdrawal(JobId),
 }
 
 /// Parses the key of a row under [`JOB_PREFIX`].
@@ -307,6 +325,9 @@
     if location.table != JOB_TABLE {
         return None;
     }
+    if let Some((id, _)) = location.name.split_once(WITHDRAWAL_INFIX) {
+        return Some(JobKey::Withdrawal(JobId::new(id)));
+    }
     Some(match location.name.strip_suffix(CANCEL_SUFFIX) {
         Some(id) => JobKey::Cancel(JobId::new(id)),
         None => JobKey::Job(JobId::new(location.name)),
