--- a/crates/engine/tests/withdrawal.rs
+++ b/crates/engine/tests/withdrawal.rs
@@ -24,8 +24,11 @@
 /// Time after which a job that is stored has started.
 const START_TIME: time::Duration = time::Duration::from_secs(5);
 
-/// Number of commits of a process that are delayed: all that it sends for one job.
-const ALL_ATTEMPTS: u32 = 20;
+/// Time after which a caller leaves; less than the first attempts to store its job take.
+const PATIENCE: time::Duration = time::Duration::from_millis(30);
+
+/// Number of commits of a process that get no response: more than it sends for one job.
+const ALL_ATTEMPTS: u32 = 1_000;
 
 async fn cancel(cluster: &TestCluster, process: usize, id: &str) -> CallerResponse {
     let service = &cluster.processes[process].service;
@@ -34,14 +37,10 @@
         .await
 }
 
-/// Submits a job to process 0, which gets no response from the table, and cancels it at process 1
-/// meanwhile. Returns both responses.
-async fn submit_and_cancel(cluster: &TestCluster, id: &str) -> (CallerResponse, CallerResponse) {
-    let cancelled = async {
-        timer::sleep(time::Duration::from_millis(200)).await;
-        cancel(cluster, 1, id).await
-    };
-    tokio::join!(cluster.submit(0, id, 1), cancelled)
+/// Returns two processes that do not own the scheduling: their only commits are those for callers.
+async fn other_processes(cluster: &TestCluster) -> [usize; 2] {
+    let owner = cluster.process_index(&cluster.owner().await);
+    [(owner + 1) % 3, (owner + 2) % 3]
 }
 
 /// Returns the number of rows whose keys begin with that of a job.
@@ -64,9 +63,14 @@
     run_test(async move {
         let cluster = TestCluster::start(3, TASK_TIME).await;
         let owner = cluster.owner().await;
-        let platform = &cluster.processes[0].platform;
+        let [first, second] = other_processes(&cluster).await;
+        let platform = &cluster.processes[first].platform;
         platform.set_faults(|plan| plan.late_requests = late);
-        let (submitted, cancelled) = submit_and_cancel(&cluster, "a").await;
+        let cancelled = async {
+            timer::sleep(PATIENCE).await;
+            cancel(&cluster, second, "a").await
+        };
+        let (submitted, cancelled) = tokio::join!(cluster.submit(first, "a", 1), cancelled);
         assert_eq!(cancelled, CallerResponse::NoSuchJob);
         assert_ne!(submitted, CallerResponse::Accepted);
         platform.set_faults(|plan| plan.late_requests = 0);
@@ -77,10 +81,16 @@
         cluster.platform.deliver_late_requests();
         timer::sleep(START_TIME).await;
         assert_eq!(cluster.workers.starts().len(), 0);
-        assert_eq!(cluster.state(2, "a").await, CallerResponse::NoSuchJob);
+        assert_eq!(cluster.state(second, "a").await, CallerResponse::NoSuchJob);
         // Sent again, it is refused at once.
-        assert_eq!(cluster.submit(2, "a", 1).await, CallerResponse::NoSuchJob);
-        assert_eq!(cancel(&cluster, 2, "a").await, CallerResponse::NoSuchJob);
+        assert_eq!(
+            cluster.submit(second, "a", 1).await,
+            CallerResponse::NoSuchJob
+        );
+        assert_eq!(
+            cancel(&cluster, second, "a").await,
+            CallerResponse::NoSuchJob
+        );
         assert_eq!(row_count(&cluster, "a").await, 1);
     });
 }
@@ -123,18 +133,18 @@
 #[test]
 fn a_job_that_is_stored_while_it_is_being_cancelled_is_cancelled() {
     run_test(async {
-        let cluster = TestCluster::start(2, time::Duration::from_secs(60)).await;
-        cluster.owner().await;
-        let slow = &cluster.processes[1].platform;
+        let cluster = TestCluster::start(3, time::Duration::from_secs(60)).await;
+        let [first, second] = other_processes(&cluster).await;
+        let slow = &cluster.processes[second].platform;
         slow.set_faults(|plan| plan.table_delay_millis = 200);
         let submitted = async {
             timer::sleep(time::Duration::from_millis(150)).await;
-            cluster.submit(0, "a", 1).await
+            cluster.submit(first, "a", 1).await
         };
-        let (cancelled, submitted) = tokio::join!(cancel(&cluster, 1, "a"), submitted);
+        let (cancelled, submitted) = tokio::join!(cancel(&cluster, second, "a"), submitted);
         assert_eq!(submitted, CallerResponse::Accepted);
         assert_eq!(cancelled, CallerResponse::Cancelled);
-        cluster.wait_state(0, "a", JobState::Cancelled).await;
+        cluster.wait_state(first, "a", JobState::Cancelled).await;
         timer::sleep(START_TIME).await;
         assert!(cluster.workers.running().is_empty());
     });
@@ -150,13 +160,13 @@
     #[case] lost_requests: u32,
 ) {
     run_test(async move {
-        let cluster = TestCluster::start(2, TASK_TIME).await;
-        cluster.owner().await;
-        cluster.processes[1].platform.set_faults(|plan| {
+        let cluster = TestCluster::start(3, TASK_TIME).await;
+        let [process, _] = other_processes(&cluster).await;
+        cluster.processes[process].platform.set_faults(|plan| {
             plan.table_down = table_down;
             plan.lost_requests = lost_requests;
         });
-        let response = cancel(&cluster, 1, "a").await;
+        let response = cancel(&cluster, process, "a").await;
         let is_refusal = matches!(
             response,
             CallerResponse::Unavailable { .. } | CallerResponse::OutcomeUnknown
