Move the writes for callers into a module of their own

Nothing changes, but that a conflict which names neither the job nor the withdrawal is an unknown outcome for DELETE too.

--- a/crates/engine/src/caller/mod.rs
+++ b/crates/engine/src/caller/mod.rs
@@ -3,6 +3,7 @@
 mod board;
 pub mod body;
 pub mod listener;
+mod row_writer;
 pub mod service;
 pub mod withdrawal;
 
--- a/crates/engine/src/caller/service.rs
+++ b/crates/engine/src/caller/service.rs
@@ -13,10 +13,7 @@
 use redwing_jobs::manifest::{JobManifest, QueuePolicy};
 use redwing_jobs::name::CustomerName;
 use redwing_jobs::{JobId, JobRecord, JobState, ProgressRecord};
-use redwing_provider::backoff::{BackoffSettings, RetryBackoff};
-use redwing_provider::{
-    CallCause, Category, CommitOutcome, RowKey, TableClient, TableRow, TableTransaction,
-};
+use redwing_provider::{CallCause, RowKey, TableClient, TableRow, TableTransaction};
 use serde::de::DeserializeOwned;
 use tokio::sync::watch;
 use tokio::time as timer;
@@ -30,14 +27,9 @@
 
 use super::board::BoardReader;
 use super::body::BodySettings;
+use super::row_writer::{RowWriter, StoreOutcome, WriteLimits};
 use super::withdrawal::{WithdrawalLimiter, WithdrawalLimits};
 
-/// Delays between attempts to store a row for a caller.
-const RETRY: BackoffSettings = BackoffSettings {
-    initial_delay: time::Duration::from_millis(60),
-    max_delay: time::Duration::from_millis(300),
-};
-
 /// Least time from a publication until entry VMs read it; each adds up to as much at
 /// random.
 const PUBLICATION_DELAY: time::Duration = time::Duration::from_millis(40);
@@ -134,6 +126,7 @@
 pub struct CallerService {
     settings: CallerSettings,
     client: TableClient,
+    writer: RowWriter,
     codec: sync::Arc<dyn DeploymentCodec>,
     operators: watch::Receiver<OperatorView>,
     fleet_capacity: rc::Rc<BoardReader<FleetCapacity>>,
@@ -167,32 +160,6 @@
     table_ms: Option<u64>,
 }
 
-/// Outcome of one attempt to write a row.
-#[derive(Clone, Debug, Eq, PartialEq)]
-enum WriteOutcome {
-    /// The row is stored.
-    Stored,
-    /// Rows are there that must not be; one of them may be from an earlier attempt.
-    Conflict(Vec<TableRow>),
-    /// The table refused the write, as it would any other attempt.
-    Refused,
-    /// The row was certainly not written by this attempt.
-    Rejected,
-    /// The row may have been written by this attempt.
-    Unknown,
-}
-
-/// Outcome of storing a row that is written only once.
-#[derive(Clone, Debug, Eq, PartialEq)]
-enum StoreOutcome {
-    /// The row is stored.
-    Stored,
-    /// Rows are there that must not be; one of them may be from an earlier attempt.
-    Conflict(Vec<TableRow>),
-    /// The row is not stored; with the response to the caller.
-    Unstored(CallerResponse),
-}
-
 impl CallerService {
     /// Creates a service that reads and writes through `client`.
     pub fn new(
@@ -216,9 +183,11 @@
         let process_number = u64::from(rand::random::<u32>());
         let admission = JobAdmission::new(settings.admission.clone(), process_number);
         let withdrawal_limits = settings.withdrawals.clone();
+        let writer = RowWriter::new(client.clone(), WriteLimits::from(&settings));
         Self {
             settings,
             client,
+            writer,
             codec,
             operators,
             fleet_capacity,
@@ -357,7 +326,7 @@
             .require_absent(key.clone())
             .require_absent(withdrawal.clone())
             .put(key.clone(), value);
-        match self.store(&key, transaction, call.deadline).await {
+        match self.writer.store(&key, transaction, call.deadline).await {
             StoreOutcome::Stored => CallerResponse::Accepted,
             StoreOutcome::Conflict(rows) if has_row(&rows, &key) => CallerResponse::Accepted,
             StoreOutcome::Conflict(rows) if has_row(&rows, &withdrawal) => {
@@ -402,69 +371,6 @@
         }
     }
 
-    /// Stores the row `key`, which is written only once, with the attempts that this takes.
-    async fn store(
-        &self,
-        key: &RowKey,
-        transaction: TableTransaction,
-        deadline: timer::Instant,
-    ) -> StoreOutcome {
-        let name = key.as_str();
-        let mut backoff = RetryBackoff::new(RETRY);
-        let mut may_be_stored = false;
-        let refuse_at = timer::Instant::now() + self.settings.refuse_after;
-        loop {
-            match self.try_write(name, &transaction, deadline).await {
-                WriteOutcome::Stored => return StoreOutcome::Stored,
-                WriteOutcome::Conflict(rows) => return StoreOutcome::Conflict(rows),
-                WriteOutcome::Unknown => may_be_stored = true,
-                WriteOutcome::Refused => break,
-                WriteOutcome::Rejected => {}
-            }
-            let limit = if may_be_stored {
-                deadline
-            } else {
-                refuse_at.min(deadline)
-            };
-            let delay = backoff.next_delay(rand::random());
-            if timer::Instant::now() + delay >= limit {
-                break;
-            }
-            timer::sleep(delay).await;
-        }
-        StoreOutcome::Unstored(if may_be_stored {
-            CallerResponse::OutcomeUnknown
-        } else {
-            CallerResponse::Unavailable {
-                retry_after: self.settings.retry_after,
-            }
-        })
-    }
-
-    /// Makes one attempt to write the row `name`, and logs a failure.
-    async fn try_write(
-        &self,
-        name: &str,
-        transaction: &TableTransaction,
-        deadline: timer::Instant,
-    ) -> WriteOutcome {
-        let remaining = deadline.saturating_duration_since(timer::Instant::now());
-        let timeout = remaining.min(self.settings.attempt_timeout);
-        let client = &self.client;
-        let commit = client.commit_within(CallCause::Job, transaction.clone(), timeout);
-        let error = match commit.await {
-            Ok(CommitOutcome::Committed(_)) => return WriteOutcome::Stored,
-            Ok(CommitOutcome::Conflict(rows)) => return WriteOutcome::Conflict(rows),
-            Err(error) => error,
-        };
-        log_job_event!(info, event::ROW_UNSTORED, row = name, error = error);
-        match error.classify() {
-            Category::Unknown => WriteOutcome::Unknown,
-            Category::Refused => WriteOutcome::Refused,
-            Category::Unavailable => WriteOutcome::Rejected,
-        }
-    }
-
     async fn job_state(&self, id: &JobId) -> CallerResponse {
         let key = row::progress_key(id);
         let progress = match self.client.scan(CallCause::Job, key.as_str()).await {
@@ -535,7 +441,7 @@
         let transaction = TableTransaction::default()
             .require_absent(key.clone())
             .put(key.clone(), value);
-        match self.store(&key, transaction, call.deadline).await {
+        match self.writer.store(&key, transaction, call.deadline).await {
             StoreOutcome::Stored | StoreOutcome::Conflict(_) => {
                 log_job_event!(info, event::JOB_CANCELLED, job = id);
                 CallerResponse::Cancelled
@@ -565,7 +471,7 @@
             .require_absent(job_key.clone())
             .require_absent(key.clone())
             .put(key.clone(), value);
-        match self.store(&key, transaction, call.deadline).await {
+        match self.writer.store(&key, transaction, call.deadline).await {
             StoreOutcome::Stored => {
                 log_job_event!(info, event::JOB_WITHDRAWN, job = id);
                 CallerResponse::NoSuchJob
@@ -573,7 +479,8 @@
             StoreOutcome::Conflict(rows) if has_row(&rows, &job_key) => {
                 self.cancel_stored(id, &rows, call).await
             }
-            StoreOutcome::Conflict(_) => CallerResponse::NoSuchJob,
+            StoreOutcome::Conflict(rows) if has_row(&rows, &key) => CallerResponse::NoSuchJob,
+            StoreOutcome::Conflict(_) => CallerResponse::OutcomeUnknown,
             StoreOutcome::Unstored(response) => response,
         }
     }
