--- a/crates/engine/src/owner/cleanup.rs
+++ b/crates/engine/src/owner/cleanup.rs
@@ -5,6 +5,7 @@
 //! between, the next owner finds progress without a job and deletes it.
 
 use std::collections::VecDeque;
+use std::iter;
 use std::time;
 
 use redwing_jobs::{BootTime, JobId};
@@ -22,6 +23,14 @@
 /// that it writes.
 pub(super) const ROWS_PER_CHANGE: usize = 10;
 
+/// Withdrawal whose row is stored.
+#[derive(Clone, Debug)]
+struct StoredWithdrawal {
+    key: RowKey,
+    /// When this owner first saw it.
+    seen_at: BootTime,
+}
+
 /// Withdrawals whose rows are stored.
 ///
 /// A row is kept from when this owner first saw it for as long as the state of a finished job:
@@ -29,13 +38,13 @@
 #[derive(Debug, Default)]
 pub(super) struct WithdrawalRows {
     /// The oldest first.
-    order: VecDeque<(RowKey, BootTime)>,
+    order: VecDeque<StoredWithdrawal>,
 }
 
 impl WithdrawalRows {
     /// Remembers a row.
     pub(super) fn add(&mut self, key: RowKey, now: BootTime) {
-        self.order.push_back((key, now));
+        self.order.push_back(StoredWithdrawal { key, seen_at: now });
     }
 
     /// Returns up to `limit` rows that are older than `retention`; they are to be deleted.
@@ -45,15 +54,10 @@
         retention: time::Duration,
         now: BootTime,
     ) -> Vec<RowKey> {
-        let mut expired = Vec::new();
-        let is_old = |row: &mut (RowKey, BootTime)| now.saturating_since(row.1) >= retention;
-        while expired.len() < limit {
-            let Some((key, _)) = self.order.pop_front_if(is_old) else {
-                break;
-            };
-            expired.push(key);
-        }
-        expired
+        let is_old =
+            |oldest: &mut StoredWithdrawal| now.saturating_since(oldest.seen_at) >= retention;
+        let expired = iter::from_fn(|| self.order.pop_front_if(is_old));
+        expired.take(limit).map(|row| row.key).collect()
     }
 }
 
