--- a/crates/jobs/tests/unanswered_starts.rs
+++ b/crates/jobs/tests/unanswered_starts.rs
@@ -23,16 +23,6 @@
     fleet.held_orders = None;
 }
 
-/// Advances time until the long task is ordered to start; returns the start, which has neither been
-/// carried out nor responded to.
-fn hold_start(fleet: &mut FakeFleet) -> WorkerOrder {
-    fleet.held_orders = Some(Vec::new());
-    fleet.advance(20);
-    let held = fleet.held_orders.take().unwrap_or_default();
-    let mut starts = held.into_iter().filter(|order| is_start(&order.action));
-    starts.next().expect("it was ordered")
-}
-
 /// Returns a fleet of one worker, which has started again unnoticed, has carried out so many
 /// starts whose responses are still to come, and is cut off.
 fn fleet_with_starts_in_flight(count: u32) -> FakeFleet {
@@ -78,7 +68,7 @@
     #[values(false, true)] is_listed_before: bool,
 ) {
     let mut fleet = FakeFleet::with_long_task(2);
-    let start = hold_start(&mut fleet);
+    let start = fleet.hold_back(20, is_start);
     let (id, now) = (start.worker.clone(), fleet.now);
     let due = start.issued_at + time::Duration::from_millis(delay_ms);
     let worker = fleet.worker(id.as_str());
@@ -107,7 +97,7 @@
     #[case] is_listed_before: bool,
 ) {
     let mut fleet = FakeFleet::with_long_task(1);
-    hold_start(&mut fleet);
+    fleet.hold_back(20, is_start);
     let now = fleet.now;
     let former = fleet.worker("w0").view.clone();
     fleet.worker("w0").restart(now);
